--- /dev/null
+++ b/src/sidecar/config.rs
@@ -0,0 +1,277 @@
+//! What the sidecar is told at its start: `LB_CONFIG` and the other `LB_` variables. Everything is
+//! checked here; an error names the key.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::api::{Health, LoadReport, ServerEntry, ServerId};
+use crate::settings::{Repeat, Settings};
+
+/// The configuration, checked.
+pub struct Config {
+    /// This sidecar's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where datagrams of other sidecars arrive, if they may come.
+    pub peer_listen: Option<SocketAddr>,
+    /// The sidecars of the tier, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// What is sent there reaches every sidecar of the tier.
+    pub peers_all: Option<SocketAddr>,
+    /// The list of servers as this sidecar last had it.
+    pub known: Option<List>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names that stand on sockets for the module's numbers.
+    pub names: Names,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<List>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+/// A list of servers, or what changed in it, as discovery writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// The version of the list.
+    pub seq: u64,
+    /// Whether this is all of it.
+    pub whole: bool,
+    /// The entries.
+    pub hosts: Vec<Host>,
+}
+
+/// One server of a list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    /// The name, the same at every sidecar.
+    pub host: String,
+    /// Where it listens for this sidecar; one that is gone need not say.
+    pub dial: Option<SocketAddr>,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u16,
+    health: Listed,
+    #[serde(default = "one")]
+    share: f32,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Listed {
+    Active,
+    Leaving,
+    Left,
+}
+
+fn one() -> f32 {
+    1.0
+}
+
+impl Host {
+    /// The module's name for it.
+    pub fn id(&self) -> ServerId {
+        ServerId(stable_hash(self.host.as_bytes()))
+    }
+}
+
+/// The same number for the same bytes in every build and at every sidecar (FNV-1a).
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// A class as it is met on sockets.
+#[derive(Clone, Copy, Debug)]
+pub struct ClassName {
+    /// Its place in the settings.
+    pub index: usize,
+    /// It decides the method.
+    pub repeat: Repeat,
+}
+
+/// Names that stand on sockets for numbers of the settings.
+#[derive(Default)]
+pub struct Names {
+    /// Classes by the first part of the path.
+    pub classes: HashMap<String, ClassName>,
+    /// Tenants by `X-Account`.
+    pub tenants: HashMap<String, usize>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    columns: Vec<String>,
+}
+
+impl Names {
+    fn new(settings: &Settings, raw: &Value) -> Result<Names, String> {
+        let strings = |key: &str, of: fn(&Value) -> &Value| -> Result<Vec<String>, String> {
+            let Some(list) = raw.get(key).and_then(Value::as_array) else {
+                return Ok(Vec::new());
+            };
+            let names: Option<_> = list.iter().map(|v| of(v).as_str().map(str::to_owned)).collect();
+            names.ok_or_else(|| format!("settings.{key}: names expected"))
+        };
+        let mut names = Names {
+            zones: settings.zones.clone(),
+            kinds: strings("kinds", |v| v)?,
+            columns: settings.report.columns.clone(),
+            ..Names::default()
+        };
+        for (index, class) in settings.classes.iter().enumerate() {
+            let of = ClassName { index, repeat: class.repeat };
+            if names.classes.insert(class.name.clone(), of).is_some() {
+                return Err(format!("settings.classes[{index}].name: a name of its own expected"));
+            }
+        }
+        for (index, name) in strings("tenants", |v| &v["name"])?.into_iter().enumerate() {
+            if names.tenants.insert(name, index).is_some() {
+                return Err(format!("settings.tenants[{index}].name: a name of its own expected"));
+            }
+        }
+        Ok(names)
+    }
+
+    /// A server as the module takes it. A zone or kind that the settings lack is like no other.
+    pub fn entry(&self, host: &Host) -> ServerEntry {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        ServerEntry {
+            id: host.id(),
+            zone: place(&self.zones, &host.site).and_then(|i| i.try_into().ok()).unwrap_or(u8::MAX),
+            kind: place(&self.kinds, &host.class)
+                .and_then(|i| i.try_into().ok())
+                .unwrap_or(u16::MAX),
+            cell: host.block,
+            health: match host.health {
+                Listed::Active => Health::Ready,
+                Listed::Leaving => Health::Draining,
+                Listed::Left => Health::Gone,
+            },
+            power: host.share,
+            started: host.born_ms.saturating_mul(1000),
+        }
+    }
+
+    /// A load report (`inflight=7,queue=2,util=0.61`) in the order of the settings' columns. One
+    /// that lacks a column or holds no number is none.
+    pub fn report(&self, text: &str) -> LoadReport {
+        let field = |column: &String| {
+            let name = match column.as_str() {
+                "rif" => "inflight",
+                "q" => "queue",
+                "busy" => "util",
+                "lat_ms" => "latency_ms",
+                "rate" => "qps",
+                "fail_rate" => "eps",
+                other => other,
+            };
+            let fields = text.split(',').filter_map(|f| f.split_once('='));
+            let value = fields.filter(|(k, _)| k.trim() == name).map(|(_, v)| v).next()?;
+            value.trim().parse::<f32>().ok().filter(|v| v.is_finite())
+        };
+        let values: Option<_> = self.columns.iter().map(field).collect();
+        values.map(LoadReport).unwrap_or_default()
+    }
+}
+
+impl Config {
+    /// Reads the configuration that the variables name.
+    pub fn from_env() -> Result<Config, String> {
+        let var = |key: &str| match std::env::var(key) {
+            Ok(value) if !value.is_empty() => Ok(Some(value)),
+            Ok(_) | Err(std::env::VarError::NotPresent) => Ok(None),
+            Err(e) => Err(format!("{key}: {e}")),
+        };
+        let path = var("LB_CONFIG")?.ok_or("LB_CONFIG: the path of the configuration expected")?;
+        let text = std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        Config::from_json(&text, [var("LB_NAME")?, var("LB_LISTEN")?, var("LB_DISCOVERY")?])
+            .map_err(|e| format!("LB_CONFIG: {e}"))
+    }
+
+    /// Reads a configuration; `env` holds the name and the addresses as the variables have them.
+    fn from_json(text: &[u8], env: [Option<String>; 3]) -> Result<Config, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let [name, listen, discovery] = env;
+        let name = agreed("name", file.name, "LB_NAME", name)?;
+        let listen = agreed("listen", file.listen, "LB_LISTEN", listen)?;
+        let discovery = agreed("discovery", file.discovery, "LB_DISCOVERY", discovery)?;
+        let address = |key: &str, text: String| {
+            text.parse().map_err(|_| format!("{key}: an address and a port expected, not {text:?}"))
+        };
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("seed: 16 hexadecimal digits expected, not {:?}", file.seed))?;
+        if file.limits.sockets < 128 {
+            return Err("limits.sockets: 128 or more expected".into());
+        }
+        if file.limits.memory_mb < 64 {
+            return Err("limits.memory_mb: 64 or more expected".into());
+        }
+        let settings = Settings::from_json(file.settings.to_string().as_bytes())?;
+        if !file.peers.is_empty() && file.peers.len() != settings.instances as usize {
+            return Err("peers: as many as settings.instances expected".into());
+        }
+        let names = Names::new(&settings, &file.settings)?;
+        Ok(Config {
+            name,
+            listen: address("listen", listen)?,
+            discovery: address("discovery", discovery)?,
+            seed,
+            memory: file.limits.memory_mb << 20,
+            sockets: file.limits.sockets,
+            peer_listen: file.peer_listen,
+            peers: file.peers,
+            peers_all: file.peers_all,
+            known: file.known,
+            settings,
+            names,
+        })
+    }
+}
+
+/// A value that may stand in the file, in a variable or, the same, in both.
+fn agreed(
+    key: &str,
+    file: Option<String>,
+    var: &str,
+    env: Option<String>,
+) -> Result<String, String> {
+    match (file, env) {
+        (Some(a), Some(b)) if a != b => Err(format!("{key}: {a:?} here, but {b:?} in {var}")),
+        (Some(value), _) | (None, Some(value)) => Ok(value),
+        (None, None) => Err(format!("{key}: expected here or in {var}")),
+    }
+}
--- /dev/null
+++ b/src/sidecar/discovery.rs
@@ -0,0 +1,206 @@
+//! The list of servers: asked for, watched, and told to the driver. Only whole answers count.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::config::List;
+use super::driver::Driver;
+use crate::api::ListKind;
+use crate::settings::Discovery as How;
+
+/// The longest answer: some ten thousand servers.
+const LONGEST: usize = 4 << 20;
+/// How long a connection to discovery may take to come up.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between two pieces of an answer.
+const GAP: Duration = Duration::from_millis(700);
+/// Between calls that fail where lists are pushed: the agent is near, and free.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What the module asks of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Changes from now on.
+    Watch,
+    /// The whole list, once.
+    Fetch,
+}
+
+/// The side of discovery that talks to it.
+pub struct Discovery {
+    address: SocketAddr,
+    how: How,
+    connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
+    /// The version of the list at hand.
+    version: u64,
+    tried: Rc<Notify>,
+}
+
+impl Discovery {
+    /// `version` is that of the list remembered; `tried` is told of every call that ends.
+    pub fn new(address: SocketAddr, how: How, version: u64, tried: Rc<Notify>) -> Discovery {
+        Discovery { address, how, connection: None, version, tried }
+    }
+
+    /// Keeps the driver's list as new as it can be.
+    pub async fn run(mut self, driver: Rc<Driver>, calls: mpsc::UnboundedReceiver<Call>) {
+        match self.how {
+            How::Pushed => self.pushed(driver, calls).await,
+            How::Asked => self.asked(driver, calls).await,
+        }
+    }
+
+    /// Danger: what the agent has counts as told, so a watch is always out. A short hold costs
+    /// nothing here, and tells soon when the agent has fallen silent.
+    async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+        let hold = Duration::from_millis(500);
+        let mut whole = true;
+        loop {
+            tokio::select! {
+                list = self.call((!whole).then_some(hold), GAP) => match list {
+                    Some(list) => {
+                        whole = !self.tell(&driver, &list);
+                        if list.hosts.is_empty() {
+                            // An agent that does not hold calls is not asked without a pause.
+                            tokio::time::sleep(AGAIN / 5).await;
+                        }
+                    }
+                    None => tokio::time::sleep(AGAIN).await,
+                },
+                call = calls.recv() => {
+                    whole |= call == Some(Call::Fetch);
+                    self.hang_up();
+                }
+            }
+            self.tried.notify_one();
+        }
+    }
+
+    /// Here calls load discovery; the module decides when there is to be one.
+    async fn asked(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+        let hold = Duration::from_secs(4);
+        let patience = Duration::from_millis(1500);
+        let mut watching = None;
+        loop {
+            let call = match watching {
+                None => calls.recv().await,
+                Some(hold) => tokio::select! {
+                    list = self.call(Some(hold), patience) => {
+                        let told = list.is_some_and(|list| self.tell(&driver, &list));
+                        watching = told.then_some(Duration::from_secs(4));
+                        if !told {
+                            driver.discovery_failed();
+                        }
+                        self.tried.notify_one();
+                        continue;
+                    }
+                    call = calls.recv() => call,
+                },
+            };
+            self.hang_up();
+            match call {
+                // The first call is answered at once, with what was missed.
+                Some(Call::Watch) => watching = Some(Duration::ZERO),
+                Some(Call::Fetch) => {
+                    let list = self.call(None, 2 * patience).await;
+                    if !list.is_some_and(|list| self.tell(&driver, &list)) {
+                        driver.discovery_failed();
+                    }
+                    watching = watching.map(|_| hold);
+                    self.tried.notify_one();
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Passes a list on; false if it does not go with the one at hand.
+    fn tell(&mut self, driver: &Rc<Driver>, list: &List) -> bool {
+        if !list.whole && list.seq < self.version {
+            return false;
+        }
+        self.version = list.seq;
+        driver.servers(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
+        true
+    }
+
+    fn hang_up(&mut self) {
+        if let Some((_, task)) = self.connection.take() {
+            task.abort();
+        }
+    }
+
+    /// One call: for the whole list, or a watch that may wait for `hold`. None unless the answer
+    /// came whole and can be understood; then the next call has a new connection.
+    async fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Option<List> {
+        let path = match hold {
+            None => "/registry/instances".to_owned(),
+            Some(hold) => {
+                format!("/registry/instances?from={}&hold_ms={}", self.version, hold.as_millis())
+            }
+        };
+        let first = hold.unwrap_or_default() + patience;
+        let connection = self.connection.take();
+        let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
+            Some(connection) => Hanging(Some(connection)),
+            None => Hanging(Some(connect(self.address).await?)),
+        };
+        let sender = &mut connection.0.as_mut()?.0;
+        let answer = timeout(first, async {
+            sender.ready().await.ok()?;
+            let request = Request::get(path)
+                .header(HOST, self.address.to_string())
+                .body(Empty::new())
+                .ok()?;
+            sender.send_request(request).await.ok()
+        });
+        let answer = answer.await.ok()??;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let mut body = Limited::new(answer.into_body(), LONGEST);
+        let mut text = Vec::new();
+        // Danger: an answer may stop in the middle and stay open. While it moves, it is read on.
+        while let Some(frame) = timeout(GAP.max(patience), body.frame()).await.ok()? {
+            if let Ok(data) = frame.ok()?.into_data() {
+                text.extend_from_slice(&data);
+            }
+        }
+        let list = serde_json::from_slice(&text).ok()?;
+        self.connection = connection.0.take();
+        Some(list)
+    }
+}
+
+/// A connection that is closed when a call is dropped on the way.
+struct Hanging(Option<(SendRequest<Empty<Bytes>>, AbortHandle)>);
+
+impl Drop for Hanging {
+    fn drop(&mut self) {
+        if let Some((_, task)) = self.0.take() {
+            task.abort();
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<(SendRequest<Empty<Bytes>>, AbortHandle)> {
+    let socket = timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
+    socket.set_nodelay(true).ok()?;
+    let (sender, driving) = http1::handshake(TokioIo::new(socket)).await.ok()?;
+    let task = tokio::task::spawn_local(async move {
+        let _ = driving.await;
+    });
+    Some((sender, task.abort_handle()))
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,110 @@
+//! The sidecar on real sockets: clients on one side, servers on the other, and discovery and the
+//! other sidecars beside them. All decisions are [`crate::decide`]'s; `driver` is the only module
+//! here that speaks with it.
+
+pub mod budget;
+pub mod config;
+pub mod discovery;
+pub mod driver;
+pub mod ingress;
+pub mod peers;
+pub mod shutdown;
+pub mod stream;
+pub mod upstream;
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::spawn_local;
+
+use crate::api::ListKind;
+use config::Config;
+
+/// Connections that may wait to be accepted: a crowd comes within a second.
+const BACKLOG: i32 = 4096;
+/// The share of the memory that bodies of requests may take.
+const BODIES: f64 = 0.4;
+
+/// Runs the sidecar until `stop` is done and all that was taken is answered. An error names the
+/// address that could not be had.
+pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+    let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let peers = match config.peer_listen {
+        Some(at) => {
+            let socket = UdpSocket::bind(at).await;
+            let socket = socket.map_err(|e| format!("peer_listen: {at}: {e}"))?;
+            Some(peers::Peers::new(socket, config.peers, config.peers_all))
+        }
+        None => None,
+    };
+    let names = Rc::new(config.names);
+    let sockets = Rc::new(budget::Sockets::new(config.sockets));
+    let limits = &config.settings.limits;
+    let upstream = upstream::Upstream::new(
+        sockets.clone(),
+        names.clone(),
+        Duration::from_micros(limits.connect_timeout),
+        Duration::from_micros(limits.conn_idle),
+    );
+    let how = config.settings.discovery;
+    let deadlines = config.settings.classes.iter().map(|c| c.deadline);
+    let longest_deadline = Duration::from_micros(deadlines.max().unwrap_or_default());
+    let (to_discovery, calls) = mpsc::unbounded_channel();
+    let driver = driver::Driver::new(
+        config.settings,
+        config.seed,
+        names.clone(),
+        upstream,
+        to_discovery,
+        peers.clone(),
+    );
+    let bytes = budget::Bytes::new((config.memory as f64 * BODIES) as usize);
+    let ingress = ingress::Ingress::new(driver.clone(), names, sockets, bytes);
+
+    let tried = Rc::new(Notify::new());
+    let version = config.known.as_ref().map_or(0, |known| known.seq);
+    if let Some(known) = &config.known {
+        driver.servers(ListKind::Remembered, known);
+    }
+    let discovery = discovery::Discovery::new(config.discovery, how, version, tried.clone());
+    spawn_local(discovery.run(driver.clone(), calls));
+    if let Some(peers) = peers {
+        spawn_local(peers.listen(driver));
+    }
+    let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    tracing::info!("{} listens on {at}", config.name);
+    let accepting = ingress.clone().accept(listener);
+    tokio::pin!(accepting, stop);
+    tokio::select! {
+        () = accepting.as_mut() => {}
+        () = first_try(&ingress, &tried) => {}
+        () = stop => {}
+    }
+    tokio::select! {
+        () = accepting => {}
+        () = shutdown::drain(ingress, longest_deadline) => {}
+    }
+    Ok(())
+}
+
+/// Marks the ingress ready when discovery has first been tried; never ends.
+async fn first_try(ingress: &ingress::Ingress, tried: &Notify) {
+    tried.notified().await;
+    ingress.discovery_tried();
+    std::future::pending().await
+}
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
--- /dev/null
+++ b/src/sidecar/peers.rs
@@ -0,0 +1,55 @@
+//! Datagrams between sidecars of the tier.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::UdpSocket;
+
+use super::driver::Driver;
+
+/// The longest datagram.
+const LONGEST: usize = 256;
+/// The peer that stands for all of them.
+const EVERYONE: u32 = u32::MAX;
+
+/// The way to the other sidecars.
+pub struct Peers {
+    socket: UdpSocket,
+    peers: Vec<SocketAddr>,
+    everyone: Option<SocketAddr>,
+}
+
+impl Peers {
+    /// `socket` is bound to where datagrams arrive.
+    pub fn new(
+        socket: UdpSocket,
+        peers: Vec<SocketAddr>,
+        everyone: Option<SocketAddr>,
+    ) -> Rc<Peers> {
+        Rc::new(Peers { socket, peers, everyone })
+    }
+
+    /// Sends a datagram; it may be lost, like any.
+    pub fn tell(&self, peer: u32, data: &[u8]) {
+        let to = match peer {
+            EVERYONE => self.everyone,
+            n => self.peers.get(n as usize).copied(),
+        };
+        if let (Some(to), true) = (to, data.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(data, to);
+        }
+    }
+
+    /// Takes in datagrams. Those of strangers and those that are too long are passed over.
+    pub async fn listen(self: Rc<Peers>, driver: Rc<Driver>) {
+        let mut buf = [0; LONGEST + 1];
+        loop {
+            // An error tells of a datagram that was sent, and that no reader waited for.
+            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else { continue };
+            let peer = self.peers.iter().position(|&p| p == from);
+            if let (Some(peer), true) = (peer, n <= LONGEST) {
+                driver.note(peer as u32, &buf[..n]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/shutdown.rs
@@ -0,0 +1,41 @@
+//! The planned end: what was taken is answered, and nothing new is taken that could not be.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::ingress::Ingress;
+
+/// New connections go on coming for up to 0.4 s; once none has come for a while after that, the
+/// clients that have nothing under way are let go.
+const COMING: Duration = Duration::from_millis(500);
+/// No new connection for so long: there are no more to come.
+const QUIET: Duration = Duration::from_millis(100);
+/// What is not whole by now might not be answered in time. Killing comes no sooner than the
+/// longest deadline and 0.7 s after the signal.
+const LAST_TAKEN: Duration = Duration::from_millis(650);
+/// What is left of that for long answers, beyond the longest deadline.
+const SPARE: Duration = Duration::from_millis(600);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Waits, from the signal on, until all is answered or nothing more can be.
+pub async fn drain(ingress: Rc<Ingress>, longest_deadline: Duration) {
+    let signal = Instant::now();
+    ingress.drain();
+    while signal.elapsed() < COMING
+        || (ingress.last_accepted().elapsed() < QUIET && signal.elapsed() < LAST_TAKEN)
+    {
+        sleep(LOOK).await;
+    }
+    // Danger: a client whose connection is closed just as it writes comes again on a new one, so
+    // new ones are accepted to the end.
+    loop {
+        ingress.close_idle(signal.elapsed() >= LAST_TAKEN);
+        let coming = signal.elapsed() < LAST_TAKEN || ingress.last_accepted().elapsed() < QUIET;
+        if ingress.busy() == 0 && !coming || signal.elapsed() >= longest_deadline + SPARE {
+            return;
+        }
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,102 @@
+//! The adapter as a process: what it says of bad input, and how it ends.
+
+mod common;
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn run(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_coppercart-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // The adapter may end before it has read all: a broken pipe is no failure here.
+    let _ = child.stdin.take().expect("piped").write_all(input);
+    child.wait_with_output().expect("the adapter ends")
+}
+
+fn record(fields: &[&[u8]]) -> Vec<u8> {
+    let mut r: Vec<u8> = fields.concat();
+    r.resize(40, 0);
+    r
+}
+
+fn frame(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let len = 16 + 40 * records.len() + tail.len();
+    let mut f = (len as u32).to_le_bytes().to_vec();
+    f.extend(1_000_000u64.to_le_bytes());
+    f.extend((records.len() as u32).to_le_bytes());
+    f.extend(records.concat());
+    f.extend_from_slice(tail);
+    f
+}
+
+fn on(instance: u16) -> Vec<u8> {
+    record(&[&[11], &instance.to_le_bytes()])
+}
+
+fn up(settings: &str) -> Vec<u8> {
+    let len = (settings.len() as u32).to_le_bytes();
+    record(&[&[0], &7u64.to_le_bytes(), &0u32.to_le_bytes(), &len])
+}
+
+fn complaint(out: &Output) -> String {
+    assert_eq!(out.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    text
+}
+
+#[test]
+fn end_of_input_is_a_clean_end() {
+    let out = run(&[]);
+    assert_eq!(out.status.code(), Some(0));
+    let out = run(&frame(&[], &[]));
+    assert_eq!(out.status.code(), Some(0));
+    assert_eq!(out.stdout, [8, 0, 0, 0, 0, 0, 0, 0]);
+}
+
+#[test]
+fn malformed_frames_end_with_one_plain_line_and_no_reply() {
+    let cut = &frame(&[on(3)], &[])[..30];
+    let out = run(cut);
+    assert!(complaint(&out).contains("input ends at byte 30"));
+    assert!(out.stdout.is_empty());
+    let undefined = frame(&[on(3), record(&[&[1], &[0; 5], &[4]])], &[]);
+    let out = run(&undefined);
+    assert!(complaint(&out).contains("list"));
+    assert!(out.stdout.is_empty());
+}
+
+#[test]
+fn settings_that_cannot_serve_are_a_fault_that_names_the_key() {
+    let mut json = common::settings_json();
+    json["me"] = 9.into();
+    for (text, key) in [(json.to_string(), "me"), ("nonsense".into(), "settings")] {
+        let out = run(&frame(&[on(3), up(&text)], text.as_bytes()));
+        assert!(complaint(&out).contains(key));
+        let reply = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert!(reply.contains(key), "FAULT carries the text: {reply:?}");
+    }
+}
+
+#[test]
+fn unknown_records_are_skipped_and_told_once() {
+    let odd = record(&[&[77]]);
+    let out = run(&frame(&[on(3), odd.clone(), odd], &[]));
+    assert_eq!(out.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(text.matches("77").count(), 1, "{text}");
+}
+
+#[test]
+fn an_instance_may_stop_and_start_in_one_batch() {
+    let text = common::settings_json().to_string();
+    let exit = record(&[&[9]]);
+    let records = [on(3), up(&text), exit, up(&text)];
+    let out = run(&frame(&records, text.as_bytes()));
+    assert_eq!(out.status.code(), Some(0));
+    assert_eq!(out.stdout, [8, 0, 0, 0, 0, 0, 0, 0]);
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,170 @@
+//! A small driver for the tests: settings, servers, and a balancer with its actions at hand.
+#![allow(dead_code)]
+
+use coppercart::api::*;
+use coppercart::decide::Balancer;
+use coppercart::settings::Settings;
+use serde_json::{Value, json};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+pub const START: Micros = 1_000 * S;
+
+/// Settings with a safe class (0), a keyed one whose group is a zone (1) and an unsafe one (2).
+pub fn settings_json() -> Value {
+    json!({
+        "classes": [
+            {"name": "look", "aim": 200_000, "deadline": 1_000_000, "repeat": "idempotent",
+             "dedupScope": "all", "window": 5_000_000, "credit": 1.0, "lateWorth": 0.2},
+            {"name": "keep", "aim": 300_000, "deadline": 1_500_000, "repeat": "deduplicated",
+             "dedupScope": "zone", "window": 700_000, "credit": 8.0, "lateWorth": 0.2},
+            {"name": "order", "aim": 300_000, "deadline": 1_500_000, "repeat": "at_most_once",
+             "dedupScope": "all", "window": 5_000_000, "credit": 8.0, "lateWorth": 0.2}
+        ],
+        "discovery": "pushed",
+        "goal": {"whole": 0.6, "worstClass": 0.1, "worstTenant": 0.0, "worstWindow": 0.3},
+        "instances": 3,
+        "limits": {"cancel": true, "connIdle": 10_000_000, "connectTimeout": 75_000,
+                   "maxAttempts": 6, "maxOpen": 1000, "mayDuplicate": true, "mayTell": false,
+                   "probing": false, "retryAfter": false, "streamsPerConn": 1},
+        "me": 0,
+        "prices": {},
+        "report": {"columns": ["q", "rif"], "how": "piggyback"},
+        "rules": {"answerSlack": 8000, "cold": 20_000_000, "coldShare": 0.2, "fallMultiple": 3.0,
+                  "mustAskIn": 10_000_000, "stopSendingWithin": 500_000, "tipAfter": 2_000_000},
+        "tenants": [],
+        "tick": 2000,
+        "weightKind": "silent",
+        "worthBy": "work",
+        "zone": 0,
+        "zones": ["a", "b"]
+    })
+}
+
+pub fn settings(change: impl FnOnce(&mut Value)) -> Settings {
+    let mut json = settings_json();
+    change(&mut json);
+    Settings::from_json(json.to_string().as_bytes()).expect("the test's settings are sound")
+}
+
+pub fn server(n: u64) -> ServerEntry {
+    ServerEntry {
+        id: ServerId(n),
+        zone: (n % 2) as u8,
+        kind: 0,
+        cell: (n / 2) as u16,
+        health: Health::Ready,
+        power: 1.0,
+        started: 0,
+    }
+}
+
+pub fn with_health(n: u64, health: Health) -> ServerEntry {
+    ServerEntry { health, ..server(n) }
+}
+
+pub fn report(queue: f32) -> LoadReport {
+    LoadReport([queue, queue].into_iter().collect())
+}
+
+/// One balancer under test.
+pub struct Bench {
+    pub balancer: Balancer,
+    pub now: Micros,
+    pub out: Vec<Action>,
+    next: u64,
+    key: u64,
+}
+
+impl Bench {
+    pub fn new(settings: Settings, seed: u64, servers: &[ServerEntry]) -> Bench {
+        let mut bench = Bench {
+            balancer: Balancer::new(settings, seed, START),
+            now: START,
+            out: Vec::new(),
+            next: 0,
+            key: 0,
+        };
+        bench.servers(ListKind::Remembered, servers);
+        bench
+    }
+
+    pub fn event(&mut self, event: Event<'_>) -> Vec<Action> {
+        self.balancer.handle(self.now, event, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn servers(&mut self, kind: ListKind, entries: &[ServerEntry]) -> Vec<Action> {
+        self.event(Event::Servers { kind, entries })
+    }
+
+    pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        self.request_with(class, None)
+    }
+
+    pub fn request_for(&mut self, key: u64) -> (RequestId, Vec<Action>) {
+        self.key = key;
+        let sent = self.request(0);
+        self.key = 0;
+        sent
+    }
+
+    pub fn request_with(&mut self, class: usize, hint: Option<Micros>) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let out = self.event(Event::Request(NewRequest {
+            id,
+            class,
+            tenant: 0,
+            key: self.key,
+            left: S,
+            hint,
+            repeat: false,
+        }));
+        (id, out)
+    }
+
+    pub fn answer(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        queue: f32,
+    ) -> Vec<Action> {
+        self.event(Event::Answer {
+            id,
+            attempt,
+            server,
+            outcome,
+            latency: 20 * MS,
+            finished: outcome == Outcome::Served,
+            report: report(queue),
+        })
+    }
+
+    /// Sends one request and has it answered after 20 ms; tells where it went, if anywhere.
+    pub fn round(&mut self, class: usize, queue: f32) -> Option<ServerId> {
+        let (id, out) = self.request(class);
+        let to = sent(&out)?;
+        self.now += 20 * MS;
+        self.answer(id, 0, to, Outcome::Served, queue);
+        Some(to)
+    }
+}
+
+/// Where the first send among these actions goes.
+pub fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,500 @@
+//! The mechanism and each failure found, driven through `handle`.
+
+mod common;
+
+use common::*;
+use coppercart::api::*;
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let servers: Vec<_> = (0..5).map(server).collect();
+    let run = |seed| {
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        (0..200).map(|i| b.round(i % 3, (i % 7) as f32)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(7), run(7));
+    assert_ne!(run(7), run(8));
+}
+
+#[test]
+fn a_request_refused_as_full_goes_elsewhere_at_once() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    for class in 0..3 {
+        let (id, out) = b.request(class);
+        let first = sent(&out).expect("sent");
+        let again = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let second = sent(&again).expect("sent again, it never ran");
+        assert_ne!(first, second);
+        b.answer(id, 1, second, Outcome::Served, 0.0);
+        b.now += 3 * S;
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_only_fails() {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::TimedOut] {
+        let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+        let (id, out) = b.request(2);
+        let to = sent(&out).expect("sent");
+        let out = b.answer(id, 0, to, outcome, 0.0);
+        assert!(sent(&out).is_none() && !refused(&out) && failed(&out));
+    }
+}
+
+#[test]
+fn a_keyed_request_is_repeated_in_its_group_only() {
+    for seed in 0..20 {
+        let servers: Vec<_> = (0..8).map(server).collect();
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        let (id, out) = b.request(1);
+        let first = sent(&out).expect("sent");
+        let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+        match sent(&out) {
+            Some(second) => assert_eq!(first.0 % 2, second.0 % 2, "another zone"),
+            None => assert!(failed(&out), "its group is not all: no refusal"),
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 3, &servers);
+    let (id, out) = b.request(1);
+    let first = sent(&out).expect("sent");
+    b.now += 701 * MS;
+    let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+    assert!(sent(&out).is_none() && failed(&out));
+}
+
+#[test]
+fn a_drained_server_gets_nothing() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(1)]);
+    b.servers(ListKind::Changes, &[with_health(0, Health::Draining)]);
+    for _ in 0..50 {
+        assert_eq!(b.round(0, 0.0), Some(ServerId(1)));
+    }
+    b.servers(ListKind::Whole, &[server(2)]);
+    for _ in 0..50 {
+        assert_eq!(b.round(0, 0.0), Some(ServerId(2)));
+    }
+}
+
+#[test]
+fn no_server_at_all_is_a_refusal() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[]);
+    for class in 0..3 {
+        let (_, out) = b.request(class);
+        assert!(refused(&out));
+    }
+}
+
+/// Slow start: many sidecars counted together, each assuming the others do likewise. A cold
+/// server's share of sends must stay under the multiple of its present capacity's share.
+#[test]
+fn all_sidecars_together_spare_a_cold_server() {
+    let n = 10;
+    let mut cold = server(n);
+    cold.started = START;
+    let (mut to_cold, mut all) = (0, 0);
+    for seed in 0..300 {
+        let servers: Vec<_> = (0..n).map(server).collect();
+        let mine = settings(|s| {
+            s["instances"] = 300.into();
+            s["me"] = seed.into();
+        });
+        let mut b = Bench::new(mine, seed, &servers);
+        for _ in 0..10 {
+            b.round(0, 1.0);
+        }
+        b.now = START + S;
+        b.servers(ListKind::Changes, &[cold.clone()]);
+        for _ in 0..10 {
+            all += 1;
+            to_cold += u32::from(b.round(0, 1.0) == Some(cold.id));
+        }
+    }
+    let share = f64::from(to_cold) / f64::from(all);
+    // Present capacity is 0.2 to 0.25 of a server's; ten others are warm; the multiple is 3.
+    let due = 0.25 / 10.25;
+    assert!(share < 2.5 * due, "share {share}, due {due}");
+    assert!(share > 0.2 * due, "it must warm up: {share}");
+}
+
+#[test]
+fn a_hung_server_draws_one_trial_at_a_time() {
+    let mut b = Bench::new(settings(|_| {}), 5, &[server(0), server(2), server(4)]);
+    let hung = ServerId(0);
+    let (mut lost, mut open) = (0, Vec::new());
+    for _ in 0..400 {
+        let (id, out) = b.request(0);
+        let Some(to) = sent(&out) else { continue };
+        if to == hung {
+            lost += 1;
+            open.push((id, b.now));
+        } else {
+            b.now += 10 * MS;
+            b.answer(id, 0, to, Outcome::Served, 0.0);
+        }
+        while open.first().is_some_and(|&(_, at)| b.now >= at + S) {
+            let (id, _) = open.remove(0);
+            b.answer(id, 0, hung, Outcome::TimedOut, 0.0);
+        }
+    }
+    assert!(lost <= 6, "{lost} of 400 went to a hung server");
+}
+
+/// Found on a quiet stretch: an attempt called off left its server marked silent for ever, and
+/// sidecar after sidecar ran out of servers.
+#[test]
+fn a_cancelled_copy_does_not_silence_its_server() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0)]);
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.event(Event::ClientGone { id });
+    b.now += 5 * MS;
+    b.answer(id, 0, to, Outcome::Cancelled, 0.0);
+    b.now += 10 * S;
+    assert_eq!(b.round(0, 0.0), Some(to));
+}
+
+/// Rounds of 20 ms until a first capacity exists: the floor of four, as queues are empty.
+fn with_capacity(seed: u64) -> Bench {
+    let mut b = Bench::new(settings(|_| {}), seed, &[server(0), server(2)]);
+    for _ in 0..3200 {
+        b.round(0, 0.0);
+    }
+    b
+}
+
+/// Sends one request and answers it with a queue that depends on the server.
+fn round_by(b: &mut Bench, queue: impl Fn(ServerId) -> f32) -> ServerId {
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.now += 20 * MS;
+    b.answer(id, 0, to, Outcome::Served, queue(to));
+    to
+}
+
+#[test]
+fn a_report_past_capacity_wipes_chips_until_the_reset_interval() {
+    let mut b = with_capacity(1);
+    let busy = |s: ServerId| if s == ServerId(0) { 50.0 } else { 0.0 };
+    while round_by(&mut b, busy) != ServerId(0) {}
+    // ResetInterval is the longest deadline, 1.5 s here.
+    let wiped = b.now;
+    let mut to_busy = 0;
+    while b.now < wiped + 1400 * MS {
+        to_busy += u32::from(round_by(&mut b, busy) == ServerId(0));
+    }
+    assert_eq!(to_busy, 0, "a wiped server got sends while another held chips");
+    b.now = wiped + 1600 * MS;
+    let mut tries = 0;
+    while round_by(&mut b, busy) != ServerId(0) {
+        tries += 1;
+        assert!(tries < 50, "after ResetInterval the server is tried again");
+    }
+}
+
+#[test]
+fn before_a_first_capacity_nothing_counts_as_past_it() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    let busy = |s: ServerId| if s == ServerId(0) { 50.0 } else { 0.0 };
+    let to_busy = (0..100).filter(|_| round_by(&mut b, busy) == ServerId(0)).count();
+    assert!(to_busy > 0, "it still holds chips");
+}
+
+/// Algorithm 1: a report past 0.8 x capacity mints nothing, one of an empty queue always mints.
+/// Both servers report the same, so nothing but chips and chance tells them apart; with none
+/// minted, sends go on only by the least bad choice, which never leaves a request unsent.
+#[test]
+fn a_server_without_chips_gets_a_request_only_when_no_other_qualifies() {
+    for seed in 0..10 {
+        let mut b = with_capacity(seed);
+        // Past 0.8 x 4 but not past 4: no chip, no wipe. Server 2 goes on minting.
+        let by = |s: ServerId| if s == ServerId(0) { 3.6 } else { 0.0 };
+        let end = b.now + 1400 * MS;
+        let mut late_sends = 0;
+        let mut rounds = 0;
+        while b.now < end {
+            rounds += 1;
+            // The 16 chips a server can hold are spent after 16 sends at most.
+            late_sends += u32::from(round_by(&mut b, by) == ServerId(0));
+        }
+        assert!(late_sends <= 16, "{late_sends} of {rounds} sends for 16 chips at most");
+    }
+}
+
+/// Found in overload: a single late answer at a quiet sidecar shed what the fleet could serve.
+#[test]
+fn one_late_answer_does_not_shed_the_best_class() {
+    let mut b = Bench::new(settings(|_| {}), 2, &[server(0), server(2), server(4)]);
+    for _ in 0..5 {
+        b.round(0, 0.0);
+    }
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.now += S;
+    b.answer(id, 0, to, Outcome::TimedOut, 0.0);
+    for _ in 0..10 {
+        let (_, out) = b.request(2);
+        assert!(!refused(&out));
+    }
+}
+
+/// Load shedding: when all servers are late, what earns least for its work is refused first.
+#[test]
+fn overload_sheds_the_class_that_earns_least() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 2, &servers);
+    let (mut cheap, mut dear) = (0, 0);
+    for i in 0..300 {
+        let class = if i % 2 == 0 { 0 } else { 2 };
+        let (id, out) = b.request(class);
+        match sent(&out) {
+            Some(to) => {
+                let latency = 170 * MS;
+                b.now += 20 * MS;
+                b.event(Event::Answer {
+                    id,
+                    attempt: 0,
+                    server: to,
+                    outcome: Outcome::Served,
+                    latency,
+                    finished: true,
+                    report: report(3.0),
+                });
+            }
+            None if class == 0 => cheap += 1,
+            None => dear += 1,
+        }
+    }
+    assert!(cheap > 50, "{cheap} cheap requests shed");
+    assert!(dear * 5 < cheap, "{dear} dear ones, {cheap} cheap ones");
+}
+
+/// Discovery: a sidecar that has lost its subscription asks again, and never in the same instant.
+#[test]
+fn a_failed_subscription_is_renewed_later() {
+    for seed in 0..20 {
+        let asked = settings(|s| s["discovery"] = "on_request".into());
+        let mut b = Bench::new(asked, seed, &[server(0)]);
+        let out = b.servers(ListKind::Failed, &[]);
+        let Some(Action::Timer { delay, token }) = out.first() else {
+            panic!("no timer: {out:?}");
+        };
+        assert!((S / 4..=10 * S).contains(delay), "{delay}");
+        b.now += delay;
+        let again = b.event(Event::Timer { token: *token });
+        assert!(again.contains(&Action::Subscribe));
+    }
+}
+
+/// Found with slow servers that still answer: they kept most of their share, and made it late.
+#[test]
+fn a_server_slower_than_its_peers_is_passed_over() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 4, &servers);
+    let slow = ServerId(0);
+    let mut to_slow = 0;
+    for i in 0..400 {
+        let (id, out) = b.request(0);
+        let to = sent(&out).expect("sent");
+        if i >= 200 {
+            to_slow += u32::from(to == slow);
+        }
+        let latency = if to == slow { 90 * MS } else { 20 * MS };
+        b.now += latency;
+        b.event(Event::Answer {
+            id,
+            attempt: 0,
+            server: to,
+            outcome: Outcome::Served,
+            latency,
+            finished: true,
+            report: report(0.0),
+        });
+    }
+    assert!(to_slow < 20, "{to_slow} of 200 sends to the slow one of four");
+}
+
+/// Found by the bench's drill: an attempt was called off at its aim in the instant in which its
+/// stream began. A stream has no deadline, so the request never got its final answer.
+#[test]
+fn a_stream_that_was_called_off_still_ends() {
+    let mut b =
+        Bench::new(settings(|s| s["classes"][2]["streaming"] = true.into()), 1, &[server(0)]);
+    let (id, out) = b.request(2);
+    let to = sent(&out).expect("sent");
+    b.event(Event::FirstByte { id, attempt: 0 });
+    b.now += 4 * MS;
+    let out = b.answer(id, 0, to, Outcome::Cancelled, 0.0);
+    assert_eq!(out, vec![Action::Fail { id }]);
+}
+
+/// Found where queues are short: each refusal as full counted as a late answer, and half of the
+/// requests were refused at the door while other servers had room.
+#[test]
+fn refusals_as_full_elsewhere_do_not_shed() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 3, &servers);
+    for _ in 0..200 {
+        let (id, out) = b.request(0);
+        let first = sent(&out).expect("not shed");
+        b.now += MS;
+        let out = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let second = sent(&out).expect("tried elsewhere");
+        b.now += 20 * MS;
+        b.answer(id, 1, second, Outcome::Served, 0.0);
+    }
+}
+
+/// Found where open connections cost: four or more of each sidecar's stayed open, and servers
+/// outside of its subset kept one each after a single retry.
+#[test]
+fn dear_connections_are_few_and_closed() {
+    let servers: Vec<_> = (0..30).map(server).collect();
+    let dear = settings(|s| {
+        s["instances"] = 600.into();
+        s["prices"] = serde_json::json!({"connection": 0.075});
+    });
+    let mut b = Bench::new(dear, 5, &servers);
+    let mut kept = std::collections::BTreeSet::new();
+    for _ in 0..100 {
+        let (id, out) = b.request(0);
+        let to = sent(&out).expect("sent");
+        b.now += 20 * MS;
+        let out = b.answer(id, 0, to, Outcome::Served, 0.0);
+        if !out.contains(&Action::CloseIdle { server: to }) {
+            kept.insert(to.0);
+        }
+        b.now += 2 * S;
+    }
+    // 0.05 x 100 x 30 servers / (0.075 x 600 instances) = 3.3
+    assert!(kept.len() <= 3, "{kept:?}");
+}
+
+/// Found with short queues and a release: what full servers refused was tried again on the cold
+/// ones, which fell over.
+#[test]
+fn a_cold_server_gets_no_retry() {
+    for seed in 0..50 {
+        let cold = ServerEntry { started: START - S, ..server(0) };
+        let mut b = Bench::new(settings(|_| {}), seed, &[cold.clone(), server(1), server(2)]);
+        let (id, mut out) = b.request(0);
+        for attempt in 0.. {
+            let Some(to) = sent(&out) else { break };
+            assert!(attempt == 0 || to != cold.id, "attempt {attempt} went to the cold server");
+            b.now += MS;
+            out = b.answer(id, attempt, to, Outcome::Full, 0.0);
+        }
+    }
+}
+
+/// Found with rough hints of work: heavy requests made the fleet look full.
+#[test]
+fn announced_work_is_no_overload() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |hinted: bool| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for i in 0..2000 {
+            let (work, latency) = if i % 4 == 0 { (80 * MS, 190 * MS) } else { (10 * MS, 60 * MS) };
+            let (id, out) = b.request_with(0, hinted.then_some(work));
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::Answer {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Served,
+                latency,
+                finished: true,
+                report: report(1.0),
+            });
+        }
+        shed
+    };
+    let (without, with) = (shed(false), shed(true));
+    assert!(without > 20 && with * 2 < without, "shed {without} unannounced, {with} announced");
+}
+
+/// Found where there is one class only: half of its requests were refused for the sake of none,
+/// while answers took three fifths of their aim.
+#[test]
+fn equals_are_not_shed_early() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |class: usize| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for _ in 0..400 {
+            let (id, out) = b.request(class);
+            let latency = if class == 0 { 125 * MS } else { 190 * MS };
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::Answer {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Served,
+                latency,
+                finished: true,
+                report: report(1.0),
+            });
+        }
+        shed
+    };
+    assert!(shed(0) > 100, "class 0 earns an eighth of the best: {}", shed(0));
+    assert_eq!(shed(2), 0, "none earns more than class 2");
+}
+
+/// Found where servers are warm for keys they met lately: a key wandered over the whole fleet.
+/// Most sidecars send it to one server; a hot one, met again at once, goes anywhere.
+#[test]
+fn a_key_goes_home_unless_it_is_hot() {
+    let servers: Vec<_> = (0..16).map(server).collect();
+    let most_at_one = |warm: bool, times: u64| {
+        let mut met = std::collections::BTreeMap::new();
+        for me in 0..60 {
+            let mine = settings(|s| {
+                s["instances"] = 60.into();
+                s["me"] = me.into();
+                s["familyInfo"] = serde_json::json!({"warmKeys": warm});
+            });
+            let mut b = Bench::new(mine, me, &servers);
+            for _ in 0..times {
+                let (id, out) = b.request_for(77);
+                let to = sent(&out).expect("sent");
+                b.now += S;
+                b.answer(id, 0, to, Outcome::Served, 0.0);
+                *met.entry(to).or_insert(0_u64) += 1;
+            }
+        }
+        *met.values().max().expect("some were sent") as f64 / (60 * times) as f64
+    };
+    assert!(most_at_one(true, 1) > 0.9, "{}", most_at_one(true, 1));
+    assert!(most_at_one(false, 1) < 0.3, "{}", most_at_one(false, 1));
+    assert!(most_at_one(true, 40) < 0.3, "{}", most_at_one(true, 40));
+}
+
+/// Found with five zones: each far server had a low weight, but all of them together were drawn
+/// for a third of the picks, and won the ties of idle days.
+#[test]
+fn idle_days_stay_at_home() {
+    let servers: Vec<_> =
+        (0..40).map(|n| ServerEntry { zone: u8::from(n >= 8), ..server(n) }).collect();
+    let priced = settings(|s| s["prices"] = serde_json::json!({"crossZone": 0.08}));
+    let mut b = Bench::new(priced, 6, &servers);
+    let mut far = 0;
+    for _ in 0..1000 {
+        let to = b.round(0, 0.0).expect("sent");
+        far += u32::from(to.0 >= 8);
+    }
+    assert!(far < 60, "{far} of 1000 crossed");
+}
