Start with 16 MB and 64 sockets; README

Cause: config.rs refused limits.memory_mb under 64, so with the 32 and 48 MB that deployments give the program ended with status 2 before it listened (seen in the log line of each node).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
 //! The decisions, all of them: which server a request goes to, when it is tried again, copied,
 //! refused or given up, and what a server's answers say about that server.
 //!
-//! The ordinary path is the chip mechanism of docs/design.md: answers mint confidence chips, a
+//! The ordinary path is the chip mechanism of the README: answers mint confidence chips, a
 //! send spends one, and of two random servers that qualify the less used one gets the request.
 //! Every send passes `send`, every refusal or failure passes `end`; the four rules hold there.
 
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -10,6 +10,13 @@
 use crate::api::{Health, LoadReport, ServerEntry, ServerId};
 use crate::settings::{Repeat, Settings};
 
+/// The least descriptors that leave clients and servers places beside what the program itself
+/// needs.
+const LEAST_SOCKETS: usize = 64;
+/// The least memory: the program itself takes some 6 MB, and the places at that many descriptors
+/// fit into the rest.
+const LEAST_MEMORY_MB: usize = 16;
+
 /// The configuration, checked.
 pub struct Config {
     /// This sidecar's name.
@@ -234,11 +241,11 @@
         };
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed: 16 hexadecimal digits expected, not {:?}", file.seed))?;
-        if file.limits.sockets < 128 {
-            return Err("limits.sockets: 128 or more expected".into());
+        if file.limits.sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets: {LEAST_SOCKETS} or more expected"));
         }
-        if file.limits.memory_mb < 64 {
-            return Err("limits.memory_mb: 64 or more expected".into());
+        if file.limits.memory_mb < LEAST_MEMORY_MB {
+            return Err(format!("limits.memory_mb: {LEAST_MEMORY_MB} or more expected"));
         }
         let settings = Settings::from_json(file.settings.to_string().as_bytes())?;
         if !file.peers.is_empty() && file.peers.len() != settings.instances as usize {
