--- a/src/bin/plankvale.rs
+++ b/src/bin/plankvale.rs
@@ -3,8 +3,9 @@
 
 use std::process::ExitCode;
 
-use coppercart::sidecar::{self, config::Config};
+use coppercart::sidecar::{self, Told, config::Config};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
@@ -19,16 +20,25 @@
 }
 
 fn run() -> Result<(), String> {
-    let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, async {
-        let mut told = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-        sidecar::run(config, async move {
-            told.recv().await;
-        })
-        .await
+        // Danger: until they are listened for, either signal ends the process.
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+        let config = Config::from_env()?;
+        let (again, reload) = mpsc::channel(1);
+        tokio::task::spawn_local(async move {
+            while hangup.recv().await.is_some() {
+                // One that waits already will read what stands there now.
+                let _ = again.try_send(());
+            }
+        });
+        let stop = async move {
+            terminate.recv().await;
+        };
+        sidecar::run(config, Told { stop, reload, read: Config::again }).await
     })
 }
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -17,6 +17,9 @@
 /// fit into the rest.
 const LEAST_MEMORY_MB: usize = 16;
 
+/// Reports speak of requests, shares and milliseconds; none of these comes near this figure.
+const MOST_REPORTED: f32 = 1e6;
+
 /// The configuration, checked.
 pub struct Config {
     /// This sidecar's name.
@@ -114,6 +117,16 @@
     pub fn id(&self) -> ServerId {
         ServerId(stable_hash(self.host.as_bytes()))
     }
+
+    /// Whether it is there at all.
+    pub fn listed(&self) -> bool {
+        !matches!(self.health, Listed::Left)
+    }
+
+    /// Whether it may get anything new.
+    pub fn wants_work(&self) -> bool {
+        matches!(self.health, Listed::Active)
+    }
 }
 
 /// The same number for the same bytes in every build and at every sidecar (FNV-1a).
@@ -208,7 +221,8 @@
             };
             let fields = text.split(',').filter_map(|f| f.split_once('='));
             let value = fields.filter(|(k, _)| k.trim() == name).map(|(_, v)| v).next()?;
-            value.trim().parse::<f32>().ok().filter(|v| v.is_finite())
+            // Danger: a figure that no server can have would spoil the averages it enters.
+            value.trim().parse::<f32>().ok().filter(|v| (0.0..=MOST_REPORTED).contains(v))
         };
         let values: Option<_> = self.columns.iter().map(field).collect();
         values.map(LoadReport).unwrap_or_default()
@@ -229,6 +243,22 @@
             .map_err(|e| format!("LB_CONFIG: {e}"))
     }
 
+    /// Reads the file that `LB_CONFIG` names again, at a reload. It is checked as at the start; but
+    /// the variables are as old as the process, so where they differ from the file the file holds.
+    pub fn again() -> Result<Config, String> {
+        let path = std::env::var("LB_CONFIG").map_err(|e| format!("LB_CONFIG: {e}"))?;
+        let text = std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        let [name, listen, discovery] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"];
+        let given: File = serde_json::from_slice(&text).map_err(|e| format!("LB_CONFIG: {e}"))?;
+        let var = |own: &Option<String>, key| match own {
+            Some(_) => None,
+            None => std::env::var(key).ok().filter(|v| !v.is_empty()),
+        };
+        let env =
+            [var(&given.name, name), var(&given.listen, listen), var(&given.discovery, discovery)];
+        Config::from_json(&text, env).map_err(|e| format!("LB_CONFIG: {e}"))
+    }
+
     /// Reads a configuration; `env` holds the name and the addresses as the variables have them.
     fn from_json(text: &[u8], env: [Option<String>; 3]) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -11,21 +11,23 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use super::config::List;
 use super::driver::Driver;
 use crate::api::ListKind;
 use crate::settings::Discovery as How;
 
-/// The longest answer: some ten thousand servers.
-const LONGEST: usize = 4 << 20;
+/// The longest answer: some two thousand servers.
+const LONGEST: usize = 512 << 10;
 /// How long a connection to discovery may take to come up.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between two pieces of an answer.
 const GAP: Duration = Duration::from_millis(700);
+/// From an answer's head to its end.
+const LONGEST_TIME: Duration = Duration::from_secs(3);
 /// Between calls that fail where lists are pushed: the agent is near, and free.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -40,7 +42,8 @@
 
 /// The side of discovery that talks to it.
 pub struct Discovery {
-    address: SocketAddr,
+    /// Where it is; a reload can move it.
+    address: watch::Receiver<SocketAddr>,
     how: How,
     connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
     /// The version of the list at hand.
@@ -50,7 +53,12 @@
 
 impl Discovery {
     /// `version` is that of the list remembered; `tried` is told of every call that ends.
-    pub fn new(address: SocketAddr, how: How, version: u64, tried: Rc<Notify>) -> Discovery {
+    pub fn new(
+        address: watch::Receiver<SocketAddr>,
+        how: How,
+        version: u64,
+        tried: Rc<Notify>,
+    ) -> Discovery {
         Discovery { address, how, connection: None, version, tried }
     }
 
@@ -67,8 +75,16 @@
     async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_millis(500);
         let mut whole = true;
+        let mut moved = self.address.clone();
         loop {
             tokio::select! {
+                // Danger: versions are each discovery's own, so a new one is asked for the whole
+                // list, at once: what it has to tell counts as told.
+                true = changed(&mut moved) => {
+                    (whole, self.version) = (true, 0);
+                    self.hang_up();
+                    continue;
+                }
                 list = self.call((!whole).then_some(hold), GAP) => match list {
                     Some(list) => {
                         whole = !self.tell(&driver, &list);
@@ -93,10 +109,15 @@
         let hold = Duration::from_secs(4);
         let patience = Duration::from_millis(1500);
         let mut watching = None;
+        let mut moved = self.address.clone();
         loop {
             let call = match watching {
-                None => calls.recv().await,
+                None => tokio::select! {
+                    true = changed(&mut moved) => self.moved(),
+                    call = calls.recv() => call,
+                },
                 Some(hold) => tokio::select! {
+                    true = changed(&mut moved) => self.moved(),
                     list = self.call(Some(hold), patience) => {
                         let told = list.is_some_and(|list| self.tell(&driver, &list));
                         watching = told.then_some(Duration::from_secs(4));
@@ -136,6 +157,12 @@
         true
     }
 
+    /// After a move: what is to be called. The version at hand is that of the old one.
+    fn moved(&mut self) -> Option<Call> {
+        self.version = 0;
+        Some(Call::Fetch)
+    }
+
     fn hang_up(&mut self) {
         if let Some((_, task)) = self.connection.take() {
             task.abort();
@@ -145,6 +172,7 @@
     /// One call: for the whole list, or a watch that may wait for `hold`. None unless the answer
     /// came whole and can be understood; then the next call has a new connection.
     async fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Option<List> {
+        let address = *self.address.borrow();
         let path = match hold {
             None => "/registry/instances".to_owned(),
             Some(hold) => {
@@ -155,15 +183,13 @@
         let connection = self.connection.take();
         let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
             Some(connection) => Hanging(Some(connection)),
-            None => Hanging(Some(connect(self.address).await?)),
+            None => Hanging(Some(connect(address).await?)),
         };
         let sender = &mut connection.0.as_mut()?.0;
         let answer = timeout(first, async {
             sender.ready().await.ok()?;
-            let request = Request::get(path)
-                .header(HOST, self.address.to_string())
-                .body(Empty::new())
-                .ok()?;
+            let request =
+                Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
             sender.send_request(request).await.ok()
         });
         let answer = answer.await.ok()??;
@@ -172,8 +198,13 @@
         }
         let mut body = Limited::new(answer.into_body(), LONGEST);
         let mut text = Vec::new();
-        // Danger: an answer may stop in the middle and stay open. While it moves, it is read on.
-        while let Some(frame) = timeout(GAP.max(patience), body.frame()).await.ok()? {
+        // Danger: an answer may stop in the middle and stay open, or trickle for ever. While it
+        // moves it is read on, but not for longer than a sound one can take.
+        let end = tokio::time::Instant::now() + LONGEST_TIME;
+        while let Some(frame) = {
+            let gap = tokio::time::Instant::now() + GAP.max(patience);
+            timeout_at(gap.min(end), body.frame()).await.ok()?
+        } {
             if let Ok(data) = frame.ok()?.into_data() {
                 text.extend_from_slice(&data);
             }
@@ -184,6 +215,11 @@
     }
 }
 
+/// Waits until the address is another one; false, at once and for good, if none can come any more.
+async fn changed(address: &mut watch::Receiver<SocketAddr>) -> bool {
+    address.changed().await.is_ok()
+}
+
 /// A connection that is closed when a call is dropped on the way.
 struct Hanging(Option<(SendRequest<Empty<Bytes>>, AbortHandle)>);
 
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -8,15 +8,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use super::config::{List, Names};
 use super::discovery::Call;
 use super::peers::Peers;
-use super::upstream::{Head, Long, Reached, Spec, Upstream};
+use super::timers::Timers;
+use super::upstream::{Reached, Served, Spec, Upstream};
 use crate::api::{
     Action, Event, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerId,
 };
@@ -25,17 +24,10 @@
 
 /// A final answer should be on its way this long before the client stops waiting.
 const MARGIN: Duration = Duration::from_millis(5);
-/// A server that stops within an answer for so long will not go on with it.
-const SERVER_STALL: Duration = Duration::from_secs(10);
-/// Servers that are gone are remembered no longer once there are so many names.
-const MOST_SERVERS: usize = 4096;
-
 /// The final answer to a request.
 pub enum Reply {
     /// A server's answer, whole.
-    Served(Head, Bytes),
-    /// A server's answer that is still coming in.
-    Long(LongReply),
+    Served(Served),
     /// Trying again is harmless.
     Refused {
         /// When to, if told.
@@ -45,16 +37,6 @@
     Failed,
 }
 
-/// A long answer as the client gets it.
-pub struct LongReply {
-    /// Its head.
-    pub head: Head,
-    /// Its length, if it was announced.
-    pub length: Option<u64>,
-    /// Its pieces. They end with `Ok(None)` if the answer is whole.
-    pub pieces: mpsc::Receiver<Option<Bytes>>,
-}
-
 /// A request that the driver has taken. Dropping it before its final answer is written means that
 /// the client has gone.
 pub struct Ticket {
@@ -98,13 +80,11 @@
     spec: Option<Rc<Spec>>,
     /// What calls off each attempt that is out.
     attempts: Vec<Option<oneshot::Sender<()>>>,
-    /// The attempt whose long answer is being passed on.
-    streaming: Option<usize>,
 }
 
 impl Pending {
     fn ended(&self) -> bool {
-        self.reply.is_none() && self.streaming.is_none()
+        self.reply.is_none()
     }
 
     fn forgettable(&self) -> bool {
@@ -123,12 +103,15 @@
 /// Owns the decisions and carries them out.
 pub struct Driver {
     core: RefCell<Core>,
+    timers: Timers,
     clock: (Micros, Instant),
     names: Rc<Names>,
     upstream: Rc<Upstream>,
     discovery: mpsc::UnboundedSender<Call>,
     peers: Option<Rc<Peers>>,
     probe_reports: bool,
+    /// How long clients of each class wait at the most.
+    deadlines: Vec<Duration>,
 }
 
 impl Driver {
@@ -144,6 +127,7 @@
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = (unix.as_micros() as Micros, Instant::now());
+        let deadlines = settings.classes.iter().map(|c| c.deadline).collect::<Vec<_>>().into_iter();
         let probe_reports = settings.report.how != ReportHow::Silent;
         let core = RefCell::new(Core {
             balancer: Balancer::new(settings, seed, clock.0),
@@ -152,7 +136,28 @@
             servers: HashMap::new(),
             listed: false,
         });
-        Rc::new(Driver { core, clock, names, upstream, discovery, peers, probe_reports })
+        let timers = Timers::default();
+        let deadlines = deadlines.map(Duration::from_micros).collect();
+        let driver = Driver {
+            core,
+            timers,
+            clock,
+            names,
+            deadlines,
+            upstream,
+            discovery,
+            peers,
+            probe_reports,
+        };
+        Rc::new(driver)
+    }
+
+    /// Tells the module of its timers as they run out; never ends.
+    pub async fn ring(self: Rc<Driver>) {
+        loop {
+            let token = self.timers.next().await;
+            self.event(Event::Timer { token });
+        }
     }
 
     fn now(&self) -> Micros {
@@ -173,7 +178,7 @@
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Cancel { id, attempt } => {
                 let mut core = self.core.borrow_mut();
-                let request = core.requests.get_mut(&id).filter(|r| r.streaming.is_none());
+                let request = core.requests.get_mut(&id);
                 // The attempt goes on to be told as cancelled, or as what it came to just now.
                 let cancel = request.and_then(|r| r.attempts.get_mut(attempt)?.take());
                 if let Some(cancel) = cancel {
@@ -186,11 +191,7 @@
             }
             Action::Fail { id } => self.end(id, Reply::Failed),
             Action::Timer { delay, token } => {
-                let driver = self.clone();
-                spawn_local(async move {
-                    tokio::time::sleep(Duration::from_micros(delay)).await;
-                    driver.event(Event::Timer { token });
-                });
+                self.timers.set(Duration::from_micros(delay), token);
             }
             Action::Probe { server } => {
                 let dial = self.core.borrow().servers.get(&server).copied();
@@ -227,22 +228,21 @@
             let mut core = self.core.borrow_mut();
             core.next_id += 1;
             let id = RequestId(core.next_id);
-            let pending = Pending {
-                reply: Some(reply),
-                spec: Some(Rc::new(spec)),
-                attempts: Vec::new(),
-                streaming: None,
-            };
+            let pending =
+                Pending { reply: Some(reply), spec: Some(Rc::new(spec)), attempts: Vec::new() };
             core.requests.insert(id, pending);
             id
         };
-        let margin = MARGIN.min(asked.left / 4);
+        // Danger: a client can claim to wait for weeks, and would be remembered as long. No client
+        // of its class waits longer than the class does.
+        let left = asked.left.min(self.deadlines[asked.class]);
+        let margin = MARGIN.min(left / 4);
         self.event(Event::Request(NewRequest {
             id,
             class: asked.class,
             tenant: asked.tenant,
             key: asked.key,
-            left: (asked.left - margin).as_micros() as Micros,
+            left: (left - margin).as_micros() as Micros,
             hint: asked.hint,
             repeat: asked.repeat,
         }));
@@ -257,29 +257,35 @@
             };
             request.reply = None;
             request.spec = None;
-            if request.streaming.is_some() {
-                // The attempt itself finds nobody to pass the answer on to.
-                return;
-            }
         }
         self.event(Event::ClientGone { id });
         self.forget(id);
     }
 
     /// Discovery's news.
+    ///
+    /// Danger: servers are ever new. Addresses are kept of those alone that are listed, and what
+    /// rests on the way to one that is to get nothing more is closed at once.
     pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
         {
             let mut core = self.core.borrow_mut();
-            if kind != ListKind::Changes && core.servers.len() > MOST_SERVERS {
-                core.servers.clear();
-            }
+            let before = match kind {
+                ListKind::Changes => HashMap::new(),
+                _ => std::mem::take(&mut core.servers),
+            };
             for host in &list.hosts {
                 let id = host.id();
-                let Some(dial) = host.dial else { continue };
-                if core.servers.insert(id, dial).is_some_and(|before| before != dial) {
+                let known = match host.dial.filter(|_| host.listed()) {
+                    Some(dial) => core.servers.insert(id, dial).or(before.get(&id).copied()),
+                    None => core.servers.remove(&id),
+                };
+                if known.is_some_and(|known| Some(known) != host.dial) || !host.wants_work() {
                     self.upstream.close_idle(id);
                 }
             }
+            for id in before.keys().filter(|id| !core.servers.contains_key(id)) {
+                self.upstream.close_idle(*id);
+            }
             core.listed |= !list.hosts.is_empty();
         }
         let entries: Vec<_> = list.hosts.iter().map(|h| self.names.entry(h)).collect();
@@ -313,8 +319,7 @@
                 return self.moot(id, 0, server);
             };
             request.attempts.push(Some(cancel));
-            let spec =
-                request.spec.clone().filter(|_| !request.ended() && request.streaming.is_none());
+            let spec = request.spec.clone().filter(|_| !request.ended());
             (request.attempts.len() - 1, spec.zip(dial))
         };
         let Some((spec, dial)) = way else {
@@ -328,7 +333,7 @@
     fn moot(self: &Rc<Driver>, id: RequestId, n: usize, server: ServerId) {
         let driver = self.clone();
         spawn_local(async move {
-            driver.over(id, n, server, Outcome::Moot, 0, LoadReport::default(), None);
+            driver.over(id, n, server, 0, Reached::end(Outcome::Moot));
         });
     }
 
@@ -342,91 +347,36 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = Instant::now();
-        let elapsed = || sent.elapsed().as_micros() as Micros;
-        let end = |outcome| Reached::End { outcome, report: LoadReport::default(), answer: None };
         let reached = tokio::select! {
             biased;
             reached = self.upstream.attempt(server, dial, &spec, sent + wait) => reached,
             // Given up by the module, or because nothing can come of it any more.
-            _ = cancelled => end(Outcome::Cancelled),
-            () = tokio::time::sleep(wait) => end(Outcome::TimedOut),
+            _ = cancelled => Reached::end(Outcome::Cancelled),
+            () = tokio::time::sleep(wait) => Reached::end(Outcome::TimedOut),
         };
         drop(spec);
-        match reached {
-            Reached::End { outcome, report, answer } => {
-                self.over(id, n, server, outcome, elapsed(), report, answer);
-            }
-            Reached::Long(long) => {
-                let report = long.report.clone();
-                let latency = elapsed();
-                let outcome = self.pass_on(id, n, *long).await;
-                self.over(id, n, server, outcome, latency, report, None);
-            }
-        }
-    }
-
-    /// Passes a long answer on as it comes, at the client's pace.
-    async fn pass_on(self: &Rc<Driver>, id: RequestId, n: usize, mut long: Long) -> Outcome {
-        let (to_client, pieces) = mpsc::channel(1);
-        {
-            let mut core = self.core.borrow_mut();
-            let request = core.requests.get_mut(&id).filter(|r| r.streaming.is_none());
-            let Some((request, reply)) = request.and_then(|r| r.reply.take().map(|to| (r, to)))
-            else {
-                return Outcome::Cancelled;
-            };
-            request.streaming = Some(n);
-            request.spec = None;
-            let head = std::mem::take(&mut long.head);
-            let _ = reply.send(Reply::Long(LongReply { head, length: long.length, pieces }));
-        }
-        self.event(Event::FirstByte { id, attempt: n });
-        loop {
-            let piece = tokio::select! {
-                piece = timeout(SERVER_STALL, long.next()) => piece,
-                () = to_client.closed() => return Outcome::Cancelled,
-            };
-            match piece {
-                Ok(Some(Ok(piece))) => {
-                    if to_client.send(Some(piece)).await.is_err() {
-                        return Outcome::Cancelled;
-                    }
-                }
-                Ok(None) => {
-                    let _ = to_client.send(None).await;
-                    return Outcome::Served;
-                }
-                // Danger: the channel's end without a word is how the client comes to see that
-                // the answer is not whole.
-                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
-            }
-        }
+        self.over(id, n, server, sent.elapsed().as_micros() as Micros, reached);
     }
 
     /// Tells an attempt's outcome. The first answer served goes to the client.
-    #[allow(clippy::too_many_arguments)]
     fn over(
         self: &Rc<Driver>,
         id: RequestId,
         attempt: usize,
         server: ServerId,
-        outcome: Outcome,
         latency: Micros,
-        report: LoadReport,
-        answer: Option<(Head, Bytes)>,
+        reached: Reached,
     ) {
+        let Reached { outcome, report, answer } = reached;
         let mut finished = true;
         if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
             if let Some(out) = request.attempts.get_mut(attempt) {
                 *out = None;
             }
-            if request.streaming == Some(attempt) {
-                request.streaming = None;
-            }
-            if let Some((head, body)) = answer
+            if let Some(served) = answer
                 && let Some(reply) = request.reply.take()
             {
-                let _ = reply.send(Reply::Served(head, body));
+                let _ = reply.send(Reply::Served(served));
             }
             finished = request.ended();
             if finished {
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -19,33 +19,28 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
-use tokio::time::{sleep, timeout};
+use tokio::sync::Notify;
+use tokio::time::{sleep, sleep_until, timeout};
 
-use super::budget::{self, Account, LONGEST_BODY, Place, Sockets};
+use super::budget::{self, Place, Room, Sockets};
 use super::config::{Names, stable_hash};
-use super::driver::{Asked, Driver, LongReply, Reply};
+use super::driver::{Asked, Driver, Reply};
+use super::framing::{Fault, Framing, LONGEST_BODY, LONGEST_HEAD, Side};
+use super::ids::Ids;
 use super::stream::{self, Observer, Stream};
 use super::upstream::Spec;
 use crate::api::Micros;
 use crate::settings::Repeat;
 
-/// The most that hyper reads ahead, and so the longest head.
-const READ_AHEAD: usize = 64 << 10;
-/// Bodies are kept in pieces of this size.
-const PIECE: usize = 64 << 10;
-/// A client that is within a message and sends nothing for so long is let go.
-const READ_STALL: Duration = Duration::from_secs(6);
-/// A client that reads nothing of its answer for so long is let go.
-const WRITE_STALL: Duration = Duration::from_secs(20);
-/// In a crowd, who takes longer than this for a request's first bytes goes first: clients may
-/// take 2 s for a head.
-const SLOWEST_HEAD: Duration = Duration::from_millis(2500);
-/// Between two looks at where a connection's client is.
-const LOOK: Duration = Duration::from_secs(1);
-/// How long an ended connection is read on, so that what the client still sends does not take
-/// its answer away.
-const LINGER: Duration = Duration::from_secs(2);
+/// A connection without a request may be closed after 2 s, and a client that says nothing, or
+/// does not come to an end with what it says, is owed a close within 3 s.
+const PATIENCE: Duration = Duration::from_millis(2500);
+/// Between two looks at a client whose request is under way: its time is the module's.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long an ended connection is read on, and how far, so that what the client still sends does
+/// not take its answer away.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 << 10;
 /// A pause before accepting again when the system has no descriptor left.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 
@@ -60,30 +55,37 @@
     Taken,
     /// The answer is made; some of it may be unwritten.
     Answered,
+    /// All is said; what the client still sends is read and thrown away.
+    Lingering,
 }
 
 /// One client's connection, as it is seen from outside.
+///
+/// Danger: this guards against every client that holds a connection and does not come to an end,
+/// silent, trickling or not reading: each phase that is the client's has a time of its own that
+/// nothing renews. Harmful to honest clients that take seconds to send or read 64 KiB.
 struct Client {
     phase: Cell<Phase>,
+    framing: RefCell<Framing>,
+    fault: Cell<Option<Fault>>,
     /// hyper has all of the last answer; what is flushed next is its end.
     complete: Cell<bool>,
-    /// It is this side that holds a request up, for want of memory.
-    held_up: Cell<bool>,
-    /// When the phase began, and when bytes last moved.
+    /// When the phase began.
     since: Cell<Instant>,
-    moved: Cell<Instant>,
+    /// No request was ever whole here.
+    fresh: Cell<bool>,
     leave: Notify,
 }
 
 impl Client {
     fn new() -> Client {
-        let now = Instant::now();
         Client {
             phase: Cell::new(Phase::Resting),
+            framing: RefCell::new(Framing::new(Side::Requests)),
+            fault: Cell::new(None),
             complete: Cell::new(false),
-            held_up: Cell::new(false),
-            since: Cell::new(now),
-            moved: Cell::new(now),
+            since: Cell::new(Instant::now()),
+            fresh: Cell::new(true),
             leave: Notify::new(),
         }
     }
@@ -100,40 +102,53 @@
 
     /// In a crowd, who is to go first: the lower, the sooner. None: not to go at all.
     fn rank(&self) -> Option<(u8, Instant)> {
-        match self.phase.get() {
-            Phase::Taken | Phase::Answered => None,
-            Phase::Partial if self.since.get().elapsed() > SLOWEST_HEAD => {
-                Some((0, self.moved.get()))
-            }
-            Phase::Resting => Some((1, self.moved.get())),
-            Phase::Partial => Some((2, self.since.get())),
-        }
+        let first = match self.phase.get() {
+            Phase::Taken | Phase::Answered => return None,
+            Phase::Lingering => 0,
+            Phase::Resting => 1,
+            Phase::Partial => 2,
+        };
+        Some((first, self.since.get()))
     }
 
-    fn stalled(&self) -> bool {
-        let still = self.moved.get().elapsed();
-        match self.phase.get() {
-            Phase::Resting | Phase::Taken => false,
-            Phase::Partial => still > READ_STALL && !self.held_up.get(),
-            Phase::Answered => still > WRITE_STALL,
+    /// Waits until the client has had its time.
+    async fn stalled(&self) {
+        loop {
+            let now = Instant::now();
+            let next = match self.phase.get() {
+                Phase::Taken => now + LOOK,
+                _ => self.since.get() + PATIENCE,
+            };
+            if next <= now {
+                return;
+            }
+            sleep_until(next.into()).await;
         }
     }
 }
 
 impl Observer for Client {
-    fn on_read(&self, n: usize) {
-        self.moved.set(Instant::now());
-        if n > 0 && self.phase.get() == Phase::Resting {
-            self.enter(Phase::Partial);
+    fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
+        if !bytes.is_empty() && self.phase.get() == Phase::Resting {
+            self.phase.set(Phase::Partial);
+            // A new connection's first request has its time from when it came.
+            if !self.fresh.get() {
+                self.since.set(Instant::now());
+            }
         }
+        self.framing.borrow_mut().feed(bytes).map_err(|fault| {
+            self.fault.set(Some(fault));
+            io::Error::new(io::ErrorKind::InvalidData, fault)
+        })
     }
 
-    fn on_write(&self, _bytes: &[u8]) {
-        self.moved.set(Instant::now());
+    fn may_end(&self) -> bool {
+        self.fault.get().is_none()
     }
 
     fn on_flush(&self) {
         if self.complete.replace(false) && self.phase.get() == Phase::Answered {
+            self.framing.borrow_mut().next();
             self.enter(Phase::Resting);
         }
     }
@@ -144,7 +159,8 @@
     driver: Rc<Driver>,
     names: Rc<Names>,
     sockets: Rc<Sockets>,
-    bytes: Rc<budget::Bytes>,
+    bytes: budget::Bytes,
+    ids: Ids,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     accepted: Cell<(u64, Instant)>,
     draining: Cell<bool>,
@@ -157,13 +173,14 @@
         driver: Rc<Driver>,
         names: Rc<Names>,
         sockets: Rc<Sockets>,
-        bytes: Rc<budget::Bytes>,
+        bytes: budget::Bytes,
     ) -> Rc<Ingress> {
         Rc::new(Ingress {
             driver,
             names,
             sockets,
             bytes,
+            ids: Ids::default(),
             clients: RefCell::default(),
             accepted: Cell::new((0, Instant::now())),
             draining: Cell::new(false),
@@ -253,7 +270,7 @@
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let mut connection = Box::pin(
             http1::Builder::new()
-                .max_buf_size(READ_AHEAD)
+                .max_buf_size(LONGEST_HEAD)
                 .header_read_timeout(None)
                 .serve_connection(
                     io,
@@ -263,14 +280,27 @@
         let answered = tokio::select! {
             ended = connection.as_mut() => ended.map_or_else(|e| e.is_parse(), |()| true),
             () = client.leave.notified() => false,
-            () = stalled(&client) => false,
+            () = client.stalled() => {
+                if client.phase.get() == Phase::Partial {
+                    self.turn_away(&client, &socket, StatusCode::REQUEST_TIMEOUT);
+                }
+                false
+            }
         };
+        // What is under way here ends with the connection; so it is not answered twice.
         drop(connection);
-        if answered {
-            linger(&socket).await;
+        let faulty = client.fault.get().is_some_and(|fault| {
+            matches!(client.phase.get(), Phase::Partial | Phase::Taken)
+                && self.turn_away(&client, &socket, fault.status())
+        });
+        if answered || faulty {
+            client.enter(Phase::Lingering);
+            tokio::select! {
+                () = linger(&socket) => {}
+                () = client.leave.notified() => {}
+            }
         } else if client.busy() {
-            // Danger: to a client that is told neither length nor chunks, an ordinary close
-            // would look like the end of the whole answer.
+            // Danger: an answer cut short must not look whole to anyone.
             let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
         }
         self.clients.borrow_mut().remove(&n);
@@ -278,26 +308,41 @@
         drop(place);
     }
 
+    /// Answers, in hyper's place, a request that hyper is not to see or will not see whole. To be
+    /// used only while nothing of an answer has been written.
+    fn turn_away(&self, client: &Client, socket: &TcpStream, status: StatusCode) -> bool {
+        client.enter(Phase::Answered);
+        let text = format!(
+            "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+            status.as_str(),
+            status.canonical_reason().unwrap_or_default()
+        );
+        let written = socket.try_write(text.as_bytes()).is_ok_and(|n| n == text.len());
+        client.enter(Phase::Lingering);
+        written
+    }
+
     async fn serve(
         self: Rc<Ingress>,
         client: Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Response<Answer>, Gone> {
-        // With pipelining, the next request is read before the last answer is out.
         client.complete.set(false);
-        if client.phase.get() != Phase::Partial {
-            client.enter(Phase::Partial);
-        }
         let mut response = match self.reply(&client, request).await? {
             Ok(reply) => written(reply),
             Err(status) => plain(status),
         };
-        if self.draining.get() {
+        // Danger: what a client sends once it was told that something is wrong with its request
+        // is not to be relied upon; and where only hyper saw a body's end, what follows was not
+        // looked at. Neither goes on on the same connection.
+        let unusable = !response.status().is_success() && client.phase.get() != Phase::Taken;
+        if self.draining.get() || unusable || client.framing.borrow().open() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         client.enter(Phase::Answered);
-        let (head, body) = response.into_parts();
-        Ok(Response::from_parts(head, Answer { body, client }))
+        client.fresh.set(false);
+        let (head, (body, room)) = response.into_parts();
+        Ok(Response::from_parts(head, Answer { body, client, _room: room }))
     }
 
     /// The answer to one request, or the status that tells what is wrong with it.
@@ -307,30 +352,48 @@
         request: Request<Incoming>,
     ) -> Result<Result<Reply, StatusCode>, Gone> {
         let (head, body) = request.into_parts();
-        if head.uri.path() == "/health/ready" {
+        if head.uri.path() == "/health/ready" && head.method == Method::GET {
             let ready = self.tried.get() && self.driver.listed();
             return Ok(Err(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
-        let asked = match self.asked(&head) {
+        let (asked, id) = match self.asked(&head) {
             Ok(asked) => asked,
             Err(status) => return Ok(Err(status)),
         };
-        let mut account = self.bytes.account();
-        let body = match read(client, body, &mut account).await? {
-            Some(body) => body,
-            None => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Ok(Err(StatusCode::BAD_REQUEST));
+        }
+        let mut room = None;
+        let mut whole = Bytes::new();
+        if !body.is_end_stream() {
+            let length = body.size_hint().exact().map_or(LONGEST_BODY, |n| n as usize);
+            // Danger: taken only when the bytes are here, room would be overdrawn by all who send
+            // at once. A client whose time runs out while it waits has had no attempt.
+            room = self.bytes.room(length).await;
+            whole = match read(body, length).await? {
+                Some(body) => body,
+                None => return Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)),
+            };
+        }
+        // Danger: servers know requests by their ids. A second one under the id of a first that may
+        // still be out there would pass for a repeat of it.
+        let Some(_open) = self.ids.open(id) else {
+            return Ok(Err(StatusCode::CONFLICT));
         };
         client.enter(Phase::Taken);
         let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
         let headers = passed_on(&head.headers);
         let target = target.unwrap_or_default();
-        let spec = Spec { method: head.method, target, headers, body, account };
+        let spec = Spec { method: head.method, target, headers, body: whole, room };
         let mut ticket = self.driver.request(asked, spec);
         Ok(Ok(ticket.reply().await))
     }
 
     /// What a request's head asks for; refused are heads that say too little or the wrong thing.
-    fn asked(&self, head: &hyper::http::request::Parts) -> Result<Asked, StatusCode> {
+    fn asked<'a>(
+        &self,
+        head: &'a hyper::http::request::Parts,
+    ) -> Result<(Asked, &'a str), StatusCode> {
         let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map(str::trim));
         let text = |name: &str| text(name).transpose().map_err(|_| StatusCode::BAD_REQUEST);
         let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -343,7 +406,13 @@
         if class.repeat != Repeat::Safe && keyed != (class.repeat == Repeat::Keyed) {
             return Err(StatusCode::BAD_REQUEST);
         }
-        text("x-correlation-id")?.filter(|id| !id.is_empty()).ok_or(StatusCode::BAD_REQUEST)?;
+        let id = text("x-correlation-id")?.filter(|id| !id.is_empty());
+        let id = id.ok_or(StatusCode::BAD_REQUEST)?;
+        // One id, one key, one time: of several, a server might go by another than this.
+        let alone = ["x-correlation-id", "idempotency-key", "x-time-left-ms", "x-account"];
+        if alone.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(StatusCode::BAD_REQUEST);
+        }
         let tenant = match text("x-account")? {
             _ if self.names.tenants.is_empty() => 0,
             name => *name
@@ -352,14 +421,15 @@
         };
         let left = text("x-time-left-ms")?.and_then(|v| v.parse::<u32>().ok());
         let left = left.ok_or(StatusCode::BAD_REQUEST)?;
-        Ok(Asked {
+        let asked = Asked {
             class: class.index,
             tenant,
             key: head.headers.get_all(header::COOKIE).iter().find_map(key).unwrap_or(0),
             left: Duration::from_millis(left.into()),
             hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
             repeat: text("x-repeat")? == Some("1"),
-        })
+        };
+        Ok((asked, id))
     }
 }
 
@@ -401,53 +471,19 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
-/// Reads a body whole. None: it is too long.
-async fn read(
-    client: &Client,
-    mut body: Incoming,
-    account: &mut Account,
-) -> Result<Option<Vec<Bytes>>, Gone> {
-    let mut pieces = Vec::new();
-    let mut piece = BytesMut::new();
-    let mut left = LONGEST_BODY;
-    if body.is_end_stream() {
-        return Ok(Some(pieces));
-    }
-    room(client, account).await;
+/// Reads a body whole, of `length` bytes at most. None: it is too long.
+async fn read(mut body: Incoming, length: usize) -> Result<Option<Bytes>, Gone> {
+    // Danger: bodies that come byte by byte would cost many times their size if each byte were
+    // kept as it came.
+    let mut whole = BytesMut::with_capacity(length.min(LONGEST_BODY));
     while let Some(frame) = body.frame().await {
-        let Ok(mut data) = frame.map_err(|_| Gone)?.into_data() else { continue };
-        let Some(rest) = left.checked_sub(data.len()) else { return Ok(None) };
-        left = rest;
-        while !data.is_empty() {
-            // Danger: bodies that come byte by byte would cost many times their size if each
-            // byte were kept as it came.
-            let n = data.len().min(PIECE - piece.len());
-            piece.extend_from_slice(&data.split_to(n));
-            if piece.len() == PIECE {
-                pieces.push(std::mem::take(&mut piece).freeze());
-                room(client, account).await;
-            }
+        let Ok(data) = frame.map_err(|_| Gone)?.into_data() else { continue };
+        if whole.len() + data.len() > LONGEST_BODY {
+            return Ok(None);
         }
+        whole.extend_from_slice(&data);
     }
-    if !piece.is_empty() {
-        pieces.push(piece.freeze());
-    }
-    Ok(Some(pieces))
-}
-
-/// Takes room for one more piece. Danger: asked for only when bytes are here, the budget would be
-/// overdrawn by all who send at once. What is not yet read waits in the client.
-async fn room(client: &Client, account: &mut Account) {
-    client.held_up.set(true);
-    account.grow(PIECE).await;
-    client.held_up.set(false);
-    client.moved.set(Instant::now());
-}
-
-async fn stalled(client: &Client) {
-    while !client.stalled() {
-        sleep(LOOK).await;
-    }
+    Ok(Some(whole.freeze()))
 }
 
 /// Danger: closing a socket on which unread bytes wait (the next request, the rest of one that
@@ -457,10 +493,15 @@
     stream::finish_writing(socket);
     let drained = async {
         let mut buf = [0; 4096];
+        let mut left = LINGER_BYTES;
         loop {
             match socket.try_read(&mut buf) {
                 Ok(0) => return,
-                Ok(_) => tokio::task::yield_now().await,
+                Ok(n) if n >= left => return,
+                Ok(n) => {
+                    left -= n;
+                    tokio::task::yield_now().await;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     if socket.readable().await.is_err() {
                         return;
@@ -485,22 +526,19 @@
 
 impl std::error::Error for Gone {}
 
-fn plain(status: StatusCode) -> Response<Either<Full<Bytes>, Pieces>> {
-    let mut response = Response::new(Either::Left(Full::default()));
+type Written = Response<(Full<Bytes>, Room)>;
+
+fn plain(status: StatusCode) -> Written {
+    let mut response = Response::new((Full::default(), None));
     *response.status_mut() = status;
     response
 }
 
-fn written(reply: Reply) -> Response<Either<Full<Bytes>, Pieces>> {
+fn written(reply: Reply) -> Written {
     match reply {
-        Reply::Served(head, body) => {
-            let mut response = Response::new(Either::Left(Full::new(body)));
-            *response.headers_mut() = passed_on(&head);
-            response
-        }
-        Reply::Long(LongReply { head, length, pieces }) => {
-            let mut response = Response::new(Either::Right(Pieces { pieces, left: length }));
-            *response.headers_mut() = passed_on(&head);
+        Reply::Served(served) => {
+            let mut response = Response::new((Full::new(served.body), served.room));
+            *response.headers_mut() = passed_on(&served.head);
             response
         }
         Reply::Refused { retry_after } => {
@@ -515,40 +553,11 @@
     }
 }
 
-/// A long answer's body.
-struct Pieces {
-    pieces: mpsc::Receiver<Option<Bytes>>,
-    left: Option<u64>,
-}
-
-impl Body for Pieces {
-    type Data = Bytes;
-    type Error = Gone;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Gone>>> {
-        self.pieces.poll_recv(cx).map(|piece| match piece {
-            Some(Some(piece)) => {
-                self.left = self.left.map(|l| l.saturating_sub(piece.len() as u64));
-                Some(Ok(Frame::data(piece)))
-            }
-            Some(None) => None,
-            // It broke off.
-            None => Some(Err(Gone)),
-        })
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
-
 /// An answer's body. When it is done with, its connection rests again.
 struct Answer {
-    body: Either<Full<Bytes>, Pieces>,
+    body: Full<Bytes>,
     client: Rc<Client>,
+    _room: Room,
 }
 
 impl Drop for Answer {
@@ -559,7 +568,7 @@
 
 impl Body for Answer {
     type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Error = std::convert::Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,10 +6,14 @@
 pub mod config;
 pub mod discovery;
 pub mod driver;
+pub mod framing;
+mod ids;
 pub mod ingress;
 pub mod peers;
+pub mod reload;
 pub mod shutdown;
 pub mod stream;
+pub mod timers;
 pub mod upstream;
 
 use std::future::Future;
@@ -20,7 +24,7 @@
 
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 
 use crate::api::ListKind;
@@ -28,12 +32,23 @@
 
 /// Connections that may wait to be accepted: a crowd comes within a second.
 const BACKLOG: i32 = 4096;
-/// The share of the memory that bodies of requests may take.
-const BODIES: f64 = 0.4;
+/// What the sidecar is told from outside while it runs.
+pub struct Told<S, R> {
+    /// Done when the sidecar is to end.
+    pub stop: S,
+    /// A word for each time that the configuration is to be read again.
+    pub reload: mpsc::Receiver<()>,
+    /// Reads the configuration again.
+    pub read: R,
+}
 
-/// Runs the sidecar until `stop` is done and all that was taken is answered. An error names the
-/// address that could not be had.
-pub async fn run(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Runs the sidecar until it is told to stop and all that was taken is answered. An error names
+/// the address that could not be had.
+pub async fn run<S, R>(config: Config, told: Told<S, R>) -> Result<(), String>
+where
+    S: Future<Output = ()>,
+    R: Fn() -> Result<Config, String>,
+{
     let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let peers = match config.peer_listen {
         Some(at) => {
@@ -45,13 +60,15 @@
     };
     let names = Rc::new(config.names);
     let sockets = Rc::new(budget::Sockets::new(config.sockets));
+    let bytes = budget::Bytes::new(config.memory);
     let limits = &config.settings.limits;
-    let upstream = upstream::Upstream::new(
-        sockets.clone(),
-        names.clone(),
-        Duration::from_micros(limits.connect_timeout),
-        Duration::from_micros(limits.conn_idle),
-    );
+    let aims = config.settings.classes.iter().map(|c| c.aim);
+    let times = upstream::Times {
+        connect: Duration::from_micros(limits.connect_timeout),
+        idle: Duration::from_micros(limits.conn_idle),
+        whole: Duration::from_micros(aims.min().unwrap_or_default()),
+    };
+    let upstream = upstream::Upstream::new(sockets.clone(), bytes.clone(), names.clone(), times);
     let how = config.settings.discovery;
     let deadlines = config.settings.classes.iter().map(|c| c.deadline);
     let longest_deadline = Duration::from_micros(deadlines.max().unwrap_or_default());
@@ -64,7 +81,6 @@
         to_discovery,
         peers.clone(),
     );
-    let bytes = budget::Bytes::new((config.memory as f64 * BODIES) as usize);
     let ingress = ingress::Ingress::new(driver.clone(), names, sockets, bytes);
 
     let tried = Rc::new(Notify::new());
@@ -72,18 +88,22 @@
     if let Some(known) = &config.known {
         driver.servers(ListKind::Remembered, known);
     }
-    let discovery = discovery::Discovery::new(config.discovery, how, version, tried.clone());
+    let (moves, at) = watch::channel(config.discovery);
+    let discovery = discovery::Discovery::new(at, how, version, tried.clone());
     spawn_local(discovery.run(driver.clone(), calls));
+    spawn_local(driver.clone().ring());
     if let Some(peers) = peers {
         spawn_local(peers.listen(driver));
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!("{} listens on {at}", config.name);
     let accepting = ingress.clone().accept(listener);
+    let Told { stop, reload, read } = told;
     tokio::pin!(accepting, stop);
     tokio::select! {
         () = accepting.as_mut() => {}
         () = first_try(&ingress, &tried) => {}
+        () = reload::run(reload, read, moves) => {}
         () = stop => {}
     }
     tokio::select! {
--- a/src/sidecar/stream.rs
+++ b/src/sidecar/stream.rs
@@ -14,8 +14,11 @@
 
 /// What is told of a socket's traffic, and may hold writing up.
 pub trait Observer {
-    /// Bytes came in; 0: the peer sends no more.
-    fn on_read(&self, _n: usize) {}
+    /// These bytes came in; none: the peer sends no more. An error ends the connection, and hyper
+    /// never sees the bytes.
+    fn on_read(&self, _bytes: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
     /// How many of these bytes may be written now.
     fn allow(&self, bytes: &[u8], _cx: &mut Context<'_>) -> Poll<usize> {
         Poll::Ready(bytes.len())
@@ -28,6 +31,10 @@
     fn on_write(&self, _bytes: &[u8]) {}
     /// Nothing is left to be written.
     fn on_flush(&self) {}
+    /// Whether hyper may end the sending side, or has the owner something to say yet.
+    fn may_end(&self) -> bool {
+        true
+    }
 }
 
 /// A socket under observation. The socket is shared: its owner can look at it while hyper uses it.
@@ -51,11 +58,9 @@
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
+            let before = buf.filled().len();
             match self.socket.try_read_buf(buf) {
-                Ok(n) => {
-                    self.observer.on_read(n);
-                    return Poll::Ready(Ok(()));
-                }
+                Ok(_) => return Poll::Ready(self.observer.on_read(&buf.filled()[before..])),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(e) => return Poll::Ready(Err(e)),
             }
@@ -120,7 +125,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        finish_writing(&self.socket);
+        if self.observer.may_end() {
+            finish_writing(&self.socket);
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -10,33 +11,29 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
-use super::budget::{Account, Place, Sockets};
+use super::budget::{self, Place, Room, Sockets};
 use super::config::Names;
+use super::framing::{Framing, LONGEST_BODY, LONGEST_HEAD, Side};
 use super::stream::{self, Observer, Stream};
 use crate::api::{LoadReport, Outcome, ServerId};
 
-/// Answers up to this size are read whole before their outcome is told.
-pub const WHOLE: usize = 64 << 10;
-/// The most that hyper reads ahead, and so the longest head.
-const READ_AHEAD: usize = 64 << 10;
 /// A connection that has rested at least this long is tried before the whole request is on it.
 const RESTED: Duration = Duration::from_millis(50);
 /// How long such a trial lasts: a reset comes within a round trip.
 const TRIAL: Duration = Duration::from_millis(4);
 /// How long a connection may take to be ready for the next request after an answer.
 const SETTLE: Duration = Duration::from_millis(50);
-/// How long the rest of an answer that nobody wants may take before its connection is closed.
-const DISCARD: Duration = Duration::from_millis(500);
 
 /// A client's request as servers get it, kept for repeats.
 pub struct Spec {
@@ -46,23 +43,14 @@
     pub target: hyper::Uri,
     /// What goes on of the headers.
     pub headers: HeaderMap,
-    /// The body in pieces.
-    pub body: Vec<Bytes>,
+    /// The body.
+    pub body: Bytes,
     /// What the body takes of the budget.
-    pub account: Account,
-}
-
-impl Spec {
-    fn len(&self) -> u64 {
-        self.body.iter().map(|b| b.len() as u64).sum()
-    }
+    pub room: Room,
 }
 
 /// The body of one attempt.
-struct Replay {
-    spec: Rc<Spec>,
-    next: usize,
-}
+struct Replay(Bytes);
 
 impl Body for Replay {
     type Data = Bytes;
@@ -72,26 +60,31 @@
         mut self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.spec.body.get(self.next).cloned();
-        self.next += 1;
-        Poll::Ready(piece.map(|p| Ok(Frame::data(p))))
+        let body = std::mem::take(&mut self.0);
+        Poll::Ready((!body.is_empty()).then(|| Ok(Frame::data(body))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.next >= self.spec.body.len()
+        self.0.is_empty()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.spec.body.iter().skip(self.next).map(|b| b.len() as u64).sum())
+        SizeHint::with_exact(self.0.len() as u64)
     }
 }
 
-/// Follows a request on its way to the system, and can keep its last byte back.
+/// Follows a request on its way to the system, and can keep its last byte back; follows the answer
+/// on its way in.
 ///
 /// Danger: hyper tells that a connection broke, not whether the request's last byte was written
 /// before. One that broke earlier never ran and may be sent again, an unsafe one too.
-#[derive(Default)]
 struct Meter {
+    answer: RefCell<Framing>,
+    /// When the first byte of the final answer came.
+    begun: Cell<Option<Instant>>,
+    stirred: Notify,
+    /// Something came that belongs to no answer: the connection is of no further use.
+    surplus: Cell<bool>,
     /// Bytes of the head's end (CR LF CR LF) that have just passed.
     head_end: Cell<usize>,
     in_head: Cell<bool>,
@@ -102,7 +95,24 @@
 }
 
 impl Meter {
+    fn new() -> Meter {
+        Meter {
+            answer: RefCell::new(Framing::new(Side::Answers)),
+            begun: Cell::new(None),
+            stirred: Notify::new(),
+            surplus: Cell::new(false),
+            head_end: Cell::new(0),
+            in_head: Cell::new(false),
+            body_left: Cell::new(0),
+            whole: Cell::new(false),
+            held: Cell::new(false),
+            waker: Cell::new(None),
+        }
+    }
+
     fn begin(&self, body: u64, hold: bool) {
+        self.answer.borrow_mut().next();
+        self.begun.set(None);
         self.head_end.set(0);
         self.in_head.set(true);
         self.body_left.set(body);
@@ -143,6 +153,30 @@
 }
 
 impl Observer for Meter {
+    fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut answer = self.answer.borrow_mut();
+        // What comes before the request's last byte has left is no answer to it.
+        if !self.whole.get() || answer.whole() {
+            self.surplus.set(self.surplus.get() || !bytes.is_empty());
+        }
+        if let Err(fault) = answer.feed(bytes) {
+            if answer.whole() {
+                // Behind an answer that is whole; hyper is let have that.
+                self.surplus.set(true);
+                return Ok(());
+            }
+            tracing::debug!("an answer with {fault}");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
+        }
+        if !answer.begun() {
+            self.begun.set(None);
+        } else if self.begun.get().is_none() {
+            self.begun.set(Some(Instant::now()));
+            self.stirred.notify_one();
+        }
+        Ok(())
+    }
+
     fn holds(&self) -> bool {
         self.held.get()
     }
@@ -192,62 +226,30 @@
 /// An answer's head, as far as it matters to the client.
 pub type Head = HeaderMap;
 
-/// How far an attempt has come.
-pub enum Reached {
-    /// It is over. An answer served is whole.
-    End {
-        /// How it ended.
-        outcome: Outcome,
-        /// The load report that came with it.
-        report: LoadReport,
-        /// What was served.
-        answer: Option<(Head, Bytes)>,
-    },
-    /// A long answer has begun.
-    Long(Box<Long>),
-}
-
-impl Reached {
-    fn end(outcome: Outcome, report: LoadReport) -> Reached {
-        Reached::End { outcome, report, answer: None }
-    }
+/// How an attempt ended.
+pub struct Reached {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The load report that came with it.
+    pub report: LoadReport,
+    /// What was served, whole.
+    pub answer: Option<Served>,
 }
 
-/// A long answer under way.
-pub struct Long {
+/// A server's answer to a request.
+pub struct Served {
     /// Its head.
     pub head: Head,
-    /// Its length, if it was announced.
-    pub length: Option<u64>,
-    /// The load report in its head.
-    pub report: LoadReport,
-    first: Option<Bytes>,
-    body: Incoming,
-    connection: Option<(ServerId, Connection)>,
-    upstream: Rc<Upstream>,
+    /// Its body.
+    pub body: Bytes,
+    /// What the body takes of the budget.
+    pub room: Room,
 }
 
-impl Long {
-    /// The next piece; None at the end of the whole answer.
-    pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(first));
-        }
-        loop {
-            match self.body.frame().await {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
-                    Err(_trailers) => continue,
-                },
-                Some(Err(e)) => return Some(Err(e)),
-                None => {
-                    if let Some((server, connection)) = self.connection.take() {
-                        self.upstream.rest(server, connection);
-                    }
-                    return None;
-                }
-            }
-        }
+impl Reached {
+    /// An end without an answer.
+    pub fn end(outcome: Outcome) -> Reached {
+        Reached { outcome, report: LoadReport::default(), answer: None }
     }
 }
 
@@ -255,27 +257,40 @@
 pub struct Upstream {
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
     sockets: Rc<Sockets>,
+    bytes: budget::Bytes,
     names: Rc<Names>,
-    connect_timeout: Duration,
+    times: Times,
     retire: Duration,
 }
 
+/// How long the parts of an attempt may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// A connection, to come up.
+    pub connect: Duration,
+    /// A connection at rest, until servers may close it.
+    pub idle: Duration,
+    /// An answer, from its first byte to its last.
+    pub whole: Duration,
+}
+
 impl Upstream {
-    /// `conn_idle` is how long servers say that they keep a connection at rest.
+    /// An upstream without connections.
     pub fn new(
         sockets: Rc<Sockets>,
+        bytes: budget::Bytes,
         names: Rc<Names>,
-        connect_timeout: Duration,
-        conn_idle: Duration,
+        times: Times,
     ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
             sockets,
+            bytes,
             names,
-            connect_timeout,
+            times,
             // Danger: what is written just as the server closes is lost as a reset. Connections are
             // retired well before.
-            retire: conn_idle.mul_f64(0.7),
+            retire: times.idle.mul_f64(0.7),
         });
         tokio::task::spawn_local(upstream.clone().sweep());
         upstream
@@ -296,8 +311,15 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Keeps a connection for the next attempt.
+    /// Keeps a connection for the next attempt, unless more came on it than the answer.
+    ///
+    /// Danger: what comes behind an answer would be taken for the answer to the next request. A
+    /// connection on which an answer ended otherwise than by its announced length is let go too.
     fn rest(&self, server: ServerId, mut connection: Connection) {
+        let meter = &connection.meter;
+        if meter.surplus.get() || !meter.answer.borrow().whole() {
+            return;
+        }
         connection.rested = Instant::now();
         self.idle.borrow_mut().entry(server).or_default().push(connection);
     }
@@ -311,6 +333,7 @@
             if connection.dial != dial
                 || connection.rested.elapsed() >= self.retire
                 || connection.sender.is_closed()
+                || connection.meter.surplus.get()
                 || !stream::at_rest(&connection.socket)
             {
                 continue;
@@ -338,13 +361,13 @@
 
     async fn connect(&self, dial: SocketAddr) -> Option<Connection> {
         let place = self.place().await?;
-        let socket = timeout(self.connect_timeout, TcpStream::connect(dial)).await.ok()?.ok()?;
+        let socket = timeout(self.times.connect, TcpStream::connect(dial)).await.ok()?.ok()?;
         socket.set_nodelay(true).ok()?;
         let socket = Rc::new(socket);
-        let meter = Rc::new(Meter::default());
+        let meter = Rc::new(Meter::new());
         let io = TokioIo::new(Stream::new(socket.clone(), meter.clone()));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(READ_AHEAD).allow_obsolete_multiline_headers_in_responses(true);
+        builder.max_buf_size(LONGEST_HEAD).allow_obsolete_multiline_headers_in_responses(true);
         let (sender, driving) = builder.handshake(io).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             let _place = place;
@@ -371,17 +394,43 @@
                 None => self.connect(dial).await,
             };
             let Some(mut connection) = connection else {
-                return Reached::end(Outcome::ConnectFailed, LoadReport::default());
+                return Reached::end(Outcome::ConnectFailed);
+            };
+            let meter = connection.meter.clone();
+            // Danger: an answer that has begun and does not end would hold the request until its
+            // time is up, whatever is wrong with it: a head or a body that stops or trickles on, a
+            // length that is too long. It has failed, and where that is harmless another server
+            // gets the request in time. Harmful where servers answer in slow pieces.
+            let response = tokio::select! {
+                biased;
+                response = self.ask(&mut connection, spec, reused, until) => response.ok(),
+                () = self.unended(&meter) => None,
             };
-            match self.ask(&mut connection, spec, reused, until).await {
-                Ok(response) => return self.answer(server, connection, response).await,
-                Err(_) if connection.meter.whole.get() => {
-                    return Reached::end(Outcome::Reset, LoadReport::default());
+            // Danger: an answer that came before the request was on its way answers something else.
+            match response.filter(|_| meter.whole.get()) {
+                Some(response) => {
+                    return tokio::select! {
+                        biased;
+                        reached = self.answer(server, connection, response) => reached,
+                        () = self.unended(&meter) => Reached::end(Outcome::Reset),
+                    };
                 }
+                None if meter.whole.get() => return Reached::end(Outcome::Reset),
                 // Danger: a connection that has rested may be reset by the first byte written to
                 // it. The server has not begun on the request, so it gets it on a new connection.
-                Err(_) if reused => continue,
-                Err(_) => return Reached::end(Outcome::ConnectFailed, LoadReport::default()),
+                None if reused => continue,
+                None => return Reached::end(Outcome::ConnectFailed),
+            }
+        }
+    }
+
+    /// Waits until an answer has taken too long from its first byte on.
+    async fn unended(&self, meter: &Meter) {
+        loop {
+            match meter.begun.get().map(|t| t + self.times.whole) {
+                None => meter.stirred.notified().await,
+                Some(end) if Instant::now() >= end => return,
+                Some(end) => sleep_until(end.into()).await,
             }
         }
     }
@@ -395,7 +444,7 @@
         until: Instant,
     ) -> hyper::Result<Response<Incoming>> {
         let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        let mut request = Request::new(Replay { spec: spec.clone(), next: 0 });
+        let mut request = Request::new(Replay(spec.body.clone()));
         *request.method_mut() = spec.method.clone();
         *request.uri_mut() = spec.target.clone();
         *request.headers_mut() = spec.headers.clone();
@@ -404,12 +453,13 @@
         if let Ok(host) = HeaderValue::try_from(connection.dial.to_string()) {
             headers.entry(HOST).or_insert(host);
         }
+        let length = spec.body.len() as u64;
         if spec.method != Method::GET {
-            headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(spec.len()));
+            headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(length));
         }
         let trial = reused && connection.rested.elapsed() >= RESTED;
         let meter = connection.meter.clone();
-        meter.begin(spec.len(), trial);
+        meter.begin(length, trial);
         let mut sending = pin!(connection.sender.send_request(request));
         if trial {
             if let Ok(result) = timeout(TRIAL, &mut sending).await {
@@ -432,41 +482,32 @@
         let turned_away =
             matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
                 && head.headers.get("x-unprocessed").is_some_and(|v| v == "1");
+        let end = |outcome| Reached { outcome, report: report.clone(), answer: None };
         if head.status != StatusCode::OK {
             tokio::task::spawn_local(self.clone().discard(server, connection, body));
-            return Reached::end(if turned_away { Outcome::Full } else { Outcome::Error }, report);
+            return end(if turned_away { Outcome::Full } else { Outcome::Error });
         }
-        let length = body.size_hint().exact();
-        let mut long = Long {
-            head: head.headers,
-            length,
-            report,
-            first: None,
-            body,
-            connection: Some((server, connection)),
-            upstream: self.clone(),
-        };
-        let mut whole = Vec::new();
-        loop {
-            match long.next().await {
-                Some(Ok(piece)) => whole.extend_from_slice(&piece),
-                Some(Err(_)) => return Reached::end(Outcome::Reset, long.report),
-                None => {
-                    let answer = Some((long.head, whole.into()));
-                    return Reached::End { outcome: Outcome::Served, report: long.report, answer };
-                }
-            }
-            if whole.len() > WHOLE || length.is_some_and(|l| l > WHOLE as u64) {
-                long.first = Some(whole.into());
-                return Reached::Long(Box::new(long));
-            }
+        // Danger: without a length, an answer that breaks off looks whole.
+        if !connection.meter.answer.borrow().tells_end() {
+            return end(Outcome::Reset);
         }
+        let length = body.size_hint().exact().map_or(LONGEST_BODY, |n| n as usize);
+        let Some(room) = self.bytes.room_now(length) else {
+            tracing::warn!("no memory left for an answer of {length} bytes");
+            return end(Outcome::Reset);
+        };
+        let Ok(body) = Limited::new(body, LONGEST_BODY).collect().await else {
+            return end(Outcome::Reset);
+        };
+        self.rest(server, connection);
+        let served = Served { head: head.headers, body: body.to_bytes(), room: Some(room) };
+        Reached { outcome: Outcome::Served, report, answer: Some(served) }
     }
 
     /// Reads what is left of a short answer, so that its connection can be used again.
     async fn discard(self: Rc<Upstream>, server: ServerId, connection: Connection, body: Incoming) {
-        let limited = http_body_util::Limited::new(body, WHOLE);
-        if let Ok(Ok(_)) = timeout(DISCARD, limited.collect()).await {
+        let limited = Limited::new(body, LONGEST_BODY);
+        if let Ok(Ok(_)) = timeout(self.times.whole, limited.collect()).await {
             self.rest(server, connection);
         }
     }
@@ -478,23 +519,20 @@
             let Some(mut connection) = self.connect(dial).await else {
                 return (Outcome::ConnectFailed, none.clone());
             };
+            let path = if with_report { "/stats" } else { "/health/live" };
             let spec = Spec {
                 method: Method::GET,
-                target: hyper::Uri::from_static(if with_report {
-                    "/stats"
-                } else {
-                    "/health/live"
-                }),
+                target: hyper::Uri::from_static(path),
                 headers: HeaderMap::new(),
-                body: Vec::new(),
-                account: Account::default(),
+                body: Bytes::new(),
+                room: None,
             };
-            let until = Instant::now() + self.connect_timeout;
+            let until = Instant::now() + self.times.connect;
             let answer = self.ask(&mut connection, &Rc::new(spec), false, until).await;
             let Ok((head, body)) = answer.map(Response::into_parts) else {
                 return (Outcome::Reset, none.clone());
             };
-            let Ok(body) = http_body_util::Limited::new(body, WHOLE).collect().await else {
+            let Ok(body) = Limited::new(body, LONGEST_BODY).collect().await else {
                 return (Outcome::Reset, none.clone());
             };
             let outcome =
@@ -502,7 +540,7 @@
             let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
             (outcome, self.names.report(&text))
         };
-        let patience = self.connect_timeout + Duration::from_secs(1);
+        let patience = self.times.connect + Duration::from_secs(1);
         timeout(patience, asked).await.unwrap_or((Outcome::TimedOut, LoadReport::default()))
     }
 }
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,246 @@
+//! The real program among bad clients, bad servers, reloads, planned ends and few sockets.
+
+mod common;
+
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::net::*;
+
+fn refused_as_bad(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 4")
+}
+
+#[test]
+fn a_reload_moves_discovery_and_a_bad_file_changes_nothing() {
+    let (old, new) = (Server::echo(), Server::echo());
+    let mut sidecar = Sidecar::start(discovery(&[&old]));
+    assert!(sidecar.exchange(&look("a")).ends_with("\r\n\r\na"));
+    for bad in ["{", "{}", r#"{"seed":"x"}"#] {
+        let before = sidecar.log().matches("not taken over").count();
+        sidecar.replace(bad);
+        sidecar.signal("HUP");
+        until("a bad file is told of", || sidecar.log().matches("not taken over").count() > before);
+    }
+    assert!(sidecar.exchange(&look("b")).ends_with("\r\n\r\nb"));
+    assert!(new.seen().is_empty());
+    sidecar.replace(&sidecar.config_with(discovery(&[&new])));
+    sidecar.signal("HUP");
+    let mut n = 0;
+    until("requests go to the new list's server", || {
+        n += 1;
+        sidecar.exchange(&look(&format!("c{n}")));
+        !new.seen().is_empty()
+    });
+    let at_old = old.seen().len();
+    assert!(sidecar.exchange(&look("d")).ends_with("\r\n\r\nd"));
+    assert_eq!(old.seen().len(), at_old, "the old list's server is gone");
+    sidecar.signal("TERM");
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn what_cannot_be_used_is_turned_away_and_goes_no_further() {
+    let server = Server::echo();
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    let hidden = look("hidden");
+    let post = |headers: &str, body: &str| {
+        format!(
+            "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: bad\r\nX-Time-Left-Ms: 900\r\n\
+             {headers}\r\n\r\n{body}"
+        )
+    };
+    let get = |path: &str, headers: &str| {
+        format!("GET {path} HTTP/1.1\r\nX-Correlation-Id: bad\r\n{headers}\r\n\r\n")
+    };
+    let chunked = format!("0\r\n\r\n{hidden}");
+    let length = format!("Content-Length: {}", chunked.len());
+    let bad = [
+        ("noise", "\u{1}\u{2}noise\r\n\r\n".to_owned()),
+        ("length, then chunks", post(&format!("{length}\r\nTransfer-Encoding: chunked"), &chunked)),
+        ("chunks, then length", post(&format!("Transfer-Encoding: chunked\r\n{length}"), &chunked)),
+        ("behind chunks", post("Transfer-Encoding: chunked", &chunked)),
+        ("two lengths", post("Content-Length: 2\r\nContent-Length: 40", "ab")),
+        ("a negative length", post("Content-Length: -2", "ab")),
+        ("a length in words", post("Content-Length: two", "ab")),
+        ("60 MB", post("Content-Length: 60000000", "ab")),
+        ("a huge length", post("Content-Length: 99999999999999999999999999", "ab")),
+        ("a head without end", get("/look/1", &"A: b\r\n".repeat(20_000))),
+        ("an unknown class", get("/nothing/1", "X-Time-Left-Ms: 900")),
+        ("a time in words", get("/look/1", "X-Time-Left-Ms: soon")),
+        ("a negative time", get("/look/1", "X-Time-Left-Ms: -5")),
+        ("no time", get("/look/1", "A: b")),
+        ("two ids", get("/look/1", "X-Correlation-Id: other\r\nX-Time-Left-Ms: 900")),
+        ("no id", "GET /look/1 HTTP/1.1\r\nX-Time-Left-Ms: 900\r\n\r\n".to_owned()),
+        ("the wrong method", get("/order/1", "X-Time-Left-Ms: 900")),
+        ("many at once", look("bad") + &look("bad2") + &look("bad3")),
+        ("noise behind a request", look("bad") + "noise"),
+    ];
+    for (what, text) in &bad {
+        let answer = sidecar.exchange(text);
+        let only_hidden = what == &"behind chunks" && answer.contains("200 OK");
+        assert!(refused_as_bad(&answer) || only_hidden, "{what}: {answer:?}");
+        // It still serves, and nothing of the bad one follows.
+        let id = what.replace([' ', ','], "-");
+        assert!(sidecar.exchange(&look(&id)).ends_with(&id), "after {what}");
+    }
+    let seen = server.seen();
+    assert!(!seen.contains(&"hidden".to_owned()), "{seen:?}");
+    // One whole request in chunks is sound in itself.
+    assert_eq!(seen.iter().filter(|id| id.starts_with("bad")).count(), 1, "{seen:?}");
+}
+
+#[test]
+fn an_id_that_is_open_is_not_taken_again() {
+    let (began, begun) = mpsc::channel();
+    let go = Arc::new(AtomicBool::new(false));
+    let (went, began) = (go.clone(), std::sync::Mutex::new(began));
+    let server = Server::start(move |id, socket| {
+        began.lock().expect("no panic").send(()).expect("the test listens");
+        until("the test says go", || went.load(Ordering::Relaxed));
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
+        // Time enough for any machine.
+        config["settings"]["classes"][2]["deadline"] = 20_000_000.into();
+    });
+    let request = order("same").replace("900", "20000");
+    let mut first = sidecar.connect();
+    first.write_all(request.as_bytes()).expect("sent");
+    begun.recv_timeout(PATIENCE).expect("the first is out");
+    assert!(sidecar.exchange(&request).starts_with("HTTP/1.1 409"));
+    go.store(true, Ordering::Relaxed);
+    assert!(first_answer(first).ends_with("same"));
+    // A copy sent while it was open may come late.
+    assert!(sidecar.exchange(&request).starts_with("HTTP/1.1 409"));
+    assert_eq!(server.seen(), ["same"]);
+}
+
+#[test]
+fn a_crowd_that_says_nothing_leaves_others_their_place() {
+    let server = Server::echo();
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    let silent: Vec<_> = (0..150).map(|_| sidecar.connect()).collect();
+    assert!(sidecar.exchange(&look("a")).ends_with("a"));
+    let started = Instant::now();
+    let mut trickling = sidecar.connect();
+    thread::spawn({
+        let mut socket = trickling.try_clone().expect("a second handle");
+        move || {
+            let _ = socket.write_all(b"GET /look/1 HTTP/1.1\r\n");
+            while started.elapsed() < PATIENCE && socket.write_all(b"A: b\r\n").is_ok() {
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    });
+    // Each is closed, also the one that never falls silent.
+    let told = rest(trickling.try_clone().expect("a second handle"));
+    assert!(told.is_empty() || told.starts_with("HTTP/1.1 408"), "{told}");
+    let _ = trickling.flush();
+    for socket in silent {
+        assert_eq!(rest(socket), "");
+    }
+    assert!(sidecar.exchange(&look("b")).ends_with("b"));
+}
+
+#[test]
+fn a_spoilt_answer_fails_an_unsafe_request_and_is_never_served() {
+    let spoilt = [
+        ("noise", "\u{1}\u{2}noise\r\n\r\n".to_owned()),
+        ("a head without end", "HTTP/1.1 200 OK\r\nA: ".to_owned() + &"b".repeat(40_000)),
+        ("a head that stops", "HTTP/1.1 200 OK\r\nA: b".to_owned()),
+        ("a body that stops", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort".to_owned()),
+        ("3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nlong".to_owned()),
+        ("no number", "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nlong".to_owned()),
+        (
+            "a length and chunks",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                .to_owned(),
+        ),
+        ("no length", "HTTP/1.1 200 OK\r\n\r\nwhole?".to_owned()),
+        ("interim answers for ever", "HTTP/1.1 102 Processing\r\n\r\n".repeat(100)),
+    ];
+    let script = spoilt.clone();
+    let server = Server::start(move |id, socket| {
+        let which: usize = id.parse().expect("the tests' ids are numbers");
+        // The connection stays open.
+        socket.write_all(script[which].1.as_bytes()).is_ok()
+    });
+    for (n, (what, _)) in spoilt.iter().enumerate() {
+        let sidecar = Sidecar::start(discovery(&[&server]));
+        let answer = sidecar.exchange(&order(&n.to_string()));
+        assert!(answer.starts_with("HTTP/1.1 502"), "{what}: {answer:?}");
+        let seen = server.seen();
+        assert_eq!(seen.iter().filter(|id| **id == n.to_string()).count(), 1, "{what}: sent twice");
+    }
+}
+
+#[test]
+fn an_answer_that_hangs_half_way_leaves_time_for_another_server() {
+    let stuck = Server::start(|_, socket| {
+        socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort").is_ok()
+    });
+    let good = Server::echo();
+    let sidecar = Sidecar::start_with(discovery(&[&stuck, &good]), |config| {
+        config["settings"]["classes"][0]["aim"] = 10_000_000.into();
+        config["settings"]["classes"][0]["deadline"] = 20_000_000.into();
+    });
+    let mut n = 0;
+    until("the stuck server is met", || {
+        n += 1;
+        let answer = sidecar.exchange(&look(&format!("{n}")).replace("900", "20000"));
+        assert!(answer.ends_with(&format!("\r\n\r\n{n}")), "{answer:?}");
+        !stuck.seen().is_empty()
+    });
+}
+
+#[test]
+fn what_comes_beside_an_answer_is_nobodys() {
+    let server = Server::start(|id, socket| {
+        let good = answer(id);
+        let text = match id.split('-').next() {
+            Some("twice") => good.clone() + &good,
+            Some("noise") => good + "\u{1}\u{2}noise",
+            Some("interim") => "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(3) + &good,
+            Some("report") => good.replace("queue=0,inflight=1", "queue=NaN,,=inflight=-1e99"),
+            _ => good,
+        };
+        socket.write_all(text.as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    for round in 0..20 {
+        for what in ["twice", "noise", "interim", "report"] {
+            let id = format!("{what}-{round}");
+            assert!(sidecar.exchange(&look(&id)).ends_with(&format!("\r\n\r\n{id}")));
+        }
+    }
+}
+
+#[test]
+fn a_planned_end_answers_what_was_taken() {
+    let (began, begun) = mpsc::channel();
+    let began = std::sync::Mutex::new(began);
+    let go = Arc::new(AtomicBool::new(false));
+    let went = go.clone();
+    let server = Server::start(move |id, socket| {
+        began.lock().expect("no panic").send(()).expect("the test listens");
+        until("the test says go", || went.load(Ordering::Relaxed));
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let mut sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
+        config["settings"]["classes"][2]["deadline"] = 20_000_000.into();
+    });
+    let mut open = sidecar.connect();
+    open.write_all(order("open").replace("900", "20000").as_bytes()).expect("sent");
+    begun.recv_timeout(PATIENCE).expect("it is out");
+    sidecar.signal("TERM");
+    sidecar.signal("HUP");
+    go.store(true, Ordering::Relaxed);
+    let answer = first_answer(open);
+    assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
+    assert!(answer.to_lowercase().contains("connection: close"), "{answer:?}");
+    assert!(sidecar.ended().success());
+}
