Nothing is called off in silence; refusals say when to come back

Cause: decide.rs called a late request off at its aim and kept the client waiting to its deadline, so that it would not ask again. Held answers are not acceptable, and giving up is not needed either. Refusals now carry Retry-After: a longest aim, give or take half, up to the settings' most.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -76,6 +76,10 @@
 /// A lateness that no answer renews fades over this many of the longest aims.
 const LATENESS_FADES: f64 = 4.0;
 
+/// When a client that is refused should come back, in longest aims, give or take half of it: what
+/// is late now has been answered or given up by then, and not all come back together.
+const BACK_AFTER: f64 = 1.0;
+
 type Slot = usize;
 
 /// What a sidecar knows of one server.
@@ -156,8 +160,6 @@
     ended: bool,
     /// A stream has begun: its time no longer runs, and nothing else may be sent.
     streaming: bool,
-    /// Called off at its aim; the client's time runs out without another attempt.
-    given_up: bool,
     attempts: SmallVec<[Attempt; 2]>,
 }
 
@@ -684,8 +686,11 @@
         if request.ended {
             return;
         }
-        out.push(if self.refusable(request) {
-            Action::Refuse { id, retry_after: 0 }
+        let harmless = self.refusable(request);
+        out.push(if harmless {
+            let advice = BACK_AFTER * self.longest_aim * (0.5 + self.uniform());
+            let retry_after = (advice as Micros).min(self.settings.limits.max_retry_after);
+            Action::Refuse { id, retry_after }
         } else {
             Action::Fail { id }
         });
@@ -733,7 +738,6 @@
                 deadline: self.now + new.left,
                 ended: false,
                 streaming: false,
-                given_up: false,
                 attempts: SmallVec::new(),
             },
         );
@@ -805,21 +809,7 @@
 
     fn timer(&mut self, token: u32, out: &mut Vec<Action>) {
         match self.alarms.remove(&token) {
-            Some(Alarm::Late(id)) => {
-                self.unanswered(id);
-                // Danger: in overload, work that earns no more keeps out what still can. It is
-                // called off, and the client is not told before its time is up: told at once,
-                // it would only come back.
-                let threshold = self.lateness - SHED_FROM;
-                let classes = &self.settings.classes;
-                let waiting = self.requests.get_mut(&id).filter(|r| !r.ended);
-                if let Some(r) = waiting.filter(|r| classes[r.class].late_worth < threshold)
-                    && self.settings.limits.cancel
-                {
-                    r.given_up = true;
-                    self.call_off(id, out);
-                }
-            }
+            Some(Alarm::Late(id)) => self.unanswered(id),
             Some(Alarm::Overdue(id)) => {
                 let open = self.requests.get(&id).is_some_and(|r| !r.ended && !r.streaming);
                 if open {
@@ -887,7 +877,7 @@
         if request.ended {
             return self.call_off(id, out);
         }
-        if request.out() > 0 || (request.given_up && !request.streaming) {
+        if request.out() > 0 {
             return;
         }
         // Danger: a stream has no deadline, so nothing else ends a request whose stream ended
@@ -924,7 +914,7 @@
         if a.fate != Fate::Out || a.server != server {
             return;
         }
-        let (slot, given_up) = (a.slot, request.given_up);
+        let slot = a.slot;
         let (refusals, heavy) = (request.attempts.len(), request.heavy);
         let now = self.now;
         let pause = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
@@ -940,7 +930,6 @@
             return;
         }
         match outcome {
-            Outcome::Cancelled if given_up => {}
             Outcome::Moot | Outcome::Cancelled => return,
             Outcome::Served | Outcome::Error | Outcome::Full => {
                 s.silent_since = (s.in_flight > 0).then_some(now);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -498,3 +498,41 @@
     }
     assert!(far < 60, "{far} of 1000 crossed");
 }
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let json = |most: u64| settings(move |s| s["limits"]["maxRetryAfter"] = most.into());
+    for most in [0, 10 * MS, 2 * S] {
+        let mut b = Bench::new(json(most), 1, &[]);
+        let mut told = Vec::new();
+        for _ in 0..20 {
+            let (_, out) = b.request(0);
+            let Some(Action::Refuse { retry_after, .. }) = out.last() else {
+                panic!("nothing to send to: {out:?}");
+            };
+            told.push(*retry_after);
+        }
+        assert!(told.iter().all(|&t| t <= most && (t > 0) == (most > 0)), "{told:?}");
+        // Not all at the same time, where there is room.
+        assert!(most < S || told.iter().any(|t| t != &told[0]), "{told:?}");
+    }
+}
+
+#[test]
+fn what_is_late_in_an_overload_is_not_called_off_in_silence() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    // Every answer fails to come by its aim.
+    let open: Vec<_> = (0..12).map(|_| b.request(0)).filter(|r| sent(&r.1).is_some()).collect();
+    assert!(!open.is_empty());
+    b.now += 200 * MS;
+    for (id, out) in &open {
+        for action in out {
+            let Action::Timer { token, delay } = *action else { continue };
+            if delay <= 200 * MS {
+                let late = b.event(Event::Timer { token });
+                let called_off = late.iter().any(|a| matches!(a, Action::Cancel { .. }));
+                assert!(!called_off || refused(&late) || failed(&late), "{id:?}: {late:?}");
+            }
+        }
+    }
+}
