Load reports are read by either set of names; each far server has a share of its own

Seen, by logging each attempt, refusal and answer head and the module's view: all answers but the freshest carry a report, as 'q=1.028,busy=0.814,rif=2.934', and the module got none of 19,000. Names::report in config.rs looked for the protocol's names alone (queue, util, inflight), so no chip was ever wiped, no load counted in cost() or spill(). And decide.rs kept one far_share for all far servers: the home servers of the other sidecar made the side look as loaded as home, so it stood at its least while two servers of a zone without a sidecar idled at 16 ms and home took 25 to 290 ms. Ruled out: new connections (few in the bad seconds), stale connections, resets and time-outs (some tens), attempts given up (counted off at both ends), a full queue. Still seen: shed_share jumps from 0 to 0.7 within 250 ms while home answers in 20 ms.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -112,6 +112,11 @@
     reported: Micros,
     /// Answer times here, relative to the usual ones of their classes.
     slowness: f64,
+    /// How loaded its answers show it to be, when one last did, and its draw weight, while it lies
+    /// across a priced crossing. None: no answer yet.
+    far_load: f64,
+    spilled: Micros,
+    far_share: Option<f64>,
     average: Average,
     /// It is of this sidecar's subset.
     kept: bool,
@@ -218,11 +223,11 @@
     met_at: usize,
     weighed: Micros,
     ranked_at_rate: f64,
-    /// The draw weight of servers across a priced crossing, and the loads reported on either side.
-    far_share: f64,
+    /// The first and the least draw weight of servers across a priced crossing.
     far_first: f64,
     far_least: f64,
-    side_load: [f64; 2],
+    /// How loaded answers show the servers of the sidecar's own zone to be.
+    home_load: f64,
     /// Requests a second here, as a running mean.
     rate: f64,
     rate_at: Micros,
@@ -266,10 +271,9 @@
             met_at: 0,
             weighed: now,
             ranked_at_rate: 0.0,
-            far_share: far_first,
             far_first,
             far_least: FAR_LEAST,
-            side_load: [1.0; 2],
+            home_load: 1.0,
             rate: 0.0,
             rate_at: now,
             requests: FxHashMap::default(),
@@ -417,7 +421,7 @@
     fn weight(&self, s: &Server) -> f64 {
         // Danger: a cold server takes a few times its present capacity and no more. Drawn by
         // that capacity it gets its due even if all sidecars do the same.
-        let crossing = if self.far(s) { self.far_share } else { 1.0 };
+        let crossing = if self.far(s) { s.far_share.unwrap_or(self.far_first) } else { 1.0 };
         self.listed(s) * self.warmth(s) * crossing
     }
 
@@ -1079,18 +1083,30 @@
         self.late_at = now;
     }
 
-    /// Danger: the servers of a zone can be too few for its traffic. The share that crosses moves
-    /// with how loaded answers show home and away to be, towards a slightly higher load at home.
+    /// Danger: the servers of a zone can be too few for its traffic, by themselves or because one of
+    /// them is slow. How much of it crosses to a far server moves with how loaded answers show that
+    /// one to be beside those at home, towards a slightly higher load at home. Each far server has
+    /// a share of its own: together the idle ones would look as loaded as the home of another
+    /// sidecar, and stay idle. It also covers far servers that are slow or cut off, and homes without
+    /// a sidecar. Harmful where few answers come from a far server and these are heavy by chance.
     fn spill(&mut self, slot: Slot, loaded: f64) {
-        let side = usize::from(self.far(&self.servers[slot]));
         // Danger: steps that a quiet sidecar needs would, at a busy one, throw all of the traffic
         // from side to side within a moment. So many answers a second move it as far as a few.
-        let pace = (STEADY_RATE / self.rate.max(1e-9)).min(1.0);
-        self.side_load[side] += FEW * pace.max(0.1) * (loaded - self.side_load[side]);
-        let [home, away] = self.side_load;
-        let pull = (home / away).ln() - CROSSING_WORTH * self.settings.prices.cross_zone;
-        let moved = self.far_share * (0.5 * pace * pull.clamp(-1.0, 1.0)).exp();
-        self.far_share = moved.clamp(self.far_least, 1.0);
+        if !self.far(&self.servers[slot]) {
+            let pace = (STEADY_RATE / self.rate.max(1e-9)).clamp(0.1, 1.0);
+            self.home_load += FEW * pace * (loaded - self.home_load);
+            return;
+        }
+        let (first, least, now) = (self.far_first, self.far_least, self.now);
+        let price = CROSSING_WORTH * self.settings.prices.cross_zone;
+        let s = &mut self.servers[slot];
+        let gap = now.saturating_sub(s.spilled) as f64 / 1e6;
+        let pace = (STEADY_RATE * gap).min(1.0);
+        s.spilled = now;
+        s.far_load += FEW * pace.max(0.1) * (loaded - s.far_load);
+        let pull = (self.home_load / s.far_load).ln() - price;
+        let moved = s.far_share.unwrap_or(first) * (0.5 * pace * pull.clamp(-1.0, 1.0)).exp();
+        s.far_share = Some(moved.clamp(least, 1.0));
     }
 
     /// Algorithm 1 here: mint from the reported queue, or wipe when it is past capacity.
@@ -1150,6 +1166,9 @@
             load: 0.0,
             reported: 0,
             slowness: 1.0,
+            far_load: 1.0,
+            spilled: 0,
+            far_share: None,
             average: Average::default(),
             kept: false,
         }
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -207,7 +207,10 @@
     }
 
     /// A load report (`inflight=7,queue=2,util=0.61`) in the order of the settings' columns. One
-    /// that lacks a column or holds no number is none.
+    /// that lacks a column or holds a figure that cannot be is none.
+    ///
+    /// Danger: servers name the fields as the protocol does or as the settings do (`rif=7,q=2`). Read
+    /// by one set of names alone, every report is lost without a word, and the sidecar goes blind.
     pub fn report(&self, text: &str) -> LoadReport {
         let field = |column: &String| {
             let name = match column.as_str() {
@@ -220,7 +223,8 @@
                 other => other,
             };
             let fields = text.split(',').filter_map(|f| f.split_once('='));
-            let value = fields.filter(|(k, _)| k.trim() == name).map(|(_, v)| v).next()?;
+            let named = |k: &str| k == column || k == name;
+            let value = fields.filter(|(k, _)| named(k.trim())).map(|(_, v)| v).next()?;
             // Danger: a figure that no server can have would spoil the averages it enters.
             value.trim().parse::<f32>().ok().filter(|v| (0.0..=MOST_REPORTED).contains(v))
         };
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -100,16 +100,24 @@
 
 /// A good answer whose body is `id`.
 pub fn answer(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Backend-Load: queue=0,inflight=1\r\nContent-Length: {}\r\n\r\n{id}",
-        id.len()
-    )
+    answer_with(id, "queue=0,inflight=1")
+}
+
+/// The same with this load report.
+pub fn answer_with(id: &str, load: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nX-Backend-Load: {load}\r\nContent-Length: {}\r\n\r\n{id}", id.len())
 }
 
-/// Discovery that lists `servers` as active, by names of their addresses.
+/// Discovery that lists `servers` as active in the sidecar's zone, by names of their addresses.
 pub fn discovery(servers: &[&Server]) -> SocketAddr {
-    let hosts = servers.iter().map(|s| {
-        json!({"host": format!("s-{}", s.at.port()), "dial": s.at.to_string(), "site": "a",
+    let sited: Vec<_> = servers.iter().map(|&s| (s, "a")).collect();
+    discovery_of(&sited)
+}
+
+/// The same of servers and their zones.
+pub fn discovery_of(servers: &[(&Server, &str)]) -> SocketAddr {
+    let hosts = servers.iter().map(|(s, site)| {
+        json!({"host": format!("s-{}", s.at.port()), "dial": s.at.to_string(), "site": site,
                "class": "m", "block": 0, "health": "active", "share": 1.0, "born_ms": 0})
     });
     let whole = json!({"seq": 7, "whole": true, "hosts": hosts.collect::<Vec<_>>()}).to_string();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -290,3 +290,59 @@
     assert!(answer.ends_with(&long), "{} bytes", answer.len());
     assert!(sidecar.exchange(&order("endless")).starts_with("HTTP/1.1 502"));
 }
+
+/// Found on a day on which a sidecar saw not one load report: servers named the fields as the
+/// settings do, not as the protocol does.
+#[test]
+fn load_reports_count_by_either_set_of_names() {
+    for (busy, calm) in [
+        ("q=20,busy=0.9,rif=20", "q=0,busy=0.1,rif=1"),
+        ("queue=20,inflight=20", "queue=0,inflight=1"),
+    ] {
+        // By answer times alone, the busy one looks better.
+        let reporting = |load: &'static str, ms: u64| {
+            Server::start(move |id, socket| {
+                thread::sleep(Duration::from_millis(ms));
+                socket.write_all(answer_with(id, load).as_bytes()).is_ok()
+            })
+        };
+        let (busy, calm) = (reporting(busy, 15), reporting(calm, 30));
+        let sidecar = Sidecar::start(discovery(&[&busy, &calm]));
+        for n in 0..80 {
+            let id = format!("r{n}");
+            assert!(sidecar.exchange(&look(&id)).ends_with(&id));
+        }
+        let (at_busy, at_calm) = (busy.seen().len(), calm.seen().len());
+        assert_eq!(at_busy + at_calm, 80);
+        assert!(at_busy * 3 < at_calm, "{at_busy} to the busy one, {at_calm} to the calm one");
+    }
+}
+
+/// Found where two servers of a zone without a sidecar stood idle, since far servers were judged
+/// together and the others were as loaded as home.
+#[test]
+fn one_idle_far_server_is_used_though_the_others_are_busy() {
+    let taking = |ms: u64| {
+        Server::start(move |id, socket| {
+            thread::sleep(Duration::from_millis(ms));
+            socket.write_all(answer(id).as_bytes()).is_ok()
+        })
+    };
+    let (home, idle) = (taking(60), taking(15));
+    let busy: Vec<Server> = (0..8).map(|_| taking(80)).collect();
+    let mut sited = vec![(&home, "a"), (&idle, "b")];
+    sited.extend(busy.iter().map(|s| (s, "b")));
+    let sidecar = Sidecar::start_with(discovery_of(&sited), |config| {
+        config["settings"]["prices"]["crossZone"] = 0.06.into();
+    });
+    let mut settled = 0;
+    for n in 0..240 {
+        if n == 120 {
+            settled = idle.seen().len();
+        }
+        let id = format!("r{n}");
+        assert!(sidecar.exchange(&look(&id)).ends_with(&id));
+    }
+    let later = idle.seen().len() - settled;
+    assert!(later >= 40, "{later} of 120 to the idle one");
+}
