--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -59,8 +59,9 @@
     let plan = Plan {
         instances: arguments.instances.clamp(3, 300),
         classes: classes(SCALE),
-        rolling: "watch_s = 1.0\nleast_requests = 5\nshare = 0.34".to_owned(),
+        rollout: "watch_s = 1.0\nleast_requests = 5\nshare = 0.34".to_owned(),
         log: Some(arguments.log.clone()),
+        progress: true,
         ..Plan::default()
     };
     let mut host = Host::start(plan)?;
@@ -74,8 +75,8 @@
     let began = Instant::now();
     let whole = Duration::from_secs(arguments.seconds.clamp(5, 3600));
     let driving = host.drive(&load);
-    let wish = &host.file().display().to_string();
-    say(&format!("{} sidecars serve, as {wish} wishes", host.instances().len()));
+    let file = &host.file().display().to_string();
+    say(&format!("{} sidecars serve, as {file} says", host.instances().len()));
 
     let acts: [(&str, Act); 6] = [
         ("one log server drains, and discovery says so", |host| {
@@ -98,11 +99,11 @@
             host.kill_daemon();
             host.start_daemon()
         }),
-        ("a broken wish is refused", |host| {
+        ("a broken desired is refused", |host| {
             host.change(|s| s["classes"][0]["deadline"] = 0.into())?;
             match host.ask(&Request::Reload) {
                 Err(_) => Ok(()),
-                Ok(_) => Err("the broken wish was taken".to_owned()),
+                Ok(_) => Err("the broken desired was taken".to_owned()),
             }
         }),
     ];
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -59,7 +59,7 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
-    /// Go back from a roll that runs to what ran before.
+    /// Go back from a rollout that runs to what ran before.
     Rollback,
     /// Take an instance out, until it is restarted.
     Drain {
@@ -106,32 +106,32 @@
         eprintln!("plankvalectl: {e}");
         return ExitCode::from(2);
     }
-    let told = match ask(&state, &request) {
-        Ok(told) => told,
+    let answer = match ask(&state, &request) {
+        Ok(answer) => answer,
         Err(why) => {
             eprintln!("plankvalectl: refused: {why}");
             return ExitCode::from(1);
         }
     };
     if json {
-        println!("{told}");
+        println!("{answer}");
     } else {
         match request {
-            Request::Status => table::status(&told),
-            Request::History => table::history(&told),
-            _ => println!("{told}"),
+            Request::Status => table::status(&answer),
+            Request::History => table::history(&answer),
+            _ => println!("{answer}"),
         }
     }
     match wait {
-        Some(seconds) => settle(&state, &told, Duration::from_secs(seconds)),
+        Some(seconds) => settle(&state, &answer, Duration::from_secs(seconds)),
         None => ExitCode::SUCCESS,
     }
 }
 
 /// Waits until all serve the target. That it is another than was asked for is a failure.
-fn settle(state: &std::path::Path, told: &Value, patience: Duration) -> ExitCode {
+fn settle(state: &std::path::Path, answer: &Value, patience: Duration) -> ExitCode {
     let end = Instant::now() + patience;
-    let wanted = told["generation"].as_u64();
+    let wanted = answer["generation"].as_u64();
     while Instant::now() < end {
         std::thread::sleep(Duration::from_millis(100));
         let Ok(status) = ask(state, &Request::Status) else { continue };
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -22,9 +22,9 @@
         text(&status["base"]),
         text(&status["target"])
     );
-    if !status["roll"].is_null() {
-        let stage = if status["roll"]["waves"] == true { "in waves" } else { "at the canary" };
-        println!("a roll runs, {stage}: {}", text(&status["roll"]["canaries"]));
+    if !status["rollout"].is_null() {
+        let stage = if status["rollout"]["waves"] == true { "in waves" } else { "at the canary" };
+        println!("a rollout runs, {stage}: {}", text(&status["rollout"]["canaries"]));
     }
     if !status["trouble"].is_null() {
         println!("trouble: {}", text(&status["trouble"]));
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -37,7 +37,7 @@
         /// Another program than the one that `fleet.toml` names.
         program: Option<std::path::PathBuf>,
     },
-    /// Go back from a roll that runs.
+    /// Go back from a rollout that runs.
     Rollback,
     /// Take an instance out until it is restarted.
     Drain {
@@ -95,21 +95,21 @@
     let mut line = String::new();
     let mut read = BufReader::new(read.take(LONGEST));
     timeout(PATIENCE, read.read_line(&mut line)).await??;
-    let told = match serde_json::from_str(line.trim()) {
+    let result = match serde_json::from_str(line.trim()) {
         Ok(request) => {
-            let (reply, told) = oneshot::channel();
+            let (reply, result) = oneshot::channel();
             if to.send((request, reply)).await.is_err() {
                 return Ok(());
             }
             let gone = || Err("the daemon ends".to_owned());
-            match timeout(ANSWER, told).await {
-                Ok(told) => told.unwrap_or_else(|_| gone()),
+            match timeout(ANSWER, result).await {
+                Ok(result) => result.unwrap_or_else(|_| gone()),
                 Err(_) => Err("no answer in time".to_owned()),
             }
         }
         Err(e) => Err(format!("not understood: {e}")),
     };
-    let answer = match told {
+    let answer = match result {
         Ok(value) => json!({"ok": value}),
         Err(why) => json!({"error": why}),
     };
@@ -125,13 +125,13 @@
 pub fn ask(folder: &Path, request: &Request) -> Result<Value, String> {
     use std::io::{BufRead, Write};
     let path = folder.join("control.sock");
-    let told = |e: io::Error| format!("{}: {e}", path.display());
-    let mut socket = std::os::unix::net::UnixStream::connect(&path).map_err(told)?;
-    socket.set_read_timeout(Some(ANSWER + PATIENCE)).map_err(told)?;
+    let context = |e: io::Error| format!("{}: {e}", path.display());
+    let mut socket = std::os::unix::net::UnixStream::connect(&path).map_err(context)?;
+    socket.set_read_timeout(Some(ANSWER + PATIENCE)).map_err(context)?;
     let text = serde_json::to_string(request).map_err(|e| e.to_string())?;
-    socket.write_all((text + "\n").as_bytes()).map_err(told)?;
+    socket.write_all((text + "\n").as_bytes()).map_err(context)?;
     let mut line = String::new();
-    std::io::BufReader::new(socket).read_line(&mut line).map_err(told)?;
+    std::io::BufReader::new(socket).read_line(&mut line).map_err(context)?;
     let mut answer: Value =
         serde_json::from_str(&line).map_err(|e| format!("{}: {e}", path.display()))?;
     match answer.get("error").and_then(Value::as_str) {
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -75,8 +75,8 @@
     let mut held: BTreeMap<String, OwnedFd> = BTreeMap::new();
     loop {
         let daemon = accept_with(&socket, SocketFlags::CLOEXEC)?;
-        let told = held.iter().try_for_each(|(name, fd)| send(&daemon, name, Some(fd.as_fd())));
-        if told.and_then(|()| send(&daemon, END, None)).is_err() {
+        let result = held.iter().try_for_each(|(name, fd)| send(&daemon, name, Some(fd.as_fd())));
+        if result.and_then(|()| send(&daemon, END, None)).is_err() {
             continue;
         }
         while let Ok(Some((text, fd))) = receive(&daemon) {
@@ -96,13 +96,13 @@
 
 /// Ends the holder at `path`, if there is one that no daemon has.
 pub fn end(path: &Path) {
-    let told = SocketAddrUnix::new(path).and_then(|address| {
+    let result = SocketAddrUnix::new(path).and_then(|address| {
         let connection =
             socket_with(AddressFamily::UNIX, SocketType::SEQPACKET, SocketFlags::CLOEXEC, None)?;
         connect(&connection, &address)?;
         Ok(connection)
     });
-    if let Ok(connection) = told {
+    if let Ok(connection) = result {
         let _ = send(&connection, QUIT, None);
     }
 }
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -1,18 +1,25 @@
-//! The daemon that keeps a fleet of sidecars as wished.
+//! The daemon that keeps a fleet of sidecars in their desired state.
 #![forbid(unsafe_code)]
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use logging::{Format, Options};
 use tokio::task::LocalSet;
 
-/// Keeps many sidecars of one host as wished, through reloads, upgrades, crashes and its own death.
+/// Keeps many sidecars of one host in their desired state, through reloads, upgrades, crashes and its own death.
 ///
-/// SIGHUP reads the wish again; SIGTERM drains all instances and ends, a second one hurries.
+/// SIGHUP reads the desired state again; SIGTERM drains all instances and ends, a second one hurries.
 #[derive(Parser)]
 #[command(name = "plankvale-fleet", version)]
 struct Arguments {
+    /// What a line of the log looks like: text or json. Also PLANKVALE_LOG_FORMAT.
+    #[arg(long, global = true)]
+    log_format: Option<Format>,
+    /// A level, or levels by module, as in `warn,fleet=debug`. Also PLANKVALE_LOG.
+    #[arg(long = "log", global = true, value_name = "FILTER")]
+    log_filter: Option<String>,
     #[command(subcommand)]
     what: What,
 }
@@ -21,16 +28,16 @@
 enum What {
     /// Run the daemon in the foreground. Status 2: it could not begin.
     Run {
-        /// What is wished.
+        /// What is desired.
         #[arg(long, default_value = "/etc/plankvale/fleet.toml")]
         file: PathBuf,
         /// Where the state lies: listeners, generations, the control socket. Its owner's only.
         #[arg(long, default_value = "/var/lib/plankvale")]
         state: PathBuf,
     },
-    /// Check a wish without running it. Status 2: it cannot be used.
+    /// Check a specification without running it. Status 2: it cannot be used.
     Check {
-        /// What is wished.
+        /// What is desired.
         file: PathBuf,
     },
     /// Keep listeners for a daemon; started by it.
@@ -39,10 +46,12 @@
 }
 
 fn main() -> ExitCode {
-    let done = match Arguments::parse().what {
-        What::Run { file, state } => run(&file, &state),
+    let arguments = Arguments::parse();
+    let done = match arguments.what {
+        What::Run { file, state } => Options::or_env(arguments.log_format, arguments.log_filter)
+            .and_then(|log| run(&file, &state, &log)),
         What::Check { file } => {
-            fleet::wish::Spec::read(&file).map(|_| println!("{}: sound", file.display()))
+            fleet::spec::Spec::read(&file).map(|_| println!("{}: sound", file.display()))
         }
         What::Hold => fleet::holder::run().map_err(|e| e.to_string()),
     };
@@ -55,10 +64,9 @@
     }
 }
 
-fn run(file: &std::path::Path, state: &std::path::Path) -> Result<(), String> {
-    let log = tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr);
-    log.with_max_level(tracing::Level::INFO).init();
+fn run(file: &Path, state: &Path, log: &Options) -> Result<(), String> {
+    log.start()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, fleet::daemon::run(file, state))
+    LocalSet::new().block_on(&runtime, fleet::daemon::run(file, state, log.environment()))
 }
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -71,6 +71,8 @@
     pub reports: &'a Path,
     /// Its listener.
     pub listener: OwnedFd,
+    /// What makes it log like the daemon.
+    pub log: &'a [(&'static str, String)],
 }
 
 impl Process {
@@ -93,6 +95,7 @@
             .env("NOTIFY_SOCKET", start.reports)
             .env("LISTEN_FDS", "1")
             .env("LISTEN_FDNAMES", "clients")
+            .envs(start.log.iter().map(|(name, value)| (*name, value)))
             .env(MARK, start.mark.text(start.folder))
             .stdin(start.listener)
             .stdout(Stdio::null())
--- a/crates/fleet/src/wish.rs
+++ b/crates/fleet/src/spec.rs
@@ -1,5 +1,5 @@
-//! `fleet.toml`: what the operators wish. Read and checked as a whole; an error names the line and
-//! the key. What it says is turned into one configuration an instance.
+//! `fleet.toml`: the desired state of a fleet. Read and checked as a whole; an error names the line
+//! and the key. What it says is turned into one configuration an instance.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,8 +20,8 @@
 #[serde(deny_unknown_fields)]
 struct File {
     program: Spanned<PathBuf>,
-    #[serde(default)]
-    rolling: Rolling,
+    #[serde(default, alias = "rolling")]
+    rollout: Rollout,
     #[serde(default)]
     restarts: Restarts,
     #[serde(default)]
@@ -30,11 +30,12 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
-struct Rolling {
+struct Rollout {
     share: Spanned<f64>,
     canaries: Spanned<usize>,
     watch_s: Spanned<f64>,
     margin: Spanned<f64>,
+    refusal_margin: Spanned<f64>,
     least_requests: u64,
     ready_within_s: Spanned<f64>,
     reload_within_s: Spanned<f64>,
@@ -48,6 +49,7 @@
     hold_after: u32,
     stable_after_s: Spanned<f64>,
     silent_after_s: Spanned<f64>,
+    hung_after_s: Spanned<f64>,
     at_once: Spanned<usize>,
 }
 
@@ -55,14 +57,15 @@
     Spanned::new(0..0, value)
 }
 
-impl Default for Rolling {
-    fn default() -> Rolling {
+impl Default for Rollout {
+    fn default() -> Rollout {
         let r = Rules::default();
-        Rolling {
+        Rollout {
             share: plain(r.share),
             canaries: plain(r.canaries),
             watch_s: plain(r.watch.as_secs_f64()),
             margin: plain(r.margin),
+            refusal_margin: plain(r.refusal_margin),
             least_requests: r.least_requests,
             ready_within_s: plain(r.ready_within.as_secs_f64()),
             reload_within_s: plain(r.reload_within.as_secs_f64()),
@@ -79,6 +82,7 @@
             hold_after: r.hold_after,
             stable_after_s: plain(r.stable_after.as_secs_f64()),
             silent_after_s: plain(r.silent_after.as_secs_f64()),
+            hung_after_s: plain(r.hung_after.as_secs_f64()),
             at_once: plain(r.starting_at_once),
         }
     }
@@ -119,7 +123,7 @@
     Here(toml::Table),
 }
 
-/// What is wished, checked and with nothing left to read: it means the same however the files that
+/// The desired state, checked and with nothing left to read: it means the same however the files that
 /// it came from change later.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 pub struct Spec {
@@ -127,7 +131,7 @@
     pub program: PathBuf,
     /// Its templates.
     pub templates: Vec<Resolved>,
-    rules: [f64; 13],
+    rules: Rules,
 }
 
 /// One template.
@@ -160,38 +164,7 @@
 impl Spec {
     /// How the fleet is run.
     pub fn rules(&self) -> Rules {
-        let [
-            share,
-            canaries,
-            watch,
-            margin,
-            least,
-            ready,
-            reload,
-            first,
-            longest,
-            hold,
-            stable,
-            silent,
-            once,
-        ] = self.rules;
-        let s = Duration::from_secs_f64;
-        Rules {
-            share,
-            canaries: canaries as usize,
-            watch: s(watch),
-            margin,
-            least_requests: least as u64,
-            ready_within: s(ready),
-            reload_within: s(reload),
-            drain_within: self.drain_within(),
-            silent_after: s(silent),
-            first_pause: s(first),
-            longest_pause: s(longest),
-            hold_after: hold as u32,
-            stable_after: s(stable),
-            starting_at_once: once as usize,
-        }
+        Rules { drain_within: self.drain_within(), ..self.rules.clone() }
     }
 
     /// The longest deadline of all classes, and what the platform grants beyond it.
@@ -279,7 +252,7 @@
             .ok()
             .filter(|p| p.is_file())
             .ok_or_else(|| checks.at(&file.program.span(), "program", "a program expected"))?;
-        let rules = checks.rules(&file.rolling, &file.restarts)?;
+        let rules = checks.rules(&file.rollout, &file.restarts)?;
         let mut names = BTreeSet::new();
         let mut addresses = BTreeSet::new();
         let mut templates = Vec::new();
@@ -314,7 +287,7 @@
         format!("line {}: {key}: {what}", line(self.text, place))
     }
 
-    fn rules(&self, rolling: &Rolling, restarts: &Restarts) -> Result<[f64; 13], String> {
+    fn rules(&self, rollout: &Rollout, restarts: &Restarts) -> Result<Rules, String> {
         let between = |value: &Spanned<f64>, key: &str, from: f64, to: f64| {
             let v = *value.as_ref();
             if (from..=to).contains(&v) {
@@ -325,25 +298,46 @@
         let number = |value: &Spanned<usize>, key: &str| {
             let v = *value.as_ref();
             if (1..=MOST).contains(&v) {
-                return Ok(v as f64);
+                return Ok(v);
             }
             Err(self.at(&value.span(), key, &format!("from 1 to {MOST} expected, not {v}")))
         };
-        Ok([
-            between(&rolling.share, "rolling.share", 0.001, 1.0)?,
-            number(&rolling.canaries, "rolling.canaries")?,
-            between(&rolling.watch_s, "rolling.watch_s", 0.0, 3600.0)?,
-            between(&rolling.margin, "rolling.margin", 0.0, 1.0)?,
-            rolling.least_requests as f64,
-            between(&rolling.ready_within_s, "rolling.ready_within_s", 0.5, 600.0)?,
-            between(&rolling.reload_within_s, "rolling.reload_within_s", 0.5, 600.0)?,
-            between(&restarts.first_pause_s, "restarts.first_pause_s", 0.01, 600.0)?,
-            between(&restarts.longest_pause_s, "restarts.longest_pause_s", 0.1, 3600.0)?,
-            f64::from(restarts.hold_after.max(1)),
-            between(&restarts.stable_after_s, "restarts.stable_after_s", 0.1, 3600.0)?,
-            between(&restarts.silent_after_s, "restarts.silent_after_s", 2.0, 600.0)?,
-            number(&restarts.at_once, "restarts.at_once")?,
-        ])
+        let seconds = |value: &Spanned<f64>, key: &str, from: f64, to: f64| {
+            between(value, key, from, to).map(Duration::from_secs_f64)
+        };
+        Ok(Rules {
+            share: between(&rollout.share, "rollout.share", 0.001, 1.0)?,
+            canaries: number(&rollout.canaries, "rollout.canaries")?,
+            watch: seconds(&rollout.watch_s, "rollout.watch_s", 0.0, 3600.0)?,
+            margin: between(&rollout.margin, "rollout.margin", 0.0, 1.0)?,
+            refusal_margin: between(&rollout.refusal_margin, "rollout.refusal_margin", 0.0, 1.0)?,
+            least_requests: rollout.least_requests,
+            ready_within: seconds(&rollout.ready_within_s, "rollout.ready_within_s", 0.5, 600.0)?,
+            reload_within: seconds(
+                &rollout.reload_within_s,
+                "rollout.reload_within_s",
+                0.5,
+                600.0,
+            )?,
+            first_pause: seconds(&restarts.first_pause_s, "restarts.first_pause_s", 0.01, 600.0)?,
+            longest_pause: seconds(
+                &restarts.longest_pause_s,
+                "restarts.longest_pause_s",
+                0.1,
+                3600.0,
+            )?,
+            hold_after: restarts.hold_after.max(1),
+            stable_after: seconds(
+                &restarts.stable_after_s,
+                "restarts.stable_after_s",
+                0.1,
+                3600.0,
+            )?,
+            silent_after: seconds(&restarts.silent_after_s, "restarts.silent_after_s", 2.0, 600.0)?,
+            hung_after: seconds(&restarts.hung_after_s, "restarts.hung_after_s", 0.6, 600.0)?,
+            starting_at_once: number(&restarts.at_once, "restarts.at_once")?,
+            ..Rules::default()
+        })
     }
 
     fn template(&self, t: &Template) -> Result<Resolved, String> {
@@ -483,7 +477,7 @@
     #[test]
     fn what_is_wrong_is_named_with_line_and_key() {
         for (from, to, wanted) in [
-            ("share = 0.2", "share = 2.0", "line 5: rolling.share"),
+            ("share = 0.2", "share = 2.0", "line 5: rollout.share"),
             ("share = 0.2", "shore = 0.2", "line 5: unknown field `shore`"),
             ("count = 3", "count = 4", "line 9: count"),
             ("count = 3", "count = \"3\"", "line 9: invalid type"),
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,4 +1,4 @@
-//! What must outlive the daemon: the generations, the wish, and what happened. Each file is
+//! What must outlive the daemon: the generations, the desired state, and what happened. Each file is
 //! replaced as a whole, so that it is the old one or the new one at any moment.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::planner::Generation;
-use crate::wish::Spec;
+use crate::spec::Spec;
 
 /// What is kept of the past.
 const REMEMBERED: usize = 200;
@@ -21,7 +21,7 @@
 /// One generation.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Made {
-    /// What is wished.
+    /// What is desired.
     pub spec: Spec,
     /// The number of its program.
     pub program: u64,
@@ -82,19 +82,19 @@
     ///
     /// When it cannot be used, or another daemon has it.
     pub fn open(folder: &Path) -> Result<Store, String> {
-        let told = |e: io::Error| format!("{}: {e}", folder.display());
+        let context = |e: io::Error| format!("{}: {e}", folder.display());
         let mut builder = fs::DirBuilder::new();
-        builder.recursive(true).mode(0o700).create(folder).map_err(told)?;
-        let folder = folder.canonicalize().map_err(told)?;
-        let told = |e: io::Error| format!("{}: {e}", folder.display());
+        builder.recursive(true).mode(0o700).create(folder).map_err(context)?;
+        let folder = folder.canonicalize().map_err(context)?;
+        let context = |e: io::Error| format!("{}: {e}", folder.display());
         // What lies here is the owner's only, sockets too.
-        fs::set_permissions(&folder, fs::Permissions::from_mode(0o700)).map_err(told)?;
+        fs::set_permissions(&folder, fs::Permissions::from_mode(0o700)).map_err(context)?;
         for part in ["run", "bin"] {
-            builder.create(folder.join(part)).map_err(told)?;
+            builder.create(folder.join(part)).map_err(context)?;
         }
         let mut options = File::options();
         let lock = options.create(true).truncate(false).write(true).mode(0o600);
-        let lock = lock.open(folder.join("lock")).map_err(told)?;
+        let lock = lock.open(folder.join("lock")).map_err(context)?;
         let end = Instant::now() + LOCK_PATIENCE;
         loop {
             match lock.try_lock() {
@@ -105,7 +105,7 @@
                 Err(TryLockError::WouldBlock) => {
                     return Err(format!("{}: another daemon has this state", folder.display()));
                 }
-                Err(TryLockError::Error(e)) => return Err(told(e)),
+                Err(TryLockError::Error(e)) => return Err(context(e)),
             }
         }
         Ok(Store { folder, _lock: lock })
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -1,6 +1,6 @@
-//! Generated histories of a fleet: crashes, hangs, lost words, wishes that change, daemons that die.
-//! After every look the planner's steps are held against what may never happen; once faults stop,
-//! the wish is reached.
+//! Generated histories of a fleet: crashes, hangs, starvation, lost orders, desired states that
+//! change, daemons that die. After every look the planner's steps are held against what may never happen; once faults stop,
+//! the desired state is reached.
 //!
 //! `PLANNER_SEEDS=20000 cargo test --release -p fleet --test planner` plays more of them,
 //! `PLANNER_SEED=7` one alone.
@@ -8,7 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use fleet::planner::{Action, Counts, Planner, Proc, ProcId, Rules, Wish};
+use fleet::planner::{Action, Counts, Desired, Planner, Proc, ProcId, Rules};
+use fleet::stall::Stall;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -25,6 +26,10 @@
     ready_at: Option<Duration>,
     reload: Option<(u64, Duration)>,
     hung: bool,
+    /// What the system shows of it once it hangs.
+    shows: Option<Stall>,
+    /// Sound, and without its turn until then.
+    starved_until: Duration,
     deaf: bool,
     /// The daemon has said that it is to end, whether or not it listens.
     told: bool,
@@ -49,7 +54,7 @@
     now: Duration,
     planner: Planner,
     rules: Rules,
-    wish: Wish,
+    desired: Desired,
     procs: BTreeMap<u64, Sim>,
     next: u64,
     /// Generations whose processes end at their start, are never ready, or fail requests.
@@ -69,21 +74,24 @@
     Ends,
     NeverReady,
     Fails,
+    Refuses,
 }
 
+const BAD: [Bad; 4] = [Bad::Ends, Bad::NeverReady, Bad::Fails, Bad::Refuses];
+
 fn rules() -> Rules {
     Rules { share: 0.25, watch: Duration::from_secs(2), ..Rules::default() }
 }
 
 impl World {
     fn new(seed: u64, slots: usize) -> World {
-        let wish = Wish {
+        let desired = Desired {
             slots: (0..slots).map(|n| format!("s-{n}")).collect(),
             target: 1,
             base: 1,
             program: 1,
             base_program: 1,
-            ..Wish::default()
+            ..Desired::default()
         };
         World {
             seed,
@@ -91,7 +99,7 @@
             now: Duration::ZERO,
             planner: Planner::new(rules(), seed),
             rules: rules(),
-            wish,
+            desired,
             procs: BTreeMap::new(),
             next: 0,
             bad: BTreeMap::new(),
@@ -133,16 +141,23 @@
             let more = self.rng.random_range(0..4);
             let Some(s) = self.procs.get_mut(&id) else { continue };
             let bad = self.bad.get(&s.proc.generation).copied();
+            let silent = now - s.proc.last_report;
             if s.hung {
+                s.proc.stall = s.shows.filter(|_| silent >= Duration::from_millis(700));
+                continue;
+            }
+            if s.starved_until > now {
                 continue;
             }
             if s.ready_at.is_some_and(|at| at <= now) {
                 s.proc.ready = true;
                 s.proc.found = false;
-                s.proc.heard = now;
+                s.proc.last_report = now;
                 s.proc.counts.all += more;
-                if bad == Some(Bad::Fails) {
-                    s.proc.counts.failed += more;
+                match bad {
+                    Some(Bad::Fails) => s.proc.counts.failed += more,
+                    Some(Bad::Refuses) => s.proc.counts.refused += more,
+                    _ => {}
                 }
             }
             if let Some((generation, at)) = s.reload
@@ -160,7 +175,7 @@
             }
         }
         let facts: Vec<Proc> = self.procs.values().map(Sim::seen).collect();
-        for action in self.planner.look(now, &self.wish, &facts) {
+        for action in self.planner.reconcile(now, &self.desired, &facts) {
             self.log.push(format!("{now:?}: {action:?}"));
             self.carry_out(action);
         }
@@ -185,9 +200,10 @@
                     !dying || !standing.is_empty(),
                     &format!("one of {slot} that was killed is still there"),
                 );
-                let wished = self.wish.slots.contains(&slot) || self.wish.old.contains(&slot);
-                self.check(wished, &format!("{slot} is not wished"));
-                self.check(!self.wish.blocked.contains(&slot), &format!("{slot} is blocked"));
+                let requested =
+                    self.desired.slots.contains(&slot) || self.desired.old.contains(&slot);
+                self.check(requested, &format!("{slot} is not requested"));
+                self.check(!self.desired.blocked.contains(&slot), &format!("{slot} is blocked"));
                 self.start(&slot, generation);
             }
             Action::Reload { proc, generation } => {
@@ -209,9 +225,9 @@
             }
             Action::Stop { proc } => {
                 let slot = &self.procs[&proc.0].proc.slot;
-                let wished = self.wish.slots.contains(slot) && !self.wish.stopping;
+                let requested = self.desired.slots.contains(slot) && !self.desired.stopping;
                 let leaving = self.procs[&proc.0].proc.leaving || self.procs[&proc.0].told;
-                self.check(!wished || leaving, &format!("{slot} is stopped, but wished"));
+                self.check(!requested || leaving, &format!("{slot} is stopped, but requested"));
                 self.leave(proc.0);
             }
             Action::Kill { proc } => {
@@ -226,28 +242,28 @@
                 s.ends_at = Some(s.ends_at.unwrap_or(end).min(end));
             }
             Action::Settled { generation } => {
-                self.check(generation == self.wish.target, "another generation settled");
-                let all = self.wish.slots.iter().all(|slot| {
+                self.check(generation == self.desired.target, "another generation settled");
+                let all = self.desired.slots.iter().all(|slot| {
                     self.of(slot).any(|s| s.proc.generation == generation && s.proc.ready)
                 });
-                // Slots that failed before a roll do not hold it up.
+                // Slots that failed before a rollout do not hold it up.
                 let troubled = self.now < FAULTS_END * 2 && self.seed != u64::MAX;
                 self.check(all || troubled, "settled before all run it");
                 self.settled.push(generation);
-                self.wish.base = generation;
-                self.wish.base_program = self.wish.program;
-                self.wish.old.clear();
-                self.wish.new.clear();
+                self.desired.base = generation;
+                self.desired.base_program = self.desired.program;
+                self.desired.old.clear();
+                self.desired.new.clear();
             }
             Action::RollBack { generation, why } => {
-                self.check(generation == self.wish.target, "another generation rolled back");
+                self.check(generation == self.desired.target, "another generation rolled back");
                 self.rolled_back.push((generation, why));
-                self.wish.target = self.wish.base;
-                self.wish.program = self.wish.base_program;
+                self.desired.target = self.desired.base;
+                self.desired.program = self.desired.base_program;
                 let (old, new) =
-                    (std::mem::take(&mut self.wish.old), std::mem::take(&mut self.wish.new));
-                self.wish.slots.extend(old);
-                self.wish.slots.retain(|s| !new.contains(s));
+                    (std::mem::take(&mut self.desired.old), std::mem::take(&mut self.desired.new));
+                self.desired.slots.extend(old);
+                self.desired.slots.retain(|s| !new.contains(s));
             }
             Action::Note { .. } => {}
         }
@@ -263,21 +279,25 @@
         let bad = self.bad.get(&generation).copied();
         let ready = now + self.millis(50, 1500);
         let ends = (bad == Some(Bad::Ends)).then(|| now + Duration::from_millis(300));
-        let program =
-            if generation == self.wish.target { self.wish.program } else { self.wish.base_program };
+        let program = if generation == self.desired.target {
+            self.desired.program
+        } else {
+            self.desired.base_program
+        };
         let proc = Proc {
             id: ProcId(self.next),
             slot: slot.to_owned(),
             generation,
             program,
             started: now,
-            heard: now,
+            last_report: now,
             ready: false,
             leaving: false,
             declined: None,
             found: false,
             unwanted: false,
             counts: Counts::default(),
+            stall: None,
         };
         let ready_at = (bad != Some(Bad::NeverReady) && ends.is_none()).then_some(ready);
         let sim = Sim {
@@ -286,6 +306,8 @@
             ready_at,
             reload: None,
             hung: false,
+            shows: None,
+            starved_until: Duration::ZERO,
             deaf: false,
             told: false,
             ends_at: ends,
@@ -310,8 +332,8 @@
 
     /// What holds between looks.
     fn bounded(&self) {
-        let limit = ((self.wish.slots.len() as f64 * self.rules.share).ceil() as usize).max(1);
-        let moving = self.wish.slots.iter().filter(|slot| {
+        let limit = ((self.desired.slots.len() as f64 * self.rules.share).ceil() as usize).max(1);
+        let moving = self.desired.slots.iter().filter(|slot| {
             let standing: Vec<&Sim> = self.of(slot).filter(|s| s.stands()).collect();
             standing.len() > 1 || standing.iter().any(|s| s.reload.is_some() && !s.hung)
         });
@@ -330,7 +352,7 @@
         let now = self.now;
         for s in self.procs.values_mut() {
             s.proc.started = now;
-            s.proc.heard = now;
+            s.proc.last_report = now;
             s.proc.unwanted = false;
             s.told = s.proc.leaving;
             if s.proc.ready || s.proc.leaving {
@@ -341,14 +363,14 @@
         }
     }
 
-    fn wish(&mut self, bad: Option<Bad>, shape: bool, program: bool) {
-        if self.wish.target != self.wish.base {
-            // A reload while a roll runs is refused.
+    fn desired(&mut self, bad: Option<Bad>, shape: bool, program: bool) {
+        if self.desired.target != self.desired.base {
+            // A reload while a rollout runs is refused.
             return;
         }
         self.generations += 1;
-        self.log.push(format!("{:?}: wish {} {bad:?} {shape}", self.now, self.generations));
-        self.wish.target = self.generations;
+        self.log.push(format!("{:?}: desired {} {bad:?} {shape}", self.now, self.generations));
+        self.desired.target = self.generations;
         if let Some(bad) = bad {
             self.bad.insert(self.generations, bad);
         }
@@ -356,14 +378,14 @@
             self.shapes.insert(self.generations);
         }
         if program {
-            self.wish.program = self.generations;
+            self.desired.program = self.generations;
         }
     }
 
     fn fault(&mut self) {
         let ids: Vec<u64> = self.procs.keys().copied().collect();
         let one = |rng: &mut StdRng| ids.get(rng.random_range(0..ids.len().max(1))).copied();
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..13) {
             0 | 1 => {
                 if let Some(id) = one(&mut self.rng) {
                     self.log.push(format!("{:?}: {id} crashes", self.now));
@@ -373,7 +395,9 @@
             2 => {
                 if let Some(id) = one(&mut self.rng) {
                     self.log.push(format!("{:?}: {id} hangs", self.now));
-                    self.procs.get_mut(&id).expect("it is there").hung = true;
+                    let shows = self.rng.random_bool(0.5).then_some(Stall::Asleep);
+                    let s = self.procs.get_mut(&id).expect("it is there");
+                    (s.hung, s.shows) = (true, shows);
                 }
             }
             3 => {
@@ -383,17 +407,17 @@
             }
             4 => self.restart_daemon(),
             // Where nothing is to run, nothing shows that a generation is bad.
-            5 if !self.wish.slots.is_empty() => {
-                let bad = [Bad::Ends, Bad::NeverReady, Bad::Fails][self.rng.random_range(0..3)];
-                self.wish(Some(bad), true, false);
+            5 if !self.desired.slots.is_empty() => {
+                let bad = BAD[self.rng.random_range(0..BAD.len())];
+                self.desired(Some(bad), true, false);
             }
-            6 => self.wish(None, false, false),
-            7 => self.wish(None, true, true),
-            8 if self.wish.target == self.wish.base => {
+            6 => self.desired(None, false, false),
+            7 => self.desired(None, true, true),
+            8 if self.desired.target == self.desired.base => {
                 let n = self.rng.random_range(0..10);
                 // What was begun under a larger limit goes on.
                 self.relaxed = self.now;
-                self.wish.slots = (0..n).map(|n| format!("s-{n}")).collect();
+                self.desired.slots = (0..n).map(|n| format!("s-{n}")).collect();
             }
             9 => {
                 if let Some(id) = one(&mut self.rng) {
@@ -402,13 +426,19 @@
             }
             10 => {
                 let slot = format!("s-{}", self.rng.random_range(0..10));
-                if !self.wish.blocked.remove(&slot) {
-                    self.wish.blocked.insert(slot);
+                if !self.desired.blocked.remove(&slot) {
+                    self.desired.blocked.insert(slot);
+                }
+            }
+            12 => {
+                if let Some(id) = one(&mut self.rng) {
+                    let until = self.now + self.millis(500, 3500);
+                    self.procs.get_mut(&id).expect("it is there").starved_until = until;
                 }
             }
-            11 if self.wish.target != self.wish.base => {
+            11 if self.desired.target != self.desired.base => {
                 // Changed back half way.
-                let generation = self.wish.target;
+                let generation = self.desired.target;
                 self.carry_out(Action::RollBack { generation, why: "changed back".into() });
             }
             _ => {}
@@ -416,22 +446,22 @@
     }
 
     fn reached(&self) -> Result<(), String> {
-        if self.wish.target != self.wish.base {
-            return Err("the roll is not over".into());
+        if self.desired.target != self.desired.base {
+            return Err("the rollout is not over".into());
         }
-        for slot in &self.wish.slots {
+        for slot in &self.desired.slots {
             let all: Vec<&Sim> = self.of(slot).collect();
             let [one] = all[..] else { return Err(format!("{} of {slot}", all.len())) };
-            let right = one.proc.generation == self.wish.target && !one.proc.unwanted;
+            let right = one.proc.generation == self.desired.target && !one.proc.unwanted;
             if !right || !one.proc.ready || one.hung || !one.stands() {
                 return Err(format!("{slot} does not serve the target: {one:?}"));
             }
         }
-        let stray = self.procs.values().find(|s| !self.wish.slots.contains(&s.proc.slot));
+        let stray = self.procs.values().find(|s| !self.desired.slots.contains(&s.proc.slot));
         stray.map_or(Ok(()), |s| Err(format!("{} is still there", s.proc.slot)))
     }
 
-    fn run_to_the_wish(&mut self) {
+    fn run_to_the_desired_state(&mut self) {
         let end = self.now + SETTLED_BY;
         while let Err(why) = self.reached() {
             self.check(self.now < end, &why);
@@ -456,7 +486,7 @@
 }
 
 #[test]
-fn every_history_reaches_the_wish_and_breaks_nothing_on_the_way() {
+fn every_history_reaches_the_desired_state_and_breaks_nothing_on_the_way() {
     for seed in seeds() {
         let mut world = World::new(seed, 8);
         while world.now < FAULTS_END {
@@ -465,14 +495,14 @@
                 world.fault();
             }
         }
-        world.wish.blocked.clear();
-        world.run_to_the_wish();
+        world.desired.blocked.clear();
+        world.run_to_the_desired_state();
     }
 }
 
 fn calm(slots: usize) -> World {
     let mut world = World::new(u64::MAX, slots);
-    world.run_to_the_wish();
+    world.run_to_the_desired_state();
     world
 }
 
@@ -480,7 +510,7 @@
 fn a_good_generation_goes_to_a_canary_first_and_then_in_waves() {
     for (shape, program) in [(false, false), (true, false), (false, true)] {
         let mut world = calm(20);
-        world.wish(None, shape, program);
+        world.desired(None, shape, program);
         let mut most_before = 0;
         while world.settled.is_empty() {
             let moved = world.procs.values().filter(|s| s.proc.generation == 2).count();
@@ -490,7 +520,7 @@
             world.step();
             world.check(world.now < Duration::from_secs(300), "not settled");
         }
-        world.run_to_the_wish();
+        world.run_to_the_desired_state();
         assert_eq!((most_before, world.settled), (1, vec![2]));
         assert!(world.rolled_back.is_empty());
     }
@@ -498,9 +528,9 @@
 
 #[test]
 fn a_bad_generation_touches_the_canary_alone_and_goes_back() {
-    for bad in [Bad::Ends, Bad::NeverReady, Bad::Fails] {
+    for bad in BAD {
         let mut world = calm(20);
-        world.wish(Some(bad), true, true);
+        world.desired(Some(bad), true, true);
         let mut touched = BTreeSet::new();
         while world.rolled_back.is_empty() {
             world.step();
@@ -512,9 +542,9 @@
             let (_, why) = &world.rolled_back[0];
             assert!(why.contains("ended before it was ready"), "{why}");
         }
-        world.run_to_the_wish();
+        world.run_to_the_desired_state();
         assert_eq!(touched.len(), 1, "{bad:?}");
-        assert_eq!(world.wish.target, 1);
+        assert_eq!(world.desired.target, 1);
     }
 }
 
@@ -522,7 +552,7 @@
 fn a_crash_loop_is_held_not_spun() {
     let mut world = calm(3);
     world.bad.insert(1, Bad::Ends);
-    let slot = world.wish.slots.first().expect("a slot").clone();
+    let slot = world.desired.slots.first().expect("a slot").clone();
     let id = world.of(&slot).next().expect("it serves").proc.id;
     world.procs.remove(&id.0);
     let before = world.next;
@@ -534,7 +564,7 @@
     assert!((12..=28).contains(&starts), "{starts} starts");
     assert_eq!(world.planner.slot(world.now, &slot).0, fleet::planner::SlotState::Held);
     world.bad.clear();
-    world.run_to_the_wish();
+    world.run_to_the_desired_state();
     for _ in 0..120 {
         world.step();
     }
@@ -545,7 +575,7 @@
 fn many_crashes_at_once_are_not_many_starts_at_once() {
     let mut world = calm(60);
     world.procs.clear();
-    world.run_to_the_wish();
+    world.run_to_the_desired_state();
     assert!(world.next >= 120);
 }
 
@@ -556,8 +586,8 @@
         for s in world.procs.values_mut() {
             s.deaf = true;
         }
-        world.wish.stopping = true;
-        world.wish.hurry = hurry;
+        world.desired.stopping = true;
+        world.desired.hurry = hurry;
         let end = world.now + Duration::from_secs(within);
         while !world.procs.is_empty() {
             world.step();
@@ -569,13 +599,13 @@
 #[test]
 fn a_daemon_that_starts_judges_nothing_before_it_has_heard_of_it() {
     let mut world = calm(10);
-    world.wish(None, false, false);
-    world.run_to_the_wish();
+    world.desired(None, false, false);
+    world.run_to_the_desired_state();
     let before: Vec<u64> = world.procs.keys().copied().collect();
     // All run generation 2, and were started with 1.
     for _ in 0..3 {
         world.restart_daemon();
-        world.run_to_the_wish();
+        world.run_to_the_desired_state();
     }
     assert_eq!(world.procs.keys().copied().collect::<Vec<_>>(), before, "none was touched");
 }
@@ -588,8 +618,28 @@
         world.now += Duration::from_secs(3600);
         // The first look comes before any report.
         let facts: Vec<Proc> = world.procs.values().map(Sim::seen).collect();
-        assert_eq!(world.planner.look(world.now, &world.wish, &facts), Vec::new());
-        world.run_to_the_wish();
+        assert_eq!(world.planner.reconcile(world.now, &world.desired, &facts), Vec::new());
+        world.run_to_the_desired_state();
     }
     assert_eq!(world.procs.keys().copied().collect::<Vec<_>>(), before);
 }
+
+#[test]
+fn one_that_hangs_is_killed_soon_where_the_system_shows_it_and_later_where_not() {
+    for (shows, from_ms, to_ms) in
+        [(Some(Stall::Stopped), 800, 1100), (Some(Stall::Spinning), 800, 1100), (None, 4900, 5200)]
+    {
+        let mut world = calm(5);
+        let id = *world.procs.keys().next().expect("it serves");
+        let s = world.procs.get_mut(&id).expect("it is there");
+        (s.hung, s.shows) = (true, shows);
+        let began = world.now;
+        while world.procs.get(&id).is_some_and(|s| !s.killed) {
+            world.step();
+            world.check(world.now < began + Duration::from_secs(10), "never killed");
+        }
+        let took = (world.now - began).as_millis();
+        assert!((from_ms..=to_ms).contains(&took), "{shows:?}: {took} ms");
+        world.run_to_the_desired_state();
+    }
+}
--- a/crates/rehearsal/examples/fleet_of.rs
+++ b/crates/rehearsal/examples/fleet_of.rs
@@ -1,4 +1,4 @@
-//! Measures a fleet: what it costs at rest and at work, how long a full roll takes, and what its
+//! Measures a fleet: what it costs at rest and at work, how long a full rollout takes, and what its
 //! clients see of it. `cargo run --release -p rehearsal --example fleet_of -- 200 5`
 
 use std::time::{Duration, Instant};
@@ -20,7 +20,7 @@
         instances,
         servers: 4,
         classes: classes(4.0),
-        rolling: "share = 0.1\nwatch_s = 3.0".to_owned(),
+        rollout: "share = 0.1\nwatch_s = 3.0".to_owned(),
         log: Some("/dev/null".into()),
         ..Plan::default()
     };
@@ -39,7 +39,7 @@
     let usual = host.account().lap();
     times("usual", &usual);
 
-    let roll = |what: &str, act: &dyn Fn(&Host) -> Result<(), String>| {
+    let rollout = |what: &str, act: &dyn Fn(&Host) -> Result<(), String>| {
         let began = Instant::now();
         act(&host)?;
         host.wait(PATIENCE)?;
@@ -56,11 +56,11 @@
         }
         Ok::<(), String>(())
     };
-    roll("full reload by successors", &|host| {
+    rollout("full reload by successors", &|host| {
         host.change(|s| s["goal"]["whole"] = 0.44.into())?;
         host.ask(&Request::Reload).map(drop)
     })?;
-    roll("full reload, live", &|host| {
+    rollout("full reload, live", &|host| {
         host.change(|s| s["classes"][0]["aim"] = 590_000.into())?;
         host.ask(&Request::Reload).map(drop)
     })?;
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -28,14 +28,16 @@
     pub servers: usize,
     /// The classes.
     pub classes: Vec<Class>,
-    /// Lines of `fleet.toml` under `[rolling]`.
-    pub rolling: String,
+    /// Lines of `fleet.toml` under `[rollout]`.
+    pub rollout: String,
     /// Lines of `fleet.toml` under `[restarts]`.
     pub restarts: String,
     /// For what is drawn.
     pub seed: u64,
     /// The programs' logs go here; none: to the error stream of this process.
     pub log: Option<PathBuf>,
+    /// Whether to say what is built, and how far.
+    pub progress: bool,
 }
 
 impl Default for Plan {
@@ -44,10 +46,11 @@
             instances: 6,
             servers: 2,
             classes: standins::world::classes(1.0),
-            rolling: "watch_s = 2.0\nshare = 0.2".to_owned(),
+            rollout: "watch_s = 2.0\nshare = 0.2".to_owned(),
             restarts: String::new(),
             seed: 1,
             log: None,
+            progress: false,
         }
     }
 }
@@ -81,6 +84,7 @@
     sidecar: PathBuf,
     fleet: PathBuf,
     settings: Mutex<Value>,
+    discovery: Mutex<SocketAddr>,
 }
 
 /// Clients at work.
@@ -115,19 +119,21 @@
     ///
     /// The first thing that could not be done.
     pub fn start(plan: Plan) -> Result<Host, String> {
-        let sidecar = built("coppercart", "plankvale")?;
-        let fleet = built("fleet", "plankvale-fleet")?;
+        let sidecar = built("plankvale", plan.progress)?;
+        let fleet = built("plankvale-fleet", plan.progress)?;
         let world = World::start(plan.classes.clone(), plan.servers, plan.seed);
         let world = standins::runtime().block_on(world).map_err(text)?;
         let settings = Mutex::new(world.settings());
         let folder = Folder::new("host");
-        let mut host = Host { folder, world, plan, daemon: None, sidecar, fleet, settings };
+        let discovery = Mutex::new(world.registry.at);
+        let mut host =
+            Host { folder, world, plan, daemon: None, sidecar, fleet, settings, discovery };
         host.write()?;
         host.start_daemon()?;
         Ok(host)
     }
 
-    /// The file of the wish.
+    /// The file of the desired state.
     pub fn file(&self) -> PathBuf {
         self.folder.path().join("fleet.toml")
     }
@@ -152,7 +158,7 @@
         &self.world.account
     }
 
-    /// Changes the settings, and writes the wish anew. It is not in force before a reload.
+    /// Changes the settings, and writes the desired state anew. It is not in force before a reload.
     ///
     /// # Errors
     ///
@@ -162,11 +168,22 @@
         self.write()
     }
 
+    /// Points all instances at another discovery. It is not in force before a reload.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be written.
+    pub fn move_discovery(&self, to: SocketAddr) -> Result<(), String> {
+        *self.discovery.lock().unwrap_or_else(PoisonError::into_inner) = to;
+        self.write()
+    }
+
     fn write(&self) -> Result<(), String> {
+        let discovery = *self.discovery.lock().unwrap_or_else(PoisonError::into_inner);
         let settings = self.settings.lock().unwrap_or_else(PoisonError::into_inner);
-        let (rolling, restarts) = (&self.plan.rolling, &self.plan.restarts);
+        let (rollout, restarts) = (&self.plan.rollout, &self.plan.restarts);
         let mut toml = format!(
-            "program = {:?}\n\n[rolling]\n{rolling}\n\n[restarts]\n{restarts}\n",
+            "program = {:?}\n\n[rollout]\n{rollout}\n\n[restarts]\n{restarts}\n",
             self.sidecar.display().to_string()
         );
         for (n, zone) in ZONES.into_iter().enumerate() {
@@ -175,9 +192,8 @@
             let _ = write!(
                 toml,
                 "\n[[instances]]\nname = \"{zone}\"\ncount = {count}\nlisten = \"127.0.0.1:0\"\n\
-                 discovery = \"{}\"\nzone = \"{zone}\"\nfirst = {first}\n\
-                 limits = {{ memory_mb = 32, sockets = 256 }}\nsettings = \"settings.json\"\n",
-                self.world.registry.at
+                 discovery = \"{discovery}\"\nzone = \"{zone}\"\nfirst = {first}\n\
+                 limits = {{ memory_mb = 32, sockets = 256 }}\nsettings = \"settings.json\"\n"
             );
         }
         // Every instance has a number below this one.
@@ -263,7 +279,7 @@
         slots.iter().map(of).collect()
     }
 
-    /// Whether all wished instances serve, one process each, on the target, and no roll runs.
+    /// Whether all desired instances serve, one process each, on the target, and no rollout runs.
     pub fn settled(&self) -> bool {
         let status = self.status();
         let target = status["target"].as_u64();
--- a/crates/rehearsal/tests/fleet.rs
+++ b/crates/rehearsal/tests/fleet.rs
@@ -26,7 +26,7 @@
         servers: 3,
         // Time enough on any machine: nothing is late by chance.
         classes: classes(15.0),
-        rolling: "watch_s = 1.0\nleast_requests = 5\nshare = 0.2\nready_within_s = 60.0\n\
+        rollout: "watch_s = 1.0\nleast_requests = 5\nshare = 0.2\nready_within_s = 60.0\n\
                   reload_within_s = 20.0"
             .to_owned(),
         restarts: "silent_after_s = 60.0\nfirst_pause_s = 0.05".to_owned(),
--- a/crates/rehearsal/tests/hard_cases.rs
+++ b/crates/rehearsal/tests/hard_cases.rs
@@ -10,6 +10,7 @@
 use rehearsal::{Driving, Host, Plan, signal_process};
 use rustix::process::Signal;
 use standins::clients::Load;
+use standins::logserver::{Fault, LogServer};
 use standins::world::{World, classes};
 use standins::{until, until_in};
 
@@ -19,7 +20,7 @@
     Plan {
         instances,
         classes: classes(15.0),
-        rolling: "watch_s = 0.5\nleast_requests = 0\nshare = 0.4\nready_within_s = 30.0".to_owned(),
+        rollout: "watch_s = 0.5\nleast_requests = 0\nshare = 0.4\nready_within_s = 30.0".to_owned(),
         restarts: "silent_after_s = 30.0\nfirst_pause_s = 0.05".to_owned(),
         ..Plan::default()
     }
@@ -78,7 +79,7 @@
     host.ask(&Request::Reload).expect("sound");
     another_shape(&host, 0.43);
     let why = host.ask(&Request::Reload).expect_err("one at a time");
-    assert!(why.contains("roll to generation 2"), "{why}");
+    assert!(why.contains("rollout to generation 2"), "{why}");
     host.wait(PATIENCE).expect("settled");
     assert!(told(&host, "generation 2 runs everywhere"));
     host.ask(&Request::Reload).expect("now it may");
@@ -139,15 +140,45 @@
     sound(&host);
 }
 
+/// A generation whose canary meets other servers than the rest goes back, and all else serves on.
+fn bad_canary(spoil: fn(&LogServer), why: &str) {
+    let rollout = "watch_s = 60.0\nleast_requests = 10\nready_within_s = 60.0".to_owned();
+    let host = started(Plan { rollout, ..plan(6) });
+    let others = World::with_account(host.account().clone(), 1, 7);
+    let others = standins::runtime().block_on(others).expect("ports");
+    for (server, _) in &others.servers {
+        spoil(server);
+    }
+    let driving = drive(&host);
+    host.move_discovery(others.registry.at).expect("written");
+    host.ask(&Request::Reload).expect("sound");
+    until_in(PATIENCE, why, || told(&host, why));
+    host.wait(PATIENCE).expect("settled");
+    assert!(host.instances().iter().all(|i| i.generation == Some(1)));
+    let before = host.account().report().served();
+    until("requests are served", || host.account().report().served() > before + 100);
+    driving.stop();
+    sound(&host);
+}
+
+#[test]
+fn a_canary_that_fails_requests_goes_back() {
+    bad_canary(|server| server.faults(vec![(1.0, Fault::Error)]), "failed at the canary");
+}
+
+#[test]
+fn a_canary_that_refuses_requests_goes_back() {
+    bad_canary(LogServer::drain, "were refused at the canary");
+}
+
 #[test]
 fn one_that_hangs_is_found_out_and_replaced() {
-    let restarts = "silent_after_s = 3.0\nfirst_pause_s = 0.05".to_owned();
-    let host = started(Plan { restarts, ..plan(3) });
+    let host = host(3);
     let one = host.instances().remove(0);
     let pid = one.pid.expect("it runs");
     host.account().kill(one.listen.expect("it listens"));
     signal_process(pid, Signal::STOP);
-    until("it is found out", || told(&host, "fell silent"));
+    until("it is found out", || told(&host, "fell silent: it was stopped"));
     until("another serves", || {
         let now = host.instances().remove(0);
         now.state == "serving" && now.pid != Some(pid)
@@ -394,14 +425,14 @@
 }
 
 #[test]
-fn the_wish_changed_back_half_way_ends_where_it_began() {
+fn the_desired_state_changed_back_half_way_ends_where_it_began() {
     let host = host(6);
     let driving = drive(&host);
-    assert!(host.ask(&Request::Rollback).is_err(), "no roll runs");
+    assert!(host.ask(&Request::Rollback).is_err(), "no rollout runs");
     another_shape(&host, 0.44);
     host.ask(&Request::Reload).expect("sound");
     until("a successor is there", || host.instances().iter().any(|i| i.generation == Some(2)));
-    host.ask(&Request::Rollback).expect("a roll runs");
+    host.ask(&Request::Rollback).expect("a rollout runs");
     host.wait(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
     assert!(told(&host, "generation 2 goes back: as was asked"));
@@ -430,7 +461,7 @@
         assert!(host.instances().iter().all(|i| i.generation == Some(2)));
     } else {
         until("it is shown", || host.instances().iter().any(|i| i.state == "blocked"));
-        host.ask(&Request::Rollback).expect("a roll runs");
+        host.ask(&Request::Rollback).expect("a rollout runs");
         host.wait(PATIENCE).expect("settled");
         assert_eq!(host.pids(), before);
     }
--- a/crates/rehearsal/tests/sample.rs
+++ b/crates/rehearsal/tests/sample.rs
@@ -3,12 +3,12 @@
 use std::path::Path;
 use std::process::Command;
 
-use fleet::wish::Spec;
+use fleet::spec::Spec;
 use standins::program::{Folder, built};
 
 #[test]
 fn the_sample_fleet_is_sound_to_the_daemon_and_to_the_sidecar() {
-    let sidecar = built("coppercart", "plankvale").expect("built");
+    let sidecar = built("plankvale", false).expect("built");
     let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/fleet/fleet.toml");
     let text = std::fs::read_to_string(sample).expect("it is there");
     let folder = Folder::new("sample");
--- a/crates/standins/src/account.rs
+++ b/crates/standins/src/account.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use hdrhistogram::Histogram;
 use serde::Serialize;
 
 /// Whether a request may be sent again once it may have run.
@@ -37,10 +38,10 @@
     pub deadline: Duration,
 }
 
-/// A client's wish, over all its tries, and one of those tries. Both stand in the id on the wire.
+/// A client's desired state, over all its tries, and one of those tries. Both stand in the id on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Try {
-    /// The wish.
+    /// The desired state.
     pub ask: u64,
     /// The try, from 0.
     pub n: u16,
@@ -64,7 +65,7 @@
 
 /// What a client was told of one try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum Outcome {
     /// 200 with the body made for it.
     Served,
     /// 429 or 503: trying again is harmless.
@@ -81,7 +82,7 @@
 
 #[derive(Default)]
 struct Tried {
-    told: Option<(Told, Instant)>,
+    outcome: Option<(Outcome, Instant)>,
     seen: u16,
     ran: u16,
 }
@@ -98,7 +99,8 @@
 struct Inner {
     asks: HashMap<u64, Ask>,
     next: u64,
-    took: Vec<Vec<u32>>,
+    /// Microseconds, by class.
+    took: Vec<Histogram<u64>>,
     servers: BTreeMap<String, Server>,
     kills: Vec<(SocketAddr, Instant)>,
     lost: u64,
@@ -151,7 +153,7 @@
 impl Account {
     /// An empty one.
     pub fn new(classes: Vec<Class>) -> Account {
-        let took = vec![Vec::new(); classes.len()];
+        let took = vec![times(); classes.len()];
         Account { classes, inner: Mutex::new(Inner { took, ..Inner::default() }) }
     }
 
@@ -164,7 +166,7 @@
         self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// A new wish of a class.
+    /// A new desired state of a class.
     pub fn ask(&self, class: usize) -> u64 {
         let mut inner = self.inner();
         inner.next += 1;
@@ -185,10 +187,10 @@
     }
 
     /// What a client at `target` was told.
-    pub fn told(&self, of: Try, told: Told, target: SocketAddr) {
+    pub fn answered(&self, of: Try, outcome: Outcome, target: SocketAddr) {
         let now = Instant::now();
         let mut inner = self.inner();
-        if told == Told::Lost {
+        if outcome == Outcome::Lost {
             if inner.killed(target, now) {
                 inner.lost_by_kill += 1;
             } else {
@@ -196,17 +198,18 @@
                 inner.example(format!("{} at {target}: ended without an answer", of.id()));
             }
         }
-        if matches!(told, Told::Late | Told::Wrong) {
-            inner.example(format!("{} at {target}: {told:?}", of.id()));
+        if matches!(outcome, Outcome::Late | Outcome::Wrong) {
+            inner.example(format!("{} at {target}: {outcome:?}", of.id()));
         }
         if let Some(tried) = inner.tried(of) {
-            tried.told = Some((told, now));
+            tried.outcome = Some((outcome, now));
         }
     }
 
-    /// A wish was served, so long after it was first asked.
+    /// A desired state was served, so long after it was first asked.
     pub fn served(&self, class: usize, took: Duration) {
-        self.inner().took[class].push(u32::try_from(took.as_micros()).unwrap_or(u32::MAX));
+        let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.inner().took[class].saturating_record(us);
     }
 
     /// A connection to a sidecar was refused.
@@ -270,7 +273,7 @@
         match did {
             Did::Saw => {
                 tried.seen += 1;
-                let late = tried.told.is_some_and(|(_, at)| now > at + ON_ITS_WAY);
+                let late = tried.outcome.is_some_and(|(_, at)| now > at + ON_ITS_WAY);
                 if late {
                     inner.after_the_end += 1;
                     inner.example(format!("{id} came to {server} after its final answer"));
@@ -286,9 +289,8 @@
         let mut inner = self.inner();
         let mut laps = Vec::new();
         for (class, took) in self.classes.iter().zip(&mut inner.took) {
-            let mut took = std::mem::take(took);
-            took.sort_unstable();
-            laps.push(OfClass { served: took.len() as u64, ..timed(class, &took) });
+            laps.push(OfClass { served: took.len(), ..timed(class, took) });
+            took.reset();
         }
         laps
     }
@@ -310,24 +312,22 @@
         };
         let mut examples = std::mem::take(&mut inner.examples);
         for (at, class) in self.classes.iter().enumerate() {
-            let mut took = inner.took[at].clone();
-            took.sort_unstable();
-            report.classes.push(timed(class, &took));
+            report.classes.push(timed(class, &inner.took[at]));
         }
         for (id, ask) in &inner.asks {
             let of = &mut report.classes[ask.class];
             of.asked += 1;
-            let last = ask.tries.iter().rev().find_map(|t| t.told.map(|(told, _)| told));
+            let last = ask.tries.iter().rev().find_map(|t| t.outcome.map(|(outcome, _)| outcome));
             match last {
                 None => of.open += 1,
-                Some(Told::Served) => of.served += 1,
-                Some(Told::Refused) => of.refused += 1,
-                Some(Told::Failed) => of.failed += 1,
-                Some(Told::Late) => of.late += 1,
-                Some(Told::Lost) => of.lost += 1,
-                Some(Told::Wrong) => report.wrong += 1,
+                Some(Outcome::Served) => of.served += 1,
+                Some(Outcome::Refused) => of.refused += 1,
+                Some(Outcome::Failed) => of.failed += 1,
+                Some(Outcome::Late) => of.late += 1,
+                Some(Outcome::Lost) => of.lost += 1,
+                Some(Outcome::Wrong) => report.wrong += 1,
             }
-            report.late += u64::from(last == Some(Told::Late));
+            report.late += u64::from(last == Some(Outcome::Late));
             let repeat = self.classes[ask.class].repeat;
             let runs: u64 = ask.tries.iter().map(|t| u64::from(t.ran)).sum();
             if repeat != Repeat::Safe && runs > 1 {
@@ -337,8 +337,10 @@
                     _ => report.doubled_uploads += 1,
                 }
             }
-            let refused_but_ran =
-                ask.tries.iter().any(|t| t.ran > 0 && matches!(t.told, Some((Told::Refused, _))));
+            let refused_but_ran = ask
+                .tries
+                .iter()
+                .any(|t| t.ran > 0 && matches!(t.outcome, Some((Outcome::Refused, _))));
             if repeat != Repeat::Safe && refused_but_ran {
                 examples.push(format!("{id:012x} of {} was refused, and ran", of.name));
                 report.refused_but_ran += 1;
@@ -367,28 +369,29 @@
     }
 }
 
-fn timed(class: &Class, sorted: &[u32]) -> OfClass {
+/// Three digits, from a microsecond to the longest that any request is waited for.
+fn times() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 1_000_000_000, 3).expect("bounds and digits in range")
+}
+
+fn timed(class: &Class, took: &Histogram<u64>) -> OfClass {
+    let ms = |us: u64| us as f64 / 1000.0;
     OfClass {
         name: class.name,
-        p50_ms: quantile(sorted, 0.5),
-        p99_ms: quantile(sorted, 0.99),
-        max_ms: quantile(sorted, 1.0),
+        p50_ms: ms(took.value_at_quantile(0.5)),
+        p99_ms: ms(took.value_at_quantile(0.99)),
+        max_ms: ms(took.max()),
         ..OfClass::default()
     }
 }
 
-fn quantile(sorted: &[u32], q: f64) -> f64 {
-    let at = ((sorted.len() as f64 * q).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
-    sorted.get(at).map_or(0.0, |us| f64::from(*us) / 1000.0)
-}
-
-/// Wishes of one class by how they ended. Times are from the first try to the answer, of those that
+/// Operations of one class by how they ended. Times are from the first try to the answer, of those that
 /// were served.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct OfClass {
     /// The class.
     pub name: &'static str,
-    /// Wishes.
+    /// Operations.
     pub asked: u64,
     /// Those under way.
     pub open: u64,
@@ -446,12 +449,12 @@
 }
 
 impl Report {
-    /// Wishes in all.
+    /// Operations in all.
     pub fn asked(&self) -> u64 {
         self.classes.iter().map(|c| c.asked).sum()
     }
 
-    /// Wishes served.
+    /// Operations served.
     pub fn served(&self) -> u64 {
         self.classes.iter().map(|c| c.served).sum()
     }
@@ -508,7 +511,7 @@
                 let of = account.next_try(ask);
                 account.did("s", &of.id(), Did::Saw);
                 account.did("s", &of.id(), Did::Ran);
-                account.told(of, Told::Failed, at());
+                account.answered(of, Outcome::Failed, at());
             }
         }
         let report = account.report();
@@ -519,18 +522,18 @@
     #[test]
     fn each_breach_is_counted_and_a_kill_excuses_only_what_was_held() {
         let account = account();
-        let tell = |told| {
+        let tell = |outcome| {
             let of = account.next_try(account.ask(1));
             account.did("s", &of.id(), Did::Ran);
-            account.told(of, told, at());
+            account.answered(of, outcome, at());
         };
-        tell(Told::Lost);
-        tell(Told::Late);
-        tell(Told::Wrong);
-        tell(Told::Refused);
+        tell(Outcome::Lost);
+        tell(Outcome::Late);
+        tell(Outcome::Wrong);
+        tell(Outcome::Refused);
         account.did("s", "no id of ours", Did::Saw);
         account.kill(at());
-        tell(Told::Lost);
+        tell(Outcome::Lost);
         account.refused_connection(at());
         let r = account.report();
         assert_eq!((r.lost, r.lost_by_kill, r.late, r.wrong), (1, 1, 1, 1));
@@ -539,13 +542,20 @@
     }
 
     #[test]
-    fn quantiles_are_of_what_was_served() {
+    fn quantiles_are_of_what_was_served_to_three_digits() {
         let account = account();
-        for ms in 1..=100 {
-            account.served(0, Duration::from_millis(ms));
+        let mut exact: Vec<u64> = (0..5000).map(|n| 1 + n * n * 7 % 900_007).collect();
+        for us in &exact {
+            account.served(0, Duration::from_micros(*us));
         }
+        exact.sort_unstable();
         let of = &account.report().classes[0];
-        assert_eq!((of.p50_ms, of.p99_ms, of.max_ms), (50.0, 99.0, 100.0));
+        for (q, ms) in [(0.5, of.p50_ms), (0.99, of.p99_ms), (1.0, of.max_ms)] {
+            let at = (exact.len() as f64 * q).ceil() as usize - 1;
+            let want = exact[at] as f64 / 1000.0;
+            assert!((ms - want).abs() <= want / 1000.0, "{q}: {ms} ms, exactly {want} ms");
+        }
         assert_eq!(account.report().classes[1].p99_ms, 0.0);
+        assert_eq!((account.lap()[0].served, account.lap()[0].served), (5000, 0));
     }
 }
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
-use crate::account::{Account, Repeat, Told, Try};
+use crate::account::{Account, Outcome, Repeat, Try};
 use crate::wire::{Message, Reader};
 
 /// What is asked for.
@@ -83,8 +83,9 @@
         // Times between arrivals are exponential: a Poisson process.
         next += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / client.load.rate);
         tokio::select! {
-            () = sleep_until(next) => {}
+            biased;
             _ = stop.wait_for(|s| *s) => break,
+            () = sleep_until(next) => {}
         }
         let class = draw(&client.account, &mut rng);
         let tenant = client.load.tenants.len().checked_sub(1).map(|n| rng.random_range(0..=n));
@@ -120,16 +121,16 @@
         let end = began + of.deadline;
         for n in 0..=self.load.retries {
             let this = self.account.next_try(ask);
-            let (told, retry_after) =
+            let (outcome, retry_after) =
                 self.attempt(this, &of.repeat, of.name, tenant, key, end).await;
-            self.account.told(this, told, self.target);
-            if told == Told::Served {
+            self.account.answered(this, outcome, self.target);
+            if outcome == Outcome::Served {
                 self.account.served(class, began.elapsed());
                 return;
             }
-            let again = match told {
-                Told::Refused => true,
-                Told::Failed => of.repeat == Repeat::Safe,
+            let again = match outcome {
+                Outcome::Refused => true,
+                Outcome::Failed => of.repeat == Repeat::Safe,
                 _ => false,
             };
             let pause = retry_after.unwrap_or(Duration::from_millis(50 << n));
@@ -149,7 +150,7 @@
         tenant: Option<usize>,
         key: u64,
         end: Instant,
-    ) -> (Told, Option<Duration>) {
+    ) -> (Outcome, Option<Duration>) {
         let text = |left: u128| {
             let (method, rest) = match repeat {
                 Repeat::Safe => ("GET", String::new()),
@@ -174,28 +175,28 @@
             let left = end.saturating_duration_since(Instant::now()).as_millis();
             match self.exchange(text(left).as_bytes(), end + self.load.slack).await {
                 Went::Answered(message, reader) => return self.judge(this, &message, reader),
-                Went::Late => return (Told::Late, None),
-                Went::Broken => return (Told::Lost, None),
+                Went::Late => return (Outcome::Late, None),
+                Went::Broken => return (Outcome::Lost, None),
                 Went::Refused => {
                     self.account.refused_connection(self.target);
-                    return (Told::Refused, None);
+                    return (Outcome::Refused, None);
                 }
                 Went::Ended { used } => {
                     // A process that was killed may have passed it on just before.
                     let held = self.account.was_seen(this) || self.account.was_killed(self.target);
                     if held {
-                        return (Told::Lost, None);
+                        return (Outcome::Lost, None);
                     }
                     // The first on a connection, and nothing was sent on for it: it has failed.
                     if !used {
                         self.account.unread(self.target);
-                        return (Told::Failed, None);
+                        return (Outcome::Failed, None);
                     }
                     self.account.crossed();
                 }
             }
         }
-        (Told::Lost, None)
+        (Outcome::Lost, None)
     }
 
     fn judge(
@@ -203,19 +204,19 @@
         this: Try,
         message: &Message,
         reader: Reader<TcpStream>,
-    ) -> (Told, Option<Duration>) {
-        let told = match message.status() {
-            Some(200) if message.body == this.id().as_bytes() => Told::Served,
-            Some(200) => Told::Wrong,
-            Some(429 | 503) => Told::Refused,
-            _ => Told::Failed,
+    ) -> (Outcome, Option<Duration>) {
+        let outcome = match message.status() {
+            Some(200) if message.body == this.id().as_bytes() => Outcome::Served,
+            Some(200) => Outcome::Wrong,
+            Some(429 | 503) => Outcome::Refused,
+            _ => Outcome::Failed,
         };
         if message.keeps() && !reader.begun() {
             let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
             idle.push((reader, Instant::now()));
         }
         let after = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
-        (told, after.filter(|s| (0.0..60.0).contains(s)).map(Duration::from_secs_f64))
+        (outcome, after.filter(|s| (0.0..60.0).contains(s)).map(Duration::from_secs_f64))
     }
 
     async fn exchange(&self, text: &[u8], end: Instant) -> Went {
--- a/crates/standins/src/logserver.rs
+++ b/crates/standins/src/logserver.rs
@@ -170,8 +170,9 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>, mut mode: watch::Receiver<Mode>) {
     loop {
         let socket = tokio::select! {
-            socket = listener.accept() => socket,
+            biased;
             _ = mode.wait_for(|m| *m == Mode::Gone) => return,
+            socket = listener.accept() => socket,
         };
         if let Ok((socket, _)) = socket {
             tokio::spawn(connection(socket, shared.clone(), mode.clone()));
@@ -217,8 +218,9 @@
         }
     };
     let orderly = tokio::select! {
-        orderly = serving => orderly,
+        biased;
         _ = gone.wait_for(|m| *m == Mode::Gone) => false,
+        orderly = serving => orderly,
     };
     if !orderly {
         let _ = SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO));
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::sync::Mutex;
+use std::sync::OnceLock;
 
 /// The folder of the programs that belong to the build of the running test or tool.
 ///
@@ -21,33 +21,51 @@
     }
 }
 
+/// Every program that a host runs, as package and name.
+const PROGRAMS: [(&str, &str); 3] =
+    [("coppercart", "plankvale"), ("fleet", "plankvale-fleet"), ("ctl", "plankvalectl")];
+
 /// A program of the workspace, built in the same profile as the running one if it is older than
 /// its sources. Without cargo at hand, as it is.
 ///
+/// All are built in one call, once in the life of a process: cargo builds what they depend on with
+/// the features that all of them together want, so that no other choice of packages makes it build
+/// the same crates anew. While it builds it says what and how far, if `progress` is set.
+///
 /// # Errors
 ///
 /// When it cannot be built, or is not there.
-pub fn built(package: &str, name: &str) -> Result<PathBuf, String> {
-    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+pub fn built(name: &str, progress: bool) -> Result<PathBuf, String> {
+    static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
     let folder = folder();
-    if let (Some(cargo), Some(target)) = (std::env::var_os("CARGO"), folder.parent()) {
-        let mut command = Command::new(cargo);
-        command.args(["build", "--quiet", "--locked", "--package", package, "--bin", name]);
-        command.arg("--manifest-path").arg(manifest());
-        command.arg("--target-dir").arg(target);
-        if folder.file_name().is_some_and(|n| n == "release") {
-            command.arg("--release");
-        }
-        let status = command.status().map_err(|e| format!("cargo: {e}"))?;
-        if !status.success() {
-            return Err(format!("cargo could not build {name}"));
-        }
-    }
+    BUILT.get_or_init(|| build_all(&folder, progress)).clone()?;
     let path = folder.join(name);
     if path.is_file() { Ok(path) } else { Err(format!("{}: not there", path.display())) }
 }
 
+fn build_all(folder: &Path, progress: bool) -> Result<(), String> {
+    let (Some(cargo), Some(target)) = (std::env::var_os("CARGO"), folder.parent()) else {
+        return Ok(());
+    };
+    let mut command = Command::new(cargo);
+    command.args(["build", "--locked"]);
+    for (package, name) in PROGRAMS {
+        command.args(["--package", package, "--bin", name]);
+    }
+    command.arg("--manifest-path").arg(manifest());
+    command.arg("--target-dir").arg(target);
+    if folder.file_name().is_some_and(|n| n == "release") {
+        command.arg("--release");
+    }
+    if progress {
+        command.env("CARGO_TERM_PROGRESS_WHEN", "always").env("CARGO_TERM_PROGRESS_WIDTH", "79");
+    } else {
+        command.arg("--quiet");
+    }
+    let status = command.status().map_err(|e| format!("cargo: {e}"))?;
+    if status.success() { Ok(()) } else { Err("cargo could not build the programs".to_owned()) }
+}
+
 /// The workspace's manifest.
 fn manifest() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml")
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -120,8 +120,9 @@
             let mut ended = seen.clone();
             loop {
                 let socket = tokio::select! {
-                    socket = listener.accept() => socket,
+                    biased;
                     _ = ended.wait_for(|_| false) => return,
+                    socket = listener.accept() => socket,
                 };
                 if let Ok((socket, _)) = socket {
                     tokio::spawn(serve(socket, seen.clone()));
@@ -164,15 +165,19 @@
     let _ = socket.set_nodelay(true);
     let mut reader = Reader::new(socket);
     loop {
+        // Danger: the order matters. Where a call and the going down are both there, an unbiased
+        // choice would let calls through now and then that began after the going down.
         let message = tokio::select! {
-            message = reader.next() => message,
+            biased;
             _ = state.wait_for(|s| s.down) => return,
+            message = reader.next() => message,
         };
         let Ok(Some(message)) = message else { return };
         let mut news = state.clone();
         let body = tokio::select! {
-            body = answer(&message, &mut news) => body,
+            biased;
             _ = state.wait_for(|s| s.down) => return,
+            body = answer(&message, &mut news) => body,
         };
         let head = match &body {
             Some(_) => "200 OK",
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -55,7 +55,15 @@
     ///
     /// When no port is free.
     pub async fn start(classes: Vec<Class>, each: usize, seed: u64) -> io::Result<World> {
-        let account = Arc::new(Account::new(classes));
+        World::with_account(Arc::new(Account::new(classes)), each, seed).await
+    }
+
+    /// The same, with what becomes of requests told to an account that others share.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub async fn with_account(account: Arc<Account>, each: usize, seed: u64) -> io::Result<World> {
         let mut servers = Vec::new();
         let mut list = Vec::new();
         for (z, zone) in ZONES.into_iter().enumerate() {
--- a/src/bin/plankvale.rs
+++ b/src/bin/plankvale.rs
@@ -3,7 +3,8 @@
 
 use std::process::ExitCode;
 
-use coppercart::sidecar::{self, Told, config::Config, status::VERSION};
+use coppercart::sidecar::{self, Control, config::Config, status::VERSION};
+use logging::Options;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -11,11 +12,14 @@
 const HELP: &str = "\
 A sidecar: takes HTTP/1.1 requests, picks a log server for each, answers each once, in time.
 
-usage: plankvale               run, as the file that LB_CONFIG names says
+usage: plankvale [OPTIONS]     run, as the file that LB_CONFIG names says
        plankvale check FILE    check a configuration without starting
        plankvale --version     print name and version
        plankvale --help        print this
 
+options: --log-format text|json   what a line of the log looks like (or PLANKVALE_LOG_FORMAT)
+         --log FILTER             a level, or levels by module (or PLANKVALE_LOG); info
+
 signals: SIGHUP  read the configuration again
          SIGTERM answer what was taken, then end
          SIGUSR2 the same, leaving the listener to a successor
@@ -26,10 +30,7 @@
         std::env::args_os().skip(1).map(|a| a.to_string_lossy().into_owned()).collect();
     let given: Vec<&str> = given.iter().map(String::as_str).collect();
     let done = match given[..] {
-        [] => {
-            tracing_subscriber::fmt().with_ansi(false).with_writer(std::io::stderr).init();
-            run()
-        }
+        [] | ["--log-format" | "--log", ..] => logged(&given).and_then(|()| run()),
         ["--help" | "-h"] => {
             println!("{HELP}");
             Ok(())
@@ -50,17 +51,37 @@
     }
 }
 
+/// Starts the log as the options say.
+fn logged(mut given: &[&str]) -> Result<(), String> {
+    let (mut format, mut filter) = (None, None);
+    while let [name, rest @ ..] = given {
+        let (value, rest) =
+            rest.split_first().ok_or_else(|| format!("{name}: a value expected"))?;
+        match *name {
+            "--log-format" => format = Some(value.parse().map_err(|e| format!("{name}: {e}"))?),
+            "--log" => filter = Some((*value).to_owned()),
+            _ => return Err(format!("arguments not understood: {name}; see --help")),
+        }
+        given = rest;
+    }
+    Options::or_env(format, filter)?.start()
+}
+
 fn run() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
+    let entered = runtime.enter();
+    // Danger: until they are listened for, each of these signals ends the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut leave = signal(SignalKind::user_defined2()).map_err(|e| format!("SIGUSR2: {e}"))?;
+    drop(entered);
+    let config = Config::from_env()?;
+    // All tasks run on this thread, so every line of the log is this instance's.
+    let _instance = tracing::error_span!("sidecar", instance = config.name).entered();
     LocalSet::new().block_on(&runtime, async {
-        // Danger: until they are listened for, each of these signals ends the process.
-        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-        let mut leave = signal(SignalKind::user_defined2()).map_err(|e| format!("SIGUSR2: {e}"))?;
-        let config = Config::from_env()?;
         let (again, reload) = mpsc::channel(1);
         tokio::task::spawn_local(async move {
             while hangup.recv().await.is_some() {
@@ -74,6 +95,6 @@
         let hand_over = async move {
             leave.recv().await;
         };
-        sidecar::run(config, Told { stop, hand_over, reload, read: Config::again }).await
+        sidecar::run(config, Control { stop, hand_over, reload, read: Config::again }).await
     })
 }
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -1,4 +1,4 @@
-//! The list of servers: asked for, watched, and told to the driver. Only whole answers count.
+//! The list of servers: asked for, watched, and passed on to a listener. Only whole answers count.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,7 +16,6 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::config::List;
-use super::driver::Driver;
 use crate::api::ListKind;
 use crate::settings::Discovery as How;
 
@@ -40,6 +39,14 @@
     Fetch,
 }
 
+/// Who is told what discovery says.
+pub trait Listener {
+    /// A list, or changes of one.
+    fn list(&self, kind: ListKind, list: &List);
+    /// A call failed, or the subscription broke.
+    fn failed(&self);
+}
+
 /// The side of discovery that talks to it.
 pub struct Discovery {
     /// Where it is; a reload can move it.
@@ -62,17 +69,17 @@
         Discovery { address, how, connection: None, version, tried }
     }
 
-    /// Keeps the driver's list as new as it can be.
-    pub async fn run(mut self, driver: Rc<Driver>, calls: mpsc::UnboundedReceiver<Call>) {
+    /// Keeps the listener's list as new as it can be.
+    pub async fn run(mut self, listener: impl Listener, calls: mpsc::UnboundedReceiver<Call>) {
         match self.how {
-            How::Pushed => self.pushed(driver, calls).await,
-            How::Asked => self.asked(driver, calls).await,
+            How::Pushed => self.pushed(listener, calls).await,
+            How::Asked => self.asked(listener, calls).await,
         }
     }
 
     /// Danger: what the agent has counts as told, so a watch is always out. A short hold costs
     /// nothing here, and tells soon when the agent has fallen silent.
-    async fn pushed(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+    async fn pushed(&mut self, listener: impl Listener, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_millis(500);
         let mut whole = true;
         let mut moved = self.address.clone();
@@ -87,7 +94,7 @@
                 }
                 list = self.call((!whole).then_some(hold), GAP) => match list {
                     Some(list) => {
-                        whole = !self.tell(&driver, &list);
+                        whole = !self.tell(&listener, &list);
                         if list.hosts.is_empty() {
                             // An agent that does not hold calls is not asked without a pause.
                             tokio::time::sleep(AGAIN / 5).await;
@@ -105,7 +112,7 @@
     }
 
     /// Here calls load discovery; the module decides when there is to be one.
-    async fn asked(&mut self, driver: Rc<Driver>, mut calls: mpsc::UnboundedReceiver<Call>) {
+    async fn asked(&mut self, listener: impl Listener, mut calls: mpsc::UnboundedReceiver<Call>) {
         let hold = Duration::from_secs(4);
         let patience = Duration::from_millis(1500);
         let mut watching = None;
@@ -119,10 +126,10 @@
                 Some(hold) => tokio::select! {
                     true = changed(&mut moved) => self.moved(),
                     list = self.call(Some(hold), patience) => {
-                        let told = list.is_some_and(|list| self.tell(&driver, &list));
+                        let told = list.is_some_and(|list| self.tell(&listener, &list));
                         watching = told.then_some(Duration::from_secs(4));
                         if !told {
-                            driver.discovery_failed();
+                            listener.failed();
                         }
                         self.tried.notify_one();
                         continue;
@@ -136,8 +143,8 @@
                 Some(Call::Watch) => watching = Some(Duration::ZERO),
                 Some(Call::Fetch) => {
                     let list = self.call(None, 2 * patience).await;
-                    if !list.is_some_and(|list| self.tell(&driver, &list)) {
-                        driver.discovery_failed();
+                    if !list.is_some_and(|list| self.tell(&listener, &list)) {
+                        listener.failed();
                     }
                     watching = watching.map(|_| hold);
                     self.tried.notify_one();
@@ -148,12 +155,12 @@
     }
 
     /// Passes a list on; false if it does not go with the one at hand.
-    fn tell(&mut self, driver: &Rc<Driver>, list: &List) -> bool {
+    fn tell(&mut self, listener: &impl Listener, list: &List) -> bool {
         if !list.whole && list.seq < self.version {
             return false;
         }
         self.version = list.seq;
-        driver.servers(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
+        listener.list(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
         true
     }
 
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -12,9 +12,9 @@
 use tokio::task::spawn_local;
 
 use super::config::List;
-use super::discovery::Call;
+use super::discovery::{self, Call};
 use super::live::Live;
-use super::peers::Peers;
+use super::peers::{self, Peers};
 use super::status::Status;
 use super::timers::Timers;
 use super::upstream::{Reached, Served, Spec, Upstream};
@@ -39,6 +39,17 @@
     Failed,
 }
 
+impl Reply {
+    /// What it is called in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reply::Served(_) => "served",
+            Reply::Refused { .. } => "refused",
+            Reply::Failed => "failed",
+        }
+    }
+}
+
 /// A request that the driver has taken. Dropping it before its final answer is written means that
 /// the client has gone.
 pub struct Ticket {
@@ -289,16 +300,6 @@
         self.event(Event::Servers { kind, entries: &entries });
     }
 
-    /// A call of discovery failed, or the subscription broke.
-    pub fn discovery_failed(self: &Rc<Driver>) {
-        self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
-    }
-
-    /// A datagram of another sidecar.
-    pub fn note(self: &Rc<Driver>, from: u32, data: &[u8]) {
-        self.event(Event::Note { from, data });
-    }
-
     /// Whether any server was ever listed.
     pub fn listed(&self) -> bool {
         self.core.borrow().listed
@@ -407,3 +408,19 @@
         }
     }
 }
+
+impl discovery::Listener for Rc<Driver> {
+    fn list(&self, kind: ListKind, list: &List) {
+        self.servers(kind, list);
+    }
+
+    fn failed(&self) {
+        self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+    }
+}
+
+impl peers::Inbox for Rc<Driver> {
+    fn note(&self, from: u32, data: &[u8]) {
+        self.event(Event::Note { from, data });
+    }
+}
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use reports::State;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -28,7 +29,7 @@
 use super::framing::{Fault, Framing, LONGEST_BODY, LONGEST_HEAD, Side};
 use super::ids::Ids;
 use super::live::Live;
-use super::status::{State, Status, VERSION};
+use super::status::{Status, VERSION};
 use super::stream::{self, Observer, Stream};
 use super::upstream::{Served, Spec};
 use crate::api::Micros;
@@ -250,7 +251,7 @@
         State {
             name: self.name.clone(),
             pid: std::process::id(),
-            version: VERSION,
+            version: VERSION.into(),
             generation: self.live.generation(),
             declined: self.status.declined(),
             ready: self.ready(),
@@ -309,7 +310,7 @@
                 Err(e) => {
                     // Danger: an accept that fails for want of descriptors (or because the client
                     // is gone again) must not end accepting.
-                    tracing::warn!("accept: {e}");
+                    tracing::warn!(error = %e, "accepting failed");
                     self.short.set(Some(Instant::now()));
                     self.evict();
                     sleep(NO_DESCRIPTOR).await;
@@ -488,9 +489,13 @@
         let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
         let headers = passed_on(&head.headers);
         let target = target.unwrap_or_default();
-        let spec = Spec { method: head.method, target, headers, body: whole, room };
+        let spec = Spec { method: head.method.clone(), target, headers, body: whole, room };
+        let (class, began) = (asked.class, Instant::now());
         let mut ticket = self.driver.request(asked, spec);
-        Ok(Ok(ticket.reply().await))
+        let reply = ticket.reply().await;
+        let took_us = began.elapsed().as_micros() as u64;
+        tracing::debug!(request = id, class, answer = reply.name(), took_us, "answered");
+        Ok(Ok(reply))
     }
 
     /// The answer that tells the state of the sidecar.
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -7,12 +7,32 @@
 
 use super::config::{Config, Names};
 use super::framing;
-use super::upstream::Times;
 
 /// The longest answer takes so small a part of the memory. Servers have been seen to send 400 kB,
 /// more than the protocol's 64 KiB; an answer is kept whole, so that one that breaks off is none.
 const LONGEST_ANSWER: usize = 64;
 
+/// How long the parts of an attempt may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// A connection, to come up.
+    pub connect: Duration,
+    /// A connection at rest, until servers may close it.
+    pub idle: Duration,
+    /// Between two pieces of an answer.
+    pub gap: Duration,
+}
+
+impl Times {
+    /// How long a connection may rest and still be used.
+    ///
+    /// Danger: what is written just as the server closes is lost as a reset. Connections are
+    /// retired well before.
+    pub fn retire(self) -> Duration {
+        self.idle.mul_f64(0.7)
+    }
+}
+
 /// The values now in force, shared by all that use them. What is under way keeps those that it
 /// began with.
 pub struct Live {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -39,13 +39,13 @@
 /// Between two looks whether servers are known by now.
 const UNREADY: Duration = Duration::from_millis(20);
 
-/// What the sidecar is told from outside while it runs.
-pub struct Told<S, H, R> {
+/// What controls the sidecar from outside while it runs.
+pub struct Control<S, H, R> {
     /// Done when the sidecar is to end.
     pub stop: S,
     /// Done when a successor on the same listener takes what comes from now on.
     pub hand_over: H,
-    /// A word for each time that the configuration is to be read again.
+    /// A message for each time that the configuration is to be read again.
     pub reload: mpsc::Receiver<()>,
     /// Reads the configuration again.
     pub read: R,
@@ -61,7 +61,7 @@
 
 /// Runs the sidecar until it is told to stop and all that was taken is answered. An error names
 /// the address that could not be had.
-pub async fn run<S, H, R>(config: Config, told: Told<S, H, R>) -> Result<(), String>
+pub async fn run<S, H, R>(config: Config, control: Control<S, H, R>) -> Result<(), String>
 where
     S: Future<Output = ()>,
     H: Future<Output = ()>,
@@ -120,10 +120,12 @@
         spawn_local(peers.listen(driver.clone()));
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    tracing::info!("{} listens on {at}", config.name);
-    if let Some(keeper) = notify::Keeper::from_env() {
+    tracing::info!(address = %at, "listening");
+    if let Some(supervisor) = reports::Supervisor::from_env() {
         let (ingress, status) = (ingress.clone(), status.clone());
-        spawn_local(async move { keeper.run(|| ingress.state(), &status.changed).await });
+        spawn_local(async move {
+            notify::run(supervisor, || ingress.state(), &status.changed).await;
+        });
     }
     let (began, begun) = oneshot::channel();
     let accepting = {
@@ -146,7 +148,7 @@
         status: status.clone(),
         fixed: config.fixed,
     };
-    let Told { stop, hand_over, reload, read } = told;
+    let Control { stop, hand_over, reload, read } = control;
     let mut accepting = Box::pin(accepting);
     tokio::pin!(stop, hand_over);
     let end = tokio::select! {
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -5,13 +5,17 @@
 
 use tokio::net::UdpSocket;
 
-use super::driver::Driver;
-
 /// The longest datagram.
 const LONGEST: usize = 256;
 /// The peer that stands for all of them.
 const EVERYONE: u32 = u32::MAX;
 
+/// Who takes in what other sidecars send.
+pub trait Inbox {
+    /// A datagram of the peer of this number.
+    fn note(&self, from: u32, data: &[u8]);
+}
+
 /// The way to the other sidecars.
 pub struct Peers {
     socket: UdpSocket,
@@ -41,14 +45,14 @@
     }
 
     /// Takes in datagrams. Those of strangers and those that are too long are passed over.
-    pub async fn listen(self: Rc<Peers>, driver: Rc<Driver>) {
+    pub async fn listen(self: Rc<Peers>, inbox: impl Inbox) {
         let mut buf = [0; LONGEST + 1];
         loop {
             // An error tells of a datagram that was sent, and that no reader waited for.
             let Ok((n, from)) = self.socket.recv_from(&mut buf).await else { continue };
             let peer = self.peers.iter().position(|&p| p == from);
             if let (Some(peer), true) = (peer, n <= LONGEST) {
-                driver.note(peer as u32, &buf[..n]);
+                inbox.note(peer as u32, &buf[..n]);
             }
         }
     }
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use reports::Declined;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
@@ -12,7 +13,7 @@
 use super::config::Config;
 use super::driver::Driver;
 use super::live::Live;
-use super::status::{Declined, Status};
+use super::status::Status;
 
 /// All that a new configuration reaches.
 pub struct Targets {
@@ -32,18 +33,18 @@
     pub fixed: Value,
 }
 
-/// Reads the configuration again at each word from `told`, and puts it in force as far as that can
+/// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
 /// be. A file that cannot be used changes nothing. Never ends.
 pub async fn run(
-    mut told: mpsc::Receiver<()>,
+    mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
     targets: Targets,
 ) {
-    while told.recv().await.is_some() {
+    while requests.recv().await.is_some() {
         match read() {
             Ok(config) => targets.take_over(config),
             Err(why) => {
-                tracing::error!("configuration not taken over, the old one stays: {why}");
+                tracing::error!(error = %why, "configuration not taken over, the old one stays");
                 targets.status.reloaded(Some(Declined { generation: 0, why }));
             }
         }
@@ -58,12 +59,9 @@
             *at = config.discovery;
             moved
         });
-        let how = if moved { "moved to" } else { "stays at" };
-        let (at, generation) = (config.discovery, config.generation);
+        let (discovery, generation) = (config.discovery, config.generation);
         if let Some(key) = differs(&self.fixed, &config.fixed) {
-            tracing::info!(
-                "configuration read again: discovery {how} {at}; all else stays, since {key} differs"
-            );
+            tracing::info!(generation, %discovery, moved, %key, "only discovery is taken over");
             let why = format!("{key}: only a new process can take this over");
             self.status.reloaded(Some(Declined { generation, why }));
             return;
@@ -72,7 +70,7 @@
         self.sockets.resize(config.sockets);
         self.bytes.resize(config.memory);
         self.driver.reconfigure(config.settings);
-        tracing::info!("configuration {generation} in force: discovery {how} {at}");
+        tracing::info!(generation, %discovery, moved, "configuration in force");
         self.status.reloaded(None);
     }
 }
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -168,7 +168,7 @@
                 self.surplus.set(true);
                 return Ok(());
             }
-            tracing::debug!("an answer with {fault}");
+            tracing::debug!(%fault, "unusable answer");
             return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
         }
         if !answer.begun() {
@@ -263,27 +263,6 @@
     live: Rc<Live>,
 }
 
-/// How long the parts of an attempt may take.
-#[derive(Clone, Copy, Debug)]
-pub struct Times {
-    /// A connection, to come up.
-    pub connect: Duration,
-    /// A connection at rest, until servers may close it.
-    pub idle: Duration,
-    /// Between two pieces of an answer.
-    pub gap: Duration,
-}
-
-impl Times {
-    /// How long a connection may rest and still be used.
-    ///
-    /// Danger: what is written just as the server closes is lost as a reset. Connections are
-    /// retired well before.
-    fn retire(self) -> Duration {
-        self.idle.mul_f64(0.7)
-    }
-}
-
 impl Upstream {
     /// An upstream without connections.
     pub fn new(sockets: Rc<Sockets>, bytes: budget::Bytes, live: Rc<Live>) -> Rc<Upstream> {
@@ -503,7 +482,7 @@
         }
         let length = body.size_hint().exact().map_or(self.live.longest(), |n| n as usize);
         let Some(room) = self.bytes.room_now(length) else {
-            tracing::warn!("no memory left for an answer of {length} bytes");
+            tracing::warn!(bytes = length, "no memory left for an answer");
             return end(Outcome::Reset);
         };
         let Ok(body) = Limited::new(body, self.live.longest()).collect().await else {
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -117,6 +117,7 @@
             .env("LB_DISCOVERY", discovery.at.to_string())
             .env_remove("LB_LISTEN")
             .env_remove("LB_NAME")
+            .env("PLANKVALE_LOG_FORMAT", "json")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -126,8 +127,10 @@
         let kept = log.clone();
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
-                if let Some((_, at)) = line.split_once("listens on ") {
-                    let _ = listens.send(at.parse().expect("an address"));
+                let told: Value = serde_json::from_str(&line).unwrap_or_default();
+                if told["message"] == "listening" && told["span"]["instance"] == "n0" {
+                    let at = told["address"].as_str().and_then(|at| at.parse().ok());
+                    let _ = listens.send(at.expect("an address"));
                 }
                 *kept.lock().expect("no panic") += &(line + "\n");
             }
