--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -89,9 +89,11 @@
         };
         // Danger: a level that is misspelt would be taken for the name of a module, and the program
         // fall silent. A word alone must be a level.
-        for part in text.split(',').filter(|p| !p.contains('=')) {
-            let level = part.trim().parse::<LevelFilter>();
-            level.map_err(|_| format!("log filter: a level expected, not {part:?}"))?;
+        for part in text.split(',') {
+            let (module, level) = part.split_once('=').unwrap_or(("all", part));
+            if module.trim().is_empty() || level.trim().parse::<LevelFilter>().is_err() {
+                return Err(format!("log filter: LEVEL or MODULE=LEVEL expected, not {part:?}"));
+            }
         }
         text.parse().map_err(|e| format!("log filter: {text:?}: {e}"))
     }
--- a/src/sidecar/stream.rs
+++ b/crates/platform/src/stream.rs
@@ -1,16 +1,16 @@
-//! The layer between hyper and a socket. It sees every byte that goes either way, so that what
+//! The layer between a protocol library and a socket. It sees every byte that goes either way, so that what
 //! hyper does not tell can be known: whether a request's last byte was written, how far along a
 //! client is, and when all that was to be written has been.
 
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::{Platform, Tcp, timeout, yield_now};
 
 /// What is told of a socket's traffic, and may hold writing up.
 pub trait Observer {
@@ -38,19 +38,19 @@
 }
 
 /// A socket under observation. The socket is shared: its owner can look at it while hyper uses it.
-pub struct Stream<O> {
-    socket: Rc<TcpStream>,
+pub struct Stream<S, O> {
+    socket: Rc<S>,
     observer: Rc<O>,
 }
 
-impl<O> Stream<O> {
+impl<S, O> Stream<S, O> {
     /// Puts `observer` over `socket`.
-    pub fn new(socket: Rc<TcpStream>, observer: Rc<O>) -> Stream<O> {
+    pub fn new(socket: Rc<S>, observer: Rc<O>) -> Stream<S, O> {
         Stream { socket, observer }
     }
 }
 
-impl<O: Observer> AsyncRead for Stream<O> {
+impl<S: Tcp, O: Observer> AsyncRead for Stream<S, O> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -68,7 +68,7 @@
     }
 }
 
-impl<O: Observer> AsyncWrite for Stream<O> {
+impl<S: Tcp, O: Observer> AsyncWrite for Stream<S, O> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -126,20 +126,40 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.observer.may_end() {
-            finish_writing(&self.socket);
+            self.socket.finish_writing();
         }
         Poll::Ready(Ok(()))
     }
 }
 
-/// Ends the sending side; a peer that is gone already needs no telling.
-pub fn finish_writing(socket: &TcpStream) {
-    let _ = SockRef::from(socket).shutdown(std::net::Shutdown::Write);
-}
+impl Observer for () {}
 
-/// Whether a connection at rest is still silent: not ended, not reset, nothing unasked on it.
-pub fn at_rest(socket: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    matches!(SockRef::from(socket).peek(&mut byte),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+/// Reads on for a while, `most` bytes and `time` at most, and throws away what comes, after ending
+/// the sending side.
+///
+/// Danger: closing a socket on which unread bytes wait (the next request, the rest of one that was
+/// answered early) resets the connection, and the reset takes away what the peer has not read yet.
+pub async fn linger<P: Platform>(socket: &P::Tcp, time: Duration, most: usize) {
+    socket.finish_writing();
+    let drained = async {
+        let mut buf = [0; 4096];
+        let mut left = most;
+        loop {
+            match socket.try_read(&mut buf) {
+                Ok(0) => return,
+                Ok(n) if n >= left => return,
+                Ok(n) => {
+                    left -= n;
+                    yield_now().await;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if std::future::poll_fn(|cx| socket.poll_read_ready(cx)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = timeout::<P, _>(time, drained).await;
 }
--- /dev/null
+++ b/crates/platform/src/system.rs
@@ -0,0 +1,114 @@
+//! The real system, by way of tokio. Tasks run on the present `LocalSet`.
+
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use socket2::SockRef;
+use tokio::io::ReadBuf;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::AbortHandle;
+
+use crate::{Listener, Platform, Task, Tcp, Udp};
+
+/// The real system.
+pub enum Tokio {}
+
+impl Platform for Tokio {
+    type Sleep = tokio::time::Sleep;
+    type Task = AbortHandle;
+    type Tcp = TcpStream;
+    type Listener = TcpListener;
+    type Udp = UdpSocket;
+
+    fn now() -> Instant {
+        Instant::now()
+    }
+
+    fn unix() -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
+    fn sleep_until(at: Instant) -> tokio::time::Sleep {
+        tokio::time::sleep_until(at.into())
+    }
+
+    fn spawn(task: impl Future<Output = ()> + 'static) -> AbortHandle {
+        tokio::task::spawn_local(task).abort_handle()
+    }
+
+    async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+        TcpStream::connect(to).await
+    }
+}
+
+impl Task for AbortHandle {
+    fn abort(&self) {
+        AbortHandle::abort(self);
+    }
+}
+
+impl Tcp for TcpStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        TcpStream::poll_read_ready(self, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        TcpStream::poll_write_ready(self, cx)
+    }
+
+    fn try_read_buf(&self, mut buf: &mut ReadBuf<'_>) -> io::Result<usize> {
+        TcpStream::try_read_buf(self, &mut buf)
+    }
+
+    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
+        TcpStream::try_write(self, buf)
+    }
+
+    fn try_write_vectored(&self, bufs: &[IoSlice<'_>]) -> io::Result<usize> {
+        TcpStream::try_write_vectored(self, bufs)
+    }
+
+    fn set_nodelay(&self) -> io::Result<()> {
+        TcpStream::set_nodelay(self, true)
+    }
+
+    fn finish_writing(&self) {
+        let _ = SockRef::from(self).shutdown(std::net::Shutdown::Write);
+    }
+
+    fn reset_on_close(&self) {
+        let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
+    }
+
+    fn at_rest(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(self).peek(&mut byte),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Listener for TcpListener {
+    type Tcp = TcpStream;
+
+    async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        TcpListener::accept(self).await
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        TcpListener::local_addr(self)
+    }
+}
+
+impl Udp for UdpSocket {
+    async fn recv_from(&self, buf: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        UdpSocket::recv_from(self, buf).await
+    }
+
+    fn try_send_to(&self, data: &[u8], to: SocketAddr) -> io::Result<usize> {
+        UdpSocket::try_send_to(self, data, to)
+    }
+}
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use platform::Platform;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are neither a client's nor a server's: standard streams, the event queue and
@@ -50,11 +51,11 @@
     }
 
     /// Shares out another limit from now on. Places that are taken stay taken; fewer come back.
-    pub fn resize(&self, limit: usize) {
+    pub fn resize<P: Platform>(&self, limit: usize) {
         let (old, new) = (each(self.limit.replace(limit)), each(limit));
         self.many_clients.set(new / CALM);
-        resize(&self.clients, old, new);
-        resize(&self.servers, old, new);
+        resize::<P>(&self.clients, old, new);
+        resize::<P>(&self.servers, old, new);
     }
 }
 
@@ -67,14 +68,14 @@
 }
 
 /// Makes a budget of `old` one of `new`. What is lent out beyond it is not given back to it.
-fn resize(budget: &Arc<Semaphore>, old: usize, new: usize) {
+fn resize<P: Platform>(budget: &Arc<Semaphore>, old: usize, new: usize) {
     budget.add_permits(new.saturating_sub(old));
     let mut surplus = old.saturating_sub(new);
     surplus -= budget.forget_permits(surplus);
     if surplus > 0 {
         let budget = budget.clone();
         // Ends when all that was lent out has come back once.
-        tokio::task::spawn_local(async move {
+        P::spawn(async move {
             while surplus > 0 {
                 let part = surplus.min(PART);
                 match budget.acquire_many(part as u32).await {
@@ -102,8 +103,8 @@
     }
 
     /// The budget of a process that may use `memory` bytes from now on.
-    pub fn resize(&self, memory: usize) {
-        resize(&self.0, bodies(self.1.replace(memory)), bodies(memory));
+    pub fn resize<P: Platform>(&self, memory: usize) {
+        resize::<P>(&self.0, bodies(self.1.replace(memory)), bodies(memory));
     }
 
     /// Room for `n` bytes, when it is to be had.
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -312,10 +312,15 @@
         })
     }
 
+    /// A configuration from its text, without the variables; an error names the key.
+    pub fn parse(text: &[u8]) -> Result<Config, String> {
+        Config::from_json(text, [None, None, None])
+    }
+
     /// Checks a file as a configuration, without the variables; an error names the key.
     pub fn check(path: &str) -> Result<Config, String> {
         let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
-        Config::from_json(&text, [None, None, None]).map_err(|e| format!("{path}: {e}"))
+        Config::parse(&text).map_err(|e| format!("{path}: {e}"))
     }
 }
 
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -10,10 +10,8 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use platform::{Platform, Stream, Task, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at};
 
 use super::config::List;
 use crate::api::ListKind;
@@ -48,24 +46,24 @@
 }
 
 /// The side of discovery that talks to it.
-pub struct Discovery {
+pub struct Discovery<P: Platform> {
     /// Where it is; a reload can move it.
     address: watch::Receiver<SocketAddr>,
     how: How,
-    connection: Option<(SendRequest<Empty<Bytes>>, AbortHandle)>,
+    connection: Option<Connection<P>>,
     /// The version of the list at hand.
     version: u64,
     tried: Rc<Notify>,
 }
 
-impl Discovery {
+impl<P: Platform> Discovery<P> {
     /// `version` is that of the list remembered; `tried` is told of every call that ends.
     pub fn new(
         address: watch::Receiver<SocketAddr>,
         how: How,
         version: u64,
         tried: Rc<Notify>,
-    ) -> Discovery {
+    ) -> Discovery<P> {
         Discovery { address, how, connection: None, version, tried }
     }
 
@@ -85,6 +83,7 @@
         let mut moved = self.address.clone();
         loop {
             tokio::select! {
+                biased;
                 // Danger: versions are each discovery's own, so a new one is asked for the whole
                 // list, at once: what it has to tell counts as told.
                 true = changed(&mut moved) => {
@@ -97,10 +96,10 @@
                         whole = !self.tell(&listener, &list);
                         if list.hosts.is_empty() {
                             // An agent that does not hold calls is not asked without a pause.
-                            tokio::time::sleep(AGAIN / 5).await;
+                            P::sleep(AGAIN / 5).await;
                         }
                     }
-                    None => tokio::time::sleep(AGAIN).await,
+                    None => P::sleep(AGAIN).await,
                 },
                 call = calls.recv() => {
                     whole |= call == Some(Call::Fetch);
@@ -120,10 +119,12 @@
         loop {
             let call = match watching {
                 None => tokio::select! {
+                    biased;
                     true = changed(&mut moved) => self.moved(),
                     call = calls.recv() => call,
                 },
                 Some(hold) => tokio::select! {
+                    biased;
                     true = changed(&mut moved) => self.moved(),
                     list = self.call(Some(hold), patience) => {
                         let told = list.is_some_and(|list| self.tell(&listener, &list));
@@ -189,11 +190,11 @@
         let first = hold.unwrap_or_default() + patience;
         let connection = self.connection.take();
         let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
-            Some(connection) => Hanging(Some(connection)),
-            None => Hanging(Some(connect(address).await?)),
+            Some(connection) => Hanging::<P>(Some(connection)),
+            None => Hanging(Some(connect::<P>(address).await?)),
         };
         let sender = &mut connection.0.as_mut()?.0;
-        let answer = timeout(first, async {
+        let answer = timeout::<P, _>(first, async {
             sender.ready().await.ok()?;
             let request =
                 Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
@@ -207,10 +208,10 @@
         let mut text = Vec::new();
         // Danger: an answer may stop in the middle and stay open, or trickle for ever. While it
         // moves it is read on, but not for longer than a sound one can take.
-        let end = tokio::time::Instant::now() + LONGEST_TIME;
+        let end = P::now() + LONGEST_TIME;
         while let Some(frame) = {
-            let gap = tokio::time::Instant::now() + GAP.max(patience);
-            timeout_at(gap.min(end), body.frame()).await.ok()?
+            let gap = P::now() + GAP.max(patience);
+            timeout_at::<P, _>(gap.min(end), body.frame()).await.ok()?
         } {
             if let Ok(data) = frame.ok()?.into_data() {
                 text.extend_from_slice(&data);
@@ -227,10 +228,12 @@
     address.changed().await.is_ok()
 }
 
+type Connection<P> = (SendRequest<Empty<Bytes>>, <P as Platform>::Task);
+
 /// A connection that is closed when a call is dropped on the way.
-struct Hanging(Option<(SendRequest<Empty<Bytes>>, AbortHandle)>);
+struct Hanging<P: Platform>(Option<Connection<P>>);
 
-impl Drop for Hanging {
+impl<P: Platform> Drop for Hanging<P> {
     fn drop(&mut self) {
         if let Some((_, task)) = self.0.take() {
             task.abort();
@@ -238,12 +241,13 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<(SendRequest<Empty<Bytes>>, AbortHandle)> {
-    let socket = timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
-    socket.set_nodelay(true).ok()?;
-    let (sender, driving) = http1::handshake(TokioIo::new(socket)).await.ok()?;
-    let task = tokio::task::spawn_local(async move {
+async fn connect<P: Platform>(address: SocketAddr) -> Option<Connection<P>> {
+    let socket = timeout::<P, _>(CONNECT, P::connect(address)).await.ok()?.ok()?;
+    socket.set_nodelay().ok()?;
+    let io = TokioIo::new(Stream::new(Rc::new(socket), Rc::new(())));
+    let (sender, driving) = http1::handshake(io).await.ok()?;
+    let task = P::spawn(async move {
         let _ = driving.await;
     });
-    Some((sender, task.abort_handle()))
+    Some((sender, task))
 }
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -3,13 +3,13 @@
 //! refusals.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
+use platform::Platform;
+use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
 
 use super::config::List;
 use super::discovery::{self, Call};
@@ -52,20 +52,20 @@
 
 /// A request that the driver has taken. Dropping it before its final answer is written means that
 /// the client has gone.
-pub struct Ticket {
+pub struct Ticket<P: Platform> {
     id: RequestId,
-    driver: Rc<Driver>,
+    driver: Rc<Driver<P>>,
     reply: oneshot::Receiver<Reply>,
 }
 
-impl Ticket {
+impl<P: Platform> Ticket<P> {
     /// The final answer.
     pub async fn reply(&mut self) -> Reply {
         (&mut self.reply).await.unwrap_or(Reply::Failed)
     }
 }
 
-impl Drop for Ticket {
+impl<P: Platform> Drop for Ticket<P> {
     fn drop(&mut self) {
         self.driver.client_gone(self.id);
     }
@@ -107,45 +107,44 @@
 
 struct Core {
     balancer: Balancer,
-    requests: HashMap<RequestId, Pending>,
+    requests: FxHashMap<RequestId, Pending>,
     next_id: u64,
-    servers: HashMap<ServerId, SocketAddr>,
+    servers: FxHashMap<ServerId, SocketAddr>,
     listed: bool,
 }
 
 /// Owns the decisions and carries them out.
-pub struct Driver {
+pub struct Driver<P: Platform> {
     core: RefCell<Core>,
-    timers: Timers,
+    timers: Timers<P>,
     clock: (Micros, Instant),
     live: Rc<Live>,
     status: Rc<Status>,
-    upstream: Rc<Upstream>,
+    upstream: Rc<Upstream<P>>,
     discovery: mpsc::UnboundedSender<Call>,
-    peers: Option<Rc<Peers>>,
+    peers: Option<Rc<Peers<P>>>,
     probe_reports: bool,
 }
 
-impl Driver {
+impl<P: Platform> Driver<P> {
     /// A driver with nothing under way.
     pub fn new(
         settings: Settings,
         seed: u64,
         live: Rc<Live>,
         status: Rc<Status>,
-        upstream: Rc<Upstream>,
+        upstream: Rc<Upstream<P>>,
         discovery: mpsc::UnboundedSender<Call>,
-        peers: Option<Rc<Peers>>,
-    ) -> Rc<Driver> {
+        peers: Option<Rc<Peers<P>>>,
+    ) -> Rc<Driver<P>> {
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let clock = (unix.as_micros() as Micros, Instant::now());
+        let clock = (P::unix().as_micros() as Micros, P::now());
         let probe_reports = settings.report.how != ReportHow::Silent;
         let core = RefCell::new(Core {
             balancer: Balancer::new(settings, seed, clock.0),
-            requests: HashMap::new(),
+            requests: FxHashMap::default(),
             next_id: 0,
-            servers: HashMap::new(),
+            servers: FxHashMap::default(),
             listed: false,
         });
         let timers = Timers::default();
@@ -155,7 +154,7 @@
     }
 
     /// Tells the module of its timers as they run out; never ends.
-    pub async fn ring(self: Rc<Driver>) {
+    pub async fn ring(self: Rc<Driver<P>>) {
         loop {
             let token = self.timers.next().await;
             self.event(Event::Timer { token });
@@ -163,10 +162,10 @@
     }
 
     fn now(&self) -> Micros {
-        self.clock.0 + self.clock.1.elapsed().as_micros() as Micros
+        self.clock.0 + P::since(self.clock.1).as_micros() as Micros
     }
 
-    fn event(self: &Rc<Driver>, event: Event<'_>) {
+    fn event(self: &Rc<Driver<P>>, event: Event<'_>) {
         let mut actions = Vec::new();
         let now = self.now();
         self.core.borrow_mut().balancer.handle(now, event, &mut actions);
@@ -175,7 +174,7 @@
         }
     }
 
-    fn carry_out(self: &Rc<Driver>, action: Action) {
+    fn carry_out(self: &Rc<Driver<P>>, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Cancel { id, attempt } => {
@@ -198,13 +197,13 @@
             Action::Probe { server } => {
                 let dial = self.core.borrow().servers.get(&server).copied();
                 let driver = self.clone();
-                spawn_local(async move {
-                    let sent = Instant::now();
+                P::spawn(async move {
+                    let sent = P::now();
                     let (outcome, report) = match dial {
                         Some(dial) => driver.upstream.probe(dial, driver.probe_reports).await,
                         None => (Outcome::ConnectFailed, LoadReport::default()),
                     };
-                    let latency = sent.elapsed().as_micros() as Micros;
+                    let latency = P::since(sent).as_micros() as Micros;
                     driver.event(Event::Probed { server, outcome, latency, report });
                 });
             }
@@ -224,7 +223,7 @@
     // ---- What happens ----
 
     /// Takes a whole request.
-    pub fn request(self: &Rc<Driver>, asked: Asked, spec: Spec) -> Ticket {
+    pub fn request(self: &Rc<Driver<P>>, asked: Asked, spec: Spec) -> Ticket<P> {
         let (reply, waiting) = oneshot::channel();
         let id = {
             let mut core = self.core.borrow_mut();
@@ -256,7 +255,7 @@
         self.core.borrow_mut().balancer.reconfigure(settings);
     }
 
-    fn client_gone(self: &Rc<Driver>, id: RequestId) {
+    fn client_gone(self: &Rc<Driver<P>>, id: RequestId) {
         {
             let mut core = self.core.borrow_mut();
             let Some(request) = core.requests.get_mut(&id).filter(|r| !r.ended()) else {
@@ -273,11 +272,11 @@
     ///
     /// Danger: servers are ever new. Addresses are kept of those alone that are listed, and what
     /// rests on the way to one that is to get nothing more is closed at once.
-    pub fn servers(self: &Rc<Driver>, kind: ListKind, list: &List) {
+    pub fn servers(self: &Rc<Driver<P>>, kind: ListKind, list: &List) {
         {
             let mut core = self.core.borrow_mut();
             let before = match kind {
-                ListKind::Changes => HashMap::new(),
+                ListKind::Changes => FxHashMap::default(),
                 _ => std::mem::take(&mut core.servers),
             };
             for host in &list.hosts {
@@ -307,7 +306,7 @@
 
     // ---- Attempts ----
 
-    fn send(self: &Rc<Driver>, id: RequestId, server: ServerId, wait: Micros) {
+    fn send(self: &Rc<Driver<P>>, id: RequestId, server: ServerId, wait: Micros) {
         let (cancel, cancelled) = oneshot::channel();
         let (n, way) = {
             let mut core = self.core.borrow_mut();
@@ -324,19 +323,19 @@
             return self.moot(id, n, server);
         };
         let wait = Duration::from_micros(wait);
-        spawn_local(self.clone().attempt(id, n, (server, dial), spec, wait, cancelled));
+        P::spawn(self.clone().attempt(id, n, (server, dial), spec, wait, cancelled));
     }
 
     /// Tells, not before the present event is dealt with, that an attempt was never sent.
-    fn moot(self: &Rc<Driver>, id: RequestId, n: usize, server: ServerId) {
+    fn moot(self: &Rc<Driver<P>>, id: RequestId, n: usize, server: ServerId) {
         let driver = self.clone();
-        spawn_local(async move {
+        P::spawn(async move {
             driver.over(id, n, server, 0, Reached::end(Outcome::Moot));
         });
     }
 
     async fn attempt(
-        self: Rc<Driver>,
+        self: Rc<Driver<P>>,
         id: RequestId,
         n: usize,
         (server, dial): (ServerId, SocketAddr),
@@ -344,21 +343,21 @@
         wait: Duration,
         cancelled: oneshot::Receiver<()>,
     ) {
-        let sent = Instant::now();
+        let sent = P::now();
         let reached = tokio::select! {
             biased;
             reached = self.upstream.attempt(server, dial, &spec, sent + wait) => reached,
             // Given up by the module, or because nothing can come of it any more.
             _ = cancelled => Reached::end(Outcome::Cancelled),
-            () = tokio::time::sleep(wait) => Reached::end(Outcome::TimedOut),
+            () = P::sleep(wait) => Reached::end(Outcome::TimedOut),
         };
         drop(spec);
-        self.over(id, n, server, sent.elapsed().as_micros() as Micros, reached);
+        self.over(id, n, server, P::since(sent).as_micros() as Micros, reached);
     }
 
     /// Tells an attempt's outcome. The first answer served goes to the client.
     fn over(
-        self: &Rc<Driver>,
+        self: &Rc<Driver<P>>,
         id: RequestId,
         attempt: usize,
         server: ServerId,
@@ -386,7 +385,7 @@
         self.forget(id);
     }
 
-    fn end(self: &Rc<Driver>, id: RequestId, reply: Reply) {
+    fn end(self: &Rc<Driver<P>>, id: RequestId, reply: Reply) {
         if let Some(request) = self.core.borrow_mut().requests.get_mut(&id) {
             request.spec = None;
             if let Some(to) = request.reply.take() {
@@ -409,7 +408,7 @@
     }
 }
 
-impl discovery::Listener for Rc<Driver> {
+impl<P: Platform> discovery::Listener for Rc<Driver<P>> {
     fn list(&self, kind: ListKind, list: &List) {
         self.servers(kind, list);
     }
@@ -419,7 +418,7 @@
     }
 }
 
-impl peers::Inbox for Rc<Driver> {
+impl<P: Platform> peers::Inbox for Rc<Driver<P>> {
     fn note(&self, from: u32, data: &[u8]) {
         self.event(Event::Note { from, data });
     }
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -2,12 +2,13 @@
 //! answer; those of one connection follow one another in order.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io;
+use std::marker::PhantomData;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -17,11 +18,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use platform::{Listener, Observer, Platform, Stream, Tcp, linger, timeout};
 use reports::State;
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, timeout};
 
 use super::budget::{self, Place, Room, Sockets};
 use super::config::stable_hash;
@@ -30,7 +29,6 @@
 use super::ids::Ids;
 use super::live::Live;
 use super::status::{Status, VERSION};
-use super::stream::{self, Observer, Stream};
 use super::upstream::{Served, Spec};
 use crate::api::Micros;
 use crate::settings::Repeat;
@@ -77,7 +75,7 @@
 /// silent, trickling or not reading: each phase that is the client's has a time of its own, which
 /// nothing renews but reading on, within bounds. Harmful to honest clients that take seconds to
 /// send 64 KiB.
-struct Client {
+struct Client<P> {
     phase: Cell<Phase>,
     framing: RefCell<Framing>,
     fault: Cell<Option<Fault>>,
@@ -90,25 +88,27 @@
     /// No request was ever whole here.
     fresh: Cell<bool>,
     leave: Notify,
+    on: PhantomData<P>,
 }
 
-impl Client {
-    fn new() -> Client {
+impl<P: Platform> Client<P> {
+    fn new() -> Client<P> {
         Client {
             phase: Cell::new(Phase::Resting),
             framing: RefCell::new(Framing::new(Side::Requests, LONGEST_BODY)),
             fault: Cell::new(None),
             complete: Cell::new(false),
-            since: Cell::new(Instant::now()),
-            made: Cell::new(Instant::now()),
+            since: Cell::new(P::now()),
+            made: Cell::new(P::now()),
             fresh: Cell::new(true),
             leave: Notify::new(),
+            on: PhantomData,
         }
     }
 
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
-        self.since.set(Instant::now());
+        self.since.set(P::now());
     }
 
     /// Whether a request of its own is under way.
@@ -130,14 +130,14 @@
     /// How long it has been at rest, if that is long enough to be let go among many.
     fn rested(&self) -> Option<Duration> {
         let least = if self.fresh.get() { UNUSED } else { RESTED };
-        let rested = self.since.get().elapsed();
+        let rested = P::since(self.since.get());
         (self.phase.get() == Phase::Resting && rested >= least).then_some(rested)
     }
 
     /// Waits until the client has had its time.
     async fn stalled(&self) {
         loop {
-            let now = Instant::now();
+            let now = P::now();
             let next = match self.phase.get() {
                 Phase::Taken => now + LOOK,
                 Phase::Answered => {
@@ -148,18 +148,18 @@
             if next <= now {
                 return;
             }
-            sleep_until(next.into()).await;
+            P::sleep_until(next).await;
         }
     }
 }
 
-impl Observer for Client {
+impl<P: Platform> Observer for Client<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         if !bytes.is_empty() && self.phase.get() == Phase::Resting {
             self.phase.set(Phase::Partial);
             // A new connection's first request has its time from when it came.
             if !self.fresh.get() {
-                self.since.set(Instant::now());
+                self.since.set(P::now());
             }
         }
         self.framing.borrow_mut().feed(bytes).map_err(|fault| {
@@ -170,7 +170,7 @@
 
     fn on_write(&self, _bytes: &[u8]) {
         if self.phase.get() == Phase::Answered {
-            self.since.set(Instant::now());
+            self.since.set(P::now());
         }
     }
 
@@ -187,32 +187,35 @@
 }
 
 /// The side of the sidecar that clients see.
-pub struct Ingress {
-    driver: Rc<Driver>,
+pub struct Ingress<P: Platform> {
+    driver: Rc<Driver<P>>,
     name: String,
     live: Rc<Live>,
     status: Rc<Status>,
     sockets: Rc<Sockets>,
     bytes: budget::Bytes,
-    ids: Ids,
-    clients: RefCell<HashMap<u64, Rc<Client>>>,
+    ids: Ids<P>,
+    /// By their numbers, so in the order in which they came.
+    clients: RefCell<BTreeMap<u64, Rc<Client<P>>>>,
     accepted: Cell<(u64, Instant)>,
     draining: Cell<bool>,
     tried: Cell<bool>,
     /// When accepting last failed.
     short: Cell<Option<Instant>>,
+    /// The second that it is, and how answers tell it.
+    date: RefCell<(u64, HeaderValue)>,
 }
 
-impl Ingress {
+impl<P: Platform> Ingress<P> {
     /// An ingress without clients.
     pub fn new(
-        driver: Rc<Driver>,
+        driver: Rc<Driver<P>>,
         name: String,
         live: Rc<Live>,
         status: Rc<Status>,
         sockets: Rc<Sockets>,
         bytes: budget::Bytes,
-    ) -> Rc<Ingress> {
+    ) -> Rc<Ingress<P>> {
         Rc::new(Ingress {
             driver,
             name,
@@ -222,10 +225,11 @@
             bytes,
             ids: Ids::default(),
             clients: RefCell::default(),
-            accepted: Cell::new((0, Instant::now())),
+            accepted: Cell::new((0, P::now())),
             draining: Cell::new(false),
             tried: Cell::new(false),
             short: Cell::new(None),
+            date: RefCell::new((0, HeaderValue::from_static(""))),
         })
     }
 
@@ -258,7 +262,7 @@
             draining: self.draining.get(),
             clients: self.clients.borrow().len(),
             open: self.busy(),
-            short: self.short.get().is_some_and(|at| at.elapsed() < SHORT),
+            short: self.short.get().is_some_and(|at| P::since(at) < SHORT),
             counts: self.status.counts(),
         }
     }
@@ -297,23 +301,23 @@
     }
 
     /// Accepts clients for as long as it is polled.
-    pub async fn accept(self: Rc<Ingress>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
         loop {
             let place = self.place().await;
             match listener.accept().await {
                 Ok((socket, _)) => {
                     let n = self.accepted.get().0 + 1;
-                    self.accepted.set((n, Instant::now()));
+                    self.accepted.set((n, P::now()));
                     self.thin_out();
-                    tokio::task::spawn_local(self.clone().client(n, socket, place));
+                    P::spawn(self.clone().client(n, socket, place));
                 }
                 Err(e) => {
                     // Danger: an accept that fails for want of descriptors (or because the client
                     // is gone again) must not end accepting.
                     tracing::warn!(error = %e, "accepting failed");
-                    self.short.set(Some(Instant::now()));
+                    self.short.set(Some(P::now()));
                     self.evict();
-                    sleep(NO_DESCRIPTOR).await;
+                    P::sleep(NO_DESCRIPTOR).await;
                 }
             }
         }
@@ -327,7 +331,7 @@
                 return place;
             }
             self.evict();
-            if let Ok(Ok(place)) = timeout(NO_DESCRIPTOR, free.acquire_owned()).await {
+            if let Ok(Ok(place)) = timeout::<P, _>(NO_DESCRIPTOR, free.acquire_owned()).await {
                 return place;
             }
         }
@@ -360,8 +364,8 @@
         }
     }
 
-    async fn client(self: Rc<Ingress>, n: u64, socket: TcpStream, place: Place) {
-        let _ = socket.set_nodelay(true);
+    async fn client(self: Rc<Ingress<P>>, n: u64, socket: P::Tcp, place: Place) {
+        let _ = socket.set_nodelay();
         let socket = Rc::new(socket);
         let client = Rc::new(Client::new());
         self.clients.borrow_mut().insert(n, client.clone());
@@ -370,12 +374,15 @@
             http1::Builder::new()
                 .max_buf_size(LONGEST_HEAD)
                 .header_read_timeout(None)
+                // It would be the system's time, whatever the platform's is.
+                .auto_date_header(false)
                 .serve_connection(
                     io,
                     service_fn(|request| self.clone().serve(client.clone(), request)),
                 ),
         );
         let answered = tokio::select! {
+            biased;
             ended = connection.as_mut() => ended.map_or_else(|e| e.is_parse(), |()| true),
             () = client.leave.notified() => false,
             () = client.stalled() => {
@@ -394,12 +401,13 @@
         if answered || faulty {
             client.enter(Phase::Lingering);
             tokio::select! {
-                () = linger(&socket) => {}
+                biased;
+                () = linger::<P>(&socket, LINGER, LINGER_BYTES) => {}
                 () = client.leave.notified() => {}
             }
         } else if client.busy() {
             // Danger: an answer cut short must not look whole to anyone.
-            let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+            socket.reset_on_close();
         }
         self.clients.borrow_mut().remove(&n);
         drop(socket);
@@ -408,7 +416,7 @@
 
     /// Answers, in hyper's place, a request that hyper is not to see or will not see whole. To be
     /// used only while nothing of an answer has been written.
-    fn turn_away(&self, client: &Client, socket: &TcpStream, status: StatusCode) -> bool {
+    fn turn_away(&self, client: &Client<P>, socket: &P::Tcp, status: StatusCode) -> bool {
         client.enter(Phase::Answered);
         let text = format!(
             "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -421,10 +429,10 @@
     }
 
     async fn serve(
-        self: Rc<Ingress>,
-        client: Rc<Client>,
+        self: Rc<Ingress<P>>,
+        client: Rc<Client<P>>,
         request: Request<Incoming>,
-    ) -> Result<Response<Answer>, Gone> {
+    ) -> Result<Response<Answer<P>>, Gone> {
         client.complete.set(false);
         let mut response = match self.reply(&client, request).await? {
             Ok(reply) => written(reply),
@@ -437,17 +445,29 @@
         if self.draining.get() || unusable || client.framing.borrow().open() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        response.headers_mut().entry(header::DATE).or_insert_with(|| self.date());
         client.enter(Phase::Answered);
-        client.made.set(Instant::now());
+        client.made.set(P::now());
         client.fresh.set(false);
         let (head, (body, room)) = response.into_parts();
         Ok(Response::from_parts(head, Answer { body, client, _room: room }))
     }
 
+    /// The time of day as answers tell it (RFC 9110, section 6.6.1); made once a second.
+    fn date(&self) -> HeaderValue {
+        let now = P::unix().as_secs();
+        let mut date = self.date.borrow_mut();
+        if date.0 != now {
+            let text = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(now));
+            *date = (now, HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("")));
+        }
+        date.1.clone()
+    }
+
     /// The answer to one request, or the status that tells what is wrong with it.
     async fn reply(
         &self,
-        client: &Client,
+        client: &Client<P>,
         request: Request<Incoming>,
     ) -> Result<Result<Reply, StatusCode>, Gone> {
         let (head, body) = request.into_parts();
@@ -490,10 +510,10 @@
         let headers = passed_on(&head.headers);
         let target = target.unwrap_or_default();
         let spec = Spec { method: head.method.clone(), target, headers, body: whole, room };
-        let (class, began) = (asked.class, Instant::now());
+        let (class, began) = (asked.class, P::now());
         let mut ticket = self.driver.request(asked, spec);
         let reply = ticket.reply().await;
-        let took_us = began.elapsed().as_micros() as u64;
+        let took_us = P::since(began).as_micros() as u64;
         tracing::debug!(request = id, class, answer = reply.name(), took_us, "answered");
         Ok(Ok(reply))
     }
@@ -604,34 +624,6 @@
     Ok(Some(whole.freeze()))
 }
 
-/// Danger: closing a socket on which unread bytes wait (the next request, the rest of one that
-/// was answered early) resets the connection, and the reset takes away what the client has not
-/// read of its answer. The sending side is ended first, and what comes is read for a while.
-async fn linger(socket: &TcpStream) {
-    stream::finish_writing(socket);
-    let drained = async {
-        let mut buf = [0; 4096];
-        let mut left = LINGER_BYTES;
-        loop {
-            match socket.try_read(&mut buf) {
-                Ok(0) => return,
-                Ok(n) if n >= left => return,
-                Ok(n) => {
-                    left -= n;
-                    tokio::task::yield_now().await;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    if socket.readable().await.is_err() {
-                        return;
-                    }
-                }
-                Err(_) => return,
-            }
-        }
-    };
-    let _ = timeout(LINGER, drained).await;
-}
-
 /// The client has gone, or cannot be told anything more.
 #[derive(Debug)]
 struct Gone;
@@ -672,19 +664,19 @@
 }
 
 /// An answer's body. When it is done with, its connection rests again.
-struct Answer {
+struct Answer<P: Platform> {
     body: Full<Bytes>,
-    client: Rc<Client>,
+    client: Rc<Client<P>>,
     _room: Room,
 }
 
-impl Drop for Answer {
+impl<P: Platform> Drop for Answer<P> {
     fn drop(&mut self) {
         self.client.complete.set(true);
     }
 }
 
-impl Body for Answer {
+impl<P: Platform> Body for Answer<P> {
     type Data = Bytes;
     type Error = std::convert::Infallible;
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -16,7 +16,6 @@
 pub mod reload;
 pub mod shutdown;
 pub mod status;
-pub mod stream;
 pub mod timers;
 pub mod upstream;
 
@@ -26,10 +25,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use platform::{Listener, Platform, Tokio};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::spawn_local;
 
 use crate::api::ListKind;
 use config::Config;
@@ -59,8 +58,21 @@
     HandOver,
 }
 
-/// Runs the sidecar until it is told to stop and all that was taken is answered. An error names
-/// the address that could not be had.
+/// The sockets that a sidecar is started with.
+pub struct Sockets<P: Platform> {
+    /// Where clients connect.
+    pub listener: P::Listener,
+    /// Somebody before this one accepts there too, until this one can serve.
+    pub shared: bool,
+    /// Where datagrams of other sidecars arrive, if they may come.
+    pub peers: Option<P::Udp>,
+}
+
+/// Runs the sidecar on the real system until it is told to stop and all that was taken is answered.
+///
+/// # Errors
+///
+/// The address that could not be had.
 pub async fn run<S, H, R>(config: Config, control: Control<S, H, R>) -> Result<(), String>
 where
     S: Future<Output = ()>,
@@ -68,7 +80,7 @@
     R: Fn() -> Result<Config, String>,
 {
     let handed = handed::listener(config.listen)?;
-    let was_handed = handed.is_some();
+    let shared = handed.is_some();
     let listener = match handed {
         Some(listener) => TcpListener::from_std(listener),
         None => listen(config.listen),
@@ -77,16 +89,36 @@
     let peers = match config.peer_listen {
         Some(at) => {
             let socket = UdpSocket::bind(at).await;
-            let socket = socket.map_err(|e| format!("peer_listen: {at}: {e}"))?;
-            Some(peers::Peers::new(socket, config.peers.clone(), config.peers_all))
+            Some(socket.map_err(|e| format!("peer_listen: {at}: {e}"))?)
         }
         None => None,
     };
+    serve(config, Sockets::<Tokio> { listener, shared, peers }, control).await
+}
+
+/// Runs the sidecar on the sockets that it is given.
+///
+/// # Errors
+///
+/// When its listener has no address.
+pub async fn serve<P, S, H, R>(
+    config: Config,
+    given: Sockets<P>,
+    control: Control<S, H, R>,
+) -> Result<(), String>
+where
+    P: Platform,
+    S: Future<Output = ()>,
+    H: Future<Output = ()>,
+    R: Fn() -> Result<Config, String>,
+{
+    let Sockets { listener, shared, peers } = given;
+    let peers = peers.map(|s| peers::Peers::<P>::new(s, config.peers.clone(), config.peers_all));
     let live = live::Live::new(&config);
     let status = Rc::new(status::Status::default());
     let sockets = Rc::new(budget::Sockets::new(config.sockets));
     let bytes = budget::Bytes::new(config.memory);
-    let upstream = upstream::Upstream::new(sockets.clone(), bytes.clone(), live.clone());
+    let upstream = upstream::Upstream::<P>::new(sockets.clone(), bytes.clone(), live.clone());
     let how = config.settings.discovery;
     let (to_discovery, calls) = mpsc::unbounded_channel();
     let driver = driver::Driver::new(
@@ -113,18 +145,18 @@
         driver.servers(ListKind::Remembered, known);
     }
     let (moves, at) = watch::channel(config.discovery);
-    let discovery = discovery::Discovery::new(at, how, version, tried.clone());
-    spawn_local(discovery.run(driver.clone(), calls));
-    spawn_local(driver.clone().ring());
+    let discovery = discovery::Discovery::<P>::new(at, how, version, tried.clone());
+    P::spawn(discovery.run(driver.clone(), calls));
+    P::spawn(driver.clone().ring());
     if let Some(peers) = peers {
-        spawn_local(peers.listen(driver.clone()));
+        P::spawn(peers.listen(driver.clone()));
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!(address = %at, "listening");
     if let Some(supervisor) = reports::Supervisor::from_env() {
         let (ingress, status) = (ingress.clone(), status.clone());
-        spawn_local(async move {
-            notify::run(supervisor, || ingress.state(), &status.changed).await;
+        P::spawn(async move {
+            notify::run::<P>(supervisor, || ingress.state(), &status.changed).await;
         });
     }
     let (began, begun) = oneshot::channel();
@@ -133,7 +165,7 @@
         async move {
             // Danger: while a predecessor serves on the same listener, what came here before any
             // server is known would be refused for nothing. Alone, it waits in the backlog.
-            if was_handed {
+            if shared {
                 let _ = begun.await;
             }
             ingress.accept(listener).await;
@@ -152,6 +184,7 @@
     let mut accepting = Box::pin(accepting);
     tokio::pin!(stop, hand_over);
     let end = tokio::select! {
+        biased;
         () = accepting.as_mut() => End::Stop,
         () = first_try(&ingress, &tried, began) => End::Stop,
         () = reload::run(reload, read, targets) => End::Stop,
@@ -161,6 +194,7 @@
     let longest_deadline = live.longest_deadline();
     match end {
         End::Stop => tokio::select! {
+            biased;
             () = accepting => {}
             () = shutdown::drain(ingress, longest_deadline) => {}
         },
@@ -175,11 +209,15 @@
 
 /// Marks the ingress ready when discovery has first been tried, and says when servers are known;
 /// never ends.
-async fn first_try(ingress: &ingress::Ingress, tried: &Notify, began: oneshot::Sender<()>) {
+async fn first_try<P: Platform>(
+    ingress: &ingress::Ingress<P>,
+    tried: &Notify,
+    began: oneshot::Sender<()>,
+) {
     tried.notified().await;
     ingress.discovery_tried();
     while !ingress.ready() {
-        tokio::time::sleep(UNREADY).await;
+        P::sleep(UNREADY).await;
     }
     let _ = began.send(());
     std::future::pending().await
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use platform::Platform;
 use reports::{State, Supervisor};
 
 /// Between two reports.
@@ -15,12 +16,17 @@
 /// Danger: these datagrams come from the event loop that serves clients, so that one that hangs
 /// falls silent. A queue that is full swallows a report, and a supervisor that was kept from
 /// reading would take that for silence: it is sent again soon.
-pub async fn run(supervisor: Supervisor, state: impl Fn() -> State, changed: &tokio::sync::Notify) {
+pub async fn run<P: Platform>(
+    supervisor: Supervisor,
+    state: impl Fn() -> State,
+    changed: &tokio::sync::Notify,
+) {
     loop {
         let sent = supervisor.send(&state().report());
         tokio::select! {
+            biased;
             () = changed.notified() => {}
-            () = tokio::time::sleep(if sent { EVERY } else { AGAIN }) => {}
+            () = P::sleep(if sent { EVERY } else { AGAIN }) => {}
         }
     }
 }
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::net::UdpSocket;
+use platform::{Platform, Udp};
 
 /// The longest datagram.
 const LONGEST: usize = 256;
@@ -17,19 +17,19 @@
 }
 
 /// The way to the other sidecars.
-pub struct Peers {
-    socket: UdpSocket,
+pub struct Peers<P: Platform> {
+    socket: P::Udp,
     peers: Vec<SocketAddr>,
     everyone: Option<SocketAddr>,
 }
 
-impl Peers {
+impl<P: Platform> Peers<P> {
     /// `socket` is bound to where datagrams arrive.
     pub fn new(
-        socket: UdpSocket,
+        socket: P::Udp,
         peers: Vec<SocketAddr>,
         everyone: Option<SocketAddr>,
-    ) -> Rc<Peers> {
+    ) -> Rc<Peers<P>> {
         Rc::new(Peers { socket, peers, everyone })
     }
 
@@ -45,7 +45,7 @@
     }
 
     /// Takes in datagrams. Those of strangers and those that are too long are passed over.
-    pub async fn listen(self: Rc<Peers>, inbox: impl Inbox) {
+    pub async fn listen(self: Rc<Peers<P>>, inbox: impl Inbox) {
         let mut buf = [0; LONGEST + 1];
         loop {
             // An error tells of a datagram that was sent, and that no reader waited for.
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use platform::Platform;
 use reports::Declined;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
@@ -16,13 +17,13 @@
 use super::status::Status;
 
 /// All that a new configuration reaches.
-pub struct Targets {
+pub struct Targets<P: Platform> {
     /// Where discovery is.
     pub discovery: watch::Sender<SocketAddr>,
     /// Values in force.
     pub live: Rc<Live>,
     /// The decisions.
-    pub driver: Rc<Driver>,
+    pub driver: Rc<Driver<P>>,
     /// Descriptors.
     pub sockets: Rc<Sockets>,
     /// Memory.
@@ -35,10 +36,10 @@
 
 /// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
 /// be. A file that cannot be used changes nothing. Never ends.
-pub async fn run(
+pub async fn run<P: Platform>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
-    targets: Targets,
+    targets: Targets<P>,
 ) {
     while requests.recv().await.is_some() {
         match read() {
@@ -52,7 +53,7 @@
     std::future::pending().await
 }
 
-impl Targets {
+impl<P: Platform> Targets<P> {
     fn take_over(&self, config: Config) {
         let moved = self.discovery.send_if_modified(|at| {
             let moved = *at != config.discovery;
@@ -67,8 +68,8 @@
             return;
         }
         self.live.take_over(&config);
-        self.sockets.resize(config.sockets);
-        self.bytes.resize(config.memory);
+        self.sockets.resize::<P>(config.sockets);
+        self.bytes.resize::<P>(config.memory);
         self.driver.reconfigure(config.settings);
         tracing::info!(generation, %discovery, moved, "configuration in force");
         self.status.reloaded(None);
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -1,9 +1,9 @@
 //! The planned end: what was taken is answered, and nothing new is taken that could not be.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use tokio::time::sleep;
+use platform::Platform;
 
 use super::ingress::Ingress;
 
@@ -20,23 +20,23 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Waits, from the signal on, until all is answered or nothing more can be.
-pub async fn drain(ingress: Rc<Ingress>, longest_deadline: Duration) {
-    let signal = Instant::now();
+pub async fn drain<P: Platform>(ingress: Rc<Ingress<P>>, longest_deadline: Duration) {
+    let signal = P::now();
     ingress.drain();
-    while signal.elapsed() < COMING
-        || (ingress.last_accepted().elapsed() < QUIET && signal.elapsed() < LAST_TAKEN)
+    while P::since(signal) < COMING
+        || (P::since(ingress.last_accepted()) < QUIET && P::since(signal) < LAST_TAKEN)
     {
-        sleep(LOOK).await;
+        P::sleep(LOOK).await;
     }
     // Danger: a client whose connection is closed just as it writes comes again on a new one, so
     // new ones are accepted to the end.
     loop {
-        ingress.close_idle(signal.elapsed() >= LAST_TAKEN);
-        let coming = signal.elapsed() < LAST_TAKEN || ingress.last_accepted().elapsed() < QUIET;
-        if ingress.busy() == 0 && !coming || signal.elapsed() >= longest_deadline + SPARE {
+        ingress.close_idle(P::since(signal) >= LAST_TAKEN);
+        let coming = P::since(signal) < LAST_TAKEN || P::since(ingress.last_accepted()) < QUIET;
+        if ingress.busy() == 0 && !coming || P::since(signal) >= longest_deadline + SPARE {
             return;
         }
-        sleep(LOOK).await;
+        P::sleep(LOOK).await;
     }
 }
 
@@ -47,19 +47,19 @@
 /// which the successor has. So at first only those are closed that have rested for a while; one that
 /// goes on asking is told `Connection: close` with its next answer; one that
 /// neither rests nor ends is cut when no answer could come in time any more.
-pub async fn hand_over(ingress: Rc<Ingress>, longest_deadline: Duration) {
-    let signal = Instant::now();
+pub async fn hand_over<P: Platform>(ingress: Rc<Ingress<P>>, longest_deadline: Duration) {
+    let signal = P::now();
     ingress.drain();
     loop {
-        if signal.elapsed() >= LAST_TAKEN {
+        if P::since(signal) >= LAST_TAKEN {
             ingress.close_idle(true);
         } else {
             ingress.close_rested();
         }
-        let over = signal.elapsed() >= longest_deadline + LAST_TAKEN;
+        let over = P::since(signal) >= longest_deadline + LAST_TAKEN;
         if over || (ingress.busy() == 0 && ingress.connected() == 0) {
             return;
         }
-        sleep(LOOK).await;
+        P::sleep(LOOK).await;
     }
 }
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -1,9 +1,9 @@
 //! Connections to servers, and single attempts on them. An attempt has exactly one outcome.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -17,15 +17,13 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use platform::{Observer, Platform, Stream, Task, Tcp, timeout};
+use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, timeout};
 
 use super::budget::{self, Place, Room, Sockets};
 use super::framing::{Framing, LONGEST_HEAD, Side};
 use super::live::Live;
-use super::stream::{self, Observer, Stream};
 use crate::api::{LoadReport, Outcome, ServerId};
 
 /// A connection that has rested at least this long may have been reset in silence, and is tried
@@ -81,7 +79,7 @@
 ///
 /// Danger: hyper tells that a connection broke, not whether the request's last byte was written
 /// before. One that broke earlier never ran and may be sent again, an unsafe one too.
-struct Meter {
+struct Meter<P> {
     answer: RefCell<Framing>,
     /// When bytes of the final answer last came, if any have.
     begun: Cell<Option<Instant>>,
@@ -95,10 +93,11 @@
     whole: Cell<bool>,
     held: Cell<bool>,
     waker: Cell<Option<Waker>>,
+    on: PhantomData<P>,
 }
 
-impl Meter {
-    fn new(longest: usize) -> Meter {
+impl<P: Platform> Meter<P> {
+    fn new(longest: usize) -> Meter<P> {
         Meter {
             answer: RefCell::new(Framing::new(Side::Answers, longest)),
             begun: Cell::new(None),
@@ -110,6 +109,7 @@
             whole: Cell::new(false),
             held: Cell::new(false),
             waker: Cell::new(None),
+            on: PhantomData,
         }
     }
 
@@ -155,7 +155,7 @@
     }
 }
 
-impl Observer for Meter {
+impl<P: Platform> Observer for Meter<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut answer = self.answer.borrow_mut();
         // What comes before the request's last byte has left is no answer to it.
@@ -173,7 +173,7 @@
         }
         if !answer.begun() {
             self.begun.set(None);
-        } else if self.begun.replace(Some(Instant::now())).is_none() {
+        } else if self.begun.replace(Some(P::now())).is_none() {
             self.stirred.notify_one();
         }
         Ok(())
@@ -210,16 +210,16 @@
 }
 
 /// One connection. Dropping it closes it.
-struct Connection {
+struct Connection<P: Platform> {
     sender: SendRequest<Replay>,
-    socket: Rc<TcpStream>,
-    meter: Rc<Meter>,
-    task: AbortHandle,
+    socket: Rc<P::Tcp>,
+    meter: Rc<Meter<P>>,
+    task: P::Task,
     dial: SocketAddr,
     rested: Instant,
 }
 
-impl Drop for Connection {
+impl<P: Platform> Drop for Connection<P> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -256,27 +256,27 @@
 }
 
 /// All connections to servers.
-pub struct Upstream {
-    idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
+pub struct Upstream<P: Platform> {
+    idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
     sockets: Rc<Sockets>,
     bytes: budget::Bytes,
     live: Rc<Live>,
 }
 
-impl Upstream {
+impl<P: Platform> Upstream<P> {
     /// An upstream without connections.
-    pub fn new(sockets: Rc<Sockets>, bytes: budget::Bytes, live: Rc<Live>) -> Rc<Upstream> {
+    pub fn new(sockets: Rc<Sockets>, bytes: budget::Bytes, live: Rc<Live>) -> Rc<Upstream<P>> {
         let upstream = Rc::new(Upstream { idle: RefCell::default(), sockets, bytes, live });
-        tokio::task::spawn_local(upstream.clone().sweep());
+        P::spawn(upstream.clone().sweep());
         upstream
     }
 
-    async fn sweep(self: Rc<Upstream>) {
+    async fn sweep(self: Rc<Upstream<P>>) {
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            P::sleep(Duration::from_millis(500)).await;
             let retire = self.live.times().retire();
             self.idle.borrow_mut().retain(|_, list| {
-                list.retain(|c| c.rested.elapsed() < retire && !c.sender.is_closed());
+                list.retain(|c| P::since(c.rested) < retire && !c.sender.is_closed());
                 !list.is_empty()
             });
         }
@@ -291,12 +291,12 @@
     ///
     /// Danger: what comes behind an answer would be taken for the answer to the next request. A
     /// connection on which an answer ended otherwise than by its announced length is let go too.
-    fn rest(&self, server: ServerId, mut connection: Connection) {
+    fn rest(&self, server: ServerId, mut connection: Connection<P>) {
         let meter = &connection.meter;
         if meter.surplus.get() || !meter.answer.borrow().whole() {
             return;
         }
-        connection.rested = Instant::now();
+        connection.rested = P::now();
         self.idle.borrow_mut().entry(server).or_default().push(connection);
     }
 
@@ -305,12 +305,12 @@
     /// Danger: a server may close a connection right behind an answer, and what is written before
     /// that is seen is lost as a reset. Of those that have rested long enough for the close to have
     /// come, the last used is taken; the others only if there is no such one.
-    async fn reuse(&self, server: ServerId, dial: SocketAddr) -> Option<Connection> {
+    async fn reuse(&self, server: ServerId, dial: SocketAddr) -> Option<Connection<P>> {
         loop {
             let mut connection = {
                 let mut idle = self.idle.borrow_mut();
                 let list = idle.get_mut(&server)?;
-                let settled = list.iter().rposition(|c| c.rested.elapsed() >= SETTLED);
+                let settled = list.iter().rposition(|c| P::since(c.rested) >= SETTLED);
                 match settled {
                     Some(at) => list.remove(at),
                     None => list.pop()?,
@@ -319,14 +319,14 @@
             // Danger: a server may have closed it, or sent something unasked, since it was last
             // looked at; hyper's own task sees that only when its turn comes.
             if connection.dial != dial
-                || connection.rested.elapsed() >= self.live.times().retire()
+                || P::since(connection.rested) >= self.live.times().retire()
                 || connection.sender.is_closed()
                 || connection.meter.surplus.get()
-                || !stream::at_rest(&connection.socket)
+                || !connection.socket.at_rest()
             {
                 continue;
             }
-            if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
+            if let Ok(Ok(())) = timeout::<P, _>(SETTLE, connection.sender.ready()).await {
                 return Some(connection);
             }
         }
@@ -347,29 +347,28 @@
         self.sockets.servers.clone().acquire_owned().await.ok()
     }
 
-    async fn connect(&self, dial: SocketAddr) -> Option<Connection> {
+    async fn connect(&self, dial: SocketAddr) -> Option<Connection<P>> {
         let place = self.place().await?;
         let socket =
-            timeout(self.live.times().connect, TcpStream::connect(dial)).await.ok()?.ok()?;
-        socket.set_nodelay(true).ok()?;
+            timeout::<P, _>(self.live.times().connect, P::connect(dial)).await.ok()?.ok()?;
+        socket.set_nodelay().ok()?;
         let socket = Rc::new(socket);
         let meter = Rc::new(Meter::new(self.live.longest()));
         let io = TokioIo::new(Stream::new(socket.clone(), meter.clone()));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(LONGEST_HEAD).allow_obsolete_multiline_headers_in_responses(true);
         let (sender, driving) = builder.handshake(io).await.ok()?;
-        let task = tokio::task::spawn_local(async move {
+        let task = P::spawn(async move {
             let _place = place;
             // How it ended shows in the attempt.
             let _ = driving.await;
         });
-        let task = task.abort_handle();
-        Some(Connection { sender, socket, meter, task, dial, rested: Instant::now() })
+        Some(Connection { sender, socket, meter, task, dial, rested: P::now() })
     }
 
     /// One attempt at `server`, to be dropped when it is no longer waited for.
     pub async fn attempt(
-        self: &Rc<Upstream>,
+        self: &Rc<Upstream<P>>,
         server: ServerId,
         dial: SocketAddr,
         spec: &Rc<Spec>,
@@ -414,12 +413,12 @@
     }
 
     /// Waits until an answer that has begun does not go on.
-    async fn unended(&self, meter: &Meter) {
+    async fn unended(&self, meter: &Meter<P>) {
         loop {
             match meter.begun.get().map(|t| t + self.live.times().gap) {
                 None => meter.stirred.notified().await,
-                Some(end) if Instant::now() >= end => return,
-                Some(end) => sleep_until(end.into()).await,
+                Some(end) if P::now() >= end => return,
+                Some(end) => P::sleep_until(end).await,
             }
         }
     }
@@ -427,12 +426,12 @@
     /// Writes the request and waits for the head of its answer.
     async fn ask(
         &self,
-        connection: &mut Connection,
+        connection: &mut Connection<P>,
         spec: &Rc<Spec>,
         reused: bool,
         until: Instant,
     ) -> hyper::Result<Response<Incoming>> {
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let left = until.saturating_duration_since(P::now()).as_millis() as u64;
         let mut request = Request::new(Replay(spec.body.clone()));
         *request.method_mut() = spec.method.clone();
         *request.uri_mut() = spec.target.clone();
@@ -446,12 +445,12 @@
         if spec.method != Method::GET {
             headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(length));
         }
-        let trial = reused && !(SETTLED..RESTED).contains(&connection.rested.elapsed());
+        let trial = reused && !(SETTLED..RESTED).contains(&P::since(connection.rested));
         let meter = connection.meter.clone();
         meter.begin(length, trial);
         let mut sending = pin!(connection.sender.send_request(request));
         if trial {
-            if let Ok(result) = timeout(TRIAL, &mut sending).await {
+            if let Ok(result) = timeout::<P, _>(TRIAL, &mut sending).await {
                 return result;
             }
             meter.release();
@@ -460,9 +459,9 @@
     }
 
     async fn answer(
-        self: &Rc<Upstream>,
+        self: &Rc<Upstream<P>>,
         server: ServerId,
-        connection: Connection,
+        connection: Connection<P>,
         response: Response<Incoming>,
     ) -> Reached {
         let (head, body) = response.into_parts();
@@ -473,7 +472,7 @@
                 && head.headers.get("x-unprocessed").is_some_and(|v| v == "1");
         let end = |outcome| Reached { outcome, report: report.clone(), answer: None };
         if head.status != StatusCode::OK {
-            tokio::task::spawn_local(self.clone().discard(server, connection, body));
+            P::spawn(self.clone().discard(server, connection, body));
             return end(if turned_away { Outcome::Full } else { Outcome::Error });
         }
         // Danger: without a length, an answer that breaks off looks whole.
@@ -494,9 +493,14 @@
     }
 
     /// Reads what is left of a short answer, so that its connection can be used again.
-    async fn discard(self: Rc<Upstream>, server: ServerId, connection: Connection, body: Incoming) {
+    async fn discard(
+        self: Rc<Upstream<P>>,
+        server: ServerId,
+        connection: Connection<P>,
+        body: Incoming,
+    ) {
         let limited = Limited::new(body, self.live.longest());
-        if let Ok(Ok(_)) = timeout(self.live.times().gap, limited.collect()).await {
+        if let Ok(Ok(_)) = timeout::<P, _>(self.live.times().gap, limited.collect()).await {
             self.rest(server, connection);
         }
     }
@@ -516,7 +520,7 @@
                 body: Bytes::new(),
                 room: None,
             };
-            let until = Instant::now() + self.live.times().connect;
+            let until = P::now() + self.live.times().connect;
             let answer = self.ask(&mut connection, &Rc::new(spec), false, until).await;
             let Ok((head, body)) = answer.map(Response::into_parts) else {
                 return (Outcome::Reset, none.clone());
@@ -530,6 +534,6 @@
             (outcome, self.live.names().report(&text))
         };
         let patience = self.live.times().connect + Duration::from_secs(1);
-        timeout(patience, asked).await.unwrap_or((Outcome::TimedOut, LoadReport::default()))
+        timeout::<P, _>(patience, asked).await.unwrap_or((Outcome::TimedOut, LoadReport::default()))
     }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -234,6 +234,9 @@
     open.write_all(order("open").as_bytes()).expect("sent");
     begun.recv_timeout(PATIENCE).expect("it is out");
     sidecar.signal("TERM");
+    until("it drains", || {
+        sidecar.exchange("GET /health/version HTTP/1.1\r\n\r\n").contains("\"draining\":true")
+    });
     sidecar.signal("HUP");
     go.store(true, Ordering::Relaxed);
     let answer = first_answer(open);
