--- /dev/null
+++ b/crates/dst/src/oracle.rs
@@ -0,0 +1,695 @@
+//! The rules, held against what passes on the wire and what clients and servers see. Nothing here
+//! asks the sidecar about anything.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use simnet::{HostId, Tap, TapEvent};
+use standins::account::Repeat;
+
+use crate::wire::{Messages, Part};
+
+/// A time limit of the rules is so much longer on sockets.
+const SOCKETS: Duration = Duration::from_millis(50);
+
+/// How long the end of a client's connection may take to be seen.
+const LEAVING: Duration = Duration::from_millis(10);
+
+/// A class, as the rules need it.
+#[derive(Clone, Debug)]
+pub struct ClassRule {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether it may be repeated.
+    pub repeat: Repeat,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// By class.
+    pub classes: Vec<ClassRule>,
+    /// How long servers drop repeats of a key.
+    pub window: Duration,
+    /// How long past its time an answer still counts.
+    pub slack: Duration,
+    /// Sends to a server that is told to be leaving or gone end within.
+    pub drain: Duration,
+    /// Descriptors that a sidecar may hold.
+    pub sockets: usize,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Which rule, in a word.
+    pub rule: &'static str,
+    /// When.
+    pub at: Duration,
+    /// What happened.
+    pub what: String,
+    /// The request's own story.
+    pub story: String,
+}
+
+/// A role of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The clients of a sidecar.
+    Clients(usize),
+    /// A sidecar.
+    Sidecar(usize),
+    /// A log server, by its place, and its zone.
+    Server(usize, usize),
+    /// Discovery.
+    Discovery,
+}
+
+#[derive(Debug, Default)]
+struct Attempt {
+    server: usize,
+    zone: usize,
+    conn: u64,
+    first: Duration,
+    whole: Option<Duration>,
+    /// The status that the sidecar read, and whether it says that the request never ran.
+    answered: Option<(u16, bool)>,
+    /// The connection is over, or the answer whole.
+    over: bool,
+}
+
+impl Attempt {
+    fn may_have_run(&self) -> bool {
+        self.whole.is_some() && !self.answered.is_some_and(|(_, never)| never)
+    }
+}
+
+#[derive(Debug)]
+struct Asked {
+    class: usize,
+    sidecar: usize,
+    left: Duration,
+    /// When its last byte was written.
+    sent: Option<Duration>,
+    /// When the sidecar had read its last byte.
+    taken: Option<Duration>,
+    /// The final answer's status, and when its last byte was written.
+    answer: Option<(u16, Duration)>,
+    attempts: Vec<Attempt>,
+    /// The client has left, or whoever held it was killed: nothing is owed any more.
+    excused: Option<Duration>,
+    /// When the client let go of its connection.
+    left_at: Option<Duration>,
+    ran: Vec<usize>,
+    over: bool,
+}
+
+/// One connection, by who opened it.
+enum Wire {
+    Client {
+        /// Bytes that the client wrote, and that the sidecar read.
+        written: u64,
+        read: u64,
+        down: Messages,
+        status: u16,
+        /// The request that is open, where it ends, and whether an answer has begun.
+        open: Option<(u64, u64)>,
+        begun: bool,
+    },
+    Server {
+        sidecar: usize,
+        server: usize,
+        zone: usize,
+        up: Messages,
+        down: Messages,
+        first: Duration,
+        /// The request on it and its attempt's place.
+        current: Option<(u64, usize)>,
+        status: (u16, bool),
+    },
+}
+
+/// Counts for the coverage.
+pub type Counts = BTreeMap<&'static str, u64>;
+
+/// Sees everything, remembers what it needs.
+pub struct Oracle {
+    rules: Rules,
+    roles: Vec<Role>,
+    conns: FxHashMap<u64, Wire>,
+    asked: BTreeMap<u64, Asked>,
+    /// When a sidecar was told that a server is to get nothing new: by sidecar and server.
+    barred: FxHashMap<(usize, usize), Duration>,
+    /// What happened, if that is wanted.
+    log: Option<Vec<(Duration, String)>>,
+    /// The first rule that was broken.
+    pub violation: Option<Violation>,
+    /// How often each outcome was met.
+    pub counts: Counts,
+}
+
+impl Oracle {
+    /// An oracle that has seen nothing.
+    pub fn new(rules: Rules, traced: bool) -> Oracle {
+        Oracle {
+            rules,
+            roles: Vec::new(),
+            conns: FxHashMap::default(),
+            asked: BTreeMap::new(),
+            barred: FxHashMap::default(),
+            log: traced.then(Vec::new),
+            violation: None,
+            counts: Counts::new(),
+        }
+    }
+
+    /// The next machine has this role.
+    pub fn role(&mut self, host: HostId, role: Role, hosts: usize) {
+        self.roles.resize(hosts.max(self.roles.len()), Role::Discovery);
+        if let Some(place) = self.roles.get_mut(host.index()) {
+            *place = role;
+        }
+    }
+
+    fn role_of(&self, host: HostId) -> Role {
+        self.roles.get(host.index()).copied().unwrap_or(Role::Discovery)
+    }
+
+    /// What happened so far, a line each.
+    pub fn timeline(&self) -> String {
+        let mut text = String::new();
+        for (at, what) in self.log.iter().flatten() {
+            let _ = writeln!(text, "{:>12.6} s  {what}", at.as_secs_f64());
+        }
+        text
+    }
+
+    /// Notes something for the timeline.
+    pub fn note(&mut self, now: Duration, what: impl FnOnce() -> String) {
+        if let Some(log) = &mut self.log {
+            log.push((now, what()));
+        }
+    }
+
+    /// Counts something for the coverage.
+    pub fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// A rule is broken.
+    pub fn broken(&mut self, now: Duration, rule: &'static str, id: Option<u64>, what: String) {
+        if self.violation.is_some() {
+            return;
+        }
+        let mut story = String::new();
+        if let Some((id, asked)) = id.and_then(|id| Some((id, self.asked.get(&id)?))) {
+            let class = &self.rules.classes[asked.class];
+            let _ = writeln!(
+                story,
+                "{id:016x}: {} ({:?}), {:?} to wait, at sidecar {}; sent {:?}, taken {:?}, answer {:?}",
+                class.name,
+                class.repeat,
+                asked.left,
+                asked.sidecar,
+                asked.sent,
+                asked.taken,
+                asked.answer
+            );
+            for (n, a) in asked.attempts.iter().enumerate() {
+                let _ = writeln!(
+                    story,
+                    "  attempt {n} at server {} (zone {}) on connection {}: first byte {:?}, whole {:?}, answered {:?}",
+                    a.server, a.zone, a.conn, a.first, a.whole, a.answered
+                );
+            }
+            let _ = writeln!(story, "  ran at {:?}", asked.ran);
+        }
+        self.note(now, || format!("BROKEN {rule}: {what}"));
+        self.violation = Some(Violation { rule, at: now, what, story });
+    }
+
+    // ---- What clients tell ----
+
+    /// A client is about to write a request of `length` bytes.
+    pub fn sends(
+        &mut self,
+        conn: u64,
+        id: u64,
+        class: usize,
+        sidecar: usize,
+        left: Duration,
+        length: u64,
+    ) {
+        let wire = self.conns.entry(conn).or_insert_with(client_wire);
+        if let Wire::Client { written, open, begun, .. } = wire {
+            *open = Some((id, *written + length));
+            *begun = false;
+        }
+        self.count("requests");
+        self.asked.insert(
+            id,
+            Asked {
+                class,
+                sidecar,
+                left,
+                sent: None,
+                taken: None,
+                answer: None,
+                attempts: Vec::new(),
+                excused: None,
+                left_at: None,
+                ran: Vec::new(),
+                over: false,
+            },
+        );
+    }
+
+    /// A client has left, on purpose: nothing is owed to it any more, nor to be sent for it.
+    pub fn left(&mut self, now: Duration, id: u64) {
+        self.note(now, || format!("the client of {id:016x} leaves"));
+        self.count("clients that left");
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.excused.get_or_insert(now);
+            asked.left_at = Some(now);
+            asked.over = true;
+        }
+    }
+
+    /// A sidecar was killed: what it held is lost, and nothing more is owed for it.
+    pub fn killed(&mut self, now: Duration, sidecar: usize) {
+        self.note(now, || format!("sidecar {sidecar} is killed"));
+        for asked in self.asked.values_mut().filter(|a| a.sidecar == sidecar && !a.over) {
+            if asked.answer.is_none() {
+                asked.excused.get_or_insert(now);
+            }
+        }
+        self.barred.retain(|(s, _), _| *s != sidecar);
+    }
+
+    /// A client has its answer.
+    pub fn got(&mut self, now: Duration, id: u64, status: u16, right: bool) {
+        self.note(now, || format!("{id:016x} is answered {status}"));
+        self.count(match status {
+            200 => "answered 200",
+            429 => "answered 429",
+            503 => "answered 503",
+            502 => "answered 502",
+            409 => "answered 409",
+            408 => "answered 408",
+            _ => "answered otherwise",
+        });
+        if status == 200 && !right {
+            self.broken(now, "answer", Some(id), "served with what was made for another".into());
+        }
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.over = true;
+        }
+    }
+
+    /// A client's connection ended without an answer.
+    pub fn ended(&mut self, now: Duration, id: u64) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.over = true;
+        if asked.excused.is_some() {
+            return self.count("excused");
+        }
+        let held = asked.taken.is_some() || !asked.attempts.is_empty();
+        if held && asked.answer.is_none() {
+            self.broken(
+                now,
+                "lost",
+                Some(id),
+                "taken, and the connection ended without an answer".into(),
+            );
+        } else {
+            self.count("closed unread");
+        }
+    }
+
+    /// A client's time, and the slack, are over.
+    pub fn late(&mut self, now: Duration, id: u64) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.over = true;
+        if asked.excused.is_none() && asked.answer.is_none() && asked.taken.is_some() {
+            self.broken(now, "late", Some(id), "no answer in time".into());
+        } else {
+            self.count("not taken in time");
+        }
+    }
+
+    /// By when the answer to a request must be written, once it is sent.
+    pub fn due(&self, id: u64) -> Option<Duration> {
+        let asked = self.asked.get(&id)?;
+        Some(asked.sent? + asked.left + self.rules.slack + SOCKETS)
+    }
+
+    /// Whether a sidecar has taken a request.
+    pub fn taken(&self, id: u64) -> bool {
+        self.asked.get(&id).is_some_and(|a| a.taken.is_some())
+    }
+
+    // ---- What servers and discovery tell ----
+
+    /// A server has run a request.
+    pub fn ran(&mut self, now: Duration, id: u64, server: usize) {
+        self.note(now, || format!("{id:016x} runs at server {server}"));
+        let Some(asked) = self.asked.get_mut(&id) else {
+            return self.broken(
+                now,
+                "stranger",
+                None,
+                format!("{id:016x} runs, and nobody asked for it"),
+            );
+        };
+        asked.ran.push(server);
+        let repeat = self.rules.classes[asked.class].repeat;
+        let runs = asked.ran.len();
+        // A keyed one that was repeated by the rules may still come too late to be dropped; its rules
+        // are held against the sends.
+        if repeat == Repeat::Unsafe && runs > 1 {
+            self.broken(now, "twice", Some(id), format!("ran {runs} times"));
+        }
+    }
+
+    /// Discovery has written to a sidecar that a server is to get nothing new, or that it may.
+    pub fn told(&mut self, now: Duration, sidecar: usize, server: usize, barred: bool) {
+        if barred {
+            self.barred.entry((sidecar, server)).or_insert(now);
+        } else {
+            self.barred.remove(&(sidecar, server));
+        }
+    }
+
+    // ---- The end ----
+
+    /// Requests answered 200 among those sent in a span: how many, of how many.
+    pub fn served_between(&self, from: Duration, to: Duration) -> (u64, u64) {
+        let mut served = (0, 0);
+        for asked in self.asked.values().filter(|a| a.excused.is_none()) {
+            if asked.sent.is_some_and(|at| (from..to).contains(&at)) {
+                served.1 += 1;
+                served.0 += u64::from(asked.answer.is_some_and(|(status, _)| status == 200));
+            }
+        }
+        served
+    }
+
+    /// Sidecars hold no more than they may.
+    pub fn sockets(&mut self, now: Duration, sidecar: usize, held: usize) {
+        if held > self.rules.sockets {
+            let what = format!("sidecar {sidecar} holds {held} of {}", self.rules.sockets);
+            self.broken(now, "sockets", None, what);
+        }
+    }
+
+    // ---- What passes ----
+
+    fn attempt(&mut self, now: Duration, conn: u64, head: &str) {
+        let Some(Wire::Server { sidecar, server, zone, first, .. }) = self.conns.get(&conn) else {
+            return;
+        };
+        let (sidecar, server, zone, first) = (*sidecar, *server, *zone, *first);
+        let header = |name: &str| standins::wire::header(head, name);
+        let Some(id) = header("x-correlation-id").and_then(|v| u64::from_str_radix(&v, 16).ok())
+        else {
+            return;
+        };
+        self.note(now, || format!("{id:016x} goes to server {server} on connection {conn}"));
+        self.count("attempts");
+        let Some(asked) = self.asked.get_mut(&id) else {
+            return self.broken(
+                now,
+                "stranger",
+                None,
+                format!("{id:016x} is sent, and nobody asked for it"),
+            );
+        };
+        let n = asked.attempts.len();
+        asked.attempts.push(Attempt { server, zone, conn, first, ..Attempt::default() });
+        let asked = &self.asked[&id];
+        let mut wrong: Option<(&'static str, String)> = None;
+        if asked.answer.is_some_and(|(_, at)| at < first) {
+            wrong = Some(("after", "sent after its final answer".into()));
+        }
+        if asked.left_at.is_some_and(|at| at + LEAVING < first) {
+            wrong = Some(("after", "sent though the client had left".into()));
+        }
+        let repeat = self.rules.classes[asked.class].repeat;
+        if let Some(before) = asked.attempts[..n].iter().find(|a| a.may_have_run()) {
+            let whole = before.whole.unwrap_or_default();
+            match repeat {
+                Repeat::Safe => {}
+                Repeat::Unsafe => {
+                    wrong = Some(("repeat", "sent again though an attempt may have run".into()));
+                }
+                Repeat::Keyed if before.zone != zone => {
+                    wrong = Some(("group", "repeated in another zone".into()));
+                }
+                Repeat::Keyed if first > whole + self.rules.window + SOCKETS => {
+                    wrong = Some(("window", "repeated after its window".into()));
+                }
+                Repeat::Keyed => {}
+            }
+        }
+        let left = header("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
+        match (left, asked.sent) {
+            (None, _) => wrong = Some(("deadline", "sent without a deadline".into())),
+            (Some(left), Some(sent)) => {
+                let used = first.saturating_sub(sent);
+                if left > asked.left.saturating_sub(used) + Duration::from_millis(1) {
+                    let what =
+                        format!("{left:?} to wait passed on, of {:?} after {used:?}", asked.left);
+                    wrong = Some(("deadline", what));
+                }
+            }
+            _ => {}
+        }
+        if let Some(at) = self.barred.get(&(sidecar, server))
+            && first > *at + self.rules.drain + SOCKETS
+        {
+            wrong = Some(("drain", format!("sent to server {server}, barred since {at:?}")));
+        }
+        if let Some(Wire::Server { current, .. }) = self.conns.get_mut(&conn) {
+            *current = Some((id, n));
+        }
+        if let Some((rule, what)) = wrong {
+            self.broken(now, rule, Some(id), what);
+        }
+    }
+
+    /// An attempt's last byte was written.
+    fn whole(&mut self, now: Duration, conn: u64) {
+        let Some(Wire::Server { current: Some((id, n)), .. }) = self.conns.get(&conn) else {
+            return;
+        };
+        let (id, n) = (*id, *n);
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.attempts[n].whole = Some(now);
+        let others = asked.attempts.iter().enumerate();
+        let another = others.filter(|(m, _)| *m != n).any(|(_, a)| a.may_have_run());
+        let repeat = self.rules.classes[asked.class].repeat;
+        let over = asked.answer.is_some_and(|(_, at)| at < now);
+        if another && repeat == Repeat::Unsafe {
+            self.broken(now, "repeat", Some(id), "two attempts may have run".into());
+        } else if over {
+            self.broken(
+                now,
+                "after",
+                Some(id),
+                "its last byte was sent after its final answer".into(),
+            );
+        }
+    }
+
+    fn sent(&mut self, now: Duration, conn: u64, from: HostId, to: HostId, bytes: &[u8]) {
+        match (self.role_of(from), self.role_of(to)) {
+            (Role::Clients(_), Role::Sidecar(_)) => {
+                let wire = self.conns.entry(conn).or_insert_with(client_wire);
+                if let Wire::Client { written, open, .. } = wire {
+                    let before = *written;
+                    *written += bytes.len() as u64;
+                    if let Some((id, end)) = *open
+                        && before < end
+                        && *written >= end
+                        && let Some(asked) = self.asked.get_mut(&id)
+                    {
+                        asked.sent = Some(now);
+                    }
+                }
+            }
+            (Role::Sidecar(_), Role::Clients(_)) => {
+                let Some(Wire::Client { down, status, open, begun, .. }) =
+                    self.conns.get_mut(&conn)
+                else {
+                    return;
+                };
+                *begun = true;
+                let mut answers = Vec::new();
+                down.feed(bytes, |part| match part {
+                    Part::First => {}
+                    Part::Head(head) => {
+                        *status = head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+                    }
+                    Part::Last => answers.push(*status),
+                });
+                let mut ids = Vec::new();
+                for status in answers {
+                    ids.push((open.take(), status));
+                }
+                for (id, status) in ids {
+                    match id {
+                        Some((id, _)) => self.answered(now, id, status),
+                        None => self.count("answers to nothing asked"),
+                    }
+                }
+            }
+            (Role::Sidecar(sidecar), Role::Server(server, zone)) => {
+                let wire = self.conns.entry(conn).or_insert_with(|| Wire::Server {
+                    sidecar,
+                    server,
+                    zone,
+                    up: Messages::default(),
+                    down: Messages::default(),
+                    first: now,
+                    current: None,
+                    status: (0, false),
+                });
+                let Wire::Server { up, first, .. } = wire else { return };
+                let mut parts = Vec::new();
+                let mut messages = std::mem::take(up);
+                messages.feed(bytes, |part| match part {
+                    Part::First => *first = now,
+                    Part::Head(head) => parts.push(Some(head.to_owned())),
+                    Part::Last => parts.push(None),
+                });
+                *up = messages;
+                for part in parts {
+                    match part {
+                        Some(head) => self.attempt(now, conn, &head),
+                        None => self.whole(now, conn),
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The last byte of a final answer was written.
+    fn answered(&mut self, now: Duration, id: u64, status: u16) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        asked.answer = Some((status, now));
+        let due = asked.sent.map(|at| at + asked.left + self.rules.slack + SOCKETS);
+        let in_time = asked.excused.is_some() || due.is_none_or(|due| now <= due);
+        let refused = matches!(status, 429 | 503);
+        let repeat = self.rules.classes[asked.class].repeat;
+        let may_have_run = asked.attempts.iter().any(Attempt::may_have_run);
+        if !in_time {
+            self.broken(now, "late", Some(id), "answered too late".into());
+        } else if refused && may_have_run && repeat != Repeat::Safe {
+            self.broken(now, "refusal", Some(id), "refused though an attempt may have run".into());
+        }
+    }
+
+    fn read(&mut self, now: Duration, conn: u64, by: HostId, bytes: &[u8]) {
+        if !matches!(self.role_of(by), Role::Sidecar(_)) {
+            return;
+        }
+        match self.conns.get_mut(&conn) {
+            Some(Wire::Client { read, open, .. }) => {
+                *read += bytes.len() as u64;
+                if let Some((id, end)) = *open
+                    && *read >= end
+                    && let Some(asked) = self.asked.get_mut(&id)
+                {
+                    asked.taken.get_or_insert(now);
+                }
+            }
+            Some(Wire::Server { down, status, current, .. }) => {
+                let mut over = Vec::new();
+                down.feed(bytes, |part| match part {
+                    Part::First => {}
+                    Part::Head(head) => {
+                        let code = head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+                        let never = matches!(code, 503 | 504)
+                            && standins::wire::header(head, "x-unprocessed")
+                                .is_some_and(|v| v == "1");
+                        *status = (code, never);
+                    }
+                    Part::Last => over.push(*status),
+                });
+                let current = *current;
+                for status in over {
+                    if let Some((id, n)) = current
+                        && let Some(a) = self.asked.get_mut(&id).and_then(|a| a.attempts.get_mut(n))
+                        && a.whole.is_some()
+                    {
+                        a.answered.get_or_insert(status);
+                        a.over = true;
+                        self.count(match status {
+                            (200, _) => "attempts served",
+                            (_, true) => "attempts turned away",
+                            _ => "attempts answered otherwise",
+                        });
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn closed(&mut self, now: Duration, conn: u64, by: HostId, reset: bool) {
+        match (self.conns.get(&conn), self.role_of(by)) {
+            (Some(Wire::Server { current, .. }), Role::Sidecar(_)) => {
+                let current = *current;
+                if let Some((id, n)) = current
+                    && let Some(a) = self.asked.get_mut(&id).and_then(|a| a.attempts.get_mut(n))
+                    && !a.over
+                {
+                    a.over = true;
+                    let whole = a.whole.is_some();
+                    self.note(now, || format!("{id:016x} is given up on connection {conn}"));
+                    self.count(if whole {
+                        "attempts given up whole"
+                    } else {
+                        "attempts given up in part"
+                    });
+                }
+                self.conns.remove(&conn);
+            }
+            (Some(Wire::Client { .. }), Role::Clients(_)) => {
+                self.conns.remove(&conn);
+            }
+            (Some(Wire::Client { .. }), _) if reset => self.count("clients reset"),
+            _ => {}
+        }
+    }
+}
+
+fn client_wire() -> Wire {
+    Wire::Client {
+        written: 0,
+        read: 0,
+        down: Messages::default(),
+        status: 0,
+        open: None,
+        begun: false,
+    }
+}
+
+/// The oracle as the network's tap.
+pub struct Eye(pub std::rc::Rc<std::cell::RefCell<Oracle>>);
+
+impl Tap for Eye {
+    fn see(&mut self, now: Duration, event: &TapEvent<'_>) {
+        let mut oracle = self.0.borrow_mut();
+        match event {
+            TapEvent::Sent { conn, from, to, bytes } => oracle.sent(now, *conn, *from, *to, bytes),
+            TapEvent::Read { conn, by, bytes } => oracle.read(now, *conn, *by, bytes),
+            TapEvent::Closed { conn, by, reset } => oracle.closed(now, *conn, *by, *reset),
+            TapEvent::Connected { .. } => oracle.count("connections"),
+            TapEvent::Finished { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dst/src/server.rs
@@ -0,0 +1,302 @@
+//! Log servers: cores, a waiting room, cold starts, load reports, keys, and everything that may go
+//! wrong with a request there. Beside the network code it shares keys and messages with the stand-ins.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::{Listener, Platform, Stream, Tcp};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use simnet::{HostId, Sim, SimListener, SimTcp};
+use standins::account::Class;
+use standins::logserver::Keys;
+use standins::wire::{Message, Reader};
+use standins::world::{IDLE, WINDOW};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::Semaphore;
+
+use crate::oracle::Oracle;
+
+/// Requests in work at once.
+const CORES: usize = 4;
+/// Requests that may wait; more are turned away unseen.
+const ROOM: usize = 40;
+/// The share of its speed that a server starts with, and when it has all of it.
+const COLD: (f64, Duration) = (0.16, Duration::from_secs(23));
+
+/// The shares of a server's requests that meet a fault.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub hang: f64,
+    pub error: f64,
+    pub reset_before: f64,
+    pub reset_after: f64,
+    pub reset_within: f64,
+    pub spoilt: f64,
+    pub half: f64,
+    pub wrong_length: f64,
+    pub surplus: f64,
+    pub close_after: f64,
+    pub late: f64,
+    pub late_by: Duration,
+    pub turn_away: f64,
+    /// How many times as long work takes, less one.
+    pub slower: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Fine,
+    Hang,
+    Error,
+    ResetBefore,
+    ResetAfter,
+    ResetWithin,
+    Spoilt,
+    Half,
+    WrongLength,
+    Surplus,
+    CloseAfter,
+    Late,
+    TurnAway,
+}
+
+/// One server's place: whoever runs there, now and later.
+pub struct Server {
+    pub place: usize,
+    pub zone: usize,
+    pub host: HostId,
+    pub at: SocketAddr,
+    /// How often somebody new has run here: part of the name.
+    pub life: Cell<u32>,
+    pub draining: Cell<bool>,
+    pub down: Cell<bool>,
+    pub faults: Cell<Faults>,
+    pub started: Cell<Option<Duration>>,
+    classes: Rc<[Class]>,
+    cores: RefCell<Rc<Semaphore>>,
+    waiting: Cell<usize>,
+    running: Cell<usize>,
+    keys: Rc<Keys>,
+    rng: RefCell<SmallRng>,
+    oracle: Rc<RefCell<Oracle>>,
+}
+
+/// Where something that is counted goes on.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Counted<'a> {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Virtual time since the start of the world.
+pub fn now(start: std::time::Instant) -> Duration {
+    Sim::since(start)
+}
+
+impl Server {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        place: usize,
+        zone: usize,
+        host: HostId,
+        at: SocketAddr,
+        classes: Rc<[Class]>,
+        keys: Rc<Keys>,
+        rng: SmallRng,
+        oracle: Rc<RefCell<Oracle>>,
+    ) -> Rc<Server> {
+        Rc::new(Server {
+            place,
+            zone,
+            host,
+            at,
+            life: Cell::new(0),
+            draining: Cell::new(false),
+            down: Cell::new(false),
+            faults: Cell::default(),
+            started: Cell::new(None),
+            classes,
+            cores: RefCell::new(Rc::new(Semaphore::new(CORES))),
+            waiting: Cell::new(0),
+            running: Cell::new(0),
+            keys,
+            rng: RefCell::new(rng),
+            oracle,
+        })
+    }
+
+    /// Its present name.
+    pub fn name(&self) -> String {
+        format!("s-{}-{}", self.place, self.life.get())
+    }
+
+    /// Its place, from a name.
+    pub fn place_of(name: &str) -> Option<usize> {
+        name.strip_prefix("s-")?.split('-').next()?.parse().ok()
+    }
+
+    /// Runs it: to be spawned on its machine.
+    pub async fn run(self: Rc<Server>, start: std::time::Instant) {
+        *self.cores.borrow_mut() = Rc::new(Semaphore::new(CORES));
+        self.waiting.set(0);
+        self.running.set(0);
+        self.down.set(false);
+        self.draining.set(false);
+        let Ok(listener) = SimListener::bind(self.at, 128) else { return };
+        loop {
+            if let Ok((socket, _)) = listener.accept().await {
+                Sim::spawn(self.clone().connection(Rc::new(socket), start));
+            }
+        }
+    }
+
+    fn draw(&self) -> Fate {
+        let f = self.faults.get();
+        let mut at: f64 = self.rng.borrow_mut().random();
+        let shares = [
+            (f.turn_away, Fate::TurnAway),
+            (f.hang, Fate::Hang),
+            (f.error, Fate::Error),
+            (f.reset_before, Fate::ResetBefore),
+            (f.reset_after, Fate::ResetAfter),
+            (f.reset_within, Fate::ResetWithin),
+            (f.spoilt, Fate::Spoilt),
+            (f.half, Fate::Half),
+            (f.wrong_length, Fate::WrongLength),
+            (f.surplus, Fate::Surplus),
+            (f.close_after, Fate::CloseAfter),
+            (f.late, Fate::Late),
+        ];
+        for (share, fate) in shares {
+            if at < share {
+                return fate;
+            }
+            at -= share;
+        }
+        Fate::Fine
+    }
+
+    async fn connection(self: Rc<Server>, socket: Rc<SimTcp>, start: std::time::Instant) {
+        let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
+        loop {
+            let next = platform::timeout::<Sim, _>(IDLE, reader.next()).await;
+            let Ok(Ok(Some(message))) = next else { return };
+            let fate = self.draw();
+            let Some(answer) = self.serve(&message, fate, start).await else {
+                // Silent for good, or reset.
+                if fate == Fate::Hang {
+                    Sim::sleep(Duration::from_secs(8)).await;
+                    return;
+                }
+                socket.reset_on_close();
+                return;
+            };
+            let half = answer.len() / 2;
+            let (text, then) = match fate {
+                Fate::ResetWithin => (&answer[..half], Some(true)),
+                Fate::Half => (&answer[..half], None),
+                Fate::WrongLength => (&answer[..answer.len() - 3], None),
+                Fate::CloseAfter => (&answer[..], Some(false)),
+                _ => (&answer[..], Some(false)),
+            };
+            if reader.get_mut().write_all(text).await.is_err() {
+                return;
+            }
+            match (fate, then) {
+                (Fate::ResetWithin, _) => {
+                    socket.reset_on_close();
+                    return;
+                }
+                (Fate::CloseAfter, _) => return,
+                (_, None) => {
+                    Sim::sleep(Duration::from_secs(8)).await;
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The answer, or none: nothing comes.
+    async fn serve(
+        &self,
+        message: &Message,
+        fate: Fate,
+        start: std::time::Instant,
+    ) -> Option<Vec<u8>> {
+        let plain = |status: &str, more: &str| {
+            Some(format!("HTTP/1.1 {status}\r\n{more}Content-Length: 0\r\n\r\n").into_bytes())
+        };
+        let id = message.header("x-correlation-id");
+        let Some(id) = id.and_then(|v| u64::from_str_radix(&v, 16).ok()) else {
+            return plain("404 Not Found", "");
+        };
+        let first = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.classes.iter().find(|c| c.name == first);
+        let Some(class) = class else { return plain("400 Bad Request", "") };
+        let away = fate == Fate::TurnAway || self.draining.get() || self.waiting.get() >= ROOM;
+        if away {
+            let more = format!("X-Unprocessed: 1\r\nX-Backend-Load: {}\r\n", self.load());
+            return plain("503 Service Unavailable", &more);
+        }
+        if fate == Fate::ResetBefore {
+            return None;
+        }
+        let cores = self.cores.borrow().clone();
+        let core = {
+            let _waits = Counted::new(&self.waiting);
+            cores.acquire().await.ok()?
+        };
+        let key = message.header("idempotency-key");
+        let fresh = key.is_none_or(|key| self.keys.fresh(&key, WINDOW, Sim::now()));
+        if fresh {
+            self.oracle.borrow_mut().ran(now(start), id, self.place);
+            let _runs = Counted::new(&self.running);
+            let drawn = self.rng.borrow_mut().random_range(0.5..1.5);
+            let work = class.work.mul_f64(drawn * (1.0 + self.faults.get().slower));
+            Sim::sleep(work.div_f64(self.speed(now(start)))).await;
+        }
+        drop(core);
+        let body = format!("{id:016x}");
+        let good = format!(
+            "HTTP/1.1 200 OK\r\nX-Backend-Load: {}\r\nContent-Length: {}\r\n\r\n{body}",
+            self.load(),
+            body.len()
+        );
+        match fate {
+            Fate::Error => plain("500 Internal Server Error", ""),
+            Fate::ResetAfter | Fate::Hang => None,
+            Fate::Spoilt => Some(b"\x01\x02noise\r\n\r\n".to_vec()),
+            Fate::Surplus => Some((good + "\u{1}\u{2}noise").into_bytes()),
+            Fate::Late => {
+                Sim::sleep(self.faults.get().late_by).await;
+                Some(good.into_bytes())
+            }
+            _ => Some(good.into_bytes()),
+        }
+    }
+
+    fn load(&self) -> String {
+        let (waiting, running) = (self.waiting.get(), self.running.get());
+        let util = running as f64 / CORES as f64;
+        format!("inflight={},queue={waiting},util={util:.2}", waiting + running)
+    }
+
+    fn speed(&self, now: Duration) -> f64 {
+        let Some(started) = self.started.get() else { return 1.0 };
+        let warm = (now.saturating_sub(started)).as_secs_f64() / COLD.1.as_secs_f64();
+        COLD.0 + (1.0 - COLD.0) * warm.min(1.0)
+    }
+}
--- a/crates/simnet/src/exec.rs
+++ b/crates/simnet/src/exec.rs
@@ -26,6 +26,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HostId(pub(crate) usize);
 
+impl HostId {
+    /// Its place among all machines, from 0, in the order in which they were made.
+    pub fn index(self) -> usize {
+        self.0
+    }
+}
+
 /// What a world is like, beside its seed.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -278,6 +285,12 @@
         let mut state = self.inner.state.borrow_mut();
         state.net.close_listeners(host);
         state.net.hosts[host.0].death = None;
+        state.net.set_up(host, how == net::Death::Reset);
+    }
+
+    /// A machine that had vanished is there again, with nothing that it held.
+    pub fn revive(&self, host: HostId) {
+        self.inner.state.borrow_mut().net.set_up(host, true);
     }
 
     /// How many tasks a machine has.
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -15,4 +15,4 @@
 mod trace;
 
 pub use exec::{HostId, Options, Sim, Sleep, TaskId, World};
-pub use net::{Link, SimListener, SimTcp, SimUdp, Stats, Tap, TapEvent};
+pub use net::{Death, Link, SimListener, SimTcp, SimUdp, Stats, Tap, TapEvent};
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -300,6 +300,10 @@
         HostId(self.hosts.len() - 1)
     }
 
+    pub(crate) fn set_up(&mut self, host: HostId, up: bool) {
+        self.hosts[host.0].up = up;
+    }
+
     fn host_of(&self, ip: IpAddr) -> Option<HostId> {
         self.hosts.iter().position(|h| h.ip == ip).map(HostId)
     }
--- a/crates/standins/src/logserver.rs
+++ b/crates/standins/src/logserver.rs
@@ -25,8 +25,7 @@
 
 impl Keys {
     /// Whether `key` is new: not run within `window`. It counts as run from now on.
-    fn fresh(&self, key: &str, window: Duration) -> bool {
-        let now = Instant::now();
+    pub fn fresh(&self, key: &str, window: Duration, now: Instant) -> bool {
         let mut keys = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if keys.len() > 10_000 {
             keys.retain(|_, at| now.duration_since(*at) < window);
@@ -251,7 +250,7 @@
             return self.turn_away(&id);
         }
         if let Some(key) = message.header("idempotency-key")
-            && !self.spec.keys.fresh(&key, self.spec.window)
+            && !self.spec.keys.fresh(&key, self.spec.window, Instant::now())
         {
             self.account.did(name, &id, Did::Dropped);
             return Reply::Whole(self.answer(&id));
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -53,12 +53,18 @@
     }
 }
 
+/// The list of servers, its versions and what changed in them. It does no I/O.
 #[derive(Clone, Default)]
-struct State {
+pub struct Book {
     seq: u64,
     list: Vec<Entry>,
     /// What changed, by the version that it made.
     changes: Vec<(u64, Entry)>,
+}
+
+#[derive(Clone, Default)]
+struct State {
+    book: Book,
     down: bool,
 }
 
@@ -69,22 +75,65 @@
     hosts: Vec<&'a Entry>,
 }
 
-impl State {
+impl Book {
+    /// A first version.
+    pub fn new(list: Vec<Entry>) -> Book {
+        Book { seq: 1, list, ..Book::default() }
+    }
+
+    /// The version.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// The servers listed.
+    pub fn servers(&self) -> &[Entry] {
+        &self.list
+    }
+
+    /// Lists `entry`, anew or in place of the one of its name; `left` takes it off the list.
+    pub fn list(&mut self, entry: Entry) {
+        self.list.retain(|e| e.host != entry.host);
+        if entry.health != "left" {
+            self.list.push(entry.clone());
+        }
+        self.seq += 1;
+        self.changes.push((self.seq, entry));
+        if self.changes.len() > REMEMBERED {
+            self.changes.remove(0);
+        }
+    }
+
+    /// The entry of this name in another state of health.
+    pub fn marked(&self, host: &str, health: &'static str) -> Option<Entry> {
+        let entry = self.list.iter().find(|e| e.host == host)?.clone();
+        Some(Entry { health, ..entry })
+    }
+
+    /// The servers that an answer to one who has version `from` tells of; none: nothing new.
+    pub fn told(&self, from: Option<u64>) -> Vec<&Entry> {
+        match self.known(from) {
+            Some(v) => self.changes.iter().filter(|(seq, _)| *seq > v).map(|(_, e)| e).collect(),
+            None => self.list.iter().collect(),
+        }
+    }
+
+    fn known(&self, from: Option<u64>) -> Option<u64> {
+        from.filter(|v| *v <= self.seq && self.seq - v <= self.changes.len() as u64)
+    }
+
     /// What there is to tell to one who has version `from`; none: nothing new.
-    fn news(&self, from: Option<u64>) -> Option<String> {
-        let known = from.filter(|v| *v <= self.seq && self.seq - v <= self.changes.len() as u64);
-        let answer = match known {
-            Some(v) if v == self.seq => return None,
-            Some(v) => {
-                let hosts = self.changes.iter().filter(|(seq, _)| *seq > v).map(|(_, e)| e);
-                Answer { seq: self.seq, whole: false, hosts: hosts.collect() }
-            }
-            None => Answer { seq: self.seq, whole: true, hosts: self.list.iter().collect() },
-        };
+    pub fn news(&self, from: Option<u64>) -> Option<String> {
+        let known = self.known(from);
+        if known == Some(self.seq) {
+            return None;
+        }
+        let answer = Answer { seq: self.seq, whole: known.is_none(), hosts: self.told(from) };
         serde_json::to_string(&answer).ok()
     }
 
-    fn nothing(&self) -> String {
+    /// The answer that tells nothing new.
+    pub fn nothing(&self) -> String {
         format!(r#"{{"seq":{},"whole":false,"hosts":[]}}"#, self.seq)
     }
 }
@@ -115,7 +164,7 @@
     pub async fn open(list: Vec<Entry>) -> io::Result<Registry> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
-        let (state, seen) = watch::channel(State { seq: 1, list, ..State::default() });
+        let (state, seen) = watch::channel(State { book: Book::new(list), down: false });
         tokio::spawn(async move {
             let mut ended = seen.clone();
             loop {
@@ -134,24 +183,14 @@
 
     /// Lists `entry`, anew or in place of the one of its name.
     pub fn list(&self, entry: Entry) {
-        self.state.send_modify(|state| {
-            state.list.retain(|e| e.host != entry.host);
-            if entry.health != "left" {
-                state.list.push(entry.clone());
-            }
-            state.seq += 1;
-            state.changes.push((state.seq, entry));
-            if state.changes.len() > REMEMBERED {
-                state.changes.remove(0);
-            }
-        });
+        self.state.send_modify(|state| state.book.list(entry));
     }
 
     /// Marks the server of this name as leaving, or takes it off the list.
     pub fn mark(&self, host: &str, health: &'static str) {
-        let entry = self.state.borrow().list.iter().find(|e| e.host == host).cloned();
+        let entry = self.state.borrow().book.marked(host, health);
         if let Some(entry) = entry {
-            self.list(Entry { health, ..entry });
+            self.list(entry);
         }
     }
 
@@ -196,13 +235,13 @@
         return None;
     }
     let Some(from) = message.query("from").and_then(|v| v.parse().ok()) else {
-        return state.borrow().news(None);
+        return state.borrow().book.news(None);
     };
     let hold = message.query("hold_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
     let end = Instant::now() + Duration::from_millis(hold);
-    let newer = timeout_at(end, state.wait_for(|s| s.news(Some(from)).is_some())).await;
-    let news = newer.ok().and_then(Result::ok).and_then(|s| s.news(Some(from)));
-    Some(news.unwrap_or_else(|| state.borrow().nothing()))
+    let newer = timeout_at(end, state.wait_for(|s| s.book.news(Some(from)).is_some())).await;
+    let news = newer.ok().and_then(Result::ok).and_then(|s| s.book.news(Some(from)));
+    Some(news.unwrap_or_else(|| state.borrow().book.nothing()))
 }
 
 #[cfg(test)]
@@ -215,7 +254,7 @@
 
     #[test]
     fn a_watch_gets_what_changed_and_an_old_one_the_whole_list() {
-        let mut state = State { seq: 1, list: vec![entry(1)], ..State::default() };
+        let mut state = Book::new(vec![entry(1)]);
         assert!(state.news(None).expect("a list").contains(r#""whole":true"#));
         assert_eq!(state.news(Some(1)), None);
         state.seq = 2;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -16,9 +16,9 @@
 pub const TENANTS: [(&str, f64); 3] =
     [("zendkring-delta", 0.37), ("radioclub-oost", 0.32), ("qrp-kring-noord", 0.31)];
 /// How long servers drop repeats of a key.
-const WINDOW: Duration = Duration::from_millis(1200);
+pub const WINDOW: Duration = Duration::from_millis(1200);
 /// How long servers keep a connection at rest.
-const IDLE: Duration = Duration::from_secs(10);
+pub const IDLE: Duration = Duration::from_secs(10);
 
 /// The four classes of a log service. `scale` stretches their times, for slow machines.
 pub fn classes(scale: f64) -> Vec<Class> {
@@ -92,40 +92,7 @@
 
     /// The settings that a sidecar of this deployment gets, but for its number and zone.
     pub fn settings(&self) -> Value {
-        let classes = self.account.classes().iter().map(|c| {
-            let (repeat, scope) = match c.repeat {
-                Repeat::Safe => ("idempotent", "all"),
-                Repeat::Keyed => ("deduplicated", "zone"),
-                Repeat::Unsafe => ("at_most_once", "all"),
-            };
-            json!({"name": c.name, "aim": c.aim.as_micros() as u64,
-                   "deadline": c.deadline.as_micros() as u64, "repeat": repeat,
-                   "dedupScope": scope, "window": WINDOW.as_micros() as u64, "credit": 1.0,
-                   "lateWorth": 0.2})
-        });
-        let tenants = TENANTS.map(
-            |(name, share)| json!({"name": name, "quotaPerS": 1000.0 * share, "share": share}),
-        );
-        json!({
-            "classes": classes.collect::<Vec<_>>(),
-            "discovery": "pushed",
-            "goal": {"whole": 0.45, "worstClass": 0.1, "worstTenant": 0.1, "worstWindow": 0.35},
-            "kinds": ["m"],
-            "limits": {"cancel": true, "connIdle": IDLE.as_micros() as u64,
-                       "connectTimeout": 500_000, "maxAttempts": 6, "maxOpen": 10_000,
-                       "maxRetryAfter": 2_000_000, "mayDuplicate": true, "mayTell": false,
-                       "probing": false, "retryAfter": true, "streamsPerConn": 1},
-            "prices": {"crossZone": 0.06, "lateFail": 0.03, "waste": 0.04},
-            "report": {"columns": ["q", "busy", "rif"], "how": "piggyback"},
-            "rules": {"answerSlack": 8000, "cold": 23_000_000, "coldShare": 0.16,
-                      "fallMultiple": 4.0, "mustAskIn": 10_000_000,
-                      "stopSendingWithin": 500_000, "tipAfter": 3_000_000},
-            "tenants": tenants,
-            "tick": 2000,
-            "weightKind": "silent",
-            "worthBy": "work",
-            "zones": ZONES,
-        })
+        settings(self.account.classes())
     }
 
     /// The names of the tenants.
@@ -133,3 +100,40 @@
         TENANTS.iter().map(|(name, _)| (*name).to_owned()).collect()
     }
 }
+
+/// The settings that a sidecar gets where these classes are served, but for its number and zone.
+pub fn settings(classes: &[Class]) -> Value {
+    let classes = classes.iter().map(|c| {
+        let (repeat, scope) = match c.repeat {
+            Repeat::Safe => ("idempotent", "all"),
+            Repeat::Keyed => ("deduplicated", "zone"),
+            Repeat::Unsafe => ("at_most_once", "all"),
+        };
+        json!({"name": c.name, "aim": c.aim.as_micros() as u64,
+               "deadline": c.deadline.as_micros() as u64, "repeat": repeat,
+               "dedupScope": scope, "window": WINDOW.as_micros() as u64, "credit": 1.0,
+               "lateWorth": 0.2})
+    });
+    let tenants = TENANTS
+        .map(|(name, share)| json!({"name": name, "quotaPerS": 1000.0 * share, "share": share}));
+    json!({
+        "classes": classes.collect::<Vec<_>>(),
+        "discovery": "pushed",
+        "goal": {"whole": 0.45, "worstClass": 0.1, "worstTenant": 0.1, "worstWindow": 0.35},
+        "kinds": ["m"],
+        "limits": {"cancel": true, "connIdle": IDLE.as_micros() as u64,
+                   "connectTimeout": 500_000, "maxAttempts": 6, "maxOpen": 10_000,
+                   "maxRetryAfter": 2_000_000, "mayDuplicate": true, "mayTell": false,
+                   "probing": false, "retryAfter": true, "streamsPerConn": 1},
+        "prices": {"crossZone": 0.06, "lateFail": 0.03, "waste": 0.04},
+        "report": {"columns": ["q", "busy", "rif"], "how": "piggyback"},
+        "rules": {"answerSlack": 8000, "cold": 23_000_000, "coldShare": 0.16,
+                  "fallMultiple": 4.0, "mustAskIn": 10_000_000,
+                  "stopSendingWithin": 500_000, "tipAfter": 3_000_000},
+        "tenants": tenants,
+        "tick": 2000,
+        "weightKind": "silent",
+        "worthBy": "work",
+        "zones": ZONES,
+    })
+}
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -78,7 +78,7 @@
 }
 
 /// A list of servers, or what changed in it, as discovery writes it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 pub struct List {
     /// The version of the list.
     pub seq: u64,
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -210,7 +210,7 @@
             Action::CloseIdle { server } => self.upstream.close_idle(server),
             // Discovery runs as long as the driver does.
             Action::Subscribe => drop(self.discovery.send(Call::Watch)),
-            Action::FetchList => drop(self.discovery.send(Call::Fetch)),
+            Action::FetchList => self.fetch(),
             Action::Tell { peer, data } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(peer, &data);
@@ -299,6 +299,12 @@
         self.event(Event::Servers { kind, entries: &entries });
     }
 
+    /// Asks discovery for the whole list.
+    pub fn fetch(&self) {
+        // Discovery runs as long as the driver does.
+        let _ = self.discovery.send(Call::Fetch);
+    }
+
     /// Whether any server was ever listed.
     pub fn listed(&self) -> bool {
         self.core.borrow().listed
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -31,6 +31,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::api::ListKind;
+use crate::settings::Discovery;
 use config::Config;
 
 /// Connections that may wait to be accepted: a crowd comes within a second.
@@ -141,8 +142,15 @@
 
     let tried = Rc::new(Notify::new());
     let version = config.known.as_ref().map_or(0, |known| known.seq);
-    if let Some(known) = &config.known {
-        driver.servers(ListKind::Remembered, known);
+    match &config.known {
+        Some(known) => driver.servers(ListKind::Remembered, known),
+        // Danger: where discovery is asked, the module asks first after what it remembers; one that
+        // remembers nothing would never ask, and refuse everything.
+        None if how == Discovery::Asked => {
+            driver.servers(ListKind::Remembered, &config::List::default());
+            driver.fetch();
+        }
+        None => {}
     }
     let (moves, at) = watch::channel(config.discovery);
     let discovery = discovery::Discovery::<P>::new(at, how, version, tried.clone());
