Found by simulation: refusals beside idle servers, sidecars that never ask, time lost in the backlog

Where no draw finds a server, two of those left are taken at random; where none is left, what is safe to repeat is a trial at one that was put out. - Where discovery is asked and no list is remembered, the module never asks: everything is refused.

--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -269,7 +269,7 @@
         let (at, config, stop, ended) = (s.at, s.config.clone(), s.stop.clone(), s.ended.clone());
         let host = s.host;
         self.world.limit_sockets(host, self.scenario.sockets);
-        self.oracle.borrow_mut().note(now, || format!("sidecar {n} starts"));
+        self.oracle.borrow_mut().starts(now, n);
         self.world.spawn(host, async move {
             let parsed = Config::parse(config.borrow().as_bytes());
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
@@ -305,6 +305,10 @@
         self.until(BASELINE);
         let first = &self.sidecars[0];
         self.baseline = (self.world.tasks(first.host), self.world.sockets(first.host));
+        if self.scenario.asked {
+            // The connection to discovery, which may come later.
+            self.baseline = (self.baseline.0 + 1, self.baseline.1 + 1);
+        }
         self.until(LOAD_BEGINS);
         for (host, clients) in self.clients.clone() {
             let end = self.start + Duration::from_millis(LOAD_END_MS);
@@ -464,6 +468,7 @@
                 if s.up && s.stopped.is_none() {
                     s.stopped = Some(now);
                     s.stop.notify_one();
+                    self.oracle.borrow_mut().terminated(now, n);
                 }
             }
             Kind::Kill { sidecar } if begins => {
@@ -578,6 +583,7 @@
                 false => self.scenario.sockets,
             };
             self.world.limit_sockets(s.host, limit);
+            self.oracle.borrow_mut().short(self.world.now(), s.n, short[s.n]);
         }
         for (_, clients) in &self.clients {
             clients.manners.set(manners);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -664,7 +664,25 @@
                 least_bad = Some(least_bad.map_or(slot, |other| self.less_used(other, slot)));
             }
         }
-        best.or(least_bad).or(passed)
+        best.or(least_bad).or(passed).or_else(|| self.hardly_drawn(request, most_out))
+    }
+
+    /// Danger: with home out, nearly all draws fall on it, and requests are refused while far servers
+    /// stand idle. Where no draw found a server, two of those that are left are taken at random. Where
+    /// none is left, what is safe to repeat is a trial, one at a time, at one that was put out.
+    fn hardly_drawn(&mut self, request: &Request, most_out: bool) -> Option<Slot> {
+        let safe = self.settings.classes[request.class].repeat == Repeat::Safe;
+        let fit = |slot: &Slot, trial: bool| {
+            let s = &self.servers[*slot];
+            let used = request.attempts.iter().any(|a| a.slot == *slot);
+            let healthy = self.healthy(s, most_out) || (trial && s.in_flight == 0);
+            !used && healthy && self.warmth(s) >= 1.0 && self.allowed(request, s)
+        };
+        let left = |trial| self.ready.iter().copied().filter(|s| fit(s, trial)).collect::<Vec<_>>();
+        let sound = left(false);
+        let left = if sound.is_empty() && safe { left(true) } else { sound };
+        let two = [self.uniform(), self.uniform()].map(|u| (u * left.len() as f64) as usize);
+        Some(self.less_used(*left.get(two[0])?, *left.get(two[1])?))
     }
 
     /// The less used of two by our own count; what was last heard settles a tie.
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -87,12 +87,14 @@
     made: Cell<Instant>,
     /// No request was ever whole here.
     fresh: Cell<bool>,
+    /// How long it may have waited to be accepted.
+    waited: Duration,
     leave: Notify,
     on: PhantomData<P>,
 }
 
 impl<P: Platform> Client<P> {
-    fn new() -> Client<P> {
+    fn new(waited: Duration) -> Client<P> {
         Client {
             phase: Cell::new(Phase::Resting),
             framing: RefCell::new(Framing::new(Side::Requests, LONGEST_BODY)),
@@ -101,6 +103,7 @@
             since: Cell::new(P::now()),
             made: Cell::new(P::now()),
             fresh: Cell::new(true),
+            waited,
             leave: Notify::new(),
             on: PhantomData,
         }
@@ -301,15 +304,34 @@
     }
 
     /// Accepts clients for as long as it is polled.
+    ///
+    /// Danger: what waits to be accepted while all places are taken is under way already for its
+    /// client, and its time runs. Nobody tells since when it waits; it came no sooner than accepting
+    /// last fell behind. Harmful to clients that connect in a crowd and ask later: their first
+    /// request has less time than they say.
     pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
+        let mut behind: Option<Instant> = None;
         loop {
+            let asked = P::now();
             let place = self.place().await;
-            match listener.accept().await {
+            if P::now() > asked {
+                behind.get_or_insert(asked);
+            }
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = std::future::ready(()) => {
+                    behind = None;
+                    listener.accept().await
+                }
+            };
+            match accepted {
                 Ok((socket, _)) => {
                     let n = self.accepted.get().0 + 1;
                     self.accepted.set((n, P::now()));
                     self.thin_out();
-                    P::spawn(self.clone().client(n, socket, place));
+                    let waited = behind.map_or(Duration::ZERO, P::since);
+                    P::spawn(self.clone().client(n, socket, place, waited));
                 }
                 Err(e) => {
                     // Danger: an accept that fails for want of descriptors (or because the client
@@ -317,6 +339,7 @@
                     tracing::warn!(error = %e, "accepting failed");
                     self.short.set(Some(P::now()));
                     self.evict();
+                    behind.get_or_insert(P::now());
                     P::sleep(NO_DESCRIPTOR).await;
                 }
             }
@@ -364,10 +387,10 @@
         }
     }
 
-    async fn client(self: Rc<Ingress<P>>, n: u64, socket: P::Tcp, place: Place) {
+    async fn client(self: Rc<Ingress<P>>, n: u64, socket: P::Tcp, place: Place, waited: Duration) {
         let _ = socket.set_nodelay();
         let socket = Rc::new(socket);
-        let client = Rc::new(Client::new());
+        let client = Rc::new(Client::new(waited));
         self.clients.borrow_mut().insert(n, client.clone());
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let mut connection = Box::pin(
@@ -481,10 +504,13 @@
         if head.uri.path() == "/health/version" && head.method == Method::GET {
             return Ok(Ok(self.version()));
         }
-        let (asked, id) = match self.asked(&head) {
+        let (mut asked, id) = match self.asked(&head) {
             Ok(asked) => asked,
             Err(status) => return Ok(Err(status)),
         };
+        if client.fresh.get() {
+            asked.left = asked.left.saturating_sub(client.waited);
+        }
         if head.method == Method::GET && !body.is_end_stream() {
             return Ok(Err(StatusCode::BAD_REQUEST));
         }
