--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -259,7 +259,7 @@
         let now = self.now();
         let s = &mut self.sidecars[n];
         s.config = Rc::new(RefCell::new(text.clone()));
-        s.first = text;
+        s.first.clone_from(&text);
         s.stop = Rc::new(Notify::new());
         s.ended = Rc::default();
         (s.up, s.stopped, s.back_at) = (true, None, None);
@@ -271,7 +271,7 @@
         self.world.limit_sockets(host, self.scenario.sockets);
         self.oracle.borrow_mut().starts(now, n);
         self.world.spawn(host, async move {
-            let parsed = Config::parse(config.borrow().as_bytes());
+            let parsed = Config::parse(text.as_bytes());
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
                 let peers = peers.map(SimUdp::bind).transpose()?;
                 Ok(Sockets::<Sim> { listener, shared: false, peers })
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -504,7 +504,7 @@
         if head.uri.path() == "/health/version" && head.method == Method::GET {
             return Ok(Ok(self.version()));
         }
-        let (mut asked, id) = match self.asked(&head) {
+        let (mut asked, id, repeat) = match self.asked(&head) {
             Ok(asked) => asked,
             Err(status) => return Ok(Err(status)),
         };
@@ -535,7 +535,7 @@
         let target = head.uri.path_and_query().cloned().map(hyper::Uri::from);
         let headers = passed_on(&head.headers);
         let target = target.unwrap_or_default();
-        let spec = Spec { method: head.method.clone(), target, headers, body: whole, room };
+        let spec = Spec { repeat, method: head.method.clone(), target, headers, body: whole, room };
         let (class, began) = (asked.class, P::now());
         let mut ticket = self.driver.request(asked, spec);
         let reply = ticket.reply().await;
@@ -556,7 +556,7 @@
     fn asked<'a>(
         &self,
         head: &'a hyper::http::request::Parts,
-    ) -> Result<(Asked, &'a str), StatusCode> {
+    ) -> Result<(Asked, &'a str, Repeat), StatusCode> {
         let text = |name: &str| head.headers.get(name).map(|v| v.to_str().map(str::trim));
         let text = |name: &str| text(name).transpose().map_err(|_| StatusCode::BAD_REQUEST);
         let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -593,7 +593,7 @@
             hint: text("x-weight-hint")?.and_then(|v| v.parse::<Micros>().ok()),
             repeat: text("x-repeat")? == Some("1"),
         };
-        Ok((asked, id))
+        Ok((asked, id, class.repeat))
     }
 }
 
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -15,8 +15,9 @@
 /// What is not whole by now might not be answered in time. Killing comes no sooner than the
 /// longest deadline and 0.7 s after the signal.
 const LAST_TAKEN: Duration = Duration::from_millis(650);
-/// What is left of that for long answers, beyond the longest deadline.
-const SPARE: Duration = Duration::from_millis(600);
+/// What is left of that for long answers, beyond the longest deadline: what came just before 0.7 s
+/// were over still has its whole time.
+const SPARE: Duration = Duration::from_millis(695);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Waits, from the signal on, until all is answered or nothing more can be.
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -25,19 +25,26 @@
 use super::framing::{Framing, LONGEST_HEAD, Side};
 use super::live::Live;
 use crate::api::{LoadReport, Outcome, ServerId};
+use crate::settings::Repeat;
 
 /// A connection that has rested at least this long may have been reset in silence, and is tried
 /// before the whole request is on it.
 const RESTED: Duration = Duration::from_millis(50);
 /// A server's close right behind its answer has come after so long: it is a network's way behind.
 const SETTLED: Duration = Duration::from_millis(10);
-/// How long such a trial lasts: a reset comes within a round trip.
-const TRIAL: Duration = Duration::from_millis(4);
+/// How long such a trial lasts: a reset comes within a round trip. So many of those that the
+/// connection took to come up, within these bounds.
+const TRIAL_TRIPS: u32 = 4;
+const TRIAL: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(4));
+/// A connection that was gone already shows it within so long.
+const STALE: Duration = Duration::from_millis(50);
 /// How long a connection may take to be ready for the next request after an answer.
 const SETTLE: Duration = Duration::from_millis(50);
 
 /// A client's request as servers get it, kept for repeats.
 pub struct Spec {
+    /// Whether it may be sent again once it may have run.
+    pub repeat: Repeat,
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
@@ -217,6 +224,8 @@
     task: P::Task,
     dial: SocketAddr,
     rested: Instant,
+    /// How long it took to come up: a round trip.
+    trip: Duration,
 }
 
 impl<P: Platform> Drop for Connection<P> {
@@ -349,8 +358,10 @@
 
     async fn connect(&self, dial: SocketAddr) -> Option<Connection<P>> {
         let place = self.place().await?;
+        let began = P::now();
         let socket =
             timeout::<P, _>(self.live.times().connect, P::connect(dial)).await.ok()?.ok()?;
+        let trip = P::since(began);
         socket.set_nodelay().ok()?;
         let socket = Rc::new(socket);
         let meter = Rc::new(Meter::new(self.live.longest()));
@@ -363,7 +374,7 @@
             // How it ended shows in the attempt.
             let _ = driving.await;
         });
-        Some(Connection { sender, socket, meter, task, dial, rested: P::now() })
+        Some(Connection { sender, socket, meter, task, dial, rested: P::now(), trip })
     }
 
     /// One attempt at `server`, to be dropped when it is no longer waited for.
@@ -373,6 +384,24 @@
         dial: SocketAddr,
         spec: &Rc<Spec>,
         until: Instant,
+    ) -> Reached {
+        let copied = Cell::new(false);
+        let mut reached = self.exchange(server, dial, spec, until, &copied).await;
+        // Danger: that a second copy never ran says nothing of the first, which was whole.
+        if copied.get() && reached.outcome.never_ran() && spec.repeat != Repeat::Safe {
+            reached.outcome = Outcome::Reset;
+        }
+        reached
+    }
+
+    /// An attempt's exchange; `copied` is set once it goes out a second time though it was whole.
+    async fn exchange(
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
+        dial: SocketAddr,
+        spec: &Rc<Spec>,
+        until: Instant,
+        copied: &Cell<bool>,
     ) -> Reached {
         let mut old = self.reuse(server, dial).await;
         loop {
@@ -385,6 +414,7 @@
                 return Reached::end(Outcome::ConnectFailed);
             };
             let meter = connection.meter.clone();
+            let asked = P::now();
             // Danger: an answer that has begun and does not go on would hold the request until its
             // time is up, whatever is wrong with it: a head or a body that stops, a length that is
             // too long. It has failed, and where that is harmless another server gets the request
@@ -403,6 +433,17 @@
                         () = self.unended(&meter) => Reached::end(Outcome::Reset),
                     };
                 }
+                // Danger: a server may close a connection just as the request is written. What may be
+                // repeated goes to the same server again at once, as part of the same attempt: the
+                // server has not chosen to fail it. Nothing of an answer must have come, and the
+                // break must come as soon as one that was there before.
+                None if reused
+                    && spec.repeat != Repeat::Unsafe
+                    && meter.begun.get().is_none()
+                    && P::since(asked) < STALE =>
+                {
+                    copied.set(copied.get() || meter.whole.get());
+                }
                 None if meter.whole.get() => return Reached::end(Outcome::Reset),
                 // Danger: a connection that has rested may be reset by the first byte written to
                 // it. The server has not begun on the request, so it gets it on a new connection.
@@ -445,12 +486,15 @@
         if spec.method != Method::GET {
             headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(length));
         }
-        let trial = reused && !(SETTLED..RESTED).contains(&P::since(connection.rested));
+        // What may be repeated need not wait: if the connection is gone, it is sent once more.
+        let may_be_gone = !(SETTLED..RESTED).contains(&P::since(connection.rested));
+        let trial = reused && may_be_gone && spec.repeat == Repeat::Unsafe;
+        let lasts = (connection.trip * TRIAL_TRIPS).clamp(TRIAL.0, TRIAL.1);
         let meter = connection.meter.clone();
         meter.begin(length, trial);
         let mut sending = pin!(connection.sender.send_request(request));
         if trial {
-            if let Ok(result) = timeout::<P, _>(TRIAL, &mut sending).await {
+            if let Ok(result) = timeout::<P, _>(lasts, &mut sending).await {
                 return result;
             }
             meter.release();
@@ -514,6 +558,7 @@
             };
             let path = if with_report { "/stats" } else { "/health/live" };
             let spec = Spec {
+                repeat: Repeat::Safe,
                 method: Method::GET,
                 target: hyper::Uri::from_static(path),
                 headers: HeaderMap::new(),
