--- a/crates/dst/src/oracle.rs
+++ b/crates/dst/src/oracle.rs
@@ -116,9 +116,8 @@
         read: u64,
         down: Messages,
         status: u16,
-        /// The request that is open, where it ends, and whether an answer has begun.
+        /// The request that is open, and where it ends.
         open: Option<(u64, u64)>,
-        begun: bool,
     },
     Server {
         sidecar: usize,
@@ -251,9 +250,8 @@
         length: u64,
     ) {
         let wire = self.conns.entry(conn).or_insert_with(client_wire);
-        if let Wire::Client { written, open, begun, .. } = wire {
+        if let Wire::Client { written, open, .. } = wire {
             *open = Some((id, *written + length));
-            *begun = false;
         }
         self.count("requests");
         self.asked.insert(
@@ -563,12 +561,10 @@
                 }
             }
             (Role::Sidecar(_), Role::Clients(_)) => {
-                let Some(Wire::Client { down, status, open, begun, .. }) =
-                    self.conns.get_mut(&conn)
+                let Some(Wire::Client { down, status, open, .. }) = self.conns.get_mut(&conn)
                 else {
                     return;
                 };
-                *begun = true;
                 let mut answers = Vec::new();
                 down.feed(bytes, |part| match part {
                     Part::First => {}
@@ -714,14 +710,7 @@
 }
 
 fn client_wire() -> Wire {
-    Wire::Client {
-        written: 0,
-        read: 0,
-        down: Messages::default(),
-        status: 0,
-        open: None,
-        begun: false,
-    }
+    Wire::Client { written: 0, read: 0, down: Messages::default(), status: 0, open: None }
 }
 
 /// The oracle as the network's tap.
