Long bodies: a request's time runs from its last byte, wherever that waits

Of a body with a known length hyper asks for no more than its last byte, so Upload::poll_next never saw the end: the time of its attempt never began to run, and only the 5 s of stalled() ended it (relay.rs). A body whose rest had come while the first attempt waited 0.5 s for a connection had its whole time from when a later attempt took it: X-Time-Left-Ms grew by what had passed, and the answer came too late. Its time now runs from when its last byte came, and where that waited unread with the system, from the last moment at which nothing waited (Observer::on_wait).

The root's tests pass.

--- a/crates/platform/src/stream.rs
+++ b/crates/platform/src/stream.rs
@@ -19,6 +19,8 @@
     fn on_read(&self, _bytes: &[u8]) -> io::Result<()> {
         Ok(())
     }
+    /// All that has come was read; what comes next is read as soon as it is there.
+    fn on_wait(&self) {}
     /// How many of these bytes may be written now.
     fn allow(&self, bytes: &[u8], _cx: &mut Context<'_>) -> Poll<usize> {
         Poll::Ready(bytes.len())
@@ -57,7 +59,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.poll_read_ready(cx) {
+                Poll::Ready(ready) => ready?,
+                Poll::Pending => {
+                    self.observer.on_wait();
+                    return Poll::Pending;
+                }
+            }
             let before = buf.filled().len();
             match self.socket.try_read_buf(buf) {
                 Ok(_) => return Poll::Ready(self.observer.on_read(&buf.filled()[before..])),
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -445,7 +445,9 @@
                     self.event(Event::FirstByte { id, attempt: n });
                     tokio::select! {
                         biased;
-                        () = upload.ended() => P::sleep(upload.left).await,
+                        () = upload.ended() => {
+                            P::sleep_until(upload.due().unwrap_or_else(P::now)).await;
+                        }
                         () = upload.stalled::<P>() => {}
                     }
                 }
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -48,6 +48,8 @@
 /// Among many clients, one that has rested so long since its answer may be let go: a client that
 /// goes on sends its next request sooner, or opens another connection at no cost to servers.
 const RESTED: Duration = Duration::from_millis(100);
+/// So many bytes of a body may wait unread with the system while no server takes them.
+const UNREAD: u64 = 256 << 10;
 /// The same of one that has not asked yet: what it sends first would be lost with the connection.
 const UNUSED: Duration = Duration::from_secs(1);
 /// For so long after a failed accept descriptors are said to have run out.
@@ -93,6 +95,12 @@
     made: Cell<Instant>,
     /// Bytes read of this request, then written of its answer.
     passed: Cell<u64>,
+    /// When the last byte of a request came: as early as it may have been.
+    come: Rc<Cell<Option<Instant>>>,
+    /// When something last came that cannot have waited unread, and the bytes since.
+    news: Cell<(Instant, u64)>,
+    /// All that had come was read.
+    waits: Cell<bool>,
     /// How long its answer has waited for its server, and since when it does again.
     excused: Cell<(Duration, Option<Instant>)>,
     /// No request was ever whole here.
@@ -113,6 +121,9 @@
             since: Cell::new(P::now()),
             made: Cell::new(P::now()),
             passed: Cell::new(0),
+            come: Rc::default(),
+            news: Cell::new((P::now(), 0)),
+            waits: Cell::new(true),
             excused: Cell::new((Duration::ZERO, None)),
             fresh: Cell::new(true),
             waited,
@@ -187,10 +198,26 @@
         if self.phase.get() == Phase::Partial {
             self.passed.set(self.passed.get() + bytes.len() as u64);
         }
-        self.framing.borrow_mut().feed(bytes).map_err(|fault| {
+        let mut framing = self.framing.borrow_mut();
+        framing.feed(bytes).map_err(|fault| {
             self.fault.set(Some(fault));
             io::Error::new(io::ErrorKind::InvalidData, fault)
-        })
+        })?;
+        // Danger: the rest of a long body waits with the system until an attempt wants it, and its
+        // time runs from when it came. Harmful where the client was still sending meanwhile: then
+        // its time is taken for shorter than it is.
+        let (since, unread) = self.news.get();
+        let unread = unread + bytes.len() as u64;
+        let fresh = self.waits.replace(false) || unread > UNREAD;
+        self.news.set(if fresh { (P::now(), 0) } else { (since, unread) });
+        if self.come.get().is_none() && framing.whole() {
+            self.come.set(Some(self.news.get().0));
+        }
+        Ok(())
+    }
+
+    fn on_wait(&self) {
+        self.waits.set(true);
     }
 
     fn on_write(&self, bytes: &[u8]) {
@@ -207,6 +234,7 @@
     fn on_flush(&self) {
         if self.complete.replace(false) && self.phase.get() == Phase::Answered {
             self.framing.borrow_mut().next();
+            self.come.set(None);
             self.enter(Phase::Resting);
         }
     }
@@ -583,7 +611,7 @@
                     client: client.clone(),
                 });
                 let left = self.driver.patience(asked.class, asked.left);
-                Upload::new::<P>(first.clone(), source, length, left)
+                Upload::new::<P>(first.clone(), source, length, left, client.come.clone())
             });
         }
         // Danger: servers know requests by their ids. A second one under the id of a first that may
@@ -734,10 +762,15 @@
             None => self.client.enter(Phase::Taken),
             // Nothing more of it can be used.
             Some(Err(Broken)) => self.client.leave.notify_one(),
+            Some(Ok(_)) if self.body.is_end_stream() => self.client.enter(Phase::Taken),
             Some(Ok(_)) => {}
         }
         Poll::Ready(frame)
     }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
 }
 
 /// The client has gone, or cannot be told anything more.
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -146,6 +146,8 @@
     pub left: Duration,
     /// Its whole length, if its head tells.
     pub length: Option<u64>,
+    /// When its last byte came to the sidecar, where that is seen before it is wanted.
+    come: Rc<Cell<Option<Instant>>>,
     kept: RefCell<Bytes>,
     source: RefCell<Source>,
     flow: Cell<Flow>,
@@ -161,16 +163,18 @@
 }
 
 impl Upload {
-    /// `kept` has come, the rest is in `source`.
+    /// `kept` has come, the rest is in `source`; `come` tells when its last byte came.
     pub fn new<P: Platform>(
         kept: Bytes,
         source: Source,
         length: Option<u64>,
         left: Duration,
+        come: Rc<Cell<Option<Instant>>>,
     ) -> Rc<Upload> {
         Rc::new(Upload {
             left,
             length,
+            come,
             kept: RefCell::new(kept),
             source: RefCell::new(source),
             flow: Cell::new(Flow::Kept),
@@ -188,7 +192,7 @@
         self.flow.get() == Flow::Kept && !self.over.get()
     }
 
-    /// When its last byte came, if it has.
+    /// When its last byte left, or could have, if it has.
     pub fn end(&self) -> Option<Instant> {
         match self.flow.get() {
             Flow::Ended(at) => Some(at),
@@ -196,6 +200,14 @@
         }
     }
 
+    /// Until when the client waits, once its last byte has come.
+    ///
+    /// Danger: the rest of a body may have come, and wait here, long before an attempt wants it: its
+    /// time runs meanwhile.
+    pub fn due(&self) -> Option<Instant> {
+        Some(self.come.get().or(self.end())? + self.left)
+    }
+
     /// Done when some of it has left that is not kept.
     pub async fn begun(&self) {
         self.until(|flow| flow != Flow::Kept).await;
@@ -262,6 +274,11 @@
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.moved.set(self.moved.get() + data.len() as u64);
+                        // Danger: of a body with a known length nobody asks for more than its last
+                        // byte. Its time would never begin to run.
+                        if self.source.borrow().is_end_stream() {
+                            self.turn(Flow::Ended((self.now)()));
+                        }
                         return Poll::Ready(Some(Ok(data)));
                     }
                 }
@@ -338,7 +355,7 @@
     fn upload(kept: &'static str, rest: &'static str) -> Rc<Upload> {
         let rest = Full::new(Bytes::from(rest)).map_err(|never| match never {});
         let left = Duration::from_secs(1);
-        Upload::new::<Tokio>(Bytes::from(kept), Box::pin(rest), None, left)
+        Upload::new::<Tokio>(Bytes::from(kept), Box::pin(rest), None, left, Rc::default())
     }
 
     fn all(attempt: &mut Outgoing) -> Result<Vec<u8>, Broken> {
@@ -367,6 +384,24 @@
         assert!(all(&mut Outgoing::new(upload)).is_err(), "nor by a third");
     }
 
+    #[test]
+    fn its_time_runs_from_its_last_byte_asked_for_or_not() {
+        let known = upload("kept", " and more");
+        let mut attempt = Outgoing::new(known.clone());
+        let mut cx = Context::from_waker(std::task::Waker::noop());
+        for piece in ["kept", " and more"] {
+            assert!(known.due().is_none());
+            let next = attempt.poll_next(&mut cx);
+            assert!(matches!(next, Poll::Ready(Some(Ok(b))) if b == piece));
+        }
+        // Nobody asks whether there is more.
+        assert_eq!(known.due(), known.end().map(|end| end + known.left));
+        let waits = upload("kept", " and more");
+        let came = Instant::now();
+        waits.come.set(Some(came));
+        assert_eq!((waits.end(), waits.due()), (None, Some(came + waits.left)));
+    }
+
     #[test]
     fn once_the_request_has_its_answer_nothing_more_leaves() {
         let upload = upload("kept", " and more");
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -571,7 +571,9 @@
         let left = match &spec.upload {
             None => until.saturating_duration_since(P::now()),
             // Counted from its last byte.
-            Some(upload) => upload.left,
+            Some(upload) => {
+                upload.due().map_or(upload.left, |due| due.saturating_duration_since(P::now()))
+            }
         };
         let left = left.as_millis() as u64;
         let meter = connection.meter.clone();
