--- a/crates/dst/src/client.rs
+++ b/crates/dst/src/client.rs
@@ -14,12 +14,15 @@
 use standins::wire::Reader;
 use tokio::io::AsyncWriteExt;
 
-use crate::oracle::Oracle;
-use crate::server::now;
+use crate::oracle::{Oracle, status_name};
+use crate::server::{LONG, PIECE, now};
 
 /// A connection at rest is used again for so long.
 const KEPT: Duration = Duration::from_millis(1900);
 
+/// How long the rest of a long answer may take.
+const SLOWEST: Duration = Duration::from_secs(12);
+
 /// How many of the clients are how.
 #[derive(Clone, Copy, Debug)]
 pub struct Manners {
@@ -27,13 +30,15 @@
     pub trickle: f64,
     pub reuse: f64,
     pub garbage: f64,
+    /// Of requests with a body, those whose body is too long to be kept.
+    pub long: f64,
     /// How many times as many requests come.
     pub times: f64,
 }
 
 impl Default for Manners {
     fn default() -> Manners {
-        Manners { leave: 0.0, trickle: 0.0, reuse: 0.0, garbage: 0.0, times: 1.0 }
+        Manners { leave: 0.0, trickle: 0.0, reuse: 0.0, garbage: 0.0, long: 0.0, times: 1.0 }
     }
 }
 
@@ -109,24 +114,39 @@
         0
     }
 
-    fn text(&self, class: &Class, id: u64, left: Duration) -> String {
-        let (method, more, body) = match class.repeat {
-            Repeat::Safe => ("GET", String::new(), ""),
-            Repeat::Keyed => ("POST", format!("Idempotency-Key: {id:032x}\r\n"), "four"),
-            Repeat::Unsafe => ("POST", String::new(), "four"),
+    fn text(&self, class: &Class, id: u64, left: Duration) -> Vec<u8> {
+        let (method, more) = match class.repeat {
+            Repeat::Safe => ("GET", String::new()),
+            Repeat::Keyed => ("POST", format!("Idempotency-Key: {id:032x}\r\n")),
+            Repeat::Unsafe => ("POST", String::new()),
         };
-        let length = match body.len() {
-            0 => String::new(),
-            n => format!("Content-Length: {n}\r\n"),
+        let long = self.manners.get().long;
+        let long = long > 0.0 && self.draw(|rng| rng.random::<f64>() < long);
+        let (length, body) = match (class.repeat, long) {
+            (Repeat::Safe, _) => (String::new(), Vec::new()),
+            (_, false) => ("Content-Length: 4\r\n".to_owned(), b"four".to_vec()),
+            (_, true) => {
+                let (n, chunked) =
+                    self.draw(|rng| (rng.random_range(LONG..2 * LONG), rng.random::<bool>()));
+                let body = vec![b'l'; n];
+                match chunked {
+                    false => (format!("Content-Length: {n}\r\n"), body),
+                    true => {
+                        let body = standins::wire::chunked(&body, PIECE);
+                        ("Transfer-Encoding: chunked\r\n".to_owned(), body)
+                    }
+                }
+            }
         };
         let tenant = self.draw(|rng| rng.random_range(0..self.tenants.len()));
-        format!(
+        let head = format!(
             "{method} /{}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id:016x}\r\n\
-             X-Account: {}\r\nX-Time-Left-Ms: {}\r\n{more}{length}\r\n{body}",
+             X-Account: {}\r\nX-Time-Left-Ms: {}\r\n{more}{length}\r\n",
             class.name,
             self.tenants[tenant],
             left.as_millis()
-        )
+        );
+        [head.into_bytes(), body].concat()
     }
 
     async fn connection(&self) -> Option<Conn> {
@@ -175,7 +195,8 @@
         };
         let text = self.text(of, id, left);
         let (conn, length) = (socket.number(), text.len() as u64);
-        self.oracle.borrow_mut().sends(conn, id, class, self.sidecar, left, length);
+        let at = now(self.start);
+        self.oracle.borrow_mut().sends(at, conn, id, class, self.sidecar, left, length);
         self.open.borrow_mut().push(id);
         let again = self.exchange(&mut reader, &socket, id, &text, left, (leaves, trickles)).await;
         self.open.borrow_mut().retain(|open| *open != id);
@@ -193,13 +214,14 @@
         reader: &mut Reader<Stream<SimTcp, ()>>,
         socket: &SimTcp,
         id: u64,
-        text: &str,
+        text: &[u8],
         left: Duration,
         (leaves, trickles): (bool, bool),
     ) -> Ended {
         let pieces: Vec<&[u8]> = match trickles {
-            true => text.as_bytes().chunks(self.draw(|rng| rng.random_range(20..80))).collect(),
-            false => vec![text.as_bytes()],
+            true if text.len() >= LONG => text.chunks(PIECE).collect(),
+            true => text.chunks(self.draw(|rng| rng.random_range(20..80))).collect(),
+            false => vec![text],
         };
         for (n, piece) in pieces.into_iter().enumerate() {
             if n > 0 {
@@ -217,7 +239,11 @@
             let due = self.oracle.borrow().due(id);
             due.map_or(left, |due| due.saturating_sub(now(self.start))) + Duration::from_millis(2)
         };
-        let answer = timeout_at::<Sim, _>(Sim::now() + patience, reader.next()).await;
+        let mut answer = timeout_at::<Sim, _>(Sim::now() + patience, reader.next()).await;
+        // One that is too long to be kept, and has begun in time, may come as slowly as it does.
+        if answer.is_err() && !leaves && reader.begun() && self.oracle.borrow().begun(id) {
+            answer = timeout_at::<Sim, _>(Sim::now() + SLOWEST, reader.next()).await;
+        }
         let now = now(self.start);
         let mut oracle = self.oracle.borrow_mut();
         let message = match answer {
@@ -239,7 +265,10 @@
             }
         };
         let status = message.status().unwrap_or(0);
-        oracle.got(now, id, status, message.body == format!("{id:016x}").as_bytes());
+        let own = format!("{id:016x}");
+        let right =
+            !message.body.is_empty() && message.body.chunks(16).all(|c| c == own.as_bytes());
+        oracle.got(now, id, status, right);
         let refused = matches!(status, 429 | 503) && self.draw(|rng| rng.random_bool(0.5));
         let after = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
         let after = after.filter(|s| (0.0..60.0).contains(s)).unwrap_or(0.05);
@@ -263,14 +292,16 @@
         let text = self.text(class, id, Duration::from_millis(700));
         let Ok(socket) = Sim::connect(self.target).await else { return };
         let mut reader = Reader::new(Stream::new(Rc::new(socket), Rc::new(())));
-        if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
+        if reader.get_mut().write_all(&text).await.is_err() {
             return;
         }
         let end = Sim::now() + Duration::from_secs(2);
         if let Ok(Ok(Some(message))) = timeout_at::<Sim, _>(end, reader.next()).await {
             let conflict = message.status() == Some(409);
             let what = if conflict { "ids that are open refused" } else { "ids reused later" };
-            self.oracle.borrow_mut().count(what);
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.count(what);
+            oracle.count(status_name(message.status().unwrap_or(0)));
         }
     }
 
@@ -283,11 +314,15 @@
         }
         let end = Sim::now() + Duration::from_secs(4);
         let answer = timeout_at::<Sim, _>(end, reader.next()).await;
-        self.oracle.borrow_mut().count(match answer {
+        let mut oracle = self.oracle.borrow_mut();
+        oracle.count(match &answer {
             Ok(Ok(Some(_))) => "garbage answered",
             Ok(_) => "garbage closed",
             Err(_) => "garbage held",
         });
+        if let Ok(Ok(Some(message))) = answer {
+            oracle.count(status_name(message.status().unwrap_or(0)));
+        }
     }
 }
 
--- a/crates/dst/src/lib.rs
+++ b/crates/dst/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 pub mod coverage;
 mod discovery;
+mod operators;
 mod oracle;
 pub mod run;
 pub mod scenario;
--- a/crates/dst/src/main.rs
+++ b/crates/dst/src/main.rs
@@ -149,6 +149,7 @@
     let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {per_sec} {eta} {msg}");
     bar.set_style(style.unwrap_or(ProgressStyle::default_bar()));
     let next = AtomicU64::new(seeds.start);
+    let hash = AtomicU64::new(0);
     let (all, failures) = (Mutex::new(Coverage::default()), Mutex::new(Vec::new()));
     let began = Instant::now();
     std::thread::scope(|scope| {
@@ -163,6 +164,7 @@
                     let scenario = Scenario::draw(seed);
                     let outcome = play(&scenario, false);
                     mine.add(&scenario, &outcome);
+                    hash.fetch_add(outcome.hash, Ordering::Relaxed);
                     bar.inc(1);
                     if outcome.violation.is_some() {
                         if let Ok(mut failures) = failures.lock() {
@@ -192,13 +194,14 @@
         print!("{}", all.table());
     }
     println!(
-        "{} seeds in {took:.1} s on {jobs} threads: {:.1} seeds/s, {:.0} virtual seconds/s; {} requests ({} at least), {} with faults; {} failed",
+        "{} seeds in {took:.1} s on {jobs} threads: {:.1} seeds/s, {:.0} virtual seconds/s; {} requests ({} at least), {} with faults; hashes sum to {:016x}; {} failed",
         all.runs,
         all.runs as f64 / took,
         all.seconds / took,
         all.requests(),
         all.least_requests.unwrap_or(0),
         all.faulty,
+        hash.load(Ordering::Relaxed),
         failures.len()
     );
     failures.is_empty()
--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,8 @@
 
 use crate::client::{Clients, Manners};
 use crate::discovery::{Discovery, Mode};
-use crate::oracle::{ClassRule, Counts, Eye, Oracle, Role, Rules, Violation};
+use crate::operators::Operators;
+use crate::oracle::{ClassRule, ColdRule, Counts, Eye, Oracle, Role, Rules, Violation};
 use crate::scenario::{FAULTS_END_MS, Fault, Kind, LOAD_END_MS, Scenario};
 use crate::server::{Faults, Server};
 
@@ -38,6 +40,10 @@
 const LET_GO: Duration = Duration::from_secs(16);
 /// A sidecar that was told to end has ended within the longest deadline and so much.
 const PLANNED_END: Duration = Duration::from_millis(700);
+/// Where operators call a sidecar.
+const OPERATORS_PORT: u16 = 9800;
+/// Least room on the way to a server where bodies are long: byte by byte they would take minutes.
+const LONG_WINDOW: usize = 4096;
 /// Between two looks at what the scenario says.
 const SLICE: Duration = Duration::from_millis(50);
 
@@ -89,6 +95,7 @@
     discovery: Rc<Discovery>,
     sidecars: Vec<Sidecar>,
     clients: Vec<(HostId, Rc<Clients>)>,
+    operators: Option<(HostId, Rc<Operators>)>,
     discovery_host: HostId,
     rng: SmallRng,
     baseline: (usize, usize),
@@ -122,15 +129,21 @@
         let start = world.instant();
         let classes: Rc<[Class]> = classes(1.0).into();
         let rules = Rules {
-            classes: classes.iter().map(|c| ClassRule { name: c.name, repeat: c.repeat }).collect(),
+            classes: classes
+                .iter()
+                .map(|c| ClassRule { name: c.name, repeat: c.repeat, work: c.work })
+                .collect(),
             window: WINDOW,
             slack: Duration::from_micros(8000),
             drain: Duration::from_millis(500),
             sockets: scenario.sockets,
+            gap: classes.iter().map(|c| c.aim).min().unwrap_or_default(),
+            cold: ColdRule { multiple: 4.0, window: Duration::from_secs(3), cores: scenario.cores },
         };
         let oracle = Rc::new(RefCell::new(Oracle::new(rules, traced)));
         world.set_tap(Eye(oracle.clone()));
-        let hosts = 1 + scenario.servers * ZONES.len() + 2 * scenario.sidecars;
+        let operated = scenario.faults.iter().any(|f| f.kind.by_operators());
+        let hosts = 2 + scenario.servers * ZONES.len() + 2 * scenario.sidecars;
         let role = |host, role| oracle.borrow_mut().role(host, role, hosts);
 
         let discovery_host = world.host(ip(4, 0));
@@ -147,6 +160,7 @@
                     zone,
                     host,
                     address(3, place, 3000),
+                    scenario.cores,
                     classes.clone(),
                     keys.clone(),
                     SmallRng::seed_from_u64(rng.random()),
@@ -154,7 +168,7 @@
                 ));
             }
         }
-        let book = Book::new(servers.iter().map(|s| entry(s, "active", 0)).collect());
+        let book = Book::new(servers.iter().map(|s| entry(s, "active")).collect());
         let discovery = Rc::new(Discovery {
             book: RefCell::new(book),
             mode: Cell::default(),
@@ -204,6 +218,14 @@
             };
             clients.push((theirs, Rc::new(of)));
         }
+        let operators = operated.then(|| {
+            let of = Operators {
+                start,
+                oracle: oracle.clone(),
+                rng: RefCell::new(SmallRng::seed_from_u64(rng.random())),
+            };
+            (world.host(ip(5, 0)), Rc::new(of))
+        });
         Play {
             scenario,
             world,
@@ -214,6 +236,7 @@
             discovery,
             sidecars,
             clients,
+            operators,
             discovery_host,
             rng,
             baseline: (0, 0),
@@ -271,13 +294,15 @@
         s.reload = again;
         let (at, config, stop, ended) = (s.at, s.config.clone(), s.stop.clone(), s.ended.clone());
         let host = s.host;
+        let operated = self.operators.as_ref().map(|_| address(1, n, OPERATORS_PORT));
         self.world.limit_sockets(host, self.scenario.sockets);
         self.oracle.borrow_mut().starts(now, n);
         self.world.spawn(host, async move {
             let parsed = Config::parse(text.as_bytes());
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
                 let peers = peers.map(SimUdp::bind).transpose()?;
-                Ok(Sockets::<Sim> { listener, shared: false, peers, admin: None, record: None })
+                let admin = operated.map(|at| SimListener::bind(at, 64)).transpose()?;
+                Ok(Sockets::<Sim> { listener, shared: false, peers, admin, record: None })
             });
             if let (Ok(parsed), Ok(sockets)) = (parsed, sockets) {
                 let read = move || Config::parse(config.borrow().as_bytes());
@@ -413,7 +438,7 @@
                 let s = self.server(*server);
                 if begins && !s.down.replace(true) {
                     self.world.kill(s.host, Death::Reset);
-                    let gone = entry(&s, "left", 0);
+                    let gone = entry(&s, "left");
                     self.discovery.change(|book| book.list(gone));
                     s.life.set(s.life.get() + 1);
                 } else if !begins && s.down.get() {
@@ -422,7 +447,7 @@
             }
             Kind::Drain { server } => {
                 let s = self.server(*server);
-                let entry = entry(&s, if begins { "leaving" } else { "active" }, 0);
+                let entry = entry(&s, if begins { "leaving" } else { "active" });
                 if begins {
                     self.discovery.change(|book| book.list(entry));
                     s.draining.set(true);
@@ -433,7 +458,7 @@
             }
             Kind::Unlist { server } => {
                 let s = self.server(*server);
-                let entry = entry(&s, if begins { "left" } else { "active" }, 0);
+                let entry = entry(&s, if begins { "left" } else { "active" });
                 if begins || !s.down.get() {
                     self.discovery.change(|book| book.list(entry));
                 }
@@ -485,17 +510,43 @@
                     s.back_at = Some(now + Duration::from_millis(fault.for_ms.min(1000)));
                 }
             }
+            Kind::TakeOut { sidecar, server } if begins => {
+                let s = self.server(*server);
+                let lasts = Duration::from_millis(fault.for_ms);
+                let server = (s.place, s.name());
+                self.operate(*sidecar, |of, at| Box::pin(of.take_out(at, server, lasts)));
+            }
+            Kind::SendAway { sidecar } if begins => {
+                let lasts = Duration::from_millis(fault.for_ms);
+                self.operate(*sidecar, |of, at| Box::pin(of.send_away(at, lasts)));
+            }
+            Kind::BadCalls { sidecar } if begins => {
+                self.operate(*sidecar, |of, (_, at)| Box::pin(of.bad_calls(at)));
+            }
             _ => {}
         }
     }
 
+    /// Lets operators do something at a sidecar.
+    fn operate(
+        &self,
+        sidecar: usize,
+        act: impl FnOnce(Rc<Operators>, (usize, SocketAddr)) -> Pin<Box<dyn Future<Output = ()>>>,
+    ) {
+        let n = sidecar % self.sidecars.len();
+        if let Some((host, of)) = &self.operators {
+            self.world.spawn(*host, act(of.clone(), (n, address(1, n, OPERATORS_PORT))));
+        }
+    }
+
     fn start_server(&mut self, s: &Rc<Server>) {
         self.world.revive(s.host);
         let now = self.now();
+        let before = s.ran_as.replace(s.life.get());
         s.started.set(Some(now));
+        self.oracle.borrow_mut().server_starts(now, s.place, before != s.life.get());
         self.world.spawn(s.host, s.clone().run(self.start));
-        let born = Options::default().unix + now;
-        let entry = entry(s, "active", born.as_millis() as u64);
+        let entry = entry(s, "active");
         self.discovery.change(|book| book.list(entry));
     }
 
@@ -561,12 +612,22 @@
                 Kind::Trickle { share } => manners.trickle = *share,
                 Kind::ReuseId { share } => manners.reuse = *share,
                 Kind::Garbage { share } => manners.garbage = *share,
+                Kind::ResetLate { server, share, late_ms } => {
+                    of[n(server)].reset_late = *share;
+                    of[n(server)].reset_late_by = Duration::from_millis(*late_ms);
+                }
+                Kind::LongAnswers { server, share } => of[n(server)].long = *share,
+                Kind::LongBodies { share } => manners.long = *share,
                 Kind::Burst { times } => manners.times = *times,
                 Kind::Descriptors { sidecar } => short[sidecar % self.sidecars.len()] = true,
                 Kind::Notes { share } => notes = *share,
                 _ => {}
             }
         }
+        let long = self.scenario.faults.iter().any(|f| matches!(f.kind, Kind::LongBodies { .. }));
+        for (there, _) in links.iter_mut().filter(|_| long) {
+            there.window = there.window.max(LONG_WINDOW);
+        }
         for (server, faults) in self.servers.iter().zip(of) {
             server.faults.set(faults);
         }
@@ -672,7 +733,9 @@
     [&mut links.0, &mut links.1].into_iter()
 }
 
-fn entry(server: &Server, health: &'static str, born_ms: u64) -> Entry {
+fn entry(server: &Server, health: &'static str) -> Entry {
+    let born = server.started.get().map(|at| Options::default().unix + at);
+    let born_ms = born.map_or(0, |born| born.as_millis() as u64);
     let mut entry = Entry::new(server.at, ZONES[server.zone]);
     entry.host = server.name();
     (entry.health, entry.born_ms) = (health, born_ms);
--- a/crates/dst/src/server.rs
+++ b/crates/dst/src/server.rs
@@ -19,8 +19,10 @@
 
 use crate::oracle::Oracle;
 
-/// Requests in work at once.
-const CORES: usize = 4;
+/// What is longer than this is passed on as it comes, in both directions.
+pub const LONG: usize = 66 << 10;
+/// The size of a chunk of a long body, and of what a slow client writes of one at a time.
+pub const PIECE: usize = 16 << 10;
 /// Requests that may wait; more are turned away unseen.
 const ROOM: usize = 40;
 /// The share of its speed that a server starts with, and when it has all of it.
@@ -41,6 +43,10 @@
     pub close_after: f64,
     pub late: f64,
     pub late_by: Duration,
+    pub reset_late: f64,
+    pub reset_late_by: Duration,
+    /// The share of answers that are too long to be kept.
+    pub long: f64,
     pub turn_away: f64,
     /// How many times as long work takes, less one.
     pub slower: f64,
@@ -60,6 +66,8 @@
     Surplus,
     CloseAfter,
     Late,
+    ResetLate,
+    Long,
     TurnAway,
 }
 
@@ -69,14 +77,18 @@
     pub zone: usize,
     pub host: HostId,
     pub at: SocketAddr,
+    /// Requests in work at once.
+    pub cores: usize,
     /// How often somebody new has run here: part of the name.
     pub life: Cell<u32>,
+    /// As which life it last started.
+    pub ran_as: Cell<u32>,
     pub draining: Cell<bool>,
     pub down: Cell<bool>,
     pub faults: Cell<Faults>,
     pub started: Cell<Option<Duration>>,
     classes: Rc<[Class]>,
-    cores: RefCell<Rc<Semaphore>>,
+    free: RefCell<Rc<Semaphore>>,
     waiting: Cell<usize>,
     running: Cell<usize>,
     keys: Rc<Keys>,
@@ -112,6 +124,7 @@
         zone: usize,
         host: HostId,
         at: SocketAddr,
+        cores: usize,
         classes: Rc<[Class]>,
         keys: Rc<Keys>,
         rng: SmallRng,
@@ -122,13 +135,15 @@
             zone,
             host,
             at,
+            cores,
             life: Cell::new(0),
+            ran_as: Cell::new(0),
             draining: Cell::new(false),
             down: Cell::new(false),
             faults: Cell::default(),
             started: Cell::new(None),
             classes,
-            cores: RefCell::new(Rc::new(Semaphore::new(CORES))),
+            free: RefCell::new(Rc::new(Semaphore::new(cores))),
             waiting: Cell::new(0),
             running: Cell::new(0),
             keys,
@@ -149,7 +164,7 @@
 
     /// Runs it: to be spawned on its machine.
     pub async fn run(self: Rc<Server>, start: std::time::Instant) {
-        *self.cores.borrow_mut() = Rc::new(Semaphore::new(CORES));
+        *self.free.borrow_mut() = Rc::new(Semaphore::new(self.cores));
         self.waiting.set(0);
         self.running.set(0);
         self.down.set(false);
@@ -178,6 +193,8 @@
             (f.surplus, Fate::Surplus),
             (f.close_after, Fate::CloseAfter),
             (f.late, Fate::Late),
+            (f.reset_late, Fate::ResetLate),
+            (f.long, Fate::Long),
         ];
         for (share, fate) in shares {
             if at < share {
@@ -254,10 +271,10 @@
         if fate == Fate::ResetBefore {
             return None;
         }
-        let cores = self.cores.borrow().clone();
+        let free = self.free.borrow().clone();
         let core = {
             let _waits = Counted::new(&self.waiting);
-            cores.acquire().await.ok()?
+            free.acquire().await.ok()?
         };
         let key = message.header("idempotency-key");
         let fresh = key.is_none_or(|key| self.keys.fresh(&key, WINDOW, Sim::now()));
@@ -278,6 +295,11 @@
         match fate {
             Fate::Error => plain("500 Internal Server Error", ""),
             Fate::ResetAfter | Fate::Hang => None,
+            Fate::ResetLate => {
+                Sim::sleep(self.faults.get().reset_late_by).await;
+                None
+            }
+            Fate::Long => Some(self.long(&body)),
             Fate::Spoilt => Some(b"\x01\x02noise\r\n\r\n".to_vec()),
             // Noise, or the same answer once more: it would pass for the next one's.
             Fate::Surplus if id.is_multiple_of(3) => Some((good + "\u{1}\u{2}noise").into_bytes()),
@@ -290,15 +312,35 @@
         }
     }
 
+    /// An answer that is too long to be kept, with its length or in chunks.
+    fn long(&self, body: &str) -> Vec<u8> {
+        let (times, chunked) = {
+            let mut rng = self.rng.borrow_mut();
+            (rng.random_range(LONG / 16..LONG / 8), rng.random::<bool>())
+        };
+        let body = body.repeat(times).into_bytes();
+        let (how, body) = match chunked {
+            true => {
+                ("Transfer-Encoding: chunked".to_owned(), standins::wire::chunked(&body, PIECE))
+            }
+            false => (format!("Content-Length: {}", body.len()), body),
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nX-Backend-Load: {}\r\n{how}\r\n\r\n", self.load());
+        [head.into_bytes(), body].concat()
+    }
+
     fn load(&self) -> String {
         let (waiting, running) = (self.waiting.get(), self.running.get());
-        let util = running as f64 / CORES as f64;
+        let util = running as f64 / self.cores as f64;
         format!("inflight={},queue={waiting},util={util:.2}", waiting + running)
     }
 
     fn speed(&self, now: Duration) -> f64 {
-        let Some(started) = self.started.get() else { return 1.0 };
-        let warm = (now.saturating_sub(started)).as_secs_f64() / COLD.1.as_secs_f64();
-        COLD.0 + (1.0 - COLD.0) * warm.min(1.0)
+        self.started.get().map_or(1.0, |started| warmth(now.saturating_sub(started)))
     }
 }
+
+/// The share of its full speed that a server has so long after its start.
+pub fn warmth(age: Duration) -> f64 {
+    COLD.0 + (1.0 - COLD.0) * (age.as_secs_f64() / COLD.1.as_secs_f64()).min(1.0)
+}
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -1,4 +1,5 @@
-//! Just enough HTTP/1.1 to stand in for clients and servers (RFC 9112): messages with a length.
+//! Just enough HTTP/1.1 to stand in for clients and servers (RFC 9112): messages with a length or in
+//! chunks.
 
 use std::io::{self, BufRead};
 
@@ -124,6 +125,10 @@
         return if buffer.len() > LONGEST { Err(bad()) } else { Ok(None) };
     };
     let head = std::str::from_utf8(&buffer[..end]).map_err(|_| bad())?;
+    if header(head, "transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+        let Some((body, length)) = unchunked(&buffer[end..])? else { return Ok(None) };
+        return Ok(Some((Message { head: head.to_owned(), body }, end + length)));
+    }
     let length = match header(head, "content-length") {
         Some(text) => text.parse::<usize>().ok().filter(|n| *n <= LONGEST).ok_or_else(bad)?,
         None => 0,
@@ -132,6 +137,49 @@
     Ok(Some((Message { head: head.to_owned(), body: body.to_vec() }, end + length)))
 }
 
+/// A body in chunks without trailers (RFC 9112, section 7.1), and how many bytes it took; none: more of
+/// it is to come.
+fn unchunked(mut bytes: &[u8]) -> io::Result<Option<(Vec<u8>, usize)>> {
+    let bad = || io::Error::from(io::ErrorKind::InvalidData);
+    let all = bytes.len();
+    let mut body = Vec::new();
+    loop {
+        let Some(line) = bytes.windows(2).position(|w| w == b"\r\n") else {
+            return if bytes.len() > 32 { Err(bad()) } else { Ok(None) };
+        };
+        let size = std::str::from_utf8(&bytes[..line]).map_err(|_| bad())?;
+        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| bad())?;
+        if size > LONGEST || body.len() + size > LONGEST {
+            return Err(bad());
+        }
+        bytes = &bytes[line + 2..];
+        let Some((data, end)) = bytes.split_at_checked(size).filter(|(_, end)| end.len() >= 2)
+        else {
+            return Ok(None);
+        };
+        if !end.starts_with(b"\r\n") {
+            return Err(bad());
+        }
+        body.extend_from_slice(data);
+        bytes = &end[2..];
+        if size == 0 {
+            return Ok(Some((body, all - bytes.len())));
+        }
+    }
+}
+
+/// A body in chunks of `size` bytes, as it is written.
+pub fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let mut text = Vec::with_capacity(body.len() + body.len() / size.max(1) * 12 + 16);
+    for piece in body.chunks(size.max(1)) {
+        text.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        text.extend_from_slice(piece);
+        text.extend_from_slice(b"\r\n");
+    }
+    text.extend_from_slice(b"0\r\n\r\n");
+    text
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -161,6 +209,21 @@
         }
     }
 
+    #[tokio::test]
+    async fn chunks_come_whole_and_their_message_ends_with_the_last() {
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let body: Vec<u8> = (0..50u8).collect();
+        let text = [&head[..], &chunked(&body, 7), b"HTTP/1.1 204 No\r\n\r\n"].concat();
+        let mut reader = Reader::new(&text[..]);
+        assert_eq!(reader.next().await.expect("sound").expect("there").body, body);
+        assert_eq!(reader.next().await.expect("sound").expect("there").status(), Some(204));
+        for cut in [head.len() + 1, head.len() + 9, text.len() - 22] {
+            assert!(Reader::new(&text[..cut]).next().await.is_err(), "cut at {cut}");
+        }
+        let bad = [&head[..], b"zz\r\n"].concat();
+        assert!(Reader::new(&bad[..]).next().await.is_err());
+    }
+
     #[tokio::test]
     async fn an_end_within_a_message_is_an_error() {
         let mut reader = Reader::new(&b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"[..]);
