--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -48,10 +48,10 @@
 /// Among many clients, one that has rested so long since its answer may be let go: a client that
 /// goes on sends its next request sooner, or opens another connection at no cost to servers.
 const RESTED: Duration = Duration::from_millis(100);
-/// So many bytes of a body may wait unread with the system while no server takes them.
-const UNREAD: u64 = 256 << 10;
 /// The same of one that has not asked yet: what it sends first would be lost with the connection.
 const UNUSED: Duration = Duration::from_secs(1);
+/// So many bytes of a body may wait unread with the system while no server takes them.
+const UNREAD: u64 = 256 << 10;
 /// For so long after a failed accept descriptors are said to have run out.
 const SHORT: Duration = Duration::from_secs(2);
 /// A pause before accepting again when the system has no descriptor left.
