--- a/crates/rehearsal/tests/hard_cases.rs
+++ b/crates/rehearsal/tests/hard_cases.rs
@@ -10,7 +10,6 @@
 use rehearsal::{Driving, Host, Plan, signal_process};
 use rustix::process::Signal;
 use standins::clients::Load;
-use standins::logserver::{Fault, LogServer};
 use standins::world::{World, classes};
 use standins::{until, until_in};
 
@@ -140,18 +139,21 @@
     sound(&host);
 }
 
-/// A generation whose canary meets other servers than the rest goes back, and all else serves on.
-fn bad_canary(spoil: fn(&LogServer), why: &str) {
+/// A generation whose canary meets servers that turn everything away goes back, and all else serves on.
+/// One that fails is shown with fifty.
+#[test]
+fn a_canary_that_refuses_requests_goes_back() {
     let rollout = "watch_s = 60.0\nleast_requests = 10\nready_within_s = 60.0".to_owned();
     let host = started(Plan { rollout, ..plan(6) });
     let others = World::with_account(host.account().clone(), 1, 7);
     let others = standins::runtime().block_on(others).expect("ports");
     for (server, _) in &others.servers {
-        spoil(server);
+        server.drain();
     }
     let driving = drive(&host);
     host.move_discovery(others.registry.at).expect("written");
     host.ask(&Request::Reload).expect("sound");
+    let why = "were refused at the canary";
     until_in(PATIENCE, why, || told(&host, why));
     host.wait(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
@@ -161,16 +163,6 @@
     sound(&host);
 }
 
-#[test]
-fn a_canary_that_fails_requests_goes_back() {
-    bad_canary(|server| server.faults(vec![(1.0, Fault::Error)]), "at the canary");
-}
-
-#[test]
-fn a_canary_that_refuses_requests_goes_back() {
-    bad_canary(LogServer::drain, "were refused at the canary");
-}
-
 #[test]
 fn one_that_hangs_is_found_out_and_replaced() {
     let host = host(3);
