A client that leaves behind a body nobody reads is seen to have left

At fault is ingress.rs reply(): with its body's channel full, or before room for the body is there, hyper does not read the socket, so it cannot see the end. Ruled out: the module (it is told nothing), the upstream.

While a request waits and something may be unread, the socket is asked every 5 ms whether its peer has ended (the system's read-closed readiness; the simulated network has the same). Bodies of ordinary size are read whole and pay nothing.

The test on real sockets fails without the change.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -105,6 +105,8 @@
     fn reset_on_close(&self);
     /// Whether it is silent: not ended, not reset, and nothing to be read.
     fn at_rest(&self) -> bool;
+    /// Whether the peer is known to send no more, whatever of it waits to be read first.
+    fn ended(&self) -> bool;
 }
 
 /// Where connections come in.
--- a/crates/platform/src/system.rs
+++ b/crates/platform/src/system.rs
@@ -4,11 +4,12 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::task::{Context, Poll};
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use socket2::SockRef;
-use tokio::io::ReadBuf;
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::AbortHandle;
 
@@ -89,6 +90,12 @@
         matches!(SockRef::from(self).peek(&mut byte),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
+
+    fn ended(&self) -> bool {
+        let ready = pin!(self.ready(Interest::READABLE));
+        let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
 }
 
 impl Listener for TcpListener {
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -799,6 +799,14 @@
         });
         rests.unwrap_or(false)
     }
+
+    fn ended(&self) -> bool {
+        let ended = self.with(|_, conn| {
+            let side = &conn.sides[self.side];
+            side.fin || side.error.is_some()
+        });
+        ended.unwrap_or(true)
+    }
 }
 
 impl Drop for SimTcp {
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -3,10 +3,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io;
-use std::marker::PhantomData;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
@@ -41,6 +41,8 @@
 const SLOWEST_READ: Duration = Duration::from_secs(10);
 /// Between two looks at a client whose request is under way: its time is the module's.
 const LOOK: Duration = Duration::from_millis(250);
+/// The same at one of whose body something waits unread.
+const GLANCE: Duration = Duration::from_millis(5);
 /// How long an ended connection is read on, and how far, so that what the client still sends does
 /// not take its answer away.
 const LINGER: Duration = Duration::from_millis(500);
@@ -83,7 +85,9 @@
 /// silent, trickling or not reading: each phase that is the client's has a time of its own, which
 /// nothing renews but reading on and, for a body, sending on at some pace. Harmful to honest clients
 /// that are slower.
-struct Client<P> {
+struct Client<P: Platform> {
+    /// Held by its connection alone.
+    socket: Weak<P::Tcp>,
     phase: Cell<Phase>,
     framing: RefCell<Framing>,
     fault: Cell<Option<Fault>>,
@@ -108,12 +112,12 @@
     /// How long it may have waited to be accepted.
     waited: Duration,
     leave: Notify,
-    on: PhantomData<P>,
 }
 
 impl<P: Platform> Client<P> {
-    fn new(waited: Duration, longest: usize) -> Client<P> {
+    fn new(socket: &Rc<P::Tcp>, waited: Duration, longest: usize) -> Client<P> {
         Client {
+            socket: Rc::downgrade(socket),
             phase: Cell::new(Phase::Resting),
             framing: RefCell::new(Framing::new(Side::Requests, longest)),
             fault: Cell::new(None),
@@ -128,7 +132,6 @@
             fresh: Cell::new(true),
             waited,
             leave: Notify::new(),
-            on: PhantomData,
         }
     }
 
@@ -185,6 +188,29 @@
     }
 }
 
+impl<P: Platform> Client<P> {
+    /// What `work` comes to, unless the client leaves first.
+    ///
+    /// Danger: while nobody takes the rest of a body, the end of the connection waits behind it, and an
+    /// attempt would begin for a client that has left. Harmful to clients that end their sending side
+    /// right behind a long body and still want the answer: they get none, as they would behind a short one.
+    async fn unless_gone<T>(&self, work: impl Future<Output = T>) -> Result<T, Gone> {
+        let gone = async {
+            loop {
+                P::sleep(GLANCE).await;
+                if !self.waits.get() && self.socket.upgrade().is_none_or(|s| s.ended()) {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            () = gone => Err(Gone),
+        }
+    }
+}
+
 impl<P: Platform> Observer for Client<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         if !bytes.is_empty() && self.phase.get() == Phase::Resting {
@@ -466,7 +492,7 @@
     async fn client(self: Rc<Ingress<P>>, n: u64, socket: P::Tcp, place: Place, waited: Duration) {
         let _ = socket.set_nodelay();
         let socket = Rc::new(socket);
-        let client = Rc::new(Client::new(waited, self.live.longest()));
+        let client = Rc::new(Client::new(&socket, waited, self.live.longest()));
         self.clients.borrow_mut().insert(n, client.clone());
         let io = TokioIo::new(Stream::new(socket.clone(), client.clone()));
         let mut connection = Box::pin(
@@ -601,7 +627,8 @@
             let kept = length.filter(|&n| n <= WINDOW as u64);
             // Danger: taken only when the bytes are here, room would be overdrawn by all who send
             // at once. A client whose time runs out while it waits has had no attempt.
-            room = self.bytes.room(kept.map_or(ROOM, |n| n as usize)).await;
+            let wanted = self.bytes.room(kept.map_or(ROOM, |n| n as usize));
+            room = client.unless_gone(wanted).await?;
             let rest;
             (first, rest) = read(body, kept.map_or(WINDOW, |n| n as usize)).await?;
             upload = rest.map(|rest| {
@@ -628,10 +655,14 @@
         let spec = Spec { repeat, method, target, headers, body: first, upload: upload_of, room };
         let (class, began) = (asked.class, P::now());
         let mut ticket = self.driver.request(asked, spec);
-        let reply = ticket.reply().await;
-        if let Some(upload) = upload {
-            upload.drain().await.map_err(|Broken| Gone)?;
-        }
+        let reply = match upload {
+            None => ticket.reply().await,
+            Some(upload) => {
+                let reply = client.unless_gone(ticket.reply()).await?;
+                upload.drain().await.map_err(|Broken| Gone)?;
+                reply
+            }
+        };
         let took_us = P::since(began).as_micros() as u64;
         tracing::debug!(request = id, class, answer = reply.name(), took_us, "answered");
         Ok(Ok(reply))
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,8 +4,8 @@
 #[path = "common/net.rs"]
 mod net;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
@@ -303,6 +303,45 @@
     assert!(!endless.ends_with("\r\n0\r\n\r\n"), "it must not look whole");
 }
 
+/// Found by simulation: the end of a connection waits behind a body that nobody reads, and an order
+/// went out for a client that had left.
+#[test]
+fn a_client_that_leaves_behind_an_unread_body_is_let_go() {
+    let server = Server::echo();
+    let sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
+        config["limits"]["memory_mb"] = 16.into();
+        config["limits"]["sockets"] = 256.into();
+    });
+    let head = |id: &str, length: usize| {
+        format!(
+            "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    let mut witness = sidecar.connect();
+    witness.write_all(b"POST ").expect("written");
+    // A third of the memory is for bodies, and long ones take 128 KiB each: no room is left.
+    let holders: Vec<_> = (0..45)
+        .map(|n| {
+            let mut socket = sidecar.connect();
+            let head = head(&format!("holder{n}"), 1 << 20);
+            socket.write_all(head.as_bytes()).expect("written");
+            socket
+        })
+        .collect();
+    let mut leaving = sidecar.connect();
+    let body = head("leaving", 70_000) + &"x".repeat(70_000);
+    leaving.write_all(body.as_bytes()).expect("written");
+    leaving.shutdown(Shutdown::Write).expect("ended");
+    assert_eq!(rest(leaving), "");
+    // Unseen, it would have been kept until its patience ran out: later than that of who came first.
+    witness.set_nonblocking(true).expect("set");
+    let read = witness.read(&mut [0]);
+    assert!(read.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock), "{read:?}");
+    drop(holders);
+    until("there is room again", || sidecar.exchange(&order("next")).ends_with("next"));
+}
+
 /// Found on a day on which a sidecar saw not one load report: servers named the fields as the
 /// settings do, not as the protocol does.
 #[test]
