What was missed from an agent is asked for whole: its versions may begin anew

Seen: broke the rule on drains. The sidecar had version 1; while the agent's answers broke off server 7 was replaced (2, 3), then the agent began anew at 1 with another list. `from=1` was then answered with nothing new, and the later unlisting named a server that the sidecar did not know. So the sidecar is wrong: discovery.rs pushed() went on from its version after a failed call.

After a failed call it asks the agent for the whole list. Where discovery is asked, versions are those of one service for all; there the world's jump now loses the changes and goes on counting, as a whole list costs it.

--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -476,8 +476,13 @@
                 }
             }
             Kind::DiscoveryJump if begins => {
-                let list = self.discovery.book.borrow().servers().to_vec();
-                self.discovery.change(|book| *book = Book::new(list));
+                // An agent counts its own versions, and may begin anew. Those of a discovery that is
+                // asked stand for one history; what it can lose is the changes between them.
+                let asked = self.scenario.asked;
+                self.discovery.change(|book| match asked {
+                    true => book.forget(),
+                    false => *book = Book::new(book.servers().to_vec()),
+                });
             }
             Kind::Reload { sidecar, sound } if begins => {
                 let n = sidecar % self.sidecars.len();
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -81,6 +81,12 @@
         Book { seq: 1, list, ..Book::default() }
     }
 
+    /// Forgets what changed: whoever has any version up to now gets the whole list.
+    pub fn forget(&mut self) {
+        self.changes.clear();
+        self.seq += 1;
+    }
+
     /// The version.
     pub fn seq(&self) -> u64 {
         self.seq
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -99,7 +99,12 @@
                             P::sleep(AGAIN / 5).await;
                         }
                     }
-                    None => P::sleep(AGAIN).await,
+                    // Danger: an agent that was started anew may count its versions anew, up to one
+                    // that stood for another list. What was missed is asked for whole: it is free here.
+                    None => {
+                        whole = true;
+                        P::sleep(AGAIN).await;
+                    }
                 },
                 call = calls.recv() => {
                     whole |= call == Some(Call::Fetch);
