With home out and all others cold, the others are used within their due

By sidecar: one refused nearly all, the two others nothing. Its home server was put out (replaced, then refusing), the far two were cold, their draw weight small, and decide.rs hardly_drawn(), the last resort, left cold servers out altogether. Ruled out: shedding (lateness was 0), the retry budget (no attempt was made).

--- a/src/api.rs
+++ b/src/api.rs
@@ -10,12 +10,13 @@
 pub struct RequestId(pub u64);
 
 /// A server, the same at every sidecar. It may be compared and hashed; it tells nothing else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct ServerId(pub u64);
 
 /// What discovery says of a server's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -98,7 +98,7 @@
 type Slot = usize;
 
 /// What a sidecar knows of one server.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     id: ServerId,
     zone: u8,
@@ -673,21 +673,40 @@
     }
 
     /// Danger: with home out, nearly all draws fall on it, and requests are refused while far servers
-    /// stand idle. Where no draw found a server, two of those that are left are taken at random. Where
-    /// none is left, what is safe to repeat is a trial, one at a time, at one that was put out.
+    /// stand idle. Where no draw found a server, the less used of two of those left is taken. Cold ones
+    /// are so where no warm one is left, and no oftener than brings them twice their due: else a fleet
+    /// that lost the others would push them over. Last, what is safe to repeat is a trial, one at a
+    /// time, at one that was put out.
     fn hardly_drawn(&mut self, request: &Request, most_out: bool) -> Option<Slot> {
+        let us = [(); 3].map(|()| self.uniform());
         let safe = self.settings.classes[request.class].repeat == Repeat::Safe;
-        let fit = |slot: &Slot, trial: bool| {
-            let s = &self.servers[*slot];
-            let used = request.attempts.iter().any(|a| a.slot == *slot);
-            let healthy = self.healthy(s, most_out) || (trial && s.in_flight == 0);
-            !used && healthy && self.warmth(s) >= 1.0 && self.allowed(request, s)
+        let room = |&i: &Slot| self.listed(&self.servers[i]) * self.warmth(&self.servers[i]);
+        let sum = |of: &[Slot]| of.iter().map(room).sum::<f64>();
+        let mut left: [Vec<Slot>; 3] = Default::default();
+        for &slot in &self.ready {
+            let s = &self.servers[slot];
+            let rank = match (self.healthy(s, most_out), self.warmth(s) < 1.0) {
+                (true, cold) => usize::from(cold),
+                (false, false) if safe && s.in_flight == 0 => 2,
+                _ => continue,
+            };
+            if self.allowed(request, s) && request.attempts.iter().all(|a| a.slot != slot) {
+                left[rank].push(slot);
+            }
+        }
+        if !request.attempts.is_empty() || us[2] * sum(&self.ready) > 2.0 * sum(&left[1]) {
+            left[1].clear();
+        }
+        let left = left.iter().find(|l| !l.is_empty())?;
+        let one = |u: f64| {
+            let mut at = u * sum(left);
+            let found = left.iter().find(|i| {
+                at -= room(i);
+                at < 0.0
+            });
+            *found.unwrap_or(&left[0])
         };
-        let left = |trial| self.ready.iter().copied().filter(|s| fit(s, trial)).collect::<Vec<_>>();
-        let sound = left(false);
-        let left = if sound.is_empty() && safe { left(true) } else { sound };
-        let two = [self.uniform(), self.uniform()].map(|u| (u * left.len() as f64) as usize);
-        Some(self.less_used(*left.get(two[0])?, *left.get(two[1])?))
+        Some(self.less_used(one(us[0]), one(us[1])))
     }
 
     /// The less used of two by our own count; what was last heard settles a tie.
@@ -754,9 +773,7 @@
 
     /// The one gate of all sends.
     fn send(&mut self, id: RequestId, slot: Slot, out: &mut Vec<Action>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
         let s = &self.servers[slot];
         if s.health != Health::Ready || !self.allowed(request, s) {
             return false;
@@ -782,9 +799,7 @@
 
     /// The one gate of all refusals and failures.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get(&id) else { return };
         if request.ended {
             return;
         }
@@ -804,9 +819,7 @@
 
     /// After a request's end: calls off what is still out and forgets it when nothing is.
     fn call_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get(&id) else { return };
         if request.out() == 0 {
             self.requests.remove(&id);
         } else if self.settings.limits.cancel && !request.streaming {
@@ -861,9 +874,7 @@
     }
 
     fn try_send(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let Some(request) = self.requests.remove(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.remove(&id) else { return false };
         let slot = self.pick(&request);
         if request.attempts.is_empty() {
             self.met[self.met_at % KEYS_MET] = request.key;
@@ -896,9 +907,7 @@
     }
 
     fn first_byte(&mut self, id: RequestId, attempt: usize, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
         if self.settings.limits.cancel {
             for (n, a) in request.attempts.iter().enumerate() {
@@ -926,9 +935,7 @@
     /// Danger: with few requests of its own, a sidecar that waits for late answers to come in
     /// learns of an overload when it is over. Not having come by the aim counts.
     fn unanswered(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else {
-            return;
-        };
+        let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else { return };
         let class = r.class;
         let aim = self.settings.classes[class].aim;
         // Danger: a repeat that went out just now is not late because the first attempt failed; and
@@ -976,9 +983,7 @@
         finished: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if let Some(a) = request.attempts.get_mut(attempt) {
             a.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         }
@@ -1015,13 +1020,9 @@
         latency: f64,
         report: &LoadReport,
     ) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get(&id) else { return };
         let class = request.class;
-        let Some(a) = request.attempts.get(attempt) else {
-            return;
-        };
+        let Some(a) = request.attempts.get(attempt) else { return };
         if a.fate != Fate::Out || a.server != server {
             return;
         }
@@ -1235,24 +1236,11 @@
             zone: e.zone,
             cell: e.cell,
             health: e.health,
-            power: 1.0,
             started: e.started,
-            chips: 0,
-            in_flight: 0,
-            received: None,
-            answered: 0,
-            silent_since: None,
-            failures: 0,
-            shunned_until: 0,
-            load: 0.0,
-            reported: 0,
+            power: 1.0,
             slowness: 1.0,
-            faults: 0.0,
             far_load: 1.0,
-            spilled: 0,
-            far_share: None,
-            average: Average::default(),
-            kept: false,
+            ..Server::default()
         }
     }
 }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -391,6 +391,43 @@
     }
 }
 
+/// Found by simulation: with home out and all others cold, a sidecar refused everything. What it sends
+/// there instead is no more than the sum of many like it may bring to cold servers.
+#[test]
+fn cold_servers_stand_in_for_home_within_their_due() {
+    let cold = |n| ServerEntry { started: START - S, ..server(n) };
+    let served = |listed: &[ServerEntry]| {
+        let mut served = 0;
+        for seed in 0..20 {
+            let priced = settings(|s| s["prices"]["crossZone"] = 5.0.into());
+            let mut b = Bench::new(priced, seed, listed);
+            // Home answers nothing, and is silent for longer than any aim.
+            for _ in 0..400 {
+                b.now += MS;
+                let (id, out) = b.request(2);
+                let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) else { continue };
+                b.answer(id, 0, to, Outcome::Served, 0.0);
+            }
+            b.now += 400 * MS;
+            for _ in 0..50 {
+                b.now += MS;
+                let (id, out) = b.request(2);
+                if let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) {
+                    served += 1;
+                    b.answer(id, 0, to, Outcome::Served, 0.0);
+                }
+            }
+        }
+        served
+    };
+    let few = served(&[cold(0), cold(1), cold(3)]);
+    assert!(few >= 950, "{few} of 1000, though two of three are left");
+    let mut fleet: Vec<_> = (0..20).map(|n| server(2 * n)).collect();
+    fleet.push(cold(1));
+    let many = served(&fleet);
+    assert!(many < 100, "{many} of 1000 to one cold server in place of twenty");
+}
+
 /// Found with rough hints of work: heavy requests made the fleet look full.
 #[test]
 fn announced_work_is_no_overload() {
