The two circles of files in simnet and dst are parted

Need: exec and net of simnet used each other, oracle and server of dst too; arrows are to go one way.

simnet: what a network consists of is `fabric`, the state of a world `state`; `net` (what happens there, the sockets) stands on both, `exec` (tasks, the clock) on all. dst: what world and oracle both go by (the clock, how a server warms up, which bodies are long) is `model`.

--- a/crates/dst/src/client.rs
+++ b/crates/dst/src/client.rs
@@ -14,8 +14,8 @@
 use standins::wire::Reader;
 use tokio::io::AsyncWriteExt;
 
+use crate::model::{LONG, PIECE, now};
 use crate::oracle::{Oracle, status_name};
-use crate::server::{LONG, PIECE, now};
 
 /// A connection at rest is used again for so long.
 const KEPT: Duration = Duration::from_millis(1900);
--- a/crates/dst/src/discovery.rs
+++ b/crates/dst/src/discovery.rs
@@ -12,8 +12,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 
+use crate::model::now;
 use crate::oracle::Oracle;
-use crate::server::{Server, now};
+use crate::server::Server;
 
 /// How discovery is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/dst/src/lib.rs
+++ b/crates/dst/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 pub mod coverage;
 mod discovery;
+mod model;
 mod operators;
 mod oracle;
 pub mod run;
--- a/crates/dst/src/operators.rs
+++ b/crates/dst/src/operators.rs
@@ -11,8 +11,8 @@
 use simnet::{Sim, SimTcp};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+use crate::model::now;
 use crate::oracle::Oracle;
-use crate::server::now;
 
 /// A caller is answered, or let go, by then, even if the sidecar has no descriptors for a while.
 const LET_GO: Duration = Duration::from_secs(12);
--- a/crates/dst/src/oracle.rs
+++ b/crates/dst/src/oracle.rs
@@ -9,6 +9,7 @@
 use simnet::{HostId, Tap, TapEvent};
 use standins::account::Repeat;
 
+use crate::model::warmth;
 use crate::wire::{Messages, Part};
 
 /// A time limit of the rules is so much longer on sockets.
@@ -679,7 +680,7 @@
             cold.sent.iter().filter(|s| !told || s.2).map(|s| s.1).sum()
         };
         let (all, told) = (sum(false), sum(true));
-        let can = rule.window.mul_f64(rule.cores as f64 * crate::server::warmth(age));
+        let can = rule.window.mul_f64(rule.cores as f64 * warmth(age));
         let most = can.mul_f64(rule.multiple * CHANCE.0) + CHANCE.1;
         let share = all.as_secs_f64() / most.as_secs_f64();
         self.count(match share {
--- a/crates/dst/src/server.rs
+++ b/crates/dst/src/server.rs
@@ -17,17 +17,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 
+use crate::model::{LONG, PIECE, now, warmth};
 use crate::oracle::Oracle;
 
-/// What is longer than this is passed on as it comes, in both directions.
-pub const LONG: usize = 66 << 10;
-/// The size of a chunk of a long body, and of what a slow client writes of one at a time.
-pub const PIECE: usize = 16 << 10;
 /// Requests that may wait; more are turned away unseen.
 const ROOM: usize = 40;
-/// The share of its speed that a server starts with, and when it has all of it.
-const COLD: (f64, Duration) = (0.16, Duration::from_secs(23));
-
 /// The shares of a server's requests that meet a fault.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -112,11 +106,6 @@
     }
 }
 
-/// Virtual time since the start of the world.
-pub fn now(start: std::time::Instant) -> Duration {
-    Sim::since(start)
-}
-
 impl Server {
     #[allow(clippy::too_many_arguments)]
     pub fn new(
@@ -339,8 +328,3 @@
         self.started.get().map_or(1.0, |started| warmth(now.saturating_sub(started)))
     }
 }
-
-/// The share of its full speed that a server has so long after its start.
-pub fn warmth(age: Duration) -> f64 {
-    COLD.0 + (1.0 - COLD.0) * (age.as_secs_f64() / COLD.1.as_secs_f64()).min(1.0)
-}
--- a/crates/simnet/src/exec.rs
+++ b/crates/simnet/src/exec.rs
@@ -1,4 +1,4 @@
-//! The clock and the tasks.
+//! A world that runs: tasks take their turns, events happen, and the clock moves on.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -6,11 +6,10 @@
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::ops::Range;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::task::{Context, Poll, Wake, Waker};
 use std::time::{Duration, Instant};
 
@@ -19,152 +18,13 @@
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
 
-use crate::net::{self, Net, NetEvent, SimListener, SimTcp, SimUdp, Tap};
+use crate::fabric::{Death, HostId, Link, Net, Stats, Tap};
+use crate::net::{self, SimListener, SimTcp, SimUdp};
+use crate::state::{
+    CURRENT, Entry, Event, Inner, Options, State, TaskWaker, Woken, current, try_current,
+};
 use crate::trace::Trace;
 
-/// A machine of the world.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HostId(pub(crate) usize);
-
-impl HostId {
-    /// Its place among all machines, from 0, in the order in which they were made.
-    pub fn index(self) -> usize {
-        self.0
-    }
-}
-
-/// What a world is like, beside its seed.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Tasks that are ready run in drawn order, not first come, first served.
-    pub shuffle: bool,
-    /// Things that happen at one instant happen in drawn order.
-    pub shuffle_ties: bool,
-    /// A timer goes off late by so much, in nanoseconds: what rounding and a busy machine do.
-    pub timer_lag: Range<u64>,
-    /// The time of day at the start, since 1970.
-    pub unix: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Options {
-        Options {
-            shuffle: false,
-            shuffle_ties: false,
-            timer_lag: 0..1,
-            unix: Duration::from_secs(1_700_000_000),
-        }
-    }
-}
-
-/// What happens at a time.
-pub(crate) enum Event {
-    Timer(u64),
-    Net(NetEvent),
-}
-
-struct Scheduled {
-    at: u64,
-    tie: u64,
-    seq: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Scheduled) -> bool {
-        self.seq == other.seq
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
-        (self.at, self.tie, self.seq).cmp(&(other.at, other.tie, other.seq))
-    }
-}
-
-/// Ids of tasks that were woken, in order. Wakers have to be sendable; nothing here ever is sent.
-type Woken = Arc<Mutex<Vec<u64>>>;
-
-struct TaskWaker {
-    id: u64,
-    queued: AtomicBool,
-    woken: Woken,
-}
-
-impl Wake for TaskWaker {
-    fn wake(self: Arc<Self>) {
-        self.wake_by_ref();
-    }
-
-    fn wake_by_ref(self: &Arc<Self>) {
-        if !self.queued.swap(true, Ordering::Relaxed) {
-            self.woken.lock().unwrap_or_else(PoisonError::into_inner).push(self.id);
-        }
-    }
-}
-
-struct Entry {
-    host: HostId,
-    future: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    waker: Arc<TaskWaker>,
-    aborted: bool,
-}
-
-pub(crate) struct State {
-    pub(crate) now: u64,
-    seq: u64,
-    /// Whose task runs.
-    pub(crate) host: HostId,
-    tasks: FxHashMap<u64, Entry>,
-    next_task: u64,
-    ready: Vec<u64>,
-    timers: FxHashMap<u64, Waker>,
-    next_timer: u64,
-    events: BinaryHeap<Reverse<Scheduled>>,
-    pub(crate) rng: SmallRng,
-    pub(crate) trace: Trace,
-    pub(crate) net: Net,
-    pub(crate) options: Options,
-}
-
-impl State {
-    pub(crate) fn schedule(&mut self, at: u64, event: Event) {
-        self.seq += 1;
-        let tie = if self.options.shuffle_ties { self.rng.random() } else { 0 };
-        let at = at.max(self.now);
-        self.events.push(Reverse(Scheduled { at, tie, seq: self.seq, event }));
-    }
-}
-
-pub(crate) struct Inner {
-    start: Instant,
-    woken: Woken,
-    pub(crate) state: RefCell<State>,
-    pub(crate) tap: RefCell<Option<Box<dyn Tap>>>,
-    polls: Cell<u64>,
-}
-
-thread_local! {
-    static CURRENT: RefCell<Option<Rc<Inner>>> = const { RefCell::new(None) };
-}
-
-/// The world that runs on this thread, if there is one.
-pub(crate) fn try_current() -> Option<Rc<Inner>> {
-    CURRENT.try_with(|c| c.borrow().clone()).ok().flatten()
-}
-
-pub(crate) fn current() -> Rc<Inner> {
-    try_current().expect("simulated sockets and clocks exist only while their world runs")
-}
-
 /// One simulated system.
 pub struct World {
     inner: Rc<Inner>,
@@ -271,7 +131,7 @@
 
     /// Ends all tasks of a machine, as if its processes were killed. Connections that they held end
     /// as `how` says.
-    pub fn kill(&self, host: HostId, how: net::Death) {
+    pub fn kill(&self, host: HostId, how: Death) {
         let _entered = self.enter();
         let futures = {
             let mut state = self.inner.state.borrow_mut();
@@ -285,7 +145,7 @@
         let mut state = self.inner.state.borrow_mut();
         state.net.close_listeners(host);
         state.net.hosts[host.0].death = None;
-        state.net.set_up(host, how == net::Death::Reset);
+        state.net.set_up(host, how == Death::Reset);
     }
 
     /// A machine that had vanished is there again, with nothing that it held.
@@ -309,7 +169,7 @@
     }
 
     /// Changes what a way between two machines is like.
-    pub fn link(&self, from: HostId, to: HostId, change: impl FnOnce(&mut net::Link)) {
+    pub fn link(&self, from: HostId, to: HostId, change: impl FnOnce(&mut Link)) {
         let mut state = self.inner.state.borrow_mut();
         change(state.net.link_mut(from, to));
     }
@@ -327,7 +187,7 @@
     }
 
     /// What went over the network so far.
-    pub fn stats(&self) -> net::Stats {
+    pub fn stats(&self) -> Stats {
         self.inner.state.borrow().net.stats
     }
 
@@ -358,14 +218,6 @@
 }
 
 impl Inner {
-    pub(crate) fn instant(&self, ns: u64) -> Instant {
-        self.start + Duration::from_nanos(ns)
-    }
-
-    fn ns(&self, at: Instant) -> u64 {
-        u64::try_from(at.saturating_duration_since(self.start).as_nanos()).unwrap_or(u64::MAX)
-    }
-
     fn spawn(&self, future: Pin<Box<dyn Future<Output = ()>>>) -> TaskId {
         let mut state = self.state.borrow_mut();
         state.next_task += 1;
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -11,8 +11,12 @@
 //! cut, connections that fall silent. Not modelled: congestion control, keep-alive, path MTU.
 
 mod exec;
+mod fabric;
 mod net;
+mod state;
 mod trace;
 
-pub use exec::{HostId, Options, Sim, Sleep, TaskId, World};
-pub use net::{Death, Link, SimListener, SimTcp, SimUdp, Stats, Tap, TapEvent};
+pub use exec::{Sim, Sleep, TaskId, World};
+pub use fabric::{Death, HostId, Link, Stats, Tap, TapEvent};
+pub use net::{SimListener, SimTcp, SimUdp};
+pub use state::Options;
