--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -257,6 +257,7 @@
         settings["instances"] = json!(self.scenario.sidecars);
         settings["zone"] = json!(n % ZONES.len());
         settings["discovery"] = json!(if self.scenario.asked { "on_request" } else { "pushed" });
+        settings["limits"]["cancel"] = json!(self.scenario.cancel);
         settings["limits"]["mayTell"] = json!(self.scenario.sidecars > 1);
         let seed: u64 = self.rng.random();
         let mut config = json!({
--- a/crates/dst/src/scenario.rs
+++ b/crates/dst/src/scenario.rs
@@ -42,6 +42,9 @@
     pub shuffle: bool,
     /// Timers go off late by up to so much, in microseconds.
     pub timer_lag_us: u64,
+    /// Attempts may be called off.
+    #[serde(default = "yes")]
+    pub cancel: bool,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -51,6 +54,10 @@
     4
 }
 
+fn yes() -> bool {
+    true
+}
+
 /// Something that goes wrong.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Fault {
@@ -275,6 +282,7 @@
             cores: *[4, 2, 1][..most].choose(&mut rng).unwrap_or(&4),
             shuffle: rng.random_bool(0.5),
             timer_lag_us: *[0, 200, 1000, 3000].choose(&mut rng).unwrap_or(&0),
+            cancel: rng.random_bool(0.8),
             faults,
         }
     }
