Simulation: an attempt is out no longer than its server was told; a bug more is found

Where the module calls attempts off, it does so at the request's time; where it may not, nobody looked when an attempt without an answer ended.

Rule `waits`: 0.1 s after the time passed on in X-Time-Left-Ms, counted from the request's last byte, such an attempt has been given up. Seven bugs of the table are still not found.

--- a/crates/dst/src/oracle.rs
+++ b/crates/dst/src/oracle.rs
@@ -23,6 +23,8 @@
 const TIME_UP: Duration = Duration::from_millis(10);
 /// How long past its time an answer that does not go on may hold its request.
 const STALLED: Duration = Duration::from_millis(100);
+/// How much longer an attempt without an answer may be out than its server was told.
+const WAITED: Duration = Duration::from_millis(100);
 /// What is longer is passed on as it comes, and its pieces may be further apart.
 const KEPT: u64 = 64 << 10;
 /// Clients that are sent away have no connection from before that any more after so long.
@@ -108,6 +110,8 @@
     conn: u64,
     first: Duration,
     whole: Option<Duration>,
+    /// How long the server was told that it is waited for.
+    left: Duration,
     /// The status that the sidecar read, and whether it says that the request never ran.
     answered: Option<(u16, bool)>,
     /// When the connection was over, or the answer whole.
@@ -590,6 +594,8 @@
         };
         let n = asked.attempts.len();
         asked.attempts.push(Attempt { server, zone, conn, first, ..Attempt::default() });
+        let left = header("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
+        asked.attempts[n].left = left.unwrap_or_default();
         let asked = &self.asked[&id];
         let mut wrong: Option<(&'static str, String)> = None;
         if asked.answer.is_some_and(|(_, at)| at < first) {
@@ -615,7 +621,6 @@
                 Repeat::Keyed => {}
             }
         }
-        let left = header("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
         match (left, asked.taken) {
             (None, _) => wrong = Some(("deadline", "sent without a deadline".into())),
             (Some(left), Some(taken)) => {
@@ -904,6 +909,11 @@
                 {
                     a.over = Some(now);
                     let whole = a.whole.is_some();
+                    let due = a.whole.map(|whole| whole + a.left + WAITED);
+                    let what = format!("{:?} to wait were passed on, and it is out still", a.left);
+                    if heard.is_none() && due.is_some_and(|due| now > due) {
+                        self.broken(now, "waits", Some(id), what);
+                    }
                     self.note(now, || format!("{id:016x} is given up on connection {conn}"));
                     self.count(if whole {
                         "attempts given up whole"
