--- a/crates/dst/src/oracle.rs
+++ b/crates/dst/src/oracle.rs
@@ -910,8 +910,9 @@
                     a.over = Some(now);
                     let whole = a.whole.is_some();
                     let due = a.whole.map(|whole| whole + a.left + WAITED);
-                    let what = format!("{:?} to wait were passed on, and it is out still", a.left);
+                    let left = a.left;
                     if heard.is_none() && due.is_some_and(|due| now > due) {
+                        let what = format!("{left:?} to wait were passed on, and it is out still");
                         self.broken(now, "waits", Some(id), what);
                     }
                     self.note(now, || format!("{id:016x} is given up on connection {conn}"));
--- a/crates/dst/src/server.rs
+++ b/crates/dst/src/server.rs
@@ -22,6 +22,7 @@
 
 /// Requests that may wait; more are turned away unseen.
 const ROOM: usize = 40;
+
 /// The shares of a server's requests that meet a fault.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
