A silent discovery is asked anew well within the time to stop sending

Cause: what a local agent has counts as told from the moment in which it speaks again. Where lists are asked for, a silent watch showed after 5.5 of the 6 s, and the module's wait was still to come; a call to an old address was waited for up to 3 s of the 4 s after SIGHUP; and after a move whose call failed only changes were asked for. Ruled out: the versions of lists (a call after a silence asks for the whole), CONNECT (the silent agent accepts at once).

Change: hold and patience of calls to an agent come from rules.stopSendingWithin; a call that takes longer goes on beside the next, so a slow agent is heard, too.

--- a/crates/dst/src/discovery.rs
+++ b/crates/dst/src/discovery.rs
@@ -36,14 +36,43 @@
     pub mode: Cell<Mode>,
     pub changed: Notify,
     pub places: usize,
+    /// How many sidecars have an agent of it on their own machine, if lists are pushed.
+    pub agents: usize,
     pub oracle: Rc<RefCell<Oracle>>,
 }
 
 impl Discovery {
     /// The list has changed, or how discovery is.
-    pub fn change(&self, change: impl FnOnce(&mut Book)) {
+    pub fn change(&self, now: Duration, change: impl FnOnce(&mut Book)) {
         change(&mut self.book.borrow_mut());
         self.changed.notify_waiters();
+        self.agents_tell(now, 0..self.agents);
+    }
+
+    /// It speaks, or fails to, in another way from now on.
+    pub fn turn(&self, now: Duration, mode: Mode) {
+        if self.mode.replace(mode) != mode {
+            self.changed.notify_waiters();
+            self.agents_tell(now, 0..self.agents);
+        }
+    }
+
+    /// What the agents of these sidecars have counts as told, whether or not they were asked; one that
+    /// does not speak has nothing new.
+    pub fn agents_tell(&self, now: Duration, of: std::ops::Range<usize>) {
+        if self.mode.get() != Mode::Up {
+            return;
+        }
+        let book = self.book.borrow();
+        let listed = |place| {
+            let mut of = book.servers().iter().filter(|e| Server::place_of(&e.host) == Some(place));
+            of.next_back().is_some_and(|e| e.health == "active")
+        };
+        for sidecar in of.filter(|n| *n < self.agents) {
+            for place in 0..self.places {
+                self.oracle.borrow_mut().told(now, sidecar, place, !listed(place));
+            }
+        }
     }
 
     /// Runs it: to be spawned on its machine.
--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -174,6 +174,7 @@
             mode: Cell::default(),
             changed: Notify::new(),
             places: servers.len(),
+            agents: if scenario.asked { 0 } else { scenario.sidecars },
             oracle: oracle.clone(),
         });
         let mut sidecars = Vec::new();
@@ -301,6 +302,7 @@
         let operated = self.operators.as_ref().map(|_| address(1, n, OPERATORS_PORT));
         self.world.limit_sockets(host, self.scenario.sockets);
         self.oracle.borrow_mut().starts(now, n);
+        self.discovery.agents_tell(now, n..n + 1);
         self.world.spawn(host, async move {
             let parsed = Config::parse(text.as_bytes());
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
@@ -443,7 +445,7 @@
                 if begins && !s.down.replace(true) {
                     self.world.kill(s.host, Death::Reset);
                     let gone = entry(&s, "left");
-                    self.discovery.change(|book| book.list(gone));
+                    self.discovery.change(self.now(), |book| book.list(gone));
                     s.life.set(s.life.get() + 1);
                 } else if !begins && s.down.get() {
                     self.start_server(&s);
@@ -453,18 +455,18 @@
                 let s = self.server(*server);
                 let entry = entry(&s, if begins { "leaving" } else { "active" });
                 if begins {
-                    self.discovery.change(|book| book.list(entry));
+                    self.discovery.change(self.now(), |book| book.list(entry));
                     s.draining.set(true);
                 } else if !s.down.get() {
                     s.draining.set(false);
-                    self.discovery.change(|book| book.list(entry));
+                    self.discovery.change(self.now(), |book| book.list(entry));
                 }
             }
             Kind::Unlist { server } => {
                 let s = self.server(*server);
                 let entry = entry(&s, if begins { "left" } else { "active" });
                 if begins || !s.down.get() {
-                    self.discovery.change(|book| book.list(entry));
+                    self.discovery.change(self.now(), |book| book.list(entry));
                 }
             }
             Kind::ResetAll { server, nth } if begins => {
@@ -483,7 +485,7 @@
                 // An agent counts its own versions, and may begin anew. Those of a discovery that is
                 // asked stand for one history; what it can lose is the changes between them.
                 let asked = self.scenario.asked;
-                self.discovery.change(|book| match asked {
+                self.discovery.change(self.now(), |book| match asked {
                     true => book.forget(),
                     false => *book = Book::new(book.servers().to_vec()),
                 });
@@ -556,7 +558,7 @@
         self.oracle.borrow_mut().server_starts(now, s.place, before != s.life.get());
         self.world.spawn(s.host, s.clone().run(self.start));
         let entry = entry(s, "active");
-        self.discovery.change(|book| book.list(entry));
+        self.discovery.change(self.now(), |book| book.list(entry));
     }
 
     /// What lasts: every level is set anew from the faults that are active.
@@ -661,9 +663,7 @@
         for (_, clients) in &self.clients {
             clients.manners.set(manners);
         }
-        if self.discovery.mode.replace(mode) != mode {
-            self.discovery.changed.notify_waiters();
-        }
+        self.discovery.turn(self.world.now(), mode);
     }
 
     /// Some time after the last fault service is whole again.
--- a/crates/dst/src/scenario.rs
+++ b/crates/dst/src/scenario.rs
@@ -270,6 +270,17 @@
                 Fault { at_ms, for_ms: rng.random_range(100..=longest), kind }
             })
             .collect();
+        // What changes while discovery does not speak counts as soon as it does again.
+        for n in 0..faults.len() {
+            let Fault { at_ms, for_ms, ref kind } = faults[n];
+            let silent = matches!(kind, Kind::DiscoveryDown | Kind::DiscoveryStill);
+            if silent && for_ms > 200 && rng.random() {
+                let at_ms = at_ms + rng.random_range(0..for_ms - 100);
+                let for_ms = FAULTS_END_MS - at_ms;
+                let kind = Kind::Drain { server: rng.random_range(0..9) };
+                faults.push(Fault { at_ms, for_ms, kind });
+            }
+        }
         faults.sort_by_key(|f| f.at_ms);
         let sidecars = *[1, 1, 1, 2, 3].choose(&mut rng).unwrap_or(&1);
         // Small servers only where there is little load: cold ones would not bear more.
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -1,6 +1,8 @@
 //! The list of servers: asked for, watched, and passed on to a listener. Only whole answers count.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +12,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform::{Platform, Stream, Task, Tcp, timeout, timeout_at};
+use platform::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::config::List;
@@ -27,6 +29,11 @@
 const LONGEST_TIME: Duration = Duration::from_secs(3);
 /// Between calls that fail where lists are pushed: the agent is near, and free.
 const AGAIN: Duration = Duration::from_millis(100);
+/// How long discovery may hold a call where it is asked, and how long it may then, or at once, take to
+/// answer. What a silent watch missed counts as told 6 s after it fell silent, or 2 s after the hold: a
+/// second is left then to open another.
+const HOLD: Duration = Duration::from_millis(3500);
+const PATIENCE: Duration = Duration::from_millis(1500);
 
 /// What the module asks of discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,26 +52,64 @@
     fn failed(&self);
 }
 
+/// How a call ended that brought no list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Miss {
+    /// Refused, reset, or answered with what cannot be used.
+    Broken,
+    /// Nothing came, or no more.
+    Silent,
+}
+
+/// How long discovery is waited for where it is an agent on this machine, which answers at once.
+#[derive(Clone, Copy, Debug)]
+struct Near {
+    /// A watch is answered after that.
+    hold: Duration,
+    /// A call that takes so much longer gets another one beside it.
+    beside: Duration,
+}
+
+impl Near {
+    /// Danger: what an agent has counts as told from the moment in which it speaks again, or in which it
+    /// answers others, whatever became of our call. All that passes until one is answered has to fit
+    /// into the time within which sends must cease. Harmful where that time is some milliseconds: then
+    /// the agent is called that often.
+    fn within(grace: Duration) -> Near {
+        let least = Duration::from_millis(20);
+        Near {
+            hold: (grace / 2).clamp(least, Duration::from_millis(500)),
+            beside: (grace / 4).clamp(least, GAP),
+        }
+    }
+}
+
 /// The side of discovery that talks to it.
 pub struct Discovery<P: Platform> {
     /// Where it is; a reload can move it.
     address: watch::Receiver<SocketAddr>,
     how: How,
+    near: Near,
     connection: Option<Connection<P>>,
     /// The version of the list at hand.
     version: u64,
     tried: Rc<Notify>,
 }
 
+/// A call on its way: the list, and the connection for the next call.
+type Calling<P> = Pin<Box<dyn Future<Output = Result<(List, Connection<P>), Miss>>>>;
+
 impl<P: Platform> Discovery<P> {
-    /// `version` is that of the list remembered; `tried` is told of every call that ends.
+    /// `grace` is how long a server may get requests that is known to want none, `version` that of the
+    /// list remembered; `tried` is told of every call that ends.
     pub fn new(
         address: watch::Receiver<SocketAddr>,
         how: How,
+        grace: Duration,
         version: u64,
         tried: Rc<Notify>,
     ) -> Discovery<P> {
-        Discovery { address, how, connection: None, version, tried }
+        Discovery { address, how, near: Near::within(grace), connection: None, version, tried }
     }
 
     /// Keeps the listener's list as new as it can be.
@@ -76,87 +121,118 @@
     }
 
     /// Danger: what the agent has counts as told, so a watch is always out. A short hold costs
-    /// nothing here, and tells soon when the agent has fallen silent.
+    /// nothing here, and tells soon when the agent has fallen silent. An agent that is silent may never
+    /// answer what it was asked meanwhile, so it is asked anew; one that is slow is let finish beside.
     async fn pushed(&mut self, listener: impl Listener, mut calls: mpsc::UnboundedReceiver<Call>) {
-        let hold = Duration::from_millis(500);
+        let Near { hold, beside } = self.near;
         let mut whole = true;
         let mut moved = self.address.clone();
+        let mut slow: Option<Calling<P>> = None;
         loop {
-            tokio::select! {
+            let held = (!whole).then_some(hold);
+            let mut call = self.call(held, GAP);
+            let late = P::now() + held.unwrap_or_default() + beside;
+            let answer = tokio::select! {
                 biased;
                 // Danger: versions are each discovery's own, so a new one is asked for the whole
                 // list, at once: what it has to tell counts as told.
                 true = changed(&mut moved) => {
-                    (whole, self.version) = (true, 0);
-                    self.hang_up();
+                    (whole, self.version, slow) = (true, 0, None);
                     continue;
                 }
-                list = self.call((!whole).then_some(hold), GAP) => match list {
-                    Some(list) => {
-                        whole = !self.tell(&listener, &list);
-                        if list.hosts.is_empty() {
-                            // An agent that does not hold calls is not asked without a pause.
-                            P::sleep(AGAIN / 5).await;
-                        }
-                    }
-                    // Danger: an agent that was started anew may count its versions anew, up to one
-                    // that stood for another list. What was missed is asked for whole: it is free here.
-                    None => {
-                        whole = true;
-                        P::sleep(AGAIN).await;
-                    }
-                },
+                answer = call.as_mut() => answer,
+                answer = wait(&mut slow) => {
+                    slow = None;
+                    answer
+                }
                 call = calls.recv() => {
                     whole |= call == Some(Call::Fetch);
-                    self.hang_up();
+                    continue;
+                }
+                () = P::sleep_until(late) => {
+                    whole = true;
+                    slow = slow.or(Some(call));
+                    continue;
+                }
+            };
+            match answer {
+                Ok((list, connection)) => {
+                    (self.connection, slow) = (Some(connection), None);
+                    whole = !self.tell(&listener, &list);
+                    if list.hosts.is_empty() {
+                        // An agent that does not hold calls is not asked without a pause.
+                        P::sleep(AGAIN / 5).await;
+                    }
+                }
+                // Danger: an agent that was started anew may count its versions anew, up to one
+                // that stood for another list. What was missed is asked for whole: it is free here.
+                Err(Miss::Broken) => {
+                    whole = true;
+                    P::sleep(AGAIN.min(beside)).await;
                 }
+                Err(Miss::Silent) => whole = true,
             }
             self.tried.notify_one();
         }
     }
 
     /// Here calls load discovery; the module decides when there is to be one.
+    ///
+    /// Danger: a watch that has fallen silent is found out late in the time within which what it missed
+    /// has to be known, so it is opened anew at once, once; the silence of one moment shows to each
+    /// sidecar at another. What breaks, breaks for all at once: there the module has them wait in turn.
     async fn asked(&mut self, listener: impl Listener, mut calls: mpsc::UnboundedReceiver<Call>) {
-        let hold = Duration::from_secs(4);
-        let patience = Duration::from_millis(1500);
-        let mut watching = None;
         let mut moved = self.address.clone();
+        // Whether there is to be a call, of the whole list, and then of what comes from then on.
+        let (mut asking, mut whole, mut watching) = (false, false, false);
+        let (mut hold, mut anew) = (Duration::ZERO, false);
         loop {
-            let call = match watching {
-                None => tokio::select! {
-                    biased;
-                    true = changed(&mut moved) => self.moved(),
-                    call = calls.recv() => call,
-                },
-                Some(hold) => tokio::select! {
-                    biased;
-                    true = changed(&mut moved) => self.moved(),
-                    list = self.call(Some(hold), patience) => {
-                        let told = list.is_some_and(|list| self.tell(&listener, &list));
-                        watching = told.then_some(Duration::from_secs(4));
-                        if !told {
-                            listener.failed();
-                        }
-                        self.tried.notify_one();
-                        continue;
-                    }
-                    call = calls.recv() => call,
-                },
+            let call = async {
+                match asking {
+                    true => self.call((!whole).then_some(hold), PATIENCE).await,
+                    false => std::future::pending().await,
+                }
             };
-            self.hang_up();
-            match call {
-                // The first call is answered at once, with what was missed.
-                Some(Call::Watch) => watching = Some(Duration::ZERO),
-                Some(Call::Fetch) => {
-                    let list = self.call(None, 2 * patience).await;
-                    if !list.is_some_and(|list| self.tell(&listener, &list)) {
-                        listener.failed();
+            let answer = tokio::select! {
+                biased;
+                // What is at hand is of another discovery, and so is its version.
+                true = changed(&mut moved) => {
+                    (asking, whole, anew) = (true, true, false);
+                    (self.version, self.connection) = (0, None);
+                    continue;
+                }
+                call = calls.recv() => {
+                    match call {
+                        // The first call is answered at once, with what was missed.
+                        Some(Call::Watch) => (watching, hold) = (true, Duration::ZERO),
+                        Some(Call::Fetch) => whole = true,
+                        None => return,
                     }
-                    watching = watching.map(|_| hold);
-                    self.tried.notify_one();
+                    (asking, anew) = (true, false);
+                    continue;
+                }
+                answer = call => answer,
+            };
+            let told = match answer {
+                Ok((list, connection)) => {
+                    self.connection = Some(connection);
+                    self.tell(&listener, &list)
                 }
-                None => return,
+                Err(Miss::Silent) if !anew => {
+                    (hold, anew) = (Duration::ZERO, true);
+                    continue;
+                }
+                Err(_) => false,
+            };
+            anew = false;
+            if told {
+                (asking, whole, hold) = (watching, false, HOLD);
+            } else {
+                // The module says when to call again.
+                (asking, watching) = (false, false);
+                listener.failed();
             }
+            self.tried.notify_one();
         }
     }
 
@@ -170,21 +246,9 @@
         true
     }
 
-    /// After a move: what is to be called. The version at hand is that of the old one.
-    fn moved(&mut self) -> Option<Call> {
-        self.version = 0;
-        Some(Call::Fetch)
-    }
-
-    fn hang_up(&mut self) {
-        if let Some((_, task)) = self.connection.take() {
-            task.abort();
-        }
-    }
-
-    /// One call: for the whole list, or a watch that may wait for `hold`. None unless the answer
-    /// came whole and can be understood; then the next call has a new connection.
-    async fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Option<List> {
+    /// A call: for the whole list, or a watch that may wait for `hold`. It brings a list unless the answer
+    /// does not come whole or cannot be understood; then the next call has a new connection.
+    fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Calling<P> {
         let address = *self.address.borrow();
         let path = match hold {
             None => "/registry/instances".to_owned(),
@@ -193,38 +257,48 @@
             }
         };
         let first = hold.unwrap_or_default() + patience;
-        let connection = self.connection.take();
-        let mut connection = match connection.filter(|(sender, _)| !sender.is_closed()) {
-            Some(connection) => Hanging::<P>(Some(connection)),
-            None => Hanging(Some(connect::<P>(address).await?)),
-        };
-        let sender = &mut connection.0.as_mut()?.0;
-        let answer = timeout::<P, _>(first, async {
-            sender.ready().await.ok()?;
-            let request =
-                Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
-            sender.send_request(request).await.ok()
-        });
-        let answer = answer.await.ok()??;
-        if answer.status() != StatusCode::OK {
-            return None;
-        }
-        let mut body = Limited::new(answer.into_body(), LONGEST);
-        let mut text = Vec::new();
-        // Danger: an answer may stop in the middle and stay open, or trickle for ever. While it
-        // moves it is read on, but not for longer than a sound one can take.
-        let end = P::now() + LONGEST_TIME;
-        while let Some(frame) = {
-            let gap = P::now() + GAP.max(patience);
-            timeout_at::<P, _>(gap.min(end), body.frame()).await.ok()?
-        } {
-            if let Ok(data) = frame.ok()?.into_data() {
-                text.extend_from_slice(&data);
+        let connection = self.connection.take().filter(|c| !c.sender.is_closed());
+        Box::pin(async move {
+            let mut connection = match connection {
+                Some(connection) => connection,
+                None => connect::<P>(address).await?,
+            };
+            let sender = &mut connection.sender;
+            let answer = timeout::<P, _>(first, async {
+                sender.ready().await.ok()?;
+                let request =
+                    Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
+                sender.send_request(request).await.ok()
+            });
+            let answer = answer.await.map_err(|Elapsed| Miss::Silent)?.ok_or(Miss::Broken)?;
+            if answer.status() != StatusCode::OK {
+                return Err(Miss::Broken);
             }
-        }
-        let list = serde_json::from_slice(&text).ok()?;
-        self.connection = connection.0.take();
-        Some(list)
+            let mut body = Limited::new(answer.into_body(), LONGEST);
+            let mut text = Vec::new();
+            // Danger: an answer may stop in the middle and stay open, or trickle for ever. While it
+            // moves it is read on, but not for longer than a sound one can take.
+            let end = P::now() + LONGEST_TIME;
+            while let Some(frame) = {
+                let gap = P::now() + GAP.max(patience);
+                let frame = timeout_at::<P, _>(gap.min(end), body.frame()).await;
+                frame.map_err(|Elapsed| Miss::Silent)?
+            } {
+                if let Ok(data) = frame.map_err(|_| Miss::Broken)?.into_data() {
+                    text.extend_from_slice(&data);
+                }
+            }
+            let list = serde_json::from_slice(&text).map_err(|_| Miss::Broken)?;
+            Ok((list, connection))
+        })
+    }
+}
+
+/// What a call comes to, where there is one.
+async fn wait<P: Platform>(call: &mut Option<Calling<P>>) -> Result<(List, Connection<P>), Miss> {
+    match call {
+        Some(call) => call.await,
+        None => std::future::pending().await,
     }
 }
 
@@ -233,26 +307,26 @@
     address.changed().await.is_ok()
 }
 
-type Connection<P> = (SendRequest<Empty<Bytes>>, <P as Platform>::Task);
-
-/// A connection that is closed when a call is dropped on the way.
-struct Hanging<P: Platform>(Option<Connection<P>>);
+/// A connection to discovery. Dropping it closes it.
+struct Connection<P: Platform> {
+    sender: SendRequest<Empty<Bytes>>,
+    task: P::Task,
+}
 
-impl<P: Platform> Drop for Hanging<P> {
+impl<P: Platform> Drop for Connection<P> {
     fn drop(&mut self) {
-        if let Some((_, task)) = self.0.take() {
-            task.abort();
-        }
+        self.task.abort();
     }
 }
 
-async fn connect<P: Platform>(address: SocketAddr) -> Option<Connection<P>> {
-    let socket = timeout::<P, _>(CONNECT, P::connect(address)).await.ok()?.ok()?;
-    socket.set_nodelay().ok()?;
+async fn connect<P: Platform>(address: SocketAddr) -> Result<Connection<P>, Miss> {
+    let socket = timeout::<P, _>(CONNECT, P::connect(address)).await;
+    let socket = socket.map_err(|Elapsed| Miss::Silent)?.map_err(|_| Miss::Broken)?;
+    socket.set_nodelay().map_err(|_| Miss::Broken)?;
     let io = TokioIo::new(Stream::new(Rc::new(socket), Rc::new(())));
-    let (sender, driving) = http1::handshake(io).await.ok()?;
+    let (sender, driving) = http1::handshake(io).await.map_err(|_| Miss::Broken)?;
     let task = P::spawn(async move {
         let _ = driving.await;
     });
-    Some((sender, task))
+    Ok(Connection { sender, task })
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -132,6 +132,7 @@
     let upstream =
         upstream::Upstream::<P>::new(sockets.clone(), bytes.clone(), live.clone(), status.clone());
     let how = config.settings.discovery;
+    let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
     let (to_discovery, calls) = mpsc::unbounded_channel();
     let tier = tier::Shared::<P>::new(&config, peers.as_ref())?;
     let driver = driver::Driver::new(
@@ -174,7 +175,7 @@
         None => {}
     }
     let (moves, at) = watch::channel(config.discovery);
-    let discovery = discovery::Discovery::<P>::new(at, how, version, tried.clone());
+    let discovery = discovery::Discovery::<P>::new(at, how, grace, version, tried.clone());
     P::spawn(discovery.run(driver.clone(), calls));
     P::spawn(driver.clone().ring());
     if let Some(peers) = peers {
