What is still owed when a process, a wait or a client ends is settled, with tests

Cause, each by reading, then by a test of the real program that failed before (in brackets what it saw): 1. shutdown::drain went by the deadlines at the signal; a request taken before a reload shortened them was cut (no answer after 0.8 s). 2. From SIGTERM on the reload was dropped in mod.rs, so a SIGHUP moved discovery no more (requests went to the old list for 25 s). 3. Requests that came late in the end had more time than the process, and were cut with it; so was a long body whose last byte came late. 4. A process ended while its last answer was with the system: anything that the client then sent had the system throw the rest away (2.77 of 3.0 MB came). 5. close_idle closed connections that had come a moment ago (every one that asked after 30 ms). 6. An attempt that waits for its connection, or for a place, was begun at a server that had begun to drain meanwhile (upstream.rs, exchange). 7. A client that left with something unread behind a body of chunks that only hyper sees the end of was not seen to have left (hyper reads no further then), and its request went out when its connection came up.

Change: the end of a process knows what was taken under earlier deadlines, bounds the time of what comes late, tells what is left, reads connections on to their end and leaves those that are about to ask; the reload goes on. Attempts share their server's wish for work. ended() also asks the socket.

Ruled out: clients that leave (close, half close, behind a further request or noise) while a connection comes up or a place is waited for, as long as the framing sees the request's end: held before; tests stay.

--- a/crates/platform/src/system.rs
+++ b/crates/platform/src/system.rs
@@ -94,7 +94,15 @@
     fn ended(&self) -> bool {
         let ready = pin!(self.ready(Interest::READABLE));
         let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        if matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
+            return true;
+        }
+        // What the event queue has not told yet shows in the socket, unless something unread lies before it.
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(self).peek(&mut byte) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
     }
 }
 
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -2,7 +2,7 @@
 //! comes out is carried out here, in order. Nothing else reasons about servers, retries or
 //! refusals.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -70,7 +70,7 @@
 
 impl<P: Platform> Drop for Ticket<P> {
     fn drop(&mut self) {
-        self.driver.client_gone(self.id);
+        self.driver.abandon(self.id, None);
     }
 }
 
@@ -143,6 +143,14 @@
 struct Known {
     dial: SocketAddr,
     entry: ServerEntry,
+    /// Whether it wants new work, as it is told to the module; shared with attempts on their way.
+    wanted: Rc<Cell<bool>>,
+}
+
+impl Known {
+    fn new(dial: SocketAddr, entry: ServerEntry) -> Known {
+        Known { dial, entry, wanted: Rc::default() }
+    }
 }
 
 impl Core {
@@ -151,6 +159,9 @@
         if entry.health == Health::Ready && self.held_out.contains(&entry.id) {
             entry.health = Health::Draining;
         }
+        if let Some(known) = self.servers.get(&entry.id) {
+            known.wanted.set(entry.health == Health::Ready);
+        }
         entry
     }
 
@@ -361,13 +372,29 @@
         self.core.borrow_mut().balancer.reconfigure(settings);
     }
 
-    fn client_gone(self: &Rc<Driver<P>>, id: RequestId) {
+    /// Ends all requests that have no answer yet: the process is about to end.
+    pub fn give_up(self: &Rc<Driver<P>>) {
+        let open: Vec<_> = {
+            let core = self.core.borrow();
+            core.requests.iter().filter(|(_, r)| !r.ended()).map(|(&id, _)| id).collect()
+        };
+        for id in open {
+            self.abandon(id, Some(Reply::Failed));
+        }
+    }
+
+    /// Nobody waits for a request any more, but for this answer.
+    fn abandon(self: &Rc<Driver<P>>, id: RequestId, last: Option<Reply>) {
         {
             let mut core = self.core.borrow_mut();
             let Some(request) = core.requests.get_mut(&id).filter(|r| !r.ended()) else {
                 return;
             };
-            request.reply = None;
+            let reply = request.reply.take();
+            if let (Some(reply), Some(last)) = (reply, last) {
+                self.status.count(request.class, |c| c.failed += 1);
+                let _ = reply.send(last);
+            }
             // The module calls nothing off once a stream has begun.
             if request.let_go().is_some_and(|spec| spec.upload.is_some()) {
                 for cancel in request.attempts.iter_mut().filter_map(|a| a.cancel.take()) {
@@ -387,7 +414,7 @@
         let names = self.live.names();
         let entries: Vec<_> = {
             let mut core = self.core.borrow_mut();
-            let before = match kind {
+            let mut before = match kind {
                 ListKind::Changes => FxHashMap::default(),
                 _ => std::mem::take(&mut core.servers),
             };
@@ -395,17 +422,25 @@
                 let id = host.id();
                 let known = match host.dial.filter(|_| host.listed()) {
                     Some(dial) => {
-                        let known = Known { dial, entry: names.entry(host) };
-                        let known = core.servers.insert(id, known).map(|k| k.dial);
-                        known.or(before.get(&id).map(|k| k.dial))
+                        let mut known = Known::new(dial, names.entry(host));
+                        let old = core.servers.remove(&id).or_else(|| before.remove(&id));
+                        if let Some(old) = &old {
+                            known.wanted = old.wanted.clone();
+                        }
+                        core.servers.insert(id, known);
+                        old.map(|k| k.dial)
                     }
-                    None => core.servers.remove(&id).map(|k| k.dial),
+                    None => core.servers.remove(&id).map(|k| {
+                        k.wanted.set(false);
+                        k.dial
+                    }),
                 };
                 if known.is_some_and(|known| Some(known) != host.dial) || !host.wants_work() {
                     self.upstream.close_idle(id);
                 }
             }
-            for id in before.keys().filter(|id| !core.servers.contains_key(id)) {
+            for (id, gone) in &before {
+                gone.wanted.set(false);
                 self.upstream.close_idle(*id);
             }
             core.listed |= !list.hosts.is_empty();
@@ -468,10 +503,13 @@
 
     fn send(self: &Rc<Driver<P>>, id: RequestId, server: ServerId, wait: Micros) {
         let (cancel, cancelled) = oneshot::channel();
-        let mut span = Span { start_by: None, until: P::now() };
+        let mut span = Span { start_by: None, until: P::now(), wanted: Rc::default() };
         let (n, way) = {
             let mut core = self.core.borrow_mut();
             let dial = core.dial(server);
+            if let Some(known) = core.servers.get(&server) {
+                span.wanted = known.wanted.clone();
+            }
             let Some(request) = core.requests.get_mut(&id) else {
                 drop(core);
                 return self.moot(id, 0, server);
@@ -512,11 +550,11 @@
         span: Span,
         cancelled: oneshot::Receiver<()>,
     ) {
-        let sent = P::now();
+        let (sent, until) = (P::now(), span.until);
         let upload = spec.upload.clone();
         let over = async {
             match &upload {
-                None => P::sleep_until(span.until).await,
+                None => P::sleep_until(until).await,
                 // Its time runs from its last byte on. From when some of it has left it is a stream to
                 // the module: nothing else can be sent.
                 Some(upload) => {
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -156,6 +156,15 @@
         Some((first, self.since.get()))
     }
 
+    /// Whether it may be on the point of asking: it has come just now, or what it has sent is not read yet.
+    ///
+    /// Danger: a connection that is closed under a request takes this with it, and the client has to come
+    /// again; one that never had an answer does not even know that it may.
+    fn about_to_ask(&self) -> bool {
+        let new = self.fresh.get() && P::since(self.since.get()) < RESTED;
+        self.phase.get() == Phase::Resting && (new || !self.has_had_its_say())
+    }
+
     /// Whether all that it has sent was read, or is thrown away.
     ///
     /// Danger: of one that was accepted just now nothing is read yet, though a whole request may be there, and
@@ -287,7 +296,8 @@
     /// By their numbers, so in the order in which they came.
     clients: RefCell<BTreeMap<u64, Rc<Client<P>>>>,
     accepted: Cell<(u64, Instant)>,
-    draining: Cell<bool>,
+    /// In a planned end: until when requests have to be answered.
+    draining: Cell<Option<Instant>>,
     /// Since when clients are sent away, if they are.
     away: Cell<Option<Instant>>,
     /// Told when that changes.
@@ -319,7 +329,7 @@
             ids: Ids::default(),
             clients: RefCell::default(),
             accepted: Cell::new((0, P::now())),
-            draining: Cell::new(false),
+            draining: Cell::new(None),
             away: Cell::new(None),
             away_changed: Notify::new(),
             tried: Cell::new(false),
@@ -334,9 +344,9 @@
         self.status.changed.notify_one();
     }
 
-    /// From now on each answer is the last on its connection.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// From now on each answer is the last on its connection, and made by then.
+    pub fn drain(&self, by: Instant) {
+        self.draining.set(Some(by));
         self.status.changed.notify_one();
     }
 
@@ -373,7 +383,7 @@
             generation: self.live.generation(),
             declined: self.status.declined(),
             ready: self.ready(),
-            draining: self.draining.get(),
+            draining: self.draining.get().is_some(),
             clients: self.clients.borrow().len(),
             open: self.busy(),
             short: self.short.get().is_some_and(|at| P::since(at) < SHORT),
@@ -396,12 +406,26 @@
         self.clients.borrow().values().filter(|c| c.busy()).count()
     }
 
-    /// Closes the connections on which no request is under way; `partial`: those too on which
-    /// one has begun to come.
+    /// Whether no request is under way or about to come, and what was answered has reached its clients,
+    /// as far as can be seen.
+    pub fn owes_nothing(&self) -> bool {
+        let owed =
+            |c: &Client<P>| c.busy() || c.phase.get() == Phase::Lingering || c.about_to_ask();
+        !self.clients.borrow().values().any(|c| owed(c))
+    }
+
+    /// Ends all requests that have no answer yet.
+    pub fn give_up(&self) {
+        self.driver.give_up();
+    }
+
+    /// Closes the connections on which no request is under way or about to come; `partial`: those too
+    /// on which one has begun to come.
     pub fn close_idle(&self, partial: bool) {
         for client in self.clients.borrow().values() {
             let phase = client.phase.get();
-            if phase == Phase::Resting || (partial && phase == Phase::Partial) {
+            let rests = phase == Phase::Resting && !client.about_to_ask();
+            if rests || (partial && phase == Phase::Partial) {
                 client.leave.notify_one();
             }
         }
@@ -577,7 +601,7 @@
         // is not to be relied upon; and where only hyper saw a body's end, what follows was not
         // looked at. Neither goes on on the same connection.
         let unusable = !response.status().is_success() && client.phase.get() != Phase::Taken;
-        let leaving = self.draining.get() || self.away().is_some_and(|t| t >= AWAY_SEEN);
+        let leaving = self.draining.get().is_some() || self.away().is_some_and(|t| t >= AWAY_SEEN);
         if leaving || unusable || !client.framing.borrow().whole() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -627,6 +651,9 @@
         if client.fresh.get() {
             asked.left = asked.left.saturating_sub(client.waited);
         }
+        if let Some(by) = self.draining.get() {
+            asked.left = asked.left.min(by.saturating_duration_since(P::now()));
+        }
         if head.method == Method::GET && !body.is_end_stream() {
             return Ok(Err(StatusCode::BAD_REQUEST));
         }
@@ -672,6 +699,9 @@
         let (class, began) = (asked.class, P::now());
         let mut ticket = self.driver.request(asked, spec);
         let reply = match upload {
+            // Danger: behind a body of chunks that only hyper saw the end of, something may wait unread, and
+            // the end of the connection behind that.
+            None if !client.framing.borrow().whole() => client.unless_gone(ticket.reply()).await?,
             None => ticket.reply().await,
             Some(upload) => {
                 let reply = client.unless_gone(ticket.reply()).await?;
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::config::{Config, Names};
 
@@ -36,6 +36,8 @@
     times: Cell<Times>,
     longest: Cell<usize>,
     generation: Cell<u64>,
+    /// Until when what was taken under earlier deadlines may be under way.
+    earlier: Cell<Option<Instant>>,
 }
 
 impl Live {
@@ -47,11 +49,13 @@
             times: Cell::new(times(config)),
             longest: Cell::new(longest(config)),
             generation: Cell::new(config.generation),
+            earlier: Cell::new(None),
         })
     }
 
-    /// Puts the values of `config` in force.
-    pub fn take_over(&self, config: &Config) {
+    /// Puts the values of `config` in force, at the time `now`.
+    pub fn take_over(&self, config: &Config, now: Instant) {
+        self.earlier.set(self.earlier.get().max(Some(now + self.longest_deadline())));
         *self.names.borrow_mut() = config.names.clone();
         *self.deadlines.borrow_mut() = deadlines(config);
         self.times.set(times(config));
@@ -74,6 +78,15 @@
         self.deadlines.borrow().iter().max().copied().unwrap_or_default()
     }
 
+    /// Until when requests that were taken up to `now` may be under way.
+    ///
+    /// Danger: what is under way keeps the deadline that it was taken with. A process that goes by the
+    /// present ones alone ends under requests that were taken before these were shortened.
+    pub fn all_due(&self, now: Instant) -> Instant {
+        let due = now + self.longest_deadline();
+        self.earlier.get().map_or(due, |earlier| earlier.max(due))
+    }
+
     /// How long the parts of an attempt may take.
     pub fn times(&self) -> Times {
         self.times.get()
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -215,12 +215,13 @@
     };
     let Control { stop, hand_over, reload, read } = control;
     let mut accepting = Box::pin(accepting);
+    let mut reloading = Box::pin(reload::run(reload, read, targets));
     tokio::pin!(stop, hand_over);
     let end = tokio::select! {
         biased;
         () = accepting.as_mut() => End::Stop,
         () = first_try(&ingress, admin.as_deref(), &tried, began) => End::Stop,
-        () = reload::run(reload, read, targets) => End::Stop,
+        () = reloading.as_mut() => End::Stop,
         () = stop.as_mut() => End::Stop,
         () = hand_over => End::HandOver,
     };
@@ -229,16 +230,23 @@
         End::Stop if shared && admin.is_some_and(|admin| admin.is_succeeded()) => End::HandOver,
         end => end,
     };
-    let longest_deadline = live.longest_deadline();
+    let all_due = live.all_due(P::now());
+    // Danger: without the reload, a list that a new discovery tells during the end would stay unknown,
+    // while requests are still sent.
     match end {
         End::Stop => tokio::select! {
             biased;
             () = accepting => {}
-            () = shutdown::drain(ingress, longest_deadline) => {}
+            () = reloading => {}
+            () = shutdown::drain(ingress, all_due) => {}
         },
         End::HandOver => {
             drop(accepting);
-            shutdown::hand_over(ingress, longest_deadline).await;
+            tokio::select! {
+                biased;
+                () = reloading => {}
+                () = shutdown::hand_over(ingress, all_due) => {}
+            }
         }
     }
     status.changed.notify_one();
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -35,7 +35,8 @@
 }
 
 /// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
-/// be. A file that cannot be used changes nothing. Never ends.
+/// be. A file that cannot be used changes nothing. Never ends: what discovery has to tell counts during
+/// a planned end, too.
 pub async fn run<P: Platform>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
@@ -67,7 +68,7 @@
             self.status.reloaded(Some(Declined { generation, why }));
             return;
         }
-        self.live.take_over(&config);
+        self.live.take_over(&config, P::now());
         self.sockets.resize::<P>(config.sockets);
         self.bytes.resize::<P>(config.memory);
         let clubs = config.clubs();
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -1,7 +1,7 @@
 //! The planned end: what was taken is answered, and nothing new is taken that could not be.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::Platform;
 
@@ -18,6 +18,8 @@
 /// What is left of that for long answers, beyond the longest deadline: what came just before 0.7 s
 /// were over still has its whole time.
 const SPARE: Duration = Duration::from_millis(695);
+/// What has no answer so long before the end is told that it gets none.
+const TELL: Duration = Duration::from_millis(20);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// So long after clients were sent away, all that rest are let go.
@@ -42,10 +44,18 @@
     }
 }
 
-/// Waits, from the signal on, until all is answered or nothing more can be.
-pub async fn drain<P: Platform>(ingress: Rc<Ingress<P>>, longest_deadline: Duration) {
+/// Waits, from the signal on, until all is answered or nothing more can be. By `all_due` everything has
+/// its answer that had been taken at the signal.
+///
+/// Danger: a process that ends takes with it what it still owes: requests that came late on connections
+/// that were open, and answers of which the system has not passed on all. So no request has more time
+/// than the process, what is left shortly before the end is told so, and a connection on which the last
+/// answer was written is read on to its end. Harmful to a release that waits for each process: one whose
+/// clients do not close takes half a second longer.
+pub async fn drain<P: Platform>(ingress: Rc<Ingress<P>>, all_due: Instant) {
     let signal = P::now();
-    ingress.drain();
+    let ends = all_due + SPARE;
+    ingress.drain(ends - TELL);
     while P::since(signal) < COMING
         || (P::since(ingress.last_accepted()) < QUIET && P::since(signal) < LAST_TAKEN)
     {
@@ -56,9 +66,12 @@
     loop {
         ingress.close_idle(P::since(signal) >= LAST_TAKEN);
         let coming = P::since(signal) < LAST_TAKEN || P::since(ingress.last_accepted()) < QUIET;
-        if ingress.busy() == 0 && !coming || P::since(signal) >= longest_deadline + SPARE {
+        if ingress.owes_nothing() && !coming || P::now() >= ends {
             return;
         }
+        if P::now() >= ends - TELL {
+            ingress.give_up();
+        }
         P::sleep(LOOK).await;
     }
 }
@@ -70,19 +83,22 @@
 /// which the successor has. So at first only those are closed that have rested for a while; one that
 /// goes on asking is told `Connection: close` with its next answer; one that
 /// neither rests nor ends is cut when no answer could come in time any more.
-pub async fn hand_over<P: Platform>(ingress: Rc<Ingress<P>>, longest_deadline: Duration) {
+pub async fn hand_over<P: Platform>(ingress: Rc<Ingress<P>>, all_due: Instant) {
     let signal = P::now();
-    ingress.drain();
+    let ends = all_due + LAST_TAKEN;
+    ingress.drain(ends - TELL);
     loop {
         if P::since(signal) >= LAST_TAKEN {
             ingress.close_idle(true);
         } else {
             ingress.close_rested();
         }
-        let over = P::since(signal) >= longest_deadline + LAST_TAKEN;
-        if over || (ingress.busy() == 0 && ingress.connected() == 0) {
+        if P::now() >= ends || (ingress.busy() == 0 && ingress.connected() == 0) {
             return;
         }
+        if P::now() >= ends - TELL {
+            ingress.give_up();
+        }
         P::sleep(LOOK).await;
     }
 }
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -65,13 +65,25 @@
     pub over: Cell<bool>,
 }
 
-/// The time that an attempt has.
-#[derive(Clone, Copy, Debug)]
+/// While an attempt may begin, and how long it has.
+#[derive(Clone, Debug)]
 pub struct Span {
     /// It is sent until then or not at all: later, what it repeats may run twice.
     pub start_by: Option<Instant>,
     /// It is waited for until then.
     pub until: Instant,
+    /// Its server wants new work, for all that is known.
+    pub wanted: Rc<Cell<bool>>,
+}
+
+impl Span {
+    /// Whether the attempt may still begin.
+    ///
+    /// Danger: an attempt may wait for its connection, or for a place to have one, longer than a server that
+    /// begins to drain may get anything new, or than what it repeats is remembered.
+    fn may_begin(&self, now: Instant) -> bool {
+        self.wanted.get() && self.start_by.is_none_or(|by| now <= by)
+    }
 }
 
 /// The body of one attempt.
@@ -516,9 +528,8 @@
                 return Reached::end(Outcome::ConnectFailed);
             };
             // Danger: where attempts may not be called off, one that waits for its connection would go
-            // out for a request that is over, and an order would run for nobody; or for one whose first
-            // copy its servers no longer remember.
-            if spec.over.get() || span.start_by.is_some_and(|by| P::now() > by) {
+            // out for a request that is over, and an order would run for nobody.
+            if spec.over.get() || !span.may_begin(P::now()) {
                 self.rest(server, connection);
                 return Reached::end(Outcome::Moot);
             }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -5,15 +5,62 @@
 #[path = "common/net.rs"]
 mod net;
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use net::*;
 use serde_json::{Value, json};
-use standins::wire::message;
+use socket2::{Domain, Socket, Type};
+use standins::wire::{header, message};
+
+/// A server whose answers wait for a word of the test.
+struct Held {
+    server: Server,
+    begun: mpsc::Receiver<String>,
+    go: Arc<AtomicBool>,
+}
+
+impl Held {
+    fn new() -> Held {
+        let (began, begun) = mpsc::channel();
+        let (began, go) = (Mutex::new(began), Arc::new(AtomicBool::new(false)));
+        let went = go.clone();
+        let server = Server::start(move |id, socket| {
+            let _ = began.lock().expect("no panic").send(id.to_owned());
+            until("the test says go", || went.load(Ordering::Relaxed));
+            socket.write_all(answer(id).as_bytes()).is_ok()
+        });
+        Held { server, begun, go }
+    }
+
+    /// Waits until the server has a request, and says which.
+    fn has(&self) -> String {
+        self.begun.recv_timeout(PATIENCE).expect("a request is out")
+    }
+
+    fn go(&self) {
+        self.go.store(true, Ordering::Relaxed);
+    }
+}
+
+fn draining(sidecar: &Sidecar) -> bool {
+    sidecar.exchange("GET /health/version HTTP/1.1\r\n\r\n").contains("\"draining\":true")
+}
+
+fn drain(sidecar: &Sidecar) {
+    sidecar.signal("TERM");
+    until("it drains", || draining(sidecar));
+}
+
+/// Sets a class's aim and deadline, in milliseconds.
+fn times(config: &mut Value, class: usize, aim: u64, deadline: u64) {
+    config["settings"]["classes"][class]["aim"] = (aim * 1000).into();
+    config["settings"]["classes"][class]["deadline"] = (deadline * 1000).into();
+}
 
 fn take_over(sidecar: &Sidecar, config: &Value) {
     let told = || sidecar.log().matches("configuration in force").count();
@@ -23,6 +70,166 @@
     until("the configuration is in force", || told() > before);
 }
 
+// ---- The planned end ----
+
+#[test]
+fn deadlines_that_a_reload_shortened_do_not_cut_what_was_taken_before() {
+    let held = Held::new();
+    let mut sidecar = Sidecar::start(discovery(&[&held.server]));
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    assert_eq!(held.has(), "open");
+    let mut config = sidecar.config().clone();
+    (0..3).for_each(|class| times(&mut config, class, 50, 100));
+    take_over(&sidecar, &config);
+    drain(&sidecar);
+    // Longer than all that comes after the signal may take by the new deadlines.
+    thread::sleep(Duration::from_millis(1500));
+    held.go();
+    let answer = first_answer(open);
+    assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn during_a_planned_end_a_new_file_still_moves_discovery() {
+    let (held, new) = (Held::new(), Server::echo());
+    let mut sidecar = Sidecar::start(discovery(&[&held.server]));
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    assert_eq!(held.has(), "open");
+    drain(&sidecar);
+    let moved = discovery(&[&new]);
+    sidecar.replace(&sidecar.config_with(&moved));
+    sidecar.signal("HUP");
+    let mut n = 0;
+    until("what is still taken goes to the new list's server", || {
+        n += 1;
+        let look = look(&format!("look{n}")).replace("Ms: 20000", "Ms: 200");
+        sidecar.exchange(&look);
+        !new.seen().is_empty()
+    });
+    held.go();
+    assert!(first_answer(open).ends_with("\r\n\r\nopen"));
+    assert!(sidecar.ended().success());
+}
+
+/// Requests go on coming on connections that stay open. Here one comes so late that its own time is
+/// longer than the process has.
+#[test]
+fn what_comes_late_in_a_planned_end_has_its_answer_before_the_process_ends() {
+    let held = Held::new();
+    let mut sidecar = Sidecar::start_with(discovery(&[&held.server]), |config| {
+        (0..3).for_each(|class| times(config, class, 4000, 4000));
+    });
+    let mut first = sidecar.connect();
+    first.write_all(order("first").as_bytes()).expect("sent");
+    assert_eq!(held.has(), "first");
+    drain(&sidecar);
+    // All that was taken by now is due before 4 s are over, and the process ends 0.7 s later.
+    thread::sleep(Duration::from_millis(900));
+    let mut late = sidecar.connect();
+    late.write_all(order("late").as_bytes()).expect("sent");
+    assert_eq!(held.has(), "late");
+    assert!(first_answer(first).starts_with("HTTP/1.1 502"));
+    let answer = first_answer(late);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+    assert!(sidecar.ended().success());
+}
+
+/// The time of a long body runs from its last byte, which here comes late.
+#[test]
+fn a_long_order_whose_last_byte_comes_late_has_its_answer_before_the_process_ends() {
+    let held = Held::new();
+    let mut sidecar = Sidecar::start_with(discovery(&[&held.server]), |config| {
+        (0..3).for_each(|class| times(config, class, 4000, 4000));
+    });
+    let length = 200_000;
+    let mut long = sidecar.connect();
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: long\r\nX-Time-Left-Ms: 20000\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    long.write_all((head + &"x".repeat(length - 1)).as_bytes()).expect("sent");
+    drain(&sidecar);
+    thread::sleep(Duration::from_millis(1500));
+    long.write_all(b"x").expect("sent");
+    assert_eq!(held.has(), "long");
+    let answer = first_answer(long);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+    assert!(sidecar.ended().success());
+}
+
+/// The system has taken all of the answer, and its client not yet. A process that ends then loses the
+/// rest if the client sends anything more.
+#[test]
+fn an_answer_that_is_on_its_way_to_its_client_outlives_the_process() {
+    let long = "x".repeat(3_000_000);
+    let (began, begun) = mpsc::channel();
+    let (began, go) = (Mutex::new(began), Arc::new(AtomicBool::new(false)));
+    let (went, body) = (go.clone(), long.clone());
+    let server = Server::start(move |_, socket| {
+        began.lock().expect("no panic").send(()).expect("the test listens");
+        until("the test says go", || went.load(Ordering::Relaxed));
+        socket.write_all(answer(&body).as_bytes()).is_ok()
+    });
+    let mut sidecar = Sidecar::start(discovery(&[&server]));
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    begun.recv_timeout(PATIENCE).expect("it is out");
+    drain(&sidecar);
+    // Later than that, a process that owes nothing ends at once.
+    thread::sleep(Duration::from_millis(800));
+    go.store(true, Ordering::Relaxed);
+    let mut got = vec![0; 1];
+    // Read until the system holds all of the rest, but not to the end.
+    while got.len() < 2_400_000 {
+        let mut piece = vec![0; 100_000];
+        let n = open.read(&mut piece).expect("the answer comes");
+        assert!(n > 0, "it ended after {} bytes", got.len());
+        got.extend_from_slice(&piece[..n]);
+    }
+    thread::sleep(Duration::from_millis(100));
+    let _ = open.write_all(b"more");
+    thread::sleep(Duration::from_millis(20));
+    let _ = open.write_all(b"more");
+    let rest = rest(open);
+    assert!(got.len() - 1 + rest.len() > long.len(), "{} and {} bytes", got.len(), rest.len());
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn a_connection_that_comes_late_is_not_closed_before_it_asks() {
+    let (held, echo) = (Held::new(), Server::echo());
+    let mut sidecar = Sidecar::start(discovery(&[&held.server]));
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    assert_eq!(held.has(), "open");
+    let moved = discovery(&[&echo]);
+    sidecar.replace(&sidecar.config_with(&moved));
+    sidecar.signal("HUP");
+    let mut n = 0;
+    until("the other server is known", || {
+        n += 1;
+        sidecar.exchange(&look(&format!("look{n}")).replace("Ms: 20000", "Ms: 200"));
+        !echo.seen().is_empty()
+    });
+    drain(&sidecar);
+    thread::sleep(Duration::from_millis(800));
+    let mut n = 0;
+    // A machine may be slow; the program looks every 10 ms.
+    until("one that asks after a while is answered", || {
+        n += 1;
+        let mut late = sidecar.connect();
+        thread::sleep(Duration::from_millis(30));
+        let sent = late.write_all(look(&format!("late{n}")).as_bytes());
+        sent.is_ok() && first_answer(late).ends_with(&format!("\r\n\r\nlate{n}"))
+    });
+    held.go();
+    assert!(first_answer(open).ends_with("\r\n\r\nopen"));
+    assert!(sidecar.ended().success());
+}
+
 // ---- Discovery ----
 
 /// A discovery of the test's own: what it does to each call is in a script, which gets the call's number
@@ -211,3 +418,220 @@
     let took = next.calls()[0].0 - asked;
     assert!(took < Duration::from_millis(2500), "{took:?}");
 }
+
+// ---- Waiting for a connection ----
+
+/// A server whose connections do not come up until it accepts: one that nobody accepts fills its queue.
+struct Deaf {
+    at: SocketAddr,
+    listener: Option<TcpListener>,
+    filler: TcpStream,
+    /// Ids of requests, or what else came.
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl Deaf {
+    fn new() -> Deaf {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let at: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&at.into()).expect("a free port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let at = listener.local_addr().expect("bound");
+        let filler = TcpStream::connect(at).expect("one fits in");
+        Deaf { at, listener: Some(listener), filler, seen: Arc::default() }
+    }
+
+    /// How many connections to it are asked for and not up.
+    fn asked(&self) -> usize {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let to = format!("0100007F:{:04X}", self.at.port());
+        let fields = table.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
+        fields.filter(|f| f.len() > 3 && f[2] == to && f[3] == "02").count()
+    }
+
+    /// From now on it accepts, and answers each request with its id.
+    fn hear(&mut self) {
+        let listener = self.listener.take().expect("it was deaf");
+        let filler = self.filler.local_addr().expect("bound");
+        let seen = self.seen.clone();
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                if socket.peer_addr().is_ok_and(|at| at == filler) {
+                    continue;
+                }
+                let seen = seen.clone();
+                thread::spawn(move || {
+                    let mut write = socket.try_clone().expect("a second handle");
+                    let mut read = BufReader::new(socket);
+                    while let Some((head, _)) = message(&mut read) {
+                        let id = header(&head, "x-correlation-id").unwrap_or_default();
+                        seen.lock().expect("no panic").push(id.clone());
+                        if write.write_all(answer(&id).as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+    }
+
+    fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("no panic").clone()
+    }
+}
+
+fn slow_to_connect(config: &mut Value) {
+    config["settings"]["limits"]["connectTimeout"] = 20_000_000.into();
+}
+
+/// The list that tells so is there long before the connection is.
+#[test]
+fn what_waits_for_its_connection_is_not_begun_at_a_server_that_drains() {
+    let mut deaf = Deaf::new();
+    let sound = Server::echo();
+    let registry = Registry::start(vec![Entry::new(deaf.at, "a")]);
+    let sidecar = Sidecar::start_with(registry.clone(), slow_to_connect);
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    until("the connection is asked for", || deaf.asked() == 1);
+    registry.mark(&Entry::new(deaf.at, "a").host, "leaving");
+    registry.list(Entry::new(sound.at, "a"));
+    let mut n = 0;
+    until("the list is known", || {
+        n += 1;
+        let look = look(&format!("look{n}")).replace("Ms: 20000", "Ms: 500");
+        sidecar.exchange(&look).contains("200 OK")
+    });
+    deaf.hear();
+    let answer = first_answer(open);
+    assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
+    assert!(!deaf.seen().contains(&"open".to_owned()), "{:?}", deaf.seen());
+    assert!(sound.seen().contains(&"open".to_owned()), "{:?}", sound.seen());
+}
+
+/// The text of a request under an id.
+type Make = fn(&str) -> String;
+
+/// How a client leaves.
+const LEAVES: [&str; 5] = ["close", "half", "next request", "noise", "noise and half"];
+
+fn leave(how: &str, mut socket: TcpStream) -> Option<TcpStream> {
+    match how {
+        "next request" => drop(socket.write_all(look("behind").as_bytes())),
+        "noise" | "noise and half" => drop(socket.write_all(b"\r\n\0noise")),
+        _ => {}
+    }
+    if how.ends_with("half") {
+        socket.shutdown(Shutdown::Write).expect("ended");
+        return Some(socket);
+    }
+    None
+}
+
+/// One request that is not whole in its framing's eyes: a body of chunks with a size that only hyper reads.
+fn odd_chunks(id: &str) -> String {
+    format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+         Transfer-Encoding: chunked\r\n\r\n2 \r\nab\r\n0\r\n\r\n"
+    )
+}
+
+/// For each way to leave and each make of request: nothing is sent on when the connection comes up at last.
+fn nothing_is_sent_for_who_has_left(cancel: bool) {
+    let mut deaf = Deaf::new();
+    let sidecar = Sidecar::start_with(discovery_at(deaf.at), |config| {
+        slow_to_connect(config);
+        // Longer than the test waits: nothing ends by itself.
+        (0..3).for_each(|class| times(config, class, 100_000, 200_000));
+        config["settings"]["limits"]["connectTimeout"] = 200_000_000.into();
+        config["settings"]["limits"]["cancel"] = cancel.into();
+        config["limits"]["sockets"] = 256.into();
+    });
+    let makes = [("look", look as Make), ("order", order), ("odd chunks", odd_chunks)];
+    let mut left = Vec::new();
+    let mut waiting = Vec::new();
+    for how in LEAVES {
+        for (make, text) in makes {
+            let id = format!("{make} {how}").replace(' ', "-");
+            let mut socket = sidecar.connect();
+            let text = text(&id).replace("Ms: 20000", "Ms: 150000");
+            socket.write_all(text.as_bytes()).expect("sent");
+            waiting.push((how, socket));
+            until("its connection is asked for", || deaf.asked() >= waiting.len());
+        }
+    }
+    for (how, socket) in waiting {
+        left.extend(leave(how, socket));
+    }
+    until("they are seen to have left", || {
+        let state = sidecar.exchange("GET /health/version HTTP/1.1\r\n\r\n");
+        let state: Value = state
+            .split("\r\n\r\n")
+            .nth(1)
+            .and_then(|s| serde_json::from_str(s).ok())
+            .unwrap_or_default();
+        // The one that asks is not counted among them.
+        state["open"] == 0
+    });
+    let mut last = sidecar.connect();
+    last.write_all(order("last").as_bytes()).expect("sent");
+    until("the last one's connection is asked for", || deaf.asked() >= 1);
+    deaf.hear();
+    let answer = first_answer(last);
+    assert!(answer.ends_with("\r\n\r\nlast"), "{answer:?}");
+    assert_eq!(deaf.seen(), ["last"]);
+    drop(left);
+}
+
+fn discovery_at(at: SocketAddr) -> Registry {
+    Registry::start(vec![Entry::new(at, "a")])
+}
+
+#[test]
+fn who_left_while_a_connection_came_up_gets_nothing_sent() {
+    nothing_is_sent_for_who_has_left(true);
+}
+
+#[test]
+fn who_left_while_a_connection_came_up_gets_nothing_sent_where_nothing_is_called_off() {
+    nothing_is_sent_for_who_has_left(false);
+}
+
+// ---- Waiting for a place ----
+
+/// All places are taken by requests under way, so who comes next waits with the system.
+#[test]
+fn who_left_before_a_place_was_free_gets_nothing_sent() {
+    let held = Held::new();
+    let sidecar = Sidecar::start(discovery(&[&held.server]));
+    // 64 descriptors, less 24, half of them.
+    let places = 20;
+    let taken: Vec<_> = (0..places)
+        .map(|n| {
+            let mut socket = sidecar.connect();
+            socket.write_all(order(&format!("taken{n}")).as_bytes()).expect("sent");
+            held.has();
+            socket
+        })
+        .collect();
+    let mut left = Vec::new();
+    for how in LEAVES {
+        for (make, text) in [("look", look as Make), ("order", order)] {
+            let id = format!("{make} {how}").replace(' ', "-");
+            let mut socket = sidecar.connect();
+            socket.write_all(text(&id).as_bytes()).expect("sent");
+            left.extend(leave(how, socket));
+        }
+    }
+    let mut last = sidecar.connect();
+    last.write_all(order("last").as_bytes()).expect("sent");
+    held.go();
+    for (n, socket) in taken.into_iter().enumerate() {
+        assert!(first_answer(socket).ends_with(&format!("\r\n\r\ntaken{n}")));
+    }
+    assert!(first_answer(last).ends_with("\r\n\r\nlast"));
+    let seen = held.server.seen();
+    let others: Vec<_> = seen.iter().filter(|id| !id.starts_with("taken")).collect();
+    assert_eq!(others, ["last"]);
+}
