--- a/crates/dst/src/discovery.rs
+++ b/crates/dst/src/discovery.rs
@@ -53,6 +53,9 @@
     pub fn turn(&self, now: Duration, mode: Mode) {
         if self.mode.replace(mode) != mode {
             self.changed.notify_waiters();
+            if mode != Mode::Up {
+                self.oracle.borrow_mut().agents_fall_silent(now);
+            }
             self.agents_tell(now, 0..self.agents);
         }
     }
@@ -70,7 +73,7 @@
         };
         for sidecar in of.filter(|n| *n < self.agents) {
             for place in 0..self.places {
-                self.oracle.borrow_mut().told(now, sidecar, place, !listed(place));
+                self.oracle.borrow_mut().counts(now, sidecar, place, !listed(place));
             }
         }
     }
--- a/crates/dst/src/oracle.rs
+++ b/crates/dst/src/oracle.rs
@@ -29,6 +29,8 @@
 const KEPT: u64 = 64 << 10;
 /// Clients that are sent away have no connection from before that any more after so long.
 const AWAY: Duration = Duration::from_millis(1600);
+/// An agent that has spoken for so long can have been asked by every sidecar.
+const ASKED_AGAIN: Duration = Duration::from_millis(300);
 /// So long after its start every sidecar counts as told of a server.
 const TOLD: Duration = Duration::from_secs(8);
 /// What chance may add to the work that a cold server gets.
@@ -211,6 +213,8 @@
     asked: BTreeMap<u64, Asked>,
     /// When a sidecar was told that a server is to get nothing new: by sidecar and server.
     barred: FxHashMap<(usize, usize), Duration>,
+    /// The same of what counts as told, since the sidecar's own agent has it.
+    counted: FxHashMap<(usize, usize), Duration>,
     /// When operators took a server out at a sidecar.
     held_out: FxHashMap<(usize, usize), Duration>,
     /// Since when a sidecar's clients are sent away.
@@ -243,6 +247,7 @@
             conns: FxHashMap::default(),
             asked: BTreeMap::new(),
             barred: FxHashMap::default(),
+            counted: FxHashMap::default(),
             held_out: FxHashMap::default(),
             away: FxHashMap::default(),
             cold: BTreeMap::new(),
@@ -411,6 +416,7 @@
         self.note(now, || format!("sidecar {sidecar} starts"));
         self.terminated.remove(&sidecar);
         self.barred.retain(|(s, _), _| *s != sidecar);
+        self.counted.retain(|(s, _), _| *s != sidecar);
         self.held_out.retain(|(s, _), _| *s != sidecar);
         self.backlogs.remove(&sidecar);
         self.away.remove(&sidecar);
@@ -560,9 +566,24 @@
                 cold.told.insert(sidecar);
             }
             self.barred.remove(&(sidecar, server));
+            self.counted.remove(&(sidecar, server));
         }
     }
 
+    /// A sidecar's own agent has it of a server whether it is to get nothing new.
+    pub fn counts(&mut self, now: Duration, sidecar: usize, server: usize, barred: bool) {
+        if barred {
+            self.counted.entry((sidecar, server)).or_insert(now);
+        } else {
+            self.told(now, sidecar, server, false);
+        }
+    }
+
+    /// The agents speak no more. What they had for a moment only nobody can have asked for.
+    pub fn agents_fall_silent(&mut self, now: Duration) {
+        self.counted.retain(|_, at| now.saturating_sub(*at) >= ASKED_AGAIN);
+    }
+
     // ---- The end ----
 
     /// Requests answered 200 among those sent in a span: how many, of how many.
@@ -649,7 +670,8 @@
             }
             _ => {}
         }
-        let barred = [&self.barred, &self.held_out].map(|m| m.get(&(sidecar, server)));
+        let barred =
+            [&self.barred, &self.counted, &self.held_out].map(|m| m.get(&(sidecar, server)));
         if let Some(at) = barred.into_iter().flatten().min()
             && first > *at + self.rules.drain + SOCKETS
         {
--- a/crates/dst/src/run.rs
+++ b/crates/dst/src/run.rs
@@ -259,6 +259,7 @@
         settings["zone"] = json!(n % ZONES.len());
         settings["discovery"] = json!(if self.scenario.asked { "on_request" } else { "pushed" });
         settings["limits"]["cancel"] = json!(self.scenario.cancel);
+        settings["limits"]["connectTimeout"] = json!(self.scenario.connect_ms * 1000);
         settings["limits"]["mayTell"] = json!(self.scenario.sidecars > 1);
         let seed: u64 = self.rng.random();
         let mut config = json!({
--- a/crates/dst/src/scenario.rs
+++ b/crates/dst/src/scenario.rs
@@ -48,6 +48,9 @@
     /// Sidecars share what they know.
     #[serde(default)]
     pub tier: bool,
+    /// How long a connection to a server may take to come up, in milliseconds.
+    #[serde(default = "usual_connect")]
+    pub connect_ms: u64,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -57,6 +60,10 @@
     4
 }
 
+fn usual_connect() -> u64 {
+    75
+}
+
 fn yes() -> bool {
     true
 }
@@ -298,6 +305,8 @@
             timer_lag_us: *[0, 200, 1000, 3000].choose(&mut rng).unwrap_or(&0),
             cancel: rng.random_bool(0.8),
             tier: rng.random_bool(0.5),
+            // Other customers' connections may come up long after their request was given out.
+            connect_ms: *[75, 75, 75, 400, 1500].choose(&mut rng).unwrap_or(&75),
             faults,
         }
     }
