A slow call to a silent agent does not keep the descriptor that the next call needs

Traced: the sidecar had one descriptor left; the older call to the silent agent held it, so each newer call failed at once (Broken, every 100 ms) until the older one's 0.7 s were over, 0.56 s after the agent spoke again. discovery.rs, pushed: the arm of Miss::Broken kept `slow`. Ruled out: the oracle (the list was there to be asked for from 10.091 s on), the link to the agent.

Change: a call that breaks at once lets the older one go, too.

--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -166,8 +166,9 @@
                 }
                 // Danger: an agent that was started anew may count its versions anew, up to one
                 // that stood for another list. What was missed is asked for whole: it is free here.
+                // And where descriptors have run out, the older call may hold the one that the newer needs.
                 Err(Miss::Broken) => {
-                    whole = true;
+                    (whole, slow) = (true, None);
                     P::sleep(AGAIN.min(beside)).await;
                 }
                 Err(Miss::Silent) => whole = true,
