--- a/crates/dst/src/scenario.rs
+++ b/crates/dst/src/scenario.rs
@@ -334,6 +334,7 @@
         within("rate", (0.1..=1000.0).contains(&self.rate), "0.1 to 1000")?;
         within("sockets", (64..=4096).contains(&self.sockets), "64 to 4096")?;
         within("cores", (1..=64).contains(&self.cores), "1 to 64")?;
+        within("connect_ms", (1..=10_000).contains(&self.connect_ms), "1 to 10000")?;
         within("timer_lag_us", self.timer_lag_us <= 20_000, "20000 at most")?;
         for (n, fault) in self.faults.iter().enumerate() {
             let ends = fault.at_ms.saturating_add(fault.for_ms);
@@ -375,7 +376,11 @@
         let why = Scenario::read(&path).expect_err("9x sidecars");
         std::fs::write(&path, sound.replacen("rate", "rats", 1)).expect("written");
         let other = Scenario::read(&path).expect_err("an unknown key");
+        let slow = sound.replacen("connect_ms = ", "connect_ms = 9999", 1);
+        std::fs::write(&path, slow).expect("written");
+        let slow = Scenario::read(&path).expect_err("connections that come up after hours");
         let _ = std::fs::remove_file(&path);
         assert!(why.contains("sidecars: 1 to 8") && other.contains("rats"), "{why}, {other}");
+        assert!(slow.contains("connect_ms: 1 to 10000"), "{slow}");
     }
 }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -24,22 +24,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let at = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
-        let (script, list) = (Arc::new(script), seen.clone());
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                let (script, list) = (script.clone(), list.clone());
-                thread::spawn(move || {
-                    let mut write = socket.try_clone().expect("a second handle");
-                    let mut read = BufReader::new(socket);
-                    while let Some((head, _)) = message(&mut read) {
-                        let id = header(&head, "x-correlation-id").unwrap_or_default();
-                        list.lock().expect("no panic").push(id.clone());
-                        if !script(&id, &mut write) {
-                            return;
-                        }
-                    }
-                });
-            }
+        let list = seen.clone();
+        serve(listener, move |head, socket| {
+            let id = header(head, "x-correlation-id").unwrap_or_default();
+            list.lock().expect("no panic").push(id.clone());
+            script(&id, socket)
         });
         Server { at, seen }
     }
@@ -59,6 +48,29 @@
     }
 }
 
+/// Accepts on `listener` to the end of the process. `script` gets the head of each message and its connection,
+/// and tells whether this goes on.
+pub fn serve(
+    listener: TcpListener,
+    script: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
+) {
+    let script = Arc::new(script);
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let script = script.clone();
+            thread::spawn(move || {
+                let Ok(mut write) = socket.try_clone() else { return };
+                let mut read = BufReader::new(socket);
+                while let Some((head, _)) = message(&mut read) {
+                    if !script(&head, &mut write) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 /// A good answer whose body is `id`.
 pub fn answer(id: &str) -> String {
     answer_with(id, "queue=0,inflight=1")
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -15,6 +15,7 @@
 use net::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
+use standins::scripted::serve;
 use standins::wire::{header, message};
 
 /// A server whose answers wait for a word of the test.
@@ -42,6 +43,14 @@
         self.begun.recv_timeout(PATIENCE).expect("a request is out")
     }
 
+    /// Has an order of this id under way here, and returns its client.
+    fn gets(&self, sidecar: &Sidecar, id: &str) -> TcpStream {
+        let mut client = sidecar.connect();
+        client.write_all(order(id).as_bytes()).expect("sent");
+        assert_eq!(self.has(), id);
+        client
+    }
+
     fn go(&self) {
         self.go.store(true, Ordering::Relaxed);
     }
@@ -76,9 +85,7 @@
 fn deadlines_that_a_reload_shortened_do_not_cut_what_was_taken_before() {
     let held = Held::new();
     let mut sidecar = Sidecar::start(discovery(&[&held.server]));
-    let mut open = sidecar.connect();
-    open.write_all(order("open").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "open");
+    let open = held.gets(&sidecar, "open");
     let mut config = sidecar.config().clone();
     (0..3).for_each(|class| times(&mut config, class, 50, 100));
     take_over(&sidecar, &config);
@@ -95,9 +102,7 @@
 fn during_a_planned_end_a_new_file_still_moves_discovery() {
     let (held, new) = (Held::new(), Server::echo());
     let mut sidecar = Sidecar::start(discovery(&[&held.server]));
-    let mut open = sidecar.connect();
-    open.write_all(order("open").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "open");
+    let open = held.gets(&sidecar, "open");
     drain(&sidecar);
     let moved = discovery(&[&new]);
     sidecar.replace(&sidecar.config_with(&moved));
@@ -122,15 +127,11 @@
     let mut sidecar = Sidecar::start_with(discovery(&[&held.server]), |config| {
         (0..3).for_each(|class| times(config, class, 4000, 4000));
     });
-    let mut first = sidecar.connect();
-    first.write_all(order("first").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "first");
+    let first = held.gets(&sidecar, "first");
     drain(&sidecar);
     // All that was taken by now is due before 4 s are over, and the process ends 0.7 s later.
     thread::sleep(Duration::from_millis(900));
-    let mut late = sidecar.connect();
-    late.write_all(order("late").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "late");
+    let late = held.gets(&sidecar, "late");
     assert!(first_answer(first).starts_with("HTTP/1.1 502"));
     let answer = first_answer(late);
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
@@ -202,9 +203,7 @@
 fn a_connection_that_comes_late_is_not_closed_before_it_asks() {
     let (held, echo) = (Held::new(), Server::echo());
     let mut sidecar = Sidecar::start(discovery(&[&held.server]));
-    let mut open = sidecar.connect();
-    open.write_all(order("open").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "open");
+    let open = held.gets(&sidecar, "open");
     let moved = discovery(&[&echo]);
     sidecar.replace(&sidecar.config_with(&moved));
     sidecar.signal("HUP");
@@ -267,9 +266,7 @@
 fn a_file_that_cannot_be_used_leaves_what_is_under_way_as_it_was() {
     let held = Held::new();
     let sidecar = Sidecar::start(discovery(&[&held.server]));
-    let mut open = sidecar.connect();
-    open.write_all(order("open").as_bytes()).expect("sent");
-    assert_eq!(held.has(), "open");
+    let open = held.gets(&sidecar, "open");
     let mut config = sidecar.config().clone();
     config["settings"]["classes"][2]["deadline"] = 0.into();
     sidecar.replace(&config.to_string());
@@ -345,26 +342,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let at = listener.local_addr().expect("an address");
         let calls = Arc::new(Mutex::new(Vec::new()));
-        let (script, list) = (Arc::new(script), calls.clone());
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                let (script, list) = (script.clone(), list.clone());
-                thread::spawn(move || {
-                    let mut write = socket.try_clone().expect("a second handle");
-                    let mut read = BufReader::new(socket);
-                    while let Some((head, _)) = message(&mut read) {
-                        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-                        let n = {
-                            let mut list = list.lock().expect("no panic");
-                            list.push((Instant::now(), path.clone()));
-                            list.len()
-                        };
-                        if !script(n, &path, &mut write) {
-                            return;
-                        }
-                    }
-                });
-            }
+        let list = calls.clone();
+        serve(listener, move |head, socket| {
+            let path = head.split(' ').nth(1).unwrap_or_default();
+            let n = {
+                let mut list = list.lock().expect("no panic");
+                list.push((Instant::now(), path.to_owned()));
+                list.len()
+            };
+            script(n, path, socket)
         });
         Agent { at, calls }
     }
@@ -524,7 +510,7 @@
 struct Deaf {
     at: SocketAddr,
     listener: Option<TcpListener>,
-    filler: TcpStream,
+    _filler: TcpStream,
     /// Ids of requests, or what else came.
     seen: Arc<Mutex<Vec<String>>>,
 }
@@ -542,7 +528,7 @@
     fn of(listener: TcpListener) -> Deaf {
         let at = listener.local_addr().expect("bound");
         let filler = TcpStream::connect(at).expect("one fits in");
-        Deaf { at, listener: Some(listener), filler, seen: Arc::default() }
+        Deaf { at, listener: Some(listener), _filler: filler, seen: Arc::default() }
     }
 
     /// How many connections to it are asked for and not up.
@@ -555,27 +541,11 @@
 
     /// From now on it accepts, and answers each request with its id.
     fn hear(&mut self) {
-        let listener = self.listener.take().expect("it was deaf");
-        let filler = self.filler.local_addr().expect("bound");
         let seen = self.seen.clone();
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                if socket.peer_addr().is_ok_and(|at| at == filler) {
-                    continue;
-                }
-                let seen = seen.clone();
-                thread::spawn(move || {
-                    let mut write = socket.try_clone().expect("a second handle");
-                    let mut read = BufReader::new(socket);
-                    while let Some((head, _)) = message(&mut read) {
-                        let id = header(&head, "x-correlation-id").unwrap_or_default();
-                        seen.lock().expect("no panic").push(id.clone());
-                        if write.write_all(answer(&id).as_bytes()).is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
+        serve(self.listener.take().expect("it was deaf"), move |head, socket| {
+            let id = header(head, "x-correlation-id").unwrap_or_default();
+            seen.lock().expect("no panic").push(id.clone());
+            socket.write_all(answer(&id).as_bytes()).is_ok()
         });
     }
 
@@ -768,14 +738,7 @@
     let sidecar = Sidecar::start(discovery(&[&held.server]));
     // 64 descriptors, less 24, half of them.
     let places = 20;
-    let taken: Vec<_> = (0..places)
-        .map(|n| {
-            let mut socket = sidecar.connect();
-            socket.write_all(order(&format!("taken{n}")).as_bytes()).expect("sent");
-            held.has();
-            socket
-        })
-        .collect();
+    let taken: Vec<_> = (0..places).map(|n| held.gets(&sidecar, &format!("taken{n}"))).collect();
     let mut left = Vec::new();
     for how in LEAVES {
         for (make, text) in [("look", look as Make), ("order", order)] {
