Lists asked for: two failed calls leave time for a third, whatever mustAskIn says

Cause: a lead from reading, confirmed. Where lists are asked for, decide.rs servers_changed waited up to half of mustAskIn after failed calls, and before the first one. What discovery has counts as told 6 s after it could be reached.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,10 @@
 /// Microseconds, on a clock that starts anywhere and never runs backwards.
 pub type Micros = u64;
 
+/// What discovery has to tell counts as told so long after it had it and could be reached, whatever became of
+/// the calls made meanwhile (the protocol's figure).
+pub const TOLD_AFTER: Micros = 6_000_000;
+
 /// A request, as its sidecar numbers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -373,11 +373,11 @@
         let asked = self.settings.discovery == Discovery::Asked;
         match kind {
             ListKind::Failed => {
-                // Danger: thousands of sidecars that lose discovery together would call it down
-                // again together. Each waits a random, growing time, well within `mustAskIn`.
+                // Danger: thousands that lose discovery together would call it down together again. Each waits a
+                // random, growing time, so short that after two calls that fail all is known in time.
                 if asked {
-                    let most = (self.settings.rules.must_ask_in.max(4) / 2) as f64;
-                    let wait = most / f64::from(4 >> self.subscribe_failures.min(2));
+                    let most = self.settings.rules.must_ask_in.min(TOLD_AFTER / 2) as f64 / 2.0;
+                    let wait = most * f64::from(2 + self.subscribe_failures.min(1)) / 3.0;
                     self.subscribe_failures += 1;
                     let wait = (wait * (0.25 + 0.75 * self.uniform())) as Micros;
                     self.set_alarm(wait, Alarm::Subscribe, out);
@@ -385,8 +385,8 @@
                 return;
             }
             ListKind::Remembered if asked => {
-                let wait =
-                    (self.uniform() * self.settings.rules.must_ask_in as f64 / 2.0) as Micros;
+                let most = self.settings.rules.must_ask_in.min(TOLD_AFTER) as f64 / 2.0;
+                let wait = (self.uniform() * most) as Micros;
                 self.set_alarm(wait, Alarm::Subscribe, out);
             }
             _ => self.subscribe_failures = 0,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -353,6 +353,97 @@
     }
 }
 
+/// The timer that a failed call leaves, in microseconds, and its token.
+fn waits(out: &[Action]) -> (Micros, u32) {
+    let timer = out.iter().find_map(|a| match a {
+        Action::Timer { delay, token } => Some((*delay, *token)),
+        _ => None,
+    });
+    timer.unwrap_or_else(|| panic!("no timer: {out:?}"))
+}
+
+/// Found by reading: waits went by `mustAskIn`, up to half of it. What discovery has counts as told 6 s after it
+/// could be reached, also where it came back just after a call had failed and the next one fails too. A call that
+/// is not answered takes 2 s.
+#[test]
+fn two_failed_calls_leave_time_for_a_third_whatever_must_ask_in_says() {
+    for must_ask_in in [10, 30, 60, 300] {
+        for seed in 0..200 {
+            let asked = settings(|s| {
+                s["discovery"] = "on_request".into();
+                s["rules"]["mustAskIn"] = (must_ask_in * S).into();
+            });
+            let mut b = Bench::new(asked, seed, &[server(0)]);
+            // Discovery has been down for a while.
+            (0..20).for_each(|_| drop(b.servers(ListKind::Failed, &[])));
+            let (first, _) = waits(&b.servers(ListKind::Failed, &[]));
+            let (second, _) = waits(&b.servers(ListKind::Failed, &[]));
+            let known = first + 2 * S + second;
+            assert!(known <= TOLD_AFTER - S / 2, "{must_ask_in} s: after {known} us");
+        }
+    }
+}
+
+/// The same of a sidecar that starts with what it remembers: it is not ready before its first call.
+#[test]
+fn a_new_sidecar_asks_soon_whatever_must_ask_in_says() {
+    for must_ask_in in [10, 30, 60, 300] {
+        let asked = |s: &mut serde_json::Value| {
+            s["discovery"] = "on_request".into();
+            s["rules"]["mustAskIn"] = (must_ask_in * S).into();
+        };
+        for seed in 0..200 {
+            let mut b = Bench::new(settings(asked), seed, &[server(0)]);
+            let (first, _) = waits(&b.servers(ListKind::Remembered, &[server(0)]));
+            assert!(first <= TOLD_AFTER / 2, "{must_ask_in} s: after {first} us");
+        }
+    }
+}
+
+/// Three hundred sidecars ask one discovery that works through calls in turn, and turns away what would wait for
+/// over 2 s. Who has waited for 1.5 s gives up, and its call costs discovery all the same. Discovery comes back, and
+/// can take one call of each within 3 s.
+#[test]
+fn all_of_three_hundred_know_in_time_once_one_discovery_is_back() {
+    const PATIENCE: Micros = 1_500 * MS;
+    let (sidecars, all_calls) = (300, 3 * S);
+    let cost = all_calls / sidecars;
+    for must_ask_in in [10, 30, 60] {
+        let asked = |s: &mut serde_json::Value| {
+            s["discovery"] = "on_request".into();
+            s["rules"]["mustAskIn"] = (must_ask_in * S).into();
+        };
+        let mut all: Vec<_> =
+            (0..sidecars).map(|n| Bench::new(settings(asked), n, &[server(0)])).collect();
+        // Calls are refused until discovery is back: each sidecar by its own failures.
+        let back = START + 20 * S;
+        let mut calls = std::collections::BTreeSet::new();
+        for (n, b) in all.iter_mut().enumerate() {
+            let (wait, _) = waits(&b.servers(ListKind::Failed, &[]));
+            calls.insert((b.now + wait, n));
+        }
+        let (mut free, mut last, mut asked_for) = (back, back, 0);
+        while let Some((at, n)) = calls.pop_first() {
+            asked_for += u64::from(at >= back);
+            let begun = free.max(at);
+            let turned_away = at < back || begun + cost - at > 2 * S;
+            if !turned_away {
+                free = begun + cost;
+                if free - at <= PATIENCE {
+                    last = last.max(free);
+                    continue;
+                }
+            }
+            all[n].now = if turned_away { at } else { at + PATIENCE };
+            let (wait, _) = waits(&all[n].servers(ListKind::Failed, &[]));
+            calls.insert((all[n].now + wait, n));
+        }
+        let took = last - back;
+        println!("mustAskIn {must_ask_in} s: all know after {took} us, {asked_for} calls");
+        assert!(took <= TOLD_AFTER, "mustAskIn {must_ask_in} s: the last knows after {took} us");
+    }
+}
+
 /// Found with slow servers that still answer: they kept most of their share, and made it late.
 #[test]
 fn a_server_slower_than_its_peers_is_passed_over() {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -453,6 +453,43 @@
     assert!(took < Duration::from_secs(12), "{took:?}: {calls:?}");
 }
 
+/// Lists are asked for, and `mustAskIn` is long. Found by reading: waits went by it alone, so a drain that discovery
+/// had told others of for half a minute was not known here.
+#[test]
+fn a_drain_is_kept_soon_after_discovery_is_back_however_long_must_ask_in_is() {
+    let (old, new) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start_with(discovery(&[&old]), |config| {
+        config["settings"]["discovery"] = "on_request".into();
+        config["settings"]["rules"]["mustAskIn"] = 60_000_000.into();
+    });
+    let (draining, active) =
+        (Entry { health: "leaving", ..Entry::new(old.at, "a") }, Entry::new(new.at, "a"));
+    let first = Entry::new(old.at, "a");
+    // Down from the second call on, and back just after the sixth.
+    let agent = Agent::start(move |n, path, socket| match n {
+        1 => list(socket, 1, true, std::slice::from_ref(&first)),
+        2..=6 => false,
+        7 => list(socket, 2, true, &[draining.clone(), active.clone()]),
+        _ => {
+            thread::sleep(Duration::from_millis(if path.contains("hold_ms") { 200 } else { 0 }));
+            list(socket, 2, false, &[])
+        }
+    });
+    agent.takes_over(&sidecar);
+    until("it asks a seventh time", || agent.calls().len() >= 7);
+    let calls = agent.calls();
+    // The sixth call fails as discovery comes back, and so might the seventh: then the eighth tells in time.
+    let took = calls[6].0 - calls[4].0;
+    assert!(took < Duration::from_secs(6), "two waits and two calls took {took:?}");
+    sidecar.comes_to(&new);
+    let before = old.seen().len();
+    for n in 0..50 {
+        let id = format!("order{n}");
+        assert!(sidecar.exchange(&order(&id)).ends_with(&format!("\r\n\r\n{id}")));
+    }
+    assert_eq!(old.seen().len(), before, "nothing new to the one that drains");
+}
+
 /// Lists are asked for, and discovery moves a second time while the first move's call is unanswered.
 #[test]
 fn a_move_does_not_wait_for_a_call_to_the_old_address() {
