Lists of servers are bounded by the memory limit; what is beyond the bound is told of

Need: with 4,800 servers a sidecar was never ready, and its log said nothing (discovery.rs, LONGEST = 512 KiB); with tier.turn_ms settings.instances of 4,800 was refused (MOST_MEMBERS = 4,096).

Change: bounds in servers and members follow from limits.memory_mb (budget.rs: 256 servers a MB, 1 KiB each; 256 members a MB), and are checked with the configuration for known.hosts and settings.instances. Of a list with more servers those that are known stay, and as many others are taken as there is room for; a text beyond the bound is not read, and asked for again each second. Either is a line in the log with size and bound, and a figure for operators (lists_too_long, pool_most). Names of a list stay in its text while it is read, and the text is taken at once where its length is told. Peers are found by address in a map. A watch that is asked for is held 2 s (3.5 s): a silent one is found 1.5 s sooner, so that also a second call that fails leaves time for a third.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -20,5 +20,5 @@
 /// Microseconds, on a clock that starts anywhere and never runs backwards.
 pub type Micros = u64;
 
-/// The most members of a tier.
-pub const MOST_MEMBERS: u32 = 4096;
+/// The most members of a tier: notes have two bytes for a member's number.
+pub const MOST_MEMBERS: u32 = 1 << 16;
--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -108,6 +108,10 @@
     pub listed: usize,
     /// Those of them that get nothing, by hand or by choice.
     pub ejected: usize,
+    /// How many servers may be known.
+    pub most_servers: usize,
+    /// Lists that were too long, or held more servers than that.
+    pub lists_too_long: u64,
     /// New configurations.
     pub reloads: Reloads,
     /// What is known of the tier, where this sidecar takes part, and its clubs' names.
@@ -125,6 +129,8 @@
         writeln!(f, "sidecar.active={}", self.active)?;
         writeln!(f, "sidecar.pool_size={}", self.listed)?;
         writeln!(f, "sidecar.pool_ejected={}", self.ejected)?;
+        writeln!(f, "sidecar.pool_most={}", self.most_servers)?;
+        writeln!(f, "sidecar.lists_too_long={}", self.lists_too_long)?;
         writeln!(f, "sidecar.config_applied={}", self.reloads.applied)?;
         writeln!(f, "sidecar.config_rejected={}", self.reloads.declined)?;
         match &self.tier {
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -221,6 +221,8 @@
             active: self.driver.open(),
             listed,
             ejected,
+            most_servers: self.live.most_servers(),
+            lists_too_long: self.status.lists_too_long(),
             reloads: self.status.reloads(),
             tier: self.driver.tier().map(|tier| {
                 let mut clubs: Vec<_> = names.tenants.iter().collect();
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -1,4 +1,5 @@
-//! What the sidecar may hold: sockets for clients and servers, and bytes of bodies.
+//! What the sidecar may hold: sockets for clients and servers, bytes of bodies, servers of a list and members of
+//! a tier.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -15,6 +16,16 @@
 const CALM: usize = 3;
 /// The share of the memory that bodies of requests and answers may take together.
 const BODIES: usize = 3;
+/// The share of the memory that the servers of the list may take, and that the members of the tier may.
+const LISTED: usize = 4;
+const MEMBERS: usize = 16;
+/// What one server takes at the most: its entry while a list is read, and its places in the driver, the module and
+/// the connections at rest. Measured: 0.3 kB (docs/CAPACITY.md).
+const SERVER: usize = 1 << 10;
+/// What a server's entry takes in a list's text at the most, on the mean of all.
+const ENTRY: usize = 256;
+/// What a member of the tier takes: its record, and who is beside it.
+const MEMBER: usize = 256;
 /// What is taken back at once of a budget that has shrunk.
 const PART: usize = 64 << 10;
 
@@ -59,6 +70,21 @@
     }
 }
 
+/// How many servers a process may know that may use `memory` bytes.
+pub fn most_servers(memory: usize) -> usize {
+    memory / LISTED / SERVER
+}
+
+/// How long, in bytes, the text of a list of so many servers may be.
+pub fn longest_list(servers: usize) -> usize {
+    servers * ENTRY
+}
+
+/// How many members a tier may have in which a process takes part that may use `memory` bytes.
+pub fn most_members(memory: usize) -> usize {
+    (memory / MEMBERS / MEMBER).min(tier::MOST_MEMBERS as usize)
+}
+
 fn each(limit: usize) -> usize {
     (limit.saturating_sub(RESERVE) / 2).max(4)
 }
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -1,6 +1,7 @@
 //! What the sidecar is told at its start: `LB_CONFIG` and the other `LB_` variables. Everything is
 //! checked here; an error names the key.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +10,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::budget;
 use crate::api::{Health, LoadReport, ServerEntry, ServerId};
 use crate::settings::{Repeat, Settings};
 
@@ -105,28 +107,43 @@
     33
 }
 
-/// A list of servers, or what changed in it, as discovery writes it.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct List {
+/// Text that is part of a larger one where it can be, and a copy where it had to be unescaped.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Part<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl AsRef<str> for Part<'_> {
+    fn as_ref(&self) -> &str {
+        &self.0
+    }
+}
+
+/// A list of servers, or what changed in it, as discovery writes it. Names are copies, or parts of the text that
+/// the list was read from.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List<S = String> {
     /// The version of the list.
     pub seq: u64,
     /// Whether this is all of it.
     pub whole: bool,
     /// The entries.
-    pub hosts: Vec<Host>,
+    pub hosts: Vec<Host<S>>,
+}
+
+impl Default for List {
+    fn default() -> List {
+        List { seq: 0, whole: false, hosts: Vec::new() }
+    }
 }
 
 /// One server of a list.
 #[derive(Clone, Debug, Deserialize)]
-pub struct Host {
+pub struct Host<S = String> {
     /// The name, the same at every sidecar.
-    pub host: String,
+    pub host: S,
     /// Where it listens for this sidecar; one that is gone need not say.
     pub dial: Option<SocketAddr>,
-    #[serde(default)]
-    site: String,
-    #[serde(default)]
-    class: String,
+    site: Option<S>,
+    class: Option<S>,
     #[serde(default)]
     block: u16,
     health: Listed,
@@ -148,10 +165,10 @@
     1.0
 }
 
-impl Host {
+impl<S: AsRef<str>> Host<S> {
     /// The module's name for it.
     pub fn id(&self) -> ServerId {
-        ServerId(stable_hash(self.host.as_bytes()))
+        ServerId(stable_hash(self.host.as_ref().as_bytes()))
     }
 
     /// Whether it is there at all.
@@ -223,8 +240,11 @@
     }
 
     /// A server as the module takes it. A zone or kind that the settings lack is like no other.
-    pub fn entry(&self, host: &Host) -> ServerEntry {
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    pub fn entry<S: AsRef<str>>(&self, host: &Host<S>) -> ServerEntry {
+        let place = |names: &[String], name: &Option<S>| {
+            let name = name.as_ref().map_or("", AsRef::as_ref);
+            names.iter().position(|n| n == name)
+        };
         ServerEntry {
             id: host.id(),
             zone: place(&self.zones, &host.site).and_then(|i| i.try_into().ok()).unwrap_or(u8::MAX),
@@ -359,9 +379,18 @@
                 })?)
             }
         };
-        if turn.is_some() && settings.instances > tier::MOST_MEMBERS {
-            let most = tier::MOST_MEMBERS;
-            return Err(format!("settings.instances: {most} at most expected with tier.turn_ms"));
+        let megabytes = file.limits.memory_mb;
+        let most = budget::most_members(megabytes << 20);
+        if turn.is_some() && settings.instances as usize > most {
+            return Err(format!(
+                "settings.instances: {most} at most expected with tier.turn_ms and limits.memory_mb = {megabytes}"
+            ));
+        }
+        let most = budget::most_servers(megabytes << 20);
+        if file.known.as_ref().is_some_and(|known| known.hosts.len() > most) {
+            return Err(format!(
+                "known.hosts: {most} at most expected with limits.memory_mb = {megabytes}"
+            ));
         }
         Ok(Config {
             name,
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -1,13 +1,15 @@
-//! The list of servers: asked for, watched, and passed on to a listener. Only whole answers count.
+//! The list of servers: asked for, watched, and passed on to a listener. Only whole answers count, and none that is
+//! longer than the memory allows.
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -15,12 +17,15 @@
 use platform::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::config::List;
+use super::budget::longest_list;
+use super::config::{List, Part};
 use crate::api::ListKind;
 use crate::settings::Discovery as How;
 
-/// The longest answer: some two thousand servers.
-const LONGEST: usize = 512 << 10;
+/// Between calls for lists that were too long where they are pushed.
+const SHORTER: Duration = Duration::from_secs(1);
+/// Between two lines of the log that tell of lists which are too long.
+const TOLD_AGAIN: Duration = Duration::from_secs(10);
 /// How long a connection to discovery may take to come up.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between two pieces of an answer.
@@ -30,9 +35,9 @@
 /// Between calls that fail where lists are pushed: the agent is near, and free.
 const AGAIN: Duration = Duration::from_millis(100);
 /// How long discovery may hold a call where it is asked, and how long it may then, or at once, take to
-/// answer. What a silent watch missed counts as told 6 s after it fell silent, or 2 s after the hold: a
-/// second is left then to open another.
-const HOLD: Duration = Duration::from_millis(3500);
+/// answer. What a silent watch missed counts as told 6 s after it fell silent: time is left then to open another,
+/// and, if this fails, for the module's first wait and a third.
+const HOLD: Duration = Duration::from_millis(2000);
 const PATIENCE: Duration = Duration::from_millis(1500);
 
 /// What the module asks of discovery.
@@ -47,7 +52,11 @@
 /// Who is told what discovery says.
 pub trait Listener {
     /// A list, or changes of one.
-    fn list(&self, kind: ListKind, list: &List);
+    fn list(&self, kind: ListKind, list: &List<Part<'_>>);
+    /// How many servers it can take in.
+    fn most_servers(&self) -> usize;
+    /// A list is longer than that; it counts as a failed call.
+    fn too_long(&self);
     /// A call failed, or the subscription broke.
     fn failed(&self);
 }
@@ -59,6 +68,19 @@
     Broken,
     /// Nothing came, or no more.
     Silent,
+    /// So many bytes at the least, where fewer may come.
+    TooLong(u64),
+}
+
+/// What came of a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// It was passed on.
+    News,
+    /// It was passed on, and has no servers.
+    Nothing,
+    /// It does not go with the one at hand.
+    Stale,
 }
 
 /// How long discovery is waited for where it is an agent on this machine, which answers at once.
@@ -94,10 +116,12 @@
     /// The version of the list at hand.
     version: u64,
     tried: Rc<Notify>,
+    /// When the log last told that a list is too long.
+    told: Option<Instant>,
 }
 
-/// A call on its way: the list, and the connection for the next call.
-type Calling<P> = Pin<Box<dyn Future<Output = Result<(List, Connection<P>), Miss>>>>;
+/// A call on its way: the list's text, and the connection for the next call.
+type Calling<P> = Pin<Box<dyn Future<Output = Result<(Vec<u8>, Connection<P>), Miss>>>>;
 
 impl<P: Platform> Discovery<P> {
     /// `grace` is how long a server may get requests that is known to want none, `version` that of the
@@ -109,7 +133,8 @@
         version: u64,
         tried: Rc<Notify>,
     ) -> Discovery<P> {
-        Discovery { address, how, near: Near::within(grace), connection: None, version, tried }
+        let near = Near::within(grace);
+        Discovery { address, how, near, connection: None, version, tried, told: None }
     }
 
     /// Keeps the listener's list as new as it can be.
@@ -130,7 +155,8 @@
         let mut slow: Option<Calling<P>> = None;
         loop {
             let held = (!whole).then_some(hold);
-            let mut call = self.call(held, GAP);
+            let most = listener.most_servers();
+            let mut call = self.call(held, GAP, most);
             let late = P::now() + held.unwrap_or_default() + beside;
             let answer = tokio::select! {
                 biased;
@@ -155,15 +181,23 @@
                     continue;
                 }
             };
-            match answer {
-                Ok((list, connection)) => {
+            let told = answer.and_then(|(text, connection)| {
+                self.tell(&listener, &text).map(|told| (told, connection))
+            });
+            match told {
+                Ok((told, connection)) => {
                     (self.connection, slow) = (Some(connection), None);
-                    whole = !self.tell(&listener, &list);
-                    if list.hosts.is_empty() {
+                    whole = told == Told::Stale;
+                    if told == Told::Nothing {
                         // An agent that does not hold calls is not asked without a pause.
                         P::sleep(AGAIN / 5).await;
                     }
                 }
+                Err(Miss::TooLong(bytes)) => {
+                    self.too_long(&listener, bytes, most);
+                    (whole, slow) = (true, None);
+                    P::sleep(SHORTER).await;
+                }
                 // Danger: an agent that was started anew may count its versions anew, up to one
                 // that stood for another list. What was missed is asked for whole: it is free here.
                 // And where descriptors have run out, the older call may hold the one that the newer needs.
@@ -188,9 +222,10 @@
         let (mut asking, mut whole, mut watching) = (false, false, false);
         let (mut hold, mut anew) = (Duration::ZERO, false);
         loop {
+            let most = listener.most_servers();
             let call = async {
                 match asking {
-                    true => self.call((!whole).then_some(hold), PATIENCE).await,
+                    true => self.call((!whole).then_some(hold), PATIENCE, most).await,
                     false => std::future::pending().await,
                 }
             };
@@ -214,16 +249,22 @@
                 }
                 answer = call => answer,
             };
-            let told = match answer {
-                Ok((list, connection)) => {
-                    self.connection = Some(connection);
-                    self.tell(&listener, &list)
-                }
+            let told = answer.and_then(|(text, connection)| {
+                let told = self.tell(&listener, &text)?;
+                self.connection = Some(connection);
+                Ok(told)
+            });
+            let told = match told {
+                Ok(told) => told != Told::Stale,
                 Err(Miss::Silent) if !anew => {
                     (hold, anew) = (Duration::ZERO, true);
                     continue;
                 }
-                Err(_) => false,
+                Err(Miss::TooLong(bytes)) => {
+                    self.too_long(&listener, bytes, most);
+                    false
+                }
+                Err(Miss::Broken | Miss::Silent) => false,
             };
             anew = false;
             if told {
@@ -237,19 +278,39 @@
         }
     }
 
-    /// Passes a list on; false if it does not go with the one at hand.
-    fn tell(&mut self, listener: &impl Listener, list: &List) -> bool {
+    /// Passes a list on, if it goes with the one at hand.
+    ///
+    /// Danger: a list is large where there are many servers. Its names stay where they are in its text, so that
+    /// it is held once while it is read, and its text goes with this call.
+    fn tell(&mut self, listener: &impl Listener, text: &[u8]) -> Result<Told, Miss> {
+        let list: List<Part<'_>> = serde_json::from_slice(text).map_err(|_| Miss::Broken)?;
         if !list.whole && list.seq < self.version {
-            return false;
+            return Ok(Told::Stale);
         }
         self.version = list.seq;
-        listener.list(if list.whole { ListKind::Whole } else { ListKind::Changes }, list);
-        true
+        listener.list(if list.whole { ListKind::Whole } else { ListKind::Changes }, &list);
+        Ok(if list.hosts.is_empty() { Told::Nothing } else { Told::News })
+    }
+
+    /// Danger: a sidecar that takes in more than its memory allows is killed, and one that says nothing of what it
+    /// passes over is never ready for no reason that anybody can see.
+    fn too_long(&mut self, listener: &impl Listener, bytes: u64, most_servers: usize) {
+        listener.too_long();
+        if self.told.is_none_or(|told| P::since(told) >= TOLD_AGAIN) {
+            self.told = Some(P::now());
+            let most_bytes = longest_list(most_servers);
+            tracing::error!(
+                bytes,
+                most_bytes,
+                most_servers,
+                "the list of servers is longer than limits.memory_mb allows and not taken in"
+            );
+        }
     }
 
     /// A call: for the whole list, or a watch that may wait for `hold`. It brings a list unless the answer
     /// does not come whole or cannot be understood; then the next call has a new connection.
-    fn call(&mut self, hold: Option<Duration>, patience: Duration) -> Calling<P> {
+    fn call(&mut self, hold: Option<Duration>, patience: Duration, most: usize) -> Calling<P> {
         let address = *self.address.borrow();
         let path = match hold {
             None => "/registry/instances".to_owned(),
@@ -275,8 +336,14 @@
             if answer.status() != StatusCode::OK {
                 return Err(Miss::Broken);
             }
-            let mut body = Limited::new(answer.into_body(), LONGEST);
-            let mut text = Vec::new();
+            let longest = longest_list(most);
+            let mut body = answer.into_body();
+            // Where the length is told, that much is taken at once, and never more than may come.
+            let told = body.size_hint().exact();
+            if let Some(bytes) = told.filter(|bytes| *bytes > longest as u64) {
+                return Err(Miss::TooLong(bytes));
+            }
+            let mut text = Vec::with_capacity(told.unwrap_or(0) as usize);
             // Danger: an answer may stop in the middle and stay open, or trickle for ever. While it
             // moves it is read on, but not for longer than a sound one can take.
             let end = P::now() + LONGEST_TIME;
@@ -286,17 +353,21 @@
                 frame.map_err(|Elapsed| Miss::Silent)?
             } {
                 if let Ok(data) = frame.map_err(|_| Miss::Broken)?.into_data() {
+                    if text.len() + data.len() > longest {
+                        return Err(Miss::TooLong((text.len() + data.len()) as u64));
+                    }
                     text.extend_from_slice(&data);
                 }
             }
-            let list = serde_json::from_slice(&text).map_err(|_| Miss::Broken)?;
-            Ok((list, connection))
+            Ok((text, connection))
         })
     }
 }
 
 /// What a call comes to, where there is one.
-async fn wait<P: Platform>(call: &mut Option<Calling<P>>) -> Result<(List, Connection<P>), Miss> {
+async fn wait<P: Platform>(
+    call: &mut Option<Calling<P>>,
+) -> Result<(Vec<u8>, Connection<P>), Miss> {
     match call {
         Some(call) => call.await,
         None => std::future::pending().await,
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -12,7 +12,7 @@
 use tier::Happened;
 use tokio::sync::{mpsc, oneshot};
 
-use super::config::List;
+use super::config::{List, Part};
 use super::discovery::{self, Call};
 use super::live::Live;
 use super::peers::{self, Peers};
@@ -137,6 +137,8 @@
     /// Servers that operators have taken out, whatever discovery says.
     held_out: FxHashSet<ServerId>,
     listed: bool,
+    /// Servers of the last list that were passed over.
+    beyond: usize,
 }
 
 /// A server as discovery lists it.
@@ -219,6 +221,7 @@
             servers: FxHashMap::default(),
             held_out: FxHashSet::default(),
             listed: false,
+            beyond: 0,
         });
         let timers = Timers::default();
         Rc::new(Driver {
@@ -410,8 +413,10 @@
     ///
     /// Danger: servers are ever new. Addresses are kept of those alone that are listed, and what
     /// rests on the way to one that is to get nothing more is closed at once.
-    pub fn servers(self: &Rc<Driver<P>>, kind: ListKind, list: &List) {
+    pub fn servers<S: AsRef<str>>(self: &Rc<Driver<P>>, kind: ListKind, list: &List<S>) {
         let names = self.live.names();
+        let most = self.live.most_servers();
+        let mut beyond = FxHashSet::default();
         let entries: Vec<_> = {
             let mut core = self.core.borrow_mut();
             let mut before = match kind {
@@ -421,6 +426,16 @@
             for host in &list.hosts {
                 let id = host.id();
                 let known = match host.dial.filter(|_| host.listed()) {
+                    // Danger: what is known must be known of for as long as it is used, so it goes first; what
+                    // would be beyond the bound was never used.
+                    Some(_)
+                        if core.servers.len() + before.len() >= most
+                            && !core.servers.contains_key(&id)
+                            && !before.contains_key(&id) =>
+                    {
+                        beyond.insert(id);
+                        continue;
+                    }
                     Some(dial) => {
                         let mut known = Known::new(dial, names.entry(host));
                         let old = core.servers.remove(&id).or_else(|| before.remove(&id));
@@ -444,7 +459,21 @@
                 self.upstream.close_idle(*id);
             }
             core.listed |= !list.hosts.is_empty();
-            list.hosts.iter().map(|h| core.told(names.entry(h))).collect()
+            if !beyond.is_empty() {
+                self.status.list_too_long();
+                if core.beyond != beyond.len() {
+                    let (passed_over, listed) = (beyond.len(), list.hosts.len());
+                    tracing::error!(
+                        listed,
+                        most,
+                        passed_over,
+                        "more servers than limits.memory_mb allows are listed"
+                    );
+                }
+            }
+            core.beyond = beyond.len();
+            let taken = list.hosts.iter().filter(|h| !beyond.contains(&h.id()));
+            taken.map(|h| core.told(names.entry(h))).collect()
         };
         self.event(Event::Servers { kind, entries: &entries });
     }
@@ -644,10 +673,18 @@
 }
 
 impl<P: Platform> discovery::Listener for Rc<Driver<P>> {
-    fn list(&self, kind: ListKind, list: &List) {
+    fn list(&self, kind: ListKind, list: &List<Part<'_>>) {
         self.servers(kind, list);
     }
 
+    fn most_servers(&self) -> usize {
+        self.live.most_servers()
+    }
+
+    fn too_long(&self) {
+        self.status.list_too_long();
+    }
+
     fn failed(&self) {
         self.event(Event::Servers { kind: ListKind::Failed, entries: &[] });
     }
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::budget::most_servers;
 use super::config::{Config, Names};
 
 /// How long the parts of an attempt may take.
@@ -35,6 +36,7 @@
     deadlines: RefCell<Vec<Duration>>,
     times: Cell<Times>,
     longest: Cell<usize>,
+    most_servers: Cell<usize>,
     generation: Cell<u64>,
     /// Until when what was taken under earlier deadlines may be under way.
     earlier: Cell<Option<Instant>>,
@@ -48,6 +50,7 @@
             deadlines: RefCell::new(deadlines(config)),
             times: Cell::new(times(config)),
             longest: Cell::new(longest(config)),
+            most_servers: Cell::new(most_servers(config.memory)),
             generation: Cell::new(config.generation),
             earlier: Cell::new(None),
         })
@@ -60,6 +63,7 @@
         *self.deadlines.borrow_mut() = deadlines(config);
         self.times.set(times(config));
         self.longest.set(longest(config));
+        self.most_servers.set(most_servers(config.memory));
         self.generation.set(config.generation);
     }
 
@@ -97,6 +101,11 @@
         self.longest.get()
     }
 
+    /// How many servers may be known.
+    pub fn most_servers(&self) -> usize {
+        self.most_servers.get()
+    }
+
     /// The number of the configuration in force.
     pub fn generation(&self) -> u64 {
         self.generation.get()
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use platform::{Platform, Udp};
+use rustc_hash::FxHashMap;
 
 /// The longest datagram.
 const LONGEST: usize = 256;
@@ -20,6 +21,8 @@
 pub struct Peers<P: Platform> {
     socket: P::Udp,
     peers: Vec<SocketAddr>,
+    /// Their numbers, by their addresses.
+    numbers: FxHashMap<SocketAddr, u32>,
     everyone: Option<SocketAddr>,
 }
 
@@ -30,7 +33,8 @@
         peers: Vec<SocketAddr>,
         everyone: Option<SocketAddr>,
     ) -> Rc<Peers<P>> {
-        Rc::new(Peers { socket, peers, everyone })
+        let numbers = peers.iter().copied().zip(0..).collect();
+        Rc::new(Peers { socket, peers, numbers, everyone })
     }
 
     /// Sends a datagram; it may be lost, like any.
@@ -50,9 +54,9 @@
         loop {
             // An error tells of a datagram that was sent, and that no reader waited for.
             let Ok((n, from)) = self.socket.recv_from(&mut buf).await else { continue };
-            let peer = self.peers.iter().position(|&p| p == from);
-            if let (Some(peer), true) = (peer, n <= LONGEST) {
-                inbox.note(peer as u32, &buf[..n]);
+            let peer = self.numbers.get(&from);
+            if let (Some(&peer), true) = (peer, n <= LONGEST) {
+                inbox.note(peer, &buf[..n]);
             }
         }
     }
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -26,6 +26,7 @@
     attempts: Cell<u64>,
     reloads: Cell<Reloads>,
     declined: RefCell<Option<Declined>>,
+    lists_too_long: Cell<u64>,
     /// Told of changes that should not wait for the next report.
     pub changed: Notify,
 }
@@ -64,6 +65,16 @@
         self.attempts.get()
     }
 
+    /// Counts a list, or servers in one, that were passed over for being beyond the bound.
+    pub fn list_too_long(&self) {
+        self.lists_too_long.set(self.lists_too_long.get() + 1);
+    }
+
+    /// Lists so far that were, or held, more than is taken in.
+    pub fn lists_too_long(&self) -> u64 {
+        self.lists_too_long.get()
+    }
+
     /// What became of new configurations so far.
     pub fn reloads(&self) -> Reloads {
         self.reloads.get()
