--- a/crates/ctl/src/trial.rs
+++ b/crates/ctl/src/trial.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use clap::{Args, Subcommand};
+use trial::expectations::Sample;
 use trial::ground::Programs;
-use trial::holds::Sample;
 use trial::play::{Outcome, Told, play};
 use trial::scenario::Scenario;
 
@@ -138,9 +138,9 @@
                 );
             }
             Told::Act(act) => {
-                let deed = serde_json::to_string(&act.deed).unwrap_or_default();
-                let deed: String = deed.chars().take(120).collect();
-                println!("{:>7.2} {deed}", act.at_s);
+                let action = serde_json::to_string(&act.action).unwrap_or_default();
+                let action: String = action.chars().take(120).collect();
+                println!("{:>7.2} {action}", act.at_s);
             }
             Told::Look(look) => self.look(look),
             Told::Ends(outcome) => verdicts(outcome),
--- a/crates/trial/src/holds.rs
+++ b/crates/trial/src/expectations.rs
@@ -28,8 +28,8 @@
     pub at_s: f64,
     /// Of all clients.
     pub all: Totals,
-    /// By club.
-    pub clubs: Vec<Totals>,
+    /// By tenant.
+    pub tenants: Vec<Totals>,
     /// Rules broken so far.
     pub broken: u64,
     /// What servers have seen, and what clients have sent.
@@ -47,7 +47,7 @@
 pub enum Measure {
     /// Rules broken.
     Broken,
-    /// A share of what a club, or everyone, asked within the span.
+    /// A share of what a tenant, or everyone, asked within the span.
     Share(Ended, Option<usize>),
     /// Operations a second within the span.
     PerS(Ended, Option<usize>),
@@ -94,15 +94,15 @@
     /// # Errors
     ///
     /// What names there are.
-    pub fn named(name: &str, club: Option<usize>) -> Result<Measure, String> {
+    pub fn named(name: &str, tenant: Option<usize>) -> Result<Measure, String> {
         Ok(match name {
             "broken" => Measure::Broken,
-            "served_share" => Measure::Share(Ended::Served, club),
-            "in_time_share" => Measure::Share(Ended::InTime, club),
-            "refused_share" => Measure::Share(Ended::Refused, club),
-            "failed_share" => Measure::Share(Ended::Failed, club),
-            "asked_per_s" => Measure::PerS(Ended::Asked, club),
-            "served_per_s" => Measure::PerS(Ended::Served, club),
+            "served_share" => Measure::Share(Ended::Served, tenant),
+            "in_time_share" => Measure::Share(Ended::InTime, tenant),
+            "refused_share" => Measure::Share(Ended::Refused, tenant),
+            "failed_share" => Measure::Share(Ended::Failed, tenant),
+            "asked_per_s" => Measure::PerS(Ended::Asked, tenant),
+            "served_per_s" => Measure::PerS(Ended::Served, tenant),
             "note_bytes_per_s" => Measure::NoteBytes,
             "repeats_share" => Measure::Repeats,
             _ => match (name.strip_prefix("own."), name.strip_prefix("grown_per_s.")) {
@@ -120,18 +120,18 @@
 
     /// Its value between two looks; one of the sidecars' own has none here.
     pub fn between(&self, from: &Sample, to: &Sample, sidecars: usize) -> Option<f64> {
-        let of = |ended: Ended, club: &Option<usize>| -> Option<f64> {
-            let totals = |s: &Sample| match club {
+        let of = |ended: Ended, tenant: &Option<usize>| -> Option<f64> {
+            let totals = |s: &Sample| match tenant {
                 None => Some(s.all),
-                Some(club) => s.clubs.get(*club).copied(),
+                Some(tenant) => s.tenants.get(*tenant).copied(),
             };
             Some(ended.of(&totals(to)?) as f64 - ended.of(&totals(from)?) as f64)
         };
         let seconds = to.at_s - from.at_s;
         let value = match self {
             Measure::Broken => return Some(to.broken as f64),
-            Measure::Share(ended, club) => of(*ended, club)? / of(Ended::Asked, club)?,
-            Measure::PerS(ended, club) => of(*ended, club)? / seconds,
+            Measure::Share(ended, tenant) => of(*ended, tenant)? / of(Ended::Asked, tenant)?,
+            Measure::PerS(ended, tenant) => of(*ended, tenant)? / seconds,
             Measure::NoteBytes => {
                 (to.notes.bytes - from.notes.bytes) as f64 / seconds / sidecars.max(1) as f64
             }
@@ -158,7 +158,7 @@
 
 /// One thing that must hold.
 #[derive(Clone, Debug)]
-pub struct Hold {
+pub struct Expectation {
     /// What is looked at.
     pub measure: Measure,
     /// Whose own figures.
@@ -199,7 +199,7 @@
 /// A figure is compared with what it is near to over so many seconds before.
 const BEFORE: f64 = 2.0;
 
-impl Hold {
+impl Expectation {
     /// Judges by all looks. What was never seen has not held.
     pub fn judge(&self, looks: &[Sample]) -> Verdict {
         let at = |s: f64| looks.iter().rev().find(|l| l.at_s <= s + 1e-9);
@@ -274,13 +274,13 @@
         let all = Totals { asked, served, ..Totals::default() };
         let own = |m: &f64| (*m > 0.0).then(|| [("members".to_owned(), *m)].into());
         let own = members.iter().map(own).collect();
-        Sample { at_s, all, clubs: vec![all], own, ..Sample::default() }
+        Sample { at_s, all, tenants: vec![all], own, ..Sample::default() }
     }
 
-    fn hold(figure: &str, from_s: f64, to_s: f64) -> Hold {
+    fn hold(figure: &str, from_s: f64, to_s: f64) -> Expectation {
         let measure = Measure::named(figure, None).expect("a figure");
         let of = [0, 1].into();
-        Hold { measure, of, from_s, to_s, least: None, most: None, near: None, line: 1 }
+        Expectation { measure, of, from_s, to_s, least: None, most: None, near: None, line: 1 }
     }
 
     #[test]
@@ -292,7 +292,7 @@
             look(3.0, 300, 240, &[]),
         ];
         let share = |from, to, least| {
-            let hold = Hold { least: Some(least), ..hold("served_share", from, to) };
+            let hold = Expectation { least: Some(least), ..hold("served_share", from, to) };
             hold.judge(&looks)
         };
         assert!(share(0.0, 3.0, 0.8).held && !share(0.0, 3.0, 0.81).held);
@@ -308,14 +308,18 @@
             look(2.0, 16, 8, &[2.0, 0.0]),
             look(3.0, 24, 8, &[9.0, 1.0]),
         ];
-        let two = Hold { least: Some(2.0), most: Some(2.0), ..hold("own.members", 0.0, 2.5) };
+        let two =
+            Expectation { least: Some(2.0), most: Some(2.0), ..hold("own.members", 0.0, 2.5) };
         let seen = two.judge(&looks);
         assert!(seen.held && seen.looks == 3, "who does not tell is passed over: {seen:?}");
-        let late = Hold { to_s: 3.0, ..two.clone() }.judge(&looks);
+        let late = Expectation { to_s: 3.0, ..two.clone() }.judge(&looks);
         assert!(!late.held && late.why.as_deref() == Some("s0 at 3.0 s: 9.000"), "{late:?}");
-        assert!(!Hold { from_s: 3.5, to_s: 4.0, ..two }.judge(&looks).held, "nobody told anything");
+        assert!(
+            !Expectation { from_s: 3.5, to_s: 4.0, ..two }.judge(&looks).held,
+            "nobody told anything"
+        );
         let asked = Measure::named("asked_per_s", None).expect("a figure");
-        let near = Hold { near: Some((asked, 0.15)), ..hold("own.members", 3.0, 3.0) };
+        let near = Expectation { near: Some((asked, 0.15)), ..hold("own.members", 3.0, 3.0) };
         let seen = near.judge(&looks);
         assert!(
             !seen.held && seen.why.as_deref() == Some("s1 at 3.0 s: 1.000 beside 8.000"),
--- a/crates/trial/src/ground.rs
+++ b/crates/trial/src/ground.rs
@@ -1,11 +1,11 @@
 //! Everything that is there during a trial: discovery, log servers, the relays between them, the sidecars'
 //! processes and their clients. It carries out what a plan says, and looks at how things stand.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
@@ -21,12 +21,13 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::calls::Calls;
-use crate::holds::{Sample, Totals};
+use crate::expectations::{Sample, Totals};
+use crate::links::{Links, Part};
+use crate::network::Network;
 use crate::notes::Notes;
 use crate::processes::{Process, Reserved, Starter, own_address};
-use crate::scenario::{Deed, Scenario, Server};
-use crate::ways::{Part, Ways};
+use crate::relay::Relay;
+use crate::scenario::{Action, Scenario, Server};
 
 /// How long a sidecar may take to tell its figures.
 const TELLS: Duration = Duration::from_secs(2);
@@ -35,66 +36,6 @@
 /// The longest answer of an operators' listener.
 const LONGEST: u64 = 64 << 10;
 
-/// The ways between all parts, where each part is, and since when they are there. Clones are the same ways.
-#[derive(Clone)]
-pub struct Web(Arc<Inner>);
-
-struct Inner {
-    ways: watch::Sender<Ways>,
-    at: Mutex<HashMap<Part, SocketAddr>>,
-    seed: u64,
-    began: Instant,
-}
-
-impl Web {
-    /// Ways on which `ways` lies; what they draw is drawn from `seed`.
-    pub fn new(ways: Ways, seed: u64) -> Web {
-        let (at, began) = (Mutex::default(), Instant::now());
-        Web(Arc::new(Inner { ways: watch::Sender::new(ways), at, seed, began }))
-    }
-
-    /// Looks at them.
-    pub fn ways<T>(&self, look: impl FnOnce(&Ways) -> T) -> T {
-        look(&self.0.ways.borrow())
-    }
-
-    /// Changes them.
-    pub fn change(&self, change: impl FnOnce(&mut Ways)) {
-        self.0.ways.send_modify(change);
-    }
-
-    /// Tells of changes.
-    pub fn changes(&self) -> watch::Receiver<Ways> {
-        self.0.ways.subscribe()
-    }
-
-    /// Waits until they are so.
-    pub async fn until(&self, so: impl Fn(&Ways) -> bool) {
-        // The sender lives as long as this.
-        let _ = self.changes().wait_for(|ways| so(ways)).await;
-    }
-
-    /// Where a part is.
-    pub fn at(&self, part: Part) -> Option<SocketAddr> {
-        self.0.at.lock().unwrap_or_else(PoisonError::into_inner).get(&part).copied()
-    }
-
-    /// A part is there from now on.
-    pub fn place(&self, part: Part, at: SocketAddr) {
-        self.0.at.lock().unwrap_or_else(PoisonError::into_inner).insert(part, at);
-    }
-
-    /// What draws are drawn from.
-    pub fn seed(&self) -> u64 {
-        self.0.seed
-    }
-
-    /// The time since they were there.
-    pub fn elapsed(&self) -> Duration {
-        self.0.began.elapsed()
-    }
-}
-
 /// The programs.
 pub struct Programs {
     /// The sidecar.
@@ -138,8 +79,8 @@
 
 /// A trial's ground. All of it ends with the handle.
 pub struct Ground {
-    /// The ways.
-    pub web: Web,
+    /// The links.
+    pub network: Network,
     /// What became of every request.
     pub account: Arc<Account>,
     scenario: Scenario,
@@ -148,9 +89,9 @@
     sidecars: Vec<Sidecar>,
     servers: Vec<LogServerSlot>,
     notes: Notes,
-    _calls: Vec<Calls>,
+    _calls: Vec<Relay>,
     driving: Vec<JoinHandle<()>>,
-    /// How many times as much each club asks as at the beginning, and everyone.
+    /// How many times as much each tenant asks as at the beginning, and everyone.
     times: (Vec<f64>, f64),
     rounds: u64,
     crashed: u64,
@@ -177,7 +118,7 @@
     /// The first thing that could not be done.
     pub fn start(scenario: Scenario, programs: Programs) -> Result<Ground, String> {
         more_descriptors();
-        let web = Web::new(Ways::over(scenario.ground), scenario.seed);
+        let network = Network::new(Links::over(scenario.ground), scenario.seed);
         let account = Arc::new(Account::new(classes(scenario.stretch)));
         let folder = Folder::new("trial");
         let ip = own_address();
@@ -189,7 +130,7 @@
         let address = |n: usize, what: usize| reserved[3 * n + what].at;
         let runtime = standins::runtime();
         let ends = (0..sidecars).map(|n| address(n, 2)).collect();
-        let notes = runtime.block_on(Notes::start(web.clone(), ends)).map_err(text)?;
+        let notes = runtime.block_on(Notes::start(network.clone(), ends)).map_err(text)?;
         let mut servers = Vec::new();
         for (z, zone) in ZONES.into_iter().enumerate() {
             let keys = Arc::new(Keys::default());
@@ -208,7 +149,7 @@
                 };
                 let started = LogServer::start(spec.clone(), account.clone());
                 let server = runtime.block_on(started).map_err(text)?;
-                web.place(Part::Server(servers.len() as u16), server.at);
+                network.place(Part::Server(servers.len() as u16), server.at);
                 servers.push(LogServerSlot { zone: z, server, spec, entries: Vec::new() });
             }
         }
@@ -219,7 +160,7 @@
             let me = Part::Sidecar(n as u16);
             let mut list = Vec::new();
             for (s, slot) in servers.iter_mut().enumerate() {
-                let way = Calls::start(web.clone(), me, Part::Server(s as u16));
+                let way = Relay::start(network.clone(), me, Part::Server(s as u16));
                 let way = runtime.block_on(way).map_err(text)?;
                 let entry = Entry::new(way.at, ZONES[slot.zone]);
                 slot.entries.push(Entry { host: slot.spec.name.clone(), ..entry });
@@ -228,7 +169,7 @@
             }
             // Every sidecar has a discovery of its own, since every list has its own addresses.
             let registry = runtime.block_on(Registry::open(list)).map_err(text)?;
-            let way = Calls::start_to(web.clone(), me, Part::Discovery, registry.at);
+            let way = Relay::start_to(network.clone(), me, Part::Discovery, registry.at);
             let way = runtime.block_on(way).map_err(text)?;
             let config = configuration(&scenario, n, &address, way.at, &notes);
             calls.push(way);
@@ -248,7 +189,7 @@
         // From here on the ports belong to whoever takes them; nobody else knows this address.
         drop(reserved);
         let mut ground = Ground {
-            web,
+            network,
             account,
             starter: Starter::new(programs.guard.clone()),
             programs,
@@ -257,7 +198,7 @@
             notes,
             _calls: calls,
             driving: Vec::new(),
-            times: (vec![1.0; scenario.load.clubs.len()], 1.0),
+            times: (vec![1.0; scenario.load.tenants.len()], 1.0),
             rounds: 0,
             crashed: 0,
             troubles: Vec::new(),
@@ -310,11 +251,11 @@
 
     fn drive_one(&mut self, n: usize) {
         self.rest(n);
-        let (clubs, all) = &self.times;
+        let (tenants, all) = &self.times;
         let load = &self.scenario.load;
-        let whole: f64 = load.clubs.iter().map(|c| c.share).sum();
-        let of = |(club, times): (&crate::scenario::Club, &f64)| club.share * times / whole;
-        let shares: Vec<f64> = load.clubs.iter().zip(clubs).map(of).collect();
+        let whole: f64 = load.tenants.iter().map(|c| c.share).sum();
+        let of = |(tenant, times): (&crate::scenario::Tenant, &f64)| tenant.share * times / whole;
+        let shares: Vec<f64> = load.tenants.iter().zip(tenants).map(of).collect();
         let sidecar = &mut self.sidecars[n];
         let rate = load.per_s * sidecar.weight * all * shares.iter().sum::<f64>();
         if rate < 1e-3 {
@@ -325,7 +266,7 @@
             rate,
             retries: load.retries,
             slack: Duration::from_millis(500).mul_f64(self.scenario.stretch),
-            tenants: load.clubs.iter().map(|c| c.name.clone()).collect(),
+            tenants: load.tenants.iter().map(|c| c.name.clone()).collect(),
             shares,
             seed: self.scenario.seed ^ (n as u64) << 40 ^ self.rounds << 50,
             ..Load::default()
@@ -364,11 +305,11 @@
     /// # Errors
     ///
     /// What could not be done.
-    pub fn carry_out(&mut self, fault: usize, deed: &Deed) -> Result<(), String> {
-        match deed {
-            Deed::Lay { laid, .. } => self.web.change(|ways| ways.lay((**laid).clone())),
-            Deed::Lift => self.web.change(|ways| ways.lift(fault)),
-            Deed::Kill(of) => {
+    pub fn carry_out(&mut self, fault: usize, action: &Action) -> Result<(), String> {
+        match action {
+            Action::Lay { laid, .. } => self.network.change(|links| links.lay((**laid).clone())),
+            Action::Lift => self.network.change(|links| links.lift(fault)),
+            Action::Kill(of) => {
                 for n in of.iter().map(|n| usize::from(*n)) {
                     self.account.kill(self.sidecars[n].listen);
                     self.rest(n);
@@ -376,14 +317,14 @@
                 }
                 of.iter().for_each(|n| self.sidecars[usize::from(*n)].process.kill());
             }
-            Deed::End(of) => {
+            Action::End(of) => {
                 for n in of.iter().map(|n| usize::from(*n)) {
                     self.rest(n);
                     self.sidecars[n].wanted = false;
                     self.sidecars[n].process.signal(Signal::TERM);
                 }
             }
-            Deed::Start { of, empty } => {
+            Action::Start { of, empty } => {
                 for n in of.iter().map(|n| usize::from(*n)) {
                     // One that was told to end and has not is ended.
                     self.sidecars[n].process.kill();
@@ -391,34 +332,34 @@
                 }
                 of.iter().for_each(|n| self.drive_one(usize::from(*n)));
             }
-            Deed::Stop(of) | Deed::Go(of) => {
-                let stop = matches!(deed, Deed::Stop(_));
+            Action::Stop(of) | Action::Go(of) => {
+                let stop = matches!(action, Action::Stop(_));
                 for n in of.iter().map(|n| usize::from(*n)) {
                     let sidecar = &self.sidecars[n];
                     self.account.stall(sidecar.listen, stop);
                     sidecar.process.signal(if stop { Signal::STOP } else { Signal::CONT });
                 }
             }
-            Deed::Starve(of, share) => {
+            Action::Starve(of, share) => {
                 of.iter().for_each(|n| self.sidecars[usize::from(*n)].process.starve(*share));
             }
-            Deed::Feed(of) => {
+            Action::Feed(of) => {
                 of.iter().for_each(|n| self.sidecars[usize::from(*n)].process.feed());
             }
-            Deed::Servers(of, how) => {
+            Action::Servers(of, how) => {
                 for &n in of {
                     self.server(n, *how)?;
                 }
             }
-            Deed::Discovery(down) => self.sidecars.iter().for_each(|s| s.registry.down(*down)),
-            Deed::Load(club, times) => {
-                match club {
-                    Some(club) => self.times.0[*club] = *times,
+            Action::Discovery(down) => self.sidecars.iter().for_each(|s| s.registry.down(*down)),
+            Action::Load(tenant, times) => {
+                match tenant {
+                    Some(tenant) => self.times.0[*tenant] = *times,
                     None => self.times.1 = *times,
                 }
                 self.drive();
             }
-            Deed::Configure(of, set) => {
+            Action::Configure(of, set) => {
                 for n in of.iter().map(|n| usize::from(*n)) {
                     let sidecar = &mut self.sidecars[n];
                     merge(&mut sidecar.config, set);
@@ -441,13 +382,13 @@
                 sidecar.registry.list(Entry { health, born_ms, ..entry.clone() });
             }
         };
-        let revive = self.web.ways(|ways| ways.is_dead(part)) || how == Server::Well;
+        let revive = self.network.links(|links| links.is_dead(part)) || how == Server::Well;
         if how != Server::Dead && revive {
             slot.server.kill();
             let started = LogServer::start(slot.spec.clone(), self.account.clone());
             slot.server = standins::runtime().block_on(started).map_err(text)?;
-            self.web.place(part, slot.server.at);
-            self.web.change(|ways| ways.dead(part, false));
+            self.network.place(part, slot.server.at);
+            self.network.change(|links| links.dead(part, false));
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             list(slot, &self.sidecars, "active", now.as_millis() as u64);
         }
@@ -459,7 +400,7 @@
             }
             Server::Dead => {
                 slot.server.kill();
-                self.web.change(|ways| ways.dead(part, true));
+                self.network.change(|links| links.dead(part, true));
             }
             Server::Slow(times) => slot.server.slow(times),
             Server::Errors(share) => slot.server.faults(vec![(share, Fault::Error)]),
@@ -487,9 +428,9 @@
             refused: t.refused,
             failed: t.failed,
         };
-        let mut clubs: Vec<Totals> = report.tenants.iter().map(totals).collect();
-        clubs.resize(self.scenario.load.clubs.len(), Totals::default());
-        let all = clubs.iter().fold(Totals::default(), |a, b| Totals {
+        let mut tenants: Vec<Totals> = report.tenants.iter().map(totals).collect();
+        tenants.resize(self.scenario.load.tenants.len(), Totals::default());
+        let all = tenants.iter().fold(Totals::default(), |a, b| Totals {
             asked: a.asked + b.asked,
             served: a.served + b.served,
             in_time: a.in_time + b.in_time,
@@ -497,9 +438,9 @@
             failed: a.failed + b.failed,
         });
         let sample = Sample {
-            at_s: self.web.elapsed().as_secs_f64(),
+            at_s: self.network.elapsed().as_secs_f64(),
             all,
-            clubs,
+            tenants,
             broken: report.broken() + self.crashed,
             attempts: report.servers.values().map(|s| s.seen).sum(),
             tries: report.tries,
@@ -562,13 +503,13 @@
     settings["instances"] = scenario.sidecars.into();
     settings["zone"] = (n % ZONES.len()).into();
     settings["limits"]["mayTell"] = true.into();
-    let whole: f64 = scenario.load.clubs.iter().map(|c| c.share).sum();
-    let clubs = scenario
+    let whole: f64 = scenario.load.tenants.iter().map(|c| c.share).sum();
+    let tenants = scenario
         .load
-        .clubs
+        .tenants
         .iter()
         .map(|c| json!({"name": c.name, "quotaPerS": c.quota_per_s, "share": c.share / whole}));
-    settings["tenants"] = clubs.collect();
+    settings["tenants"] = tenants.collect();
     let mut config = json!({
         "name": format!("s{n}"),
         "listen": address(n, 0).to_string(),
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -3,15 +3,16 @@
 //! relay that can delay, lose, double, spoil or hold what passes. A trial is a file that says who is there, what
 //! is asked, what goes wrong when, and what must hold.
 //!
-//! `scenario`, `ways` and `holds` decide and do no I/O; `notes`, `calls` and `processes` do what they are told;
-//! `ground` puts them together, `play` plays a file on it, `page` shows what came of it.
+//! `scenario`, `links` and `expectations` decide and do no I/O; `network`, `notes`, `relay` and `processes` do
+//! what they are told; `ground` puts them together, `play` plays a file on it, `page` shows what came of it.
 
-pub mod calls;
+pub mod expectations;
 pub mod ground;
-pub mod holds;
+pub mod links;
+pub mod network;
 pub mod notes;
 pub mod page;
 pub mod play;
 pub mod processes;
+pub mod relay;
 pub mod scenario;
-pub mod ways;
--- a/crates/trial/src/ways.rs
+++ b/crates/trial/src/links.rs
@@ -1,4 +1,4 @@
-//! The ways between the parts of a trial, and what becomes of what passes on them. No I/O, and no clock but the
+//! The links between the parts of a trial, and what becomes of what passes on them. No I/O, and no clock but the
 //! one passed in.
 
 use std::collections::BTreeSet;
@@ -65,7 +65,7 @@
     }
 }
 
-/// A shape that lies on the ways from some to others.
+/// A shape that lies on the links from some to others.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Laid {
     /// Which fault it is of.
@@ -80,22 +80,22 @@
     pub shape: Shape,
 }
 
-/// All ways, as they are now.
+/// All links, as they are now.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Ways {
+pub struct Links {
     /// What lies on all of them.
     ground: Shape,
     laid: Vec<Laid>,
     dead: BTreeSet<Part>,
 }
 
-impl Ways {
-    /// Ways on all of which this lies.
-    pub fn over(ground: Shape) -> Ways {
-        Ways { ground, ..Ways::default() }
+impl Links {
+    /// Links on all of which this lies.
+    pub fn over(ground: Shape) -> Links {
+        Links { ground, ..Links::default() }
     }
 
-    /// From now on this lies on its ways as well.
+    /// From now on this lies on its links as well.
     pub fn lay(&mut self, laid: Laid) {
         self.laid.push(laid);
     }
@@ -218,20 +218,20 @@
     fn what_lies_on_a_way_lies_there_alone_and_goes_with_its_fault() {
         let cut = Shape { cut: true, ..Shape::default() };
         let lossy = Shape { loss: 0.5, delay: Duration::from_millis(3), ..Shape::default() };
-        let mut ways = Ways::default();
-        ways.lay(laid(1, A, B, false, cut));
-        ways.lay(laid(2, B, A, true, lossy));
-        ways.lay(laid(3, A, B, false, lossy));
-        assert!(ways.shape(A, B).cut && !ways.shape(B, A).cut, "one direction");
-        assert!(ways.parted(A, B) && ways.parted(B, A), "nothing comes up over half a way");
-        assert!(!ways.parted(A, C));
-        assert_eq!(ways.shape(A, B).loss, 0.75, "two after the other");
-        assert_eq!(ways.shape(A, B).delay, Duration::from_millis(6));
-        ways.lift(1);
-        ways.lift(3);
-        assert_eq!(ways.shape(A, B), lossy);
-        ways.lift(2);
-        assert_eq!(ways, Ways::default());
+        let mut links = Links::default();
+        links.lay(laid(1, A, B, false, cut));
+        links.lay(laid(2, B, A, true, lossy));
+        links.lay(laid(3, A, B, false, lossy));
+        assert!(links.shape(A, B).cut && !links.shape(B, A).cut, "one direction");
+        assert!(links.parted(A, B) && links.parted(B, A), "nothing comes up over half a way");
+        assert!(!links.parted(A, C));
+        assert_eq!(links.shape(A, B).loss, 0.75, "two after the other");
+        assert_eq!(links.shape(A, B).delay, Duration::from_millis(6));
+        links.lift(1);
+        links.lift(3);
+        assert_eq!(links.shape(A, B), lossy);
+        links.lift(2);
+        assert_eq!(links, Links::default());
     }
 
     #[test]
--- a/crates/trial/src/notes.rs
+++ b/crates/trial/src/notes.rs
@@ -15,15 +15,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::ground::Web;
-use crate::ways::{Draws, Part};
+use crate::links::{Draws, Part};
+use crate::network::Network;
 
 /// Notes on their way at the most; more are lost.
 const MOST: usize = 65_536;
 /// Longer ones are cut off by the reading, and so lost.
 const LONGEST: usize = 2048;
 
-/// What passed so far, over all ways.
+/// What passed so far, over all links.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Passed {
     /// Notes sent; one to all counts once for each that it is for.
@@ -55,7 +55,7 @@
 }
 
 struct Shared {
-    web: Web,
+    network: Network,
     sockets: Vec<UdpSocket>,
     /// Where each sidecar takes notes in, and who it is.
     ends: Vec<SocketAddr>,
@@ -83,7 +83,7 @@
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start(web: Web, ends: Vec<SocketAddr>) -> io::Result<Notes> {
+    pub async fn start(network: Network, ends: Vec<SocketAddr>) -> io::Result<Notes> {
         let mut sockets = Vec::new();
         for _ in &ends {
             sockets.push(UdpSocket::bind("127.0.0.1:0").await?);
@@ -93,7 +93,7 @@
         let all = all_socket.local_addr()?;
         let names = ends.iter().copied().zip(0..).collect();
         let shared = Arc::new(Shared {
-            web,
+            network,
             sockets,
             ends,
             names,
@@ -155,13 +155,13 @@
     fn send(&self, from: u16, to: u16, data: &[u8]) {
         self.counts.sent.fetch_add(1, Relaxed);
         let (a, b) = (Part::Sidecar(from), Part::Sidecar(to));
-        let shape = self.web.ways(|ways| ways.shape(a, b));
+        let shape = self.network.links(|links| links.shape(a, b));
         let now = Instant::now();
         let arrivals = {
             let mut draws = self.draws.lock().unwrap_or_else(PoisonError::into_inner);
             let draws =
-                draws.entry((from, to)).or_insert_with(|| Draws::new(self.web.seed(), a, b));
-            draws.datagram(&shape, self.web.elapsed(), data.len())
+                draws.entry((from, to)).or_insert_with(|| Draws::new(self.network.seed(), a, b));
+            draws.datagram(&shape, self.network.elapsed(), data.len())
         };
         for arrival in arrivals {
             let mut data = data.to_vec();
--- a/crates/trial/src/page.rs
+++ b/crates/trial/src/page.rs
@@ -4,7 +4,7 @@
 
 use plotters::prelude::*;
 
-use crate::holds::{Ended, Measure, Sample};
+use crate::expectations::{Ended, Measure, Sample};
 use crate::play::Outcome;
 use crate::scenario::Scenario;
 
@@ -39,20 +39,20 @@
     verdicts(&mut page, outcome);
     page.push_str("<h2>What happened</h2><table><tr><th>s</th><th>what</th></tr>");
     for act in &scenario.acts {
-        let deed = serde_json::to_string(&act.deed).unwrap_or_default();
-        let deed: String = deed.chars().take(200).collect();
-        let _ = write!(page, "<tr><td>{:.2}</td><td>{}</td></tr>", act.at_s, escape(&deed));
+        let action = serde_json::to_string(&act.action).unwrap_or_default();
+        let action: String = action.chars().take(200).collect();
+        let _ = write!(page, "<tr><td>{:.2}</td><td>{}</td></tr>", act.at_s, escape(&action));
     }
     page.push_str("</table><h2>Figures</h2>");
     let looks = &outcome.looks;
     let all = [("asked", Ended::Asked), ("served", Ended::Served), ("refused", Ended::Refused)];
     let lines = all.map(|(name, ended)| rate(looks, name, ended, None)).into();
     plot(&mut page, scenario, "operations a second", lines);
-    let of = |(n, club): (usize, &crate::scenario::Club)| {
-        rate(looks, &club.name, Ended::Served, Some(n))
+    let of = |(n, tenant): (usize, &crate::scenario::Tenant)| {
+        rate(looks, &tenant.name, Ended::Served, Some(n))
     };
-    let lines = scenario.load.clubs.iter().enumerate().map(of).collect();
-    plot(&mut page, scenario, "served a second, by club", lines);
+    let lines = scenario.load.tenants.iter().enumerate().map(of).collect();
+    plot(&mut page, scenario, "served a second, by tenant", lines);
     let notes = Line {
         name: "bytes".to_owned(),
         points: steps(looks, |a, b| {
@@ -112,8 +112,8 @@
     pairs.filter_map(|(a, b)| Some((b.at_s, of(a, b)?))).collect()
 }
 
-fn rate(looks: &[Sample], name: &str, ended: Ended, club: Option<usize>) -> Line {
-    let measure = Measure::PerS(ended, club);
+fn rate(looks: &[Sample], name: &str, ended: Ended, tenant: Option<usize>) -> Line {
+    let measure = Measure::PerS(ended, tenant);
     let points = steps(looks, |a, b| measure.between(a, b, b.own.len()));
     Line { name: name.to_owned(), points }
 }
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 use standins::account::Report;
 
+use crate::expectations::{Sample, Verdict};
 use crate::ground::{Ground, Look, Programs};
-use crate::holds::{Sample, Verdict};
 use crate::scenario::{Act, Scenario};
 
 /// Between two looks.
@@ -72,7 +72,7 @@
         acts: &scenario.acts,
     });
     let mut ground = Ground::start(scenario.clone(), programs)?;
-    let offset = ground.web.elapsed();
+    let offset = ground.network.elapsed();
     let began = Instant::now();
     ground.drive();
     let mut looks: Vec<Sample> = Vec::new();
@@ -92,7 +92,7 @@
         // What happens comes before the look of the same time.
         if let Some(act) = acts.next_if(|_| due.is_some_and(|due| due <= next_look)) {
             tell(&Told::Act(act));
-            ground.carry_out(act.fault, &act.deed)?;
+            ground.carry_out(act.fault, &act.action)?;
             continue;
         }
         waiting.push_back(ground.look());
@@ -106,7 +106,7 @@
     }
     waiting.into_iter().for_each(|look| keep(look, &mut tell));
     let account = ground.finish();
-    let verdicts: Vec<Verdict> = scenario.holds.iter().map(|h| h.judge(&looks)).collect();
+    let verdicts: Vec<Verdict> = scenario.expectations.iter().map(|h| h.judge(&looks)).collect();
     let troubles = ground.troubles().to_vec();
     let sound = account.broken() == 0 && account.served() > 0 && troubles.is_empty();
     let held = sound && verdicts.iter().all(|v| v.held);
--- a/crates/trial/src/calls.rs
+++ b/crates/trial/src/relay.rs
@@ -15,8 +15,8 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::ground::Web;
-use crate::ways::{Draws, Part};
+use crate::links::{Draws, Part};
+use crate::network::Network;
 
 /// Connections that one relay holds.
 const MOST: usize = 256;
@@ -33,20 +33,20 @@
 const FILLERS: usize = 4;
 
 /// A relay. It ends with its handle.
-pub struct Calls {
+pub struct Relay {
     /// Where the sidecar calls.
     pub at: SocketAddr,
     task: JoinHandle<()>,
 }
 
-impl Calls {
-    /// Starts one from a sidecar to a part that is wherever the web has it, on the present runtime.
+impl Relay {
+    /// Starts one from a sidecar to a part that is wherever the network has it, on the present runtime.
     ///
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start(web: Web, from: Part, to: Part) -> io::Result<Calls> {
-        Calls::serve(web, from, to, None).await
+    pub async fn start(network: Network, from: Part, to: Part) -> io::Result<Relay> {
+        Relay::serve(network, from, to, None).await
     }
 
     /// The same to one that is always there.
@@ -54,50 +54,55 @@
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start_to(web: Web, from: Part, to: Part, at: SocketAddr) -> io::Result<Calls> {
-        Calls::serve(web, from, to, Some(at)).await
+    pub async fn start_to(
+        network: Network,
+        from: Part,
+        to: Part,
+        at: SocketAddr,
+    ) -> io::Result<Relay> {
+        Relay::serve(network, from, to, Some(at)).await
     }
 
     async fn serve(
-        web: Web,
+        network: Network,
         from: Part,
         to: Part,
         target: Option<SocketAddr>,
-    ) -> io::Result<Calls> {
+    ) -> io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
-        let relay = Arc::new(Relay { web, from, to, target, places: Semaphore::new(MOST) });
-        Ok(Calls { at, task: tokio::spawn(relay.serve(listener, at)) })
+        let relay = Arc::new(Ends { network, from, to, target, places: Semaphore::new(MOST) });
+        Ok(Relay { at, task: tokio::spawn(relay.serve(listener, at)) })
     }
 }
 
-impl Drop for Calls {
+impl Drop for Relay {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-struct Relay {
-    web: Web,
+struct Ends {
+    network: Network,
     from: Part,
     to: Part,
-    /// Where that is; none: where the web has it.
+    /// Where that is; none: where the network has it.
     target: Option<SocketAddr>,
     places: Semaphore,
 }
 
-impl Relay {
-    async fn serve(self: Arc<Relay>, listener: TcpListener, at: SocketAddr) {
+impl Ends {
+    async fn serve(self: Arc<Ends>, listener: TcpListener, at: SocketAddr) {
         let mut listener = Some(listener);
         let mut fillers: Vec<TcpStream> = Vec::new();
         // Our own connections that are still to be taken out of the backlog.
         let mut spent: Vec<SocketAddr> = Vec::new();
         let mut pipes = JoinSet::new();
-        let mut changes = self.web.changes();
+        let mut changes = self.network.changes();
         loop {
             let (dead, parted) = {
-                let ways = changes.borrow_and_update();
-                (ways.is_dead(self.to), ways.parted(self.from, self.to))
+                let links = changes.borrow_and_update();
+                (links.is_dead(self.to), links.parted(self.from, self.to))
             };
             if dead && !parted {
                 // Refused; and a listener that is closed resets what waits in its backlog.
@@ -140,13 +145,15 @@
         }
     }
 
-    /// Passes on what comes on one connection, until it has ended both ways.
-    async fn pipe(self: Arc<Relay>, near: TcpStream) {
+    /// Passes on what comes on one connection, until it has ended both links.
+    async fn pipe(self: Arc<Ends>, near: TcpStream) {
         let reset = |socket: &TcpStream| {
             let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
         };
         let Ok(_place) = self.places.try_acquire() else { return reset(&near) };
-        let Some(at) = self.target.or_else(|| self.web.at(self.to)) else { return reset(&near) };
+        let Some(at) = self.target.or_else(|| self.network.at(self.to)) else {
+            return reset(&near);
+        };
         let Ok(far) = TcpStream::connect(at).await else { return reset(&near) };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
         let ((near_in, mut near_out), (far_in, mut far_out)) =
@@ -156,7 +163,7 @@
             let back = self.direction(self.to, self.from, far_in, &mut near_out);
             tokio::try_join!(there, back)
         };
-        // A reset ends both ways, at both ends.
+        // A reset ends both links, at both ends.
         if whole.await.is_err() {
             for out in [near_out, far_out] {
                 reset(out.as_ref());
@@ -174,7 +181,7 @@
         out: &mut OwnedWriteHalf,
     ) -> io::Result<()> {
         let (pieces, coming) = mpsc::channel(PIECES);
-        let draws = Draws::new(self.web.seed(), from, to);
+        let draws = Draws::new(self.network.seed(), from, to);
         let taken = async {
             self.take(from, to, input, pieces, draws).await;
             Ok(())
@@ -207,9 +214,9 @@
                 Err(_) => Piece::Reset,
             };
             let bytes = if let Piece::Data(data) = &piece { data.len() } else { 0 };
-            let shape = self.web.ways(|ways| ways.shape(from, to));
+            let shape = self.network.links(|links| links.shape(from, to));
             // What comes later never arrives sooner.
-            last = last.max(Instant::now() + draws.piece(&shape, self.web.elapsed(), bytes));
+            last = last.max(Instant::now() + draws.piece(&shape, self.network.elapsed(), bytes));
             let over = !matches!(piece, Piece::Data(_));
             if pieces.send((last, piece)).await.is_err() || over {
                 return;
@@ -226,7 +233,7 @@
     ) -> io::Result<()> {
         while let Some((due, piece)) = coming.recv().await {
             sleep_until(due).await;
-            self.web.until(|ways| !ways.shape(from, to).cut).await;
+            self.network.until(|links| !links.shape(from, to).cut).await;
             match &piece {
                 Piece::Data(data) => out.write_all(data).await?,
                 Piece::End => out.shutdown().await?,
--- a/crates/trial/src/scenario.rs
+++ b/crates/trial/src/scenario.rs
@@ -14,8 +14,8 @@
 use standins::world::{TENANTS, ZONES};
 use toml::Spanned;
 
-use crate::holds::{Hold, Measure};
-use crate::ways::{Laid, Part, Shape};
+use crate::expectations::{Expectation, Measure};
+use crate::links::{Laid, Part, Shape};
 
 /// The most sidecars, servers in a data centre, seconds, faults, and requests a second in all.
 pub const MOST_SIDECARS: u16 = 400;
@@ -47,14 +47,14 @@
     pub stretch: f64,
     /// What is asked.
     pub load: Load,
-    /// What lies on all ways from the beginning.
+    /// What lies on all links from the beginning.
     pub ground: Shape,
     /// Changes to the configurations of some.
     pub configured: Vec<(BTreeSet<u16>, Value)>,
     /// What happens when, in order.
     pub acts: Vec<Act>,
     /// What must hold.
-    pub holds: Vec<Hold>,
+    pub expectations: Vec<Expectation>,
 }
 
 /// What is asked.
@@ -67,12 +67,12 @@
     /// Tries of a client beyond the first.
     pub retries: u16,
     /// Clubs, with their shares and quotas.
-    pub clubs: Vec<Club>,
+    pub tenants: Vec<Tenant>,
 }
 
-/// A club.
+/// A tenant.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Club {
+pub struct Tenant {
     /// Its name.
     pub name: String,
     /// Its share of what is asked.
@@ -89,14 +89,14 @@
     /// Of which fault in the file, from 0.
     pub fault: usize,
     /// What.
-    pub deed: Deed,
+    pub action: Action,
 }
 
 /// Something that happens.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Deed {
-    /// A shape is laid on ways.
+pub enum Action {
+    /// A shape is laid on links.
     Lay {
         /// Senders and receivers, for the journal.
         from: Vec<String>,
@@ -131,7 +131,7 @@
     Servers(BTreeSet<u16>, Server),
     /// Discovery is down, or up.
     Discovery(bool),
-    /// A club, or everyone, asks so many times as much as at the beginning.
+    /// A tenant, or everyone, asks so many times as much as at the beginning.
     Load(Option<usize>, f64),
     /// The configurations of some are changed, and read again.
     Configure(BTreeSet<u16>, Value),
@@ -166,13 +166,14 @@
     load: LoadFile,
     #[serde(default)]
     groups: BTreeMap<String, Spanned<Vec<String>>>,
-    ways: Option<Spanned<ShapeFile>>,
+    #[serde(alias = "ways")]
+    links: Option<Spanned<ShapeFile>>,
     #[serde(default)]
     configure: Vec<Spanned<ConfigureFile>>,
     #[serde(default)]
     fault: Vec<Spanned<FaultFile>>,
-    #[serde(default)]
-    hold: Vec<Spanned<HoldFile>>,
+    #[serde(default, alias = "hold")]
+    expect: Vec<Spanned<ExpectFile>>,
 }
 
 fn one() -> u64 {
@@ -196,13 +197,13 @@
     uneven: f64,
     #[serde(default)]
     retries: u16,
-    #[serde(default)]
-    clubs: BTreeMap<String, Spanned<ClubFile>>,
+    #[serde(default, alias = "clubs")]
+    tenants: BTreeMap<String, Spanned<TenantFile>>,
 }
 
 #[derive(Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct ClubFile {
+struct TenantFile {
     share: f64,
     quota_per_s: f64,
 }
@@ -230,7 +231,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum What {
-    Way,
+    #[serde(alias = "way")]
+    Link,
     Kill,
     End,
     Stop,
@@ -257,12 +259,14 @@
     to: Vec<String>,
     #[serde(default)]
     both: bool,
-    way: Option<ShapeFile>,
+    #[serde(alias = "way")]
+    link: Option<ShapeFile>,
     #[serde(default)]
     empty: bool,
     share: Option<f64>,
     times: Option<f64>,
-    club: Option<String>,
+    #[serde(alias = "club")]
+    tenant: Option<String>,
     how: Option<How>,
     set: Option<toml::Value>,
 }
@@ -279,9 +283,10 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct HoldFile {
+struct ExpectFile {
     figure: String,
-    club: Option<String>,
+    #[serde(alias = "club")]
+    tenant: Option<String>,
     #[serde(default)]
     of: Vec<String>,
     from_s: Option<f64>,
@@ -317,7 +322,7 @@
     seconds: f64,
     sidecars: u16,
     servers: u16,
-    clubs: Vec<Club>,
+    tenants: Vec<Tenant>,
     groups: BTreeMap<String, BTreeSet<Part>>,
     seed: u64,
 }
@@ -331,7 +336,7 @@
             seconds: *file.seconds.as_ref(),
             sidecars: *file.tier.sidecars.as_ref(),
             servers: *file.tier.servers.as_ref(),
-            clubs: Vec::new(),
+            tenants: Vec::new(),
             groups: BTreeMap::new(),
             seed,
         };
@@ -342,7 +347,7 @@
         };
         number(&file.tier.sidecars, "tier.sidecars", MOST_SIDECARS)?;
         number(&file.tier.servers, "tier.servers", MOST_SERVERS)?;
-        checks.clubs = checks.clubs(&file.load)?;
+        checks.tenants = checks.tenants(&file.load)?;
         for (name, words) in &file.groups {
             let parts = checks.parts(words.as_ref(), &words.span(), &format!("groups.{name}"))?;
             checks.groups.insert(name.clone(), parts);
@@ -380,12 +385,12 @@
             let of = self.sidecars(&c.as_ref().of, &c.span(), "configure.of")?;
             configured.push((of, self.json(&c.as_ref().set, &c.span(), "configure.set")?));
         }
-        let holds = file.hold.iter().map(|h| self.hold(h.as_ref(), &h.span()));
-        let ground = match &file.ways {
+        let expectations = file.expect.iter().map(|h| self.expectation(h.as_ref(), &h.span()));
+        let ground = match &file.links {
             None => Shape::default(),
-            Some(ways) => {
-                self.shape(ways.as_ref()).map_err(|e| self.at(&ways.span(), format!("ways.{e}")))?
-            }
+            Some(links) => self
+                .shape(links.as_ref())
+                .map_err(|e| self.at(&links.span(), format!("links.{e}")))?,
         };
         Ok(Scenario {
             name: file.name.clone(),
@@ -399,12 +404,12 @@
                 per_s: *file.load.per_s.as_ref(),
                 uneven: file.load.uneven.clamp(0.0, 3.0),
                 retries: file.load.retries.min(5),
-                clubs: self.clubs.clone(),
+                tenants: self.tenants.clone(),
             },
             ground,
             configured,
             acts,
-            holds: holds.collect::<Checked<_>>()?,
+            expectations: expectations.collect::<Checked<_>>()?,
         })
     }
 
@@ -417,31 +422,31 @@
         between(*value.as_ref(), key, from, to).map(drop).map_err(told)
     }
 
-    fn clubs(&self, load: &LoadFile) -> Checked<Vec<Club>> {
-        if load.clubs.is_empty() {
-            let of = |(name, share): (&str, f64)| Club {
+    fn tenants(&self, load: &LoadFile) -> Checked<Vec<Tenant>> {
+        if load.tenants.is_empty() {
+            let of = |(name, share): (&str, f64)| Tenant {
                 name: name.to_owned(),
                 share,
                 quota_per_s: 1000.0 * share,
             };
             return Ok(TENANTS.into_iter().map(of).collect());
         }
-        let of = |(name, club): (&String, &Spanned<ClubFile>)| {
-            let c = club.as_ref();
-            let told = |why| self.at(&club.span(), format!("load.clubs.{name}.{why}"));
-            Ok(Club {
+        let of = |(name, tenant): (&String, &Spanned<TenantFile>)| {
+            let c = tenant.as_ref();
+            let told = |why| self.at(&tenant.span(), format!("load.tenants.{name}.{why}"));
+            Ok(Tenant {
                 name: name.clone(),
                 share: between(c.share, "share", 0.0, 1e6).map_err(told)?,
                 quota_per_s: between(c.quota_per_s, "quota_per_s", 0.0, 1e9).map_err(told)?,
             })
         };
-        load.clubs.iter().map(of).collect()
+        load.tenants.iter().map(of).collect()
     }
 
-    fn club(&self, name: &Option<String>) -> Checked<Option<usize>> {
+    fn tenant(&self, name: &Option<String>) -> Checked<Option<usize>> {
         let Some(name) = name else { return Ok(None) };
-        let place = self.clubs.iter().position(|c| c.name == *name);
-        place.map(Some).ok_or_else(|| format!("club: {name:?} is none of load.clubs"))
+        let place = self.tenants.iter().position(|c| c.name == *name);
+        place.map(Some).ok_or_else(|| format!("tenant: {name:?} is none of load.tenants"))
     }
 
     /// The parts that a word names.
@@ -556,10 +561,10 @@
         if let Some(length) = f.for_s {
             between(length, "for_s", 0.0, MOST_SECONDS)?;
         }
-        let mut act = |at_s: f64, deed| {
+        let mut act = |at_s: f64, action| {
             // What would come after the end does not come.
             if at_s <= self.seconds {
-                acts.push(Act { at_s, fault: n, deed });
+                acts.push(Act { at_s, fault: n, action });
             }
         };
         let own = |what: String| what;
@@ -580,9 +585,9 @@
             all.into_iter().enumerate().map(|(n, s)| (step * n as f64, [s].into())).collect()
         };
         match f.what {
-            What::Way => {
-                let shape = f.way.as_ref().ok_or_else(|| needs("way"))?;
-                let shape = self.shape(shape).map_err(|e| format!("way.{e}"))?;
+            What::Link => {
+                let shape = f.link.as_ref().ok_or_else(|| needs("link"))?;
+                let shape = self.shape(shape).map_err(|e| format!("link.{e}"))?;
                 let strip = |e: String| e.split_once(": ").map_or(e.clone(), |(_, r)| r.to_owned());
                 let from = self.parts(&f.from, place, "from").map_err(strip)?;
                 let to = if f.to == ["others"] {
@@ -596,27 +601,29 @@
                     return Err(needs("from, to"));
                 }
                 let laid = Box::new(Laid { fault: n, from, to, both: f.both, shape });
-                act(f.at_s, Deed::Lay { from: f.from.clone(), to: f.to.clone(), laid });
+                act(f.at_s, Action::Lay { from: f.from.clone(), to: f.to.clone(), laid });
                 if let Some(end) = end {
-                    act(end, Deed::Lift);
+                    act(end, Action::Lift);
                 }
             }
             What::Kill | What::End | What::Stop | What::Starve => {
                 for (later, some) in each(of()?) {
                     let back = match f.what {
-                        What::Kill | What::End => Deed::Start { of: some.clone(), empty: f.empty },
-                        What::Stop => Deed::Go(some.clone()),
-                        _ => Deed::Feed(some.clone()),
+                        What::Kill | What::End => {
+                            Action::Start { of: some.clone(), empty: f.empty }
+                        }
+                        What::Stop => Action::Go(some.clone()),
+                        _ => Action::Feed(some.clone()),
                     };
                     act(
                         f.at_s + later,
                         match f.what {
-                            What::Kill => Deed::Kill(some),
-                            What::End => Deed::End(some),
-                            What::Stop => Deed::Stop(some),
+                            What::Kill => Action::Kill(some),
+                            What::End => Action::End(some),
+                            What::Stop => Action::Stop(some),
                             _ => {
                                 let share = f.share.ok_or_else(|| needs("share"))?;
-                                Deed::Starve(some, between(share, "share", 0.05, 1.0)?)
+                                Action::Starve(some, between(share, "share", 0.05, 1.0)?)
                             }
                         },
                     );
@@ -651,44 +658,45 @@
                     How::Errors => Server::Errors(share("share")?),
                     How::Hangs => Server::Hangs(share("share")?),
                 };
-                act(f.at_s, Deed::Servers(all.clone(), how));
+                act(f.at_s, Action::Servers(all.clone(), how));
                 if let Some(end) = end {
-                    act(end, Deed::Servers(all, Server::Well));
+                    act(end, Action::Servers(all, Server::Well));
                 }
             }
             What::Discovery => {
-                act(f.at_s, Deed::Discovery(true));
+                act(f.at_s, Action::Discovery(true));
                 if let Some(end) = end {
-                    act(end, Deed::Discovery(false));
+                    act(end, Action::Discovery(false));
                 }
             }
             What::Load => {
                 let times = between(f.times.ok_or_else(|| needs("times"))?, "times", 0.0, 1e3)?;
-                let club = self.club(&f.club)?;
-                act(f.at_s, Deed::Load(club, times));
+                let tenant = self.tenant(&f.tenant)?;
+                act(f.at_s, Action::Load(tenant, times));
                 if let Some(end) = end {
-                    act(end, Deed::Load(club, 1.0));
+                    act(end, Action::Load(tenant, 1.0));
                 }
             }
             What::Configure => {
                 let set = f.set.as_ref().ok_or_else(|| needs("set"))?;
-                act(f.at_s, Deed::Configure(of()?, self.json(set, place, "set")?));
+                act(f.at_s, Action::Configure(of()?, self.json(set, place, "set")?));
             }
         }
         Ok(())
     }
 
-    fn hold(&self, h: &HoldFile, place: &Range<usize>) -> Checked<Hold> {
-        let told = |why: String| self.at(place, format!("hold.{why}"));
+    fn expectation(&self, h: &ExpectFile, place: &Range<usize>) -> Checked<Expectation> {
+        let told = |why: String| self.at(place, format!("expect.{why}"));
         let from_s = between(h.from_s.unwrap_or(0.0), "from_s", 0.0, self.seconds).map_err(told)?;
         let to_s = h.to_s.unwrap_or(self.seconds);
         let to_s = between(to_s, "to_s", from_s, self.seconds).map_err(told)?;
-        let club = self.club(&h.club).map_err(told)?;
-        let measure = Measure::named(&h.figure, club).map_err(|e| told(format!("figure: {e}")))?;
+        let tenant = self.tenant(&h.tenant).map_err(told)?;
+        let measure =
+            Measure::named(&h.figure, tenant).map_err(|e| told(format!("figure: {e}")))?;
         let near = match (&h.near, h.within) {
             (None, None) => None,
             (Some(name), Some(within)) => {
-                let to = Measure::named(name, club).map_err(|e| told(format!("near: {e}")))?;
+                let to = Measure::named(name, tenant).map_err(|e| told(format!("near: {e}")))?;
                 Some((to, between(within, "within", 0.0, 10.0).map_err(told)?))
             }
             _ => return Err(told("near, within: both or neither expected".to_owned())),
@@ -698,9 +706,9 @@
         }
         let of = match h.of.is_empty() {
             true => (0..self.sidecars).collect(),
-            false => self.sidecars(&h.of, place, "hold.of")?,
+            false => self.sidecars(&h.of, place, "expect.of")?,
         };
-        Ok(Hold {
+        Ok(Expectation {
             measure,
             of,
             from_s,
@@ -738,20 +746,20 @@
             ("[[fault]]\nwhat = \"kill\"\nat_s = 11\nof = [\"s1\"]", "line 8: at_s: from 0 to 10"),
             ("[[fault]]\nwhat = \"kill\"\nat_s = 1", "line 8: of: sidecars expected"),
             (
-                "[[fault]]\nwhat = \"way\"\nat_s = 1\nfrom = [\"s1\"]\nto = [\"s2\"]",
-                "line 8: way: exp",
+                "[[fault]]\nwhat = \"link\"\nat_s = 1\nfrom = [\"s1\"]\nto = [\"s2\"]",
+                "line 8: link: exp",
             ),
             (
-                "[[fault]]\nwhat = \"way\"\nat_s = 1\nfrom = [\"s1\"]\nto = [\"s2\"]\nway.loss = 1.5",
-                "line 8: way.loss: from 0 to 1 expected, not 1.5",
+                "[[fault]]\nwhat = \"link\"\nat_s = 1\nfrom = [\"s1\"]\nto = [\"s2\"]\nlink.loss = 1.5",
+                "line 8: link.loss: from 0 to 1 expected, not 1.5",
             ),
             (
                 "[[fault]]\nwhat = \"load\"\nat_s = 1\ntimes = 2\nclub = \"x\"",
-                "line 8: club: \"x\"",
+                "line 8: tenant: \"x\"",
             ),
-            ("[[hold]]\nfigure = \"served_share\"", "line 8: hold.least, most or near"),
-            ("[[hold]]\nfigure = \"served\"\nleast = 1", "line 8: hold.figure"),
-            ("[[hold]]\nfigure = \"broken\"\nmost = 0\nfrom_s = 20", "line 8: hold.from_s"),
+            ("[[expect]]\nfigure = \"served_share\"", "line 8: expect.least, most or near"),
+            ("[[expect]]\nfigure = \"served\"\nleast = 1", "line 8: expect.figure"),
+            ("[[expect]]\nfigure = \"broken\"\nmost = 0\nfrom_s = 20", "line 8: expect.from_s"),
             ("[[fault]]\nwhat = \"eat\"\nat_s = 1", "line 9: unknown variant"),
             ("\n[more]", "line 9: unknown field `more`"),
         ];
@@ -770,7 +778,7 @@
     fn what_happens_comes_in_order_and_the_same_from_the_same_seed() {
         let text = "[groups]\nleft = [\"s0..4\"]\n\
             [[fault]]\nwhat = \"kill\"\nat_s = 6\nfor_s = 2\nof = [\"sidecars*0.5\"]\nspread_s = 1\n\
-            [[fault]]\nwhat = \"way\"\nat_s = 1\nfor_s = 3\nfrom = [\"left\"]\nto = [\"others\"]\nway.cut = true\n\
+            [[fault]]\nwhat = \"link\"\nat_s = 1\nfor_s = 3\nfrom = [\"left\"]\nto = [\"others\"]\nlink.cut = true\n\
             [[fault]]\nwhat = \"server\"\nat_s = 9\nfor_s = 5\nof = [\"utrecht-1\"]\nhow = \"dead\"\n";
         let plan =
             |seed| Scenario::parse(&format!("{HEAD}{text}"), Some(seed)).expect("sound").acts;
@@ -780,8 +788,8 @@
         assert_ne!(told(&acts), told(&plan(8)));
         let times: Vec<f64> = acts.iter().map(|a| a.at_s).collect();
         assert_eq!(times, [1.0, 4.0, 6.0, 6.25, 6.5, 6.75, 8.0, 8.25, 8.5, 8.75, 9.0]);
-        let Deed::Lay { laid, .. } = &acts[0].deed else { panic!("{:?}", acts[0]) };
+        let Action::Lay { laid, .. } = &acts[0].action else { panic!("{:?}", acts[0]) };
         assert_eq!((laid.from.len(), laid.to.len()), (4, 4 + 6));
-        assert!(matches!(&acts[10].deed, Deed::Servers(of, Server::Dead) if of == &[1].into()));
+        assert!(matches!(&acts[10].action, Action::Servers(of, Server::Dead) if of == &[1].into()));
     }
 }
--- a/crates/trial/tests/relays.rs
+++ b/crates/trial/tests/relays.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use standins::{runtime, until};
-use trial::calls::Calls;
-use trial::ground::Web;
+use trial::links::{Laid, Links, Part, Shape};
+use trial::network::Network;
 use trial::notes::Notes;
-use trial::ways::{Laid, Part, Shape, Ways};
+use trial::relay::Relay;
 
 const ME: Part = Part::Sidecar(0);
 const SERVER: Part = Part::Server(0);
@@ -26,19 +26,19 @@
 /// So long nothing comes where nothing should.
 const QUIET: Duration = Duration::from_millis(400);
 
-fn web() -> Web {
-    Web::new(Ways::default(), 1)
+fn network() -> Network {
+    Network::new(Links::default(), 1)
 }
 
-fn lay(web: &Web, from: Part, to: Part, shape: Shape) {
+fn lay(network: &Network, from: Part, to: Part, shape: Shape) {
     let laid = Laid { fault: 0, from: [from].into(), to: [to].into(), both: false, shape };
-    web.change(|ways| ways.lay(laid));
+    network.change(|links| links.lay(laid));
 }
 
 /// A server that sends back what comes, and a relay before it.
-fn echo(web: &Web) -> Calls {
+fn echo(network: &Network) -> Relay {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    web.place(SERVER, listener.local_addr().expect("an address"));
+    network.place(SERVER, listener.local_addr().expect("an address"));
     std::thread::spawn(move || {
         for mut socket in listener.incoming().flatten() {
             std::thread::spawn(move || {
@@ -51,7 +51,7 @@
             });
         }
     });
-    runtime().block_on(Calls::start(web.clone(), ME, SERVER)).expect("a relay")
+    runtime().block_on(Relay::start(network.clone(), ME, SERVER)).expect("a relay")
 }
 
 fn call(at: SocketAddr) -> TcpStream {
@@ -69,19 +69,19 @@
 
 #[test]
 fn over_a_cut_way_nothing_passes_and_nothing_comes_up_and_all_goes_on_once_it_heals() {
-    let web = web();
-    let relay = echo(&web);
+    let network = network();
+    let relay = echo(&network);
     let mut open = call(relay.at);
     assert_eq!(back(&mut open, b"before"), b"before");
     // One direction alone is cut: what the server says is held, and what it hears is not.
-    lay(&web, SERVER, ME, CUT);
+    lay(&network, SERVER, ME, CUT);
     open.write_all(b"during").expect("written");
     open.set_read_timeout(Some(QUIET)).expect("set");
     let silent = open.read(&mut [0; 64]).expect_err("nothing passes, not even a reset");
     assert_eq!(silent.kind(), ErrorKind::WouldBlock);
     // Until the relay has closed its backlog one may still come up.
     until("no connection comes up", || TcpStream::connect_timeout(&relay.at, QUIET).is_err());
-    web.change(|ways| ways.lift(0));
+    network.change(|links| links.lift(0));
     let mut got = [0; 6];
     open.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
     open.read_exact(&mut got).expect("what was held comes");
@@ -91,24 +91,24 @@
 
 #[test]
 fn at_a_dead_servers_address_connections_are_refused_and_served_again_when_it_is_back() {
-    let web = web();
-    let relay = echo(&web);
+    let network = network();
+    let relay = echo(&network);
     assert_eq!(back(&mut call(relay.at), b"before"), b"before");
-    web.change(|ways| ways.dead(SERVER, true));
+    network.change(|links| links.dead(SERVER, true));
     until("they are refused", || {
         TcpStream::connect(relay.at).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
     });
-    web.change(|ways| ways.dead(SERVER, false));
+    network.change(|links| links.dead(SERVER, false));
     until("they come up", || TcpStream::connect(relay.at).is_ok());
     assert_eq!(back(&mut call(relay.at), b"after"), b"after");
 }
 
 #[test]
 fn a_reset_passes_as_a_reset_and_an_end_as_an_end() {
-    let web = web();
+    let network = network();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    web.place(SERVER, listener.local_addr().expect("an address"));
-    let relay = runtime().block_on(Calls::start(web, ME, SERVER)).expect("a relay");
+    network.place(SERVER, listener.local_addr().expect("an address"));
+    let relay = runtime().block_on(Relay::start(network, ME, SERVER)).expect("a relay");
     let mut near = call(relay.at);
     let (far, _) = listener.accept().expect("it comes");
     socket2::SockRef::from(&far).set_linger(Some(Duration::ZERO)).expect("set");
@@ -123,15 +123,15 @@
 
 #[test]
 fn a_delay_is_kept_both_ways_and_order_with_it() {
-    let web = web();
+    let network = network();
     let shape = Shape {
         delay: Duration::from_millis(50),
         jitter: Duration::from_millis(50),
         ..Shape::default()
     };
-    lay(&web, ME, SERVER, shape);
-    lay(&web, SERVER, ME, shape);
-    let relay = echo(&web);
+    lay(&network, ME, SERVER, shape);
+    lay(&network, SERVER, ME, shape);
+    let relay = echo(&network);
     let mut socket = call(relay.at);
     let began = Instant::now();
     assert_eq!(back(&mut socket, b"x"), b"x");
@@ -154,10 +154,10 @@
 
 #[test]
 fn notes_come_from_their_senders_address_and_over_a_cut_way_not_at_all() {
-    let web = web();
+    let network = network();
     let all: Vec<UdpSocket> = (0..3).map(|_| sidecar()).collect();
     let ends = all.iter().map(|s| s.local_addr().expect("an address")).collect();
-    let notes = runtime().block_on(Notes::start(web.clone(), ends)).expect("relays");
+    let notes = runtime().block_on(Notes::start(network.clone(), ends)).expect("relays");
     let heard = |who: usize| {
         let mut buf = [0; 300];
         let (n, from) = all[who].recv_from(&mut buf).expect("a note");
@@ -165,7 +165,7 @@
     };
     all[0].send_to(b"to one", notes.peers[1]).expect("sent");
     assert_eq!(heard(1), (b"to one".to_vec(), notes.peers[0]));
-    lay(&web, ME, Part::Sidecar(1), CUT);
+    lay(&network, ME, Part::Sidecar(1), CUT);
     all[0].send_to(b"to all", notes.all).expect("sent");
     assert_eq!(heard(2), (b"to all".to_vec(), notes.peers[0]));
     // The other direction is whole.
@@ -184,11 +184,11 @@
 
 #[test]
 fn late_notes_are_overtaken_and_doubled_ones_come_twice() {
-    let web = web();
+    let network = network();
     let all: Vec<UdpSocket> = (0..2).map(|_| sidecar()).collect();
     let ends = all.iter().map(|s| s.local_addr().expect("an address")).collect();
-    let notes = runtime().block_on(Notes::start(web.clone(), ends)).expect("relays");
-    lay(&web, ME, Part::Sidecar(1), Shape { twice: 1.0, late: 0.5, ..Shape::default() });
+    let notes = runtime().block_on(Notes::start(network.clone(), ends)).expect("relays");
+    lay(&network, ME, Part::Sidecar(1), Shape { twice: 1.0, late: 0.5, ..Shape::default() });
     for n in 0..40 {
         all[0].send_to(&[n], notes.peers[1]).expect("sent");
     }
