--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod spec;
 pub mod stall;
 mod state;
+
+pub use state::replace;
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -22,8 +22,9 @@
 }
 
 /// Every program that a host runs, as package and name.
-const PROGRAMS: [(&str, &str); 4] = [
+const PROGRAMS: [(&str, &str); 5] = [
     ("coppercart", "plankvale"),
+    ("distribution", "plankvale-config"),
     ("fleet", "plankvale-fleet"),
     ("trial", "plankvale-guard"),
     ("ctl", "plankvalectl"),
