--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command.
 #![forbid(unsafe_code)]
 
+mod config;
 mod demo;
 mod table;
 mod tier;
@@ -32,6 +33,8 @@
     Demo(demo::Arguments),
     /// Play many sidecars with faults between them, as a file says.
     Trial(trial::Arguments),
+    /// Publish changes of configuration, and see where they are in force.
+    Config(config::Arguments),
     /// What sidecars know of their tier, and where they differ.
     Tier(tier::Arguments),
 }
@@ -92,6 +95,7 @@
         What::Demo(arguments) => demo::run(&arguments),
         What::Trial(arguments) => trial::run(&arguments),
         What::Tier(arguments) => tier::run(&arguments),
+        What::Config(arguments) => config::run(&arguments),
     }
 }
 
--- a/crates/distribution/tests/common/mod.rs
+++ b/crates/distribution/tests/common/mod.rs
@@ -169,6 +169,11 @@
         });
     }
 
+    /// Where an origin is.
+    pub fn origin_at(&self, number: u8) -> SocketAddr {
+        self.origin_at[usize::from(number)]
+    }
+
     /// Asks an origin.
     pub fn ask(&self, origin: u8, path: &str, body: Option<Value>) -> Result<Value, Failed> {
         ask(self.origin_at[usize::from(origin)], path, body)
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -490,6 +490,29 @@
     assert_eq!(old.seen().len(), before, "nothing new to the one that drains");
 }
 
+/// What a whole list does not name is gone, also where it still answers: a connection at rest to it is no way there.
+#[test]
+fn what_a_whole_list_leaves_out_gets_nothing_though_it_answers() {
+    let (old, new) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start(discovery(&[&old]));
+    sidecar.comes_to(&old);
+    let at = new.at;
+    let agent = Agent::start(move |_, path, socket| {
+        let hosts = [Entry::new(at, "a")];
+        let whole = !path.contains("from=");
+        thread::sleep(Duration::from_millis(if whole { 0 } else { 200 }));
+        list(socket, 7, whole, if whole { &hosts } else { &[] })
+    });
+    agent.takes_over(&sidecar);
+    sidecar.comes_to(&new);
+    let before = old.seen().len();
+    for n in 0..50 {
+        let id = format!("order{n}");
+        assert!(sidecar.exchange(&order(&id)).ends_with(&format!("\r\n\r\n{id}")));
+    }
+    assert_eq!(old.seen().len(), before, "what is left out gets nothing");
+}
+
 /// Lists are asked for, and discovery moves a second time while the first move's call is unanswered.
 #[test]
 fn a_move_does_not_wait_for_a_call_to_the_old_address() {
