Scale runs: hollow sidecars beside real ones, control machines and faults, from a file

Need: figures at the future size, from the project's own code over real sockets, before anything is promised.

A hollow sidecar watches discovery, takes configurations, is a member of its tier, sends notes and reports; hundreds share a process, real ones stand among them.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod demo;
+mod scale;
 mod table;
 mod tier;
 mod trial;
@@ -35,6 +36,8 @@
     Trial(trial::Arguments),
     /// Publish changes of configuration, and see where they are in force.
     Config(config::Arguments),
+    /// Play thousands of hollow sidecars beside real ones.
+    Scale(scale::Arguments),
     /// What sidecars know of their tier, and where they differ.
     Tier(tier::Arguments),
 }
@@ -96,6 +99,7 @@
         What::Trial(arguments) => trial::run(&arguments),
         What::Tier(arguments) => tier::run(&arguments),
         What::Config(arguments) => config::run(&arguments),
+        What::Scale(arguments) => scale::run(&arguments),
     }
 }
 
--- /dev/null
+++ b/crates/scale/src/hollow.rs
@@ -0,0 +1,278 @@
+//! A process of hollow sidecars. It is told who they are on standard input, and tells on standard output in how many
+//! of them each change is in force. It ends with its standard input.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixDatagram;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use coppercart::api::ListKind;
+use coppercart::settings::Discovery as How;
+use coppercart::sidecar::config::{Config, List, Part};
+use coppercart::sidecar::discovery::{Call, Discovery, Listener};
+use coppercart::sidecar::peers::{Inbox, Peers};
+use coppercart::sidecar::tier::Shared;
+use distribution::Generation;
+use distribution::documents::{Document, Interest, merged};
+use distribution::host::Put;
+use distribution::net::host;
+use distribution::net::place::Place;
+use platform::Tokio;
+use reports::{Counts, State};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use standins::registry::{Entry, Registry};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::LocalSet;
+
+/// Between two lines of what is in force.
+const TELL: Duration = Duration::from_millis(100);
+/// Between two reports of a sidecar, as it makes them.
+const REPORT: Duration = Duration::from_millis(500);
+
+/// A hollow sidecar.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Sidecar {
+    /// Its name, and its host's.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// The service that it calls, by its number.
+    pub service: usize,
+    /// Its configuration without what is distributed; discovery is this process's agent.
+    pub config: Value,
+}
+
+/// Who is in a process.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Crowd {
+    /// The sidecars.
+    pub sidecars: Vec<Sidecar>,
+    /// The control machines of their region.
+    pub machines: Vec<(String, SocketAddr)>,
+    /// Servers of each service, and so lines of each list.
+    pub servers: usize,
+    /// For what is drawn.
+    pub seed: u64,
+}
+
+/// What a process tells: of each change, in how many it, or a later one, is in force, and since when the last of them.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Told {
+    /// By generation: how many, and when, in microseconds of Unix time.
+    pub in_force: BTreeMap<Generation, (usize, u64)>,
+    /// Declined.
+    pub declined: u64,
+    /// Lists that were taken in.
+    pub lists: u64,
+    /// Sidecars that know of all others of their tier.
+    pub whole_tiers: usize,
+    /// Somewhere something older was put in force than what was.
+    pub went_back: u64,
+}
+
+#[derive(Default)]
+struct Tallies {
+    told: RefCell<Told>,
+    lists: Cell<u64>,
+}
+
+struct Hollow {
+    base: Value,
+    counts: Rc<Tallies>,
+    /// What is in force here, and all that it went through.
+    at: Generation,
+    status: Rc<Notify>,
+}
+
+impl Place for Hollow {
+    async fn in_force(&mut self) -> (Generation, Vec<Document>) {
+        (0, Vec::new())
+    }
+
+    async fn put(&mut self, generation: Generation, documents: &[Document]) -> Put {
+        let text = merged(&self.base, documents.iter()).to_string();
+        let mut told = self.counts.told.borrow_mut();
+        // The project's own check, as a sidecar makes it at SIGHUP.
+        if let Err(why) = Config::parse(text.as_bytes()) {
+            told.declined += 1;
+            return Put::Declined(why);
+        }
+        told.went_back += u64::from(generation < self.at);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        // What is newer stands for what it follows: only documents' own generations are counted.
+        let newest = documents.iter().map(|d| d.generation).max().unwrap_or(0);
+        for of in self.at + 1..=newest {
+            let entry = told.in_force.entry(of).or_default();
+            *entry = (entry.0 + 1, now.as_micros() as u64);
+        }
+        while told.in_force.len() > 512 {
+            told.in_force.pop_first();
+        }
+        self.at = self.at.max(newest);
+        self.status.notify_one();
+        Put::Done
+    }
+}
+
+struct Lists(Rc<Tallies>);
+
+impl Listener for Lists {
+    fn list(&self, _kind: ListKind, _list: &List<Part<'_>>) {
+        self.0.lists.set(self.0.lists.get() + 1);
+    }
+
+    fn most_servers(&self) -> usize {
+        8192
+    }
+
+    fn too_long(&self) {}
+
+    fn failed(&self) {}
+}
+
+struct Notes(Rc<Shared<Tokio>>);
+
+impl Inbox for Notes {
+    fn note(&self, from: u32, data: &[u8]) {
+        self.0.hear(from, data);
+    }
+}
+
+/// Runs the process until its standard input ends.
+///
+/// # Errors
+///
+/// What could not be done.
+pub fn run() -> Result<(), String> {
+    let mut line = String::new();
+    std::io::stdin().lock().read_line(&mut line).map_err(|e| e.to_string())?;
+    let crowd: Crowd = serde_json::from_str(&line).map_err(|e| format!("a crowd expected: {e}"))?;
+    let (ended, mut end) = watch::channel(false);
+    std::thread::spawn(move || {
+        let _ = std::io::stdin().lock().read_line(&mut String::new());
+        ended.send_replace(true);
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, async {
+        let counts = Rc::new(Tallies::default());
+        let tiers = begin(crowd, &counts).await?;
+        let out = std::io::stdout();
+        while !*end.borrow_and_update() {
+            tokio::time::sleep(TELL).await;
+            let whole = |t: &&Rc<Shared<Tokio>>| {
+                let view = t.view();
+                view.members.0 as f64 >= view.reach.round().max(2.0)
+            };
+            let mut told = counts.told.borrow().clone();
+            told.lists = counts.lists.get();
+            told.whole_tiers = tiers.iter().filter(whole).count();
+            let line = serde_json::to_string(&told).unwrap_or_default();
+            if writeln!(out.lock(), "{line}").is_err() {
+                return Ok(());
+            }
+        }
+        Ok(())
+    })
+}
+
+async fn begin(crowd: Crowd, counts: &Rc<Tallies>) -> Result<Vec<Rc<Shared<Tokio>>>, String> {
+    let mut agents: BTreeMap<usize, Registry> = BTreeMap::new();
+    let mut tiers = Vec::new();
+    let keeper = keeper()?;
+    for (n, sidecar) in crowd.sidecars.into_iter().enumerate() {
+        let agent = match agents.get(&sidecar.service) {
+            Some(agent) => agent.at,
+            None => {
+                let entry = |n: usize| {
+                    let at = SocketAddr::from(([127, 0, 0, 1], 10_000 + n as u16));
+                    Entry { host: format!("{}-{n}", sidecar.service), ..Entry::new(at, "z0") }
+                };
+                let agent = Registry::open((0..crowd.servers).map(entry).collect()).await;
+                let agent = agent.map_err(|e| format!("an agent: {e}"))?;
+                let at = agent.at;
+                agents.insert(sidecar.service, agent);
+                at
+            }
+        };
+        let mut base = sidecar.config;
+        base["discovery"] = agent.to_string().into();
+        let config = Config::parse(base.to_string().as_bytes())
+            .map_err(|why| format!("{}: {why}", sidecar.name))?;
+        // Watches, as a sidecar has them.
+        let (moves, at) = watch::channel(agent);
+        let (calls, called) = mpsc::unbounded_channel::<Call>();
+        let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
+        let discovery = Discovery::<Tokio>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
+        let lists = Lists(counts.clone());
+        tokio::task::spawn_local(async move {
+            // They end with the process.
+            let _kept = (moves, calls);
+            discovery.run(lists, called).await;
+        });
+        // Its part in the tier, and notes.
+        if let Some(at) = config.peer_listen {
+            let socket = UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
+            let peers = Peers::<Tokio>::new(socket, config.peers.clone(), None);
+            if let Some(tier) = Shared::<Tokio>::new(&config, Some(&peers))? {
+                tokio::task::spawn_local(peers.listen(Notes(tier.clone())));
+                tokio::task::spawn_local(tier.clone().run());
+                tiers.push(tier);
+            }
+        }
+        // Configurations, and reports of them.
+        let status = Rc::new(Notify::new());
+        let service = format!("service-{}", sidecar.service);
+        let interest = Interest { services: [service].into(), zone: sidecar.zone };
+        let place = Hollow { base, counts: counts.clone(), at: 0, status: status.clone() };
+        let of_host = host::Config {
+            name: sidecar.name.clone(),
+            interest,
+            machines: crowd.machines.clone(),
+            seed: crowd.seed ^ n as u64,
+        };
+        tokio::task::spawn_local(host::run(of_host, place));
+        tokio::task::spawn_local(report(sidecar.name, keeper.clone(), status));
+    }
+    tokio::task::spawn_local(async move {
+        let _kept = agents;
+        std::future::pending::<()>().await;
+    });
+    Ok(tiers)
+}
+
+/// Where reports go: a socket of this process's own, which nobody reads for longer than it takes.
+fn keeper() -> Result<Rc<(UnixDatagram, UnixDatagram)>, String> {
+    let pair = UnixDatagram::pair().map_err(|e| e.to_string())?;
+    pair.0.set_nonblocking(true).map_err(|e| e.to_string())?;
+    pair.1.set_nonblocking(true).map_err(|e| e.to_string())?;
+    Ok(Rc::new(pair))
+}
+
+async fn report(name: String, to: Rc<(UnixDatagram, UnixDatagram)>, changed: Rc<Notify>) {
+    let mut state = State {
+        name,
+        pid: std::process::id(),
+        version: "hollow".into(),
+        generation: 0,
+        declined: None,
+        ready: true,
+        draining: false,
+        clients: 0,
+        open: 0,
+        short: false,
+        counts: Counts::default(),
+    };
+    let mut read = [0; reports::LONGEST];
+    loop {
+        let _ = to.0.send(state.report().as_bytes());
+        while to.1.recv(&mut read).is_ok() {}
+        state.generation += 1;
+        let _ = tokio::time::timeout(REPORT, changed.notified()).await;
+    }
+}
