Scale: names for what a run reads of its processes

Cause: clippy, over the whole workspace, refuses types as deep as those of run.rs; it had been run package by package.

Change: Costs and Reading.

--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -140,6 +140,10 @@
 }
 
 type Latest = Arc<Mutex<Told>>;
+/// By role, of each process: resident, in KiB, and processor time used, in seconds.
+type Costs = BTreeMap<String, Vec<(u64, f64)>>;
+/// When, what all had cost by then, and the bytes that had passed over loopback.
+type Reading = (Instant, Costs, u64);
 
 struct Zone {
     crowd: Crowd,
@@ -459,7 +463,7 @@
         sum
     }
 
-    fn costs(&self) -> BTreeMap<String, Vec<(u64, f64)>> {
+    fn costs(&self) -> Costs {
         let some =
             |all: &[Option<Process>]| all.iter().flatten().map(Process::cost).collect::<Vec<_>>();
         let each = |z: &Zone| {
@@ -589,11 +593,7 @@
         Ok(self.report(changes, [before, quiet, after]))
     }
 
-    fn report(
-        &self,
-        changes: Vec<Change>,
-        [before, quiet, after]: [(Instant, BTreeMap<String, Vec<(u64, f64)>>, u64); 3],
-    ) -> Report {
+    fn report(&self, changes: Vec<Change>, [before, quiet, after]: [Reading; 3]) -> Report {
         let (sidecars, real) = (self.plan.sidecars(), self.plan.real());
         let spans = [(&before, &quiet), (&quiet, &after)].map(|(a, b)| (b.0 - a.0).as_secs_f64());
         let mut costs = BTreeMap::new();
