--- a/crates/distribution/src/control.rs
+++ b/crates/distribution/src/control.rs
@@ -147,6 +147,12 @@
         self.kept.life
     }
 
+    /// All members' lives that are known here, its own among them.
+    pub fn lives(&self) -> BTreeMap<String, u64> {
+        let own = (self.name.clone(), self.kept.life);
+        self.kept.lives.clone().into_iter().chain([own]).collect()
+    }
+
     /// Another member that has lost its disk tells its new life. What is promised here, and which life is known of it;
     /// the flag says whether something has to be on disk before that is answered.
     pub fn other_life(&mut self, member: &str, life: u64) -> Option<(Epoch, u64, bool)> {
@@ -167,7 +173,13 @@
     /// And what it had is with the last origin that it could have followed, so it votes again once that, or a later
     /// one, has brought it up to date (after Liskov, Cowling, 2012, 4.3). Harmful where as many have lost their
     /// disks: then operators have to say what counts.
-    pub fn promised_elsewhere(&mut self, member: &str, promised: Epoch, life: u64) {
+    pub fn promised_elsewhere(
+        &mut self,
+        member: &str,
+        promised: Epoch,
+        life: u64,
+        lives: &BTreeMap<String, u64>,
+    ) {
         let most = self.members / 2 + 1;
         let Some(recovering) = &mut self.recovering else { return };
         if life > self.kept.life {
@@ -175,21 +187,27 @@
             recovering.others.clear();
             return;
         }
+        // Danger: what it knew of others' lost disks is lost with its own.
+        for (other, life) in lives.iter().filter(|(other, _)| **other != self.name) {
+            let known = self.kept.lives.entry(other.clone()).or_default();
+            *known = (*known).max(*life);
+        }
         recovering.others.insert(member.to_owned(), promised);
         if recovering.others.len() >= most && recovering.least.is_none() {
             recovering.least = recovering.others.values().copied().max();
             self.kept.promised = self.kept.promised.max(recovering.least.unwrap_or(0));
-            // What it was told before counts for nothing: it is told all of it once more.
-            self.kept.replica = Replica::default();
         }
     }
 
     /// What it tells origins.
     pub fn call(&self) -> Call {
+        // What it was told before it knew whom it may follow counts for nothing: it asks for all of it once more. What
+        // is committed stays meanwhile.
+        let anew = self.recovering.as_ref().is_some_and(|r| r.least.is_some());
         Call {
             member: self.name.clone(),
             promised: self.kept.promised,
-            at: self.kept.replica.at(),
+            at: if anew { Default::default() } else { self.kept.replica.at() },
             committed: self.kept.replica.committed(),
             recovering: self.recovering.is_some(),
             life: self.kept.life,
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -21,8 +21,8 @@
 /// Numbers the changes, over all epochs: what has a higher one is newer.
 pub type Generation = u64;
 
-/// Numbers the spans in which one origin is followed. The last eight bits are the origin's own number, so that no two
-/// origins ever have the same.
+/// Numbers the spans in which one origin is followed. The last 32 bits are the origin's own number and its start's, so
+/// that no two of them have the same.
 pub type Epoch = u64;
 
 /// The longest a held call may be held.
--- a/crates/distribution/src/main.rs
+++ b/crates/distribution/src/main.rs
@@ -142,7 +142,11 @@
     LocalSet::new().block_on(&runtime, async {
         match arguments.what {
             What::Origin { listen, number, member } => {
-                let config = origin::Config { number, members: member.into_iter().collect() };
+                let config = origin::Config {
+                    number,
+                    life: seed() as u32,
+                    members: member.into_iter().collect(),
+                };
                 let listener = bind(listen).await?;
                 until_told(async {
                     origin::run(listener, config).await;
--- a/crates/distribution/src/net/control.rs
+++ b/crates/distribution/src/net/control.rs
@@ -214,6 +214,7 @@
         struct Promised {
             promised: Epoch,
             life: u64,
+            lives: BTreeMap<String, u64>,
         }
         while self.control.borrow().promised().is_none() {
             for (name, at) in &others {
@@ -222,9 +223,9 @@
                 let pairs = [("member", own.clone()), ("life", life.to_string())];
                 let path = path("/config/promised", pairs);
                 let asked = caller.json::<Promised>(&path, None, PROMISED).await;
-                let Ok(Promised { promised, life }) = asked else { continue };
+                let Ok(Promised { promised, life, lives }) = asked else { continue };
                 tracing::info!(of = %name, promised, life, "asked what may have been promised");
-                self.control.borrow_mut().promised_elsewhere(name, promised, life);
+                self.control.borrow_mut().promised_elsewhere(name, promised, life, &lives);
             }
             self.pause().await;
         }
@@ -249,7 +250,8 @@
             let kept = self.store.keep(self.control.borrow().kept());
             kept.map_err(|why| Reply::error(503, &why))?;
         }
-        Ok(Reply::json(&json!({"promised": promised, "life": life})))
+        let lives = self.control.borrow().lives();
+        Ok(Reply::json(&json!({"promised": promised, "life": life, "lives": lives})))
     }
 
     fn log(&self, asked: &Asked) -> Result<Reply, Reply> {
--- a/crates/distribution/src/net/origin.rs
+++ b/crates/distribution/src/net/origin.rs
@@ -32,6 +32,8 @@
 pub struct Config {
     /// Its own number; no other origin has it.
     pub number: u8,
+    /// Differs at each start.
+    pub life: u32,
     /// The control machines.
     pub members: BTreeMap<String, SocketAddr>,
 }
@@ -63,7 +65,7 @@
 
 /// Serves as an origin on `listener`; never ends.
 pub async fn run(listener: TcpListener, config: Config) {
-    let origin = Origin::new(config.number, config.members.keys().cloned());
+    let origin = Origin::new(config.number, config.life, config.members.keys().cloned());
     let shared = Rc::new(Shared {
         origin: RefCell::new(origin),
         tally: RefCell::default(),
--- a/crates/distribution/src/origin.rs
+++ b/crates/distribution/src/origin.rs
@@ -76,7 +76,8 @@
 
 /// An origin.
 pub struct Origin {
-    number: u8,
+    /// The last bits of its epochs.
+    mark: Epoch,
     members: BTreeMap<String, Option<Member>>,
     epoch: Epoch,
     phase: Phase,
@@ -86,10 +87,13 @@
 }
 
 impl Origin {
-    /// The origin of this number, for members of these names.
-    pub fn new(number: u8, members: impl IntoIterator<Item = String>) -> Origin {
+    /// The origin of this number, for members of these names. `life` differs at each start.
+    ///
+    /// Danger: an old call may be heard late, and an origin that was started anew take a round for free that it has led
+    /// in before: then two changes would have one version. No two starts have the same epochs.
+    pub fn new(number: u8, life: u32, members: impl IntoIterator<Item = String>) -> Origin {
         Origin {
-            number,
+            mark: Epoch::from(number) << 24 | Epoch::from(life & 0xff_ffff),
             members: members.into_iter().map(|name| (name, None)).collect(),
             epoch: 0,
             phase: Phase::Listening,
@@ -175,8 +179,8 @@
     /// Begins an epoch above all that it has heard of.
     fn begin(&mut self) {
         let promised = self.members.values().flatten().map(|m| m.call.promised);
-        let round = promised.max().unwrap_or(0).max(self.epoch) >> 8;
-        self.epoch = (round + 1) << 8 | Epoch::from(self.number);
+        let round = promised.max().unwrap_or(0).max(self.epoch) >> 32;
+        self.epoch = (round + 1) << 32 | self.mark;
         self.phase = Phase::Gathering;
         self.challenged = None;
     }
