--- a/crates/distribution/src/origin.rs
+++ b/crates/distribution/src/origin.rs
@@ -81,6 +81,8 @@
     members: BTreeMap<String, Option<Member>>,
     epoch: Epoch,
     phase: Phase,
+    /// What the member has that is taken over, as it told.
+    wanted: Version,
     /// Since when a few of the members have promised a later epoch.
     challenged: Option<Millis>,
     replica: Replica,
@@ -97,6 +99,7 @@
             members: members.into_iter().map(|name| (name, None)).collect(),
             epoch: 0,
             phase: Phase::Listening,
+            wanted: Version::default(),
             challenged: None,
             replica: Replica::default(),
         }
@@ -196,7 +199,8 @@
             match newest {
                 _ if promised.len() < self.most() => {}
                 Some(call) if call.at > self.replica.at() => {
-                    self.phase = Phase::TakingOver(call.member.clone());
+                    let (member, at) = (call.member.clone(), call.at);
+                    (self.phase, self.wanted) = (Phase::TakingOver(member), at);
                 }
                 _ => self.lead(),
             }
@@ -226,9 +230,8 @@
         if self.phase != Phase::TakingOver(member.to_owned()) {
             return;
         }
-        // It has lost since what it had when it called.
-        let told = self.members.get(member).and_then(|m| m.as_ref().map(|m| m.call.at));
-        if told.is_none_or(|told| update.at < told) {
+        // Danger: it may have lost since what it had when it called, and have called again as one that asks for it.
+        if update.at < self.wanted {
             return self.not_taken_over(member);
         }
         self.replica = Replica::default();
--- a/crates/distribution/tests/decisions.rs
+++ b/crates/distribution/tests/decisions.rs
@@ -209,10 +209,11 @@
     assert!(committed > seeds * 10, "hardly anything was committed: {committed}");
 }
 
-/// Known to fail (KNOWN-RED.txt): of 5,000 seeds the one that loses a committed change, after several lost disks.
+/// Found among 5,000 seeds: 686, an origin that was started anew took a round in which its predecessor had led; 4859, an
+/// origin took over what a member had left that had lost its disk since it called.
 #[test]
-fn what_was_committed_before_several_lost_disks_is_kept_in_seed_4859() {
-    assert!(all_of_a_seed(4859) > 0);
+fn seeds_that_failed_once_hold() {
+    assert!(all_of_a_seed(686) > 0 && all_of_a_seed(4859) > 0);
 }
 
 /// Plays a seed to its end; the last change that a desk was told to be committed.
