--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/common/mod.rs
@@ -12,6 +12,8 @@
 /// A second.
 pub const S: Micros = 1_000_000;
 const UNIX_MS: u64 = 1_790_000_000_000;
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
@@ -51,6 +53,8 @@
     turns: Vec<u64>,
     queue: BinaryHeap<Reverse<(Micros, u64, What)>>,
     next: u64,
+    /// A hash of what was sent so far, and when (FNV-1a).
+    trace: u64,
     pub rng: Pcg64Mcg,
 }
 
@@ -89,6 +93,7 @@
             turns: vec![0; n],
             queue: BinaryHeap::new(),
             next: 0,
+            trace: FNV_BASIS,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -198,6 +203,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, data: Vec<u8>) {
+        self.trace(&self.now.to_le_bytes());
+        self.trace(&[from as u64, to as u64].map(u64::to_le_bytes).concat());
+        self.trace(&data);
         let copies = 1 + usize::from(self.draw() < self.twice);
         for _ in 0..copies {
             let lost = self.draw() < self.loss;
@@ -210,6 +218,30 @@
         }
     }
 
+    fn trace(&mut self, data: &[u8]) {
+        self.trace =
+            data.iter().fold(self.trace, |h, b| (h ^ u64::from(*b)).wrapping_mul(FNV_PRIME));
+    }
+
+    /// The hash of all that was sent so far, of when, and of the figures of some views.
+    pub fn hash(&mut self, views: &[View]) -> u64 {
+        for view in views {
+            for club in &view.clubs {
+                for figure in [club.asked, club.own, club.lease] {
+                    self.trace(&figure.to_bits().to_le_bytes());
+                }
+                self.trace(&club.spent.0.to_le_bytes());
+                self.trace(&club.spent.1.to_le_bytes());
+            }
+            for figure in [view.reach, view.attempts, view.budget.share, view.budget.saved] {
+                self.trace(&figure.to_bits().to_le_bytes());
+            }
+            self.trace(&(view.members.0 as u64).to_le_bytes());
+            self.trace(&(view.links.0 as u64).to_le_bytes());
+        }
+        self.trace
+    }
+
     /// A note of this world's, as if it came from there.
     pub fn forge(&mut self, from: usize, to: usize, data: Vec<u8>) {
         self.push(self.now, What::Arrive(from, to, data));
