--- a/crates/distribution/tests/decisions.rs
+++ b/crates/distribution/tests/decisions.rs
@@ -45,6 +45,8 @@
     told: Generation,
     /// What each member had committed last in its life; a lost disk begins anew.
     seen: Vec<Generation>,
+    /// Over all that was sent and ordered, with its time.
+    sum: Sum,
 }
 
 const MEMBERS: usize = 5;
@@ -69,6 +71,7 @@
             committed: BTreeMap::new(),
             told: 0,
             seen: vec![0; MEMBERS],
+            sum: Sum::default(),
         }
     }
 
@@ -96,7 +99,9 @@
             // A member calls an origin.
             0..=39 => {
                 let (m, o) = (self.below(MEMBERS), self.below(2));
-                self.calls.push((m, o, self.lives[m], self.members[m].call()));
+                let call = self.members[m].call();
+                self.sum.json(&(self.now, m, o, &call));
+                self.calls.push((m, o, self.lives[m], call));
             }
             // One of the calls arrives, in any order; some never do.
             40..=69 if !self.calls.is_empty() => {
@@ -105,6 +110,7 @@
                 if self.below(10) > 0 {
                     self.origins[o].hear(call.clone(), self.now).expect("a member");
                     if let Some(answer) = self.origins[o].answer(&call) {
+                        self.sum.json(&(self.now, m, o, &answer));
                         self.answers.push((m, life, answer));
                     }
                 }
@@ -116,13 +122,15 @@
                     // What a member keeps that asks what it has lost counts once it may vote again.
                     if self.members[m].promised().is_some() {
                         self.disks[m] = Some(self.members[m].kept().clone());
+                        self.sum.json(&(self.now, m, &self.disks[m]));
                     }
                 }
             }
             90..=93 => {
                 let (o, n) = (self.below(2), self.below(3));
                 self.next += 1;
-                let _ = self.origins[o].publish(key(&format!("s{n}")), body(self.next));
+                let ordered = self.origins[o].publish(key(&format!("s{n}")), body(self.next));
+                self.sum.json(&(self.now, o, outcome(ordered)));
             }
             94..=96 => (0..2).for_each(|o| self.origin(o)),
             // A member dies and comes back with its disk.
@@ -169,6 +177,7 @@
         if let Some((promised, life, _)) = self.members[from].other_life(&name(m), life) {
             self.disks[from] = Some(self.members[from].kept().clone());
             let lives = self.members[from].lives();
+            self.sum.json(&(self.now, m, from, promised, life, &lives));
             self.members[m].promised_elsewhere(&name(from), promised, life, &lives);
         }
     }
@@ -218,6 +227,10 @@
 
 /// Plays a seed to its end; the last change that a desk was told to be committed.
 fn all_of_a_seed(seed: u64) -> Generation {
+    played(seed).told
+}
+
+fn played(seed: u64) -> Play {
     println!("seed {seed}");
     let mut play = Play::new(seed);
     (0..3000).for_each(|_| play.step(true));
@@ -244,7 +257,127 @@
     }
     assert_eq!(*play.origins[0].phase(), Phase::Leading, "seed {seed}");
     assert!(play.origins[0].replica().committed() >= told, "seed {seed}: {told} is lost");
-    told
+    play
+}
+
+// ---- The behaviour sums ----
+
+/// FNV-1a over inputs and outputs as they are sent or stored, and their times.
+#[derive(Clone, Copy)]
+struct Sum(u64);
+
+impl Default for Sum {
+    fn default() -> Sum {
+        Sum(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Sum {
+    fn json(&mut self, what: &impl serde::Serialize) {
+        let text = serde_json::to_vec(what).expect("it can be sent");
+        for byte in text.into_iter().chain([0]) {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+fn outcome(ordered: Result<Generation, Refused>) -> (u8, Generation, String) {
+    match ordered {
+        Ok(generation) => (0, generation, String::new()),
+        Err(Refused::NotLeading(why)) => (1, 0, why),
+        Err(Refused::Unfit(why)) => (2, 0, why),
+    }
+}
+
+/// Hosts that call drawn machines of an origin that leads: calls and answers are lost, what is to be put in force is
+/// done, declined or put off, and the machines' summaries are added up.
+fn hosts_of_a_seed(seed: u64) -> Sum {
+    const HOSTS: usize = 8;
+    const MACHINES: usize = 3;
+    let (mut rng, mut sum) = (Pcg64Mcg::seed_from_u64(seed), Sum::default());
+    let mut below = |n: u64| rng.next_u64() % n;
+    let (mut origin, _) = leading(MACHINES);
+    let control = |n| Control::new(name(n), Some(Kept::default()), 0, MACHINES, HOSTS - 2);
+    let mut all: Vec<_> = (0..MACHINES).map(control).collect();
+    let machines: Vec<String> = (0..MACHINES).map(name).collect();
+    let zones = ["z0", "z1"];
+    let mut hosts: Vec<_> = (0..HOSTS)
+        .map(|n| {
+            let of = interest(if n % 3 == 0 { &["a", "b"] } else { &["a"] }, zones[n % 2]);
+            Host::new(format!("h{n}"), of, &machines, (0, Vec::new()), seed)
+        })
+        .collect();
+    let (mut tally, mut now) = (Tally::default(), 0);
+    for step in 0..400_u64 {
+        now += 50 + below(400);
+        if below(8) == 0 {
+            let of = ["*", "a", "b", "a@z0", "*@z1"][below(5) as usize];
+            let body = if below(4) == 0 { None } else { body(step) };
+            sum.json(&(now, outcome(origin.publish(key(of), body))));
+        }
+        if below(3) == 0 {
+            carry(&mut origin, &mut all[..1 + (step % 3) as usize]);
+        }
+        let h = below(HOSTS as u64) as usize;
+        let put = |draw| match draw {
+            0 => Put::Declined("settings.zones: of another shape".to_owned()),
+            1 => Put::Later("another rollout runs".to_owned()),
+            _ => Put::Done,
+        };
+        match hosts[h].next(now) {
+            Step::Wait(until) => sum.json(&(now, h, "wait", until)),
+            Step::Put(generation, documents) => {
+                sum.json(&(now, h, "put", generation, &documents));
+                hosts[h].put(generation, put(below(6)), now);
+            }
+            Step::Call(machine) => {
+                let call = hosts[h].call();
+                let HostCall { host, interest, from, in_force, declined } = &call;
+                let of = (host, &interest.services, &interest.zone);
+                sum.json(&(now, machine, of, from, in_force, declined));
+                let heard = all[machine].hear(&call, now);
+                let answer = match heard {
+                    Err(TurnedAway::Elsewhere(why) | TurnedAway::Unfit(why)) => {
+                        sum.json(&(now, machine, why));
+                        None
+                    }
+                    Ok(()) => all[machine].answer(&call, below(2) == 0, now),
+                };
+                match answer.filter(|_| below(10) > 0) {
+                    None => hosts[h].failed(below(2) == 0, now),
+                    Some(told) => {
+                        sum.json(&(now, machine, &told));
+                        if let Some((generation, documents)) = hosts[h].answered(told, now) {
+                            sum.json(&(now, h, "put", generation, &documents));
+                            hosts[h].put(generation, put(below(6)), now);
+                        }
+                    }
+                }
+            }
+        }
+        let m = below(MACHINES as u64) as usize;
+        if below(4) == 0 {
+            let summary = all[m].summary(now);
+            sum.json(&(now, &summary));
+            if below(8) == 0 {
+                all[m].tell_all_anew();
+            } else {
+                let elsewhere = tally.take(summary, now);
+                all[m].elsewhere(&elsewhere, now);
+                sum.json(&(now, &elsewhere, tally.total(machines.iter(), now)));
+            }
+        }
+    }
+    sum
+}
+
+/// What the decisions do for given seeds, as one number: it changes where behaviour or the stored and sent form does.
+#[test]
+fn the_behaviour_of_these_seeds_is_what_it_was() {
+    let mut sum = Sum::default();
+    (0..8).for_each(|seed| sum.json(&played(seed).sum.0));
+    (0..200).for_each(|seed| sum.json(&hosts_of_a_seed(seed).0));
+    assert_eq!(format!("{:016x}", sum.0), "c9f9d867ea4e77ff");
 }
 
 #[test]
