--- a/crates/distribution/src/main.rs
+++ b/crates/config-distribution/src/main.rs
@@ -9,8 +9,8 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use distribution::documents::{Interest, is_name};
-use distribution::net::{control, host, origin, place};
+use config_distribution::documents::{Interest, is_name};
+use config_distribution::net::{control, host, origin, place};
 use logging::{Format, Options};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,12 +20,12 @@
 ///
 /// Status 0: ended by SIGTERM. 2: it could not begin, or its state cannot be kept.
 #[derive(Parser)]
-#[command(name = "plankvale-config", version)]
+#[command(name = "lb-config", version)]
 struct Arguments {
-    /// What a line of the log looks like: text or json. Also PLANKVALE_LOG_FORMAT.
+    /// What a line of the log looks like: text or json. Also LB_LOG_FORMAT.
     #[arg(long, global = true)]
     log_format: Option<Format>,
-    /// A level, or levels by module. Also PLANKVALE_LOG.
+    /// A level, or levels by module. Also LB_LOG.
     #[arg(long = "log", global = true, value_name = "FILTER")]
     log_filter: Option<String>,
     #[command(subcommand)]
@@ -129,7 +129,7 @@
     match begin(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("plankvale-config: {why}");
+            eprintln!("lb-config: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/distribution/src/net/place.rs
+++ b/crates/config-distribution/src/net/place.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use fleet::control::{Request, ask};
-use reports::State;
+use instance_status::State;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -142,7 +142,8 @@
                 return Ok(());
             }
             // 0: it could not be read as far as its number.
-            let ours = |d: &reports::Declined| d.generation == generation || d.generation == 0;
+            let ours =
+                |d: &instance_status::Declined| d.generation == generation || d.generation == 0;
             if let Some(declined) = state.declined.filter(ours) {
                 break declined.why;
             }
--- a/crates/distribution/tests/common/mod.rs
+++ b/crates/config-distribution/tests/common/mod.rs
@@ -10,23 +10,23 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use distribution::Generation;
-use distribution::documents::{Document, Interest};
-use distribution::host::Put;
-use distribution::net::host::{self, Config};
-use distribution::net::http::{Caller, Failed};
-use distribution::net::place::Place;
-use distribution::tally::Total;
+use config_distribution::Generation;
+use config_distribution::documents::{Document, Interest};
+use config_distribution::host::Put;
+use config_distribution::net::host::{self, Config};
+use config_distribution::net::http::{Caller, Failed};
+use config_distribution::net::place::Place;
+use config_distribution::tally::Total;
+use fakes::program::{Folder, built};
+use fakes::until;
+use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::network::Network;
+use fault_injection::processes::{Reserved, own_address};
+use fault_injection::relay::Relay;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use standins::program::{Folder, built};
-use standins::until;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
-use trial::links::{Laid, Links, Part, Shape};
-use trial::network::Network;
-use trial::processes::{Reserved, own_address};
-use trial::relay::Relay;
 
 /// A process of the program. It ends with its handle.
 pub struct Program {
@@ -35,7 +35,7 @@
 
 impl Program {
     pub fn start(arguments: &[String], log: &std::path::Path) -> Program {
-        let program = built("plankvale-config", false).expect("the program");
+        let program = built("lb-config", false).expect("the program");
         let log = std::fs::File::options().create(true).append(true).open(log).expect("a log");
         let mut command = Command::new(program);
         command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
@@ -93,7 +93,7 @@
                 .map(|at| {
                     let (from, to) = (Part::Sidecar(n as u16), Part::Discovery);
                     let relay = Relay::start_to(network.clone(), from, to, *at);
-                    let relay = standins::runtime().block_on(relay).expect("a free port");
+                    let relay = fakes::runtime().block_on(relay).expect("a free port");
                     let at = relay.at;
                     relays.push(relay);
                     at
--- a/crates/distribution/tests/decisions.rs
+++ b/crates/config-distribution/tests/decisions.rs
@@ -3,13 +3,13 @@
 
 use std::collections::BTreeMap;
 
-use distribution::control::{Control, HostCall, Kept, Told, TurnedAway};
-use distribution::documents::{Body, Document, Interest, Key, LONGEST_BODY, merged};
-use distribution::host::{Host, Put, SPREAD, Step};
-use distribution::origin::{Answer, Call, Origin, Phase, Refused};
-use distribution::replica::Replica;
-use distribution::tally::{Arrival, Summary, Tally, Zone};
-use distribution::{Generation, Millis};
+use config_distribution::control::{Control, HostCall, Kept, Told, TurnedAway};
+use config_distribution::documents::{Body, Document, Interest, Key, LONGEST_BODY, merged};
+use config_distribution::host::{Host, Put, SPREAD, Step};
+use config_distribution::origin::{Answer, Call, Origin, Phase, Refused};
+use config_distribution::replica::Replica;
+use config_distribution::tally::{Arrival, Summary, Tally, Zone};
+use config_distribution::{Generation, Millis};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
--- a/crates/distribution/tests/faults.rs
+++ b/crates/config-distribution/tests/faults.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use common::{Mesh, names};
-use distribution::documents::LONGEST_BODY;
-use distribution::net::http::Failed;
+use config_distribution::documents::LONGEST_BODY;
+use config_distribution::net::http::Failed;
+use fakes::until;
 use rustix::process::Signal;
 use serde_json::json;
-use standins::until;
 
 #[test]
 fn a_change_reaches_all_with_one_control_machine_killed_and_one_stopped() {
--- a/crates/distribution/tests/hosts.rs
+++ b/crates/config-distribution/tests/hosts.rs
@@ -10,14 +10,14 @@
 use std::thread;
 
 use common::{Mesh, Program};
-use rehearsal::{Host, Plan};
+use fakes::program::built;
+use fakes::registry::{Entry, Registry};
+use fakes::scripted::Server;
+use fakes::wire::message;
+use fakes::world::{classes, settings};
+use fakes::{PATIENCE, until};
+use local_cluster::{Host, Plan};
 use serde_json::{Value, json};
-use standins::program::built;
-use standins::registry::{Entry, Registry};
-use standins::scripted::Server;
-use standins::wire::message;
-use standins::world::{classes, settings};
-use standins::{PATIENCE, until};
 
 /// A sidecar that runs alone, with a host beside it.
 struct Alone {
@@ -55,7 +55,7 @@
         let (base_path, config) = (folder.join("base.json"), folder.join("config.json"));
         std::fs::write(&base_path, base.to_string()).expect("written");
         std::fs::write(&config, base.to_string()).expect("written");
-        let program = built("plankvale", false).expect("the program");
+        let program = built("lb-sidecar", false).expect("the program");
         let log = std::fs::File::create(folder.join("sidecar.log")).expect("a log");
         let sidecar = Command::new(&program)
             .env("LB_CONFIG", &config)
@@ -228,7 +228,7 @@
 fn the_desk_sees_n_of_m_waits_for_it_and_is_told_who_is_behind() {
     let mesh = Mesh::start(3);
     let hosts = mesh.hosts(&common::names("h", 5), &[0, 1, 2]);
-    let program = built("plankvalectl", false).expect("the program");
+    let program = built("lbctl", false).expect("the program");
     let origins = format!("--origin={},{}", mesh.origin_at(0), mesh.origin_at(1));
     let desk = |arguments: &[&str]| {
         let mut command = Command::new(&program);
--- a/crates/standins/src/program.rs
+++ b/crates/fakes/src/program.rs
@@ -23,11 +23,11 @@
 
 /// Every program that a host runs, as package and name.
 const PROGRAMS: [(&str, &str); 5] = [
-    ("coppercart", "plankvale"),
-    ("distribution", "plankvale-config"),
-    ("fleet", "plankvale-fleet"),
-    ("trial", "plankvale-guard"),
-    ("ctl", "plankvalectl"),
+    ("lb-sidecar", "lb-sidecar"),
+    ("config-distribution", "lb-config"),
+    ("fleet", "lb-fleet"),
+    ("fault-injection", "lb-process-guard"),
+    ("lbctl", "lbctl"),
 ];
 
 /// A program of the workspace, built in the same profile as the running one if it is older than
--- a/crates/standins/tests/logserver.rs
+++ b/crates/fakes/tests/logserver.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use standins::account::Account;
-use standins::logserver::{Fault, Keys, LogServer, Spec};
-use standins::wire::{Message, Reader};
-use standins::world::classes;
+use fakes::account::Account;
+use fakes::logserver::{Fault, Keys, LogServer, Spec};
+use fakes::wire::{Message, Reader};
+use fakes::world::classes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -72,7 +72,7 @@
         let (server, account) = started(spec()).await;
         server.faults(vec![(1.0, fault)]);
         let silent = matches!(fault, Fault::Hang | Fault::Half);
-        let patience = if silent { Duration::from_secs(2) } else { standins::PATIENCE };
+        let patience = if silent { Duration::from_secs(2) } else { fakes::PATIENCE };
         let told = timeout(patience, order(&server, &account, "")).await;
         match (fault, told) {
             (Fault::Error, Ok(Ok(answer))) => assert_eq!(answer.status(), Some(500)),
@@ -104,7 +104,7 @@
     let answer = order(&server, &account, "").await.expect("an answer");
     assert_eq!((answer.status(), answer.header("x-unprocessed")), (Some(503), Some("1".into())));
     server.kill();
-    let end = Instant::now() + standins::PATIENCE;
+    let end = Instant::now() + fakes::PATIENCE;
     while TcpStream::connect(server.at).await.is_ok() {
         assert!(Instant::now() < end, "it still accepts");
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/trial/src/bin/plankvale-guard.rs
+++ b/crates/fault-injection/src/bin/lb-process-guard.rs
@@ -12,11 +12,11 @@
 fn main() -> ExitCode {
     let mut words = std::env::args_os().skip(1);
     let (Some(parent), Some(program)) = (words.next(), words.next()) else {
-        eprintln!("plankvale-guard: PARENT PROGRAM [ARGUMENTS] expected");
+        eprintln!("lb-process-guard: PARENT PROGRAM [ARGUMENTS] expected");
         return ExitCode::from(2);
     };
     if let Err(error) = set_parent_process_death_signal(Some(Signal::KILL)) {
-        eprintln!("plankvale-guard: {error}");
+        eprintln!("lb-process-guard: {error}");
         return ExitCode::from(2);
     }
     // A parent that ended before this was asked for ends nobody.
@@ -25,6 +25,6 @@
         return ExitCode::from(2);
     }
     let error = Command::new(&program).args(words).exec();
-    eprintln!("plankvale-guard: {}: {error}", program.display());
+    eprintln!("lb-process-guard: {}: {error}", program.display());
     ExitCode::from(2)
 }
--- a/crates/trial/src/ground.rs
+++ b/crates/fault-injection/src/ground.rs
@@ -8,14 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use fakes::account::{Account, OfTenant, Report};
+use fakes::clients::{Load, drive};
+use fakes::logserver::{Fault, Keys, LogServer, Spec};
+use fakes::program::{Folder, built};
+use fakes::registry::{Entry, Registry};
+use fakes::world::{IDLE, WINDOW, ZONES, classes, settings};
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use serde_json::{Value, json};
-use standins::account::{Account, OfTenant, Report};
-use standins::clients::{Load, drive};
-use standins::logserver::{Fault, Keys, LogServer, Spec};
-use standins::program::{Folder, built};
-use standins::registry::{Entry, Registry};
-use standins::world::{IDLE, WINDOW, ZONES, classes, settings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -40,7 +40,7 @@
 pub struct Programs {
     /// The sidecar.
     pub sidecar: PathBuf,
-    /// `plankvale-guard`.
+    /// `lb-process-guard`.
     pub guard: PathBuf,
 }
 
@@ -51,8 +51,8 @@
     ///
     /// When they cannot be built, or are not there.
     pub fn built(progress: bool) -> Result<Programs, String> {
-        let sidecar = built("plankvale", progress)?;
-        Ok(Programs { sidecar, guard: built("plankvale-guard", progress)? })
+        let sidecar = built("lb-sidecar", progress)?;
+        Ok(Programs { sidecar, guard: built("lb-process-guard", progress)? })
     }
 }
 
@@ -128,7 +128,7 @@
             reserved.push(Reserved::new(ip).map_err(text)?);
         }
         let address = |n: usize, what: usize| reserved[3 * n + what].at;
-        let runtime = standins::runtime();
+        let runtime = fakes::runtime();
         let ends = (0..sidecars).map(|n| address(n, 2)).collect();
         let notes = runtime.block_on(Notes::start(network.clone(), ends)).map_err(text)?;
         let mut servers = Vec::new();
@@ -227,7 +227,7 @@
     fn wait_ready(&self, n: usize) -> Result<(), String> {
         let sidecar = &self.sidecars[n];
         let end = Instant::now() + STARTS;
-        let runtime = standins::runtime();
+        let runtime = fakes::runtime();
         while !runtime.block_on(ready(sidecar.listen)) {
             if Instant::now() > end || sidecar.process.has_ended() {
                 let log = std::fs::read_to_string(self.folder.path().join(format!("s{n}/log")));
@@ -290,7 +290,7 @@
         };
         sidecar.clients = Some(stop);
         self.driving.retain(|d| !d.is_finished());
-        self.driving.push(standins::runtime().spawn(driven));
+        self.driving.push(fakes::runtime().spawn(driven));
     }
 
     /// Ends what the clients of a sidecar ask; what is open comes to its end.
@@ -386,7 +386,7 @@
         if how != Server::Dead && revive {
             slot.server.kill();
             let started = LogServer::start(slot.spec.clone(), self.account.clone());
-            slot.server = standins::runtime().block_on(started).map_err(text)?;
+            slot.server = fakes::runtime().block_on(started).map_err(text)?;
             self.network.place(part, slot.server.at);
             self.network.change(|links| links.dead(part, false));
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -418,7 +418,7 @@
                 self.troubles.push(format!("s{n} has ended by itself"));
             }
         }
-        let ask = |s: &Sidecar| standins::runtime().spawn(figures(s.wanted.then_some(s.admin)));
+        let ask = |s: &Sidecar| fakes::runtime().spawn(figures(s.wanted.then_some(s.admin)));
         let asked = self.sidecars.iter().map(ask).collect();
         let report = self.account.report();
         let totals = |t: &OfTenant| Totals {
@@ -453,7 +453,7 @@
     /// Lets what is asked come to its end, and closes the account.
     pub fn finish(&mut self) -> Report {
         (0..self.sidecars.len()).for_each(|n| self.rest(n));
-        standins::runtime().block_on(async {
+        fakes::runtime().block_on(async {
             for driven in self.driving.drain(..) {
                 let _ = driven.await;
             }
@@ -481,7 +481,7 @@
 
     /// The look; it waits for what is still to be told.
     pub fn whole(self) -> Sample {
-        let told = |asked: JoinHandle<_>| standins::runtime().block_on(asked).ok().flatten();
+        let told = |asked: JoinHandle<_>| fakes::runtime().block_on(asked).ok().flatten();
         let own = self.asked.into_iter().map(told).collect();
         Sample { own, ..self.sample }
     }
--- a/crates/trial/src/play.rs
+++ b/crates/fault-injection/src/play.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use fakes::account::Report;
 use serde::Serialize;
-use standins::account::Report;
 
 use crate::expectations::{Sample, Verdict};
 use crate::ground::{Ground, Look, Programs};
--- a/crates/trial/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -22,7 +22,7 @@
 }
 
 impl Starter {
-    /// `guard` is the program `plankvale-guard`.
+    /// `guard` is the program `lb-process-guard`.
     pub fn new(guard: PathBuf) -> Starter {
         let (jobs, coming) = mpsc::channel::<(Command, mpsc::SyncSender<io::Result<Child>>)>();
         thread::spawn(move || {
--- a/crates/trial/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -6,12 +6,12 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use fakes::world::{TENANTS, ZONES};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use standins::world::{TENANTS, ZONES};
 use toml::Spanned;
 
 use crate::expectations::{Expectation, Measure};
--- a/crates/trial/tests/compatibility.rs
+++ b/crates/fault-injection/tests/compatibility.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use fault_injection::expectations::{Ended, Measure, Sample, Totals, Verdict};
+use fault_injection::links::{Laid, Part, Shape};
+use fault_injection::notes::Passed;
+use fault_injection::play::{Outcome, Told};
+use fault_injection::scenario::{Action, Scenario, Tenant};
 use serde_json::{Value, json};
-use trial::expectations::{Ended, Measure, Sample, Totals, Verdict};
-use trial::links::{Laid, Part, Shape};
-use trial::notes::Passed;
-use trial::play::{Outcome, Told};
-use trial::scenario::{Action, Scenario, Tenant};
 
 const EVERY_KEY: &str = include_str!("fixtures/every-key.toml");
 const FORMER_KEYS: &str = include_str!("fixtures/former-keys.toml");
--- a/crates/trial/tests/relays.rs
+++ b/crates/fault-injection/tests/relays.rs
@@ -5,11 +5,11 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use standins::{runtime, until};
-use trial::links::{Laid, Links, Part, Shape};
-use trial::network::Network;
-use trial::notes::Notes;
-use trial::relay::Relay;
+use fakes::{runtime, until};
+use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::network::Network;
+use fault_injection::notes::Notes;
+use fault_injection::relay::Relay;
 
 const ME: Part = Part::Sidecar(0);
 const SERVER: Part = Part::Server(0);
@@ -205,7 +205,7 @@
 
 #[test]
 fn what_the_guard_became_ends_with_who_started_it() {
-    let guard = env!("CARGO_BIN_EXE_plankvale-guard");
+    let guard = env!("CARGO_BIN_EXE_lb-process-guard");
     // A shell that starts the guard, tells its id, and is killed.
     let script = format!("{guard} $$ sleep 600 & echo $!; wait");
     let mut shell =
--- a/crates/trial/tests/trials.rs
+++ b/crates/fault-injection/tests/trials.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
-use trial::ground::Programs;
-use trial::page;
-use trial::play::{Told, play};
-use trial::scenario::Scenario;
+use fault_injection::ground::Programs;
+use fault_injection::page;
+use fault_injection::play::{Told, play};
+use fault_injection::scenario::Scenario;
 
 fn read(name: &str) -> Scenario {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("trials").join(name);
--- a/crates/fleet/src/daemon/mod.rs
+++ b/crates/fleet/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use reports::{State, Supervisor};
+use instance_status::{State, Supervisor};
 use rustix::process::{Resource, Signal, getrlimit, setrlimit};
 use tokio::net::UnixDatagram;
 use tokio::signal::unix::{SignalKind, signal};
@@ -117,7 +117,7 @@
 
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut report = [0; reports::LONGEST];
+    let mut report = [0; instance_status::LONGEST];
     let mut late = LATE.into_iter().peekable();
     loop {
         tokio::select! {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod daemon;
 pub mod holder;
+pub mod paths;
 pub mod planner;
 pub mod process;
 pub mod spec;
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -12,12 +12,12 @@
 ///
 /// SIGHUP reads the desired state again; SIGTERM drains all instances and ends, a second one hurries.
 #[derive(Parser)]
-#[command(name = "plankvale-fleet", version)]
+#[command(name = "lb-fleet", version)]
 struct Arguments {
-    /// What a line of the log looks like: text or json. Also PLANKVALE_LOG_FORMAT.
+    /// What a line of the log looks like: text or json. Also LB_LOG_FORMAT.
     #[arg(long, global = true)]
     log_format: Option<Format>,
-    /// A level, or levels by module, as in `warn,fleet=debug`. Also PLANKVALE_LOG.
+    /// A level, or levels by module, as in `warn,fleet=debug`. Also LB_LOG.
     #[arg(long = "log", global = true, value_name = "FILTER")]
     log_filter: Option<String>,
     #[command(subcommand)]
@@ -29,10 +29,10 @@
     /// Run the daemon in the foreground. Status 2: it could not begin.
     Run {
         /// What is desired.
-        #[arg(long, default_value = "/etc/plankvale/fleet.toml")]
+        #[arg(long, default_value_os_t = fleet::paths::default_specification())]
         file: PathBuf,
         /// Where the state lies: listeners, generations, the control socket. Its owner's only.
-        #[arg(long, default_value = "/var/lib/plankvale")]
+        #[arg(long, default_value_os_t = fleet::paths::default_state())]
         state: PathBuf,
     },
     /// Check a specification without running it. Status 2: it cannot be used.
@@ -58,7 +58,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("plankvale-fleet: {e}");
+            eprintln!("lb-fleet: {e}");
             ExitCode::from(2)
         }
     }
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -21,7 +21,10 @@
 /// What is read of a child's last words.
 const LONGEST_WORD: u64 = 4 << 10;
 /// What instances carry in their environment: `state folder|slot|generation|program`.
-const MARK: &str = "PLANKVALE_FLEET";
+const MARK: &str = "LB_FLEET";
+/// The former name of [`MARK`]. Instances carry both, and are found by either, so that daemons of
+/// either version adopt what the other one started.
+const FORMER_MARK: &str = "PLANKVALE_FLEET";
 
 /// One process.
 pub struct Process {
@@ -97,6 +100,7 @@
             .env("LISTEN_FDNAMES", "clients")
             .envs(start.log.iter().map(|(name, value)| (*name, value)))
             .env(MARK, start.mark.text(start.folder))
+            .env(FORMER_MARK, start.mark.text(start.folder))
             .stdin(start.listener)
             .stdout(Stdio::null())
             // A terminal's signals are for the daemon alone.
@@ -219,8 +223,9 @@
             continue;
         }
         let mark = environment.split(|b| *b == 0).find_map(|pair| {
-            let text = std::str::from_utf8(pair).ok()?;
-            Mark::of(text.strip_prefix(MARK)?.strip_prefix('=')?, folder)
+            let (name, value) = std::str::from_utf8(pair).ok()?.split_once('=')?;
+            let ours = name == MARK || name == FORMER_MARK;
+            ours.then(|| Mark::of(value, folder)).flatten()
         });
         if let Some(mark) = mark {
             found.push((mark, Process { pid, pidfd, child: None }));
@@ -232,20 +237,31 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use standins::program::Folder;
-    use standins::until;
+    use fakes::program::Folder;
+    use fakes::until;
 
-    fn sleeper(folder: &Path, mark: &Mark) -> Child {
+    fn sleeper(folder: &Path, variable: &str, mark: &Mark) -> Child {
         let mut command = Command::new("sleep");
-        command.arg("600").env(MARK, mark.text(folder));
+        command.arg("600").env(variable, mark.text(folder));
         command.spawn().expect("it starts")
     }
 
+    #[test]
+    fn instance_started_by_an_earlier_daemon_is_found_by_its_former_mark() {
+        let folder = Folder::new("find-former");
+        let mark = Mark { slot: "a-1".into(), generation: 1, program: 1 };
+        let mut child = sleeper(folder.path(), FORMER_MARK, &mark);
+        until("it is found", || find(folder.path()).len() == 1);
+        assert_eq!(find(folder.path())[0].0, mark);
+        child.kill().expect("a child of ours");
+        child.wait().expect("a child of ours");
+    }
+
     #[test]
     fn an_instance_is_found_by_its_mark_and_a_dead_one_is_not() {
         let (folder, other) = (Folder::new("find"), Folder::new("find"));
         let mark = Mark { slot: "a|b-1".into(), generation: 3, program: 2 };
-        let mut child = sleeper(folder.path(), &mark);
+        let mut child = sleeper(folder.path(), MARK, &mark);
         until("it is found", || find(folder.path()).len() == 1);
         assert!(find(other.path()).is_empty());
         let (found, process) = find(folder.path()).remove(0);
--- a/crates/fleet/src/stall.rs
+++ b/crates/fleet/src/stall.rs
@@ -110,8 +110,8 @@
 mod tests {
     use std::process::{Child, Command, Stdio};
 
+    use fakes::until;
     use rustix::process::{Pid, Signal, kill_process};
-    use standins::until;
 
     use super::*;
 
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -214,7 +214,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use standins::program::Folder;
+    use fakes::program::Folder;
 
     #[test]
     fn a_second_daemon_is_kept_out_and_the_next_let_in() {
--- a/crates/fleet/tests/compatibility.rs
+++ b/crates/fleet/tests/compatibility.rs
@@ -11,6 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
+use fakes::program::Folder;
+use fakes::until;
 use fleet::control::{Request, ask, serve};
 use fleet::spec::Spec;
 use fleet::state::Ledger;
@@ -20,8 +22,6 @@
     listen, recvmsg, sendmsg, socket_with,
 };
 use serde_json::{Value, json};
-use standins::program::Folder;
-use standins::until;
 use tokio::sync::mpsc;
 
 fn fixtures(folder: &str) -> PathBuf {
@@ -219,7 +219,7 @@
             .expect("a socket");
     bind(&socket, &SocketAddrUnix::new(&path).expect("an address")).expect("bound");
     listen(&socket, 4).expect("listening");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_plankvale-fleet"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lb-fleet"));
     command.arg("hold").env_clear().stdin(socket).stdout(Stdio::null());
     let mut process = command.spawn().expect("it starts");
 
@@ -248,7 +248,7 @@
     let folder = Folder::new("compatibility");
     let mark = format!("{}|utrecht-0|3|2", folder.path().display());
     let mut command = Command::new("sleep");
-    let mut child = command.arg("600").env("PLANKVALE_FLEET", mark).spawn().expect("it starts");
+    let mut child = command.arg("600").env("LB_FLEET", mark).spawn().expect("it starts");
     until("it is found", || fleet::process::find(folder.path()).len() == 1);
     let (mark, process) = fleet::process::find(folder.path()).remove(0);
     assert_eq!((mark.slot.as_str(), mark.generation, mark.program), ("utrecht-0", 3, 2));
--- a/crates/tier/examples/tier_of.rs
+++ b/crates/gossip/examples/tier_of.rs
@@ -76,7 +76,7 @@
         w.kill(f);
         let gone = |w: &World, n: usize| {
             let members = w.members[n].as_ref().expect("there").members(u64::MAX);
-            members[f].0.presence == tier::Presence::Gone
+            members[f].0.presence == gossip::Presence::Gone
         };
         let (mut first, mut all) = (None, None);
         for step in 1..1000 {
--- a/crates/tier/tests/common/mod.rs
+++ b/crates/gossip/tests/common/mod.rs
@@ -5,9 +5,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use gossip::{Config, Happened, Micros, Tier, View};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tier::{Config, Happened, Micros, Tier, View};
 
 /// A second.
 pub const S: Micros = 1_000_000;
--- a/crates/tier/tests/compatibility.rs
+++ b/crates/gossip/tests/compatibility.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use tier::{Carries, Note, Presence, Record, Tier};
+use gossip::{Carries, Note, Presence, Record, Tier};
 
 fn fixture(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name)
@@ -77,7 +77,7 @@
 
 /// Two members of a tier of three from their first notes on. The third, which is never there, is asked now and then.
 fn conversation() -> Vec<Vec<u8>> {
-    let config = |me| tier::Config {
+    let config = |me| gossip::Config {
         me,
         size: 3,
         start_ms: 1_790_000_000_000 + 1000 * u64::from(me),
@@ -94,7 +94,7 @@
         for me in 0..2 {
             if step % 10 == me as u64 {
                 members[me].asked(me, me, now);
-                members[me].happened(tier::Happened::Attempt, now);
+                members[me].happened(gossip::Happened::Attempt, now);
             }
             let Some((to, data)) = members[me].turn(now) else { continue };
             notes.push(data.clone());
--- a/crates/tier/tests/tier.rs
+++ b/crates/gossip/tests/tier.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{S, World, off};
-use tier::{Carries, Note, Presence};
+use gossip::{Carries, Note, Presence};
 
 const TURN: u64 = 100_000;
 const QUOTA: f64 = 600.0;
--- a/crates/reports/tests/compatibility.rs
+++ b/crates/instance-status/tests/compatibility.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::Path;
 
-use reports::State;
+use instance_status::State;
 
 fn fixture(name: &str) -> Vec<u8> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name);
--- a/crates/ctl/src/config.rs
+++ b/crates/lbctl/src/config.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
-use distribution::documents::{Body, Key};
-use distribution::net::http::{Caller, Failed, path};
-use distribution::net::origin::{Publish, Published};
-use distribution::tally::{Total, Zone};
+use config_distribution::documents::{Body, Key};
+use config_distribution::net::http::{Caller, Failed, path};
+use config_distribution::net::origin::{Publish, Published};
+use config_distribution::tally::{Total, Zone};
 use serde_json::Value;
 use tokio::task::LocalSet;
 
@@ -95,7 +95,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err((status, why)) => {
-            eprintln!("plankvalectl: {why}");
+            eprintln!("lbctl: {why}");
             ExitCode::from(status)
         }
     }
--- a/crates/ctl/src/demo.rs
+++ b/crates/lbctl/src/demo.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use clap::Args;
+use fakes::clients::Load;
+use fakes::world::{World, classes};
 use fleet::control::Request;
-use rehearsal::{Host, Plan};
-use standins::clients::Load;
-use standins::world::{World, classes};
+use local_cluster::{Host, Plan};
 
 use crate::table;
 
@@ -43,7 +43,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(e) => {
-            eprintln!("plankvalectl: {e}");
+            eprintln!("lbctl: {e}");
             ExitCode::from(2)
         }
     }
--- a/crates/ctl/src/main.rs
+++ b/crates/lbctl/src/main.rs
@@ -20,7 +20,7 @@
 ///
 /// Status 0: done. 1: refused, rolled back, or a rule was broken. 2: not understood, or nobody there.
 #[derive(Parser)]
-#[command(name = "plankvalectl", version)]
+#[command(name = "lbctl", version)]
 struct Arguments {
     #[command(subcommand)]
     what: What,
@@ -45,7 +45,7 @@
 #[derive(Args)]
 struct FleetArguments {
     /// Where the daemon's state lies.
-    #[arg(long, default_value = "/var/lib/plankvale", global = true)]
+    #[arg(long, default_value_os_t = fleet::paths::default_state(), global = true)]
     state: PathBuf,
     /// Answer in JSON.
     #[arg(long, global = true)]
@@ -119,13 +119,13 @@
     };
     // Whether there is a daemon at all is not to be mixed up with what it refuses.
     if let Err(e) = ask(&state, &Request::Status) {
-        eprintln!("plankvalectl: {e}");
+        eprintln!("lbctl: {e}");
         return ExitCode::from(2);
     }
     let answer = match ask(&state, &request) {
         Ok(answer) => answer,
         Err(why) => {
-            eprintln!("plankvalectl: refused: {why}");
+            eprintln!("lbctl: refused: {why}");
             return ExitCode::from(1);
         }
     };
@@ -160,7 +160,7 @@
             let all = history.as_array().cloned().unwrap_or_default();
             let back = all.iter().rev().find(|h| h.to_string().contains("goes back"));
             let why = back.and_then(|h| h["what"].as_str()).unwrap_or("it went back");
-            eprintln!("plankvalectl: {why}");
+            eprintln!("lbctl: {why}");
             return ExitCode::from(1);
         }
         let slots = status["slots"].as_array().cloned().unwrap_or_default();
@@ -174,6 +174,6 @@
             return ExitCode::SUCCESS;
         }
     }
-    eprintln!("plankvalectl: not settled within {} s", patience.as_secs());
+    eprintln!("lbctl: not settled within {} s", patience.as_secs());
     ExitCode::from(1)
 }
--- a/crates/ctl/src/scale.rs
+++ b/crates/lbctl/src/scale.rs
@@ -5,9 +5,9 @@
 use std::process::ExitCode;
 
 use clap::{Args, Subcommand};
-use scale::figures::fit;
-use scale::plan::Plan;
-use scale::run::{Report, play};
+use scale_test::figures::fit;
+use scale_test::plan::Plan;
+use scale_test::run::{Report, play};
 
 #[derive(Args)]
 pub struct Arguments {
@@ -48,13 +48,13 @@
     let done = match &arguments.what {
         What::Run { file, sidecars, plays, json } => plays_of(file, *sidecars, *plays, *json),
         What::Slopes { file, sizes } => slopes(file, sizes),
-        What::Hollow => scale::hollow::run().map(|()| true),
+        What::Hollow => scale_test::hollow::run().map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(why) => {
-            eprintln!("plankvalectl: {why}");
+            eprintln!("lbctl: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/ctl/src/table.rs
+++ b/crates/lbctl/src/table.rs
@@ -2,8 +2,8 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use fakes::account::Report;
 use serde_json::Value;
-use standins::account::Report;
 
 fn text(value: &Value) -> String {
     match value {
--- a/crates/ctl/src/tier.rs
+++ b/crates/lbctl/src/tier.rs
@@ -42,7 +42,7 @@
         match view(at) {
             Ok(view) => views.push(view),
             Err(why) => {
-                eprintln!("plankvalectl: {at}: {why}");
+                eprintln!("lbctl: {at}: {why}");
                 missing = true;
             }
         }
--- a/crates/ctl/src/trial.rs
+++ b/crates/lbctl/src/trial.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 use clap::{Args, Subcommand};
-use trial::expectations::Sample;
-use trial::ground::Programs;
-use trial::play::{Outcome, Told, play};
-use trial::scenario::Scenario;
+use fault_injection::expectations::Sample;
+use fault_injection::ground::Programs;
+use fault_injection::play::{Outcome, Told, play};
+use fault_injection::scenario::Scenario;
 
 #[derive(Args)]
 pub struct Arguments {
@@ -68,7 +68,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(why) => {
-            eprintln!("plankvalectl: {why}");
+            eprintln!("lbctl: {why}");
             ExitCode::from(2)
         }
     }
@@ -116,7 +116,7 @@
         }
     })?;
     if let Some(path) = to.html {
-        let page = trial::page::html(&scenario, &outcome);
+        let page = fault_injection::page::html(&scenario, &outcome);
         std::fs::write(path, page).map_err(|e| format!("{}: {e}", path.display()))?;
     }
     Ok(outcome.held)
--- a/crates/rehearsal/examples/fleet_of.rs
+++ b/crates/local-cluster/examples/fleet_of.rs
@@ -1,13 +1,13 @@
 //! Measures a fleet: what it costs at rest and at work, how long a full rollout takes, and what its
-//! clients see of it. `cargo run --release -p rehearsal --example fleet_of -- 200 5`
+//! clients see of it. `cargo run --release -p local-cluster --example fleet_of -- 200 5`
 
 use std::time::{Duration, Instant};
 
+use fakes::account::OfClass;
+use fakes::clients::Load;
+use fakes::world::{World, classes};
 use fleet::control::Request;
-use rehearsal::{Host, Plan};
-use standins::account::OfClass;
-use standins::clients::Load;
-use standins::world::{World, classes};
+use local_cluster::{Host, Plan};
 
 const SPAN: Duration = Duration::from_secs(15);
 const PATIENCE: Duration = Duration::from_secs(300);
--- a/crates/rehearsal/examples/hang_of.rs
+++ b/crates/local-cluster/examples/hang_of.rs
@@ -1,7 +1,7 @@
 //! How soon a hung instance is replaced on a host without a free processor, and whether a sound one
 //! is ever taken for hung there.
 //!
-//! `cargo run --release -p rehearsal --example hang_of -- INSTANCES SECONDS`: every few seconds one
+//! `cargo run --release -p local-cluster --example hang_of -- INSTANCES SECONDS`: every few seconds one
 //! instance is stopped by SIGSTOP while twice as many threads as there are processors turn in
 //! circles, and 2 requests a second come to each instance.
 
@@ -10,11 +10,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use fakes::clients::Load;
+use fakes::world::{World, classes};
 use fleet::control::Request;
-use rehearsal::{Host, Plan, signal_process};
+use local_cluster::{Host, Plan, signal_process};
 use rustix::process::Signal;
-use standins::clients::Load;
-use standins::world::{World, classes};
 
 const EVERY: Duration = Duration::from_secs(10);
 
--- a/crates/rehearsal/examples/hop.rs
+++ b/crates/local-cluster/examples/hop.rs
@@ -1,7 +1,7 @@
 //! What a request pays on its way through the sidecar, beside a bare hyper pass-through in the same
 //! run: time by class and by gap between requests, requests a second, CPU a request.
 //!
-//! `cargo run --release -p rehearsal --example hop`. Servers answer at once; everything is on loopback.
+//! `cargo run --release -p local-cluster --example hop`. Servers answer at once; everything is on loopback.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -10,6 +10,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use fakes::program::{Folder, built};
+use fakes::registry::{Entry, Registry};
+use fakes::wire::Reader;
+use fakes::world::{World, classes, settings};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1 as client;
@@ -17,12 +21,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use rehearsal::Host;
+use local_cluster::Host;
 use serde_json::json;
-use standins::program::{Folder, built};
-use standins::registry::{Entry, Registry};
-use standins::wire::Reader;
-use standins::world::{World, classes, settings};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -198,7 +198,7 @@
 }
 
 async fn measure() -> Result<(), Error> {
-    let program = built("plankvale", false)?;
+    let program = built("lb-sidecar", false)?;
     let mut echoes = Vec::new();
     for _ in 0..3 {
         echoes.push(part(&["echo"])?);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/local-cluster/src/lib.rs
@@ -10,13 +10,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use fakes::account::{Account, Class};
+use fakes::clients::{Load, drive};
+use fakes::program::{Folder, built};
+use fakes::world::{World, ZONES};
 use fleet::control::{Request, ask};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use standins::account::{Account, Class};
-use standins::clients::{Load, drive};
-use standins::program::{Folder, built};
-use standins::world::{World, ZONES};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -45,7 +45,7 @@
         Plan {
             instances: 6,
             servers: 2,
-            classes: standins::world::classes(1.0),
+            classes: fakes::world::classes(1.0),
             rollout: "watch_s = 2.0\nshare = 0.2".to_owned(),
             restarts: String::new(),
             seed: 1,
@@ -97,7 +97,7 @@
     /// Lets what is open come to its end.
     pub fn stop(self) {
         self.stop.send_replace(true);
-        standins::runtime().block_on(async {
+        fakes::runtime().block_on(async {
             for client in self.clients {
                 let _ = client.await;
             }
@@ -119,10 +119,10 @@
     ///
     /// The first thing that could not be done.
     pub fn start(plan: Plan) -> Result<Host, String> {
-        let sidecar = built("plankvale", plan.progress)?;
-        let fleet = built("plankvale-fleet", plan.progress)?;
+        let sidecar = built("lb-sidecar", plan.progress)?;
+        let fleet = built("lb-fleet", plan.progress)?;
         let world = World::start(plan.classes.clone(), plan.servers, plan.seed);
-        let world = standins::runtime().block_on(world).map_err(text)?;
+        let world = fakes::runtime().block_on(world).map_err(text)?;
         let settings = Mutex::new(world.settings());
         let folder = Folder::new("host");
         let discovery = Mutex::new(world.registry.at);
@@ -322,7 +322,7 @@
         for (n, at) in self.instances().iter().filter_map(|i| i.listen).enumerate() {
             let load = Load { seed: load.seed ^ (n as u64) << 40, ..load.clone() };
             let client = drive(at, self.world.account.clone(), load, stopped.clone());
-            clients.push(standins::runtime().spawn(client));
+            clients.push(fakes::runtime().spawn(client));
         }
         Driving { stop, clients }
     }
--- a/crates/rehearsal/tests/fleet.rs
+++ b/crates/local-cluster/tests/fleet.rs
@@ -3,14 +3,14 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use fakes::account::Report;
+use fakes::clients::Load;
+use fakes::logserver::Fault;
+use fakes::world::{World, classes};
+use fakes::{until, until_in};
 use fleet::control::Request;
-use rehearsal::{Host, Plan};
+use local_cluster::{Host, Plan};
 use rustix::process::Signal;
-use standins::account::Report;
-use standins::clients::Load;
-use standins::logserver::Fault;
-use standins::world::{World, classes};
-use standins::{until, until_in};
 
 /// Fifty processes at a time are enough for a small machine.
 static ALONE: Mutex<()> = Mutex::new(());
@@ -89,7 +89,7 @@
     served_more(&host, 100);
 
     // An upgrade: the same program with other bytes.
-    let newer = host.path("plankvale-newer");
+    let newer = host.path("lb-sidecar-newer");
     std::fs::copy(host.sidecar(), &newer).expect("copied");
     let mut bytes = std::fs::read(&newer).expect("read");
     bytes.extend_from_slice(b"newer");
@@ -181,7 +181,7 @@
     let _alone = alone();
     let host = host_with(50, "watch_s = 60.0\nleast_requests = 10\nready_within_s = 60.0");
     let others = World::with_account(host.account().clone(), 1, 7);
-    let others = standins::runtime().block_on(others).expect("ports");
+    let others = fakes::runtime().block_on(others).expect("ports");
     for (server, _) in &others.servers {
         server.faults(vec![(1.0, Fault::Error)]);
     }
--- a/crates/rehearsal/tests/hard_cases.rs
+++ b/crates/local-cluster/tests/hard_cases.rs
@@ -6,12 +6,12 @@
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
+use fakes::clients::Load;
+use fakes::world::{World, classes};
+use fakes::{until, until_in};
 use fleet::control::Request;
-use rehearsal::{Driving, Host, Plan, signal_process};
+use local_cluster::{Driving, Host, Plan, signal_process};
 use rustix::process::Signal;
-use standins::clients::Load;
-use standins::world::{World, classes};
-use standins::{until, until_in};
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -146,7 +146,7 @@
     let rollout = "watch_s = 60.0\nleast_requests = 10\nready_within_s = 60.0".to_owned();
     let host = started(Plan { rollout, ..plan(6) });
     let others = World::with_account(host.account().clone(), 1, 7);
-    let others = standins::runtime().block_on(others).expect("ports");
+    let others = fakes::runtime().block_on(others).expect("ports");
     for (server, _) in &others.servers {
         server.drain();
     }
@@ -262,7 +262,7 @@
     let driving = drive(&host);
     let holder = || {
         let all = std::fs::read_dir("/proc").expect("proc").flatten();
-        let daemon = format!("{}\0hold\0", "plankvale-fleet");
+        let daemon = format!("{}\0hold\0", "lb-fleet");
         let mine = all.filter_map(|e| {
             let pid: u32 = e.file_name().to_str()?.parse().ok()?;
             let line = String::from_utf8(std::fs::read(e.path().join("cmdline")).ok()?).ok()?;
@@ -483,7 +483,7 @@
                     );
                     // A machine that stands still between two requests makes it rest after all.
                     let written = socket.write_all(text.as_bytes()).is_ok();
-                    let answer = standins::wire::message(&mut reader).filter(|_| written);
+                    let answer = fakes::wire::message(&mut reader).filter(|_| written);
                     let Some((head, body)) = answer else {
                         crossed += 1;
                         break;
--- a/crates/rehearsal/tests/sample.rs
+++ b/crates/local-cluster/tests/sample.rs
@@ -3,18 +3,18 @@
 use std::path::Path;
 use std::process::Command;
 
+use fakes::program::{Folder, built};
 use fleet::spec::Spec;
-use standins::program::{Folder, built};
 
 #[test]
 fn the_sample_fleet_is_sound_to_the_daemon_and_to_the_sidecar() {
-    let sidecar = built("plankvale", false).expect("built");
+    let sidecar = built("lb-sidecar", false).expect("built");
     let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/fleet/fleet.toml");
     let text = std::fs::read_to_string(sample).expect("it is there");
     let folder = Folder::new("sample");
     let file = folder.path().join("fleet.toml");
     let program = sidecar.display().to_string();
-    let text = text.replace("../../target/release/plankvale", &program);
+    let text = text.replace("../../target/release/lb-sidecar", &program);
     std::fs::write(&file, text).expect("written");
     let spec = Spec::read(&file).expect("sound");
     let slots = spec.slots(&std::collections::BTreeMap::new());
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -15,10 +15,15 @@
 use tracing_subscriber::registry::LookupSpan;
 use tracing_subscriber::util::SubscriberInitExt;
 
-/// Names the format, where the command line does not.
-pub const FORMAT: &str = "PLANKVALE_LOG_FORMAT";
-/// Holds the filter, where the command line does not.
-pub const FILTER: &str = "PLANKVALE_LOG";
+/// The environment variable that holds the format, where the command line does not.
+pub const FORMAT: &str = "LB_LOG_FORMAT";
+/// The environment variable that holds the filter, where the command line does not.
+pub const FILTER: &str = "LB_LOG";
+/// The former name of [`FORMAT`]. It is still read, with one warning, and still passed on to child
+/// processes, whose program may be of an earlier version.
+pub const DEPRECATED_FORMAT: &str = "PLANKVALE_LOG_FORMAT";
+/// The former name of [`FILTER`], handled as [`DEPRECATED_FORMAT`] is.
+pub const DEPRECATED_FILTER: &str = "PLANKVALE_LOG";
 
 /// What a line looks like.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -58,6 +63,13 @@
     pub format: Format,
     /// A level (`info`), or levels by module (`warn,fleet=debug`); `info` where it is missing.
     pub filter: Option<String>,
+    /// A value was taken from a variable of a deprecated name.
+    pub deprecated: bool,
+}
+
+/// The value of an environment variable, if it is set and not empty.
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
 impl Options {
@@ -67,19 +79,46 @@
     ///
     /// The environment names a format that does not exist.
     pub fn or_env(format: Option<Format>, filter: Option<String>) -> Result<Options, String> {
-        let named = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let format = match (format, named(FORMAT)) {
-            (Some(format), _) => format,
-            (None, Some(text)) => text.parse().map_err(|e| format!("{FORMAT}: {e}"))?,
-            (None, None) => Format::default(),
+        Options::from_sources(format, filter, variable)
+    }
+
+    /// As [`Options::or_env`], with `variable` in place of the environment.
+    fn from_sources(
+        format: Option<Format>,
+        filter: Option<String>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Options, String> {
+        let mut deprecated = false;
+        let mut named = |name: &'static str, old: &'static str| {
+            let current = variable(name).map(|value| (name, value));
+            current.or_else(|| {
+                let value = variable(old)?;
+                deprecated = true;
+                Some((old, value))
+            })
         };
-        Ok(Options { format, filter: filter.or_else(|| named(FILTER)) })
+        let format = match format {
+            Some(format) => format,
+            None => match named(FORMAT, DEPRECATED_FORMAT) {
+                Some((name, text)) => text.parse().map_err(|e| format!("{name}: {e}"))?,
+                None => Format::default(),
+            },
+        };
+        let filter = filter.or_else(|| named(FILTER, DEPRECATED_FILTER).map(|(_, filter)| filter));
+        Ok(Options { format, filter, deprecated })
     }
 
     /// The environment that makes another program log in the same way.
     pub fn environment(&self) -> Vec<(&'static str, String)> {
-        let mut all = vec![(FORMAT, self.format.to_string())];
-        all.extend(self.filter.clone().map(|filter| (FILTER, filter)));
+        let mut all = Vec::new();
+        for name in [FORMAT, DEPRECATED_FORMAT] {
+            all.push((name, self.format.to_string()));
+        }
+        if let Some(filter) = &self.filter {
+            for name in [FILTER, DEPRECATED_FILTER] {
+                all.push((name, filter.clone()));
+            }
+        }
         all
     }
 
@@ -118,70 +157,17 @@
     /// When the filter cannot be understood, or the program logs already.
     pub fn start(&self) -> Result<(), String> {
         let layer = self.layer(io::stderr)?;
-        tracing_subscriber::registry().with(layer).try_init().map_err(|e| e.to_string())
+        tracing_subscriber::registry().with(layer).try_init().map_err(|e| e.to_string())?;
+        if self.deprecated {
+            tracing::warn!(
+                deprecated = "PLANKVALE_LOG, PLANKVALE_LOG_FORMAT",
+                replacement = "LB_LOG, LB_LOG_FORMAT",
+                "deprecated environment variables are in use"
+            );
+        }
+        Ok(())
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use std::sync::{Arc, Mutex};
-
-    use super::*;
-
-    #[derive(Clone, Default)]
-    struct Kept(Arc<Mutex<Vec<u8>>>);
-
-    impl io::Write for Kept {
-        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-            self.0.lock().expect("not poisoned").extend_from_slice(bytes);
-            Ok(bytes.len())
-        }
-
-        fn flush(&mut self) -> io::Result<()> {
-            Ok(())
-        }
-    }
-
-    fn logged(format: Format, filter: Option<&str>) -> String {
-        let options = Options { format, filter: filter.map(str::to_owned) };
-        let kept = Kept::default();
-        let writer = kept.clone();
-        let layer = options.layer(move || writer.clone()).expect("a sound filter");
-        tracing::subscriber::with_default(tracing_subscriber::registry().with(layer), || {
-            tracing::info!(instance = "a-1", generation = 3, "ready");
-            tracing::debug!("detail");
-        });
-        let bytes = kept.0.lock().expect("not poisoned").clone();
-        String::from_utf8(bytes).expect("text")
-    }
-
-    #[test]
-    fn fields_stand_for_themselves_in_both_formats() {
-        let text = logged(Format::Text, None);
-        assert!(text.contains("ready instance=\"a-1\" generation=3"), "{text}");
-        let json = logged(Format::Json, None);
-        let line: serde_json::Value = serde_json::from_str(&json).expect("one object a line");
-        assert_eq!((&line["message"], &line["level"]), (&"ready".into(), &"INFO".into()));
-        assert_eq!((&line["instance"], &line["generation"]), (&"a-1".into(), &3.into()));
-    }
-
-    #[test]
-    fn the_filter_selects_by_level_and_module() {
-        assert!(!logged(Format::Text, None).contains("detail"));
-        assert!(logged(Format::Text, Some("debug")).contains("detail"));
-        assert_eq!(logged(Format::Text, Some("warn")), "");
-        assert!(logged(Format::Text, Some("warn,logging=debug")).contains("detail"));
-        for bad in ["loud", "info,=", "logging=loud"] {
-            let options = Options { filter: Some(bad.to_owned()), ..Options::default() };
-            assert!(options.targets().is_err(), "{bad}");
-        }
-    }
-
-    #[test]
-    fn another_program_is_told_by_its_environment() {
-        let options = Options { format: Format::Json, filter: Some("warn".to_owned()) };
-        let told = options.environment();
-        assert_eq!(told, [(FORMAT, "json".to_owned()), (FILTER, "warn".to_owned())]);
-        assert!("xml".parse::<Format>().is_err());
-    }
-}
+mod tests;
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -9,22 +9,22 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use coppercart::api::ListKind;
-use coppercart::settings::Discovery as How;
-use coppercart::sidecar::config::{Config, List, Part};
-use coppercart::sidecar::discovery::{Call, Discovery, Listener};
-use coppercart::sidecar::peers::{Inbox, Peers};
-use coppercart::sidecar::tier::Shared;
-use distribution::Generation;
-use distribution::documents::{Document, Interest, merged};
-use distribution::host::Put;
-use distribution::net::host;
-use distribution::net::place::Place;
-use platform::Tokio;
-use reports::{Counts, State};
+use config_distribution::Generation;
+use config_distribution::documents::{Document, Interest, merged};
+use config_distribution::host::Put;
+use config_distribution::net::host;
+use config_distribution::net::place::Place;
+use fakes::registry::{Entry, Registry};
+use instance_status::{Counts, State};
+use lb_sidecar::api::ListKind;
+use lb_sidecar::settings::Discovery as How;
+use lb_sidecar::sidecar::config::{Config, List, Part};
+use lb_sidecar::sidecar::discovery::{Call, Discovery, Listener};
+use lb_sidecar::sidecar::peers::{Inbox, Peers};
+use lb_sidecar::sidecar::tier::Shared;
+use runtime::Tokio;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use standins::registry::{Entry, Registry};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
@@ -268,7 +268,7 @@
         short: false,
         counts: Counts::default(),
     };
-    let mut read = [0; reports::LONGEST];
+    let mut read = [0; instance_status::LONGEST];
     loop {
         let _ = to.0.send(state.report().as_bytes());
         while to.1.recv(&mut read).is_ok() {}
--- a/crates/scale/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -9,20 +9,20 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use distribution::net::http::Caller;
-use rehearsal::{Host, signal_process};
+use config_distribution::net::http::Caller;
+use fakes::program::{Folder, built};
+use fakes::registry::{Entry, Registry};
+use fakes::scripted::Server;
+use fakes::world::{classes, settings};
+use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::network::Network;
+use fault_injection::processes::{Reserved, own_address};
+use fault_injection::relay::Relay;
+use local_cluster::{Host, signal_process};
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use serde::Serialize;
 use serde_json::{Value, json};
-use standins::program::{Folder, built};
-use standins::registry::{Entry, Registry};
-use standins::scripted::Server;
-use standins::world::{classes, settings};
 use tokio::task::LocalSet;
-use trial::links::{Laid, Links, Part, Shape};
-use trial::network::Network;
-use trial::processes::{Reserved, own_address};
-use trial::relay::Relay;
 
 use crate::hollow::{Crowd, Sidecar, Told};
 use crate::plan::{Fault, Plan, What};
@@ -97,7 +97,7 @@
     ) -> Result<(Process, std::process::ChildStdout), String> {
         let log = std::fs::File::options().create(true).append(true).open(log).map_err(text)?;
         // They end with this process, whatever becomes of it.
-        let mut command = Command::new(built("plankvale-guard", false)?);
+        let mut command = Command::new(built("lb-process-guard", false)?);
         command.arg(std::process::id().to_string()).arg(program).args(arguments);
         command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
         command.env_remove("NOTIFY_SOCKET").env_remove("LB_LISTEN").env_remove("LB_NAME");
@@ -232,7 +232,7 @@
             for at in &origin_at {
                 let (from, to) = (Part::Sidecar(n as u16), Part::Discovery);
                 let relay = Relay::start_to(network.clone(), from, to, *at);
-                let relay = standins::runtime().block_on(relay).map_err(text)?;
+                let relay = fakes::runtime().block_on(relay).map_err(text)?;
                 found.push(relay.at);
                 relays.push(relay);
             }
@@ -243,7 +243,7 @@
         let mut ground = Ground {
             plan,
             folder: Folder::new("scale"),
-            program: built("plankvale-config", false)?,
+            program: built("lb-config", false)?,
             own: own.to_owned(),
             network,
             _relays: relays,
@@ -406,9 +406,9 @@
         let own = self.base(&name, at).to_string();
         std::fs::write(&base, &own).map_err(text)?;
         std::fs::write(&config, &own).map_err(text)?;
-        let mut command = Command::new(built("plankvale-guard", false)?);
+        let mut command = Command::new(built("lb-process-guard", false)?);
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).map_err(text)?;
-        command.arg(std::process::id().to_string()).arg(built("plankvale", false)?);
+        command.arg(std::process::id().to_string()).arg(built("lb-sidecar", false)?);
         command.env("LB_CONFIG", &config).env_remove("LB_LISTEN").env_remove("LB_NAME");
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
         let (sidecar, _) = Process::of(command)?;
--- a/crates/scale/tests/compatibility.rs
+++ b/crates/scale-test/tests/compatibility.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use scale::plan::Plan;
+use scale_test::plan::Plan;
 use serde_json::{Value, json};
 
 const EVERY_KEY: &str = include_str!("fixtures/every-key.toml");
--- a/crates/scale/tests/small.rs
+++ b/crates/scale-test/tests/small.rs
@@ -1,9 +1,9 @@
 //! A small run of the real thing, and the file and figures of any.
 
-use scale::figures::fit;
-use scale::plan::Plan;
-use scale::run::play;
-use standins::program::built;
+use fakes::program::built;
+use scale_test::figures::fit;
+use scale_test::plan::Plan;
+use scale_test::run::play;
 
 const SMALL: &str = r#"
 name = "small"
@@ -47,7 +47,7 @@
 #[test]
 fn a_small_fleet_has_every_change_in_force_through_a_cut_and_a_death() {
     let plan = Plan::parse(SMALL, None).expect("sound");
-    let own = built("plankvalectl", false).expect("the program");
+    let own = built("lbctl", false).expect("the program");
     let report = play(&plan, &own, |_| {}).expect("it can be played");
     assert_eq!(report.not_held, Vec::<String>::new());
     assert!(report.changes.len() >= 4, "{:?}", report.changes);
--- a/crates/simnet/src/exec.rs
+++ b/crates/simnet/src/exec.rs
@@ -13,9 +13,9 @@
 use std::task::{Context, Poll, Wake, Waker};
 use std::time::{Duration, Instant};
 
-use platform::{Platform, Task};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use runtime::{Platform, Task};
 use rustc_hash::FxHashMap;
 
 use crate::fabric::{Death, HostId, Link, Net, Stats, Tap};
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -1,7 +1,7 @@
 //! A simulated system for network code: a virtual clock, tasks in an order that a seed gives, and an
 //! in-memory network with latency, small windows, broken writes, cuts, resets and dead hosts.
 //!
-//! A [`World`] is one thread's. Inside it [`Sim`] is the [`platform::Platform`]. The same seed gives
+//! A [`World`] is one thread's. Inside it [`Sim`] is the [`runtime::Platform`]. The same seed gives
 //! the same run to the byte: [`World::hash`] is over everything that happened. Nothing here reads a
 //! clock, the environment or a random number that the seed does not give.
 //!
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::task::{Context, Poll};
 
-use platform::{Listener, Tcp, Udp};
 use rand::Rng;
+use runtime::{Listener, Tcp, Udp};
 use tokio::io::ReadBuf;
 
 use crate::fabric::{
--- a/crates/dst/examples/mutants.rs
+++ b/crates/simulation/examples/mutants.rs
@@ -2,7 +2,7 @@
 //! the seeds that find each. The first seed that does is played again in two new processes, which have
 //! to come to the same, and is cut down to the faults that matter.
 //!
-//! `cargo run --release -p dst --example mutants`: at first a quarter of the seeds (2,000) are played;
+//! `cargo run --release -p simulation --example mutants`: at first a quarter of the seeds (2,000) are played;
 //! all of them where these find nothing. Status 1: a bug was not found, or not twice the same.
 
 use std::path::{Path, PathBuf};
@@ -91,7 +91,7 @@
 }
 
 fn all(given: &Arguments) -> Result<usize, String> {
-    let text = std::fs::read_to_string(root().join("crates/dst/mutants.toml"));
+    let text = std::fs::read_to_string(root().join("crates/simulation/mutants.toml"));
     let file: File = toml::from_str(&text.map_err(|e| e.to_string())?)
         .map_err(|e| format!("mutants.toml: {e}"))?;
     // Named before the first is built: a text that moved shows at once.
@@ -214,7 +214,8 @@
 
 /// Builds the tool of the copy.
 fn build(copy: &Path) -> Result<(), String> {
-    cargo(copy, &["build", "--quiet", "--release", "-p", "dst", "--bin", "plankvale-dst"]).map(drop)
+    cargo(copy, &["build", "--quiet", "--release", "-p", "simulation", "--bin", "lb-simulation"])
+        .map(drop)
 }
 
 /// Runs cargo in the copy, where it builds quickly: what is played is the same. What it told, also where it failed.
@@ -237,7 +238,7 @@
 }
 
 fn tool(copy: &Path, arguments: &[&str]) -> Result<Output, String> {
-    let mut command = Command::new(copy.join("target/release/plankvale-dst"));
+    let mut command = Command::new(copy.join("target/release/lb-simulation"));
     command.args(arguments).stderr(Stdio::null()).output().map_err(|e| e.to_string())
 }
 
--- a/crates/dst/src/client.rs
+++ b/crates/simulation/src/client.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::{Platform, Stream, Tcp, timeout_at};
+use fakes::account::{Class, Repeat};
+use fakes::wire::Reader;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use runtime::{Platform, Stream, Tcp, timeout_at};
 use simnet::{Sim, SimTcp};
-use standins::account::{Class, Repeat};
-use standins::wire::Reader;
 use tokio::io::AsyncWriteExt;
 
 use crate::model::{LONG, PIECE, now};
@@ -132,7 +132,7 @@
                 match chunked {
                     false => (format!("Content-Length: {n}\r\n"), body),
                     true => {
-                        let body = standins::wire::chunked(&body, PIECE);
+                        let body = fakes::wire::chunked(&body, PIECE);
                         ("Transfer-Encoding: chunked\r\n".to_owned(), body)
                     }
                 }
--- a/crates/dst/src/discovery.rs
+++ b/crates/simulation/src/discovery.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::{Listener, Platform, Stream, Tcp, timeout_at};
+use fakes::registry::Book;
+use fakes::wire::{Message, Reader};
+use runtime::{Listener, Platform, Stream, Tcp, timeout_at};
 use simnet::{Sim, SimListener, SimTcp};
-use standins::registry::Book;
-use standins::wire::{Message, Reader};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 
--- a/crates/dst/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -8,16 +8,16 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand};
-use dst::coverage::Coverage;
-use dst::run::{Outcome, play};
-use dst::scenario::Scenario;
 use indicatif::{ProgressBar, ProgressStyle};
+use simulation::coverage::Coverage;
+use simulation::run::{Outcome, play};
+use simulation::scenario::Scenario;
 
 /// Plays sidecars on a virtual clock and network, under faults from a seed, and checks the rules.
 ///
 /// Status 0: no rule was broken. 1: one was. 2: not understood.
 #[derive(Parser)]
-#[command(name = "plankvale-dst", version)]
+#[command(name = "lb-simulation", version)]
 struct Arguments {
     #[command(subcommand)]
     what: What,
@@ -92,7 +92,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(e) => {
-            eprintln!("plankvale-dst: {e}");
+            eprintln!("lb-simulation: {e}");
             ExitCode::from(2)
         }
     }
@@ -128,7 +128,7 @@
 }
 
 fn shrink(scenario: &Scenario, to: Option<PathBuf>) -> Result<bool, String> {
-    let least = dst::shrink::shrink(scenario, |left| eprintln!("{left} faults left"));
+    let least = simulation::shrink::shrink(scenario, |left| eprintln!("{left} faults left"));
     let Some(least) = least else {
         println!("no rule is broken");
         return Ok(true);
--- a/crates/dst/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::Platform;
+use runtime::Platform;
 use simnet::Sim;
 
 /// What is longer than this is passed on as it comes, in both directions.
--- a/crates/dst/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::{Platform, Stream, timeout};
 use rand::Rng;
 use rand::rngs::SmallRng;
+use runtime::{Platform, Stream, timeout};
 use simnet::{Sim, SimTcp};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
--- a/crates/dst/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -5,9 +5,9 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use fakes::account::Repeat;
 use rustc_hash::FxHashMap;
 use simnet::{HostId, Tap, TapEvent};
-use standins::account::Repeat;
 
 use crate::model::warmth;
 use crate::wire::{Messages, Part};
@@ -613,7 +613,7 @@
             return;
         };
         let (sidecar, server, zone, first) = (*sidecar, *server, *zone, *first);
-        let header = |name: &str| standins::wire::header(head, name);
+        let header = |name: &str| fakes::wire::header(head, name);
         let Some(id) = header("x-correlation-id").and_then(|v| u64::from_str_radix(&v, 16).ok())
         else {
             return;
@@ -890,8 +890,7 @@
                         *long = is_long(head);
                         let code = head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
                         let never = matches!(code, 503 | 504)
-                            && standins::wire::header(head, "x-unprocessed")
-                                .is_some_and(|v| v == "1");
+                            && fakes::wire::header(head, "x-unprocessed").is_some_and(|v| v == "1");
                         *status = (code, never);
                     }
                     Part::Last => over.push(*status),
@@ -1010,7 +1009,7 @@
 
 /// Whether an answer is passed on as it comes, by its head.
 fn is_long(head: &str) -> bool {
-    let length = standins::wire::header(head, "content-length").and_then(|v| v.parse().ok());
+    let length = fakes::wire::header(head, "content-length").and_then(|v| v.parse().ok());
     length.map_or(!head.starts_with("HTTP/1.1 1"), |n: u64| n > KEPT)
 }
 
--- a/crates/dst/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -7,15 +7,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coppercart::sidecar::{self, Control, Sockets, config::Config};
+use fakes::account::Class;
+use fakes::logserver::Keys;
+use fakes::registry::{Book, Entry};
+use fakes::world::{WINDOW, World as Deployment, ZONES, classes, settings};
+use lb_sidecar::sidecar::{self, Control, Sockets, config::Config};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use simnet::{Death, HostId, Link, Options, Sim, SimListener, SimUdp, Stats, World};
-use standins::account::Class;
-use standins::logserver::Keys;
-use standins::registry::{Book, Entry};
-use standins::world::{WINDOW, World as Deployment, ZONES, classes, settings};
 use tokio::sync::{Notify, mpsc};
 
 use crate::client::{Clients, Manners};
--- a/crates/dst/src/server.rs
+++ b/crates/simulation/src/server.rs
@@ -6,14 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::{Listener, Platform, Stream, Tcp};
+use fakes::account::Class;
+use fakes::logserver::Keys;
+use fakes::wire::{Message, Reader};
+use fakes::world::{IDLE, WINDOW};
 use rand::Rng;
 use rand::rngs::SmallRng;
+use runtime::{Listener, Platform, Stream, Tcp};
 use simnet::{HostId, Sim, SimListener, SimTcp};
-use standins::account::Class;
-use standins::logserver::Keys;
-use standins::wire::{Message, Reader};
-use standins::world::{IDLE, WINDOW};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 
@@ -198,7 +198,7 @@
     async fn connection(self: Rc<Server>, socket: Rc<SimTcp>, start: std::time::Instant) {
         let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
         loop {
-            let next = platform::timeout::<Sim, _>(IDLE, reader.next()).await;
+            let next = runtime::timeout::<Sim, _>(IDLE, reader.next()).await;
             let Ok(Ok(Some(message))) = next else { return };
             let fate = self.draw();
             let Some(answer) = self.serve(&message, fate, start).await else {
@@ -310,9 +310,7 @@
         };
         let body = body.repeat(times).into_bytes();
         let (how, body) = match chunked {
-            true => {
-                ("Transfer-Encoding: chunked".to_owned(), standins::wire::chunked(&body, PIECE))
-            }
+            true => ("Transfer-Encoding: chunked".to_owned(), fakes::wire::chunked(&body, PIECE)),
             false => (format!("Content-Length: {}", body.len()), body),
         };
         let head = format!("HTTP/1.1 200 OK\r\nX-Backend-Load: {}\r\n{how}\r\n\r\n", self.load());
--- a/crates/dst/src/wire.rs
+++ b/crates/simulation/src/wire.rs
@@ -72,10 +72,10 @@
             if head.starts_with("HTTP/1.1 1") {
                 continue;
             }
-            self.left = standins::wire::header(&head, "content-length")
+            self.left = fakes::wire::header(&head, "content-length")
                 .and_then(|v| v.parse().ok())
                 .unwrap_or(0);
-            let chunked = standins::wire::header(&head, "transfer-encoding");
+            let chunked = fakes::wire::header(&head, "transfer-encoding");
             self.body = match chunked.is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
                 true => Body::Size { size: 0 },
                 false if self.left > 0 => Body::Whole,
--- a/crates/dst/tests/compatibility.rs
+++ b/crates/simulation/tests/compatibility.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use dst::scenario::{KINDS, Scenario};
+use simulation::scenario::{KINDS, Scenario};
 
 /// The suffix of a file that leaves out every key that has a default value.
 const DEFAULTS_LEFT_OUT: &str = "-defaults-left-out.toml";
--- a/crates/dst/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -1,12 +1,12 @@
 //! What CI plays: the scenarios that once failed, a fixed range of seeds, and the proof that a run is
-//! the same each time. `plankvale-dst run --seeds A..B` plays more.
+//! the same each time. `lb-simulation run --seeds A..B` plays more.
 
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use dst::run::play;
-use dst::scenario::Scenario;
+use simulation::run::play;
+use simulation::scenario::Scenario;
 
 /// Seeds that every change is played on.
 const SEEDS: u64 = 160;
@@ -57,7 +57,7 @@
         assert!(one.steps > 1000, "seed {seed}: {} steps", one.steps);
         assert_eq!((one.hash, one.steps), (two.hash, two.steps), "seed {seed}");
         assert_eq!(one.timeline, two.timeline, "seed {seed}");
-        let out = Command::new(env!("CARGO_BIN_EXE_plankvale-dst"))
+        let out = Command::new(env!("CARGO_BIN_EXE_lb-simulation"))
             .args(["play", &seed.to_string()])
             .output()
             .expect("it starts");
--- a/src/bin/plankvale.rs
+++ b/src/bin/lb-sidecar.rs
@@ -4,7 +4,7 @@
 use std::os::unix::process::CommandExt;
 use std::process::ExitCode;
 
-use coppercart::sidecar::{self, Control, config::Config, status::VERSION};
+use lb_sidecar::sidecar::{self, Control, config::Config, status::VERSION};
 use logging::Options;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -13,13 +13,13 @@
 const HELP: &str = "\
 A sidecar: takes HTTP/1.1 requests, picks a log server for each, answers each once, in time.
 
-usage: plankvale [OPTIONS]     run, as the file that LB_CONFIG names says
-       plankvale check FILE    check a configuration without starting
-       plankvale --version     print name and version
-       plankvale --help        print this
+usage: lb-sidecar [OPTIONS]     run, as the file that LB_CONFIG names says
+       lb-sidecar check FILE    check a configuration without starting
+       lb-sidecar --version     print name and version
+       lb-sidecar --help        print this
 
-options: --log-format text|json   what a line of the log looks like (or PLANKVALE_LOG_FORMAT)
-         --log FILTER             a level, or levels by module (or PLANKVALE_LOG); info
+options: --log-format text|json   what a line of the log looks like (or LB_LOG_FORMAT)
+         --log FILTER             a level, or levels by module (or LB_LOG); info
 
 signals: SIGHUP  read the configuration again
          SIGTERM answer what was taken, then end
@@ -39,7 +39,7 @@
             Ok(())
         }
         ["--version" | "-V"] => {
-            println!("plankvale {VERSION}");
+            println!("lb-sidecar {VERSION}");
             Ok(())
         }
         ["check", file] => Config::check(file).map(|c| println!("{file}: sound, for {}", c.name)),
@@ -48,7 +48,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("plankvale: {e}");
+            eprintln!("lb-sidecar: {e}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/coppercart-adapter.rs
+++ b/src/bin/lb-simulator-adapter.rs
@@ -7,10 +7,10 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use coppercart::api::{Action, Event, ListKind, ServerEntry};
-use coppercart::decide::Balancer;
-use coppercart::settings::Settings;
-use coppercart::wire::{self, Batch, Record, Reply, WireError};
+use lb_sidecar::api::{Action, Event, ListKind, ServerEntry};
+use lb_sidecar::decide::Balancer;
+use lb_sidecar::settings::Settings;
+use lb_sidecar::wire::{self, Batch, Record, Reply, WireError};
 
 const LISTS: usize = 16;
 
@@ -79,7 +79,7 @@
                 Record::Unknown(code) => {
                     if !self.skipped.contains(&code) {
                         self.skipped.push(code);
-                        eprintln!("coppercart-adapter: skipping records of unknown code {code}");
+                        eprintln!("lb-simulator-adapter: skipping records of unknown code {code}");
                     }
                     continue;
                 }
@@ -176,7 +176,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("coppercart-adapter: {e}");
+            eprintln!("lb-simulator-adapter: {e}");
             ExitCode::from(1)
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! coppercart: a client-side load balancer that every client process runs as its own sidecar.
+//! lb-sidecar: a client-side load balancer that every client process runs as its own sidecar.
 //!
 //! The decisions are a sans-I/O state machine, [`decide::Balancer`]: events in, actions out.
 #![forbid(unsafe_code)]
--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -3,8 +3,8 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-use reports::Counts;
-use tier::{Presence, Record, View};
+use gossip::{Presence, Record, View};
+use instance_status::Counts;
 
 use crate::sidecar::status::Reloads;
 
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::{Listener, Platform, Task, Tcp, linger, timeout};
+use runtime::{Listener, Platform, Task, Tcp, linger, timeout};
 
 use self::command::{Answer, Command, Figures, LONGEST};
 use self::orders::Orders;
--- a/src/sidecar/admin/record.rs
+++ b/src/sidecar/admin/record.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use platform::Platform;
+use runtime::Platform;
 
 use super::orders::Orders;
 use crate::sidecar::config::stable_hash;
@@ -19,6 +19,10 @@
 /// The longest file: all the orders there can be, with names of a hundred bytes.
 const LONGEST: u64 = 1 << 20;
 
+/// What the names of these files begin with: kept from earlier versions, so that a process finds the
+/// orders that its predecessor of either version left.
+const FILE_PREFIX: &str = "plankvale-";
+
 /// Which file it is: its number, and when it was written.
 type Stamp = (u64, i64, i64);
 
@@ -31,7 +35,7 @@
 impl Record {
     /// The record of the sidecar of this name, in this folder.
     pub fn new(folder: &Path, name: &str) -> Record {
-        let file = format!("plankvale-{:016x}.json", stable_hash(name.as_bytes()));
+        let file = format!("{FILE_PREFIX}{:016x}.json", stable_hash(name.as_bytes()));
         Record { path: folder.join(file), seen: Cell::new(None) }
     }
 
@@ -119,7 +123,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use platform::Tokio;
+    use runtime::Tokio;
 
     fn on(test: impl Future<Output = ()>) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use platform::Platform;
+use runtime::Platform;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are neither a client's nor a server's: standard streams, the event queue and
@@ -82,7 +82,7 @@
 
 /// How many members a tier may have in which a process takes part that may use `memory` bytes.
 pub fn most_members(memory: usize) -> usize {
-    (memory / MEMBERS / MEMBER).min(tier::MOST_MEMBERS as usize)
+    (memory / MEMBERS / MEMBER).min(gossip::MOST_MEMBERS as usize)
 }
 
 fn each(limit: usize) -> usize {
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -14,7 +14,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
+use runtime::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::budget::longest_list;
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::Platform;
+use gossip::Happened;
+use runtime::Platform;
 use rustc_hash::{FxHashMap, FxHashSet};
-use tier::Happened;
 use tokio::sync::{mpsc, oneshot};
 
 use super::config::{List, Part};
@@ -331,7 +331,7 @@
         let mut within = true;
         if let Some(tier) = &self.others.tier {
             within = tier.asked(asked.class, asked.tenant);
-            let tier::Budget { share, saved } = tier.budget();
+            let gossip::Budget { share, saved } = tier.budget();
             self.core.borrow_mut().balancer.may_repeat(share, saved);
         }
         self.event(Event::Request(NewRequest {
--- a/src/sidecar/ids.rs
+++ b/src/sidecar/ids.rs
@@ -6,7 +6,7 @@
 use std::marker::PhantomData;
 use std::time::{Duration, Instant};
 
-use platform::Platform;
+use runtime::Platform;
 
 /// How long an id counts as taken after its request's end: a copy of it can be on its way that was
 /// sent while it was open. Honest clients never use an id twice.
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -18,8 +18,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform::{Listener, Observer, Platform, Stream, Tcp, linger, timeout};
-use reports::State;
+use instance_status::State;
+use runtime::{Listener, Observer, Platform, Stream, Tcp, linger, timeout};
 use tokio::sync::Notify;
 
 use super::budget::{self, Place, Room, Sockets};
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -28,7 +28,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::{Listener, Platform, Tokio};
+use runtime::{Listener, Platform, Tokio};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -186,7 +186,7 @@
     }
     let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     tracing::info!(address = %at, "listening");
-    if let Some(supervisor) = reports::Supervisor::from_env() {
+    if let Some(supervisor) = instance_status::Supervisor::from_env() {
         let (ingress, status) = (ingress.clone(), status.clone());
         P::spawn(async move {
             notify::run::<P>(supervisor, || ingress.state(), &status.changed).await;
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use platform::Platform;
-use reports::{State, Supervisor};
+use instance_status::{State, Supervisor};
+use runtime::Platform;
 
 /// Between two reports.
 const EVERY: Duration = Duration::from_millis(500);
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use platform::{Platform, Udp};
+use runtime::{Platform, Udp};
 use rustc_hash::FxHashMap;
 
 /// The longest datagram.
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use platform::Platform;
+use runtime::Platform;
 use tokio::sync::Notify;
 
 /// What is kept of a body at the most, and timed as one piece.
@@ -350,7 +350,7 @@
 mod tests {
     use super::*;
     use http_body_util::{BodyExt, Full};
-    use platform::Tokio;
+    use runtime::Tokio;
 
     fn upload(kept: &'static str, rest: &'static str) -> Rc<Upload> {
         let rest = Full::new(Bytes::from(rest)).map_err(|never| match never {});
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use platform::Platform;
-use reports::Declined;
+use instance_status::Declined;
+use runtime::Platform;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::Platform;
+use runtime::Platform;
 
 use super::ingress::{AWAY_SEEN, Ingress};
 
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 
-use reports::{Counts, Declined};
+use instance_status::{Counts, Declined};
 use tokio::sync::Notify;
 
 /// The program's version.
--- a/src/sidecar/tier.rs
+++ b/src/sidecar/tier.rs
@@ -1,12 +1,12 @@
 //! This sidecar's part in its tier: what happens here goes in, notes go out to the other sidecars and come in from
-//! them, and whoever asks is told what may still be spent. What is worked out from it stands in `crates/tier`.
+//! them, and whoever asks is told what may still be spent. What is worked out from it stands in `crates/gossip`.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::Platform;
-use tier::{Budget, Happened, Micros, Note, Record, Tier, View};
+use gossip::{Budget, Happened, Micros, Note, Record, Tier, View};
+use runtime::Platform;
 use tokio::sync::Notify;
 
 use super::config::Config;
@@ -40,7 +40,7 @@
             );
             return Ok(None);
         };
-        let of_tier = tier::Config {
+        let of_tier = gossip::Config {
             me: config.settings.me,
             size: config.settings.instances,
             start_ms: P::unix().as_millis() as u64,
--- a/src/sidecar/timers.rs
+++ b/src/sidecar/timers.rs
@@ -6,7 +6,7 @@
 use std::marker::PhantomData;
 use std::time::{Duration, Instant};
 
-use platform::Platform;
+use runtime::Platform;
 use tokio::sync::Notify;
 
 /// Timers by when they run out. The module sets a few for each request, none longer than a client
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform::{Observer, Platform, Stream, Task, Tcp, timeout, timeout_at};
+use runtime::{Observer, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_coppercart-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lb-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! A small driver for the tests: settings, servers, and a balancer with its actions at hand.
 #![allow(dead_code)]
 
-use coppercart::api::*;
-use coppercart::decide::Balancer;
-use coppercart::settings::Settings;
+use lb_sidecar::api::*;
+use lb_sidecar::decide::Balancer;
+use lb_sidecar::settings::Settings;
 use serde_json::{Value, json};
 
 pub const MS: Micros = 1_000;
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -8,12 +8,12 @@
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 
+pub use fakes::program::Folder;
+pub use fakes::registry::{Entry, Registry};
+pub use fakes::scripted::{Server, answer};
+use fakes::wire::message;
+pub use fakes::{PATIENCE, until};
 use serde_json::{Value, json};
-pub use standins::program::Folder;
-pub use standins::registry::{Entry, Registry};
-pub use standins::scripted::{Server, answer};
-use standins::wire::message;
-pub use standins::{PATIENCE, until};
 
 /// Discovery that lists `servers` as active in the sidecar's zone, by names of their addresses.
 pub fn discovery(servers: &[&Server]) -> Registry {
@@ -32,7 +32,7 @@
 
 /// The program, to be given this listener in the way of `LISTEN_FDS`.
 pub fn program(listener: Option<&TcpListener>) -> Command {
-    let program = env!("CARGO_BIN_EXE_plankvale");
+    let program = env!("CARGO_BIN_EXE_lb-sidecar");
     let Some(listener) = listener else { return Command::new(program) };
     let copy = OwnedFd::from(listener.try_clone().expect("a second handle"));
     let mut command = Command::new("sh");
@@ -72,7 +72,7 @@
     /// The same with so many descriptors at the most, and reports to `keeper`.
     pub fn start_limited(discovery: Registry, most: usize, keeper: &std::path::Path) -> Sidecar {
         let mut command = Command::new("sh");
-        let program = env!("CARGO_BIN_EXE_plankvale");
+        let program = env!("CARGO_BIN_EXE_lb-sidecar");
         command.args(["-c", &format!("ulimit -n {most}; exec \"$0\""), program]);
         command.env("NOTIFY_SOCKET", keeper);
         let more = |config: &mut Value| config["limits"]["sockets"] = 256.into();
@@ -118,7 +118,7 @@
             .env("LB_DISCOVERY", discovery.at.to_string())
             .env_remove("LB_LISTEN")
             .env_remove("LB_NAME")
-            .env("PLANKVALE_LOG_FORMAT", "json")
+            .env("LB_LOG_FORMAT", "json")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -9,16 +9,16 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use coppercart::sidecar::admin::command::{Answer, Command, Figures};
-use coppercart::sidecar::admin::orders::Orders;
-use coppercart::sidecar::admin::record::Record;
-use coppercart::sidecar::config::Config;
-use coppercart::sidecar::status::Reloads;
+use gossip::{Budget, ClubView, Presence, View};
+use instance_status::Counts;
+use lb_sidecar::sidecar::admin::command::{Answer, Command, Figures};
+use lb_sidecar::sidecar::admin::orders::Orders;
+use lb_sidecar::sidecar::admin::record::Record;
+use lb_sidecar::sidecar::config::Config;
+use lb_sidecar::sidecar::status::Reloads;
 use net::{Folder, PATIENCE, Server, Sidecar, discovery, look};
-use platform::Tokio;
-use reports::Counts;
+use runtime::Tokio;
 use serde_json::{Value, json};
-use tier::{Budget, ClubView, Presence, View};
 
 fn fixture(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name)
@@ -110,7 +110,7 @@
 fn members_are_written_as_before() {
     let member = |who: u16, presence| {
         let since = Duration::from_micros(1_500_400 + u64::from(who));
-        (tier::Record { who, incarnation: 439_000_000 + u32::from(who), presence }, since)
+        (gossip::Record { who, incarnation: 439_000_000 + u32::from(who), presence }, since)
     };
     let members = vec![
         member(0, Presence::Alive),
@@ -179,7 +179,8 @@
         told[key] = expected[key].clone();
     }
     assert_eq!(told, expected);
-    let read: reports::State = serde_json::from_str(&text("health-version.json")).expect("a state");
+    let read: instance_status::State =
+        serde_json::from_str(&text("health-version.json")).expect("a state");
     assert_eq!(serde_json::to_string(&read).expect("JSON") + "\n", text("health-version.json"));
 }
 
@@ -193,7 +194,7 @@
 
 #[tokio::test]
 async fn orders_are_read_and_written_as_before() {
-    let name = "plankvale-08b37c07b558d673.json";
+    let name = "lb-sidecar-08b37c07b558d673.json";
     let before = text("orders/orders.json");
     let folder = Folder::new("orders");
     std::fs::write(folder.path().join(name), &before).expect("written");
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use coppercart::api::*;
+use lb_sidecar::api::*;
 
 #[test]
 fn the_same_events_give_the_same_actions() {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -12,11 +12,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::scripted::{id, serve};
+use fakes::wire::{header, message};
 use net::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
-use standins::scripted::{id, serve};
-use standins::wire::{header, message};
 
 /// A server whose answers wait for a word of the test.
 struct Held {
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -184,7 +184,7 @@
     let path = folder.path().join("config.json");
     let check = |text: &str| {
         std::fs::write(&path, text).expect("written");
-        let program = env!("CARGO_BIN_EXE_plankvale");
+        let program = env!("CARGO_BIN_EXE_lb-sidecar");
         let mut command = Command::new(program);
         let out = command.arg("check").arg(&path).output().expect("it starts");
         (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
@@ -207,9 +207,9 @@
         c["settings"]["instances"] = 8193.into();
     };
     wrong(large, "settings.instances: 8192 at most");
-    let out = Command::new(env!("CARGO_BIN_EXE_plankvale")).arg("--version").output();
+    let out = Command::new(env!("CARGO_BIN_EXE_lb-sidecar")).arg("--version").output();
     let text = String::from_utf8(out.expect("it starts").stdout).expect("text");
-    assert_eq!(text, format!("plankvale {}\n", env!("CARGO_PKG_VERSION")));
+    assert_eq!(text, format!("lb-sidecar {}\n", env!("CARGO_PKG_VERSION")));
 }
 
 #[test]
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -129,7 +129,7 @@
 fn passed(listener: &TcpListener, folder: &Path) -> Command {
     let copy = OwnedFd::from(listener.try_clone().expect("a second handle"));
     let mut command = Command::new("sh");
-    let program = env!("CARGO_BIN_EXE_plankvale");
+    let program = env!("CARGO_BIN_EXE_lb-sidecar");
     command.args(["-c", "exec 5<&0 0</dev/null; exec \"$0\"", program]);
     command.env("LB_PASSED_SOCKET", "5").env("TMPDIR", folder).stdin(copy);
     command
@@ -210,7 +210,7 @@
                 thread::spawn(move || {
                     let mut write = socket.try_clone().expect("a second handle");
                     let mut read = std::io::BufReader::new(socket);
-                    while let Some((_, body)) = standins::wire::message(&mut read) {
+                    while let Some((_, body)) = fakes::wire::message(&mut read) {
                         seen.lock().expect("no panic").push(body.len());
                         let text = body.len().to_string();
                         if write.write_all(net::answer(&text).as_bytes()).is_err() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use coppercart::api::*;
-use coppercart::decide::Balancer;
+use lb_sidecar::api::*;
+use lb_sidecar::decide::Balancer;
 use proptest::prelude::*;
 
 const SLACK: Micros = 8 * MS;
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -120,7 +120,7 @@
     change(&mut config);
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string()).expect("written");
-    let checked = Command::new(env!("CARGO_BIN_EXE_plankvale")).arg("check").arg(&path).output();
+    let checked = Command::new(env!("CARGO_BIN_EXE_lb-sidecar")).arg("check").arg(&path).output();
     let checked = checked.expect("the program runs");
     (checked.status.success(), String::from_utf8_lossy(&checked.stderr).into_owned())
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::scripted::answer_with;
 use net::*;
-use standins::scripted::answer_with;
 
 fn refused_as_bad(answer: &str) -> bool {
     answer.starts_with("HTTP/1.1 4")
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: the worked examples of its page as golden bytes, and totality on any bytes.
 
-use coppercart::api::*;
-use coppercart::wire::{Batch, Record, Reply, read_frame};
+use lb_sidecar::api::*;
+use lb_sidecar::wire::{Batch, Record, Reply, read_frame};
 use proptest::prelude::*;
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -150,7 +150,7 @@
 fn tell_puts_its_bytes_in_the_tail() {
     let mut reply = Reply::default();
     reply.at(3);
-    reply.action(&Action::Tell { peer: coppercart::wire::ALL_PEERS, data: b"hi 7".to_vec() });
+    reply.action(&Action::Tell { peer: lb_sidecar::wire::ALL_PEERS, data: b"hi 7".to_vec() });
     let mut out = Vec::new();
     reply.finish(&mut out);
     let mut expected = bytes("3c000000 02000000");
