Sidecar: ingress as a folder, start and bodies in modules of their own, plain names

Cause: ingress.rs had 951 lines and four concerns, `serve` 140 lines, and the names were those of our house style, which a reader who knows Envoy or gRPC has to translate.

Change: `ingress/` has accept (admission and eviction), connection (phase and timeouts), service (the task), request (validation, body, forwarding) and response. `relay` becomes `body` (types, limits and minimum pace that both directions share) and `upload`; the steps of `serve` are in `startup`; `handed` is `inherited_listener`, `ids` is `request_ids`. Cells that belonged together are state types with methods. Errors of the start, of framing, of bodies and of requests are typed (thiserror); their messages are as before. Inline tests are in files. Nothing of the behaviour changes. Log lines: "accepting failed" is "failed to accept a client connection", "answered" is "request completed".

--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -19,7 +19,7 @@
 use super::config::stable_hash;
 use super::driver::Driver;
 use super::ingress::Ingress;
-use super::live::Live;
+use super::live::LiveConfig;
 use super::status::Status;
 use crate::api::ServerId;
 
@@ -40,7 +40,7 @@
 pub struct Admin<P: Platform> {
     driver: Rc<Driver<P>>,
     ingress: Rc<Ingress<P>>,
-    live: Rc<Live>,
+    live: Rc<LiveConfig>,
     status: Rc<Status>,
     /// Where orders are kept; without it they end with the process.
     record: Option<Record>,
@@ -57,7 +57,7 @@
     pub fn new(
         driver: Rc<Driver<P>>,
         ingress: Rc<Ingress<P>>,
-        live: Rc<Live>,
+        live: Rc<LiveConfig>,
         status: Rc<Status>,
         record: Option<Record>,
     ) -> Rc<Admin<P>> {
@@ -91,7 +91,7 @@
         if *self.orders.borrow() != orders {
             tracing::info!(out = ?orders.out, drained = orders.drained, "orders in force");
             self.driver.hold_out(orders.out.iter().map(|name| id(name)));
-            self.ingress.send_away(orders.drained);
+            self.ingress.set_drained(orders.drained);
             *self.orders.borrow_mut() = orders;
         }
     }
@@ -186,8 +186,10 @@
 
     async fn answer(&self, call: &Command) -> Answer {
         match call {
-            Command::Ready if self.ingress.ready() => Answer::Done,
-            Command::Ready if self.ingress.away().is_some() => Answer::Error("drained".into()),
+            Command::Ready if self.ingress.is_ready() => Answer::Done,
+            Command::Ready if self.ingress.drained_for().is_some() => {
+                Answer::Error("drained".into())
+            }
             Command::Ready => Answer::Error("no server is known yet".into()),
             Command::ShowStat => Answer::Stat(self.figures().into()),
             Command::ShowTier => match self.driver.tier() {
@@ -221,7 +223,7 @@
             active: self.driver.open(),
             listed,
             ejected,
-            most_servers: self.live.most_servers(),
+            most_servers: self.live.max_servers(),
             lists_too_long: self.status.lists_too_long(),
             reloads: self.status.reloads(),
             tier: self.driver.tier().map(|tier| {
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -17,7 +17,7 @@
 use runtime::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::budget::longest_list;
+use super::budget::max_list_bytes;
 use super::config::{List, Part};
 use crate::api::ListKind;
 use crate::settings::Discovery as How;
@@ -298,7 +298,7 @@
         listener.too_long();
         if self.told.is_none_or(|told| P::since(told) >= TOLD_AGAIN) {
             self.told = Some(P::now());
-            let most_bytes = longest_list(most_servers);
+            let most_bytes = max_list_bytes(most_servers);
             tracing::error!(
                 bytes,
                 most_bytes,
@@ -336,7 +336,7 @@
             if answer.status() != StatusCode::OK {
                 return Err(Miss::Broken);
             }
-            let longest = longest_list(most);
+            let longest = max_list_bytes(most);
             let mut body = answer.into_body();
             // Where the length is told, that much is taken at once, and never more than may come.
             let told = body.size_hint().exact();
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -14,7 +14,7 @@
 
 use super::config::{List, Part};
 use super::discovery::{self, Call};
-use super::live::Live;
+use super::live::LiveConfig;
 use super::peers::{self, Peers};
 use super::status::Status;
 use super::tier::Shared;
@@ -185,7 +185,7 @@
     core: RefCell<Core>,
     timers: Timers<P>,
     clock: (Micros, Instant),
-    live: Rc<Live>,
+    live: Rc<LiveConfig>,
     status: Rc<Status>,
     upstream: Rc<Upstream<P>>,
     discovery: mpsc::UnboundedSender<Call>,
@@ -200,7 +200,7 @@
     pub fn new(
         settings: Settings,
         seed: u64,
-        live: Rc<Live>,
+        live: Rc<LiveConfig>,
         status: Rc<Status>,
         upstream: Rc<Upstream<P>>,
         discovery: mpsc::UnboundedSender<Call>,
@@ -415,7 +415,7 @@
     /// rests on the way to one that is to get nothing more is closed at once.
     pub fn servers<S: AsRef<str>>(self: &Rc<Driver<P>>, kind: ListKind, list: &List<S>) {
         let names = self.live.names();
-        let most = self.live.most_servers();
+        let most = self.live.max_servers();
         let mut beyond = FxHashSet::default();
         let entries: Vec<_> = {
             let mut core = self.core.borrow_mut();
@@ -550,7 +550,7 @@
             span.window = self.windows[request.class];
             span.start_by = span.window.and_then(|w| request.repeatable(w));
             request.attempts.push(Out { cancel: Some(cancel), sent, may_run: true });
-            let whole = |spec: &Rc<Spec>| spec.upload.as_ref().is_none_or(|u| u.is_kept());
+            let whole = |spec: &Rc<Spec>| spec.upload.as_ref().is_none_or(|u| u.is_replayable());
             let spec = request.spec.clone().filter(|spec| !request.ended() && whole(spec));
             (request.attempts.len() - 1, spec.zip(dial))
         };
@@ -589,12 +589,12 @@
                 // Its time runs from its last byte on. From when some of it has left it is a stream to
                 // the module: nothing else can be sent.
                 Some(upload) => {
-                    upload.begun().await;
+                    upload.streaming_started().await;
                     self.event(Event::FirstByte { id, attempt: n });
                     tokio::select! {
                         biased;
-                        () = upload.ended() => {
-                            P::sleep_until(upload.due().unwrap_or_else(P::now)).await;
+                        () = upload.completed() => {
+                            P::sleep_until(upload.deadline().unwrap_or_else(P::now)).await;
                         }
                         () = upload.stalled::<P>() => {}
                     }
@@ -609,7 +609,7 @@
             () = over => Reached::end(Outcome::TimedOut),
         };
         drop(spec);
-        let since = upload.and_then(|u| u.end()).map_or(sent, |end| sent.max(end));
+        let since = upload.and_then(|u| u.completed_at()).map_or(sent, |end| sent.max(end));
         self.over(id, n, server, P::since(since).as_micros() as Micros, reached);
     }
 
@@ -678,7 +678,7 @@
     }
 
     fn most_servers(&self) -> usize {
-        self.live.most_servers()
+        self.live.max_servers()
     }
 
     fn too_long(&self) {
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -10,10 +10,10 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
-use super::budget::{Bytes, Sockets};
+use super::budget::{BodyBudget, SocketBudget};
 use super::config::Config;
 use super::driver::Driver;
-use super::live::Live;
+use super::live::LiveConfig;
 use super::status::Status;
 
 /// All that a new configuration reaches.
@@ -21,13 +21,13 @@
     /// Where discovery is.
     pub discovery: watch::Sender<SocketAddr>,
     /// Values in force.
-    pub live: Rc<Live>,
+    pub live: Rc<LiveConfig>,
     /// The decisions.
     pub driver: Rc<Driver<P>>,
     /// Descriptors.
-    pub sockets: Rc<Sockets>,
+    pub sockets: Rc<SocketBudget>,
     /// Memory.
-    pub bytes: Bytes,
+    pub bytes: BodyBudget,
     /// Where the outcome is noted.
     pub status: Rc<Status>,
     /// What cannot change while the process runs.
@@ -68,7 +68,7 @@
             self.status.reloaded(Some(Declined { generation, why }));
             return;
         }
-        self.live.take_over(&config, P::now());
+        self.live.apply(&config, P::now());
         self.sockets.resize::<P>(config.sockets);
         self.bytes.resize::<P>(config.memory);
         let clubs = config.clubs();
