--- a/crates/lbctl/src/main.rs
+++ b/crates/lbctl/src/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod demo;
+mod outcome;
 mod scale;
 mod table;
 mod tier;
