Runtime: names of the field for the trait, its sockets and their call sites

Platform -> Runtime, Task -> TaskHandle, Tokio -> TokioRuntime, Sim -> SimRuntime; unix -> unix_time, since -> elapsed_since, at_rest -> is_idle, ended -> peer_closed, finish_writing -> shutdown_write, linger -> lingering_close; Observer: on_wait -> on_read_pending, allow -> poll_write_allowance, holds -> limits_writes, may_end -> may_shutdown.

--- a/crates/scale-test/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -22,7 +22,7 @@
 use lb_sidecar::sidecar::discovery::{Call, Discovery, Listener};
 use lb_sidecar::sidecar::peers::{Inbox, Peers};
 use lb_sidecar::sidecar::tier::Shared;
-use runtime::Tokio;
+use runtime::TokioRuntime;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -135,7 +135,7 @@
     fn failed(&self) {}
 }
 
-struct Notes(Rc<Shared<Tokio>>);
+struct Notes(Rc<Shared<TokioRuntime>>);
 
 impl Inbox for Notes {
     fn note(&self, from: u32, data: &[u8]) {
@@ -165,7 +165,7 @@
         let out = std::io::stdout();
         while !*end.borrow_and_update() {
             tokio::time::sleep(TELL).await;
-            let whole = |t: &&Rc<Shared<Tokio>>| {
+            let whole = |t: &&Rc<Shared<TokioRuntime>>| {
                 let view = t.view();
                 view.members.0 as f64 >= view.reach.round().max(2.0)
             };
@@ -181,7 +181,10 @@
     })
 }
 
-async fn begin(crowd: Crowd, counts: &Rc<Tallies>) -> Result<Vec<Rc<Shared<Tokio>>>, String> {
+async fn begin(
+    crowd: Crowd,
+    counts: &Rc<Tallies>,
+) -> Result<Vec<Rc<Shared<TokioRuntime>>>, String> {
     let mut agents: BTreeMap<usize, Registry> = BTreeMap::new();
     let mut tiers = Vec::new();
     let keeper = keeper()?;
@@ -208,7 +211,8 @@
         let (moves, at) = watch::channel(agent);
         let (calls, called) = mpsc::unbounded_channel::<Call>();
         let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
-        let discovery = Discovery::<Tokio>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
+        let discovery =
+            Discovery::<TokioRuntime>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
         let lists = Lists(counts.clone());
         tokio::task::spawn_local(async move {
             // They end with the process.
@@ -218,8 +222,8 @@
         // Its part in the tier, and notes.
         if let Some(at) = config.peer_listen {
             let socket = UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
-            let peers = Peers::<Tokio>::new(socket, config.peers.clone(), None);
-            if let Some(tier) = Shared::<Tokio>::new(&config, Some(&peers))? {
+            let peers = Peers::<TokioRuntime>::new(socket, config.peers.clone(), None);
+            if let Some(tier) = Shared::<TokioRuntime>::new(&config, Some(&peers))? {
                 tokio::task::spawn_local(peers.listen(Notes(tier.clone())));
                 tokio::task::spawn_local(tier.clone().run());
                 tiers.push(tier);
--- a/crates/simnet/src/exec.rs
+++ b/crates/simnet/src/exec.rs
@@ -15,7 +15,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use runtime::{Platform, Task};
+use runtime::{Runtime, TaskHandle};
 use rustc_hash::FxHashMap;
 
 use crate::fabric::{Death, HostId, Link, Net, Stats, Tap};
@@ -316,7 +316,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TaskId(u64);
 
-impl Task for TaskId {
+impl TaskHandle for TaskId {
     fn abort(&self) {
         if let Some(inner) = try_current() {
             inner.abort(self.0);
@@ -370,11 +370,11 @@
 }
 
 /// The simulated system, as network code sees it.
-pub enum Sim {}
+pub enum SimRuntime {}
 
-impl Platform for Sim {
+impl Runtime for SimRuntime {
     type Sleep = Sleep;
-    type Task = TaskId;
+    type TaskHandle = TaskId;
     type Tcp = SimTcp;
     type Listener = SimListener;
     type Udp = SimUdp;
@@ -385,7 +385,7 @@
         inner.instant(now)
     }
 
-    fn unix() -> Duration {
+    fn unix_time() -> Duration {
         let inner = current();
         let state = inner.state.borrow();
         state.options.unix + Duration::from_nanos(state.now)
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -1,7 +1,7 @@
 //! A simulated system for network code: a virtual clock, tasks in an order that a seed gives, and an
 //! in-memory network with latency, small windows, broken writes, cuts, resets and dead hosts.
 //!
-//! A [`World`] is one thread's. Inside it [`Sim`] is the [`runtime::Platform`]. The same seed gives
+//! A [`World`] is one thread's. Inside it [`SimRuntime`] is the [`runtime::Runtime`]. The same seed gives
 //! the same run to the byte: [`World::hash`] is over everything that happened. Nothing here reads a
 //! clock, the environment or a random number that the seed does not give.
 //!
@@ -16,7 +16,7 @@
 mod state;
 mod trace;
 
-pub use exec::{Sim, Sleep, TaskId, World};
+pub use exec::{SimRuntime, Sleep, TaskId, World};
 pub use fabric::{Death, HostId, Link, Stats, Tap, TapEvent};
 pub use net::{SimListener, SimTcp, SimUdp};
 pub use state::Options;
--- a/crates/simnet/src/net.rs
+++ b/crates/simnet/src/net.rs
@@ -438,7 +438,7 @@
         Ok(())
     }
 
-    fn finish_writing(&self) {
+    fn shutdown_write(&self) {
         let first = self.with(|_, conn| {
             let side = &mut conn.sides[self.side];
             let first = !side.finished && side.error.is_none();
@@ -456,7 +456,7 @@
         self.with(|_, conn| conn.sides[self.side].reset_on_close = true);
     }
 
-    fn at_rest(&self) -> bool {
+    fn is_idle(&self) -> bool {
         let rests = self.with(|_, conn| {
             let side = &conn.sides[self.side];
             side.rx.is_empty() && !side.fin && side.error.is_none()
@@ -464,7 +464,7 @@
         rests.unwrap_or(false)
     }
 
-    fn ended(&self) -> bool {
+    fn peer_closed(&self) -> bool {
         let ended = self.with(|_, conn| {
             let side = &conn.sides[self.side];
             side.fin || side.error.is_some()
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use simnet::{Death, HostId, Link, Options, Sim, SimListener, SimUdp, Stats, World};
+use simnet::{Death, HostId, Link, Options, SimListener, SimRuntime, SimUdp, Stats, World};
 use tokio::sync::{Notify, mpsc};
 
 use crate::client::{Clients, Manners};
@@ -309,7 +309,7 @@
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
                 let peers = peers.map(SimUdp::bind).transpose()?;
                 let admin = operated.map(|at| SimListener::bind(at, 64)).transpose()?;
-                Ok(Sockets::<Sim> { listener, shared: false, peers, admin, record: None })
+                Ok(Sockets::<SimRuntime> { listener, shared: false, peers, admin, record: None })
             });
             if let (Ok(parsed), Ok(sockets)) = (parsed, sockets) {
                 let read = move || Config::parse(config.borrow().as_bytes());
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Listener, Platform, Task, Tcp, linger, timeout};
+use runtime::{Listener, Runtime, TaskHandle, Tcp, lingering_close, timeout};
 
 use self::command::{Answer, Command, Figures, LONGEST};
 use self::orders::Orders;
@@ -37,7 +37,7 @@
 const AGAIN: Duration = Duration::from_millis(50);
 
 /// What carries out the operators' orders.
-pub struct Admin<P: Platform> {
+pub struct Admin<P: Runtime> {
     driver: Rc<Driver<P>>,
     ingress: Rc<Ingress<P>>,
     live: Rc<LiveConfig>,
@@ -48,11 +48,11 @@
     /// Tells this process from all others that write the same record.
     mark: u64,
     /// Connections of operators, in the order in which they came.
-    calls: RefCell<BTreeMap<u64, P::Task>>,
+    calls: RefCell<BTreeMap<u64, P::TaskHandle>>,
     next: Cell<u64>,
 }
 
-impl<P: Platform> Admin<P> {
+impl<P: Runtime> Admin<P> {
     /// One that has carried out what stands in the record.
     pub fn new(
         driver: Rc<Driver<P>>,
@@ -70,7 +70,7 @@
             orders: RefCell::default(),
             // Process numbers may be the same where each process has a name space of its own; two
             // processes of one sidecar do not start at the same nanosecond.
-            mark: P::unix().as_nanos() as u64,
+            mark: P::unix_time().as_nanos() as u64,
             calls: RefCell::default(),
             next: Cell::new(0),
         });
@@ -181,7 +181,7 @@
         };
         let text = answer.to_string();
         let _ = timeout::<P, _>(PATIENCE, write::<P>(socket, text.as_bytes())).await;
-        linger::<P>(socket, LINGER, LINGER_BYTES).await;
+        lingering_close::<P>(socket, LINGER, LINGER_BYTES).await;
     }
 
     async fn answer(&self, call: &Command) -> Answer {
@@ -240,7 +240,7 @@
 }
 
 /// Reads up to the end of the first line; what comes behind it does not count.
-async fn read_line<P: Platform>(socket: &P::Tcp) -> Result<String, &'static str> {
+async fn read_line<P: Runtime>(socket: &P::Tcp) -> Result<String, &'static str> {
     let mut line = Vec::new();
     let mut buf = [0; LONGEST];
     loop {
@@ -267,7 +267,7 @@
     }
 }
 
-async fn write<P: Platform>(socket: &P::Tcp, mut text: &[u8]) {
+async fn write<P: Runtime>(socket: &P::Tcp, mut text: &[u8]) {
     while !text.is_empty() {
         match socket.try_write(text) {
             Ok(n) => text = &text[n..],
--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use runtime::Platform;
+use runtime::Runtime;
 
 /// How many bytes of a body are buffered at most. Longer ones are streamed.
 pub const STREAM_WINDOW_BYTES: usize = 64 << 10;
@@ -41,7 +41,7 @@
 /// A peer that stops half way, or sends byte by byte, would hold a request and its resources for
 /// ever. Its time runs only while it is waited for: a receiver that takes its time is not the
 /// sender's fault. This does harm to senders with long pauses.
-pub struct PacedBody<P: Platform> {
+pub struct PacedBody<P: Runtime> {
     body: Incoming,
     /// How many bytes may still be received.
     remaining: u64,
@@ -52,13 +52,13 @@
 }
 
 /// A wait for the sender.
-struct Wait<P: Platform> {
+struct Wait<P: Runtime> {
     since: Instant,
     /// Completes when it has lasted too long.
     timeout: Pin<Box<P::Sleep>>,
 }
 
-impl<P: Platform> PacedBody<P> {
+impl<P: Runtime> PacedBody<P> {
     /// The rest of a client's body, which may have `remaining` bytes more.
     pub fn from_client(body: Incoming, remaining: u64) -> PacedBody<P> {
         PacedBody::new(body, remaining, MIN_CLIENT_BYTES_PER_SECOND)
@@ -100,7 +100,7 @@
     }
 }
 
-impl<P: Platform> Body for PacedBody<P> {
+impl<P: Runtime> Body for PacedBody<P> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -112,7 +112,7 @@
             return self.poll_timeout(cx).map(|()| Some(Err(BodyError)));
         };
         if let Some(wait) = self.wait.take() {
-            self.waited += P::since(wait.since);
+            self.waited += P::elapsed_since(wait.since);
         }
         Poll::Ready(frame.map(|frame| {
             let frame = frame.map_err(|_| BodyError)?;
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use runtime::Platform;
+use runtime::Runtime;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are neither a client's nor a server's: standard streams, the event queue and
@@ -65,7 +65,7 @@
     }
 
     /// Shares out another limit from now on. Permits that are in use stay so; fewer are reissued.
-    pub fn resize<P: Platform>(&self, limit: usize) {
+    pub fn resize<P: Runtime>(&self, limit: usize) {
         let old = connections_per_side(self.limit.replace(limit));
         let new = connections_per_side(limit);
         self.eviction_threshold.set(new / EVICTION_THRESHOLD_DIVISOR);
@@ -98,7 +98,7 @@
 }
 
 /// Makes a budget of `old` one of `new`. What is lent out beyond it is not reissued.
-fn resize<P: Platform>(budget: &Arc<Semaphore>, old: usize, new: usize) {
+fn resize<P: Runtime>(budget: &Arc<Semaphore>, old: usize, new: usize) {
     budget.add_permits(new.saturating_sub(old));
     let mut surplus = old.saturating_sub(new);
     surplus -= budget.forget_permits(surplus);
@@ -138,7 +138,7 @@
     }
 
     /// The budget of a process that may use `memory` bytes from now on.
-    pub fn resize<P: Platform>(&self, memory: usize) {
+    pub fn resize<P: Runtime>(&self, memory: usize) {
         let old = self.memory.replace(memory);
         resize::<P>(&self.bytes, body_bytes(old), body_bytes(memory));
     }
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use gossip::Happened;
-use runtime::Platform;
+use runtime::Runtime;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{mpsc, oneshot};
 
@@ -55,20 +55,20 @@
 
 /// A request that the driver has taken. Dropping it before its final answer is written means that
 /// the client has gone.
-pub struct Ticket<P: Platform> {
+pub struct Ticket<P: Runtime> {
     id: RequestId,
     driver: Rc<Driver<P>>,
     reply: oneshot::Receiver<Reply>,
 }
 
-impl<P: Platform> Ticket<P> {
+impl<P: Runtime> Ticket<P> {
     /// The final answer.
     pub async fn reply(&mut self) -> Reply {
         (&mut self.reply).await.unwrap_or(Reply::Failed)
     }
 }
 
-impl<P: Platform> Drop for Ticket<P> {
+impl<P: Runtime> Drop for Ticket<P> {
     fn drop(&mut self) {
         self.driver.abandon(self.id, None);
     }
@@ -173,7 +173,7 @@
 }
 
 /// The way to the other sidecars, where there is one, and what they know together.
-pub struct Others<P: Platform> {
+pub struct Others<P: Runtime> {
     /// Datagrams.
     pub peers: Option<Rc<Peers<P>>>,
     /// This sidecar's part in the tier.
@@ -181,7 +181,7 @@
 }
 
 /// Owns the decisions and carries them out.
-pub struct Driver<P: Platform> {
+pub struct Driver<P: Runtime> {
     core: RefCell<Core>,
     timers: Timers<P>,
     clock: (Micros, Instant),
@@ -195,7 +195,7 @@
     windows: Vec<Option<Duration>>,
 }
 
-impl<P: Platform> Driver<P> {
+impl<P: Runtime> Driver<P> {
     /// A driver with nothing under way.
     pub fn new(
         settings: Settings,
@@ -207,7 +207,7 @@
         others: Others<P>,
     ) -> Rc<Driver<P>> {
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
-        let clock = (P::unix().as_micros() as Micros, P::now());
+        let clock = (P::unix_time().as_micros() as Micros, P::now());
         let probe_reports = settings.report.how != ReportHow::Silent;
         let windows = settings
             .classes
@@ -247,7 +247,7 @@
     }
 
     fn now(&self) -> Micros {
-        self.clock.0 + P::since(self.clock.1).as_micros() as Micros
+        self.clock.0 + P::elapsed_since(self.clock.1).as_micros() as Micros
     }
 
     fn event(self: &Rc<Driver<P>>, event: Event<'_>) {
@@ -292,7 +292,7 @@
                         Some(dial) => driver.upstream.probe(dial, driver.probe_reports).await,
                         None => (Outcome::ConnectFailed, LoadReport::default()),
                     };
-                    let latency = P::since(sent).as_micros() as Micros;
+                    let latency = P::elapsed_since(sent).as_micros() as Micros;
                     driver.event(Event::Probed { server, outcome, latency, report });
                 });
             }
@@ -610,7 +610,7 @@
         };
         drop(spec);
         let since = upload.and_then(|u| u.completed_at()).map_or(sent, |end| sent.max(end));
-        self.over(id, n, server, P::since(since).as_micros() as Micros, reached);
+        self.over(id, n, server, P::elapsed_since(since).as_micros() as Micros, reached);
     }
 
     /// Tells an attempt's outcome. The first answer served goes to the client.
@@ -672,7 +672,7 @@
     }
 }
 
-impl<P: Platform> discovery::Listener for Rc<Driver<P>> {
+impl<P: Runtime> discovery::Listener for Rc<Driver<P>> {
     fn list(&self, kind: ListKind, list: &List<Part<'_>>) {
         self.servers(kind, list);
     }
@@ -690,7 +690,7 @@
     }
 }
 
-impl<P: Platform> peers::Inbox for Rc<Driver<P>> {
+impl<P: Runtime> peers::Inbox for Rc<Driver<P>> {
     fn note(&self, from: u32, data: &[u8]) {
         if !self.others.tier.as_ref().is_some_and(|tier| tier.hear(from, data)) {
             self.event(Event::Note { from, data });
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use runtime::{Listener, Platform, timeout};
+use runtime::{Listener, Runtime, timeout};
 
 use super::Ingress;
 use crate::sidecar::budget::SocketPermit;
@@ -14,7 +14,7 @@
 /// How many connections are closed at most with each one that is accepted.
 const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
 
-impl<P: Platform> Ingress<P> {
+impl<P: Runtime> Ingress<P> {
     /// Accepts clients for as long as it is polled.
     ///
     /// What waits in the listener's queue while the budget is used up is in progress already for
@@ -43,7 +43,7 @@
                     self.accept_count.set(number);
                     self.last_accepted.set(P::now());
                     self.evict_longest_idle();
-                    let delay = behind_since.map_or(Duration::ZERO, P::since);
+                    let delay = behind_since.map_or(Duration::ZERO, P::elapsed_since);
                     P::spawn(self.clone().serve_connection(number, socket, permit, delay));
                 }
                 Err(error) => {
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -6,7 +6,7 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use runtime::{Observer, Platform, Tcp};
+use runtime::{Observer, Runtime, Tcp};
 use tokio::sync::Notify;
 
 use crate::sidecar::body::client_transfer_time;
@@ -100,7 +100,7 @@
     /// The rest of a long body waits in the buffer until an attempt wants it, and its time runs
     /// from when it was received. Where the client was still sending in the meantime, its time is
     /// estimated shorter than it is.
-    fn record<P: Platform>(&self, bytes: usize) {
+    fn record<P: Runtime>(&self, bytes: usize) {
         let read_since = self.read_since.get() + bytes as u64;
         if self.drained.replace(false) || read_since > MAX_BUFFERED_BYTES {
             self.fresh_at.set(P::now());
@@ -129,12 +129,12 @@
         self.since.get().is_some()
     }
 
-    fn start<P: Platform>(&self) {
+    fn start<P: Runtime>(&self) {
         self.since.set(Some(self.since.get().unwrap_or_else(P::now)));
     }
 
-    fn finish<P: Platform>(&self) {
-        let waited = self.since.take().map_or(Duration::ZERO, P::since);
+    fn finish<P: Runtime>(&self) {
+        let waited = self.since.take().map_or(Duration::ZERO, P::elapsed_since);
         self.finished.set(self.finished.get() + waited);
     }
 }
@@ -145,7 +145,7 @@
 /// further reading of a response or, for a body, sending at a minimum pace. This guards against
 /// clients that hold a connection and never finish: silent ones, slow senders and those that do not
 /// read. It does harm to honest clients that are slower than that.
-pub(super) struct ClientConnection<P: Platform> {
+pub(super) struct ClientConnection<P: Runtime> {
     /// The connection's task alone keeps the socket open.
     socket: Weak<P::Tcp>,
     phase: Cell<Phase>,
@@ -169,7 +169,7 @@
     close_requested: Notify,
 }
 
-impl<P: Platform> ClientConnection<P> {
+impl<P: Runtime> ClientConnection<P> {
     /// A connection without a request, whose request bodies may have up to `max_body` bytes.
     pub fn new(
         socket: &Rc<P::Tcp>,
@@ -267,7 +267,7 @@
 
     /// Whether the client sends nothing more, whatever waits to be read.
     pub fn is_gone(&self) -> bool {
-        self.socket.upgrade().is_none_or(|socket| socket.ended())
+        self.socket.upgrade().is_none_or(|socket| socket.peer_closed())
     }
 
     /// The place in the order of eviction; none while a request is in progress.
@@ -287,7 +287,7 @@
     /// A connection that is closed under a request loses it, and the client has to retry. One that
     /// never had a response does not even know that it may.
     pub fn may_be_sending(&self) -> bool {
-        let idle = P::since(self.last_progress.get());
+        let idle = P::elapsed_since(self.last_progress.get());
         let just_connected = self.unused.get() && idle < MIN_IDLE_BEFORE_EVICTION;
         self.phase.get() == Phase::Idle && (just_connected || !self.has_no_unread_input())
     }
@@ -298,7 +298,7 @@
     /// may be there, which counts as taken on. In a crowd of clients that all send on, no connection
     /// can be evicted until one runs into its timeout.
     pub fn has_no_unread_input(&self) -> bool {
-        let unread = |socket: Rc<P::Tcp>| !socket.at_rest() && !socket.ended();
+        let unread = |socket: Rc<P::Tcp>| !socket.is_idle() && !socket.peer_closed();
         self.phase.get() == Phase::Lingering || !self.socket.upgrade().is_some_and(unread)
     }
 
@@ -306,7 +306,7 @@
     pub fn evictable_idle_time(&self) -> Option<Duration> {
         let least =
             if self.unused.get() { MIN_UNUSED_BEFORE_EVICTION } else { MIN_IDLE_BEFORE_EVICTION };
-        let idle = P::since(self.last_progress.get());
+        let idle = P::elapsed_since(self.last_progress.get());
         (self.phase.get() == Phase::Idle && idle >= least).then_some(idle)
     }
 
@@ -386,7 +386,7 @@
     }
 }
 
-impl<P: Platform> Observer for ClientConnection<P> {
+impl<P: Runtime> Observer for ClientConnection<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         self.count_request_bytes(bytes.len());
         let mut framing = self.framing.borrow_mut();
@@ -401,7 +401,7 @@
         Ok(())
     }
 
-    fn on_wait(&self) {
+    fn on_read_pending(&self) {
         self.receive_clock.drained.set(true);
     }
 
@@ -412,7 +412,7 @@
         }
     }
 
-    fn may_end(&self) -> bool {
+    fn may_shutdown(&self) -> bool {
         self.framing_error.get().is_none()
     }
 
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -21,7 +21,7 @@
 use std::time::{Duration, Instant};
 
 use instance_status::State;
-use runtime::Platform;
+use runtime::Runtime;
 use tokio::sync::Notify;
 
 use self::connection::{ClientConnection, Phase};
@@ -48,7 +48,7 @@
 }
 
 /// The client-facing side of the sidecar: its connections, and whether it admits more.
-pub struct Ingress<P: Platform> {
+pub struct Ingress<P: Runtime> {
     driver: Rc<Driver<P>>,
     name: String,
     live: Rc<LiveConfig>,
@@ -70,7 +70,7 @@
     date: DateCache,
 }
 
-impl<P: Platform> Ingress<P> {
+impl<P: Runtime> Ingress<P> {
     /// An ingress without connections.
     pub fn new(
         driver: Rc<Driver<P>>,
@@ -125,7 +125,7 @@
 
     /// For how long operators have had this instance drained, if they have.
     pub fn drained_for(&self) -> Option<Duration> {
-        self.drained_since.get().map(P::since)
+        self.drained_since.get().map(P::elapsed_since)
     }
 
     /// Completes when this instance is drained, or no longer is. For one caller at a time.
@@ -146,7 +146,7 @@
 
     /// The state of the sidecar, as it is reported.
     pub fn state(&self) -> State {
-        let shortage = |at| P::since(at) < DESCRIPTOR_SHORTAGE_TIME;
+        let shortage = |at| P::elapsed_since(at) < DESCRIPTOR_SHORTAGE_TIME;
         State {
             name: self.name.clone(),
             pid: std::process::id(),
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, http};
-use runtime::Platform;
+use runtime::Runtime;
 
 use super::Ingress;
 use super::connection::{ClientConnection, ClientDisconnected, Phase};
@@ -60,7 +60,7 @@
     reservation: Reservation,
 }
 
-impl<P: Platform> Ingress<P> {
+impl<P: Runtime> Ingress<P> {
     /// The response to a health check of this sidecar, if the request is one.
     pub(super) fn health_response(
         &self,
@@ -130,7 +130,7 @@
         let (class, started) = (info.class, P::now());
         let mut ticket = self.driver.request(info, spec);
         let reply = await_reply(connection, &mut ticket, upload).await?;
-        let took_us = P::since(started).as_micros() as u64;
+        let took_us = P::elapsed_since(started).as_micros() as u64;
         tracing::debug!(
             request = correlation_id,
             class,
@@ -225,7 +225,7 @@
 }
 
 /// Waits for the reply, and for the rest of a streamed body.
-async fn await_reply<P: Platform>(
+async fn await_reply<P: Runtime>(
     connection: &ClientConnection<P>,
     ticket: &mut Ticket<P>,
     upload: Option<Rc<Upload>>,
@@ -284,12 +284,12 @@
 }
 
 /// The rest of a client's long body. It tells the connection when it has ended.
-struct StreamedRequestBody<P: Platform> {
+struct StreamedRequestBody<P: Runtime> {
     body: PacedBody<P>,
     connection: Rc<ClientConnection<P>>,
 }
 
-impl<P: Platform> Body for StreamedRequestBody<P> {
+impl<P: Runtime> Body for StreamedRequestBody<P> {
     type Data = Bytes;
     type Error = BodyError;
 
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
-use runtime::Platform;
+use runtime::Runtime;
 
 use super::connection::ClientConnection;
 use crate::sidecar::body::{BodyError, BoxedBody};
@@ -112,8 +112,8 @@
 
 impl DateCache {
     /// The value of the `Date` header.
-    pub fn header<P: Platform>(&self) -> HeaderValue {
-        let now = P::unix().as_secs();
+    pub fn header<P: Runtime>(&self) -> HeaderValue {
+        let now = P::unix_time().as_secs();
         let mut cached = self.cached.borrow_mut();
         if cached.unix_second != now {
             let text = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(now));
@@ -126,7 +126,7 @@
 
 /// The body of a response on its way to a client. Once it is dropped, its connection is idle as
 /// soon as all is written.
-pub(super) struct ResponseBody<P: Platform> {
+pub(super) struct ResponseBody<P: Runtime> {
     first: Full<Bytes>,
     rest: Option<BoxedBody>,
     connection: Rc<ClientConnection<P>>,
@@ -134,7 +134,7 @@
     _reservation: Reservation,
 }
 
-impl<P: Platform> ResponseBody<P> {
+impl<P: Runtime> ResponseBody<P> {
     /// A body of `first` and, behind it, `rest`.
     pub fn new(
         first: Full<Bytes>,
@@ -146,13 +146,13 @@
     }
 }
 
-impl<P: Platform> Drop for ResponseBody<P> {
+impl<P: Runtime> Drop for ResponseBody<P> {
     fn drop(&mut self) {
         self.connection.finish_response();
     }
 }
 
-impl<P: Platform> Body for ResponseBody<P> {
+impl<P: Runtime> Body for ResponseBody<P> {
     type Data = Bytes;
     type Error = BodyError;
 
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtime::{Platform, Stream, Tcp, linger};
+use runtime::{Runtime, Stream, Tcp, lingering_close};
 
 use super::connection::{ClientConnection, ClientDisconnected, Phase};
 use super::request::RequestError;
@@ -24,7 +24,7 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_MAX_BYTES: usize = 256 << 10;
 
-impl<P: Platform> Ingress<P> {
+impl<P: Runtime> Ingress<P> {
     /// Serves one connection up to its end.
     pub(super) async fn serve_connection(
         self: Rc<Ingress<P>>,
@@ -46,7 +46,7 @@
             connection.enter(Phase::Lingering);
             tokio::select! {
                 biased;
-                () = linger::<P>(&socket, LINGER_TIME, LINGER_MAX_BYTES) => {}
+                () = lingering_close::<P>(&socket, LINGER_TIME, LINGER_MAX_BYTES) => {}
                 () = connection.close_requested() => {}
             }
         } else if connection.phase().is_busy() {
@@ -134,7 +134,7 @@
 }
 
 /// Rejects a request whose framing is faulty, if it can still be told so. True: it was.
-fn reject_unframed<P: Platform>(connection: &ClientConnection<P>, socket: &P::Tcp) -> bool {
+fn reject_unframed<P: Runtime>(connection: &ClientConnection<P>, socket: &P::Tcp) -> bool {
     connection.framing_error().is_some_and(|error| {
         matches!(
             connection.phase(),
@@ -145,7 +145,7 @@
 
 /// Writes a response in hyper's place, to a request that hyper is not to see or will not see
 /// completely. To be used only while nothing of a response has been written. True: it is written.
-fn reject<P: Platform>(
+fn reject<P: Runtime>(
     connection: &ClientConnection<P>,
     socket: &P::Tcp,
     status: StatusCode,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -28,7 +28,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Platform, Tokio};
+use runtime::{Runtime, TokioRuntime};
 use tokio::sync::{Notify, mpsc, watch};
 
 use self::admin::record::Record;
@@ -49,7 +49,7 @@
 }
 
 /// The sockets that a sidecar is started with.
-pub struct Sockets<P: Platform> {
+pub struct Sockets<P: Runtime> {
     /// Where clients connect.
     pub listener: P::Listener,
     /// A predecessor accepts on the same listener, until this sidecar can serve.
@@ -74,7 +74,7 @@
     H: Future<Output = ()>,
     R: Fn() -> Result<Config, String>,
 {
-    let sockets = Sockets::<Tokio>::bind(&config)?;
+    let sockets = Sockets::<TokioRuntime>::bind(&config)?;
     serve(config, sockets, control).await
 }
 
@@ -89,7 +89,7 @@
     control: Control<S, H, R>,
 ) -> Result<(), StartError>
 where
-    P: Platform,
+    P: Runtime,
     S: Future<Output = ()>,
     H: Future<Output = ()>,
     R: Fn() -> Result<Config, String>,
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use instance_status::{State, Supervisor};
-use runtime::Platform;
+use runtime::Runtime;
 
 /// Between two reports.
 const EVERY: Duration = Duration::from_millis(500);
@@ -16,7 +16,7 @@
 /// Danger: these datagrams come from the event loop that serves clients, so that one that hangs
 /// falls silent. A queue that is full swallows a report, and a supervisor that was kept from
 /// reading would take that for silence: it is sent again soon.
-pub async fn run<P: Platform>(
+pub async fn run<P: Runtime>(
     supervisor: Supervisor,
     state: impl Fn() -> State,
     changed: &tokio::sync::Notify,
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use instance_status::Declined;
-use runtime::Platform;
+use runtime::Runtime;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
@@ -17,7 +17,7 @@
 use super::status::Status;
 
 /// All that a new configuration reaches.
-pub struct Targets<P: Platform> {
+pub struct Targets<P: Runtime> {
     /// Where discovery is.
     pub discovery: watch::Sender<SocketAddr>,
     /// Values in force.
@@ -37,7 +37,7 @@
 /// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
 /// be. A file that cannot be used changes nothing. Never ends: what discovery has to tell counts during
 /// a planned end, too.
-pub async fn run<P: Platform>(
+pub async fn run<P: Runtime>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
     targets: Targets<P>,
@@ -54,7 +54,7 @@
     std::future::pending().await
 }
 
-impl<P: Platform> Targets<P> {
+impl<P: Runtime> Targets<P> {
     fn take_over(&self, config: Config) {
         let moved = self.discovery.send_if_modified(|at| {
             let moved = *at != config.discovery;
--- a/src/sidecar/request_ids.rs
+++ b/src/sidecar/request_ids.rs
@@ -6,7 +6,7 @@
 use std::marker::PhantomData;
 use std::time::{Duration, Instant};
 
-use runtime::Platform;
+use runtime::Runtime;
 
 /// How long an id stays in use after its request's end: a copy of the request may still arrive that
 /// was sent while it was in progress. Honest clients never use an id twice.
@@ -40,12 +40,12 @@
 }
 
 /// The id of a request in progress; to be dropped when the request has ended.
-pub struct OpenId<'a, P: Platform> {
+pub struct OpenId<'a, P: Runtime> {
     ids: &'a RequestIds<P>,
     hash: u64,
 }
 
-impl<P: Platform> RequestIds<P> {
+impl<P: Runtime> RequestIds<P> {
     /// Takes an id into use; none if it is in use.
     pub fn open(&self, id: &str) -> Option<OpenId<'_, P>> {
         self.release_expired();
@@ -56,7 +56,7 @@
     fn release_expired(&self) {
         let mut ended = self.ended.borrow_mut();
         while let Some(oldest) = ended.front()
-            && (P::since(oldest.at) > RETENTION || ended.len() > MAX_RETAINED)
+            && (P::elapsed_since(oldest.at) > RETENTION || ended.len() > MAX_RETAINED)
         {
             self.in_use.borrow_mut().remove(&oldest.hash);
             ended.pop_front();
@@ -64,7 +64,7 @@
     }
 }
 
-impl<P: Platform> Drop for OpenId<'_, P> {
+impl<P: Runtime> Drop for OpenId<'_, P> {
     fn drop(&mut self) {
         self.ids.ended.borrow_mut().push_back(EndedId { hash: self.hash, at: P::now() });
     }
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use runtime::Platform;
+use runtime::Runtime;
 
 use super::ingress::{CloseScope, DRAIN_PROPAGATION_DELAY, Ingress};
 
@@ -30,7 +30,7 @@
 ///
 /// A client whose connection is closed just as it writes has to retry. Connections that have been
 /// idle for a while are closed first, and only once new ones are opened elsewhere.
-pub async fn close_drained_clients<P: Platform>(ingress: Rc<Ingress<P>>) {
+pub async fn close_drained_clients<P: Runtime>(ingress: Rc<Ingress<P>>) {
     loop {
         match ingress.drained_for() {
             None => {
@@ -53,25 +53,26 @@
 /// process, what is open shortly before the end is failed, and a connection on which the last
 /// response was written is read on to its end. A rollout that waits for each process takes half a
 /// second longer if the clients do not close their connections.
-pub async fn drain<P: Platform>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
+pub async fn drain<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
     let exit = all_requests_due + EXIT_GRACE_PERIOD;
     ingress.begin_shutdown(exit - FAIL_MARGIN);
-    while P::since(signal) < IDLE_CLOSE_DELAY
-        || (P::since(ingress.last_accepted()) < QUIET_PERIOD && P::since(signal) < ADMISSION_PERIOD)
+    while P::elapsed_since(signal) < IDLE_CLOSE_DELAY
+        || (P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD
+            && P::elapsed_since(signal) < ADMISSION_PERIOD)
     {
         P::sleep(POLL_INTERVAL).await;
     }
     // A client whose connection is closed just as it writes retries on a new one, so new ones are
     // accepted to the end.
     loop {
-        let is_admitting = P::since(signal) < ADMISSION_PERIOD;
+        let is_admitting = P::elapsed_since(signal) < ADMISSION_PERIOD;
         ingress.close_idle(if is_admitting {
             CloseScope::Idle
         } else {
             CloseScope::IdleAndReceiving
         });
-        let arriving = is_admitting || P::since(ingress.last_accepted()) < QUIET_PERIOD;
+        let arriving = is_admitting || P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD;
         if ingress.is_quiescent() && !arriving || P::now() >= exit {
             return;
         }
@@ -89,12 +90,12 @@
 /// successor accepts. So at first only those connections are closed that have been idle for a
 /// while; a client that goes on sending is told `Connection: close` with its next response; one
 /// that is neither idle nor finishes is cut off when no response could be in time any more.
-pub async fn hand_over<P: Platform>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
+pub async fn hand_over<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
     let exit = all_requests_due + ADMISSION_PERIOD;
     ingress.begin_shutdown(exit - FAIL_MARGIN);
     loop {
-        if P::since(signal) >= ADMISSION_PERIOD {
+        if P::elapsed_since(signal) >= ADMISSION_PERIOD {
             ingress.close_idle(CloseScope::IdleAndReceiving);
         } else {
             ingress.close_evictable();
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Listener, Platform, Tokio};
+use runtime::{Listener, Runtime, TokioRuntime};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -71,13 +71,13 @@
     Tier(String),
 }
 
-impl Sockets<Tokio> {
+impl Sockets<TokioRuntime> {
     /// Binds the sockets that a configuration asks for, or takes over the inherited listener.
     ///
     /// # Errors
     ///
     /// The address that cannot be had.
-    pub(super) fn bind(config: &Config) -> Result<Sockets<Tokio>, StartError> {
+    pub(super) fn bind(config: &Config) -> Result<Sockets<TokioRuntime>, StartError> {
         let inherited = inherited_listener(config.listen)?;
         let shared = inherited.is_some();
         let listener = match inherited {
@@ -122,7 +122,7 @@
 }
 
 /// What the tasks of a sidecar share.
-pub(super) struct Components<P: Platform> {
+pub(super) struct Components<P: Runtime> {
     pub live: Rc<LiveConfig>,
     pub status: Rc<Status>,
     pub sockets: Rc<SocketBudget>,
@@ -132,7 +132,7 @@
     tier: Option<Rc<Shared<P>>>,
 }
 
-impl<P: Platform> Components<P> {
+impl<P: Runtime> Components<P> {
     /// The components that a configuration asks for. `peers` receives datagrams of other sidecars.
     ///
     /// # Errors
@@ -219,7 +219,7 @@
 }
 
 /// Gives the driver the list that an earlier process stored.
-pub(super) fn restore_server_list<P: Platform>(
+pub(super) fn restore_server_list<P: Runtime>(
     driver: &Rc<Driver<P>>,
     known: Option<&List>,
     how: Discovery,
@@ -241,7 +241,7 @@
 /// # Errors
 ///
 /// When the listener has none.
-pub(super) fn log_listening<P: Platform>(listener: &P::Listener) -> Result<(), StartError> {
+pub(super) fn log_listening<P: Runtime>(listener: &P::Listener) -> Result<(), StartError> {
     let address = listener.local_addr().map_err(StartError::LocalAddress)?;
     tracing::info!(%address, "listening");
     Ok(())
@@ -257,7 +257,7 @@
 }
 
 /// A sidecar that is about to accept clients.
-pub(super) struct Serving<P: Platform> {
+pub(super) struct Serving<P: Runtime> {
     pub ingress: Rc<Ingress<P>>,
     pub admin: Option<Rc<Admin<P>>>,
     pub live: Rc<LiveConfig>,
@@ -268,7 +268,7 @@
     pub discovery_attempted: Rc<Notify>,
 }
 
-impl<P: Platform> Serving<P> {
+impl<P: Runtime> Serving<P> {
     /// Accepts and serves clients until `stop` or `hand_over` completes, and then up to the end of
     /// the graceful shutdown. `reloading` goes on until then: a list from a newly configured
     /// discovery matters as long as requests are sent.
@@ -324,7 +324,7 @@
 ///
 /// While a predecessor serves on the same listener, what this process accepted before any server is
 /// known would be refused for nothing. Without one, it waits in the listener's queue.
-async fn accept<P: Platform>(
+async fn accept<P: Runtime>(
     ingress: Rc<Ingress<P>>,
     listener: P::Listener,
     shared: bool,
@@ -339,7 +339,7 @@
 
 /// Marks the ingress ready when discovery has first been attempted, and reports when servers are
 /// known; never ends.
-async fn become_ready<P: Platform>(
+async fn become_ready<P: Runtime>(
     ingress: &Ingress<P>,
     admin: Option<&Admin<P>>,
     discovery_attempted: &Notify,
--- a/src/sidecar/upload.rs
+++ b/src/sidecar/upload.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::body::Body;
-use runtime::Platform;
+use runtime::Runtime;
 use tokio::sync::Notify;
 
 use super::body::{BodyError, BoxedBody, MAX_BODY_GAP};
@@ -53,7 +53,7 @@
 impl Upload {
     /// An upload of which `prefix` has been received; the rest is in `source`, and `received_at`
     /// tells when its last byte was received.
-    pub fn new<P: Platform>(
+    pub fn new<P: Runtime>(
         prefix: Bytes,
         source: BoxedBody,
         length: Option<u64>,
@@ -111,7 +111,7 @@
     ///
     /// A server that accepts no more of a body would hold its client for ever. A client that sends
     /// no more is detected sooner, by [`PacedBody`](super::body::PacedBody).
-    pub async fn stalled<P: Platform>(&self) {
+    pub async fn stalled<P: Runtime>(&self) {
         loop {
             let before = self.streamed.get();
             P::sleep(2 * MAX_BODY_GAP).await;
--- a/src/sidecar/upload/tests.rs
+++ b/src/sidecar/upload/tests.rs
@@ -2,12 +2,12 @@
 
 use super::*;
 use http_body_util::{BodyExt, Full};
-use runtime::Tokio;
+use runtime::TokioRuntime;
 
 fn upload(prefix: &'static str, rest: &'static str) -> Rc<Upload> {
     let rest = Full::new(Bytes::from(rest)).map_err(|never| match never {});
     let left = Duration::from_secs(1);
-    Upload::new::<Tokio>(Bytes::from(prefix), Box::pin(rest), None, left, Rc::default())
+    Upload::new::<TokioRuntime>(Bytes::from(prefix), Box::pin(rest), None, left, Rc::default())
 }
 
 fn read_all(attempt: &mut UploadAttempt) -> Result<Vec<u8>, BodyError> {
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -16,7 +16,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtime::{Observer, Platform, Stream, Task, Tcp, timeout, timeout_at};
+use runtime::{Observer, Runtime, Stream, TaskHandle, Tcp, timeout, timeout_at};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
@@ -103,7 +103,7 @@
     Stream(UploadAttempt, Rc<Meter<P>>),
 }
 
-impl<P: Platform> Body for Replay<P> {
+impl<P: Runtime> Body for Replay<P> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -143,7 +143,7 @@
 
 /// The rest of an answer that is passed on as it comes. Its connection can be used again when it has
 /// come whole; dropped before, it is closed.
-struct Rest<P: Platform> {
+struct Rest<P: Runtime> {
     body: PacedBody<P>,
     upstream: Rc<Upstream<P>>,
     server: ServerId,
@@ -151,9 +151,9 @@
 }
 
 // Nothing in it is pinned in place.
-impl<P: Platform> Unpin for Rest<P> {}
+impl<P: Runtime> Unpin for Rest<P> {}
 
-impl<P: Platform> Body for Rest<P> {
+impl<P: Runtime> Body for Rest<P> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -203,7 +203,7 @@
     on: PhantomData<P>,
 }
 
-impl<P: Platform> Meter<P> {
+impl<P: Runtime> Meter<P> {
     fn new(longest: usize, status: Rc<Status>) -> Meter<P> {
         Meter {
             status,
@@ -270,7 +270,7 @@
     }
 }
 
-impl<P: Platform> Observer for Meter<P> {
+impl<P: Runtime> Observer for Meter<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut answer = self.answer.borrow_mut();
         // What comes before the request's last byte has left is no answer to it.
@@ -294,11 +294,11 @@
         Ok(())
     }
 
-    fn holds(&self) -> bool {
+    fn limits_writes(&self) -> bool {
         self.held.get()
     }
 
-    fn allow(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
+    fn poll_write_allowance(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
         match self.end(bytes) {
             Some(1) if self.held.get() => {
                 self.waker.set(Some(cx.waker().clone()));
@@ -327,18 +327,18 @@
 }
 
 /// One connection. Dropping it closes it.
-struct Connection<P: Platform> {
+struct Connection<P: Runtime> {
     sender: SendRequest<Replay<P>>,
     socket: Rc<P::Tcp>,
     meter: Rc<Meter<P>>,
-    task: P::Task,
+    task: P::TaskHandle,
     dial: SocketAddr,
     rested: Instant,
     /// How long it took to come up: a round trip.
     trip: Duration,
 }
 
-impl<P: Platform> Drop for Connection<P> {
+impl<P: Runtime> Drop for Connection<P> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -377,7 +377,7 @@
 }
 
 /// All connections to servers.
-pub struct Upstream<P: Platform> {
+pub struct Upstream<P: Runtime> {
     idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
     sockets: Rc<SocketBudget>,
     bytes: BodyBudget,
@@ -385,7 +385,7 @@
     status: Rc<Status>,
 }
 
-impl<P: Platform> Upstream<P> {
+impl<P: Runtime> Upstream<P> {
     /// An upstream without connections.
     pub fn new(
         sockets: Rc<SocketBudget>,
@@ -404,7 +404,7 @@
             P::sleep(Duration::from_millis(500)).await;
             let retire = self.live.timeouts().max_reuse_idle();
             self.idle.borrow_mut().retain(|_, list| {
-                list.retain(|c| P::since(c.rested) < retire && !c.sender.is_closed());
+                list.retain(|c| P::elapsed_since(c.rested) < retire && !c.sender.is_closed());
                 !list.is_empty()
             });
         }
@@ -438,7 +438,7 @@
             let mut connection = {
                 let mut idle = self.idle.borrow_mut();
                 let list = idle.get_mut(&server)?;
-                let settled = list.iter().rposition(|c| P::since(c.rested) >= SETTLED);
+                let settled = list.iter().rposition(|c| P::elapsed_since(c.rested) >= SETTLED);
                 match settled {
                     Some(at) => list.remove(at),
                     None => list.pop()?,
@@ -447,10 +447,10 @@
             // Danger: a server may have closed it, or sent something unasked, since it was last
             // looked at; hyper's own task sees that only when its turn comes.
             if connection.dial != dial
-                || P::since(connection.rested) >= self.live.timeouts().max_reuse_idle()
+                || P::elapsed_since(connection.rested) >= self.live.timeouts().max_reuse_idle()
                 || connection.sender.is_closed()
                 || connection.meter.surplus.get()
-                || !connection.socket.at_rest()
+                || !connection.socket.is_idle()
             {
                 continue;
             }
@@ -480,7 +480,7 @@
         let began = P::now();
         let socket =
             timeout::<P, _>(self.live.timeouts().connect, P::connect(dial)).await.ok()?.ok()?;
-        let trip = P::since(began);
+        let trip = P::elapsed_since(began);
         socket.set_nodelay().ok()?;
         let socket = Rc::new(socket);
         let meter = Rc::new(Meter::new(self.live.max_body_bytes(), self.status.clone()));
@@ -577,7 +577,7 @@
                 None if reused
                     && spec.repeat != Repeat::Unsafe
                     && meter.begun.get().is_none()
-                    && P::since(asked) < STALE =>
+                    && P::elapsed_since(asked) < STALE =>
                 {
                     if meter.whole.get() {
                         copied.set(true);
@@ -644,7 +644,7 @@
             headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(length));
         }
         // What may be repeated need not wait: if the connection is gone, it is sent once more.
-        let may_be_gone = !(SETTLED..RESTED).contains(&P::since(connection.rested));
+        let may_be_gone = !(SETTLED..RESTED).contains(&P::elapsed_since(connection.rested));
         let trial = reused && may_be_gone && spec.repeat == Repeat::Unsafe;
         let lasts = (connection.trip * TRIAL_TRIPS).clamp(TRIAL.0, TRIAL.1);
         meter.begin(length.unwrap_or(u64::MAX), trial);
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -17,7 +17,7 @@
 use lb_sidecar::sidecar::config::Config;
 use lb_sidecar::sidecar::status::Reloads;
 use net::{Folder, PATIENCE, Server, Sidecar, discovery, look};
-use runtime::Tokio;
+use runtime::TokioRuntime;
 use serde_json::{Value, json};
 
 fn fixture(name: &str) -> PathBuf {
@@ -207,7 +207,7 @@
         *stands = orders();
         Ok(())
     };
-    record.change::<Tokio>(write).await.expect("written");
+    record.change::<TokioRuntime>(write).await.expect("written");
     let written = std::fs::read_to_string(folder.path().join(name)).expect("under its name");
     assert_eq!(written, before);
 }
