The stored name of the orders file in its compatibility test is the former one again

Cause: the renaming of programs replaced it in the test, too; the file itself keeps its name, so the test failed. Change: the name as written by earlier versions.

--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -194,7 +194,7 @@
 
 #[tokio::test]
 async fn orders_are_read_and_written_as_before() {
-    let name = "lb-sidecar-08b37c07b558d673.json";
+    let name = "plankvale-08b37c07b558d673.json";
     let before = text("orders/orders.json");
     let folder = Folder::new("orders");
     std::fs::write(folder.path().join(name), &before).expect("written");
