Simnet: one module a concern, typed connections and times, names of the field

net.rs (680 lines), exec.rs and fabric.rs become modules for connections, delivery, the executor, links, listeners, TCP, UDP, the tap and the world. Times are Duration, connections ConnectionId, the two ends an enum, the opening of a connection a Handshake. Kinds of hashed events are a typed TraceKind with the numbers that they had.

Two fields went that nothing needed: Side::stalled was set to false directly before the only place that read it, Inner::polls was written and never read.

--- a/crates/simulation/src/client.rs
+++ b/crates/simulation/src/client.rs
@@ -196,7 +196,7 @@
             return None;
         };
         let text = self.text(of, id, left);
-        let (conn, length) = (socket.number(), text.len() as u64);
+        let (conn, length) = (socket.id(), text.len() as u64);
         let at = now(self.start);
         self.oracle.borrow_mut().sends(at, conn, id, class, self.sidecar, left, length);
         self.open.borrow_mut().push(id);
