Status reports: the field's names for their types and fields, stored names kept

Cause: State, Counts, Declined and fields like open, short and why do not say what they are.

Change: InstanceStatus, RequestCounts, RejectedConfig, SupervisorSocket, MAX_DATAGRAM_BYTES, to_datagram and from_datagram; the fields rejected, reason, rejected_config, client_connections, in_flight_requests and out_of_descriptors. What is sent keeps its names, as the fixtures hold.

--- a/crates/config-distribution/src/net/place.rs
+++ b/crates/config-distribution/src/net/place.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use fleet::control::{Request, ask};
-use instance_status::State;
+use instance_status::InstanceStatus;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -78,7 +78,7 @@
     }
 
     /// What the sidecar tells of itself, if there is one.
-    async fn state(&self, at: SocketAddr) -> Option<State> {
+    async fn state(&self, at: SocketAddr) -> Option<InstanceStatus> {
         Caller::new(at).json("/health/version", None, ASKS).await.ok()
     }
 
@@ -142,10 +142,11 @@
                 return Ok(());
             }
             // 0: it could not be read as far as its number.
-            let ours =
-                |d: &instance_status::Declined| d.generation == generation || d.generation == 0;
-            if let Some(declined) = state.declined.filter(ours) {
-                break declined.why;
+            let ours = |d: &instance_status::RejectedConfig| {
+                d.generation == generation || d.generation == 0
+            };
+            if let Some(declined) = state.rejected_config.filter(ours) {
+                break declined.reason;
             }
             if Instant::now() > end {
                 return Err(Put::Later("not taken over in time".to_owned()));
--- a/crates/scale-test/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -15,7 +15,7 @@
 use config_distribution::net::host;
 use config_distribution::net::place::Place;
 use fakes::registry::{Entry, Registry};
-use instance_status::{Counts, State};
+use instance_status::{InstanceStatus, RequestCounts};
 use lb_sidecar::api::ListKind;
 use lb_sidecar::settings::Discovery as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
@@ -259,22 +259,22 @@
 }
 
 async fn report(name: String, to: Rc<(UnixDatagram, UnixDatagram)>, changed: Rc<Notify>) {
-    let mut state = State {
+    let mut state = InstanceStatus {
         name,
         pid: std::process::id(),
         version: "hollow".into(),
         generation: 0,
-        declined: None,
+        rejected_config: None,
         ready: true,
         draining: false,
-        clients: 0,
-        open: 0,
-        short: false,
-        counts: Counts::default(),
+        client_connections: 0,
+        in_flight_requests: 0,
+        out_of_descriptors: false,
+        counts: RequestCounts::default(),
     };
-    let mut read = [0; instance_status::LONGEST];
+    let mut read = [0; instance_status::MAX_DATAGRAM_BYTES];
     loop {
-        let _ = to.0.send(state.report().as_bytes());
+        let _ = to.0.send(state.to_datagram().as_bytes());
         while to.1.recv(&mut read).is_ok() {}
         state.generation += 1;
         let _ = tokio::time::timeout(REPORT, changed.notified()).await;
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -655,7 +655,7 @@
             if let Some(to) = request.reply.take() {
                 self.status.count(request.class, |c| match &reply {
                     Reply::Served(_) => c.served += 1,
-                    Reply::Refused { .. } => c.refused += 1,
+                    Reply::Refused { .. } => c.rejected += 1,
                     Reply::Failed => c.failed += 1,
                 });
                 let _ = to.send(reply);
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use instance_status::State;
+use instance_status::InstanceStatus;
 use runtime::Runtime;
 use tokio::sync::Notify;
 
@@ -145,19 +145,19 @@
     }
 
     /// The state of the sidecar, as it is reported.
-    pub fn state(&self) -> State {
+    pub fn state(&self) -> InstanceStatus {
         let shortage = |at| P::elapsed_since(at) < DESCRIPTOR_SHORTAGE_TIME;
-        State {
+        InstanceStatus {
             name: self.name.clone(),
             pid: std::process::id(),
             version: VERSION.into(),
             generation: self.live.generation(),
-            declined: self.status.declined(),
+            rejected_config: self.status.declined(),
             ready: self.is_ready(),
             draining: self.shutdown_deadline.get().is_some(),
-            clients: self.connection_count(),
-            open: self.requests_in_progress(),
-            short: self.last_accept_failure.get().is_some_and(shortage),
+            client_connections: self.connection_count(),
+            in_flight_requests: self.requests_in_progress(),
+            out_of_descriptors: self.last_accept_failure.get().is_some_and(shortage),
             counts: self.status.counts(),
         }
     }
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use instance_status::{State, Supervisor};
+use instance_status::{InstanceStatus, SupervisorSocket};
 use runtime::Runtime;
 
 /// Between two reports.
@@ -17,12 +17,12 @@
 /// falls silent. A queue that is full swallows a report, and a supervisor that was kept from
 /// reading would take that for silence: it is sent again soon.
 pub async fn run<P: Runtime>(
-    supervisor: Supervisor,
-    state: impl Fn() -> State,
+    supervisor: SupervisorSocket,
+    state: impl Fn() -> InstanceStatus,
     changed: &tokio::sync::Notify,
 ) {
     loop {
-        let sent = supervisor.send(&state().report());
+        let sent = supervisor.send(&state().to_datagram());
         tokio::select! {
             biased;
             () = changed.notified() => {}
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use instance_status::Declined;
+use instance_status::RejectedConfig;
 use runtime::Runtime;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
@@ -47,7 +47,7 @@
             Ok(config) => targets.take_over(config),
             Err(why) => {
                 tracing::error!(error = %why, "configuration not taken over, the old one stays");
-                targets.status.reloaded(Some(Declined { generation: 0, why }));
+                targets.status.reloaded(Some(RejectedConfig { generation: 0, reason: why }));
             }
         }
     }
@@ -65,7 +65,7 @@
         if let Some(key) = differs(&self.fixed, &config.fixed) {
             tracing::info!(generation, %discovery, moved, %key, "only discovery is taken over");
             let why = format!("{key}: only a new process can take this over");
-            self.status.reloaded(Some(Declined { generation, why }));
+            self.status.reloaded(Some(RejectedConfig { generation, reason: why }));
             return;
         }
         self.live.apply(&config, P::now());
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -209,7 +209,7 @@
 
     /// Has the state of the sidecar reported to its supervisor, if it has one.
     pub fn start_status_reports(&self, ingress: &Rc<Ingress<P>>) {
-        if let Some(supervisor) = instance_status::Supervisor::from_env() {
+        if let Some(supervisor) = instance_status::SupervisorSocket::from_env() {
             let (ingress, status) = (ingress.clone(), self.status.clone());
             P::spawn(async move {
                 notify::run::<P>(supervisor, || ingress.state(), &status.changed).await;
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use gossip::{Budget, ClubView, Presence, View};
-use instance_status::Counts;
+use instance_status::RequestCounts;
 use lb_sidecar::sidecar::admin::command::{Answer, Command, Figures};
 use lb_sidecar::sidecar::admin::orders::Orders;
 use lb_sidecar::sidecar::admin::record::Record;
@@ -82,7 +82,7 @@
 }
 
 fn figures() -> Figures {
-    let counts = |n| Counts { served: 1000 * n, refused: 10 * n, failed: n };
+    let counts = |n| RequestCounts { served: 1000 * n, rejected: 10 * n, failed: n };
     let classes = ["look", "keep", "order"];
     Figures {
         classes: classes.iter().zip(1..).map(|(c, n)| ((*c).to_owned(), counts(n))).collect(),
@@ -179,7 +179,7 @@
         told[key] = expected[key].clone();
     }
     assert_eq!(told, expected);
-    let read: instance_status::State =
+    let read: instance_status::InstanceStatus =
         serde_json::from_str(&text("health-version.json")).expect("a state");
     assert_eq!(serde_json::to_string(&read).expect("JSON") + "\n", text("health-version.json"));
 }
