--- a/crates/instance-status/src/lib.rs
+++ b/crates/instance-status/src/lib.rs
@@ -10,41 +10,39 @@
 use serde::{Deserialize, Serialize};
 
 /// The longest report, in bytes.
-pub const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+pub const LONGEST: usize = 8 << 10;
 
 /// Requests by their final answer, since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
-pub struct RequestCounts {
+pub struct Counts {
     /// Served with a server's answer.
     pub served: u64,
     /// Refused: trying again is harmless.
-    #[serde(rename = "refused")]
-    pub rejected: u64,
+    pub refused: u64,
     /// Failed.
     pub failed: u64,
 }
 
-impl AddAssign for RequestCounts {
-    fn add_assign(&mut self, more: RequestCounts) {
+impl AddAssign for Counts {
+    fn add_assign(&mut self, more: Counts) {
         self.served += more.served;
-        self.rejected += more.rejected;
+        self.refused += more.refused;
         self.failed += more.failed;
     }
 }
 
 /// A configuration that was not taken over whole.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct RejectedConfig {
+pub struct Declined {
     /// Its number; 0 if the file could not be read as far as that.
     pub generation: u64,
     /// The first reason.
-    #[serde(rename = "why")]
-    pub reason: String,
+    pub why: String,
 }
 
 /// The state of one sidecar.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct InstanceStatus {
+pub struct State {
     /// Its name.
     pub name: String,
     /// Its process.
@@ -54,28 +52,24 @@
     /// The configuration in force.
     pub generation: u64,
     /// The last configuration that was not taken over whole, and why.
-    #[serde(rename = "declined")]
-    pub rejected_config: Option<RejectedConfig>,
+    pub declined: Option<Declined>,
     /// Discovery was tried, and servers are known.
     pub ready: bool,
     /// Only what was taken is still answered.
     pub draining: bool,
     /// Connections of clients.
-    #[serde(rename = "clients")]
-    pub client_connections: usize,
+    pub clients: usize,
     /// Requests under way.
-    #[serde(rename = "open")]
-    pub in_flight_requests: usize,
+    pub open: usize,
     /// Accepting has failed just now: descriptors have run out.
-    #[serde(rename = "short")]
-    pub out_of_descriptors: bool,
+    pub short: bool,
     /// Requests by their final answer.
-    pub counts: RequestCounts,
+    pub counts: Counts,
 }
 
-impl InstanceStatus {
+impl State {
     /// The report that tells this state.
-    pub fn to_datagram(&self) -> String {
+    pub fn report(&self) -> String {
         let mut text = format!("MAINPID={}\nWATCHDOG=1\n", self.pid);
         if self.ready {
             text += "READY=1\n";
@@ -90,7 +84,7 @@
     }
 
     /// The state in a report; none if it carries none that can be understood.
-    pub fn from_datagram(report: &[u8]) -> Option<InstanceStatus> {
+    pub fn parse(report: &[u8]) -> Option<State> {
         let text = std::str::from_utf8(report).ok()?;
         let state = text.lines().find_map(|line| line.strip_prefix("X_STATE="))?;
         serde_json::from_str(state).ok()
@@ -101,18 +95,18 @@
 ///
 /// Danger: it never blocks. A supervisor that does not read would otherwise stop the event loop
 /// that serves clients (so kept crates for sd_notify, which block, are not used here).
-pub struct SupervisorSocket {
+pub struct Supervisor {
     socket: UnixDatagram,
     path: String,
 }
 
-impl SupervisorSocket {
+impl Supervisor {
     /// The one that `NOTIFY_SOCKET` names, if it names one.
-    pub fn from_env() -> Option<SupervisorSocket> {
+    pub fn from_env() -> Option<Supervisor> {
         let path = std::env::var("NOTIFY_SOCKET").ok().filter(|p| p.starts_with('/'))?;
         let socket = UnixDatagram::unbound().ok()?;
         socket.set_nonblocking(true).ok()?;
-        Some(SupervisorSocket { socket, path })
+        Some(Supervisor { socket, path })
     }
 
     /// Sends one or more fields, a line each; whether they are on their way. They may be lost: the
@@ -126,35 +120,35 @@
 mod tests {
     use super::*;
 
-    fn state() -> InstanceStatus {
-        InstanceStatus {
+    fn state() -> State {
+        State {
             name: "a-1".into(),
             pid: 7,
             version: "1".into(),
             generation: 3,
-            rejected_config: None,
+            declined: None,
             ready: true,
             draining: false,
-            client_connections: 1,
-            in_flight_requests: 2,
-            out_of_descriptors: false,
-            counts: RequestCounts { served: 1, rejected: 2, failed: 3 },
+            clients: 1,
+            open: 2,
+            short: false,
+            counts: Counts { served: 1, refused: 2, failed: 3 },
         }
     }
 
     #[test]
     fn a_report_tells_the_state_and_systemds_fields() {
-        let report = state().to_datagram();
-        assert_eq!(InstanceStatus::from_datagram(report.as_bytes()), Some(state()));
+        let report = state().report();
+        assert_eq!(State::parse(report.as_bytes()), Some(state()));
         assert!(report.starts_with("MAINPID=7\nWATCHDOG=1\nREADY=1\nX_STATE="));
-        assert!(report.len() < MAX_DATAGRAM_BYTES);
+        assert!(report.len() < LONGEST);
     }
 
     #[test]
     fn reports_that_are_none_of_ours_are_passed_over() {
         for bad in ["", "READY=1", "X_STATE=", "X_STATE={}", "X_STATE={\"pid\":-1}"] {
-            assert!(InstanceStatus::from_datagram(bad.as_bytes()).is_none());
+            assert!(State::parse(bad.as_bytes()).is_none());
         }
-        assert!(InstanceStatus::from_datagram(&[0xff; 100]).is_none());
+        assert!(State::parse(&[0xff; 100]).is_none());
     }
 }
--- a/crates/lbctl/src/scale.rs
+++ b/crates/lbctl/src/scale.rs
@@ -1,4 +1,4 @@
-//! `scale`: scale tests with thousands of hollow sidecars, played from plan files; one run, or a fit over sizes.
+//! `scale`: thousands of hollow sidecars beside real ones, as a file says; one run, or slopes over sizes.
 
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -9,24 +9,14 @@
 use scale_test::plan::Plan;
 use scale_test::run::{Report, play};
 
-use crate::outcome::{CommandError, Outcome, exit_code, parse_file};
-
-/// The most plays of one command.
-const MAX_PLAYS: usize = 20;
-const CLEAR_LINE: &str = "\r\x1b[K";
-const KIB_PER_MIB: f64 = 1024.0;
-
-type OtherError = Box<dyn std::error::Error + Send + Sync>;
-
-/// The arguments of `scale`.
 #[derive(Args)]
 pub struct Arguments {
     #[command(subcommand)]
-    command: Command,
+    what: What,
 }
 
 #[derive(Subcommand)]
-enum Command {
+enum What {
     /// Play a run. Status 0: all that is expected held.
     Run {
         /// The run's file.
@@ -54,73 +44,67 @@
     Hollow,
 }
 
-/// How a run is shown.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Format {
-    Table,
-    Json,
-}
-
-/// Runs the command.
 pub fn run(arguments: &Arguments) -> ExitCode {
-    exit_code(match &arguments.command {
-        Command::Run { file, sidecars, plays, json } => {
-            let format = if *json { Format::Json } else { Format::Table };
-            run_plays(file, *sidecars, *plays, format)
+    let done = match &arguments.what {
+        What::Run { file, sidecars, plays, json } => plays_of(file, *sidecars, *plays, *json),
+        What::Slopes { file, sizes } => slopes(file, sizes),
+        What::Hollow => scale_test::hollow::run().map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(why) => {
+            eprintln!("lbctl: {why}");
+            ExitCode::from(2)
         }
-        Command::Slopes { file, sizes } => fit_sizes(file, sizes),
-        Command::Hollow => run_hollow(),
-    })
+    }
 }
 
-fn run_hollow() -> Result<Outcome, CommandError> {
-    scale_test::hollow::run().map_err(OtherError::from)?;
-    Ok(Outcome::Passed)
+fn read(file: &Path, sidecars: Option<usize>) -> Result<Plan, String> {
+    let told = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
+    let text = std::fs::read_to_string(file).map_err(|e| told(&e))?;
+    Plan::parse(&text, sidecars).map_err(|e| told(&e))
 }
 
-fn read(file: &Path, sidecars: Option<usize>) -> Result<Plan, CommandError> {
-    parse_file(file, |text| Plan::parse(text, sidecars))
+fn one(plan: &Plan, json: bool) -> Result<Report, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let shown = !json && std::io::stderr().is_terminal();
+    let report = play(plan, &own, |line| {
+        if shown {
+            // One line that is written over.
+            eprint!("\r\x1b[K{line}");
+        } else if !json {
+            println!("{line}");
+        }
+        let _ = std::io::stdout().flush();
+    })?;
+    if shown {
+        eprintln!();
+    }
+    Ok(report)
 }
 
-fn run_plays(
+fn plays_of(
     file: &Path,
     sidecars: Option<usize>,
     plays: usize,
-    format: Format,
-) -> Result<Outcome, CommandError> {
+    json: bool,
+) -> Result<bool, String> {
     let plan = read(file, sidecars)?;
-    let mut passed = true;
-    for _ in 0..plays.clamp(1, MAX_PLAYS) {
-        let report = run_once(&plan, format)?;
-        passed &= report.not_held.is_empty();
-        match format {
-            Format::Json => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
-            Format::Table => print_report(&report),
-        }
-    }
-    Ok(Outcome::of(passed))
-}
-
-/// Plays a run once. Its progress goes to one line of the terminal, or else to lines of the output.
-fn run_once(plan: &Plan, format: Format) -> Result<Report, CommandError> {
-    let own = std::env::current_exe().map_err(OtherError::from)?;
-    let on_terminal = format == Format::Table && std::io::stderr().is_terminal();
-    let report = play(plan, &own, |line| {
-        if on_terminal {
-            eprint!("{CLEAR_LINE}{line}");
-        } else if format == Format::Table {
-            println!("{line}");
+    let mut held = true;
+    for _ in 0..plays.clamp(1, 20) {
+        let report = one(&plan, json)?;
+        held &= report.not_held.is_empty();
+        if json {
+            println!("{}", serde_json::to_string(&report).unwrap_or_default());
+        } else {
+            table(&report);
         }
-        let _ = std::io::stdout().flush();
-    });
-    let report = report.map_err(OtherError::from)?;
-    if on_terminal {
-        eprintln!();
     }
-    Ok(report)
+    Ok(held)
 }
 
-fn print_report(report: &Report) {
+fn table(report: &Report) {
     println!(
         "\n{} hollow and {} real sidecars, started after {:.1} s",
         report.sidecars, report.real, report.start_s
@@ -132,62 +116,49 @@
     for (name, value) in &report.figures {
         println!("{name:<32}{value:>12.3}");
     }
-    print_costs(report);
-    for failure in &report.not_held {
-        println!("NOT HELD: {failure}");
-    }
-}
-
-fn print_costs(report: &Report) {
     println!(
         "{:<10}{:>14}{:>14}{:>14}{:>14}{:>12}",
         "role", "CPU quiet", "most", "changing", "most", "MB most"
     );
-    for (role, cost) in &report.costs {
+    for (role, c) in &report.costs {
         println!(
             "{role:<10}{:>13.3}%{:>13.3}%{:>13.3}%{:>13.3}%{:>12.2}",
-            cost.cpu_quiet * 100.0,
-            cost.cpu_quiet_most * 100.0,
-            cost.cpu_changing * 100.0,
-            cost.cpu_changing_most * 100.0,
-            cost.rss_kb_most as f64 / KIB_PER_MIB
+            c.cpu_quiet * 100.0,
+            c.cpu_quiet_most * 100.0,
+            c.cpu_changing * 100.0,
+            c.cpu_changing_most * 100.0,
+            c.rss_kb_most as f64 / 1024.0
         );
     }
+    for what in &report.not_held {
+        println!("NOT HELD: {what}");
+    }
 }
 
-/// Plays a run at several sizes, and prints lines fitted to its metrics over the sidecars.
-fn fit_sizes(file: &Path, sizes: &[usize]) -> Result<Outcome, CommandError> {
+fn slopes(file: &Path, sizes: &[usize]) -> Result<bool, String> {
     let mut reports = Vec::new();
     for size in sizes {
-        let report = run_once(&read(file, Some(*size))?, Format::Table)?;
-        print_report(&report);
+        let report = one(&read(file, Some(*size))?, false)?;
+        table(&report);
         reports.push(report);
     }
     println!("\n{:<40}{:>14}{:>14}  residuals", "figure", "base", "each sidecar");
-    print_fits(&reports);
-    Ok(Outcome::of(reports.iter().all(|report| report.not_held.is_empty())))
-}
-
-fn print_fits(reports: &[Report]) {
-    let print = |name: &str, value: &dyn Fn(&Report) -> f64| print_fit(reports, name, value);
-    print("in force, s", &|r| r.figures["in_force_s"]);
-    print("start, s", &|r| r.start_s);
+    let of = |name: &str, value: &dyn Fn(&Report) -> f64| {
+        let points: Vec<_> = reports.iter().map(|r| (r.sidecars as f64, value(r))).collect();
+        if let Some(fit) = fit(&points) {
+            let residuals: Vec<_> = fit.residuals.iter().map(|r| format!("{r:.4}")).collect();
+            println!("{name:<40}{:>14.5}{:>14.8}  {}", fit.base, fit.slope, residuals.join(" "));
+        }
+    };
+    of("in force, s", &|r| r.figures["in_force_s"]);
+    of("start, s", &|r| r.start_s);
     for role in ["control", "origin"] {
-        print(&format!("{role}: CPU quiet, share"), &|r| r.costs[role].cpu_quiet_most);
-        print(&format!("{role}: CPU changing, share"), &|r| r.costs[role].cpu_changing_most);
-        print(&format!("{role}: resident, MB"), &|r| {
-            r.costs[role].rss_kb_most as f64 / KIB_PER_MIB
-        });
-    }
-    print("a hollow sidecar: CPU quiet, share", &|r| r.costs["hollow"].cpu_quiet);
-    print("a hollow sidecar: resident, MB", &|r| r.costs["hollow"].rss_kb as f64 / KIB_PER_MIB);
-    print("loopback bytes a second and sidecar", &|r| r.figures["loopback_bytes_per_s_quiet"]);
-}
-
-fn print_fit(reports: &[Report], name: &str, value: &dyn Fn(&Report) -> f64) {
-    let points: Vec<_> = reports.iter().map(|r| (r.sidecars as f64, value(r))).collect();
-    if let Some(fit) = fit(&points) {
-        let residuals: Vec<_> = fit.residuals.iter().map(|r| format!("{r:.4}")).collect();
-        println!("{name:<40}{:>14.5}{:>14.8}  {}", fit.base, fit.slope, residuals.join(" "));
+        of(&format!("{role}: CPU quiet, share"), &|r| r.costs[role].cpu_quiet_most);
+        of(&format!("{role}: CPU changing, share"), &|r| r.costs[role].cpu_changing_most);
+        of(&format!("{role}: resident, MB"), &|r| r.costs[role].rss_kb_most as f64 / 1024.0);
     }
+    of("a hollow sidecar: CPU quiet, share", &|r| r.costs["hollow"].cpu_quiet);
+    of("a hollow sidecar: resident, MB", &|r| r.costs["hollow"].rss_kb as f64 / 1024.0);
+    of("loopback bytes a second and sidecar", &|r| r.figures["loopback_bytes_per_s_quiet"]);
+    Ok(reports.iter().all(|r| r.not_held.is_empty()))
 }
--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/system.rs
@@ -1,4 +1,4 @@
-//! The real system, through tokio.
+//! The real system, by way of tokio. Tasks run on the present `LocalSet`.
 
 use std::future::Future;
 use std::io::{self, IoSlice};
@@ -13,14 +13,14 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::AbortHandle;
 
-use crate::{Listener, Runtime, TaskHandle, Tcp, Udp};
+use crate::{Listener, Platform, Task, Tcp, Udp};
 
-/// The real system, through tokio. Tasks are spawned on the current [`tokio::task::LocalSet`].
-pub enum TokioRuntime {}
+/// The real system.
+pub enum Tokio {}
 
-impl Runtime for TokioRuntime {
+impl Platform for Tokio {
     type Sleep = tokio::time::Sleep;
-    type TaskHandle = AbortHandle;
+    type Task = AbortHandle;
     type Tcp = TcpStream;
     type Listener = TcpListener;
     type Udp = UdpSocket;
@@ -29,12 +29,12 @@
         Instant::now()
     }
 
-    fn unix_time() -> Duration {
+    fn unix() -> Duration {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
 
-    fn sleep_until(deadline: Instant) -> tokio::time::Sleep {
-        tokio::time::sleep_until(deadline.into())
+    fn sleep_until(at: Instant) -> tokio::time::Sleep {
+        tokio::time::sleep_until(at.into())
     }
 
     fn spawn(task: impl Future<Output = ()> + 'static) -> AbortHandle {
@@ -46,7 +46,7 @@
     }
 }
 
-impl TaskHandle for AbortHandle {
+impl Task for AbortHandle {
     fn abort(&self) {
         AbortHandle::abort(self);
     }
@@ -77,7 +77,7 @@
         TcpStream::set_nodelay(self, true)
     }
 
-    fn shutdown_write(&self) {
+    fn finish_writing(&self) {
         let _ = SockRef::from(self).shutdown(std::net::Shutdown::Write);
     }
 
@@ -85,19 +85,19 @@
         let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
     }
 
-    fn is_idle(&self) -> bool {
+    fn at_rest(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         matches!(SockRef::from(self).peek(&mut byte),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn peer_closed(&self) -> bool {
+    fn ended(&self) -> bool {
         let ready = pin!(self.ready(Interest::READABLE));
         let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
         if matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
             return true;
         }
-        // An end that the event queue has not reported yet shows in the socket, unless unread bytes precede it.
+        // What the event queue has not told yet shows in the socket, unless something unread lies before it.
         let mut byte = [MaybeUninit::uninit()];
         match SockRef::from(self).peek(&mut byte) {
             Ok(n) => n == 0,
--- a/crates/scale-test/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -10,19 +10,19 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use config_distribution::Generation;
-use config_distribution::documents::{Document, Interest, merged};
-use config_distribution::host::Put;
+use config_distribution::documents::{Interest, merge_documents};
+use config_distribution::host::{ApplyOutcome, ConfigSnapshot};
 use config_distribution::net::host;
-use config_distribution::net::place::Place;
+use config_distribution::net::target::ConfigTarget;
 use fakes::registry::{Entry, Registry};
-use instance_status::{InstanceStatus, RequestCounts};
+use instance_status::{Counts, State};
 use lb_sidecar::api::ListKind;
 use lb_sidecar::settings::Discovery as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
 use lb_sidecar::sidecar::discovery::{Call, Discovery, Listener};
 use lb_sidecar::sidecar::peers::{Inbox, Peers};
 use lb_sidecar::sidecar::tier::Shared;
-use runtime::TokioRuntime;
+use runtime::Tokio;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -89,20 +89,21 @@
     status: Rc<Notify>,
 }
 
-impl Place for Hollow {
-    async fn in_force(&mut self) -> (Generation, Vec<Document>) {
-        (0, Vec::new())
+impl ConfigTarget for Hollow {
+    async fn applied(&mut self) -> ConfigSnapshot {
+        ConfigSnapshot::default()
     }
 
-    async fn put(&mut self, generation: Generation, documents: &[Document]) -> Put {
-        let text = merged(&self.base, documents.iter()).to_string();
+    async fn apply(&mut self, config: &ConfigSnapshot) -> ApplyOutcome {
+        let ConfigSnapshot { generation, documents } = config;
+        let text = merge_documents(&self.base, documents.iter()).to_string();
         let mut told = self.counts.told.borrow_mut();
         // The project's own check, as a sidecar makes it at SIGHUP.
         if let Err(why) = Config::parse(text.as_bytes()) {
             told.declined += 1;
-            return Put::Declined(why);
+            return ApplyOutcome::Rejected(why);
         }
-        told.went_back += u64::from(generation < self.at);
+        told.went_back += u64::from(*generation < self.at);
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         // What is newer stands for what it follows: only documents' own generations are counted.
         let newest = documents.iter().map(|d| d.generation).max().unwrap_or(0);
@@ -115,7 +116,7 @@
         }
         self.at = self.at.max(newest);
         self.status.notify_one();
-        Put::Done
+        ApplyOutcome::Applied
     }
 }
 
@@ -135,7 +136,7 @@
     fn failed(&self) {}
 }
 
-struct Notes(Rc<Shared<TokioRuntime>>);
+struct Notes(Rc<Shared<Tokio>>);
 
 impl Inbox for Notes {
     fn note(&self, from: u32, data: &[u8]) {
@@ -165,7 +166,7 @@
         let out = std::io::stdout();
         while !*end.borrow_and_update() {
             tokio::time::sleep(TELL).await;
-            let whole = |t: &&Rc<Shared<TokioRuntime>>| {
+            let whole = |t: &&Rc<Shared<Tokio>>| {
                 let view = t.view();
                 view.members.0 as f64 >= view.reach.round().max(2.0)
             };
@@ -181,10 +182,7 @@
     })
 }
 
-async fn begin(
-    crowd: Crowd,
-    counts: &Rc<Tallies>,
-) -> Result<Vec<Rc<Shared<TokioRuntime>>>, String> {
+async fn begin(crowd: Crowd, counts: &Rc<Tallies>) -> Result<Vec<Rc<Shared<Tokio>>>, String> {
     let mut agents: BTreeMap<usize, Registry> = BTreeMap::new();
     let mut tiers = Vec::new();
     let keeper = keeper()?;
@@ -211,8 +209,7 @@
         let (moves, at) = watch::channel(agent);
         let (calls, called) = mpsc::unbounded_channel::<Call>();
         let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
-        let discovery =
-            Discovery::<TokioRuntime>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
+        let discovery = Discovery::<Tokio>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
         let lists = Lists(counts.clone());
         tokio::task::spawn_local(async move {
             // They end with the process.
@@ -222,8 +219,8 @@
         // Its part in the tier, and notes.
         if let Some(at) = config.peer_listen {
             let socket = UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
-            let peers = Peers::<TokioRuntime>::new(socket, config.peers.clone(), None);
-            if let Some(tier) = Shared::<TokioRuntime>::new(&config, Some(&peers))? {
+            let peers = Peers::<Tokio>::new(socket, config.peers.clone(), None);
+            if let Some(tier) = Shared::<Tokio>::new(&config, Some(&peers))? {
                 tokio::task::spawn_local(peers.listen(Notes(tier.clone())));
                 tokio::task::spawn_local(tier.clone().run());
                 tiers.push(tier);
@@ -237,7 +234,7 @@
         let of_host = host::Config {
             name: sidecar.name.clone(),
             interest,
-            machines: crowd.machines.clone(),
+            servers: crowd.machines.iter().cloned().map(Into::into).collect(),
             seed: crowd.seed ^ n as u64,
         };
         tokio::task::spawn_local(host::run(of_host, place));
@@ -259,22 +256,22 @@
 }
 
 async fn report(name: String, to: Rc<(UnixDatagram, UnixDatagram)>, changed: Rc<Notify>) {
-    let mut state = InstanceStatus {
+    let mut state = State {
         name,
         pid: std::process::id(),
         version: "hollow".into(),
         generation: 0,
-        rejected_config: None,
+        declined: None,
         ready: true,
         draining: false,
-        client_connections: 0,
-        in_flight_requests: 0,
-        out_of_descriptors: false,
-        counts: RequestCounts::default(),
+        clients: 0,
+        open: 0,
+        short: false,
+        counts: Counts::default(),
     };
-    let mut read = [0; instance_status::MAX_DATAGRAM_BYTES];
+    let mut read = [0; instance_status::LONGEST];
     loop {
-        let _ = to.0.send(state.to_datagram().as_bytes());
+        let _ = to.0.send(state.report().as_bytes());
         while to.1.recv(&mut read).is_ok() {}
         state.generation += 1;
         let _ = tokio::time::timeout(REPORT, changed.notified()).await;
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -119,7 +119,6 @@
         let hand_over = async move {
             leave.recv().await;
         };
-        let control = Control { stop, hand_over, reload, read: Config::again };
-        sidecar::run(config, control).await.map_err(|error| error.to_string())
+        sidecar::run(config, Control { stop, hand_over, reload, read: Config::again }).await
     })
 }
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,29 +5,29 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use instance_status::RejectedConfig;
-use runtime::Runtime;
+use instance_status::Declined;
+use runtime::Platform;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
-use super::budget::{BodyBudget, SocketBudget};
+use super::budget::{Bytes, Sockets};
 use super::config::Config;
 use super::driver::Driver;
-use super::live::LiveConfig;
+use super::live::Live;
 use super::status::Status;
 
 /// All that a new configuration reaches.
-pub struct Targets<P: Runtime> {
+pub struct Targets<P: Platform> {
     /// Where discovery is.
     pub discovery: watch::Sender<SocketAddr>,
     /// Values in force.
-    pub live: Rc<LiveConfig>,
+    pub live: Rc<Live>,
     /// The decisions.
     pub driver: Rc<Driver<P>>,
     /// Descriptors.
-    pub sockets: Rc<SocketBudget>,
+    pub sockets: Rc<Sockets>,
     /// Memory.
-    pub bytes: BodyBudget,
+    pub bytes: Bytes,
     /// Where the outcome is noted.
     pub status: Rc<Status>,
     /// What cannot change while the process runs.
@@ -37,7 +37,7 @@
 /// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
 /// be. A file that cannot be used changes nothing. Never ends: what discovery has to tell counts during
 /// a planned end, too.
-pub async fn run<P: Runtime>(
+pub async fn run<P: Platform>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
     targets: Targets<P>,
@@ -47,14 +47,14 @@
             Ok(config) => targets.take_over(config),
             Err(why) => {
                 tracing::error!(error = %why, "configuration not taken over, the old one stays");
-                targets.status.reloaded(Some(RejectedConfig { generation: 0, reason: why }));
+                targets.status.reloaded(Some(Declined { generation: 0, why }));
             }
         }
     }
     std::future::pending().await
 }
 
-impl<P: Runtime> Targets<P> {
+impl<P: Platform> Targets<P> {
     fn take_over(&self, config: Config) {
         let moved = self.discovery.send_if_modified(|at| {
             let moved = *at != config.discovery;
@@ -65,10 +65,10 @@
         if let Some(key) = differs(&self.fixed, &config.fixed) {
             tracing::info!(generation, %discovery, moved, %key, "only discovery is taken over");
             let why = format!("{key}: only a new process can take this over");
-            self.status.reloaded(Some(RejectedConfig { generation, reason: why }));
+            self.status.reloaded(Some(Declined { generation, why }));
             return;
         }
-        self.live.apply(&config, P::now());
+        self.live.take_over(&config, P::now());
         self.sockets.resize::<P>(config.sockets);
         self.bytes.resize::<P>(config.memory);
         let clubs = config.clubs();
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -16,16 +16,15 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtime::{Observer, Runtime, Stream, TaskHandle, Tcp, timeout, timeout_at};
+use runtime::{Observer, Platform, Stream, Task, Tcp, timeout, timeout_at};
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
 
-use super::body::{BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES};
-use super::budget::{BodyBudget, Reservation, SocketBudget, SocketPermit};
-use super::framing::{Framing, MAX_HEAD_BYTES, MessageKind};
-use super::live::LiveConfig;
+use super::budget::{self, Place, Room, Sockets};
+use super::framing::{Framing, LONGEST_HEAD, Side};
+use super::live::Live;
+use super::relay::{Broken, Outgoing, Paced, ROOM, Source, Upload, WINDOW};
 use super::status::Status;
-use super::upload::{Upload, UploadAttempt};
 use crate::api::{LoadReport, Outcome, ServerId};
 use crate::settings::Repeat;
 
@@ -61,7 +60,7 @@
     /// The body, where it is too long to be kept.
     pub upload: Option<Rc<Upload>>,
     /// What the body takes of the budget.
-    pub room: Reservation,
+    pub room: Room,
     /// The request has its final answer, or nobody waits for one: nothing more is sent for it.
     pub over: Cell<bool>,
 }
@@ -100,17 +99,17 @@
     /// All of it.
     Whole(Bytes),
     /// One that is passed on as it comes.
-    Stream(UploadAttempt, Rc<Meter<P>>),
+    Stream(Outgoing, Rc<Meter<P>>),
 }
 
-impl<P: Runtime> Body for Replay<P> {
+impl<P: Platform> Body for Replay<P> {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = Broken;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Replay::Whole(body) => {
                 let body = std::mem::take(body);
@@ -143,24 +142,24 @@
 
 /// The rest of an answer that is passed on as it comes. Its connection can be used again when it has
 /// come whole; dropped before, it is closed.
-struct Rest<P: Runtime> {
-    body: PacedBody<P>,
+struct Rest<P: Platform> {
+    body: Paced<P>,
     upstream: Rc<Upstream<P>>,
     server: ServerId,
     connection: Option<Connection<P>>,
 }
 
 // Nothing in it is pinned in place.
-impl<P: Runtime> Unpin for Rest<P> {}
+impl<P: Platform> Unpin for Rest<P> {}
 
-impl<P: Runtime> Body for Rest<P> {
+impl<P: Platform> Body for Rest<P> {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = Broken;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         if frame.is_none()
             && let Some(connection) = self.connection.take()
@@ -203,11 +202,11 @@
     on: PhantomData<P>,
 }
 
-impl<P: Runtime> Meter<P> {
+impl<P: Platform> Meter<P> {
     fn new(longest: usize, status: Rc<Status>) -> Meter<P> {
         Meter {
             status,
-            answer: RefCell::new(Framing::new(MessageKind::Response, longest)),
+            answer: RefCell::new(Framing::new(Side::Answers, longest)),
             begun: Cell::new(None),
             stirred: Notify::new(),
             surplus: Cell::new(false),
@@ -222,7 +221,7 @@
     }
 
     fn begin(&self, body: u64, hold: bool) {
-        self.answer.borrow_mut().start_next();
+        self.answer.borrow_mut().next();
         self.begun.set(None);
         self.head_end.set(0);
         self.in_head.set(true);
@@ -270,15 +269,15 @@
     }
 }
 
-impl<P: Runtime> Observer for Meter<P> {
+impl<P: Platform> Observer for Meter<P> {
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut answer = self.answer.borrow_mut();
         // What comes before the request's last byte has left is no answer to it.
-        if !self.whole.get() || answer.is_complete() {
+        if !self.whole.get() || answer.whole() {
             self.surplus.set(self.surplus.get() || !bytes.is_empty());
         }
         if let Err(fault) = answer.feed(bytes) {
-            if answer.is_complete() {
+            if answer.whole() {
                 // Behind an answer that is whole; hyper is let have that.
                 self.surplus.set(true);
                 return Ok(());
@@ -286,7 +285,7 @@
             tracing::debug!(%fault, "unusable answer");
             return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
         }
-        if !answer.has_started() {
+        if !answer.begun() {
             self.begun.set(None);
         } else if self.begun.replace(Some(P::now())).is_none() {
             self.stirred.notify_one();
@@ -294,11 +293,11 @@
         Ok(())
     }
 
-    fn limits_writes(&self) -> bool {
+    fn holds(&self) -> bool {
         self.held.get()
     }
 
-    fn poll_write_allowance(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
+    fn allow(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
         match self.end(bytes) {
             Some(1) if self.held.get() => {
                 self.waker.set(Some(cx.waker().clone()));
@@ -327,18 +326,18 @@
 }
 
 /// One connection. Dropping it closes it.
-struct Connection<P: Runtime> {
+struct Connection<P: Platform> {
     sender: SendRequest<Replay<P>>,
     socket: Rc<P::Tcp>,
     meter: Rc<Meter<P>>,
-    task: P::TaskHandle,
+    task: P::Task,
     dial: SocketAddr,
     rested: Instant,
     /// How long it took to come up: a round trip.
     trip: Duration,
 }
 
-impl<P: Runtime> Drop for Connection<P> {
+impl<P: Platform> Drop for Connection<P> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -364,9 +363,9 @@
     /// Its body, or the first part of one that is too long to be kept.
     pub body: Bytes,
     /// What follows.
-    pub rest: Option<BoxedBody>,
+    pub rest: Option<Source>,
     /// What the body takes of the budget.
-    pub room: Reservation,
+    pub room: Room,
 }
 
 impl Reached {
@@ -377,20 +376,20 @@
 }
 
 /// All connections to servers.
-pub struct Upstream<P: Runtime> {
+pub struct Upstream<P: Platform> {
     idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
-    sockets: Rc<SocketBudget>,
-    bytes: BodyBudget,
-    live: Rc<LiveConfig>,
+    sockets: Rc<Sockets>,
+    bytes: budget::Bytes,
+    live: Rc<Live>,
     status: Rc<Status>,
 }
 
-impl<P: Runtime> Upstream<P> {
+impl<P: Platform> Upstream<P> {
     /// An upstream without connections.
     pub fn new(
-        sockets: Rc<SocketBudget>,
-        bytes: BodyBudget,
-        live: Rc<LiveConfig>,
+        sockets: Rc<Sockets>,
+        bytes: budget::Bytes,
+        live: Rc<Live>,
         status: Rc<Status>,
     ) -> Rc<Upstream<P>> {
         let idle = RefCell::default();
@@ -402,9 +401,9 @@
     async fn sweep(self: Rc<Upstream<P>>) {
         loop {
             P::sleep(Duration::from_millis(500)).await;
-            let retire = self.live.timeouts().max_reuse_idle();
+            let retire = self.live.times().retire();
             self.idle.borrow_mut().retain(|_, list| {
-                list.retain(|c| P::elapsed_since(c.rested) < retire && !c.sender.is_closed());
+                list.retain(|c| P::since(c.rested) < retire && !c.sender.is_closed());
                 !list.is_empty()
             });
         }
@@ -421,7 +420,7 @@
     /// connection on which an answer ended otherwise than by its announced length is let go too.
     fn rest(&self, server: ServerId, mut connection: Connection<P>) {
         let meter = &connection.meter;
-        if meter.surplus.get() || !meter.answer.borrow().is_complete() {
+        if meter.surplus.get() || !meter.answer.borrow().whole() {
             return;
         }
         connection.rested = P::now();
@@ -438,7 +437,7 @@
             let mut connection = {
                 let mut idle = self.idle.borrow_mut();
                 let list = idle.get_mut(&server)?;
-                let settled = list.iter().rposition(|c| P::elapsed_since(c.rested) >= SETTLED);
+                let settled = list.iter().rposition(|c| P::since(c.rested) >= SETTLED);
                 match settled {
                     Some(at) => list.remove(at),
                     None => list.pop()?,
@@ -447,10 +446,10 @@
             // Danger: a server may have closed it, or sent something unasked, since it was last
             // looked at; hyper's own task sees that only when its turn comes.
             if connection.dial != dial
-                || P::elapsed_since(connection.rested) >= self.live.timeouts().max_reuse_idle()
+                || P::since(connection.rested) >= self.live.times().retire()
                 || connection.sender.is_closed()
                 || connection.meter.surplus.get()
-                || !connection.socket.is_idle()
+                || !connection.socket.at_rest()
             {
                 continue;
             }
@@ -461,7 +460,7 @@
     }
 
     /// A place for one more socket. A connection at rest makes room when there is none left.
-    async fn place(&self) -> Option<SocketPermit> {
+    async fn place(&self) -> Option<Place> {
         if let Ok(place) = self.sockets.servers.clone().try_acquire_owned() {
             return Some(place);
         }
@@ -479,14 +478,14 @@
         let place = self.place().await?;
         let began = P::now();
         let socket =
-            timeout::<P, _>(self.live.timeouts().connect, P::connect(dial)).await.ok()?.ok()?;
-        let trip = P::elapsed_since(began);
+            timeout::<P, _>(self.live.times().connect, P::connect(dial)).await.ok()?.ok()?;
+        let trip = P::since(began);
         socket.set_nodelay().ok()?;
         let socket = Rc::new(socket);
-        let meter = Rc::new(Meter::new(self.live.max_body_bytes(), self.status.clone()));
+        let meter = Rc::new(Meter::new(self.live.longest(), self.status.clone()));
         let io = TokioIo::new(Stream::new(socket.clone(), meter.clone()));
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEAD_BYTES).allow_obsolete_multiline_headers_in_responses(true);
+        builder.max_buf_size(LONGEST_HEAD).allow_obsolete_multiline_headers_in_responses(true);
         let (sender, driving) = builder.handshake(io).await.ok()?;
         let task = P::spawn(async move {
             let _place = place;
@@ -577,7 +576,7 @@
                 None if reused
                     && spec.repeat != Repeat::Unsafe
                     && meter.begun.get().is_none()
-                    && P::elapsed_since(asked) < STALE =>
+                    && P::since(asked) < STALE =>
                 {
                     if meter.whole.get() {
                         copied.set(true);
@@ -598,7 +597,7 @@
     /// Waits until an answer that has begun does not go on.
     async fn unended(&self, meter: &Meter<P>) {
         loop {
-            match meter.begun.get().map(|t| t + self.live.timeouts().gap) {
+            match meter.begun.get().map(|t| t + self.live.times().gap) {
                 None => meter.stirred.notified().await,
                 Some(end) if P::now() >= end => return,
                 Some(end) => P::sleep_until(end).await,
@@ -618,7 +617,7 @@
             None => until.saturating_duration_since(P::now()),
             // Counted from its last byte.
             Some(upload) => {
-                upload.deadline().map_or(upload.left, |due| due.saturating_duration_since(P::now()))
+                upload.due().map_or(upload.left, |due| due.saturating_duration_since(P::now()))
             }
         };
         let left = left.as_millis() as u64;
@@ -626,7 +625,7 @@
         let (body, length) = match &spec.upload {
             None => (Replay::Whole(spec.body.clone()), Some(spec.body.len() as u64)),
             Some(upload) => {
-                (Replay::Stream(UploadAttempt::new(upload.clone()), meter.clone()), upload.length)
+                (Replay::Stream(Outgoing::new(upload.clone()), meter.clone()), upload.length)
             }
         };
         let mut request = Request::new(body);
@@ -644,7 +643,7 @@
             headers.insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(length));
         }
         // What may be repeated need not wait: if the connection is gone, it is sent once more.
-        let may_be_gone = !(SETTLED..RESTED).contains(&P::elapsed_since(connection.rested));
+        let may_be_gone = !(SETTLED..RESTED).contains(&P::since(connection.rested));
         let trial = reused && may_be_gone && spec.repeat == Repeat::Unsafe;
         let lasts = (connection.trip * TRIAL_TRIPS).clamp(TRIAL.0, TRIAL.1);
         meter.begin(length.unwrap_or(u64::MAX), trial);
@@ -679,21 +678,21 @@
             return end(if turned_away { Outcome::Full } else { Outcome::Error });
         }
         // Danger: without a length, an answer that breaks off looks whole.
-        if !connection.meter.answer.borrow().has_explicit_end() {
+        if !connection.meter.answer.borrow().tells_end() {
             return end(Outcome::Reset);
         }
-        let length = body.size_hint().exact().filter(|&n| n <= STREAM_WINDOW_BYTES as u64);
-        let room = length.map_or(STREAM_RESERVATION_BYTES, |n| n as usize);
-        let Some(room) = self.bytes.try_reserve(room) else {
+        let length = body.size_hint().exact().filter(|&n| n <= WINDOW as u64);
+        let room = length.map_or(ROOM, |n| n as usize);
+        let Some(room) = self.bytes.room_now(room) else {
             tracing::warn!(bytes = room, "no memory left for an answer");
             return end(Outcome::Reset);
         };
         let mut first = BytesMut::with_capacity(length.unwrap_or_default() as usize);
         // Of a long answer the first bytes are waited for, and some more if they come soon.
-        let long = body.size_hint().exact().is_some_and(|n| n > STREAM_WINDOW_BYTES as u64);
+        let long = body.size_hint().exact().is_some_and(|n| n > WINDOW as u64);
         let mut soon = None;
         let whole = loop {
-            if length.is_none() && first.len() >= STREAM_WINDOW_BYTES {
+            if length.is_none() && first.len() >= WINDOW {
                 break false;
             }
             let frame = match soon {
@@ -718,13 +717,10 @@
             self.rest(server, connection);
             None
         } else {
-            let body = PacedBody::from_server(
-                body,
-                self.live.max_body_bytes().saturating_sub(first.len()) as u64,
-            );
+            let body =
+                Paced::of_server(body, self.live.longest().saturating_sub(first.len()) as u64);
             let connection = Some(connection);
-            let rest: BoxedBody =
-                Box::pin(Rest { body, upstream: self.clone(), server, connection });
+            let rest: Source = Box::pin(Rest { body, upstream: self.clone(), server, connection });
             Some(rest)
         };
         let body = first.freeze();
@@ -739,8 +735,8 @@
         connection: Connection<P>,
         body: Incoming,
     ) {
-        let limited = Limited::new(body, STREAM_WINDOW_BYTES);
-        if let Ok(Ok(_)) = timeout::<P, _>(self.live.timeouts().gap, limited.collect()).await {
+        let limited = Limited::new(body, WINDOW);
+        if let Ok(Ok(_)) = timeout::<P, _>(self.live.times().gap, limited.collect()).await {
             self.rest(server, connection);
         }
     }
@@ -763,12 +759,12 @@
                 room: None,
                 over: Cell::default(),
             };
-            let until = P::now() + self.live.timeouts().connect;
+            let until = P::now() + self.live.times().connect;
             let answer = self.ask(&mut connection, &Rc::new(spec), false, until).await;
             let Some((head, body)) = answer.map(Response::into_parts) else {
                 return (Outcome::Reset, none.clone());
             };
-            let Ok(body) = Limited::new(body, STREAM_WINDOW_BYTES).collect().await else {
+            let Ok(body) = Limited::new(body, WINDOW).collect().await else {
                 return (Outcome::Reset, none.clone());
             };
             let outcome =
@@ -776,7 +772,7 @@
             let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
             (outcome, self.live.names().report(&text))
         };
-        let patience = self.live.timeouts().connect + Duration::from_secs(1);
+        let patience = self.live.times().connect + Duration::from_secs(1);
         timeout::<P, _>(patience, asked).await.unwrap_or((Outcome::TimedOut, LoadReport::default()))
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! What the tests of the balancer share: settings, servers, and a balancer with its actions.
+//! A small driver for the tests: settings, servers, and a balancer with its actions at hand.
 #![allow(dead_code)]
 
 use lb_sidecar::api::*;
@@ -10,8 +10,7 @@
 pub const S: Micros = 1_000_000;
 pub const START: Micros = 1_000 * S;
 
-/// Settings with an idempotent class (0), one with idempotency keys that a zone deduplicates (1) and one
-/// that is neither (2).
+/// Settings with a safe class (0), a keyed one whose group is a zone (1) and an unsafe one (2).
 pub fn settings_json() -> Value {
     json!({
         "classes": [
@@ -148,7 +147,7 @@
         })
     }
 
-    /// Sends one request and has it answered after 20 ms; returns the selected server, if any.
+    /// Sends one request and has it answered after 20 ms; tells where it went, if anywhere.
     pub fn round(&mut self, class: usize, queue: f32) -> Option<ServerId> {
         let (id, out) = self.request(class);
         let to = sent(&out)?;
@@ -158,7 +157,7 @@
     }
 }
 
-/// The server of the first send among these actions.
+/// Where the first send among these actions goes.
 pub fn sent(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
         Action::Send { server, .. } => Some(*server),
