--- a/crates/config-distribution/src/net/target/standalone.rs
+++ b/crates/config-distribution/src/net/target/standalone.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use instance_status::State;
+use instance_status::InstanceStatus;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tokio::process::Command;
@@ -44,7 +44,7 @@
     }
 
     /// What the sidecar says that it runs; `None` if it does not answer.
-    async fn sidecar_state(&self, address: SocketAddr) -> Option<State> {
+    async fn sidecar_state(&self, address: SocketAddr) -> Option<InstanceStatus> {
         HttpClient::new(address).fetch_json(STATE_PATH, None, STATE_TIMEOUT).await.ok()
     }
 
@@ -141,8 +141,8 @@
             }
             // A configuration that cannot be parsed has generation 0.
             let is_this = |generation_of: u64| generation_of == generation || generation_of == 0;
-            if let Some(declined) = state.declined.filter(|d| is_this(d.generation)) {
-                return Err(ApplyError::Rejected(declined.why));
+            if let Some(rejected) = state.rejected_config.filter(|d| is_this(d.generation)) {
+                return Err(ApplyError::Rejected(rejected.reason));
             }
             if Instant::now() > deadline {
                 return Err(ApplyError::ReloadTimeout);
--- a/crates/config-distribution/tests/common/mod.rs
+++ b/crates/config-distribution/tests/common/mod.rs
@@ -20,9 +20,9 @@
 use config_distribution::progress::TotalProgress;
 use fakes::program::{Folder, built};
 use fakes::until;
-use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::links::{ActiveFault, Impairment, Links, Node};
 use fault_injection::network::Network;
-use fault_injection::processes::{Reserved, own_address};
+use fault_injection::processes::{ReservedPort, unique_loopback_address};
 use fault_injection::relay::Relay;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -79,10 +79,10 @@
 impl Mesh {
     /// So many control machines, all new, and origin 0.
     pub fn start(controls: usize) -> Mesh {
-        let ip = own_address();
+        let ip = unique_loopback_address();
         let reserved: Vec<_> =
-            (0..controls + 3).map(|_| Reserved::new(ip).expect("a free port")).collect();
-        let at: Vec<SocketAddr> = reserved.iter().map(|r| r.at).collect();
+            (0..controls + 3).map(|_| ReservedPort::new(ip).expect("a free port")).collect();
+        let at: Vec<SocketAddr> = reserved.iter().map(|r| r.address).collect();
         let (origin_at, control_at) = (at[..3].to_vec(), at[3..].to_vec());
         drop(reserved);
         let network = Network::new(Links::default(), 1);
@@ -92,10 +92,10 @@
             let of: Vec<_> = origin_at
                 .iter()
                 .map(|at| {
-                    let (from, to) = (Part::Sidecar(n as u16), Part::Discovery);
+                    let (from, to) = (Node::Sidecar(n as u16), Node::Discovery);
                     let relay = Relay::start_to(network.clone(), from, to, *at);
                     let relay = fakes::runtime().block_on(relay).expect("a free port");
-                    let at = relay.at;
+                    let at = relay.address;
                     relays.push(relay);
                     at
                 })
@@ -156,15 +156,15 @@
 
     /// Parts these control machines from all origins, or no longer.
     pub fn cut(&self, of: &[usize], cut: bool) {
-        self.network.change(|links| {
-            links.lift(0);
+        self.network.update(|links| {
+            links.clear(0);
             if cut {
-                links.lay(Laid {
+                links.inject(ActiveFault {
                     fault: 0,
-                    from: of.iter().map(|n| Part::Sidecar(*n as u16)).collect(),
-                    to: [Part::Discovery].into(),
-                    both: true,
-                    shape: Shape { cut: true, ..Shape::default() },
+                    from: of.iter().map(|n| Node::Sidecar(*n as u16)).collect(),
+                    to: [Node::Discovery].into(),
+                    both_directions: true,
+                    impairment: Impairment::cut(),
                 });
             }
         });
--- a/crates/fakes/src/program.rs
+++ b/crates/fakes/src/program.rs
@@ -1,8 +1,26 @@
 //! The programs under test: built, found, started, and ended by their ids.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
+
+/// Why a program of the workspace cannot be had.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum ProgramError {
+    /// Cargo could not be started.
+    #[error("cargo: {0}")]
+    Cargo(Arc<io::Error>),
+    /// Cargo ran, and reported a failure.
+    #[error("cargo could not build the programs")]
+    Build,
+    /// There is no such program in the build's folder.
+    #[error("{}: not there", path.display())]
+    Missing {
+        /// Where it was expected.
+        path: PathBuf,
+    },
+}
 
 /// The folder of the programs that belong to the build of the running test or tool.
 ///
@@ -40,15 +58,15 @@
 /// # Errors
 ///
 /// When it cannot be built, or is not there.
-pub fn built(name: &str, progress: bool) -> Result<PathBuf, String> {
-    static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
+pub fn built(name: &str, progress: bool) -> Result<PathBuf, ProgramError> {
+    static BUILT: OnceLock<Result<(), ProgramError>> = OnceLock::new();
     let folder = folder();
     BUILT.get_or_init(|| build_all(&folder, progress)).clone()?;
     let path = folder.join(name);
-    if path.is_file() { Ok(path) } else { Err(format!("{}: not there", path.display())) }
+    if path.is_file() { Ok(path) } else { Err(ProgramError::Missing { path }) }
 }
 
-fn build_all(folder: &Path, progress: bool) -> Result<(), String> {
+fn build_all(folder: &Path, progress: bool) -> Result<(), ProgramError> {
     let (Some(cargo), Some(target)) = (std::env::var_os("CARGO"), folder.parent()) else {
         return Ok(());
     };
@@ -67,8 +85,8 @@
     } else {
         command.arg("--quiet");
     }
-    let status = command.status().map_err(|e| format!("cargo: {e}"))?;
-    if status.success() { Ok(()) } else { Err("cargo could not build the programs".to_owned()) }
+    let status = command.status().map_err(|e| ProgramError::Cargo(Arc::new(e)))?;
+    if status.success() { Ok(()) } else { Err(ProgramError::Build) }
 }
 
 /// The workspace's manifest.
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -1,18 +1,21 @@
-//! Many real sidecars on loopback, and faults between them: the sidecars are the program itself, each a process
-//! of its own; log servers, discovery and clients are stand-ins; every way between two of them goes through a
-//! relay that can delay, lose, double, spoil or hold what passes. A trial is a file that says who is there, what
-//! is asked, what goes wrong when, and what must hold.
+//! Fault injection: many real sidecars on loopback, with faults between them.
 //!
-//! `scenario`, `links` and `expectations` decide and do no I/O; `network`, `notes`, `relay` and `processes` do
-//! what they are told; `ground` puts them together, `play` plays a file on it, `page` shows what came of it.
+//! Each sidecar is a process of the real program. Log servers, discovery and clients are fakes. Every link between
+//! two nodes goes through a relay that can delay, lose, duplicate, corrupt or block its traffic. A scenario file
+//! says which nodes there are, what load they get, which faults happen when, and what must hold.
+//!
+//! - [`scenario`], [`links`] and [`expectations`] compute, without I/O.
+//! - [`network`], [`gossip_relay`], [`relay`] and [`processes`] are the parts of a testbed.
+//! - [`testbed`] puts these together, [`runner`] plays a scenario on it, [`html_report`] shows the outcome.
 
 pub mod expectations;
-pub mod ground;
+pub mod gossip_relay;
+pub mod html_report;
 pub mod links;
 pub mod network;
-pub mod notes;
-pub mod page;
-pub mod play;
 pub mod processes;
 pub mod relay;
+pub mod runner;
+pub mod sample;
 pub mod scenario;
+pub mod testbed;
--- a/crates/fault-injection/src/links.rs
+++ b/crates/fault-injection/src/links.rs
@@ -1,5 +1,6 @@
-//! The links between the parts of a trial, and what becomes of what passes on them. No I/O, and no clock but the
-//! one passed in.
+//! The links between the nodes of a run, and what happens to the traffic on them.
+//!
+//! Everything here is computed: there is no I/O, and the only clock is the one that callers pass in.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -7,56 +8,66 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// One part of a trial.
+#[cfg(test)]
+mod tests;
+
+/// A node of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Part {
+pub enum Node {
     /// A sidecar, by its number.
     Sidecar(u16),
     /// A log server, by its number.
     Server(u16),
-    /// Discovery.
+    /// Service discovery.
     Discovery,
 }
 
-/// What a way does to what passes on it, in one direction.
+/// What a link does to the traffic of one direction. The terms are those of tc-netem(8).
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Shape {
+pub struct Impairment {
     /// Nothing passes.
     pub cut: bool,
-    /// All of it takes so long.
+    /// Added latency.
     pub delay: Duration,
-    /// And up to so much more, drawn evenly.
+    /// The upper bound of the random latency on top of `delay`, drawn uniformly.
     pub jitter: Duration,
-    /// The share that is lost.
+    /// The share of packets that are lost, from 0 to 1.
     pub loss: f64,
-    /// The share that comes twice.
-    pub twice: f64,
-    /// The share that comes later than what was sent after it.
-    pub late: f64,
-    /// The share in which a byte is another.
-    pub spoilt: f64,
-    /// Bytes a second; 0: any number.
+    /// The share of datagrams that arrive twice, from 0 to 1.
+    pub duplicate: f64,
+    /// The share of datagrams that arrive after ones that were sent later, from 0 to 1.
+    pub reorder: f64,
+    /// The share of datagrams in which one byte is changed, from 0 to 1.
+    pub corrupt: f64,
+    /// Bandwidth in bytes per second; 0 is unlimited.
     pub rate: u64,
 }
 
-/// How much later a datagram comes that is overtaken, beyond delay and jitter.
-pub const OVERTAKEN: Duration = Duration::from_millis(30);
-/// What waits for its turn on a way with a bound on bytes a second; more is lost.
-pub const QUEUE: Duration = Duration::from_millis(500);
+/// How much later a reordered datagram arrives, on top of delay and jitter.
+pub const REORDER_DELAY: Duration = Duration::from_millis(30);
+/// The longest time that a datagram queues on a link with limited bandwidth; beyond it, it is dropped.
+pub const MAX_QUEUE_DELAY: Duration = Duration::from_millis(500);
+/// The delay of a retransmission: what a lost packet costs a connection.
+const RETRANSMISSION_DELAY: Duration = Duration::from_millis(200);
 
-impl Shape {
-    /// Both one after the other.
+impl Impairment {
+    /// A link on which nothing passes.
+    pub fn cut() -> Impairment {
+        Impairment { cut: true, ..Impairment::default() }
+    }
+
+    /// The impairment of two links in series.
     #[must_use]
-    pub fn and(self, other: Shape) -> Shape {
+    pub fn and(self, other: Impairment) -> Impairment {
         let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
-        Shape {
+        Impairment {
             cut: self.cut || other.cut,
             delay: self.delay + other.delay,
             jitter: self.jitter + other.jitter,
             loss: either(self.loss, other.loss),
-            twice: either(self.twice, other.twice),
-            late: either(self.late, other.late),
-            spoilt: either(self.spoilt, other.spoilt),
+            duplicate: either(self.duplicate, other.duplicate),
+            reorder: either(self.reorder, other.reorder),
+            corrupt: either(self.corrupt, other.corrupt),
             rate: match (self.rate, other.rate) {
                 (0, rate) | (rate, 0) => rate,
                 (a, b) => a.min(b),
@@ -65,207 +76,169 @@
     }
 }
 
-/// A shape that lies on the links from some to others.
+/// An impairment that a fault has put on the links between two sets of nodes.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Laid {
-    /// Which fault it is of.
+pub struct ActiveFault {
+    /// The number of the fault that it belongs to.
     pub fault: usize,
-    /// Senders.
-    pub from: BTreeSet<Part>,
-    /// Receivers.
-    pub to: BTreeSet<Part>,
-    /// Back as well.
-    pub both: bool,
+    /// The senders.
+    pub from: BTreeSet<Node>,
+    /// The receivers.
+    pub to: BTreeSet<Node>,
+    /// Whether it is on the opposite direction as well.
+    pub both_directions: bool,
     /// What it does.
-    pub shape: Shape,
+    pub impairment: Impairment,
 }
 
-/// All links, as they are now.
+impl ActiveFault {
+    fn affects(&self, from: Node, to: Node) -> bool {
+        self.from.contains(&from) && self.to.contains(&to)
+            || self.both_directions && self.from.contains(&to) && self.to.contains(&from)
+    }
+}
+
+/// The present state of all links.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Links {
-    /// What lies on all of them.
-    ground: Shape,
-    laid: Vec<Laid>,
-    dead: BTreeSet<Part>,
+    /// What every link does, without any fault.
+    baseline: Impairment,
+    active: Vec<ActiveFault>,
+    unreachable: BTreeSet<Node>,
 }
 
 impl Links {
-    /// Links on all of which this lies.
-    pub fn over(ground: Shape) -> Links {
-        Links { ground, ..Links::default() }
+    /// Links that all have this impairment.
+    pub fn with_baseline(baseline: Impairment) -> Links {
+        Links { baseline, ..Links::default() }
     }
 
-    /// From now on this lies on its links as well.
-    pub fn lay(&mut self, laid: Laid) {
-        self.laid.push(laid);
+    /// Adds a fault.
+    pub fn inject(&mut self, fault: ActiveFault) {
+        self.active.push(fault);
     }
 
-    /// From now on what this fault has laid is gone.
-    pub fn lift(&mut self, fault: usize) {
-        self.laid.retain(|l| l.fault != fault);
+    /// Removes everything that the fault of this number has added.
+    pub fn clear(&mut self, fault: usize) {
+        self.active.retain(|active| active.fault != fault);
     }
 
-    /// From now on nobody is at this part's address, or somebody again.
-    pub fn dead(&mut self, part: Part, dead: bool) {
-        if dead {
-            self.dead.insert(part);
-        } else {
-            self.dead.remove(&part);
-        }
+    /// Refuses all connections to a node, as if nothing listened at its address.
+    pub fn take_down(&mut self, node: Node) {
+        self.unreachable.insert(node);
     }
 
-    /// Whether nobody is at this part's address.
-    pub fn is_dead(&self, part: Part) -> bool {
-        self.dead.contains(&part)
+    /// Lets connections to a node come up again.
+    pub fn bring_up(&mut self, node: Node) {
+        self.unreachable.remove(&node);
     }
 
-    /// What the way from one to another does.
-    pub fn shape(&self, from: Part, to: Part) -> Shape {
-        let over = |l: &&Laid| {
-            l.from.contains(&from) && l.to.contains(&to)
-                || l.both && l.from.contains(&to) && l.to.contains(&from)
-        };
-        self.laid.iter().filter(over).fold(self.ground, |shape, l| shape.and(l.shape))
+    /// Whether connections to a node are refused.
+    pub fn is_down(&self, node: Node) -> bool {
+        self.unreachable.contains(&node)
     }
 
-    /// Whether no connection can come up between two: either way is cut.
-    pub fn parted(&self, a: Part, b: Part) -> bool {
-        self.shape(a, b).cut || self.shape(b, a).cut
+    /// What the link from one node to another does.
+    pub fn impairment(&self, from: Node, to: Node) -> Impairment {
+        let affecting = self.active.iter().filter(|active| active.affects(from, to));
+        affecting.fold(self.baseline, |sum, active| sum.and(active.impairment))
     }
+
+    /// Whether no connection can come up between two nodes, because a direction is cut.
+    pub fn is_partitioned(&self, a: Node, b: Node) -> bool {
+        self.impairment(a, b).cut || self.impairment(b, a).cut
+    }
+}
+
+/// One byte of a datagram that arrives changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Corruption {
+    /// The byte's offset in the datagram.
+    pub offset: usize,
+    /// What the byte is XORed with.
+    pub mask: u8,
 }
 
-/// One datagram that arrives: so much later, with this byte changed.
+/// The arrival of one datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Arrival {
-    /// After it was sent.
-    pub after: Duration,
-    /// Which byte, and what it is changed by.
-    pub spoilt: Option<(usize, u8)>,
+pub struct Delivery {
+    /// The time from sending to arrival.
+    pub delay: Duration,
+    /// The byte that is changed, if any.
+    pub corruption: Option<Corruption>,
 }
 
-/// What one way draws for its datagrams, one after the other. The same seed draws the same.
-pub struct Draws {
+/// Draws what happens to the packets of one direction of a link, one after the other. The same seed and nodes give
+/// the same draws.
+pub struct LinkSampler {
     rng: SmallRng,
-    /// When the last byte of what was sent before has left, since the trial's beginning.
-    busy: Duration,
+    /// When the last byte of what was sent before has left, on the clock of the callers' `now`.
+    busy_until: Duration,
 }
 
-impl Draws {
-    /// Of the way from one to another.
-    pub fn new(seed: u64, from: Part, to: Part) -> Draws {
-        let number = |part| match part {
-            Part::Sidecar(n) => u64::from(n),
-            Part::Server(n) => 1 << 16 | u64::from(n),
-            Part::Discovery => 1 << 17,
+impl LinkSampler {
+    /// A sampler for the direction from one node to another.
+    pub fn new(seed: u64, from: Node, to: Node) -> LinkSampler {
+        let number = |node| match node {
+            Node::Sidecar(n) => u64::from(n),
+            Node::Server(n) => 1 << 16 | u64::from(n),
+            Node::Discovery => 1 << 17,
         };
         let seed = seed ^ number(from) << 40 ^ number(to) << 20;
-        Draws { rng: SmallRng::seed_from_u64(seed), busy: Duration::ZERO }
-    }
-
-    /// When a datagram of so many bytes arrives that is sent at `now`: never, once or twice.
-    pub fn datagram(&mut self, shape: &Shape, now: Duration, bytes: usize) -> Vec<Arrival> {
-        // All is drawn at any time, so that what is drawn for one does not hang on what befell another.
-        let [loss, twice, late, spoilt]: [f64; 4] = self.rng.random();
-        let at = self.rng.random_range(0..bytes.max(1));
-        let by = self.rng.random_range(1..=u8::MAX);
+        LinkSampler { rng: SmallRng::seed_from_u64(seed), busy_until: Duration::ZERO }
+    }
+
+    /// How a datagram of `bytes` bytes arrives that is sent at `now`: not at all, once or twice.
+    pub fn datagram(
+        &mut self,
+        impairment: &Impairment,
+        now: Duration,
+        bytes: usize,
+    ) -> Vec<Delivery> {
+        // Everything is drawn each time, so that the draws for a datagram do not depend on what happened to others.
+        let [loss, duplicate, reorder, corrupt]: [f64; 4] = self.rng.random();
+        let offset = self.rng.random_range(0..bytes.max(1));
+        let mask = self.rng.random_range(1..=u8::MAX);
         let jitters: [f64; 2] = self.rng.random();
-        let queued = self.take_turn(shape.rate, now, bytes, QUEUE);
-        if shape.cut || loss < shape.loss || queued > QUEUE {
+        let queued = self.queue_delay(impairment.rate, now, bytes, MAX_QUEUE_DELAY);
+        if impairment.cut || loss < impairment.loss || queued > MAX_QUEUE_DELAY {
             return Vec::new();
         }
-        let spoilt = (spoilt < shape.spoilt && bytes > 0).then_some((at, by));
-        let overtaken = if late < shape.late { OVERTAKEN } else { Duration::ZERO };
-        let copies = if twice < shape.twice { 2 } else { 1 };
-        let after = |jitter: &f64| queued + shape.delay + shape.jitter.mul_f64(*jitter) + overtaken;
-        jitters[..copies].iter().map(|j| Arrival { after: after(j), spoilt }).collect()
+        let corrupted = corrupt < impairment.corrupt && bytes > 0;
+        let corruption = corrupted.then_some(Corruption { offset, mask });
+        let reordered = if reorder < impairment.reorder { REORDER_DELAY } else { Duration::ZERO };
+        let copies = if duplicate < impairment.duplicate { 2 } else { 1 };
+        let delay = |jitter: &f64| {
+            queued + impairment.delay + impairment.jitter.mul_f64(*jitter) + reordered
+        };
+        jitters[..copies].iter().map(|j| Delivery { delay: delay(j), corruption }).collect()
     }
 
-    /// How much later a piece of a connection arrives that is sent at `now`: a lost one is sent again.
-    pub fn piece(&mut self, shape: &Shape, now: Duration, bytes: usize) -> Duration {
+    /// The delay of a segment of a connection that is sent at `now`. A lost one is retransmitted.
+    pub fn segment_delay(
+        &mut self,
+        impairment: &Impairment,
+        now: Duration,
+        bytes: usize,
+    ) -> Duration {
         let [loss, jitter]: [f64; 2] = self.rng.random();
-        let again = if loss < shape.loss { Duration::from_millis(200) } else { Duration::ZERO };
-        let queued = self.take_turn(shape.rate, now, bytes, Duration::MAX);
-        queued + shape.delay + shape.jitter.mul_f64(jitter) + again
+        let retransmission =
+            if loss < impairment.loss { RETRANSMISSION_DELAY } else { Duration::ZERO };
+        let queued = self.queue_delay(impairment.rate, now, bytes, Duration::MAX);
+        queued + impairment.delay + impairment.jitter.mul_f64(jitter) + retransmission
     }
 
-    /// How long what is sent now waits for its turn and passes; beyond `most` it takes none.
-    fn take_turn(&mut self, rate: u64, now: Duration, bytes: usize, most: Duration) -> Duration {
+    /// How long what is sent at `now` queues and takes to pass. What would take longer than `limit` uses no
+    /// bandwidth.
+    fn queue_delay(&mut self, rate: u64, now: Duration, bytes: usize, limit: Duration) -> Duration {
         if rate == 0 {
             return Duration::ZERO;
         }
-        let took = Duration::from_secs_f64(bytes as f64 / rate as f64);
-        let passed = self.busy.max(now) + took;
-        if passed - now <= most {
-            self.busy = passed;
-        }
-        passed - now
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const A: Part = Part::Sidecar(0);
-    const B: Part = Part::Sidecar(1);
-    const C: Part = Part::Server(0);
-
-    fn laid(fault: usize, from: Part, to: Part, both: bool, shape: Shape) -> Laid {
-        Laid { fault, from: [from].into(), to: [to].into(), both, shape }
-    }
-
-    #[test]
-    fn what_lies_on_a_way_lies_there_alone_and_goes_with_its_fault() {
-        let cut = Shape { cut: true, ..Shape::default() };
-        let lossy = Shape { loss: 0.5, delay: Duration::from_millis(3), ..Shape::default() };
-        let mut links = Links::default();
-        links.lay(laid(1, A, B, false, cut));
-        links.lay(laid(2, B, A, true, lossy));
-        links.lay(laid(3, A, B, false, lossy));
-        assert!(links.shape(A, B).cut && !links.shape(B, A).cut, "one direction");
-        assert!(links.parted(A, B) && links.parted(B, A), "nothing comes up over half a way");
-        assert!(!links.parted(A, C));
-        assert_eq!(links.shape(A, B).loss, 0.75, "two after the other");
-        assert_eq!(links.shape(A, B).delay, Duration::from_millis(6));
-        links.lift(1);
-        links.lift(3);
-        assert_eq!(links.shape(A, B), lossy);
-        links.lift(2);
-        assert_eq!(links, Links::default());
-    }
-
-    #[test]
-    fn a_way_loses_doubles_and_spoils_its_shares_and_draws_the_same_again() {
-        let shape = Shape { loss: 0.3, twice: 0.2, spoilt: 0.1, late: 0.25, ..Shape::default() };
-        let play = |seed| {
-            let mut draws = Draws::new(seed, A, B);
-            let one = |_| draws.datagram(&shape, Duration::ZERO, 100);
-            (0..20_000).map(one).collect::<Vec<_>>()
-        };
-        let all = play(7);
-        assert!(all == play(7) && all != play(8));
-        let share = |is: &dyn Fn(&&Vec<Arrival>) -> bool| {
-            all.iter().filter(is).count() as f64 / all.len() as f64
-        };
-        let near = |share: f64, wanted: f64| assert!((share - wanted).abs() < 0.02, "{share}");
-        near(share(&|a| a.is_empty()), 0.3);
-        near(share(&|a| a.len() == 2), 0.7 * 0.2);
-        near(share(&|a| a.first().is_some_and(|a| a.spoilt.is_some())), 0.7 * 0.1);
-        near(share(&|a| a.first().is_some_and(|a| a.after >= OVERTAKEN)), 0.7 * 0.25);
-        let cut = Shape { cut: true, ..Shape::default() };
-        assert!(Draws::new(7, A, B).datagram(&cut, Duration::ZERO, 9).is_empty());
-    }
-
-    #[test]
-    fn a_narrow_way_keeps_to_its_bytes_a_second() {
-        let shape = Shape { rate: 10_000, ..Shape::default() };
-        let mut draws = Draws::new(1, A, B);
-        let mut passed = 0;
-        // 40 kB within a second: the way takes 10 kB, and half a second's worth waits.
-        for n in 0..400 {
-            let now = Duration::from_micros(2500 * n);
-            passed += draws.datagram(&shape, now, 100).len() * 100;
+        let transmission = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        let sent = self.busy_until.max(now) + transmission;
+        if sent - now <= limit {
+            self.busy_until = sent;
         }
-        assert!((14_000..=16_000).contains(&passed), "{passed}");
+        sent - now
     }
 }
--- a/crates/fault-injection/src/network.rs
+++ b/crates/fault-injection/src/network.rs
@@ -1,4 +1,4 @@
-//! The links between all parts as everybody sees them, and where each part is.
+//! The links of a run and the addresses of its nodes, shared by everything that takes part in it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,64 +7,68 @@
 
 use tokio::sync::watch;
 
-use crate::links::{Links, Part};
+use crate::links::{Links, Node};
 
-/// The links between all parts, where each part is, and since when they are there. Clones are the same links.
+/// A handle to the links between all nodes and to the nodes' addresses. Clones share the same state.
 #[derive(Clone)]
 pub struct Network(Arc<Inner>);
 
 struct Inner {
     links: watch::Sender<Links>,
-    at: Mutex<HashMap<Part, SocketAddr>>,
+    addresses: Mutex<HashMap<Node, SocketAddr>>,
     seed: u64,
-    began: Instant,
+    started: Instant,
 }
 
 impl Network {
-    /// Links on which `links` lies; what they draw is drawn from `seed`.
+    /// A network with these links; `seed` determines what is drawn for its traffic.
     pub fn new(links: Links, seed: u64) -> Network {
-        let (at, began) = (Mutex::default(), Instant::now());
-        Network(Arc::new(Inner { links: watch::Sender::new(links), at, seed, began }))
+        Network(Arc::new(Inner {
+            links: watch::Sender::new(links),
+            addresses: Mutex::default(),
+            seed,
+            started: Instant::now(),
+        }))
     }
 
-    /// Looks at them.
-    pub fn links<T>(&self, look: impl FnOnce(&Links) -> T) -> T {
-        look(&self.0.links.borrow())
+    /// Calls `read` with the present links.
+    pub fn links<T>(&self, read: impl FnOnce(&Links) -> T) -> T {
+        read(&self.0.links.borrow())
     }
 
-    /// Changes them.
-    pub fn change(&self, change: impl FnOnce(&mut Links)) {
+    /// Changes the links, and notifies all subscribers.
+    pub fn update(&self, change: impl FnOnce(&mut Links)) {
         self.0.links.send_modify(change);
     }
 
-    /// Tells of changes.
-    pub fn changes(&self) -> watch::Receiver<Links> {
+    /// A receiver of the links that is notified of every update.
+    pub fn subscribe(&self) -> watch::Receiver<Links> {
         self.0.links.subscribe()
     }
 
-    /// Waits until they are so.
-    pub async fn until(&self, so: impl Fn(&Links) -> bool) {
-        // The sender lives as long as this.
-        let _ = self.changes().wait_for(|links| so(links)).await;
+    /// Waits until the links satisfy `condition`.
+    pub async fn wait_until(&self, condition: impl Fn(&Links) -> bool) {
+        // This cannot fail: the sender lives as long as `self`.
+        let _ = self.subscribe().wait_for(|links| condition(links)).await;
     }
 
-    /// Where a part is.
-    pub fn at(&self, part: Part) -> Option<SocketAddr> {
-        self.0.at.lock().unwrap_or_else(PoisonError::into_inner).get(&part).copied()
+    /// The address of a node, once it is known.
+    pub fn address(&self, node: Node) -> Option<SocketAddr> {
+        self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(&node).copied()
     }
 
-    /// A part is there from now on.
-    pub fn place(&self, part: Part, at: SocketAddr) {
-        self.0.at.lock().unwrap_or_else(PoisonError::into_inner).insert(part, at);
+    /// Sets the address of a node.
+    pub fn set_address(&self, node: Node, address: SocketAddr) {
+        self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(node, address);
     }
 
-    /// What draws are drawn from.
+    /// The seed of what is drawn for the traffic.
     pub fn seed(&self) -> u64 {
         self.0.seed
     }
 
-    /// The time since they were there.
+    /// The time since the network was created.
     pub fn elapsed(&self) -> Duration {
-        self.0.began.elapsed()
+        self.0.started.elapsed()
     }
 }
--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -1,5 +1,6 @@
-//! The sidecars' processes: started, stopped for a while, starved, ended and started again, each by its own id.
-//! They end with the process that has started them, whatever becomes of that.
+//! The sidecars' processes: started, paused, throttled, terminated and restarted, each by its own process id.
+//!
+//! They end with the process that has started them, however that ends.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -12,28 +13,38 @@
 
 use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
-/// How long a starved process runs and rests, together.
-const TURN: Duration = Duration::from_millis(20);
+/// The period within which a throttled process runs once and is paused once.
+const THROTTLE_PERIOD: Duration = Duration::from_millis(20);
+/// The least share of the time that a throttled process runs.
+const MIN_THROTTLE_SHARE: f64 = 0.05;
+/// How often the search for a port that is free for TCP and UDP is repeated.
+const MAX_PORT_RETRIES: usize = 17;
 
-/// Starts processes, all from one thread that lives as long as its handle: what they end with is that thread.
-pub struct Starter {
+struct SpawnRequest {
+    command: Command,
+    spawned: mpsc::SyncSender<io::Result<Child>>,
+}
+
+/// Spawns processes from a single thread that lives as long as this handle. The guard program binds a process to
+/// the thread that has spawned it, so that must not be a short-lived one.
+pub struct ProcessSpawner {
     guard: PathBuf,
-    jobs: mpsc::Sender<(Command, mpsc::SyncSender<io::Result<Child>>)>,
+    requests: mpsc::Sender<SpawnRequest>,
 }
 
-impl Starter {
-    /// `guard` is the program `lb-process-guard`.
-    pub fn new(guard: PathBuf) -> Starter {
-        let (jobs, coming) = mpsc::channel::<(Command, mpsc::SyncSender<io::Result<Child>>)>();
+impl ProcessSpawner {
+    /// A spawner that starts every program through the process guard at this path.
+    pub fn new(guard: PathBuf) -> ProcessSpawner {
+        let (requests, received) = mpsc::channel::<SpawnRequest>();
         thread::spawn(move || {
-            for (mut command, done) in coming {
-                let _ = done.send(command.spawn());
+            for SpawnRequest { mut command, spawned } in received {
+                let _ = spawned.send(command.spawn());
             }
         });
-        Starter { guard, jobs }
+        ProcessSpawner { guard, requests }
     }
 
-    fn start(
+    fn spawn(
         &self,
         program: &Path,
         env: &BTreeMap<&str, PathBuf>,
@@ -44,114 +55,118 @@
         command.arg(std::process::id().to_string()).arg(program);
         command.envs(env).env_remove("NOTIFY_SOCKET").env_remove("LB_LISTEN").env_remove("LB_NAME");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let (done, started) = mpsc::sync_channel(1);
-        let gone = || io::Error::other("the thread that starts processes is gone");
-        self.jobs.send((command, done)).map_err(|_| gone())?;
-        started.recv().map_err(|_| gone())?
+        let (spawned, answer) = mpsc::sync_channel(1);
+        let thread_ended = || io::Error::other("the thread that starts processes is gone");
+        self.requests.send(SpawnRequest { command, spawned }).map_err(|_| thread_ended())?;
+        answer.recv().map_err(|_| thread_ended())?
     }
 }
 
-/// A sidecar's process, while there is one.
+/// A sidecar's process, or the place of one that does not run. Dropping it kills the process.
 pub struct Process {
     child: Option<Child>,
-    starving: Option<Starving>,
-    /// The folder of its own.
-    folder: PathBuf,
+    throttle: Option<Throttle>,
+    directory: PathBuf,
 }
 
-struct Starving {
-    /// Dropped: it is let go on.
-    _end: mpsc::Sender<()>,
-    thread: Option<thread::JoinHandle<()>>,
+struct Throttle {
+    /// Dropping it ends the thread, which resumes the process first.
+    stop: mpsc::Sender<()>,
+    thread: thread::JoinHandle<()>,
 }
 
 impl Process {
-    /// One that is not started; `folder` is its own.
-    pub fn new(folder: PathBuf) -> Process {
-        Process { child: None, starving: None, folder }
+    /// A process that is not started yet. `directory` holds its configuration, log and state, and no other's.
+    pub fn new(directory: PathBuf) -> Process {
+        Process { child: None, throttle: None, directory }
     }
 
-    /// Where its configuration lies.
-    pub fn configuration(&self) -> PathBuf {
-        self.folder.join("config.json")
+    /// The path of its configuration file.
+    pub fn configuration_path(&self) -> PathBuf {
+        self.directory.join("config.json")
     }
 
-    /// Starts it. With `empty`, what an earlier one of its name has kept is gone.
+    /// Starts it. `discard_state` deletes what an earlier process in this place has stored.
     ///
     /// # Errors
     ///
-    /// What the system has refused, or that it runs.
-    pub fn start(&mut self, starter: &Starter, program: &Path, empty: bool) -> io::Result<()> {
+    /// When it already runs, or the system refuses to start it.
+    pub fn start(
+        &mut self,
+        spawner: &ProcessSpawner,
+        program: &Path,
+        discard_state: bool,
+    ) -> io::Result<()> {
         if self.id().is_some() {
             return Err(io::Error::other("it runs"));
         }
-        let kept = self.folder.join("tmp");
-        if empty {
-            let _ = std::fs::remove_dir_all(&kept);
+        let state = self.directory.join("tmp");
+        if discard_state {
+            let _ = std::fs::remove_dir_all(&state);
         }
-        std::fs::create_dir_all(&kept)?;
-        let env = BTreeMap::from([("LB_CONFIG", self.configuration()), ("TMPDIR", kept)]);
-        self.child = Some(starter.start(program, &env, &self.folder.join("log"))?);
+        std::fs::create_dir_all(&state)?;
+        let env = BTreeMap::from([("LB_CONFIG", self.configuration_path()), ("TMPDIR", state)]);
+        self.child = Some(spawner.spawn(program, &env, &self.directory.join("log"))?);
         Ok(())
     }
 
-    /// Its id, while it runs.
+    /// Its process id while it runs.
     ///
-    /// Danger: an id belongs to somebody else once its process was waited for. That is done in `kill` alone.
+    /// The system may reuse the id once the process has been waited for, so only `kill` waits for it.
     pub fn id(&self) -> Option<u32> {
         let id = self.child.as_ref()?.id();
         let pid = Pid::from_raw(id.try_into().ok()?)?;
-        let how = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
-        matches!(waitid(WaitId::Pid(pid), how), Ok(None)).then_some(id)
+        let options = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        matches!(waitid(WaitId::Pid(pid), options), Ok(None)).then_some(id)
     }
 
     /// Sends it a signal, if it runs.
     pub fn signal(&self, signal: Signal) {
         if let Some(id) = self.id() {
-            send(id, signal);
+            send_signal(id, signal);
         }
     }
 
-    /// Ends it at once.
+    /// Kills it and waits for its end.
     pub fn kill(&mut self) {
-        self.feed();
+        self.unthrottle();
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 
-    /// Whether it was started, not killed, and has ended all the same.
-    pub fn has_ended(&self) -> bool {
+    /// Whether it was started and has exited without being killed through this handle.
+    pub fn has_exited(&self) -> bool {
         self.child.is_some() && self.id().is_none()
     }
 
-    /// From now on it runs for this share of the time.
-    pub fn starve(&mut self, share: f64) {
-        self.feed();
+    /// From now on it runs for this share of the time, by being paused and resumed.
+    pub fn throttle(&mut self, share: f64) {
+        self.unthrottle();
         let Some(id) = self.id() else { return };
-        let (end, ended) = mpsc::channel::<()>();
-        let runs = TURN.mul_f64(share.clamp(0.05, 1.0));
+        let (stop, stopped) = mpsc::channel::<()>();
+        let running = THROTTLE_PERIOD.mul_f64(share.clamp(MIN_THROTTLE_SHARE, 1.0));
         let thread = thread::spawn(move || {
-            let over =
-                |pause| ended.recv_timeout(pause) == Err(mpsc::RecvTimeoutError::Disconnected);
+            let stopped_within =
+                |pause| stopped.recv_timeout(pause) == Err(mpsc::RecvTimeoutError::Disconnected);
             loop {
-                send(id, Signal::STOP);
-                let last = over(TURN.saturating_sub(runs));
-                send(id, Signal::CONT);
-                if last || over(runs) {
+                send_signal(id, Signal::STOP);
+                let last = stopped_within(THROTTLE_PERIOD.saturating_sub(running));
+                send_signal(id, Signal::CONT);
+                if last || stopped_within(running) {
                     return;
                 }
             }
         });
-        self.starving = Some(Starving { _end: end, thread: Some(thread) });
+        self.throttle = Some(Throttle { stop, thread });
     }
 
-    /// It runs as it can again.
-    pub fn feed(&mut self) {
-        if let Some(Starving { _end, thread }) = self.starving.take() {
-            drop(_end);
-            let _ = thread.map(thread::JoinHandle::join);
+    /// Lets it run all the time again.
+    pub fn unthrottle(&mut self) {
+        if let Some(Throttle { stop, thread }) = self.throttle.take() {
+            drop(stop);
+            let _ = thread.join();
         }
     }
 }
@@ -162,40 +177,40 @@
     }
 }
 
-fn send(id: u32, signal: Signal) {
+fn send_signal(id: u32, signal: Signal) {
     if let Some(pid) = i32::try_from(id).ok().and_then(Pid::from_raw) {
         let _ = kill_process(pid, signal);
     }
 }
 
-/// A loopback address that no other process's trials use: process ids have 22 bits at the most.
-pub fn own_address() -> IpAddr {
+/// A loopback address that belongs to this process: it is made of the process id, which has at most 22 bits.
+pub fn unique_loopback_address() -> IpAddr {
     let [_, a, b, c] = (std::process::id() % (1 << 22)).to_be_bytes();
     IpAddr::from([127, 64 + a, b, c])
 }
 
-/// A port that listens and takes datagrams, free until a process takes it.
-pub struct Reserved {
-    /// Where.
-    pub at: SocketAddr,
+/// A port that is free for TCP and UDP, kept so while this lives.
+pub struct ReservedPort {
+    /// The reserved address.
+    pub address: SocketAddr,
     _sockets: (TcpListener, UdpSocket),
 }
 
-impl Reserved {
-    /// One at this address.
+impl ReservedPort {
+    /// Reserves a port at this address.
     ///
     /// # Errors
     ///
     /// When none is free.
-    pub fn new(ip: IpAddr) -> io::Result<Reserved> {
-        let mut tries = 0;
+    pub fn new(ip: IpAddr) -> io::Result<ReservedPort> {
+        let mut retries = 0;
         loop {
             let tcp = TcpListener::bind((ip, 0))?;
-            let at = tcp.local_addr()?;
-            match UdpSocket::bind(at) {
-                Ok(udp) => return Ok(Reserved { at, _sockets: (tcp, udp) }),
-                Err(error) if tries > 16 => return Err(error),
-                Err(_) => tries += 1,
+            let address = tcp.local_addr()?;
+            match UdpSocket::bind(address) {
+                Ok(udp) => return Ok(ReservedPort { address, _sockets: (tcp, udp) }),
+                Err(error) if retries >= MAX_PORT_RETRIES => return Err(error),
+                Err(_) => retries += 1,
             }
         }
     }
--- a/crates/fault-injection/src/relay.rs
+++ b/crates/fault-injection/src/relay.rs
@@ -1,5 +1,6 @@
-//! The way of calls: from one sidecar to one server, or to discovery. What passes is delayed or held, in order;
-//! a connection's end and its reset pass like everything else.
+//! The relay for TCP connections from one sidecar to one server or to discovery.
+//!
+//! Data is delayed or held back, always in order. A connection's end and its reset are passed on like data.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,64 +16,67 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::links::{Draws, Part};
+use crate::links::{LinkSampler, Node};
 use crate::network::Network;
 
-/// Connections that one relay holds.
-const MOST: usize = 256;
-/// Pieces on their way on one connection, each way, and the longest.
-const PIECES: usize = 64;
-const PIECE: usize = 16 << 10;
-/// Connections that may wait to be taken.
+/// The most connections of one relay.
+const MAX_CONNECTIONS: usize = 256;
+/// The most segments in flight on one direction of a connection.
+const MAX_SEGMENTS: usize = 64;
+/// The longest segment in bytes.
+const MAX_SEGMENT_BYTES: usize = 16 << 10;
+/// The listener's backlog.
 const BACKLOG: i32 = 1024;
-/// A pause after what failed for a moment.
-const AGAIN: Duration = Duration::from_millis(20);
-/// So soon a connection on loopback comes up, or there is no more place in the backlog.
-const FILLED: Duration = Duration::from_millis(30);
-/// The most connections that fill a backlog of none; the system grants one or two.
-const FILLERS: usize = 4;
+/// The pause before something is retried that has failed for a moment.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// A connection on loopback comes up within this time, unless the backlog is full.
+const BACKLOG_FULL_AFTER: Duration = Duration::from_millis(30);
+/// The most connections that fill a backlog of zero; the system grants one or two.
+const MAX_FILLERS: usize = 4;
 
-/// A relay. It ends with its handle.
+/// A running relay. Dropping it ends it.
 pub struct Relay {
-    /// Where the sidecar calls.
-    pub at: SocketAddr,
+    /// The address that the sidecar connects to.
+    pub address: SocketAddr,
     task: JoinHandle<()>,
 }
 
 impl Relay {
-    /// Starts one from a sidecar to a part that is wherever the network has it, on the present runtime.
+    /// Starts a relay between two nodes on the current runtime. It connects to the address that the network has for
+    /// `to` at that time.
     ///
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start(network: Network, from: Part, to: Part) -> io::Result<Relay> {
-        Relay::serve(network, from, to, None).await
+    pub async fn start(network: Network, from: Node, to: Node) -> io::Result<Relay> {
+        Relay::start_with_target(network, from, to, None).await
     }
 
-    /// The same to one that is always there.
+    /// The same with a fixed target address.
     ///
     /// # Errors
     ///
     /// When no port is free.
     pub async fn start_to(
         network: Network,
-        from: Part,
-        to: Part,
-        at: SocketAddr,
+        from: Node,
+        to: Node,
+        target: SocketAddr,
     ) -> io::Result<Relay> {
-        Relay::serve(network, from, to, Some(at)).await
+        Relay::start_with_target(network, from, to, Some(target)).await
     }
 
-    async fn serve(
+    async fn start_with_target(
         network: Network,
-        from: Part,
-        to: Part,
+        from: Node,
+        to: Node,
         target: Option<SocketAddr>,
     ) -> io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let at = listener.local_addr()?;
-        let relay = Arc::new(Ends { network, from, to, target, places: Semaphore::new(MOST) });
-        Ok(Relay { at, task: tokio::spawn(relay.serve(listener, at)) })
+        let address = listener.local_addr()?;
+        let connections = Semaphore::new(MAX_CONNECTIONS);
+        let forwarder = Arc::new(Forwarder { network, from, to, target, connections });
+        Ok(Relay { address, task: tokio::spawn(forwarder.serve(listener, address)) })
     }
 }
 
@@ -82,188 +86,217 @@
     }
 }
 
-struct Ends {
+struct Forwarder {
     network: Network,
-    from: Part,
-    to: Part,
-    /// Where that is; none: where the network has it.
+    from: Node,
+    to: Node,
+    /// The address of `to`; without it, that of the network.
     target: Option<SocketAddr>,
-    places: Semaphore,
+    connections: Semaphore,
 }
 
-impl Ends {
-    async fn serve(self: Arc<Ends>, listener: TcpListener, at: SocketAddr) {
-        let mut listener = Some(listener);
-        let mut fillers: Vec<TcpStream> = Vec::new();
-        // Our own connections that are still to be taken out of the backlog.
-        let mut spent: Vec<SocketAddr> = Vec::new();
-        let mut pipes = JoinSet::new();
-        let mut changes = self.network.changes();
+/// The listening socket of a relay, and what it takes to let no connection come up.
+struct Gate {
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    /// The relay's own connections that fill the backlog.
+    fillers: Vec<TcpStream>,
+    /// The addresses of earlier fillers, whose connections are still to be accepted and ignored.
+    former_fillers: Vec<SocketAddr>,
+}
+
+impl Gate {
+    /// Follows the state of the links: refuses connections while the target is `down`, and lets none come up while
+    /// there is a partition.
+    async fn apply(&mut self, down: bool, partitioned: bool) {
+        if down && !partitioned {
+            // Connections are refused, and closing the listener resets those that wait in its backlog.
+            self.listener = None;
+            self.fillers.clear();
+        } else if self.listener.is_none() {
+            self.listener = listen_again(self.address);
+        }
+        let Some(listener) = &self.listener else { return };
+        if partitioned && self.fillers.is_empty() {
+            fill_backlog(listener, self.address, &mut self.fillers).await;
+        } else if !partitioned && !self.fillers.is_empty() {
+            let _ = listen(listener, BACKLOG);
+            let addresses = self.fillers.iter().filter_map(|f| f.local_addr().ok());
+            self.former_fillers = addresses.collect();
+            self.fillers.clear();
+        }
+    }
+
+    /// The next connection; `None` is the time to try to listen again.
+    async fn accept(
+        &self,
+        down: bool,
+        partitioned: bool,
+    ) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+        match &self.listener {
+            Some(listener) if !partitioned => Some(listener.accept().await),
+            // Another process had taken the port for a moment.
+            None if !down => {
+                sleep(RETRY_PAUSE).await;
+                None
+            }
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+impl Forwarder {
+    async fn serve(self: Arc<Forwarder>, listener: TcpListener, address: SocketAddr) {
+        let (fillers, former_fillers) = (Vec::new(), Vec::new());
+        let mut gate = Gate { address, listener: Some(listener), fillers, former_fillers };
+        let mut connections = JoinSet::new();
+        let mut changes = self.network.subscribe();
         loop {
-            let (dead, parted) = {
+            let (down, partitioned) = {
                 let links = changes.borrow_and_update();
-                (links.is_dead(self.to), links.parted(self.from, self.to))
-            };
-            if dead && !parted {
-                // Refused; and a listener that is closed resets what waits in its backlog.
-                listener = None;
-                fillers.clear();
-            } else if listener.is_none() {
-                listener = again(at);
-            }
-            if let Some(listener) = &listener {
-                if parted && fillers.is_empty() {
-                    fill(listener, at, &mut fillers).await;
-                } else if !parted && !fillers.is_empty() {
-                    let _ = listen(listener, BACKLOG);
-                    spent = fillers.iter().filter_map(|f| f.local_addr().ok()).collect();
-                    fillers.clear();
-                }
-            }
-            let next = async {
-                match &listener {
-                    Some(listener) if !parted => Some(listener.accept().await),
-                    // The port was somebody else's for a moment.
-                    None if !dead => {
-                        sleep(AGAIN).await;
-                        None
-                    }
-                    _ => std::future::pending().await,
-                }
+                (links.is_down(self.to), links.is_partitioned(self.from, self.to))
             };
+            gate.apply(down, partitioned).await;
             tokio::select! {
                 changed = changes.changed() => if changed.is_err() { return },
-                taken = next => match taken {
-                    Some(Ok((socket, from))) if !spent.contains(&from) => {
-                        pipes.spawn(self.clone().pipe(socket));
+                accepted = gate.accept(down, partitioned) => match accepted {
+                    Some(Ok((socket, from))) if !gate.former_fillers.contains(&from) => {
+                        connections.spawn(self.clone().forward(socket));
                     }
                     Some(Ok(_)) | None => {}
-                    Some(Err(_)) => sleep(AGAIN).await,
+                    Some(Err(_)) => sleep(RETRY_PAUSE).await,
                 },
-                Some(_) = pipes.join_next(), if !pipes.is_empty() => {}
+                Some(_) = connections.join_next(), if !connections.is_empty() => {}
             }
         }
     }
 
-    /// Passes on what comes on one connection, until it has ended both links.
-    async fn pipe(self: Arc<Ends>, near: TcpStream) {
+    /// Forwards one connection until both directions have ended.
+    async fn forward(self: Arc<Forwarder>, downstream: TcpStream) {
         let reset = |socket: &TcpStream| {
             let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
         };
-        let Ok(_place) = self.places.try_acquire() else { return reset(&near) };
-        let Some(at) = self.target.or_else(|| self.network.at(self.to)) else {
-            return reset(&near);
+        let Ok(_permit) = self.connections.try_acquire() else { return reset(&downstream) };
+        let Some(target) = self.target.or_else(|| self.network.address(self.to)) else {
+            return reset(&downstream);
         };
-        let Ok(far) = TcpStream::connect(at).await else { return reset(&near) };
-        let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let ((near_in, mut near_out), (far_in, mut far_out)) =
-            (near.into_split(), far.into_split());
-        let whole = async {
-            let there = self.direction(self.from, self.to, near_in, &mut far_out);
-            let back = self.direction(self.to, self.from, far_in, &mut near_out);
-            tokio::try_join!(there, back)
+        let Ok(upstream) = TcpStream::connect(target).await else { return reset(&downstream) };
+        let _ = (downstream.set_nodelay(true), upstream.set_nodelay(true));
+        let (downstream_in, mut downstream_out) = downstream.into_split();
+        let (upstream_in, mut upstream_out) = upstream.into_split();
+        let both = async {
+            let requests = self.direction(self.from, self.to, downstream_in, &mut upstream_out);
+            let answers = self.direction(self.to, self.from, upstream_in, &mut downstream_out);
+            tokio::try_join!(requests, answers)
         };
-        // A reset ends both links, at both ends.
-        if whole.await.is_err() {
-            for out in [near_out, far_out] {
+        // A reset ends both directions, at both ends.
+        if both.await.is_err() {
+            for out in [downstream_out, upstream_out] {
                 reset(out.as_ref());
                 out.forget();
             }
         }
     }
 
-    /// Passes on one way, to its end or until either side is reset.
+    /// Forwards one direction to its end, or until either side is reset.
     async fn direction(
         &self,
-        from: Part,
-        to: Part,
+        from: Node,
+        to: Node,
         input: OwnedReadHalf,
-        out: &mut OwnedWriteHalf,
+        output: &mut OwnedWriteHalf,
     ) -> io::Result<()> {
-        let (pieces, coming) = mpsc::channel(PIECES);
-        let draws = Draws::new(self.network.seed(), from, to);
-        let taken = async {
-            self.take(from, to, input, pieces, draws).await;
+        let (segments, received) = mpsc::channel(MAX_SEGMENTS);
+        let sampler = LinkSampler::new(self.network.seed(), from, to);
+        let read = async {
+            self.read(from, to, input, segments, sampler).await;
             Ok(())
         };
-        tokio::try_join!(taken, self.bring(from, to, coming, out)).map(drop)
+        tokio::try_join!(read, self.write(from, to, received, output)).map(drop)
     }
 
-    async fn take(
+    async fn read(
         &self,
-        from: Part,
-        to: Part,
+        from: Node,
+        to: Node,
         mut input: OwnedReadHalf,
-        pieces: mpsc::Sender<(Instant, Piece)>,
-        mut draws: Draws,
+        segments: mpsc::Sender<Segment>,
+        mut sampler: LinkSampler,
     ) {
-        let mut last = Instant::now();
+        let mut due = Instant::now();
         loop {
-            let mut data = vec![0; PIECE];
+            let mut data = vec![0; MAX_SEGMENT_BYTES];
             let read = tokio::select! {
                 read = input.read(&mut data) => read,
-                // Nobody takes it any more.
-                () = pieces.closed() => return,
+                // The other end has been reset.
+                () = segments.closed() => return,
             };
-            let piece = match read {
-                Ok(0) => Piece::End,
+            let content = match read {
+                Ok(0) => Content::End,
                 Ok(n) => {
                     data.truncate(n);
-                    Piece::Data(data)
+                    Content::Data(data)
                 }
-                Err(_) => Piece::Reset,
+                Err(_) => Content::Reset,
             };
-            let bytes = if let Piece::Data(data) = &piece { data.len() } else { 0 };
-            let shape = self.network.links(|links| links.shape(from, to));
-            // What comes later never arrives sooner.
-            last = last.max(Instant::now() + draws.piece(&shape, self.network.elapsed(), bytes));
-            let over = !matches!(piece, Piece::Data(_));
-            if pieces.send((last, piece)).await.is_err() || over {
+            let bytes = if let Content::Data(data) = &content { data.len() } else { 0 };
+            let impairment = self.network.links(|links| links.impairment(from, to));
+            let delay = sampler.segment_delay(&impairment, self.network.elapsed(), bytes);
+            // A segment never arrives before the one that was sent before it.
+            due = due.max(Instant::now() + delay);
+            let ended = !matches!(content, Content::Data(_));
+            if segments.send(Segment { due, content }).await.is_err() || ended {
                 return;
             }
         }
     }
 
-    async fn bring(
+    async fn write(
         &self,
-        from: Part,
-        to: Part,
-        mut coming: mpsc::Receiver<(Instant, Piece)>,
-        out: &mut OwnedWriteHalf,
+        from: Node,
+        to: Node,
+        mut segments: mpsc::Receiver<Segment>,
+        output: &mut OwnedWriteHalf,
     ) -> io::Result<()> {
-        while let Some((due, piece)) = coming.recv().await {
+        while let Some(Segment { due, content }) = segments.recv().await {
             sleep_until(due).await;
-            self.network.until(|links| !links.shape(from, to).cut).await;
-            match &piece {
-                Piece::Data(data) => out.write_all(data).await?,
-                Piece::End => out.shutdown().await?,
-                Piece::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
+            self.network.wait_until(|links| !links.impairment(from, to).cut).await;
+            match &content {
+                Content::Data(data) => output.write_all(data).await?,
+                Content::End => output.shutdown().await?,
+                Content::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
             }
         }
         Ok(())
     }
 }
 
-enum Piece {
+/// A part of one direction of a connection, and when it arrives.
+struct Segment {
+    due: Instant,
+    content: Content,
+}
+
+enum Content {
     Data(Vec<u8>),
     End,
     Reset,
 }
 
-/// Listens again where a listener was.
-fn again(at: SocketAddr) -> Option<TcpListener> {
+/// Listens again at an address whose listener was closed.
+fn listen_again(address: SocketAddr) -> Option<TcpListener> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.set_reuseaddr(true).ok()?;
-    socket.bind(at).ok()?;
+    socket.bind(address).ok()?;
     socket.listen(BACKLOG.unsigned_abs()).ok()
 }
 
-/// Takes the backlog's places, so that no connection comes up: the system drops what asks for one, as a cut way
-/// would (listen(2)).
-async fn fill(listener: &TcpListener, at: SocketAddr, fillers: &mut Vec<TcpStream>) {
+/// Fills the backlog, so that no connection comes up: the system drops connection requests to a full backlog, as a
+/// cut link would (listen(2)).
+async fn fill_backlog(listener: &TcpListener, address: SocketAddr, fillers: &mut Vec<TcpStream>) {
     let _ = listen(listener, 0);
-    while fillers.len() < FILLERS {
-        match timeout(FILLED, TcpStream::connect(at)).await {
+    while fillers.len() < MAX_FILLERS {
+        match timeout(BACKLOG_FULL_AFTER, TcpStream::connect(address)).await {
             Ok(Ok(filler)) => fillers.push(filler),
             _ => return,
         }
--- /dev/null
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -0,0 +1,167 @@
+//! Applies the actions of a scenario.
+
+use std::collections::BTreeSet;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use fakes::logserver::{Fault, LogServer};
+use fakes::registry::Entry;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use super::configuration::merge_patch;
+use super::{Testbed, TestbedError};
+use crate::links::Node;
+use crate::scenario::{Action, Availability, ServerState};
+
+impl Testbed {
+    /// Applies an action of the fault with this number.
+    ///
+    /// # Errors
+    ///
+    /// What could not be done.
+    pub fn apply(&mut self, fault: usize, action: &Action) -> Result<(), TestbedError> {
+        match action {
+            Action::Inject { fault, .. } => {
+                self.network.update(|links| links.inject((**fault).clone()));
+            }
+            Action::Clear => self.network.update(|links| links.clear(fault)),
+            Action::Kill(sidecars) => self.kill(sidecars),
+            Action::Terminate(sidecars) => self.terminate(sidecars),
+            Action::Start { sidecars, discard_state } => self.restart(sidecars, *discard_state)?,
+            Action::Pause(sidecars) => self.pause(sidecars),
+            Action::Resume(sidecars) => self.resume(sidecars),
+            Action::Throttle(sidecars, share) => {
+                indices(sidecars).for_each(|n| self.sidecars[n].process.throttle(*share));
+            }
+            Action::Unthrottle(sidecars) => {
+                indices(sidecars).for_each(|n| self.sidecars[n].process.unthrottle());
+            }
+            Action::SetServers(servers, state) => {
+                for &n in servers {
+                    self.set_server(n, *state)?;
+                }
+            }
+            Action::SetDiscovery(availability) => {
+                let down = *availability == Availability::Down;
+                self.sidecars.iter().for_each(|sidecar| sidecar.registry.down(down));
+            }
+            Action::ScaleLoad(tenant, factor) => {
+                match tenant {
+                    Some(tenant) => self.load_factors.tenants[*tenant] = *factor,
+                    None => self.load_factors.all = *factor,
+                }
+                self.start_all_clients();
+            }
+            Action::Configure(sidecars, patch) => self.configure(sidecars, patch)?,
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, sidecars: &BTreeSet<u16>) {
+        for n in indices(sidecars) {
+            self.account.kill(self.sidecars[n].listen);
+            self.stop_clients(n);
+            self.sidecars[n].expected = false;
+        }
+        indices(sidecars).for_each(|n| self.sidecars[n].process.kill());
+    }
+
+    fn terminate(&mut self, sidecars: &BTreeSet<u16>) {
+        for n in indices(sidecars) {
+            self.stop_clients(n);
+            self.sidecars[n].expected = false;
+            self.sidecars[n].process.signal(Signal::TERM);
+        }
+    }
+
+    fn restart(
+        &mut self,
+        sidecars: &BTreeSet<u16>,
+        discard_state: bool,
+    ) -> Result<(), TestbedError> {
+        for n in indices(sidecars) {
+            // One that was asked to shut down and still runs is killed.
+            self.sidecars[n].process.kill();
+            self.start_sidecar(n, discard_state)?;
+        }
+        indices(sidecars).for_each(|n| self.start_clients(n));
+        Ok(())
+    }
+
+    fn pause(&mut self, sidecars: &BTreeSet<u16>) {
+        for sidecar in indices(sidecars).map(|n| &self.sidecars[n]) {
+            self.account.stall(sidecar.listen, true);
+            sidecar.process.signal(Signal::STOP);
+        }
+    }
+
+    fn resume(&mut self, sidecars: &BTreeSet<u16>) {
+        for sidecar in indices(sidecars).map(|n| &self.sidecars[n]) {
+            self.account.stall(sidecar.listen, false);
+            sidecar.process.signal(Signal::CONT);
+        }
+    }
+
+    /// Patches configurations and lets the sidecars read them again. The file is replaced at once, so that none is
+    /// read half written.
+    fn configure(&mut self, sidecars: &BTreeSet<u16>, patch: &Value) -> Result<(), TestbedError> {
+        for n in indices(sidecars) {
+            let sidecar = &mut self.sidecars[n];
+            merge_patch(&mut sidecar.config, patch);
+            let path = sidecar.process.configuration_path();
+            let new = path.with_extension("new");
+            std::fs::write(&new, sidecar.config.to_string())?;
+            std::fs::rename(&new, &path)?;
+            sidecar.process.signal(Signal::HUP);
+        }
+        Ok(())
+    }
+
+    fn set_server(&mut self, n: u16, state: ServerState) -> Result<(), TestbedError> {
+        let down = self.network.links(|links| links.is_down(Node::Server(n)));
+        if state == ServerState::Healthy || down && state != ServerState::Dead {
+            self.restart_server(n)?;
+        }
+        let slot = &self.servers[usize::from(n)];
+        match state {
+            ServerState::Healthy => {}
+            ServerState::Draining => {
+                self.list_server(n, "leaving", 0);
+                slot.server.drain();
+            }
+            ServerState::Dead => {
+                slot.server.kill();
+                self.network.update(|links| links.take_down(Node::Server(n)));
+            }
+            ServerState::Slow(factor) => slot.server.slow(factor),
+            ServerState::Errors(share) => slot.server.faults(vec![(share, Fault::Error)]),
+            ServerState::Hangs(share) => slot.server.faults(vec![(share, Fault::Hang)]),
+        }
+        Ok(())
+    }
+
+    /// Replaces a server by a new one without faults.
+    fn restart_server(&mut self, n: u16) -> Result<(), TestbedError> {
+        let slot = &mut self.servers[usize::from(n)];
+        slot.server.kill();
+        let started = LogServer::start(slot.spec.clone(), self.account.clone());
+        slot.server = fakes::runtime().block_on(started)?;
+        self.network.set_address(Node::Server(n), slot.server.at);
+        self.network.update(|links| links.bring_up(Node::Server(n)));
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.list_server(n, "active", now.as_millis() as u64);
+        Ok(())
+    }
+
+    /// Changes a server's entry in the discovery of every sidecar. `born_ms` is its start in Unix time.
+    fn list_server(&self, n: u16, health: &'static str, born_ms: u64) {
+        let entries = &self.servers[usize::from(n)].entries;
+        for (entry, sidecar) in entries.iter().zip(&self.sidecars) {
+            sidecar.registry.list(Entry { health, born_ms, ..entry.clone() });
+        }
+    }
+}
+
+fn indices(numbers: &BTreeSet<u16>) -> impl Iterator<Item = usize> {
+    numbers.iter().map(|n| usize::from(*n))
+}
--- /dev/null
+++ b/crates/fault-injection/src/testbed/probe.rs
@@ -0,0 +1,44 @@
+//! Asks sidecars for their readiness and their metrics.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::sample::SidecarMetrics;
+
+/// How long a sidecar may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 << 10;
+/// What the names of a sidecar's metrics begin with on its admin listener.
+const METRIC_PREFIX: &str = "sidecar.";
+
+/// Whether the sidecar at this address is ready for requests.
+pub(super) async fn is_ready(listen: SocketAddr) -> bool {
+    let request = "GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(listen, request)).await;
+    answer.is_ok_and(|answer| answer.is_ok_and(|text| text.starts_with("HTTP/1.1 200")))
+}
+
+/// The metrics of the sidecar with this admin listener; none without an address, or when it does not answer.
+pub(super) async fn sidecar_metrics(admin: Option<SocketAddr>) -> Option<SidecarMetrics> {
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(admin?, "show-stat\n"));
+    let answer = answer.await.ok()?.ok()?;
+    let metric = |line: &str| {
+        let (name, value) = line.strip_prefix(METRIC_PREFIX)?.split_once('=')?;
+        Some((name.to_owned(), value.parse().ok()?))
+    };
+    let metrics: SidecarMetrics = answer.lines().filter_map(metric).collect();
+    (!metrics.is_empty()).then_some(metrics)
+}
+
+async fn ask(address: SocketAddr, request: &str) -> io::Result<String> {
+    let mut socket = TcpStream::connect(address).await?;
+    socket.write_all(request.as_bytes()).await?;
+    let mut answer = Vec::new();
+    socket.take(MAX_ANSWER_BYTES).read_to_end(&mut answer).await?;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
--- /dev/null
+++ b/crates/fault-injection/src/testbed/sampling.rs
@@ -0,0 +1,74 @@
+//! Samples the state of a testbed.
+
+use fakes::account::OfTenant;
+use tokio::task::JoinHandle;
+
+use super::Testbed;
+use super::probe::sidecar_metrics;
+use crate::sample::{Sample, SidecarMetrics, Totals};
+
+/// A sample that waits for the metrics of the sidecars.
+pub struct PendingSample {
+    sample: Sample,
+    sidecar_metrics: Vec<JoinHandle<Option<SidecarMetrics>>>,
+}
+
+impl PendingSample {
+    /// Whether every sidecar has answered or timed out.
+    pub fn is_complete(&self) -> bool {
+        self.sidecar_metrics.iter().all(JoinHandle::is_finished)
+    }
+
+    /// The sample; waits for the answers that are missing.
+    pub fn complete(self) -> Sample {
+        let wait = |task: JoinHandle<_>| fakes::runtime().block_on(task).ok().flatten();
+        let sidecar_metrics = self.sidecar_metrics.into_iter().map(wait).collect();
+        Sample { sidecar_metrics, ..self.sample }
+    }
+}
+
+impl Testbed {
+    /// Samples the present state. The sidecars' metrics follow later, so that a sidecar that hangs delays nothing.
+    pub fn sample(&mut self) -> PendingSample {
+        self.count_crashes();
+        let metrics = self.sidecars.iter().map(|sidecar| {
+            let admin = sidecar.expected.then_some(sidecar.admin);
+            fakes::runtime().spawn(sidecar_metrics(admin))
+        });
+        let sidecar_metrics = metrics.collect();
+        let report = self.account.report();
+        let mut tenants: Vec<Totals> = report.tenants.iter().map(totals).collect();
+        tenants.resize(self.scenario.load.tenants.len(), Totals::default());
+        let sample = Sample {
+            at_s: self.network.elapsed().as_secs_f64(),
+            totals: tenants.iter().copied().sum(),
+            tenants,
+            violations: report.broken() + self.crashes,
+            server_attempts: report.servers.values().map(|server| server.seen).sum(),
+            client_attempts: report.tries,
+            gossip: self.gossip.counts(),
+            sidecar_metrics: Vec::new(),
+        };
+        PendingSample { sample, sidecar_metrics }
+    }
+
+    fn count_crashes(&mut self) {
+        for (n, sidecar) in self.sidecars.iter_mut().enumerate() {
+            if sidecar.expected && sidecar.process.has_exited() {
+                sidecar.expected = false;
+                self.crashes += 1;
+                self.problems.push(format!("s{n} has ended by itself"));
+            }
+        }
+    }
+}
+
+fn totals(tenant: &OfTenant) -> Totals {
+    Totals {
+        requested: tenant.asked,
+        served: tenant.served,
+        in_time: tenant.in_time,
+        rejected: tenant.refused,
+        failed: tenant.failed,
+    }
+}
--- a/crates/fault-injection/tests/relays.rs
+++ b/crates/fault-injection/tests/relays.rs
@@ -1,4 +1,4 @@
-//! What the relays do to real sockets, and what the guard does to real processes.
+//! The relays with real sockets, and the process guard with real processes.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -6,39 +6,40 @@
 use std::time::{Duration, Instant};
 
 use fakes::{runtime, until};
-use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::gossip_relay::GossipRelay;
+use fault_injection::links::{ActiveFault, Impairment, Links, Node};
 use fault_injection::network::Network;
-use fault_injection::notes::Notes;
 use fault_injection::relay::Relay;
 
-const ME: Part = Part::Sidecar(0);
-const SERVER: Part = Part::Server(0);
-const CUT: Shape = Shape {
+const ME: Node = Node::Sidecar(0);
+const SERVER: Node = Node::Server(0);
+const CUT: Impairment = Impairment {
     cut: true,
     delay: Duration::ZERO,
     jitter: Duration::ZERO,
     loss: 0.0,
-    twice: 0.0,
-    late: 0.0,
-    spoilt: 0.0,
+    duplicate: 0.0,
+    reorder: 0.0,
+    corrupt: 0.0,
     rate: 0,
 };
-/// So long nothing comes where nothing should.
+/// How long nothing must arrive where nothing is expected.
 const QUIET: Duration = Duration::from_millis(400);
 
 fn network() -> Network {
     Network::new(Links::default(), 1)
 }
 
-fn lay(network: &Network, from: Part, to: Part, shape: Shape) {
-    let laid = Laid { fault: 0, from: [from].into(), to: [to].into(), both: false, shape };
-    network.change(|links| links.lay(laid));
+fn inject(network: &Network, from: Node, to: Node, impairment: Impairment) {
+    let (from, to) = ([from].into(), [to].into());
+    let fault = ActiveFault { fault: 0, from, to, both_directions: false, impairment };
+    network.update(|links| links.inject(fault));
 }
 
-/// A server that sends back what comes, and a relay before it.
+/// A relay to a server that echoes what it receives.
 fn echo(network: &Network) -> Relay {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    network.place(SERVER, listener.local_addr().expect("an address"));
+    network.set_address(SERVER, listener.local_addr().expect("an address"));
     std::thread::spawn(move || {
         for mut socket in listener.incoming().flatten() {
             std::thread::spawn(move || {
@@ -54,13 +55,13 @@
     runtime().block_on(Relay::start(network.clone(), ME, SERVER)).expect("a relay")
 }
 
-fn call(at: SocketAddr) -> TcpStream {
-    let socket = TcpStream::connect(at).expect("it comes up");
+fn connect(address: SocketAddr) -> TcpStream {
+    let socket = TcpStream::connect(address).expect("it comes up");
     socket.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
     socket
 }
 
-fn back(socket: &mut TcpStream, text: &[u8]) -> Vec<u8> {
+fn echoed(socket: &mut TcpStream, text: &[u8]) -> Vec<u8> {
     socket.write_all(text).expect("written");
     let mut got = vec![0; text.len()];
     socket.read_exact(&mut got).expect("it comes back");
@@ -68,74 +69,74 @@
 }
 
 #[test]
-fn over_a_cut_way_nothing_passes_and_nothing_comes_up_and_all_goes_on_once_it_heals() {
+fn cut_link_holds_data_and_connections_until_it_heals() {
     let network = network();
     let relay = echo(&network);
-    let mut open = call(relay.at);
-    assert_eq!(back(&mut open, b"before"), b"before");
-    // One direction alone is cut: what the server says is held, and what it hears is not.
-    lay(&network, SERVER, ME, CUT);
+    let mut open = connect(relay.address);
+    assert_eq!(echoed(&mut open, b"before"), b"before");
+    // One direction alone is cut: the server's data is held back, the client's is not.
+    inject(&network, SERVER, ME, CUT);
     open.write_all(b"during").expect("written");
     open.set_read_timeout(Some(QUIET)).expect("set");
     let silent = open.read(&mut [0; 64]).expect_err("nothing passes, not even a reset");
     assert_eq!(silent.kind(), ErrorKind::WouldBlock);
-    // Until the relay has closed its backlog one may still come up.
-    until("no connection comes up", || TcpStream::connect_timeout(&relay.at, QUIET).is_err());
-    network.change(|links| links.lift(0));
+    // A connection may still come up until the relay has filled its backlog.
+    until("no connection comes up", || TcpStream::connect_timeout(&relay.address, QUIET).is_err());
+    network.update(|links| links.clear(0));
     let mut got = [0; 6];
     open.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
     open.read_exact(&mut got).expect("what was held comes");
     assert_eq!(&got, b"during");
-    assert_eq!(back(&mut call(relay.at), b"after"), b"after");
+    assert_eq!(echoed(&mut connect(relay.address), b"after"), b"after");
 }
 
 #[test]
-fn at_a_dead_servers_address_connections_are_refused_and_served_again_when_it_is_back() {
+fn connections_to_a_server_that_is_down_are_refused_until_it_is_back() {
     let network = network();
     let relay = echo(&network);
-    assert_eq!(back(&mut call(relay.at), b"before"), b"before");
-    network.change(|links| links.dead(SERVER, true));
+    assert_eq!(echoed(&mut connect(relay.address), b"before"), b"before");
+    network.update(|links| links.take_down(SERVER));
     until("they are refused", || {
-        TcpStream::connect(relay.at).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+        TcpStream::connect(relay.address).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
     });
-    network.change(|links| links.dead(SERVER, false));
-    until("they come up", || TcpStream::connect(relay.at).is_ok());
-    assert_eq!(back(&mut call(relay.at), b"after"), b"after");
+    network.update(|links| links.bring_up(SERVER));
+    until("they come up", || TcpStream::connect(relay.address).is_ok());
+    assert_eq!(echoed(&mut connect(relay.address), b"after"), b"after");
 }
 
 #[test]
-fn a_reset_passes_as_a_reset_and_an_end_as_an_end() {
+fn resets_and_ends_of_connections_are_forwarded() {
     let network = network();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    network.place(SERVER, listener.local_addr().expect("an address"));
+    network.set_address(SERVER, listener.local_addr().expect("an address"));
     let relay = runtime().block_on(Relay::start(network, ME, SERVER)).expect("a relay");
-    let mut near = call(relay.at);
+    let mut near = connect(relay.address);
     let (far, _) = listener.accept().expect("it comes");
     socket2::SockRef::from(&far).set_linger(Some(Duration::ZERO)).expect("set");
     drop(far);
     let error = near.read(&mut [0; 9]).expect_err("a reset");
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
-    let mut near = call(relay.at);
+    let mut near = connect(relay.address);
     let (far, _) = listener.accept().expect("it comes");
     drop(far);
     assert_eq!(near.read(&mut [0; 9]).expect("an end"), 0);
 }
 
 #[test]
-fn a_delay_is_kept_both_ways_and_order_with_it() {
+fn delays_apply_to_both_directions_and_keep_the_order() {
     let network = network();
-    let shape = Shape {
+    let impairment = Impairment {
         delay: Duration::from_millis(50),
         jitter: Duration::from_millis(50),
-        ..Shape::default()
+        ..Impairment::default()
     };
-    lay(&network, ME, SERVER, shape);
-    lay(&network, SERVER, ME, shape);
+    inject(&network, ME, SERVER, impairment);
+    inject(&network, SERVER, ME, impairment);
     let relay = echo(&network);
-    let mut socket = call(relay.at);
-    let began = Instant::now();
-    assert_eq!(back(&mut socket, b"x"), b"x");
-    assert!(began.elapsed() >= Duration::from_millis(100));
+    let mut socket = connect(relay.address);
+    let started = Instant::now();
+    assert_eq!(echoed(&mut socket, b"x"), b"x");
+    assert!(started.elapsed() >= Duration::from_millis(100));
     let text: Vec<u8> = (0..60).collect();
     for byte in &text {
         socket.write_all(&[*byte]).expect("written");
@@ -153,67 +154,72 @@
 }
 
 #[test]
-fn notes_come_from_their_senders_address_and_over_a_cut_way_not_at_all() {
+fn gossip_comes_from_its_senders_address_and_not_over_a_cut_link() {
     let network = network();
     let all: Vec<UdpSocket> = (0..3).map(|_| sidecar()).collect();
-    let ends = all.iter().map(|s| s.local_addr().expect("an address")).collect();
-    let notes = runtime().block_on(Notes::start(network.clone(), ends)).expect("relays");
-    let heard = |who: usize| {
+    let addresses = all.iter().map(|s| s.local_addr().expect("an address")).collect();
+    let relay = runtime().block_on(GossipRelay::start(network.clone(), addresses)).expect("relays");
+    let receive = |who: usize| {
         let mut buf = [0; 300];
-        let (n, from) = all[who].recv_from(&mut buf).expect("a note");
+        let (n, from) = all[who].recv_from(&mut buf).expect("a datagram");
         (buf[..n].to_vec(), from)
     };
-    all[0].send_to(b"to one", notes.peers[1]).expect("sent");
-    assert_eq!(heard(1), (b"to one".to_vec(), notes.peers[0]));
-    lay(&network, ME, Part::Sidecar(1), CUT);
-    all[0].send_to(b"to all", notes.all).expect("sent");
-    assert_eq!(heard(2), (b"to all".to_vec(), notes.peers[0]));
-    // The other direction is whole.
-    all[1].send_to(b"back", notes.peers[0]).expect("sent");
-    assert_eq!(heard(0), (b"back".to_vec(), notes.peers[1]));
+    all[0].send_to(b"to one", relay.peers[1]).expect("sent");
+    assert_eq!(receive(1), (b"to one".to_vec(), relay.peers[0]));
+    inject(&network, ME, Node::Sidecar(1), CUT);
+    all[0].send_to(b"to all", relay.broadcast).expect("sent");
+    assert_eq!(receive(2), (b"to all".to_vec(), relay.peers[0]));
+    // The other direction is not cut.
+    all[1].send_to(b"back", relay.peers[0]).expect("sent");
+    assert_eq!(receive(0), (b"back".to_vec(), relay.peers[1]));
     all[1].set_read_timeout(Some(QUIET)).expect("set");
-    assert!(all[1].recv(&mut [0; 9]).is_err(), "it is deaf to the first");
+    assert!(all[1].recv(&mut [0; 9]).is_err(), "nothing over the cut link");
     all[0].set_read_timeout(Some(QUIET)).expect("set");
-    assert!(all[0].recv(&mut [0; 9]).is_err(), "nobody hears itself");
-    let passed = notes.passed();
-    assert_eq!((passed.sent, passed.arrived, passed.bytes), (4, 3, 16));
-    // Strangers are passed over.
-    sidecar().send_to(b"hello", notes.peers[0]).expect("sent");
+    assert!(all[0].recv(&mut [0; 9]).is_err(), "no datagram comes back to its sender");
+    let counts = relay.counts();
+    assert_eq!((counts.sent, counts.delivered, counts.bytes), (4, 3, 16));
+    // Datagrams of unknown senders are ignored.
+    sidecar().send_to(b"hello", relay.peers[0]).expect("sent");
     assert!(all[0].recv(&mut [0; 9]).is_err());
 }
 
 #[test]
-fn late_notes_are_overtaken_and_doubled_ones_come_twice() {
+fn datagrams_are_reordered_and_duplicated() {
     let network = network();
     let all: Vec<UdpSocket> = (0..2).map(|_| sidecar()).collect();
-    let ends = all.iter().map(|s| s.local_addr().expect("an address")).collect();
-    let notes = runtime().block_on(Notes::start(network.clone(), ends)).expect("relays");
-    lay(&network, ME, Part::Sidecar(1), Shape { twice: 1.0, late: 0.5, ..Shape::default() });
+    let addresses = all.iter().map(|s| s.local_addr().expect("an address")).collect();
+    let relay = runtime().block_on(GossipRelay::start(network.clone(), addresses)).expect("relays");
+    inject(
+        &network,
+        ME,
+        Node::Sidecar(1),
+        Impairment { duplicate: 1.0, reorder: 0.5, ..Impairment::default() },
+    );
     for n in 0..40 {
-        all[0].send_to(&[n], notes.peers[1]).expect("sent");
+        all[0].send_to(&[n], relay.peers[1]).expect("sent");
     }
     let mut got = Vec::new();
     for _ in 0..80 {
         let mut buf = [0; 9];
-        all[1].recv(&mut buf).expect("a note");
+        all[1].recv(&mut buf).expect("a datagram");
         got.push(buf[0]);
     }
-    assert!(!got.is_sorted(), "some are overtaken");
+    assert!(!got.is_sorted(), "some are reordered");
     got.sort_unstable();
     assert!((0..40).all(|n| got[usize::from(n) * 2..][..2] == [n, n]), "{got:?}");
 }
 
 #[test]
-fn what_the_guard_became_ends_with_who_started_it() {
+fn guarded_process_ends_with_its_parent() {
     let guard = env!("CARGO_BIN_EXE_lb-process-guard");
-    // A shell that starts the guard, tells its id, and is killed.
+    // A shell that starts the guard, prints its process id, and is killed.
     let script = format!("{guard} $$ sleep 600 & echo $!; wait");
     let mut shell =
         Command::new("sh").args(["-c", &script]).stdout(Stdio::piped()).spawn().expect("a shell");
-    let mut told = String::new();
+    let mut line = String::new();
     let mut out = std::io::BufReader::new(shell.stdout.take().expect("a pipe"));
-    std::io::BufRead::read_line(&mut out, &mut told).expect("an id");
-    let stat = format!("/proc/{}/stat", told.trim());
+    std::io::BufRead::read_line(&mut out, &mut line).expect("an id");
+    let stat = format!("/proc/{}/stat", line.trim());
     let sleeps = || std::fs::read_to_string(&stat).is_ok_and(|s| s.contains("(sleep) S"));
     until("it became what it should", sleeps);
     shell.kill().expect("killed");
--- a/crates/fault-injection/tests/trials.rs
+++ b/crates/fault-injection/tests/trials.rs
@@ -1,79 +1,79 @@
-//! Trials played with real processes of the program.
+//! Scenarios played with real sidecar processes.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
-use fault_injection::ground::Programs;
-use fault_injection::page;
-use fault_injection::play::{Told, play};
+use fault_injection::html_report;
+use fault_injection::runner::{Progress, run};
 use fault_injection::scenario::Scenario;
+use fault_injection::testbed::Programs;
 
 fn read(name: &str) -> Scenario {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("trials").join(name);
-    let text = std::fs::read_to_string(&path).expect("a trial");
-    Scenario::parse(&text, None).unwrap_or_else(|why| panic!("{name}: {why}"))
+    let text = std::fs::read_to_string(&path).expect("a scenario");
+    Scenario::parse(&text, None).unwrap_or_else(|error| panic!("{name}: {error}"))
 }
 
-/// Two trials at a time: each has a dozen processes.
-static TURNS: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
+/// Two scenarios run at a time: each has a dozen processes.
+static SLOTS: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
 static NEXT: AtomicUsize = AtomicUsize::new(0);
 
-fn held(name: &str) {
-    let turn = &TURNS[NEXT.fetch_add(1, Ordering::Relaxed) % TURNS.len()];
-    let _turn = turn.lock().unwrap_or_else(PoisonError::into_inner);
+fn assert_passes(name: &str) {
+    let slot = &SLOTS[NEXT.fetch_add(1, Ordering::Relaxed) % SLOTS.len()];
+    let _slot = slot.lock().unwrap_or_else(PoisonError::into_inner);
     let scenario = read(name);
     let programs = Programs::built(false).expect("the programs");
-    let mut acts = 0;
+    let mut events = 0;
     let outcome =
-        play(&scenario, programs, |told| acts += usize::from(matches!(told, Told::Act(_))));
+        run(&scenario, programs, |p| events += usize::from(matches!(p, Progress::Event(_))));
     let outcome = outcome.expect("it can be played");
-    let wrong: Vec<_> = outcome.verdicts.iter().filter(|v| !v.held).collect();
-    let (examples, troubles) = (&outcome.account.examples, &outcome.troubles);
-    assert!(outcome.held, "{wrong:?} {examples:?} {troubles:?}");
-    assert_eq!(acts, scenario.acts.len(), "all of the plan was played");
-    let page = page::html(&scenario, &outcome);
+    let failed: Vec<_> = outcome.verdicts.iter().filter(|v| !v.passed).collect();
+    let (examples, problems) = (&outcome.account.examples, &outcome.problems);
+    assert!(outcome.passed, "{failed:?} {examples:?} {problems:?}");
+    assert_eq!(events, scenario.events.len(), "every event was applied");
+    let page = html_report::html(&scenario, &outcome);
     assert!(page.matches("<svg").count() >= 3 && page.contains("polyline"), "it has plots");
     let from_elsewhere = ["src=", "href=", "@import", "<script"];
-    assert!(from_elsewhere.iter().all(|way| !page.contains(way)), "it opens without a network");
+    assert!(from_elsewhere.iter().all(|text| !page.contains(text)), "it opens without a network");
 }
 
 #[test]
-fn every_kind_of_fault_is_borne() {
-    held("all-faults.toml");
+fn every_kind_of_fault_is_tolerated() {
+    assert_passes("all-faults.toml");
 }
 
 #[test]
-fn halves_spend_no_more_than_the_whole_and_know_one_another_again() {
-    held("halves.toml");
+fn partitioned_halves_keep_to_the_quota_and_merge_again() {
+    assert_passes("halves.toml");
 }
 
 #[test]
-fn a_quarter_that_is_deaf_is_there_and_has_its_part() {
-    held("deaf.toml");
+fn sidecars_that_receive_no_gossip_stay_members_and_keep_their_quota() {
+    assert_passes("deaf.toml");
 }
 
 #[test]
-fn a_third_killed_and_back_and_quotas_changed_on_half() {
-    held("killed.toml");
+fn third_of_the_sidecars_is_killed_and_quotas_change_on_half() {
+    assert_passes("killed.toml");
 }
 
 #[test]
-fn notes_lost_doubled_late_and_spoilt() {
-    held("lossy.toml");
+fn gossip_is_lost_duplicated_reordered_and_corrupted() {
+    assert_passes("lossy.toml");
 }
 
 #[test]
-fn a_storm_of_failures_is_repeated_within_one_budget() {
-    held("storm.toml");
+fn retries_of_a_failure_storm_keep_to_one_budget() {
+    assert_passes("storm.toml");
 }
 
 #[test]
-fn a_fleet_halved_and_doubled_within_seconds() {
-    held("halved.toml");
+fn fleet_is_halved_and_doubled_within_seconds() {
+    assert_passes("halved.toml");
 }
 
 #[test]
-fn an_old_version_beside_a_new_one() {
-    held("versions.toml");
+fn old_and_new_versions_run_side_by_side() {
+    assert_passes("versions.toml");
 }
--- a/crates/fleet/src/daemon/mod.rs
+++ b/crates/fleet/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use instance_status::{State, Supervisor};
+use instance_status::{InstanceStatus, SupervisorSocket};
 use rustix::process::{Resource, Signal, getrlimit, setrlimit};
 use tokio::net::UnixDatagram;
 use tokio::signal::unix::{SignalKind, signal};
@@ -44,7 +44,7 @@
 struct Running {
     mark: Mark,
     process: Process,
-    state: Option<State>,
+    state: Option<InstanceStatus>,
     started: Duration,
     last_report: Duration,
     found: bool,
@@ -77,7 +77,7 @@
     checking: bool,
     stopping: bool,
     hurry: bool,
-    supervisor: Option<Supervisor>,
+    supervisor: Option<SupervisorSocket>,
     log: Vec<(&'static str, String)>,
     last_alive: Duration,
     events: mpsc::UnboundedSender<Event>,
@@ -117,7 +117,7 @@
 
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut report = [0; instance_status::LONGEST];
+    let mut report = [0; instance_status::MAX_DATAGRAM_BYTES];
     let mut late = LATE.into_iter().peekable();
     loop {
         tokio::select! {
@@ -193,7 +193,7 @@
             checking: false,
             stopping: false,
             hurry: false,
-            supervisor: Supervisor::from_env(),
+            supervisor: SupervisorSocket::from_env(),
             log,
             last_alive: Duration::ZERO,
             events,
@@ -275,7 +275,7 @@
 
     /// Takes in a report; whether it tells more than that its process lives.
     fn reported(&mut self, report: &[u8]) -> bool {
-        let Some(state) = State::parse(report) else { return false };
+        let Some(state) = InstanceStatus::from_datagram(report) else { return false };
         let now = self.now();
         // Danger: whoever can write here is the same user; a report of a process that is none of
         // ours still must not make one.
@@ -284,8 +284,8 @@
         r.last_report = now;
         r.found = false;
         (r.watch, r.stall) = (None, None);
-        let telling = |s: &State| {
-            (s.ready, s.draining, s.generation, s.declined.as_ref().map(|d| d.generation))
+        let telling = |s: &InstanceStatus| {
+            (s.ready, s.draining, s.generation, s.rejected_config.as_ref().map(|d| d.generation))
         };
         let news = r.state.as_ref().map(telling) != Some(telling(&state));
         r.state = Some(state);
@@ -437,14 +437,14 @@
         last_report: r.last_report,
         ready: state.is_some_and(|s| s.ready),
         leaving: state.is_some_and(|s| s.draining),
-        declined: state.and_then(|s| s.declined.as_ref()).map(|d| d.generation),
+        declined: state.and_then(|s| s.rejected_config.as_ref()).map(|d| d.generation),
         found: r.found,
         unwanted: r.unwanted,
         stall: r.stall,
         counts: state.map_or_else(Counts::default, |s| Counts {
-            all: s.counts.served + s.counts.refused + s.counts.failed,
+            all: s.counts.served + s.counts.rejected + s.counts.failed,
             failed: s.counts.failed,
-            refused: s.counts.refused,
+            refused: s.counts.rejected,
         }),
     }
 }
--- a/crates/fleet/src/daemon/requests.rs
+++ b/crates/fleet/src/daemon/requests.rs
@@ -132,10 +132,10 @@
             "generation": first.map(|r| report.map_or(r.mark.generation, |t| t.generation)),
             "version": report.map(|t| &t.version),
             "up_s": first.map(|r| (now.saturating_sub(r.started)).as_secs()),
-            "clients": report.map(|t| t.clients),
-            "open": report.map(|t| t.open),
+            "clients": report.map(|t| t.client_connections),
+            "open": report.map(|t| t.in_flight_requests),
             "counts": report.map(|t| t.counts),
-            "short_of_descriptors": report.is_some_and(|t| t.short),
+            "short_of_descriptors": report.is_some_and(|t| t.out_of_descriptors),
             "failures": failures,
             "why": blocked.or(why),
         })
--- a/crates/instance-status/src/lib.rs
+++ b/crates/instance-status/src/lib.rs
@@ -10,39 +10,41 @@
 use serde::{Deserialize, Serialize};
 
 /// The longest report, in bytes.
-pub const LONGEST: usize = 8 << 10;
+pub const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
 /// Requests by their final answer, since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Counts {
+pub struct RequestCounts {
     /// Served with a server's answer.
     pub served: u64,
     /// Refused: trying again is harmless.
-    pub refused: u64,
+    #[serde(rename = "refused")]
+    pub rejected: u64,
     /// Failed.
     pub failed: u64,
 }
 
-impl AddAssign for Counts {
-    fn add_assign(&mut self, more: Counts) {
+impl AddAssign for RequestCounts {
+    fn add_assign(&mut self, more: RequestCounts) {
         self.served += more.served;
-        self.refused += more.refused;
+        self.rejected += more.rejected;
         self.failed += more.failed;
     }
 }
 
 /// A configuration that was not taken over whole.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Declined {
+pub struct RejectedConfig {
     /// Its number; 0 if the file could not be read as far as that.
     pub generation: u64,
     /// The first reason.
-    pub why: String,
+    #[serde(rename = "why")]
+    pub reason: String,
 }
 
 /// The state of one sidecar.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct State {
+pub struct InstanceStatus {
     /// Its name.
     pub name: String,
     /// Its process.
@@ -52,24 +54,28 @@
     /// The configuration in force.
     pub generation: u64,
     /// The last configuration that was not taken over whole, and why.
-    pub declined: Option<Declined>,
+    #[serde(rename = "declined")]
+    pub rejected_config: Option<RejectedConfig>,
     /// Discovery was tried, and servers are known.
     pub ready: bool,
     /// Only what was taken is still answered.
     pub draining: bool,
     /// Connections of clients.
-    pub clients: usize,
+    #[serde(rename = "clients")]
+    pub client_connections: usize,
     /// Requests under way.
-    pub open: usize,
+    #[serde(rename = "open")]
+    pub in_flight_requests: usize,
     /// Accepting has failed just now: descriptors have run out.
-    pub short: bool,
+    #[serde(rename = "short")]
+    pub out_of_descriptors: bool,
     /// Requests by their final answer.
-    pub counts: Counts,
+    pub counts: RequestCounts,
 }
 
-impl State {
+impl InstanceStatus {
     /// The report that tells this state.
-    pub fn report(&self) -> String {
+    pub fn to_datagram(&self) -> String {
         let mut text = format!("MAINPID={}\nWATCHDOG=1\n", self.pid);
         if self.ready {
             text += "READY=1\n";
@@ -84,7 +90,7 @@
     }
 
     /// The state in a report; none if it carries none that can be understood.
-    pub fn parse(report: &[u8]) -> Option<State> {
+    pub fn from_datagram(report: &[u8]) -> Option<InstanceStatus> {
         let text = std::str::from_utf8(report).ok()?;
         let state = text.lines().find_map(|line| line.strip_prefix("X_STATE="))?;
         serde_json::from_str(state).ok()
@@ -95,18 +101,18 @@
 ///
 /// Danger: it never blocks. A supervisor that does not read would otherwise stop the event loop
 /// that serves clients (so kept crates for sd_notify, which block, are not used here).
-pub struct Supervisor {
+pub struct SupervisorSocket {
     socket: UnixDatagram,
     path: String,
 }
 
-impl Supervisor {
+impl SupervisorSocket {
     /// The one that `NOTIFY_SOCKET` names, if it names one.
-    pub fn from_env() -> Option<Supervisor> {
+    pub fn from_env() -> Option<SupervisorSocket> {
         let path = std::env::var("NOTIFY_SOCKET").ok().filter(|p| p.starts_with('/'))?;
         let socket = UnixDatagram::unbound().ok()?;
         socket.set_nonblocking(true).ok()?;
-        Some(Supervisor { socket, path })
+        Some(SupervisorSocket { socket, path })
     }
 
     /// Sends one or more fields, a line each; whether they are on their way. They may be lost: the
@@ -120,35 +126,35 @@
 mod tests {
     use super::*;
 
-    fn state() -> State {
-        State {
+    fn state() -> InstanceStatus {
+        InstanceStatus {
             name: "a-1".into(),
             pid: 7,
             version: "1".into(),
             generation: 3,
-            declined: None,
+            rejected_config: None,
             ready: true,
             draining: false,
-            clients: 1,
-            open: 2,
-            short: false,
-            counts: Counts { served: 1, refused: 2, failed: 3 },
+            client_connections: 1,
+            in_flight_requests: 2,
+            out_of_descriptors: false,
+            counts: RequestCounts { served: 1, rejected: 2, failed: 3 },
         }
     }
 
     #[test]
     fn a_report_tells_the_state_and_systemds_fields() {
-        let report = state().report();
-        assert_eq!(State::parse(report.as_bytes()), Some(state()));
+        let report = state().to_datagram();
+        assert_eq!(InstanceStatus::from_datagram(report.as_bytes()), Some(state()));
         assert!(report.starts_with("MAINPID=7\nWATCHDOG=1\nREADY=1\nX_STATE="));
-        assert!(report.len() < LONGEST);
+        assert!(report.len() < MAX_DATAGRAM_BYTES);
     }
 
     #[test]
     fn reports_that_are_none_of_ours_are_passed_over() {
         for bad in ["", "READY=1", "X_STATE=", "X_STATE={}", "X_STATE={\"pid\":-1}"] {
-            assert!(State::parse(bad.as_bytes()).is_none());
+            assert!(InstanceStatus::from_datagram(bad.as_bytes()).is_none());
         }
-        assert!(State::parse(&[0xff; 100]).is_none());
+        assert!(InstanceStatus::from_datagram(&[0xff; 100]).is_none());
     }
 }
--- a/crates/instance-status/tests/compatibility.rs
+++ b/crates/instance-status/tests/compatibility.rs
@@ -4,24 +4,25 @@
 use std::fs;
 use std::path::Path;
 
-use instance_status::State;
+use instance_status::InstanceStatus;
 
 fn fixture(name: &str) -> Vec<u8> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name);
     fs::read(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
 }
 
-fn round_trip(name: &str) -> State {
+fn round_trip(name: &str) -> InstanceStatus {
     let recorded = fixture(name);
-    let state = State::parse(&recorded).unwrap_or_else(|| panic!("{name}: no state"));
-    assert_eq!(state.report().as_bytes(), recorded, "{name}");
+    let state =
+        InstanceStatus::from_datagram(&recorded).unwrap_or_else(|| panic!("{name}: no state"));
+    assert_eq!(state.to_datagram().as_bytes(), recorded, "{name}");
     state
 }
 
 #[test]
 fn recorded_datagrams_are_read_and_written_unchanged() {
     let starting = round_trip("starting.datagram");
-    assert!(!starting.ready && starting.declined.is_none());
+    assert!(!starting.ready && starting.rejected_config.is_none());
     let ready = round_trip("ready.datagram");
     assert!(ready.ready && ready.generation == 3);
     let draining = round_trip("draining.datagram");
@@ -31,7 +32,7 @@
 #[test]
 fn recorded_datagram_with_a_rejected_configuration_is_read_and_written_unchanged() {
     let state = round_trip("configuration-declined.datagram");
-    let declined = state.declined.expect("a rejected configuration");
+    let declined = state.rejected_config.expect("a rejected configuration");
     assert_eq!(declined.generation, 0);
-    assert!(declined.why.starts_with("LB_CONFIG: invalid type"), "{}", declined.why);
+    assert!(declined.reason.starts_with("LB_CONFIG: invalid type"), "{}", declined.reason);
 }
--- a/crates/lbctl/src/config.rs
+++ b/crates/lbctl/src/config.rs
@@ -2,23 +2,32 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
-use config_distribution::documents::{DocumentBody, DocumentKey, InvalidBody, InvalidKey};
+use config_distribution::documents::{DocumentBody, DocumentKey, InvalidBody};
 use config_distribution::net::http::{CallError, HttpClient, request_target};
 use config_distribution::net::operator_api::{PublishRequest, PublishResponse};
 use config_distribution::progress::{TotalProgress, ZoneProgress};
 use serde_json::Value;
 use tokio::task::LocalSet;
 
+use crate::outcome::{STATUS_ERROR, STATUS_FAILED, print_error};
+
 /// How long an origin may take to answer.
-const PATIENCE: Duration = Duration::from_secs(8);
-const LOOK: Duration = Duration::from_millis(100);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// The time between two polls of the origin.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The HTTP status of a change that the origin took but did not get to most control servers in time.
+const GATEWAY_TIMEOUT: u16 = 504;
+/// The longest time that can be given on the command line, in seconds.
+const MAX_TIMEOUT_S: f64 = 86_400.0;
 
+/// The arguments of `config`.
 #[derive(Args)]
 pub struct Arguments {
     /// The origins, whichever leads.
@@ -28,11 +37,11 @@
     #[arg(long, global = true)]
     json: bool,
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Publish a document. Status 1: refused, or not in force within the time.
     Publish {
         /// SERVICE, SERVICE@ZONE, or * for all.
@@ -40,7 +49,7 @@
         /// A JSON object: the part of the sidecars' configuration that it sets.
         file: PathBuf,
         /// Wait until it is in force at all that it concerns, as in 7s.
-        #[arg(long, value_parser = span)]
+        #[arg(long, value_parser = parse_duration)]
         within: Option<Duration>,
     },
     /// Withdraw a document.
@@ -48,7 +57,7 @@
         /// Its key.
         key: String,
         /// Wait until that is in force at all that it concerns.
-        #[arg(long, value_parser = span)]
+        #[arg(long, value_parser = parse_duration)]
         within: Option<Duration>,
     },
     /// How far all are, by zone, and who is behind.
@@ -58,7 +67,7 @@
         /// Its generation.
         generation: u64,
         /// At the most so long.
-        #[arg(long, value_parser = span, default_value = "7s")]
+        #[arg(long, value_parser = parse_duration, default_value = "7s")]
         within: Duration,
     },
     /// The documents, or one of them.
@@ -68,112 +77,158 @@
     },
 }
 
-/// `7s`, `500ms` or `7`, in seconds.
-fn span(text: &str) -> Result<Duration, String> {
-    let (number, unit) = match text.strip_suffix("ms") {
+/// A text that is no duration.
+#[derive(Debug, thiserror::Error)]
+#[error("a time as in 7s expected, not {0:?}")]
+struct DurationError(String);
+
+/// Parses `7s`, `500ms` or `7`, which is in seconds.
+fn parse_duration(text: &str) -> Result<Duration, DurationError> {
+    let (number, unit_s) = match text.strip_suffix("ms") {
         Some(number) => (number, 1e-3),
         None => (text.strip_suffix('s').unwrap_or(text), 1.0),
     };
-    let seconds = number.parse::<f64>().ok().map(|n| n * unit);
-    let seconds = seconds.filter(|s| (0.0..=86_400.0).contains(s));
-    seconds
-        .map(Duration::from_secs_f64)
-        .ok_or_else(|| format!("a time as in 7s expected, not {text:?}"))
+    let seconds = number.parse::<f64>().ok().map(|number| number * unit_s);
+    let seconds = seconds.filter(|seconds| (0.0..=MAX_TIMEOUT_S).contains(seconds));
+    seconds.map(Duration::from_secs_f64).ok_or_else(|| DurationError(text.to_owned()))
 }
 
-/// What went wrong, and the status that tells it.
-type Wrong = (u8, String);
+/// Why a command has failed.
+#[derive(Debug, thiserror::Error)]
+enum ConfigError {
+    #[error(transparent)]
+    Runtime(#[from] io::Error),
+    #[error("{0}")]
+    Key(String),
+    #[error("no origin answers: {0}")]
+    NoOrigin(String),
+    #[error("refused: {}: {reason}", path.display())]
+    Document { path: PathBuf, reason: String },
+    #[error("refused: {0}")]
+    Rejected(String),
+    /// The origin has answered with an error.
+    #[error("{0}")]
+    Origin(String),
+    #[error("{origin}: {reason}; it may have been taken, publish it again")]
+    Unconfirmed { origin: SocketAddr, reason: String },
+    #[error(
+        "generation {generation} is not in force everywhere after {:.1} s: \
+         all is in force at {in_force} of {hosts} hosts, {not_reached} are not reached",
+        timeout.as_secs_f64()
+    )]
+    NotInForce {
+        generation: u64,
+        timeout: Duration,
+        in_force: usize,
+        hosts: usize,
+        not_reached: usize,
+    },
+}
 
+impl ConfigError {
+    fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            ConfigError::Runtime(_) | ConfigError::Key(_) | ConfigError::NoOrigin(_) => {
+                STATUS_ERROR
+            }
+            _ => STATUS_FAILED,
+        })
+    }
+}
+
+/// Runs the command.
 pub fn run(arguments: &Arguments) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let done = match runtime {
-        Ok(runtime) => {
-            LocalSet::new().block_on(&runtime, Desk::new(arguments).run(&arguments.what))
-        }
-        Err(why) => Err((2, why.to_string())),
-    };
-    match done {
+    match run_to_end(arguments) {
         Ok(()) => ExitCode::SUCCESS,
-        Err((status, why)) => {
-            eprintln!("lbctl: {why}");
-            ExitCode::from(status)
+        Err(error) => {
+            print_error(&error);
+            error.exit_code()
         }
     }
 }
 
-struct Desk<'a> {
+fn run_to_end(arguments: &Arguments) -> Result<(), ConfigError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let client = Client { origins: &arguments.origin, json: arguments.json };
+    LocalSet::new().block_on(&runtime, client.run(&arguments.command))
+}
+
+/// A client of the origins.
+struct Client<'a> {
     origins: &'a [SocketAddr],
+    /// Whether answers are printed as JSON.
     json: bool,
 }
 
-impl<'a> Desk<'a> {
-    fn new(arguments: &'a Arguments) -> Desk<'a> {
-        Desk { origins: &arguments.origin, json: arguments.json }
+impl Client<'_> {
+    async fn run(&self, command: &Command) -> Result<(), ConfigError> {
+        match command {
+            Command::Publish { key, file, within } => {
+                self.publish(key, Some(read_document(file)?), *within).await
+            }
+            Command::Withdraw { key, within } => self.publish(key, None, *within).await,
+            Command::Status => self.status().await,
+            Command::Wait { generation, within } => self.wait(*generation, *within).await,
+            Command::Show { key } => self.show(key.as_deref()).await,
+        }
     }
 
-    async fn run(&self, what: &What) -> Result<(), Wrong> {
-        match what {
-            What::Publish { key, file, within } => {
-                let told = |why: String| (1, format!("refused: {}: {why}", file.display()));
-                let text = std::fs::read_to_string(file).map_err(|e| told(e.to_string()))?;
-                let body = text.parse().map_err(|error: InvalidBody| told(error.to_string()))?;
-                self.publish(key, Some(body), *within).await
-            }
-            What::Withdraw { key, within } => self.publish(key, None, *within).await,
-            What::Status => {
-                let (at, status) = self.leading().await?;
-                if self.json {
-                    println!("{status}");
-                } else {
-                    print!("{}", table(at, &status));
-                }
-                Ok(())
-            }
-            What::Wait { generation, within } => self.wait(*generation, *within).await,
-            What::Show { key } => {
-                let (at, _) = self.leading().await?;
-                let pairs = key.iter().map(|key| ("key", key.clone()));
-                let (mut caller, path) =
-                    (HttpClient::new(at), request_target("/config/documents", pairs));
-                let documents = caller.fetch_json::<Value>(&path, None, PATIENCE).await;
-                let documents = documents.map_err(|why| (1, why.to_string()))?;
-                println!("{documents:#}");
-                Ok(())
-            }
+    async fn status(&self) -> Result<(), ConfigError> {
+        let (origin, status) = self.leader().await?;
+        if self.json {
+            println!("{status}");
+        } else {
+            print!("{}", status_table(origin, &status));
         }
+        Ok(())
+    }
+
+    async fn show(&self, key: Option<&str>) -> Result<(), ConfigError> {
+        let (origin, _) = self.leader().await?;
+        let pairs = key.into_iter().map(|key| ("key", key.to_owned()));
+        let path = request_target("/config/documents", pairs);
+        let documents =
+            HttpClient::new(origin).fetch_json::<Value>(&path, None, ANSWER_TIMEOUT).await;
+        let documents = documents.map_err(|error| ConfigError::Origin(error.to_string()))?;
+        println!("{documents:#}");
+        Ok(())
     }
 
-    /// The origin that leads, and its status; without one, the first that answers.
-    async fn leading(&self) -> Result<(SocketAddr, Value), Wrong> {
-        let (mut first, mut whys) = (None, String::new());
-        for at in self.origins {
-            match HttpClient::new(*at).fetch_json::<Value>("/config/status", None, PATIENCE).await {
-                Ok(status) if status["leading"] == true => return Ok((*at, status)),
-                Ok(status) => first = first.or(Some((*at, status))),
-                Err(why) => drop(write!(whys, "{at}: {why}; ")),
+    /// The leading origin and its status; without one, the first that answers.
+    async fn leader(&self) -> Result<(SocketAddr, Value), ConfigError> {
+        let (mut first, mut errors) = (None, String::new());
+        for &origin in self.origins {
+            let mut caller = HttpClient::new(origin);
+            match caller.fetch_json::<Value>("/config/status", None, ANSWER_TIMEOUT).await {
+                Ok(status) if status["leading"] == true => return Ok((origin, status)),
+                Ok(status) => first = first.or(Some((origin, status))),
+                Err(error) => drop(write!(errors, "{origin}: {error}; ")),
             }
         }
-        first.ok_or((2, format!("no origin answers: {whys}")))
+        first.ok_or(ConfigError::NoOrigin(errors))
     }
 
+    /// Publishes a document, or withdraws it if there is no body. Waits for it to be in force, if asked to.
     async fn publish(
         &self,
         key: &str,
         body: Option<DocumentBody>,
         within: Option<Duration>,
-    ) -> Result<(), Wrong> {
-        let key: DocumentKey = key.parse().map_err(|error: InvalidKey| (2, error.to_string()))?;
+    ) -> Result<(), ConfigError> {
+        let key =
+            key.parse::<DocumentKey>().map_err(|error| ConfigError::Key(error.to_string()))?;
         let key = key.to_string();
-        let began = Instant::now();
-        let (at, _) = self.leading().await?;
-        let wanted =
+        let started = Instant::now();
+        let (origin, _) = self.leader().await?;
+        let request =
             serde_json::to_vec(&PublishRequest { key: key.clone(), body }).unwrap_or_default();
-        let asked = HttpClient::new(at).fetch_json("/config/publish", Some(wanted), PATIENCE).await;
-        let PublishResponse { generation } = asked.map_err(|error| match error {
-            CallError::Rejected { status: 504, reason } => (1, reason),
-            CallError::Rejected { reason, .. } => (1, format!("refused: {reason}")),
-            // Danger: it may have been taken all the same. To publish the same once more changes nothing.
-            error => (1, format!("{at}: {error}; it may have been taken, publish it again")),
+        let mut caller = HttpClient::new(origin);
+        let answer = caller.fetch_json("/config/publish", Some(request), ANSWER_TIMEOUT).await;
+        let PublishResponse { generation } = answer.map_err(|error| match error {
+            CallError::Rejected { status: GATEWAY_TIMEOUT, reason } => ConfigError::Origin(reason),
+            CallError::Rejected { reason, .. } => ConfigError::Rejected(reason),
+            // The origin may have taken the change all the same. Publishing it again does no harm.
+            error => ConfigError::Unconfirmed { origin, reason: error.to_string() },
         })?;
         if self.json {
             println!("{}", serde_json::json!({"key": key, "generation": generation}));
@@ -181,51 +236,58 @@
             println!("{key} is generation {generation}, with most of the control machines");
         }
         match within {
-            Some(within) => self.wait(generation, within.saturating_sub(began.elapsed())).await,
+            Some(within) => self.wait(generation, within.saturating_sub(started.elapsed())).await,
             None => Ok(()),
         }
     }
 
-    async fn wait(&self, generation: u64, within: Duration) -> Result<(), Wrong> {
-        let began = Instant::now();
+    /// Waits until a generation is in force at all hosts.
+    async fn wait(&self, generation: u64, timeout: Duration) -> Result<(), ConfigError> {
+        let started = Instant::now();
         loop {
-            let (at, status) = self.leading().await?;
+            let (origin, status) = self.leader().await?;
             let total = total(&status);
             if status["leading"] == true && total.is_applied_everywhere(generation) {
                 if !self.json {
-                    let (n, s) = (total.all.hosts, began.elapsed().as_secs_f64());
-                    println!("in force at all {n} hosts, after {s:.2} s");
+                    let (hosts, seconds) = (total.all.hosts, started.elapsed().as_secs_f64());
+                    println!("in force at all {hosts} hosts, after {seconds:.2} s");
                 }
                 return Ok(());
             }
-            if began.elapsed() >= within {
+            if started.elapsed() >= timeout {
                 if !self.json {
-                    print!("{}", table(at, &status));
+                    print!("{}", status_table(origin, &status));
                 }
-                let ZoneProgress { hosts, applied, .. } = total.all;
-                let why = format!(
-                    "generation {generation} is not in force everywhere after {:.1} s: all is in force at {applied} of {hosts} hosts, {} are not reached",
-                    within.as_secs_f64(),
-                    total.unreachable_hosts
-                );
-                return Err((1, why));
+                return Err(ConfigError::NotInForce {
+                    generation,
+                    timeout,
+                    in_force: total.all.applied,
+                    hosts: total.all.hosts,
+                    not_reached: total.unreachable_hosts,
+                });
             }
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 }
 
+fn read_document(path: &Path) -> Result<DocumentBody, ConfigError> {
+    let error = |reason| ConfigError::Document { path: path.to_owned(), reason };
+    let text = std::fs::read_to_string(path).map_err(|e| error(e.to_string()))?;
+    text.parse().map_err(|e: InvalidBody| error(e.to_string()))
+}
+
 fn total(status: &Value) -> TotalProgress {
     serde_json::from_value(status["total"].clone()).unwrap_or_default()
 }
 
-fn table(at: SocketAddr, status: &Value) -> String {
+fn status_table(origin: SocketAddr, status: &Value) -> String {
     let total = total(status);
     let mut text = String::new();
     let leads = if status["leading"] == true { "leads" } else { "DOES NOT LEAD" };
     let _ = writeln!(
         text,
-        "origin {at} {leads}: {}, epoch {}; generation {}, committed {}",
+        "origin {origin} {leads}: {}, epoch {}; generation {}, committed {}",
         status["phase"].as_str().unwrap_or("?"),
         status["epoch"],
         status["generation"],
--- a/crates/lbctl/src/demo.rs
+++ b/crates/lbctl/src/demo.rs
@@ -1,18 +1,29 @@
-//! The demonstration: everything at once, on loopback, in half a minute.
+//! `demo`: a whole host on loopback under load, with a fault or a change every few seconds.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use clap::Args;
+use fakes::account::Report;
 use fakes::clients::Load;
 use fakes::world::{World, classes};
 use fleet::control::Request;
 use local_cluster::{Host, Plan};
 
+use crate::outcome::{CommandError, Outcome, exit_code};
 use crate::table;
 
-/// What the demonstration is to be like.
+/// The factor on latency objectives and deadlines, for slow machines.
+const TIME_SCALE: f64 = 3.0;
+/// How long the host may take until all instances serve.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long clients wait beyond a deadline.
+const CLIENT_SLACK: Duration = Duration::from_secs(2);
+/// The settings of the daemon's rollouts.
+const ROLLOUT: &str = "watch_s = 1.0\nleast_requests = 5\nshare = 0.34";
+
+/// The arguments of `demo`.
 #[derive(Args)]
 pub struct Arguments {
     /// How long load is driven.
@@ -32,110 +43,144 @@
     log: PathBuf,
 }
 
-/// How much longer than on a quiet machine requests may take before they count as late.
-const SCALE: f64 = 3.0;
+/// A step of the demonstration.
+struct Step {
+    title: &'static str,
+    run: fn(&mut Host) -> Result<(), StepError>,
+}
+
+type StepError = Box<dyn std::error::Error + Send + Sync>;
 
-type Act = fn(&mut Host) -> Result<(), String>;
+/// The steps, in their order.
+const STEPS: [Step; 6] = [
+    Step { title: "one log server drains, and discovery says so", run: drain_server },
+    Step { title: "reload: new deadlines, taken over live", run: reload_live },
+    Step { title: "a sidecar is killed with SIGKILL", run: kill_sidecar },
+    Step {
+        title: "reload: another shape, by successors on the same listeners",
+        run: reload_by_successors,
+    },
+    Step { title: "the daemon is killed with SIGKILL, and started again", run: restart_daemon },
+    Step { title: "a broken desired is refused", run: reload_invalid },
+];
 
-/// Plays it. Status 0 only if no rule was broken and no connection refused.
+/// Runs the command. It passes if no rule was broken and no connection was refused.
 pub fn run(arguments: &Arguments) -> ExitCode {
-    match play(arguments) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(e) => {
-            eprintln!("lbctl: {e}");
-            ExitCode::from(2)
-        }
-    }
+    exit_code(play(arguments))
 }
 
-fn play(arguments: &Arguments) -> Result<bool, String> {
+fn play(arguments: &Arguments) -> Result<Outcome, CommandError> {
     let say = |text: &str| {
         if !arguments.json {
             println!("{text}");
         }
     };
     say("building what is missing, then starting discovery, log servers and sidecars ...");
+    let mut host = start_host(arguments)?;
+    let started = Instant::now();
+    let duration = Duration::from_secs(arguments.seconds.clamp(5, 3600));
+    let clients = host.drive(&load(arguments));
+    let file = host.file().display().to_string();
+    say(&format!("{} sidecars serve, as {file} says", host.instances().len()));
+
+    let pause = duration / (STEPS.len() as u32 + 1);
+    for (n, step) in STEPS.iter().enumerate() {
+        let due = pause * (n as u32 + 1);
+        std::thread::sleep(due.saturating_sub(started.elapsed()));
+        // The daemon rejects a reload while another one is in progress.
+        wait_until_settled(&host)?;
+        say(&format!("\n{:>5.1} s: {}", started.elapsed().as_secs_f64(), step.title));
+        (step.run)(&mut host)?;
+        if !arguments.json {
+            table::account(&host.account().report());
+        }
+    }
+    std::thread::sleep(duration.saturating_sub(started.elapsed()));
+    wait_until_settled(&host)?;
+    clients.stop();
+    let report = host.account().report();
+    if arguments.json {
+        println!("{}", serde_json::to_string(&report).map_err(StepError::from)?);
+    } else {
+        print_report(&host, &report, started.elapsed());
+    }
+    let passed = report.broken() == 0 && report.refused_connections == 0 && report.served() > 0;
+    say(if passed { "no rule was broken" } else { "A RULE WAS BROKEN" });
+    Ok(Outcome::of(passed))
+}
+
+fn start_host(arguments: &Arguments) -> Result<Host, CommandError> {
     let plan = Plan {
         instances: arguments.instances.clamp(3, 300),
-        classes: classes(SCALE),
-        rollout: "watch_s = 1.0\nleast_requests = 5\nshare = 0.34".to_owned(),
+        classes: classes(TIME_SCALE),
+        rollout: ROLLOUT.to_owned(),
         log: Some(arguments.log.clone()),
         progress: true,
         ..Plan::default()
     };
-    let mut host = Host::start(plan)?;
-    host.wait(Duration::from_secs(60))?;
-    let load = Load {
+    let host = Host::start(plan).map_err(StepError::from)?;
+    wait_until_settled(&host)?;
+    Ok(host)
+}
+
+fn load(arguments: &Arguments) -> Load {
+    Load {
         rate: arguments.rate.clamp(0.1, 1000.0),
         tenants: World::tenants(),
-        slack: Duration::from_secs(2),
+        slack: CLIENT_SLACK,
         ..Load::default()
-    };
-    let began = Instant::now();
-    let whole = Duration::from_secs(arguments.seconds.clamp(5, 3600));
-    let driving = host.drive(&load);
-    let file = &host.file().display().to_string();
-    say(&format!("{} sidecars serve, as {file} says", host.instances().len()));
-
-    let acts: [(&str, Act); 6] = [
-        ("one log server drains, and discovery says so", |host| {
-            let (server, _) = host.world.servers.first().ok_or("no server")?;
-            host.world.registry.mark(server.name(), "leaving");
-            Ok(())
-        }),
-        ("reload: new deadlines, taken over live", |host| {
-            host.change(|s| s["classes"][0]["aim"] = 500_000.into())?;
-            host.ask(&Request::Reload).map(drop)
-        }),
-        ("a sidecar is killed with SIGKILL", |host| {
-            host.instances().first().map(|i| host.kill(i)).ok_or_else(|| "no instance".to_owned())
-        }),
-        ("reload: another shape, by successors on the same listeners", |host| {
-            host.change(|s| s["goal"]["whole"] = 0.44.into())?;
-            host.ask(&Request::Reload).map(drop)
-        }),
-        ("the daemon is killed with SIGKILL, and started again", |host| {
-            host.kill_daemon();
-            host.start_daemon()
-        }),
-        ("a broken desired is refused", |host| {
-            host.change(|s| s["classes"][0]["deadline"] = 0.into())?;
-            match host.ask(&Request::Reload) {
-                Err(_) => Ok(()),
-                Ok(_) => Err("the broken desired was taken".to_owned()),
-            }
-        }),
-    ];
-    let pause = whole / (acts.len() as u32 + 1);
-    for (n, (what, act)) in acts.into_iter().enumerate() {
-        let next = pause * (n as u32 + 1);
-        std::thread::sleep(next.saturating_sub(began.elapsed()));
-        // One thing at a time: a reload while another runs is refused.
-        host.wait(Duration::from_secs(60))?;
-        say(&format!("\n{:>5.1} s: {what}", began.elapsed().as_secs_f64()));
-        act(&mut host)?;
-        if !arguments.json {
-            table::account(&host.account().report());
-        }
     }
-    std::thread::sleep(whole.saturating_sub(began.elapsed()));
-    host.wait(Duration::from_secs(60))?;
-    driving.stop();
-    let report = host.account().report();
-    if arguments.json {
-        println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
-    } else {
-        println!("\nthe account, after {:.1} s", began.elapsed().as_secs_f64());
-        table::account(&report);
-        println!();
-        table::servers(&report);
-        println!();
-        table::status(&host.status());
-        println!();
-        table::rules(&report);
+}
+
+fn wait_until_settled(host: &Host) -> Result<(), CommandError> {
+    Ok(host.wait(SETTLE_TIMEOUT).map_err(StepError::from)?)
+}
+
+fn drain_server(host: &mut Host) -> Result<(), StepError> {
+    let (server, _) = host.world.servers.first().ok_or("no server")?;
+    host.world.registry.mark(server.name(), "leaving");
+    Ok(())
+}
+
+fn reload_live(host: &mut Host) -> Result<(), StepError> {
+    host.change(|settings| settings["classes"][0]["aim"] = 500_000.into())?;
+    host.ask(&Request::Reload)?;
+    Ok(())
+}
+
+fn kill_sidecar(host: &mut Host) -> Result<(), StepError> {
+    let instances = host.instances();
+    host.kill(instances.first().ok_or("no instance")?);
+    Ok(())
+}
+
+fn reload_by_successors(host: &mut Host) -> Result<(), StepError> {
+    host.change(|settings| settings["goal"]["whole"] = 0.44.into())?;
+    host.ask(&Request::Reload)?;
+    Ok(())
+}
+
+fn restart_daemon(host: &mut Host) -> Result<(), StepError> {
+    host.kill_daemon();
+    host.start_daemon()?;
+    Ok(())
+}
+
+fn reload_invalid(host: &mut Host) -> Result<(), StepError> {
+    host.change(|settings| settings["classes"][0]["deadline"] = 0.into())?;
+    match host.ask(&Request::Reload) {
+        Err(_) => Ok(()),
+        Ok(_) => Err("the broken desired was taken".into()),
     }
-    let sound = report.broken() == 0 && report.refused_connections == 0 && report.served() > 0;
-    say(if sound { "no rule was broken" } else { "A RULE WAS BROKEN" });
-    Ok(sound)
+}
+
+fn print_report(host: &Host, report: &Report, elapsed: Duration) {
+    println!("\nthe account, after {:.1} s", elapsed.as_secs_f64());
+    table::account(report);
+    println!();
+    table::servers(report);
+    println!();
+    table::status(&host.status());
+    println!();
+    table::rules(report);
 }
--- a/crates/lbctl/src/scale.rs
+++ b/crates/lbctl/src/scale.rs
@@ -1,4 +1,4 @@
-//! `scale`: thousands of hollow sidecars beside real ones, as a file says; one run, or slopes over sizes.
+//! `scale`: scale tests with thousands of hollow sidecars, played from plan files; one run, or a fit over sizes.
 
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -9,14 +9,24 @@
 use scale_test::plan::Plan;
 use scale_test::run::{Report, play};
 
+use crate::outcome::{CommandError, Outcome, exit_code, parse_file};
+
+/// The most plays of one command.
+const MAX_PLAYS: usize = 20;
+const CLEAR_LINE: &str = "\r\x1b[K";
+const KIB_PER_MIB: f64 = 1024.0;
+
+type OtherError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The arguments of `scale`.
 #[derive(Args)]
 pub struct Arguments {
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Play a run. Status 0: all that is expected held.
     Run {
         /// The run's file.
@@ -44,67 +54,73 @@
     Hollow,
 }
 
+/// How a run is shown.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Format {
+    Table,
+    Json,
+}
+
+/// Runs the command.
 pub fn run(arguments: &Arguments) -> ExitCode {
-    let done = match &arguments.what {
-        What::Run { file, sidecars, plays, json } => plays_of(file, *sidecars, *plays, *json),
-        What::Slopes { file, sizes } => slopes(file, sizes),
-        What::Hollow => scale_test::hollow::run().map(|()| true),
-    };
-    match done {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(why) => {
-            eprintln!("lbctl: {why}");
-            ExitCode::from(2)
+    exit_code(match &arguments.command {
+        Command::Run { file, sidecars, plays, json } => {
+            let format = if *json { Format::Json } else { Format::Table };
+            run_plays(file, *sidecars, *plays, format)
         }
-    }
+        Command::Slopes { file, sizes } => fit_sizes(file, sizes),
+        Command::Hollow => run_hollow(),
+    })
 }
 
-fn read(file: &Path, sidecars: Option<usize>) -> Result<Plan, String> {
-    let told = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
-    let text = std::fs::read_to_string(file).map_err(|e| told(&e))?;
-    Plan::parse(&text, sidecars).map_err(|e| told(&e))
+fn run_hollow() -> Result<Outcome, CommandError> {
+    scale_test::hollow::run().map_err(OtherError::from)?;
+    Ok(Outcome::Passed)
 }
 
-fn one(plan: &Plan, json: bool) -> Result<Report, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let shown = !json && std::io::stderr().is_terminal();
-    let report = play(plan, &own, |line| {
-        if shown {
-            // One line that is written over.
-            eprint!("\r\x1b[K{line}");
-        } else if !json {
-            println!("{line}");
-        }
-        let _ = std::io::stdout().flush();
-    })?;
-    if shown {
-        eprintln!();
-    }
-    Ok(report)
+fn read(file: &Path, sidecars: Option<usize>) -> Result<Plan, CommandError> {
+    parse_file(file, |text| Plan::parse(text, sidecars))
 }
 
-fn plays_of(
+fn run_plays(
     file: &Path,
     sidecars: Option<usize>,
     plays: usize,
-    json: bool,
-) -> Result<bool, String> {
+    format: Format,
+) -> Result<Outcome, CommandError> {
     let plan = read(file, sidecars)?;
-    let mut held = true;
-    for _ in 0..plays.clamp(1, 20) {
-        let report = one(&plan, json)?;
-        held &= report.not_held.is_empty();
-        if json {
-            println!("{}", serde_json::to_string(&report).unwrap_or_default());
-        } else {
-            table(&report);
+    let mut passed = true;
+    for _ in 0..plays.clamp(1, MAX_PLAYS) {
+        let report = run_once(&plan, format)?;
+        passed &= report.not_held.is_empty();
+        match format {
+            Format::Json => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+            Format::Table => print_report(&report),
+        }
+    }
+    Ok(Outcome::of(passed))
+}
+
+/// Plays a run once. Its progress goes to one line of the terminal, or else to lines of the output.
+fn run_once(plan: &Plan, format: Format) -> Result<Report, CommandError> {
+    let own = std::env::current_exe().map_err(OtherError::from)?;
+    let on_terminal = format == Format::Table && std::io::stderr().is_terminal();
+    let report = play(plan, &own, |line| {
+        if on_terminal {
+            eprint!("{CLEAR_LINE}{line}");
+        } else if format == Format::Table {
+            println!("{line}");
         }
+        let _ = std::io::stdout().flush();
+    });
+    let report = report.map_err(OtherError::from)?;
+    if on_terminal {
+        eprintln!();
     }
-    Ok(held)
+    Ok(report)
 }
 
-fn table(report: &Report) {
+fn print_report(report: &Report) {
     println!(
         "\n{} hollow and {} real sidecars, started after {:.1} s",
         report.sidecars, report.real, report.start_s
@@ -116,49 +132,62 @@
     for (name, value) in &report.figures {
         println!("{name:<32}{value:>12.3}");
     }
+    print_costs(report);
+    for failure in &report.not_held {
+        println!("NOT HELD: {failure}");
+    }
+}
+
+fn print_costs(report: &Report) {
     println!(
         "{:<10}{:>14}{:>14}{:>14}{:>14}{:>12}",
         "role", "CPU quiet", "most", "changing", "most", "MB most"
     );
-    for (role, c) in &report.costs {
+    for (role, cost) in &report.costs {
         println!(
             "{role:<10}{:>13.3}%{:>13.3}%{:>13.3}%{:>13.3}%{:>12.2}",
-            c.cpu_quiet * 100.0,
-            c.cpu_quiet_most * 100.0,
-            c.cpu_changing * 100.0,
-            c.cpu_changing_most * 100.0,
-            c.rss_kb_most as f64 / 1024.0
+            cost.cpu_quiet * 100.0,
+            cost.cpu_quiet_most * 100.0,
+            cost.cpu_changing * 100.0,
+            cost.cpu_changing_most * 100.0,
+            cost.rss_kb_most as f64 / KIB_PER_MIB
         );
     }
-    for what in &report.not_held {
-        println!("NOT HELD: {what}");
-    }
 }
 
-fn slopes(file: &Path, sizes: &[usize]) -> Result<bool, String> {
+/// Plays a run at several sizes, and prints lines fitted to its metrics over the sidecars.
+fn fit_sizes(file: &Path, sizes: &[usize]) -> Result<Outcome, CommandError> {
     let mut reports = Vec::new();
     for size in sizes {
-        let report = one(&read(file, Some(*size))?, false)?;
-        table(&report);
+        let report = run_once(&read(file, Some(*size))?, Format::Table)?;
+        print_report(&report);
         reports.push(report);
     }
     println!("\n{:<40}{:>14}{:>14}  residuals", "figure", "base", "each sidecar");
-    let of = |name: &str, value: &dyn Fn(&Report) -> f64| {
-        let points: Vec<_> = reports.iter().map(|r| (r.sidecars as f64, value(r))).collect();
-        if let Some(fit) = fit(&points) {
-            let residuals: Vec<_> = fit.residuals.iter().map(|r| format!("{r:.4}")).collect();
-            println!("{name:<40}{:>14.5}{:>14.8}  {}", fit.base, fit.slope, residuals.join(" "));
-        }
-    };
-    of("in force, s", &|r| r.figures["in_force_s"]);
-    of("start, s", &|r| r.start_s);
+    print_fits(&reports);
+    Ok(Outcome::of(reports.iter().all(|report| report.not_held.is_empty())))
+}
+
+fn print_fits(reports: &[Report]) {
+    let print = |name: &str, value: &dyn Fn(&Report) -> f64| print_fit(reports, name, value);
+    print("in force, s", &|r| r.figures["in_force_s"]);
+    print("start, s", &|r| r.start_s);
     for role in ["control", "origin"] {
-        of(&format!("{role}: CPU quiet, share"), &|r| r.costs[role].cpu_quiet_most);
-        of(&format!("{role}: CPU changing, share"), &|r| r.costs[role].cpu_changing_most);
-        of(&format!("{role}: resident, MB"), &|r| r.costs[role].rss_kb_most as f64 / 1024.0);
+        print(&format!("{role}: CPU quiet, share"), &|r| r.costs[role].cpu_quiet_most);
+        print(&format!("{role}: CPU changing, share"), &|r| r.costs[role].cpu_changing_most);
+        print(&format!("{role}: resident, MB"), &|r| {
+            r.costs[role].rss_kb_most as f64 / KIB_PER_MIB
+        });
+    }
+    print("a hollow sidecar: CPU quiet, share", &|r| r.costs["hollow"].cpu_quiet);
+    print("a hollow sidecar: resident, MB", &|r| r.costs["hollow"].rss_kb as f64 / KIB_PER_MIB);
+    print("loopback bytes a second and sidecar", &|r| r.figures["loopback_bytes_per_s_quiet"]);
+}
+
+fn print_fit(reports: &[Report], name: &str, value: &dyn Fn(&Report) -> f64) {
+    let points: Vec<_> = reports.iter().map(|r| (r.sidecars as f64, value(r))).collect();
+    if let Some(fit) = fit(&points) {
+        let residuals: Vec<_> = fit.residuals.iter().map(|r| format!("{r:.4}")).collect();
+        println!("{name:<40}{:>14.5}{:>14.8}  {}", fit.base, fit.slope, residuals.join(" "));
     }
-    of("a hollow sidecar: CPU quiet, share", &|r| r.costs["hollow"].cpu_quiet);
-    of("a hollow sidecar: resident, MB", &|r| r.costs["hollow"].rss_kb as f64 / 1024.0);
-    of("loopback bytes a second and sidecar", &|r| r.figures["loopback_bytes_per_s_quiet"]);
-    Ok(reports.iter().all(|r| r.not_held.is_empty()))
 }
--- a/crates/lbctl/src/table.rs
+++ b/crates/lbctl/src/table.rs
@@ -1,4 +1,4 @@
-//! Answers as people read them.
+//! Prints answers as tables.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -8,12 +8,12 @@
 fn text(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
-        Value::String(s) => s.clone(),
+        Value::String(text) => text.clone(),
         other => other.to_string(),
     }
 }
 
-/// One line an instance, after a few of the whole.
+/// Prints the status of a fleet's daemon: a few lines about all, then one for each instance.
 pub fn status(status: &Value) {
     println!(
         "daemon {} (process {}), generation {} of {}",
@@ -42,34 +42,36 @@
         "refused",
         "failed"
     );
-    for s in status["slots"].as_array().into_iter().flatten() {
-        println!(
-            "{:20} {:9} {:>7} {:>4} {:21} {:>7} {:>7} {:>9} {:>7} {:>6}  {}",
-            text(&s["slot"]),
-            text(&s["state"]),
-            text(&s["pid"]),
-            text(&s["generation"]),
-            text(&s["listen"]),
-            text(&s["up_s"]),
-            text(&s["clients"]),
-            text(&s["counts"]["served"]),
-            text(&s["counts"]["refused"]),
-            text(&s["counts"]["failed"]),
-            s["why"].as_str().unwrap_or_default()
-        );
-    }
+    status["slots"].as_array().into_iter().flatten().for_each(instance);
+}
+
+fn instance(instance: &Value) {
+    println!(
+        "{:20} {:9} {:>7} {:>4} {:21} {:>7} {:>7} {:>9} {:>7} {:>6}  {}",
+        text(&instance["slot"]),
+        text(&instance["state"]),
+        text(&instance["pid"]),
+        text(&instance["generation"]),
+        text(&instance["listen"]),
+        text(&instance["up_s"]),
+        text(&instance["clients"]),
+        text(&instance["counts"]["served"]),
+        text(&instance["counts"]["refused"]),
+        text(&instance["counts"]["failed"]),
+        instance["why"].as_str().unwrap_or_default()
+    );
 }
 
-/// One line an event, by its age.
+/// Prints the history of a fleet's daemon: a line for each entry, with its age.
 pub fn history(history: &Value) {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-    for h in history.as_array().into_iter().flatten() {
-        let age = now.saturating_sub(h["at"].as_u64().unwrap_or(now));
-        println!("{age:>8} s ago  {}", text(&h["what"]));
+    let now_s = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    for entry in history.as_array().into_iter().flatten() {
+        let age_s = now_s.saturating_sub(entry["at"].as_u64().unwrap_or(now_s));
+        println!("{age_s:>8} s ago  {}", text(&entry["what"]));
     }
 }
 
-/// The account of all requests.
+/// Prints what became of all requests, by class.
 pub fn account(report: &Report) {
     println!(
         "{:14} {:>7} {:>7} {:>8} {:>7} {:>5} {:>9} {:>9} {:>9}",
@@ -83,7 +85,7 @@
     }
 }
 
-/// What each server did.
+/// Prints what each server did.
 pub fn servers(report: &Report) {
     println!("{:14} {:>7} {:>7} {:>11} {:>8}", "server", "came", "ran", "turned away", "dropped");
     for (name, s) in &report.servers {
@@ -91,7 +93,7 @@
     }
 }
 
-/// The rules.
+/// Prints how often each rule was broken.
 pub fn rules(report: &Report) {
     println!("lost                     {:>5}", report.lost);
     println!("held by killed processes {:>5}", report.lost_by_kill);
--- a/crates/lbctl/src/tier.rs
+++ b/crates/lbctl/src/tier.rs
@@ -1,7 +1,7 @@
-//! `tier`: what sidecars know of their tier, each by its own operators' listener, and where they differ.
+//! `tier`: what sidecars know of their gossip group, each by its own admin listener, and where they differ.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -9,10 +9,19 @@
 use clap::Args;
 use serde_json::{Value, json};
 
-/// How long a sidecar may take, and the longest answer.
-const PATIENCE: Duration = Duration::from_secs(3);
-const LONGEST: u64 = 1 << 20;
+use crate::outcome::{STATUS_ERROR, print_error};
 
+/// How long a sidecar may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 1 << 20;
+/// What the names of the metrics begin with.
+const METRIC_PREFIX: &str = "sidecar.tier.";
+/// The beginnings of the names of metrics that all sidecars should agree on. Others count what each sidecar does, so
+/// that a difference between them says nothing.
+const SHARED_METRICS: [&str; 5] = ["reach", "members", "gone", "asked_per_s", "quota_per_s"];
+
+/// The arguments of `tier`.
 #[derive(Args)]
 pub struct Arguments {
     /// Operators' listeners of sidecars (`admin_addr`).
@@ -28,129 +37,159 @@
 
 /// What one sidecar knows.
 struct View {
-    at: SocketAddr,
-    /// Its figures, without `sidecar.tier.`.
-    figures: BTreeMap<String, f64>,
-    /// Members: how they are, their incarnation, and for how long, in milliseconds.
-    members: BTreeMap<u32, (String, u64, u64)>,
+    address: SocketAddr,
+    /// Its metrics, without their prefix.
+    metrics: BTreeMap<String, f64>,
+    /// The members by their number.
+    members: BTreeMap<u32, Member>,
+}
+
+/// What a sidecar knows of a member.
+struct Member {
+    /// Such as `alive` or `suspect`.
+    presence: String,
+    incarnation: u64,
+    /// How long the presence has been so, in milliseconds.
+    since_ms: u64,
 }
 
+/// Why a sidecar's view is missing.
+#[derive(Debug, thiserror::Error)]
+enum ViewError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The sidecar answered with an error.
+    #[error("{0}")]
+    Rejected(String),
+}
+
+/// Runs the command.
 pub fn run(arguments: &Arguments) -> ExitCode {
     let mut views = Vec::new();
-    let mut missing = false;
-    for &at in &arguments.at {
-        match view(at) {
+    for &address in &arguments.at {
+        match View::fetch(address) {
             Ok(view) => views.push(view),
-            Err(why) => {
-                eprintln!("lbctl: {at}: {why}");
-                missing = true;
-            }
+            Err(error) => print_error(&format_args!("{address}: {error}")),
         }
     }
     if arguments.json {
-        println!("{}", json(&views));
+        println!("{}", to_json(&views));
     } else if !views.is_empty() {
-        table(&views);
-        members(&views, arguments.members || views.len() == 1);
+        print_metrics(&views);
+        print_members(&views, arguments.members || views.len() == 1);
+    }
+    let missing = views.len() < arguments.at.len();
+    if missing { ExitCode::from(STATUS_ERROR) } else { ExitCode::SUCCESS }
+}
+
+impl View {
+    fn fetch(address: SocketAddr) -> Result<View, ViewError> {
+        let members = ask(address, "show-tier\n")?.lines().filter_map(parse_member).collect();
+        let metrics = ask(address, "show-stat\n")?.lines().filter_map(parse_metric).collect();
+        Ok(View { address, metrics, members })
+    }
+
+    fn presence(&self, member: u32) -> Option<&str> {
+        self.members.get(&member).map(|member| member.presence.as_str())
     }
-    if missing { ExitCode::from(2) } else { ExitCode::SUCCESS }
+
+    fn to_json(&self) -> Value {
+        let members = self.members.iter().map(|(number, member)| {
+            let Member { presence, incarnation, since_ms } = member;
+            let known =
+                json!({"presence": presence, "incarnation": incarnation, "since_ms": since_ms});
+            (number.to_string(), known)
+        });
+        let members: BTreeMap<String, Value> = members.collect();
+        json!({"at": self.address.to_string(), "figures": self.metrics, "members": members})
+    }
+}
+
+/// A line such as `sidecar.tier.members=4`.
+fn parse_metric(line: &str) -> Option<(String, f64)> {
+    let (name, value) = line.strip_prefix(METRIC_PREFIX)?.split_once('=')?;
+    Some((name.to_owned(), value.parse().ok()?))
 }
 
-fn ask(at: SocketAddr, call: &str) -> Result<String, String> {
-    let told = |e: std::io::Error| e.to_string();
-    let mut socket = TcpStream::connect_timeout(&at, PATIENCE).map_err(told)?;
-    socket.set_read_timeout(Some(PATIENCE)).map_err(told)?;
-    socket.write_all(call.as_bytes()).map_err(told)?;
+/// A line such as `member.3=alive,1,2500`.
+fn parse_member(line: &str) -> Option<(u32, Member)> {
+    let (number, rest) = line.strip_prefix("member.")?.split_once('=')?;
+    let mut words = rest.split(',');
+    let presence = words.next()?.to_owned();
+    let incarnation = words.next()?.parse().ok()?;
+    let since_ms = words.next()?.parse().ok()?;
+    Some((number.parse().ok()?, Member { presence, incarnation, since_ms }))
+}
+
+/// Sends a request to an admin listener.
+fn ask(address: SocketAddr, request: &str) -> Result<String, ViewError> {
+    let mut socket = TcpStream::connect_timeout(&address, ANSWER_TIMEOUT)?;
+    socket.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    socket.write_all(request.as_bytes())?;
     let mut answer = String::new();
-    socket.take(LONGEST).read_to_string(&mut answer).map_err(told)?;
+    socket.take(MAX_ANSWER_BYTES).read_to_string(&mut answer)?;
     match answer.strip_prefix("error: ") {
-        Some(why) => Err(why.trim().to_owned()),
+        Some(error) => Err(ViewError::Rejected(error.trim().to_owned())),
         None => Ok(answer),
     }
 }
 
-fn view(at: SocketAddr) -> Result<View, String> {
-    let figure = |line: &str| {
-        let (name, value) = line.strip_prefix("sidecar.tier.")?.split_once('=')?;
-        Some((name.to_owned(), value.parse().ok()?))
-    };
-    let member = |line: &str| {
-        let (who, rest) = line.strip_prefix("member.")?.split_once('=')?;
-        let mut words = rest.split(',');
-        let (presence, incarnation, since) = (words.next()?, words.next()?, words.next()?);
-        let known = (presence.to_owned(), incarnation.parse().ok()?, since.parse().ok()?);
-        Some((who.parse().ok()?, known))
-    };
-    let members = ask(at, "show-tier\n")?.lines().filter_map(member).collect();
-    let figures = ask(at, "show-stat\n")?.lines().filter_map(figure).collect();
-    Ok(View { at, figures, members })
+fn to_json(views: &[View]) -> Value {
+    let all: Vec<Value> = views.iter().map(View::to_json).collect();
+    json!({"views": all, "differ": differing_members(views)})
 }
 
-fn json(views: &[View]) -> Value {
-    let of = |view: &View| {
-        let members: BTreeMap<String, Value> = view
-            .members
-            .iter()
-            .map(|(who, (presence, incarnation, since))| {
-                let known =
-                    json!({"presence": presence, "incarnation": incarnation, "since_ms": since});
-                (who.to_string(), known)
-            })
-            .collect();
-        json!({"at": view.at.to_string(), "figures": view.figures, "members": members})
-    };
-    json!({"views": views.iter().map(of).collect::<Vec<_>>(), "differ": differing(views)})
+fn all_members(views: &[View]) -> BTreeSet<u32> {
+    views.iter().flat_map(|view| view.members.keys().copied()).collect()
 }
 
-/// Members whom not all views have alike.
-fn differing(views: &[View]) -> BTreeSet<u32> {
-    let all: BTreeSet<u32> = views.iter().flat_map(|v| v.members.keys().copied()).collect();
-    let presence = |view: &View, who: &u32| view.members.get(who).map(|m| m.0.clone());
-    let differs =
-        |who: &u32| views.windows(2).any(|w| presence(&w[0], who) != presence(&w[1], who));
-    all.into_iter().filter(differs).collect()
+/// The members whose presence is not the same in all views.
+fn differing_members(views: &[View]) -> BTreeSet<u32> {
+    let differs = |member: &u32| {
+        views.windows(2).any(|pair| pair[0].presence(*member) != pair[1].presence(*member))
+    };
+    all_members(views).into_iter().filter(differs).collect()
 }
 
-fn table(views: &[View]) {
-    let names: BTreeSet<&String> = views.iter().flat_map(|v| v.figures.keys()).collect();
+fn print_metrics(views: &[View]) {
+    let names: BTreeSet<&String> = views.iter().flat_map(|view| view.metrics.keys()).collect();
     print!("{:44}", "");
-    views.iter().for_each(|v| print!(" {:>22}", v.at.to_string()));
+    views.iter().for_each(|view| print!(" {:>22}", view.address.to_string()));
     println!(" {:>10}", if views.len() > 1 { "apart" } else { "" });
     for name in names {
-        print!("{name:44}");
-        let values: Vec<Option<f64>> = views.iter().map(|v| v.figures.get(name).copied()).collect();
-        for value in &values {
-            print!(" {:>22}", value.map_or_else(|| "-".to_owned(), |v| format!("{v}")));
-        }
-        let told: Vec<f64> = values.iter().flatten().copied().collect();
-        let most = told.iter().copied().fold(f64::NEG_INFINITY, f64::max);
-        let least = told.iter().copied().fold(f64::INFINITY, f64::min);
-        // Of what each counts for itself the difference says nothing.
-        let shared = ["reach", "members", "gone", "asked_per_s", "quota_per_s"];
-        if views.len() > 1 && shared.iter().any(|s| name.starts_with(s)) && most > 0.0 {
-            print!(" {:>9.1}%", 100.0 * (most - least) / most);
-        }
-        println!();
+        let values: Vec<Option<f64>> =
+            views.iter().map(|view| view.metrics.get(name).copied()).collect();
+        print_metric(name, &values);
     }
 }
 
-fn members(views: &[View], all: bool) {
-    let differ = differing(views);
-    let listed: BTreeSet<u32> = if all {
-        views.iter().flat_map(|v| v.members.keys().copied()).collect()
-    } else {
-        differ.clone()
-    };
+fn print_metric(name: &str, values: &[Option<f64>]) {
+    print!("{name:44}");
+    for value in values {
+        print!(" {:>22}", value.map_or_else(|| "-".to_owned(), |value| format!("{value}")));
+    }
+    let known = || values.iter().flatten().copied();
+    let max = known().fold(f64::NEG_INFINITY, f64::max);
+    let min = known().fold(f64::INFINITY, f64::min);
+    let shared = SHARED_METRICS.iter().any(|prefix| name.starts_with(prefix));
+    if values.len() > 1 && shared && max > 0.0 {
+        print!(" {:>9.1}%", 100.0 * (max - min) / max);
+    }
+    println!();
+}
+
+fn print_members(views: &[View], all: bool) {
+    let differing = differing_members(views);
     if views.len() > 1 {
-        println!("\nmembers whom not all have alike: {}", differ.len());
+        println!("\nmembers whom not all have alike: {}", differing.len());
     }
-    for who in listed {
-        print!("member {who:<37}");
+    let listed = if all { all_members(views) } else { differing };
+    for number in listed {
+        print!("member {number:<37}");
         for view in views {
-            let known = view.members.get(&who);
-            let text = known.map_or_else(
+            let text = view.members.get(&number).map_or_else(
                 || "-".to_owned(),
-                |(presence, _, since)| format!("{presence} {:.1} s", *since as f64 / 1000.0),
+                |member| format!("{} {:.1} s", member.presence, member.since_ms as f64 / 1000.0),
             );
             print!(" {text:>22}");
         }
--- a/crates/lbctl/src/trial.rs
+++ b/crates/lbctl/src/trial.rs
@@ -1,46 +1,38 @@
-//! `trial`: many real sidecars with faults between them, played from a file.
+//! `trial`: fault-injection runs with many real sidecars, played from scenario files.
 
+use std::fs::File;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Subcommand};
-use fault_injection::expectations::Sample;
-use fault_injection::ground::Programs;
-use fault_injection::play::{Outcome, Told, play};
-use fault_injection::scenario::Scenario;
+use fault_injection::expectations::Verdict;
+use fault_injection::runner::{self, Progress};
+use fault_injection::sample::Sample;
+use fault_injection::scenario::{ConfigurationPatch, Event, Scenario};
+use fault_injection::testbed::Programs;
+use serde_json::Value;
 
+use crate::outcome::{CommandError, Outcome, exit_code, parse_file};
+
+/// The longest text of an action in the table, in characters.
+const MAX_ACTION_CHARS: usize = 120;
+/// The least time between two lines of the table, in seconds. Samples are not exactly on time.
+const LINE_INTERVAL_S: f64 = 0.95;
+const BOLD: &str = "\x1b[1m";
+const PLAIN: &str = "\x1b[0m";
+
+/// The arguments of `trial`.
 #[derive(Args)]
 pub struct Arguments {
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Play a trial. Status 0: all that must hold held.
-    Run {
-        /// The trial's file.
-        file: PathBuf,
-        /// Draw from this instead of the file's own seed.
-        #[arg(long)]
-        seed: Option<u64>,
-        /// Write one page with plots there.
-        #[arg(long, value_name = "FILE")]
-        html: Option<PathBuf>,
-        /// Write the plan and all looks there, as JSON lines.
-        #[arg(long, value_name = "FILE")]
-        journal: Option<PathBuf>,
-        /// Print JSON lines instead of a table.
-        #[arg(long)]
-        json: bool,
-        /// Another program for the sidecars.
-        #[arg(long)]
-        program: Option<PathBuf>,
-        /// Put this into the configurations of all sidecars, key by key, after the file's own.
-        #[arg(long, value_name = "JSON", value_parser = object)]
-        set: Option<serde_json::Value>,
-    },
+    Run(RunArguments),
     /// Check trials' files without playing them.
     Check {
         /// The files.
@@ -48,146 +40,184 @@
     },
 }
 
-/// A JSON object.
-fn object(text: &str) -> Result<serde_json::Value, String> {
-    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    if value.is_object() { Ok(value) } else { Err("an object expected".to_owned()) }
+#[derive(Args)]
+struct RunArguments {
+    /// The trial's file.
+    file: PathBuf,
+    /// Draw from this instead of the file's own seed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write one page with plots there.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+    /// Write the plan and all looks there, as JSON lines.
+    #[arg(long, value_name = "FILE")]
+    journal: Option<PathBuf>,
+    /// Print JSON lines instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// Another program for the sidecars.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Put this into the configurations of all sidecars, key by key, after the file's own.
+    #[arg(long, value_name = "JSON", value_parser = json_object)]
+    set: Option<Value>,
+}
+
+/// Why a value on the command line is no JSON object.
+#[derive(Debug, thiserror::Error)]
+enum JsonObjectError {
+    #[error(transparent)]
+    Syntax(#[from] serde_json::Error),
+    #[error("an object expected")]
+    NoObject,
 }
 
+fn json_object(text: &str) -> Result<Value, JsonObjectError> {
+    let value: Value = serde_json::from_str(text)?;
+    if value.is_object() { Ok(value) } else { Err(JsonObjectError::NoObject) }
+}
+
+/// Runs the command.
 pub fn run(arguments: &Arguments) -> ExitCode {
-    let done = match &arguments.what {
-        What::Run { file, seed, html, journal, json, program, set } => {
-            let to = Output { html: html.as_deref(), journal: journal.as_deref(), json: *json };
-            run_file(file, (*seed, set.clone()), program.as_deref(), &to)
-        }
-        What::Check { files } => {
-            files.iter().try_fold(true, |_, file| read(file, None).map(|_| true))
-        }
-    };
-    match done {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(why) => {
-            eprintln!("lbctl: {why}");
-            ExitCode::from(2)
-        }
-    }
+    exit_code(match &arguments.command {
+        Command::Run(arguments) => play(arguments),
+        Command::Check { files } => check(files),
+    })
 }
 
-struct Output<'a> {
-    html: Option<&'a Path>,
-    journal: Option<&'a Path>,
-    json: bool,
+fn check(files: &[PathBuf]) -> Result<Outcome, CommandError> {
+    for file in files {
+        read(file, None)?;
+    }
+    Ok(Outcome::Passed)
 }
 
-fn read(file: &Path, seed: Option<u64>) -> Result<Scenario, String> {
-    let told = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
-    let text = std::fs::read_to_string(file).map_err(|e| told(&e))?;
-    Scenario::parse(&text, seed).map_err(|e| told(&e))
+fn read(file: &Path, seed: Option<u64>) -> Result<Scenario, CommandError> {
+    parse_file(file, |text| Scenario::parse(text, seed))
 }
 
-fn run_file(
-    file: &Path,
-    (seed, set): (Option<u64>, Option<serde_json::Value>),
-    program: Option<&Path>,
-    to: &Output<'_>,
-) -> Result<bool, String> {
-    let mut scenario = read(file, seed)?;
-    scenario.configured.extend(set.map(|set| ((0..scenario.sidecars).collect(), set)));
+fn play(arguments: &RunArguments) -> Result<Outcome, CommandError> {
+    let mut scenario = read(&arguments.file, arguments.seed)?;
+    if let Some(patch) = arguments.set.clone() {
+        let sidecars = (0..scenario.sidecar_count).collect();
+        scenario.configuration_patches.push(ConfigurationPatch { sidecars, patch });
+    }
     let mut programs = Programs::built(true)?;
-    if let Some(program) = program {
-        programs.sidecar =
-            program.canonicalize().map_err(|e| format!("{}: {e}", program.display()))?;
+    if let Some(program) = &arguments.program {
+        programs.sidecar = program.canonicalize().map_err(CommandError::file(program))?;
+    }
+    let mut output = Output::new(arguments, scenario.sidecar_count)?;
+    let outcome = runner::run(&scenario, programs, |progress| output.show(progress))?;
+    if let Some(path) = &arguments.html {
+        let page = fault_injection::html_report::html(&scenario, &outcome);
+        std::fs::write(path, page).map_err(CommandError::file(path))?;
+    }
+    Ok(Outcome::of(outcome.passed))
+}
+
+/// Where the progress of a run goes.
+struct Output {
+    journal: Option<File>,
+    /// None: JSON lines are printed.
+    table: Option<Table>,
+}
+
+impl Output {
+    fn new(arguments: &RunArguments, sidecar_count: u16) -> Result<Output, CommandError> {
+        let create = |path: &PathBuf| File::create(path).map_err(CommandError::file(path));
+        let journal = arguments.journal.as_ref().map(create).transpose()?;
+        let table = (!arguments.json).then_some(Table { last: None, sidecar_count });
+        Ok(Output { journal, table })
     }
-    let create =
-        |path: &Path| std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display()));
-    let mut journal = to.journal.map(create).transpose()?;
-    let mut table = Table { last: None, of: scenario.sidecars };
-    let outcome = play(&scenario, programs, |told| {
-        let line = serde_json::to_string(told).unwrap_or_default();
-        if let Some(journal) = &mut journal {
-            // What cannot be kept does not end the trial.
+
+    fn show(&mut self, progress: &Progress<'_>) {
+        let line = serde_json::to_string(progress).unwrap_or_default();
+        if let Some(journal) = &mut self.journal {
+            // A journal that cannot be written does not end the run.
             let _ = writeln!(journal, "{line}");
         }
-        if to.json {
-            println!("{line}");
-        } else {
-            table.tell(told);
+        match &mut self.table {
+            Some(table) => table.show(progress),
+            None => println!("{line}"),
         }
-    })?;
-    if let Some(path) = to.html {
-        let page = fault_injection::page::html(&scenario, &outcome);
-        std::fs::write(path, page).map_err(|e| format!("{}: {e}", path.display()))?;
     }
-    Ok(outcome.held)
 }
 
+/// A table with a line for each second and for each event.
 struct Table {
+    /// The sample of the last line.
     last: Option<Sample>,
-    of: u16,
+    sidecar_count: u16,
 }
 
 impl Table {
-    fn tell(&mut self, told: &Told<'_>) {
-        match told {
-            Told::Begins { name, seed, seconds, sidecars, .. } => {
-                println!("{name}: {sidecars} sidecars for {seconds} s, seed {seed}");
+    fn show(&mut self, progress: &Progress<'_>) {
+        match progress {
+            Progress::Started { name, seed, duration_s, sidecar_count, .. } => {
+                println!("{name}: {sidecar_count} sidecars for {duration_s} s, seed {seed}");
                 println!(
                     "{:>7} {:>6} {:>8} {:>8} {:>8} {:>8} {:>7} {:>9}",
                     "s", "tell", "asked/s", "served/s", "refused", "failed", "broken", "notes/s"
                 );
             }
-            Told::Act(act) => {
-                let action = serde_json::to_string(&act.action).unwrap_or_default();
-                let action: String = action.chars().take(120).collect();
-                println!("{:>7.2} {action}", act.at_s);
-            }
-            Told::Look(look) => self.look(look),
-            Told::Ends(outcome) => verdicts(outcome),
+            Progress::Event(event) => show_event(event),
+            Progress::Sample(sample) => self.show_sample(sample),
+            Progress::Finished(outcome) => show_outcome(outcome),
         }
     }
 
-    /// A line a second; where somebody looks on, the last one is written over meanwhile.
-    fn look(&mut self, look: &Sample) {
-        let last = self.last.get_or_insert_with(|| look.clone());
-        let seconds = look.at_s - last.at_s;
-        if seconds < 0.95 {
+    fn show_sample(&mut self, sample: &Sample) {
+        let last = self.last.get_or_insert_with(|| sample.clone());
+        let seconds = sample.at_s - last.at_s;
+        if seconds < LINE_INTERVAL_S {
             return;
         }
-        let a_second = |now: u64, then: u64| (now - then) as f64 / seconds;
+        let per_second = |now: u64, then: u64| (now - then) as f64 / seconds;
         println!(
             "{:>7.1} {:>3}/{:<3}{:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7} {:>9.0}",
-            look.at_s,
-            look.own.iter().flatten().count(),
-            self.of,
-            a_second(look.all.asked, last.all.asked),
-            a_second(look.all.served, last.all.served),
-            a_second(look.all.refused, last.all.refused),
-            a_second(look.all.failed, last.all.failed),
-            look.broken,
-            a_second(look.notes.arrived, last.notes.arrived),
+            sample.at_s,
+            sample.sidecar_metrics.iter().flatten().count(),
+            self.sidecar_count,
+            per_second(sample.totals.requested, last.totals.requested),
+            per_second(sample.totals.served, last.totals.served),
+            per_second(sample.totals.rejected, last.totals.rejected),
+            per_second(sample.totals.failed, last.totals.failed),
+            sample.violations,
+            per_second(sample.gossip.delivered, last.gossip.delivered),
         );
         let _ = std::io::stdout().flush();
-        self.last = Some(look.clone());
+        self.last = Some(sample.clone());
     }
 }
 
-fn verdicts(outcome: &Outcome) {
-    let bold = std::io::stdout().is_terminal();
-    let (on, off) = if bold { ("\x1b[1m", "\x1b[0m") } else { ("", "") };
+fn show_event(event: &Event) {
+    let action = serde_json::to_string(&event.action).unwrap_or_default();
+    let action: String = action.chars().take(MAX_ACTION_CHARS).collect();
+    println!("{:>7.2} {action}", event.at_s);
+}
+
+fn show_outcome(outcome: &runner::Outcome) {
+    let terminal = std::io::stdout().is_terminal();
+    let (bold, plain) = if terminal { (BOLD, PLAIN) } else { ("", "") };
     println!();
-    for v in &outcome.verdicts {
-        let held = if v.held { "held" } else { "NOT HELD" };
-        let why = v.why.as_deref().map_or_else(String::new, |why| format!(": {why}"));
-        println!(
-            "line {:>3} {on}{held:8}{off} {} ({:.3} to {:.3}, {} looks){why}",
-            v.line, v.figure, v.least, v.most, v.looks
-        );
+    for verdict in &outcome.verdicts {
+        show_verdict(verdict, bold, plain);
     }
-    for text in outcome.account.examples.iter().chain(&outcome.troubles) {
+    for text in outcome.account.examples.iter().chain(&outcome.problems) {
         println!("  {text}");
     }
-    let broken = outcome.account.broken();
-    let what = if outcome.held { "all held" } else { "IT DID NOT HOLD" };
-    println!("{on}{what}{off}; rules broken: {broken}, served {}", outcome.account.served());
+    let violations = outcome.account.broken();
+    let summary = if outcome.passed { "all held" } else { "IT DID NOT HOLD" };
+    let served = outcome.account.served();
+    println!("{bold}{summary}{plain}; rules broken: {violations}, served {served}");
+}
+
+fn show_verdict(verdict: &Verdict, bold: &str, plain: &str) {
+    let held = if verdict.passed { "held" } else { "NOT HELD" };
+    let reason = verdict.reason.as_deref().map_or_else(String::new, |r| format!(": {r}"));
+    println!(
+        "line {:>3} {bold}{held:8}{plain} {} ({:.3} to {:.3}, {} looks){reason}",
+        verdict.line, verdict.metric, verdict.min, verdict.max, verdict.observations
+    );
 }
--- a/crates/local-cluster/examples/hop.rs
+++ b/crates/local-cluster/examples/hop.rs
@@ -198,7 +198,7 @@
 }
 
 async fn measure() -> Result<(), Error> {
-    let program = built("lb-sidecar", false)?;
+    let program = built("lb-sidecar", false).map_err(|e| e.to_string())?;
     let mut echoes = Vec::new();
     for _ in 0..3 {
         echoes.push(part(&["echo"])?);
--- a/crates/local-cluster/src/lib.rs
+++ b/crates/local-cluster/src/lib.rs
@@ -119,8 +119,8 @@
     ///
     /// The first thing that could not be done.
     pub fn start(plan: Plan) -> Result<Host, String> {
-        let sidecar = built("lb-sidecar", plan.progress)?;
-        let fleet = built("lb-fleet", plan.progress)?;
+        let sidecar = built("lb-sidecar", plan.progress).map_err(|e| e.to_string())?;
+        let fleet = built("lb-fleet", plan.progress).map_err(|e| e.to_string())?;
         let world = World::start(plan.classes.clone(), plan.servers, plan.seed);
         let world = fakes::runtime().block_on(world).map_err(text)?;
         let settings = Mutex::new(world.settings());
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -1,52 +1,62 @@
-//! The layer between a protocol library and a socket. It sees every byte that goes either way, so that what
-//! hyper does not tell can be known: whether a request's last byte was written, how far along a
-//! client is, and when all that was to be written has been.
+//! The layer between a protocol library and a socket.
+//!
+//! It sees every byte in both directions, and so knows what hyper does not report: whether the last
+//! byte of a request was written, how far a client has come with its request, and when everything that
+//! was to be written has been written.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{Platform, Tcp, timeout, yield_now};
+use crate::Tcp;
 
-/// What is told of a socket's traffic, and may hold writing up.
+/// Is notified of a socket's traffic, and may hold back writes.
+///
+/// Every method has a default that observes nothing.
 pub trait Observer {
-    /// These bytes came in; none: the peer sends no more. An error ends the connection, and hyper
-    /// never sees the bytes.
+    /// These bytes were read; none at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// An error ends the connection, and the protocol library never sees the bytes.
     fn on_read(&self, _bytes: &[u8]) -> io::Result<()> {
         Ok(())
     }
-    /// All that has come was read; what comes next is read as soon as it is there.
-    fn on_wait(&self) {}
-    /// How many of these bytes may be written now.
-    fn allow(&self, bytes: &[u8], _cx: &mut Context<'_>) -> Poll<usize> {
+    /// Everything that has arrived was read; the protocol library waits for more.
+    fn on_read_pending(&self) {}
+    /// How many of these bytes may be written now. While it is pending nothing is written.
+    fn poll_write_allowance(&self, bytes: &[u8], _cx: &mut Context<'_>) -> Poll<usize> {
         Poll::Ready(bytes.len())
     }
-    /// Whether `allow` has to be asked at all.
-    fn holds(&self) -> bool {
+    /// Whether [`poll_write_allowance`](Observer::poll_write_allowance) has to be asked before vectored
+    /// writes.
+    fn limits_writes(&self) -> bool {
         false
     }
-    /// These bytes were taken by the system.
+    /// These bytes were accepted by the system.
     fn on_write(&self, _bytes: &[u8]) {}
-    /// Nothing is left to be written.
+    /// The protocol library has nothing left to write.
     fn on_flush(&self) {}
-    /// Whether hyper may end the sending side, or has the owner something to say yet.
-    fn may_end(&self) -> bool {
+    /// Whether the protocol library may shut down the sending direction; `false` if the owner of the
+    /// socket still has something to send.
+    fn may_shutdown(&self) -> bool {
         true
     }
 }
 
-/// A socket under observation. The socket is shared: its owner can look at it while hyper uses it.
+/// A socket whose traffic is reported to an [`Observer`].
+///
+/// The socket is shared: its owner can inspect it while the protocol library uses it.
 pub struct Stream<S, O> {
     socket: Rc<S>,
     observer: Rc<O>,
 }
 
 impl<S, O> Stream<S, O> {
-    /// Puts `observer` over `socket`.
+    /// Reports the traffic of `socket` to `observer`.
     pub fn new(socket: Rc<S>, observer: Rc<O>) -> Stream<S, O> {
         Stream { socket, observer }
     }
@@ -62,7 +72,7 @@
             match self.socket.poll_read_ready(cx) {
                 Poll::Ready(ready) => ready?,
                 Poll::Pending => {
-                    self.observer.on_wait();
+                    self.observer.on_read_pending();
                     return Poll::Pending;
                 }
             }
@@ -82,7 +92,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let allowed = ready!(self.observer.allow(buf, cx));
+        let allowed = ready!(self.observer.poll_write_allowance(buf, cx));
         loop {
             ready!(self.socket.poll_write_ready(cx))?;
             match self.socket.try_write(&buf[..allowed]) {
@@ -101,7 +111,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if self.observer.holds() {
+        if self.observer.limits_writes() {
             let first = bufs.iter().find(|b| !b.is_empty()).map_or(&[][..], |b| &**b);
             return self.poll_write(cx, first);
         }
@@ -109,11 +119,11 @@
             ready!(self.socket.poll_write_ready(cx))?;
             match self.socket.try_write_vectored(bufs) {
                 Ok(n) => {
-                    let mut rest = n;
-                    for b in bufs {
-                        let of_this = rest.min(b.len());
-                        self.observer.on_write(&b[..of_this]);
-                        rest -= of_this;
+                    let mut remaining = n;
+                    for buf in bufs {
+                        let written = remaining.min(buf.len());
+                        self.observer.on_write(&buf[..written]);
+                        remaining -= written;
                     }
                     return Poll::Ready(Ok(n));
                 }
@@ -133,41 +143,12 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.observer.may_end() {
-            self.socket.finish_writing();
+        if self.observer.may_shutdown() {
+            self.socket.shutdown_write();
         }
         Poll::Ready(Ok(()))
     }
 }
 
+/// Observes nothing.
 impl Observer for () {}
-
-/// Reads on for a while, `most` bytes and `time` at most, and throws away what comes, after ending
-/// the sending side.
-///
-/// Danger: closing a socket on which unread bytes wait (the next request, the rest of one that was
-/// answered early) resets the connection, and the reset takes away what the peer has not read yet.
-pub async fn linger<P: Platform>(socket: &P::Tcp, time: Duration, most: usize) {
-    socket.finish_writing();
-    let drained = async {
-        let mut buf = [0; 4096];
-        let mut left = most;
-        loop {
-            match socket.try_read(&mut buf) {
-                Ok(0) => return,
-                Ok(n) if n >= left => return,
-                Ok(n) => {
-                    left -= n;
-                    yield_now().await;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    if std::future::poll_fn(|cx| socket.poll_read_ready(cx)).await.is_err() {
-                        return;
-                    }
-                }
-                Err(_) => return,
-            }
-        }
-    };
-    let _ = timeout::<P, _>(time, drained).await;
-}
--- a/crates/runtime/src/system.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -1,4 +1,4 @@
-//! The real system, by way of tokio. Tasks run on the present `LocalSet`.
+//! The real system, through tokio.
 
 use std::future::Future;
 use std::io::{self, IoSlice};
@@ -13,14 +13,14 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::AbortHandle;
 
-use crate::{Listener, Platform, Task, Tcp, Udp};
+use crate::{Listener, Runtime, TaskHandle, Tcp, Udp};
 
-/// The real system.
-pub enum Tokio {}
+/// The real system, through tokio. Tasks are spawned on the current [`tokio::task::LocalSet`].
+pub enum TokioRuntime {}
 
-impl Platform for Tokio {
+impl Runtime for TokioRuntime {
     type Sleep = tokio::time::Sleep;
-    type Task = AbortHandle;
+    type TaskHandle = AbortHandle;
     type Tcp = TcpStream;
     type Listener = TcpListener;
     type Udp = UdpSocket;
@@ -29,12 +29,12 @@
         Instant::now()
     }
 
-    fn unix() -> Duration {
+    fn unix_time() -> Duration {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
 
-    fn sleep_until(at: Instant) -> tokio::time::Sleep {
-        tokio::time::sleep_until(at.into())
+    fn sleep_until(deadline: Instant) -> tokio::time::Sleep {
+        tokio::time::sleep_until(deadline.into())
     }
 
     fn spawn(task: impl Future<Output = ()> + 'static) -> AbortHandle {
@@ -46,7 +46,7 @@
     }
 }
 
-impl Task for AbortHandle {
+impl TaskHandle for AbortHandle {
     fn abort(&self) {
         AbortHandle::abort(self);
     }
@@ -77,7 +77,7 @@
         TcpStream::set_nodelay(self, true)
     }
 
-    fn finish_writing(&self) {
+    fn shutdown_write(&self) {
         let _ = SockRef::from(self).shutdown(std::net::Shutdown::Write);
     }
 
@@ -85,19 +85,19 @@
         let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
     }
 
-    fn at_rest(&self) -> bool {
+    fn is_idle(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         matches!(SockRef::from(self).peek(&mut byte),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn ended(&self) -> bool {
+    fn peer_closed(&self) -> bool {
         let ready = pin!(self.ready(Interest::READABLE));
         let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
         if matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
             return true;
         }
-        // What the event queue has not told yet shows in the socket, unless something unread lies before it.
+        // An end that the event queue has not reported yet shows in the socket, unless unread bytes precede it.
         let mut byte = [MaybeUninit::uninit()];
         match SockRef::from(self).peek(&mut byte) {
             Ok(n) => n == 0,
--- a/crates/scale-test/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -15,14 +15,14 @@
 use config_distribution::net::host;
 use config_distribution::net::target::ConfigTarget;
 use fakes::registry::{Entry, Registry};
-use instance_status::{Counts, State};
+use instance_status::{InstanceStatus, RequestCounts};
 use lb_sidecar::api::ListKind;
 use lb_sidecar::settings::Discovery as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
 use lb_sidecar::sidecar::discovery::{Call, Discovery, Listener};
 use lb_sidecar::sidecar::peers::{Inbox, Peers};
 use lb_sidecar::sidecar::tier::Shared;
-use runtime::Tokio;
+use runtime::TokioRuntime;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -136,7 +136,7 @@
     fn failed(&self) {}
 }
 
-struct Notes(Rc<Shared<Tokio>>);
+struct Notes(Rc<Shared<TokioRuntime>>);
 
 impl Inbox for Notes {
     fn note(&self, from: u32, data: &[u8]) {
@@ -166,7 +166,7 @@
         let out = std::io::stdout();
         while !*end.borrow_and_update() {
             tokio::time::sleep(TELL).await;
-            let whole = |t: &&Rc<Shared<Tokio>>| {
+            let whole = |t: &&Rc<Shared<TokioRuntime>>| {
                 let view = t.view();
                 view.members.0 as f64 >= view.reach.round().max(2.0)
             };
@@ -182,7 +182,10 @@
     })
 }
 
-async fn begin(crowd: Crowd, counts: &Rc<Tallies>) -> Result<Vec<Rc<Shared<Tokio>>>, String> {
+async fn begin(
+    crowd: Crowd,
+    counts: &Rc<Tallies>,
+) -> Result<Vec<Rc<Shared<TokioRuntime>>>, String> {
     let mut agents: BTreeMap<usize, Registry> = BTreeMap::new();
     let mut tiers = Vec::new();
     let keeper = keeper()?;
@@ -209,7 +212,8 @@
         let (moves, at) = watch::channel(agent);
         let (calls, called) = mpsc::unbounded_channel::<Call>();
         let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
-        let discovery = Discovery::<Tokio>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
+        let discovery =
+            Discovery::<TokioRuntime>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
         let lists = Lists(counts.clone());
         tokio::task::spawn_local(async move {
             // They end with the process.
@@ -219,8 +223,8 @@
         // Its part in the tier, and notes.
         if let Some(at) = config.peer_listen {
             let socket = UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
-            let peers = Peers::<Tokio>::new(socket, config.peers.clone(), None);
-            if let Some(tier) = Shared::<Tokio>::new(&config, Some(&peers))? {
+            let peers = Peers::<TokioRuntime>::new(socket, config.peers.clone(), None);
+            if let Some(tier) = Shared::<TokioRuntime>::new(&config, Some(&peers))? {
                 tokio::task::spawn_local(peers.listen(Notes(tier.clone())));
                 tokio::task::spawn_local(tier.clone().run());
                 tiers.push(tier);
@@ -256,22 +260,22 @@
 }
 
 async fn report(name: String, to: Rc<(UnixDatagram, UnixDatagram)>, changed: Rc<Notify>) {
-    let mut state = State {
+    let mut state = InstanceStatus {
         name,
         pid: std::process::id(),
         version: "hollow".into(),
         generation: 0,
-        declined: None,
+        rejected_config: None,
         ready: true,
         draining: false,
-        clients: 0,
-        open: 0,
-        short: false,
-        counts: Counts::default(),
+        client_connections: 0,
+        in_flight_requests: 0,
+        out_of_descriptors: false,
+        counts: RequestCounts::default(),
     };
-    let mut read = [0; instance_status::LONGEST];
+    let mut read = [0; instance_status::MAX_DATAGRAM_BYTES];
     loop {
-        let _ = to.0.send(state.report().as_bytes());
+        let _ = to.0.send(state.to_datagram().as_bytes());
         while to.1.recv(&mut read).is_ok() {}
         state.generation += 1;
         let _ = tokio::time::timeout(REPORT, changed.notified()).await;
--- a/crates/scale-test/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -14,9 +14,9 @@
 use fakes::registry::{Entry, Registry};
 use fakes::scripted::Server;
 use fakes::world::{classes, settings};
-use fault_injection::links::{Laid, Links, Part, Shape};
+use fault_injection::links::{ActiveFault, Impairment, Links, Node};
 use fault_injection::network::Network;
-use fault_injection::processes::{Reserved, own_address};
+use fault_injection::processes::{ReservedPort, unique_loopback_address};
 use fault_injection::relay::Relay;
 use local_cluster::{Host, signal_process};
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
@@ -97,7 +97,8 @@
     ) -> Result<(Process, std::process::ChildStdout), String> {
         let log = std::fs::File::options().create(true).append(true).open(log).map_err(text)?;
         // They end with this process, whatever becomes of it.
-        let mut command = Command::new(built("lb-process-guard", false)?);
+        let mut command =
+            Command::new(built("lb-process-guard", false).map_err(|e| e.to_string())?);
         command.arg(std::process::id().to_string()).arg(program).args(arguments);
         command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
         command.env_remove("NOTIFY_SOCKET").env_remove("LB_LISTEN").env_remove("LB_NAME");
@@ -217,12 +218,12 @@
 
 impl Ground<'_> {
     fn start<'a>(plan: &'a Plan, own: &Path) -> Result<Ground<'a>, String> {
-        let ip = own_address();
+        let ip = unique_loopback_address();
         let mut reserved = Vec::new();
         for _ in 0..plan.controls() + 2 {
-            reserved.push(Reserved::new(ip).map_err(text)?);
+            reserved.push(ReservedPort::new(ip).map_err(text)?);
         }
-        let at: Vec<SocketAddr> = reserved.iter().map(|r| r.at).collect();
+        let at: Vec<SocketAddr> = reserved.iter().map(|r| r.address).collect();
         let (origin_at, control_at) = (at[..2].to_vec(), at[2..].to_vec());
         drop(reserved);
         let network = Network::new(Links::default(), plan.seed);
@@ -230,10 +231,10 @@
         for n in 0..plan.controls() {
             let mut found = Vec::new();
             for at in &origin_at {
-                let (from, to) = (Part::Sidecar(n as u16), Part::Discovery);
+                let (from, to) = (Node::Sidecar(n as u16), Node::Discovery);
                 let relay = Relay::start_to(network.clone(), from, to, *at);
                 let relay = fakes::runtime().block_on(relay).map_err(text)?;
-                found.push(relay.at);
+                found.push(relay.address);
                 relays.push(relay);
             }
             found_at.push(found);
@@ -243,7 +244,7 @@
         let mut ground = Ground {
             plan,
             folder: Folder::new("scale"),
-            program: built("lb-config", false)?,
+            program: built("lb-config", false).map_err(|e| e.to_string())?,
             own: own.to_owned(),
             network,
             _relays: relays,
@@ -398,7 +399,7 @@
     }
 
     fn start_real(&mut self, n: usize) -> Result<(), String> {
-        let at = Reserved::new(own_address()).map_err(text)?.at;
+        let at = ReservedPort::new(unique_loopback_address()).map_err(text)?.address;
         let (zone, name) = (n % self.plan.zones(), format!("real-{n}"));
         let folder = self.folder.path();
         let (base, config) =
@@ -406,9 +407,12 @@
         let own = self.base(&name, at).to_string();
         std::fs::write(&base, &own).map_err(text)?;
         std::fs::write(&config, &own).map_err(text)?;
-        let mut command = Command::new(built("lb-process-guard", false)?);
+        let mut command =
+            Command::new(built("lb-process-guard", false).map_err(|e| e.to_string())?);
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).map_err(text)?;
-        command.arg(std::process::id().to_string()).arg(built("lb-sidecar", false)?);
+        command
+            .arg(std::process::id().to_string())
+            .arg(built("lb-sidecar", false).map_err(|e| e.to_string())?);
         command.env("LB_CONFIG", &config).env_remove("LB_LISTEN").env_remove("LB_NAME");
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
         let (sidecar, _) = Process::of(command)?;
@@ -498,17 +502,16 @@
             }
             (What::CutRegion, _) => {
                 let all = (0..self.control_at.len()).filter(|n| self.plan.region(*n) == of);
-                let from = all.map(|n| Part::Sidecar(n as u16)).collect();
-                self.network.change(|links| {
-                    links.lift(of);
+                let from = all.map(|n| Node::Sidecar(n as u16)).collect();
+                self.network.update(|links| {
+                    links.clear(of);
                     if begins {
-                        let shape = Shape { cut: true, ..Shape::default() };
-                        links.lay(Laid {
+                        links.inject(ActiveFault {
                             fault: of,
                             from,
-                            to: [Part::Discovery].into(),
-                            both: true,
-                            shape,
+                            to: [Node::Discovery].into(),
+                            both_directions: true,
+                            impairment: Impairment::cut(),
                         });
                     }
                 });
--- /dev/null
+++ b/crates/simnet/src/executor.rs
@@ -0,0 +1,167 @@
+//! The single-threaded executor: tasks run in turns, events happen, and the clock moves on.
+
+use std::cmp::Reverse;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Wake, Waker};
+use std::time::Duration;
+
+use rand::Rng;
+use runtime::TaskHandle;
+
+use crate::host::HostId;
+use crate::state::{Event, TimerId, WorldInner, WorldState, try_current};
+
+/// Identifies a task of a world, and is its handle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId(u64);
+
+impl TaskHandle for TaskId {
+    fn abort(&self) {
+        if let Some(world) = try_current() {
+            world.abort(*self);
+        }
+    }
+}
+
+type BoxedFuture = Pin<Box<dyn Future<Output = ()>>>;
+
+/// The tasks that were woken, in that order. Wakers have to be `Send`; these never leave their thread.
+pub(crate) type WokenTasks = Arc<Mutex<Vec<TaskId>>>;
+
+/// A task that has not completed.
+pub(crate) struct Task {
+    pub(crate) host: HostId,
+    /// Absent while it is polled.
+    pub(crate) future: Option<BoxedFuture>,
+    waker: Arc<TaskWaker>,
+    aborted: bool,
+}
+
+struct TaskWaker {
+    task: TaskId,
+    /// Whether the task is queued to be polled.
+    queued: AtomicBool,
+    woken: WokenTasks,
+}
+
+impl Wake for TaskWaker {
+    fn wake(self: Arc<Self>) {
+        self.wake_by_ref();
+    }
+
+    fn wake_by_ref(self: &Arc<Self>) {
+        if !self.queued.swap(true, Ordering::Relaxed) {
+            self.woken.lock().unwrap_or_else(PoisonError::into_inner).push(self.task);
+        }
+    }
+}
+
+impl WorldState {
+    /// Takes the ready task that runs next.
+    fn next_ready_task(&mut self) -> Option<TaskId> {
+        if self.ready_tasks.is_empty() {
+            return None;
+        }
+        let shuffled = self.options.shuffle_ready_tasks;
+        let index = if shuffled { self.rng.random_range(0..self.ready_tasks.len()) } else { 0 };
+        Some(self.ready_tasks.remove(index))
+    }
+
+    /// Takes the next event up to `end` and sets the clock to it; to `end` if there is none.
+    fn next_event(&mut self, end: Duration) -> Option<Event> {
+        if self.events.peek().is_none_or(|Reverse(next)| next.at > end) {
+            self.now = self.now.max(end);
+            return None;
+        }
+        let Reverse(next) = self.events.pop()?;
+        self.now = next.at;
+        Some(next.event)
+    }
+}
+
+impl WorldInner {
+    /// Spawns a task on the current host.
+    pub(crate) fn spawn(&self, future: BoxedFuture) -> TaskId {
+        let mut state = self.state.borrow_mut();
+        state.last_task += 1;
+        let id = TaskId(state.last_task);
+        let queued = AtomicBool::new(true);
+        let waker = Arc::new(TaskWaker { task: id, queued, woken: self.woken.clone() });
+        let host = state.current_host;
+        state.tasks.insert(id, Task { host, future: Some(future), waker, aborted: false });
+        state.ready_tasks.push(id);
+        id
+    }
+
+    fn abort(&self, id: TaskId) {
+        let mut state = self.state.borrow_mut();
+        if let Some(task) = state.tasks.get_mut(&id) {
+            task.aborted = true;
+            task.waker.wake_by_ref();
+        }
+    }
+
+    /// Polls one task, or lets one event happen; false once nothing is left up to `end`.
+    pub(crate) fn step(&self, end: Duration) -> bool {
+        if let Some(id) = self.next_ready_task() {
+            self.poll(id);
+            return true;
+        }
+        let event = self.state.borrow_mut().next_event(end);
+        match event {
+            Some(Event::TimerFired(timer)) => self.fire_timer(timer),
+            Some(Event::Network(event)) => self.state.borrow_mut().deliver(event),
+            None => return false,
+        }
+        true
+    }
+
+    fn next_ready_task(&self) -> Option<TaskId> {
+        let mut state = self.state.borrow_mut();
+        state.ready_tasks.append(&mut self.woken.lock().unwrap_or_else(PoisonError::into_inner));
+        state.next_ready_task()
+    }
+
+    fn fire_timer(&self, timer: TimerId) {
+        let waker = self.state.borrow_mut().timers.remove(&timer);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    fn poll(&self, id: TaskId) {
+        let Some((mut future, waker)) = self.begin_poll(id) else { return };
+        let waker = Waker::from(waker);
+        let completed = future.as_mut().poll(&mut Context::from_waker(&waker)).is_ready();
+        let mut state = self.state.borrow_mut();
+        match state.tasks.get_mut(&id) {
+            Some(task) if !completed => task.future = Some(future),
+            _ => {
+                state.tasks.remove(&id);
+                drop(state);
+                // Only now: dropping the future closes its sockets, which need the state.
+                drop(future);
+            }
+        }
+    }
+
+    /// Takes a task's future and makes its host the current one. An aborted task is dropped instead.
+    fn begin_poll(&self, id: TaskId) -> Option<(BoxedFuture, Arc<TaskWaker>)> {
+        let mut state = self.state.borrow_mut();
+        let task = state.tasks.get_mut(&id)?;
+        task.waker.queued.store(false, Ordering::Relaxed);
+        let future = task.future.take();
+        let (waker, host, aborted) = (task.waker.clone(), task.host, task.aborted);
+        state.current_host = host;
+        if aborted {
+            state.tasks.remove(&id);
+            drop(state);
+            drop(future);
+            return None;
+        }
+        Some((future?, waker))
+    }
+}
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -1,22 +1,41 @@
-//! A simulated system for network code: a virtual clock, tasks in an order that a seed gives, and an
-//! in-memory network with latency, small windows, broken writes, cuts, resets and dead hosts.
+//! A simulated system for network code: a virtual clock, tasks that run in an order given by a seed, and
+//! an in-memory network with latency, small windows, partial reads and writes, partitions, resets and
+//! lost hosts.
 //!
-//! A [`World`] is one thread's. Inside it [`Sim`] is the [`runtime::Platform`]. The same seed gives
-//! the same run to the byte: [`World::hash`] is over everything that happened. Nothing here reads a
-//! clock, the environment or a random number that the seed does not give.
+//! A [`World`] belongs to one thread. Inside it, [`SimRuntime`] is the [`runtime::Runtime`]. The same
+//! seed gives the same run to the byte: [`World::hash`] covers everything that happened. Nothing here
+//! reads a clock, the environment or a random number that does not come from the seed.
 //!
 //! What is modelled of TCP: order within a connection, a window of bytes that the peer has not read,
-//! segments that part anywhere, FIN, RST (which may overtake bytes under way), a close with unread
+//! segments that are split anywhere, FIN, RST (which may overtake bytes in flight), a close with unread
 //! bytes that resets, refused and unanswered SYNs, bounded backlogs, retransmission after loss or a
-//! cut, connections that fall silent. Not modelled: congestion control, keep-alive, path MTU.
+//! partition, and connections that fall silent. Not modelled: congestion control, keep-alive, path MTU.
 
-mod exec;
-mod fabric;
-mod net;
+mod connection;
+mod delivery;
+mod executor;
+mod host;
+mod link;
+mod listener;
+mod network;
+mod options;
+mod sim_runtime;
 mod state;
+mod tap;
+mod tcp;
 mod trace;
+mod udp;
+mod world;
 
-pub use exec::{Sim, Sleep, TaskId, World};
-pub use fabric::{Death, HostId, Link, Stats, Tap, TapEvent};
-pub use net::{SimListener, SimTcp, SimUdp};
-pub use state::Options;
+pub use connection::ConnectionId;
+pub use executor::TaskId;
+pub use host::{HostFailure, HostId};
+pub use link::Link;
+pub use listener::SimListener;
+pub use network::NetworkStats;
+pub use options::Options;
+pub use sim_runtime::{SimRuntime, Sleep};
+pub use tap::{Tap, TapEvent};
+pub use tcp::SimTcp;
+pub use udp::SimUdp;
+pub use world::World;
--- /dev/null
+++ b/crates/simnet/src/listener.rs
@@ -0,0 +1,97 @@
+//! Simulated listening sockets.
+
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::task::{Context, Poll};
+
+use runtime::{Listener, Tcp};
+
+use crate::connection::Endpoint;
+use crate::network::ListenerState;
+use crate::state::{current, try_current};
+use crate::tap::TapEvent;
+use crate::tcp::SimTcp;
+
+/// A listening TCP socket.
+#[derive(Debug)]
+pub struct SimListener {
+    address: SocketAddr,
+}
+
+impl SimListener {
+    /// Listens on the host of the running task. At most `backlog_limit` connections wait to be accepted.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::AddrInUse`] if the address is listened on already.
+    pub fn bind(address: SocketAddr, backlog_limit: usize) -> io::Result<SimListener> {
+        let world = current();
+        let mut state = world.state.borrow_mut();
+        let host = state.current_host;
+        if state.network.listeners.contains_key(&address) {
+            return Err(ErrorKind::AddrInUse.into());
+        }
+        let backlog = VecDeque::new();
+        let listener = ListenerState { host, backlog, backlog_limit, accept_waker: None };
+        state.network.listeners.insert(address, listener);
+        state.network.host_mut(host).open_sockets += 1;
+        Ok(SimListener { address })
+    }
+
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(SimTcp, SocketAddr)>> {
+        let world = current();
+        let mut state = world.state.borrow_mut();
+        let network = &mut state.network;
+        let Some(listener) = network.listeners.get_mut(&self.address) else {
+            return Poll::Ready(Err(ErrorKind::NotConnected.into()));
+        };
+        if listener.backlog.is_empty() {
+            listener.accept_waker = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let by = listener.host;
+        network.hosts[by.0].open_socket()?;
+        let Some(connection) = listener.backlog.pop_front() else { return Poll::Pending };
+        let from =
+            network.connections.get(&connection).map(|c| c.endpoint(Endpoint::Client).address);
+        let socket = SimTcp::new(connection, Endpoint::Server);
+        drop(state);
+        world.notify_tap(&TapEvent::Accepted { connection, by });
+        match from {
+            Some(from) => Poll::Ready(Ok((socket, from))),
+            None => Poll::Ready(Err(ErrorKind::ConnectionAborted.into())),
+        }
+    }
+}
+
+impl Listener for SimListener {
+    type Tcp = SimTcp;
+
+    async fn accept(&self) -> io::Result<(SimTcp, SocketAddr)> {
+        poll_fn(|cx| self.poll_accept(cx)).await
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Ok(self.address)
+    }
+}
+
+impl Drop for SimListener {
+    fn drop(&mut self) {
+        let Some(world) = try_current() else { return };
+        let waiting = {
+            let mut state = world.state.borrow_mut();
+            let Some(listener) = state.network.listeners.remove(&self.address) else { return };
+            let host = state.network.host_mut(listener.host);
+            host.close_socket();
+            host.open_sockets += listener.backlog.len();
+            listener.backlog
+        };
+        // Connections that were not accepted are reset.
+        for connection in waiting {
+            SimTcp::new(connection, Endpoint::Server).reset_on_close();
+        }
+    }
+}
