--- /dev/null
+++ b/crates/simnet/src/network.rs
@@ -0,0 +1,131 @@
+//! The state of the network: hosts, links, connections, listeners and UDP sockets.
+
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr};
+use std::task::Waker;
+
+use rustc_hash::FxHashMap;
+
+use crate::connection::{Connection, ConnectionId};
+use crate::host::{Host, HostId};
+use crate::link::Link;
+
+/// Counters of what happened on the network.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NetworkStats {
+    /// Connections that were established.
+    pub connections_established: u64,
+    /// Connections that were refused.
+    pub connections_refused: u64,
+    /// SYNs that were not answered.
+    pub syns_dropped: u64,
+    /// Resets that were sent.
+    pub resets: u64,
+    /// Bytes that were written.
+    pub bytes_written: u64,
+    /// Reads and writes that transferred only some of the bytes.
+    pub partial_io: u64,
+    /// Segments that needed a retransmission.
+    pub segments_lost: u64,
+    /// Resets that overtook bytes in flight.
+    pub resets_reordered: u64,
+    /// Bytes that were lost on blackholed connections.
+    pub bytes_blackholed: u64,
+    /// Datagrams that were lost.
+    pub datagrams_lost: u64,
+}
+
+/// The state of a listening socket.
+pub(crate) struct ListenerState {
+    pub(crate) host: HostId,
+    /// Connections that wait to be accepted.
+    pub(crate) backlog: VecDeque<ConnectionId>,
+    pub(crate) backlog_limit: usize,
+    pub(crate) accept_waker: Option<Waker>,
+}
+
+/// The state of a UDP socket.
+pub(crate) struct UdpState {
+    pub(crate) host: HostId,
+    /// Datagrams that wait to be read, with their senders.
+    pub(crate) queue: VecDeque<(SocketAddr, Vec<u8>)>,
+    pub(crate) read_waker: Option<Waker>,
+}
+
+/// The state of the network.
+#[derive(Default)]
+pub(crate) struct Network {
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) connections: FxHashMap<ConnectionId, Connection>,
+    last_connection: u64,
+    pub(crate) listeners: FxHashMap<SocketAddr, ListenerState>,
+    pub(crate) udp_sockets: FxHashMap<SocketAddr, UdpState>,
+    links: FxHashMap<(HostId, HostId), Link>,
+    default_link: Link,
+    pub(crate) stats: NetworkStats,
+}
+
+impl Network {
+    pub(crate) fn add_host(&mut self, ip: IpAddr) -> HostId {
+        self.hosts.push(Host::new(ip));
+        HostId(self.hosts.len() - 1)
+    }
+
+    pub(crate) fn host_mut(&mut self, host: HostId) -> &mut Host {
+        &mut self.hosts[host.0]
+    }
+
+    pub(crate) fn host_with_ip(&self, ip: IpAddr) -> Option<HostId> {
+        self.hosts.iter().position(|host| host.ip == ip).map(HostId)
+    }
+
+    pub(crate) fn link(&self, from: HostId, to: HostId) -> &Link {
+        self.links.get(&(from, to)).unwrap_or(&self.default_link)
+    }
+
+    pub(crate) fn link_mut(&mut self, from: HostId, to: HostId) -> &mut Link {
+        let default_link = &self.default_link;
+        self.links.entry((from, to)).or_insert_with(|| default_link.clone())
+    }
+
+    pub(crate) fn add_connection(&mut self, connection: Connection) -> ConnectionId {
+        self.last_connection += 1;
+        let id = ConnectionId(self.last_connection);
+        self.connections.insert(id, connection);
+        id
+    }
+
+    /// Removes a connection on which nothing can happen any more.
+    pub(crate) fn remove_if_finished(&mut self, id: ConnectionId) {
+        if self.connections.get(&id).is_some_and(Connection::is_finished) {
+            self.connections.remove(&id);
+        }
+    }
+
+    pub(crate) fn close_listeners(&mut self, host: HostId) {
+        self.listeners.retain(|_, listener| listener.host != host);
+        self.udp_sockets.retain(|_, socket| socket.host != host);
+    }
+
+    /// The connections between two hosts, the oldest first.
+    pub(crate) fn connections_between(&self, a: HostId, b: HostId) -> Vec<ConnectionId> {
+        let between = self.connections.iter().filter(|(_, connection)| connection.is_between(a, b));
+        let mut ids: Vec<ConnectionId> = between.map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Loses everything that is and will be in flight on the connections between two hosts, and returns
+    /// their number.
+    pub(crate) fn blackhole_connections(&mut self, a: HostId, b: HostId) -> usize {
+        let ids = self.connections_between(a, b);
+        for id in &ids {
+            let Some(connection) = self.connections.get_mut(id) else { continue };
+            for endpoint in connection.endpoints_mut() {
+                endpoint.blackholed = true;
+                endpoint.in_flight.clear();
+            }
+        }
+        ids.len()
+    }
+}
--- a/crates/simnet/src/state.rs
+++ b/crates/simnet/src/state.rs
@@ -1,170 +1,223 @@
-//! The state of a world: its clock, tasks, events and network, and which world runs on this thread.
+//! The state of a world, its event queue, and the world that runs on the current thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::future::Future;
 use std::ops::Range;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Wake, Waker};
+use std::task::Waker;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
 
-use crate::fabric::{HostId, Net, NetEvent, Tap, TapEvent};
+use crate::delivery::NetworkEvent;
+use crate::executor::{Task, TaskId, WokenTasks};
+use crate::host::HostId;
+use crate::network::Network;
+use crate::options::Options;
+use crate::tap::{Tap, TapEvent};
 use crate::trace::Trace;
 
-/// What a world is like, beside its seed.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Tasks that are ready run in drawn order, not first come, first served.
-    pub shuffle: bool,
-    /// Things that happen at one instant happen in drawn order.
-    pub shuffle_ties: bool,
-    /// A timer goes off late by so much, in nanoseconds: what rounding and a busy machine do.
-    pub timer_lag: Range<u64>,
-    /// The time of day at the start, since 1970.
-    pub unix: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Options {
-        Options {
-            shuffle: false,
-            shuffle_ties: false,
-            timer_lag: 0..1,
-            unix: Duration::from_secs(1_700_000_000),
-        }
-    }
-}
+/// Identifies a timer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct TimerId(u64);
 
-/// What happens at a time.
+/// An event in the queue.
 pub(crate) enum Event {
-    Timer(u64),
-    Net(NetEvent),
+    TimerFired(TimerId),
+    Network(NetworkEvent),
 }
 
-pub(crate) struct Scheduled {
-    pub(crate) at: u64,
-    pub(crate) tie: u64,
-    pub(crate) seq: u64,
+/// An event and when it happens. Events are ordered by time, then by a tie breaker (random if events of
+/// the same instant are shuffled), then by the order in which they were scheduled.
+pub(crate) struct ScheduledEvent {
+    pub(crate) at: Duration,
+    tie_breaker: u64,
+    sequence: u64,
     pub(crate) event: Event,
 }
 
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Scheduled) -> bool {
-        self.seq == other.seq
+impl PartialEq for ScheduledEvent {
+    fn eq(&self, other: &ScheduledEvent) -> bool {
+        self.sequence == other.sequence
     }
 }
 
-impl Eq for Scheduled {}
+impl Eq for ScheduledEvent {}
 
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+impl PartialOrd for ScheduledEvent {
+    fn partial_cmp(&self, other: &ScheduledEvent) -> Option<std::cmp::Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
-        (self.at, self.tie, self.seq).cmp(&(other.at, other.tie, other.seq))
+impl Ord for ScheduledEvent {
+    fn cmp(&self, other: &ScheduledEvent) -> std::cmp::Ordering {
+        let order = |e: &ScheduledEvent| (e.at, e.tie_breaker, e.sequence);
+        order(self).cmp(&order(other))
     }
 }
 
-/// Ids of tasks that were woken, in order. Wakers have to be sendable; nothing here ever is sent.
-pub(crate) type Woken = Arc<Mutex<Vec<u64>>>;
-
-pub(crate) struct TaskWaker {
-    pub(crate) id: u64,
-    pub(crate) queued: AtomicBool,
-    pub(crate) woken: Woken,
+/// Everything in a world that changes.
+pub(crate) struct WorldState {
+    /// The virtual time since the start.
+    pub(crate) now: Duration,
+    /// The host of the task that runs.
+    pub(crate) current_host: HostId,
+    pub(crate) tasks: FxHashMap<TaskId, Task>,
+    pub(crate) last_task: u64,
+    pub(crate) ready_tasks: Vec<TaskId>,
+    pub(crate) timers: FxHashMap<TimerId, Waker>,
+    last_timer: u64,
+    pub(crate) events: BinaryHeap<Reverse<ScheduledEvent>>,
+    last_event: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) trace: Trace,
+    pub(crate) network: Network,
+    pub(crate) options: Options,
 }
 
-impl Wake for TaskWaker {
-    fn wake(self: Arc<Self>) {
-        self.wake_by_ref();
+impl WorldState {
+    pub(crate) fn new(seed: u64, options: Options) -> WorldState {
+        WorldState {
+            now: Duration::ZERO,
+            current_host: HostId(0),
+            tasks: FxHashMap::default(),
+            last_task: 0,
+            ready_tasks: Vec::new(),
+            timers: FxHashMap::default(),
+            last_timer: 0,
+            events: BinaryHeap::new(),
+            last_event: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            trace: Trace::new(seed),
+            network: Network::default(),
+            options,
+        }
     }
 
-    fn wake_by_ref(self: &Arc<Self>) {
-        if !self.queued.swap(true, Ordering::Relaxed) {
-            self.woken.lock().unwrap_or_else(PoisonError::into_inner).push(self.id);
+    /// Schedules an event; one that lies in the past happens now.
+    pub(crate) fn schedule(&mut self, at: Duration, event: Event) {
+        self.last_event += 1;
+        let shuffled = self.options.shuffle_simultaneous_events;
+        let tie_breaker = if shuffled { self.rng.random() } else { 0 };
+        let at = at.max(self.now);
+        let sequence = self.last_event;
+        self.events.push(Reverse(ScheduledEvent { at, tie_breaker, sequence, event }));
+    }
+
+    /// Schedules a network event `delay` from now.
+    pub(crate) fn schedule_network(&mut self, delay: Duration, event: NetworkEvent) {
+        self.schedule(self.now + delay, Event::Network(event));
+    }
+
+    /// Registers a timer that wakes `waker` at `deadline`, or as much later as timers are late.
+    pub(crate) fn add_timer(&mut self, deadline: Duration, waker: Waker) -> TimerId {
+        self.last_timer += 1;
+        let timer = TimerId(self.last_timer);
+        self.timers.insert(timer, waker);
+        let lag = self.draw_timer_lag();
+        self.schedule(deadline.saturating_add(lag), Event::TimerFired(timer));
+        timer
+    }
+
+    fn draw_timer_lag(&mut self) -> Duration {
+        let lag = self.options.timer_lag.clone();
+        // A range of one value must not take a number from the generator.
+        if lag.end > lag.start + Duration::from_nanos(1) {
+            return draw_duration(&mut self.rng, &lag);
         }
+        lag.start
     }
 }
 
-pub(crate) struct Entry {
-    pub(crate) host: HostId,
-    pub(crate) future: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    pub(crate) waker: Arc<TaskWaker>,
-    pub(crate) aborted: bool,
-}
-
-pub(crate) struct State {
-    pub(crate) now: u64,
-    pub(crate) seq: u64,
-    /// Whose task runs.
-    pub(crate) host: HostId,
-    pub(crate) tasks: FxHashMap<u64, Entry>,
-    pub(crate) next_task: u64,
-    pub(crate) ready: Vec<u64>,
-    pub(crate) timers: FxHashMap<u64, Waker>,
-    pub(crate) next_timer: u64,
-    pub(crate) events: BinaryHeap<Reverse<Scheduled>>,
-    pub(crate) rng: SmallRng,
-    pub(crate) trace: Trace,
-    pub(crate) net: Net,
-    pub(crate) options: Options,
+/// True with the given probability. Takes a number from the generator only if it may be true.
+pub(crate) fn draw_bool(rng: &mut SmallRng, probability: f64) -> bool {
+    probability > 0.0 && rng.random_bool(probability.min(1.0))
 }
 
-impl State {
-    pub(crate) fn schedule(&mut self, at: u64, event: Event) {
-        self.seq += 1;
-        let tie = if self.options.shuffle_ties { self.rng.random() } else { 0 };
-        let at = at.max(self.now);
-        self.events.push(Reverse(Scheduled { at, tie, seq: self.seq, event }));
+/// A uniformly distributed duration, to the nanosecond; the start of an empty range.
+pub(crate) fn draw_duration(rng: &mut SmallRng, range: &Range<Duration>) -> Duration {
+    if range.is_empty() {
+        return range.start;
     }
+    let nanos = range.start.as_nanos() as u64..range.end.as_nanos() as u64;
+    Duration::from_nanos(rng.random_range(nanos))
 }
 
-pub(crate) struct Inner {
-    pub(crate) start: Instant,
-    pub(crate) woken: Woken,
-    pub(crate) state: RefCell<State>,
+/// A world as its tasks, sockets and timers share it.
+pub(crate) struct WorldInner {
+    /// The instant that stands for the start of the virtual time.
+    start: Instant,
+    pub(crate) woken: WokenTasks,
+    pub(crate) state: RefCell<WorldState>,
     pub(crate) tap: RefCell<Option<Box<dyn Tap>>>,
-    pub(crate) polls: Cell<u64>,
+}
+
+impl WorldInner {
+    pub(crate) fn new(seed: u64, options: Options) -> WorldInner {
+        WorldInner {
+            start: Instant::now(),
+            woken: WokenTasks::default(),
+            state: RefCell::new(WorldState::new(seed, options)),
+            tap: RefCell::new(None),
+        }
+    }
+
+    /// The instant of a virtual time.
+    pub(crate) fn instant(&self, since_start: Duration) -> Instant {
+        self.start + since_start
+    }
+
+    /// The virtual time of an instant; zero if it lies before the start.
+    pub(crate) fn since_start(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.start)
+    }
+
+    /// Shows an event to the tap, if there is one.
+    pub(crate) fn notify_tap(&self, event: &TapEvent<'_>) {
+        if let Some(tap) = self.tap.borrow_mut().as_mut() {
+            let now = self.state.borrow().now;
+            tap.on_event(now, event);
+        }
+    }
 }
 
 thread_local! {
-    pub(crate) static CURRENT: RefCell<Option<Rc<Inner>>> = const { RefCell::new(None) };
+    static CURRENT: RefCell<Option<Rc<WorldInner>>> = const { RefCell::new(None) };
 }
 
 /// The world that runs on this thread, if there is one.
-pub(crate) fn try_current() -> Option<Rc<Inner>> {
-    CURRENT.try_with(|c| c.borrow().clone()).ok().flatten()
+pub(crate) fn try_current() -> Option<Rc<WorldInner>> {
+    CURRENT.try_with(|current| current.borrow().clone()).ok().flatten()
 }
 
-pub(crate) fn current() -> Rc<Inner> {
+/// The world that runs on this thread.
+///
+/// # Panics
+///
+/// If there is none.
+pub(crate) fn current() -> Rc<WorldInner> {
     try_current().expect("simulated sockets and clocks exist only while their world runs")
 }
 
-impl Inner {
-    pub(crate) fn instant(&self, ns: u64) -> Instant {
-        self.start + Duration::from_nanos(ns)
-    }
+/// Makes a world the current one of its thread until dropped.
+pub(crate) struct EnterGuard {
+    previous: Option<Rc<WorldInner>>,
+}
 
-    pub(crate) fn ns(&self, at: Instant) -> u64 {
-        u64::try_from(at.saturating_duration_since(self.start).as_nanos()).unwrap_or(u64::MAX)
+impl EnterGuard {
+    pub(crate) fn new(world: Rc<WorldInner>) -> EnterGuard {
+        let previous = CURRENT.with(|current| current.borrow_mut().replace(world));
+        EnterGuard { previous }
     }
+}
 
-    /// Shows what passed to the tap, if there is one.
-    pub(crate) fn show(&self, event: &TapEvent<'_>) {
-        if let Some(tap) = self.tap.borrow_mut().as_mut() {
-            let now = self.state.borrow().now;
-            tap.see(Duration::from_nanos(now), event);
-        }
+impl Drop for EnterGuard {
+    fn drop(&mut self) {
+        let previous = self.previous.take();
+        CURRENT.with(|current| *current.borrow_mut() = previous);
     }
 }
--- a/crates/simnet/src/trace.rs
+++ b/crates/simnet/src/trace.rs
@@ -1,24 +1,45 @@
-//! The hash over a run, and what may be printed of it.
+//! The hash over a run.
+
+use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3;
 
-/// Takes in everything that happens.
+/// The kinds of events that are hashed. The numbers are part of the hash.
+#[derive(Clone, Copy, Debug)]
+#[repr(u8)]
+pub(crate) enum TraceKind {
+    /// Bytes arrive at an endpoint.
+    Data = 1,
+    /// The end of the stream arrives at an endpoint.
+    Fin = 2,
+    /// A reset arrives at an endpoint.
+    Reset = 3,
+    /// The answer to a SYN arrives at the client.
+    SynAnswer = 4,
+    /// A datagram arrives.
+    Datagram = 5,
+    /// A connection is reset at both ends by a fault.
+    InjectedReset = 6,
+}
+
+/// Hashes everything that happens.
 pub(crate) struct Trace {
     hash: Xxh3,
-    steps: u64,
+    event_count: u64,
 }
 
 impl Trace {
     pub(crate) fn new(seed: u64) -> Trace {
-        Trace { hash: Xxh3::with_seed(seed), steps: 0 }
+        Trace { hash: Xxh3::with_seed(seed), event_count: 0 }
     }
 
-    /// Something happened: when, what kind of thing, to which things, with which bytes.
-    pub(crate) fn add(&mut self, now: u64, kind: u8, of: u64, bytes: &[u8]) {
-        self.steps += 1;
-        self.hash.update(&now.to_le_bytes());
-        self.hash.update(&[kind]);
-        self.hash.update(&of.to_le_bytes());
+    /// Adds an event: its time since the start, its kind, a number that tells what it happened to, and
+    /// its bytes.
+    pub(crate) fn record(&mut self, now: Duration, kind: TraceKind, subject: u64, bytes: &[u8]) {
+        self.event_count += 1;
+        self.hash.update(&(now.as_nanos() as u64).to_le_bytes());
+        self.hash.update(&[kind as u8]);
+        self.hash.update(&subject.to_le_bytes());
         self.hash.update(bytes);
     }
 
@@ -26,7 +47,7 @@
         self.hash.digest()
     }
 
-    pub(crate) fn steps(&self) -> u64 {
-        self.steps
+    pub(crate) fn event_count(&self) -> u64 {
+        self.event_count
     }
 }
--- a/crates/simulation/src/client.rs
+++ b/crates/simulation/src/client.rs
@@ -10,8 +10,8 @@
 use fakes::wire::Reader;
 use rand::Rng;
 use rand::rngs::SmallRng;
-use runtime::{Platform, Stream, Tcp, timeout_at};
-use simnet::{Sim, SimTcp};
+use runtime::{Runtime, Stream, Tcp, timeout_at};
+use simnet::{SimRuntime, SimTcp};
 use tokio::io::AsyncWriteExt;
 
 use crate::model::{LONG, PIECE, now};
@@ -79,7 +79,7 @@
 
     /// Brings requests until `end`: to be spawned on the clients' machine.
     pub async fn run(self: Rc<Clients>, end: Instant) {
-        let mut next = Sim::now();
+        let mut next = SimRuntime::now();
         loop {
             let manners = self.manners.get();
             let gap: f64 = self.draw(|rng| -rng.random::<f64>().max(1e-9).ln());
@@ -87,18 +87,18 @@
             if next >= end {
                 break;
             }
-            Sim::sleep_until(next).await;
+            SimRuntime::sleep_until(next).await;
             let (garbage, reuse) = self.draw(|rng| {
                 (rng.random::<f64>() < manners.garbage, rng.random::<f64>() < manners.reuse)
             });
             if garbage {
-                Sim::spawn(self.clone().garbage());
+                SimRuntime::spawn(self.clone().garbage());
             } else if reuse && !self.open.borrow().is_empty() {
-                Sim::spawn(self.clone().reuse());
+                SimRuntime::spawn(self.clone().reuse());
             }
-            Sim::spawn(self.clone().ask());
+            SimRuntime::spawn(self.clone().ask());
         }
-        Sim::sleep(Duration::from_secs(5)).await;
+        SimRuntime::sleep(Duration::from_secs(5)).await;
         self.idle.borrow_mut().clear();
     }
 
@@ -153,7 +153,9 @@
         let kept = loop {
             let kept = self.idle.borrow_mut().pop();
             match kept {
-                Some((conn, since)) if Sim::since(since) < KEPT && conn.1.at_rest() => {
+                Some((conn, since))
+                    if SimRuntime::elapsed_since(since) < KEPT && conn.1.is_idle() =>
+                {
                     break Some(conn);
                 }
                 Some(_) => {}
@@ -163,7 +165,7 @@
         if let Some(conn) = kept {
             return Some(conn);
         }
-        let socket = Rc::new(Sim::connect(self.target).await.ok()?);
+        let socket = Rc::new(SimRuntime::connect(self.target).await.ok()?);
         Some((Reader::new(Stream::new(socket.clone(), Rc::new(()))), socket))
     }
 
@@ -171,7 +173,7 @@
         let class = self.class();
         let again = self.once(class).await;
         if let Some(pause) = again {
-            Sim::sleep(pause).await;
+            SimRuntime::sleep(pause).await;
             self.once(class).await;
         }
     }
@@ -194,7 +196,7 @@
             return None;
         };
         let text = self.text(of, id, left);
-        let (conn, length) = (socket.number(), text.len() as u64);
+        let (conn, length) = (socket.id(), text.len() as u64);
         let at = now(self.start);
         self.oracle.borrow_mut().sends(at, conn, id, class, self.sidecar, left, length);
         self.open.borrow_mut().push(id);
@@ -202,7 +204,7 @@
         self.open.borrow_mut().retain(|open| *open != id);
         match again {
             Ended::Kept(pause) => {
-                self.idle.borrow_mut().push(((reader, socket), Sim::now()));
+                self.idle.borrow_mut().push(((reader, socket), SimRuntime::now()));
                 pause
             }
             Ended::Over(pause) => pause,
@@ -226,7 +228,7 @@
         for (n, piece) in pieces.into_iter().enumerate() {
             if n > 0 {
                 let pause = self.draw(|rng| rng.random_range(1..30));
-                Sim::sleep(Duration::from_millis(pause)).await;
+                SimRuntime::sleep(Duration::from_millis(pause)).await;
             }
             if reader.get_mut().write_all(piece).await.is_err() {
                 self.oracle.borrow_mut().ended(now(self.start), id);
@@ -239,10 +241,11 @@
             let due = self.oracle.borrow().due(id);
             due.map_or(left, |due| due.saturating_sub(now(self.start))) + Duration::from_millis(2)
         };
-        let mut answer = timeout_at::<Sim, _>(Sim::now() + patience, reader.next()).await;
+        let mut answer =
+            timeout_at::<SimRuntime, _>(SimRuntime::now() + patience, reader.next()).await;
         // One that is too long to be kept, and has begun in time, may come as slowly as it does.
         if answer.is_err() && !leaves && reader.begun() && self.oracle.borrow().begun(id) {
-            answer = timeout_at::<Sim, _>(Sim::now() + SLOWEST, reader.next()).await;
+            answer = timeout_at::<SimRuntime, _>(SimRuntime::now() + SLOWEST, reader.next()).await;
         }
         let now = now(self.start);
         let mut oracle = self.oracle.borrow_mut();
@@ -290,13 +293,13 @@
         };
         let class = &self.classes[self.class()];
         let text = self.text(class, id, Duration::from_millis(700));
-        let Ok(socket) = Sim::connect(self.target).await else { return };
+        let Ok(socket) = SimRuntime::connect(self.target).await else { return };
         let mut reader = Reader::new(Stream::new(Rc::new(socket), Rc::new(())));
         if reader.get_mut().write_all(&text).await.is_err() {
             return;
         }
-        let end = Sim::now() + Duration::from_secs(2);
-        if let Ok(Ok(Some(message))) = timeout_at::<Sim, _>(end, reader.next()).await {
+        let end = SimRuntime::now() + Duration::from_secs(2);
+        if let Ok(Ok(Some(message))) = timeout_at::<SimRuntime, _>(end, reader.next()).await {
             let conflict = message.status() == Some(409);
             let what = if conflict { "ids that are open refused" } else { "ids reused later" };
             let mut oracle = self.oracle.borrow_mut();
@@ -307,13 +310,13 @@
 
     async fn garbage(self: Rc<Clients>) {
         let text = NO_REQUESTS[self.draw(|rng| rng.random_range(0..NO_REQUESTS.len()))];
-        let Ok(socket) = Sim::connect(self.target).await else { return };
+        let Ok(socket) = SimRuntime::connect(self.target).await else { return };
         let mut reader = Reader::new(Stream::new(Rc::new(socket), Rc::new(())));
         if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
             return;
         }
-        let end = Sim::now() + Duration::from_secs(4);
-        let answer = timeout_at::<Sim, _>(end, reader.next()).await;
+        let end = SimRuntime::now() + Duration::from_secs(4);
+        let answer = timeout_at::<SimRuntime, _>(end, reader.next()).await;
         let mut oracle = self.oracle.borrow_mut();
         oracle.count(match &answer {
             Ok(Ok(Some(_))) => "garbage answered",
--- a/crates/simulation/src/coverage.rs
+++ b/crates/simulation/src/coverage.rs
@@ -63,13 +63,13 @@
         }
         let s = &outcome.network;
         for (what, n) in [
-            ("network: connections refused", s.refused),
-            ("network: SYNs ignored", s.ignored),
+            ("network: connections refused", s.connections_refused),
+            ("network: SYNs ignored", s.syns_dropped),
             ("network: resets", s.resets),
-            ("network: reads and writes cut short", s.chopped),
-            ("network: segments lost", s.lost),
-            ("network: resets that overtook bytes", s.overtaken),
-            ("network: bytes that vanished", s.vanished),
+            ("network: reads and writes cut short", s.partial_io),
+            ("network: segments lost", s.segments_lost),
+            ("network: resets that overtook bytes", s.resets_reordered),
+            ("network: bytes that vanished", s.bytes_blackholed),
             ("network: datagrams lost", s.datagrams_lost),
         ] {
             *self.ends.entry(what.to_owned()).or_default() += n;
--- a/crates/simulation/src/discovery.rs
+++ b/crates/simulation/src/discovery.rs
@@ -7,8 +7,8 @@
 
 use fakes::registry::Book;
 use fakes::wire::{Message, Reader};
-use runtime::{Listener, Platform, Stream, Tcp, timeout_at};
-use simnet::{Sim, SimListener, SimTcp};
+use runtime::{Listener, Runtime, Stream, Tcp, timeout_at};
+use simnet::{SimListener, SimRuntime, SimTcp};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 
@@ -87,7 +87,7 @@
                     std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]).wrapping_sub(1),
                     std::net::IpAddr::V6(_) => usize::MAX,
                 };
-                Sim::spawn(self.clone().connection(Rc::new(socket), sidecar, start));
+                SimRuntime::spawn(self.clone().connection(Rc::new(socket), sidecar, start));
             }
         }
     }
@@ -108,7 +108,7 @@
                     return;
                 }
                 Mode::Still => {
-                    Sim::sleep(Duration::from_secs(30)).await;
+                    SimRuntime::sleep(Duration::from_secs(30)).await;
                     return;
                 }
                 Mode::Half => {
@@ -118,7 +118,7 @@
                 Mode::Up => text,
             };
             // What is written to a process that has ended tells its successor nothing.
-            if socket.ended() || reader.get_mut().write_all(text.as_bytes()).await.is_err() {
+            if socket.peer_closed() || reader.get_mut().write_all(text.as_bytes()).await.is_err() {
                 return;
             }
             let now = now(start);
@@ -133,14 +133,14 @@
     async fn answer(&self, message: &Message) -> (String, Vec<(usize, bool)>) {
         let from = message.query("from").and_then(|v| v.parse::<u64>().ok());
         let hold = message.query("hold_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
-        let end = Sim::now() + Duration::from_millis(hold);
+        let end = SimRuntime::now() + Duration::from_millis(hold);
         if from.is_some() {
             loop {
                 let changed = self.changed.notified();
                 if self.mode.get() != Mode::Up || self.book.borrow().news(from).is_some() {
                     break;
                 }
-                if timeout_at::<Sim, _>(end, changed).await.is_err() {
+                if timeout_at::<SimRuntime, _>(end, changed).await.is_err() {
                     break;
                 }
             }
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use runtime::Platform;
-use simnet::Sim;
+use runtime::Runtime;
+use simnet::SimRuntime;
 
 /// What is longer than this is passed on as it comes, in both directions.
 pub const LONG: usize = 66 << 10;
@@ -14,7 +14,7 @@
 
 /// Virtual time since the start of the world.
 pub fn now(start: std::time::Instant) -> Duration {
-    Sim::since(start)
+    SimRuntime::elapsed_since(start)
 }
 
 /// The share of its full speed that a server has so long after its start.
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -7,8 +7,8 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
-use runtime::{Platform, Stream, timeout};
-use simnet::{Sim, SimTcp};
+use runtime::{Runtime, Stream, timeout};
+use simnet::{SimRuntime, SimTcp};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::model::now;
@@ -29,7 +29,7 @@
 /// One line in, all that comes out; none: no answer that ends.
 async fn call(at: SocketAddr, line: &[u8]) -> Option<String> {
     let mut stream: Stream<SimTcp, ()> =
-        Stream::new(Rc::new(Sim::connect(at).await.ok()?), Rc::new(()));
+        Stream::new(Rc::new(SimRuntime::connect(at).await.ok()?), Rc::new(()));
     stream.write_all(line).await.ok()?;
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).await.ok()?;
@@ -49,7 +49,7 @@
         if done.as_deref() == Some("done\n") {
             told(true);
         }
-        Sim::sleep(lasts).await;
+        SimRuntime::sleep(lasts).await;
         told(false);
         let _ = call(at, format!("enable-server {name}\n").as_bytes()).await;
         // Another order may have been carried out in between.
@@ -66,7 +66,7 @@
         if call(at, b"drain\n").await.as_deref() == Some("done\n") {
             told(true);
         }
-        Sim::sleep(lasts).await;
+        SimRuntime::sleep(lasts).await;
         told(false);
         let _ = call(at, b"resume\n").await;
         told(false);
@@ -75,9 +75,9 @@
     /// Many who call at once and say nothing, half a line, nonsense, or too much.
     pub async fn bad_calls(self: Rc<Operators>, at: SocketAddr) {
         for _ in 0..BAD_CALLS {
-            Sim::spawn(self.clone().bad_call(at));
+            SimRuntime::spawn(self.clone().bad_call(at));
             let pause = self.rng.borrow_mut().random_range(0..20);
-            Sim::sleep(Duration::from_millis(pause)).await;
+            SimRuntime::sleep(Duration::from_millis(pause)).await;
         }
     }
 
@@ -85,7 +85,7 @@
         let long = [b'a'; 700];
         let lines: [&[u8]; 6] = [b"", b"disable-serv", b"\xff\xfe\n", &long, b"show-stat\n", b"\n"];
         let line = lines[self.rng.borrow_mut().random_range(0..lines.len())];
-        let answer = timeout::<Sim, _>(LET_GO, call(at, line)).await;
+        let answer = timeout::<SimRuntime, _>(LET_GO, call(at, line)).await;
         let now = now(self.start);
         let mut oracle = self.oracle.borrow_mut();
         match answer {
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -7,7 +7,7 @@
 
 use fakes::account::Repeat;
 use rustc_hash::FxHashMap;
-use simnet::{HostId, Tap, TapEvent};
+use simnet::{ConnectionId, HostId, Tap, TapEvent};
 
 use crate::model::warmth;
 use crate::wire::{Messages, Part};
@@ -105,11 +105,11 @@
     Discovery,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Attempt {
     server: usize,
     zone: usize,
-    conn: u64,
+    conn: ConnectionId,
     first: Duration,
     whole: Option<Duration>,
     /// How long the server was told that it is waited for.
@@ -186,7 +186,7 @@
 /// What waits to be accepted by a sidecar.
 #[derive(Debug, Default)]
 struct Backlog {
-    waiting: BTreeSet<u64>,
+    waiting: BTreeSet<ConnectionId>,
     /// When accepting last left nothing there: what is accepted may have waited since then, for all that
     /// the sidecar knows.
     emptied: Duration,
@@ -209,7 +209,7 @@
 pub struct Oracle {
     rules: Rules,
     roles: Vec<Role>,
-    conns: FxHashMap<u64, Wire>,
+    conns: FxHashMap<ConnectionId, Wire>,
     asked: BTreeMap<u64, Asked>,
     /// When a sidecar was told that a server is to get nothing new: by sidecar and server.
     barred: FxHashMap<(usize, usize), Duration>,
@@ -224,7 +224,7 @@
     /// When sidecars were told to end.
     terminated: FxHashMap<usize, Duration>,
     /// The connections that sidecars have asked for and that are not up, and when the last one ended.
-    asking: FxHashMap<u64, usize>,
+    asking: FxHashMap<ConnectionId, usize>,
     /// By sidecar.
     backlogs: FxHashMap<usize, Backlog>,
     asked_until: FxHashMap<usize, Duration>,
@@ -334,7 +334,7 @@
     pub fn sends(
         &mut self,
         now: Duration,
-        conn: u64,
+        conn: ConnectionId,
         id: u64,
         class: usize,
         sidecar: usize,
@@ -608,7 +608,7 @@
 
     // ---- What passes ----
 
-    fn attempt(&mut self, now: Duration, conn: u64, head: &str) {
+    fn attempt(&mut self, now: Duration, conn: ConnectionId, head: &str) {
         let Some(Wire::Server { sidecar, server, zone, first, .. }) = self.conns.get(&conn) else {
             return;
         };
@@ -629,7 +629,16 @@
             );
         };
         let n = asked.attempts.len();
-        asked.attempts.push(Attempt { server, zone, conn, first, ..Attempt::default() });
+        asked.attempts.push(Attempt {
+            server,
+            zone,
+            conn,
+            first,
+            whole: None,
+            left: Duration::ZERO,
+            answered: None,
+            over: None,
+        });
         let left = header("x-time-left-ms").and_then(|v| v.parse().ok()).map(Duration::from_millis);
         asked.attempts[n].left = left.unwrap_or_default();
         let asked = &self.asked[&id];
@@ -686,7 +695,7 @@
     }
 
     /// An attempt's last byte was written.
-    fn whole(&mut self, now: Duration, conn: u64) {
+    fn whole(&mut self, now: Duration, conn: ConnectionId) {
         let Some(Wire::Server { current: Some((id, n)), .. }) = self.conns.get(&conn) else {
             return;
         };
@@ -740,7 +749,7 @@
         }
     }
 
-    fn sent(&mut self, now: Duration, conn: u64, from: HostId, to: HostId, bytes: &[u8]) {
+    fn sent(&mut self, now: Duration, conn: ConnectionId, from: HostId, to: HostId, bytes: &[u8]) {
         match (self.role_of(from), self.role_of(to)) {
             (Role::Clients(_), Role::Sidecar(_)) => {
                 let wire = self.conns.entry(conn).or_insert_with(client_wire);
@@ -865,7 +874,7 @@
         }
     }
 
-    fn read(&mut self, now: Duration, conn: u64, by: HostId, bytes: &[u8]) {
+    fn read(&mut self, now: Duration, conn: ConnectionId, by: HostId, bytes: &[u8]) {
         if !matches!(self.role_of(by), Role::Sidecar(_)) {
             return;
         }
@@ -930,14 +939,14 @@
     }
 
     /// A connection is up, or will not be.
-    fn asked_for(&mut self, now: Duration, conn: u64) {
+    fn asked_for(&mut self, now: Duration, conn: ConnectionId) {
         if let Some(sidecar) = self.asking.remove(&conn) {
             self.asked_until.insert(sidecar, now);
         }
     }
 
     /// A sidecar has accepted a connection.
-    fn accepted(&mut self, now: Duration, conn: u64, by: HostId) {
+    fn accepted(&mut self, now: Duration, conn: ConnectionId, by: HostId) {
         let Role::Sidecar(sidecar) = self.role_of(by) else { return };
         let backlog = self.backlogs.entry(sidecar).or_default();
         backlog.waiting.remove(&conn);
@@ -951,7 +960,7 @@
         }
     }
 
-    fn closed(&mut self, now: Duration, conn: u64, by: HostId, reset: bool) {
+    fn closed(&mut self, now: Duration, conn: ConnectionId, by: HostId, reset: bool) {
         match (self.conns.get(&conn), self.role_of(by)) {
             (Some(Wire::Server { current, heard, .. }), Role::Sidecar(_)) => {
                 let (current, heard) = (*current, *heard);
@@ -1017,18 +1026,22 @@
 pub struct Eye(pub std::rc::Rc<std::cell::RefCell<Oracle>>);
 
 impl Tap for Eye {
-    fn see(&mut self, now: Duration, event: &TapEvent<'_>) {
+    fn on_event(&mut self, now: Duration, event: &TapEvent<'_>) {
         let mut oracle = self.0.borrow_mut();
         match event {
-            TapEvent::Sent { conn, from, to, bytes } => oracle.sent(now, *conn, *from, *to, bytes),
-            TapEvent::Read { conn, by, bytes } => oracle.read(now, *conn, *by, bytes),
-            TapEvent::Closed { conn, by, reset } => oracle.closed(now, *conn, *by, *reset),
-            TapEvent::Connecting { conn, by } => {
+            TapEvent::Sent { connection: conn, from, to, bytes } => {
+                oracle.sent(now, *conn, *from, *to, bytes)
+            }
+            TapEvent::Read { connection: conn, by, bytes } => oracle.read(now, *conn, *by, bytes),
+            TapEvent::Closed { connection: conn, by, reset } => {
+                oracle.closed(now, *conn, *by, *reset)
+            }
+            TapEvent::Connecting { connection: conn, by } => {
                 if let Role::Sidecar(sidecar) = oracle.role_of(*by) {
                     oracle.asking.insert(*conn, sidecar);
                 }
             }
-            TapEvent::Connected { conn, from, to, .. } => {
+            TapEvent::Connected { connection: conn, from, to, .. } => {
                 oracle.asked_for(now, *conn);
                 oracle.count("connections");
                 match (oracle.role_of(*from), oracle.role_of(*to)) {
@@ -1048,8 +1061,8 @@
                     _ => {}
                 }
             }
-            TapEvent::Accepted { conn, by } => oracle.accepted(now, *conn, *by),
-            TapEvent::Finished { .. } => {}
+            TapEvent::Accepted { connection: conn, by } => oracle.accepted(now, *conn, *by),
+            TapEvent::WriteShutdown { .. } => {}
         }
     }
 }
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -15,7 +15,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use simnet::{Death, HostId, Link, Options, Sim, SimListener, SimUdp, Stats, World};
+use simnet::{
+    HostFailure, HostId, Link, NetworkStats, Options, SimListener, SimRuntime, SimUdp, World,
+};
 use tokio::sync::{Notify, mpsc};
 
 use crate::client::{Clients, Manners};
@@ -60,7 +62,7 @@
     /// Requests, attempts and how they ended.
     pub counts: Counts,
     /// What passed on the network.
-    pub network: Stats,
+    pub network: NetworkStats,
     /// The timeline, if it was wanted.
     pub timeline: String,
     /// Requests in the last seconds, and how many of them were served.
@@ -120,9 +122,10 @@
     fn new(scenario: &'a Scenario, traced: bool) -> Play<'a> {
         let mut rng = SmallRng::seed_from_u64(scenario.seed);
         let options = Options {
-            shuffle: scenario.shuffle,
-            shuffle_ties: scenario.shuffle,
-            timer_lag: 0..scenario.timer_lag_us * 1000 + 1,
+            shuffle_ready_tasks: scenario.shuffle,
+            shuffle_simultaneous_events: scenario.shuffle,
+            timer_lag: Duration::ZERO
+                ..Duration::from_micros(scenario.timer_lag_us) + Duration::from_nanos(1),
             ..Options::default()
         };
         let world = World::new(rng.random(), options);
@@ -146,14 +149,14 @@
         let hosts = 2 + scenario.servers * ZONES.len() + 2 * scenario.sidecars;
         let role = |host, role| oracle.borrow_mut().role(host, role, hosts);
 
-        let discovery_host = world.host(ip(4, 0));
+        let discovery_host = world.add_host(ip(4, 0));
         role(discovery_host, Role::Discovery);
         let mut servers = Vec::new();
         for (zone, _) in ZONES.iter().enumerate() {
             let keys = Rc::new(Keys::default());
             for _ in 0..scenario.servers {
                 let place = servers.len();
-                let host = world.host(ip(3, place));
+                let host = world.add_host(ip(3, place));
                 role(host, Role::Server(place, zone));
                 servers.push(Server::new(
                     place,
@@ -180,9 +183,9 @@
         let mut sidecars = Vec::new();
         let mut clients = Vec::new();
         for n in 0..scenario.sidecars {
-            let host = world.host(ip(1, n));
+            let host = world.add_host(ip(1, n));
             role(host, Role::Sidecar(n));
-            world.limit_sockets(host, scenario.sockets);
+            world.set_socket_limit(host, scenario.sockets);
             let at = address(1, n, 3000);
             let (reload, _) = mpsc::channel(1);
             sidecars.push(Sidecar {
@@ -199,11 +202,12 @@
                 starts: 0,
                 back_at: None,
             });
-            let theirs = world.host(ip(2, n));
+            let theirs = world.add_host(ip(2, n));
             role(theirs, Role::Clients(n));
-            let loopback = |l: &mut Link| l.latency = 5_000..25_000;
-            world.link(host, theirs, loopback);
-            world.link(theirs, host, loopback);
+            let loopback =
+                |l: &mut Link| l.latency = Duration::from_micros(5)..Duration::from_micros(25);
+            world.configure_link(host, theirs, loopback);
+            world.configure_link(theirs, host, loopback);
             let of = Clients {
                 sidecar: n,
                 target: at,
@@ -225,7 +229,7 @@
                 oracle: oracle.clone(),
                 rng: RefCell::new(SmallRng::seed_from_u64(rng.random())),
             };
-            (world.host(ip(5, 0)), Rc::new(of))
+            (world.add_host(ip(5, 0)), Rc::new(of))
         });
         Play {
             scenario,
@@ -301,7 +305,7 @@
         let (at, config, stop, ended) = (s.at, s.config.clone(), s.stop.clone(), s.ended.clone());
         let host = s.host;
         let operated = self.operators.as_ref().map(|_| address(1, n, OPERATORS_PORT));
-        self.world.limit_sockets(host, self.scenario.sockets);
+        self.world.set_socket_limit(host, self.scenario.sockets);
         self.oracle.borrow_mut().starts(now, n);
         self.discovery.agents_tell(now, n..n + 1);
         self.world.spawn(host, async move {
@@ -309,7 +313,7 @@
             let sockets = SimListener::bind(at, 4096).and_then(|listener| {
                 let peers = peers.map(SimUdp::bind).transpose()?;
                 let admin = operated.map(|at| SimListener::bind(at, 64)).transpose()?;
-                Ok(Sockets::<Sim> { listener, shared: false, peers, admin, record: None })
+                Ok(Sockets::<SimRuntime> { listener, shared: false, peers, admin, record: None })
             });
             if let (Ok(parsed), Ok(sockets)) = (parsed, sockets) {
                 let read = move || Config::parse(config.borrow().as_bytes());
@@ -328,7 +332,7 @@
     fn run(&mut self) {
         let discovery = self.discovery.clone();
         let listener =
-            self.world.on(self.discovery_host, || SimListener::bind(address(4, 0, 8500), 256));
+            self.world.run_on(self.discovery_host, || SimListener::bind(address(4, 0, 8500), 256));
         let Ok(listener) = listener else { return };
         self.world.spawn(self.discovery_host, discovery.run(listener, self.start));
         for server in self.servers.clone() {
@@ -339,7 +343,7 @@
         }
         self.until(BASELINE);
         let first = &self.sidecars[0];
-        self.baseline = (self.world.tasks(first.host), self.world.sockets(first.host));
+        self.baseline = (self.world.task_count(first.host), self.world.open_sockets(first.host));
         if self.scenario.asked {
             // The connection to discovery, which may come later.
             self.baseline = (self.baseline.0 + 1, self.baseline.1 + 1);
@@ -386,7 +390,7 @@
             let checked = world.run_until(next, || {
                 let mut oracle = oracle.borrow_mut();
                 for (n, host) in &hosts {
-                    oracle.sockets(world.now(), *n, world.sockets(*host));
+                    oracle.sockets(world.now(), *n, world.open_sockets(*host));
                 }
                 if oracle.violation.is_some() { Err(()) } else { Ok(()) }
             });
@@ -410,7 +414,7 @@
                 }
                 let host = s.host;
                 // What it had not answered is lost, and shows at its clients.
-                self.world.kill(host, Death::Reset);
+                self.world.kill(host, HostFailure::ProcessKilled);
                 self.oracle.borrow_mut().count("planned ends");
                 let s = &mut self.sidecars[n];
                 (s.up, s.stopped) = (false, None);
@@ -435,7 +439,8 @@
             Kind::Restart { server, vanish } => {
                 let s = self.server(*server);
                 if begins && !s.down.replace(true) {
-                    let how = if *vanish { Death::Silent } else { Death::Reset };
+                    let how =
+                        if *vanish { HostFailure::Unreachable } else { HostFailure::ProcessKilled };
                     self.world.kill(s.host, how);
                 } else if !begins && s.down.get() {
                     self.start_server(&s);
@@ -444,7 +449,7 @@
             Kind::Replace { server } => {
                 let s = self.server(*server);
                 if begins && !s.down.replace(true) {
-                    self.world.kill(s.host, Death::Reset);
+                    self.world.kill(s.host, HostFailure::ProcessKilled);
                     let gone = entry(&s, "left");
                     self.discovery.change(self.now(), |book| book.list(gone));
                     s.life.set(s.life.get() + 1);
@@ -479,7 +484,7 @@
             Kind::Silence { server } if begins => {
                 let s = self.server(*server);
                 for sidecar in &self.sidecars {
-                    self.world.silence_connections(sidecar.host, s.host);
+                    self.world.blackhole_connections(sidecar.host, s.host);
                 }
             }
             Kind::DiscoveryJump if begins => {
@@ -516,7 +521,7 @@
                 let now = self.now();
                 if self.sidecars[n].up {
                     self.oracle.borrow_mut().killed(now, n);
-                    self.world.kill(self.sidecars[n].host, Death::Reset);
+                    self.world.kill(self.sidecars[n].host, HostFailure::ProcessKilled);
                     let s = &mut self.sidecars[n];
                     (s.up, s.stopped) = (false, None);
                     s.back_at = Some(now + Duration::from_millis(fault.for_ms.min(1000)));
@@ -599,23 +604,23 @@
                 Kind::TurnAway { server, share } => of[n(server)].turn_away = *share,
                 Kind::Latency { server, more_us } => {
                     for link in both(&mut links[n(server)]) {
-                        link.latency.start += more_us * 1000;
-                        link.latency.end += more_us * 1500;
+                        link.latency.start += Duration::from_micros(*more_us);
+                        link.latency.end += Duration::from_nanos(more_us * 1500);
                     }
                 }
                 Kind::Loss { server, share } => {
-                    both(&mut links[n(server)]).for_each(|link| link.loss = *share);
+                    both(&mut links[n(server)]).for_each(|link| link.segment_loss = *share);
                 }
                 Kind::Chop { server, share } => {
-                    both(&mut links[n(server)]).for_each(|link| link.chop = *share);
+                    both(&mut links[n(server)]).for_each(|link| link.partial_io = *share);
                 }
                 Kind::Cut { server, there, back } => {
-                    links[n(server)].0.cut |= there;
-                    links[n(server)].1.cut |= back;
+                    links[n(server)].0.partitioned |= there;
+                    links[n(server)].1.partitioned |= back;
                 }
-                Kind::Refuse { server, share } => links[n(server)].0.refuse = *share,
-                Kind::Ignore { server, share } => links[n(server)].0.ignore = *share,
-                Kind::Overtake { server, share } => links[n(server)].1.overtake = *share,
+                Kind::Refuse { server, share } => links[n(server)].0.syn_refused = *share,
+                Kind::Ignore { server, share } => links[n(server)].0.syn_dropped = *share,
+                Kind::Overtake { server, share } => links[n(server)].1.reset_overtakes = *share,
                 Kind::Window { server, bytes } => links[n(server)].0.window = *bytes,
                 Kind::DiscoveryDown => mode = Mode::Down,
                 Kind::DiscoveryStill => mode = Mode::Still,
@@ -645,20 +650,20 @@
         }
         for s in &self.sidecars {
             for (server, (there, back)) in self.servers.iter().zip(&links) {
-                self.world.link(s.host, server.host, |l| l.clone_from(there));
-                self.world.link(server.host, s.host, |l| l.clone_from(back));
+                self.world.configure_link(s.host, server.host, |l| l.clone_from(there));
+                self.world.configure_link(server.host, s.host, |l| l.clone_from(back));
             }
             for other in self.sidecars.iter().filter(|o| o.n != s.n) {
-                self.world.link(s.host, other.host, |l| {
-                    (l.datagram_loss, l.datagram_twice) = (notes, notes / 2.0);
+                self.world.configure_link(s.host, other.host, |l| {
+                    (l.datagram_loss, l.datagram_duplication) = (notes, notes / 2.0);
                 });
             }
             // One more than it has: what it closes it may open again.
             let limit = match short[s.n] {
-                true => self.world.sockets(s.host) + 1,
+                true => self.world.open_sockets(s.host) + 1,
                 false => self.scenario.sockets,
             };
-            self.world.limit_sockets(s.host, limit);
+            self.world.set_socket_limit(s.host, limit);
             self.oracle.borrow_mut().short(self.world.now(), s.n, short[s.n]);
         }
         for (_, clients) in &self.clients {
@@ -690,7 +695,7 @@
         }
         let now = self.now();
         for s in &self.sidecars {
-            let held = (self.world.tasks(s.host), self.world.sockets(s.host));
+            let held = (self.world.task_count(s.host), self.world.open_sockets(s.host));
             if held.0 > self.baseline.0 || held.1 > self.baseline.1 {
                 let what = format!(
                     "sidecar {} holds (tasks, sockets) {held:?} at rest, {:?} at first",
@@ -729,7 +734,7 @@
         Outcome {
             violation: oracle.violation.clone(),
             hash: self.world.hash(),
-            steps: self.world.steps(),
+            steps: self.world.event_count(),
             lasted: self.world.now(),
             counts,
             network: self.world.stats(),
@@ -744,7 +749,7 @@
 }
 
 fn entry(server: &Server, health: &'static str) -> Entry {
-    let born = server.started.get().map(|at| Options::default().unix + at);
+    let born = server.started.get().map(|at| Options::default().unix_start + at);
     let born_ms = born.map_or(0, |born| born.as_millis() as u64);
     let mut entry = Entry::new(server.at, ZONES[server.zone]);
     entry.host = server.name();
--- a/crates/simulation/src/server.rs
+++ b/crates/simulation/src/server.rs
@@ -12,8 +12,8 @@
 use fakes::world::{IDLE, WINDOW};
 use rand::Rng;
 use rand::rngs::SmallRng;
-use runtime::{Listener, Platform, Stream, Tcp};
-use simnet::{HostId, Sim, SimListener, SimTcp};
+use runtime::{Listener, Runtime, Stream, Tcp};
+use simnet::{HostId, SimListener, SimRuntime, SimTcp};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 
@@ -162,7 +162,7 @@
         let Ok(listener) = SimListener::bind(self.at, 128) else { return };
         loop {
             if let Ok((socket, _)) = listener.accept().await {
-                Sim::spawn(self.clone().connection(Rc::new(socket), start));
+                SimRuntime::spawn(self.clone().connection(Rc::new(socket), start));
             }
         }
     }
@@ -198,13 +198,13 @@
     async fn connection(self: Rc<Server>, socket: Rc<SimTcp>, start: std::time::Instant) {
         let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
         loop {
-            let next = runtime::timeout::<Sim, _>(IDLE, reader.next()).await;
+            let next = runtime::timeout::<SimRuntime, _>(IDLE, reader.next()).await;
             let Ok(Ok(Some(message))) = next else { return };
             let fate = self.draw();
             let Some(answer) = self.serve(&message, fate, start).await else {
                 // Silent for good, or reset.
                 if fate == Fate::Hang {
-                    Sim::sleep(Duration::from_secs(8)).await;
+                    SimRuntime::sleep(Duration::from_secs(8)).await;
                     return;
                 }
                 socket.reset_on_close();
@@ -228,7 +228,7 @@
                 }
                 (Fate::CloseAfter, _) => return,
                 (_, None) => {
-                    Sim::sleep(Duration::from_secs(8)).await;
+                    SimRuntime::sleep(Duration::from_secs(8)).await;
                     return;
                 }
                 _ => {}
@@ -267,13 +267,13 @@
             free.acquire().await.ok()?
         };
         let key = message.header("idempotency-key");
-        let fresh = key.is_none_or(|key| self.keys.fresh(&key, WINDOW, Sim::now()));
+        let fresh = key.is_none_or(|key| self.keys.fresh(&key, WINDOW, SimRuntime::now()));
         if fresh {
             self.oracle.borrow_mut().ran(now(start), id, self.place);
             let _runs = Counted::new(&self.running);
             let drawn = self.rng.borrow_mut().random_range(0.5..1.5);
             let work = class.work.mul_f64(drawn * (1.0 + self.faults.get().slower));
-            Sim::sleep(work.div_f64(self.speed(now(start)))).await;
+            SimRuntime::sleep(work.div_f64(self.speed(now(start)))).await;
         }
         drop(core);
         let body = format!("{id:016x}");
@@ -286,7 +286,7 @@
             Fate::Error => plain("500 Internal Server Error", ""),
             Fate::ResetAfter | Fate::Hang => None,
             Fate::ResetLate => {
-                Sim::sleep(self.faults.get().reset_late_by).await;
+                SimRuntime::sleep(self.faults.get().reset_late_by).await;
                 None
             }
             Fate::Long => Some(self.long(&body)),
@@ -295,7 +295,7 @@
             Fate::Surplus if id.is_multiple_of(3) => Some((good + "\u{1}\u{2}noise").into_bytes()),
             Fate::Surplus => Some((good.clone() + &good).into_bytes()),
             Fate::Late => {
-                Sim::sleep(self.faults.get().late_by).await;
+                SimRuntime::sleep(self.faults.get().late_by).await;
                 Some(good.into_bytes())
             }
             _ => Some(good.into_bytes()),
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -119,6 +119,7 @@
         let hand_over = async move {
             leave.recv().await;
         };
-        sidecar::run(config, Control { stop, hand_over, reload, read: Config::again }).await
+        let control = Control { stop, hand_over, reload, read: Config::again };
+        sidecar::run(config, control).await.map_err(|error| error.to_string())
     })
 }
--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gossip::{Presence, Record, View};
-use instance_status::Counts;
+use instance_status::RequestCounts;
 
 use crate::sidecar::status::Reloads;
 
@@ -99,7 +99,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
     /// Final answers by class.
-    pub classes: Vec<(String, Counts)>,
+    pub classes: Vec<(String, RequestCounts)>,
     /// Attempts written whole to servers.
     pub tries: u64,
     /// Requests taken and not ended.
@@ -122,7 +122,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         for (class, counts) in &self.classes {
             writeln!(f, "sidecar.ok.{class}={}", counts.served)?;
-            writeln!(f, "sidecar.shed.{class}={}", counts.refused)?;
+            writeln!(f, "sidecar.shed.{class}={}", counts.rejected)?;
             writeln!(f, "sidecar.errors.{class}={}", counts.failed)?;
         }
         writeln!(f, "sidecar.tries={}", self.tries)?;
@@ -192,7 +192,7 @@
 
     #[test]
     fn figures_are_a_line_each_and_end() {
-        let counts = Counts { served: 812, refused: 3, failed: 1 };
+        let counts = RequestCounts { served: 812, rejected: 3, failed: 1 };
         let figures =
             Figures { classes: vec![("look".into(), counts)], active: 14, ..Figures::default() };
         let text = Answer::Stat(figures.into()).to_string();
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Listener, Platform, Task, Tcp, linger, timeout};
+use runtime::{Listener, Runtime, TaskHandle, Tcp, lingering_close, timeout};
 
 use self::command::{Answer, Command, Figures, LONGEST};
 use self::orders::Orders;
@@ -19,7 +19,7 @@
 use super::config::stable_hash;
 use super::driver::Driver;
 use super::ingress::Ingress;
-use super::live::Live;
+use super::live::LiveConfig;
 use super::status::Status;
 use crate::api::ServerId;
 
@@ -37,10 +37,10 @@
 const AGAIN: Duration = Duration::from_millis(50);
 
 /// What carries out the operators' orders.
-pub struct Admin<P: Platform> {
+pub struct Admin<P: Runtime> {
     driver: Rc<Driver<P>>,
     ingress: Rc<Ingress<P>>,
-    live: Rc<Live>,
+    live: Rc<LiveConfig>,
     status: Rc<Status>,
     /// Where orders are kept; without it they end with the process.
     record: Option<Record>,
@@ -48,16 +48,16 @@
     /// Tells this process from all others that write the same record.
     mark: u64,
     /// Connections of operators, in the order in which they came.
-    calls: RefCell<BTreeMap<u64, P::Task>>,
+    calls: RefCell<BTreeMap<u64, P::TaskHandle>>,
     next: Cell<u64>,
 }
 
-impl<P: Platform> Admin<P> {
+impl<P: Runtime> Admin<P> {
     /// One that has carried out what stands in the record.
     pub fn new(
         driver: Rc<Driver<P>>,
         ingress: Rc<Ingress<P>>,
-        live: Rc<Live>,
+        live: Rc<LiveConfig>,
         status: Rc<Status>,
         record: Option<Record>,
     ) -> Rc<Admin<P>> {
@@ -70,7 +70,7 @@
             orders: RefCell::default(),
             // Process numbers may be the same where each process has a name space of its own; two
             // processes of one sidecar do not start at the same nanosecond.
-            mark: P::unix().as_nanos() as u64,
+            mark: P::unix_time().as_nanos() as u64,
             calls: RefCell::default(),
             next: Cell::new(0),
         });
@@ -91,7 +91,7 @@
         if *self.orders.borrow() != orders {
             tracing::info!(out = ?orders.out, drained = orders.drained, "orders in force");
             self.driver.hold_out(orders.out.iter().map(|name| id(name)));
-            self.ingress.send_away(orders.drained);
+            self.ingress.set_drained(orders.drained);
             *self.orders.borrow_mut() = orders;
         }
     }
@@ -181,13 +181,15 @@
         };
         let text = answer.to_string();
         let _ = timeout::<P, _>(PATIENCE, write::<P>(socket, text.as_bytes())).await;
-        linger::<P>(socket, LINGER, LINGER_BYTES).await;
+        lingering_close::<P>(socket, LINGER, LINGER_BYTES).await;
     }
 
     async fn answer(&self, call: &Command) -> Answer {
         match call {
-            Command::Ready if self.ingress.ready() => Answer::Done,
-            Command::Ready if self.ingress.away().is_some() => Answer::Error("drained".into()),
+            Command::Ready if self.ingress.is_ready() => Answer::Done,
+            Command::Ready if self.ingress.drained_for().is_some() => {
+                Answer::Error("drained".into())
+            }
             Command::Ready => Answer::Error("no server is known yet".into()),
             Command::ShowStat => Answer::Stat(self.figures().into()),
             Command::ShowTier => match self.driver.tier() {
@@ -221,7 +223,7 @@
             active: self.driver.open(),
             listed,
             ejected,
-            most_servers: self.live.most_servers(),
+            most_servers: self.live.max_servers(),
             lists_too_long: self.status.lists_too_long(),
             reloads: self.status.reloads(),
             tier: self.driver.tier().map(|tier| {
@@ -238,7 +240,7 @@
 }
 
 /// Reads up to the end of the first line; what comes behind it does not count.
-async fn read_line<P: Platform>(socket: &P::Tcp) -> Result<String, &'static str> {
+async fn read_line<P: Runtime>(socket: &P::Tcp) -> Result<String, &'static str> {
     let mut line = Vec::new();
     let mut buf = [0; LONGEST];
     loop {
@@ -265,7 +267,7 @@
     }
 }
 
-async fn write<P: Platform>(socket: &P::Tcp, mut text: &[u8]) {
+async fn write<P: Runtime>(socket: &P::Tcp, mut text: &[u8]) {
     while !text.is_empty() {
         match socket.try_write(text) {
             Ok(n) => text = &text[n..],
--- a/src/sidecar/admin/record.rs
+++ b/src/sidecar/admin/record.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use runtime::Platform;
+use runtime::Runtime;
 
 use super::orders::Orders;
 use crate::sidecar::config::stable_hash;
@@ -87,7 +87,7 @@
     /// # Errors
     ///
     /// What `change` says, or why it cannot be written; then the old file stands.
-    pub async fn change<P: Platform>(
+    pub async fn change<P: Runtime>(
         &self,
         change: impl Fn(&mut Orders) -> Result<(), String>,
     ) -> Result<Orders, String> {
@@ -123,7 +123,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use runtime::Tokio;
+    use runtime::TokioRuntime;
 
     fn on(test: impl Future<Output = ()>) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -149,14 +149,14 @@
                     Ok(())
                 }
             };
-            a.change::<Tokio>(out("x")).await.expect("written");
+            a.change::<TokioRuntime>(out("x")).await.expect("written");
             let seen = b.news().expect("read").expect("news");
             assert!(seen.out.contains("x"));
-            let both = b.change::<Tokio>(out("y")).await.expect("written");
+            let both = b.change::<TokioRuntime>(out("y")).await.expect("written");
             assert_eq!(both.out.len(), 2, "the other's order stays");
             assert_eq!(a.news().expect("read").expect("news"), both);
             assert_eq!(a.news(), Ok(None));
-            let refused = a.change::<Tokio>(|_| Err("no".into())).await;
+            let refused = a.change::<TokioRuntime>(|_| Err("no".into())).await;
             assert_eq!(refused, Err("no".into()));
             assert_eq!(b.news().expect("read"), Some(both));
             assert_eq!(b.news(), Ok(None), "a refused order writes nothing");
@@ -172,7 +172,7 @@
         let why = record.news().expect_err("not understood");
         assert!(why.contains("plankvale-") && why.contains("put aside"), "{why}");
         on(async {
-            let orders = record.change::<Tokio>(|o| {
+            let orders = record.change::<TokioRuntime>(|o| {
                 o.drained = true;
                 Ok(())
             });
@@ -188,9 +188,9 @@
         let record = Record::new(&folder, "n0");
         let kept = File::create(record.path.with_extension("lock")).expect("a file");
         kept.lock().expect("locked");
-        on(async { assert!(record.change::<Tokio>(|_| Ok(())).await.is_err()) });
+        on(async { assert!(record.change::<TokioRuntime>(|_| Ok(())).await.is_err()) });
         drop(kept);
-        on(async { assert!(record.change::<Tokio>(|_| Ok(())).await.is_ok()) });
+        on(async { assert!(record.change::<TokioRuntime>(|_| Ok(())).await.is_ok()) });
         let _ = fs::remove_dir_all(folder);
     }
 }
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -380,13 +380,13 @@
             }
         };
         let megabytes = file.limits.memory_mb;
-        let most = budget::most_members(megabytes << 20);
+        let most = budget::max_members(megabytes << 20);
         if turn.is_some() && settings.instances as usize > most {
             return Err(format!(
                 "settings.instances: {most} at most expected with tier.turn_ms and limits.memory_mb = {megabytes}"
             ));
         }
-        let most = budget::most_servers(megabytes << 20);
+        let most = budget::max_servers(megabytes << 20);
         if file.known.as_ref().is_some_and(|known| known.hosts.len() > most) {
             return Err(format!(
                 "known.hosts: {most} at most expected with limits.memory_mb = {megabytes}"
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -14,10 +14,10 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use runtime::{Elapsed, Platform, Stream, Task, Tcp, timeout, timeout_at};
+use runtime::{Elapsed, Runtime, Stream, TaskHandle, Tcp, timeout, timeout_at};
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::budget::longest_list;
+use super::budget::max_list_bytes;
 use super::config::{List, Part};
 use crate::api::ListKind;
 use crate::settings::Discovery as How;
@@ -107,7 +107,7 @@
 }
 
 /// The side of discovery that talks to it.
-pub struct Discovery<P: Platform> {
+pub struct Discovery<P: Runtime> {
     /// Where it is; a reload can move it.
     address: watch::Receiver<SocketAddr>,
     how: How,
@@ -123,7 +123,7 @@
 /// A call on its way: the list's text, and the connection for the next call.
 type Calling<P> = Pin<Box<dyn Future<Output = Result<(Vec<u8>, Connection<P>), Miss>>>>;
 
-impl<P: Platform> Discovery<P> {
+impl<P: Runtime> Discovery<P> {
     /// `grace` is how long a server may get requests that is known to want none, `version` that of the
     /// list remembered; `tried` is told of every call that ends.
     pub fn new(
@@ -296,9 +296,9 @@
     /// passes over is never ready for no reason that anybody can see.
     fn too_long(&mut self, listener: &impl Listener, bytes: u64, most_servers: usize) {
         listener.too_long();
-        if self.told.is_none_or(|told| P::since(told) >= TOLD_AGAIN) {
+        if self.told.is_none_or(|told| P::elapsed_since(told) >= TOLD_AGAIN) {
             self.told = Some(P::now());
-            let most_bytes = longest_list(most_servers);
+            let most_bytes = max_list_bytes(most_servers);
             tracing::error!(
                 bytes,
                 most_bytes,
@@ -336,7 +336,7 @@
             if answer.status() != StatusCode::OK {
                 return Err(Miss::Broken);
             }
-            let longest = longest_list(most);
+            let longest = max_list_bytes(most);
             let mut body = answer.into_body();
             // Where the length is told, that much is taken at once, and never more than may come.
             let told = body.size_hint().exact();
@@ -365,9 +365,7 @@
 }
 
 /// What a call comes to, where there is one.
-async fn wait<P: Platform>(
-    call: &mut Option<Calling<P>>,
-) -> Result<(Vec<u8>, Connection<P>), Miss> {
+async fn wait<P: Runtime>(call: &mut Option<Calling<P>>) -> Result<(Vec<u8>, Connection<P>), Miss> {
     match call {
         Some(call) => call.await,
         None => std::future::pending().await,
@@ -380,18 +378,18 @@
 }
 
 /// A connection to discovery. Dropping it closes it.
-struct Connection<P: Platform> {
+struct Connection<P: Runtime> {
     sender: SendRequest<Empty<Bytes>>,
-    task: P::Task,
+    task: P::TaskHandle,
 }
 
-impl<P: Platform> Drop for Connection<P> {
+impl<P: Runtime> Drop for Connection<P> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-async fn connect<P: Platform>(address: SocketAddr) -> Result<Connection<P>, Miss> {
+async fn connect<P: Runtime>(address: SocketAddr) -> Result<Connection<P>, Miss> {
     let socket = timeout::<P, _>(CONNECT, P::connect(address)).await;
     let socket = socket.map_err(|Elapsed| Miss::Silent)?.map_err(|_| Miss::Broken)?;
     socket.set_nodelay().map_err(|_| Miss::Broken)?;
--- a/src/sidecar/driver.rs
+++ b/src/sidecar/driver.rs
@@ -8,13 +8,13 @@
 use std::time::{Duration, Instant};
 
 use gossip::Happened;
-use runtime::Platform;
+use runtime::Runtime;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{mpsc, oneshot};
 
 use super::config::{List, Part};
 use super::discovery::{self, Call};
-use super::live::Live;
+use super::live::LiveConfig;
 use super::peers::{self, Peers};
 use super::status::Status;
 use super::tier::Shared;
@@ -55,20 +55,20 @@
 
 /// A request that the driver has taken. Dropping it before its final answer is written means that
 /// the client has gone.
-pub struct Ticket<P: Platform> {
+pub struct Ticket<P: Runtime> {
     id: RequestId,
     driver: Rc<Driver<P>>,
     reply: oneshot::Receiver<Reply>,
 }
 
-impl<P: Platform> Ticket<P> {
+impl<P: Runtime> Ticket<P> {
     /// The final answer.
     pub async fn reply(&mut self) -> Reply {
         (&mut self.reply).await.unwrap_or(Reply::Failed)
     }
 }
 
-impl<P: Platform> Drop for Ticket<P> {
+impl<P: Runtime> Drop for Ticket<P> {
     fn drop(&mut self) {
         self.driver.abandon(self.id, None);
     }
@@ -173,7 +173,7 @@
 }
 
 /// The way to the other sidecars, where there is one, and what they know together.
-pub struct Others<P: Platform> {
+pub struct Others<P: Runtime> {
     /// Datagrams.
     pub peers: Option<Rc<Peers<P>>>,
     /// This sidecar's part in the tier.
@@ -181,11 +181,11 @@
 }
 
 /// Owns the decisions and carries them out.
-pub struct Driver<P: Platform> {
+pub struct Driver<P: Runtime> {
     core: RefCell<Core>,
     timers: Timers<P>,
     clock: (Micros, Instant),
-    live: Rc<Live>,
+    live: Rc<LiveConfig>,
     status: Rc<Status>,
     upstream: Rc<Upstream<P>>,
     discovery: mpsc::UnboundedSender<Call>,
@@ -195,19 +195,19 @@
     windows: Vec<Option<Duration>>,
 }
 
-impl<P: Platform> Driver<P> {
+impl<P: Runtime> Driver<P> {
     /// A driver with nothing under way.
     pub fn new(
         settings: Settings,
         seed: u64,
-        live: Rc<Live>,
+        live: Rc<LiveConfig>,
         status: Rc<Status>,
         upstream: Rc<Upstream<P>>,
         discovery: mpsc::UnboundedSender<Call>,
         others: Others<P>,
     ) -> Rc<Driver<P>> {
         // `born_ms` of servers is Unix time, so the module's clock is, too; it never steps back.
-        let clock = (P::unix().as_micros() as Micros, P::now());
+        let clock = (P::unix_time().as_micros() as Micros, P::now());
         let probe_reports = settings.report.how != ReportHow::Silent;
         let windows = settings
             .classes
@@ -247,7 +247,7 @@
     }
 
     fn now(&self) -> Micros {
-        self.clock.0 + P::since(self.clock.1).as_micros() as Micros
+        self.clock.0 + P::elapsed_since(self.clock.1).as_micros() as Micros
     }
 
     fn event(self: &Rc<Driver<P>>, event: Event<'_>) {
@@ -292,7 +292,7 @@
                         Some(dial) => driver.upstream.probe(dial, driver.probe_reports).await,
                         None => (Outcome::ConnectFailed, LoadReport::default()),
                     };
-                    let latency = P::since(sent).as_micros() as Micros;
+                    let latency = P::elapsed_since(sent).as_micros() as Micros;
                     driver.event(Event::Probed { server, outcome, latency, report });
                 });
             }
@@ -415,7 +415,7 @@
     /// rests on the way to one that is to get nothing more is closed at once.
     pub fn servers<S: AsRef<str>>(self: &Rc<Driver<P>>, kind: ListKind, list: &List<S>) {
         let names = self.live.names();
-        let most = self.live.most_servers();
+        let most = self.live.max_servers();
         let mut beyond = FxHashSet::default();
         let entries: Vec<_> = {
             let mut core = self.core.borrow_mut();
@@ -550,7 +550,7 @@
             span.window = self.windows[request.class];
             span.start_by = span.window.and_then(|w| request.repeatable(w));
             request.attempts.push(Out { cancel: Some(cancel), sent, may_run: true });
-            let whole = |spec: &Rc<Spec>| spec.upload.as_ref().is_none_or(|u| u.is_kept());
+            let whole = |spec: &Rc<Spec>| spec.upload.as_ref().is_none_or(|u| u.is_replayable());
             let spec = request.spec.clone().filter(|spec| !request.ended() && whole(spec));
             (request.attempts.len() - 1, spec.zip(dial))
         };
@@ -589,12 +589,12 @@
                 // Its time runs from its last byte on. From when some of it has left it is a stream to
                 // the module: nothing else can be sent.
                 Some(upload) => {
-                    upload.begun().await;
+                    upload.streaming_started().await;
                     self.event(Event::FirstByte { id, attempt: n });
                     tokio::select! {
                         biased;
-                        () = upload.ended() => {
-                            P::sleep_until(upload.due().unwrap_or_else(P::now)).await;
+                        () = upload.completed() => {
+                            P::sleep_until(upload.deadline().unwrap_or_else(P::now)).await;
                         }
                         () = upload.stalled::<P>() => {}
                     }
@@ -609,8 +609,8 @@
             () = over => Reached::end(Outcome::TimedOut),
         };
         drop(spec);
-        let since = upload.and_then(|u| u.end()).map_or(sent, |end| sent.max(end));
-        self.over(id, n, server, P::since(since).as_micros() as Micros, reached);
+        let since = upload.and_then(|u| u.completed_at()).map_or(sent, |end| sent.max(end));
+        self.over(id, n, server, P::elapsed_since(since).as_micros() as Micros, reached);
     }
 
     /// Tells an attempt's outcome. The first answer served goes to the client.
@@ -655,7 +655,7 @@
             if let Some(to) = request.reply.take() {
                 self.status.count(request.class, |c| match &reply {
                     Reply::Served(_) => c.served += 1,
-                    Reply::Refused { .. } => c.refused += 1,
+                    Reply::Refused { .. } => c.rejected += 1,
                     Reply::Failed => c.failed += 1,
                 });
                 let _ = to.send(reply);
@@ -672,13 +672,13 @@
     }
 }
 
-impl<P: Platform> discovery::Listener for Rc<Driver<P>> {
+impl<P: Runtime> discovery::Listener for Rc<Driver<P>> {
     fn list(&self, kind: ListKind, list: &List<Part<'_>>) {
         self.servers(kind, list);
     }
 
     fn most_servers(&self) -> usize {
-        self.live.most_servers()
+        self.live.max_servers()
     }
 
     fn too_long(&self) {
@@ -690,7 +690,7 @@
     }
 }
 
-impl<P: Platform> peers::Inbox for Rc<Driver<P>> {
+impl<P: Runtime> peers::Inbox for Rc<Driver<P>> {
     fn note(&self, from: u32, data: &[u8]) {
         if !self.others.tier.as_ref().is_some_and(|tier| tier.hear(from, data)) {
             self.event(Event::Note { from, data });
--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -1,423 +1,353 @@
-//! Where messages begin and end in the bytes that a peer sends. hyper parses the messages; this
-//! looks on from beneath and finds what hyper puts right or passes over in silence.
+//! Where HTTP/1.1 messages begin and end in the bytes that a peer sends. hyper parses the messages;
+//! this watches the same bytes and finds what hyper repairs or ignores without a word.
 //!
-//! Danger: this guards against every peer that leaves it open where a message ends: a request with
-//! both lengths that hides another one, requests sent before their turn, heads and bodies without
-//! end, noise or a second copy behind an answer. It does harm if it sees an end where hyper sees
-//! none, so it is stricter than hyper throughout: what it lets pass, hyper reads the same way.
-
-use std::fmt;
+//! It guards against every peer that leaves it open where a message ends: requests with two lengths
+//! that hide another request, requests sent before their turn, heads and bodies without end, noise
+//! or a second response behind a response. It does harm if it sees an end where hyper sees none, so
+//! it is stricter than hyper throughout: what it accepts, hyper reads the same way.
 
 use hyper::StatusCode;
 
-/// The longest head. hyper's buffer holds as much.
-pub const LONGEST_HEAD: usize = 16 << 10;
-/// What is kept of a line: enough for the headers that say how long a body is.
-const LINE: usize = 128;
-/// So many interim (1xx) answers may come ahead of the final one.
-const MOST_INTERIM: u32 = 16;
+/// The longest head, in bytes. hyper's buffer holds as much.
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
+/// How much of a line is kept: enough for the headers that tell how long a body is.
+const MAX_KEPT_LINE_BYTES: usize = 128;
+/// How many interim (1xx) responses may precede the final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+/// More digits than the size of any chunk has.
+const MAX_CHUNK_SIZE_DIGITS: u8 = 8;
+/// Numbers with more digits than this are taken for the largest there is.
+const MAX_NUMBER_DIGITS: usize = 18;
 
-/// Which way the messages go.
+/// What kind of messages a peer sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Side {
+pub enum MessageKind {
     /// Requests.
-    Requests,
-    /// Answers, each to a request that may have a body in return.
-    Answers,
+    Request,
+    /// Responses, each to a request whose response may have a body.
+    Response,
 }
 
 /// What is wrong with a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// The head has no end.
-    LongHead,
-    /// The body is longer than bodies are.
-    LongBody,
-    /// The length is no number, or there are several.
-    BadLength,
-    /// A length is given, and chunks as well.
-    TwoLengths,
-    /// More came before this message had been dealt with.
-    OutOfTurn,
-    /// Interim answers without end.
-    Interim,
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FramingError {
+    /// The head is longer than [`MAX_HEAD_BYTES`].
+    #[error("a head that is too long")]
+    HeadTooLong,
+    /// The body is longer than bodies may be.
+    #[error("a body that is too long")]
+    BodyTooLong,
+    /// The length is not a number, or there are several.
+    #[error("a length that cannot be read")]
+    InvalidLength,
+    /// Both a length and chunked encoding are given.
+    #[error("a length and chunks")]
+    ConflictingLengths,
+    /// More was received before this message had been dealt with.
+    #[error("more than one message at a time")]
+    UnexpectedData,
+    /// More interim responses than are accepted.
+    #[error("too many interim answers")]
+    TooManyInterimResponses,
 }
 
-impl Fault {
-    /// The status that tells a client.
+impl FramingError {
+    /// The status of the response that tells a client.
     pub fn status(self) -> StatusCode {
         match self {
-            Fault::LongHead => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Fault::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
+            FramingError::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            FramingError::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Fault::LongHead => "a head that is too long",
-            Fault::LongBody => "a body that is too long",
-            Fault::BadLength => "a length that cannot be read",
-            Fault::TwoLengths => "a length and chunks",
-            Fault::OutOfTurn => "more than one message at a time",
-            Fault::Interim => "too many interim answers",
-        })
-    }
-}
-
-impl std::error::Error for Fault {}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// Nothing of the next message has come.
-    Before,
+    /// Nothing of the next message has been received.
+    BeforeHead,
     Head,
-    /// So much of the body is missing.
+    /// In a body of which so many bytes are missing.
     Body(u64),
-    /// In a body of chunks (RFC 9112, section 7.1).
-    Chunks(Chunk),
-    /// The end shows in the body itself, which hyper reads: nothing may follow this message.
-    Open,
-    Whole,
+    /// In a chunked body (RFC 9112, section 7.1).
+    Chunked(ChunkState),
+    /// Only hyper sees where the body ends: nothing may follow this message.
+    EndUnknown,
+    Complete,
 }
 
-/// What comes next of a body of chunks.
+/// What comes next in a chunked body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Chunk {
-    /// Digits of a size, so many of them so far.
-    Size(u64, u8),
+enum ChunkState {
+    /// Digits of a size.
+    Size { size: u64, digits: u8 },
     /// An extension, up to the end of its line.
-    Extension(u64),
-    /// The end of the line that gave the size.
-    SizeEnd(u64),
-    /// So much of the chunk is missing.
-    Data(u64),
-    /// The carriage return and the line feed behind it.
+    Extension { size: u64 },
+    /// The line feed behind a size.
+    SizeLf { size: u64 },
+    /// Data of which so many bytes are missing.
+    Data { missing: u64 },
+    /// The carriage return behind the data.
     DataCr,
+    /// The line feed behind the data.
     DataLf,
-    /// Behind the last chunk: the first byte of a line; inside one; the end of an empty one.
-    LineStart,
-    Line,
-    End,
+    /// The first byte of a line behind the last chunk.
+    TrailerStart,
+    /// The rest of such a line.
+    Trailer,
+    /// The line feed of the empty line that ends the body.
+    EndLf,
 }
 
-/// More digits than the size of any body has.
-const MOST_DIGITS: u8 = 8;
-
 /// Follows the messages of one peer.
 #[derive(Debug)]
 pub struct Framing {
-    side: Side,
-    longest: usize,
+    kind: MessageKind,
+    /// In bytes.
+    max_body: usize,
     state: State,
-    head: usize,
-    interim: u32,
+    /// Bytes of the head, or of the chunked body's extensions and trailers.
+    head_bytes: usize,
+    interim_responses: u32,
     line: Vec<u8>,
-    first_line: bool,
+    is_first_line: bool,
     status: u16,
-    length: Option<u64>,
-    chunked: bool,
-    /// The body is chunks and nothing else, as far as the head tells.
-    plain: bool,
-    /// Bytes of chunks so far.
-    sum: u64,
+    content_length: Option<u64>,
+    is_chunked: bool,
+    /// The body is chunked and nothing else, as far as the head tells.
+    is_only_chunked: bool,
+    /// The sum of the sizes of the chunks so far.
+    chunk_bytes: u64,
 }
 
 impl Framing {
-    /// Before the first message. Bodies may be `longest` bytes long.
-    pub fn new(side: Side, longest: usize) -> Framing {
+    /// Before the first message. Bodies may have up to `max_body` bytes.
+    pub fn new(kind: MessageKind, max_body: usize) -> Framing {
         Framing {
-            side,
-            longest,
-            state: State::Before,
-            head: 0,
-            interim: 0,
+            kind,
+            max_body,
+            state: State::BeforeHead,
+            head_bytes: 0,
+            interim_responses: 0,
             line: Vec::new(),
-            first_line: true,
+            is_first_line: true,
             status: 0,
-            length: None,
-            chunked: false,
-            plain: false,
-            sum: 0,
+            content_length: None,
+            is_chunked: false,
+            is_only_chunked: false,
+            chunk_bytes: 0,
         }
     }
 
-    /// This message has been dealt with; the next may come.
-    pub fn next(&mut self) {
-        self.interim = 0;
-        self.begin();
+    /// This message has been dealt with; the next one may follow.
+    pub fn start_next(&mut self) {
+        self.interim_responses = 0;
+        self.reset();
     }
 
-    fn begin(&mut self) {
-        self.state = State::Before;
-        self.head = 0;
+    fn reset(&mut self) {
+        self.state = State::BeforeHead;
+        self.head_bytes = 0;
         self.line.clear();
-        self.first_line = true;
-        self.length = None;
-        self.chunked = false;
-        self.plain = false;
-        self.sum = 0;
+        self.is_first_line = true;
+        self.content_length = None;
+        self.is_chunked = false;
+        self.is_only_chunked = false;
+        self.chunk_bytes = 0;
     }
 
-    /// Whether something of a message has come.
-    pub fn begun(&self) -> bool {
-        self.state != State::Before
+    /// Whether some of a message has been received.
+    pub fn has_started(&self) -> bool {
+        self.state != State::BeforeHead
     }
 
-    /// Whether all of the message has come, as far as its head tells.
-    pub fn whole(&self) -> bool {
-        self.state == State::Whole
+    /// Whether all of the message has been received, as far as its head tells.
+    pub fn is_complete(&self) -> bool {
+        self.state == State::Complete
     }
 
     /// Whether the head tells how the body ends.
-    pub fn tells_end(&self) -> bool {
-        self.length.is_some() || self.chunked
+    pub fn has_explicit_end(&self) -> bool {
+        self.content_length.is_some() || self.is_chunked
     }
 
-    /// Takes in what has come.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+    /// Takes in received bytes.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the message; nothing of this peer can be used from then on.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), FramingError> {
         let mut bytes = bytes;
-        while let Some((&b, rest)) = bytes.split_first() {
+        while let Some((&byte, rest)) = bytes.split_first() {
             match self.state {
-                // Blank lines ahead of a head are passed over, as hyper does.
-                State::Before if matches!(b, b'\r' | b'\n') => self.count()?,
-                State::Before | State::Head => {
-                    self.state = State::Head;
-                    self.count()?;
-                    match b {
-                        b'\n' => self.line_end()?,
-                        _ if self.line.len() < LINE => self.line.push(b),
-                        _ => {}
-                    }
-                }
-                State::Body(left) => {
-                    let n = left.min(bytes.len() as u64);
-                    self.state = if n == left { State::Whole } else { State::Body(left - n) };
-                    bytes = &bytes[n as usize..];
+                // Empty lines before a head are skipped, as hyper does.
+                State::BeforeHead if matches!(byte, b'\r' | b'\n') => self.count_head_byte()?,
+                State::BeforeHead | State::Head => self.feed_head(byte)?,
+                State::Body(missing) => {
+                    let taken = missing.min(bytes.len() as u64);
+                    self.state = match missing - taken {
+                        0 => State::Complete,
+                        missing => State::Body(missing),
+                    };
+                    bytes = &bytes[taken as usize..];
                     continue;
                 }
-                State::Chunks(Chunk::Data(left)) => {
-                    let n = left.min(bytes.len() as u64);
-                    let next = if n == left { Chunk::DataCr } else { Chunk::Data(left - n) };
-                    self.state = State::Chunks(next);
-                    bytes = &bytes[n as usize..];
+                State::Chunked(ChunkState::Data { missing }) => {
+                    let taken = missing.min(bytes.len() as u64);
+                    self.state = State::Chunked(match missing - taken {
+                        0 => ChunkState::DataCr,
+                        missing => ChunkState::Data { missing },
+                    });
+                    bytes = &bytes[taken as usize..];
                     continue;
                 }
-                State::Chunks(chunk) => self.state = self.chunk(chunk, b)?,
-                State::Open => return Ok(()),
-                State::Whole => return Err(Fault::OutOfTurn),
+                State::Chunked(chunk) => self.state = self.feed_chunk(chunk, byte)?,
+                State::EndUnknown => return Ok(()),
+                State::Complete => return Err(FramingError::UnexpectedData),
             }
             bytes = rest;
         }
         Ok(())
     }
 
+    fn feed_head(&mut self, byte: u8) -> Result<(), FramingError> {
+        self.state = State::Head;
+        self.count_head_byte()?;
+        match byte {
+            b'\n' => self.end_line()?,
+            _ if self.line.len() < MAX_KEPT_LINE_BYTES => self.line.push(byte),
+            _ => {}
+        }
+        Ok(())
+    }
+
     /// The state behind one byte between the data of chunks.
     ///
-    /// Danger: an end seen where hyper sees none would let the next message pass for part of this one.
-    /// What is not written exactly as the standard has it leaves the end to hyper.
-    fn chunk(&mut self, chunk: Chunk, b: u8) -> Result<State, Fault> {
-        let next = match (chunk, b) {
-            (Chunk::Size(size, n), _) if b.is_ascii_hexdigit() && n < MOST_DIGITS => {
-                let digit = char::from(b).to_digit(16).unwrap_or_default();
-                Chunk::Size(16 * size + u64::from(digit), n + 1)
+    /// An end seen where hyper sees none would let the next message pass for part of this one. What
+    /// is not written exactly as the standard has it leaves the end to hyper.
+    fn feed_chunk(&mut self, chunk: ChunkState, byte: u8) -> Result<State, FramingError> {
+        use ChunkState::*;
+        let next = match (chunk, byte) {
+            (Size { size, digits }, _)
+                if byte.is_ascii_hexdigit() && digits < MAX_CHUNK_SIZE_DIGITS =>
+            {
+                let digit = char::from(byte).to_digit(16).unwrap_or_default();
+                Size { size: 16 * size + u64::from(digit), digits: digits + 1 }
             }
-            (Chunk::Size(size, 1..), b'\r') | (Chunk::Extension(size), b'\r') => {
-                Chunk::SizeEnd(size)
+            (Size { size, digits: 1.. } | Extension { size }, b'\r') => SizeLf { size },
+            (Size { size, digits: 1.. }, b';') => Extension { size },
+            (Extension { size }, _) if byte != b'\n' => {
+                self.count_head_byte()?;
+                Extension { size }
             }
-            (Chunk::Size(size, 1..), b';') => Chunk::Extension(size),
-            (Chunk::Extension(size), _) if b != b'\n' => {
-                self.count()?;
-                Chunk::Extension(size)
+            (SizeLf { size: 0 }, b'\n') => TrailerStart,
+            (SizeLf { size }, b'\n') => {
+                self.count_chunk(size)?;
+                Data { missing: size }
             }
-            (Chunk::SizeEnd(0), b'\n') => Chunk::LineStart,
-            (Chunk::SizeEnd(size), b'\n') => {
-                self.sum += size;
-                if self.sum > self.longest as u64 {
-                    return Err(Fault::LongBody);
-                }
-                Chunk::Data(size)
+            (DataCr, b'\r') => DataLf,
+            (DataLf, b'\n') => Size { size: 0, digits: 0 },
+            (TrailerStart, b'\r') => EndLf,
+            (Trailer, b'\n') => {
+                self.count_head_byte()?;
+                TrailerStart
             }
-            (Chunk::DataCr, b'\r') => Chunk::DataLf,
-            (Chunk::DataLf, b'\n') => Chunk::Size(0, 0),
-            (Chunk::LineStart, b'\r') => Chunk::End,
-            (Chunk::LineStart | Chunk::Line, b) if b != b'\n' || chunk == Chunk::Line => {
-                self.count()?;
-                if b == b'\n' { Chunk::LineStart } else { Chunk::Line }
+            (Trailer, _) => {
+                self.count_head_byte()?;
+                Trailer
             }
-            (Chunk::End, b'\n') => return Ok(State::Whole),
-            _ => return Ok(State::Open),
+            (TrailerStart, _) if byte != b'\n' => {
+                self.count_head_byte()?;
+                Trailer
+            }
+            (EndLf, b'\n') => return Ok(State::Complete),
+            _ => return Ok(State::EndUnknown),
         };
-        Ok(State::Chunks(next))
+        Ok(State::Chunked(next))
+    }
+
+    fn count_chunk(&mut self, size: u64) -> Result<(), FramingError> {
+        self.chunk_bytes += size;
+        let fits = self.chunk_bytes <= self.max_body as u64;
+        if fits { Ok(()) } else { Err(FramingError::BodyTooLong) }
     }
 
-    fn count(&mut self) -> Result<(), Fault> {
-        self.head += 1;
-        if self.head > LONGEST_HEAD { Err(Fault::LongHead) } else { Ok(()) }
+    fn count_head_byte(&mut self) -> Result<(), FramingError> {
+        self.head_bytes += 1;
+        let fits = self.head_bytes <= MAX_HEAD_BYTES;
+        if fits { Ok(()) } else { Err(FramingError::HeadTooLong) }
     }
 
-    fn line_end(&mut self) -> Result<(), Fault> {
+    fn end_line(&mut self) -> Result<(), FramingError> {
         if self.line.last() == Some(&b'\r') {
             self.line.pop();
         }
-        if std::mem::take(&mut self.first_line) {
+        if std::mem::take(&mut self.is_first_line) {
             let status = self.line.split(|&b| b == b' ').nth(1).unwrap_or_default();
-            self.status = number(status).and_then(|n| n.try_into().ok()).unwrap_or_default();
+            let status = parse_number(status).and_then(|status| status.try_into().ok());
+            self.status = status.unwrap_or_default();
         } else if self.line.is_empty() {
-            return self.head_end();
-        } else if let Some(colon) = self.line.iter().position(|&b| b == b':') {
-            let (name, value) = self.line.split_at(colon);
-            let name = name.trim_ascii();
-            if name.eq_ignore_ascii_case(b"content-length") {
-                let length = number(value[1..].trim_ascii()).ok_or(Fault::BadLength)?;
-                if self.length.replace(length).is_some() {
-                    return Err(Fault::BadLength);
-                }
-            }
-            if name.eq_ignore_ascii_case(b"transfer-encoding") {
-                let chunks = value[1..].trim_ascii().eq_ignore_ascii_case(b"chunked");
-                self.plain = chunks && !self.chunked;
-                self.chunked = true;
-            }
+            return self.end_head();
+        } else {
+            self.read_header()?;
         }
         self.line.clear();
         Ok(())
     }
 
-    fn head_end(&mut self) -> Result<(), Fault> {
-        if self.side == Side::Answers && (100..200).contains(&self.status) {
-            self.interim += 1;
-            self.begin();
-            return if self.interim > MOST_INTERIM { Err(Fault::Interim) } else { Ok(()) };
+    /// Takes from a header line what it tells of the body's length.
+    fn read_header(&mut self) -> Result<(), FramingError> {
+        let Some(colon) = self.line.iter().position(|&b| b == b':') else { return Ok(()) };
+        let (name, value) = self.line.split_at(colon);
+        let (name, value) = (name.trim_ascii(), value[1..].trim_ascii());
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let length = parse_number(value).ok_or(FramingError::InvalidLength)?;
+            if self.content_length.replace(length).is_some() {
+                return Err(FramingError::InvalidLength);
+            }
+        }
+        if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            let chunked = value.eq_ignore_ascii_case(b"chunked");
+            self.is_only_chunked = chunked && !self.is_chunked;
+            self.is_chunked = true;
+        }
+        Ok(())
+    }
+
+    fn end_head(&mut self) -> Result<(), FramingError> {
+        if self.kind == MessageKind::Response && (100..200).contains(&self.status) {
+            self.interim_responses += 1;
+            self.reset();
+            let fits = self.interim_responses <= MAX_INTERIM_RESPONSES;
+            return if fits { Ok(()) } else { Err(FramingError::TooManyInterimResponses) };
         }
-        let bare = self.side == Side::Requests || matches!(self.status, 204 | 304);
-        self.state = match self.length {
-            Some(_) if self.chunked => return Err(Fault::TwoLengths),
-            Some(n) if n > self.longest as u64 => return Err(Fault::LongBody),
-            Some(0) => State::Whole,
-            Some(n) => State::Body(n),
-            None if self.chunked && self.plain => {
-                self.head = 0;
-                State::Chunks(Chunk::Size(0, 0))
+        let has_no_body = self.kind == MessageKind::Request || matches!(self.status, 204 | 304);
+        self.state = match self.content_length {
+            Some(_) if self.is_chunked => return Err(FramingError::ConflictingLengths),
+            Some(length) if length > self.max_body as u64 => return Err(FramingError::BodyTooLong),
+            Some(0) => State::Complete,
+            Some(length) => State::Body(length),
+            None if self.is_chunked && self.is_only_chunked => {
+                self.head_bytes = 0;
+                State::Chunked(ChunkState::Size { size: 0, digits: 0 })
             }
-            None if self.chunked || !bare => State::Open,
-            None => State::Whole,
+            None if self.is_chunked || !has_no_body => State::EndUnknown,
+            None => State::Complete,
         };
         Ok(())
     }
 }
 
-/// A number in digits alone. One of over 18 digits is longer than anything.
-fn number(digits: &[u8]) -> Option<u64> {
+/// A number of digits alone.
+fn parse_number(digits: &[u8]) -> Option<u64> {
     if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
         return None;
     }
-    if digits.len() > 18 {
+    if digits.len() > MAX_NUMBER_DIGITS {
         return Some(u64::MAX);
     }
-    Some(digits.iter().fold(0, |n, d| 10 * n + u64::from(d - b'0')))
+    Some(digits.iter().fold(0, |number, digit| 10 * number + u64::from(digit - b'0')))
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const LONGEST_BODY: usize = 64 << 10;
-
-    fn requests(text: &str) -> Result<Framing, Fault> {
-        let mut whole = Framing::new(Side::Requests, LONGEST_BODY);
-        let result = whole.feed(text.as_bytes());
-        // The same byte by byte.
-        let mut piecemeal = Framing::new(Side::Requests, LONGEST_BODY);
-        let one_by_one = text.as_bytes().chunks(1).try_for_each(|b| piecemeal.feed(b));
-        assert_eq!(result, one_by_one, "{text:?}");
-        result.map(|()| whole)
-    }
-
-    #[test]
-    fn a_message_ends_where_its_head_says() {
-        assert!(requests("GET / HTTP/1.1\r\nA: b\r\n\r\n").is_ok_and(|f| f.whole()));
-        assert!(requests("POST / HTTP/1.1\nContent-Length: 3\n\nabc").is_ok_and(|f| f.whole()));
-        assert!(
-            requests("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab").is_ok_and(|f| !f.whole())
-        );
-        assert!(
-            requests("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc")
-                .is_ok_and(|f| !f.whole())
-        );
-    }
-
-    #[test]
-    fn chunks_end_where_the_standard_says_and_else_are_left_to_hyper() {
-        let with = |body: &str| {
-            requests(&format!("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n{body}"))
-        };
-        for whole in [
-            "0\r\n\r\n",
-            "3\r\nabc\r\n0\r\n\r\n",
-            "0a;name=value\r\n0123456789\r\n1\r\n\n\r\n000\r\nTrailer: a\r\nB: c\r\n\r\n",
-        ] {
-            assert!(with(whole).is_ok_and(|f| f.whole()), "{whole:?}");
-            assert_eq!(with(&format!("{whole}G")).err(), Some(Fault::OutOfTurn), "{whole:?}");
-        }
-        for open in [
-            "3\r\nabcd\n0\r\n\r\n",
-            "3\nabc\n0\n\n",
-            " 3\r\nabc\r\n0\r\n\r\n",
-            "\r\n",
-            "0x3\r\nabc\r\n0\r\n\r\n",
-            "000000003\r\nabc\r\n0\r\n\r\n",
-            "0\r\n\n\r\n",
-        ] {
-            let more = format!("{open}GET / HTTP/1.1\r\n\r\n");
-            assert!(with(open).is_ok_and(|f| !f.whole()), "{open:?}");
-            assert!(with(&more).is_ok_and(|f| !f.whole()), "{more:?}");
-        }
-        assert!(with("3\r\nabc\r\n0\r\n").is_ok_and(|f| !f.whole()));
-        assert_eq!(with("ffffffff\r\n").err(), Some(Fault::LongBody));
-        assert_eq!(with(&format!("1;{}", "x".repeat(20_000))).err(), Some(Fault::LongHead));
-        assert_eq!(with(&format!("0\r\n{}", "A: b\r\n".repeat(4000))).err(), Some(Fault::LongHead));
-        let twice = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
-        assert!(requests(twice).is_ok_and(|f| !f.whole()));
-    }
-
-    #[test]
-    fn what_leaves_the_end_open_to_doubt_is_a_fault() {
-        let with = |headers: &str| requests(&format!("POST / HTTP/1.1\r\n{headers}\r\n\r\n")).err();
-        let both = [
-            "Content-Length: 3\r\nTransfer-Encoding: chunked",
-            "transfer-encoding: chunked\r\ncontent-length: 3",
-        ];
-        for headers in both {
-            assert_eq!(with(headers), Some(Fault::TwoLengths));
-        }
-        for length in ["-1", "+1", "1, 1", "x", "", "0x10", "1\r\nContent-Length: 1"] {
-            assert_eq!(with(&format!("Content-Length: {length}")), Some(Fault::BadLength));
-        }
-        for length in ["65537", "99999999999999999999999"] {
-            assert_eq!(with(&format!("Content-Length: {length}")), Some(Fault::LongBody));
-        }
-        assert_eq!(with(&"A: b\r\n".repeat(4000)), Some(Fault::LongHead));
-        assert_eq!(
-            requests("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n").err(),
-            Some(Fault::OutOfTurn)
-        );
-    }
-
-    #[test]
-    fn interim_answers_are_no_answer() {
-        let mut f = Framing::new(Side::Answers, LONGEST_BODY);
-        for _ in 0..3 {
-            assert_eq!(f.feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"), Ok(()));
-            assert!(!f.begun());
-        }
-        assert_eq!(f.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Ok(()));
-        assert!(f.whole());
-        assert_eq!(f.feed(b"HTTP/1.1 200 OK\r\n"), Err(Fault::OutOfTurn));
-        f.next();
-        let endless = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(40);
-        assert_eq!(f.feed(&endless), Err(Fault::Interim));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/sidecar/framing/tests.rs
@@ -0,0 +1,111 @@
+//! Tests of message framing, each message also fed byte by byte.
+
+use super::*;
+
+const MAX_BODY: usize = 64 << 10;
+
+fn requests(text: &str) -> Result<Framing, FramingError> {
+    let mut complete = Framing::new(MessageKind::Request, MAX_BODY);
+    let result = complete.feed(text.as_bytes());
+    // The same byte by byte.
+    let mut piecemeal = Framing::new(MessageKind::Request, MAX_BODY);
+    let one_by_one = text.as_bytes().chunks(1).try_for_each(|b| piecemeal.feed(b));
+    assert_eq!(result, one_by_one, "{text:?}");
+    result.map(|()| complete)
+}
+
+#[test]
+fn message_ends_as_its_head_declares() {
+    assert!(requests("GET / HTTP/1.1\r\nA: b\r\n\r\n").is_ok_and(|framing| framing.is_complete()));
+    assert!(
+        requests("POST / HTTP/1.1\nContent-Length: 3\n\nabc")
+            .is_ok_and(|framing| framing.is_complete())
+    );
+    assert!(
+        requests("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab")
+            .is_ok_and(|framing| !framing.is_complete())
+    );
+    assert!(
+        requests("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc")
+            .is_ok_and(|framing| !framing.is_complete())
+    );
+}
+
+#[test]
+fn chunked_body_ends_per_standard_or_is_left_to_hyper() {
+    let with = |body: &str| {
+        requests(&format!("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n{body}"))
+    };
+    for complete in [
+        "0\r\n\r\n",
+        "3\r\nabc\r\n0\r\n\r\n",
+        "0a;name=value\r\n0123456789\r\n1\r\n\n\r\n000\r\nTrailer: a\r\nB: c\r\n\r\n",
+    ] {
+        assert!(with(complete).is_ok_and(|framing| framing.is_complete()), "{complete:?}");
+        assert_eq!(
+            with(&format!("{complete}G")).err(),
+            Some(FramingError::UnexpectedData),
+            "{complete:?}"
+        );
+    }
+    for open in [
+        "3\r\nabcd\n0\r\n\r\n",
+        "3\nabc\n0\n\n",
+        " 3\r\nabc\r\n0\r\n\r\n",
+        "\r\n",
+        "0x3\r\nabc\r\n0\r\n\r\n",
+        "000000003\r\nabc\r\n0\r\n\r\n",
+        "0\r\n\n\r\n",
+    ] {
+        let more = format!("{open}GET / HTTP/1.1\r\n\r\n");
+        assert!(with(open).is_ok_and(|framing| !framing.is_complete()), "{open:?}");
+        assert!(with(&more).is_ok_and(|framing| !framing.is_complete()), "{more:?}");
+    }
+    assert!(with("3\r\nabc\r\n0\r\n").is_ok_and(|framing| !framing.is_complete()));
+    assert_eq!(with("ffffffff\r\n").err(), Some(FramingError::BodyTooLong));
+    assert_eq!(with(&format!("1;{}", "x".repeat(20_000))).err(), Some(FramingError::HeadTooLong));
+    assert_eq!(
+        with(&format!("0\r\n{}", "A: b\r\n".repeat(4000))).err(),
+        Some(FramingError::HeadTooLong)
+    );
+    let twice = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    assert!(requests(twice).is_ok_and(|framing| !framing.is_complete()));
+}
+
+#[test]
+fn ambiguous_message_length_is_an_error() {
+    let with = |headers: &str| requests(&format!("POST / HTTP/1.1\r\n{headers}\r\n\r\n")).err();
+    let both = [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "transfer-encoding: chunked\r\ncontent-length: 3",
+    ];
+    for headers in both {
+        assert_eq!(with(headers), Some(FramingError::ConflictingLengths));
+    }
+    for length in ["-1", "+1", "1, 1", "x", "", "0x10", "1\r\nContent-Length: 1"] {
+        assert_eq!(with(&format!("Content-Length: {length}")), Some(FramingError::InvalidLength));
+    }
+    for length in ["65537", "99999999999999999999999"] {
+        assert_eq!(with(&format!("Content-Length: {length}")), Some(FramingError::BodyTooLong));
+    }
+    assert_eq!(with(&"A: b\r\n".repeat(4000)), Some(FramingError::HeadTooLong));
+    assert_eq!(
+        requests("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n").err(),
+        Some(FramingError::UnexpectedData)
+    );
+}
+
+#[test]
+fn interim_responses_are_skipped_up_to_a_limit() {
+    let mut framing = Framing::new(MessageKind::Response, MAX_BODY);
+    for _ in 0..3 {
+        assert_eq!(framing.feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"), Ok(()));
+        assert!(!framing.has_started());
+    }
+    assert_eq!(framing.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Ok(()));
+    assert!(framing.is_complete());
+    assert_eq!(framing.feed(b"HTTP/1.1 200 OK\r\n"), Err(FramingError::UnexpectedData));
+    framing.start_next();
+    let endless = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(40);
+    assert_eq!(framing.feed(&endless), Err(FramingError::TooManyInterimResponses));
+}
--- /dev/null
+++ b/src/sidecar/ingress/accept.rs
@@ -0,0 +1,110 @@
+//! Accepting client connections within their budget, and evicting connections to make room.
+
+use std::cmp::Reverse;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use runtime::{Listener, Runtime, timeout};
+
+use super::Ingress;
+use crate::sidecar::budget::SocketPermit;
+
+/// The pause before accepting is tried again when no descriptor is left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// How many connections are closed at most with each one that is accepted.
+const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
+
+impl<P: Runtime> Ingress<P> {
+    /// Accepts clients for as long as it is polled.
+    ///
+    /// What waits in the listener's queue while the budget is used up is in progress already for
+    /// its client, and its time runs. Nothing tells since when it waits; it came no earlier than
+    /// accepting last fell behind, and that much is taken off its first request's time. Clients
+    /// that connect in a crowd and send their request later get less time than they ask for.
+    pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
+        let mut behind_since: Option<Instant> = None;
+        loop {
+            let requested = P::now();
+            let permit = self.acquire_permit().await;
+            if P::now() > requested {
+                behind_since.get_or_insert(requested);
+            }
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = std::future::ready(()) => {
+                    behind_since = None;
+                    listener.accept().await
+                }
+            };
+            match accepted {
+                Ok((socket, _)) => {
+                    let number = self.accept_count.get() + 1;
+                    self.accept_count.set(number);
+                    self.last_accepted.set(P::now());
+                    self.evict_longest_idle();
+                    let delay = behind_since.map_or(Duration::ZERO, P::elapsed_since);
+                    P::spawn(self.clone().serve_connection(number, socket, permit, delay));
+                }
+                Err(error) => {
+                    // An accept that fails for want of descriptors, or because the client has
+                    // disconnected, must not end accepting.
+                    tracing::warn!(%error, "failed to accept a client connection");
+                    self.last_accept_failure.set(Some(P::now()));
+                    self.evict_one();
+                    behind_since.get_or_insert(P::now());
+                    P::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// A place for one more connection. One without a request in progress makes room if needed.
+    async fn acquire_permit(&self) -> SocketPermit {
+        loop {
+            let clients = self.sockets.clients.clone();
+            if let Ok(permit) = clients.clone().try_acquire_owned() {
+                return permit;
+            }
+            self.evict_one();
+            let acquired = timeout::<P, _>(ACCEPT_RETRY_DELAY, clients.acquire_owned()).await;
+            if let Ok(Ok(permit)) = acquired {
+                return permit;
+            }
+        }
+    }
+
+    /// With each client that connects when there are many, closes those that have been idle for
+    /// the longest time.
+    ///
+    /// Clients may hold only so many connections. Where they send one request and keep the
+    /// connection, idle ones use up the clients' limit long before ours, and their next request
+    /// never gets here. This also covers crowds that connect for one request and stay. Clients with
+    /// many connections that are used in slow rotation have to reconnect each time.
+    fn evict_longest_idle(&self) {
+        let connections = self.connections.borrow();
+        let surplus = connections.len().saturating_sub(self.sockets.eviction_threshold());
+        let surplus = surplus.min(MAX_EVICTIONS_PER_ACCEPT);
+        if surplus == 0 {
+            return;
+        }
+        let mut idle: Vec<_> =
+            connections.values().filter_map(|c| Some((c.evictable_idle_time()?, c))).collect();
+        idle.sort_unstable_by_key(|(idle_time, _)| Reverse(*idle_time));
+        for (_, connection) in idle.into_iter().take(surplus) {
+            connection.request_close();
+        }
+    }
+
+    /// Closes the connection that can best be spared, if one can.
+    fn evict_one(&self) {
+        let connections = self.connections.borrow();
+        let mut ranked: Vec<_> =
+            connections.values().filter_map(|c| Some((c.eviction_rank()?, c))).collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let evicted = ranked.into_iter().find(|(_, c)| c.has_no_unread_input());
+        if let Some((_, connection)) = evicted {
+            connection.request_close();
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/ingress/connection.rs
@@ -0,0 +1,426 @@
+//! State and timeouts of one client connection.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use runtime::{Observer, Runtime, Tcp};
+use tokio::sync::Notify;
+
+use crate::sidecar::body::client_transfer_time;
+use crate::sidecar::framing::{Framing, FramingError, MessageKind};
+
+/// How long a client may make no progress: without a request, within a request, or while it has a
+/// response to read. A connection without a request may be closed after 2 s at the earliest, and a
+/// client that is silent or never finishes a request has to be disconnected within 3 s.
+const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long a client that keeps reading may take for a response, beside the time that its length
+/// allows.
+const MAX_RESPONSE_READ_TIME: Duration = Duration::from_secs(10);
+/// How often the timeout of a connection is evaluated while its request is in progress. The
+/// balancer limits that time.
+const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often a client is checked for having disconnected while input of it waits unread.
+const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// With many connections, one that has been idle for this long after its last response may be
+/// closed: an active client sends its next request sooner, or opens another connection, which costs
+/// the servers nothing.
+const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
+/// The same for a connection without any request so far: its first request would be lost with it.
+const MIN_UNUSED_BEFORE_EVICTION: Duration = Duration::from_secs(1);
+/// How many bytes of a body can wait unread in the system's receive buffer.
+const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+
+/// What a client connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// No byte of a request has been received.
+    Idle,
+    /// Part of a request has been received.
+    ReceivingRequest,
+    /// The rest of a long body is streamed to a server; its pace is enforced where it is read.
+    StreamingRequest,
+    /// The request is complete and its response is awaited.
+    AwaitingResponse,
+    /// The response is available; some of it may not have been written.
+    Responding,
+    /// The last response is written; further input is read and discarded.
+    Lingering,
+}
+
+impl Phase {
+    /// Whether a request has been taken on and its response is not yet completely written.
+    pub fn is_busy(self) -> bool {
+        matches!(self, Phase::StreamingRequest | Phase::AwaitingResponse | Phase::Responding)
+    }
+}
+
+/// Which connection is closed first when room is needed: the smallest is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct EvictionRank {
+    class: EvictionClass,
+    since: Instant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    Lingering,
+    Idle,
+    ReceivingRequest,
+}
+
+/// The client has disconnected, or nothing more can be said to it.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the client connection is no longer usable")]
+pub(super) struct ClientDisconnected;
+
+/// Estimates when input was received that waited in the system's buffer before it was read.
+struct ReceiveClock {
+    /// Everything received so far has been read.
+    drained: Cell<bool>,
+    /// When input was last read that cannot have waited in the buffer.
+    fresh_at: Cell<Instant>,
+    /// Bytes read since then.
+    read_since: Cell<u64>,
+}
+
+impl ReceiveClock {
+    fn new(now: Instant) -> ReceiveClock {
+        ReceiveClock {
+            drained: Cell::new(true),
+            fresh_at: Cell::new(now),
+            read_since: Cell::new(0),
+        }
+    }
+
+    /// Records that `bytes` were read.
+    ///
+    /// The rest of a long body waits in the buffer until an attempt wants it, and its time runs
+    /// from when it was received. Where the client was still sending in the meantime, its time is
+    /// estimated shorter than it is.
+    fn record<P: Runtime>(&self, bytes: usize) {
+        let read_since = self.read_since.get() + bytes as u64;
+        if self.drained.replace(false) || read_since > MAX_BUFFERED_BYTES {
+            self.fresh_at.set(P::now());
+            self.read_since.set(0);
+        } else {
+            self.read_since.set(read_since);
+        }
+    }
+}
+
+/// How long a response has waited for its server. The client is not charged for that time.
+#[derive(Default)]
+struct UpstreamWait {
+    finished: Cell<Duration>,
+    /// Since when it waits again.
+    since: Cell<Option<Instant>>,
+}
+
+impl UpstreamWait {
+    fn reset(&self) {
+        self.finished.set(Duration::ZERO);
+        self.since.set(None);
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    fn start<P: Runtime>(&self) {
+        self.since.set(Some(self.since.get().unwrap_or_else(P::now)));
+    }
+
+    fn finish<P: Runtime>(&self) {
+        let waited = self.since.take().map_or(Duration::ZERO, P::elapsed_since);
+        self.finished.set(self.finished.get() + waited);
+    }
+}
+
+/// One client connection, as it is observed between hyper and its socket.
+///
+/// Every phase that depends on the client has a timeout of its own, which nothing extends but
+/// further reading of a response or, for a body, sending at a minimum pace. This guards against
+/// clients that hold a connection and never finish: silent ones, slow senders and those that do not
+/// read. It does harm to honest clients that are slower than that.
+pub(super) struct ClientConnection<P: Runtime> {
+    /// The connection's task alone keeps the socket open.
+    socket: Weak<P::Tcp>,
+    phase: Cell<Phase>,
+    /// When the phase began or, while responding, when the client last took some of the response.
+    last_progress: Cell<Instant>,
+    framing: RefCell<Framing>,
+    framing_error: Cell<Option<FramingError>>,
+    /// hyper has the complete last response: the next flush is its end.
+    response_complete: Cell<bool>,
+    response_started: Cell<Instant>,
+    /// Bytes of this request that were read or, while responding, of its response that were written.
+    transferred: Cell<u64>,
+    /// The earliest time at which the last byte of the request can have been received.
+    body_received_at: Rc<Cell<Option<Instant>>>,
+    receive_clock: ReceiveClock,
+    upstream_wait: UpstreamWait,
+    /// No request was completed here so far.
+    unused: Cell<bool>,
+    /// How long the connection may have waited to be accepted.
+    accept_delay: Duration,
+    close_requested: Notify,
+}
+
+impl<P: Runtime> ClientConnection<P> {
+    /// A connection without a request, whose request bodies may have up to `max_body` bytes.
+    pub fn new(
+        socket: &Rc<P::Tcp>,
+        accept_delay: Duration,
+        max_body: usize,
+    ) -> ClientConnection<P> {
+        ClientConnection {
+            socket: Rc::downgrade(socket),
+            phase: Cell::new(Phase::Idle),
+            last_progress: Cell::new(P::now()),
+            framing: RefCell::new(Framing::new(MessageKind::Request, max_body)),
+            framing_error: Cell::new(None),
+            response_complete: Cell::new(false),
+            response_started: Cell::new(P::now()),
+            transferred: Cell::new(0),
+            body_received_at: Rc::default(),
+            receive_clock: ReceiveClock::new(P::now()),
+            upstream_wait: UpstreamWait::default(),
+            unused: Cell::new(true),
+            accept_delay,
+            close_requested: Notify::new(),
+        }
+    }
+
+    /// What the connection is doing.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Starts a phase, and its timeout.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.last_progress.set(P::now());
+    }
+
+    /// Why what the client sent cannot be used, if so.
+    pub fn framing_error(&self) -> Option<FramingError> {
+        self.framing_error.get()
+    }
+
+    /// Whether the request was seen up to its end.
+    pub fn has_complete_request(&self) -> bool {
+        self.framing.borrow().is_complete()
+    }
+
+    /// Shared with the upload of the request's body.
+    pub fn body_received_at(&self) -> Rc<Cell<Option<Instant>>> {
+        self.body_received_at.clone()
+    }
+
+    /// How long the present request may have waited before the connection was accepted.
+    pub fn request_accept_delay(&self) -> Duration {
+        if self.unused.get() { self.accept_delay } else { Duration::ZERO }
+    }
+
+    /// A request's head was read.
+    pub fn start_request(&self) {
+        self.response_complete.set(false);
+    }
+
+    /// The response is available.
+    pub fn start_response(&self) {
+        self.enter(Phase::Responding);
+        self.response_started.set(P::now());
+        self.transferred.set(0);
+        self.upstream_wait.reset();
+        self.unused.set(false);
+    }
+
+    /// More of the response is available.
+    pub fn response_continues(&self) {
+        self.last_progress.set(P::now());
+        self.upstream_wait.finish::<P>();
+    }
+
+    /// The response waits for its server.
+    pub fn response_waits(&self) {
+        self.upstream_wait.start::<P>();
+    }
+
+    /// hyper has taken the complete response.
+    pub fn finish_response(&self) {
+        self.response_complete.set(true);
+    }
+
+    /// Has the connection's task close it.
+    pub fn request_close(&self) {
+        self.close_requested.notify_one();
+    }
+
+    /// Completes when the connection is to be closed.
+    pub async fn close_requested(&self) {
+        self.close_requested.notified().await;
+    }
+
+    /// Whether the client sends nothing more, whatever waits to be read.
+    pub fn is_gone(&self) -> bool {
+        self.socket.upgrade().is_none_or(|socket| socket.peer_closed())
+    }
+
+    /// The place in the order of eviction; none while a request is in progress.
+    pub fn eviction_rank(&self) -> Option<EvictionRank> {
+        let class = match self.phase.get() {
+            phase if phase.is_busy() => return None,
+            Phase::Lingering => EvictionClass::Lingering,
+            Phase::Idle => EvictionClass::Idle,
+            _ => EvictionClass::ReceivingRequest,
+        };
+        Some(EvictionRank { class, since: self.last_progress.get() })
+    }
+
+    /// Whether an idle client may be sending a request: it has connected just now, or input waits
+    /// to be read.
+    ///
+    /// A connection that is closed under a request loses it, and the client has to retry. One that
+    /// never had a response does not even know that it may.
+    pub fn may_be_sending(&self) -> bool {
+        let idle = P::elapsed_since(self.last_progress.get());
+        let just_connected = self.unused.get() && idle < MIN_IDLE_BEFORE_EVICTION;
+        self.phase.get() == Phase::Idle && (just_connected || !self.has_no_unread_input())
+    }
+
+    /// Whether all that the client has sent was read, or is discarded.
+    ///
+    /// Of a connection that was accepted just now nothing is read yet, though a complete request
+    /// may be there, which counts as taken on. In a crowd of clients that all send on, no connection
+    /// can be evicted until one runs into its timeout.
+    pub fn has_no_unread_input(&self) -> bool {
+        let unread = |socket: Rc<P::Tcp>| !socket.is_idle() && !socket.peer_closed();
+        self.phase.get() == Phase::Lingering || !self.socket.upgrade().is_some_and(unread)
+    }
+
+    /// How long the connection has been idle, if that is long enough for it to be evicted.
+    pub fn evictable_idle_time(&self) -> Option<Duration> {
+        let least =
+            if self.unused.get() { MIN_UNUSED_BEFORE_EVICTION } else { MIN_IDLE_BEFORE_EVICTION };
+        let idle = P::elapsed_since(self.last_progress.get());
+        (self.phase.get() == Phase::Idle && idle >= least).then_some(idle)
+    }
+
+    /// Completes when the client has used up the time of the present phase.
+    pub async fn timed_out(&self) {
+        loop {
+            let now = P::now();
+            let deadline = self.phase_deadline().unwrap_or(now + BUSY_POLL_INTERVAL);
+            if deadline <= now {
+                return;
+            }
+            P::sleep_until(deadline).await;
+        }
+    }
+
+    /// When the present phase times out; none while somebody other than the client is waited for.
+    fn phase_deadline(&self) -> Option<Instant> {
+        let stalled_at = self.last_progress.get() + STALL_TIMEOUT;
+        match self.phase.get() {
+            Phase::StreamingRequest | Phase::AwaitingResponse => None,
+            Phase::Responding if self.upstream_wait.is_waiting() => None,
+            Phase::Responding => {
+                let read_time = MAX_RESPONSE_READ_TIME
+                    + client_transfer_time(self.transferred.get())
+                    + self.upstream_wait.finished.get();
+                Some(stalled_at.min(self.response_started.get() + read_time))
+            }
+            Phase::ReceivingRequest => {
+                Some(stalled_at + client_transfer_time(self.transferred.get()))
+            }
+            Phase::Idle | Phase::Lingering => Some(stalled_at),
+        }
+    }
+
+    /// The result of `work`, unless the client disconnects first.
+    ///
+    /// While nobody reads the rest of a body, the end of the connection waits behind it, and an
+    /// attempt would begin for a client that has left. Clients that end their sending side right
+    /// behind a long body and still want the response get none, as they do behind a short one.
+    ///
+    /// # Errors
+    ///
+    /// When the client has disconnected.
+    pub async fn unless_disconnected<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ClientDisconnected> {
+        let disconnected = async {
+            loop {
+                P::sleep(DISCONNECT_POLL_INTERVAL).await;
+                if !self.receive_clock.drained.get() && self.is_gone() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            () = disconnected => Err(ClientDisconnected),
+        }
+    }
+
+    /// Leaves the idle phase with the first bytes of a request, and counts those of its head and
+    /// of a short body.
+    fn count_request_bytes(&self, bytes: usize) {
+        if bytes > 0 && self.phase.get() == Phase::Idle {
+            self.phase.set(Phase::ReceivingRequest);
+            self.transferred.set(0);
+            // The time of a connection's first request runs from when it was accepted.
+            if !self.unused.get() {
+                self.last_progress.set(P::now());
+            }
+        }
+        if self.phase.get() == Phase::ReceivingRequest {
+            self.transferred.set(self.transferred.get() + bytes as u64);
+        }
+    }
+}
+
+impl<P: Runtime> Observer for ClientConnection<P> {
+    fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
+        self.count_request_bytes(bytes.len());
+        let mut framing = self.framing.borrow_mut();
+        framing.feed(bytes).map_err(|error| {
+            self.framing_error.set(Some(error));
+            io::Error::new(io::ErrorKind::InvalidData, error)
+        })?;
+        self.receive_clock.record::<P>(bytes.len());
+        if self.body_received_at.get().is_none() && framing.is_complete() {
+            self.body_received_at.set(Some(self.receive_clock.fresh_at.get()));
+        }
+        Ok(())
+    }
+
+    fn on_read_pending(&self) {
+        self.receive_clock.drained.set(true);
+    }
+
+    fn on_write(&self, bytes: &[u8]) {
+        if self.phase.get() == Phase::Responding {
+            self.transferred.set(self.transferred.get() + bytes.len() as u64);
+            self.last_progress.set(P::now());
+        }
+    }
+
+    fn may_shutdown(&self) -> bool {
+        self.framing_error.get().is_none()
+    }
+
+    fn on_flush(&self) {
+        if self.response_complete.replace(false) && self.phase.get() == Phase::Responding {
+            self.framing.borrow_mut().start_next();
+            self.body_received_at.set(None);
+            self.enter(Phase::Idle);
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/ingress/request.rs
@@ -0,0 +1,316 @@
+//! Requests of clients: validation, the body, and handing them to the driver.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, http};
+use runtime::Runtime;
+
+use super::Ingress;
+use super::connection::{ClientConnection, ClientDisconnected, Phase};
+use super::response::{ResponseParts, empty_response, end_to_end_headers};
+use crate::api::Micros;
+use crate::settings::Repeat;
+use crate::sidecar::body::{
+    BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
+};
+use crate::sidecar::budget::Reservation;
+use crate::sidecar::config::stable_hash;
+use crate::sidecar::driver::{Asked, Reply, Ticket};
+use crate::sidecar::upload::Upload;
+use crate::sidecar::upstream::Spec;
+
+/// Headers of which a request may have one at most: a server might go by another one than this
+/// sidecar does.
+const SINGLE_HEADERS: [&str; 4] =
+    ["x-correlation-id", "idempotency-key", "x-time-left-ms", "x-account"];
+/// The cookie that names what a request is about.
+const KEY_COOKIE: &str = "k";
+
+/// Why a request gets no reply from the driver.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum RequestError {
+    /// It cannot be used, and the client is told so with this status.
+    #[error("the request is rejected with status {0}")]
+    Rejected(StatusCode),
+    /// Nobody waits for the response.
+    #[error(transparent)]
+    Disconnected(#[from] ClientDisconnected),
+}
+
+/// What a valid request asks for.
+struct ParsedRequest<'a> {
+    info: Asked,
+    /// What identifies it to servers.
+    correlation_id: &'a str,
+    repeat: Repeat,
+}
+
+/// A request's body, or as much of it as is read before the request is forwarded.
+struct RequestBody {
+    first: Bytes,
+    /// Where it is streamed: all of it.
+    upload: Option<Rc<Upload>>,
+    reservation: Reservation,
+}
+
+impl<P: Runtime> Ingress<P> {
+    /// The response to a health check of this sidecar, if the request is one.
+    pub(super) fn health_response(
+        &self,
+        request: &Request<Incoming>,
+    ) -> Option<Response<ResponseParts>> {
+        if request.method() != Method::GET {
+            return None;
+        }
+        match request.uri().path() {
+            "/health/ready" if self.is_ready() => Some(empty_response(StatusCode::OK)),
+            "/health/ready" => Some(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
+            "/health/version" => Some(self.version_response()),
+            _ => None,
+        }
+    }
+
+    /// The response that describes the state of the sidecar.
+    fn version_response(&self) -> Response<ResponseParts> {
+        let first = serde_json::to_vec(&self.state()).unwrap_or_default().into();
+        let mut response = Response::new(ResponseParts { first, ..ResponseParts::default() });
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json);
+        response
+    }
+
+    /// The driver's reply to one request.
+    ///
+    /// # Errors
+    ///
+    /// When the request is rejected, or the client has disconnected.
+    pub(super) async fn forward(
+        &self,
+        connection: &Rc<ClientConnection<P>>,
+        request: Request<Incoming>,
+    ) -> Result<Reply, RequestError> {
+        let (head, body) = request.into_parts();
+        let ParsedRequest { mut info, correlation_id, repeat } = self.parse(&head)?;
+        info.left = self.remaining_time(connection, info.left);
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
+        }
+        let RequestBody { first, upload, reservation } =
+            self.receive_body(connection, body, &info).await?;
+        // What waited to be accepted or for memory may be of a client that has left meanwhile, and
+        // an attempt would begin for nobody. See `ClientConnection::unless_disconnected` for whom
+        // this harms.
+        if connection.is_gone() {
+            return Err(ClientDisconnected.into());
+        }
+        // Servers identify requests by their ids. A second request under the id of a first one that
+        // may still be in progress would be taken for a retry of it.
+        let Some(_open_id) = self.request_ids.open(correlation_id) else {
+            return Err(RequestError::Rejected(StatusCode::CONFLICT));
+        };
+        let streams = upload.is_some();
+        connection.enter(if streams { Phase::StreamingRequest } else { Phase::AwaitingResponse });
+        let spec = Spec {
+            repeat,
+            method: head.method.clone(),
+            target: head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default(),
+            headers: end_to_end_headers(&head.headers),
+            body: first,
+            upload: upload.clone(),
+            room: reservation,
+            over: std::cell::Cell::default(),
+        };
+        let (class, started) = (info.class, P::now());
+        let mut ticket = self.driver.request(info, spec);
+        let reply = await_reply(connection, &mut ticket, upload).await?;
+        let took_us = P::elapsed_since(started).as_micros() as u64;
+        tracing::debug!(
+            request = correlation_id,
+            class,
+            answer = reply.name(),
+            took_us,
+            "request completed"
+        );
+        Ok(reply)
+    }
+
+    /// What is left of a client's time: what it spent waiting to be accepted is over, and the
+    /// process may end before.
+    fn remaining_time(&self, connection: &ClientConnection<P>, left: Duration) -> Duration {
+        let left = left.saturating_sub(connection.request_accept_delay());
+        match self.shutdown_deadline.get() {
+            Some(deadline) => left.min(deadline.saturating_duration_since(P::now())),
+            None => left,
+        }
+    }
+
+    /// Reads a short body completely, and of a long one what is buffered; the rest is streamed.
+    ///
+    /// Memory is reserved before anything is read: reserved only for bytes that are here, it would
+    /// be overdrawn by all who send at the same time. A client whose time runs out while it waits
+    /// for memory has had no attempt.
+    async fn receive_body(
+        &self,
+        connection: &Rc<ClientConnection<P>>,
+        body: Incoming,
+        info: &Asked,
+    ) -> Result<RequestBody, ClientDisconnected> {
+        if body.is_end_stream() {
+            return Ok(RequestBody { first: Bytes::new(), upload: None, reservation: None });
+        }
+        let length = body.size_hint().exact();
+        let buffered =
+            length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
+        let reserving = self.bytes.reserve(buffered.unwrap_or(STREAM_RESERVATION_BYTES));
+        let reservation = connection.unless_disconnected(reserving).await?;
+        let (first, rest) = read_prefix(body, buffered.unwrap_or(STREAM_WINDOW_BYTES)).await?;
+        let upload = rest.map(|rest| {
+            let remaining = self.live.max_body_bytes().saturating_sub(first.len()) as u64;
+            let source: BoxedBody = Box::pin(StreamedRequestBody {
+                body: PacedBody::<P>::from_client(rest, remaining),
+                connection: connection.clone(),
+            });
+            let left = self.driver.patience(info.class, info.left);
+            let received_at = connection.body_received_at();
+            Upload::new::<P>(first.clone(), source, length, left, received_at)
+        });
+        Ok(RequestBody { first, upload, reservation })
+    }
+
+    /// Validates a request's head, and takes from it what the driver has to know.
+    fn parse<'a>(&self, head: &'a http::request::Parts) -> Result<ParsedRequest<'a>, RequestError> {
+        const BAD_REQUEST: RequestError = RequestError::Rejected(StatusCode::BAD_REQUEST);
+        let text = |name| header_text(&head.headers, name);
+        let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let names = self.live.names();
+        let class = names.classes.get(name);
+        let class = class.ok_or(RequestError::Rejected(StatusCode::NOT_FOUND))?;
+        let has_key = text("idempotency-key")?.is_some();
+        match (class.repeat, &head.method) {
+            (Repeat::Safe, &Method::GET) | (Repeat::Keyed | Repeat::Unsafe, &Method::POST) => {}
+            _ => return Err(RequestError::Rejected(StatusCode::METHOD_NOT_ALLOWED)),
+        }
+        if class.repeat != Repeat::Safe && has_key != (class.repeat == Repeat::Keyed) {
+            return Err(BAD_REQUEST);
+        }
+        let correlation_id = text("x-correlation-id")?.filter(|id| !id.is_empty());
+        let correlation_id = correlation_id.ok_or(BAD_REQUEST)?;
+        let repeated = |name: &&str| head.headers.get_all(*name).iter().nth(1).is_some();
+        if SINGLE_HEADERS.iter().any(repeated) {
+            return Err(BAD_REQUEST);
+        }
+        let tenant = match text("x-account")? {
+            _ if names.tenants.is_empty() => 0,
+            name => *name.and_then(|name| names.tenants.get(name)).ok_or(BAD_REQUEST)?,
+        };
+        let left_ms = text("x-time-left-ms")?.and_then(|value| value.parse::<u32>().ok());
+        let left_ms = left_ms.ok_or(BAD_REQUEST)?;
+        let info = Asked {
+            class: class.index,
+            tenant,
+            key: request_key(&head.headers).unwrap_or(0),
+            left: Duration::from_millis(left_ms.into()),
+            hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
+            repeat: text("x-repeat")? == Some("1"),
+        };
+        Ok(ParsedRequest { info, correlation_id, repeat: class.repeat })
+    }
+}
+
+/// Waits for the reply, and for the rest of a streamed body.
+async fn await_reply<P: Runtime>(
+    connection: &ClientConnection<P>,
+    ticket: &mut Ticket<P>,
+    upload: Option<Rc<Upload>>,
+) -> Result<Reply, ClientDisconnected> {
+    match upload {
+        // Behind a chunked body whose end only hyper saw, something may wait unread, and the end of
+        // the connection behind that.
+        None if !connection.has_complete_request() => {
+            connection.unless_disconnected(ticket.reply()).await
+        }
+        None => Ok(ticket.reply().await),
+        Some(upload) => {
+            let reply = connection.unless_disconnected(ticket.reply()).await?;
+            upload.drain().await.map_err(|BodyError| ClientDisconnected)?;
+            Ok(reply)
+        }
+    }
+}
+
+/// The trimmed value of a header, if it is there.
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, RequestError> {
+    let value = headers.get(name).map(|value| value.to_str().map(str::trim)).transpose();
+    value.map_err(|_| RequestError::Rejected(StatusCode::BAD_REQUEST))
+}
+
+/// What a request is about, as its cookie says.
+fn request_key(headers: &HeaderMap) -> Option<u64> {
+    headers.get_all(header::COOKIE).iter().find_map(cookie_key)
+}
+
+fn cookie_key(cookies: &HeaderValue) -> Option<u64> {
+    let pairs = cookies.to_str().ok()?.split(';').filter_map(|pair| pair.split_once('='));
+    let mut keys = pairs.filter(|(name, _)| name.trim() == KEY_COOKIE);
+    let value = keys.next()?.1.trim();
+    Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| stable_hash(value.as_bytes())))
+}
+
+/// Reads a body completely or, if it is longer than `most` bytes, a little more than that; then the
+/// rest is returned.
+///
+/// The bytes are copied into one buffer: a body that arrives byte by byte would take many times its
+/// size if each piece were kept as it came.
+async fn read_prefix(
+    mut body: Incoming,
+    most: usize,
+) -> Result<(Bytes, Option<Incoming>), ClientDisconnected> {
+    let mut first = BytesMut::with_capacity(most);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ClientDisconnected)?.into_data() else { continue };
+        first.extend_from_slice(&data);
+        if first.len() >= most && !body.is_end_stream() {
+            return Ok((first.freeze(), Some(body)));
+        }
+    }
+    Ok((first.freeze(), None))
+}
+
+/// The rest of a client's long body. It tells the connection when it has ended.
+struct StreamedRequestBody<P: Runtime> {
+    body: PacedBody<P>,
+    connection: Rc<ClientConnection<P>>,
+}
+
+impl<P: Runtime> Body for StreamedRequestBody<P> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            None => self.connection.enter(Phase::AwaitingResponse),
+            // Nothing more of this connection can be used.
+            Some(Err(BodyError)) => self.connection.request_close(),
+            Some(Ok(_)) if self.body.is_end_stream() => {
+                self.connection.enter(Phase::AwaitingResponse);
+            }
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
--- /dev/null
+++ b/src/sidecar/ingress/response.rs
@@ -0,0 +1,186 @@
+//! Responses to clients: heads, streamed bodies and the date.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+use runtime::Runtime;
+
+use super::connection::ClientConnection;
+use crate::sidecar::body::{BodyError, BoxedBody};
+use crate::sidecar::budget::Reservation;
+use crate::sidecar::driver::Reply;
+use crate::sidecar::upstream::Served;
+
+/// The body of a response before it is bound to its connection.
+#[derive(Default)]
+pub(super) struct ResponseParts {
+    /// All of it, or its first bytes.
+    pub first: Bytes,
+    /// What is streamed behind them.
+    pub rest: Option<BoxedBody>,
+    /// The memory that is reserved for it.
+    pub reservation: Reservation,
+}
+
+/// A response without a body.
+pub(super) fn empty_response(status: StatusCode) -> Response<ResponseParts> {
+    let mut response = Response::new(ResponseParts::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// The response that tells a client the outcome of its request.
+pub(super) fn reply_response(reply: Reply) -> Response<ResponseParts> {
+    match reply {
+        Reply::Served(Served { head, body, rest, room }) => {
+            let parts = ResponseParts { first: body, rest, reservation: room };
+            let mut response = Response::new(parts);
+            *response.headers_mut() = end_to_end_headers(&head);
+            response
+        }
+        Reply::Refused { retry_after } => {
+            let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = retry_after.map(|time| format!("{:.3}", time.as_secs_f64()));
+            if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
+                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            }
+            response
+        }
+        Reply::Failed => empty_response(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// The headers of a message that are forwarded: all but the hop-by-hop ones (RFC 9110, section
+/// 7.6.1) and those that servers address to this sidecar.
+pub(super) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+    let connection_options: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let forwarded = headers
+        .iter()
+        .filter(|(name, _)| !is_hop_by_hop(name) && !connection_options.contains(name));
+    forwarded.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    matches!(
+        name.as_str(),
+        "connection"
+            | "content-length"
+            | "expect"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "x-backend-load"
+            | "x-unprocessed"
+    )
+}
+
+/// The time of day as responses carry it (RFC 9110, section 6.6.1), formatted once a second.
+pub(super) struct DateCache {
+    cached: RefCell<CachedDate>,
+}
+
+struct CachedDate {
+    unix_second: u64,
+    value: HeaderValue,
+}
+
+impl Default for DateCache {
+    fn default() -> DateCache {
+        let value = HeaderValue::from_static("");
+        DateCache { cached: RefCell::new(CachedDate { unix_second: 0, value }) }
+    }
+}
+
+impl DateCache {
+    /// The value of the `Date` header.
+    pub fn header<P: Runtime>(&self) -> HeaderValue {
+        let now = P::unix_time().as_secs();
+        let mut cached = self.cached.borrow_mut();
+        if cached.unix_second != now {
+            let text = httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(now));
+            let value = HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static(""));
+            *cached = CachedDate { unix_second: now, value };
+        }
+        cached.value.clone()
+    }
+}
+
+/// The body of a response on its way to a client. Once it is dropped, its connection is idle as
+/// soon as all is written.
+pub(super) struct ResponseBody<P: Runtime> {
+    first: Full<Bytes>,
+    rest: Option<BoxedBody>,
+    connection: Rc<ClientConnection<P>>,
+    /// Returned to the budget with the body.
+    _reservation: Reservation,
+}
+
+impl<P: Runtime> ResponseBody<P> {
+    /// A body of `first` and, behind it, `rest`.
+    pub fn new(
+        first: Full<Bytes>,
+        rest: Option<BoxedBody>,
+        connection: Rc<ClientConnection<P>>,
+        reservation: Reservation,
+    ) -> ResponseBody<P> {
+        ResponseBody { first, rest, connection, _reservation: reservation }
+    }
+}
+
+impl<P: Runtime> Drop for ResponseBody<P> {
+    fn drop(&mut self) {
+        self.connection.finish_response();
+    }
+}
+
+impl<P: Runtime> Body for ResponseBody<P> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.first.is_end_stream() {
+            let frame = Pin::new(&mut self.first).poll_frame(cx);
+            return frame.map_err(|never| match never {});
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        let frame = rest.as_mut().poll_frame(cx);
+        // The time that the server takes is not the client's fault.
+        match frame {
+            Poll::Pending => self.connection.response_waits(),
+            Poll::Ready(_) => self.connection.response_continues(),
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_end_stream() && self.rest.as_ref().is_none_or(|rest| rest.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let Some(rest) = &self.rest else { return self.first.size_hint() };
+        let (first, rest) = (self.first.size_hint().lower(), rest.size_hint());
+        rest.exact().map(|n| SizeHint::with_exact(first + n)).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/sidecar/ingress/service.rs
@@ -0,0 +1,162 @@
+//! The task of one client connection: hyper's side of it, its timeouts and its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use runtime::{Runtime, Stream, Tcp, lingering_close};
+
+use super::connection::{ClientConnection, ClientDisconnected, Phase};
+use super::request::RequestError;
+use super::response::{ResponseBody, ResponseParts, empty_response, reply_response};
+use super::{DRAIN_PROPAGATION_DELAY, Ingress};
+use crate::sidecar::budget::SocketPermit;
+use crate::sidecar::framing::MAX_HEAD_BYTES;
+
+/// How long, and how far, a closing connection is read on, so that what the client still sends does
+/// not reset the connection before it has read its response.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_MAX_BYTES: usize = 256 << 10;
+
+impl<P: Runtime> Ingress<P> {
+    /// Serves one connection up to its end.
+    pub(super) async fn serve_connection(
+        self: Rc<Ingress<P>>,
+        number: u64,
+        socket: P::Tcp,
+        permit: SocketPermit,
+        accept_delay: Duration,
+    ) {
+        // A connection that is broken already shows when it is read.
+        let _ = socket.set_nodelay();
+        let socket = Rc::new(socket);
+        let max_body = self.live.max_body_bytes();
+        let connection = Rc::new(ClientConnection::new(&socket, accept_delay, max_body));
+        self.connections.borrow_mut().insert(number, connection.clone());
+        let responded = self.serve_requests(&connection, &socket).await;
+        // Also where hyper has closed its side in order: it never saw what is faulty.
+        let rejected = reject_unframed(&connection, &*socket);
+        if responded || rejected {
+            connection.enter(Phase::Lingering);
+            tokio::select! {
+                biased;
+                () = lingering_close::<P>(&socket, LINGER_TIME, LINGER_MAX_BYTES) => {}
+                () = connection.close_requested() => {}
+            }
+        } else if connection.phase().is_busy() {
+            // A response that is cut short must not look complete to anyone.
+            socket.reset_on_close();
+        }
+        self.connections.borrow_mut().remove(&number);
+        drop(socket);
+        drop(permit);
+    }
+
+    /// Has hyper serve requests until the connection ends. True: the client has all of its
+    /// responses, and the connection can be closed in order.
+    async fn serve_requests(
+        self: &Rc<Ingress<P>>,
+        connection: &Rc<ClientConnection<P>>,
+        socket: &Rc<P::Tcp>,
+    ) -> bool {
+        let io = TokioIo::new(Stream::new(socket.clone(), connection.clone()));
+        let service =
+            service_fn(|request| self.clone().handle_request(connection.clone(), request));
+        // What is in progress ends with hyper's connection, so a request that times out here is not
+        // answered a second time.
+        let mut http = Box::pin(
+            http1::Builder::new()
+                .max_buf_size(MAX_HEAD_BYTES)
+                .header_read_timeout(None)
+                // hyper would take the system's time, whatever the platform's is.
+                .auto_date_header(false)
+                .serve_connection(io, service),
+        );
+        tokio::select! {
+            biased;
+            ended = http.as_mut() => ended.map_or_else(|error| error.is_parse(), |()| true),
+            () = connection.close_requested() => false,
+            () = connection.timed_out() => {
+                if connection.phase() == Phase::ReceivingRequest {
+                    reject(connection, &**socket, StatusCode::REQUEST_TIMEOUT);
+                }
+                false
+            }
+        }
+    }
+
+    /// Responds to one request.
+    ///
+    /// # Errors
+    ///
+    /// When the client has disconnected.
+    async fn handle_request(
+        self: Rc<Ingress<P>>,
+        connection: Rc<ClientConnection<P>>,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody<P>>, ClientDisconnected> {
+        connection.start_request();
+        let mut response = match self.health_response(&request) {
+            Some(response) => response,
+            None => match self.forward(&connection, request).await {
+                Ok(reply) => reply_response(reply),
+                Err(RequestError::Rejected(status)) => empty_response(status),
+                Err(RequestError::Disconnected(error)) => return Err(error),
+            },
+        };
+        if self.is_last_response(&connection, response.status()) {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response.headers_mut().entry(header::DATE).or_insert_with(|| self.date.header::<P>());
+        connection.start_response();
+        let (head, ResponseParts { first, rest, reservation }) = response.into_parts();
+        let body = ResponseBody::new(Full::new(first), rest, connection, reservation);
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Whether the connection ends with this response.
+    ///
+    /// What a client sends once it was told that something is wrong with its request cannot be
+    /// relied upon; and where only hyper saw a body's end, what follows was not checked. Neither
+    /// goes on on the same connection.
+    fn is_last_response(&self, connection: &ClientConnection<P>, status: StatusCode) -> bool {
+        let unusable = !status.is_success() && connection.phase() != Phase::AwaitingResponse;
+        let leaving = self.shutdown_deadline.get().is_some()
+            || self.drained_for().is_some_and(|time| time >= DRAIN_PROPAGATION_DELAY);
+        leaving || unusable || !connection.has_complete_request()
+    }
+}
+
+/// Rejects a request whose framing is faulty, if it can still be told so. True: it was.
+fn reject_unframed<P: Runtime>(connection: &ClientConnection<P>, socket: &P::Tcp) -> bool {
+    connection.framing_error().is_some_and(|error| {
+        matches!(
+            connection.phase(),
+            Phase::ReceivingRequest | Phase::StreamingRequest | Phase::AwaitingResponse
+        ) && reject(connection, socket, error.status())
+    })
+}
+
+/// Writes a response in hyper's place, to a request that hyper is not to see or will not see
+/// completely. To be used only while nothing of a response has been written. True: it is written.
+fn reject<P: Runtime>(
+    connection: &ClientConnection<P>,
+    socket: &P::Tcp,
+    status: StatusCode,
+) -> bool {
+    connection.enter(Phase::Responding);
+    let text = format!(
+        "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        status.as_str(),
+        status.canonical_reason().unwrap_or_default()
+    );
+    let written = socket.try_write(text.as_bytes()).is_ok_and(|n| n == text.len());
+    connection.enter(Phase::Lingering);
+    written
+}
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -1,109 +1,118 @@
-//! What a new configuration may change while requests are under way. Everything else of it is
-//! fixed from the start to the end of the process.
+//! The values of the configuration that a reload can change while requests are in progress.
+//! Everything else is fixed from the start to the end of the process.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::budget::most_servers;
+use super::budget::max_servers;
 use super::config::{Config, Names};
 
+/// The part of a server's idle timeout for which a connection is reused.
+const REUSE_FRACTION: f64 = 0.7;
+
 /// How long the parts of an attempt may take.
 #[derive(Clone, Copy, Debug)]
-pub struct Times {
-    /// A connection, to come up.
+pub struct AttemptTimeouts {
+    /// Until a connection is established.
     pub connect: Duration,
-    /// A connection at rest, until servers may close it.
+    /// How long a connection may be idle before servers close it.
     pub idle: Duration,
-    /// Between two pieces of an answer.
+    /// Between two pieces of a response.
     pub gap: Duration,
 }
 
-impl Times {
-    /// How long a connection may rest and still be used.
+impl AttemptTimeouts {
+    /// How long a connection may be idle and still be reused.
     ///
-    /// Danger: what is written just as the server closes is lost as a reset. Connections are
-    /// retired well before.
-    pub fn retire(self) -> Duration {
-        self.idle.mul_f64(0.7)
+    /// A request that is written just as the server closes the connection is lost with a reset, so
+    /// connections are retired well before.
+    pub fn max_reuse_idle(self) -> Duration {
+        self.idle.mul_f64(REUSE_FRACTION)
     }
 }
 
-/// The values now in force, shared by all that use them. What is under way keeps those that it
+/// The values in force, shared by all that use them. A request in progress keeps those that it
 /// began with.
-pub struct Live {
+pub struct LiveConfig {
     names: RefCell<Rc<Names>>,
     deadlines: RefCell<Vec<Duration>>,
-    times: Cell<Times>,
-    longest: Cell<usize>,
-    most_servers: Cell<usize>,
+    timeouts: Cell<AttemptTimeouts>,
+    max_body_bytes: Cell<usize>,
+    max_servers: Cell<usize>,
     generation: Cell<u64>,
-    /// Until when what was taken under earlier deadlines may be under way.
-    earlier: Cell<Option<Instant>>,
+    /// Until when requests may be in progress that were admitted under earlier deadlines.
+    earlier_requests_due: Cell<Option<Instant>>,
 }
 
-impl Live {
+impl LiveConfig {
     /// The values of `config`.
-    pub fn new(config: &Config) -> Rc<Live> {
-        Rc::new(Live {
+    pub fn new(config: &Config) -> Rc<LiveConfig> {
+        Rc::new(LiveConfig {
             names: RefCell::new(config.names.clone()),
             deadlines: RefCell::new(deadlines(config)),
-            times: Cell::new(times(config)),
-            longest: Cell::new(longest(config)),
-            most_servers: Cell::new(most_servers(config.memory)),
+            timeouts: Cell::new(timeouts(config)),
+            max_body_bytes: Cell::new(config.longest_body),
+            max_servers: Cell::new(max_servers(config.memory)),
             generation: Cell::new(config.generation),
-            earlier: Cell::new(None),
+            earlier_requests_due: Cell::new(None),
         })
     }
 
     /// Puts the values of `config` in force, at the time `now`.
-    pub fn take_over(&self, config: &Config, now: Instant) {
-        self.earlier.set(self.earlier.get().max(Some(now + self.longest_deadline())));
+    pub fn apply(&self, config: &Config, now: Instant) {
+        let earlier = self.earlier_requests_due.get().max(Some(now + self.longest_deadline()));
+        self.earlier_requests_due.set(earlier);
         *self.names.borrow_mut() = config.names.clone();
         *self.deadlines.borrow_mut() = deadlines(config);
-        self.times.set(times(config));
-        self.longest.set(longest(config));
-        self.most_servers.set(most_servers(config.memory));
+        self.timeouts.set(timeouts(config));
+        self.max_body_bytes.set(config.longest_body);
+        self.max_servers.set(max_servers(config.memory));
         self.generation.set(config.generation);
     }
 
-    /// Names that stand on sockets for numbers of the settings.
+    /// Names that are used on sockets for numbers of the settings.
     pub fn names(&self) -> Rc<Names> {
         self.names.borrow().clone()
     }
 
-    /// How long clients of a class wait at the most.
+    /// How long clients of a class wait at most.
+    ///
+    /// # Panics
+    ///
+    /// When the settings have no such class.
     pub fn deadline(&self, class: usize) -> Duration {
         self.deadlines.borrow()[class]
     }
 
-    /// The longest time for which a client of any class waits.
+    /// How long clients of any class wait at most.
     pub fn longest_deadline(&self) -> Duration {
         self.deadlines.borrow().iter().max().copied().unwrap_or_default()
     }
 
-    /// Until when requests that were taken up to `now` may be under way.
+    /// Until when requests that were admitted up to `now` may be in progress.
     ///
-    /// Danger: what is under way keeps the deadline that it was taken with. A process that goes by the
-    /// present ones alone ends under requests that were taken before these were shortened.
-    pub fn all_due(&self, now: Instant) -> Instant {
+    /// A request keeps the deadline that it was admitted with. A process that goes by the present
+    /// deadlines alone would end while requests are in progress that were admitted before a reload
+    /// shortened them.
+    pub fn all_requests_due(&self, now: Instant) -> Instant {
         let due = now + self.longest_deadline();
-        self.earlier.get().map_or(due, |earlier| earlier.max(due))
+        self.earlier_requests_due.get().map_or(due, |earlier| earlier.max(due))
     }
 
     /// How long the parts of an attempt may take.
-    pub fn times(&self) -> Times {
-        self.times.get()
+    pub fn timeouts(&self) -> AttemptTimeouts {
+        self.timeouts.get()
     }
 
-    /// The longest body that is passed on, in bytes.
-    pub fn longest(&self) -> usize {
-        self.longest.get()
+    /// The longest body that is forwarded, in bytes.
+    pub fn max_body_bytes(&self) -> usize {
+        self.max_body_bytes.get()
     }
 
     /// How many servers may be known.
-    pub fn most_servers(&self) -> usize {
-        self.most_servers.get()
+    pub fn max_servers(&self) -> usize {
+        self.max_servers.get()
     }
 
     /// The number of the configuration in force.
@@ -116,16 +125,12 @@
     config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline)).collect()
 }
 
-fn times(config: &Config) -> Times {
+fn timeouts(config: &Config) -> AttemptTimeouts {
     let limits = &config.settings.limits;
-    let aims = config.settings.classes.iter().map(|c| c.aim);
-    Times {
+    let shortest_objective = config.settings.classes.iter().map(|c| c.aim).min();
+    AttemptTimeouts {
         connect: Duration::from_micros(limits.connect_timeout),
         idle: Duration::from_micros(limits.conn_idle),
-        gap: Duration::from_micros(aims.min().unwrap_or_default()),
+        gap: Duration::from_micros(shortest_objective.unwrap_or_default()),
     }
 }
-
-fn longest(config: &Config) -> usize {
-    config.longest_body
-}
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use instance_status::{State, Supervisor};
-use runtime::Platform;
+use instance_status::{InstanceStatus, SupervisorSocket};
+use runtime::Runtime;
 
 /// Between two reports.
 const EVERY: Duration = Duration::from_millis(500);
@@ -16,13 +16,13 @@
 /// Danger: these datagrams come from the event loop that serves clients, so that one that hangs
 /// falls silent. A queue that is full swallows a report, and a supervisor that was kept from
 /// reading would take that for silence: it is sent again soon.
-pub async fn run<P: Platform>(
-    supervisor: Supervisor,
-    state: impl Fn() -> State,
+pub async fn run<P: Runtime>(
+    supervisor: SupervisorSocket,
+    state: impl Fn() -> InstanceStatus,
     changed: &tokio::sync::Notify,
 ) {
     loop {
-        let sent = supervisor.send(&state().report());
+        let sent = supervisor.send(&state().to_datagram());
         tokio::select! {
             biased;
             () = changed.notified() => {}
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use runtime::{Platform, Udp};
+use runtime::{Runtime, Udp};
 use rustc_hash::FxHashMap;
 
 /// The longest datagram.
@@ -18,7 +18,7 @@
 }
 
 /// The way to the other sidecars.
-pub struct Peers<P: Platform> {
+pub struct Peers<P: Runtime> {
     socket: P::Udp,
     peers: Vec<SocketAddr>,
     /// Their numbers, by their addresses.
@@ -26,7 +26,7 @@
     everyone: Option<SocketAddr>,
 }
 
-impl<P: Platform> Peers<P> {
+impl<P: Runtime> Peers<P> {
     /// `socket` is bound to where datagrams arrive.
     pub fn new(
         socket: P::Udp,
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -5,29 +5,29 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use instance_status::Declined;
-use runtime::Platform;
+use instance_status::RejectedConfig;
+use runtime::Runtime;
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
-use super::budget::{Bytes, Sockets};
+use super::budget::{BodyBudget, SocketBudget};
 use super::config::Config;
 use super::driver::Driver;
-use super::live::Live;
+use super::live::LiveConfig;
 use super::status::Status;
 
 /// All that a new configuration reaches.
-pub struct Targets<P: Platform> {
+pub struct Targets<P: Runtime> {
     /// Where discovery is.
     pub discovery: watch::Sender<SocketAddr>,
     /// Values in force.
-    pub live: Rc<Live>,
+    pub live: Rc<LiveConfig>,
     /// The decisions.
     pub driver: Rc<Driver<P>>,
     /// Descriptors.
-    pub sockets: Rc<Sockets>,
+    pub sockets: Rc<SocketBudget>,
     /// Memory.
-    pub bytes: Bytes,
+    pub bytes: BodyBudget,
     /// Where the outcome is noted.
     pub status: Rc<Status>,
     /// What cannot change while the process runs.
@@ -37,7 +37,7 @@
 /// Reads the configuration again at each message of `requests`, and puts it in force as far as that can
 /// be. A file that cannot be used changes nothing. Never ends: what discovery has to tell counts during
 /// a planned end, too.
-pub async fn run<P: Platform>(
+pub async fn run<P: Runtime>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, String>,
     targets: Targets<P>,
@@ -47,14 +47,14 @@
             Ok(config) => targets.take_over(config),
             Err(why) => {
                 tracing::error!(error = %why, "configuration not taken over, the old one stays");
-                targets.status.reloaded(Some(Declined { generation: 0, why }));
+                targets.status.reloaded(Some(RejectedConfig { generation: 0, reason: why }));
             }
         }
     }
     std::future::pending().await
 }
 
-impl<P: Platform> Targets<P> {
+impl<P: Runtime> Targets<P> {
     fn take_over(&self, config: Config) {
         let moved = self.discovery.send_if_modified(|at| {
             let moved = *at != config.discovery;
@@ -65,10 +65,10 @@
         if let Some(key) = differs(&self.fixed, &config.fixed) {
             tracing::info!(generation, %discovery, moved, %key, "only discovery is taken over");
             let why = format!("{key}: only a new process can take this over");
-            self.status.reloaded(Some(Declined { generation, why }));
+            self.status.reloaded(Some(RejectedConfig { generation, reason: why }));
             return;
         }
-        self.live.take_over(&config, P::now());
+        self.live.apply(&config, P::now());
         self.sockets.resize::<P>(config.sockets);
         self.bytes.resize::<P>(config.memory);
         let clubs = config.clubs();
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -1,104 +1,112 @@
-//! The planned end: what was taken is answered, and nothing new is taken that could not be.
+//! Graceful shutdown: requests that were admitted are served, and none is admitted that could not
+//! be. Also the draining of clients that operators ask for.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use runtime::Platform;
+use runtime::Runtime;
 
-use super::ingress::{AWAY_SEEN, Ingress};
+use super::ingress::{CloseScope, DRAIN_PROPAGATION_DELAY, Ingress};
 
-/// New connections go on coming for up to 0.4 s; once none has come for a while after that, the
-/// clients that have nothing under way are let go.
-const COMING: Duration = Duration::from_millis(500);
-/// No new connection for so long: there are no more to come.
-const QUIET: Duration = Duration::from_millis(100);
-/// What is not whole by now might not be answered in time. Killing comes no sooner than the
-/// longest deadline and 0.7 s after the signal.
-const LAST_TAKEN: Duration = Duration::from_millis(650);
-/// What is left of that for long answers, beyond the longest deadline: what came just before 0.7 s
-/// were over still has its whole time.
-const SPARE: Duration = Duration::from_millis(695);
-/// What has no answer so long before the end is told that it gets none.
-const TELL: Duration = Duration::from_millis(20);
-const LOOK: Duration = Duration::from_millis(10);
+/// New connections continue to arrive for up to 0.4 s after the signal; once none has for a while
+/// after that, idle connections are closed.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(500);
+/// Without a new connection for this long, no more are expected.
+const QUIET_PERIOD: Duration = Duration::from_millis(100);
+/// A request that is incomplete this long after the signal might not be served in time. The process
+/// is killed no sooner than the longest deadline and 0.7 s after the signal.
+const ADMISSION_PERIOD: Duration = Duration::from_millis(650);
+/// How much of that is used, beyond the longest deadline: what arrives just before 0.7 s have
+/// passed still has its whole time.
+const EXIT_GRACE_PERIOD: Duration = Duration::from_millis(695);
+/// How long before the end of the process open requests are failed.
+const FAIL_MARGIN: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How long after operators have drained this instance all idle connections are closed.
+const DRAIN_CLOSE_ALL_DELAY: Duration = Duration::from_secs(1);
 
-/// So long after clients were sent away, all that rest are let go.
-const AWAY: Duration = Duration::from_secs(1);
-
-/// Lets the clients go, one after the other, while they are sent away; never ends.
+/// Closes the clients' connections, one after the other, while operators drain this instance; never
+/// ends.
 ///
-/// Danger: a client whose connection is closed just as it writes has to come again. Those that have
-/// rested a while go first, and only once new ones go elsewhere.
-pub async fn send_away<P: Platform>(ingress: Rc<Ingress<P>>) {
+/// A client whose connection is closed just as it writes has to retry. Connections that have been
+/// idle for a while are closed first, and only once new ones are opened elsewhere.
+pub async fn close_drained_clients<P: Runtime>(ingress: Rc<Ingress<P>>) {
     loop {
-        match ingress.away() {
+        match ingress.drained_for() {
             None => {
-                ingress.away_changed.notified().await;
+                ingress.drained_changed().await;
                 continue;
             }
-            Some(since) if since >= AWAY => ingress.close_idle(false),
-            Some(since) if since >= AWAY_SEEN => ingress.close_rested(),
+            Some(time) if time >= DRAIN_CLOSE_ALL_DELAY => ingress.close_idle(CloseScope::Idle),
+            Some(time) if time >= DRAIN_PROPAGATION_DELAY => ingress.close_evictable(),
             Some(_) => {}
         }
-        P::sleep(LOOK).await;
+        P::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Waits, from the signal on, until all is answered or nothing more can be. By `all_due` everything has
-/// its answer that had been taken at the signal.
+/// Waits, from the signal on, until everything is served or nothing more can be. By
+/// `all_requests_due` every request has its response that had been admitted at the signal.
 ///
-/// Danger: a process that ends takes with it what it still owes: requests that came late on connections
-/// that were open, and answers of which the system has not passed on all. So no request has more time
-/// than the process, what is left shortly before the end is told so, and a connection on which the last
-/// answer was written is read on to its end. Harmful to a release that waits for each process: one whose
-/// clients do not close takes half a second longer.
-pub async fn drain<P: Platform>(ingress: Rc<Ingress<P>>, all_due: Instant) {
+/// A process that ends loses what it still owes: requests that came late on open connections, and
+/// responses of which the system has not sent everything. So no request has more time than the
+/// process, what is open shortly before the end is failed, and a connection on which the last
+/// response was written is read on to its end. A rollout that waits for each process takes half a
+/// second longer if the clients do not close their connections.
+pub async fn drain<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
-    let ends = all_due + SPARE;
-    ingress.drain(ends - TELL);
-    while P::since(signal) < COMING
-        || (P::since(ingress.last_accepted()) < QUIET && P::since(signal) < LAST_TAKEN)
+    let exit = all_requests_due + EXIT_GRACE_PERIOD;
+    ingress.begin_shutdown(exit - FAIL_MARGIN);
+    while P::elapsed_since(signal) < IDLE_CLOSE_DELAY
+        || (P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD
+            && P::elapsed_since(signal) < ADMISSION_PERIOD)
     {
-        P::sleep(LOOK).await;
+        P::sleep(POLL_INTERVAL).await;
     }
-    // Danger: a client whose connection is closed just as it writes comes again on a new one, so
-    // new ones are accepted to the end.
+    // A client whose connection is closed just as it writes retries on a new one, so new ones are
+    // accepted to the end.
     loop {
-        ingress.close_idle(P::since(signal) >= LAST_TAKEN);
-        let coming = P::since(signal) < LAST_TAKEN || P::since(ingress.last_accepted()) < QUIET;
-        if ingress.owes_nothing() && !coming || P::now() >= ends {
+        let is_admitting = P::elapsed_since(signal) < ADMISSION_PERIOD;
+        ingress.close_idle(if is_admitting {
+            CloseScope::Idle
+        } else {
+            CloseScope::IdleAndReceiving
+        });
+        let arriving = is_admitting || P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD;
+        if ingress.is_quiescent() && !arriving || P::now() >= exit {
             return;
         }
-        if P::now() >= ends - TELL {
-            ingress.give_up();
+        if P::now() >= exit - FAIL_MARGIN {
+            ingress.fail_open_requests();
         }
-        P::sleep(LOOK).await;
+        P::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// The end of a sidecar whose successor has the listener: nothing new is accepted, every answer is
-/// the last on its connection, and what rests is closed.
+/// The shutdown of a sidecar whose successor has taken over the listener: nothing new is accepted,
+/// every response is the last on its connection, and idle connections are closed.
 ///
-/// Danger: a client whose connection is closed just as it writes has to come again on a new one,
-/// which the successor has. So at first only those are closed that have rested for a while; one that
-/// goes on asking is told `Connection: close` with its next answer; one that
-/// neither rests nor ends is cut when no answer could come in time any more.
-pub async fn hand_over<P: Platform>(ingress: Rc<Ingress<P>>, all_due: Instant) {
+/// A client whose connection is closed just as it writes has to retry on a new one, which the
+/// successor accepts. So at first only those connections are closed that have been idle for a
+/// while; a client that goes on sending is told `Connection: close` with its next response; one
+/// that is neither idle nor finishes is cut off when no response could be in time any more.
+pub async fn hand_over<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
-    let ends = all_due + LAST_TAKEN;
-    ingress.drain(ends - TELL);
+    let exit = all_requests_due + ADMISSION_PERIOD;
+    ingress.begin_shutdown(exit - FAIL_MARGIN);
     loop {
-        if P::since(signal) >= LAST_TAKEN {
-            ingress.close_idle(true);
+        if P::elapsed_since(signal) >= ADMISSION_PERIOD {
+            ingress.close_idle(CloseScope::IdleAndReceiving);
         } else {
-            ingress.close_rested();
+            ingress.close_evictable();
         }
-        if P::now() >= ends || (ingress.busy() == 0 && ingress.connected() == 0) {
+        let finished = ingress.requests_in_progress() == 0 && ingress.connection_count() == 0;
+        if P::now() >= exit || finished {
             return;
         }
-        if P::now() >= ends - TELL {
-            ingress.give_up();
+        if P::now() >= exit - FAIL_MARGIN {
+            ingress.fail_open_requests();
         }
-        P::sleep(LOOK).await;
+        P::sleep(POLL_INTERVAL).await;
     }
 }
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 
-use instance_status::{Counts, Declined};
+use instance_status::{RejectedConfig, RequestCounts};
 use tokio::sync::Notify;
 
 /// The program's version.
@@ -22,10 +22,10 @@
 #[derive(Default)]
 pub struct Status {
     /// By class.
-    counts: RefCell<Vec<Counts>>,
+    counts: RefCell<Vec<RequestCounts>>,
     attempts: Cell<u64>,
     reloads: Cell<Reloads>,
-    declined: RefCell<Option<Declined>>,
+    declined: RefCell<Option<RejectedConfig>>,
     lists_too_long: Cell<u64>,
     /// Told of changes that should not wait for the next report.
     pub changed: Notify,
@@ -33,17 +33,17 @@
 
 impl Status {
     /// Counts a final answer to a request of a class. Classes are bounded by the settings.
-    pub fn count(&self, class: usize, one: impl FnOnce(&mut Counts)) {
+    pub fn count(&self, class: usize, one: impl FnOnce(&mut RequestCounts)) {
         let mut counts = self.counts.borrow_mut();
         if counts.len() <= class {
-            counts.resize(class + 1, Counts::default());
+            counts.resize(class + 1, RequestCounts::default());
         }
         one(&mut counts[class]);
     }
 
     /// The final answers so far, of all classes.
-    pub fn counts(&self) -> Counts {
-        let mut sum = Counts::default();
+    pub fn counts(&self) -> RequestCounts {
+        let mut sum = RequestCounts::default();
         for &counts in self.counts.borrow().iter() {
             sum += counts;
         }
@@ -51,7 +51,7 @@
     }
 
     /// The final answers of one class so far.
-    pub fn counts_of(&self, class: usize) -> Counts {
+    pub fn counts_of(&self, class: usize) -> RequestCounts {
         self.counts.borrow().get(class).copied().unwrap_or_default()
     }
 
@@ -81,7 +81,7 @@
     }
 
     /// Notes what became of a new configuration: `None`, it is in force.
-    pub fn reloaded(&self, declined: Option<Declined>) {
+    pub fn reloaded(&self, declined: Option<RejectedConfig>) {
         let mut reloads = self.reloads.get();
         reloads.applied += u64::from(declined.is_none());
         reloads.declined += u64::from(declined.is_some());
@@ -91,7 +91,7 @@
     }
 
     /// The last configuration that was not taken over whole.
-    pub fn declined(&self) -> Option<Declined> {
+    pub fn declined(&self) -> Option<RejectedConfig> {
         self.declined.borrow().clone()
     }
 }
--- a/src/sidecar/tier.rs
+++ b/src/sidecar/tier.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use gossip::{Budget, Happened, Micros, Note, Record, Tier, View};
-use runtime::Platform;
+use runtime::Runtime;
 use tokio::sync::Notify;
 
 use super::config::Config;
@@ -16,14 +16,14 @@
 const LOOK: Duration = Duration::from_secs(1);
 
 /// The part.
-pub struct Shared<P: Platform> {
+pub struct Shared<P: Runtime> {
     tier: RefCell<Tier>,
     began: Instant,
     peers: Rc<Peers<P>>,
     changed: Notify,
 }
 
-impl<P: Platform> Shared<P> {
+impl<P: Runtime> Shared<P> {
     /// The part that a configuration asks for, if it does and the settings allow it.
     ///
     /// # Errors
@@ -43,7 +43,7 @@
         let of_tier = gossip::Config {
             me: config.settings.me,
             size: config.settings.instances,
-            start_ms: P::unix().as_millis() as u64,
+            start_ms: P::unix_time().as_millis() as u64,
             turn: turn.as_micros() as Micros,
             clubs: config.clubs(),
             classes: config.settings.classes.len(),
@@ -55,7 +55,7 @@
     }
 
     fn now(&self) -> Micros {
-        P::since(self.began).as_micros() as Micros
+        P::elapsed_since(self.began).as_micros() as Micros
     }
 
     /// A request of a class and of a club's comes in. False: it is beyond what may be spent here of the club's quota.
--- a/src/sidecar/timers.rs
+++ b/src/sidecar/timers.rs
@@ -6,7 +6,7 @@
 use std::marker::PhantomData;
 use std::time::{Duration, Instant};
 
-use runtime::Platform;
+use runtime::Runtime;
 use tokio::sync::Notify;
 
 /// Timers by when they run out. The module sets a few for each request, none longer than a client
@@ -23,7 +23,7 @@
     }
 }
 
-impl<P: Platform> Timers<P> {
+impl<P: Runtime> Timers<P> {
     /// Sets a timer.
     pub fn set(&self, delay: Duration, token: u32) {
         let at = P::now() + delay;
