--- a/crates/scale-test/src/hollow.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -19,7 +19,7 @@
 use lb_sidecar::api::ListKind;
 use lb_sidecar::settings::Discovery as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
-use lb_sidecar::sidecar::discovery::{Call, Discovery, Listener};
+use lb_sidecar::sidecar::discovery::{Discovery, DiscoveryRequest, EndpointListener};
 use lb_sidecar::sidecar::peers::{Inbox, Peers};
 use lb_sidecar::sidecar::tier::Shared;
 use runtime::TokioRuntime;
@@ -122,18 +122,18 @@
 
 struct Lists(Rc<Tallies>);
 
-impl Listener for Lists {
-    fn list(&self, _kind: ListKind, _list: &List<Part<'_>>) {
+impl EndpointListener for Lists {
+    fn on_list(&self, _kind: ListKind, _list: &List<Part<'_>>) {
         self.0.lists.set(self.0.lists.get() + 1);
     }
 
-    fn most_servers(&self) -> usize {
+    fn max_servers(&self) -> usize {
         8192
     }
 
-    fn too_long(&self) {}
+    fn on_list_too_long(&self) {}
 
-    fn failed(&self) {}
+    fn on_failure(&self) {}
 }
 
 struct Notes(Rc<Shared<TokioRuntime>>);
@@ -210,7 +210,7 @@
             .map_err(|why| format!("{}: {why}", sidecar.name))?;
         // Watches, as a sidecar has them.
         let (moves, at) = watch::channel(agent);
-        let (calls, called) = mpsc::unbounded_channel::<Call>();
+        let (calls, called) = mpsc::unbounded_channel::<DiscoveryRequest>();
         let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
         let discovery =
             Discovery::<TokioRuntime>::new(at, How::Pushed, grace, 0, Rc::new(Notify::new()));
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -17,7 +17,7 @@
 use self::orders::Orders;
 use self::record::Record;
 use super::config::stable_hash;
-use super::driver::Driver;
+use super::driver::{Driver, EndpointCounts};
 use super::ingress::Ingress;
 use super::live::LiveConfig;
 use super::status::Status;
@@ -90,7 +90,7 @@
     fn take_over(&self, orders: Orders) {
         if *self.orders.borrow() != orders {
             tracing::info!(out = ?orders.out, drained = orders.drained, "orders in force");
-            self.driver.hold_out(orders.out.iter().map(|name| id(name)));
+            self.driver.set_drained_by_operator(orders.out.iter().map(|name| id(name)));
             self.ingress.set_drained(orders.drained);
             *self.orders.borrow_mut() = orders;
         }
@@ -192,12 +192,12 @@
             }
             Command::Ready => Answer::Error("no server is known yet".into()),
             Command::ShowStat => Answer::Stat(self.figures().into()),
-            Command::ShowTier => match self.driver.tier() {
+            Command::ShowTier => match self.driver.gossip() {
                 Some(tier) => Answer::Tier(tier.members()),
                 None => Answer::Error("no part in the tier".into()),
             },
             _ => {
-                let listed = |name: &str| self.driver.knows(id(name));
+                let listed = |name: &str| self.driver.is_listed(id(name));
                 match self.change(|orders| orders.apply(call, listed)).await {
                     Ok(()) => {
                         tracing::info!(?call, "ordered");
@@ -216,17 +216,17 @@
         let counts = |(name, class): (&String, &super::config::ClassName)| {
             (name.clone(), self.status.counts_of(class.index))
         };
-        let (listed, ejected) = self.driver.pool();
+        let EndpointCounts { listed, ejected } = self.driver.endpoint_counts();
         Figures {
             classes: classes.into_iter().map(counts).collect(),
             tries: self.status.attempts(),
-            active: self.driver.open(),
+            active: self.driver.open_requests(),
             listed,
             ejected,
             most_servers: self.live.max_servers(),
             lists_too_long: self.status.lists_too_long(),
             reloads: self.status.reloads(),
-            tier: self.driver.tier().map(|tier| {
+            tier: self.driver.gossip().map(|tier| {
                 let mut clubs: Vec<_> = names.tenants.iter().collect();
                 clubs.sort_unstable_by_key(|(_, place)| **place);
                 (tier.view(), clubs.into_iter().map(|(name, _)| name.clone()).collect())
--- /dev/null
+++ b/src/sidecar/discovery/client.rs
@@ -0,0 +1,156 @@
+//! Single calls to the discovery service.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use runtime::{Elapsed, Runtime, Stream, TaskHandle, Tcp, timeout, timeout_at};
+
+/// How long a connection to discovery may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time between two pieces of a response.
+pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// The longest time from the head of a response to its end.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a call brought no list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallError {
+    /// It was refused, reset, or answered with something that is not a list.
+    Broken,
+    /// Nothing arrived in time, or no more.
+    TimedOut,
+    /// The list has at least so many bytes, which is more than may be read.
+    TooLong(u64),
+}
+
+/// A complete response.
+pub(super) struct ListResponse<P: Runtime> {
+    /// The list as JSON.
+    pub(super) text: Vec<u8>,
+    /// The connection, for the next call.
+    pub(super) connection: Connection<P>,
+}
+
+/// A call in flight.
+pub(super) type ListCall<P> = Pin<Box<dyn Future<Output = Result<ListResponse<P>, CallError>>>>;
+
+/// How long the parts of a response may take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Timeouts {
+    /// From the request to the head.
+    head: Duration,
+    /// Between two pieces of the body.
+    read: Duration,
+}
+
+impl Timeouts {
+    /// For a request that the service may hold for `hold`, and has to answer within `patience` then.
+    pub(super) fn new(hold: Duration, patience: Duration) -> Timeouts {
+        Timeouts { head: hold + patience, read: READ_TIMEOUT.max(patience) }
+    }
+}
+
+/// A connection to discovery. Dropping it closes it.
+pub(super) struct Connection<P: Runtime> {
+    sender: SendRequest<Empty<Bytes>>,
+    driver: P::TaskHandle,
+}
+
+impl<P: Runtime> Connection<P> {
+    async fn open(address: SocketAddr) -> Result<Connection<P>, CallError> {
+        let socket = timeout::<P, _>(CONNECT_TIMEOUT, P::connect(address)).await;
+        let socket = socket.map_err(|Elapsed| CallError::TimedOut)?;
+        let socket = socket.map_err(|_| CallError::Broken)?;
+        socket.set_nodelay().map_err(|_| CallError::Broken)?;
+        let io = TokioIo::new(Stream::new(Rc::new(socket), Rc::new(())));
+        let (sender, connection) = http1::handshake(io).await.map_err(|_| CallError::Broken)?;
+        let driver = P::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, driver })
+    }
+
+    /// Whether it can take no further call.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    async fn get(
+        &mut self,
+        address: SocketAddr,
+        path: String,
+    ) -> Option<hyper::Response<Incoming>> {
+        self.sender.ready().await.ok()?;
+        let request =
+            Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
+        self.sender.send_request(request).await.ok()
+    }
+}
+
+impl<P: Runtime> Drop for Connection<P> {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Gets `path`, on `connection` or else on a new one to `address`. At most `max_bytes` are read.
+pub(super) async fn fetch<P: Runtime>(
+    connection: Option<Connection<P>>,
+    address: SocketAddr,
+    path: String,
+    timeouts: Timeouts,
+    max_bytes: usize,
+) -> Result<ListResponse<P>, CallError> {
+    let mut connection = match connection {
+        Some(connection) => connection,
+        None => Connection::open(address).await?,
+    };
+    let response = timeout::<P, _>(timeouts.head, connection.get(address, path)).await;
+    let response = response.map_err(|Elapsed| CallError::TimedOut)?.ok_or(CallError::Broken)?;
+    if response.status() != StatusCode::OK {
+        return Err(CallError::Broken);
+    }
+    let text = read_body::<P>(response.into_body(), timeouts.read, max_bytes).await?;
+    Ok(ListResponse { text, connection })
+}
+
+/// Reads a body of at most `max_bytes`.
+///
+/// A response may stop half way and stay open, or arrive a byte at a time for ever. While it makes
+/// progress it is read on, but not for longer than a sound one can take.
+async fn read_body<P: Runtime>(
+    mut body: Incoming,
+    read_timeout: Duration,
+    max_bytes: usize,
+) -> Result<Vec<u8>, CallError> {
+    // If the length is announced, that much is allocated at once, and never more than may come.
+    let length = body.size_hint().exact();
+    if let Some(bytes) = length.filter(|&bytes| bytes > max_bytes as u64) {
+        return Err(CallError::TooLong(bytes));
+    }
+    let mut text = Vec::with_capacity(length.unwrap_or(0) as usize);
+    let deadline = P::now() + RESPONSE_TIMEOUT;
+    loop {
+        let read_deadline = (P::now() + read_timeout).min(deadline);
+        let frame = timeout_at::<P, _>(read_deadline, body.frame()).await;
+        let Some(frame) = frame.map_err(|Elapsed| CallError::TimedOut)? else {
+            return Ok(text);
+        };
+        if let Ok(data) = frame.map_err(|_| CallError::Broken)?.into_data() {
+            if text.len() + data.len() > max_bytes {
+                return Err(CallError::TooLong((text.len() + data.len()) as u64));
+            }
+            text.extend_from_slice(&data);
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/discovery/poll.rs
@@ -0,0 +1,160 @@
+//! Lists that are polled from a service shared by many sidecars: calls load it, and the balancer
+//! decides when there is one.
+
+use std::time::Duration;
+
+use runtime::Runtime;
+use tokio::sync::mpsc;
+
+use super::client::{CallError, ListResponse};
+use super::{Discovery, DiscoveryRequest, EndpointListener, Update, address_changed};
+
+/// How long the service may hold a watch, and how long it may take to answer after that, or at once.
+///
+/// What a silent watch missed counts as known 6 s after it fell silent: this leaves time to open
+/// another, and, if that fails, for the balancer's first backoff and a third call.
+const HOLD: Duration = Duration::from_millis(2000);
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// What the next call is to be.
+#[derive(Clone, Copy, Debug)]
+struct PollState {
+    /// There is to be a call.
+    calling: bool,
+    /// It fetches the complete list.
+    full_list: bool,
+    /// It is followed by watches.
+    watching: bool,
+    /// How long the service may hold it, if it is a watch.
+    hold: Duration,
+    /// It was opened for a watch that fell silent.
+    reopened: bool,
+}
+
+impl PollState {
+    fn idle() -> PollState {
+        PollState {
+            calling: false,
+            full_list: false,
+            watching: false,
+            hold: Duration::ZERO,
+            reopened: false,
+        }
+    }
+
+    /// The next call is of another service.
+    fn on_address_changed(&mut self) {
+        self.calling = true;
+        self.full_list = true;
+        self.reopened = false;
+    }
+
+    fn on_request(&mut self, request: DiscoveryRequest) {
+        match request {
+            DiscoveryRequest::Watch => {
+                self.watching = true;
+                // The first call is answered at once, with what was missed.
+                self.hold = Duration::ZERO;
+            }
+            DiscoveryRequest::Fetch => self.full_list = true,
+        }
+        self.calling = true;
+        self.reopened = false;
+    }
+
+    /// A list was applied: it is watched on, if that was asked for.
+    fn on_success(&mut self) {
+        self.calling = self.watching;
+        self.full_list = false;
+        self.hold = HOLD;
+        self.reopened = false;
+    }
+
+    /// The balancer decides when there is to be another call.
+    fn on_failure(&mut self) {
+        self.calling = false;
+        self.watching = false;
+        self.reopened = false;
+    }
+
+    /// The next call is to be answered at once, with what a silent watch missed.
+    fn reopen(&mut self) {
+        self.hold = Duration::ZERO;
+        self.reopened = true;
+    }
+
+    /// How long the service may hold the next call; none if that fetches the complete list.
+    fn watch_hold(&self) -> Option<Duration> {
+        (!self.full_list).then_some(self.hold)
+    }
+}
+
+impl<P: Runtime> Discovery<P> {
+    /// Calls whenever the balancer asks for it.
+    ///
+    /// That a watch has fallen silent is seen late in the time within which what it missed has to be
+    /// known, so it is reopened at once, once; the silence of one moment shows to each sidecar at
+    /// another. What breaks, breaks for all at once: then the balancer spreads their calls.
+    pub(super) async fn run_polled(
+        &mut self,
+        listener: impl EndpointListener,
+        mut requests: mpsc::UnboundedReceiver<DiscoveryRequest>,
+    ) {
+        let mut address = self.address.clone();
+        let mut state = PollState::idle();
+        loop {
+            let max_servers = listener.max_servers();
+            let call = async {
+                if state.calling {
+                    self.start_call(state.watch_hold(), PATIENCE, max_servers).await
+                } else {
+                    std::future::pending().await
+                }
+            };
+            let response = tokio::select! {
+                biased;
+                // The present list is another service's, and so is its version.
+                true = address_changed(&mut address) => {
+                    state.on_address_changed();
+                    self.version = 0;
+                    self.connection = None;
+                    continue;
+                }
+                request = requests.recv() => {
+                    let Some(request) = request else { return };
+                    state.on_request(request);
+                    continue;
+                }
+                response = call => response,
+            };
+            if self.finish_poll(&listener, response, max_servers, &mut state) {
+                self.call_finished.notify_one();
+            }
+        }
+    }
+
+    /// Takes in a response, and sets what follows; whether the call is over and not reopened.
+    fn finish_poll(
+        &mut self,
+        listener: &impl EndpointListener,
+        response: Result<ListResponse<P>, CallError>,
+        max_servers: usize,
+        state: &mut PollState,
+    ) -> bool {
+        match response.and_then(|response| self.apply(listener, response)) {
+            Ok(Update::Applied | Update::Empty) => {
+                state.on_success();
+                return true;
+            }
+            Err(CallError::TimedOut) if !state.reopened => {
+                state.reopen();
+                return false;
+            }
+            Err(CallError::TooLong(bytes)) => self.report_too_long(listener, bytes, max_servers),
+            Ok(Update::Stale) | Err(CallError::Broken | CallError::TimedOut) => {}
+        }
+        state.on_failure();
+        listener.on_failure();
+        true
+    }
+}
--- /dev/null
+++ b/src/sidecar/driver/actions.rs
@@ -0,0 +1,70 @@
+//! Carries out the balancer's actions.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use gossip::Happened;
+use runtime::Runtime;
+
+use super::{Driver, RequestOutcome};
+use crate::api::{Action, Event, Micros, Outcome, RequestId, ServerId};
+use crate::sidecar::discovery::DiscoveryRequest;
+use crate::sidecar::upstream::HealthCheckResult;
+
+impl<P: Runtime> Driver<P> {
+    pub(super) fn execute(self: &Rc<Driver<P>>, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => {
+                self.start_attempt(id, server, Duration::from_micros(timeout));
+            }
+            Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
+            Action::Refuse { id, retry_after } => {
+                self.record(Happened::Refused);
+                let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
+                self.finish_request(id, RequestOutcome::Rejected { retry_after });
+            }
+            Action::Fail { id } => {
+                self.record(Happened::Failed);
+                self.finish_request(id, RequestOutcome::Failed);
+            }
+            Action::Timer { delay, token } => {
+                self.timers.schedule(Duration::from_micros(delay), token);
+            }
+            Action::Probe { server } => self.start_health_check(server),
+            Action::CloseIdle { server } => self.upstream.close_idle(server),
+            // Discovery runs as long as the driver does.
+            Action::Subscribe => drop(self.discovery.send(DiscoveryRequest::Watch)),
+            Action::FetchList => self.fetch_list(),
+            Action::Tell { peer, data } => {
+                if let Some(datagrams) = &self.peer_services.datagrams {
+                    datagrams.tell(peer, &data);
+                }
+            }
+            Action::Log { text } => tracing::info!("{text}"),
+        }
+    }
+
+    /// Cancels an attempt. It ends as cancelled, or with the result that it has just come to.
+    fn cancel_attempt(&self, id: RequestId, attempt: usize) {
+        let mut state = self.state.borrow_mut();
+        let request = state.requests.get_mut(&id);
+        let cancel = request.and_then(|request| request.attempts.get_mut(attempt)?.cancel.take());
+        if let Some(cancel) = cancel {
+            let _ = cancel.send(());
+        }
+    }
+
+    fn start_health_check(self: &Rc<Driver<P>>, server: ServerId) {
+        let address = self.state.borrow().endpoints.address(server);
+        let driver = self.clone();
+        P::spawn(async move {
+            let started = P::now();
+            let HealthCheckResult { outcome, report } = match address {
+                Some(address) => driver.upstream.check_health(address, driver.health_check).await,
+                None => HealthCheckResult::without_response(Outcome::ConnectFailed),
+            };
+            let latency = P::elapsed_since(started).as_micros() as Micros;
+            driver.handle_event(Event::Probed { server, outcome, latency, report });
+        });
+    }
+}
--- /dev/null
+++ b/src/sidecar/driver/attempts.rs
@@ -0,0 +1,189 @@
+//! Attempts in flight: starting them, waiting for them, and reporting their results.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gossip::Happened;
+use runtime::Runtime;
+use tokio::sync::oneshot;
+
+use super::{Driver, RequestOutcome, State};
+use crate::api::{Event, Micros, Outcome, RequestId, ServerId};
+use crate::sidecar::upload::Upload;
+use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
+
+/// An attempt of a request in flight.
+pub(super) struct InFlightAttempt {
+    /// Cancels it; none once it has ended or is cancelled.
+    pub(super) cancel: Option<oneshot::Sender<()>>,
+    pub(super) started: Instant,
+    /// It may have been executed, as far as is known.
+    pub(super) may_have_run: bool,
+}
+
+/// Which attempt it is.
+#[derive(Clone, Copy)]
+struct AttemptId {
+    request: RequestId,
+    /// Its place among the request's attempts.
+    index: usize,
+    server: ServerId,
+}
+
+/// What is needed to send an attempt.
+struct Dispatch {
+    endpoint: Endpoint,
+    request: Rc<UpstreamRequest>,
+    limits: AttemptLimits,
+    cancelled: oneshot::Receiver<()>,
+}
+
+impl<P: Runtime> Driver<P> {
+    /// Starts an attempt that is waited for during `timeout`.
+    pub(super) fn start_attempt(
+        self: &Rc<Driver<P>>,
+        request: RequestId,
+        server: ServerId,
+        timeout: Duration,
+    ) {
+        let (index, dispatch) = self.register_attempt(request, server, timeout);
+        let id = AttemptId { request, index, server };
+        let Some(dispatch) = dispatch else {
+            return self.report_not_sent(id);
+        };
+        self.record(Happened::Attempt);
+        if index > 0 {
+            self.record(Happened::Repeat);
+        }
+        P::spawn(self.clone().run_attempt(id, dispatch));
+    }
+
+    /// Adds an attempt to its request: its place there, and what it sends, if it can still be sent.
+    fn register_attempt(
+        &self,
+        id: RequestId,
+        server: ServerId,
+        timeout: Duration,
+    ) -> (usize, Option<Dispatch>) {
+        let mut state = self.state.borrow_mut();
+        let State { requests, endpoints, .. } = &mut *state;
+        let Some(request) = requests.get_mut(&id) else {
+            return (0, None);
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        let started = P::now();
+        let idempotency_window = self.idempotency_windows[request.class];
+        // An attempt may wait for its connection while servers forget the request that it repeats.
+        let start_by = idempotency_window.and_then(|window| request.retry_by(window));
+        let index = request.attempts.len();
+        request.attempts.push(InFlightAttempt {
+            cancel: Some(cancel),
+            started,
+            may_have_run: true,
+        });
+        let dispatch =
+            request.message().zip(endpoints.get(server)).map(|(message, known)| Dispatch {
+                endpoint: Endpoint { server, address: known.address },
+                request: message,
+                limits: AttemptLimits {
+                    start_by,
+                    idempotency_window,
+                    deadline: started + timeout,
+                    server_ready: known.ready.clone(),
+                },
+                cancelled,
+            });
+        (index, dispatch)
+    }
+
+    /// Reports that an attempt was not sent, after the present event has been handled.
+    fn report_not_sent(self: &Rc<Driver<P>>, id: AttemptId) {
+        let driver = self.clone();
+        P::spawn(async move {
+            driver.complete_attempt(id, 0, AttemptResult::without_response(Outcome::Moot));
+        });
+    }
+
+    async fn run_attempt(self: Rc<Driver<P>>, id: AttemptId, dispatch: Dispatch) {
+        let Dispatch { endpoint, request, limits, cancelled } = dispatch;
+        let started = P::now();
+        let deadline = limits.deadline;
+        let upload = request.upload.clone();
+        let result = tokio::select! {
+            biased;
+            result = self.upstream.attempt(endpoint, &request, limits) => result,
+            // By the balancer, or because nobody waits for its response any more.
+            _ = cancelled => AttemptResult::without_response(Outcome::Cancelled),
+            () = self.attempt_timeout(id, upload.as_deref(), deadline) => {
+                AttemptResult::without_response(Outcome::TimedOut)
+            }
+        };
+        drop(request);
+        let upload_end = upload.and_then(|upload| upload.completed_at());
+        let since = upload_end.map_or(started, |end| started.max(end));
+        self.complete_attempt(id, P::elapsed_since(since).as_micros() as Micros, result);
+    }
+
+    /// Ends when an attempt has taken too long.
+    ///
+    /// The time of a streamed body counts from its last byte. Once part of it has left, the balancer is
+    /// told: nothing can be sent to another server.
+    async fn attempt_timeout(
+        self: &Rc<Driver<P>>,
+        id: AttemptId,
+        upload: Option<&Upload>,
+        deadline: Instant,
+    ) {
+        let Some(upload) = upload else {
+            return P::sleep_until(deadline).await;
+        };
+        upload.streaming_started().await;
+        self.handle_event(Event::FirstByte { id: id.request, attempt: id.index });
+        tokio::select! {
+            biased;
+            () = upload.completed() => P::sleep_until(upload.deadline().unwrap_or_else(P::now)).await,
+            () = upload.stalled::<P>() => {}
+        }
+    }
+
+    /// Reports the result of an attempt. The first response served goes to the client.
+    fn complete_attempt(
+        self: &Rc<Driver<P>>,
+        id: AttemptId,
+        latency: Micros,
+        result: AttemptResult,
+    ) {
+        let AttemptResult { outcome, report, response } = result;
+        let mut finished = true;
+        let mut retryable = false;
+        if let Some(request) = self.state.borrow_mut().requests.get_mut(&id.request) {
+            if let Some(attempt) = request.attempts.get_mut(id.index) {
+                attempt.cancel = None;
+                attempt.may_have_run = !outcome.never_ran();
+            }
+            if let Some(response) = response {
+                request.finish(RequestOutcome::Served(response), &self.status);
+            }
+            finished = request.is_finished();
+            retryable = request.is_retryable();
+            if finished {
+                request.release_message();
+            }
+        }
+        let broke = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::TimedOut);
+        if broke && retryable && !finished {
+            self.record(Happened::Broke);
+        }
+        let AttemptId { request, index, server } = id;
+        self.handle_event(Event::Answer {
+            id: request,
+            attempt: index,
+            server,
+            outcome,
+            latency,
+            finished,
+            report,
+        });
+        self.remove_if_done(request);
+    }
+}
--- /dev/null
+++ b/src/sidecar/driver/endpoints.rs
@@ -0,0 +1,216 @@
+//! The endpoint list: the servers that discovery lists, and those that operators have drained.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use runtime::Runtime;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use super::Driver;
+use crate::api::{Event, Health, ListKind, ServerEntry, ServerId};
+use crate::sidecar::config::{List, Names};
+
+/// A server as discovery lists it.
+pub(super) struct KnownServer {
+    pub(super) address: SocketAddr,
+    entry: ServerEntry,
+    /// Whether it accepts new requests, as the balancer is told; shared with attempts in flight.
+    pub(super) ready: Rc<Cell<bool>>,
+}
+
+/// How many servers there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointCounts {
+    /// Listed by discovery.
+    pub listed: usize,
+    /// Of these, drained by operators or ejected as outliers.
+    pub ejected: usize,
+}
+
+/// The servers that are listed.
+#[derive(Default)]
+pub(super) struct EndpointTable {
+    servers: FxHashMap<ServerId, KnownServer>,
+    /// Servers that operators have drained, whatever discovery says.
+    drained_by_operator: FxHashSet<ServerId>,
+    /// Whether any server was ever listed.
+    ever_listed: bool,
+    /// How many servers of the last list were ignored.
+    ignored: usize,
+}
+
+impl EndpointTable {
+    /// The server, if it is listed.
+    pub(super) fn get(&self, server: ServerId) -> Option<&KnownServer> {
+        self.servers.get(&server)
+    }
+
+    /// The address of the server, if it is listed.
+    pub(super) fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.servers.get(&server).map(|known| known.address)
+    }
+
+    /// The server as the balancer is to know it. Attempts in flight are told of its readiness.
+    fn effective_entry(&self, mut entry: ServerEntry) -> ServerEntry {
+        if entry.health == Health::Ready && self.drained_by_operator.contains(&entry.id) {
+            entry.health = Health::Draining;
+        }
+        if let Some(known) = self.servers.get(&entry.id) {
+            known.ready.set(entry.health == Health::Ready);
+        }
+        entry
+    }
+
+    /// Takes a list in: at most `max_servers` of it, those first that are known already. Returns the
+    /// servers that were ignored, and calls `close_idle` for those whose idle connections are not
+    /// to be used any more.
+    fn apply<S: AsRef<str>>(
+        &mut self,
+        kind: ListKind,
+        list: &List<S>,
+        names: &Names,
+        max_servers: usize,
+        close_idle: impl Fn(ServerId),
+    ) -> FxHashSet<ServerId> {
+        let mut previous = match kind {
+            ListKind::Changes => FxHashMap::default(),
+            _ => std::mem::take(&mut self.servers),
+        };
+        let mut ignored = FxHashSet::default();
+        for host in &list.hosts {
+            let server = host.id();
+            let old_address = match host.dial.filter(|_| host.listed()) {
+                Some(_) if self.has_no_room(&previous, server, max_servers) => {
+                    ignored.insert(server);
+                    continue;
+                }
+                Some(address) => self.insert(address, names.entry(host), &mut previous),
+                None => self.remove(server),
+            };
+            let moved = old_address.is_some_and(|address| Some(address) != host.dial);
+            if moved || !host.wants_work() {
+                close_idle(server);
+            }
+        }
+        for (&server, gone) in &previous {
+            gone.ready.set(false);
+            close_idle(server);
+        }
+        self.ever_listed |= !list.hosts.is_empty();
+        ignored
+    }
+
+    /// Whether a server that is not known yet would be one too many.
+    ///
+    /// A known one has to stay known for as long as it is used, so it goes first; what exceeds the bound
+    /// was never used.
+    fn has_no_room(
+        &self,
+        previous: &FxHashMap<ServerId, KnownServer>,
+        server: ServerId,
+        max_servers: usize,
+    ) -> bool {
+        self.servers.len() + previous.len() >= max_servers
+            && !self.servers.contains_key(&server)
+            && !previous.contains_key(&server)
+    }
+
+    /// Adds or replaces a server; its address before, if it was known.
+    fn insert(
+        &mut self,
+        address: SocketAddr,
+        entry: ServerEntry,
+        previous: &mut FxHashMap<ServerId, KnownServer>,
+    ) -> Option<SocketAddr> {
+        let server = entry.id;
+        let old = self.servers.remove(&server).or_else(|| previous.remove(&server));
+        let ready = old.as_ref().map(|old| old.ready.clone()).unwrap_or_default();
+        self.servers.insert(server, KnownServer { address, entry, ready });
+        old.map(|old| old.address)
+    }
+
+    /// Removes a server; its address before, if it was known.
+    fn remove(&mut self, server: ServerId) -> Option<SocketAddr> {
+        let old = self.servers.remove(&server)?;
+        old.ready.set(false);
+        Some(old.address)
+    }
+
+    /// Replaces the servers that operators have drained; the listed ones that this changes, as the
+    /// balancer is to know them.
+    fn set_drained_by_operator(&mut self, drained: FxHashSet<ServerId>) -> Vec<ServerEntry> {
+        let before = std::mem::replace(&mut self.drained_by_operator, drained);
+        let changed = before.symmetric_difference(&self.drained_by_operator);
+        let listed = changed.filter_map(|server| self.servers.get(server));
+        listed.map(|known| self.effective_entry(known.entry.clone())).collect()
+    }
+}
+
+impl<P: Runtime> Driver<P> {
+    /// Takes in a list of servers.
+    ///
+    /// New servers may keep coming. Addresses are kept only of those that are listed, and idle
+    /// connections to one that is to get nothing more are closed at once.
+    pub fn update_endpoints<S: AsRef<str>>(self: &Rc<Driver<P>>, kind: ListKind, list: &List<S>) {
+        let names = self.live.names();
+        let max_servers = self.live.max_servers();
+        let entries: Vec<_> = {
+            let mut state = self.state.borrow_mut();
+            let endpoints = &mut state.endpoints;
+            let close_idle = |server| self.upstream.close_idle(server);
+            let ignored = endpoints.apply(kind, list, &names, max_servers, close_idle);
+            if !ignored.is_empty() {
+                self.status.list_too_long();
+                if endpoints.ignored != ignored.len() {
+                    tracing::error!(
+                        listed = list.hosts.len(),
+                        most = max_servers,
+                        passed_over = ignored.len(),
+                        "ignoring servers beyond the number that limits.memory_mb allows"
+                    );
+                }
+            }
+            endpoints.ignored = ignored.len();
+            let taken = list.hosts.iter().filter(|host| !ignored.contains(&host.id()));
+            taken.map(|host| endpoints.effective_entry(names.entry(host))).collect()
+        };
+        self.handle_event(Event::Servers { kind, entries: &entries });
+    }
+
+    /// Drains these servers and puts all others back, as discovery lists them.
+    ///
+    /// To the balancer such a server is draining, so the rule on draining servers holds for it, and the
+    /// idle connections to it are closed.
+    pub fn set_drained_by_operator(self: &Rc<Driver<P>>, drained: impl Iterator<Item = ServerId>) {
+        let drained = drained.collect();
+        let entries = self.state.borrow_mut().endpoints.set_drained_by_operator(drained);
+        for entry in entries.iter().filter(|entry| entry.health != Health::Ready) {
+            self.upstream.close_idle(entry.id);
+        }
+        if !entries.is_empty() {
+            self.handle_event(Event::Servers { kind: ListKind::Changes, entries: &entries });
+        }
+    }
+
+    /// Whether discovery lists this server.
+    pub fn is_listed(&self, server: ServerId) -> bool {
+        self.state.borrow().endpoints.servers.contains_key(&server)
+    }
+
+    /// How many servers are listed, and how many of them get no requests.
+    pub fn endpoint_counts(&self) -> EndpointCounts {
+        let state = self.state.borrow();
+        let servers = &state.endpoints.servers;
+        let ejected = servers.keys().filter(|&&server| {
+            state.endpoints.drained_by_operator.contains(&server)
+                || state.balancer.is_put_out(server)
+        });
+        EndpointCounts { listed: servers.len(), ejected: ejected.count() }
+    }
+
+    /// Whether any server was ever listed.
+    pub fn has_endpoints(&self) -> bool {
+        self.state.borrow().endpoints.ever_listed
+    }
+}
--- /dev/null
+++ b/src/sidecar/driver/requests.rs
@@ -0,0 +1,260 @@
+//! Requests in flight: from a client's request to its final answer.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use runtime::Runtime;
+use tokio::sync::oneshot;
+
+use super::Driver;
+use super::attempts::InFlightAttempt;
+use crate::api::{Event, Micros, NewRequest, RequestId};
+use crate::settings::Repeat;
+use crate::sidecar::status::Status;
+use crate::sidecar::upstream::{UpstreamRequest, UpstreamResponse};
+
+/// A final answer should be on its way this long before the client stops waiting.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// How a request ended.
+pub enum RequestOutcome {
+    /// With a server's response.
+    Served(UpstreamResponse),
+    /// It was not executed: the client may send it again.
+    Rejected {
+        /// How long the client is asked to wait before that, if it is.
+        retry_after: Option<Duration>,
+    },
+    /// It may have been executed.
+    Failed,
+}
+
+impl RequestOutcome {
+    /// Its name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            RequestOutcome::Served(_) => "served",
+            RequestOutcome::Rejected { .. } => "refused",
+            RequestOutcome::Failed => "failed",
+        }
+    }
+}
+
+/// A request that was submitted. Dropping it before its outcome tells that the client has gone.
+pub struct RequestHandle<P: Runtime> {
+    id: RequestId,
+    driver: Rc<Driver<P>>,
+    outcome: oneshot::Receiver<RequestOutcome>,
+}
+
+impl<P: Runtime> RequestHandle<P> {
+    /// Waits for the outcome.
+    pub async fn outcome(&mut self) -> RequestOutcome {
+        (&mut self.outcome).await.unwrap_or(RequestOutcome::Failed)
+    }
+}
+
+impl<P: Runtime> Drop for RequestHandle<P> {
+    fn drop(&mut self) {
+        self.driver.abandon(self.id, None);
+    }
+}
+
+/// What a client's request says about itself.
+pub struct RequestInfo {
+    /// The index of its class in the settings.
+    pub class: usize,
+    /// The index of its tenant in the settings.
+    pub tenant: usize,
+    /// Its affinity key; 0 without one.
+    pub key: u64,
+    /// How long the client will wait.
+    pub time_left: Duration,
+    /// The client's estimate of the work.
+    pub hint: Option<Micros>,
+    /// The client sends it again.
+    pub is_retry: bool,
+}
+
+/// A request that the driver has taken.
+pub(super) struct InFlightRequest {
+    pub(super) class: usize,
+    /// Gets the outcome; none once the request has one, or the client has gone.
+    client: Option<oneshot::Sender<RequestOutcome>>,
+    /// What attempts send; none once no further attempt can be made.
+    message: Option<Rc<UpstreamRequest>>,
+    pub(super) attempts: Vec<InFlightAttempt>,
+}
+
+impl InFlightRequest {
+    /// Whether nobody waits for an outcome any more.
+    pub(super) fn is_finished(&self) -> bool {
+        self.client.is_none()
+    }
+
+    /// Sends the outcome to the client and counts it, if the request is not finished.
+    pub(super) fn finish(&mut self, outcome: RequestOutcome, status: &Status) {
+        if let Some(client) = self.client.take() {
+            status.count(self.class, |counts| match &outcome {
+                RequestOutcome::Served(_) => counts.served += 1,
+                RequestOutcome::Rejected { .. } => counts.rejected += 1,
+                RequestOutcome::Failed => counts.failed += 1,
+            });
+            let _ = client.send(outcome);
+        }
+    }
+
+    /// What another attempt sends, if one can still be sent.
+    pub(super) fn message(&self) -> Option<Rc<UpstreamRequest>> {
+        let is_kept = |message: &Rc<UpstreamRequest>| {
+            message.upload.as_ref().is_none_or(|upload| upload.is_replayable())
+        };
+        self.message.clone().filter(|message| !self.is_finished() && is_kept(message))
+    }
+
+    /// Whether the request may be sent again after it may have been executed.
+    pub(super) fn is_retryable(&self) -> bool {
+        self.message.as_ref().is_some_and(|message| message.repeat != Repeat::Unsafe)
+    }
+
+    /// Frees what attempts send: no further one is made, and none that waits for a connection is sent.
+    pub(super) fn release_message(&mut self) -> Option<Rc<UpstreamRequest>> {
+        let message = self.message.take();
+        if let Some(message) = &message {
+            message.finished.set(true);
+        }
+        message
+    }
+
+    /// By when another attempt may start, if servers recognize repeats for `window`.
+    pub(super) fn retry_by(&self, window: Duration) -> Option<Instant> {
+        let may_have_run = self.attempts.iter().filter(|attempt| attempt.may_have_run);
+        may_have_run.map(|attempt| attempt.started + window).min()
+    }
+
+    /// Cancels all attempts.
+    fn cancel_attempts(&mut self) {
+        for cancel in self.attempts.iter_mut().filter_map(|attempt| attempt.cancel.take()) {
+            let _ = cancel.send(());
+        }
+    }
+
+    /// Whether it is finished, and so are its attempts.
+    fn is_done(&self) -> bool {
+        self.is_finished() && self.attempts.iter().all(|attempt| attempt.cancel.is_none())
+    }
+}
+
+impl<P: Runtime> Driver<P> {
+    /// Takes a client's request.
+    pub fn submit(
+        self: &Rc<Driver<P>>,
+        info: RequestInfo,
+        message: UpstreamRequest,
+    ) -> RequestHandle<P> {
+        let (client, outcome) = oneshot::channel();
+        let id = self.register_request(info.class, client, message);
+        let time_left = self.time_budget(info.class, info.time_left);
+        let mut within_quota = true;
+        if let Some(gossip) = &self.peer_services.gossip {
+            within_quota = gossip.asked(info.class, info.tenant);
+            let gossip::Budget { share, saved } = gossip.budget();
+            self.state.borrow_mut().balancer.may_repeat(share, saved);
+        }
+        self.handle_event(Event::Request(NewRequest {
+            id,
+            class: info.class,
+            tenant: info.tenant,
+            key: info.key,
+            left: time_left.as_micros() as Micros,
+            hint: info.hint,
+            repeat: info.is_retry,
+            beyond: !within_quota,
+        }));
+        RequestHandle { id, driver: self.clone(), outcome }
+    }
+
+    fn register_request(
+        &self,
+        class: usize,
+        client: oneshot::Sender<RequestOutcome>,
+        message: UpstreamRequest,
+    ) -> RequestId {
+        let mut state = self.state.borrow_mut();
+        state.last_request_id += 1;
+        let id = RequestId(state.last_request_id);
+        let request = InFlightRequest {
+            class,
+            client: Some(client),
+            message: Some(Rc::new(message)),
+            attempts: Vec::new(),
+        };
+        state.requests.insert(id, request);
+        id
+    }
+
+    /// How long a request of a class may take if its client waits for `time_left`.
+    ///
+    /// A client can claim to wait for weeks, and its request would be in memory as long. No client of a
+    /// class waits longer than the class's deadline.
+    pub fn time_budget(&self, class: usize, time_left: Duration) -> Duration {
+        let time_left = time_left.min(self.live.deadline(class));
+        time_left - DEADLINE_MARGIN.min(time_left / 4)
+    }
+
+    /// How many requests are in flight.
+    pub fn open_requests(&self) -> usize {
+        self.state.borrow().requests.values().filter(|request| !request.is_finished()).count()
+    }
+
+    /// Fails all requests in flight: the process is about to end.
+    pub fn fail_open_requests(self: &Rc<Driver<P>>) {
+        let open: Vec<_> = {
+            let state = self.state.borrow();
+            let open = state.requests.iter().filter(|(_, request)| !request.is_finished());
+            open.map(|(&id, _)| id).collect()
+        };
+        for id in open {
+            self.abandon(id, Some(RequestOutcome::Failed));
+        }
+    }
+
+    /// Gives a request up, with an outcome for its client or, if that has gone, without.
+    fn abandon(self: &Rc<Driver<P>>, id: RequestId, outcome: Option<RequestOutcome>) {
+        {
+            let mut state = self.state.borrow_mut();
+            let request = state.requests.get_mut(&id);
+            let Some(request) = request.filter(|request| !request.is_finished()) else {
+                return;
+            };
+            match outcome {
+                Some(outcome) => request.finish(outcome, &self.status),
+                None => request.client = None,
+            }
+            let message = request.release_message();
+            // The balancer cancels nothing once a body is being streamed.
+            if message.is_some_and(|message| message.upload.is_some()) {
+                request.cancel_attempts();
+            }
+        }
+        self.handle_event(Event::ClientGone { id });
+        self.remove_if_done(id);
+    }
+
+    /// Ends a request with the balancer's answer.
+    pub(super) fn finish_request(self: &Rc<Driver<P>>, id: RequestId, outcome: RequestOutcome) {
+        if let Some(request) = self.state.borrow_mut().requests.get_mut(&id) {
+            request.release_message();
+            request.finish(outcome, &self.status);
+        }
+        self.remove_if_done(id);
+    }
+
+    /// Forgets a request once it is finished and so are its attempts.
+    pub(super) fn remove_if_done(&self, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        if state.requests.get(&id).is_some_and(InFlightRequest::is_done) {
+            state.requests.remove(&id);
+        }
+    }
+}
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -135,7 +135,7 @@
 
     /// Whether requests can be served: discovery was attempted, and servers are known.
     pub fn can_serve(&self) -> bool {
-        self.discovery_attempted.get() && self.driver.listed()
+        self.discovery_attempted.get() && self.driver.has_endpoints()
     }
 
     /// Whether clients are welcome: requests can be served, and operators do not drain this
@@ -188,7 +188,7 @@
 
     /// Fails all requests that have no response yet.
     pub fn fail_open_requests(&self) {
-        self.driver.give_up();
+        self.driver.fail_open_requests();
     }
 
     /// Closes the connections on which no request is in progress or about to be received.
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -22,9 +22,9 @@
 };
 use crate::sidecar::budget::Reservation;
 use crate::sidecar::config::stable_hash;
-use crate::sidecar::driver::{Asked, Reply, Ticket};
+use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
 use crate::sidecar::upload::Upload;
-use crate::sidecar::upstream::Spec;
+use crate::sidecar::upstream::UpstreamRequest;
 
 /// Headers of which a request may have one at most: a server might go by another one than this
 /// sidecar does.
@@ -46,7 +46,7 @@
 
 /// What a valid request asks for.
 struct ParsedRequest<'a> {
-    info: Asked,
+    info: RequestInfo,
     /// What identifies it to servers.
     correlation_id: &'a str,
     repeat: Repeat,
@@ -95,10 +95,10 @@
         &self,
         connection: &Rc<ClientConnection<P>>,
         request: Request<Incoming>,
-    ) -> Result<Reply, RequestError> {
+    ) -> Result<RequestOutcome, RequestError> {
         let (head, body) = request.into_parts();
         let ParsedRequest { mut info, correlation_id, repeat } = self.parse(&head)?;
-        info.left = self.remaining_time(connection, info.left);
+        info.time_left = self.remaining_time(connection, info.time_left);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         }
@@ -117,19 +117,19 @@
         };
         let streams = upload.is_some();
         connection.enter(if streams { Phase::StreamingRequest } else { Phase::AwaitingResponse });
-        let spec = Spec {
+        let message = UpstreamRequest {
             repeat,
             method: head.method.clone(),
             target: head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default(),
             headers: end_to_end_headers(&head.headers),
             body: first,
             upload: upload.clone(),
-            room: reservation,
-            over: std::cell::Cell::default(),
+            reservation,
+            finished: std::cell::Cell::default(),
         };
         let (class, started) = (info.class, P::now());
-        let mut ticket = self.driver.request(info, spec);
-        let reply = await_reply(connection, &mut ticket, upload).await?;
+        let mut handle = self.driver.submit(info, message);
+        let reply = await_reply(connection, &mut handle, upload).await?;
         let took_us = P::elapsed_since(started).as_micros() as u64;
         tracing::debug!(
             request = correlation_id,
@@ -160,7 +160,7 @@
         &self,
         connection: &Rc<ClientConnection<P>>,
         body: Incoming,
-        info: &Asked,
+        info: &RequestInfo,
     ) -> Result<RequestBody, ClientDisconnected> {
         if body.is_end_stream() {
             return Ok(RequestBody { first: Bytes::new(), upload: None, reservation: None });
@@ -177,7 +177,7 @@
                 body: PacedBody::<P>::from_client(rest, remaining),
                 connection: connection.clone(),
             });
-            let left = self.driver.patience(info.class, info.left);
+            let left = self.driver.time_budget(info.class, info.time_left);
             let received_at = connection.body_received_at();
             Upload::new::<P>(first.clone(), source, length, left, received_at)
         });
@@ -212,13 +212,13 @@
         };
         let left_ms = text("x-time-left-ms")?.and_then(|value| value.parse::<u32>().ok());
         let left_ms = left_ms.ok_or(BAD_REQUEST)?;
-        let info = Asked {
+        let info = RequestInfo {
             class: class.index,
             tenant,
             key: request_key(&head.headers).unwrap_or(0),
-            left: Duration::from_millis(left_ms.into()),
+            time_left: Duration::from_millis(left_ms.into()),
             hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
-            repeat: text("x-repeat")? == Some("1"),
+            is_retry: text("x-repeat")? == Some("1"),
         };
         Ok(ParsedRequest { info, correlation_id, repeat: class.repeat })
     }
@@ -227,18 +227,18 @@
 /// Waits for the reply, and for the rest of a streamed body.
 async fn await_reply<P: Runtime>(
     connection: &ClientConnection<P>,
-    ticket: &mut Ticket<P>,
+    handle: &mut RequestHandle<P>,
     upload: Option<Rc<Upload>>,
-) -> Result<Reply, ClientDisconnected> {
+) -> Result<RequestOutcome, ClientDisconnected> {
     match upload {
         // Behind a chunked body whose end only hyper saw, something may wait unread, and the end of
         // the connection behind that.
         None if !connection.has_complete_request() => {
-            connection.unless_disconnected(ticket.reply()).await
+            connection.unless_disconnected(handle.outcome()).await
         }
-        None => Ok(ticket.reply().await),
+        None => Ok(handle.outcome().await),
         Some(upload) => {
-            let reply = connection.unless_disconnected(ticket.reply()).await?;
+            let reply = connection.unless_disconnected(handle.outcome()).await?;
             upload.drain().await.map_err(|BodyError| ClientDisconnected)?;
             Ok(reply)
         }
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -16,8 +16,8 @@
 use super::connection::ClientConnection;
 use crate::sidecar::body::{BodyError, BoxedBody};
 use crate::sidecar::budget::Reservation;
-use crate::sidecar::driver::Reply;
-use crate::sidecar::upstream::Served;
+use crate::sidecar::driver::RequestOutcome;
+use crate::sidecar::upstream::UpstreamResponse;
 
 /// The body of a response before it is bound to its connection.
 #[derive(Default)]
@@ -38,15 +38,15 @@
 }
 
 /// The response that tells a client the outcome of its request.
-pub(super) fn reply_response(reply: Reply) -> Response<ResponseParts> {
+pub(super) fn reply_response(reply: RequestOutcome) -> Response<ResponseParts> {
     match reply {
-        Reply::Served(Served { head, body, rest, room }) => {
-            let parts = ResponseParts { first: body, rest, reservation: room };
+        RequestOutcome::Served(UpstreamResponse { headers, body, rest, reservation }) => {
+            let parts = ResponseParts { first: body, rest, reservation };
             let mut response = Response::new(parts);
-            *response.headers_mut() = end_to_end_headers(&head);
+            *response.headers_mut() = end_to_end_headers(&headers);
             response
         }
-        Reply::Refused { retry_after } => {
+        RequestOutcome::Rejected { retry_after } => {
             let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
             let seconds = retry_after.map(|time| format!("{:.3}", time.as_secs_f64()));
             if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
@@ -54,7 +54,7 @@
             }
             response
         }
-        Reply::Failed => empty_response(StatusCode::BAD_GATEWAY),
+        RequestOutcome::Failed => empty_response(StatusCode::BAD_GATEWAY),
     }
 }
 
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -15,8 +15,8 @@
 use super::admin::record::Record;
 use super::budget::{BodyBudget, SocketBudget};
 use super::config::{Config, List};
-use super::discovery::Call;
-use super::driver::{Driver, Others};
+use super::discovery::DiscoveryRequest;
+use super::driver::{Driver, PeerServices};
 use super::ingress::Ingress;
 use super::inherited_listener::{InheritedListenerError, inherited_listener};
 use super::live::LiveConfig;
@@ -155,7 +155,7 @@
         &self,
         settings: Settings,
         seed: u64,
-        to_discovery: mpsc::UnboundedSender<Call>,
+        to_discovery: mpsc::UnboundedSender<DiscoveryRequest>,
     ) -> Rc<Driver<P>> {
         Driver::new(
             settings,
@@ -164,7 +164,7 @@
             self.status.clone(),
             self.upstream.clone(),
             to_discovery,
-            Others { peers: self.peers.clone(), tier: self.tier.clone() },
+            PeerServices { datagrams: self.peers.clone(), gossip: self.tier.clone() },
         )
     }
 
@@ -198,7 +198,7 @@
 
     /// Starts the driver's timers, and what is exchanged with other sidecars.
     pub fn start_background_tasks(&self, driver: &Rc<Driver<P>>) {
-        P::spawn(driver.clone().ring());
+        P::spawn(driver.clone().run_timers());
         if let Some(peers) = &self.peers {
             P::spawn(peers.clone().listen(driver.clone()));
         }
@@ -225,12 +225,12 @@
     how: Discovery,
 ) {
     match known {
-        Some(known) => driver.servers(ListKind::Remembered, known),
+        Some(known) => driver.update_endpoints(ListKind::Remembered, known),
         // Where discovery is polled, the balancer first polls after what it remembers; one that
         // remembers nothing would never poll, and refuse everything.
         None if how == Discovery::Asked => {
-            driver.servers(ListKind::Remembered, &List::default());
-            driver.fetch();
+            driver.update_endpoints(ListKind::Remembered, &List::default());
+            driver.fetch_list();
         }
         None => {}
     }
--- a/src/sidecar/timers.rs
+++ b/src/sidecar/timers.rs
@@ -1,4 +1,4 @@
-//! The module's timers, all of them waited for by one task.
+//! The balancer's timers, all of which one task waits for.
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -9,48 +9,56 @@
 use runtime::Runtime;
 use tokio::sync::Notify;
 
-/// Timers by when they run out. The module sets a few for each request, none longer than a client
-/// waits, so their number is bounded by the requests of that time.
+/// A timer: when it expires, and the balancer's token for it.
+type Timer = (Instant, u32);
+
+/// Timers by the time at which they expire.
+///
+/// The balancer sets a few for each request, none longer than a client waits, so their number is
+/// bounded by the requests of that time.
 pub struct Timers<P> {
-    set: RefCell<BinaryHeap<Reverse<(Instant, u32)>>>,
-    sooner: Notify,
-    on: PhantomData<P>,
+    pending: RefCell<BinaryHeap<Reverse<Timer>>>,
+    /// Notified when a timer is set that expires before all others.
+    earlier: Notify,
+    platform: PhantomData<P>,
 }
 
 impl<P> Default for Timers<P> {
     fn default() -> Timers<P> {
-        Timers { set: RefCell::default(), sooner: Notify::new(), on: PhantomData }
+        Timers { pending: RefCell::default(), earlier: Notify::new(), platform: PhantomData }
     }
 }
 
 impl<P: Runtime> Timers<P> {
     /// Sets a timer.
-    pub fn set(&self, delay: Duration, token: u32) {
-        let at = P::now() + delay;
-        let mut set = self.set.borrow_mut();
-        if set.peek().is_none_or(|first| at < first.0.0) {
-            self.sooner.notify_one();
+    pub fn schedule(&self, delay: Duration, token: u32) {
+        let expires_at = P::now() + delay;
+        if self.next_expiry().is_none_or(|next| expires_at < next) {
+            self.earlier.notify_one();
         }
-        set.push(Reverse((at, token)));
+        self.pending.borrow_mut().push(Reverse((expires_at, token)));
     }
 
-    /// Waits for the next one to run out.
-    pub async fn next(&self) -> u32 {
+    /// Waits for the next timer to expire, and returns its token.
+    pub async fn next_expired(&self) -> u32 {
         loop {
-            let first = self.set.borrow().peek().map(|first| first.0.0);
-            match first {
-                None => self.sooner.notified().await,
-                Some(at) if at <= P::now() => {
-                    if let Some(Reverse((_, token))) = self.set.borrow_mut().pop() {
+            match self.next_expiry() {
+                None => self.earlier.notified().await,
+                Some(expires_at) if expires_at <= P::now() => {
+                    if let Some(Reverse((_, token))) = self.pending.borrow_mut().pop() {
                         return token;
                     }
                 }
-                Some(at) => tokio::select! {
+                Some(expires_at) => tokio::select! {
                     biased;
-                    () = P::sleep_until(at) => {}
-                    () = self.sooner.notified() => {}
+                    () = P::sleep_until(expires_at) => {}
+                    () = self.earlier.notified() => {}
                 },
             }
         }
     }
+
+    fn next_expiry(&self) -> Option<Instant> {
+        self.pending.borrow().peek().map(|Reverse((expires_at, _))| *expires_at)
+    }
 }
--- /dev/null
+++ b/src/sidecar/upstream/connection.rs
@@ -0,0 +1,98 @@
+//! One connection to a server.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use runtime::{Runtime, Stream, TaskHandle, Tcp};
+
+use super::observer::ExchangeObserver;
+use super::request::RequestBody;
+use crate::sidecar::budget::SocketPermit;
+use crate::sidecar::framing::MAX_HEAD_BYTES;
+
+/// A connection that has been idle at least this long may have been reset unnoticed, and is tested
+/// before a request that is not idempotent is sent on it in full.
+const IDLE_BEFORE_RESET: Duration = Duration::from_millis(50);
+/// If a server closes a connection right behind its response, that is seen within this time; it
+/// covers the delay of the network.
+pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(10);
+/// How long such a test takes, in times to connect (a reset arrives within a round trip), and its
+/// bounds.
+const TEST_ROUND_TRIPS: u32 = 4;
+const SHORTEST_TEST: Duration = Duration::from_millis(1);
+const LONGEST_TEST: Duration = Duration::from_millis(4);
+
+/// One connection. Dropping it closes it.
+pub(super) struct Connection<P: Runtime> {
+    pub(super) sender: SendRequest<RequestBody<P>>,
+    pub(super) observer: Rc<ExchangeObserver<P>>,
+    pub(super) address: SocketAddr,
+    /// When it last became idle, or was established.
+    pub(super) idle_since: Instant,
+    /// It was in the pool: the server may have closed it unnoticed.
+    pub(super) reused: bool,
+    socket: Rc<P::Tcp>,
+    driver: P::TaskHandle,
+    /// How long it took to connect: one round trip.
+    round_trip: Duration,
+}
+
+impl<P: Runtime> Connection<P> {
+    /// Starts HTTP on `socket`, which was connected to `address` within `round_trip`; none if that
+    /// fails. The permit `place` is given back when the connection ends.
+    pub(super) async fn start(
+        socket: P::Tcp,
+        address: SocketAddr,
+        round_trip: Duration,
+        observer: ExchangeObserver<P>,
+        place: SocketPermit,
+    ) -> Option<Connection<P>> {
+        socket.set_nodelay().ok()?;
+        let socket = Rc::new(socket);
+        let observer = Rc::new(observer);
+        let io = TokioIo::new(Stream::new(socket.clone(), observer.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES).allow_obsolete_multiline_headers_in_responses(true);
+        let (sender, connection) = builder.handshake(io).await.ok()?;
+        let driver = P::spawn(async move {
+            let _place = place;
+            // An error shows in the attempt that uses the connection.
+            let _ = connection.await;
+        });
+        Some(Connection {
+            sender,
+            observer,
+            address,
+            idle_since: P::now(),
+            reused: false,
+            socket,
+            driver,
+            round_trip,
+        })
+    }
+
+    /// Whether the server has neither closed the connection nor sent anything unasked for.
+    ///
+    /// The socket is asked as well, since hyper's own task sees a close only when it runs next.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.observer.is_clean() && self.socket.is_idle()
+    }
+
+    /// How long the last byte of a request is held back to learn whether the connection still exists;
+    /// none if it is new, or was idle neither so shortly nor so long that it may have been closed.
+    pub(super) fn test_duration(&self) -> Option<Duration> {
+        let needs_test = self.reused
+            && !(CLOSE_DELAY..IDLE_BEFORE_RESET).contains(&P::elapsed_since(self.idle_since));
+        let duration = (self.round_trip * TEST_ROUND_TRIPS).clamp(SHORTEST_TEST, LONGEST_TEST);
+        needs_test.then_some(duration)
+    }
+}
+
+impl<P: Runtime> Drop for Connection<P> {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/src/sidecar/upstream/exchange.rs
@@ -0,0 +1,254 @@
+//! One attempt: a request and its response on a connection.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::{Method, Request, Response};
+use runtime::{Runtime, timeout};
+
+use super::connection::Connection;
+use super::observer::ExchangeObserver;
+use super::request::{AttemptLimits, RequestBody, UpstreamRequest};
+use super::response::{UpstreamResponse, is_unprocessed};
+use super::{Endpoint, Upstream};
+use crate::api::{LoadReport, Outcome};
+use crate::settings::Repeat;
+
+/// A connection that was closed before it was used shows that within this time.
+const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The header that tells a server how long the client still waits, in milliseconds.
+const TIME_LEFT_HEADER: &str = "x-time-left-ms";
+
+/// How an attempt ended.
+pub struct AttemptResult {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The load report that came with the response; empty without one.
+    pub report: LoadReport,
+    /// The response, if the outcome is that the request was served.
+    pub response: Option<UpstreamResponse>,
+}
+
+impl AttemptResult {
+    /// An end without a response.
+    pub fn without_response(outcome: Outcome) -> AttemptResult {
+        AttemptResult { outcome, report: LoadReport::default(), response: None }
+    }
+}
+
+/// What follows when a connection broke before a response.
+enum AfterBreak {
+    /// The request is sent on a new connection. It was not sent in full before.
+    Reconnect,
+    /// The request is sent on a new connection, though it was sent in full before.
+    Resend,
+    /// The attempt has ended.
+    End(Outcome),
+}
+
+impl<P: Runtime> Upstream<P> {
+    /// Makes one attempt at `endpoint`. Dropping the future cancels the attempt.
+    pub async fn attempt(
+        self: &Rc<Upstream<P>>,
+        endpoint: Endpoint,
+        request: &Rc<UpstreamRequest>,
+        limits: AttemptLimits,
+    ) -> AttemptResult {
+        Exchange { upstream: self, endpoint, request, limits, resent: false }.run().await
+    }
+
+    /// Waits until a response that has begun makes no progress.
+    async fn response_stalled(&self, observer: &ExchangeObserver<P>) {
+        loop {
+            match observer.response_active_at().map(|at| at + self.live.timeouts().gap) {
+                None => observer.response_began().await,
+                Some(end) if P::now() >= end => return,
+                Some(end) => P::sleep_until(end).await,
+            }
+        }
+    }
+}
+
+/// An attempt under way. It may use a second connection if the first turns out to be closed.
+struct Exchange<'a, P: Runtime> {
+    upstream: &'a Rc<Upstream<P>>,
+    endpoint: Endpoint,
+    request: &'a Rc<UpstreamRequest>,
+    limits: AttemptLimits,
+    /// The request was sent in full and is being sent a second time.
+    resent: bool,
+}
+
+impl<P: Runtime> Exchange<'_, P> {
+    async fn run(mut self) -> AttemptResult {
+        let mut result = self.exchange().await;
+        // That the second copy was not executed says nothing about the first, which was sent in full.
+        if self.resent && result.outcome.never_ran() && self.request.repeat != Repeat::Safe {
+            result.outcome = Outcome::Reset;
+        }
+        result
+    }
+
+    async fn exchange(&mut self) -> AttemptResult {
+        // The part of a streamed body that is lost on a closed connection cannot be sent again.
+        let mut idle = match self.request.upload {
+            None => self.upstream.take_idle(self.endpoint).await,
+            Some(_) => None,
+        };
+        loop {
+            let connection = match idle.take() {
+                Some(connection) => Some(connection),
+                None => self.upstream.connect(self.endpoint.address).await,
+            };
+            let Some(mut connection) = connection else {
+                return AttemptResult::without_response(Outcome::ConnectFailed);
+            };
+            // Where attempts may not be cancelled, one that waits for its connection would be sent for
+            // a request that is finished, and its effect would take place for nobody.
+            if self.request.finished.get() || !self.limits.may_start(P::now()) {
+                self.upstream.return_to_pool(self.endpoint.server, connection);
+                return AttemptResult::without_response(Outcome::Moot);
+            }
+            let observer = connection.observer.clone();
+            let sent_at = P::now();
+            if let Some(response) = self.receive_head(&mut connection, &observer).await {
+                return self.receive_response(connection, &observer, response).await;
+            }
+            match self.after_break(&connection, sent_at) {
+                AfterBreak::Reconnect => {}
+                AfterBreak::Resend => {
+                    self.resent = true;
+                    // The new connection may take longer to come up than the first copy is remembered.
+                    self.limits.note_sent(sent_at);
+                }
+                AfterBreak::End(outcome) => return AttemptResult::without_response(outcome),
+            }
+        }
+    }
+
+    /// Sends the request and waits for the head of its response; none if the connection breaks or the
+    /// head stalls.
+    ///
+    /// A response that has begun and makes no progress would hold the request until its deadline,
+    /// whatever is wrong with it: a head or a body that stops, a length that is too long. It has
+    /// failed, and an idempotent request goes to another server in time. This is a disadvantage with
+    /// servers that respond in pieces which are far apart.
+    async fn receive_head(
+        &self,
+        connection: &mut Connection<P>,
+        observer: &ExchangeObserver<P>,
+    ) -> Option<Response<Incoming>> {
+        let response = tokio::select! {
+            biased;
+            response = send_request(connection, self.request, self.limits.deadline) => response,
+            () = self.upstream.response_stalled(observer) => None,
+        };
+        // A response that came before the request was sent answers something else.
+        response.filter(|_| observer.is_request_sent() || self.request.upload.is_some())
+    }
+
+    async fn receive_response(
+        &self,
+        connection: Connection<P>,
+        observer: &ExchangeObserver<P>,
+        response: Response<Incoming>,
+    ) -> AttemptResult {
+        if !observer.is_request_sent() {
+            // The server wants no more of a streamed body. Its response ends the connection.
+            let unprocessed = is_unprocessed(&response);
+            let outcome = if unprocessed { Outcome::Full } else { Outcome::Error };
+            return AttemptResult::without_response(outcome);
+        }
+        tokio::select! {
+            biased;
+            result = self.upstream.read_response(self.endpoint.server, connection, response) => result,
+            () = self.upstream.response_stalled(observer) => {
+                AttemptResult::without_response(Outcome::Reset)
+            }
+        }
+    }
+
+    /// What follows after the connection broke without a response to what was sent at `sent_at`.
+    fn after_break(&self, connection: &Connection<P>, sent_at: Instant) -> AfterBreak {
+        let observer = &connection.observer;
+        let sent = observer.is_request_sent();
+        if self.request.finished.get() && !sent {
+            return AfterBreak::End(Outcome::Moot);
+        }
+        // A server may close a connection just as the request is written. An idempotent one goes to the
+        // same server again at once, as part of the same attempt: the server has not chosen to fail
+        // it. Nothing of a response must have arrived, and the break must come as soon as one that
+        // happened before.
+        let was_stale = connection.reused
+            && observer.response_active_at().is_none()
+            && P::elapsed_since(sent_at) < STALE_CONNECTION_TIMEOUT;
+        match (was_stale && self.request.repeat != Repeat::Unsafe, sent) {
+            (true, true) => AfterBreak::Resend,
+            (true, false) => AfterBreak::Reconnect,
+            (false, true) => AfterBreak::End(Outcome::Reset),
+            // An idle connection may be reset by the first byte written to it. The server has not begun
+            // on the request, which gets a new connection.
+            (false, false) if connection.reused => AfterBreak::Reconnect,
+            (false, false) => AfterBreak::End(Outcome::ConnectFailed),
+        }
+    }
+}
+
+/// Sends `request` and waits for the head of its response; none if the connection breaks before.
+pub(super) async fn send_request<P: Runtime>(
+    connection: &mut Connection<P>,
+    request: &UpstreamRequest,
+    deadline: Instant,
+) -> Option<Response<Incoming>> {
+    let time_left = request.time_left(P::now(), deadline);
+    let observer = connection.observer.clone();
+    let message = build_message(connection, request, time_left);
+    // An idempotent request need not wait for a test: if the connection is gone, it is sent once more.
+    let test_duration = match request.repeat {
+        Repeat::Unsafe => connection.test_duration(),
+        _ => None,
+    };
+    observer.begin(request.content_length().unwrap_or(u64::MAX));
+    if test_duration.is_some() {
+        observer.hold_last_byte();
+    }
+    let mut response = pin!(connection.sender.send_request(message));
+    if let Some(test_duration) = test_duration {
+        if let Ok(response) = timeout::<P, _>(test_duration, &mut response).await {
+            return response.ok();
+        }
+        // Where attempts may not be cancelled, the byte that was held back would have a request
+        // executed that was given up meanwhile.
+        if request.finished.get() {
+            return None;
+        }
+        observer.release();
+    }
+    response.await.ok()
+}
+
+fn build_message<P: Runtime>(
+    connection: &Connection<P>,
+    request: &UpstreamRequest,
+    time_left: Duration,
+) -> Request<RequestBody<P>> {
+    let mut message = Request::new(RequestBody::new(request, &connection.observer));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.target.clone();
+    *message.headers_mut() = request.headers.clone();
+    let headers = message.headers_mut();
+    headers.insert(TIME_LEFT_HEADER, HeaderValue::from(time_left.as_millis() as u64));
+    if let Ok(host) = HeaderValue::try_from(connection.address.to_string()) {
+        headers.entry(HOST).or_insert(host);
+    }
+    if request.method != Method::GET
+        && let Some(length) = request.content_length()
+    {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    message
+}
--- /dev/null
+++ b/src/sidecar/upstream/health_check.rs
@@ -0,0 +1,105 @@
+//! Active health checks.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::HeaderMap;
+use hyper::{Method, Response, StatusCode};
+use runtime::{Runtime, timeout};
+
+use super::exchange::send_request;
+use super::{Upstream, UpstreamRequest};
+use crate::api::{LoadReport, Outcome};
+use crate::settings::Repeat;
+use crate::sidecar::body::STREAM_WINDOW_BYTES;
+
+/// Where servers report their load.
+const LOAD_PATH: &str = "/stats";
+/// Where servers that do not report their load tell that they are alive.
+const LIVENESS_PATH: &str = "/health/live";
+/// What a health check may take beyond the time to connect.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a health check asks a server for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthCheckKind {
+    /// Whether it is alive.
+    Liveness,
+    /// Whether it is alive, and a load report.
+    LoadReport,
+}
+
+impl HealthCheckKind {
+    fn path(self) -> &'static str {
+        match self {
+            HealthCheckKind::Liveness => LIVENESS_PATH,
+            HealthCheckKind::LoadReport => LOAD_PATH,
+        }
+    }
+}
+
+/// The result of a health check.
+pub struct HealthCheckResult {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The load report; empty if none was asked for, or the server gave none.
+    pub report: LoadReport,
+}
+
+impl HealthCheckResult {
+    /// The result of a check without a response.
+    pub fn without_response(outcome: Outcome) -> HealthCheckResult {
+        HealthCheckResult { outcome, report: LoadReport::default() }
+    }
+}
+
+impl<P: Runtime> Upstream<P> {
+    /// Checks the health of the server at `address` on a connection of its own.
+    pub async fn check_health(
+        &self,
+        address: SocketAddr,
+        kind: HealthCheckKind,
+    ) -> HealthCheckResult {
+        let limit = self.live.timeouts().connect + RESPONSE_TIMEOUT;
+        let check = timeout::<P, _>(limit, self.exchange_health_check(address, kind));
+        match check.await {
+            Ok(Ok(result)) => result,
+            Ok(Err(outcome)) => HealthCheckResult::without_response(outcome),
+            Err(_) => HealthCheckResult::without_response(Outcome::TimedOut),
+        }
+    }
+
+    /// The result of a response, or the outcome without one.
+    async fn exchange_health_check(
+        &self,
+        address: SocketAddr,
+        kind: HealthCheckKind,
+    ) -> Result<HealthCheckResult, Outcome> {
+        let mut connection = self.connect(address).await.ok_or(Outcome::ConnectFailed)?;
+        let request = health_check_request(kind.path());
+        let deadline = P::now() + self.live.timeouts().connect;
+        let response = send_request(&mut connection, &request, deadline).await;
+        let (head, body) = response.map(Response::into_parts).ok_or(Outcome::Reset)?;
+        let body =
+            Limited::new(body, STREAM_WINDOW_BYTES).collect().await.map_err(|_| Outcome::Reset)?;
+        let outcome = if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
+        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        Ok(HealthCheckResult { outcome, report: self.live.names().report(&text) })
+    }
+}
+
+fn health_check_request(path: &'static str) -> UpstreamRequest {
+    UpstreamRequest {
+        repeat: Repeat::Safe,
+        method: Method::GET,
+        target: hyper::Uri::from_static(path),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        upload: None,
+        reservation: None,
+        finished: Cell::default(),
+    }
+}
--- /dev/null
+++ b/src/sidecar/upstream/mod.rs
@@ -0,0 +1,63 @@
+//! Connections to servers: a pool of idle ones, and the attempts and health checks made on them.
+//!
+//! Each attempt has exactly one [`AttemptResult`]. Which server an attempt goes to, and what follows
+//! its result, is decided by the balancer.
+
+mod connection;
+mod exchange;
+mod health_check;
+mod observer;
+mod pool;
+mod request;
+mod response;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use runtime::Runtime;
+use rustc_hash::FxHashMap;
+
+use super::budget::{BodyBudget, SocketBudget};
+use super::live::LiveConfig;
+use super::status::Status;
+use crate::api::ServerId;
+use connection::Connection;
+pub use exchange::AttemptResult;
+pub use health_check::{HealthCheckKind, HealthCheckResult};
+pub use request::{AttemptLimits, UpstreamRequest};
+pub use response::UpstreamResponse;
+
+/// A server, and the address to connect to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// The server.
+    pub server: ServerId,
+    /// Where it accepts connections from this sidecar.
+    pub address: SocketAddr,
+}
+
+/// All connections to servers.
+pub struct Upstream<P: Runtime> {
+    /// Idle connections of each server, the most recently used one last.
+    idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
+    sockets: Rc<SocketBudget>,
+    body_memory: BodyBudget,
+    live: Rc<LiveConfig>,
+    status: Rc<Status>,
+}
+
+impl<P: Runtime> Upstream<P> {
+    /// Starts without connections, and spawns the task that closes expired idle ones.
+    pub fn new(
+        sockets: Rc<SocketBudget>,
+        body_memory: BodyBudget,
+        live: Rc<LiveConfig>,
+        status: Rc<Status>,
+    ) -> Rc<Upstream<P>> {
+        let idle = RefCell::default();
+        let upstream = Rc::new(Upstream { idle, sockets, body_memory, live, status });
+        P::spawn(upstream.clone().evict_expired());
+        upstream
+    }
+}
--- /dev/null
+++ b/src/sidecar/upstream/observer.rs
@@ -0,0 +1,227 @@
+//! Follows the bytes of a request and of its response on a connection, beneath hyper.
+//!
+//! hyper reports that a connection broke, but not whether the last byte of the request had been
+//! written before. A request that had not been sent in full was not executed, and may be sent again
+//! even if it is not idempotent.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Instant;
+
+use runtime::{Observer, Runtime};
+use tokio::sync::Notify;
+
+use crate::sidecar::framing::{Framing, MessageKind};
+use crate::sidecar::status::Status;
+
+/// The length of the sequence that ends a head: CR LF CR LF.
+const HEAD_TERMINATOR_LENGTH: usize = 4;
+
+/// How much of a request has been written.
+#[derive(Default)]
+struct RequestProgress {
+    /// How many bytes of the head's terminator were the last to be written.
+    terminator_matched: Cell<usize>,
+    in_head: Cell<bool>,
+    /// Bytes of the body that are still to be written.
+    body_left: Cell<u64>,
+    complete: Cell<bool>,
+}
+
+impl RequestProgress {
+    /// Begins a request with a body of `body` bytes.
+    fn begin(&self, body: u64) {
+        self.terminator_matched.set(0);
+        self.in_head.set(true);
+        self.body_left.set(body);
+        self.complete.set(false);
+    }
+
+    /// Looks for the end of the head in `bytes`, which are the next to be written: the position after
+    /// it, or else how many bytes of the terminator they end with.
+    fn find_head_end(&self, bytes: &[u8]) -> Result<usize, usize> {
+        let mut matched = self.terminator_matched.get();
+        for (index, &byte) in bytes.iter().enumerate() {
+            matched = match (byte, matched) {
+                (b'\r', 0 | 2) | (b'\n', 1 | 3) => matched + 1,
+                (b'\r', _) => 1,
+                _ => 0,
+            };
+            if matched == HEAD_TERMINATOR_LENGTH {
+                return Ok(index + 1);
+            }
+        }
+        Err(matched)
+    }
+
+    /// Where in `bytes`, which are the next to be written, the request ends, if it does.
+    fn find_end(&self, bytes: &[u8]) -> Option<usize> {
+        let head = if self.in_head.get() { self.find_head_end(bytes).ok()? } else { 0 };
+        let left = usize::try_from(self.body_left.get()).ok()?;
+        head.checked_add(left).filter(|&end| end <= bytes.len())
+    }
+
+    /// Notes that `bytes` were written; whether nothing of the request is left.
+    fn advance(&self, mut bytes: &[u8]) -> bool {
+        if self.in_head.get() {
+            match self.find_head_end(bytes) {
+                Ok(end) => {
+                    self.in_head.set(false);
+                    bytes = &bytes[end..];
+                }
+                Err(matched) => {
+                    self.terminator_matched.set(matched);
+                    return false;
+                }
+            }
+        }
+        self.body_left.set(self.body_left.get().saturating_sub(bytes.len() as u64));
+        self.body_left.get() == 0
+    }
+}
+
+/// Follows the exchanges on one connection, one after the other.
+///
+/// It can hold back the last byte of a request ([`ExchangeObserver::hold_last_byte`]), until
+/// [`ExchangeObserver::release`].
+pub(super) struct ExchangeObserver<P> {
+    request: RequestProgress,
+    response: RefCell<Framing>,
+    /// When bytes of the final response last arrived, if any have.
+    response_active_at: Cell<Option<Instant>>,
+    response_began: Notify,
+    /// Something arrived that belongs to no response: the connection cannot be used again.
+    unexpected_bytes: Cell<bool>,
+    holds_last_byte: Cell<bool>,
+    writer: Cell<Option<Waker>>,
+    status: Rc<Status>,
+    platform: PhantomData<P>,
+}
+
+impl<P: Runtime> ExchangeObserver<P> {
+    /// For a new connection. Bodies of responses may be `longest_body` bytes long; requests that are
+    /// sent in full are counted in `status`.
+    pub(super) fn new(longest_body: usize, status: Rc<Status>) -> ExchangeObserver<P> {
+        ExchangeObserver {
+            request: RequestProgress::default(),
+            response: RefCell::new(Framing::new(MessageKind::Response, longest_body)),
+            response_active_at: Cell::new(None),
+            response_began: Notify::new(),
+            unexpected_bytes: Cell::new(false),
+            holds_last_byte: Cell::new(false),
+            writer: Cell::new(None),
+            status,
+            platform: PhantomData,
+        }
+    }
+
+    /// Begins an exchange whose request has a body of `body` bytes.
+    pub(super) fn begin(&self, body: u64) {
+        self.response.borrow_mut().start_next();
+        self.response_active_at.set(None);
+        self.request.begin(body);
+        self.holds_last_byte.set(false);
+    }
+
+    /// Holds back the last byte of the request that has just begun.
+    pub(super) fn hold_last_byte(&self) {
+        self.holds_last_byte.set(true);
+    }
+
+    /// Notes that the last byte of the request has been written.
+    pub(super) fn request_sent(&self) {
+        if !self.request.complete.replace(true) {
+            self.status.attempted();
+        }
+    }
+
+    /// Whether the last byte of the request has been written: it may have been executed.
+    pub(super) fn is_request_sent(&self) -> bool {
+        self.request.complete.get()
+    }
+
+    /// Lets the last byte of the request be written.
+    pub(super) fn release(&self) {
+        self.holds_last_byte.set(false);
+        if let Some(writer) = self.writer.take() {
+            writer.wake();
+        }
+    }
+
+    /// When bytes of the final response last arrived, if any have.
+    pub(super) fn response_active_at(&self) -> Option<Instant> {
+        self.response_active_at.get()
+    }
+
+    /// Waits until the first bytes of the final response arrive.
+    pub(super) async fn response_began(&self) {
+        self.response_began.notified().await;
+    }
+
+    /// Whether the response says how long its body is.
+    pub(super) fn has_delimited_response(&self) -> bool {
+        self.response.borrow().has_explicit_end()
+    }
+
+    /// Whether nothing has arrived that belongs to no response.
+    pub(super) fn is_clean(&self) -> bool {
+        !self.unexpected_bytes.get()
+    }
+
+    /// Whether the connection can be used for another request.
+    ///
+    /// What follows a response would be taken for the response to the next request. A connection on
+    /// which a response ended otherwise than by its announced length is not used again either.
+    pub(super) fn is_reusable(&self) -> bool {
+        self.is_clean() && self.response.borrow().is_complete()
+    }
+}
+
+impl<P: Runtime> Observer for ExchangeObserver<P> {
+    fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut response = self.response.borrow_mut();
+        // What arrives before the last byte of the request was written does not answer it.
+        if !self.is_request_sent() || response.is_complete() {
+            self.unexpected_bytes.set(self.unexpected_bytes.get() || !bytes.is_empty());
+        }
+        if let Err(fault) = response.feed(bytes) {
+            if response.is_complete() {
+                // It follows a complete response, which hyper may have.
+                self.unexpected_bytes.set(true);
+                return Ok(());
+            }
+            tracing::debug!(%fault, "invalid response from server");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
+        }
+        if !response.has_started() {
+            self.response_active_at.set(None);
+        } else if self.response_active_at.replace(Some(P::now())).is_none() {
+            self.response_began.notify_one();
+        }
+        Ok(())
+    }
+
+    fn limits_writes(&self) -> bool {
+        self.holds_last_byte.get()
+    }
+
+    fn poll_write_allowance(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
+        match self.request.find_end(bytes) {
+            Some(1) if self.holds_last_byte.get() => {
+                self.writer.set(Some(cx.waker().clone()));
+                Poll::Pending
+            }
+            Some(end) if self.holds_last_byte.get() && end > 1 => Poll::Ready(end - 1),
+            _ => Poll::Ready(bytes.len()),
+        }
+    }
+
+    fn on_write(&self, bytes: &[u8]) {
+        if self.request.advance(bytes) {
+            self.request_sent();
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/upstream/response.rs
@@ -0,0 +1,203 @@
+//! Responses of servers: their load reports, and their bodies, which are buffered or streamed.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use runtime::{Runtime, timeout, timeout_at};
+
+use super::connection::Connection;
+use super::{AttemptResult, Upstream};
+use crate::api::{Outcome, ServerId};
+use crate::sidecar::body::{
+    BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
+};
+use crate::sidecar::budget::Reservation;
+
+/// How long more of a streamed response is waited for after its first bytes, before they are
+/// forwarded. One that breaks off that early has failed while another server can still be asked.
+const EARLY_BREAK_WAIT: Duration = Duration::from_millis(10);
+
+/// The header with which a server reports its load.
+const LOAD_REPORT_HEADER: &str = "x-backend-load";
+/// The header with which a server tells that it rejected a request without processing it.
+const UNPROCESSED_HEADER: &str = "x-unprocessed";
+
+/// A server's response to a request.
+pub struct UpstreamResponse {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body, or the first part of one that is too long to be buffered.
+    pub body: Bytes,
+    /// The rest of the body, if it is streamed.
+    pub rest: Option<BoxedBody>,
+    /// The memory reserved for the body.
+    pub reservation: Reservation,
+}
+
+/// The first part of a body.
+struct Prefix {
+    bytes: BytesMut,
+    /// Nothing follows.
+    complete: bool,
+}
+
+/// The rest of a response that is forwarded while it is received. Its connection returns to the pool
+/// when the body is complete; dropped before, it is closed.
+struct StreamedRest<P: Runtime> {
+    body: PacedBody<P>,
+    upstream: Rc<Upstream<P>>,
+    server: ServerId,
+    connection: Option<Connection<P>>,
+}
+
+// Nothing in it is pinned in place.
+impl<P: Runtime> Unpin for StreamedRest<P> {}
+
+impl<P: Runtime> Body for StreamedRest<P> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none()
+            && let Some(connection) = self.connection.take()
+        {
+            self.upstream.return_to_pool(self.server, connection);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.connection.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<P: Runtime> Upstream<P> {
+    /// Reads the response to an attempt at `server`.
+    pub(super) async fn read_response(
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
+        connection: Connection<P>,
+        response: Response<Incoming>,
+    ) -> AttemptResult {
+        let unprocessed = is_unprocessed(&response);
+        let (head, body) = response.into_parts();
+        let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|value| value.to_str().ok());
+        let report = report.map(|text| self.live.names().report(text)).unwrap_or_default();
+        if head.status != StatusCode::OK {
+            P::spawn(self.clone().discard_body(server, connection, body));
+            let outcome = if unprocessed { Outcome::Full } else { Outcome::Error };
+            return AttemptResult { outcome, report, response: None };
+        }
+        match self.read_body(server, connection, head.headers, body).await {
+            Some(response) => {
+                AttemptResult { outcome: Outcome::Served, report, response: Some(response) }
+            }
+            None => AttemptResult { outcome: Outcome::Reset, report, response: None },
+        }
+    }
+
+    /// Reads a body, or the first part of a streamed one; none if it cannot be forwarded in full.
+    async fn read_body(
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
+        connection: Connection<P>,
+        headers: HeaderMap,
+        mut body: Incoming,
+    ) -> Option<UpstreamResponse> {
+        // Without a length, a response that breaks off looks complete.
+        if !connection.observer.has_delimited_response() {
+            return None;
+        }
+        let buffered_length =
+            body.size_hint().exact().filter(|&length| length <= STREAM_WINDOW_BYTES as u64);
+        let bytes = buffered_length.map_or(STREAM_RESERVATION_BYTES, |length| length as usize);
+        let Some(reservation) = self.body_memory.try_reserve(bytes) else {
+            tracing::warn!(bytes, "no memory left for a response body");
+            return None;
+        };
+        let first = read_prefix::<P>(&mut body, buffered_length).await.ok()?;
+        let rest: Option<BoxedBody> = if first.complete {
+            self.return_to_pool(server, connection);
+            None
+        } else {
+            let longest_rest = self.live.max_body_bytes().saturating_sub(first.bytes.len());
+            let body = PacedBody::from_server(body, longest_rest as u64);
+            let connection = Some(connection);
+            Some(Box::pin(StreamedRest { body, upstream: self.clone(), server, connection }))
+        };
+        let body = first.bytes.freeze();
+        Some(UpstreamResponse { headers, body, rest, reservation: Some(reservation) })
+    }
+
+    /// Reads the rest of a short response that is not forwarded, so that its connection can be used
+    /// again.
+    async fn discard_body(
+        self: Rc<Upstream<P>>,
+        server: ServerId,
+        connection: Connection<P>,
+        body: Incoming,
+    ) {
+        let limited = Limited::new(body, STREAM_WINDOW_BYTES);
+        if let Ok(Ok(_)) = timeout::<P, _>(self.live.timeouts().gap, limited.collect()).await {
+            self.return_to_pool(server, connection);
+        }
+    }
+}
+
+/// Reads a body of `buffered_length` in full, or the first bytes of a longer one, and more of those
+/// if they arrive soon.
+///
+/// # Errors
+///
+/// The body breaks off.
+async fn read_prefix<P: Runtime>(
+    body: &mut Incoming,
+    buffered_length: Option<u64>,
+) -> Result<Prefix, hyper::Error> {
+    let is_long =
+        body.size_hint().exact().is_some_and(|length| length > STREAM_WINDOW_BYTES as u64);
+    let mut bytes = BytesMut::with_capacity(buffered_length.unwrap_or_default() as usize);
+    let mut wait_until = None;
+    loop {
+        if buffered_length.is_none() && bytes.len() >= STREAM_WINDOW_BYTES {
+            return Ok(Prefix { bytes, complete: false });
+        }
+        let frame = match wait_until {
+            None => body.frame().await,
+            Some(wait_until) => match timeout_at::<P, _>(wait_until, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Ok(Prefix { bytes, complete: false }),
+            },
+        };
+        if is_long {
+            wait_until = wait_until.or_else(|| Some(P::now() + EARLY_BREAK_WAIT));
+        }
+        let Some(frame) = frame.transpose()? else {
+            return Ok(Prefix { bytes, complete: true });
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
+/// Whether a server has rejected a request without processing it.
+pub(super) fn is_unprocessed<B>(response: &Response<B>) -> bool {
+    matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+        && response.headers().get(UNPROCESSED_HEADER).is_some_and(|value| value == "1")
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,5 +1,5 @@
-//! Random event sequences against a checker of rules 1 to 3 that knows nothing of the module's
-//! insides: it keeps its own books of requests, attempts and lists.
+//! Random event sequences against a checker of rules 1 to 3 that does not know how the balancer
+//! works: it keeps its own record of requests, attempts and the endpoint list.
 
 mod common;
 
@@ -10,102 +10,105 @@
 use lb_sidecar::decide::Balancer;
 use proptest::prelude::*;
 
-const SLACK: Micros = 8 * MS;
-const SERVERS: u64 = 6;
-const CLASSES: [(&str, bool); 3] = [("safe", true), ("keyed", false), ("unsafe", false)];
-const WINDOW: Micros = 700 * MS;
+/// How long after its deadline a request may get its final answer.
+const DEADLINE_SLACK: Micros = 8 * MS;
+const SERVER_COUNT: u64 = 6;
+/// How a class of requests may be sent again, in the order of the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClassKind {
+    Idempotent,
+    WithIdempotencyKey,
+    NotIdempotent,
+}
+
+const CLASSES: [ClassKind; 3] =
+    [ClassKind::Idempotent, ClassKind::WithIdempotencyKey, ClassKind::NotIdempotent];
+/// How long servers recognize repeats of requests with an idempotency key.
+const IDEMPOTENCY_WINDOW: Micros = 700 * MS;
 
+/// One step of a sequence.
 #[derive(Clone, Debug)]
 enum Step {
-    Request { class: usize, left: Micros },
-    Outcome { which: usize, how: u8, queue: f32 },
+    /// A request arrives.
+    Request { class: usize, time_left: Micros },
+    /// One of the attempts in flight ends.
+    AttemptEnds { attempt: usize, outcome: u8, queue: f32 },
+    /// Time passes.
     Wait(Micros),
-    Health { server: u64, health: u8, restart: bool },
-    Whole { mask: u8 },
-    Gone { which: usize },
-    Failed,
+    /// Discovery reports a change of one server.
+    HealthChange { server: u64, health: u8, restart: bool },
+    /// Discovery reports the complete list.
+    CompleteList { mask: u8 },
+    /// A client closes its connection.
+    ClientGone { request: usize },
+    /// A call to discovery fails.
+    DiscoveryFails,
 }
 
+/// An attempt that the balancer asked for.
 #[derive(Debug)]
-struct Sent {
+struct Attempt {
     server: ServerId,
     zone: u8,
     at: Micros,
-    out: bool,
+    in_flight: bool,
     never_ran: bool,
-    due: Micros,
+    deadline: Micros,
 }
 
+/// A request, and what became of it.
 #[derive(Debug)]
-struct Book {
+struct RequestRecord {
     class: usize,
     deadline: Micros,
-    finals: usize,
-    gone: bool,
-    sent: Vec<Sent>,
+    final_answers: usize,
+    client_gone: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl RequestRecord {
+    fn is_open(&self) -> bool {
+        self.final_answers == 0 && !self.client_gone
+    }
 }
 
-struct World {
+/// Drives a balancer, and checks each of its actions.
+struct Checker {
     balancer: Balancer,
     now: Micros,
-    books: BTreeMap<RequestId, Book>,
+    requests: BTreeMap<RequestId, RequestRecord>,
     timers: BTreeSet<(Micros, u32)>,
-    healthy: BTreeSet<ServerId>,
+    ready_servers: BTreeSet<ServerId>,
     may_duplicate: bool,
     max_attempts: usize,
 }
 
-impl World {
-    fn event(&mut self, event: Event<'_>) {
-        let mut out = Vec::new();
-        self.balancer.handle(self.now, event, &mut out);
-        for action in out {
+impl Checker {
+    fn handle_event(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
             self.check(action);
         }
     }
 
+    fn request_mut(&mut self, id: RequestId) -> &mut RequestRecord {
+        self.requests.get_mut(&id).expect("a known request")
+    }
+
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => {
-                assert!(self.healthy.contains(&server), "rule 3: {server:?}");
-                let zone = (server.0 % 2) as u8;
-                let may_duplicate = self.may_duplicate;
-                let b = self.books.get_mut(&id).expect("a known request");
-                assert!(b.finals == 0 && !b.gone, "rule 1: sent after the end");
-                assert!(b.sent.len() < self.max_attempts);
-                if !may_duplicate {
-                    assert!(b.sent.iter().all(|s| !s.out), "two attempts out");
-                }
-                match CLASSES[b.class].0 {
-                    "unsafe" => assert!(b.sent.iter().all(|s| s.never_ran), "rule 2"),
-                    "keyed" => {
-                        for s in b.sent.iter().filter(|s| !s.never_ran) {
-                            assert_eq!(s.zone, zone, "rule 2: another group");
-                            assert!(self.now - s.at <= WINDOW, "rule 2: window over");
-                        }
-                    }
-                    _ => {}
-                }
-                let left = b.deadline - self.now;
-                let wait = if timeout == 0 { left } else { timeout.min(left) };
-                b.sent.push(Sent {
-                    server,
-                    zone,
-                    at: self.now,
-                    out: true,
-                    never_ran: false,
-                    due: self.now + wait,
-                });
-            }
+            Action::Send { id, server, timeout } => self.check_attempt(id, server, timeout),
             Action::Refuse { id, .. } => {
-                let b = self.books.get_mut(&id).expect("a known request");
-                let harmless = CLASSES[b.class].1 || b.sent.iter().all(|s| s.never_ran);
+                let request = self.request_mut(id);
+                let harmless = CLASSES[request.class] == ClassKind::Idempotent
+                    || request.attempts.iter().all(|attempt| attempt.never_ran);
                 assert!(harmless, "rule 2: refused what may have run");
-                b.finals += 1;
+                request.final_answers += 1;
             }
-            Action::Fail { id } => self.books.get_mut(&id).expect("a known request").finals += 1,
+            Action::Fail { id } => self.request_mut(id).final_answers += 1,
             Action::Cancel { id, attempt } => {
-                assert!(attempt < self.books[&id].sent.len(), "an attempt never made");
+                assert!(attempt < self.requests[&id].attempts.len(), "an attempt never made");
             }
             Action::Timer { delay, token } => {
                 self.timers.insert((self.now + delay.max(1), token));
@@ -114,20 +117,55 @@
         }
     }
 
-    fn outcome(&mut self, id: RequestId, attempt: usize, outcome: Outcome, queue: f32) {
-        let b = self.books.get_mut(&id).expect("a known request");
-        let s = &mut b.sent[attempt];
-        s.out = false;
-        s.never_ran = outcome.never_ran();
-        let (server, latency) = (s.server, self.now - s.at);
-        let served = outcome == Outcome::Served;
-        if served && b.finals == 0 && !b.gone {
-            b.finals = 1;
+    fn check_attempt(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
+        assert!(self.ready_servers.contains(&server), "rule 3: {server:?}");
+        let zone = (server.0 % 2) as u8;
+        let now = self.now;
+        let (may_duplicate, max_attempts) = (self.may_duplicate, self.max_attempts);
+        let request = self.request_mut(id);
+        assert!(request.is_open(), "rule 1: sent after the end");
+        assert!(request.attempts.len() < max_attempts);
+        if !may_duplicate {
+            assert!(request.attempts.iter().all(|sent| !sent.in_flight), "two attempts out");
+        }
+        match CLASSES[request.class] {
+            ClassKind::NotIdempotent => {
+                assert!(request.attempts.iter().all(|sent| sent.never_ran), "rule 2");
+            }
+            ClassKind::WithIdempotencyKey => {
+                for sent in request.attempts.iter().filter(|sent| !sent.never_ran) {
+                    assert_eq!(sent.zone, zone, "rule 2: another group");
+                    assert!(now - sent.at <= IDEMPOTENCY_WINDOW, "rule 2: window over");
+                }
+            }
+            ClassKind::Idempotent => {}
+        }
+        let time_left = request.deadline - now;
+        let wait = if timeout == 0 { time_left } else { timeout.min(time_left) };
+        request.attempts.push(Attempt {
+            server,
+            zone,
+            at: now,
+            in_flight: true,
+            never_ran: false,
+            deadline: now + wait,
+        });
+    }
+
+    fn end_attempt(&mut self, id: RequestId, index: usize, outcome: Outcome, queue: f32) {
+        let now = self.now;
+        let request = self.request_mut(id);
+        let attempt = &mut request.attempts[index];
+        attempt.in_flight = false;
+        attempt.never_ran = outcome.never_ran();
+        let (server, latency) = (attempt.server, now - attempt.at);
+        if outcome == Outcome::Served && request.is_open() {
+            request.final_answers = 1;
         }
-        let finished = b.finals > 0 || b.gone;
-        self.event(Event::Answer {
+        let finished = !request.is_open();
+        self.handle_event(Event::Answer {
             id,
-            attempt,
+            attempt: index,
             server,
             outcome,
             latency,
@@ -136,144 +174,152 @@
         });
     }
 
-    /// Moves the clock on, playing time-outs and timers as they fall due.
+    /// The attempts in flight, by request and index.
+    fn attempts_in_flight(&self) -> impl Iterator<Item = (RequestId, usize, &Attempt)> {
+        self.requests.iter().flat_map(|(&id, request)| {
+            let in_flight =
+                request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight);
+            in_flight.map(move |(index, attempt)| (id, index, attempt))
+        })
+    }
+
+    /// Moves the clock on; attempts time out and timers expire when they are due.
     fn advance(&mut self, to: Micros) {
         loop {
             let timer = self.timers.first().map(|&(at, _)| at);
-            let timeout = self
-                .books
-                .iter()
-                .flat_map(|(id, b)| {
-                    let open = b.sent.iter().enumerate().filter(|(_, s)| s.out);
-                    open.map(move |(n, s)| (s.due, *id, n))
-                })
-                .min();
-            let next = timer.into_iter().chain(timeout.map(|t| t.0)).min();
+            let timeout =
+                self.attempts_in_flight().map(|(id, index, sent)| (sent.deadline, id, index)).min();
+            let next = timer.into_iter().chain(timeout.map(|(at, ..)| at)).min();
             match next {
                 Some(at) if at <= to => {
                     self.now = self.now.max(at);
                     match timeout {
-                        Some((due, id, n)) if due == at => {
-                            self.outcome(id, n, Outcome::TimedOut, 0.0);
+                        Some((deadline, id, index)) if deadline == at => {
+                            self.end_attempt(id, index, Outcome::TimedOut, 0.0);
                         }
                         _ => {
                             let (_, token) = self.timers.pop_first().expect("a timer is due");
-                            self.event(Event::Timer { token });
+                            self.handle_event(Event::Timer { token });
                         }
                     }
                 }
                 _ => break,
             }
-            self.ended_in_time();
+            self.check_final_answers();
         }
         self.now = to;
-        self.ended_in_time();
+        self.check_final_answers();
     }
 
-    fn ended_in_time(&self) {
-        for (id, b) in &self.books {
-            assert!(b.finals <= 1, "rule 1: {id:?} ended twice");
-            let late = self.now > b.deadline + SLACK;
-            assert!(!late || b.finals == 1 || b.gone, "rule 1: {id:?} lost");
+    /// Each request has at most one final answer, and has it in time.
+    fn check_final_answers(&self) {
+        for (id, request) in &self.requests {
+            assert!(request.final_answers <= 1, "rule 1: {id:?} ended twice");
+            let late = self.now > request.deadline + DEADLINE_SLACK;
+            let ended = request.final_answers == 1 || request.client_gone;
+            assert!(!late || ended, "rule 1: {id:?} lost");
         }
     }
 
-    fn step(&mut self, n: u64, step: &Step) {
+    fn apply(&mut self, number: u64, step: &Step) {
         match *step {
-            Step::Request { class, left } => {
-                let id = RequestId(n);
-                self.books.insert(
-                    id,
-                    Book {
-                        class,
-                        deadline: self.now + left,
-                        finals: 0,
-                        gone: false,
-                        sent: Vec::new(),
-                    },
-                );
-                self.event(Event::Request(NewRequest {
-                    id,
-                    class,
-                    tenant: 0,
-                    key: n % 5,
-                    left,
-                    hint: None,
-                    repeat: n.is_multiple_of(3),
-                    beyond: n.is_multiple_of(5),
-                }));
-            }
-            Step::Outcome { which, how, queue } => {
-                let open: Vec<_> = self
-                    .books
-                    .iter()
-                    .flat_map(|(id, b)| {
-                        let out = b.sent.iter().enumerate().filter(|(_, s)| s.out);
-                        out.map(move |(n, _)| (*id, n))
-                    })
-                    .collect();
-                if open.is_empty() {
-                    return;
-                }
-                let (id, attempt) = open[which % open.len()];
-                let outcome = [
-                    Outcome::Served,
-                    Outcome::Error,
-                    Outcome::Full,
-                    Outcome::ConnectFailed,
-                    Outcome::Reset,
-                    Outcome::Moot,
-                ][usize::from(how) % 6];
-                self.outcome(id, attempt, outcome, queue);
+            Step::Request { class, time_left } => self.submit(number, class, time_left),
+            Step::AttemptEnds { attempt, outcome, queue } => {
+                self.end_any_attempt(attempt, outcome, queue);
             }
-            Step::Wait(t) => self.advance(self.now + t),
-            Step::Health { server: s, health, restart } => {
-                let health = [Health::Ready, Health::Draining, Health::Gone][usize::from(health)];
-                let mut entry = with_health(s, health);
-                if restart {
-                    entry.started = self.now;
-                }
-                match health {
-                    Health::Ready => self.healthy.insert(entry.id),
-                    _ => self.healthy.remove(&entry.id),
-                };
-                self.event(Event::Servers { kind: ListKind::Changes, entries: &[entry] });
+            Step::Wait(duration) => self.advance(self.now + duration),
+            Step::HealthChange { server, health, restart } => {
+                self.change_health(server, health, restart);
             }
-            Step::Whole { mask } => {
+            Step::CompleteList { mask } => {
                 let entries: Vec<_> =
-                    (0..SERVERS).filter(|s| mask & (1 << s) != 0).map(server).collect();
-                self.healthy = entries.iter().map(|e| e.id).collect();
-                self.event(Event::Servers { kind: ListKind::Whole, entries: &entries });
+                    (0..SERVER_COUNT).filter(|n| mask & (1 << n) != 0).map(server).collect();
+                self.ready_servers = entries.iter().map(|entry| entry.id).collect();
+                self.handle_event(Event::Servers { kind: ListKind::Whole, entries: &entries });
             }
-            Step::Gone { which } => {
-                let open: Vec<_> = self
-                    .books
-                    .iter()
-                    .filter(|(_, b)| b.finals == 0 && !b.gone)
-                    .map(|(id, _)| *id)
-                    .collect();
-                if let Some(&id) = open.get(which) {
-                    self.books.get_mut(&id).expect("listed above").gone = true;
-                    self.event(Event::ClientGone { id });
+            Step::ClientGone { request } => {
+                let mut open = self.requests.iter().filter(|(_, request)| request.is_open());
+                if let Some(id) = open.nth(request).map(|(&id, _)| id) {
+                    self.request_mut(id).client_gone = true;
+                    self.handle_event(Event::ClientGone { id });
                 }
             }
-            Step::Failed => self.event(Event::Servers { kind: ListKind::Failed, entries: &[] }),
+            Step::DiscoveryFails => {
+                self.handle_event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+            }
+        }
+    }
+
+    fn submit(&mut self, number: u64, class: usize, time_left: Micros) {
+        let id = RequestId(number);
+        let request = RequestRecord {
+            class,
+            deadline: self.now + time_left,
+            final_answers: 0,
+            client_gone: false,
+            attempts: Vec::new(),
+        };
+        self.requests.insert(id, request);
+        self.handle_event(Event::Request(NewRequest {
+            id,
+            class,
+            tenant: 0,
+            key: number % 5,
+            left: time_left,
+            hint: None,
+            repeat: number.is_multiple_of(3),
+            beyond: number.is_multiple_of(5),
+        }));
+    }
+
+    fn end_any_attempt(&mut self, attempt: usize, outcome: u8, queue: f32) {
+        let in_flight: Vec<_> =
+            self.attempts_in_flight().map(|(id, index, _)| (id, index)).collect();
+        if in_flight.is_empty() {
+            return;
         }
+        let (id, index) = in_flight[attempt % in_flight.len()];
+        let outcome = [
+            Outcome::Served,
+            Outcome::Error,
+            Outcome::Full,
+            Outcome::ConnectFailed,
+            Outcome::Reset,
+            Outcome::Moot,
+        ][usize::from(outcome) % 6];
+        self.end_attempt(id, index, outcome, queue);
+    }
+
+    fn change_health(&mut self, server: u64, health: u8, restart: bool) {
+        let health = [Health::Ready, Health::Draining, Health::Gone][usize::from(health)];
+        let mut entry = with_health(server, health);
+        if restart {
+            entry.started = self.now;
+        }
+        match health {
+            Health::Ready => self.ready_servers.insert(entry.id),
+            _ => self.ready_servers.remove(&entry.id),
+        };
+        self.handle_event(Event::Servers { kind: ListKind::Changes, entries: &[entry] });
     }
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        5 => (0..3usize, 0..1500u64).prop_map(|(class, ms)| Step::Request { class, left: ms * MS }),
+        5 => (0..3usize, 0..1500u64).prop_map(|(class, ms)| Step::Request { class, time_left: ms * MS }),
         8 => (0..8usize, 0..12u8, prop_oneof![0f32..40.0, Just(f32::NAN), Just(-1.0)]).prop_map(
-            |(which, how, queue)| Step::Outcome { which, how: how.saturating_sub(6), queue }
+            |(attempt, outcome, queue)| Step::AttemptEnds {
+                attempt,
+                outcome: outcome.saturating_sub(6),
+                queue,
+            }
         ),
         4 => (1..300u64).prop_map(|ms| Step::Wait(ms * MS)),
-        1 => (0..SERVERS, 0..3u8, any::<bool>())
-            .prop_map(|(server, health, restart)| Step::Health { server, health, restart }),
-        1 => any::<u8>().prop_map(|mask| Step::Whole { mask }),
-        1 => (0..4usize).prop_map(|which| Step::Gone { which }),
-        1 => Just(Step::Failed),
+        1 => (0..SERVER_COUNT, 0..3u8, any::<bool>())
+            .prop_map(|(server, health, restart)| Step::HealthChange { server, health, restart }),
+        1 => any::<u8>().prop_map(|mask| Step::CompleteList { mask }),
+        1 => (0..4usize).prop_map(|request| Step::ClientGone { request }),
+        1 => Just(Step::DiscoveryFails),
     ]
 }
 
@@ -281,34 +327,34 @@
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn rules_hold_on_any_sequence(
+    fn rules_hold_for_any_event_sequence(
         steps in prop::collection::vec(step(), 1..250),
         seed in any::<u64>(),
-        asked in any::<bool>(),
+        polled in any::<bool>(),
         may_duplicate in any::<bool>(),
         max_attempts in 1..6usize,
     ) {
         let settings = settings(|s| {
-            s["discovery"] = if asked { "on_request" } else { "pushed" }.into();
+            s["discovery"] = if polled { "on_request" } else { "pushed" }.into();
             s["limits"]["mayDuplicate"] = may_duplicate.into();
             s["limits"]["maxAttempts"] = max_attempts.into();
         });
-        let mut world = World {
+        let mut checker = Checker {
             balancer: Balancer::new(settings, seed, START),
             now: START,
-            books: BTreeMap::new(),
+            requests: BTreeMap::new(),
             timers: BTreeSet::new(),
-            healthy: BTreeSet::new(),
+            ready_servers: BTreeSet::new(),
             may_duplicate,
             max_attempts,
         };
-        world.step(0, &Step::Whole { mask: 0b11_1111 });
-        for (n, s) in steps.iter().enumerate() {
-            world.step(n as u64 + 1, s);
+        checker.apply(0, &Step::CompleteList { mask: 0b11_1111 });
+        for (index, step) in steps.iter().enumerate() {
+            checker.apply(index as u64 + 1, step);
         }
-        world.advance(world.now + 4 * S);
-        for (id, b) in &world.books {
-            prop_assert!(b.finals == 1 || b.gone, "rule 1: {:?} lost", id);
+        checker.advance(checker.now + 4 * S);
+        for (id, request) in &checker.requests {
+            prop_assert!(request.final_answers == 1 || request.client_gone, "rule 1: {:?} lost", id);
         }
     }
 }
