--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -62,7 +62,7 @@
     /// A place for one more connection. One without a request in progress makes room if needed.
     async fn acquire_permit(&self) -> SocketPermit {
         loop {
-            let clients = self.sockets.clients.clone();
+            let clients = self.socket_budget.clients.clone();
             if let Ok(permit) = clients.clone().try_acquire_owned() {
                 return permit;
             }
@@ -83,7 +83,7 @@
     /// many connections that are used in slow rotation have to reconnect each time.
     fn evict_longest_idle(&self) {
         let connections = self.connections.borrow();
-        let surplus = connections.len().saturating_sub(self.sockets.eviction_threshold());
+        let surplus = connections.len().saturating_sub(self.socket_budget.eviction_threshold());
         let surplus = surplus.min(MAX_EVICTIONS_PER_ACCEPT);
         if surplus == 0 {
             return;
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -168,7 +168,7 @@
         let length = body.size_hint().exact();
         let buffered =
             length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
-        let reserving = self.bytes.reserve(buffered.unwrap_or(STREAM_RESERVATION_BYTES));
+        let reserving = self.body_budget.reserve(buffered.unwrap_or(STREAM_RESERVATION_BYTES));
         let reservation = connection.unless_disconnected(reserving).await?;
         let (first, rest) = read_prefix(body, buffered.unwrap_or(STREAM_WINDOW_BYTES)).await?;
         let upload = rest.map(|rest| {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -119,8 +119,8 @@
         discovery: discovery_address,
         live: components.live.clone(),
         driver,
-        sockets: components.sockets.clone(),
-        bytes: components.bytes.clone(),
+        sockets: components.socket_budget.clone(),
+        bytes: components.body_budget.clone(),
         status: components.status.clone(),
         fixed: config.fixed,
     };
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -125,8 +125,8 @@
 pub(super) struct Components<P: Runtime> {
     pub live: Rc<LiveConfig>,
     pub status: Rc<Status>,
-    pub sockets: Rc<SocketBudget>,
-    pub bytes: BodyBudget,
+    pub socket_budget: Rc<SocketBudget>,
+    pub body_budget: BodyBudget,
     upstream: Rc<Upstream<P>>,
     peers: Option<Rc<Peers<P>>>,
     tier: Option<Rc<Shared<P>>>,
@@ -142,12 +142,16 @@
         let peers = peers.map(|s| Peers::<P>::new(s, config.peers.clone(), config.peers_all));
         let live = LiveConfig::new(config);
         let status = Rc::new(Status::default());
-        let sockets = Rc::new(SocketBudget::new(config.sockets));
-        let bytes = BodyBudget::new(config.memory);
-        let upstream =
-            Upstream::<P>::new(sockets.clone(), bytes.clone(), live.clone(), status.clone());
+        let socket_budget = Rc::new(SocketBudget::new(config.sockets));
+        let body_budget = BodyBudget::new(config.memory);
+        let upstream = Upstream::<P>::new(
+            socket_budget.clone(),
+            body_budget.clone(),
+            live.clone(),
+            status.clone(),
+        );
         let tier = Shared::<P>::new(config, peers.as_ref()).map_err(StartError::Tier)?;
-        Ok(Components { live, status, sockets, bytes, upstream, peers, tier })
+        Ok(Components { live, status, socket_budget, body_budget, upstream, peers, tier })
     }
 
     /// The driver, which makes its calls of discovery through `to_discovery`.
@@ -175,8 +179,8 @@
             name,
             self.live.clone(),
             self.status.clone(),
-            self.sockets.clone(),
-            self.bytes.clone(),
+            self.socket_budget.clone(),
+            self.body_budget.clone(),
         )
     }
 
