--- a/crates/config-distribution/src/net/store.rs
+++ b/crates/config-distribution/src/net/store.rs
@@ -86,7 +86,7 @@
     /// It could not be written. The previous state still is on disk.
     pub fn write(&self, state: &impl Serialize) -> Result<(), StoreError> {
         let text = serde_json::to_vec(state).map_err(|error| self.json_error(error))?;
-        fleet::replace(&self.path, &text).map_err(|error| self.io_error(error))
+        fleet::write_atomically(&self.path, &text).map_err(|error| self.io_error(error))
     }
 
     fn io_error(&self, source: io::Error) -> StoreError {
--- a/crates/config-distribution/src/net/target.rs
+++ b/crates/config-distribution/src/net/target.rs
@@ -121,5 +121,6 @@
 }
 
 fn write_file(path: &Path, text: &[u8]) -> Result<(), ApplyError> {
-    fleet::replace(path, text).map_err(|source| ApplyError::Io { path: path.to_owned(), source })
+    fleet::write_atomically(path, text)
+        .map_err(|source| ApplyError::Io { path: path.to_owned(), source })
 }
--- a/crates/fleet/src/daemon/adoption.rs
+++ b/crates/fleet/src/daemon/adoption.rs
@@ -1,138 +1,141 @@
-//! What a daemon before this one has left: its ledger, the holder's listeners, instances that run.
+//! Takes over what an earlier daemon has left: its state, the socket holder's listeners and the
+//! running instances.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::io;
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 
-use super::rollout::check;
-use super::{Daemon, Listener, Running};
-use crate::holder::Holder;
-use crate::planner::{About, ProcId};
-use crate::process::{self, Mark, Process};
+use super::Daemon;
+use super::error::DaemonError;
+use super::event::FleetEvent;
+use super::instance::Origin;
+use super::listeners::Listener;
+use crate::check::CheckFiles;
+use crate::control::RequestError;
+use crate::planner::{ProcessId, Subject};
+use crate::process::{Process, find_instances, poll_ended};
+use crate::socket_holder::SocketHolder;
 use crate::spec::Spec;
-use crate::state::Made;
+use crate::state::Revision;
 
 impl Daemon {
-    /// Takes over what a daemon before this one has left, and learns the desired state.
-    pub(super) fn begin(&mut self) -> Result<(), String> {
-        self.hold()?;
-        if self.ledger.target == 0 {
-            let spec = Spec::read(&self.file)?;
-            let program = self.import_program(&spec.program)?;
-            check(&self.store, &spec, &self.store.program(program))?;
-            self.ledger.last += 1;
-            let first = self.ledger.last;
-            self.ledger.read = Some(spec.clone());
-            let made = Made { spec, program, counts: BTreeMap::new() };
-            self.ledger.generations.insert(first, made);
-            (self.ledger.target, self.ledger.base) = (first, first);
-            self.note(&About::Generation(first), "is the first");
+    /// Takes over what an earlier daemon has left, and reads the desired state.
+    pub(super) fn begin(&mut self) -> Result<(), DaemonError> {
+        self.connect_socket_holder()?;
+        if self.state.target == 0 {
+            self.make_first_revision()?;
         } else {
-            let target = self.ledger.target;
-            self.note(&About::Generation(target), "is taken over from a daemon before this one");
-            // Danger: compared with what runs, a file older than an upgrade would undo it.
-            let read = Spec::read(&self.file);
-            let differs = read.is_ok_and(|spec| self.ledger.read.as_ref() != Some(&spec));
-            if self.ledger.target == self.ledger.base && differs {
-                self.reload(None);
-            }
+            self.take_over_state();
         }
-        self.set_rules();
-        self.adopt();
+        self.apply_policy();
+        self.adopt_instances();
         Ok(())
     }
 
-    /// Connects to the holder and gives it all that it lacks.
-    pub(super) fn hold(&mut self) -> Result<(), String> {
-        let path = self.store.path("holder.sock");
-        let context = |e: io::Error| format!("the holder of listeners: {e}");
-        let (holder, held) = Holder::open(&path).map_err(context)?;
-        for (name, fd) in held {
+    fn make_first_revision(&mut self) -> Result<(), RequestError> {
+        let spec = Spec::read(&self.file)?;
+        let program_id = self.import_program(&spec.program)?;
+        let files = CheckFiles::write(&self.directory, &spec)?;
+        files.check_with(&self.directory.program(program_id))?;
+        self.state.last_generation += 1;
+        let first = self.state.last_generation;
+        self.state.spec_from_file = Some(spec.clone());
+        self.state.revisions.insert(first, Revision::new(spec, program_id));
+        self.state.target = first;
+        self.state.stable = first;
+        self.record(&Subject::Generation(first), &FleetEvent::FirstGeneration);
+        Ok(())
+    }
+
+    /// Goes on with the stored state, and rolls out what the file says if that has changed.
+    fn take_over_state(&mut self) {
+        let target = self.state.target;
+        self.record(&Subject::Generation(target), &FleetEvent::TakenOver);
+        // The file is compared with what it said before: compared with what runs, one that is older
+        // than an upgrade would undo it.
+        let file_changed = Spec::read(&self.file)
+            .is_ok_and(|spec| self.state.spec_from_file.as_ref() != Some(&spec));
+        if self.state.target == self.state.stable && file_changed {
+            self.reload(None);
+        }
+    }
+
+    /// Connects to the socket holder, takes its listeners and gives it those that it lacks.
+    fn connect_socket_holder(&mut self) -> Result<(), DaemonError> {
+        let path = self.directory.file("holder.sock");
+        let (holder, kept) = SocketHolder::open(&path).map_err(DaemonError::SocketHolder)?;
+        for (name, descriptor) in kept {
             if self.listeners.contains_key(&name) {
                 continue;
             }
-            let socket = TcpListener::from(fd);
-            let known = name.rsplit_once('|').and_then(|(slot, requested)| {
-                let (requested, at) = (requested.parse().ok()?, socket.local_addr().ok()?);
-                Some(Listener { slot: slot.to_owned(), requested, at, socket })
-            });
-            if let Some(listener) = known {
+            if let Some(listener) = decode_listener(&name, TcpListener::from(descriptor)) {
                 self.listeners.insert(name, listener);
             }
         }
         for (name, listener) in &self.listeners {
-            holder.keep(name, listener.socket.as_fd()).map_err(context)?;
+            holder.keep(name, listener.socket.as_fd()).map_err(DaemonError::SocketHolder)?;
         }
-        self.holder = Some(holder);
+        self.socket_holder = Some(holder);
         Ok(())
     }
 
-    /// Notices processes that have ended.
-    pub(super) fn ended(&mut self) {
-        let ids: Vec<ProcId> = self.procs.keys().copied().collect();
-        let watched = self.procs.values().map(|r| &r.process);
-        let ended = process::ended(watched);
+    /// Removes processes that have ended, and replaces the socket holder if it has.
+    pub(super) fn remove_ended(&mut self) {
+        let ids: Vec<ProcessId> = self.processes.keys().copied().collect();
+        let ended = poll_ended(self.processes.values().map(|process| &process.process));
         for (id, _) in ids.into_iter().zip(ended).filter(|(_, ended)| *ended) {
-            if let Some(mut r) = self.procs.remove(&id) {
-                let how = r.process.reap();
-                tracing::info!(instance = %r.mark.slot, pid = r.process.pid, how, "process over");
+            if let Some(mut ended) = self.processes.remove(&id) {
+                let exit = ended.process.reap();
+                let (instance, pid) = (&ended.mark.slot, ended.process.pid);
+                tracing::info!(%instance, pid, how = %exit, "process ended");
             }
         }
-        if self.holder.as_ref().is_some_and(Holder::gone) {
-            self.holder = None;
-            self.note(&About::Fleet, "the holder of listeners is gone; another takes its place");
-            if let Err(why) = self.hold() {
-                self.trouble = Some(why);
+        if self.socket_holder.as_ref().is_some_and(SocketHolder::has_ended) {
+            self.socket_holder = None;
+            self.record(&Subject::Fleet, &FleetEvent::SocketHolderEnded);
+            if let Err(error) = self.connect_socket_holder() {
+                self.fault = Some(error.to_string());
             }
         }
     }
 
     /// Adopts instances that run already.
-    pub(super) fn adopt(&mut self) {
-        let known: BTreeSet<u32> = self.procs.values().map(|r| r.process.pid).collect();
-        for (mark, process) in process::find(self.store.folder()) {
+    pub(super) fn adopt_instances(&mut self) {
+        let known: BTreeSet<u32> =
+            self.processes.values().map(|process| process.process.pid).collect();
+        for (mark, process) in find_instances(self.directory.path()) {
             if !known.contains(&process.pid) {
-                tracing::info!(instance = %mark.slot, pid = process.pid, "adopted");
-                self.regain(&mark.slot, &process);
-                self.add(mark, process, true);
+                tracing::info!(instance = %mark.slot, pid = process.pid, "instance adopted");
+                self.recover_listener(&mark.slot, &process);
+                self.add_process(mark, process, Origin::Adopted);
             }
         }
     }
 
-    /// Where daemon and holder have died together, an instance that runs has the only listener.
-    pub(super) fn regain(&mut self, slot: &str, process: &Process) {
-        if self.listeners.values().any(|l| l.slot == slot) {
+    /// Where daemon and socket holder have ended together, a running instance has the only listener.
+    fn recover_listener(&mut self, slot: &str, process: &Process) {
+        if self.listeners.values().any(|listener| listener.slot == slot) {
             return;
         }
         let Some(socket) = process.listener() else { return };
-        let Ok(at) = socket.local_addr() else { return };
-        let desired = [self.ledger.target, self.ledger.base];
-        let desired =
-            desired.iter().filter_map(|g| self.ledger.generations.get(g)?.spec.listen(slot));
-        let fits = |w: &SocketAddr| *w == at || (w.port() == 0 && w.ip() == at.ip());
-        if let Some(requested) = desired.into_iter().find(fits) {
-            self.take(slot, requested, at, socket);
+        let Ok(address) = socket.local_addr() else { return };
+        let fits = |requested: &SocketAddr| {
+            *requested == address || (requested.port() == 0 && requested.ip() == address.ip())
+        };
+        let requested = [self.state.target, self.state.stable]
+            .iter()
+            .filter_map(|generation| self.state.revisions.get(generation)?.spec.listen(slot))
+            .find(fits);
+        if let Some(requested) = requested {
+            let slot = slot.to_owned();
+            self.add_listener(Listener { slot, requested, address, socket });
         }
     }
+}
 
-    pub(super) fn add(&mut self, mark: Mark, process: Process, found: bool) {
-        self.next += 1;
-        let id = ProcId(self.next);
-        let now = self.now();
-        self.procs.insert(
-            id,
-            Running {
-                mark,
-                process,
-                state: None,
-                started: now,
-                last_report: now,
-                found,
-                unwanted: false,
-                watch: None,
-                stall: None,
-            },
-        );
-    }
+/// A listener from the name that the socket holder has for it.
+fn decode_listener(name: &str, socket: TcpListener) -> Option<Listener> {
+    let (slot, requested) = name.rsplit_once('|')?;
+    let (requested, address) = (requested.parse().ok()?, socket.local_addr().ok()?);
+    Some(Listener { slot: slot.to_owned(), requested, address, socket })
 }
--- a/crates/fleet/src/daemon/listeners.rs
+++ b/crates/fleet/src/daemon/listeners.rs
@@ -5,105 +5,132 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use socket2::{Domain, Protocol, Socket, Type};
 
-use super::{Daemon, Listener};
-use crate::planner::{Desired, Generation};
-use crate::state::Made;
+use super::Daemon;
+use super::error::InstanceError;
+use crate::atomic_file::write_atomically;
+use crate::planner::{DesiredState, Generation};
+use crate::state::Revision;
 
 /// Connections that may wait while an instance is replaced.
 const BACKLOG: i32 = 4096;
 
+/// A listener of a slot.
+pub(super) struct Listener {
+    pub(super) slot: String,
+    /// The address that the desired state names; its port may be 0.
+    pub(super) requested: SocketAddr,
+    /// The address that it listens on.
+    pub(super) address: SocketAddr,
+    pub(super) socket: TcpListener,
+}
+
+/// A slot that cannot be started.
+pub(super) struct BlockedSlot {
+    pub(super) reason: String,
+    /// Since the daemon's start.
+    pub(super) since: Duration,
+}
+
+/// A configuration that was written for a slot.
+pub(super) struct WrittenConfiguration {
+    pub(super) path: PathBuf,
+    /// The address that the desired state names.
+    pub(super) requested: SocketAddr,
+}
+
+/// The name by which the socket holder and the daemon know a listener.
+pub(super) fn listener_name(slot: &str, requested: SocketAddr) -> String {
+    format!("{slot}|{requested}")
+}
+
 impl Daemon {
-    /// Takes a listener into use, and gives the holder its copy.
-    pub(super) fn take(
-        &mut self,
-        slot: &str,
-        requested: SocketAddr,
-        at: SocketAddr,
-        socket: TcpListener,
-    ) {
-        let name = format!("{slot}|{requested}");
-        if let Some(holder) = &self.holder
-            && let Err(e) = holder.keep(&name, socket.as_fd())
+    /// Adds a listener, and gives the socket holder a copy.
+    pub(super) fn add_listener(&mut self, listener: Listener) {
+        let name = listener_name(&listener.slot, listener.requested);
+        if let Some(holder) = &self.socket_holder
+            && let Err(error) = holder.keep(&name, listener.socket.as_fd())
         {
-            tracing::warn!(instance = slot, error = %e, "the holder did not take a listener");
+            let instance = &listener.slot;
+            tracing::warn!(%instance, %error, "socket holder did not take a listener");
         }
-        let listener = Listener { slot: slot.to_owned(), requested, at, socket };
         self.listeners.insert(name, listener);
     }
 
-    pub(super) fn block(&mut self, slot: &str, why: &impl ToString) {
-        let now = self.now();
-        self.blocked.insert(slot.to_owned(), (why.to_string(), now));
-    }
-
-    /// Writes a slot's configuration. Where it lies, and the address that was asked for.
-    pub(super) fn configure(
+    /// Writes a slot's configuration.
+    pub(super) fn write_configuration(
         &mut self,
         slot: &str,
         generation: Generation,
-    ) -> Result<(PathBuf, SocketAddr), String> {
-        let made = self.ledger.generations.get(&generation);
-        let spec = &made.ok_or("its generation is not known")?.spec;
-        let requested = spec.listen(slot).ok_or("its generation does not have it")?;
-        let name = format!("{slot}|{requested}");
-        let at = match self.listeners.get(&name) {
-            Some(listener) => listener.at,
+    ) -> Result<WrittenConfiguration, InstanceError> {
+        let revision = self.state.revisions.get(&generation);
+        let spec = &revision.ok_or(InstanceError::UnknownGeneration)?.spec;
+        let requested = spec.listen(slot).ok_or(InstanceError::NotInGeneration)?;
+        let address = match self.listeners.get(&listener_name(slot, requested)) {
+            Some(listener) => listener.address,
             None => self.listen(slot, requested)?,
         };
-        let made = self.ledger.generations.get(&generation);
-        let config = made.and_then(|m| m.spec.configuration(slot, generation, at, rand::random()));
-        let text = config.ok_or("its generation does not have it")?.to_string();
-        let path = self.store.configuration(slot);
-        crate::state::replace(&path, text.as_bytes())
-            .map_err(|e| format!("{}: {e}", path.display()))?;
-        Ok((path, requested))
+        let revision = self.state.revisions.get(&generation);
+        let configuration = revision
+            .and_then(|r| r.spec.configuration(slot, generation, address, rand::random()))
+            .ok_or(InstanceError::NotInGeneration)?;
+        let path = self.directory.configuration(slot);
+        match write_atomically(&path, configuration.to_string().as_bytes()) {
+            Ok(()) => Ok(WrittenConfiguration { path, requested }),
+            Err(source) => Err(InstanceError::WriteConfiguration { path, source }),
+        }
     }
 
-    pub(super) fn listen(
-        &mut self,
-        slot: &str,
-        requested: SocketAddr,
-    ) -> Result<SocketAddr, String> {
-        let bound = (|| {
-            let kind = Type::STREAM;
-            let socket = Socket::new(Domain::for_address(requested), kind, Some(Protocol::TCP))?;
-            socket.set_reuse_address(true)?;
-            socket.set_nonblocking(true)?;
-            socket.bind(&requested.into())?;
-            socket.listen(BACKLOG)?;
-            let socket = TcpListener::from(socket);
-            Ok::<_, io::Error>((socket.local_addr()?, socket))
-        })();
-        let (at, socket) = bound.map_err(|e| {
-            let why = format!("{requested}: {e}");
-            self.block(slot, &why);
-            why
-        })?;
-        self.take(slot, requested, at, socket);
-        Ok(at)
+    /// Binds a listener. A slot whose address cannot be bound is blocked for a while.
+    fn listen(&mut self, slot: &str, requested: SocketAddr) -> Result<SocketAddr, InstanceError> {
+        let bound = bind(requested).and_then(|socket| Ok((socket.local_addr()?, socket)));
+        let (address, socket) = match bound {
+            Ok(bound) => bound,
+            Err(source) => {
+                let error = InstanceError::Listen { address: requested, source };
+                let blocked = BlockedSlot { reason: error.to_string(), since: self.now() };
+                self.blocked_slots.insert(slot.to_owned(), blocked);
+                return Err(error);
+            }
+        };
+        self.add_listener(Listener { slot: slot.to_owned(), requested, address, socket });
+        Ok(address)
     }
 
     /// Closes listeners that no generation wants and no process has.
-    pub(super) fn close_listeners(&mut self, desired: &Desired) {
-        let used: BTreeSet<&str> = self.procs.values().map(|r| r.mark.slot.as_str()).collect();
-        let made = |generation| self.ledger.generations.get(&generation);
-        let specs: Vec<&Made> =
-            [desired.target, desired.base].into_iter().filter_map(made).collect();
-        let wanted = |l: &Listener| {
-            let requested = desired.slots.contains(&l.slot) || desired.old.contains(&l.slot);
-            let there = specs.iter().any(|m| m.spec.listen(&l.slot) == Some(l.requested));
-            used.contains(l.slot.as_str()) || (requested && there)
+    pub(super) fn close_unused_listeners(&mut self, desired: &DesiredState) {
+        let used: BTreeSet<&str> =
+            self.processes.values().map(|process| process.mark.slot.as_str()).collect();
+        let revision = |generation| self.state.revisions.get(&generation);
+        let revisions: Vec<&Revision> =
+            [desired.target, desired.stable].into_iter().filter_map(revision).collect();
+        let is_wanted = |listener: &Listener| {
+            let slot = &listener.slot;
+            let is_desired = desired.slots.contains(slot) || desired.removed_slots.contains(slot);
+            let is_specified = revisions
+                .iter()
+                .any(|revision| revision.spec.listen(slot) == Some(listener.requested));
+            used.contains(slot.as_str()) || (is_desired && is_specified)
         };
-        let gone: Vec<String> =
-            self.listeners.iter().filter(|(_, l)| !wanted(l)).map(|(n, _)| n.clone()).collect();
-        for name in gone {
-            if let Some(holder) = &self.holder {
-                let _ = holder.drop(&name);
+        let unused = self.listeners.iter().filter(|(_, listener)| !is_wanted(listener));
+        let unused: Vec<String> = unused.map(|(name, _)| name.clone()).collect();
+        for name in unused {
+            if let Some(holder) = &self.socket_holder {
+                let _ = holder.release(&name);
             }
             self.listeners.remove(&name);
         }
     }
 }
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from(socket))
+}
--- a/crates/fleet/src/daemon/mod.rs
+++ b/crates/fleet/src/daemon/mod.rs
@@ -1,169 +1,141 @@
-//! The daemon's loop: gathers facts, asks the planner, carries out what it says.
+//! The daemon's event loop: gathers facts, asks the planner and carries out what it decides.
 
+mod actions;
 mod adoption;
+mod error;
+mod event;
+mod instance;
 mod listeners;
 mod requests;
 mod rollout;
+mod status;
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
+use std::collections::BTreeMap;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use instance_status::{InstanceStatus, SupervisorSocket};
-use rustix::process::{Resource, Signal, getrlimit, setrlimit};
+use instance_status::{InstanceStatus, MAX_DATAGRAM_BYTES, SupervisorSocket};
+use rustix::process::{Resource, getrlimit, setrlimit};
 use tokio::net::UnixDatagram;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
 
-use crate::control::{self, Asked};
-use crate::holder::Holder;
-use crate::planner::{About, Action, Counts, Desired, Generation, Planner, Proc, ProcId, Rules};
-use crate::process::{Mark, Process, Start};
-use crate::stall::{Reading, Stall, Watch};
-use crate::state::{Ledger, Made, Store};
-use rollout::Candidate;
+use crate::control::{self, PendingRequest};
+use crate::planner::{FleetPolicy, Planner, ProcessId, Shutdown, Subject};
+use crate::socket_holder::SocketHolder;
+use crate::state::PersistentState;
+use crate::state_directory::StateDirectory;
+use event::FleetEvent;
+use instance::InstanceProcess;
+use listeners::{BlockedSlot, Listener};
+use rollout::CheckOutcome;
 
-/// Between two looks when nothing happens.
-const TICK: Duration = Duration::from_millis(100);
-/// A listener that could not be had is asked for again after so long.
-const BIND_AGAIN: Duration = Duration::from_secs(1);
-/// Between two reports to the daemon's supervisor that it lives.
-const ALIVE: Duration = Duration::from_secs(1);
-/// A process that reports twice a second, and has not for so long, is looked at more closely.
-const SILENT: Duration = Duration::from_millis(550);
-/// Instances that a daemon before this one was just starting show up by then.
-const LATE: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(5)];
+pub use error::DaemonError;
 
-/// What happens outside of the loop.
-enum Event {
-    Checked(Box<Candidate>, Result<(), String>),
-}
-
-struct Running {
-    mark: Mark,
-    process: Process,
-    state: Option<InstanceStatus>,
-    started: Duration,
-    last_report: Duration,
-    found: bool,
-    unwanted: bool,
-    /// While it is silent.
-    watch: Option<Watch>,
-    stall: Option<Stall>,
-}
-
-struct Listener {
-    slot: String,
-    requested: SocketAddr,
-    at: SocketAddr,
-    socket: TcpListener,
-}
+/// Between two reconciliations when nothing happens.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Between two heartbeats to the daemon's own supervisor.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Instances that an earlier daemon was just starting are looked for again after so long.
+const LATE_ADOPTIONS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(5)];
+/// Requests of operators that may wait for the event loop.
+const REQUEST_QUEUE_LENGTH: usize = 16;
+/// The socket, in the state directory, to which instances send their status.
+const STATUS_SOCKET_NAME: &str = "notify.sock";
 
 struct Daemon {
+    /// Times are since this instant.
     clock: Instant,
+    /// The file of the desired state.
     file: PathBuf,
-    store: Store,
-    ledger: Ledger,
+    directory: StateDirectory,
+    state: PersistentState,
     planner: Planner,
-    holder: Option<Holder>,
+    socket_holder: Option<SocketHolder>,
+    /// By the names that the socket holder has for them.
     listeners: BTreeMap<String, Listener>,
-    procs: BTreeMap<ProcId, Running>,
-    next: u64,
-    blocked: BTreeMap<String, (String, Duration)>,
+    processes: BTreeMap<ProcessId, InstanceProcess>,
+    last_process_id: u64,
+    blocked_slots: BTreeMap<String, BlockedSlot>,
     /// What keeps the daemon itself from its work.
-    trouble: Option<String>,
+    fault: Option<String>,
+    /// A candidate is being checked.
     checking: bool,
-    stopping: bool,
-    hurry: bool,
+    shutdown: Option<Shutdown>,
     supervisor: Option<SupervisorSocket>,
-    log: Vec<(&'static str, String)>,
-    last_alive: Duration,
-    events: mpsc::UnboundedSender<Event>,
+    log_environment: Vec<(&'static str, String)>,
+    last_heartbeat_at: Duration,
+    check_outcomes: mpsc::UnboundedSender<CheckOutcome>,
 }
 
-/// Runs the daemon on the desired state in `file`, with its own state in `folder`, until it is told
-/// to stop and all instances have ended. `log` is the environment that makes instances log like it.
+/// The signals that the daemon handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+    child: Signal,
+}
+
+impl Signals {
+    fn install() -> Result<Signals, DaemonError> {
+        let install = |kind, name| {
+            signal(kind).map_err(|source| DaemonError::Signal { signal: name, source })
+        };
+        Ok(Signals {
+            terminate: install(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: install(SignalKind::interrupt(), "SIGINT")?,
+            hangup: install(SignalKind::hangup(), "SIGHUP")?,
+            child: install(SignalKind::child(), "SIGCHLD")?,
+        })
+    }
+}
+
+/// All that the event loop waits for, beside its timer.
+struct EventSources {
+    signals: Signals,
+    status_socket: UnixDatagram,
+    requests: mpsc::Receiver<PendingRequest>,
+    check_outcomes: mpsc::UnboundedReceiver<CheckOutcome>,
+}
+
+/// Runs the daemon on the desired state in `file`, with its own state in `state_directory`, until it
+/// is told to stop and all instances have ended. `log_environment` are variables that make instances
+/// log like the daemon.
 ///
 /// # Errors
 ///
-/// When it cannot begin: the reason.
+/// When it cannot begin.
+///
+/// # Panics
+///
+/// Outside of a tokio `LocalSet`.
 pub async fn run(
     file: &Path,
-    folder: &Path,
-    log: Vec<(&'static str, String)>,
-) -> Result<(), String> {
+    state_directory: &Path,
+    log_environment: Vec<(&'static str, String)>,
+) -> Result<(), DaemonError> {
     let clock = Instant::now();
-    raise_limit();
-    let store = Store::open(folder)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut child = signal(SignalKind::child()).map_err(|e| format!("SIGCHLD: {e}"))?;
-    let (events, mut happened) = mpsc::unbounded_channel();
-    let mut daemon = Daemon::new(clock, file, store, log, events)?;
+    raise_descriptor_limit();
+    let directory = StateDirectory::open(state_directory)?;
+    let signals = Signals::install()?;
+    let (sender, check_outcomes) = mpsc::unbounded_channel();
+    let mut daemon = Daemon::new(clock, file, directory, log_environment, sender)?;
     daemon.begin()?;
-    let reports = daemon.store.path("notify.sock");
-    let _ = std::fs::remove_file(&reports);
-    let reports = UnixDatagram::bind(&reports)
-        .map_err(|e| format!("{}: {e}", daemon.store.path("notify.sock").display()))?;
-    let (asked, mut asks) = mpsc::channel::<Asked>(16);
-    let control = daemon.store.path("control.sock");
-    control::serve(&control, asked).map_err(|e| format!("{}: {e}", control.display()))?;
-    daemon.tell_supervisor("READY=1");
-    let state = daemon.store.folder().display();
+    let status_socket = daemon.bind_status_socket()?;
+    let requests = daemon.serve_operators()?;
+    daemon.notify_supervisor("READY=1");
+    let state = daemon.directory.path().display();
     tracing::info!(file = %file.display(), %state, "reconciling");
-
-    let mut tick = tokio::time::interval(TICK);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut report = [0; instance_status::MAX_DATAGRAM_BYTES];
-    let mut late = LATE.into_iter().peekable();
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {
-                daemon.alive();
-                daemon.ended();
-                // Danger: a daemon that was kept from running has reports unread; who sent them
-                // must not look silent.
-                while let Ok(n) = reports.try_recv(&mut report) {
-                    daemon.reported(&report[..n]);
-                }
-                daemon.watch_silent();
-            }
-            // What was adopted is no child, so its end shows at the next tick.
-            _ = child.recv() => daemon.ended(),
-            Ok(n) = reports.recv(&mut report) => {
-                // Reports come in crowds, and few of them change what is to be done.
-                let mut news = daemon.reported(&report[..n]);
-                while let Ok(n) = reports.try_recv(&mut report) {
-                    news |= daemon.reported(&report[..n]);
-                }
-                if !news {
-                    continue;
-                }
-            }
-            Some(event) = happened.recv() => daemon.happened(event),
-            Some((request, reply)) = asks.recv() => daemon.asked(request, reply),
-            _ = hangup.recv() => daemon.reload(None),
-            _ = terminate.recv() => daemon.stop(),
-            _ = interrupt.recv() => daemon.stop(),
-        }
-        if late.next_if(|at| clock.elapsed() >= *at).is_some() {
-            daemon.adopt();
-        }
-        daemon.reconcile();
-        if daemon.stopping && daemon.procs.is_empty() {
-            let _ = std::fs::remove_file(&control);
-            let _ = std::fs::remove_file(daemon.store.path("notify.sock"));
-            return Ok(());
-        }
-    }
+    daemon.handle_events(EventSources { signals, status_socket, requests, check_outcomes }).await;
+    daemon.remove_sockets();
+    Ok(())
 }
 
-/// Two listeners, a pidfd and its copy for each of a thousand instances are more than most hosts'
-/// soft limit.
-fn raise_limit() {
+/// Each of a thousand instances needs two listeners, a pidfd and its copy: more than the soft limit
+/// of most hosts.
+fn raise_descriptor_limit() {
     let mut limit = getrlimit(Resource::Nofile);
     limit.current = limit.maximum;
     let _ = setrlimit(Resource::Nofile, limit);
@@ -173,30 +145,29 @@
     fn new(
         clock: Instant,
         file: &Path,
-        store: Store,
-        log: Vec<(&'static str, String)>,
-        events: mpsc::UnboundedSender<Event>,
-    ) -> Result<Daemon, String> {
-        let ledger = store.ledger()?;
+        directory: StateDirectory,
+        log_environment: Vec<(&'static str, String)>,
+        check_outcomes: mpsc::UnboundedSender<CheckOutcome>,
+    ) -> Result<Daemon, DaemonError> {
+        let state = directory.load()?;
         Ok(Daemon {
             clock,
             file: file.to_owned(),
-            store,
-            ledger,
-            planner: Planner::new(Rules::default(), rand::random()),
-            holder: None,
+            directory,
+            state,
+            planner: Planner::new(FleetPolicy::default(), rand::random()),
+            socket_holder: None,
             listeners: BTreeMap::new(),
-            procs: BTreeMap::new(),
-            next: 0,
-            blocked: BTreeMap::new(),
-            trouble: None,
+            processes: BTreeMap::new(),
+            last_process_id: 0,
+            blocked_slots: BTreeMap::new(),
+            fault: None,
             checking: false,
-            stopping: false,
-            hurry: false,
+            shutdown: None,
             supervisor: SupervisorSocket::from_env(),
-            log,
-            last_alive: Duration::ZERO,
-            events,
+            log_environment,
+            last_heartbeat_at: Duration::ZERO,
+            check_outcomes,
         })
     }
 
@@ -204,247 +175,136 @@
         self.clock.elapsed()
     }
 
-    /// Tells the daemon's own supervisor, if it has one.
-    fn tell_supervisor(&self, fields: &str) {
-        if let Some(supervisor) = &self.supervisor {
-            supervisor.send(fields);
+    fn bind_status_socket(&self) -> Result<UnixDatagram, DaemonError> {
+        let path = self.directory.file(STATUS_SOCKET_NAME);
+        let _ = std::fs::remove_file(&path);
+        UnixDatagram::bind(&path).map_err(|source| DaemonError::Bind { path, source })
+    }
+
+    fn serve_operators(&self) -> Result<mpsc::Receiver<PendingRequest>, DaemonError> {
+        let path = self.directory.file(control::SOCKET_NAME);
+        let (sender, requests) = mpsc::channel(REQUEST_QUEUE_LENGTH);
+        match control::serve(&path, sender) {
+            Ok(()) => Ok(requests),
+            Err(source) => Err(DaemonError::Bind { path, source }),
         }
     }
 
-    /// Looks more closely at those that have not reported in time.
-    fn watch_silent(&mut self) {
-        let now = self.now();
-        for (id, r) in &mut self.procs {
-            let ready = r.state.as_ref().is_some_and(|s| s.ready);
-            if !ready || now.saturating_sub(r.last_report) < SILENT {
-                r.watch = None;
-                continue;
-            }
-            let Some(reading) = Reading::of(r.process.pid) else { continue };
-            let watch = r.watch.get_or_insert_with(|| Watch::new(now, reading));
-            let stall = watch.look(now, reading);
-            if let (Some(stall), None) = (stall, r.stall) {
-                let silent_ms = now.saturating_sub(r.last_report).as_millis() as u64;
-                let (slot, pid) = (&r.mark.slot, r.process.pid);
-                tracing::warn!(instance = %slot, pid, proc = id.0, ?stall, silent_ms, "hangs");
-            }
-            r.stall = stall.or(r.stall);
+    fn remove_sockets(&self) {
+        for name in [control::SOCKET_NAME, STATUS_SOCKET_NAME] {
+            let _ = std::fs::remove_file(self.directory.file(name));
         }
     }
 
-    /// Notes something that operators should find in the log and in the history.
-    fn note(&mut self, about: &About, what: &str) {
-        let text = match about {
-            About::Fleet => {
-                tracing::info!("{what}");
-                what.to_owned()
+    /// Handles events until a shutdown is complete.
+    async fn handle_events(&mut self, mut sources: EventSources) {
+        let mut tick = tokio::time::interval(TICK_INTERVAL);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut datagram = [0; MAX_DATAGRAM_BYTES];
+        let mut late_adoptions = LATE_ADOPTIONS.into_iter().peekable();
+        let EventSources { signals, status_socket, requests, check_outcomes } = &mut sources;
+        loop {
+            tokio::select! {
+                _ = tick.tick() => self.handle_tick(status_socket),
+                // An adopted process is no child: its end shows at the next tick.
+                _ = signals.child.recv() => self.remove_ended(),
+                Ok(length) = status_socket.recv(&mut datagram) => {
+                    // Many reports come at once, and few of them change what is to be done.
+                    let first_changed = self.receive_status(&datagram[..length]);
+                    let others_changed = self.receive_statuses(status_socket);
+                    if !first_changed && !others_changed {
+                        continue;
+                    }
+                }
+                Some(outcome) = check_outcomes.recv() => self.finish_check(outcome),
+                Some(request) = requests.recv() => self.handle_request(request),
+                _ = signals.hangup.recv() => self.reload(None),
+                _ = signals.terminate.recv() => self.begin_shutdown(),
+                _ = signals.interrupt.recv() => self.begin_shutdown(),
             }
-            About::Slot(instance) => {
-                tracing::info!(%instance, "{what}");
-                format!("{instance}: {what}")
+            if late_adoptions.next_if(|at| self.clock.elapsed() >= *at).is_some() {
+                self.adopt_instances();
             }
-            About::Generation(generation) => {
-                tracing::info!(generation, "{what}");
-                format!("generation {generation} {what}")
+            self.reconcile();
+            if self.shutdown.is_some() && self.processes.is_empty() {
+                return;
             }
-        };
-        self.ledger.note(text);
-        self.keep();
+        }
     }
 
-    /// Tells the daemon's keeper, now and then, that the loop turns.
-    fn alive(&mut self) {
+    fn handle_tick(&mut self, status_socket: &UnixDatagram) {
+        self.send_heartbeat();
+        self.remove_ended();
+        // A daemon that was kept from running has unread reports, and whoever sent them is not
+        // silent.
+        self.receive_statuses(status_socket);
         let now = self.now();
-        if now.saturating_sub(self.last_alive) >= ALIVE {
-            self.last_alive = now;
-            self.tell_supervisor("WATCHDOG=1");
+        for process in self.processes.values_mut() {
+            process.detect_stall(now);
         }
     }
 
-    /// Keeps the ledger. That it cannot be kept is shown, and tried again with the next change.
-    fn keep(&mut self) -> bool {
-        match self.store.keep(&self.ledger) {
-            Ok(()) => self.trouble = None,
-            Err(e) => {
-                tracing::error!(error = %e, "the state cannot be kept");
-                self.trouble = Some(format!("the state cannot be kept: {e}"));
-            }
+    /// Reads all waiting reports; whether one of them changes what is to be done.
+    fn receive_statuses(&mut self, status_socket: &UnixDatagram) -> bool {
+        let mut datagram = [0; MAX_DATAGRAM_BYTES];
+        let mut changed = false;
+        while let Ok(length) = status_socket.try_recv(&mut datagram) {
+            changed |= self.receive_status(&datagram[..length]);
         }
-        self.trouble.is_none()
+        changed
     }
 
-    /// Takes in a report; whether it tells more than that its process lives.
-    fn reported(&mut self, report: &[u8]) -> bool {
-        let Some(state) = InstanceStatus::from_datagram(report) else { return false };
+    /// Takes in a report; whether it tells more than that its process lives. Reports of processes
+    /// that are no instances are ignored.
+    fn receive_status(&mut self, datagram: &[u8]) -> bool {
+        let Some(status) = InstanceStatus::from_datagram(datagram) else { return false };
         let now = self.now();
-        // Danger: whoever can write here is the same user; a report of a process that is none of
-        // ours still must not make one.
-        let running = self.procs.values_mut().find(|r| r.process.pid == state.pid);
-        let Some(r) = running else { return false };
-        r.last_report = now;
-        r.found = false;
-        (r.watch, r.stall) = (None, None);
-        let telling = |s: &InstanceStatus| {
-            (s.ready, s.draining, s.generation, s.rejected_config.as_ref().map(|d| d.generation))
-        };
-        let news = r.state.as_ref().map(telling) != Some(telling(&state));
-        r.state = Some(state);
-        news
-    }
-
-    fn stop(&mut self) {
-        if self.stopping {
-            self.hurry = true;
-            return;
-        }
-        self.stopping = true;
-        self.tell_supervisor("STOPPING=1");
-        self.note(&About::Fleet, "the fleet stops");
-        // What comes from now on is the instances' to take, as long as they do.
-        self.listeners.clear();
-        if let Some(holder) = self.holder.take() {
-            holder.quit();
-        }
+        let mut processes = self.processes.values_mut();
+        let sender = processes.find(|process| process.process.pid == status.pid);
+        sender.is_some_and(|process| process.update(now, status))
     }
 
-    /// The desired state as the planner takes it.
-    fn desired(&self) -> Desired {
-        let (target, base) = (self.ledger.target, self.ledger.base);
-        let made = |generation| self.ledger.generations.get(&generation);
-        let slots_of = |m: &Made| {
-            let mut slots = m.spec.slots(&m.counts);
-            slots.retain(|s| !self.ledger.drained.contains(s));
-            slots
-        };
-        let slots = made(target).map(slots_of).unwrap_or_default();
-        let (mut new, mut old) = (BTreeSet::new(), BTreeSet::new());
-        if let (true, Some(base)) = (target != base, made(base)) {
-            new = slots.iter().filter(|s| !base.spec.has(s)).cloned().collect();
-            old = slots_of(base).difference(&slots).cloned().collect();
-        }
-        Desired {
-            slots,
-            new,
-            old,
-            target,
-            base,
-            program: made(target).map_or(0, |m| m.program),
-            base_program: made(base).map_or(0, |m| m.program),
-            blocked: self.blocked.keys().cloned().collect(),
-            stopping: self.stopping,
-            hurry: self.hurry,
+    /// Notifies the daemon's own supervisor, if it has one.
+    fn notify_supervisor(&self, fields: &str) {
+        if let Some(supervisor) = &self.supervisor {
+            supervisor.send(fields);
         }
     }
 
-    fn reconcile(&mut self) {
+    /// Tells the supervisor from time to time that the event loop runs.
+    fn send_heartbeat(&mut self) {
         let now = self.now();
-        self.blocked.retain(|_, (_, since)| now.saturating_sub(*since) < BIND_AGAIN);
-        let desired = self.desired();
-        let facts: Vec<Proc> = self.procs.iter().map(|(id, r)| fact(*id, r)).collect();
-        for action in self.planner.reconcile(now, &desired, &facts) {
-            self.carry_out(action);
+        if now.saturating_sub(self.last_heartbeat_at) >= HEARTBEAT_INTERVAL {
+            self.last_heartbeat_at = now;
+            self.notify_supervisor("WATCHDOG=1");
         }
-        self.close_listeners(&desired);
     }
 
-    fn carry_out(&mut self, action: Action) {
-        if let Action::Reload { proc, .. }
-        | Action::HandOver { proc }
-        | Action::Stop { proc }
-        | Action::Kill { proc } = &action
-            && let Some(r) = self.procs.get(proc)
-        {
-            let (instance, pid) = (&r.mark.slot, r.process.pid);
-            tracing::debug!(%instance, pid, ?action, "order");
-        }
-        match action {
-            Action::Start { slot, generation } => {
-                if let Err(why) = self.start(&slot, generation) {
-                    tracing::warn!(instance = %slot, generation, error = %why, "not started");
-                    let now = self.now();
-                    self.planner.start_failed(now, &slot, generation, &why);
-                }
-            }
-            Action::Reload { proc, generation } => {
-                let slot = self.procs.get(&proc).map(|r| r.mark.slot.clone());
-                let written = slot.map(|slot| self.configure(&slot, generation));
-                if let Some(Err(why)) = written {
-                    tracing::warn!(generation, error = %why, "not reloaded");
-                    self.trouble = Some(why);
-                } else {
-                    self.signal(proc, Signal::HUP);
-                }
-            }
-            Action::HandOver { proc } => self.signal(proc, Signal::USR2),
-            Action::Stop { proc } => self.signal(proc, Signal::TERM),
-            Action::Kill { proc } => self.signal(proc, Signal::KILL),
-            Action::Settled { generation } => {
-                self.ledger.base = generation;
-                self.note(&About::Generation(generation), "runs everywhere");
-                self.forget();
-                self.tell_supervisor("READY=1");
-            }
-            Action::RollBack { generation, why } => {
-                self.ledger.target = self.ledger.base;
-                self.set_rules();
-                self.note(&About::Generation(generation), &format!("goes back: {why}"));
-                self.forget();
-                self.tell_supervisor("READY=1");
-            }
-            Action::Note { about, text } => self.note(&about, &text),
+    /// Stores the state. A failure is logged and shown in the status, and the next change is stored
+    /// together with this one.
+    fn persist(&mut self) -> io::Result<()> {
+        let result = self.directory.store(&self.state);
+        self.fault = None;
+        if let Err(error) = &result {
+            tracing::error!(%error, "failed to persist state");
+            self.fault = Some(format!("the state cannot be kept: {error}"));
         }
+        result
     }
 
-    fn signal(&self, proc: ProcId, signal: Signal) {
-        if let Some(r) = self.procs.get(&proc) {
-            r.process.signal(signal);
+    /// Begins a graceful shutdown; asked for again, an immediate one.
+    fn begin_shutdown(&mut self) {
+        if self.shutdown.is_some() {
+            self.shutdown = Some(Shutdown::Immediate);
+            return;
+        }
+        self.shutdown = Some(Shutdown::Graceful);
+        self.notify_supervisor("STOPPING=1");
+        self.record(&Subject::Fleet, &FleetEvent::ShutdownBegun);
+        // Connections that come from now on are the instances' to accept, as long as they do.
+        self.listeners.clear();
+        if let Some(holder) = self.socket_holder.take() {
+            holder.quit();
         }
-    }
-
-    fn start(&mut self, slot: &str, generation: Generation) -> Result<(), String> {
-        let made = self.ledger.generations.get(&generation);
-        let number = made.ok_or("its generation is not known")?.program;
-        let configuration = self.configure(slot, generation)?;
-        let listener =
-            self.listeners.values().find(|l| l.slot == slot && l.requested == configuration.1);
-        let listener = listener.ok_or("it has no listener")?.socket.try_clone();
-        let listener = OwnedFd::from(listener.map_err(|e| e.to_string())?);
-        let mark = Mark { slot: slot.to_owned(), generation, program: number };
-        let process = Process::start(Start {
-            folder: self.store.folder(),
-            mark: mark.clone(),
-            program: &self.store.program(number),
-            configuration: &configuration.0,
-            reports: &self.store.path("notify.sock"),
-            listener,
-            log: &self.log,
-        });
-        let process = process.map_err(|e| e.to_string())?;
-        tracing::info!(instance = %slot, generation, pid = process.pid, "started");
-        self.add(mark, process, false);
-        Ok(())
-    }
-}
-
-fn fact(id: ProcId, r: &Running) -> Proc {
-    let state = r.state.as_ref();
-    Proc {
-        id,
-        slot: r.mark.slot.clone(),
-        generation: state.map_or(r.mark.generation, |s| s.generation),
-        program: r.mark.program,
-        started: r.started,
-        last_report: r.last_report,
-        ready: state.is_some_and(|s| s.ready),
-        leaving: state.is_some_and(|s| s.draining),
-        declined: state.and_then(|s| s.rejected_config.as_ref()).map(|d| d.generation),
-        found: r.found,
-        unwanted: r.unwanted,
-        stall: r.stall,
-        counts: state.map_or_else(Counts::default, |s| Counts {
-            all: s.counts.served + s.counts.rejected + s.counts.failed,
-            failed: s.counts.failed,
-            refused: s.counts.rejected,
-        }),
     }
 }
--- a/crates/fleet/src/daemon/rollout.rs
+++ b/crates/fleet/src/daemon/rollout.rs
@@ -1,239 +1,217 @@
-//! New generations: read, checked by the very program that is to run, begun, ended.
+//! New revisions: read, checked by the program that is to run, rolled out and undone.
 
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
-use std::time::{Duration, Instant};
 
-use rustix::process::Signal;
-use serde_json::{Value, json};
-use tokio::sync::oneshot;
-
-use super::{Daemon, Event};
-use crate::planner::{About, Action};
-use crate::process::Process;
+use super::Daemon;
+use super::event::FleetEvent;
+use crate::check::{CheckError, CheckFiles};
+use crate::control::{Reply, RequestError, Response};
+use crate::planner::{Generation, ProgramId, RollbackReason, Subject};
 use crate::spec::Spec;
-use crate::state::{Made, Store};
-
-/// A program may take so long to check a configuration.
-const CHECK: Duration = Duration::from_secs(10);
+use crate::state::Revision;
+
+/// Where a desired state comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// `fleet.toml`.
+    File,
+    /// What runs already, with another program.
+    Upgrade,
+}
 
-/// A generation that is being checked.
+/// A desired state that may become the target.
 pub(super) struct Candidate {
     spec: Spec,
-    program: u64,
-    /// It is what the file says.
-    from_file: bool,
-    reply: Option<oneshot::Sender<Result<Value, String>>>,
+    program_id: ProgramId,
+    source: Source,
+}
+
+/// The outcome of a check.
+pub(super) struct CheckOutcome {
+    candidate: Candidate,
+    result: Result<(), CheckError>,
+    reply: Option<Reply>,
 }
 
 impl Daemon {
-    /// Tells the supervisor that a reload begins; the monotonic time has to come with it.
-    fn tell_reloading(&self) {
+    /// Notifies the supervisor that a reload begins (sd_notify(3) wants the monotonic time, too).
+    fn notify_reloading(&self) {
         let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
-        let us = now.tv_sec * 1_000_000 + now.tv_nsec / 1000;
-        self.tell_supervisor(&format!("RELOADING=1\nMONOTONIC_USEC={us}"));
+        let microseconds = now.tv_sec * 1_000_000 + now.tv_nsec / 1000;
+        self.notify_supervisor(&format!("RELOADING=1\nMONOTONIC_USEC={microseconds}"));
     }
 
-    pub(super) fn reload(&mut self, reply: Option<oneshot::Sender<Result<Value, String>>>) {
-        let result = self.may_change().and_then(|()| {
-            let spec = Spec::read(&self.file)?;
-            let now = self.ledger.generations.get(&self.ledger.target);
-            let same = now.filter(|m| m.spec.program == spec.program).map(|m| m.program);
-            let program = match same {
-                Some(program) => program,
-                None => self.import_program(&spec.program)?,
-            };
-            Ok((spec, program))
-        });
-        self.check_and_roll_out(result, true, reply);
+    /// Reads `fleet.toml`, and rolls it out if it is sound and has changed.
+    pub(super) fn reload(&mut self, reply: Option<Reply>) {
+        let candidate = self.candidate_from_file();
+        self.check_and_roll_out(candidate, reply);
+    }
+
+    /// Reads a program again, or another one, and rolls it out if it has changed.
+    pub(super) fn upgrade(&mut self, program: Option<PathBuf>, reply: Reply) {
+        let candidate = self.candidate_for_upgrade(program);
+        self.check_and_roll_out(candidate, Some(reply));
     }
 
-    pub(super) fn upgrade(
+    fn candidate_from_file(&mut self) -> Result<Candidate, RequestError> {
+        self.ensure_changeable()?;
+        let spec = Spec::read(&self.file)?;
+        let target = self.state.target_revision();
+        let same_program = target.filter(|revision| revision.spec.program == spec.program);
+        let program_id = match same_program {
+            Some(revision) => revision.program_id,
+            None => self.import_program(&spec.program)?,
+        };
+        Ok(Candidate { spec, program_id, source: Source::File })
+    }
+
+    fn candidate_for_upgrade(
         &mut self,
         program: Option<PathBuf>,
-        reply: oneshot::Sender<Result<Value, String>>,
-    ) {
-        let result = self.may_change().and_then(|()| {
-            let now = self.ledger.generations.get(&self.ledger.target);
-            let mut spec = now.ok_or("nothing runs yet")?.spec.clone();
-            if let Some(program) = program {
-                spec.program = program;
-            }
-            let program = self.import_program(&spec.program)?;
-            Ok((spec, program))
-        });
-        self.check_and_roll_out(result, false, Some(reply));
+    ) -> Result<Candidate, RequestError> {
+        self.ensure_changeable()?;
+        let target = self.state.target_revision().ok_or(RequestError::NothingRuns)?;
+        let mut spec = target.spec.clone();
+        if let Some(program) = program {
+            spec.program = program;
+        }
+        let program_id = self.import_program(&spec.program)?;
+        Ok(Candidate { spec, program_id, source: Source::Upgrade })
     }
 
-    pub(super) fn may_change(&self) -> Result<(), String> {
-        if self.stopping {
-            return Err("the fleet stops".to_owned());
+    /// An error unless a new revision may be rolled out now.
+    fn ensure_changeable(&self) -> Result<(), RequestError> {
+        if self.shutdown.is_some() {
+            return Err(RequestError::ShuttingDown);
         }
         if self.checking {
-            return Err("another change is being checked".to_owned());
+            return Err(RequestError::CheckInProgress);
         }
-        if self.ledger.target != self.ledger.base {
-            return Err(format!("a rollout to generation {} runs", self.ledger.target));
+        if self.state.target != self.state.stable {
+            return Err(RequestError::RolloutInProgress { target: self.state.target });
         }
         Ok(())
     }
 
-    pub(super) fn import_program(&mut self, path: &Path) -> Result<u64, String> {
-        let known: Vec<u64> = self.ledger.generations.values().map(|m| m.program).collect();
-        self.ledger.last_program += 1;
-        let number = self.ledger.last_program;
-        let result = self.store.adopt_program(path, &known, number);
-        result.map_err(|e| format!("{}: {e}", path.display()))
+    /// Copies a program into the state directory.
+    pub(super) fn import_program(&mut self, path: &Path) -> Result<ProgramId, RequestError> {
+        let known: Vec<ProgramId> =
+            self.state.revisions.values().map(|revision| revision.program_id).collect();
+        self.state.last_program_id += 1;
+        let new_id = self.state.last_program_id;
+        self.directory
+            .import_program(path, &known, new_id)
+            .map_err(|source| RequestError::ImportProgram { path: path.to_owned(), source })
     }
 
-    /// Lets the program itself check what it would get, beside the loop.
-    pub(super) fn check_and_roll_out(
+    /// Lets the program check what it would get, beside the event loop.
+    fn check_and_roll_out(
         &mut self,
-        result: Result<(Spec, u64), String>,
-        from_file: bool,
-        reply: Option<oneshot::Sender<Result<Value, String>>>,
+        candidate: Result<Candidate, RequestError>,
+        reply: Option<Reply>,
     ) {
-        self.tell_reloading();
-        let (spec, program) = match result {
-            Ok(result) => result,
-            Err(why) => return self.answer(reply, Err(why)),
+        self.notify_reloading();
+        let candidate = match candidate {
+            Ok(candidate) => candidate,
+            Err(error) => return self.respond(reply, Err(error)),
         };
-        let now = self.ledger.generations.get(&self.ledger.target);
-        if now.is_some_and(|m| m.spec == spec && m.program == program && m.counts.is_empty()) {
-            self.tell_supervisor("READY=1");
-            let generation = self.ledger.target;
-            let same = json!({"generation": generation, "changed": false});
-            return self.answer(reply, Ok(same));
+        if self.runs_already(&candidate) {
+            self.notify_supervisor("READY=1");
+            let generation = self.state.target;
+            return self.respond(reply, Ok(Response::RolloutBegun { generation, changed: false }));
         }
         self.checking = true;
-        let path = self.store.program(program);
-        let files = prepare_check(&self.store, &spec);
-        let candidate = Box::new(Candidate { spec, program, from_file, reply });
-        let events = self.events.clone();
+        let program = self.directory.program(candidate.program_id);
+        let files = CheckFiles::write(&self.directory, &candidate.spec);
+        let outcomes = self.check_outcomes.clone();
         tokio::task::spawn_local(async move {
-            let checked = tokio::task::spawn_blocking(move || run_check(files?, &path)).await;
-            let checked = checked.unwrap_or_else(|e| Err(e.to_string()));
-            let _ = events.send(Event::Checked(candidate, checked));
+            let check = move || files?.check_with(&program);
+            let result = tokio::task::spawn_blocking(check).await;
+            let result = result.unwrap_or_else(|error| Err(CheckError::Cancelled(error)));
+            let _ = outcomes.send(CheckOutcome { candidate, result, reply });
         });
     }
 
-    pub(super) fn answer(
-        &mut self,
-        reply: Option<oneshot::Sender<Result<Value, String>>>,
-        result: Result<Value, String>,
-    ) {
-        if let Err(why) = &result {
-            self.note(&About::Fleet, &format!("refused: {why}"));
-            self.tell_supervisor("READY=1");
+    fn runs_already(&self, candidate: &Candidate) -> bool {
+        self.state.target_revision().is_some_and(|target| {
+            target.spec == candidate.spec
+                && target.program_id == candidate.program_id
+                && target.count_overrides.is_empty()
+        })
+    }
+
+    /// Records a request that was rejected, and answers whoever sent it.
+    fn respond(&mut self, reply: Option<Reply>, result: Result<Response, RequestError>) {
+        if let Err(error) = &result {
+            let event = FleetEvent::RequestRejected { reason: error.to_string() };
+            self.record(&Subject::Fleet, &event);
+            self.notify_supervisor("READY=1");
         }
         if let Some(reply) = reply {
             let _ = reply.send(result);
         }
     }
 
-    pub(super) fn happened(&mut self, event: Event) {
-        match event {
-            Event::Checked(candidate, checked) => {
-                self.checking = false;
-                let Candidate { spec, program, from_file, reply } = *candidate;
-                let result = checked.and_then(|()| self.begin_rollout(spec, program, from_file));
-                self.answer(reply, result);
-            }
-        }
+    /// Begins the rollout of a candidate that was accepted.
+    pub(super) fn finish_check(&mut self, outcome: CheckOutcome) {
+        self.checking = false;
+        let CheckOutcome { candidate, result, reply } = outcome;
+        let result = match result {
+            Ok(()) => self.begin_rollout(candidate),
+            Err(error) => Err(error.into()),
+        };
+        self.respond(reply, result);
     }
 
-    pub(super) fn begin_rollout(
-        &mut self,
-        spec: Spec,
-        program: u64,
-        from_file: bool,
-    ) -> Result<Value, String> {
-        self.ledger.last += 1;
-        let (generation, before) = (self.ledger.last, self.ledger.target);
-        let read = from_file.then(|| spec.clone()).or(self.ledger.read.clone());
-        let read = std::mem::replace(&mut self.ledger.read, read);
-        let made = Made { spec, program, counts: BTreeMap::new() };
-        self.ledger.generations.insert(generation, made);
-        self.ledger.target = generation;
-        if !self.keep() {
-            // Danger: a rollout that a daemon after this one would not know of.
-            self.ledger.target = before;
-            self.ledger.read = read;
-            self.ledger.generations.remove(&generation);
-            return Err(self.trouble.clone().unwrap_or_default());
+    fn begin_rollout(&mut self, candidate: Candidate) -> Result<Response, RequestError> {
+        let Candidate { spec, program_id, source } = candidate;
+        self.state.last_generation += 1;
+        let generation = self.state.last_generation;
+        let previous = self.state.target;
+        let previous_file = self.state.spec_from_file.clone();
+        if source == Source::File {
+            self.state.spec_from_file = Some(spec.clone());
         }
-        self.set_rules();
-        self.note(&About::Generation(generation), &format!("is to follow {before}"));
-        Ok(json!({"generation": generation, "changed": true}))
-    }
-
-    /// The operators changed their mind half way.
-    pub(super) fn roll_back(&mut self) -> Result<Value, String> {
-        let (target, base) = (self.ledger.target, self.ledger.base);
-        if target == base {
-            return Err("no rollout runs".to_owned());
+        self.state.revisions.insert(generation, Revision::new(spec, program_id));
+        self.state.target = generation;
+        if let Err(error) = self.persist() {
+            // The next daemon would not know of a rollout that is not stored.
+            self.state.target = previous;
+            self.state.spec_from_file = previous_file;
+            self.state.revisions.remove(&generation);
+            return Err(RequestError::Store(error));
         }
-        self.carry_out(Action::RollBack { generation: target, why: "as was asked".to_owned() });
-        Ok(json!({"generation": base}))
-    }
-
-    /// Lets go what no generation needs that is desired.
-    pub(super) fn forget(&mut self) {
-        let (target, base) = (self.ledger.target, self.ledger.base);
-        self.ledger.generations.retain(|g, _| *g == target || *g == base);
-        self.keep();
-        let needed = self.ledger.generations.values().map(|m| m.program).collect();
-        self.store.tidy(&needed);
+        self.apply_policy();
+        let subject = Subject::Generation(generation);
+        self.record(&subject, &FleetEvent::RolloutBegun { previous });
+        Ok(Response::RolloutBegun { generation, changed: true })
     }
 
-    pub(super) fn set_rules(&mut self) {
-        if let Some(made) = self.ledger.generations.get(&self.ledger.target) {
-            self.planner.set_rules(made.spec.rules());
+    /// Undoes the rollout that runs, because operators asked for it.
+    pub(super) fn roll_back(&mut self) -> Result<Response, RequestError> {
+        let (target, stable) = (self.state.target, self.state.stable);
+        if target == stable {
+            return Err(RequestError::NoRollout);
         }
+        self.undo_rollout(target, RollbackReason::Requested);
+        Ok(Response::RolledBack { generation: stable })
     }
-}
 
-/// One configuration of each template, in a file of its own.
-fn prepare_check(store: &Store, spec: &Spec) -> Result<Vec<PathBuf>, String> {
-    let mut files = Vec::new();
-    for template in spec.templates.iter().filter(|t| t.count > 0) {
-        let slot = format!("{}-{}", template.name, template.count - 1);
-        let at = spec.listen(&slot).ok_or_else(|| format!("{slot}: no address"))?;
-        let config = spec.configuration(&slot, 0, at, 0);
-        let text = config.ok_or_else(|| format!("{slot}: no configuration"))?.to_string();
-        let path = store.path(&format!("check-{}.json", template.name));
-        crate::state::replace(&path, text.as_bytes())
-            .map_err(|e| format!("{}: {e}", path.display()))?;
-        files.push(path);
+    /// Removes revisions and programs that neither the target nor the stable generation needs.
+    pub(super) fn remove_unused_revisions(&mut self) {
+        let (target, stable) = (self.state.target, self.state.stable);
+        let is_needed = |generation: &Generation| *generation == target || *generation == stable;
+        self.state.revisions.retain(|generation, _| is_needed(generation));
+        // A failure is logged and shown, and the next change stores this one, too.
+        let _ = self.persist();
+        let needed = self.state.revisions.values().map(|revision| revision.program_id).collect();
+        self.directory.remove_unused_programs(&needed);
     }
-    Ok(files)
-}
 
-/// Lets `program` check each file.
-fn run_check(files: Vec<PathBuf>, program: &Path) -> Result<(), String> {
-    let checked = files.iter().try_for_each(|file| {
-        let mut command = Command::new(program);
-        command.arg("check").arg(file).env_clear();
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let child = command.spawn().map_err(|e| format!("the program does not start: {e}"))?;
-        let mut process = Process::of_child(child).map_err(|e| e.to_string())?;
-        let end = Instant::now() + CHECK;
-        while !process.ended() {
-            if Instant::now() > end {
-                process.signal(Signal::KILL);
-                return Err("the program did not check its configuration in time".to_owned());
-            }
-            std::thread::sleep(Duration::from_millis(5));
+    /// Runs the fleet by the target's limits and timeouts.
+    pub(super) fn apply_policy(&mut self) {
+        if let Some(revision) = self.state.target_revision() {
+            self.planner.set_policy(revision.spec.policy());
         }
-        process.checked()
-    });
-    for file in files {
-        let _ = std::fs::remove_file(file);
     }
-    checked
-}
-
-pub(super) fn check(store: &Store, spec: &Spec, program: &Path) -> Result<(), String> {
-    run_check(prepare_check(store, spec)?, program)
 }
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -21,11 +21,11 @@
     #[arg(long = "log", global = true, value_name = "FILTER")]
     log_filter: Option<String>,
     #[command(subcommand)]
-    what: What,
+    task: Task,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Task {
     /// Run the daemon in the foreground. Status 2: it could not begin.
     Run {
         /// What is desired.
@@ -47,15 +47,13 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let done = match arguments.what {
-        What::Run { file, state } => Options::or_env(arguments.log_format, arguments.log_filter)
+    let result = match arguments.task {
+        Task::Run { file, state } => Options::or_env(arguments.log_format, arguments.log_filter)
             .and_then(|log| run(&file, &state, &log)),
-        What::Check { file } => {
-            fleet::spec::Spec::read(&file).map(|_| println!("{}: sound", file.display()))
-        }
-        What::Hold => fleet::holder::run().map_err(|e| e.to_string()),
+        Task::Check { file } => check(&file),
+        Task::Hold => fleet::socket_holder::run().map_err(|e| e.to_string()),
     };
-    match done {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("lb-fleet: {e}");
@@ -68,5 +66,12 @@
     log.start()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, fleet::daemon::run(file, state, log.environment()))
+    let daemon = fleet::daemon::run(file, state, log.environment());
+    LocalSet::new().block_on(&runtime, daemon).map_err(|e| e.to_string())
+}
+
+fn check(file: &Path) -> Result<(), String> {
+    fleet::spec::Spec::read(file).map_err(|e| e.to_string())?;
+    println!("{}: sound", file.display());
+    Ok(())
 }
--- /dev/null
+++ b/crates/fleet/src/planner/slots.rs
@@ -0,0 +1,284 @@
+//! Brings each slot to one process that runs what the slot is to run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Planner;
+use super::action::{Action, PlannerEvent, ProcessFailure, Subject};
+use super::commands::Command;
+use super::facts::{DesiredState, Generation, ObservedProcess};
+
+/// What may still be begun in one call.
+struct Budget {
+    /// Processes that may be started.
+    starts: usize,
+    /// Slots that may change their process or configuration.
+    moves: usize,
+}
+
+/// What a slot is to run.
+enum SlotGoal {
+    /// This generation.
+    Run(Generation),
+    /// Nothing: its processes end.
+    Stop,
+    /// Only the target can configure it, and it is not the slot's turn yet.
+    Wait,
+}
+
+impl Planner {
+    /// Reconciles all slots.
+    pub(super) fn reconcile_slots(
+        &mut self,
+        now: Duration,
+        desired: &DesiredState,
+        processes: &[ObservedProcess],
+        actions: &mut Vec<Action>,
+    ) {
+        let mut by_slot: BTreeMap<&str, Vec<&ObservedProcess>> = BTreeMap::new();
+        for slot in desired.slots.iter().chain(&desired.removed_slots) {
+            by_slot.entry(slot).or_default();
+        }
+        for process in processes {
+            by_slot.entry(&process.slot).or_default().push(process);
+        }
+        let mut budget = self.remaining_budget(desired, &by_slot);
+        for (slot, processes) in by_slot {
+            self.reconcile_slot(now, desired, slot, &processes, &mut budget, actions);
+        }
+    }
+
+    /// What the policy allows, less what is under way already.
+    fn remaining_budget(
+        &self,
+        desired: &DesiredState,
+        by_slot: &BTreeMap<&str, Vec<&ObservedProcess>>,
+    ) -> Budget {
+        let (mut starting, mut moving) = (0, 0);
+        for (slot, processes) in by_slot {
+            let serving: Vec<_> =
+                processes.iter().filter(|process| self.is_serving(process)).collect();
+            starting += serving.iter().filter(|process| !process.ready).count();
+            let reloading = serving.iter().any(|process| self.issued(process).is_some());
+            let none_ready = !serving.iter().any(|process| process.ready);
+            let can_serve = desired.slots.contains(*slot) && !desired.blocked_slots.contains(*slot);
+            let is_moving = serving.len() > 1 || reloading || (can_serve && none_ready);
+            moving += usize::from(is_moving);
+        }
+        Budget {
+            starts: self.policy.max_concurrent_starts.saturating_sub(starting),
+            moves: self.move_limit(desired).saturating_sub(moving),
+        }
+    }
+
+    fn reconcile_slot(
+        &mut self,
+        now: Duration,
+        desired: &DesiredState,
+        slot: &str,
+        processes: &[&ObservedProcess],
+        budget: &mut Budget,
+        actions: &mut Vec<Action>,
+    ) {
+        let (serving, ending): (Vec<&ObservedProcess>, Vec<&ObservedProcess>) =
+            processes.iter().partition(|process| self.is_serving(process));
+        for process in ending {
+            self.drain(now, process, actions);
+        }
+        let serving = self.kill_failed(now, serving, actions);
+        if serving.iter().any(|process| self.awaits_report(now, process)) {
+            return;
+        }
+        match self.slot_goal(desired, slot, &serving) {
+            SlotGoal::Run(generation) if serving.is_empty() => {
+                self.start(now, desired, slot, processes, generation, budget, actions);
+            }
+            SlotGoal::Run(generation) => {
+                self.converge(now, desired, serving, generation, budget, actions);
+            }
+            SlotGoal::Stop => {
+                for process in serving {
+                    self.issue(now, process, Command::Stop, actions);
+                }
+            }
+            SlotGoal::Wait => {}
+        }
+    }
+
+    /// Kills the processes that hang or did not become ready; the others are returned.
+    fn kill_failed<'a>(
+        &mut self,
+        now: Duration,
+        mut serving: Vec<&'a ObservedProcess>,
+        actions: &mut Vec<Action>,
+    ) -> Vec<&'a ObservedProcess> {
+        serving.retain(|process| {
+            let Some(failure) = self.failure_of(now, process) else { return true };
+            actions.push(Action::Record {
+                subject: Subject::Slot(process.slot.clone()),
+                event: PlannerEvent::ProcessKilled(failure.clone()),
+            });
+            self.record_failure(now, &process.slot, process.generation, failure);
+            self.issue(now, process, Command::Kill, actions);
+            false
+        });
+        serving
+    }
+
+    /// Why a process has failed although it runs, if it has.
+    fn failure_of(&self, now: Duration, process: &ObservedProcess) -> Option<ProcessFailure> {
+        if !process.ready {
+            let since = process.started_at.max(self.observing_since);
+            let overdue = now.saturating_sub(since) > self.policy.ready_timeout;
+            return overdue.then_some(ProcessFailure::NotReadyInTime);
+        }
+        let silent_for = now.saturating_sub(process.last_report_at);
+        if let Some(stall) = process.stall
+            && silent_for > self.policy.stall_timeout
+        {
+            return Some(ProcessFailure::Stalled(stall));
+        }
+        let since = process.last_report_at.max(self.observing_since);
+        let silent = now.saturating_sub(since) > self.policy.silence_timeout;
+        silent.then_some(ProcessFailure::Silent)
+    }
+
+    fn slot_goal(
+        &self,
+        desired: &DesiredState,
+        slot: &str,
+        serving: &[&ObservedProcess],
+    ) -> SlotGoal {
+        let is_desired = desired.slots.contains(slot);
+        let Some(rollout) = &self.rollout else {
+            return if is_desired { SlotGoal::Run(desired.target) } else { SlotGoal::Stop };
+        };
+        let runs_target = serving
+            .iter()
+            .any(|process| process.generation == desired.target && !process.restart_requested);
+        let gets_target = runs_target || rollout.includes(slot);
+        match (is_desired, gets_target) {
+            (true, true) => SlotGoal::Run(desired.target),
+            (true, false) if desired.added_slots.contains(slot) => SlotGoal::Wait,
+            (true, false) => SlotGoal::Run(desired.stable),
+            (false, false) if desired.removed_slots.contains(slot) => SlotGoal::Run(desired.stable),
+            (false, _) => SlotGoal::Stop,
+        }
+    }
+
+    /// Starts a process of a slot that has none.
+    #[expect(clippy::too_many_arguments, reason = "the planner's inputs and outputs of one call")]
+    fn start(
+        &mut self,
+        now: Duration,
+        desired: &DesiredState,
+        slot: &str,
+        processes: &[&ObservedProcess],
+        generation: Generation,
+        budget: &mut Budget,
+        actions: &mut Vec<Action>,
+    ) {
+        // A process that was killed may still be there, and two would serve one slot.
+        let is_dying = processes
+            .iter()
+            .any(|process| self.issued(process).is_some_and(|i| i.command == Command::Kill));
+        let is_blocked = desired.blocked_slots.contains(slot);
+        if self.may_start(now, slot) && !is_dying && budget.starts > 0 && !is_blocked {
+            budget.starts -= 1;
+            actions.push(Action::Start { slot: slot.to_owned(), generation });
+        }
+    }
+
+    /// Brings a slot with serving processes to one that runs `generation`.
+    fn converge(
+        &mut self,
+        now: Duration,
+        desired: &DesiredState,
+        mut serving: Vec<&ObservedProcess>,
+        generation: Generation,
+        budget: &mut Budget,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_right = |process: &ObservedProcess| {
+            process.generation == generation && !process.restart_requested
+        };
+        // The one to keep: that runs what is wanted, then that is ready, then the oldest.
+        serving.sort_by_key(|process| (!is_right(process), !process.ready, process.id));
+        let Some((keep, others)) = serving.split_first() else { return };
+        if is_right(keep) {
+            self.forget_overdue_command(now, keep);
+            for other in others {
+                if keep.ready {
+                    self.replace(now, other, actions);
+                } else if is_right(other) {
+                    self.issue(now, other, Command::Kill, actions);
+                }
+            }
+            return;
+        }
+        // None runs what is wanted. One of those that serve is enough meanwhile.
+        for other in others {
+            self.replace(now, other, actions);
+        }
+        if !keep.ready {
+            self.issue(now, keep, Command::Kill, actions);
+        } else if others.is_empty() {
+            self.update(now, desired, keep, generation, budget, actions);
+        }
+    }
+
+    /// Ends a process that another serves beside: at once if it is not ready.
+    fn replace(&mut self, now: Duration, process: &ObservedProcess, actions: &mut Vec<Action>) {
+        let command = if process.ready { Command::HandOver } else { Command::Kill };
+        self.issue(now, process, command, actions);
+    }
+
+    /// Forgets a reload of a process that runs what it is to run, once it can't be acted on any
+    /// more.
+    fn forget_overdue_command(&mut self, now: Duration, process: &ObservedProcess) {
+        let timeout = self.policy.reload_timeout;
+        let is_overdue = self
+            .issued(process)
+            .is_some_and(|issued| now.saturating_sub(issued.last_issued_at) > timeout);
+        if is_overdue {
+            self.issued.remove(&process.id);
+        }
+    }
+
+    /// Brings a slot with one serving process to `generation`: by a reload where the process can
+    /// apply it, else by a successor.
+    fn update(
+        &mut self,
+        now: Duration,
+        desired: &DesiredState,
+        process: &ObservedProcess,
+        generation: Generation,
+        budget: &mut Budget,
+        actions: &mut Vec<Action>,
+    ) {
+        let issued = self.issued(process);
+        // A slot whose process was given any command is counted as moving already.
+        let already_counted = issued.is_some();
+        if !already_counted && budget.moves == 0 {
+            return;
+        }
+        let timeout = self.policy.reload_timeout;
+        let reload_overdue = issued.is_some_and(|issued| {
+            issued.command == Command::Reload(generation)
+                && now.saturating_sub(issued.first_issued_at) > timeout
+        });
+        let rejected = process.rejected_generation == Some(generation) || reload_overdue;
+        let same_program = process.program_id == desired.program_of(generation);
+        if !process.restart_requested && !rejected && same_program {
+            budget.moves -= usize::from(!already_counted);
+            self.issue(now, process, Command::Reload(generation), actions);
+            return;
+        }
+        let is_blocked = desired.blocked_slots.contains(&process.slot);
+        if self.may_start(now, &process.slot) && budget.starts > 0 && !is_blocked {
+            budget.moves -= usize::from(!already_counted);
+            budget.starts -= 1;
+            actions.push(Action::Start { slot: process.slot.clone(), generation });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/process/tests.rs
@@ -0,0 +1,51 @@
+//! Finding instances and learning how children ended.
+
+use std::path::Path;
+use std::process::{Child, Command};
+
+use fakes::program::Folder;
+use fakes::until;
+use rustix::process::Signal;
+
+use super::{FORMER_MARK_VARIABLE, InstanceMark, MARK_VARIABLE, Process, find_instances};
+
+fn spawn_sleeping(state_directory: &Path, variable: &str, mark: &InstanceMark) -> Child {
+    let mut command = Command::new("sleep");
+    command.arg("600").env(variable, mark.encode(state_directory));
+    command.spawn().expect("it starts")
+}
+
+#[test]
+fn instance_started_by_an_earlier_daemon_is_found_by_its_former_mark() {
+    let folder = Folder::new("find-former");
+    let mark = InstanceMark { slot: "a-1".into(), generation: 1, program_id: 1 };
+    let mut child = spawn_sleeping(folder.path(), FORMER_MARK_VARIABLE, &mark);
+    until("it is found", || find_instances(folder.path()).len() == 1);
+    assert_eq!(find_instances(folder.path())[0].0, mark);
+    child.kill().expect("a child of ours");
+    child.wait().expect("a child of ours");
+}
+
+#[test]
+fn running_instance_is_found_by_its_mark_and_ended_one_is_not() {
+    let (folder, other) = (Folder::new("find"), Folder::new("find"));
+    let mark = InstanceMark { slot: "a|b-1".into(), generation: 3, program_id: 2 };
+    let mut child = spawn_sleeping(folder.path(), MARK_VARIABLE, &mark);
+    until("it is found", || find_instances(folder.path()).len() == 1);
+    assert!(find_instances(other.path()).is_empty());
+    let (found, process) = find_instances(folder.path()).remove(0);
+    assert_eq!((&found, process.pid), (&mark, child.id()));
+    process.signal(Signal::KILL);
+    until("its end shows", || process.has_ended());
+    // Nobody has reaped it: a zombie has ended.
+    assert!(find_instances(folder.path()).is_empty());
+    child.wait().expect("a child of ours");
+}
+
+#[test]
+fn exit_status_of_a_child_is_reported() {
+    let child = Command::new("sh").args(["-c", "exit 7"]).spawn().expect("it starts");
+    let mut process = Process::from_child(child).expect("held");
+    until("it ends", || process.has_ended());
+    assert_eq!(process.reap().to_string(), "ended with status 7");
+}
--- a/crates/fleet/tests/compatibility.rs
+++ b/crates/fleet/tests/compatibility.rs
@@ -13,9 +13,10 @@
 
 use fakes::program::Folder;
 use fakes::until;
-use fleet::control::{Request, ask, serve};
+use fleet::control::{PendingRequest, Request, RequestError, ask, serve};
+use fleet::process::find_instances;
 use fleet::spec::Spec;
-use fleet::state::Ledger;
+use fleet::state::PersistentState;
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType, bind, connect,
@@ -37,8 +38,8 @@
 fn recorded_ledgers_are_read_and_written_unchanged() {
     for name in ["settled.json", "in-a-rollout.json", "in-an-upgrade.json"] {
         let recorded = fixture("ledger", name);
-        let ledger: Ledger = serde_json::from_str(&recorded).expect(name);
-        assert_eq!(serde_json::to_string(&ledger).expect("JSON"), recorded, "{name}");
+        let state: PersistentState = serde_json::from_str(&recorded).expect(name);
+        assert_eq!(serde_json::to_string(&state).expect("JSON"), recorded, "{name}");
     }
 }
 
@@ -61,8 +62,8 @@
         let rules = ledger["read"]["rules"].as_object_mut().expect("rules");
         assert!(rules.remove(rule).is_some(), "{rule}");
     }
-    let ledger: Ledger = serde_json::from_value(ledger).expect("an earlier ledger");
-    assert_eq!(serde_json::to_value(&ledger).expect("JSON"), expected);
+    let state: PersistentState = serde_json::from_value(ledger).expect("an earlier ledger");
+    assert_eq!(serde_json::to_value(&state).expect("JSON"), expected);
 }
 
 /// Reads a recorded `fleet.toml` with a program that exists here.
@@ -121,6 +122,22 @@
     assert_eq!(kinds.into_iter().collect::<Vec<_>>(), all);
 }
 
+/// The error that the daemon gave in a recorded exchange.
+fn recorded_error(exchange: &str) -> RequestError {
+    match exchange {
+        "drain-unknown-instance" => RequestError::UnknownSlot { slot: "nobody-9".to_owned() },
+        "reload-in-a-rollout" => RequestError::RolloutInProgress { target: 2 },
+        "rollback-without-a-rollout" | "rollback-of-an-upgrade" => RequestError::NoRollout,
+        "scale-by-too-many" => {
+            RequestError::TooManyInstances { name: "utrecht".to_owned(), max: 2000 }
+        }
+        "scale-of-an-unknown-template" => {
+            RequestError::UnknownTemplate { name: "nobody".to_owned() }
+        }
+        other => panic!("{other}: no error was recorded"),
+    }
+}
+
 #[test]
 fn recorded_requests_are_served_with_the_recorded_responses() {
     let folder = Folder::new("compatibility");
@@ -134,14 +151,15 @@
         let mut socket = UnixStream::connect(&path).expect("the daemon's socket");
         socket.write_all(request.as_bytes()).expect("sent");
         if name != "unknown" {
-            let (understood, reply) = runtime.block_on(requests.recv()).expect("a request");
+            let pending = runtime.block_on(requests.recv()).expect("a request");
+            let PendingRequest { request: understood, reply } = pending;
             assert_eq!(serde_json::to_string(&understood).expect("JSON") + "\n", request);
             let response: Value = serde_json::from_str(&recorded).expect("JSON");
-            let result = match response["error"].as_str() {
-                Some(reason) => Err(reason.to_owned()),
-                None => Ok(response["ok"].clone()),
+            let result = match response.get("error") {
+                Some(_) => Err(recorded_error(&name)),
+                None => Ok(serde_json::from_value(response["ok"].clone()).expect("a response")),
             };
-            reply.send(result).expect("it waits");
+            assert!(reply.send(result).is_ok(), "it waits");
         }
         let mut response = String::new();
         BufReader::new(socket).read_line(&mut response).expect("a response");
@@ -247,11 +265,13 @@
 fn instances_that_an_earlier_daemon_started_are_found() {
     let folder = Folder::new("compatibility");
     let mark = format!("{}|utrecht-0|3|2", folder.path().display());
-    let mut command = Command::new("sleep");
-    let mut child = command.arg("600").env("LB_FLEET", mark).spawn().expect("it starts");
-    until("it is found", || fleet::process::find(folder.path()).len() == 1);
-    let (mark, process) = fleet::process::find(folder.path()).remove(0);
-    assert_eq!((mark.slot.as_str(), mark.generation, mark.program), ("utrecht-0", 3, 2));
-    assert_eq!(process.pid, child.id());
-    child.kill().and_then(|()| child.wait()).expect("a child of ours");
+    for variable in ["LB_FLEET", "PLANKVALE_FLEET"] {
+        let mut command = Command::new("sleep");
+        let mut child = command.arg("600").env(variable, &mark).spawn().expect("it starts");
+        until("it is found", || find_instances(folder.path()).len() == 1);
+        let (mark, process) = find_instances(folder.path()).remove(0);
+        assert_eq!((mark.slot.as_str(), mark.generation, mark.program_id), ("utrecht-0", 3, 2));
+        assert_eq!(process.pid, child.id());
+        child.kill().and_then(|()| child.wait()).expect("a child of ours");
+    }
 }
--- a/crates/local-cluster/src/lib.rs
+++ b/crates/local-cluster/src/lib.rs
@@ -255,7 +255,7 @@
     ///
     /// What it refuses, or that there is none.
     pub fn ask(&self, request: &Request) -> Result<Value, String> {
-        ask(&self.state(), request)
+        ask(&self.state(), request).map_err(text)
     }
 
     /// How everything is; null while the daemon is not there.
@@ -371,9 +371,9 @@
         }
         self.kill_daemon();
         // What a daemon that was killed has left.
-        for (_, process) in fleet::process::find(&self.state()) {
+        for (_, process) in fleet::process::find_instances(&self.state()) {
             process.signal(Signal::KILL);
         }
-        fleet::holder::end(&self.state().join("holder.sock"));
+        fleet::socket_holder::terminate(&self.state().join("holder.sock"));
     }
 }
--- a/crates/local-cluster/tests/hard_cases.rs
+++ b/crates/local-cluster/tests/hard_cases.rs
@@ -439,7 +439,7 @@
     let before = host.pids();
     host.kill_daemon();
     // The holder has no daemon now, and ends as one would end it.
-    fleet::holder::end(&host.state().join("holder.sock"));
+    fleet::socket_holder::terminate(&host.state().join("holder.sock"));
     host.start_daemon().expect("started");
     host.wait(PATIENCE).expect("adopted");
     assert_eq!(host.pids(), before);
