Discovery: a typed error for a call without a list; the balancer's messages in a field

CallError derives its messages, one for each cause. The balancer's own message was the log line itself; the line is fixed now, and the text a field.

--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -23,13 +23,16 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why a call brought no list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum CallError {
     /// It was refused, reset, or answered with something that is not a list.
+    #[error("the call was refused or reset, or its response is not a list")]
     Broken,
     /// Nothing arrived in time, or no more.
+    #[error("the response did not arrive in time")]
     TimedOut,
     /// The list has at least so many bytes, which is more than may be read.
+    #[error("the list has at least {0} bytes, more than may be read")]
     TooLong(u64),
 }
 
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -40,7 +40,7 @@
                     datagrams.tell(peer, &data);
                 }
             }
-            Action::Log { text } => tracing::info!("{text}"),
+            Action::Log { text } => tracing::info!(text, "message of the balancer"),
         }
     }
 
