--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -1,24 +1,28 @@
-//! What the sidecars of a tier know together: who of them is there, how much each club asks of all, and what may
-//! still be spent of its quota. Time, notes and what happens here go in; notes and a view come out. No I/O, no
-//! clock but the one passed in, the same from the same seed.
+//! Gossip between the sidecars of one cluster: membership, sums over all members, and leases of quotas that are
+//! computed from these sums. Time, messages and local events are passed in; messages and a snapshot come out. There
+//! is no I/O and no clock but the time passed in; the same seed gives the same messages.
 //!
-//! `docs/design/tier.md` tells why it is as it is, with sources and the invariant on budgets.
+//! `docs/design/tier.md` has the reasons for the design, its sources and the invariant on quotas. The settings and
+//! the operators' pages call this the *tier*.
 
+mod layout;
 mod leases;
-mod links;
-mod members;
-mod note;
-mod rates;
-mod rings;
-mod tier;
+mod link;
+mod membership;
+mod message;
+mod node;
+mod rate_window;
+mod snapshot;
+mod topology;
 
-pub use leases::{Demand, Lease, lease, repeats};
-pub use members::{Presence, Record};
-pub use note::{Carries, LONGEST, MOST_CLASSES, MOST_CLUBS, Note, Refused};
-pub use tier::{Budget, ClubView, Config, Happened, Tier, View};
+pub use leases::{Demand, TokenBucket, quota_lease, retry_allowance};
+pub use membership::{MemberCounts, MemberRecord, MemberState};
+pub use message::{DecodeError, MAX_CLASSES, MAX_MESSAGE_BYTES, MAX_TENANTS, Message, Payload};
+pub use node::{Config, ConfigError, Event, Node, Outgoing, TenantQuotas};
+pub use snapshot::{LinkCounts, MessageCounts, RetryBudget, Snapshot, TenantSnapshot};
 
 /// Microseconds, on a clock that starts anywhere and never runs backwards.
 pub type Micros = u64;
 
-/// The most members of a tier: notes have two bytes for a member's number.
-pub const MOST_MEMBERS: u32 = 1 << 16;
+/// The most members of a cluster: messages have two bytes for a member's number.
+pub const MAX_MEMBERS: u32 = 1 << 16;
--- a/crates/gossip/tests/common/mod.rs
+++ b/crates/gossip/tests/common/mod.rs
@@ -1,57 +1,90 @@
-//! A tier on a virtual clock: every member is the real one, notes take their time and get lost, clocks differ.
+//! A cluster on a virtual clock: every member is the real state machine, messages take their time and get lost,
+//! clocks differ.
 
 #![allow(dead_code, reason = "each user needs a part of it")]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use gossip::{Config, Happened, Micros, Tier, View};
+use gossip::{Config, Event, Micros, Node, Outgoing, Snapshot, TenantQuotas};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 /// A second.
 pub const S: Micros = 1_000_000;
+/// The Unix time of all clusters' beginning.
 const UNIX_MS: u64 = 1_790_000_000_000;
+/// What members' clocks show at the beginning, so that those that are behind are not below zero.
+const CLOCK_START: Micros = 60 * S;
+/// How often a member without demand is looked at again, in seconds.
+const IDLE_POLL_S: f64 = 0.05;
+/// The longest time to the next look at a member, in seconds.
+const MAX_PAUSE_S: f64 = 1.0;
 const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
+/// What is due at a time. `generation` is that of the member: what was due at an earlier one is dropped.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum What {
-    Turn(usize, u64),
-    Ask(usize, usize, u64),
-    Arrive(usize, usize, Vec<u8>),
+enum Due {
+    Round {
+        member: usize,
+        generation: u64,
+    },
+    Request {
+        member: usize,
+        tenant: usize,
+        generation: u64,
+    },
+    /// The demand of a member is looked at again; no request is sent.
+    DemandPoll {
+        member: usize,
+        tenant: usize,
+        generation: u64,
+    },
+    Delivery {
+        from: usize,
+        to: usize,
+        data: Vec<u8>,
+    },
 }
 
-/// A tier.
+/// A cluster of members.
 pub struct World {
     pub now: Micros,
-    pub members: Vec<Option<Tier>>,
-    /// What each asks of each club, a second.
-    pub asks: Vec<Vec<f64>>,
-    /// Notes pass within a group alone.
-    pub group: Vec<u8>,
-    /// Who hears nothing, and who is not heard.
+    pub members: Vec<Option<Node>>,
+    /// By member and tenant, requests per second.
+    pub demand: Vec<Vec<f64>>,
+    /// Messages are delivered within a partition alone.
+    pub partition: Vec<u8>,
+    /// Members that receive nothing.
     pub deaf: Vec<bool>,
+    /// Members whose messages are lost.
     pub mute: Vec<bool>,
+    /// The share of messages that are lost.
     pub loss: f64,
-    pub twice: f64,
-    /// Spent within leases, by club.
-    pub spent: Vec<u64>,
-    pub asked: Vec<u64>,
-    /// By member, the share of its attempts that break; how many broke, and how many of these were repeated.
-    pub breaks: Vec<f64>,
-    pub broke: Vec<u64>,
-    pub repeated: Vec<u64>,
-    /// By member, the repeats that it has saved up.
-    saved: Vec<f64>,
+    /// The share of messages that are duplicated.
+    pub duplication: f64,
+    /// Requests by tenant.
+    pub requests: Vec<u64>,
+    /// Requests within leases, by tenant.
+    pub admitted: Vec<u64>,
+    /// By member, the share of its attempts that fail.
+    pub failure_share: Vec<f64>,
+    /// By member, the attempts that failed.
+    pub failures: Vec<u64>,
+    /// By member, the failed attempts that were retried.
+    pub retries: Vec<u64>,
+    /// By member, the retries that it has saved up.
+    saved_retries: Vec<f64>,
+    /// Bytes received by all members.
     pub bytes: u64,
     /// By member, how far its clock is ahead, in milliseconds.
-    pub ahead: Vec<i64>,
+    pub clock_ahead_ms: Vec<i64>,
     config: Config,
-    lives: Vec<u64>,
-    /// The number of each member's next turn among all that is queued: earlier ones are put off.
-    turns: Vec<u64>,
-    queue: BinaryHeap<Reverse<(Micros, u64, What)>>,
+    generations: Vec<u64>,
+    /// The number of each member's next round among all that is queued: earlier ones were rescheduled.
+    rounds: Vec<u64>,
+    queue: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     next: u64,
     /// A hash of what was sent so far, and when (FNV-1a).
     trace: u64,
@@ -59,38 +92,38 @@
 }
 
 impl World {
-    /// So many members, not started. Asks are none.
-    pub fn new(size: u32, quotas: &[f64], turn: Micros, seed: u64) -> World {
+    /// This many members, not started and without demand.
+    pub fn new(size: u32, quotas: &[f64], round_interval: Micros, seed: u64) -> World {
         let n = size as usize;
         let config = Config {
-            me: 0,
-            size,
-            start_ms: 0,
-            turn,
-            clubs: (7, quotas.to_vec()),
-            classes: 2,
+            local_id: 0,
+            cluster_size: size,
+            started_unix_ms: 0,
+            round_interval,
+            quotas: TenantQuotas { schema: 7, per_second: quotas.to_vec() },
+            class_count: 2,
             seed,
         };
         World {
             now: 0,
             members: (0..n).map(|_| None).collect(),
-            asks: vec![vec![0.0; quotas.len()]; n],
-            group: vec![0; n],
+            demand: vec![vec![0.0; quotas.len()]; n],
+            partition: vec![0; n],
             deaf: vec![false; n],
             mute: vec![false; n],
             loss: 0.0,
-            twice: 0.0,
-            spent: vec![0; quotas.len()],
-            asked: vec![0; quotas.len()],
-            breaks: vec![0.0; n],
-            broke: vec![0; n],
-            repeated: vec![0; n],
-            saved: vec![0.0; n],
+            duplication: 0.0,
+            requests: vec![0; quotas.len()],
+            admitted: vec![0; quotas.len()],
+            failure_share: vec![0.0; n],
+            failures: vec![0; n],
+            retries: vec![0; n],
+            saved_retries: vec![0.0; n],
             bytes: 0,
-            ahead: vec![0; n],
+            clock_ahead_ms: vec![0; n],
             config,
-            lives: vec![0; n],
-            turns: vec![0; n],
+            generations: vec![0; n],
+            rounds: vec![0; n],
             queue: BinaryHeap::new(),
             next: 0,
             trace: FNV_BASIS,
@@ -98,123 +131,164 @@
         }
     }
 
+    /// A number drawn evenly from 0 to 1.
     pub fn draw(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
     /// A member's own clock.
-    fn clock(&self, n: usize) -> Micros {
-        (60 * S + self.now).saturating_add_signed(self.ahead[n] * 1000)
+    pub fn clock(&self, member: usize) -> Micros {
+        (CLOCK_START + self.now).saturating_add_signed(self.clock_ahead_ms[member] * 1000)
     }
 
-    pub fn start(&mut self, n: usize) {
-        let start_ms = (UNIX_MS + self.now / 1000).saturating_add_signed(self.ahead[n]);
-        let config =
-            Config { me: n as u32, start_ms, seed: self.rng.next_u64(), ..self.config.clone() };
-        let tier = Tier::new(config, self.clock(n)).expect("sound");
-        self.members[n] = Some(tier);
-        self.lives[n] += 1;
-        self.turn_later(n);
-        for club in 0..self.asks[n].len() {
-            self.ask_later(n, club);
+    pub fn start(&mut self, member: usize) {
+        let started_unix_ms =
+            (UNIX_MS + self.now / 1000).saturating_add_signed(self.clock_ahead_ms[member]);
+        let config = Config {
+            local_id: member as u32,
+            started_unix_ms,
+            seed: self.rng.next_u64(),
+            ..self.config.clone()
+        };
+        let node = Node::new(config, self.clock(member)).expect("a valid configuration");
+        self.members[member] = Some(node);
+        self.generations[member] += 1;
+        self.schedule_round(member);
+        for tenant in 0..self.demand[member].len() {
+            self.schedule_request(member, tenant);
         }
     }
 
     pub fn start_all(&mut self) {
-        (0..self.members.len()).for_each(|n| self.start(n));
+        (0..self.members.len()).for_each(|member| self.start(member));
     }
 
-    pub fn kill(&mut self, n: usize) {
-        self.members[n] = None;
-        self.lives[n] += 1;
+    pub fn kill(&mut self, member: usize) {
+        self.members[member] = None;
+        self.generations[member] += 1;
     }
 
-    fn push(&mut self, at: Micros, what: What) {
+    fn push(&mut self, at: Micros, due: Due) {
         self.next += 1;
-        self.queue.push(Reverse((at, self.next, what)));
+        self.queue.push(Reverse((at, self.next, due)));
     }
 
-    fn turn_later(&mut self, n: usize) {
-        let clock = self.clock(n);
-        let due = self.members[n].as_ref().map_or(clock, Tier::due);
-        self.turns[n] = self.next + 1;
-        self.push(self.now + due.saturating_sub(clock), What::Turn(n, self.lives[n]));
+    fn schedule_round(&mut self, member: usize) {
+        let clock = self.clock(member);
+        let deadline = self.members[member].as_ref().map_or(clock, Node::next_deadline);
+        self.rounds[member] = self.next + 1;
+        let generation = self.generations[member];
+        self.push(self.now + deadline.saturating_sub(clock), Due::Round { member, generation });
     }
 
-    fn ask_later(&mut self, n: usize, club: usize) {
-        // Who asks nothing now is looked at again.
-        let rate = self.asks[n][club];
-        let pause = if rate > 0.0 { (-self.draw().max(1e-12).ln() / rate).min(1.0) } else { 0.05 };
+    fn schedule_request(&mut self, member: usize, tenant: usize) {
+        let rate = self.demand[member][tenant];
+        let pause = if rate > 0.0 {
+            (-self.draw().max(1e-12).ln() / rate).min(MAX_PAUSE_S)
+        } else {
+            IDLE_POLL_S
+        };
         let at = self.now + (pause * S as f64) as Micros;
-        let asks = rate > 0.0 && pause < 1.0;
-        self.push(at, What::Ask(n, if asks { club } else { club + 1000 }, self.lives[n]));
+        let generation = self.generations[member];
+        let due = if rate > 0.0 && pause < MAX_PAUSE_S {
+            Due::Request { member, tenant, generation }
+        } else {
+            Due::DemandPoll { member, tenant, generation }
+        };
+        self.push(at, due);
     }
 
-    /// Plays on until then.
-    pub fn play(&mut self, until: Micros) {
+    /// Runs on until this time.
+    pub fn run_until(&mut self, until: Micros) {
         while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
-            let Some(Reverse((at, number, what))) = self.queue.pop() else { break };
+            let Some(Reverse((at, number, due))) = self.queue.pop() else { break };
             self.now = at;
-            match what {
-                What::Turn(n, life) if self.lives[n] == life && self.turns[n] == number => {
-                    let clock = self.clock(n);
-                    let note = self.members[n].as_mut().and_then(|m| m.turn(clock));
-                    if let Some((to, data)) = note {
-                        self.send(n, to as usize, data);
-                    }
-                    self.turn_later(n);
+            self.handle(number, due);
+        }
+        self.now = until;
+    }
+
+    fn handle(&mut self, number: u64, due: Due) {
+        match due {
+            Due::Round { member, generation } => {
+                if self.generations[member] == generation && self.rounds[member] == number {
+                    self.run_round(member);
                 }
-                What::Ask(n, club, life) if self.lives[n] == life => {
-                    let clock = self.clock(n);
-                    let breaks = self.breaks[n] > 0.0 && self.draw() < self.breaks[n];
-                    if club < 1000
-                        && let Some(member) = &mut self.members[n]
-                    {
-                        member.happened(Happened::Attempt, clock);
-                        self.asked[club] += 1;
-                        self.spent[club] += u64::from(member.asked(0, club, clock));
-                        let budget = member.budget();
-                        self.saved[n] = (self.saved[n] + budget.share).min(budget.saved);
-                        if breaks {
-                            member.happened(Happened::Broke, clock);
-                            self.broke[n] += 1;
-                            let again = self.saved[n] >= 1.0;
-                            self.saved[n] -= f64::from(u8::from(again));
-                            self.repeated[n] += u64::from(again);
-                        }
-                    }
-                    self.ask_later(n, club % 1000);
+            }
+            Due::Request { member, tenant, generation } => {
+                if self.generations[member] == generation {
+                    self.request(member, tenant);
+                    self.schedule_request(member, tenant);
                 }
-                What::Arrive(from, to, data) => {
-                    let clock = self.clock(to);
-                    if let Some(member) = &mut self.members[to] {
-                        self.bytes += data.len() as u64;
-                        if let Some(answer) = member.hear(from as u32, &data, clock) {
-                            self.send(to, from, answer);
-                        }
-                        // Who has its answer may go on.
-                        self.turn_later(to);
-                    }
+            }
+            Due::DemandPoll { member, tenant, generation } => {
+                if self.generations[member] == generation {
+                    self.draw_failure(member);
+                    self.schedule_request(member, tenant);
                 }
-                _ => {}
             }
+            Due::Delivery { from, to, data } => self.deliver(from, to, &data),
         }
-        self.now = until;
+    }
+
+    fn run_round(&mut self, member: usize) {
+        let clock = self.clock(member);
+        let outgoing = self.members[member].as_mut().and_then(|node| node.poll(clock));
+        if let Some(Outgoing { receiver, data }) = outgoing {
+            self.send(member, receiver as usize, data);
+        }
+        self.schedule_round(member);
+    }
+
+    /// Whether the next attempt of a member fails.
+    fn draw_failure(&mut self, member: usize) -> bool {
+        self.failure_share[member] > 0.0 && self.draw() < self.failure_share[member]
+    }
+
+    fn request(&mut self, member: usize, tenant: usize) {
+        let clock = self.clock(member);
+        let fails = self.draw_failure(member);
+        let Some(node) = &mut self.members[member] else { return };
+        node.record(Event::Attempt, clock);
+        self.requests[tenant] += 1;
+        self.admitted[tenant] += u64::from(node.try_admit(0, tenant, clock));
+        let budget = node.retry_budget();
+        let saved = &mut self.saved_retries[member];
+        *saved = (*saved + budget.per_request).min(budget.max_saved);
+        if fails {
+            node.record(Event::RetryableFailure, clock);
+            self.failures[member] += 1;
+            let is_retried = *saved >= 1.0;
+            *saved -= f64::from(u8::from(is_retried));
+            self.retries[member] += u64::from(is_retried);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, data: &[u8]) {
+        let clock = self.clock(to);
+        let Some(node) = &mut self.members[to] else { return };
+        self.bytes += data.len() as u64;
+        if let Some(answer) = node.receive(from as u32, data, clock) {
+            self.send(to, from, answer);
+        }
+        // A member that has received its answer may go on.
+        self.schedule_round(to);
     }
 
     fn send(&mut self, from: usize, to: usize, data: Vec<u8>) {
         self.trace(&self.now.to_le_bytes());
         self.trace(&[from as u64, to as u64].map(u64::to_le_bytes).concat());
         self.trace(&data);
-        let copies = 1 + usize::from(self.draw() < self.twice);
+        let copies = 1 + usize::from(self.draw() < self.duplication);
         for _ in 0..copies {
-            let lost = self.draw() < self.loss;
-            if lost || self.mute[from] || self.deaf[to] || self.group[from] != self.group[to] {
+            let is_lost = self.draw() < self.loss;
+            let is_cut = self.partition[from] != self.partition[to];
+            if is_lost || is_cut || self.mute[from] || self.deaf[to] {
                 continue;
             }
-            // As the platform's notes: 1.1 to 39 ms.
+            // As datagrams of the platform: 1.1 to 39 ms.
             let delay = 1_100 + (self.draw() * 37_900.0) as Micros;
-            self.push(self.now + delay, What::Arrive(from, to, data.clone()));
+            self.push(self.now + delay, Due::Delivery { from, to, data: data.clone() });
         }
     }
 
@@ -223,50 +297,81 @@
             data.iter().fold(self.trace, |h, b| (h ^ u64::from(*b)).wrapping_mul(FNV_PRIME));
     }
 
-    /// The hash of all that was sent so far, of when, and of the figures of some views.
-    pub fn hash(&mut self, views: &[View]) -> u64 {
-        for view in views {
-            for club in &view.clubs {
-                for figure in [club.asked, club.own, club.lease] {
+    /// The hash of all that was sent so far, of when, and of the figures of some snapshots.
+    pub fn hash(&mut self, snapshots: &[Snapshot]) -> u64 {
+        for snapshot in snapshots {
+            for tenant in &snapshot.tenants {
+                for figure in [tenant.demand_per_s, tenant.local_demand_per_s, tenant.lease_per_s] {
                     self.trace(&figure.to_bits().to_le_bytes());
                 }
-                self.trace(&club.spent.0.to_le_bytes());
-                self.trace(&club.spent.1.to_le_bytes());
+                self.trace(&tenant.within_lease.to_le_bytes());
+                self.trace(&tenant.beyond_lease.to_le_bytes());
             }
-            for figure in [view.reach, view.attempts, view.budget.share, view.budget.saved] {
+            for figure in [
+                snapshot.reachable_members,
+                snapshot.attempts_per_s,
+                snapshot.retry_budget.per_request,
+                snapshot.retry_budget.max_saved,
+            ] {
                 self.trace(&figure.to_bits().to_le_bytes());
             }
-            self.trace(&(view.members.0 as u64).to_le_bytes());
-            self.trace(&(view.links.0 as u64).to_le_bytes());
+            self.trace(&(snapshot.members.alive as u64).to_le_bytes());
+            self.trace(&(snapshot.links.up as u64).to_le_bytes());
         }
         self.trace
     }
 
-    /// A note of this world's, as if it came from there.
+    /// Delivers a forged message at once.
     pub fn forge(&mut self, from: usize, to: usize, data: Vec<u8>) {
-        self.push(self.now, What::Arrive(from, to, data));
+        self.push(self.now, Due::Delivery { from, to, data });
+    }
+
+    /// A member that is there.
+    pub fn node(&mut self, member: usize) -> &mut Node {
+        self.members[member].as_mut().expect("the member is there")
     }
 
-    pub fn view(&mut self, n: usize) -> View {
-        let clock = self.clock(n);
-        self.members[n].as_mut().expect("it is there").view(clock)
+    pub fn snapshot(&mut self, member: usize) -> Snapshot {
+        let clock = self.clock(member);
+        self.node(member).snapshot(clock)
     }
 
     pub fn alive(&self) -> Vec<usize> {
-        (0..self.members.len()).filter(|n| self.members[*n].is_some()).collect()
+        (0..self.members.len()).filter(|member| self.members[*member].is_some()).collect()
     }
 
-    /// The views of all that are there.
-    pub fn views(&mut self) -> Vec<View> {
-        self.alive().into_iter().map(|n| self.view(n)).collect()
+    /// The snapshots of all members that are there.
+    pub fn snapshots(&mut self) -> Vec<Snapshot> {
+        self.alive().into_iter().map(|member| self.snapshot(member)).collect()
+    }
+
+    /// How far all members are from the true number of reachable members.
+    pub fn reachable_error(&mut self, truth: f64) -> RelativeError {
+        relative_error(self.snapshots().iter().map(|s| s.reachable_members), truth)
+    }
+
+    /// How far all members are from the true demand of the first tenant.
+    pub fn demand_error(&mut self, truth: f64) -> RelativeError {
+        relative_error(self.snapshots().iter().map(|s| s.tenants[0].demand_per_s), truth)
     }
 }
 
-/// How far some figures are from the true one, as shares of it: what 19 of 20 are within, and the most.
-pub fn off(figures: impl Iterator<Item = f64>, truth: f64) -> (f64, f64) {
+/// How far some figures are from the true one, as shares of it.
+#[derive(Clone, Copy, Debug)]
+pub struct RelativeError {
+    /// 19 of 20 are within this.
+    pub p95: f64,
+    /// All are within this.
+    pub max: f64,
+}
+
+pub fn relative_error(figures: impl Iterator<Item = f64>, truth: f64) -> RelativeError {
     let mut all: Vec<f64> =
         figures.map(|f| (f - truth).abs() / truth.max(f64::MIN_POSITIVE)).collect();
     all.sort_by(f64::total_cmp);
     let last = all.len().saturating_sub(1);
-    (all.get(last * 19 / 20).copied().unwrap_or(0.0), all.last().copied().unwrap_or(0.0))
+    RelativeError {
+        p95: all.get(last * 19 / 20).copied().unwrap_or(0.0),
+        max: all.last().copied().unwrap_or(0.0),
+    }
 }
--- a/crates/gossip/tests/compatibility.rs
+++ b/crates/gossip/tests/compatibility.rs
@@ -1,123 +1,124 @@
-//! Notes as version 0.2.0 wrote them: what reads and writes notes now reads each, and writes the same bytes.
+//! Messages as version 0.2.0 wrote them: each is decoded, and encoded to the same bytes.
 
 use std::path::{Path, PathBuf};
 
-use gossip::{Carries, Note, Presence, Record, Tier};
+use gossip::{Event, MemberRecord, MemberState, Message, Node, Outgoing, Payload, TenantQuotas};
 
 fn fixture(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name)
 }
 
-/// The bytes of a fixture; they are written as hexadecimal digits, a note on each line.
+/// The bytes of a fixture; they are written as hexadecimal digits, a message on each line.
 fn lines(name: &str) -> Vec<Vec<u8>> {
     let text = std::fs::read_to_string(fixture(name)).expect("a fixture");
     let byte = |at: usize, line: &str| u8::from_str_radix(&line[at..at + 2], 16).expect("digits");
     text.lines().map(|l| (0..l.len()).step_by(2).map(|at| byte(at, l)).collect()).collect()
 }
 
-fn estimate() -> Note {
-    Note {
+fn estimate() -> Message {
+    Message {
         incarnation: 0x0102_0304,
-        to: 0,
-        number: 1,
-        echo: 0,
-        version: 0,
-        shape: 0xbeef,
-        carries: Carries::Estimate,
+        receiver_incarnation: 0,
+        sequence: 1,
+        acknowledged: 0,
+        flow_version: 0,
+        schema: 0xbeef,
+        payload: Payload::Estimate,
         values: vec![1.0, 250.5, 0.25, 0.0, 3.5, 120.0, 7.0, 130.5],
         records: Vec::new(),
     }
 }
 
-fn flow() -> Note {
-    Note {
-        to: 0x0a0b_0c0d,
-        number: 70_000,
-        echo: 69_999,
-        version: 4_000_000_000,
-        carries: Carries::Flow,
+fn flow() -> Message {
+    Message {
+        receiver_incarnation: 0x0a0b_0c0d,
+        sequence: 70_000,
+        acknowledged: 69_999,
+        flow_version: 4_000_000_000,
+        payload: Payload::Flow,
         values: vec![-0.125, 12.75, -99_999.0, 0.0, 1e-3, -0.0, 1.5, 2.0],
         ..estimate()
     }
 }
 
-fn every_record() -> Note {
-    let record = |who, incarnation, presence| Record { who, incarnation, presence };
-    Note {
+fn every_record() -> Message {
+    let record = |member, incarnation, state| MemberRecord { member, incarnation, state };
+    Message {
         records: vec![
-            record(0, 0, Presence::Unknown),
-            record(1, 0x1122_3344, Presence::Alive),
-            record(258, 7, Presence::Suspect),
-            record(65_535, u32::MAX, Presence::Gone),
+            record(0, 0, MemberState::Unknown),
+            record(1, 0x1122_3344, MemberState::Alive),
+            record(258, 7, MemberState::Suspect),
+            record(65_535, u32::MAX, MemberState::Dead),
         ],
         ..flow()
     }
 }
 
-fn check(name: &str, note: &Note) {
+fn check(name: &str, message: &Message) {
     let written = lines(name);
-    assert_eq!(Note::read(&written[0]).as_ref(), Ok(note), "{name} is read");
-    assert_eq!(note.bytes(), written[0], "{name} is written as it was");
+    assert_eq!(Message::decode(&written[0]).as_ref(), Ok(message), "{name} is decoded");
+    assert_eq!(message.encode(), written[0], "{name} is encoded as before");
 }
 
 #[test]
-fn an_estimate_is_read_and_written_as_before() {
+fn estimate_message_is_decoded_and_encoded_as_before() {
     check("estimate.hex", &estimate());
 }
 
 #[test]
-fn a_flow_is_read_and_written_as_before() {
+fn flow_message_is_decoded_and_encoded_as_before() {
     check("flow.hex", &flow());
 }
 
 #[test]
-fn a_note_with_every_kind_of_record_is_read_and_written_as_before() {
+fn message_with_records_of_every_state_is_decoded_and_encoded_as_before() {
     check("records.hex", &every_record());
 }
 
-/// Two members of a tier of three from their first notes on. The third, which is never there, is asked now and then.
+/// Two members of a cluster of three from their first messages on. The third is never there, and is tried now and
+/// then.
 fn conversation() -> Vec<Vec<u8>> {
-    let config = |me| gossip::Config {
-        me,
-        size: 3,
-        start_ms: 1_790_000_000_000 + 1000 * u64::from(me),
-        turn: 100_000,
-        clubs: (0x1234, vec![30.0, 5.0]),
-        classes: 2,
+    let config = |local_id| gossip::Config {
+        local_id,
+        cluster_size: 3,
+        started_unix_ms: 1_790_000_000_000 + 1000 * u64::from(local_id),
+        round_interval: 100_000,
+        quotas: TenantQuotas { schema: 0x1234, per_second: vec![30.0, 5.0] },
+        class_count: 2,
         seed: 11,
     };
-    let mut members: Vec<Tier> =
-        (0..2).map(|me| Tier::new(config(me), 0).expect("a sound configuration")).collect();
-    let mut notes = Vec::new();
+    let mut members: Vec<Node> =
+        (0..2).map(|id| Node::new(config(id), 0).expect("a valid configuration")).collect();
+    let mut messages = Vec::new();
     for step in 0..12_000_u64 {
         let now = step * 1_000;
-        for me in 0..2 {
-            if step % 10 == me as u64 {
-                members[me].asked(me, me, now);
-                members[me].happened(gossip::Happened::Attempt, now);
+        for id in 0..2 {
+            if step % 10 == id as u64 {
+                members[id].try_admit(id, id, now);
+                members[id].record(Event::Attempt, now);
             }
-            let Some((to, data)) = members[me].turn(now) else { continue };
-            notes.push(data.clone());
-            if to == 2 {
+            let Some(Outgoing { receiver, data }) = members[id].poll(now) else { continue };
+            messages.push(data.clone());
+            if receiver == 2 {
                 continue;
             }
-            if let Some(answer) = members[to as usize].hear(me as u32, &data, now) {
-                members[me].hear(to, &answer, now);
-                notes.push(answer);
+            if let Some(answer) = members[receiver as usize].receive(id as u32, &data, now) {
+                members[id].receive(receiver, &answer, now);
+                messages.push(answer);
             }
         }
     }
-    notes
+    messages
 }
 
 #[test]
-fn two_members_say_to_one_another_what_they_said_before() {
+fn conversation_of_two_members_is_the_same_as_before() {
     let before = lines("conversation.hex");
     let now = conversation();
     assert_eq!(now.len(), before.len());
     for (n, (now, before)) in now.iter().zip(&before).enumerate() {
-        assert_eq!(now, before, "note {n}");
-        let read = Note::read(before).expect("a note");
-        assert_eq!(&read.bytes(), before, "note {n}");
+        assert_eq!(now, before, "message {n}");
+        let decoded = Message::decode(before).expect("a message");
+        assert_eq!(&decoded.encode(), before, "message {n}");
     }
 }
--- a/crates/scale-test/src/hollow/sidecar.rs
+++ b/crates/scale-test/src/hollow/sidecar.rs
@@ -17,8 +17,8 @@
 use lb_sidecar::settings::Discovery as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
 use lb_sidecar::sidecar::discovery::{Discovery, DiscoveryRequest, EndpointListener};
-use lb_sidecar::sidecar::peers::{Inbox, Peers};
-use lb_sidecar::sidecar::tier::Shared;
+use lb_sidecar::sidecar::peers::{DatagramHandler, Peers};
+use lb_sidecar::sidecar::tier::Membership as GossipMembership;
 use runtime::TokioRuntime;
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -38,13 +38,13 @@
 const MIN_MEMBERS: f64 = 2.0;
 
 /// A sidecar's membership in its gossip group.
-pub(super) struct Membership(Rc<Shared<TokioRuntime>>);
+pub(super) struct Membership(Rc<GossipMembership<TokioRuntime>>);
 
 impl Membership {
     /// Whether the sidecar knows all of its peers.
     pub fn is_complete(&self) -> bool {
-        let view = self.0.view();
-        view.members.0 as f64 >= view.reach.round().max(MIN_MEMBERS)
+        let snapshot = self.0.snapshot();
+        snapshot.members.alive as f64 >= snapshot.reachable_members.round().max(MIN_MEMBERS)
     }
 }
 
@@ -105,11 +105,11 @@
     fn on_failure(&self) {}
 }
 
-struct GossipInbox(Rc<Shared<TokioRuntime>>);
+struct GossipInbox(Rc<GossipMembership<TokioRuntime>>);
 
-impl Inbox for GossipInbox {
-    fn note(&self, from: u32, data: &[u8]) {
-        self.0.hear(from, data);
+impl DatagramHandler for GossipInbox {
+    fn handle(&self, from: u32, data: &[u8]) {
+        self.0.receive(from, data);
     }
 }
 
@@ -183,7 +183,7 @@
     let socket = UdpSocket::bind(address).await;
     let socket = socket.map_err(|source| HollowError::GossipSocket { address, source })?;
     let peers = Peers::<TokioRuntime>::new(socket, config.peers.clone(), None);
-    let group = Shared::<TokioRuntime>::new(config, Some(&peers));
+    let group = GossipMembership::<TokioRuntime>::new(config, Some(&peers));
     let group = group.map_err(|error| HollowError::Gossip(error.to_string()))?;
     Ok(group.map(|group| {
         tokio::task::spawn_local(peers.listen(GossipInbox(group.clone())));
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -1,21 +1,24 @@
-//! Operation by hand: a listener for operators, one line in and one answer out on each connection,
-//! and the orders that stand until they are called back.
+//! The admin listener: operators send one command on each connection and get one response. What they order holds
+//! until they revoke it.
 
 pub mod command;
-pub mod orders;
-pub mod record;
+pub mod connection;
+pub mod state;
+pub mod state_file;
+pub mod statistics;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Listener, Runtime, TaskHandle, Tcp, lingering_close, timeout};
+use runtime::{Listener, Runtime, TaskHandle, lingering_close, timeout};
 
-use self::command::{Answer, Command, Figures, LONGEST};
-use self::orders::Orders;
-use self::record::Record;
+use self::command::{Command, CommandError, Response};
+use self::connection::{ReadError, read_line, write_all};
+use self::state::{AdminState, ChangeError};
+use self::state_file::{StateFile, StateFileError};
+use self::statistics::{ClassCounts, Statistics, TierStatistics};
 use super::config::stable_hash;
 use super::driver::{Driver, EndpointCounts};
 use super::ingress::Ingress;
@@ -23,260 +26,234 @@
 use super::status::Status;
 use crate::api::ServerId;
 
-/// Connections of operators at once; the oldest makes room. They come out of the descriptors that
-/// `budget` keeps for the program itself.
-const MOST: usize = 8;
-/// How long a caller may take to bring its line, and then to take the answer.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// How long a caller's connection is read on once it is answered, and how far.
-const LINGER: Duration = Duration::from_millis(200);
+/// Connections of operators at once; the oldest is closed for another. They come out of the descriptors that
+/// `budget` reserves for the program itself.
+const MAX_CONNECTIONS: usize = 8;
+/// How long a caller may take to send its line, and then to take the response.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection is read on after its response, so that the response is not lost in a reset.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
+/// How many bytes are read on at the most.
 const LINGER_BYTES: usize = 4096;
-/// Between two looks whether another process has written orders.
-const LOOK: Duration = Duration::from_millis(100);
-/// A pause before accepting again after a failure.
-const AGAIN: Duration = Duration::from_millis(50);
+/// How often the state file is checked for changes of another process.
+const STATE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The pause before accepting again after a failure.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// What carries out the operators' orders.
+/// Serves operators, and puts what they order in force.
 pub struct Admin<P: Runtime> {
     driver: Rc<Driver<P>>,
     ingress: Rc<Ingress<P>>,
     live: Rc<LiveConfig>,
     status: Rc<Status>,
-    /// Where orders are kept; without it they end with the process.
-    record: Option<Record>,
-    orders: RefCell<Orders>,
-    /// Tells this process from all others that write the same record.
-    mark: u64,
-    /// Connections of operators, in the order in which they came.
-    calls: RefCell<BTreeMap<u64, P::TaskHandle>>,
-    next: Cell<u64>,
+    /// Where the state is stored; without it the state ends with the process.
+    state_file: Option<StateFile>,
+    state: RefCell<AdminState>,
+    /// Distinguishes this process from all others that write the same file.
+    process_id: u64,
+    /// Tasks of open connections, in the order in which they were accepted.
+    connections: RefCell<BTreeMap<u64, P::TaskHandle>>,
+    next_connection: Cell<u64>,
 }
 
 impl<P: Runtime> Admin<P> {
-    /// One that has carried out what stands in the record.
+    /// Puts the stored state in force.
     pub fn new(
         driver: Rc<Driver<P>>,
         ingress: Rc<Ingress<P>>,
         live: Rc<LiveConfig>,
         status: Rc<Status>,
-        record: Option<Record>,
+        state_file: Option<StateFile>,
     ) -> Rc<Admin<P>> {
         let admin = Rc::new(Admin {
             driver,
             ingress,
             live,
             status,
-            record,
-            orders: RefCell::default(),
-            // Process numbers may be the same where each process has a name space of its own; two
-            // processes of one sidecar do not start at the same nanosecond.
-            mark: P::unix_time().as_nanos() as u64,
-            calls: RefCell::default(),
-            next: Cell::new(0),
+            state_file,
+            state: RefCell::default(),
+            // Process numbers are ambiguous where each process has its own namespace; two processes of one sidecar
+            // do not start at the same nanosecond.
+            process_id: P::unix_time().as_nanos() as u64,
+            connections: RefCell::default(),
+            next_connection: Cell::new(0),
         });
-        admin.look();
+        admin.poll_state_file();
         admin
     }
 
-    /// Takes over what another process has written since the last look.
-    fn look(&self) {
-        match self.record.as_ref().map(Record::news) {
-            Some(Ok(Some(orders))) => self.take_over(orders),
-            Some(Err(error)) => tracing::error!(%error, "the record of orders cannot be used"),
+    /// Puts in force what another process has written since the last call.
+    fn poll_state_file(&self) {
+        match self.state_file.as_ref().map(StateFile::read_if_changed) {
+            Some(Ok(Some(state))) => self.set_state(state),
+            Some(Err(error)) => tracing::error!(%error, "failed to read admin state file"),
             None | Some(Ok(None)) => {}
         }
     }
 
-    fn take_over(&self, orders: Orders) {
-        if *self.orders.borrow() != orders {
-            tracing::info!(out = ?orders.out, drained = orders.drained, "orders in force");
-            self.driver.set_drained_by_operator(orders.out.iter().map(|name| id(name)));
-            self.ingress.set_drained(orders.drained);
-            *self.orders.borrow_mut() = orders;
+    fn set_state(&self, state: AdminState) {
+        if *self.state.borrow() == state {
+            return;
         }
+        tracing::info!(
+            disabled_servers = ?state.disabled_servers,
+            drained = state.drained,
+            "admin state changed"
+        );
+        self.driver
+            .set_drained_by_operator(state.disabled_servers.iter().map(|name| server_id(name)));
+        self.ingress.set_drained(state.drained);
+        *self.state.borrow_mut() = state;
     }
 
-    /// Looks for orders that another process has written; never ends.
+    /// Watches for changes that another process writes; never ends.
     pub async fn watch(self: Rc<Admin<P>>) {
         loop {
-            P::sleep(LOOK).await;
-            self.look();
+            P::sleep(STATE_POLL_INTERVAL).await;
+            self.poll_state_file();
         }
     }
 
-    /// Notes that this process serves from now on, so that its predecessor leaves its clients to it.
-    pub async fn serves(&self) {
-        let mark = self.mark;
-        let noted = self.change(|orders| {
-            orders.serving = Some(mark);
+    /// Stores that this process serves from now on, so that its predecessor leaves its clients to it.
+    pub async fn announce_serving(&self) {
+        let process_id = self.process_id;
+        let announced = self.change_state(|state| {
+            state.serving_process = Some(process_id);
             Ok(())
         });
-        if let Err(error) = noted.await {
-            tracing::error!(%error, "a predecessor will not know that this process serves");
+        if let Err(error) = announced.await {
+            tracing::error!(%error, "failed to announce readiness to the predecessor");
         }
     }
 
-    /// Whether another process serves now.
+    /// Whether another process has announced since that it serves.
     pub fn is_succeeded(&self) -> bool {
-        self.look();
-        self.orders.borrow().serving.is_some_and(|mark| mark != self.mark)
+        self.poll_state_file();
+        self.state.borrow().serving_process.is_some_and(|id| id != self.process_id)
     }
 
-    async fn change(
+    async fn change_state(
         &self,
-        change: impl Fn(&mut Orders) -> Result<(), String>,
-    ) -> Result<(), String> {
-        let orders = match &self.record {
-            Some(record) => record.change::<P>(change).await?,
+        change: impl Fn(&mut AdminState) -> Result<(), ChangeError>,
+    ) -> Result<(), StateFileError> {
+        let state = match &self.state_file {
+            Some(file) => file.update::<P>(change).await?,
             None => {
-                let mut orders = self.orders.borrow().clone();
-                change(&mut orders)?;
-                orders
+                let mut state = self.state.borrow().clone();
+                change(&mut state)?;
+                state
             }
         };
-        self.take_over(orders);
+        self.set_state(state);
         Ok(())
     }
 
-    /// Answers operators; never ends.
+    /// Accepts operators; never ends.
     pub async fn listen(self: Rc<Admin<P>>, listener: P::Listener) {
         if let Ok(address) = listener.local_addr() {
             tracing::info!(%address, "operators may call");
         }
         loop {
-            let socket = match listener.accept().await {
-                Ok((socket, _)) => socket,
+            match listener.accept().await {
+                Ok((socket, _)) => self.spawn_connection(socket),
                 Err(error) => {
-                    tracing::warn!(%error, "accepting an operator failed");
-                    P::sleep(AGAIN).await;
-                    continue;
+                    tracing::warn!(%error, "failed to accept admin connection");
+                    P::sleep(ACCEPT_BACKOFF).await;
                 }
-            };
-            // Danger: callers that connect and say nothing must not keep others out.
-            if self.calls.borrow().len() >= MOST
-                && let Some((_, oldest)) = self.calls.borrow_mut().pop_first()
-            {
-                oldest.abort();
             }
-            let n = self.next.get();
-            self.next.set(n + 1);
-            let admin = self.clone();
-            let task = P::spawn(async move {
-                admin.serve(&socket).await;
-                admin.calls.borrow_mut().remove(&n);
-            });
-            self.calls.borrow_mut().insert(n, task);
         }
     }
 
+    fn spawn_connection(self: &Rc<Admin<P>>, socket: P::Tcp) {
+        // Callers that connect and send nothing must not keep others out.
+        if self.connections.borrow().len() >= MAX_CONNECTIONS
+            && let Some((_, oldest)) = self.connections.borrow_mut().pop_first()
+        {
+            oldest.abort();
+        }
+        let number = self.next_connection.get();
+        self.next_connection.set(number + 1);
+        let admin = self.clone();
+        let task = P::spawn(async move {
+            admin.serve(&socket).await;
+            admin.connections.borrow_mut().remove(&number);
+        });
+        self.connections.borrow_mut().insert(number, task);
+    }
+
     async fn serve(&self, socket: &P::Tcp) {
-        let line = timeout::<P, _>(PATIENCE, read_line::<P>(socket)).await;
-        let answer = match line {
-            Ok(Ok(line)) => match Command::parse(&line) {
-                Ok(call) => self.answer(&call).await,
-                Err(why) => Answer::Error(why),
-            },
-            Ok(Err(why)) => Answer::Error(why.into()),
-            Err(_) => Answer::Error("a whole line expected".into()),
+        let response = match self.handle(socket).await {
+            Ok(response) => response,
+            Err(error) => Response::Error(error),
         };
-        let text = answer.to_string();
-        let _ = timeout::<P, _>(PATIENCE, write::<P>(socket, text.as_bytes())).await;
-        lingering_close::<P>(socket, LINGER, LINGER_BYTES).await;
+        let text = response.to_string();
+        let _ = timeout::<P, _>(CALL_TIMEOUT, write_all::<P>(socket, text.as_bytes())).await;
+        lingering_close::<P>(socket, LINGER_TIMEOUT, LINGER_BYTES).await;
     }
 
-    async fn answer(&self, call: &Command) -> Answer {
-        match call {
-            Command::Ready if self.ingress.is_ready() => Answer::Done,
-            Command::Ready if self.ingress.drained_for().is_some() => {
-                Answer::Error("drained".into())
+    /// Reads a command and carries it out.
+    async fn handle(&self, socket: &P::Tcp) -> Result<Response, CommandError> {
+        let line = timeout::<P, _>(CALL_TIMEOUT, read_line::<P>(socket)).await;
+        let line = line.map_err(|_| ReadError::TimedOut)??;
+        let command = Command::parse(&line)?;
+        self.execute(&command).await
+    }
+
+    async fn execute(&self, command: &Command) -> Result<Response, CommandError> {
+        match command {
+            Command::Ready if self.ingress.is_ready() => Ok(Response::Done),
+            Command::Ready if self.ingress.drained_for().is_some() => Err(CommandError::Drained),
+            Command::Ready => Err(CommandError::NoServers),
+            Command::ShowStat => Ok(Response::Statistics(self.statistics().into())),
+            Command::ShowTier => {
+                let tier = self.driver.gossip().ok_or(CommandError::NoTier)?;
+                Ok(Response::Members(tier.members()))
             }
-            Command::Ready => Answer::Error("no server is known yet".into()),
-            Command::ShowStat => Answer::Stat(self.figures().into()),
-            Command::ShowTier => match self.driver.gossip() {
-                Some(tier) => Answer::Tier(tier.members()),
-                None => Answer::Error("no part in the tier".into()),
-            },
-            _ => {
-                let listed = |name: &str| self.driver.is_listed(id(name));
-                match self.change(|orders| orders.apply(call, listed)).await {
-                    Ok(()) => {
-                        tracing::info!(?call, "ordered");
-                        Answer::Done
-                    }
-                    Err(why) => Answer::Error(why),
-                }
+            Command::DisableServer(_)
+            | Command::EnableServer(_)
+            | Command::Drain
+            | Command::Resume => {
+                let is_listed = |name: &str| self.driver.is_listed(server_id(name));
+                self.change_state(|state| state.apply(command, is_listed)).await?;
+                tracing::info!(?command, "admin command executed");
+                Ok(Response::Done)
             }
         }
     }
 
-    fn figures(&self) -> Figures {
-        let names = self.live.names();
-        let mut classes: Vec<_> = names.classes.iter().collect();
-        classes.sort_unstable_by_key(|(_, class)| class.index);
-        let counts = |(name, class): (&String, &super::config::ClassName)| {
-            (name.clone(), self.status.counts_of(class.index))
-        };
+    fn statistics(&self) -> Statistics {
         let EndpointCounts { listed, ejected } = self.driver.endpoint_counts();
-        Figures {
-            classes: classes.into_iter().map(counts).collect(),
-            tries: self.status.attempts(),
-            active: self.driver.open_requests(),
-            listed,
-            ejected,
-            most_servers: self.live.max_servers(),
-            lists_too_long: self.status.lists_too_long(),
+        Statistics {
+            classes: self.class_counts(),
+            attempts: self.status.attempts(),
+            active_requests: self.driver.open_requests(),
+            listed_servers: listed,
+            ejected_servers: ejected,
+            max_servers: self.live.max_servers(),
+            oversized_lists: self.status.lists_too_long(),
             reloads: self.status.reloads(),
-            tier: self.driver.gossip().map(|tier| {
-                let mut clubs: Vec<_> = names.tenants.iter().collect();
-                clubs.sort_unstable_by_key(|(_, place)| **place);
-                (tier.view(), clubs.into_iter().map(|(name, _)| name.clone()).collect())
-            }),
+            tier: self.tier_statistics(),
         }
     }
-}
 
-fn id(name: &str) -> ServerId {
-    ServerId(stable_hash(name.as_bytes()))
-}
+    fn class_counts(&self) -> Vec<ClassCounts> {
+        let names = self.live.names();
+        let mut classes: Vec<_> = names.classes.iter().collect();
+        classes.sort_unstable_by_key(|(_, class)| class.index);
+        let counts = |(name, class): (&String, &super::config::ClassName)| ClassCounts {
+            name: name.clone(),
+            counts: self.status.counts_of(class.index),
+        };
+        classes.into_iter().map(counts).collect()
+    }
 
-/// Reads up to the end of the first line; what comes behind it does not count.
-async fn read_line<P: Runtime>(socket: &P::Tcp) -> Result<String, &'static str> {
-    let mut line = Vec::new();
-    let mut buf = [0; LONGEST];
-    loop {
-        match socket.try_read(&mut buf) {
-            // Danger: half a call is none. "disable-server s-1" may have been meant for s-12.
-            Ok(0) => return Err("the line did not end"),
-            Ok(n) => {
-                line.extend_from_slice(&buf[..n]);
-                if let Some(end) = line.iter().position(|&b| b == b'\n') {
-                    line.truncate(end);
-                    return String::from_utf8(line).map_err(|_| "text expected");
-                }
-                if line.len() > LONGEST {
-                    return Err("the line is too long");
-                }
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if std::future::poll_fn(|cx| socket.poll_read_ready(cx)).await.is_err() {
-                    return Err("the connection broke");
-                }
-            }
-            Err(_) => return Err("the connection broke"),
-        }
+    fn tier_statistics(&self) -> Option<TierStatistics> {
+        let tier = self.driver.gossip()?;
+        let tenant_names = self.live.names().tenant_names();
+        Some(TierStatistics { snapshot: tier.snapshot(), tenant_names })
     }
 }
 
-async fn write<P: Runtime>(socket: &P::Tcp, mut text: &[u8]) {
-    while !text.is_empty() {
-        match socket.try_write(text) {
-            Ok(n) => text = &text[n..],
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if std::future::poll_fn(|cx| socket.poll_write_ready(cx)).await.is_err() {
-                    return;
-                }
-            }
-            Err(_) => return,
-        }
-    }
+fn server_id(name: &str) -> ServerId {
+    ServerId(stable_hash(name.as_bytes()))
 }
--- /dev/null
+++ b/src/sidecar/admin/state/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of the administrative state.
+
+use super::*;
+
+#[test]
+fn command_given_twice_is_revoked_once() {
+    let is_listed = |name: &str| name == "a";
+    let disable = Command::DisableServer("a".into());
+    let enable = Command::EnableServer("a".into());
+    let mut state = AdminState::default();
+    assert_eq!(state.apply(&disable, is_listed), Ok(()));
+    assert_eq!(state.apply(&disable, |_| false), Ok(()), "it may have left the list meanwhile");
+    assert!(state.disabled_servers.contains("a"));
+    assert_eq!(state.apply(&enable, |_| false), Ok(()));
+    assert_eq!(state, AdminState::default());
+    assert_eq!(state.apply(&enable, is_listed), Ok(()), "it is enabled");
+}
+
+#[test]
+fn unknown_server_is_rejected_and_nothing_changes() {
+    let mut state = AdminState::default();
+    assert!(state.apply(&Command::DisableServer("b".into()), |_| false).is_err());
+    assert!(state.apply(&Command::EnableServer("b".into()), |_| false).is_err());
+    assert_eq!(state, AdminState::default());
+}
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -86,7 +86,7 @@
 
 /// How many members a tier may have if a process takes part that may use `memory` bytes.
 pub fn max_members(memory: usize) -> usize {
-    (memory / MEMBER_MEMORY_DIVISOR / BYTES_PER_MEMBER).min(gossip::MOST_MEMBERS as usize)
+    (memory / MEMBER_MEMORY_DIVISOR / BYTES_PER_MEMBER).min(gossip::MAX_MEMBERS as usize)
 }
 
 fn connections_per_side(limit: usize) -> usize {
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gossip::TenantQuotas;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -54,7 +55,7 @@
     /// What is sent there reaches every sidecar of the tier.
     pub peers_all: Option<SocketAddr>,
     /// Between two notes to the other sidecars of the tier, where it takes part in what they know together.
-    pub tier_turn: Option<Duration>,
+    pub gossip_round_interval: Option<Duration>,
     /// The list of servers as this sidecar last had it.
     pub known: Option<List>,
     /// The module's settings.
@@ -239,6 +240,13 @@
         Ok(names)
     }
 
+    /// The names of the tenants, in the order of the settings.
+    pub fn tenant_names(&self) -> Vec<String> {
+        let mut tenants: Vec<_> = self.tenants.iter().collect();
+        tenants.sort_unstable_by_key(|(_, index)| **index);
+        tenants.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// A server as the module takes it. A zone or kind that the settings lack is like no other.
     pub fn entry<S: AsRef<str>>(&self, host: &Host<S>) -> ServerEntry {
         let place = |names: &[String], name: &Option<S>| {
@@ -290,16 +298,17 @@
 }
 
 impl Config {
-    /// The clubs of the tier: what stands for their names and those of the classes, in their orders, and quotas,
-    /// a second.
-    pub fn clubs(&self) -> (u16, Vec<f64>) {
-        let mut names: Vec<_> = self.names.tenants.iter().collect();
-        names.sort_unstable_by_key(|(_, place)| **place);
-        let clubs = names.iter().map(|(name, _)| name.as_str());
+    /// The tenants' quotas as gossip shares them. Their schema stands for the names of tenants and classes, in the
+    /// order of the settings.
+    pub fn tenant_quotas(&self) -> TenantQuotas {
+        let tenants = self.names.tenant_names();
         let classes = self.settings.classes.iter().map(|class| class.name.as_str());
-        let all: Vec<u8> = clubs.chain(classes).flat_map(|n| n.bytes().chain([0])).collect();
-        let quotas = self.settings.tenants.iter().map(|t| t.quota_per_s);
-        (stable_hash(&all) as u16, quotas.collect())
+        let names = tenants.iter().map(String::as_str).chain(classes);
+        let names: Vec<u8> = names.flat_map(|name| name.bytes().chain([0])).collect();
+        TenantQuotas {
+            schema: stable_hash(&names) as u16,
+            per_second: self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
+        }
     }
 
     /// Reads the configuration that the variables name.
@@ -405,7 +414,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
-            tier_turn: turn.map(Duration::from_millis),
+            gossip_round_interval: turn.map(Duration::from_millis),
             known: file.known,
             settings,
             names: Rc::new(names),
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gossip::Happened;
+use gossip::Event as GossipEvent;
 use runtime::Runtime;
 
 use super::{Driver, RequestOutcome};
@@ -19,12 +19,12 @@
             }
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
             Action::Refuse { id, retry_after } => {
-                self.record(Happened::Refused);
+                self.record(GossipEvent::Rejected);
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 self.finish_request(id, RequestOutcome::Rejected { retry_after });
             }
             Action::Fail { id } => {
-                self.record(Happened::Failed);
+                self.record(GossipEvent::Failed);
                 self.finish_request(id, RequestOutcome::Failed);
             }
             Action::Timer { delay, token } => {
@@ -37,7 +37,7 @@
             Action::FetchList => self.fetch_list(),
             Action::Tell { peer, data } => {
                 if let Some(datagrams) = &self.peer_services.datagrams {
-                    datagrams.tell(peer, &data);
+                    datagrams.send(peer, &data);
                 }
             }
             Action::Log { text } => tracing::info!(text, "message of the balancer"),
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gossip::Happened;
+use gossip::Event as GossipEvent;
 use runtime::Runtime;
 use tokio::sync::oneshot;
 
@@ -51,9 +51,9 @@
         let Some(dispatch) = dispatch else {
             return self.report_not_sent(id);
         };
-        self.record(Happened::Attempt);
+        self.record(GossipEvent::Attempt);
         if index > 0 {
-            self.record(Happened::Repeat);
+            self.record(GossipEvent::Retry);
         }
         P::spawn(self.clone().run_attempt(id, dispatch));
     }
@@ -172,7 +172,7 @@
         }
         let broke = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::TimedOut);
         if broke && retryable && !finished {
-            self.record(Happened::Broke);
+            self.record(GossipEvent::RetryableFailure);
         }
         let AttemptId { request, index, server } = id;
         self.handle_event(Event::Answer {
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gossip::Happened;
+use gossip::Event as GossipEvent;
 use runtime::Runtime;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
@@ -22,7 +22,7 @@
 use super::live::LiveConfig;
 use super::peers::{self, Peers};
 use super::status::Status;
-use super::tier::Shared;
+use super::tier::Membership;
 use super::timers::Timers;
 use super::upstream::{HealthCheckKind, Upstream};
 use crate::api::{Event, ListKind, Micros, RequestId};
@@ -38,7 +38,7 @@
     /// Sends and receives datagrams.
     pub datagrams: Option<Rc<Peers<P>>>,
     /// What the sidecars know together.
-    pub gossip: Option<Rc<Shared<P>>>,
+    pub gossip: Option<Rc<Membership<P>>>,
 }
 
 /// What events change.
@@ -132,9 +132,9 @@
 
     /// Puts settings in force that differ only in what can change while running, and the tenants' quotas
     /// in them.
-    pub fn reconfigure(&self, settings: Settings, clubs: (u16, Vec<f64>)) {
+    pub fn reconfigure(&self, settings: Settings, quotas: gossip::TenantQuotas) {
         if let Some(gossip) = &self.peer_services.gossip {
-            gossip.reconfigure(clubs);
+            gossip.reconfigure(quotas);
         }
         self.state.borrow_mut().balancer.reconfigure(settings);
     }
@@ -146,7 +146,7 @@
     }
 
     /// What the sidecars know together, if this one takes part.
-    pub fn gossip(&self) -> Option<&Shared<P>> {
+    pub fn gossip(&self) -> Option<&Membership<P>> {
         self.peer_services.gossip.as_deref()
     }
 
@@ -160,9 +160,9 @@
     }
 
     /// Counts what happened, for the other sidecars.
-    fn record(&self, what: Happened) {
+    fn record(&self, event: GossipEvent) {
         if let Some(gossip) = &self.peer_services.gossip {
-            gossip.happened(what);
+            gossip.record(event);
         }
     }
 }
@@ -185,10 +185,10 @@
     }
 }
 
-impl<P: Runtime> peers::Inbox for Rc<Driver<P>> {
-    fn note(&self, from: u32, data: &[u8]) {
+impl<P: Runtime> peers::DatagramHandler for Rc<Driver<P>> {
+    fn handle(&self, from: u32, data: &[u8]) {
         let gossip = self.peer_services.gossip.as_ref();
-        if !gossip.is_some_and(|gossip| gossip.hear(from, data)) {
+        if !gossip.is_some_and(|gossip| gossip.receive(from, data)) {
             self.handle_event(Event::Note { from, data });
         }
     }
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -157,9 +157,9 @@
         let time_left = self.time_budget(info.class, info.time_left);
         let mut within_quota = true;
         if let Some(gossip) = &self.peer_services.gossip {
-            within_quota = gossip.asked(info.class, info.tenant);
-            let gossip::Budget { share, saved } = gossip.budget();
-            self.state.borrow_mut().balancer.may_repeat(share, saved);
+            within_quota = gossip.try_admit(info.class, info.tenant);
+            let gossip::RetryBudget { per_request, max_saved } = gossip.retry_budget();
+            self.state.borrow_mut().balancer.may_repeat(per_request, max_saved);
         }
         self.handle_event(Event::Request(NewRequest {
             id,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -31,7 +31,7 @@
 use runtime::{Runtime, TokioRuntime};
 use tokio::sync::{Notify, mpsc, watch};
 
-use self::admin::record::Record;
+use self::admin::state_file::StateFile;
 use self::config::Config;
 use self::reload::Targets;
 use self::startup::{Components, Serving, StartError};
@@ -59,7 +59,7 @@
     /// Where operators connect, if they may.
     pub admin: Option<P::Listener>,
     /// Where the operators' orders are stored, for this process and those before and after it.
-    pub record: Option<Record>,
+    pub record: Option<StateFile>,
 }
 
 /// Runs the sidecar on the real system until it is told to shut down and all admitted requests are
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between sidecars of the tier.
+//! Datagrams between the sidecars of a tier.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,57 +6,65 @@
 use runtime::{Runtime, Udp};
 use rustc_hash::FxHashMap;
 
-/// The longest datagram.
-const LONGEST: usize = 256;
-/// The peer that stands for all of them.
-const EVERYONE: u32 = u32::MAX;
+/// The longest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 256;
+/// The number that stands for all peers.
+const ALL_PEERS: u32 = u32::MAX;
 
-/// Who takes in what other sidecars send.
-pub trait Inbox {
-    /// A datagram of the peer of this number.
-    fn note(&self, from: u32, data: &[u8]);
+/// What handles datagrams of other sidecars.
+pub trait DatagramHandler {
+    /// Handles a datagram of the peer with this number.
+    fn handle(&self, from: u32, data: &[u8]);
 }
 
-/// The way to the other sidecars.
+/// The socket to the other sidecars, and their addresses.
 pub struct Peers<P: Runtime> {
     socket: P::Udp,
-    peers: Vec<SocketAddr>,
-    /// Their numbers, by their addresses.
+    /// Addresses, by number.
+    addresses: Vec<SocketAddr>,
+    /// Numbers, by address.
     numbers: FxHashMap<SocketAddr, u32>,
-    everyone: Option<SocketAddr>,
+    /// Where datagrams reach all peers.
+    multicast: Option<SocketAddr>,
 }
 
 impl<P: Runtime> Peers<P> {
-    /// `socket` is bound to where datagrams arrive.
+    /// Peers by their numbers. `socket` is bound to where datagrams arrive; what is sent to `multicast` reaches all
+    /// peers.
     pub fn new(
         socket: P::Udp,
-        peers: Vec<SocketAddr>,
-        everyone: Option<SocketAddr>,
+        addresses: Vec<SocketAddr>,
+        multicast: Option<SocketAddr>,
     ) -> Rc<Peers<P>> {
-        let numbers = peers.iter().copied().zip(0..).collect();
-        Rc::new(Peers { socket, peers, numbers, everyone })
+        let numbers = addresses.iter().copied().zip(0..).collect();
+        Rc::new(Peers { socket, addresses, numbers, multicast })
     }
 
-    /// Sends a datagram; it may be lost, like any.
-    pub fn tell(&self, peer: u32, data: &[u8]) {
-        let to = match peer {
-            EVERYONE => self.everyone,
-            n => self.peers.get(n as usize).copied(),
+    /// Sends a datagram, which may be lost like any. One that is too long, or for a number that no peer has, is
+    /// dropped.
+    pub fn send(&self, peer: u32, data: &[u8]) {
+        if data.len() > MAX_DATAGRAM_BYTES {
+            return;
+        }
+        let address = match peer {
+            ALL_PEERS => self.multicast,
+            number => self.addresses.get(number as usize).copied(),
         };
-        if let (Some(to), true) = (to, data.len() <= LONGEST) {
-            let _ = self.socket.try_send_to(data, to);
+        if let Some(address) = address {
+            let _ = self.socket.try_send_to(data, address);
         }
     }
 
-    /// Takes in datagrams. Those of strangers and those that are too long are passed over.
-    pub async fn listen(self: Rc<Peers<P>>, inbox: impl Inbox) {
-        let mut buf = [0; LONGEST + 1];
+    /// Receives datagrams; never ends. Those from unknown addresses and those that are too long are dropped.
+    pub async fn listen(self: Rc<Peers<P>>, handler: impl DatagramHandler) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
-            // An error tells of a datagram that was sent, and that no reader waited for.
-            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else { continue };
-            let peer = self.numbers.get(&from);
-            if let (Some(&peer), true) = (peer, n <= LONGEST) {
-                inbox.note(peer, &buf[..n]);
+            // An error here is about an earlier datagram of ours that could not be delivered.
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            if let Some(&peer) = self.numbers.get(&from)
+                && length <= MAX_DATAGRAM_BYTES
+            {
+                handler.handle(peer, &buffer[..length]);
             }
         }
     }
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -71,8 +71,8 @@
         self.live.apply(&config, P::now());
         self.sockets.resize::<P>(config.sockets);
         self.bytes.resize::<P>(config.memory);
-        let clubs = config.clubs();
-        self.driver.reconfigure(config.settings, clubs);
+        let quotas = config.tenant_quotas();
+        self.driver.reconfigure(config.settings, quotas);
         tracing::info!(generation, %discovery, moved, "configuration in force");
         self.status.reloaded(None);
     }
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::admin::Admin;
-use super::admin::record::Record;
+use super::admin::state_file::StateFile;
 use super::budget::{BodyBudget, SocketBudget};
 use super::config::{Config, List};
 use super::discovery::DiscoveryRequest;
@@ -22,7 +22,7 @@
 use super::live::LiveConfig;
 use super::peers::Peers;
 use super::status::Status;
-use super::tier::Shared;
+use super::tier::{Membership, MembershipError};
 use super::upstream::Upstream;
 use super::{Sockets, notify, shutdown};
 use crate::api::ListKind;
@@ -67,8 +67,8 @@
     #[error("listen: {0}")]
     LocalAddress(#[source] io::Error),
     /// The configuration of the tier cannot be used.
-    #[error("{0}")]
-    Tier(String),
+    #[error(transparent)]
+    Tier(#[from] MembershipError),
 }
 
 impl Sockets<TokioRuntime> {
@@ -97,7 +97,7 @@
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
         let record = folder
             .filter(|_| admin.is_some())
-            .map(|folder| Record::new(folder.as_ref(), &config.name));
+            .map(|folder| StateFile::new(folder.as_ref(), &config.name));
         Ok(Sockets { listener, shared, peers, admin, record })
     }
 }
@@ -129,7 +129,7 @@
     pub body_budget: BodyBudget,
     upstream: Rc<Upstream<P>>,
     peers: Option<Rc<Peers<P>>>,
-    tier: Option<Rc<Shared<P>>>,
+    tier: Option<Rc<Membership<P>>>,
 }
 
 impl<P: Runtime> Components<P> {
@@ -150,7 +150,7 @@
             live.clone(),
             status.clone(),
         );
-        let tier = Shared::<P>::new(config, peers.as_ref()).map_err(StartError::Tier)?;
+        let tier = Membership::<P>::new(config, peers.as_ref())?;
         Ok(Components { live, status, socket_budget, body_budget, upstream, peers, tier })
     }
 
@@ -190,7 +190,7 @@
         listener: P::Listener,
         driver: &Rc<Driver<P>>,
         ingress: &Rc<Ingress<P>>,
-        record: Option<Record>,
+        record: Option<StateFile>,
     ) -> Rc<Admin<P>> {
         let (live, status) = (self.live.clone(), self.status.clone());
         let admin = Admin::new(driver.clone(), ingress.clone(), live, status, record);
@@ -355,7 +355,7 @@
         P::sleep(READINESS_POLL_INTERVAL).await;
     }
     if let Some(admin) = admin {
-        admin.serves().await;
+        admin.announce_serving().await;
     }
     // Nobody waits for it where the listener is not shared.
     let _ = report_serving.send(());
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -11,11 +11,11 @@
 
 /// What became of new configurations.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Reloads {
+pub struct ReloadCounts {
     /// Taken over whole.
     pub applied: u64,
     /// Not taken over, or in part.
-    pub declined: u64,
+    pub rejected: u64,
 }
 
 /// The parts of the state that no other module owns.
@@ -24,7 +24,7 @@
     /// By class.
     counts: RefCell<Vec<RequestCounts>>,
     attempts: Cell<u64>,
-    reloads: Cell<Reloads>,
+    reloads: Cell<ReloadCounts>,
     declined: RefCell<Option<RejectedConfig>>,
     lists_too_long: Cell<u64>,
     /// Told of changes that should not wait for the next report.
@@ -32,7 +32,7 @@
 }
 
 impl Status {
-    /// Counts a final answer to a request of a class. Classes are bounded by the settings.
+    /// RequestCounts a final answer to a request of a class. Classes are bounded by the settings.
     pub fn count(&self, class: usize, one: impl FnOnce(&mut RequestCounts)) {
         let mut counts = self.counts.borrow_mut();
         if counts.len() <= class {
@@ -55,7 +55,7 @@
         self.counts.borrow().get(class).copied().unwrap_or_default()
     }
 
-    /// Counts an attempt whose last byte has left.
+    /// RequestCounts an attempt whose last byte has left.
     pub fn attempted(&self) {
         self.attempts.set(self.attempts.get() + 1);
     }
@@ -65,7 +65,7 @@
         self.attempts.get()
     }
 
-    /// Counts a list, or servers in one, that were passed over for being beyond the bound.
+    /// RequestCounts a list, or servers in one, that were passed over for being beyond the bound.
     pub fn list_too_long(&self) {
         self.lists_too_long.set(self.lists_too_long.get() + 1);
     }
@@ -76,7 +76,7 @@
     }
 
     /// What became of new configurations so far.
-    pub fn reloads(&self) -> Reloads {
+    pub fn reloads(&self) -> ReloadCounts {
         self.reloads.get()
     }
 
@@ -84,7 +84,7 @@
     pub fn reloaded(&self, declined: Option<RejectedConfig>) {
         let mut reloads = self.reloads.get();
         reloads.applied += u64::from(declined.is_none());
-        reloads.declined += u64::from(declined.is_some());
+        reloads.rejected += u64::from(declined.is_some());
         self.reloads.set(reloads);
         *self.declined.borrow_mut() = declined;
         self.changed.notify_one();
--- a/src/sidecar/tier.rs
+++ b/src/sidecar/tier.rs
@@ -1,124 +1,138 @@
-//! This sidecar's part in its tier: what happens here goes in, notes go out to the other sidecars and come in from
-//! them, and whoever asks is told what may still be spent. What is worked out from it stands in `crates/gossip`.
+//! This sidecar's membership in its tier: local events go in, gossip messages go out to the other sidecars and come
+//! in from them. The state machine itself is the crate `gossip`.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gossip::{Budget, Happened, Micros, Note, Record, Tier, View};
+use gossip::{
+    ConfigError, Event, MemberRecord, Message, Micros, Node, Outgoing, RetryBudget, Snapshot,
+    TenantQuotas,
+};
 use runtime::Runtime;
+use thiserror::Error;
 use tokio::sync::Notify;
 
 use super::config::Config;
 use super::peers::Peers;
 
-/// The longest pause of the part's task; a turn may be shorter.
-const LOOK: Duration = Duration::from_secs(1);
+/// The longest sleep between two looks at the next deadline, which a received message may bring forward.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// The part.
-pub struct Shared<P: Runtime> {
-    tier: RefCell<Tier>,
-    began: Instant,
+/// Why a sidecar cannot take part in its tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("tier: {0}")]
+pub struct MembershipError(#[from] ConfigError);
+
+/// This sidecar as a member of its tier.
+pub struct Membership<P: Runtime> {
+    node: RefCell<Node>,
+    started_at: Instant,
     peers: Rc<Peers<P>>,
-    changed: Notify,
+    /// Notified after each received message, since the next deadline may have changed.
+    received: Notify,
 }
 
-impl<P: Runtime> Shared<P> {
-    /// The part that a configuration asks for, if it does and the settings allow it.
+impl<P: Runtime> Membership<P> {
+    /// The membership that a configuration asks for; `None` if it asks for none, or the settings do not allow it.
     ///
     /// # Errors
     ///
-    /// The key that cannot be used.
+    /// The setting that cannot be used.
     pub fn new(
         config: &Config,
         peers: Option<&Rc<Peers<P>>>,
-    ) -> Result<Option<Rc<Shared<P>>>, String> {
-        let Some(turn) = config.tier_turn else { return Ok(None) };
+    ) -> Result<Option<Rc<Membership<P>>>, MembershipError> {
+        let Some(round_interval) = config.gossip_round_interval else { return Ok(None) };
         let Some(peers) = peers.filter(|_| config.settings.limits.may_tell) else {
-            tracing::warn!(
-                "no part in the tier: settings.limits.mayTell or peer_listen is missing"
-            );
+            tracing::warn!("gossip disabled: settings.limits.mayTell or peer_listen is missing");
             return Ok(None);
         };
-        let of_tier = gossip::Config {
-            me: config.settings.me,
-            size: config.settings.instances,
-            start_ms: P::unix_time().as_millis() as u64,
-            turn: turn.as_micros() as Micros,
-            clubs: config.clubs(),
-            classes: config.settings.classes.len(),
-            seed: config.seed,
-        };
-        let tier = Tier::new(of_tier, 0).map_err(|why| format!("tier: {why}"))?;
-        let (tier, began) = (RefCell::new(tier), P::now());
-        Ok(Some(Rc::new(Shared { tier, began, peers: peers.clone(), changed: Notify::new() })))
+        let node = Node::new(
+            gossip::Config {
+                local_id: config.settings.me,
+                cluster_size: config.settings.instances,
+                started_unix_ms: P::unix_time().as_millis() as u64,
+                round_interval: round_interval.as_micros() as Micros,
+                quotas: config.tenant_quotas(),
+                class_count: config.settings.classes.len(),
+                seed: config.seed,
+            },
+            0,
+        )?;
+        Ok(Some(Rc::new(Membership {
+            node: RefCell::new(node),
+            started_at: P::now(),
+            peers: peers.clone(),
+            received: Notify::new(),
+        })))
     }
 
     fn now(&self) -> Micros {
-        P::elapsed_since(self.began).as_micros() as Micros
+        P::elapsed_since(self.started_at).as_micros() as Micros
     }
 
-    /// A request of a class and of a club's comes in. False: it is beyond what may be spent here of the club's quota.
-    pub fn asked(&self, class: usize, club: usize) -> bool {
-        self.tier.borrow_mut().asked(class, club, self.now())
+    /// Counts a request of a class and a tenant. Returns whether it is within what may be spent here of the tenant's
+    /// quota.
+    pub fn try_admit(&self, class: usize, tenant: usize) -> bool {
+        self.node.borrow_mut().try_admit(class, tenant, self.now())
     }
 
-    /// What may be repeated here after failures.
-    pub fn budget(&self) -> Budget {
-        self.tier.borrow().budget()
+    /// How many retries this sidecar may send.
+    pub fn retry_budget(&self) -> RetryBudget {
+        self.node.borrow().retry_budget()
     }
 
-    /// Something happens here.
-    pub fn happened(&self, what: Happened) {
-        self.tier.borrow_mut().happened(what, self.now());
+    /// Counts an event at this sidecar.
+    pub fn record(&self, event: Event) {
+        self.node.borrow_mut().record(event, self.now());
     }
 
-    /// Other quotas are in force.
-    pub fn reconfigure(&self, clubs: (u16, Vec<f64>)) {
-        self.tier.borrow_mut().reconfigure(clubs, self.now());
+    /// Puts other quotas in force.
+    pub fn reconfigure(&self, quotas: TenantQuotas) {
+        self.node.borrow_mut().reconfigure(quotas, self.now());
     }
 
-    /// Takes in a datagram. False: it is none of the tier's.
-    pub fn hear(&self, from: u32, data: &[u8]) -> bool {
-        if !Note::is_one(data) {
+    /// Takes a datagram in. Returns false if it is not a gossip message.
+    pub fn receive(&self, from: u32, data: &[u8]) -> bool {
+        if !Message::has_magic(data) {
             return false;
         }
-        let answer = self.tier.borrow_mut().hear(from, data, self.now());
+        let answer = self.node.borrow_mut().receive(from, data, self.now());
         if let Some(answer) = answer {
-            self.peers.tell(from, &answer);
+            self.peers.send(from, &answer);
         }
-        // Who waits for an answer may go on.
-        self.changed.notify_one();
+        self.received.notify_one();
         true
     }
 
-    /// Sends notes when they are due; never ends.
-    pub async fn run(self: Rc<Shared<P>>) {
+    /// Sends messages when they are due; never ends.
+    pub async fn run(self: Rc<Membership<P>>) {
         loop {
-            let note = self.tier.borrow_mut().turn(self.now());
-            if let Some((to, data)) = note {
-                self.peers.tell(to, &data);
+            let outgoing = self.node.borrow_mut().poll(self.now());
+            if let Some(Outgoing { receiver, data }) = outgoing {
+                self.peers.send(receiver, &data);
             }
-            let due = self.began + Duration::from_micros(self.tier.borrow().due());
-            let wake = due.min(P::now() + LOOK);
+            let deadline = Duration::from_micros(self.node.borrow().next_deadline());
+            let wake = (self.started_at + deadline).min(P::now() + MAX_SLEEP);
             if wake > P::now() {
                 tokio::select! {
                     biased;
                     () = P::sleep_until(wake) => {}
-                    () = self.changed.notified() => {}
+                    () = self.received.notified() => {}
                 }
             }
         }
     }
 
-    /// What is known.
-    pub fn view(&self) -> View {
-        self.tier.borrow_mut().view(self.now())
+    /// What this sidecar knows of its tier now.
+    pub fn snapshot(&self) -> Snapshot {
+        self.node.borrow_mut().snapshot(self.now())
     }
 
-    /// What is known of every member, and for how long.
-    pub fn members(&self) -> Vec<(Record, Duration)> {
-        let all = self.tier.borrow().members(self.now());
-        all.into_iter().map(|(record, since)| (record, Duration::from_micros(since))).collect()
+    /// What is known of every member, and how long each has been in its state.
+    pub fn members(&self) -> Vec<(MemberRecord, Duration)> {
+        let members = self.node.borrow().members(self.now());
+        members.into_iter().map(|(record, age)| (record, Duration::from_micros(age))).collect()
     }
 }
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -9,13 +9,17 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use gossip::{Budget, ClubView, Presence, View};
+use gossip::{
+    LinkCounts, MemberCounts, MemberRecord, MemberState, MessageCounts, RetryBudget, Snapshot,
+    TenantQuotas, TenantSnapshot,
+};
 use instance_status::RequestCounts;
-use lb_sidecar::sidecar::admin::command::{Answer, Command, Figures};
-use lb_sidecar::sidecar::admin::orders::Orders;
-use lb_sidecar::sidecar::admin::record::Record;
+use lb_sidecar::sidecar::admin::command::{Command, Response};
+use lb_sidecar::sidecar::admin::state::AdminState;
+use lb_sidecar::sidecar::admin::state_file::StateFile;
+use lb_sidecar::sidecar::admin::statistics::{ClassCounts, Statistics, TierStatistics};
 use lb_sidecar::sidecar::config::Config;
-use lb_sidecar::sidecar::status::Reloads;
+use lb_sidecar::sidecar::status::ReloadCounts;
 use net::{Folder, PATIENCE, Server, Sidecar, discovery, look};
 use runtime::TokioRuntime;
 use serde_json::{Value, json};
@@ -29,7 +33,7 @@
 }
 
 #[test]
-fn every_call_of_operators_is_read_as_before() {
+fn every_admin_command_is_parsed_as_before() {
     let server = || "s-1.zone-a".to_owned();
     let expected = [
         Command::Ready,
@@ -45,83 +49,89 @@
 }
 
 #[test]
-fn calls_that_cannot_be_understood_are_answered_as_before() {
+fn invalid_admin_commands_are_answered_as_before() {
     let wrong =
         ["", "rady", "ready now", "disable-server", "enable-server", "drain s-1", "show-tier all"];
     let answers: String = wrong
         .into_iter()
-        .map(|line| Answer::Error(Command::parse(line).expect_err("wrong").to_string()).to_string())
+        .map(|line| Response::Error(Command::parse(line).expect_err("invalid").into()).to_string())
         .collect();
     assert_eq!(answers, text("admin/errors.txt"));
 }
 
-fn view() -> View {
-    let club = |n: f64| ClubView {
-        asked: 100.25 * n,
-        own: 10.0625 * n,
-        quota: 200.0 * n,
-        lease: 20.0 / n,
-        spent: (1000 * n as u64, n as u64),
+fn snapshot() -> Snapshot {
+    let tenant = |n: f64| TenantSnapshot {
+        demand_per_s: 100.25 * n,
+        local_demand_per_s: 10.0625 * n,
+        quota_per_s: 200.0 * n,
+        lease_per_s: 20.0 / n,
+        within_lease: 1000 * n as u64,
+        beyond_lease: n as u64,
     };
-    View {
+    Snapshot {
         incarnation: 439_123_456,
-        reach: 39.987_654,
-        members: (39, 1),
-        links: (7, 8),
-        age: Some(123_456),
-        attempts: 1_234.567_89,
-        repeats: 12.5,
-        refused: 3.25,
-        failed: 0.000_4,
-        broke: 13.0,
-        budget: Budget { share: 0.1, saved: 1.5 },
-        classes: vec![1.0, 2.0, 3.0],
-        clubs: vec![club(1.0), club(2.0)],
-        notes: [5000, 4900, 3, 7],
+        reachable_members: 39.987_654,
+        members: MemberCounts { alive: 39, dead: 1 },
+        links: LinkCounts { up: 7, total: 8 },
+        last_received_age: Some(123_456),
+        attempts_per_s: 1_234.567_89,
+        retries_per_s: 12.5,
+        rejected_per_s: 3.25,
+        failed_per_s: 0.000_4,
+        retryable_failures_per_s: 13.0,
+        retry_budget: RetryBudget { per_request: 0.1, max_saved: 1.5 },
+        class_demand_per_s: vec![1.0, 2.0, 3.0],
+        tenants: vec![tenant(1.0), tenant(2.0)],
+        messages: MessageCounts { sent: 5000, received: 4900, corrupt: 3, stale: 7 },
     }
 }
 
-fn figures() -> Figures {
-    let counts = |n| RequestCounts { served: 1000 * n, rejected: 10 * n, failed: n };
-    let classes = ["look", "keep", "order"];
-    Figures {
-        classes: classes.iter().zip(1..).map(|(c, n)| ((*c).to_owned(), counts(n))).collect(),
-        tries: 6100,
-        active: 14,
-        listed: 24,
-        ejected: 2,
-        most_servers: 8192,
-        lists_too_long: 1,
-        reloads: Reloads { applied: 5, declined: 2 },
-        tier: Some((view(), vec!["gold".to_owned(), "silver".to_owned()])),
+fn statistics() -> Statistics {
+    let class = |(name, n): (&&str, u64)| ClassCounts {
+        name: (*name).to_owned(),
+        counts: RequestCounts { served: 1000 * n, rejected: 10 * n, failed: n },
+    };
+    Statistics {
+        classes: ["look", "keep", "order"].iter().zip(1..).map(class).collect(),
+        attempts: 6100,
+        active_requests: 14,
+        listed_servers: 24,
+        ejected_servers: 2,
+        max_servers: 8192,
+        oversized_lists: 1,
+        reloads: ReloadCounts { applied: 5, rejected: 2 },
+        tier: Some(TierStatistics {
+            snapshot: snapshot(),
+            tenant_names: vec!["gold".to_owned(), "silver".to_owned()],
+        }),
     }
 }
 
 #[test]
-fn figures_are_written_as_before() {
-    let all = Answer::Stat(figures().into()).to_string();
-    assert_eq!(all, text("admin/show-stat-tier.txt"));
-    let unheard = View { age: None, clubs: Vec::new(), ..view() };
-    let unheard = Figures { tier: Some((unheard, Vec::new())), ..figures() };
-    assert_eq!(Answer::Stat(unheard.into()).to_string(), text("admin/show-stat-unheard.txt"));
+fn statistics_are_written_as_before() {
+    let text_of = |statistics: Statistics| Response::Statistics(statistics.into()).to_string();
+    assert_eq!(text_of(statistics()), text("admin/show-stat-tier.txt"));
+    let isolated = Snapshot { last_received_age: None, tenants: Vec::new(), ..snapshot() };
+    let tier = Some(TierStatistics { snapshot: isolated, tenant_names: Vec::new() });
+    assert_eq!(text_of(Statistics { tier, ..statistics() }), text("admin/show-stat-unheard.txt"));
 }
 
 #[test]
 fn members_are_written_as_before() {
-    let member = |who: u16, presence| {
-        let since = Duration::from_micros(1_500_400 + u64::from(who));
-        (gossip::Record { who, incarnation: 439_000_000 + u32::from(who), presence }, since)
+    let member = |member: u16, state| {
+        let age = Duration::from_micros(1_500_400 + u64::from(member));
+        (MemberRecord { member, incarnation: 439_000_000 + u32::from(member), state }, age)
     };
     let members = vec![
-        member(0, Presence::Alive),
-        member(1, Presence::Suspect),
-        member(2, Presence::Gone),
-        member(3, Presence::Unknown),
+        member(0, MemberState::Alive),
+        member(1, MemberState::Suspect),
+        member(2, MemberState::Dead),
+        member(3, MemberState::Unknown),
     ];
-    assert_eq!(Answer::Tier(members).to_string(), text("admin/show-tier.txt"));
+    assert_eq!(Response::Members(members).to_string(), text("admin/show-tier.txt"));
 }
 
-/// Says one line to the operators' listener and returns all that it answers.
+/// Sends one line to the admin listener and returns the response.
 fn call(sidecar: &Sidecar, line: &str) -> String {
     let mut socket = TcpStream::connect(sidecar.admin()).expect("connected");
     socket.set_read_timeout(Some(PATIENCE)).expect("a time");
@@ -137,7 +147,7 @@
 }
 
 #[test]
-fn the_program_answers_every_call_as_before() {
+fn sidecar_answers_every_admin_command_as_before() {
     let server = Server::echo();
     let sidecar = Sidecar::start_with(discovery(&[&server]), operated);
     for n in 0..7 {
@@ -166,7 +176,7 @@
 }
 
 #[test]
-fn the_state_is_told_as_before() {
+fn health_version_is_as_before() {
     let server = Server::echo();
     let sidecar = Sidecar::start(discovery(&[&server]));
     assert!(sidecar.exchange(&look("a")).starts_with("HTTP/1.1 200"));
@@ -184,38 +194,40 @@
     assert_eq!(serde_json::to_string(&read).expect("JSON") + "\n", text("health-version.json"));
 }
 
-fn orders() -> Orders {
-    Orders {
-        out: ["s-1", "s-2.zone-a"].map(str::to_owned).into(),
+fn admin_state() -> AdminState {
+    AdminState {
+        disabled_servers: ["s-1", "s-2.zone-a"].map(str::to_owned).into(),
         drained: true,
-        serving: Some(1_790_000_000_123_456_789),
+        serving_process: Some(1_790_000_000_123_456_789),
     }
 }
 
 #[tokio::test]
-async fn orders_are_read_and_written_as_before() {
+async fn admin_state_is_read_and_written_as_before() {
+    // The stored name stays that of earlier versions.
     let name = "plankvale-08b37c07b558d673.json";
     let before = text("orders/orders.json");
     let folder = Folder::new("orders");
     std::fs::write(folder.path().join(name), &before).expect("written");
-    let record = Record::new(folder.path(), "n0");
-    assert_eq!(record.news().expect("read"), Some(orders()));
+    let file = StateFile::new(folder.path(), "n0");
+    assert_eq!(file.read_if_changed().expect("read"), Some(admin_state()));
 
     let folder = Folder::new("orders-anew");
-    let record = Record::new(folder.path(), "n0");
-    let write = |stands: &mut Orders| {
-        *stands = orders();
+    let file = StateFile::new(folder.path(), "n0");
+    let replace = |state: &mut AdminState| {
+        *state = admin_state();
         Ok(())
     };
-    record.change::<TokioRuntime>(write).await.expect("written");
+    file.update::<TokioRuntime>(replace).await.expect("written");
     let written = std::fs::read_to_string(folder.path().join(name)).expect("under its name");
     assert_eq!(written, before);
 }
 
 #[test]
-fn orders_that_lack_keys_are_read_as_before() {
-    let read: Orders = serde_json::from_str(&text("orders/earliest.json")).expect("orders");
-    assert_eq!(read, Orders { out: ["s-1".to_owned()].into(), ..Orders::default() });
+fn admin_state_that_lacks_keys_is_read_as_before() {
+    let read: AdminState = serde_json::from_str(&text("orders/earliest.json")).expect("a state");
+    let disabled_servers = ["s-1".to_owned()].into();
+    assert_eq!(read, AdminState { disabled_servers, ..AdminState::default() });
 }
 
 fn address(text: &str) -> std::net::SocketAddr {
@@ -223,7 +235,7 @@
 }
 
 #[test]
-fn a_configuration_with_all_keys_is_read_as_before() {
+fn configuration_with_all_keys_is_read_as_before() {
     let config = Config::parse(text("lb-config.json").as_bytes()).expect("a sound configuration");
     assert_eq!((config.generation, config.name.as_str(), config.seed), (12, "n0", 0xa7));
     assert_eq!(config.listen, address("127.0.0.1:8100"));
@@ -233,8 +245,9 @@
     let peers = ["127.0.0.1:8103", "127.0.0.1:8104", "127.0.0.1:8105"].map(address);
     assert_eq!((config.peers.as_slice(), config.peers_all), (&peers[..], Some(peers[2])));
     assert_eq!((config.memory, config.sockets, config.longest_body), (64 << 20, 256, 5 << 20));
-    assert_eq!(config.tier_turn, Some(Duration::from_millis(250)));
-    assert_eq!(config.clubs(), (0xf878, vec![5.5, 70.0]));
+    assert_eq!(config.gossip_round_interval, Some(Duration::from_millis(250)));
+    let quotas = TenantQuotas { schema: 0xf878, per_second: vec![5.5, 70.0] };
+    assert_eq!(config.tenant_quotas(), quotas);
     let known = config.known.as_ref().expect("a list");
     assert_eq!((known.seq, known.whole, known.hosts.len()), (41, true, 3));
     let entry = |n: usize| config.names.entry(&known.hosts[n]);
@@ -254,11 +267,11 @@
 }
 
 #[test]
-fn a_configuration_with_the_least_keys_is_read_as_before() {
+fn configuration_with_required_keys_only_is_read_as_before() {
     let least = json!({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "a7",
         "limits": {"memory_mb": 16, "sockets": 64}, "settings": common::settings_json()});
     let config = Config::parse(least.to_string().as_bytes()).expect("a sound configuration");
     assert_eq!((config.generation, config.admin, config.peer_listen), (0, None, None));
-    assert_eq!((config.longest_body, config.tier_turn), (33 << 20, None));
+    assert_eq!((config.longest_body, config.gossip_round_interval), (33 << 20, None));
     assert!(config.peers.is_empty() && config.peers_all.is_none() && config.known.is_none());
 }
