--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -44,6 +44,7 @@
 /// The program under test.
 pub struct Sidecar {
     child: Child,
+    /// Where clients connect.
     pub at: SocketAddr,
     config: Value,
     folder: Folder,
@@ -58,6 +59,7 @@
         Sidecar::start_with(discovery, |_| {})
     }
 
+    /// The same with a change of its configuration.
     pub fn start_with(discovery: Registry, change: impl FnOnce(&mut Value)) -> Sidecar {
         Sidecar::start_on(None, discovery, change)
     }
@@ -129,15 +131,15 @@
         let (listens, at) = mpsc::channel();
         let log = Arc::new(Mutex::new(String::new()));
         let lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
-        let kept = log.clone();
+        let log_copy = log.clone();
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
-                let told: Value = serde_json::from_str(&line).unwrap_or_default();
-                if told["message"] == "listening" && told["span"]["instance"] == "n0" {
-                    let at = told["address"].as_str().and_then(|at| at.parse().ok());
+                let entry: Value = serde_json::from_str(&line).unwrap_or_default();
+                if entry["message"] == "listening" && entry["span"]["instance"] == "n0" {
+                    let at = entry["address"].as_str().and_then(|at| at.parse().ok());
                     let _ = listens.send(at.expect("an address"));
                 }
-                *kept.lock().expect("no panic") += &(line + "\n");
+                *log_copy.lock().expect("no panic") += &(line + "\n");
             }
         });
         let at = at.recv_timeout(PATIENCE).unwrap_or_else(|_| {
@@ -150,6 +152,7 @@
         sidecar
     }
 
+    /// What it has logged so far.
     pub fn log(&self) -> String {
         self.log.lock().expect("no panic").clone()
     }
@@ -170,14 +173,14 @@
     }
 
     /// Replaces the file of the configuration.
-    pub fn replace(&self, text: &str) {
+    pub fn replace_config(&self, text: &str) {
         let new = self.folder.path().join("new.json");
         std::fs::write(&new, text).expect("written");
         std::fs::rename(new, self.folder.path().join("config.json")).expect("in place");
     }
 
     /// The configuration as it was at the start, with another discovery.
-    pub fn config_with(&self, discovery: &Registry) -> String {
+    pub fn config_with_discovery(&self, discovery: &Registry) -> String {
         let mut config = self.config.clone();
         config["discovery"] = json!(discovery.at.to_string());
         config.to_string()
@@ -188,10 +191,12 @@
         &self.config
     }
 
+    /// The id of its process.
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
 
+    /// Sends it a signal, by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         let status = Command::new("sh").args(["-c", &kill]).status().expect("a shell");
@@ -199,7 +204,7 @@
     }
 
     /// Waits until the program has ended.
-    pub fn ended(&mut self) -> ExitStatus {
+    pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
         until("the program ends", || {
             status = self.child.try_wait().expect("a child of ours");
@@ -217,7 +222,7 @@
     }
 
     /// Sends requests until one has reached `server`, as it does once the sidecar knows a list with it.
-    pub fn comes_to(&self, server: &Server) {
+    pub fn wait_until_reaches(&self, server: &Server) {
         let mut n = 0;
         until("a request reaches the server", || {
             n += 1;
@@ -226,6 +231,7 @@
         });
     }
 
+    /// A new connection of a client.
     pub fn connect(&self) -> TcpStream {
         let socket = TcpStream::connect(self.at).expect("connected");
         socket.set_read_timeout(Some(PATIENCE)).expect("a time");
@@ -249,7 +255,7 @@
 }
 
 /// All that is still received on a connection, up to its end.
-pub fn rest(mut socket: TcpStream) -> String {
+pub fn read_to_end(mut socket: TcpStream) -> String {
     let mut all = Vec::new();
     let mut buf = [0; 4096];
     loop {
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -19,7 +19,7 @@
 use serde_json::Value;
 
 fn reloaded(sidecar: &Sidecar, config: &Value) -> Value {
-    sidecar.replace(&config.to_string());
+    sidecar.replace_config(&config.to_string());
     sidecar.signal("HUP");
     let generation = &config["generation"];
     until("the sidecar tells of it", || {
@@ -136,7 +136,7 @@
     go.store(true, Ordering::Relaxed);
     let told = first_answer(slow);
     assert!(told.ends_with("\r\n\r\nslow"), "{told:?}");
-    assert!(old.ended().success());
+    assert!(old.wait_for_exit().success());
     more(20);
     stop.store(true, Ordering::Relaxed);
     asking.join().expect("every request was answered");
@@ -175,7 +175,7 @@
     until("it reports what it served", || next().contains(r#""counts":{"served":3,"#));
     sidecar.signal("TERM");
     until("it reports its end", || next().contains("STOPPING=1\n"));
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 #[test]
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -93,7 +93,7 @@
         write_list(socket, 7, complete, if complete { &hosts } else { &[] })
     });
     slow.becomes_discovery_of(&sidecar);
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
 }
 
 /// A list that cannot be used counts as a failed call.
@@ -131,7 +131,7 @@
         assert!(sidecar.exchange(&look(&id)).ends_with(&format!("\r\n\r\n{id}")));
         assert!(n < 20_000, "it is no longer polled: {:?}", faulty.calls().len());
     }
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
 }
 
 /// Discovery is polled. Found by reading: the silence was detected half a second before what was missed
@@ -187,7 +187,7 @@
     // The sixth call fails as discovery recovers, and so might the seventh: then the eighth is in time.
     let took = calls[6].0 - calls[4].0;
     assert!(took < Duration::from_secs(6), "two backoffs and two calls took {took:?}");
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
     let before = old.seen().len();
     for n in 0..50 {
         let id = format!("order{n}");
@@ -202,7 +202,7 @@
 fn server_missing_from_a_complete_list_gets_no_requests() {
     let (old, new) = (Server::echo(), Server::echo());
     let sidecar = Sidecar::start(discovery(&[&old]));
-    sidecar.comes_to(&old);
+    sidecar.wait_until_reaches(&old);
     let at = new.at;
     let agent = Agent::start(move |_, path, socket| {
         let hosts = [Entry::new(at, "a")];
@@ -211,7 +211,7 @@
         write_list(socket, 7, complete, if complete { &hosts } else { &[] })
     });
     agent.becomes_discovery_of(&sidecar);
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
     let before = old.seen().len();
     for n in 0..50 {
         let id = format!("order{n}");
--- a/tests/lifecycle/reload.rs
+++ b/tests/lifecycle/reload.rs
@@ -12,7 +12,7 @@
     let open = blocked.receives_order(&sidecar, "open");
     let mut config = sidecar.config().clone();
     config["settings"]["classes"][2]["deadline"] = 0.into();
-    sidecar.replace(&config.to_string());
+    sidecar.replace_config(&config.to_string());
     sidecar.signal("HUP");
     let named = "classes[2].deadline";
     until("the key is named", || {
@@ -37,7 +37,7 @@
     config["limits"]["sockets"] = 70.into();
     let moved = discovery(&[&new]);
     config["discovery"] = json!(moved.at.to_string());
-    sidecar.replace(&config.to_string());
+    sidecar.replace_config(&config.to_string());
     sidecar.signal("HUP");
     until("it is rejected", || sidecar.log().contains("only discovery is taken over"));
     let mut n = 0;
--- a/tests/lifecycle/shutdown.rs
+++ b/tests/lifecycle/shutdown.rs
@@ -25,7 +25,7 @@
     blocked.release();
     let answer = first_answer(open);
     assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 #[test]
@@ -35,12 +35,12 @@
     let open = blocked.receives_order(&sidecar, "open");
     begin_shutdown(&sidecar);
     let moved = discovery(&[&new]);
-    sidecar.replace(&sidecar.config_with(&moved));
+    sidecar.replace_config(&sidecar.config_with_discovery(&moved));
     sidecar.signal("HUP");
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
     blocked.release();
     assert!(first_answer(open).ends_with("\r\n\r\nopen"));
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 /// Requests continue to arrive on connections that stay open. Here one arrives so late that its own
@@ -64,7 +64,7 @@
     assert!(first_answer(first).starts_with("HTTP/1.1 502"));
     let answer = first_answer(late);
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 /// The time of an upload runs from its last byte, which here arrives late.
@@ -87,7 +87,7 @@
     assert_eq!(blocked.next_request(), "long");
     let answer = first_answer(long);
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 /// The system has all of the response, and the client does not yet. A process that exits then loses
@@ -113,9 +113,9 @@
     open.peek(&mut [0]).expect("it begins");
     thread::sleep(Duration::from_millis(100));
     open.write_all(b"more").expect("sent");
-    let answer = rest(open);
+    let answer = read_to_end(open);
     assert!(answer.ends_with(&format!("\r\n\r\n{long}")), "{} bytes", answer.len());
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 #[test]
@@ -124,9 +124,9 @@
     let mut sidecar = Sidecar::start(discovery(&[&blocked.server]));
     let open = blocked.receives_order(&sidecar, "open");
     let moved = discovery(&[&echo]);
-    sidecar.replace(&sidecar.config_with(&moved));
+    sidecar.replace_config(&sidecar.config_with_discovery(&moved));
     sidecar.signal("HUP");
-    sidecar.comes_to(&echo);
+    sidecar.wait_until_reaches(&echo);
     begin_shutdown(&sidecar);
     thread::sleep(Duration::from_millis(800));
     let mut n = 0;
@@ -140,7 +140,7 @@
     });
     blocked.release();
     assert!(first_answer(open).ends_with("\r\n\r\nopen"));
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 /// A request that is incomplete at the signal is not lost without a word: it is answered once it is
@@ -168,8 +168,8 @@
         thread::sleep(Duration::from_millis(800));
     }
     blocked.release();
-    let answer = rest(client);
-    assert!(sidecar.ended().success());
+    let answer = read_to_end(client);
+    assert!(sidecar.wait_for_exit().success());
     assert_eq!(answer.ends_with("\r\n\r\nhalf"), sent, "{answer:?}");
     assert_eq!(blocked.server.seen().is_empty(), !sent);
 }
--- a/tests/lifecycle/support.rs
+++ b/tests/lifecycle/support.rs
@@ -71,7 +71,7 @@
 pub fn apply_config(sidecar: &Sidecar, config: &Value) {
     let applied = || sidecar.log().matches("configuration in force").count();
     let before = applied();
-    sidecar.replace(&config.to_string());
+    sidecar.replace_config(&config.to_string());
     sidecar.signal("HUP");
     until("the configuration is in force", || applied() > before);
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -93,7 +93,7 @@
     assert_eq!(out.seen().len(), 0);
     // A new list, from another discovery, lists it as active.
     let other = discovery(&[&out, &server, &third]);
-    sidecar.replace(&sidecar.config_with(&other));
+    sidecar.replace_config(&sidecar.config_with_discovery(&other));
     sidecar.signal("HUP");
     until("the new list is here", || figure(&say(admin, "show-stat\n"), "pool_size") == 3);
     asked(&sidecar, 0..20, "b");
@@ -170,7 +170,7 @@
     // An order that one of the two is given holds at both.
     assert_eq!(figure(&say(new.admin(), "show-stat\n"), "pool_ejected"), 1);
     old.signal("TERM");
-    assert!(old.ended().success());
+    assert!(old.wait_for_exit().success());
     asked(&new, 0..20, "after");
     stop.store(true, Ordering::SeqCst);
     assert!(load.join().expect("no request was refused or lost") > 0);
@@ -307,10 +307,10 @@
         let mut first = vec![0; LONG / 4];
         socket.read_exact(&mut first).expect("a part, while the rest is held back");
         gate.store(true, Ordering::SeqCst);
-        let (first, all) = (first.len(), net::rest(socket));
+        let (first, all) = (first.len(), net::read_to_end(socket));
         assert!(first + all.len() > LONG && all.ends_with("yy"));
         let mut socket = sidecar.connect();
         socket.write_all(order("broken").as_bytes()).expect("written");
-        assert!(net::rest(socket).len() < LONG, "what breaks off is shorter than announced");
+        assert!(net::read_to_end(socket).len() < LONG, "what breaks off is shorter than announced");
     }
 }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -77,7 +77,7 @@
     // A server that is removed makes room for another, and known ones are still followed.
     registry.mark("server-00001", "left");
     registry.list(Entry::new(other.at, "a"));
-    sidecar.comes_to(&other);
+    sidecar.wait_until_reaches(&other);
     registry.mark(&Entry::new(server.at, "a").host, "leaving");
     let mut n = 0;
     until("the draining server gets nothing", || {
@@ -100,7 +100,7 @@
     let mut long = server_list(3000, &server);
     long.iter_mut().skip(1).for_each(|e| e.class = "x".repeat(400));
     let registry = Registry::start(long);
-    sidecar.replace(&sidecar.config_with(&registry));
+    sidecar.replace_config(&sidecar.config_with_discovery(&registry));
     sidecar.signal("HUP");
     let logged = |line: &str| {
         let line: Value = serde_json::from_str(line).unwrap_or_default();
@@ -115,7 +115,7 @@
     let new = Server::echo();
     (1..3000).for_each(|n| registry.mark(&format!("server-{n:05}"), "left"));
     registry.list(Entry::new(new.at, "a"));
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
 }
 
 /// Checks a configuration with these changes as the program does; whether it is valid, and why not.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -25,7 +25,7 @@
     assert!(sidecar.exchange(&look("a")).ends_with("\r\n\r\na"));
     for bad in ["{", "{}", r#"{"seed":"x"}"#] {
         let before = sidecar.log().matches("not taken over").count();
-        sidecar.replace(bad);
+        sidecar.replace_config(bad);
         sidecar.signal("HUP");
         until("an invalid file is reported", || {
             sidecar.log().matches("not taken over").count() > before
@@ -34,14 +34,14 @@
     assert!(sidecar.exchange(&look("b")).ends_with("\r\n\r\nb"));
     assert!(new.seen().is_empty());
     let moved = discovery(&[&new]);
-    sidecar.replace(&sidecar.config_with(&moved));
+    sidecar.replace_config(&sidecar.config_with_discovery(&moved));
     sidecar.signal("HUP");
-    sidecar.comes_to(&new);
+    sidecar.wait_until_reaches(&new);
     let at_old = old.seen().len();
     assert!(sidecar.exchange(&look("d")).ends_with("\r\n\r\nd"));
     assert_eq!(old.seen().len(), at_old, "the old list's server is gone");
     sidecar.signal("TERM");
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 #[test]
@@ -134,11 +134,11 @@
         }
     });
     // Each is closed, also the one that keeps sending.
-    let told = rest(slow.try_clone().expect("a second handle"));
+    let told = read_to_end(slow.try_clone().expect("a second handle"));
     assert!(told.is_empty() || told.starts_with("HTTP/1.1 408"), "{told}");
     let _ = slow.flush();
     for socket in silent {
-        assert_eq!(rest(socket), "");
+        assert_eq!(read_to_end(socket), "");
     }
     assert!(sidecar.exchange(&look("b")).ends_with("b"));
 }
@@ -237,7 +237,7 @@
     let answer = first_answer(open);
     assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
     assert!(answer.to_lowercase().contains("connection: close"), "{answer:?}");
-    assert!(sidecar.ended().success());
+    assert!(sidecar.wait_for_exit().success());
 }
 
 #[test]
@@ -295,7 +295,7 @@
     assert!(sidecar.exchange(&order("claimed")).starts_with("HTTP/1.1 502"));
     let mut socket = sidecar.connect();
     socket.write_all(order("endless").as_bytes()).expect("written");
-    let endless = rest(socket);
+    let endless = read_to_end(socket);
     assert!(endless.len() < 40 << 20, "{} bytes", endless.len());
     assert!(!endless.ends_with("\r\n0\r\n\r\n"), "it must not look complete");
 }
@@ -330,7 +330,7 @@
     let body = head("leaving", 70_000) + &"x".repeat(70_000);
     leaving.write_all(body.as_bytes()).expect("written");
     leaving.shutdown(Shutdown::Write).expect("ended");
-    assert_eq!(rest(leaving), "");
+    assert_eq!(read_to_end(leaving), "");
     // Undetected, it would have been kept until it timed out: later than the one that connected first.
     witness.set_nonblocking(true).expect("set");
     let read = witness.read(&mut [0]);
