--- a/crates/scale-test/src/hollow/sidecar.rs
+++ b/crates/scale-test/src/hollow/sidecar.rs
@@ -14,7 +14,7 @@
 use fakes::registry::{Entry, Registry};
 use instance_status::{InstanceStatus, RequestCounts};
 use lb_sidecar::api::ListKind;
-use lb_sidecar::settings::Discovery as How;
+use lb_sidecar::settings::DiscoveryMode as How;
 use lb_sidecar::sidecar::config::{Config, List, Part};
 use lb_sidecar::sidecar::discovery::{Discovery, DiscoveryRequest, EndpointListener};
 use lb_sidecar::sidecar::peers::{DatagramHandler, Peers};
@@ -166,9 +166,9 @@
 fn watch_discovery(address: SocketAddr, config: &Config, counters: &Rc<Counters>) {
     let (address_sender, address) = watch::channel(address);
     let (call_sender, calls) = mpsc::unbounded_channel::<DiscoveryRequest>();
-    let grace = Duration::from_micros(config.settings.rules.stop_sending_within);
+    let grace = Duration::from_micros(config.settings.rules.drain_deadline);
     let discovery =
-        Discovery::<TokioRuntime>::new(address, How::Pushed, grace, 0, Rc::new(Notify::new()));
+        Discovery::<TokioRuntime>::new(address, How::Push, grace, 0, Rc::new(Notify::new()));
     let lists = ListCounter(counters.clone());
     tokio::task::spawn_local(async move {
         // The channels stay open until the process ends.
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,55 +1,66 @@
-//! What goes in and out of the decision module. No decisions here, and no wire names.
+//! The messages of the balancer: the events it takes and the actions it returns.
+//!
+//! Nothing is decided here, and no name or layout of a wire format appears here.
 
 use smallvec::SmallVec;
 
 /// Microseconds, on a clock that starts anywhere and never runs backwards.
 pub type Micros = u64;
 
-/// What discovery has to tell counts as told so long after it had it and could be reached, whatever became of
-/// the calls made meanwhile (the protocol's figure).
-pub const TOLD_AFTER: Micros = 6_000_000;
+/// How long after a change could be fetched from discovery the instance counts as notified of it,
+/// whatever became of the calls made meanwhile (a figure of the protocol), in microseconds.
+pub const NOTIFICATION_DEADLINE: Micros = 6_000_000;
 
-/// A request, as its sidecar numbers it.
+/// The number that a sidecar gives to a request; unique within one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
-/// A server, the same at every sidecar. It may be compared and hashed; it tells nothing else.
+/// A server's identity, the same at every sidecar. It may be compared and hashed, and carries no
+/// other information.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct ServerId(pub u64);
 
-/// What discovery says of a server's process.
+/// The state of a server's process according to discovery.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
+    /// It takes requests.
     #[default]
     Ready,
+    /// It shuts down gracefully and must get no further requests.
     Draining,
-    Gone,
+    /// It is no longer listed.
+    Removed,
 }
 
-/// One line of a list of servers.
+/// One entry of an endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerEntry {
+    /// The server's identity.
     pub id: ServerId,
+    /// The position of its zone in the settings.
     pub zone: u8,
+    /// The position of its machine kind in the settings.
     pub kind: u16,
+    /// The cell (pod) it belongs to.
     pub cell: u16,
+    /// Its state according to discovery.
     pub health: Health,
-    /// The list's figure of the server's power; the settings tell what it means.
-    pub power: f32,
-    /// When the process last started; 0: long ago.
-    pub started: Micros,
+    /// Its weight according to discovery; [`crate::settings::WeightKind`] says what it means.
+    pub weight: f32,
+    /// When its process last started; 0 means long ago.
+    pub started_at: Micros,
 }
 
-/// How a list of servers applies.
+/// How an endpoint list applies to the one before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
     /// The complete list.
-    Whole,
-    /// The complete list as this sidecar last had it; it may be old.
-    Remembered,
-    /// Only what changed.
-    Changes,
-    /// A call failed or the subscription broke; the last list stays.
+    Complete,
+    /// The complete list as this sidecar last stored it; it may be out of date.
+    Cached,
+    /// Only the entries that changed.
+    Delta,
+    /// A poll failed or the watch broke; the last list stays in force.
     Failed,
 }
 
@@ -60,125 +71,180 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    Served,
-    /// An error answer; it may have run.
-    Error,
-    /// Turned away unseen: it never ran.
-    Full,
+    /// It was answered.
+    Success,
+    /// The server answered with an error; the request may have run.
+    ErrorResponse,
+    /// The server rejected it unread, for want of capacity: it never ran.
+    Rejected,
+    /// No answer came within the attempt's timeout; the request may have run.
     TimedOut,
-    /// No connection: it never ran.
+    /// No connection could be established: it never ran.
     ConnectFailed,
-    /// The connection broke; it may have run.
-    Reset,
+    /// The connection broke; the request may have run.
+    ConnectionReset,
+    /// It was cancelled by the balancer; the request may have run.
     Cancelled,
-    /// Never sent: it never ran.
-    Moot,
+    /// It was never sent: it never ran.
+    NotSent,
 }
 
 impl Outcome {
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
     }
 }
 
 /// A client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NewRequest {
+    /// The sidecar's number for it.
     pub id: RequestId,
+    /// The position of its class in the settings.
     pub class: usize,
+    /// The position of its tenant in the settings.
     pub tenant: usize,
-    /// What the request is about; 0: unknown.
-    pub key: u64,
-    /// How long the client will wait.
-    pub left: Micros,
-    /// The client's guess at the work.
-    pub hint: Option<Micros>,
-    /// A client's repeat, where clients mark them.
-    pub repeat: bool,
-    /// More is asked for its tenant than may be spent here of the tenant's quota.
-    pub beyond: bool,
+    /// Requests with the same key are served faster by the same server; 0 means no key.
+    pub affinity_key: u64,
+    /// How long the client still waits.
+    pub time_left: Micros,
+    /// The client's estimate of the server time that the request needs.
+    pub work_hint: Option<Micros>,
+    /// The client marked it as a retry.
+    pub client_retry: bool,
+    /// Its tenant has used up its quota here.
+    pub over_quota: bool,
 }
 
+/// What the balancer is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
-    Servers {
+    /// Discovery sent an endpoint list, or failed to.
+    EndpointUpdate {
+        /// How the list applies.
         kind: ListKind,
+        /// Its entries; empty if discovery failed.
         entries: &'a [ServerEntry],
     },
+    /// A client sent a request.
     Request(NewRequest),
+    /// The first byte of a streamed answer came.
     FirstByte {
+        /// The request.
         id: RequestId,
+        /// The position of the attempt among those of the request, from 0.
         attempt: usize,
     },
-    Answer {
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
         id: RequestId,
+        /// The position of the attempt among those of the request, from 0.
         attempt: usize,
+        /// The server it was sent to.
         server: ServerId,
+        /// How it ended.
         outcome: Outcome,
+        /// The time from sending it to its end.
         latency: Micros,
         /// The request has its final answer, by this outcome or before it.
         finished: bool,
+        /// The load report that came with the answer.
         report: LoadReport,
     },
-    /// The client left, or its time is over.
-    ClientGone {
+    /// The client disconnected, or its deadline has passed.
+    ClientDisconnected {
+        /// The request.
         id: RequestId,
     },
+    /// A timer set by [`Action::SetTimer`] has run out.
     Timer {
+        /// The token it was set with.
         token: u32,
     },
-    Probed {
+    /// A health check ended.
+    HealthCheckEnded {
+        /// The server that was checked.
         server: ServerId,
+        /// How the check ended.
         outcome: Outcome,
+        /// The time it took.
         latency: Micros,
+        /// The load report that came with its answer.
         report: LoadReport,
     },
-    Note {
+    /// A message of another sidecar came.
+    PeerMessage {
+        /// The number of that instance.
         from: u32,
+        /// The bytes of the message.
         data: &'a [u8],
     },
 }
 
+/// What the balancer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Send an attempt of a request to a server.
     Send {
+        /// The request.
         id: RequestId,
+        /// The server.
         server: ServerId,
+        /// How long to wait for its answer.
         timeout: Micros,
     },
+    /// Cancel an attempt; its outcome is reported all the same.
     Cancel {
+        /// The request.
         id: RequestId,
+        /// The position of the attempt among those of the request, from 0.
         attempt: usize,
     },
-    /// Final answer: refused; trying again is harmless.
-    Refuse {
+    /// Give the final answer "rejected": it is safe for the client to try again.
+    Reject {
+        /// The request.
         id: RequestId,
+        /// When the client should try again; 0 means that it is not told.
         retry_after: Micros,
     },
-    /// Final answer: failed; no promise.
+    /// Give the final answer "failed": the request may have run.
     Fail {
+        /// The request.
         id: RequestId,
     },
-    Timer {
+    /// Report [`Event::Timer`] after a delay.
+    SetTimer {
+        /// The delay.
         delay: Micros,
+        /// What the event is to carry.
         token: u32,
     },
-    Probe {
+    /// Send a health check.
+    HealthCheck {
+        /// The server to check.
         server: ServerId,
     },
-    CloseIdle {
+    /// Close the idle connections to a server.
+    CloseIdleConnections {
+        /// The server.
         server: ServerId,
     },
-    /// Ask discovery for changes from now on.
+    /// Watch discovery for changes from now on.
     Subscribe,
-    /// Ask discovery for the whole list once.
-    FetchList,
-    Tell {
+    /// Fetch the complete endpoint list once.
+    FetchEndpoints,
+    /// Send a message to another sidecar.
+    SendToPeer {
+        /// The number of that instance, or [`crate::wire::ALL_PEERS`].
         peer: u32,
+        /// The bytes of the message.
         data: Vec<u8>,
     },
+    /// Write a line to the log.
     Log {
+        /// The line.
         text: String,
     },
 }
--- a/src/bin/lb-simulator-adapter.rs
+++ b/src/bin/lb-simulator-adapter.rs
@@ -116,7 +116,7 @@
         let fault = |text| Stop::Fault { instance, text };
         let event = match record {
             Record::Up { seed, info } => {
-                let settings = Settings::from_json(info).map_err(fault)?;
+                let settings = Settings::from_json(info).map_err(|e| fault(e.to_string()))?;
                 out.clear();
                 let made = guarded(|| Balancer::new(settings, seed, now)).map_err(fault)?;
                 *slot = Some(Box::new(made));
@@ -138,19 +138,19 @@
                         at: 0,
                     })?
                 };
-                Event::Servers { kind, entries }
+                Event::EndpointUpdate { kind, entries }
             }
             Record::Ingress(request) => Event::Request(request),
             Record::FirstByte { id, attempt } => Event::FirstByte { id, attempt },
             Record::Outcome { id, attempt, server, outcome, latency, finished, report } => {
-                Event::Answer { id, attempt, server, outcome, latency, finished, report }
+                Event::AttemptEnded { id, attempt, server, outcome, latency, finished, report }
             }
-            Record::Vanished(id) => Event::ClientGone { id },
+            Record::Vanished(id) => Event::ClientDisconnected { id },
             Record::Ring(token) => Event::Timer { token },
             Record::Probed { server, outcome, latency, report } => {
-                Event::Probed { server, outcome, latency, report }
+                Event::HealthCheckEnded { server, outcome, latency, report }
             }
-            Record::Note { from, data } => Event::Note { from, data },
+            Record::Note { from, data } => Event::PeerMessage { from, data },
             Record::On(_) | Record::Rows { .. } | Record::Unknown(_) => return Ok(()),
         };
         // Events for an instance that is not up have nobody to read them.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -311,7 +311,7 @@
             load_column: settings.column("rif").or(settings.column("q")),
             held_column: settings.column("rif"),
             answer_mean: (0.0, 1.0),
-            longest_aim: longest(|c| c.aim) as f64,
+            longest_aim: longest(|c| c.latency_objective) as f64,
             reset_interval: longest(|c| c.deadline),
             now,
             settings,
@@ -323,7 +323,7 @@
     pub fn reconfigure(&mut self, settings: Settings) {
         if settings.classes.len() == self.learned.len() {
             let longest = |f: fn(&Class) -> Micros| settings.classes.iter().map(f).max();
-            self.longest_aim = longest(|c| c.aim).unwrap_or(1) as f64;
+            self.longest_aim = longest(|c| c.latency_objective).unwrap_or(1) as f64;
             self.reset_interval = longest(|c| c.deadline).unwrap_or(1);
             self.settings = settings;
         }
@@ -343,40 +343,39 @@
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         self.now = now.max(self.now);
         match event {
-            Event::Servers { kind, entries } => self.servers_changed(kind, entries, out),
+            Event::EndpointUpdate { kind, entries } => self.servers_changed(kind, entries, out),
             Event::Request(new) => self.request(new, out),
             Event::FirstByte { id, attempt } => self.first_byte(id, attempt, out),
-            Event::Answer { id, attempt, server, outcome, latency, finished, report } => {
+            Event::AttemptEnded { id, attempt, server, outcome, latency, finished, report } => {
                 self.heard(id, attempt, server, outcome, latency as f64, &report);
                 // Danger: a connection opened once for want of a better server stays until it is
                 // idle for long. It may cost, and thousands of them fill the servers' tables.
                 let idle = self.by_id.get(&server).map(|&slot| &self.servers[slot]);
                 if idle.is_some_and(|s| !s.kept && s.in_flight == 0) {
-                    out.push(Action::CloseIdle { server });
+                    out.push(Action::CloseIdleConnections { server });
                 }
                 self.settle(id, attempt, outcome, finished, out);
             }
-            Event::ClientGone { id } => {
+            Event::ClientDisconnected { id } => {
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.ended = true;
                     self.call_off(id, out);
                 }
             }
             Event::Timer { token } => self.timer(token, out),
-            Event::Probed { .. } | Event::Note { .. } => {}
+            Event::HealthCheckEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
-    // ---- The list of servers ----
-
     fn servers_changed(&mut self, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
-        let asked = self.settings.discovery == Discovery::Asked;
+        let asked = self.settings.discovery == DiscoveryMode::OnRequest;
+        let interval = self.settings.rules.max_poll_interval;
         match kind {
             ListKind::Failed => {
                 // Danger: thousands that lose discovery together would call it down together again. Each waits a
                 // random, growing time, so short that after two calls that fail all is known in time.
                 if asked {
-                    let most = self.settings.rules.must_ask_in.min(TOLD_AFTER / 2) as f64 / 2.0;
+                    let most = interval.min(NOTIFICATION_DEADLINE / 2) as f64 / 2.0;
                     let wait = most * f64::from(2 + self.subscribe_failures.min(1)) / 3.0;
                     self.subscribe_failures += 1;
                     let wait = (wait * (0.25 + 0.75 * self.uniform())) as Micros;
@@ -384,18 +383,18 @@
                 }
                 return;
             }
-            ListKind::Remembered if asked => {
-                let most = self.settings.rules.must_ask_in.min(TOLD_AFTER) as f64 / 2.0;
+            ListKind::Cached if asked => {
+                let most = interval.min(NOTIFICATION_DEADLINE) as f64 / 2.0;
                 let wait = (self.uniform() * most) as Micros;
                 self.set_alarm(wait, Alarm::Subscribe, out);
             }
             _ => self.subscribe_failures = 0,
         }
-        if kind != ListKind::Changes {
+        if kind != ListKind::Delta {
             let listed: rustc_hash::FxHashSet<ServerId> = entries.iter().map(|e| e.id).collect();
             for s in &mut self.servers {
                 if !listed.contains(&s.id) {
-                    s.health = Health::Gone;
+                    s.health = Health::Removed;
                 }
             }
         }
@@ -406,16 +405,15 @@
     }
 
     fn list_entry(&mut self, e: &ServerEntry) {
-        let power = if e.power.is_finite() && e.power > 0.0 { f64::from(e.power) } else { 1.0 };
+        let power = if e.weight.is_finite() && e.weight > 0.0 { f64::from(e.weight) } else { 1.0 };
         let slot = match self.by_id.get(&e.id) {
             Some(&slot) => slot,
-            None if e.health == Health::Gone => return,
+            None if e.health == Health::Removed => return,
             None => {
                 let fresh = Server::new(e);
                 // A slot whose server is gone and owes no outcome is used again.
-                let free =
-                    self.servers.iter().position(|s| s.health == Health::Gone && s.in_flight == 0);
-                let slot = match free {
+                let free = |s: &Server| s.health == Health::Removed && s.in_flight == 0;
+                let slot = match self.servers.iter().position(free) {
                     Some(slot) => {
                         self.by_id.remove(&self.servers[slot].id);
                         self.sights.retain(|s| s.0 != slot);
@@ -432,7 +430,7 @@
             }
         };
         let s = &mut self.servers[slot];
-        if e.started > s.started {
+        if e.started_at > s.started {
             // A restart under the same id: what was known of the old process is void, and the
             // new one is cold. Attempts still out keep their count.
             let in_flight = s.in_flight;
@@ -449,14 +447,14 @@
             return 1.0;
         }
         let age = self.now.saturating_sub(s.started) as f64;
-        let grown = (age / (rules.cold.max(1) as f64)).min(1.0);
-        rules.cold_share + (1.0 - rules.cold_share) * grown
+        let grown = (age / (rules.slow_start_window.max(1) as f64)).min(1.0);
+        rules.initial_capacity_share + (1.0 - rules.initial_capacity_share) * grown
     }
 
     fn listed(&self, s: &Server) -> f64 {
         match self.settings.weight_kind {
-            PowerMeans::Nominal | PowerMeans::Rough => s.power,
-            PowerMeans::Silent | PowerMeans::Live => 1.0,
+            WeightKind::Nominal | WeightKind::Approximate => s.power,
+            WeightKind::Unspecified | WeightKind::Live => 1.0,
         }
     }
 
@@ -476,7 +474,7 @@
     /// of a server once in a minute, and thousands of them fill the servers' connection tables.
     /// Each draws from a subset of its own, by rendezvous hashing, sized by what it can keep fresh.
     fn choose_subset(&mut self) {
-        let me = mix(u64::from(self.settings.me));
+        let me = mix(u64::from(self.settings.instance));
         let (servers, ready) = (&self.servers, &mut self.ready);
         ready.clear();
         ready.extend((0..servers.len()).filter(|&i| servers[i].health == Health::Ready));
@@ -516,8 +514,8 @@
         ring.clear();
         // Danger: kept apart by their keys, requests reach every server from every sidecar. Where
         // connections have a price the subset stays.
-        let prices = &self.settings.prices;
-        if self.settings.family_info.warm_keys && prices.connection + prices.handshake <= 0.0 {
+        let (prices, traits) = (&self.settings.prices, &self.settings.service_traits);
+        if traits.key_affinity && prices.connection + prices.handshake <= 0.0 {
             let near = |i: &Slot| !self.far(&self.servers[*i]);
             let all = self.ready.iter().filter(|&i| near(i)).count() < RING_LEAST;
             let on_it: Vec<&Server> =
@@ -564,8 +562,6 @@
         self.usual_faults = faults.get(faults.len() / 3).copied().unwrap_or(0.0);
     }
 
-    // ---- The mechanism: two random picks among the servers that qualify ----
-
     fn uniform(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
@@ -610,9 +606,9 @@
     /// connections, whatever makes them; time-outs come of load as well. Failures that the network spreads over all servers change nothing. Harmful where
     /// the sound servers have no room for the rest: they get late before the failures are over.
     fn shyness(&self, request: &Request, s: &Server) -> f64 {
-        let each = match self.settings.classes[request.class].repeat {
-            Repeat::Safe => SHY_SAFE,
-            Repeat::Keyed | Repeat::Unsafe => SHY_UNSAFE,
+        let each = match self.settings.classes[request.class].retry_safety {
+            RetrySafety::Idempotent => SHY_SAFE,
+            RetrySafety::IdempotencyKey | RetrySafety::NonIdempotent => SHY_UNSAFE,
         };
         let beyond = s.faults - self.usual_faults - CHANCE_FAULTS;
         (each * beyond).clamp(0.0, 1.0 - LEAST_TRIED)
@@ -629,7 +625,7 @@
         }
         if self.rate > 2.0 * self.ranked_at_rate.max(1.0) {
             self.choose_subset();
-        } else if self.now - self.weighed > self.settings.rules.cold / 64 {
+        } else if self.now - self.weighed > self.settings.rules.slow_start_window / 64 {
             self.weigh();
         }
         let mut best: Option<Slot> = None;
@@ -696,7 +692,7 @@
     /// time, at one that was put out.
     fn hardly_drawn(&mut self, request: &Request, most_out: bool) -> Option<Slot> {
         let us = [(); 3].map(|()| self.uniform());
-        let safe = self.settings.classes[request.class].repeat == Repeat::Safe;
+        let safe = self.settings.classes[request.class].retry_safety == RetrySafety::Idempotent;
         let room = |&i: &Slot| self.listed(&self.servers[i]) * self.warmth(&self.servers[i]);
         let sum = |of: &[Slot]| of.iter().map(room).sum::<f64>();
         let mut left: [Vec<Slot>; 3] = Default::default();
@@ -748,8 +744,6 @@
         (1.0 + fresh * load + (1.0 - fresh) * self.usual_load) * s.slowness * dearer
     }
 
-    // ---- The four rules ----
-
     /// Rule 2: whether `s` may get (another) attempt of this request.
     fn allowed(&self, request: &Request, s: &Server) -> bool {
         let class = &self.settings.classes[request.class];
@@ -758,20 +752,20 @@
             || request.streaming
             || self.now >= request.deadline
             || request.attempts.len() >= limits.max_attempts
-            || (request.out() > 0 && !limits.may_duplicate)
+            || (request.out() > 0 && !limits.may_hedge)
         {
             return false;
         }
-        match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => request.untouched(),
-            Repeat::Keyed => {
+        match class.retry_safety {
+            RetrySafety::Idempotent => true,
+            RetrySafety::NonIdempotent => request.untouched(),
+            RetrySafety::IdempotencyKey => {
                 request.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
-                    self.now - a.sent < class.window
+                    self.now - a.sent < class.dedup_window
                         && match class.dedup_scope {
-                            Scope::All => true,
-                            Scope::Zone => a.zone == s.zone,
-                            Scope::Cell => a.cell == s.cell,
+                            DedupScope::All => true,
+                            DedupScope::Zone => a.zone == s.zone,
+                            DedupScope::Cell => a.cell == s.cell,
                         }
                 })
             }
@@ -781,11 +775,12 @@
     /// Rule 2: whether the client may be told that trying again is harmless.
     fn refusable(&self, request: &Request) -> bool {
         let class = &self.settings.classes[request.class];
-        match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => request.untouched(),
-            Repeat::Keyed => request.untouched() || class.dedup_scope == Scope::All,
-        }
+        let safe = match class.retry_safety {
+            RetrySafety::Idempotent => true,
+            RetrySafety::NonIdempotent => false,
+            RetrySafety::IdempotencyKey => class.dedup_scope == DedupScope::All,
+        };
+        safe || request.untouched()
     }
 
     /// The one gate of all sends.
@@ -826,7 +821,7 @@
             let limits = &self.settings.limits;
             let most = if limits.retry_after { limits.max_retry_after } else { 0 };
             let retry_after = (advice as Micros).min(most);
-            Action::Refuse { id, retry_after }
+            Action::Reject { id, retry_after }
         } else {
             Action::Fail { id }
         });
@@ -847,7 +842,7 @@
     }
 
     fn cancel(&self, id: RequestId, but: Option<usize>, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id).filter(|_| self.settings.limits.cancel) else {
+        let Some(r) = self.requests.get(&id).filter(|_| self.settings.limits.may_cancel) else {
             return;
         };
         let still_out = r.attempts.iter().enumerate().filter(|a| a.1.fate == Fate::Out);
@@ -855,15 +850,13 @@
         out.extend(others.map(|attempt| Action::Cancel { id, attempt }));
     }
 
-    // ---- Requests ----
-
     fn request(&mut self, new: NewRequest, out: &mut Vec<Action>) {
         let id = new.id;
         let class = new.class.min(self.settings.classes.len() - 1);
         // Danger: one heavy request looks like a slow server or a full fleet. Half of an answer
         // time, about, grows with the work that was announced.
         let l = &mut self.learned[class];
-        let heavy = new.hint.filter(|&h| h > 0).map_or(1.0, |hint| {
+        let heavy = new.work_hint.filter(|&h| h > 0).map_or(1.0, |hint| {
             let hint = hint as f64;
             l.hint = if l.hint > 0.0 { l.hint + FEW * (hint - l.hint) } else { hint };
             0.5 + 0.5 * (hint / l.hint).min(MOST_HEAVY)
@@ -872,10 +865,10 @@
             id,
             Request {
                 class,
-                key: new.key,
+                key: new.affinity_key,
                 heavy,
-                beyond: new.beyond,
-                deadline: self.now + new.left,
+                beyond: new.over_quota,
+                deadline: self.now + new.time_left,
                 ended: false,
                 streaming: false,
                 attempts: SmallVec::new(),
@@ -887,17 +880,18 @@
         let kept = (-gap / RATE_SPAN).exp();
         self.rate = self.rate * kept + (1.0 - kept) / gap;
         self.retry_budget = (self.retry_budget + self.retry_share.0).min(self.retry_share.1);
-        let hopeless = (new.left as f64) < HOPELESS * heavy * self.learned[class].usual;
-        let shed = if hopeless { 1.0 - LEAST_TRIED } else { self.shed_share(class, new.beyond) };
+        let hopeless = (new.time_left as f64) < HOPELESS * heavy * self.learned[class].usual;
+        let shed =
+            if hopeless { 1.0 - LEAST_TRIED } else { self.shed_share(class, new.over_quota) };
         if self.uniform() < shed {
             return self.end(id, out);
         }
         if !self.try_send(id, out) {
             return self.end(id, out);
         }
-        self.set_alarm(self.settings.classes[class].aim, Alarm::Late(id), out);
+        self.set_alarm(self.settings.classes[class].latency_objective, Alarm::Late(id), out);
         // Rule 1: whatever happens to its attempts, the request ends in time.
-        self.set_alarm(new.left, Alarm::Overdue(id), out);
+        self.set_alarm(new.time_left, Alarm::Overdue(id), out);
     }
 
     fn try_send(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
@@ -914,9 +908,9 @@
     /// How much a unit of a class's work is worth.
     fn density(&self, class: usize) -> f64 {
         let c = &self.settings.classes[class];
-        match self.settings.worth_by {
-            WorthBy::Work => c.credit,
-            WorthBy::Request => c.credit / self.learned[class].base.max(1.0),
+        match self.settings.priority_basis {
+            PriorityBasis::Work => c.priority_weight,
+            PriorityBasis::Request => c.priority_weight / self.learned[class].base.max(1.0),
         }
     }
 
@@ -927,7 +921,7 @@
     fn shed_share(&self, class: usize, beyond: bool) -> f64 {
         let classes = 0..self.settings.classes.len();
         let most = classes.map(|i| self.density(i)).fold(0.0, f64::max);
-        let worth = if beyond { self.settings.over_share_worth } else { 1.0 };
+        let worth = if beyond { self.settings.over_quota_weight } else { 1.0 };
         let below = (most / (worth * self.density(class)).max(1e-9)).ln().max(0.0);
         let start = (SHED_LAST - SHED_SPREAD * below).max(SHED_FROM);
         let idle = self.now.saturating_sub(self.late_at) as f64;
@@ -960,7 +954,7 @@
     fn unanswered(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.ended) else { return };
         let class = r.class;
-        let aim = self.settings.classes[class].aim;
+        let aim = self.settings.classes[class].latency_objective;
         // Danger: a repeat that went out just now is not late because the first attempt failed; and
         // where the server has answered what was sent later, this one is lost or heavy. Taken for
         // an overload, broken connections would have most of the traffic shed before idle servers.
@@ -987,11 +981,9 @@
         let token = self.next_token;
         self.next_token = self.next_token.wrapping_add(1);
         self.alarms.insert(token, alarm);
-        out.push(Action::Timer { delay, token });
+        out.push(Action::SetTimer { delay, token });
     }
 
-    // ---- Answers ----
-
     /// What an outcome means for the request.
     fn settle(
         &mut self,
@@ -1005,7 +997,7 @@
         if let Some(a) = request.attempts.get_mut(attempt) {
             a.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         }
-        request.ended |= finished || outcome == Outcome::Served;
+        request.ended |= finished || outcome == Outcome::Success;
         if request.ended {
             return self.call_off(id, out);
         }
@@ -1046,7 +1038,7 @@
         let (slot, sent, refusals, heavy) = (a.slot, a.sent, request.attempts.len(), request.heavy);
         let now = self.now;
         let pause = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
-        let aim = self.settings.classes[class].aim as f64;
+        let aim = self.settings.classes[class].latency_objective as f64;
         let s = &mut self.servers[slot];
         s.in_flight = s.in_flight.saturating_sub(1);
         if s.in_flight == 0 {
@@ -1058,21 +1050,21 @@
             return;
         }
         match outcome {
-            Outcome::Moot | Outcome::Cancelled => return,
-            Outcome::Served | Outcome::Error | Outcome::Full => {
+            Outcome::NotSent | Outcome::Cancelled => return,
+            Outcome::Success | Outcome::ErrorResponse | Outcome::Rejected => {
                 s.silent_since = (s.in_flight > 0).then_some(now);
                 s.received = Some(now);
                 s.answered = s.answered.max(sent);
             }
-            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {}
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {}
         }
-        if outcome == Outcome::Served || outcome == Outcome::Error {
+        if outcome == Outcome::Success || outcome == Outcome::ErrorResponse {
             self.report(slot, report);
         }
         let s = &mut self.servers[slot];
         match outcome {
-            Outcome::Served => s.faults -= FAULT_NEWS * s.faults,
-            Outcome::Error | Outcome::Reset => {
+            Outcome::Success => s.faults -= FAULT_NEWS * s.faults,
+            Outcome::ErrorResponse | Outcome::ConnectionReset => {
                 s.faults += FAULT_NEWS * (1.0 - s.faults);
                 let loaded = MOST_SLOW * (1.0 + s.load / s.power);
                 self.spill(slot, loaded);
@@ -1081,12 +1073,12 @@
         }
         let s = &mut self.servers[slot];
         match outcome {
-            Outcome::Served => {
+            Outcome::Success => {
                 s.failures = 0;
                 s.shunned_until = 0;
                 self.answer_time(slot, class, latency / heavy);
             }
-            Outcome::Full => {
+            Outcome::Rejected => {
                 self.wipe(slot);
                 // Danger: where queues are short, servers refuse long before answers are late.
                 // A refusal is news of the fleet only when the request found no place at all.
@@ -1136,7 +1128,7 @@
         s.slowness += SLOW_NEWS * (relative - s.slowness);
         let loaded = relative * (1.0 + s.load / s.power);
         self.spill(slot, loaded);
-        if latency < self.settings.classes[class].aim as f64 {
+        if latency < self.settings.classes[class].latency_objective as f64 {
             // Danger: one heavy request looks like a long queue. What the report says of the
             // answer time to be expected counts as much as the answer time itself.
             let expected = match self.held_column {
@@ -1156,7 +1148,7 @@
     /// Danger: a few sick servers are no overload, and shedding for them refuses what the others
     /// could serve. Each server counts once, and the latest third does not count.
     fn feel(&mut self, slot: Slot, class: usize, latency: f64) {
-        let aim = self.settings.classes[class].aim as f64;
+        let aim = self.settings.classes[class].latency_objective as f64;
         let late = (2.0 * latency / aim - 1.0).clamp(0.0, 1.4);
         let memory = (LATENESS_FADES * self.longest_aim) as Micros;
         let now = self.now;
@@ -1252,7 +1244,7 @@
             zone: e.zone,
             cell: e.cell,
             health: e.health,
-            started: e.started,
+            started: e.started_at,
             power: 1.0,
             slowness: 1.0,
             far_load: 1.0,
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -13,7 +13,7 @@
 
 use super::budget;
 use crate::api::{Health, LoadReport, ServerEntry, ServerId};
-use crate::settings::{Repeat, Settings};
+use crate::settings::{RetrySafety, Settings};
 
 /// The least descriptors that leave clients and servers places beside what the program itself
 /// needs.
@@ -196,7 +196,7 @@
     /// Its place in the settings.
     pub index: usize,
     /// It decides the method.
-    pub repeat: Repeat,
+    pub repeat: RetrySafety,
 }
 
 /// Names that stand on sockets for numbers of the settings.
@@ -223,11 +223,11 @@
         let mut names = Names {
             zones: settings.zones.clone(),
             kinds: strings("kinds", |v| v)?,
-            columns: settings.report.columns.clone(),
+            columns: settings.load_reporting.columns.clone(),
             ..Names::default()
         };
         for (index, class) in settings.classes.iter().enumerate() {
-            let of = ClassName { index, repeat: class.repeat };
+            let of = ClassName { index, repeat: class.retry_safety };
             if names.classes.insert(class.name.clone(), of).is_some() {
                 return Err(format!("settings.classes[{index}].name: a name of its own expected"));
             }
@@ -263,10 +263,10 @@
             health: match host.health {
                 Listed::Active => Health::Ready,
                 Listed::Leaving => Health::Draining,
-                Listed::Left => Health::Gone,
+                Listed::Left => Health::Removed,
             },
-            power: host.share,
-            started: host.born_ms.saturating_mul(1000),
+            weight: host.share,
+            started_at: host.born_ms.saturating_mul(1000),
         }
     }
 
@@ -371,7 +371,8 @@
         if !(1..=MOST_BODY_MB).contains(&file.limits.longest_body_mb) {
             return Err(format!("limits.longest_body_mb: 1 to {MOST_BODY_MB} expected"));
         }
-        let settings = Settings::from_json(file.settings.to_string().as_bytes())?;
+        let settings =
+            Settings::from_json(file.settings.to_string().as_bytes()).map_err(|e| e.to_string())?;
         if !file.peers.is_empty() && file.peers.len() != settings.instances as usize {
             return Err("peers: as many as settings.instances expected".into());
         }
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -16,7 +16,7 @@
 use super::budget::max_list_bytes;
 use super::config::{List, Part};
 use crate::api::ListKind;
-use crate::settings::Discovery as Mode;
+use crate::settings::DiscoveryMode as Mode;
 use client::{CallError, Connection, ListCall, ListResponse};
 use push::AgentTimeouts;
 
@@ -99,8 +99,8 @@
         requests: mpsc::UnboundedReceiver<DiscoveryRequest>,
     ) {
         match self.mode {
-            Mode::Pushed => self.run_pushed(listener, requests).await,
-            Mode::Asked => self.run_polled(listener, requests).await,
+            Mode::Push => self.run_pushed(listener, requests).await,
+            Mode::OnRequest => self.run_polled(listener, requests).await,
         }
     }
 
@@ -152,7 +152,7 @@
             return Ok(Update::Stale);
         }
         self.version = list.seq;
-        let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
+        let kind = if list.whole { ListKind::Complete } else { ListKind::Delta };
         listener.on_list(kind, &list);
         Ok(if list.hosts.is_empty() { Update::Empty } else { Update::Applied })
     }
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -18,7 +18,7 @@
                 self.start_attempt(id, server, Duration::from_micros(timeout));
             }
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
-            Action::Refuse { id, retry_after } => {
+            Action::Reject { id, retry_after } => {
                 self.record(GossipEvent::Rejected);
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 self.finish_request(id, RequestOutcome::Rejected { retry_after });
@@ -27,15 +27,15 @@
                 self.record(GossipEvent::Failed);
                 self.finish_request(id, RequestOutcome::Failed);
             }
-            Action::Timer { delay, token } => {
+            Action::SetTimer { delay, token } => {
                 self.timers.schedule(Duration::from_micros(delay), token);
             }
-            Action::Probe { server } => self.start_health_check(server),
-            Action::CloseIdle { server } => self.upstream.close_idle(server),
+            Action::HealthCheck { server } => self.start_health_check(server),
+            Action::CloseIdleConnections { server } => self.upstream.close_idle(server),
             // Discovery runs as long as the driver does.
             Action::Subscribe => drop(self.discovery.send(DiscoveryRequest::Watch)),
-            Action::FetchList => self.fetch_list(),
-            Action::Tell { peer, data } => {
+            Action::FetchEndpoints => self.fetch_list(),
+            Action::SendToPeer { peer, data } => {
                 if let Some(datagrams) = &self.peer_services.datagrams {
                     datagrams.send(peer, &data);
                 }
@@ -64,7 +64,7 @@
                 None => HealthCheckResult::without_response(Outcome::ConnectFailed),
             };
             let latency = P::elapsed_since(started).as_micros() as Micros;
-            driver.handle_event(Event::Probed { server, outcome, latency, report });
+            driver.handle_event(Event::HealthCheckEnded { server, outcome, latency, report });
         });
     }
 }
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -100,7 +100,7 @@
     fn report_not_sent(self: &Rc<Driver<P>>, id: AttemptId) {
         let driver = self.clone();
         P::spawn(async move {
-            driver.complete_attempt(id, 0, AttemptResult::without_response(Outcome::Moot));
+            driver.complete_attempt(id, 0, AttemptResult::without_response(Outcome::NotSent));
         });
     }
 
@@ -170,12 +170,15 @@
                 request.release_message();
             }
         }
-        let broke = matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::TimedOut);
+        let broke = matches!(
+            outcome,
+            Outcome::ErrorResponse | Outcome::ConnectionReset | Outcome::TimedOut
+        );
         if broke && retryable && !finished {
             self.record(GossipEvent::RetryableFailure);
         }
         let AttemptId { request, index, server } = id;
-        self.handle_event(Event::Answer {
+        self.handle_event(Event::AttemptEnded {
             id: request,
             attempt: index,
             server,
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -74,7 +74,7 @@
         close_idle: impl Fn(ServerId),
     ) -> FxHashSet<ServerId> {
         let mut previous = match kind {
-            ListKind::Changes => FxHashMap::default(),
+            ListKind::Delta => FxHashMap::default(),
             _ => std::mem::take(&mut self.servers),
         };
         let mut ignored = FxHashSet::default();
@@ -175,7 +175,7 @@
             let taken = list.hosts.iter().filter(|host| !ignored.contains(&host.id()));
             taken.map(|host| endpoints.effective_entry(names.entry(host))).collect()
         };
-        self.handle_event(Event::Servers { kind, entries: &entries });
+        self.handle_event(Event::EndpointUpdate { kind, entries: &entries });
     }
 
     /// Drains these servers and puts all others back, as discovery lists them.
@@ -189,7 +189,7 @@
             self.upstream.close_idle(entry.id);
         }
         if !entries.is_empty() {
-            self.handle_event(Event::Servers { kind: ListKind::Changes, entries: &entries });
+            self.handle_event(Event::EndpointUpdate { kind: ListKind::Delta, entries: &entries });
         }
     }
 
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -27,7 +27,7 @@
 use super::upstream::{HealthCheckKind, Upstream};
 use crate::api::{Event, ListKind, Micros, RequestId};
 use crate::decide::Balancer;
-use crate::settings::{Repeat, ReportHow, Settings};
+use crate::settings::{ReportDelivery, RetrySafety, Settings};
 pub use endpoints::EndpointCounts;
 use endpoints::EndpointTable;
 use requests::InFlightRequest;
@@ -94,12 +94,13 @@
         peer_services: PeerServices<P>,
     ) -> Rc<Driver<P>> {
         let clock = BalancerClock::start::<P>();
-        let health_check = match settings.report.how {
-            ReportHow::Silent => HealthCheckKind::Liveness,
+        let health_check = match settings.load_reporting.delivery {
+            ReportDelivery::Disabled => HealthCheckKind::Liveness,
             _ => HealthCheckKind::LoadReport,
         };
         let windows = settings.classes.iter().map(|class| {
-            (class.repeat == Repeat::Keyed).then(|| Duration::from_micros(class.window))
+            (class.retry_safety == RetrySafety::IdempotencyKey)
+                .then(|| Duration::from_micros(class.dedup_window))
         });
         let idempotency_windows = windows.collect();
         let state = RefCell::new(State {
@@ -181,7 +182,7 @@
     }
 
     fn on_failure(&self) {
-        self.handle_event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+        self.handle_event(Event::EndpointUpdate { kind: ListKind::Failed, entries: &[] });
     }
 }
 
@@ -189,7 +190,7 @@
     fn handle(&self, from: u32, data: &[u8]) {
         let gossip = self.peer_services.gossip.as_ref();
         if !gossip.is_some_and(|gossip| gossip.receive(from, data)) {
-            self.handle_event(Event::Note { from, data });
+            self.handle_event(Event::PeerMessage { from, data });
         }
     }
 }
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -9,7 +9,7 @@
 use super::Driver;
 use super::attempts::InFlightAttempt;
 use crate::api::{Event, Micros, NewRequest, RequestId};
-use crate::settings::Repeat;
+use crate::settings::RetrySafety;
 use crate::sidecar::status::Status;
 use crate::sidecar::upstream::{UpstreamRequest, UpstreamResponse};
 
@@ -114,7 +114,7 @@
 
     /// Whether the request may be sent again after it may have been executed.
     pub(super) fn is_retryable(&self) -> bool {
-        self.message.as_ref().is_some_and(|message| message.repeat != Repeat::Unsafe)
+        self.message.as_ref().is_some_and(|message| message.repeat != RetrySafety::NonIdempotent)
     }
 
     /// Frees what attempts send: no further one is made, and none that waits for a connection is sent.
@@ -165,11 +165,11 @@
             id,
             class: info.class,
             tenant: info.tenant,
-            key: info.key,
-            left: time_left.as_micros() as Micros,
-            hint: info.hint,
-            repeat: info.is_retry,
-            beyond: !within_quota,
+            affinity_key: info.key,
+            time_left: time_left.as_micros() as Micros,
+            work_hint: info.hint,
+            client_retry: info.is_retry,
+            over_quota: !within_quota,
         }));
         RequestHandle { id, driver: self.clone(), outcome }
     }
@@ -237,7 +237,7 @@
                 request.cancel_attempts();
             }
         }
-        self.handle_event(Event::ClientGone { id });
+        self.handle_event(Event::ClientDisconnected { id });
         self.remove_if_done(id);
     }
 
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -16,7 +16,7 @@
 use super::connection::{ClientConnection, ClientDisconnected, Phase};
 use super::response::{ResponseParts, empty_response, end_to_end_headers};
 use crate::api::Micros;
-use crate::settings::Repeat;
+use crate::settings::RetrySafety;
 use crate::sidecar::body::{
     BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
 };
@@ -49,7 +49,7 @@
     info: RequestInfo,
     /// What identifies it to servers.
     correlation_id: &'a str,
-    repeat: Repeat,
+    repeat: RetrySafety,
 }
 
 /// A request's body, or as much of it as is read before the request is forwarded.
@@ -194,10 +194,13 @@
         let class = class.ok_or(RequestError::Rejected(StatusCode::NOT_FOUND))?;
         let has_key = text("idempotency-key")?.is_some();
         match (class.repeat, &head.method) {
-            (Repeat::Safe, &Method::GET) | (Repeat::Keyed | Repeat::Unsafe, &Method::POST) => {}
+            (RetrySafety::Idempotent, &Method::GET)
+            | (RetrySafety::IdempotencyKey | RetrySafety::NonIdempotent, &Method::POST) => {}
             _ => return Err(RequestError::Rejected(StatusCode::METHOD_NOT_ALLOWED)),
         }
-        if class.repeat != Repeat::Safe && has_key != (class.repeat == Repeat::Keyed) {
+        if class.repeat != RetrySafety::Idempotent
+            && has_key != (class.repeat == RetrySafety::IdempotencyKey)
+        {
             return Err(BAD_REQUEST);
         }
         let correlation_id = text("x-correlation-id")?.filter(|id| !id.is_empty());
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -127,10 +127,10 @@
 
 fn timeouts(config: &Config) -> AttemptTimeouts {
     let limits = &config.settings.limits;
-    let shortest_objective = config.settings.classes.iter().map(|c| c.aim).min();
+    let shortest_objective = config.settings.classes.iter().map(|c| c.latency_objective).min();
     AttemptTimeouts {
         connect: Duration::from_micros(limits.connect_timeout),
-        idle: Duration::from_micros(limits.conn_idle),
+        idle: Duration::from_micros(limits.connection_idle_timeout),
         gap: Duration::from_micros(shortest_objective.unwrap_or_default()),
     }
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -97,7 +97,7 @@
     let Sockets { listener, shared, peers, admin, record } = sockets;
     let components = Components::<P>::new(&config, peers)?;
     let how = config.settings.discovery;
-    let stop_sending_within = Duration::from_micros(config.settings.rules.stop_sending_within);
+    let stop_sending_within = Duration::from_micros(config.settings.rules.drain_deadline);
     let (to_discovery, calls) = mpsc::unbounded_channel();
     let driver = components.driver(config.settings, config.seed, to_discovery);
     let ingress = components.ingress(driver.clone(), config.name);
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -26,7 +26,7 @@
 use super::upstream::Upstream;
 use super::{Sockets, notify, shutdown};
 use crate::api::ListKind;
-use crate::settings::{Discovery, Settings};
+use crate::settings::{DiscoveryMode, Settings};
 
 /// How many connections may wait to be accepted: a crowd connects within a second.
 pub const LISTEN_BACKLOG: i32 = 4096;
@@ -226,14 +226,14 @@
 pub(super) fn restore_server_list<P: Runtime>(
     driver: &Rc<Driver<P>>,
     known: Option<&List>,
-    how: Discovery,
+    how: DiscoveryMode,
 ) {
     match known {
-        Some(known) => driver.update_endpoints(ListKind::Remembered, known),
+        Some(known) => driver.update_endpoints(ListKind::Cached, known),
         // Where discovery is polled, the balancer first polls after what it remembers; one that
         // remembers nothing would never poll, and refuse everything.
-        None if how == Discovery::Asked => {
-            driver.update_endpoints(ListKind::Remembered, &List::default());
+        None if how == DiscoveryMode::OnRequest => {
+            driver.update_endpoints(ListKind::Cached, &List::default());
             driver.fetch_list();
         }
         None => {}
--- a/src/sidecar/tier.rs
+++ b/src/sidecar/tier.rs
@@ -44,13 +44,13 @@
         peers: Option<&Rc<Peers<P>>>,
     ) -> Result<Option<Rc<Membership<P>>>, MembershipError> {
         let Some(round_interval) = config.gossip_round_interval else { return Ok(None) };
-        let Some(peers) = peers.filter(|_| config.settings.limits.may_tell) else {
+        let Some(peers) = peers.filter(|_| config.settings.limits.may_message_peers) else {
             tracing::warn!("gossip disabled: settings.limits.mayTell or peer_listen is missing");
             return Ok(None);
         };
         let node = Node::new(
             gossip::Config {
-                local_id: config.settings.me,
+                local_id: config.settings.instance,
                 cluster_size: config.settings.instances,
                 started_unix_ms: P::unix_time().as_millis() as u64,
                 round_interval: round_interval.as_micros() as Micros,
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -15,7 +15,7 @@
 use super::response::{UpstreamResponse, is_unprocessed};
 use super::{Endpoint, Upstream};
 use crate::api::{LoadReport, Outcome};
-use crate::settings::Repeat;
+use crate::settings::RetrySafety;
 
 /// A connection that was closed before it was used shows that within this time.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
@@ -87,8 +87,11 @@
     async fn run(mut self) -> AttemptResult {
         let mut result = self.exchange().await;
         // That the second copy was not executed says nothing about the first, which was sent in full.
-        if self.resent && result.outcome.never_ran() && self.request.repeat != Repeat::Safe {
-            result.outcome = Outcome::Reset;
+        if self.resent
+            && result.outcome.never_ran()
+            && self.request.repeat != RetrySafety::Idempotent
+        {
+            result.outcome = Outcome::ConnectionReset;
         }
         result
     }
@@ -111,7 +114,7 @@
             // a request that is finished, and its effect would take place for nobody.
             if self.request.finished.get() || !self.limits.may_start(P::now()) {
                 self.upstream.return_to_pool(self.endpoint.server, connection);
-                return AttemptResult::without_response(Outcome::Moot);
+                return AttemptResult::without_response(Outcome::NotSent);
             }
             let observer = connection.observer.clone();
             let sent_at = P::now();
@@ -160,14 +163,14 @@
         if !observer.is_request_sent() {
             // The server wants no more of a streamed body. Its response ends the connection.
             let unprocessed = is_unprocessed(&response);
-            let outcome = if unprocessed { Outcome::Full } else { Outcome::Error };
+            let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return AttemptResult::without_response(outcome);
         }
         tokio::select! {
             biased;
             result = self.upstream.read_response(self.endpoint.server, connection, response) => result,
             () = self.upstream.response_stalled(observer) => {
-                AttemptResult::without_response(Outcome::Reset)
+                AttemptResult::without_response(Outcome::ConnectionReset)
             }
         }
     }
@@ -177,7 +180,7 @@
         let observer = &connection.observer;
         let sent = observer.is_request_sent();
         if self.request.finished.get() && !sent {
-            return AfterBreak::End(Outcome::Moot);
+            return AfterBreak::End(Outcome::NotSent);
         }
         // A server may close a connection just as the request is written. An idempotent one goes to the
         // same server again at once, as part of the same attempt: the server has not chosen to fail
@@ -186,10 +189,10 @@
         let was_stale = connection.reused
             && observer.response_active_at().is_none()
             && P::elapsed_since(sent_at) < STALE_CONNECTION_TIMEOUT;
-        match (was_stale && self.request.repeat != Repeat::Unsafe, sent) {
+        match (was_stale && self.request.repeat != RetrySafety::NonIdempotent, sent) {
             (true, true) => AfterBreak::Resend,
             (true, false) => AfterBreak::Reconnect,
-            (false, true) => AfterBreak::End(Outcome::Reset),
+            (false, true) => AfterBreak::End(Outcome::ConnectionReset),
             // An idle connection may be reset by the first byte written to it. The server has not begun
             // on the request, which gets a new connection.
             (false, false) if connection.reused => AfterBreak::Reconnect,
@@ -209,7 +212,7 @@
     let message = build_message(connection, request, time_left);
     // An idempotent request need not wait for a test: if the connection is gone, it is sent once more.
     let test_duration = match request.repeat {
-        Repeat::Unsafe => connection.test_duration(),
+        RetrySafety::NonIdempotent => connection.test_duration(),
         _ => None,
     };
     observer.begin(request.content_length().unwrap_or(u64::MAX));
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -13,7 +13,7 @@
 use super::exchange::send_request;
 use super::{Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
-use crate::settings::Repeat;
+use crate::settings::RetrySafety;
 use crate::sidecar::body::STREAM_WINDOW_BYTES;
 
 /// Where servers report their load.
@@ -82,10 +82,13 @@
         let request = health_check_request(kind.path());
         let deadline = P::now() + self.live.timeouts().connect;
         let response = send_request(&mut connection, &request, deadline).await;
-        let (head, body) = response.map(Response::into_parts).ok_or(Outcome::Reset)?;
-        let body =
-            Limited::new(body, STREAM_WINDOW_BYTES).collect().await.map_err(|_| Outcome::Reset)?;
-        let outcome = if head.status == StatusCode::OK { Outcome::Served } else { Outcome::Error };
+        let (head, body) = response.map(Response::into_parts).ok_or(Outcome::ConnectionReset)?;
+        let body = Limited::new(body, STREAM_WINDOW_BYTES)
+            .collect()
+            .await
+            .map_err(|_| Outcome::ConnectionReset)?;
+        let outcome =
+            if head.status == StatusCode::OK { Outcome::Success } else { Outcome::ErrorResponse };
         let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
         Ok(HealthCheckResult { outcome, report: self.live.names().report(&text) })
     }
@@ -93,7 +96,7 @@
 
 fn health_check_request(path: &'static str) -> UpstreamRequest {
     UpstreamRequest {
-        repeat: Repeat::Safe,
+        repeat: RetrySafety::Idempotent,
         method: Method::GET,
         target: hyper::Uri::from_static(path),
         headers: HeaderMap::new(),
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -13,7 +13,7 @@
 use runtime::Runtime;
 
 use super::observer::ExchangeObserver;
-use crate::settings::Repeat;
+use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
 use crate::sidecar::budget::Reservation;
 use crate::sidecar::upload::{Upload, UploadAttempt};
@@ -21,7 +21,7 @@
 /// A client's request in the form in which servers get it, kept for retries.
 pub struct UpstreamRequest {
     /// Whether it may be sent again once it may have been executed.
-    pub repeat: Repeat,
+    pub repeat: RetrySafety,
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -100,14 +100,14 @@
         let report = report.map(|text| self.live.names().report(text)).unwrap_or_default();
         if head.status != StatusCode::OK {
             P::spawn(self.clone().discard_body(server, connection, body));
-            let outcome = if unprocessed { Outcome::Full } else { Outcome::Error };
+            let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return AttemptResult { outcome, report, response: None };
         }
         match self.read_body(server, connection, head.headers, body).await {
             Some(response) => {
-                AttemptResult { outcome: Outcome::Served, report, response: Some(response) }
+                AttemptResult { outcome: Outcome::Success, report, response: Some(response) }
             }
-            None => AttemptResult { outcome: Outcome::Reset, report, response: None },
+            None => AttemptResult { outcome: Outcome::ConnectionReset, report, response: None },
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -215,9 +215,9 @@
             }
             event::DIRECTORY_UPDATE => Record::Directory {
                 kind: match rec.u8(5) {
-                    0 => ListKind::Whole,
-                    1 => ListKind::Remembered,
-                    2 => ListKind::Changes,
+                    0 => ListKind::Complete,
+                    1 => ListKind::Cached,
+                    2 => ListKind::Delta,
                     3 => ListKind::Failed,
                     other => return bad(at + 5, format!("unknown kind of list {other}")),
                 },
@@ -228,12 +228,12 @@
                 Record::Ingress(NewRequest {
                     id: rec.request(1),
                     tenant: rec.u32(9) as usize,
-                    key: rec.u64(13),
-                    left: rec.u32(21).into(),
-                    hint: (flags & COST_HINT != 0).then(|| rec.u32(25).into()),
+                    affinity_key: rec.u64(13),
+                    time_left: rec.u32(21).into(),
+                    work_hint: (flags & COST_HINT != 0).then(|| rec.u32(25).into()),
                     class: rec.u8(29).into(),
-                    repeat: flags & CLIENT_REPEAT != 0,
-                    beyond: false,
+                    client_retry: flags & CLIENT_REPEAT != 0,
+                    over_quota: false,
                 })
             }
             event::FIRST_BYTE => {
@@ -264,14 +264,14 @@
 
 fn outcome(code: u8) -> Result<Outcome, String> {
     Ok(match code {
-        1 => Outcome::Served,
-        2 => Outcome::Error,
-        3 => Outcome::Full,
+        1 => Outcome::Success,
+        2 => Outcome::ErrorResponse,
+        3 => Outcome::Rejected,
         4 => Outcome::TimedOut,
         5 => Outcome::ConnectFailed,
-        6 => Outcome::Reset,
+        6 => Outcome::ConnectionReset,
         7 => Outcome::Cancelled,
-        8 => Outcome::Moot,
+        8 => Outcome::NotSent,
         other => return Err(format!("unknown outcome {other}")),
     })
 }
@@ -292,13 +292,13 @@
         kind: row.u16(7),
         cell: row.u16(9),
         health: match row.u8(11) {
-            0 => Health::Gone,
+            0 => Health::Removed,
             1 => Health::Ready,
             2 => Health::Draining,
             other => return Err(format!("unknown availability {other} in a list")),
         },
-        power: row.f32(12),
-        started: row.u64(16),
+        weight: row.f32(12),
+        started_at: row.u64(16),
     })
 }
 
@@ -379,22 +379,24 @@
                 let rec: [u8; 10] = join(&id.0.to_le_bytes(), &n.to_le_bytes());
                 self.push(action::CANCEL, &rec);
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Reject { id, retry_after } => {
                 let rec: [u8; 12] = join(&id.0.to_le_bytes(), &span(*retry_after).to_le_bytes());
                 self.push(action::DENY, &rec);
             }
             Action::Fail { id } => self.push(action::SURRENDER, &id.0.to_le_bytes()),
-            Action::Timer { delay, token } => {
+            Action::SetTimer { delay, token } => {
                 let rec: [u8; 8] = join(&span(*delay).to_le_bytes(), &token.to_le_bytes());
                 self.push(action::SCHEDULE, &rec);
             }
-            Action::Probe { server } => self.push(action::CHECK, &server.0.to_le_bytes()[..6]),
-            Action::CloseIdle { server } => {
+            Action::HealthCheck { server } => {
+                self.push(action::CHECK, &server.0.to_le_bytes()[..6])
+            }
+            Action::CloseIdleConnections { server } => {
                 self.push(action::DISCONNECT, &server.0.to_le_bytes()[..6]);
             }
             Action::Subscribe => self.push(action::SUBSCRIBE, &[1]),
-            Action::FetchList => self.push(action::RESOLVE, &[]),
-            Action::Tell { peer, data } => {
+            Action::FetchEndpoints => self.push(action::RESOLVE, &[]),
+            Action::SendToPeer { peer, data } => {
                 let field = self.in_tail(data);
                 let rec: [u8; 12] = join(&peer.to_le_bytes(), &field);
                 self.push(action::TELL, &rec);
@@ -417,7 +419,7 @@
     }
 }
 
-/// Every peer, as [`Action::Tell`] names it.
+/// Every peer, as [`Action::SendToPeer`] names it.
 pub const ALL_PEERS: u32 = EVERYONE;
 
 /// A span of time as the wire holds it: what does not fit is cut.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,8 +55,8 @@
         kind: 0,
         cell: (n / 2) as u16,
         health: Health::Ready,
-        power: 1.0,
-        started: 0,
+        weight: 1.0,
+        started_at: 0,
     }
 }
 
@@ -89,7 +89,7 @@
             key: 0,
             beyond: false,
         };
-        bench.servers(ListKind::Remembered, servers);
+        bench.servers(ListKind::Cached, servers);
         bench
     }
 
@@ -99,7 +99,7 @@
     }
 
     pub fn servers(&mut self, kind: ListKind, entries: &[ServerEntry]) -> Vec<Action> {
-        self.event(Event::Servers { kind, entries })
+        self.event(Event::EndpointUpdate { kind, entries })
     }
 
     pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
@@ -120,11 +120,11 @@
             id,
             class,
             tenant: 0,
-            key: self.key,
-            left: S,
-            hint,
-            repeat: false,
-            beyond: self.beyond,
+            affinity_key: self.key,
+            time_left: S,
+            work_hint: hint,
+            client_retry: false,
+            over_quota: self.beyond,
         }));
         (id, out)
     }
@@ -137,13 +137,13 @@
         outcome: Outcome,
         queue: f32,
     ) -> Vec<Action> {
-        self.event(Event::Answer {
+        self.event(Event::AttemptEnded {
             id,
             attempt,
             server,
             outcome,
             latency: 20 * MS,
-            finished: outcome == Outcome::Served,
+            finished: outcome == Outcome::Success,
             report: report(queue),
         })
     }
@@ -153,7 +153,7 @@
         let (id, out) = self.request(class);
         let to = sent(&out)?;
         self.now += 20 * MS;
-        self.answer(id, 0, to, Outcome::Served, queue);
+        self.answer(id, 0, to, Outcome::Success, queue);
         Some(to)
     }
 }
@@ -167,7 +167,7 @@
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
 pub fn failed(actions: &[Action]) -> bool {
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -253,8 +253,8 @@
     let entry = |n: usize| config.names.entry(&known.hosts[n]);
     let places = |n| (entry(n).zone, entry(n).kind, entry(n).cell);
     assert_eq!([0, 1, 2].map(places), [(0, 1, 3), (1, 0, 0), (u8::MAX, u16::MAX, 0)]);
-    assert_eq!([0, 1, 2].map(|n| entry(n).power), [2.5, 1.0, 1.0]);
-    assert_eq!([0, 1, 2].map(|n| entry(n).started), [1_790_000_000_000_000, 0, 0]);
+    assert_eq!([0, 1, 2].map(|n| entry(n).weight), [2.5, 1.0, 1.0]);
+    assert_eq!([0, 1, 2].map(|n| entry(n).started_at), [1_790_000_000_000_000, 0, 0]);
     let ids = [0, 1, 2].map(|n| entry(n).id.0);
     assert_eq!(ids, [0x817c_da19_5c3f_bf24, 0x817c_dd19_5c3f_c43d, 0x817c_dc19_5c3f_c28a]);
     let wants_work = known.hosts.iter().map(|host| (host.listed(), host.wants_work()));
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -22,17 +22,17 @@
     for class in 0..3 {
         let (id, out) = b.request(class);
         let first = sent(&out).expect("sent");
-        let again = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let again = b.answer(id, 0, first, Outcome::Rejected, 0.0);
         let second = sent(&again).expect("sent again, it never ran");
         assert_ne!(first, second);
-        b.answer(id, 1, second, Outcome::Served, 0.0);
+        b.answer(id, 1, second, Outcome::Success, 0.0);
         b.now += 3 * S;
     }
 }
 
 #[test]
 fn an_unsafe_request_that_may_have_run_only_fails() {
-    for outcome in [Outcome::Error, Outcome::Reset, Outcome::TimedOut] {
+    for outcome in [Outcome::ErrorResponse, Outcome::ConnectionReset, Outcome::TimedOut] {
         let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
         let (id, out) = b.request(2);
         let to = sent(&out).expect("sent");
@@ -48,7 +48,7 @@
         let mut b = Bench::new(settings(|_| {}), seed, &servers);
         let (id, out) = b.request(1);
         let first = sent(&out).expect("sent");
-        let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+        let out = b.answer(id, 0, first, Outcome::ConnectionReset, 0.0);
         match sent(&out) {
             Some(second) => assert_eq!(first.0 % 2, second.0 % 2, "another zone"),
             None => assert!(failed(&out), "its group is not all: no refusal"),
@@ -63,18 +63,18 @@
     let (id, out) = b.request(1);
     let first = sent(&out).expect("sent");
     b.now += 701 * MS;
-    let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+    let out = b.answer(id, 0, first, Outcome::ConnectionReset, 0.0);
     assert!(sent(&out).is_none() && failed(&out));
 }
 
 #[test]
 fn a_drained_server_gets_nothing() {
     let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(1)]);
-    b.servers(ListKind::Changes, &[with_health(0, Health::Draining)]);
+    b.servers(ListKind::Delta, &[with_health(0, Health::Draining)]);
     for _ in 0..50 {
         assert_eq!(b.round(0, 0.0), Some(ServerId(1)));
     }
-    b.servers(ListKind::Whole, &[server(2)]);
+    b.servers(ListKind::Complete, &[server(2)]);
     for _ in 0..50 {
         assert_eq!(b.round(0, 0.0), Some(ServerId(2)));
     }
@@ -95,7 +95,7 @@
 fn all_sidecars_together_spare_a_cold_server() {
     let n = 10;
     let mut cold = server(n);
-    cold.started = START;
+    cold.started_at = START;
     let (mut to_cold, mut all) = (0, 0);
     for seed in 0..300 {
         let servers: Vec<_> = (0..n).map(server).collect();
@@ -108,7 +108,7 @@
             b.round(0, 1.0);
         }
         b.now = START + S;
-        b.servers(ListKind::Changes, &[cold.clone()]);
+        b.servers(ListKind::Delta, &[cold.clone()]);
         for _ in 0..10 {
             all += 1;
             to_cold += u32::from(b.round(0, 1.0) == Some(cold.id));
@@ -134,7 +134,7 @@
             open.push((id, b.now));
         } else {
             b.now += 10 * MS;
-            b.answer(id, 0, to, Outcome::Served, 0.0);
+            b.answer(id, 0, to, Outcome::Success, 0.0);
         }
         while open.first().is_some_and(|&(_, at)| b.now >= at + S) {
             let (id, _) = open.remove(0);
@@ -151,7 +151,7 @@
     let mut b = Bench::new(settings(|_| {}), 1, &[server(0)]);
     let (id, out) = b.request(0);
     let to = sent(&out).expect("sent");
-    b.event(Event::ClientGone { id });
+    b.event(Event::ClientDisconnected { id });
     b.now += 5 * MS;
     b.answer(id, 0, to, Outcome::Cancelled, 0.0);
     b.now += 10 * S;
@@ -172,7 +172,7 @@
     let (id, out) = b.request(0);
     let to = sent(&out).expect("sent");
     b.now += 20 * MS;
-    b.answer(id, 0, to, Outcome::Served, queue(to));
+    b.answer(id, 0, to, Outcome::Success, queue(to));
     to
 }
 
@@ -258,11 +258,11 @@
         match sent(&out) {
             Some(to) => {
                 b.now += 20 * MS;
-                b.event(Event::Answer {
+                b.event(Event::AttemptEnded {
                     id,
                     attempt: 0,
                     server: to,
-                    outcome: Outcome::Served,
+                    outcome: Outcome::Success,
                     latency: 170 * MS,
                     finished: true,
                     report: report(0.0),
@@ -318,11 +318,11 @@
             Some(to) => {
                 let latency = 170 * MS;
                 b.now += 20 * MS;
-                b.event(Event::Answer {
+                b.event(Event::AttemptEnded {
                     id,
                     attempt: 0,
                     server: to,
-                    outcome: Outcome::Served,
+                    outcome: Outcome::Success,
                     latency,
                     finished: true,
                     report: report(3.0),
@@ -343,7 +343,7 @@
         let asked = settings(|s| s["discovery"] = "on_request".into());
         let mut b = Bench::new(asked, seed, &[server(0)]);
         let out = b.servers(ListKind::Failed, &[]);
-        let Some(Action::Timer { delay, token }) = out.first() else {
+        let Some(Action::SetTimer { delay, token }) = out.first() else {
             panic!("no timer: {out:?}");
         };
         assert!((S / 4..=10 * S).contains(delay), "{delay}");
@@ -356,7 +356,7 @@
 /// The timer that a failed call leaves, in microseconds, and its token.
 fn waits(out: &[Action]) -> (Micros, u32) {
     let timer = out.iter().find_map(|a| match a {
-        Action::Timer { delay, token } => Some((*delay, *token)),
+        Action::SetTimer { delay, token } => Some((*delay, *token)),
         _ => None,
     });
     timer.unwrap_or_else(|| panic!("no timer: {out:?}"))
@@ -379,7 +379,7 @@
             let (first, _) = waits(&b.servers(ListKind::Failed, &[]));
             let (second, _) = waits(&b.servers(ListKind::Failed, &[]));
             let known = first + 2 * S + second;
-            assert!(known <= TOLD_AFTER - S / 2, "{must_ask_in} s: after {known} us");
+            assert!(known <= NOTIFICATION_DEADLINE - S / 2, "{must_ask_in} s: after {known} us");
         }
     }
 }
@@ -394,8 +394,8 @@
         };
         for seed in 0..200 {
             let mut b = Bench::new(settings(asked), seed, &[server(0)]);
-            let (first, _) = waits(&b.servers(ListKind::Remembered, &[server(0)]));
-            assert!(first <= TOLD_AFTER / 2, "{must_ask_in} s: after {first} us");
+            let (first, _) = waits(&b.servers(ListKind::Cached, &[server(0)]));
+            assert!(first <= NOTIFICATION_DEADLINE / 2, "{must_ask_in} s: after {first} us");
         }
     }
 }
@@ -440,7 +440,10 @@
         }
         let took = last - back;
         println!("mustAskIn {must_ask_in} s: all know after {took} us, {asked_for} calls");
-        assert!(took <= TOLD_AFTER, "mustAskIn {must_ask_in} s: the last knows after {took} us");
+        assert!(
+            took <= NOTIFICATION_DEADLINE,
+            "mustAskIn {must_ask_in} s: the last knows after {took} us"
+        );
     }
 }
 
@@ -459,11 +462,11 @@
         }
         let latency = if to == slow { 90 * MS } else { 20 * MS };
         b.now += latency;
-        b.event(Event::Answer {
+        b.event(Event::AttemptEnded {
             id,
             attempt: 0,
             server: to,
-            outcome: Outcome::Served,
+            outcome: Outcome::Success,
             latency,
             finished: true,
             report: report(0.0),
@@ -496,10 +499,10 @@
         let (id, out) = b.request(0);
         let first = sent(&out).expect("not shed");
         b.now += MS;
-        let out = b.answer(id, 0, first, Outcome::Full, 0.0);
+        let out = b.answer(id, 0, first, Outcome::Rejected, 0.0);
         let second = sent(&out).expect("tried elsewhere");
         b.now += 20 * MS;
-        b.answer(id, 1, second, Outcome::Served, 0.0);
+        b.answer(id, 1, second, Outcome::Success, 0.0);
     }
 }
 
@@ -518,8 +521,8 @@
         let (id, out) = b.request(0);
         let to = sent(&out).expect("sent");
         b.now += 20 * MS;
-        let out = b.answer(id, 0, to, Outcome::Served, 0.0);
-        if !out.contains(&Action::CloseIdle { server: to }) {
+        let out = b.answer(id, 0, to, Outcome::Success, 0.0);
+        if !out.contains(&Action::CloseIdleConnections { server: to }) {
             kept.insert(to.0);
         }
         b.now += 2 * S;
@@ -533,14 +536,14 @@
 #[test]
 fn a_cold_server_gets_no_retry() {
     for seed in 0..50 {
-        let cold = ServerEntry { started: START - S, ..server(0) };
+        let cold = ServerEntry { started_at: START - S, ..server(0) };
         let mut b = Bench::new(settings(|_| {}), seed, &[cold.clone(), server(1), server(2)]);
         let (id, mut out) = b.request(0);
         for attempt in 0.. {
             let Some(to) = sent(&out) else { break };
             assert!(attempt == 0 || to != cold.id, "attempt {attempt} went to the cold server");
             b.now += MS;
-            out = b.answer(id, attempt, to, Outcome::Full, 0.0);
+            out = b.answer(id, attempt, to, Outcome::Rejected, 0.0);
         }
     }
 }
@@ -549,7 +552,7 @@
 /// there instead is no more than the sum of many like it may bring to cold servers.
 #[test]
 fn cold_servers_stand_in_for_home_within_their_due() {
-    let cold = |n| ServerEntry { started: START - S, ..server(n) };
+    let cold = |n| ServerEntry { started_at: START - S, ..server(n) };
     let served = |listed: &[ServerEntry]| {
         let mut served = 0;
         for seed in 0..20 {
@@ -560,7 +563,7 @@
                 b.now += MS;
                 let (id, out) = b.request(2);
                 let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) else { continue };
-                b.answer(id, 0, to, Outcome::Served, 0.0);
+                b.answer(id, 0, to, Outcome::Success, 0.0);
             }
             b.now += 400 * MS;
             for _ in 0..50 {
@@ -568,7 +571,7 @@
                 let (id, out) = b.request(2);
                 if let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) {
                     served += 1;
-                    b.answer(id, 0, to, Outcome::Served, 0.0);
+                    b.answer(id, 0, to, Outcome::Success, 0.0);
                 }
             }
         }
@@ -597,11 +600,11 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::Answer {
+            b.event(Event::AttemptEnded {
                 id,
                 attempt: 0,
                 server: to,
-                outcome: Outcome::Served,
+                outcome: Outcome::Success,
                 latency,
                 finished: true,
                 report: report(1.0),
@@ -629,11 +632,11 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::Answer {
+            b.event(Event::AttemptEnded {
                 id,
                 attempt: 0,
                 server: to,
-                outcome: Outcome::Served,
+                outcome: Outcome::Success,
                 latency,
                 finished: true,
                 report: report(1.0),
@@ -663,7 +666,7 @@
                 let (id, out) = b.request_for(77);
                 let to = sent(&out).expect("sent");
                 b.now += S;
-                b.answer(id, 0, to, Outcome::Served, 0.0);
+                b.answer(id, 0, to, Outcome::Success, 0.0);
                 *met.entry(to).or_insert(0_u64) += 1;
             }
         }
@@ -707,7 +710,7 @@
         let mut told = Vec::new();
         for _ in 0..20 {
             let (_, out) = b.request(0);
-            let Some(Action::Refuse { retry_after, .. }) = out.last() else {
+            let Some(Action::Reject { retry_after, .. }) = out.last() else {
                 panic!("nothing to send to: {out:?}");
             };
             told.push(*retry_after);
@@ -727,7 +730,7 @@
     b.now += 200 * MS;
     for (id, out) in &open {
         for action in out {
-            let Action::Timer { token, delay } = *action else { continue };
+            let Action::SetTimer { token, delay } = *action else { continue };
             if delay <= 200 * MS {
                 let late = b.event(Event::Timer { token });
                 let called_off = late.iter().any(|a| matches!(a, Action::Cancel { .. }));
@@ -739,7 +742,7 @@
 
 #[test]
 fn a_single_failure_puts_no_server_out() {
-    for outcome in [Outcome::Reset, Outcome::Error] {
+    for outcome in [Outcome::ConnectionReset, Outcome::ErrorResponse] {
         let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
         for _ in 0..20 {
             b.round(0, 0.0);
@@ -764,7 +767,7 @@
         let to = sent(&out).expect("the other one is sound");
         to_sick += usize::from(to == sick);
         b.now += 5 * MS;
-        let outcome = if to == sick { Outcome::Reset } else { Outcome::Served };
+        let outcome = if to == sick { Outcome::ConnectionReset } else { Outcome::Success };
         b.answer(id, 0, to, outcome, 0.0);
     }
     assert!((3..10).contains(&to_sick), "{to_sick} of 200 went to it");
@@ -779,7 +782,7 @@
         let dead = sent(&out).expect("sent");
         let out = b.answer(id, 0, dead, Outcome::ConnectFailed, 0.0);
         let second = sent(&out).expect("it never ran, and others are there");
-        b.answer(id, 1, second, Outcome::Served, 0.0);
+        b.answer(id, 1, second, Outcome::Success, 0.0);
     }
 }
 
@@ -792,7 +795,7 @@
         let to = sent(&out).unwrap_or_else(|| panic!("request {n} found no server"));
         b.now += 5 * MS;
         // Three of four fail, whatever the server.
-        let outcome = if n % 4 == 0 { Outcome::Served } else { Outcome::Reset };
+        let outcome = if n % 4 == 0 { Outcome::Success } else { Outcome::ConnectionReset };
         b.answer(id, 0, to, outcome, 0.0);
     }
 }
@@ -806,14 +809,14 @@
     for n in 0..400 {
         let (id, out) = b.request(0);
         timers.extend(out.iter().filter_map(|a| match *a {
-            Action::Timer { delay, token } => Some((b.now + delay, token)),
+            Action::SetTimer { delay, token } => Some((b.now + delay, token)),
             _ => None,
         }));
         match sent(&out) {
             // One in five is never answered; the others are, at once.
             Some(to) if n % 5 > 0 => {
                 b.now += 5 * MS;
-                b.answer(id, 0, to, Outcome::Served, 0.0);
+                b.answer(id, 0, to, Outcome::Success, 0.0);
             }
             Some(to) => lost.push((b.now + S, id, to)),
             None => shed += 1,
@@ -849,10 +852,10 @@
             let (id, out) = b.request(0);
             let first = sent(&out).expect("a server");
             b.now += 20 * MS;
-            let out = b.answer(id, 0, first, Outcome::Reset, 0.0);
+            let out = b.answer(id, 0, first, Outcome::ConnectionReset, 0.0);
             if let Some(second) = sent(&out) {
                 repeated += 1;
-                b.answer(id, 1, second, Outcome::Served, 0.0);
+                b.answer(id, 1, second, Outcome::Success, 0.0);
             }
         }
         repeated
@@ -877,17 +880,17 @@
                 id,
                 class: 0,
                 tenant: 0,
-                key: 0,
-                left,
-                hint: None,
-                repeat: false,
-                beyond: false,
+                affinity_key: 0,
+                time_left: left,
+                work_hint: None,
+                client_retry: false,
+                over_quota: false,
             }));
             b.now += 20 * MS;
             match sent(&out) {
                 Some(to) => {
                     sends += 1;
-                    b.answer(id, 0, to, Outcome::Served, 0.0);
+                    b.answer(id, 0, to, Outcome::Success, 0.0);
                 }
                 None => assert!(refused(&out), "{out:?}"),
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -99,7 +99,7 @@
     fn check(&mut self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.check_attempt(id, server, timeout),
-            Action::Refuse { id, .. } => {
+            Action::Reject { id, .. } => {
                 let request = self.request_mut(id);
                 let harmless = CLASSES[request.class] == ClassKind::Idempotent
                     || request.attempts.iter().all(|attempt| attempt.never_ran);
@@ -110,7 +110,7 @@
             Action::Cancel { id, attempt } => {
                 assert!(attempt < self.requests[&id].attempts.len(), "an attempt never made");
             }
-            Action::Timer { delay, token } => {
+            Action::SetTimer { delay, token } => {
                 self.timers.insert((self.now + delay.max(1), token));
             }
             _ => {}
@@ -159,11 +159,11 @@
         attempt.in_flight = false;
         attempt.never_ran = outcome.never_ran();
         let (server, latency) = (attempt.server, now - attempt.at);
-        if outcome == Outcome::Served && request.is_open() {
+        if outcome == Outcome::Success && request.is_open() {
             request.final_answers = 1;
         }
         let finished = !request.is_open();
-        self.handle_event(Event::Answer {
+        self.handle_event(Event::AttemptEnded {
             id,
             attempt: index,
             server,
@@ -235,17 +235,20 @@
                 let entries: Vec<_> =
                     (0..SERVER_COUNT).filter(|n| mask & (1 << n) != 0).map(server).collect();
                 self.ready_servers = entries.iter().map(|entry| entry.id).collect();
-                self.handle_event(Event::Servers { kind: ListKind::Whole, entries: &entries });
+                self.handle_event(Event::EndpointUpdate {
+                    kind: ListKind::Complete,
+                    entries: &entries,
+                });
             }
             Step::ClientGone { request } => {
                 let mut open = self.requests.iter().filter(|(_, request)| request.is_open());
                 if let Some(id) = open.nth(request).map(|(&id, _)| id) {
                     self.request_mut(id).client_gone = true;
-                    self.handle_event(Event::ClientGone { id });
+                    self.handle_event(Event::ClientDisconnected { id });
                 }
             }
             Step::DiscoveryFails => {
-                self.handle_event(Event::Servers { kind: ListKind::Failed, entries: &[] });
+                self.handle_event(Event::EndpointUpdate { kind: ListKind::Failed, entries: &[] });
             }
         }
     }
@@ -264,11 +267,11 @@
             id,
             class,
             tenant: 0,
-            key: number % 5,
-            left: time_left,
-            hint: None,
-            repeat: number.is_multiple_of(3),
-            beyond: number.is_multiple_of(5),
+            affinity_key: number % 5,
+            time_left,
+            work_hint: None,
+            client_retry: number.is_multiple_of(3),
+            over_quota: number.is_multiple_of(5),
         }));
     }
 
@@ -280,27 +283,27 @@
         }
         let (id, index) = in_flight[attempt % in_flight.len()];
         let outcome = [
-            Outcome::Served,
-            Outcome::Error,
-            Outcome::Full,
+            Outcome::Success,
+            Outcome::ErrorResponse,
+            Outcome::Rejected,
             Outcome::ConnectFailed,
-            Outcome::Reset,
-            Outcome::Moot,
+            Outcome::ConnectionReset,
+            Outcome::NotSent,
         ][usize::from(outcome) % 6];
         self.end_attempt(id, index, outcome, queue);
     }
 
     fn change_health(&mut self, server: u64, health: u8, restart: bool) {
-        let health = [Health::Ready, Health::Draining, Health::Gone][usize::from(health)];
+        let health = [Health::Ready, Health::Draining, Health::Removed][usize::from(health)];
         let mut entry = with_health(server, health);
         if restart {
-            entry.started = self.now;
+            entry.started_at = self.now;
         }
         match health {
             Health::Ready => self.ready_servers.insert(entry.id),
             _ => self.ready_servers.remove(&entry.id),
         };
-        self.handle_event(Event::Servers { kind: ListKind::Changes, entries: &[entry] });
+        self.handle_event(Event::EndpointUpdate { kind: ListKind::Delta, entries: &[entry] });
     }
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -68,11 +68,11 @@
                 id: RequestId(CALL),
                 class: 0,
                 tenant: 0,
-                key: 0x91f0_3b7c_55d2_0a64,
-                left: 240_000,
-                hint: Some(12_000),
-                repeat: false,
-                beyond: false,
+                affinity_key: 0x91f0_3b7c_55d2_0a64,
+                time_left: 240_000,
+                work_hint: Some(12_000),
+                client_retry: false,
+                over_quota: false,
             }),
             Record::Ring(77),
             Record::On(5),
@@ -82,7 +82,7 @@
     let mut reply = Reply::default();
     reply.at(3);
     reply.action(&Action::Send { id: RequestId(CALL), server: ServerId(SERVER), timeout: 80_000 });
-    reply.action(&Action::Timer { delay: 500_000, token: 77 });
+    reply.action(&Action::SetTimer { delay: 500_000, token: 77 });
     reply.at(5);
     reply.action(&Action::Log { text: "two servers known".into() });
     let mut out = Vec::new();
@@ -115,11 +115,11 @@
     };
     assert_eq!(entries.len(), 2);
     assert_eq!(entries[0].id, ServerId(SERVER));
-    assert_eq!((entries[0].power, entries[0].started), (1.0, 0));
-    assert_eq!((entries[1].zone, entries[1].power), (1, 1.5));
-    assert_eq!(entries[1].started, 0x5d_1420);
+    assert_eq!((entries[0].weight, entries[0].started_at), (1.0, 0));
+    assert_eq!((entries[1].zone, entries[1].weight), (1, 1.5));
+    assert_eq!(entries[1].started_at, 0x5d_1420);
     assert_eq!(entries[1].health, Health::Ready);
-    assert_eq!(records[2], Record::Directory { kind: ListKind::Remembered, list: 0 });
+    assert_eq!(records[2], Record::Directory { kind: ListKind::Cached, list: 0 });
 }
 
 #[test]
@@ -138,7 +138,7 @@
             id: RequestId(CALL),
             attempt: 0,
             server: ServerId(SERVER),
-            outcome: Outcome::Served,
+            outcome: Outcome::Success,
             latency: 18_500,
             finished: true,
             report: LoadReport([7.0, 0.62, 3.0].into_iter().collect()),
@@ -150,7 +150,7 @@
 fn tell_puts_its_bytes_in_the_tail() {
     let mut reply = Reply::default();
     reply.at(3);
-    reply.action(&Action::Tell { peer: lb_sidecar::wire::ALL_PEERS, data: b"hi 7".to_vec() });
+    reply.action(&Action::SendToPeer { peer: lb_sidecar::wire::ALL_PEERS, data: b"hi 7".to_vec() });
     let mut out = Vec::new();
     reply.finish(&mut out);
     let mut expected = bytes("3c000000 02000000");
