Config distribution: tests and their cluster in plain terms, a module for scripted peers

Change: the cluster of processes, its partitions and hosts, and the scripted peers of the compatibility test have names of the field; the peers stand in a module of their own; a bool that cut and healed is two functions. No assert is changed.

--- a/crates/config-distribution/tests/common/mod.rs
+++ b/crates/config-distribution/tests/common/mod.rs
@@ -1,12 +1,12 @@
-//! Origins and control machines as processes of the program, hosts of this process, and faults between them.
-#![allow(dead_code, reason = "each user needs a part of it")]
+//! A cluster of origins and control servers as processes, hosts in this process, and faults between them.
+#![allow(dead_code, reason = "each test file needs a part of it")]
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -29,7 +29,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-/// A process of the program. It ends with its handle.
+/// A process of lb-config. It ends with its handle.
 pub struct Program {
     child: Child,
 }
@@ -63,134 +63,141 @@
     }
 }
 
-/// All machines set aside for control, some of them behind relays that can be cut.
-pub struct Mesh {
+/// Origins and control servers as processes, with relays between them that can be cut.
+pub struct Cluster {
     pub folder: Folder,
     pub origins: BTreeMap<u8, Program>,
-    pub controls: Vec<Option<Program>>,
+    /// The control servers; `None` while one does not run.
+    pub servers: Vec<Option<Program>>,
     network: Network,
     _relays: Vec<Relay>,
-    /// Where each origin is, and where each control machine finds it.
-    origin_at: Vec<SocketAddr>,
-    found_at: Vec<Vec<SocketAddr>>,
-    control_at: Vec<SocketAddr>,
+    origin_addresses: Vec<SocketAddr>,
+    /// For each control server, the relays through which it reaches the origins.
+    relay_addresses: Vec<Vec<SocketAddr>>,
+    server_addresses: Vec<SocketAddr>,
 }
 
-impl Mesh {
-    /// So many control machines, all new, and origin 0.
-    pub fn start(controls: usize) -> Mesh {
+/// The most origins of a cluster.
+const MAX_ORIGINS: usize = 3;
+
+impl Cluster {
+    /// New control servers, and origin 0.
+    pub fn start(servers: usize) -> Cluster {
         let ip = unique_loopback_address();
-        let reserved: Vec<_> =
-            (0..controls + 3).map(|_| ReservedPort::new(ip).expect("a free port")).collect();
-        let at: Vec<SocketAddr> = reserved.iter().map(|r| r.address).collect();
-        let (origin_at, control_at) = (at[..3].to_vec(), at[3..].to_vec());
+        let reserved: Vec<_> = (0..servers + MAX_ORIGINS)
+            .map(|_| ReservedPort::new(ip).expect("a free port"))
+            .collect();
+        let addresses: Vec<SocketAddr> = reserved.iter().map(|port| port.address).collect();
+        let (origin_addresses, server_addresses) = addresses.split_at(MAX_ORIGINS);
         drop(reserved);
         let network = Network::new(Links::default(), 1);
-        let mut relays = Vec::new();
-        let mut found_at = Vec::new();
-        for n in 0..controls {
-            let of: Vec<_> = origin_at
-                .iter()
-                .map(|at| {
-                    let (from, to) = (Node::Sidecar(n as u16), Node::Discovery);
-                    let relay = Relay::start_to(network.clone(), from, to, *at);
-                    let relay = fakes::runtime().block_on(relay).expect("a free port");
-                    let at = relay.address;
-                    relays.push(relay);
-                    at
-                })
-                .collect();
-            found_at.push(of);
-        }
-        let mut mesh = Mesh {
-            folder: Folder::new("mesh"),
+        let relays: Vec<Vec<Relay>> =
+            (0..servers).map(|n| start_relays(&network, n, origin_addresses)).collect();
+        let relay_addresses =
+            relays.iter().map(|of| of.iter().map(|r| r.address).collect()).collect();
+        let mut cluster = Cluster {
+            folder: Folder::new("cluster"),
             origins: BTreeMap::new(),
-            controls: (0..controls).map(|_| None).collect(),
+            servers: (0..servers).map(|_| None).collect(),
             network,
-            _relays: relays,
-            origin_at,
-            found_at,
-            control_at,
+            _relays: relays.into_iter().flatten().collect(),
+            origin_addresses: origin_addresses.to_vec(),
+            relay_addresses,
+            server_addresses: server_addresses.to_vec(),
         };
-        (0..controls).for_each(|n| mesh.control(n, true));
-        mesh.origin(0);
-        mesh
+        (0..servers).for_each(|n| cluster.start_server(n, &["--new"]));
+        cluster.start_origin(0);
+        cluster
     }
 
-    pub fn origin(&mut self, number: u8) {
+    pub fn start_origin(&mut self, number: u8) {
         let mut arguments = vec![
             "origin".to_owned(),
-            format!("--listen={}", self.origin_at[usize::from(number)]),
+            format!("--listen={}", self.origin_address(number)),
             format!("--number={number}"),
         ];
-        arguments.extend(self.members(None).iter().map(|m| format!("--member={m}")));
+        let members = self.member_arguments(None);
+        arguments.extend(members.iter().map(|member| format!("--member={member}")));
         let log = self.folder.path().join(format!("origin-{number}.log"));
         self.origins.insert(number, Program::start(&arguments, &log));
     }
 
-    pub fn control(&mut self, n: usize, new: bool) {
+    /// Starts a control server again, with the state that it has on disk, if any.
+    pub fn restart_server(&mut self, n: usize) {
+        self.start_server(n, &[]);
+    }
+
+    fn start_server(&mut self, n: usize, options: &[&str]) {
         let mut arguments = vec![
             "control".to_owned(),
-            format!("--listen={}", self.control_at[n]),
+            format!("--listen={}", self.server_addresses[n]),
             format!("--name=c{n}"),
-            format!("--state={}", self.state(n).display()),
+            format!("--state={}", self.state_dir(n).display()),
         ];
-        arguments.extend(self.found_at[n].iter().map(|at| format!("--origin={at}")));
-        arguments.extend(self.members(Some(n)).iter().map(|m| format!("--other={m}")));
-        if new {
-            arguments.push("--new".to_owned());
-        }
+        arguments.extend(self.relay_addresses[n].iter().map(|at| format!("--origin={at}")));
+        let others = self.member_arguments(Some(n));
+        arguments.extend(others.iter().map(|other| format!("--other={other}")));
+        arguments.extend(options.iter().map(|option| (*option).to_owned()));
         let log = self.folder.path().join(format!("control-{n}.log"));
-        self.controls[n] = Some(Program::start(&arguments, &log));
+        self.servers[n] = Some(Program::start(&arguments, &log));
     }
 
-    pub fn state(&self, n: usize) -> PathBuf {
+    /// The directory of a control server's state.
+    pub fn state_dir(&self, n: usize) -> PathBuf {
         self.folder.path().join(format!("c{n}"))
     }
 
-    /// The members, as arguments have them.
-    pub fn members(&self, but: Option<usize>) -> Vec<String> {
-        let all = self.control_at.iter().enumerate().filter(|(n, _)| Some(*n) != but);
-        all.map(|(n, at)| format!("c{n}={at}")).collect()
+    /// The control servers but one, as arguments have them.
+    pub fn member_arguments(&self, except: Option<usize>) -> Vec<String> {
+        let members = self.server_addresses.iter().enumerate();
+        let members = members.filter(|(n, _)| Some(*n) != except);
+        members.map(|(n, address)| format!("c{n}={address}")).collect()
     }
 
-    /// Parts these control machines from all origins, or no longer.
-    pub fn cut(&self, of: &[usize], cut: bool) {
+    /// Cuts these control servers, and no others, off from all origins.
+    pub fn partition(&self, servers: &[usize]) {
         self.network.update(|links| {
             links.clear(0);
-            if cut {
-                links.inject(ActiveFault {
-                    fault: 0,
-                    from: of.iter().map(|n| Node::Sidecar(*n as u16)).collect(),
-                    to: [Node::Discovery].into(),
-                    both_directions: true,
-                    impairment: Impairment::cut(),
-                });
-            }
+            links.inject(ActiveFault {
+                fault: 0,
+                from: servers.iter().map(|n| Node::Sidecar(*n as u16)).collect(),
+                to: [Node::Discovery].into(),
+                both_directions: true,
+                impairment: Impairment::cut(),
+            });
         });
     }
 
-    /// Where an origin is.
-    pub fn origin_at(&self, number: u8) -> SocketAddr {
-        self.origin_at[usize::from(number)]
+    /// Ends the partition.
+    pub fn heal(&self) {
+        self.network.update(|links| links.clear(0));
     }
 
-    /// Asks an origin.
-    pub fn ask(&self, origin: u8, path: &str, body: Option<Value>) -> Result<Value, CallError> {
-        ask(self.origin_at[usize::from(origin)], path, body)
+    pub fn origin_address(&self, number: u8) -> SocketAddr {
+        self.origin_addresses[usize::from(number)]
     }
 
-    /// Asks a control machine.
-    pub fn ask_control(&self, n: usize, path: &str) -> Result<Value, CallError> {
-        ask(self.control_at[n], path, None)
+    /// Sends a request to an origin.
+    pub fn request_origin(
+        &self,
+        number: u8,
+        path: &str,
+        body: Option<Value>,
+    ) -> Result<Value, CallError> {
+        request(self.origin_address(number), path, body)
     }
 
-    /// Publishes until it is taken and committed.
+    /// Sends a request to a control server.
+    pub fn request_server(&self, n: usize, path: &str) -> Result<Value, CallError> {
+        request(self.server_addresses[n], path, None)
+    }
+
+    /// Publishes until the change is accepted and committed.
     pub fn publish(&self, origin: u8, key: &str, body: &Value) -> Generation {
         let mut generation = None;
         until(&format!("{key} is committed"), || {
-            let asked = Some(json!({"key": key, "body": body}));
-            let published = self.ask(origin, "/config/publish", asked);
+            let change = Some(json!({"key": key, "body": body}));
+            let published = self.request_origin(origin, "/config/publish", change);
             if let Err(CallError::Rejected { status: 400 | 413, reason }) = &published {
                 panic!("{reason}");
             }
@@ -200,51 +207,62 @@
         generation.expect("published")
     }
 
-    pub fn total(&self, origin: u8) -> TotalProgress {
-        let status = self.ask(origin, "/config/status", None).unwrap_or_default();
+    /// What an origin knows of all hosts.
+    pub fn progress(&self, origin: u8) -> TotalProgress {
+        let status = self.request_origin(origin, "/config/status", None).unwrap_or_default();
         serde_json::from_value(status["total"].clone()).unwrap_or_default()
     }
 
-    /// Waits until a change is in force at so many hosts; how long that took.
-    pub fn in_force(&self, origin: u8, generation: Generation, hosts: usize) -> Duration {
-        let began = Instant::now();
-        let mut last = TotalProgress::default();
-        until(&format!("{generation} is in force at {hosts}"), || {
-            last = self.total(origin);
-            last.is_applied_everywhere(generation)
-                && last.all.hosts == hosts
-                && last.all.applied == hosts
+    /// Waits until a change is applied on exactly so many hosts, and returns how long that took.
+    pub fn wait_until_applied(&self, origin: u8, generation: Generation, hosts: usize) -> Duration {
+        let started_at = Instant::now();
+        until(&format!("{generation} is applied on {hosts} hosts"), || {
+            let total = self.progress(origin);
+            total.is_applied_everywhere(generation)
+                && total.all.hosts == hosts
+                && total.all.applied == hosts
         });
-        began.elapsed()
+        started_at.elapsed()
     }
 
-    /// Starts hosts of this process that call these control machines.
-    pub fn hosts(&self, names: &[String], machines: &[usize]) -> Hosts {
-        let machines: Vec<_> = machines
-            .iter()
-            .map(|n| NamedAddress { name: format!("c{n}"), address: self.control_at[*n] })
-            .collect();
-        Hosts::start(names, machines)
+    /// Starts hosts in this process that watch these control servers.
+    pub fn start_hosts(&self, names: &[String], servers: &[usize]) -> Hosts {
+        let server =
+            |n: &usize| NamedAddress { name: format!("c{n}"), address: self.server_addresses[*n] };
+        Hosts::start(names, servers.iter().map(server).collect())
     }
 }
 
-pub fn ask(at: SocketAddr, path: &str, body: Option<Value>) -> Result<Value, CallError> {
+/// Starts the relays of one control server, one for each origin.
+fn start_relays(network: &Network, server: usize, origins: &[SocketAddr]) -> Vec<Relay> {
+    let start = |origin: &SocketAddr| {
+        let (from, to) = (Node::Sidecar(server as u16), Node::Discovery);
+        let relay = Relay::start_to(network.clone(), from, to, *origin);
+        fakes::runtime().block_on(relay).expect("a free port")
+    };
+    origins.iter().map(start).collect()
+}
+
+/// Sends one request on a connection of its own.
+pub fn request(address: SocketAddr, path: &str, body: Option<Value>) -> Result<Value, CallError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let body = body.map(|b| b.to_string().into_bytes());
+    let body = body.map(|body| body.to_string().into_bytes());
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        HttpClient::new(at).fetch_json(path, body, Duration::from_secs(8)).await
+        HttpClient::new(address).fetch_json(path, body, Duration::from_secs(8)).await
     })
 }
 
-pub fn names(what: &str, count: usize) -> Vec<String> {
-    (0..count).map(|n| format!("{what}-{n}")).collect()
+/// Names with a common prefix.
+pub fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("{prefix}-{n}")).collect()
 }
 
-/// What was put in force at one host, one after the other: the change, and `n` of its document `a`.
-pub type Seen = Arc<Mutex<Vec<(Generation, u64)>>>;
+/// What one host has applied, in order: the generation, and `n` of its document `a`.
+type AppliedLog = Arc<Mutex<Vec<(Generation, u64)>>>;
 
+/// A target that records what is applied.
 struct Recorder {
-    seen: Seen,
+    log: AppliedLog,
 }
 
 impl ConfigTarget for Recorder {
@@ -255,64 +273,68 @@
     async fn apply(&mut self, config: &ConfigSnapshot) -> ApplyOutcome {
         let of_a = config.documents.iter().find(|d| d.key.service == "a");
         let n = of_a.and_then(|d| d.body.as_ref()).and_then(|b| b.value()["n"].as_u64());
-        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        seen.push((config.generation, n.unwrap_or(0)));
+        entries(&self.log).push((config.generation, n.unwrap_or(0)));
         ApplyOutcome::Applied
     }
 }
 
-/// Hosts that write down what they put in force. They end with the handle.
+/// Hosts that record what they apply. They end with the handle.
 pub struct Hosts {
-    pub seen: Vec<Seen>,
+    logs: Vec<AppliedLog>,
     stop: watch::Sender<bool>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Hosts {
     fn start(names: &[String], servers: Vec<NamedAddress>) -> Hosts {
-        let seen: Vec<Seen> = names.iter().map(|_| Seen::default()).collect();
+        let logs: Vec<AppliedLog> = names.iter().map(|_| AppliedLog::default()).collect();
         let (stop, mut stopped) = watch::channel(false);
-        let (names, of) = (names.to_vec(), seen.clone());
+        let (names, host_logs) = (names.to_vec(), logs.clone());
         let thread = thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-                for (n, (name, seen)) in names.into_iter().zip(of).enumerate() {
+                for (n, (name, log)) in names.into_iter().zip(host_logs).enumerate() {
                     let interest =
                         Interest { services: ["a".to_owned()].into(), zone: "z".to_owned() };
                     let config =
                         Config { name, interest, servers: servers.clone(), seed: n as u64 };
-                    tokio::task::spawn_local(host::run(config, Recorder { seen }));
+                    tokio::task::spawn_local(host::run(config, Recorder { log }));
                 }
                 let _ = stopped.wait_for(|s| *s).await;
             });
         });
-        Hosts { seen, stop, thread: Some(thread) }
+        Hosts { logs, stop, thread: Some(thread) }
     }
 
-    /// Waits until all have this as the newest; nobody ever went back.
-    pub fn have(&self, n: u64) -> Duration {
-        let began = Instant::now();
-        let last =
-            |seen: &Seen| seen.lock().unwrap_or_else(PoisonError::into_inner).last().copied();
-        until(&format!("all have {n}"), || {
-            self.seen.iter().all(|s| last(s).is_some_and(|(_, of)| of == n))
-        });
-        self.never_went_back();
-        began.elapsed()
+    /// Waits until every host has applied the document with this `n` last, and returns how long that took. No host may
+    /// ever have gone back to an older one.
+    pub fn wait_until_applied(&self, n: u64) -> Duration {
+        let started_at = Instant::now();
+        let last = |log: &AppliedLog| entries(log).last().map(|(_, n)| *n);
+        until(&format!("all have {n}"), || self.logs.iter().all(|log| last(log) == Some(n)));
+        self.assert_never_older();
+        started_at.elapsed()
     }
 
-    pub fn never_went_back(&self) {
-        for seen in &self.seen {
-            let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
-            assert!(seen.windows(2).all(|w| w[0].0 < w[1].0 && w[0].1 <= w[1].1), "{seen:?}");
+    /// No host has applied something older than what it had.
+    pub fn assert_never_older(&self) {
+        for log in &self.logs {
+            let entries = entries(log);
+            let is_ordered = entries.windows(2).all(|w| w[0].0 < w[1].0 && w[0].1 <= w[1].1);
+            assert!(is_ordered, "{entries:?}");
         }
     }
 
-    pub fn puts(&self, n: usize) -> usize {
-        self.seen[n].lock().unwrap_or_else(PoisonError::into_inner).len()
+    /// How many configurations a host has applied.
+    pub fn applied_count(&self, host: usize) -> usize {
+        entries(&self.logs[host]).len()
     }
 }
 
+fn entries(log: &AppliedLog) -> MutexGuard<'_, Vec<(Generation, u64)>> {
+    log.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Drop for Hosts {
     fn drop(&mut self) {
         self.stop.send_replace(true);
--- a/crates/config-distribution/tests/hosts.rs
+++ b/crates/config-distribution/tests/hosts.rs
@@ -1,4 +1,4 @@
-//! Hosts with real sidecars: one that runs alone, and a fleet's daemon. Calls go on meanwhile.
+//! Hosts with real targets: a standalone sidecar under load, and a fleet's daemon.
 
 mod common;
 
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::thread;
 
-use common::{Mesh, Program};
+use common::{Cluster, Program};
 use fakes::program::built;
 use fakes::registry::{Entry, Registry};
 use fakes::scripted::Server;
@@ -19,9 +19,9 @@
 use local_cluster::{Host, Plan};
 use serde_json::{Value, json};
 
-/// A sidecar that runs alone, with a host beside it.
+/// A standalone sidecar with its host.
 struct StandaloneSidecar {
-    sidecar: Child,
+    process: Child,
     at: SocketAddr,
     base: PathBuf,
     config: PathBuf,
@@ -32,13 +32,13 @@
 
 impl Drop for StandaloneSidecar {
     fn drop(&mut self) {
-        let _ = self.sidecar.kill();
-        let _ = self.sidecar.wait();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
 impl StandaloneSidecar {
-    fn start(mesh: &Mesh) -> StandaloneSidecar {
+    fn start(cluster: &Cluster) -> StandaloneSidecar {
         let server = Server::echo();
         let registry = Registry::start(vec![Entry::new(server.at, "utrecht")]);
         let at = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
@@ -51,13 +51,13 @@
             "seed": "00000000000000a7", "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
             "settings": own,
         });
-        let folder = mesh.folder.path();
+        let folder = cluster.folder.path();
         let (base_path, config) = (folder.join("base.json"), folder.join("config.json"));
         std::fs::write(&base_path, base.to_string()).expect("written");
         std::fs::write(&config, base.to_string()).expect("written");
         let program = built("lb-sidecar", false).expect("the program");
         let log = std::fs::File::create(folder.join("sidecar.log")).expect("a log");
-        let sidecar = Command::new(&program)
+        let process = Command::new(&program)
             .env("LB_CONFIG", &config)
             .env_remove("LB_LISTEN")
             .stdin(Stdio::null())
@@ -66,13 +66,13 @@
             .expect("it starts");
         let mut arguments: Vec<String> =
             ["host", "--name=s0", "--zone=utrecht", "--service=logbook"].map(str::to_owned).into();
-        arguments.extend(mesh.members(None).iter().map(|m| format!("--control={m}")));
+        arguments.extend(cluster.member_arguments(None).iter().map(|m| format!("--control={m}")));
         arguments.push("alone".to_owned());
         arguments.push(format!("--base={}", base_path.display()));
         arguments.push(format!("--config={}", config.display()));
         let host = Program::start(&arguments, &folder.join("host.log"));
-        let alone = StandaloneSidecar {
-            sidecar,
+        let sidecar = StandaloneSidecar {
+            process,
             at,
             base: base_path,
             config,
@@ -80,8 +80,8 @@
             _registry: registry,
             _host: host,
         };
-        until("the sidecar is ready", || alone.get("/health/ready").starts_with("HTTP/1.1 200"));
-        alone
+        until("the sidecar is ready", || sidecar.get("/health/ready").starts_with("HTTP/1.1 200"));
+        sidecar
     }
 
     fn get(&self, path: &str) -> String {
@@ -104,8 +104,8 @@
     }
 }
 
-/// Asks one call after the other until told to stop; how many were answered by the server.
-fn call_on(at: SocketAddr, stop: &AtomicBool, served: &AtomicU64) {
+/// Sends one request after the other until it is stopped, and counts those that the server has answered.
+fn send_requests(at: SocketAddr, stop: &AtomicBool, served: &AtomicU64) {
     let mut socket = TcpStream::connect(at).expect("connected");
     socket.set_read_timeout(Some(PATIENCE)).expect("a time");
     let mut read = BufReader::new(socket.try_clone().expect("a second handle"));
@@ -125,10 +125,10 @@
     }
 }
 
-/// Tells the calls to end, also where the test has failed.
-struct Stop<'a>(&'a AtomicBool);
+/// Stops the requests when it is dropped, also where the test has failed.
+struct StopOnDrop<'a>(&'a AtomicBool);
 
-impl Drop for Stop<'_> {
+impl Drop for StopOnDrop<'_> {
     fn drop(&mut self) {
         self.0.store(true, Relaxed);
     }
@@ -136,55 +136,62 @@
 
 #[test]
 fn change_is_applied_live_and_invalid_configuration_changes_nothing() {
-    let mesh = Mesh::start(3);
-    mesh.publish(0, "logbook", &json!({"settings": {"limits": {"maxRetryAfter": 1_500_000}}}));
-    let alone = StandaloneSidecar::start(&mesh);
+    let cluster = Cluster::start(3);
+    cluster.publish(0, "logbook", &json!({"settings": {"limits": {"maxRetryAfter": 1_500_000}}}));
+    let sidecar = StandaloneSidecar::start(&cluster);
     let (stop, served) = (AtomicBool::new(false), AtomicU64::new(0));
     thread::scope(|scope| {
-        let calls = scope.spawn(|| call_on(alone.at, &stop, &served));
-        let ends = Stop(&stop);
-        let first = mesh.publish(0, "logbook@utrecht", &json!({"limits": {"sockets": 200}}));
-        until("it runs the change", || alone.state()["generation"].as_u64() >= Some(first));
-        mesh.in_force(0, first, 1);
-        let sound = std::fs::read_to_string(&alone.config).expect("there");
-        assert!(sound.contains("1500000") && sound.contains(r#""sockets":200"#), "{sound}");
-        // Foreign: values that no sidecar can use, in a key of their own, and of another shape.
-        let mut bad = json!({"settings": {"classes": settings(&classes(20.0))["classes"]}});
-        bad["settings"]["classes"][2]["deadline"] = 0.into();
-        mesh.publish(0, "logbook", &bad);
-        let mut why = String::new();
-        until("the operator sees who declined, and why", || {
-            let total = mesh.total(0);
-            why = total.lagging.first().map_or_else(String::new, |host| host.reason.clone());
-            total.all.failed == 1 && why.contains("classes[2].deadline")
+        let requests = scope.spawn(|| send_requests(sidecar.at, &stop, &served));
+        let stop_requests = StopOnDrop(&stop);
+        let first = cluster.publish(0, "logbook@utrecht", &json!({"limits": {"sockets": 200}}));
+        until("it runs the change", || sidecar.state()["generation"].as_u64() >= Some(first));
+        cluster.wait_until_applied(0, first, 1);
+        let applied_text = std::fs::read_to_string(&sidecar.config).expect("there");
+        assert!(
+            applied_text.contains("1500000") && applied_text.contains(r#""sockets":200"#),
+            "{applied_text}"
+        );
+        // A value that no sidecar can use.
+        let mut invalid = json!({"settings": {"classes": settings(&classes(20.0))["classes"]}});
+        invalid["settings"]["classes"][2]["deadline"] = 0.into();
+        cluster.publish(0, "logbook", &invalid);
+        let mut reason = String::new();
+        until("the operator sees which host failed, and why", || {
+            let total = cluster.progress(0);
+            reason = total.lagging.first().map_or_else(String::new, |host| host.reason.clone());
+            total.all.failed == 1 && reason.contains("classes[2].deadline")
         });
-        assert!(why.starts_with("declined"), "{why}");
-        assert!(alone.log().contains("classes[2].deadline"), "the log names the key");
-        assert_eq!(std::fs::read_to_string(&alone.config).expect("there"), sound);
-        // And one that only a new process could take over.
-        let shape =
+        assert!(reason.starts_with("declined"), "{reason}");
+        assert!(sidecar.log().contains("classes[2].deadline"), "the log names the key");
+        assert_eq!(std::fs::read_to_string(&sidecar.config).expect("there"), applied_text);
+        // A change that only a new process could apply.
+        let restart_only =
             json!({"settings": {"limits": {"maxRetryAfter": 1_500_000}, "zones": ["x", "y", "z"]}});
-        mesh.publish(0, "logbook", &shape);
-        until("it is declined by its key", || {
-            mesh.total(0).lagging.first().is_some_and(|host| host.reason.contains("settings.zones"))
+        cluster.publish(0, "logbook", &restart_only);
+        until("it is rejected by its key", || {
+            cluster
+                .progress(0)
+                .lagging
+                .first()
+                .is_some_and(|host| host.reason.contains("settings.zones"))
         });
-        // Spoilt on its way to the disk: the next sound one is taken over all the same.
-        std::fs::write(&alone.config, &sound[..sound.len() / 2]).expect("written");
-        let good = mesh.publish(
+        // The file is truncated: the next valid configuration is applied all the same.
+        std::fs::write(&sidecar.config, &applied_text[..applied_text.len() / 2]).expect("written");
+        let good = cluster.publish(
             0,
             "logbook",
             &json!({"settings": {"limits": {"maxRetryAfter": 900_000}}}),
         );
-        mesh.in_force(0, good, 1);
-        assert_eq!(alone.state()["generation"].as_u64(), Some(good));
-        assert!(std::fs::read_to_string(&alone.base).expect("there").contains("2000000"));
+        cluster.wait_until_applied(0, good, 1);
+        assert_eq!(sidecar.state()["generation"].as_u64(), Some(good));
+        assert!(std::fs::read_to_string(&sidecar.base).expect("there").contains("2000000"));
         let before = served.load(Relaxed);
-        until("calls go on", || served.load(Relaxed) > before + 20);
-        drop(ends);
-        calls.join().expect("every call was answered");
+        until("requests are still served", || served.load(Relaxed) > before + 20);
+        drop(stop_requests);
+        requests.join().expect("every request was answered");
     });
-    // Each call went to the server once.
-    let seen = alone.server.seen();
+    // Each request went to the server once.
+    let seen = sidecar.server.seen();
     assert_eq!(seen.len() as u64, served.load(Relaxed));
 }
 
@@ -194,58 +201,62 @@
     let host = Host::start(Plan { rollout: "watch_s = 0.1\nshare = 1.0".into(), ..plan });
     let host = host.expect("a host");
     host.wait(PATIENCE).expect("it serves");
-    let mesh = Mesh::start(3);
+    let cluster = Cluster::start(3);
     let base = host.path("settings-base.json");
     std::fs::copy(host.path("settings.json"), &base).expect("copied");
     let mut arguments: Vec<String> =
         ["host", "--name=host-1", "--zone=utrecht", "--service=logbook"].map(str::to_owned).into();
-    arguments.extend(mesh.members(None).iter().map(|m| format!("--control={m}")));
+    arguments.extend(cluster.member_arguments(None).iter().map(|m| format!("--control={m}")));
     let files = format!("logbook={}:{}", base.display(), host.path("settings.json").display());
     arguments.extend(["fleet".into(), format!("--state={}", host.state().display())]);
     arguments.push(format!("--settings={files}"));
-    let _program = Program::start(&arguments, &mesh.folder.path().join("host.log"));
+    let _program = Program::start(&arguments, &cluster.folder.path().join("host.log"));
     let limits = |retry: u64| json!({"settings": {"limits": {"maxRetryAfter": retry}}});
-    let first = mesh.publish(0, "logbook", &limits(1_200_000));
-    mesh.in_force(0, first, 1);
+    let first = cluster.publish(0, "logbook", &limits(1_200_000));
+    cluster.wait_until_applied(0, first, 1);
     assert!(host.settled());
     let text = |path: PathBuf| std::fs::read_to_string(path).expect("there");
     assert!(text(host.path("settings.json")).contains("1200000"));
-    // One that its program refuses, and one that is none of a fleet's.
-    mesh.publish(0, "logbook", &json!({"settings": {"limits": {"maxAttempts": "many"}}}));
-    until("it is declined", || mesh.total(0).all.failed == 1);
-    assert!(text(host.path("settings.json")).contains("1200000"), "what was in force stays");
-    mesh.publish(0, "logbook", &json!({"limits": {"sockets": 100}}));
-    until("it is declined by its key", || {
-        mesh.total(0).lagging.first().is_some_and(|host| host.reason.contains("limits: of a fleet"))
+    // One that the sidecar's check rejects, and one that sets more than settings.
+    cluster.publish(0, "logbook", &json!({"settings": {"limits": {"maxAttempts": "many"}}}));
+    until("it is rejected", || cluster.progress(0).all.failed == 1);
+    assert!(text(host.path("settings.json")).contains("1200000"), "the previous settings stay");
+    cluster.publish(0, "logbook", &json!({"limits": {"sockets": 100}}));
+    until("it is rejected by its key", || {
+        cluster
+            .progress(0)
+            .lagging
+            .first()
+            .is_some_and(|host| host.reason.contains("limits: of a fleet"))
     });
-    let last = mesh.publish(0, "logbook", &limits(1_300_000));
-    mesh.in_force(0, last, 1);
+    let last = cluster.publish(0, "logbook", &limits(1_300_000));
+    cluster.wait_until_applied(0, last, 1);
     assert!(host.settled() && host.instances().iter().all(|i| i.state == "serving"));
 }
 
-/// The operator's command: published, waited for, shown, refused.
+/// The operator's command: publish, wait, show, and a rejection.
 #[test]
 fn operator_command_publishes_waits_and_names_lagging_hosts() {
-    let mesh = Mesh::start(3);
-    let hosts = mesh.hosts(&common::names("h", 5), &[0, 1, 2]);
+    let cluster = Cluster::start(3);
+    let hosts = cluster.start_hosts(&common::names("h", 5), &[0, 1, 2]);
     let program = built("lbctl", false).expect("the program");
-    let origins = format!("--origin={},{}", mesh.origin_at(0), mesh.origin_at(1));
+    let origins = format!("--origin={},{}", cluster.origin_address(0), cluster.origin_address(1));
     let operator = |arguments: &[&str]| {
         let mut command = Command::new(&program);
         let output = command.args(["config", &origins]).args(arguments).output().expect("it runs");
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
         (output.status.code(), text(&output.stdout), text(&output.stderr))
     };
-    let file = mesh.folder.path().join("document.json");
+    let file = cluster.folder.path().join("document.json");
     std::fs::write(&file, r#"{"n": 1}"#).expect("written");
     let path = file.display().to_string();
     until("an origin leads", || {
-        mesh.ask(0, "/config/status", None).is_ok_and(|s| s["leading"] == true)
+        cluster.request_origin(0, "/config/status", None).is_ok_and(|s| s["leading"] == true)
     });
-    let (status, out, why) = operator(&["publish", "a", &path, "--within", "30s"]);
-    assert_eq!(status, Some(0), "{out}{why}");
-    hosts.have(1);
-    until("all are counted", || mesh.total(0).all.hosts == 5);
+    let (status, out, errors) = operator(&["publish", "a", &path, "--within", "30s"]);
+    assert_eq!(status, Some(0), "{out}{errors}");
+    hosts.wait_until_applied(1);
+    until("all are counted", || cluster.progress(0).all.hosts == 5);
     let (status, out, _) = operator(&["status"]);
     assert!(
         status == Some(0)
@@ -257,17 +268,17 @@
     );
     drop(hosts);
     std::fs::write(&file, r#"{"n": 2}"#).expect("written");
-    let (status, out, why) = operator(&["publish", "a", &path, "--within", "300ms"]);
-    assert!(status == Some(1) && why.contains("in force at 0 of 5"), "{out}{why}");
+    let (status, out, errors) = operator(&["publish", "a", &path, "--within", "300ms"]);
+    assert!(status == Some(1) && errors.contains("in force at 0 of 5"), "{out}{errors}");
     assert!(out.contains("behind: h-0 (z)"), "{out}");
     std::fs::write(&file, "{\"n\": ").expect("written");
-    let (status, _, why) = operator(&["publish", "a", &path]);
-    assert!(status == Some(1) && why.contains("not JSON"), "{why}");
+    let (status, _, errors) = operator(&["publish", "a", &path]);
+    assert!(status == Some(1) && errors.contains("not JSON"), "{errors}");
     std::fs::write(&file, format!("{{\"n\":\"{}\"}}", "x".repeat(300_000))).expect("written");
-    let (status, _, why) = operator(&["publish", "a", &path]);
-    assert!(status == Some(1) && why.contains("300008 bytes, 262144 at most"), "{why}");
+    let (status, _, errors) = operator(&["publish", "a", &path]);
+    assert!(status == Some(1) && errors.contains("300008 bytes, 262144 at most"), "{errors}");
     let (_, out, _) = operator(&["show", "a"]);
     assert!(out.contains(r#""n": 2"#), "{out}");
-    let mesh_gone = operator(&["--json", "wait", "99", "--within", "100ms"]);
-    assert_eq!(mesh_gone.0, Some(1));
+    let unknown = operator(&["--json", "wait", "99", "--within", "100ms"]);
+    assert_eq!(unknown.0, Some(1));
 }
--- a/crates/config-distribution/tests/support/mod.rs
+++ b/crates/config-distribution/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file needs a part of it")]
 
 pub mod behavior_hash;
+pub mod exchange;
 pub mod replication;
 
 use config_distribution::control::{ControlServer, ControlSettings, PersistentState};
