--- a/src/sidecar/discovery/poll.rs
+++ b/src/sidecar/discovery/poll.rs
@@ -11,8 +11,9 @@
 
 /// How long the service may hold a watch, and how long it may take to answer after that, or at once.
 ///
-/// What a silent watch missed counts as known 6 s after it fell silent: this leaves time to open
-/// another, and, if that fails, for the balancer's first backoff and a third call.
+/// By the protocol, the sidecar counts as knowing what a silent watch missed 6 s after it fell silent.
+/// These times leave room for a second watch and, if that fails, the balancer's first backoff and a
+/// third call.
 const HOLD: Duration = Duration::from_millis(2000);
 const PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -92,9 +93,10 @@
 impl<P: Runtime> Discovery<P> {
     /// Calls whenever the balancer asks for it.
     ///
-    /// That a watch has fallen silent is seen late in the time within which what it missed has to be
-    /// known, so it is reopened at once, once; the silence of one moment shows to each sidecar at
-    /// another. What breaks, breaks for all at once: then the balancer spreads their calls.
+    /// A silent watch is noticed late, when little is left of the time within which the sidecar has to know
+    /// what it missed. So it is reopened once without a backoff; sidecars notice at different times, which
+    /// spreads these calls. A connection that breaks does so for all sidecars at once, so then the backoff
+    /// of the balancer spreads the calls.
     pub(super) async fn run_polled(
         &mut self,
         listener: impl EndpointListener,
--- a/src/sidecar/discovery/push.rs
+++ b/src/sidecar/discovery/push.rs
@@ -31,9 +31,9 @@
 impl AgentTimeouts {
     /// For servers that may be sent requests for `grace` after they are known to want none.
     ///
-    /// What an agent has counts as known from the moment in which it responds again, or responds to
-    /// others, whatever became of this sidecar's call. All that passes until a call is answered has to
-    /// fit into `grace`. If that is some milliseconds, the agent is called that often.
+    /// By the protocol, a sidecar counts as knowing what its agent has as soon as the agent can be reached,
+    /// whatever became of the sidecar's own calls. The time until a call is answered therefore has to fit
+    /// into `grace`. With a `grace` of some milliseconds, the agent is called that often.
     pub(super) fn within(grace: Duration) -> AgentTimeouts {
         AgentTimeouts {
             hold: (grace / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD),
@@ -53,9 +53,9 @@
 impl<P: Runtime> Discovery<P> {
     /// Watches the list.
     ///
-    /// What the agent has counts as known, so there is always a watch in flight. A short hold costs
-    /// nothing here, and soon shows that the agent has fallen silent. A silent agent may never answer
-    /// what it was asked meanwhile, so it is called anew; one that is slow may finish beside that.
+    /// The sidecar counts as knowing what the agent has, so there is always a watch in flight. Short watches
+    /// cost nothing here, and soon show that the agent has stopped responding. Such an agent may never
+    /// answer the calls of that time, so another call is made; a slow one may still complete beside it.
     pub(super) async fn run_pushed(
         &mut self,
         listener: impl EndpointListener,
@@ -70,8 +70,8 @@
             let hedge_at = P::now() + hold.unwrap_or_default() + self.agent.hedge_after;
             let response = tokio::select! {
                 biased;
-                // Versions are each service's own, so a new one is asked for the complete list at once:
-                // what it has counts as known.
+                // Each service counts its own versions, so a new one is asked for the complete list, and at
+                // once, since the sidecar counts as knowing what it has.
                 true = address_changed(&mut address) => {
                     state = WatchState { full_list: true, slow_call: None };
                     self.version = 0;
@@ -119,9 +119,9 @@
                 *state = WatchState { full_list: true, slow_call: None };
                 Some(TOO_LONG_RETRY_DELAY)
             }
-            // An agent that was restarted may count its versions anew, up to one that stood for another
-            // list. What was missed is fetched in full, which costs nothing here. And if descriptors have
-            // run out, the older call may hold the one that the newer needs.
+            // An agent that was restarted may count its versions from the start again, and reach one that
+            // stood for another list. So the complete list is fetched, which costs nothing here. The slow
+            // call is dropped, since it may hold the last file descriptor, which the next call needs.
             Err(CallError::Broken) => {
                 *state = WatchState { full_list: true, slow_call: None };
                 Some(RETRY_DELAY.min(self.agent.hedge_after))
