Simulation: mutants in modules of their own, with typed errors

examples/mutants.rs becomes examples/mutants/ with the mutants, the copies of the workspace and the errors apart; Result<_, String> is gone. What it prints stays.

--- /dev/null
+++ b/crates/simulation/examples/mutants/workspace.rs
@@ -0,0 +1,157 @@
+//! Copies of the workspace, which are built and played.
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+use crate::error::Error;
+use crate::root;
+
+/// What of the workspace is copied.
+const COPIED: [&str; 5] = ["Cargo.toml", "Cargo.lock", "src", "crates", "README.md"];
+/// What of the workspace is not copied.
+const BUILD_FOLDER: &str = "target";
+/// The name of the tool.
+const TOOL: &str = "lb-simulation";
+/// Settings of the release profile with which a copy builds quickly. What is played is the same.
+const QUICK_BUILD: [(&str, &str); 4] =
+    [("LTO", "off"), ("CODEGEN_UNITS", "16"), ("INCREMENTAL", "true"), ("DEBUG", "0")];
+
+/// What a range of seeds came to.
+pub struct SeedsResult {
+    /// How many seeds broke a rule.
+    pub failed: u64,
+    /// Some of these seeds.
+    pub seeds: Vec<String>,
+    /// The rules that they broke.
+    pub rules: Vec<String>,
+}
+
+/// A copy of the workspace, which is removed when dropped.
+pub struct WorkspaceCopy {
+    folder: PathBuf,
+}
+
+impl Drop for WorkspaceCopy {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl WorkspaceCopy {
+    /// Copies the workspace into a temporary folder.
+    pub fn create(number: usize) -> Result<WorkspaceCopy, Error> {
+        let name = format!("mutants-{}-{number}", std::process::id());
+        let copy = WorkspaceCopy { folder: std::env::temp_dir().join(name) };
+        for part in COPIED {
+            copy_tree(&root().join(part), &copy.folder.join(part))?;
+        }
+        Ok(copy)
+    }
+
+    /// Where it is.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Builds the tool.
+    pub fn build_tool(&self) -> Result<(), Error> {
+        let arguments = ["build", "--quiet", "--release", "-p", "simulation", "--bin", TOOL];
+        let output = self.cargo(&arguments)?;
+        if output.status.success() { Ok(()) } else { Err(Error::Cargo(all_output(&output))) }
+    }
+
+    /// The names of a package's tests that fail.
+    pub fn failed_tests(&self, package: &str) -> Result<Vec<String>, Error> {
+        let arguments = ["test", "--release", "--no-fail-fast", "-p", package];
+        let built = self.cargo(&[&arguments[..], &["--quiet", "--no-run"]].concat())?;
+        if !built.status.success() {
+            return Err(Error::Cargo(all_output(&built)));
+        }
+        let output = all_output(&self.cargo(&arguments)?);
+        let failed = output
+            .lines()
+            .filter_map(|line| line.strip_prefix("test ")?.strip_suffix(" ... FAILED"))
+            .map(|name| name.rsplit("::").next().unwrap_or(name).to_owned());
+        Ok(failed.collect())
+    }
+
+    /// Plays the seeds from 0 to `count`.
+    pub fn run_seeds(&self, count: u64) -> Result<SeedsResult, Error> {
+        let text = self.tool(&["run", "--keep-going", "--seeds", &format!("0..{count}")])?;
+        let last = text.lines().last().unwrap_or_default();
+        let failed = last.rsplit("; ").next().and_then(|l| l.split(' ').next()?.parse().ok());
+        let failed = failed.ok_or_else(|| Error::NoCount(text.clone()))?;
+        let mut seeds = Vec::new();
+        let mut rules = Vec::new();
+        for line in text.lines() {
+            let Some((seed, rest)) = line.strip_prefix("seed ").and_then(|l| l.split_once(": "))
+            else {
+                continue;
+            };
+            if let Some((rule, _)) = rest.split_once(" broken at ") {
+                seeds.push(seed.to_owned());
+                rules.push(rule.to_owned());
+            }
+        }
+        rules.sort_unstable();
+        rules.dedup();
+        Ok(SeedsResult { failed, seeds, rules })
+    }
+
+    /// What the tool prints when it plays a seed.
+    pub fn play(&self, seed: &str) -> Result<String, Error> {
+        self.tool(&["play", seed])
+    }
+
+    /// Shrinks a seed, and returns how many faults are left.
+    pub fn shrink(&self, seed: &str) -> Result<usize, Error> {
+        let file = self.folder.join("shrunk.toml");
+        self.tool(&["shrink", seed, "--to", &file.display().to_string()])?;
+        let scenario = fs::read_to_string(&file).map_err(Error::file(&file))?;
+        Ok(scenario.matches("[[faults]]").count())
+    }
+
+    /// Runs cargo in the copy.
+    fn cargo(&self, arguments: &[&str]) -> Result<Output, Error> {
+        let program = std::env::var_os("CARGO").unwrap_or(OsString::from("cargo"));
+        let mut command = Command::new(&program);
+        command.args(arguments).current_dir(&self.folder);
+        command.env("CARGO_TARGET_DIR", self.folder.join(BUILD_FOLDER));
+        for (name, value) in QUICK_BUILD {
+            command.env(format!("CARGO_PROFILE_RELEASE_{name}"), value);
+        }
+        let program = program.to_string_lossy().into_owned();
+        command.output().map_err(|source| Error::Start { program, source })
+    }
+
+    /// Runs the tool, and returns what it prints.
+    fn tool(&self, arguments: &[&str]) -> Result<String, Error> {
+        let path = self.folder.join(BUILD_FOLDER).join("release").join(TOOL);
+        let output = Command::new(path).args(arguments).stderr(Stdio::null()).output();
+        let output = output.map_err(|source| Error::Start { program: TOOL.to_owned(), source })?;
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+}
+
+fn all_output(output: &Output) -> String {
+    [&output.stdout, &output.stderr].map(|text| String::from_utf8_lossy(text)).concat()
+}
+
+/// Copies a file, or a folder without the results of builds.
+fn copy_tree(from: &Path, to: &Path) -> Result<(), Error> {
+    if let Some(folder) = to.parent() {
+        fs::create_dir_all(folder).map_err(Error::file(folder))?;
+    }
+    if from.is_file() {
+        return fs::copy(from, to).map(drop).map_err(Error::file(from));
+    }
+    fs::create_dir_all(to).map_err(Error::file(to))?;
+    for entry in fs::read_dir(from).map_err(Error::file(from))?.flatten() {
+        if entry.file_name() != BUILD_FOLDER {
+            copy_tree(&entry.path(), &to.join(entry.file_name()))?;
+        }
+    }
+    Ok(())
+}
