--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -67,13 +67,13 @@
     /// The index of its tenant in the settings.
     pub tenant: usize,
     /// Its affinity key; 0 without one.
-    pub key: u64,
+    pub affinity_key: u64,
     /// How long the client will wait.
     pub time_left: Duration,
     /// The client's estimate of the work.
-    pub hint: Option<Micros>,
+    pub work_hint: Option<Micros>,
     /// The client sends it again.
-    pub is_retry: bool,
+    pub client_retry: bool,
 }
 
 /// A request that the driver has taken.
@@ -114,7 +114,9 @@
 
     /// Whether the request may be sent again after it may have been executed.
     pub(super) fn is_retryable(&self) -> bool {
-        self.message.as_ref().is_some_and(|message| message.repeat != RetrySafety::NonIdempotent)
+        self.message
+            .as_ref()
+            .is_some_and(|message| message.retry_safety != RetrySafety::NonIdempotent)
     }
 
     /// Frees what attempts send: no further one is made, and none that waits for a connection is sent.
@@ -165,10 +167,10 @@
             id,
             class: info.class,
             tenant: info.tenant,
-            affinity_key: info.key,
+            affinity_key: info.affinity_key,
             time_left: time_left.as_micros() as Micros,
-            work_hint: info.hint,
-            client_retry: info.is_retry,
+            work_hint: info.work_hint,
+            client_retry: info.client_retry,
             over_quota: !within_quota,
         }));
         RequestHandle { id, driver: self.clone(), outcome }
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -49,7 +49,7 @@
     info: RequestInfo,
     /// What identifies it to servers.
     correlation_id: &'a str,
-    repeat: RetrySafety,
+    retry_safety: RetrySafety,
 }
 
 /// A request's body, or as much of it as is read before the request is forwarded.
@@ -97,7 +97,7 @@
         request: Request<Incoming>,
     ) -> Result<RequestOutcome, RequestError> {
         let (head, body) = request.into_parts();
-        let ParsedRequest { mut info, correlation_id, repeat } = self.parse(&head)?;
+        let ParsedRequest { mut info, correlation_id, retry_safety } = self.parse(&head)?;
         info.time_left = self.remaining_time(connection, info.time_left);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
@@ -118,7 +118,7 @@
         let streams = upload.is_some();
         connection.enter(if streams { Phase::StreamingRequest } else { Phase::AwaitingResponse });
         let message = UpstreamRequest {
-            repeat,
+            retry_safety,
             method: head.method.clone(),
             target: head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default(),
             headers: end_to_end_headers(&head.headers),
@@ -218,12 +218,12 @@
         let info = RequestInfo {
             class: class.index,
             tenant,
-            key: request_key(&head.headers).unwrap_or(0),
+            affinity_key: request_key(&head.headers).unwrap_or(0),
             time_left: Duration::from_millis(left_ms.into()),
-            hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
-            is_retry: text("x-repeat")? == Some("1"),
+            work_hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
+            client_retry: text("x-repeat")? == Some("1"),
         };
-        Ok(ParsedRequest { info, correlation_id, repeat: class.repeat })
+        Ok(ParsedRequest { info, correlation_id, retry_safety: class.repeat })
     }
 }
 
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -89,7 +89,7 @@
         // That the second copy was not executed says nothing about the first, which was sent in full.
         if self.resent
             && result.outcome.never_ran()
-            && self.request.repeat != RetrySafety::Idempotent
+            && self.request.retry_safety != RetrySafety::Idempotent
         {
             result.outcome = Outcome::ConnectionReset;
         }
@@ -189,7 +189,7 @@
         let was_stale = connection.reused
             && observer.response_active_at().is_none()
             && P::elapsed_since(sent_at) < STALE_CONNECTION_TIMEOUT;
-        match (was_stale && self.request.repeat != RetrySafety::NonIdempotent, sent) {
+        match (was_stale && self.request.retry_safety != RetrySafety::NonIdempotent, sent) {
             (true, true) => AfterBreak::Resend,
             (true, false) => AfterBreak::Reconnect,
             (false, true) => AfterBreak::End(Outcome::ConnectionReset),
@@ -211,7 +211,7 @@
     let observer = connection.observer.clone();
     let message = build_message(connection, request, time_left);
     // An idempotent request need not wait for a test: if the connection is gone, it is sent once more.
-    let test_duration = match request.repeat {
+    let test_duration = match request.retry_safety {
         RetrySafety::NonIdempotent => connection.test_duration(),
         _ => None,
     };
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -96,7 +96,7 @@
 
 fn health_check_request(path: &'static str) -> UpstreamRequest {
     UpstreamRequest {
-        repeat: RetrySafety::Idempotent,
+        retry_safety: RetrySafety::Idempotent,
         method: Method::GET,
         target: hyper::Uri::from_static(path),
         headers: HeaderMap::new(),
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -21,7 +21,7 @@
 /// A client's request in the form in which servers get it, kept for retries.
 pub struct UpstreamRequest {
     /// Whether it may be sent again once it may have been executed.
-    pub repeat: RetrySafety,
+    pub retry_safety: RetrySafety,
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
