Fleet: shorter steps in the planner's slots and in its simulated host

Cause: one function took eight arguments, one of the test's sixty lines and more, and some names were left over from the house style.

Change: the planner asks in one place whether a slot may be started; the test's changes of the desired state are a typed Change, its faults are functions of their own; the program's help says what its files are. No behaviour changes, and no assert is lost.

--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -8,9 +8,9 @@
 use logging::{Format, Options};
 use tokio::task::LocalSet;
 
-/// Keeps many sidecars of one host in their desired state, through reloads, upgrades, crashes and its own death.
+/// Keeps the sidecars of one host in their desired state, through reloads, upgrades, crashes and its own end.
 ///
-/// SIGHUP reads the desired state again; SIGTERM drains all instances and ends, a second one hurries.
+/// SIGHUP reads the desired state again; SIGTERM drains all instances and ends, a second one kills them.
 #[derive(Parser)]
 #[command(name = "lb-fleet", version)]
 struct Arguments {
@@ -28,19 +28,19 @@
 enum Task {
     /// Run the daemon in the foreground. Status 2: it could not begin.
     Run {
-        /// What is desired.
+        /// The file of the desired state.
         #[arg(long, default_value_os_t = fleet::paths::default_specification())]
         file: PathBuf,
-        /// Where the state lies: listeners, generations, the control socket. Its owner's only.
+        /// The state directory: stored state, programs, sockets. Only its owner can access it.
         #[arg(long, default_value_os_t = fleet::paths::default_state())]
         state: PathBuf,
     },
     /// Check a specification without running it. Status 2: it cannot be used.
     Check {
-        /// What is desired.
+        /// The file of the desired state.
         file: PathBuf,
     },
-    /// Keep listeners for a daemon; started by it.
+    /// Keep copies of the listeners for a daemon, which starts this.
     #[command(hide = true)]
     Hold,
 }
@@ -51,12 +51,12 @@
         Task::Run { file, state } => Options::or_env(arguments.log_format, arguments.log_filter)
             .and_then(|log| run(&file, &state, &log)),
         Task::Check { file } => check(&file),
-        Task::Hold => fleet::socket_holder::run().map_err(|e| e.to_string()),
+        Task::Hold => fleet::socket_holder::run().map_err(|error| error.to_string()),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("lb-fleet: {e}");
+        Err(error) => {
+            eprintln!("lb-fleet: {error}");
             ExitCode::from(2)
         }
     }
@@ -65,13 +65,13 @@
 fn run(file: &Path, state: &Path, log: &Options) -> Result<(), String> {
     log.start()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
     let daemon = fleet::daemon::run(file, state, log.environment());
-    LocalSet::new().block_on(&runtime, daemon).map_err(|e| e.to_string())
+    LocalSet::new().block_on(&runtime, daemon).map_err(|error| error.to_string())
 }
 
 fn check(file: &Path) -> Result<(), String> {
-    fleet::spec::Spec::read(file).map_err(|e| e.to_string())?;
+    fleet::spec::Spec::read(file).map_err(|error| error.to_string())?;
     println!("{}: sound", file.display());
     Ok(())
 }
--- a/crates/fleet/src/planner/backoff.rs
+++ b/crates/fleet/src/planner/backoff.rs
@@ -68,7 +68,7 @@
 
 impl Planner {
     /// Whether a slot's backoff is over.
-    pub(super) fn may_start(&self, now: Duration, slot: &str) -> bool {
+    pub(super) fn backoff_is_over(&self, now: Duration, slot: &str) -> bool {
         self.backoffs.get(slot).is_none_or(|backoff| backoff.not_before <= now)
     }
 
--- a/crates/fleet/src/planner/slots.rs
+++ b/crates/fleet/src/planner/slots.rs
@@ -91,7 +91,14 @@
         }
         match self.slot_goal(desired, slot, &serving) {
             SlotGoal::Run(generation) if serving.is_empty() => {
-                self.start(now, desired, slot, processes, generation, budget, actions);
+                // A process that was killed may still be there, and two would serve one slot.
+                let is_dying = |process: &&ObservedProcess| {
+                    self.issued(process).is_some_and(|issued| issued.command == Command::Kill)
+                };
+                if !processes.iter().any(is_dying) && self.can_start(now, desired, slot, budget) {
+                    budget.starts -= 1;
+                    actions.push(Action::Start { slot: slot.to_owned(), generation });
+                }
             }
             SlotGoal::Run(generation) => {
                 self.converge(now, desired, serving, generation, budget, actions);
@@ -166,27 +173,17 @@
         }
     }
 
-    /// Starts a process of a slot that has none.
-    #[expect(clippy::too_many_arguments, reason = "the planner's inputs and outputs of one call")]
-    fn start(
-        &mut self,
+    /// Whether a process of a slot may be started now.
+    fn can_start(
+        &self,
         now: Duration,
         desired: &DesiredState,
         slot: &str,
-        processes: &[&ObservedProcess],
-        generation: Generation,
-        budget: &mut Budget,
-        actions: &mut Vec<Action>,
-    ) {
-        // A process that was killed may still be there, and two would serve one slot.
-        let is_dying = processes
-            .iter()
-            .any(|process| self.issued(process).is_some_and(|i| i.command == Command::Kill));
-        let is_blocked = desired.blocked_slots.contains(slot);
-        if self.may_start(now, slot) && !is_dying && budget.starts > 0 && !is_blocked {
-            budget.starts -= 1;
-            actions.push(Action::Start { slot: slot.to_owned(), generation });
-        }
+        budget: &Budget,
+    ) -> bool {
+        budget.starts > 0
+            && self.backoff_is_over(now, slot)
+            && !desired.blocked_slots.contains(slot)
     }
 
     /// Brings a slot with serving processes to one that runs `generation`.
@@ -274,8 +271,7 @@
             self.issue(now, process, Command::Reload(generation), actions);
             return;
         }
-        let is_blocked = desired.blocked_slots.contains(&process.slot);
-        if self.may_start(now, &process.slot) && budget.starts > 0 && !is_blocked {
+        if self.can_start(now, desired, &process.slot, budget) {
             budget.moves -= usize::from(!already_counted);
             budget.starts -= 1;
             actions.push(Action::Start { slot: process.slot.clone(), generation });
--- a/crates/fleet/tests/planner/main.rs
+++ b/crates/fleet/tests/planner/main.rs
@@ -16,6 +16,7 @@
 use fleet::stall::Stall;
 
 use decision_hash::DecisionHash;
+use faults::Change;
 use world::{BAD, Bad, SimulatedProcess, World};
 
 /// The hash of everything that the planner was given and decided with seeds 0 to 99. Only a commit
@@ -60,20 +61,24 @@
 
 #[test]
 fn good_generation_is_rolled_out_to_one_canary_and_then_in_waves() {
-    for (needs_restart, program) in [(false, false), (true, false), (false, true)] {
+    for (needs_restart, new_program) in [(false, false), (true, false), (false, true)] {
         let mut world = settled_world(20);
-        world.change_desired(None, needs_restart, program);
-        let mut most_before = 0;
+        world.change_desired(Change { bad: None, needs_restart, new_program });
+        let mut moved_before_waves = 0;
         while world.completed.is_empty() {
-            let moved = world.processes.values().filter(|s| s.process.generation == 2).count();
+            let moved = world
+                .processes
+                .values()
+                .filter(|simulated| simulated.process.generation == 2)
+                .count();
             if !world.planner.rollout_progress().is_some_and(|p| p.waves) {
-                most_before = most_before.max(moved);
+                moved_before_waves = moved_before_waves.max(moved);
             }
             world.step();
             world.check(world.now < Duration::from_secs(300), "not settled");
         }
         world.run_to_the_desired_state();
-        assert_eq!((most_before, world.completed), (1, vec![2]));
+        assert_eq!((moved_before_waves, world.completed), (1, vec![2]));
         assert!(world.rolled_back.is_empty());
     }
 }
@@ -82,12 +87,13 @@
 fn bad_generation_reaches_the_canary_only_and_is_rolled_back() {
     for bad in BAD {
         let mut world = settled_world(20);
-        world.change_desired(Some(bad), true, true);
+        world.change_desired(Change { bad: Some(bad), needs_restart: true, new_program: true });
         let mut touched = BTreeSet::new();
         while world.rolled_back.is_empty() {
             world.step();
-            let new = world.processes.values().filter(|s| s.process.generation == 2);
-            touched.extend(new.map(|s| s.process.slot.clone()));
+            let new =
+                world.processes.values().filter(|simulated| simulated.process.generation == 2);
+            touched.extend(new.map(|simulated| simulated.process.slot.clone()));
             world.check(world.now < Duration::from_secs(120), "not rolled back");
         }
         if bad == Bad::Ends {
@@ -120,11 +126,7 @@
     for _ in 0..120 {
         world.step();
     }
-    assert_eq!(
-        world.planner.slot_health(world.now, &slot).failures,
-        0,
-        "forgiven once it is stable"
-    );
+    assert_eq!(world.planner.slot_health(world.now, &slot).failures, 0, "reset once it is stable");
 }
 
 #[test]
@@ -139,8 +141,8 @@
 fn graceful_shutdown_drains_and_immediate_shutdown_kills() {
     for (shutdown, seconds) in [(Shutdown::Graceful, 8), (Shutdown::Immediate, 2)] {
         let mut world = settled_world(10);
-        for s in world.processes.values_mut() {
-            s.ignores_signals = true;
+        for simulated in world.processes.values_mut() {
+            simulated.ignores_signals = true;
         }
         world.desired.shutdown = Some(shutdown);
         let end = world.now + Duration::from_secs(seconds);
@@ -154,7 +156,7 @@
 #[test]
 fn restarted_daemon_leaves_adopted_processes_alone_until_they_report() {
     let mut world = settled_world(10);
-    world.change_desired(None, false, false);
+    world.change_desired(Change::default());
     world.run_to_the_desired_state();
     let before: Vec<u64> = world.processes.keys().copied().collect();
     // All run generation 2, and were started with 1.
@@ -171,10 +173,10 @@
     let before: Vec<u64> = world.processes.keys().copied().collect();
     for _ in 0..3 {
         world.now += Duration::from_secs(3600);
-        // The first look comes before any report.
-        let facts: Vec<ObservedProcess> =
+        // The first call comes before any report.
+        let observed: Vec<ObservedProcess> =
             world.processes.values().map(SimulatedProcess::observed).collect();
-        assert_eq!(world.planner.reconcile(world.now, &world.desired, &facts), Vec::new());
+        assert_eq!(world.planner.reconcile(world.now, &world.desired, &observed), Vec::new());
         world.run_to_the_desired_state();
     }
     assert_eq!(world.processes.keys().copied().collect::<Vec<_>>(), before);
@@ -187,10 +189,10 @@
     {
         let mut world = settled_world(5);
         let id = *world.processes.keys().next().expect("it serves");
-        let s = world.processes.get_mut(&id).expect("it is there");
-        (s.hung, s.visible_stall) = (true, visible_stall);
+        let simulated = world.processes.get_mut(&id).expect("it is there");
+        (simulated.hung, simulated.visible_stall) = (true, visible_stall);
         let began = world.now;
-        while world.processes.get(&id).is_some_and(|s| !s.killed) {
+        while world.processes.get(&id).is_some_and(|simulated| !simulated.killed) {
             world.step();
             world.check(world.now < began + Duration::from_secs(10), "never killed");
         }
--- a/crates/fleet/tests/planner/world.rs
+++ b/crates/fleet/tests/planner/world.rs
@@ -134,6 +134,7 @@
         }
     }
 
+    /// Fails the test, with the last entries of the log.
     pub fn fail(&self, what: &str) -> ! {
         let from = self.log.len().saturating_sub(60);
         panic!("seed {}, at {:?}: {what}\n{}", self.seed, self.now, self.log[from..].join("\n"));
@@ -145,10 +146,12 @@
         }
     }
 
+    /// Draws true with a probability of `share`.
     pub fn chance(&mut self, share: f64) -> bool {
         self.rng.random_bool(share)
     }
 
+    /// Draws a time between two numbers of milliseconds.
     pub fn millis(&mut self, from: u64, to: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(from..to))
     }
@@ -206,11 +209,12 @@
         }
     }
 
+    /// The processes of a slot.
     pub fn processes_of<'a>(
         &'a self,
         slot: &'a str,
     ) -> impl Iterator<Item = &'a SimulatedProcess> + 'a {
-        self.processes.values().filter(move |s| s.process.slot == slot)
+        self.processes.values().filter(move |simulated| simulated.process.slot == slot)
     }
 
     /// Checks an action, and carries it out.
@@ -324,6 +328,7 @@
         self.desired.slots.retain(|slot| !added.contains(slot));
     }
 
+    /// Starts a process of a slot; sometimes that fails.
     pub fn start(&mut self, slot: &str, generation: u64) {
         let now = self.now;
         if self.faults_are_on() && self.chance(0.05) {
@@ -371,13 +376,14 @@
         self.processes.insert(self.next, sim);
     }
 
+    /// Tells a process to drain; one that hangs or ignores signals does not.
     pub fn begin_draining(&mut self, id: u64) {
         let (now, drains) = (self.now, self.millis(100, 3000));
-        let s = self.processes.get_mut(&id).expect("it is there");
-        s.told_to_end = true;
-        if !s.ignores_signals && !s.hung {
-            s.process.draining = true;
-            s.ends_at.get_or_insert(now + drains);
+        let simulated = self.processes.get_mut(&id).expect("it is there");
+        simulated.told_to_end = true;
+        if !simulated.ignores_signals && !simulated.hung {
+            simulated.process.draining = true;
+            simulated.ends_at.get_or_insert(now + drains);
         }
     }
 
@@ -388,19 +394,24 @@
             .max(1);
         let moving = self.desired.slots.iter().filter(|slot| {
             let serving: Vec<&SimulatedProcess> =
-                self.processes_of(slot).filter(|s| s.is_serving()).collect();
-            serving.len() > 1 || serving.iter().any(|s| s.reload.is_some() && !s.hung)
+                self.processes_of(slot).filter(|simulated| simulated.is_serving()).collect();
+            serving.len() > 1
+                || serving.iter().any(|simulated| simulated.reload.is_some() && !simulated.hung)
         });
         let moving = moving.count();
         // Moves that an earlier daemon started_with go on beside those that its successor begins.
         let fresh = self.now
             < self.limit_exceeded_since + self.policy.ready_timeout + Duration::from_secs(3);
         self.check(fresh || moving <= limit, &format!("{moving} moving, {limit} allowed"));
-        let starting =
-            self.processes.values().filter(|s| s.is_serving() && !s.process.ready).count();
+        let starting = self
+            .processes
+            .values()
+            .filter(|simulated| simulated.is_serving() && !simulated.process.ready)
+            .count();
         self.check(starting <= self.policy.max_concurrent_starts, "too many starting");
     }
 
+    /// An error unless the desired state is reached.
     pub fn check_reached(&self) -> Result<(), String> {
         if self.desired.target != self.desired.stable {
             return Err("the rollout is not over".into());
@@ -414,10 +425,14 @@
                 return Err(format!("{slot} does not serve the target: {one:?}"));
             }
         }
-        let stray = self.processes.values().find(|s| !self.desired.slots.contains(&s.process.slot));
-        stray.map_or(Ok(()), |s| Err(format!("{} is still there", s.process.slot)))
+        let stray = self
+            .processes
+            .values()
+            .find(|simulated| !self.desired.slots.contains(&simulated.process.slot));
+        stray.map_or(Ok(()), |simulated| Err(format!("{} is still there", simulated.process.slot)))
     }
 
+    /// Runs until the desired state is reached, and checks that it stays so.
     pub fn run_to_the_desired_state(&mut self) {
         let end = self.now + SETTLE_TIMEOUT;
         while let Err(reason) = self.check_reached() {
