Config distribution: times are durations in place of numbers of milliseconds

Cause: times and spans of the decisions were plain numbers, with their unit in a comment. Change: `Duration` throughout; the one span that is sent keeps its name and its unit (`silent_ms`).

--- a/crates/config-distribution/src/control.rs
+++ b/crates/config-distribution/src/control.rs
@@ -5,6 +5,7 @@
 mod recovery;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +14,7 @@
 use crate::replica::{Replica, Selection, Update, Version};
 use crate::replication::{LogRequest, LogResponse, PromiseResponse};
 use crate::watch::{LongPoll, Rejected, WatchRequest, WatchResponse};
-use crate::{Epoch, Generation, Incarnation, Millis, quorum};
+use crate::{Epoch, Generation, Incarnation, quorum};
 
 use hosts::HostRegistry;
 use recovery::Recovery;
@@ -215,7 +216,7 @@
     /// # Errors
     ///
     /// The request is not valid, or this server cannot serve the host now.
-    pub fn register(&mut self, request: &WatchRequest, now: Millis) -> Result<(), Rejected> {
+    pub fn register(&mut self, request: &WatchRequest, now: Duration) -> Result<(), Rejected> {
         HostRegistry::validate(request)?;
         if self.recovery.is_some() && self.state.replica.committed() == 0 {
             return Err(Rejected::Recovering);
@@ -228,7 +229,7 @@
         &mut self,
         request: &WatchRequest,
         long_poll: LongPoll,
-        now: Millis,
+        now: Duration,
     ) -> Option<WatchResponse> {
         let replica = &self.state.replica;
         let generation = replica.committed();
@@ -248,13 +249,13 @@
     }
 
     /// Marks hosts that another control server has heard from more recently.
-    pub fn mark_moved(&mut self, hosts: &[String], now: Millis) {
+    pub fn mark_moved(&mut self, hosts: &[String], now: Duration) {
         self.hosts.mark_moved(hosts, now);
     }
 
     /// Summarizes which hosts are up to date, for the origin that is followed. Arrivals and departures are reported
     /// once.
-    pub fn report_progress(&mut self, now: Millis) -> ProgressReport {
+    pub fn report_progress(&mut self, now: Duration) -> ProgressReport {
         self.hosts.report(&self.name, &self.state.replica, now)
     }
 
--- a/crates/config-distribution/src/control/hosts.rs
+++ b/crates/config-distribution/src/control/hosts.rs
@@ -2,17 +2,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::Duration;
 
+use crate::Generation;
 use crate::documents::{Interest, is_valid_name};
 use crate::progress::{HostArrival, LaggingHost, MAX_LAGGING_HOSTS, ProgressReport, ZoneProgress};
 use crate::replica::Replica;
 use crate::watch::{ApplyFailure, MAX_SERVICES, Rejected, WatchRequest};
-use crate::{Generation, Millis};
 
 /// A host without a request for so long is silent. Long polls are a fraction of that.
-const SILENT_AFTER: Millis = 6_000;
+const SILENT_AFTER: Duration = Duration::from_secs(6);
 /// A host that was silent for so long is forgotten.
-const FORGOTTEN_AFTER: Millis = 15 * 60_000;
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(15 * 60);
 /// The most arrivals, and the most departures, in one report.
 const MAX_REPORTED_CHANGES: usize = 1000;
 /// The longest stored reason of a failure, in characters.
@@ -24,20 +25,20 @@
     interest: Interest,
     applied: Generation,
     failure: Option<ApplyFailure>,
-    last_seen: Millis,
+    last_seen: Duration,
     /// What was sent since its last request.
     sent: Option<Generation>,
     /// Since when another control server is known to serve it.
-    moved_at: Option<Millis>,
+    moved_at: Option<Duration>,
 }
 
 impl HostEntry {
     /// How long the host has been silent.
-    fn silence(&self, now: Millis) -> Millis {
+    fn silence(&self, now: Duration) -> Duration {
         now.saturating_sub(self.last_seen)
     }
 
-    fn lag_cause(&self, now: Millis) -> LagCause<'_> {
+    fn lag_cause(&self, now: Duration) -> LagCause<'_> {
         match (&self.failure, self.sent) {
             (Some(failure), _) => LagCause::Failed(failure),
             _ if self.silence(now) > SILENT_AFTER => LagCause::Silent,
@@ -104,7 +105,11 @@
     }
 
     /// Takes in a valid request.
-    pub(super) fn register(&mut self, request: &WatchRequest, now: Millis) -> Result<(), Rejected> {
+    pub(super) fn register(
+        &mut self,
+        request: &WatchRequest,
+        now: Duration,
+    ) -> Result<(), Rejected> {
         if !self.hosts.contains_key(&request.host) {
             self.make_room(now)?;
             self.arrived.insert(request.host.clone());
@@ -130,7 +135,7 @@
     }
 
     /// Forgets silent hosts if there is no room for another one.
-    fn make_room(&mut self, now: Millis) -> Result<(), Rejected> {
+    fn make_room(&mut self, now: Duration) -> Result<(), Rejected> {
         if self.hosts.len() >= self.max_hosts {
             self.forget_silent(SILENT_AFTER, now);
         }
@@ -141,7 +146,7 @@
     }
 
     /// Forgets the hosts that have been silent for longer than `limit`.
-    fn forget_silent(&mut self, limit: Millis, now: Millis) {
+    fn forget_silent(&mut self, limit: Duration, now: Duration) {
         let silent: Vec<String> = self
             .hosts
             .iter()
@@ -160,7 +165,7 @@
     }
 
     /// Records that a host was answered, and which generation it was sent, if any.
-    pub(super) fn record_response(&mut self, name: &str, sent: Option<Generation>, now: Millis) {
+    pub(super) fn record_response(&mut self, name: &str, sent: Option<Generation>, now: Duration) {
         if let Some(host) = self.hosts.get_mut(name) {
             host.last_seen = now;
             host.sent = sent;
@@ -168,7 +173,7 @@
     }
 
     /// Marks hosts that another control server has heard from more recently.
-    pub(super) fn mark_moved(&mut self, names: &[String], now: Millis) {
+    pub(super) fn mark_moved(&mut self, names: &[String], now: Duration) {
         for name in names {
             if let Some(host) = self.hosts.get_mut(name) {
                 host.moved_at = Some(now);
@@ -187,7 +192,7 @@
         &mut self,
         server: &str,
         replica: &Replica,
-        now: Millis,
+        now: Duration,
     ) -> ProgressReport {
         self.forget_silent(FORGOTTEN_AFTER, now);
         self.hosts
@@ -208,7 +213,7 @@
     fn progress(
         &self,
         replica: &Replica,
-        now: Millis,
+        now: Duration,
     ) -> (BTreeMap<String, ZoneProgress>, Vec<LaggingHost>) {
         let mut zones: BTreeMap<&str, ZoneProgress> = BTreeMap::new();
         let mut lagging = Vec::new();
@@ -239,11 +244,11 @@
         (zones, lagging)
     }
 
-    fn arrival(&self, host: String, now: Millis) -> HostArrival {
+    fn arrival(&self, host: String, now: Duration) -> HostArrival {
         let entry = self.hosts.get(&host);
-        let silent_ms = entry.map_or(Millis::MAX, |entry| entry.silence(now));
+        let silent_for = entry.map_or(HostArrival::UNKNOWN, |entry| entry.silence(now));
         let zone = entry.map_or_else(String::new, |entry| entry.interest.zone.clone());
-        HostArrival { host, zone, silent_ms }
+        HostArrival { host, zone, silent_for }
     }
 }
 
--- a/crates/config-distribution/src/host.rs
+++ b/crates/config-distribution/src/host.rs
@@ -2,36 +2,38 @@
 //! configuration that is older than the applied one.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
+use crate::Generation;
 use crate::documents::{Document, DocumentKey, Interest};
 use crate::watch::{ApplyFailure, WatchRequest, WatchResponse};
-use crate::{Generation, Millis};
 
-/// How long a control server may hold a watch request, in milliseconds.
+/// How long a control server may hold a watch request.
 ///
 /// A server that is stopped keeps its connections open and says nothing, and a change waits meanwhile. The hold, the
 /// response timeout, the jitter and one more request have to fit into the time within which a change is to be
 /// applied. A shorter hold costs requests: one for each hold and host.
-pub const WATCH_HOLD: Millis = 2_500;
-/// How long a response may take after the hold, in milliseconds.
-pub const RESPONSE_TIMEOUT: Millis = 1_000;
-/// The jitter over which hosts that have lost one server together reconnect to others, in milliseconds.
-pub const RECONNECT_JITTER: Millis = 1_500;
-/// The backoff where no server answers, from the first to the longest.
-const INITIAL_BACKOFF: Millis = 250;
-const MAX_BACKOFF: Millis = 2_000;
+pub const WATCH_HOLD: Duration = Duration::from_millis(2_500);
+/// How long a response may take after the hold.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The jitter over which hosts that have lost one server together reconnect to others.
+pub const RECONNECT_JITTER: Duration = Duration::from_millis(1_500);
+/// The backoff after the first failure. It doubles with each further one.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
+/// The longest backoff.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// The most doublings of the backoff, so that the shift cannot overflow.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 /// A server that failed is avoided for so long.
-const AVOID_AFTER_FAILURE: Millis = 5_000;
+const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(5);
 /// A configuration that could not be applied for a passing reason is retried after so long.
-const REAPPLY_DELAY: Millis = 2_000;
+const REAPPLY_DELAY: Duration = Duration::from_secs(2);
 /// A host that is not at its preferred server tries it again after so long, and up to twice that.
-const PREFERRED_RETRY_INTERVAL: Millis = 20_000;
+const PREFERRED_RETRY_INTERVAL: Duration = Duration::from_secs(20);
 
 /// All documents for one host, as of one generation.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -53,7 +55,7 @@
     /// Wait.
     Wait {
         /// Until then.
-        until: Millis,
+        until: Duration,
     },
     /// Retry to apply a configuration.
     Apply(ConfigSnapshot),
@@ -85,7 +87,7 @@
     /// The index in the list of servers.
     server: usize,
     /// It failed, and is avoided until then.
-    avoided_until: Millis,
+    avoided_until: Duration,
 }
 
 /// A host.
@@ -96,15 +98,16 @@
     candidates: Vec<Candidate>,
     /// The server that is watched, by its position among the candidates.
     current: Option<usize>,
-    next_watch_at: Millis,
+    next_watch_at: Duration,
     failures: u32,
-    retry_preferred_at: Millis,
+    /// When the preferred server is tried again, if another one is watched.
+    retry_preferred_at: Option<Duration>,
     /// The generation that was received last.
     received: Generation,
     applied: Generation,
     failure: Option<ApplyFailure>,
     /// When the configuration is applied again that could not be applied.
-    reapply_at: Option<Millis>,
+    reapply_at: Option<Duration>,
     documents: BTreeMap<DocumentKey, Document>,
     rng: Pcg64Mcg,
 }
@@ -121,6 +124,12 @@
     hash ^ hash >> 31
 }
 
+/// A random time below `limit`, in whole milliseconds.
+fn random_below(rng: &mut Pcg64Mcg, limit: Duration) -> Duration {
+    let limit = (limit.as_millis() as u64).max(1);
+    Duration::from_millis(rng.next_u64() % limit)
+}
+
 impl Host {
     /// A host that knows these control servers by name. `applied` is what is applied, as far as it is known.
     ///
@@ -138,8 +147,8 @@
         order.sort_by_key(|server| std::cmp::Reverse(weight(server)));
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ stable_hash([name.as_bytes(), b""]));
         // Hosts that start together are spread, too.
-        let next_watch_at = rng.next_u64() % RECONNECT_JITTER;
-        let candidate = |server| Candidate { server, avoided_until: 0 };
+        let next_watch_at = random_below(&mut rng, RECONNECT_JITTER);
+        let candidate = |server| Candidate { server, avoided_until: Duration::ZERO };
         let documents = applied.documents.into_iter();
         Host {
             name,
@@ -148,7 +157,7 @@
             current: None,
             next_watch_at,
             failures: 0,
-            retry_preferred_at: 0,
+            retry_preferred_at: None,
             // The stored documents may not be all that it subscribes to now, if it calls other services since.
             received: 0,
             applied: applied.generation,
@@ -160,8 +169,8 @@
     }
 
     /// A random time below `limit`.
-    fn jitter(&mut self, limit: Millis) -> Millis {
-        self.rng.next_u64() % limit.max(1)
+    fn jitter(&mut self, limit: Duration) -> Duration {
+        random_below(&mut self.rng, limit)
     }
 
     /// The applied generation.
@@ -185,14 +194,15 @@
     }
 
     /// What to do next.
-    pub fn next_action(&mut self, now: Millis) -> HostAction {
+    pub fn next_action(&mut self, now: Duration) -> HostAction {
         if self.reapply_at.is_some_and(|at| at <= now) {
             return HostAction::Apply(self.snapshot());
         }
         if now < self.next_watch_at {
             return HostAction::Wait { until: self.next_watch_at };
         }
-        if self.is_away() && now >= self.retry_preferred_at {
+        let is_retry_due = self.retry_preferred_at.is_none_or(|at| now >= at);
+        if self.is_away() && is_retry_due {
             self.schedule_preferred_retry(now);
             self.current = None;
         }
@@ -214,9 +224,9 @@
         self.current.is_some_and(|current| current > 0)
     }
 
-    fn schedule_preferred_retry(&mut self, now: Millis) {
+    fn schedule_preferred_retry(&mut self, now: Duration) {
         let jitter = self.jitter(PREFERRED_RETRY_INTERVAL);
-        self.retry_preferred_at = now + PREFERRED_RETRY_INTERVAL + jitter;
+        self.retry_preferred_at = Some(now + PREFERRED_RETRY_INTERVAL + jitter);
     }
 
     /// The request that it sends next.
@@ -231,9 +241,9 @@
     }
 
     /// Takes in that a watch request failed.
-    pub fn watch_failed(&mut self, failure: WatchFailure, now: Millis) {
+    pub fn watch_failed(&mut self, failure: WatchFailure, now: Duration) {
         let Some(current) = self.current.take() else { return };
-        let longest = MAX_BACKOFF * self.candidates.len() as Millis / 2;
+        let longest = MAX_BACKOFF * self.candidates.len() as u32 / 2;
         self.candidates[current].avoided_until = now + AVOID_AFTER_FAILURE.min(longest);
         // If all servers fail, none is avoided: otherwise nobody would be watched when they are back.
         if self.candidates.iter().all(|candidate| candidate.avoided_until > now) {
@@ -251,14 +261,15 @@
     }
 
     /// The longest delay after the present number of failures.
-    fn backoff(&self) -> Millis {
-        (INITIAL_BACKOFF << self.failures.min(MAX_BACKOFF_DOUBLINGS)).min(MAX_BACKOFF)
+    fn backoff(&self) -> Duration {
+        let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
+        (INITIAL_BACKOFF * (1 << doublings)).min(MAX_BACKOFF)
     }
 
     /// Takes in a response. Returns the configuration that is to be applied now, if there is a new one.
-    pub fn receive(&mut self, response: WatchResponse, now: Millis) -> Option<ConfigSnapshot> {
+    pub fn receive(&mut self, response: WatchResponse, now: Duration) -> Option<ConfigSnapshot> {
         self.failures = 0;
-        if self.is_away() && self.retry_preferred_at == 0 {
+        if self.is_away() && self.retry_preferred_at.is_none() {
             self.schedule_preferred_retry(now);
         }
         if response.generation < self.received.max(self.applied) {
@@ -284,7 +295,7 @@
     }
 
     /// Takes in the outcome of applying a configuration.
-    pub fn record_outcome(&mut self, generation: Generation, outcome: ApplyOutcome, now: Millis) {
+    pub fn record_outcome(&mut self, generation: Generation, outcome: ApplyOutcome, now: Duration) {
         (self.reapply_at, self.failure) = (None, None);
         match outcome {
             ApplyOutcome::Applied => self.applied = generation,
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -5,7 +5,7 @@
 //! connection is a watch as the protocol page has it: a version, a long poll, then changes or a snapshot.
 //!
 //! `documents`, `replica`, `origin`, `control`, `progress` and `host` decide: they do no I/O and know no clock but the
-//! time that is passed in. `net` owns sockets, files and processes. `docs/design/distribution.md` gives the reasons.
+//! time that is passed in, a `Duration` on a monotonic clock that starts anywhere. `net` owns sockets, files and processes. `docs/design/distribution.md` gives the reasons.
 
 pub mod control;
 pub mod document_set;
@@ -18,8 +18,7 @@
 pub mod replication;
 pub mod watch;
 
-/// A time or a span in milliseconds, on a monotonic clock that starts anywhere.
-pub type Millis = u64;
+use std::time::Duration;
 
 /// The number of a change, over all epochs. A higher one is newer.
 pub type Generation = u64;
@@ -32,7 +31,7 @@
 pub type Incarnation = u64;
 
 /// The longest long poll that is granted.
-pub const MAX_HOLD: Millis = 60_000;
+pub const MAX_HOLD: Duration = Duration::from_secs(60);
 
 /// How many of `members` are a quorum: more than half.
 pub(crate) fn quorum(members: usize) -> usize {
--- a/crates/config-distribution/src/net/control/api.rs
+++ b/crates/config-distribution/src/net/control/api.rs
@@ -77,7 +77,7 @@
 
     async fn watch(&self, request: &ApiRequest) -> Result<ApiResponse, ApiResponse> {
         let watch = watch_request(request)?;
-        let hold = Duration::from_millis(request.number("hold_ms")?.min(MAX_HOLD));
+        let hold = Duration::from_millis(request.number("hold_ms")?).min(MAX_HOLD);
         let deadline = Instant::now() + hold;
         self.server.borrow_mut().register(&watch, self.clock.now()).map_err(rejection)?;
         let respond = |long_poll: LongPoll| {
--- a/crates/config-distribution/src/net/control/upstream.rs
+++ b/crates/config-distribution/src/net/control/upstream.rs
@@ -9,16 +9,16 @@
 use tokio::time::{Instant, sleep};
 
 use super::{FollowedOrigin, Node};
+use crate::Epoch;
 use crate::control::Persistence;
 use crate::net::endpoints::{PROGRESS, log_target, promise_target};
 use crate::net::http::HttpClient;
 use crate::net::store::StoreError;
 use crate::progress::{ProgressReport, ReportResponse};
 use crate::replication::{LogResponse, PromiseResponse};
-use crate::{Epoch, Millis};
 
-/// How long an origin may hold a request, in milliseconds.
-const LOG_HOLD: Millis = 2_000;
+/// How long an origin may hold a request.
+const LOG_HOLD: Duration = Duration::from_millis(2000);
 /// How long an origin's response may take after the hold.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The longest pause after a request that failed, or brought nothing to follow. The shortest is half of it.
@@ -40,7 +40,7 @@
     /// Asks one origin for changes for as long as they can be stored. Returns why they cannot.
     pub(super) async fn follow(&self, origin: SocketAddr) -> StoreError {
         let mut client = HttpClient::new(origin);
-        let timeout = Duration::from_millis(LOG_HOLD) + RESPONSE_TIMEOUT;
+        let timeout = LOG_HOLD + RESPONSE_TIMEOUT;
         loop {
             let target = log_target(&self.server.borrow().log_request(), LOG_HOLD);
             let response: LogResponse = match client.fetch_json(&target, None, timeout).await {
--- a/crates/config-distribution/src/net/endpoints.rs
+++ b/crates/config-distribution/src/net/endpoints.rs
@@ -1,8 +1,9 @@
 //! The paths of the HTTP endpoints, and the targets of requests to them.
 
+use std::time::Duration;
+
 use super::http::request_target;
 use crate::Incarnation;
-use crate::Millis;
 use crate::host::WATCH_HOLD;
 use crate::replication::LogRequest;
 use crate::watch::WatchRequest;
@@ -20,8 +21,8 @@
 /// Promises, for a control server that has lost its disk.
 pub const PROMISED: &str = "/config/promised";
 
-/// The target of a control server's request to an origin, which may hold it for `hold` milliseconds.
-pub(super) fn log_target(request: &LogRequest, hold: Millis) -> String {
+/// The target of a control server's request to an origin, which may hold it for `hold`.
+pub(super) fn log_target(request: &LogRequest, hold: Duration) -> String {
     let incarnations = serde_json::to_string(&request.peer_incarnations).unwrap_or_default();
     let parameters = [
         ("member", request.member.clone()),
@@ -32,7 +33,7 @@
         ("recovering", request.recovering.to_string()),
         ("life", request.incarnation.to_string()),
         ("lives", incarnations),
-        ("hold_ms", hold.to_string()),
+        ("hold_ms", hold.as_millis().to_string()),
     ];
     request_target(LOG, parameters)
 }
@@ -41,7 +42,7 @@
 pub(super) fn watch_target(request: &WatchRequest) -> String {
     let mut parameters = vec![
         ("from", request.since.to_string()),
-        ("hold_ms", WATCH_HOLD.to_string()),
+        ("hold_ms", WATCH_HOLD.as_millis().to_string()),
         ("host", request.host.clone()),
         ("zone", request.interest.zone.clone()),
         ("in_force", request.applied.to_string()),
--- a/crates/config-distribution/src/net/host.rs
+++ b/crates/config-distribution/src/net/host.rs
@@ -1,7 +1,5 @@
 //! A host: it watches a control server, and applies what it receives.
 
-use std::time::Duration;
-
 use super::endpoints::watch_target;
 use super::http::{CallError, HttpClient};
 use super::target::ConfigTarget;
@@ -88,7 +86,7 @@
         }
         let address = self.servers[server].address;
         let (_, client) = self.client.get_or_insert_with(|| (server, HttpClient::new(address)));
-        let timeout = Duration::from_millis(WATCH_HOLD + RESPONSE_TIMEOUT);
+        let timeout = WATCH_HOLD + RESPONSE_TIMEOUT;
         client.fetch_json(&watch_target(&self.host.watch_request()), None, timeout).await
     }
 
--- a/crates/config-distribution/src/net/mod.rs
+++ b/crates/config-distribution/src/net/mod.rs
@@ -13,10 +13,9 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use crate::Millis;
 use crate::documents::is_valid_name;
 
-/// A monotonic clock of milliseconds.
+/// A monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
 
@@ -27,14 +26,14 @@
 }
 
 impl Clock {
-    /// Milliseconds since the clock was made.
-    pub fn now(&self) -> Millis {
-        self.0.elapsed().as_millis() as Millis
+    /// The time since the clock was made.
+    pub fn now(&self) -> Duration {
+        self.0.elapsed()
     }
 
     /// Waits until that time.
-    pub async fn sleep_until(&self, time: Millis) {
-        tokio::time::sleep_until((self.0 + Duration::from_millis(time)).into()).await;
+    pub async fn sleep_until(&self, time: Duration) {
+        tokio::time::sleep_until((self.0 + time).into()).await;
     }
 }
 
--- a/crates/config-distribution/src/net/origin.rs
+++ b/crates/config-distribution/src/net/origin.rs
@@ -85,7 +85,7 @@
 
     async fn log(&self, request: &ApiRequest) -> Result<ApiResponse, ApiResponse> {
         let log_request = log_request(request)?;
-        let hold = Duration::from_millis(request.number("hold_ms")?.min(MAX_HOLD));
+        let hold = Duration::from_millis(request.number("hold_ms")?).min(MAX_HOLD);
         let deadline = Instant::now() + hold;
         let mut changed = self.changed.subscribe();
         let phase_before = self.phase();
--- a/crates/config-distribution/src/origin.rs
+++ b/crates/config-distribution/src/origin.rs
@@ -3,16 +3,17 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use crate::documents::{DocumentBody, DocumentKey, MAX_DOCUMENTS, MAX_TOTAL_BYTES};
 use crate::replica::{Replica, Update, Version};
 use crate::replication::{LogRequest, LogResponse};
-use crate::{Epoch, Generation, Millis, quorum};
+use crate::{Epoch, Generation, quorum};
 
 /// A member that has sent no request for so long is absent.
-const ABSENT_AFTER: Millis = 8_000;
+const ABSENT_AFTER: Duration = Duration::from_secs(8);
 /// An origin that a minority of the members has left for a later epoch begins a new epoch after so long.
-const CHALLENGE_TIMEOUT: Millis = 3_000;
+const CHALLENGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most changes that may wait to be committed; further ones are rejected.
 const MAX_UNCOMMITTED: Generation = 1024;
 /// Where an epoch's own bits begin: below lie the origin's number and its start's.
@@ -24,7 +25,7 @@
 #[derive(Clone, Debug)]
 struct Member {
     request: LogRequest,
-    received_at: Millis,
+    received_at: Duration,
 }
 
 /// The state of an origin.
@@ -128,7 +129,7 @@
     /// The version of the member that is taken over, as its request had it.
     takeover_version: Version,
     /// Since when a minority of the members has promised a later epoch.
-    challenged_since: Option<Millis>,
+    challenged_since: Option<Duration>,
     replica: Replica,
 }
 
@@ -171,7 +172,7 @@
     }
 
     /// The members, with the last request of each one that is present.
-    pub fn members(&self, now: Millis) -> impl Iterator<Item = (&String, Option<&LogRequest>)> {
+    pub fn members(&self, now: Duration) -> impl Iterator<Item = (&String, Option<&LogRequest>)> {
         let is_present =
             move |member: &&Member| now.saturating_sub(member.received_at) < ABSENT_AFTER;
         self.members.iter().map(move |(name, member)| {
@@ -207,7 +208,7 @@
     /// # Errors
     ///
     /// The sender is not a member.
-    pub fn receive(&mut self, request: LogRequest, now: Millis) -> Result<(), NotAMember> {
+    pub fn receive(&mut self, request: LogRequest, now: Duration) -> Result<(), NotAMember> {
         let Some(member) = self.members.get_mut(&request.member) else {
             return Err(NotAMember { member: request.member });
         };
@@ -227,7 +228,7 @@
     /// Two origins that both went on would take the members from each other for ever, so a superseded one orders
     /// nothing until it is restarted. Where only a minority has promised a later epoch, its origin is about to be
     /// followed or has died before it was: then this one begins another epoch after a while.
-    fn check_superseded(&mut self, now: Millis) {
+    fn check_superseded(&mut self, now: Duration) {
         let epoch = self.epoch;
         let challengers = self.voters().filter(|request| request.promised_epoch > epoch).count();
         if challengers >= self.quorum() {
--- a/crates/config-distribution/src/progress.rs
+++ b/crates/config-distribution/src/progress.rs
@@ -1,10 +1,11 @@
 //! In how many places a change is applied: reports of the control servers, and the origin's sum over them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Generation, Millis};
+use crate::Generation;
 
 /// The most lagging hosts that one control server names.
 pub const MAX_LAGGING_HOSTS: usize = 32;
@@ -13,7 +14,7 @@
 /// The most hosts that the origin knows by name.
 pub const MAX_HOSTS: usize = 100_000;
 /// A control server that has not reported for so long is unreachable, and so are its hosts.
-const UNREACHABLE_AFTER: Millis = 6_000;
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(6);
 
 /// How many hosts of a zone are up to date.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
@@ -67,8 +68,29 @@
     pub host: String,
     /// Its zone.
     pub zone: String,
-    /// How long ago its last request was, in milliseconds.
-    pub silent_ms: Millis,
+    /// How long ago its last request was. Sent in milliseconds.
+    #[serde(rename = "silent_ms", with = "whole_milliseconds")]
+    pub silent_for: Duration,
+}
+
+impl HostArrival {
+    /// The silence of a host of which nothing is known.
+    pub const UNKNOWN: Duration = Duration::from_millis(u64::MAX);
+}
+
+/// A span as a number of milliseconds.
+mod whole_milliseconds {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(span: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        u64::deserialize(deserializer).map(Duration::from_millis)
+    }
 }
 
 /// What a control server reports of its hosts.
@@ -152,7 +174,7 @@
 /// The last report of one control server.
 struct ServerEntry {
     report: ProgressReport,
-    received_at: Millis,
+    received_at: Duration,
     /// Hosts that have moved to other servers since, for the next answer.
     moved: Vec<String>,
 }
@@ -161,7 +183,7 @@
 struct HostLocation {
     server: String,
     zone: String,
-    last_seen: Millis,
+    last_seen: Duration,
 }
 
 /// Sums up the reports of the control servers.
@@ -173,7 +195,7 @@
 
 impl ProgressAggregator {
     /// Takes in a report. Returns the hosts that other control servers have heard from more recently.
-    pub fn record(&mut self, report: ProgressReport, now: Millis) -> Vec<String> {
+    pub fn record(&mut self, report: ProgressReport, now: Duration) -> Vec<String> {
         let server = report.server.clone();
         for host in &report.forgotten {
             if self.is_at(host, &server) {
@@ -200,13 +222,13 @@
     }
 
     /// Takes in a host's arrival. Returns false if another server has heard from the host more recently.
-    fn record_arrival(&mut self, arrival: &HostArrival, server: &str, now: Millis) -> bool {
-        let HostArrival { host, zone, silent_ms } = arrival;
+    fn record_arrival(&mut self, arrival: &HostArrival, server: &str, now: Duration) -> bool {
+        let HostArrival { host, zone, silent_for } = arrival;
         let known = self.hosts.get(host);
         if known.is_none() && self.hosts.len() >= MAX_HOSTS {
             return true;
         }
-        let last_seen = now.saturating_sub(*silent_ms);
+        let last_seen = now.saturating_sub(*silent_for);
         // An origin that has just begun is told of all entries, also of outdated ones.
         if known.is_some_and(|known| known.server != server && known.last_seen > last_seen) {
             return false;
@@ -226,7 +248,7 @@
     pub fn total<'a>(
         &self,
         servers: impl Iterator<Item = &'a String>,
-        now: Millis,
+        now: Duration,
     ) -> TotalProgress {
         let mut total = TotalProgress::default();
         let mut reachable: BTreeMap<&String, &ProgressReport> = BTreeMap::new();
@@ -246,7 +268,7 @@
         total
     }
 
-    fn reachable_report(&self, server: &str, now: Millis) -> Option<&ProgressReport> {
+    fn reachable_report(&self, server: &str, now: Duration) -> Option<&ProgressReport> {
         let entry = self.servers.get(server)?;
         let age = now.saturating_sub(entry.received_at);
         (age <= UNREACHABLE_AFTER).then_some(&entry.report)
--- a/crates/config-distribution/tests/behavior.rs
+++ b/crates/config-distribution/tests/behavior.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use config_distribution::Millis;
 use config_distribution::control::ControlServer;
 use config_distribution::host::{ApplyOutcome, ConfigSnapshot, Host, HostAction, WatchFailure};
 use config_distribution::origin::Origin;
@@ -12,7 +11,9 @@
 use rand_pcg::Pcg64Mcg;
 use support::behavior_hash::{BehaviorHash, publish_outcome};
 use support::replication::Simulation;
-use support::{body, interest, key, leading_origin, new_control_server, replicate, server_names};
+use support::{
+    body, interest, key, leading_origin, ms, new_control_server, replicate, server_names,
+};
 
 /// The hash of all seeds. It changes where behaviour changes, or the form in which something is sent or stored.
 const EXPECTED_HASH: &str = "c9f9d867ea4e77ff";
@@ -28,7 +29,8 @@
 struct WatchSimulation {
     rng: Pcg64Mcg,
     hash: BehaviorHash,
-    now: Millis,
+    /// The time in milliseconds.
+    now: u64,
     origin: Origin,
     servers: Vec<ControlServer>,
     names: Vec<String>,
@@ -78,8 +80,10 @@
             replicate(&mut self.origin, &mut self.servers[..reached]);
         }
         let host = self.draw(HOSTS as u64) as usize;
-        match self.hosts[host].next_action(self.now) {
-            HostAction::Wait { until } => self.hash.add(&(self.now, host, "wait", until)),
+        match self.hosts[host].next_action(ms(self.now)) {
+            HostAction::Wait { until } => {
+                self.hash.add(&(self.now, host, "wait", until.as_millis() as u64));
+            }
             HostAction::Apply(config) => self.apply(host, &config),
             HostAction::Watch { server } => self.watch(host, server),
         }
@@ -103,7 +107,7 @@
             1 => ApplyOutcome::Retry("another rollout runs".to_owned()),
             _ => ApplyOutcome::Applied,
         };
-        self.hosts[host].record_outcome(config.generation, outcome, self.now);
+        self.hosts[host].record_outcome(config.generation, outcome, ms(self.now));
     }
 
     fn watch(&mut self, host: usize, server: usize) {
@@ -117,12 +121,12 @@
                     0 => WatchFailure::ConnectionLost,
                     _ => WatchFailure::Unreachable,
                 };
-                self.hosts[host].watch_failed(failure, self.now);
+                self.hosts[host].watch_failed(failure, ms(self.now));
                 return;
             }
         };
         self.hash.add(&(self.now, server, &delivered));
-        if let Some(config) = self.hosts[host].receive(delivered, self.now) {
+        if let Some(config) = self.hosts[host].receive(delivered, ms(self.now)) {
             self.apply(host, &config);
         }
     }
@@ -135,7 +139,7 @@
     }
 
     fn respond(&mut self, server: usize, request: &WatchRequest) -> Option<WatchResponse> {
-        if let Err(rejected) = self.servers[server].register(request, self.now) {
+        if let Err(rejected) = self.servers[server].register(request, ms(self.now)) {
             self.hash.add(&(self.now, server, rejected.to_string()));
             return None;
         }
@@ -143,19 +147,19 @@
             0 => LongPoll::Expired,
             _ => LongPoll::Waiting,
         };
-        self.servers[server].respond(request, long_poll, self.now)
+        self.servers[server].respond(request, long_poll, ms(self.now))
     }
 
     fn report(&mut self, server: usize) {
-        let report = self.servers[server].report_progress(self.now);
+        let report = self.servers[server].report_progress(ms(self.now));
         self.hash.add(&(self.now, &report));
         if self.draw(8) == 0 {
             self.servers[server].report_all_hosts();
             return;
         }
-        let moved = self.progress.record(report, self.now);
-        self.servers[server].mark_moved(&moved, self.now);
-        let total = self.progress.total(self.names.iter(), self.now);
+        let moved = self.progress.record(report, ms(self.now));
+        self.servers[server].mark_moved(&moved, ms(self.now));
+        let total = self.progress.total(self.names.iter(), ms(self.now));
         self.hash.add(&(self.now, &moved, total));
     }
 }
--- a/crates/config-distribution/tests/control_server.rs
+++ b/crates/config-distribution/tests/control_server.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use config_distribution::watch::{LongPoll, Rejected};
 use support::{body, interest, key, leading_origin, replicate, watch_request};
 
@@ -14,8 +16,8 @@
     replicate(&mut origin, &mut servers);
     let server = &mut servers[0];
     let first = watch_request("h1", interest(&["a"], "z1"), 0);
-    server.register(&first, 0).expect("accepted");
-    let response = server.respond(&first, LongPoll::Waiting, 0).expect("at once");
+    server.register(&first, Duration::ZERO).expect("accepted");
+    let response = server.respond(&first, LongPoll::Waiting, Duration::ZERO).expect("at once");
     let keys: Vec<_> = response.documents.iter().map(|d| d.key.to_string()).collect();
     let expected = vec!["*".into(), "a".into(), "a@z1".to_owned()];
     assert_eq!((response.is_snapshot, keys), (true, expected));
@@ -23,26 +25,27 @@
     let next = watch_request("h1", interest(&["a"], "z1"), response.generation);
     origin.publish(key("b"), body(2)).expect("it leads");
     replicate(&mut origin, &mut servers);
-    assert!(servers[0].respond(&next, LongPoll::Waiting, 0).is_none());
+    assert!(servers[0].respond(&next, LongPoll::Waiting, Duration::ZERO).is_none());
     origin.publish(key("a@z1"), None).expect("it is there");
     replicate(&mut origin, &mut servers);
-    let response = servers[0].respond(&next, LongPoll::Waiting, 0).expect("a change");
+    let response = servers[0].respond(&next, LongPoll::Waiting, Duration::ZERO).expect("a change");
     assert_eq!((response.is_snapshot, response.documents.len()), (false, 1));
     assert!(response.documents[0].body.is_none(), "withdrawn");
     // A host that is newer, from another server, receives nothing older.
     let ahead = watch_request("h1", interest(&["a"], "z1"), response.generation + 9);
-    assert!(servers[0].respond(&ahead, LongPoll::Waiting, 0).is_none());
-    let expired = servers[0].respond(&ahead, LongPoll::Expired, 0).expect("its time is over");
+    assert!(servers[0].respond(&ahead, LongPoll::Waiting, Duration::ZERO).is_none());
+    let expired =
+        servers[0].respond(&ahead, LongPoll::Expired, Duration::ZERO).expect("its time is over");
     assert!(expired.documents.is_empty());
     // Four hosts have room, and a fifth once one is silent.
     for n in 2..=4 {
         let request = watch_request(&format!("h{n}"), interest(&["a"], "z1"), 0);
-        servers[0].register(&request, 0).expect("room");
+        servers[0].register(&request, Duration::ZERO).expect("room");
     }
     let fifth = watch_request("h5", interest(&["a"], "z1"), 0);
-    assert_eq!(servers[0].register(&fifth, 0), Err(Rejected::Full { hosts: 4 }));
-    servers[0].register(&fifth, 60_000).expect("the others are silent");
+    assert_eq!(servers[0].register(&fifth, Duration::ZERO), Err(Rejected::Full { hosts: 4 }));
+    servers[0].register(&fifth, Duration::from_secs(60)).expect("the others are silent");
     let invalid = watch_request("h 6", interest(&["a"], "z1"), 0);
     let rejected = Err(Rejected::InvalidHost { host: "h 6".to_owned() });
-    assert_eq!(servers[0].register(&invalid, 0), rejected);
+    assert_eq!(servers[0].register(&invalid, Duration::ZERO), rejected);
 }
--- a/crates/config-distribution/tests/host.rs
+++ b/crates/config-distribution/tests/host.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
-use config_distribution::Millis;
+use std::time::Duration;
+
 use config_distribution::host::{
     ApplyOutcome, ConfigSnapshot, Host, HostAction, RECONNECT_JITTER, WatchFailure,
 };
 use config_distribution::watch::{ApplyFailure, WatchResponse};
-use support::{document, interest};
+use support::{document, interest, ms};
 
 fn servers(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("c{n}")).collect()
@@ -19,7 +20,7 @@
 }
 
 /// The server that it watches next from `now` on, and when.
-fn next_watch(host: &mut Host, mut now: Millis) -> (usize, Millis) {
+fn next_watch(host: &mut Host, mut now: Duration) -> (usize, Duration) {
     loop {
         match host.next_action(now) {
             HostAction::Watch { server } => return (server, now),
@@ -36,16 +37,16 @@
     let mut delays = Vec::new();
     for n in 0..count {
         let mut host = host(n, 4);
-        let (server, now) = next_watch(&mut host, 0);
+        let (server, now) = next_watch(&mut host, Duration::ZERO);
         first[server] += 1;
         assert!(now <= RECONNECT_JITTER);
         let response = WatchResponse { generation: 1, is_snapshot: true, documents: Vec::new() };
         assert!(host.receive(response, now).is_none());
         if server == 2 {
-            host.watch_failed(WatchFailure::ConnectionLost, 10_000);
-            let (server, now) = next_watch(&mut host, 10_000);
+            host.watch_failed(WatchFailure::ConnectionLost, ms(10_000));
+            let (server, now) = next_watch(&mut host, ms(10_000));
             second[server] += 1;
-            delays.push(now - 10_000);
+            delays.push(now - ms(10_000));
         }
     }
     let share = count / 4;
@@ -62,19 +63,19 @@
 #[test]
 fn unreachable_servers_are_retried_with_bounded_backoff_and_preferred_server_later() {
     let mut h = host(1, 3);
-    let (preferred, mut now) = next_watch(&mut h, 0);
+    let (preferred, mut now) = next_watch(&mut h, Duration::ZERO);
     let mut watched = vec![preferred];
     for _ in 0..30 {
         h.watch_failed(WatchFailure::Unreachable, now);
         let (server, at) = next_watch(&mut h, now);
-        assert!(at - now <= 2_000, "{}", at - now);
+        assert!(at - now <= ms(2_000), "{:?}", at - now);
         watched.push(server);
         now = at;
     }
     assert!((0..3).all(|n| watched.contains(&n)), "{watched:?}");
     // Served by another server, it tries the preferred one again.
     let mut h = host(1, 3);
-    let (preferred, now) = next_watch(&mut h, 0);
+    let (preferred, now) = next_watch(&mut h, Duration::ZERO);
     h.watch_failed(WatchFailure::Unreachable, now);
     let (other, mut now) = next_watch(&mut h, now);
     assert_ne!(other, preferred);
@@ -82,21 +83,21 @@
     let returned_at = loop {
         generation += 1;
         h.receive(WatchResponse { generation, is_snapshot: false, documents: Vec::new() }, now);
-        now += 2_500;
+        now += ms(2_500);
         let (server, at) = next_watch(&mut h, now);
         now = at;
         if server == preferred {
             break now;
         }
-        assert!(now < 60_000, "it never returns");
+        assert!(now < ms(60_000), "it never returns");
     };
-    assert!(returned_at > 10_000, "not at once: {returned_at}");
+    assert!(returned_at > ms(10_000), "not at once: {returned_at:?}");
 }
 
 #[test]
 fn older_configuration_is_never_applied_and_rejected_one_not_again() {
     let mut h = host(1, 2);
-    let (_, now) = next_watch(&mut h, 0);
+    let (_, now) = next_watch(&mut h, Duration::ZERO);
     let response =
         |generation, is_snapshot, documents| WatchResponse { generation, is_snapshot, documents };
     let config = h.receive(response(5, true, vec![document("a", 5)]), now).expect("new");
@@ -117,15 +118,15 @@
     assert!(h.receive(response(8, false, vec![document("a", 8)]), now).is_some());
     h.record_outcome(8, ApplyOutcome::Retry("another rollout runs".into()), now);
     // Not applied for a passing reason: it is retried without being asked to.
-    let action = h.next_action(now + 10_000);
+    let action = h.next_action(now + ms(10_000));
     let is_retry = |config: &ConfigSnapshot| config.generation == 8 && config.documents.len() == 1;
     assert!(matches!(&action, HostAction::Apply(config) if is_retry(config)), "{action:?}");
-    h.record_outcome(8, ApplyOutcome::Applied, now + 10_000);
+    h.record_outcome(8, ApplyOutcome::Applied, now + ms(10_000));
     assert_eq!((h.watch_request().applied, h.watch_request().failure), (8, None));
     // A restarted host keeps what its disk or its sidecar says.
     let applied = ConfigSnapshot { generation: 9, documents: Vec::new() };
     let mut h = Host::new("h".into(), interest(&["a"], "z"), &servers(2), applied, 1);
-    let (_, now) = next_watch(&mut h, 0);
+    let (_, now) = next_watch(&mut h, Duration::ZERO);
     assert!(h.receive(response(8, true, vec![document("a", 8)]), now).is_none());
     assert!(h.receive(response(9, true, vec![document("a", 8)]), now).is_some());
 }
--- a/crates/config-distribution/tests/progress.rs
+++ b/crates/config-distribution/tests/progress.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
+use std::time::Duration;
+
 use config_distribution::Generation;
 use config_distribution::progress::{
     HostArrival, ProgressAggregator, ProgressReport, ZoneProgress,
 };
-use support::server_names;
+use support::{ms, server_names};
 
 fn report(server: &str, arrived: &[&str], zone: ZoneProgress) -> ProgressReport {
-    let arrival =
-        |host: &&str| HostArrival { host: (*host).to_owned(), zone: "z".to_owned(), silent_ms: 0 };
+    let arrival = |host: &&str| HostArrival {
+        host: (*host).to_owned(),
+        zone: "z".to_owned(),
+        silent_for: Duration::ZERO,
+    };
     ProgressReport {
         server: server.to_owned(),
         committed: 9,
@@ -28,22 +33,22 @@
 fn moved_host_counts_once_and_host_of_unreachable_server_as_unreachable() {
     let servers = server_names(2);
     let mut progress = ProgressAggregator::default();
-    progress.record(report("m0", &["a", "b"], zone(2, 2, None)), 0);
-    progress.record(report("m1", &["c"], zone(1, 0, Some(7))), 0);
-    let total = progress.total(servers.iter(), 0);
+    progress.record(report("m0", &["a", "b"], zone(2, 2, None)), ms(0));
+    progress.record(report("m1", &["c"], zone(1, 0, Some(7))), ms(0));
+    let total = progress.total(servers.iter(), ms(0));
     assert_eq!((total.all.hosts, total.all.applied, total.unreachable_hosts), (3, 2, 0));
     assert!(total.is_applied_everywhere(7) && !total.is_applied_everywhere(8));
     // One moves to the other server: the first is told, and no longer counts it.
-    progress.record(report("m1", &["b"], zone(2, 2, None)), 100);
-    let moved = progress.record(report("m0", &[], zone(2, 2, None)), 200);
+    progress.record(report("m1", &["b"], zone(2, 2, None)), ms(100));
+    let moved = progress.record(report("m0", &[], zone(2, 2, None)), ms(200));
     assert_eq!(moved, ["b"]);
-    progress.record(report("m0", &[], zone(1, 1, None)), 300);
-    let total = progress.total(servers.iter(), 300);
+    progress.record(report("m0", &[], zone(1, 1, None)), ms(300));
+    let total = progress.total(servers.iter(), ms(300));
     assert_eq!((total.all.hosts, total.all.applied), (3, 3));
     assert!(total.is_applied_everywhere(9) && !total.is_applied_everywhere(10));
     // A server that is silent: its hosts are named, and nothing counts as applied everywhere.
-    progress.record(report("m1", &[], zone(2, 2, None)), 20_000);
-    let total = progress.total(servers.iter(), 20_000);
+    progress.record(report("m1", &[], zone(2, 2, None)), ms(20_000));
+    let total = progress.total(servers.iter(), ms(20_000));
     assert_eq!((total.all.hosts, total.all.applied, total.unreachable_hosts), (3, 2, 1));
     assert_eq!(total.unreachable_servers, ["m0"]);
     assert_eq!(total.lagging[0].host, "a");
@@ -56,14 +61,14 @@
 fn restarted_origin_attributes_host_to_server_with_latest_request() {
     let servers = server_names(2);
     let mut progress = ProgressAggregator::default();
-    assert!(progress.record(report("m1", &["a"], zone(1, 1, None)), 50_000).is_empty());
+    assert!(progress.record(report("m1", &["a"], zone(1, 1, None)), ms(50_000)).is_empty());
     let mut outdated = report("m0", &["a", "b"], zone(2, 1, Some(3)));
-    outdated.arrived[0].silent_ms = 9_000;
-    assert_eq!(progress.record(outdated, 50_100), ["a"]);
+    outdated.arrived[0].silent_for = ms(9_000);
+    assert_eq!(progress.record(outdated, ms(50_100)), ["a"]);
     // The right one is not told to let it go.
-    assert!(progress.record(report("m1", &[], zone(1, 1, None)), 50_200).is_empty());
-    progress.record(report("m0", &[], zone(1, 1, None)), 50_300);
-    let total = progress.total(servers.iter(), 50_300);
+    assert!(progress.record(report("m1", &[], zone(1, 1, None)), ms(50_200)).is_empty());
+    progress.record(report("m0", &[], zone(1, 1, None)), ms(50_300));
+    let total = progress.total(servers.iter(), ms(50_300));
     assert_eq!((total.all.hosts, total.all.applied), (2, 2));
     assert!(total.is_applied_everywhere(9));
 }
--- a/crates/config-distribution/tests/support/mod.rs
+++ b/crates/config-distribution/tests/support/mod.rs
@@ -5,6 +5,8 @@
 pub mod exchange;
 pub mod replication;
 
+use std::time::Duration;
+
 use config_distribution::control::{ControlServer, ControlSettings, PersistentState};
 use config_distribution::documents::{Document, DocumentBody, DocumentKey, Interest};
 use config_distribution::origin::Origin;
@@ -12,6 +14,11 @@
 use config_distribution::{Generation, Incarnation};
 use serde_json::json;
 
+/// A time or a span.
+pub fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
 pub fn key(text: &str) -> DocumentKey {
     text.parse().expect("a key")
 }
@@ -70,7 +77,7 @@
     for _ in 0..8 {
         for server in servers.iter_mut() {
             let request = server.log_request();
-            origin.receive(request.clone(), 0).expect("a member");
+            origin.receive(request.clone(), Duration::ZERO).expect("a member");
             if let Some(response) = origin.respond(&request) {
                 server.apply(response);
             }
--- a/crates/config-distribution/tests/support/replication.rs
+++ b/crates/config-distribution/tests/support/replication.rs
@@ -2,17 +2,19 @@
 
 use std::collections::BTreeMap;
 
+use config_distribution::Generation;
 use config_distribution::control::{ControlServer, Persistence, PersistentState};
 use config_distribution::documents::Document;
 use config_distribution::origin::{Origin, Phase};
 use config_distribution::replica::Version;
 use config_distribution::replication::{LogRequest, LogResponse};
-use config_distribution::{Generation, Millis};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use super::behavior_hash::{BehaviorHash, publish_outcome};
-use super::{body, control_server, interest, key, new_control_server, server_name, server_names};
+use super::{
+    body, control_server, interest, key, ms, new_control_server, server_name, server_names,
+};
 
 /// How many members there are.
 pub const MEMBERS: usize = 5;
@@ -59,7 +61,8 @@
     restarts: Vec<u64>,
     /// Numbers published bodies and the starts of origins.
     counter: u64,
-    now: Millis,
+    /// The time in milliseconds.
+    now: u64,
     /// What was ever committed anywhere.
     committed: BTreeMap<Generation, Content>,
     /// The last change that an operator was told to be committed.
@@ -129,10 +132,10 @@
         self.check();
     }
 
-    /// Exchanges one request and its response without loss.
-    pub fn exchange(&mut self, member: usize, origin: usize, now: Millis) {
+    /// Exchanges one request and its response without loss, at a time in milliseconds.
+    pub fn exchange(&mut self, member: usize, origin: usize, now: u64) {
         let request = self.members[member].log_request();
-        self.origins[origin].receive(request.clone(), now).expect("a member");
+        self.origins[origin].receive(request.clone(), ms(now)).expect("a member");
         if let Some(response) = self.origins[origin].respond(&request) {
             self.members[member].apply(response);
         }
@@ -191,7 +194,7 @@
             return;
         }
         let RequestInFlight { member, process, origin, request } = in_flight;
-        self.origins[origin].receive(request.clone(), self.now).expect("a member");
+        self.origins[origin].receive(request.clone(), ms(self.now)).expect("a member");
         if let Some(response) = self.origins[origin].respond(&request) {
             self.hash.add(&(self.now, member, origin, &response));
             self.responses.push(ResponseInFlight { member, process, response });
