--- a/crates/config-distribution/tests/hosts.rs
+++ b/crates/config-distribution/tests/hosts.rs
@@ -13,7 +13,7 @@
 use fakes::program::built;
 use fakes::registry::{Entry, Registry};
 use fakes::scripted::Server;
-use fakes::wire::message;
+use fakes::wire::read_message;
 use fakes::world::{classes, settings};
 use fakes::{PATIENCE, until};
 use local_cluster::{Host, Plan};
@@ -118,7 +118,7 @@
              X-Time-Left-Ms: 20000\r\nContent-Length: 2\r\n\r\nab"
         );
         socket.write_all(text.as_bytes()).expect("sent");
-        let (head, body) = message(&mut read).expect("an answer");
+        let (head, body) = read_message(&mut read).expect("an answer");
         assert!(head.starts_with("HTTP/1.1 200"), "{head}");
         assert_eq!(body, id.as_bytes());
         served.fetch_add(1, Relaxed);
--- a/crates/config-distribution/tests/support/exchange.rs
+++ b/crates/config-distribution/tests/support/exchange.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fakes::until;
-use fakes::wire::message;
+use fakes::wire::read_message;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -140,7 +140,7 @@
 fn serve(socket: &TcpStream, recorded: &Mutex<Vec<Exchange>>, handler: &Handler) {
     let mut read = BufReader::new(socket.try_clone().expect("a handle"));
     let mut write = socket;
-    while let Some((head, body)) = message(&mut read) {
+    while let Some((head, body)) = read_message(&mut read) {
         let request = request_of(&head);
         let mut recorded = recorded.lock().unwrap_or_else(PoisonError::into_inner);
         let before = recorded.iter().filter(|e| path_of(&e.request) == path_of(&request)).count();
@@ -173,7 +173,7 @@
     let length = body.len();
     write!(socket, "{request} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
         .expect("sent");
-    let (head, response) = message(&mut BufReader::new(socket)).expect("an answer");
+    let (head, response) = read_message(&mut BufReader::new(socket)).expect("an answer");
     let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
     let response = String::from_utf8(response).expect("text");
     Exchange { request: request.to_owned(), body: body.to_owned(), status, response }
--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -1,169 +1,80 @@
-//! What became of every request: what each client was told, and what each server ran. Lost, doubled
-//! and late ones are counted here, by one who sees both sides.
+//! What became of every request: what each client was told, and what each server executed. Requests that were lost,
+//! duplicated or answered too late are counted here, by an observer that sees both sides.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
-
-/// Whether a request may be sent again once it may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Repeat {
-    /// Always.
-    Safe,
-    /// Within its group of servers and its window.
-    Keyed,
-    /// Never.
-    Unsafe,
-}
 
-/// A class of requests.
-#[derive(Clone, Debug)]
-pub struct Class {
-    /// The first part of its paths.
-    pub name: &'static str,
-    /// Whether it may be repeated.
-    pub repeat: Repeat,
-    /// Its share of all requests.
-    pub share: f64,
-    /// Mean work at a server.
-    pub work: Duration,
-    /// Wanted within.
-    pub aim: Duration,
-    /// Given up after.
-    pub deadline: Duration,
-}
+use operation::{Attempt, Operation};
 
-/// A client's desired state, over all its tries, and one of those tries. Both stand in the id on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Try {
-    /// The desired state.
-    pub ask: u64,
-    /// The try, from 0.
-    pub n: u16,
-}
-
-impl Try {
-    /// The id on the wire.
-    pub fn id(self) -> String {
-        format!("{:012x}{:04x}", self.ask, self.n)
-    }
+pub use operation::{AttemptId, Class, Idempotency, Outcome};
+pub use report::{ClassReport, Report, ServerReport, TenantReport};
 
-    /// The try that has this id.
-    pub fn of(id: &str) -> Option<Try> {
-        if id.len() != 16 || !id.is_ascii() {
-            return None;
-        }
-        let (ask, n) = id.split_at(12);
-        Some(Try { ask: u64::from_str_radix(ask, 16).ok()?, n: u16::from_str_radix(n, 16).ok()? })
-    }
-}
+mod operation;
+mod report;
+#[cfg(test)]
+mod tests;
+
+/// The most violations that are kept in words.
+const MAX_EXAMPLES: usize = 20;
+/// How long after a kill a process's connections may still end.
+const KILL_GRACE: Duration = Duration::from_secs(3);
+/// How long after a process was resumed its requests may time out: the longest deadline, scaled.
+const PAUSE_GRACE: Duration = Duration::from_secs(5);
+/// How long after the client's answer an attempt that was on its way may still arrive at a server.
+const IN_FLIGHT_GRACE: Duration = Duration::from_millis(500);
+/// The longest latency that is recorded, in microseconds.
+const MAX_LATENCY_US: u64 = 1_000_000_000;
+/// The significant decimal digits of recorded latencies.
+const LATENCY_DIGITS: u8 = 3;
 
-/// What a client was told of one try.
+/// What a server did with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// 200 with the body made for it.
-    Served,
-    /// 429 or 503: trying again is harmless.
-    Refused,
-    /// Any other answer.
-    Failed,
-    /// Nothing within its time and the slack.
-    Late,
-    /// The connection ended with no whole answer, and the request had been taken.
-    Lost,
-    /// 200 with something else.
-    Wrong,
+pub enum ServerEvent {
+    /// The request arrived.
+    Received,
+    /// The request was executed.
+    Executed,
+    /// The request was rejected and never executed.
+    Rejected,
+    /// Its idempotency key had just been executed.
+    Deduplicated,
 }
 
-#[derive(Default)]
-struct Tried {
-    outcome: Option<(Outcome, Instant)>,
-    seen: u16,
-    ran: u16,
+/// The time during which a process was paused on purpose.
+struct Pause {
+    target: SocketAddr,
+    /// When it was resumed; none: it is still paused.
+    end: Option<Instant>,
 }
 
-struct Ask {
-    class: usize,
-    /// Whose, where clients say so.
-    tenant: Option<usize>,
-    tries: Vec<Tried>,
-    /// Served within its class's aim, from its first try on.
-    in_time: bool,
-}
-
-/// A break of a rule, or something near one, in words.
-const EXAMPLES: usize = 20;
-
 #[derive(Default)]
 struct Inner {
-    asks: HashMap<u64, Ask>,
-    next: u64,
-    /// Microseconds, by class.
-    took: Vec<Histogram<u64>>,
-    servers: BTreeMap<String, Server>,
+    operations: HashMap<u64, Operation>,
+    last_operation: u64,
+    /// By class, in microseconds.
+    latencies: Vec<Histogram<u64>>,
+    /// Processes that were killed on purpose, and when.
     kills: Vec<(SocketAddr, Instant)>,
-    /// Processes that were stopped where they were, and until when.
-    stalls: Vec<(SocketAddr, Instant, Option<Instant>)>,
-    late_by_stall: u64,
-    lost: u64,
-    lost_by_kill: u64,
-    crossed: u64,
-    unread: u64,
-    refused_connections: u64,
-    after_the_end: u64,
-    strangers: u64,
-    examples: Vec<String>,
+    pauses: Vec<Pause>,
+    /// The counts that need no operation. The others are made when a report is.
+    counts: Report,
 }
 
-/// What one server did.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Server {
-    /// Requests that came.
-    pub seen: u64,
-    /// Requests that ran.
-    pub ran: u64,
-    /// Requests turned away unseen.
-    pub turned_away: u64,
-    /// Repeats of a key that were dropped.
-    pub dropped: u64,
-}
-
-/// What a server did with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Did {
-    /// It came.
-    Saw,
-    /// It ran.
-    Ran,
-    /// It was turned away and never ran.
-    TurnedAway,
-    /// Its key had just run: dropped.
-    Dropped,
-}
-
-/// The account.
+/// The account of all requests. It is shared by clients and servers.
 pub struct Account {
     classes: Vec<Class>,
     inner: Mutex<Inner>,
 }
 
-/// How long a killed process's connections may take to show it.
-const KILL_SHOWS: Duration = Duration::from_secs(3);
-/// What a stopped process held may be late for so long after it goes on: the longest deadline, stretched.
-const STALL_SHOWS: Duration = Duration::from_secs(5);
-/// What was on its way to a server when the client had its answer may still come for so long.
-const ON_ITS_WAY: Duration = Duration::from_millis(500);
-
 impl Account {
-    /// An empty one.
+    /// An empty account of requests of these classes.
     pub fn new(classes: Vec<Class>) -> Account {
-        let took = vec![times(); classes.len()];
-        Account { classes, inner: Mutex::new(Inner { took, ..Inner::default() }) }
+        let latencies = vec![new_histogram(); classes.len()];
+        Account { classes, inner: Mutex::new(Inner { latencies, ..Inner::default() }) }
     }
 
     /// The classes.
@@ -171,472 +82,297 @@
         &self.classes
     }
 
-    fn inner(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A new desired state of a class.
-    pub fn ask(&self, class: usize) -> u64 {
-        self.ask_of(class, None)
+    /// Begins an operation of a class (by its number), and returns its number.
+    pub fn begin(&self, class: usize) -> u64 {
+        self.begin_for_tenant(class, None)
     }
 
-    /// The same of a tenant's.
-    pub fn ask_of(&self, class: usize, tenant: Option<usize>) -> u64 {
-        let mut inner = self.inner();
-        inner.next += 1;
-        let ask = inner.next;
-        inner.asks.insert(ask, Ask { class, tenant, tries: Vec::new(), in_time: false });
-        ask
+    /// Begins an operation of a class for a tenant (by their numbers), and returns its number.
+    pub fn begin_for_tenant(&self, class: usize, tenant: Option<usize>) -> u64 {
+        let mut inner = self.lock();
+        inner.last_operation += 1;
+        let number = inner.last_operation;
+        let operation = Operation { class, tenant, attempts: Vec::new(), in_time: false };
+        inner.operations.insert(number, operation);
+        number
     }
 
-    /// Its next try.
-    pub fn next_try(&self, ask: u64) -> Try {
-        let mut inner = self.inner();
-        let tries = inner.asks.get_mut(&ask).map(|a| &mut a.tries);
-        let n = tries.map_or(0, |tries| {
-            tries.push(Tried::default());
-            tries.len() - 1
+    /// The next attempt of an operation.
+    pub fn next_attempt(&self, operation: u64) -> AttemptId {
+        let mut inner = self.lock();
+        let attempts = inner.operations.get_mut(&operation).map(|o| &mut o.attempts);
+        let number = attempts.map_or(0, |attempts| {
+            attempts.push(Attempt::default());
+            attempts.len() - 1
         });
-        Try { ask, n: n as u16 }
+        AttemptId { operation, number: number as u16 }
     }
 
-    /// What a client at `target` was told.
-    pub fn answered(&self, of: Try, outcome: Outcome, target: SocketAddr) {
+    /// Records how an attempt ended for its client, which had sent it to the sidecar at `target`.
+    pub fn record_outcome(&self, id: AttemptId, outcome: Outcome, target: SocketAddr) {
         let now = Instant::now();
-        let mut inner = self.inner();
+        let mut inner = self.lock();
         if outcome == Outcome::Lost {
-            if inner.killed(target, now) {
-                inner.lost_by_kill += 1;
+            if inner.was_killed(target, now) {
+                inner.counts.lost_by_kill += 1;
             } else {
-                inner.lost += 1;
-                inner.example(format!("{} at {target}: ended without an answer", of.id()));
+                inner.counts.lost += 1;
+                let id = id.request_id();
+                inner.add_example(format!("{id} at {target}: ended without an answer"));
             }
         }
         let outcome = match outcome {
-            Outcome::Late if inner.stalled(target, now) => {
-                inner.late_by_stall += 1;
+            Outcome::TimedOut if inner.was_paused(target, now) => {
+                inner.counts.timed_out_by_pause += 1;
                 Outcome::Failed
             }
             outcome => outcome,
         };
-        if matches!(outcome, Outcome::Late | Outcome::Wrong) {
-            inner.example(format!("{} at {target}: {outcome:?}", of.id()));
+        match outcome {
+            Outcome::TimedOut => {
+                inner.add_example(format!("{} at {target}: Late", id.request_id()))
+            }
+            Outcome::WrongBody => {
+                inner.add_example(format!("{} at {target}: Wrong", id.request_id()));
+            }
+            _ => {}
         }
-        if let Some(tried) = inner.tried(of) {
-            tried.outcome = Some((outcome, now));
+        if let Some(attempt) = inner.attempt_mut(id) {
+            attempt.outcome = Some((outcome, now));
         }
     }
 
-    /// A desired state was served, so long after it was first asked.
-    pub fn served(&self, ask: u64, took: Duration) {
-        let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        let mut inner = self.inner();
-        let Some(asked) = inner.asks.get_mut(&ask) else { return };
-        let class = asked.class;
-        asked.in_time = took <= self.classes[class].aim;
-        inner.took[class].saturating_record(us);
+    /// Records that an operation was served, `latency` after its first attempt.
+    pub fn record_served(&self, operation: u64, latency: Duration) {
+        let us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        let mut inner = self.lock();
+        let Some(operation) = inner.operations.get_mut(&operation) else { return };
+        let class = operation.class;
+        operation.in_time = latency <= self.classes[class].latency_objective;
+        inner.latencies[class].saturating_record(us);
     }
 
-    /// A connection to a sidecar was refused.
-    pub fn refused_connection(&self, target: SocketAddr) {
-        let mut inner = self.inner();
-        inner.refused_connections += 1;
-        inner.example(format!("a connection to {target} was refused"));
+    /// Records that a connection to a sidecar was refused.
+    pub fn record_refused_connection(&self, target: SocketAddr) {
+        let mut inner = self.lock();
+        inner.counts.refused_connections += 1;
+        inner.add_example(format!("a connection to {target} was refused"));
     }
 
-    /// A new connection to a sidecar came up and ended, and nothing of its request went any further.
-    pub fn unread(&self, target: SocketAddr) {
-        let mut inner = self.inner();
-        inner.unread += 1;
-        inner.example(format!("a connection to {target} came up and ended unread"));
+    /// Records that a new connection to a sidecar ended and nothing of its request was forwarded.
+    pub fn record_unread_connection(&self, target: SocketAddr) {
+        let mut inner = self.lock();
+        inner.counts.unread_connections += 1;
+        inner.add_example(format!("a connection to {target} came up and ended unread"));
     }
 
-    /// A connection ended just as a request was written, which nobody has read.
-    pub fn crossed(&self) {
-        self.inner().crossed += 1;
+    /// Records that a connection ended just as a request was written, which nobody has read.
+    pub fn record_close_race(&self) {
+        self.lock().counts.close_races += 1;
     }
 
-    /// The process at `target` is about to be killed: what it holds may be lost.
-    pub fn kill(&self, target: SocketAddr) {
-        self.inner().kills.push((target, Instant::now()));
+    /// Announces that the process at `target` is about to be killed, so that its requests may be lost.
+    pub fn expect_kill(&self, target: SocketAddr) {
+        self.lock().kills.push((target, Instant::now()));
     }
 
-    /// The process at `target` is about to be stopped where it is, or goes on: what it holds may be late.
-    pub fn stall(&self, target: SocketAddr, stopped: bool) {
-        let mut inner = self.inner();
-        let open =
-            inner.stalls.iter_mut().rev().find(|(at, _, end)| *at == target && end.is_none());
-        match open {
-            Some((_, _, end)) if !stopped => *end = Some(Instant::now()),
-            None if stopped => inner.stalls.push((target, Instant::now(), None)),
-            _ => {}
+    /// Announces that the process at `target` is about to be paused, so that its requests may time out.
+    pub fn expect_pause(&self, target: SocketAddr) {
+        let mut inner = self.lock();
+        if inner.open_pause(target).is_none() {
+            inner.pauses.push(Pause { target, end: None });
+        }
+    }
+
+    /// Announces that the process at `target` is about to be resumed.
+    pub fn expect_resume(&self, target: SocketAddr) {
+        if let Some(pause) = self.lock().open_pause(target) {
+            pause.end = Some(Instant::now());
         }
     }
 
     /// Whether the process at `target` was killed just now.
     pub fn was_killed(&self, target: SocketAddr) -> bool {
-        self.inner().killed(target, Instant::now())
+        self.lock().was_killed(target, Instant::now())
     }
 
-    /// Whether any server has seen this try.
-    pub fn was_seen(&self, of: Try) -> bool {
-        self.inner().tried(of).is_some_and(|t| t.seen > 0)
+    /// Whether any server has received this attempt.
+    pub fn was_received(&self, id: AttemptId) -> bool {
+        self.lock().attempt_mut(id).is_some_and(|attempt| attempt.received > 0)
     }
 
-    /// What a server did with a request that has this id.
-    pub fn did(&self, server: &str, id: &str, did: Did) {
+    /// Records what a server did with the request that has this id.
+    pub fn record_server_event(&self, server: &str, request_id: &str, event: ServerEvent) {
         let now = Instant::now();
-        let mut inner = self.inner();
-        if !inner.servers.contains_key(server) {
-            inner.servers.insert(server.to_owned(), Server::default());
-        }
-        let counts = inner.servers.get_mut(server);
-        if let Some(c) = counts {
-            match did {
-                Did::Saw => c.seen += 1,
-                Did::Ran => c.ran += 1,
-                Did::TurnedAway => c.turned_away += 1,
-                Did::Dropped => c.dropped += 1,
-            }
-        }
-        let Some(of) = Try::of(id) else {
-            inner.strangers += 1;
+        let mut inner = self.lock();
+        count_event(&mut inner.counts.servers, server, event);
+        let attempt = AttemptId::parse(request_id).and_then(|id| inner.attempt_mut(id));
+        let Some(attempt) = attempt else {
+            inner.counts.unknown += 1;
             return;
         };
-        let Some(tried) = inner.tried(of) else {
-            inner.strangers += 1;
-            return;
-        };
-        match did {
-            Did::Saw => {
-                tried.seen += 1;
-                let late = tried.outcome.is_some_and(|(_, at)| now > at + ON_ITS_WAY);
-                if late {
-                    inner.after_the_end += 1;
-                    inner.example(format!("{id} came to {server} after its final answer"));
+        match event {
+            ServerEvent::Received => {
+                attempt.received += 1;
+                if attempt.outcome.is_some_and(|(_, at)| now > at + IN_FLIGHT_GRACE) {
+                    inner.counts.after_answer += 1;
+                    let example = format!("{request_id} came to {server} after its final answer");
+                    inner.add_example(example);
                 }
             }
-            Did::Ran => tried.ran += 1,
-            Did::TurnedAway | Did::Dropped => {}
+            ServerEvent::Executed => attempt.executed += 1,
+            ServerEvent::Rejected | ServerEvent::Deduplicated => {}
         }
     }
 
-    /// Times of what was served since the last call, by class; the report goes on without them.
-    pub fn lap(&self) -> Vec<OfClass> {
-        let mut inner = self.inner();
-        let mut laps = Vec::new();
-        for (class, took) in self.classes.iter().zip(&mut inner.took) {
-            laps.push(OfClass { served: took.len(), ..timed(class, took) });
-            took.reset();
+    /// The latencies of what was served since the last call, by class. Later reports are without them.
+    pub fn take_latencies(&self) -> Vec<ClassReport> {
+        let mut inner = self.lock();
+        let mut reports = Vec::new();
+        for (class, latencies) in self.classes.iter().zip(&mut inner.latencies) {
+            reports
+                .push(ClassReport { served: latencies.len(), ..latency_report(class, latencies) });
+            latencies.reset();
         }
-        laps
+        reports
     }
 
-    /// The account as it stands. Complete once all that was asked is over.
+    /// The present state of the account. It is complete once all operations have ended.
     pub fn report(&self) -> Report {
-        let mut inner = self.inner();
-        let mut report = Report {
-            classes: Vec::new(),
-            servers: inner.servers.clone(),
-            lost: inner.lost,
-            lost_by_kill: inner.lost_by_kill,
-            late_by_stall: inner.late_by_stall,
-            crossed: inner.crossed,
-            unread: inner.unread,
-            refused_connections: inner.refused_connections,
-            after_the_end: inner.after_the_end,
-            strangers: inner.strangers,
-            ..Report::default()
-        };
-        let mut examples = std::mem::take(&mut inner.examples);
-        for (at, class) in self.classes.iter().enumerate() {
-            report.classes.push(timed(class, &inner.took[at]));
+        let mut inner = self.lock();
+        let mut report = inner.counts.clone();
+        let classes = self.classes.iter().zip(&inner.latencies);
+        report.classes = classes.map(|(class, took)| latency_report(class, took)).collect();
+        for (number, operation) in &inner.operations {
+            self.add_operation(&mut report, *number, operation);
         }
-        for (id, ask) in &inner.asks {
-            report.tries += ask.tries.len() as u64;
-            let of = &mut report.classes[ask.class];
-            of.asked += 1;
-            let last = ask.tries.iter().rev().find_map(|t| t.outcome.map(|(outcome, _)| outcome));
-            match last {
-                None => of.open += 1,
-                Some(Outcome::Served) => of.served += 1,
-                Some(Outcome::Refused) => of.refused += 1,
-                Some(Outcome::Failed) => of.failed += 1,
-                Some(Outcome::Late) => of.late += 1,
-                Some(Outcome::Lost) => of.lost += 1,
-                Some(Outcome::Wrong) => report.wrong += 1,
-            }
-            if let Some(tenant) = ask.tenant {
-                if report.tenants.len() <= tenant {
-                    report.tenants.resize(tenant + 1, OfTenant::default());
-                }
-                let of = &mut report.tenants[tenant];
-                of.asked += 1;
-                of.in_time += u64::from(ask.in_time);
-                match last {
-                    None => {}
-                    Some(Outcome::Served) => of.served += 1,
-                    Some(Outcome::Refused) => of.refused += 1,
-                    Some(_) => of.failed += 1,
-                }
-            }
-            report.late += u64::from(last == Some(Outcome::Late));
-            let repeat = self.classes[ask.class].repeat;
-            let runs: u64 = ask.tries.iter().map(|t| u64::from(t.ran)).sum();
-            if repeat != Repeat::Safe && runs > 1 {
-                examples.push(format!("{id:012x} of {} ran {runs} times", of.name));
-                match repeat {
-                    Repeat::Unsafe => report.doubled_orders += 1,
-                    _ => report.doubled_uploads += 1,
-                }
-            }
-            let refused_but_ran = ask
-                .tries
-                .iter()
-                .any(|t| t.ran > 0 && matches!(t.outcome, Some((Outcome::Refused, _))));
-            if repeat != Repeat::Safe && refused_but_ran {
-                examples.push(format!("{id:012x} of {} was refused, and ran", of.name));
-                report.refused_but_ran += 1;
+        report.examples.truncate(MAX_EXAMPLES);
+        inner.counts.examples.clone_from(&report.examples);
+        report
+    }
+
+    fn add_operation(&self, report: &mut Report, number: u64, operation: &Operation) {
+        report.attempts += operation.attempts.len() as u64;
+        let outcome = operation.last_outcome();
+        let class = &mut report.classes[operation.class];
+        class.requested += 1;
+        match outcome {
+            None => class.open += 1,
+            Some(Outcome::Served) => class.served += 1,
+            Some(Outcome::Rejected) => class.rejected += 1,
+            Some(Outcome::Failed) => class.failed += 1,
+            Some(Outcome::TimedOut) => {
+                class.timed_out += 1;
+                report.timed_out += 1;
             }
+            Some(Outcome::Lost) => class.lost += 1,
+            Some(Outcome::WrongBody) => report.wrong_body += 1,
         }
-        examples.truncate(EXAMPLES);
-        inner.examples.clone_from(&examples);
-        report.examples = examples;
-        report
+        if let Some(tenant) = operation.tenant {
+            add_tenant_operation(report, tenant, operation.in_time, outcome);
+        }
+        add_violations(report, &self.classes[operation.class], number, operation);
     }
 }
 
 impl Inner {
-    fn tried(&mut self, of: Try) -> Option<&mut Tried> {
-        self.asks.get_mut(&of.ask)?.tries.get_mut(usize::from(of.n))
+    fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.operations.get_mut(&id.operation)?.attempts.get_mut(usize::from(id.number))
     }
 
-    fn killed(&self, target: SocketAddr, now: Instant) -> bool {
-        self.kills.iter().any(|(at, when)| *at == target && now.duration_since(*when) < KILL_SHOWS)
+    fn open_pause(&mut self, target: SocketAddr) -> Option<&mut Pause> {
+        self.pauses.iter_mut().rev().find(|pause| pause.target == target && pause.end.is_none())
     }
 
-    /// Whether a process was stopped while a request could have been with it.
-    fn stalled(&self, target: SocketAddr, now: Instant) -> bool {
-        let before = now.checked_sub(STALL_SHOWS).unwrap_or(now);
-        let over = |end: &Option<Instant>| end.is_none_or(|end| end > before);
-        self.stalls.iter().any(|(at, _, end)| *at == target && over(end))
+    /// Whether a process was killed so recently that its requests may be lost now.
+    fn was_killed(&self, target: SocketAddr, now: Instant) -> bool {
+        let recent = |at: Instant| now.duration_since(at) < KILL_GRACE;
+        self.kills.iter().any(|(killed, at)| *killed == target && recent(*at))
     }
 
-    fn example(&mut self, text: String) {
-        if self.examples.len() < EXAMPLES {
-            self.examples.push(text);
-        }
+    /// Whether a process was paused while a request that times out now could have been with it.
+    fn was_paused(&self, target: SocketAddr, now: Instant) -> bool {
+        let earliest = now.checked_sub(PAUSE_GRACE).unwrap_or(now);
+        let recent = |pause: &Pause| pause.end.is_none_or(|end| end > earliest);
+        self.pauses.iter().any(|pause| pause.target == target && recent(pause))
     }
-}
 
-/// Three digits, from a microsecond to the longest that any request is waited for.
-fn times() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, 1_000_000_000, 3).expect("bounds and digits in range")
-}
-
-fn timed(class: &Class, took: &Histogram<u64>) -> OfClass {
-    let ms = |us: u64| us as f64 / 1000.0;
-    OfClass {
-        name: class.name,
-        p50_ms: ms(took.value_at_quantile(0.5)),
-        p99_ms: ms(took.value_at_quantile(0.99)),
-        max_ms: ms(took.max()),
-        ..OfClass::default()
+    fn add_example(&mut self, text: String) {
+        if self.counts.examples.len() < MAX_EXAMPLES {
+            self.counts.examples.push(text);
+        }
     }
 }
 
-/// Operations of one class by how they ended. Times are from the first try to the answer, of those that
-/// were served.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct OfClass {
-    /// The class.
-    pub name: &'static str,
-    /// Operations.
-    pub asked: u64,
-    /// Those under way.
-    pub open: u64,
-    /// Served at last.
-    pub served: u64,
-    /// Refused at last.
-    pub refused: u64,
-    /// Failed at last.
-    pub failed: u64,
-    /// Without an answer in time.
-    pub late: u64,
-    /// Whose connection ended without one.
-    pub lost: u64,
-    /// Median.
-    pub p50_ms: f64,
-    /// 99th percentile.
-    pub p99_ms: f64,
-    /// Longest.
-    pub max_ms: f64,
-}
-
-/// Operations of one tenant by how they ended.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct OfTenant {
-    /// Operations.
-    pub asked: u64,
-    /// Served at last.
-    pub served: u64,
-    /// Of them within their classes' aims.
-    pub in_time: u64,
-    /// Refused at last.
-    pub refused: u64,
-    /// Failed at last, or ended without an answer.
-    pub failed: u64,
-}
-
-/// The account in figures.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Report {
-    /// By class.
-    pub classes: Vec<OfClass>,
-    /// By tenant, where clients say whose they are.
-    pub tenants: Vec<OfTenant>,
-    /// By server.
-    pub servers: BTreeMap<String, Server>,
-    /// Tries of clients.
-    pub tries: u64,
-    /// Taken, and ended without an answer.
-    pub lost: u64,
-    /// The same by a process that was killed on purpose.
-    pub lost_by_kill: u64,
-    /// No answer in time.
-    pub late: u64,
-    /// The same by a process that was stopped on purpose; those count as failed.
-    pub late_by_stall: u64,
-    /// Unsafe ones that ran more than once.
-    pub doubled_orders: u64,
-    /// Keyed ones that ran more than once.
-    pub doubled_uploads: u64,
-    /// Refused though an attempt had run.
-    pub refused_but_ran: u64,
-    /// Attempts that came to a server after the final answer.
-    pub after_the_end: u64,
-    /// 200 with another body.
-    pub wrong: u64,
-    /// Requests at servers that no client sent.
-    pub strangers: u64,
-    /// Connections to sidecars that were refused.
-    pub refused_connections: u64,
-    /// Connections to sidecars that came up and ended with nothing sent on: those requests failed.
-    pub unread: u64,
-    /// Requests that crossed the close of their connection and were sent once more.
-    pub crossed: u64,
-    /// Some of what is wrong, in words.
-    pub examples: Vec<String>,
-}
-
-impl Report {
-    /// Operations in all.
-    pub fn asked(&self) -> u64 {
-        self.classes.iter().map(|c| c.asked).sum()
+fn count_event(servers: &mut BTreeMap<String, ServerReport>, server: &str, event: ServerEvent) {
+    if !servers.contains_key(server) {
+        servers.insert(server.to_owned(), ServerReport::default());
     }
-
-    /// Operations served.
-    pub fn served(&self) -> u64 {
-        self.classes.iter().map(|c| c.served).sum()
+    let Some(report) = servers.get_mut(server) else { return };
+    match event {
+        ServerEvent::Received => report.received += 1,
+        ServerEvent::Executed => report.executed += 1,
+        ServerEvent::Rejected => report.rejected += 1,
+        ServerEvent::Deduplicated => report.deduplicated += 1,
     }
+}
 
-    /// Rules broken; what killed processes held may be lost, and connections may be refused by
-    /// who asks for that.
-    pub fn broken(&self) -> u64 {
-        self.lost
-            + self.late
-            + self.doubled_orders
-            + self.doubled_uploads
-            + self.refused_but_ran
-            + self.after_the_end
-            + self.wrong
-            + self.strangers
+fn add_tenant_operation(
+    report: &mut Report,
+    tenant: usize,
+    in_time: bool,
+    outcome: Option<Outcome>,
+) {
+    if report.tenants.len() <= tenant {
+        report.tenants.resize(tenant + 1, TenantReport::default());
+    }
+    let tenant = &mut report.tenants[tenant];
+    tenant.requested += 1;
+    tenant.in_time += u64::from(in_time);
+    match outcome {
+        None => {}
+        Some(Outcome::Served) => tenant.served += 1,
+        Some(Outcome::Rejected) => tenant.rejected += 1,
+        Some(_) => tenant.failed += 1,
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn account() -> Account {
-        let class = |name, repeat| Class {
-            name,
-            repeat,
-            share: 1.0,
-            work: Duration::from_millis(1),
-            aim: Duration::from_millis(100),
-            deadline: Duration::from_millis(500),
-        };
-        Account::new(vec![class("look", Repeat::Safe), class("order", Repeat::Unsafe)])
+/// Adds what an operation that is not idempotent must not do.
+fn add_violations(report: &mut Report, class: &Class, number: u64, operation: &Operation) {
+    let executions = operation.executions();
+    let duplicated = executions > 1;
+    match class.idempotency {
+        Idempotency::Idempotent => return,
+        Idempotency::Keyed => report.duplicated_keyed += u64::from(duplicated),
+        Idempotency::NonIdempotent => report.duplicated_non_idempotent += u64::from(duplicated),
     }
-
-    fn at() -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], 1))
+    if duplicated {
+        let example = format!("{number:012x} of {} ran {executions} times", class.name);
+        report.examples.push(example);
     }
-
-    #[test]
-    fn ids_come_back_from_the_wire() {
-        let of = Try { ask: 0xabc, n: 7 };
-        assert_eq!(Try::of(&of.id()), Some(of));
-        for bad in ["", "xyz", "00000000000000zz", "éééééééé"] {
-            assert_eq!(Try::of(bad), None);
-        }
+    if operation.is_rejected_but_executed() {
+        report.rejected_but_executed += 1;
+        report.examples.push(format!("{number:012x} of {} was refused, and ran", class.name));
     }
+}
 
-    #[test]
-    fn what_runs_twice_counts_only_where_it_must_not() {
-        let account = account();
-        for class in [0, 1] {
-            let ask = account.ask(class);
-            for _ in 0..2 {
-                let of = account.next_try(ask);
-                account.did("s", &of.id(), Did::Saw);
-                account.did("s", &of.id(), Did::Ran);
-                account.answered(of, Outcome::Failed, at());
-            }
-        }
-        let report = account.report();
-        assert_eq!((report.doubled_orders, report.doubled_uploads), (1, 0));
-        assert_eq!(report.broken(), 1, "{:?}", report.examples);
-    }
-
-    #[test]
-    fn each_breach_is_counted_and_a_kill_excuses_only_what_was_held() {
-        let account = account();
-        let tell = |outcome| {
-            let of = account.next_try(account.ask(1));
-            account.did("s", &of.id(), Did::Ran);
-            account.answered(of, outcome, at());
-        };
-        tell(Outcome::Lost);
-        tell(Outcome::Late);
-        tell(Outcome::Wrong);
-        tell(Outcome::Refused);
-        account.did("s", "no id of ours", Did::Saw);
-        account.kill(at());
-        tell(Outcome::Lost);
-        account.refused_connection(at());
-        let r = account.report();
-        assert_eq!((r.lost, r.lost_by_kill, r.late, r.wrong), (1, 1, 1, 1));
-        assert_eq!((r.refused_but_ran, r.strangers, r.refused_connections), (1, 1, 1));
-        assert_eq!(r.broken(), 5);
-    }
-
-    #[test]
-    fn quantiles_are_of_what_was_served_to_three_digits() {
-        let account = account();
-        let mut exact: Vec<u64> = (0..5000).map(|n| 1 + n * n * 7 % 900_007).collect();
-        for us in &exact {
-            account.served(account.ask(0), Duration::from_micros(*us));
-        }
-        exact.sort_unstable();
-        let of = &account.report().classes[0];
-        for (q, ms) in [(0.5, of.p50_ms), (0.99, of.p99_ms), (1.0, of.max_ms)] {
-            let at = (exact.len() as f64 * q).ceil() as usize - 1;
-            let want = exact[at] as f64 / 1000.0;
-            assert!((ms - want).abs() <= want / 1000.0, "{q}: {ms} ms, exactly {want} ms");
-        }
-        assert_eq!(account.report().classes[1].p99_ms, 0.0);
-        assert_eq!((account.lap()[0].served, account.lap()[0].served), (5000, 0));
+/// A histogram of latencies in microseconds.
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS)
+        .expect("bounds and digits in range")
+}
+
+fn latency_report(class: &Class, latencies: &Histogram<u64>) -> ClassReport {
+    let ms = |us: u64| us as f64 / 1000.0;
+    ClassReport {
+        name: class.name,
+        p50_ms: ms(latencies.value_at_quantile(0.5)),
+        p99_ms: ms(latencies.value_at_quantile(0.99)),
+        max_ms: ms(latencies.max()),
+        ..ClassReport::default()
     }
 }
--- /dev/null
+++ b/crates/fakes/src/account/report.rs
@@ -0,0 +1,147 @@
+//! The account in figures. The stored names are those of the JSON that earlier versions printed.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// The operations of one class by how they ended. Latencies are from the first attempt to the answer, of the served
+/// ones.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ClassReport {
+    /// The name of the class.
+    pub name: &'static str,
+    /// All operations.
+    #[serde(rename = "asked")]
+    pub requested: u64,
+    /// Operations without any answer yet.
+    pub open: u64,
+    /// Operations that were served.
+    pub served: u64,
+    /// Operations whose last attempt was rejected.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+    /// Operations whose last attempt failed.
+    pub failed: u64,
+    /// Operations whose last attempt got no answer in time.
+    #[serde(rename = "late")]
+    pub timed_out: u64,
+    /// Operations whose connection ended without an answer.
+    pub lost: u64,
+    /// The median latency in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile of the latency in milliseconds.
+    pub p99_ms: f64,
+    /// The longest latency in milliseconds.
+    pub max_ms: f64,
+}
+
+/// The operations of one tenant by how they ended.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct TenantReport {
+    /// All operations.
+    #[serde(rename = "asked")]
+    pub requested: u64,
+    /// Operations that were served.
+    pub served: u64,
+    /// Operations that were served within the latency objective of their class.
+    pub in_time: u64,
+    /// Operations whose last attempt was rejected.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+    /// Operations whose last attempt failed or got no answer.
+    pub failed: u64,
+}
+
+/// What one server did.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ServerReport {
+    /// Requests that arrived.
+    #[serde(rename = "seen")]
+    pub received: u64,
+    /// Requests that were executed.
+    #[serde(rename = "ran")]
+    pub executed: u64,
+    /// Requests that were rejected without being executed.
+    #[serde(rename = "turned_away")]
+    pub rejected: u64,
+    /// Requests with an idempotency key that had just been executed.
+    #[serde(rename = "dropped")]
+    pub deduplicated: u64,
+}
+
+/// What became of all requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// By class.
+    pub classes: Vec<ClassReport>,
+    /// By tenant, where clients tell theirs.
+    pub tenants: Vec<TenantReport>,
+    /// By server.
+    pub servers: BTreeMap<String, ServerReport>,
+    /// Attempts of clients.
+    #[serde(rename = "tries")]
+    pub attempts: u64,
+    /// Requests that were accepted, and whose connection ended without an answer.
+    pub lost: u64,
+    /// The same at a process that was killed on purpose.
+    pub lost_by_kill: u64,
+    /// Operations without an answer in time.
+    #[serde(rename = "late")]
+    pub timed_out: u64,
+    /// The same at a process that was paused on purpose. These count as failed.
+    #[serde(rename = "late_by_stall")]
+    pub timed_out_by_pause: u64,
+    /// Operations that are not idempotent and were executed more than once.
+    #[serde(rename = "doubled_orders")]
+    pub duplicated_non_idempotent: u64,
+    /// Operations with an idempotency key that were executed more than once.
+    #[serde(rename = "doubled_uploads")]
+    pub duplicated_keyed: u64,
+    /// Operations that were rejected though an attempt had been executed.
+    #[serde(rename = "refused_but_ran")]
+    pub rejected_but_executed: u64,
+    /// Attempts that arrived at a server after the final answer.
+    #[serde(rename = "after_the_end")]
+    pub after_answer: u64,
+    /// Answers with status 200 and another body.
+    #[serde(rename = "wrong")]
+    pub wrong_body: u64,
+    /// Requests at servers that no client has sent.
+    #[serde(rename = "strangers")]
+    pub unknown: u64,
+    /// Connections to sidecars that were refused.
+    pub refused_connections: u64,
+    /// New connections to sidecars that ended with nothing forwarded. Their requests have failed.
+    #[serde(rename = "unread")]
+    pub unread_connections: u64,
+    /// Requests that were written while their connection was being closed, and were sent once more.
+    #[serde(rename = "crossed")]
+    pub close_races: u64,
+    /// Some of the violations, in words.
+    pub examples: Vec<String>,
+}
+
+impl Report {
+    /// All operations.
+    pub fn requested(&self) -> u64 {
+        self.classes.iter().map(|class| class.requested).sum()
+    }
+
+    /// All operations that were served.
+    pub fn served(&self) -> u64 {
+        self.classes.iter().map(|class| class.served).sum()
+    }
+
+    /// The number of rules that were broken. What is lost with a killed process is none, and refused connections count
+    /// only where the caller counts them.
+    pub fn violations(&self) -> u64 {
+        self.lost
+            + self.timed_out
+            + self.duplicated_non_idempotent
+            + self.duplicated_keyed
+            + self.rejected_but_executed
+            + self.after_answer
+            + self.wrong_body
+            + self.unknown
+    }
+}
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -1,5 +1,5 @@
-//! Clients: an open loop of requests at drawn times, each with its deadline and its tries, on
-//! connections that are kept.
+//! Clients: requests at random times that do not wait for each other, each with a deadline and retries, on reused
+//! connections.
 
 use std::io;
 use std::net::SocketAddr;
@@ -14,25 +14,34 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
-use crate::account::{Account, Outcome, Repeat, Try};
+use crate::account::{Account, AttemptId, Class, Idempotency, Outcome};
 use crate::wire::{Message, Reader};
 
-/// What is asked for.
+/// How often an attempt may be sent, if its connections are closed before it is read.
+const MAX_SENDS: usize = 4;
+/// The pause before the first retry without Retry-After, in milliseconds; it doubles with each retry.
+const FIRST_BACKOFF_MS: u64 = 50;
+/// A longer Retry-After is ignored, in seconds.
+const MAX_RETRY_AFTER_S: f64 = 60.0;
+/// The body of requests that have one.
+const BODY: &str = "four";
+
+/// The load on one sidecar.
 #[derive(Clone, Debug)]
 pub struct Load {
-    /// Requests a second at each sidecar.
+    /// Requests per second.
     pub rate: f64,
-    /// Tries beyond the first.
+    /// Retries after the first attempt.
     pub retries: u16,
-    /// How long past its deadline an answer still counts: what the machine itself may take.
+    /// How long after its deadline an answer still counts: the time that the machine itself may take.
     pub slack: Duration,
-    /// Connections at rest are closed by the client after so long.
-    pub idle: Duration,
-    /// Tenants.
+    /// How long an idle connection is kept open.
+    pub idle_timeout: Duration,
+    /// The names of the tenants.
     pub tenants: Vec<String>,
-    /// Their shares of what is asked; none: equal ones.
+    /// The tenants' shares of the requests; without any, they are equal.
     pub shares: Vec<f64>,
-    /// For what is drawn.
+    /// The seed of everything that is drawn.
     pub seed: u64,
 }
 
@@ -42,7 +51,7 @@
             rate: 5.0,
             retries: 2,
             slack: Duration::from_millis(500),
-            idle: Duration::from_millis(2000),
+            idle_timeout: Duration::from_millis(2000),
             tenants: Vec::new(),
             shares: Vec::new(),
             seed: 1,
@@ -50,28 +59,54 @@
     }
 }
 
+impl Load {
+    /// The number of a random tenant, if there are any.
+    fn draw_tenant(&self, rng: &mut SmallRng) -> Option<usize> {
+        let last = self.tenants.len().checked_sub(1)?;
+        if self.shares.is_empty() {
+            return Some(rng.random_range(0..=last));
+        }
+        Some(draw_by_share(self.shares.iter().copied(), rng).min(last))
+    }
+}
+
 /// The clients of one sidecar.
 struct Client {
     target: SocketAddr,
     account: Arc<Account>,
     load: Load,
-    idle: Mutex<Vec<(Reader<TcpStream>, Instant)>>,
+    idle_connections: Mutex<Vec<IdleConnection>>,
+}
+
+struct IdleConnection {
+    reader: Reader<TcpStream>,
+    since: Instant,
 }
 
-/// How one try went.
-enum Went {
+/// An operation under way.
+struct Operation {
+    class: Class,
+    tenant: Option<usize>,
+    idempotency_key: u64,
+    deadline: Instant,
+}
+
+/// How one exchange of a request and an answer ended.
+enum Exchange {
     Answered(Message, Reader<TcpStream>),
+    /// The connection was refused.
     Refused,
-    /// The connection ended before any of an answer came; whether it had been used before.
-    Ended {
-        used: bool,
+    /// The connection ended before any part of an answer.
+    Closed {
+        /// Whether the connection had served a request before.
+        reused: bool,
     },
-    /// It ended in the middle of an answer.
-    Broken,
-    Late,
+    /// The connection ended within an answer.
+    Truncated,
+    TimedOut,
 }
 
-/// Sends load to the sidecar at `target` until `stop` is true, then waits for what is open.
+/// Sends load to the sidecar at `target` until `stop` is true, and then waits for the open requests.
 pub async fn drive(
     target: SocketAddr,
     account: Arc<Account>,
@@ -79,191 +114,191 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let mut rng = SmallRng::seed_from_u64(load.seed ^ u64::from(target.port()) << 20);
-    let client = Arc::new(Client { target, account, load, idle: Mutex::default() });
+    let client = Arc::new(Client { target, account, load, idle_connections: Mutex::default() });
     let mut open = JoinSet::new();
     let mut next = tokio::time::Instant::now();
     loop {
-        // Times between arrivals are exponential: a Poisson process.
+        // The times between arrivals are exponential: a Poisson process.
         next += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / client.load.rate);
         tokio::select! {
             biased;
-            _ = stop.wait_for(|s| *s) => break,
+            _ = stop.wait_for(|stopped| *stopped) => break,
             () = sleep_until(next) => {}
         }
-        let class = draw(&client.account, &mut rng);
-        let tenant = tenant(&client.load, &mut rng);
-        open.spawn(client.clone().ask(class, tenant, rng.random()));
+        let shares = client.account.classes().iter().map(|class| class.share);
+        let class = draw_by_share(shares, &mut rng);
+        let tenant = client.load.draw_tenant(&mut rng);
+        open.spawn(client.clone().run_operation(class, tenant, rng.random()));
         while open.try_join_next().is_some() {}
     }
     while open.join_next().await.is_some() {}
 }
 
-/// Whether nothing has come on a connection, not even its end.
-fn at_rest(socket: &TcpStream) -> bool {
+/// Whether a connection is open and has nothing to read.
+fn is_idle(socket: &TcpStream) -> bool {
     let mut byte = [0];
     matches!(socket.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
-fn draw(account: &Account, rng: &mut SmallRng) -> usize {
-    by_share(account.classes().iter().map(|c| c.share), rng)
-}
-
-fn tenant(load: &Load, rng: &mut SmallRng) -> Option<usize> {
-    let last = load.tenants.len().checked_sub(1)?;
-    if load.shares.is_empty() {
-        return Some(rng.random_range(0..=last));
-    }
-    Some(by_share(load.shares.iter().copied(), rng).min(last))
-}
-
-/// One of several, each by its share of all.
-fn by_share(shares: impl Iterator<Item = f64> + Clone, rng: &mut SmallRng) -> usize {
-    let mut at = rng.random_range(0.0..shares.clone().sum::<f64>().max(f64::MIN_POSITIVE));
+/// The number of a random one of several, each with the probability of its share.
+fn draw_by_share(shares: impl Iterator<Item = f64> + Clone, rng: &mut SmallRng) -> usize {
+    let mut point = rng.random_range(0.0..shares.clone().sum::<f64>().max(f64::MIN_POSITIVE));
     for (n, share) in shares.enumerate() {
-        if at < share {
+        if point < share {
             return n;
         }
-        at -= share;
+        point -= share;
     }
     0
 }
 
 impl Client {
-    async fn ask(self: Arc<Client>, class: usize, tenant: Option<usize>, key: u64) {
-        let of = self.account.classes()[class].clone();
-        let ask = self.account.ask_of(class, tenant);
-        let began = Instant::now();
-        let end = began + of.deadline;
+    async fn run_operation(
+        self: Arc<Client>,
+        class: usize,
+        tenant: Option<usize>,
+        idempotency_key: u64,
+    ) {
+        let number = self.account.begin_for_tenant(class, tenant);
+        let class = self.account.classes()[class].clone();
+        let started = Instant::now();
+        let deadline = started + class.deadline;
+        let operation = Operation { class, tenant, idempotency_key, deadline };
         for n in 0..=self.load.retries {
-            let this = self.account.next_try(ask);
-            let (outcome, retry_after) =
-                self.attempt(this, &of.repeat, of.name, tenant, key, end).await;
-            self.account.answered(this, outcome, self.target);
+            let id = self.account.next_attempt(number);
+            let (outcome, retry_after) = self.attempt(id, &operation).await;
+            self.account.record_outcome(id, outcome, self.target);
             if outcome == Outcome::Served {
-                self.account.served(ask, began.elapsed());
+                self.account.record_served(number, started.elapsed());
                 return;
             }
-            let again = match outcome {
-                Outcome::Refused => true,
-                Outcome::Failed => of.repeat == Repeat::Safe,
+            let may_retry = match outcome {
+                Outcome::Rejected => true,
+                Outcome::Failed => operation.class.idempotency == Idempotency::Idempotent,
                 _ => false,
             };
-            let pause = retry_after.unwrap_or(Duration::from_millis(50 << n));
-            if !again || n == self.load.retries || Instant::now() + pause >= end {
+            let pause = retry_after.unwrap_or(Duration::from_millis(FIRST_BACKOFF_MS << n));
+            if !may_retry || n == self.load.retries || Instant::now() + pause >= deadline {
                 return;
             }
             sleep(pause).await;
         }
     }
 
-    /// One try, sent once more only if it crossed the close of its connection unread.
-    async fn attempt(
-        &self,
-        this: Try,
-        repeat: &Repeat,
-        class: &str,
-        tenant: Option<usize>,
-        key: u64,
-        end: Instant,
-    ) -> (Outcome, Option<Duration>) {
-        let text = |left: u128| {
-            let (method, rest) = match repeat {
-                Repeat::Safe => ("GET", String::new()),
-                Repeat::Keyed => ("POST", format!("Idempotency-Key: {key:032x}\r\n")),
-                Repeat::Unsafe => ("POST", String::new()),
-            };
-            let tenant = tenant
-                .map_or_else(String::new, |n| format!("X-Account: {}\r\n", self.load.tenants[n]));
-            let body = if *repeat == Repeat::Safe { "" } else { "four" };
-            let length = if body.is_empty() {
-                String::new()
-            } else {
-                format!("Content-Length: {}\r\n", body.len())
-            };
-            let id = this.id();
-            format!(
-                "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n\
-                 X-Time-Left-Ms: {left}\r\n{tenant}{rest}{length}\r\n{body}"
-            )
-        };
-        for _ in 0..4 {
-            let left = end.saturating_duration_since(Instant::now()).as_millis();
-            match self.exchange(text(left).as_bytes(), end + self.load.slack).await {
-                Went::Answered(message, reader) => return self.judge(this, &message, reader),
-                Went::Late => return (Outcome::Late, None),
-                Went::Broken => return (Outcome::Lost, None),
-                Went::Refused => {
-                    self.account.refused_connection(self.target);
-                    return (Outcome::Refused, None);
+    /// One attempt, and the Retry-After of its answer. It is sent again only if its connection was closed before the
+    /// request was read.
+    async fn attempt(&self, id: AttemptId, operation: &Operation) -> (Outcome, Option<Duration>) {
+        for _ in 0..MAX_SENDS {
+            let request = self.request(id, operation);
+            let limit = operation.deadline + self.load.slack;
+            match self.exchange(request.as_bytes(), limit).await {
+                Exchange::Answered(message, reader) => return self.answered(id, &message, reader),
+                Exchange::TimedOut => return (Outcome::TimedOut, None),
+                Exchange::Truncated => return (Outcome::Lost, None),
+                Exchange::Refused => {
+                    self.account.record_refused_connection(self.target);
+                    return (Outcome::Rejected, None);
                 }
-                Went::Ended { used } => {
-                    // A process that was killed may have passed it on just before.
-                    let held = self.account.was_seen(this) || self.account.was_killed(self.target);
-                    if held {
+                Exchange::Closed { reused } => {
+                    // A process that was killed may have forwarded it just before.
+                    if self.account.was_received(id) || self.account.was_killed(self.target) {
                         return (Outcome::Lost, None);
                     }
-                    // The first on a connection, and nothing was sent on for it: it has failed.
-                    if !used {
-                        self.account.unread(self.target);
+                    // A new connection that was closed without forwarding anything is a failure.
+                    if !reused {
+                        self.account.record_unread_connection(self.target);
                         return (Outcome::Failed, None);
                     }
-                    self.account.crossed();
+                    self.account.record_close_race();
                 }
             }
         }
         (Outcome::Lost, None)
     }
 
-    fn judge(
+    fn request(&self, id: AttemptId, operation: &Operation) -> String {
+        let (method, key) = match operation.class.idempotency {
+            Idempotency::Idempotent => ("GET", String::new()),
+            Idempotency::Keyed => {
+                ("POST", format!("Idempotency-Key: {:032x}\r\n", operation.idempotency_key))
+            }
+            Idempotency::NonIdempotent => ("POST", String::new()),
+        };
+        let tenant = operation.tenant.map(|n| format!("X-Account: {}\r\n", self.load.tenants[n]));
+        let tenant = tenant.unwrap_or_default();
+        let (length, body) = if method == "GET" {
+            (String::new(), "")
+        } else {
+            (format!("Content-Length: {}\r\n", BODY.len()), BODY)
+        };
+        let left_ms = operation.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let (class, id) = (operation.class.name, id.request_id());
+        format!(
+            "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n\
+             X-Time-Left-Ms: {left_ms}\r\n{tenant}{key}{length}\r\n{body}"
+        )
+    }
+
+    /// The outcome of an answer, and its Retry-After. Keeps the connection if the answer allows that.
+    fn answered(
         &self,
-        this: Try,
+        id: AttemptId,
         message: &Message,
         reader: Reader<TcpStream>,
     ) -> (Outcome, Option<Duration>) {
         let outcome = match message.status() {
-            Some(200) if message.body == this.id().as_bytes() => Outcome::Served,
-            Some(200) => Outcome::Wrong,
-            Some(429 | 503) => Outcome::Refused,
+            Some(200) if message.body == id.request_id().as_bytes() => Outcome::Served,
+            Some(200) => Outcome::WrongBody,
+            Some(429 | 503) => Outcome::Rejected,
             _ => Outcome::Failed,
         };
-        if message.keeps() && !reader.begun() {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push((reader, Instant::now()));
+        if message.keeps_connection() && !reader.has_partial_message() {
+            let mut idle = self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.push(IdleConnection { reader, since: Instant::now() });
         }
-        let after = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
-        (outcome, after.filter(|s| (0.0..60.0).contains(s)).map(Duration::from_secs_f64))
+        let retry_after_s = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
+        let retry_after_s = retry_after_s.filter(|s| (0.0..MAX_RETRY_AFTER_S).contains(s));
+        (outcome, retry_after_s.map(Duration::from_secs_f64))
     }
 
-    async fn exchange(&self, text: &[u8], end: Instant) -> Went {
-        let kept = {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            // One that its peer has closed shows it: a client that looks does not write on it.
-            idle.retain(|(r, since)| since.elapsed() < self.load.idle && at_rest(r.get_ref()));
-            idle.pop()
-        };
-        let used = kept.is_some();
-        let exchanged = async {
+    /// A kept connection that is still open.
+    fn reuse_connection(&self) -> Option<Reader<TcpStream>> {
+        let mut idle = self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
+        // A connection that its peer has closed is not written to.
+        idle.retain(|connection| {
+            let fresh = connection.since.elapsed() < self.load.idle_timeout;
+            fresh && is_idle(connection.reader.get_ref())
+        });
+        idle.pop().map(|connection| connection.reader)
+    }
+
+    async fn exchange(&self, request: &[u8], limit: Instant) -> Exchange {
+        let kept = self.reuse_connection();
+        let reused = kept.is_some();
+        let exchange = async {
             let mut reader = match kept {
-                Some((reader, _)) => reader,
+                Some(reader) => reader,
                 None => match TcpStream::connect(self.target).await {
                     Ok(socket) => {
                         let _ = socket.set_nodelay(true);
                         Reader::new(socket)
                     }
-                    Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return Went::Refused,
-                    Err(_) => return Went::Ended { used: false },
+                    Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                        return Exchange::Refused;
+                    }
+                    Err(_) => return Exchange::Closed { reused: false },
                 },
             };
-            if reader.get_mut().write_all(text).await.is_err() {
-                return Went::Ended { used };
+            if reader.get_mut().write_all(request).await.is_err() {
+                return Exchange::Closed { reused };
             }
             match reader.next().await {
-                Ok(Some(message)) => Went::Answered(message, reader),
-                // Part of an answer tells that the request was taken.
-                Err(_) if reader.begun() => Went::Broken,
-                Ok(None) | Err(_) => Went::Ended { used },
+                Ok(Some(message)) => Exchange::Answered(message, reader),
+                // A partial answer shows that the request was accepted.
+                Err(_) if reader.has_partial_message() => Exchange::Truncated,
+                Ok(None) | Err(_) => Exchange::Closed { reused },
             }
         };
-        timeout_at(end.into(), exchanged).await.unwrap_or(Went::Late)
+        timeout_at(limit.into(), exchange).await.unwrap_or(Exchange::TimedOut)
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,9 +1,9 @@
-//! Stand-ins for all that a sidecar meets (log servers, discovery, clients) on loopback sockets,
-//! and the account of what became of every request. Written from the protocol's description alone:
-//! nothing here uses the sidecar's own code, so a misreading there is not shared here.
+//! Fakes of everything that a sidecar talks to (log servers, discovery, clients) on loopback sockets, and the account
+//! of what became of every request.
 //!
-//! For tests and tools. Ports are the system's choice; waiting is for events, with deadlines far
-//! beyond what any machine needs; what is drawn is drawn from a seed.
+//! They are written from the description of the protocol alone and use none of the sidecar's code, so that they do
+//! not share its misreadings. They are for tests and tools: ports are chosen by the system, waiting is for events
+//! with deadlines far beyond what any machine needs, and random choices depend on a seed.
 
 pub mod account;
 pub mod clients;
@@ -17,41 +17,45 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
-/// What is waited for comes long before this, or the test has failed.
+/// The time within which everything that a test waits for must happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// The time between two checks of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The threads of the shared runtime.
+const RUNTIME_THREADS: usize = 2;
 
-/// Waits until `done` says so.
+/// Waits until `condition` holds. `what` describes it.
 ///
 /// # Panics
 ///
-/// When [`PATIENCE`] is over.
-pub fn until(what: &str, done: impl FnMut() -> bool) {
-    until_in(PATIENCE, what, done);
+/// When it does not hold within [`PATIENCE`].
+pub fn until(what: &str, condition: impl FnMut() -> bool) {
+    until_in(PATIENCE, what, condition);
 }
 
-/// The same with a patience of its own.
+/// The same with another timeout.
 ///
 /// # Panics
 ///
-/// When `patience` is over.
-pub fn until_in(patience: Duration, what: &str, mut done: impl FnMut() -> bool) {
-    let end = Instant::now() + patience;
-    while !done() {
-        assert!(Instant::now() < end, "in vain: {what}");
-        std::thread::sleep(Duration::from_millis(5));
+/// When the condition does not hold within the timeout.
+pub fn until_in(timeout: Duration, what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + timeout;
+    while !condition() {
+        assert!(Instant::now() < deadline, "in vain: {what}");
+        std::thread::sleep(POLL_INTERVAL);
     }
 }
 
-/// The runtime on which stand-ins live that are started from a plain thread.
+/// The runtime of fakes that are started from a plain thread.
 ///
 /// # Panics
 ///
-/// When the system gives it no threads.
+/// When the system refuses its threads.
 pub fn runtime() -> &'static tokio::runtime::Handle {
     static RUNTIME: OnceLock<tokio::runtime::Runtime> = OnceLock::new();
-    let started = RUNTIME.get_or_init(|| {
+    let runtime = RUNTIME.get_or_init(|| {
         let mut builder = tokio::runtime::Builder::new_multi_thread();
-        builder.worker_threads(2).enable_all().build().expect("threads for the stand-ins")
+        builder.worker_threads(RUNTIME_THREADS).enable_all().build().expect("threads for the fakes")
     });
-    started.handle()
+    runtime.handle()
 }
--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -1,6 +1,5 @@
-//! Log servers over real sockets: cores, a waiting room, cold starts, load reports, drains, keys
-//! that drop repeats, and faults by script. Work is time spent on a core, not computing, so that
-//! many of them fit on one machine.
+//! Log servers on real sockets: cores, a queue, slow start, load reports, draining, deduplication by idempotency key,
+//! and faults. Work is time spent on a core without computing, so that many servers fit on one machine.
 
 use std::collections::HashMap;
 use std::io;
@@ -16,18 +15,27 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
-use crate::account::{Account, Did};
+use crate::account::{Account, ServerEvent};
 use crate::wire::{Message, Reader};
 
-/// The keys that the servers of one zone have lately run.
+/// With more idempotency keys than this, expired ones are removed.
+const MAX_KEYS: usize = 10_000;
+const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+const BAD_REQUEST: &str = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+const SERVER_ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+const GARBAGE: &str = "\u{1}\u{2}noise\r\n\r\n";
+/// How many bytes a truncated answer lacks.
+const TRUNCATED_BYTES: usize = 4;
+
+/// The idempotency keys that the servers of one zone have executed lately.
 #[derive(Default)]
-pub struct Keys(Mutex<HashMap<String, Instant>>);
+pub struct RecentKeys(Mutex<HashMap<String, Instant>>);
 
-impl Keys {
-    /// Whether `key` is new: not run within `window`. It counts as run from now on.
-    pub fn fresh(&self, key: &str, window: Duration, now: Instant) -> bool {
+impl RecentKeys {
+    /// Whether a key was not executed within `window` before `now`. If so, it counts as executed from now on.
+    pub fn insert_if_new(&self, key: &str, window: Duration, now: Instant) -> bool {
         let mut keys = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if keys.len() > 10_000 {
+        if keys.len() > MAX_KEYS {
             keys.retain(|_, at| now.duration_since(*at) < window);
         }
         match keys.get(key) {
@@ -40,103 +48,103 @@
     }
 }
 
-/// What a server is like.
+/// The properties of a server.
 #[derive(Clone)]
-pub struct Spec {
+pub struct ServerSpec {
     /// Its name.
     pub name: String,
-    /// Requests in work at once.
+    /// The requests that it works on at the same time.
     pub cores: usize,
-    /// Requests that may wait; more are turned away unseen.
-    pub room: usize,
-    /// Connections that it holds; on more, requests are turned away.
-    pub connections: usize,
+    /// The requests that may queue; more are rejected without being executed.
+    pub queue_capacity: usize,
+    /// The connections on which it accepts requests; on more, they are rejected.
+    pub max_connections: usize,
     /// The share of its speed that it starts with.
     pub cold_share: f64,
-    /// Warm after; zero: from the start.
-    pub warm_after: Duration,
-    /// The keys of its zone.
-    pub keys: Arc<Keys>,
-    /// How long they are kept.
-    pub window: Duration,
-    /// The longest that it keeps a connection at rest.
-    pub idle: Duration,
-    /// For what is drawn.
+    /// The time until it has its full speed; zero: from the start.
+    pub warm_up: Duration,
+    /// The idempotency keys of its zone.
+    pub idempotency_keys: Arc<RecentKeys>,
+    /// How long they are remembered.
+    pub deduplication_window: Duration,
+    /// How long an idle connection is kept open.
+    pub idle_timeout: Duration,
+    /// The seed of everything that is drawn.
     pub seed: u64,
 }
 
-/// What may go wrong with one request.
+/// A fault of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// 500 after it has run.
+    /// It is executed, and the answer has status 500.
     Error,
-    /// The connection is reset before it runs.
+    /// The connection is reset before it is executed.
     ResetBefore,
-    /// The connection is reset after it has run.
+    /// The connection is reset after it was executed.
     ResetAfter,
-    /// It runs, and no answer comes.
+    /// It is executed, and never answered.
     Hang,
-    /// It runs, and noise is the answer.
-    Spoilt,
-    /// Its answer stops half way.
-    Half,
+    /// It is executed, and the answer is no HTTP.
+    Garbage,
+    /// It is executed, and the answer is incomplete.
+    Truncated,
 }
 
-/// How a server is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
     Up,
     Draining,
-    Gone,
+    Dead,
 }
 
-/// Shares of the requests that meet a fault; the rest are answered.
-type Script = Vec<(f64, Fault)>;
+/// The shares of the requests that have a fault. The rest are answered.
+type FaultShares = Vec<(f64, Fault)>;
 
 struct Shared {
-    spec: Spec,
+    spec: ServerSpec,
     account: Arc<Account>,
     started: Instant,
     cores: Semaphore,
-    waiting: AtomicUsize,
-    running: AtomicUsize,
+    queued: AtomicUsize,
+    executing: AtomicUsize,
     connections: AtomicUsize,
-    faults: Mutex<Script>,
-    slow: Mutex<f64>,
+    faults: Mutex<FaultShares>,
+    /// The factor on the time of all work.
+    slowdown: Mutex<f64>,
     rng: Mutex<StdRng>,
 }
 
-/// A log server. It goes with its handle.
+/// A running log server. It ends with its handle.
 pub struct LogServer {
-    /// Where it listens.
+    /// The address that it listens at.
     pub at: SocketAddr,
     shared: Arc<Shared>,
     mode: watch::Sender<Mode>,
 }
 
 impl LogServer {
-    /// Starts one on the present runtime.
+    /// Starts a server on the current runtime.
     ///
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start(spec: Spec, account: Arc<Account>) -> io::Result<LogServer> {
+    pub async fn start(spec: ServerSpec, account: Arc<Account>) -> io::Result<LogServer> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
         let shared = Arc::new(Shared {
             cores: Semaphore::new(spec.cores),
             account,
             started: Instant::now(),
-            waiting: AtomicUsize::new(0),
-            running: AtomicUsize::new(0),
+            queued: AtomicUsize::new(0),
+            executing: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             faults: Mutex::default(),
-            slow: Mutex::new(1.0),
+            slowdown: Mutex::new(1.0),
             rng: Mutex::new(StdRng::seed_from_u64(spec.seed)),
             spec,
         });
-        let (mode, seen) = watch::channel(Mode::Up);
-        tokio::spawn(accept(listener, shared.clone(), seen));
+        let (mode, watched) = watch::channel(Mode::Up);
+        tokio::spawn(accept(listener, shared.clone(), watched));
         Ok(LogServer { at, shared, mode })
     }
 
@@ -145,24 +153,24 @@
         &self.shared.spec.name
     }
 
-    /// From now on it turns away all that is new.
+    /// From now on it rejects all new requests.
     pub fn drain(&self) {
         self.mode.send_replace(Mode::Draining);
     }
 
-    /// It dies: its connections are reset, and new ones are refused.
+    /// Kills it: its connections are reset, and new ones are refused.
     pub fn kill(&self) {
-        self.mode.send_replace(Mode::Gone);
+        self.mode.send_replace(Mode::Dead);
     }
 
-    /// From now on each share of the requests meets its fault.
-    pub fn faults(&self, script: Script) {
-        *self.shared.faults.lock().unwrap_or_else(PoisonError::into_inner) = script;
+    /// From now on these shares of the requests have faults.
+    pub fn set_faults(&self, faults: Vec<(f64, Fault)>) {
+        *self.shared.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
 
-    /// From now on work takes so many times as long.
-    pub fn slow(&self, times: f64) {
-        *self.shared.slow.lock().unwrap_or_else(PoisonError::into_inner) = times;
+    /// From now on work takes this many times as long.
+    pub fn set_slowdown(&self, factor: f64) {
+        *self.shared.slowdown.lock().unwrap_or_else(PoisonError::into_inner) = factor;
     }
 }
 
@@ -170,162 +178,188 @@
     loop {
         let socket = tokio::select! {
             biased;
-            _ = mode.wait_for(|m| *m == Mode::Gone) => return,
+            _ = mode.wait_for(|mode| *mode == Mode::Dead) => return,
             socket = listener.accept() => socket,
         };
         if let Ok((socket, _)) = socket {
-            tokio::spawn(connection(socket, shared.clone(), mode.clone()));
+            tokio::spawn(serve_connection(socket, shared.clone(), mode.clone()));
         }
     }
 }
 
-struct Counted<'a>(&'a AtomicUsize);
+/// Counts something while it lives.
+struct CountGuard<'a>(&'a AtomicUsize);
 
-impl<'a> Counted<'a> {
-    fn new(count: &'a AtomicUsize) -> (Counted<'a>, usize) {
+impl<'a> CountGuard<'a> {
+    /// Counts one more. Also returns the count before.
+    fn new(count: &'a AtomicUsize) -> (CountGuard<'a>, usize) {
         let before = count.fetch_add(1, Ordering::Relaxed);
-        (Counted(count), before)
+        (CountGuard(count), before)
     }
 }
 
-impl Drop for Counted<'_> {
+impl Drop for CountGuard<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-async fn connection(socket: TcpStream, shared: Arc<Shared>, mut mode: watch::Receiver<Mode>) {
+async fn serve_connection(socket: TcpStream, shared: Arc<Shared>, mode: watch::Receiver<Mode>) {
     let _ = socket.set_nodelay(true);
-    let (_held, before) = Counted::new(&shared.connections);
-    let full = before >= shared.spec.connections;
+    let (_guard, before) = CountGuard::new(&shared.connections);
+    let overloaded = before >= shared.spec.max_connections;
     let mut reader = Reader::new(socket);
-    let mut gone = mode.clone();
-    let serving = async {
-        loop {
-            let next = tokio::time::timeout(shared.spec.idle, reader.next()).await;
-            let Ok(Ok(Some(message))) = next else { return true };
-            let draining = *mode.borrow_and_update() == Mode::Draining;
-            match shared.serve(&message, draining || full).await {
-                Reply::Whole(text) => {
-                    if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
-                        return true;
-                    }
-                }
-                Reply::Reset => return false,
-                Reply::Silence => std::future::pending().await,
-            }
-        }
-    };
-    let orderly = tokio::select! {
+    let mut killed = mode.clone();
+    let end = tokio::select! {
         biased;
-        _ = gone.wait_for(|m| *m == Mode::Gone) => false,
-        orderly = serving => orderly,
+        _ = killed.wait_for(|mode| *mode == Mode::Dead) => ConnectionEnd::Reset,
+        end = serve_requests(&mut reader, &shared, mode, overloaded) => end,
     };
-    if !orderly {
+    if end == ConnectionEnd::Reset {
         let _ = SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO));
     }
 }
 
+/// How a connection ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    Closed,
+    Reset,
+}
+
+async fn serve_requests(
+    reader: &mut Reader<TcpStream>,
+    shared: &Shared,
+    mut mode: watch::Receiver<Mode>,
+    overloaded: bool,
+) -> ConnectionEnd {
+    loop {
+        let next = tokio::time::timeout(shared.spec.idle_timeout, reader.next()).await;
+        let Ok(Ok(Some(message))) = next else { return ConnectionEnd::Closed };
+        let draining = *mode.borrow_and_update() == Mode::Draining;
+        match shared.serve(&message, draining || overloaded).await {
+            Reply::Answer(text) => {
+                if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
+                    return ConnectionEnd::Closed;
+                }
+            }
+            Reply::Reset => return ConnectionEnd::Reset,
+            Reply::Silence => std::future::pending().await,
+        }
+    }
+}
+
 enum Reply {
-    Whole(String),
+    Answer(String),
     Reset,
     Silence,
 }
 
 impl Shared {
-    async fn serve(&self, message: &Message, unwilling: bool) -> Reply {
-        let (id, name) = (message.header("x-correlation-id"), &self.spec.name);
-        let Some(id) = id else {
-            return Reply::Whole("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned());
+    /// Serves a request. With `reject`, it is rejected without being executed.
+    async fn serve(&self, message: &Message, reject: bool) -> Reply {
+        let Some(id) = message.header("x-correlation-id") else {
+            return Reply::Answer(NOT_FOUND.to_owned());
         };
-        self.account.did(name, &id, Did::Saw);
+        self.record(&id, ServerEvent::Received);
         let first = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.account.classes().iter().find(|c| c.name == first);
-        let Some(class) = class else {
-            return Reply::Whole(
-                "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            );
-        };
-        if unwilling || self.waiting.load(Ordering::Relaxed) >= self.spec.room {
-            return self.turn_away(&id);
+        let class = self.account.classes().iter().find(|class| class.name == first);
+        let Some(class) = class else { return Reply::Answer(BAD_REQUEST.to_owned()) };
+        if reject || self.queued.load(Ordering::Relaxed) >= self.spec.queue_capacity {
+            return self.reject(&id);
         }
         if let Some(key) = message.header("idempotency-key")
-            && !self.spec.keys.fresh(&key, self.spec.window, Instant::now())
+            && !self.is_new_key(&key)
         {
-            self.account.did(name, &id, Did::Dropped);
-            return Reply::Whole(self.answer(&id));
+            self.record(&id, ServerEvent::Deduplicated);
+            return Reply::Answer(self.ok_answer(&id));
         }
-        let (fault, work) = self.draw(class.work);
-        if fault == Some(Fault::ResetBefore) {
+        let (fault, work) = self.draw(class.service_time);
+        if fault == Some(Fault::ResetBefore) || !self.execute(&id, work).await {
             return Reply::Reset;
         }
-        let running = {
-            let (_waits, _) = Counted::new(&self.waiting);
+        self.reply(&id, fault)
+    }
+
+    fn record(&self, id: &str, event: ServerEvent) {
+        self.account.record_server_event(&self.spec.name, id, event);
+    }
+
+    fn is_new_key(&self, key: &str) -> bool {
+        let window = self.spec.deduplication_window;
+        self.spec.idempotency_keys.insert_if_new(key, window, Instant::now())
+    }
+
+    /// Waits for a core and works on it. Returns whether there was one.
+    async fn execute(&self, id: &str, work: Duration) -> bool {
+        let core = {
+            let (_queued, _) = CountGuard::new(&self.queued);
             self.cores.acquire().await
         };
-        let Ok(core) = running else { return Reply::Reset };
-        self.account.did(name, &id, Did::Ran);
-        {
-            let (_runs, _) = Counted::new(&self.running);
-            tokio::time::sleep(work.div_f64(self.speed())).await;
-        }
-        drop(core);
+        let Ok(_core) = core else { return false };
+        self.record(id, ServerEvent::Executed);
+        let (_executing, _) = CountGuard::new(&self.executing);
+        tokio::time::sleep(work.div_f64(self.speed())).await;
+        true
+    }
+
+    /// The reply to an executed request.
+    fn reply(&self, id: &str, fault: Option<Fault>) -> Reply {
         match fault {
-            None => Reply::Whole(self.answer(&id)),
-            Some(Fault::Error) => Reply::Whole(
-                "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            ),
+            None => Reply::Answer(self.ok_answer(id)),
+            Some(Fault::Error) => Reply::Answer(SERVER_ERROR.to_owned()),
             Some(Fault::ResetBefore | Fault::ResetAfter) => Reply::Reset,
             Some(Fault::Hang) => Reply::Silence,
-            Some(Fault::Spoilt) => Reply::Whole("\u{1}\u{2}noise\r\n\r\n".to_owned()),
-            Some(Fault::Half) => {
-                let whole = self.answer(&id);
-                Reply::Whole(whole[..whole.len() - 4].to_owned())
+            Some(Fault::Garbage) => Reply::Answer(GARBAGE.to_owned()),
+            Some(Fault::Truncated) => {
+                let answer = self.ok_answer(id);
+                Reply::Answer(answer[..answer.len() - TRUNCATED_BYTES].to_owned())
             }
         }
     }
 
-    fn turn_away(&self, id: &str) -> Reply {
-        self.account.did(&self.spec.name, id, Did::TurnedAway);
+    fn reject(&self, id: &str) -> Reply {
+        self.record(id, ServerEvent::Rejected);
         let head = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0";
-        Reply::Whole(format!("{head}\r\nX-Backend-Load: {}\r\n\r\n", self.load()))
+        Reply::Answer(format!("{head}\r\nX-Backend-Load: {}\r\n\r\n", self.load_report()))
     }
 
-    fn answer(&self, id: &str) -> String {
-        let load = self.load();
+    fn ok_answer(&self, id: &str) -> String {
+        let load = self.load_report();
         let length = id.len();
         format!("HTTP/1.1 200 OK\r\nX-Backend-Load: {load}\r\nContent-Length: {length}\r\n\r\n{id}")
     }
 
-    fn load(&self) -> String {
-        let (waiting, running) =
-            (self.waiting.load(Ordering::Relaxed), self.running.load(Ordering::Relaxed));
-        let util = running as f64 / self.spec.cores as f64;
-        format!("inflight={},queue={waiting},util={util:.2}", waiting + running)
+    fn load_report(&self) -> String {
+        let queued = self.queued.load(Ordering::Relaxed);
+        let executing = self.executing.load(Ordering::Relaxed);
+        let utilization = executing as f64 / self.spec.cores as f64;
+        format!("inflight={},queue={queued},util={utilization:.2}", queued + executing)
     }
 
-    /// A fault, if one is to be met, and the work: from a half to one and a half of its mean.
+    /// Draws whether a request has a fault, and its work: from a half to one and a half of the mean.
     fn draw(&self, mean: Duration) -> (Option<Fault>, Duration) {
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut at: f64 = rng.random();
+        let mut point: f64 = rng.random();
         let work = mean.mul_f64(rng.random_range(0.5..1.5));
         let faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
         for (share, fault) in faults.iter() {
-            if at < *share {
+            if point < *share {
                 return (Some(*fault), work);
             }
-            at -= share;
+            point -= share;
         }
         (None, work)
     }
 
+    /// The speed relative to that of a warm server without slowdown.
     fn speed(&self) -> f64 {
-        let slow = *self.slow.lock().unwrap_or_else(PoisonError::into_inner);
-        let (cold, warm_after) = (self.spec.cold_share, self.spec.warm_after);
-        if warm_after.is_zero() {
-            return 1.0 / slow;
+        let slowdown = *self.slowdown.lock().unwrap_or_else(PoisonError::into_inner);
+        let (cold_share, warm_up) = (self.spec.cold_share, self.spec.warm_up);
+        if warm_up.is_zero() {
+            return 1.0 / slowdown;
         }
-        let warm = (self.started.elapsed().as_secs_f64() / warm_after.as_secs_f64()).min(1.0);
-        (cold + (1.0 - cold) * warm) / slow
+        let warm = (self.started.elapsed().as_secs_f64() / warm_up.as_secs_f64()).min(1.0);
+        (cold_share + (1.0 - cold_share) * warm) / slowdown
     }
 }
--- a/crates/fakes/src/program.rs
+++ b/crates/fakes/src/program.rs
@@ -1,4 +1,4 @@
-//! The programs under test: built, found, started, and ended by their ids.
+//! The programs of the workspace, for tests and tools that run them.
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -14,7 +14,7 @@
     /// Cargo ran, and reported a failure.
     #[error("cargo could not build the programs")]
     Build,
-    /// There is no such program in the build's folder.
+    /// There is no such program.
     #[error("{}: not there", path.display())]
     Missing {
         /// Where it was expected.
@@ -22,24 +22,24 @@
     },
 }
 
-/// The folder of the programs that belong to the build of the running test or tool.
+/// The directory of the programs that belong to the build of the running test or tool.
 ///
 /// # Panics
 ///
-/// When the running program has no folder.
-pub fn folder() -> PathBuf {
-    let own = std::env::current_exe().expect("a running program has a path");
-    let folder = own.parent().expect("a program lies in a folder");
-    // Tests and examples lie one folder below the programs.
-    let below = folder.file_name().is_some_and(|n| n == "deps" || n == "examples");
+/// When the running program has no directory.
+pub fn directory() -> PathBuf {
+    let own_program = std::env::current_exe().expect("a running program has a path");
+    let directory = own_program.parent().expect("a program lies in a directory");
+    // Tests and examples lie one level below the programs.
+    let below = directory.file_name().is_some_and(|n| n == "deps" || n == "examples");
     if below {
-        folder.parent().expect("deps lies in a folder").to_owned()
+        directory.parent().expect("deps lies in a directory").to_owned()
     } else {
-        folder.to_owned()
+        directory.to_owned()
     }
 }
 
-/// Every program that a host runs, as package and name.
+/// The programs that hosts run, by package and name.
 const PROGRAMS: [(&str, &str); 5] = [
     ("lb-sidecar", "lb-sidecar"),
     ("config-distribution", "lb-config"),
@@ -48,26 +48,25 @@
     ("lbctl", "lbctl"),
 ];
 
-/// A program of the workspace, built in the same profile as the running one if it is older than
-/// its sources. Without cargo at hand, as it is.
+/// The path of a program of the workspace. It is built in the profile of the running program if it is older than its
+/// sources; without cargo, it is taken as it is. `progress` shows the build.
 ///
-/// All are built in one call, once in the life of a process: cargo builds what they depend on with
-/// the features that all of them together want, so that no other choice of packages makes it build
-/// the same crates anew. While it builds it says what and how far, if `progress` is set.
+/// All programs are built by one call of cargo, once in the life of a process: their dependencies get the features
+/// that all of them need together, so that cargo does not build the same crates again for another set of packages.
 ///
 /// # Errors
 ///
 /// When it cannot be built, or is not there.
 pub fn built(name: &str, progress: bool) -> Result<PathBuf, ProgramError> {
     static BUILT: OnceLock<Result<(), ProgramError>> = OnceLock::new();
-    let folder = folder();
-    BUILT.get_or_init(|| build_all(&folder, progress)).clone()?;
-    let path = folder.join(name);
+    let directory = directory();
+    BUILT.get_or_init(|| build_all(&directory, progress)).clone()?;
+    let path = directory.join(name);
     if path.is_file() { Ok(path) } else { Err(ProgramError::Missing { path }) }
 }
 
-fn build_all(folder: &Path, progress: bool) -> Result<(), ProgramError> {
-    let (Some(cargo), Some(target)) = (std::env::var_os("CARGO"), folder.parent()) else {
+fn build_all(directory: &Path, progress: bool) -> Result<(), ProgramError> {
+    let (Some(cargo), Some(target)) = (std::env::var_os("CARGO"), directory.parent()) else {
         return Ok(());
     };
     let mut command = Command::new(cargo);
@@ -77,7 +76,7 @@
     }
     command.arg("--manifest-path").arg(manifest());
     command.arg("--target-dir").arg(target);
-    if folder.file_name().is_some_and(|n| n == "release") {
+    if directory.file_name().is_some_and(|n| n == "release") {
         command.arg("--release");
     }
     if progress {
@@ -89,33 +88,33 @@
     if status.success() { Ok(()) } else { Err(ProgramError::Build) }
 }
 
-/// The workspace's manifest.
+/// The manifest of the workspace.
 fn manifest() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../Cargo.toml")
 }
 
-/// A folder of its own that goes with its handle.
+/// A temporary directory. Dropping it deletes it.
 pub struct Folder(PathBuf);
 
 impl Folder {
-    /// A new one.
+    /// A new directory; `what` is the beginning of its name.
     ///
     /// # Panics
     ///
-    /// When there is no room for it.
+    /// When it cannot be created.
     #[must_use]
     pub fn new(what: &str) -> Folder {
         use std::sync::atomic::{AtomicU64, Ordering};
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("{what}-{}-{n}", std::process::id()));
-        // One of this name was left by a process that had the same id before.
+        // An earlier process with the same id may have left one of this name.
         let _ = std::fs::remove_dir_all(&path);
-        std::fs::create_dir_all(&path).expect("a folder of its own");
+        std::fs::create_dir_all(&path).expect("a temporary directory");
         Folder(path)
     }
 
-    /// Where it is.
+    /// Its path.
     pub fn path(&self) -> &Path {
         &self.0
     }
--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -1,4 +1,4 @@
-//! Discovery: the list of servers, told whole or as changes, watched, changed and taken down.
+//! Service discovery: the list of servers, answered completely or as changes, with long polling.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,15 +13,18 @@
 
 use crate::wire::{Message, Reader};
 
-/// Changes that are remembered one by one; a watch from before them gets the whole list.
-const REMEMBERED: usize = 256;
+#[cfg(test)]
+mod tests;
+
+/// The most changes that are kept. A watch of an older version gets the complete list.
+const MAX_CHANGES: usize = 256;
 
-/// One server as discovery lists it.
+/// A server as discovery lists it. The names of the fields are those of the protocol.
 #[derive(Clone, Debug, Serialize)]
 pub struct Entry {
     /// Its name.
     pub host: String,
-    /// Where it listens.
+    /// Its address.
     pub dial: SocketAddr,
     /// Its zone.
     pub site: String,
@@ -31,14 +34,14 @@
     pub block: u16,
     /// `active`, `leaving` or, among changes, `left`.
     pub health: &'static str,
-    /// Its power.
+    /// Its relative capacity.
     pub share: f64,
-    /// When it last started, Unix time in milliseconds; 0: long ago.
+    /// When it last started, in milliseconds of Unix time; 0: long ago.
     pub born_ms: u64,
 }
 
 impl Entry {
-    /// An active server that has run for long.
+    /// An active server that has run for a long time.
     pub fn new(dial: SocketAddr, site: &str) -> Entry {
         Entry {
             host: format!("s-{}", dial.port()),
@@ -53,107 +56,114 @@
     }
 }
 
-/// The list of servers, its versions and what changed in them. It does no I/O.
+/// The list of servers with its version and its latest changes. No I/O.
 #[derive(Clone, Default)]
-pub struct Book {
-    seq: u64,
-    list: Vec<Entry>,
-    /// What changed, by the version that it made.
+pub struct EndpointList {
+    version: u64,
+    entries: Vec<Entry>,
+    /// The latest changes, each with the version that it made.
     changes: Vec<(u64, Entry)>,
 }
 
 #[derive(Clone, Default)]
 struct State {
-    book: Book,
+    list: EndpointList,
     down: bool,
 }
 
 #[derive(Serialize)]
 struct Answer<'a> {
-    seq: u64,
-    whole: bool,
+    #[serde(rename = "seq")]
+    version: u64,
+    #[serde(rename = "whole")]
+    complete: bool,
     hosts: Vec<&'a Entry>,
 }
 
-impl Book {
-    /// A first version.
-    pub fn new(list: Vec<Entry>) -> Book {
-        Book { seq: 1, list, ..Book::default() }
+impl EndpointList {
+    /// Version 1 of a list.
+    pub fn new(entries: Vec<Entry>) -> EndpointList {
+        EndpointList { version: 1, entries, ..EndpointList::default() }
     }
 
-    /// Forgets what changed: whoever has any version up to now gets the whole list.
-    pub fn forget(&mut self) {
+    /// Forgets all changes: every watch of an earlier version gets the complete list.
+    pub fn forget_changes(&mut self) {
         self.changes.clear();
-        self.seq += 1;
+        self.version += 1;
     }
 
     /// The version.
-    pub fn seq(&self) -> u64 {
-        self.seq
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
-    /// The servers listed.
-    pub fn servers(&self) -> &[Entry] {
-        &self.list
+    /// The listed servers.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
     }
 
-    /// Lists `entry`, anew or in place of the one of its name; `left` takes it off the list.
-    pub fn list(&mut self, entry: Entry) {
-        self.list.retain(|e| e.host != entry.host);
+    /// Adds a server or replaces the one of its name. With health `left` it is removed.
+    pub fn update(&mut self, entry: Entry) {
+        self.entries.retain(|listed| listed.host != entry.host);
         if entry.health != "left" {
-            self.list.push(entry.clone());
+            self.entries.push(entry.clone());
         }
-        self.seq += 1;
-        self.changes.push((self.seq, entry));
-        if self.changes.len() > REMEMBERED {
+        self.version += 1;
+        self.changes.push((self.version, entry));
+        if self.changes.len() > MAX_CHANGES {
             self.changes.remove(0);
         }
     }
 
-    /// The entry of this name in another state of health.
-    pub fn marked(&self, host: &str, health: &'static str) -> Option<Entry> {
-        let entry = self.list.iter().find(|e| e.host == host)?.clone();
+    /// The entry of a server with another health.
+    pub fn with_health(&self, host: &str, health: &'static str) -> Option<Entry> {
+        let entry = self.entries.iter().find(|entry| entry.host == host)?.clone();
         Some(Entry { health, ..entry })
     }
 
-    /// The servers that an answer to one who has version `from` tells of; none: nothing new.
-    pub fn told(&self, from: Option<u64>) -> Vec<&Entry> {
-        match self.known(from) {
-            Some(v) => self.changes.iter().filter(|(seq, _)| *seq > v).map(|(_, e)| e).collect(),
-            None => self.list.iter().collect(),
+    /// The servers in the answer to a client that has version `from`: the changed ones, or all.
+    pub fn answered_entries(&self, from: Option<u64>) -> Vec<&Entry> {
+        match self.known_version(from) {
+            Some(known) => {
+                let newer = self.changes.iter().filter(|(version, _)| *version > known);
+                newer.map(|(_, entry)| entry).collect()
+            }
+            None => self.entries.iter().collect(),
         }
     }
 
-    fn known(&self, from: Option<u64>) -> Option<u64> {
-        from.filter(|v| *v <= self.seq && self.seq - v <= self.changes.len() as u64)
+    /// A client's version, if all changes since then are kept.
+    fn known_version(&self, from: Option<u64>) -> Option<u64> {
+        from.filter(|v| *v <= self.version && self.version - v <= self.changes.len() as u64)
     }
 
-    /// What there is to tell to one who has version `from`; none: nothing new.
-    pub fn news(&self, from: Option<u64>) -> Option<String> {
-        let known = self.known(from);
-        if known == Some(self.seq) {
+    /// The answer to a client that has version `from`; none if that is the present version.
+    pub fn answer(&self, from: Option<u64>) -> Option<String> {
+        let known = self.known_version(from);
+        if known == Some(self.version) {
             return None;
         }
-        let answer = Answer { seq: self.seq, whole: known.is_none(), hosts: self.told(from) };
-        serde_json::to_string(&answer).ok()
+        let complete = known.is_none();
+        let hosts = self.answered_entries(from);
+        serde_json::to_string(&Answer { version: self.version, complete, hosts }).ok()
     }
 
-    /// The answer that tells nothing new.
-    pub fn nothing(&self) -> String {
-        format!(r#"{{"seq":{},"whole":false,"hosts":[]}}"#, self.seq)
+    /// The answer without any change.
+    pub fn empty_answer(&self) -> String {
+        format!(r#"{{"seq":{},"whole":false,"hosts":[]}}"#, self.version)
     }
 }
 
-/// Discovery for many sidecars. It ends with its last handle.
+/// Running discovery for many sidecars. It ends with its last handle.
 #[derive(Clone)]
 pub struct Registry {
-    /// Where it listens.
+    /// The address that it listens at.
     pub at: SocketAddr,
     state: Arc<watch::Sender<State>>,
 }
 
 impl Registry {
-    /// Starts one with this list on the shared runtime.
+    /// Starts discovery with this list on the shared runtime.
     ///
     /// # Panics
     ///
@@ -162,7 +172,7 @@
         crate::runtime().block_on(Registry::open(list)).expect("a free port")
     }
 
-    /// Starts one with this list on the present runtime.
+    /// Starts discovery with this list on the current runtime.
     ///
     /// # Errors
     ///
@@ -170,39 +180,46 @@
     pub async fn open(list: Vec<Entry>) -> io::Result<Registry> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
-        let (state, seen) = watch::channel(State { book: Book::new(list), down: false });
-        tokio::spawn(async move {
-            let mut ended = seen.clone();
-            loop {
-                let socket = tokio::select! {
-                    biased;
-                    _ = ended.wait_for(|_| false) => return,
-                    socket = listener.accept() => socket,
-                };
-                if let Ok((socket, _)) = socket {
-                    tokio::spawn(serve(socket, seen.clone()));
-                }
-            }
-        });
+        let (state, watched) = watch::channel(State { list: EndpointList::new(list), down: false });
+        tokio::spawn(accept(listener, watched));
         Ok(Registry { at, state: Arc::new(state) })
     }
 
-    /// Lists `entry`, anew or in place of the one of its name.
-    pub fn list(&self, entry: Entry) {
-        self.state.send_modify(|state| state.book.list(entry));
+    /// Adds a server or replaces the one of its name.
+    pub fn update(&self, entry: Entry) {
+        self.state.send_modify(|state| state.list.update(entry));
     }
 
-    /// Marks the server of this name as leaving, or takes it off the list.
-    pub fn mark(&self, host: &str, health: &'static str) {
-        let entry = self.state.borrow().book.marked(host, health);
+    /// Changes the health of a server; `left` removes it.
+    pub fn set_health(&self, host: &str, health: &'static str) {
+        let entry = self.state.borrow().list.with_health(host, health);
         if let Some(entry) = entry {
-            self.list(entry);
+            self.update(entry);
         }
     }
 
-    /// Takes it down, or up again. Down, it accepts, and resets every call.
-    pub fn down(&self, down: bool) {
-        self.state.send_modify(|state| state.down = down);
+    /// Takes discovery down: connections are accepted and closed without an answer.
+    pub fn take_down(&self) {
+        self.state.send_modify(|state| state.down = true);
+    }
+
+    /// Brings discovery up again.
+    pub fn bring_up(&self) {
+        self.state.send_modify(|state| state.down = false);
+    }
+}
+
+async fn accept(listener: TcpListener, state: watch::Receiver<State>) {
+    let mut ended = state.clone();
+    loop {
+        let socket = tokio::select! {
+            biased;
+            _ = ended.wait_for(|_| false) => return,
+            socket = listener.accept() => socket,
+        };
+        if let Ok((socket, _)) = socket {
+            tokio::spawn(serve(socket, state.clone()));
+        }
     }
 }
 
@@ -210,89 +227,41 @@
     let _ = socket.set_nodelay(true);
     let mut reader = Reader::new(socket);
     loop {
-        // Danger: the order matters. Where a call and the going down are both there, an unbiased
-        // choice would let calls through now and then that began after the going down.
+        // The order matters: if a request and the outage are both there, an unbiased choice would now and then answer
+        // a request that began after the outage.
         let message = tokio::select! {
             biased;
-            _ = state.wait_for(|s| s.down) => return,
+            _ = state.wait_for(|state| state.down) => return,
             message = reader.next() => message,
         };
         let Ok(Some(message)) = message else { return };
-        let mut news = state.clone();
+        let mut watched = state.clone();
         let body = tokio::select! {
             biased;
-            _ = state.wait_for(|s| s.down) => return,
-            body = answer(&message, &mut news) => body,
-        };
-        let head = match &body {
-            Some(_) => "200 OK",
-            None => "404 Not Found",
+            _ = state.wait_for(|state| state.down) => return,
+            body = answer(&message, &mut watched) => body,
         };
+        let status = if body.is_some() { "200 OK" } else { "404 Not Found" };
         let body = body.unwrap_or_default();
-        let text = format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
             return;
         }
     }
 }
 
+/// The body of the answer; none for an unknown path. A request with `hold_ms` waits that long for a change.
 async fn answer(message: &Message, state: &mut watch::Receiver<State>) -> Option<String> {
     if message.path() != "/registry/instances" {
         return None;
     }
-    let Some(from) = message.query("from").and_then(|v| v.parse().ok()) else {
-        return state.borrow().book.news(None);
+    let Some(from) = message.query("from").and_then(|version| version.parse().ok()) else {
+        return state.borrow().list.answer(None);
     };
-    let hold = message.query("hold_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let end = Instant::now() + Duration::from_millis(hold);
-    let newer = timeout_at(end, state.wait_for(|s| s.book.news(Some(from)).is_some())).await;
-    let news = newer.ok().and_then(Result::ok).and_then(|s| s.book.news(Some(from)));
-    Some(news.unwrap_or_else(|| state.borrow().book.nothing()))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn entry(port: u16) -> Entry {
-        Entry::new(SocketAddr::from(([127, 0, 0, 1], port)), "a")
-    }
-
-    #[test]
-    fn a_watch_gets_what_changed_and_an_old_one_the_whole_list() {
-        let mut state = Book::new(vec![entry(1)]);
-        assert!(state.news(None).expect("a list").contains(r#""whole":true"#));
-        assert_eq!(state.news(Some(1)), None);
-        state.seq = 2;
-        state.changes.push((2, entry(2)));
-        let news = state.news(Some(1)).expect("a change");
-        assert!(news.contains(r#""whole":false"#) && news.contains("s-2") && !news.contains("s-1"));
-        // A version from another life of discovery.
-        assert!(state.news(Some(9)).expect("a list").contains(r#""whole":true"#));
-        state.seq = 2 + REMEMBERED as u64;
-        assert!(state.news(Some(1)).expect("a list").contains(r#""whole":true"#));
-    }
-
-    #[test]
-    fn a_change_ends_a_wait_and_going_down_ends_a_call() {
-        let registry = Registry::start(vec![entry(1)]);
-        let ask = |hold: u64| {
-            let at = registry.at;
-            async move {
-                let mut reader = Reader::new(TcpStream::connect(at).await.expect("up"));
-                let text =
-                    format!("GET /registry/instances?from=1&hold_ms={hold} HTTP/1.1\r\n\r\n");
-                reader.get_mut().write_all(text.as_bytes()).await.expect("sent");
-                reader.next().await.ok().flatten()
-            }
-        };
-        let waiting = crate::runtime().spawn(ask(60_000));
-        registry.list(entry(2));
-        let told = crate::runtime().block_on(waiting).expect("no panic").expect("an answer");
-        assert!(String::from_utf8_lossy(&told.body).contains("s-2"));
-        registry.down(true);
-        assert!(crate::runtime().block_on(ask(0)).is_none());
-        registry.down(false);
-        assert!(crate::runtime().block_on(ask(0)).is_some());
-    }
+    let hold_ms = message.query("hold_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    let deadline = Instant::now() + Duration::from_millis(hold_ms);
+    let changed = state.wait_for(|state| state.list.answer(Some(from)).is_some());
+    let changed = timeout_at(deadline, changed).await.ok().and_then(Result::ok);
+    let answer = changed.and_then(|state| state.list.answer(Some(from)));
+    Some(answer.unwrap_or_else(|| state.borrow().list.empty_answer()))
 }
--- a/crates/fakes/src/scripted.rs
+++ b/crates/fakes/src/scripted.rs
@@ -1,21 +1,22 @@
-//! Servers that do to each request exactly what a test's script says, on plain threads.
+//! Servers that answer each request exactly as a test's script says, on plain threads.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::wire::{header, message};
+use crate::wire::{header, read_message};
 
-/// A server that does to each request what its script says.
+/// A server that answers requests as its script says.
 pub struct Server {
-    /// Where it listens.
+    /// The address that it listens at.
     pub at: SocketAddr,
     heads: Arc<Mutex<Vec<String>>>,
 }
 
 impl Server {
-    /// `script` gets the request's id and the connection, and tells whether it goes on on it.
+    /// Starts a server. `script` is called with the id of each request and its connection, and tells whether the
+    /// connection stays open.
     ///
     /// # Panics
     ///
@@ -24,45 +25,45 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let at = listener.local_addr().expect("an address");
         let heads = Arc::new(Mutex::new(Vec::new()));
-        let list = heads.clone();
+        let received = heads.clone();
         serve(listener, move |head, socket| {
-            list.lock().expect("no panic").push(head.to_owned());
-            script(&id(head), socket)
+            received.lock().expect("no panic").push(head.to_owned());
+            script(&request_id(head), socket)
         });
         Server { at, heads }
     }
 
-    /// A server that answers every request with its id.
+    /// Starts a server that answers every request with its id.
     pub fn echo() -> Server {
         Server::start(|id, socket| socket.write_all(answer(id).as_bytes()).is_ok())
     }
 
-    /// The ids of the requests that have come, in order.
+    /// The ids of the requests that have arrived, in order.
     ///
     /// # Panics
     ///
-    /// When the script has.
+    /// When the script has panicked.
     pub fn seen(&self) -> Vec<String> {
-        self.heads().iter().map(|head| id(head)).collect()
+        self.heads().iter().map(|head| request_id(head)).collect()
     }
 
-    /// The heads of the requests that have come, in order.
+    /// The heads of the requests that have arrived, in order.
     ///
     /// # Panics
     ///
-    /// When the script has.
+    /// When the script has panicked.
     pub fn heads(&self) -> Vec<String> {
         self.heads.lock().expect("no panic").clone()
     }
 }
 
-/// The id of the request whose head this is.
-pub fn id(head: &str) -> String {
+/// The request id in a head; empty if there is none.
+pub fn request_id(head: &str) -> String {
     header(head, "x-correlation-id").unwrap_or_default()
 }
 
-/// Accepts on `listener` to the end of the process. `script` gets the head of each message and its connection,
-/// and tells whether this goes on.
+/// Serves connections until the process ends. `script` is called with the head of each message and its connection,
+/// and tells whether the connection stays open.
 pub fn serve(
     listener: TcpListener,
     script: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
@@ -72,10 +73,10 @@
         for socket in listener.incoming().flatten() {
             let script = script.clone();
             thread::spawn(move || {
-                let Ok(mut write) = socket.try_clone() else { return };
-                let mut read = BufReader::new(socket);
-                while let Some((head, _)) = message(&mut read) {
-                    if !script(&head, &mut write) {
+                let Ok(mut writer) = socket.try_clone() else { return };
+                let mut reader = BufReader::new(socket);
+                while let Some((head, _)) = read_message(&mut reader) {
+                    if !script(&head, &mut writer) {
                         return;
                     }
                 }
@@ -84,7 +85,7 @@
     });
 }
 
-/// A good answer whose body is `id`.
+/// A response with status 200 whose body is the request id.
 pub fn answer(id: &str) -> String {
     answer_with(id, "queue=0,inflight=1")
 }
--- a/crates/fakes/src/wire.rs
+++ b/crates/fakes/src/wire.rs
@@ -1,156 +1,159 @@
-//! Just enough HTTP/1.1 to stand in for clients and servers (RFC 9112): messages with a length or in
-//! chunks.
+//! Just enough HTTP/1.1 for fake clients and servers (RFC 9112): messages with a length or in chunks.
 
 use std::io::{self, BufRead};
 
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-/// The longest head, and the longest body, that a stand-in takes in.
-const LONGEST: usize = 1 << 20;
+#[cfg(test)]
+mod tests;
+
+/// The longest head, and the longest body, in bytes.
+const MAX_BYTES: usize = 1 << 20;
+/// The longest line with the size of a chunk, in bytes.
+const MAX_CHUNK_SIZE_BYTES: usize = 32;
 
-/// One message's head and body, from a blocking socket. None: the connection ended, or was silent
-/// for too long.
-pub fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+/// Reads one message's head and body from a blocking socket. None: the connection ended or timed out.
+pub fn read_message(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
     loop {
-        let before = head.len();
-        if from.read_line(&mut head).ok()? == 0 {
+        let line_start = head.len();
+        if reader.read_line(&mut head).ok()? == 0 {
             return None;
         }
-        if head[before..].trim().is_empty() {
+        if head[line_start..].trim().is_empty() {
             break;
         }
     }
     let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
-    from.read_exact(&mut body).ok()?;
+    reader.read_exact(&mut body).ok()?;
     Some((head, body))
 }
 
-/// A header's value.
+/// The value of a header in a head.
 pub fn header(head: &str, name: &str) -> Option<String> {
-    let pairs = head.lines().skip(1).filter_map(|line| line.split_once(':'));
-    let value = pairs.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next();
-    value.map(str::to_owned)
+    let headers = head.lines().skip(1).filter_map(|line| line.split_once(':'));
+    let mut matching = headers.filter(|(header, _)| header.eq_ignore_ascii_case(name));
+    matching.next().map(|(_, value)| value.trim().to_owned())
 }
 
-/// One message: its first line, its headers and its body.
+/// A request or an answer.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
-    /// Head, with the first line.
+    /// The first line and the headers.
     pub head: String,
-    /// Body.
+    /// The body, decoded.
     pub body: Vec<u8>,
 }
 
 impl Message {
-    /// The status, if this is an answer.
+    /// The status of an answer.
     pub fn status(&self) -> Option<u16> {
         self.head.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
     }
 
-    /// A header's value.
+    /// The value of a header.
     pub fn header(&self, name: &str) -> Option<String> {
         header(&self.head, name)
     }
 
-    /// The path of a request, without its query.
+    /// The path of a request without its query.
     pub fn path(&self) -> &str {
         let target = self.head.split(' ').nth(1).unwrap_or_default();
         target.split('?').next().unwrap_or_default()
     }
 
-    /// A parameter of a request's query.
+    /// A parameter in the query of a request.
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.head.split(' ').nth(1)?.split_once('?')?.1;
         query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|p| p.1)
     }
 
-    /// Whether the sender keeps the connection.
-    pub fn keeps(&self) -> bool {
+    /// Whether the sender keeps the connection open after it.
+    pub fn keeps_connection(&self) -> bool {
         !self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 }
 
-/// The messages that come on a connection.
+/// Reads the messages of a connection.
 pub struct Reader<R> {
-    from: R,
+    connection: R,
     buffer: Vec<u8>,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
-    /// Reads messages from `from`.
-    pub fn new(from: R) -> Reader<R> {
-        Reader { from, buffer: Vec::new() }
+    /// A reader of this connection.
+    pub fn new(connection: R) -> Reader<R> {
+        Reader { connection, buffer: Vec::new() }
     }
 
-    /// Whether part of a message has come.
-    pub fn begun(&self) -> bool {
+    /// Whether a part of the next message has arrived.
+    pub fn has_partial_message(&self) -> bool {
         !self.buffer.is_empty()
     }
 
-    /// The connection itself.
+    /// The connection.
     pub fn get_ref(&self) -> &R {
-        &self.from
+        &self.connection
     }
 
-    /// The connection itself, to write on.
+    /// The connection, to write on.
     pub fn get_mut(&mut self) -> &mut R {
-        &mut self.from
+        &mut self.connection
     }
 
-    /// The next message; none if the connection ended between two. May be dropped and called
-    /// again: nothing that came is lost.
+    /// The next message; none if the connection ended between two messages. It is cancel safe.
     ///
     /// # Errors
     ///
-    /// When the connection breaks, ends within a message, or sends what is no message.
+    /// When the connection breaks, ends within a message, or sends something that is no message.
     pub async fn next(&mut self) -> io::Result<Option<Message>> {
         loop {
             if let Some((message, length)) = parse(&self.buffer)? {
                 self.buffer.drain(..length);
                 return Ok(Some(message));
             }
-            if self.from.read_buf(&mut self.buffer).await? == 0 {
-                let begun = self.begun();
-                return if begun { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(None) };
+            if self.connection.read_buf(&mut self.buffer).await? == 0 {
+                let partial = self.has_partial_message();
+                return if partial { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(None) };
             }
         }
     }
 }
 
+/// The first message in a buffer, with its length there; none if it is incomplete.
 fn parse(buffer: &[u8]) -> io::Result<Option<(Message, usize)>> {
-    let bad = || io::Error::from(io::ErrorKind::InvalidData);
+    let invalid = || io::Error::from(io::ErrorKind::InvalidData);
     let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4) else {
-        return if buffer.len() > LONGEST { Err(bad()) } else { Ok(None) };
+        return if buffer.len() > MAX_BYTES { Err(invalid()) } else { Ok(None) };
     };
-    let head = std::str::from_utf8(&buffer[..end]).map_err(|_| bad())?;
+    let head = std::str::from_utf8(&buffer[..end]).map_err(|_| invalid())?;
     if header(head, "transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
-        let Some((body, length)) = unchunked(&buffer[end..])? else { return Ok(None) };
+        let Some((body, length)) = decode_chunked(&buffer[end..])? else { return Ok(None) };
         return Ok(Some((Message { head: head.to_owned(), body }, end + length)));
     }
     let length = match header(head, "content-length") {
-        Some(text) => text.parse::<usize>().ok().filter(|n| *n <= LONGEST).ok_or_else(bad)?,
+        Some(text) => text.parse::<usize>().ok().filter(|n| *n <= MAX_BYTES).ok_or_else(invalid)?,
         None => 0,
     };
     let Some(body) = buffer.get(end..end + length) else { return Ok(None) };
     Ok(Some((Message { head: head.to_owned(), body: body.to_vec() }, end + length)))
 }
 
-/// A body in chunks without trailers (RFC 9112, section 7.1), and how many bytes it took; none: more of
-/// it is to come.
-fn unchunked(mut bytes: &[u8]) -> io::Result<Option<(Vec<u8>, usize)>> {
-    let bad = || io::Error::from(io::ErrorKind::InvalidData);
-    let all = bytes.len();
+/// Decodes a body in chunks without trailers (RFC 9112, section 7.1). Returns it with its encoded length; none if it is
+/// incomplete.
+fn decode_chunked(mut bytes: &[u8]) -> io::Result<Option<(Vec<u8>, usize)>> {
+    let invalid = || io::Error::from(io::ErrorKind::InvalidData);
+    let total = bytes.len();
     let mut body = Vec::new();
     loop {
         let Some(line) = bytes.windows(2).position(|w| w == b"\r\n") else {
-            return if bytes.len() > 32 { Err(bad()) } else { Ok(None) };
+            return if bytes.len() > MAX_CHUNK_SIZE_BYTES { Err(invalid()) } else { Ok(None) };
         };
-        let size = std::str::from_utf8(&bytes[..line]).map_err(|_| bad())?;
-        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| bad())?;
-        if size > LONGEST || body.len() + size > LONGEST {
-            return Err(bad());
+        let size = std::str::from_utf8(&bytes[..line]).map_err(|_| invalid())?;
+        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| invalid())?;
+        if size > MAX_BYTES || body.len() + size > MAX_BYTES {
+            return Err(invalid());
         }
         bytes = &bytes[line + 2..];
         let Some((data, end)) = bytes.split_at_checked(size).filter(|(_, end)| end.len() >= 2)
@@ -158,77 +161,24 @@
             return Ok(None);
         };
         if !end.starts_with(b"\r\n") {
-            return Err(bad());
+            return Err(invalid());
         }
         body.extend_from_slice(data);
         bytes = &end[2..];
         if size == 0 {
-            return Ok(Some((body, all - bytes.len())));
+            return Ok(Some((body, total - bytes.len())));
         }
     }
 }
 
-/// A body in chunks of `size` bytes, as it is written.
-pub fn chunked(body: &[u8], size: usize) -> Vec<u8> {
-    let mut text = Vec::with_capacity(body.len() + body.len() / size.max(1) * 12 + 16);
-    for piece in body.chunks(size.max(1)) {
-        text.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-        text.extend_from_slice(piece);
-        text.extend_from_slice(b"\r\n");
-    }
-    text.extend_from_slice(b"0\r\n\r\n");
-    text
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test]
-    async fn messages_come_whole_whatever_the_pieces() {
-        let text =
-            b"POST /a/1?x=2 HTTP/1.1\r\nA: b\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n";
-        for piece in 1..text.len() {
-            let (mut far, near) = tokio::io::duplex(4096);
-            let mut reader = Reader::new(near);
-            let sending = async {
-                for part in text.chunks(piece) {
-                    tokio::io::AsyncWriteExt::write_all(&mut far, part).await.expect("room");
-                    tokio::task::yield_now().await;
-                }
-                drop(far);
-            };
-            let reading = async {
-                let first = reader.next().await.expect("sound").expect("there");
-                assert_eq!((first.path(), first.query("x")), ("/a/1", Some("2")));
-                assert_eq!(first.body, b"abc");
-                assert!(reader.next().await.expect("sound").expect("there").body.is_empty());
-                assert!(reader.next().await.expect("a clean end").is_none());
-            };
-            tokio::join!(sending, reading);
-        }
-    }
-
-    #[tokio::test]
-    async fn chunks_come_whole_and_their_message_ends_with_the_last() {
-        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let body: Vec<u8> = (0..50u8).collect();
-        let text = [&head[..], &chunked(&body, 7), b"HTTP/1.1 204 No\r\n\r\n"].concat();
-        let mut reader = Reader::new(&text[..]);
-        assert_eq!(reader.next().await.expect("sound").expect("there").body, body);
-        assert_eq!(reader.next().await.expect("sound").expect("there").status(), Some(204));
-        for cut in [head.len() + 1, head.len() + 9, text.len() - 22] {
-            assert!(Reader::new(&text[..cut]).next().await.is_err(), "cut at {cut}");
-        }
-        let bad = [&head[..], b"zz\r\n"].concat();
-        assert!(Reader::new(&bad[..]).next().await.is_err());
-    }
-
-    #[tokio::test]
-    async fn an_end_within_a_message_is_an_error() {
-        let mut reader = Reader::new(&b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"[..]);
-        assert!(reader.next().await.is_err());
-        let mut reader = Reader::new(&b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nabc"[..]);
-        assert!(reader.next().await.is_err());
+/// Encodes a body in chunks of `size` bytes.
+pub fn encode_chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let mut encoded = Vec::with_capacity(body.len() + body.len() / size.max(1) * 12 + 16);
+    for chunk in body.chunks(size.max(1)) {
+        encoded.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        encoded.extend_from_slice(chunk);
+        encoded.extend_from_slice(b"\r\n");
     }
+    encoded.extend_from_slice(b"0\r\n\r\n");
+    encoded
 }
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -1,4 +1,4 @@
-//! A whole deployment in small: log servers of three data centres, discovery, and the account.
+//! A small deployment: log servers of three zones, discovery, and the account.
 
 use std::io;
 use std::sync::Arc;
@@ -6,39 +6,51 @@
 
 use serde_json::{Value, json};
 
-use crate::account::{Account, Class, Repeat};
-use crate::logserver::{Keys, LogServer, Spec};
+use crate::account::{Account, Class, Idempotency};
+use crate::logserver::{LogServer, RecentKeys, ServerSpec};
 use crate::registry::{Entry, Registry};
 
-/// The data centres.
+/// The zones.
 pub const ZONES: [&str; 3] = ["utrecht", "groningen", "eindhoven"];
-/// The tenants and their shares.
+/// The tenants and their shares of the load.
 pub const TENANTS: [(&str, f64); 3] =
     [("zendkring-delta", 0.37), ("radioclub-oost", 0.32), ("qrp-kring-noord", 0.31)];
-/// How long servers drop repeats of a key.
-pub const WINDOW: Duration = Duration::from_millis(1200);
-/// How long servers keep a connection at rest.
-pub const IDLE: Duration = Duration::from_secs(10);
+/// How long servers remember idempotency keys.
+pub const DEDUPLICATION_WINDOW: Duration = Duration::from_millis(1200);
+/// How long servers keep an idle connection open.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The quota of a tenant with all of the load, in requests per second.
+const QUOTA_PER_S: f64 = 1000.0;
+/// The requests that a server works on at the same time.
+const SERVER_CORES: usize = 8;
+/// The requests that may queue at a server.
+const SERVER_QUEUE: usize = 64;
+/// The connections that a server accepts.
+const SERVER_CONNECTIONS: usize = 640;
+/// The share of its speed that a server starts with.
+const SERVER_COLD_SHARE: f64 = 0.16;
 
-/// The four classes of a log service. `scale` stretches their times, for slow machines.
-pub fn classes(scale: f64) -> Vec<Class> {
-    let class = |name, repeat, share, work: u64, aim: u64, deadline: u64| Class {
+/// The four classes of a log service. `time_scale` multiplies their latency objectives and deadlines, for slow
+/// machines.
+pub fn classes(time_scale: f64) -> Vec<Class> {
+    let ms = Duration::from_millis;
+    let class = |name, idempotency, share, service_ms, objective_ms, deadline_ms| Class {
         name,
-        repeat,
+        idempotency,
         share,
-        work: Duration::from_millis(work),
-        aim: Duration::from_millis(aim).mul_f64(scale),
-        deadline: Duration::from_millis(deadline).mul_f64(scale),
+        service_time: ms(service_ms),
+        latency_objective: ms(objective_ms).mul_f64(time_scale),
+        deadline: ms(deadline_ms).mul_f64(time_scale),
     };
     vec![
-        class("call-lookup", Repeat::Safe, 0.40, 5, 150, 750),
-        class("log-page", Repeat::Safe, 0.27, 9, 250, 750),
-        class("qsl-order", Repeat::Unsafe, 0.17, 12, 400, 1500),
-        class("log-upload", Repeat::Keyed, 0.16, 15, 400, 2000),
+        class("call-lookup", Idempotency::Idempotent, 0.40, 5, 150, 750),
+        class("log-page", Idempotency::Idempotent, 0.27, 9, 250, 750),
+        class("qsl-order", Idempotency::NonIdempotent, 0.17, 12, 400, 1500),
+        class("log-upload", Idempotency::Keyed, 0.16, 15, 400, 2000),
     ]
 }
 
-/// The deployment.
+/// A running deployment.
 pub struct World {
     /// What became of every request.
     pub account: Arc<Account>,
@@ -49,38 +61,36 @@
 }
 
 impl World {
-    /// Starts `each` log servers in every data centre.
+    /// Starts a deployment with this number of log servers in each zone.
     ///
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn start(classes: Vec<Class>, each: usize, seed: u64) -> io::Result<World> {
-        World::with_account(Arc::new(Account::new(classes)), each, seed).await
+    pub async fn start(
+        classes: Vec<Class>,
+        servers_per_zone: usize,
+        seed: u64,
+    ) -> io::Result<World> {
+        World::with_account(Arc::new(Account::new(classes)), servers_per_zone, seed).await
     }
 
-    /// The same, with what becomes of requests told to an account that others share.
+    /// The same with an account that others share.
     ///
     /// # Errors
     ///
     /// When no port is free.
-    pub async fn with_account(account: Arc<Account>, each: usize, seed: u64) -> io::Result<World> {
+    pub async fn with_account(
+        account: Arc<Account>,
+        servers_per_zone: usize,
+        seed: u64,
+    ) -> io::Result<World> {
         let mut servers = Vec::new();
         let mut list = Vec::new();
-        for (z, zone) in ZONES.into_iter().enumerate() {
-            let keys = Arc::new(Keys::default());
-            for n in 0..each {
-                let spec = Spec {
-                    name: format!("{zone}-{n}"),
-                    cores: 8,
-                    room: 64,
-                    connections: 640,
-                    cold_share: 0.16,
-                    warm_after: Duration::ZERO,
-                    keys: keys.clone(),
-                    window: WINDOW,
-                    idle: IDLE,
-                    seed: seed ^ (z as u64) << 32 ^ n as u64,
-                };
+        for (zone_number, zone) in ZONES.into_iter().enumerate() {
+            let keys = Arc::new(RecentKeys::default());
+            for n in 0..servers_per_zone {
+                let seed = seed ^ (zone_number as u64) << 32 ^ n as u64;
+                let spec = server_spec(format!("{zone}-{n}"), keys.clone(), seed);
                 let server = LogServer::start(spec, account.clone()).await?;
                 let entry = Entry::new(server.at, zone);
                 list.push(Entry { host: server.name().to_owned(), ..entry });
@@ -90,7 +100,7 @@
         Ok(World { account, registry: Registry::open(list).await?, servers })
     }
 
-    /// The settings that a sidecar of this deployment gets, but for its number and zone.
+    /// The settings of a sidecar of this deployment, without its number and zone.
     pub fn settings(&self) -> Value {
         settings(self.account.classes())
     }
@@ -101,27 +111,32 @@
     }
 }
 
-/// The settings that a sidecar gets where these classes are served, but for its number and zone.
+fn server_spec(name: String, idempotency_keys: Arc<RecentKeys>, seed: u64) -> ServerSpec {
+    ServerSpec {
+        name,
+        cores: SERVER_CORES,
+        queue_capacity: SERVER_QUEUE,
+        max_connections: SERVER_CONNECTIONS,
+        cold_share: SERVER_COLD_SHARE,
+        warm_up: Duration::ZERO,
+        idempotency_keys,
+        deduplication_window: DEDUPLICATION_WINDOW,
+        idle_timeout: IDLE_TIMEOUT,
+        seed,
+    }
+}
+
+/// The settings of a sidecar for requests of these classes, without its number and zone.
 pub fn settings(classes: &[Class]) -> Value {
-    let classes = classes.iter().map(|c| {
-        let (repeat, scope) = match c.repeat {
-            Repeat::Safe => ("idempotent", "all"),
-            Repeat::Keyed => ("deduplicated", "zone"),
-            Repeat::Unsafe => ("at_most_once", "all"),
-        };
-        json!({"name": c.name, "aim": c.aim.as_micros() as u64,
-               "deadline": c.deadline.as_micros() as u64, "repeat": repeat,
-               "dedupScope": scope, "window": WINDOW.as_micros() as u64, "credit": 1.0,
-               "lateWorth": 0.2})
-    });
-    let tenants = TENANTS
-        .map(|(name, share)| json!({"name": name, "quotaPerS": 1000.0 * share, "share": share}));
+    let tenants = TENANTS.map(
+        |(name, share)| json!({"name": name, "quotaPerS": QUOTA_PER_S * share, "share": share}),
+    );
     json!({
-        "classes": classes.collect::<Vec<_>>(),
+        "classes": classes.iter().map(class_settings).collect::<Vec<_>>(),
         "discovery": "pushed",
         "goal": {"whole": 0.45, "worstClass": 0.1, "worstTenant": 0.1, "worstWindow": 0.35},
         "kinds": ["m"],
-        "limits": {"cancel": true, "connIdle": IDLE.as_micros() as u64,
+        "limits": {"cancel": true, "connIdle": IDLE_TIMEOUT.as_micros() as u64,
                    "connectTimeout": 500_000, "maxAttempts": 6, "maxOpen": 10_000,
                    "maxRetryAfter": 2_000_000, "mayDuplicate": true, "mayTell": false,
                    "probing": false, "retryAfter": true, "streamsPerConn": 1},
@@ -137,3 +152,15 @@
         "zones": ZONES,
     })
 }
+
+fn class_settings(class: &Class) -> Value {
+    let (repeat, scope) = match class.idempotency {
+        Idempotency::Idempotent => ("idempotent", "all"),
+        Idempotency::Keyed => ("deduplicated", "zone"),
+        Idempotency::NonIdempotent => ("at_most_once", "all"),
+    };
+    json!({"name": class.name, "aim": class.latency_objective.as_micros() as u64,
+           "deadline": class.deadline.as_micros() as u64, "repeat": repeat,
+           "dedupScope": scope, "window": DEDUPLICATION_WINDOW.as_micros() as u64, "credit": 1.0,
+           "lateWorth": 0.2})
+}
--- a/crates/fakes/tests/logserver.rs
+++ b/crates/fakes/tests/logserver.rs
@@ -1,40 +1,40 @@
-//! The log servers themselves: what they do when all is well, and each fault.
+//! The fake log servers without faults, and with each of them.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fakes::account::Account;
-use fakes::logserver::{Fault, Keys, LogServer, Spec};
+use fakes::logserver::{Fault, LogServer, RecentKeys, ServerSpec};
 use fakes::wire::{Message, Reader};
 use fakes::world::classes;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-fn spec() -> Spec {
-    Spec {
+fn spec() -> ServerSpec {
+    ServerSpec {
         name: "one".into(),
         cores: 1,
-        room: 1,
-        connections: 8,
+        queue_capacity: 1,
+        max_connections: 8,
         cold_share: 0.1,
-        warm_after: Duration::ZERO,
-        keys: Arc::new(Keys::default()),
-        window: Duration::from_secs(60),
-        idle: Duration::from_secs(30),
+        warm_up: Duration::ZERO,
+        idempotency_keys: Arc::new(RecentKeys::default()),
+        deduplication_window: Duration::from_secs(60),
+        idle_timeout: Duration::from_secs(30),
         seed: 1,
     }
 }
 
-async fn started(spec: Spec) -> (LogServer, Arc<Account>) {
+async fn started(spec: ServerSpec) -> (LogServer, Arc<Account>) {
     let account = Arc::new(Account::new(classes(1.0)));
     let server = LogServer::start(spec, account.clone()).await.expect("a port");
     (server, account)
 }
 
-/// An order of a new client; an error is the end of the connection.
+/// Sends an order of a new client. An error is the end of the connection.
 async fn order(server: &LogServer, account: &Account, key: &str) -> std::io::Result<Message> {
-    let id = account.next_try(account.ask(2)).id();
+    let id = account.next_attempt(account.begin(2)).request_id();
     let key = if key.is_empty() { String::new() } else { format!("Idempotency-Key: {key}\r\n") };
     let class = if key.is_empty() { "qsl-order" } else { "log-upload" };
     let text = format!(
@@ -46,7 +46,7 @@
 }
 
 #[tokio::test]
-async fn a_sound_one_answers_with_its_load_and_drops_repeats_of_a_key() {
+async fn healthy_server_reports_its_load_and_deduplicates_by_key() {
     let (server, account) = started(spec()).await;
     let answer = order(&server, &account, "").await.expect("an answer");
     assert_eq!(answer.status(), Some(200));
@@ -55,41 +55,41 @@
     for _ in 0..3 {
         assert_eq!(order(&server, &account, "k").await.expect("an answer").status(), Some(200));
     }
-    let did = &account.report().servers["one"];
-    assert_eq!((did.seen, did.ran, did.dropped), (4, 2, 2));
+    let server = &account.report().servers["one"];
+    assert_eq!((server.received, server.executed, server.deduplicated), (4, 2, 2));
 }
 
 #[tokio::test]
-async fn each_fault_is_what_it_says() {
-    for (fault, runs) in [
+async fn each_fault_has_its_effect() {
+    for (fault, executions) in [
         (Fault::Error, 1),
         (Fault::ResetBefore, 0),
         (Fault::ResetAfter, 1),
         (Fault::Hang, 1),
-        (Fault::Spoilt, 1),
-        (Fault::Half, 1),
+        (Fault::Garbage, 1),
+        (Fault::Truncated, 1),
     ] {
         let (server, account) = started(spec()).await;
-        server.faults(vec![(1.0, fault)]);
-        let silent = matches!(fault, Fault::Hang | Fault::Half);
+        server.set_faults(vec![(1.0, fault)]);
+        let silent = matches!(fault, Fault::Hang | Fault::Truncated);
         let patience = if silent { Duration::from_secs(2) } else { fakes::PATIENCE };
-        let told = timeout(patience, order(&server, &account, "")).await;
-        match (fault, told) {
+        let answer = timeout(patience, order(&server, &account, "")).await;
+        match (fault, answer) {
             (Fault::Error, Ok(Ok(answer))) => assert_eq!(answer.status(), Some(500)),
-            (Fault::Spoilt, Ok(Ok(answer))) => assert_eq!(answer.status(), None),
+            (Fault::Garbage, Ok(Ok(answer))) => assert_eq!(answer.status(), None),
             (Fault::ResetBefore | Fault::ResetAfter, Ok(Err(_))) => {}
-            (Fault::Hang | Fault::Half, Err(_)) => {}
-            (fault, told) => panic!("{fault:?}: {told:?}"),
+            (Fault::Hang | Fault::Truncated, Err(_)) => {}
+            (fault, answer) => panic!("{fault:?}: {answer:?}"),
         }
-        assert_eq!(account.report().servers["one"].ran, runs, "{fault:?}");
+        assert_eq!(account.report().servers["one"].executed, executions, "{fault:?}");
     }
 }
 
 #[tokio::test]
-async fn full_and_draining_ones_turn_away_unseen_and_a_dead_one_refuses() {
+async fn full_and_draining_servers_reject_and_a_killed_one_refuses_connections() {
     let (server, account) = started(spec()).await;
-    server.slow(100.0);
-    // One at work, one that waits, one too many.
+    server.set_slowdown(100.0);
+    // One is executed, one is queued, the others are too many.
     let all = async {
         tokio::join!(
             order(&server, &account, ""),
@@ -99,7 +99,7 @@
         )
     };
     let _ = timeout(Duration::from_secs(3), all).await;
-    assert!(account.report().servers["one"].turned_away >= 1);
+    assert!(account.report().servers["one"].rejected >= 1);
     server.drain();
     let answer = order(&server, &account, "").await.expect("an answer");
     assert_eq!((answer.status(), answer.header("x-unprocessed")), (Some(503), Some("1".into())));
@@ -112,15 +112,14 @@
 }
 
 #[tokio::test]
-async fn a_cold_one_is_slower_than_a_warm_one() {
-    let cold = Spec { warm_after: Duration::from_secs(3600), ..spec() };
+async fn cold_server_is_slower_than_a_warm_one() {
+    let cold = ServerSpec { warm_up: Duration::from_secs(3600), ..spec() };
     let (cold, of_cold) = started(cold).await;
     let (warm, of_warm) = started(spec()).await;
-    let took = |began: Instant| began.elapsed();
-    let began = Instant::now();
+    let started_at = Instant::now();
     order(&cold, &of_cold, "").await.expect("an answer");
-    // A tenth of its speed: 60 ms at the least.
-    assert!(took(began) >= Duration::from_millis(55));
+    // At a tenth of its speed it takes 60 ms at least.
+    assert!(started_at.elapsed() >= Duration::from_millis(55));
     order(&warm, &of_warm, "").await.expect("an answer");
-    assert_eq!(of_warm.report().servers["one"].ran, 1);
+    assert_eq!(of_warm.report().servers["one"].executed, 1);
 }
--- a/crates/fault-injection/src/html_report.rs
+++ b/crates/fault-injection/src/html_report.rs
@@ -75,7 +75,7 @@
          <th>looks</th><th>why</th></tr>",
     );
     outcome.verdicts.iter().for_each(|verdict| verdict_row(page, verdict));
-    let violations = outcome.account.broken();
+    let violations = outcome.account.violations();
     let _ = write!(page, "</table><p>Rules broken: {violations}.</p><ul>");
     for text in outcome.account.examples.iter().chain(&outcome.problems) {
         let _ = write!(page, "<li>{}</li>", escape(text));
--- a/crates/fault-injection/src/runner.rs
+++ b/crates/fault-injection/src/runner.rs
@@ -87,7 +87,7 @@
     let verdicts: Vec<Verdict> =
         scenario.expectations.iter().map(|expectation| expectation.evaluate(&samples)).collect();
     let problems = testbed.problems().to_vec();
-    let sound = account.broken() == 0 && account.served() > 0 && problems.is_empty();
+    let sound = account.violations() == 0 && account.served() > 0 && problems.is_empty();
     let passed = sound && verdicts.iter().all(|verdict| verdict.passed);
     let outcome = Outcome { passed, verdicts, account, problems, samples };
     observe(&Progress::Finished(&outcome));
--- a/crates/fault-injection/src/testbed.rs
+++ b/crates/fault-injection/src/testbed.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use fakes::account::{Account, Report};
-use fakes::logserver::{LogServer, Spec};
+use fakes::logserver::{LogServer, ServerSpec};
 use fakes::program::{Folder, ProgramError, built};
 use fakes::registry::{Entry, Registry};
 use serde_json::Value;
@@ -92,7 +92,7 @@
 struct ServerSlot {
     zone: usize,
     server: LogServer,
-    spec: Spec,
+    spec: ServerSpec,
     /// Its entry in the discovery of each sidecar.
     entries: Vec<Entry>,
 }
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -42,8 +42,10 @@
                 }
             }
             Action::SetDiscovery(availability) => {
-                let down = *availability == Availability::Down;
-                self.sidecars.iter().for_each(|sidecar| sidecar.registry.down(down));
+                self.sidecars.iter().for_each(|sidecar| match availability {
+                    Availability::Up => sidecar.registry.bring_up(),
+                    Availability::Down => sidecar.registry.take_down(),
+                });
             }
             Action::ScaleLoad(tenant, factor) => {
                 match tenant {
@@ -59,7 +61,7 @@
 
     fn kill(&mut self, sidecars: &BTreeSet<u16>) {
         for n in indices(sidecars) {
-            self.account.kill(self.sidecars[n].listen);
+            self.account.expect_kill(self.sidecars[n].listen);
             self.stop_clients(n);
             self.sidecars[n].expected = false;
         }
@@ -90,14 +92,14 @@
 
     fn pause(&mut self, sidecars: &BTreeSet<u16>) {
         for sidecar in indices(sidecars).map(|n| &self.sidecars[n]) {
-            self.account.stall(sidecar.listen, true);
+            self.account.expect_pause(sidecar.listen);
             sidecar.process.signal(Signal::STOP);
         }
     }
 
     fn resume(&mut self, sidecars: &BTreeSet<u16>) {
         for sidecar in indices(sidecars).map(|n| &self.sidecars[n]) {
-            self.account.stall(sidecar.listen, false);
+            self.account.expect_resume(sidecar.listen);
             sidecar.process.signal(Signal::CONT);
         }
     }
@@ -133,9 +135,9 @@
                 slot.server.kill();
                 self.network.update(|links| links.take_down(Node::Server(n)));
             }
-            ServerState::Slow(factor) => slot.server.slow(factor),
-            ServerState::Errors(share) => slot.server.faults(vec![(share, Fault::Error)]),
-            ServerState::Hangs(share) => slot.server.faults(vec![(share, Fault::Hang)]),
+            ServerState::Slow(factor) => slot.server.set_slowdown(factor),
+            ServerState::Errors(share) => slot.server.set_faults(vec![(share, Fault::Error)]),
+            ServerState::Hangs(share) => slot.server.set_faults(vec![(share, Fault::Hang)]),
         }
         Ok(())
     }
@@ -157,7 +159,7 @@
     fn list_server(&self, n: u16, health: &'static str, born_ms: u64) {
         let entries = &self.servers[usize::from(n)].entries;
         for (entry, sidecar) in entries.iter().zip(&self.sidecars) {
-            sidecar.registry.list(Entry { health, born_ms, ..entry.clone() });
+            sidecar.registry.update(Entry { health, born_ms, ..entry.clone() });
         }
     }
 }
--- a/crates/fault-injection/src/testbed/sampling.rs
+++ b/crates/fault-injection/src/testbed/sampling.rs
@@ -1,6 +1,6 @@
 //! Samples the state of a testbed.
 
-use fakes::account::OfTenant;
+use fakes::account::TenantReport;
 use tokio::task::JoinHandle;
 
 use super::Testbed;
@@ -43,9 +43,9 @@
             at_s: self.network.elapsed().as_secs_f64(),
             totals: tenants.iter().copied().sum(),
             tenants,
-            violations: report.broken() + self.crashes,
-            server_attempts: report.servers.values().map(|server| server.seen).sum(),
-            client_attempts: report.tries,
+            violations: report.violations() + self.crashes,
+            server_attempts: report.servers.values().map(|server| server.received).sum(),
+            client_attempts: report.attempts,
             gossip: self.gossip.counts(),
             sidecar_metrics: Vec::new(),
         };
@@ -63,12 +63,12 @@
     }
 }
 
-fn totals(tenant: &OfTenant) -> Totals {
+fn totals(tenant: &TenantReport) -> Totals {
     Totals {
-        requested: tenant.asked,
+        requested: tenant.requested,
         served: tenant.served,
         in_time: tenant.in_time,
-        rejected: tenant.refused,
+        rejected: tenant.rejected,
         failed: tenant.failed,
     }
 }
--- a/crates/fault-injection/src/testbed/setup.rs
+++ b/crates/fault-injection/src/testbed/setup.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Account;
-use fakes::logserver::{Keys, LogServer, Spec};
+use fakes::logserver::{LogServer, RecentKeys, ServerSpec};
 use fakes::program::Folder;
 use fakes::registry::{Entry, Registry};
-use fakes::world::{IDLE, WINDOW, ZONES, classes};
+use fakes::world::{DEDUPLICATION_WINDOW, IDLE_TIMEOUT, ZONES, classes};
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
 use super::configuration::configuration;
@@ -183,18 +183,18 @@
 ) -> std::io::Result<Vec<ServerSlot>> {
     let mut servers = Vec::new();
     for (zone, zone_name) in ZONES.into_iter().enumerate() {
-        let keys = Arc::new(Keys::default());
+        let keys = Arc::new(RecentKeys::default());
         for n in 0..scenario.servers_per_zone {
-            let spec = Spec {
+            let spec = ServerSpec {
                 name: format!("{zone_name}-{n}"),
                 cores: scenario.server_cores,
-                room: SERVER_QUEUE_PER_CORE * scenario.server_cores,
-                connections: SERVER_CONNECTIONS_PER_CORE * scenario.server_cores,
+                queue_capacity: SERVER_QUEUE_PER_CORE * scenario.server_cores,
+                max_connections: SERVER_CONNECTIONS_PER_CORE * scenario.server_cores,
                 cold_share: SERVER_COLD_SHARE,
-                warm_after: Duration::ZERO,
-                keys: keys.clone(),
-                window: WINDOW,
-                idle: IDLE,
+                warm_up: Duration::ZERO,
+                idempotency_keys: keys.clone(),
+                deduplication_window: DEDUPLICATION_WINDOW,
+                idle_timeout: IDLE_TIMEOUT,
                 seed: scenario.seed ^ (zone as u64) << 32 ^ u64::from(n),
             };
             let started = LogServer::start(spec.clone(), account.clone());
--- a/crates/lbctl/src/demo.rs
+++ b/crates/lbctl/src/demo.rs
@@ -104,7 +104,7 @@
     } else {
         print_report(&host, &report, started.elapsed());
     }
-    let passed = report.broken() == 0 && report.refused_connections == 0 && report.served() > 0;
+    let passed = report.violations() == 0 && report.refused_connections == 0 && report.served() > 0;
     say(if passed { "no rule was broken" } else { "A RULE WAS BROKEN" });
     Ok(Outcome::of(passed))
 }
@@ -138,7 +138,7 @@
 
 fn drain_server(host: &mut Host) -> Result<(), StepError> {
     let (server, _) = host.world.servers.first().ok_or("no server")?;
-    host.world.registry.mark(server.name(), "leaving");
+    host.world.registry.set_health(server.name(), "leaving");
     Ok(())
 }
 
--- a/crates/lbctl/src/table.rs
+++ b/crates/lbctl/src/table.rs
@@ -80,7 +80,15 @@
     for c in &report.classes {
         println!(
             "{:14} {:>7} {:>7} {:>8} {:>7} {:>5} {:>9.1} {:>9.1} {:>9.1}",
-            c.name, c.asked, c.served, c.refused, c.failed, c.open, c.p50_ms, c.p99_ms, c.max_ms
+            c.name,
+            c.requested,
+            c.served,
+            c.rejected,
+            c.failed,
+            c.open,
+            c.p50_ms,
+            c.p99_ms,
+            c.max_ms
         );
     }
 }
@@ -89,7 +97,10 @@
 pub fn servers(report: &Report) {
     println!("{:14} {:>7} {:>7} {:>11} {:>8}", "server", "came", "ran", "turned away", "dropped");
     for (name, s) in &report.servers {
-        println!("{:14} {:>7} {:>7} {:>11} {:>8}", name, s.seen, s.ran, s.turned_away, s.dropped);
+        println!(
+            "{:14} {:>7} {:>7} {:>11} {:>8}",
+            name, s.received, s.executed, s.rejected, s.deduplicated
+        );
     }
 }
 
@@ -97,12 +108,12 @@
 pub fn rules(report: &Report) {
     println!("lost                     {:>5}", report.lost);
     println!("held by killed processes {:>5}", report.lost_by_kill);
-    println!("late                     {:>5}", report.late);
-    println!("doubled orders           {:>5}", report.doubled_orders);
-    println!("doubled uploads          {:>5}", report.doubled_uploads);
-    println!("refused, but ran         {:>5}", report.refused_but_ran);
-    println!("sent after the answer    {:>5}", report.after_the_end);
-    println!("wrong answers            {:>5}", report.wrong);
+    println!("late                     {:>5}", report.timed_out);
+    println!("doubled orders           {:>5}", report.duplicated_non_idempotent);
+    println!("doubled uploads          {:>5}", report.duplicated_keyed);
+    println!("refused, but ran         {:>5}", report.rejected_but_executed);
+    println!("sent after the answer    {:>5}", report.after_answer);
+    println!("wrong answers            {:>5}", report.wrong_body);
     println!("refused connections      {:>5}", report.refused_connections);
     for example in &report.examples {
         println!("  {example}");
--- a/crates/lbctl/src/trial.rs
+++ b/crates/lbctl/src/trial.rs
@@ -207,7 +207,7 @@
     for text in outcome.account.examples.iter().chain(&outcome.problems) {
         println!("  {text}");
     }
-    let violations = outcome.account.broken();
+    let violations = outcome.account.violations();
     let summary = if outcome.passed { "all held" } else { "IT DID NOT HOLD" };
     let served = outcome.account.served();
     println!("{bold}{summary}{plain}; rules broken: {violations}, served {served}");
--- a/crates/local-cluster/examples/fleet_of.rs
+++ b/crates/local-cluster/examples/fleet_of.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use fakes::account::OfClass;
+use fakes::account::ClassReport;
 use fakes::clients::Load;
 use fakes::world::{World, classes};
 use fleet::control::Request;
@@ -34,9 +34,9 @@
         Load { rate, tenants: World::tenants(), slack: Duration::from_secs(5), ..Load::default() };
     let driving = host.drive(&load);
     std::thread::sleep(Duration::from_secs(3));
-    host.account().lap();
+    host.account().take_latencies();
     costs(&mut host, &format!("at {rate} requests a second each"));
-    let usual = host.account().lap();
+    let usual = host.account().take_latencies();
     times("usual", &usual);
 
     let rollout = |what: &str, act: &dyn Fn(&Host) -> Result<(), String>| {
@@ -44,7 +44,7 @@
         act(&host)?;
         host.wait(PATIENCE)?;
         let took = began.elapsed().as_secs_f64();
-        let lap = host.account().lap();
+        let lap = host.account().take_latencies();
         println!("{what}: {took:.1} s");
         times("meanwhile", &lap);
         for (usual, lap) in usual.iter().zip(&lap) {
@@ -68,18 +68,18 @@
     let report = host.account().report();
     println!(
         "{} asked, {} served; lost {}, late {}, doubled {}, refused connections {}, crossed {}",
-        report.asked(),
+        report.requested(),
         report.served(),
         report.lost,
-        report.late,
-        report.doubled_orders + report.doubled_uploads,
+        report.timed_out,
+        report.duplicated_non_idempotent + report.duplicated_keyed,
         report.refused_connections,
-        report.crossed
+        report.close_races
     );
     for example in &report.examples {
         println!("  {example}");
     }
-    if report.broken() == 0 { Ok(()) } else { Err("a rule was broken".to_owned()) }
+    if report.violations() == 0 { Ok(()) } else { Err("a rule was broken".to_owned()) }
 }
 
 /// Memory and CPU over a span, of the daemon and of the mean instance.
@@ -104,7 +104,7 @@
     );
 }
 
-fn times(what: &str, classes: &[OfClass]) {
+fn times(what: &str, classes: &[ClassReport]) {
     for c in classes {
         println!(
             "  {:12} {what}: {} served, p50 {:.1} ms, p99 {:.1} ms, most {:.1} ms",
--- a/crates/local-cluster/examples/hang_of.rs
+++ b/crates/local-cluster/examples/hang_of.rs
@@ -55,7 +55,7 @@
             continue;
         };
         if let Some(at) = host.instances().iter().find(|i| i.slot == slot).and_then(|i| i.listen) {
-            host.account().kill(at);
+            host.account().expect_kill(at);
         }
         let stopped = Instant::now();
         signal_process(pid, Signal::STOP);
@@ -92,7 +92,7 @@
     println!("{replaced} stopped, {killed} killed as hung (of the last {} notes)", notes.len());
     let at = |q: f64| took[((took.len() - 1) as f64 * q) as usize].as_secs_f64();
     println!("replaced after: median {:.2} s, longest {:.2} s", at(0.5), at(1.0));
-    println!("asked {}, broken rules {}", report.asked(), report.broken());
+    println!("asked {}, broken rules {}", report.requested(), report.violations());
     Ok(())
 }
 
--- a/crates/local-cluster/src/lib.rs
+++ b/crates/local-cluster/src/lib.rs
@@ -330,7 +330,7 @@
     /// Kills an instance's process with SIGKILL; what it holds may be lost.
     pub fn kill(&self, instance: &Instance) {
         if let (Some(pid), Some(at)) = (instance.pid, instance.listen) {
-            self.world.account.kill(at);
+            self.world.account.expect_kill(at);
             signal_process(pid, Signal::KILL);
         }
     }
--- a/crates/local-cluster/tests/fleet.rs
+++ b/crates/local-cluster/tests/fleet.rs
@@ -58,11 +58,15 @@
 
 fn sound(report: &Report) {
     let text = format!("{:?}", report.examples);
-    assert_eq!((report.doubled_orders, report.doubled_uploads), (0, 0), "{text}");
-    assert_eq!((report.lost, report.late, report.wrong), (0, 0, 0), "{text}");
-    assert_eq!((report.refused_connections, report.unread, report.broken()), (0, 0, 0), "{text}");
+    assert_eq!((report.duplicated_non_idempotent, report.duplicated_keyed), (0, 0), "{text}");
+    assert_eq!((report.lost, report.timed_out, report.wrong_body), (0, 0, 0), "{text}");
+    assert_eq!(
+        (report.refused_connections, report.unread_connections, report.violations()),
+        (0, 0, 0),
+        "{text}"
+    );
     for class in &report.classes {
-        assert!(class.served * 100 >= class.asked * 95, "{class:?}");
+        assert!(class.served * 100 >= class.requested * 95, "{class:?}");
     }
 }
 
@@ -127,7 +131,7 @@
     driving.stop();
     let report = host.account().report();
     sound(&report);
-    assert!(report.asked() > 500);
+    assert!(report.requested() > 500);
 }
 
 #[test]
@@ -171,7 +175,7 @@
     driving.stop();
     let report = host.account().report();
     let text = format!("{:?}", report.examples);
-    assert_eq!((report.broken(), report.refused_connections), (0, 0), "{text}");
+    assert_eq!((report.violations(), report.refused_connections), (0, 0), "{text}");
 }
 
 /// The canary's discovery names servers that fail everything; the other 49 keep theirs. Whether what comes
@@ -183,7 +187,7 @@
     let others = World::with_account(host.account().clone(), 1, 7);
     let others = fakes::runtime().block_on(others).expect("ports");
     for (server, _) in &others.servers {
-        server.faults(vec![(1.0, Fault::Error)]);
+        server.set_faults(vec![(1.0, Fault::Error)]);
     }
     let driving = host.drive(&Load { rate: 5.0, ..load() });
     host.move_discovery(others.registry.at).expect("written");
@@ -195,5 +199,5 @@
     driving.stop();
     let report = host.account().report();
     let text = format!("{:?}", report.examples);
-    assert_eq!((report.broken(), report.refused_connections), (0, 0), "{text}");
+    assert_eq!((report.violations(), report.refused_connections), (0, 0), "{text}");
 }
--- a/crates/local-cluster/tests/hard_cases.rs
+++ b/crates/local-cluster/tests/hard_cases.rs
@@ -47,7 +47,11 @@
 fn sound(host: &Host) {
     let report = host.account().report();
     let text = format!("{:?}", report.examples);
-    assert_eq!((report.broken(), report.unread, report.refused_connections), (0, 0, 0), "{text}");
+    assert_eq!(
+        (report.violations(), report.unread_connections, report.refused_connections),
+        (0, 0, 0),
+        "{text}"
+    );
     assert!(report.served() > 0);
 }
 
@@ -168,7 +172,7 @@
     let host = host(3);
     let one = host.instances().remove(0);
     let pid = one.pid.expect("it runs");
-    host.account().kill(one.listen.expect("it listens"));
+    host.account().expect_kill(one.listen.expect("it listens"));
     signal_process(pid, Signal::STOP);
     until("it is found out", || told(&host, "fell silent: it was stopped"));
     until("another serves", || {
@@ -183,7 +187,7 @@
     let host = started(plan);
     let one = host.instances().remove(0);
     let pid = one.pid.expect("it runs");
-    host.account().kill(one.listen.expect("it listens"));
+    host.account().expect_kill(one.listen.expect("it listens"));
     // Stopped, it hears nothing; but it has reported just now, so it is a successor's turn first.
     signal_process(pid, Signal::STOP);
     host.ask(&Request::Restart { slot: Some(one.slot.clone()) }).expect("known");
@@ -234,7 +238,7 @@
     let report = host.account().report();
     // Where nobody listens, connections are refused, and those that nobody has accepted yet are
     // reset; nothing that was taken is lost.
-    assert_eq!(report.broken(), 0, "{:?}", report.examples);
+    assert_eq!(report.violations(), 0, "{:?}", report.examples);
 }
 
 #[test]
@@ -372,7 +376,7 @@
     let mut host = started(Plan { classes: classes(60.0), ..plan(3) });
     // Servers that are slow: what is taken is not answered before long.
     for (server, _) in &host.world.servers {
-        server.slow(2000.0);
+        server.set_slowdown(2000.0);
     }
     let driving = drive(&host);
     until("something is open", || {
@@ -380,7 +384,7 @@
         slots.iter().any(|s| s["open"].as_u64().unwrap_or(0) > 0)
     });
     for instance in host.instances() {
-        host.account().kill(instance.listen.expect("it listens"));
+        host.account().expect_kill(instance.listen.expect("it listens"));
     }
     host.signal_daemon(Signal::TERM);
     until("it drains", || host.status()["stopping"] == true);
@@ -483,7 +487,7 @@
                     );
                     // A machine that stands still between two requests makes it rest after all.
                     let written = socket.write_all(text.as_bytes()).is_ok();
-                    let answer = fakes::wire::message(&mut reader).filter(|_| written);
+                    let answer = fakes::wire::read_message(&mut reader).filter(|_| written);
                     let Some((head, body)) = answer else {
                         crossed += 1;
                         break;
--- a/crates/simulation/src/clients/exchange.rs
+++ b/crates/simulation/src/clients/exchange.rs
@@ -169,7 +169,7 @@
         let mut response = timeout_at::<SimRuntime, _>(give_up, reader.next()).await;
         // A response that is too long to be buffered, and has begun in time, may take its time.
         let streams = || self.oracle.borrow().streams_in_time(plan.id);
-        if response.is_err() && !plan.leaves && reader.begun() && streams() {
+        if response.is_err() && !plan.leaves && reader.has_partial_message() && streams() {
             let give_up = SimRuntime::now() + LONG_RESPONSE_TIMEOUT;
             response = timeout_at::<SimRuntime, _>(give_up, reader.next()).await;
         }
@@ -193,7 +193,7 @@
         let retry_after = retry_after.filter(|seconds| (0.0..60.0).contains(seconds));
         let pause = Duration::from_secs_f64(retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
         ExchangeEnd {
-            reusable: message.keeps() && !connection.reader.begun(),
+            reusable: message.keeps_connection() && !connection.reader.has_partial_message(),
             retry_after: repeats.then_some(pause),
         }
     }
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fakes::account::{Class, Repeat};
+use fakes::account::{Class, Idempotency};
 use fakes::wire::Reader;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -172,10 +172,10 @@
 
     /// The bytes of a request.
     fn request_bytes(&self, class: &Class, id: RequestId, timeout: Duration) -> Vec<u8> {
-        let (method, key) = match class.repeat {
-            Repeat::Safe => ("GET", String::new()),
-            Repeat::Keyed => ("POST", format!("Idempotency-Key: {:032x}\r\n", id.0)),
-            Repeat::Unsafe => ("POST", String::new()),
+        let (method, key) = match class.idempotency {
+            Idempotency::Idempotent => ("GET", String::new()),
+            Idempotency::Keyed => ("POST", format!("Idempotency-Key: {:032x}\r\n", id.0)),
+            Idempotency::NonIdempotent => ("POST", String::new()),
         };
         let (length, body) = self.draw_body(class);
         let tenant = self.draw(|rng| rng.random_range(0..self.tenants.len()));
@@ -193,7 +193,7 @@
     fn draw_body(&self, class: &Class) -> (String, Vec<u8>) {
         let probability = self.behaviour.get().long_body;
         let long = probability > 0.0 && self.draw(|rng| rng.random::<f64>() < probability);
-        if class.repeat == Repeat::Safe {
+        if class.idempotency == Idempotency::Idempotent {
             return (String::new(), Vec::new());
         }
         if !long {
@@ -203,7 +203,7 @@
             self.draw(|rng| (rng.random_range(LONG_BODY..2 * LONG_BODY), rng.random::<bool>()));
         let body = vec![b'l'; length];
         if chunked {
-            let chunks = fakes::wire::chunked(&body, CHUNK_SIZE);
+            let chunks = fakes::wire::encode_chunked(&body, CHUNK_SIZE);
             return ("Transfer-Encoding: chunked\r\n".to_owned(), chunks);
         }
         (format!("Content-Length: {length}\r\n"), body)
--- a/crates/simulation/src/discovery.rs
+++ b/crates/simulation/src/discovery.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fakes::registry::Book;
+use fakes::registry::EndpointList;
 use fakes::wire::{Message, Reader};
 use runtime::{Listener, Runtime, Stream, Tcp, timeout_at};
 use simnet::{SimListener, SimRuntime, SimTcp};
@@ -39,7 +39,7 @@
 
 /// Discovery.
 pub struct Discovery {
-    book: RefCell<Book>,
+    book: RefCell<EndpointList>,
     mode: Cell<DiscoveryMode>,
     /// Wakes calls that wait for a change.
     changed: Notify,
@@ -66,7 +66,7 @@
 impl Discovery {
     /// Discovery with a list of `server_count` servers, and agents at the first `agent_count` sidecars.
     pub fn new(
-        book: Book,
+        book: EndpointList,
         server_count: usize,
         agent_count: usize,
         oracle: Rc<RefCell<Oracle>>,
@@ -83,11 +83,11 @@
 
     /// The complete endpoint list, as a response has it.
     pub fn snapshot(&self) -> String {
-        self.book.borrow().news(None).unwrap_or_default()
+        self.book.borrow().answer(None).unwrap_or_default()
     }
 
     /// Changes the endpoint list.
-    pub fn change(&self, now: Duration, change: impl FnOnce(&mut Book)) {
+    pub fn change(&self, now: Duration, change: impl FnOnce(&mut EndpointList)) {
         change(&mut self.book.borrow_mut());
         self.changed.notify_waiters();
         self.update_agents(now, 0..self.agent_count);
@@ -169,12 +169,12 @@
             self.wait_for_change(version, end).await;
         }
         let book = self.book.borrow();
-        let news = book.news(version);
+        let news = book.answer(version);
         let updates = match &news {
             Some(news) => self.updates(&book, version, news),
             None => Vec::new(),
         };
-        let body = news.unwrap_or_else(|| book.nothing());
+        let body = news.unwrap_or_else(|| book.empty_answer());
         let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         Response { text, updates }
     }
@@ -184,7 +184,7 @@
         loop {
             let changed = self.changed.notified();
             let up = self.mode.get() == DiscoveryMode::Up;
-            if !up || self.book.borrow().news(version).is_some() {
+            if !up || self.book.borrow().answer(version).is_some() {
                 return;
             }
             if timeout_at::<SimRuntime, _>(end, changed).await.is_err() {
@@ -194,13 +194,18 @@
     }
 
     /// What a response tells of each server. Those that a complete list lacks are gone.
-    fn updates(&self, book: &Book, version: Option<u64>, news: &str) -> Vec<EndpointUpdate> {
+    fn updates(
+        &self,
+        book: &EndpointList,
+        version: Option<u64>,
+        news: &str,
+    ) -> Vec<EndpointUpdate> {
         let mut updates = Vec::new();
         if news.contains(r#""whole":true"#) {
             let all = 0..self.server_count;
             updates.extend(all.map(|server| EndpointUpdate { server, active: false }));
         }
-        for entry in book.told(version) {
+        for entry in book.answered_entries(version) {
             if let Some(server) = Server::index_of(&entry.host) {
                 updates.push(EndpointUpdate { server, active: entry.health == ACTIVE });
             }
@@ -210,8 +215,8 @@
 }
 
 /// Whether a server may get new requests, by the last entry of its place.
-fn is_active(book: &Book, server: usize) -> bool {
-    let entries = book.servers().iter();
+fn is_active(book: &EndpointList, server: usize) -> bool {
+    let entries = book.entries().iter();
     let mut of_server = entries.filter(|entry| Server::index_of(&entry.host) == Some(server));
     of_server.next_back().is_some_and(|entry| entry.health == ACTIVE)
 }
--- a/crates/simulation/src/oracle/attempts.rs
+++ b/crates/simulation/src/oracle/attempts.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use fakes::account::Repeat;
+use fakes::account::Idempotency;
 use simnet::ConnectionId;
 
 use super::Oracle;
@@ -100,16 +100,16 @@
         let complete_at = earlier.complete_at.unwrap_or_default();
         let window_end = complete_at + self.limits.idempotency_window + SOCKET_TOLERANCE;
         match self.limits.classes[request.class].repeat {
-            Repeat::Unsafe => {
+            Idempotency::NonIdempotent => {
                 Some(Breach::new(Rule::Repeat, "sent again though an attempt may have executed"))
             }
-            Repeat::Keyed if earlier.zone != attempt.zone => {
+            Idempotency::Keyed if earlier.zone != attempt.zone => {
                 Some(Breach::new(Rule::Group, "repeated in another zone"))
             }
-            Repeat::Keyed if attempt.first_byte_at > window_end => {
+            Idempotency::Keyed if attempt.first_byte_at > window_end => {
                 Some(Breach::new(Rule::Window, "repeated after its window"))
             }
-            Repeat::Safe | Repeat::Keyed => None,
+            Idempotency::Idempotent | Idempotency::Keyed => None,
         }
     }
 
@@ -126,7 +126,7 @@
         let mut others = request.attempts.iter().enumerate().filter(|(other, _)| *other != index);
         let another_may_have_executed = others.any(|(_, attempt)| attempt.may_have_executed());
         let work = profile.mean_work;
-        let breach = if another_may_have_executed && profile.repeat == Repeat::Unsafe {
+        let breach = if another_may_have_executed && profile.repeat == Idempotency::NonIdempotent {
             Some(Breach::new(Rule::Repeat, "two attempts may have executed"))
         } else if request.response.is_some_and(|response| response.at < now) {
             Some(Breach::new(Rule::After, "its last byte was sent after the final response"))
--- a/crates/simulation/src/oracle/limits.rs
+++ b/crates/simulation/src/oracle/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fakes::account::Repeat;
+use fakes::account::Idempotency;
 
 /// What every time limit of the rules is extended by on sockets.
 pub(super) const SOCKET_TOLERANCE: Duration = Duration::from_millis(50);
@@ -13,7 +13,7 @@
     /// The name of the class.
     pub name: &'static str,
     /// Whether its requests may be repeated.
-    pub repeat: Repeat,
+    pub repeat: Idempotency,
     /// The mean work of one request at a server of full speed.
     pub mean_work: Duration,
 }
--- a/crates/simulation/src/oracle/responses.rs
+++ b/crates/simulation/src/oracle/responses.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use fakes::account::Repeat;
+use fakes::account::Idempotency;
 
 use super::Oracle;
 use super::connection::TrackedConnection;
@@ -97,7 +97,7 @@
     /// The rule `refusal`.
     fn check_refusal(&self, request: &Request, status: u16) -> Option<Breach> {
         let refused = matches!(status, 429 | 503);
-        let idempotent = self.limits.classes[request.class].repeat == Repeat::Safe;
+        let idempotent = self.limits.classes[request.class].repeat == Idempotency::Idempotent;
         (refused && request.may_have_executed() && !idempotent)
             .then(|| Breach::new(Rule::Refusal, "rejected though an attempt may have executed"))
     }
--- a/crates/simulation/src/oracle/servers.rs
+++ b/crates/simulation/src/oracle/servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fakes::account::Repeat;
+use fakes::account::Idempotency;
 
 use super::Oracle;
 use super::eligibility::Pair;
@@ -32,7 +32,7 @@
         // A request with a key that was repeated by the rules may still arrive too late to be recognized.
         // The rules on repetition are checked where it is sent.
         let repeat = self.limits.classes[request.class].repeat;
-        if repeat == Repeat::Unsafe && executions > 1 {
+        if repeat == Idempotency::NonIdempotent && executions > 1 {
             let breach = Breach::new(Rule::Twice, format!("executed {executions} times"));
             self.report_breach(now, breach, Some(id));
         }
--- a/crates/simulation/src/run/fault_events.rs
+++ b/crates/simulation/src/run/fault_events.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fakes::registry::Book;
+use fakes::registry::EndpointList;
 use serde_json::{Value, json};
 use simnet::HostFailure;
 
@@ -138,7 +138,7 @@
     /// Changes the entry of a server in the endpoint list.
     fn list_server(&self, server: &Server, health: &'static str) {
         let entry = endpoint_entry(server, health);
-        self.discovery.change(self.now(), |book| book.list(entry));
+        self.discovery.change(self.now(), |book| book.update(entry));
     }
 
     /// An agent counts its own versions, and may begin anew. Those of a discovery that is polled stand for
@@ -146,8 +146,8 @@
     fn restart_discovery(&mut self) {
         let polled = self.scenario.discovery_polled;
         self.discovery.change(self.now(), |book| match polled {
-            true => book.forget(),
-            false => *book = Book::new(book.servers().to_vec()),
+            true => book.forget_changes(),
+            false => *book = EndpointList::new(book.entries().to_vec()),
         });
     }
 
--- a/crates/simulation/src/run/setup.rs
+++ b/crates/simulation/src/run/setup.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Class;
-use fakes::logserver::Keys;
-use fakes::registry::{Book, Entry};
-use fakes::world::{WINDOW, World as Deployment, ZONES, classes};
+use fakes::logserver::RecentKeys;
+use fakes::registry::{EndpointList, Entry};
+use fakes::world::{DEDUPLICATION_WINDOW, World as Deployment, ZONES, classes};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use simnet::{HostId, Link, Options, World};
@@ -105,7 +105,7 @@
     fn servers(&mut self) -> Vec<Rc<Server>> {
         let mut servers = Vec::new();
         for zone in 0..ZONES.len() {
-            let keys = Rc::new(Keys::default());
+            let keys = Rc::new(RecentKeys::default());
             for _ in 0..self.scenario.servers_per_zone {
                 let index = servers.len();
                 let host = self.add_host(HostKind::Server, index, Role::Server { index, zone });
@@ -127,7 +127,7 @@
 
     fn discovery(&self, servers: &[Rc<Server>]) -> Rc<Discovery> {
         let entries = servers.iter().map(|server| endpoint_entry(server, "active"));
-        let book = Book::new(entries.collect());
+        let book = EndpointList::new(entries.collect());
         let agents = if self.scenario.discovery_polled { 0 } else { self.scenario.sidecars };
         Rc::new(Discovery::new(book, servers.len(), agents, self.oracle.clone()))
     }
@@ -183,16 +183,20 @@
 fn limits(scenario: &Scenario, classes: &[Class]) -> Limits {
     let profile = |class: &Class| ClassProfile {
         name: class.name,
-        repeat: class.repeat,
-        mean_work: class.work,
+        repeat: class.idempotency,
+        mean_work: class.service_time,
     };
     Limits {
         classes: classes.iter().map(profile).collect(),
-        idempotency_window: WINDOW,
+        idempotency_window: DEDUPLICATION_WINDOW,
         answer_slack: ANSWER_SLACK,
         drain_grace: DRAIN_GRACE,
         sockets: scenario.sockets,
-        max_response_gap: classes.iter().map(|class| class.aim).min().unwrap_or_default(),
+        max_response_gap: classes
+            .iter()
+            .map(|class| class.latency_objective)
+            .min()
+            .unwrap_or_default(),
         slow_start: SlowStartLimits {
             multiple: SLOW_START_MULTIPLE,
             window: SLOW_START_WINDOW,
--- a/crates/simulation/src/server/mod.rs
+++ b/crates/simulation/src/server/mod.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Class;
-use fakes::logserver::Keys;
+use fakes::logserver::RecentKeys;
 use fakes::wire::{Message, Reader};
-use fakes::world::{IDLE, WINDOW};
+use fakes::world::{DEDUPLICATION_WINDOW, IDLE_TIMEOUT};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use runtime::{Listener, Runtime, Stream, Tcp, timeout};
@@ -51,7 +51,7 @@
     /// The classes of requests that it knows.
     pub classes: Rc<[Class]>,
     /// The idempotency keys that the servers of its zone have seen.
-    pub keys: Rc<Keys>,
+    pub keys: Rc<RecentKeys>,
     /// For everything that is drawn.
     pub rng: RefCell<SmallRng>,
     /// Is told what is executed.
@@ -194,7 +194,7 @@
     async fn serve_connection(self: Rc<Server>, socket: Rc<SimTcp>, start: Instant) {
         let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
         loop {
-            let next = timeout::<SimRuntime, _>(IDLE, reader.next()).await;
+            let next = timeout::<SimRuntime, _>(IDLE_TIMEOUT, reader.next()).await;
             let Ok(Ok(Some(message))) = next else { return };
             let fault = self.faults.get().draw(&mut self.spec.rng.borrow_mut());
             let Some(response) = self.respond(&message, fault, start).await else {
@@ -260,12 +260,14 @@
             executors.acquire().await.ok()?
         };
         let key = message.header("idempotency-key");
-        let is_new = |key: String| self.spec.keys.fresh(&key, WINDOW, SimRuntime::now());
+        let is_new = |key: String| {
+            self.spec.keys.insert_if_new(&key, DEDUPLICATION_WINDOW, SimRuntime::now())
+        };
         if key.is_none_or(is_new) {
             self.spec.oracle.borrow_mut().request_executed(now(start), id, self.spec.index);
             let _executing = CountGuard::new(&self.executing);
             let drawn = self.spec.rng.borrow_mut().random_range(0.5..1.5);
-            let work = class.work.mul_f64(drawn * (1.0 + self.faults.get().slowdown));
+            let work = class.service_time.mul_f64(drawn * (1.0 + self.faults.get().slowdown));
             SimRuntime::sleep(work.div_f64(self.speed(now(start)))).await;
         }
         Some(())
@@ -312,7 +314,7 @@
         };
         let body = body.repeat(repetitions).into_bytes();
         let (header, body) = if chunked {
-            let chunks = fakes::wire::chunked(&body, CHUNK_SIZE);
+            let chunks = fakes::wire::encode_chunked(&body, CHUNK_SIZE);
             ("Transfer-Encoding: chunked".to_owned(), chunks)
         } else {
             (format!("Content-Length: {}", body.len()), body)
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -11,7 +11,7 @@
 pub use fakes::program::Folder;
 pub use fakes::registry::{Entry, Registry};
 pub use fakes::scripted::{Server, answer};
-use fakes::wire::message;
+use fakes::wire::read_message;
 pub use fakes::{PATIENCE, until};
 use serde_json::{Value, json};
 
@@ -250,7 +250,7 @@
 
 /// The first response on a connection: head and body; empty if it was closed without one.
 pub fn first_answer(socket: TcpStream) -> String {
-    let answer = message(&mut BufReader::new(socket));
+    let answer = read_message(&mut BufReader::new(socket));
     answer.map(|(head, body)| head + &String::from_utf8_lossy(&body)).unwrap_or_default()
 }
 
--- a/tests/lifecycle/connecting.rs
+++ b/tests/lifecycle/connecting.rs
@@ -7,8 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fakes::scripted::{id, serve};
-use fakes::wire::message;
+use fakes::scripted::{request_id, serve};
+use fakes::wire::read_message;
 use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 
@@ -58,7 +58,7 @@
     fn start_accepting(&mut self) {
         let seen = self.seen.clone();
         serve(self.listener.take().expect("it has not accepted so far"), move |head, socket| {
-            let id = id(head);
+            let id = request_id(head);
             seen.lock().expect("no panic").push(id.clone());
             socket.write_all(answer(&id).as_bytes()).is_ok()
         });
@@ -83,8 +83,8 @@
     let mut open = sidecar.connect();
     open.write_all(order("open").as_bytes()).expect("sent");
     until("the connection is requested", || unaccepting.pending_connections() == 1);
-    registry.mark(&Entry::new(unaccepting.at, "a").host, "leaving");
-    registry.list(Entry::new(healthy.at, "a"));
+    registry.set_health(&Entry::new(unaccepting.at, "a").host, "leaving");
+    registry.update(Entry::new(healthy.at, "a"));
     let mut n = 0;
     until("the list is known", || {
         n += 1;
@@ -119,13 +119,13 @@
     first.write_all(keep("first").as_bytes()).expect("sent");
     let (mut idle, _) = listener.accept().expect("the sidecar connects");
     let mut read = BufReader::new(idle.try_clone().expect("a second handle"));
-    message(&mut read).expect("the first");
+    read_message(&mut read).expect("the first");
     idle.write_all(answer("first").as_bytes()).expect("sent");
     assert!(first_answer(first).ends_with("\r\n\r\nfirst"));
     let mut unaccepting = UnacceptingServer::of(listener);
     let mut second = sidecar.connect();
     second.write_all(keep("second").as_bytes()).expect("sent");
-    message(&mut read).expect("the second");
+    read_message(&mut read).expect("the second");
     drop((read, idle));
     second.set_nonblocking(true).expect("set");
     let mut failed = false;
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -210,7 +210,7 @@
                 thread::spawn(move || {
                     let mut write = socket.try_clone().expect("a second handle");
                     let mut read = std::io::BufReader::new(socket);
-                    while let Some((_, body)) = fakes::wire::message(&mut read) {
+                    while let Some((_, body)) = fakes::wire::read_message(&mut read) {
                         seen.lock().expect("no panic").push(body.len());
                         let text = body.len().to_string();
                         if write.write_all(net::answer(&text).as_bytes()).is_err() {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -75,10 +75,10 @@
     };
     assert!(sidecar.log().lines().any(logged), "{}", sidecar.log());
     // A server that is removed makes room for another, and known ones are still followed.
-    registry.mark("server-00001", "left");
-    registry.list(Entry::new(other.at, "a"));
+    registry.set_health("server-00001", "left");
+    registry.update(Entry::new(other.at, "a"));
     sidecar.wait_until_reaches(&other);
-    registry.mark(&Entry::new(server.at, "a").host, "leaving");
+    registry.set_health(&Entry::new(server.at, "a").host, "leaving");
     let mut n = 0;
     until("the draining server gets nothing", || {
         let before = server.seen().len();
@@ -113,8 +113,8 @@
         "the known servers are still used"
     );
     let new = Server::echo();
-    (1..3000).for_each(|n| registry.mark(&format!("server-{n:05}"), "left"));
-    registry.list(Entry::new(new.at, "a"));
+    (1..3000).for_each(|n| registry.set_health(&format!("server-{n:05}"), "left"));
+    registry.update(Entry::new(new.at, "a"));
     sidecar.wait_until_reaches(&new);
 }
 
