Configuration, reload, status and program: typed errors, modules by concern, plain names

Cause: config.rs read variables, file, names and endpoint lists in one file, with strings as errors; reloads, counters and the program had names of their own.

Change: config is a folder (file, environment, endpoints, names, error) with ConfigError, whose messages stay word for word; keys of the file keep their names through serde. EndpointList, Endpoint, ProtocolNames, BorrowedText; sizes in Config are named with their unit.

--- a/crates/scale-test/src/hollow/sidecar.rs
+++ b/crates/scale-test/src/hollow/sidecar.rs
@@ -15,7 +15,7 @@
 use instance_status::{InstanceStatus, RequestCounts};
 use lb_sidecar::api::ListKind;
 use lb_sidecar::settings::DiscoveryMode as How;
-use lb_sidecar::sidecar::config::{Config, List, Part};
+use lb_sidecar::sidecar::config::{BorrowedText, Config, EndpointList};
 use lb_sidecar::sidecar::discovery::{Discovery, DiscoveryRequest, EndpointListener};
 use lb_sidecar::sidecar::peers::{DatagramHandler, Peers};
 use lb_sidecar::sidecar::tier::Membership as GossipMembership;
@@ -92,7 +92,7 @@
 struct ListCounter(Rc<Counters>);
 
 impl EndpointListener for ListCounter {
-    fn on_list(&self, _kind: ListKind, _list: &List<Part<'_>>) {
+    fn on_list(&self, _kind: ListKind, _list: &EndpointList<BorrowedText<'_>>) {
         self.0.endpoint_lists.set(self.0.endpoint_lists.get() + 1);
     }
 
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -1,12 +1,17 @@
-//! One real sidecar: reads its configuration, then runs until it is told to stop.
+//! The sidecar program: reads the configuration, then runs until it is told to shut down.
 #![forbid(unsafe_code)]
 
+use std::io;
 use std::os::unix::process::CommandExt;
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 
-use lb_sidecar::sidecar::{self, Control, config::Config, status::VERSION};
+use lb_sidecar::sidecar::config::{Config, ConfigError};
+use lb_sidecar::sidecar::startup::StartError;
+use lb_sidecar::sidecar::status::VERSION;
+use lb_sidecar::sidecar::{self, Control};
 use logging::Options;
-use tokio::signal::unix::{SignalKind, signal};
+use thiserror::Error;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -26,13 +31,59 @@
          SIGUSR2 the same, leaving the listener to a successor
 status:  0 a planned end, or a sound configuration; 2 what was given cannot be used";
 
+/// The status of what cannot be used: arguments, configuration, sockets.
+const EXIT_UNUSABLE: u8 = 2;
+/// The variable with the number of an inherited listener.
+const PASSED_SOCKET: &str = "LB_PASSED_SOCKET";
+/// The variables of the same convention as systemd has it.
+const LISTEN_FDS: &str = "LISTEN_FDS";
+const LISTEN_FDS_FIRST_FD: &str = "LISTEN_FDS_FIRST_FD";
+const LISTEN_PID: &str = "LISTEN_PID";
+/// The last descriptor of the standard streams.
+const LAST_STANDARD_DESCRIPTOR: u16 = 2;
+
+/// Why the program cannot run.
+#[derive(Debug, Error)]
+enum ProgramError {
+    #[error("arguments not understood: {0}; see --help")]
+    Arguments(String),
+    #[error("{0}: a value expected")]
+    MissingValue(String),
+    #[error("{0}")]
+    Log(String),
+    #[error("LB_PASSED_SOCKET: a descriptor above 2 expected, not {0:?}")]
+    PassedSocket(String),
+    #[error("LB_PASSED_SOCKET: this program could not be executed again: {0}")]
+    Execute(#[source] io::Error),
+    #[error("no runtime: {0}")]
+    Runtime(#[source] io::Error),
+    #[error("{name}: {source}")]
+    Signal { name: &'static str, source: io::Error },
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
 fn main() -> ExitCode {
-    let given: Vec<String> =
+    let arguments: Vec<String> =
         std::env::args_os().skip(1).map(|a| a.to_string_lossy().into_owned()).collect();
-    let given: Vec<&str> = given.iter().map(String::as_str).collect();
-    let done = match given[..] {
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match execute(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lb-sidecar: {error}");
+            ExitCode::from(EXIT_UNUSABLE)
+        }
+    }
+}
+
+fn execute(arguments: &[&str]) -> Result<(), ProgramError> {
+    match arguments {
         [] | ["--log-format" | "--log", ..] => {
-            adopt_passed_socket(&given).and_then(|()| logged(&given)).and_then(|()| run())
+            adopt_passed_socket(arguments)?;
+            start_log(arguments)?;
+            run()
         }
         ["--help" | "-h"] => {
             println!("{HELP}");
@@ -42,84 +93,99 @@
             println!("lb-sidecar {VERSION}");
             Ok(())
         }
-        ["check", file] => Config::check(file).map(|c| println!("{file}: sound, for {}", c.name)),
-        _ => Err(format!("arguments not understood: {}; see --help", given.join(" "))),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("lb-sidecar: {e}");
-            ExitCode::from(2)
+        ["check", file] => {
+            let config = Config::check_file(file)?;
+            println!("{file}: sound, for {}", config.name);
+            Ok(())
         }
+        _ => Err(ProgramError::Arguments(arguments.join(" "))),
     }
 }
 
 /// Starts the log as the options say.
-fn logged(mut given: &[&str]) -> Result<(), String> {
+fn start_log(mut arguments: &[&str]) -> Result<(), ProgramError> {
     let (mut format, mut filter) = (None, None);
-    while let [name, rest @ ..] = given {
-        let (value, rest) =
-            rest.split_first().ok_or_else(|| format!("{name}: a value expected"))?;
+    while let [name, rest @ ..] = arguments {
+        let missing = || ProgramError::MissingValue((*name).to_owned());
+        let (value, rest) = rest.split_first().ok_or_else(missing)?;
         match *name {
-            "--log-format" => format = Some(value.parse().map_err(|e| format!("{name}: {e}"))?),
+            "--log-format" => {
+                let parsed = value.parse();
+                format = Some(parsed.map_err(|e| ProgramError::Log(format!("{name}: {e}")))?);
+            }
             "--log" => filter = Some((*value).to_owned()),
-            _ => return Err(format!("arguments not understood: {name}; see --help")),
+            _ => return Err(ProgramError::Arguments((*name).to_owned())),
         }
-        given = rest;
+        arguments = rest;
     }
-    Options::or_env(format, filter)?.start()
+    let options = Options::or_env(format, filter).map_err(log_error)?;
+    options.start().map_err(log_error)
+}
+
+fn log_error(error: impl ToString) -> ProgramError {
+    ProgramError::Log(error.to_string())
 }
 
-/// Executes this program once more where the variable `LB_PASSED_SOCKET` gives the number of a
-/// descriptor that is the listener, with the variables of the `LISTEN_FDS` convention in its place:
-/// they can be set safely only for a new program, and tell `listenfd` which descriptor it may own.
-fn adopt_passed_socket(args: &[&str]) -> Result<(), String> {
-    let Ok(number) = std::env::var("LB_PASSED_SOCKET") else { return Ok(()) };
-    if number.is_empty() || std::env::var_os("LISTEN_FDS").is_some() {
+/// Executes this program once more where `LB_PASSED_SOCKET` gives the number of a descriptor that is the listener,
+/// with the variables of the `LISTEN_FDS` convention in its place. They can be set safely only for a new program, and
+/// tell `listenfd` which descriptor it may own.
+fn adopt_passed_socket(arguments: &[&str]) -> Result<(), ProgramError> {
+    let Ok(number) = std::env::var(PASSED_SOCKET) else { return Ok(()) };
+    if number.is_empty() || std::env::var_os(LISTEN_FDS).is_some() {
         return Ok(());
     }
-    if !number.parse::<u16>().is_ok_and(|n| n > 2) {
-        return Err(format!("LB_PASSED_SOCKET: a descriptor above 2 expected, not {number:?}"));
+    if !number.parse::<u16>().is_ok_and(|n| n > LAST_STANDARD_DESCRIPTOR) {
+        return Err(ProgramError::PassedSocket(number));
     }
     let own = std::env::args_os().next().unwrap_or_default();
     let program = std::env::current_exe().unwrap_or(own.into());
-    let failed = std::process::Command::new(program)
-        .args(args)
-        .envs([("LISTEN_FDS", "1"), ("LISTEN_FDS_FIRST_FD", &number)])
-        .env_remove("LISTEN_PID")
+    let error = Command::new(program)
+        .args(arguments)
+        .envs([(LISTEN_FDS, "1"), (LISTEN_FDS_FIRST_FD, &number)])
+        .env_remove(LISTEN_PID)
         .exec();
-    Err(format!("LB_PASSED_SOCKET: this program could not be executed again: {failed}"))
+    Err(ProgramError::Execute(error))
+}
+
+fn listen_for(kind: SignalKind, name: &'static str) -> Result<Signal, ProgramError> {
+    signal(kind).map_err(|source| ProgramError::Signal { name, source })
 }
 
-fn run() -> Result<(), String> {
+/// Runs the sidecar until it has shut down.
+fn run() -> Result<(), ProgramError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|e| format!("no runtime: {e}"))?;
+        .map_err(ProgramError::Runtime)?;
     let entered = runtime.enter();
-    // Danger: until they are listened for, each of these signals ends the process.
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut leave = signal(SignalKind::user_defined2()).map_err(|e| format!("SIGUSR2: {e}"))?;
+    // Until they are listened for, each of these signals ends the process.
+    let mut terminate = listen_for(SignalKind::terminate(), "SIGTERM")?;
+    let hangup = listen_for(SignalKind::hangup(), "SIGHUP")?;
+    let mut leave = listen_for(SignalKind::user_defined2(), "SIGUSR2")?;
     drop(entered);
     let config = Config::from_env()?;
     // All tasks run on this thread, so every line of the log is this instance's.
     let _instance = tracing::error_span!("sidecar", instance = config.name).entered();
     LocalSet::new().block_on(&runtime, async {
-        let (again, reload) = mpsc::channel(1);
-        tokio::task::spawn_local(async move {
-            while hangup.recv().await.is_some() {
-                // One that waits already will read what stands there now.
-                let _ = again.try_send(());
-            }
-        });
+        let reload = reload_requests(hangup);
         let stop = async move {
             terminate.recv().await;
         };
         let hand_over = async move {
             leave.recv().await;
         };
-        let control = Control { stop, hand_over, reload, read: Config::again };
-        sidecar::run(config, control).await.map_err(|error| error.to_string())
+        let control = Control { stop, hand_over, reload, read: Config::reread };
+        Ok(sidecar::run(config, control).await?)
     })
 }
+
+/// A message for each SIGHUP. Several that wait are one: the file is read as it is then.
+fn reload_requests(mut hangup: Signal) -> mpsc::Receiver<()> {
+    let (request, requests) = mpsc::channel(1);
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            let _ = request.try_send(());
+        }
+    });
+    requests
+}
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -230,8 +230,8 @@
             listed_servers: listed,
             ejected_servers: ejected,
             max_servers: self.live.max_servers(),
-            oversized_lists: self.status.lists_too_long(),
-            reloads: self.status.reloads(),
+            oversized_lists: self.status.oversized_lists(),
+            reloads: self.status.reload_counts(),
             tier: self.tier_statistics(),
         }
     }
@@ -242,7 +242,7 @@
         classes.sort_unstable_by_key(|(_, class)| class.index);
         let counts = |(name, class): (&String, &super::config::ClassName)| ClassCounts {
             name: name.clone(),
-            counts: self.status.counts_of(class.index),
+            counts: self.status.class_request_counts(class.index),
         };
         classes.into_iter().map(counts).collect()
     }
--- /dev/null
+++ b/src/sidecar/config/names.rs
@@ -0,0 +1,135 @@
+//! Names that are used on sockets, in place of the balancer's numbers.
+
+use std::collections::HashMap;
+
+use serde_json::Value;
+
+use super::endpoints::Endpoint;
+use super::error::ConfigError;
+use crate::api::{LoadReport, ServerEntry};
+use crate::settings::{RetrySafety, Settings};
+
+/// Load reports have requests, shares and milliseconds; none of these comes near this figure.
+const MAX_REPORTED: f32 = 1e6;
+/// The zone and the kind of a server whose names the settings lack.
+const UNKNOWN_ZONE: u8 = u8::MAX;
+const UNKNOWN_KIND: u16 = u16::MAX;
+/// Names of a report's columns in the settings, and those that servers may use instead.
+const COLUMN_ALIASES: [(&str, &str); 6] = [
+    ("rif", "inflight"),
+    ("q", "queue"),
+    ("busy", "util"),
+    ("lat_ms", "latency_ms"),
+    ("rate", "qps"),
+    ("fail_rate", "eps"),
+];
+
+/// A request class as it is met on sockets.
+#[derive(Clone, Copy, Debug)]
+pub struct ClassName {
+    /// Its position in the settings.
+    pub index: usize,
+    /// Whether its requests may be repeated, which decides the method.
+    pub repeat: RetrySafety,
+}
+
+/// Names of the settings' classes, tenants, zones, kinds and report columns.
+#[derive(Default)]
+pub struct ProtocolNames {
+    /// Classes by the first segment of the path.
+    pub classes: HashMap<String, ClassName>,
+    /// Tenants by `X-Account`.
+    pub tenants: HashMap<String, usize>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    columns: Vec<String>,
+}
+
+impl ProtocolNames {
+    /// The names in the settings. `raw` has those that the settings do not keep.
+    ///
+    /// # Errors
+    ///
+    /// When a name is missing, or there twice.
+    pub fn new(settings: &Settings, raw: &Value) -> Result<ProtocolNames, ConfigError> {
+        let mut names = ProtocolNames {
+            zones: settings.zones.clone(),
+            kinds: name_list(raw, "kinds", |kind| kind)?,
+            columns: settings.load_reporting.columns.clone(),
+            ..ProtocolNames::default()
+        };
+        for (index, class) in settings.classes.iter().enumerate() {
+            let class_name = ClassName { index, repeat: class.retry_safety };
+            if names.classes.insert(class.name.clone(), class_name).is_some() {
+                return Err(ConfigError::DuplicateName { list: "classes", index });
+            }
+        }
+        let tenants = name_list(raw, "tenants", |tenant| &tenant["name"])?;
+        for (index, name) in tenants.into_iter().enumerate() {
+            if names.tenants.insert(name, index).is_some() {
+                return Err(ConfigError::DuplicateName { list: "tenants", index });
+            }
+        }
+        Ok(names)
+    }
+
+    /// The names of the tenants, in the order of the settings.
+    pub fn tenant_names(&self) -> Vec<String> {
+        let mut tenants: Vec<_> = self.tenants.iter().collect();
+        tenants.sort_unstable_by_key(|(_, index)| **index);
+        tenants.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// An endpoint as the balancer takes it. A zone or kind that the settings lack is different from all others.
+    pub fn server_entry<S: AsRef<str>>(&self, endpoint: &Endpoint<S>) -> ServerEntry {
+        let position = |names: &[String], name: &Option<S>| {
+            let name = name.as_ref().map_or("", AsRef::as_ref);
+            names.iter().position(|n| n == name)
+        };
+        let zone = position(&self.zones, &endpoint.zone).and_then(|n| n.try_into().ok());
+        let kind = position(&self.kinds, &endpoint.kind).and_then(|n| n.try_into().ok());
+        ServerEntry {
+            id: endpoint.id(),
+            zone: zone.unwrap_or(UNKNOWN_ZONE),
+            kind: kind.unwrap_or(UNKNOWN_KIND),
+            cell: endpoint.cell,
+            health: endpoint.health.into(),
+            weight: endpoint.weight,
+            started_at: endpoint.started_unix_ms.saturating_mul(1000),
+        }
+    }
+
+    /// Parses a load report (`inflight=7,queue=2,util=0.61`) into the order of the settings' columns. One that lacks
+    /// a column or has an impossible figure is empty.
+    ///
+    /// Servers name the fields as the protocol does or as the settings do (`rif=7,q=2`). Parsed by one set of names
+    /// alone, every report would be lost silently, and the balancer would know no queue.
+    pub fn load_report(&self, text: &str) -> LoadReport {
+        let values: Option<_> = self.columns.iter().map(|column| field(text, column)).collect();
+        values.map(LoadReport).unwrap_or_default()
+    }
+}
+
+/// A field of a load report, by the name of its column or the alias of that.
+fn field(text: &str, column: &str) -> Option<f32> {
+    let alias = COLUMN_ALIASES.iter().find(|(name, _)| *name == column);
+    let alias = alias.map_or(column, |(_, alias)| alias);
+    let mut fields = text.split(',').filter_map(|field| field.split_once('='));
+    let is_named = |name: &str| name == column || name == alias;
+    let (_, value) = fields.find(|(name, _)| is_named(name.trim()))?;
+    // A figure that no server can have would spoil the averages that it enters.
+    value.trim().parse::<f32>().ok().filter(|value| (0.0..=MAX_REPORTED).contains(value))
+}
+
+/// The names in a list of the settings, which may be absent.
+fn name_list(
+    settings: &Value,
+    list: &'static str,
+    name_of: fn(&Value) -> &Value,
+) -> Result<Vec<String>, ConfigError> {
+    let Some(entries) = settings.get(list).and_then(Value::as_array) else {
+        return Ok(Vec::new());
+    };
+    let names: Option<_> = entries.iter().map(|e| name_of(e).as_str().map(str::to_owned)).collect();
+    names.ok_or(ConfigError::MissingName { list })
+}
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::budget::max_list_bytes;
-use super::config::{List, Part};
+use super::config::{BorrowedText, EndpointList};
 use crate::api::ListKind;
 use crate::settings::DiscoveryMode as Mode;
 use client::{CallError, Connection, ListCall, ListResponse};
@@ -35,7 +35,7 @@
 /// Receives what discovery says.
 pub trait EndpointListener {
     /// A complete list, or changes of it.
-    fn on_list(&self, kind: ListKind, list: &List<Part<'_>>);
+    fn on_list(&self, kind: ListKind, list: &EndpointList<BorrowedText<'_>>);
     /// How many servers can be listed at most.
     fn max_servers(&self) -> usize;
     /// A list was longer than that; the call counts as failed.
@@ -147,14 +147,15 @@
         listener: &impl EndpointListener,
         text: &[u8],
     ) -> Result<Update, CallError> {
-        let list: List<Part<'_>> = serde_json::from_slice(text).map_err(|_| CallError::Broken)?;
-        if !list.whole && list.seq < self.version {
+        let list: EndpointList<BorrowedText<'_>> =
+            serde_json::from_slice(text).map_err(|_| CallError::Broken)?;
+        if !list.is_complete && list.version < self.version {
             return Ok(Update::Stale);
         }
-        self.version = list.seq;
-        let kind = if list.whole { ListKind::Complete } else { ListKind::Delta };
+        self.version = list.version;
+        let kind = if list.is_complete { ListKind::Complete } else { ListKind::Delta };
         listener.on_list(kind, &list);
-        Ok(if list.hosts.is_empty() { Update::Empty } else { Update::Applied })
+        Ok(if list.endpoints.is_empty() { Update::Empty } else { Update::Applied })
     }
 
     /// Reports a list of at least `bytes` that was not read.
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -9,7 +9,7 @@
 
 use super::Driver;
 use crate::api::{Event, Health, ListKind, ServerEntry, ServerId};
-use crate::sidecar::config::{List, Names};
+use crate::sidecar::config::{EndpointList, ProtocolNames};
 
 /// A server as discovery lists it.
 pub(super) struct KnownServer {
@@ -68,8 +68,8 @@
     fn apply<S: AsRef<str>>(
         &mut self,
         kind: ListKind,
-        list: &List<S>,
-        names: &Names,
+        list: &EndpointList<S>,
+        names: &ProtocolNames,
         max_servers: usize,
         close_idle: impl Fn(ServerId),
     ) -> FxHashSet<ServerId> {
@@ -78,18 +78,18 @@
             _ => std::mem::take(&mut self.servers),
         };
         let mut ignored = FxHashSet::default();
-        for host in &list.hosts {
-            let server = host.id();
-            let old_address = match host.dial.filter(|_| host.listed()) {
+        for endpoint in &list.endpoints {
+            let server = endpoint.id();
+            let old_address = match endpoint.address.filter(|_| endpoint.is_listed()) {
                 Some(_) if self.has_no_room(&previous, server, max_servers) => {
                     ignored.insert(server);
                     continue;
                 }
-                Some(address) => self.insert(address, names.entry(host), &mut previous),
+                Some(address) => self.insert(address, names.server_entry(endpoint), &mut previous),
                 None => self.remove(server),
             };
-            let moved = old_address.is_some_and(|address| Some(address) != host.dial);
-            if moved || !host.wants_work() {
+            let moved = old_address.is_some_and(|address| Some(address) != endpoint.address);
+            if moved || !endpoint.is_active() {
                 close_idle(server);
             }
         }
@@ -97,7 +97,7 @@
             gone.ready.set(false);
             close_idle(server);
         }
-        self.ever_listed |= !list.hosts.is_empty();
+        self.ever_listed |= !list.endpoints.is_empty();
         ignored
     }
 
@@ -152,7 +152,11 @@
     ///
     /// New servers may keep coming. Addresses are kept only of those that are listed, and idle
     /// connections to one that is to get nothing more are closed at once.
-    pub fn update_endpoints<S: AsRef<str>>(self: &Rc<Driver<P>>, kind: ListKind, list: &List<S>) {
+    pub fn update_endpoints<S: AsRef<str>>(
+        self: &Rc<Driver<P>>,
+        kind: ListKind,
+        list: &EndpointList<S>,
+    ) {
         let names = self.live.names();
         let max_servers = self.live.max_servers();
         let entries: Vec<_> = {
@@ -161,10 +165,10 @@
             let close_idle = |server| self.upstream.close_idle(server);
             let ignored = endpoints.apply(kind, list, &names, max_servers, close_idle);
             if !ignored.is_empty() {
-                self.status.list_too_long();
+                self.status.count_oversized_list();
                 if endpoints.ignored != ignored.len() {
                     tracing::error!(
-                        listed = list.hosts.len(),
+                        listed = list.endpoints.len(),
                         most = max_servers,
                         passed_over = ignored.len(),
                         "ignoring servers beyond the number that limits.memory_mb allows"
@@ -172,8 +176,8 @@
                 }
             }
             endpoints.ignored = ignored.len();
-            let taken = list.hosts.iter().filter(|host| !ignored.contains(&host.id()));
-            taken.map(|host| endpoints.effective_entry(names.entry(host))).collect()
+            let taken = list.endpoints.iter().filter(|endpoint| !ignored.contains(&endpoint.id()));
+            taken.map(|endpoint| endpoints.effective_entry(names.server_entry(endpoint))).collect()
         };
         self.handle_event(Event::EndpointUpdate { kind, entries: &entries });
     }
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -17,7 +17,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 
-use super::config::{List, Part};
+use super::config::{BorrowedText, EndpointList};
 use super::discovery::{self, DiscoveryRequest};
 use super::live::LiveConfig;
 use super::peers::{self, Peers};
@@ -169,7 +169,7 @@
 }
 
 impl<P: Runtime> discovery::EndpointListener for Rc<Driver<P>> {
-    fn on_list(&self, kind: ListKind, list: &List<Part<'_>>) {
+    fn on_list(&self, kind: ListKind, list: &EndpointList<BorrowedText<'_>>) {
         self.update_endpoints(kind, list);
     }
 
@@ -178,7 +178,7 @@
     }
 
     fn on_list_too_long(&self) {
-        self.status.list_too_long();
+        self.status.count_oversized_list();
     }
 
     fn on_failure(&self) {
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -95,7 +95,7 @@
     /// Sends the outcome to the client and counts it, if the request is not finished.
     pub(super) fn finish(&mut self, outcome: RequestOutcome, status: &Status) {
         if let Some(client) = self.client.take() {
-            status.count(self.class, |counts| match &outcome {
+            status.count_request(self.class, |counts| match &outcome {
                 RequestOutcome::Served(_) => counts.served += 1,
                 RequestOutcome::Rejected { .. } => counts.rejected += 1,
                 RequestOutcome::Failed => counts.failed += 1,
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -152,13 +152,13 @@
             pid: std::process::id(),
             version: VERSION.into(),
             generation: self.live.generation(),
-            rejected_config: self.status.declined(),
+            rejected_config: self.status.rejected_config(),
             ready: self.is_ready(),
             draining: self.shutdown_deadline.get().is_some(),
             client_connections: self.connection_count(),
             in_flight_requests: self.requests_in_progress(),
             out_of_descriptors: self.last_accept_failure.get().is_some_and(shortage),
-            counts: self.status.counts(),
+            counts: self.status.request_counts(),
         }
     }
 
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::budget::max_servers;
-use super::config::{Config, Names};
+use super::config::{Config, ProtocolNames};
 
 /// The part of a server's idle timeout for which a connection is reused.
 const REUSE_FRACTION: f64 = 0.7;
@@ -35,7 +35,7 @@
 /// The values in force, shared by all that use them. A request in progress keeps those that it
 /// began with.
 pub struct LiveConfig {
-    names: RefCell<Rc<Names>>,
+    names: RefCell<Rc<ProtocolNames>>,
     deadlines: RefCell<Vec<Duration>>,
     timeouts: Cell<AttemptTimeouts>,
     max_body_bytes: Cell<usize>,
@@ -52,8 +52,8 @@
             names: RefCell::new(config.names.clone()),
             deadlines: RefCell::new(deadlines(config)),
             timeouts: Cell::new(timeouts(config)),
-            max_body_bytes: Cell::new(config.longest_body),
-            max_servers: Cell::new(max_servers(config.memory)),
+            max_body_bytes: Cell::new(config.max_body_bytes),
+            max_servers: Cell::new(max_servers(config.memory_bytes)),
             generation: Cell::new(config.generation),
             earlier_requests_due: Cell::new(None),
         })
@@ -66,13 +66,13 @@
         *self.names.borrow_mut() = config.names.clone();
         *self.deadlines.borrow_mut() = deadlines(config);
         self.timeouts.set(timeouts(config));
-        self.max_body_bytes.set(config.longest_body);
-        self.max_servers.set(max_servers(config.memory));
+        self.max_body_bytes.set(config.max_body_bytes);
+        self.max_servers.set(max_servers(config.memory_bytes));
         self.generation.set(config.generation);
     }
 
     /// Names that are used on sockets for numbers of the settings.
-    pub fn names(&self) -> Rc<Names> {
+    pub fn names(&self) -> Rc<ProtocolNames> {
         self.names.borrow().clone()
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -32,7 +32,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use self::admin::state_file::StateFile;
-use self::config::Config;
+use self::config::{Config, ConfigError};
 use self::reload::Targets;
 use self::startup::{Components, Serving, StartError};
 
@@ -72,7 +72,7 @@
 where
     S: Future<Output = ()>,
     H: Future<Output = ()>,
-    R: Fn() -> Result<Config, String>,
+    R: Fn() -> Result<Config, ConfigError>,
 {
     let sockets = Sockets::<TokioRuntime>::bind(&config)?;
     serve(config, sockets, control).await
@@ -92,7 +92,7 @@
     P: Runtime,
     S: Future<Output = ()>,
     H: Future<Output = ()>,
-    R: Fn() -> Result<Config, String>,
+    R: Fn() -> Result<Config, ConfigError>,
 {
     let Sockets { listener, shared, peers, admin, record } = sockets;
     let components = Components::<P>::new(&config, peers)?;
@@ -103,8 +103,8 @@
     let ingress = components.ingress(driver.clone(), config.name);
     let admin = admin.map(|at| components.start_admin(at, &driver, &ingress, record));
 
-    startup::restore_server_list(&driver, config.known.as_ref(), how);
-    let version = config.known.as_ref().map_or(0, |known| known.seq);
+    startup::restore_server_list(&driver, config.cached_endpoints.as_ref(), how);
+    let version = config.cached_endpoints.as_ref().map_or(0, |known| known.version);
     let discovery_attempted = Rc::new(Notify::new());
     let (discovery_address, at) = watch::channel(config.discovery);
     let attempted = discovery_attempted.clone();
@@ -119,10 +119,10 @@
         discovery: discovery_address,
         live: components.live.clone(),
         driver,
-        sockets: components.socket_budget.clone(),
-        bytes: components.body_budget.clone(),
+        socket_budget: components.socket_budget.clone(),
+        body_budget: components.body_budget.clone(),
         status: components.status.clone(),
-        fixed: config.fixed,
+        restart_only: config.restart_only,
     };
     let Control { stop, hand_over, reload, read } = control;
     let reloading = reload::run(reload, read, targets);
--- a/src/sidecar/notify.rs
+++ b/src/sidecar/notify.rs
@@ -1,32 +1,33 @@
-//! Reports to whoever supervises this process, where `NOTIFY_SOCKET` names a socket for them.
-//! Without it nothing here runs. What a report holds is told in the package `reports`.
+//! Status reports to the supervisor of this process, where `NOTIFY_SOCKET` names a socket for them. The crate
+//! `instance-status` has what a report contains.
 
 use std::time::Duration;
 
 use instance_status::{InstanceStatus, SupervisorSocket};
 use runtime::Runtime;
+use tokio::sync::Notify;
 
-/// Between two reports.
-const EVERY: Duration = Duration::from_millis(500);
-/// A report that could not be sent is sent again after so long.
-const AGAIN: Duration = Duration::from_millis(50);
+/// The time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause after a report that could not be sent.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reports at every change that `changed` tells of, and from time to time; never ends.
+/// Sends a report at every notification of `changed`, and at regular times; never ends.
 ///
-/// Danger: these datagrams come from the event loop that serves clients, so that one that hangs
-/// falls silent. A queue that is full swallows a report, and a supervisor that was kept from
-/// reading would take that for silence: it is sent again soon.
+/// The reports come from the event loop that serves clients, so that they stop if it hangs. A full queue drops a
+/// report, and a supervisor that was kept from reading would take that for a hang: the report is soon sent again.
 pub async fn run<P: Runtime>(
     supervisor: SupervisorSocket,
-    state: impl Fn() -> InstanceStatus,
-    changed: &tokio::sync::Notify,
+    status: impl Fn() -> InstanceStatus,
+    changed: &Notify,
 ) {
     loop {
-        let sent = supervisor.send(&state().to_datagram());
+        let is_sent = supervisor.send(&status().to_datagram());
+        let pause = if is_sent { REPORT_INTERVAL } else { RETRY_INTERVAL };
         tokio::select! {
             biased;
             () = changed.notified() => {}
-            () = P::sleep(if sent { EVERY } else { AGAIN }) => {}
+            () = P::sleep(pause) => {}
         }
     }
 }
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -14,7 +14,7 @@
 use super::admin::Admin;
 use super::admin::state_file::StateFile;
 use super::budget::{BodyBudget, SocketBudget};
-use super::config::{Config, List};
+use super::config::{Config, EndpointList};
 use super::discovery::DiscoveryRequest;
 use super::driver::{Driver, PeerServices};
 use super::ingress::Ingress;
@@ -139,11 +139,11 @@
     ///
     /// When the configuration of the tier cannot be used.
     pub fn new(config: &Config, peers: Option<P::Udp>) -> Result<Components<P>, StartError> {
-        let peers = peers.map(|s| Peers::<P>::new(s, config.peers.clone(), config.peers_all));
+        let peers = peers.map(|s| Peers::<P>::new(s, config.peers.clone(), config.peers_multicast));
         let live = LiveConfig::new(config);
         let status = Rc::new(Status::default());
-        let socket_budget = Rc::new(SocketBudget::new(config.sockets));
-        let body_budget = BodyBudget::new(config.memory);
+        let socket_budget = Rc::new(SocketBudget::new(config.max_sockets));
+        let body_budget = BodyBudget::new(config.memory_bytes);
         let upstream = Upstream::<P>::new(
             socket_budget.clone(),
             body_budget.clone(),
@@ -225,7 +225,7 @@
 /// Gives the driver the list that an earlier process stored.
 pub(super) fn restore_server_list<P: Runtime>(
     driver: &Rc<Driver<P>>,
-    known: Option<&List>,
+    known: Option<&EndpointList>,
     how: DiscoveryMode,
 ) {
     match known {
@@ -233,7 +233,7 @@
         // Where discovery is polled, the balancer first polls after what it remembers; one that
         // remembers nothing would never poll, and refuse everything.
         None if how == DiscoveryMode::OnRequest => {
-            driver.update_endpoints(ListKind::Cached, &List::default());
+            driver.update_endpoints(ListKind::Cached, &EndpointList::default());
             driver.fetch_list();
         }
         None => {}
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -1,5 +1,5 @@
-//! The parts of a sidecar's state that no other module owns. It is reported to whoever asks on its
-//! listener, and to its supervisor.
+//! The parts of a sidecar's state that no other module owns. They are shown on its listener and sent to its
+//! supervisor.
 
 use std::cell::{Cell, RefCell};
 
@@ -9,89 +9,89 @@
 /// The program's version.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
 
-/// What became of new configurations.
+/// Configuration reloads since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReloadCounts {
-    /// Taken over whole.
+    /// Applied completely.
     pub applied: u64,
-    /// Not taken over, or in part.
+    /// Not applied, or in part only.
     pub rejected: u64,
 }
 
-/// The parts of the state that no other module owns.
+/// Counters and the last rejected configuration.
 #[derive(Default)]
 pub struct Status {
-    /// By class.
-    counts: RefCell<Vec<RequestCounts>>,
+    /// Final answers by class.
+    requests: RefCell<Vec<RequestCounts>>,
     attempts: Cell<u64>,
     reloads: Cell<ReloadCounts>,
-    declined: RefCell<Option<RejectedConfig>>,
-    lists_too_long: Cell<u64>,
-    /// Told of changes that should not wait for the next report.
+    rejected_config: RefCell<Option<RejectedConfig>>,
+    oversized_lists: Cell<u64>,
+    /// Notified of changes that should not wait for the next report.
     pub changed: Notify,
 }
 
 impl Status {
-    /// RequestCounts a final answer to a request of a class. Classes are bounded by the settings.
-    pub fn count(&self, class: usize, one: impl FnOnce(&mut RequestCounts)) {
-        let mut counts = self.counts.borrow_mut();
-        if counts.len() <= class {
-            counts.resize(class + 1, RequestCounts::default());
+    /// Counts a final answer to a request of a class. Classes are bounded by the settings.
+    pub fn count_request(&self, class: usize, increment: impl FnOnce(&mut RequestCounts)) {
+        let mut requests = self.requests.borrow_mut();
+        if requests.len() <= class {
+            requests.resize(class + 1, RequestCounts::default());
         }
-        one(&mut counts[class]);
+        increment(&mut requests[class]);
     }
 
-    /// The final answers so far, of all classes.
-    pub fn counts(&self) -> RequestCounts {
+    /// Final answers of all classes.
+    pub fn request_counts(&self) -> RequestCounts {
         let mut sum = RequestCounts::default();
-        for &counts in self.counts.borrow().iter() {
+        for &counts in self.requests.borrow().iter() {
             sum += counts;
         }
         sum
     }
 
-    /// The final answers of one class so far.
-    pub fn counts_of(&self, class: usize) -> RequestCounts {
-        self.counts.borrow().get(class).copied().unwrap_or_default()
+    /// Final answers of one class.
+    pub fn class_request_counts(&self, class: usize) -> RequestCounts {
+        self.requests.borrow().get(class).copied().unwrap_or_default()
     }
 
-    /// RequestCounts an attempt whose last byte has left.
-    pub fn attempted(&self) {
+    /// Counts an attempt that was written completely.
+    pub fn count_attempt(&self) {
         self.attempts.set(self.attempts.get() + 1);
     }
 
-    /// The attempts so far that were written whole.
+    /// Attempts that were written completely.
     pub fn attempts(&self) -> u64 {
         self.attempts.get()
     }
 
-    /// RequestCounts a list, or servers in one, that were passed over for being beyond the bound.
-    pub fn list_too_long(&self) {
-        self.lists_too_long.set(self.lists_too_long.get() + 1);
+    /// Counts an endpoint list that was too long, or had more servers than the limit.
+    pub fn count_oversized_list(&self) {
+        self.oversized_lists.set(self.oversized_lists.get() + 1);
     }
 
-    /// Lists so far that were, or held, more than is taken in.
-    pub fn lists_too_long(&self) -> u64 {
-        self.lists_too_long.get()
+    /// Endpoint lists that were too long, or had more servers than the limit.
+    pub fn oversized_lists(&self) -> u64 {
+        self.oversized_lists.get()
     }
 
-    /// What became of new configurations so far.
-    pub fn reloads(&self) -> ReloadCounts {
+    /// Configuration reloads.
+    pub fn reload_counts(&self) -> ReloadCounts {
         self.reloads.get()
     }
 
-    /// Notes what became of a new configuration: `None`, it is in force.
-    pub fn reloaded(&self, declined: Option<RejectedConfig>) {
+    /// Records the outcome of a reload: `None` if the configuration is in force.
+    pub fn record_reload(&self, rejected: Option<RejectedConfig>) {
         let mut reloads = self.reloads.get();
-        reloads.applied += u64::from(declined.is_none());
-        reloads.rejected += u64::from(declined.is_some());
+        reloads.applied += u64::from(rejected.is_none());
+        reloads.rejected += u64::from(rejected.is_some());
         self.reloads.set(reloads);
-        *self.declined.borrow_mut() = declined;
+        *self.rejected_config.borrow_mut() = rejected;
         self.changed.notify_one();
     }
 
-    /// The last configuration that was not taken over whole.
-    pub fn declined(&self) -> Option<RejectedConfig> {
-        self.declined.borrow().clone()
+    /// The last configuration, if it was not applied completely.
+    pub fn rejected_config(&self) -> Option<RejectedConfig> {
+        self.rejected_config.borrow().clone()
     }
 }
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -90,7 +90,7 @@
         let outcome =
             if head.status == StatusCode::OK { Outcome::Success } else { Outcome::ErrorResponse };
         let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
-        Ok(HealthCheckResult { outcome, report: self.live.names().report(&text) })
+        Ok(HealthCheckResult { outcome, report: self.live.names().load_report(&text) })
     }
 }
 
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -134,7 +134,7 @@
     /// Notes that the last byte of the request has been written.
     pub(super) fn request_sent(&self) {
         if !self.request.complete.replace(true) {
-            self.status.attempted();
+            self.status.count_attempt();
         }
     }
 
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -97,7 +97,7 @@
         let unprocessed = is_unprocessed(&response);
         let (head, body) = response.into_parts();
         let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|value| value.to_str().ok());
-        let report = report.map(|text| self.live.names().report(text)).unwrap_or_default();
+        let report = report.map(|text| self.live.names().load_report(text)).unwrap_or_default();
         if head.status != StatusCode::OK {
             P::spawn(self.clone().discard_body(server, connection, body));
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
