Config distribution: typed errors of the fleet's daemon, plainer comments

Cause: the errors of the fleet's socket arrived as text. Change: `ClientError` and the task's error are sources of the crate's own; a few comments in ordinary English.

--- a/crates/config-distribution/src/control/hosts.rs
+++ b/crates/config-distribution/src/control/hosts.rs
@@ -158,7 +158,7 @@
             self.arrived.remove(&name);
             self.forgotten.insert(name);
         }
-        // Without an origin that takes reports they would add up for ever.
+        // Bounded, since without an origin no report takes them out.
         while self.forgotten.len() > self.max_hosts {
             self.forgotten.pop_first();
         }
--- a/crates/config-distribution/src/net/http/server.rs
+++ b/crates/config-distribution/src/net/http/server.rs
@@ -138,7 +138,7 @@
     handler: Rc<impl Fn(ApiRequest) -> F + 'static>,
 ) {
     let _ = socket.set_nodelay(true);
-    // Without timeouts a reader that is slow or dead would keep its response, and its permit, for ever.
+    // Without timeouts a reader that is slow or dead would hold its response and its permit indefinitely.
     let mut socket = TimeoutStream::new(socket);
     socket.set_read_timeout(Some(READ_TIMEOUT));
     socket.set_write_timeout(Some(WRITE_TIMEOUT));
--- a/crates/config-distribution/src/net/operator_api.rs
+++ b/crates/config-distribution/src/net/operator_api.rs
@@ -46,7 +46,7 @@
     pub total: TotalProgress,
 }
 
-/// What a control server told an origin with its last request.
+/// The last request of a control server to the origin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct MemberStatus {
     /// The highest epoch that it has promised to follow.
--- a/crates/config-distribution/src/net/origin/operators.rs
+++ b/crates/config-distribution/src/net/origin/operators.rs
@@ -16,7 +16,7 @@
 use crate::origin::PublishError;
 use crate::replication::LogRequest;
 
-/// How long a change may take to be committed before the operator is told that it is not.
+/// How long a change may take to be committed before the operator gets an error.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl Node {
--- a/crates/config-distribution/src/net/target.rs
+++ b/crates/config-distribution/src/net/target.rs
@@ -8,7 +8,9 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use fleet::control::ClientError;
 use serde_json::Value;
+use tokio::task::JoinError;
 
 pub use fleet_daemon::{FleetDaemon, ServiceSettings};
 pub use standalone::Standalone;
@@ -48,9 +50,15 @@
     /// The sidecar has not taken the configuration over in time.
     #[error("not taken over in time")]
     ReloadTimeout,
-    /// The fleet's daemon cannot be asked.
+    /// The fleet's daemon cannot be reached, or has rejected a request.
     #[error("{0}")]
-    Daemon(String),
+    Daemon(#[from] ClientError),
+    /// The task that asks the fleet's daemon has failed.
+    #[error("{0}")]
+    DaemonTask(#[from] JoinError),
+    /// The status of the fleet's daemon cannot be understood.
+    #[error("{0}")]
+    DaemonStatus(#[source] serde_json::Error),
     /// The fleet's daemon is rolling out something else.
     #[error("another rollout runs")]
     RolloutInProgress,
--- a/crates/config-distribution/src/net/target/fleet_daemon.rs
+++ b/crates/config-distribution/src/net/target/fleet_daemon.rs
@@ -70,15 +70,13 @@
 
     async fn ask(&self, request: Request) -> Result<Value, ApplyError> {
         let state_dir = self.state_dir.clone();
-        let answer = tokio::task::spawn_blocking(move || ask(&state_dir, &request)).await;
-        answer
-            .map_err(|error| ApplyError::Daemon(error.to_string()))?
-            .map_err(|error| ApplyError::Daemon(error.to_string()))
+        let response = tokio::task::spawn_blocking(move || ask(&state_dir, &request)).await?;
+        Ok(response?)
     }
 
     async fn status(&self) -> Result<DaemonStatus, ApplyError> {
         let status = self.ask(Request::Status).await?;
-        serde_json::from_value(status).map_err(|error| ApplyError::Daemon(error.to_string()))
+        serde_json::from_value(status).map_err(ApplyError::DaemonStatus)
     }
 
     /// The settings files with the documents over the host's own settings.
@@ -122,6 +120,7 @@
 
     /// Has the daemon read its files, and waits until all instances run what they say, or the rollout was undone.
     async fn roll_out(&self) -> Result<(), ApplyError> {
+        // The daemon checks the files before it answers: what it rejects now, it would reject again.
         let reloaded = self.ask(Request::Reload).await;
         let reloaded = reloaded.map_err(|error| ApplyError::Rejected(error.to_string()))?;
         let wanted = reloaded["generation"].as_u64();
--- a/crates/config-distribution/src/origin.rs
+++ b/crates/config-distribution/src/origin.rs
@@ -225,7 +225,7 @@
 
     /// Steps down where a quorum follows a later epoch.
     ///
-    /// Two origins that both went on would take the members from each other for ever, so a superseded one orders
+    /// Two origins that both went on would take the members from each other again and again, so a superseded one orders
     /// nothing until it is restarted. Where only a minority has promised a later epoch, its origin is about to be
     /// followed or has died before it was: then this one begins another epoch after a while.
     fn check_superseded(&mut self, now: Duration) {
--- a/crates/config-distribution/src/progress.rs
+++ b/crates/config-distribution/src/progress.rs
@@ -229,7 +229,7 @@
             return true;
         }
         let last_seen = now.saturating_sub(*silent_for);
-        // An origin that has just begun is told of all entries, also of outdated ones.
+        // After a restart of the origin, control servers report all their entries, outdated ones included.
         if known.is_some_and(|known| known.server != server && known.last_seen > last_seen) {
             return false;
         }
