--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -98,7 +98,7 @@
     pub rate: f64,
     /// For everything that is drawn.
     pub rng: SmallRng,
-    /// Is told what is sent and received.
+    /// Is notified of what is sent and received.
     pub oracle: Rc<RefCell<Oracle>>,
     /// The start of the world.
     pub start: Instant,
--- a/crates/simulation/src/discovery.rs
+++ b/crates/simulation/src/discovery.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    /// What the agents of these sidecars have counts as told, whether or not they were asked. An agent that
+    /// What the agents of these sidecars have counts as notified, whether or not they were polled. An agent that
     /// does not answer has nothing new.
     pub fn update_agents(&self, now: Duration, sidecars: Range<usize>) {
         if self.mode.get() != DiscoveryMode::Up {
--- a/crates/simulation/src/http_framing/tests.rs
+++ b/crates/simulation/src/http_framing/tests.rs
@@ -22,11 +22,11 @@
                 });
             });
         }
-        let whole = ["/a", "/b", "/c", "/d"].map(|path| {
+        let expected = ["/a", "/b", "/c", "/d"].map(|path| {
             let method = if matches!(path, "/a" | "/d") { "GET" } else { "POST" };
             ["first".to_owned(), format!("{method} {path} HTTP/1.1"), "last".to_owned()]
         });
-        assert_eq!(seen, whole.concat(), "cut at {cut}");
+        assert_eq!(seen, expected.concat(), "cut at {cut}");
         assert!(!messages.is_inside_message());
     }
 }
--- a/crates/simulation/src/oracle/clients.rs
+++ b/crates/simulation/src/oracle/clients.rs
@@ -12,7 +12,7 @@
 use super::rule::Rule;
 use crate::model::RequestId;
 
-/// A request that reaches a sidecar this long after it was told to terminate may be lost with it.
+/// A request that reaches a sidecar this long after it was asked to terminate may be lost with it.
 const RECEIVED_AFTER_TERMINATION: Duration = Duration::from_millis(700);
 /// Clients that are drained have stopped using their connections after this time.
 const DRAIN_PERIOD: Duration = Duration::from_millis(1600);
--- a/crates/simulation/src/oracle/eligibility.rs
+++ b/crates/simulation/src/oracle/eligibility.rs
@@ -1,4 +1,4 @@
-//! Which servers a sidecar may send new requests to, by what it was told.
+//! Which servers a sidecar may send new requests to, by what it was notified of.
 
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 pub(super) struct Eligibility {
     /// Discovery has written it to the sidecar.
     by_discovery: FxHashMap<Pair, Duration>,
-    /// The sidecar's own agent has it, which counts as told.
+    /// The sidecar's own agent has it, which counts as notified.
     by_agent: FxHashMap<Pair, Duration>,
     /// Operators of the sidecar have disabled the server.
     by_operators: FxHashMap<Pair, Duration>,
@@ -42,7 +42,7 @@
         self.by_agent.entry(pair).or_insert(now);
     }
 
-    /// The sidecar was told that the server may be used.
+    /// The sidecar was notified that the server may be used.
     pub(super) fn unblock(&mut self, pair: Pair) {
         self.by_discovery.remove(&pair);
         self.by_agent.remove(&pair);
@@ -62,7 +62,7 @@
         self.by_agent.retain(|_, since| now.saturating_sub(*since) >= AGENT_POLLED_AFTER);
     }
 
-    /// A sidecar has started: it was told nothing yet.
+    /// A sidecar has started: it was notified of nothing yet.
     pub(super) fn forget_sidecar(&mut self, sidecar: usize) {
         for blocked in [&mut self.by_discovery, &mut self.by_agent, &mut self.by_operators] {
             blocked.retain(|pair, _| pair.sidecar != sidecar);
--- a/crates/simulation/src/oracle/mod.rs
+++ b/crates/simulation/src/oracle/mod.rs
@@ -73,7 +73,7 @@
     slow_start: SlowStart,
     /// Since when the clients of a sidecar are drained.
     drained_since: FxHashMap<usize, Duration>,
-    /// When a sidecar was told to terminate.
+    /// When a sidecar was asked to terminate.
     terminating_since: FxHashMap<usize, Duration>,
     pending_connects: PendingConnects,
     backlogs: Backlogs,
--- a/crates/simulation/src/oracle/request.rs
+++ b/crates/simulation/src/oracle/request.rs
@@ -27,7 +27,7 @@
     pub(super) first_byte_at: Duration,
     /// When its last byte was written.
     pub(super) complete_at: Option<Duration>,
-    /// The remaining time that the server was told.
+    /// The remaining time that was passed on to the server.
     pub(super) time_left: Duration,
     pub(super) response: Option<AttemptResponse>,
     /// When the connection was closed, or the response complete.
--- a/crates/simulation/src/oracle/rule.rs
+++ b/crates/simulation/src/oracle/rule.rs
@@ -9,7 +9,7 @@
     Answer,
     /// A request that was received does not end without a response.
     Lost,
-    /// An attempt without any response does not outlive the deadline that its server was told.
+    /// An attempt without any response does not outlive the deadline passed on to its server.
     Waits,
     /// Responses come before the request's deadline.
     Late,
@@ -49,9 +49,9 @@
     Recovery,
     /// A sidecar without load holds no more tasks and sockets than at first.
     LeftOver,
-    /// A sidecar that is told to terminate does so in time.
+    /// A sidecar that is asked to terminate does so in time.
     End,
-    /// A sidecar does not end unless told.
+    /// A sidecar does not end unless asked to.
     Crash,
 }
 
--- a/crates/simulation/src/oracle/sidecars.rs
+++ b/crates/simulation/src/oracle/sidecars.rs
@@ -10,7 +10,7 @@
 const SHORTAGE_AFTERMATH: Duration = Duration::from_secs(1);
 
 impl Oracle {
-    /// A sidecar has started: it was told nothing yet.
+    /// A sidecar has started: it was notified of nothing yet.
     pub fn sidecar_started(&mut self, now: Duration, sidecar: usize) {
         self.note(now, || format!("sidecar {sidecar} starts"));
         self.terminating_since.remove(&sidecar);
@@ -29,9 +29,9 @@
         }
     }
 
-    /// A sidecar was told to terminate. It need not answer what it receives much later.
+    /// A sidecar was asked to terminate. It need not answer what it receives much later.
     pub fn sidecar_terminating(&mut self, now: Duration, sidecar: usize) {
-        self.note(now, || format!("sidecar {sidecar} is told to terminate"));
+        self.note(now, || format!("sidecar {sidecar} is asked to terminate"));
         self.terminating_since.insert(sidecar, now);
     }
 
--- a/crates/simulation/src/run/final_checks.rs
+++ b/crates/simulation/src/run/final_checks.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    /// The rule `end`: sidecars that are told to terminate do so.
+    /// The rule `end`: sidecars that are asked to terminate do so.
     pub(super) fn check_termination(&mut self) {
         if self.is_over() {
             return;
--- a/crates/simulation/src/run/sidecars.rs
+++ b/crates/simulation/src/run/sidecars.rs
@@ -16,7 +16,7 @@
 use super::{HeldResources, SUPERVISION_INTERVAL, Simulation};
 use crate::oracle::Rule;
 
-/// A sidecar that was told to terminate has ended within the longest deadline and this time.
+/// A sidecar that was asked to terminate has ended within the longest deadline and this time.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 /// How long after its end a sidecar is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
@@ -41,7 +41,7 @@
     /// Set by its task at the end.
     pub(super) ended: Rc<Cell<bool>>,
     pub(super) running: bool,
-    /// When it was told to terminate.
+    /// When it was asked to terminate.
     pub(super) terminating_since: Option<Duration>,
     /// When it is started again.
     pub(super) restart_at: Option<Duration>,
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -162,7 +162,7 @@
         #[serde(rename = "sound")]
         valid: bool,
     },
-    /// A sidecar is told to terminate, and is started again.
+    /// A sidecar is asked to terminate, and is started again.
     #[serde(rename = "term")]
     TerminateSidecar { sidecar: usize },
     /// A sidecar is killed, and is started again.
--- a/crates/simulation/src/server/mod.rs
+++ b/crates/simulation/src/server/mod.rs
@@ -54,7 +54,7 @@
     pub keys: Rc<RecentKeys>,
     /// For everything that is drawn.
     pub rng: RefCell<SmallRng>,
-    /// Is told what is executed.
+    /// Is notified of what is executed.
     pub oracle: Rc<RefCell<Oracle>>,
 }
 
