The balancer in modules by concern, under the names of the field

Cause: src/decide.rs held all decisions in one file of 1,200 lines, under names of our own (put_out, warmth, spill, feel, heard, moot, SHY_UNSAFE, NEWS).

Change: src/balancer/ holds them by concern: endpoint lists, selection, slow start, locality, chips, outcomes, outlier ejection, admission, retries, state. Simplified on the way: one function for all moving averages, one place for the longest objective and deadline, the load column and the membership of the subset derived from what already holds them, the sequence of polls in one match, a retry decided in one condition.

--- a/src/api.rs
+++ b/src/api.rs
@@ -117,6 +117,25 @@
     pub over_quota: bool,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptEnd {
+    /// The request.
+    pub id: RequestId,
+    /// The position of the attempt among those of the request, from 0.
+    pub attempt: usize,
+    /// The server it was sent to.
+    pub server: ServerId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The time from sending it to its end.
+    pub latency: Micros,
+    /// The request has its final answer, by this outcome or before it.
+    pub finished: bool,
+    /// The load report that came with the answer.
+    pub report: LoadReport,
+}
+
 /// What the balancer is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -137,22 +156,7 @@
         attempt: usize,
     },
     /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        id: RequestId,
-        /// The position of the attempt among those of the request, from 0.
-        attempt: usize,
-        /// The server it was sent to.
-        server: ServerId,
-        /// How it ended.
-        outcome: Outcome,
-        /// The time from sending it to its end.
-        latency: Micros,
-        /// The request has its final answer, by this outcome or before it.
-        finished: bool,
-        /// The load report that came with the answer.
-        report: LoadReport,
-    },
+    AttemptEnded(AttemptEnd),
     /// The client disconnected, or its deadline has passed.
     ClientDisconnected {
         /// The request.
--- /dev/null
+++ b/src/balancer/retry.rs
@@ -0,0 +1,159 @@
+//! Attempts: the only gates of attempts and of final answers, what rule 2 (no duplicate effects) and the retry budget allow.
+
+use super::*;
+
+/// Attempts that a rejected request may cost in all, if the settings allow as many.
+pub(super) const MAX_REJECTED_ATTEMPTS: usize = 4;
+/// When a rejected client should come back, in longest latency objectives, give or take half: not all come back together.
+const RETRY_AFTER_OBJECTIVES: f64 = 1.0;
+
+/// The retries that may be sent after failures; few saved up, so that one bad server does not spend a minute's worth.
+#[derive(Debug)]
+pub(super) struct RetryBudget {
+    pub(super) saved: f64,
+    pub(super) per_request: f64,
+    pub(super) max_saved: f64,
+}
+
+impl Balancer {
+    /// Picks a server and sends the request there; returns whether it was sent.
+    pub(super) fn attempt(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.remove(&id) else { return false };
+        let slot = self.pick(&request);
+        if request.attempts.is_empty() {
+            self.recent_keys.push_front(request.affinity_key);
+            self.recent_keys.truncate(selection::RECENT_KEYS);
+        }
+        self.requests.insert(id, request);
+        slot.is_some_and(|slot| self.send(id, slot, actions))
+    }
+
+    /// The one gate of all attempts.
+    fn send(&mut self, id: RequestId, slot: Slot, actions: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let server = &self.servers[slot];
+        if server.health != Health::Ready || !self.may_attempt(request, server) {
+            return false;
+        }
+        let timeout = request.deadline - self.now;
+        self.spend_chip(slot);
+        let server = &mut self.servers[slot];
+        server.in_flight += 1;
+        server.silent_since.get_or_insert(self.now);
+        let &mut Server { id: server, zone, cell, .. } = server;
+        let (sent_at, state) = (self.now, AttemptState::InFlight);
+        actions.push(Action::Send { id, server, timeout });
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state });
+        }
+        true
+    }
+
+    /// The one gate of all rejections and failures.
+    pub(super) fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|r| !r.ended) else { return };
+        actions.push(if self.is_safe_to_reject(request) {
+            let advice = RETRY_AFTER_OBJECTIVES * self.longest_objective * (0.5 + self.uniform());
+            let limits = &self.settings.limits;
+            let max = if limits.retry_after { limits.max_retry_after } else { 0 };
+            Action::Reject { id, retry_after: (advice as Micros).min(max) }
+        } else {
+            Action::Fail { id }
+        });
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.ended = true;
+        }
+        self.finish(id, actions);
+    }
+
+    /// After a request's end: cancels what is in flight and forgets the request when nothing is.
+    pub(super) fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.in_flight() == 0 {
+            self.requests.remove(&id);
+        } else if !request.streaming {
+            self.cancel(id, None, actions);
+        }
+    }
+
+    pub(super) fn on_stream(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.streaming = true;
+            self.cancel(id, Some(attempt), actions);
+        }
+    }
+
+    fn cancel(&self, id: RequestId, except: Option<usize>, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        for (attempt, a) in request.attempts.iter().enumerate() {
+            let cancels = self.settings.limits.may_cancel && Some(attempt) != except;
+            if cancels && a.state == AttemptState::InFlight {
+                actions.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
+    /// Whether a server may get (another) attempt of a request.
+    pub(super) fn may_attempt(&self, request: &Request, server: &Server) -> bool {
+        let class = &self.settings.classes[request.class];
+        let limits = &self.settings.limits;
+        if request.ended
+            || request.streaming
+            || self.now >= request.deadline
+            || request.attempts.len() >= limits.max_attempts
+            || (request.in_flight() > 0 && !limits.may_hedge)
+        {
+            return false;
+        }
+        let is_deduplicated = |a: &Attempt| {
+            let in_scope = match class.dedup_scope {
+                DedupScope::All => true,
+                DedupScope::Zone => a.zone == server.zone,
+                DedupScope::Cell => a.cell == server.cell,
+            };
+            in_scope && self.now - a.sent_at < class.dedup_window
+        };
+        let ran = |a: &&Attempt| a.state != AttemptState::NeverRan;
+        match class.retry_safety {
+            RetrySafety::Idempotent => true,
+            RetrySafety::NonIdempotent => request.never_ran(),
+            RetrySafety::IdempotencyKey => request.attempts.iter().filter(ran).all(is_deduplicated),
+        }
+    }
+
+    /// Whether the client may be told that it is safe to try again.
+    fn is_safe_to_reject(&self, request: &Request) -> bool {
+        let class = &self.settings.classes[request.class];
+        let is_safe_to_repeat = match class.retry_safety {
+            RetrySafety::Idempotent => true,
+            RetrySafety::NonIdempotent => false,
+            RetrySafety::IdempotencyKey => class.dedup_scope == DedupScope::All,
+        };
+        is_safe_to_repeat || request.never_ran()
+    }
+
+    /// What the end of an attempt means for its request: an end, a retry, or waiting for others.
+    pub(super) fn after_attempt(&mut self, result: &AttemptEnd, actions: &mut Vec<Action>) {
+        let (id, never_ran) = (result.id, result.outcome.never_ran());
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        request.attempts.get_mut(result.attempt).into_iter().for_each(|a| a.state = state);
+        request.ended |= result.finished || result.outcome == Outcome::Success;
+        if request.ended {
+            return self.finish(id, actions);
+        }
+        if request.in_flight() > 0 {
+            return;
+        }
+        // A stream has no deadline: nothing else ends a request whose stream was cancelled as its first byte came.
+        if request.streaming || self.now >= request.deadline {
+            return self.end(id, actions);
+        }
+        let free = never_ran && request.attempts.len() < MAX_REJECTED_ATTEMPTS;
+        if !(free || !never_ran && self.retry_budget.saved >= 1.0) || !self.attempt(id, actions) {
+            self.end(id, actions);
+        } else if !never_ran {
+            self.retry_budget.saved -= 1.0;
+        }
+    }
+}
--- /dev/null
+++ b/src/balancer/selection.rs
@@ -0,0 +1,253 @@
+//! Selection (Algorithm 3 of the paper): two random picks, by weight, among the servers of this sidecar's subset.
+
+use super::*;
+
+/// Draws for each of the two picks. With half of the servers ejected, one in 250 picks finds none.
+const REDRAWS: usize = 8;
+/// Up to here a server may look slow by chance: a dozen answers with a spread of once their mean.
+const LATENCY_TOLERANCE: f64 = 1.6;
+const REPORT_DECAY_OBJECTIVES: f64 = 2.0;
+/// The least size of a subset: two bad servers must leave a choice, and the load of subsets must even out.
+const MIN_SUBSET_SIZE: usize = 5;
+/// What the open connections of all subsets may cost, in points of the result.
+const CONNECTION_BUDGET_POINTS: f64 = 0.05;
+const RING_POINTS_PER_SERVER: f64 = 16.0;
+/// With fewer servers than this in its own zone, a sidecar puts keys on servers of all zones.
+const MIN_LOCAL_RING_SERVERS: usize = 3;
+pub(super) const RECENT_KEYS: usize = 64;
+
+impl Balancer {
+    /// The server for an attempt of a request; None if there is none that may get it.
+    pub(super) fn pick(&mut self, request: &Request) -> Option<Slot> {
+        if self.ready.slots.is_empty() {
+            return None;
+        }
+        self.refresh_weights();
+        let (mut best, mut without_chips, mut avoided) = (None, None, None);
+        let owner = self.ring_owner(request.affinity_key);
+        let panic = self.in_panic();
+        for pick in 0..2 {
+            for redraw in 0..REDRAWS {
+                // A subset without an available server is left for the whole fleet; a full one is not.
+                let leave_subset = redraw >= REDRAWS / 2 && best.or(without_chips).is_none();
+                let position = self.uniform();
+                let drawn = if leave_subset { &self.ready } else { &self.subset }.at(position);
+                let owner = owner.filter(|_| redraw == 0 && pick == 0);
+                let slot = owner.unwrap_or(drawn);
+                // A server that is warming up must not get all of the keys that it owns.
+                let warm = self.slow_start_weight(&self.servers[slot]);
+                if owner.is_some() && warm < 1.0 && self.uniform() > warm {
+                    continue;
+                }
+                // When most servers have no chips, redraws and retries would pile onto those that are warming up and
+                // still have confidence. These can only be met on the first draw of the first attempt.
+                if warm < 1.0 && (redraw > 0 || !request.attempts.is_empty()) {
+                    continue;
+                }
+                let available = self.is_available(&self.servers[slot], panic);
+                if best == Some(slot) || !available || !self.may_use(request, slot) {
+                    continue;
+                }
+                if self.passes_over(request, slot) {
+                    // Where nearly all draws are passed over, a request would find no server.
+                    avoided.get_or_insert(slot);
+                    continue;
+                }
+                if self.has_confidence(&self.servers[slot]) {
+                    best = Some(self.less_used(best, slot));
+                    break;
+                }
+                without_chips = Some(self.less_used(without_chips, slot));
+            }
+        }
+        // Where servers reject what they have no capacity for, nothing is late, and requests over a quota would take the
+        // places of others. Without a chip they are rejected. Harmful where no server reports.
+        if request.over_quota {
+            return best;
+        }
+        best.or(without_chips).or(avoided).or_else(|| self.pick_fallback(request, panic))
+    }
+
+    fn may_use(&self, request: &Request, slot: Slot) -> bool {
+        let used = request.attempts.iter().any(|a| a.slot == slot);
+        !used && self.may_attempt(request, &self.servers[slot])
+    }
+
+    /// Passes a server over at random: the slower beside its peers, or the more it fails, the more often. One that is
+    /// slow but answers would keep its share and make it late.
+    fn passes_over(&mut self, request: &Request, slot: Slot) -> bool {
+        let server = &self.servers[slot];
+        let slowness = (server.relative_latency / LATENCY_TOLERANCE).max(1.0);
+        let taken = (1.0 - self.fault_avoidance(request, server)) / (slowness * slowness);
+        taken < 1.0 && self.uniform() > taken
+    }
+
+    /// Picks where no draw found a server: with the local zone ejected, nearly all draws fall on it while remote servers
+    /// stand idle. The less used of two of those left is taken; of those warming up only where no warm one is left, and
+    /// no oftener than brings them twice their due: a fleet that lost the others would overload them. Last, an
+    /// idempotent request is a trial, one at a time, of an ejected server.
+    fn pick_fallback(&mut self, request: &Request, panic: bool) -> Option<Slot> {
+        let draws = [(); 3].map(|()| self.uniform());
+        let safety = self.settings.classes[request.class].retry_safety;
+        let may_try = |s: &Server| safety == RetrySafety::Idempotent && s.in_flight == 0;
+        let capacity = |&slot: &Slot| self.available_weight(&self.servers[slot]);
+        let total = |slots: &[Slot]| slots.iter().map(capacity).sum::<f64>();
+        let mut tiers: [Vec<Slot>; 3] = Default::default();
+        for &slot in self.ready.slots.iter().filter(|&&slot| self.may_use(request, slot)) {
+            let server = &self.servers[slot];
+            let warming_up = self.slow_start_weight(server) < 1.0;
+            let tier = match self.is_available(server, panic) {
+                true => usize::from(warming_up),
+                false if !warming_up && may_try(server) => 2,
+                false => continue,
+            };
+            tiers[tier].push(slot);
+        }
+        let beyond_due = draws[2] * total(&self.ready.slots) > 2.0 * total(&tiers[1]);
+        if !request.attempts.is_empty() || beyond_due {
+            tiers[1].clear();
+        }
+        let left = tiers.iter().find(|slots| !slots.is_empty())?;
+        let pick = |position: f64| {
+            let mut target = position * total(left);
+            let found = left.iter().find(|slot| {
+                target -= capacity(slot);
+                target < 0.0
+            });
+            *found.unwrap_or(&left[0])
+        };
+        Some(self.less_used(Some(pick(draws[0])), pick(draws[1])))
+    }
+
+    /// The less used of two servers by our own count; the last reports settle a tie.
+    fn less_used(&self, first: Option<Slot>, second: Slot) -> Slot {
+        let Some(first) = first else { return second };
+        let [a, b] = [first, second].map(|slot| &self.servers[slot]);
+        let used = |s: &Server| f64::from(s.in_flight) / (s.weight * self.slow_start_weight(s));
+        let (used_a, used_b) = (used(a), used(b));
+        let first_is_less = used_a < used_b || (used_a == used_b && self.cost(a) <= self.cost(b));
+        if first_is_less { first } else { second }
+    }
+
+    /// A server's load beyond our own count: its last report, fading towards the mean. An unknown server must look
+    /// usual, or a new one would draw all or none.
+    fn cost(&self, server: &Server) -> f64 {
+        let age = self.now.saturating_sub(server.load_reported_at) as f64;
+        let fresh = (-age / (REPORT_DECAY_OBJECTIVES * self.longest_objective)).exp();
+        let load = server.load / (server.weight * self.slow_start_weight(server));
+        let expected = 1.0 + fresh * load + (1.0 - fresh) * self.mean_load;
+        expected * server.relative_latency * self.load_log(server).exp()
+    }
+
+    pub(super) fn listed_weight(&self, server: &Server) -> f64 {
+        match self.settings.weight_kind {
+            WeightKind::Nominal | WeightKind::Approximate => server.weight,
+            WeightKind::Unspecified | WeightKind::Live => 1.0,
+        }
+    }
+
+    /// What a server surely can take, as far as its size and start tell. Drawn by this capacity, one that is warming
+    /// up gets its due even if all sidecars do the same.
+    pub(super) fn available_weight(&self, server: &Server) -> f64 {
+        self.listed_weight(server) * self.slow_start_weight(server)
+    }
+
+    /// Chooses this sidecar's subset by rendezvous hashing, sized by what it can keep fresh. A quiet sidecar that
+    /// sends to the whole fleet hears of a server once in a minute, and thousands fill the servers' connection tables.
+    pub(super) fn rebuild_subset(&mut self) {
+        let ready = |&slot: &Slot| self.servers[slot].health == Health::Ready;
+        self.ready.slots = (0..self.servers.len()).filter(ready).collect();
+        self.update_min_remote_weight();
+        let rank = |&slot: &Slot| (self.subset_rank(&self.servers[slot]), slot);
+        let mut ranked: Vec<(f64, Slot)> = self.ready.slots.iter().map(rank).collect();
+        self.subset_rate = self.request_rate;
+        let size = self.subset_size(ranked.len());
+        if size < ranked.len() {
+            ranked.select_nth_unstable_by(size, |a, b| a.0.total_cmp(&b.0));
+            ranked.truncate(size);
+        }
+        self.subset.slots = ranked.iter().map(|ranked| ranked.1).collect();
+        self.ring = self.build_ring();
+        self.rebuild_weights();
+    }
+
+    fn subset_rank(&self, server: &Server) -> f64 {
+        let u = unit_interval(hash(server.id.0 ^ hash(u64::from(self.settings.instance))));
+        -u.max(f64::MIN_POSITIVE).ln() / self.initial_locality_weight(server)
+    }
+
+    fn subset_size(&self, servers: usize) -> usize {
+        let mut size = MIN_SUBSET_SIZE;
+        // Open connections can cost more than the choice earns: the subset is cut to what a set price buys.
+        if self.settings.prices.connection > 0.0 {
+            let each = self.settings.prices.connection * f64::from(self.settings.instances);
+            let budget = CONNECTION_BUDGET_POINTS * 100.0 * servers as f64 / each.max(1e-9);
+            size = size.min((budget as usize).max(2));
+        }
+        // The few busy sidecars together on few servers would overload one that is warming up.
+        size.max((self.request_rate * self.reset_interval as f64 / 1e6) as usize)
+    }
+
+    /// Kept apart by their keys, requests reach every server from every sidecar: where connections have a price there
+    /// is no ring, as where keys are of no use.
+    fn build_ring(&self) -> Vec<(u64, Slot)> {
+        let (prices, traits) = (&self.settings.prices, &self.settings.service_traits);
+        if !traits.key_affinity || prices.connection + prices.handshake > 0.0 {
+            return Vec::new();
+        }
+        let is_local = |slot: &Slot| !self.is_remote(&self.servers[*slot]);
+        let mut members = self.ready.slots.clone();
+        if members.iter().filter(|&slot| is_local(slot)).count() >= MIN_LOCAL_RING_SERVERS {
+            members.retain(is_local);
+        }
+        let weight = |&slot: &Slot| self.listed_weight(&self.servers[slot]);
+        let mean = members.iter().map(weight).sum::<f64>() / members.len() as f64;
+        let mut ring = Vec::new();
+        for slot in members {
+            let points = (RING_POINTS_PER_SERVER * weight(&slot) / mean).round().max(1.0) as u64;
+            let id = self.servers[slot].id.0;
+            ring.extend((1..=points).map(|n| (hash(id ^ hash(n)), slot)));
+        }
+        ring.sort_unstable();
+        ring
+    }
+
+    /// The server that owns a key, the same at all sidecars of a zone. The owner of a hot key would drown, and such a
+    /// key is cached everywhere. One that this sidecar met lately is hot.
+    pub(super) fn ring_owner(&self, key: u64) -> Option<Slot> {
+        if key == 0 || self.ring.is_empty() || self.recent_keys.contains(&key) {
+            return None;
+        }
+        let target = hash(!key);
+        let index = self.ring.partition_point(|&(point, _)| point < target);
+        Some(self.ring[index % self.ring.len()].1)
+    }
+
+    pub(super) fn refresh_weights(&mut self) {
+        if self.request_rate > 2.0 * self.subset_rate.max(1.0) {
+            self.rebuild_subset();
+        } else if self.now - self.weights_built_at > self.settings.rules.slow_start_window / 64 {
+            self.rebuild_weights();
+        }
+    }
+
+    fn rebuild_weights(&mut self) {
+        self.weights_built_at = self.now;
+        self.ready.sums = self.running_sums(&self.ready.slots);
+        self.subset.sums = self.running_sums(&self.subset.slots);
+        let fault_rates = self.subset.slots.iter().map(|&slot| self.servers[slot].fault_rate);
+        let mut fault_rates: SmallVec<[f64; FLEET_SAMPLE]> = fault_rates.collect();
+        fault_rates.sort_unstable_by(f64::total_cmp);
+        self.baseline_fault_rate = fault_rates.get(fault_rates.len() / 3).copied().unwrap_or(0.0);
+    }
+
+    fn running_sums(&self, slots: &[Slot]) -> Vec<f64> {
+        let mut sum = 0.0;
+        let add = |&slot: &Slot| {
+            let server = &self.servers[slot];
+            sum += self.available_weight(server) * self.locality_weight(server);
+            sum
+        };
+        slots.iter().map(add).collect()
+    }
+}
--- a/src/bin/lb-simulator-adapter.rs
+++ b/src/bin/lb-simulator-adapter.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 
 use lb_sidecar::api::{Action, Event, ListKind, ServerEntry};
-use lb_sidecar::decide::Balancer;
+use lb_sidecar::balancer::Balancer;
 use lb_sidecar::settings::Settings;
 use lb_sidecar::wire::{self, Batch, Record, Reply, WireError};
 
@@ -142,9 +142,7 @@
             }
             Record::Ingress(request) => Event::Request(request),
             Record::FirstByte { id, attempt } => Event::FirstByte { id, attempt },
-            Record::Outcome { id, attempt, server, outcome, latency, finished, report } => {
-                Event::AttemptEnded { id, attempt, server, outcome, latency, finished, report }
-            }
+            Record::AttemptEnded(result) => Event::AttemptEnded(result),
             Record::Vanished(id) => Event::ClientDisconnected { id },
             Record::Ring(token) => Event::Timer { token },
             Record::Probed { server, outcome, latency, report } => {
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::{Driver, RequestOutcome, State};
-use crate::api::{Event, Micros, Outcome, RequestId, ServerId};
+use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
 
@@ -178,7 +178,7 @@
             self.record(GossipEvent::RetryableFailure);
         }
         let AttemptId { request, index, server } = id;
-        self.handle_event(Event::AttemptEnded {
+        self.handle_event(Event::AttemptEnded(AttemptEnd {
             id: request,
             attempt: index,
             server,
@@ -186,7 +186,7 @@
             latency,
             finished,
             report,
-        });
+        }));
         self.remove_if_done(request);
     }
 }
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -208,7 +208,7 @@
         let servers = &state.endpoints.servers;
         let ejected = servers.keys().filter(|&&server| {
             state.endpoints.drained_by_operator.contains(&server)
-                || state.balancer.is_put_out(server)
+                || state.balancer.is_ejected(server)
         });
         EndpointCounts { listed: servers.len(), ejected: ejected.count() }
     }
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -26,7 +26,7 @@
 use super::timers::Timers;
 use super::upstream::{HealthCheckKind, Upstream};
 use crate::api::{Event, ListKind, Micros, RequestId};
-use crate::decide::Balancer;
+use crate::balancer::Balancer;
 use crate::settings::{ReportDelivery, RetrySafety, Settings};
 pub use endpoints::EndpointCounts;
 use endpoints::EndpointTable;
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -161,7 +161,7 @@
         if let Some(gossip) = &self.peer_services.gossip {
             within_quota = gossip.try_admit(info.class, info.tenant);
             let gossip::RetryBudget { per_request, max_saved } = gossip.retry_budget();
-            self.state.borrow_mut().balancer.may_repeat(per_request, max_saved);
+            self.state.borrow_mut().balancer.set_retry_budget(per_request, max_saved);
         }
         self.handle_event(Event::Request(NewRequest {
             id,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,8 +9,8 @@
 use smallvec::SmallVec;
 
 use crate::api::{
-    Action, Health, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId, ServerEntry,
-    ServerId,
+    Action, AttemptEnd, Health, ListKind, LoadReport, Micros, NewRequest, Outcome, RequestId,
+    ServerEntry, ServerId,
 };
 
 const HEADER: usize = 16;
@@ -97,15 +97,7 @@
         id: RequestId,
         attempt: usize,
     },
-    Outcome {
-        id: RequestId,
-        attempt: usize,
-        server: ServerId,
-        outcome: Outcome,
-        latency: Micros,
-        finished: bool,
-        report: LoadReport,
-    },
+    AttemptEnded(AttemptEnd),
     Vanished(RequestId),
     Ring(u32),
     Probed {
@@ -239,7 +231,7 @@
             event::FIRST_BYTE => {
                 Record::FirstByte { id: rec.request(1), attempt: rec.u16(9).into() }
             }
-            event::OUTCOME => Record::Outcome {
+            event::OUTCOME => Record::AttemptEnded(AttemptEnd {
                 id: rec.request(1),
                 attempt: rec.u16(9).into(),
                 server: rec.server(11),
@@ -247,7 +239,7 @@
                 latency: rec.u32(18).into(),
                 finished: rec.u8(22) != 0,
                 report: report(&rec, 23).map_or_else(|w| bad(at + 23, w), Ok)?,
-            },
+            }),
             event::VANISHED => Record::Vanished(rec.request(1)),
             event::RING => Record::Ring(rec.u32(1)),
             event::PROBE_DONE => Record::Probed {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use lb_sidecar::api::*;
-use lb_sidecar::decide::Balancer;
+use lb_sidecar::balancer::Balancer;
 use lb_sidecar::settings::Settings;
 use serde_json::{Value, json};
 
@@ -137,7 +137,7 @@
         outcome: Outcome,
         queue: f32,
     ) -> Vec<Action> {
-        self.event(Event::AttemptEnded {
+        self.event(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
             server,
@@ -145,7 +145,7 @@
             latency: 20 * MS,
             finished: outcome == Outcome::Success,
             report: report(queue),
-        })
+        }))
     }
 
     /// Sends one request and has it answered after 20 ms; returns the selected server, if any.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -258,7 +258,7 @@
         match sent(&out) {
             Some(to) => {
                 b.now += 20 * MS;
-                b.event(Event::AttemptEnded {
+                b.event(Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt: 0,
                     server: to,
@@ -266,7 +266,7 @@
                     latency: 170 * MS,
                     finished: true,
                     report: report(0.0),
-                });
+                }));
             }
             None => shed[usize::from(b.beyond)] += 1,
         }
@@ -318,7 +318,7 @@
             Some(to) => {
                 let latency = 170 * MS;
                 b.now += 20 * MS;
-                b.event(Event::AttemptEnded {
+                b.event(Event::AttemptEnded(AttemptEnd {
                     id,
                     attempt: 0,
                     server: to,
@@ -326,7 +326,7 @@
                     latency,
                     finished: true,
                     report: report(3.0),
-                });
+                }));
             }
             None if class == 0 => cheap += 1,
             None => dear += 1,
@@ -462,7 +462,7 @@
         }
         let latency = if to == slow { 90 * MS } else { 20 * MS };
         b.now += latency;
-        b.event(Event::AttemptEnded {
+        b.event(Event::AttemptEnded(AttemptEnd {
             id,
             attempt: 0,
             server: to,
@@ -470,7 +470,7 @@
             latency,
             finished: true,
             report: report(0.0),
-        });
+        }));
     }
     assert!(to_slow < 20, "{to_slow} of 200 sends to the slow one of four");
 }
@@ -600,7 +600,7 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::AttemptEnded {
+            b.event(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt: 0,
                 server: to,
@@ -608,7 +608,7 @@
                 latency,
                 finished: true,
                 report: report(1.0),
-            });
+            }));
         }
         shed
     };
@@ -632,7 +632,7 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::AttemptEnded {
+            b.event(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt: 0,
                 server: to,
@@ -640,7 +640,7 @@
                 latency,
                 finished: true,
                 report: report(1.0),
-            });
+            }));
         }
         shed
     };
@@ -845,7 +845,7 @@
     let repeated = |part: Option<(f64, f64)>| {
         let mut b = Bench::new(settings(|_| {}), 3, &servers);
         if let Some((share, saved)) = part {
-            b.balancer.may_repeat(share, saved);
+            b.balancer.set_retry_budget(share, saved);
         }
         let mut repeated = 0;
         for _ in 0..200 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -7,7 +7,7 @@
 
 use common::*;
 use lb_sidecar::api::*;
-use lb_sidecar::decide::Balancer;
+use lb_sidecar::balancer::Balancer;
 use proptest::prelude::*;
 
 /// How long after its deadline a request may get its final answer.
@@ -163,7 +163,7 @@
             request.final_answers = 1;
         }
         let finished = !request.is_open();
-        self.handle_event(Event::AttemptEnded {
+        self.handle_event(Event::AttemptEnded(AttemptEnd {
             id,
             attempt: index,
             server,
@@ -171,7 +171,7 @@
             latency,
             finished,
             report: report(queue),
-        });
+        }));
     }
 
     /// The attempts in flight, by request and index.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -134,7 +134,7 @@
     let records = decode(&frame);
     assert_eq!(
         records[1],
-        Record::Outcome {
+        Record::AttemptEnded(AttemptEnd {
             id: RequestId(CALL),
             attempt: 0,
             server: ServerId(SERVER),
@@ -142,7 +142,7 @@
             latency: 18_500,
             finished: true,
             report: LoadReport([7.0, 0.62, 3.0].into_iter().collect()),
-        }
+        })
     );
 }
 
