Local cluster: host, plan, load and process in modules of their own, typed errors

Now host, plan, load and process are modules, errors and usage are types, the examples are parted by what they measure, and methods say what they do (wait until settled, change settings, start load). Tests have names of behaviour. Call sites in lbctl, scale-test and the tests of configuration distribution change their identifiers alone.

The examples compile and were not run.

--- a/crates/config-distribution/tests/hosts.rs
+++ b/crates/config-distribution/tests/hosts.rs
@@ -200,27 +200,30 @@
     let plan = Plan { instances: 3, servers: 1, classes: classes(8.0), ..Plan::default() };
     let host = Host::start(Plan { rollout: "watch_s = 0.1\nshare = 1.0".into(), ..plan });
     let host = host.expect("a host");
-    host.wait(PATIENCE).expect("it serves");
+    host.wait_until_settled(PATIENCE).expect("it serves");
     let cluster = Cluster::start(3);
-    let base = host.path("settings-base.json");
-    std::fs::copy(host.path("settings.json"), &base).expect("copied");
+    let base = host.file_path("settings-base.json");
+    std::fs::copy(host.file_path("settings.json"), &base).expect("copied");
     let mut arguments: Vec<String> =
         ["host", "--name=host-1", "--zone=utrecht", "--service=logbook"].map(str::to_owned).into();
     arguments.extend(cluster.member_arguments(None).iter().map(|m| format!("--control={m}")));
-    let files = format!("logbook={}:{}", base.display(), host.path("settings.json").display());
-    arguments.extend(["fleet".into(), format!("--state={}", host.state().display())]);
+    let files = format!("logbook={}:{}", base.display(), host.file_path("settings.json").display());
+    arguments.extend(["fleet".into(), format!("--state={}", host.state_directory().display())]);
     arguments.push(format!("--settings={files}"));
     let _program = Program::start(&arguments, &cluster.folder.path().join("host.log"));
     let limits = |retry: u64| json!({"settings": {"limits": {"maxRetryAfter": retry}}});
     let first = cluster.publish(0, "logbook", &limits(1_200_000));
     cluster.wait_until_applied(0, first, 1);
-    assert!(host.settled());
+    assert!(host.is_settled());
     let text = |path: PathBuf| std::fs::read_to_string(path).expect("there");
-    assert!(text(host.path("settings.json")).contains("1200000"));
+    assert!(text(host.file_path("settings.json")).contains("1200000"));
     // One that the sidecar's check rejects, and one that sets more than settings.
     cluster.publish(0, "logbook", &json!({"settings": {"limits": {"maxAttempts": "many"}}}));
     until("it is rejected", || cluster.progress(0).all.failed == 1);
-    assert!(text(host.path("settings.json")).contains("1200000"), "the previous settings stay");
+    assert!(
+        text(host.file_path("settings.json")).contains("1200000"),
+        "the previous settings stay"
+    );
     cluster.publish(0, "logbook", &json!({"limits": {"sockets": 100}}));
     until("it is rejected by its key", || {
         cluster
@@ -231,7 +234,7 @@
     });
     let last = cluster.publish(0, "logbook", &limits(1_300_000));
     cluster.wait_until_applied(0, last, 1);
-    assert!(host.settled() && host.instances().iter().all(|i| i.state == "serving"));
+    assert!(host.is_settled() && host.instances().iter().all(|i| i.state == "serving"));
 }
 
 /// The operator's command: publish, wait, show, and a rejection.
--- a/crates/lbctl/src/demo.rs
+++ b/crates/lbctl/src/demo.rs
@@ -79,8 +79,8 @@
     let mut host = start_host(arguments)?;
     let started = Instant::now();
     let duration = Duration::from_secs(arguments.seconds.clamp(5, 3600));
-    let clients = host.drive(&load(arguments));
-    let file = host.file().display().to_string();
+    let load = host.start_load(&load(arguments));
+    let file = host.spec_path().display().to_string();
     say(&format!("{} sidecars serve, as {file} says", host.instances().len()));
 
     let pause = duration / (STEPS.len() as u32 + 1);
@@ -97,7 +97,7 @@
     }
     std::thread::sleep(duration.saturating_sub(started.elapsed()));
     wait_until_settled(&host)?;
-    clients.stop();
+    load.stop();
     let report = host.account().report();
     if arguments.json {
         println!("{}", serde_json::to_string(&report).map_err(StepError::from)?);
@@ -133,7 +133,7 @@
 }
 
 fn wait_until_settled(host: &Host) -> Result<(), CommandError> {
-    Ok(host.wait(SETTLE_TIMEOUT).map_err(StepError::from)?)
+    Ok(host.wait_until_settled(SETTLE_TIMEOUT).map_err(StepError::from)?)
 }
 
 fn drain_server(host: &mut Host) -> Result<(), StepError> {
@@ -143,19 +143,19 @@
 }
 
 fn reload_live(host: &mut Host) -> Result<(), StepError> {
-    host.change(|settings| settings["classes"][0]["aim"] = 500_000.into())?;
+    host.change_settings(|settings| settings["classes"][0]["aim"] = 500_000.into())?;
     host.ask(&Request::Reload)?;
     Ok(())
 }
 
 fn kill_sidecar(host: &mut Host) -> Result<(), StepError> {
     let instances = host.instances();
-    host.kill(instances.first().ok_or("no instance")?);
+    host.kill_instance(instances.first().ok_or("no instance")?);
     Ok(())
 }
 
 fn reload_by_successors(host: &mut Host) -> Result<(), StepError> {
-    host.change(|settings| settings["goal"]["whole"] = 0.44.into())?;
+    host.change_settings(|settings| settings["goal"]["whole"] = 0.44.into())?;
     host.ask(&Request::Reload)?;
     Ok(())
 }
@@ -167,7 +167,7 @@
 }
 
 fn reload_invalid(host: &mut Host) -> Result<(), StepError> {
-    host.change(|settings| settings["classes"][0]["deadline"] = 0.into())?;
+    host.change_settings(|settings| settings["classes"][0]["deadline"] = 0.into())?;
     match host.ask(&Request::Reload) {
         Err(_) => Ok(()),
         Ok(_) => Err("the broken desired was taken".into()),
--- a/crates/local-cluster/examples/fleet_of.rs
+++ b/crates/local-cluster/examples/fleet_of.rs
@@ -1,21 +1,27 @@
-//! Measures a fleet: what it costs at rest and at work, how long a full rollout takes, and what its
-//! clients see of it. `cargo run --release -p local-cluster --example fleet_of -- 200 5`
+//! Measures a fleet: what it costs when idle and under load, how long a full rollout takes, and what its clients see of
+//! it. `cargo run --release -p local-cluster --example fleet_of -- 200 5`
 
 use std::time::{Duration, Instant};
 
-use fakes::account::ClassReport;
+use fakes::account::{ClassReport, Report};
 use fakes::clients::Load;
 use fakes::world::{World, classes};
 use fleet::control::Request;
-use local_cluster::{Host, Plan};
+use local_cluster::{Host, Plan, process_usage};
+use serde_json::Value;
 
+/// How long costs are measured.
 const SPAN: Duration = Duration::from_secs(15);
+/// How long load runs before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(3);
 const PATIENCE: Duration = Duration::from_secs(300);
 
-fn main() -> Result<(), String> {
-    let mut given = std::env::args().skip(1);
-    let instances = given.next().and_then(|n| n.parse().ok()).unwrap_or(200);
-    let rate = given.next().and_then(|n| n.parse().ok()).unwrap_or(5.0);
+type Error = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Error> {
+    let mut arguments = std::env::args().skip(1);
+    let instances = arguments.next().and_then(|n| n.parse().ok()).unwrap_or(200);
+    let rate = arguments.next().and_then(|n| n.parse().ok()).unwrap_or(5.0);
     let plan = Plan {
         instances,
         servers: 4,
@@ -24,48 +30,53 @@
         log: Some("/dev/null".into()),
         ..Plan::default()
     };
-    let began = Instant::now();
+    let started = Instant::now();
     let mut host = Host::start(plan)?;
-    host.wait(PATIENCE)?;
-    println!("{instances} instances serve after {:.1} s", began.elapsed().as_secs_f64());
-    costs(&mut host, "at rest");
+    host.wait_until_settled(PATIENCE)?;
+    println!("{instances} instances serve after {:.1} s", started.elapsed().as_secs_f64());
+    print_costs(&mut host, "at rest");
 
     let load =
         Load { rate, tenants: World::tenants(), slack: Duration::from_secs(5), ..Load::default() };
-    let driving = host.drive(&load);
-    std::thread::sleep(Duration::from_secs(3));
+    let load = host.start_load(&load);
+    std::thread::sleep(WARM_UP);
     host.account().take_latencies();
-    costs(&mut host, &format!("at {rate} requests a second each"));
+    print_costs(&mut host, &format!("at {rate} requests a second each"));
     let usual = host.account().take_latencies();
-    times("usual", &usual);
+    print_latencies("usual", &usual);
 
-    let rollout = |what: &str, act: &dyn Fn(&Host) -> Result<(), String>| {
-        let began = Instant::now();
-        act(&host)?;
-        host.wait(PATIENCE)?;
-        let took = began.elapsed().as_secs_f64();
-        let lap = host.account().take_latencies();
-        println!("{what}: {took:.1} s");
-        times("meanwhile", &lap);
-        for (usual, lap) in usual.iter().zip(&lap) {
-            println!(
-                "  {:12} most {:+.1} ms against the usual p99",
-                lap.name,
-                lap.max_ms - usual.p99_ms
-            );
-        }
-        Ok::<(), String>(())
-    };
-    rollout("full reload by successors", &|host| {
-        host.change(|s| s["goal"]["whole"] = 0.44.into())?;
-        host.ask(&Request::Reload).map(drop)
+    measure_rollout(&host, &usual, "full reload by successors", |settings| {
+        settings["goal"]["whole"] = 0.44.into();
     })?;
-    rollout("full reload, live", &|host| {
-        host.change(|s| s["classes"][0]["aim"] = 590_000.into())?;
-        host.ask(&Request::Reload).map(drop)
+    measure_rollout(&host, &usual, "full reload, live", |settings| {
+        settings["classes"][0]["aim"] = 590_000.into();
     })?;
-    driving.stop();
-    let report = host.account().report();
+    load.stop();
+    print_report(&host.account().report())
+}
+
+/// Reloads with other settings, and prints how long that takes and what it does to latencies.
+fn measure_rollout(
+    host: &Host,
+    usual: &[ClassReport],
+    title: &str,
+    change: impl FnOnce(&mut Value),
+) -> Result<(), Error> {
+    let started = Instant::now();
+    host.change_settings(change)?;
+    host.ask(&Request::Reload)?;
+    host.wait_until_settled(PATIENCE)?;
+    println!("{title}: {:.1} s", started.elapsed().as_secs_f64());
+    let meanwhile = host.account().take_latencies();
+    print_latencies("meanwhile", &meanwhile);
+    for (usual, class) in usual.iter().zip(&meanwhile) {
+        let difference_ms = class.max_ms - usual.p99_ms;
+        println!("  {:12} most {difference_ms:+.1} ms against the usual p99", class.name);
+    }
+    Ok(())
+}
+
+fn print_report(report: &Report) -> Result<(), Error> {
     println!(
         "{} asked, {} served; lost {}, late {}, doubled {}, refused connections {}, crossed {}",
         report.requested(),
@@ -79,32 +90,32 @@
     for example in &report.examples {
         println!("  {example}");
     }
-    if report.violations() == 0 { Ok(()) } else { Err("a rule was broken".to_owned()) }
+    if report.violations() == 0 { Ok(()) } else { Err("a rule was broken".into()) }
 }
 
-/// Memory and CPU over a span, of the daemon and of the mean instance.
-fn costs(host: &mut Host, what: &str) {
+/// Prints memory and processor time of the daemon and of the mean instance.
+fn print_costs(host: &mut Host, what: &str) {
     let pids: Vec<u32> = host.pids().into_values().collect();
     let daemon = host.daemon().map(|d| d.id()).unwrap_or_default();
-    let of = |pid: &u32| Host::costs(*pid).unwrap_or_default();
-    let before: f64 = pids.iter().map(|p| of(p).1).sum();
-    let daemon_before = of(&daemon).1;
+    let usage = |pid: &u32| process_usage(*pid).unwrap_or_default();
+    let before: f64 = pids.iter().map(|p| usage(p).cpu_s).sum();
+    let daemon_before = usage(&daemon).cpu_s;
     std::thread::sleep(SPAN);
-    let after: f64 = pids.iter().map(|p| of(p).1).sum();
-    let memory: u64 = pids.iter().map(|p| of(p).0).sum();
+    let after: f64 = pids.iter().map(|p| usage(p).cpu_s).sum();
+    let memory: u64 = pids.iter().map(|p| usage(p).rss_kib).sum();
     let each = pids.len().max(1) as f64;
     let percent = |cpu: f64| cpu / SPAN.as_secs_f64() * 100.0;
-    let (daemon_memory, daemon_cpu) = of(&daemon);
+    let daemon_after = usage(&daemon);
     println!(
         "{what}: an instance {:.1} MB, {:.3} % of a core; the daemon {:.1} MB, {:.2} %",
         memory as f64 / each / 1024.0,
         percent(after - before) / each,
-        daemon_memory as f64 / 1024.0,
-        percent(daemon_cpu - daemon_before)
+        daemon_after.rss_kib as f64 / 1024.0,
+        percent(daemon_after.cpu_s - daemon_before)
     );
 }
 
-fn times(what: &str, classes: &[ClassReport]) {
+fn print_latencies(what: &str, classes: &[ClassReport]) {
     for c in classes {
         println!(
             "  {:12} {what}: {} served, p50 {:.1} ms, p99 {:.1} ms, most {:.1} ms",
--- a/crates/local-cluster/examples/hang_of.rs
+++ b/crates/local-cluster/examples/hang_of.rs
@@ -1,13 +1,14 @@
-//! How soon a hung instance is replaced on a host without a free processor, and whether a sound one
-//! is ever taken for hung there.
+//! Measures how soon a hung instance is replaced on a host without a free processor, and whether a healthy one is ever
+//! replaced there.
 //!
 //! `cargo run --release -p local-cluster --example hang_of -- INSTANCES SECONDS`: every few seconds one
-//! instance is stopped by SIGSTOP while twice as many threads as there are processors turn in
-//! circles, and 2 requests a second come to each instance.
+//! instance is paused (SIGSTOP) while twice as many threads as there are processors are busy, and each instance gets 2
+//! requests per second.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use fakes::clients::Load;
@@ -16,11 +17,19 @@
 use local_cluster::{Host, Plan, signal_process};
 use rustix::process::Signal;
 
-const EVERY: Duration = Duration::from_secs(10);
+/// The time between two pauses of instances.
+const INTERVAL: Duration = Duration::from_secs(10);
+/// How long the replacement of an instance may take.
+const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(30);
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-fn main() -> Result<(), String> {
-    let mut given = std::env::args().skip(1);
-    let mut number = |or: u64| given.next().and_then(|a| a.parse().ok()).unwrap_or(or);
+type Error = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Error> {
+    let mut arguments = std::env::args().skip(1);
+    let mut number = |default: u64| {
+        arguments.next().and_then(|argument| argument.parse().ok()).unwrap_or(default)
+    };
     let (instances, seconds) = (number(200) as usize, number(600));
     let plan = Plan {
         instances,
@@ -30,72 +39,110 @@
         ..Plan::default()
     };
     let host = Host::start(plan)?;
-    host.wait(Duration::from_secs(60))?;
-    let load = Load { rate: 2.0, tenants: World::tenants(), ..Load::default() };
-    let driving = host.drive(&load);
-    let over = Arc::new(AtomicBool::new(false));
+    host.wait_until_settled(SETTLE_TIMEOUT)?;
+    let load = host.start_load(&Load { rate: 2.0, tenants: World::tenants(), ..Load::default() });
     let cores = std::thread::available_parallelism().map_or(2, usize::from);
-    let busy: Vec<_> = (0..cores * 2)
-        .map(|_| {
-            let over = over.clone();
-            std::thread::spawn(move || while !over.load(Ordering::Relaxed) {})
-        })
-        .collect();
-    println!(
-        "{instances} instances, {} busy threads on {cores} processors, {seconds} s",
-        busy.len()
-    );
-    let began = Instant::now();
-    let (mut took, mut replaced, mut next) = (Vec::new(), 0, 7);
+    let busy = BusyThreads::start(cores * 2);
+    let threads = busy.threads.len();
+    println!("{instances} instances, {threads} busy threads on {cores} processors, {seconds} s");
+    let replacements = pause_instances(&host, instances, Duration::from_secs(seconds))?;
+    busy.stop();
+    load.stop();
+    print_report(&host, replacements)
+}
+
+/// Threads that keep processors busy.
+struct BusyThreads {
+    stopped: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl BusyThreads {
+    fn start(count: usize) -> BusyThreads {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let start = |_| {
+            let stopped = stopped.clone();
+            std::thread::spawn(move || while !stopped.load(Ordering::Relaxed) {})
+        };
+        let threads = (0..count).map(start).collect();
+        BusyThreads { stopped, threads }
+    }
+
+    fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Pauses one instance after the other. Returns how long each replacement took.
+fn pause_instances(
+    host: &Host,
+    instances: usize,
+    duration: Duration,
+) -> Result<Vec<Duration>, Error> {
+    let started = Instant::now();
+    let (mut replacements, mut next) = (Vec::new(), 7);
     let mut before = host.pids();
-    while began.elapsed() < Duration::from_secs(seconds) {
-        let turn = Instant::now();
+    while started.elapsed() < duration {
+        let round = Instant::now();
         next = (next * 31 + 17) % instances;
         let Some((slot, pid)) = before.iter().nth(next).map(|(s, p)| (s.clone(), *p)) else {
             continue;
         };
-        if let Some(at) = host.instances().iter().find(|i| i.slot == slot).and_then(|i| i.listen) {
-            host.account().expect_kill(at);
-        }
-        let stopped = Instant::now();
-        signal_process(pid, Signal::STOP);
-        loop {
-            let now = host.instances().into_iter().find(|i| i.slot == slot);
-            if now.is_some_and(|i| i.state == "serving" && i.pid != Some(pid)) {
-                break;
-            }
-            if stopped.elapsed() > Duration::from_secs(30) {
-                return Err(format!("{slot} was never replaced"));
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        took.push(stopped.elapsed());
-        replaced += 1;
-        std::thread::sleep(EVERY.saturating_sub(turn.elapsed()));
+        replacements.push(pause_until_replaced(host, &slot, pid)?);
+        std::thread::sleep(INTERVAL.saturating_sub(round.elapsed()));
         let after = host.pids();
-        let others = changed(&before, &after).filter(|s| **s != slot).count();
+        let others = changed(&before, &after).filter(|changed| **changed != slot).count();
         if others > 0 {
             println!("{others} others were replaced as well");
         }
         before = after;
     }
-    over.store(true, Ordering::Relaxed);
-    for thread in busy {
-        let _ = thread.join();
+    Ok(replacements)
+}
+
+/// Pauses the process of an instance, and waits until another one serves.
+fn pause_until_replaced(host: &Host, slot: &str, pid: u32) -> Result<Duration, Error> {
+    let instance = || host.instances().into_iter().find(|instance| instance.slot == slot);
+    if let Some(address) = instance().and_then(|instance| instance.listen) {
+        host.account().expect_kill(address);
     }
-    driving.stop();
-    took.sort_unstable();
+    let paused = Instant::now();
+    signal_process(pid, Signal::STOP);
+    loop {
+        if instance().is_some_and(|i| i.state == "serving" && i.pid != Some(pid)) {
+            return Ok(paused.elapsed());
+        }
+        if paused.elapsed() > REPLACEMENT_TIMEOUT {
+            return Err(format!("{slot} was never replaced").into());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn print_report(host: &Host, mut replacements: Vec<Duration>) -> Result<(), Error> {
+    replacements.sort_unstable();
     let history = host.ask(&Request::History)?;
-    let notes = history.as_array().cloned().unwrap_or_default();
-    let killed = notes.iter().filter(|n| n.to_string().contains("fell silent")).count();
+    let entries = history.as_array().cloned().unwrap_or_default();
+    let killed = entries.iter().filter(|entry| entry.to_string().contains("fell silent")).count();
+    println!(
+        "{} stopped, {killed} killed as hung (of the last {} notes)",
+        replacements.len(),
+        entries.len()
+    );
+    let quantile = |quantile: f64| {
+        let index = ((replacements.len() - 1) as f64 * quantile) as usize;
+        replacements[index].as_secs_f64()
+    };
+    println!("replaced after: median {:.2} s, longest {:.2} s", quantile(0.5), quantile(1.0));
     let report = host.account().report();
-    println!("{replaced} stopped, {killed} killed as hung (of the last {} notes)", notes.len());
-    let at = |q: f64| took[((took.len() - 1) as f64 * q) as usize].as_secs_f64();
-    println!("replaced after: median {:.2} s, longest {:.2} s", at(0.5), at(1.0));
     println!("asked {}, broken rules {}", report.requested(), report.violations());
     Ok(())
 }
 
+/// The instances that have another process.
 fn changed<'a>(
     before: &'a BTreeMap<String, u32>,
     after: &'a BTreeMap<String, u32>,
--- a/crates/local-cluster/examples/hop.rs
+++ b/crates/local-cluster/examples/hop.rs
@@ -1,5 +1,5 @@
-//! What a request pays on its way through the sidecar, beside a bare hyper pass-through in the same
-//! run: time by class and by gap between requests, requests a second, CPU a request.
+//! Measures what the sidecar costs a request, compared with a bare hyper pass-through in the same run: latency by class
+//! and by gap between requests, requests per second, processor time per request.
 //!
 //! `cargo run --release -p local-cluster --example hop`. Servers answer at once; everything is on loopback.
 
@@ -21,7 +21,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use local_cluster::Host;
+use local_cluster::process_usage;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -29,15 +29,21 @@
 
 const CLASSES: [&str; 3] = ["call-lookup", "log-upload", "qsl-order"];
 const GAPS_MS: [u64; 3] = [2, 20, 200];
+/// How long each measurement takes.
 const SPAN: Duration = Duration::from_secs(4);
+const ECHO_SERVERS: usize = 3;
+const LATENCY_CONNECTIONS: u64 = 4;
+const THROUGHPUT_CONNECTIONS: [u64; 2] = [8, 64];
+const MAX_READY_POLLS: usize = 500;
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 fn main() -> Result<(), Error> {
-    let given: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
-        match given.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
             ["echo"] => echo().await,
             ["pass", upstream] => pass(upstream.parse()?).await,
             _ => measure().await,
@@ -74,22 +80,22 @@
     }
 }
 
-/// Passes requests on, with a connection to the server for each client's, and does nothing else.
+/// Forwards requests, with an upstream connection for each downstream one, and does nothing else.
 async fn pass(upstream: SocketAddr) -> Result<(), Error> {
     let listener = listen().await?;
     loop {
         let (socket, _) = listener.accept().await?;
         socket.set_nodelay(true)?;
         tokio::task::spawn_local(async move {
-            let Ok(there) = TcpStream::connect(upstream).await else { return };
-            let _ = there.set_nodelay(true);
-            let Ok((sender, driving)) =
-                client::handshake::<_, Full<Bytes>>(TokioIo::new(there)).await
+            let Ok(socket_up) = TcpStream::connect(upstream).await else { return };
+            let _ = socket_up.set_nodelay(true);
+            let Ok((sender, load)) =
+                client::handshake::<_, Full<Bytes>>(TokioIo::new(socket_up)).await
             else {
                 return;
             };
             tokio::task::spawn_local(async move {
-                let _ = driving.await;
+                let _ = load.await;
             });
             let sender = Rc::new(RefCell::new(Some(sender)));
             let serve = service_fn(move |request: Request<Incoming>| {
@@ -97,13 +103,13 @@
                 async move {
                     let (head, body) = request.into_parts();
                     let body = body.collect().await?.to_bytes();
-                    let mut taken = sender.borrow_mut().take().ok_or("busy")?;
-                    taken.ready().await?;
+                    let mut upstream = sender.borrow_mut().take().ok_or("busy")?;
+                    upstream.ready().await?;
                     let answer =
-                        taken.send_request(Request::from_parts(head, Full::new(body))).await?;
+                        upstream.send_request(Request::from_parts(head, Full::new(body))).await?;
                     let (head, body) = answer.into_parts();
                     let body = body.collect().await?.to_bytes();
-                    *sender.borrow_mut() = Some(taken);
+                    *sender.borrow_mut() = Some(upstream);
                     Ok::<_, Error>(Response::from_parts(head, Full::new(body)))
                 }
             });
@@ -112,7 +118,7 @@
     }
 }
 
-/// A process that goes with its handle.
+/// A process that is killed with its handle.
 struct Process(Child);
 
 impl Drop for Process {
@@ -122,7 +128,7 @@
     }
 }
 
-/// Starts a part of this program as a process of its own, and tells where it listens.
+/// Starts a part of this program as a process of its own, and returns its address.
 fn part(arguments: &[&str]) -> Result<(Process, SocketAddr), Error> {
     let mut command = Command::new(std::env::current_exe()?);
     let mut child = command.args(arguments).stdout(Stdio::piped()).spawn()?;
@@ -132,8 +138,8 @@
     Ok((Process(child), line.trim().parse()?))
 }
 
-fn text(class: &str, id: u64) -> String {
-    let (method, more, body) = match class {
+fn request(class: &str, id: u64) -> String {
+    let (method, headers, body) = match class {
         "log-upload" => {
             ("POST", format!("Idempotency-Key: {id:032x}\r\nContent-Length: 4\r\n"), "four")
         }
@@ -142,27 +148,28 @@
     };
     format!(
         "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id:016x}\r\n\
-         X-Account: {}\r\nX-Time-Left-Ms: 700\r\n{more}\r\n{body}",
+         X-Account: {}\r\nX-Time-Left-Ms: 700\r\n{headers}\r\n{body}",
         World::tenants()[0]
     )
 }
 
-/// Times in microseconds of requests in closed loops on so many connections, a gap apart.
-async fn drive(at: SocketAddr, class: &'static str, conns: u64, gap: Duration) -> Vec<u64> {
-    let all = Rc::new(RefCell::new(Vec::new()));
+/// The latencies, in microseconds and ascending order, of requests in closed loops on this number of connections, with
+/// a gap between them.
+async fn drive(at: SocketAddr, class: &'static str, connections: u64, gap: Duration) -> Vec<u64> {
+    let latencies = Rc::new(RefCell::new(Vec::new()));
     let end = Instant::now() + SPAN;
-    let loops: Vec<_> = (0..conns)
+    let loops: Vec<_> = (0..connections)
         .map(|n| {
-            let all = all.clone();
+            let latencies = latencies.clone();
             tokio::task::spawn_local(async move {
                 let Ok(socket) = TcpStream::connect(at).await else { return };
                 let _ = socket.set_nodelay(true);
                 let mut reader = Reader::new(socket);
-                tokio::time::sleep(gap.mul_f64(n as f64 / conns as f64)).await;
+                tokio::time::sleep(gap.mul_f64(n as f64 / connections as f64)).await;
                 while Instant::now() < end {
                     let id = next_id();
-                    let began = Instant::now();
-                    let sent = reader.get_mut().write_all(text(class, id).as_bytes()).await;
+                    let started = Instant::now();
+                    let sent = reader.get_mut().write_all(request(class, id).as_bytes()).await;
                     match reader.next().await {
                         Ok(Some(m)) if sent.is_ok() && m.status() == Some(200) => {}
                         other => {
@@ -170,7 +177,7 @@
                             return;
                         }
                     }
-                    all.borrow_mut().push(began.elapsed().as_micros() as u64);
+                    latencies.borrow_mut().push(started.elapsed().as_micros() as u64);
                     if !gap.is_zero() {
                         tokio::time::sleep(gap).await;
                     }
@@ -181,9 +188,9 @@
     for one in loops {
         let _ = one.await;
     }
-    let mut all = all.take();
-    all.sort_unstable();
-    all
+    let mut latencies = latencies.take();
+    latencies.sort_unstable();
+    latencies
 }
 
 /// An id that was not used before.
@@ -192,28 +199,48 @@
     u64::from(std::process::id()) << 32 | NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-fn at(sorted: &[u64], q: f64) -> f64 {
-    let at = ((sorted.len() as f64 * q) as usize).min(sorted.len().saturating_sub(1));
-    sorted.get(at).map_or(f64::NAN, |us| *us as f64 / 1000.0)
+/// A quantile of latencies in microseconds that are in ascending order, in milliseconds.
+fn quantile_ms(sorted_us: &[u64], quantile: f64) -> f64 {
+    let last = sorted_us.len().saturating_sub(1);
+    let index = ((sorted_us.len() as f64 * quantile) as usize).min(last);
+    sorted_us.get(index).map_or(f64::NAN, |us| *us as f64 / 1000.0)
+}
+
+/// The sidecar, and the pass-through that it is compared with.
+struct Measured {
+    sidecar: (Process, SocketAddr),
+    pass_through: (Process, SocketAddr),
 }
 
 async fn measure() -> Result<(), Error> {
-    let program = built("lb-sidecar", false).map_err(|e| e.to_string())?;
     let mut echoes = Vec::new();
-    for _ in 0..3 {
+    for _ in 0..ECHO_SERVERS {
         echoes.push(part(&["echo"])?);
     }
-    let (bare, bare_at) = part(&["pass", &echoes[0].1.to_string()])?;
-    let registry =
-        Registry::open(echoes.iter().map(|(_, at)| Entry::new(*at, "utrecht")).collect()).await?;
+    let pass_through = part(&["pass", &echoes[0].1.to_string()])?;
+    let entries = echoes.iter().map(|(_, address)| Entry::new(*address, "utrecht"));
+    let registry = Registry::open(entries.collect()).await?;
     let folder = Folder::new("hop");
-    let free = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let sidecar = start_sidecar(&registry, &folder).await?;
+    let measured = Measured { sidecar, pass_through };
+    measure_latencies(&measured).await;
+    measure_throughput(&measured).await;
+    Ok(())
+}
+
+/// Starts the sidecar, and waits until it is ready.
+async fn start_sidecar(
+    registry: &Registry,
+    folder: &Folder,
+) -> Result<(Process, SocketAddr), Error> {
+    let program = built("lb-sidecar", false)?;
+    let listen = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
     let mut settings = settings(&classes(1.0));
     settings["me"] = json!(0);
     settings["instances"] = json!(1);
     settings["zone"] = json!(0);
     let config = json!({
-        "name": "hop", "listen": free.to_string(), "discovery": registry.at.to_string(),
+        "name": "hop", "listen": listen.to_string(), "discovery": registry.at.to_string(),
         "seed": "00000000000000a7", "settings": settings,
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
     });
@@ -221,53 +248,71 @@
     std::fs::write(&path, config.to_string())?;
     let sidecar = Command::new(program).env("LB_CONFIG", &path).stderr(Stdio::null()).spawn()?;
     let sidecar = Process(sidecar);
-    for _ in 0..500 {
-        let ready = async {
-            let mut reader = Reader::new(TcpStream::connect(free).await.ok()?);
-            reader.get_mut().write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").await.ok()?;
-            reader.next().await.ok()??.status()
-        };
-        if ready.await == Some(200) {
+    for _ in 0..MAX_READY_POLLS {
+        if readiness_status(listen).await == Some(200) {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(READY_POLL_INTERVAL).await;
     }
+    Ok((sidecar, listen))
+}
+
+async fn readiness_status(listen: SocketAddr) -> Option<u16> {
+    let mut reader = Reader::new(TcpStream::connect(listen).await.ok()?);
+    reader.get_mut().write_all(b"GET /health/ready HTTP/1.1\r\n\r\n").await.ok()?;
+    reader.next().await.ok()??.status()
+}
+
+async fn measure_latencies(measured: &Measured) {
     println!(
         "| class | gap | sidecar p50 | p99 | pass-through p50 | p99 |\n| --- | --- | --- | --- | --- | --- |"
     );
     for class in CLASSES {
-        for gap in GAPS_MS {
-            let gap = Duration::from_millis(gap);
-            let (ours, bare) =
-                (drive(free, class, 4, gap).await, drive(bare_at, class, 4, gap).await);
+        for gap in GAPS_MS.map(Duration::from_millis) {
+            let sidecar = drive(measured.sidecar.1, class, LATENCY_CONNECTIONS, gap).await;
+            let bare = drive(measured.pass_through.1, class, LATENCY_CONNECTIONS, gap).await;
             println!(
                 "| {class} | {gap:?} | {:.2} ms | {:.2} ms | {:.2} ms | {:.2} ms |",
-                at(&ours, 0.5),
-                at(&ours, 0.99),
-                at(&bare, 0.5),
-                at(&bare, 0.99)
+                quantile_ms(&sidecar, 0.5),
+                quantile_ms(&sidecar, 0.99),
+                quantile_ms(&bare, 0.5),
+                quantile_ms(&bare, 0.99)
             );
         }
     }
+}
+
+async fn measure_throughput(measured: &Measured) {
     println!(
         "\n| connections | sidecar | CPU a request | pass-through | CPU a request | CPU ratio |\n| --- | --- | --- | --- | --- | --- |"
     );
-    for conns in [8, 64] {
-        let mut row = Vec::new();
-        for (process, to) in [(&sidecar, free), (&bare, bare_at)] {
-            let cpu = || Host::costs(process.0.id()).map_or(0.0, |(_, cpu)| cpu);
-            let before = cpu();
-            let n = drive(to, "call-lookup", conns, Duration::ZERO).await.len() as f64;
-            row.push((n / SPAN.as_secs_f64(), (cpu() - before) / n * 1e6));
-        }
+    for connections in THROUGHPUT_CONNECTIONS {
+        let sidecar = throughput(&measured.sidecar, connections).await;
+        let bare = throughput(&measured.pass_through, connections).await;
         println!(
-            "| {conns} | {:.0}/s | {:.1} µs | {:.0}/s | {:.1} µs | {:.2} |",
-            row[0].0,
-            row[0].1,
-            row[1].0,
-            row[1].1,
-            row[0].1 / row[1].1
+            "| {connections} | {:.0}/s | {:.1} µs | {:.0}/s | {:.1} µs | {:.2} |",
+            sidecar.requests_per_s,
+            sidecar.cpu_us,
+            bare.requests_per_s,
+            bare.cpu_us,
+            sidecar.cpu_us / bare.cpu_us
         );
     }
-    Ok(())
+}
+
+struct Throughput {
+    requests_per_s: f64,
+    /// Processor time of a request, in microseconds.
+    cpu_us: f64,
+}
+
+async fn throughput((process, address): &(Process, SocketAddr), connections: u64) -> Throughput {
+    let cpu_s = || process_usage(process.0.id()).map_or(0.0, |usage| usage.cpu_s);
+    let before = cpu_s();
+    let latencies = drive(*address, "call-lookup", connections, Duration::ZERO).await;
+    let requests = latencies.len() as f64;
+    Throughput {
+        requests_per_s: requests / SPAN.as_secs_f64(),
+        cpu_us: (cpu_s() - before) / requests * 1e6,
+    }
 }
--- /dev/null
+++ b/crates/local-cluster/src/plan.rs
@@ -0,0 +1,40 @@
+//! What a host consists of.
+
+use std::path::PathBuf;
+
+use fakes::account::Class;
+
+/// What a host consists of.
+pub struct Plan {
+    /// The number of instances. They are spread over the zones.
+    pub instances: usize,
+    /// The number of log servers in each zone.
+    pub servers: usize,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// The lines of `fleet.toml` under `[rollout]`.
+    pub rollout: String,
+    /// The lines of `fleet.toml` under `[restarts]`.
+    pub restarts: String,
+    /// The seed of everything that is drawn.
+    pub seed: u64,
+    /// The file of the programs' logs; none: the standard error of this process.
+    pub log: Option<PathBuf>,
+    /// Whether the build of the programs shows its progress.
+    pub progress: bool,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            instances: 6,
+            servers: 2,
+            classes: fakes::world::classes(1.0),
+            rollout: "watch_s = 2.0\nshare = 0.2".to_owned(),
+            restarts: String::new(),
+            seed: 1,
+            log: None,
+            progress: false,
+        }
+    }
+}
--- a/crates/local-cluster/tests/sample.rs
+++ b/crates/local-cluster/tests/sample.rs
@@ -1,4 +1,4 @@
-//! The sample under `deploy/` is one that the programs take.
+//! The sample under `deploy/` is valid for the programs.
 
 use std::path::Path;
 use std::process::Command;
@@ -7,7 +7,7 @@
 use fleet::spec::Spec;
 
 #[test]
-fn the_sample_fleet_is_sound_to_the_daemon_and_to_the_sidecar() {
+fn sample_fleet_is_valid_for_the_daemon_and_the_sidecar() {
     let sidecar = built("lb-sidecar", false).expect("built");
     let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/fleet/fleet.toml");
     let text = std::fs::read_to_string(sample).expect("it is there");
--- a/crates/scale-test/src/cluster.rs
+++ b/crates/scale-test/src/cluster.rs
@@ -13,10 +13,11 @@
 use fault_injection::network::Network;
 use fault_injection::processes::{ReservedPort, unique_loopback_address};
 use fault_injection::relay::Relay;
+use local_cluster::Usage;
 
 use crate::hollow::{Group, GroupStatus};
 use crate::plan::Plan;
-use crate::process::{Process, Usage, guarded};
+use crate::process::{Process, guarded};
 use crate::runner::RunError;
 
 mod faults;
--- a/crates/scale-test/src/measurement.rs
+++ b/crates/scale-test/src/measurement.rs
@@ -4,9 +4,10 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use local_cluster::Usage;
+
 use crate::cluster::{Cluster, UsageByRole};
 use crate::plan::{Fault, FaultKind};
-use crate::process::Usage;
 use crate::report::{Change, Cost, Report, failures};
 use crate::runner::{POLL_INTERVAL, RunError};
 
--- a/crates/scale-test/src/process.rs
+++ b/crates/scale-test/src/process.rs
@@ -5,20 +5,11 @@
 use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
 
 use fakes::program::built;
-use local_cluster::{Host, signal_process};
+use local_cluster::{Usage, process_usage, signal_process};
 use rustix::process::Signal;
 
 use crate::runner::RunError;
 
-/// What a process has used so far.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Usage {
-    /// Resident memory in KiB.
-    pub rss_kib: u64,
-    /// Processor time in seconds.
-    pub cpu_s: f64,
-}
-
 /// A running process. Dropping it kills it.
 pub(crate) struct Process {
     child: Child,
@@ -38,8 +29,7 @@
 
     /// What it has used so far; nothing once it has exited.
     pub fn usage(&self) -> Usage {
-        let (rss_kib, cpu_s) = Host::costs(self.child.id()).unwrap_or_default();
-        Usage { rss_kib, cpu_s }
+        process_usage(self.child.id()).unwrap_or_default()
     }
 
     /// Pauses it (SIGSTOP).
