--- a/crates/fleet/src/daemon/adoption.rs
+++ b/crates/fleet/src/daemon/adoption.rs
@@ -87,7 +87,7 @@
             if let Some(mut ended) = self.processes.remove(&id) {
                 let exit = ended.process.reap();
                 let (instance, pid) = (&ended.mark.slot, ended.process.pid);
-                tracing::info!(%instance, pid, how = %exit, "process ended");
+                tracing::info!(%instance, pid, %exit, "process ended");
             }
         }
         if self.socket_holder.as_ref().is_some_and(SocketHolder::has_ended) {
