Config distribution: the document set is an inner module; the overview names all

Cause: the set of documents is a detail of the replica. Change: private module; the crate's overview names the message modules.

--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -4,11 +4,12 @@
 //! it on disk, and only then sent to *hosts*, which apply it and confirm that with their next watch request. Every
 //! connection is a watch as the protocol page has it: a version, a long poll, then changes or a snapshot.
 //!
-//! `documents`, `replica`, `origin`, `control`, `progress` and `host` decide: they do no I/O and know no clock but the
-//! time that is passed in, a `Duration` on a monotonic clock that starts anywhere. `net` owns sockets, files and processes. `docs/design/distribution.md` gives the reasons.
+//! `documents`, `replica`, `origin`, `control`, `progress` and `host` decide: they do no I/O, and know no clock but the
+//! time that is passed in, a `Duration` since any fixed start. `replication` and `watch` hold the messages. `net` owns
+//! sockets, files and processes. `docs/design/distribution.md` gives the reasons.
 
 pub mod control;
-pub mod document_set;
+mod document_set;
 pub mod documents;
 pub mod host;
 pub mod net;
