--- /dev/null
+++ b/tests/balancer/admission.rs
@@ -0,0 +1,295 @@
+//! Load shedding and rejections.
+
+use lb_sidecar::api::*;
+
+use crate::common::*;
+
+/// How much is shed in an overload of what is within a quota and of what is beyond it, if this earns `worth`.
+fn shed_by_quota(worth: f64) -> [u32; 2] {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|s| s["overShareWorth"] = worth.into()), 2, &servers);
+    let mut shed = [0, 0];
+    for i in 0..300 {
+        b.over_quota = i % 2 == 0;
+        let (id, out) = b.request(2);
+        match sent(&out) {
+            Some(to) => {
+                b.now += 20 * MS;
+                b.event(Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt: 0,
+                    server: to,
+                    outcome: Outcome::Success,
+                    latency: 170 * MS,
+                    finished: true,
+                    report: report(0.0),
+                }));
+            }
+            None => shed[usize::from(b.over_quota)] += 1,
+        }
+    }
+    shed
+}
+
+/// What is beyond a quota earns a tenth, say: it is shed like the class that earns least, though there are chips.
+#[test]
+fn overload_sheds_over_quota_requests_first() {
+    let shed = shed_by_quota(0.1);
+    assert!(shed[1] > 20 && shed[0] * 5 < shed[1], "{shed:?}");
+}
+
+/// Another customer's share beyond a quota earns as much as any: a tenth was one customer's figure.
+#[test]
+fn over_quota_shedding_follows_the_configured_weight() {
+    let shed = shed_by_quota(1.0);
+    assert!(shed[1] < 20 + 2 * shed[0], "{shed:?}");
+}
+
+/// Found in overload: a single late answer at a quiet sidecar shed what the fleet could serve.
+#[test]
+fn single_late_answer_does_not_shed_the_highest_priority_class() {
+    let mut b = Bench::new(settings(|_| {}), 2, &[server(0), server(2), server(4)]);
+    for _ in 0..5 {
+        b.round(0, 0.0);
+    }
+    let (id, out) = b.request(0);
+    let to = sent(&out).expect("sent");
+    b.now += S;
+    b.answer(id, 0, to, Outcome::TimedOut, 0.0);
+    for _ in 0..10 {
+        let (_, out) = b.request(2);
+        assert!(!rejected(&out));
+    }
+}
+
+/// Load shedding: when all servers are late, what earns least for its work is refused first.
+#[test]
+fn overload_sheds_the_lowest_priority_class_first() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 2, &servers);
+    let (mut cheap, mut dear) = (0, 0);
+    for i in 0..300 {
+        let class = if i % 2 == 0 { 0 } else { 2 };
+        let (id, out) = b.request(class);
+        match sent(&out) {
+            Some(to) => {
+                let latency = 170 * MS;
+                b.now += 20 * MS;
+                b.event(Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt: 0,
+                    server: to,
+                    outcome: Outcome::Success,
+                    latency,
+                    finished: true,
+                    report: report(3.0),
+                }));
+            }
+            None if class == 0 => cheap += 1,
+            None => dear += 1,
+        }
+    }
+    assert!(cheap > 50, "{cheap} cheap requests shed");
+    assert!(dear * 5 < cheap, "{dear} dear ones, {cheap} cheap ones");
+}
+
+/// Found where queues are short: each refusal as full counted as a late answer, and half of the
+/// requests were refused at the door while other servers had room.
+#[test]
+fn rejections_that_succeed_elsewhere_do_not_shed() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 3, &servers);
+    for _ in 0..200 {
+        let (id, out) = b.request(0);
+        let first = sent(&out).expect("not shed");
+        b.now += MS;
+        let out = b.answer(id, 0, first, Outcome::Rejected, 0.0);
+        let second = sent(&out).expect("tried elsewhere");
+        b.now += 20 * MS;
+        b.answer(id, 1, second, Outcome::Success, 0.0);
+    }
+}
+
+/// Found with rough hints of work: heavy requests made the fleet look full.
+#[test]
+fn announced_work_does_not_count_as_overload() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |hinted: bool| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for i in 0..2000 {
+            let (work, latency) = if i % 4 == 0 { (80 * MS, 190 * MS) } else { (10 * MS, 60 * MS) };
+            let (id, out) = b.request_with(0, hinted.then_some(work));
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::AttemptEnded(AttemptEnd {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Success,
+                latency,
+                finished: true,
+                report: report(1.0),
+            }));
+        }
+        shed
+    };
+    let (without, with) = (shed(false), shed(true));
+    assert!(without > 20 && with * 2 < without, "shed {without} unannounced, {with} announced");
+}
+
+/// Found where there is one class only: half of its requests were refused for the sake of none,
+/// while answers took three fifths of their aim.
+#[test]
+fn classes_of_equal_priority_are_not_shed_early() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let shed = |class: usize| {
+        let mut b = Bench::new(settings(|_| {}), 4, &servers);
+        let mut shed = 0;
+        for _ in 0..400 {
+            let (id, out) = b.request(class);
+            let latency = if class == 0 { 125 * MS } else { 190 * MS };
+            b.now += 50 * MS;
+            let Some(to) = sent(&out) else {
+                shed += 1;
+                continue;
+            };
+            b.event(Event::AttemptEnded(AttemptEnd {
+                id,
+                attempt: 0,
+                server: to,
+                outcome: Outcome::Success,
+                latency,
+                finished: true,
+                report: report(1.0),
+            }));
+        }
+        shed
+    };
+    assert!(shed(0) > 100, "class 0 earns an eighth of the best: {}", shed(0));
+    assert_eq!(shed(2), 0, "none earns more than class 2");
+}
+
+#[test]
+fn rejection_carries_a_jittered_retry_after() {
+    let json = |most: u64, told: bool| {
+        settings(move |s| {
+            s["limits"]["maxRetryAfter"] = most.into();
+            s["limits"]["retryAfter"] = told.into();
+        })
+    };
+    // Where clients are told nothing, what they would follow does not matter.
+    for (longest, allowed) in
+        [(0, true), (10 * MS, true), (2 * S, true), (10 * MS, false), (2 * S, false)]
+    {
+        let most = if allowed { longest } else { 0 };
+        let mut b = Bench::new(json(longest, allowed), 1, &[]);
+        let mut told = Vec::new();
+        for _ in 0..20 {
+            let (_, out) = b.request(0);
+            let Some(Action::Reject { retry_after, .. }) = out.last() else {
+                panic!("nothing to send to: {out:?}");
+            };
+            told.push(*retry_after);
+        }
+        assert!(told.iter().all(|&t| t <= most && (t > 0) == (most > 0)), "{told:?}");
+        // Not all at the same time, where there is room.
+        assert!(most < S || told.iter().any(|t| t != &told[0]), "{told:?}");
+    }
+}
+
+#[test]
+fn late_request_is_not_cancelled_without_a_final_answer() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0), server(2)]);
+    // Every answer fails to come by its aim.
+    let open: Vec<_> = (0..12).map(|_| b.request(0)).filter(|r| sent(&r.1).is_some()).collect();
+    assert!(!open.is_empty());
+    b.now += 200 * MS;
+    for (id, out) in &open {
+        for action in out {
+            let Action::SetTimer { token, delay } = *action else { continue };
+            if delay <= 200 * MS {
+                let late = b.event(Event::Timer { token });
+                let called_off = late.iter().any(|a| matches!(a, Action::Cancel { .. }));
+                assert!(!called_off || rejected(&late) || failed(&late), "{id:?}: {late:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn lost_answers_do_not_count_as_overload() {
+    let servers: Vec<_> = (0..4).map(|n| server(2 * n)).collect();
+    let mut b = Bench::new(settings(|_| {}), 1, &servers);
+    let (mut timers, mut lost) = (Vec::new(), Vec::new());
+    let mut shed = 0;
+    for n in 0..400 {
+        let (id, out) = b.request(0);
+        timers.extend(out.iter().filter_map(|a| match *a {
+            Action::SetTimer { delay, token } => Some((b.now + delay, token)),
+            _ => None,
+        }));
+        match sent(&out) {
+            // One in five is never answered; the others are, at once.
+            Some(to) if n % 5 > 0 => {
+                b.now += 5 * MS;
+                b.answer(id, 0, to, Outcome::Success, 0.0);
+            }
+            Some(to) => lost.push((b.now + S, id, to)),
+            None => shed += 1,
+        }
+        timers.sort_unstable();
+        while let Some(&(at, token)) = timers.first()
+            && at <= b.now
+        {
+            timers.remove(0);
+            b.event(Event::Timer { token });
+        }
+        while let Some(&(at, id, to)) = lost.first()
+            && at <= b.now
+        {
+            lost.remove(0);
+            b.answer(id, 0, to, Outcome::Cancelled, 0.0);
+        }
+    }
+    assert_eq!(shed, 0);
+}
+
+/// Found on a day on which most servers are replaced: half of all attempts ended with their requests' time.
+#[test]
+fn request_without_enough_time_left_is_mostly_rejected_at_once() {
+    let servers: Vec<_> = (0..4).map(server).collect();
+    let mut b = Bench::new(settings(|_| {}), 5, &servers);
+    let mut with = |left: Micros, n: u64| {
+        let mut sends = 0;
+        for id in n * 1000..n * 1000 + 200 {
+            let id = RequestId(id);
+            let out = b.event(Event::Request(NewRequest {
+                id,
+                class: 0,
+                tenant: 0,
+                affinity_key: 0,
+                time_left: left,
+                work_hint: None,
+                client_retry: false,
+                over_quota: false,
+            }));
+            b.now += 20 * MS;
+            match sent(&out) {
+                Some(to) => {
+                    sends += 1;
+                    b.answer(id, 0, to, Outcome::Success, 0.0);
+                }
+                None => assert!(rejected(&out), "{out:?}"),
+            }
+        }
+        sends
+    };
+    assert_eq!(with(S, 1), 200, "there is time");
+    let few = with(10 * MS, 4);
+    assert!((2..=25).contains(&few), "{few}");
+    assert_eq!(with(19 * MS, 5), 200, "by chance it may come in time");
+}
--- /dev/null
+++ b/tests/balancer/slow_start.rs
@@ -0,0 +1,91 @@
+//! Servers that are warming up.
+
+use lb_sidecar::api::*;
+
+use crate::common::*;
+
+/// Slow start: many sidecars counted together, each assuming the others do likewise. A cold
+/// server's share of sends must stay under the multiple of its present capacity's share.
+#[test]
+fn all_sidecars_together_do_not_overload_a_warming_up_server() {
+    let n = 10;
+    let mut cold = server(n);
+    cold.started_at = START;
+    let (mut to_cold, mut all) = (0, 0);
+    for seed in 0..300 {
+        let servers: Vec<_> = (0..n).map(server).collect();
+        let mine = settings(|s| {
+            s["instances"] = 300.into();
+            s["me"] = seed.into();
+        });
+        let mut b = Bench::new(mine, seed, &servers);
+        for _ in 0..10 {
+            b.round(0, 1.0);
+        }
+        b.now = START + S;
+        b.servers(ListKind::Delta, &[cold.clone()]);
+        for _ in 0..10 {
+            all += 1;
+            to_cold += u32::from(b.round(0, 1.0) == Some(cold.id));
+        }
+    }
+    let share = f64::from(to_cold) / f64::from(all);
+    // Present capacity is 0.2 to 0.25 of a server's; ten others are warm; the multiple is 3.
+    let due = 0.25 / 10.25;
+    assert!(share < 2.5 * due, "share {share}, due {due}");
+    assert!(share > 0.2 * due, "it must warm up: {share}");
+}
+
+/// Found with short queues and a release: what full servers refused was tried again on the cold
+/// ones, which fell over.
+#[test]
+fn warming_up_server_gets_no_retries() {
+    for seed in 0..50 {
+        let cold = ServerEntry { started_at: START - S, ..server(0) };
+        let mut b = Bench::new(settings(|_| {}), seed, &[cold.clone(), server(1), server(2)]);
+        let (id, mut out) = b.request(0);
+        for attempt in 0.. {
+            let Some(to) = sent(&out) else { break };
+            assert!(attempt == 0 || to != cold.id, "attempt {attempt} went to the cold server");
+            b.now += MS;
+            out = b.answer(id, attempt, to, Outcome::Rejected, 0.0);
+        }
+    }
+}
+
+/// Found by simulation: with home out and all others cold, a sidecar refused everything. What it sends
+/// there instead is no more than the sum of many like it may bring to cold servers.
+#[test]
+fn warming_up_servers_replace_the_local_zone_within_their_due() {
+    let cold = |n| ServerEntry { started_at: START - S, ..server(n) };
+    let served = |listed: &[ServerEntry]| {
+        let mut served = 0;
+        for seed in 0..20 {
+            let priced = settings(|s| s["prices"]["crossZone"] = 5.0.into());
+            let mut b = Bench::new(priced, seed, listed);
+            // Home answers nothing, and is silent for longer than any aim.
+            for _ in 0..400 {
+                b.now += MS;
+                let (id, out) = b.request(2);
+                let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) else { continue };
+                b.answer(id, 0, to, Outcome::Success, 0.0);
+            }
+            b.now += 400 * MS;
+            for _ in 0..50 {
+                b.now += MS;
+                let (id, out) = b.request(2);
+                if let Some(to) = sent(&out).filter(|to| to.0 % 2 == 1) {
+                    served += 1;
+                    b.answer(id, 0, to, Outcome::Success, 0.0);
+                }
+            }
+        }
+        served
+    };
+    let few = served(&[cold(0), cold(1), cold(3)]);
+    assert!(few >= 950, "{few} of 1000, though two of three are left");
+    let mut fleet: Vec<_> = (0..20).map(|n| server(2 * n)).collect();
+    fleet.push(cold(1));
+    let many = served(&fleet);
+    assert!(many < 100, "{many} of 1000 to one cold server in place of twenty");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -75,8 +75,8 @@
     pub out: Vec<Action>,
     next: u64,
     key: u64,
-    /// Whether requests are beyond their tenant's quota.
-    pub beyond: bool,
+    /// Whether requests are over their tenant's quota.
+    pub over_quota: bool,
 }
 
 impl Bench {
@@ -87,7 +87,7 @@
             out: Vec::new(),
             next: 0,
             key: 0,
-            beyond: false,
+            over_quota: false,
         };
         bench.servers(ListKind::Cached, servers);
         bench
@@ -124,7 +124,7 @@
             time_left: S,
             work_hint: hint,
             client_retry: false,
-            over_quota: self.beyond,
+            over_quota: self.over_quota,
         }));
         (id, out)
     }
@@ -166,7 +166,7 @@
     })
 }
 
-pub fn refused(actions: &[Action]) -> bool {
+pub fn rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
