Tests of the admin listener and of supervision under plain names; sidecar::gossip

Cause: tests/operation.rs and tests/keeping.rs were named and written in the former house style; the module of a sidecar's membership was still called tier.

--- a/crates/simulation/src/run/sidecars.rs
+++ b/crates/simulation/src/run/sidecars.rs
@@ -94,7 +94,7 @@
         let peers = self.gossip.map(SimUdp::bind).transpose()?;
         let bind_admin = |address| SimListener::bind(address, ADMIN_BACKLOG);
         let admin = self.admin.map(bind_admin).transpose()?;
-        Ok(Sockets { listener, shared: false, peers, admin, record: None })
+        Ok(Sockets { listener, shared: false, peers, admin, admin_state_file: None })
     }
 }
 
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -151,7 +151,7 @@
     /// Accepts operators; never ends.
     pub async fn listen(self: Rc<Admin<P>>, listener: P::Listener) {
         if let Ok(address) = listener.local_addr() {
-            tracing::info!(%address, "operators may call");
+            tracing::info!(%address, "admin listener started");
         }
         loop {
             match listener.accept().await {
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -19,10 +19,10 @@
 
 use super::config::{BorrowedText, EndpointList};
 use super::discovery::{self, DiscoveryRequest};
+use super::gossip::Membership;
 use super::live::LiveConfig;
 use super::peers::{self, Peers};
 use super::status::Status;
-use super::tier::Membership;
 use super::timers::Timers;
 use super::upstream::{HealthCheckKind, Upstream};
 use crate::api::{Event, ListKind, Micros, RequestId};
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod framing;
+pub mod gossip;
 pub mod ingress;
 pub mod inherited_listener;
 pub mod live;
@@ -19,7 +20,6 @@
 pub mod shutdown;
 pub mod startup;
 pub mod status;
-pub mod tier;
 pub mod timers;
 pub mod upload;
 pub mod upstream;
@@ -58,8 +58,8 @@
     pub peers: Option<P::Udp>,
     /// Where operators connect, if they may.
     pub admin: Option<P::Listener>,
-    /// Where the operators' orders are stored, for this process and those before and after it.
-    pub record: Option<StateFile>,
+    /// Where the admin state is stored, for this process and those before and after it.
+    pub admin_state_file: Option<StateFile>,
 }
 
 /// Runs the sidecar on the real system until it is told to shut down and all admitted requests are
@@ -94,14 +94,14 @@
     H: Future<Output = ()>,
     R: Fn() -> Result<Config, ConfigError>,
 {
-    let Sockets { listener, shared, peers, admin, record } = sockets;
+    let Sockets { listener, shared, peers, admin, admin_state_file } = sockets;
     let components = Components::<P>::new(&config, peers)?;
     let how = config.settings.discovery;
     let stop_sending_within = Duration::from_micros(config.settings.rules.drain_deadline);
     let (to_discovery, calls) = mpsc::unbounded_channel();
     let driver = components.driver(config.settings, config.seed, to_discovery);
     let ingress = components.ingress(driver.clone(), config.name);
-    let admin = admin.map(|at| components.start_admin(at, &driver, &ingress, record));
+    let admin = admin.map(|at| components.start_admin(at, &driver, &ingress, admin_state_file));
 
     startup::restore_server_list(&driver, config.cached_endpoints.as_ref(), how);
     let version = config.cached_endpoints.as_ref().map_or(0, |known| known.version);
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -17,12 +17,12 @@
 use super::config::{Config, EndpointList};
 use super::discovery::DiscoveryRequest;
 use super::driver::{Driver, PeerServices};
+use super::gossip::{Membership, MembershipError};
 use super::ingress::Ingress;
 use super::inherited_listener::{InheritedListenerError, inherited_listener};
 use super::live::LiveConfig;
 use super::peers::Peers;
 use super::status::Status;
-use super::tier::{Membership, MembershipError};
 use super::upstream::Upstream;
 use super::{Sockets, notify, shutdown};
 use crate::api::ListKind;
@@ -95,10 +95,10 @@
         let peers = config.peer_listen.map(bind_peers).transpose()?;
         let admin = config.admin.map(bind_admin).transpose()?;
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
-        let record = folder
+        let admin_state_file = folder
             .filter(|_| admin.is_some())
             .map(|folder| StateFile::new(folder.as_ref(), &config.name));
-        Ok(Sockets { listener, shared, peers, admin, record })
+        Ok(Sockets { listener, shared, peers, admin, admin_state_file })
     }
 }
 
@@ -190,10 +190,10 @@
         listener: P::Listener,
         driver: &Rc<Driver<P>>,
         ingress: &Rc<Ingress<P>>,
-        record: Option<StateFile>,
+        state_file: Option<StateFile>,
     ) -> Rc<Admin<P>> {
         let (live, status) = (self.live.clone(), self.status.clone());
-        let admin = Admin::new(driver.clone(), ingress.clone(), live, status, record);
+        let admin = Admin::new(driver.clone(), ingress.clone(), live, status, state_file);
         P::spawn(admin.clone().listen(listener));
         P::spawn(admin.clone().watch());
         P::spawn(shutdown::close_drained_clients(ingress.clone()));
--- a/tests/operation.rs
+++ b/tests/admin.rs
@@ -1,5 +1,5 @@
-//! Operation by hand: calls on the operators' listener, servers taken out, clients sent away, and a
-//! process replaced while it serves.
+//! The admin listener of the real program: statistics, disabled servers, draining, and a process that is replaced
+//! while it serves. Also bodies that are longer than what is buffered.
 
 mod common;
 #[path = "common/net.rs"]
@@ -19,13 +19,13 @@
 use serde_json::Value;
 use socket2::SockRef;
 
-/// The name under which stand-in discovery lists a server.
-fn name(server: &Server) -> String {
+/// The name under which fake discovery lists a server.
+fn name_of(server: &Server) -> String {
     format!("s-{}", server.at.port())
 }
 
-/// Says `text` to the operators' listener and returns all that it answers.
-fn say(admin: SocketAddr, text: &str) -> String {
+/// Sends `text` to the admin listener and returns the whole response.
+fn call(admin: SocketAddr, text: &str) -> String {
     let mut socket = TcpStream::connect(admin).expect("connected");
     socket.set_read_timeout(Some(PATIENCE)).expect("a time");
     socket.write_all(text.as_bytes()).expect("written");
@@ -34,99 +34,101 @@
     all
 }
 
-fn operated(config: &mut Value) {
+fn with_admin(config: &mut Value) {
     config["admin_addr"] = "127.0.0.1:0".into();
     config["limits"]["sockets"] = 128.into();
 }
 
-fn figure(stat: &str, name: &str) -> u64 {
-    let line = stat.lines().find_map(|l| l.strip_prefix(&format!("sidecar.{name}=")));
-    line.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name} in {stat}"))
+/// A figure of the response to `show-stat`.
+fn figure(statistics: &str, name: &str) -> u64 {
+    let line = statistics.lines().find_map(|l| l.strip_prefix(&format!("sidecar.{name}=")));
+    line.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name} in {statistics}"))
 }
 
-fn asked(sidecar: &Sidecar, ids: std::ops::Range<usize>, round: &str) {
-    for n in ids {
+/// Sends requests with these numbers, which must all be served.
+fn send_requests(sidecar: &Sidecar, numbers: std::ops::Range<usize>, round: &str) {
+    for n in numbers {
         let answer = sidecar.exchange(&look(&format!("{round}-{n}")));
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
 
 #[test]
-fn figures_tell_what_peers_saw_and_silent_callers_keep_nobody_out() {
+fn statistics_count_requests_and_silent_callers_do_not_block_others() {
     let server = Server::echo();
-    let sidecar = Sidecar::start_with(discovery(&[&server]), operated);
+    let sidecar = Sidecar::start_with(discovery(&[&server]), with_admin);
     let admin = sidecar.admin();
     let silent: Vec<_> = (0..20).map(|_| TcpStream::connect(admin).expect("connected")).collect();
-    asked(&sidecar, 0..7, "a");
-    assert_eq!(say(admin, "ready\n"), "done\n");
-    let stat = say(admin, "show-stat\r\n");
-    assert!(stat.ends_with("\nend\n"), "{stat}");
-    assert_eq!((figure(&stat, "ok.look"), figure(&stat, "tries")), (7, 7));
-    assert_eq!((figure(&stat, "active"), figure(&stat, "shed.look")), (0, 0));
-    assert_eq!((figure(&stat, "pool_size"), figure(&stat, "pool_ejected")), (1, 0));
-    for bad in ["disable-server nobody\n", "enable-server nobody\n", "rady\n", "\n"] {
-        assert!(say(admin, bad).starts_with("error: "), "{bad:?}");
+    send_requests(&sidecar, 0..7, "a");
+    assert_eq!(call(admin, "ready\n"), "done\n");
+    let statistics = call(admin, "show-stat\r\n");
+    assert!(statistics.ends_with("\nend\n"), "{statistics}");
+    assert_eq!((figure(&statistics, "ok.look"), figure(&statistics, "tries")), (7, 7));
+    assert_eq!((figure(&statistics, "active"), figure(&statistics, "shed.look")), (0, 0));
+    assert_eq!((figure(&statistics, "pool_size"), figure(&statistics, "pool_ejected")), (1, 0));
+    for invalid in ["disable-server nobody\n", "enable-server nobody\n", "rady\n", "\n"] {
+        assert!(call(admin, invalid).starts_with("error: "), "{invalid:?}");
     }
     let long = "x".repeat(5000) + "\n";
-    assert!(say(admin, &long).starts_with("error: "));
-    // Half a call is none.
+    assert!(call(admin, &long).starts_with("error: "));
+    // Half of a command is not one.
     let mut half = TcpStream::connect(admin).expect("connected");
-    half.write_all(format!("disable-server {}", name(&server)).as_bytes()).expect("written");
+    half.write_all(format!("disable-server {}", name_of(&server)).as_bytes()).expect("written");
     half.shutdown(std::net::Shutdown::Write).expect("ended");
-    let mut told = String::new();
-    half.read_to_string(&mut told).expect("an answer");
-    assert!(told.starts_with("error: "), "{told}");
-    assert_eq!(figure(&say(admin, "show-stat\n"), "pool_ejected"), 0);
+    let mut response = String::new();
+    half.read_to_string(&mut response).expect("a response");
+    assert!(response.starts_with("error: "), "{response}");
+    assert_eq!(figure(&call(admin, "show-stat\n"), "pool_ejected"), 0);
     drop(silent);
 }
 
 #[test]
-fn a_server_taken_out_gets_nothing_until_it_is_put_back_whatever_discovery_lists() {
-    let (out, server, third) = (Server::echo(), Server::echo(), Server::echo());
-    let sidecar = Sidecar::start_with(discovery(&[&out, &server]), operated);
+fn disabled_server_gets_no_requests_until_it_is_enabled_whatever_discovery_lists() {
+    let (disabled, server, third) = (Server::echo(), Server::echo(), Server::echo());
+    let sidecar = Sidecar::start_with(discovery(&[&disabled, &server]), with_admin);
     let admin = sidecar.admin();
     for _ in 0..2 {
-        assert_eq!(say(admin, &format!("disable-server {}\n", name(&out))), "done\n");
+        assert_eq!(call(admin, &format!("disable-server {}\n", name_of(&disabled))), "done\n");
     }
-    assert_eq!(figure(&say(admin, "show-stat\n"), "pool_ejected"), 1);
-    asked(&sidecar, 0..20, "a");
-    assert_eq!(out.seen().len(), 0);
+    assert_eq!(figure(&call(admin, "show-stat\n"), "pool_ejected"), 1);
+    send_requests(&sidecar, 0..20, "a");
+    assert_eq!(disabled.seen().len(), 0);
     // A new list, from another discovery, lists it as active.
-    let other = discovery(&[&out, &server, &third]);
+    let other = discovery(&[&disabled, &server, &third]);
     sidecar.replace_config(&sidecar.config_with_discovery(&other));
     sidecar.signal("HUP");
-    until("the new list is here", || figure(&say(admin, "show-stat\n"), "pool_size") == 3);
-    asked(&sidecar, 0..20, "b");
-    assert_eq!(out.seen().len(), 0);
+    until("the new list is here", || figure(&call(admin, "show-stat\n"), "pool_size") == 3);
+    send_requests(&sidecar, 0..20, "b");
+    assert_eq!(disabled.seen().len(), 0);
     assert_eq!(server.seen().len() + third.seen().len(), 40);
-    assert_eq!(say(admin, &format!("enable-server {}\n", name(&out))), "done\n");
-    asked(&sidecar, 0..40, "c");
-    assert!(!out.seen().is_empty());
+    assert_eq!(call(admin, &format!("enable-server {}\n", name_of(&disabled))), "done\n");
+    send_requests(&sidecar, 0..40, "c");
+    assert!(!disabled.seen().is_empty());
 }
 
 #[test]
-fn a_drained_sidecar_says_so_and_lets_its_clients_go_until_it_is_resumed() {
+fn drained_sidecar_is_not_ready_and_closes_client_connections_until_it_is_resumed() {
     let server = Server::echo();
-    let sidecar = Sidecar::start_with(discovery(&[&server]), operated);
+    let sidecar = Sidecar::start_with(discovery(&[&server]), with_admin);
     let admin = sidecar.admin();
-    let mut resting = sidecar.connect();
-    resting.write_all(look("a").as_bytes()).expect("written");
+    let mut idle = sidecar.connect();
+    idle.write_all(look("a").as_bytes()).expect("written");
     let mut buf = [0; 1024];
-    assert!(resting.read(&mut buf).expect("an answer") > 0);
-    assert_eq!(say(admin, "drain\n"), "done\n");
+    assert!(idle.read(&mut buf).expect("an answer") > 0);
+    assert_eq!(call(admin, "drain\n"), "done\n");
     let ready = || sidecar.exchange("GET /health/ready HTTP/1.1\r\n\r\n");
     assert!(ready().starts_with("HTTP/1.1 503"));
-    assert!(say(admin, "ready\n").starts_with("error: "));
-    assert_eq!(resting.read(&mut buf).expect("an end"), 0, "a client at rest is let go");
+    assert!(call(admin, "ready\n").starts_with("error: "));
+    assert_eq!(idle.read(&mut buf).expect("an end"), 0, "an idle client is closed");
     let late = sidecar.exchange(&look("b"));
     assert!(late.starts_with("HTTP/1.1 200") && late.contains("close"), "{late}");
-    assert_eq!(say(admin, "resume\n"), "done\n");
+    assert_eq!(call(admin, "resume\n"), "done\n");
     assert!(ready().starts_with("HTTP/1.1 200"));
     assert!(!sidecar.exchange(&look("c")).contains("close"));
 }
 
 /// The program with this listener as descriptor 5, as the platform passes it.
-fn passed(listener: &TcpListener, folder: &Path) -> Command {
+fn program_with_passed_socket(listener: &TcpListener, folder: &Path) -> Command {
     let copy = OwnedFd::from(listener.try_clone().expect("a second handle"));
     let mut command = Command::new("sh");
     let program = env!("CARGO_BIN_EXE_lb-sidecar");
@@ -136,18 +138,18 @@
 }
 
 #[test]
-fn a_successor_takes_over_the_listener_and_the_orders_and_nobody_is_refused() {
-    let (out, server) = (Server::echo(), Server::echo());
+fn successor_takes_over_listener_and_admin_state_without_a_refused_connection() {
+    let (disabled, server) = (Server::echo(), Server::echo());
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("bound");
-    let kept = Folder::new("kept");
+    let state_folder = Folder::new("admin-state");
     let start = || {
-        let command = passed(&listener, kept.path());
-        let discovery = discovery(&[&server, &out]);
-        Sidecar::start_command(command, at.to_string(), discovery, operated)
+        let command = program_with_passed_socket(&listener, state_folder.path());
+        let discovery = discovery(&[&server, &disabled]);
+        Sidecar::start_command(command, at.to_string(), discovery, with_admin)
     };
     let mut old = start();
-    assert_eq!(say(old.admin(), &format!("disable-server {}\n", name(&out))), "done\n");
+    assert_eq!(call(old.admin(), &format!("disable-server {}\n", name_of(&disabled))), "done\n");
     let stop = Arc::new(AtomicBool::new(false));
     let load = {
         let stop = stop.clone();
@@ -166,30 +168,30 @@
         })
     };
     let new = start();
-    until("the successor serves", || say(new.admin(), "ready\n") == "done\n");
-    // An order that one of the two is given holds at both.
-    assert_eq!(figure(&say(new.admin(), "show-stat\n"), "pool_ejected"), 1);
+    until("the successor serves", || call(new.admin(), "ready\n") == "done\n");
+    // What is ordered at one of the two holds at both.
+    assert_eq!(figure(&call(new.admin(), "show-stat\n"), "pool_ejected"), 1);
     old.signal("TERM");
     assert!(old.wait_for_exit().success());
-    asked(&new, 0..20, "after");
+    send_requests(&new, 0..20, "after");
     stop.store(true, Ordering::SeqCst);
     assert!(load.join().expect("no request was refused or lost") > 0);
-    assert_eq!(out.seen().len(), 0, "the server stays out across the replacement");
-    assert_eq!(say(new.admin(), &format!("enable-server {}\n", name(&out))), "done\n");
-    asked(&new, 0..40, "back");
-    assert!(!out.seen().is_empty());
+    assert_eq!(disabled.seen().len(), 0, "the server stays disabled across the replacement");
+    assert_eq!(call(new.admin(), &format!("enable-server {}\n", name_of(&disabled))), "done\n");
+    send_requests(&new, 0..40, "back");
+    assert!(!disabled.seen().is_empty());
 }
 
-/// A server over plain threads that answers each request with the length of the body it got, or, for
-/// requests whose id says so, with a body of that length in pieces.
-mod large {
+/// Bodies that are longer than what is buffered.
+mod large_bodies {
     use super::*;
     use net::{first_answer, order};
 
+    /// The length of a long body, in bytes.
     const LONG: usize = 3 << 20;
 
-    /// An order with a body that is brought by `write`.
-    fn begun(sidecar: &Sidecar, id: &str, framing: &str) -> TcpStream {
+    /// Sends the head of a request; its body is left to the test.
+    fn send_head(sidecar: &Sidecar, id: &str, framing: &str) -> TcpStream {
         let mut socket = sidecar.connect();
         let head = format!(
             "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n{framing}\r\n\r\n"
@@ -198,8 +200,8 @@
         socket
     }
 
-    /// Reads an order's body, and answers with its length.
-    fn counting() -> (SocketAddr, Arc<std::sync::Mutex<Vec<usize>>>) {
+    /// A server that answers each request with the length of its body, and the lengths that it has received.
+    fn body_length_server() -> (SocketAddr, Arc<std::sync::Mutex<Vec<usize>>>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let at = listener.local_addr().expect("bound");
         let bodies = Arc::new(std::sync::Mutex::new(Vec::new()));
@@ -223,17 +225,17 @@
         (at, bodies)
     }
 
-    fn listed(at: SocketAddr) -> net::Registry {
+    fn discovery_with(at: SocketAddr) -> net::Registry {
         net::Registry::start(vec![net::Entry::new(at, "a")])
     }
 
     #[test]
-    fn a_long_body_goes_to_one_server_as_it_comes_and_memory_stays_small() {
-        let (at, bodies) = counting();
-        let sidecar = Sidecar::start(listed(at));
+    fn long_body_is_streamed_to_one_server_and_memory_stays_small() {
+        let (at, bodies) = body_length_server();
+        let sidecar = Sidecar::start(discovery_with(at));
         for n in 0..4 {
             let mut socket =
-                begun(&sidecar, &format!("up-{n}"), &format!("Content-Length: {LONG}"));
+                send_head(&sidecar, &format!("up-{n}"), &format!("Content-Length: {LONG}"));
             for _ in 0..LONG / (64 << 10) {
                 socket.write_all(&[b'x'; 64 << 10]).expect("written");
             }
@@ -251,35 +253,43 @@
     }
 
     #[test]
-    fn one_that_breaks_off_on_its_way_never_ran_and_its_server_is_told_nothing_more() {
-        let (at, bodies) = counting();
-        let sidecar = Sidecar::start_with(listed(at), operated);
-        let mut socket = begun(&sidecar, "cut", &format!("Content-Length: {LONG}"));
+    fn aborted_upload_never_ran_and_its_server_receives_nothing_more() {
+        let (at, bodies) = body_length_server();
+        let sidecar = Sidecar::start_with(discovery_with(at), with_admin);
+        let mut socket = send_head(&sidecar, "cut", &format!("Content-Length: {LONG}"));
         socket.write_all(&[b'x'; 200 << 10]).expect("written");
-        until("it is taken up", || figure(&say(sidecar.admin(), "show-stat\n"), "active") == 1);
+        until("the request is in progress", || {
+            figure(&call(sidecar.admin(), "show-stat\n"), "active") == 1
+        });
         drop(socket);
-        until("it is over", || figure(&say(sidecar.admin(), "show-stat\n"), "active") == 0);
+        until("the request is over", || {
+            figure(&call(sidecar.admin(), "show-stat\n"), "active") == 0
+        });
         let answer = sidecar.exchange(&order("next"));
         assert!(answer.ends_with("\r\n\r\n2"), "{answer}");
-        assert_eq!(*bodies.lock().expect("no panic"), [2], "the cut one was never whole anywhere");
+        assert_eq!(
+            *bodies.lock().expect("no panic"),
+            [2],
+            "the aborted one was never complete anywhere"
+        );
     }
 
     #[test]
-    fn a_server_that_ends_in_the_middle_of_a_long_body_leaves_a_harmless_refusal() {
+    fn server_that_closes_within_a_long_body_leads_to_a_harmless_rejection() {
         // More than the system holds between two sockets (tcp(7): a few megabytes each): all of it would count as
         // sent otherwise, if the server is slow to end, and then it may have run.
         const LONGER: usize = 8 * LONG;
         let server = TcpListener::bind("127.0.0.1:0").expect("a port");
         SockRef::from(&server).set_recv_buffer_size(64 << 10).expect("set");
-        let sidecar = Sidecar::start(listed(server.local_addr().expect("bound")));
+        let sidecar = Sidecar::start(discovery_with(server.local_addr().expect("bound")));
         let reset = thread::spawn(move || {
             let (mut socket, _) = server.accept().expect("a connection");
             let mut some = vec![0; 300 << 10];
             socket.read_exact(&mut some).expect("some of the body");
         });
-        let mut socket = begun(&sidecar, "lost", &format!("Content-Length: {LONGER}"));
+        let mut socket = send_head(&sidecar, "lost", &format!("Content-Length: {LONGER}"));
         for _ in 0..LONGER / (64 << 10) {
-            socket.write_all(&[b'x'; 64 << 10]).expect("taken in, though nobody wants it");
+            socket.write_all(&[b'x'; 64 << 10]).expect("accepted, though nobody reads it");
         }
         let answer = first_answer(socket);
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
@@ -287,7 +297,7 @@
     }
 
     #[test]
-    fn a_long_answer_flows_before_it_is_whole_and_one_that_breaks_does_not_look_whole() {
+    fn long_response_is_streamed_and_an_aborted_one_does_not_look_complete() {
         let gate = Arc::new(AtomicBool::new(false));
         let opened = gate.clone();
         let server = Server::start(move |id, socket| {
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -163,7 +163,7 @@
         until("the admin listener is open", || {
             let told = |line: &str| -> Option<SocketAddr> {
                 let told: Value = serde_json::from_str(line).ok()?;
-                let called = told["message"] == "operators may call";
+                let called = told["message"] == "admin listener started";
                 called.then(|| told["address"].as_str()?.parse().ok()).flatten()
             };
             at = self.log().lines().find_map(told);
--- a/tests/keeping.rs
+++ b/tests/supervision.rs
@@ -1,4 +1,4 @@
-//! What a keeper of sidecars relies on: live reloads, listeners that outlive processes, reports.
+//! What a supervisor of sidecars relies on: reloads, listeners that outlive processes, status reports.
 
 mod common;
 #[path = "common/net.rs"]
@@ -18,11 +18,12 @@
 };
 use serde_json::Value;
 
-fn reloaded(sidecar: &Sidecar, config: &Value) -> Value {
+/// Reloads with another configuration, and returns the state after it.
+fn reload(sidecar: &Sidecar, config: &Value) -> Value {
     sidecar.replace_config(&config.to_string());
     sidecar.signal("HUP");
     let generation = &config["generation"];
-    until("the sidecar tells of it", || {
+    until("the reload is reported", || {
         let state = sidecar.state();
         state["generation"] == *generation || state["declined"]["generation"] == *generation
     });
@@ -30,7 +31,7 @@
 }
 
 #[test]
-fn limits_aims_and_tenants_change_live_and_shapes_do_not() {
+fn reload_applies_limits_objectives_and_tenants_but_not_zones() {
     let server = Server::echo();
     let sidecar = Sidecar::start(discovery(&[&server]));
     let mut config: Value = sidecar.config().clone();
@@ -41,28 +42,28 @@
     config["settings"]["classes"][0]["deadline"] = 5_000_000.into();
     config["settings"]["tenants"] =
         serde_json::json!([{"name": "club", "quotaPerS": 5.0, "share": 1.0}]);
-    let told = reloaded(&sidecar, &config);
-    assert_eq!((&told["generation"], &told["declined"]), (&2.into(), &Value::Null));
-    // Tenants are in force: one that names none is turned away now.
+    let state = reload(&sidecar, &config);
+    assert_eq!((&state["generation"], &state["declined"]), (&2.into(), &Value::Null));
+    // Tenants are in force: a request that names none is rejected now.
     assert!(sidecar.exchange(&look("a")).starts_with("HTTP/1.1 400"));
     let named = |id| look(id).replace("\r\nX-Time", "\r\nX-Account: club\r\nX-Time");
     assert!(sidecar.exchange(&named("b")).ends_with("\r\n\r\nb"));
 
-    let mut shape = config.clone();
-    shape["generation"] = 3.into();
-    shape["settings"]["zones"] = serde_json::json!(["a", "b", "c"]);
-    let told = reloaded(&sidecar, &shape);
-    assert_eq!(told["generation"], 2);
-    let why = told["declined"]["why"].as_str().expect("a reason");
-    assert!(why.starts_with("settings.zones:"), "{why}");
+    let mut other_zones = config.clone();
+    other_zones["generation"] = 3.into();
+    other_zones["settings"]["zones"] = serde_json::json!(["a", "b", "c"]);
+    let state = reload(&sidecar, &other_zones);
+    assert_eq!(state["generation"], 2);
+    let reason = state["declined"]["why"].as_str().expect("a reason");
+    assert!(reason.starts_with("settings.zones:"), "{reason}");
     assert!(sidecar.exchange(&named("c")).ends_with("\r\n\r\nc"));
 }
 
 #[test]
-fn more_clients_fit_after_a_live_reload_and_fewer_after_the_next() {
+fn reload_changes_how_many_clients_fit() {
     let server = Server::echo();
     let sidecar = Sidecar::start(discovery(&[&server]));
-    let held = || {
+    let connected = || {
         let all: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
         let mut most = 0;
         for _ in 0..50 {
@@ -72,28 +73,28 @@
         drop(all);
         most
     };
-    // Of 64 descriptors, 20 places are for clients.
-    assert!(held() <= 20);
+    // Of 64 descriptors, 20 are for clients.
+    assert!(connected() <= 20);
     let mut config: Value = sidecar.config().clone();
     config["generation"] = 1.into();
     config["limits"]["sockets"] = 256.into();
-    reloaded(&sidecar, &config);
-    until("more fit", || held() > 40);
+    reload(&sidecar, &config);
+    until("more clients fit", || connected() > 40);
     config["generation"] = 2.into();
     config["limits"]["sockets"] = 64.into();
-    reloaded(&sidecar, &config);
-    until("fewer fit again", || held() <= 20);
+    reload(&sidecar, &config);
+    until("fewer clients fit again", || connected() <= 20);
 }
 
 #[test]
-fn a_successor_takes_the_listener_and_nothing_is_refused_cut_or_sent_twice() {
-    let (began, begun) = mpsc::channel();
-    let (go, began) = (Arc::new(AtomicBool::new(false)), std::sync::Mutex::new(began));
-    let went = go.clone();
+fn successor_takes_over_listener_without_refused_lost_or_duplicated_requests() {
+    let (started, started_receiver) = mpsc::channel();
+    let (go, started) = (Arc::new(AtomicBool::new(false)), std::sync::Mutex::new(started));
+    let released = go.clone();
     let server = Server::start(move |id, socket| {
         if id == "slow" {
-            began.lock().expect("no panic").send(()).expect("the test listens");
-            until("the test says go", || went.load(Ordering::Relaxed));
+            started.lock().expect("no panic").send(()).expect("the test listens");
+            until("the test says go", || released.load(Ordering::Relaxed));
         }
         socket.write_all(answer(id).as_bytes()).is_ok()
     });
@@ -101,7 +102,7 @@
     let mut old = Sidecar::start_on(Some(&listener), discovery(&[&server]), |_| {});
     let mut slow = old.connect();
     slow.write_all(order("slow").as_bytes()).expect("sent");
-    begun.recv_timeout(PATIENCE).expect("it is out");
+    started_receiver.recv_timeout(PATIENCE).expect("the request is in progress");
 
     let new = Sidecar::start_on(Some(&listener), discovery(&[&server]), |_| {});
     let stop = Arc::new(AtomicBool::new(false));
@@ -116,8 +117,8 @@
                 let id = format!("r{n}");
                 let mut socket = std::net::TcpStream::connect(at).expect("never refused");
                 socket.write_all(order(&id).as_bytes()).expect("sent");
-                let told = first_answer(socket);
-                assert!(told.ends_with(&format!("\r\n\r\n{id}")), "{told:?}");
+                let answer = first_answer(socket);
+                assert!(answer.ends_with(&format!("\r\n\r\n{id}")), "{answer:?}");
                 served.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -134,8 +135,8 @@
     });
     more(50);
     go.store(true, Ordering::Relaxed);
-    let told = first_answer(slow);
-    assert!(told.ends_with("\r\n\r\nslow"), "{told:?}");
+    let answer = first_answer(slow);
+    assert!(answer.ends_with("\r\n\r\nslow"), "{answer:?}");
     assert!(old.wait_for_exit().success());
     more(20);
     stop.store(true, Ordering::Relaxed);
@@ -148,11 +149,11 @@
 }
 
 #[test]
-fn reports_go_to_the_keeper_and_tell_the_truth() {
-    let folder = Folder::new("keeper");
+fn status_reports_reach_the_supervisor_and_are_correct() {
+    let folder = Folder::new("supervisor");
     let path = folder.path().join("notify");
-    let keeper = UnixDatagram::bind(&path).expect("a socket");
-    keeper.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let supervisor = UnixDatagram::bind(&path).expect("a socket");
+    supervisor.set_read_timeout(Some(PATIENCE)).expect("a time");
     let server = Server::echo();
     let mut sidecar = Sidecar::start_with_env(
         discovery(&[&server]),
@@ -160,7 +161,7 @@
     );
     let next = || {
         let mut buf = [0; 4096];
-        let n = keeper.recv(&mut buf).expect("a report");
+        let n = supervisor.recv(&mut buf).expect("a report");
         String::from_utf8(buf[..n].to_vec()).expect("text")
     };
     let pid = format!("MAINPID={}\n", sidecar.pid());
@@ -179,7 +180,7 @@
 }
 
 #[test]
-fn a_configuration_is_checked_without_starting() {
+fn configuration_is_checked_without_starting() {
     let folder = Folder::new("check");
     let path = folder.path().join("config.json");
     let check = |text: &str| {
@@ -189,31 +190,31 @@
         let out = command.arg("check").arg(&path).output().expect("it starts");
         (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
     };
-    let sound = serde_json::json!({
+    let valid = serde_json::json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "a7",
         "limits": {"memory_mb": 32, "sockets": 64}, "settings": common::settings_json()});
-    assert_eq!(check(&sound.to_string()), (Some(0), String::new()));
-    let wrong = |change: fn(&mut Value), key: &str| {
-        let mut wrong = sound.clone();
-        change(&mut wrong);
-        let (code, why) = check(&wrong.to_string());
+    assert_eq!(check(&valid.to_string()), (Some(0), String::new()));
+    let rejects = |change: fn(&mut Value), key: &str| {
+        let mut invalid = valid.clone();
+        change(&mut invalid);
+        let (code, error) = check(&invalid.to_string());
         assert_eq!(code, Some(2));
-        assert!(why.contains(key), "{why}");
+        assert!(error.contains(key), "{error}");
     };
-    wrong(|c| c["limits"]["sockets"] = 3.into(), "limits.sockets");
-    wrong(|c| c["tier"] = serde_json::json!({"turn_ms": 5}), "tier.turn_ms: 10 to 60000");
+    rejects(|c| c["limits"]["sockets"] = 3.into(), "limits.sockets");
+    rejects(|c| c["tier"] = serde_json::json!({"turn_ms": 5}), "tier.turn_ms: 10 to 60000");
     let large = |c: &mut Value| {
         c["tier"] = serde_json::json!({"turn_ms": 100});
         c["settings"]["instances"] = 8193.into();
     };
-    wrong(large, "settings.instances: 8192 at most");
+    rejects(large, "settings.instances: 8192 at most");
     let out = Command::new(env!("CARGO_BIN_EXE_lb-sidecar")).arg("--version").output();
     let text = String::from_utf8(out.expect("it starts").stdout).expect("text");
     assert_eq!(text, format!("lb-sidecar {}\n", env!("CARGO_PKG_VERSION")));
 }
 
 #[test]
-fn a_listener_of_another_address_is_refused() {
+fn inherited_listener_with_another_address_is_rejected() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let folder = Folder::new("handed");
     let path = folder.path().join("config.json");
@@ -223,30 +224,30 @@
     std::fs::write(&path, config.to_string()).expect("written");
     let out = program(Some(&listener)).env("LB_CONFIG", &path).output().expect("it starts");
     assert_eq!(out.status.code(), Some(2));
-    let why = String::from_utf8_lossy(&out.stderr).into_owned();
-    assert!(why.contains("LISTEN_FDS"), "{why}");
+    let error = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(error.contains("LISTEN_FDS"), "{error}");
 }
 
 #[test]
-fn one_whose_descriptors_run_out_says_so_and_serves_on() {
+fn sidecar_without_free_descriptors_reports_so_and_serves_on() {
     let folder = Folder::new("short");
     let path = folder.path().join("notify");
-    let keeper = UnixDatagram::bind(&path).expect("a socket");
-    keeper.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let supervisor = UnixDatagram::bind(&path).expect("a socket");
+    supervisor.set_read_timeout(Some(PATIENCE)).expect("a time");
     let server = Server::echo();
-    // It believes that it may have 256, and the system gives it 40.
+    // It is configured for 256, and the system grants 40.
     let sidecar = Sidecar::start_limited(discovery(&[&server]), 40, &path);
-    let told = |what: &str| {
+    let wait_for_report = |what: &str| {
         until(what, || {
             let mut buf = [0; 4096];
-            let n = keeper.recv(&mut buf).expect("a report");
+            let n = supervisor.recv(&mut buf).expect("a report");
             String::from_utf8_lossy(&buf[..n]).contains(what)
         });
     };
-    told("\"short\":false");
+    wait_for_report("\"short\":false");
     let crowd: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
-    told("\"short\":true");
+    wait_for_report("\"short\":true");
     drop(crowd);
-    told("\"short\":false");
+    wait_for_report("\"short\":false");
     assert!(sidecar.exchange(&look("after")).ends_with("after"));
 }
