Simulation: every field of a fault is documented

Cause: one exception to missing_docs stood at FaultKind. Change: doc comments on the fields, the exception went.

--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -16,112 +16,227 @@
 
 /// What goes wrong.
 ///
-/// Servers and sidecars are given by their indices, modulo how many there are. A `share` is a probability
-/// from 0 to 1.
+/// An index of a server or sidecar is taken modulo how many there are. Probabilities are from 0 to 1.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(tag = "kind")]
-#[allow(missing_docs, reason = "the fields of each kind are explained above")]
 pub enum FaultKind {
     /// A server takes this many times as long.
     #[serde(rename = "slow")]
     SlowServer {
+        /// The index of the server.
         server: usize,
+        /// The factor.
         #[serde(rename = "times")]
         factor: f64,
     },
     /// Some requests are executed and never answered.
     #[serde(rename = "hang")]
-    Hang { server: usize, share: f64 },
+    Hang {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some requests are answered 500 after they were executed.
     #[serde(rename = "error")]
-    ServerError { server: usize, share: f64 },
+    ServerError {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some connections are reset when a request is complete, before it is executed.
     #[serde(rename = "reset-before")]
-    ResetBeforeExecution { server: usize, share: f64 },
+    ResetBeforeExecution {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some connections are reset after a request was executed, in place of the response.
     #[serde(rename = "reset-after")]
-    ResetAfterExecution { server: usize, share: f64 },
+    ResetAfterExecution {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some connections are reset in the middle of a response.
     #[serde(rename = "reset-within")]
-    ResetWithinResponse { server: usize, share: f64 },
+    ResetWithinResponse {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some responses are not HTTP.
     #[serde(rename = "spoilt")]
-    MalformedResponse { server: usize, share: f64 },
+    MalformedResponse {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some responses stop half way while the connection stays open.
     #[serde(rename = "half")]
-    TruncatedResponse { server: usize, share: f64 },
+    TruncatedResponse {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some responses are shorter than they declare.
     #[serde(rename = "wrong-length")]
-    WrongContentLength { server: usize, share: f64 },
+    WrongContentLength {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some responses are followed by bytes that belong to none.
     #[serde(rename = "surplus")]
-    SurplusBytes { server: usize, share: f64 },
+    SurplusBytes {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some connections are closed after a response that did not announce it.
     #[serde(rename = "close-after")]
-    CloseAfterResponse { server: usize, share: f64 },
+    CloseAfterResponse {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some responses are delayed.
     #[serde(rename = "late")]
     DelayedResponse {
+        /// The index of the server.
         server: usize,
+        /// The probability.
         share: f64,
+        /// The delay, in milliseconds.
         #[serde(rename = "late_ms")]
         delay_ms: u64,
     },
     /// Some requests are rejected without being executed.
     #[serde(rename = "turn-away")]
-    RejectUnprocessed { server: usize, share: f64 },
+    RejectUnprocessed {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// A server is killed, or vanishes, and is back at the end under the same name, cold.
     #[serde(rename = "restart")]
-    RestartServer { server: usize, vanish: bool },
+    RestartServer {
+        /// The index of the server.
+        server: usize,
+        /// Whether the host vanishes, rather than its processes being killed.
+        vanish: bool,
+    },
     /// A server is killed and replaced by one of another name at its address, cold.
     #[serde(rename = "replace")]
-    ReplaceServer { server: usize },
+    ReplaceServer {
+        /// The index of the server.
+        server: usize,
+    },
     /// A server drains: it is listed as leaving and rejects new requests. At the end it is back.
     #[serde(rename = "drain")]
-    DrainServer { server: usize },
+    DrainServer {
+        /// The index of the server.
+        server: usize,
+    },
     /// A server is removed from the endpoint list and keeps running. At the end it is listed again.
     #[serde(rename = "unlist")]
-    UnlistServer { server: usize },
+    UnlistServer {
+        /// The index of the server.
+        server: usize,
+    },
     /// The network path to a server and back takes this much longer.
     #[serde(rename = "latency")]
     AddedLatency {
+        /// The index of the server.
         server: usize,
+        /// The added latency, in microseconds; up to half as much again is drawn on top.
         #[serde(rename = "more_us")]
         added_us: u64,
     },
     /// Some segments to and from a server need a retransmission.
     #[serde(rename = "loss")]
-    SegmentLoss { server: usize, share: f64 },
+    SegmentLoss {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some reads and writes to and from a server transfer only some of the bytes.
     #[serde(rename = "chop")]
-    PartialIo { server: usize, share: f64 },
+    PartialIo {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Nothing passes to a server, or from it, or both.
     #[serde(rename = "cut")]
     Partition {
+        /// The index of the server.
         server: usize,
+        /// Whether nothing passes to the server.
         #[serde(rename = "there")]
         to_server: bool,
+        /// Whether nothing passes from the server.
         #[serde(rename = "back")]
         from_server: bool,
     },
     /// Some new connections to a server are refused.
     #[serde(rename = "refuse")]
-    RefuseConnections { server: usize, share: f64 },
+    RefuseConnections {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Some new connections to a server are never established.
     #[serde(rename = "ignore")]
-    DropSyns { server: usize, share: f64 },
+    DropSyns {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Resets overtake what is in flight from a server.
     #[serde(rename = "overtake")]
-    ResetOvertakes { server: usize, share: f64 },
+    ResetOvertakes {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Every `nth` connection to a server is reset.
     #[serde(rename = "reset-all")]
-    ResetConnections { server: usize, nth: usize },
+    ResetConnections {
+        /// The index of the server.
+        server: usize,
+        /// Which connections are reset: one in so many.
+        nth: usize,
+    },
     /// All connections to a server fall silent for good.
     #[serde(rename = "silence")]
-    BlackholeConnections { server: usize },
+    BlackholeConnections {
+        /// The index of the server.
+        server: usize,
+    },
     /// Only this many bytes may be written to a server before it has read them.
     #[serde(rename = "window")]
-    SmallWindow { server: usize, bytes: usize },
+    SmallWindow {
+        /// The index of the server.
+        server: usize,
+        /// The window, in bytes.
+        bytes: usize,
+    },
     /// Discovery resets every call.
     #[serde(rename = "discovery-down")]
     DiscoveryDown,
@@ -136,64 +251,113 @@
     DiscoveryRestart,
     /// Some clients leave before their response.
     #[serde(rename = "leave")]
-    ClientsLeave { share: f64 },
+    ClientsLeave {
+        /// The probability.
+        share: f64,
+    },
     /// Some clients write their requests slowly, piece by piece.
     #[serde(rename = "trickle")]
-    SlowRequests { share: f64 },
+    SlowRequests {
+        /// The probability.
+        share: f64,
+    },
     /// Some clients use the id of a request that is open.
     #[serde(rename = "reuse-id")]
-    DuplicateIds { share: f64 },
+    DuplicateIds {
+        /// The probability.
+        share: f64,
+    },
     /// Some clients send what is not a request, or half of one.
     #[serde(rename = "garbage")]
-    MalformedRequests { share: f64 },
+    MalformedRequests {
+        /// The probability.
+        share: f64,
+    },
     /// This many times as many requests are sent.
     #[serde(rename = "burst")]
     LoadBurst {
+        /// The factor.
         #[serde(rename = "times")]
         factor: f64,
     },
     /// A sidecar's descriptors run out: it may open no more than it has.
     #[serde(rename = "descriptors")]
-    DescriptorsExhausted { sidecar: usize },
+    DescriptorsExhausted {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
     /// A sidecar reads a new configuration, which is valid or not.
     #[serde(rename = "reload")]
     ReloadConfiguration {
+        /// The index of the sidecar.
         sidecar: usize,
+        /// Whether the new configuration can be applied.
         #[serde(rename = "sound")]
         valid: bool,
     },
     /// A sidecar is asked to terminate, and is started again.
     #[serde(rename = "term")]
-    TerminateSidecar { sidecar: usize },
+    TerminateSidecar {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
     /// A sidecar is killed, and is started again.
     #[serde(rename = "kill")]
-    KillSidecar { sidecar: usize },
+    KillSidecar {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
     /// Some datagrams between sidecars are lost, half as many are duplicated.
     #[serde(rename = "notes")]
-    GossipLoss { share: f64 },
+    GossipLoss {
+        /// The probability.
+        share: f64,
+    },
     /// Some connections are reset this long after a request was executed, in place of its response.
     #[serde(rename = "reset-late")]
     DelayedReset {
+        /// The index of the server.
         server: usize,
+        /// The probability.
         share: f64,
+        /// The delay, in milliseconds.
         #[serde(rename = "late_ms")]
         delay_ms: u64,
     },
     /// Some of the requests with a body have one that is too long to be buffered.
     #[serde(rename = "long-bodies")]
-    LongRequests { share: f64 },
+    LongRequests {
+        /// The probability.
+        share: f64,
+    },
     /// Some responses are too long to be buffered.
     #[serde(rename = "long-answers")]
-    LongResponses { server: usize, share: f64 },
+    LongResponses {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// Operators disable a server at a sidecar, and enable it at the end.
     #[serde(rename = "take-out")]
-    DisableServer { sidecar: usize, server: usize },
+    DisableServer {
+        /// The index of the sidecar.
+        sidecar: usize,
+        /// The index of the server.
+        server: usize,
+    },
     /// Operators drain a sidecar's clients, and resume at the end.
     #[serde(rename = "send-away")]
-    DrainClients { sidecar: usize },
+    DrainClients {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
     /// Many callers of a sidecar's admin listener send nothing, half a line, or nonsense.
     #[serde(rename = "bad-calls")]
-    MalformedAdminCalls { sidecar: usize },
+    MalformedAdminCalls {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
 }
 
 impl FaultKind {
