Wire and adapter: typed errors, records by plain names, documented items

Cause: errors of the wire were texts, records were called On, Up, Ring or Vanished, and one function decoded all of them in over 60 lines.

Change: WireError holds a WireProblem, a variant for each cause, with its text as before; reading a frame uses it too. Records are named as the events they become; lists, requests and the kinds of lists have functions of their own. The adapter has typed errors for instances and batches, small functions, and named state in place of tuples. Docs on all public items; tests named by behaviour. The codes and bytes stay.

--- a/src/bin/lb-simulator-adapter.rs
+++ b/src/bin/lb-simulator-adapter.rs
@@ -1,4 +1,4 @@
-//! Hosts many instances of the decision module for the simulator: batches on standard input, one
+//! Hosts many instances of the balancer for the simulator: batches of events on standard input, one
 //! reply each on standard output. Instances share nothing but this process.
 #![forbid(unsafe_code)]
 
@@ -7,96 +7,106 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use lb_sidecar::api::{Action, Event, ListKind, ServerEntry};
+use lb_sidecar::api::{Action, Event, ListKind, Micros, ServerEntry};
 use lb_sidecar::balancer::Balancer;
-use lb_sidecar::settings::Settings;
-use lb_sidecar::wire::{self, Batch, Record, Reply, WireError};
+use lb_sidecar::settings::{Settings, SettingsError};
+use lb_sidecar::wire::{self, Batch, Record, Reply, WireError, WireProblem};
+use thiserror::Error;
 
-const LISTS: usize = 16;
+/// The number of endpoint lists that the simulator can define.
+const MAX_LISTS: usize = 16;
+/// The size of the buffer for standard input, in bytes.
+const INPUT_BUFFER: usize = 1 << 16;
 
 thread_local! {
-    static PANIC: RefCell<String> = const { RefCell::new(String::new()) };
+    /// The message of the last panic, as the panic hook got it.
+    static PANIC_MESSAGE: RefCell<String> = const { RefCell::new(String::new()) };
 }
 
+/// Why an instance cannot go on.
+#[derive(Debug, Error)]
+enum InstanceError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("panic in the decisions: {0}")]
+    Panic(String),
+}
+
+/// What ends the run.
+#[derive(Debug, Error)]
+enum BatchError {
+    #[error(transparent)]
+    Malformed(#[from] WireError),
+    #[error("{error}")]
+    Instance { instance: u16, error: InstanceError },
+}
+
+/// The actions of one instance in a batch.
+struct PendingActions {
+    instance: u16,
+    actions: Vec<Action>,
+}
+
+/// Where an instance's entry in `Host::pending` is.
+#[derive(Clone, Copy, Default)]
+struct PendingIndex {
+    batch: u64,
+    index: usize,
+}
+
+/// The instances, and the endpoint lists that were defined.
 #[derive(Default)]
 struct Host {
     instances: Vec<Option<Box<Balancer>>>,
-    lists: [Option<Vec<ServerEntry>>; LISTS],
-    skipped: Vec<u8>,
+    lists: [Option<Vec<ServerEntry>>; MAX_LISTS],
+    /// Unknown record codes that were logged.
+    skipped_codes: Vec<u8>,
     /// This batch's actions, an entry for each instance in the order of their first events.
-    pending: Vec<(u16, Vec<Action>)>,
-    /// Where an instance's entry in `pending` is, and of which batch.
-    place: Vec<(u64, usize)>,
+    pending: Vec<PendingActions>,
+    pending_index: Vec<PendingIndex>,
+    /// The number of the current batch.
     batch: u64,
+    /// Empty vectors, to be used again.
     spare: Vec<Vec<Action>>,
 }
 
-/// What ends the run: a frame that cannot be read, or decisions that failed.
-enum Stop {
-    Wire(WireError),
-    Fault { instance: u16, text: String },
-}
-
-impl From<WireError> for Stop {
-    fn from(e: WireError) -> Stop {
-        Stop::Wire(e)
-    }
-}
-
 impl Host {
-    fn turn(&mut self, instance: u16) -> usize {
+    /// The position in `pending` of an instance that gets events.
+    fn select(&mut self, instance: u16) -> usize {
         let i = usize::from(instance);
-        if self.place.len() <= i {
-            self.place.resize(i + 1, (0, 0));
+        if self.pending_index.len() <= i {
+            self.pending_index.resize(i + 1, PendingIndex::default());
             self.instances.resize_with(i + 1, || None);
         }
-        if self.place[i].0 != self.batch {
-            self.place[i] = (self.batch, self.pending.len());
-            let list = self.spare.pop().unwrap_or_default();
-            self.pending.push((instance, list));
+        if self.pending_index[i].batch != self.batch {
+            self.pending_index[i] = PendingIndex { batch: self.batch, index: self.pending.len() };
+            let actions = self.spare.pop().unwrap_or_default();
+            self.pending.push(PendingActions { instance, actions });
         }
-        self.place[i].1
+        self.pending_index[i].index
     }
 
-    fn batch(&mut self, frame: &[u8], reply: &mut Reply) -> Result<(), Stop> {
+    /// Handles one batch and appends its actions to the reply.
+    fn handle_batch(&mut self, frame: &[u8], reply: &mut Reply) -> Result<(), BatchError> {
         self.batch += 1;
         let batch = Batch::new(frame)?;
-        let mut current = None;
+        let mut selected = None;
         for record in batch.records() {
-            let event = match record? {
-                Record::On(instance) => {
-                    current = Some((instance, self.turn(instance)));
-                    continue;
-                }
-                Record::Rows { list, entries } => {
-                    let slot = self.lists.get_mut(list as usize).ok_or_else(|| WireError {
-                        what: format!("list number {list} is past 15"),
-                        at: 0,
-                    })?;
-                    *slot = Some(entries);
-                    continue;
+            match record? {
+                Record::SelectInstance(instance) => selected = Some(self.select(instance)),
+                Record::EndpointList { list, entries } => self.define_list(list, entries)?,
+                Record::Unknown(code) => self.skip(code),
+                record => {
+                    let selected =
+                        selected.ok_or_else(|| WireError::new(WireProblem::NoInstance, 0))?;
+                    self.handle_record(batch.now, selected, record)?;
                 }
-                Record::Unknown(code) => {
-                    if !self.skipped.contains(&code) {
-                        self.skipped.push(code);
-                        eprintln!("lb-simulator-adapter: skipping records of unknown code {code}");
-                    }
-                    continue;
-                }
-                other => other,
-            };
-            let Some((instance, place)) = current else {
-                return Err(Stop::Wire(WireError {
-                    what: "an event before any instance is named".into(),
-                    at: 0,
-                }));
-            };
-            self.event(batch.now, instance, place, event)?;
+            }
         }
-        for (instance, mut actions) in self.pending.drain(..) {
+        for PendingActions { instance, mut actions } in self.pending.drain(..) {
             if !actions.is_empty() {
-                reply.at(instance);
-                actions.iter().for_each(|a| reply.action(a));
+                reply.select_instance(instance);
+                actions.iter().for_each(|action| reply.action(action));
                 actions.clear();
             }
             self.spare.push(actions);
@@ -104,105 +114,131 @@
         Ok(())
     }
 
-    fn event(
+    fn define_list(&mut self, list: u32, entries: Vec<ServerEntry>) -> Result<(), WireError> {
+        let too_large = || WireError::new(WireProblem::ListNumberTooLarge(list), 0);
+        *self.lists.get_mut(list as usize).ok_or_else(too_large)? = Some(entries);
+        Ok(())
+    }
+
+    /// Logs a code that is not known, once.
+    fn skip(&mut self, code: u8) {
+        if !self.skipped_codes.contains(&code) {
+            self.skipped_codes.push(code);
+            eprintln!("lb-simulator-adapter: skipping records of unknown code {code}");
+        }
+    }
+
+    /// Handles a record for the instance at a position of `pending`.
+    fn handle_record(
         &mut self,
-        now: u64,
-        instance: u16,
-        place: usize,
+        now: Micros,
+        selected: usize,
         record: Record<'_>,
-    ) -> Result<(), Stop> {
-        let slot = &mut self.instances[usize::from(instance)];
-        let out = &mut self.pending[place].1;
-        let fault = |text| Stop::Fault { instance, text };
-        let event = match record {
-            Record::Up { seed, info } => {
-                let settings = Settings::from_json(info).map_err(|e| fault(e.to_string()))?;
-                out.clear();
-                let made = guarded(|| Balancer::new(settings, seed, now)).map_err(fault)?;
-                *slot = Some(Box::new(made));
+    ) -> Result<(), BatchError> {
+        let PendingActions { instance, actions } = &mut self.pending[selected];
+        let instance = *instance;
+        let balancer = &mut self.instances[usize::from(instance)];
+        let failed = |error| BatchError::Instance { instance, error };
+        match record {
+            Record::Start { seed, settings } => {
+                actions.clear();
+                *balancer = Some(Box::new(start(settings, seed, now).map_err(failed)?));
                 return Ok(());
             }
-            Record::Exit => {
+            Record::Stop => {
                 // What a killed instance still wanted dies with it.
-                out.clear();
-                *slot = None;
+                actions.clear();
+                *balancer = None;
                 return Ok(());
             }
-            Record::Directory { kind, list } => {
-                let entries: &[ServerEntry] = if kind == ListKind::Failed {
-                    &[]
-                } else {
-                    let known = self.lists.get(list as usize).and_then(Option::as_ref);
-                    known.ok_or_else(|| WireError {
-                        what: format!("list number {list} was never defined"),
-                        at: 0,
-                    })?
-                };
-                Event::EndpointUpdate { kind, entries }
-            }
-            Record::Ingress(request) => Event::Request(request),
-            Record::FirstByte { id, attempt } => Event::FirstByte { id, attempt },
-            Record::AttemptEnded(result) => Event::AttemptEnded(result),
-            Record::Vanished(id) => Event::ClientDisconnected { id },
-            Record::Ring(token) => Event::Timer { token },
-            Record::Probed { server, outcome, latency, report } => {
-                Event::HealthCheckEnded { server, outcome, latency, report }
-            }
-            Record::Note { from, data } => Event::PeerMessage { from, data },
-            Record::On(_) | Record::Rows { .. } | Record::Unknown(_) => return Ok(()),
-        };
-        // Events for an instance that is not up have nobody to read them.
-        match slot {
-            Some(balancer) => guarded(|| balancer.handle(now, event, out)).map_err(fault),
-            None => Ok(()),
+            _ => {}
         }
+        let Some(event) = event(record, &self.lists)? else { return Ok(()) };
+        // Events for an instance that is not up have nobody to read them.
+        let Some(balancer) = balancer else { return Ok(()) };
+        catch_panic(|| balancer.handle(now, event, actions)).map_err(failed)
     }
 }
 
-/// Runs the decisions; a panic inside them comes back as its text.
-fn guarded<T>(f: impl FnOnce() -> T) -> Result<T, String> {
-    panic::catch_unwind(AssertUnwindSafe(f)).map_err(|_| {
-        let text = PANIC.with(|p| p.take());
-        format!("panic in the decisions: {text}")
-    })
+fn start(settings: &[u8], seed: u64, now: Micros) -> Result<Balancer, InstanceError> {
+    let settings = Settings::from_json(settings)?;
+    catch_panic(|| Balancer::new(settings, seed, now))
+}
+
+/// The event of a record; `None` if it is for the host.
+fn event<'a>(
+    record: Record<'a>,
+    lists: &'a [Option<Vec<ServerEntry>>; MAX_LISTS],
+) -> Result<Option<Event<'a>>, WireError> {
+    Ok(Some(match record {
+        Record::EndpointUpdate { kind: ListKind::Failed, .. } => {
+            Event::EndpointUpdate { kind: ListKind::Failed, entries: &[] }
+        }
+        Record::EndpointUpdate { kind, list } => {
+            let entries = lists.get(list as usize).and_then(Option::as_ref);
+            let undefined = || WireError::new(WireProblem::UndefinedList(list), 0);
+            Event::EndpointUpdate { kind, entries: entries.ok_or_else(undefined)? }
+        }
+        Record::Request(request) => Event::Request(request),
+        Record::FirstByte { id, attempt } => Event::FirstByte { id, attempt },
+        Record::AttemptEnded(attempt) => Event::AttemptEnded(attempt),
+        Record::ClientDisconnected(id) => Event::ClientDisconnected { id },
+        Record::Timer(token) => Event::Timer { token },
+        Record::HealthCheckEnded { server, outcome, latency, report } => {
+            Event::HealthCheckEnded { server, outcome, latency, report }
+        }
+        Record::PeerMessage { from, data } => Event::PeerMessage { from, data },
+        Record::SelectInstance(_)
+        | Record::Start { .. }
+        | Record::Stop
+        | Record::EndpointList { .. }
+        | Record::Unknown(_) => return Ok(None),
+    }))
+}
+
+/// Runs a part of the balancer; a panic inside comes back as an error with its message.
+fn catch_panic<T>(run: impl FnOnce() -> T) -> Result<T, InstanceError> {
+    panic::catch_unwind(AssertUnwindSafe(run))
+        .map_err(|_| InstanceError::Panic(PANIC_MESSAGE.with(RefCell::take)))
 }
 
 fn main() -> ExitCode {
     panic::set_hook(Box::new(|info| {
-        PANIC.with(|p| *p.borrow_mut() = info.to_string());
+        PANIC_MESSAGE.with(|message| *message.borrow_mut() = info.to_string());
     }));
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("lb-simulator-adapter: {e}");
-            ExitCode::from(1)
+        Err(error) => {
+            eprintln!("lb-simulator-adapter: {error}");
+            ExitCode::FAILURE
         }
     }
 }
 
+/// Answers batches until the input ends. An instance that fails is reported in the last reply.
 fn run() -> io::Result<()> {
-    let mut input = BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let mut input = BufReader::with_capacity(INPUT_BUFFER, io::stdin().lock());
     let mut output = io::stdout().lock();
     let mut host = Host::default();
     let mut reply = Reply::default();
     let (mut frame, mut bytes) = (Vec::new(), Vec::new());
     while wire::read_frame(&mut input, &mut frame)? {
-        let stop = match host.batch(&frame, &mut reply) {
+        let failure = match host.handle_batch(&frame, &mut reply) {
             Ok(()) => None,
-            Err(Stop::Wire(e)) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
-            Err(Stop::Fault { instance, text }) => {
+            Err(BatchError::Malformed(error)) => return Err(error.into()),
+            Err(BatchError::Instance { instance, error }) => {
                 reply = Reply::default();
-                reply.at(instance);
-                reply.fault(&text);
-                Some(text)
+                reply.select_instance(instance);
+                reply.fault(&error.to_string());
+                Some(error)
             }
         };
         bytes.clear();
         reply.finish(&mut bytes);
         output.write_all(&bytes)?;
         output.flush()?;
-        if let Some(text) = stop {
-            return Err(io::Error::other(text));
+        if let Some(error) = failure {
+            return Err(io::Error::other(error));
         }
     }
     Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod api;
 pub mod balancer;
-
 pub mod settings;
 pub mod sidecar;
 pub mod wire;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,8 @@
 //! Reading is total: any bytes give records or a [`WireError`], never a panic and never an
 //! allocation sized by a length that was not checked against the bytes at hand.
 
-use std::fmt;
+mod error;
+
 use std::io::{self, Read};
 
 use smallvec::SmallVec;
@@ -13,6 +14,8 @@
     ServerEntry, ServerId,
 };
 
+pub use error::{WireError, WireProblem};
+
 const HEADER: usize = 16;
 const REPLY_HEADER: usize = 8;
 const EVENT: usize = 40;
@@ -55,59 +58,65 @@
 const COST_HINT: u16 = 1;
 const CLIENT_REPEAT: u16 = 2;
 
-/// What is wrong with a frame, and where in it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WireError {
-    pub what: String,
-    /// Offset from the start of the frame.
-    pub at: usize,
-}
-
-impl fmt::Display for WireError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "malformed frame: {} at byte {}", self.what, self.at)
-    }
-}
-
-impl std::error::Error for WireError {}
-
-fn bad<T>(at: usize, what: impl Into<String>) -> Result<T, WireError> {
-    Err(WireError { what: what.into(), at })
-}
-
 /// One record of a batch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record<'a> {
-    On(u16),
-    Up {
+    /// The records that follow are for this instance.
+    SelectInstance(u16),
+    /// The instance starts.
+    Start {
+        /// What determines its random choices.
         seed: u64,
-        info: &'a [u8],
+        /// Its settings as JSON.
+        settings: &'a [u8],
     },
-    Exit,
-    Rows {
+    /// The instance is stopped.
+    Stop,
+    /// An endpoint list, to which updates refer by its number.
+    EndpointList {
+        /// The number.
         list: u32,
+        /// The entries.
         entries: Vec<ServerEntry>,
     },
-    Directory {
+    /// The instance gets an endpoint list.
+    EndpointUpdate {
+        /// How the list applies.
         kind: ListKind,
+        /// Its number.
         list: u32,
     },
-    Ingress(NewRequest),
+    /// A client sent a request.
+    Request(NewRequest),
+    /// The first byte of a streamed answer came.
     FirstByte {
+        /// The request.
         id: RequestId,
+        /// The position of the attempt among those of the request, from 0.
         attempt: usize,
     },
+    /// An attempt ended.
     AttemptEnded(AttemptEnd),
-    Vanished(RequestId),
-    Ring(u32),
-    Probed {
+    /// A client disconnected.
+    ClientDisconnected(RequestId),
+    /// The timer with this token ran out.
+    Timer(u32),
+    /// A health check ended.
+    HealthCheckEnded {
+        /// The server that was checked.
         server: ServerId,
+        /// How the check ended.
         outcome: Outcome,
+        /// The time it took.
         latency: Micros,
+        /// The load report that came with its answer.
         report: LoadReport,
     },
-    Note {
+    /// A message of another instance came.
+    PeerMessage {
+        /// The number of that instance.
         from: u32,
+        /// The bytes of the message.
         data: &'a [u8],
     },
     /// A code this build does not know; its size is known, so it is skipped.
@@ -151,28 +160,35 @@
 /// A batch: the clock and its records. Decoding a record may still find a fault.
 #[derive(Clone, Copy, Debug)]
 pub struct Batch<'a> {
+    /// The clock at the time of the batch.
     pub now: Micros,
     frame: &'a [u8],
     count: usize,
 }
 
 impl<'a> Batch<'a> {
-    /// `frame` is the whole frame, its header included.
+    /// Reads the header; `frame` is the entire frame, its header included.
+    ///
+    /// # Errors
+    ///
+    /// The frame is cut, its length is wrong, or its records do not fit.
     pub fn new(frame: &'a [u8]) -> Result<Batch<'a>, WireError> {
         if frame.len() < HEADER {
-            return bad(frame.len(), "frame ends within its header");
+            return Err(WireError::new(WireProblem::CutInHeader, frame.len()));
         }
         let head = Fields(frame);
         if head.u32(0) as usize != frame.len() {
-            return bad(0, format!("length {} for {} bytes", head.u32(0), frame.len()));
+            let problem = WireProblem::WrongLength { announced: head.u32(0), actual: frame.len() };
+            return Err(WireError::new(problem, 0));
         }
         let count = head.u32(12) as usize;
         if count > (frame.len() - HEADER) / EVENT {
-            return bad(12, format!("{count} records do not fit the frame"));
+            return Err(WireError::new(WireProblem::TooManyRecords(count), 12));
         }
         Ok(Batch { now: head.u64(4), frame, count })
     }
 
+    /// The records in their order; an error ends their use.
     pub fn records(self) -> impl Iterator<Item = Result<Record<'a>, WireError>> {
         (0..self.count).map(move |i| self.record(HEADER + i * EVENT))
     }
@@ -185,49 +201,22 @@
         let len = (rec.u32(field + 4) as usize).checked_mul(unit);
         match len.and_then(|len| from.checked_add(len)) {
             Some(end) if end <= tail.len() => Ok(&tail[from..end]),
-            _ => bad(at + field, format!("bytes from {from} on lie outside the tail")),
+            _ => Err(WireError::new(WireProblem::OutsideTail(from), at + field)),
         }
     }
 
     fn record(&self, at: usize) -> Result<Record<'a>, WireError> {
         let rec = Fields(&self.frame[at..at + EVENT]);
         Ok(match rec.u8(0) {
-            event::ON => Record::On(rec.u16(1)),
-            event::UP => Record::Up { seed: rec.u64(1), info: self.tail(at, 9, 1)? },
-            event::EXIT => Record::Exit,
-            event::SNAPSHOT_ROWS => {
-                let list = rec.u32(1);
-                let rows = self.tail(at, 5, ENTRY)?;
-                let entries = rows
-                    .chunks_exact(ENTRY)
-                    .map(|row| entry(&Fields(row)))
-                    .collect::<Result<_, _>>()
-                    .map_err(|what| WireError { what, at: at + 5 })?;
-                Record::Rows { list, entries }
-            }
-            event::DIRECTORY_UPDATE => Record::Directory {
-                kind: match rec.u8(5) {
-                    0 => ListKind::Complete,
-                    1 => ListKind::Cached,
-                    2 => ListKind::Delta,
-                    3 => ListKind::Failed,
-                    other => return bad(at + 5, format!("unknown kind of list {other}")),
-                },
-                list: rec.u32(6),
-            },
-            event::INGRESS => {
-                let flags = rec.u16(30);
-                Record::Ingress(NewRequest {
-                    id: rec.request(1),
-                    tenant: rec.u32(9) as usize,
-                    affinity_key: rec.u64(13),
-                    time_left: rec.u32(21).into(),
-                    work_hint: (flags & COST_HINT != 0).then(|| rec.u32(25).into()),
-                    class: rec.u8(29).into(),
-                    client_retry: flags & CLIENT_REPEAT != 0,
-                    over_quota: false,
-                })
+            event::ON => Record::SelectInstance(rec.u16(1)),
+            event::UP => Record::Start { seed: rec.u64(1), settings: self.tail(at, 9, 1)? },
+            event::EXIT => Record::Stop,
+            event::SNAPSHOT_ROWS => self.endpoint_list(at)?,
+            event::DIRECTORY_UPDATE => {
+                let kind = list_kind(rec.u8(5)).map_err(|p| WireError::new(p, at + 5))?;
+                Record::EndpointUpdate { kind, list: rec.u32(6) }
             }
+            event::INGRESS => Record::Request(request(&rec)),
             event::FIRST_BYTE => {
                 Record::FirstByte { id: rec.request(1), attempt: rec.u16(9).into() }
             }
@@ -235,26 +224,63 @@
                 id: rec.request(1),
                 attempt: rec.u16(9).into(),
                 server: rec.server(11),
-                outcome: outcome(rec.u8(17)).map_or_else(|w| bad(at + 17, w), Ok)?,
+                outcome: outcome(rec.u8(17)).map_err(|p| WireError::new(p, at + 17))?,
                 latency: rec.u32(18).into(),
                 finished: rec.u8(22) != 0,
-                report: report(&rec, 23).map_or_else(|w| bad(at + 23, w), Ok)?,
+                report: report(&rec, 23).map_err(|p| WireError::new(p, at + 23))?,
             }),
-            event::VANISHED => Record::Vanished(rec.request(1)),
-            event::RING => Record::Ring(rec.u32(1)),
-            event::PROBE_DONE => Record::Probed {
+            event::VANISHED => Record::ClientDisconnected(rec.request(1)),
+            event::RING => Record::Timer(rec.u32(1)),
+            event::PROBE_DONE => Record::HealthCheckEnded {
                 latency: rec.u32(1).into(),
                 server: rec.server(5),
-                outcome: outcome(rec.u8(11)).map_or_else(|w| bad(at + 11, w), Ok)?,
-                report: report(&rec, 12).map_or_else(|w| bad(at + 12, w), Ok)?,
+                outcome: outcome(rec.u8(11)).map_err(|p| WireError::new(p, at + 11))?,
+                report: report(&rec, 12).map_err(|p| WireError::new(p, at + 12))?,
             },
-            event::NOTE_FROM => Record::Note { from: rec.u32(1), data: self.tail(at, 5, 1)? },
+            event::NOTE_FROM => {
+                Record::PeerMessage { from: rec.u32(1), data: self.tail(at, 5, 1)? }
+            }
             other => Record::Unknown(other),
         })
     }
+
+    fn endpoint_list(&self, at: usize) -> Result<Record<'a>, WireError> {
+        let rec = Fields(&self.frame[at..at + EVENT]);
+        let rows = self.tail(at, 5, ENTRY)?;
+        let entries = rows
+            .chunks_exact(ENTRY)
+            .map(|row| entry(&Fields(row)))
+            .collect::<Result<_, _>>()
+            .map_err(|problem| WireError::new(problem, at + 5))?;
+        Ok(Record::EndpointList { list: rec.u32(1), entries })
+    }
+}
+
+fn request(rec: &Fields<'_>) -> NewRequest {
+    let flags = rec.u16(30);
+    NewRequest {
+        id: rec.request(1),
+        tenant: rec.u32(9) as usize,
+        affinity_key: rec.u64(13),
+        time_left: rec.u32(21).into(),
+        work_hint: (flags & COST_HINT != 0).then(|| rec.u32(25).into()),
+        class: rec.u8(29).into(),
+        client_retry: flags & CLIENT_REPEAT != 0,
+        over_quota: false,
+    }
+}
+
+fn list_kind(code: u8) -> Result<ListKind, WireProblem> {
+    Ok(match code {
+        0 => ListKind::Complete,
+        1 => ListKind::Cached,
+        2 => ListKind::Delta,
+        3 => ListKind::Failed,
+        other => return Err(WireProblem::UnknownListKind(other)),
+    })
 }
 
-fn outcome(code: u8) -> Result<Outcome, String> {
+fn outcome(code: u8) -> Result<Outcome, WireProblem> {
     Ok(match code {
         1 => Outcome::Success,
         2 => Outcome::ErrorResponse,
@@ -264,20 +290,20 @@
         6 => Outcome::ConnectionReset,
         7 => Outcome::Cancelled,
         8 => Outcome::NotSent,
-        other => return Err(format!("unknown outcome {other}")),
+        other => return Err(WireProblem::UnknownOutcome(other)),
     })
 }
 
-fn report(rec: &Fields<'_>, at: usize) -> Result<LoadReport, String> {
+fn report(rec: &Fields<'_>, at: usize) -> Result<LoadReport, WireProblem> {
     let n = usize::from(rec.u8(at));
     if n > REPORT_VALUES {
-        return Err(format!("load report of {n} values"));
+        return Err(WireProblem::ReportTooLong(n));
     }
     let values: SmallVec<[f32; 4]> = (0..n).map(|i| rec.f32(at + 1 + 4 * i)).collect();
     Ok(LoadReport(values))
 }
 
-fn entry(row: &Fields<'_>) -> Result<ServerEntry, String> {
+fn entry(row: &Fields<'_>) -> Result<ServerEntry, WireProblem> {
     Ok(ServerEntry {
         id: row.server(0),
         zone: row.u8(6),
@@ -287,40 +313,35 @@
             0 => Health::Removed,
             1 => Health::Ready,
             2 => Health::Draining,
-            other => return Err(format!("unknown availability {other} in a list")),
+            other => return Err(WireProblem::UnknownHealth(other)),
         },
         weight: row.f32(12),
         started_at: row.u64(16),
     })
 }
 
-/// Reads one frame into `buf`. `Ok(false)`: the input ended before a frame began.
+/// Reads one frame into `buf`. `Ok(false)` means that the input ended before a frame began.
+///
+/// # Errors
+///
+/// Reading fails, or the frame is malformed (`InvalidData`, from a [`WireError`]).
 pub fn read_frame(input: &mut impl Read, buf: &mut Vec<u8>) -> io::Result<bool> {
     buf.clear();
     input.by_ref().take(4).read_to_end(buf)?;
     if buf.is_empty() {
         return Ok(false);
     }
-    let malformed = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
     let Ok(len) = <[u8; 4]>::try_from(buf.as_slice()) else {
-        return Err(malformed(format!(
-            "malformed frame: input ends within the length at byte {}",
-            buf.len()
-        )));
+        return Err(WireError::new(WireProblem::CutInLength, buf.len()).into());
     };
     let len = u32::from_le_bytes(len) as usize;
     if len < HEADER {
-        return Err(malformed(format!(
-            "malformed frame: length {len} is below a header's at byte 0"
-        )));
+        return Err(WireError::new(WireProblem::LengthBelowHeader(len), 0).into());
     }
     // Grows as bytes come in: a false length costs no memory.
     input.by_ref().take(len as u64 - 4).read_to_end(buf)?;
     if buf.len() < len {
-        return Err(malformed(format!(
-            "malformed frame: {len} bytes announced, input ends at byte {}",
-            buf.len()
-        )));
+        return Err(WireError::new(WireProblem::CutInFrame(len), buf.len()).into());
     }
     Ok(true)
 }
@@ -348,8 +369,8 @@
         join(&at.to_le_bytes(), &(bytes.len() as u32).to_le_bytes())
     }
 
-    /// The actions that follow are this instance's.
-    pub fn at(&mut self, instance: u16) {
+    /// Names the instance of the actions that follow.
+    pub fn select_instance(&mut self, instance: u16) {
         self.push(action::AT, &instance.to_le_bytes());
     }
 
@@ -359,6 +380,7 @@
         self.push(action::FAULT, &field);
     }
 
+    /// Appends an action of the instance named last.
     pub fn action(&mut self, a: &Action) {
         match a {
             Action::Send { id, server, timeout } => {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -42,7 +42,7 @@
     record(&[&[0], &7u64.to_le_bytes(), &0u32.to_le_bytes(), &len])
 }
 
-fn complaint(out: &Output) -> String {
+fn error_line(out: &Output) -> String {
     assert_eq!(out.status.code(), Some(1));
     let text = String::from_utf8_lossy(&out.stderr).into_owned();
     assert_eq!(text.lines().count(), 1, "{text}");
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn end_of_input_is_a_clean_end() {
+fn end_of_input_exits_cleanly() {
     let out = run(&[]);
     assert_eq!(out.status.code(), Some(0));
     let out = run(&frame(&[], &[]));
@@ -59,31 +59,31 @@
 }
 
 #[test]
-fn malformed_frames_end_with_one_plain_line_and_no_reply() {
+fn malformed_frame_exits_with_one_line_and_no_reply() {
     let cut = &frame(&[on(3)], &[])[..30];
     let out = run(cut);
-    assert!(complaint(&out).contains("input ends at byte 30"));
+    assert!(error_line(&out).contains("input ends at byte 30"));
     assert!(out.stdout.is_empty());
     let undefined = frame(&[on(3), record(&[&[1], &[0; 5], &[4]])], &[]);
     let out = run(&undefined);
-    assert!(complaint(&out).contains("list"));
+    assert!(error_line(&out).contains("list"));
     assert!(out.stdout.is_empty());
 }
 
 #[test]
-fn settings_that_cannot_serve_are_a_fault_that_names_the_key() {
+fn invalid_settings_are_a_fault_that_names_the_key() {
     let mut json = common::settings_json();
     json["me"] = 9.into();
     for (text, key) in [(json.to_string(), "me"), ("nonsense".into(), "settings")] {
         let out = run(&frame(&[on(3), up(&text)], text.as_bytes()));
-        assert!(complaint(&out).contains(key));
+        assert!(error_line(&out).contains(key));
         let reply = String::from_utf8_lossy(&out.stdout).into_owned();
         assert!(reply.contains(key), "FAULT carries the text: {reply:?}");
     }
 }
 
 #[test]
-fn unknown_records_are_skipped_and_told_once() {
+fn unknown_records_are_skipped_and_logged_once() {
     let odd = record(&[&[77]]);
     let out = run(&frame(&[on(3), odd.clone(), odd], &[]));
     assert_eq!(out.status.code(), Some(0));
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn an_instance_may_stop_and_start_in_one_batch() {
+fn instance_may_stop_and_start_in_one_batch() {
     let text = common::settings_json().to_string();
     let exit = record(&[&[9]]);
     let records = [on(3), up(&text), exit, up(&text)];
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn two_instances_and_a_reply() {
+fn batch_for_two_instances_and_its_reply() {
     let frame = batch(
         &[
             "0b 0300",
@@ -63,8 +63,8 @@
     assert_eq!(
         decode(&frame),
         [
-            Record::On(3),
-            Record::Ingress(NewRequest {
+            Record::SelectInstance(3),
+            Record::Request(NewRequest {
                 id: RequestId(CALL),
                 class: 0,
                 tenant: 0,
@@ -74,16 +74,16 @@
                 client_retry: false,
                 over_quota: false,
             }),
-            Record::Ring(77),
-            Record::On(5),
-            Record::Vanished(RequestId(0x0007_d224_0e6f_2b19)),
+            Record::Timer(77),
+            Record::SelectInstance(5),
+            Record::ClientDisconnected(RequestId(0x0007_d224_0e6f_2b19)),
         ]
     );
     let mut reply = Reply::default();
-    reply.at(3);
+    reply.select_instance(3);
     reply.action(&Action::Send { id: RequestId(CALL), server: ServerId(SERVER), timeout: 80_000 });
     reply.action(&Action::SetTimer { delay: 500_000, token: 77 });
-    reply.at(5);
+    reply.select_instance(5);
     reply.action(&Action::Log { text: "two servers known".into() });
     let mut out = Vec::new();
     reply.finish(&mut out);
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn list_and_update() {
+fn endpoint_list_and_update_are_decoded() {
     let tail = bytes(
         "0a124a07 c32b 00 0000 0000 01 0000803f 0000000000000000
          0a9011f2 ec2b 01 0000 0000 01 0000c03f 20145d0000000000",
@@ -110,7 +110,7 @@
     let frame =
         batch(&["0b 0300", "0a 00000000 00000000 02000000", "01 29000000 01 00000000"], &tail);
     let records = decode(&frame);
-    let Record::Rows { list: 0, entries } = &records[1] else {
+    let Record::EndpointList { list: 0, entries } = &records[1] else {
         panic!("{records:?}");
     };
     assert_eq!(entries.len(), 2);
@@ -119,11 +119,11 @@
     assert_eq!((entries[1].zone, entries[1].weight), (1, 1.5));
     assert_eq!(entries[1].started_at, 0x5d_1420);
     assert_eq!(entries[1].health, Health::Ready);
-    assert_eq!(records[2], Record::Directory { kind: ListKind::Cached, list: 0 });
+    assert_eq!(records[2], Record::EndpointUpdate { kind: ListKind::Cached, list: 0 });
 }
 
 #[test]
-fn outcome_with_report() {
+fn attempt_end_with_load_report_is_decoded() {
     let frame = batch(
         &[
             "0b 0300",
@@ -147,9 +147,9 @@
 }
 
 #[test]
-fn tell_puts_its_bytes_in_the_tail() {
+fn peer_message_bytes_are_in_the_tail() {
     let mut reply = Reply::default();
-    reply.at(3);
+    reply.select_instance(3);
     reply.action(&Action::SendToPeer { peer: lb_sidecar::wire::ALL_PEERS, data: b"hi 7".to_vec() });
     let mut out = Vec::new();
     reply.finish(&mut out);
@@ -161,7 +161,7 @@
 }
 
 #[test]
-fn faults_are_named_with_their_place() {
+fn errors_name_the_problem_and_its_offset() {
     let mut short = batch(&["0b 0300"], &[]);
     short.truncate(30);
     assert_eq!(Batch::new(&short).unwrap_err().at, 0);
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn a_length_alone_costs_no_memory() {
+fn announced_length_alone_allocates_nothing() {
     let mut input: &[u8] = &bytes("ffffffff 0000");
     let mut buf = Vec::new();
     let error = read_frame(&mut input, &mut buf).unwrap_err();
