--- a/src/sidecar/config/endpoints.rs
+++ b/src/sidecar/config/endpoints.rs
@@ -47,15 +47,21 @@
     /// Where it listens for this sidecar; one that has left need not say.
     #[serde(rename = "dial")]
     pub address: Option<SocketAddr>,
+    /// The zone that it is in.
     #[serde(rename = "site")]
     pub(super) zone: Option<S>,
+    /// The kind of machine.
     #[serde(rename = "class")]
     pub(super) kind: Option<S>,
+    /// The cell of its zone.
     #[serde(rename = "block", default)]
     pub(super) cell: u16,
+    /// Whether it may get requests.
     pub(super) health: EndpointHealth,
+    /// Its capacity, relative to other servers.
     #[serde(rename = "share", default = "default_weight")]
     pub(super) weight: f32,
+    /// When it started, in milliseconds of Unix time; 0 if that is not known.
     #[serde(rename = "born_ms", default)]
     pub(super) started_unix_ms: u64,
 }
--- a/src/sidecar/config/environment.rs
+++ b/src/sidecar/config/environment.rs
@@ -79,21 +79,37 @@
     }
 
     /// The sidecar's name.
+    ///
+    /// # Errors
+    ///
+    /// When it stands nowhere, or file and variable differ.
     pub fn agree_on_name(&mut self, in_file: Option<String>) -> Result<String, ConfigError> {
         required("name", in_file, NAME, self.name.take())
     }
 
     /// The address of the listener.
+    ///
+    /// # Errors
+    ///
+    /// When it stands nowhere, or file and variable differ.
     pub fn agree_on_listen(&mut self, in_file: Option<String>) -> Result<String, ConfigError> {
         required("listen", in_file, LISTEN, self.listen.take())
     }
 
     /// The address of discovery.
+    ///
+    /// # Errors
+    ///
+    /// When it stands nowhere, or file and variable differ.
     pub fn agree_on_discovery(&mut self, in_file: Option<String>) -> Result<String, ConfigError> {
         required("discovery", in_file, DISCOVERY, self.discovery.take())
     }
 
     /// The address of the admin listener, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// When file and variable differ.
     pub fn agree_on_admin(
         &mut self,
         in_file: Option<String>,
@@ -102,6 +118,10 @@
     }
 
     /// The interval between gossip rounds in milliseconds, if this sidecar takes part.
+    ///
+    /// # Errors
+    ///
+    /// When file and variable differ.
     pub fn agree_on_round_interval(
         &mut self,
         in_file: Option<String>,
--- a/src/sidecar/config/file.rs
+++ b/src/sidecar/config/file.rs
@@ -27,22 +27,35 @@
 /// The configuration as the file has it.
 #[derive(Deserialize)]
 pub struct ConfigFile {
+    /// The number of this configuration, where whoever writes it counts them.
     #[serde(default)]
     pub generation: u64,
+    /// The sidecar's name, unless `LB_NAME` has it.
     pub name: Option<String>,
+    /// Where clients connect, unless `LB_LISTEN` has it.
     pub listen: Option<String>,
+    /// Where discovery is, unless `LB_DISCOVERY` has it.
     pub discovery: Option<String>,
+    /// Where operators connect, unless `LB_ADMIN_ADDR` has it.
     pub admin_addr: Option<String>,
+    /// The seed of random numbers, in hexadecimal digits.
     pub seed: String,
+    /// Resources that the process may use.
     pub limits: LimitsSection,
+    /// Where datagrams of other sidecars arrive.
     pub peer_listen: Option<SocketAddr>,
+    /// The sidecars of the tier, by their numbers.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// What is sent there reaches every sidecar of the tier.
     #[serde(rename = "peers_all")]
     pub peers_multicast: Option<SocketAddr>,
+    /// Gossip with the other sidecars.
     pub tier: Option<TierSection>,
+    /// The endpoint list as this sidecar last had it.
     #[serde(rename = "known")]
     pub cached_endpoints: Option<EndpointList>,
+    /// The balancer's settings.
     pub settings: Value,
 }
 
@@ -50,6 +63,7 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TierSection {
+    /// The time between two rounds, in milliseconds.
     #[serde(rename = "turn_ms")]
     pub round_interval_ms: u64,
 }
@@ -57,8 +71,11 @@
 /// The section on resources.
 #[derive(Deserialize)]
 pub struct LimitsSection {
+    /// Memory that the process may use, in megabytes.
     pub memory_mb: usize,
+    /// Descriptors that the process may use.
     pub sockets: usize,
+    /// The longest body of a request or a response, in megabytes.
     #[serde(rename = "longest_body_mb", default = "default_body_limit_mb")]
     pub max_body_mb: usize,
 }
@@ -78,6 +95,10 @@
     }
 
     /// The seed of random numbers.
+    ///
+    /// # Errors
+    ///
+    /// When it is not hexadecimal.
     pub fn seed(&self) -> Result<u64, ConfigError> {
         u64::from_str_radix(&self.seed, 16)
             .map_err(|_| ConfigError::Seed { value: self.seed.clone() })
@@ -86,6 +107,10 @@
 
 impl LimitsSection {
     /// Checks that the limits are in range.
+    ///
+    /// # Errors
+    ///
+    /// The first limit that is not.
     pub fn check(&self) -> Result<(), ConfigError> {
         if self.sockets < MIN_SOCKETS {
             return Err(ConfigError::TooSmall { key: "limits.sockets", min: MIN_SOCKETS });
@@ -102,6 +127,10 @@
 }
 
 /// The part of a configuration that cannot change while a process runs.
+///
+/// # Errors
+///
+/// When the text is not JSON.
 pub fn restart_only_part(text: &[u8]) -> Result<Value, ConfigError> {
     let mut all: Value = serde_json::from_slice(text)?;
     remove_keys(&mut all, &RELOADABLE_KEYS);
