Logging: typed errors, and documented options

Formats, filters and a second start were told as strings. They are variants of an error with their variable, filter and cause now, with the messages as they were; the daemon's main takes its text.

Run: cargo test -p logging, 4 passed; the workspace compiles with all targets; clippy with missing_docs without a warning in the crate.

--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -49,6 +49,7 @@
     let arguments = Arguments::parse();
     let result = match arguments.task {
         Task::Run { file, state } => Options::or_env(arguments.log_format, arguments.log_filter)
+            .map_err(|error| error.to_string())
             .and_then(|log| run(&file, &state, &log)),
         Task::Check { file } => check(&file),
         Task::Hold => fleet::socket_holder::run().map_err(|error| error.to_string()),
@@ -63,7 +64,7 @@
 }
 
 fn run(file: &Path, state: &Path, log: &Options) -> Result<(), String> {
-    log.start()?;
+    log.start().map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
     let daemon = fleet::daemon::run(file, state, log.environment());
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -1,19 +1,20 @@
 //! How every program logs: lines on standard error, as text or as JSON, filtered by one setting.
 //!
-//! Values stand in fields of their own, not woven into the message, so that a machine can select by
-//! them; `docs/operate/logs.md` lists their names.
+//! Messages are fixed and values are fields, so that lines can be selected by both; `docs/operate/logs.md` lists the
+//! names of the fields.
 
 use std::fmt;
 use std::io;
 use std::str::FromStr;
 
+use thiserror::Error;
 use tracing::Subscriber;
 use tracing_subscriber::Layer;
-use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::filter::{LevelFilter, ParseError, Targets};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::registry::LookupSpan;
-use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
 
 /// The environment variable that holds the format, where the command line does not.
 pub const FORMAT: &str = "LB_LOG_FORMAT";
@@ -25,16 +26,48 @@
 /// The former name of [`FILTER`], handled as [`DEPRECATED_FORMAT`] is.
 pub const DEPRECATED_FILTER: &str = "PLANKVALE_LOG";
 
-/// What a line looks like.
+/// The format of a line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
-    /// For people.
+    /// Text for people.
     #[default]
     Text,
-    /// For machines: an object a line.
+    /// A JSON object for each line.
     Json,
 }
 
+/// A format that does not exist.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("text or json expected, not {0:?}")]
+pub struct UnknownFormat(pub String);
+
+/// Why the options of the log cannot be used.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// An environment variable names an unknown format.
+    #[error("{variable}: {source}")]
+    Format {
+        /// The name of the variable.
+        variable: &'static str,
+        /// The cause.
+        source: UnknownFormat,
+    },
+    /// A part of the filter is neither a level nor a module with a level.
+    #[error("log filter: LEVEL or MODULE=LEVEL expected, not {0:?}")]
+    FilterPart(String),
+    /// The filter cannot be parsed.
+    #[error("log filter: {filter:?}: {source}")]
+    Filter {
+        /// The filter.
+        filter: String,
+        /// The cause.
+        source: ParseError,
+    },
+    /// The program logs already.
+    #[error(transparent)]
+    AlreadyStarted(#[from] TryInitError),
+}
+
 impl fmt::Display for Format {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -45,25 +78,25 @@
 }
 
 impl FromStr for Format {
-    type Err = String;
+    type Err = UnknownFormat;
 
-    fn from_str(text: &str) -> Result<Format, String> {
+    fn from_str(text: &str) -> Result<Format, UnknownFormat> {
         match text {
             "text" => Ok(Format::Text),
             "json" => Ok(Format::Json),
-            other => Err(format!("text or json expected, not {other:?}")),
+            other => Err(UnknownFormat(other.to_owned())),
         }
     }
 }
 
-/// How a program logs.
+/// The options of a program's log.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
-    /// What a line looks like.
+    /// The format of a line.
     pub format: Format,
-    /// A level (`info`), or levels by module (`warn,fleet=debug`); `info` where it is missing.
+    /// A level (`info`), or levels by module (`warn,fleet=debug`). None: `info`.
     pub filter: Option<String>,
-    /// A value was taken from a variable of a deprecated name.
+    /// Whether a value was taken from a variable of a deprecated name.
     pub deprecated: bool,
 }
 
@@ -73,12 +106,12 @@
 }
 
 impl Options {
-    /// Those of the command line; where they are missing, those of the environment.
+    /// The options of the command line, and those of the environment where they are missing.
     ///
     /// # Errors
     ///
-    /// The environment names a format that does not exist.
-    pub fn or_env(format: Option<Format>, filter: Option<String>) -> Result<Options, String> {
+    /// When the environment names an unknown format.
+    pub fn or_env(format: Option<Format>, filter: Option<String>) -> Result<Options, LogError> {
         Options::from_sources(format, filter, variable)
     }
 
@@ -87,7 +120,7 @@
         format: Option<Format>,
         filter: Option<String>,
         variable: impl Fn(&str) -> Option<String>,
-    ) -> Result<Options, String> {
+    ) -> Result<Options, LogError> {
         let mut deprecated = false;
         let mut named = |name: &'static str, old: &'static str| {
             let current = variable(name).map(|value| (name, value));
@@ -100,7 +133,9 @@
         let format = match format {
             Some(format) => format,
             None => match named(FORMAT, DEPRECATED_FORMAT) {
-                Some((name, text)) => text.parse().map_err(|e| format!("{name}: {e}"))?,
+                Some((variable, text)) => {
+                    text.parse().map_err(|source| LogError::Format { variable, source })?
+                }
                 None => Format::default(),
             },
         };
@@ -108,7 +143,7 @@
         Ok(Options { format, filter, deprecated })
     }
 
-    /// The environment that makes another program log in the same way.
+    /// The environment variables that make another program log in the same way.
     pub fn environment(&self) -> Vec<(&'static str, String)> {
         let mut all = Vec::new();
         for name in [FORMAT, DEPRECATED_FORMAT] {
@@ -122,22 +157,22 @@
         all
     }
 
-    fn targets(&self) -> Result<Targets, String> {
+    fn targets(&self) -> Result<Targets, LogError> {
         let Some(text) = &self.filter else {
             return Ok(Targets::new().with_default(LevelFilter::INFO));
         };
-        // Danger: a level that is misspelt would be taken for the name of a module, and the program
-        // fall silent. A word alone must be a level.
+        // A misspelt level would be taken for the name of a module, and nothing would be logged. So a word alone must be
+        // a level.
         for part in text.split(',') {
             let (module, level) = part.split_once('=').unwrap_or(("all", part));
             if module.trim().is_empty() || level.trim().parse::<LevelFilter>().is_err() {
-                return Err(format!("log filter: LEVEL or MODULE=LEVEL expected, not {part:?}"));
+                return Err(LogError::FilterPart(part.to_owned()));
             }
         }
-        text.parse().map_err(|e| format!("log filter: {text:?}: {e}"))
+        text.parse().map_err(|source| LogError::Filter { filter: text.clone(), source })
     }
 
-    fn layer<S, W>(&self, writer: W) -> Result<Box<dyn Layer<S> + Send + Sync>, String>
+    fn layer<S, W>(&self, writer: W) -> Result<Box<dyn Layer<S> + Send + Sync>, LogError>
     where
         S: Subscriber + for<'a> LookupSpan<'a>,
         W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
@@ -150,14 +185,14 @@
         })
     }
 
-    /// Logs like this from now on.
+    /// Starts the log of this program.
     ///
     /// # Errors
     ///
-    /// When the filter cannot be understood, or the program logs already.
-    pub fn start(&self) -> Result<(), String> {
+    /// When the filter is invalid, or the log was started before.
+    pub fn start(&self) -> Result<(), LogError> {
         let layer = self.layer(io::stderr)?;
-        tracing_subscriber::registry().with(layer).try_init().map_err(|e| e.to_string())?;
+        tracing_subscriber::registry().with(layer).try_init()?;
         if self.deprecated {
             tracing::warn!(
                 deprecated = "PLANKVALE_LOG, PLANKVALE_LOG_FORMAT",
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of formats, filters and their sources.
+
 use std::sync::{Arc, Mutex};
 
 use super::*;
@@ -55,14 +57,14 @@
 fn child_environment_carries_format_and_filter_under_both_names() {
     let options =
         Options { format: Format::Json, filter: Some("warn".to_owned()), ..Options::default() };
-    let told = options.environment();
+    let environment = options.environment();
     let expected = [
         (FORMAT, "json"),
         (DEPRECATED_FORMAT, "json"),
         (FILTER, "warn"),
         (DEPRECATED_FILTER, "warn"),
     ];
-    assert_eq!(told, expected.map(|(name, value)| (name, value.to_owned())));
+    assert_eq!(environment, expected.map(|(name, value)| (name, value.to_owned())));
     assert!("xml".parse::<Format>().is_err());
 }
 
@@ -85,6 +87,6 @@
     assert_eq!((options.format, options.filter.as_deref()), (Format::Text, Some("debug")));
     assert!(!options.deprecated);
     let bad = |name: &str| (name == DEPRECATED_FORMAT).then(|| "xml".to_owned());
-    let error = Options::from_sources(None, None, bad).expect_err("an unknown format");
+    let error = Options::from_sources(None, None, bad).expect_err("an unknown format").to_string();
     assert_eq!(error, "PLANKVALE_LOG_FORMAT: text or json expected, not \"xml\"");
 }
