Sidecar: the overview links the balancer module

Cause: the module of the decisions has moved, and its link in the documentation was broken. Change: the link. Result: cargo doc with -D warnings runs clean over the workspace.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,5 +1,5 @@
 //! The sidecar on real sockets: clients on one side, servers on the other, and discovery and the
-//! other sidecars beside them. All decisions are made by [`crate::decide`]; `driver` is the only
+//! other sidecars beside them. All decisions are made by [`crate::balancer`]; `driver` is the only
 //! module here that talks to it.
 
 pub mod admin;
