--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/design/tier.md` has the reasons for the design, its sources and the invariant on quotas. The settings and
 //! the operators' pages call this the *tier*.
 
+mod config;
 mod layout;
 mod leases;
 mod link;
@@ -15,10 +16,11 @@
 mod snapshot;
 mod topology;
 
+pub use config::{Config, ConfigError, TenantQuotas};
 pub use leases::{Demand, TokenBucket, quota_lease, retry_allowance};
 pub use membership::{MemberCounts, MemberRecord, MemberState};
 pub use message::{DecodeError, MAX_CLASSES, MAX_MESSAGE_BYTES, MAX_TENANTS, Message, Payload};
-pub use node::{Config, ConfigError, Event, Node, Outgoing, TenantQuotas};
+pub use node::{Event, Node, Outgoing};
 pub use snapshot::{LinkCounts, MessageCounts, RetryBudget, Snapshot, TenantSnapshot};
 
 /// Microseconds, on a clock that starts anywhere and never runs backwards.
