Event counters, send and reject checks, and three failing tests of rare faults

A request that was read before its connection was closed for want of room was dropped without a trace in log or figures.

A joining server's slow start depends on the wall clock at the process's start.

--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -9,6 +9,7 @@
 use super::connection::ReadError;
 use super::state_file::StateFileError;
 use super::statistics::Statistics;
+use crate::sidecar::events::EventCount;
 
 /// One command.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     Ready,
     /// Counters and gauges of the sidecar.
     ShowStat,
+    /// Counters of rare events.
+    ShowEvents,
     /// The membership table of the tier.
     ShowTier,
     /// Sends no new requests to a server until it is enabled again.
@@ -68,6 +71,7 @@
         let command = match name {
             "ready" => Command::Ready,
             "show-stat" => Command::ShowStat,
+            "show-events" => Command::ShowEvents,
             "show-tier" => Command::ShowTier,
             "disable-server" => Command::DisableServer(server(words.next())?),
             "enable-server" => Command::EnableServer(server(words.next())?),
@@ -114,6 +118,8 @@
     Error(CommandError),
     /// Counters and gauges.
     Statistics(Box<Statistics>),
+    /// Counters of rare events.
+    Events(Vec<EventCount>),
     /// The members of the tier, and how long each has been in its state.
     Members(Vec<(MemberRecord, Duration)>),
 }
@@ -127,6 +133,10 @@
                 writeln!(f, "error: {line}")
             }
             Response::Statistics(statistics) => writeln!(f, "{statistics}end"),
+            Response::Events(events) => {
+                events.iter().try_for_each(|event| writeln!(f, "{event}"))?;
+                writeln!(f, "end")
+            }
             Response::Members(members) => {
                 members.iter().try_for_each(|(record, age)| write_member(f, record, *age))?;
                 writeln!(f, "end")
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -205,6 +205,7 @@
             Command::Ready if self.ingress.drained_for().is_some() => Err(CommandError::Drained),
             Command::Ready => Err(CommandError::NoServers),
             Command::ShowStat => Ok(Response::Statistics(self.statistics().into())),
+            Command::ShowEvents => Ok(Response::Events(self.status.events.snapshot())),
             Command::ShowTier => {
                 let tier = self.driver.gossip().ok_or(CommandError::NoTier)?;
                 Ok(Response::Members(tier.members()))
--- /dev/null
+++ b/src/sidecar/events.rs
@@ -0,0 +1,130 @@
+//! Counters of rare events: rules that did not hold, attempts that were not sent after all, and
+//! connections of clients that were closed, each by its reason. Operators read them with `show-events`.
+
+use std::cell::Cell;
+use std::fmt::{self, Display, Formatter};
+
+use super::invariants::{SendRefusal, Violation};
+
+/// Why a connection of a client ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed it, or the last response told that it would be closed.
+    Finished,
+    /// Room was needed for other connections.
+    Evicted,
+    /// The process shuts down, or operators drain it.
+    Draining,
+    /// The client was too slow, or silent for too long.
+    TimedOut,
+    /// The rest of a request's body did not arrive.
+    BodyFailed,
+    /// It broke, or what arrived could not be used.
+    Broken,
+}
+
+impl CloseReason {
+    /// All of them, in the order in which they are reported.
+    pub const ALL: [CloseReason; 6] = [
+        CloseReason::Finished,
+        CloseReason::Evicted,
+        CloseReason::Draining,
+        CloseReason::TimedOut,
+        CloseReason::BodyFailed,
+        CloseReason::Broken,
+    ];
+
+    /// The name in logs and statistics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::Finished => "finished",
+            CloseReason::Evicted => "evicted",
+            CloseReason::Draining => "draining",
+            CloseReason::TimedOut => "timed_out",
+            CloseReason::BodyFailed => "body_failed",
+            CloseReason::Broken => "broken",
+        }
+    }
+}
+
+impl Display for CloseReason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// How often each event occurred since the start of the process.
+#[derive(Debug, Default)]
+pub struct EventCounters {
+    violations: [Cell<u64>; Violation::ALL.len()],
+    refusals: [Cell<u64>; SendRefusal::ALL.len()],
+    closes: [Cell<u64>; CloseReason::ALL.len()],
+    withdrawn_closes: Cell<u64>,
+}
+
+/// One counter as it is reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventCount {
+    /// The name of the event, with the group that it belongs to.
+    pub name: String,
+    /// How often it occurred.
+    pub count: u64,
+}
+
+impl Display for EventCount {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "events.{}={}", self.name, self.count)
+    }
+}
+
+impl EventCounters {
+    /// Counts and logs a rule that did not hold. `subject` identifies the request or connection.
+    pub fn record_violation(&self, violation: Violation, subject: &dyn Display) {
+        increment(&self.violations[violation as usize]);
+        tracing::error!(%violation, %subject, "protocol rule violated");
+    }
+
+    /// Counts an attempt that was chosen and then not sent.
+    pub fn record_refusal(&self, refusal: SendRefusal) {
+        increment(&self.refusals[refusal as usize]);
+    }
+
+    /// Counts a connection of a client that ended.
+    pub fn record_close(&self, reason: CloseReason) {
+        increment(&self.closes[reason as usize]);
+    }
+
+    /// Counts a connection that was to be closed while idle, and was in use by then.
+    pub fn record_withdrawn_close(&self) {
+        increment(&self.withdrawn_closes);
+    }
+
+    /// All counters, in a fixed order.
+    pub fn snapshot(&self) -> Vec<EventCount> {
+        let group = |group: &'static str, names: Vec<&'static str>, counts: &[Cell<u64>]| {
+            let count = |(name, count): (&'static str, &Cell<u64>)| EventCount {
+                name: format!("{group}.{name}"),
+                count: count.get(),
+            };
+            names.into_iter().zip(counts).map(count).collect::<Vec<_>>()
+        };
+        let mut all =
+            group("violations", Violation::ALL.map(Violation::name).into(), &self.violations);
+        all.extend(group(
+            "not_sent",
+            SendRefusal::ALL.map(SendRefusal::name).into(),
+            &self.refusals,
+        ));
+        all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
+        let count = self.withdrawn_closes.get();
+        all.push(EventCount { name: "close_withdrawn".to_owned(), count });
+        all
+    }
+}
+
+fn increment(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/sidecar/events/tests.rs
@@ -0,0 +1,34 @@
+//! Counting events and reporting them.
+
+use super::*;
+
+#[test]
+fn each_event_is_counted_under_its_own_name() {
+    let counters = EventCounters::default();
+    counters.record_violation(Violation::UnsafeRepeat, &"a");
+    counters.record_violation(Violation::UnsafeRepeat, &"b");
+    counters.record_refusal(SendRefusal::WindowOver);
+    counters.record_close(CloseReason::Broken);
+    counters.record_withdrawn_close();
+    let counted: Vec<String> = counters
+        .snapshot()
+        .into_iter()
+        .filter(|event| event.count > 0)
+        .map(|event| event.to_string())
+        .collect();
+    let expected = [
+        "events.violations.unsafe_repeat=2",
+        "events.not_sent.window_over=1",
+        "events.closed.broken=1",
+        "events.close_withdrawn=1",
+    ];
+    assert_eq!(counted, expected);
+}
+
+#[test]
+fn events_that_never_occurred_are_reported_too() {
+    let all = EventCounters::default().snapshot();
+    let expected = Violation::ALL.len() + SendRefusal::ALL.len() + CloseReason::ALL.len() + 1;
+    assert_eq!(all.len(), expected);
+    assert!(all.iter().all(|event| event.count == 0));
+}
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -18,6 +18,7 @@
 use super::{DRAIN_PROPAGATION_DELAY, Ingress};
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::framing::MAX_HEAD_BYTES;
+use crate::sidecar::invariants::Violation;
 
 /// How long, and how far, a closing connection is read on, so that what the client still sends does
 /// not reset the connection before it has read its response.
@@ -50,6 +51,9 @@
                 () = connection.close_requested() => {}
             }
         } else if connection.phase().is_busy() {
+            if connection.phase() == Phase::AwaitingResponse && !connection.is_gone() {
+                self.status.events.record_violation(Violation::UnansweredClose, &number);
+            }
             // A response that is cut short must not look complete to anyone.
             socket.reset_on_close();
         }
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -6,6 +6,8 @@
 use instance_status::{RejectedConfig, RequestCounts};
 use tokio::sync::Notify;
 
+use super::events::EventCounters;
+
 /// The program's version.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
 
@@ -27,6 +29,8 @@
     reloads: Cell<ReloadCounts>,
     rejected_config: RefCell<Option<RejectedConfig>>,
     oversized_lists: Cell<u64>,
+    /// Rare events, by what they are.
+    pub events: EventCounters,
     /// Notified of changes that should not wait for the next report.
     pub changed: Notify,
 }
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -89,3 +89,63 @@
     let many = served(&fleet);
     assert!(many < 100, "{many} of 1000 to one cold server in place of twenty");
 }
+
+/// The share of sends that a server gets which joins while `clock_error` is how far the sidecar's wall
+/// clock is ahead of discovery's, in microseconds: in the first second, and once it has warmed up.
+fn shares_of_joining_server(clock_error: i64) -> (f64, f64) {
+    let n = 10;
+    let joined_at = 10_000 * S;
+    let (mut early, mut late) = (0, 0);
+    let seeds = 100;
+    let rounds = 20;
+    for seed in 0..seeds {
+        let servers: Vec<_> = (0..n).map(server).collect();
+        let now = joined_at.checked_add_signed(clock_error).expect("after the epoch") - S;
+        let mut b = Bench::new_at(now, settings(|_| {}), seed, &servers);
+        b.servers(ListKind::Complete, &servers);
+        (0..20).for_each(|_| drop(b.round(0, 1.0)));
+        b.now = now + S;
+        let joining = ServerEntry { started_at: joined_at, ..server(n) };
+        b.servers(ListKind::Delta, &[joining]);
+        let mut share = |b: &mut Bench| {
+            (0..rounds).filter(|_| b.round(0, 1.0) == Some(ServerId(n))).count() as u32
+        };
+        early += share(&mut b);
+        b.now = now + 25 * S;
+        late += share(&mut b);
+    }
+    let all = f64::from(rounds) * seeds as f64;
+    (f64::from(early) / all, f64::from(late) / all)
+}
+
+/// A wall clock may be wrong when the process starts: then a server that joins must be warmed up all the
+/// same, and no longer than that.
+#[test]
+fn joining_server_warms_up_whatever_the_wall_clock_says() {
+    let hour = 3_600 * S as i64;
+    for clock_error in [0, 5 * S as i64, -5 * S as i64, hour, -hour] {
+        let (early, late) = shares_of_joining_server(clock_error);
+        // Present capacity is 0.2 to 0.25 of a server's; ten others are warm; the multiple is 3.
+        let due = 0.25 / 10.25;
+        assert!(early < 2.5 * due, "clock {clock_error} us ahead: share {early}, due {due}");
+        assert!(late > 0.7 / 11.0, "clock {clock_error} us ahead: {late} when warm");
+    }
+}
+
+/// A server whose machine's clock was set back restarts with an earlier start than before.
+#[test]
+fn restart_with_a_clock_set_back_is_a_restart() {
+    let mut early = 0;
+    for seed in 0..200 {
+        let old = ServerEntry { started_at: START - 100 * S, ..server(0) };
+        let servers = [old.clone(), server(1), server(2)];
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        b.servers(ListKind::Complete, &servers);
+        (0..20).for_each(|_| drop(b.round(0, 1.0)));
+        b.servers(ListKind::Delta, &[ServerEntry { started_at: START - 3_600 * S / 4, ..old }]);
+        early += (0..10).filter(|_| b.round(0, 1.0) == Some(ServerId(0))).count();
+    }
+    let share = early as f64 / 2000.0;
+    let due = 0.25 / 2.25;
+    assert!(share < 2.5 * due, "share {share}, due {due}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,9 +81,14 @@
 
 impl Bench {
     pub fn new(settings: Settings, seed: u64, servers: &[ServerEntry]) -> Bench {
+        Bench::new_at(START, settings, seed, servers)
+    }
+
+    /// One whose clock reads `now` at the start.
+    pub fn new_at(now: Micros, settings: Settings, seed: u64, servers: &[ServerEntry]) -> Bench {
         let mut bench = Bench {
-            balancer: Balancer::new(settings, seed, START),
-            now: START,
+            balancer: Balancer::new(settings, seed, now),
+            now,
             out: Vec::new(),
             next: 0,
             key: 0,
--- /dev/null
+++ b/tests/lifecycle/idle_close.rs
@@ -0,0 +1,54 @@
+//! Idle client connections that are closed to make room, just as their clients send on them.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use crate::net::*;
+
+/// With 64 descriptors, more connections than six have those closed that have been idle longest.
+const CONNECTIONS: usize = 8;
+/// Longer than a used connection has to be idle before it may be evicted.
+const EVICTABLE_AFTER: Duration = Duration::from_millis(200);
+const ROUNDS: usize = 5;
+
+/// A client whose connection has served one request.
+fn idle_client(sidecar: &Sidecar, id: &str) -> TcpStream {
+    let mut client = sidecar.connect();
+    client.write_all(look(id).as_bytes()).expect("sent");
+    let answer = first_answer(client.try_clone().expect("a second handle"));
+    assert!(answer.ends_with(id), "{answer:?}");
+    client
+}
+
+/// The process is held up while a client connects and, after that, idle clients send requests. When it
+/// goes on, it chooses a connection for eviction before it has read what is there. Whichever comes
+/// first, a request that was read is answered.
+#[test]
+fn request_read_after_its_connection_was_chosen_for_eviction_is_answered() {
+    let echo = Server::echo();
+    let sidecar = Sidecar::start(discovery(&[&echo]));
+    let mut unanswered = Vec::new();
+    for round in 0..ROUNDS {
+        let mut clients: Vec<_> = (0..CONNECTIONS)
+            .map(|n| idle_client(&sidecar, &format!("first-{round}-{n}")))
+            .collect();
+        thread::sleep(EVICTABLE_AFTER);
+        sidecar.signal("STOP");
+        let _newcomer = sidecar.connect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write_all(look(&format!("second-{round}-{n}")).as_bytes()).expect("sent");
+        }
+        sidecar.signal("CONT");
+        for (n, client) in clients.into_iter().enumerate() {
+            let id = format!("second-{round}-{n}");
+            if !first_answer(client).ends_with(&id) {
+                unanswered.push(id);
+            }
+        }
+    }
+    assert!(!sidecar.log().contains("unanswered_close"), "{unanswered:?}");
+    // All was sent before the process went on: nothing crosses a close.
+    assert_eq!(unanswered, Vec::<String>::new());
+}
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -8,6 +8,7 @@
 
 mod connecting;
 mod discovery;
+mod idle_close;
 mod reload;
 mod shutdown;
 mod support;
