Ingress: a close that was chosen earlier is decided once more when it is carried out

Cause: accept, shutdown and drain chose an idle connection and notified its task, which first let hyper read and then closed, whatever hyper had read meanwhile. evict_longest_idle and close_evictable did not even look for unread input. A check in one task, acted upon in another.

Change: ClientConnection::may_close decides in the connection's own task, for every close that makes room. What is withdrawn, and each close by its reason, is counted and logged.

--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -8,6 +8,7 @@
 
 use super::Ingress;
 use crate::sidecar::budget::SocketPermit;
+use crate::sidecar::events::CloseReason;
 
 /// The pause before accepting is tried again when no descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -92,7 +93,7 @@
             connections.values().filter_map(|c| Some((c.evictable_idle_time()?, c))).collect();
         idle.sort_unstable_by_key(|(idle_time, _)| Reverse(*idle_time));
         for (_, connection) in idle.into_iter().take(surplus) {
-            connection.request_close();
+            connection.request_close(CloseReason::Evicted);
         }
     }
 
@@ -104,7 +105,7 @@
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
         let evicted = ranked.into_iter().find(|(_, c)| c.has_no_unread_input());
         if let Some((_, connection)) = evicted {
-            connection.request_close();
+            connection.request_close(CloseReason::Evicted);
         }
     }
 }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::sidecar::body::client_transfer_time;
+use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 
 /// How long a client may make no progress: without a request, within a request, or while it has a
@@ -167,6 +168,7 @@
     /// How long the connection may have waited to be accepted.
     accept_delay: Duration,
     close_requested: Notify,
+    close_reason: Cell<Option<CloseReason>>,
 }
 
 impl<P: Runtime> ClientConnection<P> {
@@ -191,6 +193,7 @@
             unused: Cell::new(true),
             accept_delay,
             close_requested: Notify::new(),
+            close_reason: Cell::new(None),
         }
     }
 
@@ -255,14 +258,32 @@
         self.response_complete.set(true);
     }
 
-    /// Has the connection's task close it.
-    pub fn request_close(&self) {
+    /// Has the connection's task close it, if that may be done when the task runs next.
+    pub fn request_close(&self, reason: CloseReason) {
+        self.close_reason.set(Some(reason));
         self.close_requested.notify_one();
     }
 
-    /// Completes when the connection is to be closed.
-    pub async fn close_requested(&self) {
-        self.close_requested.notified().await;
+    /// Completes when the connection is to be closed. [`Self::may_close`] tells whether it may be.
+    pub async fn close_requested(&self) -> CloseReason {
+        loop {
+            self.close_requested.notified().await;
+            if let Some(reason) = self.close_reason.take() {
+                return reason;
+            }
+        }
+    }
+
+    /// Whether the connection may be closed now. The one place that decides so.
+    ///
+    /// Whoever wants room chooses a connection while its own task does not run. Until that does, a
+    /// request may have been received, or be read right before the close.
+    pub fn may_close(&self, reason: CloseReason) -> bool {
+        let makes_room = matches!(reason, CloseReason::Evicted | CloseReason::Draining);
+        if !makes_room || self.phase.get() == Phase::Lingering {
+            return true;
+        }
+        !self.phase.get().is_busy() && self.has_no_unread_input()
     }
 
     /// Whether the client sends nothing more, whatever waits to be read.
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -28,6 +28,7 @@
 use self::response::DateCache;
 use super::budget::{BodyBudget, SocketBudget};
 use super::driver::Driver;
+use super::events::CloseReason;
 use super::live::LiveConfig;
 use super::request_ids::RequestIds;
 use super::status::{Status, VERSION};
@@ -200,7 +201,7 @@
                 _ => false,
             };
             if closes {
-                connection.request_close();
+                connection.request_close(CloseReason::Draining);
             }
         }
     }
@@ -209,7 +210,7 @@
     pub fn close_evictable(&self) {
         let connections = self.connections.borrow();
         for connection in connections.values().filter(|c| c.evictable_idle_time().is_some()) {
-            connection.request_close();
+            connection.request_close(CloseReason::Draining);
         }
     }
 }
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -23,6 +23,7 @@
 use crate::sidecar::budget::Reservation;
 use crate::sidecar::config::stable_hash;
 use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
+use crate::sidecar::events::CloseReason;
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::UpstreamRequest;
 
@@ -304,7 +305,7 @@
         match &frame {
             None => self.connection.enter(Phase::AwaitingResponse),
             // Nothing more of this connection can be used.
-            Some(Err(BodyError)) => self.connection.request_close(),
+            Some(Err(BodyError)) => self.connection.request_close(CloseReason::BodyFailed),
             Some(Ok(_)) if self.body.is_end_stream() => {
                 self.connection.enter(Phase::AwaitingResponse);
             }
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -17,6 +17,7 @@
 use super::response::{ResponseBody, ResponseParts, empty_response, reply_response};
 use super::{DRAIN_PROPAGATION_DELAY, Ingress};
 use crate::sidecar::budget::SocketPermit;
+use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::MAX_HEAD_BYTES;
 use crate::sidecar::invariants::Violation;
 
@@ -25,6 +26,13 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_MAX_BYTES: usize = 256 << 10;
 
+/// How serving requests on a connection has ended.
+struct ConnectionEnd {
+    /// The client has all of its responses, and the connection can be closed in order.
+    responded: bool,
+    reason: CloseReason,
+}
+
 impl<P: Runtime> Ingress<P> {
     /// Serves one connection up to its end.
     pub(super) async fn serve_connection(
@@ -40,7 +48,9 @@
         let max_body = self.live.max_body_bytes();
         let connection = Rc::new(ClientConnection::new(&socket, accept_delay, max_body));
         self.connections.borrow_mut().insert(number, connection.clone());
-        let responded = self.serve_requests(&connection, &socket).await;
+        let ConnectionEnd { responded, reason } = self.serve_requests(&connection, &socket).await;
+        self.status.events.record_close(reason);
+        tracing::debug!(connection = number, %reason, phase = ?connection.phase(), "client connection ends");
         // Also where hyper has closed its side in order: it never saw what is faulty.
         let rejected = reject_unframed(&connection, &*socket);
         if responded || rejected {
@@ -48,11 +58,12 @@
             tokio::select! {
                 biased;
                 () = lingering_close::<P>(&socket, LINGER_TIME, LINGER_MAX_BYTES) => {}
-                () = connection.close_requested() => {}
+                _ = connection.close_requested() => {}
             }
         } else if connection.phase().is_busy() {
             if connection.phase() == Phase::AwaitingResponse && !connection.is_gone() {
-                self.status.events.record_violation(Violation::UnansweredClose, &number);
+                let subject = format!("connection {number}, {reason}");
+                self.status.events.record_violation(Violation::UnansweredClose, &subject);
             }
             // A response that is cut short must not look complete to anyone.
             socket.reset_on_close();
@@ -62,13 +73,12 @@
         drop(permit);
     }
 
-    /// Has hyper serve requests until the connection ends. True: the client has all of its
-    /// responses, and the connection can be closed in order.
+    /// Has hyper serve requests until the connection ends.
     async fn serve_requests(
         self: &Rc<Ingress<P>>,
         connection: &Rc<ClientConnection<P>>,
         socket: &Rc<P::Tcp>,
-    ) -> bool {
+    ) -> ConnectionEnd {
         let io = TokioIo::new(Stream::new(socket.clone(), connection.clone()));
         let service =
             service_fn(|request| self.clone().handle_request(connection.clone(), request));
@@ -84,14 +94,31 @@
         );
         tokio::select! {
             biased;
-            ended = http.as_mut() => ended.map_or_else(|error| error.is_parse(), |()| true),
-            () = connection.close_requested() => false,
+            ended = http.as_mut() => match ended {
+                Ok(()) => ConnectionEnd { responded: true, reason: CloseReason::Finished },
+                Err(error) => {
+                    tracing::debug!(%error, "client connection broke");
+                    ConnectionEnd { responded: error.is_parse(), reason: CloseReason::Broken }
+                }
+            },
+            reason = self.close_allowed(connection) => ConnectionEnd { responded: false, reason },
             () = connection.timed_out() => {
                 if connection.phase() == Phase::ReceivingRequest {
                     reject(connection, &**socket, StatusCode::REQUEST_TIMEOUT);
                 }
-                false
+                ConnectionEnd { responded: false, reason: CloseReason::TimedOut }
+            }
+        }
+    }
+
+    /// Completes when the connection is to be closed, and may be.
+    async fn close_allowed(&self, connection: &ClientConnection<P>) -> CloseReason {
+        loop {
+            let reason = connection.close_requested().await;
+            if connection.may_close(reason) {
+                return reason;
             }
+            self.status.events.record_withdrawn_close();
         }
     }
 
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -103,11 +103,11 @@
         let now = joined_at.checked_add_signed(clock_error).expect("after the epoch") - S;
         let mut b = Bench::new_at(now, settings(|_| {}), seed, &servers);
         b.servers(ListKind::Complete, &servers);
-        (0..20).for_each(|_| drop(b.round(0, 1.0)));
+        b.rounds(20);
         b.now = now + S;
         let joining = ServerEntry { started_at: joined_at, ..server(n) };
         b.servers(ListKind::Delta, &[joining]);
-        let mut share = |b: &mut Bench| {
+        let share = |b: &mut Bench| {
             (0..rounds).filter(|_| b.round(0, 1.0) == Some(ServerId(n))).count() as u32
         };
         early += share(&mut b);
@@ -141,7 +141,7 @@
         let servers = [old.clone(), server(1), server(2)];
         let mut b = Bench::new(settings(|_| {}), seed, &servers);
         b.servers(ListKind::Complete, &servers);
-        (0..20).for_each(|_| drop(b.round(0, 1.0)));
+        b.rounds(20);
         b.servers(ListKind::Delta, &[ServerEntry { started_at: START - 3_600 * S / 4, ..old }]);
         early += (0..10).filter(|_| b.round(0, 1.0) == Some(ServerId(0))).count();
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -163,6 +163,15 @@
     }
 }
 
+impl Bench {
+    /// Sends so many requests, one after the other, each answered after 20 ms.
+    pub fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round(0, 1.0);
+        }
+    }
+}
+
 /// The server of the first send among these actions.
 pub fn sent(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
