Slow start: a server's age no longer depends on the wall clock alone

Cause: the balancer compared a server's start with this machine's wall clock, read once at the process's start. An hour ahead, a server that joins counted as warm at once; an hour behind, as cold for an hour. A restarted server was only noticed if its new start was later than the old one.

Change: the age at the first sight of a server is the least of three bounds (wall clock, latest start in any list, time since the last list); from then on the monotonic clock counts. Any other start than before is a restart.

--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -9,9 +9,13 @@
             let missing = self.servers.iter_mut().filter(|s| !listed.contains(&s.id));
             missing.for_each(|s| s.health = Health::Removed);
         }
+        self.list_clock.observe(entries, self.now);
         for entry in entries {
             self.update_server(entry);
         }
+        if kind != ListKind::Cached {
+            self.list_clock.list_applied(self.now);
+        }
         self.rebuild_subset();
     }
 
@@ -43,10 +47,12 @@
             None if entry.health == Health::Removed => return,
             None => self.insert_server(entry),
         };
+        let warming_since = self.list_clock.warming_since(entry.started_at, self.now);
         let server = &mut self.servers[slot];
-        if entry.started_at > server.started_at {
+        // A machine's clock may have been set back between two starts. A start that is no longer told is none.
+        if entry.started_at != server.started_at && entry.started_at > 0 {
             // A restart voids what was known of the old process. Attempts in flight keep their count.
-            *server = Server { in_flight: server.in_flight, ..Server::new(entry) };
+            *server = Server { in_flight: server.in_flight, ..Server::new(entry, warming_since) };
         }
         let sound = entry.weight.is_finite() && entry.weight > 0.0;
         server.weight = if sound { f64::from(entry.weight) } else { 1.0 };
@@ -56,13 +62,14 @@
     /// Adds a server, in the slot of a removed one if there is one with nothing in flight.
     fn insert_server(&mut self, entry: &ServerEntry) -> Slot {
         let is_free = |s: &Server| s.health == Health::Removed && s.in_flight == 0;
+        let warming_since = self.list_clock.warming_since(entry.started_at, self.now);
         let slot = self.servers.iter().position(is_free).unwrap_or(self.servers.len());
         if let Some(removed) = self.servers.get_mut(slot) {
             self.slots.remove(&removed.id);
             self.lateness.forget(slot);
-            *removed = Server::new(entry);
+            *removed = Server::new(entry, warming_since);
         } else {
-            self.servers.push(Server::new(entry));
+            self.servers.push(Server::new(entry, warming_since));
         }
         self.slots.insert(entry.id, slot);
         slot
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -42,6 +42,7 @@
     now: Micros,
     servers: Vec<Server>,
     slots: FxHashMap<ServerId, Slot>,
+    list_clock: slow_start::ListClock,
     /// The servers that may be sent to, and this sidecar's own subset of them.
     ready: WeightedSlots,
     subset: WeightedSlots,
@@ -86,6 +87,7 @@
             now,
             servers: Vec::new(),
             slots: FxHashMap::default(),
+            list_clock: slow_start::ListClock::default(),
             ready: WeightedSlots::default(),
             subset: WeightedSlots::default(),
             weights_built_at: now,
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -12,7 +12,10 @@
     pub(super) cell: u16,
     pub(super) health: Health,
     pub(super) weight: f64,
+    /// Its start as discovery tells it, on another clock: it only tells one process from the next.
     pub(super) started_at: Micros,
+    /// Since when it warms up, on the balancer's clock; None if it started long ago.
+    pub(super) warming_since: Option<Micros>,
     pub(super) chips: u32,
     pub(super) in_flight: u32,
     /// The paper's RcvTime: the last response, or the last attempt without a chip; None before the first response.
@@ -35,9 +38,15 @@
 }
 
 impl Server {
-    pub(super) fn new(entry: &ServerEntry) -> Server {
-        let &ServerEntry { id, started_at, .. } = entry;
-        Server { id, started_at, relative_latency: 1.0, remote_load: 1.0, ..Server::default() }
+    pub(super) fn new(entry: &ServerEntry, warming_since: Option<Micros>) -> Server {
+        Server {
+            id: entry.id,
+            started_at: entry.started_at,
+            warming_since,
+            relative_latency: 1.0,
+            remote_load: 1.0,
+            ..Server::default()
+        }
     }
 }
 
