Failing tests: EINTR, aborted connections, and requests that wait for body memory

Change: a library of faulty system calls and a stepped wall clock, loaded into the program under test (crates/fakes: faulty_calls); three tests that use it or a small memory limit.

With EINTR in a tenth of the calls, requests are answered 503 or lose their connection; an aborted connection evicts an idle client; a request with 300 ms left waited 2.5 s for memory and was then sent to a server with 300 ms.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod clients;
+pub mod faulty_calls;
 pub mod logserver;
 pub mod program;
 pub mod registry;
--- /dev/null
+++ b/tests/lifecycle/body_memory.rs
@@ -0,0 +1,52 @@
+//! Requests whose bodies wait for memory that others have.
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use serde_json::Value;
+
+use crate::net::*;
+use crate::support::*;
+
+/// What 16 MB leave for bodies, in long bodies of unknown pace, and a short one that fills the rest.
+const LONG_BODIES: usize = 42;
+const FILLING_BODY: usize = 65_536;
+/// More than is left then.
+const WAITING_BODY: usize = 60_000;
+
+fn small_memory(config: &mut Value) {
+    config["limits"]["memory_mb"] = 16.into();
+    config["limits"]["sockets"] = 256.into();
+}
+
+/// An order with a body of `length` bytes of which `sent` are written, on a new connection.
+fn order_of(
+    sidecar: &Sidecar,
+    id: &str,
+    time_left_ms: u32,
+    length: usize,
+    sent: usize,
+) -> TcpStream {
+    let mut client = sidecar.connect();
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: {time_left_ms}\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    client.write_all((head + &"x".repeat(sent)).as_bytes()).expect("sent");
+    client
+}
+
+/// A request that has arrived completely is answered in its time, also where its body is never read.
+#[test]
+fn request_that_waits_for_memory_is_rejected_when_its_time_is_up() {
+    let blocked = BlockedServer::new();
+    let sidecar = Sidecar::start_with(discovery(&[&blocked.server]), small_memory);
+    let long = |n| order_of(&sidecar, &format!("long-{n}"), 20_000, 200_000, 70_000);
+    let _long: Vec<_> = (0..LONG_BODIES).map(long).collect();
+    let _filling = order_of(&sidecar, "filling", 20_000, FILLING_BODY, FILLING_BODY);
+    until("all others have their memory", || sidecar.state()["open"] == LONG_BODIES + 1);
+    let waiting = order_of(&sidecar, "waiting", 300, WAITING_BODY, WAITING_BODY);
+    let answer = first_answer(waiting);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(!blocked.server.seen().contains(&"waiting".to_owned()));
+}
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -6,9 +6,11 @@
 #[path = "../common/net.rs"]
 mod net;
 
+mod body_memory;
 mod connecting;
 mod discovery;
 mod idle_close;
 mod reload;
 mod shutdown;
 mod support;
+mod system_calls;
