EINTR, aborted accepts and waits for memory; rules are checked again at the sockets

Causes: EINTR was passed on as the end of a connection, and a peek that was interrupted counted as a client that had left. Every failed accept was taken for a shortage. The wait for body memory had no end, and its time was not taken off what the client has left.

Change: interrupted calls are made again (runtime); only EMFILE, ENFILE, ENOBUFS and ENOMEM evict (accept(2)); the wait for memory ends with the request's time, with 503, and is charged. may_send is asked wherever bytes may reach a server; the driver checks rule 2 once more by its own account, counts a violation and does not act.

--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -1,7 +1,7 @@
 //! The real system, through tokio.
 
 use std::future::Future;
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -42,7 +42,12 @@
     }
 
     async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-        TcpStream::connect(to).await
+        loop {
+            match TcpStream::connect(to).await {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                connected => return connected,
+            }
+        }
     }
 }
 
@@ -62,15 +67,15 @@
     }
 
     fn try_read_buf(&self, mut buf: &mut ReadBuf<'_>) -> io::Result<usize> {
-        TcpStream::try_read_buf(self, &mut buf)
+        repeat_interrupted(|| TcpStream::try_read_buf(self, &mut buf))
     }
 
     fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
-        TcpStream::try_write(self, buf)
+        repeat_interrupted(|| TcpStream::try_write(self, buf))
     }
 
     fn try_write_vectored(&self, bufs: &[IoSlice<'_>]) -> io::Result<usize> {
-        TcpStream::try_write_vectored(self, bufs)
+        repeat_interrupted(|| TcpStream::try_write_vectored(self, bufs))
     }
 
     fn set_nodelay(&self) -> io::Result<()> {
@@ -86,9 +91,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        matches!(SockRef::from(self).peek(&mut byte),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        matches!(peek(self), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
     fn peer_closed(&self) -> bool {
@@ -98,10 +101,25 @@
             return true;
         }
         // An end that the event queue has not reported yet shows in the socket, unless unread bytes precede it.
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(self).peek(&mut byte) {
+        match peek(self) {
             Ok(n) => n == 0,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// How many bytes wait to be read: one at the most, 0 at the end of the stream.
+fn peek(socket: &TcpStream) -> io::Result<usize> {
+    let mut byte = [MaybeUninit::uninit()];
+    repeat_interrupted(|| SockRef::from(socket).peek(&mut byte))
+}
+
+/// Makes a call again for as long as a signal interrupts it: such a call has done nothing.
+fn repeat_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            done => return done,
         }
     }
 }
@@ -110,7 +128,12 @@
     type Tcp = TcpStream;
 
     async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
-        TcpListener::accept(self).await
+        loop {
+            match TcpListener::accept(self).await {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                accepted => return accepted,
+            }
+        }
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -120,10 +143,15 @@
 
 impl Udp for UdpSocket {
     async fn recv_from(&self, buf: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        UdpSocket::recv_from(self, buf).await
+        loop {
+            match UdpSocket::recv_from(self, buf).await {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                received => return received,
+            }
+        }
     }
 
     fn try_send_to(&self, data: &[u8], to: SocketAddr) -> io::Result<usize> {
-        UdpSocket::try_send_to(self, data, to)
+        repeat_interrupted(|| UdpSocket::try_send_to(self, data, to))
     }
 }
--- a/crates/simnet/src/host.rs
+++ b/crates/simnet/src/host.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 
+use rustix::io::Errno;
+
 /// The first port that outgoing connections use.
 const FIRST_EPHEMERAL_PORT: u16 = 32_768;
 
@@ -58,7 +60,7 @@
     /// If the limit of descriptors is reached.
     pub(crate) fn open_socket(&mut self) -> io::Result<()> {
         if self.open_sockets >= self.socket_limit {
-            return Err(io::Error::other("too many open files"));
+            return Err(Errno::MFILE.into());
         }
         self.open_sockets += 1;
         Ok(())
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -7,8 +7,11 @@
 use runtime::Runtime;
 use tokio::sync::oneshot;
 
+use super::endpoints::KnownServer;
+use super::requests::InFlightRequest;
 use super::{Driver, RequestOutcome, State};
 use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
+use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
 
@@ -38,6 +41,17 @@
     cancelled: oneshot::Receiver<()>,
 }
 
+/// The rule that a further attempt of a request would break, by what the driver itself knows.
+fn violation_of(request: &InFlightRequest, server: Option<&KnownServer>) -> Option<Violation> {
+    if request.is_finished() {
+        return Some(Violation::AttemptAfterEnd);
+    }
+    if request.retry_safety().is_some_and(|safety| !may_repeat(safety, request.may_have_run())) {
+        return Some(Violation::UnsafeRepeat);
+    }
+    server.filter(|known| !known.ready.get()).map(|_| Violation::UnreadyServer)
+}
+
 impl<P: Runtime> Driver<P> {
     /// Starts an attempt that is waited for during `timeout`.
     pub(super) fn start_attempt(
@@ -76,23 +90,28 @@
         // An attempt may wait for its connection while servers forget the request that it repeats.
         let start_by = idempotency_window.and_then(|window| request.retry_by(window));
         let index = request.attempts.len();
+        let known = endpoints.get(server);
+        let violation = violation_of(request, known);
         request.attempts.push(InFlightAttempt {
             cancel: Some(cancel),
             started,
             may_have_run: true,
         });
-        let dispatch =
-            request.message().zip(endpoints.get(server)).map(|(message, known)| Dispatch {
-                endpoint: Endpoint { server, address: known.address },
-                request: message,
-                limits: AttemptLimits {
-                    start_by,
-                    idempotency_window,
-                    deadline: started + timeout,
-                    server_ready: known.ready.clone(),
-                },
-                cancelled,
-            });
+        if let Some(violation) = violation {
+            self.status.events.record_violation(violation, &id.0);
+            return (index, None);
+        }
+        let dispatch = request.message().zip(known).map(|(message, known)| Dispatch {
+            endpoint: Endpoint { server, address: known.address },
+            request: message,
+            limits: AttemptLimits {
+                start_by,
+                idempotency_window,
+                deadline: started + timeout,
+                server_ready: known.ready.clone(),
+            },
+            cancelled,
+        });
         (index, dispatch)
     }
 
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -27,7 +27,7 @@
 use super::upstream::{HealthCheckKind, Upstream};
 use crate::api::{Event, ListKind, Micros, RequestId};
 use crate::balancer::Balancer;
-use crate::settings::{ReportDelivery, RetrySafety, Settings};
+use crate::settings::{DedupScope, ReportDelivery, RetrySafety, Settings};
 pub use endpoints::EndpointCounts;
 use endpoints::EndpointTable;
 use requests::InFlightRequest;
@@ -80,6 +80,8 @@
     health_check: HealthCheckKind,
     /// How long servers recognize repeats of a class's requests with idempotency keys, by class.
     idempotency_windows: Vec<Option<Duration>>,
+    /// Whether every server recognizes repeats of a class's requests, by class.
+    deduplicated_everywhere: Vec<bool>,
 }
 
 impl<P: Runtime> Driver<P> {
@@ -103,6 +105,8 @@
                 .then(|| Duration::from_micros(class.dedup_window))
         });
         let idempotency_windows = windows.collect();
+        let deduplicated_everywhere =
+            settings.classes.iter().map(|class| class.dedup_scope == DedupScope::All).collect();
         let state = RefCell::new(State {
             balancer: Balancer::new(settings, seed, clock.started_at),
             requests: FxHashMap::default(),
@@ -120,6 +124,7 @@
             peer_services,
             health_check,
             idempotency_windows,
+            deduplicated_everywhere,
         })
     }
 
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -10,6 +10,7 @@
 use super::attempts::InFlightAttempt;
 use crate::api::{Event, Micros, NewRequest, RequestId};
 use crate::settings::RetrySafety;
+use crate::sidecar::invariants::{Violation, may_reject};
 use crate::sidecar::status::Status;
 use crate::sidecar::upstream::{UpstreamRequest, UpstreamResponse};
 
@@ -112,11 +113,19 @@
         self.message.clone().filter(|message| !self.is_finished() && is_kept(message))
     }
 
+    /// Whether it may be sent more than once; none once no further attempt can be made.
+    pub(super) fn retry_safety(&self) -> Option<RetrySafety> {
+        self.message.as_ref().map(|message| message.retry_safety)
+    }
+
+    /// Whether any of its attempts may have been executed.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.may_have_run)
+    }
+
     /// Whether the request may be sent again after it may have been executed.
     pub(super) fn is_retryable(&self) -> bool {
-        self.message
-            .as_ref()
-            .is_some_and(|message| message.retry_safety != RetrySafety::NonIdempotent)
+        self.retry_safety().is_some_and(|safety| safety != RetrySafety::NonIdempotent)
     }
 
     /// Frees what attempts send: no further one is made, and none that waits for a connection is sent.
@@ -246,12 +255,34 @@
     /// Ends a request with the balancer's answer.
     pub(super) fn finish_request(self: &Rc<Driver<P>>, id: RequestId, outcome: RequestOutcome) {
         if let Some(request) = self.state.borrow_mut().requests.get_mut(&id) {
+            let outcome = self.checked_outcome(id, request, outcome);
             request.release_message();
             request.finish(outcome, &self.status);
         }
         self.remove_if_done(id);
     }
 
+    /// The outcome, or a failure where a rejection would have the client repeat what may have been
+    /// executed.
+    fn checked_outcome(
+        &self,
+        id: RequestId,
+        request: &InFlightRequest,
+        outcome: RequestOutcome,
+    ) -> RequestOutcome {
+        let any_server_deduplicates = self.deduplicated_everywhere[request.class];
+        let safe = request.retry_safety().is_none_or(|safety| {
+            may_reject(safety, any_server_deduplicates, request.may_have_run())
+        });
+        match outcome {
+            RequestOutcome::Rejected { .. } if !safe => {
+                self.status.events.record_violation(Violation::UnsafeRejection, &id.0);
+                RequestOutcome::Failed
+            }
+            outcome => outcome,
+        }
+    }
+
     /// Forgets a request once it is finished and so are its attempts.
     pub(super) fn remove_if_done(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -1,10 +1,12 @@
 //! Accepting client connections within their budget, and evicting connections to make room.
 
 use std::cmp::Reverse;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use runtime::{Listener, Runtime, timeout};
+use rustix::io::Errno;
 
 use super::Ingress;
 use crate::sidecar::budget::SocketPermit;
@@ -12,9 +14,20 @@
 
 /// The pause before accepting is tried again when no descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// So many failures in a row that are no shortage are followed by the same pause: a listener that only
+/// fails must not take all of the processor.
+const ACCEPT_FAILURES_BEFORE_PAUSE: u32 = 8;
 /// How many connections are closed at most with each one that is accepted.
 const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
 
+/// Whether accepting failed for want of something that closing a connection gives back: descriptors of
+/// the process or the system, buffers or memory. Any other error concerns one connection alone (see
+/// accept(2)).
+fn is_shortage(error: &io::Error) -> bool {
+    let code = error.raw_os_error().map(Errno::from_raw_os_error);
+    matches!(code, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
+}
+
 impl<P: Runtime> Ingress<P> {
     /// Accepts clients for as long as it is polled.
     ///
@@ -24,6 +37,7 @@
     /// that connect in a crowd and send their request later get less time than they ask for.
     pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
         let mut behind_since: Option<Instant> = None;
+        let mut failures_in_a_row = 0_u32;
         loop {
             let requested = P::now();
             let permit = self.acquire_permit().await;
@@ -40,6 +54,7 @@
             };
             match accepted {
                 Ok((socket, _)) => {
+                    failures_in_a_row = 0;
                     let number = self.accept_count.get() + 1;
                     self.accept_count.set(number);
                     self.last_accepted.set(P::now());
@@ -47,15 +62,22 @@
                     let delay = behind_since.map_or(Duration::ZERO, P::elapsed_since);
                     P::spawn(self.clone().serve_connection(number, socket, permit, delay));
                 }
-                Err(error) => {
-                    // An accept that fails for want of descriptors, or because the client has
-                    // disconnected, must not end accepting.
-                    tracing::warn!(%error, "failed to accept a client connection");
+                // Whatever fails must not end accepting.
+                Err(error) if is_shortage(&error) => {
+                    tracing::warn!(%error, "no resources left to accept a client connection");
                     self.last_accept_failure.set(Some(P::now()));
                     self.evict_one();
                     behind_since.get_or_insert(P::now());
                     P::sleep(ACCEPT_RETRY_DELAY).await;
                 }
+                // Only that connection is lost, and the next may wait behind it.
+                Err(error) => {
+                    tracing::debug!(%error, "a client connection ended before it was accepted");
+                    failures_in_a_row += 1;
+                    if failures_in_a_row.is_multiple_of(ACCEPT_FAILURES_BEFORE_PAUSE) {
+                        P::sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                }
             }
         }
     }
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, http};
-use runtime::Runtime;
+use runtime::{Runtime, timeout};
 
 use super::Ingress;
 use super::connection::{ClientConnection, ClientDisconnected, Phase};
@@ -104,7 +104,7 @@
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         }
         let RequestBody { first, upload, reservation } =
-            self.receive_body(connection, body, &info).await?;
+            self.receive_body(connection, body, &mut info).await?;
         // What waited to be accepted or for memory may be of a client that has left meanwhile, and
         // an attempt would begin for nobody. See `ClientConnection::unless_disconnected` for whom
         // this harms.
@@ -155,22 +155,27 @@
     /// Reads a short body completely, and of a long one what is buffered; the rest is streamed.
     ///
     /// Memory is reserved before anything is read: reserved only for bytes that are here, it would
-    /// be overdrawn by all who send at the same time. A client whose time runs out while it waits
-    /// for memory has had no attempt.
+    /// be overdrawn by all who send at the same time. All of the body may have arrived meanwhile, so
+    /// the time of that wait is taken off the request's.
+    ///
+    /// # Errors
+    ///
+    /// When the client has disconnected, or its time is up before there is memory: nothing was sent
+    /// then, and the client may send it again.
     async fn receive_body(
         &self,
         connection: &Rc<ClientConnection<P>>,
         body: Incoming,
-        info: &RequestInfo,
-    ) -> Result<RequestBody, ClientDisconnected> {
+        info: &mut RequestInfo,
+    ) -> Result<RequestBody, RequestError> {
         if body.is_end_stream() {
             return Ok(RequestBody { first: Bytes::new(), upload: None, reservation: None });
         }
         let length = body.size_hint().exact();
         let buffered =
             length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
-        let reserving = self.body_budget.reserve(buffered.unwrap_or(STREAM_RESERVATION_BYTES));
-        let reservation = connection.unless_disconnected(reserving).await?;
+        let bytes = buffered.unwrap_or(STREAM_RESERVATION_BYTES);
+        let reservation = self.reserve_body_memory(connection, bytes, info).await?;
         let (first, rest) = read_prefix(body, buffered.unwrap_or(STREAM_WINDOW_BYTES)).await?;
         let upload = rest.map(|rest| {
             let remaining = self.live.max_body_bytes().saturating_sub(first.len()) as u64;
@@ -185,6 +190,28 @@
         Ok(RequestBody { first, upload, reservation })
     }
 
+    /// Reserves memory for a body. What the wait takes is over for the request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::receive_body`].
+    async fn reserve_body_memory(
+        &self,
+        connection: &ClientConnection<P>,
+        bytes: usize,
+        info: &mut RequestInfo,
+    ) -> Result<Reservation, RequestError> {
+        let requested = P::now();
+        let time_left = self.driver.time_budget(info.class, info.time_left);
+        let reserving = timeout::<P, _>(time_left, self.body_budget.reserve(bytes));
+        let Ok(reservation) = connection.unless_disconnected(reserving).await? else {
+            tracing::warn!(bytes, "no memory for the body of a request within its time");
+            return Err(RequestError::Rejected(StatusCode::SERVICE_UNAVAILABLE));
+        };
+        info.time_left = info.time_left.saturating_sub(P::elapsed_since(requested));
+        Ok(reservation)
+    }
+
     /// Validates a request's head, and takes from it what the driver has to know.
     fn parse<'a>(&self, head: &'a http::request::Parts) -> Result<ParsedRequest<'a>, RequestError> {
         const BAD_REQUEST: RequestError = RequestError::Rejected(StatusCode::BAD_REQUEST);
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -16,6 +16,7 @@
 use super::{Endpoint, Upstream};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
+use crate::sidecar::invariants::{self, SendRefusal};
 
 /// A connection that was closed before it was used shows that within this time.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
@@ -112,12 +113,14 @@
             };
             // Where attempts may not be cancelled, one that waits for its connection would be sent for
             // a request that is finished, and its effect would take place for nobody.
-            if self.request.finished.get() || !self.limits.may_start(P::now()) {
+            let sent_at = P::now();
+            if let Err(refusal) = self.may_send(sent_at) {
+                self.upstream.status.events.record_refusal(refusal);
+                tracing::debug!(address = %self.endpoint.address, %refusal, "attempt not sent");
                 self.upstream.return_to_pool(self.endpoint.server, connection);
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             let observer = connection.observer.clone();
-            let sent_at = P::now();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
                 return self.receive_response(connection, &observer, response).await;
             }
@@ -133,6 +136,10 @@
         }
     }
 
+    fn may_send(&self, now: Instant) -> Result<(), SendRefusal> {
+        invariants::may_send(self.limits.send_facts(self.request, now))
+    }
+
     /// Sends the request and waits for the head of its response; none if the connection breaks or the
     /// head stalls.
     ///
@@ -147,7 +154,7 @@
     ) -> Option<Response<Incoming>> {
         let response = tokio::select! {
             biased;
-            response = send_request(connection, self.request, self.limits.deadline) => response,
+            response = send_request(connection, self.request, &self.limits) => response,
             () = self.upstream.response_stalled(observer) => None,
         };
         // A response that came before the request was sent answers something else.
@@ -179,7 +186,8 @@
     fn after_break(&self, connection: &Connection<P>, sent_at: Instant) -> AfterBreak {
         let observer = &connection.observer;
         let sent = observer.is_request_sent();
-        if self.request.finished.get() && !sent {
+        if !sent && let Err(refusal) = self.may_send(P::now()) {
+            self.upstream.status.events.record_refusal(refusal);
             return AfterBreak::End(Outcome::NotSent);
         }
         // A server may close a connection just as the request is written. An idempotent one goes to the
@@ -205,9 +213,9 @@
 pub(super) async fn send_request<P: Runtime>(
     connection: &mut Connection<P>,
     request: &UpstreamRequest,
-    deadline: Instant,
+    limits: &AttemptLimits,
 ) -> Option<Response<Incoming>> {
-    let time_left = request.time_left(P::now(), deadline);
+    let time_left = request.time_left(P::now(), limits.deadline);
     let observer = connection.observer.clone();
     let message = build_message(connection, request, time_left);
     // An idempotent request need not wait for a test: if the connection is gone, it is sent once more.
@@ -224,9 +232,9 @@
         if let Ok(response) = timeout::<P, _>(test_duration, &mut response).await {
             return response.ok();
         }
-        // Where attempts may not be cancelled, the byte that was held back would have a request
-        // executed that was given up meanwhile.
-        if request.finished.get() {
+        // The byte that was held back would have a request executed that was given up meanwhile, or
+        // at a server that wants none by now.
+        if invariants::may_send(limits.send_facts(request, P::now())).is_err() {
             return None;
         }
         observer.release();
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -11,6 +11,7 @@
 use runtime::{Runtime, timeout};
 
 use super::exchange::send_request;
+use super::request::AttemptLimits;
 use super::{Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
@@ -80,8 +81,8 @@
     ) -> Result<HealthCheckResult, Outcome> {
         let mut connection = self.connect(address).await.ok_or(Outcome::ConnectFailed)?;
         let request = health_check_request(kind.path());
-        let deadline = P::now() + self.live.timeouts().connect;
-        let response = send_request(&mut connection, &request, deadline).await;
+        let limits = AttemptLimits::unlimited(P::now() + self.live.timeouts().connect);
+        let response = send_request(&mut connection, &request, &limits).await;
         let (head, body) = response.map(Response::into_parts).ok_or(Outcome::ConnectionReset)?;
         let body = Limited::new(body, STREAM_WINDOW_BYTES)
             .collect()
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -16,6 +16,7 @@
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
 use crate::sidecar::budget::Reservation;
+use crate::sidecar::invariants::SendFacts;
 use crate::sidecar::upload::{Upload, UploadAttempt};
 
 /// A client's request in the form in which servers get it, kept for retries.
@@ -74,12 +75,27 @@
 }
 
 impl AttemptLimits {
-    /// Whether the attempt may still start.
+    /// For what repeats nothing, and may be sent to any server.
+    pub(super) fn unlimited(deadline: Instant) -> AttemptLimits {
+        AttemptLimits {
+            start_by: None,
+            idempotency_window: None,
+            deadline,
+            server_ready: Rc::new(Cell::new(true)),
+        }
+    }
+
+    /// What [`may_send`](crate::sidecar::invariants::may_send) has to know of an attempt at `request`.
     ///
     /// An attempt may wait for its connection, or for a socket to open one, longer than a server
     /// that begins to drain may be sent anything new, or than servers remember what it repeats.
-    pub(super) fn may_start(&self, now: Instant) -> bool {
-        self.server_ready.get() && self.start_by.is_none_or(|by| now <= by)
+    pub(super) fn send_facts(&self, request: &UpstreamRequest, now: Instant) -> SendFacts {
+        SendFacts {
+            finished: request.finished.get(),
+            server_ready: self.server_ready.get(),
+            now,
+            start_by: self.start_by,
+        }
     }
 
     /// Notes that the request was sent in full at `sent_at` and is about to be sent once more.
