--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -26,6 +26,11 @@
 const PAUSE_GRACE: Duration = Duration::from_secs(5);
 /// How long after the client's answer an attempt that was on its way may still arrive at a server.
 const IN_FLIGHT_GRACE: Duration = Duration::from_millis(500);
+/// How long after its client has left a request may still be sent to a server by the protocol, and what a busy
+/// machine may add to that.
+const LEAVE_GRACE: Duration = Duration::from_millis(100 + 250);
+/// How much longer than its client a server may be told to wait, and what a busy machine may add to that.
+const TIME_LEFT_SLACK: Duration = Duration::from_millis(150 + 250);
 /// The longest latency that is recorded, in microseconds.
 const MAX_LATENCY_US: u64 = 1_000_000_000;
 /// The significant decimal digits of recorded latencies.
@@ -60,6 +65,10 @@
     /// Processes that were killed on purpose, and when.
     kills: Vec<(SocketAddr, Instant)>,
     pauses: Vec<Pause>,
+    /// Requests may be held up on their way to servers, for any time.
+    transit_delays: bool,
+    /// They may arrive long after they were given up.
+    late_arrivals: bool,
     /// The counts that need no operation. The others are made when a report is.
     counts: Report,
 }
@@ -96,7 +105,8 @@
         let mut inner = self.lock();
         inner.last_operation += 1;
         let number = inner.last_operation;
-        let operation = Operation { class, tenant, attempts: Vec::new(), in_time: false };
+        let deadline = Instant::now() + self.classes[class].deadline;
+        let operation = Operation { class, tenant, deadline, attempts: Vec::new(), in_time: false };
         inner.operations.insert(number, operation);
         number
     }
@@ -188,6 +198,17 @@
         }
     }
 
+    /// Announces that requests may be held up on their way to servers. What a request tells when it arrives, and when
+    /// that is, shows no longer what its sidecar did.
+    pub fn expect_transit_delays(&self) {
+        self.lock().transit_delays = true;
+    }
+
+    /// Announces that requests may even arrive long after they were given up.
+    pub fn expect_late_arrivals(&self) {
+        self.lock().late_arrivals = true;
+    }
+
     /// Announces that the process at `target` is about to be resumed.
     pub fn expect_resume(&self, target: SocketAddr) {
         if let Some(pause) = self.lock().open_pause(target) {
@@ -218,17 +239,36 @@
         match event {
             ServerEvent::Received => {
                 attempt.received += 1;
-                if attempt.outcome.is_some_and(|(_, at)| now > at + IN_FLIGHT_GRACE) {
-                    inner.counts.after_answer += 1;
-                    let example = format!("{request_id} came to {server} after its final answer");
-                    inner.add_example(example);
-                }
+                let outcome = attempt.outcome;
+                inner.check_arrival(outcome, now, &format!("{request_id} came to {server}"));
             }
             ServerEvent::Executed => attempt.executed += 1,
             ServerEvent::Rejected | ServerEvent::Deduplicated => {}
         }
     }
 
+    /// Records how long a server was told that a client still waits.
+    pub fn record_time_left(&self, server: &str, request_id: &str, time_left: Duration) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let id = AttemptId::parse(request_id);
+        let Some(operation) = id.and_then(|id| inner.operations.get(&id.operation)) else { return };
+        let left = operation.deadline.saturating_duration_since(now);
+        if time_left > left + TIME_LEFT_SLACK && !inner.transit_delays {
+            inner.counts.excess_time_left += 1;
+            let (told, left) = (time_left.as_millis(), left.as_millis());
+            inner
+                .add_example(format!("{request_id} told {server} {told} ms where {left} are left"));
+        }
+    }
+
+    /// Records that a server was sent a request long after it was listed as draining.
+    pub fn record_late_drain(&self, server: &str, request_id: &str) {
+        let mut inner = self.lock();
+        inner.counts.sent_to_draining += 1;
+        inner.add_example(format!("{request_id} came to {server}, which drains"));
+    }
+
     /// The latencies of what was served since the last call, by class. Later reports are without them.
     pub fn take_latencies(&self) -> Vec<ClassReport> {
         let mut inner = self.lock();
@@ -264,7 +304,7 @@
             None => class.open += 1,
             Some(Outcome::Served) => class.served += 1,
             Some(Outcome::Rejected) => class.rejected += 1,
-            Some(Outcome::Failed) => class.failed += 1,
+            Some(Outcome::Failed | Outcome::Left) => class.failed += 1,
             Some(Outcome::TimedOut) => {
                 class.timed_out += 1;
                 report.timed_out += 1;
@@ -284,6 +324,26 @@
         self.operations.get_mut(&id.operation)?.attempts.get_mut(usize::from(id.number))
     }
 
+    /// Counts an attempt that arrives at a server although nobody waits for it any more. `arrival` describes it.
+    fn check_arrival(&mut self, outcome: Option<(Outcome, Instant)>, now: Instant, arrival: &str) {
+        match outcome {
+            Some((Outcome::Left, at)) if now > at + LEAVE_GRACE && !self.transit_delays => {
+                self.counts.after_leaving += 1;
+                let late = (now - at).as_millis();
+                self.add_example(format!("{arrival} {late} ms after its client had left"));
+            }
+            Some((outcome, at))
+                if outcome != Outcome::Left
+                    && now > at + IN_FLIGHT_GRACE
+                    && !self.late_arrivals =>
+            {
+                self.counts.after_answer += 1;
+                self.add_example(format!("{arrival} after its final answer"));
+            }
+            _ => {}
+        }
+    }
+
     fn open_pause(&mut self, target: SocketAddr) -> Option<&mut Pause> {
         self.pauses.iter_mut().rev().find(|pause| pause.target == target && pause.end.is_none())
     }
--- a/crates/fakes/src/account/operation.rs
+++ b/crates/fakes/src/account/operation.rs
@@ -73,6 +73,8 @@
     Failed,
     /// No answer within the deadline and the slack.
     TimedOut,
+    /// The client gave up before its time was over, and closed the connection.
+    Left,
     /// The connection ended without a complete answer after the request had been accepted.
     Lost,
     /// Status 200 with another body.
@@ -96,6 +98,8 @@
     pub class: usize,
     /// The number of its tenant, where clients tell it.
     pub tenant: Option<usize>,
+    /// When its client gives up.
+    pub deadline: Instant,
     /// Its attempts, in their order.
     pub attempts: Vec<Attempt>,
     /// Whether it was served within the latency objective, counted from its first attempt.
--- a/crates/fakes/src/account/report.rs
+++ b/crates/fakes/src/account/report.rs
@@ -103,6 +103,12 @@
     /// Attempts that arrived at a server after the final answer.
     #[serde(rename = "after_the_end")]
     pub after_answer: u64,
+    /// Attempts that arrived at a server after their client had left.
+    pub after_leaving: u64,
+    /// Attempts whose server was told that the client waits for longer than it does.
+    pub excess_time_left: u64,
+    /// Attempts that arrived at a server long after it was listed as draining.
+    pub sent_to_draining: u64,
     /// Answers with status 200 and another body.
     #[serde(rename = "wrong")]
     pub wrong_body: u64,
@@ -141,6 +147,9 @@
             + self.duplicated_keyed
             + self.rejected_but_executed
             + self.after_answer
+            + self.after_leaving
+            + self.excess_time_left
+            + self.sent_to_draining
             + self.wrong_body
             + self.unknown
     }
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -35,6 +35,8 @@
     pub retries: u16,
     /// How long after its deadline an answer still counts: the time that the machine itself may take.
     pub slack: Duration,
+    /// The share of the operations whose client leaves at a random moment, with its connection.
+    pub leave_share: f64,
     /// How long an idle connection is kept open.
     pub idle_timeout: Duration,
     /// The names of the tenants.
@@ -51,6 +53,7 @@
             rate: 5.0,
             retries: 2,
             slack: Duration::from_millis(500),
+            leave_share: 0.0,
             idle_timeout: Duration::from_millis(2000),
             tenants: Vec::new(),
             shares: Vec::new(),
@@ -89,6 +92,8 @@
     tenant: Option<usize>,
     idempotency_key: u64,
     deadline: Instant,
+    /// When its client leaves, if it does not wait.
+    leaves_at: Option<Instant>,
 }
 
 /// How one exchange of a request and an answer ended.
@@ -128,7 +133,9 @@
         let shares = client.account.classes().iter().map(|class| class.share);
         let class = draw_by_share(shares, &mut rng);
         let tenant = client.load.draw_tenant(&mut rng);
-        open.spawn(client.clone().run_operation(class, tenant, rng.random()));
+        let leaves = rng.random_bool(client.load.leave_share.clamp(0.0, 1.0));
+        let patience = leaves.then(|| rng.random::<f64>());
+        open.spawn(client.clone().run_operation(class, tenant, rng.random(), patience));
         while open.try_join_next().is_some() {}
     }
     while open.join_next().await.is_some() {}
@@ -158,12 +165,14 @@
         class: usize,
         tenant: Option<usize>,
         idempotency_key: u64,
+        patience: Option<f64>,
     ) {
         let number = self.account.begin_for_tenant(class, tenant);
         let class = self.account.classes()[class].clone();
         let started = Instant::now();
         let deadline = started + class.deadline;
-        let operation = Operation { class, tenant, idempotency_key, deadline };
+        let leaves_at = patience.map(|share| started + class.deadline.mul_f64(share));
+        let operation = Operation { class, tenant, idempotency_key, deadline, leaves_at };
         for n in 0..=self.load.retries {
             let id = self.account.next_attempt(number);
             let (outcome, retry_after) = self.attempt(id, &operation).await;
@@ -191,8 +200,12 @@
         for _ in 0..MAX_SENDS {
             let request = self.request(id, operation);
             let limit = operation.deadline + self.load.slack;
+            let limit = operation.leaves_at.map_or(limit, |leaves_at| leaves_at.min(limit));
             match self.exchange(request.as_bytes(), limit).await {
                 Exchange::Answered(message, reader) => return self.answered(id, &message, reader),
+                Exchange::TimedOut if operation.leaves_at.is_some() => {
+                    return (Outcome::Left, None);
+                }
                 Exchange::TimedOut => return (Outcome::TimedOut, None),
                 Exchange::Truncated => return (Outcome::Lost, None),
                 Exchange::Refused => {
--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -112,6 +112,8 @@
     /// The factor on the time of all work.
     slowdown: Mutex<f64>,
     rng: Mutex<StdRng>,
+    /// From when on nothing new may arrive, as it drains and everybody knows.
+    drained_from: Mutex<Option<Instant>>,
 }
 
 /// A running log server. It ends with its handle.
@@ -141,6 +143,7 @@
             faults: Mutex::default(),
             slowdown: Mutex::new(1.0),
             rng: Mutex::new(StdRng::seed_from_u64(spec.seed)),
+            drained_from: Mutex::default(),
             spec,
         });
         let (mode, watched) = watch::channel(Mode::Up);
@@ -158,6 +161,11 @@
         self.mode.send_replace(Mode::Draining);
     }
 
+    /// From this time on, whatever arrives is recorded as sent to a draining server; none: nothing is.
+    pub fn expect_nothing_from(&self, time: Option<Instant>) {
+        *self.shared.drained_from.lock().unwrap_or_else(PoisonError::into_inner) = time;
+    }
+
     /// Kills it: its connections are reset, and new ones are refused.
     pub fn kill(&self) {
         self.mode.send_replace(Mode::Dead);
@@ -262,6 +270,7 @@
             return Reply::Answer(NOT_FOUND.to_owned());
         };
         self.record(&id, ServerEvent::Received);
+        self.check_arrival(&id, message);
         let first = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = self.account.classes().iter().find(|class| class.name == first);
         let Some(class) = class else { return Reply::Answer(BAD_REQUEST.to_owned()) };
@@ -285,6 +294,18 @@
         self.account.record_server_event(&self.spec.name, id, event);
     }
 
+    /// Checks what the protocol says of a request that arrives.
+    fn check_arrival(&self, id: &str, message: &Message) {
+        let drained_from = *self.drained_from.lock().unwrap_or_else(PoisonError::into_inner);
+        if drained_from.is_some_and(|from| Instant::now() > from) {
+            self.account.record_late_drain(&self.spec.name, id);
+        }
+        let time_left = message.header("x-time-left-ms").and_then(|ms| ms.parse().ok());
+        if let Some(time_left) = time_left.map(Duration::from_millis) {
+            self.account.record_time_left(&self.spec.name, id, time_left);
+        }
+    }
+
     fn is_new_key(&self, key: &str) -> bool {
         let window = self.spec.deduplication_window;
         self.spec.idempotency_keys.insert_if_new(key, window, Instant::now())
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`scenario`], [`links`] and [`expectations`] compute, without I/O.
 //! - [`network`], [`gossip_relay`], [`relay`] and [`processes`] are the parts of a testbed.
+//! - [`soak`] draws scenarios with overlapping faults from a seed, and judges them by the protocol's rules.
 //! - [`testbed`] puts these together, [`runner`] plays a scenario on it, [`html_report`] shows the outcome.
 
 pub mod expectations;
@@ -18,4 +19,5 @@
 pub mod runner;
 pub mod sample;
 pub mod scenario;
+pub mod soak;
 pub mod testbed;
--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -6,11 +6,12 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
+use fakes::faulty_calls::{self, FaultRates};
 use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 /// The period within which a throttled process runs once and is paused once.
@@ -67,6 +68,8 @@
     child: Option<Child>,
     throttle: Option<Throttle>,
     directory: PathBuf,
+    /// How often its system calls fail; none: they are left alone.
+    system_calls: Option<FaultRates>,
 }
 
 struct Throttle {
@@ -78,7 +81,34 @@
 impl Process {
     /// A process that is not started yet. `directory` holds its configuration, log and state, and no other's.
     pub fn new(directory: PathBuf) -> Process {
-        Process { child: None, throttle: None, directory }
+        Process { child: None, throttle: None, directory, system_calls: None }
+    }
+
+    /// From its next start on, its system calls fail at these rates.
+    #[must_use]
+    pub fn with_system_calls(mut self, system_calls: Option<FaultRates>) -> Process {
+        self.system_calls = system_calls;
+        self
+    }
+
+    /// Sets its wall clock ahead by so many seconds, if its system calls are not left alone.
+    ///
+    /// # Errors
+    ///
+    /// When the file that tells it cannot be written.
+    pub fn step_clock(&self, seconds: i64) -> io::Result<()> {
+        let new = self.directory.join("clock.new");
+        std::fs::write(&new, seconds.to_string())?;
+        std::fs::rename(new, self.clock_path())
+    }
+
+    fn clock_path(&self) -> PathBuf {
+        self.directory.join("clock")
+    }
+
+    /// The path of its log.
+    pub fn log_path(&self) -> PathBuf {
+        self.directory.join("log")
     }
 
     /// The path of its configuration file.
@@ -105,8 +135,12 @@
             let _ = std::fs::remove_dir_all(&state);
         }
         std::fs::create_dir_all(&state)?;
-        let env = BTreeMap::from([("LB_CONFIG", self.configuration_path()), ("TMPDIR", state)]);
-        self.child = Some(spawner.spawn(program, &env, &self.directory.join("log"))?);
+        let mut env = BTreeMap::from([("LB_CONFIG", self.configuration_path()), ("TMPDIR", state)]);
+        if let Some(rates) = self.system_calls {
+            let faulty = faulty_calls::environment(rates, Some(&self.clock_path()));
+            env.extend(faulty.map_err(io::Error::other)?);
+        }
+        self.child = Some(spawner.spawn(program, &env, &self.log_path())?);
         Ok(())
     }
 
@@ -127,13 +161,13 @@
         }
     }
 
-    /// Kills it and waits for its end.
-    pub fn kill(&mut self) {
+    /// Kills it and waits for its end. Returns the status with which it had exited before, if it had.
+    pub fn kill(&mut self) -> Option<ExitStatus> {
         self.unthrottle();
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        let exited = self.has_exited();
+        let mut child = self.child.take()?;
+        let _ = child.kill();
+        child.wait().ok().filter(|_| exited)
     }
 
     /// Whether it was started and has exited without being killed through this handle.
--- a/crates/fault-injection/src/runner.rs
+++ b/crates/fault-injection/src/runner.rs
@@ -8,7 +8,7 @@
 
 use crate::expectations::Verdict;
 use crate::sample::Sample;
-use crate::scenario::{Event, Scenario};
+use crate::scenario::{Action, Event, Scenario};
 use crate::testbed::{PendingSample, Programs, Testbed, TestbedError};
 
 /// The time between two samples.
@@ -72,8 +72,29 @@
 pub fn run(
     scenario: &Scenario,
     programs: Programs,
-    mut observe: impl FnMut(&Progress<'_>),
+    observe: impl FnMut(&Progress<'_>),
 ) -> Result<Outcome, TestbedError> {
+    play(scenario, programs, observe).map(|run| run.outcome)
+}
+
+/// A run, and what its sidecars have logged.
+pub struct SampledRun {
+    /// Its outcome.
+    pub outcome: Outcome,
+    /// Lines of the sidecars' logs that tell of violated rules.
+    pub logged_violations: Vec<String>,
+}
+
+/// The same with what the sidecars' logs tell of violated rules.
+///
+/// # Errors
+///
+/// As for [`run`].
+pub fn play(
+    scenario: &Scenario,
+    programs: Programs,
+    mut observe: impl FnMut(&Progress<'_>),
+) -> Result<SampledRun, TestbedError> {
     observe(&Progress::Started {
         name: &scenario.name,
         seed: scenario.seed,
@@ -82,7 +103,13 @@
         events: &scenario.events,
     });
     let mut testbed = Testbed::start(scenario.clone(), programs)?;
-    let samples = play(scenario, &mut testbed, &mut observe)?;
+    if scenario.events.iter().any(|event| matches!(event.action, Action::Inject { .. })) {
+        testbed.account.expect_transit_delays();
+    }
+    if !scenario.judges_late_arrivals {
+        testbed.account.expect_late_arrivals();
+    }
+    let samples = apply_events(scenario, &mut testbed, &mut observe)?;
     let account = testbed.finish();
     let verdicts: Vec<Verdict> =
         scenario.expectations.iter().map(|expectation| expectation.evaluate(&samples)).collect();
@@ -91,11 +118,11 @@
     let passed = sound && verdicts.iter().all(|verdict| verdict.passed);
     let outcome = Outcome { passed, verdicts, account, problems, samples };
     observe(&Progress::Finished(&outcome));
-    Ok(outcome)
+    Ok(SampledRun { outcome, logged_violations: testbed.logged_violations() })
 }
 
 /// Applies all events and takes all samples, each at its time.
-fn play(
+fn apply_events(
     scenario: &Scenario,
     testbed: &mut Testbed,
     observe: &mut impl FnMut(&Progress<'_>),
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use fakes::faulty_calls::FaultRates;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -46,6 +47,13 @@
     pub baseline: Impairment,
     /// Changes to the configurations of some sidecars from the start (RFC 7396).
     pub configuration_patches: Vec<ConfigurationPatch>,
+    /// How often system calls of the sidecars fail; none: their calls are left alone.
+    pub system_calls: Option<FaultRates>,
+    /// Whether clients go on sending to a sidecar that was asked to shut down.
+    pub clients_stay: bool,
+    /// Whether a request that arrives at a server after its final answer breaks a rule. Where links hold traffic up,
+    /// it may have been sent long before.
+    pub judges_late_arrivals: bool,
     /// What happens when, in the order of time.
     pub events: Vec<Event>,
     /// What must hold.
@@ -70,6 +78,8 @@
     pub zipf_exponent: f64,
     /// The retries of a client after its first attempt.
     pub client_retries: u16,
+    /// The share of the operations whose client leaves before it is answered.
+    pub leave_share: f64,
     /// The tenants.
     pub tenants: Vec<Tenant>,
 }
@@ -158,6 +168,9 @@
     ScaleLoad(Option<usize>, f64),
     /// Patches the configurations of sidecars (RFC 7396), which read them again.
     Configure(BTreeSet<u16>, Value),
+    /// Sets the wall clocks of sidecars ahead by so many seconds. It needs faulty system calls, which may have a rate
+    /// of zero.
+    StepClock(BTreeSet<u16>, i64),
 }
 
 /// Whether a service can be reached. Stored as whether it is down.
@@ -194,4 +207,8 @@
     Errors(f64),
     /// This share of its requests get no answer.
     Hangs(f64),
+    /// For this share of its requests the connection is reset, for half of them after they were executed.
+    Breaks(f64),
+    /// This share of its answers is no HTTP, or incomplete.
+    Malformed(f64),
 }
--- a/crates/fault-injection/src/scenario/build.rs
+++ b/crates/fault-injection/src/scenario/build.rs
@@ -129,6 +129,9 @@
             load,
             baseline,
             configuration_patches,
+            system_calls: None,
+            clients_stay: false,
+            judges_late_arrivals: true,
             events,
             expectations: expectations.collect::<Result<_, _>>()?,
         })
@@ -163,6 +166,7 @@
             requests_per_s,
             zipf_exponent: load.zipf_exponent.clamp(0.0, MAX_ZIPF_EXPONENT),
             client_retries: load.client_retries.min(MAX_CLIENT_RETRIES),
+            leave_share: 0.0,
             tenants: self.tenants.clone(),
         })
     }
--- /dev/null
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -0,0 +1,307 @@
+//! Draws a scenario: some moments at which two to four faults begin together, and single ones between them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fakes::faulty_calls::FaultRates;
+use fakes::world::TENANTS;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::links::{ActiveFault, Impairment, Node};
+use crate::scenario::{Action, Availability, Event, Load, Scenario, ServerState, Tenant};
+
+/// How long before the end all faults are over.
+pub const QUIET_END: Duration = Duration::from_secs(11);
+/// When the first fault begins, in seconds.
+const FIRST_FAULT_S: f64 = 2.0;
+/// How far apart the faults of one moment begin, in seconds.
+const MOMENT_S: f64 = 0.6;
+/// How long after SIGTERM a sidecar is started again: longer than its shutdown may take.
+const SHUTDOWN_S: f64 = 5.5;
+/// The longest time for which a process is held up, by the terms of the users' standing test.
+const LONGEST_PAUSE_S: f64 = 0.15;
+const SERVERS_PER_ZONE: u16 = 4;
+const ZONE_COUNT: u16 = 3;
+const SERVER_CORES: usize = 4;
+/// Requests per second for each sidecar.
+const REQUESTS_PER_SIDECAR: f64 = 20.0;
+/// Objectives and deadlines are longer by this factor: two dozen processes share a few cores.
+const TIME_SCALE: f64 = 1.4;
+const QUOTA_PER_S: f64 = 10_000.0;
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SoakSize {
+    /// The number of sidecars.
+    pub sidecars: u16,
+    /// Its length.
+    pub duration: Duration,
+}
+
+/// The scenario of a seed.
+///
+/// # Panics
+///
+/// When the run is too short for any fault.
+pub fn draw(seed: u64, size: SoakSize) -> Scenario {
+    let last_fault_s = size.duration.saturating_sub(QUIET_END).as_secs_f64();
+    assert!(last_fault_s > FIRST_FAULT_S, "a run of {:?} has no time for faults", size.duration);
+    let rng = StdRng::seed_from_u64(seed);
+    let mut plan =
+        Plan { rng, sidecars: size.sidecars, last_fault_s, fault: 0, events: Vec::new() };
+    plan.add_faults();
+    plan.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    let system_calls = Some(plan.system_calls(seed));
+    Scenario {
+        name: format!("soak {seed}"),
+        seed,
+        duration: size.duration,
+        sidecar_count: size.sidecars,
+        servers_per_zone: SERVERS_PER_ZONE,
+        server_cores: SERVER_CORES,
+        time_scale: TIME_SCALE,
+        load: plan.load(),
+        baseline: Impairment::default(),
+        configuration_patches: Vec::new(),
+        system_calls,
+        clients_stay: true,
+        judges_late_arrivals: !plan.has_cuts(),
+        events: plan.events,
+        expectations: Vec::new(),
+    }
+}
+
+struct Plan {
+    rng: StdRng,
+    sidecars: u16,
+    /// When the last fault ends, in seconds.
+    last_fault_s: f64,
+    /// The number of the next fault.
+    fault: usize,
+    events: Vec<Event>,
+}
+
+/// The kinds of faults.
+#[derive(Clone, Copy)]
+enum Kind {
+    Kill,
+    Terminate,
+    Pause,
+    Throttle,
+    Drain,
+    Dead,
+    BadServers,
+    DiscoveryDown,
+    Cut,
+    Burst,
+    Configure,
+    Clock,
+}
+
+const KINDS: [Kind; 12] = [
+    Kind::Kill,
+    Kind::Terminate,
+    Kind::Pause,
+    Kind::Throttle,
+    Kind::Drain,
+    Kind::Dead,
+    Kind::BadServers,
+    Kind::DiscoveryDown,
+    Kind::Cut,
+    Kind::Burst,
+    Kind::Configure,
+    Kind::Clock,
+];
+
+impl Plan {
+    fn add_faults(&mut self) {
+        let moments = self.rng.random_range(2..=4);
+        // Half of the runs leave the links alone: only then does what arrives at servers tell when it was sent.
+        let with_cuts = self.rng.random_bool(0.5);
+        for _ in 0..moments {
+            let at_s = self.rng.random_range(FIRST_FAULT_S..self.last_fault_s - 1.0);
+            for _ in 0..self.rng.random_range(2..=4) {
+                let offset_s = self.rng.random_range(0.0..MOMENT_S);
+                self.add_fault(at_s + offset_s, with_cuts);
+            }
+        }
+        for _ in 0..self.rng.random_range(0..=4) {
+            let at_s = self.rng.random_range(FIRST_FAULT_S..self.last_fault_s - 1.0);
+            self.add_fault(at_s, with_cuts);
+        }
+    }
+
+    fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
+        let kind = *KINDS.choose(&mut self.rng).unwrap_or(&Kind::Pause);
+        match kind {
+            Kind::Kill => {
+                let sidecars = self.some_sidecars(0.5);
+                let restart = Action::Start { sidecars: sidecars.clone(), discard_state: true };
+                self.add(at_s, 0.3..2.0, Action::Kill(sidecars), restart);
+            }
+            Kind::Terminate => self.terminate(at_s),
+            Kind::Pause => {
+                let sidecars = self.some_sidecars(0.6);
+                let (pause, resume) = (Action::Pause(sidecars.clone()), Action::Resume(sidecars));
+                self.add(at_s, 0.02..LONGEST_PAUSE_S, pause, resume);
+            }
+            Kind::Throttle => {
+                let (sidecars, share) = (self.some_sidecars(0.4), self.rng.random_range(0.4..0.8));
+                let throttle = Action::Throttle(sidecars.clone(), share);
+                self.add(at_s, 1.0..4.0, throttle, Action::Unthrottle(sidecars));
+            }
+            Kind::Drain => self.servers(at_s, 4.0..16.0, ServerState::Draining),
+            Kind::Dead => self.servers(at_s, 0.5..4.0, ServerState::Dead),
+            Kind::BadServers => {
+                let share = self.rng.random_range(0.1..1.0);
+                let state = [
+                    ServerState::Slow(1.0 + 9.0 * share),
+                    ServerState::Errors(share),
+                    ServerState::Hangs(share),
+                    ServerState::Breaks(share),
+                    ServerState::Malformed(share),
+                ];
+                let state = *state.choose(&mut self.rng).unwrap_or(&state[0]);
+                self.servers(at_s, 1.0..6.0, state);
+            }
+            Kind::DiscoveryDown => self.add(
+                at_s,
+                0.5..8.0,
+                Action::SetDiscovery(Availability::Down),
+                Action::SetDiscovery(Availability::Up),
+            ),
+            Kind::Cut if with_cuts => self.cut(at_s),
+            Kind::Cut | Kind::Burst => {
+                let factor = self.rng.random_range(1.2..2.5);
+                let (more, usual) = (Action::ScaleLoad(None, factor), Action::ScaleLoad(None, 1.0));
+                self.add(at_s, 0.5..4.0, more, usual);
+            }
+            Kind::Configure => {
+                let (sidecars, patch) = (self.some_sidecars(1.0), self.patch());
+                self.push(at_s, Action::Configure(sidecars, patch));
+            }
+            Kind::Clock => {
+                let seconds = *[-3600, -5, 5, 3600].choose(&mut self.rng).unwrap_or(&5);
+                let step = Action::StepClock(self.some_sidecars(0.7), seconds);
+                self.push(at_s, step);
+            }
+        }
+        self.fault += 1;
+    }
+
+    fn has_cuts(&self) -> bool {
+        self.events.iter().any(|event| matches!(event.action, Action::Inject { .. }))
+    }
+
+    fn push(&mut self, at_s: f64, action: Action) {
+        self.events.push(Event { at_s: at_s.min(self.last_fault_s), fault: self.fault, action });
+    }
+
+    /// Adds a fault and its end.
+    fn add(&mut self, at_s: f64, length_s: std::ops::Range<f64>, begin: Action, end: Action) {
+        let length_s = self.rng.random_range(length_s);
+        self.push(at_s, begin);
+        self.push(at_s + length_s, end);
+    }
+
+    /// Has sidecars shut down, one after the other, and starts each again.
+    fn terminate(&mut self, at_s: f64) {
+        let spread_s = self.rng.random_range(0.0..2.0);
+        let sidecars = self.some_sidecars(0.4);
+        let step_s = spread_s / sidecars.len().max(1) as f64;
+        let last_s = self.last_fault_s - SHUTDOWN_S - spread_s;
+        let at_s = at_s.min(last_s.max(FIRST_FAULT_S));
+        for (n, sidecar) in sidecars.into_iter().enumerate() {
+            let (at_s, one) = (at_s + step_s * n as f64, BTreeSet::from([sidecar]));
+            self.push(at_s, Action::Terminate(one.clone()));
+            self.push(at_s + SHUTDOWN_S, Action::Start { sidecars: one, discard_state: true });
+        }
+    }
+
+    fn servers(&mut self, at_s: f64, length_s: std::ops::Range<f64>, state: ServerState) {
+        let all: Vec<u16> = (0..SERVERS_PER_ZONE * ZONE_COUNT).collect();
+        let count = self.rng.random_range(1..=all.len() / 3);
+        let servers: BTreeSet<u16> = all.choose_multiple(&mut self.rng, count).copied().collect();
+        let healthy = Action::SetServers(servers.clone(), ServerState::Healthy);
+        self.add(at_s, length_s, Action::SetServers(servers, state), healthy);
+    }
+
+    fn cut(&mut self, at_s: f64) {
+        let from: BTreeSet<Node> = self.some_sidecars(0.6).into_iter().map(Node::Sidecar).collect();
+        let count = self.rng.random_range(1..=SERVERS_PER_ZONE * ZONE_COUNT / 2);
+        let first = self.rng.random_range(0..SERVERS_PER_ZONE * ZONE_COUNT - count);
+        let to = (first..first + count).map(Node::Server).collect();
+        let impairment = if self.rng.random_bool(0.5) {
+            Impairment::cut()
+        } else {
+            let delay = Duration::from_millis(self.rng.random_range(1..120));
+            Impairment { delay, jitter: delay / 2, ..Impairment::default() }
+        };
+        let fault = ActiveFault {
+            fault: self.fault,
+            from,
+            to,
+            both_directions: self.rng.random_bool(0.7),
+            impairment,
+        };
+        let words = |text: &str| vec![text.to_owned()];
+        let (from, to) = (words("some sidecars"), words("some servers"));
+        let inject = Action::Inject { from, to, fault: Box::new(fault) };
+        self.add(at_s, 0.5..5.0, inject, Action::Clear);
+    }
+
+    /// Some sidecars: one, or up to this share of them.
+    fn some_sidecars(&mut self, most: f64) -> BTreeSet<u16> {
+        let all: Vec<u16> = (0..self.sidecars).collect();
+        let most = ((f64::from(self.sidecars) * most) as usize).max(1);
+        let count = self.rng.random_range(1..=most);
+        all.choose_multiple(&mut self.rng, count).copied().collect()
+    }
+
+    /// A change of the configuration that a running process applies.
+    fn patch(&mut self) -> Value {
+        match self.rng.random_range(0..4) {
+            0 => json!({"limits": {"sockets": self.rng.random_range(128..400)}}),
+            1 => json!({"limits": {"memory_mb": self.rng.random_range(24..64)}}),
+            2 => json!({"settings": {"limits": {
+                "connectTimeout": self.rng.random_range(100_000..700_000)}}}),
+            _ => json!({"settings": {"limits": {
+                "maxRetryAfter": self.rng.random_range(100_000..2_000_000)}}}),
+        }
+    }
+
+    fn system_calls(&mut self, seed: u64) -> FaultRates {
+        let mut rate = |most: u32| {
+            let used = self.rng.random_bool(0.6);
+            if used { self.rng.random_range(0..=most) } else { 0 }
+        };
+        FaultRates {
+            seed: seed as u32,
+            interrupted: rate(40),
+            short: rate(100),
+            aborted: rate(40),
+            accept: rate(20),
+            socket: rate(20),
+            connect: rate(30),
+            broken: rate(3),
+        }
+    }
+
+    fn load(&mut self) -> Load {
+        let tenants = TENANTS.iter().map(|(name, share)| Tenant {
+            name: (*name).to_owned(),
+            share: *share,
+            quota_per_s: QUOTA_PER_S * share,
+        });
+        Load {
+            requests_per_s: REQUESTS_PER_SIDECAR * f64::from(self.sidecars),
+            zipf_exponent: self.rng.random_range(0.0..0.8),
+            client_retries: self.rng.random_range(0..=2),
+            leave_share: if self.rng.random_bool(0.5) { 0.05 } else { 0.0 },
+            tenants: tenants.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -0,0 +1,64 @@
+//! Drawing and judging soak runs.
+
+use fakes::account::Report;
+
+use super::*;
+use crate::scenario::Event;
+
+const SIZE: SoakSize = SoakSize { sidecars: 24, duration: Duration::from_secs(36) };
+
+fn plan(seed: u64) -> String {
+    serde_json::to_string(&draw(seed, SIZE).events).expect("a plan")
+}
+
+#[test]
+fn plan_follows_from_the_seed() {
+    assert_eq!(plan(7), plan(7));
+    assert_ne!(plan(7), plan(8));
+}
+
+#[test]
+fn faults_are_in_order_and_over_before_the_quiet_end() {
+    for seed in 0..200 {
+        let scenario = draw(seed, SIZE);
+        let times: Vec<f64> = scenario.events.iter().map(|event| event.at_s).collect();
+        assert!(times.is_sorted(), "seed {seed}: {times:?}");
+        let last_s = (SIZE.duration - QUIET_END).as_secs_f64();
+        assert!(times.iter().all(|&at_s| (0.0..=last_s).contains(&at_s)), "seed {seed}: {times:?}");
+    }
+}
+
+#[test]
+fn most_plans_have_faults_that_overlap() {
+    let overlapping = |events: &[Event]| {
+        let close =
+            |pair: &[Event]| pair[0].fault != pair[1].fault && pair[1].at_s - pair[0].at_s < 1.0;
+        events.windows(2).any(close)
+    };
+    let count = (0..200).filter(|&seed| overlapping(&draw(seed, SIZE).events)).count();
+    assert!(count > 190, "{count} of 200");
+}
+
+fn sample(at_s: f64, served: u64, rejected: u64) -> Sample {
+    let totals = Totals { served, rejected, ..Totals::default() };
+    Sample { at_s, totals, ..Sample::default() }
+}
+
+fn outcome(samples: Vec<Sample>, account: Report) -> Outcome {
+    Outcome { passed: false, verdicts: Vec::new(), account, problems: Vec::new(), samples }
+}
+
+#[test]
+fn what_did_not_hold_is_found() {
+    let scenario = draw(1, SIZE);
+    let recovered = || vec![sample(32.0, 100, 0), sample(36.0, 200, 5)];
+    let sound = outcome(recovered(), Report::default());
+    assert_eq!(judge(&scenario, &sound, Vec::new()), Findings::default());
+    let lost = Report { lost: 1, examples: vec!["x".to_owned()], ..Report::default() };
+    assert_eq!(judge(&scenario, &outcome(recovered(), lost), Vec::new()).0.len(), 2);
+    let down = vec![sample(32.0, 100, 0), sample(36.0, 110, 100)];
+    assert_eq!(judge(&scenario, &outcome(down, Report::default()), Vec::new()).0.len(), 1);
+    let crashed = Outcome { problems: vec!["s1 has ended by itself".to_owned()], ..sound.clone() };
+    assert_eq!(judge(&scenario, &crashed, Vec::new()).0.len(), 1);
+    assert_eq!(judge(&scenario, &sound, vec!["s1: protocol rule violated".to_owned()]).0.len(), 1);
+}
--- a/crates/fault-injection/src/testbed.rs
+++ b/crates/fault-injection/src/testbed.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Instant;
 
 use fakes::account::{Account, Report};
 use fakes::logserver::{LogServer, ServerSpec};
@@ -18,7 +19,7 @@
 use crate::network::Network;
 use crate::processes::{Process, ProcessSpawner};
 use crate::relay::Relay;
-use crate::scenario::Scenario;
+use crate::scenario::{Availability, Scenario};
 
 pub use sampling::PendingSample;
 
@@ -73,6 +74,9 @@
     },
 }
 
+/// What a line of a sidecar's log contains that tells of a violated rule or a panic.
+const VIOLATION_MARKS: [&str; 2] = ["protocol rule violated", "panicked at"];
+
 /// A sidecar of the testbed, with its own discovery.
 struct Sidecar {
     process: Process,
@@ -83,6 +87,8 @@
     load_share: f64,
     /// Whether it should be running.
     expected: bool,
+    /// When it was asked to shut down, if it was.
+    terminated_at: Option<Instant>,
     /// Stops its clients when set to true.
     stop_clients: Option<watch::Sender<bool>>,
     registry: Registry,
@@ -95,6 +101,8 @@
     spec: ServerSpec,
     /// Its entry in the discovery of each sidecar.
     entries: Vec<Entry>,
+    /// It is listed as draining.
+    draining: bool,
 }
 
 /// The factors on the load, relative to the start.
@@ -118,6 +126,7 @@
     _relays: Vec<Relay>,
     client_tasks: Vec<JoinHandle<()>>,
     load_factors: LoadFactors,
+    discovery: Availability,
     /// How often clients were started, for their seeds.
     client_starts: u64,
     crashes: u64,
@@ -139,6 +148,16 @@
         self.account.report()
     }
 
+    /// The violations of rules that the sidecars' own logs tell, in words.
+    pub fn logged_violations(&self) -> Vec<String> {
+        let log = |(n, sidecar): (usize, &Sidecar)| {
+            let log = std::fs::read_to_string(sidecar.process.log_path()).unwrap_or_default();
+            let told = log.lines().filter(|line| VIOLATION_MARKS.iter().any(|m| line.contains(m)));
+            told.map(|line| format!("s{n}: {line}")).collect::<Vec<_>>()
+        };
+        self.sidecars.iter().enumerate().flat_map(log).collect()
+    }
+
     /// The sidecars that have exited by themselves, in words.
     pub fn problems(&self) -> &[String] {
         &self.problems
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -1,7 +1,7 @@
 //! Applies the actions of a scenario.
 
 use std::collections::BTreeSet;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fakes::logserver::{Fault, LogServer};
 use fakes::registry::Entry;
@@ -13,6 +13,12 @@
 use crate::links::Node;
 use crate::scenario::{Action, Availability, ServerState};
 
+/// How long a graceful shutdown may last beyond the longest deadline, by the protocol, and what a busy machine may add.
+const SHUTDOWN_GRACE: Duration = Duration::from_millis(700 + 800);
+/// How long after a list with a draining server could be fetched a request may still arrive there: the time until
+/// sidecars count as notified, the grace of the settings, and what a busy machine may add.
+const DRAIN_ALLOWANCE: Duration = Duration::from_millis(6000 + 500 + 500);
+
 impl Testbed {
     /// Applies an action of the fault with this number.
     ///
@@ -46,6 +52,12 @@
                     Availability::Up => sidecar.registry.bring_up(),
                     Availability::Down => sidecar.registry.take_down(),
                 });
+                self.discovery = *availability;
+                self.update_drains();
+            }
+            Action::StepClock(sidecars, seconds) => {
+                indices(sidecars)
+                    .try_for_each(|n| self.sidecars[n].process.step_clock(*seconds))?;
             }
             Action::ScaleLoad(tenant, factor) => {
                 match tenant {
@@ -65,13 +77,18 @@
             self.stop_clients(n);
             self.sidecars[n].expected = false;
         }
-        indices(sidecars).for_each(|n| self.sidecars[n].process.kill());
+        for n in indices(sidecars) {
+            self.sidecars[n].process.kill();
+        }
     }
 
     fn terminate(&mut self, sidecars: &BTreeSet<u16>) {
         for n in indices(sidecars) {
-            self.stop_clients(n);
+            if !self.scenario.clients_stay {
+                self.stop_clients(n);
+            }
             self.sidecars[n].expected = false;
+            self.sidecars[n].terminated_at = Some(Instant::now());
             self.sidecars[n].process.signal(Signal::TERM);
         }
     }
@@ -83,13 +100,30 @@
     ) -> Result<(), TestbedError> {
         for n in indices(sidecars) {
             // One that was asked to shut down and still runs is killed.
-            self.sidecars[n].process.kill();
+            if self.sidecars[n].process.id().is_some() {
+                self.account.expect_kill(self.sidecars[n].listen);
+                self.check_shutdown_time(n);
+            }
+            let status = self.sidecars[n].process.kill();
+            if let Some(status) = status.filter(|status| !status.success()) {
+                self.problems.push(format!("s{n} has ended with {status}"));
+            }
             self.start_sidecar(n, discard_state)?;
         }
         indices(sidecars).for_each(|n| self.start_clients(n));
         Ok(())
     }
 
+    /// Records a shutdown that takes longer than any request may.
+    fn check_shutdown_time(&mut self, n: usize) {
+        let longest = self.account.classes().iter().map(|class| class.deadline).max();
+        let allowed = longest.unwrap_or_default() + SHUTDOWN_GRACE;
+        let elapsed = self.sidecars[n].terminated_at.map(|at| at.elapsed());
+        if elapsed.is_some_and(|elapsed| elapsed > allowed) {
+            self.problems.push(format!("s{n} still ran {allowed:?} after SIGTERM"));
+        }
+    }
+
     fn pause(&mut self, sidecars: &BTreeSet<u16>) {
         for sidecar in indices(sidecars).map(|n| &self.sidecars[n]) {
             self.account.expect_pause(sidecar.listen);
@@ -124,13 +158,15 @@
         if state == ServerState::Healthy || down && state != ServerState::Dead {
             self.restart_server(n)?;
         }
+        if state == ServerState::Draining {
+            self.servers[usize::from(n)].draining = true;
+            self.list_server(n, "leaving");
+            self.update_drains();
+        }
         let slot = &self.servers[usize::from(n)];
         match state {
             ServerState::Healthy => {}
-            ServerState::Draining => {
-                self.list_server(n, "leaving", 0);
-                slot.server.drain();
-            }
+            ServerState::Draining => slot.server.drain(),
             ServerState::Dead => {
                 slot.server.kill();
                 self.network.update(|links| links.take_down(Node::Server(n)));
@@ -138,6 +174,13 @@
             ServerState::Slow(factor) => slot.server.set_slowdown(factor),
             ServerState::Errors(share) => slot.server.set_faults(vec![(share, Fault::Error)]),
             ServerState::Hangs(share) => slot.server.set_faults(vec![(share, Fault::Hang)]),
+            ServerState::Breaks(share) => slot.server.set_faults(vec![
+                (share / 2.0, Fault::ResetBefore),
+                (share / 2.0, Fault::ResetAfter),
+            ]),
+            ServerState::Malformed(share) => slot
+                .server
+                .set_faults(vec![(share / 2.0, Fault::Garbage), (share / 2.0, Fault::Truncated)]),
         }
         Ok(())
     }
@@ -151,15 +194,28 @@
         self.network.set_address(Node::Server(n), slot.server.at);
         self.network.update(|links| links.bring_up(Node::Server(n)));
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.list_server(n, "active", now.as_millis() as u64);
+        let slot = &mut self.servers[usize::from(n)];
+        slot.draining = false;
+        slot.entries.iter_mut().for_each(|entry| entry.born_ms = now.as_millis() as u64);
+        self.list_server(n, "active");
         Ok(())
     }
 
-    /// Changes a server's entry in the discovery of every sidecar. `born_ms` is its start in Unix time.
-    fn list_server(&self, n: u16, health: &'static str, born_ms: u64) {
+    /// Tells draining servers from when on nothing new may arrive. While discovery is down, nobody needs to know.
+    fn update_drains(&self) {
+        let known_from = match self.discovery {
+            Availability::Up => Some(Instant::now() + DRAIN_ALLOWANCE),
+            Availability::Down => None,
+        };
+        let draining = self.servers.iter().filter(|slot| slot.draining);
+        draining.for_each(|slot| slot.server.expect_nothing_from(known_from));
+    }
+
+    /// Changes a server's health in the discovery of every sidecar.
+    fn list_server(&self, n: u16, health: &'static str) {
         let entries = &self.servers[usize::from(n)].entries;
         for (entry, sidecar) in entries.iter().zip(&self.sidecars) {
-            sidecar.registry.update(Entry { health, born_ms, ..entry.clone() });
+            sidecar.registry.update(Entry { health, ..entry.clone() });
         }
     }
 }
--- a/crates/fault-injection/src/testbed/clients.rs
+++ b/crates/fault-injection/src/testbed/clients.rs
@@ -65,6 +65,7 @@
         Some(Load {
             rate,
             retries: load.client_retries,
+            leave_share: load.leave_share,
             slack: CLIENT_SLACK.mul_f64(self.scenario.time_scale),
             tenants: load.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             shares,
--- a/crates/fault-injection/src/testbed/setup.rs
+++ b/crates/fault-injection/src/testbed/setup.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Account;
+use fakes::faulty_calls::FaultRates;
 use fakes::logserver::{LogServer, RecentKeys, ServerSpec};
 use fakes::program::Folder;
 use fakes::registry::{Entry, Registry};
@@ -20,7 +21,7 @@
 use crate::network::Network;
 use crate::processes::{Process, ProcessSpawner, ReservedPort, unique_loopback_address};
 use crate::relay::Relay;
-use crate::scenario::Scenario;
+use crate::scenario::{Availability, Scenario};
 
 /// How long a sidecar may take to become ready.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(60);
@@ -88,12 +89,14 @@
             let config = configuration(&scenario, n, &addresses, discovery.address, &gossip);
             relays.push(discovery);
             sidecars.push(Sidecar {
-                process: Process::new(new_directory(&folder, n)?),
+                process: Process::new(new_directory(&folder, n)?)
+                    .with_system_calls(system_calls(&scenario, n)),
                 listen: addresses.listen,
                 admin: addresses.admin,
                 config,
                 load_share: load_share(&scenario, n),
                 expected: true,
+                terminated_at: None,
                 stop_clients: None,
                 registry,
             });
@@ -112,6 +115,7 @@
             _relays: relays,
             client_tasks: Vec::new(),
             load_factors: LoadFactors { tenants, all: 1.0 },
+            discovery: Availability::Up,
             client_starts: 0,
             crashes: 0,
             problems: Vec::new(),
@@ -140,6 +144,7 @@
         let started = sidecar.process.start(&self.spawner, &self.programs.sidecar, discard_state);
         started.map_err(|source| TestbedError::Start { sidecar: n, source })?;
         sidecar.expected = true;
+        sidecar.terminated_at = None;
         Ok(())
     }
 
@@ -158,6 +163,11 @@
     }
 }
 
+/// The rates at which the system calls of a sidecar fail. Each sidecar draws for itself.
+fn system_calls(scenario: &Scenario, n: usize) -> Option<FaultRates> {
+    scenario.system_calls.map(|rates| FaultRates { seed: rates.seed ^ (n as u32) << 16, ..rates })
+}
+
 /// Raises the limit on open descriptors as far as the system allows.
 fn raise_descriptor_limit() {
     let Rlimit { maximum, .. } = getrlimit(Resource::Nofile);
@@ -200,7 +210,7 @@
             let started = LogServer::start(spec.clone(), account.clone());
             let server = fakes::runtime().block_on(started)?;
             network.set_address(Node::Server(servers.len() as u16), server.at);
-            servers.push(ServerSlot { zone, server, spec, entries: Vec::new() });
+            servers.push(ServerSlot { zone, server, spec, entries: Vec::new(), draining: false });
         }
     }
     Ok(servers)
--- a/crates/lbctl/src/main.rs
+++ b/crates/lbctl/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod outcome;
 mod scale;
+mod soak;
 mod table;
 mod tier;
 mod trial;
@@ -36,6 +37,8 @@
     Config(config::Arguments),
     /// Play thousands of hollow sidecars beside real ones.
     Scale(scale::Arguments),
+    /// Play many sidecars under drawn faults that overlap, one run for each seed.
+    Soak(soak::Arguments),
     /// What sidecars know of their tier, and where they differ.
     Tier(tier::Arguments),
 }
@@ -45,6 +48,7 @@
         Command::Fleet(arguments) => fleet::run(arguments),
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Trial(arguments) => trial::run(&arguments),
+        Command::Soak(arguments) => soak::run(&arguments),
         Command::Tier(arguments) => tier::run(&arguments),
         Command::Config(arguments) => config::run(&arguments),
         Command::Scale(arguments) => scale::run(&arguments),
--- /dev/null
+++ b/crates/lbctl/src/soak.rs
@@ -0,0 +1,113 @@
+//! `soak`: real sidecars under drawn faults that overlap in time, one run for each seed.
+
+use std::fs::File;
+use std::io::Write;
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use fakes::account::Report;
+use fault_injection::runner::{Outcome as RunOutcome, Progress};
+use fault_injection::soak::{self, Findings, QUIET_END, SoakSize};
+use fault_injection::testbed::Programs;
+
+use crate::outcome::{CommandError, Outcome, exit_code};
+
+/// The shortest run, in seconds: there has to be time for faults before the quiet end.
+const SHORTEST_S: u64 = QUIET_END.as_secs() + 10;
+const LONGEST_S: u64 = 3600;
+/// The most sidecars of a run.
+const MOST_SIDECARS: u16 = 100;
+
+/// The arguments of `soak`.
+#[derive(Args)]
+pub struct Arguments {
+    /// The seeds, `A..B` (without B) or one.
+    #[arg(long, value_parser = seed_range, default_value = "1..4")]
+    seeds: Range<u64>,
+    /// Sidecars in each run.
+    #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u16).range(1..=i64::from(MOST_SIDECARS)))]
+    sidecars: u16,
+    /// The length of each run, in seconds.
+    #[arg(long, default_value_t = 36, value_parser = clap::value_parser!(u64).range(SHORTEST_S..=LONGEST_S))]
+    seconds: u64,
+    /// Write each run's plan and samples there, as JSON lines.
+    #[arg(long, value_name = "DIRECTORY")]
+    journal: Option<PathBuf>,
+    /// Another program for the sidecars.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+/// Why a text names no seeds.
+#[derive(Debug, thiserror::Error)]
+#[error("a number, or two with .. between them, the second greater")]
+struct SeedRangeError;
+
+fn seed_range(text: &str) -> Result<Range<u64>, SeedRangeError> {
+    let number = |text: &str| text.parse::<u64>().map_err(|_| SeedRangeError);
+    let range = match text.split_once("..") {
+        Some((first, end)) => number(first)?..number(end)?,
+        None => number(text)?..number(text)?.saturating_add(1),
+    };
+    if range.is_empty() { Err(SeedRangeError) } else { Ok(range) }
+}
+
+/// Runs the command.
+pub fn run(arguments: &Arguments) -> ExitCode {
+    exit_code(play_all(arguments))
+}
+
+fn play_all(arguments: &Arguments) -> Result<Outcome, CommandError> {
+    let mut failed = Vec::new();
+    for seed in arguments.seeds.clone() {
+        let (outcome, findings) = play(arguments, seed)?;
+        println!("seed {seed}: {}", summary(&outcome.account));
+        for finding in &findings.0 {
+            println!("  {finding}");
+        }
+        if !findings.0.is_empty() {
+            failed.push(seed);
+        }
+    }
+    let runs = arguments.seeds.end - arguments.seeds.start;
+    println!("{runs} runs, {} with findings: {failed:?}", failed.len());
+    Ok(Outcome::of(failed.is_empty()))
+}
+
+fn play(arguments: &Arguments, seed: u64) -> Result<(RunOutcome, Findings), CommandError> {
+    let mut programs = Programs::built(true)?;
+    if let Some(program) = &arguments.program {
+        programs.sidecar = program.canonicalize().map_err(CommandError::file(program))?;
+    }
+    let duration = Duration::from_secs(arguments.seconds);
+    let scenario = soak::draw(seed, SoakSize { sidecars: arguments.sidecars, duration });
+    let mut journal = journal(arguments, seed)?;
+    let observe = |progress: &Progress<'_>| {
+        if let Some(journal) = &mut journal {
+            // A journal that cannot be written does not end the run.
+            let _ = writeln!(journal, "{}", serde_json::to_string(progress).unwrap_or_default());
+        }
+    };
+    Ok(soak::run(&scenario, programs, observe)?)
+}
+
+fn journal(arguments: &Arguments, seed: u64) -> Result<Option<File>, CommandError> {
+    let Some(directory) = &arguments.journal else { return Ok(None) };
+    std::fs::create_dir_all(directory).map_err(CommandError::file(directory))?;
+    let path = directory.join(format!("soak-{seed}.jsonl"));
+    File::create(&path).map(Some).map_err(CommandError::file(&path))
+}
+
+fn summary(account: &Report) -> String {
+    let Report { close_races, unread_connections, refused_connections, lost_by_kill, .. } = account;
+    format!(
+        "{} requests, {} served, {} violations ({close_races} closes crossed, {unread_connections} \
+         connections unread, {refused_connections} refused, {lost_by_kill} lost by kills)",
+        account.requested(),
+        account.served(),
+        account.violations(),
+    )
+}
--- a/tests/lifecycle/system_calls.rs
+++ b/tests/lifecycle/system_calls.rs
@@ -9,6 +9,7 @@
 use fakes::wire::read_message;
 
 use crate::net::*;
+use crate::support::*;
 
 fn start(discovery: Registry, rates: FaultRates, clock: Option<&Path>) -> Sidecar {
     let mut command = program(None);
@@ -78,3 +79,17 @@
     assert!(first_answer(idle).ends_with("second"));
     assert_eq!(event_count(&sidecar, "closed.evicted"), 0);
 }
+
+/// A signal is told to the event loop through a pipe, and calls on that are interrupted as well.
+#[test]
+fn signals_are_not_lost_to_interrupted_calls() {
+    let echo = Server::echo();
+    let rates = FaultRates { seed: 3, interrupted: 300, ..FaultRates::default() };
+    let mut sidecar = start(discovery(&[&echo]), rates, None);
+    for _ in 0..10 {
+        apply_config(&sidecar, &sidecar.config().clone());
+    }
+    sidecar.signal("TERM");
+    let status = sidecar.wait_for_exit();
+    assert!(status.success(), "{status}: {}", sidecar.log());
+}
