Signals: a flag beside the pipe, so that no interrupted call loses one or panics

Cause: the runtime's signal driver writes to a pipe in the handler and ignores errors, and panics when reading it fails with anything but WouldBlock.

Each signal is logged.

--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -4,15 +4,16 @@
 use std::io;
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
+use std::rc::Rc;
 
 use lb_sidecar::sidecar::config::{Config, ConfigError};
 use lb_sidecar::sidecar::startup::StartError;
 use lb_sidecar::sidecar::status::VERSION;
 use lb_sidecar::sidecar::{self, Control};
+use lb_sidecar::signals::{ControlSignal, SignalError, SignalReceiver};
 use logging::Options;
 use thiserror::Error;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 
 const HELP: &str = "\
@@ -57,8 +58,8 @@
     Execute(#[source] io::Error),
     #[error("no runtime: {0}")]
     Runtime(#[source] io::Error),
-    #[error("{name}: {source}")]
-    Signal { name: &'static str, source: io::Error },
+    #[error(transparent)]
+    Signal(#[from] SignalError),
     #[error(transparent)]
     Config(#[from] ConfigError),
     #[error(transparent)]
@@ -147,10 +148,6 @@
     Err(ProgramError::Execute(error))
 }
 
-fn listen_for(kind: SignalKind, name: &'static str) -> Result<Signal, ProgramError> {
-    signal(kind).map_err(|source| ProgramError::Signal { name, source })
-}
-
 /// Runs the sidecar until it has shut down.
 fn run() -> Result<(), ProgramError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -159,33 +156,43 @@
         .map_err(ProgramError::Runtime)?;
     let entered = runtime.enter();
     // Until they are listened for, each of these signals ends the process.
-    let mut terminate = listen_for(SignalKind::terminate(), "SIGTERM")?;
-    let hangup = listen_for(SignalKind::hangup(), "SIGHUP")?;
-    let mut leave = listen_for(SignalKind::user_defined2(), "SIGUSR2")?;
+    let signals = SignalReceiver::register()?;
     drop(entered);
     let config = Config::from_env()?;
     // All tasks run on this thread, so every line of the log is this instance's.
     let _instance = tracing::error_span!("sidecar", instance = config.name).entered();
     LocalSet::new().block_on(&runtime, async {
-        let reload = reload_requests(hangup);
-        let stop = async move {
-            terminate.recv().await;
-        };
-        let hand_over = async move {
-            leave.recv().await;
-        };
+        let (request_reload, reload) = mpsc::channel(1);
+        let (terminate, hand_over) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+        let asked =
+            Requests { terminate: terminate.clone(), hand_over: hand_over.clone(), request_reload };
+        tokio::task::spawn_local(asked.pass_on(signals));
+        let stop = async move { terminate.notified().await };
+        let hand_over = async move { hand_over.notified().await };
         let control = Control { stop, hand_over, reload, read: Config::reread };
         Ok(sidecar::run(config, control).await?)
     })
 }
 
-/// A message for each SIGHUP. Several that wait are one: the file is read as it is then.
-fn reload_requests(mut hangup: Signal) -> mpsc::Receiver<()> {
-    let (request, requests) = mpsc::channel(1);
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            let _ = request.try_send(());
+/// Where the signals of the process go.
+struct Requests {
+    terminate: Rc<Notify>,
+    hand_over: Rc<Notify>,
+    request_reload: mpsc::Sender<()>,
+}
+
+impl Requests {
+    /// Passes signals on; never ends.
+    async fn pass_on(self, mut signals: SignalReceiver) {
+        loop {
+            let signal = signals.next().await;
+            tracing::info!(?signal, "signal received");
+            match signal {
+                ControlSignal::Terminate => self.terminate.notify_one(),
+                ControlSignal::HandOver => self.hand_over.notify_one(),
+                // Several that wait are one: the file is read as it is then.
+                ControlSignal::Reload => drop(self.request_reload.try_send(())),
+            }
         }
-    });
-    requests
+    }
 }
