Stored state: failed reads, announcements and writes are repeated

Causes: a sidecar noted a version of its stored state as seen before it had read it, and announced itself to its predecessor once. A control server ended at the first failed write; after a failed write for a peer's new incarnation it answered the same question with yes, though nothing was on disk.

Change: a version counts as seen when it was read; the announcement is repeated; the directory is synced after the rename. A control server marks its state as unstored, repeats the write, and until then answers nothing and asks no origin. write_atomically says what holds when only the directory's sync fails.

--- a/crates/config-distribution/src/net/control.rs
+++ b/crates/config-distribution/src/net/control.rs
@@ -13,7 +13,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
 use super::Clock;
 use super::http::serve;
@@ -56,6 +56,8 @@
 struct Node {
     server: RefCell<ControlServer>,
     store: StateStore,
+    /// The state has changed, and is not on disk yet. Nothing that follows from it may be sent.
+    unstored: Cell<bool>,
     clock: Clock,
     /// Notified when changes are committed.
     committed: watch::Sender<()>,
@@ -63,11 +65,11 @@
     rng: RefCell<Pcg64Mcg>,
 }
 
-/// Runs a control server on `listener`. Returns only if its state cannot be stored.
+/// Runs a control server on `listener`, for as long as that accepts.
 ///
 /// # Errors
 ///
-/// The state cannot be read or written.
+/// At the start, the state cannot be read or written. Later on, a failed write is repeated, and delays what it is for.
 pub async fn run(listener: TcpListener, config: Config) -> Result<(), StoreError> {
     let store = StateStore::open(&config.state_dir)?;
     let state = load_state(&store, config.is_new_member)?;
@@ -80,19 +82,48 @@
     let node = Rc::new(Node {
         server: RefCell::new(server),
         store,
+        unstored: Cell::new(false),
         clock: Clock::default(),
         committed: watch::Sender::new(()),
         followed: Cell::new(None),
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(config.seed)),
     });
-    let failed = follow_origins(&node, &config.origins);
+    for origin in config.origins {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { node.follow(origin).await });
+    }
     tokio::task::spawn_local(node.clone().report_progress());
     tokio::task::spawn_local(node.clone().recover(config.name, config.peers));
     let max_connections = config.max_hosts + members + EXTRA_CONNECTIONS;
-    let serving = serve(listener, max_connections, move |request| node.clone().handle(request));
-    tokio::select! {
-        () = serving => Ok(()),
-        Ok(error) = failed => Err(error),
+    serve(listener, max_connections, move |request| node.clone().handle(request)).await;
+    Ok(())
+}
+
+impl Node {
+    /// Stores the state, which has changed.
+    ///
+    /// # Errors
+    ///
+    /// The state could not be written. [`Node::ensure_stored`] tries again.
+    fn store_state(&self) -> Result<(), StoreError> {
+        self.unstored.set(true);
+        self.ensure_stored()
+    }
+
+    /// Stores the state if an earlier attempt has failed. To be called before anything is sent that may follow from it.
+    ///
+    /// # Errors
+    ///
+    /// The state still cannot be written.
+    fn ensure_stored(&self) -> Result<(), StoreError> {
+        if !self.unstored.get() {
+            return Ok(());
+        }
+        self.store.write(self.server.borrow().state())?;
+        self.unstored.set(false);
+        // Changes may have been committed with what was not stored.
+        self.committed.send_replace(());
+        Ok(())
     }
 }
 
@@ -115,19 +146,3 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since_epoch.as_millis() as Incarnation
 }
-
-/// Follows each origin in a task of its own. The first one that cannot store the state gives the error.
-fn follow_origins(node: &Rc<Node>, origins: &[SocketAddr]) -> oneshot::Receiver<StoreError> {
-    let (sender, receiver) = oneshot::channel();
-    let sender = Rc::new(Cell::new(Some(sender)));
-    for origin in origins {
-        let (node, origin, sender) = (node.clone(), *origin, sender.clone());
-        tokio::task::spawn_local(async move {
-            let error = node.follow(origin).await;
-            if let Some(sender) = sender.take() {
-                let _ = sender.send(error);
-            }
-        });
-    }
-    receiver
-}
--- a/crates/config-distribution/src/net/control/api.rs
+++ b/crates/config-distribution/src/net/control/api.rs
@@ -40,7 +40,11 @@
             STATUS => Ok(self.status()),
             _ => Err(ApiResponse::error(StatusCode::NOT_FOUND, "no such path")),
         };
-        result.unwrap_or_else(|response| response)
+        // The response may follow from a change that is not on disk yet.
+        match self.ensure_stored() {
+            Ok(()) => result.unwrap_or_else(|response| response),
+            Err(error) => ApiResponse::error(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        }
     }
 
     fn promise(&self, request: &ApiRequest) -> Result<ApiResponse, ApiResponse> {
@@ -51,7 +55,7 @@
         let recorded = self.server.borrow_mut().record_peer_incarnation(member, incarnation);
         let (promise, persistence) = recorded.ok_or_else(|| unavailable("not known here"))?;
         if persistence == Persistence::Required {
-            let stored = self.store.write(self.server.borrow().state());
+            let stored = self.store_state();
             stored.map_err(|error| unavailable(&error.to_string()))?;
         }
         Ok(ApiResponse::json(&promise))
--- a/crates/config-distribution/src/net/control/upstream.rs
+++ b/crates/config-distribution/src/net/control/upstream.rs
@@ -37,11 +37,13 @@
         sleep(RETRY_DELAY / 2 + Duration::from_millis(jitter)).await;
     }
 
-    /// Asks one origin for changes for as long as they can be stored. Returns why they cannot.
-    pub(super) async fn follow(&self, origin: SocketAddr) -> StoreError {
+    /// Asks one origin for changes. Never returns.
+    pub(super) async fn follow(&self, origin: SocketAddr) {
         let mut client = HttpClient::new(origin);
         let timeout = LOG_HOLD + RESPONSE_TIMEOUT;
         loop {
+            // A request acknowledges what this server has.
+            self.wait_until_stored().await;
             let target = log_target(&self.server.borrow().log_request(), LOG_HOLD);
             let response: LogResponse = match client.fetch_json(&target, None, timeout).await {
                 Ok(response) => response,
@@ -52,11 +54,13 @@
                 }
             };
             let epoch = response.epoch;
+            // What another origin has sent meanwhile is to be stored first.
+            self.wait_until_stored().await;
             let persistence = match self.apply(response) {
                 Ok(persistence) => persistence,
                 Err(error) => {
-                    tracing::error!(%error, "failed to persist promise, exiting");
-                    return error;
+                    tracing::error!(%error, "failed to store state, trying again");
+                    continue;
                 }
             };
             let promised_epoch = self.server.borrow().state().promised_epoch;
@@ -69,6 +73,14 @@
         }
     }
 
+    /// Completes when the state is on disk.
+    async fn wait_until_stored(&self) {
+        while let Err(error) = self.ensure_stored() {
+            tracing::debug!(%error, "state still cannot be stored");
+            self.pause().await;
+        }
+    }
+
     /// Applies an origin's response, and stores the state before anything is sent that follows from it.
     fn apply(&self, response: LogResponse) -> Result<Persistence, StoreError> {
         let epoch = response.epoch;
@@ -77,7 +89,7 @@
         // What a recovering member has counts as stored once it may vote again.
         let is_recovering = self.server.borrow().promised_epoch().is_none();
         if persistence == Persistence::Required && !is_recovering {
-            self.store.write(self.server.borrow().state())?;
+            self.store_state()?;
         }
         let committed = self.server.borrow().committed();
         if committed != committed_before {
@@ -103,6 +115,9 @@
         loop {
             sleep(REPORT_INTERVAL).await;
             let Some(FollowedOrigin { address, .. }) = self.followed.get() else { continue };
+            if self.ensure_stored().is_err() {
+                continue;
+            }
             let report = self.server.borrow_mut().report_progress(self.clock.now());
             let is_due = last_report.as_ref().is_none_or(|(last, sent_at)| {
                 *last != report || sent_at.elapsed() >= UNCHANGED_REPORT_INTERVAL
--- a/crates/fleet/src/atomic_file.rs
+++ b/crates/fleet/src/atomic_file.rs
@@ -5,12 +5,14 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 
-/// Replaces a file by one that holds `bytes`, or changes nothing: the new file is written beside
-/// the old one, synced and renamed over it (rename(2), fsync(2)). Only its owner may read it.
+/// Replaces a file by one that holds `bytes`: the new file is written beside the old one, synced and
+/// renamed over it (rename(2)), and the directory is synced (fsync(2)). Only its owner may read it.
 ///
 /// # Errors
 ///
-/// When the file system fails; the old file is still there.
+/// When the file system fails. Usually the old file is still there. If it was the directory that
+/// could not be synced, the new file is in place, and the old one may be back after a crash of the
+/// machine: the caller cannot rely on either, and has to write again.
 pub fn write_atomically(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let temporary = path.with_extension("new");
     let written = write_and_rename(&temporary, path, bytes);
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -37,6 +37,8 @@
 const LINGER_BYTES: usize = 4096;
 /// How often the state file is checked for changes of another process.
 const STATE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The pause before the predecessor is told again that this process serves, after a failure.
+const ANNOUNCEMENT_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The pause before accepting again after a failure.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -114,16 +116,35 @@
         }
     }
 
-    /// Stores that this process serves from now on, so that its predecessor leaves its clients to it.
-    pub async fn announce_serving(&self) {
+    /// Stores that this process serves from now on, so that its predecessor leaves its clients to it. Returns after
+    /// the first attempt; a failed one is repeated in the background.
+    pub async fn announce_serving(self: &Rc<Self>) {
+        if self.try_announce_serving().await {
+            return;
+        }
+        let admin = self.clone();
+        P::spawn(async move {
+            loop {
+                P::sleep(ANNOUNCEMENT_RETRY_DELAY).await;
+                if admin.try_announce_serving().await {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Whether the announcement is stored.
+    async fn try_announce_serving(&self) -> bool {
         let process_id = self.process_id;
         let announced = self.change_state(|state| {
             state.serving_process = Some(process_id);
             Ok(())
         });
-        if let Err(error) = announced.await {
+        let announced = announced.await;
+        if let Err(error) = &announced {
             tracing::error!(%error, "failed to announce readiness to the predecessor");
         }
+        announced.is_ok()
     }
 
     /// Whether another process has announced since that it serves.
--- a/src/sidecar/admin/state_file.rs
+++ b/src/sidecar/admin/state_file.rs
@@ -82,13 +82,16 @@
             Err(e) if e.kind() == ErrorKind::NotFound => None,
             Err(e) => return Err(self.io_error(e)),
         };
-        if self.seen.replace(version) == version {
+        if self.seen.get() == version {
             return Ok(None);
         }
-        match version {
-            None => Ok(Some(AdminState::default())),
-            Some(_) => self.read().map(Some),
-        }
+        let state = match version {
+            None => AdminState::default(),
+            Some(_) => self.read()?,
+        };
+        // A version that could not be read is read again.
+        self.seen.set(version);
+        Ok(Some(state))
     }
 
     fn read(&self) -> Result<AdminState, StateFileError> {
@@ -163,7 +166,19 @@
         let mut file = File::create(&new)?;
         file.write_all(&text)?;
         file.sync_all()?;
-        fs::rename(&new, &self.path)
+        fs::rename(&new, &self.path)?;
+        // The change is in force, and outlives the process. Whether it outlives the machine is not known then.
+        if let Err(error) = self.sync_directory() {
+            tracing::warn!(%error, "failed to sync the directory of the admin state file");
+        }
+        Ok(())
+    }
+
+    fn sync_directory(&self) -> io::Result<()> {
+        match self.path.parent() {
+            Some(directory) => File::open(directory)?.sync_all(),
+            None => Ok(()),
+        }
     }
 }
 
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -290,7 +290,7 @@
         let shutdown = tokio::select! {
             biased;
             () = accepting.as_mut() => Shutdown::Drain,
-            () = become_ready(&ingress, admin.as_deref(), &discovery_attempted, report_serving) => {
+            () = become_ready(&ingress, admin.as_ref(), &discovery_attempted, report_serving) => {
                 Shutdown::Drain
             }
             () = reloading.as_mut() => Shutdown::Drain,
@@ -345,7 +345,7 @@
 /// known; never ends.
 async fn become_ready<P: Runtime>(
     ingress: &Ingress<P>,
-    admin: Option<&Admin<P>>,
+    admin: Option<&Rc<Admin<P>>>,
     discovery_attempted: &Notify,
     report_serving: oneshot::Sender<()>,
 ) {
--- a/tests/lifecycle/system_calls.rs
+++ b/tests/lifecycle/system_calls.rs
@@ -118,12 +118,17 @@
     }
 }
 
-/// The path of the state file of the sidecar whose directory this is. It makes a lock beside it when it serves.
+/// The path of the state file of the sidecar whose directory this is, once it has stored that it serves.
 fn state_file(directory: &Path) -> PathBuf {
     let mut path = None;
-    until("the sidecar uses its directory", || {
-        let entry = std::fs::read_dir(directory).expect("a directory").flatten().next();
-        path = entry.map(|entry| entry.path().with_extension("json"));
+    until("the sidecar has stored that it serves", || {
+        let entries = std::fs::read_dir(directory).expect("a directory").flatten();
+        let files = entries.map(|entry| entry.path());
+        let has_state = |path: &PathBuf| {
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            path.extension().is_some_and(|e| e == "json") && text.contains("serving")
+        };
+        path = files.into_iter().find(has_state);
         path.is_some()
     });
     path.expect("found")
