Selection: where home is ejected, servers that warm up get their due beside warm ones

Cause: pick_fallback took servers that warm up only where no warm one was left.

Change: of those left, the warming ones get their share of all capacity, as on the usual path.

--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -83,9 +83,9 @@
     }
 
     /// Picks where no draw found a server: with the local zone ejected, nearly all draws fall on it while remote servers
-    /// stand idle. The less used of two of those left is taken; of those warming up only where no warm one is left, and
-    /// no oftener than brings them twice their due: a fleet that lost the others would overload them. Last, an
-    /// idempotent request is a trial, one at a time, of an ejected server.
+    /// stand idle. The less used of two of those left is taken. Those warming up get their due beside warm ones, which a
+    /// single one of would drown, and where no warm one is left no oftener than brings them twice that: a fleet that
+    /// lost the others would overload them. Last, an idempotent request is a trial, one at a time, of an ejected server.
     fn pick_fallback(&mut self, request: &Request, panic: bool) -> Option<Slot> {
         let draws = [(); 3].map(|()| self.uniform());
         let safety = self.settings.classes[request.class].retry_safety;
@@ -103,9 +103,12 @@
             };
             tiers[tier].push(slot);
         }
-        let beyond_due = draws[2] * total(&self.ready.slots) > 2.0 * total(&tiers[1]);
+        let most = if tiers[0].is_empty() { 2.0 } else { 1.0 };
+        let beyond_due = draws[2] * total(&self.ready.slots) > most * total(&tiers[1]);
         if !request.attempts.is_empty() || beyond_due {
             tiers[1].clear();
+        } else if !tiers[1].is_empty() {
+            tiers[0].clear();
         }
         let left = tiers.iter().find(|slots| !slots.is_empty())?;
         let pick = |position: f64| {
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -149,3 +149,35 @@
     let due = 0.25 / 2.25;
     assert!(share < 2.5 * due, "share {share}, due {due}");
 }
+
+/// Found by simulation (seed 8020479): with home ejected, the one warm server left got nearly everything and
+/// drowned, while one that had nearly warmed up stood idle.
+#[test]
+fn server_that_has_nearly_warmed_up_gets_its_due_beside_the_only_warm_one() {
+    let nearly_warm = ServerEntry { started_at: START - 15 * S, ..server(3) };
+    let listed = [server(0), server(1), nearly_warm.clone()];
+    let (mut to_nearly_warm, mut all) = (0, 0);
+    for seed in 0..20 {
+        let priced = settings(|s| s["prices"]["crossZone"] = 5.0.into());
+        let mut b = Bench::new(priced, seed, &listed);
+        // Home is silent for longer than any objective.
+        for _ in 0..400 {
+            b.now += MS;
+            let (id, out) = b.request(2);
+            let Some(to) = sent(&out).filter(|to| to.0 != 0) else { continue };
+            b.answer(id, 0, to, Outcome::Success, 0.0);
+        }
+        b.now += 400 * MS;
+        for _ in 0..50 {
+            b.now += MS;
+            let (id, out) = b.request(2);
+            let Some(to) = sent(&out).filter(|to| to.0 != 0) else { continue };
+            all += 1;
+            to_nearly_warm += u32::from(to == nearly_warm.id);
+            b.answer(id, 0, to, Outcome::Success, 0.0);
+        }
+    }
+    let share = f64::from(to_nearly_warm) / f64::from(all);
+    // It has 0.2 to 0.8 of a server's capacity: its start is a lower bound, and the list names no later one.
+    assert!((0.05..0.4).contains(&share), "share {share} of {all}");
+}
