Gossip: a test that members rejoin whose clocks were stepped by an hour

Change: a test with steps of an hour either way. The test world's monotonic clock no longer stands still at zero when the wall clock is far behind: that was the harness's fault, and made the first version of the test fail.

Result: ruled out.

--- a/crates/gossip/tests/cluster.rs
+++ b/crates/gossip/tests/cluster.rs
@@ -406,3 +406,26 @@
     let second = world.snapshots().iter().map(|s| s.class_demand_per_s[1]).fold(0.0, f64::max);
     assert!(first < 0.25 && second < 1.0, "{first} {second}");
 }
+
+/// A clock may be stepped by an hour while a member is down; it then starts with a much lower or higher incarnation.
+#[test]
+fn members_that_restart_with_clocks_an_hour_off_rejoin() {
+    const HOUR_MS: i64 = 3_600_000;
+    for step in [-HOUR_MS, HOUR_MS] {
+        let mut world = started_cluster(20, 0.8, 5);
+        world.run_until(10 * S);
+        for member in 0..5 {
+            world.kill(member);
+        }
+        world.run_until(world.now + S);
+        for member in 0..5 {
+            world.clock_ahead_ms[member] = step;
+            world.start(member);
+        }
+        world.run_until(world.now + 10 * S);
+        let alive = world.snapshots().iter().all(|snapshot| snapshot.members.alive == 20);
+        let up = world.snapshots().iter().all(|snapshot| snapshot.links.up == snapshot.links.total);
+        assert!(alive && up, "after a step of {step} ms");
+        assert_counts_are_right(&mut world, 20.0, 0.8 * QUOTA);
+    }
+}
--- a/crates/gossip/tests/common/mod.rs
+++ b/crates/gossip/tests/common/mod.rs
@@ -136,9 +136,11 @@
         (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
-    /// A member's own clock.
+    /// A member's monotonic clock. It begins anywhere; a step of the wall clock does not set it back.
     pub fn clock(&self, member: usize) -> Micros {
-        (CLOCK_START + self.now).saturating_add_signed(self.clock_ahead_ms[member] * 1000)
+        let start = CLOCK_START as i64;
+        let ahead = (self.clock_ahead_ms[member] * 1000).clamp(-start, start);
+        (CLOCK_START + self.now).saturating_add_signed(ahead)
     }
 
     pub fn start(&mut self, member: usize) {
