--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -179,6 +179,11 @@
         std::fs::rename(new, self.folder.path().join("config.json")).expect("in place");
     }
 
+    /// Removes the file of the configuration.
+    pub fn remove_config(&self) {
+        std::fs::remove_file(self.folder.path().join("config.json")).expect("removed");
+    }
+
     /// The configuration as it was at the start, with another discovery.
     pub fn config_with_discovery(&self, discovery: &Registry) -> String {
         let mut config = self.config.clone();
--- a/tests/lifecycle/body_memory.rs
+++ b/tests/lifecycle/body_memory.rs
@@ -11,6 +11,8 @@
 /// What 16 MB leave for bodies, in long bodies of unknown pace, and a short one that fills the rest.
 const LONG_BODIES: usize = 42;
 const FILLING_BODY: usize = 65_536;
+/// What fills the memory with short bodies alone, to a rest that is too small for another.
+const FILLING_BODIES: usize = 85;
 /// More than is left then.
 const WAITING_BODY: usize = 60_000;
 
@@ -50,3 +52,23 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
     assert!(!blocked.server.seen().contains(&"waiting".to_owned()));
 }
+
+/// A process that shuts down owes an answer to a request whose body it has no memory for.
+#[test]
+fn request_that_waits_for_memory_is_answered_during_shutdown() {
+    let blocked = BlockedServer::new();
+    let mut sidecar = Sidecar::start_with(discovery(&[&blocked.server]), |config| {
+        small_memory(config);
+        (0..3).for_each(|class| set_times(config, class, 2500, 2500));
+    });
+    let filling = |n| order_of(&sidecar, &format!("filling-{n}"), 2500, FILLING_BODY, FILLING_BODY);
+    let filling: Vec<_> = (0..FILLING_BODIES).map(filling).collect();
+    until("all others have their memory", || sidecar.state()["open"] == FILLING_BODIES);
+    let waiting = order_of(&sidecar, "waiting", 2500, WAITING_BODY, WAITING_BODY);
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    begin_shutdown(&sidecar);
+    let answer = first_answer(waiting);
+    assert!(answer.starts_with("HTTP/1.1 50"), "{answer:?}");
+    drop(filling);
+    assert!(sidecar.wait_for_exit().success());
+}
--- a/tests/lifecycle/reload.rs
+++ b/tests/lifecycle/reload.rs
@@ -69,3 +69,43 @@
     }
     assert_eq!((removed.seen().len(), listed.seen().len()), (0, 20));
 }
+
+/// A file that cannot be read for a moment is read later: nobody asks for the reload again.
+#[test]
+fn config_that_cannot_be_read_at_the_signal_is_read_later() {
+    let (old, new) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start(discovery(&[&old]));
+    let moved = discovery(&[&new]);
+    sidecar.remove_config();
+    sidecar.signal("HUP");
+    until("the failure is logged", || sidecar.log().contains("failed to reload configuration"));
+    sidecar.replace_config(&sidecar.config_with_discovery(&moved));
+    sidecar.wait_until_reaches(&new);
+}
+
+/// Idle connections to one server must not keep the few descriptors that are left from another.
+#[test]
+fn fewer_descriptors_do_not_keep_requests_from_new_servers() {
+    let (blocked, other) = (BlockedServer::new(), Server::echo());
+    let registry = discovery(&[&blocked.server]);
+    let sidecar = Sidecar::start_with(registry.clone(), |config| {
+        config["limits"]["sockets"] = 256.into();
+    });
+    // Sixty connections to the first server, idle once it has answered.
+    let clients: Vec<_> =
+        (0..60).map(|n| blocked.receives_order(&sidecar, &format!("open-{n}"))).collect();
+    blocked.release();
+    clients.into_iter().for_each(|client| assert!(first_answer(client).contains("200 OK")));
+    let mut config = sidecar.config().clone();
+    config["limits"]["sockets"] = 64.into();
+    apply_config(&sidecar, &config);
+    // From now on the first server takes no new requests; its connections are idle.
+    registry.update(Entry::new(other.at, "a"));
+    let mut answers = Vec::new();
+    for n in 0..40 {
+        let request = look(&format!("look-{n}")).replace("Ms: 20000", "Ms: 2000");
+        answers.push(sidecar.exchange(&request).contains("200 OK"));
+    }
+    assert!(!other.seen().is_empty(), "the new server gets its share");
+    assert!(answers.iter().all(|&served| served), "{answers:?}");
+}
