Reload: a file that cannot be read is read again; idle connections make room at once

Causes: a reload whose file could not be read was given up, though the signal comes once. An attempt that waited for a socket closed one idle connection; after a reload that lowers limits.sockets, what becomes free goes to the lower limit first, and the attempt waited for its timeout beside dozens of idle connections.

Change: read failures are repeated every 0.2 s; while an attempt waits for a socket, an idle connection is closed every 2 ms. Receiving datagrams pauses after an error instead of spinning.

--- a/src/sidecar/config/error.rs
+++ b/src/sidecar/config/error.rs
@@ -145,3 +145,16 @@
         index: usize,
     },
 }
+
+impl ConfigError {
+    /// Whether a file could not be read, so that another attempt may succeed.
+    pub fn is_read_failure(&self) -> bool {
+        match self {
+            ConfigError::Read { .. } => true,
+            ConfigError::InVariable(source) | ConfigError::InFile { source, .. } => {
+                source.is_read_failure()
+            }
+            _ => false,
+        }
+    }
+}
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use runtime::{Runtime, Udp};
 use rustc_hash::FxHashMap;
 
 /// The longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 256;
+/// The pause after receiving has failed.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The number that stands for all peers.
 const ALL_PEERS: u32 = u32::MAX;
 
@@ -59,8 +62,11 @@
     pub async fn listen(self: Rc<Peers<P>>, handler: impl DatagramHandler) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
-            // An error here is about an earlier datagram of ours that could not be delivered.
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                // It is about an earlier datagram of ours that could not be delivered, or a shortage.
+                P::sleep(RECEIVE_RETRY_DELAY).await;
+                continue;
+            };
             if let Some(&peer) = self.numbers.get(&from)
                 && length <= MAX_DATAGRAM_BYTES
             {
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use instance_status::RejectedConfig;
 use runtime::Runtime;
@@ -15,6 +16,9 @@
 use super::live::LiveConfig;
 use super::status::Status;
 
+/// The pause before a configuration file is read again that could not be read.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// What a new configuration is applied to.
 pub struct Targets<P: Runtime> {
     /// The address of discovery.
@@ -47,20 +51,23 @@
     },
 }
 
-/// Reloads the configuration at each message of `requests`; never ends. An invalid one changes nothing. Reloads go on
-/// during a graceful shutdown, since endpoint lists of another discovery matter there, too.
+/// Reloads the configuration at each message of `requests`; never ends. An invalid one changes nothing; a file that
+/// cannot be read is tried again, since nobody asks a second time. Reloads go on during a graceful shutdown, since
+/// endpoint lists of another discovery matter there, too.
 pub async fn run<P: Runtime>(
     mut requests: mpsc::Receiver<()>,
     read: impl Fn() -> Result<Config, ConfigError>,
     targets: Targets<P>,
 ) {
     while requests.recv().await.is_some() {
-        match read() {
-            Ok(config) => targets.reload(config),
-            Err(error) => {
-                tracing::error!(%error, "failed to reload configuration, keeping the current one");
-                targets.reject(0, &error.into());
+        while let Err(error) = read().map(|config| targets.reload(config)) {
+            let is_transient = error.is_read_failure();
+            tracing::error!(%error, is_transient, "failed to reload configuration, keeping the current one");
+            targets.reject(0, &error.into());
+            if !is_transient {
+                break;
             }
+            P::sleep(READ_RETRY_DELAY).await;
         }
     }
     std::future::pending().await
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -1,6 +1,7 @@
 //! The connection pool: idle connections, and establishing new ones.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 
 /// How often expired idle connections are looked for.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(500);
+/// How often another idle connection is closed while an attempt waits for a socket.
+const CLOSE_FOR_ROOM_INTERVAL: Duration = Duration::from_millis(2);
 /// How long a connection may take to be ready for the next request after a response.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -80,14 +83,24 @@
         }
     }
 
-    /// Waits for a permit to open one more socket. If there is none left, the connection that has
-    /// been idle longest is closed for it.
+    /// Waits for a permit to open one more socket. As long as there is none left, the connection that
+    /// has been idle longest is closed for it.
+    ///
+    /// One is not always enough: after a reload that lowers the limit, what becomes free goes to
+    /// the limit first, and connections may become idle while this waits.
     async fn acquire_socket(&self) -> Option<SocketPermit> {
         if let Ok(place) = self.sockets.servers.clone().try_acquire_owned() {
             return Some(place);
         }
-        self.close_longest_idle();
-        self.sockets.servers.clone().acquire_owned().await.ok()
+        let mut acquiring = pin!(self.sockets.servers.clone().acquire_owned());
+        loop {
+            self.close_longest_idle();
+            tokio::select! {
+                biased;
+                place = &mut acquiring => return place.ok(),
+                () = P::sleep(CLOSE_FOR_ROOM_INTERVAL) => {}
+            }
+        }
     }
 
     fn close_longest_idle(&self) {
