--- a/crates/local-cluster/tests/hard_cases/daemon.rs
+++ b/crates/local-cluster/tests/hard_cases/daemon.rs
@@ -192,3 +192,23 @@
     load.stop();
     assert_sound(&host);
 }
+
+/// What could not be stored is stored once that is possible again, whether or not anything else happens.
+#[test]
+fn state_that_could_not_be_stored_is_stored_later() {
+    let host = host(2);
+    let stored = || {
+        std::fs::read_to_string(host.state_directory().join("ledger.json")).unwrap_or_default()
+    };
+    // A directory in the place of the file that is to be written.
+    let obstacle = host.state_directory().join("ledger.new");
+    std::fs::create_dir(&obstacle).expect("made");
+    let slot = host.instances()[0].slot.clone();
+    let _ = host.ask(&Request::Drain { slot });
+    until("the daemon says what is wrong", || {
+        host.status().to_string().contains("the state cannot be kept")
+    });
+    assert!(!stored().contains("taken out"));
+    std::fs::remove_dir(&obstacle).expect("removed");
+    until("the state is stored", || stored().contains("taken out"));
+}
