Fleet, config: signals by flags as the sidecar has them; unsaved state is stored later

Causes: the daemon stored a change that it could not store with the next one only. Its signals, and those of lb-config, went through the driver that panics on EINTR.

Change: signals move to the runtime crate and serve all three programs; the daemon tries again to store at each tick.

Result: the test failed before and passes; tests of fleet, local-cluster (21 hard cases), supervision and lifecycle pass. lb-config's host still uses tokio's process feature, whose driver is the same: not changed, not tested.

--- a/crates/config-distribution/src/main.rs
+++ b/crates/config-distribution/src/main.rs
@@ -15,8 +15,8 @@
 use config_distribution::net::target::{FleetDaemon, Standalone};
 use config_distribution::net::{NamedAddress, control, host, origin};
 use logging::Options;
+use runtime::signals::{Signal, SignalError, SignalReceiver};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
 use arguments::{
@@ -42,8 +42,8 @@
     #[error("listen: {0}")]
     ListenAddress(#[source] io::Error),
     /// A signal cannot be handled.
-    #[error("{name}: {source}")]
-    Signal { name: &'static str, source: io::Error },
+    #[error(transparent)]
+    Signal(#[from] SignalError),
     /// A control server's name is not valid.
     #[error("name: letters, digits, dots, dashes expected, not {name:?}")]
     InvalidServerName { name: String },
@@ -156,12 +156,9 @@
 
 /// Runs a role until it fails, or SIGTERM or SIGINT comes.
 async fn until_signalled(role: impl Future<Output = Result<(), RunError>>) -> Result<(), RunError> {
-    let handler = |kind, name| signal(kind).map_err(|source| RunError::Signal { name, source });
-    let mut terminate = handler(SignalKind::terminate(), "SIGTERM")?;
-    let mut interrupt = handler(SignalKind::interrupt(), "SIGINT")?;
+    let mut signals = SignalReceiver::register(&[Signal::Terminate, Signal::Interrupt])?;
     tokio::select! {
         result = role => result,
-        _ = terminate.recv() => Ok(()),
-        _ = interrupt.recv() => Ok(()),
+        _ = signals.next() => Ok(()),
     }
 }
--- a/crates/fleet/src/daemon/error.rs
+++ b/crates/fleet/src/daemon/error.rs
@@ -8,6 +8,7 @@
 
 use crate::control::RequestError;
 use crate::state_directory::StateError;
+use runtime::signals::SignalError;
 
 /// The daemon cannot begin.
 #[derive(Debug, Error)]
@@ -16,13 +17,8 @@
     #[error(transparent)]
     State(#[from] StateError),
     /// A signal cannot be handled.
-    #[error("{signal}: {source}")]
-    Signal {
-        /// The signal's name.
-        signal: &'static str,
-        /// The system's error.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Signal(#[from] SignalError),
     /// One of its sockets cannot be bound.
     #[error("{}: {source}", path.display())]
     Bind {
--- a/crates/fleet/src/daemon/event.rs
+++ b/crates/fleet/src/daemon/event.rs
@@ -52,7 +52,7 @@
             }
         };
         self.state.record(text);
-        // A failure is logged and shown, and the next change stores this one, too.
+        // A failure is logged and shown, and the state is stored at a later tick.
         let _ = self.persist();
     }
 }
--- a/crates/fleet/src/daemon/mod.rs
+++ b/crates/fleet/src/daemon/mod.rs
@@ -16,9 +16,9 @@
 use std::time::{Duration, Instant};
 
 use instance_status::{InstanceStatus, MAX_DATAGRAM_BYTES, SupervisorSocket};
+use runtime::signals::{Signal, SignalReceiver};
 use rustix::process::{Resource, getrlimit, setrlimit};
 use tokio::net::UnixDatagram;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -61,6 +61,8 @@
     blocked_slots: BTreeMap<String, BlockedSlot>,
     /// What keeps the daemon itself from its work.
     fault: Option<String>,
+    /// The state in memory is not known to be the stored one.
+    unsaved: bool,
     /// A candidate is being checked.
     checking: bool,
     shutdown: Option<Shutdown>,
@@ -71,30 +73,11 @@
 }
 
 /// The signals that the daemon handles.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
-    child: Signal,
-}
-
-impl Signals {
-    fn install() -> Result<Signals, DaemonError> {
-        let install = |kind, name| {
-            signal(kind).map_err(|source| DaemonError::Signal { signal: name, source })
-        };
-        Ok(Signals {
-            terminate: install(SignalKind::terminate(), "SIGTERM")?,
-            interrupt: install(SignalKind::interrupt(), "SIGINT")?,
-            hangup: install(SignalKind::hangup(), "SIGHUP")?,
-            child: install(SignalKind::child(), "SIGCHLD")?,
-        })
-    }
-}
+const SIGNALS: [Signal; 4] = [Signal::Child, Signal::HangUp, Signal::Terminate, Signal::Interrupt];
 
 /// All that the event loop waits for, beside its timer.
 struct EventSources {
-    signals: Signals,
+    signals: SignalReceiver,
     status_socket: UnixDatagram,
     requests: mpsc::Receiver<PendingRequest>,
     check_outcomes: mpsc::UnboundedReceiver<CheckOutcome>,
@@ -119,7 +102,7 @@
     let clock = Instant::now();
     raise_descriptor_limit();
     let directory = StateDirectory::open(state_directory)?;
-    let signals = Signals::install()?;
+    let signals = SignalReceiver::register(&SIGNALS)?;
     let (sender, check_outcomes) = mpsc::unbounded_channel();
     let mut daemon = Daemon::new(clock, file, directory, log_environment, sender)?;
     daemon.begin()?;
@@ -162,6 +145,7 @@
             last_process_id: 0,
             blocked_slots: BTreeMap::new(),
             fault: None,
+            unsaved: false,
             checking: false,
             shutdown: None,
             supervisor: SupervisorSocket::from_env(),
@@ -206,8 +190,7 @@
         loop {
             tokio::select! {
                 _ = tick.tick() => self.handle_tick(status_socket),
-                // An adopted process is no child: its end shows at the next tick.
-                _ = signals.child.recv() => self.remove_ended(),
+                signal = signals.next() => self.handle_signal(signal),
                 Ok(length) = status_socket.recv(&mut datagram) => {
                     // Many reports come at once, and few of them change what is to be done.
                     let first_changed = self.receive_status(&datagram[..length]);
@@ -218,9 +201,6 @@
                 }
                 Some(outcome) = check_outcomes.recv() => self.finish_check(outcome),
                 Some(request) = requests.recv() => self.handle_request(request),
-                _ = signals.hangup.recv() => self.reload(None),
-                _ = signals.terminate.recv() => self.begin_shutdown(),
-                _ = signals.interrupt.recv() => self.begin_shutdown(),
             }
             if late_adoptions.next_if(|at| self.clock.elapsed() >= *at).is_some() {
                 self.adopt_instances();
@@ -232,9 +212,23 @@
         }
     }
 
+    fn handle_signal(&mut self, signal: Signal) {
+        match signal {
+            // An adopted process is no child: its end shows at the next tick.
+            Signal::Child => self.remove_ended(),
+            Signal::HangUp => self.reload(None),
+            Signal::Terminate | Signal::Interrupt => self.begin_shutdown(),
+            Signal::UserDefined2 => {}
+        }
+    }
+
     fn handle_tick(&mut self, status_socket: &UnixDatagram) {
         self.send_heartbeat();
         self.remove_ended();
+        if self.unsaved {
+            // A failure is logged and shown.
+            let _ = self.persist();
+        }
         // A daemon that was kept from running has unread reports, and whoever sent them is not
         // silent.
         self.receive_statuses(status_socket);
@@ -280,10 +274,11 @@
         }
     }
 
-    /// Stores the state. A failure is logged and shown in the status, and the next change is stored
-    /// together with this one.
+    /// Stores the state. A failure is logged and shown in the status, and the state is stored at a
+    /// later tick.
     fn persist(&mut self) -> io::Result<()> {
         let result = self.directory.store(&self.state);
+        self.unsaved = result.is_err();
         self.fault = None;
         if let Err(error) = &result {
             tracing::error!(%error, "failed to persist state");
--- a/crates/fleet/src/daemon/rollout.rs
+++ b/crates/fleet/src/daemon/rollout.rs
@@ -202,7 +202,7 @@
         let (target, stable) = (self.state.target, self.state.stable);
         let is_needed = |generation: &Generation| *generation == target || *generation == stable;
         self.state.revisions.retain(|generation, _| is_needed(generation));
-        // A failure is logged and shown, and the next change stores this one, too.
+        // A failure is logged and shown, and the state is stored at a later tick.
         let _ = self.persist();
         let needed = self.state.revisions.values().map(|revision| revision.program_id).collect();
         self.directory.remove_unused_programs(&needed);
--- a/crates/local-cluster/tests/hard_cases/daemon.rs
+++ b/crates/local-cluster/tests/hard_cases/daemon.rs
@@ -197,9 +197,8 @@
 #[test]
 fn state_that_could_not_be_stored_is_stored_later() {
     let host = host(2);
-    let stored = || {
-        std::fs::read_to_string(host.state_directory().join("ledger.json")).unwrap_or_default()
-    };
+    let stored =
+        || std::fs::read_to_string(host.state_directory().join("ledger.json")).unwrap_or_default();
     // A directory in the place of the file that is to be written.
     let obstacle = host.state_directory().join("ledger.new");
     std::fs::create_dir(&obstacle).expect("made");
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod lingering_close;
 mod runtime;
+pub mod signals;
 mod socket;
 mod stream;
 mod timeout;
--- a/src/signals.rs
+++ b/crates/runtime/src/signals.rs
@@ -1,18 +1,18 @@
-//! The signals that control the process.
+//! Signals of the process.
 //!
 //! A signal sets a flag and wakes the event loop through a pipe. The pipe may fail as any other descriptor may: a
 //! write that is interrupted in the handler loses the wake-up, though not the flag, so the flags are looked at now
 //! and then as well.
 
+use std::fmt;
 use std::io;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR2};
+use signal_hook::consts::{SIGCHLD, SIGHUP, SIGINT, SIGTERM, SIGUSR2};
 use signal_hook::{flag, low_level::pipe};
-use thiserror::Error;
 use tokio::net::UnixStream;
 
 /// The time within which a signal is noticed whose wake-up was lost.
@@ -20,64 +20,83 @@
 /// How many wake-ups are read at once.
 const WAKE_UP_BUFFER: usize = 64;
 
-/// What the process is asked to do.
+/// A signal that can be listened for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ControlSignal {
-    /// SIGTERM: to answer what was admitted, and end.
+pub enum Signal {
+    /// SIGTERM.
     Terminate,
-    /// SIGUSR2: the same, leaving the listener to a successor.
-    HandOver,
-    /// SIGHUP: to read the configuration again.
-    Reload,
+    /// SIGINT.
+    Interrupt,
+    /// SIGHUP.
+    HangUp,
+    /// SIGUSR2.
+    UserDefined2,
+    /// SIGCHLD.
+    Child,
 }
 
-impl ControlSignal {
-    /// All of them, in the order in which they are reported if several have come.
-    const ALL: [ControlSignal; 3] =
-        [ControlSignal::Terminate, ControlSignal::HandOver, ControlSignal::Reload];
-
+impl Signal {
     fn number(self) -> i32 {
         match self {
-            ControlSignal::Terminate => SIGTERM,
-            ControlSignal::HandOver => SIGUSR2,
-            ControlSignal::Reload => SIGHUP,
+            Signal::Terminate => SIGTERM,
+            Signal::Interrupt => SIGINT,
+            Signal::HangUp => SIGHUP,
+            Signal::UserDefined2 => SIGUSR2,
+            Signal::Child => SIGCHLD,
         }
     }
 
     fn name(self) -> &'static str {
         match self {
-            ControlSignal::Terminate => "SIGTERM",
-            ControlSignal::HandOver => "SIGUSR2",
-            ControlSignal::Reload => "SIGHUP",
+            Signal::Terminate => "SIGTERM",
+            Signal::Interrupt => "SIGINT",
+            Signal::HangUp => "SIGHUP",
+            Signal::UserDefined2 => "SIGUSR2",
+            Signal::Child => "SIGCHLD",
         }
     }
 }
 
 /// A signal cannot be listened for.
-#[derive(Debug, Error)]
-#[error("{name}: {source}")]
+#[derive(Debug)]
 pub struct SignalError {
+    /// What the error is about.
     name: &'static str,
+    /// What the system says.
     source: io::Error,
 }
 
-/// Receives the signals of the process. Until there is one, each of them ends the process.
+impl fmt::Display for SignalError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.name, self.source)
+    }
+}
+
+impl std::error::Error for SignalError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.source)
+    }
+}
+
+/// Receives signals. Until they are listened for, most of them end the process.
 pub struct SignalReceiver {
-    received: [(ControlSignal, Arc<AtomicBool>); ControlSignal::ALL.len()],
+    received: Vec<(Signal, Arc<AtomicBool>)>,
     wake_ups: UnixStream,
 }
 
 impl SignalReceiver {
-    /// Listens for the signals, for the rest of the life of the process. To be called within a runtime.
+    /// Listens for these signals, for the rest of the life of the process. To be called within a tokio runtime. If
+    /// several have come, they are reported in this order.
     ///
     /// # Errors
     ///
     /// The signal that cannot be listened for.
-    pub fn register() -> Result<SignalReceiver, SignalError> {
+    pub fn register(signals: &[Signal]) -> Result<SignalReceiver, SignalError> {
         let pipe_error = |source| SignalError { name: "pipe of signals", source };
         let (reader, writer) = StdUnixStream::pair().map_err(pipe_error)?;
         reader.set_nonblocking(true).map_err(pipe_error)?;
-        let received = ControlSignal::ALL.map(|signal| (signal, Arc::new(AtomicBool::new(false))));
+        let received: Vec<_> =
+            signals.iter().map(|&signal| (signal, Arc::new(AtomicBool::new(false)))).collect();
         for (signal, flag) in &received {
             let error = |source| SignalError { name: signal.name(), source };
             // The flag is set before the wake-up is written: actions run in the order of their registration.
@@ -90,7 +109,7 @@
     }
 
     /// The next signal. Several of one kind that have come since the last call are one.
-    pub async fn next(&mut self) -> ControlSignal {
+    pub async fn next(&mut self) -> Signal {
         loop {
             if let Some(signal) = self.take_received() {
                 return signal;
@@ -103,7 +122,7 @@
         }
     }
 
-    fn take_received(&self) -> Option<ControlSignal> {
+    fn take_received(&self) -> Option<Signal> {
         let mut received = self.received.iter();
         received.find(|(_, flag)| flag.swap(false, Ordering::SeqCst)).map(|(signal, _)| *signal)
     }
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -10,8 +10,8 @@
 use lb_sidecar::sidecar::startup::StartError;
 use lb_sidecar::sidecar::status::VERSION;
 use lb_sidecar::sidecar::{self, Control};
-use lb_sidecar::signals::{ControlSignal, SignalError, SignalReceiver};
 use logging::Options;
+use runtime::signals::{Signal, SignalError, SignalReceiver};
 use thiserror::Error;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
@@ -32,6 +32,8 @@
          SIGUSR2 the same, leaving the listener to a successor
 status:  0 a planned end, or a sound configuration; 2 what was given cannot be used";
 
+/// The signals that control the process: to shut down, to leave the listener to a successor, to reload.
+const SIGNALS: [Signal; 3] = [Signal::Terminate, Signal::UserDefined2, Signal::HangUp];
 /// The status of what cannot be used: arguments, configuration, sockets.
 const EXIT_UNUSABLE: u8 = 2;
 /// The variable with the number of an inherited listener.
@@ -156,7 +158,7 @@
         .map_err(ProgramError::Runtime)?;
     let entered = runtime.enter();
     // Until they are listened for, each of these signals ends the process.
-    let signals = SignalReceiver::register()?;
+    let signals = SignalReceiver::register(&SIGNALS)?;
     drop(entered);
     let config = Config::from_env()?;
     // All tasks run on this thread, so every line of the log is this instance's.
@@ -188,10 +190,11 @@
             let signal = signals.next().await;
             tracing::info!(?signal, "signal received");
             match signal {
-                ControlSignal::Terminate => self.terminate.notify_one(),
-                ControlSignal::HandOver => self.hand_over.notify_one(),
+                Signal::Terminate => self.terminate.notify_one(),
+                Signal::UserDefined2 => self.hand_over.notify_one(),
                 // Several that wait are one: the file is read as it is then.
-                ControlSignal::Reload => drop(self.request_reload.try_send(())),
+                Signal::HangUp => drop(self.request_reload.try_send(())),
+                Signal::Interrupt | Signal::Child => {}
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod balancer;
 pub mod settings;
 pub mod sidecar;
-pub mod signals;
 pub mod wire;
