--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -98,7 +98,8 @@
             may_have_run: true,
         });
         if let Some(violation) = violation {
-            self.status.events.record_violation(violation, &id.0);
+            let subject = request.message().map(|message| message.correlation_id().to_owned());
+            self.status.events.record_violation(violation, &subject.unwrap_or_default());
             return (index, None);
         }
         let dispatch = request.message().zip(known).map(|(message, known)| Dispatch {
@@ -137,6 +138,14 @@
                 AttemptResult::without_response(Outcome::TimedOut)
             }
         };
+        tracing::debug!(
+            request = request.correlation_id(),
+            attempt = id.index,
+            address = %endpoint.address,
+            outcome = ?result.outcome,
+            took_us = P::elapsed_since(started).as_micros() as u64,
+            "attempt ended"
+        );
         drop(request);
         let upload_end = upload.and_then(|upload| upload.completed_at());
         let since = upload_end.map_or(started, |end| started.max(end));
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -49,6 +49,12 @@
 }
 
 impl<P: Runtime> RequestHandle<P> {
+    /// How many attempts were made so far; 0 once the request is forgotten.
+    pub fn attempt_count(&self) -> usize {
+        let state = self.driver.state.borrow();
+        state.requests.get(&self.id).map_or(0, |request| request.attempts.len())
+    }
+
     /// Waits for the outcome.
     pub async fn outcome(&mut self) -> RequestOutcome {
         (&mut self.outcome).await.unwrap_or(RequestOutcome::Failed)
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -136,6 +136,7 @@
             request = correlation_id,
             class,
             answer = reply.name(),
+            attempts = handle.attempt_count(),
             took_us,
             "request completed"
         );
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -19,6 +19,9 @@
 use crate::sidecar::invariants::SendFacts;
 use crate::sidecar::upload::{Upload, UploadAttempt};
 
+/// The header with the id of a request.
+const CORRELATION_ID: &str = "x-correlation-id";
+
 /// A client's request in the form in which servers get it, kept for retries.
 pub struct UpstreamRequest {
     /// Whether it may be sent again once it may have been executed.
@@ -40,6 +43,11 @@
 }
 
 impl UpstreamRequest {
+    /// What identifies it in logs, here and at servers; empty if it has no such text.
+    pub fn correlation_id(&self) -> &str {
+        self.headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// How long the client still waits at the time `now`, if the attempt is waited for until `deadline`.
     ///
     /// The time of a streamed body counts from its last byte.
