Failing test: an attempt that waits while its server moves

A server that restarts at another address leaves its old one to whoever comes next.

Change: a test of the real program.

--- a/tests/lifecycle/connecting.rs
+++ b/tests/lifecycle/connecting.rs
@@ -98,6 +98,29 @@
     assert!(healthy.seen().contains(&"open".to_owned()), "{:?}", healthy.seen());
 }
 
+/// A server restarts at another address while an attempt waits for a connection to the old one, where
+/// another server may listen by then.
+#[test]
+fn attempt_waiting_for_a_connection_is_not_sent_to_the_old_address_of_a_moved_server() {
+    let mut old = UnacceptingServer::new();
+    let (new, other) = (Server::echo(), Server::echo());
+    let registry = discovery_at(old.at);
+    let sidecar = Sidecar::start_with(registry.clone(), slow_to_connect);
+    let mut open = sidecar.connect();
+    open.write_all(order("open").as_bytes()).expect("sent");
+    until("the connection is requested", || old.pending_connections() == 1);
+    let moved = Entry { dial: new.at, born_ms: 1, ..Entry::new(old.at, "a") };
+    registry.update(moved);
+    sidecar.wait_until_reaches(&new);
+    registry.update(Entry::new(other.at, "a"));
+    sidecar.wait_until_reaches(&other);
+    old.start_accepting();
+    let answer = first_answer(open);
+    assert!(answer.ends_with("\r\n\r\nopen"), "{answer:?}");
+    assert!(!old.seen().contains(&"open".to_owned()), "{:?}", old.seen());
+    assert!(other.seen().contains(&"open".to_owned()), "{:?}", other.seen());
+}
+
 /// A request with an idempotency key on an idle connection, which the server closes once it has the
 /// request; the repeat waits for its connection for longer than servers remember the first copy.
 #[test]
