Driver: attempts that wait for a connection do not follow a server's old address

Cause: an attempt holds the address of its start, and the flag that its server takes requests is shared by name; a server that moves stayed ready, and the attempt was sent to its old address, where another may listen.

Change: a server that moves gets a new flag, and the old one is cleared, as for one that drains.

--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -15,7 +15,8 @@
 pub(super) struct KnownServer {
     pub(super) address: SocketAddr,
     entry: ServerEntry,
-    /// Whether it accepts new requests, as the balancer is told; shared with attempts in flight.
+    /// Whether it accepts new requests at this address, as the balancer is told; shared with attempts
+    /// in flight.
     pub(super) ready: Rc<Cell<bool>>,
 }
 
@@ -125,7 +126,16 @@
     ) -> Option<SocketAddr> {
         let server = entry.id;
         let old = self.servers.remove(&server).or_else(|| previous.remove(&server));
-        let ready = old.as_ref().map(|old| old.ready.clone()).unwrap_or_default();
+        // Attempts that wait for a connection to an earlier address must not be sent there: by now
+        // it may be another server's.
+        let ready = match &old {
+            Some(old) if old.address == address => old.ready.clone(),
+            Some(old) => {
+                old.ready.set(false);
+                Rc::default()
+            }
+            None => Rc::default(),
+        };
         self.servers.insert(server, KnownServer { address, entry, ready });
         old.map(|old| old.address)
     }
