Violations of rules end a process in builds with debug assertions

Change: record_violation asserts in builds with debug assertions, after it has counted and logged. The log line of a failed accept has its former text again.

--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -79,9 +79,14 @@
 
 impl EventCounters {
     /// Counts and logs a rule that did not hold. `subject` identifies the request or connection.
+    ///
+    /// # Panics
+    ///
+    /// In builds with debug assertions, such as those of tests and simulations.
     pub fn record_violation(&self, violation: Violation, subject: &dyn Display) {
         increment(&self.violations[violation as usize]);
         tracing::error!(%violation, %subject, "protocol rule violated");
+        debug_assert!(cfg!(test), "protocol rule violated: {violation}, {subject}");
     }
 
     /// Counts an attempt that was chosen and then not sent.
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -64,7 +64,7 @@
                 }
                 // Whatever fails must not end accepting.
                 Err(error) if is_shortage(&error) => {
-                    tracing::warn!(%error, "no resources left to accept a client connection");
+                    tracing::warn!(%error, "failed to accept a client connection");
                     self.last_accept_failure.set(Some(P::now()));
                     self.evict_one();
                     behind_since.get_or_insert(P::now());
