Selection: the fallback in steps with names; documented constants of the balancer

Change: FallbackCandidates and four short functions in place of pick_fallback's tiers; a doc comment for each constant; long comments wrapped. The assertion of violations is written so that clippy takes it.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 
+/// The time constant of the request rate, in seconds.
 const RATE_WINDOW_S: f64 = 10.0;
 /// Hints of work are rough.
 const MAX_RELATIVE_WORK: f64 = 6.0;
@@ -9,12 +10,15 @@
 const MIN_TIME_LEFT: f64 = 0.8;
 /// On-time samples assumed beside those taken: at a quiet sidecar one late answer of two tells nothing of the fleet.
 const ON_TIME_PRIOR: f64 = 1.5;
+/// The time constant with which lateness fades, in longest latency objectives.
 const LATENESS_DECAY_OBJECTIVES: f64 = 4.0;
-/// The lateness from which the class of the highest priority is shed, how much sooner one is shed of an e-th of it, the
-/// least lateness to shed at, and how much more sheds all.
+/// The lateness from which the class of the highest priority is shed.
 const SHED_START: f64 = 0.3;
+/// How much sooner a class is shed whose priority is lower by a factor of e.
 const SHED_START_PER_LOG_PRIORITY: f64 = 0.15;
+/// The least lateness at which any class is shed.
 const MIN_SHED_START: f64 = 0.06;
+/// How much more lateness sheds all of a class.
 const SHED_RANGE: f64 = 0.1;
 
 /// How late the last answers of a server were: 0 up to half of the objective, 1 at the objective.
--- a/src/balancer/chips.rs
+++ b/src/balancer/chips.rs
@@ -6,6 +6,7 @@
 const CAPACITY_SHARE: f64 = 0.8;
 /// The paper's window for averages of reported queues, and how long no capacity is known.
 const CAPACITY_WINDOW: Micros = 30_000_000;
+/// The least capacity of a server, in queued requests: an average near zero would wipe chips at the first request.
 const MIN_CAPACITY: f64 = 4.0;
 /// Chips a server can hold here: enough for a burst, few enough that a wipe costs little to regain.
 const MAX_CHIPS: u32 = 16;
--- a/src/balancer/ejection.rs
+++ b/src/balancer/ejection.rs
@@ -11,8 +11,9 @@
 const FAULT_EWMA_WEIGHT: f64 = 0.07;
 /// How far above the baseline a fault rate may be by chance.
 const FAULT_RATE_TOLERANCE: f64 = 0.06;
-/// How often a server is passed over for each point beyond: by requests that a fault may end, by others.
+/// How often a server is passed over for each point beyond, by requests that a fault may end.
 const NON_IDEMPOTENT_AVOIDANCE: f64 = 8.0;
+/// The same by requests that may be repeated.
 const IDEMPOTENT_AVOIDANCE: f64 = 2.0;
 
 impl Balancer {
@@ -35,10 +36,11 @@
         !silent && (panic || !self.ejected(server))
     }
 
-    /// How often to pass a server over because more fails there than elsewhere. One that fails a part of its requests at
-    /// once has few in flight and draws ever more, and its good answers between prevent its ejection. What a fault may
-    /// end goes elsewhere first. Faults are errors, corrupt answers and broken connections, not time-outs, which come of
-    /// load as well; those that the network spreads change nothing. Harmful where the others have no capacity left.
+    /// How often to pass a server over because more fails there than elsewhere. One that fails a part of its requests
+    /// at once has few in flight and draws ever more, and its good answers between prevent its ejection. What a fault
+    /// may end goes elsewhere first. Faults are errors, corrupt answers and broken connections, not time-outs, which
+    /// come of load as well; those that the network spreads change nothing. Harmful where the others have no capacity
+    /// left.
     pub(super) fn fault_avoidance(&self, request: &Request, server: &Server) -> f64 {
         let per_point = match self.settings.classes[request.class].retry_safety {
             RetrySafety::Idempotent => IDEMPOTENT_AVOIDANCE,
--- a/src/balancer/locality.rs
+++ b/src/balancer/locality.rs
@@ -39,9 +39,10 @@
         LOAD_LOG_PER_POINT * price
     }
 
-    /// Takes the load that an answer shows. How much spills over to a remote server moves with its load beside the local
-    /// one, towards a slightly higher local load. Each has a weight of its own: together the idle ones would look as
-    /// loaded as the zone of another sidecar, and stay idle. Harmful where a remote server's few answers are heavy.
+    /// Takes the load that an answer shows. How much spills over to a remote server moves with its load beside the
+    /// local one, towards a slightly higher local load. Each has a weight of its own: together the idle ones would
+    /// look as loaded as the zone of another sidecar, and stay idle. Harmful where a remote server's few answers are
+    /// heavy.
     pub(super) fn update_spillover(&mut self, slot: Slot, load: f64) {
         // Steps that a quiet sidecar needs would swing all of a busy one's traffic within a moment.
         if !self.is_remote(&self.servers[slot]) {
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -5,8 +5,9 @@
 
 /// The weight of an answer time in a server's average: a quiet sidecar gets one in seconds only.
 const LATENCY_EWMA_WEIGHT: f64 = 0.3;
-/// The steps of the low quantile of answer times: quick to fall, slow to rise.
+/// The weight of an answer time below the low quantile of its class: that is quick to fall.
 const BASE_LATENCY_FALL: f64 = 0.5;
+/// The same of one above it: that is slow to rise.
 const BASE_LATENCY_RISE: f64 = 0.02;
 /// The answer time, in latency objectives, that is assumed of what has not come by its objective.
 const OVERDUE_OBJECTIVES: f64 = 1.5;
@@ -99,8 +100,9 @@
         let Some(request) = self.requests.get(&id).filter(|r| !r.ended) else { return };
         let class = request.class;
         let objective = self.settings.classes[class].latency_objective;
-        // A retry that went out just now is not late because the first attempt failed; and where the server has answered
-        // what was sent later, this one is lost or heavy. Taken for an overload, broken connections would shed traffic.
+        // A retry that went out just now is not late because the first attempt failed; and where the server has
+        // answered what was sent later, this one is lost or heavy. Taken for an overload, broken connections would
+        // shed traffic.
         let overdue = |a: &&Attempt| {
             let due = a.state == AttemptState::InFlight && self.now - a.sent_at >= objective;
             due && self.servers[a.slot].last_answered_send <= a.sent_at
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -1,10 +1,12 @@
-//! Attempts: the only gates of attempts and of final answers, what rule 2 (no duplicate effects) and the retry budget allow.
+//! Attempts: the only gates of attempts and of final answers, what rule 2 (no duplicate effects) and the retry budget
+//! allow.
 
 use super::*;
 
 /// Attempts that a rejected request may cost in all, if the settings allow as many.
 pub(super) const MAX_REJECTED_ATTEMPTS: usize = 4;
-/// When a rejected client should come back, in longest latency objectives, give or take half: not all come back together.
+/// When a rejected client should come back, in longest latency objectives, give or take half: not all come back
+/// together.
 const RETRY_AFTER_OBJECTIVES: f64 = 1.0;
 
 /// The retries that may be sent after failures; few saved up, so that one bad server does not spend a minute's worth.
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -6,16 +6,29 @@
 const REDRAWS: usize = 8;
 /// Up to here a server may look slow by chance: a dozen answers with a spread of once their mean.
 const LATENCY_TOLERANCE: f64 = 1.6;
+/// The time constant with which a load report fades, in longest latency objectives.
 const REPORT_DECAY_OBJECTIVES: f64 = 2.0;
 /// The least size of a subset: two bad servers must leave a choice, and the load of subsets must even out.
 const MIN_SUBSET_SIZE: usize = 5;
 /// What the open connections of all subsets may cost, in points of the result.
 const CONNECTION_BUDGET_POINTS: f64 = 0.05;
+/// Points of a server of mean weight on the hash ring.
 const RING_POINTS_PER_SERVER: f64 = 16.0;
 /// With fewer servers than this in its own zone, a sidecar puts keys on servers of all zones.
 const MIN_LOCAL_RING_SERVERS: usize = 3;
+/// How many of the last affinity keys are remembered.
 pub(super) const RECENT_KEYS: usize = 64;
 
+/// The servers that are left where no draw found one.
+#[derive(Debug, Default)]
+struct FallbackCandidates {
+    warm: Vec<Slot>,
+    /// In slow start.
+    warming: Vec<Slot>,
+    /// Ejected, and tried with one idempotent request at a time.
+    trials: Vec<Slot>,
+}
+
 impl Balancer {
     /// The server for an attempt of a request; None if there is none that may get it.
     pub(super) fn pick(&mut self, request: &Request) -> Option<Slot> {
@@ -60,8 +73,8 @@
                 without_chips = Some(self.less_used(without_chips, slot));
             }
         }
-        // Where servers reject what they have no capacity for, nothing is late, and requests over a quota would take the
-        // places of others. Without a chip they are rejected. Harmful where no server reports.
+        // Where servers reject what they have no capacity for, nothing is late, and requests over a quota would take
+        // the places of others. Without a chip they are rejected. Harmful where no server reports.
         if request.over_quota {
             return best;
         }
@@ -82,44 +95,66 @@
         taken < 1.0 && self.uniform() > taken
     }
 
-    /// Picks where no draw found a server: with the local zone ejected, nearly all draws fall on it while remote servers
-    /// stand idle. The less used of two of those left is taken. Those warming up get their due beside warm ones, which a
-    /// single one of would drown, and where no warm one is left no oftener than brings them twice that: a fleet that
-    /// lost the others would overload them. Last, an idempotent request is a trial, one at a time, of an ejected server.
+    /// Picks where no draw found a server: with the local zone ejected, nearly all draws fall on it while remote
+    /// servers stand idle. The less used of two of those left is taken.
     fn pick_fallback(&mut self, request: &Request, panic: bool) -> Option<Slot> {
         let draws = [(); 3].map(|()| self.uniform());
+        let mut left = self.fallback_candidates(request, panic);
+        let takes_warming = request.attempts.is_empty() && self.warming_turn(&left, draws[2]);
+        if !takes_warming {
+            left.warming.clear();
+        } else if !left.warming.is_empty() {
+            left.warm.clear();
+        }
+        let tiers = [&left.warm, &left.warming, &left.trials];
+        let slots = tiers.into_iter().find(|slots| !slots.is_empty())?;
+        Some(
+            self.less_used(
+                Some(self.at_capacity(slots, draws[0])),
+                self.at_capacity(slots, draws[1]),
+            ),
+        )
+    }
+
+    /// The servers that the request may use, by what they are to it.
+    fn fallback_candidates(&self, request: &Request, panic: bool) -> FallbackCandidates {
         let safety = self.settings.classes[request.class].retry_safety;
         let may_try = |s: &Server| safety == RetrySafety::Idempotent && s.in_flight == 0;
-        let capacity = |&slot: &Slot| self.available_weight(&self.servers[slot]);
-        let total = |slots: &[Slot]| slots.iter().map(capacity).sum::<f64>();
-        let mut tiers: [Vec<Slot>; 3] = Default::default();
+        let mut candidates = FallbackCandidates::default();
         for &slot in self.ready.slots.iter().filter(|&&slot| self.may_use(request, slot)) {
             let server = &self.servers[slot];
-            let warming_up = self.slow_start_weight(server) < 1.0;
-            let tier = match self.is_available(server, panic) {
-                true => usize::from(warming_up),
-                false if !warming_up && may_try(server) => 2,
-                false => continue,
+            let is_warming = self.slow_start_weight(server) < 1.0;
+            let tier = match (self.is_available(server, panic), is_warming) {
+                (true, false) => &mut candidates.warm,
+                (true, true) => &mut candidates.warming,
+                (false, false) if may_try(server) => &mut candidates.trials,
+                (false, _) => continue,
             };
-            tiers[tier].push(slot);
-        }
-        let most = if tiers[0].is_empty() { 2.0 } else { 1.0 };
-        let beyond_due = draws[2] * total(&self.ready.slots) > most * total(&tiers[1]);
-        if !request.attempts.is_empty() || beyond_due {
-            tiers[1].clear();
-        } else if !tiers[1].is_empty() {
-            tiers[0].clear();
+            tier.push(slot);
         }
-        let left = tiers.iter().find(|slots| !slots.is_empty())?;
-        let pick = |position: f64| {
-            let mut target = position * total(left);
-            let found = left.iter().find(|slot| {
-                target -= capacity(slot);
-                target < 0.0
-            });
-            *found.unwrap_or(&left[0])
-        };
-        Some(self.less_used(Some(pick(draws[0])), pick(draws[1])))
+        candidates
+    }
+
+    /// Whether a first attempt goes to a server that is warming up. Beside warm ones, of which a single one would
+    /// drown, these get their due; where no warm one is left, no oftener than brings them twice that: a fleet that
+    /// lost the others would overload them.
+    fn warming_turn(&self, left: &FallbackCandidates, draw: f64) -> bool {
+        let most = if left.warm.is_empty() { 2.0 } else { 1.0 };
+        draw * self.total_capacity(&self.ready.slots) <= most * self.total_capacity(&left.warming)
+    }
+
+    fn total_capacity(&self, slots: &[Slot]) -> f64 {
+        slots.iter().map(|&slot| self.available_weight(&self.servers[slot])).sum()
+    }
+
+    /// The server at a position from 0 up to 1 of the sum of capacities.
+    fn at_capacity(&self, slots: &[Slot], position: f64) -> Slot {
+        let mut target = position * self.total_capacity(slots);
+        let found = slots.iter().find(|&&slot| {
+            target -= self.available_weight(&self.servers[slot]);
+            target < 0.0
+        });
+        *found.unwrap_or(&slots[0])
     }
 
     /// The less used of two servers by our own count; the last reports settle a tie.
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -43,8 +43,8 @@
 
     /// How long a server has surely run that is first listed at `now`, with this start.
     ///
-    /// Three bounds, each wrong in another case: by this machine's wall clock; by the latest start in any list, which is
-    /// wrong if a server gives a time in the future; and by the time since the last list, which did not name it.
+    /// Three bounds, each wrong in another case: by this machine's wall clock; by the latest start in any list, which
+    /// is wrong if a server gives a time in the future; and by the time since the last list, which did not name it.
     fn least_age(&self, started_at: Micros, now: Micros) -> Micros {
         let by_wall_clock = now.saturating_sub(started_at);
         let by_lists = self.lists_now(now).map_or(0, |then| then.saturating_sub(started_at));
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -82,11 +82,13 @@
     ///
     /// # Panics
     ///
-    /// In builds with debug assertions, such as those of tests and simulations.
+    /// In builds with debug assertions, such as those that tests run.
     pub fn record_violation(&self, violation: Violation, subject: &dyn Display) {
         increment(&self.violations[violation as usize]);
         tracing::error!(%violation, %subject, "protocol rule violated");
-        debug_assert!(cfg!(test), "protocol rule violated: {violation}, {subject}");
+        if cfg!(all(debug_assertions, not(test))) {
+            panic!("protocol rule violated: {violation}, {subject}");
+        }
     }
 
     /// Counts an attempt that was chosen and then not sent.
