--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -11,7 +11,9 @@
 use serde_json::{Value, json};
 
 use crate::links::{ActiveFault, Impairment, Node};
-use crate::scenario::{Action, Availability, Event, Load, Scenario, ServerState, Tenant};
+use crate::scenario::{
+    Action, Availability, ConfigurationPatch, Event, Load, Scenario, ServerState, Tenant,
+};
 
 /// How long before the end all faults are over.
 pub const QUIET_END: Duration = Duration::from_secs(11);
@@ -26,6 +28,8 @@
 const SERVERS_PER_ZONE: u16 = 4;
 const ZONE_COUNT: u16 = 3;
 const SERVER_CORES: usize = 4;
+/// So few descriptors that idle clients are evicted.
+const FEW_SOCKETS: u32 = 72;
 /// Requests per second for each sidecar.
 const REQUESTS_PER_SIDECAR: f64 = 20.0;
 /// Objectives and deadlines are longer by this factor: two dozen processes share a few cores.
@@ -65,7 +69,7 @@
         time_scale: TIME_SCALE,
         load: plan.load(),
         baseline: Impairment::default(),
-        configuration_patches: Vec::new(),
+        configuration_patches: plan.initial_patches(),
         system_calls,
         clients_stay: true,
         judges_late_arrivals: !plan.has_cuts(),
@@ -261,6 +265,22 @@
         all.choose_multiple(&mut self.rng, count).copied().collect()
     }
 
+    /// What differs from the usual configuration from the start: in half of the runs lists are polled, in a third there
+    /// is little room for clients.
+    fn initial_patches(&mut self) -> Vec<ConfigurationPatch> {
+        let mut patches = Vec::new();
+        let all: BTreeSet<u16> = (0..self.sidecars).collect();
+        if self.rng.random_bool(0.5) {
+            let patch = json!({"settings": {"discovery": "on_request"}});
+            patches.push(ConfigurationPatch { sidecars: all.clone(), patch });
+        }
+        if self.rng.random_bool(0.3) {
+            let patch = json!({"limits": {"sockets": FEW_SOCKETS}});
+            patches.push(ConfigurationPatch { sidecars: all, patch });
+        }
+        patches
+    }
+
     /// A change of the configuration that a running process applies.
     fn patch(&mut self) -> Value {
         match self.rng.random_range(0..4) {
