--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -38,7 +38,7 @@
     /// The present time on the clock of start times, at the least.
     fn lists_now(&self, now: Micros) -> Option<Micros> {
         let latest = self.latest_start?;
-        Some(latest.started_at + now.saturating_sub(latest.seen_at))
+        Some(latest.started_at.saturating_add(now.saturating_sub(latest.seen_at)))
     }
 
     /// How long a server has surely run that is first listed at `now`, with this start.
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -181,3 +181,21 @@
     // It has 0.2 to 0.8 of a server's capacity: its start is a lower bound, and the list names no later one.
     assert!((0.05..0.4).contains(&share), "share {share} of {all}");
 }
+
+/// Lists are not trusted: a start in the far future is no reason to fail, nor to take other servers for warm.
+#[test]
+fn absurd_start_times_do_no_harm() {
+    let mut share = 0;
+    for seed in 0..100 {
+        let absurd = ServerEntry { started_at: u64::MAX, ..server(0) };
+        let servers = [absurd, server(1), server(2)];
+        let mut b = Bench::new(settings(|_| {}), seed, &servers);
+        b.servers(ListKind::Complete, &servers);
+        b.rounds(20);
+        b.now += S;
+        b.servers(ListKind::Delta, &[ServerEntry { started_at: b.now, ..server(3) }]);
+        share += (0..10).filter(|_| b.round(0, 1.0) == Some(ServerId(3))).count();
+    }
+    let (share, due) = (share as f64 / 1000.0, 0.25 / 2.5);
+    assert!(share < 2.5 * due, "share {share}, due {due}");
+}
