--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -18,6 +18,8 @@
 
 /// The pause before a configuration file is read again that could not be read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// After so many failures in a row the reload is reported as rejected, though it is still tried.
+const READ_FAILURES_BEFORE_REJECTION: u32 = 10;
 
 /// What a new configuration is applied to.
 pub struct Targets<P: Runtime> {
@@ -60,10 +62,18 @@
     targets: Targets<P>,
 ) {
     while requests.recv().await.is_some() {
+        let mut read_failures = 0;
         while let Err(error) = read().map(|config| targets.reload(config)) {
             let is_transient = error.is_read_failure();
-            tracing::error!(%error, is_transient, "failed to reload configuration, keeping the current one");
-            targets.reject(0, &error.into());
+            tracing::error!(
+                %error, is_transient,
+                "failed to reload configuration, keeping the current one"
+            );
+            read_failures += 1;
+            // Whoever waits for the outcome would take a file that cannot be read for a moment for a rejected one.
+            if !is_transient || read_failures == READ_FAILURES_BEFORE_REJECTION {
+                targets.reject(0, &error.into());
+            }
             if !is_transient {
                 break;
             }
--- a/tests/lifecycle/reload.rs
+++ b/tests/lifecycle/reload.rs
@@ -79,6 +79,8 @@
     sidecar.remove_config();
     sidecar.signal("HUP");
     until("the failure is logged", || sidecar.log().contains("failed to reload configuration"));
+    // Whoever waits for the reload must not take it for rejected.
+    assert_eq!(sidecar.state()["declined"], json!(null));
     sidecar.replace_config(&sidecar.config_with_discovery(&moved));
     sidecar.wait_until_reaches(&new);
 }
