Tests: idle clients connect before any is idle; a shutdown with memory taken has time

Need: on two loaded cores the tests' own clients could be evicted while the next one connected, or time out.

Change: all clients connect first; the requests that fill the memory have 20 s and are released by the test.

--- a/tests/lifecycle/body_memory.rs
+++ b/tests/lifecycle/body_memory.rs
@@ -57,18 +57,16 @@
 #[test]
 fn request_that_waits_for_memory_is_answered_during_shutdown() {
     let blocked = BlockedServer::new();
-    let mut sidecar = Sidecar::start_with(discovery(&[&blocked.server]), |config| {
-        small_memory(config);
-        (0..3).for_each(|class| set_times(config, class, 2500, 2500));
-    });
-    let filling = |n| order_of(&sidecar, &format!("filling-{n}"), 2500, FILLING_BODY, FILLING_BODY);
-    let filling: Vec<_> = (0..FILLING_BODIES).map(filling).collect();
+    let mut sidecar = Sidecar::start_with(discovery(&[&blocked.server]), small_memory);
+    let filling =
+        |n| order_of(&sidecar, &format!("filling-{n}"), 20_000, FILLING_BODY, FILLING_BODY);
+    let _filling: Vec<_> = (0..FILLING_BODIES).map(filling).collect();
     until("all others have their memory", || sidecar.state()["open"] == FILLING_BODIES);
     let waiting = order_of(&sidecar, "waiting", 2500, WAITING_BODY, WAITING_BODY);
     std::thread::sleep(std::time::Duration::from_millis(100));
     begin_shutdown(&sidecar);
     let answer = first_answer(waiting);
     assert!(answer.starts_with("HTTP/1.1 50"), "{answer:?}");
-    drop(filling);
+    blocked.release();
     assert!(sidecar.wait_for_exit().success());
 }
--- a/tests/lifecycle/idle_close.rs
+++ b/tests/lifecycle/idle_close.rs
@@ -13,13 +13,18 @@
 const EVICTABLE_AFTER: Duration = Duration::from_millis(200);
 const ROUNDS: usize = 5;
 
-/// A client whose connection has served one request.
-fn idle_client(sidecar: &Sidecar, id: &str) -> TcpStream {
-    let mut client = sidecar.connect();
-    client.write_all(look(id).as_bytes()).expect("sent");
-    let answer = first_answer(client.try_clone().expect("a second handle"));
-    assert!(answer.ends_with(id), "{answer:?}");
-    client
+/// Clients whose connections have served one request each. All connect first: with each one that comes
+/// later, idle ones may be evicted.
+fn idle_clients(sidecar: &Sidecar, round: usize) -> Vec<TcpStream> {
+    let mut clients: Vec<TcpStream> = (0..CONNECTIONS).map(|_| sidecar.connect()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write_all(look(&format!("first-{round}-{n}")).as_bytes()).expect("sent");
+    }
+    for (n, client) in clients.iter().enumerate() {
+        let answer = first_answer(client.try_clone().expect("a second handle"));
+        assert!(answer.ends_with(&format!("first-{round}-{n}")), "{answer:?}");
+    }
+    clients
 }
 
 /// The process is held up while a client connects and, after that, idle clients send requests. When it
@@ -31,9 +36,7 @@
     let sidecar = Sidecar::start(discovery(&[&echo]));
     let mut unanswered = Vec::new();
     for round in 0..ROUNDS {
-        let mut clients: Vec<_> = (0..CONNECTIONS)
-            .map(|n| idle_client(&sidecar, &format!("first-{round}-{n}")))
-            .collect();
+        let mut clients = idle_clients(&sidecar, round);
         thread::sleep(EVICTABLE_AFTER);
         sidecar.signal("STOP");
         let _newcomer = sidecar.connect();
