Ingress: a failed body closes its connection whatever else asks for that

Cause: read again: the reason of a close that makes room could replace that of a failed body, and be withdrawn. No path is known on which both come.

Change: the first stays.

Result: tests of sockets and lifecycle pass.

--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -260,7 +260,10 @@
 
     /// Has the connection's task close it, if that may be done when the task runs next.
     pub fn request_close(&self, reason: CloseReason) {
-        self.close_reason.set(Some(reason));
+        // A connection that is of no use any more is not kept because somebody wanted its room, too.
+        if self.close_reason.get() != Some(CloseReason::BodyFailed) {
+            self.close_reason.set(Some(reason));
+        }
         self.close_requested.notify_one();
     }
 
