--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -23,6 +23,9 @@
 const FIRST_BACKOFF_MS: u64 = 50;
 /// A longer Retry-After is ignored, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 60.0;
+/// How long a silent connection is held at most, and how long after its end the next one is opened.
+const SILENT_TIME: Duration = Duration::from_millis(1500);
+const SILENT_PAUSE: Duration = Duration::from_millis(50);
 /// The body of requests that have one.
 const BODY: &str = "four";
 
@@ -37,6 +40,8 @@
     pub slack: Duration,
     /// The share of the operations whose client leaves at a random moment, with its connection.
     pub leave_share: f64,
+    /// Connections that are held open without a request, each for a random time up to 1.5 s.
+    pub silent_connections: usize,
     /// How long an idle connection is kept open.
     pub idle_timeout: Duration,
     /// The names of the tenants.
@@ -54,6 +59,7 @@
             retries: 2,
             slack: Duration::from_millis(500),
             leave_share: 0.0,
+            silent_connections: 0,
             idle_timeout: Duration::from_millis(2000),
             tenants: Vec::new(),
             shares: Vec::new(),
@@ -120,6 +126,10 @@
 ) {
     let mut rng = SmallRng::seed_from_u64(load.seed ^ u64::from(target.port()) << 20);
     let client = Arc::new(Client { target, account, load, idle_connections: Mutex::default() });
+    let mut silent = JoinSet::new();
+    for _ in 0..client.load.silent_connections {
+        silent.spawn(hold_silent_connections(target, rng.random()));
+    }
     let mut open = JoinSet::new();
     let mut next = tokio::time::Instant::now();
     loop {
@@ -141,6 +151,22 @@
     while open.join_next().await.is_some() {}
 }
 
+/// Opens one connection after the other and sends nothing; never ends.
+async fn hold_silent_connections(target: SocketAddr, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    loop {
+        if let Ok(socket) = TcpStream::connect(target).await {
+            let held = sleep(SILENT_TIME.mul_f64(rng.random()));
+            tokio::select! {
+                () = held => {}
+                // The sidecar has closed it.
+                _ = socket.readable() => {}
+            }
+        }
+        sleep(SILENT_PAUSE).await;
+    }
+}
+
 /// Whether a connection is open and has nothing to read.
 fn is_idle(socket: &TcpStream) -> bool {
     let mut byte = [0];
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -80,6 +80,8 @@
     pub client_retries: u16,
     /// The share of the operations whose client leaves before it is answered.
     pub leave_share: f64,
+    /// The connections to each sidecar that are held open without a request.
+    pub silent_connections: usize,
     /// The tenants.
     pub tenants: Vec<Tenant>,
 }
--- a/crates/fault-injection/src/scenario/build.rs
+++ b/crates/fault-injection/src/scenario/build.rs
@@ -167,6 +167,7 @@
             zipf_exponent: load.zipf_exponent.clamp(0.0, MAX_ZIPF_EXPONENT),
             client_retries: load.client_retries.min(MAX_CLIENT_RETRIES),
             leave_share: 0.0,
+            silent_connections: 0,
             tenants: self.tenants.clone(),
         })
     }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -30,6 +30,8 @@
 const SERVER_CORES: usize = 4;
 /// So few descriptors that idle clients are evicted.
 const FEW_SOCKETS: u32 = 72;
+/// So many silent connections that idle ones are evicted where there are few descriptors.
+const MANY_SILENT: usize = 14;
 /// Requests per second for each sidecar.
 const REQUESTS_PER_SIDECAR: f64 = 20.0;
 /// Objectives and deadlines are longer by this factor: two dozen processes share a few cores.
@@ -322,6 +324,7 @@
             zipf_exponent: self.rng.random_range(0.0..0.8),
             client_retries: self.rng.random_range(0..=2),
             leave_share: if self.rng.random_bool(0.5) { 0.05 } else { 0.0 },
+            silent_connections: if self.rng.random_bool(0.5) { MANY_SILENT } else { 0 },
             tenants: tenants.collect(),
         }
     }
--- a/crates/fault-injection/src/testbed/clients.rs
+++ b/crates/fault-injection/src/testbed/clients.rs
@@ -66,6 +66,7 @@
             rate,
             retries: load.client_retries,
             leave_share: load.leave_share,
+            silent_connections: load.silent_connections,
             slack: CLIENT_SLACK.mul_f64(self.scenario.time_scale),
             tenants: load.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             shares,
