--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -29,7 +29,7 @@
 const ZONE_COUNT: u16 = 3;
 const SERVER_CORES: usize = 4;
 /// So few descriptors that idle clients are evicted.
-const FEW_SOCKETS: u32 = 72;
+const FEW_SOCKETS: u32 = 64;
 /// So many silent connections that idle ones are evicted where there are few descriptors.
 const MANY_SILENT: usize = 14;
 /// Requests per second for each sidecar.
@@ -267,7 +267,7 @@
         all.choose_multiple(&mut self.rng, count).copied().collect()
     }
 
-    /// What differs from the usual configuration from the start: in half of the runs lists are polled, in a third there
+    /// What differs from the usual configuration from the start: in half of the runs lists are polled, in half there
     /// is little room for clients.
     fn initial_patches(&mut self) -> Vec<ConfigurationPatch> {
         let mut patches = Vec::new();
@@ -276,7 +276,7 @@
             let patch = json!({"settings": {"discovery": "on_request"}});
             patches.push(ConfigurationPatch { sidecars: all.clone(), patch });
         }
-        if self.rng.random_bool(0.3) {
+        if self.rng.random_bool(0.5) {
             let patch = json!({"limits": {"sockets": FEW_SOCKETS}});
             patches.push(ConfigurationPatch { sidecars: all, patch });
         }
