Test harness: a port is reserved once only; a program that does not start shows its log

Its log was gone with its folder, so the cause is not proven. By reading: a port is given back just before its process binds it, and another cluster of the same test process, on the same address, may reserve it in between.

Change: a process reserves each port once. The log is part of the panic.

--- a/crates/config-distribution/tests/common/mod.rs
+++ b/crates/config-distribution/tests/common/mod.rs
@@ -46,6 +46,7 @@
         env: &[(&str, PathBuf)],
     ) -> Program {
         let program = built("lb-config", false).expect("the program");
+        let log_path = log;
         let log = std::fs::File::options().create(true).append(true).open(log).expect("a log");
         let mut command = Command::new(program);
         command.envs(env.iter().cloned());
@@ -55,7 +56,8 @@
         if arguments[0] != "host" {
             let out = child.stdout.take().expect("a pipe");
             BufReader::new(out).read_line(&mut line).expect("an address");
-            assert!(line.trim().parse::<SocketAddr>().is_ok(), "{arguments:?}: {line:?}");
+            let log = std::fs::read_to_string(log_path).unwrap_or_default();
+            assert!(line.trim().parse::<SocketAddr>().is_ok(), "{arguments:?}: {line:?}\n{log}");
         }
         Program { child }
     }
--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -2,12 +2,12 @@
 //!
 //! They end with the process that has started them, however that ends.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Mutex, PoisonError, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -223,7 +223,11 @@
     IpAddr::from([127, 64 + a, b, c])
 }
 
-/// A port that is free for TCP and UDP, kept so while this lives.
+/// The ports that this process has reserved so far. One that was given back is about to be used by the process that it
+/// was reserved for, and must not be reserved again meanwhile.
+static RESERVED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
+/// A port that is free for TCP and UDP, kept so while this lives, and never reserved twice.
 pub struct ReservedPort {
     /// The reserved address.
     pub address: SocketAddr,
@@ -241,10 +245,14 @@
         loop {
             let tcp = TcpListener::bind((ip, 0))?;
             let address = tcp.local_addr()?;
+            let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
             match UdpSocket::bind(address) {
-                Ok(udp) => return Ok(ReservedPort { address, _sockets: (tcp, udp) }),
+                Ok(udp) if reserved.insert(address) => {
+                    return Ok(ReservedPort { address, _sockets: (tcp, udp) });
+                }
                 Err(error) if retries >= MAX_PORT_RETRIES => return Err(error),
-                Err(_) => retries += 1,
+                Ok(_) if retries >= MAX_PORT_RETRIES => return Err(io::ErrorKind::AddrInUse.into()),
+                Ok(_) | Err(_) => retries += 1,
             }
         }
     }
