Discovery: list changes in the log, show-discovery, and why requests are refused

Cause: the reported logs were empty: nothing told which version of the list was in force, when discovery last answered, which servers were added or removed, or why the balancer rejected a request.

Change: list changes, and an agent that stops and starts answering, are logged at the default level; show-discovery has the version, its age, calls by how they ended, and attempts sent while the list was overdue. The balancer's rejections and failures carry a reason, counted in show-events and logged with the request's id. Decisions are unchanged: the same draws in the same order.

Result: tests of the status by the clock passed in, of the log and command over sockets, of the reasons; all of balancer, rules and lib pass.

--- a/crates/fault-injection/src/testbed/probe.rs
+++ b/crates/fault-injection/src/testbed/probe.rs
@@ -29,7 +29,9 @@
     let answers = async {
         let statistics = ask(admin, "show-stat\n").await?;
         // An earlier version answers with an error, which is no metric.
-        Ok::<_, io::Error>(statistics + &ask(admin, "show-events\n").await?)
+        let events = ask(admin, "show-events\n").await?;
+        let discovery = ask(admin, "show-discovery\n").await?;
+        Ok::<_, io::Error>(statistics + &events + &discovery)
     };
     let answers = tokio::time::timeout(ANSWER_TIMEOUT, answers).await.ok()?.ok()?;
     let metric = |line: &str| {
--- a/crates/scale-test/src/hollow/sidecar.rs
+++ b/crates/scale-test/src/hollow/sidecar.rs
@@ -19,6 +19,7 @@
 use lb_sidecar::sidecar::discovery::{Discovery, DiscoveryRequest, EndpointListener};
 use lb_sidecar::sidecar::gossip::Membership as GossipMembership;
 use lb_sidecar::sidecar::peers::{DatagramHandler, Peers};
+use lb_sidecar::sidecar::status::Status;
 use runtime::TokioRuntime;
 use serde_json::Value;
 use tokio::net::UdpSocket;
@@ -167,8 +168,8 @@
     let (address_sender, address) = watch::channel(address);
     let (call_sender, calls) = mpsc::unbounded_channel::<DiscoveryRequest>();
     let grace = Duration::from_micros(config.settings.rules.drain_deadline);
-    let discovery =
-        Discovery::<TokioRuntime>::new(address, How::Push, grace, 0, Rc::new(Notify::new()));
+    let (attempted, status) = (Rc::new(Notify::new()), Rc::new(Status::default()));
+    let discovery = Discovery::<TokioRuntime>::new(address, How::Push, grace, 0, attempted, status);
     let lists = ListCounter(counters.clone());
     tokio::task::spawn_local(async move {
         // The channels stay open until the process ends.
--- a/src/api.rs
+++ b/src/api.rs
@@ -187,6 +187,43 @@
     },
 }
 
+/// Why a request ends without a server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The servers answer too late for its class: load is shed.
+    Overload,
+    /// Its client waits for less time than an answer takes.
+    TooLittleTime,
+    /// No server may get it now.
+    NoServer,
+    /// Its time is up.
+    DeadlineExceeded,
+    /// An attempt failed, and no further one may be made.
+    AttemptsFailed,
+}
+
+impl EndReason {
+    /// All of them, in the order in which they are reported.
+    pub const ALL: [EndReason; 5] = [
+        EndReason::Overload,
+        EndReason::TooLittleTime,
+        EndReason::NoServer,
+        EndReason::DeadlineExceeded,
+        EndReason::AttemptsFailed,
+    ];
+
+    /// The name in logs and statistics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::Overload => "overload",
+            EndReason::TooLittleTime => "too_little_time",
+            EndReason::NoServer => "no_server",
+            EndReason::DeadlineExceeded => "deadline_exceeded",
+            EndReason::AttemptsFailed => "attempts_failed",
+        }
+    }
+}
+
 /// What the balancer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -212,11 +249,15 @@
         id: RequestId,
         /// When the client should try again; 0 means that it is not told.
         retry_after: Micros,
+        /// Why.
+        reason: EndReason,
     },
     /// Give the final answer "failed": the request may have run.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Report [`Event::Timer`] after a delay.
     SetTimer {
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -88,8 +88,12 @@
         let too_late = (new.time_left as f64) < MIN_TIME_LEFT * usual_latency;
         let shed_share = self.shed_share(class, new.over_quota);
         let shed_share = if too_late { 1.0 - MIN_ADMITTED_SHARE } else { shed_share };
-        if self.uniform() < shed_share || !self.attempt(id, actions) {
-            return self.end(id, actions);
+        if self.uniform() < shed_share {
+            let reason = if too_late { EndReason::TooLittleTime } else { EndReason::Overload };
+            return self.end(id, reason, actions);
+        }
+        if !self.attempt(id, actions) {
+            return self.end(id, EndReason::NoServer, actions);
         }
         let objective = self.settings.classes[class].latency_objective;
         self.set_timer(objective, Timer::Objective(id), actions);
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -174,7 +174,7 @@
         match self.timers.remove(&token) {
             Some(Timer::Objective(id)) => self.on_objective_passed(id),
             Some(Timer::Deadline(id)) if self.requests.get(&id).is_some_and(|r| !r.streaming) => {
-                self.end(id, actions);
+                self.end(id, EndReason::DeadlineExceeded, actions);
             }
             Some(Timer::Subscribe) => actions.push(Action::Subscribe),
             Some(Timer::Deadline(_)) | None => {}
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -52,15 +52,15 @@
     }
 
     /// The one gate of all rejections and failures.
-    pub(super) fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    pub(super) fn end(&mut self, id: RequestId, reason: EndReason, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.ended) else { return };
         actions.push(if self.is_safe_to_reject(request) {
             let advice = RETRY_AFTER_OBJECTIVES * self.longest_objective * (0.5 + self.uniform());
             let limits = &self.settings.limits;
             let max = if limits.retry_after { limits.max_retry_after } else { 0 };
-            Action::Reject { id, retry_after: (advice as Micros).min(max) }
+            Action::Reject { id, retry_after: (advice as Micros).min(max), reason }
         } else {
-            Action::Fail { id }
+            Action::Fail { id, reason }
         });
         if let Some(request) = self.requests.get_mut(&id) {
             request.ended = true;
@@ -148,12 +148,15 @@
             return;
         }
         // A stream has no deadline: nothing else ends a request whose stream was cancelled as its first byte came.
-        if request.streaming || self.now >= request.deadline {
-            return self.end(id, actions);
+        if request.streaming {
+            return self.end(id, EndReason::AttemptsFailed, actions);
+        }
+        if self.now >= request.deadline {
+            return self.end(id, EndReason::DeadlineExceeded, actions);
         }
         let free = never_ran && request.attempts.len() < MAX_REJECTED_ATTEMPTS;
         if !(free || !never_ran && self.retry_budget.saved >= 1.0) || !self.attempt(id, actions) {
-            self.end(id, actions);
+            self.end(id, EndReason::AttemptsFailed, actions);
         } else if !never_ran {
             self.retry_budget.saved -= 1.0;
         }
--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -9,6 +9,7 @@
 use super::connection::ReadError;
 use super::state_file::StateFileError;
 use super::statistics::Statistics;
+use crate::sidecar::discovery_status::DiscoverySnapshot;
 use crate::sidecar::events::EventCount;
 
 /// One command.
@@ -20,6 +21,8 @@
     ShowStat,
     /// Counters of rare events.
     ShowEvents,
+    /// The endpoint list in force, and the calls of discovery.
+    ShowDiscovery,
     /// The membership table of the tier.
     ShowTier,
     /// Sends no new requests to a server until it is enabled again.
@@ -72,6 +75,7 @@
             "ready" => Command::Ready,
             "show-stat" => Command::ShowStat,
             "show-events" => Command::ShowEvents,
+            "show-discovery" => Command::ShowDiscovery,
             "show-tier" => Command::ShowTier,
             "disable-server" => Command::DisableServer(server(words.next())?),
             "enable-server" => Command::EnableServer(server(words.next())?),
@@ -120,6 +124,8 @@
     Statistics(Box<Statistics>),
     /// Counters of rare events.
     Events(Vec<EventCount>),
+    /// The endpoint list in force, and the calls of discovery.
+    Discovery(DiscoverySnapshot),
     /// The members of the tier, and how long each has been in its state.
     Members(Vec<(MemberRecord, Duration)>),
 }
@@ -137,6 +143,7 @@
                 events.iter().try_for_each(|event| writeln!(f, "{event}"))?;
                 writeln!(f, "end")
             }
+            Response::Discovery(snapshot) => writeln!(f, "{snapshot}end"),
             Response::Members(members) => {
                 members.iter().try_for_each(|(record, age)| write_member(f, record, *age))?;
                 writeln!(f, "end")
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -227,6 +227,9 @@
             Command::Ready => Err(CommandError::NoServers),
             Command::ShowStat => Ok(Response::Statistics(self.statistics().into())),
             Command::ShowEvents => Ok(Response::Events(self.status.events.snapshot())),
+            Command::ShowDiscovery => {
+                Ok(Response::Discovery(self.status.discovery.snapshot(P::now())))
+            }
             Command::ShowTier => {
                 let tier = self.driver.gossip().ok_or(CommandError::NoTier)?;
                 Ok(Response::Members(tier.members()))
--- a/src/sidecar/admin/state.rs
+++ b/src/sidecar/admin/state.rs
@@ -51,7 +51,11 @@
         is_listed: impl Fn(&str) -> bool,
     ) -> Result<(), ChangeError> {
         match command {
-            Command::Ready | Command::ShowStat | Command::ShowEvents | Command::ShowTier => Ok(()),
+            Command::Ready
+            | Command::ShowStat
+            | Command::ShowEvents
+            | Command::ShowDiscovery
+            | Command::ShowTier => Ok(()),
             Command::Drain => {
                 self.drained = true;
                 Ok(())
--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use crate::sidecar::discovery_status::CallEnd;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Incoming};
@@ -42,6 +43,8 @@
     pub(super) text: Vec<u8>,
     /// The connection, for the next call.
     pub(super) connection: Connection<P>,
+    /// When the call began.
+    pub(super) started: Instant,
 }
 
 /// A call in flight.
@@ -56,6 +59,16 @@
     read: Duration,
 }
 
+impl From<CallError> for CallEnd {
+    fn from(error: CallError) -> CallEnd {
+        match error {
+            CallError::Broken => CallEnd::Broken,
+            CallError::TimedOut => CallEnd::TimedOut,
+            CallError::TooLong(_) => CallEnd::TooLong,
+        }
+    }
+}
+
 impl Timeouts {
     /// For a request that the service may hold for `hold`, and has to answer within `patience` then.
     pub(super) fn new(hold: Duration, patience: Duration) -> Timeouts {
@@ -114,6 +127,7 @@
     timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<ListResponse<P>, CallError> {
+    let started = P::now();
     let mut connection = match connection {
         Some(connection) => connection,
         None => Connection::open(address).await?,
@@ -124,7 +138,7 @@
         return Err(CallError::Broken);
     }
     let text = read_body::<P>(response.into_body(), timeouts.read, max_bytes).await?;
-    Ok(ListResponse { text, connection })
+    Ok(ListResponse { text, connection, started })
 }
 
 /// Reads a body of at most `max_bytes`.
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -15,6 +15,8 @@
 
 use super::budget::max_list_bytes;
 use super::config::{BorrowedText, EndpointList};
+use super::discovery_status::CallEnd;
+use super::status::Status;
 use crate::api::ListKind;
 use crate::settings::DiscoveryMode as Mode;
 use client::{CallError, Connection, ListCall, ListResponse};
@@ -65,6 +67,7 @@
     /// The version of the present list.
     version: u64,
     call_finished: Rc<Notify>,
+    status: Rc<Status>,
     /// When a list that was too long was last logged.
     too_long_logged_at: Option<Instant>,
 }
@@ -73,13 +76,15 @@
     /// A client without a connection.
     ///
     /// `grace` is how long a server may be sent requests after it is known to want none, `version` the
-    /// version of the cached list; `call_finished` is notified of every call that ends.
+    /// version of the cached list; `call_finished` is notified of every call that ends, and `status`
+    /// is told how.
     pub fn new(
         address: watch::Receiver<SocketAddr>,
         mode: Mode,
         grace: Duration,
         version: u64,
         call_finished: Rc<Notify>,
+        status: Rc<Status>,
     ) -> Discovery<P> {
         Discovery {
             address,
@@ -88,6 +93,7 @@
             connection: None,
             version,
             call_finished,
+            status,
             too_long_logged_at: None,
         }
     }
@@ -115,6 +121,7 @@
         max_servers: usize,
     ) -> ListCall<P> {
         let address = *self.address.borrow();
+        self.status.discovery.record_call(P::now(), &address);
         let path = match hold {
             None => "/registry/instances".to_owned(),
             Some(hold) => {
@@ -134,6 +141,7 @@
         response: ListResponse<P>,
     ) -> Result<Update, CallError> {
         let update = self.apply_text(listener, &response.text)?;
+        self.status.discovery.record_list(self.version, response.started, P::now());
         self.connection = Some(response.connection);
         Ok(update)
     }
@@ -158,6 +166,14 @@
         Ok(if list.endpoints.is_empty() { Update::Empty } else { Update::Applied })
     }
 
+    /// Counts a call that brought no list.
+    fn record_error(&self, response: &Result<Update, CallError>) {
+        if let Err(error) = *response {
+            tracing::debug!(%error, version = self.version, "call of discovery failed");
+            self.status.discovery.record_end(CallEnd::from(error));
+        }
+    }
+
     /// Reports a list of at least `bytes` that was not read.
     ///
     /// A sidecar that reads more than its memory limit allows is killed, and one that does not say
--- a/src/sidecar/discovery/poll.rs
+++ b/src/sidecar/discovery/poll.rs
@@ -8,6 +8,7 @@
 
 use super::client::{CallError, ListResponse};
 use super::{Discovery, DiscoveryRequest, EndpointListener, Update, address_changed};
+use crate::api::NOTIFICATION_DEADLINE;
 
 /// How long the service may hold a watch, and how long it may take to answer after that, or at once.
 ///
@@ -16,6 +17,8 @@
 /// third call.
 const HOLD: Duration = Duration::from_millis(2000);
 const PATIENCE: Duration = Duration::from_millis(1500);
+/// After a failed call, a list that discovery has not confirmed for so long counts as overdue.
+const NOTIFICATION_BOUND: Duration = Duration::from_micros(NOTIFICATION_DEADLINE);
 
 /// What the next call is to be.
 #[derive(Clone, Copy, Debug)]
@@ -143,7 +146,9 @@
         max_servers: usize,
         state: &mut PollState,
     ) -> bool {
-        match response.and_then(|response| self.apply(listener, response)) {
+        let response = response.and_then(|response| self.apply(listener, response));
+        self.record_error(&response);
+        match response {
             Ok(Update::Applied | Update::Empty) => {
                 state.on_success();
                 return true;
@@ -155,6 +160,7 @@
             Err(CallError::TooLong(bytes)) => self.report_too_long(listener, bytes, max_servers),
             Ok(Update::Stale) | Err(CallError::Broken | CallError::TimedOut) => {}
         }
+        self.status.discovery.check_overdue(P::now(), NOTIFICATION_BOUND, 0);
         state.on_failure();
         listener.on_failure();
         true
--- a/src/sidecar/discovery/push.rs
+++ b/src/sidecar/discovery/push.rs
@@ -7,6 +7,7 @@
 
 use super::client::{CallError, ListCall, ListResponse, READ_TIMEOUT};
 use super::{Discovery, DiscoveryRequest, EndpointListener, Update, address_changed};
+use crate::sidecar::discovery_status::CallEnd;
 
 /// Between two calls for a list that was too long.
 const TOO_LONG_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -22,6 +23,8 @@
 /// How long an agent is waited for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AgentTimeouts {
+    /// A change has to be known this soon.
+    grace: Duration,
     /// It may hold a watch for so long.
     hold: Duration,
     /// A call that takes so much longer is hedged by another one.
@@ -36,6 +39,7 @@
     /// into `grace`. With a `grace` of some milliseconds, the agent is called that often.
     pub(super) fn within(grace: Duration) -> AgentTimeouts {
         AgentTimeouts {
+            grace,
             hold: (grace / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD),
             hedge_after: (grace / 4).clamp(SHORTEST_HOLD, READ_TIMEOUT),
         }
@@ -66,6 +70,7 @@
         loop {
             let hold = (!state.full_list).then_some(self.agent.hold);
             let max_servers = listener.max_servers();
+            self.status.discovery.check_overdue(P::now(), self.agent.grace, 1);
             let mut call = self.start_call(hold, READ_TIMEOUT, max_servers);
             let hedge_at = P::now() + hold.unwrap_or_default() + self.agent.hedge_after;
             let response = tokio::select! {
@@ -88,6 +93,9 @@
                 }
                 () = P::sleep_until(hedge_at) => {
                     state.full_list = true;
+                    if state.slow_call.is_some() {
+                        self.status.discovery.record_end(CallEnd::Superseded);
+                    }
                     state.slow_call = state.slow_call.or(Some(call));
                     continue;
                 }
@@ -108,7 +116,9 @@
         max_servers: usize,
         state: &mut WatchState<P>,
     ) -> Option<Duration> {
-        match response.and_then(|response| self.apply(listener, response)) {
+        let response = response.and_then(|response| self.apply(listener, response));
+        self.record_error(&response);
+        match response {
             Ok(update) => {
                 *state = WatchState { full_list: update == Update::Stale, slow_call: None };
                 // An agent that does not hold watches is not called without a pause.
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -18,14 +18,14 @@
                 self.start_attempt(id, server, Duration::from_micros(timeout));
             }
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
-            Action::Reject { id, retry_after } => {
+            Action::Reject { id, retry_after, reason } => {
                 self.record(GossipEvent::Rejected);
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
-                self.finish_request(id, RequestOutcome::Rejected { retry_after });
+                self.finish_request(id, RequestOutcome::Rejected { retry_after }, reason);
             }
-            Action::Fail { id } => {
+            Action::Fail { id, reason } => {
                 self.record(GossipEvent::Failed);
-                self.finish_request(id, RequestOutcome::Failed);
+                self.finish_request(id, RequestOutcome::Failed, reason);
             }
             Action::SetTimer { delay, token } => {
                 self.timers.schedule(Duration::from_micros(delay), token);
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -8,6 +8,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::Driver;
+use super::endpoint_changes::EndpointChanges;
 use crate::api::{Event, Health, ListKind, ServerEntry, ServerId};
 use crate::sidecar::config::{EndpointList, ProtocolNames};
 
@@ -73,12 +74,13 @@
         names: &ProtocolNames,
         max_servers: usize,
         close_idle: impl Fn(ServerId),
-    ) -> FxHashSet<ServerId> {
+    ) -> (FxHashSet<ServerId>, EndpointChanges) {
         let mut previous = match kind {
             ListKind::Delta => FxHashMap::default(),
             _ => std::mem::take(&mut self.servers),
         };
         let mut ignored = FxHashSet::default();
+        let mut changes = EndpointChanges::default();
         for endpoint in &list.endpoints {
             let server = endpoint.id();
             let old_address = match endpoint.address.filter(|_| endpoint.is_listed()) {
@@ -86,8 +88,11 @@
                     ignored.insert(server);
                     continue;
                 }
-                Some(address) => self.insert(address, names.server_entry(endpoint), &mut previous),
-                None => self.remove(server),
+                Some(address) => {
+                    let entry = names.server_entry(endpoint);
+                    self.insert(address, entry, &mut previous, &mut changes)
+                }
+                None => self.remove(server, &mut changes),
             };
             let moved = old_address.is_some_and(|address| Some(address) != endpoint.address);
             if moved || !endpoint.is_active() {
@@ -96,10 +101,11 @@
         }
         for (&server, gone) in &previous {
             gone.ready.set(false);
+            changes.record_removed(gone.address);
             close_idle(server);
         }
         self.ever_listed |= !list.endpoints.is_empty();
-        ignored
+        (ignored, changes)
     }
 
     /// Whether a server that is not known yet would be one too many.
@@ -123,9 +129,11 @@
         address: SocketAddr,
         entry: ServerEntry,
         previous: &mut FxHashMap<ServerId, KnownServer>,
+        changes: &mut EndpointChanges,
     ) -> Option<SocketAddr> {
         let server = entry.id;
         let old = self.servers.remove(&server).or_else(|| previous.remove(&server));
+        changes.record_listed(address, old.as_ref().map(|old| old.entry.health), entry.health);
         // Attempts that wait for a connection to an earlier address must not be sent there: by now
         // it may be another server's.
         let ready = match &old {
@@ -141,9 +149,10 @@
     }
 
     /// Removes a server; its address before, if it was known.
-    fn remove(&mut self, server: ServerId) -> Option<SocketAddr> {
+    fn remove(&mut self, server: ServerId, changes: &mut EndpointChanges) -> Option<SocketAddr> {
         let old = self.servers.remove(&server)?;
         old.ready.set(false);
+        changes.record_removed(old.address);
         Some(old.address)
     }
 
@@ -173,7 +182,8 @@
             let mut state = self.state.borrow_mut();
             let endpoints = &mut state.endpoints;
             let close_idle = |server| self.upstream.close_idle(server);
-            let ignored = endpoints.apply(kind, list, &names, max_servers, close_idle);
+            let (ignored, changes) = endpoints.apply(kind, list, &names, max_servers, close_idle);
+            changes.log(kind, list.version, endpoints.servers.len());
             if !ignored.is_empty() {
                 self.status.count_oversized_list();
                 if endpoints.ignored != ignored.len() {
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -5,6 +5,7 @@
 
 mod actions;
 mod attempts;
+mod endpoint_changes;
 mod endpoints;
 mod requests;
 
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -8,7 +8,7 @@
 
 use super::Driver;
 use super::attempts::InFlightAttempt;
-use crate::api::{Event, Micros, NewRequest, RequestId};
+use crate::api::{EndReason, Event, Micros, NewRequest, RequestId};
 use crate::settings::RetrySafety;
 use crate::sidecar::invariants::{Violation, may_reject};
 use crate::sidecar::status::Status;
@@ -259,10 +259,23 @@
     }
 
     /// Ends a request with the balancer's answer.
-    pub(super) fn finish_request(self: &Rc<Driver<P>>, id: RequestId, outcome: RequestOutcome) {
+    pub(super) fn finish_request(
+        self: &Rc<Driver<P>>,
+        id: RequestId,
+        outcome: RequestOutcome,
+        reason: EndReason,
+    ) {
         if let Some(request) = self.state.borrow_mut().requests.get_mut(&id) {
             let outcome = self.checked_outcome(id, request, outcome);
-            request.release_message();
+            self.status.events.record_end(reason);
+            let message = request.release_message();
+            tracing::debug!(
+                request = message.as_ref().map(|message| message.correlation_id()),
+                answer = outcome.name(),
+                reason = reason.name(),
+                attempts = request.attempts.len(),
+                "request ends without a server's response"
+            );
             request.finish(outcome, &self.status);
         }
         self.remove_if_done(id);
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -1,10 +1,11 @@
-//! Counters of rare events: rules that did not hold, attempts that were not sent after all, and
-//! connections of clients that were closed, each by its reason. Operators read them with `show-events`.
+//! Counters of rare events: rules that did not hold, attempts that were not sent after all, requests
+//! that got no server's answer, and connections of clients that were closed, each by its reason. Operators read them with `show-events`.
 
 use std::cell::Cell;
 use std::fmt::{self, Display, Formatter};
 
 use super::invariants::{SendRefusal, Violation};
+use crate::api::EndReason;
 
 /// Why a connection of a client ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +59,7 @@
 pub struct EventCounters {
     violations: [Cell<u64>; Violation::ALL.len()],
     refusals: [Cell<u64>; SendRefusal::ALL.len()],
+    ends: [Cell<u64>; EndReason::ALL.len()],
     closes: [Cell<u64>; CloseReason::ALL.len()],
     withdrawn_closes: Cell<u64>,
 }
@@ -96,6 +98,11 @@
         increment(&self.refusals[refusal as usize]);
     }
 
+    /// Counts a request that ended without a server's answer, by the balancer's decision.
+    pub fn record_end(&self, reason: EndReason) {
+        increment(&self.ends[reason as usize]);
+    }
+
     /// Counts a connection of a client that ended.
     pub fn record_close(&self, reason: CloseReason) {
         increment(&self.closes[reason as usize]);
@@ -122,6 +129,7 @@
             SendRefusal::ALL.map(SendRefusal::name).into(),
             &self.refusals,
         ));
+        all.extend(group("ended", EndReason::ALL.map(EndReason::name).into(), &self.ends));
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let count = self.withdrawn_closes.get();
         all.push(EventCount { name: "close_withdrawn".to_owned(), count });
--- a/src/sidecar/events/tests.rs
+++ b/src/sidecar/events/tests.rs
@@ -8,6 +8,7 @@
     counters.record_violation(Violation::UnsafeRepeat, &"a");
     counters.record_violation(Violation::UnsafeRepeat, &"b");
     counters.record_refusal(SendRefusal::WindowOver);
+    counters.record_end(EndReason::NoServer);
     counters.record_close(CloseReason::Broken);
     counters.record_withdrawn_close();
     let counted: Vec<String> = counters
@@ -19,6 +20,7 @@
     let expected = [
         "events.violations.unsafe_repeat=2",
         "events.not_sent.window_over=1",
+        "events.ended.no_server=1",
         "events.closed.broken=1",
         "events.close_withdrawn=1",
     ];
@@ -28,7 +30,8 @@
 #[test]
 fn events_that_never_occurred_are_reported_too() {
     let all = EventCounters::default().snapshot();
-    let expected = Violation::ALL.len() + SendRefusal::ALL.len() + CloseReason::ALL.len() + 1;
+    let groups = [Violation::ALL.len(), SendRefusal::ALL.len(), EndReason::ALL.len()];
+    let expected = groups.iter().sum::<usize>() + CloseReason::ALL.len() + 1;
     assert_eq!(all.len(), expected);
     assert!(all.iter().all(|event| event.count == 0));
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod config;
 pub mod discovery;
+pub mod discovery_status;
 pub mod driver;
 pub mod events;
 pub mod framing;
@@ -110,8 +111,9 @@
     let discovery_attempted = Rc::new(Notify::new());
     let (discovery_address, at) = watch::channel(config.discovery);
     let attempted = discovery_attempted.clone();
+    let status = components.status.clone();
     let discovery =
-        discovery::Discovery::<P>::new(at, how, stop_sending_within, version, attempted);
+        discovery::Discovery::<P>::new(at, how, stop_sending_within, version, attempted, status);
     P::spawn(discovery.run(driver.clone(), calls));
     components.start_background_tasks(&driver);
     startup::log_listening::<P>(&listener)?;
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -6,6 +6,7 @@
 use instance_status::{RejectedConfig, RequestCounts};
 use tokio::sync::Notify;
 
+use super::discovery_status::DiscoveryStatus;
 use super::events::EventCounters;
 
 /// The program's version.
@@ -31,6 +32,8 @@
     oversized_lists: Cell<u64>,
     /// Rare events, by what they are.
     pub events: EventCounters,
+    /// The endpoint list in force, and the calls that bring it.
+    pub discovery: DiscoveryStatus,
     /// Notified of changes that should not wait for the next report.
     pub changed: Notify,
 }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -120,6 +120,7 @@
                 self.upstream.return_to_pool(self.endpoint.server, connection);
                 return AttemptResult::without_response(Outcome::NotSent);
             }
+            self.upstream.status.discovery.record_attempt();
             let observer = connection.observer.clone();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
                 return self.receive_response(connection, &observer, response).await;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -393,11 +393,11 @@
                 let rec: [u8; 10] = join(&id.0.to_le_bytes(), &n.to_le_bytes());
                 self.push(action::CANCEL, &rec);
             }
-            Action::Reject { id, retry_after } => {
+            Action::Reject { id, retry_after, .. } => {
                 let rec: [u8; 12] = join(&id.0.to_le_bytes(), &span(*retry_after).to_le_bytes());
                 self.push(action::DENY, &rec);
             }
-            Action::Fail { id } => self.push(action::SURRENDER, &id.0.to_le_bytes()),
+            Action::Fail { id, .. } => self.push(action::SURRENDER, &id.0.to_le_bytes()),
             Action::SetTimer { delay, token } => {
                 let rec: [u8; 8] = join(&span(*delay).to_le_bytes(), &token.to_le_bytes());
                 self.push(action::SCHEDULE, &rec);
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -15,7 +15,7 @@
 use std::thread;
 use std::time::Duration;
 
-use net::{Folder, PATIENCE, Server, Sidecar, discovery, look, until};
+use net::{Entry, Folder, PATIENCE, Server, Sidecar, discovery, look, until};
 use serde_json::Value;
 use socket2::SockRef;
 
@@ -53,6 +53,35 @@
     }
 }
 
+/// What the log tells of a change of the list, and what operators are told of the list in force.
+#[test]
+fn endpoint_list_in_force_and_its_changes_can_be_seen() {
+    let (server, joining) = (Server::echo(), Server::echo());
+    let registry = discovery(&[&server]);
+    let sidecar = Sidecar::start_with(registry.clone(), with_admin);
+    let admin = sidecar.admin();
+    let version = || {
+        let response = call(admin, "show-discovery\n");
+        assert!(response.ends_with("\nend\n"), "{response}");
+        assert!(response.contains("\ndiscovery.overdue=0\n"), "{response}");
+        response.lines().find_map(|line| line.strip_prefix("discovery.version=").map(str::to_owned))
+    };
+    until("the first list is in force", || version().as_deref() == Some("1"));
+    registry.update(Entry::new(joining.at, "a"));
+    registry.set_health(&name_of(&server), "leaving");
+    until("the last list is in force", || version().as_deref() == Some("3"));
+    let log = sidecar.log();
+    let changed = |field: &str, server: &Server| {
+        let tells = |line: &&str| {
+            line.contains("endpoint list changed")
+                && line.contains(&format!("\"{field}\":\"[{}]\"", server.at))
+        };
+        assert!(log.lines().any(|line| tells(&line)), "{field} of {} in {log}", server.at);
+    };
+    changed("added_addresses", &joining);
+    changed("draining_addresses", &server);
+}
+
 #[test]
 fn statistics_count_requests_and_silent_callers_do_not_block_others() {
     let server = Server::echo();
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -190,9 +190,10 @@
         let mut told = Vec::new();
         for _ in 0..20 {
             let (_, out) = b.request(0);
-            let Some(Action::Reject { retry_after, .. }) = out.last() else {
+            let Some(Action::Reject { retry_after, reason, .. }) = out.last() else {
                 panic!("nothing to send to: {out:?}");
             };
+            assert_eq!(*reason, EndReason::NoServer);
             told.push(*retry_after);
         }
         assert!(told.iter().all(|&t| t <= most && (t > 0) == (most > 0)), "{told:?}");
@@ -293,3 +294,29 @@
     assert!((2..=25).contains(&few), "{few}");
     assert_eq!(with(19 * MS, 5), 200, "by chance it may come in time");
 }
+
+/// Once a second of an answer is usual, a request that waits for a millisecond is not worth sending.
+#[test]
+fn request_with_too_little_time_is_rejected_for_that_reason() {
+    let mut b = Bench::new(settings(|_| {}), 1, &[server(0)]);
+    b.rounds(40);
+    let mut reasons = Vec::new();
+    for n in 0..40 {
+        let out = b.event(Event::Request(NewRequest {
+            id: RequestId(1000 + n),
+            class: 0,
+            tenant: 0,
+            affinity_key: 0,
+            time_left: MS,
+            work_hint: None,
+            client_retry: false,
+            over_quota: false,
+        }));
+        reasons.extend(out.iter().find_map(|action| match action {
+            Action::Reject { reason, .. } => Some(*reason),
+            _ => None,
+        }));
+    }
+    assert!(reasons.len() > 30, "{reasons:?}");
+    assert!(reasons.iter().all(|&reason| reason == EndReason::TooLittleTime), "{reasons:?}");
+}
--- a/tests/balancer/retries.rs
+++ b/tests/balancer/retries.rs
@@ -66,7 +66,7 @@
     b.event(Event::FirstByte { id, attempt: 0 });
     b.now += 4 * MS;
     let out = b.answer(id, 0, to, Outcome::Cancelled, 0.0);
-    assert_eq!(out, vec![Action::Fail { id }]);
+    assert_eq!(out, vec![Action::Fail { id, reason: EndReason::AttemptsFailed }]);
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -106,7 +106,7 @@
                 assert!(harmless, "rule 2: refused what may have run");
                 request.final_answers += 1;
             }
-            Action::Fail { id } => self.request_mut(id).final_answers += 1,
+            Action::Fail { id, .. } => self.request_mut(id).final_answers += 1,
             Action::Cancel { id, attempt } => {
                 assert!(attempt < self.requests[&id].attempts.len(), "an attempt never made");
             }
