--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -7,15 +7,21 @@
 
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::wire::{Message, Reader};
 
+pub use faults::RegistryFaults;
+
+mod faults;
 #[cfg(test)]
 mod tests;
 
+/// How many connections may wait to be accepted, unless a test says otherwise.
+const BACKLOG: u32 = 1024;
+
 /// The most changes that are kept. A watch of an older version gets the complete list.
 const MAX_CHANGES: usize = 256;
 
@@ -63,12 +69,17 @@
     entries: Vec<Entry>,
     /// The latest changes, each with the version that it made.
     changes: Vec<(u64, Entry)>,
+    /// Changes up to this version are not kept.
+    forgotten_version: u64,
 }
 
 #[derive(Clone, Default)]
 struct State {
     list: EndpointList,
     down: bool,
+    faults: RegistryFaults,
+    /// How often the connections that were open have fallen silent.
+    silences: u64,
 }
 
 #[derive(Serialize)]
@@ -80,6 +91,13 @@
     hosts: Vec<&'a Entry>,
 }
 
+impl State {
+    /// Whether a connection answers nothing that was accepted after so many silences.
+    fn is_silent_since(&self, silences: u64) -> bool {
+        self.faults.silent || self.silences > silences
+    }
+}
+
 impl EndpointList {
     /// Version 1 of a list.
     pub fn new(entries: Vec<Entry>) -> EndpointList {
@@ -90,6 +108,7 @@
     pub fn forget_changes(&mut self) {
         self.changes.clear();
         self.version += 1;
+        self.forgotten_version = self.version;
     }
 
     /// The version.
@@ -104,14 +123,21 @@
 
     /// Adds a server or replaces the one of its name. With health `left` it is removed.
     pub fn update(&mut self, entry: Entry) {
-        self.entries.retain(|listed| listed.host != entry.host);
-        if entry.health != "left" {
-            self.entries.push(entry.clone());
-        }
+        self.update_all(vec![entry]);
+    }
+
+    /// The same of several servers, in one version.
+    pub fn update_all(&mut self, entries: Vec<Entry>) {
         self.version += 1;
-        self.changes.push((self.version, entry));
-        if self.changes.len() > MAX_CHANGES {
-            self.changes.remove(0);
+        for entry in entries {
+            self.entries.retain(|listed| listed.host != entry.host);
+            if entry.health != "left" {
+                self.entries.push(entry.clone());
+            }
+            self.changes.push((self.version, entry));
+        }
+        while self.changes.len() > MAX_CHANGES {
+            self.forgotten_version = self.changes.remove(0).0;
         }
     }
 
@@ -134,7 +160,10 @@
 
     /// A client's version, if all changes since then are kept.
     fn known_version(&self, from: Option<u64>) -> Option<u64> {
-        from.filter(|v| *v <= self.version && self.version - v <= self.changes.len() as u64)
+        let kept = |v: &u64| *v >= self.forgotten_version;
+        let kept_since =
+            |v: &u64| *v <= self.version && self.version - v <= self.changes.len() as u64;
+        from.filter(kept).filter(kept_since)
     }
 
     /// The answer to a client that has version `from`; none if that is the present version.
@@ -178,9 +207,21 @@
     ///
     /// When no port is free.
     pub async fn open(list: Vec<Entry>) -> io::Result<Registry> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Registry::open_with_backlog(list, BACKLOG).await
+    }
+
+    /// The same where at most about so many connections wait to be accepted; no further one comes up.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub async fn open_with_backlog(list: Vec<Entry>, backlog: u32) -> io::Result<Registry> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = socket.listen(backlog)?;
         let at = listener.local_addr()?;
-        let (state, watched) = watch::channel(State { list: EndpointList::new(list), down: false });
+        let list = EndpointList::new(list);
+        let (state, watched) = watch::channel(State { list, ..State::default() });
         tokio::spawn(accept(listener, watched));
         Ok(Registry { at, state: Arc::new(state) })
     }
@@ -190,6 +231,24 @@
         self.state.send_modify(|state| state.list.update(entry));
     }
 
+    /// The same of several servers, in one version.
+    pub fn update_all(&self, entries: Vec<Entry>) {
+        self.state.send_modify(|state| state.list.update_all(entries));
+    }
+
+    /// Misbehaves in these ways from now on. At the end of a silence, what was open in it stays silent.
+    pub fn set_faults(&self, faults: RegistryFaults) {
+        self.state.send_modify(|state| {
+            state.silences += u64::from(state.faults.silent && !faults.silent);
+            state.faults = faults;
+        });
+    }
+
+    /// Answers nothing any more on the connections that are open.
+    pub fn silence_open_connections(&self) {
+        self.state.send_modify(|state| state.silences += 1);
+    }
+
     /// Changes the health of a server; `left` removes it.
     pub fn set_health(&self, host: &str, health: &'static str) {
         let entry = self.state.borrow().list.with_health(host, health);
@@ -211,11 +270,15 @@
 
 async fn accept(listener: TcpListener, state: watch::Receiver<State>) {
     let mut ended = state.clone();
+    let mut accepting = state.clone();
     loop {
         let socket = tokio::select! {
             biased;
             _ = ended.wait_for(|_| false) => return,
-            socket = listener.accept() => socket,
+            socket = async {
+                let _ = accepting.wait_for(|state| !state.faults.accepts_nothing).await;
+                listener.accept().await
+            } => socket,
         };
         if let Ok((socket, _)) = socket {
             tokio::spawn(serve(socket, state.clone()));
@@ -225,6 +288,11 @@
 
 async fn serve(socket: TcpStream, mut state: watch::Receiver<State>) {
     let _ = socket.set_nodelay(true);
+    let (silences, first_read_delay) = {
+        let state = state.borrow();
+        (state.silences, state.faults.first_read_delay)
+    };
+    sleep(first_read_delay).await;
     let mut reader = Reader::new(socket);
     loop {
         // The order matters: if a request and the outage are both there, an unbiased choice would now and then answer
@@ -241,6 +309,13 @@
             _ = state.wait_for(|state| state.down) => return,
             body = answer(&message, &mut watched) => body,
         };
+        let answer_delay = state.borrow().faults.answer_delay;
+        sleep(answer_delay).await;
+        if state.borrow().is_silent_since(silences) {
+            // The connection stays open until its client closes it.
+            while let Ok(Some(_)) = reader.next().await {}
+            return;
+        }
         let status = if body.is_some() { "200 OK" } else { "404 Not Found" };
         let body = body.unwrap_or_default();
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/crates/fakes/src/registry/tests.rs
+++ b/crates/fakes/src/registry/tests.rs
@@ -44,3 +44,41 @@
     registry.bring_up();
     assert!(crate::runtime().block_on(ask(0)).is_some());
 }
+
+#[test]
+fn changes_of_one_version_are_kept_or_forgotten_together() {
+    let mut list = EndpointList::new(vec![entry(1)]);
+    list.update_all((2..=10).map(entry).collect());
+    assert_eq!((list.version(), list.answered_entries(Some(1)).len()), (2, 9));
+    // Two of the nine are dropped: the others alone would not be what changed since version 1.
+    list.update_all((11..=10 + MAX_CHANGES as u16 - 7).map(entry).collect());
+    let answer = list.answer(Some(1)).expect("a list");
+    assert!(answer.contains(r#""whole":true"#));
+    let answer = list.answer(Some(2)).expect("changes");
+    assert!(answer.contains(r#""whole":false"#));
+}
+
+#[test]
+fn silent_connection_stays_silent_and_a_new_one_is_answered() {
+    let registry = Registry::start(vec![entry(1)]);
+    let ask = async |reader: &mut Reader<TcpStream>| {
+        let text = "GET /registry/instances HTTP/1.1\r\n\r\n";
+        reader.get_mut().write_all(text.as_bytes()).await.expect("sent");
+        let answer = tokio::time::timeout(Duration::from_millis(200), reader.next()).await;
+        answer.is_ok_and(|answer| answer.is_ok_and(|message| message.is_some()))
+    };
+    crate::runtime().block_on(async {
+        let connect = || async { Reader::new(TcpStream::connect(registry.at).await.expect("up")) };
+        let mut open = connect().await;
+        assert!(ask(&mut open).await);
+        registry.silence_open_connections();
+        assert!(!ask(&mut open).await);
+        assert!(ask(&mut connect().await).await);
+        registry.set_faults(RegistryFaults { silent: true, ..RegistryFaults::default() });
+        let mut open = connect().await;
+        assert!(!ask(&mut open).await);
+        registry.set_faults(RegistryFaults::default());
+        assert!(!ask(&mut open).await);
+        assert!(ask(&mut connect().await).await);
+    });
+}
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -9,6 +9,7 @@
 mod body_memory;
 mod connecting;
 mod discovery;
+mod draining;
 mod idle_close;
 mod reload;
 mod shutdown;
