Discovery: calls of an agent no longer take each other's place

Cause: while an agent was late, a call was made every quarter of the grace period, only the oldest was kept and each newer one dropped at the next. An answer slower than that (125 ms) could not arrive before the oldest call, which an agent that was silent never answers, had timed out after 0.7 to 1.2 s. Every call was also one after the other: a change that met an answer on its way was asked for a whole answer later.

Change: discovery::schedule decides by the clock passed in: a watch is held for a fifth of the grace period, joined by a further call an eighth later and by more at that interval; no call is given up before it is as old as the grace period, one for each period stays for 2 s. A list that a newer one has overtaken is not applied, by the order of calls and not by times. Responses of all calls share memory for two lists. Descriptors reserved for the process are 36 (24): up to twelve calls. client_that_left_before_it_was_accepted fills the clients' share, which is 14 of 64 then.

--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -9,9 +9,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are neither a client's nor a server's: standard streams, the event queue and
-/// what wakes it, signals, the listener, discovery (two while it moves), peers, and the
-/// configuration when it is reloaded.
-const RESERVED_DESCRIPTORS: usize = 24;
+/// what wakes it, signals, the listener, discovery (as many as it has calls in flight), peers, and
+/// the configuration when it is reloaded.
+const RESERVED_DESCRIPTORS: usize = 36;
 /// The smallest limit for connections to either side.
 const MIN_CONNECTIONS_PER_SIDE: usize = 4;
 /// Up to this part of the client connections, idle ones are not evicted.
--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::list_buffer::{BufferError, ListBuffer, ListMemory};
 use crate::sidecar::discovery_status::CallEnd;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -35,12 +36,24 @@
     /// The list has at least so many bytes, which is more than may be read.
     #[error("the list has at least {0} bytes, more than may be read")]
     TooLong(u64),
+    /// The responses of other calls take the memory for lists.
+    #[error("the responses of other calls take the memory for lists")]
+    NoMemory,
+}
+
+impl From<BufferError> for CallError {
+    fn from(error: BufferError) -> CallError {
+        match error {
+            BufferError::TooLong(bytes) => CallError::TooLong(bytes as u64),
+            BufferError::NoMemory => CallError::NoMemory,
+        }
+    }
 }
 
 /// A complete response.
 pub(super) struct ListResponse<P: Runtime> {
     /// The list as JSON.
-    pub(super) text: Vec<u8>,
+    pub(super) text: ListBuffer,
     /// The connection, for the next call.
     pub(super) connection: Connection<P>,
     /// When the call began.
@@ -65,6 +78,7 @@
             CallError::Broken => CallEnd::Broken,
             CallError::TimedOut => CallEnd::TimedOut,
             CallError::TooLong(_) => CallEnd::TooLong,
+            CallError::NoMemory => CallEnd::NoMemory,
         }
     }
 }
@@ -119,13 +133,15 @@
     }
 }
 
-/// Gets `path`, on `connection` or else on a new one to `address`. At most `max_bytes` are read.
+/// Gets `path`, on `connection` or else on a new one to `address`. At most `max_bytes` are read, as
+/// long as `memory` has room.
 pub(super) async fn fetch<P: Runtime>(
     connection: Option<Connection<P>>,
     address: SocketAddr,
     path: String,
     timeouts: Timeouts,
     max_bytes: usize,
+    memory: ListMemory,
 ) -> Result<ListResponse<P>, CallError> {
     let started = P::now();
     let mut connection = match connection {
@@ -137,11 +153,13 @@
     if response.status() != StatusCode::OK {
         return Err(CallError::Broken);
     }
-    let text = read_body::<P>(response.into_body(), timeouts.read, max_bytes).await?;
+    let buffer = memory.buffer(max_bytes);
+    let body = response.into_body();
+    let text = read_body::<P>(body, timeouts.read, max_bytes, buffer).await?;
     Ok(ListResponse { text, connection, started })
 }
 
-/// Reads a body of at most `max_bytes`.
+/// Reads a body into `buffer`.
 ///
 /// A response may stop half way and stay open, or arrive a byte at a time for ever. While it makes
 /// progress it is read on, but not for longer than a sound one can take.
@@ -149,25 +167,23 @@
     mut body: Incoming,
     read_timeout: Duration,
     max_bytes: usize,
-) -> Result<Vec<u8>, CallError> {
-    // If the length is announced, that much is allocated at once, and never more than may come.
-    let length = body.size_hint().exact();
-    if let Some(bytes) = length.filter(|&bytes| bytes > max_bytes as u64) {
-        return Err(CallError::TooLong(bytes));
+    mut buffer: ListBuffer,
+) -> Result<ListBuffer, CallError> {
+    if let Some(length) = body.size_hint().exact() {
+        if length > max_bytes as u64 {
+            return Err(CallError::TooLong(length));
+        }
+        buffer.reserve(length as usize);
     }
-    let mut text = Vec::with_capacity(length.unwrap_or(0) as usize);
     let deadline = P::now() + RESPONSE_TIMEOUT;
     loop {
         let read_deadline = (P::now() + read_timeout).min(deadline);
         let frame = timeout_at::<P, _>(read_deadline, body.frame()).await;
         let Some(frame) = frame.map_err(|Elapsed| CallError::TimedOut)? else {
-            return Ok(text);
+            return Ok(buffer);
         };
         if let Ok(data) = frame.map_err(|_| CallError::Broken)?.into_data() {
-            if text.len() + data.len() > max_bytes {
-                return Err(CallError::TooLong((text.len() + data.len()) as u64));
-            }
-            text.extend_from_slice(&data);
+            buffer.append(&data)?;
         }
     }
 }
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -3,8 +3,10 @@
 //! Only complete responses count, and none that is longer than the memory limit allows.
 
 mod client;
+mod list_buffer;
 mod poll;
 mod push;
+mod schedule;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,7 +22,8 @@
 use crate::api::ListKind;
 use crate::settings::DiscoveryMode as Mode;
 use client::{CallError, Connection, ListCall, ListResponse};
-use push::AgentTimeouts;
+use list_buffer::ListMemory;
+use schedule::AgentTimes;
 
 /// How long the log is silent after a line that tells of a list which is too long.
 const TOO_LONG_LOG_INTERVAL: Duration = Duration::from_secs(10);
@@ -50,11 +53,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Update {
     /// It was passed on.
-    Applied,
-    /// It was passed on, and has no servers.
-    Empty,
-    /// It is older than the present one, and was not passed on.
+    Changed,
+    /// It was passed on, and has no servers, or the version of the one before.
+    Unchanged,
+    /// It was passed on, and has an earlier version than the one before: discovery counts anew.
+    Restarted,
+    /// It has changes since a version that discovery does not count any more, and was not passed on.
     Stale,
+    /// A newer one arrived before it, and it was not passed on.
+    Overtaken,
+}
+
+/// When a call began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallOrder {
+    /// After the list in force had arrived: what it brings is as new.
+    AfterList,
+    /// Before that: what it brings may be older.
+    BesideList,
 }
 
 /// The client of the discovery service.
@@ -62,8 +78,9 @@
     /// Where the service is; a reload can change it.
     address: watch::Receiver<SocketAddr>,
     mode: Mode,
-    agent: AgentTimeouts,
+    agent: AgentTimes,
     connection: Option<Connection<P>>,
+    list_memory: ListMemory,
     /// The version of the present list.
     version: u64,
     call_finished: Rc<Notify>,
@@ -89,8 +106,9 @@
         Discovery {
             address,
             mode,
-            agent: AgentTimeouts::within(grace),
+            agent: AgentTimes::within(grace),
             connection: None,
+            list_memory: ListMemory::default(),
             version,
             call_finished,
             status,
@@ -131,7 +149,8 @@
         let timeouts = client::Timeouts::new(hold.unwrap_or_default(), patience);
         let connection = self.connection.take().filter(|connection| !connection.is_closed());
         let max_bytes = max_list_bytes(max_servers);
-        Box::pin(client::fetch(connection, address, path, timeouts, max_bytes))
+        let memory = self.list_memory.clone();
+        Box::pin(client::fetch(connection, address, path, timeouts, max_bytes, memory))
     }
 
     /// Passes the list of a response on, and keeps the connection.
@@ -139,9 +158,17 @@
         &mut self,
         listener: &impl EndpointListener,
         response: ListResponse<P>,
+        order: CallOrder,
     ) -> Result<Update, CallError> {
-        let update = self.apply_text(listener, &response.text)?;
-        self.status.discovery.record_list(self.version, response.started, P::now());
+        let update = self.apply_text(listener, response.text.text(), order)?;
+        match update {
+            Update::Changed | Update::Unchanged | Update::Restarted => {
+                self.status.discovery.record_list(self.version, response.started, P::now());
+            }
+            Update::Stale | Update::Overtaken => {
+                self.status.discovery.record_end(CallEnd::Superseded);
+            }
+        }
         self.connection = Some(response.connection);
         Ok(update)
     }
@@ -154,16 +181,26 @@
         &mut self,
         listener: &impl EndpointListener,
         text: &[u8],
+        order: CallOrder,
     ) -> Result<Update, CallError> {
         let list: EndpointList<BorrowedText<'_>> =
             serde_json::from_slice(text).map_err(|_| CallError::Broken)?;
-        if !list.is_complete && list.version < self.version {
+        let went_back = list.version < self.version;
+        if went_back && order == CallOrder::BesideList {
+            return Ok(Update::Overtaken);
+        }
+        if went_back && !list.is_complete {
             return Ok(Update::Stale);
         }
+        let same_version = list.version == self.version;
         self.version = list.version;
         let kind = if list.is_complete { ListKind::Complete } else { ListKind::Delta };
         listener.on_list(kind, &list);
-        Ok(if list.endpoints.is_empty() { Update::Empty } else { Update::Applied })
+        Ok(match list.endpoints.is_empty() || same_version {
+            _ if went_back => Update::Restarted,
+            true => Update::Unchanged,
+            false => Update::Changed,
+        })
     }
 
     /// Counts a call that brought no list.
--- a/src/sidecar/discovery/poll.rs
+++ b/src/sidecar/discovery/poll.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 use super::client::{CallError, ListResponse};
-use super::{Discovery, DiscoveryRequest, EndpointListener, Update, address_changed};
+use super::{CallOrder, Discovery, DiscoveryRequest, EndpointListener, Update, address_changed};
 use crate::api::NOTIFICATION_DEADLINE;
 
 /// How long the service may hold a watch, and how long it may take to answer after that, or at once.
@@ -146,10 +146,11 @@
         max_servers: usize,
         state: &mut PollState,
     ) -> bool {
-        let response = response.and_then(|response| self.apply(listener, response));
+        let response =
+            response.and_then(|response| self.apply(listener, response, CallOrder::AfterList));
         self.record_error(&response);
         match response {
-            Ok(Update::Applied | Update::Empty) => {
+            Ok(Update::Changed | Update::Unchanged | Update::Restarted) => {
                 state.on_success();
                 return true;
             }
@@ -158,7 +159,8 @@
                 return false;
             }
             Err(CallError::TooLong(bytes)) => self.report_too_long(listener, bytes, max_servers),
-            Ok(Update::Stale) | Err(CallError::Broken | CallError::TimedOut) => {}
+            Ok(Update::Stale | Update::Overtaken)
+            | Err(CallError::Broken | CallError::TimedOut | CallError::NoMemory) => {}
         }
         self.status.discovery.check_overdue(P::now(), NOTIFICATION_BOUND, 0);
         state.on_failure();
--- a/src/sidecar/discovery_status.rs
+++ b/src/sidecar/discovery_status.rs
@@ -7,6 +7,10 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::{Duration, Instant};
 
+/// How long the log is silent after a line that tells of an overdue list: one that is slow all the time
+/// is overdue again and again.
+const OVERDUE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// How a call of discovery ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -18,17 +22,20 @@
     TimedOut,
     /// Its list was longer than may be read.
     TooLong,
+    /// The lists of other calls took the memory for lists.
+    NoMemory,
     /// It was given up before its response arrived: a newer call was answered, or took its place.
     Superseded,
 }
 
 impl CallEnd {
     /// All of them, in the order in which they are reported.
-    pub const ALL: [CallEnd; 5] = [
+    pub const ALL: [CallEnd; 6] = [
         CallEnd::Answered,
         CallEnd::Broken,
         CallEnd::TimedOut,
         CallEnd::TooLong,
+        CallEnd::NoMemory,
         CallEnd::Superseded,
     ];
 
@@ -39,6 +46,7 @@
             CallEnd::Broken => "broken",
             CallEnd::TimedOut => "timed_out",
             CallEnd::TooLong => "too_long",
+            CallEnd::NoMemory => "no_memory",
             CallEnd::Superseded => "superseded",
         }
     }
@@ -52,6 +60,14 @@
     at: Instant,
     /// The list counts as overdue.
     is_overdue: bool,
+    /// The log has a line that says so.
+    is_logged: bool,
+}
+
+impl Confirmation {
+    fn new(at: Instant) -> Confirmation {
+        Confirmation { at, is_overdue: false, is_logged: false }
+    }
 }
 
 /// The times and counters of the calls of discovery.
@@ -63,6 +79,7 @@
     calls_started: Cell<u64>,
     calls_ended: [Cell<u64>; CallEnd::ALL.len()],
     overdue_periods: Cell<u64>,
+    overdue_logged_at: Cell<Option<Instant>>,
     longest_unconfirmed: Cell<Duration>,
     attempts_while_overdue: Cell<u64>,
     /// The address of the service in the log.
@@ -74,7 +91,7 @@
     pub fn record_call(&self, now: Instant, service: &dyn Display) {
         increment(&self.calls_started);
         if self.confirmation.get().is_none() {
-            self.confirmation.set(Some(Confirmation { at: now, is_overdue: false }));
+            self.confirmation.set(Some(Confirmation::new(now)));
         }
         let mut known = self.service.borrow_mut();
         known.clear();
@@ -95,7 +112,7 @@
         let Some(before) = self.confirmation.get() else { return };
         let unconfirmed = now.saturating_duration_since(before.at);
         self.longest_unconfirmed.set(self.longest_unconfirmed.get().max(unconfirmed));
-        if before.is_overdue {
+        if before.is_logged {
             tracing::info!(
                 discovery = %self.service.borrow(),
                 version,
@@ -105,7 +122,7 @@
             );
         }
         let at = before.at.max(call_started);
-        self.confirmation.set(Some(Confirmation { at, is_overdue: false }));
+        self.confirmation.set(Some(Confirmation::new(at)));
     }
 
     /// Has the list count as overdue if discovery has confirmed nothing for longer than `bound`.
@@ -115,8 +132,14 @@
         if confirmation.is_overdue || unconfirmed <= bound {
             return;
         }
-        self.confirmation.set(Some(Confirmation { is_overdue: true, ..confirmation }));
+        let logged_at = self.overdue_logged_at.get();
+        let is_logged = logged_at.is_none_or(|at| now >= at + OVERDUE_LOG_INTERVAL);
+        self.confirmation.set(Some(Confirmation { is_overdue: true, is_logged, ..confirmation }));
         increment(&self.overdue_periods);
+        if !is_logged {
+            return;
+        }
+        self.overdue_logged_at.set(Some(now));
         tracing::warn!(
             discovery = %self.service.borrow(),
             version = self.version.get(),
