Soak: requests to draining servers are judged by the rule, at the sidecar's side

Cause: an attempt at a draining server was judged 7 s after that could be known, in both modes of lists; where lists are pushed the rule says 0.5 s.

Change: a watch at the relays takes the first bytes of a request as they leave the sidecar, and by when that sidecar counts as knowing: stopSendingWithin after the change, or after its discovery can be reached, and 6 s more where lists are polled; 50 ms of the protocol and 250 ms for a busy machine on top. Delayed links no longer matter to it, so runs with cuts are judged as well. The judgement at the servers is gone: it was later in every case.

--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -112,8 +112,6 @@
     /// The factor on the time of all work.
     slowdown: Mutex<f64>,
     rng: Mutex<StdRng>,
-    /// From when on nothing new may arrive, as it drains and everybody knows.
-    drained_from: Mutex<Option<Instant>>,
 }
 
 /// A running log server. It ends with its handle.
@@ -143,7 +141,6 @@
             faults: Mutex::default(),
             slowdown: Mutex::new(1.0),
             rng: Mutex::new(StdRng::seed_from_u64(spec.seed)),
-            drained_from: Mutex::default(),
             spec,
         });
         let (mode, watched) = watch::channel(Mode::Up);
@@ -161,11 +158,6 @@
         self.mode.send_replace(Mode::Draining);
     }
 
-    /// From this time on, whatever arrives is recorded as sent to a draining server; none: nothing is.
-    pub fn expect_nothing_from(&self, time: Option<Instant>) {
-        *self.shared.drained_from.lock().unwrap_or_else(PoisonError::into_inner) = time;
-    }
-
     /// Kills it: its connections are reset, and new ones are refused.
     pub fn kill(&self) {
         self.mode.send_replace(Mode::Dead);
@@ -296,10 +288,6 @@
 
     /// Checks what the protocol says of a request that arrives.
     fn check_arrival(&self, id: &str, message: &Message) {
-        let drained_from = *self.drained_from.lock().unwrap_or_else(PoisonError::into_inner);
-        if drained_from.is_some_and(|from| Instant::now() > from) {
-            self.account.record_late_drain(&self.spec.name, id);
-        }
         let time_left = message.header("x-time-left-ms").and_then(|ms| ms.parse().ok());
         if let Some(time_left) = time_left.map(Duration::from_millis) {
             self.account.record_time_left(&self.spec.name, id, time_left);
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -5,10 +5,12 @@
 //! says which nodes there are, what load they get, which faults happen when, and what must hold.
 //!
 //! - [`scenario`], [`links`] and [`expectations`] compute, without I/O.
+//! - [`drain_watch`] judges what sidecars send to servers that drain.
 //! - [`network`], [`gossip_relay`], [`relay`] and [`processes`] are the parts of a testbed.
 //! - [`soak`] draws scenarios with overlapping faults from a seed, and judges them by the protocol's rules.
 //! - [`testbed`] puts these together, [`runner`] plays a scenario on it, [`html_report`] shows the outcome.
 
+pub mod drain_watch;
 pub mod expectations;
 pub mod gossip_relay;
 pub mod html_report;
--- a/crates/fault-injection/src/links.rs
+++ b/crates/fault-injection/src/links.rs
@@ -43,6 +43,8 @@
     pub rate: u64,
 }
 
+/// The longest delay of a link that hardly matters.
+const SLIGHT_DELAY: Duration = Duration::from_millis(50);
 /// How much later a reordered datagram arrives, on top of delay and jitter.
 pub const REORDER_DELAY: Duration = Duration::from_millis(30);
 /// The longest time that a datagram queues on a link with limited bandwidth; beyond it, it is dropped.
@@ -56,6 +58,12 @@
         Impairment { cut: true, ..Impairment::default() }
     }
 
+    /// Whether what is sent arrives, and so soon that it hardly matters.
+    pub fn is_slight(&self) -> bool {
+        let passes = !self.cut && self.loss == 0.0 && self.rate == 0;
+        passes && self.delay + self.jitter <= SLIGHT_DELAY
+    }
+
     /// The impairment of two links in series.
     #[must_use]
     pub fn and(self, other: Impairment) -> Impairment {
--- a/crates/fault-injection/src/network.rs
+++ b/crates/fault-injection/src/network.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
+use crate::drain_watch::DrainWatch;
 use crate::links::{Links, Node};
 
 /// A handle to the links between all nodes and to the nodes' addresses. Clones share the same state.
@@ -16,6 +17,7 @@
 struct Inner {
     links: watch::Sender<Links>,
     addresses: Mutex<HashMap<Node, SocketAddr>>,
+    drain_watch: OnceLock<DrainWatch>,
     seed: u64,
     started: Instant,
 }
@@ -26,6 +28,7 @@
         Network(Arc::new(Inner {
             links: watch::Sender::new(links),
             addresses: Mutex::default(),
+            drain_watch: OnceLock::new(),
             seed,
             started: Instant::now(),
         }))
@@ -62,6 +65,16 @@
         self.0.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(node, address);
     }
 
+    /// Has everything that sidecars send to servers watched. Only the first watch counts.
+    pub fn watch_drains(&self, watch: DrainWatch) {
+        let _ = self.0.drain_watch.set(watch);
+    }
+
+    /// What watches that sidecars send to servers, if anything does.
+    pub fn drain_watch(&self) -> Option<&DrainWatch> {
+        self.0.drain_watch.get()
+    }
+
     /// The seed of what is drawn for the traffic.
     pub fn seed(&self) -> u64 {
         self.0.seed
--- a/crates/fault-injection/src/relay.rs
+++ b/crates/fault-injection/src/relay.rs
@@ -235,6 +235,7 @@
                 Ok(0) => Content::End,
                 Ok(n) => {
                     data.truncate(n);
+                    self.watch(from, to, &data);
                     Content::Data(data)
                 }
                 Err(_) => Content::Reset,
@@ -251,6 +252,15 @@
         }
     }
 
+    /// Shows what has left a sidecar for a server to what watches that.
+    fn watch(&self, from: Node, to: Node, data: &[u8]) {
+        if let (Node::Sidecar(sidecar), Node::Server(server)) = (from, to)
+            && let Some(watch) = self.network.drain_watch()
+        {
+            watch.on_data(sidecar, server, data, std::time::Instant::now());
+        }
+    }
+
     async fn write(
         &self,
         from: Node,
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -165,6 +165,9 @@
     /// Takes discovery down or brings it up.
     #[serde(rename = "discovery")]
     SetDiscovery(Availability),
+    /// Has the discovery of sidecars misbehave.
+    #[serde(rename = "discovery_faults")]
+    SetDiscoveryFaults(BTreeSet<u16>, DiscoveryFaults),
     /// Multiplies the load of a tenant (by its number; none: of all) relative to the start.
     #[serde(rename = "load")]
     ScaleLoad(Option<usize>, f64),
@@ -191,6 +194,19 @@
     }
 }
 
+/// How discovery misbehaves while it is up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct DiscoveryFaults {
+    /// The connections that are open now fall silent; new ones are answered.
+    pub silences_connections: bool,
+    /// Nothing is answered.
+    pub silent: bool,
+    /// How long each answer is on its way, in milliseconds.
+    pub answer_delay_ms: u64,
+    /// How long after it is accepted a connection is first read, in milliseconds.
+    pub first_read_delay_ms: u64,
+}
+
 /// The state of a log server.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fault-injection/src/testbed.rs
+++ b/crates/fault-injection/src/testbed.rs
@@ -92,6 +92,8 @@
     /// Stops its clients when set to true.
     stop_clients: Option<watch::Sender<bool>>,
     registry: Registry,
+    /// Its discovery answers nothing.
+    discovery_is_silent: bool,
 }
 
 /// A log server, or the place of one that was killed.
@@ -101,8 +103,6 @@
     spec: ServerSpec,
     /// Its entry in the discovery of each sidecar.
     entries: Vec<Entry>,
-    /// It is listed as draining.
-    draining: bool,
 }
 
 /// The factors on the load, relative to the start.
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -4,20 +4,21 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fakes::logserver::{Fault, LogServer};
-use fakes::registry::Entry;
+use fakes::registry::{Entry, RegistryFaults};
 use rustix::process::Signal;
 use serde_json::Value;
 
 use super::configuration::merge_patch;
-use super::{Testbed, TestbedError};
+use super::{Sidecar, Testbed, TestbedError};
+use crate::drain_watch::{DrainDeadlines, DrainRule};
 use crate::links::Node;
-use crate::scenario::{Action, Availability, ServerState};
+use crate::scenario::{Action, Availability, DiscoveryFaults, ServerState};
 
 /// How long a graceful shutdown may last beyond the longest deadline, by the protocol, and what a busy machine may add.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(700 + 800);
-/// How long after a list with a draining server could be fetched a request may still arrive there: the time until
-/// sidecars count as notified, the grace of the settings, and what a busy machine may add.
-const DRAIN_ALLOWANCE: Duration = Duration::from_millis(6000 + 500 + 500);
+
+/// The value of `settings.discovery` where an agent has the lists.
+const PUSHED_LISTS: &str = "pushed";
 
 impl Testbed {
     /// Applies an action of the fault with this number.
@@ -29,8 +30,12 @@
         match action {
             Action::Inject { fault, .. } => {
                 self.network.update(|links| links.inject((**fault).clone()));
+                self.update_reachability();
+            }
+            Action::Clear => {
+                self.network.update(|links| links.clear(fault));
+                self.update_reachability();
             }
-            Action::Clear => self.network.update(|links| links.clear(fault)),
             Action::Kill(sidecars) => self.kill(sidecars),
             Action::Terminate(sidecars) => self.terminate(sidecars),
             Action::Start { sidecars, discard_state } => self.restart(sidecars, *discard_state)?,
@@ -46,6 +51,9 @@
                 for &n in servers {
                     self.set_server(n, *state)?;
                 }
+                if *state == ServerState::Draining {
+                    self.drain_servers(servers);
+                }
             }
             Action::SetDiscovery(availability) => {
                 self.sidecars.iter().for_each(|sidecar| match availability {
@@ -53,7 +61,11 @@
                     Availability::Down => sidecar.registry.take_down(),
                 });
                 self.discovery = *availability;
-                self.update_drains();
+                self.update_reachability();
+            }
+            Action::SetDiscoveryFaults(sidecars, faults) => {
+                indices(sidecars).for_each(|n| self.set_discovery_faults(n, *faults));
+                self.update_reachability();
             }
             Action::StepClock(sidecars, seconds) => {
                 indices(sidecars)
@@ -158,11 +170,6 @@
         if state == ServerState::Healthy || down && state != ServerState::Dead {
             self.restart_server(n)?;
         }
-        if state == ServerState::Draining {
-            self.servers[usize::from(n)].draining = true;
-            self.list_server(n, "leaving");
-            self.update_drains();
-        }
         let slot = &self.servers[usize::from(n)];
         match state {
             ServerState::Healthy => {}
@@ -195,27 +202,78 @@
         self.network.update(|links| links.bring_up(Node::Server(n)));
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let slot = &mut self.servers[usize::from(n)];
-        slot.draining = false;
         slot.entries.iter_mut().for_each(|entry| entry.born_ms = now.as_millis() as u64);
-        self.list_server(n, "active");
+        self.change_drains(|deadlines, now| deadlines.set_draining(n, false, now));
+        self.list_servers(&BTreeSet::from([n]), "active");
         Ok(())
     }
 
-    /// Tells draining servers from when on nothing new may arrive. While discovery is down, nobody needs to know.
-    fn update_drains(&self) {
-        let known_from = match self.discovery {
-            Availability::Up => Some(Instant::now() + DRAIN_ALLOWANCE),
-            Availability::Down => None,
+    /// Lists servers as draining, all of them in one version of the list.
+    fn drain_servers(&self, servers: &BTreeSet<u16>) {
+        self.change_drains(|deadlines, now| {
+            servers.iter().for_each(|&server| deadlines.set_draining(server, true, now));
+        });
+        self.list_servers(servers, "leaving");
+    }
+
+    fn set_discovery_faults(&mut self, n: usize, faults: DiscoveryFaults) {
+        let sidecar = &mut self.sidecars[n];
+        sidecar.discovery_is_silent = faults.silent;
+        sidecar.registry.set_faults(RegistryFaults {
+            silent: faults.silent,
+            answer_delay: Duration::from_millis(faults.answer_delay_ms),
+            first_read_delay: Duration::from_millis(faults.first_read_delay_ms),
+            ..RegistryFaults::default()
+        });
+        if faults.silences_connections {
+            sidecar.registry.silence_open_connections();
+        }
+    }
+
+    /// Tells the watch by which rules each sidecar follows its discovery.
+    pub(super) fn set_drain_rules(&self) {
+        let rule = |sidecar: &Sidecar| {
+            let settings = &sidecar.config["settings"];
+            let grace_us = settings["rules"]["stopSendingWithin"].as_u64().unwrap_or_default();
+            DrainRule {
+                pushed: settings["discovery"] == PUSHED_LISTS,
+                grace: Duration::from_micros(grace_us),
+            }
         };
-        let draining = self.servers.iter().filter(|slot| slot.draining);
-        draining.for_each(|slot| slot.server.expect_nothing_from(known_from));
+        let rules = self.sidecars.iter().map(rule).collect();
+        self.change_drains(|deadlines, now| *deadlines = DrainDeadlines::new(rules, now));
+        self.update_reachability();
+    }
+
+    /// Tells the watch which sidecars can reach their discovery.
+    fn update_reachability(&self) {
+        for (n, sidecar) in self.sidecars.iter().enumerate() {
+            let n = n as u16;
+            let is_up = self.discovery == Availability::Up && !sidecar.discovery_is_silent;
+            let is_linked = self.network.links(|links| {
+                let (sidecar, discovery) = (Node::Sidecar(n), Node::Discovery);
+                links.impairment(sidecar, discovery).is_slight()
+                    && links.impairment(discovery, sidecar).is_slight()
+            });
+            self.change_drains(|deadlines, now| {
+                deadlines.set_reachable(n, is_up && is_linked, now);
+            });
+        }
+    }
+
+    fn change_drains(&self, change: impl FnOnce(&mut DrainDeadlines, Instant)) {
+        if let Some(watch) = self.network.drain_watch() {
+            change(&mut watch.deadlines(), Instant::now());
+        }
     }
 
-    /// Changes a server's health in the discovery of every sidecar.
-    fn list_server(&self, n: u16, health: &'static str) {
-        let entries = &self.servers[usize::from(n)].entries;
-        for (entry, sidecar) in entries.iter().zip(&self.sidecars) {
-            sidecar.registry.update(Entry { health, ..entry.clone() });
+    /// Changes the health of servers in the discovery of every sidecar, in one version of its list.
+    fn list_servers(&self, servers: &BTreeSet<u16>, health: &'static str) {
+        for (n, sidecar) in self.sidecars.iter().enumerate() {
+            let listed =
+                servers.iter().map(|&server| &self.servers[usize::from(server)].entries[n]);
+            let entries = listed.map(|entry| Entry { health, ..entry.clone() });
+            sidecar.registry.update_all(entries.collect());
         }
     }
 }
--- a/crates/fault-injection/src/testbed/setup.rs
+++ b/crates/fault-injection/src/testbed/setup.rs
@@ -16,6 +16,7 @@
 use super::configuration::configuration;
 use super::probe::is_ready;
 use super::{LoadFactors, Programs, ServerSlot, Sidecar, Testbed, TestbedError};
+use crate::drain_watch::DrainWatch;
 use crate::gossip_relay::GossipRelay;
 use crate::links::{Links, Node};
 use crate::network::Network;
@@ -99,10 +100,12 @@
                 terminated_at: None,
                 stop_clients: None,
                 registry,
+                discovery_is_silent: false,
             });
         }
         // From here on the ports are free for the sidecars. No other process uses this address.
         drop(addresses);
+        network.watch_drains(DrainWatch::new(account.clone()));
         let tenants = vec![1.0; scenario.load.tenants.len()];
         let mut testbed = Testbed {
             network,
@@ -122,6 +125,7 @@
             scenario,
             folder,
         };
+        testbed.set_drain_rules();
         testbed.start_sidecars()?;
         Ok(testbed)
     }
@@ -210,7 +214,7 @@
             let started = LogServer::start(spec.clone(), account.clone());
             let server = fakes::runtime().block_on(started)?;
             network.set_address(Node::Server(servers.len() as u16), server.at);
-            servers.push(ServerSlot { zone, server, spec, entries: Vec::new(), draining: false });
+            servers.push(ServerSlot { zone, server, spec, entries: Vec::new() });
         }
     }
     Ok(servers)
