Discovery: where no descriptor is left, the oldest call's is used in time

Cause: a call without a descriptor counted as a reset one, and the oldest call, whose connection may be silent for good, was given up only once it was late by the grace period; its descriptor was taken by others meanwhile.

Change: a shortage is told from a reset; the oldest call is given up once it is late by half the grace period, and the next begins 1 ms later. is_shortage is shared with accepting.

--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -7,6 +7,7 @@
 use super::calls::Progress;
 use super::list_buffer::{BufferError, ListBuffer, ListMemory};
 use crate::sidecar::discovery_status::CallEnd;
+use crate::sidecar::system_error::is_shortage;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Incoming};
@@ -35,6 +36,9 @@
     /// The list has at least so many bytes, which is more than may be read.
     #[error("the list has at least {0} bytes, more than may be read")]
     TooLong(u64),
+    /// There was no file descriptor or memory for its connection.
+    #[error("no file descriptor or memory for the connection")]
+    Shortage,
     /// The responses of other calls take the memory for lists.
     #[error("the responses of other calls take the memory for lists")]
     NoMemory,
@@ -71,7 +75,7 @@
 impl From<CallError> for CallEnd {
     fn from(error: CallError) -> CallEnd {
         match error {
-            CallError::Broken => CallEnd::Broken,
+            CallError::Broken | CallError::Shortage => CallEnd::Broken,
             CallError::TimedOut => CallEnd::TimedOut,
             CallError::TooLong(_) => CallEnd::TooLong,
             CallError::NoMemory => CallEnd::NoMemory,
@@ -106,7 +110,10 @@
     async fn open(address: SocketAddr) -> Result<Connection<P>, CallError> {
         let socket = timeout::<P, _>(CONNECT_TIMEOUT, P::connect(address)).await;
         let socket = socket.map_err(|Elapsed| CallError::TimedOut)?;
-        let socket = socket.map_err(|_| CallError::Broken)?;
+        let socket = socket.map_err(|error| match is_shortage(&error) {
+            true => CallError::Shortage,
+            false => CallError::Broken,
+        })?;
         socket.set_nodelay().map_err(|_| CallError::Broken)?;
         let io = TokioIo::new(Stream::new(Rc::new(socket), Rc::new(())));
         let (sender, connection) = http1::handshake(io).await.map_err(|_| CallError::Broken)?;
--- a/src/sidecar/discovery/push.rs
+++ b/src/sidecar/discovery/push.rs
@@ -110,6 +110,7 @@
         let given_up = match update {
             Ok(update) => schedule.on_list(id, update, P::now()),
             Err(CallError::Broken) => schedule.on_broken(id, P::now()),
+            Err(CallError::Shortage) => schedule.on_shortage(id, P::now()),
             Err(CallError::TimedOut | CallError::NoMemory) => {
                 schedule.on_timeout(id);
                 Vec::new()
--- a/src/sidecar/discovery/schedule.rs
+++ b/src/sidecar/discovery/schedule.rs
@@ -31,6 +31,9 @@
 /// The pause after a call that was answered at once and brought nothing new: an agent that does not hold
 /// watches is not called without a pause.
 const UNCHANGED_DELAY: Duration = Duration::from_millis(20);
+/// How long it takes until a descriptor of a call that was given up can be used: so short that it is not
+/// taken by others.
+const DESCRIPTOR_REUSE_DELAY: Duration = Duration::from_millis(1);
 /// The pause after a list that was too long.
 const TOO_LONG_DELAY: Duration = Duration::from_secs(1);
 
@@ -212,21 +215,31 @@
     /// that are given up.
     ///
     /// An agent that was restarted may count its versions from the start again, and reach one that stood
-    /// for another list. So changes are not asked for any more, and the complete list is fetched. The
-    /// oldest call may hold the last file descriptor, which the next one needs.
+    /// for another list. So changes are not asked for any more, and the complete list is fetched.
     pub(super) fn on_broken(&mut self, id: CallId, now: Instant) -> Vec<CallId> {
         self.full_list = true;
         self.urgent = true;
         self.paused_until = now + self.times.interval;
         let mut given_up = self.give_up(|call| call.id == id || call.hold.is_some());
         given_up.retain(|call| *call != id);
-        let oldest = self.in_flight.first();
-        if oldest.is_some_and(|oldest| now >= oldest.due() + self.times.grace) {
-            given_up.push(self.in_flight.remove(0).id);
-        }
         given_up
     }
 
+    /// Notes that there was no file descriptor for a call. Returns the calls that are given up.
+    ///
+    /// The oldest one has a descriptor that the next can use. It is given up once it is late by half the grace
+    /// period, so that answers that take less than that arrive with a single descriptor as well.
+    pub(super) fn on_shortage(&mut self, id: CallId, now: Instant) -> Vec<CallId> {
+        self.give_up(|call| call.id == id);
+        self.urgent = true;
+        if self.in_flight.is_empty() || self.lateness(now) < self.times.grace / 2 {
+            self.paused_until = now + self.times.interval;
+            return Vec::new();
+        }
+        self.paused_until = now + DESCRIPTOR_REUSE_DELAY;
+        vec![self.in_flight.remove(0).id]
+    }
+
     /// Notes that a call got no answer in time.
     pub(super) fn on_timeout(&mut self, id: CallId) {
         self.full_list = true;
--- a/src/sidecar/discovery/schedule/tests.rs
+++ b/src/sidecar/discovery/schedule/tests.rs
@@ -165,16 +165,33 @@
     assert_eq!(bench.begin().0.hold, None);
 }
 
-/// The oldest call may have the last file descriptor.
+/// Where no descriptor is left, the oldest call's is used, but not before an answer may have come to that.
 #[test]
-fn broken_call_ends_the_oldest_one_that_is_late_by_more_than_the_grace_period() {
+fn shortage_ends_the_oldest_call_once_it_is_late_by_half_the_grace_period() {
     let mut bench = Bench::new();
     let (oldest, _) = bench.begin();
-    let (second, _) = bench.begin();
-    assert_eq!(bench.schedule.on_broken(second.id, bench.now), []);
-    bench.now += GRACE;
-    let (third, _) = bench.begin();
-    assert_eq!(bench.schedule.on_broken(third.id, bench.now), [oldest.id]);
+    let begun = bench.now;
+    loop {
+        let (next, _) = bench.begin();
+        let given_up = bench.schedule.on_shortage(next.id, bench.now);
+        if given_up.is_empty() {
+            assert_eq!(bench.until_next(), INTERVAL);
+            continue;
+        }
+        assert_eq!(given_up, [oldest.id]);
+        let after = bench.now - begun;
+        assert!((GRACE / 2..GRACE * 3 / 4).contains(&after), "given up after {after:?}");
+        assert_eq!(bench.until_next(), DESCRIPTOR_REUSE_DELAY);
+        return;
+    }
+}
+
+#[test]
+fn shortage_without_another_call_is_tried_again_later() {
+    let mut bench = Bench::new();
+    let (only, _) = bench.begin();
+    assert_eq!(bench.schedule.on_shortage(only.id, bench.now), []);
+    assert_eq!(bench.until_next(), INTERVAL);
 }
 
 #[test]
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -1,16 +1,15 @@
 //! Accepting client connections within their budget, and evicting connections to make room.
 
 use std::cmp::Reverse;
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use runtime::{Listener, Runtime, timeout};
-use rustix::io::Errno;
 
 use super::Ingress;
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::events::CloseReason;
+use crate::sidecar::system_error::is_shortage;
 
 /// The pause before accepting is tried again when no descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -20,14 +19,6 @@
 /// How many connections are closed at most with each one that is accepted.
 const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
 
-/// Whether accepting failed for want of something that closing a connection gives back: descriptors of
-/// the process or the system, buffers or memory. Any other error concerns one connection alone (see
-/// accept(2)).
-fn is_shortage(error: &io::Error) -> bool {
-    let code = error.raw_os_error().map(Errno::from_raw_os_error);
-    matches!(code, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
-}
-
 impl<P: Runtime> Ingress<P> {
     /// Accepts clients for as long as it is polled.
     ///
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -23,6 +23,7 @@
 pub mod shutdown;
 pub mod startup;
 pub mod status;
+mod system_error;
 pub mod timers;
 pub mod upload;
 pub mod upstream;
