Soak: sidecars are killed at the earliest moment, and signalled again in shutdowns

Cause: a sidecar was killed 5.5 s after SIGTERM, and what it had not answered by then was excused as lost by a kill. The protocol allows SIGKILL the longest deadline and 0.7 s after SIGTERM, and what is unanswered then is lost.

Change: the kill comes then, and excuses nothing; in two of five shutdowns SIGHUP with a new configuration and another SIGTERM come before it.

--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -22,8 +22,11 @@
 const FIRST_FAULT_S: f64 = 2.0;
 /// How far apart the faults of one moment begin, in seconds.
 const MOMENT_S: f64 = 0.6;
-/// How long after SIGTERM a sidecar is started again: longer than its shutdown may take.
-const SHUTDOWN_S: f64 = 5.5;
+/// How long after SIGTERM a sidecar is killed and started again: the earliest that the protocol allows, the longest
+/// deadline of the classes and 0.7 s, and a little for the machine. Clients send on their open connections until then.
+const SHUTDOWN_S: f64 = 2.0 * TIME_SCALE + 0.75;
+/// The probability that further signals come during a shutdown.
+const FURTHER_SIGNALS_PROBABILITY: f64 = 0.4;
 /// The longest time for which a process is held up, by the terms of the users' standing test.
 const LONGEST_PAUSE_S: f64 = 0.15;
 const SERVERS_PER_ZONE: u16 = 4;
@@ -230,10 +233,22 @@
         for (n, sidecar) in sidecars.into_iter().enumerate() {
             let (at_s, one) = (at_s + step_s * n as f64, BTreeSet::from([sidecar]));
             self.push(at_s, Action::Terminate(one.clone()));
+            if self.rng.random_bool(FURTHER_SIGNALS_PROBABILITY) {
+                self.signal_again(at_s, &one);
+            }
             self.push(at_s + SHUTDOWN_S, Action::Start { sidecars: one, discard_state: true });
         }
     }
 
+    /// Has sidecars read a new configuration during their shutdown, and asks them to end once more.
+    fn signal_again(&mut self, at_s: f64, sidecars: &BTreeSet<u16>) {
+        let reload_s = at_s + self.rng.random_range(0.0..SHUTDOWN_S - 1.0);
+        let patch = self.patch();
+        self.push(reload_s, Action::Configure(sidecars.clone(), patch));
+        let again_s = reload_s + self.rng.random_range(0.0..0.5);
+        self.push(again_s, Action::Terminate(sidecars.clone()));
+    }
+
     fn servers(&mut self, at_s: f64, length_s: std::ops::Range<f64>, state: ServerState) {
         let all: Vec<u16> = (0..SERVERS_PER_ZONE * ZONE_COUNT).collect();
         let count = self.rng.random_range(1..=all.len() / 3);
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -14,6 +14,8 @@
 use crate::links::Node;
 use crate::scenario::{Action, Availability, DiscoveryFaults, ServerState};
 
+/// How long after the longest deadline a sidecar that was asked to end may be killed, by the protocol.
+const KILL_GRACE: Duration = Duration::from_millis(700);
 /// How long a graceful shutdown may last beyond the longest deadline, by the protocol, and what a busy machine may add.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(700 + 800);
 
@@ -100,7 +102,7 @@
                 self.stop_clients(n);
             }
             self.sidecars[n].expected = false;
-            self.sidecars[n].terminated_at = Some(Instant::now());
+            self.sidecars[n].terminated_at.get_or_insert_with(Instant::now);
             self.sidecars[n].process.signal(Signal::TERM);
         }
     }
@@ -111,9 +113,12 @@
         discard_state: bool,
     ) -> Result<(), TestbedError> {
         for n in indices(sidecars) {
-            // One that was asked to shut down and still runs is killed.
+            // One that was asked to shut down and still runs is killed. What it has not answered by the
+            // earliest moment of a kill is lost.
             if self.sidecars[n].process.id().is_some() {
-                self.account.expect_kill(self.sidecars[n].listen);
+                if !self.may_be_killed(n) {
+                    self.account.expect_kill(self.sidecars[n].listen);
+                }
                 self.check_shutdown_time(n);
             }
             let status = self.sidecars[n].process.kill();
@@ -126,6 +131,13 @@
         Ok(())
     }
 
+    /// Whether a sidecar was asked to end so long ago that it has to have answered everything.
+    fn may_be_killed(&self, n: usize) -> bool {
+        let longest = self.account.classes().iter().map(|class| class.deadline).max();
+        let earliest = longest.unwrap_or_default() + KILL_GRACE;
+        self.sidecars[n].terminated_at.is_some_and(|at| at.elapsed() >= earliest)
+    }
+
     /// Records a shutdown that takes longer than any request may.
     fn check_shutdown_time(&mut self, n: usize) {
         let longest = self.account.classes().iter().map(|class| class.deadline).max();
