Soak: a relay keeps its port while its server is down; violations by kind

Cause: two soak runs beside each other had findings that fit neither: requests with numbers of a time that was over, 486 at servers that no client of the run had sent. A relay whose server is down closed its listener, and a run that started just then got the port: the first run's sidecars sent to the second run's servers.

Change: the port stays bound, exclusively, while connections are refused. Findings tell violations by kind, an unknown request has an example, and refused connections, which are no violation, take the place of none.

Result: the test of a server that is down fails without the change, as its port can be bound.

--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -167,10 +167,8 @@
     }
 
     /// Records that a connection to a sidecar was refused.
-    pub fn record_refused_connection(&self, target: SocketAddr) {
-        let mut inner = self.lock();
-        inner.counts.refused_connections += 1;
-        inner.add_example(format!("a connection to {target} was refused"));
+    pub fn record_refused_connection(&self) {
+        self.lock().counts.refused_connections += 1;
     }
 
     /// Records that a new connection to a sidecar ended and nothing of its request was forwarded.
@@ -234,6 +232,7 @@
         let attempt = AttemptId::parse(request_id).and_then(|id| inner.attempt_mut(id));
         let Some(attempt) = attempt else {
             inner.counts.unknown += 1;
+            inner.add_example(format!("{request_id} came to {server}, and no client has sent it"));
             return;
         };
         match event {
--- a/crates/fakes/src/account/report.rs
+++ b/crates/fakes/src/account/report.rs
@@ -149,16 +149,23 @@
     /// The number of rules that were broken. What is lost with a killed process is none, and refused connections count
     /// only where the caller counts them.
     pub fn violations(&self) -> u64 {
-        self.lost
-            + self.timed_out
-            + self.duplicated_non_idempotent
-            + self.duplicated_keyed
-            + self.rejected_but_executed
-            + self.after_answer
-            + self.after_leaving
-            + self.excess_time_left
-            + self.sent_to_draining
-            + self.wrong_body
-            + self.unknown
+        self.violation_counts().iter().map(|(_, count)| count).sum()
+    }
+
+    /// The same by what was broken.
+    pub fn violation_counts(&self) -> [(&'static str, u64); 11] {
+        [
+            ("lost", self.lost),
+            ("timed out", self.timed_out),
+            ("not idempotent, executed more than once", self.duplicated_non_idempotent),
+            ("keyed, executed more than once", self.duplicated_keyed),
+            ("rejected though executed", self.rejected_but_executed),
+            ("arrived after the answer", self.after_answer),
+            ("arrived after the client had left", self.after_leaving),
+            ("told too long a time", self.excess_time_left),
+            ("sent to a draining server", self.sent_to_draining),
+            ("served with another body", self.wrong_body),
+            ("sent by no client", self.unknown),
+        ]
     }
 }
--- a/crates/fakes/src/account/tests.rs
+++ b/crates/fakes/src/account/tests.rs
@@ -62,7 +62,7 @@
     account.record_server_event("s", "no id of ours", ServerEvent::Received);
     account.expect_kill(at());
     record(Outcome::Lost);
-    account.record_refused_connection(at());
+    account.record_refused_connection();
     let r = account.report();
     assert_eq!((r.lost, r.lost_by_kill, r.timed_out, r.wrong_body), (1, 1, 1, 1));
     assert_eq!((r.rejected_but_executed, r.unknown, r.refused_connections), (1, 1, 1));
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -235,7 +235,7 @@
                 Exchange::TimedOut => return (Outcome::TimedOut, None),
                 Exchange::Truncated => return (Outcome::Lost, None),
                 Exchange::Refused => {
-                    self.account.record_refused_connection(self.target);
+                    self.account.record_refused_connection();
                     return (Outcome::Rejected, None);
                 }
                 Exchange::Closed { reused } => {
--- a/crates/fault-injection/src/relay.rs
+++ b/crates/fault-injection/src/relay.rs
@@ -99,6 +99,8 @@
 struct Gate {
     address: SocketAddr,
     listener: Option<TcpListener>,
+    /// Holds the port while there is no listener: connections are refused, and nobody else gets the port.
+    refusing: Option<TcpSocket>,
     /// The relay's own connections that fill the backlog.
     fillers: Vec<TcpStream>,
     /// The addresses of earlier fillers, whose connections are still to be accepted and ignored.
@@ -113,8 +115,10 @@
             // Connections are refused, and closing the listener resets those that wait in its backlog.
             self.listener = None;
             self.fillers.clear();
+            self.refusing = self.refusing.take().or_else(|| bind(self.address));
         } else if self.listener.is_none() {
-            self.listener = listen_again(self.address);
+            let socket = self.refusing.take().or_else(|| bind(self.address));
+            self.listener = socket.and_then(listen_on);
         }
         let Some(listener) = &self.listener else { return };
         if partitioned && self.fillers.is_empty() {
@@ -148,7 +152,8 @@
 impl Forwarder {
     async fn serve(self: Arc<Forwarder>, listener: TcpListener, address: SocketAddr) {
         let (fillers, former_fillers) = (Vec::new(), Vec::new());
-        let mut gate = Gate { address, listener: Some(listener), fillers, former_fillers };
+        let (listener, refusing) = (Some(listener), None);
+        let mut gate = Gate { address, listener, refusing, fillers, former_fillers };
         let mut connections = JoinSet::new();
         let mut changes = self.network.subscribe();
         loop {
@@ -293,11 +298,19 @@
     Reset,
 }
 
-/// Listens again at an address whose listener was closed.
-fn listen_again(address: SocketAddr) -> Option<TcpListener> {
+/// A socket at an address whose listener was closed. It does not listen, and no other socket can be bound there.
+fn bind(address: SocketAddr) -> Option<TcpSocket> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.set_reuseaddr(true).ok()?;
     socket.bind(address).ok()?;
+    // Connections of the former listener may still have the port, so it takes reuse to bind; from then on, reuse
+    // would let others have it as well.
+    socket.set_reuseaddr(false).ok()?;
+    Some(socket)
+}
+
+fn listen_on(socket: TcpSocket) -> Option<TcpListener> {
+    socket.set_reuseaddr(true).ok()?;
     socket.listen(BACKLOG.unsigned_abs()).ok()
 }
 
--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -49,6 +49,8 @@
     let violations = outcome.account.violations();
     if violations > 0 {
         findings.push(format!("{violations} violations in the account of all requests"));
+        let counts = outcome.account.violation_counts().into_iter().filter(|(_, count)| *count > 0);
+        findings.extend(counts.map(|(name, count)| format!("{count} {name}")));
         findings.extend(outcome.account.examples.iter().cloned());
     }
     findings.extend(outcome.problems.iter().cloned());
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -12,10 +12,11 @@
 
 use crate::links::{ActiveFault, Impairment, Node};
 use crate::scenario::{
-    Action, Availability, ConfigurationPatch, DiscoveryFaults, Event, Load, Scenario, ServerState,
-    Tenant,
+    Action, Availability, ConfigurationPatch, Event, Load, Scenario, ServerState, Tenant,
 };
 
+mod discovery;
+
 /// How long before the end all faults are over.
 pub const QUIET_END: Duration = Duration::from_secs(11);
 /// When the first fault begins, in seconds.
@@ -32,9 +33,6 @@
 const SERVERS_PER_ZONE: u16 = 4;
 const ZONE_COUNT: u16 = 3;
 const SERVER_CORES: usize = 4;
-/// The longest delay of an answer of discovery, or of the first read of a connection to it. Together with a process
-/// that is held up, it leaves time to keep the grace period of draining servers.
-const LONGEST_DISCOVERY_DELAY_MS: u64 = 250;
 /// So few descriptors that idle clients are evicted.
 const FEW_SOCKETS: u32 = 64;
 /// So many silent connections that idle ones are evicted where there are few descriptors.
@@ -257,54 +255,6 @@
         self.add(at_s, length_s, Action::SetServers(servers, state), healthy);
     }
 
-    /// Has the discovery of some sidecars fall silent, or be slow, and often many servers drain just then.
-    fn discovery_faults(&mut self, at_s: f64) {
-        let sidecars = self.some_sidecars(0.8);
-        let slow = self.slow_discovery();
-        let set = |faults| Action::SetDiscoveryFaults(sidecars.clone(), faults);
-        let silent_s = self.rng.random_range(0.5..6.0);
-        let slow_s = self.rng.random_range(1.5..4.0);
-        let slow_from_s = match self.rng.random_range(0..3) {
-            0 => {
-                self.push(at_s, set(slow));
-                at_s
-            }
-            1 => {
-                self.push(at_s, set(DiscoveryFaults { silences_connections: true, ..slow }));
-                at_s
-            }
-            _ => {
-                self.push(at_s, set(DiscoveryFaults { silent: true, ..slow }));
-                self.push(at_s + silent_s, set(slow));
-                at_s + silent_s
-            }
-        };
-        self.push(slow_from_s + slow_s, set(DiscoveryFaults::default()));
-        if self.rng.random_bool(0.8) {
-            let offset_s = self.rng.random_range(-0.3..0.4);
-            self.drain_many((slow_from_s + offset_s).max(FIRST_FAULT_S));
-        }
-    }
-
-    /// Delays of discovery for which the rule on draining servers can be kept.
-    fn slow_discovery(&mut self) -> DiscoveryFaults {
-        let delay_ms = self.rng.random_range(0..=LONGEST_DISCOVERY_DELAY_MS);
-        let is_read_late = self.rng.random();
-        let (answer_delay_ms, first_read_delay_ms) =
-            if is_read_late { (0, delay_ms) } else { (delay_ms, 0) };
-        DiscoveryFaults { answer_delay_ms, first_read_delay_ms, ..DiscoveryFaults::default() }
-    }
-
-    /// Has up to half of the servers drain in one version of the list.
-    fn drain_many(&mut self, at_s: f64) {
-        let all: Vec<u16> = (0..SERVERS_PER_ZONE * ZONE_COUNT).collect();
-        let count = self.rng.random_range(all.len() / 4..=all.len() / 2);
-        let servers: BTreeSet<u16> = all.choose_multiple(&mut self.rng, count).copied().collect();
-        let healthy = Action::SetServers(servers.clone(), ServerState::Healthy);
-        let drain = Action::SetServers(servers, ServerState::Draining);
-        self.add(at_s, 3.0..8.0, drain, healthy);
-    }
-
     fn cut(&mut self, at_s: f64) {
         let from: BTreeSet<Node> = self.some_sidecars(0.6).into_iter().map(Node::Sidecar).collect();
         let count = self.rng.random_range(1..=SERVERS_PER_ZONE * ZONE_COUNT / 2);
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -55,7 +55,8 @@
     let sound = outcome(recovered(), Report::default());
     assert_eq!(judge(&scenario, &sound, Vec::new()), Findings::default());
     let lost = Report { lost: 1, examples: vec!["x".to_owned()], ..Report::default() };
-    assert_eq!(judge(&scenario, &outcome(recovered(), lost), Vec::new()).0.len(), 2);
+    let findings = judge(&scenario, &outcome(recovered(), lost), Vec::new());
+    assert_eq!(findings.0, ["1 violations in the account of all requests", "1 lost", "x"]);
     let down = vec![sample(32.0, 100, 0), sample(36.0, 110, 100)];
     assert_eq!(judge(&scenario, &outcome(down, Report::default()), Vec::new()).0.len(), 1);
     let crashed = Outcome { problems: vec!["s1 has ended by itself".to_owned()], ..sound.clone() };
--- a/crates/fault-injection/tests/relays.rs
+++ b/crates/fault-injection/tests/relays.rs
@@ -99,6 +99,8 @@
     until("they are refused", || {
         TcpStream::connect(relay.address).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
     });
+    let taken = TcpListener::bind(relay.address).expect_err("another run must not get its port");
+    assert_eq!(taken.kind(), ErrorKind::AddrInUse);
     network.update(|links| links.bring_up(SERVER));
     until("they come up", || TcpStream::connect(relay.address).is_ok());
     assert_eq!(echoed(&mut connect(relay.address), b"after"), b"after");
