--- a/src/sidecar/discovery/schedule.rs
+++ b/src/sidecar/discovery/schedule.rs
@@ -121,7 +121,7 @@
         late.map_or(self.paused_until, |late| late.max(self.paused_until))
     }
 
-    /// Begins the next call. Returns the calls that are given up for it; none of which a response is being received.
+    /// Begins the next call. Returns the calls that are given up for it, none whose response is being received.
     pub(super) fn begin(
         &mut self,
         now: Instant,
@@ -146,6 +146,7 @@
     /// Gives up calls that are older than the grace period, but the oldest and one for each grace period:
     /// an agent that needs longer for an answer is still understood, if late.
     fn thin_out(&mut self, now: Instant, is_receiving: impl Fn(CallId) -> bool) -> Vec<CallId> {
+        // Given up any sooner, a call could not bring an answer that takes longer than the time between two calls.
         let grace = self.times.grace;
         let mut given_up = Vec::new();
         let mut kept_at: Option<Instant> = None;
