Cluster tests: rollbacks and shutdowns begin after requests are served

The load sends 60 requests a second at random times and the test took about a tenth of a second, so that it could end before the first request was sent. Reproduced on a copy that prints its account: 1 of 40 runs failed after 106.8 ms with attempts: 0 and no violation, the others had 4 to 19 attempts in 99 to 301 ms. The sidecar was not at fault.

Change: the test waits for 20 served requests before the reload, and for 20 more after the rollback, which it did not ask for before.

--- a/crates/local-cluster/tests/hard_cases/rollouts.rs
+++ b/crates/local-cluster/tests/hard_cases/rollouts.rs
@@ -10,6 +10,7 @@
 
 use crate::support::{
     PATIENCE, assert_sound, change_objective, history_contains, host, plan, start_load, started,
+    wait_for_requests,
 };
 
 #[test]
@@ -34,6 +35,7 @@
 fn shutdown_during_a_rollout_ends_all_and_the_next_daemon_finishes_it() {
     let mut host = host(6);
     let load = start_load(&host);
+    wait_for_requests(&host, 20);
     change_objective(&host, 0.44);
     host.ask(&Request::Reload).expect("sound");
     until("a successor is there", || host.instances().iter().any(|i| i.generation == Some(2)));
@@ -54,8 +56,7 @@
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(2)));
     let load = start_load(&host);
-    let before = host.account().report().served();
-    until("requests are served", || host.account().report().served() > before + 20);
+    wait_for_requests(&host, 20);
     load.stop();
     assert_sound(&host);
 }
@@ -98,8 +99,7 @@
     until_in(PATIENCE, why, || history_contains(&host, why));
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
-    let before = host.account().report().served();
-    until("requests are served", || host.account().report().served() > before + 100);
+    wait_for_requests(&host, 100);
     load.stop();
     assert_sound(&host);
 }
@@ -133,6 +133,8 @@
 fn rollback_during_a_rollout_restores_the_previous_generation() {
     let host = host(6);
     let load = start_load(&host);
+    // A rollback takes a tenth of a second: without this, none of its requests may have been sent yet.
+    wait_for_requests(&host, 20);
     assert!(host.ask(&Request::Rollback).is_err(), "no rollout runs");
     change_objective(&host, 0.44);
     host.ask(&Request::Reload).expect("sound");
@@ -141,6 +143,7 @@
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
     assert!(history_contains(&host, "generation 2 goes back: as was asked"));
+    wait_for_requests(&host, 20);
     load.stop();
     assert_sound(&host);
 }
