Tests: answers of discovery in pieces, changes up to an older version

Need: two points of the incident on draining servers were open. An answer that comes in two pieces was a candidate cause that was not played, and polled changes up to an older version than the one in force, mended with the polled calls, had no test of their own.

Change: the stand-in of discovery can pause within each answer. Seven more troubles of an agent are played for the grace period. A polled service answers each watch with an older version.

--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -319,12 +319,24 @@
         let status = if body.is_some() { "200 OK" } else { "404 Not Found" };
         let body = body.unwrap_or_default();
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        if reader.get_mut().write_all(text.as_bytes()).await.is_err() {
+        let pause = state.borrow().faults.pause_within_answer;
+        if write_in_halves(reader.get_mut(), text.as_bytes(), pause).await.is_err() {
             return;
         }
     }
 }
 
+/// Writes an answer, its second half after a pause.
+async fn write_in_halves(socket: &mut TcpStream, text: &[u8], pause: Duration) -> io::Result<()> {
+    if pause.is_zero() {
+        return socket.write_all(text).await;
+    }
+    let (first, second) = text.split_at(text.len() / 2);
+    socket.write_all(first).await?;
+    sleep(pause).await;
+    socket.write_all(second).await
+}
+
 /// The body of the answer; none for an unknown path. A request with `hold_ms` waits that long for a change.
 async fn answer(message: &Message, state: &mut watch::Receiver<State>) -> Option<String> {
     if message.path() != "/registry/instances" {
--- a/crates/fakes/src/registry/faults.rs
+++ b/crates/fakes/src/registry/faults.rs
@@ -13,4 +13,6 @@
     pub first_read_delay: Duration,
     /// How long each answer is on its way.
     pub answer_delay: Duration,
+    /// How long the second half of each answer comes after the first.
+    pub pause_within_answer: Duration,
 }
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -185,6 +185,34 @@
     assert!(took < Duration::from_secs(6), "the change was known after {took:?}");
 }
 
+/// Discovery is polled, and after its first list answers every watch with changes up to a version before that. It is
+/// another process by then, which knows nothing of that version: only its complete list tells what is there now. Found by
+/// reading: the same watch was opened again and again.
+#[test]
+fn changes_up_to_an_older_version_are_followed_by_the_complete_list() {
+    let (old, new) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start_with(discovery(&[&old]), |config| {
+        config["settings"]["discovery"] = "on_request".into();
+    });
+    let (first, changed) = (Entry::new(old.at, "a"), Entry::new(new.at, "a"));
+    let service = Agent::start(move |n, path, socket| match n {
+        1 => write_list(socket, 9, true, std::slice::from_ref(&first)),
+        _ if path.contains("from=") => {
+            thread::sleep(Duration::from_millis(100));
+            write_list(socket, 3, false, &[])
+        }
+        _ => write_list(socket, 3, true, std::slice::from_ref(&changed)),
+    });
+    service.becomes_discovery_of(&sidecar);
+    until("it watches", || service.calls().len() >= 2);
+    let watched = service.calls()[1].0;
+    sidecar.wait_until_reaches(&new);
+    let took = watched.elapsed();
+    assert!(took < Duration::from_secs(6), "the change was known after {took:?}");
+    let calls = service.calls();
+    assert!(!calls[2].1.contains("from="), "the complete list is asked for: {calls:?}");
+}
+
 /// Discovery is polled, and `mustAskIn` is long. Found by reading: the backoff went by it alone, so a drain
 /// that discovery had announced for half a minute was not known here.
 #[test]
--- a/tests/lifecycle/draining.rs
+++ b/tests/lifecycle/draining.rs
@@ -42,6 +42,8 @@
     answer_delay: Duration,
     /// From then on, how long after it is accepted a connection is first read.
     first_read_delay: Duration,
+    /// From then on, how long the second half of each answer comes after the first.
+    pause_within_answer: Duration,
 }
 
 impl Trouble {
@@ -50,6 +52,7 @@
         RegistryFaults {
             answer_delay: self.answer_delay,
             first_read_delay: self.first_read_delay,
+            pause_within_answer: self.pause_within_answer,
             ..RegistryFaults::default()
         }
     }
@@ -203,7 +206,32 @@
         Trouble { silence: milliseconds(1500), answer_delay: milliseconds(300), ..sound },
         Trouble { silence: milliseconds(1500), accepts_nothing: true, ..sound },
     ];
-    let plays = troubles.map(|trouble| thread::spawn(move || last_late_requests(trouble, 3)));
+    assert_grace_holds(&troubles);
+}
+
+/// The same for answers that come in two pieces, the second one late: the list in force is the old one until all of the new
+/// one is there, and calls that follow meanwhile must not end the one that is being received.
+#[test]
+fn grace_holds_for_answers_that_come_in_pieces() {
+    let stale = |ms| Some(milliseconds(ms));
+    let sound = Trouble::default();
+    let pause = |ms| Trouble { pause_within_answer: milliseconds(ms), ..sound };
+    let troubles = [
+        pause(200),
+        pause(350),
+        Trouble { stale_connections: stale(1), ..pause(130) },
+        Trouble { stale_connections: stale(150), ..pause(200) },
+        Trouble { stale_connections: stale(1), answer_delay: milliseconds(100), ..pause(130) },
+        Trouble { silence: milliseconds(1500), ..pause(300) },
+        Trouble { silence: milliseconds(1500), answer_delay: milliseconds(150), ..pause(150) },
+    ];
+    assert_grace_holds(&troubles);
+}
+
+/// Plays each trouble, all at the same time, and checks when the last new request came to a server that was gone.
+fn assert_grace_holds(troubles: &[Trouble]) {
+    let play = |&trouble: &Trouble| thread::spawn(move || last_late_requests(trouble, 3));
+    let plays: Vec<_> = troubles.iter().map(play).collect();
     for (trouble, play) in troubles.iter().zip(plays) {
         let late = play.join().expect("the play ends");
         assert!(late.iter().all(|&late| late <= GRACE), "{late:?} with {trouble:?}");
