Soak: in every run servers are replaced in steps, some by removal from the list

Change: a new kind of fault, of which every run has at least one: one to two servers a step, two to four steps, 0.1 to 2.5 s apart, each step either draining or removed. Removed servers are judged as draining ones.

--- a/crates/fault-injection/src/drain_watch.rs
+++ b/crates/fault-injection/src/drain_watch.rs
@@ -1,5 +1,5 @@
-//! Judges by the protocol's rule whether a sidecar sends new requests to a server that drains: by when it counts as
-//! knowing that, and by when the first bytes of a request leave it.
+//! Judges by the protocol's rule whether a sidecar sends new requests to a server that drains or was removed: by when
+//! it counts as knowing that, and by when the first bytes of a request leave it.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -44,7 +44,7 @@
     rules: Vec<DrainRule>,
     /// Since when each sidecar can reach its discovery; none while it cannot.
     reachable_since: Vec<Option<Instant>>,
-    /// Since when servers are listed as draining.
+    /// Since when servers are listed as draining, or not any more.
     draining_since: HashMap<u16, Instant>,
 }
 
@@ -61,7 +61,7 @@
         *since = reachable.then(|| since.unwrap_or(now));
     }
 
-    /// Notes that discovery lists a server as draining from now on, or no longer.
+    /// Notes that from now on discovery lists a server as draining or not at all, or that it lists it as active again.
     pub fn set_draining(&mut self, server: u16, draining: bool, now: Instant) {
         if draining {
             self.draining_since.entry(server).or_insert(now);
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -217,6 +217,8 @@
     /// It drains, and discovery lists it as leaving.
     #[serde(rename = "drains")]
     Draining,
+    /// Discovery does not list it any more; it goes on answering.
+    Removed,
     /// Connections to it are refused.
     Dead,
     /// Its work takes this many times as long.
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -10,12 +10,14 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
+use self::replacement::MAX_REPLACEMENT_S;
 use crate::links::{ActiveFault, Impairment, Node};
 use crate::scenario::{
     Action, Availability, ConfigurationPatch, Event, Load, Scenario, ServerState, Tenant,
 };
 
 mod discovery;
+mod replacement;
 
 /// How long before the end all faults are over.
 pub const QUIET_END: Duration = Duration::from_secs(11);
@@ -103,6 +105,7 @@
     Pause,
     Throttle,
     Drain,
+    Replace,
     Dead,
     BadServers,
     DiscoveryDown,
@@ -113,12 +116,13 @@
     Clock,
 }
 
-const KINDS: [Kind; 13] = [
+const KINDS: [Kind; 14] = [
     Kind::Kill,
     Kind::Terminate,
     Kind::Pause,
     Kind::Throttle,
     Kind::Drain,
+    Kind::Replace,
     Kind::Dead,
     Kind::BadServers,
     Kind::DiscoveryDown,
@@ -145,6 +149,10 @@
             let at_s = self.rng.random_range(FIRST_FAULT_S..self.last_fault_s - 1.0);
             self.add_fault(at_s, with_cuts);
         }
+        // In every run some servers are withdrawn soon after another change of the list.
+        let latest_s = (self.last_fault_s - MAX_REPLACEMENT_S).max(FIRST_FAULT_S + 1.0);
+        let at_s = self.rng.random_range(FIRST_FAULT_S..latest_s);
+        self.replace_in_steps(at_s);
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
@@ -167,6 +175,7 @@
                 self.add(at_s, 1.0..4.0, throttle, Action::Unthrottle(sidecars));
             }
             Kind::Drain => self.servers(at_s, 4.0..16.0, ServerState::Draining),
+            Kind::Replace => self.replace_in_steps(at_s),
             Kind::Dead => self.servers(at_s, 0.5..4.0, ServerState::Dead),
             Kind::BadServers => {
                 let share = self.rng.random_range(0.1..1.0);
--- /dev/null
+++ b/crates/fault-injection/src/soak/draw/replacement.rs
@@ -0,0 +1,41 @@
+//! Draws servers that are replaced a few at a time, as in a release.
+
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use super::{Plan, SERVERS_PER_ZONE, ZONE_COUNT};
+use crate::scenario::{Action, ServerState};
+
+/// The number of steps; each is a version of the list.
+const STEPS: Range<usize> = 2..5;
+/// The most servers of one step.
+const MAX_SERVERS: usize = 2;
+/// The time between two steps. Some are shorter than the grace period of a draining server, some are longer.
+const STEP_INTERVAL_S: Range<f64> = 0.1..2.5;
+/// How long it takes until the servers of a step are back. Some are gone for longer than polled lists may take.
+const ABSENCE_S: Range<f64> = 2.0..9.0;
+/// How long a replacement takes at most.
+pub(super) const MAX_REPLACEMENT_S: f64 =
+    STEP_INTERVAL_S.end * (STEPS.end - 2) as f64 + ABSENCE_S.end;
+
+impl Plan {
+    /// Withdraws servers in steps, so that all but the first follow another change of the list. Where a step does not
+    /// announce that they drain, nothing but the list tells that they are gone: they go on answering.
+    pub(super) fn replace_in_steps(&mut self, at_s: f64) {
+        let mut servers: Vec<u16> = (0..SERVERS_PER_ZONE * ZONE_COUNT).collect();
+        servers.shuffle(&mut self.rng);
+        let mut step_s = at_s;
+        for _ in 0..self.rng.random_range(STEPS) {
+            let count = self.rng.random_range(1..=MAX_SERVERS);
+            let withdrawn: BTreeSet<u16> = servers.drain(..count).collect();
+            let announced = self.rng.random();
+            let state = if announced { ServerState::Draining } else { ServerState::Removed };
+            let healthy = Action::SetServers(withdrawn.clone(), ServerState::Healthy);
+            self.add(step_s, ABSENCE_S, Action::SetServers(withdrawn, state), healthy);
+            step_s += self.rng.random_range(STEP_INTERVAL_S);
+        }
+    }
+}
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -1,9 +1,11 @@
 //! Drawing and judging soak runs.
 
+use std::collections::BTreeSet;
+
 use fakes::account::Report;
 
 use super::*;
-use crate::scenario::Event;
+use crate::scenario::{Action, Event, ServerState};
 
 const SIZE: SoakSize = SoakSize { sidecars: 24, duration: Duration::from_secs(36) };
 
@@ -39,6 +41,29 @@
     assert!(count > 190, "{count} of 200");
 }
 
+/// The times at which servers are withdrawn, each with the servers.
+fn withdrawals(events: &[Event]) -> Vec<(f64, &BTreeSet<u16>)> {
+    fn withdrawn(event: &Event) -> Option<(f64, &BTreeSet<u16>)> {
+        match &event.action {
+            Action::SetServers(servers, ServerState::Draining | ServerState::Removed) => {
+                Some((event.at_s, servers))
+            }
+            _ => None,
+        }
+    }
+    events.iter().filter_map(withdrawn).collect()
+}
+
+#[test]
+fn in_every_plan_servers_are_withdrawn_soon_after_another_change() {
+    for seed in 0..200 {
+        let scenario = draw(seed, SIZE);
+        let withdrawals = withdrawals(&scenario.events);
+        let soon = |pair: &[(f64, &BTreeSet<u16>)]| pair[1].0 - pair[0].0 < 2.5;
+        assert!(withdrawals.windows(2).any(soon), "seed {seed}: {withdrawals:?}");
+    }
+}
+
 fn sample(at_s: f64, served: u64, rejected: u64) -> Sample {
     let totals = Totals { served, rejected, ..Totals::default() };
     Sample { at_s, totals, ..Sample::default() }
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -53,8 +53,10 @@
                 for &n in servers {
                     self.set_server(n, *state)?;
                 }
-                if *state == ServerState::Draining {
-                    self.drain_servers(servers);
+                match state {
+                    ServerState::Draining => self.withdraw_servers(servers, "leaving"),
+                    ServerState::Removed => self.withdraw_servers(servers, "left"),
+                    _ => {}
                 }
             }
             Action::SetDiscovery(availability) => {
@@ -184,7 +186,7 @@
         }
         let slot = &self.servers[usize::from(n)];
         match state {
-            ServerState::Healthy => {}
+            ServerState::Healthy | ServerState::Removed => {}
             ServerState::Draining => slot.server.drain(),
             ServerState::Dead => {
                 slot.server.kill();
@@ -220,12 +222,12 @@
         Ok(())
     }
 
-    /// Lists servers as draining, all of them in one version of the list.
-    fn drain_servers(&self, servers: &BTreeSet<u16>) {
+    /// Lists servers with a health that wants no new requests, all of them in one version of the list.
+    fn withdraw_servers(&self, servers: &BTreeSet<u16>, health: &'static str) {
         self.change_drains(|deadlines, now| {
             servers.iter().for_each(|&server| deadlines.set_draining(server, true, now));
         });
-        self.list_servers(servers, "leaving");
+        self.list_servers(servers, health);
     }
 
     fn set_discovery_faults(&mut self, n: usize, faults: DiscoveryFaults) {
