Config distribution: a test of links slower than the response timeout

Need: calls here are given up after 1 s as well, the class of the fault with slow agents.

Result: not a fault. With answers that take 1.3 s a change is applied and known to be: a watch has its hold beside the timeout, and a report is taken in though its sender has given up. A control server that recovers asks its peers for 1 s each, and goes on asking: not played with slow peers.

--- a/crates/config-distribution/tests/common/mod.rs
+++ b/crates/config-distribution/tests/common/mod.rs
@@ -178,6 +178,15 @@
 
     /// Cuts these control servers, and no others, off from all origins.
     pub fn partition(&self, servers: &[usize]) {
+        self.impair(servers, Impairment::cut());
+    }
+
+    /// Delays what these control servers, and no others, exchange with all origins, in each direction.
+    pub fn delay(&self, servers: &[usize], delay: Duration) {
+        self.impair(servers, Impairment { delay, ..Impairment::default() });
+    }
+
+    fn impair(&self, servers: &[usize], impairment: Impairment) {
         self.network.update(|links| {
             links.clear(0);
             links.inject(ActiveFault {
@@ -185,12 +194,12 @@
                 from: servers.iter().map(|n| Node::Sidecar(*n as u16)).collect(),
                 to: [Node::Discovery].into(),
                 both_directions: true,
-                impairment: Impairment::cut(),
+                impairment,
             });
         });
     }
 
-    /// Ends the partition.
+    /// Ends the partition, or the delay.
     pub fn heal(&self) {
         self.network.update(|links| links.clear(0));
     }
--- a/crates/config-distribution/tests/faults.rs
+++ b/crates/config-distribution/tests/faults.rs
@@ -37,6 +37,21 @@
     cluster.wait_until_applied(0, third, 60);
 }
 
+/// Each answer of the origin takes 1.3 s, and a call that was not held is given up after 1 s. Changes arrive all the same,
+/// since a watch has the time for which it may be held as well, and a report is taken in though its sender has given up.
+#[test]
+fn changes_and_progress_pass_links_that_are_slower_than_the_response_timeout() {
+    let cluster = Cluster::start(3);
+    let first = cluster.publish(0, "a", &json!({"n": 1}));
+    let hosts = cluster.start_hosts(&names("h", 6), &[0, 1, 2]);
+    hosts.wait_until_applied(1);
+    cluster.wait_until_applied(0, first, 6);
+    cluster.delay(&[0, 1, 2], Duration::from_millis(650));
+    let second = cluster.publish(0, "a", &json!({"n": 2}));
+    hosts.wait_until_applied(2);
+    cluster.wait_until_applied(0, second, 6);
+}
+
 #[test]
 fn crashed_origin_is_replaced_and_not_followed_after_its_return() {
     let mut cluster = Cluster::start(3);
