Slow start: what servers that drain leave over is bounded at those that warm up

Cause: the weights of a choice give a server in slow start its due beside the other ready ones, and bound nothing where these drain. Class: a share of what is left, taken for a share of the whole.

Change: the balancer remembers what the ready servers could take lately; it fades over a slow-start window. Where servers in slow start are so much of what is left that twice their capacity is less than that, a request may go to them only with that probability, and is rejected otherwise. Nothing changes while half of the recent capacity is left.

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -47,6 +47,7 @@
     ready: WeightedSlots,
     subset: WeightedSlots,
     weights_built_at: Micros,
+    recent_capacity: slow_start::RecentCapacity,
     /// The request rate for which the subset was sized.
     subset_rate: f64,
     /// A hash ring of servers, for requests with an affinity key, and the keys of recent requests.
@@ -91,6 +92,7 @@
             ready: WeightedSlots::default(),
             subset: WeightedSlots::default(),
             weights_built_at: now,
+            recent_capacity: slow_start::RecentCapacity::default(),
             subset_rate: 0.0,
             ring: Vec::new(),
             recent_keys: VecDeque::new(),
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -39,6 +39,7 @@
         let (mut best, mut without_chips, mut avoided) = (None, None, None);
         let owner = self.ring_owner(request.affinity_key);
         let panic = self.in_panic();
+        let may_use_warming = request.attempts.is_empty() && self.may_use_warming();
         for pick in 0..2 {
             for redraw in 0..REDRAWS {
                 // A subset without an available server is left for the whole fleet; a full one is not.
@@ -54,7 +55,7 @@
                 }
                 // When most servers have no chips, redraws and retries would pile onto those that are warming up and
                 // still have confidence. These can only be met on the first draw of the first attempt.
-                if warm < 1.0 && (redraw > 0 || !request.attempts.is_empty()) {
+                if warm < 1.0 && (redraw > 0 || !may_use_warming) {
                     continue;
                 }
                 let available = self.is_available(&self.servers[slot], panic);
@@ -78,7 +79,9 @@
         if request.over_quota {
             return best;
         }
-        best.or(without_chips).or(avoided).or_else(|| self.pick_fallback(request, panic))
+        best.or(without_chips)
+            .or(avoided)
+            .or_else(|| self.pick_fallback(request, panic, may_use_warming))
     }
 
     fn may_use(&self, request: &Request, slot: Slot) -> bool {
@@ -97,10 +100,15 @@
 
     /// Picks where no draw found a server: with the local zone ejected, nearly all draws fall on it while remote
     /// servers stand idle. The less used of two of those left is taken.
-    fn pick_fallback(&mut self, request: &Request, panic: bool) -> Option<Slot> {
+    fn pick_fallback(
+        &mut self,
+        request: &Request,
+        panic: bool,
+        may_use_warming: bool,
+    ) -> Option<Slot> {
         let draws = [(); 3].map(|()| self.uniform());
         let mut left = self.fallback_candidates(request, panic);
-        let takes_warming = request.attempts.is_empty() && self.warming_turn(&left, draws[2]);
+        let takes_warming = may_use_warming && self.warming_turn(&left, draws[2]);
         if !takes_warming {
             left.warming.clear();
         } else if !left.warming.is_empty() {
@@ -143,7 +151,7 @@
         draw * self.total_capacity(&self.ready.slots) <= most * self.total_capacity(&left.warming)
     }
 
-    fn total_capacity(&self, slots: &[Slot]) -> f64 {
+    pub(super) fn total_capacity(&self, slots: &[Slot]) -> f64 {
         slots.iter().map(|&slot| self.available_weight(&self.servers[slot])).sum()
     }
 
@@ -271,6 +279,7 @@
 
     fn rebuild_weights(&mut self) {
         self.weights_built_at = self.now;
+        self.update_recent_capacity();
         self.ready.sums = self.running_sums(&self.ready.slots);
         self.subset.sums = self.running_sums(&self.subset.slots);
         let fault_rates = self.subset.slots.iter().map(|&slot| self.servers[slot].fault_rate);
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -58,7 +58,47 @@
     }
 }
 
+/// Where servers in slow start are most of what is left, they get so many times their part of the recent capacity. They
+/// fall at a higher multiple, but not all sidecars have the same list at the same time.
+const MAX_WARMING_MULTIPLE: f64 = 2.0;
+
+/// What the ready servers can take, and could lately. Requests do not become fewer when servers drain.
+#[derive(Debug, Default)]
+pub(super) struct RecentCapacity {
+    present: f64,
+    recent: f64,
+    updated_at: Micros,
+}
+
+impl RecentCapacity {
+    /// Takes in the present capacity. What is more than that fades over a slow-start window: by then the servers that
+    /// are left have warmed up.
+    fn update(&mut self, present: f64, now: Micros, window: Micros) {
+        let age = now.saturating_sub(self.updated_at) as f64;
+        let faded = self.recent * (-age / window.max(1) as f64).exp();
+        // What was there until now has not faded.
+        self.recent = faded.max(self.present).max(present);
+        self.present = present;
+        self.updated_at = now;
+    }
+}
+
 impl Balancer {
+    /// Takes in what the ready servers can take now.
+    pub(super) fn update_recent_capacity(&mut self) {
+        let present = self.total_capacity(&self.ready.slots);
+        let window = self.settings.rules.slow_start_window;
+        self.recent_capacity.update(present, self.now, window);
+    }
+
+    /// Whether a request may go to a server in slow start. Always, unless most of the recent capacity has gone: the
+    /// weights of a choice bound nothing where there is no other choice.
+    pub(super) fn may_use_warming(&mut self) -> bool {
+        let RecentCapacity { present, recent, .. } = self.recent_capacity;
+        let share = MAX_WARMING_MULTIPLE * present / recent;
+        share >= 1.0 || self.uniform() < share
+    }
+
     /// The share of its full capacity that a server surely has by now.
     pub(super) fn slow_start_weight(&self, server: &Server) -> f64 {
         let Some(warming_since) = server.warming_since else { return 1.0 };
