Selection: a draw and what it finds are functions of their own

Need: pick had grown to one function with three exits in nested loops.

Change: draw, consider and the typed DrawnServers. Decisions are unchanged.

--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -19,6 +19,17 @@
 /// How many of the last affinity keys are remembered.
 pub(super) const RECENT_KEYS: usize = 64;
 
+/// What the draws for a request have found.
+#[derive(Clone, Copy, Debug, Default)]
+struct DrawnServers {
+    /// The less used of those with chips.
+    best: Option<Slot>,
+    /// The less used of those without.
+    without_chips: Option<Slot>,
+    /// The first that was passed over, as it is slow or fails.
+    avoided: Option<Slot>,
+}
+
 /// The servers that are left where no draw found one.
 #[derive(Debug, Default)]
 struct FallbackCandidates {
@@ -36,52 +47,70 @@
             return None;
         }
         self.refresh_weights();
-        let (mut best, mut without_chips, mut avoided) = (None, None, None);
         let owner = self.ring_owner(request.affinity_key);
         let panic = self.in_panic();
+        // When most servers have no chips, redraws and retries would pile onto those that are warming up and still
+        // have confidence. These can only be met on the first draw of the first attempt.
         let may_use_warming = request.attempts.is_empty() && self.may_use_warming();
+        let mut drawn = DrawnServers::default();
         for pick in 0..2 {
             for redraw in 0..REDRAWS {
-                // A subset without an available server is left for the whole fleet; a full one is not.
-                let leave_subset = redraw >= REDRAWS / 2 && best.or(without_chips).is_none();
-                let position = self.uniform();
-                let drawn = if leave_subset { &self.ready } else { &self.subset }.at(position);
-                let owner = owner.filter(|_| redraw == 0 && pick == 0);
-                let slot = owner.unwrap_or(drawn);
-                // A server that is warming up must not get all of the keys that it owns.
-                let warm = self.slow_start_weight(&self.servers[slot]);
-                if owner.is_some() && warm < 1.0 && self.uniform() > warm {
+                let slot = self.draw(&drawn, owner.filter(|_| redraw == 0 && pick == 0), redraw);
+                let Some(slot) = slot else { continue };
+                let is_warming = self.slow_start_weight(&self.servers[slot]) < 1.0;
+                if is_warming && (redraw > 0 || !may_use_warming) {
                     continue;
                 }
-                // When most servers have no chips, redraws and retries would pile onto those that are warming up and
-                // still have confidence. These can only be met on the first draw of the first attempt.
-                if warm < 1.0 && (redraw > 0 || !may_use_warming) {
-                    continue;
-                }
-                let available = self.is_available(&self.servers[slot], panic);
-                if best == Some(slot) || !available || !self.may_use(request, slot) {
-                    continue;
-                }
-                if self.passes_over(request, slot) {
-                    // Where nearly all draws are passed over, a request would find no server.
-                    avoided.get_or_insert(slot);
-                    continue;
-                }
-                if self.has_confidence(&self.servers[slot]) {
-                    best = Some(self.less_used(best, slot));
+                if self.consider(request, slot, panic, &mut drawn) {
                     break;
                 }
-                without_chips = Some(self.less_used(without_chips, slot));
             }
         }
+        let DrawnServers { best, without_chips, avoided } = drawn;
         // Where servers reject what they have no capacity for, nothing is late, and requests over a quota would take
         // the places of others. Without a chip they are rejected. Harmful where no server reports.
         if request.over_quota {
             return best;
         }
-        best.or(without_chips)
-            .or(avoided)
-            .or_else(|| self.pick_fallback(request, panic, may_use_warming))
+        let found = best.or(without_chips).or(avoided);
+        found.or_else(|| self.pick_fallback(request, panic, may_use_warming))
+    }
+
+    /// Draws a server by weight, or takes the owner of the request's key; None if the owner is passed over.
+    fn draw(&mut self, drawn: &DrawnServers, owner: Option<Slot>, redraw: usize) -> Option<Slot> {
+        // A subset without an available server is left for the whole fleet; a full one is not.
+        let leave_subset = redraw >= REDRAWS / 2 && drawn.best.or(drawn.without_chips).is_none();
+        let position = self.uniform();
+        let Some(owner) = owner else {
+            return Some(if leave_subset { &self.ready } else { &self.subset }.at(position));
+        };
+        // A server that is warming up must not get all of the keys that it owns.
+        let warm = self.slow_start_weight(&self.servers[owner]);
+        let passed_over = warm < 1.0 && self.uniform() > warm;
+        (!passed_over).then_some(owner)
+    }
+
+    /// Notes what a drawn server is to a request. Returns whether it is one with chips that may get it.
+    fn consider(
+        &mut self,
+        request: &Request,
+        slot: Slot,
+        panic: bool,
+        drawn: &mut DrawnServers,
+    ) -> bool {
+        let available = self.is_available(&self.servers[slot], panic);
+        if drawn.best == Some(slot) || !available || !self.may_use(request, slot) {
+            return false;
+        }
+        if self.passes_over(request, slot) {
+            // Where nearly all draws are passed over, a request would find no server.
+            drawn.avoided.get_or_insert(slot);
+            return false;
+        }
+        let has_chips = self.has_confidence(&self.servers[slot]);
+        let place = if has_chips { &mut drawn.best } else { &mut drawn.without_chips };
+        *place = Some(self.less_used(*place, slot));
+        has_chips
     }
 
     fn may_use(&self, request: &Request, slot: Slot) -> bool {
