--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -15,15 +15,7 @@
         match sent(&out) {
             Some(to) => {
                 b.now += 20 * MS;
-                b.event(Event::AttemptEnded(AttemptEnd {
-                    id,
-                    attempt: 0,
-                    server: to,
-                    outcome: Outcome::Success,
-                    latency: 170 * MS,
-                    finished: true,
-                    report: report(0.0),
-                }));
+                b.answer_after(170 * MS, id, to, 0.0);
             }
             None => shed[usize::from(b.over_quota)] += 1,
         }
@@ -75,15 +67,7 @@
             Some(to) => {
                 let latency = 170 * MS;
                 b.now += 20 * MS;
-                b.event(Event::AttemptEnded(AttemptEnd {
-                    id,
-                    attempt: 0,
-                    server: to,
-                    outcome: Outcome::Success,
-                    latency,
-                    finished: true,
-                    report: report(3.0),
-                }));
+                b.answer_after(latency, id, to, 3.0);
             }
             None if class == 0 => cheap += 1,
             None => dear += 1,
@@ -125,15 +109,7 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::AttemptEnded(AttemptEnd {
-                id,
-                attempt: 0,
-                server: to,
-                outcome: Outcome::Success,
-                latency,
-                finished: true,
-                report: report(1.0),
-            }));
+            b.answer_after(latency, id, to, 1.0);
         }
         shed
     };
@@ -157,15 +133,7 @@
                 shed += 1;
                 continue;
             };
-            b.event(Event::AttemptEnded(AttemptEnd {
-                id,
-                attempt: 0,
-                server: to,
-                outcome: Outcome::Success,
-                latency,
-                finished: true,
-                report: report(1.0),
-            }));
+            b.answer_after(latency, id, to, 1.0);
         }
         shed
     };
--- a/tests/balancer/selection.rs
+++ b/tests/balancer/selection.rs
@@ -19,15 +19,7 @@
         }
         let latency = if to == slow { 90 * MS } else { 20 * MS };
         b.now += latency;
-        b.event(Event::AttemptEnded(AttemptEnd {
-            id,
-            attempt: 0,
-            server: to,
-            outcome: Outcome::Success,
-            latency,
-            finished: true,
-            report: report(0.0),
-        }));
+        b.answer_after(latency, id, to, 0.0);
     }
     assert!(to_slow < 20, "{to_slow} of 200 sends to the slow one of four");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -164,6 +164,19 @@
 }
 
 impl Bench {
+    /// Has the first attempt of a request succeed, with this answer time.
+    pub fn answer_after(&mut self, latency: Micros, id: RequestId, server: ServerId, queue: f32) {
+        self.event(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: 0,
+            server,
+            outcome: Outcome::Success,
+            latency,
+            finished: true,
+            report: report(queue),
+        }));
+    }
+
     /// Sends so many requests, one after the other, each answered after 20 ms.
     pub fn rounds(&mut self, count: usize) {
         for _ in 0..count {
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -213,6 +213,16 @@
     assert!(!calls[2].1.contains("from="), "the complete list is asked for: {calls:?}");
 }
 
+/// Sends some orders, which are all served, and none of them by `server`.
+fn assert_gets_nothing_new(sidecar: &Sidecar, server: &Server) {
+    let before = server.seen().len();
+    for n in 0..50 {
+        let id = format!("order{n}");
+        assert!(sidecar.exchange(&order(&id)).ends_with(&format!("\r\n\r\n{id}")));
+    }
+    assert_eq!(server.seen().len(), before, "the server gets new requests");
+}
+
 /// Discovery is polled, and `mustAskIn` is long. Found by reading: the backoff went by it alone, so a drain
 /// that discovery had announced for half a minute was not known here.
 #[test]
@@ -242,12 +252,7 @@
     let took = calls[6].0 - calls[4].0;
     assert!(took < Duration::from_secs(6), "two backoffs and two calls took {took:?}");
     sidecar.wait_until_reaches(&new);
-    let before = old.seen().len();
-    for n in 0..50 {
-        let id = format!("order{n}");
-        assert!(sidecar.exchange(&order(&id)).ends_with(&format!("\r\n\r\n{id}")));
-    }
-    assert_eq!(old.seen().len(), before, "the draining server gets no new requests");
+    assert_gets_nothing_new(&sidecar, &old);
 }
 
 /// A server that a complete list does not name is gone even if it still responds: idle connections to
@@ -266,12 +271,7 @@
     });
     agent.becomes_discovery_of(&sidecar);
     sidecar.wait_until_reaches(&new);
-    let before = old.seen().len();
-    for n in 0..50 {
-        let id = format!("order{n}");
-        assert!(sidecar.exchange(&order(&id)).ends_with(&format!("\r\n\r\n{id}")));
-    }
-    assert_eq!(old.seen().len(), before, "the missing server gets no requests");
+    assert_gets_nothing_new(&sidecar, &old);
 }
 
 /// Discovery is polled, and moves a second time while the call to its first new address is unanswered.
