--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -12,7 +12,7 @@
 use crate::scenario::Scenario;
 use crate::testbed::{Programs, TestbedError};
 
-pub use draw::{QUIET_END, SoakSize, draw};
+pub use draw::{QUIET_END, SoakSize, draw, polls_lists};
 
 mod draw;
 #[cfg(test)]
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -43,6 +43,8 @@
 const REQUESTS_PER_SIDECAR: f64 = 20.0;
 /// Objectives and deadlines are longer by this factor: two dozen processes share a few cores.
 const TIME_SCALE: f64 = 1.4;
+/// The value of `settings.discovery` where lists are polled.
+const POLLED_LISTS: &str = "on_request";
 const QUOTA_PER_S: f64 = 10_000.0;
 
 /// How large a run is.
@@ -87,6 +89,12 @@
     }
 }
 
+/// Whether the sidecars of a run poll their lists. Otherwise an agent has them.
+pub fn polls_lists(scenario: &Scenario) -> bool {
+    let polls = |patch: &ConfigurationPatch| patch.patch["settings"]["discovery"] == POLLED_LISTS;
+    scenario.configuration_patches.iter().any(polls)
+}
+
 struct Plan {
     rng: StdRng,
     sidecars: u16,
@@ -302,7 +310,7 @@
         let mut patches = Vec::new();
         let all: BTreeSet<u16> = (0..self.sidecars).collect();
         if self.rng.random_bool(0.5) {
-            let patch = json!({"settings": {"discovery": "on_request"}});
+            let patch = json!({"settings": {"discovery": POLLED_LISTS}});
             patches.push(ConfigurationPatch { sidecars: all.clone(), patch });
         }
         if self.rng.random_bool(0.5) {
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -64,6 +64,12 @@
     }
 }
 
+#[test]
+fn half_of_the_plans_poll_their_lists() {
+    let polled = (0..200).filter(|&seed| polls_lists(&draw(seed, SIZE))).count();
+    assert!((70..=130).contains(&polled), "{polled} of 200");
+}
+
 fn sample(at_s: f64, served: u64, rejected: u64) -> Sample {
     let totals = Totals { served, rejected, ..Totals::default() };
     Sample { at_s, totals, ..Sample::default() }
--- a/crates/lbctl/src/soak.rs
+++ b/crates/lbctl/src/soak.rs
@@ -10,6 +10,7 @@
 use clap::Args;
 use fakes::account::Report;
 use fault_injection::runner::{Outcome as RunOutcome, Progress};
+use fault_injection::scenario::Scenario;
 use fault_injection::soak::{self, Findings, QUIET_END, SoakSize};
 use fault_injection::testbed::Programs;
 
@@ -63,8 +64,14 @@
 fn play_all(arguments: &Arguments) -> Result<Outcome, CommandError> {
     let mut failed = Vec::new();
     for seed in arguments.seeds.clone() {
-        let (outcome, findings) = play(arguments, seed)?;
-        println!("seed {seed}: {}", summary(&outcome.account));
+        let size = SoakSize {
+            sidecars: arguments.sidecars,
+            duration: Duration::from_secs(arguments.seconds),
+        };
+        let scenario = soak::draw(seed, size);
+        let lists = if soak::polls_lists(&scenario) { "polled" } else { "pushed" };
+        let (outcome, findings) = play(arguments, &scenario)?;
+        println!("seed {seed}, lists {lists}: {}", summary(&outcome.account));
         for finding in &findings.0 {
             println!("  {finding}");
         }
@@ -77,21 +84,22 @@
     Ok(Outcome::of(failed.is_empty()))
 }
 
-fn play(arguments: &Arguments, seed: u64) -> Result<(RunOutcome, Findings), CommandError> {
+fn play(
+    arguments: &Arguments,
+    scenario: &Scenario,
+) -> Result<(RunOutcome, Findings), CommandError> {
     let mut programs = Programs::built(true)?;
     if let Some(program) = &arguments.program {
         programs.sidecar = program.canonicalize().map_err(CommandError::file(program))?;
     }
-    let duration = Duration::from_secs(arguments.seconds);
-    let scenario = soak::draw(seed, SoakSize { sidecars: arguments.sidecars, duration });
-    let mut journal = journal(arguments, seed)?;
+    let mut journal = journal(arguments, scenario.seed)?;
     let observe = |progress: &Progress<'_>| {
         if let Some(journal) = &mut journal {
             // A journal that cannot be written does not end the run.
             let _ = writeln!(journal, "{}", serde_json::to_string(progress).unwrap_or_default());
         }
     };
-    Ok(soak::run(&scenario, programs, observe)?)
+    Ok(soak::run(scenario, programs, observe)?)
 }
 
 fn journal(arguments: &Arguments, seed: u64) -> Result<Option<File>, CommandError> {
