--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -261,11 +261,11 @@
         }
     }
 
-    /// Records that a server was sent a request long after it was listed as draining.
+    /// Records that a server was sent a request too long after it was listed as draining, or taken off the list.
     pub fn record_late_drain(&self, server: &str, request_id: &str) {
         let mut inner = self.lock();
         inner.counts.sent_to_draining += 1;
-        inner.add_example(format!("{request_id} came to {server}, which drains"));
+        inner.add_example(format!("{request_id} came to {server}, which drains or was removed"));
     }
 
     /// The latencies of what was served since the last call, by class. Later reports are without them.
--- a/crates/fault-injection/src/soak/draw/replacement.rs
+++ b/crates/fault-injection/src/soak/draw/replacement.rs
@@ -12,7 +12,7 @@
 /// The number of steps; each is a version of the list.
 const STEPS: Range<usize> = 2..5;
 /// The most servers of one step.
-const MAX_SERVERS: usize = 2;
+const MAX_SERVERS_PER_STEP: usize = 2;
 /// The time between two steps. Some are shorter than the grace period of a draining server, some are longer.
 const STEP_INTERVAL_S: Range<f64> = 0.1..2.5;
 /// How long it takes until the servers of a step are back. Some are gone for longer than polled lists may take.
@@ -29,7 +29,7 @@
         servers.shuffle(&mut self.rng);
         let mut step_s = at_s;
         for _ in 0..self.rng.random_range(STEPS) {
-            let count = self.rng.random_range(1..=MAX_SERVERS);
+            let count = self.rng.random_range(1..=MAX_SERVERS_PER_STEP);
             let withdrawn: BTreeSet<u16> = servers.drain(..count).collect();
             let announced = self.rng.random();
             let state = if announced { ServerState::Draining } else { ServerState::Removed };
--- a/crates/lbctl/src/soak.rs
+++ b/crates/lbctl/src/soak.rs
@@ -63,11 +63,9 @@
 
 fn play_all(arguments: &Arguments) -> Result<Outcome, CommandError> {
     let mut failed = Vec::new();
+    let duration = Duration::from_secs(arguments.seconds);
+    let size = SoakSize { sidecars: arguments.sidecars, duration };
     for seed in arguments.seeds.clone() {
-        let size = SoakSize {
-            sidecars: arguments.sidecars,
-            duration: Duration::from_secs(arguments.seconds),
-        };
         let scenario = soak::draw(seed, size);
         let lists = if soak::polls_lists(&scenario) { "polled" } else { "pushed" };
         let (outcome, findings) = play(arguments, &scenario)?;
--- a/crates/local-cluster/src/load.rs
+++ b/crates/local-cluster/src/load.rs
@@ -37,4 +37,14 @@
         }
         RunningLoad { stop, clients }
     }
+
+    /// Waits until more than `count` further requests are served.
+    ///
+    /// # Panics
+    ///
+    /// When that takes longer than [`fakes::PATIENCE`].
+    pub fn wait_until_served(&self, count: u64) {
+        let before = self.account().report().served();
+        fakes::until("requests are served", || self.account().report().served() > before + count);
+    }
 }
--- a/crates/local-cluster/tests/fleet.rs
+++ b/crates/local-cluster/tests/fleet.rs
@@ -51,11 +51,6 @@
     host.ask(&Request::History).is_ok_and(|h| h.to_string().contains(what))
 }
 
-fn wait_for_requests(host: &Host, n: u64) {
-    let before = host.account().report().served();
-    until("requests are served", || host.account().report().served() >= before + n);
-}
-
 fn assert_sound(report: &Report) {
     let text = format!("{:?}", report.examples);
     assert_eq!((report.duplicated_non_idempotent, report.duplicated_keyed), (0, 0), "{text}");
@@ -76,7 +71,7 @@
     let mut host = host(50);
     assert_eq!(host.instances().len(), 50);
     let load = host.start_load(&load());
-    wait_for_requests(&host, 100);
+    host.wait_until_served(100);
 
     // A reload that needs new processes, and one that running processes apply.
     let first = host.pids();
@@ -92,7 +87,7 @@
     host.ask(&Request::Reload).expect("sound");
     host.wait_until_settled(PATIENCE).expect("settled");
     assert_eq!(host.pids(), second, "the same processes");
-    wait_for_requests(&host, 100);
+    host.wait_until_served(100);
 
     // An upgrade to the same program with other bytes.
     let newer = host.file_path("lb-sidecar-newer");
@@ -104,7 +99,7 @@
     host.wait_until_settled(PATIENCE).expect("settled");
     let third = host.pids();
     assert!(second.iter().all(|(slot, pid)| third[slot] != *pid), "successors");
-    wait_for_requests(&host, 100);
+    host.wait_until_served(100);
 
     // A fifth of the instances is killed.
     for instance in host.instances().iter().step_by(5) {
@@ -112,12 +107,12 @@
     }
     until("their end is noticed", || host.pids() != third);
     host.wait_until_settled(PATIENCE).expect("all serve again");
-    wait_for_requests(&host, 100);
+    host.wait_until_served(100);
 
     // The daemon is killed, and its successor adopts what runs.
     let before = host.pids();
     host.kill_daemon();
-    wait_for_requests(&host, 50);
+    host.wait_until_served(50);
     host.start_daemon().expect("started");
     host.wait_until_settled(PATIENCE).expect("adopted");
     assert_eq!(host.pids(), before, "no second copy of anything");
@@ -128,7 +123,7 @@
     host.kill_instance(&one);
     until("its end is noticed", || host.pids().get(&one.slot) != one.pid.as_ref());
     host.wait_until_settled(PATIENCE).expect("all serve again");
-    wait_for_requests(&host, 50);
+    host.wait_until_served(50);
 
     load.stop();
     let report = host.account().report();
@@ -146,7 +141,7 @@
         until_in(PATIENCE, reason, || history_contains(&host, reason));
         host.wait_until_settled(PATIENCE).expect("all serve");
         assert!(host.instances().iter().all(|i| i.generation == Some(1)), "{reason}");
-        wait_for_requests(&host, 50);
+        host.wait_until_served(50);
     };
 
     // A file that cannot be parsed, and one that the sidecar itself would reject.
@@ -198,7 +193,7 @@
     until_in(PATIENCE, "it is told", || history_contains(&host, "at the canary"));
     host.wait_until_settled(PATIENCE).expect("all serve");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
-    wait_for_requests(&host, 200);
+    host.wait_until_served(200);
     load.stop();
     let report = host.account().report();
     let text = format!("{:?}", report.examples);
--- a/crates/local-cluster/tests/hard_cases/daemon.rs
+++ b/crates/local-cluster/tests/hard_cases/daemon.rs
@@ -13,7 +13,6 @@
 
 use crate::support::{
     PATIENCE, assert_sound, change_objective, history_contains, host, plan, start_load, started,
-    wait_for_requests,
 };
 
 #[test]
@@ -169,7 +168,7 @@
 fn instances_can_be_replaced_after_daemon_and_socket_holder_were_killed() {
     let mut host = host(3);
     let load = start_load(&host);
-    wait_for_requests(&host, 20);
+    host.wait_until_served(20);
     let before = host.pids();
     host.kill_daemon();
     // The holder has no daemon now, and is terminated as a daemon would do it.
--- a/crates/local-cluster/tests/hard_cases/rollouts.rs
+++ b/crates/local-cluster/tests/hard_cases/rollouts.rs
@@ -10,7 +10,6 @@
 
 use crate::support::{
     PATIENCE, assert_sound, change_objective, history_contains, host, plan, start_load, started,
-    wait_for_requests,
 };
 
 #[test]
@@ -35,7 +34,7 @@
 fn shutdown_during_a_rollout_ends_all_and_the_next_daemon_finishes_it() {
     let mut host = host(6);
     let load = start_load(&host);
-    wait_for_requests(&host, 20);
+    host.wait_until_served(20);
     change_objective(&host, 0.44);
     host.ask(&Request::Reload).expect("sound");
     until("a successor is there", || host.instances().iter().any(|i| i.generation == Some(2)));
@@ -56,7 +55,7 @@
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(2)));
     let load = start_load(&host);
-    wait_for_requests(&host, 20);
+    host.wait_until_served(20);
     load.stop();
     assert_sound(&host);
 }
@@ -99,7 +98,7 @@
     until_in(PATIENCE, why, || history_contains(&host, why));
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
-    wait_for_requests(&host, 100);
+    host.wait_until_served(100);
     load.stop();
     assert_sound(&host);
 }
@@ -134,7 +133,7 @@
     let host = host(6);
     let load = start_load(&host);
     // A rollback takes a tenth of a second: without this, none of its requests may have been sent yet.
-    wait_for_requests(&host, 20);
+    host.wait_until_served(20);
     assert!(host.ask(&Request::Rollback).is_err(), "no rollout runs");
     change_objective(&host, 0.44);
     host.ask(&Request::Reload).expect("sound");
@@ -143,7 +142,7 @@
     host.wait_until_settled(PATIENCE).expect("settled");
     assert!(host.instances().iter().all(|i| i.generation == Some(1)));
     assert!(history_contains(&host, "generation 2 goes back: as was asked"));
-    wait_for_requests(&host, 20);
+    host.wait_until_served(20);
     load.stop();
     assert_sound(&host);
 }
--- a/crates/local-cluster/tests/hard_cases/support.rs
+++ b/crates/local-cluster/tests/hard_cases/support.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use fakes::clients::Load;
-use fakes::until;
 use fakes::world::{World, classes};
 use fleet::control::Request;
 use local_cluster::{Host, Plan, RunningLoad};
@@ -44,12 +43,6 @@
     })
 }
 
-/// Waits until more than this many further requests are served.
-pub fn wait_for_requests(host: &Host, count: u64) {
-    let before = host.account().report().served();
-    until("requests are served", || host.account().report().served() > before + count);
-}
-
 /// No rule was broken, and no connection refused.
 pub fn assert_sound(host: &Host) {
     let report = host.account().report();
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -58,8 +58,9 @@
     }
 }
 
-/// Where servers in slow start are most of what is left, they get so many times their part of the recent capacity. They
-/// fall at a higher multiple, but not all sidecars have the same list at the same time.
+/// Where little of the recent capacity is left, a request may go to servers in slow start with so many times the
+/// probability that is left of it. If there are no others, they get so many times what they can take of a full load; beside
+/// few others somewhat more, as the less used of two is taken. They fall at a higher multiple.
 const MAX_WARMING_MULTIPLE: f64 = 2.0;
 
 /// What the ready servers can take, and could lately. Requests do not become fewer when servers drain.
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -1,9 +1,18 @@
 //! Servers that are warming up.
 
 use lb_sidecar::api::*;
+use lb_sidecar::settings::Settings;
 
 use crate::common::*;
 
+/// The settings of one of many sidecars.
+fn settings_of_one(me: u64, instances: u32) -> Settings {
+    settings(|s| {
+        s["instances"] = instances.into();
+        s["me"] = me.into();
+    })
+}
+
 /// Slow start: many sidecars counted together, each assuming the others do likewise. A cold
 /// server's share of sends must stay under the multiple of its present capacity's share.
 #[test]
@@ -14,11 +23,7 @@
     let (mut to_cold, mut all) = (0, 0);
     for seed in 0..300 {
         let servers: Vec<_> = (0..n).map(server).collect();
-        let mine = settings(|s| {
-            s["instances"] = 300.into();
-            s["me"] = seed.into();
-        });
-        let mut b = Bench::new(mine, seed, &servers);
+        let mut b = Bench::new(settings_of_one(seed, 300), seed, &servers);
         for _ in 0..10 {
             b.round(0, 1.0);
         }
@@ -207,11 +212,7 @@
     let (mut to_warming, mut all) = (0, 0);
     for seed in 0..100 {
         let servers: Vec<_> = (0..fleet).map(server).collect();
-        let mine = settings(|s| {
-            s["instances"] = 100.into();
-            s["me"] = seed.into();
-        });
-        let mut b = Bench::new(mine, seed, &servers);
+        let mut b = Bench::new(settings_of_one(seed, 100), seed, &servers);
         b.servers(ListKind::Complete, &servers);
         b.rounds(20);
         b.now += S;
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -159,14 +159,19 @@
     assert!(took < Duration::from_secs(12), "{took:?}: {calls:?}");
 }
 
+/// A sidecar that polls its lists.
+fn polling_sidecar(registry: Registry) -> Sidecar {
+    Sidecar::start_with(registry, |config| {
+        config["settings"]["discovery"] = "on_request".into();
+    })
+}
+
 /// Discovery is polled, and needs two seconds for an answer. Found by reading, after the same mistake with an agent: a call
 /// was dropped after 1.5 s and followed by the next, so that no answer ever arrived, and changes were never known.
 #[test]
 fn slow_service_is_understood_although_it_is_called_again() {
     let (old, new) = (Server::echo(), Server::echo());
-    let sidecar = Sidecar::start_with(discovery(&[&old]), |config| {
-        config["settings"]["discovery"] = "on_request".into();
-    });
+    let sidecar = polling_sidecar(discovery(&[&old]));
     let (first, changed) = (Entry::new(old.at, "a"), Entry::new(new.at, "a"));
     let service = Agent::start(move |n, path, socket| {
         if n == 1 {
@@ -191,9 +196,7 @@
 #[test]
 fn changes_up_to_an_older_version_are_followed_by_the_complete_list() {
     let (old, new) = (Server::echo(), Server::echo());
-    let sidecar = Sidecar::start_with(discovery(&[&old]), |config| {
-        config["settings"]["discovery"] = "on_request".into();
-    });
+    let sidecar = polling_sidecar(discovery(&[&old]));
     let (first, changed) = (Entry::new(old.at, "a"), Entry::new(new.at, "a"));
     let service = Agent::start(move |n, path, socket| match n {
         1 => write_list(socket, 9, true, std::slice::from_ref(&first)),
@@ -278,9 +281,7 @@
 #[test]
 fn discovery_move_does_not_wait_for_a_pending_call() {
     let server = Server::echo();
-    let sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
-        config["settings"]["discovery"] = "on_request".into();
-    });
+    let sidecar = polling_sidecar(discovery(&[&server]));
     let (silent, next) = (Agent::start(|_, _, _| true), Agent::start(|_, _, _| true));
     silent.becomes_discovery_of(&sidecar);
     until("it calls the first address", || !silent.calls().is_empty());
