Ingress: a close that leaves a request unanswered is logged, with its connection

Cause: the reports of connections that end under a request have no line of the close: closes were logged at debug level only, and counted by reason without a connection or a request. Change: such a close is a warning at the default level (connection, reason, what of the input was read, how long the connection was idle, its last request) and counted in events.unanswered; debug lines tell withdrawn closes, rejections without an attempt and the beginning of each attempt. Phases and clocks of connections have modules of their own, unchanged.

--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -129,6 +129,13 @@
         let started = P::now();
         let deadline = limits.deadline;
         let upload = request.upload.clone();
+        tracing::debug!(
+            request = request.correlation_id(),
+            attempt = id.index,
+            address = %endpoint.address,
+            limit_ms = deadline.saturating_duration_since(started).as_millis() as u64,
+            "attempt begins"
+        );
         let result = tokio::select! {
             biased;
             result = self.upstream.attempt(endpoint, &request, limits) => result,
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -61,6 +61,7 @@
     refusals: [Cell<u64>; SendRefusal::ALL.len()],
     ends: [Cell<u64>; EndReason::ALL.len()],
     closes: [Cell<u64>; CloseReason::ALL.len()],
+    unanswered: [Cell<u64>; CloseReason::ALL.len()],
     withdrawn_closes: Cell<u64>,
 }
 
@@ -108,6 +109,11 @@
         increment(&self.closes[reason as usize]);
     }
 
+    /// Counts a connection that ended with input of its client unanswered.
+    pub fn record_unanswered(&self, reason: CloseReason) {
+        increment(&self.unanswered[reason as usize]);
+    }
+
     /// Counts a connection that was to be closed while idle, and was in use by then.
     pub fn record_withdrawn_close(&self) {
         increment(&self.withdrawn_closes);
@@ -131,6 +137,8 @@
         ));
         all.extend(group("ended", EndReason::ALL.map(EndReason::name).into(), &self.ends));
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
+        let reasons = CloseReason::ALL.map(CloseReason::name).into();
+        all.extend(group("unanswered", reasons, &self.unanswered));
         let count = self.withdrawn_closes.get();
         all.push(EventCount { name: "close_withdrawn".to_owned(), count });
         all
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -9,6 +9,8 @@
 use runtime::{Observer, Runtime, Tcp};
 use tokio::sync::Notify;
 
+use super::clocks::{ReceiveClock, UpstreamWait};
+use super::phase::{EvictionClass, EvictionRank, Phase};
 use crate::sidecar::body::client_transfer_time;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
@@ -23,6 +25,8 @@
 /// How often the timeout of a connection is evaluated while its request is in progress. The
 /// balancer limits that time.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How much of a correlation id is kept for the log.
+const MAX_LOGGED_ID_CHARS: usize = 64;
 /// How often a client is checked for having disconnected while input of it waits unread.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// With many connections, one that has been idle for this long after its last response may be
@@ -31,115 +35,34 @@
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
 /// The same for a connection without any request so far: its first request would be lost with it.
 const MIN_UNUSED_BEFORE_EVICTION: Duration = Duration::from_secs(1);
-/// How many bytes of a body can wait unread in the system's receive buffer.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 
-/// What a client connection is doing.
+/// Input of a client that has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// No byte of a request has been received.
-    Idle,
-    /// Part of a request has been received.
-    ReceivingRequest,
-    /// The rest of a long body is streamed to a server; its pace is enforced where it is read.
-    StreamingRequest,
-    /// The request is complete and its response is awaited.
-    AwaitingResponse,
-    /// The response is available; some of it may not have been written.
-    Responding,
-    /// The last response is written; further input is read and discarded.
-    Lingering,
+pub(super) enum Unanswered {
+    /// It waits in the socket.
+    Unread,
+    /// Part of a request was read.
+    PartlyRead,
+    /// A request was read.
+    Read,
 }
 
-impl Phase {
-    /// Whether a request has been taken on and its response is not yet completely written.
-    pub fn is_busy(self) -> bool {
-        matches!(self, Phase::StreamingRequest | Phase::AwaitingResponse | Phase::Responding)
+impl Unanswered {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Unanswered::Unread => "unread",
+            Unanswered::PartlyRead => "partly_read",
+            Unanswered::Read => "read",
+        }
     }
 }
 
-/// Which connection is closed first when room is needed: the smallest is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct EvictionRank {
-    class: EvictionClass,
-    since: Instant,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionClass {
-    Lingering,
-    Idle,
-    ReceivingRequest,
-}
-
 /// The client has disconnected, or nothing more can be said to it.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
 #[error("the client connection is no longer usable")]
 pub(super) struct ClientDisconnected;
 
-/// Estimates when input was received that waited in the system's buffer before it was read.
-struct ReceiveClock {
-    /// Everything received so far has been read.
-    drained: Cell<bool>,
-    /// When input was last read that cannot have waited in the buffer.
-    fresh_at: Cell<Instant>,
-    /// Bytes read since then.
-    read_since: Cell<u64>,
-}
-
-impl ReceiveClock {
-    fn new(now: Instant) -> ReceiveClock {
-        ReceiveClock {
-            drained: Cell::new(true),
-            fresh_at: Cell::new(now),
-            read_since: Cell::new(0),
-        }
-    }
-
-    /// Records that `bytes` were read.
-    ///
-    /// The rest of a long body waits in the buffer until an attempt wants it, and its time runs
-    /// from when it was received. Where the client was still sending in the meantime, its time is
-    /// estimated shorter than it is.
-    fn record<P: Runtime>(&self, bytes: usize) {
-        let read_since = self.read_since.get() + bytes as u64;
-        if self.drained.replace(false) || read_since > MAX_BUFFERED_BYTES {
-            self.fresh_at.set(P::now());
-            self.read_since.set(0);
-        } else {
-            self.read_since.set(read_since);
-        }
-    }
-}
-
-/// How long a response has waited for its server. The client is not charged for that time.
-#[derive(Default)]
-struct UpstreamWait {
-    finished: Cell<Duration>,
-    /// Since when it waits again.
-    since: Cell<Option<Instant>>,
-}
-
-impl UpstreamWait {
-    fn reset(&self) {
-        self.finished.set(Duration::ZERO);
-        self.since.set(None);
-    }
-
-    fn is_waiting(&self) -> bool {
-        self.since.get().is_some()
-    }
-
-    fn start<P: Runtime>(&self) {
-        self.since.set(Some(self.since.get().unwrap_or_else(P::now)));
-    }
-
-    fn finish<P: Runtime>(&self) {
-        let waited = self.since.take().map_or(Duration::ZERO, P::elapsed_since);
-        self.finished.set(self.finished.get() + waited);
-    }
-}
-
 /// One client connection, as it is observed between hyper and its socket.
 ///
 /// Every phase that depends on the client has a timeout of its own, which nothing extends but
@@ -147,6 +70,10 @@
 /// clients that hold a connection and never finish: silent ones, slow senders and those that do not
 /// read. It does harm to honest clients that are slower than that.
 pub(super) struct ClientConnection<P: Runtime> {
+    /// Its place in the order in which connections were accepted.
+    number: u64,
+    /// The correlation id of its last request, or the beginning of it; empty before the first.
+    last_request: RefCell<String>,
     /// The connection's task alone keeps the socket open.
     socket: Weak<P::Tcp>,
     phase: Cell<Phase>,
@@ -174,11 +101,14 @@
 impl<P: Runtime> ClientConnection<P> {
     /// A connection without a request, whose request bodies may have up to `max_body` bytes.
     pub fn new(
+        number: u64,
         socket: &Rc<P::Tcp>,
         accept_delay: Duration,
         max_body: usize,
     ) -> ClientConnection<P> {
         ClientConnection {
+            number,
+            last_request: RefCell::default(),
             socket: Rc::downgrade(socket),
             phase: Cell::new(Phase::Idle),
             last_progress: Cell::new(P::now()),
@@ -197,6 +127,40 @@
         }
     }
 
+    /// Its place in the order in which connections were accepted.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Notes the correlation id of a request, for the log.
+    pub fn begin_request_id(&self, correlation_id: &str) {
+        let mut last = self.last_request.borrow_mut();
+        last.clear();
+        last.extend(correlation_id.chars().take(MAX_LOGGED_ID_CHARS));
+    }
+
+    /// The correlation id of the last request, or the beginning of it; empty before the first.
+    pub fn last_request(&self) -> String {
+        self.last_request.borrow().clone()
+    }
+
+    /// For how long the connection has been in its phase or, while responding, made no progress.
+    pub fn time_in_phase(&self) -> Duration {
+        P::elapsed_since(self.last_progress.get())
+    }
+
+    /// What a client that has not left would miss if its connection ended now, if anything.
+    pub fn unanswered(&self) -> Option<Unanswered> {
+        let request = match self.phase.get() {
+            Phase::Lingering | Phase::Responding => None,
+            Phase::AwaitingResponse => Some(Unanswered::Read),
+            Phase::ReceivingRequest | Phase::StreamingRequest => Some(Unanswered::PartlyRead),
+            Phase::Idle if self.has_no_unread_input() => None,
+            Phase::Idle => Some(Unanswered::Unread),
+        };
+        request.filter(|_| !self.is_gone())
+    }
+
     /// What the connection is doing.
     pub fn phase(&self) -> Phase {
         self.phase.get()
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -4,13 +4,17 @@
 //! exactly one response. Requests of one connection are served one after another.
 //!
 //! - `accept`: accepting connections within their budget, and evicting idle ones;
-//! - `connection`: what one connection is doing, and its timeouts;
+//! - `connection`: one connection as it is observed, its timeouts and when it may be closed;
+//! - `phase`: what a connection is doing, and the order of eviction;
+//! - `clocks`: when input arrived, and how long responses waited for servers;
 //! - `service`: a connection's task, from the first request to its close;
 //! - `request`: validation of requests, their bodies, and forwarding them;
 //! - `response`: responses and their bodies.
 
 mod accept;
+mod clocks;
 mod connection;
+mod phase;
 mod request;
 mod response;
 mod service;
@@ -24,7 +28,8 @@
 use runtime::Runtime;
 use tokio::sync::Notify;
 
-use self::connection::{ClientConnection, Phase};
+use self::connection::ClientConnection;
+use self::phase::Phase;
 use self::response::DateCache;
 use super::budget::{BodyBudget, SocketBudget};
 use super::driver::Driver;
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -13,7 +13,8 @@
 use runtime::{Runtime, timeout};
 
 use super::Ingress;
-use super::connection::{ClientConnection, ClientDisconnected, Phase};
+use super::connection::{ClientConnection, ClientDisconnected};
+use super::phase::Phase;
 use super::response::{ResponseParts, empty_response, end_to_end_headers};
 use crate::api::Micros;
 use crate::settings::RetrySafety;
@@ -99,6 +100,7 @@
     ) -> Result<RequestOutcome, RequestError> {
         let (head, body) = request.into_parts();
         let ParsedRequest { mut info, correlation_id, retry_safety } = self.parse(&head)?;
+        connection.begin_request_id(correlation_id);
         info.time_left = self.remaining_time(connection, info.time_left);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
@@ -134,6 +136,7 @@
         let took_us = P::elapsed_since(started).as_micros() as u64;
         tracing::debug!(
             request = correlation_id,
+            connection = connection.number(),
             class,
             answer = reply.name(),
             attempts = handle.attempt_count(),
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -12,7 +12,8 @@
 use hyper_util::rt::TokioIo;
 use runtime::{Runtime, Stream, Tcp, lingering_close};
 
-use super::connection::{ClientConnection, ClientDisconnected, Phase};
+use super::connection::{ClientConnection, ClientDisconnected};
+use super::phase::Phase;
 use super::request::RequestError;
 use super::response::{ResponseBody, ResponseParts, empty_response, reply_response};
 use super::{DRAIN_PROPAGATION_DELAY, Ingress};
@@ -46,11 +47,10 @@
         let _ = socket.set_nodelay();
         let socket = Rc::new(socket);
         let max_body = self.live.max_body_bytes();
-        let connection = Rc::new(ClientConnection::new(&socket, accept_delay, max_body));
+        let connection = Rc::new(ClientConnection::new(number, &socket, accept_delay, max_body));
         self.connections.borrow_mut().insert(number, connection.clone());
         let ConnectionEnd { responded, reason } = self.serve_requests(&connection, &socket).await;
-        self.status.events.record_close(reason);
-        tracing::debug!(connection = number, %reason, phase = ?connection.phase(), "client connection ends");
+        self.record_end(&connection, reason);
         // Also where hyper has closed its side in order: it never saw what is faulty.
         let rejected = reject_unframed(&connection, &*socket);
         if responded || rejected {
@@ -60,19 +60,49 @@
                 () = lingering_close::<P>(&socket, LINGER_TIME, LINGER_MAX_BYTES) => {}
                 _ = connection.close_requested() => {}
             }
-        } else if connection.phase().is_busy() {
-            if connection.phase() == Phase::AwaitingResponse && !connection.is_gone() {
-                let subject = format!("connection {number}, {reason}");
-                self.status.events.record_violation(Violation::UnansweredClose, &subject);
+        } else {
+            self.record_unanswered(&connection, reason);
+            if connection.phase().is_busy() {
+                // A response that is cut short must not look complete to anyone.
+                socket.reset_on_close();
             }
-            // A response that is cut short must not look complete to anyone.
-            socket.reset_on_close();
         }
         self.connections.borrow_mut().remove(&number);
         drop(socket);
         drop(permit);
     }
 
+    /// Counts and logs how serving requests on a connection has ended.
+    fn record_end(&self, connection: &ClientConnection<P>, reason: CloseReason) {
+        self.status.events.record_close(reason);
+        tracing::debug!(
+            connection = connection.number(),
+            %reason,
+            phase = ?connection.phase(),
+            idle_ms = connection.time_in_phase().as_millis() as u64,
+            last_request = connection.last_request(),
+            "client connection ends"
+        );
+    }
+
+    /// Counts and logs a close that leaves input of a client without a response.
+    fn record_unanswered(&self, connection: &ClientConnection<P>, reason: CloseReason) {
+        let Some(unanswered) = connection.unanswered() else { return };
+        self.status.events.record_unanswered(reason);
+        tracing::warn!(
+            connection = connection.number(),
+            %reason,
+            input = unanswered.name(),
+            idle_ms = connection.time_in_phase().as_millis() as u64,
+            last_request = connection.last_request(),
+            "client connection closed with a request unanswered"
+        );
+        if connection.phase() == Phase::AwaitingResponse {
+            let subject = format!("connection {}, {reason}", connection.number());
+            self.status.events.record_violation(Violation::UnansweredClose, &subject);
+        }
+    }
+
     /// Has hyper serve requests until the connection ends.
     async fn serve_requests(
         self: &Rc<Ingress<P>>,
@@ -119,6 +149,12 @@
                 return reason;
             }
             self.status.events.record_withdrawn_close();
+            tracing::debug!(
+                connection = connection.number(),
+                %reason,
+                phase = ?connection.phase(),
+                "close of a client connection withdrawn"
+            );
         }
     }
 
@@ -137,7 +173,15 @@
             Some(response) => response,
             None => match self.forward(&connection, request).await {
                 Ok(reply) => reply_response(reply),
-                Err(RequestError::Rejected(status)) => empty_response(status),
+                Err(RequestError::Rejected(status)) => {
+                    tracing::debug!(
+                        connection = connection.number(),
+                        request = connection.last_request(),
+                        status = status.as_u16(),
+                        "request rejected without an attempt"
+                    );
+                    empty_response(status)
+                }
                 Err(RequestError::Disconnected(error)) => return Err(error),
             },
         };
@@ -181,6 +225,12 @@
     socket: &P::Tcp,
     status: StatusCode,
 ) -> bool {
+    tracing::debug!(
+        connection = connection.number(),
+        status = status.as_u16(),
+        phase = ?connection.phase(),
+        "incomplete request rejected"
+    );
     connection.enter(Phase::Responding);
     let text = format!(
         "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
