Failing test: requests that arrive as their resting connection times out are lost

Change: sixty connections rest for 2.5 s; the process is stopped for 110 ms around the end of that time, and each client sends a request meanwhile.

--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -12,6 +12,7 @@
 mod draining;
 mod idle_close;
 mod reload;
+mod resting_connections;
 mod shutdown;
 mod support;
 mod system_calls;
--- a/tests/lifecycle/support.rs
+++ b/tests/lifecycle/support.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
 
 use serde_json::Value;
 
@@ -75,3 +76,23 @@
     sidecar.signal("HUP");
     until("the configuration is in force", || applied() > before);
 }
+
+/// For how long a process is held up in tests: a little less than the longest time that it may be.
+pub const HOLD_UP: Duration = Duration::from_millis(110);
+
+/// A sidecar that is stopped, until this is dropped.
+pub struct HoldUp<'a>(&'a Sidecar);
+
+impl HoldUp<'_> {
+    /// Stops it.
+    pub fn begin(sidecar: &Sidecar) -> HoldUp<'_> {
+        sidecar.signal("STOP");
+        HoldUp(sidecar)
+    }
+}
+
+impl Drop for HoldUp<'_> {
+    fn drop(&mut self) {
+        self.0.signal("CONT");
+    }
+}
