Ingress: an idle connection is timed out only if nothing waits in its socket

Callers saw a connection end 0.11 s after their request, with no answer. Cause: timed_out compared the clock with the deadline and ended the connection. hyper is polled first, but reads only what the event loop has told of; a request that arrived after the queue was last asked (a hold-up, a long turn) was still unread when the timer, due in the same turn, was seen. Change: when a timer has expired, what had arrived is delivered first (Runtime::deliver_events, expiry; timeout_at and so every timeout does the same). may_close decides about timeouts too, looks at the socket, and ends an idle connection for its client with nothing between the look and the FIN. Why this works: a request that is in the socket at that look is read and answered; one that comes later is sent to a connection that its machine has closed.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -18,5 +18,5 @@
 pub use runtime::{Runtime, TaskHandle};
 pub use socket::{Listener, Tcp, Udp};
 pub use stream::{Observer, Stream};
-pub use timeout::{Elapsed, timeout, timeout_at};
+pub use timeout::{Elapsed, expiry, timeout, timeout_at};
 pub use tokio_runtime::TokioRuntime;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -28,6 +28,12 @@
     fn unix_time() -> Duration;
     /// Completes at `deadline`, or at once if that has passed.
     fn sleep_until(deadline: Instant) -> Self::Sleep;
+    /// Completes once the tasks that wait for sockets have been told of what arrived there by now, and
+    /// have run.
+    ///
+    /// A timer may be seen before input that arrived earlier: whoever gives something up because its time
+    /// is over awaits this first, and then looks again. [`expiry`](crate::expiry) does so.
+    fn deliver_events() -> impl Future<Output = ()>;
     /// Runs a task on the current thread, beside the others. It keeps running when its handle is dropped.
     fn spawn(task: impl Future<Output = ()> + 'static) -> Self::TaskHandle;
     /// Opens a TCP connection.
--- a/crates/runtime/src/timeout.rs
+++ b/crates/runtime/src/timeout.rs
@@ -18,7 +18,16 @@
 
 impl std::error::Error for Elapsed {}
 
-/// Runs `future` until `deadline` at the latest.
+/// Completes at `deadline`, after everything that had arrived by then was delivered.
+///
+/// To be polled behind what it limits: that has then seen whatever came in time, also where the process
+/// was held up or the event loop's turn was long.
+pub async fn expiry<R: Runtime>(deadline: Instant) {
+    R::sleep_until(deadline).await;
+    R::deliver_events().await;
+}
+
+/// Runs `future` until `deadline` at the latest. What had arrived by then counts.
 ///
 /// # Errors
 ///
@@ -30,7 +39,7 @@
     tokio::select! {
         biased;
         value = future => Ok(value),
-        () = R::sleep_until(deadline) => Err(Elapsed),
+        () = expiry::<R>(deadline) => Err(Elapsed),
     }
 }
 
--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -15,6 +15,10 @@
 
 use crate::{Listener, Runtime, TaskHandle, Tcp, Udp};
 
+/// How many turns of the event loop what has arrived takes to whom it concerns: a response's head and body
+/// pass between the task of its connection and the one that waits for it.
+const DELIVERY_TURNS: usize = 3;
+
 /// The real system, through tokio. Tasks are spawned on the current [`tokio::task::LocalSet`].
 pub enum TokioRuntime {}
 
@@ -37,6 +41,13 @@
         tokio::time::sleep_until(deadline.into())
     }
 
+    async fn deliver_events() {
+        for _ in 0..DELIVERY_TURNS {
+            // Continues after the event loop has polled the sockets.
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn spawn(task: impl Future<Output = ()> + 'static) -> AbortHandle {
         tokio::task::spawn_local(task).abort_handle()
     }
--- a/crates/simnet/src/sim_runtime.rs
+++ b/crates/simnet/src/sim_runtime.rs
@@ -15,6 +15,9 @@
 use crate::tcp::{self, SimTcp};
 use crate::udp::SimUdp;
 
+/// The resolution of the clock.
+const SHORTEST_TIME: Duration = Duration::from_nanos(1);
+
 /// The simulated system: everything refers to the [`World`](crate::World) that runs on the thread.
 ///
 /// Its functions panic outside of a world.
@@ -43,6 +46,11 @@
         Sleep { deadline, timer: None }
     }
 
+    async fn deliver_events() {
+        // Before the clock moves on, every task that was woken has run.
+        Self::sleep(SHORTEST_TIME).await;
+    }
+
     fn spawn(task: impl Future<Output = ()> + 'static) -> TaskId {
         current().spawn(Box::pin(task))
     }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -27,8 +27,8 @@
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// How much of a correlation id is kept for the log.
 const MAX_LOGGED_ID_CHARS: usize = 64;
-/// How often a client is checked for having disconnected while input of it waits unread.
-const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How often a connection is looked at while input of its client waits unread.
+const INPUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// With many connections, one that has been idle for this long after its last response may be
 /// closed: an active client sends its next request sooner, or opens another connection, which costs
 /// the servers nothing.
@@ -243,14 +243,28 @@
 
     /// Whether the connection may be closed now. The one place that decides so.
     ///
-    /// Whoever wants room chooses a connection while its own task does not run. Until that does, a
-    /// request may have been received, or be read right before the close.
+    /// Whoever wants it closed has decided that earlier, or while its own task did not run. Until now a
+    /// request may have arrived. An idle connection is ended for its client right behind the look at its
+    /// socket: what arrives later was sent to a connection that is closed.
     pub fn may_close(&self, reason: CloseReason) -> bool {
-        let makes_room = matches!(reason, CloseReason::Evicted | CloseReason::Draining);
-        if !makes_room || self.phase.get() == Phase::Lingering {
-            return true;
+        match self.phase.get() {
+            Phase::Lingering => true,
+            Phase::Idle => self.end_if_no_input(),
+            Phase::ReceivingRequest => {
+                reason == CloseReason::TimedOut || self.has_no_unread_input()
+            }
+            _ => matches!(reason, CloseReason::TimedOut | CloseReason::BodyFailed),
+        }
+    }
+
+    /// Ends the connection for its client, unless input waits. True: it has ended.
+    fn end_if_no_input(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else { return true };
+        let ends = socket.is_idle() || socket.peer_closed();
+        if ends {
+            socket.shutdown_write();
         }
-        !self.phase.get().is_busy() && self.has_no_unread_input()
+        ends
     }
 
     /// Whether the client sends nothing more, whatever waits to be read.
@@ -298,18 +312,32 @@
         (self.phase.get() == Phase::Idle && idle >= least).then_some(idle)
     }
 
-    /// Completes when the client has used up the time of the present phase.
+    /// Completes when the client has used up the time of the present phase, and the connection may be closed.
+    ///
+    /// Input may have arrived in time that hyper has not read: it reads when the event loop has told of it.
     pub async fn timed_out(&self) {
         loop {
-            let now = P::now();
-            let deadline = self.phase_deadline().unwrap_or(now + BUSY_POLL_INTERVAL);
-            if deadline <= now {
+            self.phase_over().await;
+            P::deliver_events().await;
+            if self.is_phase_over() && self.may_close(CloseReason::TimedOut) {
                 return;
             }
+            P::sleep(INPUT_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Completes at the deadline of the present phase.
+    async fn phase_over(&self) {
+        while !self.is_phase_over() {
+            let deadline = self.phase_deadline().unwrap_or_else(|| P::now() + BUSY_POLL_INTERVAL);
             P::sleep_until(deadline).await;
         }
     }
 
+    fn is_phase_over(&self) -> bool {
+        self.phase_deadline().is_some_and(|deadline| deadline <= P::now())
+    }
+
     /// When the present phase times out; none while somebody other than the client is waited for.
     fn phase_deadline(&self) -> Option<Instant> {
         let stalled_at = self.last_progress.get() + STALL_TIMEOUT;
@@ -344,7 +372,7 @@
     ) -> Result<T, ClientDisconnected> {
         let disconnected = async {
             loop {
-                P::sleep(DISCONNECT_POLL_INTERVAL).await;
+                P::sleep(INPUT_POLL_INTERVAL).await;
                 if !self.receive_clock.drained.get() && self.is_gone() {
                     return;
                 }
