Failing tests: further requests that end unanswered at a timeout, an eviction, an exit

Cause: the class of the incident's fault (a deadline judged by what the event loop was told) looked for along related paths. Change: an upload whose rest arrives during a hold-up as its gap runs out; a partial request whose connection is evicted, or that a shutdown waits for no longer, and whose rest may be on its way; a connection in the listener's queue as the process exits.

--- a/tests/lifecycle/resting_connections.rs
+++ b/tests/lifecycle/resting_connections.rs
@@ -44,6 +44,16 @@
     ended
 }
 
+/// Runs `meanwhile` while the sidecar is held up around `due`, and lets it go on afterwards.
+fn during_hold_up<T>(sidecar: &Sidecar, due: Instant, meanwhile: impl FnOnce() -> T) -> T {
+    thread::sleep((due - HOLD_UP / 2).saturating_duration_since(Instant::now()));
+    let hold_up = HoldUp::begin(sidecar);
+    let done = meanwhile();
+    thread::sleep((due + HOLD_UP / 2).saturating_duration_since(Instant::now()));
+    drop(hold_up);
+    done
+}
+
 /// Holds the sidecar up while the time of all connections runs out, has each of them send a request
 /// meanwhile, and returns those requests that got no answer.
 fn unanswered_after_hold_up(
@@ -51,17 +61,16 @@
     clients: Vec<TcpStream>,
     due: Instant,
 ) -> Vec<String> {
-    thread::sleep((due - HOLD_UP / 2).saturating_duration_since(Instant::now()));
-    let hold_up = HoldUp::begin(sidecar);
-    let mut sent = Vec::new();
-    for (n, mut client) in clients.into_iter().enumerate() {
-        let id = format!("second-{n}");
-        assert!(!has_ended(&client), "{id}: the sidecar ended its connection before");
-        client.write_all(look(&id).as_bytes()).expect("sent");
-        sent.push((id, client));
-    }
-    thread::sleep((due + HOLD_UP / 2).saturating_duration_since(Instant::now()));
-    drop(hold_up);
+    let mut sent = during_hold_up(sidecar, due, || {
+        let mut sent = Vec::new();
+        for (n, mut client) in clients.into_iter().enumerate() {
+            let id = format!("second-{n}");
+            assert!(!has_ended(&client), "{id}: the sidecar ended its connection before");
+            client.write_all(look(&id).as_bytes()).expect("sent");
+            sent.push((id, client));
+        }
+        sent
+    });
     sent.retain(|(id, client)| {
         !first_answer(client.try_clone().expect("a second handle")).ends_with(id)
     });
@@ -88,3 +97,59 @@
     let unanswered = unanswered_after_hold_up(&sidecar, clients, due);
     assert_eq!(unanswered, Vec::<String>::new(), "{}", sidecar.log());
 }
+
+/// The request is complete before its time runs out, though the sidecar reads it later.
+#[test]
+fn request_completed_as_its_time_runs_out_is_served() {
+    let echo = Server::echo();
+    let sidecar = start(&echo);
+    let due = Instant::now() + IDLE_TIMEOUT;
+    let mut client = sidecar.connect();
+    let complete = order("pieces");
+    let (first, second) = complete.split_at(complete.len() - 1);
+    client.write_all(first.as_bytes()).expect("sent");
+    during_hold_up(&sidecar, due, || client.write_all(second.as_bytes()).expect("sent"));
+    let answer = first_answer(client);
+    assert!(answer.ends_with("\r\n\r\npieces"), "{answer:?}");
+}
+
+/// The same of a body that is sent on while it is received.
+#[test]
+fn upload_continued_as_its_time_runs_out_is_served() {
+    let echo = Server::echo();
+    let sidecar = start(&echo);
+    let mut client = sidecar.connect();
+    let (length, rest) = (200_000, 1_000);
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: long\r\nX-Time-Left-Ms: 20000\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    client.write_all((head + &"x".repeat(length - rest)).as_bytes()).expect("sent");
+    let due = Instant::now() + IDLE_TIMEOUT;
+    let rest = "x".repeat(rest);
+    during_hold_up(&sidecar, due, || client.write_all(rest.as_bytes()).expect("sent"));
+    let answer = first_answer(client);
+    assert!(answer.ends_with("\r\n\r\nlong"), "{answer:?} {}", sidecar.log());
+}
+
+/// Whoever has sent a part of a request may be sending the rest just then.
+#[test]
+fn partial_request_whose_connection_is_evicted_is_answered() {
+    let echo = Server::echo();
+    let sidecar = Sidecar::start(discovery(&[&echo]));
+    let half = &order("half")[..40];
+    // More than the sidecar has room for.
+    let clients: Vec<TcpStream> = (0..CONNECTIONS)
+        .map(|_| {
+            let mut client = sidecar.connect();
+            // It may have been rejected by now.
+            let _ = client.write_all(half.as_bytes());
+            client
+        })
+        .collect();
+    until("some are evicted", || clients.iter().filter(|client| has_ended(client)).count() >= 8);
+    for client in clients.into_iter().filter(has_ended) {
+        let answer = first_answer(client);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    }
+}
--- a/tests/lifecycle/shutdown.rs
+++ b/tests/lifecycle/shutdown.rs
@@ -3,7 +3,7 @@
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fakes::wire::header;
 use socket2::{Domain, Socket, Type};
@@ -173,3 +173,45 @@
     assert_eq!(answer.ends_with("\r\n\r\nhalf"), sent, "{answer:?}");
     assert_eq!(blocked.server.seen().is_empty(), !sent);
 }
+
+/// Whoever has sent a part of a request may be sending the rest just then.
+#[test]
+fn partial_request_is_rejected_when_the_shutdown_waits_no_longer() {
+    let echo = Server::echo();
+    let mut sidecar = Sidecar::start(discovery(&[&echo]));
+    let mut client = sidecar.connect();
+    client.write_all(&order("half").as_bytes()[..40]).expect("sent");
+    begin_shutdown(&sidecar);
+    let answer = read_to_end(client);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(sidecar.wait_for_exit().success());
+}
+
+/// When requests that arrived by then are no longer waited for.
+const ADMISSION_END: Duration = Duration::from_millis(650);
+
+/// The system accepts connections for a process that is held up. What is sent on them is taken on.
+#[test]
+fn request_in_the_listeners_queue_as_the_process_exits_is_answered() {
+    for round in 0..5 {
+        let echo = Server::echo();
+        let mut sidecar = Sidecar::start(discovery(&[&echo]));
+        let signal = Instant::now();
+        sidecar.signal("TERM");
+        thread::sleep(
+            (signal + ADMISSION_END - HOLD_UP / 2).saturating_duration_since(Instant::now()),
+        );
+        let hold_up = HoldUp::begin(&sidecar);
+        let mut clients: Vec<TcpStream> = (0..8).map(|_| sidecar.connect()).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write_all(look(&format!("late-{n}")).as_bytes()).expect("sent");
+        }
+        thread::sleep(HOLD_UP);
+        drop(hold_up);
+        for (n, client) in clients.into_iter().enumerate() {
+            let answer = read_to_end(client);
+            assert!(answer.ends_with(&format!("late-{n}")), "round {round}, {n}: {answer:?}");
+        }
+        assert!(sidecar.wait_for_exit().success());
+    }
+}
