Bodies: what arrived before the longest gap was over still counts

Callers saw an upload reset without an answer, though its last byte was sent in time. Cause: as in the idle timeout, the timer of PacedBody was seen before the event loop had told of the rest. Change: its wait is an expiry, which delivers first; the body is polled before it. The same for bodies of servers.

--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -1,12 +1,14 @@
 //! What bodies of requests and responses have in common: their types, sizes and minimum pace.
 
+use std::future::Future;
+use std::marker::PhantomData;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use runtime::Runtime;
+use runtime::{Runtime, expiry};
 
 /// How many bytes of a body are buffered at most. Longer ones are streamed.
 pub const STREAM_WINDOW_BYTES: usize = 64 << 10;
@@ -48,14 +50,15 @@
     min_bytes_per_second: u64,
     received: u64,
     waited: Duration,
-    wait: Option<Wait<P>>,
+    wait: Option<Wait>,
+    runtime: PhantomData<fn() -> P>,
 }
 
 /// A wait for the sender.
-struct Wait<P: Runtime> {
+struct Wait {
     since: Instant,
     /// Completes when it has lasted too long.
-    timeout: Pin<Box<P::Sleep>>,
+    timeout: Pin<Box<dyn Future<Output = ()>>>,
 }
 
 impl<P: Runtime> PacedBody<P> {
@@ -77,6 +80,7 @@
             received: 0,
             waited: Duration::ZERO,
             wait: None,
+            runtime: PhantomData,
         }
     }
 
@@ -86,7 +90,7 @@
             let allowed = MAX_BODY_GAP + transfer_time(self.received, self.min_bytes_per_second);
             let left = allowed.saturating_sub(self.waited).min(MAX_BODY_GAP);
             let now = P::now();
-            Wait { since: now, timeout: Box::pin(P::sleep_until(now + left)) }
+            Wait { since: now, timeout: Box::pin(expiry::<P>(now + left)) }
         });
         wait.timeout.as_mut().poll(cx)
     }
