Ingress: a partial request whose connection is closed early gets an answer

Callers saw a connection end without an answer while they wrote a request: evictions, shutdowns and bodies that stall closed it by reset or FIN, and only a timeout answered (408, with no time for the client to read it). Cause: a close of a request that is not complete was taken for owing nothing, though its last byte may be written before the client can see the close. Result: the test of the eviction, failing before, passes; the one of the shutdown still fails, as the process exits before the connection's task has run: the next fault. All other tests of lifecycle pass.

--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -131,13 +131,8 @@
                     ConnectionEnd { responded: error.is_parse(), reason: CloseReason::Broken }
                 }
             },
-            reason = self.close_allowed(connection) => ConnectionEnd { responded: false, reason },
-            () = connection.timed_out() => {
-                if connection.phase() == Phase::ReceivingRequest {
-                    reject(connection, &**socket, StatusCode::REQUEST_TIMEOUT);
-                }
-                ConnectionEnd { responded: false, reason: CloseReason::TimedOut }
-            }
+            reason = self.close_allowed(connection) => end_early(connection, socket, reason),
+            () = connection.timed_out() => end_early(connection, socket, CloseReason::TimedOut),
         }
     }
 
@@ -208,6 +203,24 @@
     }
 }
 
+/// Ends a connection whose client has more to say or to read.
+///
+/// Of a request that was received in part the rest may be on its way: its client is told that nothing
+/// will come of it.
+fn end_early<P: Runtime>(
+    connection: &ClientConnection<P>,
+    socket: &P::Tcp,
+    reason: CloseReason,
+) -> ConnectionEnd {
+    let status = match reason {
+        CloseReason::Evicted | CloseReason::Draining => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::REQUEST_TIMEOUT,
+    };
+    let is_partial =
+        matches!(connection.phase(), Phase::ReceivingRequest | Phase::StreamingRequest);
+    ConnectionEnd { responded: is_partial && reject(connection, socket, status), reason }
+}
+
 /// Rejects a request whose framing is faulty, if it can still be told so. True: it was.
 fn reject_unframed<P: Runtime>(connection: &ClientConnection<P>, socket: &P::Tcp) -> bool {
     connection.framing_error().is_some_and(|error| {
