Shutdown: the process exits when every connection has ended and none waits to be accepted

Callers saw connections made during a shutdown end without an answer. Cause: drain returned as soon as no request was in progress and no connection had been accepted for 0.1 s by the clock. After a hold-up that time is over before the event loop has told of connections in the listener's queue, which the exit resets; connections chosen to be closed had not been closed by their tasks either, so what arrived on them was lost without a look. Change: drain waits until no connection is left, delivers what has arrived, and asks the listener itself (Listener::try_accept) with nothing but the drop of the listener behind it. The last moment for an exit is as before.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -65,6 +65,12 @@
     type Tcp;
     /// The next connection and the peer's address. Dropping the future loses no connection.
     fn accept(&self) -> impl Future<Output = io::Result<(Self::Tcp, SocketAddr)>>;
+    /// A connection that waits in the queue, asked of the system itself rather than the event queue.
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::WouldBlock`] if none waits, or the system's error.
+    fn try_accept(&self) -> io::Result<Self::Tcp>;
     /// The address that it is bound to.
     ///
     /// # Errors
--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    fn try_accept(&self) -> io::Result<TcpStream> {
+        let (socket, _) = repeat_interrupted(|| SockRef::from(self).accept())?;
+        socket.set_nonblocking(true)?;
+        TcpStream::from_std(socket.into())
+    }
+
     fn local_addr(&self) -> io::Result<SocketAddr> {
         TcpListener::local_addr(self)
     }
--- a/crates/simnet/src/listener.rs
+++ b/crates/simnet/src/listener.rs
@@ -41,28 +41,36 @@
     }
 
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(SimTcp, SocketAddr)>> {
+        match self.accept_waiting() {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                let world = current();
+                let mut state = world.state.borrow_mut();
+                if let Some(listener) = state.network.listeners.get_mut(&self.address) {
+                    listener.accept_waker = Some(cx.waker().clone());
+                }
+                Poll::Pending
+            }
+            accepted => Poll::Ready(accepted),
+        }
+    }
+
+    fn accept_waiting(&self) -> io::Result<(SimTcp, SocketAddr)> {
         let world = current();
         let mut state = world.state.borrow_mut();
         let network = &mut state.network;
-        let Some(listener) = network.listeners.get_mut(&self.address) else {
-            return Poll::Ready(Err(ErrorKind::NotConnected.into()));
-        };
+        let listener = network.listeners.get_mut(&self.address).ok_or(ErrorKind::NotConnected)?;
         if listener.backlog.is_empty() {
-            listener.accept_waker = Some(cx.waker().clone());
-            return Poll::Pending;
+            return Err(ErrorKind::WouldBlock.into());
         }
         let by = listener.host;
         network.hosts[by.0].open_socket()?;
-        let Some(connection) = listener.backlog.pop_front() else { return Poll::Pending };
+        let connection = listener.backlog.pop_front().ok_or(ErrorKind::WouldBlock)?;
         let from =
             network.connections.get(&connection).map(|c| c.endpoint(Endpoint::Client).address);
         let socket = SimTcp::new(connection, Endpoint::Server);
         drop(state);
         world.notify_tap(&TapEvent::Accepted { connection, by });
-        match from {
-            Some(from) => Poll::Ready(Ok((socket, from))),
-            None => Poll::Ready(Err(ErrorKind::ConnectionAborted.into())),
-        }
+        Ok((socket, from.ok_or(ErrorKind::ConnectionAborted)?))
     }
 }
 
@@ -73,6 +81,10 @@
         poll_fn(|cx| self.poll_accept(cx)).await
     }
 
+    fn try_accept(&self) -> io::Result<SimTcp> {
+        Ok(self.accept_waiting()?.0)
+    }
+
     fn local_addr(&self) -> io::Result<SocketAddr> {
         Ok(self.address)
     }
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -1,12 +1,14 @@
 //! Accepting client connections within their budget, and evicting connections to make room.
 
 use std::cmp::Reverse;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use runtime::{Listener, Runtime, timeout};
 
 use super::Ingress;
+use super::connection::ClientConnection;
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::system_error::is_shortage;
@@ -26,7 +28,7 @@
     /// its client, and its time runs. Nothing tells since when it waits; it came no earlier than
     /// accepting last fell behind, and that much is taken off its first request's time. Clients
     /// that connect in a crowd and send their request later get less time than they ask for.
-    pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
+    pub async fn accept(self: Rc<Ingress<P>>, listener: Rc<P::Listener>) {
         let mut behind_since: Option<Instant> = None;
         let mut failures_in_a_row = 0_u32;
         loop {
@@ -46,12 +48,10 @@
             match accepted {
                 Ok((socket, _)) => {
                     failures_in_a_row = 0;
-                    let number = self.accept_count.get() + 1;
-                    self.accept_count.set(number);
                     self.last_accepted.set(P::now());
                     self.evict_longest_idle();
                     let delay = behind_since.map_or(Duration::ZERO, P::elapsed_since);
-                    P::spawn(self.clone().serve_connection(number, socket, permit, delay));
+                    self.start_connection(socket, permit, delay);
                 }
                 // Whatever fails must not end accepting.
                 Err(error) if is_shortage(&error) => {
@@ -73,6 +73,34 @@
         }
     }
 
+    /// Accepts a connection that waits in the listener's queue now. False: none does.
+    pub fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
+        let Ok(permit) = self.socket_budget.clients.clone().try_acquire_owned() else {
+            return true;
+        };
+        match listener.try_accept() {
+            Ok(socket) => self.start_connection(socket, permit, Duration::ZERO),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+            Err(error) => tracing::debug!(%error, "failed to accept before the exit"),
+        }
+        true
+    }
+
+    fn start_connection(
+        self: &Rc<Ingress<P>>,
+        socket: P::Tcp,
+        permit: SocketPermit,
+        accept_delay: Duration,
+    ) {
+        let number = self.accept_count.get() + 1;
+        self.accept_count.set(number);
+        let socket = Rc::new(socket);
+        let max_body = self.live.max_body_bytes();
+        let connection = Rc::new(ClientConnection::new(number, &socket, accept_delay, max_body));
+        self.connections.borrow_mut().insert(number, connection.clone());
+        P::spawn(self.clone().serve_connection(connection, socket, permit));
+    }
+
     /// A place for one more connection. One without a request in progress makes room if needed.
     async fn acquire_permit(&self) -> SocketPermit {
         loop {
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -183,15 +183,6 @@
         self.connections.borrow().values().filter(|c| c.phase().is_busy()).count()
     }
 
-    /// Whether no request is in progress or about to be received, and the responses have reached
-    /// their clients, as far as can be seen.
-    pub fn is_quiescent(&self) -> bool {
-        let pending = |c: &ClientConnection<P>| {
-            c.phase().is_busy() || c.phase() == Phase::Lingering || c.may_be_sending()
-        };
-        !self.connections.borrow().values().any(|c| pending(c))
-    }
-
     /// Fails all requests that have no response yet.
     pub fn fail_open_requests(&self) {
         self.driver.fail_open_requests();
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -38,17 +38,12 @@
     /// Serves one connection up to its end.
     pub(super) async fn serve_connection(
         self: Rc<Ingress<P>>,
-        number: u64,
-        socket: P::Tcp,
+        connection: Rc<ClientConnection<P>>,
+        socket: Rc<P::Tcp>,
         permit: SocketPermit,
-        accept_delay: Duration,
     ) {
         // A connection that is broken already shows when it is read.
         let _ = socket.set_nodelay();
-        let socket = Rc::new(socket);
-        let max_body = self.live.max_body_bytes();
-        let connection = Rc::new(ClientConnection::new(number, &socket, accept_delay, max_body));
-        self.connections.borrow_mut().insert(number, connection.clone());
         let ConnectionEnd { responded, reason } = self.serve_requests(&connection, &socket).await;
         self.record_end(&connection, reason);
         // Also where hyper has closed its side in order: it never saw what is faulty.
@@ -67,7 +62,7 @@
                 socket.reset_on_close();
             }
         }
-        self.connections.borrow_mut().remove(&number);
+        self.connections.borrow_mut().remove(&connection.number());
         drop(socket);
         drop(permit);
     }
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -53,7 +53,11 @@
 /// process, what is open shortly before the end is failed, and a connection on which the last
 /// response was written is read on to its end. A rollout that waits for each process takes half a
 /// second longer if the clients do not close their connections.
-pub async fn drain<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
+pub async fn drain<P: Runtime>(
+    ingress: Rc<Ingress<P>>,
+    listener: Rc<P::Listener>,
+    all_requests_due: Instant,
+) {
     let signal = P::now();
     let exit = all_requests_due + EXIT_GRACE_PERIOD;
     ingress.begin_shutdown(exit - FAIL_MARGIN);
@@ -73,7 +77,7 @@
             CloseScope::IdleAndReceiving
         });
         let arriving = is_admitting || P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD;
-        if ingress.is_quiescent() && !arriving || P::now() >= exit {
+        if P::now() >= exit || !arriving && nothing_is_owed(&ingress, &listener).await {
             return;
         }
         if P::now() >= exit - FAIL_MARGIN {
@@ -83,6 +87,16 @@
     }
 }
 
+/// Whether every connection has ended, and none waits to be accepted: a process that exits resets those.
+async fn nothing_is_owed<P: Runtime>(ingress: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
+    if ingress.connection_count() > 0 {
+        return false;
+    }
+    // A process that was held up may see its timer before what has arrived meanwhile.
+    P::deliver_events().await;
+    ingress.connection_count() == 0 && !ingress.accept_waiting(listener)
+}
+
 /// The shutdown of a sidecar whose successor has taken over the listener: nothing new is accepted,
 /// every response is the last on its connection, and idle connections are closed.
 ///
@@ -100,8 +114,7 @@
         } else {
             ingress.close_evictable();
         }
-        let finished = ingress.requests_in_progress() == 0 && ingress.connection_count() == 0;
-        if P::now() >= exit || finished {
+        if P::now() >= exit || ingress.connection_count() == 0 {
             return;
         }
         if P::now() >= exit - FAIL_MARGIN {
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -283,8 +283,9 @@
         hand_over: impl Future<Output = ()>,
     ) {
         let Serving { ingress, admin, live, listener, shared, discovery_attempted } = self;
+        let listener = Rc::new(listener);
         let (report_serving, can_serve) = oneshot::channel();
-        let mut accepting = Box::pin(accept(ingress.clone(), listener, shared, can_serve));
+        let mut accepting = Box::pin(accept(ingress.clone(), listener.clone(), shared, can_serve));
         let mut reloading = Box::pin(reloading);
         tokio::pin!(stop, hand_over);
         let shutdown = tokio::select! {
@@ -310,10 +311,10 @@
                 biased;
                 () = accepting => {}
                 () = reloading => {}
-                () = shutdown::drain(ingress, all_requests_due) => {}
+                () = shutdown::drain(ingress, listener, all_requests_due) => {}
             },
             Shutdown::HandOver => {
-                drop(accepting);
+                drop((accepting, listener));
                 tokio::select! {
                     biased;
                     () = reloading => {}
@@ -330,7 +331,7 @@
 /// known would be refused for nothing. Without one, it waits in the listener's queue.
 async fn accept<P: Runtime>(
     ingress: Rc<Ingress<P>>,
-    listener: P::Listener,
+    listener: Rc<P::Listener>,
     shared: bool,
     can_serve: oneshot::Receiver<()>,
 ) {
