Endpoint list: what a list removes makes room for what it adds, active servers first

Operators saw a new server get no request while servers beyond limits.memory_mb are listed. Cause: room was counted entry by entry, and what a complete list leaves out was removed last, so a new server beside a removed one was ignored, and stayed so until the next complete list. Change: servers without room are deferred until the list's removals are done, then added, those that accept requests first.

--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -236,6 +236,14 @@
         self.state.send_modify(|state| state.list.update_all(entries));
     }
 
+    /// The same, told to every watch as a complete list.
+    pub fn update_all_in_complete_list(&self, entries: Vec<Entry>) {
+        self.state.send_modify(|state| {
+            state.list.update_all(entries);
+            state.list.forget_changes();
+        });
+    }
+
     /// Misbehaves in these ways from now on. At the end of a silence, what was open in it stays silent.
     pub fn set_faults(&self, faults: RegistryFaults) {
         self.state.send_modify(|state| {
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -10,7 +10,7 @@
 use super::Driver;
 use super::endpoint_changes::EndpointChanges;
 use crate::api::{Event, Health, ListKind, ServerEntry, ServerId};
-use crate::sidecar::config::{EndpointList, ProtocolNames};
+use crate::sidecar::config::{Endpoint, EndpointList, ProtocolNames};
 
 /// A server as discovery lists it.
 pub(super) struct KnownServer {
@@ -64,8 +64,8 @@
         entry
     }
 
-    /// Takes a list in: at most `max_servers` of it, those first that are known already. Returns the
-    /// servers that were ignored, and calls `close_idle` for those whose idle connections are not
+    /// Takes a list in: at most `max_servers` of it, those first that are known already, then those that
+    /// accept new requests. Returns the servers that were ignored, and calls `close_idle` for those whose idle connections are not
     /// to be used any more.
     fn apply<S: AsRef<str>>(
         &mut self,
@@ -79,20 +79,24 @@
             ListKind::Delta => FxHashMap::default(),
             _ => std::mem::take(&mut self.servers),
         };
-        let mut ignored = FxHashSet::default();
+        // Without room so far: what the list removes makes room.
+        let mut deferred: Vec<(ServerId, &Endpoint<S>)> = Vec::new();
         let mut changes = EndpointChanges::default();
         for endpoint in &list.endpoints {
             let server = endpoint.id();
             let old_address = match endpoint.address.filter(|_| endpoint.is_listed()) {
                 Some(_) if self.has_no_room(&previous, server, max_servers) => {
-                    ignored.insert(server);
+                    deferred.push((server, endpoint));
                     continue;
                 }
                 Some(address) => {
                     let entry = names.server_entry(endpoint);
                     self.insert(address, entry, &mut previous, &mut changes)
                 }
-                None => self.remove(server, &mut changes),
+                None => {
+                    deferred.retain(|(deferred, _)| *deferred != server);
+                    self.remove(server, &mut changes)
+                }
             };
             let moved = old_address.is_some_and(|address| Some(address) != endpoint.address);
             if moved || !endpoint.is_active() {
@@ -105,9 +109,34 @@
             close_idle(server);
         }
         self.ever_listed |= !list.endpoints.is_empty();
+        let ignored = self.insert_deferred(deferred, names, max_servers, &mut changes);
         (ignored, changes)
     }
 
+    /// Adds servers as long as there is room, and returns the others.
+    fn insert_deferred<S: AsRef<str>>(
+        &mut self,
+        deferred: Vec<(ServerId, &Endpoint<S>)>,
+        names: &ProtocolNames,
+        max_servers: usize,
+        changes: &mut EndpointChanges,
+    ) -> FxHashSet<ServerId> {
+        let mut ignored = FxHashSet::default();
+        let mut none_before = FxHashMap::default();
+        let (active, others): (Vec<_>, Vec<_>) =
+            deferred.into_iter().partition(|(_, endpoint)| endpoint.is_active());
+        for (server, endpoint) in active.into_iter().chain(others) {
+            let Some(address) = endpoint.address else { continue };
+            if self.has_no_room(&none_before, server, max_servers) {
+                ignored.insert(server);
+                continue;
+            }
+            let entry = names.server_entry(endpoint);
+            self.insert(address, entry, &mut none_before, changes);
+        }
+        ignored
+    }
+
     /// Whether a server that is not known yet would be one too many.
     ///
     /// A known one has to stay known for as long as it is used, so it goes first; what exceeds the bound
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -90,6 +90,18 @@
     });
 }
 
+/// What a complete list leaves out makes room for what it adds, and servers that take requests go first.
+#[test]
+fn active_server_takes_the_place_of_a_removed_one_in_a_complete_list() {
+    let (server, other) = (Server::echo(), Server::echo());
+    let registry = Registry::start(server_list(4200, &server));
+    let sidecar = Sidecar::start_with(registry.clone(), |config| set_memory(config, 16));
+    let removed = Entry { health: "left", ..server_list(2, &server)[1].clone() };
+    registry.update_all_in_complete_list(vec![removed, Entry::new(other.at, "a")]);
+    sidecar.wait_until_reaches(&other);
+    assert_eq!(admin_figure(&sidecar, "pool_size"), 4096);
+}
+
 /// A list whose text is too long is not read at all: the log has its size and the limit, and operators a
 /// figure. It is requested again, and a shorter one is used.
 #[test]
