Soak: a connection that ends unanswered has lost its request, unless the two crossed

A request on a reused connection that ended unanswered, and that no server had got, was sent again however late the end came; no client wrote near the sidecar's idle timeout; any pause excused late answers. Change: the end may come 20 ms after the last byte at most. A pause up to 0.2 s excuses nothing.

--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -49,9 +49,13 @@
     Deduplicated,
 }
 
+/// A pause up to this length excuses no request: the protocol allows for 0.15 s, clients for their slack.
+const LONGEST_HARMLESS_PAUSE: Duration = Duration::from_millis(200);
+
 /// The time during which a process was paused on purpose.
 struct Pause {
     target: SocketAddr,
+    start: Instant,
     /// When it was resumed; none: it is still paused.
     end: Option<Instant>,
 }
@@ -192,7 +196,7 @@
     pub fn expect_pause(&self, target: SocketAddr) {
         let mut inner = self.lock();
         if inner.open_pause(target).is_none() {
-            inner.pauses.push(Pause { target, end: None });
+            inner.pauses.push(Pause { target, start: Instant::now(), end: None });
         }
     }
 
@@ -357,7 +361,9 @@
     fn was_paused(&self, target: SocketAddr, now: Instant) -> bool {
         let earliest = now.checked_sub(PAUSE_GRACE).unwrap_or(now);
         let recent = |pause: &Pause| pause.end.is_none_or(|end| end > earliest);
-        self.pauses.iter().any(|pause| pause.target == target && recent(pause))
+        let excuses =
+            |pause: &Pause| pause.end.unwrap_or(now) > pause.start + LONGEST_HARMLESS_PAUSE;
+        self.pauses.iter().any(|pause| pause.target == target && recent(pause) && excuses(pause))
     }
 
     fn add_example(&mut self, text: String) {
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -3,7 +3,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -19,6 +20,9 @@
 
 /// How often an attempt may be sent, if its connections are closed before it is read.
 const MAX_SENDS: usize = 4;
+/// How long after its last byte was written the connection of a request may end because the two passed each
+/// other: the way of a packet on this machine, and what a busy one may add. One that ends later has lost it.
+const CROSSING_TIME: Duration = Duration::from_millis(20);
 /// The pause before the first retry without Retry-After, in milliseconds; it doubles with each retry.
 const FIRST_BACKOFF_MS: u64 = 50;
 /// A longer Retry-After is ignored, in seconds.
@@ -26,6 +30,11 @@
 /// How long a silent connection is held at most, and how long after its end the next one is opened.
 const SILENT_TIME: Duration = Duration::from_millis(1500);
 const SILENT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a resting client rests: a sidecar ends idle connections after 2.5 s, and the request is to arrive
+/// around that time.
+const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
+/// The probability that a resting client connects first and rests before its first request.
+const REST_BEFORE_FIRST_PROBABILITY: f64 = 0.3;
 /// The body of requests that have one.
 const BODY: &str = "four";
 
@@ -42,6 +51,8 @@
     pub leave_share: f64,
     /// Connections that are held open without a request, each for a random time up to 1.5 s.
     pub silent_connections: usize,
+    /// Connections whose client rests after each answer, for about as long as a sidecar keeps an idle one.
+    pub resting_connections: usize,
     /// How long an idle connection is kept open.
     pub idle_timeout: Duration,
     /// The names of the tenants.
@@ -60,6 +71,7 @@
             slack: Duration::from_millis(500),
             leave_share: 0.0,
             silent_connections: 0,
+            resting_connections: 0,
             idle_timeout: Duration::from_millis(2000),
             tenants: Vec::new(),
             shares: Vec::new(),
@@ -111,6 +123,8 @@
     Closed {
         /// Whether the connection had served a request before.
         reused: bool,
+        /// Whether it ended before the whole request was written, or passed it on its way.
+        crossed: bool,
     },
     /// The connection ended within an answer.
     Truncated,
@@ -130,6 +144,10 @@
     for _ in 0..client.load.silent_connections {
         silent.spawn(hold_silent_connections(target, rng.random()));
     }
+    let mut resting = JoinSet::new();
+    for _ in 0..client.load.resting_connections {
+        resting.spawn(client.clone().rest_between_requests(rng.random(), stop.clone()));
+    }
     let mut open = JoinSet::new();
     let mut next = tokio::time::Instant::now();
     loop {
@@ -140,15 +158,14 @@
             _ = stop.wait_for(|stopped| *stopped) => break,
             () = sleep_until(next) => {}
         }
-        let shares = client.account.classes().iter().map(|class| class.share);
-        let class = draw_by_share(shares, &mut rng);
-        let tenant = client.load.draw_tenant(&mut rng);
+        let (class, tenant) = (client.draw_class(&mut rng), client.load.draw_tenant(&mut rng));
         let leaves = rng.random_bool(client.load.leave_share.clamp(0.0, 1.0));
         let patience = leaves.then(|| rng.random::<f64>());
         open.spawn(client.clone().run_operation(class, tenant, rng.random(), patience));
         while open.try_join_next().is_some() {}
     }
     while open.join_next().await.is_some() {}
+    while resting.join_next().await.is_some() {}
 }
 
 /// Opens one connection after the other and sends nothing; never ends.
@@ -186,6 +203,46 @@
 }
 
 impl Client {
+    fn draw_class(&self, rng: &mut SmallRng) -> usize {
+        draw_by_share(self.account.classes().iter().map(|class| class.share), rng)
+    }
+
+    /// Sends one request after the other on a connection of its own, and rests between them, until `stop` is
+    /// true. A connection that is seen to be closed is replaced.
+    async fn rest_between_requests(self: Arc<Client>, seed: u64, mut stop: watch::Receiver<bool>) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let load = Load { idle_timeout: 2 * REST_TIME.end, ..self.load.clone() };
+        let (target, account) = (self.target, self.account.clone());
+        let client = Arc::new(Client { target, account, load, idle_connections: Mutex::default() });
+        loop {
+            if rng.random_bool(REST_BEFORE_FIRST_PROBABILITY) {
+                client.connect_ahead().await;
+            } else {
+                let class = client.draw_class(&mut rng);
+                let tenant = client.load.draw_tenant(&mut rng);
+                client.clone().run_operation(class, tenant, rng.random(), None).await;
+            }
+            let rest = rng.random_range(REST_TIME);
+            tokio::select! {
+                biased;
+                _ = stop.wait_for(|stopped| *stopped) => return,
+                () = sleep(rest) => {}
+            }
+        }
+    }
+
+    /// Opens a connection for the next request, unless there is one.
+    async fn connect_ahead(&self) {
+        if !self.idle().is_empty() {
+            return;
+        }
+        if let Ok(socket) = TcpStream::connect(self.target).await {
+            let _ = socket.set_nodelay(true);
+            let connection = IdleConnection { reader: Reader::new(socket), since: Instant::now() };
+            self.idle().push(connection);
+        }
+    }
+
     async fn run_operation(
         self: Arc<Client>,
         class: usize,
@@ -238,9 +295,11 @@
                     self.account.record_refused_connection();
                     return (Outcome::Rejected, None);
                 }
-                Exchange::Closed { reused } => {
+                Exchange::Closed { reused, crossed } => {
                     // A process that was killed may have forwarded it just before.
-                    if self.account.was_received(id) || self.account.was_killed(self.target) {
+                    let may_be_forwarded =
+                        self.account.was_received(id) || self.account.was_killed(self.target);
+                    if may_be_forwarded || !crossed {
                         return (Outcome::Lost, None);
                     }
                     // A new connection that was closed without forwarding anything is a failure.
@@ -292,17 +351,20 @@
             _ => Outcome::Failed,
         };
         if message.keeps_connection() && !reader.has_partial_message() {
-            let mut idle = self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push(IdleConnection { reader, since: Instant::now() });
+            self.idle().push(IdleConnection { reader, since: Instant::now() });
         }
         let retry_after_s = message.header("retry-after").and_then(|v| v.parse::<f64>().ok());
         let retry_after_s = retry_after_s.filter(|s| (0.0..MAX_RETRY_AFTER_S).contains(s));
         (outcome, retry_after_s.map(Duration::from_secs_f64))
     }
 
+    fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A kept connection that is still open.
     fn reuse_connection(&self) -> Option<Reader<TcpStream>> {
-        let mut idle = self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.idle();
         // A connection that its peer has closed is not written to.
         idle.retain(|connection| {
             let fresh = connection.since.elapsed() < self.load.idle_timeout;
@@ -325,17 +387,20 @@
                     Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                         return Exchange::Refused;
                     }
-                    Err(_) => return Exchange::Closed { reused: false },
+                    Err(_) => return Exchange::Closed { reused: false, crossed: true },
                 },
             };
             if reader.get_mut().write_all(request).await.is_err() {
-                return Exchange::Closed { reused };
+                return Exchange::Closed { reused, crossed: true };
             }
+            let written = Instant::now();
             match reader.next().await {
                 Ok(Some(message)) => Exchange::Answered(message, reader),
                 // A partial answer shows that the request was accepted.
                 Err(_) if reader.has_partial_message() => Exchange::Truncated,
-                Ok(None) | Err(_) => Exchange::Closed { reused },
+                Ok(None) | Err(_) => {
+                    Exchange::Closed { reused, crossed: written.elapsed() < CROSSING_TIME }
+                }
             }
         };
         timeout_at(limit.into(), exchange).await.unwrap_or(Exchange::TimedOut)
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -82,6 +82,8 @@
     pub leave_share: f64,
     /// The connections to each sidecar that are held open without a request.
     pub silent_connections: usize,
+    /// The connections to each sidecar whose clients rest for about as long as idle ones are kept.
+    pub resting_connections: usize,
     /// The tenants.
     pub tenants: Vec<Tenant>,
 }
--- a/crates/fault-injection/src/scenario/build.rs
+++ b/crates/fault-injection/src/scenario/build.rs
@@ -168,6 +168,7 @@
             client_retries: load.client_retries.min(MAX_CLIENT_RETRIES),
             leave_share: 0.0,
             silent_connections: 0,
+            resting_connections: 0,
             tenants: self.tenants.clone(),
         })
     }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -17,6 +17,7 @@
 };
 
 mod discovery;
+mod hold_ups;
 mod replacement;
 
 /// How long before the end all faults are over.
@@ -39,6 +40,8 @@
 const FEW_SOCKETS: u32 = 64;
 /// So many silent connections that idle ones are evicted where there are few descriptors.
 const MANY_SILENT: usize = 14;
+/// Connections to each sidecar whose clients rest until about the time at which idle ones are closed.
+const RESTING: usize = 10;
 /// Requests per second for each sidecar.
 const REQUESTS_PER_SIDECAR: f64 = 20.0;
 /// Objectives and deadlines are longer by this factor: two dozen processes share a few cores.
@@ -65,8 +68,9 @@
     let last_fault_s = size.duration.saturating_sub(QUIET_END).as_secs_f64();
     assert!(last_fault_s > FIRST_FAULT_S, "a run of {:?} has no time for faults", size.duration);
     let rng = StdRng::seed_from_u64(seed);
-    let mut plan =
-        Plan { rng, sidecars: size.sidecars, last_fault_s, fault: 0, events: Vec::new() };
+    let hold_ups = StdRng::seed_from_u64(!seed);
+    let (sidecars, events) = (size.sidecars, Vec::new());
+    let mut plan = Plan { rng, hold_ups, sidecars, last_fault_s, fault: 0, events };
     plan.add_faults();
     plan.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let system_calls = Some(plan.system_calls(seed));
@@ -97,6 +101,8 @@
 
 struct Plan {
     rng: StdRng,
+    /// Draws series of hold-ups, which leave the other faults of a seed as they are.
+    hold_ups: StdRng,
     sidecars: u16,
     /// When the last fault ends, in seconds.
     last_fault_s: f64,
@@ -161,6 +167,7 @@
         let latest_s = (self.last_fault_s - MAX_REPLACEMENT_S).max(FIRST_FAULT_S + 1.0);
         let at_s = self.rng.random_range(FIRST_FAULT_S..latest_s);
         self.replace_in_steps(at_s);
+        self.hold_up_in_series();
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
@@ -362,6 +369,7 @@
             client_retries: self.rng.random_range(0..=2),
             leave_share: if self.rng.random_bool(0.5) { 0.05 } else { 0.0 },
             silent_connections: if self.rng.random_bool(0.5) { MANY_SILENT } else { 0 },
+            resting_connections: RESTING,
             tenants: tenants.collect(),
         }
     }
--- a/crates/fault-injection/src/testbed/clients.rs
+++ b/crates/fault-injection/src/testbed/clients.rs
@@ -67,6 +67,7 @@
             retries: load.client_retries,
             leave_share: load.leave_share,
             silent_connections: load.silent_connections,
+            resting_connections: load.resting_connections,
             slack: CLIENT_SLACK.mul_f64(self.scenario.time_scale),
             tenants: load.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             shares,
