Simulation: what had arrived when its connection ended counts as lost, read or not

Cause: the oracle counted what the sidecar had not read as closed before it was received, with no breach. Change: the tap tells how many bytes had arrived unread when an end of a connection is shut down or closed; a request that was complete by then is owed. A first form went by the time since the write and flagged, an upload that was still on its way: it was replaced, not relaxed.

--- a/crates/simnet/src/tap.rs
+++ b/crates/simnet/src/tap.rs
@@ -65,6 +65,8 @@
         connection: ConnectionId,
         /// The host of the process.
         by: HostId,
+        /// How many bytes had arrived at this end and were not read.
+        unread: usize,
     },
     /// A process closed its end of a connection.
     Closed {
@@ -74,5 +76,7 @@
         by: HostId,
         /// Whether the peer receives a reset.
         reset: bool,
+        /// How many bytes had arrived at this end and were not read.
+        unread: usize,
     },
 }
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -258,12 +258,13 @@
             let endpoint = connection.endpoint_mut(self.endpoint);
             let first = !endpoint.write_shutdown && endpoint.error.is_none();
             endpoint.write_shutdown = true;
-            first.then_some(endpoint.host)
+            first.then_some((endpoint.host, endpoint.receive_buffer.len()))
         });
-        if let Some(Some(by)) = shut_down_by {
+        if let Some(Some((by, unread))) = shut_down_by {
             let world = current();
             world.state.borrow_mut().send(self.connection, self.endpoint, Segment::Fin);
-            world.notify_tap(&TapEvent::WriteShutdown { connection: self.connection, by });
+            let connection = self.connection;
+            world.notify_tap(&TapEvent::WriteShutdown { connection, by, unread });
         }
     }
 
@@ -293,6 +294,8 @@
     host: HostId,
     /// Whether the peer is sent a reset.
     reset: bool,
+    /// How many bytes had arrived and were not read.
+    unread: usize,
 }
 
 impl WorldState {
@@ -303,7 +306,8 @@
         let host = &mut self.network.hosts[host_id.0];
         host.close_socket();
         endpoint.owned = false;
-        let unread = !endpoint.receive_buffer.is_empty() || endpoint.reset_on_close;
+        let unread = endpoint.receive_buffer.len();
+        let resets = unread > 0 || endpoint.reset_on_close;
         endpoint.receive_buffer.clear();
         let segment = match host.failure {
             Some(HostFailure::Unreachable) => {
@@ -312,7 +316,7 @@
             }
             _ if endpoint.error.is_some() => None,
             Some(HostFailure::ProcessKilled) => Some(Segment::Reset),
-            None if unread => Some(Segment::Reset),
+            None if resets => Some(Segment::Reset),
             None if !endpoint.write_shutdown => Some(Segment::Fin),
             None => None,
         };
@@ -326,7 +330,7 @@
             self.send(id, from, segment);
         }
         self.network.remove_if_finished(id);
-        Some(ClosedEndpoint { host: host_id, reset })
+        Some(ClosedEndpoint { host: host_id, reset, unread })
     }
 }
 
@@ -334,9 +338,9 @@
     fn drop(&mut self) {
         let Some(world) = try_current() else { return };
         let closed = world.state.borrow_mut().close_endpoint(self.connection, self.endpoint);
-        if let Some(ClosedEndpoint { host, reset }) = closed {
+        if let Some(ClosedEndpoint { host, reset, unread }) = closed {
             let connection = self.connection;
-            world.notify_tap(&TapEvent::Closed { connection, by: host, reset });
+            world.notify_tap(&TapEvent::Closed { connection, by: host, reset, unread });
         }
     }
 }
--- a/crates/simulation/src/oracle/clients.rs
+++ b/crates/simulation/src/oracle/clients.rs
@@ -106,6 +106,10 @@
             let breach =
                 Breach::new(Rule::Lost, "received, and the connection ended without a response");
             self.report_breach(now, breach, Some(id));
+        } else if request.closed_after_arrival && !answered {
+            let breach =
+                Breach::new(Rule::Lost, "arrived, and the connection ended without a response");
+            self.report_breach(now, breach, Some(id));
         } else {
             self.count("closed before the request was received");
         }
--- a/crates/simulation/src/oracle/connection.rs
+++ b/crates/simulation/src/oracle/connection.rs
@@ -29,6 +29,8 @@
     /// How long its first request may be assumed to have waited to be accepted.
     pub(super) assumed_accept_wait: Duration,
     pub(super) open: Option<OpenRequest>,
+    /// Whether the sidecar has ended it, in one direction or in both.
+    pub(super) ended: bool,
 }
 
 /// A connection from a sidecar to a server.
--- a/crates/simulation/src/oracle/request.rs
+++ b/crates/simulation/src/oracle/request.rs
@@ -70,6 +70,8 @@
     pub(super) sent_at: Option<Duration>,
     /// When the sidecar had read its last byte.
     pub(super) received_at: Option<Duration>,
+    /// Whether all of it had arrived when the sidecar ended its connection, read or not.
+    pub(super) closed_after_arrival: bool,
     pub(super) response: Option<FinalResponse>,
     pub(super) attempts: Vec<Attempt>,
     /// When a response began that is too long to be buffered.
@@ -94,6 +96,7 @@
             timeout,
             sent_at: None,
             received_at: None,
+            closed_after_arrival: false,
             response: None,
             attempts: Vec::new(),
             streaming_since: None,
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -29,7 +29,8 @@
             TapEvent::Read { connection, by, bytes } => {
                 oracle.bytes_read(now, connection, by, bytes);
             }
-            TapEvent::Closed { connection, by, reset } => {
+            TapEvent::Closed { connection, by, reset, unread } => {
+                oracle.client_connection_ended(connection, by, unread);
                 oracle.connection_closed(now, connection, by, reset);
             }
             TapEvent::Connecting { connection, by } => {
@@ -43,7 +44,9 @@
             TapEvent::Accepted { connection, by } => {
                 oracle.connection_accepted(now, connection, by);
             }
-            TapEvent::WriteShutdown { .. } => {}
+            TapEvent::WriteShutdown { connection, by, unread } => {
+                oracle.client_connection_ended(connection, by, unread);
+            }
         }
     }
 }
@@ -267,6 +270,20 @@
         }
     }
 
+    /// A sidecar ends a client's connection, if it is one: what had arrived by then stays without a response.
+    fn client_connection_ended(&mut self, connection: ConnectionId, by: HostId, unread: usize) {
+        let Role::Sidecar { .. } = self.role(by) else { return };
+        let Some(client) = self.client_connection(connection) else { return };
+        if std::mem::replace(&mut client.ended, true) {
+            return;
+        }
+        let arrived = client.read + unread as u64;
+        let complete = client.open.filter(|open| arrived >= open.end);
+        if let Some(request) = complete.and_then(|open| self.requests.get_mut(&open.id)) {
+            request.closed_after_arrival = true;
+        }
+    }
+
     fn connection_closed(
         &mut self,
         now: Duration,
