Failing test: connections made as a process ends are reset under their requests

Change: while a server hangs, sixteen clients connect and send one after the other up to the process's end.

--- a/tests/lifecycle/shutdown.rs
+++ b/tests/lifecycle/shutdown.rs
@@ -215,3 +215,38 @@
         assert!(sidecar.wait_for_exit().success());
     }
 }
+
+/// Clients connect up to the end of a process that has to wait for a hung server.
+#[test]
+fn request_on_a_connection_made_as_the_process_ends_is_answered() {
+    let blocked = BlockedServer::new();
+    let mut sidecar = Sidecar::start_with(discovery(&[&blocked.server]), |config| {
+        (0..3).for_each(|class| set_times(config, class, 1000, 1000));
+        config["limits"]["sockets"] = 512.into();
+    });
+    let open = blocked.receives_order(&sidecar, "open");
+    begin_shutdown(&sidecar);
+    let connecting = |number: usize| {
+        let at = sidecar.at;
+        thread::spawn(move || {
+            let mut unanswered = Vec::new();
+            for n in 0.. {
+                let Ok(mut client) = TcpStream::connect(at) else { break };
+                client.set_read_timeout(Some(PATIENCE)).expect("a time");
+                let id = format!("{number}-{n}");
+                // Where this fails, the connection had ended before all was written.
+                if client.write_all(order(&id).as_bytes()).is_ok() && read_to_end(client).is_empty()
+                {
+                    unanswered.push(id);
+                }
+            }
+            unanswered
+        })
+    };
+    let clients: Vec<_> = (0..16).map(connecting).collect();
+    let unanswered: Vec<String> =
+        clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect();
+    assert_eq!(unanswered, Vec::<String>::new());
+    assert!(first_answer(open).starts_with("HTTP/1.1 502"));
+    assert!(sidecar.wait_for_exit().success());
+}
