Shutdown: the listener is closed, behind a last look, before the process ends

Callers saw connections that came up in a process's last moments end under their request. Cause: drain accepted clients up to the exit, where a process that waits for a hung server returns whatever is in the queue or was accepted just then. Change: Ingress::stop_accepting has the accept task take what waits, then close the listener with nothing between the last look and the close: when no connection is left, or 150 ms before the exit. From then on clients are refused, and what was accepted has time to be answered and closed. It replaces the look in drain, so there is one way out.

--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -21,14 +21,58 @@
 /// How many connections are closed at most with each one that is accepted.
 const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
 
+/// Whether clients are accepted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Accepting {
+    #[default]
+    Active,
+    /// What waits in the queue is accepted, and nothing after that.
+    Stopping,
+    /// The listener is closed.
+    Ended,
+}
+
 impl<P: Runtime> Ingress<P> {
-    /// Accepts clients for as long as it is polled.
+    /// Accepts clients until [`Self::stop_accepting`] is called, and then what waits in the queue. The
+    /// listener is closed right behind the last look at it.
+    pub async fn accept(self: Rc<Ingress<P>>, listener: P::Listener) {
+        tokio::select! {
+            biased;
+            () = self.accept_clients(&listener) => {}
+            () = self.accepting_stopped() => {}
+        }
+        while self.accept_waiting(&listener) {}
+        drop(listener);
+        self.accepting.set(Accepting::Ended);
+    }
+
+    /// Has the listener closed, after what waits there was accepted: clients that connect later are refused.
+    pub fn stop_accepting(&self) {
+        if self.accepting.get() == Accepting::Active {
+            self.accepting.set(Accepting::Stopping);
+            self.accepting_changed.notify_waiters();
+        }
+    }
+
+    /// Completes when no further client is to be accepted.
+    pub async fn accepting_stopped(&self) {
+        while self.accepting.get() == Accepting::Active {
+            self.accepting_changed.notified().await;
+        }
+    }
+
+    /// Whether the listener is closed.
+    pub fn has_stopped_accepting(&self) -> bool {
+        self.accepting.get() == Accepting::Ended
+    }
+
+    /// Accepts clients; never ends.
     ///
     /// What waits in the listener's queue while the budget is used up is in progress already for
     /// its client, and its time runs. Nothing tells since when it waits; it came no earlier than
     /// accepting last fell behind, and that much is taken off its first request's time. Clients
     /// that connect in a crowd and send their request later get less time than they ask for.
-    pub async fn accept(self: Rc<Ingress<P>>, listener: Rc<P::Listener>) {
+    async fn accept_clients(self: &Rc<Ingress<P>>, listener: &P::Listener) {
         let mut behind_since: Option<Instant> = None;
         let mut failures_in_a_row = 0_u32;
         loop {
@@ -73,15 +117,19 @@
         }
     }
 
-    /// Accepts a connection that waits in the listener's queue now. False: none does.
-    pub fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
+    /// Accepts a connection that waits in the listener's queue now. False: none does, or there is no room.
+    fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
         let Ok(permit) = self.socket_budget.clients.clone().try_acquire_owned() else {
-            return true;
+            return false;
         };
         match listener.try_accept() {
             Ok(socket) => self.start_connection(socket, permit, Duration::ZERO),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
-            Err(error) => tracing::debug!(%error, "failed to accept before the exit"),
+            Err(error) if error.kind() == ErrorKind::WouldBlock || is_shortage(&error) => {
+                return false;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "a client connection ended before it was accepted")
+            }
         }
         true
     }
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -28,6 +28,7 @@
 use runtime::Runtime;
 use tokio::sync::Notify;
 
+use self::accept::Accepting;
 use self::connection::ClientConnection;
 use self::phase::Phase;
 use self::response::DateCache;
@@ -65,6 +66,8 @@
     /// By their numbers, so in the order in which they were accepted.
     connections: RefCell<BTreeMap<u64, Rc<ClientConnection<P>>>>,
     accept_count: Cell<u64>,
+    accepting: Cell<Accepting>,
+    accepting_changed: Notify,
     last_accepted: Cell<Instant>,
     last_accept_failure: Cell<Option<Instant>>,
     /// In a graceful shutdown: until when requests have to be answered.
@@ -96,6 +99,8 @@
             request_ids: RequestIds::default(),
             connections: RefCell::default(),
             accept_count: Cell::new(0),
+            accepting: Cell::default(),
+            accepting_changed: Notify::new(),
             last_accepted: Cell::new(P::now()),
             last_accept_failure: Cell::new(None),
             shutdown_deadline: Cell::new(None),
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -19,6 +19,8 @@
 /// How much of that is used, beyond the longest deadline: what arrives just before 0.7 s have
 /// passed still has its whole time.
 const EXIT_GRACE_PERIOD: Duration = Duration::from_millis(695);
+/// How long before the end of the process the listener is closed: longer than a new connection is waited for.
+const ACCEPT_MARGIN: Duration = Duration::from_millis(150);
 /// How long before the end of the process open requests are failed.
 const FAIL_MARGIN: Duration = Duration::from_millis(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -53,11 +55,7 @@
 /// process, what is open shortly before the end is failed, and a connection on which the last
 /// response was written is read on to its end. A rollout that waits for each process takes half a
 /// second longer if the clients do not close their connections.
-pub async fn drain<P: Runtime>(
-    ingress: Rc<Ingress<P>>,
-    listener: Rc<P::Listener>,
-    all_requests_due: Instant,
-) {
+pub async fn drain<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
     let exit = all_requests_due + EXIT_GRACE_PERIOD;
     ingress.begin_shutdown(exit - FAIL_MARGIN);
@@ -68,7 +66,7 @@
         P::sleep(POLL_INTERVAL).await;
     }
     // A client whose connection is closed just as it writes retries on a new one, so new ones are
-    // accepted to the end.
+    // accepted for as long as they can be served.
     loop {
         let is_admitting = P::elapsed_since(signal) < ADMISSION_PERIOD;
         ingress.close_idle(if is_admitting {
@@ -77,7 +75,11 @@
             CloseScope::IdleAndReceiving
         });
         let arriving = is_admitting || P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD;
-        if P::now() >= exit || !arriving && nothing_is_owed(&ingress, &listener).await {
+        let finished = ingress.connection_count() == 0;
+        if !arriving && finished || P::now() >= exit - ACCEPT_MARGIN {
+            ingress.stop_accepting();
+        }
+        if P::now() >= exit || finished && ingress.has_stopped_accepting() {
             return;
         }
         if P::now() >= exit - FAIL_MARGIN {
@@ -87,16 +89,6 @@
     }
 }
 
-/// Whether every connection has ended, and none waits to be accepted: a process that exits resets those.
-async fn nothing_is_owed<P: Runtime>(ingress: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
-    if ingress.connection_count() > 0 {
-        return false;
-    }
-    // A process that was held up may see its timer before what has arrived meanwhile.
-    P::deliver_events().await;
-    ingress.connection_count() == 0 && !ingress.accept_waiting(listener)
-}
-
 /// The shutdown of a sidecar whose successor has taken over the listener: nothing new is accepted,
 /// every response is the last on its connection, and idle connections are closed.
 ///
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -283,9 +283,8 @@
         hand_over: impl Future<Output = ()>,
     ) {
         let Serving { ingress, admin, live, listener, shared, discovery_attempted } = self;
-        let listener = Rc::new(listener);
         let (report_serving, can_serve) = oneshot::channel();
-        let mut accepting = Box::pin(accept(ingress.clone(), listener.clone(), shared, can_serve));
+        let mut accepting = Box::pin(accept(ingress.clone(), listener, shared, can_serve));
         let mut reloading = Box::pin(reloading);
         tokio::pin!(stop, hand_over);
         let shutdown = tokio::select! {
@@ -311,10 +310,10 @@
                 biased;
                 () = accepting => {}
                 () = reloading => {}
-                () = shutdown::drain(ingress, listener, all_requests_due) => {}
+                () = shutdown::drain(ingress, all_requests_due) => {}
             },
             Shutdown::HandOver => {
-                drop((accepting, listener));
+                drop(accepting);
                 tokio::select! {
                     biased;
                     () = reloading => {}
@@ -325,21 +324,26 @@
     }
 }
 
-/// Accepts clients; beside a predecessor, once `can_serve` says that requests can be served.
+/// Accepts clients; beside a predecessor, once `can_serve` says that requests can be served. Never ends.
 ///
 /// While a predecessor serves on the same listener, what this process accepted before any server is
 /// known would be refused for nothing. Without one, it waits in the listener's queue.
 async fn accept<P: Runtime>(
     ingress: Rc<Ingress<P>>,
-    listener: Rc<P::Listener>,
+    listener: P::Listener,
     shared: bool,
     can_serve: oneshot::Receiver<()>,
 ) {
     if shared {
-        // The sender lives as long as the sidecar.
-        let _ = can_serve.await;
+        tokio::select! {
+            biased;
+            // The sender lives as long as the sidecar.
+            _ = can_serve => {}
+            () = ingress.accepting_stopped() => {}
+        }
     }
     ingress.accept(listener).await;
+    std::future::pending().await
 }
 
 /// Marks the ingress ready when discovery has first been attempted, and reports when servers are
