Timeouts towards servers and discovery: what arrived in time is delivered first

Callers saw 502 for an answer that had arrived before the request's time was up. Cause: the class of the incident's fault on the other side: the deadlines of attempts, of stalled responses and of calls of discovery, and the balancer's timers, were seen before the event loop had told of input that arrived in a hold-up. Change: these deadlines are expiries; the balancer's timers deliver first when they are seen 5 ms late or more.

--- a/src/sidecar/discovery/poll.rs
+++ b/src/sidecar/discovery/poll.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use runtime::Runtime;
+use runtime::{Runtime, expiry};
 use tokio::sync::mpsc;
 
 use super::calls::{CallId, CallNumbers, CallResult, CallsInFlight};
@@ -282,7 +282,7 @@
 /// Waits until a call may be late; for ever, if there is none.
 async fn late<P: Runtime>(call: Option<CurrentCall>) {
     match call {
-        Some(call) => P::sleep_until(call.late_at).await,
+        Some(call) => expiry::<P>(call.late_at).await,
         None => std::future::pending().await,
     }
 }
--- a/src/sidecar/discovery/push.rs
+++ b/src/sidecar/discovery/push.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use runtime::Runtime;
+use runtime::{Runtime, expiry};
 use tokio::sync::mpsc;
 
 use super::calls::{CallId, CallResult, CallsInFlight};
@@ -47,7 +47,7 @@
                 true = address_changed(&mut address) => PushEvent::Moved,
                 (id, result) = watch.calls.next() => PushEvent::CallEnded(id, result),
                 request = requests.recv() => request.map_or(PushEvent::Closed, PushEvent::Requested),
-                () = P::sleep_until(watch.schedule.next_call_at()) => PushEvent::CallDue,
+                () = expiry::<P>(watch.schedule.next_call_at()) => PushEvent::CallDue,
             };
             match event {
                 PushEvent::Moved => {
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gossip::Event as GossipEvent;
-use runtime::Runtime;
+use runtime::{Runtime, expiry};
 use tokio::sync::oneshot;
 
 use super::endpoints::KnownServer;
@@ -170,13 +170,13 @@
         deadline: Instant,
     ) {
         let Some(upload) = upload else {
-            return P::sleep_until(deadline).await;
+            return expiry::<P>(deadline).await;
         };
         upload.streaming_started().await;
         self.handle_event(Event::FirstByte { id: id.request, attempt: id.index });
         tokio::select! {
             biased;
-            () = upload.completed() => P::sleep_until(upload.deadline().unwrap_or_else(P::now)).await,
+            () = upload.completed() => expiry::<P>(upload.deadline().unwrap_or_else(P::now)).await,
             () = upload.stalled::<P>() => {}
         }
     }
--- a/src/sidecar/timers.rs
+++ b/src/sidecar/timers.rs
@@ -9,6 +9,9 @@
 use runtime::Runtime;
 use tokio::sync::Notify;
 
+/// A timer that is seen so late tells that the process was held up.
+const HOLD_UP: Duration = Duration::from_millis(5);
+
 /// A timer: when it expires, and the balancer's token for it.
 type Timer = (Instant, u32);
 
@@ -40,11 +43,16 @@
     }
 
     /// Waits for the next timer to expire, and returns its token.
+    ///
+    /// After a hold-up, what arrived in its time is delivered first: an answer may be among it.
     pub async fn next_expired(&self) -> u32 {
         loop {
             match self.next_expiry() {
                 None => self.earlier.notified().await,
                 Some(expires_at) if expires_at <= P::now() => {
+                    if P::elapsed_since(expires_at) >= HOLD_UP {
+                        P::deliver_events().await;
+                    }
                     if let Some(Reverse((_, token))) = self.pending.borrow_mut().pop() {
                         return token;
                     }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Method, Request, Response};
-use runtime::{Runtime, timeout};
+use runtime::{Runtime, expiry, timeout};
 
 use super::connection::Connection;
 use super::observer::ExchangeObserver;
@@ -68,7 +68,7 @@
             match observer.response_active_at().map(|at| at + self.live.timeouts().gap) {
                 None => observer.response_began().await,
                 Some(end) if P::now() >= end => return,
-                Some(end) => P::sleep_until(end).await,
+                Some(end) => expiry::<P>(end).await,
             }
         }
     }
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -13,6 +13,7 @@
 mod idle_close;
 mod reload;
 mod resting_connections;
+mod server_answers;
 mod shutdown;
 mod support;
 mod system_calls;
