--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hdrhistogram::Histogram;
 
@@ -175,13 +175,31 @@
         self.lock().counts.refused_connections += 1;
     }
 
-    /// Records that a new connection to a sidecar ended and nothing of its request was forwarded.
-    pub fn record_unread_connection(&self, target: SocketAddr) {
+    /// Records that a new connection to a sidecar ended and nothing of its request was forwarded, so long after the
+    /// request was written; none if not all of it was.
+    pub fn record_unread_connection(
+        &self,
+        id: AttemptId,
+        target: SocketAddr,
+        after: Option<Duration>,
+    ) {
+        self.note_connection_end(id, target, after);
         let mut inner = self.lock();
         inner.counts.unread_connections += 1;
         inner.add_example(format!("a connection to {target} came up and ended unread"));
     }
 
+    /// Notes, in words, how a connection ended under a request.
+    pub fn note_connection_end(&self, id: AttemptId, target: SocketAddr, after: Option<Duration>) {
+        let after = after
+            .map_or("before all of it was".to_owned(), |after| format!("{after:?} after it was"));
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let (id, at_s) = (id.request_id(), unix.as_secs_f64());
+        self.lock().add_example(format!(
+            "{id} at {target}: the connection ended {after} written, at {at_s:.3} (Unix time)"
+        ));
+    }
+
     /// Records that a connection ended just as a request was written, which nobody has read.
     pub fn record_close_race(&self) {
         self.lock().counts.close_races += 1;
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -123,8 +123,8 @@
     Closed {
         /// Whether the connection had served a request before.
         reused: bool,
-        /// Whether it ended before the whole request was written, or passed it on its way.
-        crossed: bool,
+        /// How long after the last byte of the request was written; none if not all of it was.
+        after: Option<Duration>,
     },
     /// The connection ended within an answer.
     Truncated,
@@ -295,16 +295,19 @@
                     self.account.record_refused_connection();
                     return (Outcome::Rejected, None);
                 }
-                Exchange::Closed { reused, crossed } => {
+                Exchange::Closed { reused, after } => {
+                    // Otherwise it ended before all was written, or the two passed each other on their way.
+                    let crossed = after.is_none_or(|after| after < CROSSING_TIME);
                     // A process that was killed may have forwarded it just before.
                     let may_be_forwarded =
                         self.account.was_received(id) || self.account.was_killed(self.target);
                     if may_be_forwarded || !crossed {
+                        self.account.note_connection_end(id, self.target, after);
                         return (Outcome::Lost, None);
                     }
                     // A new connection that was closed without forwarding anything is a failure.
                     if !reused {
-                        self.account.record_unread_connection(self.target);
+                        self.account.record_unread_connection(id, self.target, after);
                         return (Outcome::Failed, None);
                     }
                     self.account.record_close_race();
@@ -387,20 +390,18 @@
                     Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                         return Exchange::Refused;
                     }
-                    Err(_) => return Exchange::Closed { reused: false, crossed: true },
+                    Err(_) => return Exchange::Closed { reused: false, after: None },
                 },
             };
             if reader.get_mut().write_all(request).await.is_err() {
-                return Exchange::Closed { reused, crossed: true };
+                return Exchange::Closed { reused, after: None };
             }
             let written = Instant::now();
             match reader.next().await {
                 Ok(Some(message)) => Exchange::Answered(message, reader),
                 // A partial answer shows that the request was accepted.
                 Err(_) if reader.has_partial_message() => Exchange::Truncated,
-                Ok(None) | Err(_) => {
-                    Exchange::Closed { reused, crossed: written.elapsed() < CROSSING_TIME }
-                }
+                Ok(None) | Err(_) => Exchange::Closed { reused, after: Some(written.elapsed()) },
             }
         };
         timeout_at(limit.into(), exchange).await.unwrap_or(Exchange::TimedOut)
