Eviction: a connection accepted just now is not closed before its first request

Callers saw new connections end under their first request where there is no room for all. Cause: evict_one took the connection that was idle longest, also if that had been accepted in the same millisecond and its request was on its way: 14 places, 24 newcomers. Change: an unused connection younger than 20 ms is not evicted; who connects meanwhile waits in the listener's queue, which is taken off its time as before.

--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -35,6 +35,8 @@
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
 /// The same for a connection without any request so far: its first request would be lost with it.
 const MIN_UNUSED_BEFORE_EVICTION: Duration = Duration::from_secs(1);
+/// The same while no place is left: those that connect wait in the listener's queue meanwhile.
+const MIN_UNUSED_IN_SHORTAGE: Duration = Duration::from_millis(20);
 
 /// Input of a client that has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -272,11 +274,14 @@
         self.socket.upgrade().is_none_or(|socket| socket.peer_closed())
     }
 
-    /// The place in the order of eviction; none while a request is in progress.
+    /// The place in the order of eviction; none while a request is in progress or, on a new connection,
+    /// about to be sent.
     pub fn eviction_rank(&self) -> Option<EvictionRank> {
+        let is_new = self.unused.get() && self.time_in_phase() < MIN_UNUSED_IN_SHORTAGE;
         let class = match self.phase.get() {
             phase if phase.is_busy() => return None,
             Phase::Lingering => EvictionClass::Lingering,
+            Phase::Idle if is_new => return None,
             Phase::Idle => EvictionClass::Idle,
             _ => EvictionClass::ReceivingRequest,
         };
--- a/tests/lifecycle/idle_close.rs
+++ b/tests/lifecycle/idle_close.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::net::*;
 
@@ -55,3 +55,36 @@
     // All was sent before the process went on: nothing crosses a close.
     assert_eq!(unanswered, Vec::<String>::new());
 }
+
+/// A new connection is kept at least so long for its first request.
+const KEPT_UNUSED: Duration = Duration::from_millis(15);
+
+/// More clients connect at the same time than there is room for, and are about to write.
+#[test]
+fn new_connection_is_not_evicted_before_its_first_request() {
+    let echo = Server::echo();
+    let sidecar = Sidecar::start(discovery(&[&echo]));
+    let mut sent_at_once = 0;
+    let mut unanswered = Vec::new();
+    for round in 0..10 {
+        let connect = |_| (Instant::now(), sidecar.connect());
+        let mut clients: Vec<(Instant, TcpStream)> = (0..40).map(connect).collect();
+        let mut sent = Vec::new();
+        for (n, (connected, client)) in clients.iter_mut().enumerate() {
+            let id = format!("new-{round}-{n}");
+            let written = client.write_all(look(&id).as_bytes());
+            if connected.elapsed() < KEPT_UNUSED {
+                sent_at_once += 1;
+                sent.push((n, id, written.is_ok()));
+            }
+        }
+        for (n, id, is_written) in sent {
+            let client = clients[n].1.try_clone().expect("a second handle");
+            if !is_written || !first_answer(client).ends_with(&id) {
+                unanswered.push(id);
+            }
+        }
+    }
+    assert!(sent_at_once > 0, "the machine was too slow each time");
+    assert_eq!(unanswered, Vec::<String>::new(), "of {sent_at_once}");
+}
