Shutdown: requests are given up early enough for a hold-up before the kill

Callers saw requests that came late in a shutdown end unanswered. Cause: what was open was failed 20 ms before the exit, 5 ms before the earliest SIGKILL; a process held up there (0.15 s are allowed for) is killed first. Class: a deadline with no room for a hold-up. Change: open requests are failed 170 ms before the exit, and the listener is closed 300 ms before it, though not in the first 0.5 s. A request that comes later than 0.52 s after the signal and may take the longest deadline has up to 0.17 s less.

--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -16,13 +16,14 @@
 /// A request that is incomplete this long after the signal might not be served in time. The process
 /// is killed no sooner than the longest deadline and 0.7 s after the signal.
 const ADMISSION_PERIOD: Duration = Duration::from_millis(650);
-/// How much of that is used, beyond the longest deadline: what arrives just before 0.7 s have
-/// passed still has its whole time.
+/// How much of that is used, beyond the longest deadline.
 const EXIT_GRACE_PERIOD: Duration = Duration::from_millis(695);
-/// How long before the end of the process the listener is closed: longer than a new connection is waited for.
-const ACCEPT_MARGIN: Duration = Duration::from_millis(150);
-/// How long before the end of the process open requests are failed.
-const FAIL_MARGIN: Duration = Duration::from_millis(20);
+/// How long before the end of the process open requests are failed: it may be held up for 0.15 s, and be killed
+/// right after that.
+const FAIL_MARGIN: Duration = Duration::from_millis(170);
+/// How long before the end of the process the listener is closed: what was accepted by then has time to send
+/// its request before that is failed.
+const ACCEPT_MARGIN: Duration = Duration::from_millis(300);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long after operators have drained this instance all idle connections are closed.
 const DRAIN_CLOSE_ALL_DELAY: Duration = Duration::from_secs(1);
@@ -58,6 +59,7 @@
 pub async fn drain<P: Runtime>(ingress: Rc<Ingress<P>>, all_requests_due: Instant) {
     let signal = P::now();
     let exit = all_requests_due + EXIT_GRACE_PERIOD;
+    let last_accept = (exit - ACCEPT_MARGIN).max(signal + IDLE_CLOSE_DELAY);
     ingress.begin_shutdown(exit - FAIL_MARGIN);
     while P::elapsed_since(signal) < IDLE_CLOSE_DELAY
         || (P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD
@@ -76,7 +78,7 @@
         });
         let arriving = is_admitting || P::elapsed_since(ingress.last_accepted()) < QUIET_PERIOD;
         let finished = ingress.connection_count() == 0;
-        if !arriving && finished || P::now() >= exit - ACCEPT_MARGIN {
+        if !arriving && finished || P::now() >= last_accept {
             ingress.stop_accepting();
         }
         if P::now() >= exit || finished && ingress.has_stopped_accepting() {
--- a/tests/lifecycle/shutdown.rs
+++ b/tests/lifecycle/shutdown.rs
@@ -250,3 +250,24 @@
     assert!(first_answer(open).starts_with("HTTP/1.1 502"));
     assert!(sidecar.wait_for_exit().success());
 }
+
+/// The earliest kill is the longest deadline and 0.7 s after the signal, and the process is held up before it.
+#[test]
+fn open_request_is_answered_though_the_process_is_held_up_before_it_is_killed() {
+    let blocked = BlockedServer::new();
+    let sidecar = Sidecar::start_with(discovery(&[&blocked.server]), |config| {
+        (0..3).for_each(|class| set_times(config, class, 1000, 1000));
+    });
+    let first = blocked.receives_order(&sidecar, "first");
+    let kill_at = Instant::now() + Duration::from_millis(1700);
+    begin_shutdown(&sidecar);
+    thread::sleep(Duration::from_millis(600));
+    let late = blocked.receives_order(&sidecar, "late");
+    thread::sleep((kill_at - Duration::from_millis(150)).saturating_duration_since(Instant::now()));
+    sidecar.signal("STOP");
+    thread::sleep(kill_at.saturating_duration_since(Instant::now()));
+    sidecar.signal("KILL");
+    assert!(first_answer(first).starts_with("HTTP/1.1 502"));
+    let answer = first_answer(late);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+}
