Discovery: the progress of a response in a module of its own, which ends an import cycle

Cause: calls.rs and client.rs imported each other for one type. Change: it moves to progress.rs; nothing else.

--- a/src/sidecar/discovery/calls.rs
+++ b/src/sidecar/discovery/calls.rs
@@ -1,15 +1,14 @@
 //! Calls of discovery that are waited for, and the order in which they began.
 
-use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use runtime::Runtime;
 
 use super::client::{CallError, ListResponse};
+use super::progress::Progress;
 
 /// The number of a call; later calls have higher ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,22 +49,6 @@
     }
 }
 
-/// When a part of a call's response last arrived; shared by the call and who waits for it.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Progress(Rc<Cell<Option<Instant>>>);
-
-impl Progress {
-    /// Notes that a part has arrived.
-    pub(super) fn record(&self, now: Instant) {
-        self.0.set(Some(now));
-    }
-
-    /// When a part last arrived; none before the head of the response.
-    pub(super) fn last(&self) -> Option<Instant> {
-        self.0.get()
-    }
-}
-
 /// What a call came to.
 pub(super) type CallResult<P> = Result<ListResponse<P>, CallError>;
 
--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::calls::Progress;
 use super::list_buffer::{BufferError, ListBuffer, ListMemory};
+use super::progress::Progress;
 use crate::sidecar::discovery_status::CallEnd;
 use crate::sidecar::system_error::is_shortage;
 use bytes::Bytes;
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod list_buffer;
 mod poll;
+mod progress;
 mod push;
 mod schedule;
 
@@ -22,9 +23,10 @@
 use super::status::Status;
 use crate::api::ListKind;
 use crate::settings::DiscoveryMode as Mode;
-use calls::{CallOrder, ListCall, Progress};
+use calls::{CallOrder, ListCall};
 use client::{CallError, Connection, ListResponse};
 use list_buffer::ListMemory;
+use progress::Progress;
 use schedule::AgentTimes;
 
 /// How long the log is silent after a line that tells of a list which is too long.
