Shutdown: a queue that cannot be looked at for want of a descriptor is waited for

Callers would see connections reset that wait for a descriptor as a process exits. Cause: the last look at the listener took any failure for an empty queue. Change: where the look fails, or no place is left, room is made and the look repeated until the last moment for an exit.

--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -307,7 +307,7 @@
                     }
                     // A new connection that was closed without forwarding anything is a failure.
                     if !reused {
-                        self.account.record_unread_connection(id, self.target, after);
+                        self.account.record_unread_connection();
                         return (Outcome::Failed, None);
                     }
                     self.account.record_close_race();
--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -48,6 +48,16 @@
     );
 }
 
+#[test]
+fn connections_that_wait_for_a_descriptor_as_a_process_exits_are_served() {
+    play_seeds(1489..1490, Scenario::draw);
+}
+
+#[test]
+fn requests_are_served_again_soon_after_the_last_fault() {
+    play_seeds(8_033_072..8_033_073, Scenario::draw);
+}
+
 fn play_seeds(seeds: std::ops::Range<u64>, draw: fn(u64) -> Scenario) {
     let next = AtomicU64::new(seeds.start);
     std::thread::scope(|scope| {
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -21,6 +21,17 @@
 /// How many connections are closed at most with each one that is accepted.
 const MAX_EVICTIONS_PER_ACCEPT: usize = 2;
 
+/// What a look at the listener's queue has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Queue {
+    /// A connection, which is served now.
+    Accepted,
+    /// Nothing.
+    Empty,
+    /// There is no descriptor or place for what may wait there, or the first connection is broken.
+    Unknown,
+}
+
 /// Whether clients are accepted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Accepting {
@@ -41,7 +52,16 @@
             () = self.accept_clients(&listener) => {}
             () = self.accepting_stopped() => {}
         }
-        while self.accept_waiting(&listener) {}
+        loop {
+            match self.accept_waiting(&listener) {
+                Queue::Accepted => {}
+                Queue::Empty => break,
+                Queue::Unknown => {
+                    self.evict_one();
+                    P::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
         drop(listener);
         self.accepting.set(Accepting::Ended);
     }
@@ -117,21 +137,22 @@
         }
     }
 
-    /// Accepts a connection that waits in the listener's queue now. False: none does, or there is no room.
-    fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> bool {
+    /// Accepts a connection that waits in the listener's queue now.
+    fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> Queue {
         let Ok(permit) = self.socket_budget.clients.clone().try_acquire_owned() else {
-            return false;
+            return Queue::Unknown;
         };
         match listener.try_accept() {
-            Ok(socket) => self.start_connection(socket, permit, Duration::ZERO),
-            Err(error) if error.kind() == ErrorKind::WouldBlock || is_shortage(&error) => {
-                return false;
+            Ok(socket) => {
+                self.start_connection(socket, permit, Duration::ZERO);
+                Queue::Accepted
             }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Queue::Empty,
             Err(error) => {
-                tracing::debug!(%error, "a client connection ended before it was accepted")
+                tracing::debug!(%error, "failed to accept a client connection before the exit");
+                Queue::Unknown
             }
         }
-        true
     }
 
     fn start_connection(
