--- a/crates/simulation/examples/mutants/main.rs
+++ b/crates/simulation/examples/mutants/main.rs
@@ -86,9 +86,10 @@
         let next = queue.lock().map_err(|_| Error::ThreadPanicked)?.next();
         let Some(mutant) = next else { return Ok(missed) };
         mutant.apply(copy.folder())?;
-        let found = match &mutant.tests {
-            Some(package) => found_by_tests(&copy, mutant, package)?,
-            None => {
+        let found = match (&mutant.tests, &mutant.soak) {
+            (Some(package), _) => found_by_tests(&copy, mutant, package)?,
+            (None, Some(seeds)) => found_by_soak(&copy, mutant, seeds)?,
+            (None, None) => {
                 copy.build_tool()?;
                 found_by_seeds(&copy, mutant, seeds)?
             }
@@ -105,6 +106,13 @@
     Ok(!failed.is_empty())
 }
 
+/// Whether runs of the soak find a mutant.
+fn found_by_soak(copy: &WorkspaceCopy, mutant: &Mutant, seeds: &str) -> Result<bool, Error> {
+    let findings = copy.soak(seeds)?;
+    println!("| {} | {findings} | {seeds} | | | |", mutant.name);
+    Ok(findings > 0)
+}
+
 /// Whether seeds find a mutant, and the first that does comes to the same result twice.
 fn found_by_seeds(copy: &WorkspaceCopy, mutant: &Mutant, seeds: u64) -> Result<bool, Error> {
     let mut played = seeds / FIRST_FRACTION;
--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -27,6 +27,8 @@
     also: Vec<Edit>,
     /// A package whose tests have to find it, in place of seeds.
     pub tests: Option<String>,
+    /// Seeds of the soak, `A..B`, one of which has to find it, in place of seeds of the simulation.
+    pub soak: Option<String>,
 }
 
 /// The replacement of a text that occurs once in a file.
--- a/crates/simulation/examples/mutants/workspace.rs
+++ b/crates/simulation/examples/mutants/workspace.rs
@@ -14,6 +14,8 @@
 const BUILD_FOLDER: &str = "target";
 /// The name of the tool.
 const TOOL: &str = "lb-simulation";
+/// The name of the tool that plays the soak.
+const SOAK_TOOL: &str = "lbctl";
 /// Settings of the release profile with which a copy builds quickly. What is played is the same.
 const QUICK_BUILD: [(&str, &str); 4] =
     [("LTO", "off"), ("CODEGEN_UNITS", "16"), ("INCREMENTAL", "true"), ("DEBUG", "0")];
@@ -100,6 +102,20 @@
         Ok(SeedsResult { failed, seeds, rules })
     }
 
+    /// Builds all programs, plays runs of the soak, and returns how many had findings.
+    pub fn soak(&self, seeds: &str) -> Result<u64, Error> {
+        let built = self.cargo(&["build", "--quiet", "--release", "--workspace", "--bins"])?;
+        if !built.status.success() {
+            return Err(Error::Cargo(all_output(&built)));
+        }
+        let text = self.program(SOAK_TOOL, &["soak", "--seeds", seeds])?;
+        let last = text.lines().last().unwrap_or_default();
+        let findings = last.split_once(" runs, ").and_then(|(_, rest)| rest.split_once(' '));
+        findings
+            .and_then(|(count, _)| count.parse().ok())
+            .ok_or_else(|| Error::NoCount(text.clone()))
+    }
+
     /// What the tool prints when it plays a seed.
     pub fn play(&self, seed: &str) -> Result<String, Error> {
         self.tool(&["play", seed])
@@ -126,11 +142,16 @@
         command.output().map_err(|source| Error::Start { program, source })
     }
 
-    /// Runs the tool, and returns what it prints.
+    /// Runs the simulation's tool, and returns what it prints.
     fn tool(&self, arguments: &[&str]) -> Result<String, Error> {
-        let path = self.folder.join(BUILD_FOLDER).join("release").join(TOOL);
+        self.program(TOOL, arguments)
+    }
+
+    /// Runs a program of the copy, and returns what it prints.
+    fn program(&self, name: &str, arguments: &[&str]) -> Result<String, Error> {
+        let path = self.folder.join(BUILD_FOLDER).join("release").join(name);
         let output = Command::new(path).args(arguments).stderr(Stdio::null()).output();
-        let output = output.map_err(|source| Error::Start { program: TOOL.to_owned(), source })?;
+        let output = output.map_err(|source| Error::Start { program: name.to_owned(), source })?;
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 }
