--- a/crates/simulation/examples/mutants/workspace.rs
+++ b/crates/simulation/examples/mutants/workspace.rs
@@ -150,7 +150,10 @@
     /// Runs a program of the copy, and returns what it prints.
     fn program(&self, name: &str, arguments: &[&str]) -> Result<String, Error> {
         let path = self.folder.join(BUILD_FOLDER).join("release").join(name);
-        let output = Command::new(path).args(arguments).stderr(Stdio::null()).output();
+        let mut command = Command::new(path);
+        // A tool that knows cargo builds the programs that it starts, and with other settings.
+        command.args(arguments).env_remove("CARGO").stderr(Stdio::null());
+        let output = command.output();
         let output = output.map_err(|source| Error::Start { program: name.to_owned(), source })?;
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -233,7 +233,7 @@
         self.close_requested.notify_one();
     }
 
-    /// Completes when the connection is to be closed. [`Self::may_close`] tells whether it may be.
+    /// Completes when the connection is to be closed. [`Self::try_close`] tells whether it may be.
     pub async fn close_requested(&self) -> CloseReason {
         loop {
             self.close_requested.notified().await;
@@ -243,12 +243,13 @@
         }
     }
 
-    /// Whether the connection may be closed now. The one place that decides so.
+    /// Decides whether the connection may be closed now, and ends it for its client if it is idle. The one
+    /// place that decides so.
     ///
     /// Whoever wants it closed has decided that earlier, or while its own task did not run. Until now a
     /// request may have arrived. An idle connection is ended for its client right behind the look at its
     /// socket: what arrives later was sent to a connection that is closed.
-    pub fn may_close(&self, reason: CloseReason) -> bool {
+    pub fn try_close(&self, reason: CloseReason) -> bool {
         match self.phase.get() {
             Phase::Lingering => true,
             Phase::Idle => self.end_if_no_input(),
@@ -324,7 +325,7 @@
         loop {
             self.phase_over().await;
             P::deliver_events().await;
-            if self.is_phase_over() && self.may_close(CloseReason::TimedOut) {
+            if self.is_phase_over() && self.try_close(CloseReason::TimedOut) {
                 return;
             }
             P::sleep(INPUT_POLL_INTERVAL).await;
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -135,7 +135,7 @@
     async fn close_allowed(&self, connection: &ClientConnection<P>) -> CloseReason {
         loop {
             let reason = connection.close_requested().await;
-            if connection.may_close(reason) {
+            if connection.try_close(reason) {
                 return reason;
             }
             self.status.events.record_withdrawn_close();
