Soak: a request is lost unless the end of its connection could be seen as it was written

Cause: the judge went by when a client noticed the end. Change: right behind the write the client asks the system whether the connection has ended. On one machine a request that was written before the end lies in the sidecar's socket before it, so an end that cannot be seen then, and is noticed 20 ms later or more, has lost it. Idle connections are looked at in the same way before they are used. The tests of the clients pass.

--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -2,6 +2,7 @@
 //! connections.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,6 +10,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -184,10 +186,22 @@
     }
 }
 
+/// What waits to be read on a connection, asked of the system itself: the event queue may not have told yet.
+fn peek(socket: &TcpStream) -> io::Result<usize> {
+    SockRef::from(socket).peek(&mut [MaybeUninit::uninit()])
+}
+
 /// Whether a connection is open and has nothing to read.
 fn is_idle(socket: &TcpStream) -> bool {
-    let mut byte = [0];
-    matches!(socket.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    matches!(peek(socket), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Whether it can be seen that a connection has ended.
+fn has_ended(socket: &TcpStream) -> bool {
+    match peek(socket) {
+        Ok(bytes) => bytes == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
 }
 
 /// The number of a random one of several, each with the probability of its share.
@@ -396,6 +410,11 @@
             if reader.get_mut().write_all(request).await.is_err() {
                 return Exchange::Closed { reused, after: None };
             }
+            // On this machine what was written before the end is in the peer's socket before it. An end that
+            // can be seen now came first.
+            if has_ended(reader.get_ref()) {
+                return Exchange::Closed { reused, after: None };
+            }
             let written = Instant::now();
             match reader.next().await {
                 Ok(Some(message)) => Exchange::Answered(message, reader),
