Tests: the log of a sidecar goes to a file, so that what it has written is read at once

Cause: in the harness, not the sidecar. The sidecar writes its log at once, and before the version is told, but the harness read it from a pipe in a thread of its own, and the test looked before that thread had its turn. Change: standard error is a file, which log() reads; nothing lies in between, for all tests that look at the log, also those that want a line to be missing. The checks are as they were.

--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -1,12 +1,12 @@
 //! The real program on loopback sockets among fake servers and fake discovery.
 #![allow(dead_code, unused_imports)]
 
+use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::{Arc, Mutex, mpsc};
-use std::thread;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
 
 pub use fakes::program::Folder;
 pub use fakes::registry::{Entry, Registry};
@@ -50,7 +50,8 @@
     folder: Folder,
     /// Kept running as long as the sidecar.
     _registry: Registry,
-    log: Arc<Mutex<String>>,
+    /// The file that its log goes to, so that what it has written can be read at once.
+    log: PathBuf,
 }
 
 impl Sidecar {
@@ -119,32 +120,24 @@
         change(&mut config);
         let path = folder.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("a configuration");
+        let log = folder.path().join("log");
         let mut child = command
             .env("LB_CONFIG", &path)
             .env("LB_DISCOVERY", discovery.at.to_string())
             .env_remove("LB_LISTEN")
             .env_remove("LB_NAME")
             .env("LB_LOG_FORMAT", "json")
-            .stderr(Stdio::piped())
+            .stderr(File::create(&log).expect("a file for its log"))
             .spawn()
             .expect("the program starts");
-        let (listens, at) = mpsc::channel();
-        let log = Arc::new(Mutex::new(String::new()));
-        let lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
-        let log_copy = log.clone();
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                let entry: Value = serde_json::from_str(&line).unwrap_or_default();
-                if entry["message"] == "listening" && entry["span"]["instance"] == "n0" {
-                    let at = entry["address"].as_str().and_then(|at| at.parse().ok());
-                    let _ = listens.send(at.expect("an address"));
-                }
-                *log_copy.lock().expect("no panic") += &(line + "\n");
-            }
-        });
-        let at = at.recv_timeout(PATIENCE).unwrap_or_else(|_| {
-            panic!("it does not listen: {}", log.lock().expect("no panic"));
+        let mut at = None;
+        until("it listens", || {
+            at = logged_address(&read_log(&log), "listening");
+            let ended = child.try_wait().expect("a child of ours");
+            assert!(at.is_some() || ended.is_none(), "it has ended: {}", read_log(&log));
+            at.is_some()
         });
+        let at = at.expect("found");
         let sidecar = Sidecar { child, at, config, folder, _registry: discovery, log };
         until("the sidecar is ready", || {
             sidecar.exchange("GET /health/ready HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200")
@@ -154,19 +147,14 @@
 
     /// What it has logged so far.
     pub fn log(&self) -> String {
-        self.log.lock().expect("no panic").clone()
+        read_log(&self.log)
     }
 
     /// Where operators connect, as the log says.
     pub fn admin(&self) -> SocketAddr {
         let mut at = None;
         until("the admin listener is open", || {
-            let told = |line: &str| -> Option<SocketAddr> {
-                let told: Value = serde_json::from_str(line).ok()?;
-                let called = told["message"] == "admin listener started";
-                called.then(|| told["address"].as_str()?.parse().ok()).flatten()
-            };
-            at = self.log().lines().find_map(told);
+            at = logged_address(&self.log(), "admin listener started");
             at.is_some()
         });
         at.expect("found")
@@ -253,6 +241,20 @@
     }
 }
 
+fn read_log(path: &Path) -> String {
+    let log = std::fs::read(path).expect("the log");
+    String::from_utf8_lossy(&log).into_owned()
+}
+
+/// The address in the first line with this message, of the instance's log in JSON.
+fn logged_address(log: &str, message: &str) -> Option<SocketAddr> {
+    log.lines().find_map(|line| {
+        let entry: Value = serde_json::from_str(line).ok()?;
+        let found = entry["message"] == message && entry["span"]["instance"] == "n0";
+        found.then(|| entry["address"].as_str()?.parse().ok()).flatten()
+    })
+}
+
 /// The first response on a connection: head and body; empty if it was closed without one.
 pub fn first_answer(socket: TcpStream) -> String {
     let answer = read_message(&mut BufReader::new(socket));
