Ejection: only failed trials lengthen the pause of an ejected server

Cause: each failure doubled the pause until the next trial, also those of attempts that were sent before the server was ejected or while ejection was ignored. In the trace a server that reset its connections got 31 attempts in 0.4 s while the two others were down, and nothing for the eight seconds that followed, though it was sound 0.25 s later; the two others were in slow start and could not take the rest. Change: a failure counts towards the pause only if its attempt was sent after the pause was over.

--- a/src/balancer/ejection.rs
+++ b/src/balancer/ejection.rs
@@ -63,10 +63,15 @@
         }
     }
 
-    /// Counts a failure in a row. Once a server is ejected, each doubles the pause until the next trial. An unreachable
-    /// server counts twice, and a silent one is ejected at once.
+    /// Counts a failure in a row. Once a server is ejected, each failed trial doubles the pause until the next. An
+    /// unreachable server counts twice, and a silent one is ejected at once.
     pub(super) fn on_failure(&mut self, slot: Slot, outcome: Outcome, sent_at: Micros, pause: f64) {
         let server = &mut self.servers[slot];
+        // What was sent before the pause was over is no trial. Counted as one, a burst of failures at once, or while
+        // ejection is ignored, would keep out a server that has recovered long since.
+        if server.consecutive_failures >= CONSECUTIVE_FAILURES && sent_at < server.ejected_until {
+            return;
+        }
         // Others may have been answered while this one was not.
         let unheard = server.last_response.is_none_or(|at| at < sent_at);
         let next = server.consecutive_failures.saturating_add(1);
--- a/tests/balancer/ejection.rs
+++ b/tests/balancer/ejection.rs
@@ -87,3 +87,54 @@
         b.answer(id, 0, to, outcome, 0.0);
     }
 }
+
+/// How long a server is out at most after its first ejection, in longest deadlines (half of one, give or take a
+/// quarter), with some requests until one meets it.
+const FIRST_PAUSE: Micros = 2 * S;
+
+/// Sends requests every 5 ms, which all succeed, until one goes to `server`; how long that took.
+fn time_until_used(b: &mut Bench, server: ServerId) -> Micros {
+    let from = b.now;
+    while b.round(0, 0.0) != Some(server) {
+        assert!(b.now - from < 60 * S, "{server:?} is never used again");
+        b.now += 5 * MS;
+    }
+    b.now - from
+}
+
+#[test]
+fn failures_at_once_delay_the_next_trial_no_more_than_one() {
+    let servers: Vec<_> = (0..4).map(|n| server(2 * n)).collect();
+    let mut b = Bench::new(settings(|_| {}), 1, &servers);
+    let crashed = ServerId(0);
+    let sent_to: Vec<_> = (0..160).map(|_| b.request(2)).collect();
+    b.now += 5 * MS;
+    let mut failures = 0;
+    for (id, out) in sent_to {
+        let Some(to) = sent(&out) else { continue };
+        failures += usize::from(to == crashed);
+        let outcome = if to == crashed { Outcome::ConnectionReset } else { Outcome::Success };
+        b.answer(id, 0, to, outcome, 0.0);
+    }
+    assert!(failures >= 20, "{failures} were in flight to the server");
+    let out_for = time_until_used(&mut b, crashed);
+    assert!(out_for < FIRST_PAUSE, "it is used again after {} ms", out_for / MS);
+}
+
+/// Found by simulation (seed 8033072): while the others were down, what one server failed in half a second kept it out
+/// for eight more.
+#[test]
+fn failures_while_ejection_is_ignored_are_no_failed_trials() {
+    let servers: Vec<_> = (0..3).map(|n| server(2 * n)).collect();
+    let mut b = Bench::new(settings(|_| {}), 1, &servers);
+    for _ in 0..100 {
+        let (id, out) = b.request(2);
+        let Some(to) = sent(&out) else { continue };
+        b.now += 4 * MS;
+        b.answer(id, 0, to, Outcome::ConnectionReset, 0.0);
+    }
+    for recovered in servers.iter().map(|entry| entry.id) {
+        let out_for = time_until_used(&mut b, recovered);
+        assert!(out_for < FIRST_PAUSE, "{recovered:?} is used again after {} ms", out_for / MS);
+    }
+}
