Ingress: input that came after an idle connection's end is told from a lost request

Change: a second look right behind the FIN. What is there by then came before the client could see the end, and keeps the warning; what comes later is counted in events.input_after_end, with a debug line. Result: the counters' tests pass.

--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -62,6 +62,7 @@
     ends: [Cell<u64>; EndReason::ALL.len()],
     closes: [Cell<u64>; CloseReason::ALL.len()],
     unanswered: [Cell<u64>; CloseReason::ALL.len()],
+    late_input: Cell<u64>,
     withdrawn_closes: Cell<u64>,
 }
 
@@ -114,6 +115,11 @@
         increment(&self.unanswered[reason as usize]);
     }
 
+    /// Counts a connection on which input came when it had been ended for its client.
+    pub fn record_late_input(&self) {
+        increment(&self.late_input);
+    }
+
     /// Counts a connection that was to be closed while idle, and was in use by then.
     pub fn record_withdrawn_close(&self) {
         increment(&self.withdrawn_closes);
@@ -139,8 +145,12 @@
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let reasons = CloseReason::ALL.map(CloseReason::name).into();
         all.extend(group("unanswered", reasons, &self.unanswered));
-        let count = self.withdrawn_closes.get();
-        all.push(EventCount { name: "close_withdrawn".to_owned(), count });
+        let single = |name: &str, count: &Cell<u64>| EventCount {
+            name: name.to_owned(),
+            count: count.get(),
+        };
+        all.push(single("input_after_end", &self.late_input));
+        all.push(single("close_withdrawn", &self.withdrawn_closes));
         all
     }
 }
--- a/src/sidecar/events/tests.rs
+++ b/src/sidecar/events/tests.rs
@@ -11,6 +11,7 @@
     counters.record_end(EndReason::NoServer);
     counters.record_close(CloseReason::Broken);
     counters.record_unanswered(CloseReason::TimedOut);
+    counters.record_late_input();
     counters.record_withdrawn_close();
     let counted: Vec<String> = counters
         .snapshot()
@@ -24,6 +25,7 @@
         "events.ended.no_server=1",
         "events.closed.broken=1",
         "events.unanswered.timed_out=1",
+        "events.input_after_end=1",
         "events.close_withdrawn=1",
     ];
     assert_eq!(counted, expected);
@@ -33,7 +35,7 @@
 fn events_that_never_occurred_are_reported_too() {
     let all = EventCounters::default().snapshot();
     let groups = [Violation::ALL.len(), SendRefusal::ALL.len(), EndReason::ALL.len()];
-    let expected = groups.iter().sum::<usize>() + 2 * CloseReason::ALL.len() + 1;
+    let expected = groups.iter().sum::<usize>() + 2 * CloseReason::ALL.len() + 2;
     assert_eq!(all.len(), expected);
     assert!(all.iter().all(|event| event.count == 0));
 }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -41,8 +41,10 @@
 /// Input of a client that has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unanswered {
-    /// It waits in the socket.
+    /// It waits in the socket, and came before the connection was ended for its client.
     Unread,
+    /// It waits in the socket, and came after the connection was ended for its client, which could see that.
+    AfterEnd,
     /// Part of a request was read.
     PartlyRead,
     /// A request was read.
@@ -54,6 +56,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Unanswered::Unread => "unread",
+            Unanswered::AfterEnd => "after_end",
             Unanswered::PartlyRead => "partly_read",
             Unanswered::Read => "read",
         }
@@ -94,6 +97,8 @@
     upstream_wait: UpstreamWait,
     /// No request was completed here so far.
     unused: Cell<bool>,
+    /// The connection was ended for its client, and no input had come by then.
+    ended_without_input: Cell<bool>,
     /// How long the connection may have waited to be accepted.
     accept_delay: Duration,
     close_requested: Notify,
@@ -123,6 +128,7 @@
             receive_clock: ReceiveClock::new(P::now()),
             upstream_wait: UpstreamWait::default(),
             unused: Cell::new(true),
+            ended_without_input: Cell::new(false),
             accept_delay,
             close_requested: Notify::new(),
             close_reason: Cell::new(None),
@@ -158,6 +164,7 @@
             Phase::AwaitingResponse => Some(Unanswered::Read),
             Phase::ReceivingRequest | Phase::StreamingRequest => Some(Unanswered::PartlyRead),
             Phase::Idle if self.has_no_unread_input() => None,
+            Phase::Idle if self.ended_without_input.get() => Some(Unanswered::AfterEnd),
             Phase::Idle => Some(Unanswered::Unread),
         };
         request.filter(|_| !self.is_gone())
@@ -266,6 +273,7 @@
         let ends = socket.is_idle() || socket.peer_closed();
         if ends {
             socket.shutdown_write();
+            self.ended_without_input.set(socket.is_idle());
         }
         ends
     }
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use runtime::{Runtime, Stream, Tcp, lingering_close};
 
-use super::connection::{ClientConnection, ClientDisconnected};
+use super::connection::{ClientConnection, ClientDisconnected, Unanswered};
 use super::phase::Phase;
 use super::request::RequestError;
 use super::response::{ResponseBody, ResponseParts, empty_response, reply_response};
@@ -83,6 +83,9 @@
     /// Counts and logs a close that leaves input of a client without a response.
     fn record_unanswered(&self, connection: &ClientConnection<P>, reason: CloseReason) {
         let Some(unanswered) = connection.unanswered() else { return };
+        if unanswered == Unanswered::AfterEnd {
+            return self.record_late_input(connection, reason);
+        }
         self.status.events.record_unanswered(reason);
         tracing::warn!(
             connection = connection.number(),
@@ -98,6 +101,18 @@
         }
     }
 
+    /// Counts and logs input that came when its connection had been ended.
+    fn record_late_input(&self, connection: &ClientConnection<P>, reason: CloseReason) {
+        self.status.events.record_late_input();
+        tracing::debug!(
+            connection = connection.number(),
+            %reason,
+            idle_ms = connection.time_in_phase().as_millis() as u64,
+            last_request = connection.last_request(),
+            "input came after the end of its client connection"
+        );
+    }
+
     /// Has hyper serve requests until the connection ends.
     async fn serve_requests(
         self: &Rc<Ingress<P>>,
