Simulated network: hosts can be held up, and see due timers before their input

Change: World::hold_up stops the tasks of a host for a while. Timers fall due and input arrives; when the host goes on, tasks that wait for timers run first, and input, connections and datagrams are told of behind them, at the same instant.

--- a/crates/simnet/src/connection.rs
+++ b/crates/simnet/src/connection.rs
@@ -81,6 +81,8 @@
     pub(crate) last_arrival: Duration,
     pub(crate) read_waker: Option<Waker>,
     pub(crate) write_waker: Option<Waker>,
+    /// It became readable while its host was held up, and the event loop has not told its task.
+    pub(crate) unreported: bool,
     pub(crate) reset_on_close: bool,
     /// Whether everything that this end sends is lost.
     pub(crate) blackholed: bool,
@@ -101,11 +103,37 @@
             last_arrival: Duration::ZERO,
             read_waker: None,
             write_waker: None,
+            unreported: false,
             reset_on_close: false,
             blackholed: false,
         }
     }
 
+    /// Notes that input, an end or an error arrives, and tells the task if the host's event loop does.
+    pub(crate) fn input_arrives(&mut self, reported: bool, arrival: impl FnOnce(&mut Self)) {
+        let was_readable = self.is_readable();
+        arrival(self);
+        if reported {
+            self.wake_reader();
+        } else if !was_readable {
+            self.unreported = true;
+        }
+    }
+
+    /// Whether its task can read: the event loop has told it of something.
+    pub(crate) fn is_reported_readable(&self) -> bool {
+        self.is_readable() && !self.unreported
+    }
+
+    /// Tells the tasks of what has happened meanwhile.
+    pub(crate) fn report(&mut self) {
+        self.unreported = false;
+        if self.is_readable() {
+            self.wake_reader();
+        }
+        self.wake_writer();
+    }
+
     /// Whether a read would return at once.
     pub(crate) fn is_readable(&self) -> bool {
         !self.receive_buffer.is_empty() || self.fin_received || self.error.is_some()
--- a/crates/simnet/src/delivery.rs
+++ b/crates/simnet/src/delivery.rs
@@ -109,8 +109,10 @@
                 return self.retry_syn(id, attempt);
             }
             Some(listener) => {
+                let reported = self.network.hosts[to.0].reports_input();
+                listener.unreported |= !reported && listener.backlog.is_empty();
                 listener.backlog.push_back(id);
-                if let Some(waker) = listener.accept_waker.take() {
+                if reported && let Some(waker) = listener.accept_waker.take() {
                     waker.wake();
                 }
                 self.network.stats.connections_established += 1;
@@ -138,7 +140,10 @@
         self.trace.record(self.now, TraceKind::SynAnswer, subject, &[]);
         let Some(connection) = self.network.connections.get_mut(&id) else { return };
         connection.handshake = if accepted { Handshake::Accepted } else { Handshake::Refused };
-        if let Some(waker) = connection.connect_waker.take() {
+        let (client, _) = connection.hosts(Endpoint::Client);
+        if self.network.hosts[client.0].reports_input()
+            && let Some(waker) = connection.connect_waker.take()
+        {
             waker.wake();
         }
     }
@@ -149,7 +154,9 @@
             && socket.queue.len() < UDP_QUEUE_LIMIT
         {
             socket.queue.push_back((from, data));
-            if let Some(waker) = socket.read_waker.take() {
+            if self.network.hosts[socket.host.0].reports_input()
+                && let Some(waker) = socket.read_waker.take()
+            {
                 waker.wake();
             }
         }
@@ -192,6 +199,7 @@
     fn receive(&mut self, id: ConnectionId, to: Endpoint, segment: Segment) {
         let Some(connection) = self.network.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint_mut(to);
+        let reported = self.network.hosts[endpoint.host.0].reports_input();
         match segment {
             Segment::Data(_) if !endpoint.owned => {
                 // No process is left to read it: the host itself answers with a reset.
@@ -202,16 +210,17 @@
                 }
             }
             Segment::Data(bytes) => {
-                endpoint.receive_buffer.extend(bytes);
-                endpoint.wake_reader();
+                endpoint.input_arrives(reported, |endpoint| endpoint.receive_buffer.extend(bytes));
             }
             Segment::Fin => {
-                endpoint.fin_received = true;
-                endpoint.wake_reader();
+                endpoint.input_arrives(reported, |endpoint| endpoint.fin_received = true);
             }
             Segment::Reset => {
-                endpoint.error = Some(ErrorKind::ConnectionReset);
-                endpoint.wake_all();
+                let error = Some(ErrorKind::ConnectionReset);
+                endpoint.input_arrives(reported, |endpoint| endpoint.error = error);
+                if reported {
+                    endpoint.wake_writer();
+                }
             }
         }
     }
--- a/crates/simnet/src/executor.rs
+++ b/crates/simnet/src/executor.rs
@@ -62,6 +62,9 @@
 impl WorldState {
     /// Takes the ready task that runs next.
     fn next_ready_task(&mut self) -> Option<TaskId> {
+        if self.network.is_any_host_held_up() {
+            return self.next_ready_task_of_running_hosts();
+        }
         if self.ready_tasks.is_empty() {
             return None;
         }
@@ -70,6 +73,21 @@
         Some(self.ready_tasks.remove(index))
     }
 
+    fn next_ready_task_of_running_hosts(&mut self) -> Option<TaskId> {
+        let runs = |id: &TaskId| {
+            let host = self.tasks.get(id).map(|task| task.host);
+            host.is_none_or(|host| !self.network.hosts[host.0].is_held_up())
+        };
+        let ready = self.ready_tasks.iter().enumerate().filter(|(_, id)| runs(id));
+        let ready: Vec<usize> = ready.map(|(index, _)| index).collect();
+        if ready.is_empty() {
+            return None;
+        }
+        let shuffled = self.options.shuffle_ready_tasks;
+        let choice = if shuffled { self.rng.random_range(0..ready.len()) } else { 0 };
+        Some(self.ready_tasks.remove(ready[choice]))
+    }
+
     /// Takes the next event up to `end` and sets the clock to it; to `end` if there is none.
     fn next_event(&mut self, end: Duration) -> Option<Event> {
         if self.events.peek().is_none_or(|Reverse(next)| next.at > end) {
@@ -114,6 +132,8 @@
         match event {
             Some(Event::TimerFired(timer)) => self.fire_timer(timer),
             Some(Event::Network(event)) => self.state.borrow_mut().deliver(event),
+            Some(Event::Resumed(host)) => self.state.borrow_mut().resume(host),
+            Some(Event::InputReported(host)) => self.state.borrow_mut().report_input(host),
             None => return false,
         }
         true
--- a/crates/simnet/src/host.rs
+++ b/crates/simnet/src/host.rs
@@ -28,6 +28,17 @@
     Unreachable,
 }
 
+/// Whether the processes of a host run, and what their event loop knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventLoop {
+    /// Tasks run, and are told of what arrives at once.
+    Running,
+    /// The processes are stopped: no task runs, while timers fall due and input arrives.
+    HeldUp,
+    /// Tasks run again, those of timers first: the event loop has not been asked for input yet.
+    CatchingUp,
+}
+
 /// The state of a host.
 pub(crate) struct Host {
     pub(crate) ip: IpAddr,
@@ -39,6 +50,7 @@
     pub(crate) failure: Option<HostFailure>,
     /// Whether segments that arrive are processed.
     pub(crate) reachable: bool,
+    pub(crate) event_loop: EventLoop,
 }
 
 impl Host {
@@ -50,9 +62,20 @@
             socket_limit: usize::MAX,
             failure: None,
             reachable: true,
+            event_loop: EventLoop::Running,
         }
     }
 
+    /// Whether no task runs.
+    pub(crate) fn is_held_up(&self) -> bool {
+        self.event_loop == EventLoop::HeldUp
+    }
+
+    /// Whether tasks are told of what arrives.
+    pub(crate) fn reports_input(&self) -> bool {
+        self.event_loop == EventLoop::Running
+    }
+
     /// Takes a descriptor for a connection.
     ///
     /// # Errors
--- a/crates/simnet/src/lib.rs
+++ b/crates/simnet/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod delivery;
 mod executor;
+mod hold_up;
 mod host;
 mod link;
 mod listener;
--- a/crates/simnet/src/listener.rs
+++ b/crates/simnet/src/listener.rs
@@ -34,26 +34,39 @@
             return Err(ErrorKind::AddrInUse.into());
         }
         let backlog = VecDeque::new();
-        let listener = ListenerState { host, backlog, backlog_limit, accept_waker: None };
+        let (accept_waker, unreported) = (None, false);
+        let listener = ListenerState { host, backlog, backlog_limit, accept_waker, unreported };
         state.network.listeners.insert(address, listener);
         state.network.host_mut(host).open_sockets += 1;
         Ok(SimListener { address })
     }
 
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(SimTcp, SocketAddr)>> {
+        if !self.reports_input() {
+            return self.wait_to_accept(cx);
+        }
         match self.accept_waiting() {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                let world = current();
-                let mut state = world.state.borrow_mut();
-                if let Some(listener) = state.network.listeners.get_mut(&self.address) {
-                    listener.accept_waker = Some(cx.waker().clone());
-                }
-                Poll::Pending
-            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => self.wait_to_accept(cx),
             accepted => Poll::Ready(accepted),
         }
     }
 
+    fn reports_input(&self) -> bool {
+        let world = current();
+        let network = &world.state.borrow().network;
+        let listener = network.listeners.get(&self.address);
+        listener.is_none_or(|listener| !listener.unreported)
+    }
+
+    fn wait_to_accept<T>(&self, cx: &mut Context<'_>) -> Poll<T> {
+        let world = current();
+        let mut state = world.state.borrow_mut();
+        if let Some(listener) = state.network.listeners.get_mut(&self.address) {
+            listener.accept_waker = Some(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+
     fn accept_waiting(&self) -> io::Result<(SimTcp, SocketAddr)> {
         let world = current();
         let mut state = world.state.borrow_mut();
--- a/crates/simnet/src/network.rs
+++ b/crates/simnet/src/network.rs
@@ -6,7 +6,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::connection::{Connection, ConnectionId};
+use crate::connection::{Connection, ConnectionId, Endpoint, EndpointState};
 use crate::host::{Host, HostId};
 use crate::link::Link;
 
@@ -42,6 +42,8 @@
     pub(crate) backlog: VecDeque<ConnectionId>,
     pub(crate) backlog_limit: usize,
     pub(crate) accept_waker: Option<Waker>,
+    /// The first connection came while the host was held up, and the event loop has not told of it.
+    pub(crate) unreported: bool,
 }
 
 /// The state of a UDP socket.
@@ -79,6 +81,31 @@
         self.hosts.iter().position(|host| host.ip == ip).map(HostId)
     }
 
+    pub(crate) fn is_any_host_held_up(&self) -> bool {
+        self.hosts.iter().any(Host::is_held_up)
+    }
+
+    /// Tells the tasks of a host of everything that has arrived there.
+    pub(crate) fn report_input(&mut self, host: HostId) {
+        for listener in self.listeners.values_mut().filter(|listener| listener.host == host) {
+            listener.unreported = false;
+            wake(listener.accept_waker.take());
+        }
+        for socket in self.udp_sockets.values_mut().filter(|socket| socket.host == host) {
+            wake(socket.read_waker.take());
+        }
+        let mut ids: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            let Some(connection) = self.connections.get_mut(&id) else { continue };
+            if connection.hosts(Endpoint::Client).0 == host {
+                wake(connection.connect_waker.take());
+            }
+            let endpoints = connection.endpoints_mut().iter_mut();
+            endpoints.filter(|endpoint| endpoint.host == host).for_each(EndpointState::report);
+        }
+    }
+
     pub(crate) fn link(&self, from: HostId, to: HostId) -> &Link {
         self.links.get(&(from, to)).unwrap_or(&self.default_link)
     }
@@ -129,3 +156,9 @@
         ids.len()
     }
 }
+
+fn wake(waker: Option<Waker>) {
+    if let Some(waker) = waker {
+        waker.wake();
+    }
+}
--- a/crates/simnet/src/state.rs
+++ b/crates/simnet/src/state.rs
@@ -28,6 +28,10 @@
 pub(crate) enum Event {
     TimerFired(TimerId),
     Network(NetworkEvent),
+    /// The processes of a host run again after a hold-up.
+    Resumed(HostId),
+    /// The event loop of a host tells of what arrived in a hold-up.
+    InputReported(HostId),
 }
 
 /// An event and when it happens. Events are ordered by time, then by a tie breaker (random if events of
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -64,13 +64,15 @@
 fn poll_connected(id: ConnectionId, cx: &mut Context<'_>) -> Poll<bool> {
     let world = current();
     let mut state = world.state.borrow_mut();
-    let Some(connection) = state.network.connections.get_mut(&id) else {
+    let network = &mut state.network;
+    let Some(connection) = network.connections.get_mut(&id) else {
         return Poll::Ready(false);
     };
+    let (client, _) = connection.hosts(Endpoint::Client);
     match connection.handshake {
-        Handshake::Accepted => Poll::Ready(true),
-        Handshake::Refused => Poll::Ready(false),
-        Handshake::Pending => {
+        Handshake::Accepted if network.hosts[client.0].reports_input() => Poll::Ready(true),
+        Handshake::Refused if network.hosts[client.0].reports_input() => Poll::Ready(false),
+        _ => {
             connection.connect_waker = Some(cx.waker().clone());
             Poll::Pending
         }
@@ -167,6 +169,9 @@
         let (here, peer) = connection.hosts(self.endpoint);
         let partial_io = state.network.link(peer, here).partial_io;
         let endpoint = connection.endpoint_mut(self.endpoint);
+        if endpoint.unreported {
+            return Err(ErrorKind::WouldBlock.into());
+        }
         if endpoint.receive_buffer.is_empty() {
             return match (endpoint.error, endpoint.fin_received) {
                 (Some(kind), _) => Err(kind.into()),
@@ -201,7 +206,7 @@
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let ready = self.with_connection(|_, connection| {
             let endpoint = connection.endpoint_mut(self.endpoint);
-            let ready = endpoint.is_readable();
+            let ready = endpoint.is_reported_readable();
             if !ready {
                 endpoint.read_waker = Some(cx.waker().clone());
             }
--- a/crates/simnet/src/udp.rs
+++ b/crates/simnet/src/udp.rs
@@ -44,10 +44,13 @@
     ) -> Poll<io::Result<(usize, SocketAddr)>> {
         let world = current();
         let mut state = world.state.borrow_mut();
-        let Some(socket) = state.network.udp_sockets.get_mut(&self.address) else {
+        let network = &mut state.network;
+        let Some(socket) = network.udp_sockets.get_mut(&self.address) else {
             return Poll::Ready(Err(ErrorKind::NotConnected.into()));
         };
-        let Some((from, data)) = socket.queue.pop_front() else {
+        let reported = network.hosts[socket.host.0].reports_input();
+        let datagram = if reported { socket.queue.pop_front() } else { None };
+        let Some((from, data)) = datagram else {
             socket.read_waker = Some(cx.waker().clone());
             return Poll::Pending;
         };
--- a/crates/simnet/src/world.rs
+++ b/crates/simnet/src/world.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::executor::TaskId;
-use crate::host::{HostFailure, HostId};
+use crate::host::{EventLoop, HostFailure, HostId};
 use crate::link::Link;
 use crate::network::NetworkStats;
 use crate::options::Options;
@@ -98,9 +98,16 @@
         state.network.close_listeners(host);
         let host = state.network.host_mut(host);
         host.failure = None;
+        host.event_loop = EventLoop::Running;
         host.reachable = failure == HostFailure::ProcessKilled;
     }
 
+    /// Stops the processes of a host for a while: no task of it runs, while timers fall due and input
+    /// arrives. Afterwards its tasks see timers that are due before they are told of any input.
+    pub fn hold_up(&self, host: HostId, duration: Duration) {
+        self.inner.state.borrow_mut().hold_up(host, duration);
+    }
+
     /// Makes a host that had vanished reachable again, without anything that it held.
     pub fn revive(&self, host: HostId) {
         self.inner.state.borrow_mut().network.host_mut(host).reachable = true;
