--- a/crates/simulation/examples/mutants/main.rs
+++ b/crates/simulation/examples/mutants/main.rs
@@ -115,20 +115,21 @@
 
 /// Whether seeds find a mutant, and the first that does comes to the same result twice.
 fn found_by_seeds(copy: &WorkspaceCopy, mutant: &Mutant, seeds: u64) -> Result<bool, Error> {
+    let options: &[&str] = if mutant.hold_ups { &["--hold-ups"] } else { &[] };
     let mut played = seeds / FIRST_FRACTION;
-    let mut result = copy.run_seeds(played)?;
+    let mut result = copy.run_seeds(played, options)?;
     if result.seeds.is_empty() {
         played = seeds;
-        result = copy.run_seeds(played)?;
+        result = copy.run_seeds(played, options)?;
     }
     let SeedsResult { failed, seeds, rules } = result;
     let Some(first) = seeds.first() else {
         println!("| {} | 0 | {played} | | | |", mutant.name);
         return Ok(false);
     };
-    let (one, two) = (copy.play(first)?, copy.play(first)?);
+    let (one, two) = (copy.play(first, options)?, copy.play(first, options)?);
     let same = one == two && one.contains(" broken at ");
-    let faults_left = copy.shrink(first)?;
+    let faults_left = copy.shrink(first, options)?;
     println!(
         "| {} | {failed} | {played} | {} | {} | {faults_left} |",
         mutant.name,
--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -27,6 +27,9 @@
     also: Vec<Edit>,
     /// A package whose tests have to find it, in place of seeds.
     pub tests: Option<String>,
+    /// The seeds of the simulation that have to find it hold processes up.
+    #[serde(default)]
+    pub hold_ups: bool,
     /// Seeds of the soak, `A..B`, one of which has to find it, in place of seeds of the simulation.
     pub soak: Option<String>,
 }
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod misbehaviour;
+mod resting;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -75,6 +76,10 @@
     behaviour: Cell<ClientBehaviour>,
     /// Requests per second.
     rate: f64,
+    /// How many clients rest between their requests.
+    resting: usize,
+    /// How long an idle connection is used again.
+    idle_timeout: Duration,
     rng: RefCell<SmallRng>,
     oracle: Rc<RefCell<Oracle>>,
     idle: RefCell<Vec<IdleConnection>>,
@@ -94,8 +99,11 @@
     pub classes: Rc<[Class]>,
     /// The tenants that requests are sent for.
     pub tenants: Vec<String>,
-    /// Requests per second.
+    /// Requests per second, beside those of resting clients.
     pub rate: f64,
+    /// How many clients rest between their requests, for about as long as a sidecar keeps an idle
+    /// connection.
+    pub resting: usize,
     /// For everything that is drawn.
     pub rng: SmallRng,
     /// Is notified of what is sent and received.
@@ -114,6 +122,8 @@
             tenants: spec.tenants,
             behaviour: Cell::default(),
             rate: spec.rate,
+            resting: spec.resting,
+            idle_timeout: IDLE_TIMEOUT,
             rng: RefCell::new(spec.rng),
             oracle: spec.oracle,
             idle: RefCell::default(),
@@ -133,6 +143,9 @@
 
     /// Sends requests until `end`: to be spawned on the clients' host.
     pub async fn run(self: Rc<Clients>, end: Instant) {
+        for _ in 0..self.resting {
+            SimRuntime::spawn(self.resting_client().rest_between_requests(end));
+        }
         let mut next = SimRuntime::now();
         loop {
             let behaviour = self.behaviour.get();
@@ -213,7 +226,7 @@
     async fn connection(&self) -> Option<Connection> {
         loop {
             let Some(idle) = self.idle.borrow_mut().pop() else { break };
-            let fresh = SimRuntime::elapsed_since(idle.since) < IDLE_TIMEOUT;
+            let fresh = SimRuntime::elapsed_since(idle.since) < self.idle_timeout;
             if fresh && idle.connection.socket.is_idle() {
                 return Some(idle.connection);
             }
--- /dev/null
+++ b/crates/simulation/src/clients/resting.rs
@@ -0,0 +1,44 @@
+//! Clients that rest between their requests until about the time at which a sidecar ends idle connections.
+
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use runtime::Runtime;
+use simnet::SimRuntime;
+
+use super::{Clients, ClientsSpec};
+
+/// How long a client rests: a sidecar ends idle connections after 2.5 s.
+const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
+
+impl Clients {
+    /// A client of the same sidecar that has a connection of its own, and never gives it up.
+    pub(super) fn resting_client(&self) -> Rc<Clients> {
+        let client = Clients::new(ClientsSpec {
+            sidecar: self.sidecar,
+            target: self.target,
+            classes: self.classes.clone(),
+            tenants: self.tenants.clone(),
+            rate: self.rate,
+            resting: 0,
+            rng: self.draw(SmallRng::from_rng),
+            oracle: self.oracle.clone(),
+            start: self.start,
+        });
+        Rc::new(Clients { idle_timeout: 2 * REST_TIME.end, ..client })
+    }
+
+    /// Sends one request after the other and rests between them, until `end`. A connection that is seen to
+    /// be closed is replaced.
+    pub(super) async fn rest_between_requests(self: Rc<Clients>, end: Instant) {
+        while SimRuntime::now() < end {
+            self.clone().send_request().await;
+            let rest = self.draw(|rng| rng.random_range(REST_TIME));
+            SimRuntime::sleep(rest).await;
+        }
+        self.idle.borrow_mut().clear();
+    }
+}
--- a/crates/simulation/src/oracle/limits.rs
+++ b/crates/simulation/src/oracle/limits.rs
@@ -38,6 +38,8 @@
     pub idempotency_window: Duration,
     /// How long after its deadline a response still counts.
     pub answer_slack: Duration,
+    /// How long a sidecar's process may be held up at a time.
+    pub longest_hold_up: Duration,
     /// How soon a server that is reported as draining or gone gets no new requests.
     pub drain_grace: Duration,
     /// How many descriptors a sidecar may hold.
--- a/crates/simulation/src/run/fault_events.rs
+++ b/crates/simulation/src/run/fault_events.rs
@@ -69,6 +69,10 @@
             }
             FaultKind::TerminateSidecar { sidecar } => self.terminate_sidecar(*sidecar),
             FaultKind::KillSidecar { sidecar } => self.kill_sidecar(*sidecar, fault.for_ms),
+            FaultKind::HoldUp { sidecar } => {
+                let sidecar = &self.sidecars[sidecar % self.sidecars.len()];
+                self.world.hold_up(sidecar.host, duration);
+            }
             FaultKind::DisableServer { sidecar, server } => {
                 let server = self.server(*server);
                 let (index, name) = (server.index(), server.name());
--- a/crates/simulation/src/run/setup.rs
+++ b/crates/simulation/src/run/setup.rs
@@ -152,6 +152,7 @@
             classes: self.classes.clone(),
             tenants: Deployment::tenants(),
             rate: self.scenario.rate,
+            resting: self.scenario.resting_clients,
             rng: self.draw_rng(),
             oracle: self.oracle.clone(),
             start: self.start,
@@ -190,6 +191,7 @@
         classes: classes.iter().map(profile).collect(),
         idempotency_window: DEDUPLICATION_WINDOW,
         answer_slack: ANSWER_SLACK,
+        longest_hold_up: scenario.longest_hold_up(),
         drain_grace: DRAIN_GRACE,
         sockets: scenario.sockets,
         max_response_gap: classes
--- a/crates/simulation/src/scenario/draw.rs
+++ b/crates/simulation/src/scenario/draw.rs
@@ -48,6 +48,7 @@
             gossip: rng.random_bool(0.5),
             // Other customers' connections may be established long after their request was chosen a server.
             connect_timeout_ms: *[75, 75, 75, 400, 1500].choose(&mut rng).unwrap_or(&75),
+            resting_clients: 0,
             faults,
         }
     }
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -317,6 +317,12 @@
         /// The index of the sidecar.
         sidecar: usize,
     },
+    /// A sidecar's process is stopped for so long, as by SIGSTOP or a busy machine.
+    #[serde(rename = "hold-up")]
+    HoldUp {
+        /// The index of the sidecar.
+        sidecar: usize,
+    },
     /// Some datagrams between sidecars are lost, half as many are duplicated.
     #[serde(rename = "notes")]
     GossipLoss {
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -5,10 +5,12 @@
 mod draw;
 mod error;
 mod fault;
+mod hold_ups;
 #[cfg(test)]
 mod tests;
 
 use std::path::Path;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -62,11 +64,19 @@
     /// How long a connection to a server may take to be established, in milliseconds.
     #[serde(default = "default_connect_timeout_ms", rename = "connect_ms")]
     pub connect_timeout_ms: u64,
+    /// How many clients of each sidecar rest between their requests.
+    #[serde(default, rename = "resting", skip_serializing_if = "is_zero")]
+    pub resting_clients: usize,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// Earlier scenario files have no key for what is zero.
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
+
 fn default_server_concurrency() -> usize {
     4
 }
@@ -119,6 +129,7 @@
         check("sockets", (64..=4096).contains(&self.sockets), "64 to 4096")?;
         check("cores", (1..=64).contains(&self.server_concurrency), "1 to 64")?;
         check("connect_ms", (1..=10_000).contains(&self.connect_timeout_ms), "1 to 10000")?;
+        check("resting", self.resting_clients <= 100, "100 at most")?;
         check("timer_lag_us", self.timer_lag_us <= 20_000, "20000 at most")?;
         for (index, fault) in self.faults.iter().enumerate() {
             let end = fault.at_ms.saturating_add(fault.for_ms);
@@ -127,6 +138,13 @@
         Ok(())
     }
 
+    /// How long a sidecar's process is held up at a time.
+    pub fn longest_hold_up(&self) -> Duration {
+        let hold_ups =
+            self.faults.iter().filter(|fault| matches!(fault.kind, FaultKind::HoldUp { .. }));
+        Duration::from_millis(hold_ups.map(|fault| fault.for_ms).max().unwrap_or(0))
+    }
+
     /// The scenario as the text of a file.
     pub fn text(&self) -> String {
         toml::to_string(self).unwrap_or_default()
--- a/crates/simulation/src/scenario/tests.rs
+++ b/crates/simulation/src/scenario/tests.rs
@@ -29,6 +29,22 @@
     assert!(names.contains("discovery-late") && names.contains("discovery-stale"), "{names:?}");
 }
 
+#[test]
+fn scenarios_with_hold_ups_hold_up_each_sidecar_again_and_again() {
+    for seed in 0..100 {
+        let drawn = Scenario::draw_with_hold_ups(seed);
+        drawn.validate().expect("it can be played");
+        let read: Scenario = toml::from_str(&drawn.text()).expect("its own text");
+        assert_eq!(read.text(), drawn.text());
+        assert!(drawn.longest_hold_up() < Duration::from_millis(150), "{}", drawn.text());
+        for sidecar in 0..drawn.sidecars {
+            let kind = FaultKind::HoldUp { sidecar };
+            let hold_ups = drawn.faults.iter().filter(|fault| fault.kind == kind).count();
+            assert!(hold_ups >= 25, "{hold_ups} of sidecar {sidecar}");
+        }
+    }
+}
+
 #[test]
 fn errors_of_invalid_files_name_the_key() {
     let valid = Scenario::draw(3).text();
--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -48,6 +48,13 @@
     );
 }
 
+/// Processes that are held up, and resting clients. While a timeout of an idle connection did not look at its socket,
+/// most of these seeds were broken.
+#[test]
+fn fixed_range_of_seeds_with_hold_ups_breaks_no_rule() {
+    play_seeds(0..SEEDS, Scenario::draw_with_hold_ups);
+}
+
 #[test]
 fn connections_that_wait_for_a_descriptor_as_a_process_exits_are_served() {
     play_seeds(1489..1490, Scenario::draw);
