Soak: in every run clients leave early while servers hang, on delayed links too

Change: clients leave in every run, half of them within an eighth of their deadline; in every run four servers hang on half of their requests for some seconds; on links that delay, the relay beside the sidecar tells when a request leaves it.

--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -259,6 +259,17 @@
         }
     }
 
+    /// Records that a request has left its sidecar for a server. On links that delay, only this tells whether that
+    /// was too long after its client had left.
+    pub fn record_departure(&self, server: &str, request_id: &str, now: Instant) {
+        let mut inner = self.lock();
+        let attempt = AttemptId::parse(request_id).and_then(|id| inner.attempt_mut(id));
+        let outcome = attempt.and_then(|attempt| attempt.outcome);
+        if inner.transit_delays {
+            inner.check_still_wanted(outcome, now, &format!("{request_id} left for {server}"));
+        }
+    }
+
     /// Records how long a server was told that a client still waits.
     pub fn record_time_left(&self, server: &str, request_id: &str, time_left: Duration) {
         let now = Instant::now();
@@ -338,12 +349,10 @@
 
     /// Counts an attempt that arrives at a server although nobody waits for it any more. `arrival` describes it.
     fn check_arrival(&mut self, outcome: Option<(Outcome, Instant)>, now: Instant, arrival: &str) {
+        if !self.transit_delays {
+            self.check_still_wanted(outcome, now, arrival);
+        }
         match outcome {
-            Some((Outcome::Left, at)) if now > at + LEAVE_GRACE && !self.transit_delays => {
-                self.counts.after_leaving += 1;
-                let late = (now - at).as_millis();
-                self.add_example(format!("{arrival} {late} ms after its client had left"));
-            }
             Some((outcome, at))
                 if outcome != Outcome::Left
                     && now > at + IN_FLIGHT_GRACE
@@ -356,6 +365,21 @@
         }
     }
 
+    /// Counts an attempt that is sent long after its client has left. `event` describes it.
+    fn check_still_wanted(
+        &mut self,
+        outcome: Option<(Outcome, Instant)>,
+        now: Instant,
+        event: &str,
+    ) {
+        let Some((Outcome::Left, at)) = outcome else { return };
+        if now > at + LEAVE_GRACE {
+            self.counts.after_leaving += 1;
+            let late = (now - at).as_millis();
+            self.add_example(format!("{event} {late} ms after its client had left"));
+        }
+    }
+
     fn open_pause(&mut self, target: SocketAddr) -> Option<&mut Pause> {
         self.pauses.iter_mut().rev().find(|pause| pause.target == target && pause.end.is_none())
     }
--- a/crates/fakes/src/account/tests.rs
+++ b/crates/fakes/src/account/tests.rs
@@ -86,3 +86,22 @@
     assert_eq!(account.report().classes[1].p99_ms, 0.0);
     assert_eq!((account.take_latencies()[0].served, account.take_latencies()[0].served), (5000, 0));
 }
+
+#[test]
+fn attempts_long_after_their_client_has_left_count_once_on_any_link() {
+    for transit_delays in [false, true] {
+        let account = account();
+        let id = account.next_attempt(account.begin(0));
+        account.record_outcome(id, Outcome::Left, at());
+        if transit_delays {
+            account.expect_transit_delays();
+        }
+        let soon = Instant::now();
+        account.record_departure("s", &id.request_id(), soon);
+        assert_eq!(account.report().violations(), 0);
+        std::thread::sleep(LEAVE_GRACE + Duration::from_millis(1));
+        account.record_departure("s", &id.request_id(), Instant::now());
+        account.record_server_event("s", &id.request_id(), ServerEvent::Received);
+        assert_eq!(account.report().violations(), 1, "delays: {transit_delays}");
+    }
+}
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -35,6 +35,9 @@
 /// How long a resting client rests: a sidecar ends idle connections after 2.5 s, and the request is to arrive
 /// around that time.
 const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
+/// A client that leaves waits for the share of its deadline that is a random number to this power: half of them leave
+/// within an eighth, while most requests are under way.
+const PATIENCE_EXPONENT: i32 = 3;
 /// The probability that a resting client connects first and rests before its first request.
 const REST_BEFORE_FIRST_PROBABILITY: f64 = 0.3;
 /// The body of requests that have one.
@@ -162,7 +165,7 @@
         }
         let (class, tenant) = (client.draw_class(&mut rng), client.load.draw_tenant(&mut rng));
         let leaves = rng.random_bool(client.load.leave_share.clamp(0.0, 1.0));
-        let patience = leaves.then(|| rng.random::<f64>());
+        let patience = leaves.then(|| rng.random::<f64>().powi(PATIENCE_EXPONENT));
         open.spawn(client.clone().run_operation(class, tenant, rng.random(), patience));
         while open.try_join_next().is_some() {}
     }
--- a/crates/fault-injection/src/drain_watch.rs
+++ b/crates/fault-injection/src/drain_watch.rs
@@ -101,6 +101,8 @@
         if !begins_request(data) {
             return;
         }
+        let id = header(&String::from_utf8_lossy(data), "x-correlation-id").unwrap_or_default();
+        self.account.record_departure(&format!("server {server}"), &id, now);
         let deadline = self.deadlines().deadline(sidecar, server);
         let Some(late) = deadline.and_then(|deadline| now.checked_duration_since(deadline)) else {
             return;
@@ -108,7 +110,6 @@
         if late.is_zero() {
             return;
         }
-        let id = header(&String::from_utf8_lossy(data), "x-correlation-id").unwrap_or_default();
         let sent = format!("{id}, sent by s{sidecar} {} ms too late,", late.as_millis());
         self.account.record_late_drain(&format!("server {server}"), &sent);
     }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -18,6 +18,7 @@
 
 mod discovery;
 mod hold_ups;
+mod leaving;
 mod replacement;
 
 /// How long before the end all faults are over.
@@ -68,9 +69,9 @@
     let last_fault_s = size.duration.saturating_sub(QUIET_END).as_secs_f64();
     assert!(last_fault_s > FIRST_FAULT_S, "a run of {:?} has no time for faults", size.duration);
     let rng = StdRng::seed_from_u64(seed);
-    let hold_ups = StdRng::seed_from_u64(!seed);
+    let every_run = StdRng::seed_from_u64(!seed);
     let (sidecars, events) = (size.sidecars, Vec::new());
-    let mut plan = Plan { rng, hold_ups, sidecars, last_fault_s, fault: 0, events };
+    let mut plan = Plan { rng, every_run, sidecars, last_fault_s, fault: 0, events };
     plan.add_faults();
     plan.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let system_calls = Some(plan.system_calls(seed));
@@ -101,8 +102,8 @@
 
 struct Plan {
     rng: StdRng,
-    /// Draws series of hold-ups, which leave the other faults of a seed as they are.
-    hold_ups: StdRng,
+    /// Draws what every run has beside, which leaves the other faults of a seed as they are.
+    every_run: StdRng,
     sidecars: u16,
     /// When the last fault ends, in seconds.
     last_fault_s: f64,
@@ -168,6 +169,7 @@
         let at_s = self.rng.random_range(FIRST_FAULT_S..latest_s);
         self.replace_in_steps(at_s);
         self.hold_up_in_series();
+        self.hang_under_leaving_clients();
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
@@ -367,7 +369,7 @@
             requests_per_s: REQUESTS_PER_SIDECAR * f64::from(self.sidecars),
             zipf_exponent: self.rng.random_range(0.0..0.8),
             client_retries: self.rng.random_range(0..=2),
-            leave_share: if self.rng.random_bool(0.5) { 0.05 } else { 0.0 },
+            leave_share: self.leave_share(),
             silent_connections: if self.rng.random_bool(0.5) { MANY_SILENT } else { 0 },
             resting_connections: RESTING,
             tenants: tenants.collect(),
--- a/crates/fault-injection/src/soak/draw/hold_ups.rs
+++ b/crates/fault-injection/src/soak/draw/hold_ups.rs
@@ -20,11 +20,11 @@
     pub(super) fn hold_up_in_series(&mut self) {
         let length_s = INTERVAL_S * HOLD_UPS as f64;
         let latest_s = (self.last_fault_s - length_s).max(FIRST_FAULT_S + 1.0);
-        let start_s = self.hold_ups.random_range(FIRST_FAULT_S..latest_s);
+        let start_s = self.every_run.random_range(FIRST_FAULT_S..latest_s);
         let sidecars: BTreeSet<u16> = (0..self.sidecars).collect();
         for n in 0..HOLD_UPS {
             let at_s = start_s + INTERVAL_S * n as f64;
-            let held_s = self.hold_ups.random_range(SHORTEST_S..LONGEST_S);
+            let held_s = self.every_run.random_range(SHORTEST_S..LONGEST_S);
             self.push(at_s, Action::Pause(sidecars.clone()));
             self.push(at_s + held_s, Action::Resume(sidecars.clone()));
         }
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -64,6 +64,16 @@
     }
 }
 
+#[test]
+fn in_every_plan_servers_hang_while_clients_leave() {
+    for seed in 0..200 {
+        let scenario = draw(seed, SIZE);
+        let hang = |event: &Event| matches!(&event.action, Action::SetServers(servers, ServerState::Hangs(_)) if servers.len() == 4);
+        assert!(scenario.events.iter().any(hang), "seed {seed}");
+        assert!(scenario.load.leave_share >= 0.05, "seed {seed}");
+    }
+}
+
 #[test]
 fn half_of_the_plans_poll_their_lists() {
     let polled = (0..200).filter(|&seed| polls_lists(&draw(seed, SIZE))).count();
