Simulation: requests sent to a sidecar that shuts down are owed until the earliest kill

Cause: the oracle excused a request that was lost if it was sent 0.7 s after SIGTERM. The protocol's clients send on open connections until the kill, which comes the longest deadline and 0.7 s after it. Change: the bound is that time, the one by which a sidecar has to have ended.

--- a/crates/simulation/src/oracle/limits.rs
+++ b/crates/simulation/src/oracle/limits.rs
@@ -38,6 +38,8 @@
     pub idempotency_window: Duration,
     /// How long after its deadline a response still counts.
     pub answer_slack: Duration,
+    /// How long after it was asked to terminate a sidecar may be killed, and what it has not answered be lost.
+    pub earliest_kill: Duration,
     /// How long a sidecar's process may be held up at a time.
     pub longest_hold_up: Duration,
     /// How soon a server that is reported as draining or gone gets no new requests.
--- a/crates/simulation/src/run/setup.rs
+++ b/crates/simulation/src/run/setup.rs
@@ -13,7 +13,7 @@
 use simnet::{HostId, Link, Options, World};
 
 use super::addresses::{HostKind, ip, server_address, sidecar_address};
-use super::sidecars::SidecarProcess;
+use super::sidecars::{SidecarProcess, termination_time};
 use super::{HeldResources, Simulation};
 use crate::clients::{Clients, ClientsSpec};
 use crate::discovery::Discovery;
@@ -191,6 +191,7 @@
         classes: classes.iter().map(profile).collect(),
         idempotency_window: DEDUPLICATION_WINDOW,
         answer_slack: ANSWER_SLACK,
+        earliest_kill: termination_time(classes),
         longest_hold_up: scenario.longest_hold_up(),
         drain_grace: DRAIN_GRACE,
         sockets: scenario.sockets,
