--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -65,8 +65,8 @@
     }
 
     /// Takes a list in: at most `max_servers` of it, those first that are known already, then those that
-    /// accept new requests. Returns the servers that were ignored, and calls `close_idle` for those whose idle connections are not
-    /// to be used any more.
+    /// accept new requests. Returns the servers that were ignored, and calls `close_idle` for those whose
+    /// idle connections are not to be used any more.
     fn apply<S: AsRef<str>>(
         &mut self,
         kind: ListKind,
