Fakes: clients that hold or rest idle connections have a module of their own

Silent and resting clients move to clients/idle.rs; nothing else changes. Result: the tests of the package pass.

--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -1,10 +1,11 @@
 //! Clients: requests at random times that do not wait for each other, each with a deadline and retries, on reused
 //! connections.
 
+mod idle;
+
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
+use self::idle::hold_silent_connections;
 use crate::account::{Account, AttemptId, Class, Idempotency, Outcome};
 use crate::wire::{Message, Reader};
 
@@ -29,17 +31,9 @@
 const FIRST_BACKOFF_MS: u64 = 50;
 /// A longer Retry-After is ignored, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 60.0;
-/// How long a silent connection is held at most, and how long after its end the next one is opened.
-const SILENT_TIME: Duration = Duration::from_millis(1500);
-const SILENT_PAUSE: Duration = Duration::from_millis(50);
-/// How long a resting client rests: a sidecar ends idle connections after 2.5 s, and the request is to arrive
-/// around that time.
-const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
 /// A client that leaves waits for the share of its deadline that is a random number to this power: half of them leave
 /// within an eighth, while most requests are under way.
 const PATIENCE_EXPONENT: i32 = 3;
-/// The probability that a resting client connects first and rests before its first request.
-const REST_BEFORE_FIRST_PROBABILITY: f64 = 0.3;
 /// The body of requests that have one.
 const BODY: &str = "four";
 
@@ -173,22 +167,6 @@
     while resting.join_next().await.is_some() {}
 }
 
-/// Opens one connection after the other and sends nothing; never ends.
-async fn hold_silent_connections(target: SocketAddr, seed: u64) {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    loop {
-        if let Ok(socket) = TcpStream::connect(target).await {
-            let held = sleep(SILENT_TIME.mul_f64(rng.random()));
-            tokio::select! {
-                () = held => {}
-                // The sidecar has closed it.
-                _ = socket.readable() => {}
-            }
-        }
-        sleep(SILENT_PAUSE).await;
-    }
-}
-
 /// What waits to be read on a connection, asked of the system itself: the event queue may not have told yet.
 fn peek(socket: &TcpStream) -> io::Result<usize> {
     SockRef::from(socket).peek(&mut [MaybeUninit::uninit()])
@@ -224,42 +202,6 @@
         draw_by_share(self.account.classes().iter().map(|class| class.share), rng)
     }
 
-    /// Sends one request after the other on a connection of its own, and rests between them, until `stop` is
-    /// true. A connection that is seen to be closed is replaced.
-    async fn rest_between_requests(self: Arc<Client>, seed: u64, mut stop: watch::Receiver<bool>) {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let load = Load { idle_timeout: 2 * REST_TIME.end, ..self.load.clone() };
-        let (target, account) = (self.target, self.account.clone());
-        let client = Arc::new(Client { target, account, load, idle_connections: Mutex::default() });
-        loop {
-            if rng.random_bool(REST_BEFORE_FIRST_PROBABILITY) {
-                client.connect_ahead().await;
-            } else {
-                let class = client.draw_class(&mut rng);
-                let tenant = client.load.draw_tenant(&mut rng);
-                client.clone().run_operation(class, tenant, rng.random(), None).await;
-            }
-            let rest = rng.random_range(REST_TIME);
-            tokio::select! {
-                biased;
-                _ = stop.wait_for(|stopped| *stopped) => return,
-                () = sleep(rest) => {}
-            }
-        }
-    }
-
-    /// Opens a connection for the next request, unless there is one.
-    async fn connect_ahead(&self) {
-        if !self.idle().is_empty() {
-            return;
-        }
-        if let Ok(socket) = TcpStream::connect(self.target).await {
-            let _ = socket.set_nodelay(true);
-            let connection = IdleConnection { reader: Reader::new(socket), since: Instant::now() };
-            self.idle().push(connection);
-        }
-    }
-
     async fn run_operation(
         self: Arc<Client>,
         class: usize,
--- /dev/null
+++ b/crates/fakes/src/clients/idle.rs
@@ -0,0 +1,82 @@
+//! Clients whose connections are idle for most of the time: silent ones, and those that rest between requests.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::{Client, IdleConnection, Load};
+use crate::wire::Reader;
+
+/// How long a silent connection is held at most, and how long after its end the next one is opened.
+const SILENT_TIME: Duration = Duration::from_millis(1500);
+const SILENT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a resting client rests: a sidecar ends idle connections after 2.5 s, and the request is to arrive
+/// around that time.
+const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
+/// The probability that a resting client connects first and rests before its first request.
+const REST_BEFORE_FIRST_PROBABILITY: f64 = 0.3;
+
+/// Opens one connection after the other and sends nothing; never ends.
+pub(super) async fn hold_silent_connections(target: SocketAddr, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    loop {
+        if let Ok(socket) = TcpStream::connect(target).await {
+            let held = sleep(SILENT_TIME.mul_f64(rng.random()));
+            tokio::select! {
+                () = held => {}
+                // The sidecar has closed it.
+                _ = socket.readable() => {}
+            }
+        }
+        sleep(SILENT_PAUSE).await;
+    }
+}
+
+impl Client {
+    /// Sends one request after the other on a connection of its own, and rests between them, until `stop` is
+    /// true. A connection that is seen to be closed is replaced.
+    pub(super) async fn rest_between_requests(
+        self: Arc<Client>,
+        seed: u64,
+        mut stop: watch::Receiver<bool>,
+    ) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let load = Load { idle_timeout: 2 * REST_TIME.end, ..self.load.clone() };
+        let (target, account) = (self.target, self.account.clone());
+        let client = Arc::new(Client { target, account, load, idle_connections: Mutex::default() });
+        loop {
+            if rng.random_bool(REST_BEFORE_FIRST_PROBABILITY) {
+                client.connect_ahead().await;
+            } else {
+                let class = client.draw_class(&mut rng);
+                let tenant = client.load.draw_tenant(&mut rng);
+                client.clone().run_operation(class, tenant, rng.random(), None).await;
+            }
+            let rest = rng.random_range(REST_TIME);
+            tokio::select! {
+                biased;
+                _ = stop.wait_for(|stopped| *stopped) => return,
+                () = sleep(rest) => {}
+            }
+        }
+    }
+
+    /// Opens a connection for the next request, unless there is one.
+    async fn connect_ahead(&self) {
+        if !self.idle().is_empty() {
+            return;
+        }
+        if let Ok(socket) = TcpStream::connect(self.target).await {
+            let _ = socket.set_nodelay(true);
+            let connection = IdleConnection { reader: Reader::new(socket), since: Instant::now() };
+            self.idle().push(connection);
+        }
+    }
+}
