--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -80,6 +80,7 @@
 /// The account of all requests. It is shared by clients and servers.
 pub struct Account {
     classes: Vec<Class>,
+    opened: Instant,
     inner: Mutex<Inner>,
 }
 
@@ -87,7 +88,8 @@
     /// An empty account of requests of these classes.
     pub fn new(classes: Vec<Class>) -> Account {
         let latencies = vec![new_histogram(); classes.len()];
-        Account { classes, inner: Mutex::new(Inner { latencies, ..Inner::default() }) }
+        let inner = Mutex::new(Inner { latencies, ..Inner::default() });
+        Account { classes, opened: Instant::now(), inner }
     }
 
     /// The classes.
@@ -254,7 +256,10 @@
                 let outcome = attempt.outcome;
                 inner.check_arrival(outcome, now, &format!("{request_id} came to {server}"));
             }
-            ServerEvent::Executed => attempt.executed += 1,
+            ServerEvent::Executed => {
+                attempt.executed += 1;
+                attempt.add_step(format!("ran at {server}"), now - self.opened);
+            }
             ServerEvent::Rejected | ServerEvent::Deduplicated => {}
         }
     }
@@ -264,7 +269,9 @@
     pub fn record_departure(&self, server: &str, request_id: &str, now: Instant) {
         let mut inner = self.lock();
         let attempt = AttemptId::parse(request_id).and_then(|id| inner.attempt_mut(id));
-        let outcome = attempt.and_then(|attempt| attempt.outcome);
+        let Some(attempt) = attempt else { return };
+        attempt.add_step(format!("left for {server}"), now.saturating_duration_since(self.opened));
+        let outcome = attempt.outcome;
         if inner.transit_delays {
             inner.check_still_wanted(outcome, now, &format!("{request_id} left for {server}"));
         }
@@ -449,7 +456,8 @@
         Idempotency::NonIdempotent => report.duplicated_non_idempotent += u64::from(duplicated),
     }
     if duplicated {
-        let example = format!("{number:012x} of {} ran {executions} times", class.name);
+        let steps = operation.steps();
+        let example = format!("{number:012x} of {} ran {executions} times: {steps}", class.name);
         report.examples.push(example);
     }
     if operation.is_rejected_but_executed() {
--- a/crates/fakes/src/account/operation.rs
+++ b/crates/fakes/src/account/operation.rs
@@ -81,6 +81,17 @@
     WrongBody,
 }
 
+/// The most steps of an attempt that are kept.
+const MAX_STEPS: usize = 8;
+
+/// What happened to an attempt, where and when.
+pub(super) struct Step {
+    /// In words: `left for server 3`, `ran at utrecht-1`.
+    pub what: String,
+    /// Since the account was opened.
+    pub at: Duration,
+}
+
 /// What the account knows of an attempt.
 #[derive(Default)]
 pub(super) struct Attempt {
@@ -90,6 +101,17 @@
     pub received: u16,
     /// How often servers executed it.
     pub executed: u16,
+    /// Its way to servers, for findings.
+    steps: Vec<Step>,
+}
+
+impl Attempt {
+    /// Keeps a step, unless there are many.
+    pub fn add_step(&mut self, what: String, at: Duration) {
+        if self.steps.len() < MAX_STEPS {
+            self.steps.push(Step { what, at });
+        }
+    }
 }
 
 /// What the account knows of an operation.
@@ -118,6 +140,13 @@
         self.attempts.iter().map(|attempt| u64::from(attempt.executed)).sum()
     }
 
+    /// The ways of all of its attempts, in words.
+    pub fn steps(&self) -> String {
+        let steps = self.attempts.iter().flat_map(|attempt| &attempt.steps);
+        let words = steps.map(|Step { what, at }| format!("{what} at {:.3} s", at.as_secs_f64()));
+        words.collect::<Vec<_>>().join(", ")
+    }
+
     /// Whether an attempt was executed though its client was told that it was rejected.
     pub fn is_rejected_but_executed(&self) -> bool {
         let rejected = |a: &Attempt| matches!(a.outcome, Some((Outcome::Rejected, _)));
