Soak: a finding tells how late the judge's own tasks were

Change: a task of the same runtime looks at the clock every 5 ms; with a finding, the longest lag and its time are printed. It excuses nothing.

--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::lag_watch::LagWatch;
 use crate::runner::{Outcome, Progress, SampledRun, play};
 use crate::sample::{Sample, Totals};
 use crate::scenario::Scenario;
@@ -39,8 +40,12 @@
     programs: Programs,
     observe: impl FnMut(&Progress<'_>),
 ) -> Result<(Outcome, Findings), TestbedError> {
+    let lags = LagWatch::start();
     let SampledRun { outcome, logged_violations } = play(scenario, programs, observe)?;
-    let findings = judge(scenario, &outcome, logged_violations);
+    let mut findings = judge(scenario, &outcome, logged_violations);
+    if !findings.0.is_empty() {
+        findings.0.push(lags.longest().to_string());
+    }
     Ok((outcome, findings))
 }
 
