Retries: no repeat of a keyed request in the last 0.15 s of its window

Repeats were sent up to the very end of the window, by the clock read before the write, so a process that is held up in between, or a packet that is late, has it run at a server that has just forgotten the first copy. Change: Class::repeat_window ends 0.15 s, or a quarter, before the window, for balancer and driver.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -370,7 +370,19 @@
     if valid { Ok(()) } else { Err(SettingsError::OutOfRange { key: key(), expected }) }
 }
 
+/// How long before servers forget a request its last repeat is sent: for so long a process may be held up between
+/// a look at its clock and the write.
+const REPEAT_MARGIN: Micros = 150_000;
+/// The margin takes at most this part of a window.
+const REPEAT_MARGIN_DIVISOR: Micros = 4;
+
 impl Class {
+    /// How long after the first attempt that may have run a repeat may be sent.
+    pub fn repeat_window(&self) -> Micros {
+        let margin = REPEAT_MARGIN.min(self.dedup_window / REPEAT_MARGIN_DIVISOR);
+        self.dedup_window - margin
+    }
+
     fn check(&self, index: usize) -> Result<(), SettingsError> {
         let path = |key: &'static str| move || format!("classes[{index}].{key}");
         require(self.latency_objective > 0, path("aim"), "a time above 0")?;
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -103,7 +103,7 @@
         };
         let windows = settings.classes.iter().map(|class| {
             (class.retry_safety == RetrySafety::IdempotencyKey)
-                .then(|| Duration::from_micros(class.dedup_window))
+                .then(|| Duration::from_micros(class.repeat_window()))
         });
         let idempotency_windows = windows.collect();
         let deduplicated_everywhere =
--- a/tests/balancer/retries.rs
+++ b/tests/balancer/retries.rs
@@ -55,6 +55,21 @@
     assert!(sent(&out).is_none() && failed(&out));
 }
 
+/// Sent within the window, a repeat may come to its server after it: the process may be held up before it writes.
+#[test]
+fn idempotency_key_request_is_not_retried_shortly_before_the_end_of_its_dedup_window() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    for (after, is_retried) in [(500 * MS, true), (600 * MS, false), (695 * MS, false)] {
+        let mut b = Bench::new(settings(|_| {}), 3, &servers);
+        let (id, out) = b.request(1);
+        let first = sent(&out).expect("sent");
+        b.now += after;
+        let out = b.answer(id, 0, first, Outcome::ConnectionReset, 0.0);
+        assert_eq!(sent(&out).is_some(), is_retried, "{} ms after it", after / MS);
+        assert!(is_retried || failed(&out));
+    }
+}
+
 /// Found by the bench's drill: an attempt was called off at its aim in the instant in which its
 /// stream began. A stream has no deadline, so the request never got its final answer.
 #[test]
