--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod expectations;
 pub mod gossip_relay;
 pub mod html_report;
-mod lag_watch;
 pub mod links;
 pub mod network;
 pub mod processes;
--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -7,7 +7,8 @@
 
 use std::time::Duration;
 
-use crate::lag_watch::LagWatch;
+use fakes::lag_watch::LagWatch;
+
 use crate::runner::{Outcome, Progress, SampledRun, play};
 use crate::sample::{Sample, Totals};
 use crate::scenario::Scenario;
