Clients that rest: one rest time for the soak and the simulation

The same two numbers stood in the fakes and in the simulation, which uses the fakes. The margin of repeats moves to the other constants of the settings.

--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
+pub use self::idle::REST_TIME;
 use self::idle::hold_silent_connections;
 use crate::account::{Account, AttemptId, Class, Idempotency, Outcome};
 use crate::wire::{Message, Reader};
--- a/crates/fakes/src/clients/idle.rs
+++ b/crates/fakes/src/clients/idle.rs
@@ -19,7 +19,7 @@
 const SILENT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a resting client rests: a sidecar ends idle connections after 2.5 s, and the request is to arrive
 /// around that time.
-const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
+pub const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
 /// The probability that a resting client connects first and rests before its first request.
 const REST_BEFORE_FIRST_PROBABILITY: f64 = 0.3;
 
--- a/crates/simulation/src/clients/resting.rs
+++ b/crates/simulation/src/clients/resting.rs
@@ -1,9 +1,9 @@
 //! Clients that rest between their requests until about the time at which a sidecar ends idle connections.
 
-use std::ops::Range;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use fakes::clients::REST_TIME;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use runtime::Runtime;
@@ -11,9 +11,6 @@
 
 use super::{Clients, ClientsSpec};
 
-/// How long a client rests: a sidecar ends idle connections after 2.5 s.
-const REST_TIME: Range<Duration> = Duration::from_millis(2400)..Duration::from_millis(2510);
-
 impl Clients {
     /// A client of the same sidecar that has a connection of its own, and never gives it up.
     pub(super) fn resting_client(&self) -> Rc<Clients> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,11 @@
 
 /// The number of values that a load report can carry.
 const MAX_REPORT_COLUMNS: usize = 4;
+/// How long before servers forget a request its last repeat is sent: for so long a process may be held up between
+/// a look at its clock and the write.
+const REPEAT_MARGIN: Micros = 150_000;
+/// The margin takes at most this part of a window.
+const REPEAT_MARGIN_DIVISOR: Micros = 4;
 
 /// Why settings cannot be used.
 #[derive(Debug, Error)]
@@ -370,12 +375,6 @@
     if valid { Ok(()) } else { Err(SettingsError::OutOfRange { key: key(), expected }) }
 }
 
-/// How long before servers forget a request its last repeat is sent: for so long a process may be held up between
-/// a look at its clock and the write.
-const REPEAT_MARGIN: Micros = 150_000;
-/// The margin takes at most this part of a window.
-const REPEAT_MARGIN_DIVISOR: Micros = 4;
-
 impl Class {
     /// How long after the first attempt that may have run a repeat may be sent.
     pub fn repeat_window(&self) -> Micros {
