--- a/crates/simnet/src/hold_up.rs
+++ b/crates/simnet/src/hold_up.rs
@@ -11,9 +11,8 @@
 impl WorldState {
     /// Stops the processes of a host for `duration`; one that is stopped stays so for as long as it was to be.
     pub(crate) fn hold_up(&mut self, host: HostId, duration: Duration) {
-        let event_loop = &mut self.network.host_mut(host).event_loop;
-        if *event_loop == EventLoop::Running {
-            *event_loop = EventLoop::HeldUp;
+        if self.network.host_mut(host).event_loop == EventLoop::Running {
+            self.network.set_event_loop(host, EventLoop::HeldUp);
             self.schedule(self.now + duration, Event::Resumed(host));
         }
     }
@@ -21,18 +20,16 @@
     /// Lets the processes of a host run again. What has arrived is told at the same instant, behind the
     /// tasks that are ready now.
     pub(crate) fn resume(&mut self, host: HostId) {
-        let event_loop = &mut self.network.host_mut(host).event_loop;
-        if *event_loop == EventLoop::HeldUp {
-            *event_loop = EventLoop::CatchingUp;
+        if self.network.host_mut(host).event_loop == EventLoop::HeldUp {
+            self.network.set_event_loop(host, EventLoop::CatchingUp);
             self.schedule(self.now, Event::InputReported(host));
         }
     }
 
     /// Tells the tasks of a host of what has arrived in a hold-up.
     pub(crate) fn report_input(&mut self, host: HostId) {
-        let event_loop = &mut self.network.host_mut(host).event_loop;
-        if *event_loop == EventLoop::CatchingUp {
-            *event_loop = EventLoop::Running;
+        if self.network.host_mut(host).event_loop == EventLoop::CatchingUp {
+            self.network.set_event_loop(host, EventLoop::Running);
             self.network.report_input(host);
         }
     }
--- a/crates/simnet/src/network.rs
+++ b/crates/simnet/src/network.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::connection::{Connection, ConnectionId, Endpoint, EndpointState};
-use crate::host::{Host, HostId};
+use crate::host::{EventLoop, Host, HostId};
 use crate::link::Link;
 
 /// Counters of what happened on the network.
@@ -58,6 +58,8 @@
 #[derive(Default)]
 pub(crate) struct Network {
     pub(crate) hosts: Vec<Host>,
+    /// How many of them are held up: asked before each step.
+    held_up_hosts: usize,
     pub(crate) connections: FxHashMap<ConnectionId, Connection>,
     last_connection: u64,
     pub(crate) listeners: FxHashMap<SocketAddr, ListenerState>,
@@ -82,7 +84,17 @@
     }
 
     pub(crate) fn is_any_host_held_up(&self) -> bool {
-        self.hosts.iter().any(Host::is_held_up)
+        self.held_up_hosts > 0
+    }
+
+    /// Changes whether the processes of a host run.
+    pub(crate) fn set_event_loop(&mut self, host: HostId, event_loop: EventLoop) {
+        let host = self.host_mut(host);
+        let was_held_up = host.is_held_up();
+        host.event_loop = event_loop;
+        let is_held_up = host.is_held_up();
+        self.held_up_hosts += usize::from(is_held_up);
+        self.held_up_hosts -= usize::from(was_held_up);
     }
 
     /// Tells the tasks of a host of everything that has arrived there.
--- a/crates/simnet/src/world.rs
+++ b/crates/simnet/src/world.rs
@@ -96,9 +96,9 @@
         drop(futures);
         let mut state = self.inner.state.borrow_mut();
         state.network.close_listeners(host);
+        state.network.set_event_loop(host, EventLoop::Running);
         let host = state.network.host_mut(host);
         host.failure = None;
-        host.event_loop = EventLoop::Running;
         host.reachable = failure == HostFailure::ProcessKilled;
     }
 
