Attempts: the log tells why a request was sent again, and what proves that it may be

The observer of each connection now keeps what passed: copies written in full, status, what the head says of processing, whether the response is whole and came in turn (execution.rs). Ends of attempts log it (debug); a retry, rejection or failure of a request that is not idempotent and that a server may have begun is logged at info with request, attempt, address and reason; events.retried_after and events.doubted count. Nothing is decided by it yet.

--- a/src/api.rs
+++ b/src/api.rs
@@ -90,6 +90,32 @@
 }
 
 impl Outcome {
+    /// All of them, in the order in which they are reported.
+    pub const ALL: [Outcome; 8] = [
+        Outcome::Success,
+        Outcome::ErrorResponse,
+        Outcome::Rejected,
+        Outcome::TimedOut,
+        Outcome::ConnectFailed,
+        Outcome::ConnectionReset,
+        Outcome::Cancelled,
+        Outcome::NotSent,
+    ];
+
+    /// The name in logs and statistics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Success => "success",
+            Outcome::ErrorResponse => "error_response",
+            Outcome::Rejected => "rejected",
+            Outcome::TimedOut => "timed_out",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::ConnectionReset => "connection_reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::NotSent => "not_sent",
+        }
+    }
+
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -11,6 +11,7 @@
 use super::requests::InFlightRequest;
 use super::{Driver, RequestOutcome, State};
 use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
+use crate::settings::RetrySafety;
 use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
@@ -22,6 +23,15 @@
     pub(super) started: Instant,
     /// It may have been executed, as far as is known.
     pub(super) may_have_run: bool,
+    /// How it ended; none before.
+    pub(super) outcome: Option<Outcome>,
+}
+
+impl InFlightAttempt {
+    /// Whether it has ended without a byte at a server.
+    pub(super) fn was_not_sent(&self) -> bool {
+        matches!(self.outcome, Some(Outcome::NotSent | Outcome::ConnectFailed))
+    }
 }
 
 /// Which attempt it is.
@@ -68,10 +78,36 @@
         self.record(GossipEvent::Attempt);
         if index > 0 {
             self.record(GossipEvent::Retry);
+            self.log_retry(id);
         }
         P::spawn(self.clone().run_attempt(id, dispatch));
     }
 
+    /// Counts and logs that an attempt follows another one. The log has it at the default level where a
+    /// server may have executed the request, or has said that it has not.
+    fn log_retry(&self, id: AttemptId) {
+        let state = self.state.borrow();
+        let Some(request) = state.requests.get(&id.request) else { return };
+        let earlier = &request.attempts[..id.index];
+        let Some(outcome) = earlier.iter().rev().find_map(|attempt| attempt.outcome) else {
+            return;
+        };
+        self.status.events.record_retry(outcome);
+        let message = request.message();
+        let is_idempotent = request.retry_safety() == Some(RetrySafety::Idempotent);
+        if is_idempotent || earlier.iter().all(InFlightAttempt::was_not_sent) {
+            return;
+        }
+        tracing::info!(
+            request = message.as_ref().map(|message| message.correlation_id()),
+            attempt = id.index,
+            address = state.endpoints.address(id.server).map(tracing::field::display),
+            after = outcome.name(),
+            may_have_run = request.may_have_run_before(id.index),
+            "request sent again"
+        );
+    }
+
     /// Adds an attempt to its request: its place there, and what it sends, if it can still be sent.
     fn register_attempt(
         &self,
@@ -96,6 +132,7 @@
             cancel: Some(cancel),
             started,
             may_have_run: true,
+            outcome: None,
         });
         if let Some(violation) = violation {
             let subject = request.message().map(|message| message.correlation_id().to_owned());
@@ -120,7 +157,7 @@
     fn report_not_sent(self: &Rc<Driver<P>>, id: AttemptId) {
         let driver = self.clone();
         P::spawn(async move {
-            driver.complete_attempt(id, 0, AttemptResult::without_response(Outcome::NotSent));
+            driver.complete_attempt(id, 0, AttemptResult::not_sent());
         });
     }
 
@@ -149,7 +186,8 @@
             request = request.correlation_id(),
             attempt = id.index,
             address = %endpoint.address,
-            outcome = ?result.outcome,
+            outcome = result.outcome.name(),
+            facts = ?result.facts,
             took_us = P::elapsed_since(started).as_micros() as u64,
             "attempt ended"
         );
@@ -188,13 +226,14 @@
         latency: Micros,
         result: AttemptResult,
     ) {
-        let AttemptResult { outcome, report, response } = result;
+        let AttemptResult { outcome, report, response, .. } = result;
         let mut finished = true;
         let mut retryable = false;
         if let Some(request) = self.state.borrow_mut().requests.get_mut(&id.request) {
             if let Some(attempt) = request.attempts.get_mut(id.index) {
                 attempt.cancel = None;
                 attempt.may_have_run = !outcome.never_ran();
+                attempt.outcome = Some(outcome);
             }
             if let Some(response) = response {
                 request.finish(RequestOutcome::Served(response), &self.status);
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -8,7 +8,7 @@
 
 use super::Driver;
 use super::attempts::InFlightAttempt;
-use crate::api::{EndReason, Event, Micros, NewRequest, RequestId};
+use crate::api::{EndReason, Event, Micros, NewRequest, Outcome, RequestId};
 use crate::settings::RetrySafety;
 use crate::sidecar::invariants::{Violation, may_reject};
 use crate::sidecar::status::Status;
@@ -16,6 +16,8 @@
 
 /// A final answer should be on its way this long before the client stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+/// The log's message of a request that no server's response ends.
+const END_MESSAGE: &str = "request ends without a server's response";
 
 /// How a request ended.
 pub enum RequestOutcome {
@@ -129,6 +131,11 @@
         self.attempts.iter().any(|attempt| attempt.may_have_run)
     }
 
+    /// Whether any of its first `count` attempts may have been executed.
+    pub(super) fn may_have_run_before(&self, count: usize) -> bool {
+        self.attempts.iter().take(count).any(|attempt| attempt.may_have_run)
+    }
+
     /// Whether the request may be sent again after it may have been executed.
     pub(super) fn is_retryable(&self) -> bool {
         self.retry_safety().is_some_and(|safety| safety != RetrySafety::NonIdempotent)
@@ -162,6 +169,22 @@
     }
 }
 
+/// Logs that a request ends without a server's response; at the default level if its servers may have
+/// executed it, or have said that they have not, and it must not simply be repeated.
+fn log_end(request: &InFlightRequest, outcome: &RequestOutcome, reason: EndReason) {
+    let id = request.message.as_ref().map(|message| message.correlation_id());
+    let (answer, reason, attempts) = (outcome.name(), reason.name(), request.attempts.len());
+    let is_idempotent = request.retry_safety() == Some(RetrySafety::Idempotent);
+    if is_idempotent || request.attempts.iter().all(InFlightAttempt::was_not_sent) {
+        tracing::debug!(request = id, answer, reason, attempts, "{END_MESSAGE}");
+        return;
+    }
+    let last = request.attempts.iter().rev().find_map(|attempt| attempt.outcome);
+    let may_have_run = request.may_have_run();
+    let after = last.map(Outcome::name);
+    tracing::info!(request = id, answer, reason, attempts, after, may_have_run, "{END_MESSAGE}");
+}
+
 impl<P: Runtime> Driver<P> {
     /// Takes a client's request.
     pub fn submit(
@@ -268,14 +291,8 @@
         if let Some(request) = self.state.borrow_mut().requests.get_mut(&id) {
             let outcome = self.checked_outcome(id, request, outcome);
             self.status.events.record_end(reason);
-            let message = request.release_message();
-            tracing::debug!(
-                request = message.as_ref().map(|message| message.correlation_id()),
-                answer = outcome.name(),
-                reason = reason.name(),
-                attempts = request.attempts.len(),
-                "request ends without a server's response"
-            );
+            log_end(request, &outcome, reason);
+            request.release_message();
             request.finish(outcome, &self.status);
         }
         self.remove_if_done(id);
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -1,11 +1,13 @@
 //! Counters of rare events: rules that did not hold, attempts that were not sent after all, requests
-//! that got no server's answer, and connections of clients that were closed, each by its reason. Operators read them with `show-events`.
+//! that got no server's answer, retries, rejections by servers that prove nothing, and connections of clients that
+//! were closed, each by its reason. Operators read them with `show-events`.
 
 use std::cell::Cell;
 use std::fmt::{self, Display, Formatter};
 
+use super::execution::Doubt;
 use super::invariants::{SendRefusal, Violation};
-use crate::api::EndReason;
+use crate::api::{EndReason, Outcome};
 
 /// Why a connection of a client ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +62,8 @@
     violations: [Cell<u64>; Violation::ALL.len()],
     refusals: [Cell<u64>; SendRefusal::ALL.len()],
     ends: [Cell<u64>; EndReason::ALL.len()],
+    retries: [Cell<u64>; Outcome::ALL.len()],
+    doubts: [Cell<u64>; Doubt::ALL.len()],
     closes: [Cell<u64>; CloseReason::ALL.len()],
     unanswered: [Cell<u64>; CloseReason::ALL.len()],
     late_input: Cell<u64>,
@@ -105,6 +109,16 @@
         increment(&self.ends[reason as usize]);
     }
 
+    /// Counts an attempt that follows another, by how that one ended.
+    pub fn record_retry(&self, earlier: Outcome) {
+        increment(&self.retries[earlier as usize]);
+    }
+
+    /// Counts an attempt that may have been executed, though its server seems to have said that it was not.
+    pub fn record_doubt(&self, doubt: Doubt) {
+        increment(&self.doubts[doubt as usize]);
+    }
+
     /// Counts a connection of a client that ended.
     pub fn record_close(&self, reason: CloseReason) {
         increment(&self.closes[reason as usize]);
@@ -142,6 +156,8 @@
             &self.refusals,
         ));
         all.extend(group("ended", EndReason::ALL.map(EndReason::name).into(), &self.ends));
+        all.extend(group("retried_after", Outcome::ALL.map(Outcome::name).into(), &self.retries));
+        all.extend(group("doubted", Doubt::ALL.map(Doubt::name).into(), &self.doubts));
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let reasons = CloseReason::ALL.map(CloseReason::name).into();
         all.extend(group("unanswered", reasons, &self.unanswered));
--- a/src/sidecar/events/tests.rs
+++ b/src/sidecar/events/tests.rs
@@ -9,6 +9,8 @@
     counters.record_violation(Violation::UnsafeRepeat, &"b");
     counters.record_refusal(SendRefusal::WindowOver);
     counters.record_end(EndReason::NoServer);
+    counters.record_retry(Outcome::Rejected);
+    counters.record_doubt(Doubt::Incomplete);
     counters.record_close(CloseReason::Broken);
     counters.record_unanswered(CloseReason::TimedOut);
     counters.record_late_input();
@@ -23,6 +25,8 @@
         "events.violations.unsafe_repeat=2",
         "events.not_sent.window_over=1",
         "events.ended.no_server=1",
+        "events.retried_after.rejected=1",
+        "events.doubted.incomplete=1",
         "events.closed.broken=1",
         "events.unanswered.timed_out=1",
         "events.input_after_end=1",
@@ -34,8 +38,15 @@
 #[test]
 fn events_that_never_occurred_are_reported_too() {
     let all = EventCounters::default().snapshot();
-    let groups = [Violation::ALL.len(), SendRefusal::ALL.len(), EndReason::ALL.len()];
-    let expected = groups.iter().sum::<usize>() + 2 * CloseReason::ALL.len() + 2;
+    let groups = [
+        Violation::ALL.len(),
+        SendRefusal::ALL.len(),
+        EndReason::ALL.len(),
+        Outcome::ALL.len(),
+        Doubt::ALL.len(),
+        2 * CloseReason::ALL.len(),
+    ];
+    let expected = groups.iter().sum::<usize>() + 2;
     assert_eq!(all.len(), expected);
     assert!(all.iter().all(|event| event.count == 0));
 }
--- /dev/null
+++ b/src/sidecar/execution/tests.rs
@@ -0,0 +1,44 @@
+//! What proves that an attempt was not executed, and what does not.
+
+use super::*;
+
+const REJECTED: ExecutionFacts = ExecutionFacts {
+    copies_sent: 1,
+    response: ResponseFacts {
+        status: Some(503),
+        unprocessed: Unprocessed::Promised,
+        complete: true,
+        in_turn: true,
+    },
+    connection_settled: true,
+};
+
+fn with_response(change: impl FnOnce(&mut ResponseFacts)) -> ExecutionFacts {
+    let mut facts = REJECTED;
+    change(&mut facts.response);
+    facts
+}
+
+#[test]
+fn whole_rejection_and_unwritten_request_are_proofs() {
+    assert_eq!(REJECTED.never_ran(), Ok(NeverRan::Rejected));
+    assert_eq!(with_response(|r| r.status = Some(504)).never_ran(), Ok(NeverRan::Rejected));
+    assert_eq!(ExecutionFacts::NOT_SENT.never_ran(), Ok(NeverRan::NotSent));
+}
+
+#[test]
+fn each_part_of_the_proof_is_required() {
+    let doubts = [
+        (with_response(|r| r.status = None), Doubt::NoResponse),
+        (with_response(|r| r.status = Some(500)), Doubt::NotRejected),
+        (with_response(|r| r.unprocessed = Unprocessed::Unsaid), Doubt::NotRejected),
+        (with_response(|r| r.unprocessed = Unprocessed::Contradictory), Doubt::Contradictory),
+        (with_response(|r| r.complete = false), Doubt::Incomplete),
+        (with_response(|r| r.in_turn = false), Doubt::OutOfTurn),
+        (ExecutionFacts { copies_sent: 2, ..REJECTED }, Doubt::EarlierCopy),
+        (ExecutionFacts { connection_settled: false, ..REJECTED }, Doubt::Unsettled),
+    ];
+    for (facts, doubt) in doubts {
+        assert_eq!(facts.never_ran(), Err(doubt), "{facts:?}");
+    }
+}
--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -12,6 +12,8 @@
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// How much of a line is kept: enough for the headers that tell how long a body is.
 const MAX_KEPT_LINE_BYTES: usize = 128;
+/// The header with which a server tells that it rejected a request without processing it.
+pub const UNPROCESSED_HEADER: &str = "x-unprocessed";
 /// How many interim (1xx) responses may precede the final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 /// More digits than the size of any chunk has.
@@ -62,6 +64,18 @@
     }
 }
 
+/// What the head of a response says of whether the request was processed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Unprocessed {
+    /// Nothing.
+    #[default]
+    Unsaid,
+    /// That it was not.
+    Promised,
+    /// Several things, or something that the protocol does not have.
+    Contradictory,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// Nothing of the next message has been received.
@@ -116,6 +130,7 @@
     is_chunked: bool,
     /// The body is chunked and nothing else, as far as the head tells.
     is_only_chunked: bool,
+    unprocessed: Unprocessed,
     /// The sum of the sizes of the chunks so far.
     chunk_bytes: u64,
 }
@@ -135,6 +150,7 @@
             content_length: None,
             is_chunked: false,
             is_only_chunked: false,
+            unprocessed: Unprocessed::Unsaid,
             chunk_bytes: 0,
         }
     }
@@ -153,6 +169,7 @@
         self.content_length = None;
         self.is_chunked = false;
         self.is_only_chunked = false;
+        self.unprocessed = Unprocessed::Unsaid;
         self.chunk_bytes = 0;
     }
 
@@ -166,6 +183,17 @@
         self.state == State::Complete
     }
 
+    /// The status of a response; none before its head has been received.
+    pub fn status(&self) -> Option<u16> {
+        let has_head = !matches!(self.state, State::BeforeHead | State::Head);
+        has_head.then_some(self.status)
+    }
+
+    /// What the head of a response says of whether the request was processed.
+    pub fn unprocessed(&self) -> Unprocessed {
+        self.unprocessed
+    }
+
     /// Whether the head tells how the body ends.
     pub fn has_explicit_end(&self) -> bool {
         self.content_length.is_some() || self.is_chunked
@@ -295,8 +323,13 @@
         Ok(())
     }
 
-    /// Takes from a header line what it tells of the body's length.
+    /// Takes from a header line what it tells of the body's length and of processing.
     fn read_header(&mut self) -> Result<(), FramingError> {
+        let is_continuation = matches!(self.line.first(), Some(b' ' | b'\t'));
+        if is_continuation && self.unprocessed == Unprocessed::Promised {
+            // It may belong to the header that made the promise.
+            self.unprocessed = Unprocessed::Contradictory;
+        }
         let Some(colon) = self.line.iter().position(|&b| b == b':') else { return Ok(()) };
         let (name, value) = self.line.split_at(colon);
         let (name, value) = (name.trim_ascii(), value[1..].trim_ascii());
@@ -311,6 +344,14 @@
             self.is_only_chunked = chunked && !self.is_chunked;
             self.is_chunked = true;
         }
+        if name.eq_ignore_ascii_case(UNPROCESSED_HEADER.as_bytes()) {
+            let is_kept_whole = self.line.len() < MAX_KEPT_LINE_BYTES;
+            let is_first = self.unprocessed == Unprocessed::Unsaid;
+            self.unprocessed = match value {
+                b"1" if is_first && is_kept_whole => Unprocessed::Promised,
+                _ => Unprocessed::Contradictory,
+            };
+        }
         Ok(())
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -10,6 +10,7 @@
 pub mod discovery_status;
 pub mod driver;
 pub mod events;
+pub mod execution;
 pub mod framing;
 pub mod gossip;
 pub mod ingress;
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -16,6 +16,7 @@
 use super::{Endpoint, Upstream};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
+use crate::sidecar::execution::{Doubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
 
 /// A connection that was closed before it was used shows that within this time.
@@ -32,12 +33,20 @@
     pub report: LoadReport,
     /// The response, if the outcome is that the request was served.
     pub response: Option<UpstreamResponse>,
+    /// What passed on its connections; none if it was still under way.
+    pub facts: Option<ExecutionFacts>,
 }
 
 impl AttemptResult {
     /// An end without a response.
     pub fn without_response(outcome: Outcome) -> AttemptResult {
-        AttemptResult { outcome, report: LoadReport::default(), response: None }
+        AttemptResult { outcome, report: LoadReport::default(), response: None, facts: None }
+    }
+
+    /// The end of an attempt of which nothing was sent.
+    pub fn not_sent() -> AttemptResult {
+        let facts = Some(ExecutionFacts::NOT_SENT);
+        AttemptResult { facts, ..AttemptResult::without_response(Outcome::NotSent) }
     }
 }
 
@@ -59,7 +68,8 @@
         request: &Rc<UpstreamRequest>,
         limits: AttemptLimits,
     ) -> AttemptResult {
-        Exchange { upstream: self, endpoint, request, limits, resent: false }.run().await
+        let facts = ExecutionFacts::NOT_SENT;
+        Exchange { upstream: self, endpoint, request, limits, resent: false, facts }.run().await
     }
 
     /// Waits until a response that has begun makes no progress.
@@ -82,6 +92,7 @@
     limits: AttemptLimits,
     /// The request was sent in full and is being sent a second time.
     resent: bool,
+    facts: ExecutionFacts,
 }
 
 impl<P: Runtime> Exchange<'_, P> {
@@ -94,9 +105,34 @@
         {
             result.outcome = Outcome::ConnectionReset;
         }
+        result.facts = Some(self.facts);
+        if result.outcome.never_ran()
+            && let Err(doubt) = self.facts.never_ran()
+        {
+            self.record_doubt(doubt);
+        }
         result
     }
 
+    /// Counts and logs that the attempt's end does not prove that it was not executed.
+    fn record_doubt(&self, doubt: Doubt) {
+        self.upstream.status.events.record_doubt(doubt);
+        tracing::info!(
+            request = self.request.correlation_id(),
+            address = %self.endpoint.address,
+            %doubt,
+            status = self.facts.response.status,
+            copies_sent = self.facts.copies_sent,
+            "rejection by a server is no proof"
+        );
+    }
+
+    /// Notes what passed on a connection that is not used any more for this attempt.
+    fn note_exchange(&mut self, observer: &ExchangeObserver<P>) {
+        self.facts.copies_sent += u32::from(observer.is_request_sent());
+        self.facts.response = observer.response_facts();
+    }
+
     async fn exchange(&mut self) -> AttemptResult {
         // The part of a streamed body that is lost on a closed connection cannot be sent again.
         let mut idle = match self.request.upload {
@@ -123,8 +159,11 @@
             self.upstream.status.discovery.record_attempt();
             let observer = connection.observer.clone();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
-                return self.receive_response(connection, &observer, response).await;
+                let result = self.receive_response(connection, &observer, response).await;
+                self.note_exchange(&observer);
+                return result;
             }
+            self.note_exchange(&observer);
             match self.after_break(&connection, sent_at) {
                 AfterBreak::Reconnect => {}
                 AfterBreak::Resend => {
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -14,6 +14,7 @@
 use runtime::{Observer, Runtime};
 use tokio::sync::Notify;
 
+use crate::sidecar::execution::ResponseFacts;
 use crate::sidecar::framing::{Framing, MessageKind};
 use crate::sidecar::status::Status;
 
@@ -166,6 +167,17 @@
         self.response.borrow().has_explicit_end()
     }
 
+    /// What has arrived in response to the request.
+    pub(super) fn response_facts(&self) -> ResponseFacts {
+        let response = self.response.borrow();
+        ResponseFacts {
+            status: response.status(),
+            unprocessed: response.unprocessed(),
+            complete: response.is_complete(),
+            in_turn: self.is_clean(),
+        }
+    }
+
     /// Whether nothing has arrived that belongs to no response.
     pub(super) fn is_clean(&self) -> bool {
         !self.unexpected_bytes.get()
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -19,6 +19,7 @@
     BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
 };
 use crate::sidecar::budget::Reservation;
+use crate::sidecar::framing::UNPROCESSED_HEADER;
 
 /// How long more of a streamed response is waited for after its first bytes, before they are
 /// forwarded. One that breaks off that early has failed while another server can still be asked.
@@ -26,8 +27,6 @@
 
 /// The header with which a server reports its load.
 const LOAD_REPORT_HEADER: &str = "x-backend-load";
-/// The header with which a server tells that it rejected a request without processing it.
-const UNPROCESSED_HEADER: &str = "x-unprocessed";
 
 /// A server's response to a request.
 pub struct UpstreamResponse {
@@ -101,14 +100,11 @@
         if head.status != StatusCode::OK {
             P::spawn(self.clone().discard_body(server, connection, body));
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
-            return AttemptResult { outcome, report, response: None };
-        }
-        match self.read_body(server, connection, head.headers, body).await {
-            Some(response) => {
-                AttemptResult { outcome: Outcome::Success, report, response: Some(response) }
-            }
-            None => AttemptResult { outcome: Outcome::ConnectionReset, report, response: None },
+            return AttemptResult { report, ..AttemptResult::without_response(outcome) };
         }
+        let response = self.read_body(server, connection, head.headers, body).await;
+        let outcome = if response.is_some() { Outcome::Success } else { Outcome::ConnectionReset };
+        AttemptResult { report, response, ..AttemptResult::without_response(outcome) }
     }
 
     /// Reads a body, or the first part of a streamed one; none if it cannot be forwarded in full.
