--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod draining;
 mod idle_close;
+mod rejections;
 mod reload;
 mod resting_connections;
 mod server_answers;
--- /dev/null
+++ b/tests/lifecycle/rejections.rs
@@ -0,0 +1,358 @@
+//! Servers that seem to say that they have not executed a request: which answers prove it.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
+
+use crate::net::*;
+
+const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\n";
+/// The latency objective that limits the gaps in responses, in milliseconds.
+const GAP_MS: u64 = 200;
+/// The request whose first copy is rejected.
+const ID: &str = "first";
+/// How many sidecars a test starts together.
+const SIDECARS_AT_ONCE: usize = 6;
+
+/// What a server does behind the bytes of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Then {
+    /// It waits for the next request.
+    Wait,
+    Close,
+    Reset,
+}
+
+/// An answer to the first copy of a request.
+#[derive(Clone)]
+struct Form {
+    text: String,
+    then: Then,
+}
+
+impl Form {
+    fn rejected(rest: &str, then: Then) -> Form {
+        Form { text: format!("{REJECTED}{rest}"), then }
+    }
+
+    fn write(&self, socket: &mut TcpStream) -> bool {
+        let written = socket.write_all(self.text.as_bytes()).is_ok();
+        if self.then == Then::Reset {
+            // What was written has to arrive before the reset discards it.
+            thread::sleep(Duration::from_millis(20));
+            let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+        }
+        written && self.then == Then::Wait
+    }
+}
+
+/// Rejections that come whole.
+fn whole_rejections() -> Vec<Form> {
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n";
+    let gateway = "HTTP/1.1 504 Gateway Timeout\r\nx-unprocessed: 1\r\ncontent-length: 2\r\n\r\nno";
+    let interim = format!("HTTP/1.1 103 Early Hints\r\n\r\n{REJECTED}Content-Length: 0\r\n\r\n");
+    vec![
+        Form::rejected("Content-Length: 0\r\n\r\n", Then::Wait),
+        Form::rejected("Content-Length: 4\r\n\r\nfull", Then::Wait),
+        Form::rejected("Connection: close\r\nContent-Length: 4\r\n\r\nfull", Then::Close),
+        Form::rejected(chunked, Then::Wait),
+        Form { text: gateway.to_owned(), then: Then::Wait },
+        Form { text: interim, then: Then::Wait },
+    ]
+}
+
+/// Rejections that do not come whole, or of which nobody can tell.
+fn cut_rejections() -> Vec<Form> {
+    let bodies = [
+        "",
+        "Content-Le",
+        "Content-Length: 20\r\n\r\n",
+        "Content-Length: 20\r\n\r\nab",
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n14\r\nab",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+        "\r\n",
+        "\r\nab",
+        "Connection: close\r\n\r\nab",
+    ];
+    let ends = [Then::Wait, Then::Close, Then::Reset];
+    let every_end = |body| ends.map(|then| Form::rejected(body, then));
+    let mut forms: Vec<Form> = bodies.into_iter().flat_map(every_end).collect();
+    let old = format!("{}\r\nab", REJECTED.replace("1.1 503", "1.0 503"));
+    forms.extend(ends.map(|then| Form { text: old.clone(), then }));
+    forms
+}
+
+/// Answers that come whole and say several things, or nothing that the protocol has.
+fn ambiguous_rejections() -> Vec<Form> {
+    let end = "Content-Length: 0\r\n\r\n";
+    let heads = [
+        "503 No\r\nX-Unprocessed: 1\r\nX-Unprocessed: 0\r\n",
+        "503 No\r\nX-Unprocessed: 0\r\nX-Unprocessed: 1\r\n",
+        "503 No\r\nX-Unprocessed: 1\r\nX-Unprocessed: 1\r\n",
+        "503 No\r\nX-Unprocessed: 1, 0\r\n",
+        "503 No\r\nX-Unprocessed: 1\r\n 0\r\n",
+        "503 No\r\nX-Unprocessed: 0\r\n",
+        "503 No\r\nX-Unprocessed:\r\n",
+        "503 No\r\nX-Unprocessed: true\r\n",
+        "503 No\r\n",
+        "500 No\r\nX-Unprocessed: 1\r\n",
+        "429 No\r\nX-Unprocessed: 1\r\n",
+    ];
+    let whole = heads.map(|head| Form { text: format!("HTTP/1.1 {head}{end}"), then: Then::Wait });
+    let behind = |text: &str| Form::rejected(text, Then::Wait);
+    let mut forms: Vec<Form> = whole.into();
+    forms.push(behind("Content-Length: 0\r\n\r\nnoise"));
+    forms.push(behind("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Unprocessed: 0\r\n\r\n"));
+    forms
+}
+
+/// Servers that answer the first copy of the request with [`ID`] in one form, and serve all others.
+struct Rejecting {
+    sidecar: Sidecar,
+    /// By request, the indices of the servers that received a copy.
+    copies: Arc<Mutex<HashMap<String, Vec<usize>>>>,
+}
+
+impl Rejecting {
+    /// One server in each of two zones.
+    fn start(form: Form) -> Rejecting {
+        let copies: Arc<Mutex<HashMap<String, Vec<usize>>>> = Arc::default();
+        let start = |server: usize| {
+            let (copies, form) = (copies.clone(), form.clone());
+            Server::start(move |id, socket| {
+                let mut copies = copies.lock().unwrap_or_else(PoisonError::into_inner);
+                let received = copies.entry(id.to_owned()).or_default();
+                received.push(server);
+                let is_first = received.len() == 1;
+                drop(copies);
+                if id == ID && is_first {
+                    return form.write(socket);
+                }
+                socket.write_all(answer(id).as_bytes()).is_ok()
+            })
+        };
+        let sited = [(&start(0), "a"), (&start(1), "b")];
+        let sidecar = Sidecar::start_with(discovery_of(&sited), |config| {
+            config["settings"]["classes"][1]["aim"] = (GAP_MS * 1000).into();
+        });
+        Rejecting { sidecar, copies }
+    }
+
+    /// Sends a request and returns its answer, and the servers that received copies. Connections are used
+    /// before if `warm`.
+    fn exchange(&self, request: &str, id: &str, warm: bool) -> (String, Vec<usize>) {
+        if warm {
+            for n in 0..4 {
+                self.sidecar.exchange(&look(&format!("warm{n}")));
+            }
+            // Connections that were used just now are treated in another way.
+            thread::sleep(Duration::from_millis(60));
+        }
+        let answer = self.sidecar.exchange(request);
+        let copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
+        (answer, copies.get(id).cloned().unwrap_or_default())
+    }
+}
+
+/// A request of the class `keep`, whose key the servers of a zone recognize.
+fn keep(id: &str) -> String {
+    format!(
+        "POST /keep/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+         Idempotency-Key: key-{id}\r\nContent-Length: 2\r\n\r\nab"
+    )
+}
+
+/// An order without a body.
+fn empty_order(id: &str) -> String {
+    order(id).replace("Content-Length: 2\r\n\r\nab", "Content-Length: 0\r\n\r\n")
+}
+
+/// An order whose body is too long to be buffered.
+fn long_order(id: &str) -> String {
+    let body = "x".repeat(200 << 10);
+    let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    order(id).replace("Content-Length: 2\r\n\r\nab", &length)
+}
+
+fn is_rejected(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429")
+}
+
+/// Plays each form with a sidecar of its own, as servers that fail get fewer requests; what `check` found.
+fn play_each<F>(forms: Vec<Form>, check: F) -> Vec<String>
+where
+    F: Fn(Rejecting) -> Option<String> + Sync,
+{
+    let mut found = Vec::new();
+    for forms in forms.chunks(SIDECARS_AT_ONCE) {
+        let play = |form: &Form| {
+            let finding = check(Rejecting::start(form.clone()))?;
+            Some(format!("{:?}, {:?}: {finding}", form.text, form.then))
+        };
+        found.extend(thread::scope(|scope| {
+            let plays: Vec<_> = forms.iter().map(|form| scope.spawn(move || play(form))).collect();
+            plays.into_iter().flat_map(|play| play.join().expect("no panic")).collect::<Vec<_>>()
+        }));
+    }
+    found
+}
+
+/// Sends an order; what its client and the servers saw if it was executed twice, or could be.
+fn unsafe_repeat(rejecting: &Rejecting, request: fn(&str) -> String, warm: bool) -> Option<String> {
+    let (answer, copies) = rejecting.exchange(&request(ID), ID, warm);
+    let status = answer.lines().next().unwrap_or_default();
+    let is_sound = copies.len() == 1 && !is_rejected(&answer) && !answer.is_empty();
+    (!is_sound).then(|| format!("{status:?}, copies at {copies:?}"))
+}
+
+#[test]
+fn order_whose_rejection_is_cut_or_silent_is_neither_sent_again_nor_rejected() {
+    let found = play_each(cut_rejections(), |rejecting| unsafe_repeat(&rejecting, order, false));
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn order_whose_rejection_is_cut_on_a_used_connection_is_neither_sent_again_nor_rejected() {
+    let found =
+        play_each(cut_rejections(), |rejecting| unsafe_repeat(&rejecting, empty_order, true));
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn upload_whose_rejection_is_cut_is_neither_sent_again_nor_rejected() {
+    let found =
+        play_each(cut_rejections(), |rejecting| unsafe_repeat(&rejecting, long_order, false));
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn order_whose_rejection_contradicts_itself_is_neither_sent_again_nor_rejected() {
+    let found =
+        play_each(ambiguous_rejections(), |rejecting| unsafe_repeat(&rejecting, order, false));
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn order_that_is_rejected_in_a_whole_answer_is_served_elsewhere() {
+    for warm in [false, true] {
+        let found = play_each(whole_rejections(), |rejecting| {
+            let (answer, copies) = rejecting.exchange(&order(ID), ID, warm);
+            let is_served = answer.ends_with(ID) && copies.len() == 2;
+            (!is_served).then(|| format!("{answer:?}, copies at {copies:?}"))
+        });
+        assert!(found.is_empty(), "{found:#?}");
+    }
+}
+
+#[test]
+fn safe_request_whose_rejection_is_cut_is_served_elsewhere() {
+    let found = play_each(cut_rejections(), |rejecting| {
+        let (answer, copies) = rejecting.exchange(&look(ID), ID, false);
+        (!answer.ends_with(ID)).then(|| format!("{answer:?}, copies at {copies:?}"))
+    });
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn keyed_request_whose_rejection_is_no_proof_stays_in_its_zone() {
+    let forms = [cut_rejections(), ambiguous_rejections()].into_iter().flatten().collect();
+    let found = play_each(forms, |rejecting| {
+        let (answer, copies) = rejecting.exchange(&keep(ID), ID, false);
+        let first = copies.first().copied();
+        let stays = first.is_some() && copies.iter().all(|&server| Some(server) == first);
+        (!stays || is_rejected(&answer)).then(|| format!("{answer:?}, copies at {copies:?}"))
+    });
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+/// The client's own time runs out first, and it is told so in time.
+#[test]
+fn rest_of_a_rejection_is_not_waited_for_beyond_the_time_of_its_request() {
+    let server = Server::start(|_, socket| {
+        let head = format!("{REJECTED}Content-Length: 1000\r\n\r\n");
+        let trickle = |socket: &mut TcpStream| {
+            thread::sleep(Duration::from_millis(GAP_MS / 4));
+            socket.write_all(b"x").is_ok()
+        };
+        let _ = socket.write_all(head.as_bytes());
+        while trickle(socket) {}
+        false
+    });
+    let sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
+        config["settings"]["classes"][1]["aim"] = (GAP_MS * 1000).into();
+    });
+    let started = Instant::now();
+    let answer = sidecar.exchange(&order("short").replace("Ms: 20000", "Ms: 700"));
+    let took = started.elapsed();
+    assert!(answer.starts_with("HTTP/1.1 50") && !is_rejected(&answer), "{answer:?}");
+    assert!(took < Duration::from_millis(850), "{took:?}");
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[test]
+fn attempt_whose_rejection_is_awaited_ends_when_its_client_leaves() {
+    let (ended, end) = std::sync::mpsc::channel();
+    let ended = Mutex::new(ended);
+    let server = Server::start(move |_, socket| {
+        let head = format!("{REJECTED}Content-Length: 1000\r\n\r\n");
+        let _ = socket.write_all(head.as_bytes());
+        while socket.write_all(b"x").is_ok() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let _ = ended.lock().expect("no panic").send(Instant::now());
+        false
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    let mut client = sidecar.connect();
+    client.write_all(order("left").as_bytes()).expect("sent");
+    until("the request arrives", || server.seen().len() == 1);
+    thread::sleep(Duration::from_millis(50));
+    let left = Instant::now();
+    client.shutdown(Shutdown::Both).expect("closed");
+    drop(client);
+    let end = end.recv_timeout(PATIENCE).expect("the attempt ends");
+    let late = end.saturating_duration_since(left);
+    assert!(late < Duration::from_millis(100), "{late:?}");
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// The copy arrives while the request that follows on the connection is executed.
+#[test]
+fn second_copy_of_a_rejection_is_not_taken_for_the_next_answer() {
+    let executions = Arc::new(Mutex::new(HashMap::<String, usize>::new()));
+    let executed = executions.clone();
+    let server = Server::start(move |id, socket| {
+        let mut executions = executed.lock().expect("no panic");
+        let Some(count) = executions.get_mut(id) else {
+            executions.insert(id.to_owned(), 0);
+            drop(executions);
+            let rejection = format!("{REJECTED}Content-Length: 0\r\n\r\n");
+            let mut late = socket.try_clone().expect("a handle");
+            let copy = rejection.clone();
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(8));
+                let _ = late.write_all(copy.as_bytes());
+            });
+            return socket.write_all(rejection.as_bytes()).is_ok();
+        };
+        *count += 1;
+        drop(executions);
+        thread::sleep(Duration::from_millis(40));
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    for n in 0..20 {
+        let id = format!("order{n}");
+        let answer = sidecar.exchange(&order(&id));
+        let executed = executions.lock().expect("no panic")[&id];
+        assert!(executed <= 1, "{id}: executed {executed} times, {answer:?}");
+        assert!(executed == 0 || !is_rejected(&answer), "{id}: rejected, and executed");
+    }
+}
