Rejections: believed only when whole, and proven by what passed on the connection

Callers saw non-idempotent requests run twice, or be told to retry (503) after they may have run. Cause: read_response took Outcome::Rejected from the head and read the body in a task whose result nobody saw; the check at run time took the outcome for granted. Now a rejection of a request that must not simply be repeated is read to its end (bounded by the gap between pieces, 64 KiB, the deadline, the client), and no outcome says never_ran unless the observer beneath hyper proves it: last byte not written, or one copy and a rejection with an explicit end, complete and in turn. The driver's account of what may have run comes from these facts, no longer from the outcome; a disagreement is a violation (unproven_rejection). That replaces the special case of resent copies. Safe requests do not wait. Chunk trailers that contradict the head are still believed, and stay listed.

--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -11,7 +11,6 @@
 use super::requests::InFlightRequest;
 use super::{Driver, RequestOutcome, State};
 use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
-use crate::settings::RetrySafety;
 use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
@@ -94,8 +93,7 @@
         };
         self.status.events.record_retry(outcome);
         let message = request.message();
-        let is_idempotent = request.retry_safety() == Some(RetrySafety::Idempotent);
-        if is_idempotent || earlier.iter().all(InFlightAttempt::was_not_sent) {
+        if !request.needs_proof() || earlier.iter().all(InFlightAttempt::was_not_sent) {
             return;
         }
         tracing::info!(
@@ -226,15 +224,21 @@
         latency: Micros,
         result: AttemptResult,
     ) {
-        let AttemptResult { outcome, report, response, .. } = result;
+        let AttemptResult { mut outcome, report, response, facts } = result;
+        let may_have_run = facts.is_none_or(|facts| facts.never_ran().is_err());
         let mut finished = true;
         let mut retryable = false;
         if let Some(request) = self.state.borrow_mut().requests.get_mut(&id.request) {
             if let Some(attempt) = request.attempts.get_mut(id.index) {
                 attempt.cancel = None;
-                attempt.may_have_run = !outcome.never_ran();
+                attempt.may_have_run = may_have_run;
                 attempt.outcome = Some(outcome);
             }
+            if outcome.never_ran() && may_have_run && request.needs_proof() {
+                let subject = id.request.0;
+                self.status.events.record_violation(Violation::UnprovenRejection, &subject);
+                outcome = Outcome::ConnectionReset;
+            }
             if let Some(response) = response {
                 request.finish(RequestOutcome::Served(response), &self.status);
             }
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -126,6 +126,11 @@
         self.message.as_ref().map(|message| message.retry_safety)
     }
 
+    /// Whether that it was not executed has to be proven before it is sent again or rejected.
+    pub(super) fn needs_proof(&self) -> bool {
+        self.retry_safety().is_some_and(|safety| safety != RetrySafety::Idempotent)
+    }
+
     /// Whether any of its attempts may have been executed.
     pub(super) fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.may_have_run)
@@ -174,8 +179,7 @@
 fn log_end(request: &InFlightRequest, outcome: &RequestOutcome, reason: EndReason) {
     let id = request.message.as_ref().map(|message| message.correlation_id());
     let (answer, reason, attempts) = (outcome.name(), reason.name(), request.attempts.len());
-    let is_idempotent = request.retry_safety() == Some(RetrySafety::Idempotent);
-    if is_idempotent || request.attempts.iter().all(InFlightAttempt::was_not_sent) {
+    if !request.needs_proof() || request.attempts.iter().all(InFlightAttempt::was_not_sent) {
         tracing::debug!(request = id, answer, reason, attempts, "{END_MESSAGE}");
         return;
     }
--- a/src/sidecar/invariants.rs
+++ b/src/sidecar/invariants.rs
@@ -24,16 +24,19 @@
     UnsafeRejection,
     /// An attempt was to start at a server that wants none.
     UnreadyServer,
+    /// An attempt that may have been executed was to pass for one that was not.
+    UnprovenRejection,
 }
 
 impl Violation {
     /// All of them, in the order in which they are reported.
-    pub const ALL: [Violation; 5] = [
+    pub const ALL: [Violation; 6] = [
         Violation::UnansweredClose,
         Violation::AttemptAfterEnd,
         Violation::UnsafeRepeat,
         Violation::UnsafeRejection,
         Violation::UnreadyServer,
+        Violation::UnprovenRejection,
     ];
 
     /// The name in logs and statistics.
@@ -44,6 +47,7 @@
             Violation::UnsafeRepeat => "unsafe_repeat",
             Violation::UnsafeRejection => "unsafe_rejection",
             Violation::UnreadyServer => "unready_server",
+            Violation::UnprovenRejection => "unproven_rejection",
         }
     }
 }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -69,7 +69,7 @@
         limits: AttemptLimits,
     ) -> AttemptResult {
         let facts = ExecutionFacts::NOT_SENT;
-        Exchange { upstream: self, endpoint, request, limits, resent: false, facts }.run().await
+        Exchange { upstream: self, endpoint, request, limits, facts }.run().await
     }
 
     /// Waits until a response that has begun makes no progress.
@@ -90,26 +90,19 @@
     endpoint: Endpoint,
     request: &'a Rc<UpstreamRequest>,
     limits: AttemptLimits,
-    /// The request was sent in full and is being sent a second time.
-    resent: bool,
     facts: ExecutionFacts,
 }
 
 impl<P: Runtime> Exchange<'_, P> {
     async fn run(mut self) -> AttemptResult {
         let mut result = self.exchange().await;
-        // That the second copy was not executed says nothing about the first, which was sent in full.
-        if self.resent
-            && result.outcome.never_ran()
-            && self.request.retry_safety != RetrySafety::Idempotent
-        {
-            result.outcome = Outcome::ConnectionReset;
-        }
         result.facts = Some(self.facts);
         if result.outcome.never_ran()
+            && self.needs_proof()
             && let Err(doubt) = self.facts.never_ran()
         {
             self.record_doubt(doubt);
+            result.outcome = Outcome::ConnectionReset;
         }
         result
     }
@@ -127,6 +120,11 @@
         );
     }
 
+    /// Whether that the request was not executed has to be proven, as it must not simply be repeated.
+    fn needs_proof(&self) -> bool {
+        self.request.retry_safety != RetrySafety::Idempotent
+    }
+
     /// Notes what passed on a connection that is not used any more for this attempt.
     fn note_exchange(&mut self, observer: &ExchangeObserver<P>) {
         self.facts.copies_sent += u32::from(observer.is_request_sent());
@@ -167,7 +165,6 @@
             match self.after_break(&connection, sent_at) {
                 AfterBreak::Reconnect => {}
                 AfterBreak::Resend => {
-                    self.resent = true;
                     // The new connection may take longer to come up than the first copy is remembered.
                     self.limits.note_sent(sent_at);
                 }
@@ -213,9 +210,11 @@
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return AttemptResult::without_response(outcome);
         }
+        let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
+        let result = self.upstream.read_response(server, connection, response, needs_proof);
         tokio::select! {
             biased;
-            result = self.upstream.read_response(self.endpoint.server, connection, response) => result,
+            result = result => result,
             () = self.upstream.response_stalled(observer) => {
                 AttemptResult::without_response(Outcome::ConnectionReset)
             }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -86,19 +86,30 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Reads the response to an attempt at `server`.
+    /// Reads the response to an attempt at `server`. With `needs_proof`, a rejection counts as such only once
+    /// it is whole: before that it may have been begun by a server that goes on to execute the request.
     pub(super) async fn read_response(
         self: &Rc<Upstream<P>>,
         server: ServerId,
         connection: Connection<P>,
         response: Response<Incoming>,
+        needs_proof: bool,
     ) -> AttemptResult {
         let unprocessed = is_unprocessed(&response);
         let (head, body) = response.into_parts();
         let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|value| value.to_str().ok());
         let report = report.map(|text| self.live.names().load_report(text)).unwrap_or_default();
+        if unprocessed && needs_proof {
+            let is_whole = self.discard_body(server, connection, body).await;
+            let outcome = if is_whole { Outcome::Rejected } else { Outcome::ConnectionReset };
+            return AttemptResult { report, ..AttemptResult::without_response(outcome) };
+        }
         if head.status != StatusCode::OK {
-            P::spawn(self.clone().discard_body(server, connection, body));
+            let gap = self.live.timeouts().gap;
+            let upstream = self.clone();
+            P::spawn(async move {
+                let _ = timeout::<P, _>(gap, upstream.discard_body(server, connection, body)).await;
+            });
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return AttemptResult { report, ..AttemptResult::without_response(outcome) };
         }
@@ -140,18 +151,22 @@
         Some(UpstreamResponse { headers, body, rest, reservation: Some(reservation) })
     }
 
-    /// Reads the rest of a short response that is not forwarded, so that its connection can be used
-    /// again.
+    /// Reads the rest of a short response that is not forwarded, so that its connection can be used again.
+    /// Returns whether it came whole.
     async fn discard_body(
-        self: Rc<Upstream<P>>,
+        &self,
         server: ServerId,
         connection: Connection<P>,
         body: Incoming,
-    ) {
-        let limited = Limited::new(body, STREAM_WINDOW_BYTES);
-        if let Ok(Ok(_)) = timeout::<P, _>(self.live.timeouts().gap, limited.collect()).await {
-            self.return_to_pool(server, connection);
+    ) -> bool {
+        let mut body = Limited::new(body, STREAM_WINDOW_BYTES);
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
         }
+        self.return_to_pool(server, connection);
+        true
     }
 }
 
