Rejections: a header or trailer that contradicts the promise takes it back

Callers saw an order sent again after X-Unprocessed: 1 and 0 in one head, or a trailer with 0 behind a head with 1. Cause: is_unprocessed went by the header's first value, and trailers were not looked at. Now the header must be there once, with the value 1, and no trailer may speak of processing.

--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -152,7 +152,7 @@
     }
 
     /// Reads the rest of a short response that is not forwarded, so that its connection can be used again.
-    /// Returns whether it came whole.
+    /// Returns whether it came whole, with nothing in it that speaks of processing.
     async fn discard_body(
         &self,
         server: ServerId,
@@ -161,7 +161,9 @@
     ) -> bool {
         let mut body = Limited::new(body, STREAM_WINDOW_BYTES);
         while let Some(frame) = body.frame().await {
-            if frame.is_err() {
+            let Ok(frame) = frame else { return false };
+            if frame.trailers_ref().is_some_and(|t| t.contains_key(UNPROCESSED_HEADER)) {
+                // It may take back what the head has said.
                 return false;
             }
         }
@@ -210,5 +212,11 @@
 /// Whether a server has rejected a request without processing it.
 pub(super) fn is_unprocessed<B>(response: &Response<B>) -> bool {
     matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
-        && response.headers().get(UNPROCESSED_HEADER).is_some_and(|value| value == "1")
+        && is_only_value(response.headers(), UNPROCESSED_HEADER, "1")
+}
+
+/// Whether a header is there once, with this value.
+fn is_only_value(headers: &HeaderMap, name: &str, expected: &str) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_some_and(|value| value == expected) && values.next().is_none()
 }
