Rejections: none is believed on a connection that may still carry an earlier answer

Callers of an executed order got 503, a promise that it was not executed. Cause: a server's second copy of a rejection, some milliseconds behind the first, arrived while the next request on that connection was executed, and was taken for its answer. Evidence: the test fails on the first order that follows. A copy later than 20 ms is not covered.

--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -19,6 +19,8 @@
 /// If a server closes a connection right behind its response, that is seen within this time; it
 /// covers the delay of the network.
 pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(10);
+/// A server may send a response twice. The second copy arrives within this time of the first.
+const LATE_COPY_TIME: Duration = Duration::from_millis(20);
 /// How long such a test takes, in times to connect (a reset arrives within a round trip), and its
 /// bounds.
 const TEST_ROUND_TRIPS: u32 = 4;
@@ -81,6 +83,11 @@
         !self.sender.is_closed() && self.observer.is_clean() && self.socket.is_idle()
     }
 
+    /// Whether what arrives from now on cannot belong to an earlier request.
+    pub(super) fn is_settled(&self) -> bool {
+        !self.reused || P::elapsed_since(self.idle_since) >= LATE_COPY_TIME
+    }
+
     /// How long the last byte of a request is held back to learn whether the connection still exists;
     /// none if it is new, or was idle neither so shortly nor so long that it may have been closed.
     pub(super) fn test_duration(&self) -> Option<Duration> {
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -155,6 +155,7 @@
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             self.upstream.status.discovery.record_attempt();
+            self.facts.connection_settled = connection.is_settled();
             let observer = connection.observer.clone();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
                 let result = self.receive_response(connection, &observer, response).await;
