--- a/crates/simulation/examples/mutants/main.rs
+++ b/crates/simulation/examples/mutants/main.rs
@@ -115,7 +115,7 @@
 
 /// Whether seeds find a mutant, and the first that does comes to the same result twice.
 fn found_by_seeds(copy: &WorkspaceCopy, mutant: &Mutant, seeds: u64) -> Result<bool, Error> {
-    let options: &[&str] = if mutant.hold_ups { &["--hold-ups"] } else { &[] };
+    let options = mutant.seed_options();
     let mut played = seeds / FIRST_FRACTION;
     let mut result = copy.run_seeds(played, options)?;
     if result.seeds.is_empty() {
--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -29,7 +29,10 @@
     pub tests: Option<String>,
     /// The seeds of the simulation that have to find it hold processes up.
     #[serde(default)]
-    pub hold_ups: bool,
+    hold_ups: bool,
+    /// Servers of the seeds that have to find it reject requests in ways that prove nothing.
+    #[serde(default)]
+    broken_rejections: bool,
     /// Seeds of the soak, `A..B`, one of which has to find it, in place of seeds of the simulation.
     pub soak: Option<String>,
 }
@@ -58,6 +61,15 @@
         std::iter::once(&self.edit).chain(&self.also)
     }
 
+    /// The options of the simulation with which its seeds are played.
+    pub fn seed_options(&self) -> &'static [&'static str] {
+        match (self.hold_ups, self.broken_rejections) {
+            (true, _) => &["--hold-ups"],
+            (_, true) => &["--broken-rejections"],
+            _ => &[],
+        }
+    }
+
     /// Checks that each text to be replaced occurs exactly once.
     fn check(&self) -> Result<(), Error> {
         for edit in self.edits() {
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -95,6 +95,9 @@
     /// Sidecars are held up again and again as well; for seeds.
     #[arg(long)]
     hold_ups: bool,
+    /// Servers reject requests in ways that prove nothing as well; for seeds.
+    #[arg(long, conflicts_with_all = ["hold_ups", "discovery_faults"])]
+    broken_rejections: bool,
 }
 
 impl MoreFaults {
@@ -103,6 +106,7 @@
         match self {
             MoreFaults { discovery_faults: true, .. } => Scenario::draw_with_discovery_faults,
             MoreFaults { hold_ups: true, .. } => Scenario::draw_with_hold_ups,
+            MoreFaults { broken_rejections: true, .. } => Scenario::draw_with_broken_rejections,
             _ => Scenario::draw,
         }
     }
--- a/crates/simulation/src/oracle/attempts.rs
+++ b/crates/simulation/src/oracle/attempts.rs
@@ -61,6 +61,7 @@
             complete_at: None,
             time_left: time_left.unwrap_or_default(),
             response: None,
+            executed: false,
             ended_at: None,
         });
         if let Some(breach) = self.check_attempt(id, index, pair, time_left) {
--- a/crates/simulation/src/oracle/request.rs
+++ b/crates/simulation/src/oracle/request.rs
@@ -30,6 +30,8 @@
     /// The remaining time that was passed on to the server.
     pub(super) time_left: Duration,
     pub(super) response: Option<AttemptResponse>,
+    /// Whether its server has executed it, whatever it answers.
+    pub(super) executed: bool,
     /// When the connection was closed, or the response complete.
     pub(super) ended_at: Option<Duration>,
 }
@@ -37,7 +39,8 @@
 impl Attempt {
     /// Whether the server may have executed the request.
     pub(super) fn may_have_executed(&self) -> bool {
-        self.complete_at.is_some() && !self.response.is_some_and(|r| r.unprocessed)
+        let rejected = self.response.is_some_and(|response| response.unprocessed);
+        self.executed || self.complete_at.is_some() && !rejected
     }
 }
 
--- a/crates/simulation/src/oracle/servers.rs
+++ b/crates/simulation/src/oracle/servers.rs
@@ -28,6 +28,10 @@
             return self.violate(now, Rule::Stranger, message);
         };
         request.executed_by.push(server);
+        let attempts = request.attempts.iter_mut().rev();
+        if let Some(attempt) = attempts.into_iter().find(|attempt| attempt.server == server) {
+            attempt.executed = true;
+        }
         let executions = request.executed_by.len();
         // A request with a key that was repeated by the rules may still arrive too late to be recognized.
         // The rules on repetition are checked where it is sent.
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -65,10 +65,12 @@
     }
 }
 
-/// Whether the response with this head says that the request was not executed.
+/// Whether the response with this head says that the request was not executed, and nothing else about that.
 fn is_unprocessed(head: &str, status: u16) -> bool {
-    matches!(status, 503 | 504)
-        && fakes::wire::header(head, "x-unprocessed").is_some_and(|value| value == "1")
+    let headers = head.lines().filter_map(|line| line.split_once(':'));
+    let told = headers.filter(|(name, _)| name.trim().eq_ignore_ascii_case("x-unprocessed"));
+    let told: Vec<&str> = told.map(|(_, value)| value.trim()).collect();
+    matches!(status, 503 | 504) && told == ["1"]
 }
 
 impl Oracle {
--- a/crates/simulation/src/run/conditions.rs
+++ b/crates/simulation/src/run/conditions.rs
@@ -132,6 +132,9 @@
             }
             FaultKind::LongResponses { server, share } => self.server(server).long = share,
             FaultKind::RejectUnprocessed { server, share } => self.server(server).reject = share,
+            FaultKind::BrokenRejections { server, share } => {
+                self.server(server).broken_rejection = share;
+            }
             _ => {}
         }
     }
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -128,6 +128,14 @@
         /// The probability.
         share: f64,
     },
+    /// Some requests are rejected in ways that prove nothing, most of them after they were executed.
+    #[serde(rename = "broken-rejections")]
+    BrokenRejections {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// A server is killed, or vanishes, and is back at the end under the same name, cold.
     #[serde(rename = "restart")]
     RestartServer {
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Scenarios: the world of a run, and what goes wrong in it, when and for how long. They are drawn from a
 //! seed or read from a file.
 
+mod broken_rejections;
 mod discovery_faults;
 mod draw;
 mod error;
--- a/crates/simulation/src/scenario/tests.rs
+++ b/crates/simulation/src/scenario/tests.rs
@@ -29,6 +29,17 @@
     assert!(names.contains("discovery-late") && names.contains("discovery-stale"), "{names:?}");
 }
 
+#[test]
+fn scenarios_with_broken_rejections_can_be_played_and_have_them() {
+    for seed in 0..100 {
+        let drawn = Scenario::draw_with_broken_rejections(seed);
+        drawn.validate().expect("it can be played");
+        let read: Scenario = toml::from_str(&drawn.text()).expect("its own text");
+        assert_eq!(read.text(), drawn.text());
+        assert!(drawn.faults.iter().any(|fault| fault.kind.name() == "broken-rejections"));
+    }
+}
+
 #[test]
 fn scenarios_with_hold_ups_hold_up_each_sidecar_again_and_again() {
     for seed in 0..100 {
--- a/crates/simulation/src/server/faults.rs
+++ b/crates/simulation/src/server/faults.rs
@@ -40,6 +40,8 @@
     pub long: f64,
     /// The request is rejected without being executed.
     pub reject: f64,
+    /// The request is rejected in a way that proves nothing.
+    pub broken_rejection: f64,
     /// How many times as long an execution takes, less one.
     pub slowdown: f64,
 }
@@ -62,6 +64,7 @@
     DelayedReset,
     Long,
     Reject,
+    BrokenRejection,
 }
 
 impl ServerFaults {
@@ -83,6 +86,7 @@
             (self.delayed, ResponseFault::Delayed),
             (self.delayed_reset, ResponseFault::DelayedReset),
             (self.long, ResponseFault::Long),
+            (self.broken_rejection, ResponseFault::BrokenRejection),
         ];
         for (probability, fault) in faults {
             if remaining < probability {
--- a/crates/simulation/src/server/mod.rs
+++ b/crates/simulation/src/server/mod.rs
@@ -2,6 +2,7 @@
 //! that may go wrong with a request there.
 
 mod faults;
+mod rejections;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use tokio::sync::Semaphore;
 
 use self::faults::ResponseFault;
+use self::rejections::{AfterRejection, BrokenRejection};
 use crate::model::{CHUNK_SIZE, LONG_BODY, RequestId, now, slow_start_speed};
 use crate::oracle::Oracle;
 
@@ -193,10 +195,19 @@
 
     async fn serve_connection(self: Rc<Server>, socket: Rc<SimTcp>, start: Instant) {
         let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
+        let within_response = Rc::new(Cell::new(false));
         loop {
             let next = timeout::<SimRuntime, _>(IDLE_TIMEOUT, reader.next()).await;
             let Ok(Ok(Some(message))) = next else { return };
             let fault = self.faults.get().draw(&mut self.spec.rng.borrow_mut());
+            if fault == ResponseFault::BrokenRejection {
+                match self.break_rejection(&message, &socket, &within_response, start).await {
+                    AfterRejection::NextRequest => continue,
+                    AfterRejection::Close => return,
+                    AfterRejection::Reset => return socket.reset_on_close(),
+                    AfterRejection::Hang => return SimRuntime::sleep(HANG).await,
+                }
+            }
             let Some(response) = self.respond(&message, fault, start).await else {
                 if fault == ResponseFault::Hang {
                     return SimRuntime::sleep(HANG).await;
@@ -208,6 +219,7 @@
                 ResponseFault::WrongLength => response.len() - MISSING_BYTES,
                 _ => response.len(),
             };
+            within_response.set(length < response.len());
             if reader.get_mut().write_all(&response[..length]).await.is_err() {
                 return;
             }
@@ -222,6 +234,31 @@
         }
     }
 
+    /// Rejects a request in a way that proves nothing.
+    async fn break_rejection(
+        &self,
+        message: &Message,
+        socket: &Rc<SimTcp>,
+        within_response: &Rc<Cell<bool>>,
+        start: Instant,
+    ) -> AfterRejection {
+        let form = BrokenRejection::draw(&mut self.spec.rng.borrow_mut());
+        let Ok((id, class)) = self.identify(message) else { return AfterRejection::Close };
+        if form.is_executed() && self.execute(message, id, class, start).await.is_none() {
+            return AfterRejection::Close;
+        }
+        form.send(socket, within_response, &self.spec.rng).await
+    }
+
+    /// The id and the class of a request, or the response to one without.
+    fn identify(&self, message: &Message) -> Result<(RequestId, &Class), Vec<u8>> {
+        let id = message.header("x-correlation-id").and_then(|value| value.parse().ok());
+        let id = id.ok_or_else(|| empty_response("404 Not Found", ""))?;
+        let name = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.spec.classes.iter().find(|class| class.name == name);
+        Ok((id, class.ok_or_else(|| empty_response("400 Bad Request", ""))?))
+    }
+
     /// The response to a request; none if nothing is written.
     async fn respond(
         &self,
@@ -229,11 +266,10 @@
         fault: ResponseFault,
         start: Instant,
     ) -> Option<Vec<u8>> {
-        let id = message.header("x-correlation-id").and_then(|value| value.parse().ok());
-        let Some(id) = id else { return Some(empty_response("404 Not Found", "")) };
-        let name = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.spec.classes.iter().find(|class| class.name == name);
-        let Some(class) = class else { return Some(empty_response("400 Bad Request", "")) };
+        let (id, class) = match self.identify(message) {
+            Ok(identified) => identified,
+            Err(response) => return Some(response),
+        };
         let overloaded = self.queued.get() >= QUEUE_LIMIT;
         if fault == ResponseFault::Reject || self.draining.get() || overloaded {
             let headers = format!("X-Unprocessed: 1\r\nX-Backend-Load: {}\r\n", self.load_report());
--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -14,6 +14,8 @@
 const FIRST_DISCOVERY_SEED: u64 = 190;
 /// Seeds with processes that are held up.
 const HOLD_UP_SEEDS: u64 = 80;
+/// Seeds with rejections that prove nothing.
+const BROKEN_REJECTION_SEEDS: u64 = 80;
 
 fn assert_no_rule_broken(scenario: &Scenario, what: &str) {
     let outcome = run_scenario(scenario, false);
@@ -57,6 +59,12 @@
     play_seeds(0..HOLD_UP_SEEDS, Scenario::draw_with_hold_ups);
 }
 
+/// Servers whose rejections prove nothing. While those were believed from their heads, most of these seeds were broken.
+#[test]
+fn fixed_range_of_seeds_with_broken_rejections_breaks_no_rule() {
+    play_seeds(0..BROKEN_REJECTION_SEEDS, Scenario::draw_with_broken_rejections);
+}
+
 #[test]
 fn connections_that_wait_for_a_descriptor_as_a_process_exits_are_served() {
     play_seeds(1489..1490, Scenario::draw);
