Connections: one is not used again behind what may be a late copy of a rejection

Cause: the second copy of a rejection was taken for the next request's answer, the connection went back to the pool, and that request's own 200 was read by the one after it. Now a rejection is proof only if the response before it on its connection was none and the last one is 20 ms old; otherwise the connection is closed behind it. Requests that need proof take connections whose last response was no rejection. A copy arrives before any later response, so a 200 in between is the request's own.

--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -65,6 +65,11 @@
     play_seeds(0..BROKEN_REJECTION_SEEDS, Scenario::draw_with_broken_rejections);
 }
 
+#[test]
+fn second_copy_of_a_rejection_that_a_partition_held_back_is_not_believed() {
+    play_seeds(4720..4721, Scenario::draw_with_broken_rejections);
+}
+
 #[test]
 fn connections_that_wait_for_a_descriptor_as_a_process_exits_are_served() {
     play_seeds(1489..1490, Scenario::draw);
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -11,7 +11,7 @@
 use super::observer::ExchangeObserver;
 use super::request::RequestBody;
 use crate::sidecar::budget::SocketPermit;
-use crate::sidecar::framing::MAX_HEAD_BYTES;
+use crate::sidecar::framing::{MAX_HEAD_BYTES, Unprocessed};
 
 /// A connection that has been idle at least this long may have been reset unnoticed, and is tested
 /// before a request that is not idempotent is sent on it in full.
@@ -19,7 +19,7 @@
 /// If a server closes a connection right behind its response, that is seen within this time; it
 /// covers the delay of the network.
 pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(10);
-/// A server may send a response twice. The second copy arrives within this time of the first.
+/// A server may send a rejection twice. It has written the second copy within this time of the first.
 const LATE_COPY_TIME: Duration = Duration::from_millis(20);
 /// How long such a test takes, in times to connect (a reset arrives within a round trip), and its
 /// bounds.
@@ -36,6 +36,12 @@
     pub(super) idle_since: Instant,
     /// It was in the pool: the server may have closed it unnoticed.
     pub(super) reused: bool,
+    /// When the last rejection arrived, if any has.
+    rejected_at: Option<Instant>,
+    /// The last response was a rejection.
+    pub(super) after_rejection: bool,
+    /// A rejection that arrives cannot be a late copy of an earlier one.
+    pub(super) settled: bool,
     socket: Rc<P::Tcp>,
     driver: P::TaskHandle,
     /// How long it took to connect: one round trip.
@@ -70,6 +76,9 @@
             address,
             idle_since: P::now(),
             reused: false,
+            rejected_at: None,
+            after_rejection: false,
+            settled: true,
             socket,
             driver,
             round_trip,
@@ -83,9 +92,24 @@
         !self.sender.is_closed() && self.observer.is_clean() && self.socket.is_idle()
     }
 
-    /// Whether what arrives from now on cannot belong to an earlier request.
-    pub(super) fn is_settled(&self) -> bool {
-        !self.reused || P::elapsed_since(self.idle_since) >= LATE_COPY_TIME
+    /// Notes that a response has ended, and that the connection is idle.
+    pub(super) fn end_response(&mut self) {
+        let now = P::now();
+        self.idle_since = now;
+        self.reused = true;
+        self.after_rejection = self.observer.response_facts().unprocessed != Unprocessed::Unsaid;
+        if self.after_rejection {
+            self.rejected_at = Some(now);
+        }
+    }
+
+    /// Notes that a request is about to be sent.
+    ///
+    /// A second copy of a rejection may be held up on its way for long. It arrives before any other
+    /// response to what is sent once it has been written.
+    pub(super) fn begin_request(&mut self) {
+        let has_copy_passed = |at| P::elapsed_since(at) >= LATE_COPY_TIME;
+        self.settled = !self.after_rejection && self.rejected_at.is_none_or(has_copy_passed);
     }
 
     /// How long the last byte of a request is held back to learn whether the connection still exists;
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -134,7 +134,7 @@
     async fn exchange(&mut self) -> AttemptResult {
         // The part of a streamed body that is lost on a closed connection cannot be sent again.
         let mut idle = match self.request.upload {
-            None => self.upstream.take_idle(self.endpoint).await,
+            None => self.upstream.take_idle(self.endpoint, self.needs_proof()).await,
             Some(_) => None,
         };
         loop {
@@ -155,7 +155,8 @@
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             self.upstream.status.discovery.record_attempt();
-            self.facts.connection_settled = connection.is_settled();
+            connection.begin_request();
+            self.facts.connection_settled = connection.settled;
             let observer = connection.observer.clone();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
                 let result = self.receive_response(connection, &observer, response).await;
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -46,15 +46,19 @@
         if !connection.observer.is_reusable() {
             return;
         }
-        connection.idle_since = P::now();
-        connection.reused = true;
+        connection.end_response();
         self.idle.borrow_mut().entry(server).or_default().push(connection);
     }
 
-    /// Takes a usable idle connection to `endpoint` from the pool, if there is one.
-    pub(super) async fn take_idle(&self, endpoint: Endpoint) -> Option<Connection<P>> {
+    /// Takes a usable idle connection to `endpoint` from the pool, if there is one. With `needs_proof` it is
+    /// one on which a rejection would be believed.
+    pub(super) async fn take_idle(
+        &self,
+        endpoint: Endpoint,
+        needs_proof: bool,
+    ) -> Option<Connection<P>> {
         loop {
-            let mut connection = self.pop_idle(endpoint.server)?;
+            let mut connection = self.pop_idle(endpoint.server, needs_proof)?;
             if connection.address != endpoint.address
                 || P::elapsed_since(connection.idle_since) >= self.live.timeouts().max_reuse_idle()
                 || !connection.is_usable()
@@ -72,15 +76,16 @@
     /// A server may close a connection right behind a response, and a request that is written before
     /// that is seen is lost as a reset. Of the connections that have been idle long enough for a close
     /// to have arrived, the most recently used one is taken; the others only if there is none such.
-    fn pop_idle(&self, server: ServerId) -> Option<Connection<P>> {
+    fn pop_idle(&self, server: ServerId, needs_proof: bool) -> Option<Connection<P>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
-        let settled =
-            connections.iter().rposition(|c| P::elapsed_since(c.idle_since) >= CLOSE_DELAY);
-        match settled {
-            Some(index) => Some(connections.remove(index)),
-            None => connections.pop(),
-        }
+        let fits = |connection: &Connection<P>| !needs_proof || !connection.after_rejection;
+        let is_open = |connection: &Connection<P>| {
+            fits(connection) && P::elapsed_since(connection.idle_since) >= CLOSE_DELAY
+        };
+        let open = connections.iter().rposition(is_open);
+        let index = open.or_else(|| connections.iter().rposition(fits))?;
+        Some(connections.remove(index))
     }
 
     /// Waits for a permit to open one more socket. As long as there is none left, the connection that
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -167,7 +167,10 @@
                 return false;
             }
         }
-        self.return_to_pool(server, connection);
+        // If this was a late copy of an earlier rejection, this request's own response is still to come.
+        if connection.settled {
+            self.return_to_pool(server, connection);
+        }
         true
     }
 }
