--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -15,6 +15,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+mod broken_rejection;
+
+use self::broken_rejection::BrokenRejection;
 use crate::account::{Account, ServerEvent};
 use crate::wire::{Message, Reader};
 
@@ -88,6 +91,8 @@
     Garbage,
     /// It is executed, and the answer is incomplete.
     Truncated,
+    /// It is rejected in a way that proves nothing, in most cases after it was executed.
+    BrokenRejection,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -243,6 +248,11 @@
                     return ConnectionEnd::Closed;
                 }
             }
+            Reply::Rejection(rejection) => {
+                if let Some(end) = rejection.send(reader.get_mut()).await {
+                    return end;
+                }
+            }
             Reply::Reset => return ConnectionEnd::Reset,
             Reply::Silence => std::future::pending().await,
         }
@@ -251,6 +261,7 @@
 
 enum Reply {
     Answer(String),
+    Rejection(BrokenRejection),
     Reset,
     Silence,
 }
@@ -276,6 +287,9 @@
             return Reply::Answer(self.ok_answer(&id));
         }
         let (fault, work) = self.draw(class.service_time);
+        if fault == Some(Fault::BrokenRejection) {
+            return self.break_rejection(&id, work).await;
+        }
         if fault == Some(Fault::ResetBefore) || !self.execute(&id, work).await {
             return Reply::Reset;
         }
@@ -312,10 +326,22 @@
         true
     }
 
+    /// Rejects a request in a way that proves nothing.
+    async fn break_rejection(&self, id: &str, work: Duration) -> Reply {
+        let drawn = {
+            let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+            BrokenRejection::draw(&mut rng)
+        };
+        if drawn.is_executed() && !self.execute(id, work).await {
+            return Reply::Reset;
+        }
+        Reply::Rejection(drawn)
+    }
+
     /// The reply to an executed request.
     fn reply(&self, id: &str, fault: Option<Fault>) -> Reply {
         match fault {
-            None => Reply::Answer(self.ok_answer(id)),
+            None | Some(Fault::BrokenRejection) => Reply::Answer(self.ok_answer(id)),
             Some(Fault::Error) => Reply::Answer(SERVER_ERROR.to_owned()),
             Some(Fault::ResetBefore | Fault::ResetAfter) => Reply::Reset,
             Some(Fault::Hang) => Reply::Silence,
--- /dev/null
+++ b/crates/fakes/src/logserver/broken_rejection.rs
@@ -0,0 +1,88 @@
+//! Rejections that prove nothing: cut, silent, contradictory, or written twice.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use super::ConnectionEnd;
+
+const HEAD: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\n";
+/// How long after a rejection its second copy is written, in milliseconds.
+const SECOND_COPY_MS: std::ops::Range<u64> = 2..12;
+
+/// What is wrong with a rejection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    /// Its body is shorter than announced.
+    Cut(AfterCut),
+    /// Its head also says that the request may have been processed.
+    Contradictory,
+    /// It is whole, and written a second time.
+    Twice,
+}
+
+/// What a server does behind a part of a rejection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterCut {
+    Close,
+    Reset,
+    Wait,
+}
+
+const FORMS: [Form; 5] = [
+    Form::Cut(AfterCut::Close),
+    Form::Cut(AfterCut::Reset),
+    Form::Cut(AfterCut::Wait),
+    Form::Contradictory,
+    Form::Twice,
+];
+
+/// A rejection that proves nothing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BrokenRejection {
+    form: Form,
+    second_copy: Duration,
+}
+
+impl BrokenRejection {
+    pub(super) fn draw(rng: &mut StdRng) -> BrokenRejection {
+        let form = *FORMS.choose(rng).unwrap_or(&Form::Contradictory);
+        let second_copy = Duration::from_millis(rng.random_range(SECOND_COPY_MS));
+        BrokenRejection { form, second_copy }
+    }
+
+    /// Whether the request is executed all the same.
+    pub(super) fn is_executed(self) -> bool {
+        self.form != Form::Twice
+    }
+
+    /// Writes it. Returns how the connection ends, if it does.
+    pub(super) async fn send(
+        self,
+        socket: &mut (impl AsyncWrite + Unpin),
+    ) -> Option<ConnectionEnd> {
+        let rest = match self.form {
+            Form::Cut(_) => "Content-Length: 20\r\n\r\nab",
+            Form::Contradictory => "X-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n",
+            Form::Twice => "Content-Length: 0\r\n\r\n",
+        };
+        let text = format!("{HEAD}{rest}");
+        if socket.write_all(text.as_bytes()).await.is_err() {
+            return Some(ConnectionEnd::Closed);
+        }
+        match self.form {
+            Form::Cut(AfterCut::Close) => Some(ConnectionEnd::Closed),
+            Form::Cut(AfterCut::Reset) => Some(ConnectionEnd::Reset),
+            Form::Cut(AfterCut::Wait) => std::future::pending().await,
+            Form::Contradictory => None,
+            Form::Twice => {
+                tokio::time::sleep(self.second_copy).await;
+                let written = socket.write_all(text.as_bytes()).await;
+                written.is_err().then_some(ConnectionEnd::Closed)
+            }
+        }
+    }
+}
--- a/crates/fakes/tests/logserver.rs
+++ b/crates/fakes/tests/logserver.rs
@@ -85,6 +85,23 @@
     }
 }
 
+#[tokio::test]
+async fn broken_rejections_come_in_every_form() {
+    let (server, account) = started(spec()).await;
+    server.set_faults(vec![(1.0, Fault::BrokenRejection)]);
+    let mut whole = 0;
+    for _ in 0..40 {
+        let answer = timeout(Duration::from_millis(200), order(&server, &account, "")).await;
+        let Ok(Ok(answer)) = answer else { continue };
+        assert_eq!(answer.status(), Some(503));
+        whole += 1;
+    }
+    let executed = account.report().servers["one"].executed;
+    // Of five forms three are cut, and one is not executed.
+    assert!((4..=30).contains(&whole), "{whole}");
+    assert!((20..40).contains(&executed), "{executed}");
+}
+
 #[tokio::test]
 async fn full_and_draining_servers_reject_and_a_killed_one_refuses_connections() {
     let (server, account) = started(spec()).await;
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -233,4 +233,6 @@
     Breaks(f64),
     /// This share of its answers is no HTTP, or incomplete.
     Malformed(f64),
+    /// This share of its requests is rejected in ways that prove nothing, most of them after they were executed.
+    BrokenRejections(f64),
 }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -19,6 +19,7 @@
 mod discovery;
 mod hold_ups;
 mod leaving;
+mod rejections;
 mod replacement;
 
 /// How long before the end all faults are over.
@@ -170,6 +171,7 @@
         self.replace_in_steps(at_s);
         self.hold_up_in_series();
         self.hang_under_leaving_clients();
+        self.break_rejections();
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -77,6 +77,16 @@
     }
 }
 
+#[test]
+fn in_every_plan_servers_reject_in_ways_that_prove_nothing() {
+    for seed in 0..200 {
+        let rejecting = |event: &Event| {
+            matches!(&event.action, Action::SetServers(_, ServerState::BrokenRejections(_)))
+        };
+        assert!(draw(seed, SIZE).events.iter().any(rejecting), "seed {seed}");
+    }
+}
+
 #[test]
 fn half_of_the_plans_poll_their_lists() {
     let polled = (0..200).filter(|&seed| polls_lists(&draw(seed, SIZE))).count();
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -202,6 +202,9 @@
             ServerState::Malformed(share) => slot
                 .server
                 .set_faults(vec![(share / 2.0, Fault::Garbage), (share / 2.0, Fault::Truncated)]),
+            ServerState::BrokenRejections(share) => {
+                slot.server.set_faults(vec![(share, Fault::BrokenRejection)]);
+            }
         }
         Ok(())
     }
