Uploads: a test that the last byte decides; a stall is judged by what has arrived

A streamed upload whose server rejects it early is proven unexecuted only by a last byte that was not sent, also where that byte goes out in the same instant.

--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -75,10 +75,13 @@
     /// Waits until a response that has begun makes no progress.
     async fn response_stalled(&self, observer: &ExchangeObserver<P>) {
         loop {
-            match observer.response_active_at().map(|at| at + self.live.timeouts().gap) {
-                None => observer.response_began().await,
-                Some(end) if P::now() >= end => return,
-                Some(end) => expiry::<P>(end).await,
+            let Some(active_at) = observer.response_active_at() else {
+                observer.response_began().await;
+                continue;
+            };
+            expiry::<P>(active_at + self.live.timeouts().gap).await;
+            if observer.response_active_at() == Some(active_at) {
+                return;
             }
         }
     }
--- a/tests/lifecycle/rejections.rs
+++ b/tests/lifecycle/rejections.rs
@@ -1,8 +1,8 @@
 //! Servers that seem to say that they have not executed a request: which answers prove it.
 
 use std::collections::HashMap;
-use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::io::{BufRead, BufReader, Write, copy, sink};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -353,3 +353,54 @@
     }
     assert!(followed > 0, "no order followed a rejection");
 }
+
+/// A server that answers `text` as soon as it has the head of a request, and reads on; how many bytes of each
+/// body it received, by the order of the requests.
+fn early_server(text: String) -> (Server, Arc<Mutex<Vec<usize>>>) {
+    let received: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut server = Server::echo();
+    server.at = listener.local_addr().expect("bound");
+    let bodies = received.clone();
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let (bodies, text) = (bodies.clone(), text.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(socket.try_clone().expect("a handle"));
+                let mut line = String::new();
+                while reader.read_line(&mut line).is_ok_and(|length| length > 2) {
+                    line.clear();
+                }
+                let _ = (&socket).write_all(text.as_bytes());
+                let length = copy(&mut reader, &mut sink()).unwrap_or_default();
+                bodies.lock().expect("no panic").push(length as usize);
+            });
+        }
+    });
+    (server, received)
+}
+
+/// The server's rejection is cut: only a last byte that was not sent is a proof.
+#[test]
+fn upload_is_not_rejected_once_its_last_byte_has_gone_out() {
+    const LENGTH: usize = 100 << 10;
+    let (server, received) = early_server(format!("{REJECTED}Content-Length: 20\r\n\r\nab"));
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    let length = format!("Content-Length: {LENGTH}\r\n\r\n");
+    let mut rejected = 0;
+    for n in 0..40 {
+        let head = order(&format!("upload{n}")).replace("Content-Length: 2\r\n\r\nab", &length);
+        let mut client = sidecar.connect();
+        client.write_all(head.as_bytes()).expect("sent");
+        client.write_all(&vec![b'x'; LENGTH - 1]).expect("sent");
+        // The last byte goes out about as the server's answer arrives.
+        thread::sleep(Duration::from_micros(150 * n));
+        let _ = client.write_all(b"x");
+        let answer = first_answer(client);
+        until("the attempt ends", || received.lock().expect("no panic").len() > n as usize);
+        let body = received.lock().expect("no panic")[n as usize];
+        rejected += usize::from(is_rejected(&answer));
+        assert!(body < LENGTH || !is_rejected(&answer), "{n}: all of it arrived, and {answer:?}");
+    }
+    assert!(rejected > 0, "none was rejected before its last byte");
+}
