Accepting: what waits for a descriptor is accepted as soon as one is free

Clients' requests were lost 2.7 s after SIGTERM at sidecars with few descriptors: the listener was closed with connections in its queue. Cause: without a place or descriptor, accepting paused for 10 ms each time, so only one connection in 10 ms was taken, as many as arrived, and the queue was never empty before the exit. A client's connection that ends now wakes the accept loop, in shortages at any time too; the pause is left for descriptors that others free.

--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -78,6 +78,9 @@
 #[test]
 fn connections_that_few_descriptors_keep_waiting_up_to_the_exit_are_served() {
     play_seeds(78_000_309..78_000_310, Scenario::draw_with_hold_ups);
+    for seed in [8_000_278, 8_001_652, 8_003_001] {
+        play_seeds(seed..seed + 1, Scenario::draw);
+    }
 }
 
 #[test]
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -58,7 +58,7 @@
                 Queue::Empty => break,
                 Queue::Unknown => {
                     self.evict_one();
-                    P::sleep(ACCEPT_RETRY_DELAY).await;
+                    self.wait_for_place().await;
                 }
             }
         }
@@ -123,7 +123,7 @@
                     self.last_accept_failure.set(Some(P::now()));
                     self.evict_one();
                     behind_since.get_or_insert(P::now());
-                    P::sleep(ACCEPT_RETRY_DELAY).await;
+                    self.wait_for_place().await;
                 }
                 // Only that connection is lost, and the next may wait behind it.
                 Err(error) => {
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Waits until a client's connection has ended. What else frees a descriptor is not told: it is tried
+    /// again after a pause.
+    async fn wait_for_place(&self) {
+        let _ = timeout::<P, _>(ACCEPT_RETRY_DELAY, self.place_freed.notified()).await;
+    }
+
     /// With each client that connects when there are many, closes those that have been idle for
     /// the longest time.
     ///
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -68,6 +68,8 @@
     accept_count: Cell<u64>,
     accepting: Cell<Accepting>,
     accepting_changed: Notify,
+    /// A connection has ended, and with it its descriptor and its place.
+    place_freed: Notify,
     last_accepted: Cell<Instant>,
     last_accept_failure: Cell<Option<Instant>>,
     /// In a graceful shutdown: until when requests have to be answered.
@@ -101,6 +103,7 @@
             accept_count: Cell::new(0),
             accepting: Cell::default(),
             accepting_changed: Notify::new(),
+            place_freed: Notify::new(),
             last_accepted: Cell::new(P::now()),
             last_accept_failure: Cell::new(None),
             shutdown_deadline: Cell::new(None),
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -65,6 +65,7 @@
         self.connections.borrow_mut().remove(&connection.number());
         drop(socket);
         drop(permit);
+        self.place_freed.notify_one();
     }
 
     /// Counts and logs how serving requests on a connection has ended.
