--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -8,31 +8,13 @@
 use tokio::sync::oneshot;
 
 use super::endpoints::KnownServer;
-use super::requests::InFlightRequest;
-use super::{Driver, RequestOutcome, State};
+use super::in_flight::{InFlightAttempt, InFlightRequest, RequestOutcome};
+use super::{Driver, State};
 use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
 use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
 
-/// An attempt of a request in flight.
-pub(super) struct InFlightAttempt {
-    /// Cancels it; none once it has ended or is cancelled.
-    pub(super) cancel: Option<oneshot::Sender<()>>,
-    pub(super) started: Instant,
-    /// It may have been executed, as far as is known.
-    pub(super) may_have_run: bool,
-    /// How it ended; none before.
-    pub(super) outcome: Option<Outcome>,
-}
-
-impl InFlightAttempt {
-    /// Whether it has ended without a byte at a server.
-    pub(super) fn was_not_sent(&self) -> bool {
-        matches!(self.outcome, Some(Outcome::NotSent | Outcome::ConnectFailed))
-    }
-}
-
 /// Which attempt it is.
 #[derive(Clone, Copy)]
 struct AttemptId {
@@ -92,12 +74,11 @@
             return;
         };
         self.status.events.record_retry(outcome);
-        let message = request.message();
         if !request.needs_proof() || earlier.iter().all(InFlightAttempt::was_not_sent) {
             return;
         }
         tracing::info!(
-            request = message.as_ref().map(|message| message.correlation_id()),
+            request = request.correlation_id(),
             attempt = id.index,
             address = state.endpoints.address(id.server).map(tracing::field::display),
             after = outcome.name(),
--- a/src/sidecar/driver/mod.rs
+++ b/src/sidecar/driver/mod.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod endpoint_changes;
 mod endpoints;
+mod in_flight;
 mod requests;
 
 use std::cell::RefCell;
@@ -31,8 +32,9 @@
 use crate::settings::{DedupScope, ReportDelivery, RetrySafety, Settings};
 pub use endpoints::EndpointCounts;
 use endpoints::EndpointTable;
-use requests::InFlightRequest;
-pub use requests::{RequestHandle, RequestInfo, RequestOutcome};
+use in_flight::InFlightRequest;
+pub use in_flight::RequestOutcome;
+pub use requests::{RequestHandle, RequestInfo};
 
 /// The connections to other sidecars, if there are any.
 pub struct PeerServices<P: Runtime> {
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -1,48 +1,22 @@
 //! Requests in flight: from a client's request to its final answer.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use runtime::Runtime;
 use tokio::sync::oneshot;
 
 use super::Driver;
-use super::attempts::InFlightAttempt;
+use super::in_flight::{InFlightAttempt, InFlightRequest, RequestOutcome};
 use crate::api::{EndReason, Event, Micros, NewRequest, Outcome, RequestId};
-use crate::settings::RetrySafety;
 use crate::sidecar::invariants::{Violation, may_reject};
-use crate::sidecar::status::Status;
-use crate::sidecar::upstream::{UpstreamRequest, UpstreamResponse};
+use crate::sidecar::upstream::UpstreamRequest;
 
 /// A final answer should be on its way this long before the client stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 /// The log's message of a request that no server's response ends.
 const END_MESSAGE: &str = "request ends without a server's response";
 
-/// How a request ended.
-pub enum RequestOutcome {
-    /// With a server's response.
-    Served(UpstreamResponse),
-    /// It was not executed: the client may send it again.
-    Rejected {
-        /// How long the client is asked to wait before that, if it is.
-        retry_after: Option<Duration>,
-    },
-    /// It may have been executed.
-    Failed,
-}
-
-impl RequestOutcome {
-    /// Its name in the log.
-    pub fn name(&self) -> &'static str {
-        match self {
-            RequestOutcome::Served(_) => "served",
-            RequestOutcome::Rejected { .. } => "refused",
-            RequestOutcome::Failed => "failed",
-        }
-    }
-}
-
 /// A request that was submitted. Dropping it before its outcome tells that the client has gone.
 pub struct RequestHandle<P: Runtime> {
     id: RequestId,
@@ -85,99 +59,10 @@
     pub client_retry: bool,
 }
 
-/// A request that the driver has taken.
-pub(super) struct InFlightRequest {
-    pub(super) class: usize,
-    /// Gets the outcome; none once the request has one, or the client has gone.
-    client: Option<oneshot::Sender<RequestOutcome>>,
-    /// What attempts send; none once no further attempt can be made.
-    message: Option<Rc<UpstreamRequest>>,
-    pub(super) attempts: Vec<InFlightAttempt>,
-}
-
-impl InFlightRequest {
-    /// Whether nobody waits for an outcome any more.
-    pub(super) fn is_finished(&self) -> bool {
-        self.client.is_none()
-    }
-
-    /// Sends the outcome to the client and counts it, if the request is not finished.
-    pub(super) fn finish(&mut self, outcome: RequestOutcome, status: &Status) {
-        if let Some(client) = self.client.take() {
-            status.count_request(self.class, |counts| match &outcome {
-                RequestOutcome::Served(_) => counts.served += 1,
-                RequestOutcome::Rejected { .. } => counts.rejected += 1,
-                RequestOutcome::Failed => counts.failed += 1,
-            });
-            let _ = client.send(outcome);
-        }
-    }
-
-    /// What another attempt sends, if one can still be sent.
-    pub(super) fn message(&self) -> Option<Rc<UpstreamRequest>> {
-        let is_kept = |message: &Rc<UpstreamRequest>| {
-            message.upload.as_ref().is_none_or(|upload| upload.is_replayable())
-        };
-        self.message.clone().filter(|message| !self.is_finished() && is_kept(message))
-    }
-
-    /// Whether it may be sent more than once; none once no further attempt can be made.
-    pub(super) fn retry_safety(&self) -> Option<RetrySafety> {
-        self.message.as_ref().map(|message| message.retry_safety)
-    }
-
-    /// Whether that it was not executed has to be proven before it is sent again or rejected.
-    pub(super) fn needs_proof(&self) -> bool {
-        self.retry_safety().is_some_and(|safety| safety != RetrySafety::Idempotent)
-    }
-
-    /// Whether any of its attempts may have been executed.
-    pub(super) fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.may_have_run)
-    }
-
-    /// Whether any of its first `count` attempts may have been executed.
-    pub(super) fn may_have_run_before(&self, count: usize) -> bool {
-        self.attempts.iter().take(count).any(|attempt| attempt.may_have_run)
-    }
-
-    /// Whether the request may be sent again after it may have been executed.
-    pub(super) fn is_retryable(&self) -> bool {
-        self.retry_safety().is_some_and(|safety| safety != RetrySafety::NonIdempotent)
-    }
-
-    /// Frees what attempts send: no further one is made, and none that waits for a connection is sent.
-    pub(super) fn release_message(&mut self) -> Option<Rc<UpstreamRequest>> {
-        let message = self.message.take();
-        if let Some(message) = &message {
-            message.finished.set(true);
-        }
-        message
-    }
-
-    /// By when another attempt may start, if servers recognize repeats for `window`.
-    pub(super) fn retry_by(&self, window: Duration) -> Option<Instant> {
-        let may_have_run = self.attempts.iter().filter(|attempt| attempt.may_have_run);
-        may_have_run.map(|attempt| attempt.started + window).min()
-    }
-
-    /// Cancels all attempts.
-    fn cancel_attempts(&mut self) {
-        for cancel in self.attempts.iter_mut().filter_map(|attempt| attempt.cancel.take()) {
-            let _ = cancel.send(());
-        }
-    }
-
-    /// Whether it is finished, and so are its attempts.
-    fn is_done(&self) -> bool {
-        self.is_finished() && self.attempts.iter().all(|attempt| attempt.cancel.is_none())
-    }
-}
-
 /// Logs that a request ends without a server's response; at the default level if its servers may have
 /// executed it, or have said that they have not, and it must not simply be repeated.
 fn log_end(request: &InFlightRequest, outcome: &RequestOutcome, reason: EndReason) {
-    let id = request.message.as_ref().map(|message| message.correlation_id());
+    let id = request.correlation_id();
     let (answer, reason, attempts) = (outcome.name(), reason.name(), request.attempts.len());
     if !request.needs_proof() || request.attempts.iter().all(InFlightAttempt::was_not_sent) {
         tracing::debug!(request = id, answer, reason, attempts, "{END_MESSAGE}");
@@ -227,13 +112,7 @@
         let mut state = self.state.borrow_mut();
         state.last_request_id += 1;
         let id = RequestId(state.last_request_id);
-        let request = InFlightRequest {
-            class,
-            client: Some(client),
-            message: Some(Rc::new(message)),
-            attempts: Vec::new(),
-        };
-        state.requests.insert(id, request);
+        state.requests.insert(id, InFlightRequest::new(class, client, message));
         id
     }
 
@@ -273,7 +152,7 @@
             };
             match outcome {
                 Some(outcome) => request.finish(outcome, &self.status),
-                None => request.client = None,
+                None => request.drop_client(),
             }
             let message = request.release_message();
             // The balancer cancels nothing once a body is being streamed.
