Framing: tests of what a head says of processing

The driver's account of what may have run goes by the observer's reading of X-Unprocessed: once, twice, folded, beyond the kept part of a line, in an interim response, and reset with the next message.

--- a/src/sidecar/framing/tests.rs
+++ b/src/sidecar/framing/tests.rs
@@ -109,3 +109,35 @@
     let endless = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(40);
     assert_eq!(framing.feed(&endless), Err(FramingError::TooManyInterimResponses));
 }
+
+#[test]
+fn promise_of_an_unprocessed_request_counts_when_it_is_made_once() {
+    let long = format!("X-Unprocessed: 1{}0\r\n", " ".repeat(MAX_KEPT_LINE_BYTES));
+    let heads = [
+        ("", Unprocessed::Unsaid),
+        ("X-Unprocessed: 1\r\n", Unprocessed::Promised),
+        ("x-unprocessed:1\r\nServer: a\r\n", Unprocessed::Promised),
+        ("X-Unprocessed: 0\r\n", Unprocessed::Contradictory),
+        ("X-Unprocessed: 1\r\nX-Unprocessed: 0\r\n", Unprocessed::Contradictory),
+        ("X-Unprocessed: 1\r\nX-Unprocessed: 1\r\n", Unprocessed::Contradictory),
+        ("X-Unprocessed: 1\r\n 0\r\n", Unprocessed::Contradictory),
+        (&long, Unprocessed::Contradictory),
+    ];
+    for (head, expected) in heads {
+        let mut framing = Framing::new(MessageKind::Response, 100);
+        let text = format!("HTTP/1.1 503 No\r\n{head}Content-Length: 2\r\n\r\n");
+        framing.feed(text.as_bytes()).expect("a sound head");
+        assert_eq!((framing.status(), framing.unprocessed()), (Some(503), expected), "{head:?}");
+        framing.start_next();
+        assert_eq!((framing.status(), framing.unprocessed()), (None, Unprocessed::Unsaid));
+    }
+}
+
+#[test]
+fn promise_in_an_interim_response_is_not_one_of_the_final_response() {
+    let mut framing = Framing::new(MessageKind::Response, 100);
+    let interim = "HTTP/1.1 103 Early\r\nX-Unprocessed: 1\r\n\r\n";
+    let last = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+    framing.feed(format!("{interim}{last}").as_bytes()).expect("sound heads");
+    assert_eq!((framing.status(), framing.unprocessed()), (Some(503), Unprocessed::Unsaid));
+}
