System calls: a test of orders whose connection is reset around their last byte

The test has short writes and EINTR, six servers that reset the connection of an order's first copy 0 to 20,000 bytes before its end, and serve all others.

--- a/tests/lifecycle/system_calls.rs
+++ b/tests/lifecycle/system_calls.rs
@@ -1,13 +1,17 @@
 //! System calls that fail as their manual pages allow, through a library that is loaded into the program.
 
-use std::io::{BufReader, Read, Write};
-use std::net::TcpStream;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fakes::faulty_calls::{FaultRates, environment, environment_for_files};
+use fakes::wire::header;
 use fakes::wire::read_message;
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 use crate::net::*;
 use crate::support::*;
@@ -159,3 +163,86 @@
         assert!(share < 0.12, "{share} with the clock {seconds_ahead} s ahead");
     }
 }
+
+/// Bytes of an order that a server leaves unread as it resets its connection, and the length of the order's body.
+const UNREAD_BYTES: [usize; 6] = [0, 1, 2, 100, 5_000, 20_000];
+const ORDER_BYTES: usize = 20_000;
+
+/// How often each order was received in full, by its id.
+type Executions = Arc<Mutex<HashMap<String, usize>>>;
+
+/// Receives an order of which `unread` bytes are left in the socket; its id.
+fn receive_order(
+    reader: &mut impl BufRead,
+    mut unread: impl FnMut(&str) -> usize,
+) -> Option<(String, usize)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let id = header(&head, "x-correlation-id")?;
+    let left = unread(&id);
+    reader.read_exact(&mut vec![0; ORDER_BYTES - left]).ok()?;
+    Some((id, left))
+}
+
+/// Resets the connection of each order's first copy around its last byte, and serves the others.
+fn resetting_server(executions: Executions, firsts: Executions) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut server = Server::echo();
+    server.at = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let (executions, firsts) = (executions.clone(), firsts.clone());
+            std::thread::spawn(move || {
+                let is_first = |id: &str| {
+                    let mut firsts = firsts.lock().expect("no panic");
+                    let copies = firsts.entry(id.to_owned()).or_default();
+                    *copies += 1;
+                    *copies == 1
+                };
+                let mut reset = false;
+                let mut reader = BufReader::with_capacity(1, socket.try_clone().expect("a handle"));
+                while let Some((id, left)) = receive_order(&mut reader, |id| {
+                    reset = is_first(id);
+                    let index: usize = id.trim_start_matches("order").parse().unwrap_or_default();
+                    if reset { UNREAD_BYTES[index % UNREAD_BYTES.len()] } else { 0 }
+                }) {
+                    if left == 0 {
+                        *executions.lock().expect("no panic").entry(id.clone()).or_default() += 1;
+                    }
+                    if reset {
+                        let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+                        return;
+                    }
+                    let _ = socket.write_all(answer(&id).as_bytes());
+                }
+            });
+        }
+    });
+    server
+}
+
+/// Short writes leave the last byte of a request to a write of its own.
+#[test]
+fn order_whose_connection_is_reset_around_its_last_byte_is_executed_once() {
+    let (executions, firsts) = (Executions::default(), Executions::default());
+    let servers: Vec<Server> =
+        (0..6).map(|_| resetting_server(executions.clone(), firsts.clone())).collect();
+    let rates = FaultRates { seed: 5, interrupted: 50, short: 300, ..FaultRates::default() };
+    let sidecar = start(discovery(&servers.iter().collect::<Vec<_>>()), rates, None);
+    let body = format!("Content-Length: {ORDER_BYTES}\r\n\r\n{}", "x".repeat(ORDER_BYTES));
+    for n in 0..60 {
+        let id = format!("order{n}");
+        let text = order(&id).replace("Content-Length: 2\r\n\r\nab", &body);
+        let answer = sidecar.exchange(&text);
+        let executed = executions.lock().expect("no panic").get(&id).copied().unwrap_or_default();
+        let rejected = answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429");
+        assert!(executed <= 1, "{id} was executed {executed} times: {answer:?}");
+        assert!(executed == 0 || !rejected, "{id} was executed, and {answer:?}");
+    }
+    let executed = executions.lock().expect("no panic").len();
+    assert!(executed > 10, "{executed} of 60 were executed");
+}
