--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -83,6 +83,11 @@
     }
 }
 
+#[test]
+fn accepting_leaves_descriptors_to_discovery_where_they_are_short() {
+    play_seeds(90_001_944..90_001_945, Scenario::draw_with_broken_rejections);
+}
+
 #[test]
 fn attempt_that_waits_for_its_connection_is_not_sent_once_its_client_has_left() {
     play_seeds(75_000_439..75_000_440, Scenario::draw_with_hold_ups);
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -123,7 +123,8 @@
                     self.last_accept_failure.set(Some(P::now()));
                     self.evict_one();
                     behind_since.get_or_insert(P::now());
-                    self.wait_for_place().await;
+                    // Discovery and servers get what becomes free meanwhile.
+                    P::sleep(ACCEPT_RETRY_DELAY).await;
                 }
                 // Only that connection is lost, and the next may wait behind it.
                 Err(error) => {
