Accepting: a wait in the queue at the end of a shutdown is taken off a request's time

A client's request got no response in time: it had waited 0.77 s in the listener's queue of a sidecar short of descriptors, and was given all of its 0.75 s. Cause: what is accepted right before the listener closes was taken for new, where accepting takes off the time since it fell behind. Since when accepting is behind is kept in the ingress now, for both.

--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -88,6 +88,11 @@
     play_seeds(90_001_944..90_001_945, Scenario::draw_with_broken_rejections);
 }
 
+#[test]
+fn wait_for_a_descriptor_as_a_process_exits_is_taken_off_the_time_of_a_request() {
+    play_seeds(2165..2166, Scenario::draw_with_broken_rejections);
+}
+
 #[test]
 fn attempt_that_waits_for_its_connection_is_not_sent_once_its_client_has_left() {
     play_seeds(75_000_439..75_000_440, Scenario::draw_with_hold_ups);
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -57,6 +57,7 @@
                 Queue::Accepted => {}
                 Queue::Empty => break,
                 Queue::Unknown => {
+                    self.fall_behind(P::now());
                     self.evict_one();
                     self.wait_for_place().await;
                 }
@@ -93,19 +94,18 @@
     /// accepting last fell behind, and that much is taken off its first request's time. Clients
     /// that connect in a crowd and send their request later get less time than they ask for.
     async fn accept_clients(self: &Rc<Ingress<P>>, listener: &P::Listener) {
-        let mut behind_since: Option<Instant> = None;
         let mut failures_in_a_row = 0_u32;
         loop {
             let requested = P::now();
             let permit = self.acquire_permit().await;
             if P::now() > requested {
-                behind_since.get_or_insert(requested);
+                self.fall_behind(requested);
             }
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
                 () = std::future::ready(()) => {
-                    behind_since = None;
+                    self.behind_since.set(None);
                     listener.accept().await
                 }
             };
@@ -114,15 +114,14 @@
                     failures_in_a_row = 0;
                     self.last_accepted.set(P::now());
                     self.evict_longest_idle();
-                    let delay = behind_since.map_or(Duration::ZERO, P::elapsed_since);
-                    self.start_connection(socket, permit, delay);
+                    self.start_connection(socket, permit);
                 }
                 // Whatever fails must not end accepting.
                 Err(error) if is_shortage(&error) => {
                     tracing::warn!(%error, "failed to accept a client connection");
                     self.last_accept_failure.set(Some(P::now()));
                     self.evict_one();
-                    behind_since.get_or_insert(P::now());
+                    self.fall_behind(P::now());
                     // Discovery and servers get what becomes free meanwhile.
                     P::sleep(ACCEPT_RETRY_DELAY).await;
                 }
@@ -145,7 +144,7 @@
         };
         match listener.try_accept() {
             Ok(socket) => {
-                self.start_connection(socket, permit, Duration::ZERO);
+                self.start_connection(socket, permit);
                 Queue::Accepted
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => Queue::Empty,
@@ -156,12 +155,13 @@
         }
     }
 
-    fn start_connection(
-        self: &Rc<Ingress<P>>,
-        socket: P::Tcp,
-        permit: SocketPermit,
-        accept_delay: Duration,
-    ) {
+    /// Notes that from `since` on connections may wait in the listener's queue, unless they did before.
+    fn fall_behind(&self, since: Instant) {
+        self.behind_since.set(self.behind_since.get().or(Some(since)));
+    }
+
+    fn start_connection(self: &Rc<Ingress<P>>, socket: P::Tcp, permit: SocketPermit) {
+        let accept_delay = self.behind_since.get().map_or(Duration::ZERO, P::elapsed_since);
         let number = self.accept_count.get() + 1;
         self.accept_count.set(number);
         let socket = Rc::new(socket);
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -68,6 +68,8 @@
     accept_count: Cell<u64>,
     accepting: Cell<Accepting>,
     accepting_changed: Notify,
+    /// Since when connections may wait in the listener's queue for a descriptor or a place, if they do.
+    behind_since: Cell<Option<Instant>>,
     /// A connection has ended, and with it its descriptor and its place.
     place_freed: Notify,
     last_accepted: Cell<Instant>,
@@ -103,6 +105,7 @@
             accept_count: Cell::new(0),
             accepting: Cell::default(),
             accepting_changed: Notify::new(),
+            behind_since: Cell::new(None),
             place_freed: Notify::new(),
             last_accepted: Cell::new(P::now()),
             last_accept_failure: Cell::new(None),
