Shutdown: the end of a process that leaves input unanswered is a warning

A process that is held up beyond its exit ended with input of clients unread, or with connections in the listener's queue, and logged neither.

Change: drain and hand_over record at the exit how many clients' input is unanswered, the first 16 one by one, and whether the listener's queue was still open.

--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -27,6 +27,9 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_MAX_BYTES: usize = 256 << 10;
 
+/// The most connections of which the end of the process is logged one by one.
+const MAX_LOGGED_AT_EXIT: usize = 16;
+
 /// How serving requests on a connection has ended.
 struct ConnectionEnd {
     /// The client has all of its responses, and the connection can be closed in order.
@@ -102,6 +105,24 @@
         }
     }
 
+    /// Counts and logs what the end of the process leaves unanswered. `queue_is_open`: connections may wait in the
+    /// listener's queue, which ends with it.
+    pub fn record_exit(&self, queue_is_open: bool) {
+        let connections = self.connections.borrow();
+        let unanswered = || connections.values().filter(|c| c.unanswered().is_some());
+        let count = unanswered().count();
+        if count > 0 || queue_is_open {
+            tracing::warn!(
+                unanswered = count,
+                queue_is_open,
+                "process ends before all is answered"
+            );
+        }
+        for connection in unanswered().take(MAX_LOGGED_AT_EXIT) {
+            self.record_unanswered(connection, CloseReason::Draining);
+        }
+    }
+
     /// Counts and logs input that came when its connection had been ended.
     fn record_late_input(&self, connection: &ClientConnection<P>, reason: CloseReason) {
         self.status.events.record_late_input();
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -82,7 +82,7 @@
             ingress.stop_accepting();
         }
         if P::now() >= exit || finished && ingress.has_stopped_accepting() {
-            return;
+            return ingress.record_exit(!ingress.has_stopped_accepting());
         }
         if P::now() >= exit - FAIL_MARGIN {
             ingress.fail_open_requests();
@@ -109,7 +109,8 @@
             ingress.close_evictable();
         }
         if P::now() >= exit || ingress.connection_count() == 0 {
-            return;
+            // The queue is the successor's.
+            return ingress.record_exit(false);
         }
         if P::now() >= exit - FAIL_MARGIN {
             ingress.fail_open_requests();
--- a/tests/lifecycle/shutdown.rs
+++ b/tests/lifecycle/shutdown.rs
@@ -271,3 +271,42 @@
     let answer = first_answer(late);
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
 }
+
+/// The log of a process that is held up beyond its exit while a request arrives; none if the machine was too slow for
+/// that. The hold-up is longer than any that has to be borne.
+fn log_of_exit_in_a_hold_up() -> Option<String> {
+    let blocked = BlockedServer::new();
+    let mut sidecar = Sidecar::start_with(discovery(&[&blocked.server]), |config| {
+        (0..3).for_each(|class| set_times(config, class, 1000, 1000));
+    });
+    let _open = blocked.receives_order(&sidecar, "open");
+    let signal = Instant::now();
+    sidecar.signal("TERM");
+    let wait_until = |ms| {
+        let at = signal + Duration::from_millis(ms);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+    };
+    // The listener is closed 1.395 s after the signal, the process ends 0.3 s later.
+    wait_until(1300);
+    let mut late = TcpStream::connect(sidecar.at).ok()?;
+    late.set_read_timeout(Some(PATIENCE)).expect("a time");
+    wait_until(1330);
+    let hold_up = HoldUp::begin(&sidecar);
+    late.set_nonblocking(true).expect("set");
+    late.peek(&mut [0]).err().filter(|e| e.kind() == ErrorKind::WouldBlock)?;
+    late.set_nonblocking(false).expect("set");
+    late.write_all(look("late").as_bytes()).expect("sent");
+    wait_until(1750);
+    drop(hold_up);
+    assert!(sidecar.wait_for_exit().success());
+    read_to_end(late).is_empty().then(|| sidecar.log())
+}
+
+#[test]
+fn request_that_is_unanswered_as_its_process_exits_is_logged() {
+    let log = (0..5).find_map(|_| log_of_exit_in_a_hold_up()).expect("an unanswered request");
+    let has = |parts: &[&str]| log.lines().any(|line| parts.iter().all(|part| line.contains(part)));
+    assert!(has(&["process ends before all is answered"]), "{log}");
+    let reason = "\"reason\":\"draining\"";
+    assert!(has(&["client connection closed with a request unanswered", reason]), "{log}");
+}
