Attempts: the log tells the connection, what it had carried, and when the answer began

The reports have answers that came 1 to 3 ms after their request was sent, and rejections that were believed before a server can have made them; the log tells neither which connection an answer came on, nor what that had carried, nor how long after the last byte the answer began.

Change: ConnectionUse, with these, in `attempt ended`, `request sent again` and `rejection by a server is no proof`. Connections are numbered by the process that opens them.

--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -70,7 +70,8 @@
         let state = self.state.borrow();
         let Some(request) = state.requests.get(&id.request) else { return };
         let earlier = &request.attempts[..id.index];
-        let Some(outcome) = earlier.iter().rev().find_map(|attempt| attempt.outcome) else {
+        let ended = |attempt: &InFlightAttempt| Some((attempt.outcome?, attempt.connection_use));
+        let Some((outcome, connection_use)) = earlier.iter().rev().find_map(ended) else {
             return;
         };
         self.status.events.record_retry(outcome);
@@ -82,6 +83,7 @@
             attempt = id.index,
             address = state.endpoints.address(id.server).map(tracing::field::display),
             after = outcome.name(),
+            after_connection_use = connection_use.map(tracing::field::debug),
             may_have_run = request.may_have_run_before(id.index),
             "request sent again"
         );
@@ -112,6 +114,7 @@
             started,
             may_have_run: true,
             outcome: None,
+            connection_use: None,
         });
         if let Some(violation) = violation {
             let subject = request.message().map(|message| message.correlation_id().to_owned());
@@ -167,6 +170,7 @@
             address = %endpoint.address,
             outcome = result.outcome.name(),
             facts = ?result.facts,
+            connection_use = ?result.connection_use,
             took_us = P::elapsed_since(started).as_micros() as u64,
             "attempt ended"
         );
@@ -205,7 +209,7 @@
         latency: Micros,
         result: AttemptResult,
     ) {
-        let AttemptResult { mut outcome, report, response, facts } = result;
+        let AttemptResult { mut outcome, report, response, facts, connection_use } = result;
         let may_have_run = facts.is_none_or(|facts| facts.never_ran().is_err());
         let mut finished = true;
         let mut retryable = false;
@@ -214,6 +218,7 @@
                 attempt.cancel = None;
                 attempt.may_have_run = may_have_run;
                 attempt.outcome = Some(outcome);
+                attempt.connection_use = connection_use;
             }
             if outcome.never_ran() && may_have_run && request.needs_proof() {
                 let subject = id.request.0;
--- a/src/sidecar/driver/in_flight.rs
+++ b/src/sidecar/driver/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
 use crate::sidecar::status::Status;
-use crate::sidecar::upstream::{UpstreamRequest, UpstreamResponse};
+use crate::sidecar::upstream::{ConnectionUse, UpstreamRequest, UpstreamResponse};
 
 /// How a request ended.
 pub enum RequestOutcome {
@@ -43,6 +43,8 @@
     pub(super) may_have_run: bool,
     /// How it ended; none before.
     pub(super) outcome: Option<Outcome>,
+    /// The connection that it was made on, if it has ended with one.
+    pub(super) connection_use: Option<ConnectionUse>,
 }
 
 impl InFlightAttempt {
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -27,11 +27,28 @@
 const SHORTEST_TEST: Duration = Duration::from_millis(1);
 const LONGEST_TEST: Duration = Duration::from_millis(4);
 
+/// On which connection an attempt was made, and what had passed there before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// The number of the connection, in the order in which this process opened them.
+    pub connection: u64,
+    /// How many requests it had carried before.
+    pub earlier_requests: u32,
+    /// How long it had been idle.
+    pub idle: Duration,
+    /// How long after the last byte of the request the response began, if it did.
+    pub response_delay: Option<Duration>,
+}
+
 /// One connection. Dropping it closes it.
 pub(super) struct Connection<P: Runtime> {
     pub(super) sender: SendRequest<RequestBody<P>>,
     pub(super) observer: Rc<ExchangeObserver<P>>,
     pub(super) address: SocketAddr,
+    /// Its number, in the order in which this process opened them.
+    number: u64,
+    /// How many requests it has carried that are over.
+    earlier_requests: u32,
     /// When it last became idle, or was established.
     pub(super) idle_since: Instant,
     /// It was in the pool: the server may have closed it unnoticed.
@@ -52,6 +69,7 @@
     /// Starts HTTP on `socket`, which was connected to `address` within `round_trip`; none if that
     /// fails. The permit `place` is given back when the connection ends.
     pub(super) async fn start(
+        number: u64,
         socket: P::Tcp,
         address: SocketAddr,
         round_trip: Duration,
@@ -74,6 +92,8 @@
             sender,
             observer,
             address,
+            number,
+            earlier_requests: 0,
             idle_since: P::now(),
             reused: false,
             rejected_at: None,
@@ -96,6 +116,7 @@
     pub(super) fn end_response(&mut self) {
         let now = P::now();
         self.idle_since = now;
+        self.earlier_requests += 1;
         self.reused = true;
         self.after_rejection = self.observer.response_facts().unprocessed != Unprocessed::Unsaid;
         if self.after_rejection {
@@ -103,6 +124,16 @@
         }
     }
 
+    /// What the log tells of the request that is about to be sent.
+    pub(super) fn next_use(&self) -> ConnectionUse {
+        ConnectionUse {
+            connection: self.number,
+            earlier_requests: self.earlier_requests,
+            idle: P::elapsed_since(self.idle_since),
+            response_delay: None,
+        }
+    }
+
     /// Notes that a request is about to be sent.
     ///
     /// A second copy of a rejection may be held up on its way for long. It arrives before any other
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response};
 use runtime::{Runtime, expiry, timeout};
 
-use super::connection::Connection;
+use super::connection::{Connection, ConnectionUse};
 use super::observer::ExchangeObserver;
 use super::request::{AttemptLimits, RequestBody, UpstreamRequest};
 use super::response::{UpstreamResponse, is_unprocessed};
@@ -35,12 +35,20 @@
     pub response: Option<UpstreamResponse>,
     /// What passed on its connections; none if it was still under way.
     pub facts: Option<ExecutionFacts>,
+    /// Its last connection; none if it had none, or was still under way.
+    pub connection_use: Option<ConnectionUse>,
 }
 
 impl AttemptResult {
     /// An end without a response.
     pub fn without_response(outcome: Outcome) -> AttemptResult {
-        AttemptResult { outcome, report: LoadReport::default(), response: None, facts: None }
+        AttemptResult {
+            outcome,
+            report: LoadReport::default(),
+            response: None,
+            facts: None,
+            connection_use: None,
+        }
     }
 
     /// The end of an attempt of which nothing was sent.
@@ -69,7 +77,9 @@
         limits: AttemptLimits,
     ) -> AttemptResult {
         let facts = ExecutionFacts::NOT_SENT;
-        Exchange { upstream: self, endpoint, request, limits, facts }.run().await
+        Exchange { upstream: self, endpoint, request, limits, facts, connection_use: None }
+            .run()
+            .await
     }
 
     /// Waits until a response that has begun makes no progress.
@@ -94,12 +104,14 @@
     request: &'a Rc<UpstreamRequest>,
     limits: AttemptLimits,
     facts: ExecutionFacts,
+    connection_use: Option<ConnectionUse>,
 }
 
 impl<P: Runtime> Exchange<'_, P> {
     async fn run(mut self) -> AttemptResult {
         let mut result = self.exchange().await;
         result.facts = Some(self.facts);
+        result.connection_use = self.connection_use;
         if result.outcome.never_ran()
             && self.needs_proof()
             && let Err(doubt) = self.facts.never_ran()
@@ -117,6 +129,7 @@
             request = self.request.correlation_id(),
             address = %self.endpoint.address,
             %doubt,
+            connection_use = ?self.connection_use,
             status = self.facts.response.status,
             copies_sent = self.facts.copies_sent,
             "rejection by a server is no proof"
@@ -132,6 +145,9 @@
     fn note_exchange(&mut self, observer: &ExchangeObserver<P>) {
         self.facts.copies_sent += u32::from(observer.is_request_sent());
         self.facts.response = observer.response_facts();
+        if let Some(connection_use) = &mut self.connection_use {
+            connection_use.response_delay = observer.response_delay();
+        }
     }
 
     async fn exchange(&mut self) -> AttemptResult {
@@ -158,6 +174,7 @@
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             self.upstream.status.discovery.record_attempt();
+            self.connection_use = Some(connection.next_use());
             connection.begin_request();
             self.facts.connection_settled = connection.settled;
             let observer = connection.observer.clone();
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -11,7 +11,7 @@
 mod request;
 mod response;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -23,6 +23,7 @@
 use super::status::Status;
 use crate::api::ServerId;
 use connection::Connection;
+pub use connection::ConnectionUse;
 pub use exchange::AttemptResult;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
@@ -41,6 +42,8 @@
 pub struct Upstream<P: Runtime> {
     /// Idle connections of each server, the most recently used one last.
     idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
+    /// How many connections were opened so far.
+    opened: Cell<u64>,
     sockets: Rc<SocketBudget>,
     body_memory: BodyBudget,
     live: Rc<LiveConfig>,
@@ -55,8 +58,14 @@
         live: Rc<LiveConfig>,
         status: Rc<Status>,
     ) -> Rc<Upstream<P>> {
-        let idle = RefCell::default();
-        let upstream = Rc::new(Upstream { idle, sockets, body_memory, live, status });
+        let upstream = Rc::new(Upstream {
+            idle: RefCell::default(),
+            opened: Cell::default(),
+            sockets,
+            body_memory,
+            live,
+            status,
+        });
         P::spawn(upstream.clone().evict_expired());
         upstream
     }
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -9,7 +9,7 @@
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use runtime::{Observer, Runtime};
 use tokio::sync::Notify;
@@ -29,7 +29,8 @@
     in_head: Cell<bool>,
     /// Bytes of the body that are still to be written.
     body_left: Cell<u64>,
-    complete: Cell<bool>,
+    /// When the last byte was written; none before.
+    completed_at: Cell<Option<Instant>>,
 }
 
 impl RequestProgress {
@@ -38,7 +39,7 @@
         self.terminator_matched.set(0);
         self.in_head.set(true);
         self.body_left.set(body);
-        self.complete.set(false);
+        self.completed_at.set(None);
     }
 
     /// Looks for the end of the head in `bytes`, which are the next to be written: the position after
@@ -91,6 +92,8 @@
 pub(super) struct ExchangeObserver<P> {
     request: RequestProgress,
     response: RefCell<Framing>,
+    /// When the first bytes of the final response arrived, if any have.
+    response_began_at: Cell<Option<Instant>>,
     /// When bytes of the final response last arrived, if any have.
     response_active_at: Cell<Option<Instant>>,
     response_began: Notify,
@@ -109,6 +112,7 @@
         ExchangeObserver {
             request: RequestProgress::default(),
             response: RefCell::new(Framing::new(MessageKind::Response, longest_body)),
+            response_began_at: Cell::new(None),
             response_active_at: Cell::new(None),
             response_began: Notify::new(),
             unexpected_bytes: Cell::new(false),
@@ -122,6 +126,7 @@
     /// Begins an exchange whose request has a body of `body` bytes.
     pub(super) fn begin(&self, body: u64) {
         self.response.borrow_mut().start_next();
+        self.response_began_at.set(None);
         self.response_active_at.set(None);
         self.request.begin(body);
         self.holds_last_byte.set(false);
@@ -134,14 +139,15 @@
 
     /// Notes that the last byte of the request has been written.
     pub(super) fn request_sent(&self) {
-        if !self.request.complete.replace(true) {
+        if !self.is_request_sent() {
+            self.request.completed_at.set(Some(P::now()));
             self.status.count_attempt();
         }
     }
 
     /// Whether the last byte of the request has been written: it may have been executed.
     pub(super) fn is_request_sent(&self) -> bool {
-        self.request.complete.get()
+        self.request.completed_at.get().is_some()
     }
 
     /// Lets the last byte of the request be written.
@@ -157,6 +163,13 @@
         self.response_active_at.get()
     }
 
+    /// How long after the last byte of the request the final response began; none if either is still to
+    /// come, zero if the response came first.
+    pub(super) fn response_delay(&self) -> Option<Duration> {
+        let (sent, began) = (self.request.completed_at.get()?, self.response_began_at.get()?);
+        Some(began.saturating_duration_since(sent))
+    }
+
     /// Waits until the first bytes of the final response arrive.
     pub(super) async fn response_began(&self) {
         self.response_began.notified().await;
@@ -211,6 +224,7 @@
         if !response.has_started() {
             self.response_active_at.set(None);
         } else if self.response_active_at.replace(Some(P::now())).is_none() {
+            self.response_began_at.set(self.response_active_at.get());
             self.response_began.notify_one();
         }
         Ok(())
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -127,6 +127,8 @@
         let socket = timeout::<P, _>(limit, P::connect(address)).await.ok()?.ok()?;
         let round_trip = P::elapsed_since(started);
         let observer = ExchangeObserver::new(self.live.max_body_bytes(), self.status.clone());
-        Connection::start(socket, address, round_trip, observer, place).await
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        Connection::start(number, socket, address, round_trip, observer, place).await
     }
 }
