--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -14,6 +14,7 @@
 mod rejections;
 mod reload;
 mod resting_connections;
+mod second_answers;
 mod server_answers;
 mod shutdown;
 mod support;
--- /dev/null
+++ b/tests/lifecycle/second_answers.rs
@@ -0,0 +1,322 @@
+//! Servers that write an answer twice on a connection that may be used again: nothing but its place tells whose
+//! answer it is.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fakes::scripted::{answer_with, request_id, serve};
+
+use crate::net::*;
+
+const SERVERS: usize = 6;
+const CLIENTS: usize = 8;
+/// How long a client pauses between two requests.
+const PAUSE: Duration = Duration::from_millis(45);
+const PLAY_TIME: Duration = Duration::from_millis(2500);
+/// One in so many requests is rejected without being executed.
+const REJECTED_ONE_IN: usize = 4;
+const PLAYS_AT_ONCE: usize = 5;
+
+/// What the second answer looks like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Second {
+    Same,
+    /// With another load report, and so of another length.
+    OtherReport,
+    /// With an interim response ahead.
+    BehindInterim,
+    /// A body of which the end is missing.
+    Cut,
+    /// The connection is closed behind it.
+    ThenClose,
+}
+
+const FORMS: [Second; 5] =
+    [Second::Same, Second::OtherReport, Second::BehindInterim, Second::Cut, Second::ThenClose];
+
+/// When the second answer is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum When {
+    /// So many milliseconds after the first.
+    Later(u64),
+    /// As the next request on the connection has arrived.
+    NextRequest,
+}
+
+/// What the servers of a play do.
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    second: Second,
+    when: When,
+    /// One in so many answers is written twice; 0: none.
+    one_in: usize,
+}
+
+/// The executions of each request, by the index of the server.
+type Executions = Arc<Mutex<HashMap<String, Vec<usize>>>>;
+
+/// What a server has for the answer to one request.
+struct Answers {
+    first: String,
+    second: String,
+}
+
+impl Answers {
+    fn new(id: &str, is_rejected: bool, second: Second) -> Answers {
+        let text = |load: &str| match is_rejected {
+            true => format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nX-Backend-Load: {load}\r\n\
+                 Content-Length: 4\r\n\r\nfull"
+            ),
+            false => answer_with(id, load),
+        };
+        let first = text("queue=0,inflight=1");
+        let second = match second {
+            Second::Same | Second::ThenClose => first.clone(),
+            Second::OtherReport => text("queue=12,inflight=10"),
+            Second::BehindInterim => format!("HTTP/1.1 103 Early Hints\r\n\r\n{first}"),
+            Second::Cut => first[..first.len() - 2].to_owned(),
+        };
+        Answers { first, second }
+    }
+}
+
+/// A server that works for 3 to 12 ms and answers with the id of the request.
+struct AnsweringTwice {
+    index: usize,
+    fault: Fault,
+    executions: Executions,
+    requests: AtomicUsize,
+    /// Second answers that wait for the next request of their connection.
+    waiting: Mutex<HashMap<SocketAddr, String>>,
+}
+
+impl AnsweringTwice {
+    fn start(index: usize, fault: Fault, executions: Executions) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let at = listener.local_addr().expect("an address");
+        let requests = AtomicUsize::new(index);
+        let waiting = Mutex::default();
+        let server = AnsweringTwice { index, fault, executions, requests, waiting };
+        serve(listener, move |head, socket| server.handle(head, socket));
+        at
+    }
+
+    /// Whether the connection stays open.
+    fn handle(&self, head: &str, socket: &mut TcpStream) -> bool {
+        let peer = socket.peer_addr().ok();
+        let waiting = peer.and_then(|peer| lock(&self.waiting).remove(&peer));
+        if let Some(second) = waiting
+            && (!self.write_second(socket, &second) || self.fault.second == Second::ThenClose)
+        {
+            return false;
+        }
+        let id = request_id(head);
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let is_rejected = number.is_multiple_of(REJECTED_ONE_IN);
+        if !is_rejected {
+            lock(&self.executions).entry(id.clone()).or_default().push(self.index);
+            thread::sleep(Duration::from_millis(3 + (number as u64 * 7) % 10));
+        }
+        let answers = Answers::new(&id, is_rejected, self.fault.second);
+        if socket.write_all(answers.first.as_bytes()).is_err() {
+            return false;
+        }
+        if self.fault.one_in > 0 && (number / REJECTED_ONE_IN).is_multiple_of(self.fault.one_in) {
+            self.plan_second(socket, peer, answers.second);
+        }
+        true
+    }
+
+    fn plan_second(&self, socket: &TcpStream, peer: Option<SocketAddr>, second: String) {
+        match (self.fault.when, peer) {
+            (When::NextRequest, Some(peer)) => {
+                lock(&self.waiting).insert(peer, second);
+            }
+            (When::NextRequest, None) => {}
+            (When::Later(ms), _) => {
+                let Ok(mut socket) = socket.try_clone() else { return };
+                let closes = self.fault.second == Second::ThenClose;
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(ms));
+                    let _ = socket.write_all(second.as_bytes());
+                    if closes {
+                        let _ = socket.shutdown(std::net::Shutdown::Both);
+                    }
+                });
+            }
+        }
+    }
+
+    fn write_second(&self, socket: &mut TcpStream, second: &str) -> bool {
+        socket.write_all(second.as_bytes()).is_ok()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How a class of requests may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    Look,
+    Keep,
+    Order,
+}
+
+impl Class {
+    fn request(self, id: &str) -> String {
+        match self {
+            Class::Look => look(id),
+            Class::Order => order(id),
+            Class::Keep => format!(
+                "POST /keep/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+                 Idempotency-Key: key-{id}\r\nContent-Length: 2\r\n\r\nab"
+            ),
+        }
+    }
+}
+
+/// A request and the answer that its client got.
+struct Exchanged {
+    class: Class,
+    id: String,
+    answer: String,
+}
+
+/// What one play came to.
+#[derive(Debug, Default)]
+struct Findings {
+    requests: usize,
+    served: usize,
+    /// Requests that got the answer to another, or a part of one.
+    foreign: Vec<String>,
+    /// Requests that ran where they must not have.
+    repeated: Vec<String>,
+}
+
+impl Findings {
+    fn add(&mut self, exchanged: &Exchanged, executions: &[usize]) {
+        let Exchanged { class, id, answer } = exchanged;
+        self.requests += 1;
+        if answer.starts_with("HTTP/1.1 200") {
+            self.served += 1;
+            if !answer.ends_with(&format!("\r\n\r\n{id}")) {
+                self.foreign.push(format!("{id}: {answer:?}"));
+            }
+        }
+        let refused = ["429", "503"].iter().any(|s| answer.starts_with(&format!("HTTP/1.1 {s}")));
+        let zones = |server: &usize| server % 2;
+        let is_broken = match class {
+            Class::Look => false,
+            Class::Order => executions.len() > 1 || refused && !executions.is_empty(),
+            Class::Keep => executions.iter().any(|s| zones(s) != zones(&executions[0])),
+        };
+        if is_broken {
+            let status = answer.lines().next().unwrap_or_default();
+            self.repeated.push(format!("{id}: at {executions:?}, {status:?}"));
+        }
+    }
+}
+
+/// Sends a third each of safe, keyed and unsafe requests through one sidecar.
+fn play(fault: Fault) -> Findings {
+    let executions = Executions::default();
+    let entries = (0..SERVERS).map(|index| {
+        let at = AnsweringTwice::start(index, fault, executions.clone());
+        Entry::new(at, if index % 2 == 0 { "a" } else { "b" })
+    });
+    let sidecar = Sidecar::start(Registry::start(entries.collect()));
+    let end = Instant::now() + PLAY_TIME;
+    let client = |number: usize| {
+        let mut exchanged = Vec::new();
+        while Instant::now() < end {
+            let class = [Class::Look, Class::Keep, Class::Order][(exchanged.len() + number) % 3];
+            let id = format!("{class:?}-{number}-{:03}", exchanged.len());
+            let answer = sidecar.exchange(&class.request(&id));
+            exchanged.push(Exchanged { class, id, answer });
+            thread::sleep(PAUSE);
+        }
+        exchanged
+    };
+    let exchanged: Vec<Exchanged> = thread::scope(|scope| {
+        let clients: Vec<_> =
+            (0..CLIENTS).map(|number| scope.spawn(move || client(number))).collect();
+        clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect()
+    });
+    let executions = lock(&executions);
+    let mut findings = Findings::default();
+    for exchanged in &exchanged {
+        let of_request = executions.get(&exchanged.id).map(Vec::as_slice).unwrap_or_default();
+        findings.add(exchanged, of_request);
+    }
+    findings
+}
+
+/// Plays all faults, some at a time, and asserts that no rule is broken and most requests are served.
+fn check(faults: &[Fault]) {
+    let mut broken = Vec::new();
+    for faults in faults.chunks(PLAYS_AT_ONCE) {
+        let played: Vec<_> = thread::scope(|scope| {
+            let plays: Vec<_> =
+                faults.iter().map(|&fault| scope.spawn(move || (fault, play(fault)))).collect();
+            plays.into_iter().map(|play| play.join().expect("no panic")).collect()
+        });
+        for (fault, findings) in played {
+            eprintln!(
+                "{fault:?}: {} requests, {} served, {} foreign, {} repeated",
+                findings.requests,
+                findings.served,
+                findings.foreign.len(),
+                findings.repeated.len()
+            );
+            let is_sound = findings.foreign.is_empty() && findings.repeated.is_empty();
+            if !is_sound || 2 * findings.served < findings.requests {
+                broken.push((fault, findings));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+fn later(second: Second, ms: u64, one_in: usize) -> Fault {
+    Fault { second, when: When::Later(ms), one_in }
+}
+
+#[test]
+fn second_answer_some_milliseconds_later_answers_no_other_request() {
+    let delays = [2, 8, 12, 25];
+    let faults: Vec<_> =
+        FORMS.iter().flat_map(|&form| delays.map(|ms| later(form, ms, 2))).collect();
+    check(&faults);
+}
+
+#[test]
+fn second_answer_long_after_the_first_answers_no_other_request() {
+    let delays = [40, 60, 250];
+    let faults: Vec<_> =
+        FORMS.iter().flat_map(|&form| delays.map(|ms| later(form, ms, 2))).collect();
+    check(&faults);
+}
+
+#[test]
+fn rare_second_answer_answers_no_other_request() {
+    check(&[6, 12, 25, 60, 250].map(|ms| later(Second::Same, ms, 10)));
+}
+
+#[test]
+fn second_answer_as_the_next_request_arrives_does_not_answer_it() {
+    let next = |second| Fault { second, when: When::NextRequest, one_in: 2 };
+    check(&FORMS.map(next));
+}
+
+#[test]
+fn servers_that_answer_once_serve_most_requests() {
+    check(&[later(Second::Same, 0, 0)]);
+}
