Second answers: a response on a used connection needs more than its place

Cause: a response was taken for a request's because of where it arrives. HTTP/1.1 has no id in it, so an answer that is delivered twice is taken for the next request's, and each one behind it is too: foreign answers first, and then a rejection of the request before proves that the next one never ran. Only late copies of rejections were looked for (LATE_COPY_TIME), none of served answers.

Change, in two modules: `trust` decides whether a connection may carry another request, and what speaks against a response on one that has: bytes out of turn, a beginning sooner than the server can have made it, the body of an earlier response. A connection rests 30 ms; a server that sent what belongs to no response gets each request on a new connection for 10 s, doubled up to ten minutes. `in_step` asks in doubt: a message without an id, which is answered with 404, is sent behind the response, as answers come in order. A rejection on a used connection of a request that must not simply be repeated always is in doubt, unless it ends its connection (RFC 9112, 9.6). What fails the check is sent again on a new connection, or failed if it must not be. The socket is looked at just before a request is written.

Why it works: on a new connection nothing else can arrive; on a used one a rejection proves only if the answer to a later message follows at once, however late a copy comes.

The test of repeats past their window waits until its connection has rested; scripted servers answer messages without an id with 404, as the protocol has it.

--- a/crates/fakes/src/scripted.rs
+++ b/crates/fakes/src/scripted.rs
@@ -7,6 +7,9 @@
 
 use crate::wire::{header, read_message};
 
+/// The answer to a message without an id.
+const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
 /// A server that answers requests as its script says.
 pub struct Server {
     /// The address that it listens at.
@@ -16,7 +19,7 @@
 
 impl Server {
     /// Starts a server. `script` is called with the id of each request and its connection, and tells whether the
-    /// connection stays open.
+    /// connection stays open. A message without an id is answered with 404.
     ///
     /// # Panics
     ///
@@ -27,8 +30,12 @@
         let heads = Arc::new(Mutex::new(Vec::new()));
         let received = heads.clone();
         serve(listener, move |head, socket| {
+            let id = request_id(head);
+            if id.is_empty() {
+                return socket.write_all(NOT_FOUND).is_ok();
+            }
             received.lock().expect("no panic").push(head.to_owned());
-            script(&request_id(head), socket)
+            script(&id, socket)
         });
         Server { at, heads }
     }
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -36,6 +36,10 @@
     fn limits_writes(&self) -> bool {
         false
     }
+    /// Whether nothing must have arrived, and the peer not have closed, when the next bytes are written.
+    fn requires_silence(&self) -> bool {
+        false
+    }
     /// These bytes were accepted by the system.
     fn on_write(&self, _bytes: &[u8]) {}
     /// The protocol library has nothing left to write.
@@ -62,6 +66,19 @@
     }
 }
 
+impl<S: Tcp, O: Observer> Stream<S, O> {
+    /// Asks the system itself, just before a write: what has arrived may not have been told yet.
+    fn check_silence(&self) -> io::Result<()> {
+        if self.observer.requires_silence() && !self.socket.is_idle() {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "something arrived before anything was written",
+            ));
+        }
+        Ok(())
+    }
+}
+
 impl<S: Tcp, O: Observer> AsyncRead for Stream<S, O> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -95,6 +112,7 @@
         let allowed = ready!(self.observer.poll_write_allowance(buf, cx));
         loop {
             ready!(self.socket.poll_write_ready(cx))?;
+            self.check_silence()?;
             match self.socket.try_write(&buf[..allowed]) {
                 Ok(n) => {
                     self.observer.on_write(&buf[..n]);
@@ -117,6 +135,7 @@
         }
         loop {
             ready!(self.socket.poll_write_ready(cx))?;
+            self.check_silence()?;
             match self.socket.try_write_vectored(bufs) {
                 Ok(n) => {
                     let mut remaining = n;
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -9,7 +9,7 @@
 use super::{Driver, RequestOutcome};
 use crate::api::{Action, Event, Micros, Outcome, RequestId, ServerId};
 use crate::sidecar::discovery::DiscoveryRequest;
-use crate::sidecar::upstream::HealthCheckResult;
+use crate::sidecar::upstream::{Endpoint, HealthCheckResult};
 
 impl<P: Runtime> Driver<P> {
     pub(super) fn execute(self: &Rc<Driver<P>>, action: Action) {
@@ -60,7 +60,10 @@
         P::spawn(async move {
             let started = P::now();
             let HealthCheckResult { outcome, report } = match address {
-                Some(address) => driver.upstream.check_health(address, driver.health_check).await,
+                Some(address) => {
+                    let endpoint = Endpoint { server, address };
+                    driver.upstream.check_health(endpoint, driver.health_check).await
+                }
                 None => HealthCheckResult::without_response(Outcome::ConnectFailed),
             };
             let latency = P::elapsed_since(started).as_micros() as Micros;
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -7,6 +7,7 @@
 
 use super::execution::Doubt;
 use super::invariants::{SendRefusal, Violation};
+use super::upstream::{InStep, Misplaced};
 use crate::api::{EndReason, Outcome};
 
 /// Why a connection of a client ends.
@@ -64,6 +65,9 @@
     ends: [Cell<u64>; EndReason::ALL.len()],
     retries: [Cell<u64>; Outcome::ALL.len()],
     doubts: [Cell<u64>; Doubt::ALL.len()],
+    misplaced: [Cell<u64>; Misplaced::ALL.len()],
+    step_checks: [Cell<u64>; InStep::ALL.len()],
+    distrusts: Cell<u64>,
     closes: [Cell<u64>; CloseReason::ALL.len()],
     unanswered: [Cell<u64>; CloseReason::ALL.len()],
     late_input: Cell<u64>,
@@ -119,6 +123,20 @@
         increment(&self.doubts[doubt as usize]);
     }
 
+    /// Counts a response that may answer another request than its connection's last, what spoke against it, and
+    /// what a check told.
+    pub fn record_step_check(&self, in_step: InStep, reason: Option<Misplaced>) {
+        increment(&self.step_checks[in_step as usize]);
+        if let Some(reason) = reason {
+            increment(&self.misplaced[reason as usize]);
+        }
+    }
+
+    /// Counts a server whose connections are not used again for a while.
+    pub fn record_distrust(&self) {
+        increment(&self.distrusts);
+    }
+
     /// Counts a connection of a client that ended.
     pub fn record_close(&self, reason: CloseReason) {
         increment(&self.closes[reason as usize]);
@@ -158,6 +176,8 @@
         all.extend(group("ended", EndReason::ALL.map(EndReason::name).into(), &self.ends));
         all.extend(group("retried_after", Outcome::ALL.map(Outcome::name).into(), &self.retries));
         all.extend(group("doubted", Doubt::ALL.map(Doubt::name).into(), &self.doubts));
+        all.extend(group("misplaced", Misplaced::ALL.map(Misplaced::name).into(), &self.misplaced));
+        all.extend(group("in_step", InStep::ALL.map(InStep::name).into(), &self.step_checks));
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let reasons = CloseReason::ALL.map(CloseReason::name).into();
         all.extend(group("unanswered", reasons, &self.unanswered));
@@ -165,6 +185,7 @@
             name: name.to_owned(),
             count: count.get(),
         };
+        all.push(single("server_distrusted", &self.distrusts));
         all.push(single("input_after_end", &self.late_input));
         all.push(single("close_withdrawn", &self.withdrawn_closes));
         all
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -10,17 +10,15 @@
 
 use super::observer::ExchangeObserver;
 use super::request::RequestBody;
+use super::trust::{
+    BodyFingerprint, EarlierBodies, LaterResponse, REST_TIME, ServerTrust, Suspect,
+};
 use crate::sidecar::budget::SocketPermit;
-use crate::sidecar::framing::{MAX_HEAD_BYTES, Unprocessed};
+use crate::sidecar::framing::MAX_HEAD_BYTES;
 
 /// A connection that has been idle at least this long may have been reset unnoticed, and is tested
 /// before a request that is not idempotent is sent on it in full.
 const IDLE_BEFORE_RESET: Duration = Duration::from_millis(50);
-/// If a server closes a connection right behind its response, that is seen within this time; it
-/// covers the delay of the network.
-pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(10);
-/// A server may send a rejection twice. It has written the second copy within this time of the first.
-const LATE_COPY_TIME: Duration = Duration::from_millis(20);
 /// How long such a test takes, in times to connect (a reset arrives within a round trip), and its
 /// bounds.
 const TEST_ROUND_TRIPS: u32 = 4;
@@ -51,14 +49,11 @@
     earlier_requests: u32,
     /// When it last became idle, or was established.
     pub(super) idle_since: Instant,
-    /// It was in the pool: the server may have closed it unnoticed.
-    pub(super) reused: bool,
-    /// When the last rejection arrived, if any has.
-    rejected_at: Option<Instant>,
-    /// The last response was a rejection.
-    pub(super) after_rejection: bool,
-    /// A rejection that arrives cannot be a late copy of an earlier one.
-    pub(super) settled: bool,
+    /// How long after its request the last response began.
+    last_delay: Option<Duration>,
+    earlier_bodies: EarlierBodies,
+    /// What is known of the server's responses on all connections.
+    pub(super) trust: Rc<ServerTrust>,
     socket: Rc<P::Tcp>,
     driver: P::TaskHandle,
     /// How long it took to connect: one round trip.
@@ -74,6 +69,7 @@
         address: SocketAddr,
         round_trip: Duration,
         observer: ExchangeObserver<P>,
+        trust: Rc<ServerTrust>,
         place: SocketPermit,
     ) -> Option<Connection<P>> {
         socket.set_nodelay().ok()?;
@@ -95,10 +91,9 @@
             number,
             earlier_requests: 0,
             idle_since: P::now(),
-            reused: false,
-            rejected_at: None,
-            after_rejection: false,
-            settled: true,
+            last_delay: None,
+            earlier_bodies: EarlierBodies::default(),
+            trust,
             socket,
             driver,
             round_trip,
@@ -112,16 +107,51 @@
         !self.sender.is_closed() && self.observer.is_clean() && self.socket.is_idle()
     }
 
+    /// Whether it has carried a request: the server may have closed it unnoticed, and something that belongs to
+    /// an earlier request may still arrive.
+    pub(super) fn is_used(&self) -> bool {
+        self.earlier_requests > 0
+    }
+
+    /// Whether it has rested long enough to be used again.
+    pub(super) fn has_rested(&self) -> bool {
+        !self.is_used() || P::elapsed_since(self.idle_since) >= REST_TIME
+    }
+
     /// Notes that a response has ended, and that the connection is idle.
     pub(super) fn end_response(&mut self) {
-        let now = P::now();
-        self.idle_since = now;
+        self.idle_since = P::now();
         self.earlier_requests += 1;
-        self.reused = true;
-        self.after_rejection = self.observer.response_facts().unprocessed != Unprocessed::Unsaid;
-        if self.after_rejection {
-            self.rejected_at = Some(now);
+        self.last_delay = self.observer.response_delay();
+    }
+
+    /// Notes that it is used again, and that nothing has followed the last response.
+    pub(super) fn end_rest(&self) {
+        if let Some(delay) = self.last_delay {
+            self.trust.record_response(delay);
+        }
+    }
+
+    /// Whether a response with this body is taken for that to the last request.
+    ///
+    /// # Errors
+    ///
+    /// What speaks against it.
+    pub(super) fn accept_body(&mut self, body: BodyFingerprint) -> Result<(), Suspect> {
+        let delay = self.observer.response_delay().unwrap_or_default();
+        if self.is_used() {
+            let response = LaterResponse {
+                in_turn: self.observer.is_clean(),
+                delay,
+                body,
+                earlier_bodies: &self.earlier_bodies,
+            };
+            self.trust.judge(response, P::now())?;
+        } else {
+            self.trust.record_response(delay);
         }
+        self.earlier_bodies.push(body);
+        Ok(())
     }
 
     /// What the log tells of the request that is about to be sent.
@@ -134,20 +164,10 @@
         }
     }
 
-    /// Notes that a request is about to be sent.
-    ///
-    /// A second copy of a rejection may be held up on its way for long. It arrives before any other
-    /// response to what is sent once it has been written.
-    pub(super) fn begin_request(&mut self) {
-        let has_copy_passed = |at| P::elapsed_since(at) >= LATE_COPY_TIME;
-        self.settled = !self.after_rejection && self.rejected_at.is_none_or(has_copy_passed);
-    }
-
     /// How long the last byte of a request is held back to learn whether the connection still exists;
-    /// none if it is new, or was idle neither so shortly nor so long that it may have been closed.
+    /// none if it was not idle so long that it may have been closed.
     pub(super) fn test_duration(&self) -> Option<Duration> {
-        let needs_test = self.reused
-            && !(CLOSE_DELAY..IDLE_BEFORE_RESET).contains(&P::elapsed_since(self.idle_since));
+        let needs_test = P::elapsed_since(self.idle_since) >= IDLE_BEFORE_RESET;
         let duration = (self.round_trip * TEST_ROUND_TRIPS).clamp(SHORTEST_TEST, LONGEST_TEST);
         needs_test.then_some(duration)
     }
@@ -155,6 +175,7 @@
 
 impl<P: Runtime> Drop for Connection<P> {
     fn drop(&mut self) {
+        self.observer.look_for_unread(&*self.socket);
         self.driver.abort();
     }
 }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -10,9 +10,11 @@
 use runtime::{Runtime, expiry, timeout};
 
 use super::connection::{Connection, ConnectionUse};
+use super::in_step::InStep;
 use super::observer::ExchangeObserver;
 use super::request::{AttemptLimits, RequestBody, UpstreamRequest};
-use super::response::{UpstreamResponse, is_unprocessed};
+use super::response::{Received, UpstreamResponse, is_unprocessed};
+use super::trust::{Misplaced, Suspect};
 use super::{Endpoint, Upstream};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
@@ -25,6 +27,9 @@
 /// The header that tells a server how long the client still waits, in milliseconds.
 const TIME_LEFT_HEADER: &str = "x-time-left-ms";
 
+/// The log's message of a response that may answer an earlier request on its connection.
+const DOUBT_MESSAGE: &str = "response on a used connection is in doubt";
+
 /// How an attempt ended.
 pub struct AttemptResult {
     /// The outcome.
@@ -153,13 +158,13 @@
     async fn exchange(&mut self) -> AttemptResult {
         // The part of a streamed body that is lost on a closed connection cannot be sent again.
         let mut idle = match self.request.upload {
-            None => self.upstream.take_idle(self.endpoint, self.needs_proof()).await,
+            None => self.upstream.take_idle(self.endpoint).await,
             Some(_) => None,
         };
         loop {
             let connection = match idle.take() {
                 Some(connection) => Some(connection),
-                None => self.upstream.connect(self.endpoint.address).await,
+                None => self.upstream.connect(self.endpoint).await,
             };
             let Some(mut connection) = connection else {
                 return AttemptResult::without_response(Outcome::ConnectFailed);
@@ -175,13 +180,19 @@
             }
             self.upstream.status.discovery.record_attempt();
             self.connection_use = Some(connection.next_use());
-            connection.begin_request();
-            self.facts.connection_settled = connection.settled;
+            self.facts.connection_settled = !connection.is_used();
             let observer = connection.observer.clone();
             if let Some(response) = self.receive_head(&mut connection, &observer).await {
-                let result = self.receive_response(connection, &observer, response).await;
+                let received = self.receive_response(connection, &observer, response).await;
                 self.note_exchange(&observer);
-                return result;
+                match self.resolve_doubt(received).await {
+                    Some(result) => return result,
+                    None if self.request.retry_safety == RetrySafety::NonIdempotent => {
+                        return AttemptResult::without_response(Outcome::ConnectionReset);
+                    }
+                    None => self.limits.note_sent(sent_at),
+                }
+                continue;
             }
             self.note_exchange(&observer);
             match self.after_break(&connection, sent_at) {
@@ -225,12 +236,12 @@
         connection: Connection<P>,
         observer: &ExchangeObserver<P>,
         response: Response<Incoming>,
-    ) -> AttemptResult {
+    ) -> Received<P> {
         if !observer.is_request_sent() {
             // The server wants no more of a streamed body. Its response ends the connection.
             let unprocessed = is_unprocessed(&response);
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
-            return AttemptResult::without_response(outcome);
+            return Received::nothing(outcome);
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
         let result = self.upstream.read_response(server, connection, response, needs_proof);
@@ -238,8 +249,51 @@
             biased;
             result = result => result,
             () = self.upstream.response_stalled(observer) => {
-                AttemptResult::without_response(Outcome::ConnectionReset)
+                Received::nothing(Outcome::ConnectionReset)
+            }
+        }
+    }
+
+    /// The end of the attempt, unless the response answers another request.
+    async fn resolve_doubt(&mut self, received: Received<P>) -> Option<AttemptResult> {
+        let (result, connection, suspect) = match received {
+            Received::Ended(result) => return Some(result),
+            Received::FinalRejection(result) => {
+                self.facts.connection_settled = true;
+                return Some(result);
+            }
+            Received::InDoubt { result, connection, suspect } => (result, connection, suspect),
+        };
+        let trust = connection.as_ref().map(|connection| connection.trust.clone());
+        let in_step = match connection {
+            Some(connection) => self.upstream.check_in_step(*connection, &self.limits).await,
+            None => InStep::Unknown,
+        };
+        self.log_doubt(suspect, in_step);
+        self.facts.connection_settled = in_step == InStep::Yes;
+        match (in_step, suspect) {
+            (InStep::Yes, Some(suspect)) => {
+                trust.into_iter().for_each(|trust| trust.acquit(suspect, P::now()));
+                Some(result)
             }
+            (_, Some(_)) => None,
+            // The facts tell what a rejection proves.
+            (_, None) => Some(result),
+        }
+    }
+
+    /// Counts and logs that a response may answer an earlier request, and what a further message told.
+    fn log_doubt(&self, suspect: Option<Suspect>, in_step: InStep) {
+        let reason = suspect.map(|suspect| suspect.reason);
+        self.upstream.status.events.record_step_check(in_step, reason);
+        let (request, address) = (self.request.correlation_id(), &self.endpoint.address);
+        let (reason, connection_use) =
+            (reason.map_or("rejected", Misplaced::name), self.connection_use);
+        if in_step == InStep::Yes {
+            tracing::debug!(request, %address, reason, in_step = "yes", ?connection_use, "{DOUBT_MESSAGE}");
+        } else {
+            let in_step = in_step.name();
+            tracing::info!(request, %address, reason, in_step, ?connection_use, "{DOUBT_MESSAGE}");
         }
     }
 
@@ -255,7 +309,7 @@
         // same server again at once, as part of the same attempt: the server has not chosen to fail
         // it. Nothing of a response must have arrived, and the break must come as soon as one that
         // happened before.
-        let was_stale = connection.reused
+        let was_stale = connection.is_used()
             && observer.response_active_at().is_none()
             && P::elapsed_since(sent_at) < STALE_CONNECTION_TIMEOUT;
         match (was_stale && self.request.retry_safety != RetrySafety::NonIdempotent, sent) {
@@ -264,7 +318,7 @@
             (false, true) => AfterBreak::End(Outcome::ConnectionReset),
             // An idle connection may be reset by the first byte written to it. The server has not begun
             // on the request, which gets a new connection.
-            (false, false) if connection.reused => AfterBreak::Reconnect,
+            (false, false) if connection.is_used() => AfterBreak::Reconnect,
             (false, false) => AfterBreak::End(Outcome::ConnectFailed),
         }
     }
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -1,7 +1,6 @@
 //! Active health checks.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +11,7 @@
 
 use super::exchange::send_request;
 use super::request::AttemptLimits;
-use super::{Upstream, UpstreamRequest};
+use super::{Endpoint, Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
 use crate::sidecar::body::STREAM_WINDOW_BYTES;
@@ -58,14 +57,14 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Checks the health of the server at `address` on a connection of its own.
+    /// Checks the health of a server on a connection of its own.
     pub async fn check_health(
         &self,
-        address: SocketAddr,
+        endpoint: Endpoint,
         kind: HealthCheckKind,
     ) -> HealthCheckResult {
         let limit = self.live.timeouts().connect + RESPONSE_TIMEOUT;
-        let check = timeout::<P, _>(limit, self.exchange_health_check(address, kind));
+        let check = timeout::<P, _>(limit, self.exchange_health_check(endpoint, kind));
         match check.await {
             Ok(Ok(result)) => result,
             Ok(Err(outcome)) => HealthCheckResult::without_response(outcome),
@@ -76,10 +75,10 @@
     /// The result of a response, or the outcome without one.
     async fn exchange_health_check(
         &self,
-        address: SocketAddr,
+        endpoint: Endpoint,
         kind: HealthCheckKind,
     ) -> Result<HealthCheckResult, Outcome> {
-        let mut connection = self.connect(address).await.ok_or(Outcome::ConnectFailed)?;
+        let mut connection = self.connect(endpoint).await.ok_or(Outcome::ConnectFailed)?;
         let request = health_check_request(kind.path());
         let limits = AttemptLimits::unlimited(P::now() + self.live.timeouts().connect);
         let response = send_request(&mut connection, &request, &limits).await;
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -6,10 +6,12 @@
 mod connection;
 mod exchange;
 mod health_check;
+mod in_step;
 mod observer;
 mod pool;
 mod request;
 mod response;
+mod trust;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -26,8 +28,11 @@
 pub use connection::ConnectionUse;
 pub use exchange::AttemptResult;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
+pub use in_step::InStep;
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
 pub use response::UpstreamResponse;
+pub use trust::Misplaced;
+use trust::ServerTrust;
 
 /// A server, and the address to connect to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +47,8 @@
 pub struct Upstream<P: Runtime> {
     /// Idle connections of each server, the most recently used one last.
     idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
+    /// What is known of the responses of each server.
+    trust: RefCell<FxHashMap<ServerId, Rc<ServerTrust>>>,
     /// How many connections were opened so far.
     opened: Cell<u64>,
     sockets: Rc<SocketBudget>,
@@ -60,6 +67,7 @@
     ) -> Rc<Upstream<P>> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
+            trust: RefCell::default(),
             opened: Cell::default(),
             sockets,
             body_memory,
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -7,13 +7,15 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use runtime::{Observer, Runtime};
+use runtime::{Observer, Runtime, Tcp};
 use tokio::sync::Notify;
 
+use super::trust::ServerTrust;
 use crate::sidecar::execution::ResponseFacts;
 use crate::sidecar::framing::{Framing, MessageKind};
 use crate::sidecar::status::Status;
@@ -24,6 +26,8 @@
 /// How much of a request has been written.
 #[derive(Default)]
 struct RequestProgress {
+    /// Some of it has been written.
+    started: Cell<bool>,
     /// How many bytes of the head's terminator were the last to be written.
     terminator_matched: Cell<usize>,
     in_head: Cell<bool>,
@@ -36,6 +40,7 @@
 impl RequestProgress {
     /// Begins a request with a body of `body` bytes.
     fn begin(&self, body: u64) {
+        self.started.set(false);
         self.terminator_matched.set(0);
         self.in_head.set(true);
         self.body_left.set(body);
@@ -68,6 +73,7 @@
 
     /// Notes that `bytes` were written; whether nothing of the request is left.
     fn advance(&self, mut bytes: &[u8]) -> bool {
+        self.started.set(self.started.get() || !bytes.is_empty());
         if self.in_head.get() {
             match self.find_head_end(bytes) {
                 Ok(end) => {
@@ -90,6 +96,12 @@
 /// It can hold back the last byte of a request ([`ExchangeObserver::hold_last_byte`]), until
 /// [`ExchangeObserver::release`].
 pub(super) struct ExchangeObserver<P> {
+    /// The address of the server.
+    address: SocketAddr,
+    /// What is known of the server's responses on all connections.
+    trust: Rc<ServerTrust>,
+    /// A request has been begun.
+    has_begun: Cell<bool>,
     request: RequestProgress,
     response: RefCell<Framing>,
     /// When the first bytes of the final response arrived, if any have.
@@ -106,10 +118,18 @@
 }
 
 impl<P: Runtime> ExchangeObserver<P> {
-    /// For a new connection. Bodies of responses may be `longest_body` bytes long; requests that are
-    /// sent in full are counted in `status`.
-    pub(super) fn new(longest_body: usize, status: Rc<Status>) -> ExchangeObserver<P> {
+    /// For a new connection to the server at `address`. Bodies of responses may be `longest_body` bytes long;
+    /// requests that are sent in full are counted in `status`.
+    pub(super) fn new(
+        address: SocketAddr,
+        longest_body: usize,
+        trust: Rc<ServerTrust>,
+        status: Rc<Status>,
+    ) -> ExchangeObserver<P> {
         ExchangeObserver {
+            address,
+            trust,
+            has_begun: Cell::new(false),
             request: RequestProgress::default(),
             response: RefCell::new(Framing::new(MessageKind::Response, longest_body)),
             response_began_at: Cell::new(None),
@@ -125,6 +145,7 @@
 
     /// Begins an exchange whose request has a body of `body` bytes.
     pub(super) fn begin(&self, body: u64) {
+        self.has_begun.set(true);
         self.response.borrow_mut().start_next();
         self.response_began_at.set(None);
         self.response_active_at.set(None);
@@ -132,6 +153,34 @@
         self.holds_last_byte.set(false);
     }
 
+    /// Whether any request has been begun.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
+    /// Looks for bytes that nobody has read on a connection that is about to be closed.
+    pub(super) fn look_for_unread(&self, socket: &P::Tcp) {
+        let is_over = !self.has_begun() || self.response.borrow().is_complete();
+        if is_over && socket.try_read(&mut [0]).is_ok_and(|bytes| bytes > 0) {
+            self.record_stray();
+        }
+    }
+
+    /// Notes that something arrived that belongs to no response: the connection cannot be used again.
+    pub(super) fn record_stray(&self) {
+        if self.unexpected_bytes.replace(true) {
+            return;
+        }
+        if let Some(time) = self.trust.record_stray(P::now()) {
+            self.status.events.record_distrust();
+            tracing::info!(
+                address = %self.address,
+                for_s = time.as_secs(),
+                "server sent what belongs to no response"
+            );
+        }
+    }
+
     /// Holds back the last byte of the request that has just begun.
     pub(super) fn hold_last_byte(&self) {
         self.holds_last_byte.set(true);
@@ -209,13 +258,13 @@
     fn on_read(&self, bytes: &[u8]) -> io::Result<()> {
         let mut response = self.response.borrow_mut();
         // What arrives before the last byte of the request was written does not answer it.
-        if !self.is_request_sent() || response.is_complete() {
-            self.unexpected_bytes.set(self.unexpected_bytes.get() || !bytes.is_empty());
+        if !bytes.is_empty() && (!self.is_request_sent() || response.is_complete()) {
+            self.record_stray();
         }
         if let Err(fault) = response.feed(bytes) {
             if response.is_complete() {
                 // It follows a complete response, which hyper may have.
-                self.unexpected_bytes.set(true);
+                self.record_stray();
                 return Ok(());
             }
             tracing::debug!(%fault, "invalid response from server");
@@ -230,6 +279,10 @@
         Ok(())
     }
 
+    fn requires_silence(&self) -> bool {
+        self.has_begun() && !self.request.started.get()
+    }
+
     fn limits_writes(&self) -> bool {
         self.holds_last_byte.get()
     }
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -1,14 +1,14 @@
 //! The connection pool: idle connections, and establishing new ones.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use runtime::{Runtime, timeout};
 
-use super::connection::{CLOSE_DELAY, Connection};
+use super::connection::Connection;
 use super::observer::ExchangeObserver;
+use super::trust::ServerTrust;
 use super::{Endpoint, Upstream};
 use crate::api::ServerId;
 use crate::sidecar::budget::SocketPermit;
@@ -41,31 +41,31 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Keeps a connection for the next attempt, if it can be used again, or else closes it.
+    /// Keeps a connection for the next attempt, if it has carried nothing or can be used again, or else closes
+    /// it.
     pub(super) fn return_to_pool(&self, server: ServerId, mut connection: Connection<P>) {
-        if !connection.observer.is_reusable() {
-            return;
+        if connection.observer.has_begun() {
+            if !connection.observer.is_reusable() || !connection.trust.may_reuse(P::now()) {
+                return;
+            }
+            connection.end_response();
         }
-        connection.end_response();
         self.idle.borrow_mut().entry(server).or_default().push(connection);
     }
 
-    /// Takes a usable idle connection to `endpoint` from the pool, if there is one. With `needs_proof` it is
-    /// one on which a rejection would be believed.
-    pub(super) async fn take_idle(
-        &self,
-        endpoint: Endpoint,
-        needs_proof: bool,
-    ) -> Option<Connection<P>> {
+    /// Takes a usable idle connection to `endpoint` from the pool, if there is one.
+    pub(super) async fn take_idle(&self, endpoint: Endpoint) -> Option<Connection<P>> {
         loop {
-            let mut connection = self.pop_idle(endpoint.server, needs_proof)?;
-            if connection.address != endpoint.address
+            let mut connection = self.pop_idle(endpoint.server)?;
+            if connection.is_used() && !connection.trust.may_reuse(P::now())
+                || connection.address != endpoint.address
                 || P::elapsed_since(connection.idle_since) >= self.live.timeouts().max_reuse_idle()
                 || !connection.is_usable()
             {
                 continue;
             }
             if let Ok(Ok(())) = timeout::<P, _>(READY_TIMEOUT, connection.sender.ready()).await {
+                connection.end_rest();
                 return Some(connection);
             }
         }
@@ -73,18 +73,12 @@
 
     /// Takes the idle connection to `server` that is least likely to be closed.
     ///
-    /// A server may close a connection right behind a response, and a request that is written before
-    /// that is seen is lost as a reset. Of the connections that have been idle long enough for a close
-    /// to have arrived, the most recently used one is taken; the others only if there is none such.
-    fn pop_idle(&self, server: ServerId, needs_proof: bool) -> Option<Connection<P>> {
+    /// Of the connections that have rested, the most recently used one is taken. A server may close a connection
+    /// right behind a response, or send the response once more, which is seen by then.
+    fn pop_idle(&self, server: ServerId) -> Option<Connection<P>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
-        let fits = |connection: &Connection<P>| !needs_proof || !connection.after_rejection;
-        let is_open = |connection: &Connection<P>| {
-            fits(connection) && P::elapsed_since(connection.idle_since) >= CLOSE_DELAY
-        };
-        let open = connections.iter().rposition(is_open);
-        let index = open.or_else(|| connections.iter().rposition(fits))?;
+        let index = connections.iter().rposition(Connection::has_rested)?;
         Some(connections.remove(index))
     }
 
@@ -119,16 +113,33 @@
         }
     }
 
-    /// Opens a connection to `address`; none if that fails or takes too long.
-    pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection<P>> {
+    /// What is known of the responses of a server.
+    fn trust(&self, server: ServerId) -> Rc<ServerTrust> {
+        let mut trust = self.trust.borrow_mut();
+        if trust.len() >= self.live.max_servers() && !trust.contains_key(&server) {
+            let now = P::now();
+            trust.retain(|_, known| Rc::strong_count(known) > 1 || !known.may_reuse(now));
+            if trust.len() >= self.live.max_servers() {
+                trust.clear();
+            }
+        }
+        trust.entry(server).or_default().clone()
+    }
+
+    /// Opens a connection to `endpoint`; none if that fails or takes too long.
+    pub(super) async fn connect(&self, endpoint: Endpoint) -> Option<Connection<P>> {
+        let Endpoint { server, address } = endpoint;
         let place = self.acquire_socket().await?;
         let started = P::now();
         let limit = self.live.timeouts().connect;
         let socket = timeout::<P, _>(limit, P::connect(address)).await.ok()?.ok()?;
         let round_trip = P::elapsed_since(started);
-        let observer = ExchangeObserver::new(self.live.max_body_bytes(), self.status.clone());
+        let trust = self.trust(server);
+        let longest_body = self.live.max_body_bytes();
+        let observer =
+            ExchangeObserver::new(address, longest_body, trust.clone(), self.status.clone());
         let number = self.opened.get() + 1;
         self.opened.set(number);
-        Connection::start(number, socket, address, round_trip, observer, place).await
+        Connection::start(number, socket, address, round_trip, observer, trust, place).await
     }
 }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -8,11 +8,12 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::HeaderMap;
+use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Response, StatusCode};
 use runtime::{Runtime, timeout, timeout_at};
 
 use super::connection::Connection;
+use super::trust::{BodyFingerprint, Suspect};
 use super::{AttemptResult, Upstream};
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
@@ -85,6 +86,38 @@
     }
 }
 
+/// What the response to a request on a connection came to.
+pub(super) enum Received<P: Runtime> {
+    /// It is taken for the request's, or there is none that could be.
+    Ended(AttemptResult),
+    /// It is a whole rejection that ends its connection: its server processes nothing more that it has received
+    /// there (RFC 9112, section 9.6).
+    FinalRejection(AttemptResult),
+    /// It may answer an earlier request on its connection.
+    InDoubt {
+        /// What it came to, if it answers this request.
+        result: AttemptResult,
+        /// The connection, if nothing of the response is still to come.
+        connection: Option<Box<Connection<P>>>,
+        /// What speaks against it; none if it has to be proven.
+        suspect: Option<Suspect>,
+    },
+}
+
+impl<P: Runtime> Received<P> {
+    /// The end of an attempt without a response.
+    pub(super) fn nothing(outcome: Outcome) -> Received<P> {
+        Received::Ended(AttemptResult::without_response(outcome))
+    }
+}
+
+/// A response that can be forwarded, and its connection, unless that is needed for the rest of the body.
+struct Forwardable<P: Runtime> {
+    response: UpstreamResponse,
+    connection: Option<Connection<P>>,
+    accepted: Result<(), Suspect>,
+}
+
 impl<P: Runtime> Upstream<P> {
     /// Reads the response to an attempt at `server`. With `needs_proof`, a rejection counts as such only once
     /// it is whole: before that it may have been begun by a server that goes on to execute the request.
@@ -94,38 +127,65 @@
         connection: Connection<P>,
         response: Response<Incoming>,
         needs_proof: bool,
-    ) -> AttemptResult {
+    ) -> Received<P> {
         let unprocessed = is_unprocessed(&response);
+        let is_final = ends_connection(response.headers());
         let (head, body) = response.into_parts();
         let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|value| value.to_str().ok());
         let report = report.map(|text| self.live.names().load_report(text)).unwrap_or_default();
+        let end = |outcome| AttemptResult { report, ..AttemptResult::without_response(outcome) };
         if unprocessed && needs_proof {
-            let is_whole = self.discard_body(server, connection, body).await;
-            let outcome = if is_whole { Outcome::Rejected } else { Outcome::ConnectionReset };
-            return AttemptResult { report, ..AttemptResult::without_response(outcome) };
+            if !is_whole(body).await {
+                return Received::Ended(end(Outcome::ConnectionReset));
+            }
+            if is_final {
+                return Received::FinalRejection(end(Outcome::Rejected));
+            }
+            return self.prove_rejection(server, connection, end(Outcome::Rejected));
         }
         if head.status != StatusCode::OK {
-            let gap = self.live.timeouts().gap;
-            let upstream = self.clone();
-            P::spawn(async move {
-                let _ = timeout::<P, _>(gap, upstream.discard_body(server, connection, body)).await;
-            });
+            self.discard_body(server, connection, body);
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
-            return AttemptResult { report, ..AttemptResult::without_response(outcome) };
+            return Received::Ended(end(outcome));
+        }
+        let Some(read) = self.read_body(server, connection, head.headers, body).await else {
+            return Received::Ended(end(Outcome::ConnectionReset));
+        };
+        let Forwardable { response, connection, accepted } = read;
+        let result = AttemptResult { response: Some(response), ..end(Outcome::Success) };
+        if let Err(suspect) = accepted {
+            let connection = connection.map(Box::new);
+            return Received::InDoubt { result, connection, suspect: Some(suspect) };
         }
-        let response = self.read_body(server, connection, head.headers, body).await;
-        let outcome = if response.is_some() { Outcome::Success } else { Outcome::ConnectionReset };
-        AttemptResult { report, response, ..AttemptResult::without_response(outcome) }
+        if let Some(connection) = connection {
+            self.return_to_pool(server, connection);
+        }
+        Received::Ended(result)
+    }
+
+    /// A rejection that is whole. On a used connection it may be that of an earlier request.
+    fn prove_rejection(
+        &self,
+        server: ServerId,
+        connection: Connection<P>,
+        result: AttemptResult,
+    ) -> Received<P> {
+        if connection.is_used() {
+            let connection = Some(Box::new(connection));
+            return Received::InDoubt { result, connection, suspect: None };
+        }
+        self.return_to_pool(server, connection);
+        Received::Ended(result)
     }
 
     /// Reads a body, or the first part of a streamed one; none if it cannot be forwarded in full.
     async fn read_body(
         self: &Rc<Upstream<P>>,
         server: ServerId,
-        connection: Connection<P>,
+        mut connection: Connection<P>,
         headers: HeaderMap,
         mut body: Incoming,
-    ) -> Option<UpstreamResponse> {
+    ) -> Option<Forwardable<P>> {
         // Without a length, a response that breaks off looks complete.
         if !connection.observer.has_delimited_response() {
             return None;
@@ -138,41 +198,49 @@
             return None;
         };
         let first = read_prefix::<P>(&mut body, buffered_length).await.ok()?;
+        let accepted = connection.accept_body(BodyFingerprint::new(&first.bytes));
+        let mut connection = Some(connection);
         let rest: Option<BoxedBody> = if first.complete {
-            self.return_to_pool(server, connection);
             None
         } else {
             let longest_rest = self.live.max_body_bytes().saturating_sub(first.bytes.len());
             let body = PacedBody::from_server(body, longest_rest as u64);
-            let connection = Some(connection);
+            let connection = connection.take();
             Some(Box::pin(StreamedRest { body, upstream: self.clone(), server, connection }))
         };
         let body = first.bytes.freeze();
-        Some(UpstreamResponse { headers, body, rest, reservation: Some(reservation) })
+        let response = UpstreamResponse { headers, body, rest, reservation: Some(reservation) };
+        Some(Forwardable { response, connection, accepted })
     }
 
     /// Reads the rest of a short response that is not forwarded, so that its connection can be used again.
-    /// Returns whether it came whole, with nothing in it that speaks of processing.
-    async fn discard_body(
-        &self,
+    fn discard_body(
+        self: &Rc<Upstream<P>>,
         server: ServerId,
         connection: Connection<P>,
         body: Incoming,
-    ) -> bool {
-        let mut body = Limited::new(body, STREAM_WINDOW_BYTES);
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return false };
-            if frame.trailers_ref().is_some_and(|t| t.contains_key(UNPROCESSED_HEADER)) {
-                // It may take back what the head has said.
-                return false;
+    ) {
+        let gap = self.live.timeouts().gap;
+        let upstream = self.clone();
+        P::spawn(async move {
+            if let Ok(true) = timeout::<P, _>(gap, is_whole(body)).await {
+                upstream.return_to_pool(server, connection);
             }
+        });
+    }
+}
+
+/// Reads the rest of a short response. Returns whether it came whole, with nothing in it that speaks of processing.
+async fn is_whole(body: Incoming) -> bool {
+    let mut body = Limited::new(body, STREAM_WINDOW_BYTES);
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        if frame.trailers_ref().is_some_and(|t| t.contains_key(UNPROCESSED_HEADER)) {
+            // It may take back what the head has said.
+            return false;
         }
-        // If this was a late copy of an earlier rejection, this request's own response is still to come.
-        if connection.settled {
-            self.return_to_pool(server, connection);
-        }
-        true
     }
+    true
 }
 
 /// Reads a body of `buffered_length` in full, or the first bytes of a longer one, and more of those
@@ -218,6 +286,14 @@
         && is_only_value(response.headers(), UNPROCESSED_HEADER, "1")
 }
 
+/// Whether the server says that it sends nothing more on the connection.
+fn ends_connection(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Whether a header is there once, with this value.
 fn is_only_value(headers: &HeaderMap, name: &str, expected: &str) -> bool {
     let mut values = headers.get_all(name).iter();
--- /dev/null
+++ b/src/sidecar/upstream/trust.rs
@@ -0,0 +1,196 @@
+//! Whether a connection may carry another request, and whether a response on one that has carried others
+//! answers the request that was sent last.
+//!
+//! HTTP/1.1 assigns responses to requests by their order alone. A response that is delivered twice is taken for
+//! the answer to the request that follows on its connection, and so is each one behind it. A first response is
+//! beyond doubt. One on a used connection is accepted unless something speaks against it (see
+//! [`in_step`](super::in_step)), and a server whose connections have carried bytes that belong to no response
+//! gets each request on a new one for a while.
+
+use std::cell::Cell;
+use std::fmt::{self, Display, Formatter};
+use std::hash::Hasher;
+use std::time::{Duration, Instant};
+
+use rustc_hash::FxHasher;
+
+/// How long a connection rests behind a response before it is used again: what arrives meanwhile belongs to
+/// no request.
+pub(super) const REST_TIME: Duration = Duration::from_millis(30);
+/// How long a server gets each request on a new connection, the first time; doubled each further time.
+const FIRST_DISTRUST: Duration = Duration::from_secs(10);
+/// The longest such time.
+const LONGEST_DISTRUST: Duration = Duration::from_secs(600);
+/// How long the bodies of a server's responses count as alike once two of them were.
+const ALIKE_TIME: Duration = Duration::from_secs(600);
+/// A response that begins within this part of the shortest time that the server has needed was made before.
+const TOO_SOON_DIVISOR: u32 = 4;
+/// How many earlier bodies of a connection are remembered.
+const MAX_EARLIER_BODIES: usize = 8;
+/// How much of a long body identifies it, in bytes.
+const FINGERPRINT_BYTES: usize = 1024;
+
+/// What identifies the body of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct BodyFingerprint(u64);
+
+impl BodyFingerprint {
+    /// The fingerprint of a body, or of its first part if it is long.
+    pub(super) fn new(body: &[u8]) -> BodyFingerprint {
+        let mut hasher = FxHasher::default();
+        hasher.write(&body[..body.len().min(FINGERPRINT_BYTES)]);
+        BodyFingerprint(hasher.finish())
+    }
+}
+
+/// The bodies that a connection has carried lately.
+#[derive(Debug, Default)]
+pub(super) struct EarlierBodies {
+    bodies: [BodyFingerprint; MAX_EARLIER_BODIES],
+    count: usize,
+}
+
+impl EarlierBodies {
+    /// Adds the body of the response that has just been accepted.
+    pub(super) fn push(&mut self, body: BodyFingerprint) {
+        self.bodies[self.count % MAX_EARLIER_BODIES] = body;
+        self.count += 1;
+    }
+
+    fn contains(&self, body: BodyFingerprint) -> bool {
+        self.bodies[..self.count.min(MAX_EARLIER_BODIES)].contains(&body)
+    }
+}
+
+/// Why a response may answer another request than the last one on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Misplaced {
+    /// Bytes arrived before the request was written in full, or behind the response.
+    OutOfTurn,
+    /// It began sooner than the server can have made it.
+    TooSoon,
+    /// Its body is that of an earlier response on the connection.
+    RepeatedBody,
+}
+
+impl Misplaced {
+    /// All of them, in the order in which they are reported.
+    pub const ALL: [Misplaced; 3] =
+        [Misplaced::OutOfTurn, Misplaced::TooSoon, Misplaced::RepeatedBody];
+
+    /// The name in logs and statistics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Misplaced::OutOfTurn => "out_of_turn",
+            Misplaced::TooSoon => "too_soon",
+            Misplaced::RepeatedBody => "repeated_body",
+        }
+    }
+}
+
+impl Display for Misplaced {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A response on a used connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LaterResponse<'a> {
+    /// Nothing arrived before the request was written in full, or behind the response.
+    pub(super) in_turn: bool,
+    /// How long after the last byte of the request it began.
+    pub(super) delay: Duration,
+    /// Its body.
+    pub(super) body: BodyFingerprint,
+    /// Those of the responses before it.
+    pub(super) earlier_bodies: &'a EarlierBodies,
+}
+
+/// What speaks against that a response answers the last request on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Suspect {
+    /// What it is.
+    pub(super) reason: Misplaced,
+    delay: Duration,
+}
+
+/// For how long a server gets each request on a new connection.
+#[derive(Clone, Copy, Debug)]
+struct Distrust {
+    until: Instant,
+    time: Duration,
+}
+
+/// What is known of one server's responses.
+#[derive(Debug, Default)]
+pub(super) struct ServerTrust {
+    distrust: Cell<Option<Distrust>>,
+    /// The shortest time to the beginning of a response that is beyond doubt.
+    fastest_response: Cell<Option<Duration>>,
+    /// Until when an equal body is no sign of an equal response.
+    bodies_alike_until: Cell<Option<Instant>>,
+}
+
+impl ServerTrust {
+    /// Whether connections may be used again.
+    pub(super) fn may_reuse(&self, now: Instant) -> bool {
+        self.distrust.get().is_none_or(|distrust| distrust.until <= now)
+    }
+
+    /// Notes that something arrived that belongs to no response. Returns how long connections are not used
+    /// again, if that has just begun.
+    pub(super) fn record_stray(&self, now: Instant) -> Option<Duration> {
+        let earlier = self.distrust.get();
+        let is_new = self.may_reuse(now);
+        let time = match earlier {
+            Some(earlier) if is_new && now < earlier.until + earlier.time => {
+                (2 * earlier.time).min(LONGEST_DISTRUST)
+            }
+            Some(earlier) if !is_new => earlier.time,
+            _ => FIRST_DISTRUST,
+        };
+        self.distrust.set(Some(Distrust { until: now + time, time }));
+        is_new.then_some(time)
+    }
+
+    /// Notes that a response that is beyond doubt began so long after its request.
+    pub(super) fn record_response(&self, delay: Duration) {
+        let fastest = self.fastest_response.get().map_or(delay, |fastest| fastest.min(delay));
+        self.fastest_response.set(Some(fastest));
+    }
+
+    /// Whether a response on a used connection is taken for its request's.
+    ///
+    /// # Errors
+    ///
+    /// What speaks against it.
+    pub(super) fn judge(&self, response: LaterResponse<'_>, now: Instant) -> Result<(), Suspect> {
+        let LaterResponse { in_turn, delay, body, earlier_bodies } = response;
+        let suspect = |reason| Err(Suspect { reason, delay });
+        if !in_turn {
+            return suspect(Misplaced::OutOfTurn);
+        }
+        let fastest = self.fastest_response.get();
+        if fastest.is_some_and(|fastest| delay < fastest / TOO_SOON_DIVISOR) {
+            return suspect(Misplaced::TooSoon);
+        }
+        let bodies_differ = self.bodies_alike_until.get().is_none_or(|until| until <= now);
+        if bodies_differ && earlier_bodies.contains(body) {
+            return suspect(Misplaced::RepeatedBody);
+        }
+        Ok(())
+    }
+
+    /// Notes that a response answered its request though something spoke against it.
+    pub(super) fn acquit(&self, suspect: Suspect, now: Instant) {
+        match suspect.reason {
+            Misplaced::OutOfTurn => {}
+            Misplaced::TooSoon => self.record_response(suspect.delay),
+            Misplaced::RepeatedBody => self.bodies_alike_until.set(Some(now + ALIKE_TIME)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/lifecycle/connecting.rs
+++ b/tests/lifecycle/connecting.rs
@@ -121,6 +121,9 @@
     assert!(other.seen().contains(&"open".to_owned()), "{:?}", other.seen());
 }
 
+/// Longer than a connection to a server rests before it is used again.
+const CONNECTION_REST: Duration = Duration::from_millis(60);
+
 /// A request with an idempotency key on an idle connection, which the server closes once it has the
 /// request; the repeat waits for its connection for longer than servers remember the first copy.
 #[test]
@@ -146,6 +149,7 @@
     idle.write_all(answer("first").as_bytes()).expect("sent");
     assert!(first_answer(first).ends_with("\r\n\r\nfirst"));
     let mut unaccepting = UnacceptingServer::of(listener);
+    thread::sleep(CONNECTION_REST);
     let mut second = sidecar.connect();
     second.write_all(keep("second").as_bytes()).expect("sent");
     read_message(&mut read).expect("the second");
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -117,6 +117,10 @@
             return false;
         }
         let id = request_id(head);
+        if id.is_empty() {
+            let not_found = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+            return socket.write_all(not_found.as_bytes()).is_ok();
+        }
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         let is_rejected = number.is_multiple_of(REJECTED_ONE_IN);
         if !is_rejected {
