Step checks: a connection found in step is kept, and an answer is waited for 60 ms

Change: a connection is kept behind a check that found it in step, and carries no second message, whose answer could be a copy of the first; requests that need a proof pass it over. The answer is waited for 60 ms. Answers to the message, and rejections, say nothing of how soon a request is served.

--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::StatusCode;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use runtime::{Runtime, Stream, TaskHandle, Tcp};
@@ -49,9 +50,11 @@
     earlier_requests: u32,
     /// When it last became idle, or was established.
     pub(super) idle_since: Instant,
-    /// How long after its request the last response began.
+    /// How long after its request the last response began, if that was served.
     last_delay: Option<Duration>,
     earlier_bodies: EarlierBodies,
+    /// It has carried a message that tells whether it is in step: the answer to another could be a copy.
+    pub(super) is_checked: bool,
     /// What is known of the server's responses on all connections.
     pub(super) trust: Rc<ServerTrust>,
     socket: Rc<P::Tcp>,
@@ -93,6 +96,7 @@
             idle_since: P::now(),
             last_delay: None,
             earlier_bodies: EarlierBodies::default(),
+            is_checked: false,
             trust,
             socket,
             driver,
@@ -122,7 +126,8 @@
     pub(super) fn end_response(&mut self) {
         self.idle_since = P::now();
         self.earlier_requests += 1;
-        self.last_delay = self.observer.response_delay();
+        let has_served = self.observer.response_facts().status == Some(StatusCode::OK.as_u16());
+        self.last_delay = self.observer.response_delay().filter(|_| has_served);
     }
 
     /// Notes that it is used again, and that nothing has followed the last response.
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -158,7 +158,7 @@
     async fn exchange(&mut self) -> AttemptResult {
         // The part of a streamed body that is lost on a closed connection cannot be sent again.
         let mut idle = match self.request.upload {
-            None => self.upstream.take_idle(self.endpoint).await,
+            None => self.upstream.take_idle(self.endpoint, self.needs_proof()).await,
             Some(_) => None,
         };
         loop {
@@ -266,7 +266,9 @@
         };
         let trust = connection.as_ref().map(|connection| connection.trust.clone());
         let in_step = match connection {
-            Some(connection) => self.upstream.check_in_step(*connection, &self.limits).await,
+            Some(connection) => {
+                self.upstream.check_in_step(self.endpoint.server, *connection, &self.limits).await
+            }
             None => InStep::Unknown,
         };
         self.log_doubt(suspect, in_step);
--- a/src/sidecar/upstream/in_step.rs
+++ b/src/sidecar/upstream/in_step.rs
@@ -3,10 +3,11 @@
 //! Responses come in the order of the requests. A message without an id, which servers answer with 404, is sent
 //! behind the response in doubt. If its answer comes next, nothing else was still to come: the response answers
 //! the last request. If another response comes next, some response has been delivered twice. The message is sent
-//! only where a response is in doubt, and the connection is closed behind it, so that its own answer can't be
-//! taken for that to another.
+//! only where a response is in doubt, and once on a connection, so that its answer can't be a copy of another.
 
 use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -17,10 +18,13 @@
 use super::exchange::send_request;
 use super::request::AttemptLimits;
 use super::{Upstream, UpstreamRequest};
+use crate::api::ServerId;
 use crate::settings::RetrySafety;
 
 /// The path of the message. No request of a client comes without an id.
 const MESSAGE_PATH: &str = "/health/in-step";
+/// How long its answer is waited for. The client waits meanwhile, for an answer that may be a failure.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Whether a response answers the last request on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,11 +52,13 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Whether the last response on `connection` answers the last request, and closes the connection.
+    /// Whether the last response on `connection` to `server` answers the last request. If so, the connection is
+    /// kept for the next one.
     ///
-    /// The attempt's server must still accept requests: a message is new to it as well.
+    /// The server must still accept requests: a message is new to it as well.
     pub(super) async fn check_in_step(
-        &self,
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
         mut connection: Connection<P>,
         limits: &AttemptLimits,
     ) -> InStep {
@@ -60,18 +66,19 @@
         if !observer.is_clean() {
             return InStep::No;
         }
-        if !observer.is_reusable() || !limits.server_ready.get() {
+        if !observer.is_reusable() || connection.is_checked || !limits.server_ready.get() {
             return InStep::Unknown;
         }
-        let message = message();
+        connection.is_checked = true;
         let limits = AttemptLimits::unlimited(limits.deadline);
         let exchange = async {
             connection.sender.ready().await.ok()?;
-            send_request(&mut connection, &message, &limits).await
+            send_request(&mut connection, &message(), &limits).await
         };
-        let answer = timeout::<P, _>(self.live.timeouts().gap, exchange).await.ok().flatten();
+        let answer = timeout::<P, _>(ANSWER_TIMEOUT, exchange).await.ok().flatten();
         match answer {
             Some(answer) if answer.status() == StatusCode::NOT_FOUND && observer.is_clean() => {
+                self.discard_body(server, connection, answer.into_body());
                 InStep::Yes
             }
             Some(_) => {
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -53,10 +53,15 @@
         self.idle.borrow_mut().entry(server).or_default().push(connection);
     }
 
-    /// Takes a usable idle connection to `endpoint` from the pool, if there is one.
-    pub(super) async fn take_idle(&self, endpoint: Endpoint) -> Option<Connection<P>> {
+    /// Takes a usable idle connection to `endpoint` from the pool, if there is one. With `needs_proof` it is
+    /// one on which a rejection can be proven.
+    pub(super) async fn take_idle(
+        &self,
+        endpoint: Endpoint,
+        needs_proof: bool,
+    ) -> Option<Connection<P>> {
         loop {
-            let mut connection = self.pop_idle(endpoint.server)?;
+            let mut connection = self.pop_idle(endpoint.server, needs_proof)?;
             if connection.is_used() && !connection.trust.may_reuse(P::now())
                 || connection.address != endpoint.address
                 || P::elapsed_since(connection.idle_since) >= self.live.timeouts().max_reuse_idle()
@@ -75,10 +80,13 @@
     ///
     /// Of the connections that have rested, the most recently used one is taken. A server may close a connection
     /// right behind a response, or send the response once more, which is seen by then.
-    fn pop_idle(&self, server: ServerId) -> Option<Connection<P>> {
+    fn pop_idle(&self, server: ServerId, needs_proof: bool) -> Option<Connection<P>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&server)?;
-        let index = connections.iter().rposition(Connection::has_rested)?;
+        let fits = |connection: &Connection<P>| {
+            connection.has_rested() && !(needs_proof && connection.is_checked)
+        };
+        let index = connections.iter().rposition(fits)?;
         Some(connections.remove(index))
     }
 
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -214,7 +214,7 @@
     }
 
     /// Reads the rest of a short response that is not forwarded, so that its connection can be used again.
-    fn discard_body(
+    pub(super) fn discard_body(
         self: &Rc<Upstream<P>>,
         server: ServerId,
         connection: Connection<P>,
