Simulation: servers that send answers a second time (--second-answers)

Copies were made of rejections alone, 2 to 15 ms later.

Change: a fault second-answers of a server: it sends answers, served and rejected, a second time: 1 to 400 ms later or as the next request comes; the same, with another head, behind an interim response, or cut. The answer to the message that checks a connection is copied as well.

--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -33,6 +33,9 @@
     /// Servers of the seeds that have to find it reject requests in ways that prove nothing.
     #[serde(default)]
     broken_rejections: bool,
+    /// Servers of the seeds that have to find it send answers a second time.
+    #[serde(default)]
+    second_answers: bool,
     /// Seeds of the soak, `A..B`, one of which has to find it, in place of seeds of the simulation.
     pub soak: Option<String>,
 }
@@ -63,9 +66,10 @@
 
     /// The options of the simulation with which its seeds are played.
     pub fn seed_options(&self) -> &'static [&'static str] {
-        match (self.hold_ups, self.broken_rejections) {
-            (true, _) => &["--hold-ups"],
-            (_, true) => &["--broken-rejections"],
+        match self {
+            Mutant { hold_ups: true, .. } => &["--hold-ups"],
+            Mutant { broken_rejections: true, .. } => &["--broken-rejections"],
+            Mutant { second_answers: true, .. } => &["--second-answers"],
             _ => &[],
         }
     }
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -98,6 +98,9 @@
     /// Servers reject requests in ways that prove nothing as well; for seeds.
     #[arg(long, conflicts_with_all = ["hold_ups", "discovery_faults"])]
     broken_rejections: bool,
+    /// Servers send answers a second time as well; for seeds.
+    #[arg(long, conflicts_with_all = ["hold_ups", "discovery_faults", "broken_rejections"])]
+    second_answers: bool,
 }
 
 impl MoreFaults {
@@ -107,6 +110,7 @@
             MoreFaults { discovery_faults: true, .. } => Scenario::draw_with_discovery_faults,
             MoreFaults { hold_ups: true, .. } => Scenario::draw_with_hold_ups,
             MoreFaults { broken_rejections: true, .. } => Scenario::draw_with_broken_rejections,
+            MoreFaults { second_answers: true, .. } => Scenario::draw_with_second_answers,
             _ => Scenario::draw,
         }
     }
--- a/crates/simulation/src/run/conditions.rs
+++ b/crates/simulation/src/run/conditions.rs
@@ -135,6 +135,9 @@
             FaultKind::BrokenRejections { server, share } => {
                 self.server(server).broken_rejection = share;
             }
+            FaultKind::SecondAnswers { server, share } => {
+                self.server(server).second_answer = share;
+            }
             _ => {}
         }
     }
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -136,6 +136,14 @@
         /// The probability.
         share: f64,
     },
+    /// Some answers are sent a second time: as the next request comes, or up to 0.4 s later.
+    #[serde(rename = "second-answers")]
+    SecondAnswers {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// A server is killed, or vanishes, and is back at the end under the same name, cold.
     #[serde(rename = "restart")]
     RestartServer {
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod fault;
 mod hold_ups;
+mod second_answers;
 #[cfg(test)]
 mod tests;
 
--- a/crates/simulation/src/scenario/tests.rs
+++ b/crates/simulation/src/scenario/tests.rs
@@ -40,6 +40,17 @@
     }
 }
 
+#[test]
+fn scenarios_with_second_answers_can_be_played_and_have_them() {
+    for seed in 0..100 {
+        let drawn = Scenario::draw_with_second_answers(seed);
+        drawn.validate().expect("it can be played");
+        let read: Scenario = toml::from_str(&drawn.text()).expect("its own text");
+        assert_eq!(read.text(), drawn.text());
+        assert!(drawn.faults.iter().any(|fault| fault.kind.name() == "second-answers"));
+    }
+}
+
 #[test]
 fn scenarios_with_hold_ups_hold_up_each_sidecar_again_and_again() {
     for seed in 0..100 {
--- a/crates/simulation/src/server/faults.rs
+++ b/crates/simulation/src/server/faults.rs
@@ -5,6 +5,9 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+/// The share of the answers sent a second time that are rejections.
+const REJECTED_SHARE: f64 = 0.3;
+
 /// The probabilities with which a request at a server meets a fault, and the parameters of the faults.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerFaults {
@@ -42,6 +45,8 @@
     pub reject: f64,
     /// The request is rejected in a way that proves nothing.
     pub broken_rejection: f64,
+    /// The answer is sent a second time.
+    pub second_answer: f64,
     /// How many times as long an execution takes, less one.
     pub slowdown: f64,
 }
@@ -65,6 +70,10 @@
     Long,
     Reject,
     BrokenRejection,
+    /// The answer is sent a second time.
+    SecondAnswer,
+    /// It is rejected, and the rejection is sent a second time.
+    SecondRejection,
 }
 
 impl ServerFaults {
@@ -87,6 +96,8 @@
             (self.delayed_reset, ResponseFault::DelayedReset),
             (self.long, ResponseFault::Long),
             (self.broken_rejection, ResponseFault::BrokenRejection),
+            (self.second_answer * REJECTED_SHARE, ResponseFault::SecondRejection),
+            (self.second_answer * (1.0 - REJECTED_SHARE), ResponseFault::SecondAnswer),
         ];
         for (probability, fault) in faults {
             if remaining < probability {
--- a/crates/simulation/src/server/mod.rs
+++ b/crates/simulation/src/server/mod.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod rejections;
+mod second_answers;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 
 use self::faults::ResponseFault;
 use self::rejections::{AfterRejection, BrokenRejection};
+use self::second_answers::WaitingAnswer;
 use crate::model::{CHUNK_SIZE, LONG_BODY, RequestId, now, slow_start_speed};
 use crate::oracle::Oracle;
 
@@ -196,9 +198,15 @@
     async fn serve_connection(self: Rc<Server>, socket: Rc<SimTcp>, start: Instant) {
         let mut reader = Reader::new(Stream::new(socket.clone(), Rc::new(())));
         let within_response = Rc::new(Cell::new(false));
+        let second_answer = WaitingAnswer::default();
         loop {
             let next = timeout::<SimRuntime, _>(IDLE_TIMEOUT, reader.next()).await;
             let Ok(Ok(Some(message))) = next else { return };
+            if let Some(answer) = second_answer.take()
+                && reader.get_mut().write_all(&answer).await.is_err()
+            {
+                return;
+            }
             let fault = self.faults.get().draw(&mut self.spec.rng.borrow_mut());
             if fault == ResponseFault::BrokenRejection {
                 match self.break_rejection(&message, &socket, &within_response, start).await {
@@ -224,6 +232,9 @@
                 return;
             }
             match fault {
+                ResponseFault::SecondAnswer | ResponseFault::SecondRejection => {
+                    second_answer.plan(&response, &socket, &within_response, &self.spec.rng);
+                }
                 ResponseFault::ResetWithin => return socket.reset_on_close(),
                 ResponseFault::CloseAfter => return,
                 ResponseFault::Truncated | ResponseFault::WrongLength => {
@@ -271,7 +282,8 @@
             Err(response) => return Some(response),
         };
         let overloaded = self.queued.get() >= QUEUE_LIMIT;
-        if fault == ResponseFault::Reject || self.draining.get() || overloaded {
+        let rejects = matches!(fault, ResponseFault::Reject | ResponseFault::SecondRejection);
+        if rejects || self.draining.get() || overloaded {
             let headers = format!("X-Unprocessed: 1\r\nX-Backend-Load: {}\r\n", self.load_report());
             return Some(empty_response("503 Service Unavailable", &headers));
         }
--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -14,6 +14,8 @@
 const FIRST_DISCOVERY_SEED: u64 = 190;
 /// Seeds with processes that are held up.
 const HOLD_UP_SEEDS: u64 = 80;
+/// Seeds with answers that are sent twice.
+const SECOND_ANSWER_SEEDS: u64 = 80;
 /// Seeds with rejections that prove nothing.
 const BROKEN_REJECTION_SEEDS: u64 = 80;
 
@@ -65,6 +67,13 @@
     play_seeds(0..BROKEN_REJECTION_SEEDS, Scenario::draw_with_broken_rejections);
 }
 
+/// Servers that answer twice. While a response was taken for a request's because of its place, most of these seeds were
+/// broken.
+#[test]
+fn fixed_range_of_seeds_with_second_answers_breaks_no_rule() {
+    play_seeds(0..SECOND_ANSWER_SEEDS, Scenario::draw_with_second_answers);
+}
+
 #[test]
 fn second_copy_of_a_rejection_that_a_partition_held_back_is_not_believed() {
     play_seeds(4720..4721, Scenario::draw_with_broken_rejections);
