Discovery: a list that goes back is believed only on a new connection

A second copy of an older whole list, taken for the answer to a later call, passed for a discovery that counts its versions anew, and brought a draining server back until the next answer.

Cause: `apply_text` believed any whole list with an earlier version that came in answer to a call made after the list in force. On a used connection it may be a copy of an earlier answer there.

Change: it counts as stale then; its connection is closed, and the whole list is fetched on a new one, where a discovery that really counts anew is followed as before. The price is one more call.

--- a/src/sidecar/discovery/client.rs
+++ b/src/sidecar/discovery/client.rs
@@ -102,6 +102,8 @@
 
 /// A connection to discovery. Dropping it closes it.
 pub(super) struct Connection<P: Runtime> {
+    /// How many calls were made on it.
+    calls: u32,
     sender: SendRequest<Empty<Bytes>>,
     driver: P::TaskHandle,
 }
@@ -120,7 +122,12 @@
         let driver = P::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection { calls: 0, sender, driver })
+    }
+
+    /// Whether the last response may be a copy of an earlier one: a call was made before.
+    pub(super) fn is_used(&self) -> bool {
+        self.calls > 1
     }
 
     /// Whether it can take no further call.
@@ -134,6 +141,7 @@
         path: String,
     ) -> Option<hyper::Response<Incoming>> {
         self.sender.ready().await.ok()?;
+        self.calls = self.calls.saturating_add(1);
         let request =
             Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
         self.sender.send_request(request).await.ok()
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -62,7 +62,8 @@
     Unchanged,
     /// It was passed on, and has an earlier version than the one before: discovery counts anew.
     Restarted,
-    /// It has changes since a version that discovery does not count any more, and was not passed on.
+    /// It has changes since a version that discovery does not count any more, or may be a copy of an earlier
+    /// answer, and was not passed on.
     Stale,
     /// A newer one arrived before it, and it was not passed on.
     Overtaken,
@@ -158,7 +159,8 @@
         response: ListResponse<P>,
         order: CallOrder,
     ) -> Result<Update, CallError> {
-        let update = self.apply_text(listener, response.text.text(), order)?;
+        let is_used = response.connection.is_used();
+        let update = self.apply_text(listener, response.text.text(), order, is_used)?;
         match update {
             Update::Changed | Update::Unchanged | Update::Restarted => {
                 self.status.discovery.record_list(self.version, response.started, P::now());
@@ -167,7 +169,8 @@
                 self.status.discovery.record_end(CallEnd::Superseded);
             }
         }
-        self.connection = Some(response.connection);
+        // What may be a copy leaves the answer to its call still to come.
+        self.connection = (update != Update::Stale).then_some(response.connection);
         Ok(update)
     }
 
@@ -175,11 +178,15 @@
     ///
     /// A list is large if there are many servers. Its names stay where they are in its text, so that
     /// it is in memory once while it is read.
+    ///
+    /// One on a used connection that goes back may be the second copy of an earlier answer there. Only a new
+    /// connection tells that discovery counts anew.
     fn apply_text(
         &mut self,
         listener: &impl EndpointListener,
         text: &[u8],
         order: CallOrder,
+        is_used: bool,
     ) -> Result<Update, CallError> {
         let list: EndpointList<BorrowedText<'_>> =
             serde_json::from_slice(text).map_err(|_| CallError::Broken)?;
@@ -187,7 +194,7 @@
         if went_back && order == CallOrder::BesideList {
             return Ok(Update::Overtaken);
         }
-        if went_back && !list.is_complete {
+        if went_back && (is_used || !list.is_complete) {
             return Ok(Update::Stale);
         }
         let same_version = list.version == self.version;
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -291,3 +291,80 @@
     let took = next.calls()[0].0 - called;
     assert!(took < Duration::from_millis(2500), "{took:?}");
 }
+
+/// An agent that has told of a draining server, and after the grace period sends its first answer, in which the server
+/// is active, a second time on the same connection.
+struct CopyingAgent {
+    entries: [Entry; 2],
+    state: Mutex<CopyingState>,
+}
+
+#[derive(Default)]
+struct CopyingState {
+    /// The connection that carried the first answer.
+    first_peer: Option<SocketAddr>,
+    told_at: Option<Instant>,
+    /// When the first answer was sent again.
+    copied_at: Option<Instant>,
+}
+
+impl CopyingAgent {
+    /// Beyond the grace period of 0.5 s.
+    const COPY_DELAY: Duration = Duration::from_millis(700);
+    /// How long it takes for an answer behind that.
+    const ANSWER_TIME: Duration = Duration::from_millis(80);
+
+    fn write(&self, path: &str, socket: &mut TcpStream) -> bool {
+        let mut state = self.state.lock().expect("no panic");
+        let peer = socket.peer_addr().ok();
+        if state.first_peer.is_none() {
+            state.first_peer = peer;
+            return write_list(socket, 100, true, &self.entries);
+        }
+        let draining = Entry { health: "leaving", ..self.entries[0].clone() };
+        let told_at = *state.told_at.get_or_insert_with(Instant::now);
+        let is_due = told_at.elapsed() >= CopyingAgent::COPY_DELAY && state.copied_at.is_none();
+        if is_due && state.first_peer == peer {
+            state.copied_at = Some(Instant::now());
+            return write_list(socket, 100, true, &self.entries);
+        }
+        let was_copied = state.copied_at.is_some();
+        drop(state);
+        if !path.contains("from=101") {
+            if was_copied {
+                thread::sleep(CopyingAgent::ANSWER_TIME);
+            }
+            return write_list(socket, 101, true, &[draining, self.entries[1].clone()]);
+        }
+        thread::sleep(Duration::from_millis(90));
+        write_list(socket, 101, false, &[])
+    }
+
+    fn copied_at(&self) -> Option<Instant> {
+        self.state.lock().expect("no panic").copied_at
+    }
+}
+
+#[test]
+fn second_copy_of_an_older_list_does_not_bring_a_draining_server_back() {
+    let (first, second) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start(discovery(&[&first]));
+    let entries = [Entry::new(first.at, "a"), Entry::new(second.at, "a")];
+    let copying = Arc::new(CopyingAgent { entries, state: Mutex::default() });
+    let script = copying.clone();
+    let agent = Agent::start(move |_, path, socket| script.write(path, socket));
+    agent.becomes_discovery_of(&sidecar);
+    let mut received = first.seen().len();
+    for n in 0.. {
+        sidecar.exchange(&look(&format!("look{n}")));
+        match copying.copied_at() {
+            None => received = first.seen().len(),
+            Some(at) if at.elapsed() > Duration::from_millis(300) => break,
+            Some(_) => {}
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    // One may have been sent between the two looks.
+    let later = first.seen().len() - received;
+    assert!(later <= 1, "{later} requests to a draining server");
+}
