Soak: servers that send answers a second time, in every run

Their clients do notice a foreign answer: each body names its request.

Change: Fault::SecondAnswer of the fakes: answers and rejections once more, 1 to 400 ms later or as the next request arrives, the same, behind an interim response or cut. In every run of the soak six servers answer 30 % of their requests so, for 5 to 8 s.

--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -16,8 +16,10 @@
 use tokio::sync::{Semaphore, watch};
 
 mod broken_rejection;
+mod second_answer;
 
 use self::broken_rejection::BrokenRejection;
+use self::second_answer::{SecondAnswer, SecondAnswers};
 use crate::account::{Account, ServerEvent};
 use crate::wire::{Message, Reader};
 
@@ -93,6 +95,8 @@
     Truncated,
     /// It is rejected in a way that proves nothing, in most cases after it was executed.
     BrokenRejection,
+    /// It is answered, or rejected, twice.
+    SecondAnswer,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -238,9 +242,15 @@
     mut mode: watch::Receiver<Mode>,
     overloaded: bool,
 ) -> ConnectionEnd {
+    let mut second_answers = SecondAnswers::default();
     loop {
         let next = tokio::time::timeout(shared.spec.idle_timeout, reader.next()).await;
         let Ok(Ok(Some(message))) = next else { return ConnectionEnd::Closed };
+        if let Some(text) = second_answers.take()
+            && reader.get_mut().write_all(text.as_bytes()).await.is_err()
+        {
+            return ConnectionEnd::Closed;
+        }
         let draining = *mode.borrow_and_update() == Mode::Draining;
         match shared.serve(&message, draining || overloaded).await {
             Reply::Answer(text) => {
@@ -248,6 +258,12 @@
                     return ConnectionEnd::Closed;
                 }
             }
+            Reply::Twice(text, second) => {
+                let planned = second_answers.plan(second, &text, reader.get_ref());
+                if planned.is_err() || reader.get_mut().write_all(text.as_bytes()).await.is_err() {
+                    return ConnectionEnd::Closed;
+                }
+            }
             Reply::Rejection(rejection) => {
                 if let Some(end) = rejection.send(reader.get_mut()).await {
                     return end;
@@ -261,6 +277,7 @@
 
 enum Reply {
     Answer(String),
+    Twice(String, SecondAnswer),
     Rejection(BrokenRejection),
     Reset,
     Silence,
@@ -278,7 +295,7 @@
         let class = self.account.classes().iter().find(|class| class.name == first);
         let Some(class) = class else { return Reply::Answer(BAD_REQUEST.to_owned()) };
         if reject || self.queued.load(Ordering::Relaxed) >= self.spec.queue_capacity {
-            return self.reject(&id);
+            return Reply::Answer(self.reject(&id));
         }
         if let Some(key) = message.header("idempotency-key")
             && !self.is_new_key(&key)
@@ -290,6 +307,9 @@
         if fault == Some(Fault::BrokenRejection) {
             return self.break_rejection(&id, work).await;
         }
+        if fault == Some(Fault::SecondAnswer) {
+            return self.answer_twice(&id, work).await;
+        }
         if fault == Some(Fault::ResetBefore) || !self.execute(&id, work).await {
             return Reply::Reset;
         }
@@ -338,10 +358,27 @@
         Reply::Rejection(drawn)
     }
 
+    /// Serves or rejects a request, and has that sent a second time.
+    async fn answer_twice(&self, id: &str, work: Duration) -> Reply {
+        let second = {
+            let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+            SecondAnswer::draw(&mut rng)
+        };
+        if second.rejects {
+            return Reply::Twice(self.reject(id), second);
+        }
+        if !self.execute(id, work).await {
+            return Reply::Reset;
+        }
+        Reply::Twice(self.ok_answer(id), second)
+    }
+
     /// The reply to an executed request.
     fn reply(&self, id: &str, fault: Option<Fault>) -> Reply {
         match fault {
-            None | Some(Fault::BrokenRejection) => Reply::Answer(self.ok_answer(id)),
+            None | Some(Fault::BrokenRejection | Fault::SecondAnswer) => {
+                Reply::Answer(self.ok_answer(id))
+            }
             Some(Fault::Error) => Reply::Answer(SERVER_ERROR.to_owned()),
             Some(Fault::ResetBefore | Fault::ResetAfter) => Reply::Reset,
             Some(Fault::Hang) => Reply::Silence,
@@ -353,10 +390,10 @@
         }
     }
 
-    fn reject(&self, id: &str) -> Reply {
+    fn reject(&self, id: &str) -> String {
         self.record(id, ServerEvent::Rejected);
         let head = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0";
-        Reply::Answer(format!("{head}\r\nX-Backend-Load: {}\r\n\r\n", self.load_report()))
+        format!("{head}\r\nX-Backend-Load: {}\r\n\r\n", self.load_report())
     }
 
     fn ok_answer(&self, id: &str) -> String {
--- a/crates/fakes/tests/logserver.rs
+++ b/crates/fakes/tests/logserver.rs
@@ -102,6 +102,23 @@
     assert!((20..40).contains(&executed), "{executed}");
 }
 
+#[tokio::test]
+async fn second_answers_follow_on_the_same_connection() {
+    let (server, account) = started(spec()).await;
+    server.set_faults(vec![(1.0, Fault::SecondAnswer)]);
+    let (mut served, mut rejected) = (0, 0);
+    for _ in 0..40 {
+        let answer = order(&server, &account, "").await.expect("an answer");
+        match answer.status() {
+            Some(200) => served += 1,
+            Some(503) => rejected += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(served > 10 && rejected > 3, "{served} served, {rejected} rejected");
+    assert_eq!(account.report().servers["one"].executed, served);
+}
+
 #[tokio::test]
 async fn full_and_draining_servers_reject_and_a_killed_one_refuses_connections() {
     let (server, account) = started(spec()).await;
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -235,4 +235,6 @@
     Malformed(f64),
     /// This share of its requests is rejected in ways that prove nothing, most of them after they were executed.
     BrokenRejections(f64),
+    /// This share of its answers is sent a second time, up to 0.4 s later or as the next request comes.
+    SecondAnswers(f64),
 }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -172,6 +172,7 @@
         self.hold_up_in_series();
         self.hang_under_leaving_clients();
         self.break_rejections();
+        self.repeat_answers();
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -87,6 +87,17 @@
     }
 }
 
+#[test]
+fn in_every_plan_servers_answer_twice() {
+    for seed in 0..200 {
+        let repeating = |event: &Event| match &event.action {
+            Action::SetServers(servers, ServerState::SecondAnswers(_)) => servers.len() == 6,
+            _ => false,
+        };
+        assert!(draw(seed, SIZE).events.iter().any(repeating), "seed {seed}");
+    }
+}
+
 #[test]
 fn half_of_the_plans_poll_their_lists() {
     let polled = (0..200).filter(|&seed| polls_lists(&draw(seed, SIZE))).count();
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -205,6 +205,9 @@
             ServerState::BrokenRejections(share) => {
                 slot.server.set_faults(vec![(share, Fault::BrokenRejection)]);
             }
+            ServerState::SecondAnswers(share) => {
+                slot.server.set_faults(vec![(share, Fault::SecondAnswer)]);
+            }
         }
         Ok(())
     }
