Second answers: tests in a hold-up and behind a request given up; seeds with hold-ups

The oracle's rule `held` counts from the end of a connection on which the head of a request was still incomplete: until then it was known not to be over, and forgotten as the connection ended.

--- a/crates/simulation/src/oracle/mod.rs
+++ b/crates/simulation/src/oracle/mod.rs
@@ -74,6 +74,8 @@
     slow_start: SlowStart,
     /// Since when the clients of a sidecar are drained.
     drained_since: FxHashMap<usize, Duration>,
+    /// When a sidecar last closed a connection to a server on which the head of a request was incomplete.
+    last_cut_head: FxHashMap<usize, Duration>,
     /// From when and until when a sidecar was last held up.
     last_hold_up: FxHashMap<usize, Range<Duration>>,
     /// When a sidecar was asked to terminate.
@@ -96,6 +98,7 @@
             eligibility: Eligibility::default(),
             slow_start: SlowStart::default(),
             drained_since: FxHashMap::default(),
+            last_cut_head: FxHashMap::default(),
             last_hold_up: FxHashMap::default(),
             terminating_since: FxHashMap::default(),
             pending_connects: PendingConnects::default(),
--- a/crates/simulation/src/oracle/responses.rs
+++ b/crates/simulation/src/oracle/responses.rs
@@ -74,7 +74,8 @@
         }
         let ends: Option<Vec<Duration>> = request.attempts.iter().map(|a| a.ended_at).collect();
         let last_connect = self.pending_connects.last_finished(sidecar);
-        ends?.into_iter().chain([request.received_at?, last_connect]).max()
+        let last_cut_head = self.last_cut_head.get(&sidecar).copied().unwrap_or_default();
+        ends?.into_iter().chain([request.received_at?, last_connect, last_cut_head]).max()
     }
 
     /// The rule `late`.
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -296,6 +296,9 @@
         match (self.connections.get(&connection), self.role(by)) {
             (Some(TrackedConnection::Upstream(upstream)), Role::Sidecar { .. }) => {
                 let (current, last_progress) = (upstream.current, upstream.last_progress);
+                if upstream.in_head {
+                    self.last_cut_head.insert(upstream.sidecar, now);
+                }
                 self.check_stalled(now, last_progress, current);
                 if let Some(attempt) = current {
                     self.attempt_cancelled(now, attempt, last_progress);
--- a/crates/simulation/src/scenario/second_answers.rs
+++ b/crates/simulation/src/scenario/second_answers.rs
@@ -15,9 +15,13 @@
 const SERVER_INDICES: std::ops::Range<usize> = 0..9;
 
 impl Scenario {
-    /// The scenario of a seed, with servers that send answers a second time.
+    /// The scenario of a seed, with servers that send answers a second time; for odd seeds, with sidecars that are
+    /// held up as well.
     pub fn draw_with_second_answers(seed: u64) -> Scenario {
-        let mut scenario = Scenario::draw(seed);
+        let mut scenario = match seed.is_multiple_of(2) {
+            true => Scenario::draw(seed),
+            false => Scenario::draw_with_hold_ups(seed),
+        };
         let mut rng = SmallRng::seed_from_u64(seed ^ SEED_MASK);
         for _ in 0..rng.random_range(1..=4) {
             let at_ms = rng.random_range(FAULTS_BEGIN_MS..FAULTS_END_MS - LAST_BEGIN_MARGIN_MS);
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -2,7 +2,7 @@
 //! answer it is.
 
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,8 +10,10 @@
 use std::time::{Duration, Instant};
 
 use fakes::scripted::{answer_with, request_id, serve};
+use fakes::wire::read_message;
 
 use crate::net::*;
+use crate::support::*;
 
 const SERVERS: usize = 6;
 const CLIENTS: usize = 8;
@@ -324,3 +326,62 @@
 fn servers_that_answer_once_serve_most_requests() {
     check(&[later(Second::Same, 0, 0)]);
 }
+
+/// The second answer and the next request arrive while the sidecar is held up.
+#[test]
+fn second_answer_that_arrived_in_a_hold_up_does_not_answer_the_next_request() {
+    let server = Server::start(|id, socket| {
+        let Ok(mut later) = socket.try_clone() else { return false };
+        let second = answer(id);
+        thread::spawn(move || {
+            thread::sleep(HOLD_UP / 2);
+            let _ = later.write_all(second.as_bytes());
+        });
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    for (n, class) in
+        [Class::Look, Class::Keep, Class::Order].into_iter().cycle().take(9).enumerate()
+    {
+        let (first, second) = (format!("first-{n}"), format!("second-{n}"));
+        assert!(sidecar.exchange(&look(&first)).ends_with(&first));
+        let hold_up = HoldUp::begin(&sidecar);
+        let mut client = sidecar.connect();
+        client.write_all(class.request(&second).as_bytes()).expect("sent");
+        thread::sleep(HOLD_UP);
+        drop(hold_up);
+        let answer = first_answer(client);
+        assert!(answer.ends_with(&format!("\r\n\r\n{second}")), "{class:?}: {answer:?}");
+    }
+}
+
+/// The client goes on with the connection on which its request failed.
+#[test]
+fn answer_to_a_request_that_was_given_up_is_sent_to_nobody() {
+    const SERVER_TIME: Duration = Duration::from_millis(300);
+    let server = Server::start(|id, socket| {
+        if id.starts_with("slow") {
+            thread::sleep(SERVER_TIME);
+        }
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    for class in [Class::Look, Class::Keep, Class::Order] {
+        let client = sidecar.connect();
+        let mut reader = BufReader::new(client.try_clone().expect("a handle"));
+        let mut exchange = |request: String| {
+            (&client).write_all(request.as_bytes()).expect("sent");
+            let (head, body) = read_message(&mut reader).expect("an answer");
+            (head, String::from_utf8_lossy(&body).into_owned())
+        };
+        let slow = class.request(&format!("slow-{class:?}")).replace("Ms: 20000", "Ms: 100");
+        let (head, _) = exchange(slow);
+        assert!(head.starts_with("HTTP/1.1 50"), "{head}");
+        let next = format!("next-{class:?}");
+        let (head, body) = exchange(class.request(&next));
+        assert!(head.starts_with("HTTP/1.1 200") && body == next, "{head}{body}");
+        client.set_read_timeout(Some(2 * SERVER_TIME)).expect("a time");
+        let more = reader.fill_buf().map(<[u8]>::len);
+        assert!(more.is_err(), "{more:?} bytes more, or an end");
+    }
+}
