Second answers: a used connection is closed behind anything but a served answer

Cause: a safe request's rejection on a used connection was believed, which harms nobody, and the connection kept for the next request. It was the second copy of an earlier rejection; the request's own answer came as the next one's, on a slow link after its rest.

Change: a response without status 200 ends a used connection; behind the first response of all, which is beyond doubt, the connection is kept as before. Why it works: what is kept has carried nothing but answers that were judged, and first ones.

--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -74,6 +74,11 @@
     play_seeds(0..SECOND_ANSWER_SEEDS, Scenario::draw_with_second_answers);
 }
 
+#[test]
+fn connection_is_not_used_again_behind_what_may_be_a_copy_of_a_rejection() {
+    play_seeds(2651..2652, Scenario::draw_with_second_answers);
+}
+
 #[test]
 fn second_copy_of_a_rejection_that_a_partition_held_back_is_not_believed() {
     play_seeds(4720..4721, Scenario::draw_with_broken_rejections);
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -144,7 +144,10 @@
             return self.prove_rejection(server, connection, end(Outcome::Rejected));
         }
         if head.status != StatusCode::OK {
-            self.discard_body(server, connection, body);
+            // On a used connection this may be a copy, with this request's own response still to come.
+            if !connection.is_used() {
+                self.discard_body(server, connection, body);
+            }
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return Received::Ended(end(outcome));
         }
