--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -36,6 +36,8 @@
     Cut,
     /// The connection is closed behind it.
     ThenClose,
+    /// Whole, with a body that no answer has had before.
+    OtherBody,
 }
 
 const FORMS: [Second; 5] =
@@ -83,6 +85,7 @@
             Second::OtherReport => text("queue=12,inflight=10"),
             Second::BehindInterim => format!("HTTP/1.1 103 Early Hints\r\n\r\n{first}"),
             Second::Cut => first[..first.len() - 2].to_owned(),
+            Second::OtherBody => answer(&format!("{id} again")),
         };
         Answers { first, second }
     }
@@ -322,6 +325,12 @@
     check(&FORMS.map(next));
 }
 
+/// A body that was made anew: neither its bytes nor, some way into the request's time, its moment tell it apart.
+#[test]
+fn second_answer_with_another_body_answers_no_other_request() {
+    check(&[12, 25, 40, 60, 250].map(|ms| later(Second::OtherBody, ms, 2)));
+}
+
 #[test]
 fn servers_that_answer_once_serve_most_requests() {
     check(&[later(Second::Same, 0, 0)]);
