Upstream: how attempts end, and sending a request, have modules of their own

Need: the check of connections, health checks and attempts send alike, and imports went in circles: exchange with response for AttemptResult, exchange with in_step for send_request.

Change: AttemptResult and UpstreamResponse in attempt_result.rs, send_request in send.rs; moved, not changed.

--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -1,22 +1,22 @@
 //! One attempt: a request and its response on a connection.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
-use hyper::{Method, Request, Response};
-use runtime::{Runtime, expiry, timeout};
+use runtime::{Runtime, expiry};
 
+use super::attempt_result::AttemptResult;
 use super::connection::{Connection, ConnectionUse};
 use super::in_step::InStep;
 use super::observer::ExchangeObserver;
-use super::request::{AttemptLimits, RequestBody, UpstreamRequest};
-use super::response::{Received, UpstreamResponse, is_unprocessed};
+use super::request::{AttemptLimits, UpstreamRequest};
+use super::response::{Received, is_unprocessed};
+use super::send::send_request;
 use super::trust::{Misplaced, Suspect};
 use super::{Endpoint, Upstream};
-use crate::api::{LoadReport, Outcome};
+use crate::api::Outcome;
 use crate::settings::RetrySafety;
 use crate::sidecar::execution::{Doubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
@@ -24,45 +24,9 @@
 /// A connection that was closed before it was used shows that within this time.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The header that tells a server how long the client still waits, in milliseconds.
-const TIME_LEFT_HEADER: &str = "x-time-left-ms";
-
 /// The log's message of a response that may answer an earlier request on its connection.
 const DOUBT_MESSAGE: &str = "response on a used connection is in doubt";
 
-/// How an attempt ended.
-pub struct AttemptResult {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The load report that came with the response; empty without one.
-    pub report: LoadReport,
-    /// The response, if the outcome is that the request was served.
-    pub response: Option<UpstreamResponse>,
-    /// What passed on its connections; none if it was still under way.
-    pub facts: Option<ExecutionFacts>,
-    /// Its last connection; none if it had none, or was still under way.
-    pub connection_use: Option<ConnectionUse>,
-}
-
-impl AttemptResult {
-    /// An end without a response.
-    pub fn without_response(outcome: Outcome) -> AttemptResult {
-        AttemptResult {
-            outcome,
-            report: LoadReport::default(),
-            response: None,
-            facts: None,
-            connection_use: None,
-        }
-    }
-
-    /// The end of an attempt of which nothing was sent.
-    pub fn not_sent() -> AttemptResult {
-        let facts = Some(ExecutionFacts::NOT_SENT);
-        AttemptResult { facts, ..AttemptResult::without_response(Outcome::NotSent) }
-    }
-}
-
 /// What follows when a connection broke before a response.
 enum AfterBreak {
     /// The request is sent on a new connection. It was not sent in full before.
@@ -325,58 +289,3 @@
         }
     }
 }
-
-/// Sends `request` and waits for the head of its response; none if the connection breaks before.
-pub(super) async fn send_request<P: Runtime>(
-    connection: &mut Connection<P>,
-    request: &UpstreamRequest,
-    limits: &AttemptLimits,
-) -> Option<Response<Incoming>> {
-    let time_left = request.time_left(P::now(), limits.deadline);
-    let observer = connection.observer.clone();
-    let message = build_message(connection, request, time_left);
-    // An idempotent request need not wait for a test: if the connection is gone, it is sent once more.
-    let test_duration = match request.retry_safety {
-        RetrySafety::NonIdempotent => connection.test_duration(),
-        _ => None,
-    };
-    observer.begin(request.content_length().unwrap_or(u64::MAX));
-    if test_duration.is_some() {
-        observer.hold_last_byte();
-    }
-    let mut response = pin!(connection.sender.send_request(message));
-    if let Some(test_duration) = test_duration {
-        if let Ok(response) = timeout::<P, _>(test_duration, &mut response).await {
-            return response.ok();
-        }
-        // The byte that was held back would have a request executed that was given up meanwhile, or
-        // at a server that wants none by now.
-        if invariants::may_send(limits.send_facts(request, P::now())).is_err() {
-            return None;
-        }
-        observer.release();
-    }
-    response.await.ok()
-}
-
-fn build_message<P: Runtime>(
-    connection: &Connection<P>,
-    request: &UpstreamRequest,
-    time_left: Duration,
-) -> Request<RequestBody<P>> {
-    let mut message = Request::new(RequestBody::new(request, &connection.observer));
-    *message.method_mut() = request.method.clone();
-    *message.uri_mut() = request.target.clone();
-    *message.headers_mut() = request.headers.clone();
-    let headers = message.headers_mut();
-    headers.insert(TIME_LEFT_HEADER, HeaderValue::from(time_left.as_millis() as u64));
-    if let Ok(host) = HeaderValue::try_from(connection.address.to_string()) {
-        headers.entry(HOST).or_insert(host);
-    }
-    if request.method != Method::GET
-        && let Some(length) = request.content_length()
-    {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
-    }
-    message
-}
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, Response, StatusCode};
 use runtime::{Runtime, timeout};
 
-use super::exchange::send_request;
 use super::request::AttemptLimits;
+use super::send::send_request;
 use super::{Endpoint, Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
 use crate::settings::RetrySafety;
--- a/src/sidecar/upstream/in_step.rs
+++ b/src/sidecar/upstream/in_step.rs
@@ -15,8 +15,8 @@
 use runtime::{Runtime, timeout};
 
 use super::connection::Connection;
-use super::exchange::send_request;
 use super::request::AttemptLimits;
+use super::send::send_request;
 use super::{Upstream, UpstreamRequest};
 use crate::api::ServerId;
 use crate::settings::RetrySafety;
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -3,6 +3,7 @@
 //! Each attempt has exactly one [`AttemptResult`]. Which server an attempt goes to, and what follows
 //! its result, is decided by the balancer.
 
+mod attempt_result;
 mod connection;
 mod exchange;
 mod health_check;
@@ -11,6 +12,7 @@
 mod pool;
 mod request;
 mod response;
+mod send;
 mod trust;
 
 use std::cell::{Cell, RefCell};
@@ -24,13 +26,12 @@
 use super::live::LiveConfig;
 use super::status::Status;
 use crate::api::ServerId;
+pub use attempt_result::{AttemptResult, UpstreamResponse};
 use connection::Connection;
 pub use connection::ConnectionUse;
-pub use exchange::AttemptResult;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
 pub use in_step::InStep;
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
-pub use response::UpstreamResponse;
 pub use trust::Misplaced;
 use trust::ServerTrust;
 
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -12,14 +12,14 @@
 use hyper::{Response, StatusCode};
 use runtime::{Runtime, timeout, timeout_at};
 
+use super::Upstream;
+use super::attempt_result::{AttemptResult, UpstreamResponse};
 use super::connection::Connection;
 use super::trust::{BodyFingerprint, Suspect};
-use super::{AttemptResult, Upstream};
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
     BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
 };
-use crate::sidecar::budget::Reservation;
 use crate::sidecar::framing::UNPROCESSED_HEADER;
 
 /// How long more of a streamed response is waited for after its first bytes, before they are
@@ -29,18 +29,6 @@
 /// The header with which a server reports its load.
 const LOAD_REPORT_HEADER: &str = "x-backend-load";
 
-/// A server's response to a request.
-pub struct UpstreamResponse {
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body, or the first part of one that is too long to be buffered.
-    pub body: Bytes,
-    /// The rest of the body, if it is streamed.
-    pub rest: Option<BoxedBody>,
-    /// The memory reserved for the body.
-    pub reservation: Reservation,
-}
-
 /// The first part of a body.
 struct Prefix {
     bytes: BytesMut,
