Second answers: only whole bodies are compared, and each is acquitted by itself

Cause: a long body was told by its first 1,024 bytes, and a response that is forwarded while it is received can't be checked; and one body that a check acquitted made all bodies of its server count as alike for ten minutes, so that no other repetition was noticed.

Change: the whole body is compared, of responses that are buffered; up to eight bodies of a server that were rightly repeated are remembered, and no others excused.

Result: servers_whose_answers_have_equal_bodies_serve_each_request_once, two unit tests, and the tests of second answers, rejections and connecting pass.

--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -11,9 +11,7 @@
 
 use super::observer::ExchangeObserver;
 use super::request::RequestBody;
-use super::trust::{
-    BodyFingerprint, EarlierBodies, LaterResponse, REST_TIME, ServerTrust, Suspect,
-};
+use super::trust::{BodyFingerprint, LaterResponse, REST_TIME, RecentBodies, ServerTrust, Suspect};
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::framing::MAX_HEAD_BYTES;
 
@@ -52,7 +50,7 @@
     pub(super) idle_since: Instant,
     /// How long after its request the last response began, if that was served.
     last_delay: Option<Duration>,
-    earlier_bodies: EarlierBodies,
+    earlier_bodies: RecentBodies,
     /// It has carried a message that tells whether it is in step: the answer to another could be a copy.
     pub(super) is_checked: bool,
     /// What is known of the server's responses on all connections.
@@ -95,7 +93,7 @@
             earlier_requests: 0,
             idle_since: P::now(),
             last_delay: None,
-            earlier_bodies: EarlierBodies::default(),
+            earlier_bodies: RecentBodies::default(),
             is_checked: false,
             trust,
             socket,
@@ -137,12 +135,12 @@
         }
     }
 
-    /// Whether a response with this body is taken for that to the last request.
+    /// Whether a response with this body is taken for that to the last request; none if the body is not whole yet.
     ///
     /// # Errors
     ///
     /// What speaks against it.
-    pub(super) fn accept_body(&mut self, body: BodyFingerprint) -> Result<(), Suspect> {
+    pub(super) fn accept_body(&mut self, body: Option<BodyFingerprint>) -> Result<(), Suspect> {
         let delay = self.observer.response_delay().unwrap_or_default();
         if self.is_used() {
             let response = LaterResponse {
@@ -151,11 +149,13 @@
                 body,
                 earlier_bodies: &self.earlier_bodies,
             };
-            self.trust.judge(response, P::now())?;
+            self.trust.judge(response)?;
         } else {
             self.trust.record_response(delay);
         }
-        self.earlier_bodies.push(body);
+        if let Some(body) = body {
+            self.earlier_bodies.push(body);
+        }
         Ok(())
     }
 
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -239,7 +239,7 @@
         self.facts.connection_settled = in_step == InStep::Yes;
         match (in_step, suspect) {
             (InStep::Yes, Some(suspect)) => {
-                trust.into_iter().for_each(|trust| trust.acquit(suspect, P::now()));
+                trust.into_iter().for_each(|trust| trust.acquit(suspect));
                 Some(result)
             }
             (_, Some(_)) => None,
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -189,7 +189,8 @@
             return None;
         };
         let first = read_prefix::<P>(&mut body, buffered_length).await.ok()?;
-        let accepted = connection.accept_body(BodyFingerprint::new(&first.bytes));
+        let fingerprint = first.complete.then(|| BodyFingerprint::new(&first.bytes));
+        let accepted = connection.accept_body(fingerprint);
         let mut connection = Some(connection);
         let rest: Option<BoxedBody> = if first.complete {
             None
--- a/src/sidecar/upstream/trust.rs
+++ b/src/sidecar/upstream/trust.rs
@@ -21,44 +21,40 @@
 const FIRST_DISTRUST: Duration = Duration::from_secs(10);
 /// The longest such time.
 const LONGEST_DISTRUST: Duration = Duration::from_secs(600);
-/// How long the bodies of a server's responses count as alike once two of them were.
-const ALIKE_TIME: Duration = Duration::from_secs(600);
 /// A response that begins within this part of the shortest time that the server has needed was made before.
 const TOO_SOON_DIVISOR: u32 = 4;
-/// How many earlier bodies of a connection are remembered.
-const MAX_EARLIER_BODIES: usize = 8;
-/// How much of a long body identifies it, in bytes.
-const FINGERPRINT_BYTES: usize = 1024;
+/// How many bodies are remembered of a connection, and how many of a server that were rightly repeated.
+const MAX_BODIES: usize = 8;
 
-/// What identifies the body of a response.
+/// What identifies the whole body of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct BodyFingerprint(u64);
 
 impl BodyFingerprint {
-    /// The fingerprint of a body, or of its first part if it is long.
+    /// The fingerprint of a body.
     pub(super) fn new(body: &[u8]) -> BodyFingerprint {
         let mut hasher = FxHasher::default();
-        hasher.write(&body[..body.len().min(FINGERPRINT_BYTES)]);
+        hasher.write(body);
         BodyFingerprint(hasher.finish())
     }
 }
 
-/// The bodies that a connection has carried lately.
-#[derive(Debug, Default)]
-pub(super) struct EarlierBodies {
-    bodies: [BodyFingerprint; MAX_EARLIER_BODIES],
+/// The latest of some bodies.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecentBodies {
+    bodies: [BodyFingerprint; MAX_BODIES],
     count: usize,
 }
 
-impl EarlierBodies {
-    /// Adds the body of the response that has just been accepted.
+impl RecentBodies {
+    /// Adds a body.
     pub(super) fn push(&mut self, body: BodyFingerprint) {
-        self.bodies[self.count % MAX_EARLIER_BODIES] = body;
+        self.bodies[self.count % MAX_BODIES] = body;
         self.count += 1;
     }
 
     fn contains(&self, body: BodyFingerprint) -> bool {
-        self.bodies[..self.count.min(MAX_EARLIER_BODIES)].contains(&body)
+        self.bodies[..self.count.min(MAX_BODIES)].contains(&body)
     }
 }
 
@@ -101,10 +97,10 @@
     pub(super) in_turn: bool,
     /// How long after the last byte of the request it began.
     pub(super) delay: Duration,
-    /// Its body.
-    pub(super) body: BodyFingerprint,
-    /// Those of the responses before it.
-    pub(super) earlier_bodies: &'a EarlierBodies,
+    /// Its body; none of one that is forwarded while it is received.
+    pub(super) body: Option<BodyFingerprint>,
+    /// Those of the responses before it on its connection.
+    pub(super) earlier_bodies: &'a RecentBodies,
 }
 
 /// What speaks against that a response answers the last request on its connection.
@@ -113,6 +109,7 @@
     /// What it is.
     pub(super) reason: Misplaced,
     delay: Duration,
+    body: Option<BodyFingerprint>,
 }
 
 /// For how long a server gets each request on a new connection.
@@ -128,8 +125,8 @@
     distrust: Cell<Option<Distrust>>,
     /// The shortest time to the beginning of a response that is beyond doubt.
     fastest_response: Cell<Option<Duration>>,
-    /// Until when an equal body is no sign of an equal response.
-    bodies_alike_until: Cell<Option<Instant>>,
+    /// Bodies that answered more than one request.
+    repeated_bodies: Cell<RecentBodies>,
 }
 
 impl ServerTrust {
@@ -165,9 +162,9 @@
     /// # Errors
     ///
     /// What speaks against it.
-    pub(super) fn judge(&self, response: LaterResponse<'_>, now: Instant) -> Result<(), Suspect> {
+    pub(super) fn judge(&self, response: LaterResponse<'_>) -> Result<(), Suspect> {
         let LaterResponse { in_turn, delay, body, earlier_bodies } = response;
-        let suspect = |reason| Err(Suspect { reason, delay });
+        let suspect = |reason| Err(Suspect { reason, delay, body });
         if !in_turn {
             return suspect(Misplaced::OutOfTurn);
         }
@@ -175,19 +172,24 @@
         if fastest.is_some_and(|fastest| delay < fastest / TOO_SOON_DIVISOR) {
             return suspect(Misplaced::TooSoon);
         }
-        let bodies_differ = self.bodies_alike_until.get().is_none_or(|until| until <= now);
-        if bodies_differ && earlier_bodies.contains(body) {
+        let is_repeated =
+            |body| earlier_bodies.contains(body) && !self.repeated_bodies.get().contains(body);
+        if body.is_some_and(is_repeated) {
             return suspect(Misplaced::RepeatedBody);
         }
         Ok(())
     }
 
     /// Notes that a response answered its request though something spoke against it.
-    pub(super) fn acquit(&self, suspect: Suspect, now: Instant) {
-        match suspect.reason {
-            Misplaced::OutOfTurn => {}
-            Misplaced::TooSoon => self.record_response(suspect.delay),
-            Misplaced::RepeatedBody => self.bodies_alike_until.set(Some(now + ALIKE_TIME)),
+    pub(super) fn acquit(&self, suspect: Suspect) {
+        match (suspect.reason, suspect.body) {
+            (Misplaced::TooSoon, _) => self.record_response(suspect.delay),
+            (Misplaced::RepeatedBody, Some(body)) => {
+                let mut repeated = self.repeated_bodies.get();
+                repeated.push(body);
+                self.repeated_bodies.set(repeated);
+            }
+            (Misplaced::OutOfTurn | Misplaced::RepeatedBody, _) => {}
         }
     }
 }
--- a/src/sidecar/upstream/trust/tests.rs
+++ b/src/sidecar/upstream/trust/tests.rs
@@ -9,8 +9,8 @@
 }
 
 /// A server whose fastest response took 8 ms, and a connection that has carried one to `first`.
-fn used() -> (ServerTrust, EarlierBodies) {
-    let (trust, mut earlier) = (ServerTrust::default(), EarlierBodies::default());
+fn used() -> (ServerTrust, RecentBodies) {
+    let (trust, mut earlier) = (ServerTrust::default(), RecentBodies::default());
     trust.record_response(8 * MS);
     earlier.push(body("first"));
     (trust, earlier)
@@ -18,12 +18,12 @@
 
 fn judge(
     trust: &ServerTrust,
-    earlier_bodies: &EarlierBodies,
+    earlier_bodies: &RecentBodies,
     text: &str,
     delay: Duration,
 ) -> Result<(), Misplaced> {
-    let response = LaterResponse { in_turn: true, delay, body: body(text), earlier_bodies };
-    trust.judge(response, Instant::now()).map_err(|suspect| suspect.reason)
+    let response = LaterResponse { in_turn: true, delay, body: Some(body(text)), earlier_bodies };
+    trust.judge(response).map_err(|suspect| suspect.reason)
 }
 
 #[test]
@@ -35,9 +35,13 @@
 #[test]
 fn response_that_is_out_of_turn_too_soon_or_repeated_is_not_accepted() {
     let (trust, earlier) = used();
-    let response =
-        LaterResponse { in_turn: false, delay: 9 * MS, body: body("x"), earlier_bodies: &earlier };
-    let found = trust.judge(response, Instant::now()).map_err(|suspect| suspect.reason);
+    let response = LaterResponse {
+        in_turn: false,
+        delay: 9 * MS,
+        body: Some(body("x")),
+        earlier_bodies: &earlier,
+    };
+    let found = trust.judge(response).map_err(|suspect| suspect.reason);
     assert_eq!(found, Err(Misplaced::OutOfTurn));
     assert_eq!(judge(&trust, &earlier, "second", MS), Err(Misplaced::TooSoon));
     assert_eq!(judge(&trust, &earlier, "first", 9 * MS), Err(Misplaced::RepeatedBody));
@@ -53,21 +57,28 @@
 }
 
 #[test]
-fn acquitted_response_lowers_the_bound_or_makes_equal_bodies_no_sign() {
-    let (trust, earlier) = used();
+fn acquitted_response_lowers_the_bound_or_may_be_repeated() {
+    let (trust, mut earlier) = used();
+    earlier.push(body("other"));
     let judged = |text: &str, delay| {
-        let body = body(text);
-        trust.judge(
-            LaterResponse { in_turn: true, delay, body, earlier_bodies: &earlier },
-            Instant::now(),
-        )
+        let body = Some(body(text));
+        trust.judge(LaterResponse { in_turn: true, delay, body, earlier_bodies: &earlier })
     };
-    trust.acquit(judged("first", 9 * MS).expect_err("a repeated body"), Instant::now());
+    trust.acquit(judged("first", 9 * MS).expect_err("a repeated body"));
     assert_eq!(judged("first", 9 * MS), Ok(()));
-    trust.acquit(judged("second", MS).expect_err("too soon"), Instant::now());
+    assert!(judged("other", 9 * MS).is_err(), "another body is still a sign");
+    trust.acquit(judged("second", MS).expect_err("too soon"));
     assert_eq!(judged("third", MS), Ok(()));
 }
 
+#[test]
+fn body_that_is_not_whole_yet_is_not_compared() {
+    let (trust, earlier) = used();
+    let response =
+        LaterResponse { in_turn: true, delay: 9 * MS, body: None, earlier_bodies: &earlier };
+    assert_eq!(trust.judge(response), Ok(()));
+}
+
 #[test]
 fn distrust_lasts_longer_each_time_up_to_a_bound_and_is_forgotten() {
     let trust = ServerTrust::default();
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -394,3 +394,20 @@
         assert!(more.is_err(), "{more:?} bytes more, or an end");
     }
 }
+
+/// Equal bodies are a sign of a second answer only until a check has shown otherwise.
+#[test]
+fn servers_whose_answers_have_equal_bodies_serve_each_request_once() {
+    let server = Server::start(|_, socket| socket.write_all(answer("done").as_bytes()).is_ok());
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    let classes = [Class::Look, Class::Keep, Class::Order].into_iter().cycle();
+    let requests: Vec<_> = classes.take(30).enumerate().collect();
+    for (n, class) in &requests {
+        let answer = sidecar.exchange(&class.request(&format!("{n}")));
+        assert!(answer.ends_with("\r\n\r\ndone"), "{class:?}: {answer:?}");
+        // The connection has rested, and is used again.
+        thread::sleep(HOLD_UP / 2);
+    }
+    assert_eq!(server.seen().len(), requests.len());
+    assert!(!sidecar.log().contains("server sent what belongs to no response"));
+}
