Soak: the judge bears operations that are served after a rejection

It took differences of counts as if they could only grow; `rejected` and `failed` count operations by their last attempt, and one that is retried moves to `served`.

Change: a count that has fallen adds nothing to what has ended. The share that is wanted stays.

Result: a unit test with a falling count panicked before, and passes.

--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -71,7 +71,9 @@
     let from_s = duration.saturating_sub(RECOVERY_SPAN).as_secs_f64();
     let first = samples.iter().find(|sample| sample.at_s >= from_s)?;
     let last = samples.last()?;
-    let difference = |total: fn(&Totals) -> u64| total(&last.totals) - total(&first.totals);
+    // An operation whose last attempt was rejected or failed may be served later: these counts may fall.
+    let difference =
+        |total: fn(&Totals) -> u64| total(&last.totals).saturating_sub(total(&first.totals));
     let served = difference(|totals| totals.served);
     let ended = served + difference(|t| t.rejected) + difference(|t| t.failed);
     let share = served as f64 / ended.max(1) as f64;
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -124,6 +124,9 @@
     assert_eq!(findings.0, ["1 violations in the account of all requests", "1 lost", "x"]);
     let down = vec![sample(32.0, 100, 0), sample(36.0, 110, 100)];
     assert_eq!(judge(&scenario, &outcome(down, Report::default()), Vec::new()).0.len(), 1);
+    let retried = vec![sample(32.0, 100, 20), sample(36.0, 200, 5)];
+    let served_in_the_end = outcome(retried, Report::default());
+    assert_eq!(judge(&scenario, &served_in_the_end, Vec::new()), Findings::default());
     let crashed = Outcome { problems: vec!["s1 has ended by itself".to_owned()], ..sound.clone() };
     assert_eq!(judge(&scenario, &crashed, Vec::new()).0.len(), 1);
     assert_eq!(judge(&scenario, &sound, vec!["s1: protocol rule violated".to_owned()]).0.len(), 1);
