Upstream: the log has the reason of each resend and close; standard names

Need: whoever reads the log could not tell that the same attempt had sent a request again on a new connection (after a stale one, or an answer that was not taken for the request's), nor why a connection to a server was closed; the lines on doubts lacked the attempt.

Change: `request sent again on a new connection`, `connection to a server closed`, the attempt's number and connection in each line. Modules desync and sync_check, DesyncSign, SyncState, quarantine, quiet period; UpstreamRequest::own for health checks and sync checks; one state in place of two flags for how far writing a request has come. A connection on which nothing was sent is put back without counting as used. As one is closed, the system is asked for unread bytes, not the event queue, which may not have told yet.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -55,6 +55,8 @@
     fn reset_on_close(&self);
     /// Whether the connection is open and there is nothing to read: no bytes, no end, no error.
     fn is_idle(&self) -> bool;
+    /// Whether bytes have arrived that were not read, asked of the system itself rather than the event queue.
+    fn has_unread(&self) -> bool;
     /// Whether the peer is known to send nothing more, even if some of its bytes are still unread.
     fn peer_closed(&self) -> bool;
 }
--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -105,6 +105,10 @@
         matches!(peek(self), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    fn has_unread(&self) -> bool {
+        peek(self).is_ok_and(|bytes| bytes > 0)
+    }
+
     fn peer_closed(&self) -> bool {
         let ready = pin!(self.ready(Interest::READABLE));
         let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
--- a/crates/simnet/src/connection.rs
+++ b/crates/simnet/src/connection.rs
@@ -134,6 +134,11 @@
         self.wake_writer();
     }
 
+    /// Whether bytes have arrived that were not read.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.receive_buffer.is_empty()
+    }
+
     /// Whether a read would return at once.
     pub(crate) fn is_readable(&self) -> bool {
         !self.receive_buffer.is_empty() || self.fin_received || self.error.is_some()
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -285,6 +285,12 @@
         idle.unwrap_or(false)
     }
 
+    fn has_unread(&self) -> bool {
+        let unread =
+            self.with_connection(|_, connection| connection.endpoint(self.endpoint).has_unread());
+        unread.unwrap_or(false)
+    }
+
     fn peer_closed(&self) -> bool {
         let closed = self.with_connection(|_, connection| {
             let endpoint = connection.endpoint(self.endpoint);
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -83,7 +83,7 @@
             attempt = id.index,
             address = state.endpoints.address(id.server).map(tracing::field::display),
             after = outcome.name(),
-            after_connection_use = connection_use.map(tracing::field::debug),
+            after_connection_use = connection_use.map(tracing::field::display),
             may_have_run = request.may_have_run_before(id.index),
             "request sent again"
         );
@@ -157,7 +157,7 @@
         );
         let result = tokio::select! {
             biased;
-            result = self.upstream.attempt(endpoint, &request, limits) => result,
+            result = self.upstream.attempt(id.index, endpoint, &request, limits) => result,
             // By the balancer, or because nobody waits for its response any more.
             _ = cancelled => AttemptResult::without_response(Outcome::Cancelled),
             () = self.attempt_timeout(id, upload.as_deref(), deadline) => {
@@ -170,7 +170,7 @@
             address = %endpoint.address,
             outcome = result.outcome.name(),
             facts = ?result.facts,
-            connection_use = ?result.connection_use,
+            connection_use = result.connection_use.map(tracing::field::display),
             took_us = P::elapsed_since(started).as_micros() as u64,
             "attempt ended"
         );
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -7,7 +7,7 @@
 
 use super::execution::Doubt;
 use super::invariants::{SendRefusal, Violation};
-use super::upstream::{InStep, Misplaced};
+use super::upstream::{DesyncSign, SyncState};
 use crate::api::{EndReason, Outcome};
 
 /// Why a connection of a client ends.
@@ -65,9 +65,9 @@
     ends: [Cell<u64>; EndReason::ALL.len()],
     retries: [Cell<u64>; Outcome::ALL.len()],
     doubts: [Cell<u64>; Doubt::ALL.len()],
-    misplaced: [Cell<u64>; Misplaced::ALL.len()],
-    step_checks: [Cell<u64>; InStep::ALL.len()],
-    distrusts: Cell<u64>,
+    desync_signs: [Cell<u64>; DesyncSign::ALL.len()],
+    sync_checks: [Cell<u64>; SyncState::ALL.len()],
+    reuse_suspensions: Cell<u64>,
     closes: [Cell<u64>; CloseReason::ALL.len()],
     unanswered: [Cell<u64>; CloseReason::ALL.len()],
     late_input: Cell<u64>,
@@ -123,18 +123,17 @@
         increment(&self.doubts[doubt as usize]);
     }
 
-    /// Counts a response that may answer another request than its connection's last, what spoke against it, and
-    /// what a check told.
-    pub fn record_step_check(&self, in_step: InStep, reason: Option<Misplaced>) {
-        increment(&self.step_checks[in_step as usize]);
-        if let Some(reason) = reason {
-            increment(&self.misplaced[reason as usize]);
+    /// Counts a check of whether a response answers its connection's last request, and what spoke against that.
+    pub fn record_sync_check(&self, state: SyncState, sign: Option<DesyncSign>) {
+        increment(&self.sync_checks[state as usize]);
+        if let Some(sign) = sign {
+            increment(&self.desync_signs[sign as usize]);
         }
     }
 
     /// Counts a server whose connections are not used again for a while.
-    pub fn record_distrust(&self) {
-        increment(&self.distrusts);
+    pub fn record_reuse_suspension(&self) {
+        increment(&self.reuse_suspensions);
     }
 
     /// Counts a connection of a client that ended.
@@ -176,8 +175,16 @@
         all.extend(group("ended", EndReason::ALL.map(EndReason::name).into(), &self.ends));
         all.extend(group("retried_after", Outcome::ALL.map(Outcome::name).into(), &self.retries));
         all.extend(group("doubted", Doubt::ALL.map(Doubt::name).into(), &self.doubts));
-        all.extend(group("misplaced", Misplaced::ALL.map(Misplaced::name).into(), &self.misplaced));
-        all.extend(group("in_step", InStep::ALL.map(InStep::name).into(), &self.step_checks));
+        all.extend(group(
+            "desync_suspected",
+            DesyncSign::ALL.map(DesyncSign::name).into(),
+            &self.desync_signs,
+        ));
+        all.extend(group(
+            "sync_check",
+            SyncState::ALL.map(SyncState::name).into(),
+            &self.sync_checks,
+        ));
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let reasons = CloseReason::ALL.map(CloseReason::name).into();
         all.extend(group("unanswered", reasons, &self.unanswered));
@@ -185,7 +192,7 @@
             name: name.to_owned(),
             count: count.get(),
         };
-        all.push(single("server_distrusted", &self.distrusts));
+        all.push(single("reuse_suspended", &self.reuse_suspensions));
         all.push(single("input_after_end", &self.late_input));
         all.push(single("close_withdrawn", &self.withdrawn_closes));
         all
--- a/src/sidecar/events/tests.rs
+++ b/src/sidecar/events/tests.rs
@@ -44,11 +44,11 @@
         EndReason::ALL.len(),
         Outcome::ALL.len(),
         Doubt::ALL.len(),
-        Misplaced::ALL.len(),
-        InStep::ALL.len(),
+        DesyncSign::ALL.len(),
+        SyncState::ALL.len(),
         2 * CloseReason::ALL.len(),
     ];
-    let singles = ["server_distrusted", "input_after_end", "close_withdrawn"];
+    let singles = ["reuse_suspended", "input_after_end", "close_withdrawn"];
     let expected = groups.iter().sum::<usize>() + singles.len();
     assert_eq!(all.len(), expected);
     assert!(all.iter().all(|event| event.count == 0));
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -1,5 +1,7 @@
 //! One connection to a server.
 
+use std::cell::Cell;
+use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,9 +11,12 @@
 use hyper_util::rt::TokioIo;
 use runtime::{Runtime, Stream, TaskHandle, Tcp};
 
+use super::close_reason::CloseReason;
+use super::desync::{
+    BodyFingerprint, LaterResponse, QUIET_PERIOD, RecentBodies, ResponseHistory, SuspectedDesync,
+};
 use super::observer::ExchangeObserver;
 use super::request::RequestBody;
-use super::trust::{BodyFingerprint, LaterResponse, REST_TIME, RecentBodies, ServerTrust, Suspect};
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::framing::MAX_HEAD_BYTES;
 
@@ -37,6 +42,17 @@
     pub response_delay: Option<Duration>,
 }
 
+impl Display for ConnectionUse {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let ConnectionUse { connection, earlier_requests, idle, response_delay } = self;
+        write!(f, "connection {connection} after {earlier_requests} requests, idle {idle:?}")?;
+        match response_delay {
+            Some(delay) => write!(f, ", response after {delay:?}"),
+            None => write!(f, ", no response"),
+        }
+    }
+}
+
 /// One connection. Dropping it closes it.
 pub(super) struct Connection<P: Runtime> {
     pub(super) sender: SendRequest<RequestBody<P>>,
@@ -52,9 +68,10 @@
     last_delay: Option<Duration>,
     earlier_bodies: RecentBodies,
     /// It has carried a message that tells whether it is in step: the answer to another could be a copy.
-    pub(super) is_checked: bool,
+    pub(super) is_sync_checked: bool,
     /// What is known of the server's responses on all connections.
-    pub(super) trust: Rc<ServerTrust>,
+    pub(super) history: Rc<ResponseHistory>,
+    close_reason: Cell<CloseReason>,
     socket: Rc<P::Tcp>,
     driver: P::TaskHandle,
     /// How long it took to connect: one round trip.
@@ -70,7 +87,7 @@
         address: SocketAddr,
         round_trip: Duration,
         observer: ExchangeObserver<P>,
-        trust: Rc<ServerTrust>,
+        history: Rc<ResponseHistory>,
         place: SocketPermit,
     ) -> Option<Connection<P>> {
         socket.set_nodelay().ok()?;
@@ -94,8 +111,9 @@
             idle_since: P::now(),
             last_delay: None,
             earlier_bodies: RecentBodies::default(),
-            is_checked: false,
-            trust,
+            is_sync_checked: false,
+            history,
+            close_reason: Cell::default(),
             socket,
             driver,
             round_trip,
@@ -116,8 +134,8 @@
     }
 
     /// Whether it has rested long enough to be used again.
-    pub(super) fn has_rested(&self) -> bool {
-        !self.is_used() || P::elapsed_since(self.idle_since) >= REST_TIME
+    pub(super) fn is_past_quiet_period(&self) -> bool {
+        !self.is_used() || P::elapsed_since(self.idle_since) >= QUIET_PERIOD
     }
 
     /// Notes that a response has ended, and that the connection is idle.
@@ -129,9 +147,9 @@
     }
 
     /// Notes that it is used again, and that nothing has followed the last response.
-    pub(super) fn end_rest(&self) {
+    pub(super) fn record_clean_reuse(&self) {
         if let Some(delay) = self.last_delay {
-            self.trust.record_response(delay);
+            self.history.record_response(delay);
         }
     }
 
@@ -140,7 +158,10 @@
     /// # Errors
     ///
     /// What speaks against it.
-    pub(super) fn accept_body(&mut self, body: Option<BodyFingerprint>) -> Result<(), Suspect> {
+    pub(super) fn accept_body(
+        &mut self,
+        body: Option<BodyFingerprint>,
+    ) -> Result<(), SuspectedDesync> {
         let delay = self.observer.response_delay().unwrap_or_default();
         if self.is_used() {
             let response = LaterResponse {
@@ -149,9 +170,9 @@
                 body,
                 earlier_bodies: &self.earlier_bodies,
             };
-            self.trust.judge(response)?;
+            self.history.check_response(response)?;
         } else {
-            self.trust.record_response(delay);
+            self.history.record_response(delay);
         }
         if let Some(body) = body {
             self.earlier_bodies.push(body);
@@ -159,6 +180,16 @@
         Ok(())
     }
 
+    /// Sets why it is about to be closed.
+    pub(super) fn set_close_reason(&self, reason: CloseReason) {
+        self.close_reason.set(reason);
+    }
+
+    /// Closes it for a reason.
+    pub(super) fn close(self, reason: CloseReason) {
+        self.set_close_reason(reason);
+    }
+
     /// What the log tells of the request that is about to be sent.
     pub(super) fn next_use(&self) -> ConnectionUse {
         ConnectionUse {
@@ -181,6 +212,13 @@
 impl<P: Runtime> Drop for Connection<P> {
     fn drop(&mut self) {
         self.observer.look_for_unread(&*self.socket);
+        tracing::debug!(
+            connection = self.number,
+            address = %self.address,
+            reason = self.close_reason.get().name(),
+            requests = self.earlier_requests,
+            "connection to a server closed"
+        );
         self.driver.abort();
     }
 }
--- a/src/sidecar/upstream/trust.rs
+++ b/src/sidecar/upstream/desync.rs
@@ -4,7 +4,7 @@
 //! HTTP/1.1 assigns responses to requests by their order alone. A response that is delivered twice is taken for
 //! the answer to the request that follows on its connection, and so is each one behind it. A first response is
 //! beyond doubt. One on a used connection is accepted unless something speaks against it (see
-//! [`in_step`](super::in_step)), and a server whose connections have carried bytes that belong to no response
+//! [`sync_check`](super::sync_check)), and a server whose connections have carried bytes that belong to no response
 //! gets each request on a new one for a while.
 
 use std::cell::Cell;
@@ -14,13 +14,12 @@
 
 use rustc_hash::FxHasher;
 
-/// How long a connection rests behind a response before it is used again: what arrives meanwhile belongs to
-/// no request.
-pub(super) const REST_TIME: Duration = Duration::from_millis(30);
+/// How long a connection is idle at least before it is used again: what arrives meanwhile belongs to no request.
+pub(super) const QUIET_PERIOD: Duration = Duration::from_millis(30);
 /// How long a server gets each request on a new connection, the first time; doubled each further time.
-const FIRST_DISTRUST: Duration = Duration::from_secs(10);
+const FIRST_QUARANTINE: Duration = Duration::from_secs(10);
 /// The longest such time.
-const LONGEST_DISTRUST: Duration = Duration::from_secs(600);
+const LONGEST_QUARANTINE: Duration = Duration::from_secs(600);
 /// A response that begins within this part of the shortest time that the server has needed was made before.
 const TOO_SOON_DIVISOR: u32 = 4;
 /// How many bodies are remembered of a connection, and how many of a server that were rightly repeated.
@@ -60,7 +59,7 @@
 
 /// Why a response may answer another request than the last one on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Misplaced {
+pub enum DesyncSign {
     /// Bytes arrived before the request was written in full, or behind the response.
     OutOfTurn,
     /// It began sooner than the server can have made it.
@@ -69,22 +68,22 @@
     RepeatedBody,
 }
 
-impl Misplaced {
+impl DesyncSign {
     /// All of them, in the order in which they are reported.
-    pub const ALL: [Misplaced; 3] =
-        [Misplaced::OutOfTurn, Misplaced::TooSoon, Misplaced::RepeatedBody];
+    pub const ALL: [DesyncSign; 3] =
+        [DesyncSign::OutOfTurn, DesyncSign::TooSoon, DesyncSign::RepeatedBody];
 
     /// The name in logs and statistics.
     pub fn name(self) -> &'static str {
         match self {
-            Misplaced::OutOfTurn => "out_of_turn",
-            Misplaced::TooSoon => "too_soon",
-            Misplaced::RepeatedBody => "repeated_body",
+            DesyncSign::OutOfTurn => "out_of_turn",
+            DesyncSign::TooSoon => "too_soon",
+            DesyncSign::RepeatedBody => "repeated_body",
         }
     }
 }
 
-impl Display for Misplaced {
+impl Display for DesyncSign {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(self.name())
     }
@@ -105,49 +104,49 @@
 
 /// What speaks against that a response answers the last request on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Suspect {
+pub(super) struct SuspectedDesync {
     /// What it is.
-    pub(super) reason: Misplaced,
+    pub(super) sign: DesyncSign,
     delay: Duration,
     body: Option<BodyFingerprint>,
 }
 
 /// For how long a server gets each request on a new connection.
 #[derive(Clone, Copy, Debug)]
-struct Distrust {
+struct Quarantine {
     until: Instant,
     time: Duration,
 }
 
 /// What is known of one server's responses.
 #[derive(Debug, Default)]
-pub(super) struct ServerTrust {
-    distrust: Cell<Option<Distrust>>,
+pub(super) struct ResponseHistory {
+    quarantine: Cell<Option<Quarantine>>,
     /// The shortest time to the beginning of a response that is beyond doubt.
     fastest_response: Cell<Option<Duration>>,
     /// Bodies that answered more than one request.
     repeated_bodies: Cell<RecentBodies>,
 }
 
-impl ServerTrust {
+impl ResponseHistory {
     /// Whether connections may be used again.
-    pub(super) fn may_reuse(&self, now: Instant) -> bool {
-        self.distrust.get().is_none_or(|distrust| distrust.until <= now)
+    pub(super) fn allows_reuse(&self, now: Instant) -> bool {
+        self.quarantine.get().is_none_or(|quarantine| quarantine.until <= now)
     }
 
     /// Notes that something arrived that belongs to no response. Returns how long connections are not used
     /// again, if that has just begun.
-    pub(super) fn record_stray(&self, now: Instant) -> Option<Duration> {
-        let earlier = self.distrust.get();
-        let is_new = self.may_reuse(now);
+    pub(super) fn record_unexpected_bytes(&self, now: Instant) -> Option<Duration> {
+        let earlier = self.quarantine.get();
+        let is_new = self.allows_reuse(now);
         let time = match earlier {
             Some(earlier) if is_new && now < earlier.until + earlier.time => {
-                (2 * earlier.time).min(LONGEST_DISTRUST)
+                (2 * earlier.time).min(LONGEST_QUARANTINE)
             }
             Some(earlier) if !is_new => earlier.time,
-            _ => FIRST_DISTRUST,
+            _ => FIRST_QUARANTINE,
         };
-        self.distrust.set(Some(Distrust { until: now + time, time }));
+        self.quarantine.set(Some(Quarantine { until: now + time, time }));
         is_new.then_some(time)
     }
 
@@ -162,34 +161,37 @@
     /// # Errors
     ///
     /// What speaks against it.
-    pub(super) fn judge(&self, response: LaterResponse<'_>) -> Result<(), Suspect> {
+    pub(super) fn check_response(
+        &self,
+        response: LaterResponse<'_>,
+    ) -> Result<(), SuspectedDesync> {
         let LaterResponse { in_turn, delay, body, earlier_bodies } = response;
-        let suspect = |reason| Err(Suspect { reason, delay, body });
+        let suspected = |sign| Err(SuspectedDesync { sign, delay, body });
         if !in_turn {
-            return suspect(Misplaced::OutOfTurn);
+            return suspected(DesyncSign::OutOfTurn);
         }
         let fastest = self.fastest_response.get();
         if fastest.is_some_and(|fastest| delay < fastest / TOO_SOON_DIVISOR) {
-            return suspect(Misplaced::TooSoon);
+            return suspected(DesyncSign::TooSoon);
         }
         let is_repeated =
             |body| earlier_bodies.contains(body) && !self.repeated_bodies.get().contains(body);
         if body.is_some_and(is_repeated) {
-            return suspect(Misplaced::RepeatedBody);
+            return suspected(DesyncSign::RepeatedBody);
         }
         Ok(())
     }
 
     /// Notes that a response answered its request though something spoke against it.
-    pub(super) fn acquit(&self, suspect: Suspect) {
-        match (suspect.reason, suspect.body) {
-            (Misplaced::TooSoon, _) => self.record_response(suspect.delay),
-            (Misplaced::RepeatedBody, Some(body)) => {
+    pub(super) fn record_false_alarm(&self, suspected: SuspectedDesync) {
+        match (suspected.sign, suspected.body) {
+            (DesyncSign::TooSoon, _) => self.record_response(suspected.delay),
+            (DesyncSign::RepeatedBody, Some(body)) => {
                 let mut repeated = self.repeated_bodies.get();
                 repeated.push(body);
                 self.repeated_bodies.set(repeated);
             }
-            (Misplaced::OutOfTurn | Misplaced::RepeatedBody, _) => {}
+            (DesyncSign::OutOfTurn | DesyncSign::RepeatedBody, _) => {}
         }
     }
 }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -9,12 +9,12 @@
 
 use super::attempt_result::AttemptResult;
 use super::connection::{Connection, ConnectionUse};
-use super::in_step::InStep;
+use super::desync::{DesyncSign, SuspectedDesync};
 use super::observer::ExchangeObserver;
 use super::request::{AttemptLimits, UpstreamRequest};
 use super::response::{Received, is_unprocessed};
 use super::send::send_request;
-use super::trust::{Misplaced, Suspect};
+use super::sync_check::SyncState;
 use super::{Endpoint, Upstream};
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
@@ -25,30 +25,67 @@
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// The log's message of a response that may answer an earlier request on its connection.
-const DOUBT_MESSAGE: &str = "response on a used connection is in doubt";
+const SYNC_CHECK_MESSAGE: &str = "connection checked for an earlier response";
+/// The log's message of a request that is sent once more as part of the same attempt.
+const RESEND_MESSAGE: &str = "request sent again on a new connection";
 
-/// What follows when a connection broke before a response.
-enum AfterBreak {
-    /// The request is sent on a new connection. It was not sent in full before.
-    Reconnect,
-    /// The request is sent on a new connection, though it was sent in full before.
-    Resend,
+/// Why a request is sent once more on a new connection, as part of the same attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResendReason {
+    /// Its connection had been closed, and not all of it was sent.
+    NotSent,
+    /// Its connection may have been closed before it was sent in full.
+    StaleConnection,
+    /// The response may answer an earlier request on its connection.
+    Desync,
+}
+
+impl ResendReason {
+    /// The name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            ResendReason::NotSent => "not_sent",
+            ResendReason::StaleConnection => "stale_connection",
+            ResendReason::Desync => "desync",
+        }
+    }
+}
+
+/// What follows when a connection brought no response that is taken for the request's.
+enum NextStep {
+    Resend(ResendReason),
     /// The attempt has ended.
-    End(Outcome),
+    End(Box<AttemptResult>),
+}
+
+impl NextStep {
+    /// The attempt has ended without a response.
+    fn end(outcome: Outcome) -> NextStep {
+        NextStep::End(Box::new(AttemptResult::without_response(outcome)))
+    }
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Makes one attempt at `endpoint`. Dropping the future cancels the attempt.
+    /// Makes one attempt at `endpoint`; `number`: its place among the request's attempts. Dropping the future
+    /// cancels the attempt.
     pub async fn attempt(
         self: &Rc<Upstream<P>>,
+        number: usize,
         endpoint: Endpoint,
         request: &Rc<UpstreamRequest>,
         limits: AttemptLimits,
     ) -> AttemptResult {
         let facts = ExecutionFacts::NOT_SENT;
-        Exchange { upstream: self, endpoint, request, limits, facts, connection_use: None }
-            .run()
-            .await
+        let exchange = Exchange {
+            upstream: self,
+            number,
+            endpoint,
+            request,
+            limits,
+            facts,
+            connection_use: None,
+        };
+        exchange.run().await
     }
 
     /// Waits until a response that has begun makes no progress.
@@ -69,6 +106,8 @@
 /// An attempt under way. It may use a second connection if the first turns out to be closed.
 struct Exchange<'a, P: Runtime> {
     upstream: &'a Rc<Upstream<P>>,
+    /// Its place among the request's attempts.
+    number: usize,
     endpoint: Endpoint,
     request: &'a Rc<UpstreamRequest>,
     limits: AttemptLimits,
@@ -96,9 +135,10 @@
         self.upstream.status.events.record_doubt(doubt);
         tracing::info!(
             request = self.request.correlation_id(),
+            attempt = self.number,
             address = %self.endpoint.address,
             %doubt,
-            connection_use = ?self.connection_use,
+            connection_use = self.connection_use.map(tracing::field::display),
             status = self.facts.response.status,
             copies_sent = self.facts.copies_sent,
             "rejection by a server is no proof"
@@ -139,37 +179,48 @@
             if let Err(refusal) = self.may_send(sent_at) {
                 self.upstream.status.events.record_refusal(refusal);
                 tracing::debug!(address = %self.endpoint.address, %refusal, "attempt not sent");
-                self.upstream.return_to_pool(self.endpoint.server, connection);
+                self.upstream.put_back(self.endpoint.server, connection);
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             self.upstream.status.discovery.record_attempt();
             self.connection_use = Some(connection.next_use());
             self.facts.connection_settled = !connection.is_used();
             let observer = connection.observer.clone();
-            if let Some(response) = self.receive_head(&mut connection, &observer).await {
-                let received = self.receive_response(connection, &observer, response).await;
-                self.note_exchange(&observer);
-                match self.resolve_doubt(received).await {
-                    Some(result) => return result,
-                    None if self.request.retry_safety == RetrySafety::NonIdempotent => {
-                        return AttemptResult::without_response(Outcome::ConnectionReset);
-                    }
-                    None => self.limits.note_sent(sent_at),
+            let next = match self.receive_head(&mut connection, &observer).await {
+                Some(response) => {
+                    let received = self.receive_response(connection, &observer, response).await;
+                    self.note_exchange(&observer);
+                    self.verify(received).await
                 }
-                continue;
-            }
-            self.note_exchange(&observer);
-            match self.after_break(&connection, sent_at) {
-                AfterBreak::Reconnect => {}
-                AfterBreak::Resend => {
-                    // The new connection may take longer to come up than the first copy is remembered.
-                    self.limits.note_sent(sent_at);
+                None => {
+                    self.note_exchange(&observer);
+                    self.after_break(&connection, sent_at)
                 }
-                AfterBreak::End(outcome) => return AttemptResult::without_response(outcome),
+            };
+            match next {
+                NextStep::End(result) => return *result,
+                NextStep::Resend(reason) => self.prepare_resend(reason, sent_at),
             }
         }
     }
 
+    /// Logs that the request is sent once more after `sent_at`, and keeps its repeats within their window.
+    fn prepare_resend(&mut self, reason: ResendReason, sent_at: Instant) {
+        let may_have_run = self.facts.copies_sent > 0;
+        let (request, attempt) = (self.request.correlation_id(), self.number);
+        let (address, reason) = (&self.endpoint.address, reason.name());
+        let connection_use = self.connection_use.map(tracing::field::display);
+        if may_have_run && self.needs_proof() {
+            tracing::info!(request, attempt, %address, reason, may_have_run, connection_use, "{RESEND_MESSAGE}");
+        } else {
+            tracing::debug!(request, attempt, %address, reason, may_have_run, connection_use, "{RESEND_MESSAGE}");
+        }
+        if may_have_run {
+            // The new connection may take longer to come up than the first copy is remembered.
+            self.limits.note_sent(sent_at);
+        }
+    }
+
     fn may_send(&self, now: Instant) -> Result<(), SendRefusal> {
         invariants::may_send(self.limits.send_facts(self.request, now))
     }
@@ -218,58 +269,69 @@
         }
     }
 
-    /// The end of the attempt, unless the response answers another request.
-    async fn resolve_doubt(&mut self, received: Received<P>) -> Option<AttemptResult> {
-        let (result, connection, suspect) = match received {
-            Received::Ended(result) => return Some(result),
+    /// What follows a response: where it may answer an earlier request, a check of its connection tells.
+    async fn verify(&mut self, received: Received<P>) -> NextStep {
+        let (result, connection, suspected) = match received {
+            Received::Ended(result) => return NextStep::End(Box::new(result)),
             Received::FinalRejection(result) => {
                 self.facts.connection_settled = true;
-                return Some(result);
+                return NextStep::End(Box::new(result));
             }
-            Received::InDoubt { result, connection, suspect } => (result, connection, suspect),
-        };
-        let trust = connection.as_ref().map(|connection| connection.trust.clone());
-        let in_step = match connection {
-            Some(connection) => {
-                self.upstream.check_in_step(self.endpoint.server, *connection, &self.limits).await
+            Received::Unverified { result, connection, suspected } => {
+                (result, connection, suspected)
             }
-            None => InStep::Unknown,
         };
-        self.log_doubt(suspect, in_step);
-        self.facts.connection_settled = in_step == InStep::Yes;
-        match (in_step, suspect) {
-            (InStep::Yes, Some(suspect)) => {
-                trust.into_iter().for_each(|trust| trust.acquit(suspect));
-                Some(result)
-            }
-            (_, Some(_)) => None,
-            // The facts tell what a rejection proves.
-            (_, None) => Some(result),
+        let state = self.check_sync(connection, suspected).await;
+        self.log_sync_check(suspected, state);
+        self.facts.connection_settled = state == SyncState::InSync;
+        let is_taken = state == SyncState::InSync || suspected.is_none();
+        match self.request.retry_safety {
+            // What a rejection proves is told by the facts.
+            _ if is_taken => NextStep::End(Box::new(result)),
+            RetrySafety::NonIdempotent => NextStep::end(Outcome::ConnectionReset),
+            _ => NextStep::Resend(ResendReason::Desync),
+        }
+    }
+
+    /// Whether the last response on `connection` answers the request; not known without one.
+    async fn check_sync(
+        &self,
+        connection: Option<Box<Connection<P>>>,
+        suspected: Option<SuspectedDesync>,
+    ) -> SyncState {
+        let Some(connection) = connection else { return SyncState::Unknown };
+        let history = connection.history.clone();
+        let state = self.upstream.check_sync(self.endpoint.server, *connection, &self.limits).await;
+        if state == SyncState::InSync
+            && let Some(suspected) = suspected
+        {
+            history.record_false_alarm(suspected);
         }
+        state
     }
 
-    /// Counts and logs that a response may answer an earlier request, and what a further message told.
-    fn log_doubt(&self, suspect: Option<Suspect>, in_step: InStep) {
-        let reason = suspect.map(|suspect| suspect.reason);
-        self.upstream.status.events.record_step_check(in_step, reason);
-        let (request, address) = (self.request.correlation_id(), &self.endpoint.address);
-        let (reason, connection_use) =
-            (reason.map_or("rejected", Misplaced::name), self.connection_use);
-        if in_step == InStep::Yes {
-            tracing::debug!(request, %address, reason, in_step = "yes", ?connection_use, "{DOUBT_MESSAGE}");
+    /// Counts and logs a check of whether a response answers this request, and what had spoken against that.
+    fn log_sync_check(&self, suspected: Option<SuspectedDesync>, state: SyncState) {
+        let sign = suspected.map(|suspected| suspected.sign);
+        self.upstream.status.events.record_sync_check(state, sign);
+        let (request, attempt) = (self.request.correlation_id(), self.number);
+        let (address, result) = (&self.endpoint.address, state.name());
+        let sign = sign.map_or("rejected", DesyncSign::name);
+        let connection_use = self.connection_use.map(tracing::field::display);
+        if state == SyncState::InSync {
+            tracing::debug!(request, attempt, %address, sign, result, connection_use, "{SYNC_CHECK_MESSAGE}");
         } else {
-            let in_step = in_step.name();
-            tracing::info!(request, %address, reason, in_step, ?connection_use, "{DOUBT_MESSAGE}");
+            tracing::info!(request, attempt, %address, sign, result, connection_use, "{SYNC_CHECK_MESSAGE}");
         }
     }
 
     /// What follows after the connection broke without a response to what was sent at `sent_at`.
-    fn after_break(&self, connection: &Connection<P>, sent_at: Instant) -> AfterBreak {
+    fn after_break(&self, connection: &Connection<P>, sent_at: Instant) -> NextStep {
         let observer = &connection.observer;
         let sent = observer.is_request_sent();
         if !sent && let Err(refusal) = self.may_send(P::now()) {
             self.upstream.status.events.record_refusal(refusal);
-            return AfterBreak::End(Outcome::NotSent);
+            return NextStep::end(Outcome::NotSent);
         }
         // A server may close a connection just as the request is written. An idempotent one goes to the
         // same server again at once, as part of the same attempt: the server has not chosen to fail
@@ -279,13 +341,13 @@
             && observer.response_active_at().is_none()
             && P::elapsed_since(sent_at) < STALE_CONNECTION_TIMEOUT;
         match (was_stale && self.request.retry_safety != RetrySafety::NonIdempotent, sent) {
-            (true, true) => AfterBreak::Resend,
-            (true, false) => AfterBreak::Reconnect,
-            (false, true) => AfterBreak::End(Outcome::ConnectionReset),
+            (true, true) => NextStep::Resend(ResendReason::StaleConnection),
+            (true, false) => NextStep::Resend(ResendReason::NotSent),
+            (false, true) => NextStep::end(Outcome::ConnectionReset),
             // An idle connection may be reset by the first byte written to it. The server has not begun
             // on the request, which gets a new connection.
-            (false, false) if connection.is_used() => AfterBreak::Reconnect,
-            (false, false) => AfterBreak::End(Outcome::ConnectFailed),
+            (false, false) if connection.is_used() => NextStep::Resend(ResendReason::NotSent),
+            (false, false) => NextStep::end(Outcome::ConnectFailed),
         }
     }
 }
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -1,19 +1,15 @@
 //! Active health checks.
 
-use std::cell::Cell;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::header::HeaderMap;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use runtime::{Runtime, timeout};
 
 use super::request::AttemptLimits;
 use super::send::send_request;
 use super::{Endpoint, Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
-use crate::settings::RetrySafety;
 use crate::sidecar::body::STREAM_WINDOW_BYTES;
 
 /// Where servers report their load.
@@ -79,7 +75,7 @@
         kind: HealthCheckKind,
     ) -> Result<HealthCheckResult, Outcome> {
         let mut connection = self.connect(endpoint).await.ok_or(Outcome::ConnectFailed)?;
-        let request = health_check_request(kind.path());
+        let request = UpstreamRequest::own(kind.path());
         let limits = AttemptLimits::unlimited(P::now() + self.live.timeouts().connect);
         let response = send_request(&mut connection, &request, &limits).await;
         let (head, body) = response.map(Response::into_parts).ok_or(Outcome::ConnectionReset)?;
@@ -93,17 +89,3 @@
         Ok(HealthCheckResult { outcome, report: self.live.names().load_report(&text) })
     }
 }
-
-fn health_check_request(path: &'static str) -> UpstreamRequest {
-    UpstreamRequest {
-        retry_safety: RetrySafety::Idempotent,
-        method: Method::GET,
-        target: hyper::Uri::from_static(path),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        upload: None,
-        reservation: None,
-        finished: Cell::default(),
-        client: None,
-    }
-}
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -4,16 +4,17 @@
 //! its result, is decided by the balancer.
 
 mod attempt_result;
+mod close_reason;
 mod connection;
+mod desync;
 mod exchange;
 mod health_check;
-mod in_step;
 mod observer;
 mod pool;
 mod request;
 mod response;
 mod send;
-mod trust;
+mod sync_check;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -29,11 +30,11 @@
 pub use attempt_result::{AttemptResult, UpstreamResponse};
 use connection::Connection;
 pub use connection::ConnectionUse;
+pub use desync::DesyncSign;
+use desync::ResponseHistory;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
-pub use in_step::InStep;
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
-pub use trust::Misplaced;
-use trust::ServerTrust;
+pub use sync_check::SyncState;
 
 /// A server, and the address to connect to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,7 +50,7 @@
     /// Idle connections of each server, the most recently used one last.
     idle: RefCell<FxHashMap<ServerId, Vec<Connection<P>>>>,
     /// What is known of the responses of each server.
-    trust: RefCell<FxHashMap<ServerId, Rc<ServerTrust>>>,
+    histories: RefCell<FxHashMap<ServerId, Rc<ResponseHistory>>>,
     /// How many connections were opened so far.
     opened: Cell<u64>,
     sockets: Rc<SocketBudget>,
@@ -68,7 +69,7 @@
     ) -> Rc<Upstream<P>> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
-            trust: RefCell::default(),
+            histories: RefCell::default(),
             opened: Cell::default(),
             sockets,
             body_memory,
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -15,7 +15,7 @@
 use runtime::{Observer, Runtime, Tcp};
 use tokio::sync::Notify;
 
-use super::trust::ServerTrust;
+use super::desync::ResponseHistory;
 use crate::sidecar::execution::ResponseFacts;
 use crate::sidecar::framing::{Framing, MessageKind};
 use crate::sidecar::status::Status;
@@ -23,11 +23,22 @@
 /// The length of the sequence that ends a head: CR LF CR LF.
 const HEAD_TERMINATOR_LENGTH: usize = 4;
 
+/// How far writing a request has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum RequestPhase {
+    /// There was no request yet.
+    #[default]
+    None,
+    /// Nothing of it has been written.
+    Begun,
+    /// Some of it has been written, or all.
+    Started,
+}
+
 /// How much of a request has been written.
 #[derive(Default)]
 struct RequestProgress {
-    /// Some of it has been written.
-    started: Cell<bool>,
+    phase: Cell<RequestPhase>,
     /// How many bytes of the head's terminator were the last to be written.
     terminator_matched: Cell<usize>,
     in_head: Cell<bool>,
@@ -40,7 +51,7 @@
 impl RequestProgress {
     /// Begins a request with a body of `body` bytes.
     fn begin(&self, body: u64) {
-        self.started.set(false);
+        self.phase.set(RequestPhase::Begun);
         self.terminator_matched.set(0);
         self.in_head.set(true);
         self.body_left.set(body);
@@ -73,7 +84,9 @@
 
     /// Notes that `bytes` were written; whether nothing of the request is left.
     fn advance(&self, mut bytes: &[u8]) -> bool {
-        self.started.set(self.started.get() || !bytes.is_empty());
+        if !bytes.is_empty() {
+            self.phase.set(RequestPhase::Started);
+        }
         if self.in_head.get() {
             match self.find_head_end(bytes) {
                 Ok(end) => {
@@ -99,9 +112,7 @@
     /// The address of the server.
     address: SocketAddr,
     /// What is known of the server's responses on all connections.
-    trust: Rc<ServerTrust>,
-    /// A request has been begun.
-    has_begun: Cell<bool>,
+    history: Rc<ResponseHistory>,
     request: RequestProgress,
     response: RefCell<Framing>,
     /// When the first bytes of the final response arrived, if any have.
@@ -123,13 +134,12 @@
     pub(super) fn new(
         address: SocketAddr,
         longest_body: usize,
-        trust: Rc<ServerTrust>,
+        history: Rc<ResponseHistory>,
         status: Rc<Status>,
     ) -> ExchangeObserver<P> {
         ExchangeObserver {
             address,
-            trust,
-            has_begun: Cell::new(false),
+            history,
             request: RequestProgress::default(),
             response: RefCell::new(Framing::new(MessageKind::Response, longest_body)),
             response_began_at: Cell::new(None),
@@ -145,7 +155,6 @@
 
     /// Begins an exchange whose request has a body of `body` bytes.
     pub(super) fn begin(&self, body: u64) {
-        self.has_begun.set(true);
         self.response.borrow_mut().start_next();
         self.response_began_at.set(None);
         self.response_active_at.set(None);
@@ -153,30 +162,26 @@
         self.holds_last_byte.set(false);
     }
 
-    /// Whether any request has been begun.
-    pub(super) fn has_begun(&self) -> bool {
-        self.has_begun.get()
-    }
-
     /// Looks for bytes that nobody has read on a connection that is about to be closed.
     pub(super) fn look_for_unread(&self, socket: &P::Tcp) {
-        let is_over = !self.has_begun() || self.response.borrow().is_complete();
-        if is_over && socket.try_read(&mut [0]).is_ok_and(|bytes| bytes > 0) {
-            self.record_stray();
+        let has_request = self.request.phase.get() != RequestPhase::None;
+        let is_over = !has_request || self.response.borrow().is_complete();
+        if is_over && socket.has_unread() {
+            self.record_unexpected_bytes();
         }
     }
 
     /// Notes that something arrived that belongs to no response: the connection cannot be used again.
-    pub(super) fn record_stray(&self) {
+    pub(super) fn record_unexpected_bytes(&self) {
         if self.unexpected_bytes.replace(true) {
             return;
         }
-        if let Some(time) = self.trust.record_stray(P::now()) {
-            self.status.events.record_distrust();
+        if let Some(time) = self.history.record_unexpected_bytes(P::now()) {
+            self.status.events.record_reuse_suspension();
             tracing::info!(
                 address = %self.address,
                 for_s = time.as_secs(),
-                "server sent what belongs to no response"
+                "server sent unexpected bytes, its connections are not reused"
             );
         }
     }
@@ -259,12 +264,12 @@
         let mut response = self.response.borrow_mut();
         // What arrives before the last byte of the request was written does not answer it.
         if !bytes.is_empty() && (!self.is_request_sent() || response.is_complete()) {
-            self.record_stray();
+            self.record_unexpected_bytes();
         }
         if let Err(fault) = response.feed(bytes) {
             if response.is_complete() {
                 // It follows a complete response, which hyper may have.
-                self.record_stray();
+                self.record_unexpected_bytes();
                 return Ok(());
             }
             tracing::debug!(%fault, "invalid response from server");
@@ -280,7 +285,7 @@
     }
 
     fn requires_silence(&self) -> bool {
-        self.has_begun() && !self.request.started.get()
+        self.request.phase.get() == RequestPhase::Begun
     }
 
     fn limits_writes(&self) -> bool {
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -51,6 +51,21 @@
 }
 
 impl UpstreamRequest {
+    /// A message of the sidecar's own, without an id.
+    pub(super) fn own(path: &'static str) -> UpstreamRequest {
+        UpstreamRequest {
+            retry_safety: RetrySafety::Idempotent,
+            method: Method::GET,
+            target: hyper::Uri::from_static(path),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            upload: None,
+            reservation: None,
+            finished: Cell::default(),
+            client: None,
+        }
+    }
+
     /// What identifies it in logs, here and at servers; empty if it has no such text.
     pub fn correlation_id(&self) -> &str {
         self.headers.get(CORRELATION_ID).and_then(|id| id.to_str().ok()).unwrap_or_default()
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -14,8 +14,9 @@
 
 use super::Upstream;
 use super::attempt_result::{AttemptResult, UpstreamResponse};
+use super::close_reason::CloseReason;
 use super::connection::Connection;
-use super::trust::{BodyFingerprint, Suspect};
+use super::desync::{BodyFingerprint, SuspectedDesync};
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
     BodyError, BoxedBody, PacedBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
@@ -82,13 +83,13 @@
     /// there (RFC 9112, section 9.6).
     FinalRejection(AttemptResult),
     /// It may answer an earlier request on its connection.
-    InDoubt {
+    Unverified {
         /// What it came to, if it answers this request.
         result: AttemptResult,
         /// The connection, if nothing of the response is still to come.
         connection: Option<Box<Connection<P>>>,
         /// What speaks against it; none if it has to be proven.
-        suspect: Option<Suspect>,
+        suspected: Option<SuspectedDesync>,
     },
 }
 
@@ -103,7 +104,7 @@
 struct Forwardable<P: Runtime> {
     response: UpstreamResponse,
     connection: Option<Connection<P>>,
-    accepted: Result<(), Suspect>,
+    accepted: Result<(), SuspectedDesync>,
 }
 
 impl<P: Runtime> Upstream<P> {
@@ -132,8 +133,10 @@
             return self.prove_rejection(server, connection, end(Outcome::Rejected));
         }
         if head.status != StatusCode::OK {
-            // On a used connection this may be a copy, with this request's own response still to come.
-            if !connection.is_used() {
+            if connection.is_used() {
+                // This may be a copy, with the request's own response still to come.
+                connection.close(CloseReason::NotServed);
+            } else {
                 self.discard_body(server, connection, body);
             }
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
@@ -144,9 +147,9 @@
         };
         let Forwardable { response, connection, accepted } = read;
         let result = AttemptResult { response: Some(response), ..end(Outcome::Success) };
-        if let Err(suspect) = accepted {
+        if let Err(suspected) = accepted {
             let connection = connection.map(Box::new);
-            return Received::InDoubt { result, connection, suspect: Some(suspect) };
+            return Received::Unverified { result, connection, suspected: Some(suspected) };
         }
         if let Some(connection) = connection {
             self.return_to_pool(server, connection);
@@ -163,7 +166,7 @@
     ) -> Received<P> {
         if connection.is_used() {
             let connection = Some(Box::new(connection));
-            return Received::InDoubt { result, connection, suspect: None };
+            return Received::Unverified { result, connection, suspected: None };
         }
         self.return_to_pool(server, connection);
         Received::Ended(result)
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -409,5 +409,32 @@
         thread::sleep(HOLD_UP / 2);
     }
     assert_eq!(server.seen().len(), requests.len());
-    assert!(!sidecar.log().contains("server sent what belongs to no response"));
+    assert!(!sidecar.log().contains("server sent unexpected bytes"));
+}
+
+/// The second keyed request gets the answer to the first, and is sent again: its server may have run it.
+#[test]
+fn resend_of_a_keyed_request_is_logged_with_its_attempt_and_reason() {
+    let waiting = Mutex::new(None);
+    let server = Server::start(move |id, socket| {
+        let second = lock(&waiting).replace(answer(id)).filter(|_| id == "second");
+        let text = second.unwrap_or_default() + &answer(id);
+        socket.write_all(text.as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(discovery(&[&server]));
+    assert!(sidecar.exchange(&Class::Keep.request("first")).ends_with("first"));
+    thread::sleep(HOLD_UP);
+    assert!(sidecar.exchange(&Class::Keep.request("second")).ends_with("second"));
+    let log = sidecar.log();
+    let has = |parts: &[&str]| log.lines().any(|line| parts.iter().all(|part| line.contains(part)));
+    let (request, attempt) = ("\"request\":\"second\"", "\"attempt\":0");
+    assert!(
+        has(&["request sent again on a new connection", request, attempt, "\"desync\""]),
+        "{log}"
+    );
+    assert!(
+        has(&["connection checked for an earlier response", request, attempt, "out_of_sync"]),
+        "{log}"
+    );
+    assert!(has(&["server sent unexpected bytes"]), "{log}");
 }
