Fakes: what a second answer looks like stands once, for the soak and the simulation

Change: fakes::second_answer, used by both servers; Scenario::add_server_faults for both kinds of scenarios, and one test of them; keep, is_rejected and NOT_FOUND shared by tests.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod program;
 pub mod registry;
 pub mod scripted;
+pub mod second_answer;
 pub mod wire;
 pub mod world;
 
--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -16,19 +16,22 @@
 use tokio::sync::{Semaphore, watch};
 
 mod broken_rejection;
-mod second_answer;
+mod second_answers;
 
 use self::broken_rejection::BrokenRejection;
-use self::second_answer::{SecondAnswer, SecondAnswers};
+use self::second_answers::SecondAnswers;
 use crate::account::{Account, ServerEvent};
+use crate::scripted::NOT_FOUND;
+use crate::second_answer::SecondAnswer;
 use crate::wire::{Message, Reader};
 
 /// With more idempotency keys than this, expired ones are removed.
 const MAX_KEYS: usize = 10_000;
-const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
 const BAD_REQUEST: &str = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
 const SERVER_ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 const GARBAGE: &str = "\u{1}\u{2}noise\r\n\r\n";
+/// The share of the answers sent a second time that are rejections.
+const REPEATED_REJECTION_SHARE: f64 = 0.3;
 /// How many bytes a truncated answer lacks.
 const TRUNCATED_BYTES: usize = 4;
 
@@ -247,7 +250,7 @@
         let next = tokio::time::timeout(shared.spec.idle_timeout, reader.next()).await;
         let Ok(Ok(Some(message))) = next else { return ConnectionEnd::Closed };
         if let Some(text) = second_answers.take()
-            && reader.get_mut().write_all(text.as_bytes()).await.is_err()
+            && reader.get_mut().write_all(&text).await.is_err()
         {
             return ConnectionEnd::Closed;
         }
@@ -360,11 +363,11 @@
 
     /// Serves or rejects a request, and has that sent a second time.
     async fn answer_twice(&self, id: &str, work: Duration) -> Reply {
-        let second = {
+        let (rejects, second) = {
             let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-            SecondAnswer::draw(&mut rng)
+            (rng.random_bool(REPEATED_REJECTION_SHARE), SecondAnswer::draw(&mut *rng))
         };
-        if second.rejects {
+        if rejects {
             return Reply::Twice(self.reject(id), second);
         }
         if !self.execute(id, work).await {
--- a/crates/fakes/src/scripted.rs
+++ b/crates/fakes/src/scripted.rs
@@ -8,7 +8,7 @@
 use crate::wire::{header, read_message};
 
 /// The answer to a message without an id.
-const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+pub const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
 
 /// A server that answers requests as its script says.
 pub struct Server {
@@ -32,7 +32,7 @@
         serve(listener, move |head, socket| {
             let id = request_id(head);
             if id.is_empty() {
-                return socket.write_all(NOT_FOUND).is_ok();
+                return socket.write_all(NOT_FOUND.as_bytes()).is_ok();
             }
             received.lock().expect("no panic").push(head.to_owned());
             script(&id, socket)
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod hold_ups;
 mod second_answers;
+mod server_faults;
 #[cfg(test)]
 mod tests;
 
--- a/crates/simulation/src/scenario/tests.rs
+++ b/crates/simulation/src/scenario/tests.rs
@@ -29,26 +29,21 @@
     assert!(names.contains("discovery-late") && names.contains("discovery-stale"), "{names:?}");
 }
 
-#[test]
-fn scenarios_with_broken_rejections_can_be_played_and_have_them() {
+/// Checks that the scenarios of seeds can be played and written, and that each has a fault of this name.
+fn assert_all_have_fault(draw: fn(u64) -> Scenario, name: &str) {
     for seed in 0..100 {
-        let drawn = Scenario::draw_with_broken_rejections(seed);
+        let drawn = draw(seed);
         drawn.validate().expect("it can be played");
         let read: Scenario = toml::from_str(&drawn.text()).expect("its own text");
         assert_eq!(read.text(), drawn.text());
-        assert!(drawn.faults.iter().any(|fault| fault.kind.name() == "broken-rejections"));
+        assert!(drawn.faults.iter().any(|fault| fault.kind.name() == name), "seed {seed}");
     }
 }
 
 #[test]
-fn scenarios_with_second_answers_can_be_played_and_have_them() {
-    for seed in 0..100 {
-        let drawn = Scenario::draw_with_second_answers(seed);
-        drawn.validate().expect("it can be played");
-        let read: Scenario = toml::from_str(&drawn.text()).expect("its own text");
-        assert_eq!(read.text(), drawn.text());
-        assert!(drawn.faults.iter().any(|fault| fault.kind.name() == "second-answers"));
-    }
+fn scenarios_with_faults_of_single_servers_can_be_played_and_have_them() {
+    assert_all_have_fault(Scenario::draw_with_broken_rejections, "broken-rejections");
+    assert_all_have_fault(Scenario::draw_with_second_answers, "second-answers");
 }
 
 #[test]
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -303,3 +303,16 @@
          Content-Length: 2\r\n\r\nab"
     )
 }
+
+/// A request of the class `keep`, whose key the servers of a zone recognize.
+pub fn keep(id: &str) -> String {
+    format!(
+        "POST /keep/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+         Idempotency-Key: key-{id}\r\nContent-Length: 2\r\n\r\nab"
+    )
+}
+
+/// Whether a client was told that it may send its request again.
+pub fn is_rejected(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429")
+}
--- a/tests/lifecycle/rejections.rs
+++ b/tests/lifecycle/rejections.rs
@@ -163,14 +163,6 @@
     }
 }
 
-/// A request of the class `keep`, whose key the servers of a zone recognize.
-fn keep(id: &str) -> String {
-    format!(
-        "POST /keep/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
-         Idempotency-Key: key-{id}\r\nContent-Length: 2\r\n\r\nab"
-    )
-}
-
 /// An order without a body.
 fn empty_order(id: &str) -> String {
     order(id).replace("Content-Length: 2\r\n\r\nab", "Content-Length: 0\r\n\r\n")
@@ -183,10 +175,6 @@
     order(id).replace("Content-Length: 2\r\n\r\nab", &length)
 }
 
-fn is_rejected(answer: &str) -> bool {
-    answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429")
-}
-
 /// Plays each form with a sidecar of its own, as servers that fail get fewer requests; what `check` found.
 fn play_each<F>(forms: Vec<Form>, check: F) -> Vec<String>
 where
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fakes::scripted::{answer_with, request_id, serve};
+use fakes::scripted::{NOT_FOUND, answer_with, request_id, serve};
 use fakes::wire::read_message;
 
 use crate::net::*;
@@ -117,14 +117,14 @@
         let peer = socket.peer_addr().ok();
         let waiting = peer.and_then(|peer| lock(&self.waiting).remove(&peer));
         if let Some(second) = waiting
-            && (!self.write_second(socket, &second) || self.fault.second == Second::ThenClose)
+            && (socket.write_all(second.as_bytes()).is_err()
+                || self.fault.second == Second::ThenClose)
         {
             return false;
         }
         let id = request_id(head);
         if id.is_empty() {
-            let not_found = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-            return socket.write_all(not_found.as_bytes()).is_ok();
+            return socket.write_all(NOT_FOUND.as_bytes()).is_ok();
         }
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         let is_rejected = number.is_multiple_of(REJECTED_ONE_IN);
@@ -161,10 +161,6 @@
             }
         }
     }
-
-    fn write_second(&self, socket: &mut TcpStream, second: &str) -> bool {
-        socket.write_all(second.as_bytes()).is_ok()
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -184,10 +180,7 @@
         match self {
             Class::Look => look(id),
             Class::Order => order(id),
-            Class::Keep => format!(
-                "POST /keep/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
-                 Idempotency-Key: key-{id}\r\nContent-Length: 2\r\n\r\nab"
-            ),
+            Class::Keep => keep(id),
         }
     }
 }
@@ -220,7 +213,7 @@
                 self.foreign.push(format!("{id}: {answer:?}"));
             }
         }
-        let refused = ["429", "503"].iter().any(|s| answer.starts_with(&format!("HTTP/1.1 {s}")));
+        let refused = is_rejected(answer);
         let zones = |server: &usize| server % 2;
         let is_broken = match class {
             Class::Look => false,
