Soak: reads and writes fail for want of buffers in every run

Change: two reads and writes in a thousand have no buffers in the soak; it draws no hold-ups between two calls.

--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -22,6 +22,8 @@
 mod rejections;
 mod replacement;
 
+/// In how many of a thousand reads and writes the system has no buffers.
+const SHORTAGE_RATE: u32 = 2;
 /// How long before the end all faults are over.
 pub const QUIET_END: Duration = Duration::from_secs(11);
 /// When the first fault begins, in seconds.
@@ -358,6 +360,8 @@
             socket: rate(20),
             connect: rate(30),
             broken: rate(3),
+            memory: SHORTAGE_RATE,
+            hold: 0,
             file: 0,
         }
     }
