lb-config: a new control server whose first write fails repeats it

Cause: load_state returned the error of its first write; only later writes are repeated.

Change: the first write is repeated every 0.2 s, with a warning. Errors that do not pass (a directory that cannot be used, another process that has it) still end the start.

Result: new_control_server_whose_first_writes_fail_starts_once_they_succeed failed before (no host had the change after 30 s), and passes. host_whose_calls_are_interrupted_checks_and_applies_a_configuration passes with and without it: the risk that tokio's signal driver ends lb-config's host at EINTR does not come up, as processes are waited for by pidfd.

--- a/crates/config-distribution/src/net/control.rs
+++ b/crates/config-distribution/src/net/control.rs
@@ -8,12 +8,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::Clock;
 use super::http::serve;
@@ -25,6 +26,8 @@
 pub const BYTES_PER_HOST: usize = 48 << 10;
 /// Connections of origins and operators, beyond those of the hosts and members.
 const EXTRA_CONNECTIONS: usize = 64;
+/// The pause after the first state could not be written.
+const FIRST_WRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// What a control server is configured with.
 #[derive(Clone, Debug)]
@@ -69,10 +72,11 @@
 ///
 /// # Errors
 ///
-/// At the start, the state cannot be read or written. Later on, a failed write is repeated, and delays what it is for.
+/// At the start, the state cannot be read, or another process uses it. A failed write is repeated, and delays what it
+/// is for.
 pub async fn run(listener: TcpListener, config: Config) -> Result<(), StoreError> {
     let store = StateStore::open(&config.state_dir)?;
-    let state = load_state(&store, config.is_new_member)?;
+    let state = load_state(&store, config.is_new_member).await?;
     let members = config.peers.len() + 1;
     let settings =
         ControlSettings { name: config.name.clone(), members, max_hosts: config.max_hosts };
@@ -127,8 +131,8 @@
     }
 }
 
-/// The stored state; `None` where it was lost.
-fn load_state(
+/// The stored state; `None` where it was lost. That of a new member is on disk once this returns.
+async fn load_state(
     store: &StateStore,
     is_new_member: bool,
 ) -> Result<Option<PersistentState>, StoreError> {
@@ -137,7 +141,10 @@
         return Ok(stored);
     }
     let state = PersistentState::default();
-    store.write(&state)?;
+    while let Err(error) = store.write(&state) {
+        tracing::warn!(%error, "failed to write the first state, retrying");
+        sleep(FIRST_WRITE_RETRY_DELAY).await;
+    }
     Ok(Some(state))
 }
 
--- a/crates/config-distribution/tests/faults.rs
+++ b/crates/config-distribution/tests/faults.rs
@@ -2,16 +2,18 @@
 
 mod common;
 
+use std::fs;
 use std::thread;
 use std::time::Duration;
 
-use common::{Cluster, names};
+use common::{Cluster, Program, names};
 use config_distribution::documents::MAX_BODY_BYTES;
 use config_distribution::net::http::CallError;
-use fakes::faulty_calls::{FaultRates, environment_for_files};
+use fakes::faulty_calls::{FaultRates, environment, environment_for_files};
+use fakes::program::Folder;
 use fakes::until;
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[test]
 fn change_reaches_all_hosts_with_one_control_server_killed_and_one_stopped() {
@@ -193,7 +195,7 @@
     let mut cluster = Cluster::start(3);
     let lose_disk = |cluster: &mut Cluster, n: usize| {
         cluster.servers[n] = None;
-        std::fs::remove_dir_all(cluster.state_dir(n)).expect("it had state");
+        fs::remove_dir_all(cluster.state_dir(n)).expect("it had state");
         cluster.restart_server(n);
     };
     cluster.publish(0, "a", &json!({"n": 1}));
@@ -228,7 +230,7 @@
 fn invalid_document_is_rejected_by_the_origin() {
     let cluster = Cluster::start(1);
     cluster.publish(0, "a", &json!({"n": 1}));
-    let rejection = |key: &str, body: serde_json::Value| match cluster.request_origin(
+    let rejection = |key: &str, body: Value| match cluster.request_origin(
         0,
         "/config/publish",
         Some(json!({"key": key, "body": body})),
@@ -272,3 +274,52 @@
     let ended = cluster.servers.iter_mut().flatten().filter_map(|s| s.has_ended().then_some(()));
     assert_eq!(ended.count(), 0, "control servers that ended by themselves");
 }
+
+/// Its disk is full as it starts for the first time.
+#[test]
+fn new_control_server_whose_first_writes_fail_starts_once_they_succeed() {
+    let mut cluster = Cluster::start(1);
+    cluster.servers[0] = None;
+    fs::remove_dir_all(cluster.state_dir(0)).expect("removed");
+    let rates = FaultRates { seed: 3, file: 500, ..FaultRates::default() };
+    let env = environment_for_files(rates, "/state.new").expect("a C compiler");
+    cluster.start_server_with_env(0, &["--new"], &env);
+    let hosts = cluster.start_hosts(&names("h", 1), &[0]);
+    cluster.publish(0, "a", &json!({"n": 1}));
+    hosts.wait_until_applied(1);
+    let server = cluster.servers[0].as_mut().expect("started");
+    assert!(!server.has_ended(), "it has ended");
+}
+
+/// The program that checks a configuration is started and waited for while calls are interrupted.
+#[test]
+fn host_whose_calls_are_interrupted_checks_and_applies_a_configuration() {
+    let cluster = Cluster::start(1);
+    let folder = Folder::new("host");
+    let (base, config) = (folder.path().join("base.json"), folder.path().join("config.json"));
+    fs::write(&base, r#"{"name":"h","listen":"127.0.0.1:1"}"#).expect("written");
+    let arguments = [
+        "host",
+        "--name=h",
+        "--zone=z",
+        "--service=a",
+        &format!("--control={}", cluster.member_arguments(None)[0]),
+        "alone",
+        &format!("--base={}", base.display()),
+        &format!("--config={}", config.display()),
+        "--program=/bin/true",
+    ]
+    .map(str::to_owned);
+    let rates = FaultRates { seed: 5, interrupted: 300, ..FaultRates::default() };
+    let env = environment(rates, None).expect("a C compiler");
+    let mut host = Program::start_with_env(&arguments, &folder.path().join("log"), &env);
+    for n in 1..=10 {
+        cluster.publish(0, "a", &json!({"n": n}));
+        until("the configuration is applied", || {
+            let text = fs::read_to_string(&config).unwrap_or_default();
+            let value: Value = serde_json::from_str(&text).unwrap_or_default();
+            value["n"] == n
+        });
+    }
+    assert!(!host.has_ended(), "it has ended");
+}
