--- a/tests/balancer/ejection.rs
+++ b/tests/balancer/ejection.rs
@@ -138,3 +138,22 @@
         assert!(out_for < FIRST_PAUSE, "{recovered:?} is used again after {} ms", out_for / MS);
     }
 }
+
+/// However long it has failed: the pause between two trials is bounded.
+#[test]
+fn server_that_failed_for_long_is_tried_within_eight_longest_deadlines_of_its_recovery() {
+    let servers: Vec<_> = (0..4).map(|n| server(2 * n)).collect();
+    let mut b = Bench::new(settings(|_| {}), 1, &servers);
+    let failing = ServerId(0);
+    for _ in 0..24_000 {
+        let (id, out) = b.request(2);
+        b.now += 5 * MS;
+        let Some(to) = sent(&out) else { continue };
+        let outcome = if to == failing { Outcome::ConnectionReset } else { Outcome::Success };
+        b.answer(id, 0, to, outcome, 0.0);
+    }
+    // The longest deadline is 1.5 s, and a pause is up to a quarter longer by chance.
+    let bound = 8 * 1500 * MS * 5 / 4;
+    let out_for = time_until_used(&mut b, failing);
+    assert!(out_for < bound, "it is used again after {} ms", out_for / MS);
+}
--- a/tests/balancer/slow_start.rs
+++ b/tests/balancer/slow_start.rs
@@ -208,13 +208,18 @@
 /// The share of all requests, those that are rejected among them, that servers which warm up get once `drained` of twenty
 /// warm servers drain at the same time; `joined` servers have just joined.
 fn share_of_warming_servers(joined: u64, drained: u64) -> f64 {
+    share_after_drain(joined, drained, 20)
+}
+
+/// The same for sidecars that have sent `known` requests before most servers drained.
+fn share_after_drain(joined: u64, drained: u64, known: usize) -> f64 {
     let fleet = 20;
     let (mut to_warming, mut all) = (0, 0);
     for seed in 0..100 {
         let servers: Vec<_> = (0..fleet).map(server).collect();
         let mut b = Bench::new(settings_of_one(seed, 100), seed, &servers);
         b.servers(ListKind::Complete, &servers);
-        b.rounds(20);
+        b.rounds(known);
         b.now += S;
         let joining =
             (fleet..fleet + joined).map(|n| ServerEntry { started_at: b.now, ..server(n) });
@@ -252,3 +257,31 @@
     let due = 0.2 * 10.0 / 12.0;
     assert!((0.7 * due..2.5 * due).contains(&share), "{share}, due {due}");
 }
+
+/// A sidecar that was started when most servers had drained has never seen what they could take.
+#[test]
+fn warming_up_servers_do_not_take_the_place_of_a_fleet_that_drained_before_the_start() {
+    let share = share_after_drain(1, 19, 0);
+    let due = 0.2 / 20.0;
+    assert!(share < 3.0 * due, "{share}, due {due}");
+}
+
+/// With a right clock, a server that has nearly warmed up is as good after a restart of the sidecar as before.
+#[test]
+fn newest_server_keeps_its_age_over_a_restart_of_the_sidecar() {
+    let n = 10;
+    let newest = ServerEntry { started_at: START - 19 * S, ..server(n) };
+    let (mut to_newest, mut all) = (0, 0);
+    for seed in 0..100 {
+        let listed: Vec<_> = (0..n).map(server).chain([newest.clone()]).collect();
+        let mut b = Bench::new(settings_of_one(seed, 100), seed, &listed);
+        b.servers(ListKind::Complete, &listed);
+        for _ in 0..20 {
+            all += 1;
+            to_newest += u32::from(b.round(0, 1.0) == Some(newest.id));
+        }
+    }
+    let share = f64::from(to_newest) / f64::from(all);
+    let due = 0.95 / 10.95;
+    assert!(share > 0.5 * due, "{share}, due {due}");
+}
--- a/tests/lifecycle/discovery.rs
+++ b/tests/lifecycle/discovery.rs
@@ -368,3 +368,81 @@
     let later = first.seen().len() - received;
     assert!(later <= 1, "{later} requests to a draining server");
 }
+
+/// An agent that sends each answer a second time, 20 ms later, and holds watches for a while.
+#[test]
+fn second_copies_of_the_list_in_force_delay_no_change() {
+    const COPY_DELAY: Duration = Duration::from_millis(20);
+    const HOLD: Duration = Duration::from_millis(90);
+    let (first, second) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start(discovery(&[&first]));
+    let entries = [Entry::new(first.at, "a"), Entry::new(second.at, "a")];
+    let changed_at = Arc::new(Mutex::new(None));
+    let change = changed_at.clone();
+    let agent = Agent::start(move |_, path, socket| {
+        let is_changed = || change.lock().expect("no panic").is_some();
+        let until = Instant::now() + HOLD;
+        while path.contains("from=100") && !is_changed() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let (version, health) = if is_changed() { (101, "leaving") } else { (100, "active") };
+        let first = Entry { health, ..entries[0].clone() };
+        let (mut later, hosts) =
+            (socket.try_clone().expect("a handle"), [first, entries[1].clone()]);
+        let copy = hosts.clone();
+        thread::spawn(move || {
+            thread::sleep(COPY_DELAY);
+            write_list(&mut later, version, true, &copy)
+        });
+        write_list(socket, version, true, &hosts)
+    });
+    agent.becomes_discovery_of(&sidecar);
+    sidecar.wait_until_reaches(&second);
+    thread::sleep(Duration::from_millis(500));
+    let changed = Instant::now();
+    *changed_at.lock().expect("no panic") = Some(changed);
+    let mut received = 0;
+    for n in 0.. {
+        sidecar.exchange(&look(&format!("look{n}")));
+        match changed.elapsed() {
+            elapsed if elapsed <= Duration::from_millis(550) => received = first.seen().len(),
+            elapsed if elapsed > Duration::from_millis(1500) => break,
+            _ => {}
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    let later = first.seen().len() - received;
+    assert!(later <= 1, "{later} requests to a draining server");
+}
+
+/// The version of the new list is by chance that of the old one.
+#[test]
+fn agent_that_counts_anew_up_to_the_same_version_is_followed() {
+    let (first, second) = (Server::echo(), Server::echo());
+    let sidecar = Sidecar::start(discovery(&[&first]));
+    let entries = [Entry::new(first.at, "a"), Entry::new(second.at, "a")];
+    let restarted = Arc::new(Mutex::new(false));
+    let is_restarted = restarted.clone();
+    let agent = Agent::start(move |_, path, socket| {
+        if path.contains("from=5") {
+            thread::sleep(Duration::from_millis(50));
+            return write_list(socket, 5, false, &[]);
+        }
+        let health = if *is_restarted.lock().expect("no panic") { "leaving" } else { "active" };
+        let first = Entry { health, ..entries[0].clone() };
+        write_list(socket, 5, true, &[first, entries[1].clone()])
+    });
+    agent.becomes_discovery_of(&sidecar);
+    sidecar.wait_until_reaches(&second);
+    let requests = |name: &str| {
+        (0..20).for_each(|n| drop(sidecar.exchange(&look(&format!("{name}{n}")))));
+        first.seen().len()
+    };
+    let before = first.seen().len();
+    assert!(requests("before") > before, "it is used");
+    *restarted.lock().expect("no panic") = true;
+    thread::sleep(Duration::from_millis(550));
+    let received = first.seen().len();
+    requests("after");
+    assert_eq!(first.seen().len(), received, "requests to a draining server");
+}
--- a/tests/lifecycle/draining.rs
+++ b/tests/lifecycle/draining.rs
@@ -231,6 +231,12 @@
     assert_grace_holds(&troubles);
 }
 
+/// Slower than the agents that the calls are timed for.
+#[test]
+fn grace_holds_for_answers_that_take_longer_than_the_grace() {
+    assert_grace_holds(&[Trouble { answer_delay: milliseconds(600), ..Trouble::default() }]);
+}
+
 /// Plays each trouble, all at the same time, and checks when the last new request came to a server that was gone.
 fn assert_grace_holds(troubles: &[Trouble]) {
     let lags = LagWatch::start();
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -321,7 +321,9 @@
 /// A body that was made anew: neither its bytes nor, some way into the request's time, its moment tell it apart.
 #[test]
 fn second_answer_with_another_body_answers_no_other_request() {
-    check(&[12, 25, 40, 60, 250].map(|ms| later(Second::OtherBody, ms, 2)));
+    let mut faults = [12, 25, 40, 60, 250].map(|ms| later(Second::OtherBody, ms, 2)).to_vec();
+    faults.push(Fault { second: Second::OtherBody, when: When::NextRequest, one_in: 2 });
+    check(&faults);
 }
 
 #[test]
@@ -431,3 +433,34 @@
     );
     assert!(has(&["server sent unexpected bytes"]), "{log}");
 }
+
+/// The message that would show the connection synchronized proves nothing there.
+#[test]
+fn rejected_order_at_a_server_that_serves_messages_without_an_id_is_served_elsewhere() {
+    let rejected = Arc::new(Mutex::new(Vec::<String>::new()));
+    let entries = (0..2).map(|_| {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let at = listener.local_addr().expect("an address");
+        let rejected = rejected.clone();
+        serve(listener, move |head, socket| {
+            let id = request_id(head);
+            let is_first = id.starts_with("order") && !lock(&rejected).contains(&id);
+            if is_first {
+                lock(&rejected).push(id.clone());
+            }
+            let text = match is_first {
+                true => Answers::new(&id, true, Second::Same).first,
+                false => answer(&id),
+            };
+            socket.write_all(text.as_bytes()).is_ok()
+        });
+        Entry::new(at, "a")
+    });
+    let sidecar = Sidecar::start(Registry::start(entries.collect()));
+    for n in 0..4 {
+        sidecar.exchange(&look(&format!("warm{n}")));
+    }
+    thread::sleep(HOLD_UP);
+    let answer = sidecar.exchange(&order("order"));
+    assert!(answer.ends_with("order"), "{answer:?}");
+}
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -102,6 +102,18 @@
     assert_eq!(admin_figure(&sidecar, "pool_size"), 4096);
 }
 
+/// Changes alone make the room, and name none of the servers that were passed over.
+#[test]
+fn server_passed_over_is_taken_up_once_others_are_gone() {
+    let (server, passed_over) = (Server::echo(), Server::echo());
+    let mut listed = server_list(4200, &server);
+    listed.push(Entry::new(passed_over.at, "a"));
+    let registry = Registry::start(listed);
+    let sidecar = Sidecar::start_with(registry.clone(), |config| set_memory(config, 16));
+    (1..200).for_each(|n| registry.set_health(&format!("server-{n:05}"), "left"));
+    sidecar.wait_until_reaches(&passed_over);
+}
+
 /// A list whose text is too long is not read at all: the log has its size and the limit, and operators a
 /// figure. It is requested again, and a shorter one is used.
 #[test]
