Failing tests: copies of long and of old answers answer other requests

What a client sees: the answer to another request, where a copy of an earlier one comes well into a request's time: of an answer of over 64 KiB, which is forwarded while it is received and whose body is not remembered, or of one that lies more than eight requests back on its connection.

--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -19,7 +19,10 @@
 const CLIENTS: usize = 8;
 /// How long a client pauses between two requests.
 const PAUSE: Duration = Duration::from_millis(45);
+/// For how long requests are sent, and as long again as second answers take.
 const PLAY_TIME: Duration = Duration::from_millis(2500);
+/// What stands ahead of the request's id in an answer that is too long to be kept in memory, in bytes.
+const LONG_BYTES: usize = 100 << 10;
 /// One in so many requests is rejected without being executed.
 const REJECTED_ONE_IN: usize = 4;
 const PLAYS_AT_ONCE: usize = 5;
@@ -38,6 +41,8 @@
     ThenClose,
     /// Whole, with a body that no answer has had before.
     OtherBody,
+    /// A copy, of an answer that is forwarded while it is received.
+    Long,
 }
 
 const FORMS: [Second; 5] =
@@ -52,6 +57,16 @@
     NextRequest,
 }
 
+impl When {
+    /// The longest time after the first answer that is known beforehand.
+    fn delay(self) -> Duration {
+        match self {
+            When::Later(ms) => Duration::from_millis(ms),
+            When::NextRequest => Duration::ZERO,
+        }
+    }
+}
+
 /// What the servers of a play do.
 #[derive(Clone, Copy, Debug)]
 struct Fault {
@@ -79,9 +94,14 @@
             ),
             false => answer_with(id, load),
         };
-        let first = text("queue=0,inflight=1");
+        let first = match second {
+            Second::Long if !is_rejected => {
+                answer(&format!("{}\r\n\r\n{id}", "x".repeat(LONG_BYTES)))
+            }
+            _ => text("queue=0,inflight=1"),
+        };
         let second = match second {
-            Second::Same | Second::ThenClose => first.clone(),
+            Second::Same | Second::ThenClose | Second::Long => first.clone(),
             Second::OtherReport => text("queue=12,inflight=10"),
             Second::BehindInterim => format!("HTTP/1.1 103 Early Hints\r\n\r\n{first}"),
             Second::Cut => first[..first.len() - 2].to_owned(),
@@ -235,7 +255,7 @@
         Entry::new(at, if index % 2 == 0 { "a" } else { "b" })
     });
     let sidecar = Sidecar::start(Registry::start(entries.collect()));
-    let end = Instant::now() + PLAY_TIME;
+    let end = Instant::now() + PLAY_TIME + fault.when.delay();
     let client = |number: usize| {
         let mut exchanged = Vec::new();
         while Instant::now() < end {
@@ -307,6 +327,19 @@
     check(&faults);
 }
 
+/// By then its connection has carried many others.
+#[test]
+fn second_answer_a_second_or_more_after_the_first_answers_no_other_request() {
+    check(&[700, 1000, 1500, 2000].map(|ms| later(Second::Same, ms, 2)));
+}
+
+#[test]
+fn second_copy_of_a_long_answer_answers_no_other_request() {
+    let mut faults = [12, 40, 60, 250].map(|ms| later(Second::Long, ms, 2)).to_vec();
+    faults.push(Fault { second: Second::Long, when: When::NextRequest, one_in: 2 });
+    check(&faults);
+}
+
 #[test]
 fn rare_second_answer_answers_no_other_request() {
     check(&[6, 12, 25, 60, 250].map(|ms| later(Second::Same, ms, 10)));
@@ -464,3 +497,63 @@
     let answer = sidecar.exchange(&order("order"));
     assert!(answer.ends_with("order"), "{answer:?}");
 }
+
+/// A server that answers the first request of a connection with this body, and once more well into the time of
+/// its request number `behind`.
+fn answering_again(first: String, behind: usize) -> SocketAddr {
+    const WORK: Duration = Duration::from_millis(5);
+    const COPY_DELAY: Duration = Duration::from_millis(20);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    let requests = Mutex::new(HashMap::<SocketAddr, usize>::new());
+    serve(listener, move |head, socket| {
+        let id = request_id(head);
+        let Ok(peer) = socket.peer_addr() else { return false };
+        let number = {
+            let mut requests = lock(&requests);
+            let number = requests.entry(peer).or_default();
+            *number += 1;
+            *number
+        };
+        if id.is_empty() {
+            return socket.write_all(NOT_FOUND.as_bytes()).is_ok();
+        }
+        thread::sleep(WORK);
+        if number == behind {
+            thread::sleep(COPY_DELAY);
+            let written = socket.write_all(answer(&first).as_bytes());
+            thread::sleep(COPY_DELAY);
+            return written.is_ok() && socket.write_all(answer(&id).as_bytes()).is_ok();
+        }
+        let body = if number == 1 { &first } else { &id };
+        socket.write_all(answer(body).as_bytes()).is_ok()
+    });
+    at
+}
+
+/// Sends safe requests one after the other to such a server, and asserts that each gets its own answer.
+fn assert_copy_answers_no_request(first: &str, behind: usize) {
+    let server = Entry::new(answering_again(first.to_owned(), behind), "a");
+    let sidecar = Sidecar::start(Registry::start(vec![server]));
+    sidecar.exchange(&look("first"));
+    for n in 1..=behind {
+        thread::sleep(PAUSE);
+        let id = format!("look{n}");
+        let answer = sidecar.exchange(&look(&id));
+        assert!(
+            answer.ends_with(&format!("\r\n\r\n{id}")),
+            "{id}: {:?}",
+            &answer[..answer.len().min(200)]
+        );
+    }
+}
+
+#[test]
+fn copy_of_a_long_answer_within_the_next_request_does_not_answer_it() {
+    assert_copy_answers_no_request(&"x".repeat(LONG_BYTES), 2);
+}
+
+#[test]
+fn copy_of_an_answer_that_is_many_requests_old_answers_no_other() {
+    assert_copy_answers_no_request("first", 40);
+}
