Upstream: a connection carries 64 requests, whose bodies are known, none behind a stream

What a client saw: the answer to another request. A copy of an answer over 64 KiB in chunks, or of one more than eight requests back, that came well into a request's time, was served to it.

Cause: the last eight bodies of a connection were known, and none that is forwarded while it is received; the connection went on.

Change: the bodies of all responses of a connection are known, and it is closed after 64; one whose last response was streamed is closed behind it. A response that is checked and found to be the request's own is remembered as well.

Evidence: copy_of_a_long_answer_within_the_next_request and copy_of_an_answer_that_is_many_requests_old failed before (long answer, `first` for look39), and pass.

--- a/crates/fakes/src/wire.rs
+++ b/crates/fakes/src/wire.rs
@@ -24,12 +24,31 @@
             break;
         }
     }
-    let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
+    let is_chunked = header(&head, "transfer-encoding").is_some_and(|value| value == "chunked");
+    let body = if is_chunked {
+        read_chunks(reader)?
+    } else {
+        let length = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        body
+    };
     Some((head, body))
 }
 
+/// Reads a body in chunks, without trailers.
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut encoded = Vec::new();
+    loop {
+        if reader.read_until(b'\n', &mut encoded).ok()? == 0 {
+            return None;
+        }
+        if let Some((body, _)) = decode_chunked(&encoded).ok()? {
+            return Some(body);
+        }
+    }
+}
+
 /// The value of a header in a head.
 pub fn header(head: &str, name: &str) -> Option<String> {
     let headers = head.lines().skip(1).filter_map(|line| line.split_once(':'));
--- a/src/sidecar/upstream/close_reason.rs
+++ b/src/sidecar/upstream/close_reason.rs
@@ -14,6 +14,10 @@
     NotReusable,
     /// It had carried other requests, and the last response did not serve its request.
     NotServed,
+    /// It has carried as many requests as it may.
+    RequestLimit,
+    /// The last response was forwarded while it was received: a copy of it would not be known by its body.
+    Streamed,
     /// The server has sent unexpected bytes lately.
     ReuseSuspended,
     /// The server is at another address.
@@ -33,6 +37,8 @@
             CloseReason::ClosedByServer => "closed_by_server",
             CloseReason::NotReusable => "not_reusable",
             CloseReason::NotServed => "not_served",
+            CloseReason::RequestLimit => "request_limit",
+            CloseReason::Streamed => "streamed",
             CloseReason::ReuseSuspended => "reuse_suspended",
             CloseReason::AddressChanged => "address_changed",
             CloseReason::Evicted => "evicted",
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -13,7 +13,8 @@
 
 use super::close_reason::CloseReason;
 use super::desync::{
-    BodyFingerprint, LaterResponse, QUIET_PERIOD, RecentBodies, ResponseHistory, SuspectedDesync,
+    BodyFingerprint, LaterResponse, MAX_REQUESTS, QUIET_PERIOD, RecentBodies, ResponseHistory,
+    SuspectedDesync,
 };
 use super::observer::ExchangeObserver;
 use super::request::RequestBody;
@@ -67,7 +68,7 @@
     /// How long after its request the last response began, if that was served.
     last_delay: Option<Duration>,
     earlier_bodies: RecentBodies,
-    /// It has carried a message that tells whether it is in step: the answer to another could be a copy.
+    /// It has carried a message that tells whether it is synchronized: the answer to another could be a copy.
     pub(super) is_sync_checked: bool,
     /// What is known of the server's responses on all connections.
     pub(super) history: Rc<ResponseHistory>,
@@ -133,6 +134,11 @@
         self.earlier_requests > 0
     }
 
+    /// Whether it may carry another request: a copy of any response so far would be known.
+    pub(super) fn is_below_request_limit(&self) -> bool {
+        self.earlier_requests < MAX_REQUESTS
+    }
+
     /// Whether it has rested long enough to be used again.
     pub(super) fn is_past_quiet_period(&self) -> bool {
         !self.is_used() || P::elapsed_since(self.idle_since) >= QUIET_PERIOD
@@ -163,21 +169,22 @@
         body: Option<BodyFingerprint>,
     ) -> Result<(), SuspectedDesync> {
         let delay = self.observer.response_delay().unwrap_or_default();
-        if self.is_used() {
+        let accepted = if self.is_used() {
             let response = LaterResponse {
                 in_turn: self.observer.is_clean(),
                 delay,
                 body,
                 earlier_bodies: &self.earlier_bodies,
             };
-            self.history.check_response(response)?;
+            self.history.check_response(response)
         } else {
             self.history.record_response(delay);
-        }
+            Ok(())
+        };
         if let Some(body) = body {
             self.earlier_bodies.push(body);
         }
-        Ok(())
+        accepted
     }
 
     /// Sets why it is about to be closed.
--- a/src/sidecar/upstream/desync.rs
+++ b/src/sidecar/upstream/desync.rs
@@ -7,7 +7,8 @@
 //! [`sync_check`](super::sync_check)), and a server whose connections have carried bytes that belong to no response
 //! gets each request on a new one for a while.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt::{self, Display, Formatter};
 use std::hash::Hasher;
 use std::time::{Duration, Instant};
@@ -23,7 +24,9 @@
 /// A response that begins within this part of the shortest time that the server has needed was made before.
 const TOO_SOON_DIVISOR: u32 = 2;
 /// How many bodies are remembered of a connection, and how many of a server that were rightly repeated.
-const MAX_BODIES: usize = 8;
+const MAX_BODIES: usize = 64;
+/// How many requests a connection carries: a copy of any of its responses is known by its body.
+pub(super) const MAX_REQUESTS: u32 = MAX_BODIES as u32;
 
 /// What identifies the whole body of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,21 +42,22 @@
 }
 
 /// The latest of some bodies.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct RecentBodies {
-    bodies: [BodyFingerprint; MAX_BODIES],
-    count: usize,
+    bodies: VecDeque<BodyFingerprint>,
 }
 
 impl RecentBodies {
-    /// Adds a body.
+    /// Adds a body; the oldest gives way if there are too many.
     pub(super) fn push(&mut self, body: BodyFingerprint) {
-        self.bodies[self.count % MAX_BODIES] = body;
-        self.count += 1;
+        if self.bodies.len() == MAX_BODIES {
+            self.bodies.pop_front();
+        }
+        self.bodies.push_back(body);
     }
 
     fn contains(&self, body: BodyFingerprint) -> bool {
-        self.bodies[..self.count.min(MAX_BODIES)].contains(&body)
+        self.bodies.contains(&body)
     }
 }
 
@@ -125,7 +129,7 @@
     /// The shortest time to the beginning of a response that is beyond doubt.
     fastest_response: Cell<Option<Duration>>,
     /// Bodies that answered more than one request.
-    repeated_bodies: Cell<RecentBodies>,
+    repeated_bodies: RefCell<RecentBodies>,
 }
 
 impl ResponseHistory {
@@ -175,7 +179,7 @@
             return suspected(DesyncSign::TooSoon);
         }
         let is_repeated =
-            |body| earlier_bodies.contains(body) && !self.repeated_bodies.get().contains(body);
+            |body| earlier_bodies.contains(body) && !self.repeated_bodies.borrow().contains(body);
         if body.is_some_and(is_repeated) {
             return suspected(DesyncSign::RepeatedBody);
         }
@@ -186,11 +190,7 @@
     pub(super) fn record_false_alarm(&self, suspected: SuspectedDesync) {
         match (suspected.sign, suspected.body) {
             (DesyncSign::TooSoon, _) => self.record_response(suspected.delay),
-            (DesyncSign::RepeatedBody, Some(body)) => {
-                let mut repeated = self.repeated_bodies.get();
-                repeated.push(body);
-                self.repeated_bodies.set(repeated);
-            }
+            (DesyncSign::RepeatedBody, Some(body)) => self.repeated_bodies.borrow_mut().push(body),
             (DesyncSign::OutOfTurn | DesyncSign::RepeatedBody, _) => {}
         }
     }
--- a/src/sidecar/upstream/desync/tests.rs
+++ b/src/sidecar/upstream/desync/tests.rs
@@ -48,12 +48,17 @@
 }
 
 #[test]
-fn body_counts_as_repeated_up_to_seven_responses_later() {
+fn body_counts_as_repeated_for_as_long_as_its_connection_carries_requests() {
     let (history, mut earlier) = used();
-    (0..7).for_each(|n| earlier.push(body(&n.to_string())));
+    (2..MAX_REQUESTS).for_each(|n| earlier.push(body(&n.to_string())));
     assert_eq!(check_response(&history, &earlier, "first", 9 * MS), Err(DesyncSign::RepeatedBody));
-    earlier.push(body("eighth"));
-    assert_eq!(check_response(&history, &earlier, "first", 9 * MS), Ok(()));
+    assert_eq!(
+        earlier.bodies.len(),
+        MAX_BODIES - 1,
+        "the last response is the one that is checked"
+    );
+    (0..2 * MAX_BODIES).for_each(|n| earlier.push(body(&n.to_string())));
+    assert_eq!(earlier.bodies.len(), MAX_BODIES, "no more are kept");
 }
 
 #[test]
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -55,6 +55,9 @@
             return connection.close(CloseReason::ReuseSuspended);
         }
         connection.end_response();
+        if !connection.is_below_request_limit() {
+            return connection.close(CloseReason::RequestLimit);
+        }
         self.put_back(server, connection);
     }
 
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -37,12 +37,9 @@
     complete: bool,
 }
 
-/// The rest of a response that is forwarded while it is received. Its connection returns to the pool
-/// when the body is complete; dropped before, it is closed.
+/// The rest of a response that is forwarded while it is received. Its connection is closed behind it.
 struct StreamedRest<P: Runtime> {
     body: PacedBody<P>,
-    upstream: Rc<Upstream<P>>,
-    server: ServerId,
     connection: Option<Connection<P>>,
 }
 
@@ -61,7 +58,7 @@
         if frame.is_none()
             && let Some(connection) = self.connection.take()
         {
-            self.upstream.return_to_pool(self.server, connection);
+            connection.close(CloseReason::Streamed);
         }
         Poll::Ready(frame)
     }
@@ -142,7 +139,7 @@
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return Received::Ended(end(outcome));
         }
-        let Some(read) = self.read_body(server, connection, head.headers, body).await else {
+        let Some(read) = self.read_body(connection, head.headers, body).await else {
             return Received::Ended(end(Outcome::ConnectionReset));
         };
         let Forwardable { response, connection, accepted } = read;
@@ -174,8 +171,7 @@
 
     /// Reads a body, or the first part of a streamed one; none if it cannot be forwarded in full.
     async fn read_body(
-        self: &Rc<Upstream<P>>,
-        server: ServerId,
+        &self,
         mut connection: Connection<P>,
         headers: HeaderMap,
         mut body: Incoming,
@@ -201,7 +197,7 @@
             let longest_rest = self.live.max_body_bytes().saturating_sub(first.bytes.len());
             let body = PacedBody::from_server(body, longest_rest as u64);
             let connection = connection.take();
-            Some(Box::pin(StreamedRest { body, upstream: self.clone(), server, connection }))
+            Some(Box::pin(StreamedRest { body, connection }))
         };
         let body = first.bytes.freeze();
         let response = UpstreamResponse { headers, body, rest, reservation: Some(reservation) };
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::scripted::{NOT_FOUND, answer_with, request_id, serve};
-use fakes::wire::read_message;
+use fakes::wire::{encode_chunked, read_message};
 
 use crate::net::*;
 use crate::support::*;
@@ -95,9 +95,7 @@
             false => answer_with(id, load),
         };
         let first = match second {
-            Second::Long if !is_rejected => {
-                answer(&format!("{}\r\n\r\n{id}", "x".repeat(LONG_BYTES)))
-            }
+            Second::Long if !is_rejected => chunked_answer(&format!("{}\r\n\r\n{id}", filler())),
             _ => text("queue=0,inflight=1"),
         };
         let second = match second {
@@ -111,6 +109,20 @@
     }
 }
 
+/// What makes an answer too long to be kept in memory.
+fn filler() -> String {
+    "x".repeat(LONG_BYTES)
+}
+
+/// An answer in chunks, whose length is not known before its end.
+fn chunked_answer(body: &str) -> String {
+    let chunks = encode_chunked(body.as_bytes(), LONG_BYTES);
+    format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+        String::from_utf8_lossy(&chunks)
+    )
+}
+
 /// A server that works for 3 to 12 ms and answers with the id of the request.
 struct AnsweringTwice {
     index: usize,
@@ -498,22 +510,24 @@
     assert!(answer.ends_with("order"), "{answer:?}");
 }
 
-/// A server that answers the first request of a connection with this body, and once more well into the time of
-/// its request number `behind`.
+/// A server that has this answer for the request `first`, and writes it once more well into the time of the request number
+/// `behind` on the same connection.
 fn answering_again(first: String, behind: usize) -> SocketAddr {
     const WORK: Duration = Duration::from_millis(5);
     const COPY_DELAY: Duration = Duration::from_millis(20);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let at = listener.local_addr().expect("an address");
-    let requests = Mutex::new(HashMap::<SocketAddr, usize>::new());
+    let requests_of_first_connection = AtomicUsize::new(0);
+    let first_peer = Mutex::new(None);
     serve(listener, move |head, socket| {
         let id = request_id(head);
-        let Ok(peer) = socket.peer_addr() else { return false };
-        let number = {
-            let mut requests = lock(&requests);
-            let number = requests.entry(peer).or_default();
-            *number += 1;
-            *number
+        let peer = socket.peer_addr().ok();
+        if id == "first" {
+            *lock(&first_peer) = peer;
+        }
+        let number = match *lock(&first_peer) == peer {
+            true => requests_of_first_connection.fetch_add(1, Ordering::Relaxed) + 1,
+            false => 0,
         };
         if id.is_empty() {
             return socket.write_all(NOT_FOUND.as_bytes()).is_ok();
@@ -521,19 +535,19 @@
         thread::sleep(WORK);
         if number == behind {
             thread::sleep(COPY_DELAY);
-            let written = socket.write_all(answer(&first).as_bytes());
+            let written = socket.write_all(first.as_bytes());
             thread::sleep(COPY_DELAY);
             return written.is_ok() && socket.write_all(answer(&id).as_bytes()).is_ok();
         }
-        let body = if number == 1 { &first } else { &id };
-        socket.write_all(answer(body).as_bytes()).is_ok()
+        let text = if id == "first" { first.clone() } else { answer(&id) };
+        socket.write_all(text.as_bytes()).is_ok()
     });
     at
 }
 
 /// Sends safe requests one after the other to such a server, and asserts that each gets its own answer.
-fn assert_copy_answers_no_request(first: &str, behind: usize) {
-    let server = Entry::new(answering_again(first.to_owned(), behind), "a");
+fn assert_copy_answers_no_request(first: String, behind: usize) {
+    let server = Entry::new(answering_again(first, behind), "a");
     let sidecar = Sidecar::start(Registry::start(vec![server]));
     sidecar.exchange(&look("first"));
     for n in 1..=behind {
@@ -550,10 +564,41 @@
 
 #[test]
 fn copy_of_a_long_answer_within_the_next_request_does_not_answer_it() {
-    assert_copy_answers_no_request(&"x".repeat(LONG_BYTES), 2);
+    assert_copy_answers_no_request(chunked_answer(&filler()), 2);
 }
 
 #[test]
 fn copy_of_an_answer_that_is_many_requests_old_answers_no_other() {
-    assert_copy_answers_no_request("first", 40);
+    assert_copy_answers_no_request(answer("first"), 40);
+}
+
+/// The copy of an earlier rejection comes first, and the answer itself as the next request is under way.
+#[test]
+fn answer_that_comes_behind_the_copy_of_a_rejection_does_not_answer_the_next_request() {
+    const COPY_DELAY: Duration = Duration::from_millis(20);
+    const WORK: Duration = Duration::from_millis(65);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    serve(listener, move |head, socket| {
+        let id = request_id(head);
+        let rejection = Answers::new(&id, true, Second::Same).first;
+        if id == "rejected" {
+            return socket.write_all(rejection.as_bytes()).is_ok();
+        }
+        if id == "second" {
+            thread::sleep(COPY_DELAY);
+            let _ = socket.write_all(rejection.as_bytes());
+            thread::sleep(WORK);
+        } else {
+            thread::sleep(COPY_DELAY);
+        }
+        socket.write_all(answer(&id).as_bytes()).is_ok()
+    });
+    let sidecar = Sidecar::start(Registry::start(vec![Entry::new(at, "a")]));
+    for id in ["rejected", "second", "third"] {
+        let answer = sidecar.exchange(&look(id));
+        let is_own = answer.ends_with(&format!("\r\n\r\n{id}"));
+        assert!(is_own || !answer.starts_with("HTTP/1.1 200"), "{id}: {answer:?}");
+        thread::sleep(PAUSE);
+    }
 }
