--- a/crates/simulation/examples/mutants/main.rs
+++ b/crates/simulation/examples/mutants/main.rs
@@ -101,7 +101,7 @@
 
 /// Whether a package's tests find a mutant.
 fn found_by_tests(copy: &WorkspaceCopy, mutant: &Mutant, package: &str) -> Result<bool, Error> {
-    let failed = copy.failed_tests(package)?;
+    let failed = copy.failed_tests(package, mutant.test.as_deref())?;
     println!("| {} | {} tests | | {} | | |", mutant.name, failed.len(), failed.join(", "));
     Ok(!failed.is_empty())
 }
--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -27,6 +27,8 @@
     also: Vec<Edit>,
     /// A package whose tests have to find it, in place of seeds.
     pub tests: Option<String>,
+    /// The one test of that package that has to find it, if not any.
+    pub test: Option<String>,
     /// The seeds of the simulation that have to find it hold processes up.
     #[serde(default)]
     hold_ups: bool,
--- a/crates/simulation/examples/mutants/workspace.rs
+++ b/crates/simulation/examples/mutants/workspace.rs
@@ -67,12 +67,13 @@
     }
 
     /// The names of a package's tests that fail.
-    pub fn failed_tests(&self, package: &str) -> Result<Vec<String>, Error> {
+    pub fn failed_tests(&self, package: &str, test: Option<&str>) -> Result<Vec<String>, Error> {
         let arguments = ["test", "--release", "--no-fail-fast", "-p", package];
         let built = self.cargo(&[&arguments[..], &["--quiet", "--no-run"]].concat())?;
         if !built.status.success() {
             return Err(Error::Cargo(all_output(&built)));
         }
+        let arguments: Vec<&str> = arguments.into_iter().chain(test).collect();
         let output = all_output(&self.cargo(&arguments)?);
         let failed = output
             .lines()
--- a/tests/lifecycle/second_answers.rs
+++ b/tests/lifecycle/second_answers.rs
@@ -602,3 +602,28 @@
         thread::sleep(PAUSE);
     }
 }
+
+/// Its list arrives first: the connection to the server that drains is closed before anything is read from it.
+#[test]
+fn second_answer_on_a_connection_that_is_just_being_closed_is_noticed() {
+    let servers_side = Arc::new(Mutex::new(None));
+    let side = servers_side.clone();
+    let server = Server::start(move |id, socket| {
+        *lock(&side) = socket.try_clone().ok();
+        socket.write_all(answer(id).as_bytes()).is_ok()
+    });
+    let registry = discovery(&[&server]);
+    let sidecar = Sidecar::start(registry.clone());
+    assert!(sidecar.exchange(&look("first")).ends_with("first"));
+    thread::sleep(PAUSE);
+    let hold_up = HoldUp::begin(&sidecar);
+    registry.set_health(&format!("s-{}", server.at.port()), "leaving");
+    thread::sleep(HOLD_UP / 2);
+    let mut socket = lock(&servers_side).take().expect("a connection");
+    socket.write_all(answer("first").as_bytes()).expect("sent");
+    thread::sleep(HOLD_UP / 2);
+    drop(hold_up);
+    until("the second answer is noticed", || {
+        sidecar.log().contains("server sent unexpected bytes")
+    });
+}
