Modules: no import circles are left in the sidecar and the crates

Need: circles between files: sidecar's events, status and upstream; admin's commands, state and its file; startup and the inherited listener; simnet's executor, state and delivery; fault-injection's scenario and testbed; four files of scale-test.

Change: types that both sides need have files of their own: sync_state.rs, admin/response.rs, task.rs, network_event.rs, scenario/values.rs, scale-test's error.rs; constants moved to the module below.

--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -23,6 +23,7 @@
 mod selectors;
 #[cfg(test)]
 mod tests;
+mod values;
 
 /// A run, ready to be played.
 #[derive(Clone, Debug)]
--- a/crates/fault-injection/src/scenario/build.rs
+++ b/crates/fault-injection/src/scenario/build.rs
@@ -5,17 +5,16 @@
 use std::time::Duration;
 
 use fakes::world::TENANTS;
-use serde_json::Value;
 use toml::Spanned;
 
 use super::error::{Problem, ScenarioError, in_range, line_number};
 use super::faults::FaultEvents;
 use super::file::{
-    ExpectationTable, ImpairmentTable, LoadTable, MAX_DURATION_S, MAX_FAULTS, MAX_REQUESTS,
-    MAX_REQUESTS_PER_S, MAX_SERVERS_PER_ZONE, MAX_SIDECAR_SECONDS, MAX_SIDECARS, ScenarioFile,
-    TenantTable,
+    ExpectationTable, LoadTable, MAX_DURATION_S, MAX_FAULTS, MAX_REQUESTS, MAX_REQUESTS_PER_S,
+    MAX_SERVERS_PER_ZONE, MAX_SIDECAR_SECONDS, MAX_SIDECARS, ScenarioFile, TenantTable,
 };
 use super::selectors::Nodes;
+use super::values::{impairment, json_table, tenant_number};
 use super::{ConfigurationPatch, Event, Load, Scenario, Tenant};
 use crate::expectations::{Expectation, Metric, Reference};
 use crate::links::Impairment;
@@ -30,8 +29,6 @@
 const DEFAULT_QUOTA_PER_S: f64 = 1000.0;
 const MAX_TENANT_SHARE: f64 = 1e6;
 const MAX_TENANT_QUOTA_PER_S: f64 = 1e9;
-/// The longest delay and jitter of a link, in milliseconds.
-const MAX_DELAY_MS: f64 = 60_000.0;
 /// The greatest tolerance of a comparison with a reference.
 const MAX_TOLERANCE: f64 = 10.0;
 
@@ -282,42 +279,3 @@
         quota_per_s: quota_per_s()?,
     })
 }
-
-/// The number of the tenant that has this name.
-pub(super) fn tenant_number(
-    tenants: &[Tenant],
-    name: Option<&str>,
-) -> Result<Option<usize>, Problem> {
-    let Some(name) = name else { return Ok(None) };
-    let number = tenants.iter().position(|tenant| tenant.name == name);
-    number.map(Some).ok_or_else(|| Problem::UnknownTenant { name: name.to_owned() })
-}
-
-/// The impairment that a table of the file describes.
-pub(super) fn impairment(table: &ImpairmentTable) -> Result<Impairment, Problem> {
-    let share = |value, key| in_range(value, key, 0.0, 1.0);
-    let duration = |ms, key| {
-        let ms = in_range(ms, key, 0.0, MAX_DELAY_MS)?;
-        Ok::<_, Problem>(Duration::from_secs_f64(ms / 1e3))
-    };
-    Ok(Impairment {
-        cut: table.cut,
-        delay: duration(table.delay_ms, "delay_ms")?,
-        jitter: duration(table.jitter_ms, "jitter_ms")?,
-        loss: share(table.loss, "loss")?,
-        duplicate: share(table.duplicate, "twice")?,
-        reorder: share(table.reorder, "late")?,
-        corrupt: share(table.corrupt, "spoilt")?,
-        rate: table.bytes_per_s,
-    })
-}
-
-/// The JSON object that a table of the file is.
-pub(super) fn json_table(table: &toml::Value, key: &str) -> Result<Value, Problem> {
-    let key = key.to_owned();
-    match serde_json::to_value(table) {
-        Ok(value) if value.is_object() => Ok(value),
-        Ok(_) => Err(Problem::Expected { key, expected: "a table" }),
-        Err(source) => Err(Problem::Json { key, source }),
-    }
-}
--- a/crates/fault-injection/src/scenario/faults.rs
+++ b/crates/fault-injection/src/scenario/faults.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use super::build::{impairment, json_table, tenant_number};
 use super::error::{Problem, in_range};
 use super::file::{FaultKind, FaultTable, MAX_DURATION_S, ServerFault};
 use super::selectors::Nodes;
+use super::values::{impairment, json_table, tenant_number};
 use super::{Action, Availability, Event, ServerState, Tenant};
 use crate::links::ActiveFault;
 
--- a/crates/fault-injection/src/testbed/configuration.rs
+++ b/crates/fault-injection/src/testbed/configuration.rs
@@ -5,10 +5,19 @@
 use fakes::world::{ZONES, classes, settings};
 use serde_json::{Value, json};
 
-use super::setup::SidecarAddresses;
 use crate::gossip_relay::GossipRelay;
 use crate::scenario::Scenario;
 
+/// The addresses of a sidecar's listeners.
+pub(super) struct SidecarAddresses {
+    /// For requests.
+    pub listen: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For gossip.
+    pub gossip: SocketAddr,
+}
+
 /// The configuration of a sidecar at the start, with the patches of the scenario.
 pub(super) fn configuration(
     scenario: &Scenario,
--- a/crates/fault-injection/src/testbed/setup.rs
+++ b/crates/fault-injection/src/testbed/setup.rs
@@ -13,7 +13,7 @@
 use fakes::world::{DEDUPLICATION_WINDOW, IDLE_TIMEOUT, ZONES, classes};
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
-use super::configuration::configuration;
+use super::configuration::{SidecarAddresses, configuration};
 use super::probe::is_ready;
 use super::{LoadFactors, Programs, ServerSlot, Sidecar, Testbed, TestbedError};
 use crate::drain_watch::DrainWatch;
@@ -35,16 +35,6 @@
 /// The share of its speed that a server starts with.
 const SERVER_COLD_SHARE: f64 = 0.16;
 
-/// The addresses of a sidecar's listeners.
-pub(super) struct SidecarAddresses {
-    /// For requests.
-    pub listen: SocketAddr,
-    /// For operators.
-    pub admin: SocketAddr,
-    /// For gossip.
-    pub gossip: SocketAddr,
-}
-
 /// Ports for all sidecars, reserved until they are started.
 struct ReservedAddresses(Vec<[ReservedPort; 3]>);
 
--- a/crates/scale-test/src/cluster.rs
+++ b/crates/scale-test/src/cluster.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use fakes::program::{Folder, built};
 use fakes::registry::{Entry, Registry};
@@ -15,15 +16,17 @@
 use fault_injection::relay::Relay;
 use local_cluster::Usage;
 
+use crate::error::RunError;
 use crate::hollow::{Group, GroupStatus};
 use crate::plan::Plan;
 use crate::process::{Process, guarded};
-use crate::runner::RunError;
 
 mod faults;
 mod origin;
 mod sidecars;
 
+/// The pause between two looks at the state of the run.
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The origins of a run: the first one, and the one that replaces it.
 const ORIGIN_COUNT: usize = 2;
 
--- a/crates/scale-test/src/cluster/faults.rs
+++ b/crates/scale-test/src/cluster/faults.rs
@@ -3,8 +3,8 @@
 use fault_injection::links::{ActiveFault, Impairment, Node};
 
 use super::{Cluster, ControlState, SharedStatus};
+use crate::error::RunError;
 use crate::plan::{Fault, FaultKind};
-use crate::runner::RunError;
 
 impl Cluster<'_> {
     /// Lets a fault begin.
--- a/crates/scale-test/src/cluster/origin.rs
+++ b/crates/scale-test/src/cluster/origin.rs
@@ -7,8 +7,8 @@
 use serde_json::{Value, json};
 use tokio::task::LocalSet;
 
-use super::Cluster;
-use crate::runner::{POLL_INTERVAL, RunError};
+use super::{Cluster, POLL_INTERVAL};
+use crate::error::RunError;
 
 /// How long an origin may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
--- a/crates/scale-test/src/cluster/sidecars.rs
+++ b/crates/scale-test/src/cluster/sidecars.rs
@@ -11,9 +11,9 @@
 use serde_json::{Value, json};
 
 use super::{Cluster, RealSidecar, SharedStatus, Zone};
+use crate::error::RunError;
 use crate::hollow::{Group, GroupStatus, HollowSidecar};
 use crate::process::{Process, guarded};
-use crate::runner::RunError;
 
 /// The time between two gossip rounds of a hollow sidecar, in milliseconds.
 const GOSSIP_INTERVAL_MS: u64 = 1000;
--- a/crates/scale-test/src/lib.rs
+++ b/crates/scale-test/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod runner;
 
 mod cluster;
+mod error;
 mod measurement;
 mod process;
--- a/crates/scale-test/src/measurement.rs
+++ b/crates/scale-test/src/measurement.rs
@@ -6,10 +6,10 @@
 
 use local_cluster::Usage;
 
-use crate::cluster::{Cluster, UsageByRole};
+use crate::cluster::{Cluster, POLL_INTERVAL, UsageByRole};
+use crate::error::RunError;
 use crate::plan::{Fault, FaultKind};
 use crate::report::{Change, Cost, Report, failures};
-use crate::runner::{POLL_INTERVAL, RunError};
 
 /// How long costs are measured before anything is changed.
 const QUIET_PERIOD: Duration = Duration::from_secs(5);
--- a/crates/scale-test/src/process.rs
+++ b/crates/scale-test/src/process.rs
@@ -8,7 +8,7 @@
 use local_cluster::{Usage, process_usage, signal_process};
 use rustix::process::Signal;
 
-use crate::runner::RunError;
+use crate::error::RunError;
 
 /// A running process. Dropping it kills it.
 pub(crate) struct Process {
--- a/crates/scale-test/src/runner.rs
+++ b/crates/scale-test/src/runner.rs
@@ -1,69 +1,22 @@
 //! Plays a plan.
 
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
-use fakes::program::ProgramError;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, POLL_INTERVAL};
+pub use crate::error::RunError;
 use crate::measurement::measure;
-use crate::plan::{Plan, PlanError};
+use crate::plan::Plan;
 use crate::report::Report;
 
 /// How long the first change may take to be in force everywhere.
 pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(120);
-/// The pause between two looks at the state of the run.
-pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Progress is told each time that this many more sidecars have the first change.
 const PROGRESS_STEP: usize = 500;
 
-/// Why a run could not be played.
-#[derive(Debug, thiserror::Error)]
-pub enum RunError {
-    /// The system refused something.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// A program of the workspace is missing.
-    #[error(transparent)]
-    Program(#[from] ProgramError),
-    /// The run is too large for this machine.
-    #[error(transparent)]
-    Plan(#[from] PlanError),
-    /// A message cannot be expressed in JSON.
-    #[error(transparent)]
-    Json(#[from] serde_json::Error),
-    /// A process has no pipe.
-    #[error("no pipe")]
-    NoPipe,
-    /// A process did not report the address that it listens at.
-    #[error("{arguments} did not start")]
-    NotStarted {
-        /// The arguments of the process.
-        arguments: String,
-    },
-    /// The first change did not get everywhere.
-    #[error("only {reached} of {total} have the first change; logs: {}", logs.display())]
-    FirstChange {
-        /// The sidecars where it is in force.
-        reached: usize,
-        /// All hollow sidecars.
-        total: usize,
-        /// The directory of the logs.
-        logs: PathBuf,
-    },
-    /// No origin accepted a change in time.
-    #[error("no origin takes a change")]
-    NoOrigin,
-    /// An origin accepted a change and answered without its generation.
-    #[error("no number: {answer}")]
-    NoGeneration {
-        /// The answer.
-        answer: String,
-    },
-}
-
 /// Plays a plan. `own_program` is a program that runs [`crate::hollow::run`] when it is called with `scale hollow`.
 /// `tell` is called with lines about the progress.
 ///
--- a/crates/simnet/src/delivery.rs
+++ b/crates/simnet/src/delivery.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::{ConnectionId, Endpoint, Handshake, Segment};
 use crate::host::HostId;
+use crate::network_event::NetworkEvent;
 use crate::state::{WorldState, draw_bool, draw_duration};
 use crate::trace::TraceKind;
 
@@ -18,18 +19,6 @@
 /// How many datagrams may wait to be read; more are lost.
 const UDP_QUEUE_LIMIT: usize = 64;
 
-/// An event on the network.
-pub(crate) enum NetworkEvent {
-    /// A SYN arrives; `attempt` counts from 0.
-    Syn { connection: ConnectionId, attempt: u32 },
-    /// The answer to a SYN arrives.
-    SynAnswer { connection: ConnectionId, accepted: bool },
-    /// Segments in flight to an endpoint may have arrived.
-    SegmentsArrive { connection: ConnectionId, to: Endpoint },
-    /// A datagram arrives.
-    Datagram { from: SocketAddr, to: SocketAddr, data: Vec<u8> },
-}
-
 impl WorldState {
     /// Draws how long a segment or datagram of `size` bytes takes from one host to another.
     pub(crate) fn draw_latency(&mut self, from: HostId, to: HostId, size: usize) -> Duration {
--- a/crates/simnet/src/executor.rs
+++ b/crates/simnet/src/executor.rs
@@ -1,22 +1,16 @@
 //! The single-threaded executor: tasks run in turns, events happen, and the clock moves on.
 
 use std::cmp::Reverse;
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::task::{Context, Wake, Waker};
 use std::time::Duration;
 
 use rand::Rng;
 use runtime::TaskHandle;
 
-use crate::host::HostId;
 use crate::state::{Event, TimerId, WorldInner, WorldState, try_current};
-
-/// Identifies a task of a world, and is its handle.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TaskId(u64);
+use crate::task::{BoxedFuture, Task, TaskId, TaskWaker};
 
 impl TaskHandle for TaskId {
     fn abort(&self) {
@@ -26,39 +20,6 @@
     }
 }
 
-type BoxedFuture = Pin<Box<dyn Future<Output = ()>>>;
-
-/// The tasks that were woken, in that order. Wakers have to be `Send`; these never leave their thread.
-pub(crate) type WokenTasks = Arc<Mutex<Vec<TaskId>>>;
-
-/// A task that has not completed.
-pub(crate) struct Task {
-    pub(crate) host: HostId,
-    /// Absent while it is polled.
-    pub(crate) future: Option<BoxedFuture>,
-    waker: Arc<TaskWaker>,
-    aborted: bool,
-}
-
-struct TaskWaker {
-    task: TaskId,
-    /// Whether the task is queued to be polled.
-    queued: AtomicBool,
-    woken: WokenTasks,
-}
-
-impl Wake for TaskWaker {
-    fn wake(self: Arc<Self>) {
-        self.wake_by_ref();
-    }
-
-    fn wake_by_ref(self: &Arc<Self>) {
-        if !self.queued.swap(true, Ordering::Relaxed) {
-            self.woken.lock().unwrap_or_else(PoisonError::into_inner).push(self.task);
-        }
-    }
-}
-
 impl WorldState {
     /// Takes the ready task that runs next.
     fn next_ready_task(&mut self) -> Option<TaskId> {
--- a/crates/simnet/src/sim_runtime.rs
+++ b/crates/simnet/src/sim_runtime.rs
@@ -9,9 +9,9 @@
 
 use runtime::Runtime;
 
-use crate::executor::TaskId;
 use crate::listener::SimListener;
 use crate::state::{TimerId, current, try_current};
+use crate::task::TaskId;
 use crate::tcp::{self, SimTcp};
 use crate::udp::SimUdp;
 
--- a/crates/simnet/src/state.rs
+++ b/crates/simnet/src/state.rs
@@ -12,12 +12,12 @@
 use rand::{Rng, SeedableRng};
 use rustc_hash::FxHashMap;
 
-use crate::delivery::NetworkEvent;
-use crate::executor::{Task, TaskId, WokenTasks};
 use crate::host::HostId;
 use crate::network::Network;
+use crate::network_event::NetworkEvent;
 use crate::options::Options;
 use crate::tap::{Tap, TapEvent};
+use crate::task::{Task, TaskId, WokenTasks};
 use crate::trace::Trace;
 
 /// Identifies a timer.
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -10,8 +10,8 @@
 use tokio::io::ReadBuf;
 
 use crate::connection::{Connection, ConnectionId, Endpoint, EndpointState, Handshake, Segment};
-use crate::delivery::NetworkEvent;
 use crate::host::{HostFailure, HostId};
+use crate::network_event::NetworkEvent;
 use crate::state::{WorldState, current, draw_bool, try_current};
 use crate::tap::TapEvent;
 
--- a/crates/simnet/src/udp.rs
+++ b/crates/simnet/src/udp.rs
@@ -8,8 +8,8 @@
 
 use runtime::Udp;
 
-use crate::delivery::NetworkEvent;
 use crate::network::UdpState;
+use crate::network_event::NetworkEvent;
 use crate::state::{current, draw_bool, try_current};
 
 /// A bound UDP socket.
--- a/crates/simnet/src/world.rs
+++ b/crates/simnet/src/world.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::executor::TaskId;
 use crate::host::{EventLoop, HostFailure, HostId};
 use crate::link::Link;
 use crate::network::NetworkStats;
 use crate::options::Options;
 use crate::state::{EnterGuard, WorldInner};
 use crate::tap::Tap;
+use crate::task::TaskId;
 
 /// One simulated system.
 pub struct World {
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod command;
 pub mod connection;
+pub mod response;
 pub mod state;
 pub mod state_file;
 pub mod statistics;
@@ -14,8 +15,9 @@
 
 use runtime::{Listener, Runtime, TaskHandle, lingering_close, timeout};
 
-use self::command::{Command, CommandError, Response};
+use self::command::Command;
 use self::connection::{ReadError, read_line, write_all};
+use self::response::{CommandError, Response};
 use self::state::{AdminState, ChangeError};
 use self::state_file::{StateFile, StateFileError};
 use self::statistics::{ClassCounts, Statistics, TierStatistics};
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -7,7 +7,7 @@
 
 use super::execution::Doubt;
 use super::invariants::{SendRefusal, Violation};
-use super::upstream::{DesyncSign, SyncState};
+use super::sync_state::{DesyncSign, SyncState};
 use crate::api::{EndReason, Outcome};
 
 /// Why a connection of a client ends.
--- a/src/sidecar/inherited_listener.rs
+++ b/src/sidecar/inherited_listener.rs
@@ -7,7 +7,8 @@
 
 use listenfd::ListenFd;
 
-use super::startup::LISTEN_BACKLOG;
+/// How many connections may wait to be accepted: a crowd connects within a second.
+pub const LISTEN_BACKLOG: i32 = 4096;
 
 /// Why an inherited listener cannot be used.
 #[derive(Debug, thiserror::Error)]
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -24,6 +24,7 @@
 pub mod shutdown;
 pub mod startup;
 pub mod status;
+pub mod sync_state;
 mod system_error;
 pub mod timers;
 pub mod upload;
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -19,7 +19,7 @@
 use super::driver::{Driver, PeerServices};
 use super::gossip::{Membership, MembershipError};
 use super::ingress::Ingress;
-use super::inherited_listener::{InheritedListenerError, inherited_listener};
+use super::inherited_listener::{InheritedListenerError, LISTEN_BACKLOG, inherited_listener};
 use super::live::LiveConfig;
 use super::peers::Peers;
 use super::status::Status;
@@ -28,8 +28,6 @@
 use crate::api::ListKind;
 use crate::settings::{DiscoveryMode, Settings};
 
-/// How many connections may wait to be accepted: a crowd connects within a second.
-pub const LISTEN_BACKLOG: i32 = 4096;
 /// How often it is checked whether servers are known by now.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/src/sidecar/upstream/desync.rs
+++ b/src/sidecar/upstream/desync.rs
@@ -9,12 +9,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::fmt::{self, Display, Formatter};
 use std::hash::Hasher;
 use std::time::{Duration, Instant};
 
 use rustc_hash::FxHasher;
 
+use crate::sidecar::sync_state::DesyncSign;
+
 /// How long a connection is idle at least before it is used again: what arrives meanwhile belongs to no request.
 pub(super) const QUIET_PERIOD: Duration = Duration::from_millis(30);
 /// How long a server gets each request on a new connection, the first time; doubled each further time.
@@ -61,38 +62,6 @@
     }
 }
 
-/// Why a response may answer another request than the last one on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DesyncSign {
-    /// Bytes arrived before the request was written in full, or behind the response.
-    OutOfTurn,
-    /// It began sooner than the server can have made it.
-    TooSoon,
-    /// Its body is that of an earlier response on the connection.
-    RepeatedBody,
-}
-
-impl DesyncSign {
-    /// All of them, in the order in which they are reported.
-    pub const ALL: [DesyncSign; 3] =
-        [DesyncSign::OutOfTurn, DesyncSign::TooSoon, DesyncSign::RepeatedBody];
-
-    /// The name in logs and statistics.
-    pub fn name(self) -> &'static str {
-        match self {
-            DesyncSign::OutOfTurn => "out_of_turn",
-            DesyncSign::TooSoon => "too_soon",
-            DesyncSign::RepeatedBody => "repeated_body",
-        }
-    }
-}
-
-impl Display for DesyncSign {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
 /// A response on a used connection.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LaterResponse<'a> {
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -9,17 +9,17 @@
 
 use super::attempt_result::AttemptResult;
 use super::connection::{Connection, ConnectionUse};
-use super::desync::{DesyncSign, SuspectedDesync};
+use super::desync::SuspectedDesync;
 use super::observer::ExchangeObserver;
 use super::request::{AttemptLimits, UpstreamRequest};
 use super::response::{Received, is_unprocessed};
 use super::send::send_request;
-use super::sync_check::SyncState;
 use super::{Endpoint, Upstream};
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
 use crate::sidecar::execution::{Doubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
+use crate::sidecar::sync_state::{DesyncSign, SyncState};
 
 /// A connection that was closed before it was used shows that within this time.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -30,11 +30,9 @@
 pub use attempt_result::{AttemptResult, UpstreamResponse};
 use connection::Connection;
 pub use connection::ConnectionUse;
-pub use desync::DesyncSign;
 use desync::ResponseHistory;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
-pub use sync_check::SyncState;
 
 /// A server, and the address to connect to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/sidecar/upstream/sync_check.rs
+++ b/src/sidecar/upstream/sync_check.rs
@@ -17,37 +17,13 @@
 use super::send::send_request;
 use super::{Upstream, UpstreamRequest};
 use crate::api::ServerId;
+use crate::sidecar::sync_state::SyncState;
 
 /// The path of the message. No request of a client comes without an id.
 const MESSAGE_PATH: &str = "/health/sync";
 /// How long its answer is waited for. The client waits meanwhile, for an answer that may be a failure.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Whether a response answers the last request on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SyncState {
-    /// It does.
-    InSync,
-    /// Something else came before the answer to a further message.
-    OutOfSync,
-    /// There was no answer to a further message, or none could be sent.
-    Unknown,
-}
-
-impl SyncState {
-    /// All of them, in the order in which they are reported.
-    pub const ALL: [SyncState; 3] = [SyncState::InSync, SyncState::OutOfSync, SyncState::Unknown];
-
-    /// The name in logs and statistics.
-    pub fn name(self) -> &'static str {
-        match self {
-            SyncState::InSync => "in_sync",
-            SyncState::OutOfSync => "out_of_sync",
-            SyncState::Unknown => "unknown",
-        }
-    }
-}
-
 impl<P: Runtime> Upstream<P> {
     /// Whether the last response on `connection` to `server` answers the last request. If so, the connection is
     /// kept for the next one.
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -14,7 +14,8 @@
     TenantQuotas, TenantSnapshot,
 };
 use instance_status::RequestCounts;
-use lb_sidecar::sidecar::admin::command::{Command, Response};
+use lb_sidecar::sidecar::admin::command::Command;
+use lb_sidecar::sidecar::admin::response::Response;
 use lb_sidecar::sidecar::admin::state::AdminState;
 use lb_sidecar::sidecar::admin::state_file::StateFile;
 use lb_sidecar::sidecar::admin::statistics::{ClassCounts, Statistics, TierStatistics};
