System calls: the library can hold a process up behind the events that it has taken

Need: a process that is stopped with a signal has its events delivered when it goes on, so no test met a request that arrives behind the last events before its connection is closed; the soak's mutant without that look is not found.

Change: the rate `wait` of the library of failing calls (0.1 s once epoll_wait has returned), and a test of 60 resting connections whose requests come 0 to 0.8 s after their time.

The soak draws no such hold-ups: two in a row exceed the 0.15 s that are allowed for.

--- a/crates/fakes/shim/faulty_calls.c
+++ b/crates/fakes/shim/faulty_calls.c
@@ -15,6 +15,7 @@
  *
  *   memory     recv, send and writev fail for want of buffers: ENOBUFS, ENOMEM
  *   hold       the process is held up for 0.1 s before it shuts a connection down
+ *   wait       the process is held up for 0.1 s once it has taken the events of epoll_wait
  *
  *   file       open, write and fsync fail for files whose path contains FAULTY_FILES: EIO, ENOSPC
  *
@@ -31,6 +32,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <time.h>
@@ -38,6 +40,7 @@
 
 #define MAX_DESCRIPTORS 65536
 #define THOUSAND 1000
+#define HOLD_MICROSECONDS (100 * 1000)
 
 /* Connections that the program opened itself. */
 static atomic_bool outgoing[MAX_DESCRIPTORS];
@@ -46,7 +49,7 @@
 static atomic_uint_fast64_t random_state;
 
 struct rates {
-    unsigned interrupt, shorten, abort, accept, socket, connect, broken, memory, hold, file;
+    unsigned interrupt, shorten, abort, accept, socket, connect, broken, memory, hold, wait, file;
 };
 static struct rates rates;
 static const char *clock_path;
@@ -81,6 +84,7 @@
     rates.broken = read_rate(text, "break");
     rates.memory = read_rate(text, "memory");
     rates.hold = read_rate(text, "hold");
+    rates.wait = read_rate(text, "wait");
     rates.file = read_rate(text, "file");
 }
 
@@ -200,10 +204,21 @@
 {
     REAL(shutdown);
     if (happens(rates.hold))
-        usleep(100 * 1000);
+        usleep(HOLD_MICROSECONDS);
     return real(fd, how);
 }
 
+int epoll_wait(int fd, struct epoll_event *events, int count, int timeout)
+{
+    REAL(epoll_wait);
+    int ready = real(fd, events, count, timeout);
+    int error = errno;
+    if (happens(rates.wait))
+        usleep(HOLD_MICROSECONDS);
+    errno = error;
+    return ready;
+}
+
 static int is_faulty_path(const char *path)
 {
     return faulty_path && *faulty_path && strstr(path, faulty_path) != NULL;
--- a/crates/fakes/src/faulty_calls.rs
+++ b/crates/fakes/src/faulty_calls.rs
@@ -37,6 +37,8 @@
     pub memory: u32,
     /// The process is held up for 0.1 s before it shuts a connection down.
     pub hold: u32,
+    /// The process is held up for 0.1 s once it has taken the events of `epoll_wait`.
+    pub wait: u32,
     /// Opening, writing and syncing of files fails (`EIO`, `ENOSPC`) whose path contains a text that
     /// [`environment_for_files`] is given.
     pub file: u32,
@@ -55,12 +57,13 @@
             broken,
             memory,
             hold,
+            wait,
             file,
         } = self;
         write!(
             f,
             "seed={seed},interrupt={interrupted},short={short},abort={aborted},accept={accept},socket={socket},\
-             connect={connect},break={broken},memory={memory},hold={hold},file={file}"
+             connect={connect},break={broken},memory={memory},hold={hold},wait={wait},file={file}"
         )
     }
 }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -362,6 +362,7 @@
             broken: rate(3),
             memory: SHORTAGE_RATE,
             hold: 0,
+            wait: 0,
             file: 0,
         }
     }
--- a/tests/lifecycle/resting_connections.rs
+++ b/tests/lifecycle/resting_connections.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::faulty_calls::{FaultRates, environment};
+
 use crate::net::*;
 use crate::support::*;
 
@@ -14,6 +16,8 @@
 const SOCKETS: usize = 512;
 /// How long a connection rests before the sidecar ends it.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// A request that is sent so long after a look at its connection may cross the end of that.
+const CROSSING_TIME: Duration = Duration::from_millis(1);
 /// The most plays of which one has to begin its hold-up in time.
 const MOST_PLAYS: usize = 8;
 
@@ -194,3 +198,48 @@
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
     }
 }
+
+/// What became of a request that is sent so long after its connection's time runs out; none if that had ended, or may
+/// have ended just as the request was sent.
+fn answer_at_the_end(sidecar: &Sidecar, n: usize, after: Duration) -> Option<String> {
+    let mut client = sidecar.connect();
+    client.write_all(look(&format!("first-{n}")).as_bytes()).expect("sent");
+    let first = first_answer(client.try_clone().expect("a second handle"));
+    assert!(first.ends_with(&format!("first-{n}")), "{first:?}");
+    thread::sleep(IDLE_TIMEOUT + after);
+    let looked_at = Instant::now();
+    let is_sent = !has_ended(&client)
+        && client.write_all(look(&format!("second-{n}")).as_bytes()).is_ok()
+        && looked_at.elapsed() < CROSSING_TIME;
+    is_sent.then(|| first_answer(client))
+}
+
+/// They arrive while the process is held up behind the events that it has taken, in the turn that ends their connection.
+#[test]
+fn requests_that_arrive_behind_the_last_events_before_a_close_are_answered() {
+    /// By then, hold-ups and all, most connections have ended.
+    const LONGEST_DELAY: Duration = Duration::from_millis(800);
+    let server = Server::echo();
+    let rates = FaultRates { seed: 1, wait: 300, ..FaultRates::default() };
+    let mut command = program(None);
+    command.envs(environment(rates, None).expect("a C compiler"));
+    let listen = "127.0.0.1:0".to_owned();
+    let sidecar = Sidecar::start_command(command, listen, discovery(&[&server]), |config| {
+        config["limits"]["sockets"] = SOCKETS.into();
+    });
+    let answers: Vec<_> = thread::scope(|scope| {
+        let play = |n: usize| {
+            let after = LONGEST_DELAY * n as u32 / CONNECTIONS as u32;
+            let sidecar = &sidecar;
+            scope.spawn(move || (n, answer_at_the_end(sidecar, n, after)))
+        };
+        let plays: Vec<_> = (0..CONNECTIONS).map(play).collect();
+        plays.into_iter().map(|play| play.join().expect("no panic")).collect()
+    });
+    let answered = answers.iter().filter(|(_, answer)| answer.is_some()).count();
+    let is_lost = |n: &usize, answer: &Option<String>| {
+        answer.as_ref().is_some_and(|answer| !answer.ends_with(&format!("second-{n}")))
+    };
+    let lost: Vec<_> = answers.iter().filter(|(n, answer)| is_lost(n, answer)).collect();
+    assert!(lost.is_empty(), "of {answered}: {lost:?}");
+}
