Soak: descriptors and memory of each sidecar are judged at the end

Need: a judge that was missing; memory that is never given back, or descriptors that leak, went unseen.

--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -185,6 +185,16 @@
         child.wait().ok().filter(|_| exited)
     }
 
+    /// How many descriptors it has open, and its resident memory in KiB; none if it does not run.
+    pub fn descriptors_and_memory(&self) -> Option<(u64, u64)> {
+        let process = PathBuf::from(format!("/proc/{}", self.id()?));
+        let descriptors = std::fs::read_dir(process.join("fd")).ok()?.count();
+        let status = std::fs::read_to_string(process.join("status")).ok()?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let memory_kib = resident.trim().trim_end_matches(" kB").parse().ok()?;
+        Some((descriptors as u64, memory_kib))
+    }
+
     /// Whether it was started and has exited without being killed through this handle.
     pub fn has_exited(&self) -> bool {
         self.child.is_some() && self.id().is_none()
--- a/crates/fault-injection/src/sample.rs
+++ b/crates/fault-injection/src/sample.rs
@@ -38,6 +38,19 @@
     }
 }
 
+/// What a sidecar's process takes of the machine, and what its configuration allows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ResourceUse {
+    /// Open descriptors.
+    pub descriptors: u64,
+    /// The most that there may be.
+    pub max_descriptors: u64,
+    /// Resident memory, in KiB.
+    pub memory_kib: u64,
+    /// The most that it may take, in KiB.
+    pub max_memory_kib: u64,
+}
+
 /// The state of a run at one time. All counts are since its start.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Sample {
@@ -63,4 +76,7 @@
     /// The metrics of each sidecar; none for one that did not answer.
     #[serde(rename = "own")]
     pub sidecar_metrics: Vec<Option<SidecarMetrics>>,
+    /// What each sidecar takes; none for one that does not run.
+    #[serde(skip)]
+    pub resources: Vec<Option<ResourceUse>>,
 }
--- a/crates/fault-injection/src/soak.rs
+++ b/crates/fault-injection/src/soak.rs
@@ -2,15 +2,15 @@
 //! always demands.
 //!
 //! A run is sound if no request was lost, answered twice or in vain, executed twice, or sent where it must not be; if
-//! no process ended by itself, reported a violated rule or outlived its shutdown; and if nearly everything is served
-//! once the faults are over.
+//! no process ended by itself, reported a violated rule or outlived its shutdown; and if, once the faults are over,
+//! nearly everything is served and no sidecar takes more than its limits allow.
 
 use std::time::Duration;
 
 use fakes::lag_watch::LagWatch;
 
 use crate::runner::{Outcome, Progress, SampledRun, play};
-use crate::sample::{Sample, Totals};
+use crate::sample::{ResourceUse, Sample, Totals};
 use crate::scenario::Scenario;
 use crate::testbed::{Programs, TestbedError};
 
@@ -63,9 +63,25 @@
     findings.extend(logged_violations);
     findings.extend(recovery_finding(scenario.duration, &outcome.samples));
     findings.extend(outcome.samples.last().and_then(leftover_finding));
+    findings.extend(outcome.samples.last().into_iter().flat_map(resource_findings));
     Findings(findings)
 }
 
+/// Which sidecars have more descriptors or memory than their limits allow.
+fn resource_findings(last: &Sample) -> impl Iterator<Item = String> {
+    let resources = last.resources.iter().enumerate();
+    resources.filter_map(|(n, used)| (*used).map(|used| (n, used))).filter_map(|(n, used)| {
+        let ResourceUse { descriptors, max_descriptors, memory_kib, max_memory_kib } = used;
+        let is_within = descriptors <= max_descriptors && memory_kib <= max_memory_kib;
+        (!is_within).then(|| {
+            format!(
+                "s{n} has {descriptors} of {max_descriptors} descriptors and {memory_kib} of {max_memory_kib} KiB \
+                 at the end"
+            )
+        })
+    })
+}
+
 /// Whether too little was served when the faults were over.
 fn recovery_finding(duration: Duration, samples: &[Sample]) -> Option<String> {
     let from_s = duration.saturating_sub(RECOVERY_SPAN).as_secs_f64();
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -131,3 +131,20 @@
     assert_eq!(judge(&scenario, &crashed, Vec::new()).0.len(), 1);
     assert_eq!(judge(&scenario, &sound, vec!["s1: protocol rule violated".to_owned()]).0.len(), 1);
 }
+
+#[test]
+fn sidecar_beyond_its_limits_at_the_end_is_found() {
+    let within = ResourceUse {
+        descriptors: 64,
+        max_descriptors: 64,
+        memory_kib: 32 << 10,
+        max_memory_kib: 32 << 10,
+    };
+    let findings = |used: ResourceUse| {
+        let last = Sample { resources: vec![None, Some(used)], ..Sample::default() };
+        resource_findings(&last).count()
+    };
+    assert_eq!(findings(within), 0);
+    assert_eq!(findings(ResourceUse { descriptors: 65, ..within }), 1);
+    assert_eq!(findings(ResourceUse { memory_kib: (32 << 10) + 1, ..within }), 1);
+}
--- a/crates/fault-injection/src/testbed/sampling.rs
+++ b/crates/fault-injection/src/testbed/sampling.rs
@@ -3,9 +3,9 @@
 use fakes::account::TenantReport;
 use tokio::task::JoinHandle;
 
-use super::Testbed;
 use super::probe::sidecar_metrics;
-use crate::sample::{Sample, SidecarMetrics, Totals};
+use super::{Sidecar, Testbed};
+use crate::sample::{ResourceUse, Sample, SidecarMetrics, Totals};
 
 /// A sample that waits for the metrics of the sidecars.
 pub struct PendingSample {
@@ -48,6 +48,7 @@
             client_attempts: report.attempts,
             gossip: self.gossip.counts(),
             sidecar_metrics: Vec::new(),
+            resources: self.sidecars.iter().map(resource_use).collect(),
         };
         PendingSample { sample, sidecar_metrics }
     }
@@ -63,6 +64,19 @@
     }
 }
 
+/// What a sidecar that should be running takes, and what its configuration allows.
+fn resource_use(sidecar: &Sidecar) -> Option<ResourceUse> {
+    let (descriptors, memory_kib) =
+        sidecar.expected.then(|| sidecar.process.descriptors_and_memory()).flatten()?;
+    let limits = &sidecar.config["limits"];
+    Some(ResourceUse {
+        descriptors,
+        max_descriptors: limits["sockets"].as_u64()?,
+        memory_kib,
+        max_memory_kib: limits["memory_mb"].as_u64()? << 10,
+    })
+}
+
 fn totals(tenant: &TenantReport) -> Totals {
     Totals {
         requested: tenant.requested,
--- a/crates/fault-injection/tests/compatibility.rs
+++ b/crates/fault-injection/tests/compatibility.rs
@@ -178,6 +178,7 @@
         client_attempts: 11,
         gossip: DatagramCounts { sent: 8, delivered: 7, bytes: 700, overflowed: 1 },
         sidecar_metrics: vec![Some([("members".to_owned(), 2.0)].into()), None],
+        resources: Vec::new(),
     }
 }
 
