--- a/src/sidecar/upstream/desync.rs
+++ b/src/sidecar/upstream/desync.rs
@@ -23,7 +23,7 @@
 /// The longest such time.
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(600);
 /// A response that begins within this part of the shortest time that the server has needed was made before.
-const TOO_SOON_DIVISOR: u32 = 2;
+const TOO_SOON_DIVISOR: u32 = 4;
 /// How many bodies are remembered of a connection, and how many of a server that were rightly repeated.
 const MAX_BODIES: usize = 64;
 /// How many requests a connection carries: a copy of any of its responses is known by its body.
