--- a/crates/fault-injection/src/processes.rs
+++ b/crates/fault-injection/src/processes.rs
@@ -63,16 +63,11 @@
     }
 }
 
-/// The message of a sidecar's log once clients can connect.
-const LISTENING_MESSAGE: &str = "listening";
-
 /// A sidecar's process, or the place of one that does not run. Dropping it kills the process.
 pub struct Process {
     child: Option<Child>,
     throttle: Option<Throttle>,
     directory: PathBuf,
-    /// The length of its log when it was last started, in bytes.
-    log_start: usize,
     /// How often its system calls fail; none: they are left alone.
     system_calls: Option<FaultRates>,
 }
@@ -86,7 +81,7 @@
 impl Process {
     /// A process that is not started yet. `directory` holds its configuration, log and state, and no other's.
     pub fn new(directory: PathBuf) -> Process {
-        Process { child: None, throttle: None, directory, log_start: 0, system_calls: None }
+        Process { child: None, throttle: None, directory, system_calls: None }
     }
 
     /// From its next start on, its system calls fail at these rates.
@@ -145,20 +140,10 @@
             let faulty = faulty_calls::environment(rates, Some(&self.clock_path()));
             env.extend(faulty.map_err(io::Error::other)?);
         }
-        self.log_start = std::fs::read(self.log_path()).unwrap_or_default().len();
         self.child = Some(spawner.spawn(program, &env, &self.log_path())?);
         Ok(())
     }
 
-    /// Whether it may have accepted connections since it was last started, by its log.
-    pub fn has_listened(&self) -> bool {
-        let log = std::fs::read(self.log_path());
-        log.map_or(true, |log| {
-            let since_start = String::from_utf8_lossy(log.get(self.log_start..).unwrap_or(&log));
-            since_start.contains(LISTENING_MESSAGE)
-        })
-    }
-
     /// Its process id while it runs.
     ///
     /// The system may reuse the id once the process has been waited for, so only `kill` waits for it.
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -1,8 +1,6 @@
 //! Applies the actions of a scenario.
 
 use std::collections::BTreeSet;
-use std::os::unix::process::ExitStatusExt;
-use std::process::ExitStatus;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fakes::logserver::{Fault, LogServer};
@@ -126,13 +124,7 @@
                 self.check_shutdown_time(n);
             }
             let status = self.sidecars[n].process.kill();
-            // Until it listens for signals, each of them ends a process; nobody has reached it then.
-            let is_planned = |status: &ExitStatus| {
-                status.success()
-                    || status.signal() == Some(Signal::TERM.as_raw())
-                        && !self.sidecars[n].process.has_listened()
-            };
-            if let Some(status) = status.filter(|status| !is_planned(status)) {
+            if let Some(status) = status.filter(|status| !status.success()) {
                 self.problems.push(format!("s{n} has ended with {status}"));
             }
             self.start_sidecar(n, discard_state)?;
