--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 
 MEMORY_MB, SOCKETS = int(os.environ.get("MEMORY_MB", 64)), 1024
 # A third of the descriptors at most is held for requests.
-AT_ONCE = int(os.environ.get("AT_ONCE", 300))
+AT_ONCE = int(os.environ.get("AT_ONCE", 330))
 BODY_BYTES, SECONDS, CALM_SECONDS = 64000, 8, 4
 
 
