--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -330,6 +330,8 @@
     """Runs a case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(folder)
     sidecars = []
+    # A case that is told to end ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     # Connections that are cut off at the end of a case are no news.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
