Memory limit: connections are counted, and bytes of bodies until they are read

Cause: only bodies were counted, while the code that read them held them. Not counted were hyper's buffers and the tasks of connections (24 kB for an unused client connection, 54 kB for a pair after one small request), read buffers that header values and small pieces of streams kept, and bytes that hyper had taken and the peer had not read. Resident memory by step, with 330 clients: 3.9 MB, 11.9 with unused connections, 21.7 after a small request each, 37.1 after bodies.

Change: resource_limits.rs divides the limit between connections, listed servers and bodies, so the number of connections follows from memory, too. Bytes carry their reservation until the last reference is dropped. Headers and pieces of streams are copied, a read takes less than 8 KiB, and the buffer of a lingering close is on the heap. Responses have a budget of their own and wait for memory unread; a request that waits has no client timeout meanwhile. The bodies of health checks are counted and copied, too.

--- a/crates/runtime/src/lingering_close.rs
+++ b/crates/runtime/src/lingering_close.rs
@@ -20,7 +20,8 @@
 }
 
 async fn discard_input<T: Tcp>(socket: &T, byte_limit: usize) {
-    let mut buf = [0; DISCARD_BUFFER_SIZE];
+    // On the heap: in the future itself, every connection would take this space from its start.
+    let mut buf = vec![0; DISCARD_BUFFER_SIZE];
     let mut remaining = byte_limit;
     loop {
         match socket.try_read(&mut buf) {
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -13,6 +13,10 @@
 
 use crate::Tcp;
 
+/// The maximum number of bytes of a single read. hyper doubles its read buffer from 8 KiB on after each read that fills
+/// it, and keeps the larger buffer for as long as the connection is open.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// Observes the traffic of a socket, and may delay its writes.
 ///
 /// The default methods observe nothing and restrict nothing.
@@ -94,9 +98,11 @@
                     return Poll::Pending;
                 }
             }
-            let before = buf.filled().len();
-            match self.socket.try_read_buf(buf) {
-                Ok(_) => return Poll::Ready(self.observer.on_read(&buf.filled()[before..])),
+            match try_read_limited(&*self.socket, buf) {
+                Ok(n) => {
+                    let read = &buf.filled()[buf.filled().len() - n..];
+                    return Poll::Ready(self.observer.on_read(read));
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(e) if e.kind() == io::ErrorKind::OutOfMemory => return poll_again_later(cx),
                 Err(e) => return Poll::Ready(Err(e)),
@@ -105,6 +111,14 @@
     }
 }
 
+/// Appends at most [`MAX_READ_BYTES`] available bytes to `buf` and returns their number.
+fn try_read_limited<S: Tcp>(socket: &S, buf: &mut ReadBuf<'_>) -> io::Result<usize> {
+    let max = buf.remaining().min(MAX_READ_BYTES);
+    let read = socket.try_read(buf.initialize_unfilled_to(max))?;
+    buf.advance(read);
+    Ok(read)
+}
+
 /// Returns `Pending` and schedules the task to be polled again in the next iteration of the event loop.
 fn poll_again_later<T>(cx: &Context<'_>) -> Poll<T> {
     cx.waker().wake_by_ref();
--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -10,9 +10,15 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use runtime::{Runtime, expiry};
 
+use super::framing::MAX_HEAD_BYTES;
+use super::memory::BodyReservation;
+
 /// The maximum number of buffered bytes of a body. Longer bodies are streamed.
 pub const STREAM_WINDOW_BYTES: usize = 64 << 10;
-/// The memory reserved for a streamed body in bytes: its window, and the bytes being forwarded.
+/// The capacity in bytes of a buffer for the first bytes of a streamed body: the window, and a last piece that exceeds
+/// it.
+pub const STREAM_PREFIX_BYTES: usize = STREAM_WINDOW_BYTES + MAX_HEAD_BYTES;
+/// The memory reserved for a streamed body in bytes: its first bytes, and those that hyper is forwarding.
 pub const STREAM_RESERVATION_BYTES: usize = 2 * STREAM_WINDOW_BYTES;
 /// The maximum wait for the next bytes of a body that has begun.
 pub const MAX_BODY_GAP: Duration = Duration::from_millis(2500);
@@ -46,6 +52,7 @@
 /// bodies of senders that make long pauses fail too.
 pub struct MinRateBody<P: Runtime> {
     body: Incoming,
+    reservation: BodyReservation,
     /// Number of bytes that may still be received.
     remaining: u64,
     min_bytes_per_second: u64,
@@ -63,19 +70,33 @@
 }
 
 impl<P: Runtime> MinRateBody<P> {
-    /// Wraps the rest of a client's body, which may have up to `remaining` bytes.
-    pub fn from_client(body: Incoming, remaining: u64) -> MinRateBody<P> {
-        MinRateBody::new(body, remaining, MIN_CLIENT_BYTES_PER_SECOND)
+    /// Wraps the rest of a client's body, which may have up to `remaining` bytes and uses the memory of `reservation`.
+    pub fn from_client(
+        body: Incoming,
+        remaining: u64,
+        reservation: BodyReservation,
+    ) -> MinRateBody<P> {
+        MinRateBody::new(body, remaining, reservation, MIN_CLIENT_BYTES_PER_SECOND)
     }
 
-    /// Wraps the rest of a server's body, which may have up to `remaining` bytes.
-    pub fn from_server(body: Incoming, remaining: u64) -> MinRateBody<P> {
-        MinRateBody::new(body, remaining, MIN_SERVER_BYTES_PER_SECOND)
+    /// Wraps the rest of a server's body, which may have up to `remaining` bytes and uses the memory of `reservation`.
+    pub fn from_server(
+        body: Incoming,
+        remaining: u64,
+        reservation: BodyReservation,
+    ) -> MinRateBody<P> {
+        MinRateBody::new(body, remaining, reservation, MIN_SERVER_BYTES_PER_SECOND)
     }
 
-    fn new(body: Incoming, remaining: u64, min_bytes_per_second: u64) -> MinRateBody<P> {
+    fn new(
+        body: Incoming,
+        remaining: u64,
+        reservation: BodyReservation,
+        min_bytes_per_second: u64,
+    ) -> MinRateBody<P> {
         MinRateBody {
             body,
+            reservation,
             remaining,
             min_bytes_per_second,
             received: 0,
@@ -122,7 +143,8 @@
         Poll::Ready(frame.map(|frame| {
             let frame = frame.map_err(|_| BodyError)?;
             self.count_frame(&frame)?;
-            Ok(frame)
+            // A copy, as a small piece would keep the whole buffer that hyper has read it into.
+            Ok(frame.map_data(|data| self.reservation.attach(data.to_vec())))
         }))
     }
 
--- a/src/sidecar/config/mod.rs
+++ b/src/sidecar/config/mod.rs
@@ -21,7 +21,7 @@
 
 use self::environment::{Environment, config_path};
 use self::file::{ConfigFile, restart_only_part};
-use super::budget;
+use super::resource_limits::{self, ResourceLimits};
 use crate::settings::Settings;
 
 /// Allowed intervals between gossip rounds, in milliseconds.
@@ -69,6 +69,11 @@
 }
 
 impl Config {
+    /// The limits of memory and descriptors.
+    pub fn resource_limits(&self) -> ResourceLimits {
+        ResourceLimits { memory: self.memory_bytes, sockets: self.max_sockets }
+    }
+
     /// Reads the file named by `LB_CONFIG` and the other variables.
     ///
     /// # Errors
@@ -203,11 +208,11 @@
     has_gossip: bool,
 ) -> Result<(), ConfigError> {
     let memory_mb = file.limits.memory_mb;
-    let max = budget::max_members(memory_mb << MEGABYTE_SHIFT);
+    let max = resource_limits::max_members(memory_mb << MEGABYTE_SHIFT);
     if has_gossip && settings.instances as usize > max {
         return Err(ConfigError::TooManyMembers { max, memory_mb });
     }
-    let max = budget::max_servers(memory_mb << MEGABYTE_SHIFT);
+    let max = resource_limits::max_servers(memory_mb << MEGABYTE_SHIFT);
     let cached = file.cached_endpoints.as_ref().map_or(0, |list| list.endpoints.len());
     if cached > max {
         return Err(ConfigError::TooManyEndpoints { max, memory_mb });
--- a/src/sidecar/discovery/mod.rs
+++ b/src/sidecar/discovery/mod.rs
@@ -17,9 +17,9 @@
 use runtime::Runtime;
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::budget::max_list_bytes;
 use super::config::{BorrowedText, EndpointList};
 use super::discovery_status::CallOutcome;
+use super::resource_limits::max_list_bytes;
 use super::status::Status;
 use crate::api::ListKind;
 use crate::settings::DiscoveryMode as Mode;
--- a/src/sidecar/driver/endpoints.rs
+++ b/src/sidecar/driver/endpoints.rs
@@ -215,6 +215,7 @@
             let close_idle = |server| self.upstream.close_idle(server);
             let (ignored, changes) = endpoints.apply(kind, list, &names, max_servers, close_idle);
             changes.log(kind, list.version, endpoints.servers.len());
+            self.upstream.set_known_servers(endpoints.servers.len());
             if !ignored.is_empty() {
                 self.status.count_oversized_list();
                 if endpoints.ignored != ignored.len() {
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -131,6 +131,17 @@
         self.last_progress.set(P::now());
     }
 
+    /// Stops reading a request whose body has to wait for memory. Meanwhile the client's timeout does not run.
+    pub fn await_memory(&self) {
+        self.phase.set(Phase::AwaitingMemory);
+    }
+
+    /// Continues to read a request whose body has waited for memory.
+    pub fn resume_request(&self, waited: Duration) {
+        self.phase.set(Phase::ReceivingRequest);
+        self.last_progress.set(self.last_progress.get() + waited);
+    }
+
     /// The framing error in the client's input, if there was one.
     pub fn framing_error(&self) -> Option<FramingError> {
         self.framing_error.get()
--- a/src/sidecar/ingress/connection/closing.rs
+++ b/src/sidecar/ingress/connection/closing.rs
@@ -49,7 +49,9 @@
         let request = match self.phase.get() {
             Phase::Lingering | Phase::Responding => None,
             Phase::AwaitingResponse => Some(Unanswered::Read),
-            Phase::ReceivingRequest | Phase::StreamingRequest => Some(Unanswered::PartlyRead),
+            Phase::ReceivingRequest | Phase::AwaitingMemory | Phase::StreamingRequest => {
+                Some(Unanswered::PartlyRead)
+            }
             Phase::Idle if self.has_no_unread_input() => None,
             Phase::Idle if self.ended_without_input.get() => Some(Unanswered::AfterEnd),
             Phase::Idle => Some(Unanswered::Unread),
@@ -90,6 +92,7 @@
     pub fn eviction_rank(&self) -> Option<EvictionRank> {
         let is_new = self.unused.get() && self.time_in_phase() < MIN_UNUSED_IN_SHORTAGE;
         let class = match self.phase.get() {
+            Phase::AwaitingMemory => return None,
             phase if phase.is_busy() => return None,
             Phase::Lingering => EvictionClass::Lingering,
             Phase::Idle if is_new => return None,
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -54,7 +54,7 @@
     fn phase_deadline(&self) -> Option<Instant> {
         let stalled_at = self.last_progress.get() + STALL_TIMEOUT;
         match self.phase.get() {
-            Phase::StreamingRequest | Phase::AwaitingResponse => None,
+            Phase::AwaitingMemory | Phase::StreamingRequest | Phase::AwaitingResponse => None,
             Phase::Responding if self.upstream_wait.is_waiting() => None,
             Phase::Responding => {
                 let read_time = MAX_RESPONSE_READ_TIME
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -32,10 +32,11 @@
 use self::connection::ClientConnection;
 use self::phase::Phase;
 use self::response::DateCache;
-use super::budget::{BodyBudget, SocketBudget};
+use super::budget::SocketBudget;
 use super::driver::Driver;
 use super::events::CloseReason;
 use super::live::LiveConfig;
+use super::memory::BodyBudget;
 use super::request_ids::RequestIds;
 use super::status::{Status, VERSION};
 
--- a/src/sidecar/ingress/phase.rs
+++ b/src/sidecar/ingress/phase.rs
@@ -9,6 +9,8 @@
     Idle,
     /// Part of a request has been received.
     ReceivingRequest,
+    /// The head of a request has been received, and no memory is available yet for its body, which is not read.
+    AwaitingMemory,
     /// The rest of a long body is being streamed to a server. Its minimum pace is enforced where it is read.
     StreamingRequest,
     /// The request is complete, and no response is available yet.
@@ -24,6 +26,11 @@
     pub fn is_busy(self) -> bool {
         matches!(self, Phase::StreamingRequest | Phase::AwaitingResponse | Phase::Responding)
     }
+
+    /// Whether a part of a request has been received, and no response to it was written.
+    pub fn is_partial_request(self) -> bool {
+        matches!(self, Phase::ReceivingRequest | Phase::AwaitingMemory | Phase::StreamingRequest)
+    }
 }
 
 /// The eviction order of a connection: the one with the smallest rank is closed first.
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -9,22 +9,25 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, http};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, Response, StatusCode, Uri, http};
 use runtime::{Runtime, timeout};
 
 use super::Ingress;
 use super::connection::{ClientConnection, ClientDisconnected};
 use super::phase::Phase;
-use super::response::{ResponseParts, empty_response, end_to_end_headers};
+use super::response::{ResponseParts, empty_response};
 use crate::api::Micros;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::{
-    BodyError, BoxedBody, MinRateBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
+    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_RESERVATION_BYTES,
+    STREAM_WINDOW_BYTES,
 };
-use crate::sidecar::budget::Reservation;
 use crate::sidecar::config::stable_hash;
 use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
 use crate::sidecar::events::CloseReason;
+use crate::sidecar::headers::end_to_end_headers;
+use crate::sidecar::memory::BodyReservation;
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::UpstreamRequest;
 
@@ -46,11 +49,20 @@
 }
 
 /// The parsed head of a valid request.
-struct ParsedRequest<'a> {
+struct ParsedRequest {
     info: RequestInfo,
     /// The id by which servers identify the request.
-    correlation_id: &'a str,
+    correlation_id: String,
+    head: ForwardedHead,
+}
+
+/// The parts of the head of a request that are forwarded, in memory of their own: the client's head would keep the whole
+/// buffer that it was read into.
+struct ForwardedHead {
     retry_safety: RetrySafety,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
 }
 
 /// The body of a request as far as it is read before the request is forwarded.
@@ -59,7 +71,6 @@
     first: Bytes,
     /// The upload of the whole body; `None` if the body is not streamed.
     upload: Option<Rc<Upload>>,
-    reservation: Reservation,
 }
 
 impl<P: Runtime> Ingress<P> {
@@ -98,15 +109,15 @@
         connection: &Rc<ClientConnection<P>>,
         request: Request<Incoming>,
     ) -> Result<RequestOutcome, RequestError> {
-        let (head, body) = request.into_parts();
-        let ParsedRequest { mut info, correlation_id, retry_safety } = self.parse(&head)?;
-        connection.set_request_id(correlation_id);
+        let (received_head, body) = request.into_parts();
+        let ParsedRequest { mut info, correlation_id, head } = self.parse(&received_head)?;
+        drop(received_head);
+        connection.set_request_id(&correlation_id);
         info.time_left = self.remaining_time(connection, info.time_left);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         }
-        let RequestBody { first, upload, reservation } =
-            self.receive_body(connection, body, &mut info).await?;
+        let RequestBody { first, upload } = self.receive_body(connection, body, &mut info).await?;
         // The client may have disconnected while the request waited to be accepted or for memory. An attempt would be
         // wasted then. `ClientConnection::unless_disconnected` describes the drawback.
         if connection.is_disconnected() {
@@ -114,7 +125,7 @@
         }
         // Servers identify requests by their ids, so a second request with the id of one that may still be in progress
         // would be taken for a retry of it.
-        let Some(_id_guard) = self.request_ids.acquire(correlation_id) else {
+        let Some(_id_guard) = self.request_ids.acquire(&correlation_id) else {
             return Err(RequestError::Rejected(StatusCode::CONFLICT));
         };
         let is_streamed = upload.is_some();
@@ -124,13 +135,12 @@
             Phase::AwaitingResponse
         });
         let message = UpstreamRequest {
-            retry_safety,
-            method: head.method.clone(),
-            target: head.uri.path_and_query().cloned().map(hyper::Uri::from).unwrap_or_default(),
-            headers: end_to_end_headers(&head.headers),
+            retry_safety: head.retry_safety,
+            method: head.method,
+            target: head.target,
+            headers: head.headers,
             body: first,
             upload: upload.clone(),
-            reservation,
             finished: std::cell::Cell::default(),
             client: Some(connection.clone()),
         };
@@ -177,25 +187,28 @@
         info: &mut RequestInfo,
     ) -> Result<RequestBody, RequestError> {
         if body.is_end_stream() {
-            return Ok(RequestBody { first: Bytes::new(), upload: None, reservation: None });
+            return Ok(RequestBody { first: Bytes::new(), upload: None });
         }
         let length = body.size_hint().exact();
         let buffered =
             length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
         let bytes = buffered.unwrap_or(STREAM_RESERVATION_BYTES);
         let reservation = self.reserve_body_memory(connection, bytes, info).await?;
-        let (first, rest) = read_prefix(body, buffered.unwrap_or(STREAM_WINDOW_BYTES)).await?;
+        let first = BytesMut::with_capacity(buffered.unwrap_or(STREAM_PREFIX_BYTES));
+        let min_bytes = buffered.unwrap_or(STREAM_WINDOW_BYTES);
+        let (first, rest) = read_prefix(first, body, min_bytes).await?;
+        let first = reservation.attach(first);
         let upload = rest.map(|rest| {
             let remaining = self.live.max_body_bytes().saturating_sub(first.len()) as u64;
             let source: BoxedBody = Box::pin(StreamedRequestBody {
-                body: MinRateBody::<P>::from_client(rest, remaining),
+                body: MinRateBody::<P>::from_client(rest, remaining, reservation),
                 connection: connection.clone(),
             });
             let left = self.driver.time_budget(info.class, info.time_left);
             let received_at = connection.body_received_at();
             Upload::new::<P>(first.clone(), source, length, left, received_at)
         });
-        Ok(RequestBody { first, upload, reservation })
+        Ok(RequestBody { first, upload })
     }
 
     /// Reserves memory for a body, and deducts the wait from the request's time.
@@ -208,20 +221,23 @@
         connection: &ClientConnection<P>,
         bytes: usize,
         info: &mut RequestInfo,
-    ) -> Result<Reservation, RequestError> {
+    ) -> Result<BodyReservation, RequestError> {
         let requested = P::now();
         let time_left = self.driver.time_budget(info.class, info.time_left);
         let reserving = timeout::<P, _>(time_left, self.body_budget.reserve(bytes));
+        connection.await_memory();
         let Ok(reservation) = connection.unless_disconnected(reserving).await? else {
             tracing::warn!(bytes, "no memory for a request body within the time of the request");
             return Err(RequestError::Rejected(StatusCode::SERVICE_UNAVAILABLE));
         };
-        info.time_left = info.time_left.saturating_sub(P::elapsed_since(requested));
+        let waited = P::elapsed_since(requested);
+        connection.resume_request(waited);
+        info.time_left = info.time_left.saturating_sub(waited);
         Ok(reservation)
     }
 
     /// Validates the head of a request and extracts the information for the driver.
-    fn parse<'a>(&self, head: &'a http::request::Parts) -> Result<ParsedRequest<'a>, RequestError> {
+    fn parse(&self, head: &http::request::Parts) -> Result<ParsedRequest, RequestError> {
         const BAD_REQUEST: RequestError = RequestError::Rejected(StatusCode::BAD_REQUEST);
         let text = |name| header_text(&head.headers, name);
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -259,7 +275,18 @@
             work_hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
             client_retry: text("x-repeat")? == Some("1"),
         };
-        Ok(ParsedRequest { info, correlation_id, retry_safety: class.retry_safety })
+        let target = head.uri.path_and_query();
+        let target = target.and_then(|target| PathAndQuery::try_from(target.as_str()).ok());
+        Ok(ParsedRequest {
+            info,
+            correlation_id: correlation_id.to_owned(),
+            head: ForwardedHead {
+                retry_safety: class.retry_safety,
+                method: head.method.clone(),
+                target: target.map(Uri::from).unwrap_or_default(),
+                headers: end_to_end_headers(&head.headers),
+            },
+        })
     }
 }
 
@@ -302,24 +329,24 @@
     Some(u64::from_str_radix(value, 16).unwrap_or_else(|_| stable_hash(value.as_bytes())))
 }
 
-/// Reads a body completely or, if it is longer than `min_bytes`, at least that many bytes of it, and returns the rest
-/// of the body unread.
+/// Reads a body completely into `first` or, if it is longer than `min_bytes`, at least that many bytes of it, and returns
+/// the rest of the body unread.
 ///
 /// The bytes are copied into one buffer, because a body that arrives byte by byte would take many times its size if
 /// its chunks were kept as they arrive.
 async fn read_prefix(
+    mut first: BytesMut,
     mut body: Incoming,
     min_bytes: usize,
-) -> Result<(Bytes, Option<Incoming>), ClientDisconnected> {
-    let mut first = BytesMut::with_capacity(min_bytes);
+) -> Result<(BytesMut, Option<Incoming>), ClientDisconnected> {
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| ClientDisconnected)?.into_data() else { continue };
         first.extend_from_slice(&data);
         if first.len() >= min_bytes && !body.is_end_stream() {
-            return Ok((first.freeze(), Some(body)));
+            return Ok((first, Some(body)));
         }
     }
-    Ok((first.freeze(), None))
+    Ok((first, None))
 }
 
 /// The rest of a long request body. It notifies its connection when the body has ended or failed.
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -9,13 +9,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 use runtime::Runtime;
 
 use super::connection::ClientConnection;
 use crate::sidecar::body::{BodyError, BoxedBody};
-use crate::sidecar::budget::Reservation;
 use crate::sidecar::driver::RequestOutcome;
 use crate::sidecar::upstream::UpstreamResponse;
 
@@ -26,8 +25,6 @@
     pub first: Bytes,
     /// The rest of a streamed body.
     pub rest: Option<BoxedBody>,
-    /// The memory reserved for the body.
-    pub reservation: Reservation,
 }
 
 /// A response without a body.
@@ -40,10 +37,10 @@
 /// The response for the outcome of a request.
 pub(super) fn reply_response(reply: RequestOutcome) -> Response<ResponseParts> {
     match reply {
-        RequestOutcome::Served(UpstreamResponse { headers, body, rest, reservation }) => {
-            let parts = ResponseParts { first: body, rest, reservation };
+        RequestOutcome::Served(UpstreamResponse { headers, body, rest }) => {
+            let parts = ResponseParts { first: body, rest };
             let mut response = Response::new(parts);
-            *response.headers_mut() = end_to_end_headers(&headers);
+            *response.headers_mut() = headers;
             response
         }
         RequestOutcome::Rejected { retry_after } => {
@@ -58,41 +55,6 @@
     }
 }
 
-/// The headers of a message that are forwarded: all except hop-by-hop headers (RFC 9110, section 7.6.1) and those that
-/// servers send to this sidecar itself.
-pub(super) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let connection_options: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let forwarded = headers
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name) && !connection_options.contains(name));
-    forwarded.map(|(name, value)| (name.clone(), value.clone())).collect()
-}
-
-fn is_hop_by_hop(name: &HeaderName) -> bool {
-    matches!(
-        name.as_str(),
-        "connection"
-            | "content-length"
-            | "expect"
-            | "keep-alive"
-            | "proxy-authenticate"
-            | "proxy-authorization"
-            | "proxy-connection"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-            | "x-backend-load"
-            | "x-unprocessed"
-    )
-}
-
 /// The value of the `Date` header (RFC 9110, section 6.6.1), formatted once a second.
 pub(super) struct DateCache {
     cached: RefCell<CachedDate>,
@@ -130,8 +92,6 @@
     first: Full<Bytes>,
     rest: Option<BoxedBody>,
     connection: Rc<ClientConnection<P>>,
-    /// The memory reserved for the body, returned to the budget when the body is dropped.
-    _reservation: Reservation,
 }
 
 impl<P: Runtime> ResponseBody<P> {
@@ -140,9 +100,8 @@
         first: Full<Bytes>,
         rest: Option<BoxedBody>,
         connection: Rc<ClientConnection<P>>,
-        reservation: Reservation,
     ) -> ResponseBody<P> {
-        ResponseBody { first, rest, connection, _reservation: reservation }
+        ResponseBody { first, rest, connection }
     }
 }
 
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -217,8 +217,8 @@
         }
         response.headers_mut().entry(header::DATE).or_insert_with(|| self.date.header::<P>());
         connection.start_response();
-        let (head, ResponseParts { first, rest, reservation }) = response.into_parts();
-        let body = ResponseBody::new(Full::new(first), rest, connection, reservation);
+        let (head, ResponseParts { first, rest }) = response.into_parts();
+        let body = ResponseBody::new(Full::new(first), rest, connection);
         Ok(Response::from_parts(head, body))
     }
 
@@ -247,18 +247,16 @@
         CloseReason::Evicted | CloseReason::Draining => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::REQUEST_TIMEOUT,
     };
-    let is_partial =
-        matches!(connection.phase(), Phase::ReceivingRequest | Phase::StreamingRequest);
+    let is_partial = connection.phase().is_partial_request();
     ConnectionEnd { responded: is_partial && reject(connection, socket, status), reason }
 }
 
 /// Rejects a request with a framing error, if a response can still be written. Returns whether it was.
 fn reject_framing_error<P: Runtime>(connection: &ClientConnection<P>, socket: &P::Tcp) -> bool {
     connection.framing_error().is_some_and(|error| {
-        matches!(
-            connection.phase(),
-            Phase::ReceivingRequest | Phase::StreamingRequest | Phase::AwaitingResponse
-        ) && reject(connection, socket, error.status())
+        let phase = connection.phase();
+        (phase.is_partial_request() || phase == Phase::AwaitingResponse)
+            && reject(connection, socket, error.status())
     })
 }
 
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::budget::max_servers;
 use super::config::{Config, ProtocolNames};
+use super::resource_limits::max_servers;
 
 /// Fraction of the servers' idle timeout during which an idle connection is reused.
 const REUSE_FRACTION: f64 = 0.7;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -12,14 +12,17 @@
 pub mod execution;
 pub mod framing;
 pub mod gossip;
+pub mod headers;
 pub mod ingress;
 pub mod inherited_listener;
 pub mod invariants;
 pub mod live;
+pub mod memory;
 pub mod notify;
 pub mod peers;
 pub mod reload;
 mod request_ids;
+pub mod resource_limits;
 pub mod shutdown;
 pub mod startup;
 pub mod status;
@@ -132,7 +135,7 @@
         live: components.live.clone(),
         driver,
         socket_budget: components.socket_budget.clone(),
-        body_budget: components.body_budget.clone(),
+        body_memory: components.body_memory.clone(),
         status: components.status.clone(),
         restart_only: config.restart_only,
     };
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -10,10 +10,11 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
 
-use super::budget::{BodyBudget, SocketBudget};
+use super::budget::SocketBudget;
 use super::config::{Config, ConfigError};
 use super::driver::Driver;
 use super::live::LiveConfig;
+use super::memory::BodyMemory;
 use super::status::Status;
 
 /// Delay before an unreadable configuration file is read again.
@@ -32,7 +33,7 @@
     /// The descriptor budget.
     pub socket_budget: Rc<SocketBudget>,
     /// The memory budget of bodies.
-    pub body_budget: BodyBudget,
+    pub body_memory: Rc<BodyMemory>,
     /// Records the outcome.
     pub status: Rc<Status>,
     /// The part of the configuration that only a restart can change.
@@ -112,8 +113,9 @@
 
     fn apply(&self, config: Config) {
         self.live.apply(&config, P::now());
-        self.socket_budget.resize::<P>(config.max_sockets);
-        self.body_budget.resize::<P>(config.memory_bytes);
+        let limits = config.resource_limits();
+        self.socket_budget.set_limits::<P>(limits);
+        self.body_memory.set_limits::<P>(limits);
         let quotas = config.tenant_quotas();
         self.driver.reconfigure(config.settings, quotas);
     }
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -13,7 +13,7 @@
 
 use super::admin::Admin;
 use super::admin::state_file::StateFile;
-use super::budget::{BodyBudget, SocketBudget};
+use super::budget::SocketBudget;
 use super::config::{Config, EndpointList};
 use super::discovery::DiscoveryRequest;
 use super::driver::{Driver, PeerServices};
@@ -21,6 +21,7 @@
 use super::ingress::Ingress;
 use super::inherited_listener::{InheritedListenerError, LISTEN_BACKLOG, inherited_listener};
 use super::live::LiveConfig;
+use super::memory::BodyMemory;
 use super::peers::Peers;
 use super::status::Status;
 use super::upstream::Upstream;
@@ -126,7 +127,7 @@
     pub live: Rc<LiveConfig>,
     pub status: Rc<Status>,
     pub socket_budget: Rc<SocketBudget>,
-    pub body_budget: BodyBudget,
+    pub body_memory: Rc<BodyMemory>,
     upstream: Rc<Upstream<P>>,
     peers: Option<Rc<Peers<P>>>,
     tier: Option<Rc<Membership<P>>>,
@@ -142,16 +143,17 @@
         let peers = peers.map(|s| Peers::<P>::new(s, config.peers.clone(), config.peers_multicast));
         let live = LiveConfig::new(config);
         let status = Rc::new(Status::default());
-        let socket_budget = Rc::new(SocketBudget::new(config.max_sockets));
-        let body_budget = BodyBudget::new(config.memory_bytes);
+        let limits = config.resource_limits();
+        let socket_budget = Rc::new(SocketBudget::new(limits));
+        let body_memory = BodyMemory::new(limits);
         let upstream = Upstream::<P>::new(
             socket_budget.clone(),
-            body_budget.clone(),
+            body_memory.clone(),
             live.clone(),
             status.clone(),
         );
         let tier = Membership::<P>::new(config, peers.as_ref())?;
-        Ok(Components { live, status, socket_budget, body_budget, upstream, peers, tier })
+        Ok(Components { live, status, socket_budget, body_memory, upstream, peers, tier })
     }
 
     /// Creates the driver, which sends its requests for discovery to `to_discovery`.
@@ -180,7 +182,7 @@
             self.live.clone(),
             self.status.clone(),
             self.socket_budget.clone(),
-            self.body_budget.clone(),
+            self.body_memory.requests.clone(),
         )
     }
 
--- a/src/sidecar/upstream/attempt_result.rs
+++ b/src/sidecar/upstream/attempt_result.rs
@@ -6,7 +6,6 @@
 use super::connection::ConnectionUse;
 use crate::api::{LoadReport, Outcome};
 use crate::sidecar::body::BoxedBody;
-use crate::sidecar::budget::Reservation;
 use crate::sidecar::execution::ExecutionFacts;
 
 /// A server's response to a request.
@@ -17,8 +16,6 @@
     pub body: Bytes,
     /// The rest of a streamed body, or `None` if the body is buffered.
     pub rest: Option<BoxedBody>,
-    /// Memory reserved for the body.
-    pub reservation: Reservation,
 }
 
 /// The result of an attempt.
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -260,7 +260,9 @@
             return Received::without_response(outcome);
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
-        let result = self.upstream.read_response(server, connection, response, needs_proof);
+        let reservation = self.upstream.reserve_response(observer, &response).await;
+        let result =
+            self.upstream.read_response(server, connection, response, reservation, needs_proof);
         tokio::select! {
             biased;
             result = result => result,
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use runtime::{Runtime, timeout};
 
@@ -79,13 +80,25 @@
         let limits = AttemptLimits::unlimited(P::now() + self.live.timeouts().connect);
         let response = send_request(&mut connection, &request, &limits).await;
         let (head, body) = response.map(Response::into_parts).ok_or(Outcome::ConnectionReset)?;
-        let body = Limited::new(body, STREAM_WINDOW_BYTES)
-            .collect()
-            .await
-            .map_err(|_| Outcome::ConnectionReset)?;
+        let _reservation = self.body_memory.responses.reserve(STREAM_WINDOW_BYTES).await;
+        let body = read_report(body).await.ok_or(Outcome::ConnectionReset)?;
         let outcome =
             if head.status == StatusCode::OK { Outcome::Success } else { Outcome::ErrorResponse };
-        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        let text = String::from_utf8_lossy(&body);
         Ok(HealthCheckResult { outcome, report: self.live.names().load_report(&text) })
     }
 }
+
+/// Reads a body of at most [`STREAM_WINDOW_BYTES`]. Returns `None` if it is longer or does not arrive completely.
+///
+/// The bytes are copied, as each piece would otherwise keep the whole buffer that it was read into.
+async fn read_report(body: Incoming) -> Option<Vec<u8>> {
+    let mut body = Limited::new(body, STREAM_WINDOW_BYTES);
+    let mut report = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            report.extend_from_slice(&data);
+        }
+    }
+    Some(report)
+}
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -23,8 +23,9 @@
 use runtime::Runtime;
 use rustc_hash::FxHashMap;
 
-use super::budget::{BodyBudget, SocketBudget};
+use super::budget::SocketBudget;
 use super::live::LiveConfig;
+use super::memory::BodyMemory;
 use super::status::Status;
 use crate::api::ServerId;
 pub use attempt_result::{AttemptResult, UpstreamResponse};
@@ -52,7 +53,7 @@
     /// Number of connections opened so far.
     opened: Cell<u64>,
     sockets: Rc<SocketBudget>,
-    body_memory: BodyBudget,
+    body_memory: Rc<BodyMemory>,
     live: Rc<LiveConfig>,
     status: Rc<Status>,
 }
@@ -61,7 +62,7 @@
     /// Creates an empty pool and spawns the task that closes expired idle connections.
     pub fn new(
         sockets: Rc<SocketBudget>,
-        body_memory: BodyBudget,
+        body_memory: Rc<BodyMemory>,
         live: Rc<LiveConfig>,
         status: Rc<Status>,
     ) -> Rc<Upstream<P>> {
@@ -77,4 +78,9 @@
         P::spawn(upstream.clone().evict_expired());
         upstream
     }
+
+    /// Leaves memory for this number of known servers.
+    pub fn set_known_servers(&self, servers: usize) {
+        self.body_memory.set_servers::<P>(servers);
+    }
 }
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -228,6 +228,13 @@
         Some(began.saturating_duration_since(sent))
     }
 
+    /// Restarts the allowed gap of a response that was not read for a while.
+    pub(super) fn resume_response(&self) {
+        if self.response_active_at.get().is_some() {
+            self.response_active_at.set(Some(P::now()));
+        }
+    }
+
     /// Waits until the first bytes of the final response arrive.
     pub(super) async fn response_began(&self) {
         self.response_began.notified().await;
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -15,7 +15,6 @@
 use super::observer::ExchangeObserver;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
-use crate::sidecar::budget::Reservation;
 use crate::sidecar::invariants::SendFacts;
 use crate::sidecar::upload::{Upload, UploadAttempt};
 
@@ -44,8 +43,6 @@
     pub body: Bytes,
     /// The streamed body, or `None` if the body is buffered.
     pub upload: Option<Rc<Upload>>,
-    /// Memory reserved for the body.
-    pub reservation: Reservation,
     /// Whether the request has its final response, or nobody waits for one any more. No further attempt is sent then.
     pub finished: Cell<bool>,
     /// The client that sent the request, or `None` for a request of the sidecar itself.
@@ -62,7 +59,6 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             upload: None,
-            reservation: None,
             finished: Cell::default(),
             client: None,
         }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -17,16 +17,23 @@
 use super::close_reason::CloseReason;
 use super::connection::Connection;
 use super::desync::{BodyFingerprint, SuspectedDesync};
+use super::observer::ExchangeObserver;
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
-    BodyError, BoxedBody, MinRateBody, STREAM_RESERVATION_BYTES, STREAM_WINDOW_BYTES,
+    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_RESERVATION_BYTES,
+    STREAM_WINDOW_BYTES,
 };
 use crate::sidecar::framing::UNPROCESSED_HEADER;
+use crate::sidecar::headers::end_to_end_headers;
+use crate::sidecar::memory::BodyReservation;
 
 /// The time for which the first bytes of a streamed response are held back before they are forwarded. If the response
 /// fails within this time, the request can still be sent to another server.
 const EARLY_FAILURE_WAIT: Duration = Duration::from_millis(10);
 
+/// A wait for memory of at least this duration is logged.
+const LONG_WAIT_FOR_MEMORY: Duration = Duration::from_millis(100);
+
 /// The header with which a server reports its load.
 const LOAD_REPORT_HEADER: &str = "x-backend-load";
 
@@ -105,7 +112,30 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Reads the response to an attempt at `server`.
+    /// Reserves the memory for the body of a response that is forwarded, waiting until it is available. The response is
+    /// not read meanwhile.
+    pub(super) async fn reserve_response(
+        &self,
+        observer: &ExchangeObserver<P>,
+        response: &Response<Incoming>,
+    ) -> BodyReservation {
+        if response.status() != StatusCode::OK {
+            return BodyReservation::default();
+        }
+        let length = buffered_length(response.body());
+        let bytes = length.unwrap_or(STREAM_RESERVATION_BYTES);
+        let requested = P::now();
+        let reservation = self.body_memory.responses.reserve(bytes).await;
+        let waited = P::elapsed_since(requested);
+        if waited >= LONG_WAIT_FOR_MEMORY {
+            let waited_ms = waited.as_millis() as u64;
+            tracing::warn!(bytes, waited_ms, "response body has waited for memory");
+        }
+        observer.resume_response();
+        reservation
+    }
+
+    /// Reads the response to an attempt at `server`. Its body uses the memory of `reservation`.
     ///
     /// With `needs_proof`, a rejection counts only once it is complete, as a server may start to send one and still
     /// execute the request.
@@ -114,6 +144,7 @@
         server: ServerId,
         connection: Connection<P>,
         response: Response<Incoming>,
+        reservation: BodyReservation,
         needs_proof: bool,
     ) -> Received<P> {
         let unprocessed = is_unprocessed(&response);
@@ -141,7 +172,9 @@
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return Received::Ended(end(outcome));
         }
-        let Some(read) = self.read_body(connection, head.headers, body).await else {
+        let headers = end_to_end_headers(&head.headers);
+        drop(head);
+        let Some(read) = self.read_body(connection, headers, body, reservation).await else {
             return Received::Ended(end(Outcome::ConnectionReset));
         };
         let Forwardable { response, connection, sync_result } = read;
@@ -177,19 +210,13 @@
         mut connection: Connection<P>,
         headers: HeaderMap,
         mut body: Incoming,
+        reservation: BodyReservation,
     ) -> Option<Forwardable<P>> {
         // Without a length or chunked encoding, a truncated response looks complete.
         if !connection.observer.has_delimited_response() {
             return None;
         }
-        let buffered_length =
-            body.size_hint().exact().filter(|&length| length <= STREAM_WINDOW_BYTES as u64);
-        let bytes = buffered_length.map_or(STREAM_RESERVATION_BYTES, |length| length as usize);
-        let Some(reservation) = self.body_memory.try_reserve(bytes) else {
-            tracing::warn!(bytes, "no memory left for a response body");
-            return None;
-        };
-        let prefix = read_prefix::<P>(&mut body, buffered_length).await.ok()?;
+        let prefix = read_prefix::<P>(&mut body).await.ok()?;
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
         let sync_result = connection.check_body(fingerprint);
         let mut connection = Some(connection);
@@ -197,12 +224,13 @@
             None
         } else {
             let max_rest_bytes = self.live.max_body_bytes().saturating_sub(prefix.bytes.len());
-            let body = MinRateBody::from_server(body, max_rest_bytes as u64);
+            let rest = reservation.clone();
+            let body = MinRateBody::from_server(body, max_rest_bytes as u64, rest);
             let connection = connection.take();
             Some(Box::pin(StreamedRest { body, connection }))
         };
-        let body = prefix.bytes.freeze();
-        let response = UpstreamResponse { headers, body, rest, reservation: Some(reservation) };
+        let body = reservation.attach(prefix.bytes);
+        let response = UpstreamResponse { headers, body, rest };
         Some(Forwardable { response, connection, sync_result })
     }
 
@@ -236,19 +264,23 @@
     true
 }
 
-/// Reads a body of `buffered_length` bytes completely, or else the first bytes of a body and what follows them
-/// within [`EARLY_FAILURE_WAIT`].
+/// Returns the length of a body that is buffered completely, or `None` if it is streamed.
+fn buffered_length(body: &Incoming) -> Option<usize> {
+    let length = body.size_hint().exact()?;
+    (length <= STREAM_WINDOW_BYTES as u64).then_some(length as usize)
+}
+
+/// Reads a short body completely, or else the first bytes of a body and what follows them within
+/// [`EARLY_FAILURE_WAIT`].
 ///
 /// # Errors
 ///
 /// Fails if the body ends early.
-async fn read_prefix<P: Runtime>(
-    body: &mut Incoming,
-    buffered_length: Option<u64>,
-) -> Result<Prefix, hyper::Error> {
+async fn read_prefix<P: Runtime>(body: &mut Incoming) -> Result<Prefix, hyper::Error> {
+    let buffered_length = buffered_length(body);
     let is_long =
         body.size_hint().exact().is_some_and(|length| length > STREAM_WINDOW_BYTES as u64);
-    let mut bytes = BytesMut::with_capacity(buffered_length.unwrap_or_default() as usize);
+    let mut bytes = BytesMut::with_capacity(buffered_length.unwrap_or(STREAM_PREFIX_BYTES));
     let mut wait_until = None;
     loop {
         if buffered_length.is_none() && bytes.len() >= STREAM_WINDOW_BYTES {
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod draining;
 mod idle_close;
+mod memory_limit;
 mod rejections;
 mod reload;
 mod resting_connections;
--- /dev/null
+++ b/tests/lifecycle/memory_limit.rs
@@ -0,0 +1,135 @@
+//! The memory of the process under hundreds of requests at once.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use fakes::wire::read_message;
+
+use crate::net::*;
+use crate::support::*;
+
+/// The number of descriptors of a sidecar with many clients. A third of them may be in use for requests.
+const SOCKETS: usize = 1024;
+/// The number of clients that send requests at the same time.
+const CLIENTS: usize = 330;
+/// The number of requests of each client.
+const ROUNDS: usize = 2;
+/// The time that a server takes for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Resident memory of a release build's program file in kB. Debug builds, with which tests run, have more.
+const PROGRAM_KB: usize = 3600;
+/// The interval at which memory is read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+/// The length in bytes of the longest buffered bodies.
+const BUFFERED_BYTES: usize = 64_000;
+
+/// The memory in use in kB, without the program file.
+fn anonymous_kb(sidecar: &Sidecar) -> usize {
+    let path = format!("/proc/{}/status", sidecar.pid());
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("its memory");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+/// Calls `work` and returns the highest memory use in kB meanwhile.
+fn peak_kb(sidecar: &Sidecar, work: impl FnOnce()) -> usize {
+    let (peak, is_over) = (AtomicUsize::new(0), AtomicBool::new(false));
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !is_over.load(Ordering::Relaxed) {
+                peak.fetch_max(anonymous_kb(sidecar), Ordering::Relaxed);
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+        });
+        work();
+        is_over.store(true, Ordering::Relaxed);
+    });
+    peak.into_inner()
+}
+
+/// A request of class `order` with a body of `length` bytes.
+fn order_of(id: &str, length: usize) -> String {
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    head + &"x".repeat(length)
+}
+
+/// A response with a body of `length` bytes.
+fn response_of(length: usize) -> Vec<u8> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    (head + &"y".repeat(length)).into_bytes()
+}
+
+/// Sends requests with bodies of `length` bytes from all clients at once, each the next as soon as it has its response.
+/// Returns how many requests got each result: the status line and the length of the response's body.
+fn send_at_once(sidecar: &Sidecar, length: usize) -> BTreeMap<String, usize> {
+    let results = Mutex::new(BTreeMap::new());
+    thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let results = &results;
+            let run = move || {
+                for round in 0..ROUNDS {
+                    let mut socket = sidecar.connect();
+                    let request = order_of(&format!("c{client}-{round}"), length);
+                    // Writing may fail: the sidecar may reject the request before all of it is sent.
+                    let _ = socket.write_all(request.as_bytes());
+                    let answer = read_message(&mut BufReader::new(socket));
+                    let (head, body) = answer.unwrap_or_default();
+                    let status = head.lines().next().unwrap_or("no response").to_owned();
+                    let result = format!("{status}, {}", body.len());
+                    *results.lock().expect("no panic").entry(result).or_default() += 1;
+                }
+            };
+            thread::Builder::new()
+                .stack_size(128 << 10)
+                .spawn_scoped(scope, run)
+                .expect("a thread");
+        }
+    });
+    results.into_inner().expect("no panic")
+}
+
+/// Plays hundreds of requests at once, for the memory limits that occur. All have to be served within the limit.
+fn stays_within_limit(
+    memory_limits_mb: &[usize],
+    length: usize,
+    response_length: usize,
+    response: Vec<u8>,
+) {
+    let server = Server::start(move |_, socket| {
+        thread::sleep(SERVICE_TIME);
+        socket.write_all(&response).is_ok()
+    });
+    for &limit_mb in memory_limits_mb {
+        let sidecar = Sidecar::start_with(discovery(&[&server]), |config| {
+            config["limits"]["memory_mb"] = limit_mb.into();
+            config["limits"]["sockets"] = SOCKETS.into();
+            // A debug build takes seconds for this many bytes, which must not count as a gap within a response.
+            set_times(config, 1, 20_000, 25_000);
+        });
+        let mut results = BTreeMap::new();
+        let peak = peak_kb(&sidecar, || results = send_at_once(&sidecar, length));
+        let limit = limit_mb << 10;
+        assert!(peak + PROGRAM_KB <= limit, "{peak} and {PROGRAM_KB} of {limit} kB, {results:?}");
+        let served = format!("HTTP/1.1 200 OK, {response_length}");
+        let expected = BTreeMap::from([(served, CLIENTS * ROUNDS)]);
+        assert_eq!(results, expected, "with a limit of {limit_mb} MB");
+    }
+}
+
+/// Guards against a process that is killed for memory because bodies, or the buffers that hold them, are not counted.
+#[test]
+fn hundreds_of_requests_with_bodies_at_once_stay_within_the_memory_limit() {
+    stays_within_limit(
+        &[32, 48, 64, 192],
+        BUFFERED_BYTES,
+        BUFFERED_BYTES,
+        response_of(BUFFERED_BYTES),
+    );
+}
