Deadlines: the time of an upload starts when its last byte arrives, read or not

Cause: the balancer gives up the deadline when a body begins to be streamed, and the attempt's started when the sidecar had read the last byte. While the server takes nothing, nothing is read, so it never started, and only 5 to 10 s without a byte ended the attempt; each byte that was taken put that off.

Change: deadline.rs has the one deadline of a request, asked by the wait for memory, the balancer's timer, the attempts and the time that servers are told. The connection determines when the last byte has arrived by the number of unread bytes of its socket, every 5 ms while a body is not read. A server that does not take the next bytes of an incomplete upload has the request's time.

Tests: three in deadlines.rs (a server that hangs at once, in the body, or reads slowly) failed before with up to 8.3 s of 2.05 s and pass.

--- a/crates/runtime/src/socket.rs
+++ b/crates/runtime/src/socket.rs
@@ -58,6 +58,8 @@
     fn is_idle(&self) -> bool;
     /// Returns whether unread bytes have arrived. Queries the system rather than the readiness of the event loop.
     fn has_unread(&self) -> bool;
+    /// Returns the number of unread bytes that have arrived, or `None` if the system does not tell it.
+    fn unread_bytes(&self) -> Option<u64>;
     /// Returns whether the peer is known to send nothing more, even if some of its bytes are still unread.
     fn peer_closed(&self) -> bool;
 }
--- a/crates/runtime/src/tokio_runtime.rs
+++ b/crates/runtime/src/tokio_runtime.rs
@@ -110,6 +110,10 @@
         peek(self).is_ok_and(|bytes| bytes > 0)
     }
 
+    fn unread_bytes(&self) -> Option<u64> {
+        rustix::io::ioctl_fionread(self).ok()
+    }
+
     fn peer_closed(&self) -> bool {
         let ready = pin!(self.ready(Interest::READABLE));
         let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -293,6 +293,13 @@
         unread.unwrap_or(false)
     }
 
+    fn unread_bytes(&self) -> Option<u64> {
+        let unread = self.with_connection(|_, connection| {
+            connection.endpoint(self.endpoint).receive_buffer.len() as u64
+        });
+        Some(unread.unwrap_or(0))
+    }
+
     fn peer_closed(&self) -> bool {
         let closed = self.with_connection(|_, connection| {
             let endpoint = connection.endpoint(self.endpoint);
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -183,8 +183,8 @@
 
     /// Completes when an attempt has timed out.
     ///
-    /// With a streamed body, the timeout starts at the last byte of the body. The balancer is told as soon as the body
-    /// can no longer be replayed, as the request cannot be sent to another server from then on.
+    /// With a streamed body, the client's time starts at the last byte of the body. The balancer is told as soon as the
+    /// body can no longer be replayed, as the request cannot be sent to another server from then on.
     async fn attempt_timeout(
         self: &Rc<Driver<P>>,
         id: AttemptId,
@@ -196,11 +196,7 @@
         };
         upload.streaming_started().await;
         self.handle_event(Event::FirstByte { id: id.request, attempt: id.index });
-        tokio::select! {
-            biased;
-            () = upload.completed() => expiry::<P>(upload.deadline().unwrap_or_else(P::now)).await,
-            () = upload.stalled::<P>() => {}
-        }
+        upload.timed_out::<P>().await;
     }
 
     /// Reports the result of an attempt to the balancer. The first successful response goes to the client.
--- a/src/sidecar/driver/requests.rs
+++ b/src/sidecar/driver/requests.rs
@@ -12,8 +12,6 @@
 use crate::sidecar::invariants::{Violation, may_reject};
 use crate::sidecar::upstream::UpstreamRequest;
 
-/// The final response is due this long before the client stops waiting, to leave time for its way back.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 /// Log message for a request that ends without a server's response.
 const END_MESSAGE: &str = "request ends without a server's response";
 
@@ -51,7 +49,7 @@
     pub tenant: usize,
     /// The affinity key, or 0 without one.
     pub affinity_key: u64,
-    /// The time for which the client waits for the response.
+    /// The time after which the outcome is due.
     pub time_left: Duration,
     /// The client's estimate of the work, or `None` without one.
     pub work_hint: Option<Micros>,
@@ -85,7 +83,6 @@
     ) -> RequestHandle<P> {
         let (client, outcome) = oneshot::channel();
         let id = self.register_request(info.class, client, message);
-        let time_left = self.time_budget(info.class, info.time_left);
         let mut within_quota = true;
         if let Some(gossip) = &self.peer_services.gossip {
             within_quota = gossip.try_admit(info.class, info.tenant);
@@ -97,7 +94,7 @@
             class: info.class,
             tenant: info.tenant,
             affinity_key: info.affinity_key,
-            time_left: time_left.as_micros() as Micros,
+            time_left: info.time_left.as_micros() as Micros,
             work_hint: info.work_hint,
             client_retry: info.client_retry,
             over_quota: !within_quota,
@@ -118,15 +115,6 @@
         id
     }
 
-    /// Returns how long a request of a class may take if its client waits for `time_left`.
-    ///
-    /// The class's deadline is an upper limit: otherwise a client could claim to wait for weeks and keep its request
-    /// in memory for as long.
-    pub fn time_budget(&self, class: usize, time_left: Duration) -> Duration {
-        let time_left = time_left.min(self.live.deadline(class));
-        time_left - DEADLINE_MARGIN.min(time_left / 4)
-    }
-
     /// Returns the number of requests in flight.
     pub fn open_requests(&self) -> usize {
         self.state.borrow().requests.values().filter(|request| !request.is_finished()).count()
--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -184,6 +184,15 @@
         self.state == State::Complete
     }
 
+    /// Returns the number of bytes that the message still lacks, or `None` if its head does not tell.
+    pub fn missing_bytes(&self) -> Option<u64> {
+        match self.state {
+            State::Body(missing) => Some(missing),
+            State::Complete => Some(0),
+            _ => None,
+        }
+    }
+
     /// Returns the status of a response, or `None` before its head has been received.
     pub fn status(&self) -> Option<u16> {
         let has_head = !matches!(self.state, State::BeforeHead | State::Head);
--- a/src/sidecar/ingress/clocks.rs
+++ b/src/sidecar/ingress/clocks.rs
@@ -1,21 +1,22 @@
-//! Estimates of when client input was received, and of the time that a response has waited for its server.
+//! When client input was received, and the time that a response has waited for its server.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use runtime::Runtime;
 
-/// Maximum number of unread bytes of a body in the socket's receive buffer.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-
-/// Estimates when input was received that waited in the socket's receive buffer before it was read.
+/// Determines when input arrived that waits, or has waited, in the socket's receive buffer.
 pub(super) struct ReceiveClock {
     /// The last read found the receive buffer empty.
     pub buffer_empty: Cell<bool>,
-    /// The time of the last read whose input cannot have waited in the receive buffer.
-    pub last_unbuffered_read: Cell<Instant>,
-    /// Bytes read since then.
-    bytes_since: Cell<u64>,
+    /// Number of bytes read.
+    read: Cell<u64>,
+    /// Number of bytes that are known to have arrived, of which some may be unread.
+    arrived: Cell<u64>,
+    /// The time at which the number of arrived bytes was last determined.
+    observed_at: Cell<Instant>,
+    /// The earliest time at which the last of the arrived bytes can have arrived.
+    last_arrival: Cell<Instant>,
 }
 
 impl ReceiveClock {
@@ -23,22 +24,44 @@
     pub fn new(now: Instant) -> ReceiveClock {
         ReceiveClock {
             buffer_empty: Cell::new(true),
-            last_unbuffered_read: Cell::new(now),
-            bytes_since: Cell::new(0),
+            read: Cell::new(0),
+            arrived: Cell::new(0),
+            observed_at: Cell::new(now),
+            last_arrival: Cell::new(now),
         }
     }
 
-    /// Records that `bytes` were read.
-    ///
-    /// The rest of a long body waits in the receive buffer until an attempt reads it, but its time runs from
-    /// when it was received. If the client was still sending meanwhile, the remaining time is underestimated.
-    pub fn record<P: Runtime>(&self, bytes: usize) {
-        let bytes_since = self.bytes_since.get() + bytes as u64;
-        if self.buffer_empty.replace(false) || bytes_since > MAX_BUFFERED_BYTES {
-            self.last_unbuffered_read.set(P::now());
-            self.bytes_since.set(0);
-        } else {
-            self.bytes_since.set(bytes_since);
+    /// The earliest time at which the last of the arrived bytes can have arrived.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival.get()
+    }
+
+    /// Records that `bytes` were read at `now`.
+    pub fn record_read(&self, now: Instant, bytes: usize) {
+        let read = self.read.get() + bytes as u64;
+        self.read.set(read);
+        // If the buffer was empty, the event loop has just reported these bytes.
+        let earliest = if self.buffer_empty.replace(false) { now } else { self.observed_at.get() };
+        self.record_arrived(read, earliest);
+        self.observed_at.set(now);
+    }
+
+    /// Records that the receive buffer was empty at `now`.
+    pub fn record_empty(&self, now: Instant) {
+        self.buffer_empty.set(true);
+        self.observed_at.set(now);
+    }
+
+    /// Records that `unread` bytes were in the receive buffer at `now`.
+    pub fn record_unread(&self, now: Instant, unread: u64) {
+        self.record_arrived(self.read.get() + unread, self.observed_at.get());
+        self.observed_at.set(now);
+    }
+
+    fn record_arrived(&self, arrived: u64, earliest: Instant) {
+        if arrived > self.arrived.get() {
+            self.arrived.set(arrived);
+            self.last_arrival.set(earliest);
         }
     }
 }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -17,6 +17,7 @@
 pub(super) use self::closing::Unanswered;
 use super::clocks::{ReceiveClock, UpstreamWait};
 use super::phase::Phase;
+use crate::sidecar::deadline::{Arrival, ArrivalSource, RequestDeadline};
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::upstream::RequestClient;
@@ -53,9 +54,8 @@
     response_started: Cell<Instant>,
     /// Bytes read of the current request or, while responding, bytes written of its response.
     transferred: Cell<u64>,
-    /// The earliest time at which the last byte of the request can have been received; `None` until the request is
-    /// complete.
-    body_received_at: Rc<Cell<Option<Instant>>>,
+    /// The earliest time at which the last byte of the request can have arrived; `None` until the request is complete.
+    request_arrived_at: Cell<Option<Instant>>,
     receive_clock: ReceiveClock,
     upstream_wait: UpstreamWait,
     /// No request on this connection has got a response yet.
@@ -87,7 +87,7 @@
             response_complete: Cell::new(false),
             response_started: Cell::new(P::now()),
             transferred: Cell::new(0),
-            body_received_at: Rc::default(),
+            request_arrived_at: Cell::new(None),
             receive_clock: ReceiveClock::new(P::now()),
             upstream_wait: UpstreamWait::default(),
             unused: Cell::new(true),
@@ -152,10 +152,9 @@
         self.framing.borrow().is_complete()
     }
 
-    /// The earliest time at which the last byte of the request can have been received, shared with the upload of
-    /// its body.
-    pub fn body_received_at(&self) -> Rc<Cell<Option<Instant>>> {
-        self.body_received_at.clone()
+    /// Starts the deadline of the request in progress, whose client waits for `timeout` from its last byte on.
+    pub fn start_deadline(self: &Rc<Self>, timeout: Duration) -> RequestDeadline {
+        RequestDeadline::new(timeout, self.clone())
     }
 
     /// The longest time that the current request may have waited before the connection was accepted.
@@ -234,6 +233,30 @@
     }
 }
 
+impl<P: Runtime> ArrivalSource for ClientConnection<P> {
+    fn arrival(&self) -> Arrival {
+        if let Some(arrived_at) = self.request_arrived_at.get() {
+            return Arrival::Complete(arrived_at);
+        }
+        let Some(socket) = self.socket.upgrade() else { return Arrival::Incomplete };
+        let (unread, missing) = (socket.unread_bytes(), self.framing.borrow().missing_bytes());
+        if let Some(unread) = unread {
+            self.receive_clock.record_unread(P::now(), unread);
+        }
+        let last_arrival = self.receive_clock.last_arrival();
+        match (unread, missing) {
+            (Some(0), _) => Arrival::Incomplete,
+            (Some(unread), Some(missing)) if unread >= missing => {
+                self.request_arrived_at.set(Some(last_arrival));
+                Arrival::Complete(last_arrival)
+            }
+            (Some(_), Some(_)) => Arrival::Incomplete,
+            (None, _) if !socket.has_unread() => Arrival::Incomplete,
+            _ => Arrival::MaybeComplete(last_arrival),
+        }
+    }
+}
+
 impl<P: Runtime> RequestClient for ClientConnection<P> {
     fn has_left(&self) -> bool {
         self.is_disconnected()
@@ -248,15 +271,15 @@
             self.framing_error.set(Some(error));
             io::Error::new(io::ErrorKind::InvalidData, error)
         })?;
-        self.receive_clock.record::<P>(bytes.len());
-        if self.body_received_at.get().is_none() && framing.is_complete() {
-            self.body_received_at.set(Some(self.receive_clock.last_unbuffered_read.get()));
+        self.receive_clock.record_read(P::now(), bytes.len());
+        if self.request_arrived_at.get().is_none() && framing.is_complete() {
+            self.request_arrived_at.set(Some(self.receive_clock.last_arrival()));
         }
         Ok(())
     }
 
     fn on_read_pending(&self) {
-        self.receive_clock.buffer_empty.set(true);
+        self.receive_clock.record_empty(P::now());
     }
 
     fn on_write(&self, bytes: &[u8]) {
@@ -273,7 +296,7 @@
     fn on_flush(&self) {
         if self.response_complete.replace(false) && self.phase.get() == Phase::Responding {
             self.framing.borrow_mut().start_next();
-            self.body_received_at.set(None);
+            self.request_arrived_at.set(None);
             self.enter(Phase::Idle);
         }
     }
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -7,6 +7,7 @@
 
 use super::{ClientConnection, ClientDisconnected};
 use crate::sidecar::body::client_transfer_time;
+use crate::sidecar::deadline::ArrivalSource;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::ingress::phase::Phase;
 
@@ -85,6 +86,8 @@
         let disconnected = async {
             loop {
                 P::sleep(INPUT_POLL_INTERVAL).await;
+                // Keeps the time of arrival exact while nothing is read.
+                self.arrival();
                 if !self.receive_clock.buffer_empty.get() && self.is_disconnected() {
                     return;
                 }
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -24,6 +24,7 @@
     STREAM_WINDOW_BYTES,
 };
 use crate::sidecar::config::stable_hash;
+use crate::sidecar::deadline::RequestDeadline;
 use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::headers::end_to_end_headers;
@@ -113,11 +114,12 @@
         let ParsedRequest { mut info, correlation_id, head } = self.parse(&received_head)?;
         drop(received_head);
         connection.set_request_id(&correlation_id);
-        info.time_left = self.remaining_time(connection, info.time_left);
+        let timeout = self.remaining_time(connection, info.class, info.time_left);
+        let deadline = connection.start_deadline(timeout);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         }
-        let RequestBody { first, upload } = self.receive_body(connection, body, &mut info).await?;
+        let RequestBody { first, upload } = self.receive_body(connection, body, &deadline).await?;
         // The client may have disconnected while the request waited to be accepted or for memory. An attempt would be
         // wasted then. `ClientConnection::unless_disconnected` describes the drawback.
         if connection.is_disconnected() {
@@ -145,6 +147,7 @@
             client: Some(connection.clone()),
         };
         let (class, started) = (info.class, P::now());
+        info.time_left = deadline.time_left(started);
         let mut handle = self.driver.submit(info, message);
         let reply = await_reply(connection, &mut handle, upload).await?;
         let took_us = P::elapsed_since(started).as_micros() as u64;
@@ -160,10 +163,19 @@
         Ok(reply)
     }
 
-    /// The remaining time of a request: `left` minus the time that it may have waited to be accepted, limited by the
-    /// deadline of a graceful shutdown.
-    fn remaining_time(&self, connection: &ClientConnection<P>, left: Duration) -> Duration {
+    /// The time for which the client of a request waits: `left` minus the time that the request may have waited to be
+    /// accepted, limited by the deadline of a graceful shutdown.
+    ///
+    /// The class's deadline is an upper limit: otherwise a client could claim to wait for weeks and keep its request
+    /// in memory for as long.
+    fn remaining_time(
+        &self,
+        connection: &ClientConnection<P>,
+        class: usize,
+        left: Duration,
+    ) -> Duration {
         let left = left.saturating_sub(connection.request_accept_delay());
+        let left = left.min(self.live.deadline(class));
         match self.shutdown_deadline.get() {
             Some(deadline) => left.min(deadline.saturating_duration_since(P::now())),
             None => left,
@@ -173,8 +185,7 @@
     /// Reads a short body completely, or fills the buffer from a long one, whose rest is streamed.
     ///
     /// Memory is reserved before anything is read. If it were reserved as bytes arrive, clients that send at the same
-    /// time could together exceed the budget. The whole body may have arrived during the wait for memory, so the wait
-    /// is deducted from the request's time.
+    /// time could together exceed the budget.
     ///
     /// # Errors
     ///
@@ -184,7 +195,7 @@
         &self,
         connection: &Rc<ClientConnection<P>>,
         body: Incoming,
-        info: &mut RequestInfo,
+        deadline: &RequestDeadline,
     ) -> Result<RequestBody, RequestError> {
         if body.is_end_stream() {
             return Ok(RequestBody { first: Bytes::new(), upload: None });
@@ -193,7 +204,7 @@
         let buffered =
             length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
         let bytes = buffered.unwrap_or(STREAM_RESERVATION_BYTES);
-        let reservation = self.reserve_body_memory(connection, bytes, info).await?;
+        let reservation = self.reserve_body_memory(connection, bytes, deadline).await?;
         let first = BytesMut::with_capacity(buffered.unwrap_or(STREAM_PREFIX_BYTES));
         let min_bytes = buffered.unwrap_or(STREAM_WINDOW_BYTES);
         let (first, rest) = read_prefix(first, body, min_bytes).await?;
@@ -204,14 +215,12 @@
                 body: MinRateBody::<P>::from_client(rest, remaining, reservation),
                 connection: connection.clone(),
             });
-            let left = self.driver.time_budget(info.class, info.time_left);
-            let received_at = connection.body_received_at();
-            Upload::new::<P>(first.clone(), source, length, left, received_at)
+            Upload::new::<P>(first.clone(), source, length, deadline.clone())
         });
         Ok(RequestBody { first, upload })
     }
 
-    /// Reserves memory for a body, and deducts the wait from the request's time.
+    /// Reserves memory for a body, waiting until the request's time is up.
     ///
     /// # Errors
     ///
@@ -220,19 +229,17 @@
         &self,
         connection: &ClientConnection<P>,
         bytes: usize,
-        info: &mut RequestInfo,
+        deadline: &RequestDeadline,
     ) -> Result<BodyReservation, RequestError> {
         let requested = P::now();
-        let time_left = self.driver.time_budget(info.class, info.time_left);
+        let time_left = deadline.time_left(requested);
         let reserving = timeout::<P, _>(time_left, self.body_budget.reserve(bytes));
         connection.await_memory();
         let Ok(reservation) = connection.unless_disconnected(reserving).await? else {
             tracing::warn!(bytes, "no memory for a request body within the time of the request");
             return Err(RequestError::Rejected(StatusCode::SERVICE_UNAVAILABLE));
         };
-        let waited = P::elapsed_since(requested);
-        connection.resume_request(waited);
-        info.time_left = info.time_left.saturating_sub(waited);
+        connection.resume_request(P::elapsed_since(requested));
         Ok(reservation)
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod budget;
 pub mod config;
+pub mod deadline;
 pub mod discovery;
 pub mod discovery_status;
 pub mod driver;
--- a/src/sidecar/upload.rs
+++ b/src/sidecar/upload.rs
@@ -10,10 +10,14 @@
 
 use bytes::Bytes;
 use hyper::body::Body;
-use runtime::Runtime;
+use runtime::{Runtime, expiry};
 use tokio::sync::Notify;
 
-use super::body::{BodyError, BoxedBody, MAX_BODY_GAP};
+use super::body::{BodyError, BoxedBody, client_transfer_time};
+use super::deadline::RequestDeadline;
+
+/// The interval at which the deadline of an upload in progress is determined anew.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The progress of an upload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,12 +33,9 @@
 
 /// A streamed request body, shared by the attempts of the request.
 pub struct Upload {
-    /// The time for which the client waits for the response, from the last byte of the body on.
-    pub response_timeout: Duration,
+    deadline: RequestDeadline,
     /// The length in bytes, or `None` if the head of the request does not give it.
     pub length: Option<u64>,
-    /// The time at which the sidecar received the last byte, if that is detected before an attempt reads it.
-    received_at: Rc<Cell<Option<Instant>>>,
     prefix: RefCell<Bytes>,
     source: RefCell<BoxedBody>,
     progress: Cell<Progress>,
@@ -46,24 +47,25 @@
     streaming_attempt: Cell<Option<u64>>,
     /// Number of bytes sent after the prefix.
     streamed: Cell<u64>,
+    /// The time since which the server has not taken the next bytes, or `None` while they are awaited from the client.
+    server_wait_since: Cell<Option<Instant>>,
+    /// The total duration of earlier waits for the server.
+    server_waited: Cell<Duration>,
     changed: Notify,
     now: fn() -> Instant,
 }
 
 impl Upload {
-    /// Creates an upload of which `prefix` has been received. `source` yields the rest, and `received_at` is set when
-    /// the last byte is received.
+    /// Creates an upload of which `prefix` has been received. `source` yields the rest.
     pub fn new<P: Runtime>(
         prefix: Bytes,
         source: BoxedBody,
         length: Option<u64>,
-        response_timeout: Duration,
-        received_at: Rc<Cell<Option<Instant>>>,
+        deadline: RequestDeadline,
     ) -> Rc<Upload> {
         Rc::new(Upload {
-            response_timeout,
+            deadline,
             length,
-            received_at,
             prefix: RefCell::new(prefix),
             source: RefCell::new(source),
             progress: Cell::new(Progress::Replayable),
@@ -71,6 +73,8 @@
             attempts: Cell::new(0),
             streaming_attempt: Cell::new(None),
             streamed: Cell::new(0),
+            server_wait_since: Cell::new(None),
+            server_waited: Cell::new(Duration::ZERO),
             changed: Notify::new(),
             now: P::now,
         })
@@ -89,38 +93,55 @@
         }
     }
 
-    /// Returns the time until which the client waits, or `None` before the last byte has been received.
-    ///
-    /// The client's timeout starts when the sidecar receives the last byte, which can be long before an attempt reads
-    /// it.
-    pub fn deadline(&self) -> Option<Instant> {
-        Some(self.received_at.get().or(self.completed_at())? + self.response_timeout)
+    /// Returns how long the client still waits at `now`.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.outcome_due().map_or(self.deadline.budget(), |due| due.saturating_duration_since(now))
     }
 
-    /// Completes when the body can no longer be replayed.
-    pub async fn streaming_started(&self) {
-        self.wait_for(|progress| progress != Progress::Replayable).await;
+    /// Returns the time at which the outcome is due, or `None` if the client has not yet sent the whole body.
+    fn outcome_due(&self) -> Option<Instant> {
+        let end_was_read = || self.completed_at().map(|end| end + self.deadline.budget());
+        self.deadline.outcome_due().or_else(end_was_read)
     }
 
-    /// Completes when the last byte has been read for sending.
-    pub async fn completed(&self) {
-        self.wait_for(|progress| matches!(progress, Progress::Complete(_))).await;
+    /// Returns the time until which the server has to take the next bytes, or `None` while they are awaited from the
+    /// client.
+    ///
+    /// The client may be waiting to send them, so its time does not run yet. Without this limit, a server that stops
+    /// reading, or reads on byte by byte, would block it for ever.
+    fn server_due(&self) -> Option<Instant> {
+        let since = self.server_wait_since.get().filter(|_| self.completed_at().is_none())?;
+        let allowed = self.deadline.budget() + client_transfer_time(self.streamed.get());
+        let left = allowed.saturating_sub(self.server_waited.get());
+        Some(since + left.min(self.deadline.budget()))
+    }
+
+    fn due(&self) -> Option<Instant> {
+        [self.outcome_due(), self.server_due()].into_iter().flatten().min()
     }
 
-    /// Completes when no byte has been sent for twice [`MAX_BODY_GAP`].
+    /// Completes when the time of the request is up: its client stops waiting, or the server does not take the body.
     ///
-    /// Without this limit, a server that stops reading would block its client for ever. A client that stops sending
-    /// is detected sooner, by [`MinRateBody`](super::body::MinRateBody).
-    pub async fn stalled<P: Runtime>(&self) {
+    /// The time of the client may start at any moment, when its last byte arrives in the socket's receive buffer, so it
+    /// is determined anew at short intervals.
+    pub async fn timed_out<P: Runtime>(&self) {
         loop {
-            let before = self.streamed.get();
-            P::sleep(2 * MAX_BODY_GAP).await;
-            if self.streamed.get() == before {
+            let next_check = P::now() + DEADLINE_CHECK_INTERVAL;
+            match self.due().filter(|&due| due <= next_check) {
+                Some(due) => expiry::<P>(due).await,
+                None => P::sleep_until(next_check).await,
+            }
+            if self.due().is_some_and(|due| due <= P::now()) {
                 return;
             }
         }
     }
 
+    /// Completes when the body can no longer be replayed.
+    pub async fn streaming_started(&self) {
+        self.wait_for(|progress| progress != Progress::Replayable).await;
+    }
+
     async fn wait_for(&self, reached: impl Fn(Progress) -> bool) {
         loop {
             let changed = self.changed.notified();
@@ -148,6 +169,7 @@
             }
             Progress::Streaming => {}
         }
+        self.end_server_wait();
         loop {
             let frame = ready!(self.source.borrow_mut().as_mut().poll_frame(cx));
             match frame.transpose() {
@@ -176,11 +198,20 @@
     /// the client's timeout would never start.
     fn record_streamed(&self, data: &Bytes) {
         self.streamed.set(self.streamed.get() + data.len() as u64);
+        self.server_wait_since.set(Some((self.now)()));
         if self.source.borrow().is_end_stream() {
             self.set_progress(Progress::Complete((self.now)()));
         }
     }
 
+    /// Records that the server takes the next bytes.
+    fn end_server_wait(&self) {
+        if let Some(since) = self.server_wait_since.take() {
+            let waited = (self.now)().saturating_duration_since(since);
+            self.server_waited.set(self.server_waited.get() + waited);
+        }
+    }
+
     /// Reads and discards the rest of the body after the request has its response.
     ///
     /// If the connection were closed while the client still sends, the client might lose the response.
--- a/src/sidecar/upload/tests.rs
+++ b/src/sidecar/upload/tests.rs
@@ -1,13 +1,36 @@
 //! Tests of uploads without sockets.
 
 use super::*;
+use crate::sidecar::deadline::{Arrival, ArrivalSource};
 use http_body_util::{BodyExt, Full};
 use runtime::TokioRuntime;
 
+/// The time for which the client waits.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A client that the test lets send its last byte.
+struct Client(Cell<Arrival>);
+
+impl Default for Client {
+    fn default() -> Client {
+        Client(Cell::new(Arrival::Incomplete))
+    }
+}
+
+impl ArrivalSource for Client {
+    fn arrival(&self) -> Arrival {
+        self.0.get()
+    }
+}
+
 fn upload(prefix: &'static str, rest: &'static str) -> Rc<Upload> {
+    upload_from(Rc::default(), prefix, rest)
+}
+
+fn upload_from(client: Rc<Client>, prefix: &'static str, rest: &'static str) -> Rc<Upload> {
     let rest = Full::new(Bytes::from(rest)).map_err(|never| match never {});
-    let left = Duration::from_secs(1);
-    Upload::new::<TokioRuntime>(Bytes::from(prefix), Box::pin(rest), None, left, Rc::default())
+    let deadline = RequestDeadline::new(TIMEOUT, client);
+    Upload::new::<TokioRuntime>(Bytes::from(prefix), Box::pin(rest), None, deadline)
 }
 
 fn read_all(attempt: &mut UploadAttempt) -> Result<Vec<u8>, BodyError> {
@@ -45,17 +68,36 @@
     let mut attempt = UploadAttempt::new(known.clone());
     let mut cx = Context::from_waker(std::task::Waker::noop());
     for piece in ["kept", " and more"] {
-        assert!(known.deadline().is_none());
+        assert!(known.outcome_due().is_none());
         let next = attempt.poll_next(&mut cx);
         assert!(matches!(next, Poll::Ready(Some(Ok(b))) if b == piece));
     }
     // The body is not polled after its last byte.
-    assert_eq!(known.deadline(), known.completed_at().map(|end| end + known.response_timeout));
-    let waiting = upload("kept", " and more");
-    let received = Instant::now();
-    waiting.received_at.set(Some(received));
-    let deadline = Some(received + waiting.response_timeout);
-    assert_eq!((waiting.completed_at(), waiting.deadline()), (None, deadline));
+    let budget = known.deadline.budget();
+    assert_eq!(known.outcome_due(), known.completed_at().map(|end| end + budget));
+    let arrived_at = Instant::now();
+    for arrival in [Arrival::MaybeComplete(arrived_at), Arrival::Complete(arrived_at)] {
+        let client = Rc::new(Client(Cell::new(arrival)));
+        let waiting = upload_from(client, "kept", " and more");
+        let due = (waiting.completed_at(), waiting.outcome_due());
+        assert_eq!(due, (None, Some(arrived_at + budget)));
+    }
+}
+
+/// A server that takes a body too slowly has no more time than one that hangs, beside what its bytes may take.
+#[test]
+fn server_has_the_budget_of_the_request_to_take_the_next_bytes() {
+    let upload = upload("kept", " and more");
+    let mut attempt = UploadAttempt::new(upload.clone());
+    let mut cx = Context::from_waker(std::task::Waker::noop());
+    assert!(attempt.poll_next(&mut cx).is_ready());
+    assert_eq!(upload.server_due(), None, "nothing was passed on yet");
+    let budget = upload.deadline.budget();
+    let since = Instant::now();
+    upload.server_wait_since.set(Some(since));
+    assert_eq!(upload.server_due(), Some(since + budget));
+    upload.server_waited.set(budget * 2 / 3);
+    assert_eq!(upload.server_due(), Some(since + budget - budget * 2 / 3));
 }
 
 #[test]
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -80,9 +80,7 @@
     pub(super) fn time_left(&self, now: Instant, deadline: Instant) -> Duration {
         match &self.upload {
             None => deadline.saturating_duration_since(now),
-            Some(upload) => upload
-                .deadline()
-                .map_or(upload.response_timeout, |due| due.saturating_duration_since(now)),
+            Some(upload) => upload.time_left(now),
         }
     }
 
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -8,6 +8,7 @@
 
 mod body_memory;
 mod connecting;
+mod deadlines;
 mod discovery;
 mod draining;
 mod idle_close;
--- a/tests/lifecycle/memory_limit.rs
+++ b/tests/lifecycle/memory_limit.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fakes::wire::read_message;
+use fakes::wire::{encode_chunked, read_message};
 
 use crate::net::*;
 use crate::support::*;
@@ -26,6 +26,10 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// The length in bytes of the longest buffered bodies.
 const BUFFERED_BYTES: usize = 64_000;
+/// The length in bytes of streamed bodies.
+const STREAMED_BYTES: usize = 100_000;
+/// The length in bytes of the pieces in which a chunked response is written.
+const PIECE_BYTES: usize = 500;
 
 /// The memory in use in kB, without the program file.
 fn anonymous_kb(sidecar: &Sidecar) -> usize {
@@ -66,6 +70,13 @@
     (head + &"y".repeat(length)).into_bytes()
 }
 
+/// A response whose body of `length` bytes comes in many small chunks.
+fn response_in_pieces(length: usize) -> Vec<u8> {
+    let mut response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    response.extend(encode_chunked(&vec![b'y'; length], PIECE_BYTES));
+    response
+}
+
 /// Sends requests with bodies of `length` bytes from all clients at once, each the next as soon as it has its response.
 /// Returns how many requests got each result: the status line and the length of the response's body.
 fn send_at_once(sidecar: &Sidecar, length: usize) -> BTreeMap<String, usize> {
@@ -133,3 +144,11 @@
         response_of(BUFFERED_BYTES),
     );
 }
+
+/// Guards against the same for bodies that are forwarded while they are received, where a small piece of a response can
+/// keep a whole buffer.
+#[test]
+fn hundreds_of_streamed_bodies_at_once_stay_within_the_memory_limit() {
+    let response = response_in_pieces(STREAMED_BYTES);
+    stays_within_limit(&[32, 192], STREAMED_BYTES, STREAMED_BYTES, response);
+}
