Deadlines: a response that its server does not finish in time is reset

Cause: an attempt counts as served once 64 KiB of its response have come, and the deadline ended with it. The client connection has no timeout while it waits for a server, and MinRateBody limits gaps and speed alone.

Change: the connection keeps the client's timeout until the response has been received from its server completely, and then resets (the client can tell that it is truncated). Classes whose responses are streams are exempt, as the wire says.

--- a/src/sidecar/config/names.rs
+++ b/src/sidecar/config/names.rs
@@ -32,6 +32,8 @@
     pub index: usize,
     /// Whether requests may be retried, which determines their HTTP method.
     pub retry_safety: RetrySafety,
+    /// Whether a response that has begun may take longer than the client's timeout.
+    pub streams_response: bool,
 }
 
 /// Names of the classes, tenants, zones, machine types and report columns in the settings.
@@ -60,7 +62,11 @@
             ..ProtocolNames::default()
         };
         for (index, class) in settings.classes.iter().enumerate() {
-            let request_class = RequestClass { index, retry_safety: class.retry_safety };
+            let request_class = RequestClass {
+                index,
+                retry_safety: class.retry_safety,
+                streams_response: class.streaming,
+            };
             if names.classes.insert(class.name.clone(), request_class).is_some() {
                 return Err(ConfigError::DuplicateName { list: "classes", index });
             }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -56,6 +56,9 @@
     transferred: Cell<u64>,
     /// The earliest time at which the last byte of the request can have arrived; `None` until the request is complete.
     request_arrived_at: Cell<Option<Instant>>,
+    /// The time for which the client waits for the response to the request in progress, from its last byte on; `None`
+    /// without a limit.
+    request_timeout: Cell<Option<Duration>>,
     receive_clock: ReceiveClock,
     upstream_wait: UpstreamWait,
     /// No request on this connection has got a response yet.
@@ -65,6 +68,8 @@
     /// The longest time that the connection may have waited to be accepted.
     accept_delay: Duration,
     close_requested: Notify,
+    /// Notified when the current phase has an earlier timeout than the one before.
+    timeout_changed: Notify,
     close_reason: Cell<Option<CloseReason>>,
 }
 
@@ -88,12 +93,14 @@
             response_started: Cell::new(P::now()),
             transferred: Cell::new(0),
             request_arrived_at: Cell::new(None),
+            request_timeout: Cell::new(None),
             receive_clock: ReceiveClock::new(P::now()),
             upstream_wait: UpstreamWait::default(),
             unused: Cell::new(true),
             ended_without_input: Cell::new(false),
             accept_delay,
             close_requested: Notify::new(),
+            timeout_changed: Notify::new(),
             close_reason: Cell::new(None),
         }
     }
@@ -154,9 +161,22 @@
 
     /// Starts the deadline of the request in progress, whose client waits for `timeout` from its last byte on.
     pub fn start_deadline(self: &Rc<Self>, timeout: Duration) -> RequestDeadline {
+        self.request_timeout.set(Some(timeout));
         RequestDeadline::new(timeout, self.clone())
     }
 
+    /// The time at which the client of the request in progress stops waiting; `None` without a limit, or while the
+    /// client has not yet sent its whole request.
+    fn client_timeout(&self) -> Option<Instant> {
+        let timeout = self.request_timeout.get()?;
+        self.arrival().earliest_end().map(|arrived_at| arrived_at + timeout)
+    }
+
+    /// Lets the response in progress take longer than the client's timeout, as that of a streaming class may.
+    pub fn lift_deadline(&self) {
+        self.request_timeout.set(None);
+    }
+
     /// The longest time that the current request may have waited before the connection was accepted.
     pub fn request_accept_delay(&self) -> Duration {
         if self.unused.get() { self.accept_delay } else { Duration::ZERO }
@@ -167,8 +187,11 @@
         self.response_complete.set(false);
     }
 
-    /// Called when the response is available.
-    pub fn start_response(&self) {
+    /// Called when the response is available. A streamed one has to be received from its server in time.
+    pub fn start_response(&self, is_streamed: bool) {
+        if is_streamed {
+            self.timeout_changed.notify_one();
+        }
         self.enter(Phase::Responding);
         self.response_started.set(P::now());
         self.transferred.set(0);
@@ -297,6 +320,7 @@
         if self.response_complete.replace(false) && self.phase.get() == Phase::Responding {
             self.framing.borrow_mut().start_next();
             self.request_arrived_at.set(None);
+            self.request_timeout.set(None);
             self.enter(Phase::Idle);
         }
     }
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -43,7 +43,11 @@
     async fn phase_deadline_passed(&self) {
         while !self.is_past_phase_deadline() {
             let deadline = self.phase_deadline().unwrap_or_else(|| P::now() + BUSY_POLL_INTERVAL);
-            P::sleep_until(deadline).await;
+            tokio::select! {
+                biased;
+                () = P::sleep_until(deadline) => {}
+                () = self.timeout_changed.notified() => {}
+            }
         }
     }
 
@@ -56,12 +60,8 @@
         let stalled_at = self.last_progress.get() + STALL_TIMEOUT;
         match self.phase.get() {
             Phase::AwaitingMemory | Phase::StreamingRequest | Phase::AwaitingResponse => None,
-            Phase::Responding if self.upstream_wait.is_waiting() => None,
             Phase::Responding => {
-                let read_time = MAX_RESPONSE_READ_TIME
-                    + client_transfer_time(self.transferred.get())
-                    + self.upstream_wait.completed.get();
-                Some(stalled_at.min(self.response_started.get() + read_time))
+                [self.read_deadline(), self.server_deadline()].into_iter().flatten().min()
             }
             Phase::ReceivingRequest => {
                 Some(stalled_at + client_transfer_time(self.transferred.get()))
@@ -70,6 +70,26 @@
         }
     }
 
+    /// The time by which the client has to read on in a response; `None` while the response waits for its server.
+    fn read_deadline(&self) -> Option<Instant> {
+        if self.upstream_wait.is_waiting() {
+            return None;
+        }
+        let stalled_at = self.last_progress.get() + STALL_TIMEOUT;
+        let read_time = MAX_RESPONSE_READ_TIME
+            + client_transfer_time(self.transferred.get())
+            + self.upstream_wait.completed.get();
+        Some(stalled_at.min(self.response_started.get() + read_time))
+    }
+
+    /// The time by which a response has to be received from its server completely; `None` once it is.
+    ///
+    /// A response that ends later is of no use to the client, and one that never ends would leave its request without
+    /// a final answer. The reset that follows shows the client that the response is truncated.
+    fn server_deadline(&self) -> Option<Instant> {
+        self.client_timeout().filter(|_| !self.response_complete.get())
+    }
+
     /// Runs `work` to completion, unless the client disconnects first.
     ///
     /// While the rest of a body is not being read, the end of the stream behind it is not read either, and an attempt
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -54,6 +54,8 @@
     info: RequestInfo,
     /// The id by which servers identify the request.
     correlation_id: String,
+    /// Whether the response may take longer than the client's timeout once it has begun.
+    streams_response: bool,
     head: ForwardedHead,
 }
 
@@ -111,7 +113,8 @@
         request: Request<Incoming>,
     ) -> Result<RequestOutcome, RequestError> {
         let (received_head, body) = request.into_parts();
-        let ParsedRequest { mut info, correlation_id, head } = self.parse(&received_head)?;
+        let ParsedRequest { mut info, correlation_id, streams_response, head } =
+            self.parse(&received_head)?;
         drop(received_head);
         connection.set_request_id(&correlation_id);
         let timeout = self.remaining_time(connection, info.class, info.time_left);
@@ -150,6 +153,9 @@
         info.time_left = deadline.time_left(started);
         let mut handle = self.driver.submit(info, message);
         let reply = await_reply(connection, &mut handle, upload).await?;
+        if streams_response {
+            connection.lift_deadline();
+        }
         let took_us = P::elapsed_since(started).as_micros() as u64;
         tracing::debug!(
             request = correlation_id,
@@ -287,6 +293,7 @@
         Ok(ParsedRequest {
             info,
             correlation_id: correlation_id.to_owned(),
+            streams_response: class.streams_response,
             head: ForwardedHead {
                 retry_safety: class.retry_safety,
                 method: head.method.clone(),
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -216,8 +216,8 @@
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response.headers_mut().entry(header::DATE).or_insert_with(|| self.date.header::<P>());
-        connection.start_response();
         let (head, ResponseParts { first, rest }) = response.into_parts();
+        connection.start_response(rest.is_some());
         let body = ResponseBody::new(Full::new(first), rest, connection);
         Ok(Response::from_parts(head, body))
     }
--- a/tests/lifecycle/deadlines.rs
+++ b/tests/lifecycle/deadlines.rs
@@ -1,7 +1,7 @@
 //! The deadlines of requests while bodies are streamed: servers that hang, read or write on slowly, or stop in the middle
 //! of a body.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -26,6 +26,19 @@
 /// The number of bytes of an upload that a slow server reads at a time, and the interval.
 const SLOW_READ: (usize, Duration) = (1 << 10, Duration::from_millis(40));
 
+/// The time between the start of a connection and its request.
+const BEFORE_REQUEST: Duration = Duration::from_millis(100);
+/// The time for which clients of long responses wait.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// The length of a long response.
+const RESPONSE_BYTES: usize = 1_000_000;
+/// The intervals and lengths of the pieces of responses that go on for ever.
+const ENDLESS: [(Duration, usize); 3] = [
+    (Duration::from_millis(5), 10),
+    (Duration::from_millis(50), 2_000),
+    (Duration::from_millis(100), 20_000),
+];
+
 /// Starts a listener that hands each connection to `script` on a thread of its own. Returns a server that discovery can
 /// list.
 fn start_raw(script: impl Fn(TcpStream) + Send + Sync + 'static) -> Entry {
@@ -140,3 +153,92 @@
         }
     });
 }
+
+/// The way in which a server spoils a long response.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// Of a response with a length, it writes this many bytes of the body.
+    StopsAfter(usize),
+    /// Of a chunked response, it writes this many bytes of the body.
+    StopsChunkedAfter(usize),
+    /// It writes a chunk of this length at this interval, without end.
+    Endless(Duration, usize),
+}
+
+impl Fault {
+    /// Writes the response, and leaves the connection open.
+    fn write_response(self, socket: &mut TcpStream) -> std::io::Result<()> {
+        let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        match self {
+            Fault::StopsAfter(length) => {
+                write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_BYTES}\r\n\r\n")?;
+                socket.write_all(&vec![b'y'; length])?;
+            }
+            Fault::StopsChunkedAfter(length) => {
+                write!(socket, "{chunked}{RESPONSE_BYTES:x}\r\n")?;
+                socket.write_all(&vec![b'y'; length])?;
+            }
+            Fault::Endless(interval, length) => {
+                socket.write_all(chunked.as_bytes())?;
+                socket.write_all(&chunk(80_000))?;
+                let give_up_at = Instant::now() + OBSERVED;
+                while Instant::now() < give_up_at {
+                    socket.write_all(&chunk(length))?;
+                    thread::sleep(interval);
+                }
+            }
+        }
+        thread::sleep(OBSERVED);
+        Ok(())
+    }
+}
+
+/// One chunk of a chunked body.
+fn chunk(length: usize) -> Vec<u8> {
+    [format!("{length:x}\r\n").as_bytes(), &vec![b'y'; length], b"\r\n"].concat()
+}
+
+/// Sends a request and reads until the connection ends. Returns the time until then, or until a response with an error.
+fn time_of_response(sidecar: &Sidecar, id: &str) -> Duration {
+    let mut socket = sidecar.connect();
+    socket.set_read_timeout(Some(OBSERVED)).expect("a timeout");
+    let time_left = format!("Ms: {}", RESPONSE_TIMEOUT.as_millis());
+    let request = get_request(id).replace("Ms: 20000", &time_left);
+    // The sidecar waits for the request by then, with the timeout of a connection without one.
+    thread::sleep(BEFORE_REQUEST);
+    let sent_at = Instant::now();
+    socket.write_all(request.as_bytes()).expect("sent");
+    let mut piece = vec![0; 64 << 10];
+    let mut is_first = true;
+    while sent_at.elapsed() < OBSERVED {
+        match socket.read(&mut piece) {
+            Ok(0) => break,
+            Ok(_) if is_first && piece.starts_with(b"HTTP/1.1 5") => break,
+            Ok(_) => is_first = false,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    sent_at.elapsed()
+}
+
+/// Guards against a client that gets no end of its response, as its time was over once the response had begun.
+#[test]
+fn response_that_stops_or_never_ends_is_ended_in_time() {
+    let lengths = [0, 1, 65_535, 65_536, 65_537, 500_000, RESPONSE_BYTES - 1];
+    let faults: Vec<_> = lengths
+        .iter()
+        .flat_map(|&length| [Fault::StopsAfter(length), Fault::StopsChunkedAfter(length)])
+        .chain(ENDLESS.iter().map(|&(interval, length)| Fault::Endless(interval, length)))
+        .collect();
+    thread::scope(|scope| {
+        for fault in faults {
+            scope.spawn(move || {
+                let server = Server::start(move |_, socket| fault.write_response(socket).is_ok());
+                let sidecar = Sidecar::start(discovery(&[&server]));
+                let time = time_of_response(&sidecar, "long");
+                assert!(time <= RESPONSE_TIMEOUT + LOST_AFTER, "{fault:?}: {time:?}");
+            });
+        }
+    });
+}
