Attempts: one that is given up resets its connection, so it cannot begin later

Cause: an attempt was given up by an ordinary close, after which the system still delivers what was written.

Change: a connection that is dropped between the first byte of a request and the end of its response is reset. All ends of an attempt pass there.

--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -227,6 +227,11 @@
 impl<P: Runtime> Drop for Connection<P> {
     fn drop(&mut self) {
         self.observer.check_for_unread(&*self.socket);
+        if self.observer.is_in_exchange() {
+            // After an ordinary close the system would still deliver the part of the request that the server has not
+            // taken yet, and the server would begin a request that was given up.
+            self.socket.reset_on_close();
+        }
         tracing::debug!(
             connection = self.number,
             address = %self.address,
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -228,6 +228,12 @@
         Some(began.saturating_duration_since(sent))
     }
 
+    /// Returns whether a byte of a request has been written, and its response has not ended.
+    pub(super) fn is_in_exchange(&self) -> bool {
+        self.request.phase.get() == RequestPhase::InProgress
+            && !self.response.borrow().is_complete()
+    }
+
     /// Restarts the allowed gap of a response that was not read for a while.
     pub(super) fn resume_response(&self) {
         if self.response_active_at.get().is_some() {
--- a/tests/lifecycle/deadlines.rs
+++ b/tests/lifecycle/deadlines.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -242,3 +242,60 @@
         }
     });
 }
+
+/// The length of an order of which a server that reads nothing takes only a part.
+const ORDER_BYTES: usize = 400_000;
+/// The time for which a server hangs before it reads on.
+const HANG: Duration = Duration::from_millis(1500);
+
+/// Starts a server that reads its first requests only after [`HANG`]. Returns it, and the number of bytes that it gets on
+/// each connection.
+fn start_hanging() -> (Entry, mpsc::Receiver<u64>) {
+    let (sender, received) = mpsc::channel();
+    let sender = Mutex::new(sender);
+    let server = start_raw(move |mut socket| {
+        thread::sleep(HANG);
+        let mut length = 0;
+        let mut piece = [0; 8192];
+        while let Ok(n @ 1..) = socket.read(&mut piece) {
+            length += n as u64;
+        }
+        let _ = sender.lock().expect("no panic").send(length);
+    });
+    (server, received)
+}
+
+/// Sends an order whose client waits for `time_left_ms`.
+fn send_long_order(sidecar: &Sidecar, time_left_ms: u32) -> TcpStream {
+    let mut client = sidecar.connect();
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: long\r\nX-Time-Left-Ms: {time_left_ms}\r\n\
+         Content-Length: {ORDER_BYTES}\r\n\r\n"
+    );
+    client.write_all((head + &"o".repeat(ORDER_BYTES)).as_bytes()).expect("sent");
+    client
+}
+
+/// Guards against an order that begins seconds after its client was told that it had failed: the system went on sending
+/// what had been written before the attempt was given up.
+#[test]
+fn order_that_was_given_up_does_not_begin_when_its_server_reads_on() {
+    let (server, received) = start_hanging();
+    let sidecar = Sidecar::start(Registry::start(vec![server]));
+    let answer = first_answer(send_long_order(&sidecar, 500));
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    let length = received.recv_timeout(PATIENCE).expect("the server reads on");
+    assert!(length < ORDER_BYTES as u64, "{length} bytes");
+}
+
+/// Guards against the same for a client that leaves.
+#[test]
+fn order_whose_client_has_left_does_not_begin_when_its_server_reads_on() {
+    let (server, received) = start_hanging();
+    let sidecar = Sidecar::start(Registry::start(vec![server]));
+    let client = send_long_order(&sidecar, 20_000);
+    thread::sleep(HANG / 3);
+    drop(client);
+    let length = received.recv_timeout(PATIENCE).expect("the server reads on");
+    assert!(length < ORDER_BYTES as u64, "{length} bytes");
+}
