Memory limit: long heads are counted until their connections are closed

Cause: a pair of connections has 50 kB, enough for heads of usual length. A head of 15,000 bytes or 90 headers each way takes up to 83 kB more: buffers and header maps, which hyper keeps for as long as the connections are open. Measured with 330 clients by number and length of headers.

Change: what a head takes beyond an allowance (4 KiB, or what the limit leaves beside connections and bodies) is reserved like a body, with it in one step, so that heads and bodies never wait for each other. It stays reserved until the connections that have carried the head are closed, which they are after the exchange. The headers are copied only once there is memory for them.

--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -11,7 +11,7 @@
 use runtime::{Runtime, expiry};
 
 use super::framing::MAX_HEAD_BYTES;
-use super::memory::BodyReservation;
+use super::memory::MemoryReservation;
 
 /// The maximum number of buffered bytes of a body. Longer bodies are streamed.
 pub const STREAM_WINDOW_BYTES: usize = 64 << 10;
@@ -19,7 +19,7 @@
 /// it.
 pub const STREAM_PREFIX_BYTES: usize = STREAM_WINDOW_BYTES + MAX_HEAD_BYTES;
 /// The memory reserved for a streamed body in bytes: its first bytes, and those that hyper is forwarding.
-pub const STREAM_RESERVATION_BYTES: usize = 2 * STREAM_WINDOW_BYTES;
+const STREAM_RESERVATION_BYTES: usize = 2 * STREAM_WINDOW_BYTES;
 /// The maximum wait for the next bytes of a body that has begun.
 pub const MAX_BODY_GAP: Duration = Duration::from_millis(2500);
 /// The minimum average transfer rate of clients, not counting one wait of [`MAX_BODY_GAP`].
@@ -33,6 +33,17 @@
     transfer_time(bytes, MIN_CLIENT_BYTES_PER_SECOND)
 }
 
+/// Returns the length of a body that is buffered completely, or `None` if it is streamed.
+pub fn buffered_length(body: &Incoming) -> Option<usize> {
+    let length = body.size_hint().exact()?;
+    (length <= STREAM_WINDOW_BYTES as u64).then_some(length as usize)
+}
+
+/// Returns the memory in bytes that has to be reserved for a body.
+pub fn reserved_bytes(body: &Incoming) -> usize {
+    buffered_length(body).unwrap_or(STREAM_RESERVATION_BYTES)
+}
+
 fn transfer_time(bytes: u64, bytes_per_second: u64) -> Duration {
     Duration::from_millis(bytes.saturating_mul(1000) / bytes_per_second)
 }
@@ -52,7 +63,7 @@
 /// bodies of senders that make long pauses fail too.
 pub struct MinRateBody<P: Runtime> {
     body: Incoming,
-    reservation: BodyReservation,
+    reservation: MemoryReservation,
     /// Number of bytes that may still be received.
     remaining: u64,
     min_bytes_per_second: u64,
@@ -74,7 +85,7 @@
     pub fn from_client(
         body: Incoming,
         remaining: u64,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
     ) -> MinRateBody<P> {
         MinRateBody::new(body, remaining, reservation, MIN_CLIENT_BYTES_PER_SECOND)
     }
@@ -83,7 +94,7 @@
     pub fn from_server(
         body: Incoming,
         remaining: u64,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
     ) -> MinRateBody<P> {
         MinRateBody::new(body, remaining, reservation, MIN_SERVER_BYTES_PER_SECOND)
     }
@@ -91,7 +102,7 @@
     fn new(
         body: Incoming,
         remaining: u64,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
         min_bytes_per_second: u64,
     ) -> MinRateBody<P> {
         MinRateBody {
--- a/src/sidecar/headers.rs
+++ b/src/sidecar/headers.rs
@@ -1,7 +1,27 @@
 //! The headers of messages that are forwarded.
 
+use hyper::Uri;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 
+/// How often the text of a head is in memory while its message is forwarded: the forwarded headers, and the buffer from
+/// which they are written. The buffer into which a head of usual length is read belongs to the connection.
+const TEXT_COPIES: usize = 2;
+/// Memory for each header of a message beside its text, in bytes: its entries in the maps of the message as it is read,
+/// kept and sent, and the allocation of its value.
+const BYTES_PER_HEADER: usize = 256;
+
+/// Returns the memory in bytes that a head takes while its message is forwarded.
+pub fn head_bytes(headers: &HeaderMap) -> usize {
+    let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    TEXT_COPIES * text + BYTES_PER_HEADER * headers.len()
+}
+
+/// Returns the memory in bytes that a head with a target takes while its message is forwarded.
+pub fn request_head_bytes(target: &Uri, headers: &HeaderMap) -> usize {
+    let target = target.path_and_query().map_or(0, |target| target.as_str().len());
+    TEXT_COPIES * target + head_bytes(headers)
+}
+
 /// The headers of a message that are forwarded: all except hop-by-hop headers (RFC 9110, section 7.6.1) and those that
 /// servers send to this sidecar itself.
 ///
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -20,6 +20,7 @@
 use crate::sidecar::deadline::{Arrival, ArrivalSource, RequestDeadline};
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
+use crate::sidecar::memory::HeadMemory;
 use crate::sidecar::upstream::RequestClient;
 
 /// Maximum length of a correlation id in log lines.
@@ -67,6 +68,8 @@
     ended_without_input: Cell<bool>,
     /// The longest time that the connection may have waited to be accepted.
     accept_delay: Duration,
+    /// The memory of the heads that the connection has carried.
+    pub heads: HeadMemory,
     close_requested: Notify,
     /// Notified when the current phase has an earlier timeout than the one before.
     timeout_changed: Notify,
@@ -99,6 +102,7 @@
             unused: Cell::new(true),
             ended_without_input: Cell::new(false),
             accept_delay,
+            heads: HeadMemory::default(),
             close_requested: Notify::new(),
             timeout_changed: Notify::new(),
             close_reason: Cell::new(None),
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -36,7 +36,7 @@
 use super::driver::Driver;
 use super::events::CloseReason;
 use super::live::LiveConfig;
-use super::memory::BodyBudget;
+use super::memory::MessageMemory;
 use super::request_ids::RequestIds;
 use super::status::{Status, VERSION};
 
@@ -62,7 +62,7 @@
     live: Rc<LiveConfig>,
     status: Rc<Status>,
     socket_budget: Rc<SocketBudget>,
-    body_budget: BodyBudget,
+    message_memory: Rc<MessageMemory>,
     request_ids: RequestIds<P>,
     /// Open connections by number, which is the order in which they were accepted.
     connections: RefCell<BTreeMap<u64, Rc<ClientConnection<P>>>>,
@@ -93,7 +93,7 @@
         live: Rc<LiveConfig>,
         status: Rc<Status>,
         socket_budget: Rc<SocketBudget>,
-        body_budget: BodyBudget,
+        message_memory: Rc<MessageMemory>,
     ) -> Rc<Ingress<P>> {
         Rc::new(Ingress {
             driver,
@@ -101,7 +101,7 @@
             live,
             status,
             socket_budget,
-            body_budget,
+            message_memory,
             request_ids: RequestIds::default(),
             connections: RefCell::default(),
             accept_count: Cell::new(0),
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -20,15 +20,15 @@
 use crate::api::Micros;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::{
-    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_RESERVATION_BYTES,
-    STREAM_WINDOW_BYTES,
+    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
+    reserved_bytes,
 };
 use crate::sidecar::config::stable_hash;
 use crate::sidecar::deadline::RequestDeadline;
 use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
 use crate::sidecar::events::CloseReason;
-use crate::sidecar::headers::end_to_end_headers;
-use crate::sidecar::memory::BodyReservation;
+use crate::sidecar::headers::{end_to_end_headers, request_head_bytes};
+use crate::sidecar::memory::{MemoryReservation, MessageReservation, MessageSize};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::UpstreamRequest;
 
@@ -54,20 +54,31 @@
     info: RequestInfo,
     /// The id by which servers identify the request.
     correlation_id: String,
+    retry_safety: RetrySafety,
     /// Whether the response may take longer than the client's timeout once it has begun.
     streams_response: bool,
-    head: ForwardedHead,
 }
 
 /// The parts of the head of a request that are forwarded, in memory of their own: the client's head would keep the whole
 /// buffer that it was read into.
 struct ForwardedHead {
-    retry_safety: RetrySafety,
     method: Method,
     target: Uri,
     headers: HeaderMap,
 }
 
+impl ForwardedHead {
+    fn new(received: &http::request::Parts) -> ForwardedHead {
+        let target = received.uri.path_and_query();
+        let target = target.and_then(|target| PathAndQuery::try_from(target.as_str()).ok());
+        ForwardedHead {
+            method: received.method.clone(),
+            target: target.map(Uri::from).unwrap_or_default(),
+            headers: end_to_end_headers(&received.headers),
+        }
+    }
+}
+
 /// The body of a request as far as it is read before the request is forwarded.
 struct RequestBody {
     /// The whole body, or its first bytes if it is streamed.
@@ -113,16 +124,21 @@
         request: Request<Incoming>,
     ) -> Result<RequestOutcome, RequestError> {
         let (received_head, body) = request.into_parts();
-        let ParsedRequest { mut info, correlation_id, streams_response, head } =
+        let ParsedRequest { mut info, correlation_id, retry_safety, streams_response } =
             self.parse(&received_head)?;
-        drop(received_head);
         connection.set_request_id(&correlation_id);
         let timeout = self.remaining_time(connection, info.class, info.time_left);
         let deadline = connection.start_deadline(timeout);
-        if head.method == Method::GET && !body.is_end_stream() {
+        if received_head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
         }
-        let RequestBody { first, upload } = self.receive_body(connection, body, &deadline).await?;
+        let head_bytes = request_head_bytes(&received_head.uri, &received_head.headers);
+        let reservation = self.reserve_memory(connection, head_bytes, &body, &deadline).await?;
+        let head = ForwardedHead::new(&received_head);
+        // The client's head would keep the buffer that hyper reads into, which needs another one for the body then.
+        drop(received_head);
+        let RequestBody { first, upload } =
+            self.receive_body(connection, body, reservation.body, &deadline).await?;
         // The client may have disconnected while the request waited to be accepted or for memory. An attempt would be
         // wasted then. `ClientConnection::unless_disconnected` describes the drawback.
         if connection.is_disconnected() {
@@ -140,10 +156,12 @@
             Phase::AwaitingResponse
         });
         let message = UpstreamRequest {
-            retry_safety: head.retry_safety,
+            retry_safety,
             method: head.method,
             target: head.target,
             headers: head.headers,
+            head_bytes,
+            head_reservation: reservation.head,
             body: first,
             upload: upload.clone(),
             finished: std::cell::Cell::default(),
@@ -156,16 +174,7 @@
         if streams_response {
             connection.lift_deadline();
         }
-        let took_us = P::elapsed_since(started).as_micros() as u64;
-        tracing::debug!(
-            request = correlation_id,
-            connection = connection.number(),
-            class,
-            answer = reply.name(),
-            attempts = handle.attempt_count(),
-            took_us,
-            "request completed"
-        );
+        log_completed(connection, class, &reply, handle.attempt_count(), P::elapsed_since(started));
         Ok(reply)
     }
 
@@ -188,29 +197,24 @@
         }
     }
 
-    /// Reads a short body completely, or fills the buffer from a long one, whose rest is streamed.
-    ///
-    /// Memory is reserved before anything is read. If it were reserved as bytes arrive, clients that send at the same
-    /// time could together exceed the budget.
+    /// Reads a short body completely, or fills the buffer from a long one, whose rest is streamed. The body uses the memory
+    /// of `reservation`.
     ///
     /// # Errors
     ///
-    /// When the client has disconnected, or the request's time ends before memory is available. Nothing was sent to a
-    /// server then, so the client may retry.
+    /// When the client has disconnected.
     async fn receive_body(
         &self,
         connection: &Rc<ClientConnection<P>>,
         body: Incoming,
+        reservation: MemoryReservation,
         deadline: &RequestDeadline,
     ) -> Result<RequestBody, RequestError> {
         if body.is_end_stream() {
             return Ok(RequestBody { first: Bytes::new(), upload: None });
         }
         let length = body.size_hint().exact();
-        let buffered =
-            length.filter(|&n| n <= STREAM_WINDOW_BYTES as u64).map(|length| length as usize);
-        let bytes = buffered.unwrap_or(STREAM_RESERVATION_BYTES);
-        let reservation = self.reserve_body_memory(connection, bytes, deadline).await?;
+        let buffered = buffered_length(&body);
         let first = BytesMut::with_capacity(buffered.unwrap_or(STREAM_PREFIX_BYTES));
         let min_bytes = buffered.unwrap_or(STREAM_WINDOW_BYTES);
         let (first, rest) = read_prefix(first, body, min_bytes).await?;
@@ -226,26 +230,41 @@
         Ok(RequestBody { first, upload })
     }
 
-    /// Reserves memory for a body, waiting until the request's time is up.
+    /// Reserves memory for a request, waiting until its time is up.
+    ///
+    /// It is reserved before the body is read. If it were reserved as bytes arrive, clients that send at the same time
+    /// could together exceed the budget.
     ///
     /// # Errors
     ///
-    /// As for [`Self::receive_body`].
-    async fn reserve_body_memory(
+    /// When the client has disconnected, or the request's time ends before memory is available. Nothing was sent to a
+    /// server then, so the client may retry.
+    async fn reserve_memory(
         &self,
         connection: &ClientConnection<P>,
-        bytes: usize,
+        head_bytes: usize,
+        body: &Incoming,
         deadline: &RequestDeadline,
-    ) -> Result<BodyReservation, RequestError> {
+    ) -> Result<MessageReservation, RequestError> {
+        connection.heads.record(head_bytes);
+        let size = MessageSize {
+            head_excess: self.message_memory.excess_of_head(head_bytes),
+            body: reserved_bytes(body),
+        };
+        if size.is_empty() {
+            return Ok(MessageReservation::default());
+        }
         let requested = P::now();
         let time_left = deadline.time_left(requested);
-        let reserving = timeout::<P, _>(time_left, self.body_budget.reserve(bytes));
+        let reserving = timeout::<P, _>(time_left, self.message_memory.requests.reserve(size));
         connection.await_memory();
         let Ok(reservation) = connection.unless_disconnected(reserving).await? else {
+            let bytes = size.total();
             tracing::warn!(bytes, "no memory for a request body within the time of the request");
             return Err(RequestError::Rejected(StatusCode::SERVICE_UNAVAILABLE));
         };
         connection.resume_request(P::elapsed_since(requested));
+        connection.heads.keep(reservation.head.clone());
         Ok(reservation)
     }
 
@@ -288,22 +307,33 @@
             work_hint: text("x-weight-hint")?.and_then(|value| value.parse::<Micros>().ok()),
             client_retry: text("x-repeat")? == Some("1"),
         };
-        let target = head.uri.path_and_query();
-        let target = target.and_then(|target| PathAndQuery::try_from(target.as_str()).ok());
         Ok(ParsedRequest {
             info,
             correlation_id: correlation_id.to_owned(),
+            retry_safety: class.retry_safety,
             streams_response: class.streams_response,
-            head: ForwardedHead {
-                retry_safety: class.retry_safety,
-                method: head.method.clone(),
-                target: target.map(Uri::from).unwrap_or_default(),
-                headers: end_to_end_headers(&head.headers),
-            },
         })
     }
 }
 
+fn log_completed<P: Runtime>(
+    connection: &ClientConnection<P>,
+    class: usize,
+    reply: &RequestOutcome,
+    attempts: usize,
+    took: Duration,
+) {
+    tracing::debug!(
+        request = connection.last_request(),
+        connection = connection.number(),
+        class,
+        answer = reply.name(),
+        attempts,
+        took_us = took.as_micros() as u64,
+        "request completed"
+    );
+}
+
 /// Waits for the reply and, with a streamed body, for the rest of the upload.
 async fn await_reply<P: Runtime>(
     connection: &ClientConnection<P>,
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -16,7 +16,7 @@
 use super::connection::ClientConnection;
 use crate::sidecar::body::{BodyError, BoxedBody};
 use crate::sidecar::driver::RequestOutcome;
-use crate::sidecar::upstream::UpstreamResponse;
+use crate::sidecar::upstream::{ResponseHeadMemory, UpstreamResponse};
 
 /// The body of a response before it is assigned to a connection.
 #[derive(Default)]
@@ -25,6 +25,8 @@
     pub first: Bytes,
     /// The rest of a streamed body.
     pub rest: Option<BoxedBody>,
+    /// The memory of the head.
+    pub head_memory: ResponseHeadMemory,
 }
 
 /// A response without a body.
@@ -37,8 +39,8 @@
 /// The response for the outcome of a request.
 pub(super) fn reply_response(reply: RequestOutcome) -> Response<ResponseParts> {
     match reply {
-        RequestOutcome::Served(UpstreamResponse { headers, body, rest }) => {
-            let parts = ResponseParts { first: body, rest };
+        RequestOutcome::Served(UpstreamResponse { headers, head_memory, body, rest }) => {
+            let parts = ResponseParts { first: body, rest, head_memory };
             let mut response = Response::new(parts);
             *response.headers_mut() = headers;
             response
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -212,11 +212,14 @@
                 Err(RequestError::Disconnected(error)) => return Err(error),
             },
         };
+        let head_memory = std::mem::take(&mut response.body_mut().head_memory);
+        connection.heads.record(head_memory.bytes);
+        connection.heads.keep(head_memory.reservation);
         if self.is_last_response(&connection, response.status()) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response.headers_mut().entry(header::DATE).or_insert_with(|| self.date.header::<P>());
-        let (head, ResponseParts { first, rest }) = response.into_parts();
+        let (head, ResponseParts { first, rest, .. }) = response.into_parts();
         connection.start_response(rest.is_some());
         let body = ResponseBody::new(Full::new(first), rest, connection);
         Ok(Response::from_parts(head, body))
@@ -225,13 +228,14 @@
     /// Whether the connection is closed after this response.
     ///
     /// It is closed after an error that concerns the request itself, because later input of that client
-    /// cannot be relied on, and after a request whose body end only hyper has found, because the input after it has not
-    /// been checked.
+    /// cannot be relied on, after a request whose body end only hyper has found, because the input after it has not
+    /// been checked, and after a long head, because hyper keeps its buffers.
     fn is_last_response(&self, connection: &ClientConnection<P>, status: StatusCode) -> bool {
         let unusable = !status.is_success() && connection.phase() != Phase::AwaitingResponse;
         let draining = self.shutdown_deadline.get().is_some()
             || self.drained_for().is_some_and(|time| time >= DRAIN_PROPAGATION_DELAY);
-        draining || unusable || !connection.has_complete_request()
+        let has_long_head = connection.heads.has_carried_long(&self.message_memory);
+        draining || unusable || has_long_head || !connection.has_complete_request()
     }
 }
 
--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -1,10 +1,11 @@
-//! The memory of request and response bodies.
+//! The memory of requests and responses.
 //!
 //! Every byte of a body is counted until the last reference to it is dropped, including the bytes that hyper keeps until
-//! the peer has read them ([`BodyReservation::attach`]). The buffers of connections are not counted one by one: the
-//! number of connections is limited so that they fit beside the bodies.
+//! the peer has read them ([`MemoryReservation::attach`]). The buffers of connections are not counted one by one: the
+//! number of connections is limited so that they fit beside the bodies, with heads of usual length. What a long head
+//! takes in addition is counted until the connections that have carried it are closed ([`HeadMemory`]).
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -15,24 +16,26 @@
 use super::budget::resize;
 use super::resource_limits::ResourceLimits;
 
-/// The memory of all bodies together. Requests and responses have budgets of their own, so requests that wait for their
+/// The memory of all messages together. Requests and responses have budgets of their own, so requests that wait for their
 /// servers never keep a response from being read.
-pub struct BodyMemory {
-    /// The budget of request bodies.
-    pub requests: BodyBudget,
-    /// The budget of response bodies.
-    pub responses: BodyBudget,
+pub struct MessageMemory {
+    /// The budget of requests.
+    pub requests: MemoryBudget,
+    /// The budget of responses.
+    pub responses: MemoryBudget,
+    head_allowance: Cell<usize>,
     limits: Cell<ResourceLimits>,
     servers: Cell<usize>,
 }
 
-impl BodyMemory {
+impl MessageMemory {
     /// Creates the memory of a process with these limits that knows no servers yet.
-    pub fn new(limits: ResourceLimits) -> Rc<BodyMemory> {
-        let bytes = limits.body_bytes(0);
-        Rc::new(BodyMemory {
-            requests: BodyBudget::new(bytes.requests),
-            responses: BodyBudget::new(bytes.responses),
+    pub fn new(limits: ResourceLimits) -> Rc<MessageMemory> {
+        let bytes = limits.message_limits(0);
+        Rc::new(MessageMemory {
+            requests: MemoryBudget::new(bytes.requests),
+            responses: MemoryBudget::new(bytes.responses),
+            head_allowance: Cell::new(bytes.head_allowance),
             limits: Cell::new(limits),
             servers: Cell::new(0),
         })
@@ -50,26 +53,62 @@
         self.resize::<P>();
     }
 
+    /// Returns the part of a head of `head_bytes` that has to be reserved: what its connections have no memory for.
+    pub fn excess_of_head(&self, head_bytes: usize) -> usize {
+        head_bytes.saturating_sub(self.head_allowance.get())
+    }
+
     fn resize<P: Runtime>(&self) {
-        let bytes = self.limits.get().body_bytes(self.servers.get());
+        let bytes = self.limits.get().message_limits(self.servers.get());
+        self.head_allowance.set(bytes.head_allowance);
         self.requests.resize::<P>(bytes.requests);
         self.responses.resize::<P>(bytes.responses);
     }
 }
 
-/// A number of bytes that bodies may take together.
+/// The memory that is reserved for a message, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MessageSize {
+    /// The memory of its head that exceeds what its connections have.
+    pub head_excess: usize,
+    /// The memory of its body.
+    pub body: usize,
+}
+
+impl MessageSize {
+    /// Returns the number of bytes in total.
+    pub fn total(self) -> usize {
+        self.head_excess + self.body
+    }
+
+    /// Returns whether nothing has to be reserved.
+    pub fn is_empty(self) -> bool {
+        self.total() == 0
+    }
+}
+
+/// The memory reserved for a message.
+#[derive(Default)]
+pub struct MessageReservation {
+    /// The memory of the head that exceeds what its connections have.
+    pub head: MemoryReservation,
+    /// The memory of the body.
+    pub body: MemoryReservation,
+}
+
+/// A number of bytes that messages may take together.
 ///
-/// The maximum that a body can need is reserved before its first byte is read, so partly read bodies never wait for
-/// each other.
+/// The maximum that a message can need is reserved before the first byte of its body is read, so partly read bodies
+/// never wait for each other.
 #[derive(Clone)]
-pub struct BodyBudget {
+pub struct MemoryBudget {
     bytes: Arc<Semaphore>,
     size: Rc<Cell<usize>>,
 }
 
-impl BodyBudget {
-    fn new(size: usize) -> BodyBudget {
-        BodyBudget { bytes: Arc::new(Semaphore::new(size)), size: Rc::new(Cell::new(size)) }
+impl MemoryBudget {
+    fn new(size: usize) -> MemoryBudget {
+        MemoryBudget { bytes: Arc::new(Semaphore::new(size)), size: Rc::new(Cell::new(size)) }
     }
 
     fn resize<P: Runtime>(&self, size: usize) {
@@ -77,21 +116,35 @@
         resize::<P>(&self.bytes, old, size);
     }
 
-    /// Reserves `bytes`, waiting until they are available.
-    pub async fn reserve(&self, bytes: usize) -> BodyReservation {
-        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
-        let permit = self.bytes.clone().acquire_many_owned(bytes).await;
-        BodyReservation { permit: permit.ok().map(Arc::new) }
+    /// Reserves memory of this size, waiting until it is available.
+    pub async fn reserve(&self, size: MessageSize) -> MessageReservation {
+        if size.is_empty() {
+            return MessageReservation::default();
+        }
+        let permits = u32::try_from(size.total()).unwrap_or(u32::MAX);
+        let permit = self.bytes.clone().acquire_many_owned(permits).await;
+        let mut permit = permit.ok();
+        let head = permit.as_mut().and_then(|permit| permit.split(size.head_excess));
+        MessageReservation {
+            head: MemoryReservation::new(head),
+            body: MemoryReservation::new(permit),
+        }
     }
 }
 
-/// The memory reserved for one body. It returns to its budget once this and all bytes attached to it are dropped.
+/// The memory reserved for a head or a body. It returns to its budget once all clones of this, and all bytes attached to
+/// it, are dropped.
 #[derive(Clone, Default)]
-pub struct BodyReservation {
+pub struct MemoryReservation {
     permit: Option<Arc<OwnedSemaphorePermit>>,
 }
 
-impl BodyReservation {
+impl MemoryReservation {
+    fn new(permit: Option<OwnedSemaphorePermit>) -> MemoryReservation {
+        let permit = permit.filter(|permit| permit.num_permits() > 0);
+        MemoryReservation { permit: permit.map(Arc::new) }
+    }
+
     /// Returns `data` as bytes that keep the memory reserved until their last clone is dropped.
     pub fn attach(&self, data: impl AsRef<[u8]> + Send + 'static) -> Bytes {
         if data.as_ref().is_empty() {
@@ -112,3 +165,30 @@
         self.data.as_ref()
     }
 }
+
+/// The memory of the heads that a connection has carried. hyper keeps their buffers until the connection is closed, so a
+/// connection is not used again after a long head.
+#[derive(Default)]
+pub struct HeadMemory {
+    longest: Cell<usize>,
+    reservations: RefCell<Vec<MemoryReservation>>,
+}
+
+impl HeadMemory {
+    /// Records a head that takes `head_bytes`.
+    pub fn record(&self, head_bytes: usize) {
+        self.longest.set(self.longest.get().max(head_bytes));
+    }
+
+    /// Keeps the memory of a long head reserved until the connection is closed.
+    pub fn keep(&self, reservation: MemoryReservation) {
+        if reservation.permit.is_some() {
+            self.reservations.borrow_mut().push(reservation);
+        }
+    }
+
+    /// Returns whether the connection has carried a head that takes more than connections have for it.
+    pub fn has_carried_long(&self, memory: &MessageMemory) -> bool {
+        memory.excess_of_head(self.longest.get()) > 0
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -136,7 +136,7 @@
         live: components.live.clone(),
         driver,
         socket_budget: components.socket_budget.clone(),
-        body_memory: components.body_memory.clone(),
+        message_memory: components.message_memory.clone(),
         status: components.status.clone(),
         restart_only: config.restart_only,
     };
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -14,7 +14,7 @@
 use super::config::{Config, ConfigError};
 use super::driver::Driver;
 use super::live::LiveConfig;
-use super::memory::BodyMemory;
+use super::memory::MessageMemory;
 use super::status::Status;
 
 /// Delay before an unreadable configuration file is read again.
@@ -33,7 +33,7 @@
     /// The descriptor budget.
     pub socket_budget: Rc<SocketBudget>,
     /// The memory budget of bodies.
-    pub body_memory: Rc<BodyMemory>,
+    pub message_memory: Rc<MessageMemory>,
     /// Records the outcome.
     pub status: Rc<Status>,
     /// The part of the configuration that only a restart can change.
@@ -115,7 +115,7 @@
         self.live.apply(&config, P::now());
         let limits = config.resource_limits();
         self.socket_budget.set_limits::<P>(limits);
-        self.body_memory.set_limits::<P>(limits);
+        self.message_memory.set_limits::<P>(limits);
         let quotas = config.tenant_quotas();
         self.driver.reconfigure(config.settings, quotas);
     }
--- a/src/sidecar/resource_limits.rs
+++ b/src/sidecar/resource_limits.rs
@@ -17,6 +17,8 @@
 const SERVER_CONNECTION_BYTES: usize = 32 << 10;
 /// Memory of a client's connection and of one to a server together, in bytes.
 const CONNECTION_PAIR_BYTES: usize = CLIENT_CONNECTION_BYTES + SERVER_CONNECTION_BYTES;
+/// The number of heads that a client's connection and one to a server carry together.
+const HEADS_PER_PAIR: usize = 2;
 /// Connections may take this fraction of the memory that is left for connections and bodies.
 const CONNECTION_FRACTION: Fraction = Fraction { numerator: 3, denominator: 4 };
 /// Request bodies get this fraction of the memory of bodies. They are held for the whole request, response bodies only
@@ -24,6 +26,8 @@
 const REQUEST_FRACTION: Fraction = Fraction { numerator: 3, denominator: 5 };
 /// Upper limit of the memory of all bodies: the memory limit divided by this.
 const MAX_BODY_DIVISOR: usize = 3;
+/// Memory for each head beside the buffers of connections, in bytes, where no more is left.
+const MIN_HEAD_ALLOWANCE: usize = 4 << 10;
 /// Lower limit of the memory of all bodies: the memory limit divided by this.
 const MIN_BODY_DIVISOR: usize = 16;
 /// Maximum memory per server in bytes: its entry while a list is read, and its state in the driver and the balancer.
@@ -76,24 +80,32 @@
         by_sockets.min(by_memory).max(MIN_CONNECTIONS_PER_SIDE)
     }
 
-    /// Returns the memory of request bodies and of response bodies beside this number of servers.
-    pub fn body_bytes(self, servers: usize) -> BodyBytes {
-        let connections = self.connections_per_side() * CONNECTION_PAIR_BYTES;
+    /// Returns how much memory messages may take beside this number of servers.
+    pub fn message_limits(self, servers: usize) -> MessageLimits {
+        let connections = self.connections_per_side();
         let servers = servers.next_multiple_of(SERVER_STEP) * BYTES_PER_SERVER;
-        let left = self.traffic_bytes().saturating_sub(connections + servers);
+        let used = connections * CONNECTION_PAIR_BYTES + servers;
+        let left = self.traffic_bytes().saturating_sub(used);
         let bodies = left.clamp(self.memory / MIN_BODY_DIVISOR, self.memory / MAX_BODY_DIVISOR);
         let requests = REQUEST_FRACTION.of(bodies);
-        BodyBytes { requests, responses: bodies - requests }
+        let head_allowance = left.saturating_sub(bodies) / connections / HEADS_PER_PAIR;
+        MessageLimits {
+            requests,
+            responses: bodies - requests,
+            head_allowance: head_allowance.max(MIN_HEAD_ALLOWANCE),
+        }
     }
 }
 
-/// The memory of bodies, in bytes.
+/// The memory of messages, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyBytes {
-    /// The memory of all request bodies together.
+pub struct MessageLimits {
+    /// The memory of the bodies and long heads of all requests together.
     pub requests: usize,
-    /// The memory of all response bodies together.
+    /// The memory of the bodies and long heads of all responses together.
     pub responses: usize,
+    /// The memory that each head may take without being counted.
+    pub head_allowance: usize,
 }
 
 /// Returns the maximum number of known servers for a process that may use `memory` bytes.
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -21,7 +21,7 @@
 use super::ingress::Ingress;
 use super::inherited_listener::{InheritedListenerError, LISTEN_BACKLOG, inherited_listener};
 use super::live::LiveConfig;
-use super::memory::BodyMemory;
+use super::memory::MessageMemory;
 use super::peers::Peers;
 use super::status::Status;
 use super::upstream::Upstream;
@@ -127,7 +127,7 @@
     pub live: Rc<LiveConfig>,
     pub status: Rc<Status>,
     pub socket_budget: Rc<SocketBudget>,
-    pub body_memory: Rc<BodyMemory>,
+    pub message_memory: Rc<MessageMemory>,
     upstream: Rc<Upstream<P>>,
     peers: Option<Rc<Peers<P>>>,
     tier: Option<Rc<Membership<P>>>,
@@ -145,15 +145,15 @@
         let status = Rc::new(Status::default());
         let limits = config.resource_limits();
         let socket_budget = Rc::new(SocketBudget::new(limits));
-        let body_memory = BodyMemory::new(limits);
+        let message_memory = MessageMemory::new(limits);
         let upstream = Upstream::<P>::new(
             socket_budget.clone(),
-            body_memory.clone(),
+            message_memory.clone(),
             live.clone(),
             status.clone(),
         );
         let tier = Membership::<P>::new(config, peers.as_ref())?;
-        Ok(Components { live, status, socket_budget, body_memory, upstream, peers, tier })
+        Ok(Components { live, status, socket_budget, message_memory, upstream, peers, tier })
     }
 
     /// Creates the driver, which sends its requests for discovery to `to_discovery`.
@@ -182,7 +182,7 @@
             self.live.clone(),
             self.status.clone(),
             self.socket_budget.clone(),
-            self.body_memory.requests.clone(),
+            self.message_memory.clone(),
         )
     }
 
--- a/src/sidecar/upstream/attempt_result.rs
+++ b/src/sidecar/upstream/attempt_result.rs
@@ -7,11 +7,23 @@
 use crate::api::{LoadReport, Outcome};
 use crate::sidecar::body::BoxedBody;
 use crate::sidecar::execution::ExecutionFacts;
+use crate::sidecar::memory::MemoryReservation;
+
+/// The memory of the head of a response.
+#[derive(Default)]
+pub struct ResponseHeadMemory {
+    /// The memory that the head takes, in bytes.
+    pub bytes: usize,
+    /// The part of it that is reserved, as connections have no memory for it.
+    pub reservation: MemoryReservation,
+}
 
 /// A server's response to a request.
 pub struct UpstreamResponse {
     /// The headers.
     pub headers: HeaderMap,
+    /// The memory of the head.
+    pub head_memory: ResponseHeadMemory,
     /// The body, or its first bytes if it is streamed.
     pub body: Bytes,
     /// The rest of a streamed body, or `None` if the body is buffered.
--- a/src/sidecar/upstream/close_reason.rs
+++ b/src/sidecar/upstream/close_reason.rs
@@ -16,6 +16,8 @@
     NotServed,
     /// The connection has carried the maximum number of requests.
     RequestLimit,
+    /// The connection has carried a head whose buffers take more memory than connections have for it.
+    LongHead,
     /// The last response was streamed, so a copy of it could not be recognized by its body.
     Streamed,
     /// The server has recently sent unexpected bytes.
@@ -38,6 +40,7 @@
             CloseReason::NotReusable => "not_reusable",
             CloseReason::NotServed => "not_served",
             CloseReason::RequestLimit => "request_limit",
+            CloseReason::LongHead => "long_head",
             CloseReason::Streamed => "streamed",
             CloseReason::ReuseSuspended => "reuse_suspended",
             CloseReason::AddressChanged => "address_changed",
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -20,6 +20,7 @@
 use super::request::RequestBody;
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::framing::MAX_HEAD_BYTES;
+use crate::sidecar::memory::HeadMemory;
 
 /// The idle time from which a connection is checked before a non-idempotent request is sent on it in full: the server
 /// may have reset it without the sidecar having noticed.
@@ -73,6 +74,8 @@
     earlier_bodies: RecentBodies,
     /// Whether a sync check was made on the connection. The response to a second one could be a copy of the first.
     pub(super) is_sync_checked: bool,
+    /// The memory of the heads that the connection has carried.
+    pub(super) heads: HeadMemory,
     /// The server's response history, shared by all of its connections.
     pub(super) history: Rc<ResponseHistory>,
     close_reason: Cell<CloseReason>,
@@ -117,6 +120,7 @@
             last_response_delay: None,
             earlier_bodies: RecentBodies::default(),
             is_sync_checked: false,
+            heads: HeadMemory::default(),
             history,
             close_reason: Cell::default(),
             socket,
--- a/src/sidecar/upstream/health_check.rs
+++ b/src/sidecar/upstream/health_check.rs
@@ -12,6 +12,7 @@
 use super::{Endpoint, Upstream, UpstreamRequest};
 use crate::api::{LoadReport, Outcome};
 use crate::sidecar::body::STREAM_WINDOW_BYTES;
+use crate::sidecar::memory::MessageSize;
 
 /// The path at which servers report their load.
 const LOAD_PATH: &str = "/stats";
@@ -80,7 +81,8 @@
         let limits = AttemptLimits::unlimited(P::now() + self.live.timeouts().connect);
         let response = send_request(&mut connection, &request, &limits).await;
         let (head, body) = response.map(Response::into_parts).ok_or(Outcome::ConnectionReset)?;
-        let _reservation = self.body_memory.responses.reserve(STREAM_WINDOW_BYTES).await;
+        let size = MessageSize { head_excess: 0, body: STREAM_WINDOW_BYTES };
+        let _reservation = self.message_memory.responses.reserve(size).await;
         let body = read_report(body).await.ok_or(Outcome::ConnectionReset)?;
         let outcome =
             if head.status == StatusCode::OK { Outcome::Success } else { Outcome::ErrorResponse };
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -25,10 +25,10 @@
 
 use super::budget::SocketBudget;
 use super::live::LiveConfig;
-use super::memory::BodyMemory;
+use super::memory::MessageMemory;
 use super::status::Status;
 use crate::api::ServerId;
-pub use attempt_result::{AttemptResult, UpstreamResponse};
+pub use attempt_result::{AttemptResult, ResponseHeadMemory, UpstreamResponse};
 use connection::Connection;
 pub use connection::ConnectionUse;
 use desync::ResponseHistory;
@@ -53,7 +53,7 @@
     /// Number of connections opened so far.
     opened: Cell<u64>,
     sockets: Rc<SocketBudget>,
-    body_memory: Rc<BodyMemory>,
+    message_memory: Rc<MessageMemory>,
     live: Rc<LiveConfig>,
     status: Rc<Status>,
 }
@@ -62,7 +62,7 @@
     /// Creates an empty pool and spawns the task that closes expired idle connections.
     pub fn new(
         sockets: Rc<SocketBudget>,
-        body_memory: Rc<BodyMemory>,
+        message_memory: Rc<MessageMemory>,
         live: Rc<LiveConfig>,
         status: Rc<Status>,
     ) -> Rc<Upstream<P>> {
@@ -71,7 +71,7 @@
             histories: RefCell::default(),
             opened: Cell::default(),
             sockets,
-            body_memory,
+            message_memory,
             live,
             status,
         });
@@ -81,6 +81,6 @@
 
     /// Leaves memory for this number of known servers.
     pub fn set_known_servers(&self, servers: usize) {
-        self.body_memory.set_servers::<P>(servers);
+        self.message_memory.set_servers::<P>(servers);
     }
 }
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -57,6 +57,9 @@
         if !connection.is_below_request_limit() {
             return connection.close(CloseReason::RequestLimit);
         }
+        if connection.heads.has_carried_long(&self.message_memory) {
+            return connection.close(CloseReason::LongHead);
+        }
         self.put_back(server, connection);
     }
 
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -16,6 +16,7 @@
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
 use crate::sidecar::invariants::SendFacts;
+use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::upload::{Upload, UploadAttempt};
 
 /// The header that carries the id of a request.
@@ -39,6 +40,10 @@
     pub target: hyper::Uri,
     /// The headers to forward.
     pub headers: HeaderMap,
+    /// The memory that the head takes, in bytes.
+    pub head_bytes: usize,
+    /// The part of it that is reserved, as connections have no memory for it.
+    pub head_reservation: MemoryReservation,
     /// The body, or its buffered prefix if it is streamed.
     pub body: Bytes,
     /// The streamed body, or `None` if the body is buffered.
@@ -57,6 +62,8 @@
             method: Method::GET,
             target: hyper::Uri::from_static(path),
             headers: HeaderMap::new(),
+            head_bytes: 0,
+            head_reservation: MemoryReservation::default(),
             body: Bytes::new(),
             upload: None,
             finished: Cell::default(),
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -13,19 +13,19 @@
 use runtime::{Runtime, timeout, timeout_at};
 
 use super::Upstream;
-use super::attempt_result::{AttemptResult, UpstreamResponse};
+use super::attempt_result::{AttemptResult, ResponseHeadMemory, UpstreamResponse};
 use super::close_reason::CloseReason;
 use super::connection::Connection;
 use super::desync::{BodyFingerprint, SuspectedDesync};
 use super::observer::ExchangeObserver;
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
-    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_RESERVATION_BYTES,
-    STREAM_WINDOW_BYTES,
+    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
+    reserved_bytes,
 };
 use crate::sidecar::framing::UNPROCESSED_HEADER;
-use crate::sidecar::headers::end_to_end_headers;
-use crate::sidecar::memory::BodyReservation;
+use crate::sidecar::headers::{end_to_end_headers, head_bytes};
+use crate::sidecar::memory::{MemoryReservation, MessageReservation, MessageSize};
 
 /// The time for which the first bytes of a streamed response are held back before they are forwarded. If the response
 /// fails within this time, the request can still be sent to another server.
@@ -104,6 +104,12 @@
     }
 }
 
+/// The head of a response that is forwarded.
+struct ForwardedHead {
+    headers: HeaderMap,
+    memory: ResponseHeadMemory,
+}
+
 /// A response that can be forwarded. Its connection is `None` if the rest of the body is still read from it.
 struct Forwardable<P: Runtime> {
     response: UpstreamResponse,
@@ -112,30 +118,32 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Reserves the memory for the body of a response that is forwarded, waiting until it is available. The response is
-    /// not read meanwhile.
+    /// Reserves the memory for a response that is forwarded, waiting until it is available. Its body is not read
+    /// meanwhile.
     pub(super) async fn reserve_response(
         &self,
         observer: &ExchangeObserver<P>,
         response: &Response<Incoming>,
-    ) -> BodyReservation {
+    ) -> MessageReservation {
         if response.status() != StatusCode::OK {
-            return BodyReservation::default();
+            return MessageReservation::default();
         }
-        let length = buffered_length(response.body());
-        let bytes = length.unwrap_or(STREAM_RESERVATION_BYTES);
+        let size = MessageSize {
+            head_excess: self.message_memory.excess_of_head(head_bytes(response.headers())),
+            body: reserved_bytes(response.body()),
+        };
         let requested = P::now();
-        let reservation = self.body_memory.responses.reserve(bytes).await;
+        let reservation = self.message_memory.responses.reserve(size).await;
         let waited = P::elapsed_since(requested);
         if waited >= LONG_WAIT_FOR_MEMORY {
-            let waited_ms = waited.as_millis() as u64;
+            let (bytes, waited_ms) = (size.total(), waited.as_millis() as u64);
             tracing::warn!(bytes, waited_ms, "response body has waited for memory");
         }
         observer.resume_response();
         reservation
     }
 
-    /// Reads the response to an attempt at `server`. Its body uses the memory of `reservation`.
+    /// Reads the response to an attempt at `server`, which uses the memory of `reservation`.
     ///
     /// With `needs_proof`, a rejection counts only once it is complete, as a server may start to send one and still
     /// execute the request.
@@ -144,12 +152,16 @@
         server: ServerId,
         connection: Connection<P>,
         response: Response<Incoming>,
-        reservation: BodyReservation,
+        reservation: MessageReservation,
         needs_proof: bool,
     ) -> Received<P> {
         let unprocessed = is_unprocessed(&response);
         let closes_connection = has_connection_close(response.headers());
         let (head, body) = response.into_parts();
+        let MessageReservation { head: head_reservation, body: reservation } = reservation;
+        let head_bytes = head_bytes(&head.headers);
+        connection.heads.record(head_bytes);
+        connection.heads.keep(head_reservation.clone());
         let report = head.headers.get(LOAD_REPORT_HEADER).and_then(|value| value.to_str().ok());
         let report = report.map(|text| self.live.names().load_report(text)).unwrap_or_default();
         let end = |outcome| AttemptResult { report, ..AttemptResult::without_response(outcome) };
@@ -172,9 +184,12 @@
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return Received::Ended(end(outcome));
         }
-        let headers = end_to_end_headers(&head.headers);
+        let forwarded = ForwardedHead {
+            headers: end_to_end_headers(&head.headers),
+            memory: ResponseHeadMemory { bytes: head_bytes, reservation: head_reservation },
+        };
         drop(head);
-        let Some(read) = self.read_body(connection, headers, body, reservation).await else {
+        let Some(read) = self.read_body(connection, forwarded, body, reservation).await else {
             return Received::Ended(end(Outcome::ConnectionReset));
         };
         let Forwardable { response, connection, sync_result } = read;
@@ -208,9 +223,9 @@
     async fn read_body(
         &self,
         mut connection: Connection<P>,
-        headers: HeaderMap,
+        head: ForwardedHead,
         mut body: Incoming,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
     ) -> Option<Forwardable<P>> {
         // Without a length or chunked encoding, a truncated response looks complete.
         if !connection.observer.has_delimited_response() {
@@ -230,7 +245,8 @@
             Some(Box::pin(StreamedRest { body, connection }))
         };
         let body = reservation.attach(prefix.bytes);
-        let response = UpstreamResponse { headers, body, rest };
+        let ForwardedHead { headers, memory: head_memory } = head;
+        let response = UpstreamResponse { headers, head_memory, body, rest };
         Some(Forwardable { response, connection, sync_result })
     }
 
@@ -264,12 +280,6 @@
     true
 }
 
-/// Returns the length of a body that is buffered completely, or `None` if it is streamed.
-fn buffered_length(body: &Incoming) -> Option<usize> {
-    let length = body.size_hint().exact()?;
-    (length <= STREAM_WINDOW_BYTES as u64).then_some(length as usize)
-}
-
 /// Reads a short body completely, or else the first bytes of a body and what follows them within
 /// [`EARLY_FAILURE_WAIT`].
 ///
--- a/src/sidecar/upstream/send.rs
+++ b/src/sidecar/upstream/send.rs
@@ -25,6 +25,8 @@
 ) -> Option<Response<Incoming>> {
     let time_left = request.time_left(P::now(), limits.deadline);
     let observer = connection.observer.clone();
+    connection.heads.record(request.head_bytes);
+    connection.heads.keep(request.head_reservation.clone());
     let message = build_message(connection, request, time_left);
     // Only a request that may not be repeated needs a stale check. Others are resent if the connection is closed.
     let stale_check_duration = match request.retry_safety {
--- a/tests/lifecycle/memory_limit.rs
+++ b/tests/lifecycle/memory_limit.rs
@@ -28,6 +28,8 @@
 const BUFFERED_BYTES: usize = 64_000;
 /// The length in bytes of streamed bodies.
 const STREAMED_BYTES: usize = 100_000;
+/// The number of headers of a message with many: hyper accepts 100.
+const MANY_HEADERS: usize = 90;
 /// The length in bytes of the pieces in which a chunked response is written.
 const PIECE_BYTES: usize = 500;
 
@@ -55,18 +57,43 @@
     peak.into_inner()
 }
 
-/// A request of class `order` with a body of `length` bytes.
-fn order_of(id: &str, length: usize) -> String {
+/// Header lines that have the most headers, or the longest, that fit into a head.
+#[derive(Clone, Copy, Debug)]
+enum Headers {
+    Few,
+    /// Many headers with values of this length.
+    Many(usize),
+    /// A single header with a value of this length.
+    Long(usize),
+}
+
+impl Headers {
+    fn lines(self) -> String {
+        match self {
+            Headers::Few => String::new(),
+            Headers::Many(length) => {
+                let value = "h".repeat(length);
+                (0..MANY_HEADERS).map(|n| format!("X-Header-{n}: {value}\r\n")).collect()
+            }
+            Headers::Long(length) => format!("X-Header: {}\r\n", "h".repeat(length)),
+        }
+    }
+}
+
+/// A request of class `order` with further headers and a body of `length` bytes.
+fn order_of(id: &str, headers: Headers, length: usize) -> String {
+    let lines = headers.lines();
     let head = format!(
         "POST /order/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
-         Content-Length: {length}\r\n\r\n"
+         Content-Length: {length}\r\n{lines}\r\n"
     );
     head + &"x".repeat(length)
 }
 
-/// A response with a body of `length` bytes.
-fn response_of(length: usize) -> Vec<u8> {
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+/// A response with further headers and a body of `length` bytes.
+fn response_of(headers: Headers, length: usize) -> Vec<u8> {
+    let lines = headers.lines();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{lines}\r\n");
     (head + &"y".repeat(length)).into_bytes()
 }
 
@@ -79,7 +106,7 @@
 
 /// Sends requests with bodies of `length` bytes from all clients at once, each the next as soon as it has its response.
 /// Returns how many requests got each result: the status line and the length of the response's body.
-fn send_at_once(sidecar: &Sidecar, length: usize) -> BTreeMap<String, usize> {
+fn send_at_once(sidecar: &Sidecar, headers: Headers, length: usize) -> BTreeMap<String, usize> {
     let results = Mutex::new(BTreeMap::new());
     thread::scope(|scope| {
         for client in 0..CLIENTS {
@@ -87,7 +114,7 @@
             let run = move || {
                 for round in 0..ROUNDS {
                     let mut socket = sidecar.connect();
-                    let request = order_of(&format!("c{client}-{round}"), length);
+                    let request = order_of(&format!("c{client}-{round}"), headers, length);
                     // Writing may fail: the sidecar may reject the request before all of it is sent.
                     let _ = socket.write_all(request.as_bytes());
                     let answer = read_message(&mut BufReader::new(socket));
@@ -109,6 +136,7 @@
 /// Plays hundreds of requests at once, for the memory limits that occur. All have to be served within the limit.
 fn stays_within_limit(
     memory_limits_mb: &[usize],
+    headers: Headers,
     length: usize,
     response_length: usize,
     response: Vec<u8>,
@@ -125,7 +153,7 @@
             set_times(config, 1, 20_000, 25_000);
         });
         let mut results = BTreeMap::new();
-        let peak = peak_kb(&sidecar, || results = send_at_once(&sidecar, length));
+        let peak = peak_kb(&sidecar, || results = send_at_once(&sidecar, headers, length));
         let limit = limit_mb << 10;
         assert!(peak + PROGRAM_KB <= limit, "{peak} and {PROGRAM_KB} of {limit} kB, {results:?}");
         let served = format!("HTTP/1.1 200 OK, {response_length}");
@@ -139,9 +167,10 @@
 fn hundreds_of_requests_with_bodies_at_once_stay_within_the_memory_limit() {
     stays_within_limit(
         &[32, 48, 64, 192],
+        Headers::Few,
         BUFFERED_BYTES,
         BUFFERED_BYTES,
-        response_of(BUFFERED_BYTES),
+        response_of(Headers::Few, BUFFERED_BYTES),
     );
 }
 
@@ -150,5 +179,16 @@
 #[test]
 fn hundreds_of_streamed_bodies_at_once_stay_within_the_memory_limit() {
     let response = response_in_pieces(STREAMED_BYTES);
-    stays_within_limit(&[32, 192], STREAMED_BYTES, STREAMED_BYTES, response);
+    stays_within_limit(&[32, 192], Headers::Few, STREAMED_BYTES, STREAMED_BYTES, response);
+}
+
+/// Guards against the same for heads, whose headers and buffers can take more than a short body.
+#[test]
+fn hundreds_of_requests_with_long_heads_at_once_stay_within_the_memory_limit() {
+    for headers in [Headers::Many(1), Headers::Many(150), Headers::Long(15_000)] {
+        stays_within_limit(&[32, 64], headers, 0, 0, response_of(headers, 0));
+    }
+    let headers = Headers::Many(150);
+    let response = response_of(headers, BUFFERED_BYTES);
+    stays_within_limit(&[32, 192], headers, BUFFERED_BYTES, BUFFERED_BYTES, response);
 }
