Deadlines: the time of an upload starts when its client can have written its end

Callers would have seen answers up to 4.66 s after they had written their last byte, where 2.05 s are allowed: uploads of 5 to 8 MB to servers that read 0.6 to 1.3 MB/s.

Cause: the time started when the last byte arrived in the sidecar's socket. A request counts as taken once its client has written it, and the last 4 MB may wait in the client's send buffer, where no call of the sidecar shows them.

Change: the time starts at the last moment at which the request was known to be incomplete: nothing was unread, or more was missing than a send buffer holds. One method of the connection tells it, in place of three states.

Test: upload_that_waits_in_the_send_buffer_of_its_client... failed before (14 of 18 uploads) and passes.

--- a/src/sidecar/ingress/clocks.rs
+++ b/src/sidecar/ingress/clocks.rs
@@ -1,68 +1,47 @@
-//! When client input was received, and the time that a response has waited for its server.
+//! When clients wrote their input, and the time that a response has waited for its server.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use runtime::Runtime;
 
-/// Determines when input arrived that waits, or has waited, in the socket's receive buffer.
+/// Determines when the client can have written input that waits, or has waited, in the socket's receive buffer.
 pub(super) struct ReceiveClock {
     /// The last read found the receive buffer empty.
     pub buffer_empty: Cell<bool>,
-    /// Number of bytes read.
-    read: Cell<u64>,
-    /// Number of bytes that are known to have arrived, of which some may be unread.
-    arrived: Cell<u64>,
-    /// The time at which the number of arrived bytes was last determined.
-    observed_at: Cell<Instant>,
-    /// The earliest time at which the last of the arrived bytes can have arrived.
-    last_arrival: Cell<Instant>,
+    /// The last time at which the client was known not to have written the end of its request.
+    incomplete_at: Cell<Instant>,
 }
 
 impl ReceiveClock {
     /// Creates the clock of a connection that has received nothing before `now`.
     pub fn new(now: Instant) -> ReceiveClock {
-        ReceiveClock {
-            buffer_empty: Cell::new(true),
-            read: Cell::new(0),
-            arrived: Cell::new(0),
-            observed_at: Cell::new(now),
-            last_arrival: Cell::new(now),
-        }
+        ReceiveClock { buffer_empty: Cell::new(true), incomplete_at: Cell::new(now) }
     }
 
-    /// The earliest time at which the last of the arrived bytes can have arrived.
-    pub fn last_arrival(&self) -> Instant {
-        self.last_arrival.get()
+    /// The earliest time at which the client can have written the end of its request, if that has arrived or is on its
+    /// way. Once the receive buffer is full, further bytes wait where the sidecar does not see them.
+    pub fn earliest_write(&self) -> Instant {
+        self.incomplete_at.get()
     }
 
-    /// Records that `bytes` were read at `now`.
-    pub fn record_read(&self, now: Instant, bytes: usize) {
-        let read = self.read.get() + bytes as u64;
-        self.read.set(read);
-        // If the buffer was empty, the event loop has just reported these bytes.
-        let earliest = if self.buffer_empty.replace(false) { now } else { self.observed_at.get() };
-        self.record_arrived(read, earliest);
-        self.observed_at.set(now);
+    /// Records that bytes were read at `now`.
+    pub fn record_read(&self, now: Instant) {
+        if self.buffer_empty.replace(false) {
+            // The event loop has just reported these bytes.
+            self.incomplete_at.set(now);
+        }
     }
 
-    /// Records that the receive buffer was empty at `now`.
+    /// Records that a read found the receive buffer empty at `now`.
     pub fn record_empty(&self, now: Instant) {
         self.buffer_empty.set(true);
-        self.observed_at.set(now);
+        self.incomplete_at.set(now);
     }
 
-    /// Records that `unread` bytes were in the receive buffer at `now`.
-    pub fn record_unread(&self, now: Instant, unread: u64) {
-        self.record_arrived(self.read.get() + unread, self.observed_at.get());
-        self.observed_at.set(now);
-    }
-
-    fn record_arrived(&self, arrived: u64, earliest: Instant) {
-        if arrived > self.arrived.get() {
-            self.arrived.set(arrived);
-            self.last_arrival.set(earliest);
-        }
+    /// Records that the client cannot have written the end of its request at `now`.
+    pub fn record_incomplete(&self, now: Instant) {
+        self.incomplete_at.set(now);
     }
 }
 
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -17,12 +17,15 @@
 pub(super) use self::closing::Unanswered;
 use super::clocks::{ReceiveClock, UpstreamWait};
 use super::phase::Phase;
-use crate::sidecar::deadline::{Arrival, ArrivalSource, RequestDeadline};
+use crate::sidecar::deadline::{RequestDeadline, RequestSource};
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
 use crate::sidecar::upstream::RequestClient;
 
+/// The maximum number of bytes that a client can have written and that have not arrived: systems do not enlarge send
+/// buffers beyond this by themselves.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
 /// Maximum length of a correlation id in log lines.
 const MAX_LOGGED_ID_CHARS: usize = 64;
 
@@ -55,8 +58,9 @@
     response_started: Cell<Instant>,
     /// Bytes read of the current request or, while responding, bytes written of its response.
     transferred: Cell<u64>,
-    /// The earliest time at which the last byte of the request can have arrived; `None` until the request is complete.
-    request_arrived_at: Cell<Option<Instant>>,
+    /// The earliest time at which the client can have written the last byte of the request; `None` until that byte has
+    /// arrived.
+    request_end: Cell<Option<Instant>>,
     /// The time for which the client waits for the response to the request in progress, from its last byte on; `None`
     /// without a limit.
     request_timeout: Cell<Option<Duration>>,
@@ -95,7 +99,7 @@
             response_complete: Cell::new(false),
             response_started: Cell::new(P::now()),
             transferred: Cell::new(0),
-            request_arrived_at: Cell::new(None),
+            request_end: Cell::new(None),
             request_timeout: Cell::new(None),
             receive_clock: ReceiveClock::new(P::now()),
             upstream_wait: UpstreamWait::default(),
@@ -170,10 +174,10 @@
     }
 
     /// The time at which the client of the request in progress stops waiting; `None` without a limit, or while the
-    /// client has not yet sent its whole request.
+    /// client cannot have written its whole request.
     fn client_timeout(&self) -> Option<Instant> {
         let timeout = self.request_timeout.get()?;
-        self.arrival().earliest_end().map(|arrived_at| arrived_at + timeout)
+        self.earliest_end().map(|end| end + timeout)
     }
 
     /// Lets the response in progress take longer than the client's timeout, as that of a streaming class may.
@@ -238,6 +242,12 @@
         }
     }
 
+    /// The number of unread bytes that have arrived: at least 1 if the system does not tell how many there are.
+    fn unread_bytes(&self) -> Option<u64> {
+        let socket = self.socket.upgrade()?;
+        Some(socket.unread_bytes().unwrap_or_else(|| socket.has_unread().into()))
+    }
+
     /// Whether the client has closed its sending direction or the connection, even if input is still unread.
     pub fn is_disconnected(&self) -> bool {
         self.socket.upgrade().is_none_or(|socket| socket.peer_closed())
@@ -260,27 +270,25 @@
     }
 }
 
-impl<P: Runtime> ArrivalSource for ClientConnection<P> {
-    fn arrival(&self) -> Arrival {
-        if let Some(arrived_at) = self.request_arrived_at.get() {
-            return Arrival::Complete(arrived_at);
+impl<P: Runtime> RequestSource for ClientConnection<P> {
+    fn earliest_end(&self) -> Option<Instant> {
+        if let Some(end) = self.request_end.get() {
+            return Some(end);
         }
-        let Some(socket) = self.socket.upgrade() else { return Arrival::Incomplete };
-        let (unread, missing) = (socket.unread_bytes(), self.framing.borrow().missing_bytes());
-        if let Some(unread) = unread {
-            self.receive_clock.record_unread(P::now(), unread);
+        let unread = self.unread_bytes()?;
+        // What a chunked body lacks is unknown.
+        let missing = self.framing.borrow().missing_bytes();
+        let not_arrived = missing.map(|missing| missing.saturating_sub(unread));
+        let is_incomplete =
+            unread == 0 || not_arrived.is_some_and(|bytes| bytes > MAX_SEND_BUFFER_BYTES);
+        if is_incomplete {
+            self.receive_clock.record_incomplete(P::now());
         }
-        let last_arrival = self.receive_clock.last_arrival();
-        match (unread, missing) {
-            (Some(0), _) => Arrival::Incomplete,
-            (Some(unread), Some(missing)) if unread >= missing => {
-                self.request_arrived_at.set(Some(last_arrival));
-                Arrival::Complete(last_arrival)
-            }
-            (Some(_), Some(_)) => Arrival::Incomplete,
-            (None, _) if !socket.has_unread() => Arrival::Incomplete,
-            _ => Arrival::MaybeComplete(last_arrival),
+        let earliest_write = self.receive_clock.earliest_write();
+        if not_arrived == Some(0) {
+            self.request_end.set(Some(earliest_write));
         }
+        (!is_incomplete).then_some(earliest_write)
     }
 }
 
@@ -298,9 +306,9 @@
             self.framing_error.set(Some(error));
             io::Error::new(io::ErrorKind::InvalidData, error)
         })?;
-        self.receive_clock.record_read(P::now(), bytes.len());
-        if self.request_arrived_at.get().is_none() && framing.is_complete() {
-            self.request_arrived_at.set(Some(self.receive_clock.last_arrival()));
+        self.receive_clock.record_read(P::now());
+        if self.request_end.get().is_none() && framing.is_complete() {
+            self.request_end.set(Some(self.receive_clock.earliest_write()));
         }
         Ok(())
     }
@@ -323,7 +331,7 @@
     fn on_flush(&self) {
         if self.response_complete.replace(false) && self.phase.get() == Phase::Responding {
             self.framing.borrow_mut().start_next();
-            self.request_arrived_at.set(None);
+            self.request_end.set(None);
             self.request_timeout.set(None);
             self.enter(Phase::Idle);
         }
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -7,7 +7,7 @@
 
 use super::{ClientConnection, ClientDisconnected};
 use crate::sidecar::body::client_transfer_time;
-use crate::sidecar::deadline::ArrivalSource;
+use crate::sidecar::deadline::RequestSource;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::ingress::phase::Phase;
 
@@ -106,8 +106,8 @@
         let disconnected = async {
             loop {
                 P::sleep(INPUT_POLL_INTERVAL).await;
-                // Keeps the time of arrival exact while nothing is read.
-                self.arrival();
+                // Keeps the time exact at which the request was last incomplete, while nothing is read.
+                self.earliest_end();
                 if !self.receive_clock.buffer_empty.get() && self.is_disconnected() {
                     return;
                 }
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -6,7 +6,7 @@
 //! - `accept`: accepts connections within the connection budget and evicts idle ones;
 //! - `connection`: the state of one connection, its timeouts, and when it may be closed;
 //! - `phase`: the phases of a connection and the order of eviction;
-//! - `clocks`: when input was received, and how long responses waited for servers;
+//! - `clocks`: when clients wrote their input, and how long responses waited for servers;
 //! - `service`: the task of a connection, from its first request to its close;
 //! - `request`: validates requests, reads their bodies and forwards them;
 //! - `response`: builds responses and streams their bodies.
--- a/src/sidecar/upload.rs
+++ b/src/sidecar/upload.rs
@@ -98,7 +98,7 @@
         self.outcome_due().map_or(self.deadline.budget(), |due| due.saturating_duration_since(now))
     }
 
-    /// Returns the time at which the outcome is due, or `None` if the client has not yet sent the whole body.
+    /// Returns the time at which the outcome is due, or `None` if the client cannot have written the whole body yet.
     fn outcome_due(&self) -> Option<Instant> {
         let end_was_read = || self.completed_at().map(|end| end + self.deadline.budget());
         self.deadline.outcome_due().or_else(end_was_read)
@@ -122,8 +122,8 @@
 
     /// Completes when the time of the request is up: its client stops waiting, or the server does not take the body.
     ///
-    /// The time of the client may start at any moment, when its last byte arrives in the socket's receive buffer, so it
-    /// is determined anew at short intervals.
+    /// The time of the client may start at any moment, when it writes on while the server does not take the body, so it is
+    /// determined anew at short intervals.
     pub async fn timed_out<P: Runtime>(&self) {
         loop {
             let next_check = P::now() + DEADLINE_CHECK_INTERVAL;
--- a/src/sidecar/upload/tests.rs
+++ b/src/sidecar/upload/tests.rs
@@ -1,25 +1,20 @@
 //! Tests of uploads without sockets.
 
 use super::*;
-use crate::sidecar::deadline::{Arrival, ArrivalSource};
+use crate::sidecar::deadline::RequestSource;
 use http_body_util::{BodyExt, Full};
 use runtime::TokioRuntime;
 
 /// The time for which the client waits.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A client that the test lets send its last byte.
-struct Client(Cell<Arrival>);
+/// A client that may have written its last byte at this time.
+#[derive(Default)]
+struct Client(Option<Instant>);
 
-impl Default for Client {
-    fn default() -> Client {
-        Client(Cell::new(Arrival::Incomplete))
-    }
-}
-
-impl ArrivalSource for Client {
-    fn arrival(&self) -> Arrival {
-        self.0.get()
+impl RequestSource for Client {
+    fn earliest_end(&self) -> Option<Instant> {
+        self.0
     }
 }
 
@@ -75,13 +70,10 @@
     // The body is not polled after its last byte.
     let budget = known.deadline.budget();
     assert_eq!(known.outcome_due(), known.completed_at().map(|end| end + budget));
-    let arrived_at = Instant::now();
-    for arrival in [Arrival::MaybeComplete(arrived_at), Arrival::Complete(arrived_at)] {
-        let client = Rc::new(Client(Cell::new(arrival)));
-        let waiting = upload_from(client, "kept", " and more");
-        let due = (waiting.completed_at(), waiting.outcome_due());
-        assert_eq!(due, (None, Some(arrived_at + budget)));
-    }
+    let written_at = Instant::now();
+    let waiting = upload_from(Rc::new(Client(Some(written_at))), "kept", " and more");
+    let due = (waiting.completed_at(), waiting.outcome_due());
+    assert_eq!(due, (None, Some(written_at + budget)));
 }
 
 /// A server that takes a body too slowly has no more time than one that hangs, beside what its bytes may take.
--- a/tests/lifecycle/deadlines.rs
+++ b/tests/lifecycle/deadlines.rs
@@ -2,14 +2,15 @@
 //! of a body.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, mpsc};
+use std::net::TcpStream;
+use std::sync::{Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use fakes::wire::encode_chunked;
 
 use crate::net::*;
+use crate::support::*;
 
 /// Answers later than this after the client's time are lost: half a second, and the tolerance for sockets.
 const LOST_AFTER: Duration = Duration::from_millis(550);
@@ -26,6 +27,15 @@
 /// The number of bytes of an upload that a slow server reads at a time, and the interval.
 const SLOW_READ: (usize, Duration) = (1 << 10, Duration::from_millis(40));
 
+/// The same for servers that read fast enough that some of a body always fits into the buffers.
+const STEADY_READS: [(usize, Duration); 3] = [
+    (8 << 10, Duration::from_millis(10)),
+    (64 << 10, Duration::from_millis(50)),
+    (128 << 10, Duration::from_millis(200)),
+];
+/// Lengths of uploads of which a part waits in the send buffer of the client when its last byte is written.
+const LONGEST_UPLOAD_BYTES: [usize; 3] = [5_000 << 10, 6_500 << 10, 8_000 << 10];
+
 /// The time between the start of a connection and its request.
 const BEFORE_REQUEST: Duration = Duration::from_millis(100);
 /// The time for which clients of long responses wait.
@@ -39,21 +49,6 @@
     (Duration::from_millis(100), 20_000),
 ];
 
-/// Starts a listener that hands each connection to `script` on a thread of its own. Returns a server that discovery can
-/// list.
-fn start_raw(script: impl Fn(TcpStream) + Send + Sync + 'static) -> Entry {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let at = listener.local_addr().expect("an address");
-    let script = Arc::new(script);
-    thread::spawn(move || {
-        for socket in listener.incoming().flatten() {
-            let script = script.clone();
-            thread::spawn(move || script(socket));
-        }
-    });
-    Entry::new(at, "a")
-}
-
 /// Waits until the peer has acknowledged all bytes that were written to `socket`. Returns whether it has.
 fn is_acknowledged(socket: &TcpStream) -> bool {
     let port = format!(":{:04X}", socket.local_addr().expect("bound").port());
@@ -90,31 +85,44 @@
     [head.into_bytes(), body].concat()
 }
 
+/// The moment from which the time of an upload counts.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    /// The client has written the last byte, which may still be in the client's send buffer.
+    Written,
+    /// The machine of the sidecar has acknowledged the last byte.
+    Acknowledged,
+}
+
 /// Sends an upload. Returns the time from its last byte to the response or the end of the connection, or `None` if the
-/// machine of the sidecar has not taken the whole request.
-fn time_of_upload(sidecar: &Sidecar, request: &[u8]) -> Option<Duration> {
+/// whole request has not been taken.
+fn time_of_upload(sidecar: &Sidecar, request: &[u8], taken: Taken) -> Option<Duration> {
     let mut socket = sidecar.connect();
     socket.set_read_timeout(Some(OBSERVED)).expect("a timeout");
     socket.set_write_timeout(Some(OBSERVED)).expect("a timeout");
     socket.write_all(request).ok()?;
     let written_at = Instant::now();
-    if !is_acknowledged(&socket) {
+    if taken == Taken::Acknowledged && !is_acknowledged(&socket) {
         return None;
     }
     let _ = socket.read(&mut [0]);
     Some(written_at.elapsed())
 }
 
-/// Plays uploads to a server that treats its connections like `script`.
-fn uploads_end_in_time(script: impl Fn(TcpStream) + Send + Sync + 'static) {
+/// Plays uploads of these lengths to a server that treats its connections like `script`.
+fn uploads_end_in_time(
+    lengths: &[usize],
+    taken: Taken,
+    script: impl Fn(TcpStream) + Send + Sync + 'static,
+) {
     let sidecar = Sidecar::start(Registry::start(vec![start_raw(script)]));
     let times: Vec<_> = thread::scope(|scope| {
-        let requests = UPLOAD_BYTES.iter().flat_map(|&length| [(length, false), (length, true)]);
+        let requests = lengths.iter().flat_map(|&length| [(length, false), (length, true)]);
         let uploads: Vec<_> = requests
             .map(|(length, is_chunked)| {
                 let request = upload(&format!("u-{length}-{is_chunked}"), length, is_chunked);
                 let sidecar = &sidecar;
-                scope.spawn(move || time_of_upload(sidecar, &request))
+                scope.spawn(move || time_of_upload(sidecar, &request, taken))
             })
             .collect();
         uploads.into_iter().map(|upload| upload.join().expect("no panic")).collect()
@@ -124,6 +132,14 @@
     assert!(taken.iter().all(|&&time| time <= UPLOAD_TIMEOUT + LOST_AFTER), "{times:?}");
 }
 
+/// Reads some bytes at this interval.
+fn read_slowly(mut socket: TcpStream, (length, interval): (usize, Duration)) {
+    let mut piece = vec![0; length];
+    while socket.read(&mut piece).is_ok_and(|n| n > 0) {
+        thread::sleep(interval);
+    }
+}
+
 /// Reads `length` bytes, then nothing more.
 fn read_and_hang(mut socket: TcpStream, length: u64) {
     let _ = std::io::copy(&mut (&mut socket).take(length), &mut std::io::sink());
@@ -133,23 +149,33 @@
 /// Guards against a client that waits for many seconds, as its time was not running while its server read nothing.
 #[test]
 fn upload_to_a_server_that_hangs_is_answered_in_time() {
-    uploads_end_in_time(|socket| read_and_hang(socket, 0));
+    uploads_end_in_time(&UPLOAD_BYTES, Taken::Acknowledged, |socket| read_and_hang(socket, 0));
 }
 
 /// Guards against the same for a server that hangs in the middle of the body.
 #[test]
 fn upload_to_a_server_that_hangs_within_the_body_is_answered_in_time() {
-    uploads_end_in_time(|socket| read_and_hang(socket, 70_000));
+    uploads_end_in_time(&UPLOAD_BYTES, Taken::Acknowledged, |socket| read_and_hang(socket, 70_000));
 }
 
 /// Guards against a deadline that each byte that the server reads puts off.
 #[test]
 fn upload_to_a_server_that_reads_slowly_is_answered_in_time() {
-    uploads_end_in_time(|mut socket| {
-        let (length, interval) = SLOW_READ;
-        let mut piece = vec![0; length];
-        while socket.read(&mut piece).is_ok_and(|n| n > 0) {
-            thread::sleep(interval);
+    uploads_end_in_time(&UPLOAD_BYTES, Taken::Acknowledged, |socket| {
+        read_slowly(socket, SLOW_READ)
+    });
+}
+
+/// Guards against a deadline that starts only when the last byte leaves the send buffer of its client.
+#[test]
+fn upload_that_waits_in_the_send_buffer_of_its_client_is_answered_in_time() {
+    thread::scope(|scope| {
+        for pace in STEADY_READS {
+            scope.spawn(move || {
+                uploads_end_in_time(&LONGEST_UPLOAD_BYTES, Taken::Written, move |socket| {
+                    read_slowly(socket, pace);
+                });
+            });
         }
     });
 }
--- a/tests/lifecycle/support.rs
+++ b/tests/lifecycle/support.rs
@@ -1,9 +1,10 @@
 //! Servers, configuration changes and hold-ups shared by the lifecycle tests.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -56,6 +57,21 @@
     }
 }
 
+/// Starts a listener that hands each connection to `script` on a thread of its own. Returns a server that discovery can
+/// list.
+pub fn start_raw(script: impl Fn(TcpStream) + Send + Sync + 'static) -> Entry {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    let script = Arc::new(script);
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let script = script.clone();
+            thread::spawn(move || script(socket));
+        }
+    });
+    Entry::new(at, "a")
+}
+
 /// Requests a graceful shutdown and waits until it has begun.
 pub fn begin_shutdown(sidecar: &Sidecar) {
     sidecar.signal("TERM");
