Deadlines: a client that stops within its body is answered or closed within 3 s

Callers saw: a client that sent 63,999 of 64,000 bytes and stayed got its 408 3.57 s after it had connected, where 3 s are allowed; one that stopped within a long body to a server that hangs got a close after 4.06 s, although its 502 was known after 1.5 s. After a wait for memory it was 3.59 s.

Cause: the limit of a request that is being received grew with its bytes, and started anew after a wait for memory. The rest of a body is read before the response goes out, with a limit that starts when the reading does.

Change: such a client is stalled 2.5 s after its last byte has arrived, read or not. Where nothing was read for a while it has another 0.5 s, as its system may have held bytes back. A client that stalls while the rest of its body is read gets the response that is there.

--- a/src/sidecar/ingress/clocks.rs
+++ b/src/sidecar/ingress/clocks.rs
@@ -11,12 +11,24 @@
     pub buffer_empty: Cell<bool>,
     /// The last time at which the client was known not to have written the end of its request.
     incomplete_at: Cell<Instant>,
+    /// Number of bytes read.
+    read: Cell<u64>,
+    /// Number of bytes that are known to have arrived, of which some may be unread.
+    arrived: Cell<u64>,
+    /// The time at which that number was last seen to grow.
+    grown_at: Cell<Instant>,
 }
 
 impl ReceiveClock {
     /// Creates the clock of a connection that has received nothing before `now`.
     pub fn new(now: Instant) -> ReceiveClock {
-        ReceiveClock { buffer_empty: Cell::new(true), incomplete_at: Cell::new(now) }
+        ReceiveClock {
+            buffer_empty: Cell::new(true),
+            incomplete_at: Cell::new(now),
+            read: Cell::new(0),
+            arrived: Cell::new(0),
+            grown_at: Cell::new(now),
+        }
     }
 
     /// The earliest time at which the client can have written the end of its request, if that has arrived or is on its
@@ -25,12 +37,19 @@
         self.incomplete_at.get()
     }
 
-    /// Records that bytes were read at `now`.
-    pub fn record_read(&self, now: Instant) {
+    /// The time at which the last of the arrived bytes was noticed.
+    pub fn last_arrival(&self) -> Instant {
+        self.grown_at.get()
+    }
+
+    /// Records that `bytes` were read at `now`.
+    pub fn record_read(&self, now: Instant, bytes: usize) {
         if self.buffer_empty.replace(false) {
             // The event loop has just reported these bytes.
             self.incomplete_at.set(now);
         }
+        self.read.set(self.read.get() + bytes as u64);
+        self.record_arrived(now, self.read.get());
     }
 
     /// Records that a read found the receive buffer empty at `now`.
@@ -39,9 +58,20 @@
         self.incomplete_at.set(now);
     }
 
-    /// Records that the client cannot have written the end of its request at `now`.
-    pub fn record_incomplete(&self, now: Instant) {
-        self.incomplete_at.set(now);
+    /// Records that `unread` bytes were in the receive buffer at `now`, and whether the client cannot have written the
+    /// end of its request by then.
+    pub fn record_unread(&self, now: Instant, unread: u64, is_incomplete: bool) {
+        if is_incomplete {
+            self.incomplete_at.set(now);
+        }
+        self.record_arrived(now, self.read.get() + unread);
+    }
+
+    fn record_arrived(&self, now: Instant, arrived: u64) {
+        if arrived > self.arrived.get() {
+            self.arrived.set(arrived);
+            self.grown_at.set(now);
+        }
     }
 }
 
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -65,6 +65,8 @@
     /// without a limit.
     request_timeout: Cell<Option<Duration>>,
     receive_clock: ReceiveClock,
+    /// The time at which a request that was not read for a while was last read on; `None` if none was.
+    resumed_at: Cell<Option<Instant>>,
     upstream_wait: UpstreamWait,
     /// No request on this connection has got a response yet.
     unused: Cell<bool>,
@@ -102,6 +104,7 @@
             request_end: Cell::new(None),
             request_timeout: Cell::new(None),
             receive_clock: ReceiveClock::new(P::now()),
+            resumed_at: Cell::new(None),
             upstream_wait: UpstreamWait::default(),
             unused: Cell::new(true),
             ended_without_input: Cell::new(false),
@@ -155,6 +158,7 @@
     pub fn resume_request(&self, waited: Duration) {
         self.phase.set(Phase::ReceivingRequest);
         self.last_progress.set(self.last_progress.get() + waited);
+        self.resumed_at.set(Some(P::now()));
     }
 
     /// The framing error in the client's input, if there was one.
@@ -281,9 +285,7 @@
         let not_arrived = missing.map(|missing| missing.saturating_sub(unread));
         let is_incomplete =
             unread == 0 || not_arrived.is_some_and(|bytes| bytes > MAX_SEND_BUFFER_BYTES);
-        if is_incomplete {
-            self.receive_clock.record_incomplete(P::now());
-        }
+        self.receive_clock.record_unread(P::now(), unread, is_incomplete);
         let earliest_write = self.receive_clock.earliest_write();
         if not_arrived == Some(0) {
             self.request_end.set(Some(earliest_write));
@@ -306,7 +308,7 @@
             self.framing_error.set(Some(error));
             io::Error::new(io::ErrorKind::InvalidData, error)
         })?;
-        self.receive_clock.record_read(P::now());
+        self.receive_clock.record_read(P::now(), bytes.len());
         if self.request_end.get().is_none() && framing.is_complete() {
             self.request_end.set(Some(self.receive_clock.earliest_write()));
         }
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -15,6 +15,8 @@
 /// read. A connection without a request must stay open for at least 2 s, and a client that is silent or never finishes
 /// a request has to be disconnected within 3 s.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The same for a client whose request was not read for a while.
+const RESUMED_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for a client that keeps reading to read a response, in addition to the time allowed for its length.
 const MAX_RESPONSE_READ_TIME: Duration = Duration::from_secs(10);
 /// Interval at which the timeout of a connection is evaluated while its request is in progress. The balancer limits
@@ -63,13 +65,49 @@
             Phase::Responding => {
                 [self.read_deadline(), self.server_deadline()].into_iter().flatten().min()
             }
-            Phase::ReceivingRequest => {
-                Some(stalled_at + client_transfer_time(self.transferred.get()))
-            }
+            Phase::ReceivingRequest => Some(self.receive_deadline()),
             Phase::Idle | Phase::Lingering => Some(stalled_at),
         }
     }
 
+    /// The time by which the client has to have sent its request. Each byte puts it off, but only by the time that the
+    /// transfer may take.
+    fn receive_deadline(&self) -> Instant {
+        let slowest = self.last_progress.get() + STALL_TIMEOUT;
+        let slowest = slowest + client_transfer_time(self.transferred.get());
+        slowest.min(self.sending_stalled_at())
+    }
+
+    /// The time at which a client that sends nothing more has stalled. While its request was not read, it may not have
+    /// been able to send on.
+    fn sending_stalled_at(&self) -> Instant {
+        let stalled_at = self.receive_clock.last_arrival() + STALL_TIMEOUT;
+        stalled_at.max(self.last_read_on_at() + RESUMED_STALL_TIMEOUT)
+    }
+
+    /// The last time at which input arrived, or was read on after a wait.
+    fn last_read_on_at(&self) -> Instant {
+        let arrived_at = self.receive_clock.last_arrival();
+        self.resumed_at.get().map_or(arrived_at, |resumed_at| resumed_at.max(arrived_at))
+    }
+
+    /// Runs `work`, which reads the rest of a request that was not read for a while, to completion, unless the client
+    /// sends nothing more. Returns `None` then.
+    pub async fn unless_stalled<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        self.resumed_at.set(Some(P::now()));
+        let stalled_at = || self.last_read_on_at() + RESUMED_STALL_TIMEOUT;
+        let stalled = async {
+            while stalled_at() > P::now() {
+                P::sleep_until(stalled_at()).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = stalled => None,
+        }
+    }
+
     /// The time by which the client has to read on in a response; `None` while the response waits for its server.
     fn read_deadline(&self) -> Option<Instant> {
         if self.upstream_wait.is_waiting() {
@@ -106,7 +144,7 @@
         let disconnected = async {
             loop {
                 P::sleep(INPUT_POLL_INTERVAL).await;
-                // Keeps the time exact at which the request was last incomplete, while nothing is read.
+                // Keeps the times of arrival exact while nothing is read.
                 self.earliest_end();
                 if !self.receive_clock.buffer_empty.get() && self.is_disconnected() {
                     return;
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -349,7 +349,9 @@
         None => Ok(handle.outcome().await),
         Some(upload) => {
             let reply = connection.unless_disconnected(handle.outcome()).await?;
-            upload.drain().await.map_err(|BodyError| ClientDisconnected)?;
+            // A client that has stopped sending gets its response without the rest of its body.
+            let drained = connection.unless_stalled(upload.drain()).await;
+            drained.unwrap_or(Ok(())).map_err(|BodyError| ClientDisconnected)?;
             Ok(reply)
         }
     }
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -19,5 +19,6 @@
 mod second_answers;
 mod server_answers;
 mod shutdown;
+mod stalled_clients;
 mod support;
 mod system_calls;
