Tests: uploads of every kind of length, to servers that hang at any byte

Need: the tests of uploads had lengths of 3.9 MB and more, and two points at which the server hangs. Change: a test with lengths around the end of the buffer, by length and in chunks, and servers that hang after 1 to 999,999 bytes.

--- a/tests/lifecycle/deadlines.rs
+++ b/tests/lifecycle/deadlines.rs
@@ -22,6 +22,10 @@
 /// Lengths of uploads that do not fit into the buffers between the sidecar and a server that reads nothing, but do into
 /// those and the buffers between the client and the sidecar.
 const UPLOAD_BYTES: [usize; 3] = [3_900 << 10, 4_000 << 10, 4_100 << 10];
+/// Lengths of uploads that are buffered or streamed, and that fit into the buffers.
+const SHORTER_UPLOAD_BYTES: [usize; 6] = [1, 65_535, 65_536, 65_537, 200_000, 1_000_000];
+/// The number of bytes, with those of the head, after which a server hangs.
+const HANG_AFTER_BYTES: [u64; 7] = [1, 150, 300, 65_537, 66_000, 199_999, 999_999];
 /// The length of the chunks of an upload without a length.
 const UPLOAD_CHUNK_BYTES: usize = 32 << 10;
 /// The number of bytes of an upload that a slow server reads at a time, and the interval.
@@ -158,6 +162,20 @@
     uploads_end_in_time(&UPLOAD_BYTES, Taken::Acknowledged, |socket| read_and_hang(socket, 70_000));
 }
 
+/// Guards against lengths, or bytes within a request, at which a server that hangs is waited for too long.
+#[test]
+fn upload_of_any_length_to_a_server_that_hangs_at_any_byte_is_answered_in_time() {
+    thread::scope(|scope| {
+        for read_bytes in HANG_AFTER_BYTES {
+            scope.spawn(move || {
+                uploads_end_in_time(&SHORTER_UPLOAD_BYTES, Taken::Written, move |socket| {
+                    read_and_hang(socket, read_bytes);
+                });
+            });
+        }
+    });
+}
+
 /// Guards against a deadline that each byte that the server reads puts off.
 #[test]
 fn upload_to_a_server_that_reads_slowly_is_answered_in_time() {
