Tests: the copy of a response is written as the next request arrives

Cause: the test's server wrote the copy 30 ms after the response, whatever the client had done by then.

Change: it writes the copy when the next request on that connection arrives, ahead of that one's response, so the order doesn't depend on time.

--- a/crates/config-distribution/tests/http_client.rs
+++ b/crates/config-distribution/tests/http_client.rs
@@ -1,7 +1,9 @@
 //! The HTTP client with servers that send a response twice.
 
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -23,15 +25,15 @@
 fn duplicate_response_is_not_taken_for_the_next_request() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let at = listener.local_addr().expect("an address");
-    serve(listener, |head, socket| {
+    // The last response on each connection, by the thread that serves it.
+    let last_responses = Mutex::new(HashMap::new());
+    serve(listener, move |head, socket| {
         let path = head.split(' ').nth(1).unwrap_or_default();
         let text = response(path, &header(head, "x-request-id").unwrap_or_default());
-        let (mut later, copy) = (socket.try_clone().expect("a handle"), text.clone());
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(30));
-            later.write_all(copy.as_bytes())
-        });
-        if path != "/first" {
+        let connection = thread::current().id();
+        let last = last_responses.lock().expect("no panic").insert(connection, text.clone());
+        if let Some(copy) = last {
+            let _ = socket.write_all(copy.as_bytes());
             thread::sleep(Duration::from_millis(100));
         }
         socket.write_all(text.as_bytes()).is_ok()
