Deadlines: the wait in an inherited listener's queue is deducted from a request

Cause: a process with an inherited listener accepts only once it can serve, and took what waited in the queue meanwhile for just arrived: the backlog began only where its own limits made it wait.

Change: the backlog of an inherited listener begins with the process. What a request has waited before that, the system does not tell.

Test: wait_in_the_queue_of_an_inherited_listener_is_deducted... failed before (19.994 s told where 19.35 s are allowed) and passes.

--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -159,7 +159,7 @@
 
     /// Records that connections may wait in the listener's queue since `since`. An earlier start of the backlog
     /// stays.
-    fn note_backlog(&self, since: Instant) {
+    pub fn note_backlog(&self, since: Instant) {
         self.backlog_since.set(self.backlog_since.get().or(Some(since)));
     }
 
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -340,6 +340,7 @@
     can_serve: oneshot::Receiver<()>,
 ) {
     if listener_shared {
+        ingress.note_backlog(P::now());
         tokio::select! {
             biased;
             // The sender is not dropped before the sidecar ends.
--- a/tests/supervision.rs
+++ b/tests/supervision.rs
@@ -12,8 +12,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use fakes::registry::RegistryFaults;
+use fakes::wire::header;
 use net::{
     Folder, PATIENCE, Server, Sidecar, answer, discovery, first_answer, get_request, order_request,
     program, until,
@@ -151,6 +153,32 @@
     assert_eq!(seen.len(), all, "a request was sent twice");
 }
 
+/// Guards against a server that is told more time than is left: a request waits in the listener's queue while its process
+/// starts.
+#[test]
+fn wait_in_the_queue_of_an_inherited_listener_is_deducted_from_the_time_of_a_request() {
+    const TIME_LEFT: Duration = Duration::from_secs(20);
+    const STARTUP: Duration = Duration::from_millis(800);
+    /// By this much the time that a server is told may exceed the client's.
+    const TOLERANCE: Duration = Duration::from_millis(150);
+    let server = Server::start(|id, socket| socket.write_all(answer(id).as_bytes()).is_ok());
+    let registry = discovery(&[&server]);
+    let slow = RegistryFaults { answer_delay: STARTUP, ..RegistryFaults::default() };
+    registry.set_faults(slow);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let mut client = std::net::TcpStream::connect(at).expect("the listener has a queue");
+    let written_at = Instant::now();
+    client.write_all(get_request("queued").as_bytes()).expect("sent");
+    let _sidecar = Sidecar::start_on(Some(&listener), registry, |_| {});
+    assert!(first_answer(client).ends_with("queued"));
+    let heads = server.heads();
+    let told = header(&heads[0], "x-time-left-ms").expect("the time is told");
+    let told = Duration::from_millis(told.parse().expect("a number"));
+    assert!(written_at.elapsed() >= STARTUP, "the request has not waited");
+    assert!(told + STARTUP <= TIME_LEFT + TOLERANCE, "{told:?}");
+}
+
 #[test]
 fn status_reports_reach_the_supervisor_and_are_correct() {
     let folder = Folder::new("supervisor");
