Responses: one that is followed by more than its length says is not served

Cause: the first answer on a connection was accepted whatever followed it, although the bytes behind it had been noticed by then.

Change: where a length gives the end of an answer on a new connection, and the bytes behind it do not begin like another response, the attempt has failed and may have been executed. Copies of an answer, and what follows a chunked one, are discarded as before. Of a streamed answer the last bytes are kept back.

--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -12,6 +12,8 @@
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The number of bytes of a line that are kept, enough for the headers that define the length of the body.
 const MAX_KEPT_LINE_BYTES: usize = 128;
+/// The first bytes of every response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
 /// The header with which a server states that it rejected a request without processing it.
 pub const UNPROCESSED_HEADER: &str = "x-unprocessed";
 /// The maximum number of interim (1xx) responses before the final one.
@@ -64,6 +66,15 @@
     }
 }
 
+/// What the bytes behind a complete message are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrailingBytes {
+    /// They begin like another response, so the message before them ends where its length says.
+    Response,
+    /// Anything else: unrelated bytes, or the rest of a body whose length is given too short.
+    Other,
+}
+
 /// The statement in the head of a response about whether the request was processed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Unprocessed {
@@ -134,6 +145,8 @@
     unprocessed: Unprocessed,
     /// The sum of the chunk sizes so far.
     chunk_bytes: u64,
+    /// The first bytes that followed the message, or `None` if none have.
+    trailing: Option<TrailingBytes>,
 }
 
 impl Framing {
@@ -153,6 +166,7 @@
             is_only_chunked: false,
             unprocessed: Unprocessed::Unsaid,
             chunk_bytes: 0,
+            trailing: None,
         }
     }
 
@@ -172,6 +186,7 @@
         self.is_only_chunked = false;
         self.unprocessed = Unprocessed::Unsaid;
         self.chunk_bytes = 0;
+        self.trailing = None;
     }
 
     /// Returns whether a byte of the present message has been received.
@@ -209,6 +224,19 @@
         self.content_length.is_some() || self.has_transfer_encoding
     }
 
+    /// Returns whether bytes that followed the message may be a part of it: its length may be given too short. The end of
+    /// a chunked body is explicit.
+    pub fn may_be_cut_short(&self) -> bool {
+        self.content_length.is_some() && self.trailing == Some(TrailingBytes::Other)
+    }
+
+    fn record_trailing(&mut self, bytes: &[u8]) {
+        let compared = bytes.len().min(RESPONSE_START.len());
+        let begins_response = bytes[..compared] == RESPONSE_START[..compared];
+        let kind = if begins_response { TrailingBytes::Response } else { TrailingBytes::Other };
+        self.trailing.get_or_insert(kind);
+    }
+
     /// Processes received bytes.
     ///
     /// # Errors
@@ -241,7 +269,10 @@
                 }
                 State::Chunked(chunk) => self.state = self.feed_chunk(chunk, byte)?,
                 State::EndUnknown => return Ok(()),
-                State::Complete => return Err(FramingError::UnexpectedData),
+                State::Complete => {
+                    self.record_trailing(bytes);
+                    return Err(FramingError::UnexpectedData);
+                }
             }
             bytes = rest;
         }
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -251,6 +251,11 @@
         self.response.borrow().has_explicit_end()
     }
 
+    /// Returns whether the response may have more bytes than its length says.
+    pub(super) fn may_be_cut_short(&self) -> bool {
+        self.response.borrow().may_be_cut_short()
+    }
+
     /// Returns the facts about what arrived in response to the request.
     pub(super) fn response_facts(&self) -> ResponseFacts {
         let response = self.response.borrow();
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -62,6 +62,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let is_last = self.body.is_end_stream();
+        if is_last && self.connection.as_ref().is_some_and(|c| c.observer.may_be_cut_short()) {
+            // Without its last bytes, the client can tell that the response is not whole.
+            return Poll::Ready(Some(Err(BodyError)));
+        }
         if frame.is_none()
             && let Some(connection) = self.connection.take()
         {
@@ -232,6 +237,10 @@
             return None;
         }
         let prefix = read_prefix::<P>(&mut body).await.ok()?;
+        // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
+        if !connection.is_used() && connection.observer.may_be_cut_short() {
+            return None;
+        }
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
         let sync_result = connection.check_body(fingerprint);
         let mut connection = Some(connection);
