Logs: why a response did not reach its client completely

Whether the server, the client or a limit of the sidecar ended the response is not said, and a response that its server breaks off leaves no reason at all.

Change: `response cut off` (info) with request, reason, bytes, time since the response began and since the client's time; counted in `events.cut`. A body that fails says why (`BodyError`), in place of one error for all. Responses that the exit of the process cuts off are logged too.

No limit has changed.

--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -48,10 +48,28 @@
     Duration::from_millis(bytes.saturating_mul(1000) / bytes_per_second)
 }
 
-/// A body ended early, was too slow, or exceeded the size limit.
+/// The reason why a body is not received completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("body ended early, was too slow or exceeded the size limit")]
-pub struct BodyError;
+pub enum BodyError {
+    /// The connection ended or failed before the end of the body, or the framing was invalid.
+    #[error("body ended early")]
+    EndedEarly,
+    /// No byte arrived for the maximum wait.
+    #[error("body has stalled")]
+    Stalled,
+    /// Bytes arrived at less than the minimum rate.
+    #[error("body is too slow")]
+    TooSlow,
+    /// The body exceeded the size limit.
+    #[error("body exceeds the size limit")]
+    TooLong,
+    /// More bytes arrived than the length of the body says.
+    #[error("body is longer than its length says")]
+    SurplusBytes,
+    /// Another attempt receives the body, or the request has its response already.
+    #[error("body is not available any more")]
+    Unavailable,
+}
 
 /// A type-erased body.
 pub type BoxedBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>;
@@ -78,6 +96,8 @@
     since: Instant,
     /// Completes when the wait has lasted too long.
     timeout: Pin<Box<dyn Future<Output = ()>>>,
+    /// The error of a wait that has lasted too long.
+    error: BodyError,
 }
 
 impl<P: Runtime> MinRateBody<P> {
@@ -118,21 +138,23 @@
     }
 
     /// Polls the wait for the sender. Ready when the sender has taken too long.
-    fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<BodyError> {
         let wait = self.wait.get_or_insert_with(|| {
             let allowed = MAX_BODY_GAP + transfer_time(self.received, self.min_bytes_per_second);
-            let left = allowed.saturating_sub(self.waited).min(MAX_BODY_GAP);
+            let left = allowed.saturating_sub(self.waited);
+            let error = if left < MAX_BODY_GAP { BodyError::TooSlow } else { BodyError::Stalled };
             let now = P::now();
-            Wait { since: now, timeout: Box::pin(expiry::<P>(now + left)) }
+            Wait { since: now, timeout: Box::pin(expiry::<P>(now + left.min(MAX_BODY_GAP))), error }
         });
-        wait.timeout.as_mut().poll(cx)
+        let error = wait.error;
+        wait.timeout.as_mut().poll(cx).map(|()| error)
     }
 
     /// Counts the bytes of a received frame. Fails if the body exceeds its size limit.
     fn count_frame(&mut self, frame: &Frame<Bytes>) -> Result<(), BodyError> {
         let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
         self.received += bytes;
-        self.remaining = self.remaining.checked_sub(bytes).ok_or(BodyError)?;
+        self.remaining = self.remaining.checked_sub(bytes).ok_or(BodyError::TooLong)?;
         Ok(())
     }
 }
@@ -146,13 +168,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
-            return self.poll_timeout(cx).map(|()| Some(Err(BodyError)));
+            return self.poll_timeout(cx).map(|error| Some(Err(error)));
         };
         if let Some(wait) = self.wait.take() {
             self.waited += P::elapsed_since(wait.since);
         }
         Poll::Ready(frame.map(|frame| {
-            let frame = frame.map_err(|_| BodyError)?;
+            let frame = frame.map_err(|_| BodyError::EndedEarly)?;
             self.count_frame(&frame)?;
             // A copy, as a small piece would keep the whole buffer that hyper has read it into.
             Ok(frame.map_data(|data| self.reservation.attach(data.to_vec())))
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -1,10 +1,11 @@
 //! Counters of rare events by reason: violated protocol rules, attempts that were not sent, requests without a server
-//! response, retries, rejections that do not prove that a request was not executed, and closed client connections. The
-//! admin command `show-events` reports them.
+//! response, retries, rejections that do not prove that a request was not executed, closed client connections, and
+//! responses that were cut off. The admin command `show-events` reports them.
 
 use std::cell::Cell;
 use std::fmt::{self, Display, Formatter};
 
+use super::body::BodyError;
 use super::execution::ExecutionDoubt;
 use super::invariants::{SendRefusal, Violation};
 use super::sync_state::{DesyncSign, SyncState};
@@ -57,6 +58,74 @@
     }
 }
 
+/// The reason why a response ended before its client had all of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutReason {
+    /// The connection to the server ended, or the rest of the response was invalid.
+    ServerEnded,
+    /// The server sent nothing for too long.
+    ServerStalled,
+    /// The server sent too slowly.
+    ServerTooSlow,
+    /// The response exceeded the size limit.
+    TooLong,
+    /// The response would have ended too late for its client.
+    Overdue,
+    /// The client did not read on.
+    ClientStalled,
+    /// The client disconnected.
+    ClientLeft,
+    /// The process exited.
+    Exit,
+}
+
+impl CutReason {
+    /// All reasons, in the order of the reports.
+    pub const ALL: [CutReason; 8] = [
+        CutReason::ServerEnded,
+        CutReason::ServerStalled,
+        CutReason::ServerTooSlow,
+        CutReason::TooLong,
+        CutReason::Overdue,
+        CutReason::ClientStalled,
+        CutReason::ClientLeft,
+        CutReason::Exit,
+    ];
+
+    /// The name in log lines and statistics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CutReason::ServerEnded => "server_ended",
+            CutReason::ServerStalled => "server_stalled",
+            CutReason::ServerTooSlow => "server_too_slow",
+            CutReason::TooLong => "too_long",
+            CutReason::Overdue => "overdue",
+            CutReason::ClientStalled => "client_stalled",
+            CutReason::ClientLeft => "client_left",
+            CutReason::Exit => "exit",
+        }
+    }
+}
+
+impl From<BodyError> for CutReason {
+    fn from(error: BodyError) -> CutReason {
+        match error {
+            BodyError::Stalled => CutReason::ServerStalled,
+            BodyError::TooSlow => CutReason::ServerTooSlow,
+            BodyError::TooLong => CutReason::TooLong,
+            BodyError::EndedEarly | BodyError::SurplusBytes | BodyError::Unavailable => {
+                CutReason::ServerEnded
+            }
+        }
+    }
+}
+
+impl Display for CutReason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
 /// The number of occurrences of each event since the start of the process.
 #[derive(Debug, Default)]
 pub struct EventCounters {
@@ -70,6 +139,7 @@
     reuse_suspensions: Cell<u64>,
     closes: [Cell<u64>; CloseReason::ALL.len()],
     unanswered: [Cell<u64>; CloseReason::ALL.len()],
+    cuts: [Cell<u64>; CutReason::ALL.len()],
     late_input: Cell<u64>,
     withdrawn_closes: Cell<u64>,
 }
@@ -147,6 +217,11 @@
         increment(&self.unanswered[reason as usize]);
     }
 
+    /// Counts a response that ended before its client had all of it.
+    pub fn record_cut(&self, reason: CutReason) {
+        increment(&self.cuts[reason as usize]);
+    }
+
     /// Counts a client connection on which input arrived after it had been shut down.
     pub fn record_late_input(&self) {
         increment(&self.late_input);
@@ -193,6 +268,7 @@
         all.extend(group("closed", CloseReason::ALL.map(CloseReason::name).into(), &self.closes));
         let reasons = CloseReason::ALL.map(CloseReason::name).into();
         all.extend(group("unanswered", reasons, &self.unanswered));
+        all.extend(group("cut", CutReason::ALL.map(CutReason::name).into(), &self.cuts));
         let single = |name: &str, count: &Cell<u64>| EventCount {
             name: name.to_owned(),
             count: count.get(),
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -17,8 +17,9 @@
 pub(super) use self::closing::Unanswered;
 use super::clocks::{ReceiveClock, UpstreamWait};
 use super::phase::Phase;
+use crate::sidecar::body::BodyError;
 use crate::sidecar::deadline::{RequestDeadline, RequestSource};
-use crate::sidecar::events::CloseReason;
+use crate::sidecar::events::{CloseReason, CutReason};
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
 use crate::sidecar::upstream::RequestClient;
@@ -34,6 +35,18 @@
 #[error("the client connection is no longer usable")]
 pub(super) struct ClientDisconnected;
 
+/// A response that ended before its client had all of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResponseCut {
+    pub reason: CutReason,
+    /// Number of bytes written to the client.
+    pub sent_bytes: u64,
+    /// The time since the response began.
+    pub after: Duration,
+    /// The time since the client stopped waiting, or zero before that; `None` without a limit.
+    pub late: Option<Duration>,
+}
+
 /// The state of one client connection, observed between hyper and the socket.
 ///
 /// Every phase that depends on the client has a timeout of its own. Only reading more of a response, or sending a
@@ -56,6 +69,8 @@
     /// hyper has taken the whole response, so the next flush ends it.
     response_complete: Cell<bool>,
     response_started: Cell<Instant>,
+    /// The error of the response's body; `None` while it has none.
+    response_error: Cell<Option<BodyError>>,
     /// Bytes read of the current request or, while responding, bytes written of its response.
     transferred: Cell<u64>,
     /// The earliest time at which the client can have written the last byte of the request; `None` until that byte has
@@ -100,6 +115,7 @@
             framing_error: Cell::new(None),
             response_complete: Cell::new(false),
             response_started: Cell::new(P::now()),
+            response_error: Cell::new(None),
             transferred: Cell::new(0),
             request_end: Cell::new(None),
             request_timeout: Cell::new(None),
@@ -206,6 +222,7 @@
         }
         self.enter(Phase::Responding);
         self.response_started.set(P::now());
+        self.response_error.set(None);
         self.transferred.set(0);
         self.upstream_wait.reset();
         self.unused.set(false);
@@ -217,6 +234,11 @@
         self.upstream_wait.finish::<P>();
     }
 
+    /// Called when the rest of the response cannot be received.
+    pub fn fail_response(&self, error: BodyError) {
+        self.response_error.set(Some(error));
+    }
+
     /// Called when the response has to wait for its server.
     pub fn response_waits(&self) {
         self.upstream_wait.start::<P>();
@@ -227,6 +249,27 @@
         self.response_complete.set(true);
     }
 
+    /// Why the response in progress does not reach the client completely if the connection ends now for `reason`; `None`
+    /// without a response in progress.
+    pub fn cut(&self, reason: CloseReason) -> Option<ResponseCut> {
+        if self.phase.get() != Phase::Responding {
+            return None;
+        }
+        let cut = match (reason, self.response_error.get()) {
+            (CloseReason::Draining, _) => CutReason::Exit,
+            (_, Some(error)) => error.into(),
+            (CloseReason::TimedOut, None) if self.is_response_overdue() => CutReason::Overdue,
+            (CloseReason::TimedOut, None) => CutReason::ClientStalled,
+            (_, None) => CutReason::ClientLeft,
+        };
+        Some(ResponseCut {
+            reason: cut,
+            sent_bytes: self.transferred.get(),
+            after: P::elapsed_since(self.response_started.get()),
+            late: self.client_timeout().map(P::elapsed_since),
+        })
+    }
+
     /// Asks the connection's task to close the connection, if that is still allowed when the task next runs.
     pub fn request_close(&self, reason: CloseReason) {
         // A connection with a failed body has to be closed in any case, so an eviction does not replace that reason.
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -128,6 +128,11 @@
         self.client_timeout().filter(|_| !self.response_complete.get())
     }
 
+    /// Whether the time is over by which the response had to be received from its server completely.
+    pub fn is_response_overdue(&self) -> bool {
+        self.server_deadline().is_some_and(|deadline| deadline <= P::now())
+    }
+
     /// Runs `work` to completion, unless the client disconnects first.
     ///
     /// While the rest of a body is not being read, the end of the stream behind it is not read either, and an attempt
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -351,7 +351,7 @@
             let reply = connection.unless_disconnected(handle.outcome()).await?;
             // A client that has stopped sending gets its response without the rest of its body.
             let drained = connection.unless_stalled(upload.drain()).await;
-            drained.unwrap_or(Ok(())).map_err(|BodyError| ClientDisconnected)?;
+            drained.unwrap_or(Ok(())).map_err(|_: BodyError| ClientDisconnected)?;
             Ok(reply)
         }
     }
@@ -413,7 +413,7 @@
         match &frame {
             None => self.connection.enter(Phase::AwaitingResponse),
             // The connection cannot be used for another request.
-            Some(Err(BodyError)) => self.connection.request_close(CloseReason::BodyFailed),
+            Some(Err(_)) => self.connection.request_close(CloseReason::BodyFailed),
             Some(Ok(_)) if self.body.is_end_stream() => {
                 self.connection.enter(Phase::AwaitingResponse);
             }
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -128,10 +128,13 @@
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
         let frame = rest.as_mut().poll_frame(cx);
         // Time spent waiting for the server does not count towards the client's read timeout.
-        match frame {
+        match &frame {
             Poll::Pending => self.connection.response_waits(),
             Poll::Ready(_) => self.connection.response_continues(),
         }
+        if let Poll::Ready(Some(Err(error))) = frame {
+            self.connection.fail_response(error);
+        }
         frame
     }
 
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -12,13 +12,13 @@
 use hyper_util::rt::TokioIo;
 use runtime::{Runtime, Stream, Tcp, lingering_close};
 
-use super::connection::{ClientConnection, ClientDisconnected, Unanswered};
+use super::connection::{ClientConnection, ClientDisconnected, ResponseCut, Unanswered};
 use super::phase::Phase;
 use super::request::RequestError;
 use super::response::{ResponseBody, ResponseParts, empty_response, reply_response};
 use super::{DRAIN_PROPAGATION_DELAY, Ingress};
 use crate::sidecar::budget::SocketPermit;
-use crate::sidecar::events::CloseReason;
+use crate::sidecar::events::{CloseReason, CutReason};
 use crate::sidecar::framing::MAX_HEAD_BYTES;
 use crate::sidecar::invariants::Violation;
 
@@ -35,6 +35,8 @@
     /// All responses have been written, so the connection can be closed gracefully.
     responded: bool,
     reason: CloseReason,
+    /// The response that the end cuts off, if any.
+    cut: Option<ResponseCut>,
 }
 
 impl<P: Runtime> Ingress<P> {
@@ -47,8 +49,12 @@
     ) {
         // If this fails, the connection is broken, and the first read reports it.
         let _ = socket.set_nodelay();
-        let ConnectionEnd { responded, reason } = self.serve_requests(&connection, &socket).await;
+        let ConnectionEnd { responded, reason, cut } =
+            self.serve_requests(&connection, &socket).await;
         self.record_end(&connection, reason);
+        if let Some(cut) = cut {
+            self.record_cut(&connection, cut);
+        }
         // Applies also if hyper has closed its side gracefully, since hyper never got the faulty input.
         let rejected = reject_framing_error(&connection, &*socket);
         if responded || rejected {
@@ -84,6 +90,21 @@
         );
     }
 
+    /// Counts and logs a response that ends before its client has all of it.
+    fn record_cut(&self, connection: &ClientConnection<P>, cut: ResponseCut) {
+        const MESSAGE: &str = "response cut off";
+        self.status.events.record_cut(cut.reason);
+        let (number, request) = (connection.number(), connection.last_request());
+        let ResponseCut { reason, sent_bytes, .. } = cut;
+        let after_ms = cut.after.as_millis() as u64;
+        let late_ms = cut.late.map(|late| late.as_millis() as u64);
+        if reason == CutReason::ClientLeft {
+            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, late_ms, "{MESSAGE}");
+        } else {
+            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, late_ms, "{MESSAGE}");
+        }
+    }
+
     /// Counts and logs a close that leaves client input without a response.
     fn record_unanswered(&self, connection: &ClientConnection<P>, reason: CloseReason) {
         let Some(unanswered) = connection.unanswered() else { return };
@@ -121,6 +142,11 @@
         for connection in unanswered().take(MAX_LOGGED_AT_EXIT) {
             self.record_unanswered(connection, CloseReason::Draining);
         }
+        for connection in connections.values() {
+            if let Some(cut) = connection.cut(CloseReason::Draining) {
+                self.record_cut(connection, cut);
+            }
+        }
     }
 
     /// Counts and logs input that arrived after its connection had been shut down.
@@ -157,10 +183,14 @@
         tokio::select! {
             biased;
             ended = http.as_mut() => match ended {
-                Ok(()) => ConnectionEnd { responded: true, reason: CloseReason::Finished },
+                Ok(()) => {
+                    ConnectionEnd { responded: true, reason: CloseReason::Finished, cut: None }
+                }
                 Err(error) => {
                     tracing::debug!(%error, "client connection failed");
-                    ConnectionEnd { responded: error.is_parse(), reason: CloseReason::Broken }
+                    let reason = CloseReason::Broken;
+                    let cut = connection.cut(reason);
+                    ConnectionEnd { responded: error.is_parse(), reason, cut }
                 }
             },
             reason = self.close_allowed(connection) => end_early(connection, socket, reason),
@@ -251,8 +281,9 @@
         CloseReason::Evicted | CloseReason::Draining => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::REQUEST_TIMEOUT,
     };
+    let cut = connection.cut(reason);
     let is_partial = connection.phase().is_partial_request();
-    ConnectionEnd { responded: is_partial && reject(connection, socket, status), reason }
+    ConnectionEnd { responded: is_partial && reject(connection, socket, status), reason, cut }
 }
 
 /// Rejects a request with a framing error, if a response can still be written. Returns whether it was.
--- a/src/sidecar/upload.rs
+++ b/src/sidecar/upload.rs
@@ -28,7 +28,7 @@
     Streaming,
     /// The last byte was read for sending at this time.
     Complete(Instant),
-    Failed,
+    Failed(BodyError),
 }
 
 /// A streamed request body, shared by the attempts of the request.
@@ -162,7 +162,7 @@
     fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         match self.progress.get() {
             Progress::Complete(_) => return Poll::Ready(None),
-            Progress::Failed => return Poll::Ready(Some(Err(BodyError))),
+            Progress::Failed(error) => return Poll::Ready(Some(Err(error))),
             Progress::Replayable => {
                 self.set_progress(Progress::Streaming);
                 *self.prefix.borrow_mut() = Bytes::new();
@@ -178,7 +178,7 @@
                     return Poll::Ready(None);
                 }
                 Err(error) => {
-                    self.set_progress(Progress::Failed);
+                    self.set_progress(Progress::Failed(error));
                     return Poll::Ready(Some(Err(error)));
                 }
                 // Trailers are not forwarded.
@@ -260,7 +260,7 @@
     /// response.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if self.upload.closed.get() {
-            return Poll::Ready(Some(Err(BodyError)));
+            return Poll::Ready(Some(Err(BodyError::Unavailable)));
         }
         if let Some(prefix) = self.prefix.take().filter(|prefix| !prefix.is_empty()) {
             return Poll::Ready(Some(Ok(prefix)));
@@ -268,7 +268,7 @@
         let owner = self.upload.streaming_attempt.get().unwrap_or(self.number);
         self.upload.streaming_attempt.set(Some(owner));
         if owner != self.number {
-            return Poll::Ready(Some(Err(BodyError)));
+            return Poll::Ready(Some(Err(BodyError::Unavailable)));
         }
         self.upload.poll_next(cx)
     }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -65,7 +65,7 @@
         let is_last = self.body.is_end_stream();
         if is_last && self.connection.as_ref().is_some_and(|c| c.observer.may_be_cut_short()) {
             // Without its last bytes, the client can tell that the response is not whole.
-            return Poll::Ready(Some(Err(BodyError)));
+            return Poll::Ready(Some(Err(BodyError::SurplusBytes)));
         }
         if frame.is_none()
             && let Some(connection) = self.connection.take()
