Tests: slow responses have until they count as lost, and no longer

The tests of endings have an upper bound alone.

Change: servers that write on after the client's time (59 ms, 700 ms, 3 s), with a pause of 2.8 s, at 100 bytes a second, during SIGTERM and SIGUSR2, and without end; an order whose short response pauses for longer than the shortest latency objective. By length and chunked, safe, keyed and not idempotent.

--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -19,6 +19,7 @@
 mod second_answers;
 mod server_answers;
 mod shutdown;
+mod slow_responses;
 mod stalled_clients;
 mod support;
 mod system_calls;
