Responses: none is cut off before it counts as lost, half a second after its time

But a response may end up to half a second late. Class: a limit that ends what its peer is still giving, set without the time that is owed to it.

Change: `deadline::response_cutoff` is that time plus half a second. The connection resets what is not received by then, and not before; the limits of pauses and rates wait until then (`MinRateBody`).

--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -88,6 +88,8 @@
     received: u64,
     waited: Duration,
     wait: Option<Wait>,
+    /// The time before which the sender is never too slow; `None` without such a time.
+    patient_until: Option<Instant>,
     runtime: PhantomData<fn() -> P>,
 }
 
@@ -110,13 +112,16 @@
         MinRateBody::new(body, remaining, reservation, MIN_CLIENT_BYTES_PER_SECOND)
     }
 
-    /// Wraps the rest of a server's body, which may have up to `remaining` bytes and uses the memory of `reservation`.
+    /// Wraps the rest of a server's body, which may have up to `remaining` bytes and uses the memory of `reservation`. The
+    /// server may be slow until `patient_until`.
     pub fn from_server(
         body: Incoming,
         remaining: u64,
         reservation: MemoryReservation,
+        patient_until: Option<Instant>,
     ) -> MinRateBody<P> {
-        MinRateBody::new(body, remaining, reservation, MIN_SERVER_BYTES_PER_SECOND)
+        let body = MinRateBody::new(body, remaining, reservation, MIN_SERVER_BYTES_PER_SECOND);
+        MinRateBody { patient_until, ..body }
     }
 
     fn new(
@@ -133,6 +138,7 @@
             received: 0,
             waited: Duration::ZERO,
             wait: None,
+            patient_until: None,
             runtime: PhantomData,
         }
     }
@@ -143,8 +149,10 @@
             let allowed = MAX_BODY_GAP + transfer_time(self.received, self.min_bytes_per_second);
             let left = allowed.saturating_sub(self.waited);
             let error = if left < MAX_BODY_GAP { BodyError::TooSlow } else { BodyError::Stalled };
-            let now = P::now();
-            Wait { since: now, timeout: Box::pin(expiry::<P>(now + left.min(MAX_BODY_GAP))), error }
+            let since = P::now();
+            let due = since + left.min(MAX_BODY_GAP);
+            let due = self.patient_until.map_or(due, |patient_until| due.max(patient_until));
+            Wait { since, timeout: Box::pin(expiry::<P>(due)), error }
         });
         let error = wait.error;
         wait.timeout.as_mut().poll(cx).map(|()| error)
--- a/src/sidecar/deadline.rs
+++ b/src/sidecar/deadline.rs
@@ -4,6 +4,8 @@
 //! attempts, of the response, and the time that servers are told all follow from it. A client's time counts from the last
 //! byte that it writes. While a server does not take the body, that byte may wait unread in the sidecar's socket, or even
 //! in the send buffer of the client, so the time counts from when the client can have written it at the earliest.
+//!
+//! A response that has begun by then may end later: it is late, but not lost, until [`LATE_RESPONSE_PERIOD`] is over.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,6 +13,9 @@
 /// The outcome of a request is due this long before its client stops waiting, to leave time for the way back.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
 
+/// A response that ends at most this long after its client's timeout is late. One that ends later is lost.
+const LATE_RESPONSE_PERIOD: Duration = Duration::from_millis(500);
+
 /// The connection that a request arrives on.
 pub trait RequestSource {
     /// Returns the earliest time at which the client can have written the last byte of the current request, or `None` if
@@ -18,6 +23,12 @@
     fn earliest_end(&self) -> Option<Instant>;
 }
 
+/// Returns the time at which a response that is still being received is lost, for a client that wrote its last byte at
+/// `request_end` and waits for `timeout`.
+pub fn response_cutoff(request_end: Instant, timeout: Duration) -> Instant {
+    request_end + timeout + LATE_RESPONSE_PERIOD
+}
+
 /// The time until which the client of a request waits.
 #[derive(Clone)]
 pub struct RequestDeadline {
@@ -38,6 +49,12 @@
         self.source.earliest_end().map(|end| end + self.budget())
     }
 
+    /// Returns the time before which no limit may end a response that its server is still sending, or `None` if the client
+    /// cannot have written its whole request yet.
+    pub fn response_cutoff(&self) -> Option<Instant> {
+        self.source.earliest_end().map(|end| response_cutoff(end, self.timeout))
+    }
+
     /// Returns how long the request may take from its last byte on.
     pub fn budget(&self) -> Duration {
         self.timeout - RESPONSE_MARGIN.min(self.timeout / 4)
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -18,7 +18,7 @@
 use super::clocks::{ReceiveClock, UpstreamWait};
 use super::phase::Phase;
 use crate::sidecar::body::BodyError;
-use crate::sidecar::deadline::{RequestDeadline, RequestSource};
+use crate::sidecar::deadline::{RequestDeadline, RequestSource, response_cutoff};
 use crate::sidecar::events::{CloseReason, CutReason};
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
@@ -43,8 +43,8 @@
     pub sent_bytes: u64,
     /// The time since the response began.
     pub after: Duration,
-    /// The time since the client stopped waiting, or zero before that; `None` without a limit.
-    pub late: Option<Duration>,
+    /// The time since the response was lost, or zero before that; `None` without a limit.
+    pub overdue: Option<Duration>,
 }
 
 /// The state of one client connection, observed between hyper and the socket.
@@ -193,11 +193,13 @@
         RequestDeadline::new(timeout, self.clone())
     }
 
-    /// The time at which the client of the request in progress stops waiting; `None` without a limit, or while the
-    /// client cannot have written its whole request.
-    fn client_timeout(&self) -> Option<Instant> {
+    /// The time before which no limit may end a response that its server is still sending, and after which it is lost;
+    /// `None` without a limit.
+    fn response_cutoff(&self) -> Option<Instant> {
         let timeout = self.request_timeout.get()?;
-        self.earliest_end().map(|end| end + timeout)
+        // The end of a request that only hyper has found is not known.
+        let request_end = self.earliest_end().unwrap_or(self.response_started.get());
+        Some(response_cutoff(request_end, timeout))
     }
 
     /// Lets the response in progress take longer than the client's timeout, as that of a streaming class may.
@@ -266,7 +268,7 @@
             reason: cut,
             sent_bytes: self.transferred.get(),
             after: P::elapsed_since(self.response_started.get()),
-            late: self.client_timeout().map(P::elapsed_since),
+            overdue: self.response_cutoff().map(P::elapsed_since),
         })
     }
 
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -122,10 +122,10 @@
 
     /// The time by which a response has to be received from its server completely; `None` once it is.
     ///
-    /// A response that ends later is of no use to the client, and one that never ends would leave its request without
-    /// a final answer. The reset that follows shows the client that the response is truncated.
+    /// A response that ends later is lost, and one that never ends would leave its request without a final answer. The
+    /// reset that follows shows the client that the response is truncated.
     fn server_deadline(&self) -> Option<Instant> {
-        self.client_timeout().filter(|_| !self.response_complete.get())
+        self.response_cutoff().filter(|_| !self.response_complete.get())
     }
 
     /// Whether the time is over by which the response had to be received from its server completely.
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -164,6 +164,7 @@
             head_reservation: reservation.head,
             body: first,
             upload: upload.clone(),
+            deadline: Some(deadline.clone()),
             finished: std::cell::Cell::default(),
             client: Some(connection.clone()),
         };
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -97,11 +97,11 @@
         let (number, request) = (connection.number(), connection.last_request());
         let ResponseCut { reason, sent_bytes, .. } = cut;
         let after_ms = cut.after.as_millis() as u64;
-        let late_ms = cut.late.map(|late| late.as_millis() as u64);
+        let overdue_ms = cut.overdue.map(|overdue| overdue.as_millis() as u64);
         if reason == CutReason::ClientLeft {
-            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, late_ms, "{MESSAGE}");
+            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, "{MESSAGE}");
         } else {
-            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, late_ms, "{MESSAGE}");
+            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, "{MESSAGE}");
         }
     }
 
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -12,11 +12,12 @@
 use super::desync::SuspectedDesync;
 use super::observer::ExchangeObserver;
 use super::request::{AttemptLimits, UpstreamRequest};
-use super::response::{Received, is_unprocessed};
+use super::response::{Received, ResponseReading, is_unprocessed};
 use super::send::send_request;
 use super::{Endpoint, Upstream};
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
+use crate::sidecar::deadline::RequestDeadline;
 use crate::sidecar::execution::{ExecutionDoubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
 use crate::sidecar::sync_state::{DesyncSign, SyncState};
@@ -261,8 +262,9 @@
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
         let reservation = self.upstream.reserve_response(observer, &response).await;
-        let result =
-            self.upstream.read_response(server, connection, response, reservation, needs_proof);
+        let cutoff = self.request.deadline.as_ref().and_then(RequestDeadline::response_cutoff);
+        let reading = ResponseReading { reservation, needs_proof, cutoff };
+        let result = self.upstream.read_response(server, connection, response, reading);
         tokio::select! {
             biased;
             result = result => result,
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -15,6 +15,7 @@
 use super::observer::ExchangeObserver;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
+use crate::sidecar::deadline::RequestDeadline;
 use crate::sidecar::invariants::SendFacts;
 use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::upload::{Upload, UploadAttempt};
@@ -48,6 +49,8 @@
     pub body: Bytes,
     /// The streamed body, or `None` if the body is buffered.
     pub upload: Option<Rc<Upload>>,
+    /// The time until which the client waits, or `None` for a request of the sidecar itself.
+    pub deadline: Option<RequestDeadline>,
     /// Whether the request has its final response, or nobody waits for one any more. No further attempt is sent then.
     pub finished: Cell<bool>,
     /// The client that sent the request, or `None` for a request of the sidecar itself.
@@ -66,6 +69,7 @@
             head_reservation: MemoryReservation::default(),
             body: Bytes::new(),
             upload: None,
+            deadline: None,
             finished: Cell::default(),
             client: None,
         }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
@@ -109,6 +109,17 @@
     }
 }
 
+/// How a response is read.
+pub(super) struct ResponseReading {
+    /// The memory that the response uses.
+    pub(super) reservation: MessageReservation,
+    /// Whether a rejection counts only once it is complete, as a server may start to send one and still execute the
+    /// request.
+    pub(super) needs_proof: bool,
+    /// The time before which no limit may end a response that is forwarded, or `None` without such a time.
+    pub(super) cutoff: Option<Instant>,
+}
+
 /// The head of a response that is forwarded.
 struct ForwardedHead {
     headers: HeaderMap,
@@ -148,18 +159,15 @@
         reservation
     }
 
-    /// Reads the response to an attempt at `server`, which uses the memory of `reservation`.
-    ///
-    /// With `needs_proof`, a rejection counts only once it is complete, as a server may start to send one and still
-    /// execute the request.
+    /// Reads the response to an attempt at `server`.
     pub(super) async fn read_response(
         self: &Rc<Upstream<P>>,
         server: ServerId,
         connection: Connection<P>,
         response: Response<Incoming>,
-        reservation: MessageReservation,
-        needs_proof: bool,
+        reading: ResponseReading,
     ) -> Received<P> {
+        let ResponseReading { reservation, needs_proof, cutoff } = reading;
         let unprocessed = is_unprocessed(&response);
         let closes_connection = has_connection_close(response.headers());
         let (head, body) = response.into_parts();
@@ -194,7 +202,8 @@
             memory: ResponseHeadMemory { bytes: head_bytes, reservation: head_reservation },
         };
         drop(head);
-        let Some(read) = self.read_body(connection, forwarded, body, reservation).await else {
+        let read = self.read_body(connection, forwarded, body, reservation, cutoff).await;
+        let Some(read) = read else {
             return Received::Ended(end(Outcome::ConnectionReset));
         };
         let Forwardable { response, connection, sync_result } = read;
@@ -231,6 +240,7 @@
         head: ForwardedHead,
         mut body: Incoming,
         reservation: MemoryReservation,
+        cutoff: Option<Instant>,
     ) -> Option<Forwardable<P>> {
         // Without a length or chunked encoding, a truncated response looks complete.
         if !connection.observer.has_delimited_response() {
@@ -249,7 +259,7 @@
         } else {
             let max_rest_bytes = self.live.max_body_bytes().saturating_sub(prefix.bytes.len());
             let rest = reservation.clone();
-            let body = MinRateBody::from_server(body, max_rest_bytes as u64, rest);
+            let body = MinRateBody::from_server(body, max_rest_bytes as u64, rest, cutoff);
             let connection = connection.take();
             Some(Box::pin(StreamedRest { body, connection }))
         };
