Orders: a response that pauses is waited for, as no other server can answer

Seen by callers: 502 after 0.53 s of 3 s, though the server was still sending the response to an order, with a pause longer than the shortest latency objective.

Cause: the limit of pauses makes time for another server, and was applied to requests that no other server may get.

Change: a served response to a request that is not idempotent has all of the request's time. Heads, and rejections (which prove nothing unless whole), keep the limit.

--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
 use runtime::{Runtime, expiry};
 
 use super::attempt_result::AttemptResult;
@@ -91,20 +91,6 @@
         };
         exchange.run().await
     }
-
-    /// Completes when a response that has begun makes no progress for the allowed gap.
-    async fn response_stalled(&self, observer: &ExchangeObserver<P>) {
-        loop {
-            let Some(active_at) = observer.response_active_at() else {
-                observer.response_began().await;
-                continue;
-            };
-            expiry::<P>(active_at + self.live.timeouts().read).await;
-            if observer.response_active_at() == Some(active_at) {
-                return;
-            }
-        }
-    }
 }
 
 /// An attempt in progress. It uses further connections if a pooled one turns out to be closed or out of sync.
@@ -225,6 +211,26 @@
         }
     }
 
+    /// Returns whether another server may execute the request after this one may have. If not, nothing is gained by giving
+    /// up a response that makes no progress, and its server has all of the request's time.
+    fn may_be_repeated(&self) -> bool {
+        self.request.retry_safety != RetrySafety::NonIdempotent
+    }
+
+    /// Completes when a response that has begun makes no progress for the allowed gap.
+    async fn response_stalled(&self, observer: &ExchangeObserver<P>) {
+        loop {
+            let Some(active_at) = observer.response_active_at() else {
+                observer.response_began().await;
+                continue;
+            };
+            expiry::<P>(active_at + self.upstream.live.timeouts().read).await;
+            if observer.response_active_at() == Some(active_at) {
+                return;
+            }
+        }
+    }
+
     fn may_send(&self, now: Instant) -> Result<(), SendRefusal> {
         invariants::may_send(self.limits.send_facts(self.request, now))
     }
@@ -232,7 +238,7 @@
     /// Sends the request and returns the head of its response, or `None` if the connection fails or the head stalls.
     ///
     /// A response that has begun and then stalls (an incomplete head or body, or a content length that is too large)
-    /// would otherwise occupy the request until its deadline. It counts as failed, so that an idempotent request
+    /// would otherwise occupy the request until its deadline. It counts as failed, so that a request that may be repeated
     /// still has time for another server. The drawback: servers that send parts of a response far apart fail too.
     async fn receive_head(
         &self,
@@ -242,7 +248,7 @@
         let response = tokio::select! {
             biased;
             response = send_request(connection, self.request, &self.limits) => response,
-            () = self.upstream.response_stalled(observer) => None,
+            () = self.response_stalled(observer) => None,
         };
         // A response that arrives before the request was sent in full cannot answer it, unless the request is streamed.
         response.filter(|_| observer.is_request_sent() || self.request.upload.is_some())
@@ -261,6 +267,7 @@
             return Received::without_response(outcome);
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
+        let is_limited = self.may_be_repeated() || response.status() != StatusCode::OK;
         let reservation = self.upstream.reserve_response(observer, &response).await;
         let cutoff = self.request.deadline.as_ref().and_then(RequestDeadline::response_cutoff);
         let reading = ResponseReading { reservation, needs_proof, cutoff };
@@ -268,7 +275,7 @@
         tokio::select! {
             biased;
             result = result => result,
-            () = self.upstream.response_stalled(observer) => {
+            () = self.response_stalled(observer), if is_limited => {
                 Received::without_response(Outcome::ConnectionReset)
             }
         }
