Load shedding: the time that clients take to upload is not their server's

Cause: the timer of the latency objective runs from the start of the attempt. Of an upload that is passed on as it arrives, the client takes most of that time, and the server was recorded as late.

Change: the driver tells the balancer when such an upload starts; its objective timer then says nothing. The upload counts the time of its server: to take what the client has sent, and since it has the whole body. When that reaches the objective, the server is recorded as late as before (`UploadOverdue`).

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -161,6 +161,10 @@
             }
             Event::Request(request) => self.on_request(request, actions),
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, actions),
+            Event::UploadStarted { id } => {
+                self.requests.entry(id).and_modify(|request| request.uploading = true);
+            }
+            Event::UploadOverdue { id } => self.record_overdue(id, 0),
             Event::AttemptEnded(result) => {
                 self.record_result(&result);
                 // A connection to a server outside the subset was opened only because no better server was available.
@@ -207,6 +211,11 @@
         unit_interval(self.rng.next_u64())
     }
 
+    /// Returns the time within which responses to requests of a class are to arrive.
+    pub fn latency_objective(&self, class: usize) -> Micros {
+        self.settings.classes[class].latency_objective
+    }
+
     /// Returns the latency objective of a class in microseconds.
     fn objective(&self, class: usize) -> f64 {
         self.settings.classes[class].latency_objective as f64
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -100,21 +100,28 @@
     /// Counts attempts without a response at the latency objective of their request as late. A sidecar with few
     /// requests that waited for the late responses would detect an overload only when it is over.
     pub(super) fn on_objective_passed(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id).filter(|r| !r.uploading) else { return };
+        let objective = self.latency_objective(request.class);
+        self.record_overdue(id, objective);
+    }
+
+    /// Counts attempts of a request that have been in flight without a response for `min_age` or longer as late.
+    pub(super) fn record_overdue(&mut self, id: RequestId, min_age: Micros) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.ended) else { return };
         let class = request.class;
-        let objective = self.settings.classes[class].latency_objective;
+        let objective = self.objective(class);
         // A retry that was sent recently is not late because the first attempt failed. If the server has answered an
         // attempt that was sent later, this one was lost or is expensive. Counting these as late would shed load
         // because of broken connections.
         let is_overdue = |a: &&Attempt| {
-            let due = a.state == AttemptState::InFlight && self.now - a.sent_at >= objective;
+            let due = a.state == AttemptState::InFlight && self.now - a.sent_at >= min_age;
             due && self.servers[a.slot].last_answered_sent_at <= a.sent_at
         };
         let overdue = request.attempts.iter().filter(is_overdue).map(|a| a.slot);
         for slot in overdue.collect::<SmallVec<[Slot; 2]>>() {
             let relative_latency = &mut self.servers[slot].relative_latency;
             ewma(relative_latency, LATENCY_EWMA_WEIGHT, MAX_RELATIVE_LATENCY);
-            self.record_lateness(slot, class, OVERDUE_OBJECTIVES * objective as f64);
+            self.record_lateness(slot, class, OVERDUE_OBJECTIVES * objective);
         }
     }
 }
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -102,6 +102,8 @@
     pub(super) ended: bool,
     /// A streamed response has begun: the deadline no longer applies, and no further attempt may be made.
     pub(super) streaming: bool,
+    /// Its body is passed on as its client sends it, so the time since its attempt began is not the server's alone.
+    pub(super) uploading: bool,
     pub(super) attempts: SmallVec<[Attempt; 2]>,
 }
 
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts in flight: starts them, waits for them and reports their results.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -195,8 +196,33 @@
             return expiry::<P>(deadline).await;
         };
         upload.streaming_started().await;
+        self.handle_event(Event::UploadStarted { id: id.request });
         self.handle_event(Event::FirstByte { id: id.request, attempt: id.index });
-        upload.timed_out::<P>().await;
+        tokio::select! {
+            biased;
+            () = upload.timed_out::<P>() => {}
+            never = self.report_overdue_upload(id.request, upload) => match never {},
+        }
+    }
+
+    /// Tells the balancer when the server of an upload has taken as long as the latency objective allows.
+    async fn report_overdue_upload(
+        self: &Rc<Driver<P>>,
+        id: RequestId,
+        upload: &Upload,
+    ) -> Infallible {
+        if let Some(objective) = self.latency_objective(id) {
+            upload.server_time_used::<P>(objective).await;
+            self.handle_event(Event::UploadOverdue { id });
+        }
+        std::future::pending().await
+    }
+
+    /// Returns the latency objective of a request in flight.
+    fn latency_objective(&self, id: RequestId) -> Option<Duration> {
+        let state = self.state.borrow();
+        let class = state.requests.get(&id)?.class;
+        Some(Duration::from_micros(state.balancer.latency_objective(class)))
     }
 
     /// Reports the result of an attempt to the balancer. The first successful response goes to the client.
--- a/src/sidecar/upload.rs
+++ b/src/sidecar/upload.rs
@@ -137,6 +137,26 @@
         }
     }
 
+    /// Returns the time that the server has taken by `now`: to accept the bytes that its client has sent, and since it has
+    /// the whole body. Waits for the client are left out.
+    fn server_time(&self, now: Instant) -> Duration {
+        let since = self.server_wait_since.get().or(self.completed_at());
+        let current = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        self.server_waited.get() + current
+    }
+
+    /// Completes when the server has taken `limit`.
+    pub async fn server_time_used<P: Runtime>(&self, limit: Duration) {
+        loop {
+            let now = P::now();
+            let left = limit.saturating_sub(self.server_time(now));
+            if left.is_zero() {
+                return;
+            }
+            P::sleep_until(now + left).await;
+        }
+    }
+
     /// Completes when the body can no longer be replayed.
     pub async fn streaming_started(&self) {
         self.wait_for(|progress| progress != Progress::Replayable).await;
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -296,3 +296,44 @@
     assert!(reasons.len() > 30, "{reasons:?}");
     assert!(reasons.iter().all(|&reason| reason == EndReason::TooLittleTime), "{reasons:?}");
 }
+
+/// Returns how many of 40 requests are shed while uploads are in flight whose objective has passed. `is_overdue` means
+/// that the servers have taken that time, not the clients.
+fn shed_beside_uploads(is_overdue: bool) -> usize {
+    let servers: Vec<_> = (0..6).map(|n| server(2 * n)).collect();
+    let mut b = BalancerHarness::new(settings(|_| {}), 5, &servers);
+    b.exchange_many(20);
+    let mut timers = Vec::new();
+    for _ in 0..60 {
+        let (id, out) = b.request(1);
+        if sent(&out).is_none() {
+            continue;
+        }
+        b.handle_event(Event::UploadStarted { id });
+        timers.extend(out.iter().filter_map(|action| match *action {
+            Action::SetTimer { delay, token } if delay <= 300 * MS => Some((id, token)),
+            _ => None,
+        }));
+    }
+    b.now += 300 * MS;
+    for (id, token) in timers {
+        b.handle_event(Event::Timer { token });
+        if is_overdue {
+            b.handle_event(Event::UploadOverdue { id });
+        }
+    }
+    (0..40).filter(|_| b.exchange(0, 1.0).is_none()).count()
+}
+
+/// Guards against load shedding because clients stall within their uploads, while the servers are idle.
+#[test]
+fn uploads_whose_clients_stall_do_not_count_as_overload() {
+    assert_eq!(shed_beside_uploads(false), 0);
+}
+
+/// Guards against an overload that is not noticed because the requests have long bodies.
+#[test]
+fn uploads_that_their_servers_delay_count_as_overload() {
+    let shed = shed_beside_uploads(true);
+    assert!(shed > 0, "none shed");
+}
--- a/tests/lifecycle/stalled_clients.rs
+++ b/tests/lifecycle/stalled_clients.rs
@@ -105,3 +105,75 @@
     });
     each_ends_in_time(&sidecar, [PartialUpload::with_length(64_000, 63_999); CLIENTS]);
 }
+
+/// The number of clients that stall at the same time, beside others.
+const STALLED: [usize; 3] = [8, 20, 60];
+/// The time for which the others send requests beside each wave of stalled clients, and their interval.
+const WAVE: (Duration, Duration) = (Duration::from_millis(1500), Duration::from_millis(20));
+const WAVES: usize = 3;
+/// The latency objective of uploads in milliseconds, and a time in which it passes.
+const UPLOAD_OBJECTIVE_MS: u64 = 400;
+const OBJECTIVE_PASSES: Duration = Duration::from_millis(500);
+/// The time that a server takes.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Sends a request at each interval of a wave. Returns the heads of the responses.
+fn responses_of_a_wave(sidecar: &Sidecar, wave: usize) -> Vec<String> {
+    let (duration, interval) = WAVE;
+    let count = duration.as_millis() / interval.as_millis();
+    thread::scope(|scope| {
+        let requests: Vec<_> = (0..count)
+            .map(|number| {
+                thread::sleep(interval);
+                scope.spawn(move || {
+                    sidecar.exchange(&get_request(&format!("other-{wave}-{number}")))
+                })
+            })
+            .collect();
+        requests.into_iter().map(|request| request.join().expect("no panic")).collect()
+    })
+}
+
+/// Guards against clients that stall within their uploads, while the servers are idle, and are counted as overload: the
+/// requests of others were shed.
+#[test]
+fn clients_that_stall_within_their_uploads_shed_no_requests_of_others() {
+    for stalled in STALLED {
+        let servers: Vec<_> = (0..6)
+            .map(|_| {
+                Server::start(|id, socket| {
+                    thread::sleep(SERVICE_TIME);
+                    socket.write_all(answer(id).as_bytes()).is_ok()
+                })
+            })
+            .collect();
+        let registry = discovery(&servers.iter().collect::<Vec<_>>());
+        let sidecar = Sidecar::start_with(registry, |config| {
+            config["limits"]["memory_mb"] = 64.into();
+            config["limits"]["sockets"] = 1024.into();
+            set_times(config, 0, 150, 20_000);
+            set_times(config, 1, UPLOAD_OBJECTIVE_MS, 2_000);
+        });
+        let mut refused = Vec::new();
+        for wave in 0..WAVES {
+            let upload = PartialUpload::with_length(900_000, 450_000);
+            let _clients: Vec<_> = (0..stalled)
+                .map(|number| {
+                    let mut client = sidecar.connect();
+                    let message = upload.message(&format!("stalled-{stalled}-{wave}-{number}"));
+                    client.write_all(&message).expect("sent");
+                    client
+                })
+                .collect();
+            thread::sleep(OBJECTIVE_PASSES);
+            let responses = responses_of_a_wave(&sidecar, wave);
+            refused.extend(responses.into_iter().filter(|head| !head.starts_with("HTTP/1.1 200")));
+        }
+        assert!(
+            refused.is_empty(),
+            "beside {stalled}: {} refused, {:?}",
+            refused.len(),
+            refused[0]
+        );
+    }
+}
