Ejection: a server whose only debt is a stalled upload is not silent

Cause: a server counts as silent once attempts are in flight for longer than the longest objective without a response, also where only a client is waited for.

Change: attempts whose client is sending are counted (`uploads_in_flight`), and leave the server's silence alone until the server has used the objective. The state is the attempt's, not the request's.

Result: server_of_an_upload_whose_client_stalls_is_not_silent failed with the line taken out and passes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -181,16 +181,20 @@
         /// The index of the attempt among those of the request, from 0.
         attempt: usize,
     },
-    /// The request's body is passed on as its client sends it, so time passes that is not the server's.
+    /// The body of an attempt is passed on as its client sends it, so time passes that is not the server's.
     UploadStarted {
         /// The request.
         id: RequestId,
+        /// The index of the attempt among those of the request, from 0.
+        attempt: usize,
     },
-    /// The server of such a request has taken as long as its latency objective allows: to accept the bytes that the client
+    /// The server of such an attempt has taken as long as its latency objective allows: to accept the bytes that the client
     /// has sent, and to respond.
     UploadOverdue {
         /// The request.
         id: RequestId,
+        /// The index of the attempt among those of the request, from 0.
+        attempt: usize,
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -161,10 +161,8 @@
             }
             Event::Request(request) => self.on_request(request, actions),
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, actions),
-            Event::UploadStarted { id } => {
-                self.requests.entry(id).and_modify(|request| request.uploading = true);
-            }
-            Event::UploadOverdue { id } => self.record_overdue(id, 0),
+            Event::UploadStarted { id, attempt } => self.on_upload_started(id, attempt),
+            Event::UploadOverdue { id, attempt } => self.on_upload_overdue(id, attempt),
             Event::AttemptEnded(result) => {
                 self.record_result(&result);
                 // A connection to a server outside the subset was opened only because no better server was available.
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -22,8 +22,10 @@
         let attempts = request.attempts.len();
         let is_open = |a: &&Attempt| a.state == AttemptState::InFlight && a.server == server;
         let Some(attempt) = request.attempts.get(result.attempt).filter(is_open) else { return };
-        let (slot, sent_at) = (attempt.slot, attempt.sent_at);
+        let &Attempt { slot, sent_at, uploading, .. } = attempt;
         let base_ejection_time = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
+        let uploads_in_flight = &mut self.servers[slot].uploads_in_flight;
+        *uploads_in_flight = uploads_in_flight.saturating_sub(uploading.into());
         if !self.record_end(slot, server, outcome, sent_at) {
             return;
         }
@@ -53,13 +55,13 @@
     fn record_end(&mut self, slot: Slot, id: ServerId, outcome: Outcome, sent_at: Micros) -> bool {
         let server = &mut self.servers[slot];
         server.in_flight = server.in_flight.saturating_sub(1);
-        // A server with nothing in flight is not silent: a cancelled attempt gets no response.
-        server.silent_since = server.silent_since.filter(|_| server.in_flight > 0);
+        // A server that owes nothing is not silent: a cancelled attempt gets no response.
+        server.silent_since = server.silent_since.filter(|_| server.owes_response());
         if server.id != id || matches!(outcome, Outcome::NotSent | Outcome::Cancelled) {
             return false;
         }
         if matches!(outcome, Outcome::Success | Outcome::ErrorResponse | Outcome::Rejected) {
-            server.silent_since = (server.in_flight > 0).then_some(self.now);
+            server.silent_since = server.owes_response().then_some(self.now);
             server.last_response = Some(self.now);
             server.last_answered_sent_at = server.last_answered_sent_at.max(sent_at);
         }
@@ -97,10 +99,40 @@
         }
     }
 
+    /// Stops the time of the server of an attempt while the client sends its body.
+    pub(super) fn on_upload_started(&mut self, id: RequestId, attempt: usize) {
+        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| !a.uploading) else {
+            return;
+        };
+        attempt.uploading = true;
+        let slot = attempt.slot;
+        let server = &mut self.servers[slot];
+        server.uploads_in_flight += 1;
+        server.silent_since = server.silent_since.filter(|_| server.owes_response());
+    }
+
+    /// Counts the attempt of an upload as late, and its response as owed from now on.
+    pub(super) fn on_upload_overdue(&mut self, id: RequestId, attempt: usize) {
+        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| a.uploading) else {
+            return;
+        };
+        attempt.uploading = false;
+        let slot = attempt.slot;
+        let server = &mut self.servers[slot];
+        server.uploads_in_flight = server.uploads_in_flight.saturating_sub(1);
+        server.silent_since.get_or_insert(self.now);
+        self.record_overdue(id, 0);
+    }
+
+    fn attempt_in_flight(&mut self, id: RequestId, attempt: usize) -> Option<&mut Attempt> {
+        let attempt = self.requests.get_mut(&id)?.attempts.get_mut(attempt)?;
+        (attempt.state == AttemptState::InFlight).then_some(attempt)
+    }
+
     /// Counts attempts without a response at the latency objective of their request as late. A sidecar with few
     /// requests that waited for the late responses would detect an overload only when it is over.
     pub(super) fn on_objective_passed(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(&id).filter(|r| !r.uploading) else { return };
+        let Some(request) = self.requests.get(&id) else { return };
         let objective = self.latency_objective(request.class);
         self.record_overdue(id, objective);
     }
@@ -115,7 +147,7 @@
         // because of broken connections.
         let is_overdue = |a: &&Attempt| {
             let due = a.state == AttemptState::InFlight && self.now - a.sent_at >= min_age;
-            due && self.servers[a.slot].last_answered_sent_at <= a.sent_at
+            due && !a.uploading && self.servers[a.slot].last_answered_sent_at <= a.sent_at
         };
         let overdue = request.attempts.iter().filter(is_overdue).map(|a| a.slot);
         for slot in overdue.collect::<SmallVec<[Slot; 2]>>() {
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -52,7 +52,8 @@
         let (sent_at, state) = (self.now, AttemptState::InFlight);
         actions.push(Action::Send { id, server, timeout });
         if let Some(request) = self.requests.get_mut(&id) {
-            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state });
+            let uploading = false;
+            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state, uploading });
         }
         true
     }
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -25,7 +25,9 @@
     pub(super) last_response: Option<Micros>,
     /// Send time of the latest sent attempt that got a response.
     pub(super) last_answered_sent_at: Micros,
-    /// Since when attempts have been in flight without any response; `None` if nothing is in flight.
+    /// Number of these whose bodies are passed on as their clients send them.
+    pub(super) uploads_in_flight: u32,
+    /// Since when attempts have been in flight without any response; `None` if the server owes none.
     pub(super) silent_since: Option<Micros>,
     pub(super) consecutive_failures: u32,
     pub(super) ejected_until: Micros,
@@ -45,6 +47,11 @@
 }
 
 impl Server {
+    /// Returns whether the server owes a response: an attempt is in flight that does not wait for its client.
+    pub(super) fn owes_response(&self) -> bool {
+        self.in_flight > self.uploads_in_flight
+    }
+
     pub(super) fn new(entry: &ServerEntry, warming_since: Option<Micros>) -> Server {
         Server {
             id: entry.id,
@@ -88,6 +95,8 @@
     pub(super) cell: u16,
     pub(super) sent_at: Micros,
     pub(super) state: AttemptState,
+    /// The body is passed on as its client sends it, so the time since the attempt began is not the server's alone.
+    pub(super) uploading: bool,
 }
 
 #[derive(Debug, Default)]
@@ -102,8 +111,6 @@
     pub(super) ended: bool,
     /// A streamed response has begun: the deadline no longer applies, and no further attempt may be made.
     pub(super) streaming: bool,
-    /// Its body is passed on as its client sends it, so the time since its attempt began is not the server's alone.
-    pub(super) uploading: bool,
     pub(super) attempts: SmallVec<[Attempt; 2]>,
 }
 
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -196,24 +196,26 @@
             return expiry::<P>(deadline).await;
         };
         upload.streaming_started().await;
-        self.handle_event(Event::UploadStarted { id: id.request });
-        self.handle_event(Event::FirstByte { id: id.request, attempt: id.index });
+        let AttemptId { request, index: attempt, .. } = id;
+        self.handle_event(Event::UploadStarted { id: request, attempt });
+        self.handle_event(Event::FirstByte { id: request, attempt });
         tokio::select! {
             biased;
             () = upload.timed_out::<P>() => {}
-            never = self.report_overdue_upload(id.request, upload) => match never {},
+            never = self.report_overdue_upload(id, upload) => match never {},
         }
     }
 
     /// Tells the balancer when the server of an upload has taken as long as the latency objective allows.
     async fn report_overdue_upload(
         self: &Rc<Driver<P>>,
-        id: RequestId,
+        id: AttemptId,
         upload: &Upload,
     ) -> Infallible {
-        if let Some(objective) = self.latency_objective(id) {
+        let AttemptId { request, index: attempt, .. } = id;
+        if let Some(objective) = self.latency_objective(request) {
             upload.server_time_used::<P>(objective).await;
-            self.handle_event(Event::UploadOverdue { id });
+            self.handle_event(Event::UploadOverdue { id: request, attempt });
         }
         std::future::pending().await
     }
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -309,7 +309,7 @@
         if sent(&out).is_none() {
             continue;
         }
-        b.handle_event(Event::UploadStarted { id });
+        b.handle_event(Event::UploadStarted { id, attempt: 0 });
         timers.extend(out.iter().filter_map(|action| match *action {
             Action::SetTimer { delay, token } if delay <= 300 * MS => Some((id, token)),
             _ => None,
@@ -319,7 +319,7 @@
     for (id, token) in timers {
         b.handle_event(Event::Timer { token });
         if is_overdue {
-            b.handle_event(Event::UploadOverdue { id });
+            b.handle_event(Event::UploadOverdue { id, attempt: 0 });
         }
     }
     (0..40).filter(|_| b.exchange(0, 1.0).is_none()).count()
@@ -337,3 +337,25 @@
     let shed = shed_beside_uploads(true);
     assert!(shed > 0, "none shed");
 }
+
+/// Guards against a server that counts as silent, and gets nothing more, because a client stalls within its upload.
+#[test]
+fn server_of_an_upload_whose_client_stalls_is_not_silent() {
+    let mut b = BalancerHarness::new(settings(|_| {}), 6, &[server(0), server(2)]);
+    b.exchange_many(20);
+    let (id, out) = b.request(1);
+    let uploads_to = sent(&out).expect("sent");
+    b.handle_event(Event::UploadStarted { id, attempt: 0 });
+    b.now += S;
+    let mut reached = false;
+    for _ in 0..20 {
+        let pair = [b.request(0), b.request(0)];
+        b.now += 20 * MS;
+        for (id, out) in pair {
+            let Some(to) = sent(&out) else { continue };
+            reached |= to == uploads_to;
+            b.answer(id, 0, to, Outcome::Success, 1.0);
+        }
+    }
+    assert!(reached, "nothing sent to the server of the upload");
+}
