Ejection: a server that hangs after an upload is silent as soon as before

Seen on reading the change before: the silence of such a server counted only from when it had used the objective, so it would have been chosen for one objective longer than a server that hangs after a short request.

Change: it counts from the time that the server has used.

--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -111,8 +111,10 @@
         server.silent_since = server.silent_since.filter(|_| server.owes_response());
     }
 
-    /// Counts the attempt of an upload as late, and its response as owed from now on.
+    /// Counts the attempt of an upload as late, and its response as owed since its server's time began.
     pub(super) fn on_upload_overdue(&mut self, id: RequestId, attempt: usize) {
+        let Some(class) = self.requests.get(&id).map(|request| request.class) else { return };
+        let owed_since = self.now.saturating_sub(self.latency_objective(class));
         let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| a.uploading) else {
             return;
         };
@@ -120,7 +122,7 @@
         let slot = attempt.slot;
         let server = &mut self.servers[slot];
         server.uploads_in_flight = server.uploads_in_flight.saturating_sub(1);
-        server.silent_since.get_or_insert(self.now);
+        server.silent_since.get_or_insert(owed_since);
         self.record_overdue(id, 0);
     }
 
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -338,15 +338,19 @@
     assert!(shed > 0, "none shed");
 }
 
-/// Guards against a server that counts as silent, and gets nothing more, because a client stalls within its upload.
-#[test]
-fn server_of_an_upload_whose_client_stalls_is_not_silent() {
+/// Returns whether any of 20 pairs of requests goes to a server with an upload in flight. `is_overdue` means that the
+/// server has taken the objective's time for it, not the client.
+fn reaches_the_server_of_an_upload(is_overdue: bool) -> bool {
     let mut b = BalancerHarness::new(settings(|_| {}), 6, &[server(0), server(2)]);
     b.exchange_many(20);
     let (id, out) = b.request(1);
     let uploads_to = sent(&out).expect("sent");
     b.handle_event(Event::UploadStarted { id, attempt: 0 });
     b.now += S;
+    if is_overdue {
+        b.handle_event(Event::UploadOverdue { id, attempt: 0 });
+        b.now += 10 * MS;
+    }
     let mut reached = false;
     for _ in 0..20 {
         let pair = [b.request(0), b.request(0)];
@@ -357,5 +361,17 @@
             b.answer(id, 0, to, Outcome::Success, 1.0);
         }
     }
-    assert!(reached, "nothing sent to the server of the upload");
+    reached
+}
+
+/// Guards against a server that counts as silent, and gets nothing more, because a client stalls within its upload.
+#[test]
+fn server_of_an_upload_whose_client_stalls_is_not_silent() {
+    assert!(reaches_the_server_of_an_upload(false));
+}
+
+/// Guards against a server that hangs after an upload, and is chosen for longer than after another request.
+#[test]
+fn server_that_hangs_after_an_upload_is_silent_at_once() {
+    assert!(!reaches_the_server_of_an_upload(true));
 }
