Pages: the module page of deadlines links to no private item

Cause: a link from the public page of `deadline` to a private constant.

Change: the page says the time in words.

Result: cargo doc with warnings denied passes.

--- a/src/sidecar/deadline.rs
+++ b/src/sidecar/deadline.rs
@@ -5,7 +5,7 @@
 //! byte that it writes. While a server does not take the body, that byte may wait unread in the sidecar's socket, or even
 //! in the send buffer of the client, so the time counts from when the client can have written it at the earliest.
 //!
-//! A response that has begun by then may end later: it is late, but not lost, until [`LATE_RESPONSE_PERIOD`] is over.
+//! A response that has begun by then may end later: for half a second it is late, but not lost.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
