Tests: ids that come again, and responses that are cut before they count as lost

Limits that may end a response were read once more: two still can.

Change: an id that comes again 2.3 and 4 s after its client left, behind 6,000 other requests, and at the other process of an upgrade, in both directions; a response that pauses where no further attempt may follow; one whose connection had waited to be accepted; one whose client reads nothing for 2.9 of 3 s.

Result: the last one passes (its limit does not apply while the response waits for its server).

--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -15,6 +15,7 @@
 mod memory_limit;
 mod rejections;
 mod reload;
+mod request_ids;
 mod resting_connections;
 mod second_answers;
 mod server_answers;
--- a/tests/lifecycle/slow_responses.rs
+++ b/tests/lifecycle/slow_responses.rs
@@ -1,11 +1,14 @@
 //! Responses that their servers write slowly, up to the time of their clients and beyond it.
 
 use std::io::{BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::registry::RegistryFaults;
 use fakes::wire::read_message;
+use serde_json::Value;
+use socket2::SockRef;
 
 use crate::net::*;
 use crate::support::set_times;
@@ -126,11 +129,22 @@
 
 /// Plays responses that are written at this pace, for these classes and each way to say where a response ends.
 fn responses_are_served_whole(time_left: Duration, pace: Pace, classes: &[&str]) {
+    responses_are_served_whole_with(time_left, pace, classes, |_| {});
+}
+
+/// The same, with a configuration that `change` has changed.
+fn responses_are_served_whole_with(
+    time_left: Duration,
+    pace: Pace,
+    classes: &[&str],
+    change: impl Fn(&mut Value) + Copy + Send,
+) {
     thread::scope(|scope| {
         for framing in [Framing::Length, Framing::Chunked] {
             for &class in classes {
                 scope.spawn(move || {
-                    let sidecar = Sidecar::start(discovery(&[&server(framing, pace)]));
+                    let registry = discovery(&[&server(framing, pace)]);
+                    let sidecar = Sidecar::start_with(registry, change);
                     let mut client = sidecar.connect();
                     client.write_all(request(class, time_left).as_bytes()).expect("sent");
                     assert_served_whole(client, pace, &format!("{class}, {framing:?}"));
@@ -225,3 +239,47 @@
         assert!(time <= USUAL_TIME + LATE_PERIOD + SOCKET_TOLERANCE, "{framing:?}: {time:?}");
     }
 }
+
+/// Guards against a response that is given up for another server, where no further attempt may follow.
+#[test]
+fn response_to_the_last_attempt_that_pauses_is_served_whole() {
+    let ends_after = LONGEST_TIME - Duration::from_millis(300);
+    let interval = Duration::from_millis(1_200);
+    let pace = Pace { first: 1_000, piece: 1_000, interval, ends_after };
+    responses_are_served_whole_with(LONGEST_TIME, pace, &ALL_CLASSES, |config| {
+        config["settings"]["limits"]["maxAttempts"] = 1.into();
+    });
+}
+
+/// Guards against a limit of the client's own pauses that ends a response within the time of its client.
+#[test]
+fn response_whose_client_reads_nothing_for_seconds_is_served_whole() {
+    const PAUSE: Duration = Duration::from_millis(2_900);
+    let interval = Duration::from_millis(100);
+    let ends_after = FIRST_DELAY + interval;
+    let pace = Pace { first: 8_000_000, piece: 1, interval, ends_after };
+    let sidecar = Sidecar::start(discovery(&[&server(Framing::Length, pace)]));
+    let mut client = sidecar.connect();
+    SockRef::from(&client).set_recv_buffer_size(64 << 10).expect("set");
+    client.write_all(request("look", LONGEST_TIME).as_bytes()).expect("sent");
+    thread::sleep(PAUSE);
+    assert_served_whole(client, pace, "after a pause");
+}
+
+/// Guards against a response that is cut too early, because its connection had waited to be accepted before its client
+/// sent the request.
+#[test]
+fn response_on_a_connection_that_has_waited_to_be_accepted_is_served_whole() {
+    const STARTUP: Duration = Duration::from_millis(300);
+    let ends_after = USUAL_TIME + Duration::from_millis(400);
+    let interval = Duration::from_millis(20);
+    let pace = Pace { first: FIRST_BYTES, piece: 2_000, interval, ends_after };
+    let registry = discovery(&[&server(Framing::Length, pace)]);
+    registry.set_faults(RegistryFaults { answer_delay: STARTUP, ..RegistryFaults::default() });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let mut client = TcpStream::connect(at).expect("the listener has a queue");
+    let _sidecar = Sidecar::start_on(Some(&listener), registry, |_| {});
+    client.write_all(request("look", USUAL_TIME).as_bytes()).expect("sent");
+    assert_served_whole(client, pace, "after a start");
+}
