Responses: the half second before they count as lost starts at the client's time

Seen by callers: on a connection that had waited to be accepted, a response was reset 0.19 s after its client's time while its server was still writing it.

Cause: one time served two ends. What servers are told has to count from the earliest moment at which the client can have written its request, and leaves out what the connection may have waited; the moment before which no limit may end a response has to count from the latest, and may leave out nothing. Class: as in the incident, a limit without the time that is owed. The limit of a client that pauses within a response knew nothing of that moment either.

Change: `ClientTimeout` has both times, `RequestSource` both moments; a client that reads nothing keeps its response until it is lost.

--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -18,7 +18,7 @@
 use super::clocks::{ReceiveClock, UpstreamWait};
 use super::phase::Phase;
 use crate::sidecar::body::BodyError;
-use crate::sidecar::deadline::{RequestDeadline, RequestSource, response_cutoff};
+use crate::sidecar::deadline::{ClientTimeout, RequestDeadline, RequestSource, response_cutoff};
 use crate::sidecar::events::{CloseReason, CutReason};
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
@@ -78,7 +78,7 @@
     request_end: Cell<Option<Instant>>,
     /// The time for which the client waits for the response to the request in progress, from its last byte on; `None`
     /// without a limit.
-    request_timeout: Cell<Option<Duration>>,
+    request_timeout: Cell<Option<ClientTimeout>>,
     receive_clock: ReceiveClock,
     /// The time at which a request that was not read for a while was last read on; `None` if none was.
     resumed_at: Cell<Option<Instant>>,
@@ -188,7 +188,7 @@
     }
 
     /// Starts the deadline of the request in progress, whose client waits for `timeout` from its last byte on.
-    pub fn start_deadline(self: &Rc<Self>, timeout: Duration) -> RequestDeadline {
+    pub fn start_deadline(self: &Rc<Self>, timeout: ClientTimeout) -> RequestDeadline {
         self.request_timeout.set(Some(timeout));
         RequestDeadline::new(timeout, self.clone())
     }
@@ -198,7 +198,7 @@
     fn response_cutoff(&self) -> Option<Instant> {
         let timeout = self.request_timeout.get()?;
         // The end of a request that only hyper has found is not known.
-        let request_end = self.earliest_end().unwrap_or(self.response_started.get());
+        let request_end = self.latest_end().unwrap_or(self.response_started.get());
         Some(response_cutoff(request_end, timeout))
     }
 
@@ -337,6 +337,11 @@
         }
         (!is_incomplete).then_some(earliest_write)
     }
+
+    fn latest_end(&self) -> Option<Instant> {
+        let has_arrived = self.request_end.get().is_some();
+        has_arrived.then(|| self.receive_clock.last_arrival())
+    }
 }
 
 impl<P: Runtime> RequestClient for ClientConnection<P> {
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -117,7 +117,9 @@
         let read_time = MAX_RESPONSE_READ_TIME
             + client_transfer_time(self.transferred.get())
             + self.upstream_wait.completed.get();
-        Some(stalled_at.min(self.response_started.get() + read_time))
+        let deadline = stalled_at.min(self.response_started.get() + read_time);
+        // A client that pauses may still read the response before it is lost.
+        Some(self.response_cutoff().map_or(deadline, |cutoff| deadline.max(cutoff)))
     }
 
     /// The time by which a response has to be received from its server completely; `None` once it is.
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -24,7 +24,7 @@
     reserved_bytes,
 };
 use crate::sidecar::config::stable_hash;
-use crate::sidecar::deadline::RequestDeadline;
+use crate::sidecar::deadline::{ClientTimeout, RequestDeadline};
 use crate::sidecar::driver::{RequestHandle, RequestInfo, RequestOutcome};
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::headers::{end_to_end_headers, request_head_bytes};
@@ -127,7 +127,7 @@
         let ParsedRequest { mut info, correlation_id, retry_safety, streams_response } =
             self.parse(&received_head)?;
         connection.set_request_id(&correlation_id);
-        let timeout = self.remaining_time(connection, info.class, info.time_left);
+        let timeout = self.client_timeout(connection, info.class, info.time_left);
         let deadline = connection.start_deadline(timeout);
         if received_head.method == Method::GET && !body.is_end_stream() {
             return Err(RequestError::Rejected(StatusCode::BAD_REQUEST));
@@ -179,23 +179,20 @@
         Ok(reply)
     }
 
-    /// The time for which the client of a request waits: `left` minus the time that the request may have waited to be
-    /// accepted, limited by the deadline of a graceful shutdown.
-    ///
-    /// The class's deadline is an upper limit: otherwise a client could claim to wait for weeks and keep its request
-    /// in memory for as long.
-    fn remaining_time(
+    /// The time for which the client of a request waits, who has given `left`. It is limited by the class's deadline, as a
+    /// client could otherwise claim to wait for weeks and keep its request in memory for as long, and by the deadline of
+    /// a graceful shutdown.
+    fn client_timeout(
         &self,
         connection: &ClientConnection<P>,
         class: usize,
         left: Duration,
-    ) -> Duration {
-        let left = left.saturating_sub(connection.request_accept_delay());
-        let left = left.min(self.live.deadline(class));
-        match self.shutdown_deadline.get() {
-            Some(deadline) => left.min(deadline.saturating_duration_since(P::now())),
-            None => left,
-        }
+    ) -> ClientTimeout {
+        let limit = self.live.deadline(class);
+        let until_exit = |deadline: Instant| deadline.saturating_duration_since(P::now());
+        let limit = self.shutdown_deadline.get().map_or(limit, |exit| limit.min(until_exit(exit)));
+        let certain = left.saturating_sub(connection.request_accept_delay());
+        ClientTimeout { stated: left.min(limit), certain: certain.min(limit) }
     }
 
     /// Reads a short body completely, or fills the buffer from a long one, whose rest is streamed. The body uses the memory
--- a/src/sidecar/upload/tests.rs
+++ b/src/sidecar/upload/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of uploads without sockets.
 
 use super::*;
-use crate::sidecar::deadline::RequestSource;
+use crate::sidecar::deadline::{ClientTimeout, RequestSource};
 use http_body_util::{BodyExt, Full};
 use runtime::TokioRuntime;
 
@@ -16,6 +16,10 @@
     fn earliest_end(&self) -> Option<Instant> {
         self.0
     }
+
+    fn latest_end(&self) -> Option<Instant> {
+        self.0
+    }
 }
 
 fn upload(prefix: &'static str, rest: &'static str) -> Rc<Upload> {
@@ -24,7 +28,8 @@
 
 fn upload_from(client: Rc<Client>, prefix: &'static str, rest: &'static str) -> Rc<Upload> {
     let rest = Full::new(Bytes::from(rest)).map_err(|never| match never {});
-    let deadline = RequestDeadline::new(TIMEOUT, client);
+    let timeout = ClientTimeout { stated: TIMEOUT, certain: TIMEOUT };
+    let deadline = RequestDeadline::new(timeout, client);
     Upload::new::<TokioRuntime>(Bytes::from(prefix), Box::pin(rest), None, deadline)
 }
 
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -17,7 +17,6 @@
 use super::{Endpoint, Upstream};
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
-use crate::sidecar::deadline::RequestDeadline;
 use crate::sidecar::execution::{ExecutionDoubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
 use crate::sidecar::sync_state::{DesyncSign, SyncState};
@@ -269,7 +268,8 @@
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
         let is_limited = self.may_be_repeated() || response.status() != StatusCode::OK;
         let reservation = self.upstream.reserve_response(observer, &response).await;
-        let cutoff = self.request.deadline.as_ref().and_then(RequestDeadline::response_cutoff);
+        let deadline = self.request.deadline.as_ref();
+        let cutoff = deadline.map(|deadline| deadline.response_cutoff(P::now()));
         let reading = ResponseReading { reservation, needs_proof, cutoff };
         let result = self.upstream.read_response(server, connection, response, reading);
         tokio::select! {
