Attempts: a response that pauses is given up only if another attempt may follow

Seen by callers: 502 after 0.53 s of 3 s, though the server was still sending the response to the last attempt that the request had, or to one whose idempotency window had ended.

Cause: the limit of pauses makes time for another server; whether there may be another was asked for orders alone.

Change: `AttemptLimits::may_be_followed` decides for every kind of request. Retry budget that is used up is not asked for: it may be there again a moment later.

--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -129,6 +129,7 @@
             limits: AttemptLimits {
                 start_by,
                 idempotency_window,
+                is_last: index + 1 >= self.live.max_attempts(),
                 deadline: started + timeout,
                 server_ready: known.ready.clone(),
             },
--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -37,6 +37,7 @@
     names: RefCell<Rc<ProtocolNames>>,
     deadlines: RefCell<Vec<Duration>>,
     timeouts: Cell<AttemptTimeouts>,
+    max_attempts: Cell<usize>,
     max_body_bytes: Cell<usize>,
     max_servers: Cell<usize>,
     generation: Cell<u64>,
@@ -51,6 +52,7 @@
             names: RefCell::new(config.names.clone()),
             deadlines: RefCell::new(deadlines(config)),
             timeouts: Cell::new(timeouts(config)),
+            max_attempts: Cell::new(config.settings.limits.max_attempts),
             max_body_bytes: Cell::new(config.max_body_bytes),
             max_servers: Cell::new(max_servers(config.memory_bytes)),
             generation: Cell::new(config.generation),
@@ -65,6 +67,7 @@
         *self.names.borrow_mut() = config.names.clone();
         *self.deadlines.borrow_mut() = deadlines(config);
         self.timeouts.set(timeouts(config));
+        self.max_attempts.set(config.settings.limits.max_attempts);
         self.max_body_bytes.set(config.max_body_bytes);
         self.max_servers.set(max_servers(config.memory_bytes));
         self.generation.set(config.generation);
@@ -103,6 +106,11 @@
         self.timeouts.get()
     }
 
+    /// Maximum number of attempts of a request.
+    pub fn max_attempts(&self) -> usize {
+        self.max_attempts.get()
+    }
+
     /// Maximum size of a forwarded body, in bytes.
     pub fn max_body_bytes(&self) -> usize {
         self.max_body_bytes.get()
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -177,7 +177,8 @@
             let observer = connection.observer.clone();
             let next = match self.receive_head(&mut connection, &observer).await {
                 Some(response) => {
-                    let received = self.receive_response(connection, &observer, response).await;
+                    let received =
+                        self.receive_response(connection, &observer, response, sent_at).await;
                     self.record_exchange(&observer);
                     self.verify(received).await
                 }
@@ -210,12 +211,6 @@
         }
     }
 
-    /// Returns whether another server may execute the request after this one may have. If not, nothing is gained by giving
-    /// up a response that makes no progress, and its server has all of the request's time.
-    fn may_be_repeated(&self) -> bool {
-        self.request.retry_safety != RetrySafety::NonIdempotent
-    }
-
     /// Completes when a response that has begun makes no progress for the allowed gap.
     async fn response_stalled(&self, observer: &ExchangeObserver<P>) {
         loop {
@@ -230,6 +225,26 @@
         }
     }
 
+    /// Completes when a response to the request sent at `sent_at` has stalled and is given up, so that there is time for
+    /// another attempt. A response that serves the request is waited for if no other attempt may follow.
+    async fn response_given_up(
+        &self,
+        observer: &ExchangeObserver<P>,
+        status: StatusCode,
+        sent_at: Instant,
+    ) {
+        loop {
+            self.response_stalled(observer).await;
+            let now = P::now();
+            let retry_safety = self.request.retry_safety;
+            let may_be_followed = self.limits.may_be_followed(retry_safety, sent_at, now);
+            if status != StatusCode::OK || may_be_followed {
+                return;
+            }
+            P::sleep(self.upstream.live.timeouts().read).await;
+        }
+    }
+
     fn may_send(&self, now: Instant) -> Result<(), SendRefusal> {
         invariants::may_send(self.limits.send_facts(self.request, now))
     }
@@ -258,6 +273,7 @@
         connection: Connection<P>,
         observer: &ExchangeObserver<P>,
         response: Response<Incoming>,
+        sent_at: Instant,
     ) -> Received<P> {
         if !observer.is_request_sent() {
             // The server responded before the end of a streamed body. The connection cannot be used further.
@@ -266,7 +282,7 @@
             return Received::without_response(outcome);
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
-        let is_limited = self.may_be_repeated() || response.status() != StatusCode::OK;
+        let status = response.status();
         let reservation = self.upstream.reserve_response(observer, &response).await;
         let deadline = self.request.deadline.as_ref();
         let cutoff = deadline.map(|deadline| deadline.response_cutoff(P::now()));
@@ -275,7 +291,7 @@
         tokio::select! {
             biased;
             result = result => result,
-            () = self.response_stalled(observer), if is_limited => {
+            () = self.response_given_up(observer, status, sent_at) => {
                 Received::without_response(Outcome::ConnectionReset)
             }
         }
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -113,6 +113,8 @@
     pub start_by: Option<Instant>,
     /// The time for which servers deduplicate repeats of the request, or `None` if they do not.
     pub idempotency_window: Option<Duration>,
+    /// Whether the request has no further attempt left.
+    pub is_last: bool,
     /// The time at which the attempt times out.
     pub deadline: Instant,
     /// Whether the server accepts new requests according to the endpoint list, which updates this cell.
@@ -120,11 +122,12 @@
 }
 
 impl AttemptLimits {
-    /// Creates limits for a request that repeats no other and may be sent to a server in any state.
+    /// Creates limits for a request that repeats no other and may be sent to a server in any state, more than once.
     pub(super) fn unlimited(deadline: Instant) -> AttemptLimits {
         AttemptLimits {
             start_by: None,
             idempotency_window: None,
+            is_last: false,
             deadline,
             server_ready: Rc::new(Cell::new(true)),
         }
@@ -143,6 +146,20 @@
         }
     }
 
+    /// Returns whether another attempt may follow at `now` if this one, whose request was sent at `sent_at`, is given up.
+    /// Without one, nothing is gained by giving it up.
+    pub(super) fn may_be_followed(
+        &self,
+        retry_safety: RetrySafety,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let mut after_this = self.clone();
+        after_this.record_sent(sent_at);
+        let is_in_window = after_this.start_by.is_none_or(|start_by| now < start_by);
+        !self.is_last && is_in_window && retry_safety != RetrySafety::NonIdempotent
+    }
+
     /// Limits a resend to the idempotency window of the copy that was sent in full at `sent_at`.
     pub(super) fn record_sent(&mut self, sent_at: Instant) {
         let end_of_window = self.idempotency_window.map(|window| sent_at + window);
