Request ids: one that comes again seconds later, or at a successor, does not run again

Cause: the ids of requests that have ended were kept for 2 s, less than the longest deadline, 4,096 of them whatever their kind, so a flood of lookups drove out orders; and each process knew its own alone.

With an inherited listener and `TMPDIR`, processes share them: each appends the id to a file of the period before it sends the request, then reads what others have appended, so of two that take the same id at least one rejects it.

Not tested by itself: that lb-fleet's instances share the files.

--- a/crates/fleet/src/process/mod.rs
+++ b/crates/fleet/src/process/mod.rs
@@ -146,6 +146,8 @@
             .env("NOTIFY_SOCKET", options.status_socket)
             .env("LISTEN_FDS", "1")
             .env("LISTEN_FDNAMES", "clients")
+            // What a process and its successor share.
+            .env("TMPDIR", options.state_directory)
             .envs(options.log_environment.iter().map(|(name, value)| (*name, value)))
             .env(IDENTITY_VARIABLE, &identity)
             .env(LEGACY_IDENTITY_VARIABLE, &identity)
--- a/crates/simulation/src/run/sidecars.rs
+++ b/crates/simulation/src/run/sidecars.rs
@@ -95,7 +95,14 @@
         let peers = self.gossip.map(SimUdp::bind).transpose()?;
         let bind_admin = |address| SimListener::bind(address, ADMIN_BACKLOG);
         let admin = self.admin.map(bind_admin).transpose()?;
-        Ok(Sockets { listener, listener_shared: false, peers, admin, admin_state_file: None })
+        Ok(Sockets {
+            listener,
+            listener_shared: false,
+            peers,
+            admin,
+            admin_state_file: None,
+            request_id_log: None,
+        })
     }
 }
 
--- a/src/sidecar/ingress/mod.rs
+++ b/src/sidecar/ingress/mod.rs
@@ -94,6 +94,7 @@
         status: Rc<Status>,
         socket_budget: Rc<SocketBudget>,
         message_memory: Rc<MessageMemory>,
+        request_ids: RequestIds<P>,
     ) -> Rc<Ingress<P>> {
         Rc::new(Ingress {
             driver,
@@ -102,7 +103,7 @@
             status,
             socket_budget,
             message_memory,
-            request_ids: RequestIds::default(),
+            request_ids,
             connections: RefCell::default(),
             accept_count: Cell::new(0),
             accepting: Cell::default(),
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -146,7 +146,7 @@
         }
         // Servers identify requests by their ids, so a second request with the id of one that may still be in progress
         // would be taken for a retry of it.
-        let Some(_id_guard) = self.request_ids.acquire(&correlation_id) else {
+        let Some(id_guard) = self.request_ids.acquire(&correlation_id, retry_safety) else {
             return Err(RequestError::Rejected(StatusCode::CONFLICT));
         };
         let is_streamed = upload.is_some();
@@ -172,6 +172,9 @@
         info.time_left = deadline.time_left(started);
         let mut handle = self.driver.submit(info, message);
         let reply = await_reply(connection, &mut handle, upload).await?;
+        if matches!(reply, RequestOutcome::Rejected { .. }) {
+            id_guard.rejected();
+        }
         if streams_response {
             connection.lift_deadline();
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -22,7 +22,7 @@
 pub mod notify;
 pub mod peers;
 pub mod reload;
-mod request_ids;
+pub mod request_ids;
 pub mod resource_limits;
 pub mod shutdown;
 pub mod startup;
@@ -43,6 +43,7 @@
 use self::admin::state_file::StateFile;
 use self::config::{Config, ConfigError};
 use self::reload::Targets;
+use self::request_ids::{RequestIds, SharedRequestIdLog};
 use self::startup::{Components, Serving, StartError};
 
 /// External control of a running sidecar.
@@ -57,7 +58,7 @@
     pub read: R,
 }
 
-/// The sockets and the state file that a sidecar starts with.
+/// The sockets and the files that a sidecar starts with.
 pub struct Sockets<P: Runtime> {
     /// Accepts client connections.
     pub listener: P::Listener,
@@ -69,6 +70,8 @@
     pub admin: Option<P::Listener>,
     /// Stores the admin state across replacements of the process; `None` if the state ends with the process.
     pub admin_state_file: Option<StateFile>,
+    /// Shares the ids of requests with a predecessor or successor; `None` if there are no such processes.
+    pub request_id_log: Option<SharedRequestIdLog>,
 }
 
 /// Binds the sockets and runs the sidecar until its graceful shutdown is complete.
@@ -102,13 +105,14 @@
     H: Future<Output = ()>,
     R: Fn() -> Result<Config, ConfigError>,
 {
-    let Sockets { listener, listener_shared, peers, admin, admin_state_file } = sockets;
+    let Sockets { listener, listener_shared, peers, admin, admin_state_file, request_id_log } =
+        sockets;
     let components = Components::<P>::new(&config, peers)?;
     let discovery_mode = config.settings.discovery;
     let drain_deadline = Duration::from_micros(config.settings.rules.drain_deadline);
     let (to_discovery, calls) = mpsc::unbounded_channel();
     let driver = components.driver(config.settings, config.seed, to_discovery);
-    let ingress = components.ingress(driver.clone(), config.name);
+    let ingress = components.ingress(driver.clone(), config.name, RequestIds::new(request_id_log));
     let admin =
         admin.map(|listener| components.start_admin(listener, &driver, &ingress, admin_state_file));
 
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use super::live::LiveConfig;
 use super::memory::MessageMemory;
 use super::peers::Peers;
+use super::request_ids::{RequestIds, SharedRequestIdLog};
 use super::status::Status;
 use super::upstream::Upstream;
 use super::{Sockets, notify, shutdown};
@@ -95,10 +97,13 @@
         let peers = config.peer_listen.map(bind_peers).transpose()?;
         let admin = config.admin.map(bind_admin).transpose()?;
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
-        let admin_state_file = folder
-            .filter(|_| admin.is_some())
-            .map(|folder| StateFile::new(folder.as_ref(), &config.name));
-        Ok(Sockets { listener, listener_shared, peers, admin, admin_state_file })
+        let folder = folder.as_deref().map(Path::new);
+        let admin_state_file =
+            folder.filter(|_| admin.is_some()).map(|folder| StateFile::new(folder, &config.name));
+        let request_id_log = folder
+            .filter(|_| listener_shared)
+            .map(|folder| SharedRequestIdLog::new(folder, &config.name));
+        Ok(Sockets { listener, listener_shared, peers, admin, admin_state_file, request_id_log })
     }
 }
 
@@ -175,7 +180,12 @@
     }
 
     /// Creates the client-facing side of the instance called `name`.
-    pub fn ingress(&self, driver: Rc<Driver<P>>, name: String) -> Rc<Ingress<P>> {
+    pub fn ingress(
+        &self,
+        driver: Rc<Driver<P>>,
+        name: String,
+        request_ids: RequestIds<P>,
+    ) -> Rc<Ingress<P>> {
         Ingress::new(
             driver,
             name,
@@ -183,6 +193,7 @@
             self.status.clone(),
             self.socket_budget.clone(),
             self.message_memory.clone(),
+            request_ids,
         )
     }
 
