Attempts: nothing of a request is written after its end, whoever ended it

Cause: whether a request may still be sent is asked before its first byte and before a held back last byte. Where the settings do not allow cancelling, or a timer is late, a request that is partly written goes on when the socket takes the rest. Class: a condition that is checked once, before a wait.

Change: `RequestEnd` is shared by the request and the observers of its connections; no byte is written after it, and the attempt ends with its connection, which is reset.

--- a/src/sidecar/driver/in_flight.rs
+++ b/src/sidecar/driver/in_flight.rs
@@ -143,7 +143,7 @@
     pub(super) fn release_message(&mut self) -> Option<Rc<UpstreamRequest>> {
         let message = self.message.take();
         if let Some(message) = &message {
-            message.finished.set(true);
+            message.end.set();
         }
         message
     }
--- a/src/sidecar/ingress/request.rs
+++ b/src/sidecar/ingress/request.rs
@@ -165,7 +165,7 @@
             body: first,
             upload: upload.clone(),
             deadline: Some(deadline.clone()),
-            finished: std::cell::Cell::default(),
+            end: Rc::default(),
             client: Some(connection.clone()),
         };
         let (class, started) = (info.class, P::now());
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -249,7 +249,8 @@
         invariants::may_send(self.limits.send_facts(self.request, now))
     }
 
-    /// Sends the request and returns the head of its response, or `None` if the connection fails or the head stalls.
+    /// Sends the request and returns the head of its response, or `None` if the connection fails, the head stalls, or the
+    /// request ends before it is sent in full.
     ///
     /// A response that has begun and then stalls (an incomplete head or body, or a content length that is too large)
     /// would otherwise occupy the request until its deadline. It counts as failed, so that a request that may be repeated
@@ -263,6 +264,7 @@
             biased;
             response = send_request(connection, self.request, &self.limits) => response,
             () = self.response_stalled(observer) => None,
+            () = observer.abandoned() => None,
         };
         // A response that arrives before the request was sent in full cannot answer it, unless the request is streamed.
         response.filter(|_| observer.is_request_sent() || self.request.upload.is_some())
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use super::desync::ResponseHistory;
+use super::request::RequestEnd;
 use crate::sidecar::execution::ResponseFacts;
 use crate::sidecar::framing::{Framing, MessageKind};
 use crate::sidecar::status::Status;
@@ -125,6 +126,8 @@
     /// Whether bytes arrived that belong to no response. The connection cannot be reused then.
     unexpected_bytes: Cell<bool>,
     holds_last_byte: Cell<bool>,
+    /// The end of the request, after which no byte of it is written.
+    request_end: RefCell<Rc<RequestEnd>>,
     write_waker: Cell<Option<Waker>>,
     status: Rc<Status>,
     runtime: PhantomData<P>,
@@ -150,18 +153,21 @@
             response_began: Notify::new(),
             unexpected_bytes: Cell::new(false),
             holds_last_byte: Cell::new(false),
+            request_end: RefCell::default(),
             write_waker: Cell::new(None),
             status,
             runtime: PhantomData,
         }
     }
 
-    /// Starts an exchange whose request has a body of `body` bytes, or `u64::MAX` if the length is unknown.
-    pub(super) fn begin(&self, body: u64) {
+    /// Starts an exchange whose request has a body of `body` bytes, or `u64::MAX` if the length is unknown. No byte of it is
+    /// written after `end`.
+    pub(super) fn begin(&self, body: u64, end: Rc<RequestEnd>) {
         self.response.borrow_mut().start_next();
         self.response_began_at.set(None);
         self.response_active_at.set(None);
         self.request.begin(body);
+        self.request_end.replace(end);
         self.holds_last_byte.set(false);
     }
 
@@ -202,6 +208,20 @@
         }
     }
 
+    /// Returns whether the request has ended before its last byte was written.
+    fn is_abandoned(&self) -> bool {
+        !self.is_request_sent() && self.request_end.borrow().has_ended()
+    }
+
+    /// Completes when the request has ended before its last byte was written.
+    pub(super) async fn abandoned(&self) {
+        let end = self.request_end.borrow().clone();
+        end.ended().await;
+        if !self.is_abandoned() {
+            std::future::pending().await
+        }
+    }
+
     /// Returns whether the last byte of the request has been written, so that the server may have executed it.
     pub(super) fn is_request_sent(&self) -> bool {
         self.request.completed_at.get().is_some()
@@ -311,10 +331,14 @@
     }
 
     fn limits_writes(&self) -> bool {
-        self.holds_last_byte.get()
+        self.holds_last_byte.get() || self.is_abandoned()
     }
 
     fn poll_write_allowance(&self, bytes: &[u8], cx: &mut Context<'_>) -> Poll<usize> {
+        if self.is_abandoned() {
+            // The attempt ends, and its connection with it.
+            return Poll::Pending;
+        }
         match self.request.find_end(bytes) {
             Some(1) if self.holds_last_byte.get() => {
                 self.write_waker.set(Some(cx.waker().clone()));
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::HeaderMap;
 use runtime::Runtime;
+use tokio::sync::Notify;
 
 use super::observer::ExchangeObserver;
 use crate::settings::RetrySafety;
@@ -31,6 +32,36 @@
     fn has_left(&self) -> bool;
 }
 
+/// The end of a request: it has its final response, or nobody waits for one any more.
+///
+/// Nothing of the request is sent from then on, also where the settings do not allow attempts to be cancelled.
+#[derive(Debug, Default)]
+pub struct RequestEnd {
+    has_ended: Cell<bool>,
+    ended: Notify,
+}
+
+impl RequestEnd {
+    /// Ends the request.
+    pub fn set(&self) {
+        self.has_ended.set(true);
+        self.ended.notify_waiters();
+    }
+
+    /// Returns whether the request has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
+    /// Waits for the end of the request.
+    pub async fn ended(&self) {
+        let ended = self.ended.notified();
+        if !self.has_ended() {
+            ended.await;
+        }
+    }
+}
+
 /// A client's request as it is forwarded to servers, kept for retries.
 pub struct UpstreamRequest {
     /// Whether the request may be sent again after a server may have executed it.
@@ -51,8 +82,8 @@
     pub upload: Option<Rc<Upload>>,
     /// The time until which the client waits, or `None` for a request of the sidecar itself.
     pub deadline: Option<RequestDeadline>,
-    /// Whether the request has its final response, or nobody waits for one any more. No further attempt is sent then.
-    pub finished: Cell<bool>,
+    /// The end of the request.
+    pub end: Rc<RequestEnd>,
     /// The client that sent the request, or `None` for a request of the sidecar itself.
     pub client: Option<Rc<dyn RequestClient>>,
 }
@@ -70,7 +101,7 @@
             body: Bytes::new(),
             upload: None,
             deadline: None,
-            finished: Cell::default(),
+            end: Rc::default(),
             client: None,
         }
     }
@@ -82,7 +113,7 @@
 
     /// Returns whether nobody waits for the response any more.
     pub(super) fn is_unwanted(&self) -> bool {
-        self.finished.get() || self.client.as_ref().is_some_and(|client| client.has_left())
+        self.end.has_ended() || self.client.as_ref().is_some_and(|client| client.has_left())
     }
 
     /// Returns how long the client still waits at `now`, for an attempt that ends at `deadline`.
--- a/src/sidecar/upstream/send.rs
+++ b/src/sidecar/upstream/send.rs
@@ -33,7 +33,7 @@
         RetrySafety::NonIdempotent => connection.stale_check_duration(),
         _ => None,
     };
-    observer.begin(request.content_length().unwrap_or(u64::MAX));
+    observer.begin(request.content_length().unwrap_or(u64::MAX), request.end.clone());
     if stale_check_duration.is_some() {
         observer.hold_last_byte();
     }
