Tests: clients that write or read slowly shed no requests of others

Change: the same waves beside clients that write 3,000 bytes each 50 ms, and that read 3 MB at 20 kB/s. What starts a sidecar and judges the others is shared.

--- a/tests/lifecycle/stalled_clients.rs
+++ b/tests/lifecycle/stalled_clients.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+
 use crate::net::*;
 use crate::support::*;
 
@@ -114,6 +116,9 @@
 /// The latency objective of uploads in milliseconds, and a time in which it passes.
 const UPLOAD_OBJECTIVE_MS: u64 = 400;
 const OBJECTIVE_PASSES: Duration = Duration::from_millis(500);
+/// The prefix of the ids of requests that are answered with long bodies, and the length of these.
+const LONG: &str = "long";
+const LONG_BODY_BYTES: usize = 3_000_000;
 /// The time that a server takes.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -134,46 +139,111 @@
     })
 }
 
+/// Starts a sidecar and six idle servers, which answer the requests whose ids begin with [`LONG`] with long bodies.
+fn sidecar_with_idle_servers(memory_mb: u64) -> Sidecar {
+    let servers: Vec<_> = (0..6)
+        .map(|_| {
+            Server::start(|id, socket| {
+                thread::sleep(SERVICE_TIME);
+                let response = match id.starts_with(LONG) {
+                    true => answer(&"l".repeat(LONG_BODY_BYTES)),
+                    false => answer(id),
+                };
+                socket.write_all(response.as_bytes()).is_ok()
+            })
+        })
+        .collect();
+    let registry = discovery(&servers.iter().collect::<Vec<_>>());
+    Sidecar::start_with(registry, |config| {
+        config["limits"]["memory_mb"] = memory_mb.into();
+        config["limits"]["sockets"] = 1024.into();
+        set_times(config, 0, 150, 20_000);
+        set_times(config, 1, UPLOAD_OBJECTIVE_MS, 2_000);
+    })
+}
+
+/// Sends the requests of others beside waves of clients that `start_clients` starts, and checks that all are served.
+fn others_are_served_beside<C>(
+    sidecar: &Sidecar,
+    case: &str,
+    start_clients: impl Fn(&Sidecar, usize) -> Vec<C>,
+) {
+    let mut refused = Vec::new();
+    for wave in 0..WAVES {
+        let _clients = start_clients(sidecar, wave);
+        thread::sleep(OBJECTIVE_PASSES);
+        let responses = responses_of_a_wave(sidecar, wave);
+        refused.extend(responses.into_iter().filter(|head| !head.starts_with("HTTP/1.1 200")));
+    }
+    assert!(refused.is_empty(), "beside {case}: {} refused, {:?}", refused.len(), refused[0]);
+}
+
 /// Guards against clients that stall within their uploads, while the servers are idle, and are counted as overload: the
 /// requests of others were shed.
 #[test]
 fn clients_that_stall_within_their_uploads_shed_no_requests_of_others() {
     for stalled in STALLED {
-        let servers: Vec<_> = (0..6)
-            .map(|_| {
-                Server::start(|id, socket| {
-                    thread::sleep(SERVICE_TIME);
-                    socket.write_all(answer(id).as_bytes()).is_ok()
+        let sidecar = sidecar_with_idle_servers(64);
+        others_are_served_beside(&sidecar, &format!("{stalled} uploads"), |sidecar, wave| {
+            let upload = PartialUpload::with_length(900_000, 450_000);
+            let stall = |number| {
+                let mut client = sidecar.connect();
+                let message = upload.message(&format!("stalled-{stalled}-{wave}-{number}"));
+                client.write_all(&message).expect("sent");
+                client
+            };
+            (0..stalled).map(stall).collect()
+        });
+    }
+}
+
+/// Guards against clients that write their uploads slowly, while the servers are idle, and are counted as overload.
+#[test]
+fn clients_that_write_slowly_shed_no_requests_of_others() {
+    const PIECE: usize = 3_000;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(50);
+    for slow in STALLED {
+        let sidecar = sidecar_with_idle_servers(64);
+        others_are_served_beside(&sidecar, &format!("{slow} writers"), |sidecar, wave| {
+            let upload = PartialUpload::with_length(120_000, 120_000);
+            let write = |number| {
+                let mut client = sidecar.connect();
+                let message = upload.message(&format!("slow-{slow}-{wave}-{number}"));
+                thread::spawn(move || {
+                    for piece in message.chunks(PIECE) {
+                        thread::sleep(PIECE_INTERVAL);
+                        if client.write_all(piece).is_err() {
+                            return;
+                        }
+                    }
                 })
-            })
-            .collect();
-        let registry = discovery(&servers.iter().collect::<Vec<_>>());
-        let sidecar = Sidecar::start_with(registry, |config| {
-            config["limits"]["memory_mb"] = 64.into();
-            config["limits"]["sockets"] = 1024.into();
-            set_times(config, 0, 150, 20_000);
-            set_times(config, 1, UPLOAD_OBJECTIVE_MS, 2_000);
+            };
+            (0..slow).map(write).collect()
         });
-        let mut refused = Vec::new();
-        for wave in 0..WAVES {
-            let upload = PartialUpload::with_length(900_000, 450_000);
-            let _clients: Vec<_> = (0..stalled)
-                .map(|number| {
-                    let mut client = sidecar.connect();
-                    let message = upload.message(&format!("stalled-{stalled}-{wave}-{number}"));
-                    client.write_all(&message).expect("sent");
-                    client
+    }
+}
+
+/// Guards against clients that read long responses slowly, so that responses wait for memory, and are counted as overload
+/// though the servers are idle.
+#[test]
+fn clients_that_read_slowly_shed_no_requests_of_others() {
+    const PIECE: usize = 1_000;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(50);
+    for slow in STALLED {
+        let sidecar = sidecar_with_idle_servers(32);
+        others_are_served_beside(&sidecar, &format!("{slow} readers"), |sidecar, wave| {
+            let read = |number| {
+                let mut client = sidecar.connect();
+                SockRef::from(&client).set_recv_buffer_size(64 << 10).expect("set");
+                let request = get_request(&format!("{LONG}-{slow}-{wave}-{number}"));
+                client.write_all(request.as_bytes()).expect("sent");
+                thread::spawn(move || {
+                    while client.read(&mut [0; PIECE]).is_ok_and(|length| length > 0) {
+                        thread::sleep(PIECE_INTERVAL);
+                    }
                 })
-                .collect();
-            thread::sleep(OBJECTIVE_PASSES);
-            let responses = responses_of_a_wave(&sidecar, wave);
-            refused.extend(responses.into_iter().filter(|head| !head.starts_with("HTTP/1.1 200")));
-        }
-        assert!(
-            refused.is_empty(),
-            "beside {stalled}: {} refused, {:?}",
-            refused.len(),
-            refused[0]
-        );
+            };
+            (0..slow).map(read).collect()
+        });
     }
 }
