Memory: short messages do not wait behind long ones

Cause: memory is given in the order of arrival, and a long body keeps its part for as long as its peer takes to read it.

Change: a sixteenth of the memory of requests, and of responses, is for messages of 8 KiB at most.

--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -16,6 +16,11 @@
 use super::budget::resize;
 use super::resource_limits::ResourceLimits;
 
+/// The maximum size of a short message in bytes.
+const SHORT_MESSAGE_BYTES: usize = 8 << 10;
+/// Short messages have the memory of a budget, divided by this, to themselves.
+const SHORT_MESSAGES_DIVISOR: usize = 16;
+
 /// The memory of all messages together. Requests and responses have budgets of their own, so requests that wait for their
 /// servers never keep a response from being read.
 pub struct MessageMemory {
@@ -85,6 +90,10 @@
     pub fn is_empty(self) -> bool {
         self.total() == 0
     }
+
+    fn permits(self) -> u32 {
+        u32::try_from(self.total()).unwrap_or(u32::MAX)
+    }
 }
 
 /// The memory reserved for a message.
@@ -96,39 +105,90 @@
     pub body: MemoryReservation,
 }
 
+impl MessageReservation {
+    /// Divides the permit for a message of this size between its head and its body.
+    fn new(permit: Option<OwnedSemaphorePermit>, size: MessageSize) -> MessageReservation {
+        let mut permit = permit;
+        let head = permit.as_mut().and_then(|permit| permit.split(size.head_excess));
+        MessageReservation {
+            head: MemoryReservation::new(head),
+            body: MemoryReservation::new(permit),
+        }
+    }
+}
+
 /// A number of bytes that messages may take together.
 ///
 /// The maximum that a message can need is reserved before the first byte of its body is read, so partly read bodies
-/// never wait for each other.
+/// never wait for each other. A part of the bytes is for short messages alone, which would otherwise wait behind long ones
+/// for as long as the peers of these take to read them.
 #[derive(Clone)]
 pub struct MemoryBudget {
-    bytes: Arc<Semaphore>,
-    size: Rc<Cell<usize>>,
+    any: BudgetPart,
+    short: BudgetPart,
 }
 
 impl MemoryBudget {
     fn new(size: usize) -> MemoryBudget {
-        MemoryBudget { bytes: Arc::new(Semaphore::new(size)), size: Rc::new(Cell::new(size)) }
+        let short = size / SHORT_MESSAGES_DIVISOR;
+        MemoryBudget { any: BudgetPart::new(size - short), short: BudgetPart::new(short) }
     }
 
     fn resize<P: Runtime>(&self, size: usize) {
-        let old = self.size.replace(size);
-        resize::<P>(&self.bytes, old, size);
+        let short = size / SHORT_MESSAGES_DIVISOR;
+        self.any.resize::<P>(size - short);
+        self.short.resize::<P>(short);
     }
 
-    /// Reserves memory of this size, waiting until it is available.
-    pub async fn reserve(&self, size: MessageSize) -> MessageReservation {
+    /// Reserves memory of this size if it is available at once.
+    pub fn try_reserve(&self, size: MessageSize) -> Option<MessageReservation> {
         if size.is_empty() {
-            return MessageReservation::default();
+            return Some(MessageReservation::default());
         }
-        let permits = u32::try_from(size.total()).unwrap_or(u32::MAX);
-        let permit = self.bytes.clone().acquire_many_owned(permits).await;
-        let mut permit = permit.ok();
-        let head = permit.as_mut().and_then(|permit| permit.split(size.head_excess));
-        MessageReservation {
-            head: MemoryReservation::new(head),
-            body: MemoryReservation::new(permit),
+        let short = || self.short_part(size).and_then(|short| short.try_acquire(size));
+        let permit = self.any.try_acquire(size).or_else(short);
+        permit.map(|permit| MessageReservation::new(Some(permit), size))
+    }
+
+    /// Reserves memory of this size, waiting until it is available.
+    pub async fn reserve(&self, size: MessageSize) -> MessageReservation {
+        if let Some(reservation) = self.try_reserve(size) {
+            return reservation;
         }
+        let part = self.short_part(size).unwrap_or(&self.any);
+        MessageReservation::new(part.acquire(size).await, size)
+    }
+
+    /// Returns the part for short messages if a message of this size may use it.
+    fn short_part(&self, size: MessageSize) -> Option<&BudgetPart> {
+        let fits = size.total() <= self.short.size.get().min(SHORT_MESSAGE_BYTES);
+        fits.then_some(&self.short)
+    }
+}
+
+/// A part of a budget.
+#[derive(Clone)]
+struct BudgetPart {
+    bytes: Arc<Semaphore>,
+    size: Rc<Cell<usize>>,
+}
+
+impl BudgetPart {
+    fn new(size: usize) -> BudgetPart {
+        BudgetPart { bytes: Arc::new(Semaphore::new(size)), size: Rc::new(Cell::new(size)) }
+    }
+
+    fn resize<P: Runtime>(&self, size: usize) {
+        let old = self.size.replace(size);
+        resize::<P>(&self.bytes, old, size);
+    }
+
+    fn try_acquire(&self, size: MessageSize) -> Option<OwnedSemaphorePermit> {
+        self.bytes.clone().try_acquire_many_owned(size.permits()).ok()
+    }
+
+    async fn acquire(&self, size: MessageSize) -> Option<OwnedSemaphorePermit> {
+        self.bytes.clone().acquire_many_owned(size.permits()).await.ok()
     }
 }
 
