Load shedding: a wait for the sidecar's own memory is not the server's time

Cause: the objective's timer, the latency and the timeout of an attempt ran on while its response, which had begun, was not read for want of memory. Class: the sidecar's clock read as its server's.

Change: the balancer is told when a response waits (`ResponseAwaitsMemory`): the attempt is excused, as an upload is. The wait is left out of the latency; an attempt that times out in it says nothing about its server.

Without the event the attempts of the test of the balancer are shed: its counterpart with servers that do not respond.

--- a/src/api.rs
+++ b/src/api.rs
@@ -196,6 +196,13 @@
         /// The index of the attempt among those of the request, from 0.
         attempt: usize,
     },
+    /// The server of an attempt has begun to respond, and its response waits for memory of the sidecar.
+    ResponseAwaitsMemory {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt among those of the request, from 0.
+        attempt: usize,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client disconnected, or its deadline passed.
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -57,8 +57,8 @@
         // back. A start time that discovery no longer reports (0) is not a restart.
         if entry.started_at != server.started_at && entry.started_at > 0 {
             // The state of the old process is discarded, except for the number of attempts in flight.
-            let &mut Server { in_flight, uploads_in_flight, .. } = server;
-            *server = Server { in_flight, uploads_in_flight, ..Server::new(entry, warming_since) };
+            let &mut Server { in_flight, excused_in_flight, .. } = server;
+            *server = Server { in_flight, excused_in_flight, ..Server::new(entry, warming_since) };
         }
         let is_valid = entry.weight.is_finite() && entry.weight > 0.0;
         server.weight = if is_valid { f64::from(entry.weight) } else { 1.0 };
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -161,7 +161,9 @@
             }
             Event::Request(request) => self.on_request(request, actions),
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, actions),
-            Event::UploadStarted { id, attempt } => self.on_upload_started(id, attempt),
+            Event::UploadStarted { id, attempt } | Event::ResponseAwaitsMemory { id, attempt } => {
+                self.excuse_server(id, attempt);
+            }
             Event::UploadOverdue { id, attempt } => self.on_upload_overdue(id, attempt),
             Event::AttemptEnded(result) => {
                 self.record_result(&result);
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -22,10 +22,10 @@
         let attempts = request.attempts.len();
         let is_open = |a: &&Attempt| a.state == AttemptState::InFlight && a.server == server;
         let Some(attempt) = request.attempts.get(result.attempt).filter(is_open) else { return };
-        let &Attempt { slot, sent_at, uploading, .. } = attempt;
+        let &Attempt { slot, sent_at, is_excused, .. } = attempt;
         let base_ejection_time = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
-        let uploads_in_flight = &mut self.servers[slot].uploads_in_flight;
-        *uploads_in_flight = uploads_in_flight.saturating_sub(uploading.into());
+        let excused_in_flight = &mut self.servers[slot].excused_in_flight;
+        *excused_in_flight = excused_in_flight.saturating_sub(is_excused.into());
         if !self.record_end(slot, server, outcome, sent_at) {
             return;
         }
@@ -99,15 +99,15 @@
         }
     }
 
-    /// Stops the time of the server of an attempt while the client sends its body.
-    pub(super) fn on_upload_started(&mut self, id: RequestId, attempt: usize) {
-        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| !a.uploading) else {
+    /// Stops the time of the server of an attempt, which waits for its client or for the sidecar.
+    pub(super) fn excuse_server(&mut self, id: RequestId, attempt: usize) {
+        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| !a.is_excused) else {
             return;
         };
-        attempt.uploading = true;
+        attempt.is_excused = true;
         let slot = attempt.slot;
         let server = &mut self.servers[slot];
-        server.uploads_in_flight += 1;
+        server.excused_in_flight += 1;
         server.silent_since = server.silent_since.filter(|_| server.owes_response());
     }
 
@@ -115,13 +115,13 @@
     pub(super) fn on_upload_overdue(&mut self, id: RequestId, attempt: usize) {
         let Some(class) = self.requests.get(&id).map(|request| request.class) else { return };
         let owed_since = self.now.saturating_sub(self.latency_objective(class));
-        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| a.uploading) else {
+        let Some(attempt) = self.attempt_in_flight(id, attempt).filter(|a| a.is_excused) else {
             return;
         };
-        attempt.uploading = false;
+        attempt.is_excused = false;
         let slot = attempt.slot;
         let server = &mut self.servers[slot];
-        server.uploads_in_flight = server.uploads_in_flight.saturating_sub(1);
+        server.excused_in_flight = server.excused_in_flight.saturating_sub(1);
         server.silent_since.get_or_insert(owed_since);
         self.record_overdue(id, 0);
     }
@@ -149,7 +149,7 @@
         // because of broken connections.
         let is_overdue = |a: &&Attempt| {
             let due = a.state == AttemptState::InFlight && self.now - a.sent_at >= min_age;
-            due && !a.uploading && self.servers[a.slot].last_answered_sent_at <= a.sent_at
+            due && !a.is_excused && self.servers[a.slot].last_answered_sent_at <= a.sent_at
         };
         let overdue = request.attempts.iter().filter(is_overdue).map(|a| a.slot);
         for slot in overdue.collect::<SmallVec<[Slot; 2]>>() {
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -52,8 +52,8 @@
         let (sent_at, state) = (self.now, AttemptState::InFlight);
         actions.push(Action::Send { id, server, timeout });
         if let Some(request) = self.requests.get_mut(&id) {
-            let uploading = false;
-            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state, uploading });
+            let is_excused = false;
+            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state, is_excused });
         }
         true
     }
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -25,8 +25,8 @@
     pub(super) last_response: Option<Micros>,
     /// Send time of the latest sent attempt that got a response.
     pub(super) last_answered_sent_at: Micros,
-    /// Number of these whose bodies are passed on as their clients send them.
-    pub(super) uploads_in_flight: u32,
+    /// Number of attempts in flight that wait for their clients or for the sidecar.
+    pub(super) excused_in_flight: u32,
     /// Since when attempts have been in flight without any response; `None` if the server owes none.
     pub(super) silent_since: Option<Micros>,
     pub(super) consecutive_failures: u32,
@@ -47,9 +47,9 @@
 }
 
 impl Server {
-    /// Returns whether the server owes a response: an attempt is in flight that does not wait for its client.
+    /// Returns whether the server owes a response: an attempt is in flight that waits for nothing else.
     pub(super) fn owes_response(&self) -> bool {
-        self.in_flight > self.uploads_in_flight
+        self.in_flight > self.excused_in_flight
     }
 
     pub(super) fn new(entry: &ServerEntry, warming_since: Option<Micros>) -> Server {
@@ -95,8 +95,9 @@
     pub(super) cell: u16,
     pub(super) sent_at: Micros,
     pub(super) state: AttemptState,
-    /// The body is passed on as its client sends it, so the time since the attempt began is not the server's alone.
-    pub(super) uploading: bool,
+    /// The body is passed on as its client sends it, or the response waits for memory of the sidecar, so the time since
+    /// the attempt began is not the server's alone.
+    pub(super) is_excused: bool,
 }
 
 #[derive(Debug, Default)]
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -14,7 +14,9 @@
 use crate::api::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
 use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
-use crate::sidecar::upstream::{AttemptLimits, AttemptResult, Endpoint, UpstreamRequest};
+use crate::sidecar::upstream::{
+    AttemptLimits, AttemptResult, Endpoint, MemoryWait, UpstreamRequest,
+};
 
 /// Identifies an attempt.
 #[derive(Clone, Copy)]
@@ -131,6 +133,7 @@
                 idempotency_window,
                 is_last: index + 1 >= self.live.max_attempts(),
                 deadline: started + timeout,
+                memory_wait: Rc::default(),
                 server_ready: known.ready.clone(),
             },
             cancelled,
@@ -151,6 +154,7 @@
         let started = P::now();
         let deadline = limits.deadline;
         let upload = request.upload.clone();
+        let memory_wait = limits.memory_wait.clone();
         tracing::debug!(
             request = request.correlation_id(),
             attempt = id.index,
@@ -164,8 +168,12 @@
             // Cancelled by the balancer, or because nobody waits for the response any more.
             _ = cancelled => AttemptResult::without_response(Outcome::Cancelled),
             () = self.attempt_timeout(id, upload.as_deref(), deadline) => {
-                AttemptResult::without_response(Outcome::TimedOut)
+                // The server has begun to respond, so the timeout says nothing about it.
+                let responded = memory_wait.is_waiting();
+                let outcome = if responded { Outcome::Cancelled } else { Outcome::TimedOut };
+                AttemptResult::without_response(outcome)
             }
+            never = self.report_memory_wait(id, &memory_wait) => match never {},
         };
         tracing::debug!(
             request = request.correlation_id(),
@@ -180,7 +188,20 @@
         drop(request);
         let upload_end = upload.and_then(|upload| upload.completed_at());
         let since = upload_end.map_or(started, |end| started.max(end));
-        self.complete_attempt(id, P::elapsed_since(since).as_micros() as Micros, result);
+        let latency = P::elapsed_since(since).saturating_sub(memory_wait.waited());
+        self.complete_attempt(id, latency.as_micros() as Micros, result);
+    }
+
+    /// Tells the balancer when an attempt waits for memory, which is not its server's time.
+    async fn report_memory_wait(
+        self: &Rc<Driver<P>>,
+        id: AttemptId,
+        wait: &MemoryWait,
+    ) -> Infallible {
+        wait.began().await;
+        let AttemptId { request, index: attempt, .. } = id;
+        self.handle_event(Event::ResponseAwaitsMemory { id: request, attempt });
+        std::future::pending().await
     }
 
     /// Completes when an attempt has timed out.
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -285,7 +285,8 @@
         }
         let (server, needs_proof) = (self.endpoint.server, self.needs_proof());
         let status = response.status();
-        let reservation = self.upstream.reserve_response(observer, &response).await;
+        let wait = &self.limits.memory_wait;
+        let reservation = self.upstream.reserve_response(observer, &response, wait).await;
         let deadline = self.request.deadline.as_ref();
         let cutoff = deadline.map(|deadline| deadline.response_cutoff(P::now()));
         let reading = ResponseReading { reservation, needs_proof, cutoff };
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -9,6 +9,7 @@
 mod desync;
 mod exchange;
 mod health_check;
+mod memory_wait;
 mod observer;
 mod pool;
 mod request;
@@ -33,6 +34,7 @@
 pub use connection::ConnectionUse;
 use desync::ResponseHistory;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
+pub use memory_wait::MemoryWait;
 pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
 
 /// A server and its address.
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -13,6 +13,7 @@
 use runtime::Runtime;
 use tokio::sync::Notify;
 
+use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
@@ -148,6 +149,8 @@
     pub is_last: bool,
     /// The time at which the attempt times out.
     pub deadline: Instant,
+    /// The wait of the attempt for the memory of its response.
+    pub memory_wait: Rc<MemoryWait>,
     /// Whether the server accepts new requests according to the endpoint list, which updates this cell.
     pub server_ready: Rc<Cell<bool>>,
 }
@@ -160,6 +163,7 @@
             idempotency_window: None,
             is_last: false,
             deadline,
+            memory_wait: Rc::default(),
             server_ready: Rc::new(Cell::new(true)),
         }
     }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -17,6 +17,7 @@
 use super::close_reason::CloseReason;
 use super::connection::Connection;
 use super::desync::{BodyFingerprint, SuspectedDesync};
+use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
@@ -134,12 +135,12 @@
 }
 
 impl<P: Runtime> Upstream<P> {
-    /// Reserves the memory for a response that is forwarded, waiting until it is available. Its body is not read
-    /// meanwhile.
+    /// Reserves the memory for a response that is forwarded. Its body is not read while the attempt waits for it.
     pub(super) async fn reserve_response(
         &self,
         observer: &ExchangeObserver<P>,
         response: &Response<Incoming>,
+        wait: &MemoryWait,
     ) -> MessageReservation {
         if response.status() != StatusCode::OK {
             return MessageReservation::default();
@@ -148,9 +149,12 @@
             head_excess: self.message_memory.excess_of_head(head_bytes(response.headers())),
             body: reserved_bytes(response.body()),
         };
-        let requested = P::now();
+        if let Some(reservation) = self.message_memory.responses.try_reserve(size) {
+            return reservation;
+        }
+        wait.begin(P::now());
         let reservation = self.message_memory.responses.reserve(size).await;
-        let waited = P::elapsed_since(requested);
+        let waited = wait.end(P::now());
         if waited >= LONG_WAIT_FOR_MEMORY {
             let (bytes, waited_ms) = (size.total(), waited.as_millis() as u64);
             tracing::warn!(bytes, waited_ms, "response body has waited for memory");
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -297,9 +297,42 @@
     assert!(reasons.iter().all(|&reason| reason == EndReason::TooLittleTime), "{reasons:?}");
 }
 
-/// Returns how many of 40 requests are shed while uploads are in flight whose objective has passed. `is_overdue` means
-/// that the servers have taken that time, not the clients.
-fn shed_beside_uploads(is_overdue: bool) -> usize {
+/// What attempts wait for while the latency objective of their requests passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitsFor {
+    Server,
+    /// The client, which sends its body.
+    Client,
+    /// The server, which does not take the body that the client has sent.
+    ServerOfUpload,
+    /// The memory of the sidecar, as the server has begun to respond.
+    Memory,
+}
+
+impl WaitsFor {
+    /// Tells the balancer what an attempt waits for from its start on.
+    fn begin(self, b: &mut BalancerHarness, id: RequestId) {
+        match self {
+            WaitsFor::Server => {}
+            WaitsFor::Client | WaitsFor::ServerOfUpload => {
+                b.handle_event(Event::UploadStarted { id, attempt: 0 });
+            }
+            WaitsFor::Memory => {
+                b.handle_event(Event::ResponseAwaitsMemory { id, attempt: 0 });
+            }
+        }
+    }
+
+    /// Tells the balancer what it is told once the objective has passed.
+    fn pass_objective(self, b: &mut BalancerHarness, id: RequestId) {
+        if self == WaitsFor::ServerOfUpload {
+            b.handle_event(Event::UploadOverdue { id, attempt: 0 });
+        }
+    }
+}
+
+/// Returns how many of 40 requests are shed beside requests whose attempts wait until their objective has passed.
+fn shed_beside_attempts_that_wait(waits_for: WaitsFor) -> usize {
     let servers: Vec<_> = (0..6).map(|n| server(2 * n)).collect();
     let mut b = BalancerHarness::new(settings(|_| {}), 5, &servers);
     b.exchange_many(20);
@@ -309,7 +342,7 @@
         if sent(&out).is_none() {
             continue;
         }
-        b.handle_event(Event::UploadStarted { id, attempt: 0 });
+        waits_for.begin(&mut b, id);
         timers.extend(out.iter().filter_map(|action| match *action {
             Action::SetTimer { delay, token } if delay <= 300 * MS => Some((id, token)),
             _ => None,
@@ -318,9 +351,7 @@
     b.now += 300 * MS;
     for (id, token) in timers {
         b.handle_event(Event::Timer { token });
-        if is_overdue {
-            b.handle_event(Event::UploadOverdue { id, attempt: 0 });
-        }
+        waits_for.pass_objective(&mut b, id);
     }
     (0..40).filter(|_| b.exchange(0, 1.0).is_none()).count()
 }
@@ -328,36 +359,46 @@
 /// Guards against load shedding because clients stall within their uploads, while the servers are idle.
 #[test]
 fn uploads_whose_clients_stall_do_not_count_as_overload() {
-    assert_eq!(shed_beside_uploads(false), 0);
+    assert_eq!(shed_beside_attempts_that_wait(WaitsFor::Client), 0);
 }
 
 /// Guards against an overload that is not noticed because the requests have long bodies.
 #[test]
 fn uploads_that_their_servers_delay_count_as_overload() {
-    let shed = shed_beside_uploads(true);
+    let shed = shed_beside_attempts_that_wait(WaitsFor::ServerOfUpload);
     assert!(shed > 0, "none shed");
 }
 
-/// Returns whether any of 20 pairs of requests goes to a server with an upload in flight. `is_overdue` means that the
-/// server has taken the objective's time for it, not the client.
-fn reaches_the_server_of_an_upload(is_overdue: bool) -> bool {
+/// Guards against load shedding because responses wait for memory, while the servers are idle.
+#[test]
+fn responses_that_wait_for_memory_do_not_count_as_overload() {
+    assert_eq!(shed_beside_attempts_that_wait(WaitsFor::Memory), 0);
+}
+
+/// The same attempts, whose servers do not respond: the load is shed.
+#[test]
+fn responses_that_their_servers_delay_count_as_overload() {
+    let shed = shed_beside_attempts_that_wait(WaitsFor::Server);
+    assert!(shed > 0, "none shed");
+}
+
+/// Returns whether any of 20 pairs of requests goes to a server with an attempt that waits until its objective has passed.
+fn reaches_server_of_attempt_that_waits(waits_for: WaitsFor) -> bool {
     let mut b = BalancerHarness::new(settings(|_| {}), 6, &[server(0), server(2)]);
     b.exchange_many(20);
     let (id, out) = b.request(1);
-    let uploads_to = sent(&out).expect("sent");
-    b.handle_event(Event::UploadStarted { id, attempt: 0 });
+    let waits_at = sent(&out).expect("sent");
+    waits_for.begin(&mut b, id);
     b.now += S;
-    if is_overdue {
-        b.handle_event(Event::UploadOverdue { id, attempt: 0 });
-        b.now += 10 * MS;
-    }
+    waits_for.pass_objective(&mut b, id);
+    b.now += 10 * MS;
     let mut reached = false;
     for _ in 0..20 {
         let pair = [b.request(0), b.request(0)];
         b.now += 20 * MS;
         for (id, out) in pair {
             let Some(to) = sent(&out) else { continue };
-            reached |= to == uploads_to;
+            reached |= to == waits_at;
             b.answer(id, 0, to, Outcome::Success, 1.0);
         }
     }
@@ -367,11 +408,23 @@
 /// Guards against a server that counts as silent, and gets nothing more, because a client stalls within its upload.
 #[test]
 fn server_of_an_upload_whose_client_stalls_is_not_silent() {
-    assert!(reaches_the_server_of_an_upload(false));
+    assert!(reaches_server_of_attempt_that_waits(WaitsFor::Client));
+}
+
+/// Guards against the same because a response waits for memory.
+#[test]
+fn server_of_a_response_that_waits_for_memory_is_not_silent() {
+    assert!(reaches_server_of_attempt_that_waits(WaitsFor::Memory));
+}
+
+/// The same attempt, whose server does not respond: it is silent.
+#[test]
+fn server_that_does_not_respond_is_silent() {
+    assert!(!reaches_server_of_attempt_that_waits(WaitsFor::Server));
 }
 
 /// Guards against a server that hangs after an upload, and is chosen for longer than after another request.
 #[test]
 fn server_that_hangs_after_an_upload_is_silent_at_once() {
-    assert!(!reaches_the_server_of_an_upload(true));
+    assert!(!reaches_server_of_attempt_that_waits(WaitsFor::ServerOfUpload));
 }
--- a/tests/lifecycle/stalled_clients.rs
+++ b/tests/lifecycle/stalled_clients.rs
@@ -1,7 +1,7 @@
 //! Clients that stop in the middle of a body and stay connected. Each gets an error, or the end of its connection, in time.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -162,6 +162,26 @@
     })
 }
 
+/// A client of a wave, which ends with it.
+struct WaveClient(TcpStream);
+
+impl WaveClient {
+    /// Starts a client that does `work` on a connection of its own.
+    fn start(client: &TcpStream, work: impl FnOnce(TcpStream) + Send + 'static) -> WaveClient {
+        let copy = client.try_clone().expect("a second handle");
+        let working = client.try_clone().expect("a third handle");
+        thread::spawn(move || work(working));
+        WaveClient(copy)
+    }
+}
+
+impl Drop for WaveClient {
+    fn drop(&mut self) {
+        // Fails if the sidecar has closed the connection already.
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+}
+
 /// Sends the requests of others beside waves of clients that `start_clients` starts, and checks that all are served.
 fn others_are_served_beside<C>(
     sidecar: &Sidecar,
@@ -207,9 +227,8 @@
         others_are_served_beside(&sidecar, &format!("{slow} writers"), |sidecar, wave| {
             let upload = PartialUpload::with_length(120_000, 120_000);
             let write = |number| {
-                let mut client = sidecar.connect();
                 let message = upload.message(&format!("slow-{slow}-{wave}-{number}"));
-                thread::spawn(move || {
+                WaveClient::start(&sidecar.connect(), move |mut client| {
                     for piece in message.chunks(PIECE) {
                         thread::sleep(PIECE_INTERVAL);
                         if client.write_all(piece).is_err() {
@@ -237,7 +256,7 @@
                 SockRef::from(&client).set_recv_buffer_size(64 << 10).expect("set");
                 let request = get_request(&format!("{LONG}-{slow}-{wave}-{number}"));
                 client.write_all(request.as_bytes()).expect("sent");
-                thread::spawn(move || {
+                WaveClient::start(&client, |mut client| {
                     while client.read(&mut [0; PIECE]).is_ok_and(|length| length > 0) {
                         thread::sleep(PIECE_INTERVAL);
                     }
