Discovery: after a late call, the next one does not wait for a whole watch

Cause: the second connection to the agent falls silent as the first one did, some 0.2 s later, while its answer is late.

Change: a call that follows a late one is not waited for while it is held.

--- a/src/sidecar/discovery/schedule.rs
+++ b/src/sidecar/discovery/schedule.rs
@@ -51,7 +51,8 @@
     /// draining or gone.
     ///
     /// If only the open connections have stopped responding, a change is requested after at most `hold` plus
-    /// `interval`; if the agent as a whole had, after `interval`. The response has the rest of the grace period.
+    /// `interval`; if the agent as a whole had, or the connections opened since have stopped too, after `interval`. The
+    /// response has the rest of the grace period.
     pub(super) fn for_grace(grace: Duration) -> CallTiming {
         CallTiming {
             grace,
@@ -75,6 +76,8 @@
     id: CallId,
     started: Instant,
     hold: Option<Duration>,
+    /// Whether an earlier call was late when this one was started.
+    follows_late_call: bool,
 }
 
 impl CallInFlight {
@@ -82,6 +85,14 @@
     fn due(&self) -> Instant {
         self.started + self.hold.unwrap_or_default()
     }
+
+    /// Returns the time from which on the next call does not wait for this one.
+    ///
+    /// After a late call, it does not wait for the agent to hold this one: the connection may fall silent as well, and the
+    /// next call would come a whole watch later.
+    fn expected_by(&self) -> Instant {
+        if self.follows_late_call { self.started } else { self.due() }
+    }
 }
 
 /// The schedule of the calls to an agent.
@@ -115,7 +126,7 @@
     /// Returns when the next call is to be started, unless a call ends before that.
     pub(super) fn next_call_at(&self) -> Instant {
         let newest = self.in_flight.last().filter(|_| !self.urgent);
-        let late = newest.map(|call| call.due() + self.timing.interval);
+        let late = newest.map(|call| call.expected_by() + self.timing.interval);
         late.map_or(self.paused_until, |late| late.max(self.paused_until))
     }
 
@@ -138,7 +149,9 @@
             id: self.numbers.next(),
             hold: (!self.full_list).then_some(self.timing.hold),
         };
-        self.in_flight.push(CallInFlight { id: next.id, started: now, hold: next.hold });
+        let (id, hold) = (next.id, next.hold);
+        let follows_late_call = self.in_flight.first().is_some_and(|oldest| now > oldest.due());
+        self.in_flight.push(CallInFlight { id, started: now, hold, follows_late_call });
         (next, cancelled)
     }
 
