Tests: sound responses of every framing come whole, others are ended in time

Steady responses, lumps, bodies that begin late and megabytes, by length, chunked and with no length, for three classes, four requests each at six idle servers; and responses that stop, never end or announce gigabytes.

Change: sound_responses, with a schedule of what a server writes when (paced_responses), which slow_responses uses too.

--- /dev/null
+++ b/tests/lifecycle/paced_responses.rs
@@ -0,0 +1,120 @@
+//! Responses that a server writes piece by piece, in each way to say where they end.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::net::*;
+
+/// The interval at which a steady server writes.
+const PIECE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The way in which a response says where it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a content length.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of its connection.
+    Close,
+}
+
+impl Framing {
+    /// All ways.
+    pub const ALL: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::Close];
+
+    /// The head of a response with a body of `length` bytes.
+    pub fn head(self, length: usize) -> String {
+        match self {
+            Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
+            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
+            Framing::Close => "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        }
+    }
+
+    /// The next `length` bytes of the body as they are written.
+    pub fn piece(self, length: usize) -> Vec<u8> {
+        let data = vec![b's'; length];
+        match self {
+            Framing::Chunked => [format!("{length:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
+            Framing::Length | Framing::Close => data,
+        }
+    }
+
+    /// The bytes after the last piece.
+    pub fn end(self) -> &'static [u8] {
+        match self {
+            Framing::Chunked => b"0\r\n\r\n",
+            Framing::Length | Framing::Close => b"",
+        }
+    }
+}
+
+/// When a server writes which part of a response: the times count from the request.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    /// The time of the head.
+    pub head: Duration,
+    /// The times and lengths of the pieces of the body.
+    pub pieces: Vec<(Duration, usize)>,
+}
+
+impl Schedule {
+    /// A body of `length` bytes that is written steadily from `begin` to `end`.
+    pub fn steady(length: usize, begin: Duration, end: Duration) -> Schedule {
+        let count = ((end - begin).as_millis() / PIECE_INTERVAL.as_millis()).max(1) as usize;
+        let piece = length / count;
+        let pieces = (1..=count).map(|number| {
+            let length = if number == count { length - piece * (count - 1) } else { piece };
+            (begin + PIECE_INTERVAL * number as u32, length)
+        });
+        Schedule { head: Duration::from_millis(16), pieces: pieces.collect() }
+    }
+
+    /// `count` pieces of `length` bytes each, the first one with the head.
+    pub fn lumps(count: u32, length: usize, interval: Duration) -> Schedule {
+        let head = Duration::from_millis(16);
+        let pieces = (0..count).map(|number| (head + interval * number, length));
+        Schedule { head, pieces: pieces.collect() }
+    }
+
+    /// The length of the body.
+    pub fn body_length(&self) -> usize {
+        self.pieces.iter().map(|(_, length)| length).sum()
+    }
+
+    /// Writes the response to a request that has just arrived. Returns whether its connection stays open.
+    pub fn respond(&self, framing: Framing, socket: &mut TcpStream) -> bool {
+        let is_written = self.write(framing, socket).is_ok();
+        is_written && framing != Framing::Close
+    }
+
+    fn write(&self, framing: Framing, socket: &mut TcpStream) -> std::io::Result<()> {
+        let received_at = Instant::now();
+        socket.set_nodelay(true)?;
+        sleep_until(received_at + self.head);
+        socket.write_all(framing.head(self.body_length()).as_bytes())?;
+        for &(time, length) in &self.pieces {
+            sleep_until(received_at + time);
+            socket.write_all(&framing.piece(length))?;
+        }
+        socket.write_all(framing.end())
+    }
+}
+
+/// Sleeps until `time`, if it is not over.
+pub fn sleep_until(time: Instant) {
+    thread::sleep(time.saturating_duration_since(Instant::now()));
+}
+
+/// A request of the class, whose client waits for `time_left`.
+pub fn request(class: &str, id: &str, time_left: Duration) -> String {
+    let request = match class {
+        "look" => get_request(id),
+        "order" => order_request(id),
+        _ => keyed_request(id),
+    };
+    request.replace("Ms: 20000", &format!("Ms: {}", time_left.as_millis()))
+}
--- a/tests/lifecycle/slow_responses.rs
+++ b/tests/lifecycle/slow_responses.rs
@@ -11,6 +11,7 @@
 use socket2::SockRef;
 
 use crate::net::*;
+use crate::paced_responses::{Framing, request, sleep_until};
 use crate::support::set_times;
 
 /// A response may end this long after the time of its client. Later it counts as lost.
@@ -28,39 +29,6 @@
 /// The time that a server takes before it begins to respond.
 const FIRST_DELAY: Duration = Duration::from_millis(30);
 
-/// The way in which a response says where it ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length,
-    Chunked,
-}
-
-impl Framing {
-    /// The head of a response with a body of `length` bytes.
-    fn head(self, length: usize) -> String {
-        match self {
-            Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
-            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
-        }
-    }
-
-    /// The next `length` bytes of the body as they are written.
-    fn piece(self, length: usize) -> Vec<u8> {
-        let data = vec![b's'; length];
-        match self {
-            Framing::Length => data,
-            Framing::Chunked => [format!("{length:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
-        }
-    }
-
-    fn end(self) -> &'static [u8] {
-        match self {
-            Framing::Length => b"",
-            Framing::Chunked => b"0\r\n\r\n",
-        }
-    }
-}
-
 /// How a server writes a response.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -99,20 +67,6 @@
     }
 }
 
-fn sleep_until(time: Instant) {
-    thread::sleep(time.saturating_duration_since(Instant::now()));
-}
-
-/// A request of the class, whose client waits for `time_left`.
-fn request(class: &str, time_left: Duration) -> String {
-    let request = match class {
-        "look" => get_request("slow"),
-        "order" => order_request("slow"),
-        _ => keyed_request("slow"),
-    };
-    request.replace("Ms: 20000", &format!("Ms: {}", time_left.as_millis()))
-}
-
 /// Starts a server that responds at this pace.
 fn server(framing: Framing, pace: Pace) -> Server {
     Server::start(move |_, socket| pace.write_response(framing, socket).is_ok())
@@ -146,7 +100,7 @@
                     let registry = discovery(&[&server(framing, pace)]);
                     let sidecar = Sidecar::start_with(registry, change);
                     let mut client = sidecar.connect();
-                    client.write_all(request(class, time_left).as_bytes()).expect("sent");
+                    client.write_all(request(class, "slow", time_left).as_bytes()).expect("sent");
                     assert_served_whole(client, pace, &format!("{class}, {framing:?}"));
                 });
             }
@@ -205,7 +159,7 @@
             }
         });
         let mut client = sidecar.connect();
-        client.write_all(request("look", USUAL_TIME).as_bytes()).expect("sent");
+        client.write_all(request("look", "slow", USUAL_TIME).as_bytes()).expect("sent");
         thread::sleep(FIRST_DELAY);
         sidecar.signal(signal);
         assert_served_whole(client, pace, signal);
@@ -231,7 +185,7 @@
         let sidecar = Sidecar::start(discovery(&[&server(framing, pace)]));
         let mut client = sidecar.connect();
         let sent_at = Instant::now();
-        client.write_all(request("look", USUAL_TIME).as_bytes()).expect("sent");
+        client.write_all(request("look", "slow", USUAL_TIME).as_bytes()).expect("sent");
         let ended = client.read_to_end(&mut Vec::new());
         let time = sent_at.elapsed();
         assert!(ended.is_err(), "{framing:?}: the client cannot tell that the response is cut");
@@ -261,7 +215,7 @@
     let sidecar = Sidecar::start(discovery(&[&server(Framing::Length, pace)]));
     let mut client = sidecar.connect();
     SockRef::from(&client).set_recv_buffer_size(64 << 10).expect("set");
-    client.write_all(request("look", LONGEST_TIME).as_bytes()).expect("sent");
+    client.write_all(request("look", "slow", LONGEST_TIME).as_bytes()).expect("sent");
     thread::sleep(PAUSE);
     assert_served_whole(client, pace, "after a pause");
 }
@@ -280,6 +234,6 @@
     let at = listener.local_addr().expect("bound");
     let mut client = TcpStream::connect(at).expect("the listener has a queue");
     let _sidecar = Sidecar::start_on(Some(&listener), registry, |_| {});
-    client.write_all(request("look", USUAL_TIME).as_bytes()).expect("sent");
+    client.write_all(request("look", "slow", USUAL_TIME).as_bytes()).expect("sent");
     assert_served_whole(client, pace, "after a start");
 }
--- /dev/null
+++ b/tests/lifecycle/sound_responses.rs
@@ -0,0 +1,249 @@
+//! Long responses that their servers are still giving come whole, in each way to say where they end; those that stop,
+//! are spoilt or never end are ended in time.
+
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fakes::wire::read_message;
+use serde_json::Value;
+
+use crate::net::*;
+use crate::paced_responses::*;
+use crate::support::set_times;
+
+/// The number of servers, all of them idle.
+const SERVERS: usize = 6;
+/// The number of requests of each case, and the interval at which they are sent.
+const REQUESTS: u32 = 4;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// The classes: safe to repeat, not idempotent, and with a key.
+const ALL_CLASSES: [&str; 3] = ["look", "order", "keep"];
+/// A response that is not passed on completely by this time after that of its client is lost, with the tolerance for
+/// sockets.
+const LOST_AFTER: Duration = Duration::from_millis(550);
+
+const fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Sets the latency objectives and deadlines of a usual deployment.
+fn usual_times(config: &mut Value) {
+    for (class, objective) in [(0, 150), (1, 400), (2, 400)] {
+        set_times(config, class, objective, 3_000);
+    }
+    config["settings"]["classes"][1]["window"] = 3_000_000.into();
+}
+
+/// Starts servers that treat each request like `script`, and a sidecar in front of them.
+fn sidecar_with(
+    script: impl Fn(&mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+    change: impl FnOnce(&mut Value),
+) -> Sidecar {
+    let start = |_| {
+        let script = script.clone();
+        Server::start(move |_, socket| script(socket))
+    };
+    let servers: Vec<_> = (0..SERVERS).map(start).collect();
+    Sidecar::start_with(discovery(&servers.iter().collect::<Vec<_>>()), |config| {
+        usual_times(config);
+        change(config);
+    })
+}
+
+/// What became of a request, for messages.
+fn outcome_of(sidecar: &Sidecar, class: &str, number: u32, time_left: Duration) -> (String, usize) {
+    thread::sleep(REQUEST_INTERVAL * number);
+    let mut client = sidecar.connect();
+    let sent_at = Instant::now();
+    client.write_all(request(class, &format!("r{number}"), time_left).as_bytes()).expect("sent");
+    let response = read_message(&mut BufReader::new(client));
+    let time = sent_at.elapsed();
+    let (head, body) = response.unwrap_or_else(|| (format!("cut after {time:?}"), Vec::new()));
+    (head.lines().next().unwrap_or_default().to_owned(), body.len())
+}
+
+/// Plays responses that are written by this schedule, for these classes and each way to say where a response ends.
+fn assert_served_whole(schedule: &Schedule, time_left: Duration, classes: &[&str]) {
+    let whole = ("HTTP/1.1 200 OK".to_owned(), schedule.body_length());
+    thread::scope(|scope| {
+        for (framing, class) in
+            Framing::ALL.into_iter().flat_map(|framing| classes.iter().map(move |&c| (framing, c)))
+        {
+            let (schedule, whole) = (schedule.clone(), whole.clone());
+            scope.spawn(move || {
+                let sidecar = sidecar_with(move |socket| schedule.respond(framing, socket), |_| {});
+                let outcomes: Vec<_> = thread::scope(|scope| {
+                    let ask = |number| {
+                        let sidecar = &sidecar;
+                        scope.spawn(move || outcome_of(sidecar, class, number, time_left))
+                    };
+                    let requests: Vec<_> = (0..REQUESTS).map(ask).collect();
+                    requests.into_iter().map(|r| r.join().expect("no panic")).collect()
+                });
+                let is_whole = outcomes.iter().all(|outcome| *outcome == whole);
+                assert!(is_whole, "{framing:?}, {class}: {outcomes:?}");
+            });
+        }
+    });
+}
+
+/// Guards against a response that is cut half a second after its client's time while its server writes on.
+#[test]
+fn steady_response_that_ends_long_after_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(170_000, milliseconds(16), milliseconds(1_700));
+    assert_served_whole(&schedule, milliseconds(800), &ALL_CLASSES);
+}
+
+/// Guards against the same for a client that waits for a shorter time, when few bytes have come.
+#[test]
+fn steady_response_that_has_hardly_begun_at_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(182_000, milliseconds(16), milliseconds(2_200));
+    assert_served_whole(&schedule, milliseconds(515), &ALL_CLASSES);
+}
+
+/// Guards against a response that is refused, cut or failed although it ends within its client's time.
+#[test]
+fn steady_response_that_ends_within_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(100_000, milliseconds(16), milliseconds(1_200));
+    assert_served_whole(&schedule, milliseconds(2_000), &ALL_CLASSES);
+}
+
+/// Guards against a short response that is failed at its client's time, while it is being buffered.
+#[test]
+fn short_response_that_ends_after_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(30_000, milliseconds(16), milliseconds(1_250));
+    assert_served_whole(&schedule, milliseconds(800), &ALL_CLASSES);
+}
+
+/// Guards against a response that is given up at each server in turn as it pauses for longer than the shortest latency
+/// objective.
+#[test]
+fn response_in_lumps_is_served_whole() {
+    let schedule = Schedule::lumps(2, 30_000, milliseconds(400));
+    assert_served_whole(&schedule, milliseconds(2_000), &ALL_CLASSES);
+}
+
+/// Guards against the same for longer lumps, and a client whose time is over before the last one.
+#[test]
+fn response_in_lumps_that_ends_after_its_clients_time_is_served_whole() {
+    let schedule = Schedule::lumps(3, 70_000, milliseconds(700));
+    assert_served_whole(&schedule, milliseconds(578), &ALL_CLASSES);
+}
+
+/// Guards against a response that is given up as its server pauses after the head.
+#[test]
+fn response_whose_body_begins_late_is_served_whole() {
+    let schedule = Schedule::steady(148_000, milliseconds(300), milliseconds(1_600));
+    assert_served_whole(&schedule, milliseconds(2_000), &ALL_CLASSES);
+}
+
+/// Guards against the same for a body that is buffered, and a longer pause.
+#[test]
+fn short_response_whose_body_begins_late_is_served_whole() {
+    let schedule = Schedule::steady(20_000, milliseconds(800), milliseconds(1_600));
+    assert_served_whole(&schedule, milliseconds(2_000), &ALL_CLASSES);
+}
+
+/// Guards against a body that begins only after its client's time.
+#[test]
+fn response_whose_body_begins_after_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(100_000, milliseconds(600), milliseconds(1_600));
+    assert_served_whole(&schedule, milliseconds(500), &ALL_CLASSES);
+}
+
+/// Guards against a response of megabytes that is cut when a third of it has come.
+#[test]
+fn response_of_megabytes_that_ends_long_after_its_clients_time_is_served_whole() {
+    let schedule = Schedule::steady(3_000_000, milliseconds(16), milliseconds(3_200));
+    assert_served_whole(&schedule, milliseconds(683), &ALL_CLASSES);
+}
+
+/// Reads until a response ends, and returns the time that took and whether its client can tell that it is not whole.
+fn end_of(client: &mut TcpStream, sent_at: Instant) -> (Duration, bool) {
+    let mut received = Vec::new();
+    let mut piece = vec![0; 64 << 10];
+    loop {
+        match client.read(&mut piece) {
+            Ok(0) => return (sent_at.elapsed(), !looks_whole(&received)),
+            Ok(length) => received.extend_from_slice(&piece[..length]),
+            Err(_) => return (sent_at.elapsed(), true),
+        }
+        if received.starts_with(b"HTTP/1.1 5") {
+            return (sent_at.elapsed(), true);
+        }
+    }
+}
+
+/// Whether a response after which the connection was closed is whole.
+fn looks_whole(response: &[u8]) -> bool {
+    read_message(&mut BufReader::new(response)).is_some()
+}
+
+/// Plays a response whose server treats each request like `script`, and checks that it has an end in time that cannot be
+/// taken for a whole response.
+fn assert_ended_in_time(
+    time_left: Duration,
+    case: &str,
+    script: impl Fn(&mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+) {
+    thread::scope(|scope| {
+        for class in ALL_CLASSES {
+            let script = script.clone();
+            scope.spawn(move || {
+                let sidecar = sidecar_with(script, |_| {});
+                let mut client = sidecar.connect();
+                let sent_at = Instant::now();
+                client.write_all(request(class, "spoilt", time_left).as_bytes()).expect("sent");
+                let (time, is_told) = end_of(&mut client, sent_at);
+                assert!(is_told, "{case}, {class}: the end looks like that of a whole response");
+                assert!(time <= time_left + LOST_AFTER, "{case}, {class}: {time:?}");
+            });
+        }
+    });
+}
+
+/// Guards against a response that has stopped and is waited for because others are.
+#[test]
+fn response_that_stops_is_ended_in_time() {
+    for (framing, length) in
+        Framing::ALL.into_iter().flat_map(|f| [(f, 0), (f, 20_000), (f, 100_000)])
+    {
+        assert_ended_in_time(milliseconds(800), &format!("{framing:?}, {length}"), move |socket| {
+            let _ = socket.write_all(framing.head(200_000).as_bytes());
+            if length > 0 {
+                let _ = socket.write_all(&framing.piece(length));
+            }
+            thread::sleep(PATIENCE / 4);
+            true
+        });
+    }
+}
+
+/// Guards against a response without a length that goes on for ever.
+#[test]
+fn response_without_a_length_that_never_ends_is_ended_in_time() {
+    for (interval, length) in [(5, 10), (50, 2_000), (100, 20_000)] {
+        assert_ended_in_time(milliseconds(700), &format!("{length} bytes"), move |socket| {
+            let _ = socket.write_all(Framing::Close.head(0).as_bytes());
+            let _ = socket.write_all(&Framing::Close.piece(80_000));
+            while socket.write_all(&Framing::Close.piece(length)).is_ok() {
+                thread::sleep(milliseconds(interval));
+            }
+            false
+        });
+    }
+}
+
+/// Guards against a response that is announced with 3 GB and keeps coming.
+#[test]
+fn response_of_gigabytes_is_ended_in_time() {
+    assert_ended_in_time(milliseconds(800), "3 GB", |socket| {
+        let _ = socket.write_all(Framing::Length.head(3_000_000_000).as_bytes());
+        while socket.write_all(&Framing::Length.piece(20_000)).is_ok() {
+            thread::sleep(milliseconds(20));
+        }
+        false
+    });
+}
