Responses: one without a length is passed on, and whole at the end of its connection

Cause: a response with neither a length nor chunks was closed at its head, since a truncated one looks whole.

Change: the body is read like a chunked one. A FIN ends it, a reset does not, and once a part has been passed on the client sees a reset as a cut. A status line within the body means that a second response follows with no boundary: failed.

--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -266,14 +266,11 @@
         self.response_began.notified().await;
     }
 
-    /// Returns whether the head of the response determines where its body ends.
-    pub(super) fn has_delimited_response(&self) -> bool {
-        self.response.borrow().has_explicit_end()
-    }
-
-    /// Returns whether the response may have more bytes than its length says.
-    pub(super) fn may_be_cut_short(&self) -> bool {
-        self.response.borrow().may_be_cut_short()
+    /// Returns whether the response may have more or fewer bytes than the body that is read from it: bytes follow it that
+    /// may belong to it, or another response follows without a boundary.
+    pub(super) fn has_ambiguous_end(&self) -> bool {
+        let response = self.response.borrow();
+        response.may_be_cut_short() || response.contains_another_response()
     }
 
     /// Returns the facts about what arrived in response to the request.
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -63,8 +63,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        let is_last = self.body.is_end_stream();
-        if is_last && self.connection.as_ref().is_some_and(|c| c.observer.may_be_cut_short()) {
+        let is_last = frame.is_none() || self.body.is_end_stream();
+        if is_last && self.connection.as_ref().is_some_and(|c| c.observer.has_ambiguous_end()) {
             // Without its last bytes, the client can tell that the response is not whole.
             return Poll::Ready(Some(Err(BodyError::SurplusBytes)));
         }
@@ -246,13 +246,9 @@
         reservation: MemoryReservation,
         cutoff: Option<Instant>,
     ) -> Option<Forwardable<P>> {
-        // Without a length or chunked encoding, a truncated response looks complete.
-        if !connection.observer.has_delimited_response() {
-            return None;
-        }
         let prefix = read_prefix::<P>(&mut body).await.ok()?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
-        if !connection.is_used() && connection.observer.may_be_cut_short() {
+        if !connection.is_used() && connection.observer.has_ambiguous_end() {
             return None;
         }
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
--- a/tests/lifecycle/sound_responses.rs
+++ b/tests/lifecycle/sound_responses.rs
@@ -8,6 +8,7 @@
 
 use fakes::wire::read_message;
 use serde_json::Value;
+use socket2::SockRef;
 
 use crate::net::*;
 use crate::paced_responses::*;
@@ -247,3 +248,91 @@
         false
     });
 }
+
+/// Sends a request to a server that responds with `text`, and then closes or resets its connection.
+fn exchange_with(text: &'static str, is_reset: bool, request: &str) -> Vec<u8> {
+    let sidecar = sidecar_with(
+        move |socket| {
+            let _ = socket.write_all(text.as_bytes());
+            thread::sleep(milliseconds(30));
+            if is_reset {
+                let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+            }
+            false
+        },
+        |_| {},
+    );
+    let mut client = sidecar.connect();
+    client.write_all(request.as_bytes()).expect("sent");
+    let mut received = Vec::new();
+    let mut piece = [0; 4096];
+    while let Ok(length @ 1..) = client.read(&mut piece) {
+        received.extend_from_slice(&piece[..length]);
+        if read_message(&mut BufReader::new(&received[..])).is_some() {
+            break;
+        }
+    }
+    received
+}
+
+/// Guards against a response without a length that is run at every server and never passed on.
+#[test]
+fn response_without_a_length_is_served_once() {
+    for class in ALL_CLASSES {
+        let request = request(class, "short", milliseconds(2_000));
+        let response = exchange_with("HTTP/1.1 200 OK\r\n\r\nwhole", false, &request);
+        let response = read_message(&mut BufReader::new(&response[..]));
+        let (head, body) = response.expect("a whole response");
+        assert!(head.starts_with("HTTP/1.1 200"), "{class}: {head}");
+        assert_eq!(body, b"whole", "{class}");
+    }
+}
+
+/// Guards against a reset that is taken for the end of a response without a length.
+#[test]
+fn response_without_a_length_that_is_reset_is_not_served_as_whole() {
+    for class in ALL_CLASSES {
+        let request = request(class, "reset", milliseconds(2_000));
+        let response = exchange_with("HTTP/1.1 200 OK\r\n\r\nhalf", true, &request);
+        assert!(response.starts_with(b"HTTP/1.1 50"), "{class}: {response:?}");
+    }
+}
+
+/// Guards against two responses that are passed on as one.
+#[test]
+fn response_without_a_length_that_another_response_follows_is_not_served() {
+    const TWO: &str =
+        "HTTP/1.1 200 OK\r\n\r\nfirstHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    for class in ALL_CLASSES {
+        let request = request(class, "two", milliseconds(2_000));
+        let response = exchange_with(TWO, false, &request);
+        assert!(response.starts_with(b"HTTP/1.1 50"), "{class}: {response:?}");
+    }
+}
+
+/// Guards against a client of HTTP/1.0 that gets chunks, or takes a response that is cut for a whole one.
+#[test]
+fn response_without_a_length_reaches_a_client_of_http_1_0() {
+    let schedule = Schedule::steady(100_000, milliseconds(16), milliseconds(400));
+    for is_reset in [false, true] {
+        let schedule = schedule.clone();
+        let sidecar = sidecar_with(
+            move |socket| {
+                let is_open = schedule.respond(Framing::Close, socket);
+                if is_reset {
+                    let _ = SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+                }
+                is_open
+            },
+            |_| {},
+        );
+        let request = request("look", "old", milliseconds(2_000)).replace("HTTP/1.1", "HTTP/1.0");
+        let mut client = sidecar.connect();
+        client.write_all(request.as_bytes()).expect("sent");
+        let mut received = Vec::new();
+        let ended = client.read_to_end(&mut received);
+        assert_eq!(ended.is_err(), is_reset, "{} bytes: {ended:?}", received.len());
+        let has_whole_body = received.ends_with(&[b's'; 100_000]);
+        assert!(is_reset || has_whole_body, "{} bytes", received.len());
+    }
+}
