Responses: one that is late goes on while its server gives it and it can end

Cause: deadline::response_cutoff ended every response then.

Change: response_pace judges a late response from its announced length, bytes, pace and pauses, without I/O. One that has stopped, drips, slows down with no length announced, or goes on for 10 s with none, is reset as before. The log of a cut says which, what had come and what was announced. The fakes read chunked bodies of over 1 MiB, piece by piece.

--- a/crates/fakes/src/wire.rs
+++ b/crates/fakes/src/wire.rs
@@ -1,7 +1,7 @@
 //! A minimal HTTP/1.1 implementation (RFC 9112) for fake clients and servers: messages with a Content-Length or
 //! chunked.
 
-use std::io::{self, BufRead};
+use std::io::{self, BufRead, Read};
 
 use tokio::io::{AsyncRead, AsyncReadExt};
 
@@ -10,6 +10,8 @@
 
 /// The maximum length of a head, and of a body, in bytes.
 const MAX_BYTES: usize = 1 << 20;
+/// The maximum length in bytes of a chunked body that is read from a blocking socket.
+const MAX_READ_BODY_BYTES: usize = 64 << 20;
 /// The maximum length of a chunk size line, in bytes.
 const MAX_CHUNK_SIZE_BYTES: usize = 32;
 
@@ -38,14 +40,25 @@
     Some((head, body))
 }
 
-/// Reads a chunked body without trailers.
+/// Reads a chunked body without trailers. Returns `None` if it is invalid, ends early, or is too long.
 fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut encoded = Vec::new();
+    let mut body = Vec::new();
     loop {
-        if reader.read_until(b'\n', &mut encoded).ok()? == 0 {
+        let mut line = String::new();
+        reader.by_ref().take(MAX_CHUNK_SIZE_BYTES as u64).read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.strip_suffix("\r\n")?.trim(), 16).ok()?;
+        if body.len() + size > MAX_READ_BODY_BYTES {
+            return None;
+        }
+        let begin = body.len();
+        body.resize(begin + size, 0);
+        reader.read_exact(&mut body[begin..]).ok()?;
+        let mut end = [0; 2];
+        reader.read_exact(&mut end).ok()?;
+        if end != *b"\r\n" {
             return None;
         }
-        if let Some((body, _)) = decode_chunked(&encoded).ok()? {
+        if size == 0 {
             return Some(body);
         }
     }
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -69,8 +69,12 @@
     ServerTooSlow,
     /// The response exceeded the size limit.
     TooLong,
-    /// The response would have ended too late for its client.
-    Overdue,
+    /// The response was late, and its server had stopped.
+    OverdueStopped,
+    /// The response was late, and would have taken too long at its pace.
+    OverdueTooSlow,
+    /// The response was late, and nothing said that it would end.
+    OverdueNoEnd,
     /// The client did not read on.
     ClientStalled,
     /// The client disconnected.
@@ -81,12 +85,14 @@
 
 impl CutReason {
     /// All reasons, in the order of the reports.
-    pub const ALL: [CutReason; 8] = [
+    pub const ALL: [CutReason; 10] = [
         CutReason::ServerEnded,
         CutReason::ServerStalled,
         CutReason::ServerTooSlow,
         CutReason::TooLong,
-        CutReason::Overdue,
+        CutReason::OverdueStopped,
+        CutReason::OverdueTooSlow,
+        CutReason::OverdueNoEnd,
         CutReason::ClientStalled,
         CutReason::ClientLeft,
         CutReason::Exit,
@@ -99,7 +105,9 @@
             CutReason::ServerStalled => "server_stalled",
             CutReason::ServerTooSlow => "server_too_slow",
             CutReason::TooLong => "too_long",
-            CutReason::Overdue => "overdue",
+            CutReason::OverdueStopped => "overdue_stopped",
+            CutReason::OverdueTooSlow => "overdue_too_slow",
+            CutReason::OverdueNoEnd => "overdue_no_end",
             CutReason::ClientStalled => "client_stalled",
             CutReason::ClientLeft => "client_left",
             CutReason::Exit => "exit",
--- a/src/sidecar/events/tests.rs
+++ b/src/sidecar/events/tests.rs
@@ -13,7 +13,7 @@
     counters.record_doubt(ExecutionDoubt::Incomplete);
     counters.record_close(CloseReason::Broken);
     counters.record_unanswered(CloseReason::TimedOut);
-    counters.record_cut(CutReason::Overdue);
+    counters.record_cut(CutReason::OverdueStopped);
     counters.record_late_input();
     counters.record_withdrawn_close();
     let counted: Vec<String> = counters
@@ -30,7 +30,7 @@
         "events.doubted.incomplete=1",
         "events.closed.broken=1",
         "events.unanswered.timed_out=1",
-        "events.cut.overdue=1",
+        "events.cut.overdue_stopped=1",
         "events.input_after_end=1",
         "events.close_withdrawn=1",
     ];
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -22,6 +22,7 @@
 use crate::sidecar::events::{CloseReason, CutReason};
 use crate::sidecar::framing::{Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
+use crate::sidecar::response_pace::{ResponsePace, Unfinished};
 use crate::sidecar::upstream::RequestClient;
 
 /// The maximum number of bytes that a client can have written and that have not arrived: systems do not enlarge send
@@ -43,8 +44,21 @@
     pub sent_bytes: u64,
     /// The time since the response began.
     pub after: Duration,
-    /// The time since the response was lost, or zero before that; `None` without a limit.
+    /// The time since the response was late, or zero before that; `None` without a limit.
     pub overdue: Option<Duration>,
+    /// What had come of a streamed response.
+    pub progress: Option<CutProgress>,
+}
+
+/// What had come of a response from its server when it was cut.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CutProgress {
+    /// Number of bytes of the body.
+    pub received_bytes: u64,
+    /// The announced length of the body, or `None` without one.
+    pub announced_bytes: Option<u64>,
+    /// The time since the last byte.
+    pub pause: Duration,
 }
 
 /// The state of one client connection, observed between hyper and the socket.
@@ -69,6 +83,8 @@
     /// hyper has taken the whole response, so the next flush ends it.
     response_complete: Cell<bool>,
     response_started: Cell<Instant>,
+    /// The progress of a streamed response; `None` while it has none.
+    response_pace: RefCell<Option<Rc<ResponsePace>>>,
     /// The error of the response's body; `None` while it has none.
     response_error: Cell<Option<BodyError>>,
     /// Bytes read of the current request or, while responding, bytes written of its response.
@@ -115,6 +131,7 @@
             framing_error: Cell::new(None),
             response_complete: Cell::new(false),
             response_started: Cell::new(P::now()),
+            response_pace: RefCell::default(),
             response_error: Cell::new(None),
             transferred: Cell::new(0),
             request_end: Cell::new(None),
@@ -217,11 +234,13 @@
         self.response_complete.set(false);
     }
 
-    /// Called when the response is available. A streamed one has to be received from its server in time.
-    pub fn start_response(&self, is_streamed: bool) {
-        if is_streamed {
+    /// Called when the response is available. A streamed one is received from its server at this pace, and has to be
+    /// received in time.
+    pub fn start_response(&self, pace: Option<Rc<ResponsePace>>) {
+        if pace.is_some() {
             self.timeout_changed.notify_one();
         }
+        self.response_pace.replace(pace);
         self.enter(Phase::Responding);
         self.response_started.set(P::now());
         self.response_error.set(None);
@@ -260,8 +279,7 @@
         let cut = match (reason, self.response_error.get()) {
             (CloseReason::Draining, _) => CutReason::Exit,
             (_, Some(error)) => error.into(),
-            (CloseReason::TimedOut, None) if self.is_response_overdue() => CutReason::Overdue,
-            (CloseReason::TimedOut, None) => CutReason::ClientStalled,
+            (CloseReason::TimedOut, None) => self.overdue_reason(),
             (_, None) => CutReason::ClientLeft,
         };
         Some(ResponseCut {
@@ -269,9 +287,24 @@
             sent_bytes: self.transferred.get(),
             after: P::elapsed_since(self.response_started.get()),
             overdue: self.response_cutoff().map(P::elapsed_since),
+            progress: self.response_pace.borrow().as_ref().map(|pace| CutProgress {
+                received_bytes: pace.received(),
+                announced_bytes: pace.announced(),
+                pause: pace.pause(P::now()),
+            }),
         })
     }
 
+    /// Why a response is not waited for any longer whose time is over.
+    fn overdue_reason(&self) -> CutReason {
+        match self.unfinished() {
+            None => CutReason::ClientStalled,
+            Some(Unfinished::Stopped) => CutReason::OverdueStopped,
+            Some(Unfinished::TooSlow) => CutReason::OverdueTooSlow,
+            Some(Unfinished::NoEnd) => CutReason::OverdueNoEnd,
+        }
+    }
+
     /// Asks the connection's task to close the connection, if that is still allowed when the task next runs.
     pub fn request_close(&self, reason: CloseReason) {
         // A connection with a failed body has to be closed in any case, so an eviction does not replace that reason.
--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -10,6 +10,7 @@
 use crate::sidecar::deadline::RequestSource;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::ingress::phase::Phase;
+use crate::sidecar::response_pace::Unfinished;
 
 /// Maximum time without progress of the client: without a request, within a request, or while it has a response to
 /// read. A connection without a request must stay open for at least 2 s, and a client that is silent or never finishes
@@ -22,6 +23,8 @@
 /// Interval at which the timeout of a connection is evaluated while its request is in progress. The balancer limits
 /// the duration of the request itself.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a response that is late is judged anew.
+const LATE_RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked while input is unread.
 const INPUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -122,17 +125,25 @@
         Some(self.response_cutoff().map_or(deadline, |cutoff| deadline.max(cutoff)))
     }
 
-    /// The time by which a response has to be received from its server completely; `None` once it is.
+    /// The time until which a response may be received from its server; `None` once it is received completely.
     ///
-    /// A response that ends later is lost, and one that never ends would leave its request without a final answer. The
-    /// reset that follows shows the client that the response is truncated.
+    /// A response that never ends would leave its request without a final answer. The reset that follows shows the client
+    /// that the response is truncated. One that its server is still giving may be late, and is judged again and again.
     fn server_deadline(&self) -> Option<Instant> {
-        self.response_cutoff().filter(|_| !self.response_complete.get())
+        let cutoff = self.response_cutoff().filter(|_| !self.response_complete.get())?;
+        let goes_on = self.unfinished().is_none();
+        Some(if goes_on { cutoff.max(P::now() + LATE_RESPONSE_POLL_INTERVAL) } else { cutoff })
     }
 
-    /// Whether the time is over by which the response had to be received from its server completely.
-    pub fn is_response_overdue(&self) -> bool {
-        self.server_deadline().is_some_and(|deadline| deadline <= P::now())
+    /// Why the response in progress, which is late, is not waited for any longer; `None` if it is.
+    pub(super) fn unfinished(&self) -> Option<Unfinished> {
+        let late_since = self.response_cutoff().filter(|_| !self.response_complete.get())?;
+        let now = P::now();
+        if now < late_since {
+            return None;
+        }
+        let pace = self.response_pace.borrow();
+        pace.as_ref().map_or(Some(Unfinished::Stopped), |p| p.check_late(now, late_since).err())
     }
 
     /// Runs `work` to completion, unless the client disconnects first.
--- a/src/sidecar/ingress/response.rs
+++ b/src/sidecar/ingress/response.rs
@@ -16,7 +16,7 @@
 use super::connection::ClientConnection;
 use crate::sidecar::body::{BodyError, BoxedBody};
 use crate::sidecar::driver::RequestOutcome;
-use crate::sidecar::upstream::{ResponseHeadMemory, UpstreamResponse};
+use crate::sidecar::upstream::{ResponseHeadMemory, ResponseRest, UpstreamResponse};
 
 /// The body of a response before it is assigned to a connection.
 #[derive(Default)]
@@ -24,7 +24,7 @@
     /// The whole body, or its first bytes if it is streamed.
     pub first: Bytes,
     /// The rest of a streamed body.
-    pub rest: Option<BoxedBody>,
+    pub rest: Option<ResponseRest>,
     /// The memory of the head.
     pub head_memory: ResponseHeadMemory,
 }
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -98,10 +98,13 @@
         let ResponseCut { reason, sent_bytes, .. } = cut;
         let after_ms = cut.after.as_millis() as u64;
         let overdue_ms = cut.overdue.map(|overdue| overdue.as_millis() as u64);
+        let received_bytes = cut.progress.map(|progress| progress.received_bytes);
+        let announced_bytes = cut.progress.and_then(|progress| progress.announced_bytes);
+        let pause_ms = cut.progress.map(|progress| progress.pause.as_millis() as u64);
         if reason == CutReason::ClientLeft {
-            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, "{MESSAGE}");
+            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, pause_ms, "{MESSAGE}");
         } else {
-            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, "{MESSAGE}");
+            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, pause_ms, "{MESSAGE}");
         }
     }
 
@@ -250,7 +253,8 @@
         }
         response.headers_mut().entry(header::DATE).or_insert_with(|| self.date.header::<P>());
         let (head, ResponseParts { first, rest, .. }) = response.into_parts();
-        connection.start_response(rest.is_some());
+        connection.start_response(rest.as_ref().map(|rest| rest.pace.clone()));
+        let rest = rest.map(|rest| rest.body);
         let body = ResponseBody::new(Full::new(first), rest, connection);
         Ok(Response::from_parts(head, body))
     }
--- a/src/sidecar/upstream/attempt_result.rs
+++ b/src/sidecar/upstream/attempt_result.rs
@@ -1,5 +1,7 @@
 //! Results of attempts.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 
@@ -8,6 +10,7 @@
 use crate::sidecar::body::BoxedBody;
 use crate::sidecar::execution::ExecutionFacts;
 use crate::sidecar::memory::MemoryReservation;
+use crate::sidecar::response_pace::ResponsePace;
 
 /// The memory of the head of a response.
 #[derive(Default)]
@@ -18,6 +21,14 @@
     pub reservation: MemoryReservation,
 }
 
+/// The rest of a response that is passed on as it is received.
+pub struct ResponseRest {
+    /// The rest of the body.
+    pub body: BoxedBody,
+    /// The progress of the whole body.
+    pub pace: Rc<ResponsePace>,
+}
+
 /// A server's response to a request.
 pub struct UpstreamResponse {
     /// The headers.
@@ -27,7 +38,7 @@
     /// The body, or its first bytes if it is streamed.
     pub body: Bytes,
     /// The rest of a streamed body, or `None` if the body is buffered.
-    pub rest: Option<BoxedBody>,
+    pub rest: Option<ResponseRest>,
 }
 
 /// The result of an attempt.
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -29,7 +29,7 @@
 use super::memory::MessageMemory;
 use super::status::Status;
 use crate::api::ServerId;
-pub use attempt_result::{AttemptResult, ResponseHeadMemory, UpstreamResponse};
+pub use attempt_result::{AttemptResult, ResponseHeadMemory, ResponseRest, UpstreamResponse};
 use connection::Connection;
 pub use connection::ConnectionUse;
 use desync::ResponseHistory;
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -10,10 +10,10 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Response, StatusCode};
-use runtime::{Runtime, timeout, timeout_at};
+use runtime::{Runtime, expiry, timeout};
 
 use super::Upstream;
-use super::attempt_result::{AttemptResult, ResponseHeadMemory, UpstreamResponse};
+use super::attempt_result::{AttemptResult, ResponseHeadMemory, ResponseRest, UpstreamResponse};
 use super::close_reason::CloseReason;
 use super::connection::Connection;
 use super::desync::{BodyFingerprint, SuspectedDesync};
@@ -21,12 +21,13 @@
 use super::observer::ExchangeObserver;
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
-    BodyError, BoxedBody, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
+    BodyError, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
     reserved_bytes,
 };
 use crate::sidecar::framing::UNPROCESSED_HEADER;
 use crate::sidecar::headers::{end_to_end_headers, head_bytes};
 use crate::sidecar::memory::{MemoryReservation, MessageReservation, MessageSize};
+use crate::sidecar::response_pace::ResponsePace;
 
 /// The time for which the first bytes of a streamed response are held back before they are forwarded. If the response
 /// fails within this time, the request can still be sent to another server.
@@ -48,6 +49,7 @@
 /// The rest of a response that is forwarded as it is received. Its connection is closed at the end.
 struct StreamedRest<P: Runtime> {
     body: MinRateBody<P>,
+    pace: Rc<ResponsePace>,
     connection: Option<Connection<P>>,
 }
 
@@ -63,6 +65,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(data)) = frame.as_ref().map(|frame| frame.as_ref().map(Frame::data_ref)) {
+            self.pace.record(P::now(), data.map_or(0, Bytes::len));
+        }
         let is_last = frame.is_none() || self.body.is_end_stream();
         if is_last && self.connection.as_ref().is_some_and(|c| c.observer.has_ambiguous_end()) {
             // Without its last bytes, the client can tell that the response is not whole.
@@ -121,6 +126,12 @@
     pub(super) cutoff: Option<Instant>,
 }
 
+/// How the body of a response is read that is forwarded.
+struct BodyReading {
+    reservation: MemoryReservation,
+    cutoff: Option<Instant>,
+}
+
 /// The head of a response that is forwarded.
 struct ForwardedHead {
     headers: HeaderMap,
@@ -206,7 +217,8 @@
             memory: ResponseHeadMemory { bytes: head_bytes, reservation: head_reservation },
         };
         drop(head);
-        let read = self.read_body(connection, forwarded, body, reservation, cutoff).await;
+        let reading = BodyReading { reservation, cutoff };
+        let read = self.read_body(connection, forwarded, body, reading).await;
         let Some(read) = read else {
             return Received::Ended(end(Outcome::ConnectionReset));
         };
@@ -243,10 +255,11 @@
         mut connection: Connection<P>,
         head: ForwardedHead,
         mut body: Incoming,
-        reservation: MemoryReservation,
-        cutoff: Option<Instant>,
+        reading: BodyReading,
     ) -> Option<Forwardable<P>> {
-        let prefix = read_prefix::<P>(&mut body).await.ok()?;
+        let BodyReading { reservation, cutoff } = reading;
+        let pace = Rc::new(ResponsePace::new(body.size_hint().exact(), P::now()));
+        let prefix = read_prefix::<P>(&mut body, &pace).await?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
         if !connection.is_used() && connection.observer.has_ambiguous_end() {
             return None;
@@ -254,14 +267,15 @@
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
         let sync_result = connection.check_body(fingerprint);
         let mut connection = Some(connection);
-        let rest: Option<BoxedBody> = if prefix.complete {
+        let rest = if prefix.complete {
             None
         } else {
             let max_rest_bytes = self.live.max_body_bytes().saturating_sub(prefix.bytes.len());
             let rest = reservation.clone();
             let body = MinRateBody::from_server(body, max_rest_bytes as u64, rest, cutoff);
             let connection = connection.take();
-            Some(Box::pin(StreamedRest { body, connection }))
+            let body = Box::pin(StreamedRest { body, pace: pace.clone(), connection });
+            Some(ResponseRest { body, pace })
         };
         let body = reservation.attach(prefix.bytes);
         let ForwardedHead { headers, memory: head_memory } = head;
@@ -300,12 +314,8 @@
 }
 
 /// Reads a short body completely, or else the first bytes of a body and what follows them within
-/// [`EARLY_FAILURE_WAIT`].
-///
-/// # Errors
-///
-/// Fails if the body ends early.
-async fn read_prefix<P: Runtime>(body: &mut Incoming) -> Result<Prefix, hyper::Error> {
+/// [`EARLY_FAILURE_WAIT`]. Returns `None` if the body ends early.
+async fn read_prefix<P: Runtime>(body: &mut Incoming, pace: &ResponsePace) -> Option<Prefix> {
     let buffered_length = buffered_length(body);
     let is_long =
         body.size_hint().exact().is_some_and(|length| length > STREAM_WINDOW_BYTES as u64);
@@ -313,27 +323,34 @@
     let mut wait_until = None;
     loop {
         if buffered_length.is_none() && bytes.len() >= STREAM_WINDOW_BYTES {
-            return Ok(Prefix { bytes, complete: false });
+            return Some(Prefix { bytes, complete: false });
         }
-        let frame = match wait_until {
-            None => body.frame().await,
-            Some(wait_until) => match timeout_at::<P, _>(wait_until, body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => return Ok(Prefix { bytes, complete: false }),
-            },
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = expiry_of::<P>(wait_until) => return Some(Prefix { bytes, complete: false }),
         };
         if is_long {
             wait_until = wait_until.or_else(|| Some(P::now() + EARLY_FAILURE_WAIT));
         }
-        let Some(frame) = frame.transpose()? else {
-            return Ok(Prefix { bytes, complete: true });
+        let Some(frame) = frame.transpose().ok()? else {
+            return Some(Prefix { bytes, complete: true });
         };
         if let Ok(data) = frame.into_data() {
+            pace.record(P::now(), data.len());
             bytes.extend_from_slice(&data);
         }
     }
 }
 
+/// Completes at a time, if there is one.
+async fn expiry_of<P: Runtime>(time: Option<Instant>) {
+    match time {
+        Some(time) => expiry::<P>(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns whether the server rejected the request without processing it.
 pub(super) fn is_unprocessed<B>(response: &Response<B>) -> bool {
     matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
--- a/tests/lifecycle/sound_responses.rs
+++ b/tests/lifecycle/sound_responses.rs
@@ -58,33 +58,34 @@
     thread::sleep(REQUEST_INTERVAL * number);
     let mut client = sidecar.connect();
     let sent_at = Instant::now();
-    client.write_all(request(class, &format!("r{number}"), time_left).as_bytes()).expect("sent");
+    client
+        .write_all(request(class, &format!("{class}-{number}"), time_left).as_bytes())
+        .expect("sent");
     let response = read_message(&mut BufReader::new(client));
     let time = sent_at.elapsed();
     let (head, body) = response.unwrap_or_else(|| (format!("cut after {time:?}"), Vec::new()));
     (head.lines().next().unwrap_or_default().to_owned(), body.len())
 }
 
-/// Plays responses that are written by this schedule, for these classes and each way to say where a response ends.
+/// Plays responses that are written by this schedule, for these classes at once and each way to say where a response ends.
 fn assert_served_whole(schedule: &Schedule, time_left: Duration, classes: &[&str]) {
     let whole = ("HTTP/1.1 200 OK".to_owned(), schedule.body_length());
     thread::scope(|scope| {
-        for (framing, class) in
-            Framing::ALL.into_iter().flat_map(|framing| classes.iter().map(move |&c| (framing, c)))
-        {
+        for framing in Framing::ALL {
             let (schedule, whole) = (schedule.clone(), whole.clone());
             scope.spawn(move || {
                 let sidecar = sidecar_with(move |socket| schedule.respond(framing, socket), |_| {});
-                let outcomes: Vec<_> = thread::scope(|scope| {
-                    let ask = |number| {
-                        let sidecar = &sidecar;
-                        scope.spawn(move || outcome_of(sidecar, class, number, time_left))
-                    };
-                    let requests: Vec<_> = (0..REQUESTS).map(ask).collect();
-                    requests.into_iter().map(|r| r.join().expect("no panic")).collect()
+                let sidecar = &sidecar;
+                let requests = classes.iter().flat_map(|&c| (0..REQUESTS).map(move |n| (c, n)));
+                thread::scope(|scope| {
+                    for (class, number) in requests {
+                        let whole = whole.clone();
+                        scope.spawn(move || {
+                            let outcome = outcome_of(sidecar, class, number, time_left);
+                            assert_eq!(outcome, whole, "{framing:?}, {class}, number {number}");
+                        });
+                    }
                 });
-                let is_whole = outcomes.iter().all(|outcome| *outcome == whole);
-                assert!(is_whole, "{framing:?}, {class}: {outcomes:?}");
             });
         }
     });
@@ -189,14 +190,13 @@
     case: &str,
     script: impl Fn(&mut TcpStream) -> bool + Clone + Send + Sync + 'static,
 ) {
+    let sidecar = &sidecar_with(script, |_| {});
     thread::scope(|scope| {
         for class in ALL_CLASSES {
-            let script = script.clone();
             scope.spawn(move || {
-                let sidecar = sidecar_with(script, |_| {});
                 let mut client = sidecar.connect();
                 let sent_at = Instant::now();
-                client.write_all(request(class, "spoilt", time_left).as_bytes()).expect("sent");
+                client.write_all(request(class, class, time_left).as_bytes()).expect("sent");
                 let (time, is_told) = end_of(&mut client, sent_at);
                 assert!(is_told, "{case}, {class}: the end looks like that of a whole response");
                 assert!(time <= time_left + LOST_AFTER, "{case}, {class}: {time:?}");
