Responses: one that has begun is passed on at its client's time, and is not failed then

Cause: up to 64 KiB of a response, or a length of up to 64 KiB, are read before any of it is passed on, and the timers of the balancer and of the attempt end it meanwhile; and the time that a response takes counted as its server's latency.

Change: the balancer is told that a response has begun. Such an attempt is not late any more, its latency is the time up to the first byte, and at the deadline its response is passed on as far as it has come, with the rest to follow (Action::Deliver; uploads: by the driver). One that has stopped by then fails as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -122,6 +122,17 @@
     }
 }
 
+/// The progress of a response that is being received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseProgress {
+    /// It has begun, and can serve the request: its client could be given what has come, and the rest as it comes.
+    Begun,
+    /// Its server has sent nothing for the shortest latency objective.
+    Paused,
+    /// Its server has gone on.
+    Resumed,
+}
+
 /// A new request from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NewRequest {
@@ -203,6 +214,16 @@
         /// The index of the attempt among those of the request, from 0.
         attempt: usize,
     },
+    /// The response of an attempt has made progress, or has paused. It does not occur on the wire of the simulator, where
+    /// responses take no time.
+    ResponseProgress {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt among those of the request, from 0.
+        attempt: usize,
+        /// The progress.
+        progress: ResponseProgress,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client disconnected, or its deadline passed.
@@ -291,6 +312,13 @@
         /// The index of the attempt among those of the request, from 0.
         attempt: usize,
     },
+    /// Pass on the response of an attempt as far as it has come, and the rest as it comes. It answers the request.
+    Deliver {
+        /// The request.
+        id: RequestId,
+        /// The index of the attempt among those of the request, from 0.
+        attempt: usize,
+    },
     /// Send the final answer "rejected": a retry by the client is safe.
     Reject {
         /// The request.
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -165,6 +165,9 @@
                 self.excuse_server(id, attempt);
             }
             Event::UploadOverdue { id, attempt } => self.on_upload_overdue(id, attempt),
+            Event::ResponseProgress { id, attempt, progress } => {
+                self.on_response_progress(id, attempt, progress, actions);
+            }
             Event::AttemptEnded(result) => {
                 self.record_result(&result);
                 // A connection to a server outside the subset was opened only because no better server was available.
@@ -191,11 +194,9 @@
     fn on_timer(&mut self, token: u32, actions: &mut Vec<Action>) {
         match self.timers.remove(&token) {
             Some(Timer::Objective(id)) => self.on_objective_passed(id),
-            Some(Timer::Deadline(id)) if self.requests.get(&id).is_some_and(|r| !r.streaming) => {
-                self.end(id, EndReason::DeadlineExceeded, actions);
-            }
+            Some(Timer::Deadline(id)) => self.on_deadline(id, actions),
             Some(Timer::Subscribe) => actions.push(Action::Subscribe),
-            Some(Timer::Deadline(_)) | None => {}
+            None => {}
         }
     }
 
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -16,13 +16,18 @@
 impl Balancer {
     /// Records the end of an attempt in the statistics of its server and class.
     pub(super) fn record_result(&mut self, result: &AttemptEnd) {
-        let &AttemptEnd { server, outcome, .. } = result;
+        let &AttemptEnd { server, .. } = result;
         let Some(request) = self.requests.get(&result.id) else { return };
         let &Request { class, relative_work, .. } = request;
         let attempts = request.attempts.len();
         let is_open = |a: &&Attempt| a.state == AttemptState::InFlight && a.server == server;
         let Some(attempt) = request.attempts.get(result.attempt).filter(is_open) else { return };
-        let &Attempt { slot, sent_at, is_excused, .. } = attempt;
+        let &Attempt { slot, sent_at, is_excused, is_paused, .. } = attempt;
+        // A response that still pauses when another attempt has answered the request has failed.
+        let outcome = match result.outcome {
+            Outcome::Cancelled if is_paused => Outcome::ConnectionReset,
+            outcome => outcome,
+        };
         let base_ejection_time = self.reset_interval as f64 * (0.75 + 0.5 * self.uniform());
         let excused_in_flight = &mut self.servers[slot].excused_in_flight;
         *excused_in_flight = excused_in_flight.saturating_sub(is_excused.into());
@@ -126,7 +131,11 @@
         self.record_overdue(id, 0);
     }
 
-    fn attempt_in_flight(&mut self, id: RequestId, attempt: usize) -> Option<&mut Attempt> {
+    pub(super) fn attempt_in_flight(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+    ) -> Option<&mut Attempt> {
         let attempt = self.requests.get_mut(&id)?.attempts.get_mut(attempt)?;
         (attempt.state == AttemptState::InFlight).then_some(attempt)
     }
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -52,8 +52,17 @@
         let (sent_at, state) = (self.now, AttemptState::InFlight);
         actions.push(Action::Send { id, server, timeout });
         if let Some(request) = self.requests.get_mut(&id) {
-            let is_excused = false;
-            request.attempts.push(Attempt { slot, server, zone, cell, sent_at, state, is_excused });
+            request.attempts.push(Attempt {
+                slot,
+                server,
+                zone,
+                cell,
+                sent_at,
+                state,
+                is_excused: false,
+                has_begun: false,
+                is_paused: false,
+            });
         }
         true
     }
@@ -159,7 +168,8 @@
         if request.ended {
             return self.finish(id, actions);
         }
-        if request.in_flight() > 0 {
+        let is_over = request.streaming || self.now >= request.deadline;
+        if request.has_active_attempt() || is_over && request.in_flight() > 0 {
             return;
         }
         // A request whose stream was cancelled as its first byte arrived has no deadline any more, so it must end here.
@@ -169,13 +179,63 @@
         if self.now >= request.deadline {
             return self.end(id, EndReason::DeadlineExceeded, actions);
         }
+        let awaits_paused = request.in_flight() > 0;
         let is_free = never_ran && request.attempts.len() < MAX_REJECTED_ATTEMPTS;
-        if !(is_free || !never_ran && self.retry_budget.saved >= 1.0)
-            || !self.start_attempt(id, actions)
-        {
+        let is_sent = if is_free {
+            self.start_attempt(id, actions)
+        } else {
+            !never_ran && self.start_budgeted_attempt(id, actions)
+        };
+        if !is_sent && !awaits_paused {
             self.end(id, EndReason::AttemptsFailed, actions);
-        } else if !never_ran {
+        }
+    }
+
+    /// Sends an attempt that takes a retry from the budget, if there is one left. Returns whether it was sent.
+    fn start_budgeted_attempt(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
+        let is_sent = self.retry_budget.saved >= 1.0 && self.start_attempt(id, actions);
+        if is_sent {
             self.retry_budget.saved -= 1.0;
         }
+        is_sent
+    }
+
+    /// Handles the progress of a response that is being received.
+    pub(super) fn on_response_progress(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        progress: ResponseProgress,
+        actions: &mut Vec<Action>,
+    ) {
+        if progress == ResponseProgress::Begun {
+            // It is the time of the response's length from now on, no sign of a queue.
+            self.excuse_server(id, attempt);
+        }
+        let Some(state) = self.attempt_in_flight(id, attempt) else { return };
+        state.has_begun |= progress == ResponseProgress::Begun;
+        state.is_paused = progress == ResponseProgress::Paused;
+        if progress == ResponseProgress::Paused {
+            self.on_response_paused(id, actions);
+        }
+    }
+
+    /// Sends another attempt beside one whose response pauses, which may be sound and is not given up.
+    fn on_response_paused(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let request = self.requests.get(&id);
+        if request.is_some_and(|request| request.in_flight() == 1) {
+            self.start_budgeted_attempt(id, actions);
+        }
+    }
+
+    /// Ends a request whose client's time is over, or has the response passed on that has begun.
+    pub(super) fn on_deadline(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.streaming) else { return };
+        let Some(attempt) = request.deliverable().filter(|_| !request.ended) else {
+            return self.end(id, EndReason::DeadlineExceeded, actions);
+        };
+        request.streaming = true;
+        actions.push(Action::Deliver { id, attempt });
+        self.cancel_attempts(id, Some(attempt), actions);
     }
 }
--- a/src/balancer/state.rs
+++ b/src/balancer/state.rs
@@ -98,6 +98,10 @@
     /// The body is passed on as its client sends it, or the response waits for memory of the sidecar, so the time since
     /// the attempt began is not the server's alone.
     pub(super) is_excused: bool,
+    /// Its response has begun and can be passed on.
+    pub(super) has_begun: bool,
+    /// Its response has begun and pauses.
+    pub(super) is_paused: bool,
 }
 
 #[derive(Debug, Default)]
@@ -121,6 +125,19 @@
         self.attempts.iter().filter(|a| a.state == AttemptState::InFlight).count()
     }
 
+    /// Returns whether an attempt is in flight whose response does not pause.
+    pub(super) fn has_active_attempt(&self) -> bool {
+        self.attempts.iter().any(|a| a.state == AttemptState::InFlight && !a.is_paused)
+    }
+
+    /// Returns the attempt whose response is passed on when the client's time is over: of those that have begun, one that
+    /// does not pause.
+    pub(super) fn deliverable(&self) -> Option<usize> {
+        let has_begun = |a: &Attempt| a.state == AttemptState::InFlight && a.has_begun;
+        let begun = self.attempts.iter().enumerate().filter(|(_, a)| has_begun(a));
+        begun.min_by_key(|(_, a)| a.is_paused).map(|(index, _)| index)
+    }
+
     /// Returns whether all attempts have ended with proof that they never ran.
     pub(super) fn never_ran(&self) -> bool {
         self.attempts.iter().all(|a| a.state == AttemptState::NeverRan)
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -18,6 +18,7 @@
                 self.start_attempt(id, server, Duration::from_micros(timeout));
             }
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
+            Action::Deliver { id, attempt } => self.deliver_response(id, attempt),
             Action::Reject { id, retry_after, reason } => {
                 self.record(GossipEvent::Rejected);
                 let retry_after = (retry_after > 0).then(|| Duration::from_micros(retry_after));
@@ -54,6 +55,15 @@
         }
     }
 
+    /// Has the response of an attempt passed on as far as it has come.
+    fn deliver_response(&self, id: RequestId, attempt: usize) {
+        let state = self.state.borrow();
+        let request = state.requests.get(&id);
+        if let Some(attempt) = request.and_then(|request| request.attempts.get(attempt)) {
+            attempt.arrival.request_delivery();
+        }
+    }
+
     fn start_health_check(self: &Rc<Driver<P>>, server: ServerId) {
         let address = self.state.borrow().endpoints.address(server);
         let driver = self.clone();
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -15,7 +15,8 @@
 use crate::sidecar::invariants::{Violation, may_repeat};
 use crate::sidecar::upload::Upload;
 use crate::sidecar::upstream::{
-    AttemptLimits, AttemptResult, Endpoint, MemoryWait, UpstreamRequest,
+    AttemptLimits, AttemptResult, Endpoint, MemoryWait, RequestEnd, ResponseArrival,
+    UpstreamRequest,
 };
 
 /// Identifies an attempt.
@@ -47,6 +48,20 @@
     server.filter(|known| !known.ready.get()).map(|_| Violation::UnreadyServer)
 }
 
+/// Waits at the end of an attempt's time until its response is passed on, if one has begun, or its request has ended.
+///
+/// The balancer chooses the attempt whose response is passed on. It does not choose for a streamed upload, which has one
+/// attempt.
+async fn await_delivery(arrival: &ResponseArrival, is_upload: bool, end: &RequestEnd) {
+    if arrival.begun_at().is_none() {
+        return;
+    }
+    if is_upload {
+        arrival.request_delivery();
+    }
+    end.ended().await;
+}
+
 impl<P: Runtime> Driver<P> {
     /// Starts an attempt that times out after `timeout`.
     pub(super) fn start_attempt(
@@ -112,6 +127,7 @@
         let start_by = idempotency_window.and_then(|window| request.retry_by(window));
         let index = request.attempts.len();
         let known = endpoints.get(server);
+        let arrival = Rc::new(ResponseArrival::default());
         let violation = violation_of(request, known);
         request.attempts.push(InFlightAttempt {
             cancel: Some(cancel),
@@ -119,6 +135,7 @@
             may_have_run: true,
             outcome: None,
             connection_use: None,
+            arrival: arrival.clone(),
         });
         if let Some(violation) = violation {
             let subject = request.message().map(|message| message.correlation_id().to_owned());
@@ -134,6 +151,7 @@
                 is_last: index + 1 >= self.live.max_attempts(),
                 deadline: started + timeout,
                 memory_wait: Rc::default(),
+                arrival,
                 server_ready: known.ready.clone(),
             },
             cancelled,
@@ -155,6 +173,8 @@
         let deadline = limits.deadline;
         let upload = request.upload.clone();
         let memory_wait = limits.memory_wait.clone();
+        let arrival = limits.arrival.clone();
+        let end = request.end.clone();
         tracing::debug!(
             request = request.correlation_id(),
             attempt = id.index,
@@ -167,13 +187,17 @@
             result = self.upstream.attempt(id.index, endpoint, &request, limits) => result,
             // Cancelled by the balancer, or because nobody waits for the response any more.
             _ = cancelled => AttemptResult::without_response(Outcome::Cancelled),
-            () = self.attempt_timeout(id, upload.as_deref(), deadline) => {
+            () = async {
+                self.attempt_timeout(id, upload.as_deref(), deadline).await;
+                await_delivery(&arrival, upload.is_some(), &end).await;
+            } => {
                 // The server has begun to respond, so the timeout says nothing about it.
-                let responded = memory_wait.is_waiting();
+                let responded = memory_wait.is_waiting() || arrival.begun_at().is_some();
                 let outcome = if responded { Outcome::Cancelled } else { Outcome::TimedOut };
                 AttemptResult::without_response(outcome)
             }
             never = self.report_memory_wait(id, &memory_wait) => match never {},
+            never = self.report_response(id, &arrival) => match never {},
         };
         tracing::debug!(
             request = request.correlation_id(),
@@ -188,10 +212,26 @@
         drop(request);
         let upload_end = upload.and_then(|upload| upload.completed_at());
         let since = upload_end.map_or(started, |end| started.max(end));
-        let latency = P::elapsed_since(since).saturating_sub(memory_wait.waited());
+        // The time that a response takes once it has begun is that of its length.
+        let responded = arrival.begun_at().unwrap_or_else(P::now);
+        let latency =
+            responded.saturating_duration_since(since).saturating_sub(memory_wait.waited());
         self.complete_attempt(id, latency.as_micros() as Micros, result);
     }
 
+    /// Tells the balancer about the progress of a response while it is being received.
+    async fn report_response(
+        self: &Rc<Driver<P>>,
+        id: AttemptId,
+        arrival: &ResponseArrival,
+    ) -> Infallible {
+        loop {
+            let progress = arrival.changed().await;
+            let AttemptId { request, index: attempt, .. } = id;
+            self.handle_event(Event::ResponseProgress { id: request, attempt, progress });
+        }
+    }
+
     /// Tells the balancer when an attempt waits for memory, which is not its server's time.
     async fn report_memory_wait(
         self: &Rc<Driver<P>>,
--- a/src/sidecar/driver/in_flight.rs
+++ b/src/sidecar/driver/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::api::Outcome;
 use crate::settings::RetrySafety;
 use crate::sidecar::status::Status;
-use crate::sidecar::upstream::{ConnectionUse, UpstreamRequest, UpstreamResponse};
+use crate::sidecar::upstream::{ConnectionUse, ResponseArrival, UpstreamRequest, UpstreamResponse};
 
 /// The outcome of a request.
 pub enum RequestOutcome {
@@ -45,6 +45,8 @@
     pub(super) outcome: Option<Outcome>,
     /// The connection of the attempt, or `None` before it ended or if it had none.
     pub(super) connection_use: Option<ConnectionUse>,
+    /// The response while it is being received.
+    pub(super) arrival: Rc<ResponseArrival>,
 }
 
 impl InFlightAttempt {
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -196,6 +196,7 @@
 
     /// Logs that the request, last sent at `sent_at`, is sent again, and limits that to its idempotency window.
     fn prepare_resend(&mut self, reason: ResendReason, sent_at: Instant) {
+        self.limits.arrival.reset();
         let may_have_run = self.facts.copies_sent > 0;
         let (request, attempt) = (self.request.correlation_id(), self.number);
         let (address, reason) = (&self.endpoint.address, reason.name());
@@ -289,7 +290,11 @@
         let reservation = self.upstream.reserve_response(observer, &response, wait).await;
         let deadline = self.request.deadline.as_ref();
         let cutoff = deadline.map(|deadline| deadline.response_cutoff(P::now()));
-        let reading = ResponseReading { reservation, needs_proof, cutoff };
+        if status == StatusCode::OK {
+            self.limits.arrival.begin(P::now());
+        }
+        let arrival = self.limits.arrival.clone();
+        let reading = ResponseReading { reservation, needs_proof, cutoff, arrival };
         let result = self.upstream.read_response(server, connection, response, reading);
         tokio::select! {
             biased;
@@ -320,6 +325,7 @@
             // For a rejection, `ExecutionFacts::never_ran` decides what it proves.
             _ if is_accepted => NextStep::End(Box::new(result)),
             RetrySafety::NonIdempotent => NextStep::end(Outcome::ConnectionReset),
+            _ if self.limits.arrival.is_due() => NextStep::end(Outcome::ConnectionReset),
             _ => NextStep::Resend(ResendReason::Desync),
         }
     }
--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod request;
 mod response;
+mod response_arrival;
 mod send;
 mod sync_check;
 
@@ -35,7 +36,8 @@
 use desync::ResponseHistory;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
 pub use memory_wait::MemoryWait;
-pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
+pub use request::{AttemptLimits, RequestClient, RequestEnd, UpstreamRequest};
+pub use response_arrival::ResponseArrival;
 
 /// A server and its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -15,6 +15,7 @@
 
 use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
+use super::response_arrival::ResponseArrival;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
 use crate::sidecar::deadline::RequestDeadline;
@@ -151,6 +152,8 @@
     pub deadline: Instant,
     /// The wait of the attempt for the memory of its response.
     pub memory_wait: Rc<MemoryWait>,
+    /// The response while it is being received.
+    pub arrival: Rc<ResponseArrival>,
     /// Whether the server accepts new requests according to the endpoint list, which updates this cell.
     pub server_ready: Rc<Cell<bool>>,
 }
@@ -164,6 +167,7 @@
             is_last: false,
             deadline,
             memory_wait: Rc::default(),
+            arrival: Rc::default(),
             server_ready: Rc::new(Cell::new(true)),
         }
     }
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -19,6 +19,7 @@
 use super::desync::{BodyFingerprint, SuspectedDesync};
 use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
+use super::response_arrival::ResponseArrival;
 use crate::api::{Outcome, ServerId};
 use crate::sidecar::body::{
     BodyError, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
@@ -124,12 +125,15 @@
     pub(super) needs_proof: bool,
     /// The time before which no limit may end a response that is forwarded, or `None` without such a time.
     pub(super) cutoff: Option<Instant>,
+    /// Tells when the response is to be passed on as far as it has come.
+    pub(super) arrival: Rc<ResponseArrival>,
 }
 
 /// How the body of a response is read that is forwarded.
-struct BodyReading {
+struct BodyReading<'a> {
     reservation: MemoryReservation,
     cutoff: Option<Instant>,
+    arrival: &'a ResponseArrival,
 }
 
 /// The head of a response that is forwarded.
@@ -182,7 +186,7 @@
         response: Response<Incoming>,
         reading: ResponseReading,
     ) -> Received<P> {
-        let ResponseReading { reservation, needs_proof, cutoff } = reading;
+        let ResponseReading { reservation, needs_proof, cutoff, arrival } = reading;
         let unprocessed = is_unprocessed(&response);
         let closes_connection = has_connection_close(response.headers());
         let (head, body) = response.into_parts();
@@ -217,7 +221,7 @@
             memory: ResponseHeadMemory { bytes: head_bytes, reservation: head_reservation },
         };
         drop(head);
-        let reading = BodyReading { reservation, cutoff };
+        let reading = BodyReading { reservation, cutoff, arrival: &arrival };
         let read = self.read_body(connection, forwarded, body, reading).await;
         let Some(read) = read else {
             return Received::Ended(end(Outcome::ConnectionReset));
@@ -255,11 +259,11 @@
         mut connection: Connection<P>,
         head: ForwardedHead,
         mut body: Incoming,
-        reading: BodyReading,
+        reading: BodyReading<'_>,
     ) -> Option<Forwardable<P>> {
-        let BodyReading { reservation, cutoff } = reading;
+        let BodyReading { reservation, cutoff, arrival } = reading;
         let pace = Rc::new(ResponsePace::new(body.size_hint().exact(), P::now()));
-        let prefix = read_prefix::<P>(&mut body, &pace).await?;
+        let prefix = read_prefix::<P>(&mut body, &pace, arrival).await?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
         if !connection.is_used() && connection.observer.has_ambiguous_end() {
             return None;
@@ -314,8 +318,13 @@
 }
 
 /// Reads a short body completely, or else the first bytes of a body and what follows them within
-/// [`EARLY_FAILURE_WAIT`]. Returns `None` if the body ends early.
-async fn read_prefix<P: Runtime>(body: &mut Incoming, pace: &ResponsePace) -> Option<Prefix> {
+/// [`EARLY_FAILURE_WAIT`], or what has come of it when it is due. Returns `None` if the body ends early, or has stopped
+/// when it is due.
+async fn read_prefix<P: Runtime>(
+    body: &mut Incoming,
+    pace: &ResponsePace,
+    arrival: &ResponseArrival,
+) -> Option<Prefix> {
     let buffered_length = buffered_length(body);
     let is_long =
         body.size_hint().exact().is_some_and(|length| length > STREAM_WINDOW_BYTES as u64);
@@ -329,6 +338,10 @@
             biased;
             frame = body.frame() => frame,
             () = expiry_of::<P>(wait_until) => return Some(Prefix { bytes, complete: false }),
+            () = arrival.due() => {
+                pace.check_at_deadline(P::now()).ok()?;
+                return Some(Prefix { bytes, complete: false });
+            }
         };
         if is_long {
             wait_until = wait_until.or_else(|| Some(P::now() + EARLY_FAILURE_WAIT));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -405,6 +405,8 @@
                     concat(&id.0.to_le_bytes(), &encode_duration(*retry_after).to_le_bytes());
                 self.push(action::DENY, &rec);
             }
+            // The simulator never reports the progress of a response, so none is delivered.
+            Action::Deliver { .. } => {}
             Action::Fail { id, .. } => self.push(action::SURRENDER, &id.0.to_le_bytes()),
             Action::SetTimer { delay, token } => {
                 let rec: [u8; 8] =
