Attempts: another begins beside a response that pauses, which is not given up

Cause: no byte for the shortest latency objective gave up one attempt after another, and closed each connection.

Change: a pause is an event of the balancer. Where the request may be repeated, and two attempts at once are allowed, one more is made beside it, for a retry of the budget; the first that is whole, or has something to pass on at the deadline, answers. A response that still pauses then counts as a fault of its server, as before. Heads that pause are treated alike, but given up as before where only one attempt may be out. Rejections that stall are given up as before.

--- a/src/sidecar/live.rs
+++ b/src/sidecar/live.rs
@@ -38,6 +38,7 @@
     deadlines: RefCell<Vec<Duration>>,
     timeouts: Cell<AttemptTimeouts>,
     max_attempts: Cell<usize>,
+    may_hedge: Cell<bool>,
     max_body_bytes: Cell<usize>,
     max_servers: Cell<usize>,
     generation: Cell<u64>,
@@ -53,6 +54,7 @@
             deadlines: RefCell::new(deadlines(config)),
             timeouts: Cell::new(timeouts(config)),
             max_attempts: Cell::new(config.settings.limits.max_attempts),
+            may_hedge: Cell::new(config.settings.limits.may_hedge),
             max_body_bytes: Cell::new(config.max_body_bytes),
             max_servers: Cell::new(max_servers(config.memory_bytes)),
             generation: Cell::new(config.generation),
@@ -68,6 +70,7 @@
         *self.deadlines.borrow_mut() = deadlines(config);
         self.timeouts.set(timeouts(config));
         self.max_attempts.set(config.settings.limits.max_attempts);
+        self.may_hedge.set(config.settings.limits.may_hedge);
         self.max_body_bytes.set(config.max_body_bytes);
         self.max_servers.set(max_servers(config.memory_bytes));
         self.generation.set(config.generation);
@@ -111,6 +114,11 @@
         self.max_attempts.get()
     }
 
+    /// Whether a request may have several attempts in flight.
+    pub fn may_hedge(&self) -> bool {
+        self.may_hedge.get()
+    }
+
     /// Maximum size of a forwarded body, in bytes.
     pub fn max_body_bytes(&self) -> usize {
         self.max_body_bytes.get()
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -15,7 +15,7 @@
 use super::response::{Received, ResponseReading, is_unprocessed};
 use super::send::send_request;
 use super::{Endpoint, Upstream};
-use crate::api::Outcome;
+use crate::api::{Outcome, ResponseProgress};
 use crate::settings::RetrySafety;
 use crate::sidecar::execution::{ExecutionDoubt, ExecutionFacts};
 use crate::sidecar::invariants::{self, SendRefusal};
@@ -25,6 +25,9 @@
 /// before the request arrived.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The interval at which a response that pauses is checked for further bytes.
+const RESUMPTION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Log message for a check of whether a response answers an earlier request on its connection.
 const SYNC_CHECK_MESSAGE: &str = "connection checked for an earlier response";
 /// Log message for a request that is sent again within the same attempt.
@@ -175,10 +178,9 @@
             self.connection_use = Some(connection.describe_next_use());
             self.facts.connection_settled = !connection.is_used();
             let observer = connection.observer.clone();
-            let next = match self.receive_head(&mut connection, &observer).await {
+            let next = match self.receive_head(&mut connection, &observer, sent_at).await {
                 Some(response) => {
-                    let received =
-                        self.receive_response(connection, &observer, response, sent_at).await;
+                    let received = self.receive_response(connection, &observer, response).await;
                     self.record_exchange(&observer);
                     self.verify(received).await
                 }
@@ -226,24 +228,40 @@
         }
     }
 
-    /// Completes when a response to the request sent at `sent_at` has stalled and is given up, so that there is time for
-    /// another attempt. A response that serves the request is waited for if no other attempt may follow.
-    async fn response_given_up(
-        &self,
-        observer: &ExchangeObserver<P>,
-        status: StatusCode,
-        sent_at: Instant,
-    ) {
+    /// Reports the pauses of a response that can serve the request, so that another attempt may begin beside it. Completes
+    /// when another response has stalled, which is given up.
+    async fn watch_pauses(&self, observer: &ExchangeObserver<P>, status: StatusCode) {
+        loop {
+            self.response_stalled(observer).await;
+            if status != StatusCode::OK {
+                return;
+            }
+            self.report_pause(observer).await;
+        }
+    }
+
+    /// Completes when the head of the response to the request sent at `sent_at` has stalled and is given up: another attempt
+    /// may follow, and not beside this one.
+    async fn head_given_up(&self, observer: &ExchangeObserver<P>, sent_at: Instant) {
         loop {
             self.response_stalled(observer).await;
-            let now = P::now();
             let retry_safety = self.request.retry_safety;
-            let may_be_followed = self.limits.may_be_followed(retry_safety, sent_at, now);
-            if status != StatusCode::OK || may_be_followed {
+            let may_be_followed = self.limits.may_be_followed(retry_safety, sent_at, P::now());
+            if may_be_followed && !self.upstream.live.may_hedge() {
                 return;
             }
-            P::sleep(self.upstream.live.timeouts().read).await;
+            self.report_pause(observer).await;
+        }
+    }
+
+    /// Reports that the response pauses, and that it goes on.
+    async fn report_pause(&self, observer: &ExchangeObserver<P>) {
+        let paused_since = observer.response_active_at();
+        self.limits.arrival.report(ResponseProgress::Paused);
+        while observer.response_active_at() == paused_since {
+            P::sleep(RESUMPTION_POLL_INTERVAL).await;
         }
+        self.limits.arrival.report(ResponseProgress::Resumed);
     }
 
     fn may_send(&self, now: Instant) -> Result<(), SendRefusal> {
@@ -253,18 +271,19 @@
     /// Sends the request and returns the head of its response, or `None` if the connection fails, the head stalls, or the
     /// request ends before it is sent in full.
     ///
-    /// A response that has begun and then stalls (an incomplete head or body, or a content length that is too large)
-    /// would otherwise occupy the request until its deadline. It counts as failed, so that a request that may be repeated
-    /// still has time for another server. The drawback: servers that send parts of a response far apart fail too.
+    /// A response that has begun and then pauses (an incomplete head or body, or a content length that is too large) would
+    /// otherwise occupy the request until its deadline. It may also be sound, so another attempt is made beside it, where
+    /// the request may be repeated.
     async fn receive_head(
         &self,
         connection: &mut Connection<P>,
         observer: &ExchangeObserver<P>,
+        sent_at: Instant,
     ) -> Option<Response<Incoming>> {
         let response = tokio::select! {
             biased;
             response = send_request(connection, self.request, &self.limits) => response,
-            () = self.response_stalled(observer) => None,
+            () = self.head_given_up(observer, sent_at) => None,
             () = observer.abandoned() => None,
         };
         // A response that arrives before the request was sent in full cannot answer it, unless the request is streamed.
@@ -276,7 +295,6 @@
         connection: Connection<P>,
         observer: &ExchangeObserver<P>,
         response: Response<Incoming>,
-        sent_at: Instant,
     ) -> Received<P> {
         if !observer.is_request_sent() {
             // The server responded before the end of a streamed body. The connection cannot be used further.
@@ -299,7 +317,7 @@
         tokio::select! {
             biased;
             result = result => result,
-            () = self.response_given_up(observer, status, sent_at) => {
+            () = self.watch_pauses(observer, status) => {
                 Received::without_response(Outcome::ConnectionReset)
             }
         }
--- a/tests/balancer/admission.rs
+++ b/tests/balancer/admission.rs
@@ -307,6 +307,8 @@
     ServerOfUpload,
     /// The memory of the sidecar, as the server has begun to respond.
     Memory,
+    /// The rest of a response that has begun.
+    RestOfResponse,
 }
 
 impl WaitsFor {
@@ -320,6 +322,10 @@
             WaitsFor::Memory => {
                 b.handle_event(Event::ResponseAwaitsMemory { id, attempt: 0 });
             }
+            WaitsFor::RestOfResponse => {
+                let progress = ResponseProgress::Begun;
+                b.handle_event(Event::ResponseProgress { id, attempt: 0, progress });
+            }
         }
     }
 
@@ -375,6 +381,12 @@
     assert_eq!(shed_beside_attempts_that_wait(WaitsFor::Memory), 0);
 }
 
+/// Guards against load shedding because sound responses take long, while the servers are idle.
+#[test]
+fn responses_that_have_begun_do_not_count_as_overload() {
+    assert_eq!(shed_beside_attempts_that_wait(WaitsFor::RestOfResponse), 0);
+}
+
 /// The same attempts, whose servers do not respond: the load is shed.
 #[test]
 fn responses_that_their_servers_delay_count_as_overload() {
@@ -417,6 +429,12 @@
     assert!(reaches_server_of_attempt_that_waits(WaitsFor::Memory));
 }
 
+/// Guards against the same because a response takes long.
+#[test]
+fn server_of_a_response_that_has_begun_is_not_silent() {
+    assert!(reaches_server_of_attempt_that_waits(WaitsFor::RestOfResponse));
+}
+
 /// The same attempt, whose server does not respond: it is silent.
 #[test]
 fn server_that_does_not_respond_is_silent() {
--- a/tests/balancer/main.rs
+++ b/tests/balancer/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod ejection;
 mod endpoints;
+mod response_progress;
 mod retries;
 mod selection;
 mod slow_start;
