Tests: sound responses beside signals, changes of the list, hold-ups and other requests

Late responses during SIGTERM, SIGUSR2 and SIGHUP, while their servers drain or are removed, after a hold-up at the client's time, behind a streamed upload, where only one attempt may be out, with a client that leaves, and 20 of them beside 40 short requests of others; at most two attempts where every server pauses.

--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -266,6 +266,11 @@
         }
     }
 
+    /// Returns the names of the listed servers.
+    pub fn hosts(&self) -> Vec<String> {
+        self.state.borrow().list.entries().iter().map(|entry| entry.host.clone()).collect()
+    }
+
     /// Takes discovery down: connections are accepted, and closed without an answer.
     pub fn take_down(&self) {
         self.state.send_modify(|state| state.down = true);
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -53,8 +53,8 @@
     config: Value,
     /// Contains the configuration file and the log.
     folder: Folder,
-    /// Keeps discovery running as long as the sidecar.
-    _registry: Registry,
+    /// Discovery, which runs as long as the sidecar.
+    pub registry: Registry,
     /// The file that the program logs to, which a test can read while the program runs.
     log: PathBuf,
 }
@@ -145,7 +145,7 @@
             at.is_some()
         });
         let at = at.expect("found");
-        let sidecar = Sidecar { child, at, config, folder, _registry: discovery, log };
+        let sidecar = Sidecar { child, at, config, folder, registry: discovery, log };
         until("the sidecar is ready", || {
             sidecar.exchange("GET /health/ready HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200")
         });
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -23,6 +23,7 @@
 mod shutdown;
 mod slow_responses;
 mod sound_responses;
+mod sound_responses_meanwhile;
 mod stalled_clients;
 mod support;
 mod system_calls;
--- a/tests/lifecycle/paced_responses.rs
+++ b/tests/lifecycle/paced_responses.rs
@@ -1,12 +1,20 @@
 //! Responses that a server writes piece by piece, in each way to say where they end.
 
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::wire::read_message;
+use serde_json::Value;
+
 use crate::net::*;
+use crate::support::set_times;
 
+/// The number of servers, all of them idle.
+const SERVERS: usize = 6;
+/// The classes: safe to repeat, not idempotent, and with a key.
+pub const ALL_CLASSES: [&str; 3] = ["look", "order", "keep"];
 /// The interval at which a steady server writes.
 const PIECE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -118,3 +126,48 @@
     };
     request.replace("Ms: 20000", &format!("Ms: {}", time_left.as_millis()))
 }
+
+/// A duration.
+pub const fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Sets the latency objectives and deadlines of a usual deployment.
+pub fn usual_times(config: &mut Value) {
+    for (class, objective) in [(0, 150), (1, 400), (2, 400)] {
+        set_times(config, class, objective, 3_000);
+    }
+    config["settings"]["classes"][1]["window"] = 3_000_000.into();
+}
+
+/// Starts servers that treat each request like `script`, and a sidecar in front of them.
+pub fn sidecar_with(
+    script: impl Fn(&mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+    change: impl FnOnce(&mut Value),
+) -> Sidecar {
+    let start = |_| {
+        let script = script.clone();
+        Server::start(move |_, socket| script(socket))
+    };
+    let servers: Vec<_> = (0..SERVERS).map(start).collect();
+    Sidecar::start_with(discovery(&servers.iter().collect::<Vec<_>>()), |config| {
+        usual_times(config);
+        change(config);
+    })
+}
+
+/// Sends a request. Returns the status line of its response, or when it was cut, and the length of its body.
+pub fn outcome_of(sidecar: &Sidecar, request: &[u8]) -> (String, usize) {
+    let mut client = sidecar.connect();
+    let sent_at = Instant::now();
+    client.write_all(request).expect("sent");
+    let response = read_message(&mut BufReader::new(client));
+    let time = sent_at.elapsed();
+    let (head, body) = response.unwrap_or_else(|| (format!("cut after {time:?}"), Vec::new()));
+    (head.lines().next().unwrap_or_default().to_owned(), body.len())
+}
+
+/// The outcome of a request whose whole response has a body of this length.
+pub fn whole(length: usize) -> (String, usize) {
+    ("HTTP/1.1 200 OK".to_owned(), length)
+}
--- a/tests/lifecycle/sound_responses.rs
+++ b/tests/lifecycle/sound_responses.rs
@@ -7,82 +7,35 @@
 use std::time::{Duration, Instant};
 
 use fakes::wire::read_message;
-use serde_json::Value;
 use socket2::SockRef;
 
 use crate::net::*;
 use crate::paced_responses::*;
-use crate::support::set_times;
 
-/// The number of servers, all of them idle.
-const SERVERS: usize = 6;
 /// The number of requests of each case, and the interval at which they are sent.
 const REQUESTS: u32 = 4;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
-/// The classes: safe to repeat, not idempotent, and with a key.
-const ALL_CLASSES: [&str; 3] = ["look", "order", "keep"];
 /// A response that is not passed on completely by this time after that of its client is lost, with the tolerance for
 /// sockets.
 const LOST_AFTER: Duration = Duration::from_millis(550);
 
-const fn milliseconds(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
-/// Sets the latency objectives and deadlines of a usual deployment.
-fn usual_times(config: &mut Value) {
-    for (class, objective) in [(0, 150), (1, 400), (2, 400)] {
-        set_times(config, class, objective, 3_000);
-    }
-    config["settings"]["classes"][1]["window"] = 3_000_000.into();
-}
-
-/// Starts servers that treat each request like `script`, and a sidecar in front of them.
-fn sidecar_with(
-    script: impl Fn(&mut TcpStream) -> bool + Clone + Send + Sync + 'static,
-    change: impl FnOnce(&mut Value),
-) -> Sidecar {
-    let start = |_| {
-        let script = script.clone();
-        Server::start(move |_, socket| script(socket))
-    };
-    let servers: Vec<_> = (0..SERVERS).map(start).collect();
-    Sidecar::start_with(discovery(&servers.iter().collect::<Vec<_>>()), |config| {
-        usual_times(config);
-        change(config);
-    })
-}
-
-/// What became of a request, for messages.
-fn outcome_of(sidecar: &Sidecar, class: &str, number: u32, time_left: Duration) -> (String, usize) {
-    thread::sleep(REQUEST_INTERVAL * number);
-    let mut client = sidecar.connect();
-    let sent_at = Instant::now();
-    client
-        .write_all(request(class, &format!("{class}-{number}"), time_left).as_bytes())
-        .expect("sent");
-    let response = read_message(&mut BufReader::new(client));
-    let time = sent_at.elapsed();
-    let (head, body) = response.unwrap_or_else(|| (format!("cut after {time:?}"), Vec::new()));
-    (head.lines().next().unwrap_or_default().to_owned(), body.len())
-}
-
 /// Plays responses that are written by this schedule, for these classes at once and each way to say where a response ends.
 fn assert_served_whole(schedule: &Schedule, time_left: Duration, classes: &[&str]) {
-    let whole = ("HTTP/1.1 200 OK".to_owned(), schedule.body_length());
     thread::scope(|scope| {
         for framing in Framing::ALL {
-            let (schedule, whole) = (schedule.clone(), whole.clone());
+            let schedule = schedule.clone();
             scope.spawn(move || {
+                let whole = whole(schedule.body_length());
                 let sidecar = sidecar_with(move |socket| schedule.respond(framing, socket), |_| {});
-                let sidecar = &sidecar;
+                let (sidecar, whole) = (&sidecar, &whole);
                 let requests = classes.iter().flat_map(|&c| (0..REQUESTS).map(move |n| (c, n)));
                 thread::scope(|scope| {
                     for (class, number) in requests {
-                        let whole = whole.clone();
                         scope.spawn(move || {
-                            let outcome = outcome_of(sidecar, class, number, time_left);
-                            assert_eq!(outcome, whole, "{framing:?}, {class}, number {number}");
+                            thread::sleep(REQUEST_INTERVAL * number);
+                            let request = request(class, &format!("{class}-{number}"), time_left);
+                            let outcome = outcome_of(sidecar, request.as_bytes());
+                            assert_eq!(outcome, *whole, "{framing:?}, {class}, number {number}");
                         });
                     }
                 });
