Simulation: the judges know responses that go on after their clients' time

Need: its rules took what was mended for a fault. 'late' wanted short responses whole by the deadline, 'stalled' wanted a response that pauses given up.

Change, each as strict on the other side: a response with status 200 has to begin by the deadline, and may end later; its connection may end before it is whole only if no server was giving it (new: cut off while a server was giving the response) and none had given it whole.

--- a/crates/simulation/src/oracle/attempts.rs
+++ b/crates/simulation/src/oracle/attempts.rs
@@ -61,6 +61,7 @@
             complete_at: None,
             time_left: time_left.unwrap_or_default(),
             response: None,
+            has_surplus: false,
             executed: false,
             ended_at: None,
         });
--- a/crates/simulation/src/oracle/request.rs
+++ b/crates/simulation/src/oracle/request.rs
@@ -9,7 +9,7 @@
 use crate::model::RequestId;
 
 /// A response to an attempt, as the sidecar has read it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AttemptResponse {
     pub(super) status: u16,
     /// Whether it declares that the request was not executed.
@@ -30,6 +30,8 @@
     /// The remaining time that was passed on to the server.
     pub(super) time_left: Duration,
     pub(super) response: Option<AttemptResponse>,
+    /// Whether bytes followed its response that may belong to it.
+    pub(super) has_surplus: bool,
     /// Whether its server has executed it, whatever the response says.
     pub(super) executed: bool,
     /// When its response was complete or its connection closed.
@@ -77,8 +79,10 @@
     pub(super) closed_after_arrival: bool,
     pub(super) response: Option<FinalResponse>,
     pub(super) attempts: Vec<Attempt>,
-    /// When a response that is too long to be buffered began.
-    pub(super) streaming_since: Option<Duration>,
+    /// When a response with status 200 began to be passed on before it was complete.
+    pub(super) serving_since: Option<Duration>,
+    /// When the sidecar closed the connection of an attempt whose server was giving a response with status 200.
+    pub(super) cut_while_given_at: Option<Duration>,
     /// The time since which no response is owed, because its client has left or its sidecar was killed.
     pub(super) excused_since: Option<Duration>,
     /// When its client closed the connection on purpose.
@@ -102,7 +106,8 @@
             closed_after_arrival: false,
             response: None,
             attempts: Vec::new(),
-            streaming_since: None,
+            serving_since: None,
+            cut_while_given_at: None,
             excused_since: None,
             client_left_at: None,
             assumed_accept_wait: Duration::ZERO,
@@ -111,6 +116,14 @@
         }
     }
 
+    /// Whether an attempt has a whole response that serves it. If the sidecar has sent it again since, it has not trusted
+    /// that response.
+    pub(super) fn is_served_by(&self, attempt: &Attempt) -> bool {
+        let is_whole = attempt.response.is_some_and(|r| r.status == 200) && !attempt.has_surplus;
+        let answered_at = attempt.ended_at.unwrap_or_default();
+        is_whole && self.attempts.iter().all(|later| later.first_byte_at <= answered_at)
+    }
+
     /// Whether any server may have executed it.
     pub(super) fn may_have_executed(&self) -> bool {
         self.attempts.iter().any(Attempt::may_have_executed)
--- a/src/api.rs
+++ b/src/api.rs
@@ -133,6 +133,17 @@
     Resumed,
 }
 
+impl ResponseProgress {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ResponseProgress::Begun => "begun",
+            ResponseProgress::Paused => "paused",
+            ResponseProgress::Resumed => "resumed",
+        }
+    }
+}
+
 /// A new request from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NewRequest {
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -58,9 +58,11 @@
     /// Has the response of an attempt passed on as far as it has come.
     fn deliver_response(&self, id: RequestId, attempt: usize) {
         let state = self.state.borrow();
-        let request = state.requests.get(&id);
-        if let Some(attempt) = request.and_then(|request| request.attempts.get(attempt)) {
-            attempt.arrival.request_delivery();
+        let Some(request) = state.requests.get(&id) else { return };
+        if let Some(unfinished) = request.attempts.get(attempt) {
+            let request = request.correlation_id();
+            tracing::info!(request, attempt, "response passed on before it is complete");
+            unfinished.arrival.request_delivery();
         }
     }
 
--- a/src/sidecar/driver/attempts.rs
+++ b/src/sidecar/driver/attempts.rs
@@ -197,7 +197,7 @@
                 AttemptResult::without_response(outcome)
             }
             never = self.report_memory_wait(id, &memory_wait) => match never {},
-            never = self.report_response(id, &arrival) => match never {},
+            never = self.report_response(id, request.correlation_id(), &arrival) => match never {},
         };
         tracing::debug!(
             request = request.correlation_id(),
@@ -223,11 +223,14 @@
     async fn report_response(
         self: &Rc<Driver<P>>,
         id: AttemptId,
+        subject: &str,
         arrival: &ResponseArrival,
     ) -> Infallible {
         loop {
             let progress = arrival.changed().await;
             let AttemptId { request, index: attempt, .. } = id;
+            let name = progress.name();
+            tracing::debug!(request = subject, attempt, progress = name, "response in progress");
             self.handle_event(Event::ResponseProgress { id: request, attempt, progress });
         }
     }
