Attempts: if the delivery of one response fails, the next that has begun is delivered

Cause: with 'cancel' off in the settings, an attempt whose response has begun waits at the deadline for the end of its request. If the one chosen for delivery then failed, the balancer waited for the others, and the request had no end.

Change: after the deadline the next response that has begun is delivered.

Result: next_response_is_delivered_if_the_delivery_of_the_first_fails fails without it (no action) and passes.

--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -169,6 +169,10 @@
             return self.finish(id, actions);
         }
         let is_over = request.streaming || self.now >= request.deadline;
+        if is_over && let Some(attempt) = request.deliverable() {
+            request.streaming = true;
+            return actions.push(Action::Deliver { id, attempt });
+        }
         if request.has_active_attempt() || is_over && request.in_flight() > 0 {
             return;
         }
--- a/src/sidecar/driver/actions.rs
+++ b/src/sidecar/driver/actions.rs
@@ -59,10 +59,10 @@
     fn deliver_response(&self, id: RequestId, attempt: usize) {
         let state = self.state.borrow();
         let Some(request) = state.requests.get(&id) else { return };
-        if let Some(unfinished) = request.attempts.get(attempt) {
+        let unfinished = request.attempts.get(attempt);
+        if unfinished.is_some_and(|unfinished| unfinished.arrival.request_delivery()) {
             let request = request.correlation_id();
             tracing::info!(request, attempt, "response passed on before it is complete");
-            unfinished.arrival.request_delivery();
         }
     }
 
--- a/src/sidecar/upstream/response_arrival.rs
+++ b/src/sidecar/upstream/response_arrival.rs
@@ -51,10 +51,11 @@
         }
     }
 
-    /// Asks for the response to be passed on as far as it has come, as its client's time is over.
-    pub fn request_delivery(&self) {
-        self.is_due.set(true);
+    /// Asks for the response to be passed on as far as it has come, as its client's time is over. Returns whether this is
+    /// the first time.
+    pub fn request_delivery(&self) -> bool {
         self.due.notify_one();
+        !self.is_due.replace(true)
     }
 
     /// Returns whether the response is to be passed on as far as it has come.
--- a/tests/balancer/response_progress.rs
+++ b/tests/balancer/response_progress.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// Guards against a request without an end, where the settings do not let attempts be cancelled.
+#[test]
+fn next_response_is_delivered_if_the_delivery_of_the_first_fails() {
+    let settings = settings(|json| json["limits"]["cancel"] = false.into());
+    let mut b = BalancerHarness::new(settings, 1, &[server(0), server(2), server(4)]);
+    let request = begin(&mut b, LOOK);
+    let out = progress(&mut b, request.id, 0, ResponseProgress::Paused);
+    let second = sent(&out).expect("sent");
+    progress(&mut b, request.id, 1, ResponseProgress::Begun);
+    assert_eq!(delivered(&pass_deadline(&mut b, &request)), Some(1));
+    let out = b.answer(request.id, 1, second, Outcome::ConnectionReset, 0.0);
+    assert_eq!(delivered(&out), Some(0), "{out:?}");
+    let out = b.answer(request.id, 0, request.server, Outcome::ConnectionReset, 0.0);
+    assert!(rejected(&out), "{out:?}");
+}
+
 #[test]
 fn response_that_pauses_is_kept_and_another_attempt_begins_beside_it() {
     for class in [LOOK, KEEP] {
