Responses: a hold-up does not make a late response look like an endless one

After a hold-up it was judged before the bytes that had arrived meanwhile had reached its connection. And bytes that came at once, after a hold-up or a retransmission, made the thirds of its time uneven.

Change: after a hold-up the timeout is looked at again 10 ms later. A response with no length announced shows no end if it began with a burst of 64 KiB or more that its later pace would have taken 0.2 s longer for.

--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -23,6 +23,10 @@
 /// Interval at which the timeout of a connection is evaluated while its request is in progress. The balancer limits
 /// the duration of the request itself.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Lateness of a timeout from which on the process is considered to have been held up.
+const HOLD_UP_THRESHOLD: Duration = Duration::from_millis(5);
+/// Time after a hold-up for what has arrived to reach its connection.
+const HOLD_UP_RECOVERY_TIME: Duration = Duration::from_millis(10);
 /// Interval at which a response that is late is judged anew.
 const LATE_RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked while input is unread.
@@ -35,8 +39,12 @@
     /// it. Therefore pending events are delivered before the connection is closed.
     pub async fn timed_out(&self) {
         loop {
-            self.phase_deadline_passed().await;
+            let deadline = self.phase_deadline_passed().await;
             P::deliver_events().await;
+            if P::elapsed_since(deadline) >= HOLD_UP_THRESHOLD {
+                // A part of a response may be on its way from its server's connection to this one.
+                P::sleep(HOLD_UP_RECOVERY_TIME).await;
+            }
             if self.is_past_phase_deadline() && self.try_close(CloseReason::TimedOut) {
                 return;
             }
@@ -44,10 +52,13 @@
         }
     }
 
-    /// Completes at the deadline of the current phase.
-    async fn phase_deadline_passed(&self) {
-        while !self.is_past_phase_deadline() {
+    /// Completes at the deadline of the current phase, and returns it.
+    async fn phase_deadline_passed(&self) -> Instant {
+        loop {
             let deadline = self.phase_deadline().unwrap_or_else(|| P::now() + BUSY_POLL_INTERVAL);
+            if deadline <= P::now() {
+                return deadline;
+            }
             tokio::select! {
                 biased;
                 () = P::sleep_until(deadline) => {}
--- a/src/sidecar/response_pace.rs
+++ b/src/sidecar/response_pace.rs
@@ -22,9 +22,13 @@
 /// that announces no length may go on for this time at most.
 const MAX_LATE_TIME: Duration = Duration::from_secs(10);
 
-/// A response that announces no length has slowed down if less than this share of the bytes in the first third of its time
-/// came in the last third.
-const MIN_STEADY_SHARE: f64 = 2.0 / 3.0;
+/// A response that announces no length begins with a burst if so much more came in this time at its beginning than at its
+/// later pace that the excess would have taken longer than [`MAX_BURST_TIME`].
+const BURST_PERIOD: Duration = Duration::from_millis(100);
+/// After a hold-up or a lost packet, bytes come at once that were given steadily.
+const MAX_BURST_TIME: Duration = Duration::from_millis(200);
+/// Fewer bytes are no burst.
+const MIN_BURST_BYTES: u64 = STREAM_WINDOW_BYTES as u64;
 /// The number of samples from which on the pace is judged.
 const MIN_SAMPLES: usize = 10;
 /// The maximum number of samples of a response. When there are more, every second one is dropped.
@@ -125,7 +129,8 @@
         }
         let Some(announced) = self.announced else {
             let has_time = now < late_since + MAX_LATE_TIME;
-            return if has_time && record.is_steady() { Ok(()) } else { Err(Unfinished::NoEnd) };
+            let may_end = has_time && !record.trickles_after_burst();
+            return if may_end { Ok(()) } else { Err(Unfinished::NoEnd) };
         };
         let missing = announced.saturating_sub(record.received);
         let allowed = MAX_LATE_TIME + client_transfer_time(missing);
@@ -175,31 +180,34 @@
         allowed.max(self.repeated_pause())
     }
 
-    /// Returns the number of bytes that came in the first and in the last third of the time since the body began, and the
-    /// length of a third; `None` if there are too few samples.
-    fn thirds(&self) -> Option<(u64, u64, Duration)> {
-        let (first, last) = (self.samples.first()?, self.samples.last()?);
-        if self.samples.len() < MIN_SAMPLES {
-            return None;
-        }
-        let third = (last.time - first.time) / 3;
-        let received_by = |time: Instant| {
-            let count = self.samples.partition_point(|sample| sample.time <= time);
-            self.samples[count - 1].received
-        };
-        let in_last = last.received - received_by(last.time - third);
-        Some((received_by(first.time + third), in_last, third))
+    /// Returns the number of bytes of the body that had come by `time`, which is not before the first ones.
+    fn received_by(&self, time: Instant) -> u64 {
+        let count = self.samples.partition_point(|sample| sample.time <= time);
+        self.samples[count - 1].received
     }
 
-    fn is_steady(&self) -> bool {
-        self.thirds().is_none_or(|(in_first, in_last, _)| {
-            in_last as f64 >= MIN_STEADY_SHARE * in_first as f64
-        })
+    /// Returns the first and the last sample, or `None` if there are too few to judge the pace.
+    fn span(&self) -> Option<(Sample, Sample)> {
+        let is_enough = self.samples.len() >= MIN_SAMPLES;
+        self.samples.first().copied().zip(self.samples.last().copied()).filter(|_| is_enough)
     }
 
-    /// Returns how long `bytes` take at the latest pace, or `None` if that is not known.
+    /// Returns whether the body began with a burst, and comes at a much lower pace since.
+    fn trickles_after_burst(&self) -> bool {
+        let Some((first, last)) = self.span() else { return false };
+        let period = BURST_PERIOD.max(self.sample_interval);
+        let burst = self.received_by(first.time + period - self.sample_interval);
+        let later = (last.received - first.received) as f64;
+        let pace = later / (last.time - first.time).as_secs_f64();
+        let excess = burst as f64 - pace * period.as_secs_f64();
+        burst >= MIN_BURST_BYTES && excess > pace * MAX_BURST_TIME.as_secs_f64()
+    }
+
+    /// Returns how long `bytes` take at the pace of the last third of the time, or `None` if that is not known.
     fn time_for(&self, bytes: u64) -> Option<Duration> {
-        let (_, in_last, third) = self.thirds()?;
+        let (first, last) = self.span()?;
+        let third = (last.time - first.time) / 3;
+        let in_last = last.received - self.received_by(last.time - third);
         let seconds = third.as_secs_f64() * bytes as f64 / in_last.max(1) as f64;
         Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
