Attempts: no check of a connection begins for a request that has ended

Cause: where attempts are not cancelled, a response that came after the end of its request was checked by GET /health/sync. Nothing is to be sent for a request after its end.

Change: a response that nobody waits for is not checked; its connection is closed.

--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -335,6 +335,10 @@
                 (result, connection, suspected)
             }
         };
+        if self.request.end.has_ended() {
+            // Nothing is sent for a request that has ended, and a message without an id neither.
+            return NextStep::end(Outcome::Cancelled);
+        }
         let state = self.check_sync(connection, suspected).await;
         self.log_sync_check(suspected, state);
         self.facts.connection_settled = state == SyncState::InSync;
