--- a/crates/simulation/examples/mutants/mutant.rs
+++ b/crates/simulation/examples/mutants/mutant.rs
@@ -38,6 +38,9 @@
     /// Whether the seeds that have to find it have responses that are sent a second time.
     #[serde(default)]
     second_answers: bool,
+    /// Whether the seeds that have to find it have responses that servers give piece by piece.
+    #[serde(default)]
+    slow_responses: bool,
     /// The range of seeds of the soak, `A..B`, one of which has to find it; `None` if the soak is not run.
     pub soak: Option<String>,
 }
@@ -72,6 +75,7 @@
             Mutant { hold_ups: true, .. } => &["--hold-ups"],
             Mutant { broken_rejections: true, .. } => &["--broken-rejections"],
             Mutant { second_answers: true, .. } => &["--second-answers"],
+            Mutant { slow_responses: true, .. } => &["--slow-responses"],
             _ => &[],
         }
     }
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -101,6 +101,9 @@
     /// Add responses that servers send a second time (for seeds only).
     #[arg(long, conflicts_with_all = ["hold_ups", "discovery_faults", "broken_rejections"])]
     second_answers: bool,
+    /// Add sound responses that servers give piece by piece (for seeds only).
+    #[arg(long, conflicts_with_all = ["hold_ups", "discovery_faults", "broken_rejections", "second_answers"])]
+    slow_responses: bool,
 }
 
 impl AdditionalFaults {
@@ -113,6 +116,7 @@
                 Scenario::draw_with_broken_rejections
             }
             AdditionalFaults { second_answers: true, .. } => Scenario::draw_with_second_answers,
+            AdditionalFaults { slow_responses: true, .. } => Scenario::draw_with_slow_responses,
             _ => Scenario::draw,
         }
     }
--- a/crates/simulation/src/oracle/clients.rs
+++ b/crates/simulation/src/oracle/clients.rs
@@ -10,6 +10,9 @@
 use super::report::{Breach, status_label};
 use super::request::Request;
 use super::rule::Rule;
+
+/// The time within which the client of a response that is cut notices it. Another attempt may have been ended before.
+const CUT_PROPAGATION_TIME: Duration = Duration::from_millis(100);
 use crate::model::RequestId;
 
 /// The time after a drain within which clients stop using the connections they had before it.
@@ -98,7 +101,7 @@
             || (!request.attempts.is_empty() && request.sent_at.is_some());
         let served = request.attempts.iter().any(|attempt| request.is_served_by(attempt));
         let answered = request.response.is_some();
-        let is_cut = request.cut_while_given_at.is_some();
+        let is_cut = request.cut_while_given_at.is_some_and(|at| now < at + CUT_PROPAGATION_TIME);
         if request.serving_since.is_some() && !answered && is_cut {
             let breach = Breach::new(Rule::Lost, "cut off while a server was giving the response");
             self.report_breach(now, breach, Some(id));
--- a/crates/simulation/src/oracle/connection.rs
+++ b/crates/simulation/src/oracle/connection.rs
@@ -52,6 +52,8 @@
     pub(super) last_progress: Option<Duration>,
     /// When bytes of the current response last arrived, if it is incomplete.
     pub(super) last_byte_at: Option<Duration>,
+    /// Whether the server has closed or reset it.
+    pub(super) ended_by_server: bool,
     /// Whether the current response is too long to be buffered.
     pub(super) is_streamed: bool,
 }
@@ -70,6 +72,7 @@
             response: AttemptResponse::default(),
             last_progress: None,
             last_byte_at: None,
+            ended_by_server: false,
             is_streamed: false,
         }
     }
--- a/crates/simulation/src/oracle/mod.rs
+++ b/crates/simulation/src/oracle/mod.rs
@@ -76,6 +76,8 @@
     drained_since: FxHashMap<usize, Duration>,
     /// When each sidecar last closed a connection to a server on which the head of a request was incomplete.
     last_cut_head: FxHashMap<usize, Duration>,
+    /// When the network last reset connections.
+    network_reset_at: Option<Duration>,
     /// The period of the last hold-up of each sidecar.
     last_hold_up: FxHashMap<usize, Range<Duration>>,
     /// When each terminating sidecar was asked to terminate.
@@ -99,6 +101,7 @@
             slow_start: SlowStart::default(),
             drained_since: FxHashMap::default(),
             last_cut_head: FxHashMap::default(),
+            network_reset_at: None,
             last_hold_up: FxHashMap::default(),
             terminating_since: FxHashMap::default(),
             pending_connects: PendingConnects::default(),
--- a/crates/simulation/src/oracle/responses.rs
+++ b/crates/simulation/src/oracle/responses.rs
@@ -19,6 +19,10 @@
 /// The time after its deadline within which a request gets the end of a response whose server has stopped: half a second,
 /// and the longest pause of a late response.
 const STOPPED_RESPONSE_TIME: Duration = Duration::from_millis(500 + 1_000);
+/// The time within which a reset reaches the sidecar, unless that is held up.
+const RESET_PROPAGATION_TIME: Duration = Duration::from_millis(100);
+/// The time before the earliest kill in which a process that terminates ends what is open.
+const EXIT_TIME: Duration = Duration::from_millis(200);
 /// The tolerance of the longest wait for the next bytes of a response.
 const STALL_TOLERANCE: Duration = Duration::from_millis(100);
 /// The part of the idempotency window, at its end, in which a sidecar may leave out repeats.
@@ -195,13 +199,25 @@
         }
     }
 
+    /// Records that the network, or the end of a server, resets connections now.
+    pub fn network_resets_connections(&mut self, now: Duration) {
+        self.network_reset_at = Some(now);
+    }
+
     /// Records that the sidecar has closed the connection of an attempt whose server was giving a response that can serve
     /// its request.
     pub(super) fn cut_while_given(&mut self, now: Duration, attempt: AttemptRef) {
         let Some(request) = self.requests.get_mut(&attempt.request) else { return };
         let is_owed =
             request.response.is_none() && request.excused_since.is_none() && !request.finished;
-        if is_owed {
+        let terminating_since = self.terminating_since.get(&request.sidecar);
+        let has_to_end = terminating_since
+            .is_some_and(|since| now + EXIT_TIME >= *since + self.limits.earliest_kill);
+        // A sidecar that is held up notices a reset later.
+        let is_reset = self
+            .network_reset_at
+            .is_some_and(|at| now <= at + self.limits.longest_hold_up + RESET_PROPAGATION_TIME);
+        if is_owed && !has_to_end && !is_reset {
             request.cut_while_given_at.get_or_insert(now);
             self.count("responses cut while they were given");
         }
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -309,7 +309,8 @@
                 let (current, last_progress) = (upstream.current, upstream.last_progress);
                 let status = upstream.response.status;
                 let last_byte_at = upstream.last_byte_at;
-                let is_given = last_byte_at.is_some_and(|at| now < at + GIVING_PERIOD);
+                let is_given = !upstream.ended_by_server
+                    && last_byte_at.is_some_and(|at| now < at + GIVING_PERIOD);
                 if upstream.in_head {
                     self.last_cut_head.insert(upstream.sidecar, now);
                 }
@@ -325,6 +326,13 @@
                 }
                 self.connections.remove(&connection);
             }
+            (Some(TrackedConnection::Upstream(_)), Role::Server { .. }) => {
+                if let Some(TrackedConnection::Upstream(upstream)) =
+                    self.connections.get_mut(&connection)
+                {
+                    upstream.ended_by_server = true;
+                }
+            }
             (Some(TrackedConnection::Client(_)), Role::Clients { .. }) => {
                 self.connections.remove(&connection);
                 self.backlogs.remove(connection);
--- a/crates/simulation/src/run/conditions.rs
+++ b/crates/simulation/src/run/conditions.rs
@@ -135,6 +135,7 @@
             FaultKind::BrokenRejections { server, share } => {
                 self.server(server).broken_rejection = share;
             }
+            FaultKind::SlowResponses { server, share } => self.server(server).slow = share,
             FaultKind::SecondAnswers { server, share } => {
                 self.server(server).second_answer = share;
             }
--- a/crates/simulation/src/run/fault_events.rs
+++ b/crates/simulation/src/run/fault_events.rs
@@ -52,6 +52,7 @@
         match &fault.kind {
             FaultKind::ResetConnections { server, nth } => {
                 let host = self.server(*server).host();
+                self.oracle.borrow_mut().network_resets_connections(self.now());
                 for sidecar in &self.sidecars {
                     self.world.reset_connections(sidecar.host, host, *nth);
                 }
@@ -97,6 +98,7 @@
     fn restart_server(&mut self, server: usize, failure: HostFailure, begins: bool) {
         let server = self.server(server);
         if begins && server.mark_down() {
+            self.oracle.borrow_mut().network_resets_connections(self.now());
             self.world.kill(server.host(), failure);
         } else if !begins && server.is_down() {
             self.start_server(&server);
@@ -106,6 +108,7 @@
     fn replace_server(&mut self, server: usize, begins: bool) {
         let server = self.server(server);
         if begins && server.mark_down() {
+            self.oracle.borrow_mut().network_resets_connections(self.now());
             self.world.kill(server.host(), HostFailure::ProcessKilled);
             self.update_endpoint(&server, "left");
             server.replace_incarnation();
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -144,6 +144,14 @@
         /// The probability.
         share: f64,
     },
+    /// Some sound responses are given piece by piece, for up to 2 s.
+    #[serde(rename = "slow-responses")]
+    SlowResponses {
+        /// The index of the server.
+        server: usize,
+        /// The probability.
+        share: f64,
+    },
     /// A server is killed or becomes unreachable. At the end it starts again under the same name, in slow start.
     #[serde(rename = "restart")]
     RestartServer {
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -8,6 +8,7 @@
 mod hold_ups;
 mod second_answers;
 mod server_faults;
+mod slow_responses;
 #[cfg(test)]
 mod tests;
 
--- a/crates/simulation/src/scenario/tests.rs
+++ b/crates/simulation/src/scenario/tests.rs
@@ -44,6 +44,7 @@
 fn scenarios_with_faults_of_single_servers_are_valid_and_have_such_faults() {
     assert_all_have_fault(Scenario::draw_with_broken_rejections, "broken-rejections");
     assert_all_have_fault(Scenario::draw_with_second_answers, "second-answers");
+    assert_all_have_fault(Scenario::draw_with_slow_responses, "slow-responses");
 }
 
 #[test]
--- a/crates/simulation/src/server/faults.rs
+++ b/crates/simulation/src/server/faults.rs
@@ -47,6 +47,8 @@
     pub broken_rejection: f64,
     /// The response is sent a second time.
     pub second_answer: f64,
+    /// The response is given piece by piece.
+    pub slow: f64,
     /// The factor by which an execution takes longer, minus one.
     pub slowdown: f64,
 }
@@ -70,6 +72,8 @@
     Long,
     Reject,
     BrokenRejection,
+    /// The response is given piece by piece.
+    Slow,
     /// The response is sent a second time.
     SecondAnswer,
     /// The request is rejected, and the rejection is sent a second time.
@@ -96,6 +100,7 @@
             (self.delayed_reset, ResponseFault::DelayedReset),
             (self.long, ResponseFault::Long),
             (self.broken_rejection, ResponseFault::BrokenRejection),
+            (self.slow, ResponseFault::Slow),
             (self.second_answer * REJECTED_SHARE, ResponseFault::SecondRejection),
             (self.second_answer * (1.0 - REJECTED_SHARE), ResponseFault::SecondAnswer),
         ];
--- a/crates/simulation/src/server/mod.rs
+++ b/crates/simulation/src/server/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod rejections;
 mod second_answers;
+mod slow_response;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use self::faults::ResponseFault;
 use self::rejections::{AfterRejection, BrokenRejection};
 use self::second_answers::PendingSecondAnswer;
+use self::slow_response::SlowResponse;
 use crate::model::{CHUNK_SIZE, LONG_BODY, RequestId, now, slow_start_speed};
 use crate::oracle::Oracle;
 
@@ -216,6 +218,13 @@
                     AfterRejection::Hang => return SimRuntime::sleep(HANG_TIME).await,
                 }
             }
+            if fault == ResponseFault::Slow {
+                let Some(response) = self.slow_response(&message, start).await else { return };
+                if !response.write(&mut reader).await {
+                    return;
+                }
+                continue;
+            }
             let Some(response) = self.respond(&message, fault, start).await else {
                 if fault == ResponseFault::Hang {
                     return SimRuntime::sleep(HANG_TIME).await;
@@ -261,6 +270,14 @@
         rejection.send(socket, within_response, &self.spec.rng).await
     }
 
+    /// Executes a request. Returns a response that is given piece by piece, or `None` if the request was not executed.
+    async fn slow_response(&self, message: &Message, start: Instant) -> Option<SlowResponse> {
+        let (id, class) = self.identify(message).ok()?;
+        self.execute(message, id, class, start).await?;
+        let load = self.load_report();
+        Some(SlowResponse::draw(&id.to_string(), &load, &mut self.spec.rng.borrow_mut()))
+    }
+
     /// Returns the id and the class of a request, or the response to a request without them.
     fn identify(&self, message: &Message) -> Result<(RequestId, &Class), Vec<u8>> {
         let id = message.header("x-correlation-id").and_then(|value| value.parse().ok());
--- a/crates/simulation/tests/simulation.rs
+++ b/crates/simulation/tests/simulation.rs
@@ -18,6 +18,8 @@
 const SECOND_ANSWER_SEEDS: u64 = 80;
 /// The number of seeds with rejections that do not prove that the request was not executed.
 const BROKEN_REJECTION_SEEDS: u64 = 80;
+/// The number of seeds with sound responses that servers give slowly.
+const SLOW_RESPONSE_SEEDS: u64 = 80;
 
 fn assert_no_rule_broken(scenario: &Scenario, what: &str) {
     let outcome = run_scenario(scenario, false);
@@ -70,6 +72,11 @@
 
 /// Servers send responses twice. If a response is matched to a request by its position on the connection alone, most of
 /// these seeds break a rule.
+#[test]
+fn fixed_range_of_seeds_with_slow_responses_breaks_no_rule() {
+    play_seeds(0..SLOW_RESPONSE_SEEDS, Scenario::draw_with_slow_responses);
+}
+
 #[test]
 fn fixed_range_of_seeds_with_second_answers_breaks_no_rule() {
     play_seeds(0..SECOND_ANSWER_SEEDS, Scenario::draw_with_second_answers);
