--- a/src/sidecar/ingress/connection/timeouts.rs
+++ b/src/sidecar/ingress/connection/timeouts.rs
@@ -40,11 +40,12 @@
     pub async fn timed_out(&self) {
         loop {
             let deadline = self.phase_deadline_passed().await;
-            P::deliver_events().await;
-            if P::elapsed_since(deadline) >= HOLD_UP_THRESHOLD {
+            let was_held_up = P::elapsed_since(deadline) >= HOLD_UP_THRESHOLD;
+            if was_held_up && self.phase.get() == Phase::Responding {
                 // A part of a response may be on its way from its server's connection to this one.
                 P::sleep(HOLD_UP_RECOVERY_TIME).await;
             }
+            P::deliver_events().await;
             if self.is_past_phase_deadline() && self.try_close(CloseReason::TimedOut) {
                 return;
             }
