Logs: why a response failed or was cut, and where its head says that it ends

Change: response cut off has body_end and the error of the body, which tells a reset, an early end and invalid framing apart; response of a server failed is new. The statistics keep their names.

--- a/src/sidecar/body.rs
+++ b/src/sidecar/body.rs
@@ -1,6 +1,8 @@
 //! Common parts of request and response bodies: types, size limits and minimum transfer rates.
 
+use std::error::Error;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::marker::PhantomData;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -51,9 +53,15 @@
 /// The reason why a body is not received completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
-    /// The connection ended or failed before the end of the body, or the framing was invalid.
+    /// The connection ended before the end of the body.
     #[error("body ended early")]
     EndedEarly,
+    /// The connection failed, for example by a reset.
+    #[error("connection failed within the body")]
+    ConnectionFailed,
+    /// The framing of the body was invalid.
+    #[error("framing of the body is invalid")]
+    InvalidFraming,
     /// No byte arrived for the maximum wait.
     #[error("body has stalled")]
     Stalled,
@@ -71,6 +79,17 @@
     Unavailable,
 }
 
+impl From<hyper::Error> for BodyError {
+    fn from(error: hyper::Error) -> BodyError {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        match source.map(io::Error::kind) {
+            None | Some(ErrorKind::UnexpectedEof) => BodyError::EndedEarly,
+            Some(ErrorKind::InvalidData | ErrorKind::InvalidInput) => BodyError::InvalidFraming,
+            Some(_) => BodyError::ConnectionFailed,
+        }
+    }
+}
+
 /// A type-erased body.
 pub type BoxedBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>;
 
@@ -182,7 +201,7 @@
             self.waited += P::elapsed_since(wait.since);
         }
         Poll::Ready(frame.map(|frame| {
-            let frame = frame.map_err(|_| BodyError::EndedEarly)?;
+            let frame = frame?;
             self.count_frame(&frame)?;
             // A copy, as a small piece would keep the whole buffer that hyper has read it into.
             Ok(frame.map_data(|data| self.reservation.attach(data.to_vec())))
--- a/src/sidecar/events.rs
+++ b/src/sidecar/events.rs
@@ -121,9 +121,11 @@
             BodyError::Stalled => CutReason::ServerStalled,
             BodyError::TooSlow => CutReason::ServerTooSlow,
             BodyError::TooLong => CutReason::TooLong,
-            BodyError::EndedEarly | BodyError::SurplusBytes | BodyError::Unavailable => {
-                CutReason::ServerEnded
-            }
+            BodyError::EndedEarly
+            | BodyError::ConnectionFailed
+            | BodyError::InvalidFraming
+            | BodyError::SurplusBytes
+            | BodyError::Unavailable => CutReason::ServerEnded,
         }
     }
 }
--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -6,6 +6,8 @@
 //! response after a response. Seeing an end where hyper sees none would do harm, so the rules are stricter
 //! than those of hyper: what is accepted here, hyper reads the same way.
 
+use std::fmt::{self, Display, Formatter};
+
 use hyper::StatusCode;
 
 /// The maximum length of a head in bytes, also set as the size of hyper's buffer.
@@ -68,6 +70,27 @@
     }
 }
 
+/// How the head of a message says where its body ends (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// After this number of bytes.
+    Length(u64),
+    /// With the last chunk, or by another transfer encoding.
+    TransferEncoding,
+    /// With its connection.
+    Connection,
+}
+
+impl Display for BodyEnd {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BodyEnd::Length(_) => "length",
+            BodyEnd::TransferEncoding => "transfer_encoding",
+            BodyEnd::Connection => "connection",
+        })
+    }
+}
+
 /// What the bytes behind a complete message are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TrailingBytes {
@@ -226,9 +249,13 @@
         self.unprocessed
     }
 
-    /// Returns whether the head has a content length or a transfer encoding.
-    pub fn has_explicit_end(&self) -> bool {
-        self.content_length.is_some() || self.has_transfer_encoding
+    /// Returns where the body of a response ends according to its head, which has been received.
+    pub fn body_end(&self) -> BodyEnd {
+        match self.content_length {
+            Some(length) => BodyEnd::Length(length),
+            None if self.has_transfer_encoding => BodyEnd::TransferEncoding,
+            None => BodyEnd::Connection,
+        }
     }
 
     /// Returns whether bytes that followed the message may be a part of it: its length may be given too short. The end of
@@ -293,7 +320,7 @@
                 }
                 State::Chunked(chunk) => self.state = self.feed_chunk(chunk, byte)?,
                 State::EndUnknown => {
-                    if !self.has_explicit_end() {
+                    if self.body_end() == BodyEnd::Connection {
                         self.find_status_line(bytes);
                     }
                     return Ok(());
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -20,7 +20,7 @@
 use crate::sidecar::body::BodyError;
 use crate::sidecar::deadline::{ClientTimeout, RequestDeadline, RequestSource, response_cutoff};
 use crate::sidecar::events::{CloseReason, CutReason};
-use crate::sidecar::framing::{Framing, FramingError, MessageKind};
+use crate::sidecar::framing::{BodyEnd, Framing, FramingError, MessageKind};
 use crate::sidecar::memory::HeadMemory;
 use crate::sidecar::response_pace::{ResponsePace, Unfinished};
 use crate::sidecar::upstream::RequestClient;
@@ -46,6 +46,8 @@
     pub after: Duration,
     /// The time since the response was late, or zero before that; `None` without a limit.
     pub overdue: Option<Duration>,
+    /// The error of its body, or `None` if it had none.
+    pub error: Option<BodyError>,
     /// What had come of a streamed response.
     pub progress: Option<CutProgress>,
 }
@@ -55,12 +57,22 @@
 pub(super) struct CutProgress {
     /// Number of bytes of the body.
     pub received_bytes: u64,
-    /// The announced length of the body, or `None` without one.
-    pub announced_bytes: Option<u64>,
+    /// Where the body ends according to its head.
+    pub body_end: BodyEnd,
     /// The time since the last byte.
     pub pause: Duration,
 }
 
+impl CutProgress {
+    /// Returns the announced length of the body, or `None` without one.
+    pub(super) fn announced_bytes(self) -> Option<u64> {
+        match self.body_end {
+            BodyEnd::Length(length) => Some(length),
+            BodyEnd::TransferEncoding | BodyEnd::Connection => None,
+        }
+    }
+}
+
 /// The state of one client connection, observed between hyper and the socket.
 ///
 /// Every phase that depends on the client has a timeout of its own. Only reading more of a response, or sending a
@@ -287,9 +299,10 @@
             sent_bytes: self.transferred.get(),
             after: P::elapsed_since(self.response_started.get()),
             overdue: self.response_cutoff().map(P::elapsed_since),
+            error: self.response_error.get(),
             progress: self.response_pace.borrow().as_ref().map(|pace| CutProgress {
                 received_bytes: pace.received(),
-                announced_bytes: pace.announced(),
+                body_end: pace.body_end(),
                 pause: pace.pause(P::now()),
             }),
         })
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -99,12 +99,14 @@
         let after_ms = cut.after.as_millis() as u64;
         let overdue_ms = cut.overdue.map(|overdue| overdue.as_millis() as u64);
         let received_bytes = cut.progress.map(|progress| progress.received_bytes);
-        let announced_bytes = cut.progress.and_then(|progress| progress.announced_bytes);
+        let body_end = cut.progress.map(|progress| tracing::field::display(progress.body_end));
+        let announced_bytes = cut.progress.and_then(|progress| progress.announced_bytes());
+        let error = cut.error.map(tracing::field::display);
         let pause_ms = cut.progress.map(|progress| progress.pause.as_millis() as u64);
         if reason == CutReason::ClientLeft {
-            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, pause_ms, "{MESSAGE}");
+            tracing::debug!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, body_end, pause_ms, error, "{MESSAGE}");
         } else {
-            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, pause_ms, "{MESSAGE}");
+            tracing::info!(connection = number, request, %reason, sent_bytes, after_ms, overdue_ms, received_bytes, announced_bytes, body_end, pause_ms, error, "{MESSAGE}");
         }
     }
 
--- a/src/sidecar/response_pace.rs
+++ b/src/sidecar/response_pace.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::body::{MAX_BODY_GAP, STREAM_WINDOW_BYTES, client_transfer_time};
+use super::framing::BodyEnd;
 
 /// The longest pause of a response that has begun, before its client's time is over.
 const MAX_PAUSE_IN_TIME: Duration = Duration::from_secs(1);
@@ -69,14 +70,13 @@
 /// The progress of a response that is being received.
 #[derive(Debug)]
 pub struct ResponsePace {
-    /// The announced length of the body, or `None` without one.
-    announced: Option<u64>,
+    body_end: BodyEnd,
     record: RefCell<Record>,
 }
 
 impl ResponsePace {
-    /// Creates the progress of a response whose head came at `now` and announces this length, if any.
-    pub fn new(announced: Option<u64>, now: Instant) -> ResponsePace {
+    /// Creates the progress of a response whose head came at `now` and says that the body ends there.
+    pub fn new(body_end: BodyEnd, now: Instant) -> ResponsePace {
         let record = Record {
             active_at: now,
             received: 0,
@@ -84,7 +84,7 @@
             samples: Vec::new(),
             sample_interval: SAMPLE_INTERVAL,
         };
-        ResponsePace { announced, record: RefCell::new(record) }
+        ResponsePace { body_end, record: RefCell::new(record) }
     }
 
     /// Records that `bytes` of the body came at `now`.
@@ -97,9 +97,9 @@
         self.record.borrow().received
     }
 
-    /// Returns the announced length of the body, or `None` without one.
-    pub fn announced(&self) -> Option<u64> {
-        self.announced
+    /// Returns where the body ends according to its head.
+    pub fn body_end(&self) -> BodyEnd {
+        self.body_end
     }
 
     /// Returns how long nothing has come at `now`.
@@ -127,7 +127,7 @@
         if self.pause(now) > record.allowed_late_pause() {
             return Err(Unfinished::Stopped);
         }
-        let Some(announced) = self.announced else {
+        let BodyEnd::Length(announced) = self.body_end else {
             let has_time = now < late_since + MAX_LATE_TIME;
             let may_end = has_time && !record.trickles_after_burst();
             return if may_end { Ok(()) } else { Err(Unfinished::NoEnd) };
--- a/src/sidecar/response_pace/tests.rs
+++ b/src/sidecar/response_pace/tests.rs
@@ -8,7 +8,8 @@
 /// A response of which `bytes` come at each of these times in milliseconds.
 fn response(announced: Option<u64>, pieces: &[(u64, usize)]) -> (Instant, ResponsePace) {
     let begun = Instant::now();
-    let pace = ResponsePace::new(announced, begun);
+    let body_end = announced.map_or(BodyEnd::Connection, BodyEnd::Length);
+    let pace = ResponsePace::new(body_end, begun);
     for &(milliseconds, bytes) in pieces {
         pace.record(begun + Duration::from_millis(milliseconds), bytes);
     }
--- a/src/sidecar/upstream/exchange.rs
+++ b/src/sidecar/upstream/exchange.rs
@@ -312,7 +312,8 @@
             self.limits.arrival.begin(P::now());
         }
         let arrival = self.limits.arrival.clone();
-        let reading = ResponseReading { reservation, needs_proof, cutoff, arrival };
+        let request = self.request.correlation_id();
+        let reading = ResponseReading { request, reservation, needs_proof, cutoff, arrival };
         let result = self.upstream.read_response(server, connection, response, reading);
         tokio::select! {
             biased;
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -18,7 +18,7 @@
 use super::desync::ResponseHistory;
 use super::request::RequestEnd;
 use crate::sidecar::execution::ResponseFacts;
-use crate::sidecar::framing::{Framing, MessageKind};
+use crate::sidecar::framing::{BodyEnd, Framing, MessageKind};
 use crate::sidecar::status::Status;
 
 /// The length in bytes of the sequence that ends a head: CR LF CR LF.
@@ -273,6 +273,11 @@
         response.may_be_cut_short() || response.contains_another_response()
     }
 
+    /// Returns where the body of the response ends according to its head, which has been received.
+    pub(super) fn body_end(&self) -> BodyEnd {
+        self.response.borrow().body_end()
+    }
+
     /// Returns the facts about what arrived in response to the request.
     pub(super) fn response_facts(&self) -> ResponseFacts {
         let response = self.response.borrow();
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -117,7 +117,9 @@
 }
 
 /// How a response is read.
-pub(super) struct ResponseReading {
+pub(super) struct ResponseReading<'a> {
+    /// The id of its request in log lines.
+    pub(super) request: &'a str,
     /// The memory that the response uses.
     pub(super) reservation: MessageReservation,
     /// Whether a rejection counts only once it is complete, as a server may start to send one and still execute the
@@ -184,9 +186,9 @@
         server: ServerId,
         connection: Connection<P>,
         response: Response<Incoming>,
-        reading: ResponseReading,
+        reading: ResponseReading<'_>,
     ) -> Received<P> {
-        let ResponseReading { reservation, needs_proof, cutoff, arrival } = reading;
+        let ResponseReading { request, reservation, needs_proof, cutoff, arrival } = reading;
         let unprocessed = is_unprocessed(&response);
         let closes_connection = has_connection_close(response.headers());
         let (head, body) = response.into_parts();
@@ -222,9 +224,14 @@
         };
         drop(head);
         let reading = BodyReading { reservation, cutoff, arrival: &arrival };
-        let read = self.read_body(connection, forwarded, body, reading).await;
-        let Some(read) = read else {
-            return Received::Ended(end(Outcome::ConnectionReset));
+        let (observer, address) = (connection.observer.clone(), connection.address);
+        let read = match self.read_body(connection, forwarded, body, reading).await {
+            Ok(read) => read,
+            Err(error) => {
+                let body_end = observer.body_end();
+                tracing::info!(request, %address, %body_end, %error, "response of a server failed");
+                return Received::Ended(end(Outcome::ConnectionReset));
+            }
         };
         let Forwardable { response, connection, sync_result } = read;
         let result = AttemptResult { response: Some(response), ..end(Outcome::Success) };
@@ -253,20 +260,24 @@
         Received::Ended(result)
     }
 
-    /// Reads a body, or the prefix of a streamed one. Returns `None` if the body cannot be forwarded completely.
+    /// Reads a body, or the prefix of a streamed one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body cannot be forwarded completely.
     async fn read_body(
         &self,
         mut connection: Connection<P>,
         head: ForwardedHead,
         mut body: Incoming,
         reading: BodyReading<'_>,
-    ) -> Option<Forwardable<P>> {
+    ) -> Result<Forwardable<P>, BodyError> {
         let BodyReading { reservation, cutoff, arrival } = reading;
-        let pace = Rc::new(ResponsePace::new(body.size_hint().exact(), P::now()));
+        let pace = Rc::new(ResponsePace::new(connection.observer.body_end(), P::now()));
         let prefix = read_prefix::<P>(&mut body, &pace, arrival).await?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
         if !connection.is_used() && connection.observer.has_ambiguous_end() {
-            return None;
+            return Err(BodyError::SurplusBytes);
         }
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
         let sync_result = connection.check_body(fingerprint);
@@ -284,7 +295,7 @@
         let body = reservation.attach(prefix.bytes);
         let ForwardedHead { headers, memory: head_memory } = head;
         let response = UpstreamResponse { headers, head_memory, body, rest };
-        Some(Forwardable { response, connection, sync_result })
+        Ok(Forwardable { response, connection, sync_result })
     }
 
     /// Discards the rest of a short response in a task of its own, so that its connection can be reused.
@@ -318,13 +329,16 @@
 }
 
 /// Reads a short body completely, or else the first bytes of a body and what follows them within
-/// [`EARLY_FAILURE_WAIT`], or what has come of it when it is due. Returns `None` if the body ends early, or has stopped
-/// when it is due.
+/// [`EARLY_FAILURE_WAIT`], or what has come of it when it is due.
+///
+/// # Errors
+///
+/// Fails if the body fails, or has stopped when it is due.
 async fn read_prefix<P: Runtime>(
     body: &mut Incoming,
     pace: &ResponsePace,
     arrival: &ResponseArrival,
-) -> Option<Prefix> {
+) -> Result<Prefix, BodyError> {
     let buffered_length = buffered_length(body);
     let is_long =
         body.size_hint().exact().is_some_and(|length| length > STREAM_WINDOW_BYTES as u64);
@@ -332,22 +346,22 @@
     let mut wait_until = None;
     loop {
         if buffered_length.is_none() && bytes.len() >= STREAM_WINDOW_BYTES {
-            return Some(Prefix { bytes, complete: false });
+            return Ok(Prefix { bytes, complete: false });
         }
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = expiry_of::<P>(wait_until) => return Some(Prefix { bytes, complete: false }),
+            () = expiry_of::<P>(wait_until) => return Ok(Prefix { bytes, complete: false }),
             () = arrival.due() => {
-                pace.check_at_deadline(P::now()).ok()?;
-                return Some(Prefix { bytes, complete: false });
+                pace.check_at_deadline(P::now()).map_err(|_| BodyError::Stalled)?;
+                return Ok(Prefix { bytes, complete: false });
             }
         };
         if is_long {
             wait_until = wait_until.or_else(|| Some(P::now() + EARLY_FAILURE_WAIT));
         }
-        let Some(frame) = frame.transpose().ok()? else {
-            return Some(Prefix { bytes, complete: true });
+        let Some(frame) = frame.transpose()? else {
+            return Ok(Prefix { bytes, complete: true });
         };
         if let Ok(data) = frame.into_data() {
             pace.record(P::now(), data.len());
