--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod clients;
+pub mod contents;
 pub mod faulty_calls;
 pub mod lag_watch;
 pub mod logserver;
--- a/tests/lifecycle/paced_responses.rs
+++ b/tests/lifecycle/paced_responses.rs
@@ -44,10 +44,16 @@
 
     /// The next `length` bytes of the body as they are written.
     pub fn piece(self, length: usize) -> Vec<u8> {
-        let data = vec![b's'; length];
+        self.piece_of(&vec![b's'; length])
+    }
+
+    /// These next bytes of the body as they are written.
+    pub fn piece_of(self, data: &[u8]) -> Vec<u8> {
         match self {
-            Framing::Chunked => [format!("{length:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
-            Framing::Length | Framing::Close => data,
+            Framing::Chunked => {
+                [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat()
+            }
+            Framing::Length | Framing::Close => data.to_vec(),
         }
     }
 
