Responses: a status line in a body without a length is no second response

Cause: a response without a length ends with its connection (RFC 9112, section 6.3, item 8), and what it contains is opaque. find_status_line took a status line in it for the beginning of a second response, so that a sound one was cut off in its last bytes (streamed) or failed at each server in turn (buffered). What callers saw: 'cut off a long answer that its server was still giving', 502 and 503.

Change: the search is gone, and a FIN is an end. Where none comes the response has stopped or never ends, and is ended in time as before.

--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -16,8 +16,6 @@
 const MAX_KEPT_LINE_BYTES: usize = 128;
 /// The first bytes of every response.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
-/// The length of the part of a status line that identifies one: the version, a space and the status.
-const STATUS_LINE_LENGTH: usize = 12;
 /// The header with which a server states that it rejected a request without processing it.
 pub const UNPROCESSED_HEADER: &str = "x-unprocessed";
 /// The maximum number of interim (1xx) responses before the final one.
@@ -172,9 +170,6 @@
     chunk_bytes: u64,
     /// The first bytes that followed the message, or `None` if none have.
     trailing: Option<TrailingBytes>,
-    /// In a response whose body ends with its connection: the length of the beginning of a status line that the bytes so
-    /// far end with, or the whole length once one has occurred.
-    status_line_matched: usize,
 }
 
 impl Framing {
@@ -195,7 +190,6 @@
             unprocessed: Unprocessed::Unsaid,
             chunk_bytes: 0,
             trailing: None,
-            status_line_matched: 0,
         }
     }
 
@@ -216,7 +210,6 @@
         self.unprocessed = Unprocessed::Unsaid;
         self.chunk_bytes = 0;
         self.trailing = None;
-        self.status_line_matched = 0;
     }
 
     /// Returns whether a byte of the present message has been received.
@@ -264,23 +257,6 @@
         self.content_length.is_some() && self.trailing == Some(TrailingBytes::Other)
     }
 
-    /// Returns whether the body of a response that ends with its connection contains the beginning of another response,
-    /// which cannot be told from the body.
-    pub fn contains_another_response(&self) -> bool {
-        self.status_line_matched == STATUS_LINE_LENGTH
-    }
-
-    /// Looks for a status line in the bytes of a body that ends with its connection.
-    fn find_status_line(&mut self, bytes: &[u8]) {
-        for &byte in bytes {
-            self.status_line_matched = match self.status_line_matched {
-                STATUS_LINE_LENGTH => return,
-                matched if continues_status_line(matched, byte) => matched + 1,
-                _ => usize::from(byte == RESPONSE_START[0]),
-            };
-        }
-    }
-
     fn record_trailing(&mut self, bytes: &[u8]) {
         let compared = bytes.len().min(RESPONSE_START.len());
         let begins_response = bytes[..compared] == RESPONSE_START[..compared];
@@ -319,12 +295,7 @@
                     continue;
                 }
                 State::Chunked(chunk) => self.state = self.feed_chunk(chunk, byte)?,
-                State::EndUnknown => {
-                    if self.body_end() == BodyEnd::Connection {
-                        self.find_status_line(bytes);
-                    }
-                    return Ok(());
-                }
+                State::EndUnknown => return Ok(()),
                 State::Complete => {
                     self.record_trailing(bytes);
                     return Err(FramingError::UnexpectedData);
@@ -487,14 +458,5 @@
     Some(digits.iter().fold(0, |number, digit| 10 * number + u64::from(digit - b'0')))
 }
 
-/// Returns whether `byte` continues a status line of which `matched` bytes have come.
-fn continues_status_line(matched: usize, byte: u8) -> bool {
-    match RESPONSE_START.get(matched) {
-        Some(&expected) => byte == expected,
-        None if matched == RESPONSE_START.len() + 1 => byte == b' ',
-        None => byte.is_ascii_digit(),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -266,11 +266,10 @@
         self.response_began.notified().await;
     }
 
-    /// Returns whether the response may have more or fewer bytes than the body that is read from it: bytes follow it that
-    /// may belong to it, or another response follows without a boundary.
-    pub(super) fn has_ambiguous_end(&self) -> bool {
-        let response = self.response.borrow();
-        response.may_be_cut_short() || response.contains_another_response()
+    /// Returns whether the response may have more bytes than the body that is read from it: bytes follow it that may
+    /// belong to it.
+    pub(super) fn may_be_cut_short(&self) -> bool {
+        self.response.borrow().may_be_cut_short()
     }
 
     /// Returns where the body of the response ends according to its head, which has been received.
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -70,7 +70,7 @@
             self.pace.record(P::now(), data.map_or(0, Bytes::len));
         }
         let is_last = frame.is_none() || self.body.is_end_stream();
-        if is_last && self.connection.as_ref().is_some_and(|c| c.observer.has_ambiguous_end()) {
+        if is_last && self.connection.as_ref().is_some_and(|c| c.observer.may_be_cut_short()) {
             // Without its last bytes, the client can tell that the response is not whole.
             return Poll::Ready(Some(Err(BodyError::SurplusBytes)));
         }
@@ -276,7 +276,7 @@
         let pace = Rc::new(ResponsePace::new(connection.observer.body_end(), P::now()));
         let prefix = read_prefix::<P>(&mut body, &pace, arrival).await?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
-        if !connection.is_used() && connection.observer.has_ambiguous_end() {
+        if !connection.is_used() && connection.observer.may_be_cut_short() {
             return Err(BodyError::SurplusBytes);
         }
         let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
