Responses: one that can be no copy and cannot be checked is not failed for its time

Cause: on a used connection a response that begins sooner than a quarter of its server's fastest is taken for a copy of an earlier one until a further message shows that it is not. Behind a response that ends with its connection, or that is still being received, no message can be sent, so a sound order got 502 after it had run, and others were sent again. Circumstance (how soon) decided whose response it is.

Change: where no check is possible, time and body are signs only if the response can be a copy: earlier responses on the connection were complete and left it open, so one that is longer than each of them, has no length or says Connection: close is none. What arrives out of turn is refused as before, and so is what can be checked.

--- a/src/sidecar/response_pace.rs
+++ b/src/sidecar/response_pace.rs
@@ -97,6 +97,14 @@
         self.record.borrow().received
     }
 
+    /// Returns the announced length of the body, or the number of bytes that have come if there is none.
+    pub fn min_length(&self) -> u64 {
+        match self.body_end {
+            BodyEnd::Length(length) => length,
+            BodyEnd::TransferEncoding | BodyEnd::Connection => self.received(),
+        }
+    }
+
     /// Returns where the body ends according to its head.
     pub fn body_end(&self) -> BodyEnd {
         self.body_end
--- a/src/sidecar/upstream/connection.rs
+++ b/src/sidecar/upstream/connection.rs
@@ -13,7 +13,7 @@
 
 use super::close_reason::CloseReason;
 use super::desync::{
-    BodyFingerprint, LaterResponse, MAX_REQUESTS, QUIET_PERIOD, RecentBodies, ResponseHistory,
+    LaterResponse, MAX_REQUESTS, QUIET_PERIOD, ReceivedBody, RecentBodies, ResponseHistory,
     SuspectedDesync,
 };
 use super::observer::ExchangeObserver;
@@ -170,15 +170,12 @@
         }
     }
 
-    /// Checks whether a response with this body answers the last request. `body` is `None` if it is not complete yet.
+    /// Checks whether a response with this body answers the last request.
     ///
     /// # Errors
     ///
     /// Returns the sign of a desync.
-    pub(super) fn check_body(
-        &mut self,
-        body: Option<BodyFingerprint>,
-    ) -> Result<(), SuspectedDesync> {
+    pub(super) fn check_body(&mut self, body: ReceivedBody) -> Result<(), SuspectedDesync> {
         let delay = self.observer.response_delay().unwrap_or_default();
         let result = if self.is_used() {
             let response = LaterResponse {
@@ -192,9 +189,7 @@
             self.history.record_response(delay);
             Ok(())
         };
-        if let Some(body) = body {
-            self.earlier_bodies.push(body);
-        }
+        self.earlier_bodies.record(body);
         result
     }
 
--- a/src/sidecar/upstream/desync.rs
+++ b/src/sidecar/upstream/desync.rs
@@ -46,26 +46,60 @@
     }
 }
 
-/// The fingerprints of the most recent bodies, up to [`MAX_BODIES`].
+/// The fingerprints of the most recent bodies, up to [`MAX_BODIES`], and the length of the longest body.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentBodies {
     bodies: VecDeque<BodyFingerprint>,
+    longest: u64,
 }
 
 impl RecentBodies {
-    /// Adds a body, and removes the oldest if the limit is reached.
-    pub(super) fn push(&mut self, body: BodyFingerprint) {
+    /// Adds a body if it is complete, and removes the oldest one if the limit is reached.
+    pub(super) fn record(&mut self, body: ReceivedBody) {
+        if let Some(fingerprint) = body.fingerprint {
+            self.push(fingerprint);
+            self.longest = self.longest.max(body.min_length);
+        }
+    }
+
+    fn push(&mut self, body: BodyFingerprint) {
         if self.bodies.len() == MAX_BODIES {
             self.bodies.pop_front();
         }
         self.bodies.push_back(body);
     }
 
+    /// Returns whether a response with this body can be a copy of an earlier response on the connection.
+    ///
+    /// Earlier responses were complete and left the connection open, so a longer one is no copy, and one with which the
+    /// connection ends neither.
+    fn may_be_repeated_by(&self, body: ReceivedBody) -> bool {
+        !body.ends_connection && body.min_length <= self.longest
+    }
+
     fn contains(&self, body: BodyFingerprint) -> bool {
         self.bodies.contains(&body)
     }
 }
 
+/// The body of a response as far as it has been received.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReceivedBody {
+    /// The fingerprint of the body, or `None` if it is not complete yet.
+    pub(super) fingerprint: Option<BodyFingerprint>,
+    /// The length in bytes that is announced or, without one, that has been received.
+    pub(super) min_length: u64,
+    /// Whether the connection ends with the response, according to its head.
+    pub(super) ends_connection: bool,
+}
+
+impl ReceivedBody {
+    /// Returns whether a sync check can be made behind the response.
+    fn allows_sync_check(self) -> bool {
+        self.fingerprint.is_some() && !self.ends_connection
+    }
+}
+
 /// A response on a reused connection.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LaterResponse<'a> {
@@ -73,8 +107,8 @@
     pub(super) in_turn: bool,
     /// Time from the last byte of the request to the start of the response.
     pub(super) delay: Duration,
-    /// The body, or `None` if it is streamed.
-    pub(super) body: Option<BodyFingerprint>,
+    /// The body.
+    pub(super) body: ReceivedBody,
     /// The bodies of the earlier responses on the connection.
     pub(super) earlier_bodies: &'a RecentBodies,
 }
@@ -144,17 +178,21 @@
         response: LaterResponse<'_>,
     ) -> Result<(), SuspectedDesync> {
         let LaterResponse { in_turn, delay, body, earlier_bodies } = response;
-        let suspected = |sign| Err(SuspectedDesync { sign, delay, body });
+        let fingerprint = body.fingerprint;
+        let suspected = |sign| Err(SuspectedDesync { sign, delay, body: fingerprint });
         if !in_turn {
             return suspected(DesyncSign::OutOfTurn);
         }
+        if !body.allows_sync_check() && !earlier_bodies.may_be_repeated_by(body) {
+            return Ok(());
+        }
         let fastest = self.fastest_response.get();
         if fastest.is_some_and(|fastest| delay < fastest / TOO_SOON_DIVISOR) {
             return suspected(DesyncSign::TooSoon);
         }
         let is_repeated =
             |body| earlier_bodies.contains(body) && !self.repeated_bodies.borrow().contains(body);
-        if body.is_some_and(is_repeated) {
+        if fingerprint.is_some_and(is_repeated) {
             return suspected(DesyncSign::RepeatedBody);
         }
         Ok(())
--- a/src/sidecar/upstream/desync/tests.rs
+++ b/src/sidecar/upstream/desync/tests.rs
@@ -8,6 +8,15 @@
     BodyFingerprint::new(text.as_bytes())
 }
 
+/// A complete body behind which the connection stays open.
+fn received(text: &str) -> ReceivedBody {
+    ReceivedBody {
+        fingerprint: Some(body(text)),
+        min_length: text.len() as u64,
+        ends_connection: false,
+    }
+}
+
 /// The history of a server whose fastest response took 8 ms, and the bodies of a connection that has carried `first`.
 fn reused_connection() -> (ResponseHistory, RecentBodies) {
     let (history, mut earlier) = (ResponseHistory::default(), RecentBodies::default());
@@ -22,7 +31,7 @@
     text: &str,
     delay: Duration,
 ) -> Result<(), DesyncSign> {
-    let response = LaterResponse { in_turn: true, delay, body: Some(body(text)), earlier_bodies };
+    let response = LaterResponse { in_turn: true, delay, body: received(text), earlier_bodies };
     history.check_response(response).map_err(|suspected| suspected.sign)
 }
 
@@ -38,7 +47,8 @@
     let response = LaterResponse {
         in_turn: false,
         delay: 9 * MS,
-        body: Some(body("x")),
+        body: received("x"),
+
         earlier_bodies: &earlier,
     };
     let found = history.check_response(response).map_err(|suspected| suspected.sign);
@@ -66,11 +76,12 @@
     let (history, mut earlier) = reused_connection();
     earlier.push(body("other"));
     let checked = |text: &str, delay| {
-        let body = Some(body(text));
+        let body = received(text);
         history.check_response(LaterResponse {
             in_turn: true,
             delay,
             body,
+
             earlier_bodies: &earlier,
         })
     };
@@ -84,11 +95,38 @@
     assert_eq!(checked("third", MS), Ok(()));
 }
 
+#[test]
+fn response_that_cannot_be_checked_and_can_be_no_copy_is_accepted_if_it_is_in_turn() {
+    let history = ResponseHistory::default();
+    history.record_response(8 * MS);
+    let mut earlier = RecentBodies::default();
+    earlier.record(received("first"));
+    let check = |in_turn, body| {
+        let response = LaterResponse { in_turn, delay: MS, body, earlier_bodies: &earlier };
+        history.check_response(response).map_err(|suspected| suspected.sign)
+    };
+    let last = ReceivedBody { ends_connection: true, ..received("first") };
+    let longer = ReceivedBody { min_length: 6, ..ReceivedBody::default() };
+    let as_long = ReceivedBody { min_length: 5, ..ReceivedBody::default() };
+    for accepted in [last, longer] {
+        assert_eq!(check(true, accepted), Ok(()));
+        assert_eq!(check(false, accepted), Err(DesyncSign::OutOfTurn));
+    }
+    for suspected in [as_long, received("first"), received("a longer one")] {
+        assert_eq!(check(true, suspected), Err(DesyncSign::TooSoon));
+    }
+}
+
 #[test]
 fn incomplete_body_is_not_compared() {
     let (history, earlier) = reused_connection();
-    let response =
-        LaterResponse { in_turn: true, delay: 9 * MS, body: None, earlier_bodies: &earlier };
+    let response = LaterResponse {
+        in_turn: true,
+        delay: 9 * MS,
+        body: ReceivedBody::default(),
+
+        earlier_bodies: &earlier,
+    };
     assert_eq!(history.check_response(response), Ok(()));
 }
 
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -16,7 +16,7 @@
 use super::attempt_result::{AttemptResult, ResponseHeadMemory, ResponseRest, UpstreamResponse};
 use super::close_reason::CloseReason;
 use super::connection::Connection;
-use super::desync::{BodyFingerprint, SuspectedDesync};
+use super::desync::{BodyFingerprint, ReceivedBody, SuspectedDesync};
 use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
 use super::response_arrival::ResponseArrival;
@@ -25,7 +25,7 @@
     BodyError, MinRateBody, STREAM_PREFIX_BYTES, STREAM_WINDOW_BYTES, buffered_length,
     reserved_bytes,
 };
-use crate::sidecar::framing::UNPROCESSED_HEADER;
+use crate::sidecar::framing::{BodyEnd, UNPROCESSED_HEADER};
 use crate::sidecar::headers::{end_to_end_headers, head_bytes};
 use crate::sidecar::memory::{MemoryReservation, MessageReservation, MessageSize};
 use crate::sidecar::response_pace::ResponsePace;
@@ -135,6 +135,8 @@
 struct BodyReading<'a> {
     reservation: MemoryReservation,
     cutoff: Option<Instant>,
+    /// Whether the head says that the server closes the connection after the response.
+    closes_connection: bool,
     arrival: &'a ResponseArrival,
 }
 
@@ -223,7 +225,7 @@
             memory: ResponseHeadMemory { bytes: head_bytes, reservation: head_reservation },
         };
         drop(head);
-        let reading = BodyReading { reservation, cutoff, arrival: &arrival };
+        let reading = BodyReading { reservation, cutoff, closes_connection, arrival: &arrival };
         let (observer, address) = (connection.observer.clone(), connection.address);
         let read = match self.read_body(connection, forwarded, body, reading).await {
             Ok(read) => read,
@@ -272,15 +274,19 @@
         mut body: Incoming,
         reading: BodyReading<'_>,
     ) -> Result<Forwardable<P>, BodyError> {
-        let BodyReading { reservation, cutoff, arrival } = reading;
+        let BodyReading { reservation, cutoff, closes_connection, arrival } = reading;
         let pace = Rc::new(ResponsePace::new(connection.observer.body_end(), P::now()));
         let prefix = read_prefix::<P>(&mut body, &pace, arrival).await?;
         // On a used connection the bytes are a sign of a desync, and the request can be sent again on a new one.
         if !connection.is_used() && connection.observer.may_be_cut_short() {
             return Err(BodyError::SurplusBytes);
         }
-        let fingerprint = prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes));
-        let sync_result = connection.check_body(fingerprint);
+        let received = ReceivedBody {
+            fingerprint: prefix.complete.then(|| BodyFingerprint::new(&prefix.bytes)),
+            min_length: pace.min_length(),
+            ends_connection: closes_connection || pace.body_end() == BodyEnd::Connection,
+        };
+        let sync_result = connection.check_body(received);
         let mut connection = Some(connection);
         let rest = if prefix.complete {
             None
