Responses: only a copy of a response shows that its length is not too short

Cause: what follows a response with a length was taken for a second response if its first bytes were HTTP/1., and for the rest of a body whose length is too short otherwise. So a response whose length is too short was served in part, as a whole one, where the rest begins with a status line: contents decided whether it is whole.

Only what repeats the response's own head, byte for byte (256 bytes at most are compared), is a copy; anything else may be the rest. What is chosen: a good answer with noise, or with a copy that has another head, right behind it fails visibly, as failing is allowed and serving a part is not.

--- a/src/sidecar/framing.rs
+++ b/src/sidecar/framing.rs
@@ -14,8 +14,8 @@
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The number of bytes of a line that are kept, enough for the headers that define the length of the body.
 const MAX_KEPT_LINE_BYTES: usize = 128;
-/// The first bytes of every response.
-const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// The number of bytes of a response's head that a copy behind the response has to repeat.
+const MAX_COMPARED_BYTES: usize = 256;
 /// The header with which a server states that it rejected a request without processing it.
 pub const UNPROCESSED_HEADER: &str = "x-unprocessed";
 /// The maximum number of interim (1xx) responses before the final one.
@@ -92,8 +92,8 @@
 /// What the bytes behind a complete message are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TrailingBytes {
-    /// They begin like another response, so the message before them ends where its length says.
-    Response,
+    /// They repeat this number of bytes from the beginning of the message.
+    Copy(usize),
     /// Anything else: unrelated bytes, or the rest of a body whose length is given too short.
     Other,
 }
@@ -168,7 +168,9 @@
     unprocessed: Unprocessed,
     /// The sum of the chunk sizes so far.
     chunk_bytes: u64,
-    /// The first bytes that followed the message, or `None` if none have.
+    /// The first bytes of the head of a response, up to [`MAX_COMPARED_BYTES`].
+    head_start: Vec<u8>,
+    /// The bytes that followed the message, or `None` if none have.
     trailing: Option<TrailingBytes>,
 }
 
@@ -189,6 +191,7 @@
             is_only_chunked: false,
             unprocessed: Unprocessed::Unsaid,
             chunk_bytes: 0,
+            head_start: Vec::new(),
             trailing: None,
         }
     }
@@ -209,6 +212,7 @@
         self.is_only_chunked = false;
         self.unprocessed = Unprocessed::Unsaid;
         self.chunk_bytes = 0;
+        self.head_start.clear();
         self.trailing = None;
     }
 
@@ -253,15 +257,31 @@
 
     /// Returns whether bytes that followed the message may be a part of it: its length may be given too short. The end of
     /// a chunked body is explicit.
+    ///
+    /// Only a copy of the message itself is taken for another message (RFC 9112, section 6.3, allows to determine whether
+    /// the bytes belong to the body). Anything else may be the rest of the body, whatever it begins with.
     pub fn may_be_cut_short(&self) -> bool {
-        self.content_length.is_some() && self.trailing == Some(TrailingBytes::Other)
+        let is_copy = match self.trailing {
+            None => return false,
+            Some(TrailingBytes::Copy(length)) => length == self.head_start.len(),
+            Some(TrailingBytes::Other) => false,
+        };
+        self.content_length.is_some() && !is_copy
     }
 
     fn record_trailing(&mut self, bytes: &[u8]) {
-        let compared = bytes.len().min(RESPONSE_START.len());
-        let begins_response = bytes[..compared] == RESPONSE_START[..compared];
-        let kind = if begins_response { TrailingBytes::Response } else { TrailingBytes::Other };
-        self.trailing.get_or_insert(kind);
+        let repeated = match self.trailing {
+            None => 0,
+            Some(TrailingBytes::Copy(length)) => length,
+            Some(TrailingBytes::Other) => return,
+        };
+        let expected = &self.head_start[repeated..];
+        let compared = bytes.len().min(expected.len());
+        let is_copy = bytes[..compared] == expected[..compared];
+        self.trailing = Some(match is_copy {
+            true => TrailingBytes::Copy(repeated + compared),
+            false => TrailingBytes::Other,
+        });
     }
 
     /// Processes received bytes.
@@ -309,6 +329,9 @@
     fn feed_head(&mut self, byte: u8) -> Result<(), FramingError> {
         self.state = State::Head;
         self.count_head_byte()?;
+        if self.kind == MessageKind::Response && self.head_start.len() < MAX_COMPARED_BYTES {
+            self.head_start.push(byte);
+        }
         match byte {
             b'\n' => self.end_line()?,
             _ if self.line.len() < MAX_KEPT_LINE_BYTES => self.line.push(byte),
--- a/src/sidecar/framing/tests.rs
+++ b/src/sidecar/framing/tests.rs
@@ -155,3 +155,26 @@
         }
     }
 }
+
+#[test]
+fn only_a_copy_of_a_response_shows_that_its_length_is_not_too_short() {
+    let response = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 2\r\n\r\nok";
+    let behind = |bytes: &str, piece: usize| {
+        let mut framing = Framing::new(MessageKind::Response, MAX_BODY);
+        framing.feed(response.as_bytes()).expect("a valid response");
+        for part in bytes.as_bytes().chunks(piece) {
+            assert_eq!(framing.feed(part), Err(FramingError::UnexpectedData));
+        }
+        framing.may_be_cut_short()
+    };
+    let half = &response[..10];
+    let other = response.replace("X: 1", "X: 2");
+    for piece in [1, 7, 1000] {
+        assert!(!behind("", piece));
+        assert!(!behind(response, piece), "a copy");
+        assert!(!behind(&response.repeat(2), piece), "two copies");
+        for rest in [half, &other, "rest", "HTTP/1.1 200 OK\r\n\r\n"] {
+            assert!(behind(rest, piece), "{rest:?}, {piece}");
+        }
+    }
+}
--- a/tests/lifecycle/server_answers.rs
+++ b/tests/lifecycle/server_answers.rs
@@ -4,7 +4,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::contents::{PIECES, body_with};
+
 use crate::net::*;
+use crate::scripted_responses::{Received, receive};
 use crate::support::*;
 
 /// The client's timeout.
@@ -62,6 +65,40 @@
     }
 }
 
+/// Guards against the same where the part that the length leaves out begins like another response.
+#[test]
+fn answer_whose_length_is_too_short_is_not_served_in_part_whatever_the_rest_begins_with() {
+    for (number, piece) in PIECES.into_iter().enumerate() {
+        for length in [0, 9, 3_000, STREAM_WINDOW + 1] {
+            let body = body_with(LONG_BODY, piece, length, number as u64);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            let text = [head.as_bytes(), &body].concat();
+            let server = Server::start(move |_, socket| socket.write_all(&text).is_ok());
+            let sidecar = Sidecar::start(discovery(&[&server]));
+            let request = order_request("order");
+            let is_served = match receive(&sidecar, request.as_bytes()) {
+                Received::Whole(status, _) => status == "HTTP/1.1 200 OK",
+                Received::Cut => false,
+            };
+            assert!(!is_served, "piece {number}, length {length}");
+        }
+    }
+}
+
+/// Guards against a whole answer that is failed because its server writes it twice.
+#[test]
+fn answer_with_a_copy_right_behind_it_is_served_whole() {
+    let server = Server::start(|id, socket| {
+        let text = answer(id);
+        socket.write_all([text.as_bytes(), text.as_bytes()].concat().as_slice()).is_ok()
+    });
+    for request in [order_request, get_request, keyed_request] {
+        let sidecar = Sidecar::start(discovery(&[&server]));
+        let answer = sidecar.exchange(&request("twice"));
+        assert!(answer.ends_with("\r\n\r\ntwice"), "{answer:?}");
+    }
+}
+
 /// A length that leaves out bytes is a failure of one server, so a request that may be repeated is served by another.
 #[test]
 fn request_is_sent_to_another_server_after_an_answer_whose_length_is_too_short() {
