Tests: requests, lists and slow responses with pieces of protocols come byte for byte

The bodies of the tests of slow and sound responses were one letter repeated, compared by length.

Change: paced bodies are drawn bytes with pieces, compared by digest, so that SIGTERM, SIGUSR2, SIGHUP, drains, removals, hold-ups, uploads and attempts beside each other are played with them in every framing. request_contents: uploads of 0 to 900,000 bytes with a length and in chunks, split over two reads, fields that hold pieces, lists of endpoints in every framing. response_contents: the same where memory is short.

--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -16,6 +16,7 @@
 mod paced_responses;
 mod rejections;
 mod reload;
+mod request_contents;
 mod request_ids;
 mod response_contents;
 mod resting_connections;
--- a/tests/lifecycle/paced_responses.rs
+++ b/tests/lifecycle/paced_responses.rs
@@ -1,10 +1,12 @@
 //! Responses that a server writes piece by piece, in each way to say where they end.
 
+use std::hash::{DefaultHasher, Hasher};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fakes::contents::{Direction, body_of};
 use fakes::wire::read_message;
 use serde_json::Value;
 
@@ -66,6 +68,32 @@
     }
 }
 
+/// Returns a body of this length in which pieces of protocols stand.
+pub fn paced_body(length: usize) -> Vec<u8> {
+    body_of(Direction::Response, "paced", length)
+}
+
+/// The body of a response as it is written piece by piece.
+pub struct BodyPieces {
+    framing: Framing,
+    body: Vec<u8>,
+    written: usize,
+}
+
+impl BodyPieces {
+    /// The body of this length, of which nothing is written yet.
+    pub fn new(framing: Framing, length: usize) -> BodyPieces {
+        BodyPieces { framing, body: paced_body(length), written: 0 }
+    }
+
+    /// The next `length` bytes of the body as they are written.
+    pub fn next(&mut self, length: usize) -> Vec<u8> {
+        let begin = self.written;
+        self.written += length;
+        self.framing.piece_of(&self.body[begin..self.written])
+    }
+}
+
 /// When a server writes which part of a response: the times count from the request.
 #[derive(Clone, Debug)]
 pub struct Schedule {
@@ -107,12 +135,13 @@
 
     fn write(&self, framing: Framing, socket: &mut TcpStream) -> std::io::Result<()> {
         let received_at = Instant::now();
+        let mut body = BodyPieces::new(framing, self.body_length());
         socket.set_nodelay(true)?;
         sleep_until(received_at + self.head);
         socket.write_all(framing.head(self.body_length()).as_bytes())?;
         for &(time, length) in &self.pieces {
             sleep_until(received_at + time);
-            socket.write_all(&framing.piece(length))?;
+            socket.write_all(&body.next(length))?;
         }
         socket.write_all(framing.end())
     }
@@ -162,18 +191,43 @@
     })
 }
 
-/// Sends a request. Returns the status line of its response, or when it was cut, and the length of its body.
-pub fn outcome_of(sidecar: &Sidecar, request: &[u8]) -> (String, usize) {
+/// What a client has received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// The status line of the response, or when it was cut.
+    status: String,
+    /// The length of its body in bytes.
+    length: usize,
+    /// A digest of its body.
+    digest: u64,
+}
+
+impl Outcome {
+    /// A response with this status line and body.
+    pub fn new(status: &str, body: &[u8]) -> Outcome {
+        let mut hasher = DefaultHasher::new();
+        hasher.write(body);
+        Outcome { status: status.to_owned(), length: body.len(), digest: hasher.finish() }
+    }
+}
+
+/// Sends a request and returns what its client receives.
+pub fn outcome_of(sidecar: &Sidecar, request: &[u8]) -> Outcome {
     let mut client = sidecar.connect();
     let sent_at = Instant::now();
     client.write_all(request).expect("sent");
     let response = read_message(&mut BufReader::new(client));
     let time = sent_at.elapsed();
     let (head, body) = response.unwrap_or_else(|| (format!("cut after {time:?}"), Vec::new()));
-    (head.lines().next().unwrap_or_default().to_owned(), body.len())
+    Outcome::new(head.lines().next().unwrap_or_default(), &body)
+}
+
+/// The outcome of a request whose client gets the whole paced body of this length.
+pub fn whole(length: usize) -> Outcome {
+    whole_of(&paced_body(length))
 }
 
-/// The outcome of a request whose whole response has a body of this length.
-pub fn whole(length: usize) -> (String, usize) {
-    ("HTTP/1.1 200 OK".to_owned(), length)
+/// The outcome of a request whose client gets this body.
+pub fn whole_of(body: &[u8]) -> Outcome {
+    Outcome::new("HTTP/1.1 200 OK", body)
 }
--- a/tests/lifecycle/response_contents.rs
+++ b/tests/lifecycle/response_contents.rs
@@ -2,6 +2,7 @@
 //! A sound one comes byte for byte, in each way to say where it ends.
 
 use std::io::{Read, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use fakes::contents::*;
@@ -328,3 +329,34 @@
         }
     }
 }
+
+/// Guards against a response that is cut or changed where many wait for memory at the same time.
+#[test]
+fn response_with_pieces_of_protocols_is_whole_or_refused_where_memory_is_short() {
+    let exchanges: Vec<_> = (0..16)
+        .flat_map(|number| {
+            let name = format!("memory-{number}");
+            in_every_framing(&name, &body_of(Direction::Response, &name, 150_000))
+        })
+        .collect();
+    let play = &Play::start(&exchanges, |config| {
+        config["limits"]["memory_mb"] = 16.into();
+        config["limits"]["sockets"] = 512.into();
+    });
+    let whole = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for exchange in &exchanges {
+            scope.spawn(|| match play.send(exchange, milliseconds(2_000)) {
+                Received::Cut => panic!("{}: cut", exchange.name),
+                Received::Whole(status, body) if status == "HTTP/1.1 200 OK" => {
+                    assert!(body == exchange.body, "{}: another body", exchange.name);
+                    whole.fetch_add(1, Ordering::Relaxed);
+                }
+                Received::Whole(status, _) => {
+                    assert!(status.starts_with("HTTP/1.1 50"), "{}: {status}", exchange.name);
+                }
+            });
+        }
+    });
+    assert!(whole.into_inner() > 0, "none is served");
+}
--- a/tests/lifecycle/slow_responses.rs
+++ b/tests/lifecycle/slow_responses.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 
 use crate::net::*;
-use crate::paced_responses::{Framing, request, sleep_until};
+use crate::paced_responses::{BodyPieces, Framing, paced_body, request, sleep_until};
 use crate::support::set_times;
 
 /// A response may end this long after the time of its client. Later it counts as lost.
@@ -55,13 +55,14 @@
     /// Writes a response to a request that has just arrived.
     fn write_response(self, framing: Framing, socket: &mut TcpStream) -> std::io::Result<()> {
         let received_at = Instant::now();
+        let mut body = BodyPieces::new(framing, self.body_length());
         sleep_until(received_at + FIRST_DELAY);
         socket.set_nodelay(true)?;
         socket.write_all(framing.head(self.body_length()).as_bytes())?;
-        socket.write_all(&framing.piece(self.first))?;
+        socket.write_all(&body.next(self.first))?;
         for number in (0..self.pieces()).rev() {
             sleep_until(received_at + self.ends_after - self.interval * number as u32);
-            socket.write_all(&framing.piece(self.piece))?;
+            socket.write_all(&body.next(self.piece))?;
         }
         socket.write_all(framing.end())
     }
@@ -76,9 +77,11 @@
 fn assert_served_whole(client: TcpStream, pace: Pace, case: &str) {
     let sent_at = Instant::now();
     let response = read_message(&mut BufReader::new(client));
-    let received = response.map(|(head, body)| (head.starts_with("HTTP/1.1 200"), body.len()));
     let time = sent_at.elapsed();
-    assert_eq!(received, Some((true, pace.body_length())), "{case}, {pace:?}: after {time:?}");
+    let (head, body) = response.unwrap_or_default();
+    assert!(head.starts_with("HTTP/1.1 200"), "{case}, {pace:?}: after {time:?}");
+    assert_eq!(body.len(), pace.body_length(), "{case}, {pace:?}: after {time:?}");
+    assert!(body == paced_body(body.len()), "{case}, {pace:?}: another body");
 }
 
 /// Plays responses that are written at this pace, for these classes and each way to say where a response ends.
--- a/tests/lifecycle/sound_responses.rs
+++ b/tests/lifecycle/sound_responses.rs
@@ -273,7 +273,7 @@
         let mut received = Vec::new();
         let ended = client.read_to_end(&mut received);
         assert_eq!(ended.is_err(), is_reset, "{} bytes: {ended:?}", received.len());
-        let has_whole_body = received.ends_with(&[b's'; 100_000]);
+        let has_whole_body = received.ends_with(&paced_body(100_000));
         assert!(is_reset || has_whole_body, "{} bytes", received.len());
     }
 }
--- a/tests/lifecycle/sound_responses_meanwhile.rs
+++ b/tests/lifecycle/sound_responses_meanwhile.rs
@@ -136,7 +136,8 @@
                     let response = read_message(&mut BufReader::new(client));
                     let time = written_at.elapsed();
                     let body = response.as_ref().map(|(_, body)| body.len());
-                    let is_whole = body == Some(170_000);
+                    let whole = paced_body(170_000);
+                    let is_whole = response.as_ref().is_some_and(|(_, body)| *body == whole);
                     let is_in_time = time <= LONG_TIME + LOST_AFTER;
                     assert!(is_whole || is_in_time, "{class}, {piece}: {body:?} after {time:?}");
                     assert!(response.is_some(), "{class}, {piece}: cut after {time:?}");
@@ -239,7 +240,7 @@
             thread::sleep(milliseconds(40));
             let id = format!("other-{number}");
             let outcome = outcome_of(sidecar, request("look", &id, TIME_LEFT).as_bytes());
-            assert_eq!(outcome, whole(id.len()), "{id}");
+            assert_eq!(outcome, whole_of(id.as_bytes()), "{id}");
         }
     });
 }
