Simulation: slow responses of every length and framing, with pieces of protocols in them

Change: fakes::body_plan draws how a body is given (lengths at the limits of buffers, three framings, chunks of one byte to all, extensions and trailers, at once, steadily or with a pause); the simulation's slow responses are drawn from it and printed with a trace. All bodies of the simulation, in both directions, follow from the id of their request and are compared. The oracle follows responses that end with their connection.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 //! generous deadlines, and random choices depend on a seed.
 
 pub mod account;
+pub mod body_plan;
 pub mod clients;
 pub mod contents;
 pub mod faulty_calls;
--- a/crates/simnet/src/tap.rs
+++ b/crates/simnet/src/tap.rs
@@ -59,6 +59,13 @@
         /// The bytes read.
         bytes: &'a [u8],
     },
+    /// A process read that its peer has ended its sending direction.
+    EndRead {
+        /// The connection.
+        connection: ConnectionId,
+        /// The host of the process.
+        by: HostId,
+    },
     /// A process shut down its sending direction.
     WriteShutdown {
         /// The connection.
--- a/crates/simnet/src/tcp.rs
+++ b/crates/simnet/src/tcp.rs
@@ -238,11 +238,14 @@
         let length = self
             .with_connection(|state, connection| self.receive(state, connection, buf))
             .unwrap_or_else(|| Err(ErrorKind::ConnectionReset.into()))?;
+        let connection = self.connection;
+        let world = current();
+        let by = world.state.borrow().current_host;
         if length > 0 {
-            let world = current();
-            let by = world.state.borrow().current_host;
             let bytes = &buf.filled()[filled_before..];
-            world.notify_tap(&TapEvent::Read { connection: self.connection, by, bytes });
+            world.notify_tap(&TapEvent::Read { connection, by, bytes });
+        } else if buf.remaining() > 0 {
+            world.notify_tap(&TapEvent::EndRead { connection, by });
         }
         Ok(length)
     }
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::{Class, Idempotency};
+use fakes::contents::{self, Direction};
 use fakes::wire::Reader;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -25,6 +26,9 @@
 /// The time after the last request at which idle connections are closed.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_secs(5);
 
+/// The length of a short body in bytes.
+const SHORT_BODY: usize = 4;
+
 /// The behaviour of clients: probabilities, and the load.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientBehaviour {
@@ -190,7 +194,7 @@
             Idempotency::Keyed => ("POST", format!("Idempotency-Key: {:032x}\r\n", id.0)),
             Idempotency::NonIdempotent => ("POST", String::new()),
         };
-        let (length, body) = self.draw_body(class);
+        let (length, body) = self.draw_body(class, id);
         let tenant = self.draw(|rng| rng.random_range(0..self.tenants.len()));
         let head = format!(
             "{method} /{}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n\
@@ -203,18 +207,19 @@
     }
 
     /// Draws the body of a request. Returns the header line for its length, and its bytes.
-    fn draw_body(&self, class: &Class) -> (String, Vec<u8>) {
+    fn draw_body(&self, class: &Class, id: RequestId) -> (String, Vec<u8>) {
         let probability = self.behaviour.get().long_body;
         let long = probability > 0.0 && self.draw(|rng| rng.random::<f64>() < probability);
         if class.idempotency == Idempotency::Idempotent {
             return (String::new(), Vec::new());
         }
+        let body_of = |length| contents::body_of(Direction::Request, &id.to_string(), length);
         if !long {
-            return ("Content-Length: 4\r\n".to_owned(), b"four".to_vec());
+            return (format!("Content-Length: {SHORT_BODY}\r\n"), body_of(SHORT_BODY));
         }
         let (length, chunked) =
             self.draw(|rng| (rng.random_range(LONG_BODY..2 * LONG_BODY), rng.random::<bool>()));
-        let body = vec![b'l'; length];
+        let body = body_of(length);
         if chunked {
             let chunks = fakes::wire::encode_chunked(&body, CHUNK_SIZE);
             return ("Transfer-Encoding: chunked\r\n".to_owned(), chunks);
--- a/crates/simulation/src/oracle/connection.rs
+++ b/crates/simulation/src/oracle/connection.rs
@@ -15,6 +15,14 @@
     pub(super) end: u64,
 }
 
+/// An exchange of a client.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClientExchange {
+    pub(super) begun_at: Duration,
+    /// `None` before the end of the response.
+    pub(super) ended_at: Option<Duration>,
+}
+
 /// A connection from a client to a sidecar.
 #[derive(Default)]
 pub(super) struct ClientConnection {
@@ -30,6 +38,8 @@
     /// for the first request.
     pub(super) assumed_accept_wait: Duration,
     pub(super) open: Option<OpenRequest>,
+    /// When the client began to send its last request, and when it had the whole response.
+    pub(super) last_exchange: Option<ClientExchange>,
     /// Whether the sidecar has closed it, in one direction or in both.
     pub(super) ended: bool,
 }
--- a/crates/simulation/src/oracle/servers.rs
+++ b/crates/simulation/src/oracle/servers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fakes::account::Idempotency;
+use fakes::body_plan::BodyPlan;
 
 use super::Oracle;
 use super::eligibility::Pair;
@@ -20,6 +21,18 @@
         self.slow_start.server_started(now, server);
     }
 
+    /// Notes how a server gives the response to a request.
+    pub fn response_planned(&mut self, now: Duration, id: RequestId, plan: &BodyPlan) {
+        self.note(now, || format!("{id} gets {plan}"));
+    }
+
+    /// Records that a server has received a request with another body than its client has sent.
+    pub fn request_changed(&mut self, now: Duration, id: RequestId) {
+        let breach =
+            Breach::new(Rule::Stranger, "its body is not the one that its client has sent");
+        self.report_breach(now, breach, Some(id));
+    }
+
     /// Records that a server has executed a request.
     pub fn request_executed(&mut self, now: Duration, id: RequestId, server: usize) {
         self.note(now, || format!("{id} is executed by server {server}"));
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -6,7 +6,7 @@
 
 use simnet::{ConnectionId, HostId, Tap, TapEvent};
 
-use super::connection::{TrackedConnection, UpstreamConnection};
+use super::connection::{ClientExchange, TrackedConnection, UpstreamConnection};
 use super::request::AttemptResponse;
 use super::rule::Rule;
 use super::{Oracle, Role};
@@ -31,6 +31,7 @@
             TapEvent::Read { connection, by, bytes } => {
                 oracle.bytes_read(now, connection, by, bytes);
             }
+            TapEvent::EndRead { connection, by } => oracle.end_read(now, connection, by),
             TapEvent::Closed { connection, by, reset, unread } => {
                 oracle.client_connection_ended(connection, by, unread);
                 oracle.connection_closed(now, connection, by, reset);
@@ -167,6 +168,9 @@
         let open = client.open;
         if !completed.is_empty() {
             client.open = None;
+            client.last_exchange = client
+                .last_exchange
+                .map(|exchange| ClientExchange { ended_at: Some(now), ..exchange });
         }
         let unfinished = open.filter(|_| begins_serving && completed.is_empty());
         if let Some(request) = unfinished.and_then(|open| self.requests.get_mut(&open.id)) {
@@ -282,6 +286,24 @@
         }
     }
 
+    /// Records that a process has read the end of a connection. It ends a server's response that has no length.
+    fn end_read(&mut self, now: Duration, connection: ConnectionId, by: HostId) {
+        let Role::Sidecar { .. } = self.role(by) else { return };
+        let Some(TrackedConnection::Upstream(upstream)) = self.connections.get_mut(&connection)
+        else {
+            return;
+        };
+        if !upstream.responses.end() {
+            return;
+        }
+        upstream.last_progress = None;
+        upstream.last_byte_at = None;
+        let (current, response) = (upstream.current, upstream.response);
+        if let Some(attempt) = current {
+            self.attempt_answered(now, attempt, response);
+        }
+    }
+
     /// Records that a sidecar has closed a client's connection: a request that had arrived by then gets no response.
     /// Does nothing for other connections.
     fn client_connection_ended(&mut self, connection: ConnectionId, by: HostId, unread: usize) {
