Soak: bodies of every length and framing, with pieces of protocols, in both directions

The drain watch took bytes that begin like a request line for a request; it follows the messages of its connection now, with the framing of the simulation's oracle, which moves to fakes.

--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -10,7 +10,7 @@
 
 use operation::{Attempt, Operation};
 
-pub use operation::{AttemptId, Class, Idempotency, Outcome};
+pub use operation::{AttemptId, Class, DrawnResponse, Idempotency, Outcome};
 pub use report::{ClassReport, Report, ServerReport, TenantReport};
 
 mod operation;
@@ -49,6 +49,8 @@
     Rejected,
     /// The request was not executed, because its idempotency key had recently been executed.
     Deduplicated,
+    /// How far a sound response with a drawn body has come.
+    Response(DrawnResponse),
 }
 
 /// Requests may not time out because of a pause up to this length: the protocol tolerates 0.15 s, and clients add
@@ -131,6 +133,18 @@
         AttemptId { operation, number: number as u16 }
     }
 
+    /// Returns whether a server has begun a response with a drawn body to an attempt.
+    pub fn has_drawn_response(&self, id: AttemptId) -> bool {
+        self.lock().attempt_mut(id).is_some_and(|attempt| attempt.response.is_some())
+    }
+
+    /// Records that a request arrived at the server with this name with another body than its client sent.
+    pub fn record_changed_request(&self, server: &str, id: &str) {
+        let mut inner = self.lock();
+        inner.counts.changed_request += 1;
+        inner.add_example(format!("{id} at {server}: received with another body"));
+    }
+
     /// Records the outcome that a client saw of an attempt, which it had sent to the sidecar at `target`.
     pub fn record_outcome(&self, id: AttemptId, outcome: Outcome, target: SocketAddr) {
         let now = Instant::now();
@@ -145,6 +159,10 @@
             }
         }
         let outcome = match outcome {
+            Outcome::Truncated if inner.was_killed(target, now) => {
+                inner.counts.lost_by_kill += 1;
+                Outcome::Failed
+            }
             Outcome::TimedOut if inner.was_paused(target, now) => {
                 inner.counts.timed_out_by_pause += 1;
                 Outcome::Failed
@@ -215,6 +233,11 @@
         }
     }
 
+    /// Excuses responses that end early: connections of this run break by faults of the system or the network.
+    pub fn expect_broken_connections(&self) {
+        self.lock().counts.connections_may_break = true;
+    }
+
     /// Announces that requests to servers may be delayed in transit. The time of a request's arrival, and the time
     /// left that it states, are then no evidence of what the sidecar did.
     pub fn expect_transit_delays(&self) {
@@ -264,6 +287,7 @@
                 attempt.executed += 1;
                 attempt.add_step(format!("executed at {server}"), now - self.opened);
             }
+            ServerEvent::Response(response) => attempt.response = Some(response),
             ServerEvent::Rejected | ServerEvent::Deduplicated => {}
         }
     }
@@ -340,7 +364,7 @@
             None => class.open += 1,
             Some(Outcome::Served) => class.served += 1,
             Some(Outcome::Rejected) => class.rejected += 1,
-            Some(Outcome::Failed | Outcome::Left) => class.failed += 1,
+            Some(Outcome::Failed | Outcome::Left | Outcome::Truncated) => class.failed += 1,
             Some(Outcome::TimedOut) => {
                 class.timed_out += 1;
                 report.timed_out += 1;
@@ -352,6 +376,7 @@
             add_tenant_operation(report, tenant, operation.in_time, outcome);
         }
         add_violations(report, &self.classes[operation.class], number, operation);
+        add_responses(report, number, operation);
     }
 }
 
@@ -430,6 +455,7 @@
         ServerEvent::Executed => report.executed += 1,
         ServerEvent::Rejected => report.rejected += 1,
         ServerEvent::Deduplicated => report.deduplicated += 1,
+        ServerEvent::Response(_) => {}
     }
 }
 
@@ -475,6 +501,32 @@
     }
 }
 
+/// Counts the responses with drawn bodies of an operation, and those that its client got in part although their server
+/// has given, or was giving, all of them.
+fn add_responses(report: &mut Report, number: u64, operation: &Operation) {
+    for (index, attempt) in operation.attempts.iter().enumerate() {
+        let outcome = attempt.outcome.map(|(outcome, _)| outcome);
+        let is_given_without_length =
+            attempt.response == Some(DrawnResponse::Given { ends_connection: true });
+        let is_awaited = !matches!(outcome, None | Some(Outcome::Left | Outcome::TimedOut));
+        if is_given_without_length && is_awaited {
+            report.given_without_length += 1;
+            report.served_without_length += u64::from(outcome == Some(Outcome::Served));
+        }
+        if outcome != Some(Outcome::Truncated) {
+            continue;
+        }
+        report.truncated += 1;
+        let is_excused =
+            attempt.response == Some(DrawnResponse::Begun) || report.connections_may_break;
+        if !is_excused {
+            report.lost += 1;
+            let text = format!("{number:012x}, attempt {index}: cut off, {:?}", attempt.response);
+            report.examples.push(text);
+        }
+    }
+}
+
 /// Creates a histogram of latencies in microseconds.
 fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, MAX_LATENCY_US, LATENCY_DIGITS)
--- a/crates/fakes/src/account/operation.rs
+++ b/crates/fakes/src/account/operation.rs
@@ -80,6 +80,22 @@
     Lost,
     /// Status 200 with another body.
     WrongBody,
+    /// A part of a response, which the client can tell from a whole one.
+    Truncated,
+}
+
+/// How far a sound response with a drawn body has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrawnResponse {
+    /// Its server is writing it, or has been killed meanwhile.
+    Begun,
+    /// Its connection was ended by its receiver.
+    Refused,
+    /// Its server has written all of it.
+    Given {
+        /// Whether it has no length and ends with its connection.
+        ends_connection: bool,
+    },
 }
 
 /// The maximum number of steps that are kept of an attempt.
@@ -102,6 +118,8 @@
     pub received: u16,
     /// The number of times that servers executed it.
     pub executed: u16,
+    /// How far the response has come, if its body was drawn.
+    pub response: Option<DrawnResponse>,
     /// Its path through the system, for the texts of violations.
     steps: Vec<Step>,
 }
--- a/crates/fakes/src/account/report.rs
+++ b/crates/fakes/src/account/report.rs
@@ -115,6 +115,21 @@
     /// Responses with status 200 and an unexpected body.
     #[serde(rename = "wrong")]
     pub wrong_body: u64,
+    /// Requests that arrived at servers with another body than their client sent.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub changed_request: u64,
+    /// Responses of which clients got a part and could tell, by any cause.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub truncated: u64,
+    /// Whole responses without a length that servers have given, and those of them that were passed on whole.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub given_without_length: u64,
+    /// See `given_without_length`.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub served_without_length: u64,
+    /// Whether connections break by faults of the run, after which no response can be finished.
+    #[serde(skip)]
+    pub connections_may_break: bool,
     /// Requests that arrived at servers but that no client sent.
     #[serde(rename = "strangers")]
     pub unknown: u64,
@@ -130,6 +145,9 @@
     pub examples: Vec<String>,
 }
 
+/// The smallest number of responses whose share is judged.
+const MIN_JUDGED_RESPONSES: u64 = 20;
+
 /// Returns whether a count is omitted from the JSON. Programs that read older journals do not know the field.
 fn is_zero(count: &u64) -> bool {
     *count == 0
@@ -152,8 +170,15 @@
         self.violation_counts().iter().map(|(_, count)| count).sum()
     }
 
+    /// Returns the number of whole responses without a length that were not passed on, or zero if at least half were.
+    fn withheld_without_length(&self) -> u64 {
+        let (given, served) = (self.given_without_length, self.served_without_length);
+        let is_enough = given < MIN_JUDGED_RESPONSES || 2 * served >= given;
+        if is_enough { 0 } else { given - served }
+    }
+
     /// Returns the numbers of violations by kind.
-    pub fn violation_counts(&self) -> [(&'static str, u64); 11] {
+    pub fn violation_counts(&self) -> [(&'static str, u64); 13] {
         [
             ("lost", self.lost),
             ("timed out", self.timed_out),
@@ -165,6 +190,8 @@
             ("told too long a time", self.excess_time_left),
             ("sent to a draining server", self.sent_to_draining),
             ("served with another body", self.wrong_body),
+            ("received with another body", self.changed_request),
+            ("without a length, not passed on", self.withheld_without_length()),
             ("sent by no client", self.unknown),
         ]
     }
--- a/crates/fakes/src/account/tests.rs
+++ b/crates/fakes/src/account/tests.rs
@@ -105,3 +105,38 @@
         assert_eq!(account.report().violations(), 1, "delays: {transit_delays}");
     }
 }
+
+#[test]
+fn response_that_is_cut_off_while_its_server_gives_it_is_lost() {
+    for (response, may_break, lost) in [
+        (DrawnResponse::Begun, false, 0),
+        (DrawnResponse::Refused, false, 1),
+        (DrawnResponse::Given { ends_connection: false }, false, 1),
+        (DrawnResponse::Given { ends_connection: true }, true, 0),
+    ] {
+        let account = account();
+        if may_break {
+            account.expect_broken_connections();
+        }
+        let id = account.next_attempt(account.begin(0));
+        account.record_server_event("s", &id.request_id(), ServerEvent::Response(response));
+        account.record_outcome(id, Outcome::Truncated, at());
+        let report = account.report();
+        assert_eq!((report.truncated, report.lost), (1, lost), "{response:?}");
+    }
+}
+
+#[test]
+fn half_of_the_responses_without_a_length_have_to_be_passed_on() {
+    for (served, violations) in [(10, 0), (9, 11)] {
+        let account = account();
+        for number in 0..20 {
+            let id = account.next_attempt(account.begin(0));
+            let given = ServerEvent::Response(DrawnResponse::Given { ends_connection: true });
+            account.record_server_event("s", &id.request_id(), given);
+            let outcome = if number < served { Outcome::Served } else { Outcome::Failed };
+            account.record_outcome(id, outcome, at());
+        }
+        assert_eq!(account.report().violations(), violations, "{served} served");
+    }
+}
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -21,6 +21,7 @@
 pub use self::idle::REST_TIME;
 use self::idle::hold_silent_connections;
 use crate::account::{Account, AttemptId, Class, Idempotency, Outcome};
+use crate::contents::{Direction, body_of, is_body_of, request_length};
 use crate::wire::{Message, Reader};
 
 /// The maximum number of times an attempt is sent, if connections are closed before the request is read.
@@ -35,8 +36,6 @@
 /// A client that leaves early does so after a share of its deadline that is a uniform random number to this power:
 /// half of them leave within an eighth of the deadline, while most requests are in progress.
 const LEAVE_SHARE_EXPONENT: i32 = 3;
-/// The body of requests that have one.
-const BODY: &str = "four";
 
 /// The load on one sidecar.
 #[derive(Clone, Debug)]
@@ -248,12 +247,15 @@
             let limit = operation.leaves_at.map_or(limit, |leaves_at| leaves_at.min(limit));
             // A request that crossed the close of its connection is sent again on a new one.
             let kept = if sends == 0 { self.reuse_connection() } else { None };
-            match self.exchange(kept, request.as_bytes(), limit).await {
+            match self.exchange(kept, &request, limit).await {
                 Exchange::Answered(message, reader) => return self.answered(id, &message, reader),
                 Exchange::TimedOut if operation.leaves_at.is_some() => {
                     return (Outcome::Left, None);
                 }
                 Exchange::TimedOut => return (Outcome::TimedOut, None),
+                Exchange::Truncated if self.account.has_drawn_response(id) => {
+                    return (Outcome::Truncated, None);
+                }
                 Exchange::Truncated => return (Outcome::Lost, None),
                 Exchange::Refused => {
                     self.account.record_refused_connection();
@@ -282,7 +284,7 @@
         (Outcome::Lost, None)
     }
 
-    fn request(&self, id: AttemptId, operation: &Operation) -> String {
+    fn request(&self, id: AttemptId, operation: &Operation) -> Vec<u8> {
         let (method, key) = match operation.class.idempotency {
             Idempotency::Idempotent => ("GET", String::new()),
             Idempotency::Keyed => {
@@ -292,17 +294,20 @@
         };
         let tenant = operation.tenant.map(|n| format!("X-Account: {}\r\n", self.load.tenants[n]));
         let tenant = tenant.unwrap_or_default();
-        let (length, body) = if method == "GET" {
-            (String::new(), "")
-        } else {
-            (format!("Content-Length: {}\r\n", BODY.len()), BODY)
+        let (class, id) = (operation.class.name, id.request_id());
+        let (length, body) = match method {
+            "GET" => (String::new(), Vec::new()),
+            _ => {
+                let body = body_of(Direction::Request, &id, request_length(&id));
+                (format!("Content-Length: {}\r\n", body.len()), body)
+            }
         };
         let left_ms = operation.deadline.saturating_duration_since(Instant::now()).as_millis();
-        let (class, id) = (operation.class.name, id.request_id());
-        format!(
+        let head = format!(
             "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n\
-             X-Time-Left-Ms: {left_ms}\r\n{tenant}{key}{length}\r\n{body}"
-        )
+             X-Time-Left-Ms: {left_ms}\r\n{tenant}{key}{length}\r\n"
+        );
+        [head.into_bytes(), body].concat()
     }
 
     /// Returns the outcome that a response means, and its Retry-After. Keeps the connection if the response allows it.
@@ -312,8 +317,11 @@
         message: &Message,
         reader: Reader<TcpStream>,
     ) -> (Outcome, Option<Duration>) {
+        let request_id = id.request_id();
+        let is_own = message.body == request_id.as_bytes()
+            || is_body_of(Direction::Response, &request_id, &message.body);
         let outcome = match message.status() {
-            Some(200) if message.body == id.request_id().as_bytes() => Outcome::Served,
+            Some(200) if is_own => Outcome::Served,
             Some(200) => Outcome::WrongBody,
             Some(429 | 503) => Outcome::Rejected,
             _ => Outcome::Failed,
--- a/crates/fakes/src/contents.rs
+++ b/crates/fakes/src/contents.rs
@@ -5,6 +5,7 @@
 //! whether it has received the bytes that the other one has sent.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::Range;
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -39,6 +40,12 @@
 /// The mean distance between two pieces in a drawn body, in bytes.
 const PIECE_DISTANCE: usize = 1_000;
 
+/// The lengths of requests that sidecars stream, and of others, in bytes.
+const LONG_REQUEST_BYTES: Range<usize> = 65_537..90_000;
+const SHORT_REQUEST_BYTES: usize = 1_000;
+/// One in this number of requests is long.
+const LONG_REQUESTS_ONE_IN: u32 = 100;
+
 /// The direction in which a body is sent.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq)]
 pub enum Direction {
@@ -55,6 +62,18 @@
     draw_body(length, &mut SmallRng::seed_from_u64(hasher.finish()))
 }
 
+/// Returns the length of the body that a client sends with the request with this id: mostly short, rarely so long that
+/// sidecars stream it.
+pub fn request_length(id: &str) -> usize {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let mut rng = SmallRng::seed_from_u64(hasher.finish());
+    match rng.random_ratio(1, LONG_REQUESTS_ONE_IN) {
+        true => rng.random_range(LONG_REQUEST_BYTES),
+        false => rng.random_range(0..SHORT_REQUEST_BYTES),
+    }
+}
+
 /// Returns whether `body` is the one that is sent in this direction for the request with this id.
 pub fn is_body_of(direction: Direction, id: &str, body: &[u8]) -> bool {
     body == body_of(direction, id, body.len())
--- a/crates/simulation/src/http_framing.rs
+++ b/crates/fakes/src/framing.rs
@@ -2,6 +2,11 @@
 //!
 //! Follows RFC 9112, and shares no code with the parser that the sidecar uses.
 
+use crate::wire::header;
+
+#[cfg(test)]
+mod tests;
+
 /// A part of a message that was found.
 #[derive(Debug, PartialEq, Eq)]
 pub enum MessagePart<'a> {
@@ -87,9 +92,9 @@
             if head.starts_with("HTTP/1.1 1") {
                 continue;
             }
-            let length = fakes::wire::header(&head, "content-length").and_then(|v| v.parse().ok());
+            let length = header(&head, "content-length").and_then(|v| v.parse().ok());
             self.remaining = length.unwrap_or(0);
-            let chunked = fakes::wire::header(&head, "transfer-encoding");
+            let chunked = header(&head, "transfer-encoding");
             let is_response = head.starts_with("HTTP/1.");
             self.body = match chunked.is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
                 true => BodyState::ChunkSize { size: 0 },
@@ -152,6 +157,3 @@
         &bytes[1..]
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clients;
 pub mod contents;
 pub mod faulty_calls;
+pub mod framing;
 pub mod lag_watch;
 pub mod logserver;
 pub mod program;
--- a/crates/fakes/src/logserver.rs
+++ b/crates/fakes/src/logserver.rs
@@ -17,11 +17,14 @@
 use tokio::sync::{Semaphore, watch};
 
 mod broken_rejection;
+mod planned_response;
 mod second_answers;
 
 use self::broken_rejection::BrokenRejection;
+use self::planned_response::PlannedResponse;
 use self::second_answers::SecondAnswers;
-use crate::account::{Account, ServerEvent};
+use crate::account::{Account, DrawnResponse, ServerEvent};
+use crate::contents::{Direction, is_body_of};
 use crate::scripted::NOT_FOUND;
 use crate::second_answer::SecondAnswer;
 use crate::wire::{Message, Reader};
@@ -102,6 +105,8 @@
     BrokenRejection,
     /// The response or rejection is sent twice.
     SecondAnswer,
+    /// The response is sound, and its body is drawn: of any length, in any framing, at once or piece by piece.
+    DrawnBody,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -274,6 +279,19 @@
                     return end;
                 }
             }
+            Reply::Planned(response) => {
+                let record = |state| shared.record(&response.id, ServerEvent::Response(state));
+                record(DrawnResponse::Begun);
+                if !response.write(reader.get_mut()).await {
+                    record(DrawnResponse::Refused);
+                    return ConnectionEnd::Closed;
+                }
+                let ends_connection = response.ends_connection;
+                record(DrawnResponse::Given { ends_connection });
+                if ends_connection {
+                    return ConnectionEnd::Closed;
+                }
+            }
             Reply::Reset => return ConnectionEnd::Reset,
             Reply::Silence => std::future::pending().await,
         }
@@ -284,6 +302,7 @@
     Answer(String),
     Twice(String, SecondAnswer),
     Rejection(BrokenRejection),
+    Planned(PlannedResponse),
     Reset,
     Silence,
 }
@@ -296,6 +315,9 @@
         };
         self.record(&id, ServerEvent::Received);
         self.check_arrival(&id, message);
+        if !is_body_of(Direction::Request, &id, &message.body) {
+            self.account.record_changed_request(&self.spec.name, &id);
+        }
         let first = message.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = self.account.classes().iter().find(|class| class.name == first);
         let Some(class) = class else { return Reply::Answer(BAD_REQUEST.to_owned()) };
@@ -384,6 +406,10 @@
             None | Some(Fault::BrokenRejection | Fault::SecondAnswer) => {
                 Reply::Answer(self.ok_answer(id))
             }
+            Some(Fault::DrawnBody) => {
+                let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+                Reply::Planned(PlannedResponse::draw(id, &self.load_report(), &mut rng))
+            }
             Some(Fault::Error) => Reply::Answer(SERVER_ERROR.to_owned()),
             Some(Fault::ResetBefore | Fault::ResetAfter) => Reply::Reset,
             Some(Fault::Hang) => Reply::Silence,
--- a/crates/fakes/tests/logserver.rs
+++ b/crates/fakes/tests/logserver.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Account;
+use fakes::contents::{Direction, body_of};
 use fakes::logserver::{Fault, LogServer, RecentKeys, ServerSpec};
 use fakes::wire::{Message, Reader};
 use fakes::world::classes;
@@ -38,11 +39,12 @@
     let id = account.next_attempt(account.begin(2)).request_id();
     let key = if key.is_empty() { String::new() } else { format!("Idempotency-Key: {key}\r\n") };
     let class = if key.is_empty() { "qsl-order" } else { "log-upload" };
-    let text = format!(
-        "POST /{class}/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\n{key}Content-Length: 2\r\n\r\nab"
+    let body = body_of(Direction::Request, &id, 200);
+    let head = format!(
+        "POST /{class}/1 HTTP/1.1\r\nX-Correlation-Id: {id}\r\n{key}Content-Length: 200\r\n\r\n"
     );
     let mut reader = Reader::new(TcpStream::connect(server.at).await?);
-    reader.get_mut().write_all(text.as_bytes()).await?;
+    reader.get_mut().write_all(&[head.into_bytes(), body].concat()).await?;
     reader.next().await?.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
 }
 
--- a/crates/fault-injection/src/drain_watch.rs
+++ b/crates/fault-injection/src/drain_watch.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::account::Account;
+use fakes::framing::{MessageFramer, MessagePart};
 use fakes::wire::header;
 
 #[cfg(test)]
@@ -18,8 +19,8 @@
 const BUSY_MACHINE_ALLOWANCE: Duration = Duration::from_millis(250);
 /// The time after which a sidecar that polls its lists counts as knowing a change, from when discovery is reachable.
 const POLL_NOTIFICATION: Duration = Duration::from_secs(6);
-/// The beginnings of a request line.
-const METHODS: [&[u8]; 2] = [b"GET ", b"POST "];
+/// The header with the id of a request.
+const CORRELATION_ID: &str = "x-correlation-id";
 
 /// The way in which a sidecar learns of changes, and the time within which it has to follow them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,13 +98,28 @@
         self.deadlines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Checks data that has just left a sidecar for a server.
-    pub fn on_data(&self, sidecar: u16, server: u16, data: &[u8], now: Instant) {
-        if !begins_request(data) {
-            return;
-        }
-        let id = header(&String::from_utf8_lossy(data), "x-correlation-id").unwrap_or_default();
-        self.account.record_departure(&format!("server {server}"), &id, now);
+    /// Checks data that has just left a sidecar for a server, on a connection whose requests `requests` follows.
+    pub fn on_data(
+        &self,
+        sidecar: u16,
+        server: u16,
+        requests: &mut MessageFramer,
+        data: &[u8],
+        now: Instant,
+    ) {
+        requests.feed(data, |part| match part {
+            MessagePart::FirstByte => self.check_begin(sidecar, server, data, now),
+            MessagePart::Head(head) => {
+                let id = header(head, CORRELATION_ID).unwrap_or_default();
+                self.account.record_departure(&format!("server {server}"), &id, now);
+            }
+            MessagePart::LastByte => {}
+        });
+    }
+
+    /// Checks that a request that begins within `data` is not too late.
+    fn check_begin(&self, sidecar: u16, server: u16, data: &[u8], now: Instant) {
+        let id = header(&String::from_utf8_lossy(data), CORRELATION_ID).unwrap_or_default();
         let deadline = self.deadlines().deadline(sidecar, server);
         let Some(late) = deadline.and_then(|deadline| now.checked_duration_since(deadline)) else {
             return;
@@ -115,11 +131,3 @@
         self.account.record_late_drain(&format!("server {server}"), &sent);
     }
 }
-
-/// Returns whether this data is the beginning of a request. The bodies that the fake clients send begin differently.
-fn begins_request(data: &[u8]) -> bool {
-    METHODS.iter().any(|method| {
-        let length = method.len().min(data.len());
-        length > 0 && data[..length] == method[..length]
-    })
-}
--- a/crates/fault-injection/src/drain_watch/tests.rs
+++ b/crates/fault-injection/src/drain_watch/tests.rs
@@ -46,15 +46,18 @@
     *watch.deadlines() = DrainDeadlines::new(vec![PUSHED], start);
     watch.deadlines().set_draining(0, true, start);
     let request = b"POST /x HTTP/1.1\r\nx-correlation-id: abc\r\n\r\n";
+    let with_body = b"POST /x HTTP/1.1\r\nx-correlation-id: ab\r\nContent-Length: 9\r\n\r\n";
     let (in_time, late) = (start + ms(800), start + ms(801));
-    watch.on_data(0, 0, request, in_time);
-    watch.on_data(0, 0, b"four", late);
-    watch.on_data(0, 0, b": abc\r\n\r\n", late);
-    watch.on_data(0, 1, request, late);
+    let (mut first, mut second) = (MessageFramer::default(), MessageFramer::default());
+    watch.on_data(0, 0, &mut first, request, in_time);
+    watch.on_data(0, 0, &mut first, with_body, in_time);
+    watch.on_data(0, 0, &mut first, b"POST /ab", late);
+    watch.on_data(0, 0, &mut first, b"G", late);
+    watch.on_data(0, 1, &mut second, request, late);
     assert_eq!(account.report().sent_to_draining, 0);
-    watch.on_data(0, 0, request, late);
+    watch.on_data(0, 0, &mut first, request, late);
     // A single write may pass on less than the first line.
-    watch.on_data(0, 0, b"G", late);
+    watch.on_data(0, 0, &mut first, b"G", late);
     let report = account.report();
     assert_eq!(report.sent_to_draining, 2);
     assert!(report.examples[0].contains("abc, sent by s0 1 ms too late"), "{:?}", report.examples);
--- a/crates/fault-injection/src/relay.rs
+++ b/crates/fault-injection/src/relay.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fakes::framing::MessageFramer;
 use rustix::net::listen;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -229,6 +230,7 @@
         mut sampler: LinkSampler,
     ) {
         let mut due = Instant::now();
+        let mut messages = MessageFramer::default();
         loop {
             let mut data = vec![0; MAX_SEGMENT_BYTES];
             let read = tokio::select! {
@@ -240,7 +242,7 @@
                 Ok(0) => Content::End,
                 Ok(n) => {
                     data.truncate(n);
-                    self.watch(from, to, &data);
+                    self.watch(from, to, &mut messages, &data);
                     Content::Data(data)
                 }
                 Err(_) => Content::Reset,
@@ -258,11 +260,11 @@
     }
 
     /// Passes data from a sidecar to a server to the drain watch.
-    fn watch(&self, from: Node, to: Node, data: &[u8]) {
+    fn watch(&self, from: Node, to: Node, requests: &mut MessageFramer, data: &[u8]) {
         if let (Node::Sidecar(sidecar), Node::Server(server)) = (from, to)
             && let Some(watch) = self.network.drain_watch()
         {
-            watch.on_data(sidecar, server, data, std::time::Instant::now());
+            watch.on_data(sidecar, server, requests, data, std::time::Instant::now());
         }
     }
 
--- a/crates/fault-injection/src/runner.rs
+++ b/crates/fault-injection/src/runner.rs
@@ -107,6 +107,9 @@
     if scenario.events.iter().any(|event| matches!(event.action, Action::Inject { .. })) {
         testbed.account.expect_transit_delays();
     }
+    if scenario.breaks_connections() {
+        testbed.account.expect_broken_connections();
+    }
     if !scenario.checks_late_arrivals {
         testbed.account.expect_late_arrivals();
     }
--- a/crates/fault-injection/src/scenario.rs
+++ b/crates/fault-injection/src/scenario.rs
@@ -61,6 +61,15 @@
     pub expectations: Vec<Expectation>,
 }
 
+impl Scenario {
+    /// Returns whether connections break by faults of the run itself: of links, or of system calls that read.
+    pub fn breaks_connections(&self) -> bool {
+        let breaks_links = |event: &Event| matches!(event.action, Action::Inject { .. });
+        let breaks_reads = self.system_calls.is_some_and(|rates| rates.broken > 0);
+        breaks_reads || self.events.iter().any(breaks_links)
+    }
+}
+
 /// A change to the configurations of some sidecars.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConfigurationPatch {
@@ -240,4 +249,6 @@
     BrokenRejections(f64),
     /// This share of the responses are sent a second time, up to 0.4 s later or when the next request arrives.
     SecondAnswers(f64),
+    /// This share of the responses are sound, with drawn bodies: of any length and framing, at once or piece by piece.
+    DrawnBodies(f64),
 }
--- a/crates/fault-injection/src/soak/draw.rs
+++ b/crates/fault-injection/src/soak/draw.rs
@@ -179,6 +179,7 @@
         self.hang_servers();
         self.send_broken_rejections();
         self.send_second_answers();
+        self.draw_bodies();
     }
 
     fn add_fault(&mut self, at_s: f64, with_cuts: bool) {
--- a/crates/fault-injection/src/soak/draw/rejections.rs
+++ b/crates/fault-injection/src/soak/draw/rejections.rs
@@ -1,5 +1,5 @@
-//! Draws servers with misleading responses: malformed rejections, which do not prove that a request was not executed,
-//! and responses that are sent twice.
+//! Draws servers with unusual responses: malformed rejections, which do not prove that a request was not executed,
+//! responses that are sent twice, and sound responses of any length and framing.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -24,6 +24,13 @@
 /// The share of the responses that are sent twice.
 const REPEATED_SHARE: f64 = 0.3;
 
+/// The number of servers whose responses have drawn bodies.
+const DRAWING_SERVERS: usize = 6;
+/// The time for which responses have drawn bodies, in seconds.
+const DRAWING_S: Range<f64> = 6.0..9.0;
+/// The share of the responses that have drawn bodies.
+const DRAWN_SHARE: f64 = 0.4;
+
 impl Plan {
     /// Makes some servers send malformed rejections. Every run has this fault.
     pub(super) fn send_broken_rejections(&mut self) {
@@ -37,6 +44,12 @@
         self.change_servers_temporarily(state, REPEATING_SERVERS, REPEATING_S);
     }
 
+    /// Makes some servers send sound responses with drawn bodies. Every run has this.
+    pub(super) fn draw_bodies(&mut self) {
+        let state = ServerState::DrawnBodies(DRAWN_SHARE);
+        self.change_servers_temporarily(state, DRAWING_SERVERS, DRAWING_S);
+    }
+
     /// Puts `count` servers into a state for a time within `lengths_s`, in seconds.
     fn change_servers_temporarily(
         &mut self,
--- a/crates/fault-injection/src/soak/tests.rs
+++ b/crates/fault-injection/src/soak/tests.rs
@@ -98,6 +98,17 @@
     }
 }
 
+#[test]
+fn in_every_plan_servers_draw_the_bodies_of_responses() {
+    for seed in 0..200 {
+        let drawing = |event: &Event| match &event.action {
+            Action::SetServers(servers, ServerState::DrawnBodies(_)) => servers.len() == 6,
+            _ => false,
+        };
+        assert!(draw(seed, SIZE).events.iter().any(drawing), "seed {seed}");
+    }
+}
+
 #[test]
 fn half_of_the_plans_poll_their_lists() {
     let polled = (0..200).filter(|&seed| polls_lists(&draw(seed, SIZE))).count();
--- a/crates/fault-injection/src/testbed/actions.rs
+++ b/crates/fault-injection/src/testbed/actions.rs
@@ -209,6 +209,9 @@
             ServerState::SecondAnswers(share) => {
                 slot.server.set_faults(vec![(share, Fault::SecondAnswer)]);
             }
+            ServerState::DrawnBodies(share) => {
+                slot.server.set_faults(vec![(share, Fault::DrawnBody)]);
+            }
         }
         Ok(())
     }
--- a/crates/local-cluster/examples/hop.rs
+++ b/crates/local-cluster/examples/hop.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use fakes::contents::{self, Direction};
 use fakes::program::{Folder, built};
 use fakes::registry::{Entry, Registry};
 use fakes::wire::Reader;
@@ -139,19 +140,23 @@
     Ok((Process(child), line.trim().parse()?))
 }
 
-fn request(class: &str, id: u64) -> String {
+fn request(class: &str, id: u64) -> Vec<u8> {
+    let correlation_id = format!("{id:016x}");
+    let body_of = |length| contents::body_of(Direction::Request, &correlation_id, length);
     let (method, headers, body) = match class {
         "log-upload" => {
-            ("POST", format!("Idempotency-Key: {id:032x}\r\nContent-Length: 4\r\n"), "four")
+            let headers = format!("Idempotency-Key: {id:032x}\r\nContent-Length: 4\r\n");
+            ("POST", headers, body_of(4))
         }
-        "qsl-order" => ("POST", "Content-Length: 4\r\n".to_owned(), "four"),
-        _ => ("GET", String::new(), ""),
+        "qsl-order" => ("POST", "Content-Length: 4\r\n".to_owned(), body_of(4)),
+        _ => ("GET", String::new(), Vec::new()),
     };
-    format!(
-        "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id:016x}\r\n\
-         X-Account: {}\r\nX-Time-Left-Ms: 700\r\n{headers}\r\n{body}",
+    let head = format!(
+        "{method} /{class}/1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {correlation_id}\r\n\
+         X-Account: {}\r\nX-Time-Left-Ms: 700\r\n{headers}\r\n",
         World::tenants()[0]
-    )
+    );
+    [head.into_bytes(), body].concat()
 }
 
 /// Sends requests in a closed loop on each of `connections` connections, with a gap after each response. Returns the
@@ -175,7 +180,7 @@
                 while Instant::now() < end {
                     let id = next_id();
                     let started = Instant::now();
-                    let sent = reader.get_mut().write_all(request(class, id).as_bytes()).await;
+                    let sent = reader.get_mut().write_all(&request(class, id)).await;
                     match reader.next().await {
                         Ok(Some(m)) if sent.is_ok() && m.status() == Some(200) => {}
                         other => {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,7 +8,6 @@
 mod clients;
 pub mod coverage;
 mod discovery;
-mod http_framing;
 mod model;
 mod operators;
 mod oracle;
--- a/crates/simulation/src/oracle/connection.rs
+++ b/crates/simulation/src/oracle/connection.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::http_framing::MessageFramer;
+use fakes::framing::MessageFramer;
+
 use crate::model::RequestId;
 
 use super::request::{AttemptRef, AttemptResponse};
--- a/crates/simulation/src/oracle/traffic.rs
+++ b/crates/simulation/src/oracle/traffic.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fakes::framing::MessagePart;
 use simnet::{ConnectionId, HostId, Tap, TapEvent};
 
 use super::connection::{ClientExchange, TrackedConnection, UpstreamConnection};
 use super::request::AttemptResponse;
 use super::rule::Rule;
 use super::{Oracle, Role};
-use crate::http_framing::MessagePart;
 
 /// The longest response that a sidecar buffers, in bytes. A longer one is streamed, and the gaps between its parts
 /// may be longer.
