--- a/tests/lifecycle/response_contents.rs
+++ b/tests/lifecycle/response_contents.rs
@@ -360,3 +360,21 @@
     });
     assert!(whole.into_inner() > 0, "none is served");
 }
+
+/// Guards against the last response on a connection that is failed because its body equals an earlier one.
+#[test]
+fn last_response_with_an_equal_body_on_a_used_connection_is_served() {
+    let first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nsame";
+    let last = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nsame";
+    let steps = [write(last), Step::Close];
+    let exchanges = [
+        Exchange::of("first", "order", &[write(first)], b"same"),
+        Exchange::of("last", "order", &steps, b"same"),
+    ];
+    let play = Play::start_with_servers(1, &exchanges, |_| {});
+    for exchange in &exchanges {
+        assert_eq!(play.failures(std::slice::from_ref(exchange), milliseconds(2_000)), [""; 0]);
+        std::thread::sleep(milliseconds(60));
+        assert_eq!(play.runs(&exchange.id()), 1);
+    }
+}
