Soak: of the responses without a length, each given one counts, and only such are served

Change: each whole response that a server gives counts, and one is served if its client received a drawn body and the last one given has no length.

--- a/crates/fakes/src/account.rs
+++ b/crates/fakes/src/account.rs
@@ -133,6 +133,13 @@
         AttemptId { operation, number: number as u16 }
     }
 
+    /// Records that a client has received a drawn body.
+    pub fn record_drawn_body(&self, id: AttemptId) {
+        if let Some(attempt) = self.lock().attempt_mut(id) {
+            attempt.received_drawn_body = true;
+        }
+    }
+
     /// Returns whether a server has begun a response with a drawn body to an attempt.
     pub fn has_drawn_response(&self, id: AttemptId) -> bool {
         self.lock().attempt_mut(id).is_some_and(|attempt| attempt.response.is_some())
@@ -287,7 +294,11 @@
                 attempt.executed += 1;
                 attempt.add_step(format!("executed at {server}"), now - self.opened);
             }
-            ServerEvent::Response(response) => attempt.response = Some(response),
+            ServerEvent::Response(response) => {
+                let is_without_length = response == DrawnResponse::Given { ends_connection: true };
+                attempt.given_without_length += u16::from(is_without_length);
+                attempt.response = Some(response);
+            }
             ServerEvent::Rejected | ServerEvent::Deduplicated => {}
         }
     }
@@ -506,12 +517,12 @@
 fn add_responses(report: &mut Report, number: u64, operation: &Operation) {
     for (index, attempt) in operation.attempts.iter().enumerate() {
         let outcome = attempt.outcome.map(|(outcome, _)| outcome);
-        let is_given_without_length =
-            attempt.response == Some(DrawnResponse::Given { ends_connection: true });
         let is_awaited = !matches!(outcome, None | Some(Outcome::Left | Outcome::TimedOut));
-        if is_given_without_length && is_awaited {
-            report.given_without_length += 1;
-            report.served_without_length += u64::from(outcome == Some(Outcome::Served));
+        if is_awaited && attempt.given_without_length > 0 {
+            report.given_without_length += u64::from(attempt.given_without_length);
+            let last = DrawnResponse::Given { ends_connection: true };
+            let is_served = attempt.received_drawn_body && attempt.response == Some(last);
+            report.served_without_length += u64::from(is_served);
         }
         if outcome != Some(Outcome::Truncated) {
             continue;
--- a/crates/fakes/src/account/operation.rs
+++ b/crates/fakes/src/account/operation.rs
@@ -118,8 +118,12 @@
     pub received: u16,
     /// The number of times that servers executed it.
     pub executed: u16,
-    /// How far the response has come, if its body was drawn.
+    /// How far the last response with a drawn body has come.
     pub response: Option<DrawnResponse>,
+    /// The number of whole responses without a length that servers have given.
+    pub given_without_length: u16,
+    /// Whether its client has received a drawn body.
+    pub received_drawn_body: bool,
     /// Its path through the system, for the texts of violations.
     steps: Vec<Step>,
 }
--- a/crates/fakes/src/account/tests.rs
+++ b/crates/fakes/src/account/tests.rs
@@ -134,8 +134,11 @@
             let id = account.next_attempt(account.begin(0));
             let given = ServerEvent::Response(DrawnResponse::Given { ends_connection: true });
             account.record_server_event("s", &id.request_id(), given);
-            let outcome = if number < served { Outcome::Served } else { Outcome::Failed };
-            account.record_outcome(id, outcome, at());
+            if number < served {
+                account.record_drawn_body(id);
+            }
+            // Others are served by a server whose response has a length.
+            account.record_outcome(id, Outcome::Served, at());
         }
         assert_eq!(account.report().violations(), violations, "{served} served");
     }
--- a/crates/fakes/src/clients.rs
+++ b/crates/fakes/src/clients.rs
@@ -318,8 +318,11 @@
         reader: Reader<TcpStream>,
     ) -> (Outcome, Option<Duration>) {
         let request_id = id.request_id();
-        let is_own = message.body == request_id.as_bytes()
-            || is_body_of(Direction::Response, &request_id, &message.body);
+        let is_drawn = is_body_of(Direction::Response, &request_id, &message.body);
+        let is_own = message.body == request_id.as_bytes() || is_drawn;
+        if message.status() == Some(200) && is_drawn {
+            self.account.record_drawn_body(id);
+        }
         let outcome = match message.status() {
             Some(200) if is_own => Outcome::Served,
             Some(200) => Outcome::WrongBody,
