Upstream: the end of a request has a module of its own, and a response three steps

Need: observer.rs and request.rs imported each other, and read_response had over 60 lines.

Change: RequestEnd is in request_end.rs, which neither needs the other for; read_response hands rejections, discarded responses and forwarded ones to a function each.

--- a/src/sidecar/upstream/mod.rs
+++ b/src/sidecar/upstream/mod.rs
@@ -13,6 +13,7 @@
 mod observer;
 mod pool;
 mod request;
+mod request_end;
 mod response;
 mod response_arrival;
 mod send;
@@ -36,7 +37,8 @@
 use desync::ResponseHistory;
 pub use health_check::{HealthCheckKind, HealthCheckResult};
 pub use memory_wait::MemoryWait;
-pub use request::{AttemptLimits, RequestClient, RequestEnd, UpstreamRequest};
+pub use request::{AttemptLimits, RequestClient, UpstreamRequest};
+pub use request_end::RequestEnd;
 pub use response_arrival::ResponseArrival;
 
 /// A server and its address.
--- a/src/sidecar/upstream/observer.rs
+++ b/src/sidecar/upstream/observer.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 
 use super::desync::ResponseHistory;
-use super::request::RequestEnd;
+use super::request_end::RequestEnd;
 use crate::sidecar::execution::ResponseFacts;
 use crate::sidecar::framing::{BodyEnd, Framing, MessageKind};
 use crate::sidecar::status::Status;
--- a/src/sidecar/upstream/request.rs
+++ b/src/sidecar/upstream/request.rs
@@ -11,10 +11,10 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::HeaderMap;
 use runtime::Runtime;
-use tokio::sync::Notify;
 
 use super::memory_wait::MemoryWait;
 use super::observer::ExchangeObserver;
+use super::request_end::RequestEnd;
 use super::response_arrival::ResponseArrival;
 use crate::settings::RetrySafety;
 use crate::sidecar::body::BodyError;
@@ -34,36 +34,6 @@
     fn has_left(&self) -> bool;
 }
 
-/// The end of a request: it has its final response, or nobody waits for one any more.
-///
-/// Nothing of the request is sent from then on, also where the settings do not allow attempts to be cancelled.
-#[derive(Debug, Default)]
-pub struct RequestEnd {
-    has_ended: Cell<bool>,
-    ended: Notify,
-}
-
-impl RequestEnd {
-    /// Ends the request.
-    pub fn set(&self) {
-        self.has_ended.set(true);
-        self.ended.notify_waiters();
-    }
-
-    /// Returns whether the request has ended.
-    pub fn has_ended(&self) -> bool {
-        self.has_ended.get()
-    }
-
-    /// Waits for the end of the request.
-    pub async fn ended(&self) {
-        let ended = self.ended.notified();
-        if !self.has_ended() {
-            ended.await;
-        }
-    }
-}
-
 /// A client's request as it is forwarded to servers, kept for retries.
 pub struct UpstreamRequest {
     /// Whether the request may be sent again after a server may have executed it.
--- a/src/sidecar/upstream/response.rs
+++ b/src/sidecar/upstream/response.rs
@@ -202,21 +202,10 @@
         let report = report.map(|text| self.live.names().load_report(text)).unwrap_or_default();
         let end = |outcome| AttemptResult { report, ..AttemptResult::without_response(outcome) };
         if unprocessed && needs_proof {
-            if !read_to_end(body).await {
-                return Received::Ended(end(Outcome::ConnectionReset));
-            }
-            if closes_connection {
-                return Received::FinalRejection(end(Outcome::Rejected));
-            }
-            return self.verify_rejection(server, connection, end(Outcome::Rejected));
+            return self.read_rejection(server, connection, closes_connection, body, end).await;
         }
         if head.status != StatusCode::OK {
-            if connection.is_used() {
-                // This may be a copy of an earlier response, and the response to this request may still follow.
-                connection.close(CloseReason::NotServed);
-            } else {
-                self.discard_body(server, connection, body);
-            }
+            self.discard_response(server, connection, body);
             let outcome = if unprocessed { Outcome::Rejected } else { Outcome::ErrorResponse };
             return Received::Ended(end(outcome));
         }
@@ -235,8 +224,18 @@
                 return Received::Ended(end(Outcome::ConnectionReset));
             }
         };
+        self.serve(server, read, end(Outcome::Success))
+    }
+
+    /// Returns what a response means that can be forwarded. `result` is that of the attempt without the response.
+    fn serve(
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
+        read: Forwardable<P>,
+        result: AttemptResult,
+    ) -> Received<P> {
         let Forwardable { response, connection, sync_result } = read;
-        let result = AttemptResult { response: Some(response), ..end(Outcome::Success) };
+        let result = AttemptResult { response: Some(response), ..result };
         if let Err(suspected) = sync_result {
             let connection = connection.map(Box::new);
             return Received::Unverified { result, connection, suspected: Some(suspected) };
@@ -247,6 +246,39 @@
         Received::Ended(result)
     }
 
+    /// Reads the body of a rejection, which counts only if it is complete.
+    async fn read_rejection(
+        &self,
+        server: ServerId,
+        connection: Connection<P>,
+        closes_connection: bool,
+        body: Incoming,
+        end: impl FnOnce(Outcome) -> AttemptResult,
+    ) -> Received<P> {
+        if !read_to_end(body).await {
+            return Received::Ended(end(Outcome::ConnectionReset));
+        }
+        if closes_connection {
+            return Received::FinalRejection(end(Outcome::Rejected));
+        }
+        self.verify_rejection(server, connection, end(Outcome::Rejected))
+    }
+
+    /// Ends the exchange of a response that is not forwarded.
+    fn discard_response(
+        self: &Rc<Upstream<P>>,
+        server: ServerId,
+        connection: Connection<P>,
+        body: Incoming,
+    ) {
+        if connection.is_used() {
+            // This may be a copy of an earlier response, and the response to this request may still follow.
+            connection.close(CloseReason::NotServed);
+        } else {
+            self.discard_body(server, connection, body);
+        }
+    }
+
     /// Handles a complete rejection. On a used connection it may be the response to an earlier request.
     fn verify_rejection(
         &self,
