Review: a stand-in that resets a closed connection prints no trace

Cause: a server that resets a connection which the sidecar has closed meanwhile printed an error. Change: the server's loop ends quietly on any error of its socket.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -235,7 +235,7 @@
                 request = Request(method, target, headers, body, connection)
                 request.reader = reader
                 await self.answer(request, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
