--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import socket
@@ -16,7 +17,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -387,7 +387,7 @@
         text.rename(self.config)
 
     def start(self):
-        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        run = re.search(r'^run = "(.*)"$', (ROOT / "deploy/balancer.toml").read_text(), re.MULTILINE).group(1)
         tmp = self.folder / f"tmp-{time.monotonic_ns()}"
         tmp.mkdir()
         env = {"PATH": os.environ["PATH"], "LB_CONFIG": str(self.config), "LB_NAME": self.name, "TMPDIR": str(tmp),
@@ -470,10 +470,11 @@
 
 def main(folder, play, limit=110):
     """Runs `play(rig)`, which returns a list of the breaks that it saw, and ends the script: 1, 0 or 2."""
-    rig = Rig(folder)
+    rig = None
 
     def end(code):
-        rig.stop()
+        if rig:
+            rig.stop()
         sys.stdout.flush()
         os._exit(code)
 
@@ -482,8 +483,10 @@
 
     async def judge():
         """Plays the case and ends the script from within, so that no task is cancelled first."""
+        nonlocal rig
         code = 2
         try:
+            rig = Rig(folder)
             breaks = await asyncio.wait_for(play(rig), limit)
             breaks += [f"{sidecar.name} has crashed" for sidecar in rig.sidecars if sidecar.process.poll() is not None]
             for text in breaks:
