Allocator: jemalloc, which returns the free pages between blocks in use

Change: jemalloc for lb-sidecar, with blocks of each size in pages of their own. A new crate, process-memory, sets how long free pages are kept (1 s), which blocks a thread keeps (8 KiB at most), returns free pages on demand, and reads the resident memory from /proc/self/statm. What it takes is not used by the sidecar yet.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 //! read once at its start.
 
 mod lingering_close;
+mod process_memory;
 mod runtime;
 pub mod signals;
 mod socket;
@@ -15,6 +16,7 @@
 mod tokio_runtime;
 
 pub use lingering_close::lingering_close;
+pub use process_memory::{ProcessMemory, UnknownMemory};
 pub use runtime::{Runtime, TaskHandle};
 pub use socket::{Listener, Tcp, Udp};
 pub use stream::{Observer, Stream};
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -11,11 +11,15 @@
 use lb_sidecar::sidecar::status::VERSION;
 use lb_sidecar::sidecar::{self, Control};
 use logging::Options;
+use process_memory::Jemalloc;
 use runtime::signals::{Signal, SignalError, SignalReceiver};
 use thiserror::Error;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 
+#[global_allocator]
+static ALLOCATOR: Jemalloc = Jemalloc;
+
 const HELP: &str = "\
 Client-side load balancer: accepts HTTP/1.1 requests and forwards each to a server.
 
