Memory: what may be in use follows from the resident memory, and gives way near the limit

Cause: memory was bounded by what was counted, while the platform judges what is resident. By a record of all blocks in a play of the landed program a connection to a server takes 35 to 38 kB (32 counted), a client's 20 to 21 (18), tables of ids and timers 1.7 MB (none counted), and a quarter of the heap is free (an eighth planned).

Change: memory_monitor measures the resident memory; memory_pressure (no I/O) takes the larger of measured and counted for what is in use, and lets connections and bodies grow by no more than what is left, all together. Near the limit free pages return, then idle connections are closed, new ones and bodies wait, and at last responses end their connections. Semaphores that change their size while in use have a module of their own, for sockets and bytes alike. An eviction of an idle connection applies only while it is idle: one that had begun to receive a request got 503. Admin command show-memory; log lines.

Why it works: a burst between two measurements has no more memory than was free at the first, whatever an estimate says.

In debug builds, which the tests run, the program's file counts as that of a release build.

--- a/crates/simulation/src/run/sidecars.rs
+++ b/crates/simulation/src/run/sidecars.rs
@@ -9,6 +9,7 @@
 use fakes::world::{ZONES, settings};
 use lb_sidecar::sidecar::{self, Control, Sockets, config::Config};
 use rand::Rng;
+use runtime::UnknownMemory;
 use serde_json::{Value, json};
 use simnet::{HostFailure, HostId, SimListener, SimRuntime, SimUdp};
 use tokio::sync::{Notify, mpsc};
@@ -189,6 +190,7 @@
                     hand_over: std::future::pending(),
                     reload,
                     read,
+                    memory: Rc::new(UnknownMemory),
                 };
                 let _ = sidecar::serve(parsed, sockets, control).await;
             }
--- a/src/bin/lb-sidecar.rs
+++ b/src/bin/lb-sidecar.rs
@@ -11,7 +11,7 @@
 use lb_sidecar::sidecar::status::VERSION;
 use lb_sidecar::sidecar::{self, Control};
 use logging::Options;
-use process_memory::Jemalloc;
+use process_memory::{AllocatorError, Jemalloc, JemallocMemory};
 use runtime::signals::{Signal, SignalError, SignalReceiver};
 use thiserror::Error;
 use tokio::sync::{Notify, mpsc};
@@ -65,6 +65,8 @@
     #[error("failed to create the runtime: {0}")]
     Runtime(#[source] io::Error),
     #[error(transparent)]
+    Allocator(#[from] AllocatorError),
+    #[error(transparent)]
     Signal(#[from] SignalError),
     #[error(transparent)]
     Config(#[from] ConfigError),
@@ -156,6 +158,7 @@
 
 /// Runs the sidecar until it has shut down.
 fn run() -> Result<(), ProgramError> {
+    let memory = Rc::new(JemallocMemory::new()?);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -178,7 +181,7 @@
         tokio::task::spawn_local(dispatcher.run(signals));
         let stop = async move { terminate.notified().await };
         let hand_over = async move { hand_over.notified().await };
-        let control = Control { stop, hand_over, reload, read: Config::reread };
+        let control = Control { stop, hand_over, reload, read: Config::reread, memory };
         Ok(sidecar::run(config, control).await?)
     })
 }
--- a/src/sidecar/admin/command.rs
+++ b/src/sidecar/admin/command.rs
@@ -13,6 +13,8 @@
     ShowEvents,
     /// Reports the current endpoint list and the calls of discovery.
     ShowDiscovery,
+    /// Reports the memory of the process.
+    ShowMemory,
     /// Reports the membership table of the tier.
     ShowTier,
     /// Disables a server: it gets no new requests until it is enabled again.
@@ -66,6 +68,7 @@
             "show-stat" => Command::ShowStat,
             "show-events" => Command::ShowEvents,
             "show-discovery" => Command::ShowDiscovery,
+            "show-memory" => Command::ShowMemory,
             "show-tier" => Command::ShowTier,
             "disable-server" => Command::DisableServer(server(words.next())?),
             "enable-server" => Command::EnableServer(server(words.next())?),
--- a/src/sidecar/admin/mod.rs
+++ b/src/sidecar/admin/mod.rs
@@ -233,6 +233,7 @@
             Command::ShowDiscovery => {
                 Ok(Response::Discovery(self.status.discovery.snapshot(P::now())))
             }
+            Command::ShowMemory => Ok(Response::Memory(self.status.memory.snapshot())),
             Command::ShowTier => {
                 let tier = self.driver.gossip().ok_or(CommandError::NoTier)?;
                 Ok(Response::Members(tier.members()))
--- a/src/sidecar/admin/response.rs
+++ b/src/sidecar/admin/response.rs
@@ -12,6 +12,7 @@
 use super::statistics::Statistics;
 use crate::sidecar::discovery_status::DiscoverySnapshot;
 use crate::sidecar::events::EventCount;
+use crate::sidecar::memory_status::MemorySnapshot;
 
 /// Error returned when a command was not executed.
 #[derive(Debug, Error)]
@@ -49,6 +50,8 @@
     Events(Vec<EventCount>),
     /// The current endpoint list and the calls of discovery.
     Discovery(DiscoverySnapshot),
+    /// The memory of the process.
+    Memory(MemorySnapshot),
     /// The members of the tier, each with the time since its last change of state.
     Members(Vec<(MemberRecord, Duration)>),
 }
@@ -67,6 +70,7 @@
                 writeln!(f, "end")
             }
             Response::Discovery(snapshot) => writeln!(f, "{snapshot}end"),
+            Response::Memory(snapshot) => writeln!(f, "{snapshot}end"),
             Response::Members(members) => {
                 members.iter().try_for_each(|(record, age)| write_member(f, record, *age))?;
                 writeln!(f, "end")
--- a/src/sidecar/admin/state.rs
+++ b/src/sidecar/admin/state.rs
@@ -56,6 +56,7 @@
             | Command::ShowStat
             | Command::ShowEvents
             | Command::ShowDiscovery
+            | Command::ShowMemory
             | Command::ShowTier => Ok(()),
             Command::Drain => {
                 self.drained = true;
--- a/src/sidecar/ingress/accept.rs
+++ b/src/sidecar/ingress/accept.rs
@@ -9,6 +9,7 @@
 
 use super::Ingress;
 use super::connection::ClientConnection;
+use super::phase::{EvictionClass, EvictionRank};
 use crate::sidecar::budget::SocketPermit;
 use crate::sidecar::events::CloseReason;
 use crate::sidecar::system_error::is_shortage;
@@ -59,7 +60,7 @@
                 AcceptOutcome::QueueEmpty => break,
                 AcceptOutcome::Failed => {
                     self.note_backlog(P::now());
-                    self.evict_one();
+                    self.make_room();
                     self.wait_for_connection_end().await;
                 }
             }
@@ -141,7 +142,7 @@
 
     /// Accepts a connection if one is queued.
     fn accept_waiting(self: &Rc<Ingress<P>>, listener: &P::Listener) -> AcceptOutcome {
-        let Ok(permit) = self.socket_budget.clients.clone().try_acquire_owned() else {
+        let Some(permit) = self.socket_budget.clients.try_acquire(1) else {
             return AcceptOutcome::Failed;
         };
         match listener.try_accept() {
@@ -174,17 +175,16 @@
         P::spawn(self.clone().serve_connection(connection, socket, permit));
     }
 
-    /// Takes a permit for one more connection. If none is left, a connection without a request in progress is
-    /// evicted.
+    /// Takes a permit for one more connection. If none is left, another connection is evicted.
     async fn acquire_permit(&self) -> SocketPermit {
+        let clients = &self.socket_budget.clients;
         loop {
-            let clients = self.socket_budget.clients.clone();
-            if let Ok(permit) = clients.clone().try_acquire_owned() {
+            if let Some(permit) = clients.try_acquire(1) {
                 return permit;
             }
-            self.evict_one();
-            let acquired = timeout::<P, _>(ACCEPT_RETRY_DELAY, clients.acquire_owned()).await;
-            if let Ok(Ok(permit)) = acquired {
+            self.make_room();
+            if let Ok(Some(permit)) = timeout::<P, _>(ACCEPT_RETRY_DELAY, clients.acquire(1)).await
+            {
                 return permit;
             }
         }
@@ -204,29 +204,59 @@
     /// never sent. The same holds for bursts of clients that connect for one request and stay connected.
     /// As a drawback, clients that use many connections in slow rotation have to reconnect each time.
     fn evict_longest_idle(&self) {
-        let connections = self.connections.borrow();
-        let surplus = connections.len().saturating_sub(self.socket_budget.eviction_threshold());
-        let surplus = surplus.min(MAX_EVICTIONS_PER_ACCEPT);
-        if surplus == 0 {
-            return;
+        let threshold = self.socket_budget.eviction_threshold();
+        let surplus = self.connection_count().saturating_sub(threshold);
+        if surplus > 0 {
+            self.evict_idle(surplus.min(MAX_EVICTIONS_PER_ACCEPT));
+        }
+    }
+
+    /// Evicts a connection so that another one can be accepted. While memory is short, new connections wait for it, and
+    /// only connections are evicted for them that are idle and not new.
+    fn make_room(&self) {
+        let memory_is_short = self.socket_budget.clients.size() < self.socket_budget.per_side();
+        if memory_is_short {
+            self.evict_first(|rank, c| rank.class == EvictionClass::Idle && !c.is_new());
+        } else {
+            self.evict_one();
         }
+    }
+
+    /// Closes the connections that have been idle longest and long enough for eviction, up to `count`. Returns how many
+    /// are closed.
+    pub fn evict_idle(&self, count: usize) -> usize {
+        let connections = self.connections.borrow();
         let mut idle: Vec<_> =
             connections.values().filter_map(|c| Some((c.evictable_idle_time()?, c))).collect();
         idle.sort_unstable_by_key(|(idle_time, _)| Reverse(*idle_time));
-        for (_, connection) in idle.into_iter().take(surplus) {
-            connection.request_close(CloseReason::Evicted);
+        idle.truncate(count);
+        for (_, connection) in &idle {
+            connection.request_close_if_idle(CloseReason::Evicted);
         }
+        idle.len()
     }
 
     /// Closes the connection with the lowest eviction rank, if any can be evicted.
     fn evict_one(&self) {
+        self.evict_first(|_, _| true);
+    }
+
+    /// Closes the connection with the lowest eviction rank, if any of those that qualify can be evicted.
+    fn evict_first(&self, qualifies: impl Fn(EvictionRank, &ClientConnection<P>) -> bool) {
         let connections = self.connections.borrow();
-        let mut ranked: Vec<_> =
-            connections.values().filter_map(|c| Some((c.eviction_rank()?, c))).collect();
+        let mut ranked: Vec<_> = connections
+            .values()
+            .filter_map(|c| Some((c.eviction_rank()?, c)))
+            .filter(|(rank, c)| qualifies(*rank, c))
+            .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
         let evicted = ranked.into_iter().find(|(_, c)| c.has_no_unread_input());
-        if let Some((_, connection)) = evicted {
-            connection.request_close(CloseReason::Evicted);
+        match evicted {
+            Some((rank, connection)) if rank.class == EvictionClass::Idle => {
+                connection.request_close_if_idle(CloseReason::Evicted);
+            }
+            Some((_, connection)) => connection.request_close(CloseReason::Evicted),
+            None => {}
         }
     }
 }
--- a/src/sidecar/ingress/connection.rs
+++ b/src/sidecar/ingress/connection.rs
@@ -123,6 +123,8 @@
     /// Notified when the current phase has an earlier timeout than the one before.
     timeout_changed: Notify,
     close_reason: Cell<Option<CloseReason>>,
+    /// The requested close applies only as long as the connection is idle.
+    closes_only_idle: Cell<bool>,
 }
 
 impl<P: Runtime> ClientConnection<P> {
@@ -158,6 +160,7 @@
             close_requested: Notify::new(),
             timeout_changed: Notify::new(),
             close_reason: Cell::new(None),
+            closes_only_idle: Cell::new(false),
         }
     }
 
@@ -320,6 +323,7 @@
 
     /// Asks the connection's task to close the connection, if that is still allowed when the task next runs.
     pub fn request_close(&self, reason: CloseReason) {
+        self.closes_only_idle.set(false);
         // A connection with a failed body has to be closed in any case, so an eviction does not replace that reason.
         if self.close_reason.get() != Some(CloseReason::BodyFailed) {
             self.close_reason.set(Some(reason));
@@ -327,6 +331,15 @@
         self.close_requested.notify_one();
     }
 
+    /// Asks the connection's task to close the connection if it is still idle when the task next runs. A request that has
+    /// begun to arrive by then is served.
+    pub fn request_close_if_idle(&self, reason: CloseReason) {
+        if self.close_reason.get().is_none() {
+            self.request_close(reason);
+            self.closes_only_idle.set(true);
+        }
+    }
+
     /// Completes when a close is requested. [`Self::try_close`] decides whether it is allowed.
     pub async fn close_requested(&self) -> CloseReason {
         loop {
--- a/src/sidecar/ingress/connection/closing.rs
+++ b/src/sidecar/ingress/connection/closing.rs
@@ -70,7 +70,8 @@
             Phase::Lingering => true,
             Phase::Idle => self.shut_down_if_no_input(),
             Phase::ReceivingRequest => {
-                reason == CloseReason::TimedOut || self.has_no_unread_input()
+                let may_reject = !self.closes_only_idle.get() && self.has_no_unread_input();
+                reason == CloseReason::TimedOut || may_reject
             }
             _ => matches!(reason, CloseReason::TimedOut | CloseReason::BodyFailed),
         }
@@ -123,6 +124,11 @@
         self.phase.get() == Phase::Lingering || !self.socket.upgrade().is_some_and(unread)
     }
 
+    /// Whether the connection has carried no request yet, and its client may still be about to send one.
+    pub fn is_new(&self) -> bool {
+        self.unused.get() && self.time_in_phase() < MIN_UNUSED_BEFORE_EVICTION
+    }
+
     /// The idle time of the connection, if it is long enough for eviction.
     pub fn evictable_idle_time(&self) -> Option<Duration> {
         let min_idle_time =
--- a/src/sidecar/ingress/service.rs
+++ b/src/sidecar/ingress/service.rs
@@ -265,13 +265,15 @@
     ///
     /// It is closed after an error that concerns the request itself, because later input of that client
     /// cannot be relied on, after a request whose body end only hyper has found, because the input after it has not
-    /// been checked, and after a long head, because hyper keeps its buffers.
+    /// been checked, and after a long head, because hyper keeps its buffers. It is also closed while there are more
+    /// connections than there is memory for.
     fn is_last_response(&self, connection: &ClientConnection<P>, status: StatusCode) -> bool {
         let unusable = !status.is_success() && connection.phase() != Phase::AwaitingResponse;
         let draining = self.shutdown_deadline.get().is_some()
             || self.drained_for().is_some_and(|time| time >= DRAIN_PROPAGATION_DELAY);
         let has_long_head = connection.heads.has_carried_long(&self.message_memory);
-        draining || unusable || has_long_head || !connection.has_complete_request()
+        let is_surplus = self.socket_budget.clients.has_surplus();
+        draining || unusable || has_long_head || is_surplus || !connection.has_complete_request()
     }
 }
 
--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -11,10 +11,10 @@
 
 use bytes::Bytes;
 use runtime::Runtime;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 
-use super::budget::resize;
-use super::resource_limits::ResourceLimits;
+use super::adjustable_semaphore::{AdjustableSemaphore, ShortageHook};
+use super::resource_limits::{MessageLimits, ResourceLimits};
 
 /// The maximum size of a short message in bytes.
 const SHORT_MESSAGE_BYTES: usize = 8 << 10;
@@ -31,21 +31,55 @@
     head_allowance: Cell<usize>,
     limits: Cell<ResourceLimits>,
     servers: Cell<usize>,
+    /// The sizes of the budgets by what memory is left; `None` if that is not measured.
+    allowance: Cell<Option<MessageAllowance>>,
+}
+
+/// The number of bytes that messages may take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MessageAllowance {
+    /// The bytes of all requests together.
+    pub requests: usize,
+    /// The bytes of all responses together.
+    pub responses: usize,
 }
 
 impl MessageMemory {
-    /// Creates the memory of a process with these limits that knows no servers yet.
-    pub fn new(limits: ResourceLimits) -> Rc<MessageMemory> {
+    /// Creates the memory of a process with these limits that knows no servers yet. `shortage` is told when memory is asked
+    /// for that is not available.
+    pub fn new(limits: ResourceLimits, shortage: &Rc<ShortageHook>) -> Rc<MessageMemory> {
         let bytes = limits.message_limits(0);
         Rc::new(MessageMemory {
-            requests: MemoryBudget::new(bytes.requests),
-            responses: MemoryBudget::new(bytes.responses),
+            requests: MemoryBudget::new(bytes.requests, shortage),
+            responses: MemoryBudget::new(bytes.responses, shortage),
             head_allowance: Cell::new(bytes.head_allowance),
             limits: Cell::new(limits),
             servers: Cell::new(0),
+            allowance: Cell::new(None),
         })
     }
 
+    /// Returns how much messages may take where nothing else takes more than is planned for it.
+    pub fn planned(&self) -> MessageAllowance {
+        self.limits.get().message_limits(self.servers.get()).into()
+    }
+
+    /// Returns the limits in force.
+    pub fn limits(&self) -> ResourceLimits {
+        self.limits.get()
+    }
+
+    /// Returns the number of servers for which memory is left.
+    pub fn servers(&self) -> usize {
+        self.servers.get()
+    }
+
+    /// Sets how much messages may take. Bytes in use stay counted; surplus ones are withdrawn as they are returned.
+    pub fn set_allowance<P: Runtime>(&self, allowance: MessageAllowance) {
+        self.allowance.set(Some(allowance));
+        self.resize::<P>();
+    }
+
     /// Applies new limits. Bytes in use stay counted; surplus ones are withdrawn as they are returned.
     pub fn set_limits<P: Runtime>(&self, limits: ResourceLimits) {
         self.limits.set(limits);
@@ -66,8 +100,15 @@
     fn resize<P: Runtime>(&self) {
         let bytes = self.limits.get().message_limits(self.servers.get());
         self.head_allowance.set(bytes.head_allowance);
-        self.requests.resize::<P>(bytes.requests);
-        self.responses.resize::<P>(bytes.responses);
+        let allowance = self.allowance.get().unwrap_or(bytes.into());
+        self.requests.resize::<P>(allowance.requests);
+        self.responses.resize::<P>(allowance.responses);
+    }
+}
+
+impl From<MessageLimits> for MessageAllowance {
+    fn from(limits: MessageLimits) -> MessageAllowance {
+        MessageAllowance { requests: limits.requests, responses: limits.responses }
     }
 }
 
@@ -124,14 +165,22 @@
 /// for as long as the peers of these take to read them.
 #[derive(Clone)]
 pub struct MemoryBudget {
-    any: BudgetPart,
-    short: BudgetPart,
+    any: AdjustableSemaphore,
+    short: AdjustableSemaphore,
 }
 
 impl MemoryBudget {
-    fn new(size: usize) -> MemoryBudget {
+    fn new(size: usize, shortage: &Rc<ShortageHook>) -> MemoryBudget {
         let short = size / SHORT_MESSAGES_DIVISOR;
-        MemoryBudget { any: BudgetPart::new(size - short), short: BudgetPart::new(short) }
+        MemoryBudget {
+            any: AdjustableSemaphore::new(size - short, shortage.clone()),
+            short: AdjustableSemaphore::new(short, shortage.clone()),
+        }
+    }
+
+    /// Returns the number of bytes that are reserved.
+    pub fn in_use(&self) -> usize {
+        self.any.in_use() + self.short.in_use()
     }
 
     fn resize<P: Runtime>(&self, size: usize) {
@@ -145,8 +194,9 @@
         if size.is_empty() {
             return Some(MessageReservation::default());
         }
-        let short = || self.short_part(size).and_then(|short| short.try_acquire(size));
-        let permit = self.any.try_acquire(size).or_else(short);
+        let permits = size.permits();
+        let short = || self.short_part(size).and_then(|short| short.try_acquire(permits));
+        let permit = self.any.try_acquire(permits).or_else(short);
         permit.map(|permit| MessageReservation::new(Some(permit), size))
     }
 
@@ -156,42 +206,16 @@
             return reservation;
         }
         let part = self.short_part(size).unwrap_or(&self.any);
-        MessageReservation::new(part.acquire(size).await, size)
+        MessageReservation::new(part.acquire(size.permits()).await, size)
     }
 
     /// Returns the part for short messages if a message of this size may use it.
-    fn short_part(&self, size: MessageSize) -> Option<&BudgetPart> {
-        let fits = size.total() <= self.short.size.get().min(SHORT_MESSAGE_BYTES);
+    fn short_part(&self, size: MessageSize) -> Option<&AdjustableSemaphore> {
+        let fits = size.total() <= self.short.size().min(SHORT_MESSAGE_BYTES);
         fits.then_some(&self.short)
     }
 }
 
-/// A part of a budget.
-#[derive(Clone)]
-struct BudgetPart {
-    bytes: Arc<Semaphore>,
-    size: Rc<Cell<usize>>,
-}
-
-impl BudgetPart {
-    fn new(size: usize) -> BudgetPart {
-        BudgetPart { bytes: Arc::new(Semaphore::new(size)), size: Rc::new(Cell::new(size)) }
-    }
-
-    fn resize<P: Runtime>(&self, size: usize) {
-        let old = self.size.replace(size);
-        resize::<P>(&self.bytes, old, size);
-    }
-
-    fn try_acquire(&self, size: MessageSize) -> Option<OwnedSemaphorePermit> {
-        self.bytes.clone().try_acquire_many_owned(size.permits()).ok()
-    }
-
-    async fn acquire(&self, size: MessageSize) -> Option<OwnedSemaphorePermit> {
-        self.bytes.clone().acquire_many_owned(size.permits()).await.ok()
-    }
-}
-
 /// The memory reserved for a head or a body. It returns to its budget once all clones of this, and all bytes attached to
 /// it, are dropped.
 #[derive(Clone, Default)]
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The sidecar process: the proxy between clients and servers, with discovery and gossip with other sidecars.
 //! [`crate::balancer`] makes all decisions, and only `driver` communicates with it.
 
+pub mod adjustable_semaphore;
 pub mod admin;
 pub mod body;
 pub mod budget;
@@ -19,6 +20,9 @@
 pub mod invariants;
 pub mod live;
 pub mod memory;
+pub mod memory_monitor;
+pub mod memory_pressure;
+pub mod memory_status;
 pub mod notify;
 pub mod peers;
 pub mod reload;
@@ -39,7 +43,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Runtime, TokioRuntime};
+use runtime::{ProcessMemory, Runtime, TokioRuntime};
 use tokio::sync::{Notify, mpsc, watch};
 
 use self::admin::state_file::StateFile;
@@ -58,6 +62,8 @@
     pub reload: mpsc::Receiver<()>,
     /// Reads the configuration for a reload.
     pub read: R,
+    /// The memory of the process.
+    pub memory: Rc<dyn ProcessMemory>,
 }
 
 /// The sockets and the files that a sidecar starts with.
@@ -137,16 +143,18 @@
     startup::log_listening::<P>(&listener)?;
     components.start_status_reports(&ingress);
 
+    let Control { stop, hand_over, reload, read, memory } = control;
+    let memory_monitor = components.start_memory_monitor(&ingress, memory);
     let targets = Targets {
         discovery: discovery_address,
         live: components.live.clone(),
         driver,
         socket_budget: components.socket_budget.clone(),
         message_memory: components.message_memory.clone(),
+        memory_monitor,
         status: components.status.clone(),
         restart_only: config.restart_only,
     };
-    let Control { stop, hand_over, reload, read } = control;
     let reloading = reload::run(reload, read, targets);
     let live = components.live.clone();
     let serving = Serving { ingress, admin, live, listener, listener_shared, discovery_attempted };
--- a/src/sidecar/reload.rs
+++ b/src/sidecar/reload.rs
@@ -15,6 +15,7 @@
 use super::driver::Driver;
 use super::live::LiveConfig;
 use super::memory::MessageMemory;
+use super::memory_monitor::MemoryMonitor;
 use super::status::Status;
 
 /// Delay before an unreadable configuration file is read again.
@@ -34,6 +35,8 @@
     pub socket_budget: Rc<SocketBudget>,
     /// The memory budget of bodies.
     pub message_memory: Rc<MessageMemory>,
+    /// Adjusts both budgets to the memory that is left; `None` if that cannot be determined.
+    pub memory_monitor: Option<Rc<MemoryMonitor<P>>>,
     /// Records the outcome.
     pub status: Rc<Status>,
     /// The part of the configuration that only a restart can change.
@@ -116,6 +119,9 @@
         let limits = config.resource_limits();
         self.socket_budget.set_limits::<P>(limits);
         self.message_memory.set_limits::<P>(limits);
+        if let Some(monitor) = &self.memory_monitor {
+            monitor.adjust();
+        }
         let quotas = config.tenant_quotas();
         self.driver.reconfigure(config.settings, quotas);
     }
--- a/src/sidecar/resource_limits.rs
+++ b/src/sidecar/resource_limits.rs
@@ -1,8 +1,11 @@
 //! Limits derived from the configured number of sockets and amount of memory: connections, bytes of bodies, servers in
 //! an endpoint list and members of a tier.
+//!
+//! Connections and bodies are planned here by what they take in ordinary use. How many of them may be in use at a time
+//! follows from the resident memory ([`super::memory_pressure`]), and is never more than planned.
 
 /// Number of descriptors reserved for purposes other than connections of clients and to servers: standard streams, the
-/// event queue and its waker, signals, the listener, discovery (one per call in flight), peers, and the configuration
+/// event queue and its waker, signals, the listener, discovery (one per call in flight), peers, the memory file, and the configuration
 /// file during a reload.
 const RESERVED_DESCRIPTORS: usize = 36;
 /// The minimum of the connection limit of each side, clients and servers.
--- a/src/sidecar/startup.rs
+++ b/src/sidecar/startup.rs
@@ -7,11 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use runtime::{Listener, Runtime, TokioRuntime};
+use runtime::{Listener, ProcessMemory, Runtime, TokioRuntime};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use super::adjustable_semaphore::ShortageHook;
 use super::admin::Admin;
 use super::admin::state_file::StateFile;
 use super::budget::SocketBudget;
@@ -23,6 +24,7 @@
 use super::inherited_listener::{InheritedListenerError, LISTEN_BACKLOG, inherited_listener};
 use super::live::LiveConfig;
 use super::memory::MessageMemory;
+use super::memory_monitor::{MemoryMonitor, MonitoredMemory};
 use super::peers::Peers;
 use super::request_ids::{RequestIds, SharedRequestIdLog};
 use super::status::Status;
@@ -133,6 +135,8 @@
     pub status: Rc<Status>,
     pub socket_budget: Rc<SocketBudget>,
     pub message_memory: Rc<MessageMemory>,
+    /// Told when a budget has less than is asked for.
+    shortage: Rc<ShortageHook>,
     upstream: Rc<Upstream<P>>,
     peers: Option<Rc<Peers<P>>>,
     tier: Option<Rc<Membership<P>>>,
@@ -149,8 +153,9 @@
         let live = LiveConfig::new(config);
         let status = Rc::new(Status::default());
         let limits = config.resource_limits();
-        let socket_budget = Rc::new(SocketBudget::new(limits));
-        let message_memory = MessageMemory::new(limits);
+        let shortage = Rc::default();
+        let socket_budget = Rc::new(SocketBudget::new(limits, &shortage));
+        let message_memory = MessageMemory::new(limits, &shortage);
         let upstream = Upstream::<P>::new(
             socket_budget.clone(),
             message_memory.clone(),
@@ -158,7 +163,33 @@
             status.clone(),
         );
         let tier = Membership::<P>::new(config, peers.as_ref())?;
-        Ok(Components { live, status, socket_budget, message_memory, upstream, peers, tier })
+        Ok(Components {
+            live,
+            status,
+            socket_budget,
+            message_memory,
+            shortage,
+            upstream,
+            peers,
+            tier,
+        })
+    }
+
+    /// Starts to keep the process within its memory limit. Returns `None` if its memory cannot be determined.
+    pub fn start_memory_monitor(
+        &self,
+        ingress: &Rc<Ingress<P>>,
+        process: Rc<dyn ProcessMemory>,
+    ) -> Option<Rc<MemoryMonitor<P>>> {
+        MemoryMonitor::start(MonitoredMemory {
+            process,
+            shortage: self.shortage.clone(),
+            socket_budget: self.socket_budget.clone(),
+            message_memory: self.message_memory.clone(),
+            ingress: ingress.clone(),
+            upstream: self.upstream.clone(),
+            status: self.status.clone(),
+        })
     }
 
     /// Creates the driver, which sends its requests for discovery to `to_discovery`.
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -7,6 +7,7 @@
 
 use super::discovery_status::DiscoveryStatus;
 use super::events::EventCounters;
+use super::memory_status::MemoryStatus;
 
 /// The program's version.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
@@ -33,6 +34,8 @@
     pub events: EventCounters,
     /// The current endpoint list and the calls of discovery.
     pub discovery: DiscoveryStatus,
+    /// The memory of the process.
+    pub memory: MemoryStatus,
     /// Notified of changes that should be reported at once.
     pub changed: Notify,
 }
--- a/src/sidecar/upstream/pool.rs
+++ b/src/sidecar/upstream/pool.rs
@@ -128,29 +128,37 @@
     /// Closing one is not always enough: after a reload that lowers the limit, released permits are withdrawn first.
     /// Also, further connections may become idle during the wait.
     async fn acquire_socket(&self) -> Option<SocketPermit> {
-        if let Ok(permit) = self.sockets.servers.clone().try_acquire_owned() {
+        if let Some(permit) = self.sockets.servers.try_acquire(1) {
             return Some(permit);
         }
-        let mut acquiring = pin!(self.sockets.servers.clone().acquire_owned());
+        let mut acquiring = pin!(self.sockets.servers.acquire(1));
         loop {
             self.close_longest_idle();
             tokio::select! {
                 biased;
-                permit = &mut acquiring => return permit.ok(),
+                permit = &mut acquiring => return permit,
                 () = P::sleep(EVICTION_RETRY_INTERVAL) => {}
             }
         }
     }
 
-    fn close_longest_idle(&self) {
+    /// Closes the connections that have been idle longest, up to `count`. Returns how many were closed.
+    pub fn close_longest_idle_connections(&self, count: usize) -> usize {
+        (0..count).take_while(|_| self.close_longest_idle()).count()
+    }
+
+    /// Closes the connection that has been idle longest. Returns whether there was one.
+    fn close_longest_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle
             .iter()
             .filter_map(|(&server, connections)| Some((connections.first()?.idle_since, server)))
             .min();
-        if let Some(connections) = oldest.and_then(|(_, server)| idle.get_mut(&server)) {
-            connections.remove(0).close(CloseReason::Evicted);
-        }
+        let Some(connections) = oldest.and_then(|(_, server)| idle.get_mut(&server)) else {
+            return false;
+        };
+        connections.remove(0).close(CloseReason::Evicted);
+        true
     }
 
     /// Returns the response history of a server. There are at most as many histories as servers may be listed. If a
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -374,3 +374,22 @@
         );
     }
 }
+
+/// Guards against operators who cannot see how close the process is to its memory limit.
+#[test]
+fn memory_of_the_process_and_what_it_allows_are_reported() {
+    let server = Server::echo();
+    let sidecar = Sidecar::start_with(discovery(&[&server]), with_admin);
+    sidecar.wait_until_reaches(&server);
+    let response = call(sidecar.admin(), "show-memory\n");
+    let value = |name: &str| -> u64 {
+        let line = response.lines().find_map(|l| l.strip_prefix(&format!("memory.{name}=")));
+        line.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name} in {response}"))
+    };
+    assert_eq!(value("limit_kb"), 32 << 10);
+    assert!((1000..=value("peak_kb")).contains(&value("resident_kb")), "{response}");
+    assert!(value("allowed.client_connections") > 0, "{response}");
+    assert!(value("allowed.requests_kb") > 0, "{response}");
+    assert_eq!((value("shortages"), value("closed_connections")), (0, 0));
+    assert!(response.ends_with("end\n"), "{response}");
+}
--- a/tests/lifecycle/main.rs
+++ b/tests/lifecycle/main.rs
@@ -13,6 +13,7 @@
 mod discovery;
 mod draining;
 mod idle_close;
+mod lasting_uploads;
 mod memory_limit;
 mod open_request_ids;
 mod paced_responses;
--- a/tests/lifecycle/memory_limit.rs
+++ b/tests/lifecycle/memory_limit.rs
@@ -13,7 +13,7 @@
 use crate::support::*;
 
 /// The number of descriptors of a sidecar with many clients. A third of them may be in use for requests.
-const SOCKETS: usize = 1024;
+pub const SOCKETS: usize = 1024;
 /// The number of clients that send requests at the same time.
 const CLIENTS: usize = 330;
 /// The number of requests of each client.
@@ -23,7 +23,7 @@
 /// Resident memory of a release build's program file in kB. Debug builds, with which tests run, have more.
 const PROGRAM_KB: usize = 3600;
 /// The connect timeout in microseconds.
-const CONNECT_TIMEOUT_US: u64 = 10_000_000;
+pub const CONNECT_TIMEOUT_US: u64 = 10_000_000;
 /// The interval at which memory is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// The length in bytes of the longest buffered bodies.
@@ -36,7 +36,7 @@
 const PIECE_BYTES: usize = 500;
 
 /// The memory in use in kB, without the program file.
-fn anonymous_kb(sidecar: &Sidecar) -> usize {
+pub fn anonymous_kb(sidecar: &Sidecar) -> usize {
     let path = format!("/proc/{}/status", sidecar.pid());
     let status = std::fs::read_to_string(path).expect("the process runs");
     let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("its memory");
@@ -44,7 +44,7 @@
 }
 
 /// Calls `work` and returns the highest memory use in kB meanwhile.
-fn peak_kb(sidecar: &Sidecar, work: impl FnOnce()) -> usize {
+pub fn peak_kb(sidecar: &Sidecar, work: impl FnOnce()) -> usize {
     let (peak, is_over) = (AtomicUsize::new(0), AtomicBool::new(false));
     thread::scope(|scope| {
         scope.spawn(|| {
