Memory: measure more often while half of the limit is resident; withdraw surplus in steps

Between two measurements a second apart memory that nothing counts may grow, such as buffers of long heads, where no budget asks for more. And permits of a semaphore that has shrunk were withdrawn in one piece: if the semaphore grew meanwhile, those who wait behind that piece waited for connections to end that need not have.

Change: every 0.1 s while more than half of the limit is resident; a surplus is withdrawn in sixteenths.

--- a/src/sidecar/adjustable_semaphore.rs
+++ b/src/sidecar/adjustable_semaphore.rs
@@ -7,8 +7,11 @@
 use runtime::Runtime;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// The number of permits withdrawn at a time from a semaphore that has shrunk.
-const WITHDRAWAL_STEP: usize = 64 << 10;
+/// A surplus is withdrawn in this many steps. It may become smaller during each of them, which ends with the permits that it
+/// was begun for.
+const WITHDRAWAL_STEPS: usize = 16;
+/// The maximum number of permits withdrawn at a time.
+const MAX_WITHDRAWAL: usize = 64 << 10;
 
 /// Is told of shortages of permits, and may add some.
 #[derive(Default)]
@@ -108,7 +111,7 @@
     async fn withdraw_surplus(self) {
         let State { surplus, is_withdrawing, .. } = &*self.state;
         while surplus.get() > 0 {
-            let step = surplus.get().min(WITHDRAWAL_STEP);
+            let step = surplus.get().div_ceil(WITHDRAWAL_STEPS).min(MAX_WITHDRAWAL);
             let Some(mut returned) = self.acquire(u32::try_from(step).unwrap_or(u32::MAX)).await
             else {
                 break;
--- a/src/sidecar/memory_monitor.rs
+++ b/src/sidecar/memory_monitor.rs
@@ -19,11 +19,14 @@
 use super::memory_pressure::{
     Allowance, MemoryUse, client_connections_for, server_connections_for,
 };
+use super::memory_status::MemorySnapshot;
 use super::status::Status;
 use super::upstream::Upstream;
 
-/// The interval between two measurements while there is memory for all that may be in use.
+/// The interval between two measurements while little memory is resident.
 const CALM_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval while more than half of the limit is resident.
+const BUSY_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval between two measurements while too much memory is resident, or something waits for memory.
 const SHORTAGE_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum time between two measurements.
@@ -89,18 +92,27 @@
     /// Measures and adjusts at intervals; never returns.
     async fn run(self: Rc<MemoryMonitor<P>>) {
         loop {
-            if self.last_excess.get().is_none() {
-                tokio::select! {
-                    () = P::sleep(CALM_INTERVAL) => {}
-                    () = self.waiting.notified() => P::sleep(SHORTAGE_INTERVAL).await,
-                }
-            } else {
-                P::sleep(SHORTAGE_INTERVAL).await;
+            tokio::select! {
+                biased;
+                () = P::sleep(self.interval()) => {}
+                () = self.waiting.notified() => P::sleep(SHORTAGE_INTERVAL).await,
             }
             self.adjust();
         }
     }
 
+    /// Returns the time until the next measurement if nothing waits for memory.
+    fn interval(&self) -> Duration {
+        let MemorySnapshot { resident, limit, .. } = self.monitored.status.memory.snapshot();
+        if self.last_excess.get().is_some() {
+            SHORTAGE_INTERVAL
+        } else if resident > limit / 2 {
+            BUSY_INTERVAL
+        } else {
+            CALM_INTERVAL
+        }
+    }
+
     /// Measures anew when something asks for memory that is not available: memory may have become free since.
     fn handle_shortage(&self) {
         if P::elapsed_since(self.measured_at.get()) >= MIN_INTERVAL {
