Decisions: exp and log from a Rust library, the same everywhere, and no libm to load

Of the 4.9 MB of a sidecar at rest 0.55 were the C library's libm, loaded for exp and log alone: its relocations and their neighbours.

Change: libm::exp and libm::log (crate libm) in src/balancer and crates/gossip. Results may differ in the last bit from those of the C library, which differ between machines; these do not.

--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -350,7 +350,7 @@
             None => 1.0,
             Some(at) => {
                 let elapsed = now.saturating_sub(at) as f64 / self.config.round_interval as f64;
-                1.0 - (-elapsed / SMOOTHING_ROUNDS).exp()
+                1.0 - libm::exp(-elapsed / SMOOTHING_ROUNDS)
             }
         };
         for (smoothed, value) in self.smoothed.iter_mut().zip(&estimate) {
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -57,7 +57,7 @@
             Some(i) => self.samples[i] = sample,
             None => self.samples.push(sample),
         }
-        let weight = |s: &LatenessSample| (-((now - s.taken_at) as f64) / decay as f64).exp();
+        let weight = |s: &LatenessSample| libm::exp(-((now - s.taken_at) as f64) / decay as f64);
         let weighted = self.samples.iter().map(|s| (s.lateness, weight(s)));
         let mut weighted: SmallVec<[(f64, f64); FLEET_SAMPLE_SIZE]> = weighted.collect();
         weighted.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
@@ -84,7 +84,7 @@
         };
         self.requests.insert(id, request);
         let gap_s = (self.now.saturating_sub(self.last_request) as f64 / 1e6).max(1e-3);
-        let decay = (-gap_s / RATE_WINDOW_S).exp();
+        let decay = libm::exp(-gap_s / RATE_WINDOW_S);
         self.request_rate = self.request_rate * decay + (1.0 - decay) / gap_s;
         self.last_request = self.now;
         let budget = &mut self.retry_budget;
@@ -134,10 +134,10 @@
         let priorities = (0..self.settings.classes.len()).map(|class| self.priority(class));
         let highest = priorities.fold(0.0, f64::max);
         let weight = if over_quota { self.settings.over_quota_weight } else { 1.0 };
-        let log_below = (highest / (weight * self.priority(class)).max(1e-9)).ln().max(0.0);
+        let log_below = libm::log(highest / (weight * self.priority(class)).max(1e-9)).max(0.0);
         let start = (SHED_START - SHED_START_PER_LOG_PRIORITY * log_below).max(MIN_SHED_START);
         let age = self.now.saturating_sub(self.lateness.updated_at) as f64;
-        let decay = (-age / (LATENESS_DECAY_OBJECTIVES * self.longest_objective)).exp();
+        let decay = libm::exp(-age / (LATENESS_DECAY_OBJECTIVES * self.longest_objective));
         ((self.lateness.mean * decay - start) / SHED_RANGE).clamp(0.0, 1.0)
     }
 
--- a/src/balancer/locality.rs
+++ b/src/balancer/locality.rs
@@ -73,8 +73,8 @@
         let pace = (SPILLOVER_RATE_PER_S * gap_s).min(1.0);
         server.spillover_updated_at = self.now;
         ewma(&mut server.remote_load, EWMA_WEIGHT * pace.max(0.1), load);
-        let imbalance = (self.local_load / server.remote_load).ln() - tolerated;
-        let weight = before * (0.5 * pace * imbalance.clamp(-1.0, 1.0)).exp();
+        let imbalance = libm::log(self.local_load / server.remote_load) - tolerated;
+        let weight = before * libm::exp(0.5 * pace * imbalance.clamp(-1.0, 1.0));
         server.spillover_weight = Some(weight.clamp(self.min_remote_weight, 1.0));
     }
 }
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -223,10 +223,10 @@
     /// without a report counts as average: otherwise a new server would get all requests or none.
     fn expected_load(&self, server: &Server) -> f64 {
         let age = self.now.saturating_sub(server.load_reported_at) as f64;
-        let fresh = (-age / (REPORT_DECAY_OBJECTIVES * self.longest_objective)).exp();
+        let fresh = libm::exp(-age / (REPORT_DECAY_OBJECTIVES * self.longest_objective));
         let load = server.load / (server.weight * self.slow_start_weight(server));
         let expected = 1.0 + fresh * load + (1.0 - fresh) * self.mean_load;
-        expected * server.relative_latency * self.tolerated_load_log(server).exp()
+        expected * server.relative_latency * libm::exp(self.tolerated_load_log(server))
     }
 
     /// Returns the weight of a server by its size according to discovery; 1 if the listed weights do not express sizes.
@@ -266,7 +266,7 @@
     /// Returns the weighted rendezvous hash of a server for this instance. The lowest ranks form the subset.
     fn subset_rank(&self, server: &Server) -> f64 {
         let u = unit_interval(hash(server.id.0 ^ hash(u64::from(self.settings.instance))));
-        -u.max(f64::MIN_POSITIVE).ln() / self.initial_locality_weight(server)
+        -libm::log(u.max(f64::MIN_POSITIVE)) / self.initial_locality_weight(server)
     }
 
     /// Returns the size of the subset of a fleet with so many ready servers.
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -80,7 +80,7 @@
     /// the remaining servers warm up.
     fn update(&mut self, current: f64, now: Micros, window: Micros) {
         let age = now.saturating_sub(self.updated_at) as f64;
-        let decayed = self.recent * (-age / window.max(1) as f64).exp();
+        let decayed = self.recent * libm::exp(-age / window.max(1) as f64);
         // The capacity that was available until now has not decayed.
         self.recent = decayed.max(self.current).max(current);
         self.current = current;
