Memory: only what is resident takes bodies and connections away, not the count

The excess that bodies and clients give up was taken from the larger of measured and counted. With 340 clients, 340 connections to servers and 4,700 listed servers the count is over 32 MB; bodies would have fallen to their minimum and responses ended their connections with 26 MB resident.

Change: the count only keeps parts from growing. What gives way follows from the resident memory.

Result: what_is_in_use_stays_where_only_the_count_exceeds_the_limit failed before (262,144 bytes for requests where 2 MB were in use) and passes, with the other tests of memory_budgets.

--- a/src/sidecar/memory_pressure.rs
+++ b/src/sidecar/memory_pressure.rs
@@ -82,7 +82,8 @@
         let usable = limit.saturating_sub(RESERVED_BYTES);
         let used = self.resident.max(self.counted());
         let growth = self.growth(usable.saturating_sub(used), maximum);
-        let excess = used.saturating_sub(usable);
+        // A count that is too high lets nothing grow, but takes nothing away either.
+        let excess = self.resident_excess(limit);
         // Once messages take no more than their minimum, only fewer connections take less memory.
         let surplus = if self.messages_are_minimal() { client_connections_for(excess) } else { 0 };
         let connections =
--- a/tests/memory_budgets.rs
+++ b/tests/memory_budgets.rs
@@ -63,6 +63,23 @@
     assert_eq!(allowance.messages, messages(3 * MB - MB / 2, 2 * MB - MB / 2));
 }
 
+/// Guards against bodies and connections that give way to a count that is too high, while less than that is resident.
+#[test]
+fn what_is_in_use_stays_where_only_the_count_exceeds_the_limit() {
+    let limit = 32 * MB;
+    let used = MemoryUse {
+        resident: 26 * MB,
+        clients: 340,
+        servers: 340,
+        listed_servers: 4700,
+        messages: messages(2 * MB, MB),
+    };
+    assert!(used.counted() > limit, "{}", used.counted());
+    let allowance = used.allowance(limit, maximum(limit));
+    assert_eq!((allowance.clients, allowance.servers), (340, 340));
+    assert_eq!(allowance.messages, messages(2 * MB, MB));
+}
+
 /// Guards against clients whose requests wait for memory that only fewer connections would free.
 #[test]
 fn clients_become_fewer_once_messages_take_the_minimum() {
